--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -3,6 +3,7 @@
 
 #include "fb-types.h"
 #include "rpc/record.h"
+#include "rpc/work.h"
 
 /* Returns: (transfer full): the bytes of MSG, or NULL when it breaks a limit. */
 GBytes *fb_codec_encode_msg (const fb_msg *msg);
@@ -19,3 +20,14 @@
 GBytes *fb_codec_encode_revision (const fb_rec_revision *revision);
 gboolean fb_codec_decode_revision (const void *data, gsize len, fb_rec_revision *revision);
 void fb_codec_clear_revision (fb_rec_revision *revision);
+
+/* Graph jobs: records of the platform's log, questions between daemons and their
+ * answers.  What was decoded is cleared with xdr_free() of its type. */
+GBytes *fb_codec_encode_admit (const fb_work_admit *admit);
+gboolean fb_codec_decode_admit (const void *data, gsize len, fb_work_admit *admit);
+GBytes *fb_codec_encode_progress (const fb_work_progress *progress);
+gboolean fb_codec_decode_progress (const void *data, gsize len, fb_work_progress *progress);
+GBytes *fb_codec_encode_ask (const fb_ask *ask);
+gboolean fb_codec_decode_ask (const void *data, gsize len, fb_ask *ask);
+GBytes *fb_codec_encode_told (const fb_told *told);
+gboolean fb_codec_decode_told (const void *data, gsize len, fb_told *told);
--- /dev/null
+++ b/include/internal/pool-private.h
@@ -0,0 +1,254 @@
+/* The parts of a pool, for its own files only. */
+#pragma once
+
+#include "internal/pool.h"
+
+/* ---- times and limits ---------------------------------------------------- */
+
+/* Lease given with each look.  Long enough for a take-over (a silent owner is
+ * replaced after about 2 s), short enough that work on a worker that went dark
+ * starts again within its caller's patience. */
+#define FB_POOL_LEASE_MS 4000
+/* A start must be carried out within this time, so that an order that a worker
+ * takes up seconds later does nothing. */
+#define FB_POOL_START_WINDOW_MS 1200
+/* A look waits this long for news at the worker; the lease is renewed as often. */
+#define FB_POOL_LOOK_WAIT_MS 800
+/* Looks that find unacknowledged ends return at once; this is their pause. */
+#define FB_POOL_LOOK_PAUSE_MS 250
+/* A worker that was silent for this long gets nothing new: a look takes up to
+ * FB_POOL_LOOK_WAIT_MS, the rest is for the network and a slow daemon. */
+#define FB_POOL_SILENT_MS 1600
+/* An unanswered stop is repeated. */
+#define FB_POOL_STOP_REPEAT_MS 600
+/* A worker's clock may be this much slow. */
+#define FB_POOL_CLOCK_SLOW_PERMILLE 20
+/* Added to a lease that must certainly have ended. */
+#define FB_POOL_LAPSE_SLACK_MS 100
+/* A replaced owner learns of it within this time: its looks are this far apart. */
+#define FB_POOL_STEP_DOWN_MS 2000
+/* A ticket is not used when less than this is left of it: the order travels and
+ * may wait in a slow daemon. */
+#define FB_POOL_TICKET_MARGIN_MS 250
+/* Workers named in one question for advice. */
+#define FB_POOL_ADVICE_MAX 100
+/* Renewals name at most this many workers: a ticket costs time for each. */
+#define FB_POOL_RENEW_MAX 6
+/* A question for advice without an answer is asked again. */
+#define FB_POOL_ADVICE_PATIENCE_MS 4000
+/* Failed runs of different jobs in a row after which a worker gets one run at a
+ * time until one succeeds. */
+#define FB_POOL_BAD_STREAK 3
+/* Pause after a start that a worker refused or left unanswered. */
+#define FB_POOL_REFUSAL_PAUSE_MS 300
+/* Results are kept this long after a job has ended, for callers who ask late. */
+#define FB_POOL_KEEP_ENDED_MS 300000
+
+/* ---- jobs ------------------------------------------------------------------ */
+
+typedef struct _FbPoolJob FbPoolJob;
+typedef struct _FbPoolRun FbPoolRun;
+typedef struct _FbPoolStep FbPoolStep;
+
+typedef struct
+{
+  uint32_t attempt;       /* highest that was used */
+  uint32_t ended_attempt; /* highest whose end was counted */
+  uint32_t failed;        /* runs that ended failed */
+  gboolean done;
+  char *checkpoint; /* NULL for none */
+  FbPoolRun *run;   /* borrowed from its worker; NULL while it waits */
+} FbPoolTask;
+
+typedef struct
+{
+  char *ticket;
+  uint64_t valid_until_ms;
+} FbPoolTicket;
+
+/* One step of one occurrence of a job. */
+struct _FbPoolStep
+{
+  FbPoolJob *job;
+  uint32_t occurrence;
+  uint32_t index;
+  const fb_work_step *shape; /* borrowed from the job's record */
+  FbPoolTask *tasks;         /* SHAPE->count */
+  uint32_t done_n;
+  uint32_t waiting_from; /* no task before this index waits */
+  uint32_t gang_attempt;
+  gboolean released;     /* all steps before it are done, its time has come */
+  gboolean gang_broken;  /* a member ended or was refused: the others are stopped */
+  uint64_t paused_until_ms;
+  GHashTable *tickets; /* worker id -> FbPoolTicket: workers that the advice allows */
+  GHashTable *asked;   /* worker ids that the advice has ruled on */
+  uint64_t advice_sent_ms; /* 0: no question is open */
+};
+
+typedef struct
+{
+  uint32_t number;
+  gboolean finished;
+  FbPoolStep *steps; /* as many as the job has */
+} FbPoolOccurrence;
+
+struct _FbPoolJob
+{
+  char *id;
+  fb_work_admit record;
+  fb_work_state state;
+  fb_work_state stored_state; /* what callers are told: the state last made durable */
+  fb_work_state flushing_state;
+  gboolean started;  /* a task of it has been started */
+  gboolean dirty;
+  gboolean restored; /* an earlier owner may have used attempts that nobody knows of */
+  uint64_t admitted_ms;
+  uint64_t objective_ms; /* on the pool's clock: when its caller wants it */
+  uint64_t hopeless_ms;  /* after that it is worth nothing */
+  uint64_t ended_wall_ms;
+  GPtrArray *occurrences; /* of FbPoolOccurrence */
+  uint32_t next_occurrence;
+};
+
+/* ---- workers ----------------------------------------------------------------- */
+
+typedef enum
+{
+  FB_RUN_STARTING, /* ordered; it is not known whether it is there */
+  FB_RUN_RUNNING,
+  FB_RUN_STOPPING
+} FbRunState;
+
+/* An attempt on a worker, from its order until it has certainly ended there. */
+struct _FbPoolRun
+{
+  char *name;
+  FbPoolStep *step; /* NULL: of no job that is known */
+  uint32_t index;
+  uint32_t attempt;
+  FbRunState state;
+  gboolean given_up; /* its task no longer counts on it */
+  uint64_t order;    /* the last one sent for it */
+  uint64_t deadline_ms;      /* of the start, on the worker's clock */
+  uint64_t seen_clock_ms;    /* worker's clock when it was last known to be there */
+  uint64_t stopped_clock_ms; /* worker's clock when a stop was taken; 0: not yet */
+  uint64_t stop_sent_ms;
+  uint64_t started_ms;
+  uint32_t percent;
+};
+
+typedef struct
+{
+  char *id;
+  char *address;
+  char *rack;
+  char **labels;
+  uint32_t cpu_milli;
+  uint32_t mem_mb;
+  uint32_t gpu_count;
+  gboolean listed;
+  gboolean draining;
+  gboolean answered;     /* under the present epoch */
+  gboolean gone;         /* this life has certainly ended, or all its leases have */
+  gboolean look_open;
+  uint64_t look_at_ms;   /* when the next look is due */
+  uint64_t look_sent_ms;
+  uint64_t proof_ms;     /* when the last look that was answered had been sent */
+  uint64_t heard_ms;     /* last answer */
+  uint64_t clock_ms;     /* worker's clock, no later than HEARD_MS */
+  uint64_t lease_ms;     /* highest deadline that was ever sent, on its clock */
+  uint64_t seen_end;     /* highest number of an end that was taken in */
+  uint64_t flushing_end;
+  uint64_t acknowledged;
+  uint64_t paused_until_ms;
+  uint32_t bad_streak;
+  char *last_bad_job;
+  GHashTable *runs; /* name -> FbPoolRun */
+  uint32_t alien_n; /* runs of jobs that are not known: their size is not known */
+  int64_t cpu_used;
+  int64_t mem_used;
+  int64_t gpu_used;
+} FbPoolWorker;
+
+struct _FbPool
+{
+  char *service;
+  uint64_t epoch;
+  FbPoolLimits limits;
+  const FbPoolSink *sink;
+  gpointer user;
+  uint64_t began_ms;
+  uint64_t majority_ms; /* when a majority had answered; 0: not yet */
+  gboolean workers_complete;
+  gboolean settled; /* nothing can run that this owner does not know of */
+  gboolean fenced;
+  gboolean flushing;
+  uint64_t last_order;
+  GHashTable *workers; /* id -> FbPoolWorker */
+  GHashTable *jobs;    /* id -> FbPoolJob */
+  GHashTable *active;  /* set of FbPoolJob that have not ended; borrowed */
+  GHashTable *orders;  /* order -> FbPoolOrderRef */
+};
+
+/* An attempt's number is above all that were used before it.  A job that was taken
+ * over may have used some that no record tells of; going on from the epoch, which
+ * grows with each owner, keeps them rising. */
+#define FB_POOL_ATTEMPTS_PER_EPOCH 4
+
+/* pool-job.c */
+FbPoolJob *fb_pool_job_new (const char *id, const fb_work_admit *record, uint64_t now_ms,
+                            uint64_t wall_ms);
+void fb_pool_job_free (gpointer job);
+gboolean fb_pool_job_ended (const FbPoolJob *job);
+void fb_pool_job_objective (FbPoolJob *job);
+/* Creates the occurrences whose time has come and releases steps. */
+void fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms);
+FbPoolOccurrence *fb_pool_job_occurrence (FbPoolJob *job, uint32_t number);
+FbPoolStep *fb_pool_job_step (FbPoolJob *job, uint32_t occurrence, uint32_t step);
+void fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress);
+void fb_pool_job_restore (FbPoolJob *job, const fb_work_progress *progress);
+void fb_pool_task_save (FbPoolStep *step, uint32_t index, const char *checkpoint);
+gboolean fb_pool_step_done (const FbPoolStep *step);
+gboolean fb_pool_step_waits (const FbPoolStep *step);
+/* Returns: (transfer full): ID.K.STEP */
+char *fb_pool_step_name (const FbPoolStep *step);
+char *fb_pool_task_name (const FbPoolStep *step, uint32_t index);
+/* Finds the step and index that NAME names; NULL if the pool has no such task. */
+FbPoolStep *fb_pool_find_task (FbPool *self, const char *name, uint32_t *index);
+/* The same for ID.K.STEP. */
+FbPoolStep *fb_pool_find_step (FbPool *self, const char *name);
+
+/* pool-worker.c */
+FbPoolWorker *fb_pool_worker_new (const char *id);
+void fb_pool_worker_free (gpointer worker);
+void fb_pool_worker_describe (FbPoolWorker *worker, const FbWorkerEntry *entry);
+/* The worker's clock now, estimated so that it is never ahead of the truth. */
+uint64_t fb_pool_worker_clock_low (const FbPoolWorker *worker, uint64_t now_ms);
+gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE when every lease that it can hold has certainly ended. */
+gboolean fb_pool_worker_lapsed (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
+FbPoolRun *fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
+                                   const char *name, uint32_t attempt);
+void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
+gboolean fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape);
+gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
+
+/* pool-orders.c */
+void fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
+                          uint32_t attempt, const char *ticket, uint64_t now_ms);
+void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
+void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
+/* The run has certainly ended or never began: its room is free, its task waits again. */
+void fb_pool_run_over (FbPoolWorker *worker, FbPoolRun *run);
+
+/* pool-report.c */
+void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, const char *why, uint64_t now_ms);
+/* Marks JOB ended, stops what runs of it. */
+void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
+                      uint64_t wall_ms);
+void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
+
+/* pool-place.c */
+void fb_pool_place (FbPool *self, uint64_t now_ms, uint64_t wall_ms);
--- /dev/null
+++ b/include/internal/pool.h
@@ -0,0 +1,206 @@
+/* A pool: the workers of one service and the graph jobs that run on them.
+ *
+ * One daemon owns a pool at a time and alone decides what starts there.  The pool
+ * has no I/O, clock or thread: events come in as calls with the time, orders go
+ * out through the sink.  Times are in ms on a clock that also counts while the
+ * host is suspended; WALL times are in ms since 1970.
+ *
+ * Safety rests on the workers.  Every order carries the epoch of its owner, and a
+ * worker refuses lower epochs, so an owner that was replaced is told by the first
+ * worker that it speaks to.  What runs is what the workers list; nothing is started
+ * before each worker of the pool has answered under the present epoch, or its lease
+ * has certainly ended. */
+#pragma once
+
+#include "rpc/work.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _FbPool FbPool;
+
+/* ---- what workers say --------------------------------------------------- */
+
+typedef struct
+{
+  const char *id; /* one life of a worker */
+  const char *address;
+  const char *rack;          /* may be NULL */
+  const char *const *labels; /* NULL-terminated */
+  uint32_t cpu_milli;
+  uint32_t mem_mb;
+  uint32_t gpu_count;
+  gboolean draining;
+} FbWorkerEntry;
+
+typedef struct
+{
+  char *task;
+  uint32_t attempt;
+  char *checkpoint;
+  uint32_t percent; /* 100: at work, unthrottled */
+  uint32_t load;    /* tail latency in ms of a serving task, else cpu in use */
+} FbRunSeen;
+
+typedef enum
+{
+  FB_END_DONE,
+  FB_END_FAILED,
+  FB_END_STOPPED,
+  FB_END_LAPSED,
+  FB_END_BROKEN, /* another member of its gang ended */
+  FB_END_ALONE   /* it waited too long for its gang */
+} FbEndHow;
+
+typedef struct
+{
+  uint64_t number; /* grows over one life of the worker */
+  char *task;
+  uint32_t attempt;
+  FbEndHow how;
+  char *checkpoint;
+} FbEndSeen;
+
+/* How a worker answered an order. */
+typedef enum
+{
+  FB_ORDER_DONE,
+  FB_ORDER_FENCED,    /* a higher epoch was seen */
+  FB_ORDER_SUPERSEDED, /* this attempt or a higher one was there */
+  FB_ORDER_LATE,
+  FB_ORDER_NO_ROOM,
+  FB_ORDER_BAD_TICKET,
+  FB_ORDER_NOT_DONE, /* it certainly did nothing */
+  FB_ORDER_OTHER_LIFE, /* another life of a worker is at this address */
+  FB_ORDER_UNKNOWN   /* it may be carried out, now or later */
+} FbOrderResult;
+
+typedef struct
+{
+  FbOrderResult result;
+  uint64_t clock_ms; /* the worker's, 0 if not told */
+  GArray *running;   /* of FbRunSeen; NULL unless DONE */
+  GArray *finished;  /* of FbEndSeen */
+} FbLookAnswer;
+
+/* ---- orders --------------------------------------------------------------- */
+
+typedef struct
+{
+  uint64_t order; /* names it in the answer */
+  const char *worker;
+  const char *address;
+  uint64_t epoch;
+  const char *task;
+  uint32_t attempt;
+  const char *payload;
+  const char *checkpoint; /* "" for none */
+  const char *ticket;     /* NULL for none */
+  uint64_t deadline_ms;   /* on the worker's clock */
+} FbStartOrder;
+
+typedef struct
+{
+  uint64_t order;
+  const char *worker;
+  const char *address;
+  uint64_t epoch;
+  const char *task;
+  uint32_t attempt;
+} FbStopOrder;
+
+typedef struct
+{
+  const char *worker;
+  const char *address;
+  uint64_t epoch;
+  uint64_t acknowledged;
+  uint64_t deadline_ms; /* on the worker's clock; 0: extends no lease */
+  uint32_t wait_ms;
+} FbLookOrder;
+
+/* Everything passed is borrowed for the call. */
+typedef struct
+{
+  void (*start) (gpointer user, const FbStartOrder *order);
+  void (*stop) (gpointer user, const FbStopOrder *order);
+  void (*look) (gpointer user, const FbLookOrder *order);
+  /* EXPECTED_MS: what the advice service needs for it.
+   * Returns: FALSE when no daemon can take the question now. */
+  gboolean (*advise) (gpointer user, const char *step, const char *const *workers, guint n,
+                      uint32_t expected_ms);
+  /* A worker knows of a higher epoch: the pool must not be used any more. */
+  void (*fenced) (gpointer user, const char *worker);
+} FbPoolSink;
+
+/* Limits that come from the site; all in ms. */
+typedef struct
+{
+  uint32_t hold_max_ms; /* longest lease that a worker grants */
+  uint32_t stop_ms;     /* longest time that a stop takes */
+  uint32_t gang_wait_ms;
+} FbPoolLimits;
+
+/* ---- life ------------------------------------------------------------------ */
+
+FbPool *fb_pool_new (const char *service, uint64_t epoch, const FbPoolLimits *limits,
+                     const FbPoolSink *sink, gpointer user, uint64_t now_ms);
+void fb_pool_free (FbPool *self);
+
+/* ---- events ---------------------------------------------------------------- */
+
+/* A worker is listed, or its entry changed. */
+void fb_pool_worker_listed (FbPool *self, const FbWorkerEntry *entry, uint64_t now_ms);
+/* A worker is no longer listed: it left, or was silent for long. */
+void fb_pool_worker_unlisted (FbPool *self, const char *id, uint64_t now_ms);
+/* The first complete list has been passed in. */
+void fb_pool_workers_complete (FbPool *self);
+
+/* Takes a job into the pool; a job that it knows is left as it is. */
+void fb_pool_admit (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
+                    uint64_t wall_ms);
+/* What an earlier owner recorded; comes after the admission of the job. */
+void fb_pool_restore (FbPool *self, const char *job, const fb_work_progress *record);
+void fb_pool_cancel (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
+/* A queue's policy changed. */
+void fb_pool_policy (FbPool *self, const fb_work_policy *policy);
+
+void fb_pool_look_answered (FbPool *self, const char *worker, const FbLookAnswer *answer,
+                            uint64_t now_ms, uint64_t wall_ms);
+void fb_pool_start_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
+                             uint64_t now_ms);
+void fb_pool_stop_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
+                            uint64_t now_ms);
+/* TOLD is NULL when the question failed. */
+void fb_pool_advised (FbPool *self, const char *step, const char *const *asked, guint n,
+                      const fb_told_advice *told, uint64_t now_ms);
+
+/* Lets time pass and, with MAY_START, starts what can start; to be called after
+ * events and at least every 100 ms. */
+void fb_pool_step (FbPool *self, gboolean may_start, uint64_t now_ms, uint64_t wall_ms);
+
+/* ---- durability -------------------------------------------------------------- */
+
+typedef struct
+{
+  char *job;
+  GBytes *progress; /* NULL: the job's records can go */
+} FbPoolRecord;
+
+/* Begins a flush of everything that changed.  One flush is open at a time.
+ * Returns: (transfer full): FbPoolRecord entries, or NULL when nothing changed. */
+GPtrArray *fb_pool_flush (FbPool *self, uint64_t wall_ms);
+/* The open flush is stored: ends in it may be acknowledged and shown. */
+void fb_pool_flushed (FbPool *self);
+
+/* ---- queries ------------------------------------------------------------------ */
+
+/* Returns: FALSE for a job that the pool does not know. */
+gboolean fb_pool_job_state (const FbPool *self, const char *job, fb_work_state *state);
+/* Returns: accepted jobs of QUEUE without a time of their own and without a start. */
+uint32_t fb_pool_pending (const FbPool *self, const char *queue);
+guint fb_pool_worker_count (const FbPool *self);
+/* TRUE while a majority of the listed workers answered looks under this epoch that
+ * were sent within the last WITHIN_MS.  While it holds, no other daemon can have passed its own
+ * check of a majority, as workers refuse the lower of two epochs. */
+gboolean fb_pool_holds_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms);
--- a/rpc/generate.sh
+++ b/rpc/generate.sh
@@ -2,7 +2,7 @@
 # Regenerates the committed XDR code.  Needs rpcgen; the build does not.
 set -eu
 cd "$(dirname "$0")"
-for part in peer record; do
+for part in peer record work; do
   rm -f $part.h $part-xdr.c
   rpcgen -M -h -o $part.h $part.x
   rpcgen -M -c -o $part-xdr.c $part.x
--- /dev/null
+++ b/rpc/work.x
@@ -0,0 +1,155 @@
+/* Graph jobs: what callers submit, and the records that outlive a daemon.
+ *
+ * The same types serve in memory, in the platform's log and between daemons, so
+ * each is decoded once. */
+
+const FB_WORK_MAX_PAYLOAD = 4000;
+const FB_WORK_MAX_STEPS = 64;
+const FB_WORK_MAX_NAME = 128;
+const FB_WORK_JOB_ID_CHARS = 16;
+const FB_WORK_MAX_MARKS = 65536;
+const FB_WORK_MAX_TICKETS = 128;
+
+/* One step: COUNT equal tasks, each of the size given. */
+struct fb_work_step {
+  unsigned int count;
+  unsigned int cpu_milli;
+  unsigned int mem_mb;
+  unsigned int gpu_count;
+  unsigned int estimate_ms;
+  unsigned int max_per_worker;  /* 0: no bound */
+  unsigned int max_unavailable; /* of a lasting step; 0: no bound */
+  unsigned int tail_target_ms;  /* of a serving step; 0: none */
+  bool gang;
+  bool rack_local;
+  bool checkpointing;
+  bool speculative;
+  bool lasting;
+  bool fills; /* takes only what other tasks leave; its cpu is not counted */
+  string data_rack<FB_WORK_MAX_NAME>;
+  string required_label<FB_WORK_MAX_NAME>;
+  string image<FB_WORK_MAX_NAME>;
+  unsigned int after<FB_WORK_MAX_STEPS>;
+};
+
+struct fb_work_spec {
+  string payload<FB_WORK_MAX_PAYLOAD>;
+  fb_work_step steps<FB_WORK_MAX_STEPS>;
+  unsigned hyper first_due_ms; /* since 1970, of occurrence 0 */
+  unsigned hyper interval_ms;
+  unsigned int occurrences; /* 0: runs once, as soon as it can */
+};
+
+/* A queue's policy, as it was when the job was accepted. */
+struct fb_work_policy {
+  string queue<FB_WORK_MAX_NAME>;
+  string service<FB_WORK_MAX_NAME>;
+  unsigned int priority; /* 0 goes first */
+  unsigned int max_attempts;
+  unsigned int stretch_milli;
+  unsigned int target_ms;
+  bool advised;
+  unsigned int advice_decision_us;
+  unsigned int advice_per_worker_us;
+  unsigned int advice_validity_ms;
+};
+
+/* The key of a record names the job; see fb_record_key(). */
+struct fb_work_admit {
+  fb_work_policy policy;
+  fb_work_spec spec;
+  unsigned hyper accepted_ms; /* since 1970, on the daemon that accepted it */
+};
+
+/* What is known of one task, left out while it has neither ended nor saved. */
+struct fb_work_mark {
+  unsigned int occurrence;
+  unsigned int step;
+  unsigned int index;
+  unsigned int attempt;
+  unsigned int failed; /* runs that ended failed */
+  bool done;
+  string checkpoint<FB_WORK_MAX_NAME>;
+};
+
+enum fb_work_state {
+  FB_WORK_QUEUED = 0,
+  FB_WORK_RUNNING = 1,
+  FB_WORK_COMPLETED = 2,
+  FB_WORK_FAILED = 3,
+  FB_WORK_CANCELLED = 4
+};
+
+struct fb_work_progress {
+  fb_work_state state;
+  unsigned hyper ended_ms; /* since 1970; 0 while it has not ended */
+  fb_work_mark marks<FB_WORK_MAX_MARKS>;
+};
+
+/* Between daemons: asked of the owner of a pool, or of a helper. */
+
+enum fb_ask_type {
+  FB_ASK_STATE = 1,  /* of a job, by the owner of its pool */
+  FB_ASK_PENDING = 2, /* of a queue */
+  FB_ASK_ADVICE = 3, /* call the advice service from the daemon asked */
+  FB_ASK_APPEND = 4  /* append to the log for a daemon that it turns away */
+};
+
+struct fb_ask_job {
+  string service<FB_WORK_MAX_NAME>;
+  string job<FB_WORK_MAX_NAME>;
+};
+
+struct fb_ask_queue {
+  string service<FB_WORK_MAX_NAME>;
+  string queue<FB_WORK_MAX_NAME>;
+};
+
+struct fb_worker_name {
+  string id<FB_WORK_MAX_NAME>;
+};
+
+struct fb_ask_advice {
+  string step<FB_WORK_MAX_NAME>;
+  fb_worker_name workers<FB_WORK_MAX_TICKETS>;
+};
+
+struct fb_ask_append {
+  unsigned int partition;
+  opaque records<>;
+};
+
+union fb_ask switch (fb_ask_type type) {
+case FB_ASK_STATE: fb_ask_job job;
+case FB_ASK_PENDING: fb_ask_queue queue;
+case FB_ASK_ADVICE: fb_ask_advice advice;
+case FB_ASK_APPEND: fb_ask_append append;
+};
+
+enum fb_told_type {
+  FB_TOLD_UNSURE = 1, /* not the owner, or not caught up: ask again */
+  FB_TOLD_STATE = 2,
+  FB_TOLD_NO_JOB = 3,
+  FB_TOLD_PENDING = 4,
+  FB_TOLD_ADVICE = 5,
+  FB_TOLD_STORED = 6,
+  FB_TOLD_NOT_STORED = 7, /* certainly */
+  FB_TOLD_IN_DOUBT = 8
+};
+
+struct fb_ticket {
+  string worker<FB_WORK_MAX_NAME>;
+  string ticket<FB_WORK_MAX_NAME>;
+};
+
+struct fb_told_advice {
+  fb_ticket tickets<FB_WORK_MAX_TICKETS>;
+  unsigned int validity_ms;
+};
+
+union fb_told switch (fb_told_type type) {
+case FB_TOLD_STATE: fb_work_state state;
+case FB_TOLD_PENDING: unsigned int pending;
+case FB_TOLD_ADVICE: fb_told_advice advice;
+default: void;
+};
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -1,6 +1,8 @@
 #include "fb-event.h"
 
+#include <fcntl.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 static _Atomic gboolean quiet_process;
@@ -28,6 +30,45 @@
   g_assert_not_reached ();
 }
 
+/* ---- bounded output ------------------------------------------------------ */
+
+static guint lines_per_s;
+static gint64 second;
+static guint lines_in_second;
+static guint dropped;
+
+/* Returns: FALSE when the line is over the bound of this second. */
+static gboolean
+take_line (void)
+{
+  gint64 now_s = g_get_monotonic_time () / G_USEC_PER_SEC;
+  if (now_s != second)
+    {
+      second = now_s;
+      lines_in_second = 0;
+    }
+  return ++lines_in_second <= lines_per_s;
+}
+
+static void
+write_bounded (const char *line, gsize len)
+{
+  if (!take_line () || write (STDOUT_FILENO, line, len) < 0)
+    dropped++;
+}
+
+static void
+tell_dropped (const char *when)
+{
+  if (dropped == 0 || !take_line ())
+    return;
+  char line[160];
+  int len = g_snprintf (line, sizeof line, "%s %s FB%d LINES_DROPPED n=%u\n", when, process_label,
+                        FB_EVENT_LINES_DROPPED, dropped);
+  if (write (STDOUT_FILENO, line, (gsize) len) > 0)
+    dropped = 0;
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer unused)
 {
@@ -40,6 +81,13 @@
     }
   g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
   g_autofree char *when = g_date_time_format (now, "%FT%T.%fZ");
+  if (lines_per_s > 0)
+    {
+      tell_dropped (when);
+      g_autofree char *line = g_strdup_printf ("%s %s %s\n", when, process_label, message);
+      write_bounded (line, strlen (line));
+      return G_LOG_WRITER_HANDLED;
+    }
   fprintf (stderr, "%s %s %s%s\n", when, process_label != NULL ? process_label : "-",
            (level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_CRITICAL)) ? "warning: " : "", message);
   return G_LOG_WRITER_HANDLED;
@@ -53,6 +101,16 @@
   g_log_set_writer_func (write_line, NULL, NULL);
 }
 
+void
+fb_event_init_stdout (const char *process_name, guint limit_per_s)
+{
+  lines_per_s = limit_per_s;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    (void) fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  fb_event_init (process_name, FALSE);
+}
+
 void
 fb_event_set_quiet (gboolean quiet)
 {
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -108,3 +108,65 @@
 {
   xdr_free ((xdrproc_t) xdr_fb_rec_revision, (char *) revision);
 }
+
+/* Decodes one value that takes up all of DATA. */
+static gboolean
+decode_whole (xdrproc_t proc, const void *data, gsize len, gsize size, void *value)
+{
+  gsize offset = 0;
+  memset (value, 0, size);
+  if (!decode (proc, data, len, &offset, value))
+    return FALSE;
+  if (offset == len)
+    return TRUE;
+  xdr_free (proc, value);
+  return FALSE;
+}
+
+GBytes *
+fb_codec_encode_admit (const fb_work_admit *admit)
+{
+  return encode ((xdrproc_t) xdr_fb_work_admit, admit, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_admit (const void *data, gsize len, fb_work_admit *admit)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_work_admit, data, len, sizeof *admit, admit);
+}
+
+GBytes *
+fb_codec_encode_progress (const fb_work_progress *progress)
+{
+  return encode ((xdrproc_t) xdr_fb_work_progress, progress, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_progress (const void *data, gsize len, fb_work_progress *progress)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_work_progress, data, len, sizeof *progress, progress);
+}
+
+GBytes *
+fb_codec_encode_ask (const fb_ask *ask)
+{
+  return encode ((xdrproc_t) xdr_fb_ask, ask, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_ask (const void *data, gsize len, fb_ask *ask)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_ask, data, len, sizeof *ask, ask);
+}
+
+GBytes *
+fb_codec_encode_told (const fb_told *told)
+{
+  return encode ((xdrproc_t) xdr_fb_told, told, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_told (const void *data, gsize len, fb_told *told)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_told, data, len, sizeof *told, told);
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,6 +1,8 @@
 #include "daemon.h"
 
 #include "front.h"
+#include "src/entry/entry.h"
+#include "src/entry/settings.h"
 
 #include "fb-event.h"
 #include "fb-status.h"
@@ -182,6 +184,8 @@
                error != NULL ? error->message : "expected --settings FILE");
       return EXIT_USAGE;
     }
+  if (fb_entry_settings_recognize (settings_path))
+    return fb_entry_main (settings_path, check_only);
   if (sodium_init () < 0)
     return EXIT_SETTINGS;
   Daemon self = { 0 };
--- a/src/daemon/http-client.h
+++ b/src/daemon/http-client.h
@@ -22,6 +22,33 @@
 FbHttpClient *fb_http_client_new (guint connections_per_host);
 void fb_http_client_free (FbHttpClient *self);
 
+/* One call, whatever its body is. */
+typedef struct
+{
+  const char *method; /* static */
+  char *url;
+  const char *content_type; /* static; NULL without a body */
+  GBytes *body;             /* may be NULL */
+  const char *header_names[2];
+  char *header_values[2];
+} FbHttpCall;
+
+typedef struct
+{
+  FbHttpStatus status; /* OK: an answer came, with CODE, whatever it says */
+  gboolean sent;       /* FALSE: nothing was sent, so nothing was done */
+  guint code;
+  GBytes *body; /* borrowed for the callback; NULL unless OK */
+} FbHttpReply;
+
+typedef void (*FbHttpReplyDone) (gpointer user, const FbHttpReply *reply);
+
+void fb_http_call_clear (FbHttpCall *call);
+
+/* Sends CALL (borrowed) and calls DONE once, never from inside this call. */
+void fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *call, guint timeout_ms,
+                              FbHttpReplyDone done, gpointer user);
+
 /* Sends BODY (consumed; NULL for GET) and calls DONE once, on this task, never
  * from inside this call. */
 void fb_http_client_call (FbHttpClient *self, const char *url, JsonBuilder *body, guint timeout_ms,
--- /dev/null
+++ b/src/entry/advisor.c
@@ -0,0 +1,161 @@
+/* Questions for advice.  The advice service handles one call at a time for each
+ * calling daemon, and a call takes up to half a second: the owner of a pool spreads
+ * its questions over all daemons, one open at each.  Some daemons are kept for
+ * short questions, so that short work does not wait behind long decisions. */
+#include "entry-private.h"
+
+#include "fb-event.h"
+
+/* A question that takes longer is a long one. */
+#define LONG_MS 100
+/* Of the daemons, one in this many takes short questions only. */
+#define SHORT_ONLY_ONE_IN 4
+/* Over what the decision takes: other pools may have questions at the same daemon. */
+#define PATIENCE_MS 3000
+
+struct _FbAdvisor
+{
+  FbEntry *entry;
+  GHashTable *busy; /* addresses of daemons with a question open */
+};
+
+typedef struct
+{
+  FbEntry *entry;
+  uint32_t partition;
+  char *daemon;
+  char *step;
+  GPtrArray *workers;
+} Question;
+
+static void
+question_free (Question *question)
+{
+  g_free (question->daemon);
+  g_free (question->step);
+  g_ptr_array_unref (question->workers);
+  g_free (question);
+}
+
+static void
+on_told (gpointer data, const fb_told *told)
+{
+  Question *question = data;
+  g_hash_table_remove (question->entry->advisor->busy, question->daemon);
+  FbOwner *owner = fb_entry_owner (question->entry, question->partition);
+  gboolean answered = told != NULL && told->type == FB_TOLD_ADVICE;
+  if (!answered)
+    fb_event_log (FB_EVENT_CALL_FAILED, "advice step=%s daemon=%s", question->step,
+                  question->daemon);
+  if (owner != NULL)
+    fb_owner_advised (owner, question->step, (const char *const *) question->workers->pdata,
+                      question->workers->len, answered ? &told->fb_told_u.advice : NULL);
+  question_free (question);
+}
+
+static gint
+compare_address (gconstpointer a, gconstpointer b)
+{
+  return g_strcmp0 (*(const char *const *) a, *(const char *const *) b);
+}
+
+static const char *
+free_daemon (const FbAdvisor *self, gboolean is_long)
+{
+  const char *mine = self->entry->settings->peers;
+  g_autoptr (GPtrArray) daemons = fb_group_daemons (self->entry->group);
+  g_ptr_array_sort (daemons, compare_address);
+  for (guint i = 0; i < daemons->len; i++)
+    {
+      gboolean short_only = i % SHORT_ONLY_ONE_IN == SHORT_ONLY_ONE_IN - 1;
+      if (!g_hash_table_contains (self->busy, daemons->pdata[i]) && !(is_long && short_only))
+        return daemons->pdata[i];
+    }
+  if (daemons->len == 0 && !g_hash_table_contains (self->busy, mine))
+    return mine;
+  return NULL;
+}
+
+gboolean
+fb_advisor_ask (FbAdvisor *self, uint32_t partition, const char *step, const char *const *workers,
+                guint n, uint32_t expected_ms)
+{
+  if (self->entry->settings->advice == NULL)
+    return FALSE;
+  const char *daemon = free_daemon (self, expected_ms > LONG_MS);
+  if (daemon == NULL)
+    return FALSE;
+  g_autofree fb_worker_name *names = g_new0 (fb_worker_name, n);
+  Question *question = g_new0 (Question, 1);
+  question->entry = self->entry;
+  question->partition = partition;
+  question->daemon = g_strdup (daemon);
+  question->step = g_strdup (step);
+  question->workers = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < n; i++)
+    {
+      g_ptr_array_add (question->workers, g_strdup (workers[i]));
+      names[i].id = question->workers->pdata[i];
+    }
+  g_hash_table_add (self->busy, g_strdup (daemon));
+  fb_ask ask = { .type = FB_ASK_ADVICE };
+  ask.fb_ask_u.advice.step = question->step;
+  ask.fb_ask_u.advice.workers.workers_len = n;
+  ask.fb_ask_u.advice.workers.workers_val = names;
+  if (g_str_equal (daemon, self->entry->settings->peers))
+    fb_advisor_call (self->entry, &ask.fb_ask_u.advice, on_told, question);
+  else
+    fb_peers_ask (self->entry, daemon, &ask, expected_ms + PATIENCE_MS, on_told, question);
+  return TRUE;
+}
+
+/* ---- the call itself --------------------------------------------------------- */
+
+typedef struct
+{
+  FbTold done;
+  gpointer user;
+} AdviceCall;
+
+static void
+on_advised (gpointer data, const FbHttpReply *reply)
+{
+  AdviceCall *call = data;
+  fb_told told = { .type = FB_TOLD_ADVICE };
+  if (fb_wire_advised (reply, &told.fb_told_u.advice))
+    {
+      call->done (call->user, &told);
+      xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
+    }
+  else
+    call->done (call->user, NULL);
+  g_free (call);
+}
+
+void
+fb_advisor_call (FbEntry *entry, const fb_ask_advice *ask, FbTold done, gpointer user)
+{
+  AdviceCall *advice = g_new0 (AdviceCall, 1);
+  advice->done = done;
+  advice->user = user;
+  FbHttpCall call;
+  fb_wire_advise (&call, entry->settings->advice, ask);
+  fb_http_client_exchange (entry->peer_client, &call, PATIENCE_MS, on_advised, advice);
+  fb_http_call_clear (&call);
+}
+
+FbAdvisor *
+fb_advisor_new (FbEntry *entry)
+{
+  FbAdvisor *self = g_new0 (FbAdvisor, 1);
+  self->entry = entry;
+  self->busy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return self;
+}
+
+void
+fb_advisor_free (FbAdvisor *self)
+{
+  g_hash_table_unref (self->busy);
+  g_free (self);
+}
--- /dev/null
+++ b/src/entry/appender.c
@@ -0,0 +1,226 @@
+/* Appends to one partition, one call at a time: what arrives meanwhile goes into the
+ * next call (group commit).
+ *
+ * An append without an answer may have been done, or may be done later.  A writer
+ * repeats it under its sequence until it knows.  Without a writer the records are
+ * keyed, so a repeat does no harm: it is repeated too, and if doubt is left at the
+ * end the caller is told so, never that nothing was stored. */
+#include "entry-private.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+
+/* The store's answers take some 10 ms, and 60 times that when it is slow. */
+#define ANSWER_MS 900
+#define RETRY_FIRST_MS 40
+#define RETRY_LAST_MS 300
+/* Largest body of a call that the store takes, less room for one record. */
+#define BATCH_MAX_BYTES (1024 * 1024)
+
+typedef struct
+{
+  GByteArray *records;
+  uint64_t give_up_ms;
+  FbAppended done;
+  gpointer user;
+} Item;
+
+struct _FbAppender
+{
+  FbEntry *entry;
+  char *topic;
+  uint32_t partition;
+  char *writer;
+  uint64_t epoch;
+  uint64_t sequence;
+  GQueue waiting; /* of Item */
+  GQueue batch;   /* of Item: what the open call, or its repeat, holds */
+  GBytes *body;
+  gboolean doubt; /* a call with this body got no answer */
+  uint32_t retry_ms;
+  guint timer;
+  gboolean call_open;
+  gboolean freed;
+};
+
+static void proceed (FbAppender *self);
+
+static void
+item_free (gpointer data)
+{
+  Item *item = data;
+  g_byte_array_unref (item->records);
+  g_free (item);
+}
+
+static void
+really_free (FbAppender *self)
+{
+  g_queue_clear_full (&self->waiting, item_free);
+  g_queue_clear_full (&self->batch, item_free);
+  g_clear_pointer (&self->body, g_bytes_unref);
+  g_free (self->writer);
+  g_free (self->topic);
+  g_free (self);
+}
+
+static void
+finish_batch (FbAppender *self, FbAppendResult result)
+{
+  GQueue batch = self->batch;
+  g_queue_init (&self->batch);
+  g_clear_pointer (&self->body, g_bytes_unref);
+  self->doubt = FALSE;
+  self->retry_ms = RETRY_FIRST_MS;
+  self->sequence++;
+  Item *item = NULL;
+  while ((item = g_queue_pop_head (&batch)) != NULL)
+    {
+      if (!self->freed)
+        item->done (item->user, result);
+      item_free (item);
+    }
+}
+
+static gboolean
+on_retry (gpointer data)
+{
+  FbAppender *self = data;
+  self->timer = 0;
+  proceed (self);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+retry_later (FbAppender *self)
+{
+  self->timer = g_timeout_add (self->retry_ms, on_retry, self);
+  self->retry_ms = MIN (self->retry_ms * 2, RETRY_LAST_MS);
+}
+
+static gboolean
+may_go_on (const FbAppender *self)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  for (GList *l = self->batch.head; l != NULL; l = l->next)
+    {
+      if (now_ms < ((Item *) l->data)->give_up_ms)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+take_result (FbAppender *self, FbAppendResult result)
+{
+  self->doubt = self->doubt || result == FB_APPEND_IN_DOUBT;
+  gboolean final = result == FB_APPEND_STORED || result == FB_APPEND_FENCED
+                   || result == FB_APPEND_SEQUENCE;
+  if (self->writer != NULL && !final)
+    {
+      retry_later (self);
+      return;
+    }
+  if (self->writer == NULL && !final && self->doubt)
+    {
+      if (may_go_on (self))
+        {
+          retry_later (self);
+          return;
+        }
+      result = FB_APPEND_IN_DOUBT;
+    }
+  finish_batch (self, result);
+}
+
+static void
+on_reply (gpointer data, const FbHttpReply *reply)
+{
+  FbAppender *self = data;
+  self->call_open = FALSE;
+  if (!self->freed)
+    {
+      fb_entry_store_answered (self->entry, reply);
+      FbAppendResult result = fb_wire_append_result (reply);
+      if (result != FB_APPEND_STORED)
+        fb_event_log (FB_EVENT_CALL_FAILED, "append topic=%s partition=%u result=%d code=%u",
+                      self->topic, self->partition, result, reply->code);
+      take_result (self, result);
+    }
+  if (self->freed)
+    really_free (self);
+  else if (self->timer == 0)
+    proceed (self);
+}
+
+static void
+fill_batch (FbAppender *self)
+{
+  GByteArray *body = g_byte_array_new ();
+  while (!g_queue_is_empty (&self->waiting) && body->len < BATCH_MAX_BYTES)
+    {
+      Item *item = g_queue_pop_head (&self->waiting);
+      g_byte_array_append (body, item->records->data, item->records->len);
+      g_queue_push_tail (&self->batch, item);
+    }
+  self->body = g_byte_array_free_to_bytes (body);
+}
+
+static void
+proceed (FbAppender *self)
+{
+  if (self->freed || self->call_open)
+    return;
+  if (self->body == NULL && g_queue_is_empty (&self->waiting))
+    return;
+  if (self->body == NULL)
+    fill_batch (self);
+  FbHttpCall call;
+  fb_wire_append (&call, self->entry->settings->store, self->topic, self->partition, self->body,
+                  self->writer, self->epoch, self->sequence);
+  self->call_open = TRUE;
+  fb_counter_add (FB_COUNTER_LOG_APPENDS, 1);
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_reply, self);
+  fb_http_call_clear (&call);
+}
+
+FbAppender *
+fb_appender_new (FbEntry *entry, const char *topic, uint32_t partition, const char *writer,
+                 uint64_t epoch)
+{
+  FbAppender *self = g_new0 (FbAppender, 1);
+  self->entry = entry;
+  self->topic = g_strdup (topic);
+  self->partition = partition;
+  self->writer = g_strdup (writer);
+  self->epoch = epoch;
+  self->retry_ms = RETRY_FIRST_MS;
+  return self;
+}
+
+void
+fb_appender_free (FbAppender *self)
+{
+  if (self == NULL)
+    return;
+  self->freed = TRUE;
+  if (self->timer != 0)
+    g_source_remove (self->timer);
+  self->timer = 0;
+  if (!self->call_open)
+    really_free (self);
+}
+
+void
+fb_appender_put (FbAppender *self, GByteArray *records, uint64_t give_up_ms, FbAppended done,
+                 gpointer user)
+{
+  Item *item = g_new0 (Item, 1);
+  item->records = records;
+  item->give_up_ms = give_up_ms;
+  item->done = done;
+  item->user = user;
+  g_queue_push_tail (&self->waiting, item);
+  if (self->timer == 0)
+    proceed (self);
+}
--- /dev/null
+++ b/src/entry/entry-private.h
@@ -0,0 +1,157 @@
+/* The parts of a daemon on the platform, for its own files only.
+ *
+ * All parts share one thread's main loop: a daemon has a fraction of one core, and
+ * what it does is short.  Each part owns its calls; a part that is freed with a
+ * call open leaves the call to free what it needs. */
+#pragma once
+
+#include "routes.h"
+#include "settings.h"
+
+#include "fb-timer.h"
+#include "internal/pool.h"
+#include "platform/wire.h"
+
+typedef struct _FbEntry FbEntry;
+typedef struct _FbFollower FbFollower;
+typedef struct _FbAppender FbAppender;
+typedef struct _FbGroup FbGroup;
+typedef struct _FbOwner FbOwner;
+typedef struct _FbPeerCalls FbPeerCalls;
+typedef struct _FbAdvisor FbAdvisor;
+
+/* Time that goes on while the host is suspended, in ms. */
+uint64_t fb_clock_ms (void);
+uint64_t fb_clock_wall_ms (void);
+
+/* ---- follower: one partition of a keyed topic, as it changes ----------------- */
+
+typedef struct
+{
+  /* A full listing begins; what it does not pass is gone. */
+  void (*begin) (gpointer user);
+  void (*record) (gpointer user, const FbStoreRecord *record);
+  /* The listing is complete; changes follow. */
+  void (*listed) (gpointer user);
+} FbFollowerOps;
+
+FbFollower *fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition,
+                             const FbFollowerOps *ops, gpointer user);
+void fb_follower_free (FbFollower *self);
+/* When the last answered read was sent: everything stored before is known.  0
+ * while the first listing is open. */
+uint64_t fb_follower_fresh_ms (const FbFollower *self);
+
+/* ---- appender: group commit to one partition ------------------------------------ */
+
+typedef void (*FbAppended) (gpointer user, FbAppendResult result);
+
+/* WRITER of NULL: beside the writer in force, repeated only to resolve doubt.
+ * Else repeated until it is stored or refused for good. */
+FbAppender *fb_appender_new (FbEntry *entry, const char *topic, uint32_t partition,
+                             const char *writer, uint64_t epoch);
+void fb_appender_free (FbAppender *self);
+/* Takes over RECORDS, already encoded.  DONE is called once unless the appender is
+ * freed; not later than GIVE_UP_MS when there is no writer. */
+void fb_appender_put (FbAppender *self, GByteArray *records, uint64_t give_up_ms, FbAppended done,
+                      gpointer user);
+
+/* ---- group: which partitions this daemon owns ------------------------------------- */
+
+FbGroup *fb_group_new (FbEntry *entry);
+void fb_group_free (FbGroup *self);
+/* Gives all partitions back; DONE is called when the store has it, or gave no
+ * answer. */
+void fb_group_leave (FbGroup *self, void (*done) (gpointer user), gpointer user);
+/* TRUE while no other daemon can have been dealt this one's partitions. */
+gboolean fb_group_is_member (const FbGroup *self, uint64_t now_ms);
+/* Returns: (nullable): the address of the daemon that owns PARTITION, borrowed. */
+const char *fb_group_owner_of (const FbGroup *self, uint32_t partition);
+/* The owners are asked for again soon. */
+void fb_group_refresh (FbGroup *self);
+/* Returns: (transfer container): addresses of all daemons that own something. */
+GPtrArray *fb_group_daemons (const FbGroup *self);
+
+/* ---- owner: the pools of one partition ------------------------------------------------ */
+
+FbOwner *fb_owner_new (FbEntry *entry, uint32_t partition, uint64_t epoch);
+void fb_owner_free (FbOwner *self);
+gboolean fb_owner_lost (const FbOwner *self);
+/* Answers questions about jobs and queues. */
+void fb_owner_tell (FbOwner *self, const fb_ask *ask, fb_told *told);
+/* Something changed that pools should look at soon. */
+void fb_owner_kick (FbOwner *self);
+void fb_owner_routes_changed (FbOwner *self);
+void fb_owner_worker_listed (FbOwner *self, const FbListedWorker *worker);
+void fb_owner_worker_unlisted (FbOwner *self, const FbListedWorker *worker);
+void fb_owner_workers_complete (FbOwner *self);
+/* Nothing is started any more; what is known is made durable. */
+void fb_owner_quiesce (FbOwner *self);
+gboolean fb_owner_is_quiet (const FbOwner *self);
+/* TOLD is NULL when the question failed. */
+void fb_owner_advised (FbOwner *self, const char *step, const char *const *asked, guint n,
+                       const fb_told_advice *told);
+
+/* ---- peers ------------------------------------------------------------------------------ */
+
+/* TOLD is borrowed; NULL when no answer came. */
+typedef void (*FbTold) (gpointer user, const fb_told *told);
+void fb_peers_ask (FbEntry *entry, const char *address, const fb_ask *ask, uint32_t timeout_ms,
+                   FbTold done, gpointer user);
+/* Asks the owner of the pool of SERVICE, wherever it is. */
+void fb_peers_ask_owner (FbEntry *entry, const char *service, const fb_ask *ask,
+                         uint32_t timeout_ms, FbTold done, gpointer user);
+void fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path,
+                     GHashTable *query, gpointer entry);
+
+/* ---- advisor: spreads questions for advice over the daemons -------------------------------- */
+
+FbAdvisor *fb_advisor_new (FbEntry *entry);
+void fb_advisor_free (FbAdvisor *self);
+/* Returns: FALSE when every daemon has a question open. */
+gboolean fb_advisor_ask (FbAdvisor *self, uint32_t partition, const char *step,
+                         const char *const *workers, guint n, uint32_t expected_ms);
+/* Calls the advice service from here. */
+void fb_advisor_call (FbEntry *entry, const fb_ask_advice *ask, FbTold done, gpointer user);
+
+/* ---- front ------------------------------------------------------------------------------------ */
+
+void fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
+                           GHashTable *query, gpointer entry);
+guint fb_entry_front_open (void);
+
+/* ---- the whole ----------------------------------------------------------------------------------- */
+
+struct _FbEntry
+{
+  FbEntrySettings *settings;
+  const char *settings_path;
+  FbHttpClient *store_client;
+  FbHttpClient *worker_client;
+  FbHttpClient *peer_client;
+  FbRoutes *routes; /* NULL until the first configuration */
+  FbFollower *config_follower;
+  FbFollower *worker_follower;
+  GHashTable *workers;   /* id -> FbListedWorker */
+  GHashTable *relisted;  /* ids of the listing that is open; NULL: none is */
+  gboolean workers_complete;
+  FbGroup *group;
+  FbAdvisor *advisor;
+  GHashTable *owners;    /* partition -> FbOwner */
+  GHashTable *appenders; /* partition -> FbAppender for callers' records */
+  GHashTable *takes;     /* partition -> FbTake: epochs that were used here */
+  FbTimer *timer;
+  gboolean stopping;
+  uint64_t store_ok_ms; /* last answer of the store */
+  gboolean store_lost;
+};
+
+uint32_t fb_entry_partition_of (const FbEntry *self, const char *service);
+FbOwner *fb_entry_owner (const FbEntry *self, uint32_t partition);
+FbAppender *fb_entry_appender (FbEntry *self, uint32_t partition);
+/* Sets which partitions this daemon owns from now on, under EPOCH if they are new. */
+void fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t epoch);
+void fb_entry_disown (FbEntry *self, uint32_t partition);
+/* Notes whether the store answered. */
+void fb_entry_store_answered (FbEntry *self, const FbHttpReply *reply);
+gboolean fb_entry_is_ready (const FbEntry *self);
--- /dev/null
+++ b/src/entry/follower.c
@@ -0,0 +1,203 @@
+/* Follows one partition of a keyed topic: the newest record of each key first, then
+ * what is added, by long polls.
+ *
+ * Failure: a connection goes silent for good; it shows as a poll that never ends.
+ * Guard: a poll has little more time than it asked to wait, and its successor
+ * uses another connection. */
+#include "entry-private.h"
+
+#include "fb-event.h"
+
+/* A poll waits this long, so that a silent connection is found and a new one has
+ * answered within the 2 s in which a configuration has to be in force. */
+#define POLL_WAIT_MS 400
+/* The store's answers take 4 ms, and 60 times that when it is slow. */
+#define ANSWER_MS 800
+/* Pages of up to 1 MB. */
+#define PAGE_MS 2000
+#define RETRY_FIRST_MS 50
+#define RETRY_LAST_MS 400
+
+struct _FbFollower
+{
+  FbEntry *entry;
+  char *topic;
+  uint32_t partition;
+  const FbFollowerOps *ops;
+  gpointer user;
+  char *after; /* last key of the listing so far; NULL: it begins */
+  gboolean listing;
+  uint64_t from;
+  uint64_t sent_ms;
+  uint64_t fresh_ms;
+  uint32_t retry_ms;
+  guint timer;
+  gboolean call_open;
+  gboolean freed;
+};
+
+static void proceed (FbFollower *self);
+
+static void
+really_free (FbFollower *self)
+{
+  g_free (self->after);
+  g_free (self->topic);
+  g_free (self);
+}
+
+static gboolean
+on_retry (gpointer data)
+{
+  FbFollower *self = data;
+  self->timer = 0;
+  proceed (self);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+retry_later (FbFollower *self)
+{
+  uint32_t wait_ms = self->retry_ms + (uint32_t) g_random_int_range (0, RETRY_FIRST_MS);
+  self->retry_ms = MIN (self->retry_ms * 2, RETRY_LAST_MS);
+  self->timer = g_timeout_add (wait_ms, on_retry, self);
+}
+
+static void
+pass_records (FbFollower *self, GPtrArray *records)
+{
+  for (guint i = 0; i < records->len && !self->freed; i++)
+    self->ops->record (self->user, records->pdata[i]);
+}
+
+static void
+begin_listing (FbFollower *self)
+{
+  self->listing = TRUE;
+  g_clear_pointer (&self->after, g_free);
+}
+
+static void
+take_listing (FbFollower *self, const FbHttpReply *reply)
+{
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+  gboolean more = FALSE;
+  uint64_t end = 0;
+  if (!fb_wire_newest_page (reply, records, &more, &end))
+    {
+      begin_listing (self);
+      retry_later (self);
+      return;
+    }
+  /* Pages are no snapshot: what changed since the first page is read again. */
+  if (self->after == NULL)
+    {
+      self->from = end;
+      self->ops->begin (self->user);
+    }
+  pass_records (self, records);
+  if (more && records->len > 0)
+    {
+      g_free (self->after);
+      self->after = g_strdup (((FbStoreRecord *) records->pdata[records->len - 1])->key);
+    }
+  else
+    {
+      self->listing = FALSE;
+      self->fresh_ms = self->sent_ms;
+      self->ops->listed (self->user);
+    }
+  self->retry_ms = RETRY_FIRST_MS;
+  proceed (self);
+}
+
+static void
+take_changes (FbFollower *self, const FbHttpReply *reply)
+{
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+  switch (fb_wire_read_page (reply, self->from, records, &self->from))
+    {
+    case FB_READ_FAILED:
+      retry_later (self);
+      return;
+    case FB_READ_EXPIRED:
+      begin_listing (self);
+      break;
+    case FB_READ_OK:
+      self->fresh_ms = self->sent_ms;
+      self->retry_ms = RETRY_FIRST_MS;
+      pass_records (self, records);
+      break;
+    }
+  proceed (self);
+}
+
+static void
+on_reply (gpointer data, const FbHttpReply *reply)
+{
+  FbFollower *self = data;
+  self->call_open = FALSE;
+  if (!self->freed)
+    {
+      fb_entry_store_answered (self->entry, reply);
+      if (self->listing)
+        take_listing (self, reply);
+      else
+        take_changes (self, reply);
+    }
+  if (self->freed && !self->call_open)
+    really_free (self);
+}
+
+static void
+proceed (FbFollower *self)
+{
+  if (self->freed)
+    return;
+  FbHttpCall call;
+  const char *store = self->entry->settings->store;
+  guint timeout_ms = self->listing ? PAGE_MS : POLL_WAIT_MS + ANSWER_MS;
+  if (self->listing)
+    fb_wire_newest (&call, store, self->topic, self->partition, self->after);
+  else
+    fb_wire_read (&call, store, self->topic, self->partition, self->from, POLL_WAIT_MS);
+  self->call_open = TRUE;
+  self->sent_ms = fb_clock_ms ();
+  fb_http_client_exchange (self->entry->store_client, &call, timeout_ms, on_reply, self);
+  fb_http_call_clear (&call);
+}
+
+FbFollower *
+fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition, const FbFollowerOps *ops,
+                 gpointer user)
+{
+  FbFollower *self = g_new0 (FbFollower, 1);
+  self->entry = entry;
+  self->topic = g_strdup (topic);
+  self->partition = partition;
+  self->ops = ops;
+  self->user = user;
+  self->retry_ms = RETRY_FIRST_MS;
+  begin_listing (self);
+  proceed (self);
+  return self;
+}
+
+void
+fb_follower_free (FbFollower *self)
+{
+  if (self == NULL)
+    return;
+  self->freed = TRUE;
+  if (self->timer != 0)
+    g_source_remove (self->timer);
+  self->timer = 0;
+  if (!self->call_open)
+    really_free (self);
+}
+
+uint64_t
+fb_follower_fresh_ms (const FbFollower *self)
+{
+  return self->fresh_ms;
+}
--- /dev/null
+++ b/src/entry/front.c
@@ -0,0 +1,349 @@
+/* Callers: jobs in, states and counts out.
+ *
+ * Any daemon stores a job itself and answers when the store has it, so jobs are
+ * taken while an owner is being replaced.  A refusal is final: it is given only
+ * when the job is certainly not stored.  When that is not known the caller gets
+ * 504 and asks again under the same id. */
+#include "entry-private.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+#include "fb-status.h"
+#include "internal/codec.h"
+#include "src/work/spec.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Callers wait about 3 s; an answer leaves before that. */
+#define STORE_MS 2000
+#define ASK_MS 2000
+#define PEER_APPEND_MS 1800
+#define BODY_MAX_BYTES (256 * 1024)
+/* When a caller may come back after the store turned its job away: outages last
+ * seconds, and a job that waits longer misses its objective. */
+#define RETRY_AFTER_S "1"
+
+#define JSON_TYPE "application/json"
+
+/* One call of a caller; the arena of all that it needs. */
+typedef struct
+{
+  FbEntry *entry;
+  SoupServerMessage *message;
+  const FbRoute *route; /* valid only while the handler runs */
+  char *job;
+  char *queue;
+  char *service;
+  GByteArray *records; /* kept for a peer */
+  uint32_t partition;
+  uint64_t since_ms;
+  gboolean is_delete;
+} Request;
+
+static guint open_requests;
+
+guint
+fb_entry_front_open (void)
+{
+  return open_requests;
+}
+
+static Request *
+request_new (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
+{
+  Request *request = talloc_zero (NULL, Request);
+  request->entry = entry;
+  request->message = g_object_ref (message);
+  request->job = talloc_strdup (request, job);
+  request->queue = talloc_strdup (request, route->policy.queue);
+  request->service = talloc_strdup (request, route->policy.service);
+  request->partition = fb_entry_partition_of (entry, route->policy.service);
+  request->since_ms = fb_clock_ms ();
+  soup_server_message_pause (message);
+  open_requests++;
+  return request;
+}
+
+static void
+set_answer (FbEntry *entry, SoupServerMessage *message, guint status, const char *body)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  if (status == SOUP_STATUS_SERVICE_UNAVAILABLE)
+    soup_message_headers_replace (headers, "Retry-After", RETRY_AFTER_S);
+  if (entry->stopping)
+    soup_message_headers_replace (headers, "Connection", "close");
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, JSON_TYPE, SOUP_MEMORY_COPY, body, strlen (body));
+}
+
+static void
+finish (Request *request, guint status, const char *body)
+{
+  set_answer (request->entry, request->message, status, body);
+  soup_server_message_unpause (request->message);
+  g_object_unref (request->message);
+  if (request->records != NULL)
+    g_byte_array_unref (request->records);
+  talloc_free (request);
+  open_requests--;
+}
+
+static void
+refuse (FbEntry *entry, SoupServerMessage *message, guint status, const char *why)
+{
+  g_autofree char *escaped = g_strescape (why, NULL);
+  g_autofree char *body = g_strdup_printf ("{\"error\":\"%s\"}", escaped);
+  fb_event_log (FB_EVENT_CALLER_REFUSED, "path=%s status=%u why=\"%s\" routes=%u",
+                g_uri_get_path (soup_server_message_get_uri (message)), status, why,
+                entry->routes != NULL ? (guint) entry->routes->version : 0);
+  set_answer (entry, message, status, body);
+}
+
+/* ---- storing -------------------------------------------------------------------- */
+
+static void
+log_stored (const Request *request, gboolean stored, const char *how)
+{
+  fb_event_log (stored ? FB_EVENT_JOB_ACCEPTED : FB_EVENT_JOB_REFUSED,
+                "job=%s queue=%s how=%s after_ms=%u store_ok_ms_ago=%u", request->job,
+                request->queue, how, (guint) (fb_clock_ms () - request->since_ms),
+                (guint) (fb_clock_ms () - request->entry->store_ok_ms));
+}
+
+static void
+answer_stored (Request *request, FbAppendResult result)
+{
+  log_stored (request, result == FB_APPEND_STORED,
+              result == FB_APPEND_IN_DOUBT ? "in doubt" : "by the store");
+  if (result == FB_APPEND_STORED)
+    finish (request, SOUP_STATUS_OK, "{}");
+  else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
+    finish (request, SOUP_STATUS_GATEWAY_TIMEOUT, "{\"error\":\"not known whether it is stored\"}");
+  else
+    finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"not stored\"}");
+}
+
+static void
+on_peer_stored (gpointer data, const fb_told *told)
+{
+  FbAppendResult result = FB_APPEND_IN_DOUBT;
+  if (told != NULL && told->type == FB_TOLD_STORED)
+    result = FB_APPEND_STORED;
+  else if (told != NULL && told->type == FB_TOLD_NOT_STORED)
+    result = FB_APPEND_NOT_STORED;
+  answer_stored (data, result);
+}
+
+/* Returns: (nullable): another daemon, chosen at random, borrowed. */
+static const char *
+other_daemon (const FbEntry *entry)
+{
+  g_autoptr (GPtrArray) daemons = fb_group_daemons (entry->group);
+  for (guint i = daemons->len; i > 0; i--)
+    {
+      guint at = (guint) g_random_int_range (0, (gint32) i);
+      const char *address = daemons->pdata[at];
+      if (!g_str_equal (address, entry->settings->peers))
+        return address;
+      g_ptr_array_remove_index_fast (daemons, at);
+    }
+  return NULL;
+}
+
+/* Failure: the store turns this daemon away and serves the others; it shows as
+ * refused callers while workers are free.  Guard: a peer stores the job. */
+static void
+store_by_peer (Request *request)
+{
+  const char *peer = other_daemon (request->entry);
+  uint64_t spent_ms = fb_clock_ms () - request->since_ms;
+  if (peer == NULL || spent_ms >= PEER_APPEND_MS)
+    {
+      answer_stored (request, FB_APPEND_NOT_STORED);
+      return;
+    }
+  fb_ask ask = { .type = FB_ASK_APPEND };
+  ask.fb_ask_u.append.partition = request->partition;
+  ask.fb_ask_u.append.records.records_len = request->records->len;
+  ask.fb_ask_u.append.records.records_val = (char *) request->records->data;
+  fb_peers_ask (request->entry, peer, &ask, (uint32_t) (PEER_APPEND_MS - spent_ms), on_peer_stored,
+                request);
+}
+
+static void
+on_stored (gpointer data, FbAppendResult result)
+{
+  if (result == FB_APPEND_NOT_STORED)
+    store_by_peer (data);
+  else
+    answer_stored (data, result);
+}
+
+/* KIND: the first letter of the record's key. */
+static void
+store (Request *request, char kind, GBytes *value)
+{
+  g_autofree char *key = g_strdup_printf ("%c%s", kind, request->job);
+  request->records = g_byte_array_new ();
+  fb_wire_put_record (request->records, key, value);
+  fb_appender_put (fb_entry_appender (request->entry, request->partition),
+                   g_byte_array_ref (request->records), request->since_ms + STORE_MS, on_stored,
+                   request);
+}
+
+/* ---- submit ------------------------------------------------------------------------ */
+
+static gboolean
+read_job (SoupServerMessage *message, fb_work_spec *spec)
+{
+  g_autoptr (GBytes) body
+      = soup_message_body_flatten (soup_server_message_get_request_body (message));
+  gsize len = 0;
+  const char *text = g_bytes_get_data (body, &len);
+  if (len > BODY_MAX_BYTES)
+    {
+      fb_status_set_message ("the body has %u bytes, expected at most %d", (guint) len,
+                             BODY_MAX_BYTES);
+      return FALSE;
+    }
+  if (!fb_wire_job_spec (text, len, spec))
+    return FALSE;
+  if (fb_spec_check (spec))
+    return TRUE;
+  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) spec);
+  return FALSE;
+}
+
+static void
+submit (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
+{
+  fb_work_admit admit = { .policy = route->policy, .accepted_ms = fb_clock_wall_ms () };
+  if (!read_job (message, &admit.spec))
+    {
+      refuse (entry, message, SOUP_STATUS_BAD_REQUEST, fb_status_message ());
+      return;
+    }
+  g_autoptr (GBytes) value = fb_codec_encode_admit (&admit);
+  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &admit.spec);
+  if (value == NULL)
+    refuse (entry, message, SOUP_STATUS_BAD_REQUEST, "the job is too large");
+  else
+    store (request_new (entry, message, route, job), 'j', value);
+}
+
+/* ---- state and cancel ---------------------------------------------------------------- */
+
+static void
+on_state (gpointer data, const fb_told *told)
+{
+  Request *request = data;
+  fb_event_log (FB_EVENT_JOB_ASKED, "job=%s told=%d state=%d after_ms=%u", request->job,
+                told != NULL ? (int) told->type : 0,
+                told != NULL && told->type == FB_TOLD_STATE ? (int) told->fb_told_u.state : -1,
+                (guint) (fb_clock_ms () - request->since_ms));
+  if (told != NULL && told->type == FB_TOLD_NO_JOB)
+    finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
+  else if (request->is_delete)
+    store (request, 'c', NULL);
+  else if (told != NULL && told->type == FB_TOLD_STATE)
+    {
+      g_autofree char *body = fb_wire_job_state (told->fb_told_u.state);
+      finish (request, SOUP_STATUS_OK, body);
+    }
+  else
+    finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
+}
+
+static void
+ask_state (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job,
+           gboolean is_delete)
+{
+  Request *request = request_new (entry, message, route, job);
+  request->is_delete = is_delete;
+  fb_ask ask = { .type = FB_ASK_STATE };
+  ask.fb_ask_u.job.service = request->service;
+  ask.fb_ask_u.job.job = request->job;
+  fb_peers_ask_owner (entry, request->service, &ask, is_delete ? ASK_MS / 4 : ASK_MS, on_state,
+                      request);
+}
+
+/* ---- pending ---------------------------------------------------------------------------- */
+
+static void
+on_pending (gpointer data, const fb_told *told)
+{
+  if (told != NULL && told->type == FB_TOLD_PENDING)
+    {
+      g_autofree char *body = fb_wire_pending (told->fb_told_u.pending);
+      finish (data, SOUP_STATUS_OK, body);
+    }
+  else
+    finish (data, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
+}
+
+static void
+ask_pending (FbEntry *entry, SoupServerMessage *message, const FbRoute *route)
+{
+  Request *request = request_new (entry, message, route, "");
+  fb_ask ask = { .type = FB_ASK_PENDING };
+  ask.fb_ask_u.queue.service = request->service;
+  ask.fb_ask_u.queue.queue = request->queue;
+  fb_peers_ask_owner (entry, request->service, &ask, ASK_MS, on_pending, request);
+}
+
+/* ---- dispatch ------------------------------------------------------------------------------ */
+
+static gboolean
+is_job_id (const char *text)
+{
+  if (strlen (text) != FB_WORK_JOB_ID_CHARS)
+    return FALSE;
+  for (; *text != '\0'; text++)
+    {
+      if (!g_ascii_isxdigit (*text))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+serve_queue (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *rest)
+{
+  const char *method = soup_server_message_get_method (message);
+  gboolean is_get = g_str_equal (method, "GET");
+  if (is_get && *rest == '\0')
+    ask_pending (entry, message, route);
+  else if (!is_job_id (rest))
+    refuse (entry, message, SOUP_STATUS_NOT_FOUND, "expected 16 hexadecimal digits as job id");
+  else if (is_get)
+    ask_state (entry, message, route, rest, FALSE);
+  else if (g_str_equal (method, "DELETE"))
+    ask_state (entry, message, route, rest, TRUE);
+  else if (g_str_equal (method, "POST"))
+    submit (entry, message, route, rest);
+  else
+    refuse (entry, message, SOUP_STATUS_METHOD_NOT_ALLOWED, "expected GET, POST or DELETE");
+}
+
+void
+fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
+                      GHashTable *query, gpointer data)
+{
+  (void) server;
+  (void) query;
+  FbEntry *entry = data;
+  fb_counter_add (FB_COUNTER_REQUESTS, 1);
+  if (entry->routes == NULL)
+    {
+      refuse (entry, message, SOUP_STATUS_SERVICE_UNAVAILABLE, "no configuration yet");
+      return;
+    }
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  const char *host = soup_message_headers_get_one (headers, "Host");
+  const FbRoute *route = fb_routes_find (entry->routes, host != NULL ? host : "", path);
+  if (route == NULL)
+    refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
+  else
+    serve_queue (entry, message, route, path + strlen (route->prefix));
+}
--- /dev/null
+++ b/src/entry/group.c
@@ -0,0 +1,212 @@
+/* Which daemon owns which partitions, as the store deals them.
+ *
+ * A daemon that the store can no longer hear is dealt out after its time to live.
+ * Its name carries the moment of its start: a restarted process must not be taken
+ * for the one before, whose orders may still be under way. */
+#include "entry-private.h"
+
+#include "fb-event.h"
+
+#include <string.h>
+
+#define GROUP "owners"
+/* A dead owner is replaced after this; a take-over adds some 0.5 s.  Below 1 s the
+ * store refuses it, and a daemon on a quarter of a core must get two joins through. */
+#define TTL_MS 1500
+#define JOIN_EVERY_MS 350
+#define ANSWER_MS 500
+/* Owners are asked for when the group changed, and this often all the same. */
+#define OWNERS_EVERY_MS 3000
+#define OWNERS_SOON_MS 200
+
+struct _FbGroup
+{
+  FbEntry *entry;
+  char *member;
+  uint64_t generation;
+  uint64_t ok_sent_ms; /* when the last join that was answered had been sent */
+  uint64_t join_sent_ms;
+  GHashTable *owner_of; /* partition -> address */
+  uint64_t owners_generation;
+  uint64_t owners_asked_ms;
+  gboolean owners_open;
+  guint timer;
+  gboolean leaving;
+  void (*left) (gpointer user);
+  gpointer left_user;
+};
+
+static gboolean join (gpointer data);
+
+/* ---- owners ------------------------------------------------------------------ */
+
+static void
+take_owners (FbGroup *self, const GArray *owners)
+{
+  g_hash_table_remove_all (self->owner_of);
+  for (guint i = 0; i < owners->len; i++)
+    {
+      const FbPartitionOwner *owner = &g_array_index (owners, FbPartitionOwner, i);
+      const char *end = strchr (owner->member, '/');
+      if (end == NULL)
+        continue;
+      g_hash_table_insert (self->owner_of, GUINT_TO_POINTER (owner->partition),
+                           g_strndup (owner->member, (gsize) (end - owner->member)));
+    }
+}
+
+static void
+on_owners (gpointer data, const FbHttpReply *reply)
+{
+  FbGroup *self = data;
+  self->owners_open = FALSE;
+  g_autoptr (GArray) owners = g_array_new (FALSE, TRUE, sizeof (FbPartitionOwner));
+  g_array_set_clear_func (owners, fb_partition_owner_clear);
+  if (fb_wire_owners_told (reply, owners))
+    take_owners (self, owners);
+  else
+    self->owners_generation = 0;
+}
+
+static void
+ask_owners (FbGroup *self, uint64_t now_ms)
+{
+  gboolean changed = self->owners_generation != self->generation;
+  uint64_t every_ms = changed ? OWNERS_SOON_MS : OWNERS_EVERY_MS;
+  if (self->owners_open || now_ms < self->owners_asked_ms + every_ms)
+    return;
+  self->owners_open = TRUE;
+  self->owners_asked_ms = now_ms;
+  self->owners_generation = self->generation;
+  FbHttpCall call;
+  fb_wire_owners (&call, self->entry->settings->store, GROUP);
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_owners, self);
+  fb_http_call_clear (&call);
+}
+
+void
+fb_group_refresh (FbGroup *self)
+{
+  self->owners_generation = 0;
+}
+
+const char *
+fb_group_owner_of (const FbGroup *self, uint32_t partition)
+{
+  return g_hash_table_lookup (self->owner_of, GUINT_TO_POINTER (partition));
+}
+
+GPtrArray *
+fb_group_daemons (const FbGroup *self)
+{
+  GPtrArray *daemons = g_ptr_array_new ();
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer address;
+  g_hash_table_iter_init (&iter, self->owner_of);
+  while (g_hash_table_iter_next (&iter, NULL, &address))
+    {
+      if (g_hash_table_add (seen, address))
+        g_ptr_array_add (daemons, address);
+    }
+  return daemons;
+}
+
+/* ---- membership ---------------------------------------------------------------- */
+
+gboolean
+fb_group_is_member (const FbGroup *self, uint64_t now_ms)
+{
+  return self->ok_sent_ms != 0 && now_ms < self->ok_sent_ms + TTL_MS;
+}
+
+static void
+on_joined (gpointer data, const FbHttpReply *reply)
+{
+  FbGroup *self = data;
+  fb_entry_store_answered (self->entry, reply);
+  g_autoptr (GArray) partitions = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  uint64_t generation = 0;
+  uint64_t now_ms = fb_clock_ms ();
+  if (self->leaving)
+    return;
+  if (fb_wire_joined (reply, &generation, partitions))
+    {
+      /* Out for longer than its time to live, it may have lost its partitions and
+       * got them back: another owner was in between. */
+      if (self->generation != 0 && self->join_sent_ms >= self->ok_sent_ms + TTL_MS
+          && generation != self->generation)
+        {
+          g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+          fb_entry_own (self->entry, none, generation);
+        }
+      gboolean changed = generation != self->generation;
+      self->generation = generation;
+      self->ok_sent_ms = self->join_sent_ms;
+      fb_entry_own (self->entry, partitions, generation);
+      /* The store deals anew once each member has seen the new generation. */
+      self->timer = g_timeout_add (changed ? JOIN_EVERY_MS / 4 : JOIN_EVERY_MS, join, self);
+      ask_owners (self, now_ms);
+      return;
+    }
+  self->timer = g_timeout_add (JOIN_EVERY_MS / 2, join, self);
+}
+
+static gboolean
+join (gpointer data)
+{
+  FbGroup *self = data;
+  self->timer = 0;
+  FbHttpCall call;
+  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS, TTL_MS,
+                self->generation);
+  self->join_sent_ms = fb_clock_ms ();
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_joined, self);
+  fb_http_call_clear (&call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_left (gpointer data, const FbHttpReply *reply)
+{
+  FbGroup *self = data;
+  (void) reply; /* without an answer the store waits for the time to live */
+  self->left (self->left_user);
+}
+
+void
+fb_group_leave (FbGroup *self, void (*done) (gpointer user), gpointer user)
+{
+  self->leaving = TRUE;
+  self->left = done;
+  self->left_user = user;
+  if (self->timer != 0)
+    g_source_remove (self->timer);
+  self->timer = 0;
+  FbHttpCall call;
+  fb_wire_leave (&call, self->entry->settings->store, GROUP, self->member);
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_left, self);
+  fb_http_call_clear (&call);
+}
+
+FbGroup *
+fb_group_new (FbEntry *entry)
+{
+  FbGroup *self = g_new0 (FbGroup, 1);
+  self->entry = entry;
+  self->member = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers,
+                                  g_get_real_time ());
+  self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  join (self);
+  return self;
+}
+
+void
+fb_group_free (FbGroup *self)
+{
+  if (self->timer != 0)
+    g_source_remove (self->timer);
+  g_hash_table_unref (self->owner_of);
+  g_free (self->member);
+  g_free (self);
+}
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,239 @@
+/* Questions between daemons: one XDR value in, one out, over HTTP.
+ *
+ * ONC RPC's client blocks a thread for each open call, and here hundreds of calls
+ * are open on one thread with a fraction of a core; only its encoding is used. */
+#include "entry-private.h"
+
+#include "fb-event.h"
+#include "internal/codec.h"
+
+#include <string.h>
+
+#define PATH_ASK "/v1/ask"
+#define XDR_TYPE "application/octet-stream"
+/* For an append on behalf of a daemon that the store turns away. */
+#define APPEND_MS 1500
+/* An owner that is being replaced is asked for again after this. */
+#define ASK_AGAIN_MS 120
+
+/* ---- asking ------------------------------------------------------------------- */
+
+typedef struct
+{
+  FbTold done;
+  gpointer user;
+} Asked;
+
+static void
+on_reply (gpointer data, const FbHttpReply *reply)
+{
+  Asked *asked = data;
+  fb_told told;
+  gsize len = 0;
+  gconstpointer body = reply->status == FB_HTTP_OK && reply->code == SOUP_STATUS_OK
+                           ? g_bytes_get_data (reply->body, &len)
+                           : NULL;
+  if (body != NULL && fb_codec_decode_told (body, len, &told))
+    {
+      asked->done (asked->user, &told);
+      xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
+    }
+  else
+    asked->done (asked->user, NULL);
+  g_free (asked);
+}
+
+void
+fb_peers_ask (FbEntry *entry, const char *address, const fb_ask *ask, uint32_t timeout_ms,
+              FbTold done, gpointer user)
+{
+  Asked *asked = g_new0 (Asked, 1);
+  asked->done = done;
+  asked->user = user;
+  FbHttpCall call = { .method = "POST",
+                      .url = g_strdup_printf ("http://%s" PATH_ASK, address),
+                      .content_type = XDR_TYPE,
+                      .body = fb_codec_encode_ask (ask) };
+  fb_http_client_exchange (entry->peer_client, &call, timeout_ms, on_reply, asked);
+  fb_http_call_clear (&call);
+}
+
+/* ---- asking an owner ------------------------------------------------------------ */
+
+typedef struct
+{
+  FbEntry *entry;
+  uint32_t partition;
+  GBytes *ask;
+  uint64_t until_ms;
+  FbTold done;
+  gpointer user;
+} OwnerQuestion;
+
+static void ask_owner (OwnerQuestion *question);
+
+static void
+finish (OwnerQuestion *question, const fb_told *told)
+{
+  question->done (question->user, told);
+  g_bytes_unref (question->ask);
+  g_free (question);
+}
+
+static gboolean
+on_ask_again (gpointer data)
+{
+  ask_owner (data);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_owner_told (gpointer data, const fb_told *told)
+{
+  OwnerQuestion *question = data;
+  if (told != NULL && told->type != FB_TOLD_UNSURE)
+    {
+      finish (question, told);
+      return;
+    }
+  fb_group_refresh (question->entry->group);
+  if (fb_clock_ms () + ASK_AGAIN_MS < question->until_ms)
+    g_timeout_add (ASK_AGAIN_MS, on_ask_again, question);
+  else
+    finish (question, NULL);
+}
+
+static void
+ask_owner (OwnerQuestion *question)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (question->ask, &len);
+  fb_ask ask;
+  if (now_ms >= question->until_ms || !fb_codec_decode_ask (data, len, &ask))
+    {
+      finish (question, NULL);
+      return;
+    }
+  FbOwner *owner = fb_entry_owner (question->entry, question->partition);
+  const char *address = fb_group_owner_of (question->entry->group, question->partition);
+  fb_told told = { .type = FB_TOLD_UNSURE };
+  uint64_t left_ms = question->until_ms - now_ms;
+  if (owner != NULL)
+    fb_owner_tell (owner, &ask, &told);
+  if (owner == NULL && address != NULL
+      && !g_str_equal (address, question->entry->settings->peers))
+    fb_peers_ask (question->entry, address, &ask, (uint32_t) MIN (left_ms, 700), on_owner_told,
+                  question);
+  else
+    on_owner_told (question, &told);
+  xdr_free ((xdrproc_t) xdr_fb_ask, (char *) &ask);
+}
+
+void
+fb_peers_ask_owner (FbEntry *entry, const char *service, const fb_ask *ask, uint32_t timeout_ms,
+                    FbTold done, gpointer user)
+{
+  OwnerQuestion *question = g_new0 (OwnerQuestion, 1);
+  question->entry = entry;
+  question->partition = fb_entry_partition_of (entry, service);
+  question->ask = fb_codec_encode_ask (ask);
+  question->until_ms = fb_clock_ms () + timeout_ms;
+  question->done = done;
+  question->user = user;
+  ask_owner (question);
+}
+
+/* ---- answering -------------------------------------------------------------------- */
+
+typedef struct
+{
+  SoupServerMessage *message;
+} Answer;
+
+static void
+on_answer_ready (gpointer data, const fb_told *told)
+{
+  Answer *answer = data;
+  static const fb_told unsure = { .type = FB_TOLD_UNSURE };
+  g_autoptr (GBytes) body = fb_codec_encode_told (told != NULL ? told : &unsure);
+  gsize len = 0;
+  const char *bytes = g_bytes_get_data (body, &len);
+  soup_server_message_set_status (answer->message, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (answer->message, XDR_TYPE, SOUP_MEMORY_COPY, bytes, len);
+  soup_server_message_unpause (answer->message);
+  g_object_unref (answer->message);
+  g_free (answer);
+}
+
+static void
+on_appended (gpointer data, FbAppendResult result)
+{
+  fb_told told = { .type = FB_TOLD_IN_DOUBT };
+  if (result == FB_APPEND_STORED)
+    told.type = FB_TOLD_STORED;
+  else if (result == FB_APPEND_NOT_STORED)
+    told.type = FB_TOLD_NOT_STORED;
+  on_answer_ready (data, &told);
+}
+
+static void
+append_for_peer (FbEntry *entry, const fb_ask_append *ask, Answer *answer)
+{
+  GByteArray *records = g_byte_array_new ();
+  g_byte_array_append (records, (const guint8 *) ask->records.records_val,
+                       ask->records.records_len);
+  fb_appender_put (fb_entry_appender (entry, ask->partition), records, fb_clock_ms () + APPEND_MS,
+                   on_appended, answer);
+}
+
+static void
+answer_ask (FbEntry *entry, const fb_ask *ask, Answer *answer)
+{
+  fb_told told = { .type = FB_TOLD_UNSURE };
+  const char *service = ask->type == FB_ASK_STATE ? ask->fb_ask_u.job.service
+                                                  : ask->fb_ask_u.queue.service;
+  FbOwner *owner = NULL;
+  switch (ask->type)
+    {
+    case FB_ASK_ADVICE:
+      if (entry->settings->advice == NULL)
+        break;
+      fb_advisor_call (entry, &ask->fb_ask_u.advice, on_answer_ready, answer);
+      return;
+    case FB_ASK_APPEND:
+      append_for_peer (entry, &ask->fb_ask_u.append, answer);
+      return;
+    case FB_ASK_STATE:
+    case FB_ASK_PENDING:
+      owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service));
+      if (owner != NULL)
+        fb_owner_tell (owner, ask, &told);
+      break;
+    }
+  on_answer_ready (answer, &told);
+}
+
+void
+fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path,
+                GHashTable *query, gpointer data)
+{
+  (void) server;
+  (void) query;
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  gsize len = 0;
+  gconstpointer text = g_bytes_get_data (bytes, &len);
+  fb_ask ask;
+  if (!g_str_equal (path, PATH_ASK) || !fb_codec_decode_ask (text, len, &ask))
+    {
+      fb_event_log (FB_EVENT_PEER_REFUSED, "path=%s bytes=%u", path, (guint) len);
+      soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
+      return;
+    }
+  Answer *answer = g_new0 (Answer, 1);
+  answer->message = g_object_ref (message);
+  soup_server_message_pause (message);
+  answer_ask (data, &ask, answer);
+  xdr_free ((xdrproc_t) xdr_fb_ask, (char *) &ask);
+}
--- /dev/null
+++ b/src/entry/routes.h
@@ -0,0 +1,31 @@
+/* The routes in force: which queue a caller's path belongs to. */
+#pragma once
+
+#include "rpc/work.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct
+{
+  char *host;
+  char *prefix;
+  uint32_t timeout_ms;
+  fb_work_policy policy; /* strings owned by the route */
+} FbRoute;
+
+typedef struct
+{
+  uint64_t version;
+  GPtrArray *routes;   /* of FbRoute */
+  GPtrArray *services; /* of char * */
+} FbRoutes;
+
+FbRoutes *fb_routes_new (uint64_t version);
+void fb_routes_free (FbRoutes *self);
+/* Takes over the strings. */
+void fb_routes_add (FbRoutes *self, FbRoute *route);
+/* Returns: (nullable): the route of HOST (a port is ignored) with the longest
+ * prefix of PATH, borrowed. */
+const FbRoute *fb_routes_find (const FbRoutes *self, const char *host, const char *path);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FbRoutes, fb_routes_free)
--- /dev/null
+++ b/src/entry/settings.c
@@ -0,0 +1,142 @@
+#include "settings.h"
+
+#include "fb-status.h"
+#include "internal/ini.h"
+
+#include <stddef.h>
+
+#define NAME_MAX_LEN 128
+#define PARTITIONS_MAX 65536
+
+static const FbIniField daemon_fields[]
+    = { { "name", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, name) },
+        { "zone", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, zone) },
+        { "grace", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, grace_ms) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const FbIniField listen_fields[]
+    = { { "callers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, callers) },
+        { "readiness", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, readiness) },
+        { "peers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, peers) },
+        { "metrics", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, metrics) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const FbIniField store_fields[]
+    = { { "address", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, store) },
+        { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX, NULL,
+          offsetof (FbEntrySettings, partitions) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const FbIniField advice_fields[]
+    = { { "address", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, advice) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const FbIniField worker_fields[]
+    = { { "longest-lease", FB_INI_DURATION, TRUE, 1, G_MAXUINT32, NULL,
+          offsetof (FbEntrySettings, hold_max_ms) },
+        { "longest-stop", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, stop_ms) },
+        { "gang-patience", FB_INI_DURATION, TRUE, 0, 0, NULL,
+          offsetof (FbEntrySettings, gang_wait_ms) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const struct
+{
+  const char *group;
+  const FbIniField *fields;
+} groups[] = { { "daemon", daemon_fields },
+               { "listen", listen_fields },
+               { "store", store_fields },
+               { "advice", advice_fields },
+               { "workers", worker_fields } };
+
+gboolean
+fb_entry_settings_recognize (const char *path)
+{
+  g_autoptr (GKeyFile) keys = g_key_file_new ();
+  return g_key_file_load_from_file (keys, path, G_KEY_FILE_NONE, NULL)
+         && g_key_file_has_group (keys, "store");
+}
+
+static GKeyFile *
+load (const char *path)
+{
+  g_autofree char *text = NULL;
+  gsize len = 0;
+  g_autoptr (GError) error = NULL;
+  if (g_file_get_contents (path, &text, &len, &error))
+    return fb_ini_load (path, text, len);
+  fb_status_set_message ("%s", error->message);
+  return NULL;
+}
+
+static gboolean
+is_known (const char *group)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
+    {
+      if (g_str_equal (group, groups[i].group))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+read_groups (GKeyFile *keys, const char *path, FbEntrySettings *self)
+{
+  g_auto (GStrv) names = g_key_file_get_groups (keys, NULL);
+  for (guint i = 0; names[i] != NULL; i++)
+    {
+      if (is_known (names[i]))
+        continue;
+      fb_status_set_message ("%s: [%s]: unknown group", path, names[i]);
+      return FALSE;
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
+    {
+      if (fb_ini_read_group (keys, path, groups[i].group, groups[i].fields, self) != FB_INI_OK)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+FbEntrySettings *
+fb_entry_settings_load (const char *path)
+{
+  g_autoptr (GKeyFile) keys = load (path);
+  if (keys == NULL)
+    return NULL;
+  FbEntrySettings *self = g_new0 (FbEntrySettings, 1);
+  if (read_groups (keys, path, self))
+    return self;
+  fb_entry_settings_free (self);
+  return NULL;
+}
+
+void
+fb_entry_settings_free (FbEntrySettings *self)
+{
+  if (self == NULL)
+    return;
+  g_free (self->name);
+  g_free (self->zone);
+  g_free (self->callers);
+  g_free (self->readiness);
+  g_free (self->peers);
+  g_free (self->metrics);
+  g_free (self->store);
+  g_free (self->advice);
+  g_free (self);
+}
+
+gboolean
+fb_entry_settings_same_listeners (const FbEntrySettings *a, const FbEntrySettings *b)
+{
+  return g_str_equal (a->name, b->name) && g_str_equal (a->callers, b->callers)
+         && g_str_equal (a->readiness, b->readiness) && g_str_equal (a->peers, b->peers)
+         && g_str_equal (a->metrics, b->metrics) && a->partitions == b->partitions;
+}
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,28 @@
+/* Settings of a daemon on the platform: an INI file that the platform fills in. */
+#pragma once
+
+#include "fb-types.h"
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  char *callers;   /* IP:PORT, each of these */
+  char *readiness;
+  char *peers;
+  char *metrics;
+  char *store;
+  char *advice; /* NULL: no queue has advice */
+  uint64_t partitions;
+  uint64_t hold_max_ms;
+  uint64_t stop_ms;
+  uint64_t gang_wait_ms;
+  uint64_t grace_ms;
+} FbEntrySettings;
+
+/* Returns: TRUE when the file at PATH is of this kind, not a cell's daemon. */
+gboolean fb_entry_settings_recognize (const char *path);
+/* Returns: (transfer full): NULL with a last message that names file, group and key. */
+FbEntrySettings *fb_entry_settings_load (const char *path);
+void fb_entry_settings_free (FbEntrySettings *self);
+gboolean fb_entry_settings_same_listeners (const FbEntrySettings *a, const FbEntrySettings *b);
--- /dev/null
+++ b/src/work/pool-job.c
@@ -0,0 +1,368 @@
+/* Jobs of a pool: occurrences, steps and tasks, and what of them is recorded.
+ *
+ * A record holds only tasks that ended or saved something.  The rest is found
+ * again at the workers, so a start costs no write. */
+#include "internal/pool-private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+
+static void
+ticket_free (gpointer data)
+{
+  FbPoolTicket *ticket = data;
+  g_free (ticket->ticket);
+  g_free (ticket);
+}
+
+static void
+copy_record (fb_work_admit *to, const fb_work_admit *from)
+{
+  gsize size = xdr_sizeof ((xdrproc_t) xdr_fb_work_admit, (void *) from);
+  g_autofree char *buffer = g_malloc (size);
+  XDR xdr;
+  xdrmem_create (&xdr, buffer, (u_int) size, XDR_ENCODE);
+  xdr_fb_work_admit (&xdr, (fb_work_admit *) from);
+  xdr_destroy (&xdr);
+  xdrmem_create (&xdr, buffer, (u_int) size, XDR_DECODE);
+  xdr_fb_work_admit (&xdr, to);
+  xdr_destroy (&xdr);
+}
+
+/* The longest chain of estimates through the steps. */
+static uint64_t
+chain_ms (const fb_work_spec *spec)
+{
+  uint64_t until_ms[FB_WORK_MAX_STEPS] = { 0 };
+  uint64_t longest_ms = 0;
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    {
+      const fb_work_step *step = &spec->steps.steps_val[i];
+      uint64_t from_ms = 0;
+      for (u_int j = 0; j < step->after.after_len; j++)
+        from_ms = MAX (from_ms, until_ms[step->after.after_val[j]]);
+      until_ms[i] = from_ms + step->estimate_ms;
+      longest_ms = MAX (longest_ms, until_ms[i]);
+    }
+  return longest_ms;
+}
+
+void
+fb_pool_job_objective (FbPoolJob *job)
+{
+  const fb_work_policy *policy = &job->record.policy;
+  uint64_t objective_ms
+      = chain_ms (&job->record.spec) * policy->stretch_milli / 1000 + policy->target_ms;
+  job->objective_ms = job->admitted_ms + objective_ms;
+  job->hopeless_ms = job->admitted_ms + 3 * objective_ms;
+}
+
+FbPoolJob *
+fb_pool_job_new (const char *id, const fb_work_admit *record, uint64_t now_ms, uint64_t wall_ms)
+{
+  FbPoolJob *job = g_new0 (FbPoolJob, 1);
+  job->id = g_strdup (id);
+  copy_record (&job->record, record);
+  uint64_t age_ms = wall_ms > record->accepted_ms ? wall_ms - record->accepted_ms : 0;
+  job->admitted_ms = now_ms > age_ms ? now_ms - age_ms : 0;
+  job->occurrences = g_ptr_array_new ();
+  fb_pool_job_objective (job);
+  return job;
+}
+
+static void
+step_clear (FbPoolStep *step)
+{
+  for (uint32_t i = 0; i < step->shape->count; i++)
+    g_free (step->tasks[i].checkpoint);
+  g_free (step->tasks);
+  g_hash_table_unref (step->tickets);
+  g_hash_table_unref (step->asked);
+}
+
+static void
+occurrence_free (FbPoolOccurrence *occurrence, guint step_n)
+{
+  for (guint i = 0; i < step_n; i++)
+    step_clear (&occurrence->steps[i]);
+  g_free (occurrence->steps);
+  g_free (occurrence);
+}
+
+void
+fb_pool_job_free (gpointer data)
+{
+  FbPoolJob *job = data;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    occurrence_free (job->occurrences->pdata[i], job->record.spec.steps.steps_len);
+  g_ptr_array_unref (job->occurrences);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &job->record);
+  g_free (job->id);
+  g_free (job);
+}
+
+gboolean
+fb_pool_job_ended (const FbPoolJob *job)
+{
+  return job->state >= FB_WORK_COMPLETED;
+}
+
+gboolean
+fb_pool_step_done (const FbPoolStep *step)
+{
+  return step->done_n == step->shape->count;
+}
+
+/* Moves past tasks that are done or have a run; returns whether one waits. */
+gboolean
+fb_pool_step_waits (const FbPoolStep *step)
+{
+  if (!step->released || fb_pool_job_ended (step->job) || fb_pool_step_done (step))
+    return FALSE;
+  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
+    {
+      if (!step->tasks[i].done && step->tasks[i].run == NULL)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static FbPoolOccurrence *
+occurrence_new (FbPoolJob *job, uint32_t number)
+{
+  guint step_n = job->record.spec.steps.steps_len;
+  FbPoolOccurrence *occurrence = g_new0 (FbPoolOccurrence, 1);
+  occurrence->number = number;
+  occurrence->steps = g_new0 (FbPoolStep, step_n);
+  for (guint i = 0; i < step_n; i++)
+    {
+      FbPoolStep *step = &occurrence->steps[i];
+      step->job = job;
+      step->occurrence = number;
+      step->index = i;
+      step->shape = &job->record.spec.steps.steps_val[i];
+      step->tasks = g_new0 (FbPoolTask, step->shape->count);
+      step->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, ticket_free);
+      step->asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
+  g_ptr_array_add (job->occurrences, occurrence);
+  return occurrence;
+}
+
+FbPoolOccurrence *
+fb_pool_job_occurrence (FbPoolJob *job, uint32_t number)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      if (occurrence->number == number)
+        return occurrence;
+    }
+  if (number >= MAX (job->record.spec.occurrences, 1))
+    return NULL;
+  return occurrence_new (job, number);
+}
+
+FbPoolStep *
+fb_pool_job_step (FbPoolJob *job, uint32_t number, uint32_t step)
+{
+  FbPoolOccurrence *occurrence = fb_pool_job_occurrence (job, number);
+  if (occurrence == NULL || step >= job->record.spec.steps.steps_len)
+    return NULL;
+  return &occurrence->steps[step];
+}
+
+static gboolean
+is_due (const FbPoolJob *job, uint32_t number, uint64_t wall_ms)
+{
+  const fb_work_spec *spec = &job->record.spec;
+  if (spec->occurrences == 0)
+    return number == 0;
+  return number < spec->occurrences
+         && wall_ms >= spec->first_due_ms + (uint64_t) number * spec->interval_ms;
+}
+
+static void
+release_steps (FbPoolOccurrence *occurrence, guint step_n)
+{
+  occurrence->finished = TRUE;
+  for (guint i = 0; i < step_n; i++)
+    {
+      FbPoolStep *step = &occurrence->steps[i];
+      gboolean ready = TRUE;
+      for (u_int j = 0; j < step->shape->after.after_len; j++)
+        ready = ready && fb_pool_step_done (&occurrence->steps[step->shape->after.after_val[j]]);
+      step->released = ready;
+      occurrence->finished = occurrence->finished && fb_pool_step_done (step);
+    }
+}
+
+void
+fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms)
+{
+  if (fb_pool_job_ended (job))
+    return;
+  while (is_due (job, job->next_occurrence, wall_ms))
+    fb_pool_job_occurrence (job, job->next_occurrence++);
+  gboolean finished = job->next_occurrence >= MAX (job->record.spec.occurrences, 1);
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      if (!occurrence->finished && occurrence->number < job->next_occurrence)
+        release_steps (occurrence, job->record.spec.steps.steps_len);
+      finished = finished && occurrence->finished;
+    }
+  if (finished)
+    {
+      job->state = FB_WORK_COMPLETED;
+      job->ended_wall_ms = wall_ms;
+      job->dirty = TRUE;
+    }
+}
+
+/* ---- records ------------------------------------------------------------- */
+
+static gboolean
+needs_mark (const FbPoolTask *task)
+{
+  return task->done || task->failed > 0 || task->ended_attempt > 0 || task->checkpoint != NULL;
+}
+
+static void
+add_marks (GArray *marks, const FbPoolStep *step)
+{
+  for (uint32_t i = 0; i < step->shape->count && marks->len < FB_WORK_MAX_MARKS; i++)
+    {
+      const FbPoolTask *task = &step->tasks[i];
+      if (!needs_mark (task))
+        continue;
+      fb_work_mark mark = { .occurrence = step->occurrence,
+                            .step = step->index,
+                            .index = i,
+                            .attempt = task->ended_attempt,
+                            .failed = task->failed,
+                            .done = task->done,
+                            .checkpoint = task->checkpoint != NULL ? task->checkpoint : "" };
+      g_array_append_val (marks, mark);
+    }
+}
+
+/* PROGRESS borrows from the job; its marks are the caller's to free. */
+void
+fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress)
+{
+  GArray *marks = g_array_new (FALSE, TRUE, sizeof (fb_work_mark));
+  gboolean lasting_over = fb_pool_job_ended (job);
+  for (guint i = 0; !lasting_over && i < job->occurrences->len; i++)
+    {
+      const FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
+        add_marks (marks, &occurrence->steps[j]);
+    }
+  progress->state = job->state;
+  progress->ended_ms = job->ended_wall_ms;
+  progress->marks.marks_len = marks->len;
+  progress->marks.marks_val = (fb_work_mark *) g_array_free (marks, FALSE);
+}
+
+static void
+restore_mark (FbPoolJob *job, const fb_work_mark *mark)
+{
+  FbPoolStep *step = fb_pool_job_step (job, mark->occurrence, mark->step);
+  if (step == NULL || mark->index >= step->shape->count)
+    return;
+  FbPoolTask *task = &step->tasks[mark->index];
+  task->attempt = MAX (task->attempt, mark->attempt);
+  task->ended_attempt = MAX (task->ended_attempt, mark->attempt);
+  task->failed = mark->failed;
+  fb_pool_task_save (step, mark->index, mark->checkpoint);
+  if (mark->done && !task->done)
+    {
+      task->done = TRUE;
+      step->done_n++;
+    }
+  step->gang_attempt = MAX (step->gang_attempt, task->attempt);
+}
+
+void
+fb_pool_job_restore (FbPoolJob *job, const fb_work_progress *progress)
+{
+  job->state = progress->state;
+  job->stored_state = progress->state;
+  job->flushing_state = progress->state;
+  job->started = progress->state != FB_WORK_QUEUED;
+  job->ended_wall_ms = progress->ended_ms;
+  for (u_int i = 0; i < progress->marks.marks_len; i++)
+    restore_mark (job, &progress->marks.marks_val[i]);
+}
+
+void
+fb_pool_task_save (FbPoolStep *step, uint32_t index, const char *checkpoint)
+{
+  FbPoolTask *task = &step->tasks[index];
+  if (checkpoint == NULL || *checkpoint == '\0' || g_strcmp0 (task->checkpoint, checkpoint) == 0)
+    return;
+  g_free (task->checkpoint);
+  task->checkpoint = g_strdup (checkpoint);
+}
+
+/* ---- names ----------------------------------------------------------------- */
+
+char *
+fb_pool_step_name (const FbPoolStep *step)
+{
+  return g_strdup_printf ("%s.%u.%u", step->job->id, step->occurrence, step->index);
+}
+
+char *
+fb_pool_task_name (const FbPoolStep *step, uint32_t index)
+{
+  return g_strdup_printf ("%s.%u.%u.%u", step->job->id, step->occurrence, step->index, index);
+}
+
+/* Reads "ID" and up to N numbers behind it; returns how many were there. */
+static guint
+split_name (const char *name, char *job, uint32_t *numbers, guint n)
+{
+  const char *dot = strchr (name, '.');
+  if (dot == NULL || (gsize) (dot - name) != FB_WORK_JOB_ID_CHARS)
+    return 0;
+  memcpy (job, name, FB_WORK_JOB_ID_CHARS);
+  job[FB_WORK_JOB_ID_CHARS] = '\0';
+  guint found = 0;
+  while (dot != NULL && found < n)
+    {
+      char *end = NULL;
+      unsigned long value = strtoul (dot + 1, &end, 10);
+      if (end == dot + 1 || value > G_MAXUINT32)
+        return 0;
+      numbers[found++] = (uint32_t) value;
+      dot = *end == '.' ? end : NULL;
+    }
+  return found;
+}
+
+FbPoolStep *
+fb_pool_find_step (FbPool *self, const char *name)
+{
+  char id[FB_WORK_JOB_ID_CHARS + 1];
+  uint32_t numbers[2];
+  if (split_name (name, id, numbers, 2) != 2)
+    return NULL;
+  FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  return job != NULL ? fb_pool_job_step (job, numbers[0], numbers[1]) : NULL;
+}
+
+FbPoolStep *
+fb_pool_find_task (FbPool *self, const char *name, uint32_t *index)
+{
+  char id[FB_WORK_JOB_ID_CHARS + 1];
+  uint32_t numbers[3];
+  if (split_name (name, id, numbers, 3) != 3)
+    return NULL;
+  FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  FbPoolStep *step = job != NULL ? fb_pool_job_step (job, numbers[0], numbers[1]) : NULL;
+  *index = numbers[2];
+  return step != NULL && numbers[2] < step->shape->count ? step : NULL;
+}
--- /dev/null
+++ b/src/work/pool-orders.c
@@ -0,0 +1,218 @@
+/* Orders to workers, and what their answers prove.
+ *
+ * An order without an answer may still be carried out.  A start then keeps its
+ * room until a look made after the start's deadline does not list it: from then
+ * on the worker would refuse it as late. */
+#include "internal/pool-private.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+
+typedef struct
+{
+  char *worker;
+  char *task;
+} FbPoolOrderRef;
+
+static void
+order_ref_free (gpointer data)
+{
+  FbPoolOrderRef *ref = data;
+  g_free (ref->worker);
+  g_free (ref->task);
+  g_free (ref);
+}
+
+GHashTable *
+fb_pool_orders_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, order_ref_free);
+}
+
+static uint64_t
+remember_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  FbPoolOrderRef *ref = g_new0 (FbPoolOrderRef, 1);
+  ref->worker = g_strdup (worker->id);
+  ref->task = g_strdup (run->name);
+  uint64_t *key = g_new (uint64_t, 1);
+  *key = ++self->last_order;
+  g_hash_table_insert (self->orders, key, ref);
+  return *key;
+}
+
+/* Finds what ORDER was about and forgets the order.
+ * Returns: the worker; *RUN is NULL when the run is over already. */
+static FbPoolWorker *
+take_order (FbPool *self, uint64_t order, FbPoolRun **run)
+{
+  FbPoolOrderRef *ref = g_hash_table_lookup (self->orders, &order);
+  *run = NULL;
+  if (ref == NULL)
+    return NULL;
+  FbPoolWorker *worker = g_hash_table_lookup (self->workers, ref->worker);
+  if (worker != NULL)
+    *run = g_hash_table_lookup (worker->runs, ref->task);
+  g_hash_table_remove (self->orders, &order);
+  return worker;
+}
+
+uint32_t
+fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index)
+{
+  uint32_t attempt = step->tasks[index].attempt;
+  if (step->job->restored)
+    attempt = MAX (attempt, (uint32_t) (self->epoch * FB_POOL_ATTEMPTS_PER_EPOCH));
+  return attempt + 1;
+}
+
+void
+fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
+                     uint32_t attempt, const char *ticket, uint64_t now_ms)
+{
+  g_autofree char *name = fb_pool_task_name (step, index);
+  FbPoolTask *task = &step->tasks[index];
+  FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, name, attempt);
+  run->state = FB_RUN_STARTING;
+  run->deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + FB_POOL_START_WINDOW_MS;
+  run->started_ms = now_ms;
+  run->order = remember_order (self, worker, run);
+  worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
+  task->run = run;
+  task->attempt = attempt;
+  step->job->started = TRUE;
+  if (step->job->state == FB_WORK_QUEUED)
+    step->job->state = FB_WORK_RUNNING;
+  fb_counter_add (FB_COUNTER_PLACEMENTS, 1);
+  fb_event_log (FB_EVENT_TASK_PLACED,
+                "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT
+                " cpu=%u mem_used=%" G_GINT64_FORMAT " heard_ms_ago=%" G_GUINT64_FORMAT
+                " epoch=%" G_GUINT64_FORMAT,
+                name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
+                now_ms - worker->heard_ms, self->epoch);
+  const FbStartOrder order = { .order = run->order,
+                               .worker = worker->id,
+                               .address = worker->address,
+                               .epoch = self->epoch,
+                               .task = name,
+                               .attempt = attempt,
+                               .payload = step->job->record.spec.payload,
+                               .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
+                               .ticket = ticket,
+                               .deadline_ms = run->deadline_ms };
+  self->sink->start (self->user, &order);
+}
+
+void
+fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  run->state = FB_RUN_STOPPING;
+  run->stop_sent_ms = now_ms;
+  run->order = remember_order (self, worker, run);
+  fb_event_log (FB_EVENT_TASK_STOPPING, "task=%s attempt=%u worker=%s epoch=%" G_GUINT64_FORMAT,
+                run->name, run->attempt, worker->id, self->epoch);
+  const FbStopOrder order = { .order = run->order,
+                              .worker = worker->id,
+                              .address = worker->address,
+                              .epoch = self->epoch,
+                              .task = run->name,
+                              .attempt = run->attempt };
+  self->sink->stop (self->user, &order);
+}
+
+void
+fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  uint64_t lease_ms = MIN (FB_POOL_LEASE_MS, self->limits.hold_max_ms);
+  FbLookOrder order = { .worker = worker->id,
+                        .address = worker->address,
+                        .epoch = self->epoch,
+                        .acknowledged = worker->acknowledged };
+  if (worker->answered)
+    order.deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + lease_ms;
+  /* Ends that may not be acknowledged yet would answer the look at once, again
+   * and again. */
+  if (worker->answered && worker->acknowledged == worker->seen_end)
+    order.wait_ms = FB_POOL_LOOK_WAIT_MS;
+  worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
+  worker->look_open = TRUE;
+  worker->look_sent_ms = now_ms;
+  self->sink->look (self->user, &order);
+}
+
+void
+fb_pool_run_over (FbPoolWorker *worker, FbPoolRun *run)
+{
+  FbPoolStep *step = run->step;
+  uint32_t index = run->index;
+  gboolean was_current = step != NULL && step->tasks[index].run == run;
+  fb_pool_worker_drop_run (worker, run);
+  if (was_current)
+    step->waiting_from = MIN (step->waiting_from, index);
+}
+
+/* The order was refused: the run is not there and never will be. */
+static void
+start_refused (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, FbOrderResult result,
+               uint64_t now_ms)
+{
+  FbPoolStep *step = run->step;
+  fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%d", run->name,
+                run->attempt, worker->id, result);
+  if (result == FB_ORDER_BAD_TICKET)
+    g_hash_table_remove (step->tickets, worker->id);
+  else if (result != FB_ORDER_SUPERSEDED)
+    worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
+  gboolean gang = step->shape->gang;
+  fb_pool_run_over (worker, run);
+  if (gang)
+    fb_pool_gang_stop (self, step, now_ms);
+}
+
+void
+fb_pool_start_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
+                        uint64_t now_ms)
+{
+  FbPoolRun *run = NULL;
+  FbPoolWorker *worker = take_order (self, order, &run);
+  if (result == FB_ORDER_FENCED)
+    fb_pool_fenced (self, worker);
+  else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
+    fb_pool_worker_lost (self, worker, "other life", now_ms);
+  else if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
+    return;
+  else if (result == FB_ORDER_DONE)
+    {
+      run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
+      if (run->state == FB_RUN_STARTING)
+        run->state = FB_RUN_RUNNING;
+    }
+  else if (result != FB_ORDER_UNKNOWN)
+    {
+      if (run->seen_clock_ms == 0)
+        start_refused (self, worker, run, result, now_ms);
+    }
+  else
+    {
+      fb_event_log (FB_EVENT_ORDER_UNANSWERED, "task=%s attempt=%u worker=%s heard_ms_ago=%u",
+                    run->name, run->attempt, worker->id, (guint) (now_ms - worker->heard_ms));
+      worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
+      /* The others would wait for this member until they give up alone. */
+      if (run->step->shape->gang)
+        fb_pool_gang_stop (self, run->step, now_ms);
+    }
+}
+
+void
+fb_pool_stop_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
+                       uint64_t now_ms)
+{
+  FbPoolRun *run = NULL;
+  FbPoolWorker *worker = take_order (self, order, &run);
+  if (result == FB_ORDER_FENCED)
+    fb_pool_fenced (self, worker);
+  else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
+    fb_pool_worker_lost (self, worker, "other life", now_ms);
+  else if (run != NULL && run->order == order && result == FB_ORDER_DONE)
+    run->stopped_clock_ms = clock_ms;
+}
--- /dev/null
+++ b/src/work/pool-report.c
@@ -0,0 +1,338 @@
+/* What workers report: what runs, what ended, and what must be true then.
+ *
+ * An end is taken in once by its number, and counted once by its attempt: a
+ * successor finds ends again that its predecessor had recorded but could not
+ * acknowledge any more. */
+#include "internal/pool-private.h"
+
+#include "fb-event.h"
+
+static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+void
+fb_pool_fenced (FbPool *self, const FbPoolWorker *worker)
+{
+  if (self->fenced)
+    return;
+  self->fenced = TRUE;
+  self->sink->fenced (self->user, worker != NULL ? worker->id : "");
+}
+
+/* ---- stopping ----------------------------------------------------------------- */
+
+static void
+stop_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  run->given_up = TRUE;
+  if (run->state != FB_RUN_STOPPING)
+    fb_pool_order_stop (self, worker, run, now_ms);
+}
+
+typedef gboolean (*RunFilter) (const FbPoolRun *run, gconstpointer of);
+
+static gboolean
+is_of_job (const FbPoolRun *run, gconstpointer job)
+{
+  return run->step != NULL && run->step->job == job;
+}
+
+static gboolean
+is_of_step (const FbPoolRun *run, gconstpointer step)
+{
+  return run->step == step;
+}
+
+static void
+stop_all (FbPool *self, RunFilter filter, gconstpointer of, uint64_t now_ms)
+{
+  GHashTableIter workers;
+  gpointer worker;
+  g_hash_table_iter_init (&workers, self->workers);
+  while (g_hash_table_iter_next (&workers, NULL, &worker))
+    {
+      GHashTableIter runs;
+      gpointer run;
+      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      while (g_hash_table_iter_next (&runs, NULL, &run))
+        {
+          if (filter (run, of))
+            stop_run (self, worker, run, now_ms);
+        }
+    }
+}
+
+/* Failure: a member of a gang is refused or lost; the others hold their room,
+ * wait for it and end alone.  Guard: they are stopped at once, and the gang starts
+ * again under a new attempt when none of them is left. */
+void
+fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  if (step->gang_broken)
+    return;
+  step->gang_broken = TRUE;
+  fb_event_log (FB_EVENT_GANG_BROKEN, "job=%s step=%u attempt=%u", step->job->id, step->index,
+                step->gang_attempt);
+  stop_all (self, is_of_step, step, now_ms);
+}
+
+void
+fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
+                 uint64_t wall_ms)
+{
+  if (!fb_pool_job_ended (job))
+    {
+      job->state = state;
+      job->ended_wall_ms = wall_ms;
+      job->dirty = TRUE;
+    }
+  g_hash_table_remove (self->active, job);
+  fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
+                job->record.policy.queue, job->state, now_ms - job->admitted_ms);
+  stop_all (self, is_of_job, job, now_ms);
+}
+
+/* ---- losses -------------------------------------------------------------------- */
+
+/* All runs of this life of a worker have certainly ended. */
+void
+fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, const char *why, uint64_t now_ms)
+{
+  if (worker->gone)
+    return;
+  worker->gone = TRUE;
+  worker->answered = FALSE;
+  fb_event_log (FB_EVENT_POOL_WORKER_LOST, "worker=%s why=%s runs=%u heard_ms_ago=%u", worker->id,
+                why, g_hash_table_size (worker->runs),
+                worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
+  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+  for (GList *l = runs; l != NULL; l = l->next)
+    {
+      FbPoolRun *run = l->data;
+      FbPoolStep *step = run->step;
+      fb_pool_run_over (worker, run);
+      if (step != NULL && step->shape->gang)
+        fb_pool_gang_stop (self, step, now_ms);
+    }
+}
+
+/* ---- ends ---------------------------------------------------------------------- */
+
+static void
+task_done (FbPoolStep *step, uint32_t index)
+{
+  FbPoolTask *task = &step->tasks[index];
+  if (task->done || step->shape->lasting)
+    return;
+  task->done = TRUE;
+  step->done_n++;
+  step->job->dirty = TRUE;
+  if (task->run != NULL && task->run->state != FB_RUN_STOPPING)
+    task->run->given_up = TRUE;
+}
+
+static void
+count_failure (FbPool *self, FbPoolStep *step, uint32_t index, const FbEndSeen *end,
+               uint64_t now_ms, uint64_t wall_ms)
+{
+  /* A gang fails as one: its first task keeps the count. */
+  FbPoolTask *task = &step->tasks[step->shape->gang ? 0 : index];
+  if (step->shape->lasting || end->attempt <= task->ended_attempt)
+    return;
+  task->ended_attempt = end->attempt;
+  task->failed++;
+  step->job->dirty = TRUE;
+  if (task->failed >= step->job->record.policy.max_attempts)
+    fb_pool_job_end (self, step->job, FB_WORK_FAILED, now_ms, wall_ms);
+}
+
+static void
+judge_worker (FbPoolWorker *worker, const FbPoolStep *step, FbEndHow how)
+{
+  if (how == FB_END_DONE)
+    worker->bad_streak = 0;
+  else if (how == FB_END_FAILED && g_strcmp0 (worker->last_bad_job, step->job->id) != 0)
+    {
+      worker->bad_streak++;
+      g_free (worker->last_bad_job);
+      worker->last_bad_job = g_strdup (step->job->id);
+    }
+}
+
+static void
+end_of_task (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
+             const FbEndSeen *end, uint64_t now_ms, uint64_t wall_ms)
+{
+  FbPoolTask *task = &step->tasks[index];
+  FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
+  fb_pool_task_save (step, index, end->checkpoint);
+  task->attempt = MAX (task->attempt, end->attempt);
+  step->gang_attempt = MAX (step->gang_attempt, end->attempt);
+  step->job->started = TRUE;
+  judge_worker (worker, step, end->how);
+  if (run != NULL && run->attempt <= end->attempt)
+    fb_pool_run_over (worker, run);
+  if (fb_pool_job_ended (step->job))
+    return;
+  if (end->how == FB_END_DONE && step->shape->gang)
+    {
+      for (uint32_t i = 0; i < step->shape->count; i++)
+        task_done (step, i);
+    }
+  else if (end->how == FB_END_DONE)
+    task_done (step, index);
+  else if (end->how == FB_END_FAILED)
+    count_failure (self, step, index, end, now_ms, wall_ms);
+  if (step->shape->gang && end->how != FB_END_DONE && end->attempt == step->gang_attempt
+      && !fb_pool_step_done (step) && !fb_pool_job_ended (step->job))
+    fb_pool_gang_stop (self, step, now_ms);
+  if (end->how == FB_END_DONE)
+    {
+      fb_pool_job_release (step->job, wall_ms);
+      if (fb_pool_job_ended (step->job))
+        fb_pool_job_end (self, step->job, step->job->state, now_ms, wall_ms);
+    }
+}
+
+static void
+take_end (FbPool *self, FbPoolWorker *worker, const FbEndSeen *end, uint64_t now_ms,
+          uint64_t wall_ms)
+{
+  uint32_t index = 0;
+  FbPoolStep *step = fb_pool_find_task (self, end->task, &index);
+  fb_event_log (FB_EVENT_TASK_ENDED, "task=%s attempt=%u worker=%s how=%s known=%d number=%u",
+                end->task, end->attempt, worker->id, end_names[end->how], step != NULL,
+                (guint) end->number);
+  if (step != NULL)
+    {
+      end_of_task (self, worker, step, index, end, now_ms, wall_ms);
+      return;
+    }
+  FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
+  if (run != NULL)
+    fb_pool_run_over (worker, run);
+}
+
+/* ---- what runs ------------------------------------------------------------------ */
+
+/* A run that this owner did not order: a predecessor did. */
+static FbPoolRun *
+adopt (FbPool *self, FbPoolWorker *worker, const FbRunSeen *seen, uint64_t now_ms)
+{
+  uint32_t index = 0;
+  FbPoolStep *step = fb_pool_find_task (self, seen->task, &index);
+  FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, seen->task, seen->attempt);
+  run->state = FB_RUN_RUNNING;
+  run->started_ms = now_ms;
+  FbPoolTask *task = step != NULL ? &step->tasks[index] : NULL;
+  gboolean wanted = task != NULL && !task->done && !fb_pool_job_ended (step->job);
+  if (wanted && task->run != NULL && task->run->attempt > seen->attempt)
+    wanted = FALSE;
+  fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s wanted=%d", seen->task,
+                seen->attempt, worker->id, wanted);
+  if (!wanted)
+    {
+      stop_run (self, worker, run, now_ms);
+      return run;
+    }
+  if (task->run == NULL)
+    task->run = run;
+  task->attempt = MAX (task->attempt, seen->attempt);
+  step->gang_attempt = MAX (step->gang_attempt, seen->attempt);
+  step->job->started = TRUE;
+  if (step->job->state == FB_WORK_QUEUED)
+    step->job->state = FB_WORK_RUNNING;
+  return run;
+}
+
+static void
+take_running (FbPool *self, FbPoolWorker *worker, const FbRunSeen *seen, uint64_t clock_ms,
+              uint64_t now_ms)
+{
+  FbPoolRun *run = g_hash_table_lookup (worker->runs, seen->task);
+  if (run == NULL)
+    run = adopt (self, worker, seen, now_ms);
+  if (run->attempt != seen->attempt)
+    return;
+  run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
+  run->percent = seen->percent;
+  if (run->state == FB_RUN_STARTING)
+    run->state = FB_RUN_RUNNING;
+  if (run->step != NULL)
+    fb_pool_task_save (run->step, run->index, seen->checkpoint);
+}
+
+/* TRUE when a look at CLOCK_MS that does not list RUN proves that it is over. */
+static gboolean
+absence_proves (const FbPool *self, const FbPoolRun *run, uint64_t clock_ms)
+{
+  if (run->seen_clock_ms >= clock_ms)
+    return FALSE;
+  if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
+    return clock_ms > run->stopped_clock_ms + self->limits.stop_ms;
+  return run->seen_clock_ms > 0 || clock_ms > run->deadline_ms;
+}
+
+static void
+drop_absent (FbPool *self, FbPoolWorker *worker, uint64_t clock_ms, uint64_t now_ms)
+{
+  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+  for (GList *l = runs; l != NULL; l = l->next)
+    {
+      FbPoolRun *run = l->data;
+      if (!absence_proves (self, run, clock_ms))
+        continue;
+      FbPoolStep *step = run->step;
+      fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
+                    run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
+      fb_pool_run_over (worker, run);
+      if (step != NULL && step->shape->gang && !fb_pool_step_done (step)
+          && !fb_pool_job_ended (step->job))
+        fb_pool_gang_stop (self, step, now_ms);
+    }
+}
+
+static void
+take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
+             uint64_t wall_ms)
+{
+  if (!worker->answered)
+    fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
+                  "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
+                  self->epoch, answer->running->len, answer->finished->len);
+  worker->answered = TRUE;
+  worker->gone = FALSE;
+  worker->proof_ms = worker->look_sent_ms;
+  worker->heard_ms = now_ms;
+  worker->clock_ms = answer->clock_ms;
+  for (guint i = 0; i < answer->running->len; i++)
+    take_running (self, worker, &g_array_index (answer->running, FbRunSeen, i), answer->clock_ms,
+                  now_ms);
+  for (guint i = 0; i < answer->finished->len; i++)
+    {
+      const FbEndSeen *end = &g_array_index (answer->finished, FbEndSeen, i);
+      if (end->number <= worker->seen_end)
+        continue;
+      worker->seen_end = end->number;
+      take_end (self, worker, end, now_ms, wall_ms);
+    }
+  drop_absent (self, worker, answer->clock_ms, now_ms);
+  worker->look_at_ms
+      = worker->acknowledged == worker->seen_end ? now_ms : now_ms + FB_POOL_LOOK_PAUSE_MS;
+}
+
+void
+fb_pool_look_answered (FbPool *self, const char *id, const FbLookAnswer *answer, uint64_t now_ms,
+                       uint64_t wall_ms)
+{
+  FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
+  if (worker == NULL)
+    return;
+  worker->look_open = FALSE;
+  worker->look_at_ms = now_ms + FB_POOL_LOOK_PAUSE_MS;
+  if (answer->result == FB_ORDER_DONE)
+    take_answer (self, worker, answer, now_ms, wall_ms);
+  else if (answer->result == FB_ORDER_FENCED)
+    fb_pool_fenced (self, worker);
+  else if (answer->result == FB_ORDER_OTHER_LIFE)
+    fb_pool_worker_lost (self, worker, "other life", now_ms);
+}
--- /dev/null
+++ b/src/work/pool-worker.c
@@ -0,0 +1,148 @@
+/* Workers of a pool: what they hold, their clocks and their leases.
+ *
+ * A run holds its room from the order that starts it until its end is listed or
+ * it is certain that it never began: a worker that does not guard its capacity
+ * starts whatever it is told to. */
+#include "internal/pool-private.h"
+
+FbPoolWorker *
+fb_pool_worker_new (const char *id)
+{
+  FbPoolWorker *worker = g_new0 (FbPoolWorker, 1);
+  worker->id = g_strdup (id);
+  worker->runs = g_hash_table_new (g_str_hash, g_str_equal);
+  return worker;
+}
+
+static void
+run_free (FbPoolRun *run)
+{
+  if (run->step != NULL && run->step->tasks[run->index].run == run)
+    run->step->tasks[run->index].run = NULL;
+  g_free (run->name);
+  g_free (run);
+}
+
+void
+fb_pool_worker_free (gpointer data)
+{
+  FbPoolWorker *worker = data;
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    run_free (run);
+  g_hash_table_unref (worker->runs);
+  g_strfreev (worker->labels);
+  g_free (worker->last_bad_job);
+  g_free (worker->rack);
+  g_free (worker->address);
+  g_free (worker->id);
+  g_free (worker);
+}
+
+void
+fb_pool_worker_describe (FbPoolWorker *worker, const FbWorkerEntry *entry)
+{
+  g_free (worker->address);
+  g_free (worker->rack);
+  g_strfreev (worker->labels);
+  worker->address = g_strdup (entry->address);
+  worker->rack = g_strdup (entry->rack);
+  worker->labels = g_strdupv ((char **) entry->labels);
+  worker->cpu_milli = entry->cpu_milli;
+  worker->mem_mb = entry->mem_mb;
+  worker->gpu_count = entry->gpu_count;
+  /* A worker that has begun to leave never takes it back. */
+  worker->draining = worker->draining || entry->draining;
+  worker->listed = TRUE;
+}
+
+uint64_t
+fb_pool_worker_clock_low (const FbPoolWorker *worker, uint64_t now_ms)
+{
+  uint64_t passed_ms = now_ms > worker->heard_ms ? now_ms - worker->heard_ms : 0;
+  return worker->clock_ms + passed_ms * (1000 - FB_POOL_CLOCK_SLOW_PERMILLE) / 1000;
+}
+
+gboolean
+fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms)
+{
+  return !worker->answered || now_ms > worker->heard_ms + FB_POOL_SILENT_MS;
+}
+
+/* A worker that never answered may hold a lease of the owner before.  That owner
+ * was told of its replacement by one of the majority that answered here, and
+ * sends nothing later than FB_POOL_STEP_DOWN_MS after. */
+static gboolean
+unheard_lapsed (const FbPool *self, uint64_t now_ms)
+{
+  if (self->majority_ms == 0)
+    return FALSE;
+  uint64_t lease_ms = FB_POOL_LEASE_MS * 1000 / (1000 - FB_POOL_CLOCK_SLOW_PERMILLE);
+  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + lease_ms + FB_POOL_LAPSE_SLACK_MS;
+}
+
+gboolean
+fb_pool_worker_lapsed (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->gone)
+    return TRUE;
+  if (!worker->answered)
+    return unheard_lapsed (self, now_ms);
+  return fb_pool_worker_silent (worker, now_ms)
+         && fb_pool_worker_clock_low (worker, now_ms) > worker->lease_ms + FB_POOL_LAPSE_SLACK_MS;
+}
+
+static void
+charge (FbPoolWorker *worker, const FbPoolRun *run, int sign)
+{
+  if (run->step == NULL)
+    {
+      worker->alien_n += (uint32_t) sign;
+      return;
+    }
+  const fb_work_step *shape = run->step->shape;
+  if (!shape->fills)
+    worker->cpu_used += sign * (int64_t) shape->cpu_milli;
+  worker->mem_used += sign * (int64_t) shape->mem_mb;
+  worker->gpu_used += sign * (int64_t) shape->gpu_count;
+}
+
+FbPoolRun *
+fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index, const char *name,
+                        uint32_t attempt)
+{
+  FbPoolRun *run = g_new0 (FbPoolRun, 1);
+  run->name = g_strdup (name);
+  run->step = step;
+  run->index = index;
+  run->attempt = attempt;
+  run->percent = 100;
+  g_hash_table_insert (worker->runs, run->name, run);
+  charge (worker, run, 1);
+  return run;
+}
+
+void
+fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run)
+{
+  charge (worker, run, -1);
+  g_hash_table_remove (worker->runs, run->name);
+  run_free (run);
+}
+
+gboolean
+fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape)
+{
+  int64_t cpu_milli = shape->fills ? 0 : shape->cpu_milli;
+  return worker->alien_n == 0 && worker->cpu_used + cpu_milli <= worker->cpu_milli
+         && worker->mem_used + shape->mem_mb <= worker->mem_mb
+         && worker->gpu_used + shape->gpu_count <= worker->gpu_count;
+}
+
+gboolean
+fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label)
+{
+  return worker->labels != NULL && g_strv_contains ((const char *const *) worker->labels, label);
+}
--- /dev/null
+++ b/src/work/pool.c
@@ -0,0 +1,459 @@
+/* A pool's life: workers that come and go, jobs that are accepted and cancelled,
+ * the take-over at the beginning, and what is made durable. */
+#include "internal/pool-private.h"
+
+#include "fb-event.h"
+#include "internal/codec.h"
+
+GHashTable *fb_pool_orders_new (void);
+
+FbPool *
+fb_pool_new (const char *service, uint64_t epoch, const FbPoolLimits *limits,
+             const FbPoolSink *sink, gpointer user, uint64_t now_ms)
+{
+  FbPool *self = g_new0 (FbPool, 1);
+  self->service = g_strdup (service);
+  self->epoch = epoch;
+  self->limits = *limits;
+  self->sink = sink;
+  self->user = user;
+  self->began_ms = now_ms;
+  self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
+  self->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_job_free);
+  self->active = g_hash_table_new (NULL, NULL);
+  self->orders = fb_pool_orders_new ();
+  return self;
+}
+
+void
+fb_pool_free (FbPool *self)
+{
+  g_hash_table_unref (self->orders);
+  g_hash_table_unref (self->workers); /* its runs point into the jobs */
+  g_hash_table_unref (self->active);
+  g_hash_table_unref (self->jobs);
+  g_free (self->service);
+  g_free (self);
+}
+
+/* ---- workers -------------------------------------------------------------------- */
+
+static void
+leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+
+void
+fb_pool_worker_listed (FbPool *self, const FbWorkerEntry *entry, uint64_t now_ms)
+{
+  FbPoolWorker *worker = g_hash_table_lookup (self->workers, entry->id);
+  gboolean is_new = worker == NULL;
+  if (is_new)
+    {
+      worker = fb_pool_worker_new (entry->id);
+      g_hash_table_insert (self->workers, worker->id, worker);
+    }
+  gboolean was_draining = worker->draining;
+  fb_pool_worker_describe (worker, entry);
+  if (is_new || was_draining != worker->draining)
+    fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
+                  worker->id, worker->address, worker->cpu_milli, worker->gpu_count,
+                  worker->draining);
+  if (worker->draining && !was_draining)
+    leave_draining (self, worker, now_ms);
+}
+
+void
+fb_pool_worker_unlisted (FbPool *self, const char *id, uint64_t now_ms)
+{
+  FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
+  if (worker == NULL || !worker->listed)
+    return;
+  worker->listed = FALSE;
+  fb_event_log (FB_EVENT_POOL_WORKER_UNLISTED, "worker=%s runs=%u heard_ms_ago=%u", id,
+                g_hash_table_size (worker->runs), (guint) (now_ms - worker->heard_ms));
+}
+
+void
+fb_pool_workers_complete (FbPool *self)
+{
+  self->workers_complete = TRUE;
+}
+
+/* Tasks that last, or that keep what they did, are moved before the worker ends. */
+static void
+leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+  for (GList *l = runs; l != NULL; l = l->next)
+    {
+      FbPoolRun *run = l->data;
+      if (run->step == NULL || run->state != FB_RUN_RUNNING || run->step->shape->gang)
+        continue;
+      if (run->step->shape->lasting || run->step->shape->checkpointing)
+        fb_pool_order_stop (self, worker, run, now_ms);
+    }
+}
+
+static void
+forget_worker (FbPool *self, FbPoolWorker *worker)
+{
+  g_hash_table_remove (self->workers, worker->id);
+}
+
+static void
+tend_worker (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (!worker->gone && fb_pool_worker_lapsed (self, worker, now_ms))
+    fb_pool_worker_lost (self, worker, "lease ended", now_ms);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolRun *run = value;
+      if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms == 0
+          && now_ms > run->stop_sent_ms + FB_POOL_STOP_REPEAT_MS)
+        fb_pool_order_stop (self, worker, run, now_ms);
+    }
+  if (!worker->look_open && now_ms >= worker->look_at_ms && !self->fenced)
+    fb_pool_order_look (self, worker, now_ms);
+}
+
+static void
+tend_workers (FbPool *self, uint64_t now_ms)
+{
+  g_autoptr (GList) workers = g_hash_table_get_values (self->workers);
+  for (GList *l = workers; l != NULL; l = l->next)
+    {
+      FbPoolWorker *worker = l->data;
+      if (!worker->listed && worker->gone && !worker->look_open)
+        forget_worker (self, worker);
+      else
+        tend_worker (self, worker, now_ms);
+    }
+}
+
+guint
+fb_pool_worker_count (const FbPool *self)
+{
+  return g_hash_table_size (self->workers);
+}
+
+gboolean
+fb_pool_holds_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
+{
+  guint listed = 0;
+  guint heard = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolWorker *worker = value;
+      if (!worker->listed)
+        continue;
+      listed++;
+      heard += worker->answered && now_ms - worker->proof_ms <= within_ms;
+    }
+  return heard * 2 > listed;
+}
+
+/* ---- take-over -------------------------------------------------------------------- */
+
+static void
+break_partial_gangs (FbPool *self, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->active);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      for (guint i = 0; i < job->occurrences->len; i++)
+        {
+          FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+          for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
+            {
+              FbPoolStep *step = &occurrence->steps[j];
+              uint32_t runs = 0;
+              for (uint32_t k = 0; k < step->shape->count; k++)
+                runs += step->tasks[k].run != NULL;
+              if (step->shape->gang && runs > 0 && runs < step->shape->count
+                  && !fb_pool_step_done (step))
+                fb_pool_gang_stop (self, step, now_ms);
+            }
+        }
+    }
+}
+
+/* Failure: a new owner starts a task that still runs on a worker it has not heard;
+ * it shows as two runs of one task.  Guard: nothing starts before every worker has
+ * listed what it runs under the new epoch, or its lease has certainly ended. */
+static void
+settle (FbPool *self, uint64_t now_ms)
+{
+  if (self->settled || !self->workers_complete)
+    return;
+  if (self->majority_ms == 0 && fb_pool_holds_majority (self, G_MAXUINT32, now_ms))
+    self->majority_ms = now_ms;
+  if (self->majority_ms == 0)
+    return;
+  guint open = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolWorker *worker = value;
+      open += !worker->answered && !worker->gone;
+    }
+  if (open > 0)
+    return;
+  self->settled = TRUE;
+  break_partial_gangs (self, now_ms);
+  fb_event_log (FB_EVENT_POOL_SETTLED,
+                "service=%s epoch=%" G_GUINT64_FORMAT " workers=%u jobs=%u active=%u took_ms=%u",
+                self->service, self->epoch, g_hash_table_size (self->workers),
+                g_hash_table_size (self->jobs), g_hash_table_size (self->active),
+                (guint) (now_ms - self->began_ms));
+}
+
+/* ---- jobs ---------------------------------------------------------------------------- */
+
+void
+fb_pool_admit (FbPool *self, const char *id, const fb_work_admit *record, uint64_t now_ms,
+               uint64_t wall_ms)
+{
+  if (g_hash_table_contains (self->jobs, id))
+    return;
+  FbPoolJob *job = fb_pool_job_new (id, record, now_ms, wall_ms);
+  job->restored = !self->settled;
+  g_hash_table_insert (self->jobs, job->id, job);
+  g_hash_table_add (self->active, job);
+  fb_pool_job_release (job, wall_ms);
+  fb_event_log (FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u", id,
+                record->policy.queue, record->spec.steps.steps_len, job->restored,
+                (guint) (now_ms - job->admitted_ms));
+}
+
+void
+fb_pool_restore (FbPool *self, const char *id, const fb_work_progress *record)
+{
+  FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  if (job == NULL)
+    return;
+  fb_pool_job_restore (job, record);
+  if (fb_pool_job_ended (job))
+    g_hash_table_remove (self->active, job);
+}
+
+void
+fb_pool_cancel (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
+{
+  FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  if (job != NULL && !fb_pool_job_ended (job))
+    fb_pool_job_end (self, job, FB_WORK_CANCELLED, now_ms, wall_ms);
+}
+
+static void
+replace_policy (FbPoolJob *job, const fb_work_policy *policy)
+{
+  fb_work_policy *mine = &job->record.policy;
+  mine->priority = policy->priority;
+  mine->max_attempts = policy->max_attempts;
+  mine->stretch_milli = policy->stretch_milli;
+  mine->target_ms = policy->target_ms;
+  mine->advised = policy->advised;
+  mine->advice_decision_us = policy->advice_decision_us;
+  mine->advice_per_worker_us = policy->advice_per_worker_us;
+  mine->advice_validity_ms = policy->advice_validity_ms;
+  fb_pool_job_objective (job);
+}
+
+void
+fb_pool_policy (FbPool *self, const fb_work_policy *policy)
+{
+  GHashTableIter iter;
+  gpointer job;
+  g_hash_table_iter_init (&iter, self->active);
+  while (g_hash_table_iter_next (&iter, &job, NULL))
+    {
+      if (g_str_equal (((FbPoolJob *) job)->record.policy.queue, policy->queue))
+        replace_policy (job, policy);
+    }
+}
+
+static void
+release_due (FbPool *self, uint64_t now_ms, uint64_t wall_ms)
+{
+  g_autoptr (GList) jobs = g_hash_table_get_keys (self->active);
+  for (GList *l = jobs; l != NULL; l = l->next)
+    {
+      FbPoolJob *job = l->data;
+      fb_pool_job_release (job, wall_ms);
+      if (fb_pool_job_ended (job))
+        fb_pool_job_end (self, job, job->state, now_ms, wall_ms);
+    }
+}
+
+void
+fb_pool_step (FbPool *self, gboolean may_start, uint64_t now_ms, uint64_t wall_ms)
+{
+  if (self->fenced)
+    return;
+  tend_workers (self, now_ms);
+  settle (self, now_ms);
+  if (!self->settled || !may_start)
+    return;
+  release_due (self, now_ms, wall_ms);
+  fb_pool_place (self, now_ms, wall_ms);
+}
+
+/* ---- durability ------------------------------------------------------------------------ */
+
+static void
+record_free (gpointer data)
+{
+  FbPoolRecord *record = data;
+  g_free (record->job);
+  if (record->progress != NULL)
+    g_bytes_unref (record->progress);
+  g_free (record);
+}
+
+static void
+mark_flushing_ends (FbPool *self)
+{
+  GHashTableIter iter;
+  gpointer worker;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    ((FbPoolWorker *) worker)->flushing_end = ((FbPoolWorker *) worker)->seen_end;
+}
+
+static GBytes *
+encode_progress (const FbPoolJob *job)
+{
+  fb_work_progress progress;
+  fb_pool_job_progress (job, &progress);
+  GBytes *bytes = fb_codec_encode_progress (&progress);
+  g_free (progress.marks.marks_val);
+  return bytes;
+}
+
+static void
+add_record (GPtrArray *records, const char *job, GBytes *progress)
+{
+  FbPoolRecord *record = g_new0 (FbPoolRecord, 1);
+  record->job = g_strdup (job);
+  record->progress = progress;
+  g_ptr_array_add (records, record);
+}
+
+static gboolean
+has_run (FbPool *self, const FbPoolJob *job)
+{
+  GHashTableIter workers;
+  gpointer worker;
+  g_hash_table_iter_init (&workers, self->workers);
+  while (g_hash_table_iter_next (&workers, NULL, &worker))
+    {
+      GHashTableIter runs;
+      gpointer run;
+      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      while (g_hash_table_iter_next (&runs, NULL, &run))
+        {
+          FbPoolStep *step = ((FbPoolRun *) run)->step;
+          if (step != NULL && step->job == job)
+            return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+GPtrArray *
+fb_pool_flush (FbPool *self, uint64_t wall_ms)
+{
+  if (self->flushing || self->fenced)
+    return NULL;
+  GPtrArray *records = g_ptr_array_new_with_free_func (record_free);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolJob *job = value;
+      if (job->dirty)
+        {
+          job->dirty = FALSE;
+          job->flushing_state = job->state;
+          add_record (records, job->id, encode_progress (job));
+        }
+      else if (job->ended_wall_ms > 0 && job->stored_state == job->state
+               && wall_ms > job->ended_wall_ms + FB_POOL_KEEP_ENDED_MS && !has_run (self, job))
+        {
+          add_record (records, job->id, NULL);
+          g_hash_table_iter_remove (&iter);
+        }
+    }
+  mark_flushing_ends (self);
+  self->flushing = TRUE;
+  if (records->len > 0)
+    return records;
+  /* Ends that changed nothing need no write to be acknowledged. */
+  g_ptr_array_unref (records);
+  fb_pool_flushed (self);
+  return NULL;
+}
+
+void
+fb_pool_flushed (FbPool *self)
+{
+  self->flushing = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((FbPoolJob *) value)->stored_state = ((FbPoolJob *) value)->flushing_state;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolWorker *worker = value;
+      if (worker->acknowledged == worker->flushing_end)
+        continue;
+      worker->acknowledged = worker->flushing_end;
+      worker->look_at_ms = 0; /* tell the worker soon: it keeps what is not acknowledged */
+    }
+}
+
+/* ---- queries ----------------------------------------------------------------------------- */
+
+gboolean
+fb_pool_job_state (const FbPool *self, const char *id, fb_work_state *state)
+{
+  const FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  if (job == NULL)
+    return FALSE;
+  /* An end is shown once it is durable: a successor must not run the job again
+   * after its caller was told that it is done. */
+  if (job->stored_state >= FB_WORK_COMPLETED)
+    *state = job->stored_state;
+  else
+    *state = job->started ? FB_WORK_RUNNING : FB_WORK_QUEUED;
+  return TRUE;
+}
+
+uint32_t
+fb_pool_pending (const FbPool *self, const char *queue)
+{
+  uint32_t pending = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->active);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      const FbPoolJob *job = value;
+      pending += !job->started && job->record.spec.occurrences == 0
+                 && g_str_equal (job->record.policy.queue, queue);
+    }
+  return pending;
+}
