Write cancels as records with a value

Also: only own events are logged; the default proxy resolver, which starts threads of the desktop's settings, is not used.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -74,11 +74,16 @@
 {
   (void) unused;
   const char *message = "";
+  gboolean is_event = FALSE;
   for (gsize i = 0; i < n_fields; i++)
     {
       if (g_str_equal (fields[i].key, "MESSAGE"))
         message = fields[i].value;
+      is_event = is_event || g_str_equal (fields[i].key, "FB_EVENT");
     }
+  /* Libraries narrate each connection at the lower levels. */
+  if (!is_event && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
+    return G_LOG_WRITER_HANDLED;
   g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
   g_autofree char *when = g_date_time_format (now, "%FT%T.%fZ");
   if (lines_per_s > 0)
--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -47,7 +47,10 @@
   if (self->session == NULL)
     self->session
         = soup_session_new_with_options ("max-conns-per-host", self->connections_per_host,
-                                         "max-conns", 1024, "idle-timeout", 30, "timeout", 0, NULL);
+                                         "max-conns", 1024, "idle-timeout", 30, "timeout", 0,
+                                         /* The default resolver reads the desktop's
+                                          * settings on threads of its own. */
+                                         "proxy-resolver", NULL, NULL);
   return self->session;
 }
 
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -12,6 +12,10 @@
 #include "internal/pool.h"
 #include "platform/wire.h"
 
+/* Keys of FB_TOPIC_JOBS: one letter and the job's id. */
+#define FB_KEY_JOB 'j'
+#define FB_KEY_CANCEL 'c'
+
 typedef struct _FbEntry FbEntry;
 typedef struct _FbFollower FbFollower;
 typedef struct _FbAppender FbAppender;
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -229,7 +229,7 @@
   if (value == NULL)
     refuse (entry, message, SOUP_STATUS_BAD_REQUEST, "the job is too large");
   else
-    store (request_new (entry, message, route, job), 'j', value);
+    store (request_new (entry, message, route, job), FB_KEY_JOB, value);
 }
 
 /* ---- state and cancel ---------------------------------------------------------------- */
@@ -245,7 +245,11 @@
   if (told != NULL && told->type == FB_TOLD_NO_JOB)
     finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
   else if (request->is_delete)
-    store (request, 'c', NULL);
+    {
+      /* A record without a value would drop its key. */
+      g_autoptr (GBytes) mark = g_bytes_new_static ("x", 1);
+      store (request, FB_KEY_CANCEL, mark);
+    }
   else if (told != NULL && told->type == FB_TOLD_STATE)
     {
       g_autofree char *body = fb_wire_job_state (told->fb_told_u.state);
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -13,9 +13,6 @@
 #include <string.h>
 
 #define WRITER "owner"
-/* Keys of FB_TOPIC_JOBS are one letter and the job's id. */
-#define KEY_JOB 'j'
-#define KEY_CANCEL 'c'
 /* Events that come close together are handled in one go. */
 #define KICK_MS 2
 #define TICK_MS 50
@@ -345,8 +342,8 @@
 drop_job_records (FbOwner *self, const char *job)
 {
   GByteArray *body = g_byte_array_new ();
-  g_autofree char *job_key = g_strdup_printf ("%c%s", KEY_JOB, job);
-  g_autofree char *cancel_key = g_strdup_printf ("%c%s", KEY_CANCEL, job);
+  g_autofree char *job_key = g_strdup_printf ("%c%s", FB_KEY_JOB, job);
+  g_autofree char *cancel_key = g_strdup_printf ("%c%s", FB_KEY_CANCEL, job);
   fb_wire_put_record (body, job_key, NULL);
   fb_wire_put_record (body, cancel_key, NULL);
   fb_appender_put (fb_entry_appender (self->entry, self->partition), body, 0, nothing_to_do, NULL);
@@ -473,7 +470,7 @@
   if (strlen (record->key) < 2)
     return;
   const char *job = record->key + 1;
-  gboolean is_job = record->key[0] == KEY_JOB;
+  gboolean is_job = record->key[0] == FB_KEY_JOB;
   if (!self->loaded && record->value != NULL)
     g_hash_table_replace (is_job ? self->loading : self->cancelled, g_strdup (job),
                           g_bytes_ref (record->value));
