Keep a follower alive while its own callback runs

Cause: the follower of progress records is freed when its listing is complete, from inside its callback; it then went on on freed memory, which was the follower of jobs: two loops on one position, every second page skipped. Traced by logging the pages: two of the same offset within 0.4 ms.

--- a/src/entry/appender.c
+++ b/src/entry/appender.c
@@ -40,6 +40,7 @@
   uint32_t retry_ms;
   guint timer;
   gboolean call_open;
+  gboolean in_reply; /* the callbacks below may free it */
   gboolean freed;
 };
 
@@ -138,6 +139,7 @@
 {
   FbAppender *self = data;
   self->call_open = FALSE;
+  self->in_reply = TRUE;
   if (!self->freed)
     {
       fb_entry_store_answered (self->entry, reply);
@@ -147,7 +149,8 @@
                       self->topic, self->partition, result, reply->code);
       take_result (self, result);
     }
-  if (self->freed)
+  self->in_reply = FALSE;
+  if (self->freed && !self->call_open)
     really_free (self);
   else if (self->timer == 0)
     proceed (self);
@@ -207,7 +210,7 @@
   if (self->timer != 0)
     g_source_remove (self->timer);
   self->timer = 0;
-  if (!self->call_open)
+  if (!self->call_open && !self->in_reply)
     really_free (self);
 }
 
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -33,6 +33,7 @@
   uint32_t retry_ms;
   guint timer;
   gboolean call_open;
+  gboolean in_reply; /* the callbacks below may free it */
   gboolean freed;
 };
 
@@ -137,6 +138,7 @@
 {
   FbFollower *self = data;
   self->call_open = FALSE;
+  self->in_reply = TRUE;
   if (!self->freed)
     {
       fb_entry_store_answered (self->entry, reply);
@@ -145,6 +147,7 @@
       else
         take_changes (self, reply);
     }
+  self->in_reply = FALSE;
   if (self->freed && !self->call_open)
     really_free (self);
 }
@@ -192,7 +195,7 @@
   if (self->timer != 0)
     g_source_remove (self->timer);
   self->timer = 0;
-  if (!self->call_open)
+  if (!self->call_open && !self->in_reply)
     really_free (self);
 }
 
