--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -138,6 +138,8 @@
 {
   SoupMessage *message = soup_message_new (call->method, call->url);
   g_assert (message != NULL);
+  if (call->idempotent)
+    soup_message_add_flags (message, SOUP_MESSAGE_IDEMPOTENT);
   if (call->body != NULL)
     {
       fb_counter_add (FB_COUNTER_PLATFORM_BYTES, g_bytes_get_size (call->body));
--- a/src/daemon/http-client.h
+++ b/src/daemon/http-client.h
@@ -26,6 +26,10 @@
 typedef struct
 {
   const char *method; /* static */
+  /* Sent twice it does what it does once.  Only such a call may use a connection that
+   * was used before: the other end may close it just then, and the call is sent again
+   * on a new one. */
+  gboolean idempotent;
   char *url;
   const char *content_type; /* static; NULL without a body */
   GBytes *body;             /* may be NULL */
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -39,8 +39,9 @@
   void (*listed) (gpointer user);
 } FbFollowerOps;
 
+/* PAUSE_MS lies between a page of changes and the next poll. */
 FbFollower *fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition,
-                             const FbFollowerOps *ops, gpointer user);
+                             uint32_t pause_ms, const FbFollowerOps *ops, gpointer user);
 void fb_follower_free (FbFollower *self);
 /* When the last answered read was sent: everything stored before is known.  0
  * while the first listing is open. */
@@ -135,7 +136,7 @@
   FbHttpClient *peer_client;
   FbRoutes *routes; /* NULL until the first configuration */
   FbFollower *config_follower;
-  FbFollower *worker_follower;
+  FbFollower *worker_follower; /* NULL until it owns something */
   GHashTable *workers;   /* id -> FbListedWorker */
   GHashTable *relisted;  /* ids of the listing that is open; NULL: none is */
   gboolean workers_complete;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -31,6 +31,10 @@
 /* Lines a second; a day's peak of decisions is below it. */
 #define LOG_LINES_PER_S 2000
 #define EPOCHS_PER_GENERATION 16
+/* Every worker writes to its entry each 1.5 s, and a poll returns at the first
+ * change: without a pause 48 workers cost 32 polls a second.  A worker that leaves
+ * has to be known within 2 s. */
+#define WORKER_LIST_PAUSE_MS 300
 #define CONNECTIONS_PER_WORKER 8
 #define CONNECTIONS_TO_STORE 32
 #define CONNECTIONS_PER_PEER 16
@@ -91,6 +95,86 @@
   return self->routes != NULL && !self->stopping && !self->store_lost;
 }
 
+static void
+each_owner (FbEntry *self, void (*func) (FbOwner *owner))
+{
+  GHashTableIter iter;
+  gpointer owner;
+  g_hash_table_iter_init (&iter, self->owners);
+  while (g_hash_table_iter_next (&iter, NULL, &owner))
+    func (owner);
+}
+
+/* ---- workers ---------------------------------------------------------------------------- */
+
+static void
+unlist_worker (FbEntry *self, const char *id)
+{
+  const FbListedWorker *worker = g_hash_table_lookup (self->workers, id);
+  if (worker == NULL)
+    return;
+  GHashTableIter iter;
+  gpointer owner;
+  g_hash_table_iter_init (&iter, self->owners);
+  while (g_hash_table_iter_next (&iter, NULL, &owner))
+    fb_owner_worker_unlisted (owner, worker);
+  g_hash_table_remove (self->workers, id);
+}
+
+static void
+list_worker (FbEntry *self, FbListedWorker *worker)
+{
+  g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
+  GHashTableIter iter;
+  gpointer owner;
+  g_hash_table_iter_init (&iter, self->owners);
+  while (g_hash_table_iter_next (&iter, NULL, &owner))
+    fb_owner_worker_listed (owner, worker);
+}
+
+static void
+on_worker_record (gpointer user, const FbStoreRecord *record)
+{
+  FbEntry *self = user;
+  if (record->value == NULL)
+    {
+      unlist_worker (self, record->key);
+      return;
+    }
+  if (self->relisted != NULL)
+    g_hash_table_add (self->relisted, g_strdup (record->key));
+  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
+  if (worker != NULL)
+    list_worker (self, worker);
+  else
+    fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "%s", fb_status_message ());
+}
+
+static void
+on_workers_begin (gpointer user)
+{
+  FbEntry *self = user;
+  g_clear_pointer (&self->relisted, g_hash_table_unref);
+  self->relisted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+on_workers_listed (gpointer user)
+{
+  FbEntry *self = user;
+  g_autoptr (GList) ids = g_hash_table_get_keys (self->workers);
+  for (GList *l = ids; l != NULL; l = l->next)
+    {
+      if (!g_hash_table_contains (self->relisted, l->data))
+        unlist_worker (self, l->data);
+    }
+  g_clear_pointer (&self->relisted, g_hash_table_unref);
+  self->workers_complete = TRUE;
+  each_owner (self, fb_owner_workers_complete);
+}
+
+static const FbFollowerOps worker_ops = { on_workers_begin, on_worker_record, on_workers_listed };
+
 /* ---- partitions --------------------------------------------------------------------- */
 
 /* Epochs of one partition rise with each owner: with the group's generation, and
@@ -140,6 +224,9 @@
   /* Out of epochs for now; the next change of the group brings new ones. */
   if (take->n >= EPOCHS_PER_GENERATION)
     return;
+  if (self->worker_follower == NULL)
+    self->worker_follower = fb_follower_new (self, FB_TOPIC_WORKERS, 0, WORKER_LIST_PAUSE_MS,
+                                             &worker_ops, self);
   uint64_t epoch = generation * EPOCHS_PER_GENERATION + take->n;
   g_hash_table_insert (self->owners, key, fb_owner_new (self, partition, epoch));
 }
@@ -213,16 +300,6 @@
 
 /* ---- configuration ------------------------------------------------------------------- */
 
-static void
-each_owner (FbEntry *self, void (*func) (FbOwner *owner))
-{
-  GHashTableIter iter;
-  gpointer owner;
-  g_hash_table_iter_init (&iter, self->owners);
-  while (g_hash_table_iter_next (&iter, NULL, &owner))
-    func (owner);
-}
-
 static void
 nothing (gpointer user)
 {
@@ -258,76 +335,6 @@
 
 static const FbFollowerOps config_ops = { nothing, on_config_record, nothing };
 
-/* ---- workers ---------------------------------------------------------------------------- */
-
-static void
-unlist_worker (FbEntry *self, const char *id)
-{
-  const FbListedWorker *worker = g_hash_table_lookup (self->workers, id);
-  if (worker == NULL)
-    return;
-  GHashTableIter iter;
-  gpointer owner;
-  g_hash_table_iter_init (&iter, self->owners);
-  while (g_hash_table_iter_next (&iter, NULL, &owner))
-    fb_owner_worker_unlisted (owner, worker);
-  g_hash_table_remove (self->workers, id);
-}
-
-static void
-list_worker (FbEntry *self, FbListedWorker *worker)
-{
-  g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
-  GHashTableIter iter;
-  gpointer owner;
-  g_hash_table_iter_init (&iter, self->owners);
-  while (g_hash_table_iter_next (&iter, NULL, &owner))
-    fb_owner_worker_listed (owner, worker);
-}
-
-static void
-on_worker_record (gpointer user, const FbStoreRecord *record)
-{
-  FbEntry *self = user;
-  if (record->value == NULL)
-    {
-      unlist_worker (self, record->key);
-      return;
-    }
-  if (self->relisted != NULL)
-    g_hash_table_add (self->relisted, g_strdup (record->key));
-  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
-  if (worker != NULL)
-    list_worker (self, worker);
-  else
-    fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "%s", fb_status_message ());
-}
-
-static void
-on_workers_begin (gpointer user)
-{
-  FbEntry *self = user;
-  g_clear_pointer (&self->relisted, g_hash_table_unref);
-  self->relisted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-}
-
-static void
-on_workers_listed (gpointer user)
-{
-  FbEntry *self = user;
-  g_autoptr (GList) ids = g_hash_table_get_keys (self->workers);
-  for (GList *l = ids; l != NULL; l = l->next)
-    {
-      if (!g_hash_table_contains (self->relisted, l->data))
-        unlist_worker (self, l->data);
-    }
-  g_clear_pointer (&self->relisted, g_hash_table_unref);
-  self->workers_complete = TRUE;
-  each_owner (self, fb_owner_workers_complete);
-}
-
-static const FbFollowerOps worker_ops = { on_workers_begin, on_worker_record, on_workers_listed };
-
 /* ---- servers ------------------------------------------------------------------------------- */
 
 static void
@@ -515,8 +522,7 @@
   self->appenders = g_hash_table_new (NULL, NULL);
   self->takes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   self->advisor = fb_advisor_new (self);
-  self->config_follower = fb_follower_new (self, FB_TOPIC_CONFIG, 0, &config_ops, self);
-  self->worker_follower = fb_follower_new (self, FB_TOPIC_WORKERS, 0, &worker_ops, self);
+  self->config_follower = fb_follower_new (self, FB_TOPIC_CONFIG, 0, 0, &config_ops, self);
   self->group = fb_group_new (self);
   fb_timer_subscribe (self->timer, REAP_MS, reap_lost, self);
   fb_timer_subscribe (self->timer, SETTINGS_CHECK_MS, check_settings, self);
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -23,6 +23,7 @@
   FbEntry *entry;
   char *topic;
   uint32_t partition;
+  uint32_t pause_ms; /* between a page of changes and the next poll */
   const FbFollowerOps *ops;
   gpointer user;
   char *after; /* last key of the listing so far; NULL: it begins */
@@ -130,7 +131,10 @@
       pass_records (self, records);
       break;
     }
-  proceed (self);
+  if (self->pause_ms > 0 && !self->listing && !self->freed)
+    self->timer = g_timeout_add (self->pause_ms, on_retry, self);
+  else
+    proceed (self);
 }
 
 static void
@@ -171,13 +175,14 @@
 }
 
 FbFollower *
-fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition, const FbFollowerOps *ops,
-                 gpointer user)
+fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition, uint32_t pause_ms,
+                 const FbFollowerOps *ops, gpointer user)
 {
   FbFollower *self = g_new0 (FbFollower, 1);
   self->entry = entry;
   self->topic = g_strdup (topic);
   self->partition = partition;
+  self->pause_ms = pause_ms;
   self->ops = ops;
   self->user = user;
   self->retry_ms = RETRY_FIRST_MS;
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -508,7 +508,7 @@
   FbOwner *self = user;
   g_clear_pointer (&self->progress_follower, fb_follower_free);
   self->job_follower
-      = fb_follower_new (self->entry, FB_TOPIC_JOBS, self->partition, &job_ops, self);
+      = fb_follower_new (self->entry, FB_TOPIC_JOBS, self->partition, 0, &job_ops, self);
 }
 
 static const FbFollowerOps progress_ops = { ignore_begin, on_progress_record, on_progress_listed };
@@ -523,7 +523,7 @@
       return;
     }
   self->progress_follower
-      = fb_follower_new (self->entry, FB_TOPIC_PROGRESS, self->partition, &progress_ops, self);
+      = fb_follower_new (self->entry, FB_TOPIC_PROGRESS, self->partition, 0, &progress_ops, self);
 }
 
 FbOwner *
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -51,6 +51,7 @@
   asked->done = done;
   asked->user = user;
   FbHttpCall call = { .method = "POST",
+                      .idempotent = TRUE,
                       .url = g_strdup_printf ("http://%s" PATH_ASK, address),
                       .content_type = XDR_TYPE,
                       .body = fb_codec_encode_ask (ask) };
