Look after a pool only when something changed

Cause: the owner of the larger pool used three quarters of its 0.25 cores; jobs reached it 100 ms after they were stored.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -44,6 +44,10 @@
 #define FB_POOL_BAD_STREAK 3
 /* Pause after a start that a worker refused or left unanswered. */
 #define FB_POOL_REFUSAL_PAUSE_MS 300
+/* Workers and due times are looked after this often, not at each event: a round
+ * over them costs some 100 us, and an owner sees hundreds of events a second. */
+#define FB_POOL_TEND_EVERY_MS 20
+#define FB_POOL_EXPIRE_EVERY_MS 1000
 /* Results are kept this long after a job has ended, for callers who ask late. */
 #define FB_POOL_KEEP_ENDED_MS 300000
 
@@ -103,7 +107,6 @@
   fb_work_state stored_state; /* what callers are told: the state last made durable */
   fb_work_state flushing_state;
   gboolean started;  /* a task of it has been started */
-  gboolean dirty;
   gboolean restored; /* an earlier owner may have used attempts that nobody knows of */
   uint64_t admitted_ms;
   uint64_t objective_ms; /* on the pool's clock: when its caller wants it */
@@ -190,7 +193,13 @@
   GHashTable *workers; /* id -> FbPoolWorker */
   GHashTable *jobs;    /* id -> FbPoolJob */
   GHashTable *active;  /* set of FbPoolJob that have not ended; borrowed */
+  GHashTable *ended;   /* set of FbPoolJob that are kept for late callers; borrowed */
+  GHashTable *dirty;   /* set of FbPoolJob with news to record; borrowed */
+  GPtrArray *in_flush; /* of FbPoolJob: what the open flush holds; borrowed */
   GHashTable *orders;  /* order -> FbPoolOrderRef */
+  gboolean place_due;  /* room, work or advice came since the last round */
+  uint64_t expired_ms; /* when results were last looked through for old ones */
+  uint64_t tended_ms;  /* when workers and times were last looked after */
 };
 
 /* An attempt's number is above all that were used before it.  A job that was taken
@@ -205,7 +214,8 @@
 gboolean fb_pool_job_ended (const FbPoolJob *job);
 void fb_pool_job_objective (FbPoolJob *job);
 /* Creates the occurrences whose time has come and releases steps. */
-void fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms);
+/* Returns: TRUE when that completed the job. */
+gboolean fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms);
 FbPoolOccurrence *fb_pool_job_occurrence (FbPoolJob *job, uint32_t number);
 FbPoolStep *fb_pool_job_step (FbPoolJob *job, uint32_t occurrence, uint32_t step);
 void fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress);
@@ -243,7 +253,7 @@
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
 /* The run has certainly ended or never began: its room is free, its task waits again. */
-void fb_pool_run_over (FbPoolWorker *worker, FbPoolRun *run);
+void fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run);
 
 /* pool-report.c */
 void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
@@ -251,7 +261,8 @@
 /* Marks JOB ended, stops what runs of it. */
 void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
                       uint64_t wall_ms);
+void fb_pool_job_changed (FbPool *self, FbPoolJob *job);
 void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
 
 /* pool-place.c */
-void fb_pool_place (FbPool *self, uint64_t now_ms, uint64_t wall_ms);
+void fb_pool_place (FbPool *self, uint64_t now_ms);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -189,9 +189,9 @@
 
 /* Begins a flush of everything that changed.  One flush is open at a time.
  * Returns: (transfer full): FbPoolRecord entries, or NULL when nothing changed. */
-GPtrArray *fb_pool_flush (FbPool *self, uint64_t wall_ms);
+GPtrArray *fb_pool_flush (FbPool *self, uint64_t now_ms, uint64_t wall_ms);
 /* The open flush is stored: ends in it may be acknowledged and shown. */
-void fb_pool_flushed (FbPool *self);
+void fb_pool_flushed (FbPool *self, uint64_t now_ms);
 
 /* ---- queries ------------------------------------------------------------------ */
 
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -14,8 +14,8 @@
 
 #define WRITER "owner"
 /* Events that come close together are handled in one go. */
-#define KICK_MS 2
-#define TICK_MS 50
+#define KICK_MS 4
+#define TICK_MS 25
 /* An answered order takes a few ms; a worker that hangs should not hold up its
  * caller for long. */
 #define ORDER_MS 800
@@ -322,7 +322,7 @@
       Part *part = g_hash_table_lookup (owner->parts, flush->service);
       owner->open_flushes--;
       if (result == FB_APPEND_STORED && part != NULL)
-        fb_pool_flushed (part->pool);
+        fb_pool_flushed (part->pool, fb_clock_ms ());
       else if (result != FB_APPEND_STORED)
         lose (owner, "a later owner writes");
       fb_owner_kick (owner);
@@ -353,7 +353,7 @@
 flush_part (Part *part)
 {
   FbOwner *self = part->owner;
-  g_autoptr (GPtrArray) records = fb_pool_flush (part->pool, fb_clock_wall_ms ());
+  g_autoptr (GPtrArray) records = fb_pool_flush (part->pool, fb_clock_ms (), fb_clock_wall_ms ());
   if (records == NULL)
     return;
   GByteArray *body = g_byte_array_new ();
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -198,11 +198,11 @@
     }
 }
 
-void
+gboolean
 fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms)
 {
   if (fb_pool_job_ended (job))
-    return;
+    return FALSE;
   while (is_due (job, job->next_occurrence, wall_ms))
     fb_pool_job_occurrence (job, job->next_occurrence++);
   gboolean finished = job->next_occurrence >= MAX (job->record.spec.occurrences, 1);
@@ -213,12 +213,7 @@
         release_steps (occurrence, job->record.spec.steps.steps_len);
       finished = finished && occurrence->finished;
     }
-  if (finished)
-    {
-      job->state = FB_WORK_COMPLETED;
-      job->ended_wall_ms = wall_ms;
-      job->dirty = TRUE;
-    }
+  return finished;
 }
 
 /* ---- records ------------------------------------------------------------- */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -123,6 +123,8 @@
 void
 fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
+  if (worker->look_open || self->fenced)
+    return;
   uint64_t lease_ms = MIN (FB_POOL_LEASE_MS, self->limits.hold_max_ms);
   FbLookOrder order = { .worker = worker->id,
                         .address = worker->address,
@@ -141,8 +143,9 @@
 }
 
 void
-fb_pool_run_over (FbPoolWorker *worker, FbPoolRun *run)
+fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run)
 {
+  self->place_due = TRUE;
   FbPoolStep *step = run->step;
   uint32_t index = run->index;
   gboolean was_current = step != NULL && step->tasks[index].run == run;
@@ -164,7 +167,7 @@
   else if (result != FB_ORDER_SUPERSEDED)
     worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
   gboolean gang = step->shape->gang;
-  fb_pool_run_over (worker, run);
+  fb_pool_run_over (self, worker, run);
   if (gang)
     fb_pool_gang_stop (self, step, now_ms);
 }
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -318,6 +318,7 @@
   FbPoolStep *step = fb_pool_find_step (self, name);
   if (step == NULL)
     return;
+  self->place_due = TRUE;
   step->advice_sent_ms = 0;
   if (told == NULL)
     return;
@@ -420,7 +421,7 @@
 }
 
 void
-fb_pool_place (FbPool *self, uint64_t now_ms, uint64_t wall_ms)
+fb_pool_place (FbPool *self, uint64_t now_ms)
 {
   g_autoptr (GArray) waiting = g_array_new (FALSE, FALSE, sizeof (Waiting));
   GHashTableIter iter;
@@ -428,7 +429,6 @@
   g_hash_table_iter_init (&iter, self->active);
   while (g_hash_table_iter_next (&iter, &job, NULL))
     collect_waiting (job, waiting, now_ms);
-  (void) wall_ms;
   g_array_sort (waiting, compare_waiting);
   gboolean can_ask = TRUE;
   for (guint i = 0; i < waiting->len && !self->fenced; i++)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -18,6 +18,13 @@
   self->sink->fenced (self->user, worker != NULL ? worker->id : "");
 }
 
+void
+fb_pool_job_changed (FbPool *self, FbPoolJob *job)
+{
+  g_hash_table_add (self->dirty, job);
+  self->place_due = TRUE;
+}
+
 /* ---- stopping ----------------------------------------------------------------- */
 
 static void
@@ -83,9 +90,10 @@
     {
       job->state = state;
       job->ended_wall_ms = wall_ms;
-      job->dirty = TRUE;
+      fb_pool_job_changed (self, job);
     }
   g_hash_table_remove (self->active, job);
+  g_hash_table_add (self->ended, job);
   fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
                 job->record.policy.queue, job->state, now_ms - job->admitted_ms);
   stop_all (self, is_of_job, job, now_ms);
@@ -109,7 +117,7 @@
     {
       FbPoolRun *run = l->data;
       FbPoolStep *step = run->step;
-      fb_pool_run_over (worker, run);
+      fb_pool_run_over (self, worker, run);
       if (step != NULL && step->shape->gang)
         fb_pool_gang_stop (self, step, now_ms);
     }
@@ -125,7 +133,6 @@
     return;
   task->done = TRUE;
   step->done_n++;
-  step->job->dirty = TRUE;
   if (task->run != NULL && task->run->state != FB_RUN_STOPPING)
     task->run->given_up = TRUE;
 }
@@ -140,7 +147,7 @@
     return;
   task->ended_attempt = end->attempt;
   task->failed++;
-  step->job->dirty = TRUE;
+  fb_pool_job_changed (self, step->job);
   if (task->failed >= step->job->record.policy.max_attempts)
     fb_pool_job_end (self, step->job, FB_WORK_FAILED, now_ms, wall_ms);
 }
@@ -170,7 +177,7 @@
   step->job->started = TRUE;
   judge_worker (worker, step, end->how);
   if (run != NULL && run->attempt <= end->attempt)
-    fb_pool_run_over (worker, run);
+    fb_pool_run_over (self, worker, run);
   if (fb_pool_job_ended (step->job))
     return;
   if (end->how == FB_END_DONE && step->shape->gang)
@@ -187,9 +194,9 @@
     fb_pool_gang_stop (self, step, now_ms);
   if (end->how == FB_END_DONE)
     {
-      fb_pool_job_release (step->job, wall_ms);
-      if (fb_pool_job_ended (step->job))
-        fb_pool_job_end (self, step->job, step->job->state, now_ms, wall_ms);
+      fb_pool_job_changed (self, step->job);
+      if (fb_pool_job_release (step->job, wall_ms))
+        fb_pool_job_end (self, step->job, FB_WORK_COMPLETED, now_ms, wall_ms);
     }
 }
 
@@ -209,7 +216,7 @@
     }
   FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
   if (run != NULL)
-    fb_pool_run_over (worker, run);
+    fb_pool_run_over (self, worker, run);
 }
 
 /* ---- what runs ------------------------------------------------------------------ */
@@ -284,7 +291,7 @@
       FbPoolStep *step = run->step;
       fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
                     run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
-      fb_pool_run_over (worker, run);
+      fb_pool_run_over (self, worker, run);
       if (step != NULL && step->shape->gang && !fb_pool_step_done (step)
           && !fb_pool_job_ended (step->job))
         fb_pool_gang_stop (self, step, now_ms);
@@ -299,6 +306,7 @@
     fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
                   "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
                   self->epoch, answer->running->len, answer->finished->len);
+  self->place_due = self->place_due || !worker->answered;
   worker->answered = TRUE;
   worker->gone = FALSE;
   worker->proof_ms = worker->look_sent_ms;
@@ -316,8 +324,8 @@
       take_end (self, worker, end, now_ms, wall_ms);
     }
   drop_absent (self, worker, answer->clock_ms, now_ms);
-  worker->look_at_ms
-      = worker->acknowledged == worker->seen_end ? now_ms : now_ms + FB_POOL_LOOK_PAUSE_MS;
+  if (worker->acknowledged == worker->seen_end)
+    fb_pool_order_look (self, worker, now_ms);
 }
 
 void
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -21,6 +21,9 @@
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_job_free);
   self->active = g_hash_table_new (NULL, NULL);
+  self->ended = g_hash_table_new (NULL, NULL);
+  self->dirty = g_hash_table_new (NULL, NULL);
+  self->in_flush = g_ptr_array_new ();
   self->orders = fb_pool_orders_new ();
   return self;
 }
@@ -31,6 +34,9 @@
   g_hash_table_unref (self->orders);
   g_hash_table_unref (self->workers); /* its runs point into the jobs */
   g_hash_table_unref (self->active);
+  g_hash_table_unref (self->ended);
+  g_hash_table_unref (self->dirty);
+  g_ptr_array_unref (self->in_flush);
   g_hash_table_unref (self->jobs);
   g_free (self->service);
   g_free (self);
@@ -52,6 +58,7 @@
       g_hash_table_insert (self->workers, worker->id, worker);
     }
   gboolean was_draining = worker->draining;
+  self->place_due = TRUE;
   fb_pool_worker_describe (worker, entry);
   if (is_new || was_draining != worker->draining)
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
@@ -114,7 +121,7 @@
           && now_ms > run->stop_sent_ms + FB_POOL_STOP_REPEAT_MS)
         fb_pool_order_stop (self, worker, run, now_ms);
     }
-  if (!worker->look_open && now_ms >= worker->look_at_ms && !self->fenced)
+  if (now_ms >= worker->look_at_ms)
     fb_pool_order_look (self, worker, now_ms);
 }
 
@@ -229,7 +236,8 @@
   job->restored = !self->settled;
   g_hash_table_insert (self->jobs, job->id, job);
   g_hash_table_add (self->active, job);
-  fb_pool_job_release (job, wall_ms);
+  (void) fb_pool_job_release (job, wall_ms); /* nothing has ended yet */
+  self->place_due = TRUE;
   fb_event_log (FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u", id,
                 record->policy.queue, record->spec.steps.steps_len, job->restored,
                 (guint) (now_ms - job->admitted_ms));
@@ -242,8 +250,10 @@
   if (job == NULL)
     return;
   fb_pool_job_restore (job, record);
-  if (fb_pool_job_ended (job))
-    g_hash_table_remove (self->active, job);
+  if (!fb_pool_job_ended (job))
+    return;
+  g_hash_table_remove (self->active, job);
+  g_hash_table_add (self->ended, job);
 }
 
 void
@@ -289,9 +299,8 @@
   for (GList *l = jobs; l != NULL; l = l->next)
     {
       FbPoolJob *job = l->data;
-      fb_pool_job_release (job, wall_ms);
-      if (fb_pool_job_ended (job))
-        fb_pool_job_end (self, job, job->state, now_ms, wall_ms);
+      if (fb_pool_job_release (job, wall_ms))
+        fb_pool_job_end (self, job, FB_WORK_COMPLETED, now_ms, wall_ms);
     }
 }
 
@@ -300,12 +309,21 @@
 {
   if (self->fenced)
     return;
-  tend_workers (self, now_ms);
-  settle (self, now_ms);
+  gboolean tend = now_ms >= self->tended_ms + FB_POOL_TEND_EVERY_MS;
+  if (tend || !self->settled)
+    {
+      self->tended_ms = now_ms;
+      tend_workers (self, now_ms);
+      settle (self, now_ms);
+    }
   if (!self->settled || !may_start)
     return;
-  release_due (self, now_ms, wall_ms);
-  fb_pool_place (self, now_ms, wall_ms);
+  if (tend)
+    release_due (self, now_ms, wall_ms);
+  if (!tend && !self->place_due)
+    return;
+  self->place_due = FALSE;
+  fb_pool_place (self, now_ms);
 }
 
 /* ---- durability ------------------------------------------------------------------------ */
@@ -370,30 +388,51 @@
   return FALSE;
 }
 
+static void
+take_dirty (FbPool *self, GPtrArray *records)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->dirty);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      job->flushing_state = job->state;
+      g_ptr_array_add (self->in_flush, job);
+      add_record (records, job->id, encode_progress (job));
+    }
+  g_hash_table_remove_all (self->dirty);
+}
+
+static void
+take_expired (FbPool *self, GPtrArray *records, uint64_t wall_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->ended);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      if (job->stored_state != job->state || wall_ms <= job->ended_wall_ms + FB_POOL_KEEP_ENDED_MS
+          || has_run (self, job))
+        continue;
+      add_record (records, job->id, NULL);
+      g_hash_table_iter_remove (&iter);
+      g_hash_table_remove (self->jobs, job->id);
+    }
+}
+
 GPtrArray *
-fb_pool_flush (FbPool *self, uint64_t wall_ms)
+fb_pool_flush (FbPool *self, uint64_t now_ms, uint64_t wall_ms)
 {
   if (self->flushing || self->fenced)
     return NULL;
   GPtrArray *records = g_ptr_array_new_with_free_func (record_free);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  take_dirty (self, records);
+  if (now_ms >= self->expired_ms + FB_POOL_EXPIRE_EVERY_MS)
     {
-      FbPoolJob *job = value;
-      if (job->dirty)
-        {
-          job->dirty = FALSE;
-          job->flushing_state = job->state;
-          add_record (records, job->id, encode_progress (job));
-        }
-      else if (job->ended_wall_ms > 0 && job->stored_state == job->state
-               && wall_ms > job->ended_wall_ms + FB_POOL_KEEP_ENDED_MS && !has_run (self, job))
-        {
-          add_record (records, job->id, NULL);
-          g_hash_table_iter_remove (&iter);
-        }
+      self->expired_ms = now_ms;
+      take_expired (self, records, wall_ms);
     }
   mark_flushing_ends (self);
   self->flushing = TRUE;
@@ -401,19 +440,22 @@
     return records;
   /* Ends that changed nothing need no write to be acknowledged. */
   g_ptr_array_unref (records);
-  fb_pool_flushed (self);
+  fb_pool_flushed (self, now_ms);
   return NULL;
 }
 
 void
-fb_pool_flushed (FbPool *self)
+fb_pool_flushed (FbPool *self, uint64_t now_ms)
 {
   self->flushing = FALSE;
+  for (guint i = 0; i < self->in_flush->len; i++)
+    {
+      FbPoolJob *job = self->in_flush->pdata[i];
+      job->stored_state = job->flushing_state;
+    }
+  g_ptr_array_set_size (self->in_flush, 0);
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, self->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((FbPoolJob *) value)->stored_state = ((FbPoolJob *) value)->flushing_state;
   g_hash_table_iter_init (&iter, self->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -421,7 +463,8 @@
       if (worker->acknowledged == worker->flushing_end)
         continue;
       worker->acknowledged = worker->flushing_end;
-      worker->look_at_ms = 0; /* tell the worker soon: it keeps what is not acknowledged */
+      /* The worker keeps what is not acknowledged, and answers no look until then. */
+      fb_pool_order_look (self, worker, now_ms);
     }
 }
 
