--- a/src/daemon/host-list-http.c
+++ b/src/daemon/host-list-http.c
@@ -73,7 +73,7 @@
 {
   HostListHttp *self = g_new0 (HostListHttp, 1);
   self->base.ops = &host_list_ops;
-  self->http = fb_http_client_new (2);
+  self->http = fb_http_client_new ();
   self->url = g_strdup (url);
   return &self->base;
 }
--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -1,27 +1,51 @@
-/* Failure: a connection goes silent for good while new ones work.  It shows as
+/* HTTP calls by libcurl's multi interface, on the main loop of the task.
+ *
+ * libcurl reports its sockets to one epoll descriptor, which is the only thing that
+ * the main loop watches.  A client that gives the main loop a source for each of its
+ * connections lets every turn of the loop visit all of them: with a hundred
+ * connections at 500 calls a second that was two fifths of a daemon's processor
+ * time (perf, 35 workers on loopback).
+ *
+ * Failure: a connection goes silent for good while new ones work.  It shows as
  * calls that never end.  Guard: every call has a time limit of its own; when it
- * passes the message is cancelled, which closes its connection, and the next
- * call opens another.  What the call did is not concluded from silence: callers
- * repeat it under the same number. */
+ * passes, its connection is closed and the next call opens another.  What the call
+ * did is not concluded from silence: callers repeat it under the same number. */
 #include "http-client.h"
 
 #include "fb-counter.h"
 
+#include <curl/curl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
+/* Idle connections that are kept for reuse, over all hosts. */
+#define IDLE_CONNECTIONS 512
+/* Handles of ended calls that are kept for the next ones. */
+#define SPARE_HANDLES 64
+#define EVENTS_PER_TURN 64
+#define HTTP_OK 200
+
+typedef struct
+{
+  GSource base;
+  FbHttpClient *client;
+} ClientSource;
 
 struct _FbHttpClient
 {
-  guint connections_per_host;
-  SoupSession *session; /* made by the first call, on the task that owns it */
+  CURLM *multi;    /* made by the first call, on the task that owns it */
+  int epoll;
+  GSource *source; /* watches the epoll descriptor and libcurl's next time limit */
+  GPtrArray *spare; /* of CURL */
 };
 
 typedef struct
 {
-  SoupMessage *message;
-  GCancellable *cancellable;
-  GSource *timer;
-  gboolean timed_out;
-  gboolean sent;
+  CURL *easy;
+  struct curl_slist *headers;
+  GBytes *body;
+  GByteArray *answer;
   FbHttpReplyDone done;
   gpointer user;
 } Call;
@@ -33,97 +57,190 @@
   gpointer user;
 } JsonCall;
 
-FbHttpClient *
-fb_http_client_new (guint connections_per_host)
-{
-  FbHttpClient *self = g_new0 (FbHttpClient, 1);
-  self->connections_per_host = connections_per_host;
-  return self;
-}
+/* ---- sockets and time limits -------------------------------------------------- */
 
-static SoupSession *
-session_of (FbHttpClient *self)
+static int
+on_socket_change (CURL *easy, curl_socket_t socket, int what, void *user, void *known)
 {
-  if (self->session == NULL)
-    self->session
-        = soup_session_new_with_options ("max-conns-per-host", self->connections_per_host,
-                                         "max-conns", 1024, "idle-timeout", 30, "timeout", 0,
-                                         /* The default resolver reads the desktop's
-                                          * settings on threads of its own. */
-                                         "proxy-resolver", NULL, NULL);
-  return self->session;
+  (void) easy;
+  FbHttpClient *self = user;
+  struct epoll_event event = { .data.fd = socket };
+  if (what == CURL_POLL_REMOVE)
+    {
+      (void) epoll_ctl (self->epoll, EPOLL_CTL_DEL, socket, NULL);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    event.events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    event.events |= EPOLLOUT;
+  (void) epoll_ctl (self->epoll, known != NULL ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
+  curl_multi_assign (self->multi, socket, self);
+  return 0;
 }
 
-void
-fb_http_client_free (FbHttpClient *self)
+static int
+on_time_limit (CURLM *multi, long timeout_ms, void *user)
 {
-  g_clear_object (&self->session);
-  g_free (self);
+  (void) multi;
+  FbHttpClient *self = user;
+  gint64 ready_us = timeout_ms < 0 ? -1 : g_get_monotonic_time () + (gint64) timeout_ms * 1000;
+  g_source_set_ready_time (self->source, ready_us);
+  return 0;
 }
 
 static void
 call_free (Call *call)
 {
-  if (call->timer != NULL)
-    {
-      g_source_destroy (call->timer);
-      g_source_unref (call->timer);
-    }
-  g_signal_handlers_disconnect_by_data (call->message, call);
-  g_object_unref (call->cancellable);
-  g_object_unref (call->message);
+  curl_slist_free_all (call->headers);
+  g_clear_pointer (&call->body, g_bytes_unref);
+  g_byte_array_unref (call->answer);
   g_free (call);
 }
 
 static void
-on_starting (SoupMessage *message, gpointer data)
+keep_handle (FbHttpClient *self, CURL *easy)
 {
-  (void) message;
-  ((Call *) data)->sent = TRUE;
+  curl_multi_remove_handle (self->multi, easy);
+  if (self->spare->len < SPARE_HANDLES)
+    g_ptr_array_add (self->spare, easy);
+  else
+    curl_easy_cleanup (easy);
 }
 
 static void
-on_answer (GObject *source, GAsyncResult *result, gpointer data)
-{
-  Call *call = data;
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
-  FbHttpReply reply = { .status = FB_HTTP_OK, .sent = call->sent, .body = body };
-  if (body == NULL)
-    reply.status = call->timed_out ? FB_HTTP_TIMEOUT : FB_HTTP_UNREACHABLE;
-  else if (g_bytes_get_size (body) > ANSWER_MAX_BYTES)
+end_call (FbHttpClient *self, Call *call, CURLcode result)
+{
+  FbHttpReply reply = { .status = FB_HTTP_OK };
+  long sent_bytes = 0;
+  long code = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &code);
+  reply.sent = sent_bytes > 0;
+  if (result == CURLE_OPERATION_TIMEDOUT)
+    reply.status = FB_HTTP_TIMEOUT;
+  else if (result == CURLE_WRITE_ERROR)
     reply.status = FB_HTTP_MALFORMED;
-  if (body != NULL)
-    {
-      reply.code = soup_message_get_status (call->message);
-      fb_counter_add (FB_COUNTER_PLATFORM_BYTES, g_bytes_get_size (body));
-    }
+  else if (result != CURLE_OK)
+    reply.status = FB_HTTP_UNREACHABLE;
+  else
+    reply.code = (guint) code;
+  keep_handle (self, call->easy);
+  fb_counter_add (FB_COUNTER_PLATFORM_BYTES, call->answer->len);
+  g_autoptr (GBytes) body = g_byte_array_free_to_bytes (g_byte_array_ref (call->answer));
+  reply.body = reply.status == FB_HTTP_OK ? body : NULL;
   call->done (call->user, &reply);
   call_free (call);
 }
 
+static void
+end_calls (FbHttpClient *self)
+{
+  CURLMsg *message = NULL;
+  int left = 0;
+  while ((message = curl_multi_info_read (self->multi, &left)) != NULL)
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      char *call = NULL;
+      CURLcode result = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      end_call (self, (Call *) (gpointer) call, result);
+    }
+}
+
+static void
+handle_sockets (FbHttpClient *self)
+{
+  struct epoll_event events[EVENTS_PER_TURN];
+  int running = 0;
+  int n = epoll_wait (self->epoll, events, EVENTS_PER_TURN, 0);
+  for (int i = 0; i < n; i++)
+    {
+      int action = 0;
+      if (events[i].events & EPOLLIN)
+        action |= CURL_CSELECT_IN;
+      if (events[i].events & EPOLLOUT)
+        action |= CURL_CSELECT_OUT;
+      if (events[i].events & (EPOLLERR | EPOLLHUP))
+        action |= CURL_CSELECT_ERR;
+      curl_multi_socket_action (self->multi, events[i].data.fd, action, &running);
+    }
+}
+
 static gboolean
-on_timeout (gpointer data)
+dispatch (GSource *source, GSourceFunc callback, gpointer user)
 {
-  Call *call = data;
-  call->timed_out = TRUE;
-  g_cancellable_cancel (call->cancellable);
-  return G_SOURCE_REMOVE;
+  (void) callback;
+  (void) user;
+  FbHttpClient *self = ((ClientSource *) source)->client;
+  gint64 ready_us = g_source_get_ready_time (source);
+  if (ready_us >= 0 && ready_us <= g_source_get_time (source))
+    {
+      int running = 0;
+      g_source_set_ready_time (source, -1);
+      curl_multi_socket_action (self->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+  handle_sockets (self);
+  end_calls (self);
+  return G_SOURCE_CONTINUE;
 }
 
-static GBytes *
-body_bytes (JsonBuilder *body)
+static GSourceFuncs source_funcs = { .dispatch = dispatch };
+
+/* ---- life ------------------------------------------------------------------------ */
+
+FbHttpClient *
+fb_http_client_new (void)
 {
-  JsonNode *root = json_builder_get_root (body);
-  g_autoptr (JsonGenerator) generator = json_generator_new ();
-  json_generator_set_root (generator, root);
-  gsize len = 0;
-  char *text = json_generator_to_data (generator, &len);
-  json_node_unref (root);
-  return g_bytes_new_take (text, len);
+  FbHttpClient *self = g_new0 (FbHttpClient, 1);
+  self->spare = g_ptr_array_new ();
+  return self;
+}
+
+static void
+start (FbHttpClient *self)
+{
+  static gsize once;
+  if (g_once_init_enter (&once))
+    {
+      /* No TLS: the interfaces are plain HTTP. */
+      curl_global_init (CURL_GLOBAL_NOTHING);
+      g_once_init_leave (&once, 1);
+    }
+  self->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  self->multi = curl_multi_init ();
+  g_assert (self->epoll >= 0 && self->multi != NULL);
+  self->source = g_source_new (&source_funcs, sizeof (ClientSource));
+  ((ClientSource *) self->source)->client = self;
+  g_source_add_unix_fd (self->source, self->epoll, G_IO_IN);
+  g_source_attach (self->source, g_main_context_get_thread_default ());
+  curl_multi_setopt (self->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (self->multi, CURLMOPT_SOCKETDATA, self);
+  curl_multi_setopt (self->multi, CURLMOPT_TIMERFUNCTION, on_time_limit);
+  curl_multi_setopt (self->multi, CURLMOPT_TIMERDATA, self);
+  curl_multi_setopt (self->multi, CURLMOPT_MAXCONNECTS, (long) IDLE_CONNECTIONS);
+}
+
+/* Calls that are open are forgotten without an answer. */
+void
+fb_http_client_free (FbHttpClient *self)
+{
+  for (guint i = 0; i < self->spare->len; i++)
+    curl_easy_cleanup (self->spare->pdata[i]);
+  g_ptr_array_unref (self->spare);
+  if (self->multi != NULL)
+    {
+      curl_multi_cleanup (self->multi);
+      g_source_destroy (self->source);
+      g_source_unref (self->source);
+      close (self->epoll);
+    }
+  g_free (self);
 }
 
+/* ---- calls ------------------------------------------------------------------------- */
+
 void
 fb_http_call_clear (FbHttpCall *call)
 {
@@ -133,42 +250,101 @@
     g_clear_pointer (&call->header_values[i], g_free);
 }
 
-static SoupMessage *
-message_of (const FbHttpCall *call)
+static size_t
+on_data (char *data, size_t size, size_t n, void *user)
+{
+  Call *call = user;
+  if (call->answer->len + size * n > ANSWER_MAX_BYTES)
+    return 0;
+  g_byte_array_append (call->answer, (const guint8 *) data, (guint) (size * n));
+  return size * n;
+}
+
+static struct curl_slist *
+add_header (struct curl_slist *list, const char *name, const char *value)
 {
-  SoupMessage *message = soup_message_new (call->method, call->url);
-  g_assert (message != NULL);
-  if (call->idempotent)
-    soup_message_add_flags (message, SOUP_MESSAGE_IDEMPOTENT);
-  if (call->body != NULL)
+  g_autofree char *line = g_strdup_printf ("%s: %s", name, value);
+  return curl_slist_append (list, line);
+}
+
+static void
+set_body (Call *call, const FbHttpCall *request)
+{
+  gsize len = 0;
+  call->body = g_bytes_ref (request->body);
+  const char *data = g_bytes_get_data (call->body, &len);
+  fb_counter_add (FB_COUNTER_PLATFORM_BYTES, len);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE, (long) len);
+  /* An empty body is still a body. */
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, data != NULL ? data : "");
+  call->headers = add_header (call->headers, "Content-Type", request->content_type);
+  /* No pause for "100 Continue" before large bodies. */
+  call->headers = curl_slist_append (call->headers, "Expect:");
+}
+
+static CURL *
+take_handle (FbHttpClient *self)
+{
+  if (self->spare->len == 0)
+    return curl_easy_init ();
+  CURL *easy = g_ptr_array_remove_index_fast (self->spare, self->spare->len - 1);
+  curl_easy_reset (easy);
+  return easy;
+}
+
+static void
+set_options (Call *call, const FbHttpCall *request, guint timeout_ms)
+{
+  CURL *easy = call->easy;
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  if (!request->idempotent)
     {
-      fb_counter_add (FB_COUNTER_PLATFORM_BYTES, g_bytes_get_size (call->body));
-      soup_message_set_request_body_from_bytes (message, call->content_type, call->body);
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
-  for (guint i = 0; i < G_N_ELEMENTS (call->header_values); i++)
+  if (request->body != NULL)
+    set_body (call, request);
+  for (guint i = 0; i < G_N_ELEMENTS (request->header_values); i++)
     {
-      if (call->header_values[i] != NULL)
-        soup_message_headers_replace (soup_message_get_request_headers (message),
-                                      call->header_names[i], call->header_values[i]);
+      if (request->header_values[i] != NULL)
+        call->headers
+            = add_header (call->headers, request->header_names[i], request->header_values[i]);
     }
-  return message;
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
 void
 fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *request, guint timeout_ms,
                          FbHttpReplyDone done, gpointer user)
 {
+  if (self->multi == NULL)
+    start (self);
   Call *call = g_new0 (Call, 1);
-  call->message = message_of (request);
-  call->cancellable = g_cancellable_new ();
+  call->easy = take_handle (self);
+  call->answer = g_byte_array_new ();
   call->done = done;
   call->user = user;
-  g_signal_connect (call->message, "starting", G_CALLBACK (on_starting), call);
-  call->timer = g_timeout_source_new (timeout_ms);
-  g_source_set_callback (call->timer, on_timeout, call, NULL);
-  g_source_attach (call->timer, g_main_context_get_thread_default ());
-  soup_session_send_and_read_async (session_of (self), call->message, G_PRIORITY_DEFAULT,
-                                    call->cancellable, on_answer, call);
+  set_options (call, request, timeout_ms);
+  curl_multi_add_handle (self->multi, call->easy);
+}
+
+static GBytes *
+body_bytes (JsonBuilder *body)
+{
+  JsonNode *root = json_builder_get_root (body);
+  g_autoptr (JsonGenerator) generator = json_generator_new ();
+  json_generator_set_root (generator, root);
+  gsize len = 0;
+  char *text = json_generator_to_data (generator, &len);
+  json_node_unref (root);
+  return g_bytes_new_take (text, len);
 }
 
 static void
@@ -176,7 +352,7 @@
 {
   JsonCall *call = user;
   FbHttpStatus status = reply->status;
-  if (status == FB_HTTP_OK && reply->code != SOUP_STATUS_OK)
+  if (status == FB_HTTP_OK && reply->code != HTTP_OK)
     status = FB_HTTP_STATUS;
   g_autoptr (JsonParser) parser = json_parser_new ();
   JsonNode *root = NULL;
--- a/src/daemon/http-client.h
+++ b/src/daemon/http-client.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <json-glib/json-glib.h>
-#include <libsoup/soup.h>
 
 typedef struct _FbHttpClient FbHttpClient;
 
@@ -19,7 +18,7 @@
 /* ROOT is borrowed for the call and NULL unless STATUS is OK. */
 typedef void (*FbHttpDone) (gpointer user, FbHttpStatus status, JsonObject *root);
 
-FbHttpClient *fb_http_client_new (guint connections_per_host);
+FbHttpClient *fb_http_client_new (void);
 void fb_http_client_free (FbHttpClient *self);
 
 /* One call, whatever its body is. */
@@ -49,7 +48,8 @@
 
 void fb_http_call_clear (FbHttpCall *call);
 
-/* Sends CALL (borrowed) and calls DONE once, never from inside this call. */
+/* Sends CALL (borrowed) and calls DONE once, never from inside this call.  DONE must
+ * not free the client. */
 void fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *call, guint timeout_ms,
                               FbHttpReplyDone done, gpointer user);
 
--- a/src/daemon/log-http.c
+++ b/src/daemon/log-http.c
@@ -140,7 +140,7 @@
 {
   LogHttp *self = g_new0 (LogHttp, 1);
   self->base.ops = &log_ops;
-  self->http = fb_http_client_new (4);
+  self->http = fb_http_client_new ();
   self->url = g_strdup (url);
   return &self->base;
 }
--- a/src/daemon/worker-http.c
+++ b/src/daemon/worker-http.c
@@ -6,8 +6,6 @@
 #define EXCHANGE_TIMEOUT_MS 1500
 #define WATCH_WAIT_MS 2000
 #define WATCH_TIMEOUT_MS 4000
-/* One for exchanges, one for the watch, one while another is given up. */
-#define CONNECTIONS_PER_WORKER 3
 
 typedef struct
 {
@@ -86,6 +84,6 @@
 {
   WorkerHttp *self = g_new0 (WorkerHttp, 1);
   self->base.ops = &worker_ops;
-  self->http = fb_http_client_new (CONNECTIONS_PER_WORKER);
+  self->http = fb_http_client_new ();
   return &self->base;
 }
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -12,6 +12,8 @@
 #include "internal/pool.h"
 #include "platform/wire.h"
 
+#include <libsoup/soup.h>
+
 /* Keys of FB_TOPIC_JOBS: one letter and the job's id. */
 #define FB_KEY_JOB 'j'
 #define FB_KEY_CANCEL 'c'
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -35,9 +35,6 @@
  * change: without a pause 48 workers cost 32 polls a second.  A worker that leaves
  * has to be known within 2 s. */
 #define WORKER_LIST_PAUSE_MS 300
-#define CONNECTIONS_PER_WORKER 8
-#define CONNECTIONS_TO_STORE 32
-#define CONNECTIONS_PER_PEER 16
 
 typedef struct
 {
@@ -513,9 +510,9 @@
 {
   self->store_ok_ms = fb_clock_ms ();
   self->timer = fb_timer_new (self->store_ok_ms);
-  self->store_client = fb_http_client_new (CONNECTIONS_TO_STORE);
-  self->worker_client = fb_http_client_new (CONNECTIONS_PER_WORKER);
-  self->peer_client = fb_http_client_new (CONNECTIONS_PER_PEER);
+  self->store_client = fb_http_client_new ();
+  self->worker_client = fb_http_client_new ();
+  self->peer_client = fb_http_client_new ();
   self->workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, fb_listed_worker_free);
   self->owners = g_hash_table_new (NULL, NULL);
