--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -30,7 +30,9 @@
 #define STOP_LINGER_MS 1500
 /* Lines a second; a day's peak of decisions is below it. */
 #define LOG_LINES_PER_S 2000
-#define EPOCHS_PER_GENERATION 16
+/* Takes of one partition by one daemon within a generation of the group: with a take
+ * each 350 ms this lasts 6 minutes. */
+#define EPOCHS_PER_GENERATION 1024
 /* Every worker writes to its entry each 1.5 s, and a poll returns at the first
  * change: without a pause 48 workers cost 32 polls a second.  A worker that leaves
  * has to be known within 2 s. */
@@ -218,9 +220,13 @@
     }
   take->n = take->generation == generation ? take->n + 1 : 0;
   take->generation = generation;
-  /* Out of epochs for now; the next change of the group brings new ones. */
   if (take->n >= EPOCHS_PER_GENERATION)
-    return;
+    {
+      /* The next change of the group brings new ones. */
+      fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=%s",
+                    partition, generation, "taken too often in one generation");
+      return;
+    }
   if (self->worker_follower == NULL)
     self->worker_follower = fb_follower_new (self, FB_TOPIC_WORKERS, 0, WORKER_LIST_PAUSE_MS,
                                              &worker_ops, self);
