--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -84,11 +84,11 @@
   uint32_t done_n;
   uint32_t waiting_from; /* no task before this index waits */
   uint32_t gang_attempt;
-  gboolean released;     /* all steps before it are done, its time has come */
-  gboolean gang_broken;  /* a member ended or was refused: the others are stopped */
+  gboolean released;    /* all steps before it are done, its time has come */
+  gboolean gang_broken; /* a member ended or was refused: the others are stopped */
   uint64_t paused_until_ms;
-  GHashTable *tickets; /* worker id -> FbPoolTicket: workers that the advice allows */
-  GHashTable *asked;   /* worker ids that the advice has ruled on */
+  GHashTable *tickets;     /* worker id -> FbPoolTicket: workers that the advice allows */
+  GHashTable *asked;       /* worker ids that the advice has ruled on */
   uint64_t advice_sent_ms; /* 0: no question is open */
 };
 
@@ -133,8 +133,8 @@
   uint32_t index;
   uint32_t attempt;
   FbRunState state;
-  gboolean given_up; /* its task no longer counts on it */
-  uint64_t order;    /* the last one sent for it */
+  gboolean given_up;         /* its task no longer counts on it */
+  uint64_t order;            /* the last one sent for it */
   uint64_t deadline_ms;      /* of the start, on the worker's clock */
   uint64_t seen_clock_ms;    /* worker's clock when it was last known to be there */
   uint64_t stopped_clock_ms; /* worker's clock when a stop was taken; 0: not yet */
@@ -154,16 +154,16 @@
   uint32_t gpu_count;
   gboolean listed;
   gboolean draining;
-  gboolean answered;     /* under the present epoch */
-  gboolean gone;         /* this life has certainly ended, or all its leases have */
+  gboolean answered; /* under the present epoch */
+  gboolean gone;     /* this life has certainly ended, or all its leases have */
   gboolean look_open;
-  uint64_t look_at_ms;   /* when the next look is due */
+  uint64_t look_at_ms; /* when the next look is due */
   uint64_t look_sent_ms;
-  uint64_t proof_ms;     /* when the last look that was answered had been sent */
-  uint64_t heard_ms;     /* last answer */
-  uint64_t clock_ms;     /* worker's clock, no later than HEARD_MS */
-  uint64_t lease_ms;     /* highest deadline that was ever sent, on its clock */
-  uint64_t seen_end;     /* highest number of an end that was taken in */
+  uint64_t proof_ms; /* when the last look that was answered had been sent */
+  uint64_t heard_ms; /* last answer */
+  uint64_t clock_ms; /* worker's clock, no later than HEARD_MS */
+  uint64_t lease_ms; /* highest deadline that was ever sent, on its clock */
+  uint64_t seen_end; /* highest number of an end that was taken in */
   uint64_t flushing_end;
   uint64_t acknowledged;
   uint64_t paused_until_ms;
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -65,14 +65,14 @@
 typedef enum
 {
   FB_ORDER_DONE,
-  FB_ORDER_FENCED,    /* a higher epoch was seen */
+  FB_ORDER_FENCED,     /* a higher epoch was seen */
   FB_ORDER_SUPERSEDED, /* this attempt or a higher one was there */
   FB_ORDER_LATE,
   FB_ORDER_NO_ROOM,
   FB_ORDER_BAD_TICKET,
-  FB_ORDER_NOT_DONE, /* it certainly did nothing */
+  FB_ORDER_NOT_DONE,   /* it certainly did nothing */
   FB_ORDER_OTHER_LIFE, /* another life of a worker is at this address */
-  FB_ORDER_UNKNOWN   /* it may be carried out, now or later */
+  FB_ORDER_UNKNOWN     /* it may be carried out, now or later */
 } FbOrderResult;
 
 typedef struct
--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -34,9 +34,9 @@
 
 struct _FbHttpClient
 {
-  CURLM *multi;    /* made by the first call, on the task that owns it */
+  CURLM *multi; /* made by the first call, on the task that owns it */
   int epoll;
-  GSource *source; /* watches the epoll descriptor and libcurl's next time limit */
+  GSource *source;  /* watches the epoll descriptor and libcurl's next time limit */
   GPtrArray *spare; /* of CURL */
 };
 
--- a/src/entry/appender.c
+++ b/src/entry/appender.c
@@ -115,8 +115,8 @@
 take_result (FbAppender *self, FbAppendResult result)
 {
   self->doubt = self->doubt || result == FB_APPEND_IN_DOUBT;
-  gboolean final = result == FB_APPEND_STORED || result == FB_APPEND_FENCED
-                   || result == FB_APPEND_SEQUENCE;
+  gboolean final
+      = result == FB_APPEND_STORED || result == FB_APPEND_FENCED || result == FB_APPEND_SEQUENCE;
   if (self->writer != NULL && !final)
     {
       retry_later (self);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -121,13 +121,15 @@
 /* Calls the advice service from here. */
 void fb_advisor_call (FbEntry *entry, const fb_ask_advice *ask, FbTold done, gpointer user);
 
-/* ---- front ------------------------------------------------------------------------------------ */
+/* ---- front ------------------------------------------------------------------------------------
+ */
 
 void fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                            GHashTable *query, gpointer entry);
 guint fb_entry_front_open (void);
 
-/* ---- the whole ----------------------------------------------------------------------------------- */
+/* ---- the whole
+ * ----------------------------------------------------------------------------------- */
 
 struct _FbEntry
 {
@@ -139,8 +141,8 @@
   FbRoutes *routes; /* NULL until the first configuration */
   FbFollower *config_follower;
   FbFollower *worker_follower; /* NULL until it owns something */
-  GHashTable *workers;   /* id -> FbListedWorker */
-  GHashTable *relisted;  /* ids of the listing that is open; NULL: none is */
+  GHashTable *workers;         /* id -> FbListedWorker */
+  GHashTable *relisted;        /* ids of the listing that is open; NULL: none is */
   gboolean workers_complete;
   FbGroup *group;
   FbAdvisor *advisor;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -228,8 +228,8 @@
       return;
     }
   if (self->worker_follower == NULL)
-    self->worker_follower = fb_follower_new (self, FB_TOPIC_WORKERS, 0, WORKER_LIST_PAUSE_MS,
-                                             &worker_ops, self);
+    self->worker_follower
+        = fb_follower_new (self, FB_TOPIC_WORKERS, 0, WORKER_LIST_PAUSE_MS, &worker_ops, self);
   uint64_t epoch = generation * EPOCHS_PER_GENERATION + take->n;
   g_hash_table_insert (self->owners, key, fb_owner_new (self, partition, epoch));
 }
@@ -352,8 +352,8 @@
 }
 
 static void
-serve_metrics (SoupServer *server, SoupServerMessage *message, const char *path,
-               GHashTable *query, gpointer data)
+serve_metrics (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
+               gpointer data)
 {
   (void) server;
   (void) path;
@@ -443,7 +443,8 @@
   last = g_steal_pointer (&text);
 }
 
-/* ---- life --------------------------------------------------------------------------------------- */
+/* ---- life ---------------------------------------------------------------------------------------
+ */
 
 static gboolean
 on_timer (gpointer data)
@@ -488,8 +489,8 @@
       fb_entry_own (entry, none, 0);
       fb_group_leave (entry->group, on_left, self);
     }
-  gboolean done = self->left && fb_entry_front_open () == 0
-                  && now_ms > self->left_ms + STOP_LINGER_MS;
+  gboolean done
+      = self->left && fb_entry_front_open () == 0 && now_ms > self->left_ms + STOP_LINGER_MS;
   if (!done && spent_ms + STOP_MARGIN_MS < entry->settings->grace_ms)
     return G_SOURCE_CONTINUE;
   g_main_loop_quit (self->loop);
@@ -519,8 +520,7 @@
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
   self->peer_client = fb_http_client_new ();
-  self->workers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, fb_listed_worker_free);
+  self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, fb_listed_worker_free);
   self->owners = g_hash_table_new (NULL, NULL);
   self->appenders = g_hash_table_new (NULL, NULL);
   self->takes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -194,8 +194,8 @@
 {
   FbGroup *self = g_new0 (FbGroup, 1);
   self->entry = entry;
-  self->member = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers,
-                                  g_get_real_time ());
+  self->member
+      = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers, g_get_real_time ());
   self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   join (self);
   return self;
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -534,12 +534,12 @@
   self->partition = partition;
   self->epoch = epoch;
   self->began_ms = fb_clock_ms ();
-  self->progress = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                          (GDestroyNotify) g_bytes_unref);
-  self->loading = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify) g_bytes_unref);
-  self->cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                           (GDestroyNotify) g_bytes_unref);
+  self->progress
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  self->loading
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  self->cancelled
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->parts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, part_free);
   self->appender = fb_appender_new (entry, FB_TOPIC_PROGRESS, partition, WRITER, epoch);
   self->tick = fb_timer_subscribe (entry->timer, TICK_MS, on_tick, self);
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -122,8 +122,7 @@
   uint64_t left_ms = question->until_ms - now_ms;
   if (owner != NULL)
     fb_owner_tell (owner, &ask, &told);
-  if (owner == NULL && address != NULL
-      && !g_str_equal (address, question->entry->settings->peers))
+  if (owner == NULL && address != NULL && !g_str_equal (address, question->entry->settings->peers))
     fb_peers_ask (question->entry, address, &ask, (uint32_t) MIN (left_ms, 700), on_owner_told,
                   question);
   else
@@ -192,8 +191,8 @@
 answer_ask (FbEntry *entry, const fb_ask *ask, Answer *answer)
 {
   fb_told told = { .type = FB_TOLD_UNSURE };
-  const char *service = ask->type == FB_ASK_STATE ? ask->fb_ask_u.job.service
-                                                  : ask->fb_ask_u.queue.service;
+  const char *service
+      = ask->type == FB_ASK_STATE ? ask->fb_ask_u.job.service : ask->fb_ask_u.queue.service;
   FbOwner *owner = NULL;
   switch (ask->type)
     {
@@ -216,8 +215,8 @@
 }
 
 void
-fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path,
-                GHashTable *query, gpointer data)
+fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
+                gpointer data)
 {
   (void) server;
   (void) query;
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -14,27 +14,24 @@
         { "grace", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, grace_ms) },
         { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
-static const FbIniField listen_fields[]
-    = { { "callers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
-          offsetof (FbEntrySettings, callers) },
-        { "readiness", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
-          offsetof (FbEntrySettings, readiness) },
-        { "peers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, peers) },
-        { "metrics", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
-          offsetof (FbEntrySettings, metrics) },
-        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
-
-static const FbIniField store_fields[]
-    = { { "address", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
-          offsetof (FbEntrySettings, store) },
-        { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX, NULL,
-          offsetof (FbEntrySettings, partitions) },
-        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
-
-static const FbIniField advice_fields[]
-    = { { "address", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN, NULL,
-          offsetof (FbEntrySettings, advice) },
-        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+static const FbIniField listen_fields[] = {
+  { "callers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, callers) },
+  { "readiness", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+    offsetof (FbEntrySettings, readiness) },
+  { "peers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, peers) },
+  { "metrics", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, metrics) },
+  { NULL, 0, FALSE, 0, 0, NULL, 0 }
+};
+
+static const FbIniField store_fields[] = { { "address", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+                                             offsetof (FbEntrySettings, store) },
+                                           { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX,
+                                             NULL, offsetof (FbEntrySettings, partitions) },
+                                           { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+
+static const FbIniField advice_fields[] = { { "address", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN,
+                                              NULL, offsetof (FbEntrySettings, advice) },
+                                            { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
 static const FbIniField worker_fields[]
     = { { "longest-lease", FB_INI_DURATION, TRUE, 1, G_MAXUINT32, NULL,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -7,7 +7,7 @@
 {
   char *name;
   char *zone;
-  char *callers;   /* IP:PORT, each of these */
+  char *callers; /* IP:PORT, each of these */
   char *readiness;
   char *peers;
   char *metrics;
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -7,7 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-
 static void
 ticket_free (gpointer data)
 {
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -59,8 +59,8 @@
 static gboolean
 takes_work (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (!worker->listed || worker->draining || worker->gone
-      || fb_pool_worker_silent (worker, now_ms) || now_ms < worker->paused_until_ms)
+  if (!worker->listed || worker->draining || worker->gone || fb_pool_worker_silent (worker, now_ms)
+      || now_ms < worker->paused_until_ms)
     return FALSE;
   return worker->bad_streak < FB_POOL_BAD_STREAK || g_hash_table_size (worker->runs) == 0;
 }
@@ -70,7 +70,7 @@
 {
   const FbPoolTicket *ticket = g_hash_table_lookup (step->tickets, worker->id);
   return ticket != NULL && now_ms + FB_POOL_TICKET_MARGIN_MS < ticket->valid_until_ms ? ticket
-                                                                                    : NULL;
+                                                                                      : NULL;
 }
 
 /* EXTRA: members of the same gang that are about to start there. */
@@ -81,8 +81,7 @@
   if (!takes_work (worker, now_ms) || !could_ever_run (worker, shape)
       || !fb_pool_worker_fits (worker, shape) || disturbs (worker, shape))
     return FALSE;
-  return shape->max_per_worker == 0
-         || runs_of_step (worker, step) + extra < shape->max_per_worker;
+  return shape->max_per_worker == 0 || runs_of_step (worker, step) + extra < shape->max_per_worker;
 }
 
 static gboolean
@@ -353,8 +352,7 @@
           if (task->done)
             continue;
           if (task->run == NULL
-              || now_ms + FB_POOL_ASK_AHEAD_MS
-                     < task->run->started_ms + before->shape->estimate_ms)
+              || now_ms + FB_POOL_ASK_AHEAD_MS < task->run->started_ms + before->shape->estimate_ms)
             return FALSE;
         }
     }
@@ -410,10 +408,9 @@
       FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
       for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
         {
-          Waiting entry
-              = { &occurrence->steps[j],
-                  job->record.spec.occurrences == 0 && now_ms > job->hopeless_ms
-                      && !occurrence->steps[j].shape->lasting };
+          Waiting entry = { &occurrence->steps[j], job->record.spec.occurrences == 0
+                                                       && now_ms > job->hopeless_ms
+                                                       && !occurrence->steps[j].shape->lasting };
           if (fb_pool_step_waits (entry.step))
             g_array_append_val (waiting, entry);
         }
@@ -434,8 +431,8 @@
   for (guint i = 0; i < waiting->len && !self->fenced; i++)
     {
       FbPoolStep *step = g_array_index (waiting, Waiting, i).step;
-      gboolean placed = step->shape->gang ? place_gang (self, step, now_ms)
-                                          : place_tasks (self, step, now_ms);
+      gboolean placed
+          = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
       if (!placed)
         can_ask &= ask_advice (self, step, now_ms);
     }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -44,8 +44,7 @@
 
 /* ---- workers -------------------------------------------------------------------- */
 
-static void
-leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+static void leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 
 void
 fb_pool_worker_listed (FbPool *self, const FbWorkerEntry *entry, uint64_t now_ms)
