Count each failed attempt once, and test pools by scripts

The trace: the store was away for 7 s, attempts 3 and 4 failed on two workers, all daemons were killed; the successor heard of attempt 4 first and took the end of attempt 3 for one that had been counted, as it was not above it. Now the attempts that failed are kept as a set, in memory and in the record. Found by writing them: a refused ticket dropped its worker from the allowed ones for good; members of a gang that was done were stopped.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -59,9 +59,10 @@
 
 typedef struct
 {
-  uint32_t attempt;       /* highest that was used */
-  uint32_t ended_attempt; /* highest whose end was counted */
-  uint32_t failed;        /* runs that ended failed */
+  uint32_t attempt; /* highest that was used */
+  /* Attempts that ended failed.  Each is counted once, in whatever order they come: a
+   * successor hears the same ends again, from several workers.  NULL for none. */
+  GArray *failed; /* of uint32_t */
   gboolean done;
   char *checkpoint; /* NULL for none */
   FbPoolRun *run;   /* borrowed from its worker; NULL while it waits */
@@ -220,6 +221,9 @@
 FbPoolStep *fb_pool_job_step (FbPoolJob *job, uint32_t occurrence, uint32_t step);
 void fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress);
 void fb_pool_job_restore (FbPoolJob *job, const fb_work_progress *progress);
+/* Returns: FALSE when that attempt was counted before. */
+gboolean fb_pool_task_count_failed (FbPoolTask *task, uint32_t attempt);
+guint fb_pool_task_failed_n (const FbPoolTask *task);
 void fb_pool_task_save (FbPoolStep *step, uint32_t index, const char *checkpoint);
 gboolean fb_pool_step_done (const FbPoolStep *step);
 gboolean fb_pool_step_waits (const FbPoolStep *step);
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -308,7 +308,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -318,24 +318,23 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->attempt))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->failed))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->done))
-				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->occurrence);
 		IXDR_PUT_U_LONG(buf, objp->step);
 		IXDR_PUT_U_LONG(buf, objp->index);
 		IXDR_PUT_U_LONG(buf, objp->attempt);
-		IXDR_PUT_U_LONG(buf, objp->failed);
-		IXDR_PUT_BOOL(buf, objp->done);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->failed.failed_val, (u_int *) &objp->failed.failed_len, FB_WORK_MAX_FAILED,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->done))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -345,19 +344,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->attempt))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->failed))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->done))
-				 return FALSE;
 
 		} else {
 		objp->occurrence = IXDR_GET_U_LONG(buf);
 		objp->step = IXDR_GET_U_LONG(buf);
 		objp->index = IXDR_GET_U_LONG(buf);
 		objp->attempt = IXDR_GET_U_LONG(buf);
-		objp->failed = IXDR_GET_U_LONG(buf);
-		objp->done = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->failed.failed_val, (u_int *) &objp->failed.failed_len, FB_WORK_MAX_FAILED,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->done))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
 			 return FALSE;
 	 return TRUE;
@@ -371,7 +369,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->failed))
+	 if (!xdr_array (xdrs, (char **)&objp->failed.failed_val, (u_int *) &objp->failed.failed_len, FB_WORK_MAX_FAILED,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
 		 return FALSE;
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -19,6 +19,7 @@
 #define FB_WORK_MAX_NAME 128
 #define FB_WORK_JOB_ID_CHARS 16
 #define FB_WORK_MAX_MARKS 65536
+#define FB_WORK_MAX_FAILED 1024
 #define FB_WORK_MAX_TICKETS 128
 
 struct fb_work_step {
@@ -84,7 +85,10 @@
 	u_int step;
 	u_int index;
 	u_int attempt;
-	u_int failed;
+	struct {
+		u_int failed_len;
+		u_int *failed_val;
+	} failed;
 	bool_t done;
 	char *checkpoint;
 };
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -8,6 +8,7 @@
 const FB_WORK_MAX_NAME = 128;
 const FB_WORK_JOB_ID_CHARS = 16;
 const FB_WORK_MAX_MARKS = 65536;
+const FB_WORK_MAX_FAILED = 1024;
 const FB_WORK_MAX_TICKETS = 128;
 
 /* One step: COUNT equal tasks, each of the size given. */
@@ -67,7 +68,7 @@
   unsigned int step;
   unsigned int index;
   unsigned int attempt;
-  unsigned int failed; /* runs that ended failed */
+  unsigned int failed<FB_WORK_MAX_FAILED>; /* attempts that ended failed */
   bool done;
   string checkpoint<FB_WORK_MAX_NAME>;
 };
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -74,7 +74,10 @@
 step_clear (FbPoolStep *step)
 {
   for (uint32_t i = 0; i < step->shape->count; i++)
-    g_free (step->tasks[i].checkpoint);
+    {
+      g_free (step->tasks[i].checkpoint);
+      g_clear_pointer (&step->tasks[i].failed, g_array_unref);
+    }
   g_free (step->tasks);
   g_hash_table_unref (step->tickets);
   g_hash_table_unref (step->asked);
@@ -220,7 +223,7 @@
 static gboolean
 needs_mark (const FbPoolTask *task)
 {
-  return task->done || task->failed > 0 || task->ended_attempt > 0 || task->checkpoint != NULL;
+  return task->done || task->failed != NULL || task->checkpoint != NULL;
 }
 
 static void
@@ -234,10 +237,14 @@
       fb_work_mark mark = { .occurrence = step->occurrence,
                             .step = step->index,
                             .index = i,
-                            .attempt = task->ended_attempt,
-                            .failed = task->failed,
+                            .attempt = task->attempt,
                             .done = task->done,
                             .checkpoint = task->checkpoint != NULL ? task->checkpoint : "" };
+      if (task->failed != NULL)
+        {
+          mark.failed.failed_len = task->failed->len;
+          mark.failed.failed_val = (u_int *) (gpointer) task->failed->data;
+        }
       g_array_append_val (marks, mark);
     }
 }
@@ -268,8 +275,8 @@
     return;
   FbPoolTask *task = &step->tasks[mark->index];
   task->attempt = MAX (task->attempt, mark->attempt);
-  task->ended_attempt = MAX (task->ended_attempt, mark->attempt);
-  task->failed = mark->failed;
+  for (u_int i = 0; i < mark->failed.failed_len; i++)
+    (void) fb_pool_task_count_failed (task, mark->failed.failed_val[i]);
   fb_pool_task_save (step, mark->index, mark->checkpoint);
   if (mark->done && !task->done)
     {
@@ -291,6 +298,27 @@
     restore_mark (job, &progress->marks.marks_val[i]);
 }
 
+gboolean
+fb_pool_task_count_failed (FbPoolTask *task, uint32_t attempt)
+{
+  if (task->failed == NULL)
+    task->failed = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  for (guint i = 0; i < task->failed->len; i++)
+    {
+      if (g_array_index (task->failed, uint32_t, i) == attempt)
+        return FALSE;
+    }
+  if (task->failed->len < FB_WORK_MAX_FAILED)
+    g_array_append_val (task->failed, attempt);
+  return TRUE;
+}
+
+guint
+fb_pool_task_failed_n (const FbPoolTask *task)
+{
+  return task->failed != NULL ? task->failed->len : 0;
+}
+
 void
 fb_pool_task_save (FbPoolStep *step, uint32_t index, const char *checkpoint)
 {
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -162,9 +162,11 @@
   FbPoolStep *step = run->step;
   fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%d", run->name,
                 run->attempt, worker->id, result);
-  if (result == FB_ORDER_BAD_TICKET)
-    g_hash_table_remove (step->tickets, worker->id);
-  else if (result != FB_ORDER_SUPERSEDED)
+  FbPoolTicket *ticket = g_hash_table_lookup (step->tickets, worker->id);
+  /* The worker stays one of the allowed, so that it is asked for again. */
+  if (result == FB_ORDER_BAD_TICKET && ticket != NULL)
+    ticket->valid_until_ms = 0;
+  if (result != FB_ORDER_SUPERSEDED && result != FB_ORDER_BAD_TICKET)
     worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
   gboolean gang = step->shape->gang;
   fb_pool_run_over (self, worker, run);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -96,7 +96,9 @@
   g_hash_table_add (self->ended, job);
   fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
                 job->record.policy.queue, job->state, now_ms - job->admitted_ms);
-  stop_all (self, is_of_job, job, now_ms);
+  /* What still runs of a completed job are members of a gang that end by themselves. */
+  if (job->state != FB_WORK_COMPLETED)
+    stop_all (self, is_of_job, job, now_ms);
 }
 
 /* ---- losses -------------------------------------------------------------------- */
@@ -143,12 +145,10 @@
 {
   /* A gang fails as one: its first task keeps the count. */
   FbPoolTask *task = &step->tasks[step->shape->gang ? 0 : index];
-  if (step->shape->lasting || end->attempt <= task->ended_attempt)
+  if (step->shape->lasting || task->done || !fb_pool_task_count_failed (task, end->attempt))
     return;
-  task->ended_attempt = end->attempt;
-  task->failed++;
   fb_pool_job_changed (self, step->job);
-  if (task->failed >= step->job->record.policy.max_attempts)
+  if (fb_pool_task_failed_n (task) >= step->job->record.policy.max_attempts)
     fb_pool_job_end (self, step->job, FB_WORK_FAILED, now_ms, wall_ms);
 }
 
--- /dev/null
+++ b/tests/test-pool.c
@@ -0,0 +1,538 @@
+/* Runs a scripted pool: one line an event, and prints the orders that come out.
+ *
+ * Job ids are written short and padded with zeros; a task is JOB.K.STEP.INDEX. */
+#include "fb-event.h"
+#include "internal/codec.h"
+#include "internal/pool.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BEGIN_MS 100000
+#define BEGIN_WALL_MS 1000000000
+
+typedef struct
+{
+  FbPool *pool;
+  uint64_t now_ms;
+  GHashTable *admitted; /* job -> fb_work_admit, what the store holds */
+  GHashTable *progress; /* job -> GBytes */
+  GHashTable *workers;  /* id -> its line, listed again to a successor */
+  GHashTable *starts;   /* task -> order of its last start */
+  GHashTable *stops;    /* task -> order of its last stop */
+  GPtrArray *flush;     /* open */
+  gboolean show_looks;
+  gboolean advice_busy;
+  char **words;
+  const char *line;
+} Script;
+
+static const char *
+brief (const char *name)
+{
+  while (*name == '0')
+    name++;
+  return name;
+}
+
+static char *
+full (const char *name)
+{
+  const char *dot = strchr (name, '.');
+  gsize len = dot != NULL ? (gsize) (dot - name) : strlen (name);
+  GString *out = g_string_new (NULL);
+  for (gsize i = len; i < FB_WORK_JOB_ID_CHARS; i++)
+    g_string_append_c (out, '0');
+  return g_string_free (g_string_append (out, name), FALSE);
+}
+
+static void
+fail (const Script *script, const char *why)
+{
+  fprintf (stderr, "bad line \"%s\": %s\n", script->line, why);
+  exit (2);
+}
+
+/* ---- words of a line -------------------------------------------------------- */
+
+static const char *
+option (const Script *script, const char *name)
+{
+  gsize len = strlen (name);
+  for (guint i = 1; script->words[i] != NULL; i++)
+    {
+      if (strncmp (script->words[i], name, len) == 0 && script->words[i][len] == '=')
+        return script->words[i] + len + 1;
+    }
+  return NULL;
+}
+
+static uint64_t
+number (const Script *script, const char *name, uint64_t fallback)
+{
+  const char *text = option (script, name);
+  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : fallback;
+}
+
+static gboolean
+flag (const Script *script, const char *name)
+{
+  return g_strv_contains ((const char *const *) script->words + 1, name);
+}
+
+/* ---- orders that come out ------------------------------------------------------ */
+
+static void
+remember (GHashTable *table, const char *task, uint64_t order)
+{
+  g_hash_table_replace (table, g_strdup (brief (task)), g_memdup2 (&order, sizeof order));
+}
+
+static void
+on_start (gpointer user, const FbStartOrder *order)
+{
+  remember (((Script *) user)->starts, order->task, order->order);
+  printf ("  start %s attempt=%u on %s%s%s%s%s\n", brief (order->task), order->attempt,
+          order->worker, *order->checkpoint != '\0' ? " checkpoint=" : "", order->checkpoint,
+          order->ticket != NULL ? " ticket=" : "", order->ticket != NULL ? order->ticket : "");
+}
+
+static void
+on_stop (gpointer user, const FbStopOrder *order)
+{
+  remember (((Script *) user)->stops, order->task, order->order);
+  printf ("  stop %s attempt=%u on %s\n", brief (order->task), order->attempt, order->worker);
+}
+
+static void
+on_look (gpointer user, const FbLookOrder *order)
+{
+  if (((Script *) user)->show_looks)
+    printf ("  look at %s acknowledged=%" G_GUINT64_FORMAT " wait=%u%s\n", order->worker,
+            order->acknowledged, order->wait_ms, order->deadline_ms > 0 ? " lease" : "");
+}
+
+static gboolean
+on_advise (gpointer user, const char *step, const char *const *workers, guint n,
+           uint32_t expected_ms)
+{
+  if (((Script *) user)->advice_busy)
+    return FALSE;
+  (void) workers;
+  printf ("  ask advice for %s on %u workers, takes %u ms\n", brief (step), n, expected_ms);
+  return TRUE;
+}
+
+static void
+on_fenced (gpointer user, const char *worker)
+{
+  (void) user;
+  printf ("  fenced by %s\n", worker);
+}
+
+static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+
+/* ---- pools ------------------------------------------------------------------------ */
+
+static void
+list_worker (Script *script, char **words)
+{
+  char **saved = script->words;
+  script->words = words;
+  const char *labels[] = { "kind-a", option (script, "rack"), NULL };
+  const FbWorkerEntry entry = { .id = words[1],
+                                .address = words[1],
+                                .rack = labels[1],
+                                .labels = labels,
+                                .cpu_milli = (uint32_t) number (script, "cpu", 16000),
+                                .mem_mb = (uint32_t) number (script, "mem", 32000),
+                                .gpu_count = (uint32_t) number (script, "gpu", 0),
+                                .draining = flag (script, "draining") };
+  fb_pool_worker_listed (script->pool, &entry, script->now_ms);
+  script->words = saved;
+}
+
+static void
+open_pool (Script *script, uint64_t epoch)
+{
+  static const FbPoolLimits limits = { 6000, 200, 3000 };
+  g_clear_pointer (&script->pool, fb_pool_free);
+  script->pool = fb_pool_new ("svc", epoch, &limits, &sink, script, script->now_ms);
+  if (script->flush != NULL)
+    g_clear_pointer (&script->flush, g_ptr_array_unref);
+}
+
+static uint64_t
+wall_ms (const Script *script)
+{
+  return BEGIN_WALL_MS + script->now_ms - BEGIN_MS;
+}
+
+/* A successor: it knows what the store holds, and the list of workers. */
+static void
+do_epoch (Script *script)
+{
+  open_pool (script, g_ascii_strtoull (script->words[1], NULL, 10));
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, script->admitted);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    fb_pool_admit (script->pool, key, value, script->now_ms, wall_ms (script));
+  g_hash_table_iter_init (&iter, script->progress);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (value, &len);
+      fb_work_progress progress;
+      if (!fb_codec_decode_progress (data, len, &progress))
+        fail (script, "the recorded progress is malformed");
+      fb_pool_restore (script->pool, key, &progress);
+      xdr_free ((xdrproc_t) xdr_fb_work_progress, (char *) &progress);
+    }
+  g_hash_table_iter_init (&iter, script->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    list_worker (script, value);
+  if (g_hash_table_size (script->workers) > 0)
+    fb_pool_workers_complete (script->pool);
+}
+
+static void
+do_worker (Script *script)
+{
+  g_hash_table_replace (script->workers, g_strdup (script->words[1]), g_strdupv (script->words));
+  list_worker (script, script->words);
+}
+
+static void
+do_unlist (Script *script)
+{
+  g_hash_table_remove (script->workers, script->words[1]);
+  fb_pool_worker_unlisted (script->pool, script->words[1], script->now_ms);
+}
+
+static void
+do_complete (Script *script)
+{
+  fb_pool_workers_complete (script->pool);
+}
+
+/* ---- jobs ---------------------------------------------------------------------------- */
+
+/* A step: COUNT[,cpu=..][,mem=..][,gpu=..][,after=N][,gang][,lasting][,saves]... */
+static void
+read_step (const Script *script, const char *text, fb_work_step *step)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ",", -1);
+  step->count = (u_int) atoi (parts[0]);
+  step->cpu_milli = 1000;
+  step->mem_mb = 100;
+  step->estimate_ms = 1000;
+  step->after.after_val = calloc (FB_WORK_MAX_STEPS, sizeof (u_int));
+  step->data_rack = step->required_label = step->image = "";
+  for (guint i = 1; parts[i] != NULL; i++)
+    {
+      const char *value = strchr (parts[i], '=');
+      u_int n = value != NULL ? (u_int) atoi (value + 1) : 1;
+      if (g_str_has_prefix (parts[i], "cpu="))
+        step->cpu_milli = n;
+      else if (g_str_has_prefix (parts[i], "mem="))
+        step->mem_mb = n;
+      else if (g_str_has_prefix (parts[i], "gpu="))
+        step->gpu_count = n;
+      else if (g_str_has_prefix (parts[i], "apart="))
+        step->max_per_worker = n;
+      else if (g_str_has_prefix (parts[i], "after="))
+        step->after.after_val[step->after.after_len++] = n;
+      else if (g_str_has_prefix (parts[i], "label="))
+        step->required_label = g_strdup (value + 1);
+      else if (g_str_equal (parts[i], "gang"))
+        step->gang = TRUE;
+      else if (g_str_equal (parts[i], "lasting"))
+        step->lasting = TRUE;
+      else if (g_str_equal (parts[i], "saves"))
+        step->checkpointing = TRUE;
+      else
+        fail (script, parts[i]);
+    }
+}
+
+static void
+do_job (Script *script)
+{
+  fb_work_admit *record = g_new0 (fb_work_admit, 1);
+  record->policy.queue
+      = g_strdup (option (script, "queue") != NULL ? option (script, "queue") : "q");
+  record->policy.service = "svc";
+  record->policy.priority = (u_int) number (script, "priority", 0);
+  record->policy.max_attempts = (u_int) number (script, "attempts", 3);
+  record->policy.stretch_milli = 2000;
+  record->policy.target_ms = (u_int) number (script, "target", 1000);
+  record->policy.advised = flag (script, "advised");
+  record->policy.advice_decision_us = 20000;
+  record->policy.advice_validity_ms = 2000;
+  record->spec.payload = "payload";
+  record->spec.occurrences = (u_int) number (script, "times", 0);
+  record->spec.first_due_ms = BEGIN_WALL_MS + number (script, "due", 0);
+  record->spec.interval_ms = number (script, "every", 0);
+  record->accepted_ms = wall_ms (script);
+  record->spec.steps.steps_val = calloc (FB_WORK_MAX_STEPS, sizeof (fb_work_step));
+  for (guint i = 2; script->words[i] != NULL; i++)
+    {
+      if (g_str_has_prefix (script->words[i], "step:"))
+        read_step (script, script->words[i] + strlen ("step:"),
+                   &record->spec.steps.steps_val[record->spec.steps.steps_len++]);
+    }
+  char *id = full (script->words[1]);
+  g_hash_table_replace (script->admitted, id, record);
+  fb_pool_admit (script->pool, id, record, script->now_ms, wall_ms (script));
+}
+
+static void
+do_cancel (Script *script)
+{
+  g_autofree char *id = full (script->words[1]);
+  fb_pool_cancel (script->pool, id, script->now_ms, wall_ms (script));
+}
+
+static void
+do_state (Script *script)
+{
+  static const char *const names[] = { "queued", "running", "completed", "failed", "cancelled" };
+  g_autofree char *id = full (script->words[1]);
+  fb_work_state state = FB_WORK_QUEUED;
+  gboolean known = fb_pool_job_state (script->pool, id, &state);
+  printf ("  %s is %s\n", script->words[1], known ? names[state] : "not known");
+}
+
+static void
+do_pending (Script *script)
+{
+  printf ("  %u pending\n", fb_pool_pending (script->pool, script->words[1]));
+}
+
+/* ---- what workers say ------------------------------------------------------------------ */
+
+static FbOrderResult
+result_from (const Script *script, const char *name)
+{
+  static const char *const names[] = { "done",       "fenced",   "superseded", "late",   "no-room",
+                                       "bad-ticket", "not-done", "other-life", "unknown" };
+  for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
+    {
+      if (g_str_equal (name, names[i]))
+        return (FbOrderResult) i;
+    }
+  fail (script, "unknown result");
+  return FB_ORDER_UNKNOWN;
+}
+
+/* running=TASK/ATTEMPT[/CHECKPOINT],... */
+static void
+read_running (const char *text, GArray *running)
+{
+  g_auto (GStrv) items = g_strsplit (text != NULL ? text : "", ",", -1);
+  for (guint i = 0; items[i] != NULL; i++)
+    {
+      g_auto (GStrv) parts = g_strsplit (items[i], "/", 3);
+      FbRunSeen run = { .task = full (parts[0]),
+                        .attempt = (uint32_t) atoi (parts[1]),
+                        .checkpoint = g_strdup (parts[2] != NULL ? parts[2] : ""),
+                        .percent = 100 };
+      g_array_append_val (running, run);
+    }
+}
+
+/* ends=NUMBER/TASK/ATTEMPT/HOW[/CHECKPOINT],... */
+static void
+read_ends (const Script *script, const char *text, GArray *finished)
+{
+  static const char *const hows[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone", NULL };
+  g_auto (GStrv) items = g_strsplit (text != NULL ? text : "", ",", -1);
+  for (guint i = 0; items[i] != NULL; i++)
+    {
+      g_auto (GStrv) parts = g_strsplit (items[i], "/", 5);
+      guint how = 0;
+      while (hows[how] != NULL && !g_str_equal (hows[how], parts[3]))
+        how++;
+      if (hows[how] == NULL)
+        fail (script, "unknown end");
+      FbEndSeen end = { .number = g_ascii_strtoull (parts[0], NULL, 10),
+                        .task = full (parts[1]),
+                        .attempt = (uint32_t) atoi (parts[2]),
+                        .how = (FbEndHow) how,
+                        .checkpoint = g_strdup (parts[4] != NULL ? parts[4] : "") };
+      g_array_append_val (finished, end);
+    }
+}
+
+static void
+do_look (Script *script)
+{
+  g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+  const char *result = option (script, "result");
+  FbLookAnswer answer = { .result = result != NULL ? result_from (script, result) : FB_ORDER_DONE,
+                          .clock_ms = number (script, "clock", script->now_ms),
+                          .running = running,
+                          .finished = finished };
+  read_running (option (script, "running"), running);
+  read_ends (script, option (script, "ends"), finished);
+  fb_pool_look_answered (script->pool, script->words[1], &answer, script->now_ms, wall_ms (script));
+}
+
+static uint64_t
+order_of (const Script *script, GHashTable *table)
+{
+  const uint64_t *order = g_hash_table_lookup (table, script->words[1]);
+  if (order == NULL)
+    fail (script, "no such order");
+  return *order;
+}
+
+static void
+do_started (Script *script)
+{
+  fb_pool_start_answered (script->pool, order_of (script, script->starts),
+                          result_from (script, script->words[2]),
+                          number (script, "clock", script->now_ms), script->now_ms);
+}
+
+static void
+do_stopped (Script *script)
+{
+  fb_pool_stop_answered (script->pool, order_of (script, script->stops),
+                         result_from (script, script->words[2]),
+                         number (script, "clock", script->now_ms), script->now_ms);
+}
+
+/* advised STEP asked=W,W allowed=W,W [valid=MS] */
+static void
+do_advised (Script *script)
+{
+  g_autofree char *step = full (script->words[1]);
+  g_auto (GStrv) asked = g_strsplit (option (script, "asked"), ",", -1);
+  const char *list = option (script, "allowed");
+  g_auto (GStrv) allowed = g_strsplit (list != NULL ? list : "", ",", -1);
+  guint n = g_strv_length (allowed);
+  fb_told_advice told = { .validity_ms = (u_int) number (script, "valid", 2000) };
+  told.tickets.tickets_len = n;
+  told.tickets.tickets_val = calloc (n + 1, sizeof (fb_ticket));
+  for (guint i = 0; i < n; i++)
+    {
+      told.tickets.tickets_val[i].worker = allowed[i];
+      told.tickets.tickets_val[i].ticket = "t";
+    }
+  fb_pool_advised (script->pool, step, (const char *const *) asked, g_strv_length (asked), &told,
+                   script->now_ms);
+  free (told.tickets.tickets_val);
+}
+
+/* ---- time and records ---------------------------------------------------------------------- */
+
+static void
+do_step (Script *script)
+{
+  if (script->words[1] != NULL)
+    script->now_ms += g_ascii_strtoull (script->words[1], NULL, 10);
+  fb_pool_step (script->pool, TRUE, script->now_ms, wall_ms (script));
+}
+
+static void
+do_flush (Script *script)
+{
+  script->flush = fb_pool_flush (script->pool, script->now_ms, wall_ms (script));
+  for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
+    {
+      const FbPoolRecord *record = script->flush->pdata[i];
+      printf ("  %s %s\n", record->progress != NULL ? "record" : "drop", brief (record->job));
+    }
+}
+
+static void
+do_flushed (Script *script)
+{
+  for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
+    {
+      const FbPoolRecord *record = script->flush->pdata[i];
+      if (record->progress != NULL)
+        g_hash_table_replace (script->progress, g_strdup (record->job),
+                              g_bytes_ref (record->progress));
+      else
+        {
+          g_hash_table_remove (script->progress, record->job);
+          g_hash_table_remove (script->admitted, record->job);
+        }
+    }
+  g_clear_pointer (&script->flush, g_ptr_array_unref);
+  fb_pool_flushed (script->pool, script->now_ms);
+}
+
+static void
+do_show (Script *script)
+{
+  script->show_looks = flag (script, "looks");
+}
+
+static void
+do_advice (Script *script)
+{
+  script->advice_busy = flag (script, "busy");
+}
+
+static const struct
+{
+  const char *word;
+  void (*run) (Script *script);
+} verbs[] = { { "epoch", do_epoch },       { "worker", do_worker },   { "unlist", do_unlist },
+              { "complete", do_complete }, { "job", do_job },         { "cancel", do_cancel },
+              { "state", do_state },       { "pending", do_pending }, { "look", do_look },
+              { "started", do_started },   { "stopped", do_stopped }, { "advised", do_advised },
+              { "step", do_step },         { "flush", do_flush },     { "flushed", do_flushed },
+              { "show", do_show },         { "advice", do_advice } };
+
+static void
+run_line (Script *script, const char *line)
+{
+  g_auto (GStrv) words = g_strsplit_set (line, " ", -1);
+  script->line = line;
+  script->words = words;
+  for (guint i = 0; i < G_N_ELEMENTS (verbs); i++)
+    {
+      if (!g_str_equal (words[0], verbs[i].word))
+        continue;
+      verbs[i].run (script);
+      return;
+    }
+  fail (script, "unknown verb");
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *text = NULL;
+  if (argc != 2 || !g_file_get_contents (argv[1], &text, NULL, NULL))
+    {
+      fprintf (stderr, "usage: test-pool SCRIPT\n");
+      return 2;
+    }
+  fb_event_set_quiet (TRUE);
+  Script script = { .now_ms = BEGIN_MS };
+  script.admitted = g_hash_table_new (g_str_hash, g_str_equal);
+  script.progress = g_hash_table_new (g_str_hash, g_str_equal);
+  script.workers = g_hash_table_new (g_str_hash, g_str_equal);
+  script.starts = g_hash_table_new (g_str_hash, g_str_equal);
+  script.stops = g_hash_table_new (g_str_hash, g_str_equal);
+  open_pool (&script, 1);
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
+    {
+      if (lines[i][0] == '\0' || lines[i][0] == '#')
+        continue;
+      printf ("%s\n", lines[i]);
+      run_line (&script, lines[i]);
+    }
+  return 0;
+}
