--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -473,6 +473,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_ask_stored (XDR *xdrs, fb_ask_stored *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ask (XDR *xdrs, fb_ask *objp)
 {
@@ -497,6 +511,10 @@
 		 if (!xdr_fb_ask_append (xdrs, &objp->fb_ask_u.append))
 			 return FALSE;
 		break;
+	case FB_ASK_STORED:
+		 if (!xdr_fb_ask_stored (xdrs, &objp->fb_ask_u.stored))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -118,6 +118,7 @@
 	FB_ASK_PENDING = 2,
 	FB_ASK_ADVICE = 3,
 	FB_ASK_APPEND = 4,
+	FB_ASK_STORED = 5,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -156,6 +157,16 @@
 };
 typedef struct fb_ask_append fb_ask_append;
 
+struct fb_ask_stored {
+	u_int partition;
+	char *key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct fb_ask_stored fb_ask_stored;
+
 struct fb_ask {
 	fb_ask_type type;
 	union {
@@ -163,6 +174,7 @@
 		fb_ask_queue queue;
 		fb_ask_advice advice;
 		fb_ask_append append;
+		fb_ask_stored stored;
 	} fb_ask_u;
 };
 typedef struct fb_ask fb_ask;
@@ -220,6 +232,7 @@
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
 extern  bool_t xdr_fb_ask_advice (XDR *, fb_ask_advice*);
 extern  bool_t xdr_fb_ask_append (XDR *, fb_ask_append*);
+extern  bool_t xdr_fb_ask_stored (XDR *, fb_ask_stored*);
 extern  bool_t xdr_fb_ask (XDR *, fb_ask*);
 extern  bool_t xdr_fb_told_type (XDR *, fb_told_type*);
 extern  bool_t xdr_fb_ticket (XDR *, fb_ticket*);
@@ -240,6 +253,7 @@
 extern bool_t xdr_fb_worker_name ();
 extern bool_t xdr_fb_ask_advice ();
 extern bool_t xdr_fb_ask_append ();
+extern bool_t xdr_fb_ask_stored ();
 extern bool_t xdr_fb_ask ();
 extern bool_t xdr_fb_told_type ();
 extern bool_t xdr_fb_ticket ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -93,7 +93,8 @@
   FB_ASK_STATE = 1,  /* of a job, by the owner of its pool */
   FB_ASK_PENDING = 2, /* of a queue */
   FB_ASK_ADVICE = 3, /* call the advice service from the daemon asked */
-  FB_ASK_APPEND = 4  /* append to the log for a daemon that it turns away */
+  FB_ASK_APPEND = 4, /* append to the log for a daemon that it turns away */
+  FB_ASK_STORED = 5  /* tells the owner of a record that is in the log */
 };
 
 struct fb_ask_job {
@@ -120,11 +121,18 @@
   opaque records<>;
 };
 
+struct fb_ask_stored {
+  unsigned int partition;
+  string key<FB_WORK_MAX_NAME>;
+  opaque value<>;
+};
+
 union fb_ask switch (fb_ask_type type) {
 case FB_ASK_STATE: fb_ask_job job;
 case FB_ASK_PENDING: fb_ask_queue queue;
 case FB_ASK_ADVICE: fb_ask_advice advice;
 case FB_ASK_APPEND: fb_ask_append append;
+case FB_ASK_STORED: fb_ask_stored stored;
 };
 
 enum fb_told_type {
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -86,6 +86,8 @@
 gboolean fb_owner_lost (const FbOwner *self);
 /* Answers questions about jobs and queues. */
 void fb_owner_tell (FbOwner *self, const fb_ask *ask, fb_told *told);
+/* Takes a record of FB_TOPIC_JOBS that is in the store, before it is read there. */
+void fb_owner_take_record (FbOwner *self, const char *key, GBytes *value);
 /* Something changed that pools should look at soon. */
 void fb_owner_kick (FbOwner *self);
 void fb_owner_routes_changed (FbOwner *self);
@@ -108,6 +110,9 @@
 /* Asks the owner of the pool of SERVICE, wherever it is. */
 void fb_peers_ask_owner (FbEntry *entry, const char *service, const fb_ask *ask,
                          uint32_t timeout_ms, FbTold done, gpointer user);
+/* Tells the owner of PARTITION of a stored record; it is read from the store anyway,
+ * so nothing depends on the answer. */
+void fb_peers_tell_stored (FbEntry *entry, uint32_t partition, const char *key, GBytes *value);
 void fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                      GHashTable *query, gpointer entry);
 
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -31,11 +31,12 @@
 {
   FbEntry *entry;
   SoupServerMessage *message;
-  const FbRoute *route; /* valid only while the handler runs */
   char *job;
   char *queue;
   char *service;
-  GByteArray *records; /* kept for a peer */
+  char *key;           /* of the record that is to be stored */
+  GBytes *value;
+  GByteArray *records; /* the same, encoded; kept for a peer */
   uint32_t partition;
   uint64_t since_ms;
   gboolean is_delete;
@@ -83,8 +84,8 @@
   set_answer (request->entry, request->message, status, body);
   soup_server_message_unpause (request->message);
   g_object_unref (request->message);
-  if (request->records != NULL)
-    g_byte_array_unref (request->records);
+  g_clear_pointer (&request->records, g_byte_array_unref);
+  g_clear_pointer (&request->value, g_bytes_unref);
   talloc_free (request);
   open_requests--;
 }
@@ -117,7 +118,10 @@
   log_stored (request, result == FB_APPEND_STORED,
               result == FB_APPEND_IN_DOUBT ? "in doubt" : "by the store");
   if (result == FB_APPEND_STORED)
-    finish (request, SOUP_STATUS_OK, "{}");
+    {
+      fb_peers_tell_stored (request->entry, request->partition, request->key, request->value);
+      finish (request, SOUP_STATUS_OK, "{}");
+    }
   else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
     finish (request, SOUP_STATUS_GATEWAY_TIMEOUT, "{\"error\":\"not known whether it is stored\"}");
   else
@@ -184,9 +188,10 @@
 static void
 store (Request *request, char kind, GBytes *value)
 {
-  g_autofree char *key = g_strdup_printf ("%c%s", kind, request->job);
+  request->key = talloc_asprintf (request, "%c%s", kind, request->job);
+  request->value = g_bytes_ref (value);
   request->records = g_byte_array_new ();
-  fb_wire_put_record (request->records, key, value);
+  fb_wire_put_record (request->records, request->key, value);
   fb_appender_put (fb_entry_appender (request->entry, request->partition),
                    g_byte_array_ref (request->records), request->since_ms + STORE_MS, on_stored,
                    request);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -10,10 +10,10 @@
 #include <string.h>
 
 #define GROUP "owners"
-/* A dead owner is replaced after this; a take-over adds some 0.5 s.  Below 1 s the
- * store refuses it, and a daemon on a quarter of a core must get two joins through. */
-#define TTL_MS 1500
-#define JOIN_EVERY_MS 350
+/* A dead owner is replaced after this, if the store allows so short a time; a take-over
+ * adds some 0.3 s.  A daemon on a quarter of a core gets three joins through. */
+#define TTL_MS 1000
+#define JOIN_EVERY_MS 250
 #define ANSWER_MS 500
 /* Owners are asked for when the group changed, and this often all the same. */
 #define OWNERS_EVERY_MS 3000
@@ -23,6 +23,7 @@
 {
   FbEntry *entry;
   char *member;
+  uint32_t ttl_ms;
   uint64_t generation;
   uint64_t ok_sent_ms; /* when the last join that was answered had been sent */
   uint64_t join_sent_ms;
@@ -117,7 +118,7 @@
 gboolean
 fb_group_is_member (const FbGroup *self, uint64_t now_ms)
 {
-  return self->ok_sent_ms != 0 && now_ms < self->ok_sent_ms + TTL_MS;
+  return self->ok_sent_ms != 0 && now_ms < self->ok_sent_ms + self->ttl_ms;
 }
 
 static void
@@ -134,7 +135,7 @@
     {
       /* Out for longer than its time to live, it may have lost its partitions and
        * got them back: another owner was in between. */
-      if (self->generation != 0 && self->join_sent_ms >= self->ok_sent_ms + TTL_MS
+      if (self->generation != 0 && self->join_sent_ms >= self->ok_sent_ms + self->ttl_ms
           && generation != self->generation)
         {
           g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
@@ -158,7 +159,7 @@
   FbGroup *self = data;
   self->timer = 0;
   FbHttpCall call;
-  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS, TTL_MS,
+  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS, self->ttl_ms,
                 self->generation);
   self->join_sent_ms = fb_clock_ms ();
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_joined, self);
@@ -196,6 +197,7 @@
   self->entry = entry;
   self->member
       = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers, g_get_real_time ());
+  self->ttl_ms = (uint32_t) MAX (TTL_MS, entry->settings->shortest_ttl_ms);
   self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   join (self);
   return self;
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -463,23 +463,31 @@
   fb_owner_kick (self);
 }
 
+void
+fb_owner_take_record (FbOwner *self, const char *key, GBytes *value)
+{
+  if (!self->loaded || value == NULL || strlen (key) < 2)
+    return;
+  if (key[0] == FB_KEY_JOB)
+    admit (self, key + 1, value);
+  else
+    cancel (self, key + 1);
+  fb_owner_kick (self);
+}
+
 static void
 on_job_record (gpointer user, const FbStoreRecord *record)
 {
   FbOwner *self = user;
-  if (strlen (record->key) < 2)
-    return;
-  const char *job = record->key + 1;
-  gboolean is_job = record->key[0] == FB_KEY_JOB;
-  if (!self->loaded && record->value != NULL)
-    g_hash_table_replace (is_job ? self->loading : self->cancelled, g_strdup (job),
-                          g_bytes_ref (record->value));
-  else if (record->value != NULL && is_job)
-    admit (self, job, record->value);
-  else if (record->value != NULL)
-    cancel (self, job);
   if (self->loaded)
-    fb_owner_kick (self);
+    {
+      fb_owner_take_record (self, record->key, record->value);
+      return;
+    }
+  if (record->value == NULL || strlen (record->key) < 2)
+    return;
+  g_hash_table_replace (record->key[0] == FB_KEY_JOB ? self->loading : self->cancelled,
+                        g_strdup (record->key + 1), g_bytes_ref (record->value));
 }
 
 static void
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -13,6 +13,8 @@
 #define XDR_TYPE "application/octet-stream"
 /* For an append on behalf of a daemon that the store turns away. */
 #define APPEND_MS 1500
+/* After this the owner has read the record itself. */
+#define TELL_MS 700
 /* An owner that is being replaced is asked for again after this. */
 #define ASK_AGAIN_MS 120
 
@@ -144,6 +146,39 @@
   ask_owner (question);
 }
 
+/* ---- telling an owner --------------------------------------------------------------- */
+
+static void
+ignore_told (gpointer user, const fb_told *told)
+{
+  (void) user;
+  (void) told;
+}
+
+/* The owner reads the record from the store too, but later: a poll costs a call of the
+ * store (4 ms, 100 ms and more when it is slow), and polls may hear nothing for a
+ * second while the store cleans up. */
+void
+fb_peers_tell_stored (FbEntry *entry, uint32_t partition, const char *key, GBytes *value)
+{
+  FbOwner *owner = fb_entry_owner (entry, partition);
+  const char *address = fb_group_owner_of (entry->group, partition);
+  if (owner != NULL)
+    {
+      fb_owner_take_record (owner, key, value);
+      return;
+    }
+  if (address == NULL || g_str_equal (address, entry->settings->peers))
+    return;
+  gsize len = 0;
+  fb_ask ask = { .type = FB_ASK_STORED };
+  ask.fb_ask_u.stored.partition = partition;
+  ask.fb_ask_u.stored.key = (char *) key;
+  ask.fb_ask_u.stored.value.value_val = (char *) g_bytes_get_data (value, &len);
+  ask.fb_ask_u.stored.value.value_len = (u_int) len;
+  fb_peers_ask (entry, address, &ask, TELL_MS, ignore_told, NULL);
+}
+
 /* ---- answering -------------------------------------------------------------------- */
 
 typedef struct
@@ -180,6 +215,11 @@
 static void
 append_for_peer (FbEntry *entry, const fb_ask_append *ask, Answer *answer)
 {
+  if (ask->partition >= entry->settings->partitions)
+    {
+      on_answer_ready (answer, NULL);
+      return;
+    }
   GByteArray *records = g_byte_array_new ();
   g_byte_array_append (records, (const guint8 *) ask->records.records_val,
                        ask->records.records_len);
@@ -187,12 +227,25 @@
                    on_appended, answer);
 }
 
+static void
+take_stored (FbEntry *entry, const fb_ask_stored *ask)
+{
+  FbOwner *owner = fb_entry_owner (entry, ask->partition);
+  g_autoptr (GBytes) value = g_bytes_new (ask->value.value_val, ask->value.value_len);
+  if (owner != NULL)
+    fb_owner_take_record (owner, ask->key, value);
+}
+
+static const char *
+service_of (const fb_ask *ask)
+{
+  return ask->type == FB_ASK_STATE ? ask->fb_ask_u.job.service : ask->fb_ask_u.queue.service;
+}
+
 static void
 answer_ask (FbEntry *entry, const fb_ask *ask, Answer *answer)
 {
   fb_told told = { .type = FB_TOLD_UNSURE };
-  const char *service
-      = ask->type == FB_ASK_STATE ? ask->fb_ask_u.job.service : ask->fb_ask_u.queue.service;
   FbOwner *owner = NULL;
   switch (ask->type)
     {
@@ -204,9 +257,12 @@
     case FB_ASK_APPEND:
       append_for_peer (entry, &ask->fb_ask_u.append, answer);
       return;
+    case FB_ASK_STORED:
+      take_stored (entry, &ask->fb_ask_u.stored);
+      break;
     case FB_ASK_STATE:
     case FB_ASK_PENDING:
-      owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service));
+      owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service_of (ask)));
       if (owner != NULL)
         fb_owner_tell (owner, ask, &told);
       break;
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -14,6 +14,7 @@
   char *store;
   char *advice; /* NULL: no queue has advice */
   uint64_t partitions;
+  uint64_t shortest_ttl_ms; /* of a member of a group */
   uint64_t hold_max_ms;
   uint64_t stop_ms;
   uint64_t gang_wait_ms;
