Take a pool over with a list of workers that is younger than the take-over

The trace: the new owner had been cut off from the store for 12 s; its list of workers was as old as the cut and lacked two lives of workers that the owner before had just used. Now only a list read after the owner before was shut out counts, and the owner's own list of workers is kept in the store: the platform's loses entries in an outage.

--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -27,6 +27,8 @@
 gboolean fb_codec_decode_admit (const void *data, gsize len, fb_work_admit *admit);
 GBytes *fb_codec_encode_progress (const fb_work_progress *progress);
 gboolean fb_codec_decode_progress (const void *data, gsize len, fb_work_progress *progress);
+GBytes *fb_codec_encode_workers (const fb_work_workers *workers);
+gboolean fb_codec_decode_workers (const void *data, gsize len, fb_work_workers *workers);
 GBytes *fb_codec_encode_ask (const fb_ask *ask);
 gboolean fb_codec_decode_ask (const void *data, gsize len, fb_ask *ask);
 GBytes *fb_codec_encode_told (const fb_told *told);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -191,16 +191,17 @@
   gboolean fenced;
   gboolean flushing;
   uint64_t last_order;
-  GHashTable *workers; /* id -> FbPoolWorker */
-  GHashTable *jobs;    /* id -> FbPoolJob */
-  GHashTable *active;  /* set of FbPoolJob that have not ended; borrowed */
-  GHashTable *ended;   /* set of FbPoolJob that are kept for late callers; borrowed */
-  GHashTable *dirty;   /* set of FbPoolJob with news to record; borrowed */
-  GPtrArray *in_flush; /* of FbPoolJob: what the open flush holds; borrowed */
-  GHashTable *orders;  /* order -> FbPoolOrderRef */
-  gboolean place_due;  /* room, work or advice came since the last round */
-  uint64_t expired_ms; /* when results were last looked through for old ones */
-  uint64_t tended_ms;  /* when workers and times were last looked after */
+  GHashTable *workers;    /* id -> FbPoolWorker */
+  GHashTable *jobs;       /* id -> FbPoolJob */
+  GHashTable *active;     /* set of FbPoolJob that have not ended; borrowed */
+  GHashTable *ended;      /* set of FbPoolJob that are kept for late callers; borrowed */
+  GHashTable *dirty;      /* set of FbPoolJob with news to record; borrowed */
+  GPtrArray *in_flush;    /* of FbPoolJob: what the open flush holds; borrowed */
+  GHashTable *orders;     /* order -> FbPoolOrderRef */
+  gboolean workers_dirty; /* the record of workers is out of date */
+  gboolean place_due;     /* room, work or advice came since the last round */
+  uint64_t expired_ms;    /* when results were last looked through for old ones */
+  uint64_t tended_ms;     /* when workers and times were last looked after */
 };
 
 /* An attempt's number is above all that were used before it.  A job that was taken
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -153,8 +153,11 @@
 void fb_pool_worker_listed (FbPool *self, const FbWorkerEntry *entry, uint64_t now_ms);
 /* A worker is no longer listed: it left, or was silent for long. */
 void fb_pool_worker_unlisted (FbPool *self, const char *id, uint64_t now_ms);
-/* The first complete list has been passed in. */
+/* What was passed in is all that the platform listed at a moment after the pool was
+ * made: an older list may lack a worker that the owner before has used. */
 void fb_pool_workers_complete (FbPool *self);
+/* Workers that the owner before knew; comes before fb_pool_workers_complete(). */
+void fb_pool_restore_workers (FbPool *self, const fb_work_workers *record);
 
 /* Takes a job into the pool; a job that it knows is left as it is. */
 void fb_pool_admit (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
@@ -183,7 +186,7 @@
 
 typedef struct
 {
-  char *job;
+  char *job;        /* NULL: the record of the pool's workers */
   GBytes *progress; /* NULL: the job's records can go */
 } FbPoolRecord;
 
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -404,6 +404,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_work_known (XDR *xdrs, fb_work_known *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_workers (XDR *xdrs, fb_work_workers *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, FB_WORK_MAX_WORKERS,
+		sizeof (fb_work_known), (xdrproc_t) xdr_fb_work_known))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ask_type (XDR *xdrs, fb_ask_type *objp)
 {
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -21,6 +21,7 @@
 #define FB_WORK_MAX_MARKS 65536
 #define FB_WORK_MAX_FAILED 1024
 #define FB_WORK_MAX_TICKETS 128
+#define FB_WORK_MAX_WORKERS 20000
 
 struct fb_work_step {
 	u_int count;
@@ -113,6 +114,20 @@
 };
 typedef struct fb_work_progress fb_work_progress;
 
+struct fb_work_known {
+	char *id;
+	char *address;
+};
+typedef struct fb_work_known fb_work_known;
+
+struct fb_work_workers {
+	struct {
+		u_int workers_len;
+		fb_work_known *workers_val;
+	} workers;
+};
+typedef struct fb_work_workers fb_work_workers;
+
 enum fb_ask_type {
 	FB_ASK_STATE = 1,
 	FB_ASK_PENDING = 2,
@@ -226,6 +241,8 @@
 extern  bool_t xdr_fb_work_mark (XDR *, fb_work_mark*);
 extern  bool_t xdr_fb_work_state (XDR *, fb_work_state*);
 extern  bool_t xdr_fb_work_progress (XDR *, fb_work_progress*);
+extern  bool_t xdr_fb_work_known (XDR *, fb_work_known*);
+extern  bool_t xdr_fb_work_workers (XDR *, fb_work_workers*);
 extern  bool_t xdr_fb_ask_type (XDR *, fb_ask_type*);
 extern  bool_t xdr_fb_ask_job (XDR *, fb_ask_job*);
 extern  bool_t xdr_fb_ask_queue (XDR *, fb_ask_queue*);
@@ -247,6 +264,8 @@
 extern bool_t xdr_fb_work_mark ();
 extern bool_t xdr_fb_work_state ();
 extern bool_t xdr_fb_work_progress ();
+extern bool_t xdr_fb_work_known ();
+extern bool_t xdr_fb_work_workers ();
 extern bool_t xdr_fb_ask_type ();
 extern bool_t xdr_fb_ask_job ();
 extern bool_t xdr_fb_ask_queue ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -10,6 +10,7 @@
 const FB_WORK_MAX_MARKS = 65536;
 const FB_WORK_MAX_FAILED = 1024;
 const FB_WORK_MAX_TICKETS = 128;
+const FB_WORK_MAX_WORKERS = 20000;
 
 /* One step: COUNT equal tasks, each of the size given. */
 struct fb_work_step {
@@ -87,6 +88,17 @@
   fb_work_mark marks<FB_WORK_MAX_MARKS>;
 };
 
+/* The workers of a pool that may run something, as its owner knew them.  The
+ * platform's list loses entries while the store is away. */
+struct fb_work_known {
+  string id<FB_WORK_MAX_NAME>;
+  string address<FB_WORK_MAX_NAME>;
+};
+
+struct fb_work_workers {
+  fb_work_known workers<FB_WORK_MAX_WORKERS>;
+};
+
 /* Between daemons: asked of the owner of a pool, or of a helper. */
 
 enum fb_ask_type {
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -170,3 +170,15 @@
 {
   return decode_whole ((xdrproc_t) xdr_fb_told, data, len, sizeof *told, told);
 }
+
+GBytes *
+fb_codec_encode_workers (const fb_work_workers *workers)
+{
+  return encode ((xdrproc_t) xdr_fb_work_workers, workers, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_workers (const void *data, gsize len, fb_work_workers *workers)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_work_workers, data, len, sizeof *workers, workers);
+}
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -45,6 +45,8 @@
 FbFollower *fb_follower_new (FbEntry *entry, const char *topic, uint32_t partition,
                              uint32_t pause_ms, const FbFollowerOps *ops, gpointer user);
 void fb_follower_free (FbFollower *self);
+/* Reads now what it would read after its pause. */
+void fb_follower_hurry (FbFollower *self);
 /* When the last answered read was sent: everything stored before is known.  0
  * while the first listing is open. */
 uint64_t fb_follower_fresh_ms (const FbFollower *self);
@@ -93,7 +95,6 @@
 void fb_owner_routes_changed (FbOwner *self);
 void fb_owner_worker_listed (FbOwner *self, const FbListedWorker *worker);
 void fb_owner_worker_unlisted (FbOwner *self, const FbListedWorker *worker);
-void fb_owner_workers_complete (FbOwner *self);
 /* Nothing is started any more; what is known is made durable. */
 void fb_owner_quiesce (FbOwner *self);
 gboolean fb_owner_is_quiet (const FbOwner *self);
@@ -148,7 +149,6 @@
   FbFollower *worker_follower; /* NULL until it owns something */
   GHashTable *workers;         /* id -> FbListedWorker */
   GHashTable *relisted;        /* ids of the listing that is open; NULL: none is */
-  gboolean workers_complete;
   FbGroup *group;
   FbAdvisor *advisor;
   GHashTable *owners;    /* partition -> FbOwner */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -168,8 +168,6 @@
         unlist_worker (self, l->data);
     }
   g_clear_pointer (&self->relisted, g_hash_table_unref);
-  self->workers_complete = TRUE;
-  each_owner (self, fb_owner_workers_complete);
 }
 
 static const FbFollowerOps worker_ops = { on_workers_begin, on_worker_record, on_workers_listed };
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -33,6 +33,7 @@
   uint64_t fresh_ms;
   uint32_t retry_ms;
   guint timer;
+  gboolean hurry; /* the next pause is left out */
   gboolean call_open;
   gboolean in_reply; /* the callbacks below may free it */
   gboolean freed;
@@ -117,7 +118,8 @@
 take_changes (FbFollower *self, const FbHttpReply *reply)
 {
   g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
-  switch (fb_wire_read_page (reply, self->from, records, &self->from))
+  uint64_t end = 0;
+  switch (fb_wire_read_page (reply, self->from, records, &self->from, &end))
     {
     case FB_READ_FAILED:
       retry_later (self);
@@ -126,12 +128,15 @@
       begin_listing (self);
       break;
     case FB_READ_OK:
-      self->fresh_ms = self->sent_ms;
       self->retry_ms = RETRY_FIRST_MS;
       pass_records (self, records);
+      if (self->from >= end)
+        self->fresh_ms = self->sent_ms;
       break;
     }
-  if (self->pause_ms > 0 && !self->listing && !self->freed)
+  gboolean pause = self->pause_ms > 0 && !self->listing && !self->hurry && !self->freed;
+  self->hurry = FALSE;
+  if (pause)
     self->timer = g_timeout_add (self->pause_ms, on_retry, self);
   else
     proceed (self);
@@ -204,6 +209,17 @@
     really_free (self);
 }
 
+void
+fb_follower_hurry (FbFollower *self)
+{
+  self->hurry = TRUE;
+  if (self->call_open || self->timer == 0)
+    return;
+  g_source_remove (self->timer);
+  self->timer = 0;
+  proceed (self);
+}
+
 uint64_t
 fb_follower_fresh_ms (const FbFollower *self)
 {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -34,7 +34,7 @@
   char *job;
   char *queue;
   char *service;
-  char *key;           /* of the record that is to be stored */
+  char *key; /* of the record that is to be stored */
   GBytes *value;
   GByteArray *records; /* the same, encoded; kept for a peer */
   uint32_t partition;
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -159,8 +159,8 @@
   FbGroup *self = data;
   self->timer = 0;
   FbHttpCall call;
-  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS, self->ttl_ms,
-                self->generation);
+  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS,
+                self->ttl_ms, self->generation);
   self->join_sent_ms = fb_clock_ms ();
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_joined, self);
   fb_http_call_clear (&call);
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -13,6 +13,8 @@
 #include <string.h>
 
 #define WRITER "owner"
+/* Keys of FB_TOPIC_PROGRESS are job ids, or this and the name of a service. */
+#define KEY_WORKERS "workers."
 /* Events that come close together are handled in one go. */
 #define KICK_MS 4
 #define TICK_MS 25
@@ -47,9 +49,11 @@
   GHashTable *loading;   /* job -> GBytes, while loading */
   GHashTable *parts;     /* service -> Part */
   gboolean loaded;
+  gboolean workers_known; /* the list of workers is younger than the take-over */
   gboolean lost;
   gboolean quiet;
   uint64_t began_ms;
+  uint64_t fenced_ms;    /* since when the owner before cannot record anything */
   uint64_t authority_ms; /* when it was last sure to be the owner */
   guint kick;
   guint tick;
@@ -234,8 +238,6 @@
       if (g_str_equal (worker->service, part->service))
         fb_pool_worker_listed (part->pool, &worker->entry, fb_clock_ms ());
     }
-  if (entry->workers_complete)
-    fb_pool_workers_complete (part->pool);
 }
 
 static Part *
@@ -254,6 +256,8 @@
   part->pool = fb_pool_new (service, self->epoch, &limits, &sink, part, fb_clock_ms ());
   g_hash_table_insert (self->parts, part->service, part);
   list_known_workers (part);
+  if (self->workers_known)
+    fb_pool_workers_complete (part->pool);
   return part;
 }
 
@@ -283,9 +287,29 @@
     fb_pool_cancel (((Part *) part)->pool, job, fb_clock_ms (), fb_clock_wall_ms ());
 }
 
+static void
+restore_workers (FbOwner *self, const char *service, GBytes *value)
+{
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (value, &len);
+  fb_work_workers record;
+  if (!fb_codec_decode_workers (data, len, &record))
+    {
+      fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "workers of service=%s malformed", service);
+      return;
+    }
+  fb_pool_restore_workers (part_for (self, service)->pool, &record);
+  xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
+}
+
 static void
 restore (FbOwner *self, const char *job, GBytes *value)
 {
+  if (g_str_has_prefix (job, KEY_WORKERS))
+    {
+      restore_workers (self, job + strlen (KEY_WORKERS), value);
+      return;
+    }
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (value, &len);
   fb_work_progress record;
@@ -360,7 +384,8 @@
   for (guint i = 0; i < records->len; i++)
     {
       const FbPoolRecord *record = records->pdata[i];
-      fb_wire_put_record (body, record->job, record->progress);
+      g_autofree char *workers_key = g_strconcat (KEY_WORKERS, part->service, NULL);
+      fb_wire_put_record (body, record->job != NULL ? record->job : workers_key, record->progress);
       if (record->progress == NULL)
         drop_job_records (self, record->job);
     }
@@ -385,10 +410,29 @@
   return TRUE;
 }
 
+/* Failure: the daemon was cut off from the store, came back and took over; its list of
+ * workers is as old as the cut and lacks one that the owner before has used.  It
+ * shows as a second run of what runs there.  Guard: only a list that was read after
+ * the owner before was shut out counts. */
+static void
+check_worker_list (FbOwner *self)
+{
+  const FbFollower *list = self->entry->worker_follower;
+  if (self->workers_known || fb_follower_fresh_ms (list) <= self->fenced_ms)
+    return;
+  self->workers_known = TRUE;
+  GHashTableIter iter;
+  gpointer part;
+  g_hash_table_iter_init (&iter, self->parts);
+  while (g_hash_table_iter_next (&iter, NULL, &part))
+    fb_pool_workers_complete (((Part *) part)->pool);
+}
+
 static void
 round_of (FbOwner *self)
 {
   uint64_t now_ms = fb_clock_ms ();
+  check_worker_list (self);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->parts);
@@ -530,6 +574,8 @@
       lose (self, "a later owner writes");
       return;
     }
+  self->fenced_ms = fb_clock_ms ();
+  fb_follower_hurry (self->entry->worker_follower);
   self->progress_follower
       = fb_follower_new (self->entry, FB_TOPIC_PROGRESS, self->partition, 0, &progress_ops, self);
 }
@@ -618,16 +664,6 @@
     fb_pool_worker_unlisted (part->pool, worker->entry.id, fb_clock_ms ());
 }
 
-void
-fb_owner_workers_complete (FbOwner *self)
-{
-  GHashTableIter iter;
-  gpointer part;
-  g_hash_table_iter_init (&iter, self->parts);
-  while (g_hash_table_iter_next (&iter, NULL, &part))
-    fb_pool_workers_complete (((Part *) part)->pool);
-}
-
 void
 fb_owner_advised (FbOwner *self, const char *step, const char *const *asked, guint n,
                   const fb_told_advice *told)
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -27,8 +27,8 @@
                                              offsetof (FbEntrySettings, store) },
                                            { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX,
                                              NULL, offsetof (FbEntrySettings, partitions) },
-        { "shortest-membership", FB_INI_DURATION, TRUE, 1, 60000, NULL,
-          offsetof (FbEntrySettings, shortest_ttl_ms) },
+                                           { "shortest-membership", FB_INI_DURATION, TRUE, 1, 60000,
+                                             NULL, offsetof (FbEntrySettings, shortest_ttl_ms) },
                                            { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
 static const FbIniField advice_fields[] = { { "address", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN,
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -55,6 +55,7 @@
     {
       worker = fb_pool_worker_new (entry->id);
       g_hash_table_insert (self->workers, worker->id, worker);
+      self->workers_dirty = TRUE;
     }
   gboolean was_draining = worker->draining;
   self->place_due = TRUE;
@@ -78,6 +79,23 @@
                 g_hash_table_size (worker->runs), (guint) (now_ms - worker->heard_ms));
 }
 
+/* Failure: a worker's entry lapsed while the store was away, the owner changed, and the
+ * successor does not know of the worker; it shows as a second run of what it runs.
+ * Guard: the owner's own list of workers outlives it. */
+void
+fb_pool_restore_workers (FbPool *self, const fb_work_workers *record)
+{
+  for (u_int i = 0; i < record->workers.workers_len; i++)
+    {
+      const fb_work_known *known = &record->workers.workers_val[i];
+      if (g_hash_table_contains (self->workers, known->id))
+        continue;
+      FbPoolWorker *worker = fb_pool_worker_new (known->id);
+      worker->address = g_strdup (known->address);
+      g_hash_table_insert (self->workers, worker->id, worker);
+    }
+}
+
 void
 fb_pool_workers_complete (FbPool *self)
 {
@@ -103,6 +121,7 @@
 forget_worker (FbPool *self, FbPoolWorker *worker)
 {
   g_hash_table_remove (self->workers, worker->id);
+  self->workers_dirty = TRUE;
 }
 
 static void
@@ -403,6 +422,26 @@
   g_hash_table_remove_all (self->dirty);
 }
 
+static void
+take_workers (FbPool *self, GPtrArray *records)
+{
+  if (!self->workers_dirty || !self->settled)
+    return;
+  self->workers_dirty = FALSE;
+  guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
+  g_autofree fb_work_known *known = g_new0 (fb_work_known, n + 1);
+  fb_work_workers record = { .workers = { 0, known } };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (record.workers.workers_len < n && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolWorker *worker = value;
+      known[record.workers.workers_len++] = (fb_work_known){ worker->id, worker->address };
+    }
+  add_record (records, NULL, fb_codec_encode_workers (&record));
+}
+
 static void
 take_expired (FbPool *self, GPtrArray *records, uint64_t wall_ms)
 {
@@ -428,6 +467,7 @@
     return NULL;
   GPtrArray *records = g_ptr_array_new_with_free_func (record_free);
   take_dirty (self, records);
+  take_workers (self, records);
   if (now_ms >= self->expired_ms + FB_POOL_EXPIRE_EVERY_MS)
     {
       self->expired_ms = now_ms;
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -16,12 +16,13 @@
 {
   FbPool *pool;
   uint64_t now_ms;
-  GHashTable *admitted; /* job -> fb_work_admit, what the store holds */
-  GHashTable *progress; /* job -> GBytes */
-  GHashTable *workers;  /* id -> its line, listed again to a successor */
-  GHashTable *starts;   /* task -> order of its last start */
-  GHashTable *stops;    /* task -> order of its last stop */
-  GPtrArray *flush;     /* open */
+  GHashTable *admitted;  /* job -> fb_work_admit, what the store holds */
+  GHashTable *progress;  /* job -> GBytes */
+  GBytes *known_workers; /* the record of the pool's workers, or NULL */
+  GHashTable *workers;   /* id -> its line, listed again to a successor */
+  GHashTable *starts;    /* task -> order of its last start */
+  GHashTable *stops;     /* task -> order of its last stop */
+  GPtrArray *flush;      /* open */
   gboolean show_looks;
   gboolean advice_busy;
   char **words;
@@ -169,6 +170,20 @@
   return BEGIN_WALL_MS + script->now_ms - BEGIN_MS;
 }
 
+static void
+restore_workers (Script *script)
+{
+  gsize len = 0;
+  fb_work_workers record;
+  if (script->known_workers == NULL)
+    return;
+  gconstpointer data = g_bytes_get_data (script->known_workers, &len);
+  if (!fb_codec_decode_workers (data, len, &record))
+    fail (script, "the record of workers is malformed");
+  fb_pool_restore_workers (script->pool, &record);
+  xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
+}
+
 /* A successor: it knows what the store holds, and the list of workers. */
 static void
 do_epoch (Script *script)
@@ -194,7 +209,8 @@
   g_hash_table_iter_init (&iter, script->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     list_worker (script, value);
-  if (g_hash_table_size (script->workers) > 0)
+  restore_workers (script);
+  if (!flag (script, "list-is-old"))
     fb_pool_workers_complete (script->pool);
 }
 
@@ -447,7 +463,8 @@
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
-      printf ("  %s %s\n", record->progress != NULL ? "record" : "drop", brief (record->job));
+      printf ("  %s %s\n", record->progress != NULL ? "record" : "drop",
+              record->job != NULL ? brief (record->job) : "workers");
     }
 }
 
@@ -457,7 +474,12 @@
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
-      if (record->progress != NULL)
+      if (record->job == NULL)
+        {
+          g_clear_pointer (&script->known_workers, g_bytes_unref);
+          script->known_workers = g_bytes_ref (record->progress);
+        }
+      else if (record->progress != NULL)
         g_hash_table_replace (script->progress, g_strdup (record->job),
                               g_bytes_ref (record->progress));
       else
