Let the lease of a silent worker end; forget workers that left with nothing on them

The trace: each look at the silent worker carried a new lease, so the highest one never passed. Tests: pools/silent-worker-gets-no-lease and worker-that-left-is-forgotten; both start nothing on the build before.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -130,7 +130,10 @@
                         .address = worker->address,
                         .epoch = self->epoch,
                         .acknowledged = worker->acknowledged };
-  if (worker->answered)
+  /* Failure: a worker falls silent, and each look that it may yet carry out extends its
+   * lease; it shows as tasks that never start again.  Guard: a silent worker is
+   * looked at without a lease, so that the last one ends. */
+  if (worker->answered && !fb_pool_worker_silent (worker, now_ms))
     order.deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + lease_ms;
   /* Ends that may not be acknowledged yet would answer the look at once, again
    * and again. */
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -143,6 +143,19 @@
     fb_pool_order_look (self, worker, now_ms);
 }
 
+/* A worker that left is not looked at any more once nothing can run there: its life is
+ * over, or this owner knows all that runs in the pool and has nothing on it.  A
+ * successor would wait for it for a whole lease. */
+static gboolean
+is_over (const FbPool *self, const FbPoolWorker *worker)
+{
+  if (worker->listed)
+    return FALSE;
+  if (worker->gone)
+    return !worker->look_open;
+  return self->settled && worker->answered && g_hash_table_size (worker->runs) == 0;
+}
+
 static void
 tend_workers (FbPool *self, uint64_t now_ms)
 {
@@ -150,7 +163,7 @@
   for (GList *l = workers; l != NULL; l = l->next)
     {
       FbPoolWorker *worker = l->data;
-      if (!worker->listed && worker->gone && !worker->look_open)
+      if (is_over (self, worker))
         forget_worker (self, worker);
       else
         tend_worker (self, worker, now_ms);
