Hold room while tickets are renewed, and renew only where the step has its place

Cause: changelog jobs, gangs on accelerators, asked for advice 2.1 times each, half a second each time, and found their room gone to smaller work when the tickets came; the daemons that take long questions were busy, other queues waited 5 to 14 s for theirs. The pool's placing is now three files: choose, place, advice.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -91,6 +91,8 @@
   GHashTable *tickets;     /* worker id -> FbPoolTicket: workers that the advice allows */
   GHashTable *asked;       /* worker ids that the advice has ruled on */
   uint64_t advice_sent_ms; /* 0: no question is open */
+  GPtrArray *held_on;      /* ids of workers that keep room for it, one entry a task */
+  uint64_t held_until_ms;
 };
 
 typedef struct
@@ -175,6 +177,9 @@
   int64_t cpu_used;
   int64_t mem_used;
   int64_t gpu_used;
+  int64_t cpu_held; /* for steps that wait for advice */
+  int64_t mem_held;
+  int64_t gpu_held;
 } FbPoolWorker;
 
 struct _FbPool
@@ -249,6 +254,8 @@
                                    const char *name, uint32_t attempt);
 void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
 gboolean fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape);
+/* Keeps (SIGN 1) or gives back (-1) room for a task of SHAPE. */
+void fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
 
 /* pool-orders.c */
@@ -269,5 +276,43 @@
 void fb_pool_job_changed (FbPool *self, FbPoolJob *job);
 void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
 
+/* pool-choose.c */
+
+/* FB_TICKET_ALLOWED: the advice allows the worker, its ticket may have run out. */
+typedef enum
+{
+  FB_TICKET_VALID,
+  FB_TICKET_ALLOWED
+} FbPoolTicketRule;
+
+/* What cannot change while the worker lives: its size and labels. */
+gboolean fb_pool_could_ever_run (const FbPoolWorker *worker, const fb_work_step *shape);
+/* All but the ticket: it takes work, and has room and the right to it. */
+gboolean fb_pool_has_place (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms);
+/* Returns: (nullable): borrowed. */
+const FbPoolTicket *fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker,
+                                          uint64_t now_ms);
+/* RACK: only workers of it; NULL for any. */
+FbPoolWorker *fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack,
+                                   FbPoolTicketRule rule, uint64_t now_ms);
+/* Finds workers for up to MOST waiting tasks, each beside those before it.
+ * Returns: how many found one. */
+guint fb_pool_choose (FbPool *self, FbPoolStep *step, guint most, const char *rack,
+                      FbPoolTicketRule rule, FbPoolWorker **chosen, uint64_t now_ms);
+/* Returns: FALSE unless every member found one; in one rack if that matters and can be. */
+gboolean fb_pool_choose_gang (FbPool *self, FbPoolStep *step, FbPoolTicketRule rule,
+                              FbPoolWorker **chosen, uint64_t now_ms);
+/* Keeps room for N tasks of STEP on the workers chosen. */
+void fb_pool_hold (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, guint n,
+                   uint64_t until_ms);
+void fb_pool_release_hold (FbPool *self, FbPoolStep *step);
+
+/* pool-advice.c */
+
+/* Asks if there is something to ask.  Returns: FALSE when no daemon can take it now. */
+gboolean fb_pool_ask_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* Asks for steps that come next. */
+void fb_pool_ask_ahead (FbPool *self, FbPoolJob *job, uint64_t now_ms);
+
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
--- /dev/null
+++ b/src/work/pool-advice.c
@@ -0,0 +1,166 @@
+/* When to ask for advice, and about which workers.
+ *
+ * A question takes up to half a second, and the workers that a step may use never
+ * change; only the tickets run out, after 2 s.  So the first question names all workers
+ * that could ever run the step.  Later ones are asked when there is a place on an
+ * allowed worker, name just the workers to be used, and hold their room until the
+ * answer comes: without that a gang's room was gone to smaller work when its tickets
+ * arrived, and it asked 2.1 times on a heavy day. */
+#include "internal/pool-private.h"
+
+#include "fb-event.h"
+
+/* On top of what a decision takes: the way, and its wait behind another. */
+#define HOLD_SLACK_MS 400
+
+/* All that could ever run the step, if none was named before; else those that were never
+ * named and have a place now. */
+static GPtrArray *
+never_asked (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  GPtrArray *ids = g_ptr_array_new ();
+  gboolean first = g_hash_table_size (step->asked) == 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < FB_POOL_ADVICE_MAX)
+    {
+      FbPoolWorker *worker = value;
+      if (!worker->listed || worker->draining || worker->gone
+          || !fb_pool_could_ever_run (worker, step->shape)
+          || g_hash_table_contains (step->asked, worker->id))
+        continue;
+      if (first || fb_pool_has_place (worker, step, now_ms))
+        g_ptr_array_add (ids, worker->id);
+    }
+  return ids;
+}
+
+static guint
+waiting_n (const FbPoolStep *step)
+{
+  guint n = 0;
+  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
+    n += !step->tasks[i].done && step->tasks[i].run == NULL;
+  return n;
+}
+
+/* Chooses allowed workers that have a place now, whatever the age of their tickets, and
+ * holds their room.  Returns: their ids, none when there is no place. */
+static GPtrArray *
+to_renew (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  GPtrArray *ids = g_ptr_array_new ();
+  gboolean gang = step->shape->gang;
+  guint most = gang ? step->shape->count : MIN (waiting_n (step), FB_POOL_RENEW_MAX);
+  g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most + 1);
+  guint n = most;
+  if (!gang)
+    n = fb_pool_choose (self, step, most, NULL, FB_TICKET_ALLOWED, chosen, now_ms);
+  else if (!fb_pool_choose_gang (self, step, FB_TICKET_ALLOWED, chosen, now_ms))
+    n = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      if (!g_ptr_array_find (ids, chosen[i]->id, NULL))
+        g_ptr_array_add (ids, chosen[i]->id);
+    }
+  const fb_work_policy *policy = &step->job->record.policy;
+  uint64_t takes_ms = (policy->advice_decision_us + n * policy->advice_per_worker_us) / 1000;
+  if (n > 0)
+    fb_pool_hold (self, step, chosen, n, now_ms + takes_ms + HOLD_SLACK_MS);
+  return ids;
+}
+
+/* Returns: FALSE when no daemon can take a question now. */
+gboolean
+fb_pool_ask_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  if (!step->job->record.policy.advised)
+    return TRUE;
+  if (step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS)
+    return TRUE;
+  g_autoptr (GPtrArray) ids = never_asked (self, step, now_ms);
+  if (ids->len == 0 && step->released)
+    {
+      g_ptr_array_unref (ids);
+      ids = to_renew (self, step, now_ms);
+    }
+  if (ids->len == 0)
+    return TRUE;
+  g_autofree char *name = fb_pool_step_name (step);
+  const fb_work_policy *policy = &step->job->record.policy;
+  uint32_t expected_ms
+      = (policy->advice_decision_us + ids->len * policy->advice_per_worker_us) / 1000;
+  if (!self->sink->advise (self->user, name, (const char *const *) ids->pdata, ids->len,
+                           expected_ms))
+    {
+      fb_pool_release_hold (self, step);
+      return FALSE;
+    }
+  step->advice_sent_ms = now_ms;
+  return TRUE;
+}
+
+void
+fb_pool_advised (FbPool *self, const char *name, const char *const *asked, guint n,
+                 const fb_told_advice *told, uint64_t now_ms)
+{
+  FbPoolStep *step = fb_pool_find_step (self, name);
+  if (step == NULL)
+    return;
+  self->place_due = TRUE;
+  step->advice_sent_ms = 0;
+  if (told == NULL)
+    return;
+  for (guint i = 0; i < n; i++)
+    g_hash_table_add (step->asked, g_strdup (asked[i]));
+  for (u_int i = 0; i < told->tickets.tickets_len; i++)
+    {
+      const fb_ticket *got = &told->tickets.tickets_val[i];
+      FbPoolTicket *ticket = g_new0 (FbPoolTicket, 1);
+      ticket->ticket = g_strdup (got->ticket);
+      ticket->valid_until_ms = now_ms + told->validity_ms;
+      g_hash_table_replace (step->tickets, g_strdup (got->worker), ticket);
+    }
+  fb_event_log (FB_EVENT_ADVISED, "step=%s asked=%u allowed=%u validity_ms=%u", name, n,
+                told->tickets.tickets_len, told->validity_ms);
+}
+
+/* TRUE when the steps before STEP are about to end: nothing of them waits, and what
+ * runs has been running for most of its estimate.  Asking then takes the decision
+ * out of the caller's wait: 30 ms of a short job's 250 ms, half a second of others. */
+static gboolean
+is_next (const FbPoolOccurrence *occurrence, const FbPoolStep *step, uint64_t now_ms)
+{
+  if (step->released || step->shape->after.after_len == 0)
+    return FALSE;
+  for (u_int i = 0; i < step->shape->after.after_len; i++)
+    {
+      const FbPoolStep *before = &occurrence->steps[step->shape->after.after_val[i]];
+      for (uint32_t j = 0; j < before->shape->count; j++)
+        {
+          const FbPoolTask *task = &before->tasks[j];
+          if (task->done)
+            continue;
+          if (task->run == NULL
+              || now_ms + FB_POOL_ASK_AHEAD_MS < task->run->started_ms + before->shape->estimate_ms)
+            return FALSE;
+        }
+    }
+  return TRUE;
+}
+
+void
+fb_pool_ask_ahead (FbPool *self, FbPoolJob *job, uint64_t now_ms)
+{
+  for (guint i = 0; job->record.policy.advised && i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
+        {
+          FbPoolStep *step = &occurrence->steps[j];
+          if (g_hash_table_size (step->asked) == 0 && is_next (occurrence, step, now_ms))
+            fb_pool_ask_advice (self, step, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/work/pool-choose.c
@@ -0,0 +1,217 @@
+/* Which worker a task may start on, and which is best.
+ *
+ * may_start() is the one place that answers whether a task may start on a worker
+ * now.  Of those where it may, the one that it leaves with the least room is taken
+ * (best fit), so that wide rooms stay for large tasks. */
+#include "internal/pool-private.h"
+
+/* Lets a serving step's worker be free of tasks that fill. */
+static gboolean
+disturbs (const FbPoolWorker *worker, const fb_work_step *shape)
+{
+  if (!shape->fills && shape->tail_target_ms == 0)
+    return FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolRun *run = value;
+      if (run->step == NULL)
+        continue;
+      const fb_work_step *other = run->step->shape;
+      if (shape->fills ? other->tail_target_ms > 0 : other->fills)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static guint
+runs_of_step (const FbPoolWorker *worker, const FbPoolStep *step)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    n += ((FbPoolRun *) run)->step == step;
+  return n;
+}
+
+/* What cannot change while the worker lives: its size and labels. */
+gboolean
+fb_pool_could_ever_run (const FbPoolWorker *worker, const fb_work_step *shape)
+{
+  return shape->cpu_milli <= worker->cpu_milli && shape->mem_mb <= worker->mem_mb
+         && shape->gpu_count <= worker->gpu_count
+         && (*shape->required_label == '\0'
+             || fb_pool_worker_has_label (worker, shape->required_label));
+}
+
+static gboolean
+takes_work (const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (!worker->listed || worker->draining || worker->gone || fb_pool_worker_silent (worker, now_ms)
+      || now_ms < worker->paused_until_ms)
+    return FALSE;
+  return worker->bad_streak < FB_POOL_BAD_STREAK || g_hash_table_size (worker->runs) == 0;
+}
+
+const FbPoolTicket *
+fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  const FbPoolTicket *ticket = g_hash_table_lookup (step->tickets, worker->id);
+  return ticket != NULL && now_ms + FB_POOL_TICKET_MARGIN_MS < ticket->valid_until_ms ? ticket
+                                                                                      : NULL;
+}
+
+gboolean
+fb_pool_has_place (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms)
+{
+  const fb_work_step *shape = step->shape;
+  if (!takes_work (worker, now_ms) || !fb_pool_could_ever_run (worker, shape)
+      || !fb_pool_worker_fits (worker, shape) || disturbs (worker, shape))
+    return FALSE;
+  return shape->max_per_worker == 0 || runs_of_step (worker, step) < shape->max_per_worker;
+}
+
+static gboolean
+may_start (const FbPoolWorker *worker, const FbPoolStep *step, FbPoolTicketRule rule,
+           uint64_t now_ms)
+{
+  if (!fb_pool_has_place (worker, step, now_ms))
+    return FALSE;
+  if (!step->job->record.policy.advised)
+    return TRUE;
+  return rule == FB_TICKET_VALID ? fb_pool_valid_ticket (step, worker, now_ms) != NULL
+                                 : g_hash_table_contains (step->tickets, worker->id);
+}
+
+/* Lower is better: the share of the scarcest resource that stays free. */
+static double
+cost_of (const FbPoolWorker *worker, const fb_work_step *shape)
+{
+  double cpu_left = worker->cpu_milli - worker->cpu_used;
+  double mem_left = worker->mem_mb - worker->mem_used;
+  double cost = cpu_left / MAX (worker->cpu_milli, 1) + 0.5 * mem_left / MAX (worker->mem_mb, 1);
+  if (worker->gpu_count > 0)
+    cost += (double) (worker->gpu_count - worker->gpu_used) / worker->gpu_count;
+  if (*shape->data_rack != '\0' && !fb_pool_worker_has_label (worker, shape->data_rack))
+    cost += 10;
+  if (worker->bad_streak > 0)
+    cost += 2.0 * worker->bad_streak;
+  /* Tasks that last or serve are spread, so that one loss takes few of them. */
+  return shape->lasting ? -cost : cost;
+}
+
+FbPoolWorker *
+fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack, FbPoolTicketRule rule,
+                     uint64_t now_ms)
+{
+  FbPoolWorker *best = NULL;
+  double best_cost = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolWorker *worker = value;
+      if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
+          || !may_start (worker, step, rule, now_ms))
+        continue;
+      double cost = cost_of (worker, step->shape);
+      if (best == NULL || cost < best_cost)
+        {
+          best = worker;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* ---- several at once ----------------------------------------------------------- */
+
+static gboolean
+waits (const FbPoolTask *task)
+{
+  return !task->done && task->run == NULL;
+}
+
+guint
+fb_pool_choose (FbPool *self, FbPoolStep *step, guint most, const char *rack, FbPoolTicketRule rule,
+                FbPoolWorker **chosen, uint64_t now_ms)
+{
+  g_autofree FbPoolRun **runs = g_new0 (FbPoolRun *, most);
+  guint n = 0;
+  for (uint32_t i = 0; i < step->shape->count && n < most; i++)
+    {
+      if (!waits (&step->tasks[i]))
+        continue;
+      chosen[n] = fb_pool_best_worker (self, step, rack, rule, now_ms);
+      if (chosen[n] == NULL)
+        break;
+      g_autofree char *name = fb_pool_task_name (step, i);
+      runs[n] = fb_pool_worker_add_run (chosen[n], step, i, name, 0);
+      n++;
+    }
+  for (guint i = 0; i < n; i++)
+    fb_pool_worker_drop_run (chosen[i], runs[i]);
+  return n;
+}
+
+/* Holds the last rack's choice in CHOSEN when it returns TRUE. */
+static gboolean
+choose_one_rack (FbPool *self, FbPoolStep *step, FbPoolTicketRule rule, FbPoolWorker **chosen,
+                 uint64_t now_ms)
+{
+  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const char *rack = ((FbPoolWorker *) value)->rack;
+      guint count = step->shape->count;
+      if (rack != NULL && g_hash_table_add (tried, (gpointer) rack)
+          && fb_pool_choose (self, step, count, rack, rule, chosen, now_ms) == count)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+fb_pool_choose_gang (FbPool *self, FbPoolStep *step, FbPoolTicketRule rule, FbPoolWorker **chosen,
+                     uint64_t now_ms)
+{
+  guint count = step->shape->count;
+  if (step->shape->rack_local && choose_one_rack (self, step, rule, chosen, now_ms))
+    return TRUE;
+  return fb_pool_choose (self, step, count, NULL, rule, chosen, now_ms) == count;
+}
+
+/* ---- room that is held ------------------------------------------------------------ */
+
+void
+fb_pool_hold (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, guint n, uint64_t until_ms)
+{
+  fb_pool_release_hold (self, step);
+  step->held_until_ms = until_ms;
+  for (guint i = 0; i < n; i++)
+    {
+      fb_pool_worker_hold (chosen[i], step->shape, 1);
+      g_ptr_array_add (step->held_on, g_strdup (chosen[i]->id));
+    }
+}
+
+void
+fb_pool_release_hold (FbPool *self, FbPoolStep *step)
+{
+  for (guint i = 0; i < step->held_on->len; i++)
+    {
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, step->held_on->pdata[i]);
+      if (worker != NULL)
+        fb_pool_worker_hold (worker, step->shape, -1);
+    }
+  g_ptr_array_set_size (step->held_on, 0);
+  step->held_until_ms = 0;
+}
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -79,6 +79,7 @@
       g_clear_pointer (&step->tasks[i].failed, g_array_unref);
     }
   g_free (step->tasks);
+  g_ptr_array_unref (step->held_on);
   g_hash_table_unref (step->tickets);
   g_hash_table_unref (step->asked);
 }
@@ -145,6 +146,7 @@
       step->index = i;
       step->shape = &job->record.spec.steps.steps_val[i];
       step->tasks = g_new0 (FbPoolTask, step->shape->count);
+      step->held_on = g_ptr_array_new_with_free_func (g_free);
       step->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, ticket_free);
       step->asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -82,6 +82,17 @@
   stop_all (self, is_of_step, step, now_ms);
 }
 
+static void
+release_holds (FbPool *self, FbPoolJob *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
+        fb_pool_release_hold (self, &occurrence->steps[j]);
+    }
+}
+
 void
 fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
                  uint64_t wall_ms)
@@ -94,6 +105,7 @@
     }
   g_hash_table_remove (self->active, job);
   g_hash_table_add (self->ended, job);
+  release_holds (self, job);
   fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
                 job->record.policy.queue, job->state, now_ms - job->admitted_ms);
   /* What still runs of a completed job are members of a gang that end by themselves. */
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -137,9 +137,19 @@
 fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape)
 {
   int64_t cpu_milli = shape->fills ? 0 : shape->cpu_milli;
-  return worker->alien_n == 0 && worker->cpu_used + cpu_milli <= worker->cpu_milli
-         && worker->mem_used + shape->mem_mb <= worker->mem_mb
-         && worker->gpu_used + shape->gpu_count <= worker->gpu_count;
+  return worker->alien_n == 0
+         && worker->cpu_used + worker->cpu_held + cpu_milli <= worker->cpu_milli
+         && worker->mem_used + worker->mem_held + shape->mem_mb <= worker->mem_mb
+         && worker->gpu_used + worker->gpu_held + shape->gpu_count <= worker->gpu_count;
+}
+
+void
+fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign)
+{
+  if (!shape->fills)
+    worker->cpu_held += sign * (int64_t) shape->cpu_milli;
+  worker->mem_held += sign * (int64_t) shape->mem_mb;
+  worker->gpu_held += sign * (int64_t) shape->gpu_count;
 }
 
 gboolean
