Give a failing worker one run a second, whatever else runs there

The new script pools/lasting-task-on-a-bad-worker fails on the build before; failing-worker-is-spared goes on to the recovery and is as strict before it. Also: a socket whose number is reused is put into the set of watched ones again.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -39,9 +39,10 @@
 #define FB_POOL_RENEW_MAX 6
 /* A question for advice without an answer is asked again. */
 #define FB_POOL_ADVICE_PATIENCE_MS 4000
-/* Failed runs of different jobs in a row after which a worker gets one run at a
- * time until one succeeds. */
+/* Failed runs of different jobs in a row after which a worker gets one run in each
+ * FB_POOL_SPARE_MS until one succeeds. */
 #define FB_POOL_BAD_STREAK 3
+#define FB_POOL_SPARE_MS 1000
 /* Pause after a start that a worker refused or left unanswered. */
 #define FB_POOL_REFUSAL_PAUSE_MS 300
 /* Workers and due times are looked after this often, not at each event: a round
@@ -171,6 +172,7 @@
   uint64_t acknowledged;
   uint64_t paused_until_ms;
   uint32_t bad_streak;
+  uint64_t spared_until_ms;
   char *last_bad_job;
   GHashTable *runs; /* name -> FbPoolRun */
   uint32_t alien_n; /* runs of jobs that are not known: their size is not known */
@@ -254,6 +256,8 @@
                                    const char *name, uint32_t attempt);
 void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
 gboolean fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape);
+/* Pauses a worker that fails what it is given, after a failure and after a start. */
+void fb_pool_worker_spare (FbPoolWorker *worker, uint64_t now_ms);
 /* Keeps (SIGN 1) or gives back (-1) room for a task of SHAPE. */
 void fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -63,6 +63,7 @@
 on_socket_change (CURL *easy, curl_socket_t socket, int what, void *user, void *known)
 {
   (void) easy;
+  (void) known;
   FbHttpClient *self = user;
   struct epoll_event event = { .data.fd = socket };
   if (what == CURL_POLL_REMOVE)
@@ -74,8 +75,9 @@
     event.events |= EPOLLIN;
   if (what & CURL_POLL_OUT)
     event.events |= EPOLLOUT;
-  (void) epoll_ctl (self->epoll, known != NULL ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
-  curl_multi_assign (self->multi, socket, self);
+  /* A socket that was closed has left the set by itself; its number may be in use again. */
+  if (epoll_ctl (self->epoll, EPOLL_CTL_MOD, socket, &event) < 0)
+    (void) epoll_ctl (self->epoll, EPOLL_CTL_ADD, socket, &event);
   return 0;
 }
 
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -51,10 +51,9 @@
 static gboolean
 takes_work (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (!worker->listed || worker->draining || worker->gone || fb_pool_worker_silent (worker, now_ms)
-      || now_ms < worker->paused_until_ms)
-    return FALSE;
-  return worker->bad_streak < FB_POOL_BAD_STREAK || g_hash_table_size (worker->runs) == 0;
+  return worker->listed && !worker->draining && !worker->gone
+         && !fb_pool_worker_silent (worker, now_ms) && now_ms >= worker->paused_until_ms
+         && now_ms >= worker->spared_until_ms;
 }
 
 const FbPoolTicket *
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -78,6 +78,7 @@
   run->started_ms = now_ms;
   run->order = remember_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
+  fb_pool_worker_spare (worker, now_ms);
   task->run = run;
   task->attempt = attempt;
   step->job->started = TRUE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -165,13 +165,17 @@
 }
 
 static void
-judge_worker (FbPoolWorker *worker, const FbPoolStep *step, FbEndHow how)
+judge_worker (FbPoolWorker *worker, const FbPoolStep *step, FbEndHow how, uint64_t now_ms)
 {
   if (how == FB_END_DONE)
-    worker->bad_streak = 0;
+    {
+      worker->bad_streak = 0;
+      worker->spared_until_ms = 0;
+    }
   else if (how == FB_END_FAILED && g_strcmp0 (worker->last_bad_job, step->job->id) != 0)
     {
       worker->bad_streak++;
+      fb_pool_worker_spare (worker, now_ms);
       g_free (worker->last_bad_job);
       worker->last_bad_job = g_strdup (step->job->id);
     }
@@ -187,7 +191,7 @@
   task->attempt = MAX (task->attempt, end->attempt);
   step->gang_attempt = MAX (step->gang_attempt, end->attempt);
   step->job->started = TRUE;
-  judge_worker (worker, step, end->how);
+  judge_worker (worker, step, end->how, now_ms);
   if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_over (self, worker, run);
   if (fb_pool_job_ended (step->job))
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -152,6 +152,16 @@
   worker->gpu_held += sign * (int64_t) shape->gpu_count;
 }
 
+/* Failure: a worker fails what it is given and looks free for that, so it is given more.
+ * Guard: it gets one run a second until one succeeds.  A bound on what runs there would
+ * not do: a task that lasts would keep the worker out for good. */
+void
+fb_pool_worker_spare (FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->bad_streak >= FB_POOL_BAD_STREAK)
+    worker->spared_until_ms = now_ms + FB_POOL_SPARE_MS;
+}
+
 gboolean
 fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label)
 {
