--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -15,10 +15,13 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Callers wait about 3 s; an answer leaves before that. */
-#define STORE_MS 2000
+/* Callers wait about 3 s; an answer leaves before that.  Doubt about a call of the store
+ * is resolved by repeating it for this long, then by peers. */
+#define STORE_MS 700
 #define ASK_MS 2000
-#define PEER_APPEND_MS 1800
+#define PEER_APPEND_MS 700
+#define PEERS_UNTIL_MS 1900
+#define PEERS_MAX 3
 #define BODY_MAX_BYTES (256 * 1024)
 /* When a caller may come back after the store turned its job away: outages last
  * seconds, and a job that waits longer misses its objective. */
@@ -37,6 +40,8 @@
   char *key; /* of the record that is to be stored */
   GBytes *value;
   GByteArray *records; /* the same, encoded; kept for a peer */
+  GPtrArray *asked;    /* addresses of peers that were asked to store it */
+  gboolean in_doubt;   /* a call that may have stored it got no answer */
   uint32_t partition;
   uint64_t since_ms;
   gboolean is_delete;
@@ -61,6 +66,7 @@
   request->service = talloc_strdup (request, route->policy.service);
   request->partition = fb_entry_partition_of (entry, route->policy.service);
   request->since_ms = fb_clock_ms ();
+  request->asked = g_ptr_array_new_with_free_func (g_free);
   soup_server_message_pause (message);
   open_requests++;
   return request;
@@ -86,6 +92,7 @@
   g_object_unref (request->message);
   g_clear_pointer (&request->records, g_byte_array_unref);
   g_clear_pointer (&request->value, g_bytes_unref);
+  g_ptr_array_unref (request->asked);
   talloc_free (request);
   open_requests--;
 }
@@ -128,27 +135,33 @@
     finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"not stored\"}");
 }
 
+static void store_by_peer (Request *request);
+
 static void
 on_peer_stored (gpointer data, const fb_told *told)
 {
-  FbAppendResult result = FB_APPEND_IN_DOUBT;
+  Request *request = data;
   if (told != NULL && told->type == FB_TOLD_STORED)
-    result = FB_APPEND_STORED;
-  else if (told != NULL && told->type == FB_TOLD_NOT_STORED)
-    result = FB_APPEND_NOT_STORED;
-  answer_stored (data, result);
+    {
+      answer_stored (request, FB_APPEND_STORED);
+      return;
+    }
+  request->in_doubt = request->in_doubt || told == NULL || told->type == FB_TOLD_IN_DOUBT;
+  store_by_peer (request);
 }
 
-/* Returns: (nullable): another daemon, chosen at random, borrowed. */
+/* Returns: (nullable): a daemon that was not asked yet, chosen at random, borrowed. */
 static const char *
-other_daemon (const FbEntry *entry)
+other_daemon (Request *request)
 {
+  const FbEntry *entry = request->entry;
   g_autoptr (GPtrArray) daemons = fb_group_daemons (entry->group);
   for (guint i = daemons->len; i > 0; i--)
     {
       guint at = (guint) g_random_int_range (0, (gint32) i);
       const char *address = daemons->pdata[at];
-      if (!g_str_equal (address, entry->settings->peers))
+      if (!g_str_equal (address, entry->settings->peers)
+          && !g_ptr_array_find_with_equal_func (request->asked, address, g_str_equal, NULL))
         return address;
       g_ptr_array_remove_index_fast (daemons, at);
     }
@@ -156,32 +169,35 @@
 }
 
 /* Failure: the store turns this daemon away and serves the others; it shows as
- * refused callers while workers are free.  Guard: a peer stores the job. */
+ * refused callers while workers are free.  Guard: peers are asked to store the job, one
+ * after the other; the key makes that harmless where it was stored before. */
 static void
 store_by_peer (Request *request)
 {
-  const char *peer = other_daemon (request->entry);
+  const char *peer = other_daemon (request);
   uint64_t spent_ms = fb_clock_ms () - request->since_ms;
-  if (peer == NULL || spent_ms >= PEER_APPEND_MS)
+  if (peer == NULL || spent_ms >= PEERS_UNTIL_MS || request->asked->len >= PEERS_MAX)
     {
-      answer_stored (request, FB_APPEND_NOT_STORED);
+      answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
       return;
     }
+  g_ptr_array_add (request->asked, g_strdup (peer));
   fb_ask ask = { .type = FB_ASK_APPEND };
   ask.fb_ask_u.append.partition = request->partition;
   ask.fb_ask_u.append.records.records_len = request->records->len;
   ask.fb_ask_u.append.records.records_val = (char *) request->records->data;
-  fb_peers_ask (request->entry, peer, &ask, (uint32_t) (PEER_APPEND_MS - spent_ms), on_peer_stored,
-                request);
+  fb_peers_ask (request->entry, peer, &ask, PEER_APPEND_MS, on_peer_stored, request);
 }
 
 static void
 on_stored (gpointer data, FbAppendResult result)
 {
-  if (result == FB_APPEND_NOT_STORED)
-    store_by_peer (data);
+  Request *request = data;
+  request->in_doubt = result == FB_APPEND_IN_DOUBT;
+  if (result == FB_APPEND_STORED)
+    answer_stored (request, result);
   else
-    answer_stored (data, result);
+    store_by_peer (request);
 }
 
 /* KIND: the first letter of the record's key. */
