Fuzz pools over failing workers, owners and a store, and show that the judge can fail

The judge knows what really ran: room, two runs of one task, runs after an acknowledged end, after all attempts, before earlier steps, after a cancel that the owner had read; at the end every accepted job has ended, and truthfully.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -24,6 +24,7 @@
 for s in tests/policies/*.ini; do verdict "$(basename "$s")" policy "$s"; done
 verdict "fuzz corpus" $B/fuzz/fuzz-steps fuzz/corpus/*
 verdict "fuzz seeds" $B/fuzz/fuzz-steps --seed 1 --inputs 400
+verdict "fuzz pools" $B/fuzz/fuzz-pool 1 500
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 
--- /dev/null
+++ b/tools/pool-mutants.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Shows that the oracle of pools can fail: makes each deliberate defect in a copy of
+# src/work and runs the scripts and then fixed seeds until one of them tells.
+# A defect is a file, a text of it and what replaces that text.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+SEEDS=${SEEDS:-4000}
+OUT=out/pool-mutants
+rm -rf "$OUT"; mkdir -p "$OUT"
+FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash) -Iinclude -I. -O1 -g -w"
+OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/timer.c src/core/codec.c
+  rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c"
+
+defects() { cat <<'TABLE'
+room-not-counted|pool-worker.c|worker->cpu_used + worker->cpu_held + cpu_milli <= worker->cpu_milli|TRUE
+stopping-is-free|pool-orders.c|  run->state = FB_RUN_STOPPING;|  run->state = FB_RUN_STOPPING; worker->cpu_used -= run->step != NULL ? run->step->shape->cpu_milli : 0;
+starts-before-settled|pool.c|  if (!self->settled \|\| !may_start)|  if (!may_start)
+silent-worker-ignored|pool.c|open += !worker->answered \&\& !worker->gone;|open += 0;
+lapse-too-early|pool-worker.c|worker->lease_ms + FB_POOL_LAPSE_SLACK_MS;|worker->lease_ms - 1500;
+clock-taken-as-exact|pool-worker.c|passed_ms * (1000 - FB_POOL_CLOCK_SLOW_PERMILLE) / 1000|passed_ms * 1100 / 1000
+unanswered-start-forgotten|pool-orders.c|  else if (result != FB_ORDER_UNKNOWN)|  else if (TRUE)
+acknowledged-before-durable|pool-report.c|      worker->seen_end = end->number;|      worker->seen_end = worker->acknowledged = end->number;
+failure-not-recorded|pool-job.c|          mark.failed.failed_len = task->failed->len;|          mark.failed.failed_len = 0;
+failures-by-highest-attempt|pool-job.c|      if (g_array_index (task->failed, uint32_t, i) == attempt)|      if (g_array_index (task->failed, uint32_t, i) >= attempt)
+done-not-recorded|pool-job.c|                            .done = task->done,|                            .done = FALSE,
+steps-at-once|pool-job.c|      step->released = ready;|      step->released = TRUE;
+absence-proves-at-once|pool-report.c|  return run->seen_clock_ms > 0 \|\| clock_ms > run->deadline_ms;|  return TRUE;
+other-life-ignored|pool-report.c|  else if (answer->result == FB_ORDER_OTHER_LIFE)|  else if (0)
+silent-worker-gets-leases|pool-orders.c|worker->answered \&\& !fb_pool_worker_silent (worker, now_ms)|worker->answered
+cancel-stops-nothing|pool-report.c|  if (job->state != FB_WORK_COMPLETED)|  if (0)
+known-workers-forgotten|pool.c|      if (g_hash_table_contains (self->workers, known->id))|      if (TRUE)
+end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
+TABLE
+}
+
+try_one() { # NAME FILE TEXT REPLACEMENT
+  local dir=$OUT/$1
+  mkdir -p "$dir/src"
+  cp -r src/work "$dir/src/work"
+  python3 - "$dir/src/work/$2" "$3" "$4" <<'PY' || { echo "$1: the text is not there"; return; }
+import sys
+path, text, replacement = sys.argv[1:]
+source = open(path).read()
+text = text.replace('\\|', '|').replace('\\&', '&')
+if text not in source: sys.exit(1)
+open(path, 'w').write(source.replace(text, replacement, 1))
+PY
+  local sources="$dir/src/work/*.c $OTHERS"
+  # shellcheck disable=SC2086
+  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c $sources $FLAGS 2> "$dir/log" \
+     || ! gcc -o "$dir/script" tests/test-pool.c $sources $FLAGS 2>> "$dir/log"; then
+    echo "$1: DOES NOT BUILD"; return
+  fi
+  for s in tests/pools/*.script; do
+    "$dir/script" "$s" 2>&1 | cmp -s - "${s%.script}.expected" || { echo "$1: script $(basename "$s")"; return; }
+  done
+  local told
+  told=$(timeout 120 "$dir/fuzz" 1 "$SEEDS" | grep -m1 '^seed')
+  echo "$1: ${told:-NOT CAUGHT}"
+}
+export -f try_one
+export OUT FLAGS OTHERS SEEDS
+while IFS= read -r line; do
+  # A bar inside a text is written \|.
+  IFS=$'\x01' read -r name file text replacement <<< "$(echo "$line" | sed 's/\([^\\]\)|/\1\x01/g')"
+  printf '%s\0%s\0%s\0%s\0' "$name" "$file" "$text" "$replacement"
+done < <(defects) | xargs -0 -n 4 -P 4 bash -c 'try_one "$@"' _ | tee "$OUT/table"
+all=$(defects | wc -l)
+caught=$(grep -cvE 'NOT CAUGHT|DOES NOT BUILD|not there' "$OUT/table")
+echo "$caught of $all caught"
+[ "$caught" = "$all" ]
