--- a/src/base/event.c
+++ b/src/base/event.c
@@ -1,5 +1,7 @@
 #include "fb-event.h"
 
+#include "fb-counter.h"
+
 #include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
@@ -54,7 +56,10 @@
 write_bounded (const char *line, gsize len)
 {
   if (!take_line () || write (STDOUT_FILENO, line, len) < 0)
-    dropped++;
+    {
+      dropped++;
+      fb_counter_add (FB_COUNTER_LINES_DROPPED, 1);
+    }
 }
 
 static void
--- a/src/entry/advisor.c
+++ b/src/entry/advisor.c
@@ -4,7 +4,9 @@
  * short questions, so that short work does not wait behind long decisions. */
 #include "entry-private.h"
 
+#include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 
 /* A question that takes longer is a long one. */
 #define LONG_MS 100
@@ -30,6 +32,7 @@
   char *daemon;
   char *step;
   GPtrArray *workers;
+  uint64_t sent_ms;
 } Question;
 
 static void
@@ -46,6 +49,7 @@
 {
   Question *question = data;
   g_hash_table_remove (question->entry->advisor->busy, question->daemon);
+  fb_histogram_add (FB_HISTOGRAM_ADVICE, fb_clock_ms () - question->sent_ms);
   FbOwner *owner = fb_entry_owner (question->entry, question->partition);
   gboolean answered = told != NULL && told->type == FB_TOLD_ADVICE;
   if (!answered)
@@ -97,6 +101,8 @@
   question->partition = partition;
   question->daemon = g_strdup (daemon);
   question->step = g_strdup (step);
+  question->sent_ms = fb_clock_ms ();
+  fb_counter_add (FB_COUNTER_ADVICE_ASKED, 1);
   question->workers = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < n; i++)
     {
--- a/src/entry/appender.c
+++ b/src/entry/appender.c
@@ -9,6 +9,7 @@
 
 #include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 
 /* The store's answers take some 10 ms, and 60 times that when it is slow. */
 #define ANSWER_MS 900
@@ -36,7 +37,8 @@
   GQueue waiting; /* of Item */
   GQueue batch;   /* of Item: what the open call, or its repeat, holds */
   GBytes *body;
-  gboolean doubt; /* a call with this body got no answer */
+  uint64_t begun_ms; /* when the batch was first sent */
+  gboolean doubt;    /* a call with this body got no answer */
   uint32_t retry_ms;
   guint timer;
   gboolean call_open;
@@ -70,6 +72,7 @@
 {
   GQueue batch = self->batch;
   g_queue_init (&self->batch);
+  fb_histogram_add (FB_HISTOGRAM_STORE_APPEND, fb_clock_ms () - self->begun_ms);
   g_clear_pointer (&self->body, g_bytes_unref);
   self->doubt = FALSE;
   self->retry_ms = RETRY_FIRST_MS;
@@ -167,6 +170,7 @@
       g_queue_push_tail (&self->batch, item);
     }
   self->body = g_byte_array_free_to_bytes (body);
+  self->begun_ms = fb_clock_ms ();
 }
 
 static void
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,6 +5,7 @@
 
 #include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 #include "fb-status.h"
 
 #include <glib-unix.h>
@@ -69,8 +70,12 @@
 void
 fb_entry_store_answered (FbEntry *self, const FbHttpReply *reply)
 {
+  fb_counter_add (FB_COUNTER_STORE_CALLS, 1);
   if (reply->status != FB_HTTP_OK || reply->code >= 500 || reply->code == 429)
-    return;
+    {
+      fb_counter_add (FB_COUNTER_STORE_ERRORS, 1);
+      return;
+    }
   self->store_ok_ms = fb_clock_ms ();
   if (!self->store_lost)
     return;
@@ -357,7 +362,10 @@
   (void) path;
   (void) query;
   (void) data;
-  char *text = fb_counter_render ();
+  g_autofree char *counters = fb_counter_render ();
+  GString *all = g_string_new (counters);
+  fb_histogram_render (all);
+  char *text = g_string_free (all, FALSE);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE, text, strlen (text));
 }
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -8,6 +8,7 @@
 
 #include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 #include "fb-status.h"
 #include "internal/codec.h"
 #include "src/work/spec.h"
@@ -87,6 +88,7 @@
 static void
 finish (Request *request, guint status, const char *body)
 {
+  fb_histogram_add (FB_HISTOGRAM_CALLER_ANSWER, fb_clock_ms () - request->since_ms);
   set_answer (request->entry, request->message, status, body);
   soup_server_message_unpause (request->message);
   g_object_unref (request->message);
@@ -126,13 +128,21 @@
               result == FB_APPEND_IN_DOUBT ? "in doubt" : "by the store");
   if (result == FB_APPEND_STORED)
     {
+      fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
       fb_peers_tell_stored (request->entry, request->partition, request->key, request->value);
       finish (request, SOUP_STATUS_OK, "{}");
     }
   else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
-    finish (request, SOUP_STATUS_GATEWAY_TIMEOUT, "{\"error\":\"not known whether it is stored\"}");
+    {
+      fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
+      finish (request, SOUP_STATUS_GATEWAY_TIMEOUT,
+              "{\"error\":\"not known whether it is stored\"}");
+    }
   else
-    finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"not stored\"}");
+    {
+      fb_counter_add (FB_COUNTER_JOBS_REFUSED, 1);
+      finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"not stored\"}");
+    }
 }
 
 static void store_by_peer (Request *request);
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -8,6 +8,7 @@
 
 #include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 #include "internal/codec.h"
 
 #include <string.h>
@@ -145,6 +146,8 @@
                     order->worker, order->kind, reply->status, reply->sent,
                     (guint) (fb_clock_ms () - order->sent_ms));
     }
+  if (order->kind != ORDER_LOOK)
+    fb_histogram_add (FB_HISTOGRAM_ORDER, fb_clock_ms () - order->sent_ms);
   if (part != NULL && order->kind == ORDER_LOOK)
     take_look (part, order, reply);
   else if (part != NULL)
@@ -421,6 +424,7 @@
   if (self->workers_known || fb_follower_fresh_ms (list) <= self->fenced_ms)
     return;
   self->workers_known = TRUE;
+  fb_histogram_add (FB_HISTOGRAM_TAKE_OVER, fb_clock_ms () - self->began_ms);
   GHashTableIter iter;
   gpointer part;
   g_hash_table_iter_init (&iter, self->parts);
@@ -500,6 +504,7 @@
   g_hash_table_remove_all (self->progress);
   g_hash_table_remove_all (self->cancelled);
   self->loaded = TRUE;
+  fb_counter_add (FB_COUNTER_TAKE_OVERS, 1);
   self->authority_ms = fb_clock_ms ();
   fb_event_log (FB_EVENT_POOL_TAKEN, "partition=%u epoch=%" G_GUINT64_FORMAT " load_ms=%u",
                 self->partition, self->epoch, (guint) (fb_clock_ms () - self->began_ms));
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -7,6 +7,7 @@
 
 #include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 
 typedef struct
 {
@@ -81,6 +82,8 @@
   fb_pool_worker_spare (worker, now_ms);
   task->run = run;
   task->attempt = attempt;
+  if (!step->job->started)
+    fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
   step->job->started = TRUE;
   if (step->job->state == FB_WORK_QUEUED)
     step->job->state = FB_WORK_RUNNING;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -5,7 +5,9 @@
  * acknowledge any more. */
 #include "internal/pool-private.h"
 
+#include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-histogram.h"
 
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
@@ -77,6 +79,7 @@
   if (step->gang_broken)
     return;
   step->gang_broken = TRUE;
+  fb_counter_add (FB_COUNTER_GANGS_BROKEN, 1);
   fb_event_log (FB_EVENT_GANG_BROKEN, "job=%s step=%u attempt=%u", step->job->id, step->index,
                 step->gang_attempt);
   stop_all (self, is_of_step, step, now_ms);
@@ -99,6 +102,7 @@
 {
   if (!fb_pool_job_ended (job))
     {
+      fb_histogram_add (FB_HISTOGRAM_JOB_TIME, now_ms - job->admitted_ms);
       job->state = state;
       job->ended_wall_ms = wall_ms;
       fb_pool_job_changed (self, job);
@@ -225,6 +229,11 @@
   fb_event_log (FB_EVENT_TASK_ENDED, "task=%s attempt=%u worker=%s how=%s known=%d number=%u",
                 end->task, end->attempt, worker->id, end_names[end->how], step != NULL,
                 (guint) end->number);
+  static const FbCounter counters[]
+      = { [FB_END_DONE] = FB_COUNTER_TASKS_DONE,     [FB_END_FAILED] = FB_COUNTER_TASKS_FAILED,
+          [FB_END_STOPPED] = FB_COUNTER_TASKS_OTHER, [FB_END_LAPSED] = FB_COUNTER_TASKS_OTHER,
+          [FB_END_BROKEN] = FB_COUNTER_TASKS_OTHER,  [FB_END_ALONE] = FB_COUNTER_TASKS_OTHER };
+  fb_counter_add (counters[end->how], 1);
   if (step != NULL)
     {
       end_of_task (self, worker, step, index, end, now_ms, wall_ms);
--- a/tools/check-docs.sh
+++ b/tools/check-docs.sh
@@ -10,8 +10,8 @@
 [ "$(grep -c '^| FB' docs/EVENTS.md)" = "$(grep -c '^FB_EVENT' include/events.def)" ] || say "docs/EVENTS.md names events that the code does not have"
 while read -r name; do
   grep -q "^| \`$name\` |" docs/METRICS.md || say "docs/METRICS.md lacks $name"
-done < <(grep -o '"flamingobarrow_[a-z_]*"' include/counters.def | tr -d '"')
-[ "$(grep -c '^| `flamingobarrow_' docs/METRICS.md)" = "$(grep -c '^FB_COUNTER' include/counters.def)" ] || say "docs/METRICS.md names counters that the code does not have"
+done < <(cat include/counters.def include/histograms.def | grep -o '"flamingobarrow_[a-z_]*"' | tr -d '"')
+[ "$(grep -c '^| `flamingobarrow_' docs/METRICS.md)" = "$(cat include/counters.def include/histograms.def | grep -c '^FB_')" ] || say "docs/METRICS.md names counters that the code does not have"
 for program in flamingobarrow flamingobarrowd; do
   case $program in flamingobarrow) sources=src/cli/cli.c ;; *) sources=src/daemon/daemon.c ;; esac
   while read -r option; do
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -8,7 +8,7 @@
 OUT=out/pool-mutants
 rm -rf "$OUT"; mkdir -p "$OUT"
 FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash) -Iinclude -I. -O1 -g -w"
-OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/timer.c src/core/codec.c
+OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
   rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c"
 
 defects() { cat <<'TABLE'
