--- /dev/null
+++ b/tests/test-wire.c
@@ -0,0 +1,322 @@
+/* The platform's messages: what is taken, what is refused, as tables of cases. */
+#include "fb-status.h"
+#include "platform/wire.h"
+#include "src/work/spec.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+/* ---- jobs of callers ---------------------------------------------------- */
+
+static gboolean
+take_job (const char *text)
+{
+  fb_work_spec spec;
+  if (!fb_wire_job_spec (text, strlen (text), &spec))
+    return FALSE;
+  gboolean ok = fb_spec_check (&spec);
+  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &spec);
+  return ok;
+}
+
+static void
+test_jobs (void)
+{
+  static const struct
+  {
+    const char *text;
+    gboolean ok;
+  } cases[] = {
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1}]}", TRUE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":2},{\"count\":1,\"after\":[0]}]}", TRUE },
+    { "{\"phases\":[{\"count\":10000}]}", TRUE },
+    { "{\"phases\":[{\"count\":1,\"unknown\":{\"deep\":[1]}}]}", TRUE },
+    { "", FALSE },
+    { "{", FALSE },
+    { "[]", FALSE },
+    { "null", FALSE },
+    { "{\"spec\":\"s\"}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":{}}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[1]}", FALSE },
+    { "{\"spec\":7,\"phases\":[{\"count\":1}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":0}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":-1}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":\"1\"}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":10001}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":99999999999}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":-5}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"gang\":1}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"after\":[0]}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"after\":[1]},{\"count\":1}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"after\":[-1]}]}", FALSE },
+    { "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"after\":\"0\"}]}", FALSE },
+    { "{\"spec\":\"s\",\"times\":-1,\"phases\":[{\"count\":1}]}", FALSE },
+    { "{\"spec\":\"s\",\"times\":1000000,\"phases\":[{\"count\":1}]}", FALSE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      gboolean ok = take_job (cases[i].text);
+      if (ok != cases[i].ok)
+        printf ("\ncase %u: %s\n", i, cases[i].text);
+      CU_ASSERT_EQUAL (ok, cases[i].ok);
+      if (!ok)
+        CU_ASSERT (strlen (fb_status_message ()) > 0);
+    }
+}
+
+static void
+test_long_payload (void)
+{
+  g_autofree char *fits = g_strnfill (FB_WORK_MAX_PAYLOAD, 'x');
+  g_autofree char *longer = g_strnfill (FB_WORK_MAX_PAYLOAD + 1, 'x');
+  g_autofree char *a = g_strdup_printf ("{\"spec\":\"%s\",\"phases\":[{\"count\":1}]}", fits);
+  g_autofree char *b = g_strdup_printf ("{\"spec\":\"%s\",\"phases\":[{\"count\":1}]}", longer);
+  CU_ASSERT_TRUE (take_job (a));
+  CU_ASSERT_FALSE (take_job (b));
+}
+
+static void
+test_step_members (void)
+{
+  const char *text
+      = "{\"spec\":\"s\",\"times\":3,\"start-ms\":1000,\"interval-ms\":50,\"phases\":[{\"count\":4,"
+        "\"cpu\":500,\"mem-mb\":256,\"gpu\":2,\"estimate-ms\":900,\"affinity\":\"r1\","
+        "\"required-label\":\"k\",\"max-per-server\":3,\"max-unavailable\":1,\"target-ms\":20,"
+        "\"gang\":true,\"rack-local\":true,\"checkpointing\":true,\"speculative\":true,"
+        "\"long-running\":true,\"fills\":true,\"image\":\"i\"}]}";
+  fb_work_spec spec;
+  CU_ASSERT_TRUE_FATAL (fb_wire_job_spec (text, strlen (text), &spec));
+  const fb_work_step *step = &spec.steps.steps_val[0];
+  CU_ASSERT_EQUAL (spec.occurrences, 3);
+  CU_ASSERT_EQUAL (spec.first_due_ms, 1000);
+  CU_ASSERT_EQUAL (spec.interval_ms, 50);
+  CU_ASSERT_EQUAL (step->cpu_milli, 500);
+  CU_ASSERT_EQUAL (step->mem_mb, 256);
+  CU_ASSERT_EQUAL (step->gpu_count, 2);
+  CU_ASSERT_EQUAL (step->estimate_ms, 900);
+  CU_ASSERT_EQUAL (step->max_per_worker, 3);
+  CU_ASSERT_EQUAL (step->max_unavailable, 1);
+  CU_ASSERT_EQUAL (step->tail_target_ms, 20);
+  CU_ASSERT_STRING_EQUAL (step->data_rack, "r1");
+  CU_ASSERT_STRING_EQUAL (step->required_label, "k");
+  CU_ASSERT_STRING_EQUAL (step->image, "i");
+  CU_ASSERT (step->gang && step->rack_local && step->checkpointing && step->speculative);
+  CU_ASSERT (step->lasting && step->fills);
+  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &spec);
+}
+
+/* ---- routes ------------------------------------------------------------------ */
+
+static FbRoutes *
+routes_from (const char *text)
+{
+  g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
+  return fb_wire_routes (bytes);
+}
+
+static void
+test_routes (void)
+{
+  g_autoptr (FbRoutes) routes = routes_from (
+      "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\",\"path-prefix\":\"/p/\","
+      "\"service\":\"s\",\"priority\":1,\"max-attempts\":4,\"stretch-factor\":2.2,"
+      "\"target-duration-ms\":250,\"advice\":{\"decision-ms\":19.5,\"per-worker-ms\":0.25,"
+      "\"validity-ms\":2000}},{\"name\":\"b\",\"host\":\"h.example\",\"path-prefix\":\"/p/q/\","
+      "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (routes);
+  CU_ASSERT_EQUAL (routes->version, 7);
+  const FbRoute *shorter = fb_routes_find (routes, "h.example:8080", "/p/x");
+  const FbRoute *longer = fb_routes_find (routes, "H.EXAMPLE", "/p/q/x");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (shorter);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (longer);
+  CU_ASSERT_STRING_EQUAL (shorter->policy.queue, "a");
+  CU_ASSERT_STRING_EQUAL (longer->policy.queue, "b");
+  CU_ASSERT_EQUAL (shorter->policy.stretch_milli, 2200);
+  CU_ASSERT_EQUAL (shorter->policy.advice_decision_us, 19500);
+  CU_ASSERT_EQUAL (shorter->policy.advice_per_worker_us, 250);
+  CU_ASSERT_FALSE (longer->policy.advised);
+  CU_ASSERT_PTR_NULL (fb_routes_find (routes, "h.example", "/other/"));
+  CU_ASSERT_PTR_NULL (fb_routes_find (routes, "other.example", "/p/x"));
+  CU_ASSERT_PTR_NULL (routes_from ("{\"routes\":[]}"));
+  CU_ASSERT_PTR_NULL (routes_from ("not json"));
+}
+
+/* ---- the store ---------------------------------------------------------------- */
+
+static FbHttpReply
+reply_of (guint code, GBytes *body)
+{
+  return (FbHttpReply){ .status = FB_HTTP_OK, .sent = TRUE, .code = code, .body = body };
+}
+
+/* What tells a caller that its job certainly is not stored, and what does not. */
+static void
+test_append_results (void)
+{
+  static const struct
+  {
+    FbHttpStatus status;
+    gboolean sent;
+    guint code;
+    const char *body;
+    FbAppendResult result;
+  } cases[] = {
+    { FB_HTTP_OK, TRUE, 200, "{\"offset\":1,\"end\":2}", FB_APPEND_STORED },
+    { FB_HTTP_OK, TRUE, 503, "", FB_APPEND_NOT_STORED },
+    { FB_HTTP_OK, TRUE, 429, "", FB_APPEND_NOT_STORED },
+    { FB_HTTP_OK, TRUE, 507, "", FB_APPEND_NOT_STORED },
+    { FB_HTTP_OK, TRUE, 502, "", FB_APPEND_IN_DOUBT },
+    { FB_HTTP_OK, TRUE, 504, "", FB_APPEND_IN_DOUBT },
+    { FB_HTTP_OK, TRUE, 409, "{\"reason\":\"fenced\"}", FB_APPEND_FENCED },
+    { FB_HTTP_OK, TRUE, 409, "{\"reason\":\"seq\"}", FB_APPEND_SEQUENCE },
+    { FB_HTTP_OK, TRUE, 409, "?", FB_APPEND_SEQUENCE },
+    { FB_HTTP_TIMEOUT, TRUE, 0, NULL, FB_APPEND_IN_DOUBT },
+    { FB_HTTP_UNREACHABLE, TRUE, 0, NULL, FB_APPEND_IN_DOUBT },
+    { FB_HTTP_TIMEOUT, FALSE, 0, NULL, FB_APPEND_NOT_STORED },
+    { FB_HTTP_UNREACHABLE, FALSE, 0, NULL, FB_APPEND_NOT_STORED },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *text = cases[i].body != NULL ? cases[i].body : "";
+      g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+      FbHttpReply reply = { cases[i].status, cases[i].sent, cases[i].code, body };
+      CU_ASSERT_EQUAL (fb_wire_append_result (&reply), cases[i].result);
+    }
+}
+
+static void
+test_records_read_back (void)
+{
+  GByteArray *page = g_byte_array_new ();
+  static const guint8 header[16] = { [7] = 42, [15] = 40 };
+  g_byte_array_append (page, header, sizeof header);
+  g_autoptr (GBytes) value = g_bytes_new ("value", 5);
+  fb_wire_put_record (page, "key", value);
+  fb_wire_put_record (page, "dropped", NULL);
+  /* A record that the page cuts off is read again with the next one. */
+  static const guint8 cut[] = { 0, 0, 0, 9, 3, 'a' };
+  g_byte_array_append (page, cut, sizeof cut);
+  g_autoptr (GBytes) body = g_byte_array_free_to_bytes (page);
+  FbHttpReply reply = reply_of (200, body);
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+  uint64_t next = 0;
+  uint64_t end = 0;
+  CU_ASSERT_EQUAL (fb_wire_read_page (&reply, 40, records, &next, &end), FB_READ_OK);
+  CU_ASSERT_EQUAL_FATAL (records->len, 2);
+  CU_ASSERT_EQUAL (next, 42);
+  CU_ASSERT_EQUAL (end, 42);
+  const FbStoreRecord *first = records->pdata[0];
+  const FbStoreRecord *second = records->pdata[1];
+  CU_ASSERT_STRING_EQUAL (first->key, "key");
+  CU_ASSERT_EQUAL (first->offset, 40);
+  CU_ASSERT_TRUE (g_bytes_equal (first->value, value));
+  CU_ASSERT_STRING_EQUAL (second->key, "dropped");
+  CU_ASSERT_PTR_NULL (second->value);
+  reply.code = 410;
+  CU_ASSERT_EQUAL (fb_wire_read_page (&reply, 40, records, &next, &end), FB_READ_EXPIRED);
+  reply.code = 503;
+  CU_ASSERT_EQUAL (fb_wire_read_page (&reply, 40, records, &next, &end), FB_READ_FAILED);
+}
+
+/* ---- workers --------------------------------------------------------------------- */
+
+static FbOrderResult
+result_of (FbHttpStatus status, gboolean sent, guint code, const char *text)
+{
+  g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+  FbHttpReply reply = { status, sent, code, body };
+  uint64_t clock_ms = 0;
+  return fb_wire_order_result (&reply, &clock_ms);
+}
+
+static void
+test_order_results (void)
+{
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 200, "{}"), FB_ORDER_DONE);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 409, "{\"reason\":\"fence\"}"), FB_ORDER_FENCED);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 409, "{\"reason\":\"old\"}"), FB_ORDER_SUPERSEDED);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 409, "{\"reason\":\"late\"}"), FB_ORDER_LATE);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 409, "{\"reason\":\"room\"}"), FB_ORDER_NO_ROOM);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 409, "{\"reason\":\"ticket\"}"),
+                   FB_ORDER_BAD_TICKET);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 421, ""), FB_ORDER_OTHER_LIFE);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 503, ""), FB_ORDER_NOT_DONE);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_OK, TRUE, 500, ""), FB_ORDER_UNKNOWN);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_TIMEOUT, TRUE, 0, ""), FB_ORDER_UNKNOWN);
+  CU_ASSERT_EQUAL (result_of (FB_HTTP_UNREACHABLE, FALSE, 0, ""), FB_ORDER_NOT_DONE);
+}
+
+/* An answer that cannot be read must not look like an empty list: nothing would seem
+ * to run there. */
+static void
+test_look_answers (void)
+{
+  static const struct
+  {
+    const char *text;
+    FbOrderResult result;
+    guint running;
+    guint finished;
+  } cases[] = {
+    { "{\"clock-ms\":5,\"running\":[[\"t\",2,\"c\",41]],\"finished\":[[58,\"u\",1,\"done\",\"\"]]}",
+      FB_ORDER_DONE, 1, 1 },
+    { "{\"clock-ms\":5,\"running\":[],\"finished\":[]}", FB_ORDER_DONE, 0, 0 },
+    { "{\"clock-ms\":5}", FB_ORDER_DONE, 0, 0 },
+    { "{\"clock-ms\":5,\"running\":7}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "{\"running\":[]}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "oops", FB_ORDER_UNKNOWN, 0, 0 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GBytes) body = g_bytes_new (cases[i].text, strlen (cases[i].text));
+      FbHttpReply reply = reply_of (200, body);
+      FbLookAnswer answer;
+      fb_wire_look_answer (&reply, &answer);
+      CU_ASSERT_EQUAL (answer.result, cases[i].result);
+      CU_ASSERT_EQUAL (answer.running->len, cases[i].running);
+      CU_ASSERT_EQUAL (answer.finished->len, cases[i].finished);
+      fb_look_answer_clear (&answer);
+    }
+}
+
+static void
+test_listed_worker (void)
+{
+  const char *text
+      = "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"state\":\"draining\","
+        "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":8},\"labels\":[\"a\",\"r1-3\"]}";
+  g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
+  FbListedWorker *worker = fb_wire_listed_worker ("i-1", value);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (worker);
+  CU_ASSERT_STRING_EQUAL (worker->service, "s");
+  CU_ASSERT_STRING_EQUAL (worker->entry.rack, "r1-3");
+  CU_ASSERT_TRUE (worker->entry.draining);
+  CU_ASSERT_EQUAL (worker->entry.cpu_milli, 16000);
+  CU_ASSERT_EQUAL (worker->entry.gpu_count, 8);
+  fb_listed_worker_free (worker);
+  g_autoptr (GBytes) bad = g_bytes_new ("[]", 2);
+  CU_ASSERT_PTR_NULL (fb_wire_listed_worker ("i-1", bad));
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("wire", NULL, NULL);
+  CU_add_test (suite, "jobs of callers", test_jobs);
+  CU_add_test (suite, "a long payload", test_long_payload);
+  CU_add_test (suite, "members of a step", test_step_members);
+  CU_add_test (suite, "routes", test_routes);
+  CU_add_test (suite, "results of appends", test_append_results);
+  CU_add_test (suite, "records read back", test_records_read_back);
+  CU_add_test (suite, "results of orders", test_order_results);
+  CU_add_test (suite, "answers of looks", test_look_answers);
+  CU_add_test (suite, "a listed worker", test_listed_worker);
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  int failed = CU_get_number_of_failures () > 0;
+  CU_cleanup_registry ();
+  return failed;
+}
