Leave alone what is of a job not read yet; let work that saves its progress give way

Two changes in one commit, as both touch the ledger and the header.

The trace: the store was silent for the owner, which was told of a new job by a peer and started it; its successor heard the worker 5 ms before it had read the job, took the run for a stray, and when the job came started its tasks while the strays were being stopped. Now runs and ends of unknown jobs wait until every job stored before is read.

Test: pools/gang-makes-room.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -640,6 +640,7 @@
 static void
 read_jobs (World *world, Owner *owner)
 {
+  fb_pool_jobs_read (owner->pool, world->now_ms);
   for (guint i = 0; i < world->job_n; i++)
     {
       const Job *job = &world->jobs[i];
@@ -653,8 +654,15 @@
 restore (World *world, Owner *owner)
 {
   for (guint i = 0; i < world->job_n; i++)
-    fb_pool_admit (owner->pool, world->jobs[i].id, &world->jobs[i].record, world->now_ms,
-                   WALL_MS + world->now_ms);
+    {
+      const Job *job = &world->jobs[i];
+      /* A job that is stored while it loads may be read only after it heard the workers;
+       * what has progress was stored before the owner before was shut out. */
+      gboolean late = !g_hash_table_contains (world->progress, job->id)
+                      && world->now_ms < job->record.accepted_ms - WALL_MS + 1000;
+      if (!late || chance (world, 2) == 0)
+        fb_pool_admit (owner->pool, job->id, &job->record, world->now_ms, WALL_MS + world->now_ms);
+    }
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -814,7 +822,8 @@
   job->submitted = TRUE;
   for (guint i = 0; i < OWNER_N; i++)
     {
-      if (world->owners[i].pool != NULL && !world->owners[i].paused)
+      /* Others read it from the store up to LIST_LAG_MS later. */
+      if (world->owners[i].pool != NULL && !world->owners[i].paused && chance (world, 2) == 0)
         fb_pool_admit (world->owners[i].pool, job->id, record, world->now_ms,
                        WALL_MS + world->now_ms);
     }
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -14,6 +14,8 @@
 #define FB_POOL_START_WINDOW_MS 1200
 /* A look waits this long for news at the worker; the lease is renewed as often. */
 #define FB_POOL_LOOK_WAIT_MS 800
+/* The same while an end waits for its job to be read from the store. */
+#define FB_POOL_UNREAD_PAUSE_MS 100
 /* Looks that find unacknowledged ends return at once; this is their pause. */
 #define FB_POOL_LOOK_PAUSE_MS 250
 /* A worker that was silent for this long gets nothing new: a look takes up to
@@ -49,6 +51,11 @@
  * over them costs some 100 us, and an owner sees hundreds of events a second. */
 #define FB_POOL_TEND_EVERY_MS 20
 #define FB_POOL_EXPIRE_EVERY_MS 1000
+/* Work gives way only if its job has so much more time than the one that waits: a stop,
+ * a wait for other room and a restore take about a second. */
+#define FB_POOL_GIVE_WAY_MS 2000
+/* After a stop's longest time: until its end is listed and the gang is ordered. */
+#define FB_POOL_ROOM_SLACK_MS 600
 /* Results are kept this long after a job has ended, for callers who ask late. */
 #define FB_POOL_KEEP_ENDED_MS 300000
 
@@ -65,8 +72,9 @@
    * successor hears the same ends again, from several workers.  NULL for none. */
   GArray *failed; /* of uint32_t */
   gboolean done;
-  char *checkpoint; /* NULL for none */
-  FbPoolRun *run;   /* borrowed from its worker; NULL while it waits */
+  gboolean gave_way; /* it was stopped once for work of higher priority */
+  char *checkpoint;  /* NULL for none */
+  FbPoolRun *run;    /* borrowed from its worker; NULL while it waits */
 } FbPoolTask;
 
 typedef struct
@@ -134,6 +142,7 @@
 {
   char *name;
   FbPoolStep *step; /* NULL: of no job that is known */
+  uint64_t seen_ms; /* when it was first listed */
   uint32_t index;
   uint32_t attempt;
   FbRunState state;
@@ -163,11 +172,14 @@
   gboolean look_open;
   uint64_t look_at_ms; /* when the next look is due */
   uint64_t look_sent_ms;
-  uint64_t proof_ms; /* when the last look that was answered had been sent */
-  uint64_t heard_ms; /* last answer */
-  uint64_t clock_ms; /* worker's clock, no later than HEARD_MS */
-  uint64_t lease_ms; /* highest deadline that was ever sent, on its clock */
-  uint64_t seen_end; /* highest number of an end that was taken in */
+  uint64_t proof_ms;   /* when the last look that was answered had been sent */
+  uint64_t heard_ms;   /* last answer */
+  uint64_t clock_ms;   /* worker's clock, no later than HEARD_MS */
+  uint64_t lease_ms;   /* highest deadline that was ever sent, on its clock */
+  uint64_t seen_end;   /* highest number of an end that was taken in */
+  gboolean unread;     /* it lists an end of a job that is not known yet */
+  uint64_t unread_end; /* which one that was last; 0: none */
+  uint64_t unread_ms;  /* when that was first listed */
   uint64_t flushing_end;
   uint64_t acknowledged;
   uint64_t paused_until_ms;
@@ -205,6 +217,7 @@
   GHashTable *dirty;      /* set of FbPoolJob with news to record; borrowed */
   GPtrArray *in_flush;    /* of FbPoolJob: what the open flush holds; borrowed */
   GHashTable *orders;     /* order -> FbPoolOrderRef */
+  uint64_t jobs_read_ms;  /* every job stored before is known */
   gboolean workers_dirty; /* the record of workers is out of date */
   gboolean place_due;     /* room, work or advice came since the last round */
   uint64_t expired_ms;    /* when results were last looked through for old ones */
@@ -258,6 +271,8 @@
 gboolean fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape);
 /* Pauses a worker that fails what it is given, after a failure and after a start. */
 void fb_pool_worker_spare (FbPoolWorker *worker, uint64_t now_ms);
+/* Adds (SIGN 1) or takes off (-1) what RUN uses. */
+void fb_pool_worker_charge (FbPoolWorker *worker, const FbPoolRun *run, int sign);
 /* Keeps (SIGN 1) or gives back (-1) room for a task of SHAPE. */
 void fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
@@ -306,10 +321,25 @@
 /* Returns: FALSE unless every member found one; in one rack if that matters and can be. */
 gboolean fb_pool_choose_gang (FbPool *self, FbPoolStep *step, FbPoolTicketRule rule,
                               FbPoolWorker **chosen, uint64_t now_ms);
+/* Either of the above; for a gang all or none.  Returns: how many found one. */
+guint fb_pool_choose_step (FbPool *self, FbPoolStep *step, guint most, FbPoolTicketRule rule,
+                           FbPoolWorker **chosen, uint64_t now_ms);
+guint fb_pool_step_waiting_n (const FbPoolStep *step);
 /* Keeps room for N tasks of STEP on the workers chosen. */
 void fb_pool_hold (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, guint n,
                    uint64_t until_ms);
-void fb_pool_release_hold (FbPool *self, FbPoolStep *step);
+/* Returns: (transfer full): where it was held, for fb_pool_hold_again(). */
+GPtrArray *fb_pool_release_hold (FbPool *self, FbPoolStep *step);
+/* At most MOST of them: some of the tasks may have been placed. */
+void fb_pool_hold_again (FbPool *self, FbPoolStep *step, GPtrArray *held_on, guint most,
+                         uint64_t until_ms);
+
+/* pool-preempt.c */
+
+/* Stops work that gives way, holds its room for STEP until UNTIL_MS and says in CHOSEN
+ * where.  Returns: for how many tasks, at most MOST; all or none for a gang. */
+guint fb_pool_make_room (FbPool *self, FbPoolStep *step, guint most, FbPoolWorker **chosen,
+                         uint64_t until_ms, uint64_t now_ms);
 
 /* pool-advice.c */
 
@@ -318,5 +348,10 @@
 /* Asks for steps that come next. */
 void fb_pool_ask_ahead (FbPool *self, FbPoolJob *job, uint64_t now_ms);
 
+/* The run is of JOB after all: it keeps its room as what it is. */
+void fb_pool_bind_runs (FbPool *self, const FbPoolJob *job);
+/* Stops runs that are certainly of no job. */
+void fb_pool_stop_strays (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -164,6 +164,9 @@
                     uint64_t wall_ms);
 /* What an earlier owner recorded; comes after the admission of the job. */
 void fb_pool_restore (FbPool *self, const char *job, const fb_work_progress *record);
+/* Every job that was stored before UNTIL_MS has been passed in: what names another one
+ * names none.  Until then runs and ends of jobs that are not known are left alone. */
+void fb_pool_jobs_read (FbPool *self, uint64_t until_ms);
 void fb_pool_cancel (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
 /* A queue's policy changed. */
 void fb_pool_policy (FbPool *self, const fb_work_policy *policy);
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -444,6 +444,7 @@
     {
       Part *part = value;
       gboolean may_start = is_sure (self, part, now_ms) && !self->quiet;
+      fb_pool_jobs_read (part->pool, fb_follower_fresh_ms (self->job_follower));
       fb_pool_step (part->pool, may_start, now_ms, fb_clock_wall_ms ());
       flush_part (part);
     }
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -36,47 +36,69 @@
   return ids;
 }
 
+static uint64_t
+takes_ms (const FbPoolStep *step, guint n)
+{
+  const fb_work_policy *policy = &step->job->record.policy;
+  return (policy->advice_decision_us + n * policy->advice_per_worker_us) / 1000;
+}
+
+/* How many tasks of STEP one question, or one round of stops, is for. */
 static guint
-waiting_n (const FbPoolStep *step)
+most_at_once (const FbPoolStep *step)
 {
-  guint n = 0;
-  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
-    n += !step->tasks[i].done && step->tasks[i].run == NULL;
-  return n;
+  return step->shape->gang ? step->shape->count
+                           : MIN (fb_pool_step_waiting_n (step), FB_POOL_RENEW_MAX);
 }
 
-/* Chooses allowed workers that have a place now, whatever the age of their tickets, and
- * holds their room.  Returns: their ids, none when there is no place. */
+static guint
+make_room (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, uint64_t now_ms)
+{
+  guint most = most_at_once (step);
+  uint64_t wait_ms = MAX (self->limits.stop_ms, takes_ms (step, most));
+  return fb_pool_make_room (self, step, most, chosen, now_ms + wait_ms + FB_POOL_ROOM_SLACK_MS,
+                            now_ms);
+}
+
+/* Chooses allowed workers that have a place now, whatever the age of their tickets, or
+ * where one can be made, and holds their room.  Returns: their ids, none when there is
+ * no place. */
 static GPtrArray *
 to_renew (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   GPtrArray *ids = g_ptr_array_new ();
-  gboolean gang = step->shape->gang;
-  guint most = gang ? step->shape->count : MIN (waiting_n (step), FB_POOL_RENEW_MAX);
+  guint most = most_at_once (step);
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most + 1);
-  guint n = most;
-  if (!gang)
-    n = fb_pool_choose (self, step, most, NULL, FB_TICKET_ALLOWED, chosen, now_ms);
-  else if (!fb_pool_choose_gang (self, step, FB_TICKET_ALLOWED, chosen, now_ms))
-    n = 0;
+  guint n = fb_pool_choose_step (self, step, most, FB_TICKET_ALLOWED, chosen, now_ms);
+  if (n > 0)
+    fb_pool_hold (self, step, chosen, n, now_ms + takes_ms (step, n) + HOLD_SLACK_MS);
+  else
+    n = make_room (self, step, chosen, now_ms);
   for (guint i = 0; i < n; i++)
     {
       if (!g_ptr_array_find (ids, chosen[i]->id, NULL))
         g_ptr_array_add (ids, chosen[i]->id);
     }
-  const fb_work_policy *policy = &step->job->record.policy;
-  uint64_t takes_ms = (policy->advice_decision_us + n * policy->advice_per_worker_us) / 1000;
-  if (n > 0)
-    fb_pool_hold (self, step, chosen, n, now_ms + takes_ms + HOLD_SLACK_MS);
   return ids;
 }
 
+static void
+make_room_unadvised (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, step->shape->count);
+  (void) make_room (self, step, chosen, now_ms);
+}
+
 /* Returns: FALSE when no daemon can take a question now. */
 gboolean
 fb_pool_ask_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   if (!step->job->record.policy.advised)
-    return TRUE;
+    {
+      if (step->released && step->held_on->len == 0)
+        make_room_unadvised (self, step, now_ms);
+      return TRUE;
+    }
   if (step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS)
     return TRUE;
   g_autoptr (GPtrArray) ids = never_asked (self, step, now_ms);
@@ -88,13 +110,11 @@
   if (ids->len == 0)
     return TRUE;
   g_autofree char *name = fb_pool_step_name (step);
-  const fb_work_policy *policy = &step->job->record.policy;
-  uint32_t expected_ms
-      = (policy->advice_decision_us + ids->len * policy->advice_per_worker_us) / 1000;
+  uint32_t expected_ms = (uint32_t) takes_ms (step, ids->len);
   if (!self->sink->advise (self->user, name, (const char *const *) ids->pdata, ids->len,
                            expected_ms))
     {
-      fb_pool_release_hold (self, step);
+      g_ptr_array_unref (fb_pool_release_hold (self, step));
       return FALSE;
     }
   step->advice_sent_ms = now_ms;
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -188,12 +188,21 @@
   return fb_pool_choose (self, step, count, NULL, rule, chosen, now_ms) == count;
 }
 
+guint
+fb_pool_choose_step (FbPool *self, FbPoolStep *step, guint most, FbPoolTicketRule rule,
+                     FbPoolWorker **chosen, uint64_t now_ms)
+{
+  if (!step->shape->gang)
+    return fb_pool_choose (self, step, most, NULL, rule, chosen, now_ms);
+  return fb_pool_choose_gang (self, step, rule, chosen, now_ms) ? step->shape->count : 0;
+}
+
 /* ---- room that is held ------------------------------------------------------------ */
 
 void
 fb_pool_hold (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, guint n, uint64_t until_ms)
 {
-  fb_pool_release_hold (self, step);
+  g_ptr_array_unref (fb_pool_release_hold (self, step));
   step->held_until_ms = until_ms;
   for (guint i = 0; i < n; i++)
     {
@@ -202,15 +211,32 @@
     }
 }
 
-void
+GPtrArray *
 fb_pool_release_hold (FbPool *self, FbPoolStep *step)
 {
-  for (guint i = 0; i < step->held_on->len; i++)
+  GPtrArray *held_on = step->held_on;
+  for (guint i = 0; i < held_on->len; i++)
     {
-      FbPoolWorker *worker = g_hash_table_lookup (self->workers, step->held_on->pdata[i]);
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, held_on->pdata[i]);
       if (worker != NULL)
         fb_pool_worker_hold (worker, step->shape, -1);
     }
-  g_ptr_array_set_size (step->held_on, 0);
+  step->held_on = g_ptr_array_new_with_free_func (g_free);
   step->held_until_ms = 0;
+  return held_on;
+}
+
+void
+fb_pool_hold_again (FbPool *self, FbPoolStep *step, GPtrArray *held_on, guint most,
+                    uint64_t until_ms)
+{
+  step->held_until_ms = until_ms;
+  for (guint i = 0; i < MIN (held_on->len, most); i++)
+    {
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, held_on->pdata[i]);
+      if (worker == NULL)
+        continue;
+      fb_pool_worker_hold (worker, step->shape, 1);
+      g_ptr_array_add (step->held_on, g_strdup (worker->id));
+    }
 }
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -131,6 +131,15 @@
   return FALSE;
 }
 
+guint
+fb_pool_step_waiting_n (const FbPoolStep *step)
+{
+  guint n = 0;
+  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
+    n += !step->tasks[i].done && step->tasks[i].run == NULL;
+  return n;
+}
+
 static FbPoolOccurrence *
 occurrence_new (FbPoolJob *job, uint32_t number)
 {
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -141,7 +141,7 @@
     order.deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + lease_ms;
   /* Ends that may not be acknowledged yet would answer the look at once, again
    * and again. */
-  if (worker->answered && worker->acknowledged == worker->seen_end)
+  if (worker->answered && worker->acknowledged == worker->seen_end && !worker->unread)
     order.wait_ms = FB_POOL_LOOK_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
   worker->look_open = TRUE;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -146,10 +146,13 @@
       FbPoolStep *step = g_array_index (waiting, Waiting, i).step;
       if (step->advice_sent_ms != 0 && now_ms < step->held_until_ms)
         continue; /* its room is held until the advice comes */
-      fb_pool_release_hold (self, step);
+      uint64_t held_until_ms = step->held_until_ms;
+      g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
       gboolean placed
           = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
-      if (!placed)
+      if (!placed && now_ms < held_until_ms)
+        fb_pool_hold_again (self, step, held_on, fb_pool_step_waiting_n (step), held_until_ms);
+      else if (!placed)
         can_ask &= fb_pool_ask_advice (self, step, now_ms);
     }
   g_hash_table_iter_init (&iter, self->active);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -92,7 +92,7 @@
     {
       FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
       for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
-        fb_pool_release_hold (self, &occurrence->steps[j]);
+        g_ptr_array_unref (fb_pool_release_hold (self, &occurrence->steps[j]));
     }
 }
 
@@ -246,36 +246,96 @@
 
 /* ---- what runs ------------------------------------------------------------------ */
 
-/* A run that this owner did not order: a predecessor did. */
-static FbPoolRun *
-adopt (FbPool *self, FbPoolWorker *worker, const FbRunSeen *seen, uint64_t now_ms)
+/* Gives a run that is of STEP to its task, or stops it. */
+static void
+settle_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
 {
-  uint32_t index = 0;
-  FbPoolStep *step = fb_pool_find_task (self, seen->task, &index);
-  FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, seen->task, seen->attempt);
-  run->state = FB_RUN_RUNNING;
-  run->started_ms = now_ms;
-  FbPoolTask *task = step != NULL ? &step->tasks[index] : NULL;
-  gboolean wanted = task != NULL && !task->done && !fb_pool_job_ended (step->job);
-  if (wanted && task->run != NULL && task->run->attempt > seen->attempt)
+  FbPoolStep *step = run->step;
+  FbPoolTask *task = &step->tasks[run->index];
+  gboolean wanted = !task->done && !fb_pool_job_ended (step->job);
+  if (wanted && task->run != NULL && task->run != run && task->run->attempt > run->attempt)
     wanted = FALSE;
-  fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s wanted=%d", seen->task,
-                seen->attempt, worker->id, wanted);
+  fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s wanted=%d", run->name,
+                run->attempt, worker->id, wanted);
   if (!wanted)
     {
       stop_run (self, worker, run, now_ms);
-      return run;
+      return;
     }
   if (task->run == NULL)
     task->run = run;
-  task->attempt = MAX (task->attempt, seen->attempt);
-  step->gang_attempt = MAX (step->gang_attempt, seen->attempt);
+  task->attempt = MAX (task->attempt, run->attempt);
+  step->gang_attempt = MAX (step->gang_attempt, run->attempt);
   step->job->started = TRUE;
   if (step->job->state == FB_WORK_QUEUED)
     step->job->state = FB_WORK_RUNNING;
+}
+
+/* A run that this owner did not order: a predecessor did. */
+static FbPoolRun *
+adopt (FbPool *self, FbPoolWorker *worker, const FbRunSeen *seen, uint64_t now_ms)
+{
+  uint32_t index = 0;
+  FbPoolStep *step = fb_pool_find_task (self, seen->task, &index);
+  FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, seen->task, seen->attempt);
+  run->state = FB_RUN_RUNNING;
+  run->started_ms = now_ms;
+  run->seen_ms = now_ms;
+  if (step != NULL)
+    settle_run (self, worker, run, now_ms);
+  else
+    fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s job not known", seen->task,
+                  seen->attempt, worker->id);
   return run;
 }
 
+/* Failure: the owner before was told of a job directly and started it; this one finds
+ * the run before it has read the job.  Taken for a stray it would be stopped, and the
+ * job, once read, started a second time meanwhile.  Guard: a run of no known job keeps
+ * its worker to itself until the job is read, or certainly does not exist. */
+void
+fb_pool_bind_runs (FbPool *self, const FbPoolJob *job)
+{
+  GHashTableIter workers;
+  gpointer worker;
+  g_hash_table_iter_init (&workers, self->workers);
+  while (g_hash_table_iter_next (&workers, NULL, &worker))
+    {
+      g_autoptr (GList) runs = g_hash_table_get_values (((FbPoolWorker *) worker)->runs);
+      for (GList *l = runs; l != NULL; l = l->next)
+        {
+          FbPoolRun *run = l->data;
+          uint32_t index = 0;
+          if (run->step != NULL || !g_str_has_prefix (run->name, job->id))
+            continue;
+          FbPoolStep *step = fb_pool_find_task (self, run->name, &index);
+          if (step == NULL)
+            continue;
+          fb_pool_worker_charge (worker, run, -1);
+          run->step = step;
+          run->index = index;
+          fb_pool_worker_charge (worker, run, 1);
+          settle_run (self, worker, run, run->started_ms);
+        }
+    }
+}
+
+void
+fb_pool_stop_strays (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->alien_n == 0)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolRun *run = value;
+      if (run->step == NULL && run->state != FB_RUN_STOPPING && self->jobs_read_ms > run->seen_ms)
+        stop_run (self, worker, run, now_ms);
+    }
+}
+
 static void
 take_running (FbPool *self, FbPoolWorker *worker, const FbRunSeen *seen, uint64_t clock_ms,
               uint64_t now_ms)
@@ -323,6 +383,20 @@
     }
 }
 
+/* TRUE while END is of a job that may yet be read from the store.  Once acknowledged it
+ * would be gone, and the job, when it is read, would run again. */
+static gboolean
+is_unread (const FbPool *self, FbPoolWorker *worker, const FbEndSeen *end, uint64_t now_ms)
+{
+  uint32_t index = 0;
+  if (fb_pool_find_task ((FbPool *) self, end->task, &index) != NULL)
+    return FALSE;
+  if (worker->unread_end != end->number)
+    worker->unread_ms = now_ms;
+  worker->unread_end = end->number;
+  return self->jobs_read_ms <= worker->unread_ms;
+}
+
 static void
 take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
              uint64_t wall_ms)
@@ -340,16 +414,22 @@
   for (guint i = 0; i < answer->running->len; i++)
     take_running (self, worker, &g_array_index (answer->running, FbRunSeen, i), answer->clock_ms,
                   now_ms);
+  worker->unread = FALSE;
   for (guint i = 0; i < answer->finished->len; i++)
     {
       const FbEndSeen *end = &g_array_index (answer->finished, FbEndSeen, i);
       if (end->number <= worker->seen_end)
         continue;
+      worker->unread = is_unread (self, worker, end, now_ms);
+      if (worker->unread)
+        break;
       worker->seen_end = end->number;
       take_end (self, worker, end, now_ms, wall_ms);
     }
   drop_absent (self, worker, answer->clock_ms, now_ms);
-  if (worker->acknowledged == worker->seen_end)
+  if (worker->unread)
+    worker->look_at_ms = now_ms + FB_POOL_UNREAD_PAUSE_MS;
+  else if (worker->acknowledged == worker->seen_end)
     fb_pool_order_look (self, worker, now_ms);
 }
 
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -95,8 +95,8 @@
          && fb_pool_worker_clock_low (worker, now_ms) > worker->lease_ms + FB_POOL_LAPSE_SLACK_MS;
 }
 
-static void
-charge (FbPoolWorker *worker, const FbPoolRun *run, int sign)
+void
+fb_pool_worker_charge (FbPoolWorker *worker, const FbPoolRun *run, int sign)
 {
   if (run->step == NULL)
     {
@@ -121,14 +121,14 @@
   run->attempt = attempt;
   run->percent = 100;
   g_hash_table_insert (worker->runs, run->name, run);
-  charge (worker, run, 1);
+  fb_pool_worker_charge (worker, run, 1);
   return run;
 }
 
 void
 fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run)
 {
-  charge (worker, run, -1);
+  fb_pool_worker_charge (worker, run, -1);
   g_hash_table_remove (worker->runs, run->name);
   run_free (run);
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -139,6 +139,7 @@
           && now_ms > run->stop_sent_ms + FB_POOL_STOP_REPEAT_MS)
         fb_pool_order_stop (self, worker, run, now_ms);
     }
+  fb_pool_stop_strays (self, worker, now_ms);
   if (now_ms >= worker->look_at_ms)
     fb_pool_order_look (self, worker, now_ms);
 }
@@ -269,6 +270,7 @@
   g_hash_table_add (self->active, job);
   (void) fb_pool_job_release (job, wall_ms); /* nothing has ended yet */
   self->place_due = TRUE;
+  fb_pool_bind_runs (self, job);
   fb_event_log (FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u", id,
                 record->policy.queue, record->spec.steps.steps_len, job->restored,
                 (guint) (now_ms - job->admitted_ms));
@@ -287,6 +289,12 @@
   g_hash_table_add (self->ended, job);
 }
 
+void
+fb_pool_jobs_read (FbPool *self, uint64_t until_ms)
+{
+  self->jobs_read_ms = until_ms;
+}
+
 void
 fb_pool_cancel (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
 {
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -492,6 +492,12 @@
   fb_pool_flushed (script->pool, script->now_ms);
 }
 
+static void
+do_read (Script *script)
+{
+  fb_pool_jobs_read (script->pool, script->now_ms);
+}
+
 static void
 do_show (Script *script)
 {
@@ -513,7 +519,7 @@
               { "state", do_state },       { "pending", do_pending }, { "look", do_look },
               { "started", do_started },   { "stopped", do_stopped }, { "advised", do_advised },
               { "step", do_step },         { "flush", do_flush },     { "flushed", do_flushed },
-              { "show", do_show },         { "advice", do_advice } };
+              { "show", do_show },         { "advice", do_advice },   { "read", do_read } };
 
 static void
 run_line (Script *script, const char *line)
