--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -55,6 +55,16 @@
  * over them costs some 100 us, and an owner sees hundreds of events a second. */
 #define FB_POOL_TEND_EVERY_MS 20
 #define FB_POOL_EXPIRE_EVERY_MS 1000
+/* A run is stuck when it takes this many times what the others of its step took (they
+ * differ by some 15%), and this on top for a slow worker's start; each time it is moved
+ * the next one gets twice as long. */
+#define FB_POOL_STUCK_PERCENT 250
+#define FB_POOL_STUCK_MS 800
+#define FB_POOL_STUCK_SIBLINGS 2
+/* Without such others its estimate is all there is, which is off by up to 1.9 times while
+ * run times spread to 2.5 times their mean.  5 times moved sound runs on calm days. */
+#define FB_POOL_STUCK_FACTOR 10
+#define FB_POOL_STUCK_MOVES 3
 /* Work gives way only if its job has so much more time than the one that waits: a stop,
  * a wait for other room and a restore take about a second. */
 #define FB_POOL_GIVE_WAY_MS 2000
@@ -77,6 +87,7 @@
   GArray *failed; /* of uint32_t */
   gboolean done;
   gboolean gave_way; /* it was stopped once for work of higher priority */
+  uint32_t moved;    /* how often it was stopped for taking far too long */
   char *checkpoint;  /* NULL for none */
   FbPoolRun *run;    /* borrowed from its worker; NULL while it waits */
 } FbPoolTask;
@@ -96,6 +107,8 @@
   const fb_work_step *shape; /* borrowed from the job's record */
   FbPoolTask *tasks;         /* SHAPE->count */
   uint32_t done_n;
+  uint32_t timed_n; /* runs that ended done here, and how long they took in all */
+  uint64_t timed_ms;
   uint32_t waiting_from; /* no task before this index waits */
   uint32_t gang_attempt;
   gboolean released;    /* all steps before it are done, its time has come */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -196,6 +196,11 @@
   step->gang_attempt = MAX (step->gang_attempt, end->attempt);
   step->job->started = TRUE;
   judge_worker (worker, step, end->how, now_ms);
+  if (run != NULL && run->attempt == end->attempt && end->how == FB_END_DONE)
+    {
+      step->timed_n++;
+      step->timed_ms += now_ms - run->started_ms;
+    }
   if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_over (self, worker, run);
   if (fb_pool_job_ended (step->job))
