Refuse callers at once while the store is silent, before anything is sent to it

A daemon that has heard nothing for 1 s now sends nothing, asks peers, and refuses truly; a peer that is down counts as certainly not stored. Retry-After grows with the outage, up to 4 s. Test: tests/platform.sh, the store that takes calls and answers none.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -104,7 +104,7 @@
 
 /* ---- peers ------------------------------------------------------------------------------ */
 
-/* TOLD is borrowed; NULL when no answer came. */
+/* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
 typedef void (*FbTold) (gpointer user, const fb_told *told);
 void fb_peers_ask (FbEntry *entry, const char *address, const fb_ask *ask, uint32_t timeout_ms,
                    FbTold done, gpointer user);
@@ -169,4 +169,7 @@
 void fb_entry_disown (FbEntry *self, uint32_t partition);
 /* Notes whether the store answered. */
 void fb_entry_store_answered (FbEntry *self, const FbHttpReply *reply);
+/* TRUE when the store has been silent for so long that a call would most likely get no
+ * answer: callers are refused at once then, before anything is sent. */
+gboolean fb_entry_store_is_silent (const FbEntry *self);
 gboolean fb_entry_is_ready (const FbEntry *self);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -21,6 +21,9 @@
 #define TIMER_MS 25
 #define REAP_MS 100
 #define SETTINGS_CHECK_MS 1000
+/* A poll of the store is answered each 0.4 s, after up to 0.25 s more when it is slow; a
+ * join each 0.25 s. */
+#define STORE_SILENT_MS 1000
 /* The store counts as lost after this without an answer; polls end sooner. */
 #define STORE_LOST_MS 2500
 /* A planned stop: answers are flushed, then shards are given back, then callers on
@@ -93,6 +96,12 @@
                 (guint) (now_ms - self->store_ok_ms));
 }
 
+gboolean
+fb_entry_store_is_silent (const FbEntry *self)
+{
+  return fb_clock_ms () > self->store_ok_ms + STORE_SILENT_MS;
+}
+
 gboolean
 fb_entry_is_ready (const FbEntry *self)
 {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -27,9 +27,10 @@
 #define SLOW_APPEND_MS 50
 #define OWNER_APPEND_MS 900
 #define BODY_MAX_BYTES (256 * 1024)
-/* When a caller may come back after the store turned its job away: outages last
- * seconds, and a job that waits longer misses its objective. */
-#define RETRY_AFTER_S "1"
+/* When a caller may come back: as long as the store has been away already, so that a
+ * caller's few tries outlast an outage of seconds. */
+#define RETRY_AFTER_MIN_S 1
+#define RETRY_AFTER_MAX_S 4
 
 #define JSON_TYPE "application/json"
 
@@ -82,7 +83,12 @@
 {
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   if (status == SOUP_STATUS_SERVICE_UNAVAILABLE)
-    soup_message_headers_replace (headers, "Retry-After", RETRY_AFTER_S);
+    {
+      uint64_t away_s = (fb_clock_ms () - entry->store_ok_ms + 999) / 1000;
+      g_autofree char *wait_s
+          = g_strdup_printf ("%u", (guint) CLAMP (away_s, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S));
+      soup_message_headers_replace (headers, "Retry-After", wait_s);
+    }
   if (entry->stopping)
     soup_message_headers_replace (headers, "Connection", "close");
   soup_server_message_set_status (message, status, NULL);
@@ -128,8 +134,10 @@
 static void
 answer_stored (Request *request, FbAppendResult result)
 {
-  log_stored (request, result == FB_APPEND_STORED,
-              result == FB_APPEND_IN_DOUBT ? "in doubt" : "by the store");
+  static const char *const how[] = { [FB_APPEND_STORED] = "stored",
+                                     [FB_APPEND_NOT_STORED] = "certainly not stored",
+                                     [FB_APPEND_IN_DOUBT] = "in doubt" };
+  log_stored (request, result == FB_APPEND_STORED, how[MIN (result, FB_APPEND_IN_DOUBT)]);
   if (result == FB_APPEND_STORED)
     {
       fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
@@ -266,7 +274,12 @@
   request->records = g_byte_array_new ();
   fb_wire_put_record (request->records, request->key, value);
   request->stored_since_ms = fb_clock_ms ();
-  if (!store_by_owner (request))
+  /* Failure: the store takes calls and answers none; it shows as callers who wait for 2 s
+   * and then are told that nobody knows.  Guard: a daemon that has heard nothing from it
+   * sends it nothing, so its refusal is true, and asks those that may still reach it. */
+  if (fb_entry_store_is_silent (request->entry))
+    store_by_peer (request);
+  else if (!store_by_owner (request))
     store_here (request);
 }
 
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -40,6 +40,12 @@
       asked->done (asked->user, &told);
       xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
     }
+  else if (!reply->sent)
+    {
+      /* The peer is down: it did nothing, and knows nothing. */
+      static const fb_told unsure = { .type = FB_TOLD_UNSURE };
+      asked->done (asked->user, &unsure);
+    }
   else
     asked->done (asked->user, NULL);
   g_free (asked);
@@ -220,6 +226,11 @@
       on_answer_ready (answer, NULL);
       return;
     }
+  if (fb_entry_store_is_silent (entry))
+    {
+      on_appended (answer, FB_APPEND_NOT_STORED);
+      return;
+    }
   GByteArray *records = g_byte_array_new ();
   g_byte_array_append (records, (const guint8 *) ask->records.records_val,
                        ask->records.records_len);
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -2,7 +2,7 @@
  * workers on the ports after it.  It also judges: GET /audit tells what really ran.
  *
  * A task's payload is its run time in ms.  POST /control {"outage":true} takes the store
- * away, {"worker":K,"up":false} a worker. */
+ * away, {"silent":true} lets it answer nothing, {"worker":K,"up":false} a worker. */
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdio.h>
@@ -73,6 +73,7 @@
 static GHashTable *done_tasks;
 static guint64 generation = 1;
 static gboolean outage;
+static gboolean silent;
 static guint started;
 static guint doubled;
 static guint over_capacity;
@@ -540,6 +541,8 @@
 {
   if (json_object_has_member (body, "outage"))
     outage = json_object_get_boolean_member (body, "outage");
+  if (json_object_has_member (body, "silent"))
+    silent = json_object_get_boolean_member (body, "silent");
   if (json_object_has_member (body, "worker"))
     {
       Worker *worker = &workers[json_object_get_int_member (body, "worker") % WORKER_MAX];
@@ -563,7 +566,9 @@
 serve_store (SoupServerMessage *message, const char *path, GHashTable *query, GBytes *bytes,
              JsonObject *body)
 {
-  if (outage)
+  if (silent)
+    soup_server_message_pause (g_object_ref (message)); /* never answered */
+  else if (outage)
     reply (message, 503, "{}");
   else if (g_str_equal (path, "/api/log-append"))
     serve_append (message, query, bytes);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -91,6 +91,14 @@
 until_true is "$alive" 31 completed || die "that job did not complete"
 [ "$(ask "$alive" GET "$(job 30)")" = 410 ] || die "the refused job is known"
 
+say "the store takes calls and answers none: callers are refused, and nothing is sent"
+curl -s -d '{"silent":true}' "http://127.0.0.1:$base/control" > /dev/null
+refused_unsent() { [ "$(ask "$alive" POST "$(job 32)" "$steps")" = 503 ]; }
+until_true refused_unsent || die "no caller was refused while the store was silent"
+curl -s -d '{"silent":false}' "http://127.0.0.1:$base/control" > /dev/null
+until_true submitted "$alive" 33 || die "a job was not taken after the store spoke again"
+until_true is "$alive" 33 completed || die "that job did not complete"
+
 say "a worker dies with work on it"
 for n in $(seq 40 45); do submitted "$alive" "$n" || die "job $n was not taken"; done
 curl -s -d '{"worker":2,"up":false}' "http://127.0.0.1:$base/control" > /dev/null
