--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -167,6 +167,9 @@
 /* Sets which partitions this daemon owns from now on, under EPOCH if they are new. */
 void fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t epoch);
 void fb_entry_disown (FbEntry *self, uint32_t partition);
+void fb_entry_each_owner (FbEntry *self, void (*func) (FbOwner *owner));
+/* Begins to follow the configuration and to give up what is lost. */
+void fb_entry_watch (FbEntry *self);
 /* Notes whether the store answered. */
 void fb_entry_store_answered (FbEntry *self, const FbHttpReply *reply);
 /* TRUE when the store has been silent for so long that a call would most likely get no
--- /dev/null
+++ b/src/entry/owner-private.h
@@ -0,0 +1,54 @@
+/* The parts of an owner, for its own files only. */
+#pragma once
+
+#include "entry-private.h"
+
+/* One service's pool, and whose it is. */
+typedef struct
+{
+  FbOwner *owner;
+  FbPool *pool;
+  char *service;
+} FbOwnerPart;
+
+struct _FbOwner
+{
+  FbEntry *entry;
+  uint32_t partition;
+  uint64_t epoch;
+  FbAppender *appender;
+  FbFollower *progress_follower;
+  FbFollower *job_follower;
+  GHashTable *progress;  /* job -> GBytes, while loading */
+  GHashTable *cancelled; /* jobs, while loading */
+  GHashTable *loading;   /* job -> GBytes, while loading */
+  GHashTable *parts;     /* service -> FbOwnerPart */
+  gboolean loaded;
+  gboolean workers_known; /* the list of workers is younger than the take-over */
+  gboolean lost;
+  gboolean quiet;
+  uint64_t began_ms;
+  uint64_t fenced_ms;    /* since when the owner before cannot record anything */
+  uint64_t authority_ms; /* when it was last sure to be the owner */
+  guint kick;
+  guint tick;
+  guint open_flushes;
+};
+
+/* Keys of FB_TOPIC_PROGRESS are job ids, or this and the name of a service. */
+#define FB_KEY_WORKERS "workers."
+
+/* owner-orders.c: what pools send, and what comes back. */
+extern const FbPoolSink fb_owner_sink;
+/* It must not be used any more; the daemon frees it soon. */
+void fb_owner_lose (FbOwner *self, const char *why);
+
+/* owner-load.c: reading what predecessors left. */
+
+/* For the append that shuts the writer before out. */
+void fb_owner_writer_shut_out (gpointer self, FbAppendResult result);
+
+/* owner.c */
+
+/* Returns: borrowed; made when there is none yet. */
+FbOwnerPart *fb_owner_part_for (FbOwner *self, const char *service);
--- /dev/null
+++ b/src/work/pool-record.c
@@ -0,0 +1,167 @@
+/* What a pool makes durable: the progress of jobs that changed, and its workers.
+ *
+ * One flush is open at a time and holds all that changed meanwhile.  Ends in it may be
+ * acknowledged, and the states of jobs shown, when it is stored. */
+#include "internal/codec.h"
+#include "internal/pool-private.h"
+
+static void
+record_free (gpointer data)
+{
+  FbPoolRecord *record = data;
+  g_free (record->job);
+  if (record->progress != NULL)
+    g_bytes_unref (record->progress);
+  g_free (record);
+}
+
+static void
+mark_flushing_ends (FbPool *self)
+{
+  GHashTableIter iter;
+  gpointer worker;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    ((FbPoolWorker *) worker)->flushing_end = ((FbPoolWorker *) worker)->seen_end;
+}
+
+static GBytes *
+encode_progress (const FbPoolJob *job)
+{
+  fb_work_progress progress;
+  fb_pool_job_progress (job, &progress);
+  GBytes *bytes = fb_codec_encode_progress (&progress);
+  g_free (progress.marks.marks_val);
+  return bytes;
+}
+
+static void
+add_record (GPtrArray *records, const char *job, GBytes *progress)
+{
+  FbPoolRecord *record = g_new0 (FbPoolRecord, 1);
+  record->job = g_strdup (job);
+  record->progress = progress;
+  g_ptr_array_add (records, record);
+}
+
+static gboolean
+has_run (FbPool *self, const FbPoolJob *job)
+{
+  GHashTableIter workers;
+  gpointer worker;
+  g_hash_table_iter_init (&workers, self->workers);
+  while (g_hash_table_iter_next (&workers, NULL, &worker))
+    {
+      GHashTableIter runs;
+      gpointer run;
+      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      while (g_hash_table_iter_next (&runs, NULL, &run))
+        {
+          FbPoolStep *step = ((FbPoolRun *) run)->step;
+          if (step != NULL && step->job == job)
+            return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+static void
+take_dirty (FbPool *self, GPtrArray *records)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->dirty);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      job->flushing_state = job->state;
+      g_ptr_array_add (self->in_flush, job);
+      add_record (records, job->id, encode_progress (job));
+    }
+  g_hash_table_remove_all (self->dirty);
+}
+
+static void
+take_workers (FbPool *self, GPtrArray *records)
+{
+  if (!self->workers_dirty || !self->settled)
+    return;
+  self->workers_dirty = FALSE;
+  guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
+  g_autofree fb_work_known *known = g_new0 (fb_work_known, n + 1);
+  fb_work_workers record = { .workers = { 0, known } };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (record.workers.workers_len < n && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolWorker *worker = value;
+      known[record.workers.workers_len++] = (fb_work_known){ worker->id, worker->address };
+    }
+  add_record (records, NULL, fb_codec_encode_workers (&record));
+}
+
+static void
+take_expired (FbPool *self, GPtrArray *records, uint64_t wall_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->ended);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      if (job->stored_state != job->state || wall_ms <= job->ended_wall_ms + FB_POOL_KEEP_ENDED_MS
+          || has_run (self, job))
+        continue;
+      add_record (records, job->id, NULL);
+      g_hash_table_iter_remove (&iter);
+      g_hash_table_remove (self->jobs, job->id);
+    }
+}
+
+GPtrArray *
+fb_pool_flush (FbPool *self, uint64_t now_ms, uint64_t wall_ms)
+{
+  if (self->flushing || self->fenced)
+    return NULL;
+  GPtrArray *records = g_ptr_array_new_with_free_func (record_free);
+  take_dirty (self, records);
+  take_workers (self, records);
+  if (now_ms >= self->expired_ms + FB_POOL_EXPIRE_EVERY_MS)
+    {
+      self->expired_ms = now_ms;
+      take_expired (self, records, wall_ms);
+    }
+  mark_flushing_ends (self);
+  self->flushing = TRUE;
+  if (records->len > 0)
+    return records;
+  /* Ends that changed nothing need no write to be acknowledged. */
+  g_ptr_array_unref (records);
+  fb_pool_flushed (self, now_ms);
+  return NULL;
+}
+
+void
+fb_pool_flushed (FbPool *self, uint64_t now_ms)
+{
+  self->flushing = FALSE;
+  for (guint i = 0; i < self->in_flush->len; i++)
+    {
+      FbPoolJob *job = self->in_flush->pdata[i];
+      job->stored_state = job->flushing_state;
+    }
+  g_ptr_array_set_size (self->in_flush, 0);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolWorker *worker = value;
+      if (worker->acknowledged == worker->flushing_end)
+        continue;
+      worker->acknowledged = worker->flushing_end;
+      /* The worker keeps what is not acknowledged, and answers no look until then. */
+      fb_pool_order_look (self, worker, now_ms);
+    }
+}
