--- a/src/core/place.c
+++ b/src/core/place.c
@@ -18,7 +18,7 @@
  * accelerators are in use; nothing for work that can be stopped when they are wanted.  A fixed
  * half was tried first: it held 59% of the accelerators where 98% were wanted,
  * since half of the slots is not enough for them, and kept gangs off idle
- * accelerator hosts.  The bench compares all five on the same arrivals. */
+ * accelerator hosts.  `./run bench` compares all five on the same arrivals. */
 #include "internal/place.h"
 
 static uint64_t
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -2,7 +2,7 @@
  *
  * A summary is a heartbeat old when it arrives.  If every daemon sends to the
  * rack that looks best, they all send to the same one (herding).  Three ways
- * are kept, compared by the bench:
+ * are kept; `./run bench` compares them:
  *
  *  random        any rack that fits by its summary.
  *  two-choices   the better of two random ones: nearly as even as the best of
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -10,7 +10,8 @@
 
 static const FbIniField daemon_fields[]
     = { { "name", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, name) },
-        { "zone", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, zone) },
+        { "domain", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, domain) },
         { "grace", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, grace_ms) },
         { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
@@ -122,7 +123,7 @@
   if (self == NULL)
     return;
   g_free (self->name);
-  g_free (self->zone);
+  g_free (self->domain);
   g_free (self->callers);
   g_free (self->readiness);
   g_free (self->peers);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -6,7 +6,7 @@
 typedef struct
 {
   char *name;
-  char *zone;
+  char *domain;  /* failure domain */
   char *callers; /* IP:PORT, each of these */
   char *readiness;
   char *peers;
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -17,7 +17,7 @@
   cat > "$OUT/d$1.ini" <<INI
 [daemon]
 name=d$1
-zone=z$1
+domain=z$1
 grace=6s
 [listen]
 callers=127.0.0.1:$(port "$1")
