--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -562,5 +562,6 @@
       printf ("%s\n", lines[i]);
       run_line (&script, lines[i]);
     }
+  fb_pool_free (script.pool);
   return 0;
 }
