--- /dev/null
+++ b/fuzz/pool-world-owners.c
@@ -0,0 +1,276 @@
+/* Owners of the fuzzing world: each drives a pool as a daemon does, over a store that may
+ * be away and that knows one of them. */
+#include "pool-world.h"
+
+#include "internal/codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static guint
+worker_index (const char *id)
+{
+  return (guint) atoi (id + 1);
+}
+
+static void
+send_order (Owner *owner, Order *order, const char *worker, uint32_t patience_ms)
+{
+  World *world = owner->world;
+  order->owner = (guint) (owner - world->owners);
+  order->owner_life = owner->life;
+  order->knows_ms = owner->list_seen_ms;
+  order->worker = worker_index (worker);
+  g_strlcpy (order->worker_id, worker, sizeof order->worker_id);
+  order->gives_up_ms = world->now_ms + patience_ms;
+  order->arrives_ms = world->now_ms + 2 + world_chance (world, 8);
+  if (!world->healing && world_chance (world, 25) == 0)
+    order->answer_lost = TRUE;
+  if (!world->healing && order->kind != ORDER_LOOK && world_chance (world, 25) == 0)
+    {
+      order->answer_lost = TRUE;
+      order->arrives_ms = world->now_ms + 2000 + world_chance (world, 10000);
+    }
+  g_ptr_array_add (world->orders, order);
+}
+
+static void
+on_start (gpointer user, const FbStartOrder *start)
+{
+  Order *order = g_new0 (Order, 1);
+  order->kind = ORDER_START;
+  order->order = start->order;
+  order->epoch = start->epoch;
+  order->attempt = start->attempt;
+  order->deadline_ms = start->deadline_ms;
+  g_strlcpy (order->task, start->task, sizeof order->task);
+  send_order (user, order, start->worker, 600);
+}
+
+static void
+on_stop (gpointer user, const FbStopOrder *stop)
+{
+  Order *order = g_new0 (Order, 1);
+  order->kind = ORDER_STOP;
+  order->order = stop->order;
+  order->epoch = stop->epoch;
+  order->attempt = stop->attempt;
+  g_strlcpy (order->task, stop->task, sizeof order->task);
+  send_order (user, order, stop->worker, 600);
+}
+
+static void
+on_look (gpointer user, const FbLookOrder *look)
+{
+  Order *order = g_new0 (Order, 1);
+  order->kind = ORDER_LOOK;
+  order->epoch = look->epoch;
+  order->acknowledged = look->acknowledged;
+  order->deadline_ms = look->deadline_ms;
+  order->wait_ms = look->wait_ms;
+  send_order (user, order, look->worker, look->wait_ms + 600);
+}
+
+static gboolean
+on_advise (gpointer user, const char *step, const char *const *workers, guint n,
+           uint32_t expected_ms)
+{
+  (void) user;
+  (void) step;
+  (void) workers;
+  (void) n;
+  (void) expected_ms;
+  return FALSE;
+}
+
+static void
+on_fenced (gpointer user, const char *worker)
+{
+  (void) worker;
+  Owner *owner = user;
+  owner->fenced = TRUE;
+}
+
+static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+
+/* ---- owners --------------------------------------------------------------------- */
+
+void
+world_owner_end (World *world, guint i)
+{
+  Owner *owner = &world->owners[i];
+  g_clear_pointer (&owner->pool, fb_pool_free);
+  if (owner->flush != NULL)
+    g_ptr_array_unref (owner->flush);
+  owner->flush = NULL;
+}
+
+static void
+show_list (World *world, guint i)
+{
+  Owner *owner = &world->owners[i];
+  for (guint j = 0; j < WORKER_N; j++)
+    {
+      const Worker *worker = &world->workers[j];
+      if (owner->in_shown[j] && (!worker->listed || !g_str_equal (owner->shown[j], worker->id)))
+        {
+          fb_pool_worker_unlisted (owner->pool, owner->shown[j], world->now_ms);
+          owner->in_shown[j] = FALSE;
+        }
+      if (!worker->listed)
+        continue;
+      const char *labels[] = { "k", "r1", NULL };
+      const FbWorkerEntry entry
+          = { worker->id, worker->id, "r1", labels, CPU, 64000, 0, worker->draining };
+      fb_pool_worker_listed (owner->pool, &entry, world->now_ms);
+      owner->in_shown[j] = TRUE;
+      g_strlcpy (owner->shown[j], worker->id, sizeof owner->shown[j]);
+    }
+  if (!owner->complete)
+    fb_pool_workers_complete (owner->pool);
+  owner->complete = TRUE;
+  owner->list_seen_ms = world->now_ms;
+}
+
+/* What an owner reads from the store after it was away. */
+static void
+read_jobs (World *world, Owner *owner)
+{
+  fb_pool_jobs_read (owner->pool, world->now_ms);
+  for (guint i = 0; i < world->job_n; i++)
+    {
+      const Job *job = &world->jobs[i];
+      fb_pool_admit (owner->pool, job->id, &job->record, world->now_ms, WALL_MS + world->now_ms);
+      if (job->cancelled)
+        fb_pool_cancel (owner->pool, job->id, world->now_ms, WALL_MS + world->now_ms);
+    }
+}
+
+static void
+restore (World *world, Owner *owner)
+{
+  for (guint i = 0; i < world->job_n; i++)
+    {
+      const Job *job = &world->jobs[i];
+      /* A job that is stored while it loads may be read only after it heard the workers;
+       * what has progress was stored before the owner before was shut out. */
+      gboolean late = !g_hash_table_contains (world->progress, job->id)
+                      && world->now_ms < job->record.accepted_ms - WALL_MS + 1000;
+      if (!late || world_chance (world, 2) == 0)
+        fb_pool_admit (owner->pool, job->id, &job->record, world->now_ms, WALL_MS + world->now_ms);
+    }
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, world->progress);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (value, &len);
+      fb_work_progress progress;
+      if (!fb_codec_decode_progress (data, len, &progress))
+        abort ();
+      fb_pool_restore (owner->pool, key, &progress);
+      xdr_free ((xdrproc_t) xdr_fb_work_progress, (char *) &progress);
+    }
+  for (guint i = 0; i < world->job_n; i++)
+    {
+      if (world->jobs[i].cancelled)
+        fb_pool_cancel (owner->pool, world->jobs[i].id, world->now_ms, WALL_MS + world->now_ms);
+    }
+  fb_work_workers known;
+  gsize len = 0;
+  gconstpointer data
+      = world->known_workers != NULL ? g_bytes_get_data (world->known_workers, &len) : NULL;
+  if (data != NULL && fb_codec_decode_workers (data, len, &known))
+    {
+      fb_pool_restore_workers (owner->pool, &known);
+      xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &known);
+    }
+}
+
+void
+world_owner_begin (World *world, guint i)
+{
+  static const FbPoolLimits limits = { 6000, STOP_TAKES_MS, 3000 };
+  Owner *owner = &world->owners[i];
+  world_owner_end (world, i);
+  *owner = (Owner){ .world = world, .life = ++world->lives, .epoch = ++world->store_epoch };
+  owner->authority_ms = world->now_ms;
+  owner->fenced_store_ms = world->now_ms;
+  owner->pool = fb_pool_new ("svc", owner->epoch, &limits, &sink, owner, world->now_ms);
+  world->current = i;
+  world->current_seen_ms = world->now_ms;
+  restore (world, owner);
+}
+
+static void
+store_flush (World *world, Owner *owner)
+{
+  if (owner->epoch != world->store_epoch)
+    {
+      owner->fenced = TRUE;
+      return;
+    }
+  for (guint i = 0; i < owner->flush->len; i++)
+    {
+      const FbPoolRecord *record = owner->flush->pdata[i];
+      if (record->job == NULL)
+        {
+          g_clear_pointer (&world->known_workers, g_bytes_unref);
+          world->known_workers = g_bytes_ref (record->progress);
+        }
+      else if (record->progress != NULL)
+        g_hash_table_replace (world->progress, g_strdup (record->job),
+                              g_bytes_ref (record->progress));
+    }
+  g_clear_pointer (&owner->flush, g_ptr_array_unref);
+  fb_pool_flushed (owner->pool, world->now_ms);
+}
+
+static void
+flush_tick (World *world, Owner *owner)
+{
+  if (owner->flush == NULL)
+    {
+      owner->flush = fb_pool_flush (owner->pool, world->now_ms, WALL_MS + world->now_ms);
+      owner->flush_done_ms = world->now_ms + 10;
+    }
+  else if (!world->store_away && world->now_ms >= owner->flush_done_ms)
+    store_flush (world, owner);
+}
+
+void
+world_owner_tick (World *world, guint i)
+{
+  Owner *owner = &world->owners[i];
+  if (owner->pool == NULL || owner->paused)
+    return;
+  gboolean is_current = i == world->current && owner->epoch == world->store_epoch;
+  gboolean member = is_current && !world->store_away;
+  if (member)
+    world->current_seen_ms = world->now_ms;
+  if (is_current && !world->store_away && world->now_ms >= owner->list_seen_ms + LIST_LAG_MS)
+    {
+      show_list (world, i);
+      read_jobs (world, owner);
+    }
+  gboolean sure = member || fb_pool_holds_majority (owner->pool, MAJORITY_MS, world->now_ms);
+  if (sure)
+    owner->authority_ms = world->now_ms;
+  fb_pool_step (owner->pool, sure, world->now_ms, WALL_MS + world->now_ms);
+  flush_tick (world, owner);
+  if (owner->fenced || world->now_ms > owner->authority_ms + STEP_DOWN_MS)
+    world_owner_end (world, i);
+}
+
+void
+world_deal (World *world)
+{
+  Owner *owner = &world->owners[world->current];
+  gboolean alive = owner->pool != NULL && !owner->paused && owner->epoch == world->store_epoch;
+  if (world->store_away || (alive && world->now_ms <= world->current_seen_ms + TTL_MS))
+    return;
+  if (!alive && world->now_ms > world->current_seen_ms + TTL_MS)
+    world_owner_begin (world, (world->current + 1) % OWNER_N);
+}
--- /dev/null
+++ b/fuzz/pool-world-workers.c
@@ -0,0 +1,361 @@
+/* Workers of the fuzzing world, the orders on their way to them, and the judge of what
+ * they start. */
+#include "pool-world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+world_broke (World *world, const char *format, ...)
+{
+  if (world->broken != NULL)
+    return;
+  va_list args;
+  va_start (args, format);
+  g_autofree char *what = g_strdup_vprintf (format, args);
+  va_end (args);
+  world->broken = g_strdup_printf ("%s (at %u ms)", what, (unsigned) (world->now_ms % 1000000));
+}
+
+guint
+world_chance (World *world, guint n)
+{
+  return (guint) g_rand_int_range (world->rand, 0, (gint32) n);
+}
+
+static uint64_t
+clock_of (const World *world, const Worker *worker)
+{
+  uint64_t ran_ms = world->now_ms - worker->began_ms;
+  return 5000 + ran_ms * (1000 - worker->slow_permille) / 1000;
+}
+
+static Job *
+job_of (World *world, const char *task, guint *step, guint *index)
+{
+  unsigned occurrence = 0;
+  char id[FB_WORK_JOB_ID_CHARS + 1];
+  memcpy (id, task, FB_WORK_JOB_ID_CHARS);
+  id[FB_WORK_JOB_ID_CHARS] = '\0';
+  if (sscanf (task + FB_WORK_JOB_ID_CHARS, ".%u.%u.%u", &occurrence, step, index) != 3)
+    return NULL;
+  for (guint i = 0; i < world->job_n; i++)
+    {
+      if (g_str_equal (world->jobs[i].id, id))
+        return &world->jobs[i];
+    }
+  return NULL;
+}
+
+/* ---- workers ------------------------------------------------------------------------- */
+
+void
+world_worker_begin (World *world, guint i)
+{
+  Worker *worker = &world->workers[i];
+  worker->life++;
+  g_snprintf (worker->id, sizeof worker->id, "w%u-%u", i, worker->life);
+  worker->up = TRUE;
+  worker->cut = FALSE;
+  worker->draining = FALSE;
+  worker->began_ms = world->now_ms;
+  worker->slow_permille = world_chance (world, 21);
+  worker->token = 0;
+  worker->lease_ms = 0;
+  worker->next_end = 0;
+  worker->acknowledged = 0;
+  worker->silent_ms = 0;
+  worker->listed = TRUE;
+  g_array_set_size (worker->runs, 0);
+  g_array_set_size (worker->ends, 0);
+  g_hash_table_remove_all (worker->highest);
+}
+
+static void
+add_end (Worker *worker, const Run *run, FbEndHow how)
+{
+  End end = { .number = ++worker->next_end, .attempt = run->attempt, .how = how };
+  memcpy (end.task, run->task, sizeof end.task);
+  g_array_append_val (worker->ends, end);
+  g_hash_table_replace (worker->highest, g_strdup (run->task), GUINT_TO_POINTER (run->attempt));
+}
+
+static void
+end_run (World *world, Worker *worker, guint at, FbEndHow how)
+{
+  Run run = g_array_index (worker->runs, Run, at);
+  g_array_remove_index (worker->runs, at);
+  add_end (worker, &run, how);
+  guint step = 0;
+  guint index = 0;
+  Job *job = job_of (world, run.task, &step, &index);
+  job->done[step][index] += how == FB_END_DONE;
+  job->fell[step][index] += how == FB_END_FAILED;
+}
+
+void
+world_worker_tick (World *world, Worker *worker)
+{
+  if (!worker->up)
+    return;
+  gboolean lapsed = clock_of (world, worker) >= worker->lease_ms;
+  for (guint i = worker->runs->len; i > 0; i--)
+    {
+      const Run *run = &g_array_index (worker->runs, Run, i - 1);
+      if (run->stop_ms != 0 && world->now_ms >= run->stop_ms)
+        end_run (world, worker, i - 1, FB_END_STOPPED);
+      else if (world->now_ms >= run->ends_ms)
+        end_run (world, worker, i - 1, run->fails ? FB_END_FAILED : FB_END_DONE);
+      else if (lapsed)
+        end_run (world, worker, i - 1, FB_END_LAPSED);
+    }
+}
+
+/* ---- the judge ---------------------------------------------------------------------------- */
+
+static void
+judge_start (World *world, const Worker *worker, const Order *order)
+{
+  guint step = 0;
+  guint index = 0;
+  Job *job = job_of (world, order->task, &step, &index);
+  if (job == NULL)
+    {
+      world_broke (world, "%s started and nobody submitted it", order->task);
+      return;
+    }
+  int64_t cpu_milli = job->record.spec.steps.steps_val[step].cpu_milli;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      guint s = 0;
+      guint x = 0;
+      const Job *other = job_of (world, g_array_index (worker->runs, Run, i).task, &s, &x);
+      cpu_milli += other->record.spec.steps.steps_val[s].cpu_milli;
+    }
+  if (cpu_milli > CPU)
+    world_broke (world, "%s holds %d of %d", worker->id, (int) cpu_milli, CPU);
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      const Worker *other = &world->workers[i];
+      for (guint j = 0; other->up && j < other->runs->len; j++)
+        {
+          if (g_str_equal (g_array_index (other->runs, Run, j).task, order->task))
+            world_broke (world, "%s runs on %s and %s", order->task, other->id, worker->id);
+        }
+    }
+  if (job->noted[step][index])
+    world_broke (world, "%s started after its end was acknowledged", order->task);
+  if (job->failed[step][index] >= MAX_ATTEMPTS)
+    world_broke (world, "%s started after %u failed runs", order->task, job->failed[step][index]);
+  if (step > 0)
+    {
+      for (u_int i = 0; i < job->record.spec.steps.steps_val[0].count; i++)
+        {
+          if (job->done[0][i] == 0)
+            world_broke (world, "%s started before step 0 was done", order->task);
+        }
+    }
+  if (job->cancelled && order->knows_ms > job->cancelled_ms)
+    world_broke (world, "%s started after its job was cancelled", order->task);
+}
+
+/* ---- orders arrive --------------------------------------------------------------------------- */
+
+static FbOrderResult
+take_start (World *world, Worker *worker, const Order *order)
+{
+  guint highest = GPOINTER_TO_UINT (g_hash_table_lookup (worker->highest, order->task));
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const Run *run = &g_array_index (worker->runs, Run, i);
+      if (g_str_equal (run->task, order->task))
+        return run->attempt == order->attempt ? FB_ORDER_DONE : FB_ORDER_SUPERSEDED;
+    }
+  if (highest >= order->attempt)
+    return FB_ORDER_SUPERSEDED;
+  if (clock_of (world, worker) >= order->deadline_ms)
+    return FB_ORDER_LATE;
+  judge_start (world, worker, order);
+  guint step = 0;
+  guint index = 0;
+  const Job *job = job_of (world, order->task, &step, &index);
+  if (job == NULL)
+    return FB_ORDER_NOT_DONE;
+  Run run = { .attempt = order->attempt,
+              /* Some outlast a lease, so that one that was thought to have ended shows. */
+              .ends_ms = world->now_ms + 200
+                         + world_chance (world, world_chance (world, 6) == 0 ? 8000 : 1500),
+              .fails = job->poison || world_chance (world, 12) == 0 };
+  memcpy (run.task, order->task, sizeof run.task);
+  g_array_append_val (worker->runs, run);
+  worker->lease_ms = MAX (worker->lease_ms, order->deadline_ms);
+  world->starts++;
+  return FB_ORDER_DONE;
+}
+
+static void
+take_stop (World *world, Worker *worker, const Order *order)
+{
+  guint highest = GPOINTER_TO_UINT (g_hash_table_lookup (worker->highest, order->task));
+  g_hash_table_replace (worker->highest, g_strdup (order->task),
+                        GUINT_TO_POINTER (MAX (highest, order->attempt)));
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      Run *run = &g_array_index (worker->runs, Run, i);
+      if (g_str_equal (run->task, order->task) && run->attempt <= order->attempt
+          && run->stop_ms == 0)
+        run->stop_ms = world->now_ms + STOP_TAKES_MS;
+    }
+}
+
+static void
+acknowledge (World *world, Worker *worker, uint64_t number)
+{
+  for (guint i = worker->ends->len; i > 0; i--)
+    {
+      const End *end = &g_array_index (worker->ends, End, i - 1);
+      if (end->number > number)
+        continue;
+      guint step = 0;
+      guint index = 0;
+      Job *job = job_of (world, end->task, &step, &index);
+      job->noted[step][index] = job->noted[step][index] || end->how == FB_END_DONE;
+      job->failed[step][index] += end->how == FB_END_FAILED;
+      g_array_remove_index (worker->ends, i - 1);
+    }
+  worker->acknowledged = MAX (worker->acknowledged, number);
+}
+
+static void
+clear_run (gpointer data)
+{
+  g_free (((FbRunSeen *) data)->task);
+  g_free (((FbRunSeen *) data)->checkpoint);
+}
+
+static void
+clear_end (gpointer data)
+{
+  g_free (((FbEndSeen *) data)->task);
+  g_free (((FbEndSeen *) data)->checkpoint);
+}
+
+static void
+list_runs (World *world, const Worker *worker, FbLookAnswer *answer)
+{
+  answer->clock_ms = clock_of (world, worker);
+  answer->running = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
+  answer->finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+  g_array_set_clear_func (answer->running, clear_run);
+  g_array_set_clear_func (answer->finished, clear_end);
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const Run *run = &g_array_index (worker->runs, Run, i);
+      FbRunSeen seen = { g_strdup (run->task), run->attempt, g_strdup (""), 100, 0 };
+      g_array_append_val (answer->running, seen);
+    }
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const End *end = &g_array_index (worker->ends, End, i);
+      FbEndSeen seen = { end->number, g_strdup (end->task), end->attempt, end->how, g_strdup ("") };
+      g_array_append_val (answer->finished, seen);
+    }
+}
+
+static Owner *
+sender_of (World *world, const Order *order)
+{
+  Owner *owner = &world->owners[order->owner];
+  return owner->pool != NULL && owner->life == order->owner_life ? owner : NULL;
+}
+
+static void
+answer (World *world, const Order *order, FbOrderResult result, uint64_t clock_ms,
+        FbLookAnswer *look)
+{
+  Owner *owner = sender_of (world, order);
+  if (owner == NULL)
+    return;
+  FbLookAnswer none = { .result = result };
+  if (order->kind == ORDER_START)
+    fb_pool_start_answered (owner->pool, order->order, result, clock_ms, world->now_ms);
+  else if (order->kind == ORDER_STOP)
+    fb_pool_stop_answered (owner->pool, order->order, result, clock_ms, world->now_ms);
+  else
+    fb_pool_look_answered (owner->pool, order->worker_id, look != NULL ? look : &none,
+                           world->now_ms, WALL_MS + world->now_ms);
+}
+
+/* Returns: FALSE while the order waits at the worker for news. */
+static gboolean
+carry_out (World *world, Order *order)
+{
+  Worker *worker = &world->workers[order->worker];
+  FbOrderResult result = FB_ORDER_DONE;
+  FbLookAnswer look = { 0 };
+  gboolean heard = !order->answer_lost && world->now_ms <= order->gives_up_ms;
+  if (!worker->up || worker->cut)
+    return TRUE;
+  if (!g_str_equal (worker->id, order->worker_id))
+    result = FB_ORDER_OTHER_LIFE;
+  else if (order->epoch < worker->token)
+    result = FB_ORDER_FENCED;
+  else
+    {
+      worker->token = order->epoch;
+      if (order->kind == ORDER_START)
+        result = take_start (world, worker, order);
+      else if (order->kind == ORDER_STOP)
+        take_stop (world, worker, order);
+      else if (!order->arrived)
+        {
+          order->arrived = TRUE;
+          order->waits_until_ms = world->now_ms + order->wait_ms;
+          acknowledge (world, worker, order->acknowledged);
+          if (order->deadline_ms > 0)
+            worker->lease_ms
+                = MAX (worker->lease_ms, MIN (order->deadline_ms, clock_of (world, worker) + 6000));
+        }
+      if (order->kind == ORDER_LOOK && worker->ends->len == 0
+          && world->now_ms < order->waits_until_ms)
+        return FALSE;
+    }
+  if (order->kind == ORDER_LOOK && result == FB_ORDER_DONE)
+    list_runs (world, worker, &look);
+  if (heard)
+    answer (world, order, result, clock_of (world, worker), look.running != NULL ? &look : NULL);
+  if (heard)
+    order->gives_up_ms = G_MAXUINT64; /* answered */
+  g_clear_pointer (&look.running, g_array_unref);
+  g_clear_pointer (&look.finished, g_array_unref);
+  return TRUE;
+}
+
+/* An order is done with when it was carried out or lost and its sender knows or gave up. */
+void
+world_orders_tick (World *world)
+{
+  for (guint i = 0; i < world->orders->len;)
+    {
+      Order *order = world->orders->pdata[i];
+      gboolean due = order->arrives_ms != G_MAXUINT64 && world->now_ms >= order->arrives_ms;
+      Owner *owner = sender_of (world, order);
+      if (owner != NULL && owner->paused)
+        due = due && order->arrived; /* nobody hears answers; the order itself was sent */
+      if (due && carry_out (world, order))
+        order->arrives_ms = G_MAXUINT64;
+      if (order->gives_up_ms != G_MAXUINT64 && world->now_ms > order->gives_up_ms
+          && (owner == NULL || !owner->paused))
+        {
+          answer (world, order, FB_ORDER_UNKNOWN, 0, NULL);
+          order->gives_up_ms = G_MAXUINT64;
+        }
+      if (order->arrives_ms == G_MAXUINT64 && order->gives_up_ms == G_MAXUINT64)
+        {
+          g_free (order);
+          g_ptr_array_remove_index_fast (world->orders, i);
+        }
+      else
+        i++;
+    }
+}
--- /dev/null
+++ b/fuzz/pool-world.h
@@ -0,0 +1,167 @@
+/* The world of a fuzzing run: workers, a store and owners, all of which fail, and the
+ * truth about every run on them.  It shares no code with the pool that it judges. */
+#pragma once
+
+#include "internal/pool.h"
+
+#define WORKER_N 6
+#define JOB_MAX 40
+#define TASK_MAX 4
+#define STEP_MAX 2
+#define TICK_MS 10
+#define FAULT_MS 40000
+#define HEAL_MS 45000
+#define MAX_ATTEMPTS 3
+#define CPU 16000
+#define STOP_TAKES_MS 150
+#define TTL_MS 1000
+#define MAJORITY_MS 1500
+#define STEP_DOWN_MS 2000
+#define LIST_LAG_MS 300
+#define SILENCE_MS 4500
+#define WALL_MS 1000000000
+
+typedef struct
+{
+  char task[64];
+  uint32_t attempt;
+  uint64_t ends_ms;
+  uint64_t stop_ms; /* when an ordered stop takes effect; 0: none */
+  gboolean fails;
+} Run;
+
+typedef struct
+{
+  uint64_t number;
+  char task[64];
+  uint32_t attempt;
+  FbEndHow how;
+} End;
+
+typedef struct
+{
+  char id[32];
+  guint life;
+  gboolean up;
+  gboolean cut; /* nothing gets through */
+  gboolean listed;
+  gboolean draining;
+  uint64_t silent_ms; /* since when the list has heard nothing; 0: it hears */
+  uint64_t began_ms;
+  uint32_t slow_permille; /* of its clock */
+  uint64_t token;
+  uint64_t lease_ms;
+  uint64_t next_end;
+  uint64_t acknowledged;
+  GArray *runs;        /* of Run */
+  GArray *ends;        /* of End */
+  GHashTable *highest; /* task -> highest attempt stopped or ended here */
+} Worker;
+
+typedef struct
+{
+  char id[FB_WORK_JOB_ID_CHARS + 1];
+  fb_work_admit record;
+  gboolean submitted;
+  gboolean cancelled;
+  uint64_t cancelled_ms;
+  uint32_t done[STEP_MAX][TASK_MAX];   /* runs that ended done */
+  gboolean noted[STEP_MAX][TASK_MAX];  /* such an end was acknowledged */
+  uint32_t failed[STEP_MAX][TASK_MAX]; /* failed ends that were acknowledged */
+  uint32_t fell[STEP_MAX][TASK_MAX];   /* runs that ended failed */
+  gboolean poison;
+} Job;
+
+typedef enum
+{
+  ORDER_START,
+  ORDER_STOP,
+  ORDER_LOOK
+} OrderKind;
+
+typedef struct
+{
+  OrderKind kind;
+  guint owner;
+  uint64_t owner_life;
+  uint64_t order;
+  guint worker;
+  char worker_id[32];
+  char task[64];
+  uint32_t attempt;
+  uint64_t epoch;
+  uint64_t deadline_ms;
+  uint64_t acknowledged;
+  uint32_t wait_ms;
+  uint64_t arrives_ms;
+  uint64_t gives_up_ms; /* the sender's time limit */
+  gboolean answer_lost;
+  gboolean arrived;
+  uint64_t waits_until_ms;
+  uint64_t knows_ms; /* until when its sender had read the store */
+} Order;
+
+typedef struct _World World;
+
+typedef struct
+{
+  World *world;
+  FbPool *pool; /* NULL: dead */
+  uint64_t life;
+  uint64_t epoch;
+  gboolean paused;
+  gboolean fenced;
+  uint64_t authority_ms;
+  GPtrArray *flush;
+  uint64_t flush_done_ms;
+  uint64_t list_seen_ms;
+  uint64_t fenced_store_ms; /* when it shut the writer before out */
+  gboolean complete;
+  gboolean in_shown[WORKER_N];
+  char shown[WORKER_N][32];
+} Owner;
+
+#define OWNER_N 2
+
+struct _World
+{
+  GRand *rand;
+  uint64_t now_ms;
+  gboolean healing;
+  gboolean store_away;
+  Worker workers[WORKER_N];
+  Job jobs[JOB_MAX];
+  guint job_n;
+  Owner owners[OWNER_N];
+  guint current; /* the owner that the store knows */
+  uint64_t store_epoch;
+  uint64_t current_seen_ms;
+  GHashTable *progress; /* job -> GBytes */
+  GBytes *known_workers;
+  GPtrArray *orders;
+  uint64_t lives;
+  uint64_t starts;
+  char *broken;
+};
+
+/* Notes that a promise of the pool was broken; the first one counts. */
+void world_broke (World *world, const char *format, ...) G_GNUC_PRINTF (2, 3);
+/* Returns: a number below N, drawn from the seed. */
+guint world_chance (World *world, guint n);
+
+/* ---- workers: pool-world-workers.c ----------------------------------------------------------- */
+
+/* Begins a new life of worker I, empty and under a new name. */
+void world_worker_begin (World *world, guint i);
+void world_worker_tick (World *world, Worker *worker);
+/* Orders that are due arrive, and those without an answer are given up. */
+void world_orders_tick (World *world);
+
+/* ---- owners: pool-world-owners.c --------------------------------------------------------------
+ */
+
+void world_owner_begin (World *world, guint i);
+void world_owner_end (World *world, guint i);
+void world_owner_tick (World *world, guint i);
+/* The store deals the pool to another daemon when its owner is gone for long. */
+void world_deal (World *world);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -381,3 +381,13 @@
 
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
+
+/* pool-stuck.c */
+
+/* Stops RUN, so that its task starts elsewhere, if it takes far too long. */
+void fb_pool_run_check_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
+
+/* pool-orders.c */
+
+/* Returns: (transfer full): a table of orders in flight. */
+GHashTable *fb_pool_orders_new (void);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -127,15 +127,13 @@
 /* Calls the advice service from here. */
 void fb_advisor_call (FbEntry *entry, const fb_ask_advice *ask, FbTold done, gpointer user);
 
-/* ---- front ------------------------------------------------------------------------------------
- */
+/* ---- front --------------------------------------------------------- */
 
 void fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                            GHashTable *query, gpointer entry);
 guint fb_entry_front_open (void);
 
-/* ---- the whole
- * ----------------------------------------------------------------------------------- */
+/* ---- the whole --------------------------------------------------------- */
 
 struct _FbEntry
 {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -4,7 +4,7 @@
  * taken while an owner is being replaced.  A refusal is final: it is given only
  * when the job is certainly not stored.  When that is not known the caller gets
  * 504 and asks again under the same id. */
-#include "entry-private.h"
+#include "front-private.h"
 
 #include "fb-counter.h"
 #include "fb-event.h"
@@ -16,16 +16,8 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Callers wait about 3 s; an answer leaves before that.  Doubt about a call of the store
- * is resolved by repeating it for this long, then by peers. */
-#define STORE_MS 700
+/* Callers wait about 3 s; an answer leaves before that. */
 #define ASK_MS 2000
-#define PEER_APPEND_MS 700
-#define PEERS_UNTIL_MS 1900
-#define PEERS_MAX 3
-/* Appends take 10 to 20 ms; above this the store counts as slow. */
-#define SLOW_APPEND_MS 50
-#define OWNER_APPEND_MS 900
 #define BODY_MAX_BYTES (256 * 1024)
 /* When a caller may come back: as long as the store has been away already, so that a
  * caller's few tries outlast an outage of seconds. */
@@ -34,25 +26,6 @@
 
 #define JSON_TYPE "application/json"
 
-/* One call of a caller; the arena of all that it needs. */
-typedef struct
-{
-  FbEntry *entry;
-  SoupServerMessage *message;
-  char *job;
-  char *queue;
-  char *service;
-  char *key; /* of the record that is to be stored */
-  GBytes *value;
-  GByteArray *records; /* the same, encoded; kept for a peer */
-  GPtrArray *asked;    /* addresses of peers that were asked to store it */
-  gboolean in_doubt;   /* a call that may have stored it got no answer */
-  uint32_t partition;
-  uint64_t since_ms;
-  uint64_t stored_since_ms; /* when storing began */
-  gboolean is_delete;
-} Request;
-
 static guint open_requests;
 
 guint
@@ -61,10 +34,10 @@
   return open_requests;
 }
 
-static Request *
+static FbFrontRequest *
 request_new (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
 {
-  Request *request = talloc_zero (NULL, Request);
+  FbFrontRequest *request = talloc_zero (NULL, FbFrontRequest);
   request->entry = entry;
   request->message = g_object_ref (message);
   request->job = talloc_strdup (request, job);
@@ -95,8 +68,8 @@
   soup_server_message_set_response (message, JSON_TYPE, SOUP_MEMORY_COPY, body, strlen (body));
 }
 
-static void
-finish (Request *request, guint status, const char *body)
+void
+fb_front_finish (FbFrontRequest *request, guint status, const char *body)
 {
   fb_histogram_add (FB_HISTOGRAM_CALLER_ANSWER, fb_clock_ms () - request->since_ms);
   set_answer (request->entry, request->message, status, body);
@@ -120,169 +93,6 @@
   set_answer (entry, message, status, body);
 }
 
-/* ---- storing -------------------------------------------------------------------- */
-
-static void
-log_stored (const Request *request, gboolean stored, const char *how)
-{
-  fb_event_log (stored ? FB_EVENT_JOB_ACCEPTED : FB_EVENT_JOB_REFUSED,
-                "job=%s queue=%s how=%s after_ms=%u store_ok_ms_ago=%u", request->job,
-                request->queue, how, (guint) (fb_clock_ms () - request->since_ms),
-                (guint) (fb_clock_ms () - request->entry->store_ok_ms));
-}
-
-static void
-answer_stored (Request *request, FbAppendResult result)
-{
-  static const char *const how[] = { [FB_APPEND_STORED] = "stored",
-                                     [FB_APPEND_NOT_STORED] = "certainly not stored",
-                                     [FB_APPEND_IN_DOUBT] = "in doubt" };
-  log_stored (request, result == FB_APPEND_STORED, how[MIN (result, FB_APPEND_IN_DOUBT)]);
-  if (result == FB_APPEND_STORED)
-    {
-      fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
-      request->entry->append_ms = fb_clock_ms () - request->stored_since_ms;
-      fb_peers_tell_stored (request->entry, request->partition, request->key, request->value);
-      finish (request, SOUP_STATUS_OK, "{}");
-    }
-  else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
-    {
-      fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
-      finish (request, SOUP_STATUS_GATEWAY_TIMEOUT,
-              "{\"error\":\"not known whether it is stored\"}");
-    }
-  else
-    {
-      fb_counter_add (FB_COUNTER_JOBS_REFUSED, 1);
-      finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"not stored\"}");
-    }
-}
-
-static void store_by_peer (Request *request);
-
-static void
-ask_to_append (Request *request, const char *daemon, uint32_t timeout_ms, FbTold done)
-{
-  fb_ask ask = { .type = FB_ASK_APPEND };
-  ask.fb_ask_u.append.partition = request->partition;
-  ask.fb_ask_u.append.records.records_len = request->records->len;
-  ask.fb_ask_u.append.records.records_val = (char *) request->records->data;
-  fb_peers_ask (request->entry, daemon, &ask, timeout_ms, done, request);
-}
-
-static void
-on_peer_stored (gpointer data, const fb_told *told)
-{
-  Request *request = data;
-  if (told != NULL && told->type == FB_TOLD_STORED)
-    {
-      answer_stored (request, FB_APPEND_STORED);
-      return;
-    }
-  request->in_doubt = request->in_doubt || told == NULL || told->type == FB_TOLD_IN_DOUBT;
-  store_by_peer (request);
-}
-
-/* Returns: (nullable): a daemon that was not asked yet, chosen at random, borrowed. */
-static const char *
-other_daemon (Request *request)
-{
-  const FbEntry *entry = request->entry;
-  g_autoptr (GPtrArray) daemons = fb_group_daemons (entry->group);
-  for (guint i = daemons->len; i > 0; i--)
-    {
-      guint at = (guint) g_random_int_range (0, (gint32) i);
-      const char *address = daemons->pdata[at];
-      if (!g_str_equal (address, entry->settings->peers)
-          && !g_ptr_array_find_with_equal_func (request->asked, address, g_str_equal, NULL))
-        return address;
-      g_ptr_array_remove_index_fast (daemons, at);
-    }
-  return NULL;
-}
-
-/* Failure: the store turns this daemon away and serves the others; it shows as
- * refused callers while workers are free.  Guard: peers are asked to store the job, one
- * after the other; the key makes that harmless where it was stored before. */
-static void
-store_by_peer (Request *request)
-{
-  const char *peer = other_daemon (request);
-  uint64_t spent_ms = fb_clock_ms () - request->since_ms;
-  if (peer == NULL || spent_ms >= PEERS_UNTIL_MS || request->asked->len >= PEERS_MAX)
-    {
-      answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
-      return;
-    }
-  g_ptr_array_add (request->asked, g_strdup (peer));
-  ask_to_append (request, peer, PEER_APPEND_MS, on_peer_stored);
-}
-
-static void
-on_stored (gpointer data, FbAppendResult result)
-{
-  Request *request = data;
-  request->in_doubt = request->in_doubt || result == FB_APPEND_IN_DOUBT;
-  if (result == FB_APPEND_STORED)
-    answer_stored (request, result);
-  else
-    store_by_peer (request);
-}
-
-static void
-store_here (Request *request)
-{
-  fb_appender_put (fb_entry_appender (request->entry, request->partition),
-                   g_byte_array_ref (request->records), request->since_ms + STORE_MS, on_stored,
-                   request);
-}
-
-static void
-on_owner_stored (gpointer data, const fb_told *told)
-{
-  Request *request = data;
-  if (told != NULL && told->type == FB_TOLD_STORED)
-    {
-      answer_stored (request, FB_APPEND_STORED);
-      return;
-    }
-  request->in_doubt = told == NULL || told->type == FB_TOLD_IN_DOUBT;
-  store_here (request);
-}
-
-/* Failure: while the store is slow, a partition takes one append in 100 ms and more, and
- * those of seven daemons queue up; it shows as jobs that are accepted after 0.8 s.
- * Guard: then all daemons send their records to the owner, whose one append at a time
- * carries them all. */
-static gboolean
-store_by_owner (Request *request)
-{
-  const char *owner = fb_group_owner_of (request->entry->group, request->partition);
-  if (request->entry->append_ms < SLOW_APPEND_MS || owner == NULL
-      || g_str_equal (owner, request->entry->settings->peers))
-    return FALSE;
-  ask_to_append (request, owner, OWNER_APPEND_MS, on_owner_stored);
-  return TRUE;
-}
-
-/* KIND: the first letter of the record's key. */
-static void
-store (Request *request, char kind, GBytes *value)
-{
-  request->key = talloc_asprintf (request, "%c%s", kind, request->job);
-  request->value = g_bytes_ref (value);
-  request->records = g_byte_array_new ();
-  fb_wire_put_record (request->records, request->key, value);
-  request->stored_since_ms = fb_clock_ms ();
-  /* Failure: the store takes calls and answers none; it shows as callers who wait for 2 s
-   * and then are told that nobody knows.  Guard: a daemon that has heard nothing from it
-   * sends it nothing, so its refusal is true, and asks those that may still reach it. */
-  if (fb_entry_store_is_silent (request->entry))
-    store_by_peer (request);
-  else if (!store_by_owner (request))
-    store_here (request);
-}
-
 /* ---- submit ------------------------------------------------------------------------ */
 
 static gboolean
@@ -320,7 +130,7 @@
   if (value == NULL)
     refuse (entry, message, SOUP_STATUS_BAD_REQUEST, "the job is too large");
   else
-    store (request_new (entry, message, route, job), FB_KEY_JOB, value);
+    fb_front_store (request_new (entry, message, route, job), FB_KEY_JOB, value);
 }
 
 /* ---- state and cancel ---------------------------------------------------------------- */
@@ -328,33 +138,33 @@
 static void
 on_state (gpointer data, const fb_told *told)
 {
-  Request *request = data;
+  FbFrontRequest *request = data;
   fb_event_log (FB_EVENT_JOB_ASKED, "job=%s told=%d state=%d after_ms=%u", request->job,
                 told != NULL ? (int) told->type : 0,
                 told != NULL && told->type == FB_TOLD_STATE ? (int) told->fb_told_u.state : -1,
                 (guint) (fb_clock_ms () - request->since_ms));
   if (told != NULL && told->type == FB_TOLD_NO_JOB)
-    finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
+    fb_front_finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
   else if (request->is_delete)
     {
       /* A record without a value would drop its key. */
       g_autoptr (GBytes) mark = g_bytes_new_static ("x", 1);
-      store (request, FB_KEY_CANCEL, mark);
+      fb_front_store (request, FB_KEY_CANCEL, mark);
     }
   else if (told != NULL && told->type == FB_TOLD_STATE)
     {
       g_autofree char *body = fb_wire_job_state (told->fb_told_u.state);
-      finish (request, SOUP_STATUS_OK, body);
+      fb_front_finish (request, SOUP_STATUS_OK, body);
     }
   else
-    finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
+    fb_front_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
 }
 
 static void
 ask_state (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job,
            gboolean is_delete)
 {
-  Request *request = request_new (entry, message, route, job);
+  FbFrontRequest *request = request_new (entry, message, route, job);
   request->is_delete = is_delete;
   fb_ask ask = { .type = FB_ASK_STATE };
   ask.fb_ask_u.job.service = request->service;
@@ -371,16 +181,16 @@
   if (told != NULL && told->type == FB_TOLD_PENDING)
     {
       g_autofree char *body = fb_wire_pending (told->fb_told_u.pending);
-      finish (data, SOUP_STATUS_OK, body);
+      fb_front_finish (data, SOUP_STATUS_OK, body);
     }
   else
-    finish (data, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
+    fb_front_finish (data, SOUP_STATUS_SERVICE_UNAVAILABLE, "{\"error\":\"the owner is away\"}");
 }
 
 static void
 ask_pending (FbEntry *entry, SoupServerMessage *message, const FbRoute *route)
 {
-  Request *request = request_new (entry, message, route, "");
+  FbFrontRequest *request = request_new (entry, message, route, "");
   fb_ask ask = { .type = FB_ASK_PENDING };
   ask.fb_ask_u.queue.service = request->service;
   ask.fb_ask_u.queue.queue = request->queue;
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -125,6 +125,19 @@
   return self->ok_sent_ms != 0 && now_ms < self->ok_sent_ms + self->ttl_ms;
 }
 
+/* Failure: a daemon was away for longer than its time to live and is dealt the same
+ * partitions again; it shows as an owner whose state lacks what another did in between.
+ * Guard: it gives up what it had, and takes it over anew. */
+static void
+give_up_after_absence (FbGroup *self, uint64_t generation)
+{
+  if (self->generation == 0 || generation == self->generation
+      || self->join_sent_ms < self->ok_sent_ms + self->ttl_ms)
+    return;
+  g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  fb_entry_own (self->entry, none, generation);
+}
+
 static void
 on_joined (gpointer data, const FbHttpReply *reply)
 {
@@ -135,25 +148,18 @@
   uint64_t now_ms = fb_clock_ms ();
   if (self->leaving)
     return;
-  if (fb_wire_joined (reply, &generation, partitions))
+  if (!fb_wire_joined (reply, &generation, partitions))
     {
-      /* Out for longer than its time to live, it may have lost its partitions and
-       * got them back: another owner was in between. */
-      if (self->generation != 0 && self->join_sent_ms >= self->ok_sent_ms + self->ttl_ms
-          && generation != self->generation)
-        {
-          g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
-          fb_entry_own (self->entry, none, generation);
-        }
-      gboolean changed = generation != self->generation;
-      self->generation = generation;
-      self->ok_sent_ms = self->join_sent_ms;
-      fb_entry_own (self->entry, partitions, generation);
-      self->timer = g_timeout_add (changed ? JOIN_CHANGED_MS : JOIN_EVERY_MS, join, self);
-      ask_owners (self, now_ms);
+      self->timer = g_timeout_add (JOIN_EVERY_MS / 2, join, self);
       return;
     }
-  self->timer = g_timeout_add (JOIN_EVERY_MS / 2, join, self);
+  give_up_after_absence (self, generation);
+  gboolean changed = generation != self->generation;
+  self->generation = generation;
+  self->ok_sent_ms = self->join_sent_ms;
+  fb_entry_own (self->entry, partitions, generation);
+  self->timer = g_timeout_add (changed ? JOIN_CHANGED_MS : JOIN_EVERY_MS, join, self);
+  ask_owners (self, now_ms);
 }
 
 static gboolean
--- /dev/null
+++ b/src/work/pool-stuck.c
@@ -0,0 +1,51 @@
+/* Runs that stand still.
+ *
+ * Failure: the tasks on a worker stand still while it answers as ever; it shows as jobs
+ * that never end.  Guard: a run that takes far too long starts again elsewhere, and its
+ * worker is given less.  What is too long follows from the other runs of the step once
+ * some have ended, else from the estimate; it doubles with each move, and after the last
+ * move a task is left alone: it may just be long. */
+#include "internal/pool-private.h"
+
+#include "fb-event.h"
+
+static uint64_t
+longest_run_ms (const FbPoolStep *step)
+{
+  if (step->timed_n >= FB_POOL_STUCK_SIBLINGS)
+    return step->timed_ms / step->timed_n * FB_POOL_STUCK_PERCENT / 100 + FB_POOL_STUCK_MS;
+  return (uint64_t) step->shape->estimate_ms * FB_POOL_STUCK_FACTOR + FB_POOL_STUCK_MS;
+}
+
+static gboolean
+is_stuck (const FbPoolRun *run, uint64_t now_ms)
+{
+  const FbPoolStep *step = run->step;
+  if (step == NULL || run->state != FB_RUN_RUNNING || step->shape->lasting
+      || step->shape->estimate_ms == 0)
+    return FALSE;
+  uint32_t moved = step->tasks[run->index].moved;
+  return moved < FB_POOL_STUCK_MOVES && now_ms > run->started_ms + (longest_run_ms (step) << moved);
+}
+
+static void
+move_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  fb_event_log (FB_EVENT_TASK_STUCK, "task=%s attempt=%u worker=%s ran_ms=%u estimate_ms=%u",
+                run->name, run->attempt, worker->id, (guint) (now_ms - run->started_ms),
+                run->step->shape->estimate_ms);
+  run->step->tasks[run->index].moved++;
+  worker->bad_streak++;
+  fb_pool_worker_spare (worker, now_ms);
+  if (run->step->shape->gang)
+    fb_pool_gang_stop (self, run->step, now_ms);
+  else
+    fb_pool_order_stop (self, worker, run, now_ms);
+}
+
+void
+fb_pool_run_check_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  if (is_stuck (run, now_ms))
+    move_stuck (self, worker, run, now_ms);
+}
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -4,8 +4,6 @@
 
 #include "fb-event.h"
 
-GHashTable *fb_pool_orders_new (void);
-
 FbPool *
 fb_pool_new (const char *service, uint64_t epoch, const FbPoolLimits *limits,
              const FbPoolSink *sink, gpointer user, uint64_t now_ms)
@@ -43,7 +41,20 @@
 
 /* ---- workers -------------------------------------------------------------------- */
 
-static void leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* Tasks that last, or that keep what they did, are moved before the worker ends. */
+static void
+leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+  for (GList *l = runs; l != NULL; l = l->next)
+    {
+      FbPoolRun *run = l->data;
+      if (run->step == NULL || run->state != FB_RUN_RUNNING || run->step->shape->gang)
+        continue;
+      if (run->step->shape->lasting || run->step->shape->checkpointing)
+        fb_pool_order_stop (self, worker, run, now_ms);
+    }
+}
 
 void
 fb_pool_worker_listed (FbPool *self, const FbWorkerEntry *entry, uint64_t now_ms)
@@ -101,21 +112,6 @@
   self->workers_complete = TRUE;
 }
 
-/* Tasks that last, or that keep what they did, are moved before the worker ends. */
-static void
-leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
-{
-  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-  for (GList *l = runs; l != NULL; l = l->next)
-    {
-      FbPoolRun *run = l->data;
-      if (run->step == NULL || run->state != FB_RUN_RUNNING || run->step->shape->gang)
-        continue;
-      if (run->step->shape->lasting || run->step->shape->checkpointing)
-        fb_pool_order_stop (self, worker, run, now_ms);
-    }
-}
-
 static void
 forget_worker (FbPool *self, FbPoolWorker *worker)
 {
@@ -123,43 +119,6 @@
   self->workers_dirty = TRUE;
 }
 
-static uint64_t
-longest_run_ms (const FbPoolStep *step)
-{
-  if (step->timed_n >= FB_POOL_STUCK_SIBLINGS)
-    return step->timed_ms / step->timed_n * FB_POOL_STUCK_PERCENT / 100 + FB_POOL_STUCK_MS;
-  return (uint64_t) step->shape->estimate_ms * FB_POOL_STUCK_FACTOR + FB_POOL_STUCK_MS;
-}
-
-static gboolean
-is_stuck (const FbPoolRun *run, uint64_t now_ms)
-{
-  const FbPoolStep *step = run->step;
-  if (step == NULL || run->state != FB_RUN_RUNNING || step->shape->lasting
-      || step->shape->estimate_ms == 0)
-    return FALSE;
-  uint32_t moved = step->tasks[run->index].moved;
-  return moved < FB_POOL_STUCK_MOVES && now_ms > run->started_ms + (longest_run_ms (step) << moved);
-}
-
-/* Failure: the tasks on a worker stand still while it answers as ever; it shows as jobs
- * that never end.  Guard: a run that takes far too long starts again elsewhere, and its
- * worker is given less. */
-static void
-move_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
-{
-  fb_event_log (FB_EVENT_TASK_STUCK, "task=%s attempt=%u worker=%s ran_ms=%u estimate_ms=%u",
-                run->name, run->attempt, worker->id, (guint) (now_ms - run->started_ms),
-                run->step->shape->estimate_ms);
-  run->step->tasks[run->index].moved++;
-  worker->bad_streak++;
-  fb_pool_worker_spare (worker, now_ms);
-  if (run->step->shape->gang)
-    fb_pool_gang_stop (self, run->step, now_ms);
-  else
-    fb_pool_order_stop (self, worker, run, now_ms);
-}
-
 static void
 tend_worker (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -174,8 +133,8 @@
       if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms == 0
           && now_ms > run->stop_sent_ms + FB_POOL_STOP_REPEAT_MS)
         fb_pool_order_stop (self, worker, run, now_ms);
-      else if (is_stuck (run, now_ms))
-        move_stuck (self, worker, run, now_ms);
+      else
+        fb_pool_run_check_stuck (self, worker, run, now_ms);
     }
   fb_pool_stop_strays (self, worker, now_ms);
   if (now_ms >= worker->look_at_ms)
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -47,7 +47,7 @@
 PY
   local sources="$dir/src/work/*.c $OTHERS"
   # shellcheck disable=SC2086
-  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c $sources $FLAGS 2> "$dir/log" \
+  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c fuzz/pool-world-*.c $sources $FLAGS 2> "$dir/log" \
      || ! gcc -o "$dir/script" tests/test-pool.c $sources $FLAGS 2>> "$dir/log"; then
     echo "$1: DOES NOT BUILD"; return
   fi
