Take a list with a row that cannot be read as unread

Cause: such a row was skipped, so a run looked absent and could be started again, or an end seemed to be heard. An unknown word for how a run ended is still passed over: the run then shows as absent.

--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -269,6 +269,10 @@
     { "{\"clock-ms\":5,\"running\":[],\"finished\":[]}", FB_ORDER_DONE, 0, 0 },
     { "{\"clock-ms\":5}", FB_ORDER_DONE, 0, 0 },
     { "{\"clock-ms\":5,\"running\":7}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "{\"clock-ms\":5,\"running\":[7]}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "{\"clock-ms\":5,\"running\":[[]]}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "{\"clock-ms\":5,\"finished\":[7]}", FB_ORDER_UNKNOWN, 0, 0 },
+    { "{\"clock-ms\":5,\"finished\":[[58,\"\",1,\"done\",\"\"]]}", FB_ORDER_UNKNOWN, 0, 0 },
     { "{\"running\":[]}", FB_ORDER_UNKNOWN, 0, 0 },
     { "oops", FB_ORDER_UNKNOWN, 0, 0 },
   };
