--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -99,6 +99,21 @@
 until_true submitted "$alive" 33 || die "a job was not taken after the store spoke again"
 until_true is "$alive" 33 completed || die "that job did not complete"
 
+say "the store is away from one daemon alone: a peer stores what its callers hand in"
+store_at() { sed -i "s/^address=.*/address=127.0.0.1:$2/" "$OUT/d$1.ini"; kill -HUP "${PID[$1]}"; }
+reloads() { grep -c SETTINGS_RELOADED "$OUT/d$1.log" || true; }
+before=$(reloads "$alive")
+store_at "$alive" $((base + 19)) # nobody listens there
+reloaded() { [ "$(reloads "$alive")" -gt "$before" ]; }
+until_true reloaded || die "the settings were not loaded again"
+[ "$(ask "$alive" POST "$(job 34)" "$steps")" = 200 ] || die "a job was refused although a peer reaches the store"
+for d in "${left[@]}"; do [ -n "$d" ] && [ "$d" != "$alive" ] && other=$d; done
+until_true is "$other" 34 completed || die "the job that a peer stored did not complete"
+before=$(reloads "$alive")
+store_at "$alive" "$base"
+until_true reloaded || die "the settings were not loaded again"
+until_true ready "$alive" || die "the daemon is not ready again"
+
 say "a worker dies with work on it"
 for n in $(seq 40 45); do submitted "$alive" "$n" || die "job $n was not taken"; done
 curl -s -d '{"worker":2,"up":false}' "http://127.0.0.1:$base/control" > /dev/null
