--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -157,8 +157,7 @@
 /* Orders that are due arrive, and those without an answer are given up. */
 void world_orders_tick (World *world);
 
-/* ---- owners: pool-world-owners.c --------------------------------------------------------------
- */
+/* ---- owners: pool-world-owners.c -------------------------------------------------------- */
 
 void world_owner_begin (World *world, guint i);
 void world_owner_end (World *world, guint i);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -18,7 +18,7 @@
 
 #define TIMER_MS 25
 #define SETTINGS_CHECK_MS 1000
-/* A planned stop: answers are flushed, then shards are given back, then callers on
+/* A planned stop: answers are flushed, then partitions are given back, then callers on
  * open connections are served until shortly before the process would be killed. */
 #define STOP_STEP_MS 50
 #define STOP_MARGIN_MS 1200
@@ -39,7 +39,7 @@
   uint64_t left_ms;
 } Daemon;
 
-/* ---- servers ------------------------------------------------------------------------------- */
+/* ---- servers ---------------------------------------------------------------------- */
 
 static void
 serve_ready (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
@@ -102,7 +102,7 @@
          && listen_on (self->internal, settings->metrics);
 }
 
-/* ---- settings -------------------------------------------------------------------------------- */
+/* ---- settings --------------------------------------------------------------------- */
 
 static void
 reload (FbEntry *self, const char *why)
@@ -147,8 +147,7 @@
   last = g_steal_pointer (&text);
 }
 
-/* ---- life ---------------------------------------------------------------------------------------
- */
+/* ---- life ------------------------------------------------------------------------- */
 
 static gboolean
 on_timer (gpointer data)
