Answer every call that a stopping daemon has read

Cause: after it left the group a daemon asked nobody for the owners, so calls about jobs asked itself for 2 s; they overlapped, and 1.2 s before the end of the grace the process ended with calls open. Ruled out: the store (it answered all along), a call that is never finished (open=0 after the chain ended). Test: platform.sh, planned stop of the owner.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -132,6 +132,8 @@
 void fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                            GHashTable *query, gpointer entry);
 guint fb_entry_front_open (void);
+/* How long no caller has been waiting or was given an answer, in ms; 0 while one waits. */
+uint64_t fb_entry_front_idle_ms (uint64_t now_ms);
 
 /* ---- the whole --------------------------------------------------------- */
 
@@ -154,6 +156,7 @@
   GHashTable *takes;     /* partition -> FbTake: epochs that were used here */
   FbTimer *timer;
   gboolean stopping;
+  gboolean refusing; /* near its end: calls are turned away at once */
   uint64_t store_ok_ms; /* last answer of the store */
   gboolean store_lost;
   uint64_t append_ms; /* how long a caller's record took last, by whatever way */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -24,6 +24,10 @@
 #define STOP_MARGIN_MS 1200
 #define STOP_FLUSH_MS 800
 #define STOP_LINGER_MS 1500
+/* The longest that a caller waits here: all ways to store a job, one after the other. */
+#define STOP_LONGEST_CALL_MS 2600
+/* An answer is on its way this long after it was given, on a quarter of a core. */
+#define STOP_SETTLE_MS 20
 /* Lines a second; a day's peak of decisions is below it. */
 #define LOG_LINES_PER_S 2000
 
@@ -192,8 +196,12 @@
       fb_entry_own (entry, none, 0);
       fb_group_leave (entry->group, on_left, self);
     }
-  gboolean done
-      = self->left && fb_entry_front_open () == 0 && now_ms > self->left_ms + STOP_LINGER_MS;
+  /* Failure: the process ends while calls are open; it shows as requests that were read
+   * and get no answer.  Guard: it takes none that could last beyond its end. */
+  if (spent_ms + STOP_MARGIN_MS + STOP_LONGEST_CALL_MS >= entry->settings->grace_ms)
+    entry->refusing = TRUE;
+  gboolean done = self->left && fb_entry_front_idle_ms (now_ms) >= STOP_SETTLE_MS
+                  && now_ms > self->left_ms + STOP_LINGER_MS;
   if (!done && spent_ms + STOP_MARGIN_MS < entry->settings->grace_ms)
     return G_SOURCE_CONTINUE;
   g_main_loop_quit (self->loop);
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -27,6 +27,7 @@
 #define JSON_TYPE "application/json"
 
 static guint open_requests;
+static uint64_t last_answer_ms;
 
 guint
 fb_entry_front_open (void)
@@ -34,6 +35,12 @@
   return open_requests;
 }
 
+uint64_t
+fb_entry_front_idle_ms (uint64_t now_ms)
+{
+  return open_requests > 0 ? 0 : now_ms - last_answer_ms;
+}
+
 static FbFrontRequest *
 request_new (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
 {
@@ -55,6 +62,7 @@
 set_answer (FbEntry *entry, SoupServerMessage *message, guint status, const char *body)
 {
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  last_answer_ms = fb_clock_ms ();
   if (status == SOUP_STATUS_SERVICE_UNAVAILABLE)
     {
       uint64_t away_s = (fb_clock_ms () - entry->store_ok_ms + 999) / 1000;
@@ -239,9 +247,10 @@
   (void) query;
   FbEntry *entry = data;
   fb_counter_add (FB_COUNTER_REQUESTS, 1);
-  if (entry->routes == NULL)
+  if (entry->refusing || entry->routes == NULL)
     {
-      refuse (entry, message, SOUP_STATUS_SERVICE_UNAVAILABLE, "no configuration yet");
+      refuse (entry, message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+              entry->refusing ? "the daemon is about to end" : "no configuration yet");
       return;
     }
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -128,8 +128,26 @@
 until_true submitted "$dead" 50 || die "no job is taken after the planned stop"
 until_true is "$dead" 50 completed || die "that job did not complete"
 
+say "a planned stop of the owner: whom it asked until its end got an answer, from the next owner"
+start_daemon "$alive"; until_true ready "$alive" || die "the daemon did not come back"
+stopped=$(owner)
+call() { # curl ends with 7 when nobody listens, with 52 or 56 when a request that was read gets no answer
+  local end=0 code; code=$(curl -s --max-time 9 -o /dev/null -w '%{http_code}' -H 'Host: h.example' "http://127.0.0.1:$(port "$stopped")/q/$(job 50)") || end=$?
+  echo "$end/$code" >> "$OUT/calls"; }
+gone() { ! kill -0 "${PID[$stopped]}" 2> /dev/null; }
+kill -TERM "${PID[$stopped]}"
+calls=()
+until gone; do call & calls+=($!); sleep 0.05; done
+wait "${calls[@]}"
+grep -q '^0/200$' "$OUT/calls" || die "no caller was answered during the stop"
+! grep -qvE '^(0/200|7/000)$' "$OUT/calls" || die "callers were turned away: $(sort "$OUT/calls" | uniq -c | tr '\n' ' ')"
+unset "PID[$stopped]"
+next=$(until_true owner) || die "nobody owns the pool after the stop"
+until_true submitted "$next" 51 || die "no job is taken after that stop"
+until_true is "$next" 51 completed || die "that job did not complete"
+
 say "metrics, and what the workers saw"
-metrics=$(curl -s "http://127.0.0.1:$(($(port "$dead") + 3))/metrics")
+metrics=$(curl -s "http://127.0.0.1:$(($(port "$next") + 3))/metrics")
 grep -q '^flamingobarrow_caller_answer_ms_count [1-9]' <<< "$metrics" || die "no histogram at /metrics"
 seen=$(audit)
 grep -q '"doubled":0,"over-capacity":0' <<< "$seen" || die "the workers saw $seen"
