--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -156,7 +156,7 @@
   GHashTable *takes;     /* partition -> FbTake: epochs that were used here */
   FbTimer *timer;
   gboolean stopping;
-  gboolean refusing; /* near its end: calls are turned away at once */
+  gboolean refusing;    /* near its end: calls are turned away at once */
   uint64_t store_ok_ms; /* last answer of the store */
   gboolean store_lost;
   uint64_t append_ms; /* how long a caller's record took last, by whatever way */
