Test of a planned stop: allow a connection that was never read

Trace: the daemon's log shows 30 calls read, 30 answered, open=0; the 31st connection was still with the kernel when the process ended, which no process can prevent. The test now compares what was read with what was answered, and asks that nothing was open: it still fails on the code before the repair (54 callers with 503).

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -139,8 +139,13 @@
 calls=()
 until gone; do call & calls+=($!); sleep 0.05; done
 wait "${calls[@]}"
-grep -q '^0/200$' "$OUT/calls" || die "no caller was answered during the stop"
-! grep -qvE '^(0/200|7/000)$' "$OUT/calls" || die "callers were turned away: $(sort "$OUT/calls" | uniq -c | tr '\n' ' ')"
+# A connection that the daemon has not read from when it ends is reset by the kernel (56, 52): it
+# was not taken.  What was read is in the daemon's log, and nothing was open at its end.
+answered=$(grep -c '^0/200$' "$OUT/calls") || die "no caller was answered during the stop"
+! grep -qvE '^(0/200|7/000|56/000|52/000)$' "$OUT/calls" || die "callers were turned away: $(sort "$OUT/calls" | uniq -c | tr '\n' ' ')"
+read_n=$(awk '/PROCESS_DRAINING/ { n = 0 } /JOB_ASKED job='"$(job 50)"' / { n++ } END { print n }' "$OUT/d$stopped.log")
+[ "$read_n" = "$answered" ] || die "$read_n calls were read and $answered answered"
+tail -1 "$OUT/d$stopped.log" | grep -q 'PROCESS_STOPPED .* open=0' || die "calls were open at the end"
 unset "PID[$stopped]"
 next=$(until_true owner) || die "nobody owns the pool after the stop"
 until_true submitted "$next" 51 || die "no job is taken after that stop"
