--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -12,6 +12,8 @@
  * did is not concluded from silence: callers repeat it under the same number. */
 #include "http-client.h"
 
+#include "json.h"
+
 #include "fb-counter.h"
 
 #include <curl/curl.h>
@@ -337,18 +339,6 @@
   curl_multi_add_handle (self->multi, call->easy);
 }
 
-static GBytes *
-body_bytes (JsonBuilder *body)
-{
-  JsonNode *root = json_builder_get_root (body);
-  g_autoptr (JsonGenerator) generator = json_generator_new ();
-  json_generator_set_root (generator, root);
-  gsize len = 0;
-  char *text = json_generator_to_data (generator, &len);
-  json_node_unref (root);
-  return g_bytes_new_take (text, len);
-}
-
 static void
 on_json_reply (gpointer user, const FbHttpReply *reply)
 {
@@ -356,14 +346,11 @@
   FbHttpStatus status = reply->status;
   if (status == FB_HTTP_OK && reply->code != HTTP_OK)
     status = FB_HTTP_STATUS;
-  g_autoptr (JsonParser) parser = json_parser_new ();
-  JsonNode *root = NULL;
-  if (status == FB_HTTP_OK
-      && json_parser_load_from_data (parser, g_bytes_get_data (reply->body, NULL),
-                                     (gssize) g_bytes_get_size (reply->body), NULL))
-    root = json_parser_get_root (parser);
-  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
-    call->done (call->user, FB_HTTP_OK, json_node_get_object (root));
+  JsonObject *root = NULL;
+  g_autoptr (JsonParser) parser
+      = status == FB_HTTP_OK ? fb_json_parse_bytes (reply->body, &root) : NULL;
+  if (parser != NULL)
+    call->done (call->user, FB_HTTP_OK, root);
   else
     call->done (call->user, status == FB_HTTP_OK ? FB_HTTP_MALFORMED : status, NULL);
   g_free (call);
@@ -380,8 +367,7 @@
   if (body != NULL)
     {
       request.content_type = "application/json";
-      request.body = body_bytes (body);
-      g_object_unref (body);
+      request.body = fb_json_finish (body);
     }
   fb_http_client_exchange (self, &request, timeout_ms, on_json_reply, call);
   fb_http_call_clear (&request);
--- a/platform/json.c
+++ b/src/daemon/json.c
@@ -129,6 +129,14 @@
   return NULL;
 }
 
+JsonParser *
+fb_json_parse_bytes (GBytes *bytes, JsonObject **root)
+{
+  gsize len = 0;
+  const char *data = g_bytes_get_data (bytes, &len);
+  return fb_json_parse (data, len, root);
+}
+
 GBytes *
 fb_json_finish (JsonBuilder *builder)
 {
--- a/platform/json.h
+++ b/src/daemon/json.h
@@ -24,6 +24,7 @@
 /* Returns: (transfer full): a parser that holds one object, in *ROOT; NULL when
  * DATA is anything else. */
 JsonParser *fb_json_parse (const char *data, gsize len, JsonObject **root);
+JsonParser *fb_json_parse_bytes (GBytes *bytes, JsonObject **root);
 void fb_json_add_string (JsonBuilder *builder, const char *name, const char *value);
 void fb_json_add_uint (JsonBuilder *builder, const char *name, uint64_t value);
 /* Returns: (transfer full): the text of what BUILDER holds; it is unreferenced. */
--- a/src/daemon/worker-json.c
+++ b/src/daemon/worker-json.c
@@ -1,5 +1,7 @@
 #include "worker-json.h"
 
+#include "json.h"
+
 #include "internal/codec.h"
 
 #include <string.h>
@@ -33,25 +35,11 @@
   return TRUE;
 }
 
-static void
-add_u64 (JsonBuilder *out, const char *name, uint64_t value)
-{
-  json_builder_set_member_name (out, name);
-  json_builder_add_int_value (out, (gint64) value);
-}
-
-static void
-add_text (JsonBuilder *out, const char *name, const char *value)
-{
-  json_builder_set_member_name (out, name);
-  json_builder_add_string_value (out, value);
-}
-
 static void
 add_run (JsonBuilder *out, const fb_run *run)
 {
   g_autofree char *text = fb_worker_json_format_run (run);
-  add_text (out, "run", text);
+  fb_json_add_string (out, "run", text);
 }
 
 /* The specification without its payload, as bytes that only daemons read. */
@@ -93,15 +81,15 @@
       = g_base64_encode ((const guchar *) spec->payload.payload_val, spec->payload.payload_len);
   json_builder_begin_object (out);
   add_run (out, &spec->run);
-  add_text (out, "tag", tag);
-  add_text (out, "kind", fb_kind_name ((FbKind) spec->kind));
-  add_u64 (out, "start_by_ms", start_by_ms);
-  add_u64 (out, "cpu_milli", spec->demand.amount[FB_RES_CPU_MILLI]);
-  add_u64 (out, "mem_bytes", spec->demand.amount[FB_RES_MEM_BYTES]);
-  add_u64 (out, "accel_count", spec->demand.amount[FB_RES_ACCEL_COUNT]);
-  add_u64 (out, "slot_count", spec->demand.amount[FB_RES_SLOT_COUNT]);
-  add_u64 (out, "run_ms", spec->run_ms);
-  add_text (out, "payload", payload);
+  fb_json_add_string (out, "tag", tag);
+  fb_json_add_string (out, "kind", fb_kind_name ((FbKind) spec->kind));
+  fb_json_add_uint (out, "start_by_ms", start_by_ms);
+  fb_json_add_uint (out, "cpu_milli", spec->demand.amount[FB_RES_CPU_MILLI]);
+  fb_json_add_uint (out, "mem_bytes", spec->demand.amount[FB_RES_MEM_BYTES]);
+  fb_json_add_uint (out, "accel_count", spec->demand.amount[FB_RES_ACCEL_COUNT]);
+  fb_json_add_uint (out, "slot_count", spec->demand.amount[FB_RES_SLOT_COUNT]);
+  fb_json_add_uint (out, "run_ms", spec->run_ms);
+  fb_json_add_string (out, "payload", payload);
   json_builder_end_object (out);
 }
 
@@ -123,11 +111,11 @@
 {
   JsonBuilder *out = json_builder_new ();
   json_builder_begin_object (out);
-  add_u64 (out, "epoch", request->epoch);
-  add_u64 (out, "seq", request->seq);
-  add_u64 (out, "incarnation", request->incarnation);
-  add_u64 (out, "known_version", request->known_version);
-  add_u64 (out, "lease_until_ms", request->lease_until_ms);
+  fb_json_add_uint (out, "epoch", request->epoch);
+  fb_json_add_uint (out, "seq", request->seq);
+  fb_json_add_uint (out, "incarnation", request->incarnation);
+  fb_json_add_uint (out, "known_version", request->known_version);
+  fb_json_add_uint (out, "lease_until_ms", request->lease_until_ms);
   json_builder_set_member_name (out, "starts");
   json_builder_begin_array (out);
   for (guint i = 0; i < request->starts->len; i++)
