Drop what nothing reads; one answer to whether a task waits

That a task waits was spelled out in four places. Also: two comments said what their functions no longer do. The test's setter of the dropped field went with it; no assertion did.

--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -251,7 +251,7 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = &g_array_index (worker->runs, Run, i);
-      FbRunSeen seen = { g_strdup (run->task), run->attempt, g_strdup (""), 100, 0 };
+      FbRunSeen seen = { g_strdup (run->task), run->attempt, g_strdup ("") };
       g_array_append_val (answer->running, seen);
     }
   for (guint i = 0; i < worker->ends->len; i++)
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -178,7 +178,6 @@
   uint64_t stopped_clock_ms; /* worker's clock when a stop was taken; 0: not yet */
   uint64_t stop_sent_ms;
   uint64_t started_ms;
-  uint32_t percent;
 };
 
 typedef struct
@@ -273,6 +272,8 @@
 guint fb_pool_task_failed_n (const FbPoolTask *task);
 void fb_pool_task_save (FbPoolStep *step, uint32_t index, const char *checkpoint);
 gboolean fb_pool_step_done (const FbPoolStep *step);
+/* TRUE when the task is neither done nor on a worker; of a step: when one of its is. */
+gboolean fb_pool_task_waits (const FbPoolTask *task);
 gboolean fb_pool_step_waits (const FbPoolStep *step);
 /* Returns: (transfer full): ID.K.STEP */
 char *fb_pool_step_name (const FbPoolStep *step);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -38,8 +38,6 @@
   char *task;
   uint32_t attempt;
   char *checkpoint;
-  uint32_t percent; /* 100: at work, unthrottled */
-  uint32_t load;    /* tail latency in ms of a serving task, else cpu in use */
 } FbRunSeen;
 
 typedef enum
@@ -205,7 +203,6 @@
 gboolean fb_pool_job_state (const FbPool *self, const char *job, fb_work_state *state);
 /* Returns: accepted jobs of QUEUE without a time of their own and without a start. */
 uint32_t fb_pool_pending (const FbPool *self, const char *queue);
-guint fb_pool_worker_count (const FbPool *self);
 /* TRUE while a majority of the listed workers answered looks under this epoch that
  * were sent within the last WITHIN_MS.  While it holds, no other daemon can have passed its own
  * check of a majority, as workers refuse the lower of two epochs. */
--- a/src/entry/advisor.c
+++ b/src/entry/advisor.c
@@ -164,10 +164,3 @@
   self->busy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return self;
 }
-
-void
-fb_advisor_free (FbAdvisor *self)
-{
-  g_hash_table_unref (self->busy);
-  g_free (self);
-}
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -23,7 +23,6 @@
 typedef struct _FbAppender FbAppender;
 typedef struct _FbGroup FbGroup;
 typedef struct _FbOwner FbOwner;
-typedef struct _FbPeerCalls FbPeerCalls;
 typedef struct _FbAdvisor FbAdvisor;
 
 /* Time that goes on while the host is suspended, in ms. */
@@ -68,7 +67,6 @@
 /* ---- group: which partitions this daemon owns ------------------------------------- */
 
 FbGroup *fb_group_new (FbEntry *entry);
-void fb_group_free (FbGroup *self);
 /* Gives all partitions back; DONE is called when the store has it, or gave no
  * answer. */
 void fb_group_leave (FbGroup *self, void (*done) (gpointer user), gpointer user);
@@ -120,7 +118,6 @@
 /* ---- advisor: spreads questions for advice over the daemons -------------------------------- */
 
 FbAdvisor *fb_advisor_new (FbEntry *entry);
-void fb_advisor_free (FbAdvisor *self);
 /* Returns: FALSE when every daemon has a question open. */
 gboolean fb_advisor_ask (FbAdvisor *self, uint32_t partition, const char *step,
                          const char *const *workers, guint n, uint32_t expected_ms);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -224,13 +224,3 @@
   join (self);
   return self;
 }
-
-void
-fb_group_free (FbGroup *self)
-{
-  if (self->timer != 0)
-    g_source_remove (self->timer);
-  g_hash_table_unref (self->owner_of);
-  g_free (self->member);
-  g_free (self);
-}
--- a/src/entry/routes.h
+++ b/src/entry/routes.h
@@ -10,7 +10,6 @@
 {
   char *host;
   char *prefix;
-  uint32_t timeout_ms;
   fb_work_policy policy; /* strings owned by the route */
 } FbRoute;
 
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -86,7 +86,7 @@
                                  : g_hash_table_contains (step->tickets, worker->id);
 }
 
-/* Lower is better: the share of the scarcest resource that stays free. */
+/* Lower is better: the shares that stay free, and what else speaks against the worker. */
 static double
 cost_of (const FbPoolWorker *worker, const FbPoolStep *step)
 {
@@ -133,12 +133,6 @@
 
 /* ---- several at once ----------------------------------------------------------- */
 
-static gboolean
-waits (const FbPoolTask *task)
-{
-  return !task->done && task->run == NULL;
-}
-
 guint
 fb_pool_choose (FbPool *self, FbPoolStep *step, guint most, const char *rack, FbPoolTicketRule rule,
                 FbPoolWorker **chosen, uint64_t now_ms)
@@ -147,7 +141,7 @@
   guint n = 0;
   for (uint32_t i = 0; i < step->shape->count && n < most; i++)
     {
-      if (!waits (&step->tasks[i]))
+      if (!fb_pool_task_waits (&step->tasks[i]))
         continue;
       chosen[n] = fb_pool_best_worker (self, step, rack, rule, now_ms);
       if (chosen[n] == NULL)
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -118,7 +118,12 @@
   return step->done_n == step->shape->count;
 }
 
-/* Moves past tasks that are done or have a run; returns whether one waits. */
+gboolean
+fb_pool_task_waits (const FbPoolTask *task)
+{
+  return !task->done && task->run == NULL;
+}
+
 gboolean
 fb_pool_step_waits (const FbPoolStep *step)
 {
@@ -126,7 +131,7 @@
     return FALSE;
   for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
     {
-      if (!step->tasks[i].done && step->tasks[i].run == NULL)
+      if (fb_pool_task_waits (&step->tasks[i]))
         return TRUE;
     }
   return FALSE;
@@ -137,7 +142,7 @@
 {
   guint n = 0;
   for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
-    n += !step->tasks[i].done && step->tasks[i].run == NULL;
+    n += fb_pool_task_waits (&step->tasks[i]);
   return n;
 }
 
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -24,8 +24,7 @@
 {
   for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
     {
-      FbPoolTask *task = &step->tasks[i];
-      if (task->done || task->run != NULL)
+      if (!fb_pool_task_waits (&step->tasks[i]))
         continue;
       FbPoolWorker *worker = fb_pool_best_worker (self, step, NULL, FB_TICKET_VALID, now_ms);
       if (worker == NULL)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -361,7 +361,6 @@
   if (run->attempt != seen->attempt)
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
-  run->percent = seen->percent;
   if (run->state == FB_RUN_STARTING)
     run->state = FB_RUN_RUNNING;
   if (run->step != NULL)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -168,12 +168,6 @@
     }
 }
 
-guint
-fb_pool_worker_count (const FbPool *self)
-{
-  return g_hash_table_size (self->workers);
-}
-
 gboolean
 fb_pool_holds_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -354,8 +354,7 @@
       g_auto (GStrv) parts = g_strsplit (items[i], "/", 3);
       FbRunSeen run = { .task = full (parts[0]),
                         .attempt = (uint32_t) atoi (parts[1]),
-                        .checkpoint = g_strdup (parts[2] != NULL ? parts[2] : ""),
-                        .percent = 100 };
+                        .checkpoint = g_strdup (parts[2] != NULL ? parts[2] : "") };
       g_array_append_val (running, run);
     }
 }
