Let who notices a wrong owner ask for the owners

Cause: the repair of planned stops had put a timer of its own beside the question that joins ask; but to be told that an owner is wrong only set a mark until the next join, and that was the fault: a daemon that has left joins no more. Change: fb_group_refresh() asks, at most each 0.2 s; the extra timer is gone.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -74,7 +74,7 @@
 gboolean fb_group_is_member (const FbGroup *self, uint64_t now_ms);
 /* Returns: (nullable): the address of the daemon that owns PARTITION, borrowed. */
 const char *fb_group_owner_of (const FbGroup *self, uint32_t partition);
-/* The owners are asked for again soon. */
+/* What is known of the owners is wrong: they are asked for, at most each 0.2 s. */
 void fb_group_refresh (FbGroup *self);
 /* Returns: (transfer container): addresses of all daemons that own something. */
 GPtrArray *fb_group_daemons (const FbGroup *self);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -89,10 +89,14 @@
   fb_http_call_clear (&call);
 }
 
+/* Failure: a daemon that has left joins no more, and with its joins it asked for owners;
+ * it shows as callers of its last seconds who wait for 2 s and are turned away, or cut
+ * off at its end.  Guard: who notices that an owner is not the one asks. */
 void
 fb_group_refresh (FbGroup *self)
 {
   self->owners_generation = 0;
+  ask_owners (self, fb_clock_ms ());
 }
 
 const char *
@@ -176,24 +180,11 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Failure: a daemon that has left asks nobody who owns its partitions now; it shows as
- * callers of its last seconds who wait for 2 s and are turned away, or cut off at its end.
- * Guard: it goes on asking until it ends. */
-static gboolean
-look_on (gpointer data)
-{
-  FbGroup *self = data;
-  self->owners_generation = 0;
-  ask_owners (self, fb_clock_ms ());
-  return G_SOURCE_CONTINUE;
-}
-
 static void
 on_left (gpointer data, const FbHttpReply *reply)
 {
   FbGroup *self = data;
   (void) reply; /* without an answer the store waits for the time to live */
-  self->timer = g_timeout_add (OWNERS_SOON_MS / 2, look_on, self);
   self->left (self->left_user);
 }
 
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -175,7 +175,10 @@
       return;
     }
   if (address == NULL || g_str_equal (address, entry->settings->peers))
-    return;
+    {
+      fb_group_refresh (entry->group);
+      return;
+    }
   gsize len = 0;
   fb_ask ask = { .type = FB_ASK_STORED };
   ask.fb_ask_u.stored.partition = partition;
