Keep a daemon's open calls in its state; one figure for the longest call

Cause: the front counted its calls in two globals behind two functions, a planned stop kept a flag beside the time that says the same, and repeated in a number of its own what the front's limits add up to, so that they could drift apart. Change: both stand in the daemon's state; the peers' limit is derived from the longest call, which the stop uses too.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -128,9 +128,8 @@
 
 void fb_entry_front_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                            GHashTable *query, gpointer entry);
-guint fb_entry_front_open (void);
-/* How long no caller has been waiting or was given an answer, in ms; 0 while one waits. */
-uint64_t fb_entry_front_idle_ms (uint64_t now_ms);
+/* The longest that a caller waits here: all ways to store a job, one after the other. */
+#define FB_FRONT_LONGEST_CALL_MS 2600
 
 /* ---- the whole --------------------------------------------------------- */
 
@@ -154,6 +153,8 @@
   FbTimer *timer;
   gboolean stopping;
   gboolean refusing;    /* near its end: calls are turned away at once */
+  guint open_calls;     /* of callers */
+  uint64_t answered_ms; /* when a caller was given an answer last */
   uint64_t store_ok_ms; /* last answer of the store */
   gboolean store_lost;
   uint64_t append_ms; /* how long a caller's record took last, by whatever way */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -24,8 +24,6 @@
 #define STOP_MARGIN_MS 1200
 #define STOP_FLUSH_MS 800
 #define STOP_LINGER_MS 1500
-/* The longest that a caller waits here: all ways to store a job, one after the other. */
-#define STOP_LONGEST_CALL_MS 2600
 /* An answer is on its way this long after it was given, on a quarter of a core. */
 #define STOP_SETTLE_MS 20
 /* Lines a second; a day's peak of decisions is below it. */
@@ -38,9 +36,8 @@
   SoupServer *callers;
   SoupServer *internal;
   uint64_t stop_began_ms;
-  gboolean left;
   gboolean leave_asked;
-  uint64_t left_ms;
+  uint64_t left_ms; /* when the partitions were given back; 0: not yet */
 } Daemon;
 
 /* ---- servers ---------------------------------------------------------------------- */
@@ -164,7 +161,6 @@
 on_left (gpointer data)
 {
   Daemon *self = data;
-  self->left = TRUE;
   self->left_ms = fb_clock_ms ();
 }
 
@@ -198,10 +194,10 @@
     }
   /* Failure: the process ends while calls are open; it shows as requests that were read
    * and get no answer.  Guard: it takes none that could last beyond its end. */
-  if (spent_ms + STOP_MARGIN_MS + STOP_LONGEST_CALL_MS >= entry->settings->grace_ms)
+  if (spent_ms + STOP_MARGIN_MS + FB_FRONT_LONGEST_CALL_MS >= entry->settings->grace_ms)
     entry->refusing = TRUE;
-  gboolean done = self->left && fb_entry_front_idle_ms (now_ms) >= STOP_SETTLE_MS
-                  && now_ms > self->left_ms + STOP_LINGER_MS;
+  gboolean done = self->left_ms != 0 && now_ms > self->left_ms + STOP_LINGER_MS
+                  && entry->open_calls == 0 && now_ms >= entry->answered_ms + STOP_SETTLE_MS;
   if (!done && spent_ms + STOP_MARGIN_MS < entry->settings->grace_ms)
     return G_SOURCE_CONTINUE;
   g_main_loop_quit (self->loop);
@@ -217,7 +213,7 @@
   self->entry.stopping = TRUE;
   self->stop_began_ms = fb_clock_ms ();
   fb_event_log (FB_EVENT_PROCESS_DRAINING, "grace_ms=%u open=%u",
-                (guint) self->entry.settings->grace_ms, fb_entry_front_open ());
+                (guint) self->entry.settings->grace_ms, self->entry.open_calls);
   fb_entry_each_owner (&self->entry, fb_owner_quiesce);
   g_timeout_add (STOP_STEP_MS, on_stop_step, self);
   return G_SOURCE_CONTINUE;
@@ -257,7 +253,7 @@
                 self->entry.settings->peers, self->entry.settings->store);
   g_main_loop_run (self->loop);
   fb_event_log (FB_EVENT_PROCESS_STOPPED, "name=%s open=%u", self->entry.settings->name,
-                fb_entry_front_open ());
+                self->entry.open_calls);
   return EXIT_OK;
 }
 
--- a/src/entry/front-store.c
+++ b/src/entry/front-store.c
@@ -13,7 +13,7 @@
  * peers; callers wait about 3 s. */
 #define STORE_MS 700
 #define PEER_APPEND_MS 700
-#define PEERS_UNTIL_MS 1900
+#define PEERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - PEER_APPEND_MS)
 #define PEERS_MAX 3
 /* Appends take 10 to 20 ms; above this the store counts as slow. */
 #define SLOW_APPEND_MS 50
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -26,21 +26,6 @@
 
 #define JSON_TYPE "application/json"
 
-static guint open_requests;
-static uint64_t last_answer_ms;
-
-guint
-fb_entry_front_open (void)
-{
-  return open_requests;
-}
-
-uint64_t
-fb_entry_front_idle_ms (uint64_t now_ms)
-{
-  return open_requests > 0 ? 0 : now_ms - last_answer_ms;
-}
-
 static FbFrontRequest *
 request_new (FbEntry *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
 {
@@ -54,7 +39,7 @@
   request->since_ms = fb_clock_ms ();
   request->asked = g_ptr_array_new_with_free_func (g_free);
   soup_server_message_pause (message);
-  open_requests++;
+  entry->open_calls++;
   return request;
 }
 
@@ -62,7 +47,7 @@
 set_answer (FbEntry *entry, SoupServerMessage *message, guint status, const char *body)
 {
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
-  last_answer_ms = fb_clock_ms ();
+  entry->answered_ms = fb_clock_ms ();
   if (status == SOUP_STATUS_SERVICE_UNAVAILABLE)
     {
       uint64_t away_s = (fb_clock_ms () - entry->store_ok_ms + 999) / 1000;
@@ -82,12 +67,12 @@
   fb_histogram_add (FB_HISTOGRAM_CALLER_ANSWER, fb_clock_ms () - request->since_ms);
   set_answer (request->entry, request->message, status, body);
   soup_server_message_unpause (request->message);
+  request->entry->open_calls--;
   g_object_unref (request->message);
   g_clear_pointer (&request->records, g_byte_array_unref);
   g_clear_pointer (&request->value, g_bytes_unref);
   g_ptr_array_unref (request->asked);
   talloc_free (request);
-  open_requests--;
 }
 
 static void
