Let drawbacks of a worker count against it for tasks that last

Cause: cost_of() turned the sign of the whole cost to spread tasks that last, and with it what speaks against a worker: failures, slowness and a wrong rack spoke for it. Change: the free shares alone change their sign; drawbacks stand in a function of their own. Test: pools/lasting-task-avoids-a-failing-worker starts on the failing worker before, on the sound one after.

--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -86,24 +86,38 @@
                                  : g_hash_table_contains (step->tickets, worker->id);
 }
 
-/* Lower is better: the shares that stay free, and what else speaks against the worker. */
+/* The shares of WORKER that are free. */
 static double
-cost_of (const FbPoolWorker *worker, const FbPoolStep *step)
+free_shares (const FbPoolWorker *worker)
 {
-  const fb_work_step *shape = step->shape;
-  double tightness = step->job->tightness;
   double cpu_left = worker->cpu_milli - worker->cpu_used;
   double mem_left = worker->mem_mb - worker->mem_used;
-  double cost = cpu_left / MAX (worker->cpu_milli, 1) + 0.5 * mem_left / MAX (worker->mem_mb, 1);
+  double left = cpu_left / MAX (worker->cpu_milli, 1) + 0.5 * mem_left / MAX (worker->mem_mb, 1);
   if (worker->gpu_count > 0)
-    cost += (double) (worker->gpu_count - worker->gpu_used) / worker->gpu_count;
+    left += (double) (worker->gpu_count - worker->gpu_used) / worker->gpu_count;
+  return left;
+}
+
+/* What speaks against WORKER, however much room it has. */
+static double
+drawbacks (const FbPoolWorker *worker, const FbPoolStep *step)
+{
+  const fb_work_step *shape = step->shape;
+  double tightness = step->job->tightness;
+  double cost = FB_POOL_SLOWNESS_WEIGHT * tightness * tightness * (worker->slowness - 1);
   if (*shape->data_rack != '\0' && !fb_pool_worker_has_label (worker, shape->data_rack))
     cost += 10;
-  cost += FB_POOL_SLOWNESS_WEIGHT * tightness * tightness * (worker->slowness - 1);
   if (worker->bad_streak > 0)
     cost += 2.0 * worker->bad_streak;
-  /* Tasks that last or serve are spread, so that one loss takes few of them. */
-  return shape->lasting ? -cost : cost;
+  return cost;
+}
+
+/* Lower is better.  Tasks that last are spread, so that one loss takes few of them. */
+static double
+cost_of (const FbPoolWorker *worker, const FbPoolStep *step)
+{
+  double fit = free_shares (worker);
+  return (step->shape->lasting ? -fit : fit) + drawbacks (worker, step);
 }
 
 FbPoolWorker *
