Learn the speed of workers from whole steps

Cause: a run was compared with those of its step that had ended before it, which are the shorter ones. Every worker's slowness drifted up: 1.18 to 1.31 on average after 30 s, while the true mean is 1, and a worker that nothing was known of looked fastest. Change: a step's runs are compared with all of them when it has ended, with what is known of their workers taken out, and taken in together; runs that were resumed or adopted tell nothing. Test: pools/speeds-do-not-drift fails before. pools/urgent-work-on-fast-workers asked for a speed that had been learned while two tasks of the step still ran; those two are a job of their own now, all else in it is as strict (it passes on the code before, too).

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -65,8 +65,6 @@
  * run times spread to 2.5 times their mean.  5 times moved sound runs on calm days. */
 #define FB_POOL_STUCK_FACTOR 10
 #define FB_POOL_STUCK_MOVES 3
-/* Each run on a step that others have ended moves a worker's slowness by this share. */
-#define FB_POOL_SLOWNESS_SHARE 0.125
 /* How much a slow worker counts against a free one, times the square of the job's
  * tightness: short jobs may take 1.5 times their work and 250 ms, and workers differ by
  * 0.8 to 1.25.  Gained 0.027 of a day's worth on one site (0.796 to 0.823, means of four
@@ -86,6 +84,16 @@
 typedef struct _FbPoolRun FbPoolRun;
 typedef struct _FbPoolStep FbPoolStep;
 
+/* What is learned of a worker, shared with the tasks that ran there until their steps
+ * have ended. */
+typedef struct
+{
+  double slowness;   /* its run times against those of others on the same steps; 1: as they */
+  double step_ratio; /* sum over its runs of the step that is being taken in */
+  guint step_runs;   /* how many these are */
+  guint refs;
+} FbPoolSpeed;
+
 typedef struct
 {
   uint32_t attempt; /* highest that was used */
@@ -97,6 +105,8 @@
   uint32_t moved;    /* how often it was stopped for taking far too long */
   char *checkpoint;  /* NULL for none */
   FbPoolRun *run;    /* borrowed from its worker; NULL while it waits */
+  uint32_t took_ms;
+  FbPoolSpeed *ran_at; /* the worker where it took that; NULL: not known, or used already */
 } FbPoolTask;
 
 typedef struct
@@ -172,6 +182,7 @@
   uint32_t attempt;
   FbRunState state;
   gboolean given_up;         /* its task no longer counts on it */
+  gboolean whole;            /* started here, from the beginning: its time tells of the worker */
   uint64_t order;            /* the last one sent for it */
   uint64_t deadline_ms;      /* of the start, on the worker's clock */
   uint64_t seen_clock_ms;    /* worker's clock when it was last known to be there */
@@ -208,7 +219,7 @@
   uint64_t acknowledged;
   uint64_t paused_until_ms;
   uint32_t bad_streak;
-  double slowness; /* its run times against those of others on the same steps; 1: as they */
+  FbPoolSpeed *speed;
   uint64_t spared_until_ms;
   char *last_bad_job;
   GHashTable *runs; /* name -> FbPoolRun */
@@ -304,6 +315,14 @@
 void fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
 
+/* pool-speed.c */
+FbPoolSpeed *fb_pool_speed_new (void);
+void fb_pool_speed_unref (FbPoolSpeed *speed);
+/* TASK took TOOK_MS where SPEED is of. */
+void fb_pool_speed_note (FbPoolTask *task, FbPoolSpeed *speed, uint32_t took_ms);
+/* STEP has ended: its runs tell of their workers. */
+void fb_pool_speed_learn (FbPoolStep *step);
+
 /* pool-orders.c */
 void fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                           uint32_t attempt, const char *ticket, uint64_t now_ms);
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -104,7 +104,7 @@
 {
   const fb_work_step *shape = step->shape;
   double tightness = step->job->tightness;
-  double cost = FB_POOL_SLOWNESS_WEIGHT * tightness * tightness * (worker->slowness - 1);
+  double cost = FB_POOL_SLOWNESS_WEIGHT * tightness * tightness * (worker->speed->slowness - 1);
   if (*shape->data_rack != '\0' && !fb_pool_worker_has_label (worker, shape->data_rack))
     cost += 10;
   if (worker->bad_streak > 0)
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -77,6 +77,7 @@
   for (uint32_t i = 0; i < step->shape->count; i++)
     {
       g_free (step->tasks[i].checkpoint);
+      fb_pool_speed_unref (step->tasks[i].ran_at);
       g_clear_pointer (&step->tasks[i].failed, g_array_unref);
     }
   g_free (step->tasks);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -77,6 +77,7 @@
   run->state = FB_RUN_STARTING;
   run->deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + FB_POOL_START_WINDOW_MS;
   run->started_ms = now_ms;
+  run->whole = task->checkpoint == NULL;
   run->order = remember_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   fb_pool_worker_spare (worker, now_ms);
@@ -93,7 +94,7 @@
                 " cpu=%u mem_used=%" G_GINT64_FORMAT " heard_ms_ago=%" G_GUINT64_FORMAT
                 " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
                 name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
-                now_ms - worker->heard_ms, worker->slowness, step->job->tightness, self->epoch);
+                now_ms - worker->heard_ms, worker->speed->slowness, step->job->tightness, self->epoch);
   const FbStartOrder order = { .order = run->order,
                                .worker = worker->id,
                                .address = worker->address,
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -185,17 +185,16 @@
     }
 }
 
-/* How long a run took tells of its worker, by the others of the step. */
 static void
-take_time (FbPoolWorker *worker, FbPoolStep *step, uint64_t took_ms)
+take_time (FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
 {
-  if (step->timed_ms > 0)
-    {
-      double ratio = (double) took_ms * step->timed_n / (double) step->timed_ms;
-      worker->slowness += FB_POOL_SLOWNESS_SHARE * (ratio - worker->slowness);
-    }
+  FbPoolStep *step = run->step;
+  uint32_t took_ms = (uint32_t) (now_ms - run->started_ms);
   step->timed_n++;
   step->timed_ms += took_ms;
+  /* Members of a gang end together, whatever their workers are. */
+  if (run->whole && !step->shape->gang)
+    fb_pool_speed_note (&step->tasks[run->index], worker->speed, took_ms);
 }
 
 static void
@@ -209,8 +208,8 @@
   step->gang_attempt = MAX (step->gang_attempt, end->attempt);
   step->job->started = TRUE;
   judge_worker (worker, step, end->how, now_ms);
-  if (run != NULL && run->attempt == end->attempt && end->how == FB_END_DONE)
-    take_time (worker, step, now_ms - run->started_ms);
+  if (run != NULL && run->step == step && run->attempt == end->attempt && end->how == FB_END_DONE)
+    take_time (worker, run, now_ms);
   if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_over (self, worker, run);
   if (fb_pool_job_ended (step->job))
@@ -229,6 +228,8 @@
     fb_pool_gang_stop (self, step, now_ms);
   if (end->how == FB_END_DONE)
     {
+      if (fb_pool_step_done (step))
+        fb_pool_speed_learn (step);
       fb_pool_job_changed (self, step->job);
       if (fb_pool_job_release (step->job, wall_ms))
         fb_pool_job_end (self, step->job, FB_WORK_COMPLETED, now_ms, wall_ms);
--- /dev/null
+++ b/src/work/pool-speed.c
@@ -0,0 +1,102 @@
+/* What is learned of the speed of workers.
+ *
+ * Workers differ by 0.8 to 1.25 and more, and nothing says so.  Tasks of one step are
+ * alike, so when a step has ended each of its runs is compared with all of them.  Taken
+ * one by one as they end, runs would be compared with shorter ones only: every worker
+ * would seem slow in the end.  What the step's workers are known to be is taken out
+ * first, or a step on fast workers would make each of them look average. */
+#include "internal/pool-private.h"
+
+#include <math.h>
+
+/* How far one run moves the belief: tasks of a step differ by 0.15 to 0.3 of their mean,
+ * so some ten runs are needed to tell a worker from another. */
+#define LEARN_SHARE 0.125
+/* A single run far from the others is a stuck or a lucky one. */
+#define RATIO_MIN 0.4
+#define RATIO_MAX 4.0
+
+FbPoolSpeed *
+fb_pool_speed_new (void)
+{
+  FbPoolSpeed *speed = g_new0 (FbPoolSpeed, 1);
+  speed->slowness = 1;
+  speed->refs = 1;
+  return speed;
+}
+
+static FbPoolSpeed *
+speed_ref (FbPoolSpeed *speed)
+{
+  speed->refs++;
+  return speed;
+}
+
+void
+fb_pool_speed_unref (FbPoolSpeed *speed)
+{
+  if (speed != NULL && --speed->refs == 0)
+    g_free (speed);
+}
+
+void
+fb_pool_speed_note (FbPoolTask *task, FbPoolSpeed *speed, uint32_t took_ms)
+{
+  fb_pool_speed_unref (task->ran_at);
+  task->ran_at = speed_ref (speed);
+  task->took_ms = took_ms;
+}
+
+/* Run time on a worker of slowness 1, as the noted runs of STEP have it; 0 for fewer than
+ * two. */
+static double
+base_ms (const FbPoolStep *step)
+{
+  double took_ms = 0;
+  double slowness = 0;
+  guint n = 0;
+  for (uint32_t i = 0; i < step->shape->count; i++)
+    {
+      const FbPoolTask *task = &step->tasks[i];
+      if (task->ran_at == NULL)
+        continue;
+      took_ms += task->took_ms;
+      slowness += task->ran_at->slowness;
+      n++;
+    }
+  return n > 1 ? took_ms / slowness : 0;
+}
+
+/* Takes in the runs of one step together: one by one, those taken last would count most. */
+static void
+take_in (FbPoolSpeed *speed)
+{
+  if (speed->step_runs == 0)
+    return;
+  double ratio = speed->step_ratio / speed->step_runs;
+  double share = 1 - pow (1 - LEARN_SHARE, speed->step_runs);
+  speed->slowness += share * (ratio - speed->slowness);
+  speed->step_ratio = 0;
+  speed->step_runs = 0;
+}
+
+void
+fb_pool_speed_learn (FbPoolStep *step)
+{
+  double base = base_ms (step);
+  for (uint32_t i = 0; base > 0 && i < step->shape->count; i++)
+    {
+      const FbPoolTask *task = &step->tasks[i];
+      if (task->ran_at == NULL)
+        continue;
+      task->ran_at->step_ratio += CLAMP (task->took_ms / base, RATIO_MIN, RATIO_MAX);
+      task->ran_at->step_runs++;
+    }
+  for (uint32_t i = 0; i < step->shape->count; i++)
+    {
+      FbPoolTask *task = &step->tasks[i];
+      if (task->ran_at != NULL)
+        take_in (task->ran_at);
+      g_clear_pointer (&task->ran_at, fb_pool_speed_unref);
+    }
+}
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -10,7 +10,7 @@
 {
   FbPoolWorker *worker = g_new0 (FbPoolWorker, 1);
   worker->id = g_strdup (id);
-  worker->slowness = 1;
+  worker->speed = fb_pool_speed_new ();
   worker->labels = g_new0 (char *, 1);
   worker->runs = g_hash_table_new (g_str_hash, g_str_equal);
   return worker;
@@ -35,6 +35,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &run))
     run_free (run);
   g_hash_table_unref (worker->runs);
+  fb_pool_speed_unref (worker->speed);
   g_strfreev (worker->labels);
   g_free (worker->last_bad_job);
   g_free (worker->rack);
