Start copies of lagging tasks where their steps allow two runs

Cause: the last task of a step decides, and 30% of the short steps allow copies; none was started. A task on a worker that fell silent waited 4 s for its lease. Tickets that ran out meanwhile are renewed.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -43,6 +43,7 @@
       step->mem_mb = 100;
       step->estimate_ms = 1000;
       step->data_rack = step->required_label = step->image = "";
+      step->speculative = world->advised && world->job_n % 3 == 0;
       step->gang = FALSE; /* workers here end runs one by one; scripts judge gangs */
       step->after.after_val = g_new0 (u_int, 1);
       step->after.after_len = i;
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -136,7 +136,7 @@
 struct _World
 {
   GRand *rand;
-  gboolean advised; /* half of the jobs may use some workers only */
+  gboolean advised; /* half of the jobs may use some workers only, a third may have copies */
   uint64_t now_ms;
   gboolean healing;
   gboolean store_away;
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -111,6 +111,7 @@
   uint32_t moved;    /* how often it was stopped for taking far too long */
   char *checkpoint;  /* NULL for none */
   FbPoolRun *run;    /* borrowed from its worker; NULL while it waits */
+  FbPoolRun *copy;   /* a second run, of a step that allows it; borrowed, NULL for none */
   uint32_t took_ms;
   FbPoolSpeed *ran_at; /* the worker where it took that; NULL: not known, or used already */
 } FbPoolTask;
@@ -368,9 +369,10 @@
 /* Returns: (nullable): borrowed. */
 const FbPoolTicket *fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker,
                                           uint64_t now_ms);
-/* RACK: only workers of it; NULL for any. */
+/* RACK: only workers of it; NULL for any.  OTHER_THAN: not this one; may be NULL. */
 FbPoolWorker *fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack,
-                                   FbPoolTicketRule rule, uint64_t now_ms);
+                                   const FbPoolWorker *other_than, FbPoolTicketRule rule,
+                                   uint64_t now_ms);
 /* Finds workers for up to MOST waiting tasks, each beside those before it.
  * Returns: how many found one. */
 guint fb_pool_choose (FbPool *self, FbPoolStep *step, guint most, const char *rack,
@@ -404,6 +406,9 @@
 gboolean fb_pool_ask_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
 /* The same, if nothing was asked about the step before. */
 gboolean fb_pool_ask_first_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* Asks for a new ticket for WORKER, which the advice allows. */
+void fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker,
+                           uint64_t now_ms);
 /* Asks for steps that come next. */
 void fb_pool_ask_ahead (FbPool *self, FbPoolJob *job, uint64_t now_ms);
 
@@ -412,6 +417,14 @@
 /* Stops runs that are certainly of no job. */
 void fb_pool_stop_strays (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 
+/* pool-copy.c */
+
+/* Starts copies of tasks that lag, where their steps allow it. */
+void fb_pool_place_copies (FbPool *self, uint64_t now_ms);
+/* RUN is one of TASK, or its copy; it is over. */
+void fb_pool_task_take_run (FbPoolTask *task, FbPoolRun *run);
+void fb_pool_task_drop_run (FbPoolTask *task, const FbPoolRun *run);
+
 /* pool-settle.c */
 
 /* Finds out whether all that may run is known. */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -89,7 +89,25 @@
   (void) make_room (self, step, chosen, now_ms);
 }
 
+static gboolean
+question_open (const FbPoolStep *step, uint64_t now_ms)
+{
+  return step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS;
+}
+
 /* Returns: FALSE when no daemon can take a question now. */
+static gboolean
+send_question (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
+{
+  g_autofree char *name = fb_pool_step_name (step);
+  uint32_t expected_ms = (uint32_t) takes_ms (step, ids->len);
+  if (!self->sink->advise (self->user, name, (const char *const *) ids->pdata, ids->len,
+                           expected_ms))
+    return FALSE;
+  step->advice_sent_ms = now_ms;
+  return TRUE;
+}
+
 gboolean
 fb_pool_ask_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
@@ -99,7 +117,7 @@
         make_room_unadvised (self, step, now_ms);
       return TRUE;
     }
-  if (step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS)
+  if (question_open (step, now_ms))
     return TRUE;
   g_autoptr (GPtrArray) ids = never_asked (self, step, now_ms);
   if (ids->len == 0 && step->released)
@@ -109,16 +127,20 @@
     }
   if (ids->len == 0)
     return TRUE;
-  g_autofree char *name = fb_pool_step_name (step);
-  uint32_t expected_ms = (uint32_t) takes_ms (step, ids->len);
-  if (!self->sink->advise (self->user, name, (const char *const *) ids->pdata, ids->len,
-                           expected_ms))
-    {
-      g_ptr_array_unref (fb_pool_release_hold (self, step));
-      return FALSE;
-    }
-  step->advice_sent_ms = now_ms;
-  return TRUE;
+  if (send_question (self, step, ids, now_ms))
+    return TRUE;
+  g_ptr_array_unref (fb_pool_release_hold (self, step));
+  return FALSE;
+}
+
+void
+fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (question_open (step, now_ms))
+    return;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  g_ptr_array_add (ids, worker->id);
+  (void) send_question (self, step, ids, now_ms); /* when none can take it: the next round asks */
 }
 
 gboolean
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -121,8 +121,8 @@
 }
 
 FbPoolWorker *
-fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack, FbPoolTicketRule rule,
-                     uint64_t now_ms)
+fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack,
+                     const FbPoolWorker *other_than, FbPoolTicketRule rule, uint64_t now_ms)
 {
   FbPoolWorker *best = NULL;
   double best_cost = 0;
@@ -132,7 +132,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolWorker *worker = value;
-      if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
+      if (worker == other_than || (rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
           || !may_start (worker, step, rule, now_ms))
         continue;
       double cost = cost_of (worker, step);
@@ -157,7 +157,7 @@
     {
       if (!fb_pool_task_waits (&step->tasks[i]))
         continue;
-      chosen[n] = fb_pool_best_worker (self, step, rack, rule, now_ms);
+      chosen[n] = fb_pool_best_worker (self, step, rack, NULL, rule, now_ms);
       if (chosen[n] == NULL)
         break;
       g_autofree char *name = fb_pool_task_name (step, i);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -81,7 +81,7 @@
   run->order = remember_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   fb_pool_worker_spare (worker, now_ms);
-  task->run = run;
+  fb_pool_task_take_run (task, run);
   task->attempt = attempt;
   if (!step->job->started)
     fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -51,6 +51,12 @@
   return run->step == step;
 }
 
+static gboolean
+is_of_task (const FbPoolRun *run, gconstpointer task)
+{
+  return run->step != NULL && &run->step->tasks[run->index] == task;
+}
+
 static void
 stop_all (FbPool *self, RunFilter filter, gconstpointer of, uint64_t now_ms)
 {
@@ -143,8 +149,9 @@
 
 /* ---- ends ---------------------------------------------------------------------- */
 
+/* What runs on of a task that may have copies has lost; members of a gang end together. */
 static void
-task_done (FbPoolStep *step, uint32_t index)
+task_done (FbPool *self, FbPoolStep *step, uint32_t index, uint64_t now_ms)
 {
   FbPoolTask *task = &step->tasks[index];
   if (task->done || step->shape->lasting)
@@ -153,6 +160,8 @@
   step->done_n++;
   if (task->run != NULL && task->run->state != FB_RUN_STOPPING)
     task->run->given_up = TRUE;
+  if (step->shape->speculative)
+    stop_all (self, is_of_task, task, now_ms);
 }
 
 static void
@@ -217,10 +226,10 @@
   if (end->how == FB_END_DONE && step->shape->gang)
     {
       for (uint32_t i = 0; i < step->shape->count; i++)
-        task_done (step, i);
+        task_done (self, step, i, now_ms);
     }
   else if (end->how == FB_END_DONE)
-    task_done (step, index);
+    task_done (self, step, index, now_ms);
   else if (end->how == FB_END_FAILED)
     count_failure (self, step, index, end, now_ms, wall_ms);
   if (step->shape->gang && end->how != FB_END_DONE && end->attempt == step->gang_attempt
@@ -269,8 +278,8 @@
   FbPoolStep *step = run->step;
   FbPoolTask *task = &step->tasks[run->index];
   gboolean wanted = !task->done && !fb_pool_job_ended (step->job);
-  if (wanted && task->run != NULL && task->run != run && task->run->attempt > run->attempt)
-    wanted = FALSE;
+  if (wanted && task->run != NULL && task->run != run)
+    wanted = step->shape->speculative ? task->copy == NULL : task->run->attempt <= run->attempt;
   fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s wanted=%d", run->name,
                 run->attempt, worker->id, wanted);
   if (!wanted)
@@ -278,8 +287,8 @@
       stop_run (self, worker, run, now_ms);
       return;
     }
-  if (task->run == NULL)
-    task->run = run;
+  if (task->run == NULL || step->shape->speculative)
+    fb_pool_task_take_run (task, run);
   task->attempt = MAX (task->attempt, run->attempt);
   step->gang_attempt = MAX (step->gang_attempt, run->attempt);
   step->job->started = TRUE;
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -19,8 +19,8 @@
 static void
 run_free (FbPoolRun *run)
 {
-  if (run->step != NULL && run->step->tasks[run->index].run == run)
-    run->step->tasks[run->index].run = NULL;
+  if (run->step != NULL)
+    fb_pool_task_drop_run (&run->step->tasks[run->index], run);
   g_free (run->name);
   g_free (run);
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -298,6 +298,8 @@
     return;
   self->place_due = FALSE;
   fb_pool_place (self, now_ms);
+  if (tend)
+    fb_pool_place_copies (self, now_ms);
 }
 
 /* ---- queries ----------------------------------------------------------------------------- */
