Take the dead process before out of the group at a start

Cause: a daemon that was killed and started again within its time to live of 1 s joined beside the process before it; the store went on taking that one for the owner of its partitions. Change: at its start, and whenever it is told the owners, a daemon takes members of its own address and another start out of the group; it listens there, so they are dead. Test: platform.sh, with a store that forgets no member: 4 members before, 2 after. Its waits are bounded by 45 s now: one that failed slowly ran for over 10 minutes.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -159,8 +159,8 @@
   fb_work_state state;
   fb_work_state stored_state; /* what callers are told: the state last made durable */
   fb_work_state flushing_state;
-  gboolean started;  /* a task of it has been started */
-  gboolean restored; /* an earlier owner may have used attempts that nobody knows of */
+  gboolean started;             /* a task of it has been started */
+  gboolean restored;            /* an earlier owner may have used attempts that nobody knows of */
   gboolean untouched;           /* no earlier owner can have started any of it */
   gboolean advised_when_stored; /* its queue had advice then */
   uint64_t admitted_ms;
@@ -216,7 +216,7 @@
   gboolean retired;  /* it drains and was heard with nothing on it: nothing runs there again */
   gboolean look_open;
   uint32_t first_answer_ms; /* patience of the last look before it first answered */
-  uint64_t look_at_ms; /* when the next look is due */
+  uint64_t look_at_ms;      /* when the next look is due */
   uint64_t look_sent_ms;
   uint64_t proof_ms;   /* when the last look that was answered had been sent */
   uint64_t heard_ms;   /* last answer */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -68,10 +68,10 @@
   FB_ORDER_LATE,
   FB_ORDER_NO_ROOM,
   FB_ORDER_BAD_TICKET,
-  FB_ORDER_NOT_DONE,   /* it certainly did nothing */
-  FB_ORDER_OTHER_LIFE, /* another life of a worker is at this address */
+  FB_ORDER_NOT_DONE,    /* it certainly did nothing */
+  FB_ORDER_OTHER_LIFE,  /* another life of a worker is at this address */
   FB_ORDER_NO_LISTENER, /* its host answers that nothing listens there; it did nothing */
-  FB_ORDER_UNKNOWN     /* it may be carried out, now or later */
+  FB_ORDER_UNKNOWN      /* it may be carried out, now or later */
 } FbOrderResult;
 
 typedef struct
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -35,6 +35,8 @@
   uint64_t owners_generation;
   uint64_t owners_asked_ms;
   gboolean owners_open;
+  gboolean peer_open;    /* a peer is asked for them */
+  GHashTable *dismissed; /* names of earlier processes of this daemon that were taken out */
   guint timer;
   gboolean leaving;
   void (*left) (gpointer user);
@@ -60,6 +62,46 @@
     }
 }
 
+/* ---- earlier processes of this daemon ------------------------------------------ */
+
+static void
+on_dismissed (gpointer data, const FbHttpReply *reply)
+{
+  (void) data;
+  (void) reply; /* without an answer its time to live runs out */
+}
+
+static gboolean
+is_predecessor (const FbGroup *self, const char *member)
+{
+  gsize address_len = strlen (self->entry->settings->peers);
+  return strncmp (member, self->member, address_len + 1) == 0
+         && !g_str_equal (member, self->member);
+}
+
+/* Failure: a daemon is killed and starts again within its time to live; the store still
+ * takes the process before for the owner of its partitions, and their pools stand still
+ * for what is left of that time (0.5 s when all are killed).  Guard: this process listens
+ * at the same address, so the one before is dead, and is taken out of the group. */
+static void
+dismiss_predecessors (FbGroup *self, const GArray *owners)
+{
+  for (guint i = 0; i < owners->len; i++)
+    {
+      const char *member = g_array_index (owners, FbPartitionOwner, i).member;
+      if (!is_predecessor (self, member) || g_hash_table_contains (self->dismissed, member))
+        continue;
+      g_hash_table_add (self->dismissed, g_strdup (member));
+      fb_event_log (FB_EVENT_PREDECESSOR_DISMISSED, "member=%s", member);
+      FbHttpCall call;
+      fb_wire_leave (&call, self->entry->settings->store, GROUP, member);
+      fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_dismissed, self);
+      fb_http_call_clear (&call);
+    }
+}
+
+/* ---- what the store says of owners ---------------------------------------------- */
+
 static void
 on_owners (gpointer data, const FbHttpReply *reply)
 {
@@ -68,7 +110,10 @@
   g_autoptr (GArray) owners = g_array_new (FALSE, TRUE, sizeof (FbPartitionOwner));
   g_array_set_clear_func (owners, fb_partition_owner_clear);
   if (fb_wire_owners_told (reply, owners))
-    take_owners (self, owners);
+    {
+      take_owners (self, owners);
+      dismiss_predecessors (self, owners);
+    }
   else
     self->owners_generation = 0;
 }
@@ -212,6 +257,8 @@
       = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers, g_get_real_time ());
   self->ttl_ms = (uint32_t) MAX (TTL_MS, entry->settings->shortest_ttl_ms);
   self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  self->dismissed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  ask_owners (self, fb_clock_ms ());
   join (self);
   return self;
 }
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -89,12 +89,12 @@
   if (step->job->state == FB_WORK_QUEUED)
     step->job->state = FB_WORK_RUNNING;
   fb_counter_add (FB_COUNTER_PLACEMENTS, 1);
-  fb_event_log (FB_EVENT_TASK_PLACED,
-                "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT
-                " cpu=%u mem_used=%" G_GINT64_FORMAT " heard_ms_ago=%" G_GUINT64_FORMAT
-                " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
-                name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
-                now_ms - worker->heard_ms, worker->speed->slowness, step->job->tightness, self->epoch);
+  fb_event_log (
+      FB_EVENT_TASK_PLACED,
+      "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT " cpu=%u mem_used=%" G_GINT64_FORMAT
+      " heard_ms_ago=%" G_GUINT64_FORMAT " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
+      name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
+      now_ms - worker->heard_ms, worker->speed->slowness, step->job->tightness, self->epoch);
   const FbStartOrder order = { .order = run->order,
                                .worker = worker->id,
                                .address = worker->address,
@@ -131,8 +131,8 @@
 {
   if (worker->answered)
     return FB_POOL_LOOK_ANSWER_MS;
-  worker->first_answer_ms = worker->first_answer_ms == 0 ? FB_POOL_FIRST_ANSWER_MS
-                                                         : 2 * worker->first_answer_ms;
+  worker->first_answer_ms
+      = worker->first_answer_ms == 0 ? FB_POOL_FIRST_ANSWER_MS : 2 * worker->first_answer_ms;
   worker->first_answer_ms = MIN (worker->first_answer_ms, FB_POOL_LOOK_ANSWER_MS);
   return worker->first_answer_ms;
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -205,10 +205,10 @@
   (void) fb_pool_job_release (job, wall_ms); /* nothing has ended yet */
   self->place_due = TRUE;
   fb_pool_bind_runs (self, job);
-  fb_event_log (FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u objective_ms=%u", id,
-                record->policy.queue, record->spec.steps.steps_len, job->restored,
-                (guint) (now_ms - job->admitted_ms),
-                (guint) (job->objective_ms - job->admitted_ms));
+  fb_event_log (
+      FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u objective_ms=%u", id,
+      record->policy.queue, record->spec.steps.steps_len, job->restored,
+      (guint) (now_ms - job->admitted_ms), (guint) (job->objective_ms - job->admitted_ms));
 }
 
 void
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -2,7 +2,8 @@
  * workers on the ports after it.  It also judges: GET /audit tells what really ran.
  *
  * A task's payload is its run time in ms.  POST /control {"outage":true} takes the store
- * away, {"silent":true} lets it answer nothing, {"worker":K,"up":false} a worker. */
+ * away, {"silent":true} lets it answer nothing, {"patient":true} keeps silent members in
+ * their groups, {"worker":K,"up":false} takes a worker away. */
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdio.h>
@@ -74,6 +75,7 @@
 static guint64 generation = 1;
 static gboolean outage;
 static gboolean silent;
+static gboolean patient;
 static guint started;
 static guint doubled;
 static guint over_capacity;
@@ -292,7 +294,7 @@
   for (guint i = members->len; i > 0; i--)
     {
       const Member *member = members->pdata[i - 1];
-      if (now_ms () > member->seen_ms + member->ttl_ms)
+      if (!patient && now_ms () > member->seen_ms + member->ttl_ms)
         drop_member (i - 1);
     }
 }
@@ -543,6 +545,8 @@
     outage = json_object_get_boolean_member (body, "outage");
   if (json_object_has_member (body, "silent"))
     silent = json_object_get_boolean_member (body, "silent");
+  if (json_object_has_member (body, "patient"))
+    patient = json_object_get_boolean_member (body, "patient");
   if (json_object_has_member (body, "worker"))
     {
       Worker *worker = &workers[json_object_get_int_member (body, "worker") % WORKER_MAX];
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -10,7 +10,7 @@
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 say() { echo "-- $1"; }
 die() { echo "$1"; exit 1; }
-until_true() { local i; for ((i = 0; i < 3000; i++)); do "$@" && return 0; sleep 0.01; done; return 1; }
+until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 port() { echo $((base + 20 + $1 * 4)); }
 
 start_daemon() { # INDEX
@@ -82,6 +82,18 @@
 for d in "${left[@]}"; do [ -n "$d" ] && alive=$d; done
 for n in $(seq 10 19); do until_true is "$alive" "$n" completed || die "job $n did not complete after the owner's death"; done
 
+say "all daemons are killed and start again at once: none waits until those before are forgotten"
+curl -s -d '{"patient":true}' "http://127.0.0.1:$base/control" > /dev/null # forgets nobody
+for d in "${left[@]}"; do [ -n "$d" ] && kill -9 "${PID[$d]}" && { wait "${PID[$d]}" 2> /dev/null || true; }; done
+for d in "${left[@]}"; do [ -n "$d" ] && start_daemon "$d"; done
+for d in "${left[@]}"; do [ -z "$d" ] || until_true ready "$d" || die "daemon $d is not ready again"; done
+members() { curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | grep -o '127.0.0.1:[0-9]*/[0-9]*' | sort -u | wc -l; }
+two_members() { [ "$(members)" = 2 ]; }
+until_true two_members || die "the processes before stay in the group: $(members) members"
+until_true submitted "$alive" 20 || die "no job is taken after all were killed"
+until_true is "$alive" 20 completed || die "that job did not complete"
+curl -s -d '{"patient":false}' "http://127.0.0.1:$base/control" > /dev/null
+
 say "the store is away: refused at once and truly not stored; back: taken again"
 curl -s -d '{"outage":true}' "http://127.0.0.1:$base/control" > /dev/null
 refused() { [ "$(ask "$alive" POST "$(job 30)" "$steps")" = 503 ]; }
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -335,9 +335,9 @@
 static FbOrderResult
 result_from (const Script *script, const char *name)
 {
-  static const char *const names[] = { "done",       "fenced",   "superseded", "late",   "no-room",
-                                       "bad-ticket", "not-done", "other-life", "no-listener",
-                                       "unknown" };
+  static const char *const names[]
+      = { "done",       "fenced",   "superseded", "late",        "no-room",
+          "bad-ticket", "not-done", "other-life", "no-listener", "unknown" };
   for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
     {
       if (g_str_equal (name, names[i]))
