Learn the owners from a peer while the store turns a daemon away

Change: when the store does not tell, a peer that it serves is asked (a new question between daemons; an older one refuses it, and things are as before). Test: platform.sh, the owner cut off from the store alone: without the question "callers of the daemon that is cut off do not learn of their job", with it they do.

--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -538,6 +538,8 @@
 		 if (!xdr_fb_ask_stored (xdrs, &objp->fb_ask_u.stored))
 			 return FALSE;
 		break;
+	case FB_ASK_OWNERS:
+		break;
 	default:
 		return FALSE;
 	}
@@ -579,6 +581,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_partition_owner (XDR *xdrs, fb_partition_owner *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_told_owners (XDR *xdrs, fb_told_owners *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->owners.owners_val, (u_int *) &objp->owners.owners_len, FB_WORK_MAX_PARTITIONS,
+		sizeof (fb_partition_owner), (xdrproc_t) xdr_fb_partition_owner))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_told (XDR *xdrs, fb_told *objp)
 {
@@ -599,6 +624,10 @@
 		 if (!xdr_fb_told_advice (xdrs, &objp->fb_told_u.advice))
 			 return FALSE;
 		break;
+	case FB_TOLD_OWNERS:
+		 if (!xdr_fb_told_owners (xdrs, &objp->fb_told_u.owners))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -22,6 +22,7 @@
 #define FB_WORK_MAX_FAILED 1024
 #define FB_WORK_MAX_TICKETS 128
 #define FB_WORK_MAX_WORKERS 20000
+#define FB_WORK_MAX_PARTITIONS 4096
 
 struct fb_work_step {
 	u_int count;
@@ -134,6 +135,7 @@
 	FB_ASK_ADVICE = 3,
 	FB_ASK_APPEND = 4,
 	FB_ASK_STORED = 5,
+	FB_ASK_OWNERS = 6,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -203,6 +205,7 @@
 	FB_TOLD_STORED = 6,
 	FB_TOLD_NOT_STORED = 7,
 	FB_TOLD_IN_DOUBT = 8,
+	FB_TOLD_OWNERS = 9,
 };
 typedef enum fb_told_type fb_told_type;
 
@@ -221,12 +224,27 @@
 };
 typedef struct fb_told_advice fb_told_advice;
 
+struct fb_partition_owner {
+	u_int partition;
+	char *address;
+};
+typedef struct fb_partition_owner fb_partition_owner;
+
+struct fb_told_owners {
+	struct {
+		u_int owners_len;
+		fb_partition_owner *owners_val;
+	} owners;
+};
+typedef struct fb_told_owners fb_told_owners;
+
 struct fb_told {
 	fb_told_type type;
 	union {
 		fb_work_state state;
 		u_int pending;
 		fb_told_advice advice;
+		fb_told_owners owners;
 	} fb_told_u;
 };
 typedef struct fb_told fb_told;
@@ -254,6 +272,8 @@
 extern  bool_t xdr_fb_told_type (XDR *, fb_told_type*);
 extern  bool_t xdr_fb_ticket (XDR *, fb_ticket*);
 extern  bool_t xdr_fb_told_advice (XDR *, fb_told_advice*);
+extern  bool_t xdr_fb_partition_owner (XDR *, fb_partition_owner*);
+extern  bool_t xdr_fb_told_owners (XDR *, fb_told_owners*);
 extern  bool_t xdr_fb_told (XDR *, fb_told*);
 
 #else /* K&R C */
@@ -277,6 +297,8 @@
 extern bool_t xdr_fb_told_type ();
 extern bool_t xdr_fb_ticket ();
 extern bool_t xdr_fb_told_advice ();
+extern bool_t xdr_fb_partition_owner ();
+extern bool_t xdr_fb_told_owners ();
 extern bool_t xdr_fb_told ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -11,6 +11,7 @@
 const FB_WORK_MAX_FAILED = 1024;
 const FB_WORK_MAX_TICKETS = 128;
 const FB_WORK_MAX_WORKERS = 20000;
+const FB_WORK_MAX_PARTITIONS = 4096;
 
 /* One step: COUNT equal tasks, each of the size given. */
 struct fb_work_step {
@@ -106,7 +107,8 @@
   FB_ASK_PENDING = 2, /* of a queue */
   FB_ASK_ADVICE = 3, /* call the advice service from the daemon asked */
   FB_ASK_APPEND = 4, /* append to the log for a daemon that it turns away */
-  FB_ASK_STORED = 5  /* tells the owner of a record that is in the log */
+  FB_ASK_STORED = 5, /* tells the owner of a record that is in the log */
+  FB_ASK_OWNERS = 6  /* who owns which partition, as the log's group has it */
 };
 
 struct fb_ask_job {
@@ -145,6 +147,7 @@
 case FB_ASK_ADVICE: fb_ask_advice advice;
 case FB_ASK_APPEND: fb_ask_append append;
 case FB_ASK_STORED: fb_ask_stored stored;
+case FB_ASK_OWNERS: void;
 };
 
 enum fb_told_type {
@@ -155,7 +158,8 @@
   FB_TOLD_ADVICE = 5,
   FB_TOLD_STORED = 6,
   FB_TOLD_NOT_STORED = 7, /* certainly */
-  FB_TOLD_IN_DOUBT = 8
+  FB_TOLD_IN_DOUBT = 8,
+  FB_TOLD_OWNERS = 9
 };
 
 struct fb_ticket {
@@ -168,9 +172,19 @@
   unsigned int validity_ms;
 };
 
+struct fb_partition_owner {
+  unsigned int partition;
+  string address<FB_WORK_MAX_NAME>; /* of the daemon, for its peers */
+};
+
+struct fb_told_owners {
+  fb_partition_owner owners<FB_WORK_MAX_PARTITIONS>;
+};
+
 union fb_told switch (fb_told_type type) {
 case FB_TOLD_STATE: fb_work_state state;
 case FB_TOLD_PENDING: unsigned int pending;
 case FB_TOLD_ADVICE: fb_told_advice advice;
+case FB_TOLD_OWNERS: fb_told_owners owners;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -64,6 +64,9 @@
 void fb_appender_put (FbAppender *self, GByteArray *records, uint64_t give_up_ms, FbAppended done,
                       gpointer user);
 
+/* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
+typedef void (*FbTold) (gpointer user, const fb_told *told);
+
 /* ---- group: which partitions this daemon owns ------------------------------------- */
 
 FbGroup *fb_group_new (FbEntry *entry);
@@ -76,6 +79,8 @@
 const char *fb_group_owner_of (const FbGroup *self, uint32_t partition);
 /* What is known of the owners is wrong: they are asked for, at most each 0.2 s. */
 void fb_group_refresh (FbGroup *self);
+/* Tells DONE the owners of all partitions, or UNSURE while the store does not answer here. */
+void fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user);
 /* Returns: (transfer container): addresses of all daemons that own something. */
 GPtrArray *fb_group_daemons (const FbGroup *self);
 
@@ -102,8 +107,6 @@
 
 /* ---- peers ------------------------------------------------------------------------------ */
 
-/* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
-typedef void (*FbTold) (gpointer user, const fb_told *told);
 void fb_peers_ask (FbEntry *entry, const char *address, const fb_ask *ask, uint32_t timeout_ms,
                    FbTold done, gpointer user);
 /* Asks the owner of the pool of SERVICE, wherever it is. */
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -102,6 +102,46 @@
 
 /* ---- what the store says of owners ---------------------------------------------- */
 
+static void
+on_peer_owners (gpointer data, const fb_told *told)
+{
+  FbGroup *self = data;
+  self->peer_open = FALSE;
+  if (told == NULL || told->type != FB_TOLD_OWNERS)
+    return; /* who needs them asks again */
+  const fb_told_owners *owners = &told->fb_told_u.owners;
+  fb_event_log (FB_EVENT_OWNERS_FROM_PEER, "partitions=%u store_ok_ms_ago=%u",
+                owners->owners.owners_len, (guint) (fb_clock_ms () - self->entry->store_ok_ms));
+  g_hash_table_remove_all (self->owner_of);
+  for (u_int i = 0; i < owners->owners.owners_len; i++)
+    {
+      const fb_partition_owner *owner = &owners->owners.owners_val[i];
+      g_hash_table_insert (self->owner_of, GUINT_TO_POINTER (owner->partition),
+                           g_strdup (owner->address));
+    }
+}
+
+/* Failure: the store turns this daemon away and its partitions have new owners; it shows as
+ * callers here who ask for a job, wait for 2 s and are told that the owner is away.  Guard: a
+ * peer that the store serves knows the owners. */
+static void
+ask_peer (FbGroup *self)
+{
+  const char *mine = self->entry->settings->peers;
+  g_autoptr (GPtrArray) daemons = fb_group_daemons (self);
+  for (guint i = daemons->len; i > 0; i--)
+    {
+      if (g_str_equal (daemons->pdata[i - 1], mine))
+        g_ptr_array_remove_index_fast (daemons, i - 1);
+    }
+  if (self->peer_open || daemons->len == 0)
+    return;
+  const char *peer = daemons->pdata[g_random_int_range (0, (gint32) daemons->len)];
+  static const fb_ask ask = { .type = FB_ASK_OWNERS };
+  self->peer_open = TRUE;
+  fb_peers_ask (self->entry, peer, &ask, ANSWER_MS, on_peer_owners, self);
+}
+
 static void
 on_owners (gpointer data, const FbHttpReply *reply)
 {
@@ -115,7 +155,10 @@
       dismiss_predecessors (self, owners);
     }
   else
-    self->owners_generation = 0;
+    {
+      self->owners_generation = 0;
+      ask_peer (self);
+    }
 }
 
 static void
@@ -144,6 +187,30 @@
   ask_owners (self, fb_clock_ms ());
 }
 
+void
+fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user)
+{
+  fb_told told = { .type = FB_TOLD_UNSURE };
+  if (!fb_group_is_member (self, fb_clock_ms ()) || self->owners_generation == 0)
+    {
+      done (user, &told);
+      return;
+    }
+  guint n = 0;
+  g_autofree fb_partition_owner *rows
+      = g_new0 (fb_partition_owner, g_hash_table_size (self->owner_of) + 1);
+  GHashTableIter iter;
+  gpointer partition;
+  gpointer address;
+  g_hash_table_iter_init (&iter, self->owner_of);
+  while (g_hash_table_iter_next (&iter, &partition, &address))
+    rows[n++] = (fb_partition_owner){ GPOINTER_TO_UINT (partition), address };
+  told.type = FB_TOLD_OWNERS;
+  told.fb_told_u.owners.owners.owners_len = n;
+  told.fb_told_u.owners.owners.owners_val = rows;
+  done (user, &told);
+}
+
 const char *
 fb_group_owner_of (const FbGroup *self, uint32_t partition)
 {
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -271,6 +271,9 @@
     case FB_ASK_APPEND:
       append_for_peer (entry, &ask->fb_ask_u.append, answer);
       return;
+    case FB_ASK_OWNERS:
+      fb_group_tell_owners (entry->group, on_answer_ready, answer);
+      return;
     case FB_ASK_STORED:
       take_stored (entry, &ask->fb_ask_u.stored);
       break;
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -126,6 +126,19 @@
 until_true reloaded || die "the settings were not loaded again"
 until_true ready "$alive" || die "the daemon is not ready again"
 
+say "the store is away from the owner alone: a peer tells it who owns the pool now"
+cut=$(owner); before=$(reloads "$cut")
+reloaded() { [ "$(reloads "$cut")" -gt "$before" ]; }
+store_at "$cut" $((base + 19))
+until_true reloaded || die "the settings were not loaded again"
+moved() { local now; now=$(owner) && [ "$now" != "$cut" ]; }
+until_true moved || die "nobody took the pool over"
+until_true is "$cut" 34 completed || die "callers of the daemon that is cut off do not learn of their job"
+before=$(reloads "$cut")
+store_at "$cut" "$base"
+until_true reloaded || die "the settings were not loaded again"
+until_true ready "$cut" || die "the daemon is not ready again"
+
 say "a worker dies with work on it"
 for n in $(seq 40 45); do submitted "$alive" "$n" || die "job $n was not taken"; done
 curl -s -d '{"worker":2,"up":false}' "http://127.0.0.1:$base/control" > /dev/null
