Record progress through a peer while the store turns the owner away

Change: every second try of an append with a writer goes through a peer, under the same sequence, which the store takes once. Drawing a peer at random is one function now. Ruled out: giving the pool away sooner (the store decides, after 1 s). Test: platform.sh, with a store that replaces nobody: without it "the end of a job is not shown while the store turns its owner away", with it the job completes. The test's owner() no longer takes what a killed process had logged for true, and waits until the pool rests.

--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -496,6 +496,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_ask_write (XDR *xdrs, fb_ask_write *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->writer, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ask_stored (XDR *xdrs, fb_ask_stored *objp)
 {
@@ -540,6 +558,10 @@
 		break;
 	case FB_ASK_OWNERS:
 		break;
+	case FB_ASK_WRITE:
+		 if (!xdr_fb_ask_write (xdrs, &objp->fb_ask_u.write))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -136,6 +136,7 @@
 	FB_ASK_APPEND = 4,
 	FB_ASK_STORED = 5,
 	FB_ASK_OWNERS = 6,
+	FB_ASK_WRITE = 7,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -174,6 +175,18 @@
 };
 typedef struct fb_ask_append fb_ask_append;
 
+struct fb_ask_write {
+	u_int partition;
+	char *writer;
+	u_quad_t epoch;
+	u_quad_t sequence;
+	struct {
+		u_int records_len;
+		char *records_val;
+	} records;
+};
+typedef struct fb_ask_write fb_ask_write;
+
 struct fb_ask_stored {
 	u_int partition;
 	char *key;
@@ -192,6 +205,7 @@
 		fb_ask_advice advice;
 		fb_ask_append append;
 		fb_ask_stored stored;
+		fb_ask_write write;
 	} fb_ask_u;
 };
 typedef struct fb_ask fb_ask;
@@ -206,6 +220,8 @@
 	FB_TOLD_NOT_STORED = 7,
 	FB_TOLD_IN_DOUBT = 8,
 	FB_TOLD_OWNERS = 9,
+	FB_TOLD_FENCED = 10,
+	FB_TOLD_SEQUENCE = 11,
 };
 typedef enum fb_told_type fb_told_type;
 
@@ -267,6 +283,7 @@
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
 extern  bool_t xdr_fb_ask_advice (XDR *, fb_ask_advice*);
 extern  bool_t xdr_fb_ask_append (XDR *, fb_ask_append*);
+extern  bool_t xdr_fb_ask_write (XDR *, fb_ask_write*);
 extern  bool_t xdr_fb_ask_stored (XDR *, fb_ask_stored*);
 extern  bool_t xdr_fb_ask (XDR *, fb_ask*);
 extern  bool_t xdr_fb_told_type (XDR *, fb_told_type*);
@@ -292,6 +309,7 @@
 extern bool_t xdr_fb_worker_name ();
 extern bool_t xdr_fb_ask_advice ();
 extern bool_t xdr_fb_ask_append ();
+extern bool_t xdr_fb_ask_write ();
 extern bool_t xdr_fb_ask_stored ();
 extern bool_t xdr_fb_ask ();
 extern bool_t xdr_fb_told_type ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -108,7 +108,8 @@
   FB_ASK_ADVICE = 3, /* call the advice service from the daemon asked */
   FB_ASK_APPEND = 4, /* append to the log for a daemon that it turns away */
   FB_ASK_STORED = 5, /* tells the owner of a record that is in the log */
-  FB_ASK_OWNERS = 6  /* who owns which partition, as the log's group has it */
+  FB_ASK_OWNERS = 6, /* who owns which partition, as the log's group has it */
+  FB_ASK_WRITE = 7   /* append progress for an owner that the log turns away */
 };
 
 struct fb_ask_job {
@@ -135,6 +136,15 @@
   opaque records<>;
 };
 
+/* The log takes each SEQUENCE of a writer once, whoever sends it. */
+struct fb_ask_write {
+  unsigned int partition;
+  string writer<FB_WORK_MAX_NAME>;
+  unsigned hyper epoch;
+  unsigned hyper sequence;
+  opaque records<>;
+};
+
 struct fb_ask_stored {
   unsigned int partition;
   string key<FB_WORK_MAX_NAME>;
@@ -148,6 +158,7 @@
 case FB_ASK_APPEND: fb_ask_append append;
 case FB_ASK_STORED: fb_ask_stored stored;
 case FB_ASK_OWNERS: void;
+case FB_ASK_WRITE: fb_ask_write write;
 };
 
 enum fb_told_type {
@@ -159,7 +170,9 @@
   FB_TOLD_STORED = 6,
   FB_TOLD_NOT_STORED = 7, /* certainly */
   FB_TOLD_IN_DOUBT = 8,
-  FB_TOLD_OWNERS = 9
+  FB_TOLD_OWNERS = 9,
+  FB_TOLD_FENCED = 10,  /* a higher epoch writes there */
+  FB_TOLD_SEQUENCE = 11 /* another sequence was expected */
 };
 
 struct fb_ticket {
--- a/src/entry/appender.c
+++ b/src/entry/appender.c
@@ -39,6 +39,7 @@
   GBytes *body;
   uint64_t begun_ms; /* when the batch was first sent */
   gboolean doubt;    /* a call with this body got no answer */
+  guint failed_n;    /* calls with this body that the store did not take */
   uint32_t retry_ms;
   guint timer;
   gboolean call_open;
@@ -75,6 +76,7 @@
   fb_histogram_add (FB_HISTOGRAM_STORE_APPEND, fb_clock_ms () - self->begun_ms);
   g_clear_pointer (&self->body, g_bytes_unref);
   self->doubt = FALSE;
+  self->failed_n = 0;
   self->retry_ms = RETRY_FIRST_MS;
   self->sequence++;
   Item *item = NULL;
@@ -122,6 +124,7 @@
       = result == FB_APPEND_STORED || result == FB_APPEND_FENCED || result == FB_APPEND_SEQUENCE;
   if (self->writer != NULL && !final)
     {
+      self->failed_n++;
       retry_later (self);
       return;
     }
@@ -137,19 +140,17 @@
   finish_batch (self, result);
 }
 
+/* The open call came to RESULT; CODE is the store's, 0 for a peer's word. */
 static void
-on_reply (gpointer data, const FbHttpReply *reply)
+end_call (FbAppender *self, FbAppendResult result, guint code)
 {
-  FbAppender *self = data;
   self->call_open = FALSE;
   self->in_reply = TRUE;
   if (!self->freed)
     {
-      fb_entry_store_answered (self->entry, reply);
-      FbAppendResult result = fb_wire_append_result (reply);
       if (result != FB_APPEND_STORED)
         fb_event_log (FB_EVENT_CALL_FAILED, "append topic=%s partition=%u result=%d code=%u",
-                      self->topic, self->partition, result, reply->code);
+                      self->topic, self->partition, result, code);
       take_result (self, result);
     }
   self->in_reply = FALSE;
@@ -159,6 +160,21 @@
     proceed (self);
 }
 
+static void
+on_reply (gpointer data, const FbHttpReply *reply)
+{
+  FbAppender *self = data;
+  if (!self->freed)
+    fb_entry_store_answered (self->entry, reply);
+  end_call (self, fb_wire_append_result (reply), reply->code);
+}
+
+static void
+on_peer_wrote (gpointer data, FbAppendResult result)
+{
+  end_call (data, result, 0);
+}
+
 static void
 fill_batch (FbAppender *self)
 {
@@ -173,6 +189,29 @@
   self->begun_ms = fb_clock_ms ();
 }
 
+/* Failure: the store turns the owner away and serves the others; until another daemon has
+ * taken the pool over, 1 to 1.5 s, no end is recorded, so that none is shown: short jobs
+ * that end meanwhile are late.  Guard: every second try goes through a peer; the store
+ * takes a sequence once, whoever sends it. */
+static gboolean
+write_by_peer (FbAppender *self)
+{
+  const char *peer = self->writer != NULL && self->failed_n % 2 == 1
+                         ? fb_group_any_peer (self->entry->group, NULL)
+                         : NULL;
+  if (peer == NULL)
+    return FALSE;
+  gsize len = 0;
+  const char *records = g_bytes_get_data (self->body, &len);
+  const fb_ask_write write = { .partition = self->partition,
+                               .writer = self->writer,
+                               .epoch = self->epoch,
+                               .sequence = self->sequence,
+                               .records = { (u_int) len, (char *) records } };
+  fb_peers_write (self->entry, peer, &write, ANSWER_MS, on_peer_wrote, self);
+  return TRUE;
+}
+
 static void
 proceed (FbAppender *self)
 {
@@ -182,10 +221,12 @@
     return;
   if (self->body == NULL)
     fill_batch (self);
+  self->call_open = TRUE;
+  if (write_by_peer (self))
+    return;
   FbHttpCall call;
   fb_wire_append (&call, self->entry->settings->store, self->topic, self->partition, self->body,
                   self->writer, self->epoch, self->sequence);
-  self->call_open = TRUE;
   fb_counter_add (FB_COUNTER_LOG_APPENDS, 1);
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_reply, self);
   fb_http_call_clear (&call);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -83,6 +83,9 @@
 void fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user);
 /* Returns: (transfer container): addresses of all daemons that own something. */
 GPtrArray *fb_group_daemons (const FbGroup *self);
+/* EXCEPT: addresses; may be NULL.
+ * Returns: (nullable): another daemon that owns something, drawn at random, borrowed. */
+const char *fb_group_any_peer (const FbGroup *self, GPtrArray *except);
 
 /* ---- owner: the pools of one partition ------------------------------------------------ */
 
@@ -115,6 +118,9 @@
 /* Tells the owner of PARTITION of a stored record; it is read from the store anyway,
  * so nothing depends on the answer. */
 void fb_peers_tell_stored (FbEntry *entry, uint32_t partition, const char *key, GBytes *value);
+/* Appends progress through PEER, as the store would take it from here. */
+void fb_peers_write (FbEntry *entry, const char *peer, const fb_ask_write *write,
+                     uint32_t timeout_ms, FbAppended done, gpointer user);
 void fb_peers_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                      GHashTable *query, gpointer entry);
 
--- a/src/entry/front-store.c
+++ b/src/entry/front-store.c
@@ -80,31 +80,13 @@
   store_by_peer (request);
 }
 
-/* Returns: (nullable): a daemon that was not asked yet, chosen at random, borrowed. */
-static const char *
-other_daemon (FbFrontRequest *request)
-{
-  const FbEntry *entry = request->entry;
-  g_autoptr (GPtrArray) daemons = fb_group_daemons (entry->group);
-  for (guint i = daemons->len; i > 0; i--)
-    {
-      guint at = (guint) g_random_int_range (0, (gint32) i);
-      const char *address = daemons->pdata[at];
-      if (!g_str_equal (address, entry->settings->peers)
-          && !g_ptr_array_find_with_equal_func (request->asked, address, g_str_equal, NULL))
-        return address;
-      g_ptr_array_remove_index_fast (daemons, at);
-    }
-  return NULL;
-}
-
 /* Failure: the store turns this daemon away and serves the others; it shows as
  * refused callers while workers are free.  Guard: peers are asked to store the job, one
  * after the other; the key makes that harmless where it was stored before. */
 static void
 store_by_peer (FbFrontRequest *request)
 {
-  const char *peer = other_daemon (request);
+  const char *peer = fb_group_any_peer (request->entry->group, request->asked);
   uint64_t spent_ms = fb_clock_ms () - request->since_ms;
   if (peer == NULL || spent_ms >= PEERS_UNTIL_MS || request->asked->len >= PEERS_MAX)
     {
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -127,16 +127,9 @@
 static void
 ask_peer (FbGroup *self)
 {
-  const char *mine = self->entry->settings->peers;
-  g_autoptr (GPtrArray) daemons = fb_group_daemons (self);
-  for (guint i = daemons->len; i > 0; i--)
-    {
-      if (g_str_equal (daemons->pdata[i - 1], mine))
-        g_ptr_array_remove_index_fast (daemons, i - 1);
-    }
-  if (self->peer_open || daemons->len == 0)
+  const char *peer = fb_group_any_peer (self, NULL);
+  if (self->peer_open || peer == NULL)
     return;
-  const char *peer = daemons->pdata[g_random_int_range (0, (gint32) daemons->len)];
   static const fb_ask ask = { .type = FB_ASK_OWNERS };
   self->peer_open = TRUE;
   fb_peers_ask (self->entry, peer, &ask, ANSWER_MS, on_peer_owners, self);
@@ -233,6 +226,23 @@
   return daemons;
 }
 
+const char *
+fb_group_any_peer (const FbGroup *self, GPtrArray *except)
+{
+  g_autoptr (GPtrArray) daemons = fb_group_daemons (self);
+  for (guint i = daemons->len; i > 0; i--)
+    {
+      guint at = (guint) g_random_int_range (0, (gint32) i);
+      const char *address = daemons->pdata[at];
+      if (!g_str_equal (address, self->entry->settings->peers)
+          && (except == NULL
+              || !g_ptr_array_find_with_equal_func (except, address, g_str_equal, NULL)))
+        return address;
+      g_ptr_array_remove_index_fast (daemons, at);
+    }
+  return NULL;
+}
+
 /* ---- membership ---------------------------------------------------------------- */
 
 gboolean
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -13,6 +13,8 @@
 #define XDR_TYPE "application/octet-stream"
 /* For an append on behalf of a daemon that the store turns away. */
 #define APPEND_MS 1500
+/* For one append of an owner's progress; it is repeated by the owner. */
+#define WRITE_MS 500
 /* After this the owner has read the record itself. */
 #define TELL_MS 700
 /* An owner that is being replaced is asked for again after this. */
@@ -188,6 +190,53 @@
   fb_peers_ask (entry, address, &ask, TELL_MS, ignore_told, NULL);
 }
 
+/* ---- writing through a peer --------------------------------------------------------- */
+
+/* What an append came to, as peers tell it. */
+static const struct
+{
+  FbAppendResult result;
+  fb_told_type told;
+} append_results[] = { { FB_APPEND_STORED, FB_TOLD_STORED },
+                       { FB_APPEND_NOT_STORED, FB_TOLD_NOT_STORED },
+                       { FB_APPEND_IN_DOUBT, FB_TOLD_IN_DOUBT },
+                       { FB_APPEND_FENCED, FB_TOLD_FENCED },
+                       { FB_APPEND_SEQUENCE, FB_TOLD_SEQUENCE } };
+
+typedef struct
+{
+  FbAppended done;
+  gpointer user;
+} PeerWrite;
+
+static void
+on_peer_wrote (gpointer data, const fb_told *told)
+{
+  PeerWrite *write = data;
+  FbAppendResult result = FB_APPEND_IN_DOUBT;
+  for (guint i = 0; told != NULL && i < G_N_ELEMENTS (append_results); i++)
+    {
+      if (told->type == append_results[i].told)
+        result = append_results[i].result;
+    }
+  if (told != NULL && told->type == FB_TOLD_UNSURE)
+    result = FB_APPEND_NOT_STORED; /* it did nothing */
+  write->done (write->user, result);
+  g_free (write);
+}
+
+void
+fb_peers_write (FbEntry *entry, const char *peer, const fb_ask_write *write, uint32_t timeout_ms,
+                FbAppended done, gpointer user)
+{
+  PeerWrite *open = g_new0 (PeerWrite, 1);
+  open->done = done;
+  open->user = user;
+  fb_ask ask = { .type = FB_ASK_WRITE };
+  ask.fb_ask_u.write = *write;
+  fb_peers_ask (entry, peer, &ask, timeout_ms, on_peer_wrote, open);
+}
+
 /* ---- answering -------------------------------------------------------------------- */
 
 typedef struct
@@ -214,13 +263,32 @@
 on_appended (gpointer data, FbAppendResult result)
 {
   fb_told told = { .type = FB_TOLD_IN_DOUBT };
-  if (result == FB_APPEND_STORED)
-    told.type = FB_TOLD_STORED;
-  else if (result == FB_APPEND_NOT_STORED)
-    told.type = FB_TOLD_NOT_STORED;
+  for (guint i = 0; i < G_N_ELEMENTS (append_results); i++)
+    {
+      if (append_results[i].result == result)
+        told.type = append_results[i].told;
+    }
   on_answer_ready (data, &told);
 }
 
+static void
+on_written (gpointer data, const FbHttpReply *reply)
+{
+  on_appended (data, fb_wire_append_result (reply));
+}
+
+/* Sent at once, under the owner's own sequence: a repeat from there does no harm. */
+static void
+write_for_owner (FbEntry *entry, const fb_ask_write *ask, Answer *answer)
+{
+  g_autoptr (GBytes) body = g_bytes_new (ask->records.records_val, ask->records.records_len);
+  FbHttpCall call;
+  fb_wire_append (&call, entry->settings->store, FB_TOPIC_PROGRESS, ask->partition, body,
+                  ask->writer, ask->epoch, ask->sequence);
+  fb_http_client_exchange (entry->store_client, &call, WRITE_MS, on_written, answer);
+  fb_http_call_clear (&call);
+}
+
 static void
 append_for_peer (FbEntry *entry, const fb_ask_append *ask, Answer *answer)
 {
@@ -271,6 +339,9 @@
     case FB_ASK_APPEND:
       append_for_peer (entry, &ask->fb_ask_u.append, answer);
       return;
+    case FB_ASK_WRITE:
+      write_for_owner (entry, &ask->fb_ask_u.write, answer);
+      return;
     case FB_ASK_OWNERS:
       fb_group_tell_owners (entry->group, on_answer_ready, answer);
       return;
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -44,10 +44,16 @@
 submitted() { [ "$(ask "$1" POST "$(job "$2")" "$steps")" = 200 ]; }
 is() { [ "$(ask "$1" GET "$(job "$2")")" = 200 ] && grep -q "\"$3\"" "$OUT/answer"; }
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
-owner() { # the daemon that settled the pool last and has not lost it
+owner() { # the daemon that settled the pool last in this life and has not lost it
   local d; for d in "${!PID[@]}"; do
-    [ "$d" != platform ] && [ "$(grep -E 'POOL_(SETTLED|LOST)' "$OUT/d$d.log" | tail -1 | grep -c SETTLED)" = 1 ] && kill -0 "${PID[$d]}" 2> /dev/null && echo "$d" && return
+    [ "$d" != platform ] && [ "$(grep -E 'POOL_(SETTLED|LOST)|PROCESS_STARTED' "$OUT/d$d.log" | tail -1 | grep -c SETTLED)" = 1 ] && kill -0 "${PID[$d]}" 2> /dev/null && echo "$d" && return
   done; return 1; }
+members() { curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | grep -o '127.0.0.1:[0-9]*/[0-9]*' | sort -u | wc -l; }
+two_members() { [ "$(members)" = 2 ]; }
+dealt_to_owner() { # nothing moves any more: the store's owner of the pool is the one that settled it
+  local d p; two_members && d=$(owner) || return 1
+  p=$(grep -o 'POOL_TAKEN partition=[0-9]*' "$OUT/d$d.log" | tail -1 | grep -o '[0-9]*$')
+  curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | tr -d ' ' | grep -q ",$p,\"127.0.0.1:$(($(port "$d") + 2))/"; }
 audit() { curl -s "http://127.0.0.1:$base/audit"; }
 
 $B/standins/standin-platform "$base" 6 & PID[platform]=$!
@@ -87,8 +93,6 @@
 for d in "${left[@]}"; do [ -n "$d" ] && kill -9 "${PID[$d]}" && { wait "${PID[$d]}" 2> /dev/null || true; }; done
 for d in "${left[@]}"; do [ -n "$d" ] && start_daemon "$d"; done
 for d in "${left[@]}"; do [ -z "$d" ] || until_true ready "$d" || die "daemon $d is not ready again"; done
-members() { curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | grep -o '127.0.0.1:[0-9]*/[0-9]*' | sort -u | wc -l; }
-two_members() { [ "$(members)" = 2 ]; }
 until_true two_members || die "the processes before stay in the group: $(members) members"
 until_true submitted "$alive" 20 || die "no job is taken after all were killed"
 until_true is "$alive" 20 completed || die "that job did not complete"
@@ -126,7 +130,25 @@
 until_true reloaded || die "the settings were not loaded again"
 until_true ready "$alive" || die "the daemon is not ready again"
 
+say "the store is away from the owner alone, and nobody replaces it: its ends are recorded through a peer"
+until_true dealt_to_owner || die "the pool does not come to rest"
+curl -s -d '{"patient":true}' "http://127.0.0.1:$base/control" > /dev/null # forgets nobody
+cut=$(owner); before=$(reloads "$cut")
+reloaded() { [ "$(reloads "$cut")" -gt "$before" ]; }
+store_at "$cut" $((base + 19))
+until_true reloaded || die "the settings were not loaded again"
+for d in "${left[@]}"; do [ -n "$d" ] && [ "$d" != "$cut" ] && other=$d; done
+until_true submitted "$other" 35 || die "the job was not taken"
+until_true is "$other" 35 completed || die "the end of a job is not shown while the store turns its owner away"
+[ "$(owner)" = "$cut" ] || die "the pool has another owner"
+before=$(reloads "$cut")
+store_at "$cut" "$base"
+until_true reloaded || die "the settings were not loaded again"
+until_true ready "$cut" || die "the daemon is not ready again"
+curl -s -d '{"patient":false}' "http://127.0.0.1:$base/control" > /dev/null
+
 say "the store is away from the owner alone: a peer tells it who owns the pool now"
+until_true dealt_to_owner || die "the pool does not come to rest"
 cut=$(owner); before=$(reloads "$cut")
 reloaded() { [ "$(reloads "$cut")" -gt "$before" ]; }
 store_at "$cut" $((base + 19))
