--- /dev/null
+++ b/standins/standin-platform-store.c
@@ -0,0 +1,239 @@
+/* The store's partitions: records are appended, read from an offset, and listed by key. */
+#include "standin-platform.h"
+
+#include <string.h>
+
+#define RAW "application/octet-stream"
+
+typedef struct
+{
+  GPtrArray *records; /* of GBytes: key length, key, value */
+  guint64 epoch;
+  guint64 sequence;
+  char *answer; /* to the last append of the writer */
+} Partition;
+
+typedef struct
+{
+  SpHeld held;
+  char *partition;
+  guint64 from;
+} Waiting;
+
+static GHashTable *partitions; /* name -> Partition */
+static GPtrArray *waiting;     /* of Waiting */
+
+void
+sp_store_init (void)
+{
+  partitions = g_hash_table_new (g_str_hash, g_str_equal);
+  waiting = g_ptr_array_new ();
+}
+
+static Partition *
+partition_of (const char *name)
+{
+  Partition *partition = g_hash_table_lookup (partitions, name);
+  if (partition == NULL)
+    {
+      partition = g_new0 (Partition, 1);
+      partition->records = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
+      g_hash_table_insert (partitions, g_strdup (name), partition);
+    }
+  return partition;
+}
+
+static const char *
+param (GHashTable *query, const char *name)
+{
+  const char *text = query != NULL ? g_hash_table_lookup (query, name) : NULL;
+  return text != NULL ? text : "";
+}
+
+static guint64
+number (GHashTable *query, const char *name)
+{
+  return g_ascii_strtoull (param (query, name), NULL, 10);
+}
+
+static char *
+partition_name (GHashTable *query)
+{
+  return g_strconcat (param (query, "topic"), "/", param (query, "part"), NULL);
+}
+
+void
+sp_store_put (const char *name, const char *key, const char *value)
+{
+  GByteArray *record = g_byte_array_new ();
+  guint8 len = (guint8) strlen (key);
+  g_byte_array_append (record, &len, 1);
+  g_byte_array_append (record, (const guint8 *) key, len);
+  g_byte_array_append (record, (const guint8 *) value, (guint) strlen (value));
+  g_ptr_array_add (partition_of (name)->records, g_byte_array_free_to_bytes (record));
+}
+
+static void
+add_records (Partition *partition, GBytes *body)
+{
+  gsize len = 0;
+  const guint8 *data = g_bytes_get_data (body, &len);
+  for (gsize at = 0; at + 4 <= len;)
+    {
+      guint32 size = 0;
+      memcpy (&size, data + at, sizeof size);
+      size = GUINT32_FROM_BE (size);
+      g_ptr_array_add (partition->records, g_bytes_new (data + at + 4, size));
+      at += 4 + size;
+    }
+}
+
+static void
+serve_append (SoupServerMessage *message, GHashTable *query, GBytes *body)
+{
+  g_autofree char *name = partition_name (query);
+  Partition *partition = partition_of (name);
+  gboolean fences = *param (query, "producer") != '\0';
+  guint64 epoch = number (query, "epoch");
+  guint64 sequence = number (query, "sequence");
+  if (fences && epoch < partition->epoch)
+    {
+      sp_reply (message, 409, "{\"reason\":\"fenced\"}");
+      return;
+    }
+  if (fences && epoch == partition->epoch && partition->answer != NULL
+      && sequence == partition->sequence)
+    {
+      sp_reply (message, 200, partition->answer);
+      return;
+    }
+  if (fences && epoch == partition->epoch && partition->answer != NULL
+      && sequence != partition->sequence + 1)
+    {
+      sp_reply (message, 409, "{\"reason\":\"seq\"}");
+      return;
+    }
+  guint offset = partition->records->len;
+  add_records (partition, body);
+  g_autofree char *answer
+      = g_strdup_printf ("{\"offset\":%u,\"end\":%u}", offset, partition->records->len);
+  sp_reply (message, 200, answer);
+  if (!fences)
+    return;
+  partition->epoch = epoch;
+  partition->sequence = sequence;
+  g_free (partition->answer);
+  partition->answer = g_steal_pointer (&answer);
+}
+
+static void
+add_u64 (GByteArray *out, guint64 value)
+{
+  value = GUINT64_TO_BE (value);
+  g_byte_array_append (out, (const guint8 *) &value, sizeof value);
+}
+
+static void
+answer_read (SoupServerMessage *message, const Partition *partition, guint64 from)
+{
+  g_autoptr (GByteArray) out = g_byte_array_new ();
+  add_u64 (out, partition->records->len);
+  add_u64 (out, 0);
+  for (guint64 i = from; i < partition->records->len; i++)
+    {
+      gsize len = 0;
+      const guint8 *data = g_bytes_get_data (partition->records->pdata[i], &len);
+      guint32 size = GUINT32_TO_BE ((guint32) len);
+      g_byte_array_append (out, (const guint8 *) &size, sizeof size);
+      g_byte_array_append (out, data, (guint) len);
+    }
+  soup_server_message_set_status (message, 200, NULL);
+  soup_server_message_set_response (message, RAW, SOUP_MEMORY_COPY, (const char *) out->data,
+                                    out->len);
+}
+
+static void
+wait_for_news (SoupServerMessage *message, const char *partition, guint64 from, guint64 wait_ms)
+{
+  Waiting *entry = g_new0 (Waiting, 1);
+  entry->partition = g_strdup (partition);
+  entry->from = from;
+  sp_hold (&entry->held, message, wait_ms);
+  g_ptr_array_add (waiting, entry);
+}
+
+static void
+serve_read (SoupServerMessage *message, GHashTable *query)
+{
+  g_autofree char *name = partition_name (query);
+  const Partition *partition = partition_of (name);
+  guint64 from = number (query, "from");
+  if (from < partition->records->len || number (query, "wait-ms") == 0)
+    answer_read (message, partition, from);
+  else
+    wait_for_news (message, name, from, number (query, "wait-ms"));
+}
+
+static void
+serve_newest (SoupServerMessage *message, GHashTable *query)
+{
+  g_autofree char *name = partition_name (query);
+  const Partition *partition = partition_of (name);
+  g_autoptr (GHashTable) newest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (guint i = 0; i < partition->records->len; i++)
+    {
+      gsize len = 0;
+      const guint8 *data = g_bytes_get_data (partition->records->pdata[i], &len);
+      char *key = g_strndup ((const char *) data + 1, data[0]);
+      if (len == 1u + data[0])
+        {
+          g_hash_table_remove (newest, key);
+          g_free (key);
+          continue;
+        }
+      g_autofree char *value = g_base64_encode (data + 1 + data[0], len - 1 - data[0]);
+      char *row
+          = g_strdup_printf ("{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}", key, value, i);
+      g_hash_table_replace (newest, key, row);
+    }
+  GString *out = g_string_new ("{\"items\":[");
+  GHashTableIter iter;
+  gpointer row;
+  g_hash_table_iter_init (&iter, newest);
+  for (guint n = 0; g_hash_table_iter_next (&iter, NULL, &row); n++)
+    g_string_append_printf (out, "%s%s", n > 0 ? "," : "", (char *) row);
+  g_string_append_printf (out, "],\"has-more\":false,\"end\":%u}", partition->records->len);
+  sp_reply (message, 200, out->str);
+  g_string_free (out, TRUE);
+}
+
+gboolean
+sp_store_serve (SoupServerMessage *message, const char *path, GHashTable *query, GBytes *body)
+{
+  if (g_str_equal (path, "/api/log-append"))
+    serve_append (message, query, body);
+  else if (g_str_equal (path, "/api/log-read"))
+    serve_read (message, query);
+  else if (g_str_equal (path, "/api/log-newest"))
+    serve_newest (message, query);
+  else
+    return FALSE;
+  return TRUE;
+}
+
+void
+sp_store_turn (void)
+{
+  for (guint i = waiting->len; i > 0; i--)
+    {
+      Waiting *entry = waiting->pdata[i - 1];
+      const Partition *partition = partition_of (entry->partition);
+      if (sp_now_ms () < entry->held.until_ms && partition->records->len <= entry->from)
+        continue;
+      answer_read (entry->held.message, partition, entry->from);
+      sp_release (&entry->held);
+      g_free (entry->partition);
+      g_free (entry);
+      g_ptr_array_remove_index_fast (waiting, i - 1);
+    }
+}
--- /dev/null
+++ b/standins/standin-platform-workers.c
@@ -0,0 +1,275 @@
+/* Workers: they run what they are told to under leases, and judge it. */
+#include "standin-platform.h"
+
+#include <stdlib.h>
+
+#define LEASE_MAX_MS 6000
+#define WORKER_CPU 8000
+
+typedef struct
+{
+  char *task;
+  guint64 attempt;
+  gint64 ends_ms;
+  gboolean stopping;
+} Run;
+
+typedef struct
+{
+  guint index;
+  gboolean up;
+  guint64 token;
+  gint64 lease_ms;
+  guint64 last_end;
+  GPtrArray *runs;
+  GPtrArray *ends; /* of char *, rows of JSON */
+  GArray *end_numbers;
+  SpHeld look; /* that waits for an end; its message is NULL for none */
+} Worker;
+
+static guint base_port;
+static guint worker_n;
+static Worker workers[SP_WORKER_MAX];
+static GHashTable *done_tasks;
+static guint started;
+static guint doubled;
+static guint over_capacity;
+
+static void
+run_free (gpointer data)
+{
+  Run *run = data;
+  g_free (run->task);
+  g_free (run);
+}
+
+static void
+list_worker (const Worker *worker, guint sequence)
+{
+  g_autofree char *id = g_strdup_printf ("i-%u", worker->index);
+  g_autofree char *entry = g_strdup_printf (
+      "{\"service\":\"" SP_SERVICE
+      "\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
+      "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}",
+      base_port + 1 + worker->index, sequence, WORKER_CPU);
+  sp_store_put ("keyed.servers/0", id, worker->up ? entry : "");
+}
+
+static Run *
+find_run (const Worker *worker, const char *task)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      Run *run = worker->runs->pdata[i];
+      if (g_str_equal (run->task, task))
+        return run;
+    }
+  return NULL;
+}
+
+/* What must never be: a task in two places or after its end, a worker over its room. */
+static void
+judge (const Worker *worker, const char *task)
+{
+  for (guint i = 0; i < worker_n; i++)
+    doubled += workers[i].up && find_run (&workers[i], task) != NULL;
+  doubled += g_hash_table_contains (done_tasks, task);
+  /* All tasks of the test ask for 2,000 thousandths of a core. */
+  over_capacity += (worker->runs->len + 1) * 2000 > WORKER_CPU;
+}
+
+static void
+serve_start (SoupServerMessage *message, Worker *worker, JsonObject *body)
+{
+  const char *task = json_object_get_string_member (body, "task");
+  g_autofree char *clock = g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
+  if (find_run (worker, task) == NULL)
+    {
+      judge (worker, task);
+      Run *run = g_new0 (Run, 1);
+      run->task = g_strdup (task);
+      run->attempt = (guint64) json_object_get_int_member (body, "attempt");
+      run->ends_ms = sp_now_ms () + atoi (json_object_get_string_member (body, "spec"));
+      g_ptr_array_add (worker->runs, run);
+      started++;
+    }
+  worker->lease_ms = MAX (worker->lease_ms, json_object_get_int_member (body, "deadline-ms"));
+  sp_reply (message, 200, clock);
+}
+
+static void
+serve_stop (SoupServerMessage *message, Worker *worker, JsonObject *body)
+{
+  Run *run = find_run (worker, json_object_get_string_member (body, "task"));
+  if (run != NULL)
+    {
+      run->stopping = TRUE;
+      run->ends_ms = sp_now_ms ();
+    }
+  g_autofree char *clock = g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
+  sp_reply (message, 200, clock);
+}
+
+static void
+answer_look (SoupServerMessage *message, const Worker *worker)
+{
+  GString *out = g_string_new (NULL);
+  g_string_printf (out, "{\"clock-ms\":%" G_GINT64_FORMAT ",\"running\":[", sp_now_ms ());
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const Run *run = worker->runs->pdata[i];
+      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"\",100]", i > 0 ? "," : "",
+                              run->task, run->attempt);
+    }
+  g_string_append (out, "],\"finished\":[");
+  for (guint i = 0; i < worker->ends->len; i++)
+    g_string_append_printf (out, "%s%s", i > 0 ? "," : "", (char *) worker->ends->pdata[i]);
+  g_string_append (out, "]}");
+  sp_reply (message, 200, out->str);
+  g_string_free (out, TRUE);
+}
+
+static void
+answer_held_look (Worker *worker)
+{
+  if (worker->look.message == NULL)
+    return;
+  answer_look (worker->look.message, worker);
+  sp_release (&worker->look);
+}
+
+/* A later look ends the wait of the one before. */
+static void
+hold_look (SoupServerMessage *message, Worker *worker, guint64 wait_ms)
+{
+  answer_held_look (worker);
+  sp_hold (&worker->look, message, wait_ms);
+}
+
+static void
+serve_look (SoupServerMessage *message, Worker *worker, JsonObject *body)
+{
+  guint64 acknowledged = (guint64) json_object_get_int_member (body, "acknowledged");
+  while (worker->end_numbers->len > 0
+         && g_array_index (worker->end_numbers, guint64, 0) <= acknowledged)
+    {
+      g_array_remove_index (worker->end_numbers, 0);
+      g_ptr_array_remove_index (worker->ends, 0);
+    }
+  if (json_object_has_member (body, "deadline-ms"))
+    worker->lease_ms = MAX (worker->lease_ms, MIN (json_object_get_int_member (body, "deadline-ms"),
+                                                   sp_now_ms () + LEASE_MAX_MS));
+  gint64 wait_ms
+      = json_object_has_member (body, "wait-ms") ? json_object_get_int_member (body, "wait-ms") : 0;
+  if (worker->ends->len > 0 || wait_ms == 0)
+    answer_look (message, worker);
+  else
+    hold_look (message, worker, (guint64) wait_ms);
+}
+
+void
+sp_worker_serve (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+{
+  Worker *worker = &workers[k];
+  if (!worker->up || body == NULL)
+    {
+      sp_reply (message, 500, "{}");
+      return;
+    }
+  guint64 token = (guint64) json_object_get_int_member (body, "fencing-token");
+  if (token < worker->token)
+    {
+      sp_reply (message, 409, "{\"clock-ms\":1,\"reason\":\"fence\"}");
+      return;
+    }
+  worker->token = token;
+  if (g_str_equal (path, "/api/run-start"))
+    serve_start (message, worker, body);
+  else if (g_str_equal (path, "/api/run-stop"))
+    serve_stop (message, worker, body);
+  else if (g_str_equal (path, "/api/hold"))
+    serve_look (message, worker, body);
+  else
+    sp_reply (message, 404, "{}");
+}
+
+static void
+end_run (Worker *worker, guint i)
+{
+  const Run *run = worker->runs->pdata[i];
+  gboolean lapsed = sp_now_ms () >= worker->lease_ms;
+  const char *how = run->stopping ? "stopped" : lapsed ? "lapsed" : "done";
+  guint64 n = ++worker->last_end;
+  g_ptr_array_add (worker->ends, g_strdup_printf ("[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT
+                                                  ",\"%s\",\"\"]",
+                                                  n, run->task, run->attempt, how));
+  g_array_append_val (worker->end_numbers, n);
+  if (g_str_equal (how, "done"))
+    g_hash_table_add (done_tasks, g_strdup (run->task));
+  g_ptr_array_remove_index (worker->runs, i);
+}
+
+static void
+end_runs (Worker *worker)
+{
+  for (guint i = worker->runs->len; worker->up && i > 0; i--)
+    {
+      const Run *run = worker->runs->pdata[i - 1];
+      if (sp_now_ms () >= run->ends_ms || sp_now_ms () >= worker->lease_ms)
+        end_run (worker, i - 1);
+    }
+}
+
+void
+sp_workers_init (guint n, guint port)
+{
+  base_port = port;
+  worker_n = n;
+  done_tasks = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < n; i++)
+    {
+      workers[i].index = i;
+      workers[i].up = TRUE;
+      workers[i].runs = g_ptr_array_new_with_free_func (run_free);
+      workers[i].ends = g_ptr_array_new_with_free_func (g_free);
+      workers[i].end_numbers = g_array_new (FALSE, FALSE, sizeof (guint64));
+    }
+}
+
+void
+sp_worker_set_up (guint k, gboolean up)
+{
+  Worker *worker = &workers[k % SP_WORKER_MAX];
+  worker->up = up;
+  g_ptr_array_set_size (worker->runs, 0);
+  list_worker (worker, 0);
+}
+
+void
+sp_workers_turn (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      Worker *worker = &workers[i];
+      end_runs (worker);
+      if (worker->ends->len > 0 || sp_now_ms () >= worker->look.until_ms)
+        answer_held_look (worker);
+    }
+}
+
+void
+sp_workers_list (guint sequence)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      if (workers[i].up)
+        list_worker (&workers[i], sequence);
+    }
+}
+
+char *
+sp_workers_audit (void)
+{
+  return g_strdup_printf ("{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u}",
+                          started, g_hash_table_size (done_tasks), doubled, over_capacity);
+}
