Say what a run, a copy and a peer's word are; capacity of advice and of one owner

Cause: read as a newcomer, two functions shared one comment that told of neither, and the page on capacity lacked the two figures that bind today. Result: comments and pages only.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -107,13 +107,13 @@
    * successor hears the same ends again, from several workers.  NULL for none. */
   GArray *failed; /* of uint32_t */
   gboolean done;
-  gboolean gave_way; /* it was stopped once for work of higher priority */
-  uint32_t moved;    /* how often it was stopped for taking far too long */
-  char *checkpoint;  /* NULL for none */
-  FbPoolRun *run;    /* borrowed from its worker; NULL while it waits */
-  FbPoolRun *copy;   /* a second run, of a step that allows it; borrowed, NULL for none */
-  uint32_t took_ms;
-  FbPoolSpeed *ran_at; /* the worker where it took that; NULL: not known, or used already */
+  gboolean gave_way;   /* it was stopped once for work of higher priority */
+  uint32_t moved;      /* how often it was stopped for taking far too long */
+  char *checkpoint;    /* NULL for none */
+  FbPoolRun *run;      /* borrowed from its worker; NULL while it waits */
+  FbPoolRun *copy;     /* a second run, of a step that allows it; borrowed, NULL for none */
+  uint32_t took_ms;    /* its run that ended done */
+  FbPoolSpeed *ran_at; /* where that was; NULL: not known, or taken in already */
 } FbPoolTask;
 
 typedef struct
@@ -421,8 +421,9 @@
 
 /* Starts copies of tasks that lag, where their steps allow it. */
 void fb_pool_place_copies (FbPool *self, uint64_t now_ms);
-/* RUN is one of TASK, or its copy; it is over. */
+/* RUN was ordered or found: it is the task's run, or its copy if there is one already. */
 void fb_pool_task_take_run (FbPoolTask *task, FbPoolRun *run);
+/* RUN is over; a copy takes its place. */
 void fb_pool_task_drop_run (FbPoolTask *task, const FbPoolRun *run);
 
 /* pool-settle.c */
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -220,7 +220,7 @@
         result = append_results[i].result;
     }
   if (told != NULL && told->type == FB_TOLD_UNSURE)
-    result = FB_APPEND_NOT_STORED; /* it did nothing */
+    result = FB_APPEND_NOT_STORED; /* the peer is down, or does not know the partition */
   write->done (write->user, result);
   g_free (write);
 }
