--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -61,12 +61,13 @@
  * over them costs some 100 us, and an owner sees hundreds of events a second. */
 #define FB_POOL_TEND_EVERY_MS 20
 #define FB_POOL_EXPIRE_EVERY_MS 1000
+/* Runs of a step that must have ended before the others are measured by them. */
+#define FB_POOL_SIBLINGS 2
 /* A run is stuck when it takes this many times what the others of its step took (they
  * differ by some 15%), and this on top for a slow worker's start; each time it is moved
  * the next one gets twice as long. */
 #define FB_POOL_STUCK_PERCENT 250
 #define FB_POOL_STUCK_MS 800
-#define FB_POOL_STUCK_SIBLINGS 2
 /* Without such others its estimate is all there is, which is off by up to 1.9 times while
  * run times spread to 2.5 times their mean.  5 times moved sound runs on calm days. */
 #define FB_POOL_STUCK_FACTOR 10
@@ -298,6 +299,9 @@
 /* TRUE when the task is neither done nor on a worker; of a step: when one of its is. */
 gboolean fb_pool_task_waits (const FbPoolTask *task);
 gboolean fb_pool_step_waits (const FbPoolStep *step);
+/* Returns: PERCENT of the mean time of its ended runs, or FACTOR times the estimate while too
+ * few have ended. */
+uint64_t fb_pool_step_times_ms (const FbPoolStep *step, uint32_t percent, uint32_t factor);
 /* Returns: (transfer full): ID.K.STEP */
 char *fb_pool_step_name (const FbPoolStep *step);
 char *fb_pool_task_name (const FbPoolStep *step, uint32_t index);
@@ -337,7 +341,7 @@
 
 /* pool-orders.c */
 void fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
-                          uint32_t attempt, const char *ticket, uint64_t now_ms);
+                          uint32_t attempt, uint64_t now_ms);
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -15,15 +15,6 @@
 #define LAG_MS 150
 /* Before others have ended there is only the estimate, which is off by up to half. */
 #define LAG_ESTIMATE_FACTOR 3
-#define LAG_SIBLINGS 2
-
-static uint64_t
-patience_ms (const FbPoolStep *step)
-{
-  if (step->timed_n >= LAG_SIBLINGS)
-    return step->timed_ms / step->timed_n * LAG_PERCENT / 100 + LAG_MS;
-  return (uint64_t) step->shape->estimate_ms * LAG_ESTIMATE_FACTOR + LAG_MS;
-}
 
 static gboolean
 wants_copy (const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
@@ -35,7 +26,8 @@
   if (task->done || task->run != run || task->copy != NULL || run->state == FB_RUN_STOPPING
       || fb_pool_job_ended (step->job))
     return FALSE;
-  return fb_pool_worker_silent (worker, now_ms) || now_ms > run->started_ms + patience_ms (step);
+  uint64_t patience_ms = fb_pool_step_times_ms (step, LAG_PERCENT, LAG_ESTIMATE_FACTOR) + LAG_MS;
+  return fb_pool_worker_silent (worker, now_ms) || now_ms > run->started_ms + patience_ms;
 }
 
 static void
@@ -54,9 +46,8 @@
   fb_event_log (FB_EVENT_TASK_COPIED, "task=%s attempt=%u worker=%s heard_ms_ago=%u ran_ms=%u",
                 run->name, run->attempt, worker->id, (guint) (now_ms - worker->heard_ms),
                 (guint) (now_ms - run->started_ms));
-  const FbPoolTicket *ticket = fb_pool_valid_ticket (step, other, now_ms);
   fb_pool_order_start (self, other, step, run->index, fb_pool_next_attempt (self, step, run->index),
-                       ticket != NULL ? ticket->ticket : NULL, now_ms);
+                       now_ms);
 }
 
 void
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -147,6 +147,14 @@
   return n;
 }
 
+uint64_t
+fb_pool_step_times_ms (const FbPoolStep *step, uint32_t percent, uint32_t factor)
+{
+  if (step->timed_n >= FB_POOL_SIBLINGS)
+    return step->timed_ms / step->timed_n * percent / 100;
+  return (uint64_t) step->shape->estimate_ms * factor;
+}
+
 static FbPoolOccurrence *
 occurrence_new (FbPoolJob *job, uint32_t number)
 {
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -69,8 +69,9 @@
 
 void
 fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
-                     uint32_t attempt, const char *ticket, uint64_t now_ms)
+                     uint32_t attempt, uint64_t now_ms)
 {
+  const FbPoolTicket *ticket = fb_pool_valid_ticket (step, worker, now_ms);
   g_autofree char *name = fb_pool_task_name (step, index);
   FbPoolTask *task = &step->tasks[index];
   FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, name, attempt);
@@ -103,7 +104,7 @@
                                .attempt = attempt,
                                .payload = step->job->record.spec.payload,
                                .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
-                               .ticket = ticket,
+                               .ticket = ticket != NULL ? ticket->ticket : NULL,
                                .deadline_ms = run->deadline_ms };
   self->sink->start (self->user, &order);
 }
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -7,15 +7,6 @@
 
 #include <string.h>
 
-static void
-start_on (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index, uint32_t attempt,
-          uint64_t now_ms)
-{
-  const FbPoolTicket *ticket = fb_pool_valid_ticket (step, worker, now_ms);
-  fb_pool_order_start (self, worker, step, index, attempt, ticket != NULL ? ticket->ticket : NULL,
-                       now_ms);
-}
-
 /* ---- single tasks ------------------------------------------------------------ */
 
 /* Returns: TRUE when no task waits any more. */
@@ -32,7 +23,7 @@
           step->waiting_from = i;
           return FALSE;
         }
-      start_on (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
+      fb_pool_order_start (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
     }
   step->waiting_from = step->shape->count;
   return TRUE;
@@ -81,7 +72,7 @@
   for (uint32_t i = 0; i < step->shape->count; i++)
     {
       fb_pool_task_save (step, i, checkpoint);
-      start_on (self, chosen[i], step, i, attempt, now_ms);
+      fb_pool_order_start (self, chosen[i], step, i, attempt, now_ms);
     }
   return TRUE;
 }
--- a/src/work/pool-settle.c
+++ b/src/work/pool-settle.c
@@ -85,7 +85,7 @@
 gboolean
 fb_pool_may_place (const FbPool *self)
 {
-  return self->settled || self->majority_ms != 0;
+  return self->majority_ms != 0;
 }
 
 gboolean
--- a/src/work/pool-stuck.c
+++ b/src/work/pool-stuck.c
@@ -12,9 +12,8 @@
 static uint64_t
 longest_run_ms (const FbPoolStep *step)
 {
-  if (step->timed_n >= FB_POOL_STUCK_SIBLINGS)
-    return step->timed_ms / step->timed_n * FB_POOL_STUCK_PERCENT / 100 + FB_POOL_STUCK_MS;
-  return (uint64_t) step->shape->estimate_ms * FB_POOL_STUCK_FACTOR + FB_POOL_STUCK_MS;
+  return fb_pool_step_times_ms (step, FB_POOL_STUCK_PERCENT, FB_POOL_STUCK_FACTOR)
+         + FB_POOL_STUCK_MS;
 }
 
 static gboolean
