Place in rounds that look only at what has changed

Cause: with hundreds of steps waiting a round of placing cost more than it gained.

Change: workers stand in an array with slots, what the advice said in arrays by slot, the waiting steps in an order that is kept and merged. A step that found no place is looked at again when a worker that may run it has opened, its advice came, or after 250 ms. What can give way is gone through each 100 ms a step. Ties between workers are decided by a hash of their names instead of the order of a table.

Ruled out: tickets and questions alone (the sort and the scan remain).

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -117,11 +117,14 @@
   FbPoolSpeed *ran_at; /* where that was; NULL: not known, or taken in already */
 } FbPoolTask;
 
+/* What the advice service said of one worker for one step. */
 typedef struct
 {
-  char *ticket;
+  uint32_t life; /* of the worker in this slot; 0: it was not asked about */
+  gboolean allowed;
+  char *ticket; /* NULL while it is not allowed */
   uint64_t valid_until_ms;
-} FbPoolTicket;
+} FbPoolRuling;
 
 /* One step of one occurrence of a job. */
 struct _FbPoolStep
@@ -139,11 +142,17 @@
   gboolean released;    /* all steps before it are done, its time has come */
   gboolean gang_broken; /* a member ended or was refused: the others are stopped */
   uint64_t paused_until_ms;
-  GHashTable *tickets;     /* worker id -> FbPoolTicket: workers that the advice allows */
-  GHashTable *asked;       /* worker ids that the advice has ruled on */
+  FbPoolRuling *rulings; /* by the slots of workers */
+  guint rulings_n;
+  gboolean ruled;          /* the advice has ruled on some worker */
   uint64_t advice_sent_ms; /* 0: no question is open */
   GPtrArray *held_on;      /* ids of workers that keep room for it, one entry a task */
   uint64_t held_until_ms;
+  gboolean queued;        /* it is among the pool's waiting steps */
+  gboolean hopeless;      /* as of when it was sorted in */
+  uint64_t looked_round;  /* last round in which it found no place */
+  uint64_t full_look_ms;  /* when it is looked at again whatever has changed */
+  uint64_t room_asked_ms; /* when other work was last asked to give way to it */
 };
 
 typedef struct
@@ -204,6 +213,11 @@
 typedef struct
 {
   char *id;
+  guint slot;      /* its place in the roster */
+  uint32_t life;   /* unique in the pool, never 0 */
+  uint64_t rank;   /* decides between equal workers, in whatever order they were listed */
+  gboolean opened; /* it takes more than in the last round */
+  gboolean took;   /* it took work when it was last tended */
   char *address;
   char *rack;
   char **labels;
@@ -259,7 +273,15 @@
   gboolean fenced;
   gboolean flushing;
   uint64_t last_order;
-  GHashTable *workers;    /* id -> FbPoolWorker */
+  GHashTable *workers; /* id -> FbPoolWorker */
+  GPtrArray *roster;   /* of FbPoolWorker by slot, NULL where none is; borrowed */
+  uint32_t last_life;
+  GPtrArray *opened;      /* of FbPoolWorker that took more room since the last round; borrowed */
+  GPtrArray *waiting;     /* of FbPoolStep with tasks that wait, in their order; borrowed */
+  GPtrArray *fresh;       /* of FbPoolStep that are not sorted into these yet; borrowed */
+  uint64_t round;         /* counts the rounds of placing */
+  GHashTable *timed;      /* set of FbPoolJob of which something comes due; borrowed */
+  GHashTable *chained;    /* set of FbPoolJob with steps that wait for others; borrowed */
   GHashTable *jobs;       /* id -> FbPoolJob */
   GHashTable *active;     /* set of FbPoolJob that have not ended; borrowed */
   GHashTable *ended;      /* set of FbPoolJob that are kept for late callers; borrowed */
@@ -284,9 +306,9 @@
 void fb_pool_job_free (gpointer job);
 gboolean fb_pool_job_ended (const FbPoolJob *job);
 void fb_pool_job_objective (FbPoolJob *job);
-/* Creates the occurrences whose time has come and releases steps. */
-/* Returns: TRUE when that completed the job. */
-gboolean fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms);
+/* Creates the occurrences whose time has come and releases steps.
+ * Returns: TRUE when that completed the job. */
+gboolean fb_pool_job_release (FbPool *self, FbPoolJob *job, uint64_t wall_ms);
 FbPoolOccurrence *fb_pool_job_occurrence (FbPoolJob *job, uint32_t number);
 FbPoolStep *fb_pool_job_step (FbPoolJob *job, uint32_t occurrence, uint32_t step);
 void fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress);
@@ -310,6 +332,36 @@
 /* The same for ID.K.STEP. */
 FbPoolStep *fb_pool_find_step (FbPool *self, const char *name);
 
+/* pool-roster.c */
+void fb_pool_roster_add (FbPool *self, FbPoolWorker *worker);
+/* Forgets WORKER and frees it. */
+void fb_pool_roster_remove (FbPool *self, FbPoolWorker *worker);
+/* Returns: the next worker from *SLOT on, which moves behind it; NULL: there is none. */
+FbPoolWorker *fb_pool_roster_next (const FbPool *self, guint *slot);
+/* WORKER may take what it did not take before. */
+void fb_pool_worker_opened (FbPool *self, FbPoolWorker *worker);
+
+/* pool-ruling.c */
+
+/* Returns: (nullable): borrowed; NULL when the advice has not ruled on WORKER. */
+const FbPoolRuling *fb_pool_ruling (const FbPoolStep *step, const FbPoolWorker *worker);
+/* The advice was asked about WORKER. */
+void fb_pool_ruling_note (FbPoolStep *step, const FbPoolWorker *worker);
+void fb_pool_ruling_allow (FbPoolStep *step, const FbPoolWorker *worker, const char *ticket,
+                           uint64_t valid_until_ms);
+/* The ticket for WORKER is good no more; it stays allowed. */
+void fb_pool_ruling_expire (FbPoolStep *step, const FbPoolWorker *worker);
+void fb_pool_rulings_clear (FbPoolStep *step);
+
+/* pool-queue.c */
+
+/* A task of STEP waits, or may. */
+void fb_pool_queue_add (FbPool *self, FbPoolStep *step);
+/* Brings the waiting steps into their order; steps of which nothing waits are left out. */
+void fb_pool_queue_sort (FbPool *self, uint64_t now_ms);
+/* JOB is about to be freed. */
+void fb_pool_queue_forget (FbPool *self, const FbPoolJob *job);
+
 /* pool-worker.c */
 FbPoolWorker *fb_pool_worker_new (const char *id);
 void fb_pool_worker_free (gpointer worker);
@@ -370,8 +422,12 @@
 gboolean fb_pool_could_ever_run (const FbPoolWorker *worker, const fb_work_step *shape);
 /* All but the ticket: it takes work, and has room and the right to it. */
 gboolean fb_pool_has_place (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms);
+/* TRUE when it takes work at all. */
+gboolean fb_pool_worker_takes (const FbPoolWorker *worker, uint64_t now_ms);
+/* FALSE when what changed since the last round cannot have given STEP a place. */
+gboolean fb_pool_worth_a_look (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
 /* Returns: (nullable): borrowed. */
-const FbPoolTicket *fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker,
+const FbPoolRuling *fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker,
                                           uint64_t now_ms);
 /* RACK: only workers of it; NULL for any.  OTHER_THAN: not this one; may be NULL. */
 FbPoolWorker *fb_pool_best_worker (FbPool *self, const FbPoolStep *step, const char *rack,
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -12,6 +12,8 @@
 
 /* On top of what a decision takes: the way, and its wait behind another. */
 #define HOLD_SLACK_MS 400
+/* What could give way is gone through this often for a step: it is every run of the pool. */
+#define ROOM_EVERY_MS 100
 
 /* All that could ever run the step, if none was named before; else those that were never
  * named and have a place now. */
@@ -19,16 +21,13 @@
 never_asked (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
   GPtrArray *ids = g_ptr_array_new ();
-  gboolean first = g_hash_table_size (step->asked) == 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < FB_POOL_ADVICE_MAX)
+  gboolean first = !step->ruled;
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while (ids->len < FB_POOL_ADVICE_MAX && (worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      FbPoolWorker *worker = value;
       if (!worker->listed || worker->draining || worker->gone
-          || !fb_pool_could_ever_run (worker, step->shape)
-          || g_hash_table_contains (step->asked, worker->id))
+          || !fb_pool_could_ever_run (worker, step->shape) || fb_pool_ruling (step, worker) != NULL)
         continue;
       if (first || fb_pool_has_place (worker, step, now_ms))
         g_ptr_array_add (ids, worker->id);
@@ -54,6 +53,9 @@
 static guint
 make_room (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, uint64_t now_ms)
 {
+  if (now_ms < step->room_asked_ms + ROOM_EVERY_MS)
+    return 0;
+  step->room_asked_ms = now_ms;
   guint most = most_at_once (step);
   uint64_t wait_ms = MAX (self->limits.stop_ms, takes_ms (step, most));
   return fb_pool_make_room (self, step, most, chosen, now_ms + wait_ms + FB_POOL_ROOM_SLACK_MS,
@@ -146,7 +148,7 @@
 gboolean
 fb_pool_ask_first_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  if (!step->job->record.policy.advised || g_hash_table_size (step->asked) > 0)
+  if (!step->job->record.policy.advised || step->ruled)
     return TRUE;
   return fb_pool_ask_advice (self, step, now_ms);
 }
@@ -160,17 +162,21 @@
     return;
   self->place_due = TRUE;
   step->advice_sent_ms = 0;
+  step->full_look_ms = 0;
   if (told == NULL)
     return;
   for (guint i = 0; i < n; i++)
-    g_hash_table_add (step->asked, g_strdup (asked[i]));
+    {
+      const FbPoolWorker *worker = g_hash_table_lookup (self->workers, asked[i]);
+      if (worker != NULL)
+        fb_pool_ruling_note (step, worker);
+    }
   for (u_int i = 0; i < told->tickets.tickets_len; i++)
     {
       const fb_ticket *got = &told->tickets.tickets_val[i];
-      FbPoolTicket *ticket = g_new0 (FbPoolTicket, 1);
-      ticket->ticket = g_strdup (got->ticket);
-      ticket->valid_until_ms = now_ms + told->validity_ms;
-      g_hash_table_replace (step->tickets, g_strdup (got->worker), ticket);
+      const FbPoolWorker *worker = g_hash_table_lookup (self->workers, got->worker);
+      if (worker != NULL)
+        fb_pool_ruling_allow (step, worker, got->ticket, now_ms + told->validity_ms);
     }
   fb_event_log (FB_EVENT_ADVISED, "step=%s asked=%u allowed=%u validity_ms=%u", name, n,
                 told->tickets.tickets_len, told->validity_ms);
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -48,42 +48,70 @@
              || fb_pool_worker_has_label (worker, shape->required_label));
 }
 
-static gboolean
-takes_work (const FbPoolWorker *worker, uint64_t now_ms)
+gboolean
+fb_pool_worker_takes (const FbPoolWorker *worker, uint64_t now_ms)
 {
   return worker->listed && !worker->draining && !worker->gone
          && !fb_pool_worker_silent (worker, now_ms) && now_ms >= worker->paused_until_ms
          && now_ms >= worker->spared_until_ms;
 }
 
-const FbPoolTicket *
+const FbPoolRuling *
 fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  const FbPoolTicket *ticket = g_hash_table_lookup (step->tickets, worker->id);
-  return ticket != NULL && now_ms + FB_POOL_TICKET_MARGIN_MS < ticket->valid_until_ms ? ticket
-                                                                                      : NULL;
+  const FbPoolRuling *ruling = fb_pool_ruling (step, worker);
+  return ruling != NULL && ruling->allowed
+                 && now_ms + FB_POOL_TICKET_MARGIN_MS < ruling->valid_until_ms
+             ? ruling
+             : NULL;
 }
 
 gboolean
 fb_pool_has_place (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms)
 {
   const fb_work_step *shape = step->shape;
-  if (!takes_work (worker, now_ms) || !fb_pool_could_ever_run (worker, shape)
+  if (!fb_pool_worker_takes (worker, now_ms) || !fb_pool_could_ever_run (worker, shape)
       || !fb_pool_worker_fits (worker, shape) || disturbs (worker, shape))
     return FALSE;
   return shape->max_per_worker == 0 || runs_of_step (worker, step) < shape->max_per_worker;
 }
 
+/* What of may_start() does not depend on the worker's load. */
+static gboolean
+has_ticket (const FbPoolWorker *worker, const FbPoolStep *step, FbPoolTicketRule rule,
+            uint64_t now_ms)
+{
+  if (!step->job->record.policy.advised)
+    return TRUE;
+  if (rule == FB_TICKET_VALID)
+    return fb_pool_valid_ticket (step, worker, now_ms) != NULL;
+  const FbPoolRuling *ruling = fb_pool_ruling (step, worker);
+  return ruling != NULL && ruling->allowed;
+}
+
 static gboolean
 may_start (const FbPoolWorker *worker, const FbPoolStep *step, FbPoolTicketRule rule,
            uint64_t now_ms)
 {
-  if (!fb_pool_has_place (worker, step, now_ms))
-    return FALSE;
-  if (!step->job->record.policy.advised)
+  return has_ticket (worker, step, rule, now_ms) && fb_pool_has_place (worker, step, now_ms);
+}
+
+gboolean
+fb_pool_worth_a_look (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  /* What is held for the step itself looks taken below. */
+  if (step->looked_round + 1 != self->round || now_ms >= step->full_look_ms
+      || step->held_on->len > 0)
     return TRUE;
-  return rule == FB_TICKET_VALID ? fb_pool_valid_ticket (step, worker, now_ms) != NULL
-                                 : g_hash_table_contains (step->tickets, worker->id);
+  for (guint i = 0; i < self->opened->len; i++)
+    {
+      const FbPoolWorker *worker = self->opened->pdata[i];
+      const FbPoolRuling *ruling = fb_pool_ruling (step, worker);
+      gboolean barred = step->job->record.policy.advised && ruling != NULL && !ruling->allowed;
+      if (!barred && fb_pool_has_place (worker, step, now_ms))
+        return TRUE;
+    }
+  return FALSE;
 }
 
 /* The shares of WORKER that are free. */
@@ -126,17 +154,15 @@
 {
   FbPoolWorker *best = NULL;
   double best_cost = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      FbPoolWorker *worker = value;
       if (worker == other_than || (rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
           || !may_start (worker, step, rule, now_ms))
         continue;
       double cost = cost_of (worker, step);
-      if (best == NULL || cost < best_cost)
+      if (best == NULL || cost < best_cost || (cost == best_cost && worker->rank < best->rank))
         {
           best = worker;
           best_cost = cost;
@@ -151,6 +177,8 @@
 fb_pool_choose (FbPool *self, FbPoolStep *step, guint most, const char *rack, FbPoolTicketRule rule,
                 FbPoolWorker **chosen, uint64_t now_ms)
 {
+  /* A run stands for each choice where runs are counted, else only its room is kept. */
+  gboolean counted = step->shape->max_per_worker > 0;
   g_autofree FbPoolRun **runs = g_new0 (FbPoolRun *, most);
   guint n = 0;
   for (uint32_t i = 0; i < step->shape->count && n < most; i++)
@@ -160,12 +188,20 @@
       chosen[n] = fb_pool_best_worker (self, step, rack, NULL, rule, now_ms);
       if (chosen[n] == NULL)
         break;
-      g_autofree char *name = fb_pool_task_name (step, i);
-      runs[n] = fb_pool_worker_add_run (chosen[n], step, i, name, 0);
+      g_autofree char *name = counted ? fb_pool_task_name (step, i) : NULL;
+      if (counted)
+        runs[n] = fb_pool_worker_add_run (chosen[n], step, i, name, 0);
+      else
+        fb_pool_worker_hold (chosen[n], step->shape, 1);
       n++;
     }
   for (guint i = 0; i < n; i++)
-    fb_pool_worker_drop_run (chosen[i], runs[i]);
+    {
+      if (counted)
+        fb_pool_worker_drop_run (chosen[i], runs[i]);
+      else
+        fb_pool_worker_hold (chosen[i], step->shape, -1);
+    }
   return n;
 }
 
@@ -175,12 +211,11 @@
                  uint64_t now_ms)
 {
   g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      const char *rack = ((FbPoolWorker *) value)->rack;
+      const char *rack = worker->rack;
       guint count = step->shape->count;
       if (rack != NULL && g_hash_table_add (tried, (gpointer) rack)
           && fb_pool_choose (self, step, count, rack, rule, chosen, now_ms) == count)
@@ -229,8 +264,10 @@
   for (guint i = 0; i < held_on->len; i++)
     {
       FbPoolWorker *worker = g_hash_table_lookup (self->workers, held_on->pdata[i]);
-      if (worker != NULL)
-        fb_pool_worker_hold (worker, step->shape, -1);
+      if (worker == NULL)
+        continue;
+      fb_pool_worker_hold (worker, step->shape, -1);
+      fb_pool_worker_opened (self, worker);
     }
   step->held_on = g_ptr_array_new_with_free_func (g_free);
   step->held_until_ms = 0;
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -53,14 +53,13 @@
 void
 fb_pool_place_copies (FbPool *self, uint64_t now_ms)
 {
-  GHashTableIter workers;
-  gpointer worker;
-  g_hash_table_iter_init (&workers, self->workers);
-  while (!self->fenced && g_hash_table_iter_next (&workers, NULL, &worker))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while (!self->fenced && (worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       GHashTableIter runs;
       gpointer run;
-      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
           /* The copy goes to another worker, so this table stays as it is. */
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -7,14 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
-ticket_free (gpointer data)
-{
-  FbPoolTicket *ticket = data;
-  g_free (ticket->ticket);
-  g_free (ticket);
-}
-
 static void
 copy_record (fb_work_admit *to, const fb_work_admit *from)
 {
@@ -82,8 +74,7 @@
     }
   g_free (step->tasks);
   g_ptr_array_unref (step->held_on);
-  g_hash_table_unref (step->tickets);
-  g_hash_table_unref (step->asked);
+  fb_pool_rulings_clear (step);
 }
 
 static void
@@ -171,8 +162,6 @@
       step->shape = &job->record.spec.steps.steps_val[i];
       step->tasks = g_new0 (FbPoolTask, step->shape->count);
       step->held_on = g_ptr_array_new_with_free_func (g_free);
-      step->tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, ticket_free);
-      step->asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     }
   g_ptr_array_add (job->occurrences, occurrence);
   return occurrence;
@@ -212,7 +201,7 @@
 }
 
 static void
-release_steps (FbPoolOccurrence *occurrence, guint step_n)
+release_steps (FbPool *self, FbPoolOccurrence *occurrence, guint step_n)
 {
   occurrence->finished = TRUE;
   for (guint i = 0; i < step_n; i++)
@@ -221,13 +210,15 @@
       gboolean ready = TRUE;
       for (u_int j = 0; j < step->shape->after.after_len; j++)
         ready = ready && fb_pool_step_done (&occurrence->steps[step->shape->after.after_val[j]]);
+      if (ready && !step->released)
+        fb_pool_queue_add (self, step);
       step->released = ready;
       occurrence->finished = occurrence->finished && fb_pool_step_done (step);
     }
 }
 
 gboolean
-fb_pool_job_release (FbPoolJob *job, uint64_t wall_ms)
+fb_pool_job_release (FbPool *self, FbPoolJob *job, uint64_t wall_ms)
 {
   if (fb_pool_job_ended (job))
     return FALSE;
@@ -238,7 +229,7 @@
     {
       FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
       if (!occurrence->finished && occurrence->number < job->next_occurrence)
-        release_steps (occurrence, job->record.spec.steps.steps_len);
+        release_steps (self, occurrence, job->record.spec.steps.steps_len);
       finished = finished && occurrence->finished;
     }
   return finished;
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -71,7 +71,7 @@
 fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                      uint32_t attempt, uint64_t now_ms)
 {
-  const FbPoolTicket *ticket = fb_pool_valid_ticket (step, worker, now_ms);
+  const FbPoolRuling *ticket = fb_pool_valid_ticket (step, worker, now_ms);
   g_autofree char *name = fb_pool_task_name (step, index);
   FbPoolTask *task = &step->tasks[index];
   FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, name, attempt);
@@ -167,13 +167,15 @@
 void
 fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run)
 {
-  self->place_due = TRUE;
   FbPoolStep *step = run->step;
   uint32_t index = run->index;
   gboolean was_current = step != NULL && step->tasks[index].run == run;
   fb_pool_worker_drop_run (worker, run);
-  if (was_current)
-    step->waiting_from = MIN (step->waiting_from, index);
+  fb_pool_worker_opened (self, worker);
+  if (!was_current)
+    return;
+  step->waiting_from = MIN (step->waiting_from, index);
+  fb_pool_queue_add (self, step);
 }
 
 /* The order was refused: the run is not there and never will be. */
@@ -184,10 +186,9 @@
   FbPoolStep *step = run->step;
   fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%d", run->name,
                 run->attempt, worker->id, result);
-  FbPoolTicket *ticket = g_hash_table_lookup (step->tickets, worker->id);
   /* The worker stays one of the allowed, so that it is asked for again. */
-  if (result == FB_ORDER_BAD_TICKET && ticket != NULL)
-    ticket->valid_until_ms = 0;
+  if (result == FB_ORDER_BAD_TICKET)
+    fb_pool_ruling_expire (step, worker);
   if (result != FB_ORDER_SUPERSEDED && result != FB_ORDER_BAD_TICKET)
     worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
   gboolean gang = step->shape->gang;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -5,8 +5,6 @@
  * not at all. */
 #include "internal/pool-private.h"
 
-#include <string.h>
-
 /* ---- single tasks ------------------------------------------------------------ */
 
 /* Returns: TRUE when no task waits any more. */
@@ -79,78 +77,64 @@
 
 /* ---- the round ------------------------------------------------------------------ */
 
-typedef struct
-{
-  FbPoolStep *step;
-  gboolean hopeless;
-} Waiting;
+/* A step that found no place is looked at again after this, whatever has changed: workers
+ * that recover from a refusal and questions that got no answer open nothing by an event. */
+#define LOOK_AGAIN_MS 250
 
-static gint
-compare_waiting (gconstpointer a, gconstpointer b)
+/* Returns: FALSE when no daemon can take a question for advice now. */
+static gboolean
+look_at (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  const Waiting *x = a;
-  const Waiting *y = b;
-  if (x->hopeless != y->hopeless)
-    return x->hopeless ? 1 : -1;
-  const FbPoolJob *m = x->step->job;
-  const FbPoolJob *n = y->step->job;
-  uint32_t mp = m->record.policy.priority;
-  uint32_t np = n->record.policy.priority;
-  if (mp != np)
-    return mp < np ? -1 : 1;
-  if (m->objective_ms != n->objective_ms)
-    return m->objective_ms < n->objective_ms ? -1 : 1;
-  return strcmp (m->id, n->id);
+  if (fb_pool_may_run_unheard (self, step))
+    return fb_pool_ask_first_advice (self, step, now_ms);
+  uint64_t held_until_ms = step->held_until_ms;
+  g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
+  gboolean placed
+      = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
+  if (placed)
+    return TRUE;
+  if (now_ms < held_until_ms)
+    {
+      fb_pool_hold_again (self, step, held_on, fb_pool_step_waiting_n (step), held_until_ms);
+      return TRUE;
+    }
+  gboolean can_ask = fb_pool_ask_advice (self, step, now_ms);
+  /* Who could not ask tries again when a daemon can take a question. */
+  if (can_ask)
+    step->looked_round = self->round;
+  step->full_look_ms = now_ms + LOOK_AGAIN_MS;
+  return can_ask;
 }
 
 static void
-collect_waiting (FbPoolJob *job, GArray *waiting, uint64_t now_ms)
+forget_opened (FbPool *self, guint n)
 {
-  for (guint i = 0; i < job->occurrences->len; i++)
-    {
-      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
-      for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
-        {
-          Waiting entry = { &occurrence->steps[j], job->record.spec.occurrences == 0
-                                                       && now_ms > job->hopeless_ms
-                                                       && !occurrence->steps[j].shape->lasting };
-          if (fb_pool_step_waits (entry.step))
-            g_array_append_val (waiting, entry);
-        }
-    }
+  for (guint i = 0; i < n; i++)
+    ((FbPoolWorker *) self->opened->pdata[i])->opened = FALSE;
+  g_ptr_array_remove_range (self->opened, 0, n);
 }
 
 void
 fb_pool_place (FbPool *self, uint64_t now_ms)
 {
-  g_autoptr (GArray) waiting = g_array_new (FALSE, FALSE, sizeof (Waiting));
-  GHashTableIter iter;
-  gpointer job;
-  g_hash_table_iter_init (&iter, self->active);
-  while (g_hash_table_iter_next (&iter, &job, NULL))
-    collect_waiting (job, waiting, now_ms);
-  g_array_sort (waiting, compare_waiting);
+  self->round++;
+  fb_pool_queue_sort (self, now_ms);
+  guint opened_n = self->opened->len;
   gboolean can_ask = TRUE;
-  for (guint i = 0; i < waiting->len && !self->fenced; i++)
+  for (guint i = 0; i < self->waiting->len && !self->fenced; i++)
     {
-      FbPoolStep *step = g_array_index (waiting, Waiting, i).step;
+      FbPoolStep *step = self->waiting->pdata[i];
       if (step->advice_sent_ms != 0 && now_ms < step->held_until_ms)
         continue; /* its room is held until the advice comes */
-      if (fb_pool_may_run_unheard (self, step))
-        {
-          can_ask &= fb_pool_ask_first_advice (self, step, now_ms);
-          continue;
-        }
-      uint64_t held_until_ms = step->held_until_ms;
-      g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
-      gboolean placed
-          = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
-      if (!placed && now_ms < held_until_ms)
-        fb_pool_hold_again (self, step, held_on, fb_pool_step_waiting_n (step), held_until_ms);
-      else if (!placed)
-        can_ask &= fb_pool_ask_advice (self, step, now_ms);
+      if (fb_pool_worth_a_look (self, step, now_ms))
+        can_ask &= look_at (self, step, now_ms);
+      else
+        step->looked_round = self->round;
     }
-  g_hash_table_iter_init (&iter, self->active);
+  forget_opened (self, opened_n);
+  GHashTableIter iter;
+  gpointer job;
+  g_hash_table_iter_init (&iter, self->chained);
   while (can_ask && g_hash_table_iter_next (&iter, &job, NULL))
     fb_pool_ask_ahead (self, job, now_ms);
 }
--- a/src/work/pool-preempt.c
+++ b/src/work/pool-preempt.c
@@ -39,14 +39,13 @@
 static void
 charge_all (FbPool *self, const FbPoolStep *to, int sign, uint64_t now_ms)
 {
-  GHashTableIter workers;
-  gpointer worker;
-  g_hash_table_iter_init (&workers, self->workers);
-  while (g_hash_table_iter_next (&workers, NULL, &worker))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       GHashTableIter runs;
       gpointer run;
-      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
           if (gives_way (run, to, now_ms))
--- /dev/null
+++ b/src/work/pool-queue.c
@@ -0,0 +1,130 @@
+/* The steps of which something waits, in the order in which they are placed.
+ *
+ * Those that can still earn something come first, then priority, then the time at which
+ * their callers want them.  The order is kept from round to round: new steps are sorted
+ * among themselves and merged in, so that a round costs one pass over what waits.
+ * Sorting all of it in each round took a quarter of an owner's processor time once
+ * hundreds of steps waited, which made the backlog grow. */
+#include "internal/pool-private.h"
+
+#include <string.h>
+
+static gint
+compare (const FbPoolStep *x, const FbPoolStep *y)
+{
+  if (x->hopeless != y->hopeless)
+    return x->hopeless ? 1 : -1;
+  const FbPoolJob *m = x->job;
+  const FbPoolJob *n = y->job;
+  uint32_t mp = m->record.policy.priority;
+  uint32_t np = n->record.policy.priority;
+  if (mp != np)
+    return mp < np ? -1 : 1;
+  if (m->objective_ms != n->objective_ms)
+    return m->objective_ms < n->objective_ms ? -1 : 1;
+  return strcmp (m->id, n->id);
+}
+
+static gint
+compare_places (gconstpointer a, gconstpointer b)
+{
+  return compare (*(FbPoolStep *const *) a, *(FbPoolStep *const *) b);
+}
+
+static gboolean
+is_hopeless (const FbPoolStep *step, uint64_t now_ms)
+{
+  const FbPoolJob *job = step->job;
+  return job->record.spec.occurrences == 0 && now_ms > job->hopeless_ms && !step->shape->lasting;
+}
+
+void
+fb_pool_queue_add (FbPool *self, FbPoolStep *step)
+{
+  if (step->queued)
+    return;
+  step->queued = TRUE;
+  g_ptr_array_add (self->fresh, step);
+}
+
+/* Moves to FRESH what belongs elsewhere in the order now, and leaves out what waits no more. */
+static void
+keep_waiting (FbPool *self, uint64_t now_ms)
+{
+  guint n = 0;
+  for (guint i = 0; i < self->waiting->len; i++)
+    {
+      FbPoolStep *step = self->waiting->pdata[i];
+      if (!fb_pool_step_waits (step))
+        step->queued = FALSE;
+      else if (step->hopeless != is_hopeless (step, now_ms))
+        g_ptr_array_add (self->fresh, step);
+      else
+        self->waiting->pdata[n++] = step;
+    }
+  g_ptr_array_set_size (self->waiting, (gint) n);
+}
+
+/* Leaves in FRESH what waits, in order. */
+static void
+sort_fresh (FbPool *self, uint64_t now_ms)
+{
+  guint n = 0;
+  for (guint i = 0; i < self->fresh->len; i++)
+    {
+      FbPoolStep *step = self->fresh->pdata[i];
+      step->hopeless = is_hopeless (step, now_ms);
+      step->queued = fb_pool_step_waits (step);
+      if (step->queued)
+        self->fresh->pdata[n++] = step;
+    }
+  g_ptr_array_set_size (self->fresh, (gint) n);
+  g_ptr_array_sort (self->fresh, compare_places);
+}
+
+static void
+merge_fresh (FbPool *self)
+{
+  guint kept = self->waiting->len;
+  guint added = self->fresh->len;
+  g_ptr_array_set_size (self->waiting, (gint) (kept + added));
+  gpointer *all = self->waiting->pdata;
+  gpointer *fresh = self->fresh->pdata;
+  while (added > 0)
+    {
+      gboolean from_kept = kept > 0 && compare (all[kept - 1], fresh[added - 1]) > 0;
+      all[kept + added - 1] = from_kept ? all[kept - 1] : fresh[added - 1];
+      if (from_kept)
+        kept--;
+      else
+        added--;
+    }
+  g_ptr_array_set_size (self->fresh, 0);
+}
+
+void
+fb_pool_queue_sort (FbPool *self, uint64_t now_ms)
+{
+  keep_waiting (self, now_ms);
+  sort_fresh (self, now_ms);
+  merge_fresh (self);
+}
+
+static void
+drop_of (GPtrArray *steps, const FbPoolJob *job)
+{
+  guint n = 0;
+  for (guint i = 0; i < steps->len; i++)
+    {
+      if (((FbPoolStep *) steps->pdata[i])->job != job)
+        steps->pdata[n++] = steps->pdata[i];
+    }
+  g_ptr_array_set_size (steps, (gint) n);
+}
+
+void
+fb_pool_queue_forget (FbPool *self, const FbPoolJob *job)
+{
+  drop_of (self->waiting, job);
+  drop_of (self->fresh, job);
+}
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -18,11 +18,10 @@
 static void
 mark_flushing_ends (FbPool *self)
 {
-  GHashTableIter iter;
-  gpointer worker;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &worker))
-    ((FbPoolWorker *) worker)->flushing_end = ((FbPoolWorker *) worker)->seen_end;
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
+    worker->flushing_end = worker->seen_end;
 }
 
 static GBytes *
@@ -47,14 +46,13 @@
 static gboolean
 has_run (FbPool *self, const FbPoolJob *job)
 {
-  GHashTableIter workers;
-  gpointer worker;
-  g_hash_table_iter_init (&workers, self->workers);
-  while (g_hash_table_iter_next (&workers, NULL, &worker))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       GHashTableIter runs;
       gpointer run;
-      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
           FbPoolStep *step = ((FbPoolRun *) run)->step;
@@ -90,12 +88,10 @@
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
   g_autofree fb_work_known *known = g_new0 (fb_work_known, n + 1);
   fb_work_workers record = { .workers = { 0, known } };
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (record.workers.workers_len < n && g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while (record.workers.workers_len < n && (worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      const FbPoolWorker *worker = value;
       if (!worker->retired)
         known[record.workers.workers_len++] = (fb_work_known){ worker->id, worker->address };
     }
@@ -116,6 +112,7 @@
         continue;
       add_record (records, job->id, NULL);
       g_hash_table_iter_remove (&iter);
+      fb_pool_queue_forget (self, job);
       g_hash_table_remove (self->jobs, job->id);
     }
 }
@@ -153,12 +150,10 @@
       job->stored_state = job->flushing_state;
     }
   g_ptr_array_set_size (self->in_flush, 0);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      FbPoolWorker *worker = value;
       if (worker->acknowledged == worker->flushing_end)
         continue;
       worker->acknowledged = worker->flushing_end;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -60,14 +60,13 @@
 static void
 stop_all (FbPool *self, RunFilter filter, gconstpointer of, uint64_t now_ms)
 {
-  GHashTableIter workers;
-  gpointer worker;
-  g_hash_table_iter_init (&workers, self->workers);
-  while (g_hash_table_iter_next (&workers, NULL, &worker))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       GHashTableIter runs;
       gpointer run;
-      g_hash_table_iter_init (&runs, ((FbPoolWorker *) worker)->runs);
+      g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
           if (filter (run, of))
@@ -114,6 +113,8 @@
       fb_pool_job_changed (self, job);
     }
   g_hash_table_remove (self->active, job);
+  g_hash_table_remove (self->timed, job);
+  g_hash_table_remove (self->chained, job);
   g_hash_table_add (self->ended, job);
   release_holds (self, job);
   fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
@@ -240,7 +241,7 @@
       if (fb_pool_step_done (step))
         fb_pool_speed_learn (step);
       fb_pool_job_changed (self, step->job);
-      if (fb_pool_job_release (step->job, wall_ms))
+      if (fb_pool_job_release (self, step->job, wall_ms))
         fb_pool_job_end (self, step->job, FB_WORK_COMPLETED, now_ms, wall_ms);
     }
 }
@@ -321,12 +322,11 @@
 void
 fb_pool_bind_runs (FbPool *self, const FbPoolJob *job)
 {
-  GHashTableIter workers;
-  gpointer worker;
-  g_hash_table_iter_init (&workers, self->workers);
-  while (g_hash_table_iter_next (&workers, NULL, &worker))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      g_autoptr (GList) runs = g_hash_table_get_values (((FbPoolWorker *) worker)->runs);
+      g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
       for (GList *l = runs; l != NULL; l = l->next)
         {
           FbPoolRun *run = l->data;
@@ -442,7 +442,8 @@
     fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
                   "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
                   self->epoch, answer->running->len, answer->finished->len);
-  self->place_due = self->place_due || !worker->answered;
+  if (!worker->answered)
+    fb_pool_worker_opened (self, worker);
   worker->answered = TRUE;
   worker->gone = FALSE;
   worker->proof_ms = worker->look_sent_ms;
--- /dev/null
+++ b/src/work/pool-roster.c
@@ -0,0 +1,51 @@
+/* The workers of a pool in a dense array, and which of them have come to take more.
+ *
+ * What a worker has room for is asked for each waiting step in each round, so the round
+ * goes through an array instead of a table by name.  A slot is used again once its worker
+ * is forgotten; LIFE, which never repeats, tells the two workers apart. */
+#include "internal/pool-private.h"
+
+void
+fb_pool_roster_add (FbPool *self, FbPoolWorker *worker)
+{
+  guint slot = 0;
+  while (slot < self->roster->len && self->roster->pdata[slot] != NULL)
+    slot++;
+  if (slot == self->roster->len)
+    g_ptr_array_add (self->roster, worker);
+  else
+    self->roster->pdata[slot] = worker;
+  worker->slot = slot;
+  worker->life = ++self->last_life;
+  g_hash_table_insert (self->workers, worker->id, worker);
+}
+
+void
+fb_pool_roster_remove (FbPool *self, FbPoolWorker *worker)
+{
+  self->roster->pdata[worker->slot] = NULL;
+  g_ptr_array_remove_fast (self->opened, worker);
+  g_hash_table_remove (self->workers, worker->id);
+}
+
+FbPoolWorker *
+fb_pool_roster_next (const FbPool *self, guint *slot)
+{
+  while (*slot < self->roster->len)
+    {
+      FbPoolWorker *worker = self->roster->pdata[(*slot)++];
+      if (worker != NULL)
+        return worker;
+    }
+  return NULL;
+}
+
+void
+fb_pool_worker_opened (FbPool *self, FbPoolWorker *worker)
+{
+  self->place_due = TRUE;
+  if (worker->opened)
+    return;
+  worker->opened = TRUE;
+  g_ptr_array_add (self->opened, worker);
+}
--- a/src/work/pool-settle.c
+++ b/src/work/pool-settle.c
@@ -50,14 +50,12 @@
 find_unheard (FbPool *self)
 {
   g_ptr_array_set_size (self->unheard, 0);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      const FbPoolWorker *worker = value;
       if (!worker->answered && !worker->gone)
-        g_ptr_array_add (self->unheard, value);
+        g_ptr_array_add (self->unheard, worker);
     }
 }
 
@@ -74,6 +72,7 @@
   if (self->unheard->len > 0)
     return;
   self->settled = TRUE;
+  self->place_due = TRUE;
   break_partial_gangs (self, now_ms);
   fb_event_log (FB_EVENT_POOL_SETTLED,
                 "service=%s epoch=%" G_GUINT64_FORMAT " workers=%u jobs=%u active=%u took_ms=%u",
@@ -107,8 +106,8 @@
     return FALSE;
   if (!step->job->record.policy.advised || !step->job->advised_when_stored)
     return TRUE;
-  return !g_hash_table_contains (step->asked, worker->id)
-         || g_hash_table_contains (step->tickets, worker->id);
+  const FbPoolRuling *ruling = fb_pool_ruling (step, worker);
+  return ruling == NULL || ruling->allowed;
 }
 
 gboolean
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -5,11 +5,18 @@
  * starts whatever it is told to. */
 #include "internal/pool-private.h"
 
+#include <string.h>
+#include <xxhash.h>
+
+/* Any: it only has to be the same at all owners. */
+#define RANK_SEED 1
+
 FbPoolWorker *
 fb_pool_worker_new (const char *id)
 {
   FbPoolWorker *worker = g_new0 (FbPoolWorker, 1);
   worker->id = g_strdup (id);
+  worker->rank = XXH64 (id, strlen (id), RANK_SEED);
   worker->speed = fb_pool_speed_new ();
   worker->labels = g_new0 (char *, 1);
   worker->runs = g_hash_table_new (g_str_hash, g_str_equal);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -15,6 +15,12 @@
   self->user = user;
   self->began_ms = now_ms;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
+  self->roster = g_ptr_array_new ();
+  self->opened = g_ptr_array_new ();
+  self->waiting = g_ptr_array_new ();
+  self->fresh = g_ptr_array_new ();
+  self->timed = g_hash_table_new (NULL, NULL);
+  self->chained = g_hash_table_new (NULL, NULL);
   self->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_job_free);
   self->active = g_hash_table_new (NULL, NULL);
   self->ended = g_hash_table_new (NULL, NULL);
@@ -30,6 +36,12 @@
 {
   g_hash_table_unref (self->orders);
   g_hash_table_unref (self->workers); /* its runs point into the jobs */
+  g_ptr_array_unref (self->roster);
+  g_ptr_array_unref (self->opened);
+  g_ptr_array_unref (self->waiting);
+  g_ptr_array_unref (self->fresh);
+  g_hash_table_unref (self->timed);
+  g_hash_table_unref (self->chained);
   g_hash_table_unref (self->active);
   g_hash_table_unref (self->ended);
   g_hash_table_unref (self->dirty);
@@ -65,12 +77,12 @@
   if (is_new)
     {
       worker = fb_pool_worker_new (entry->id);
-      g_hash_table_insert (self->workers, worker->id, worker);
+      fb_pool_roster_add (self, worker);
       self->workers_dirty = TRUE;
     }
   gboolean was_draining = worker->draining;
-  self->place_due = TRUE;
   fb_pool_worker_describe (worker, entry);
+  fb_pool_worker_opened (self, worker);
   if (is_new || was_draining != worker->draining)
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
                   worker->id, worker->address, worker->cpu_milli, worker->gpu_count,
@@ -103,7 +115,7 @@
         continue;
       FbPoolWorker *worker = fb_pool_worker_new (known->id);
       worker->address = g_strdup (known->address);
-      g_hash_table_insert (self->workers, worker->id, worker);
+      fb_pool_roster_add (self, worker);
     }
 }
 
@@ -116,7 +128,7 @@
 static void
 forget_worker (FbPool *self, FbPoolWorker *worker)
 {
-  g_hash_table_remove (self->workers, worker->id);
+  fb_pool_roster_remove (self, worker);
   self->workers_dirty = TRUE;
 }
 
@@ -138,6 +150,10 @@
         fb_pool_run_check_stuck (self, worker, run, now_ms);
     }
   fb_pool_stop_strays (self, worker, now_ms);
+  gboolean takes = fb_pool_worker_takes (worker, now_ms);
+  if (takes && !worker->took)
+    fb_pool_worker_opened (self, worker);
+  worker->took = takes;
   if (now_ms >= worker->look_at_ms)
     fb_pool_order_look (self, worker, now_ms);
 }
@@ -158,10 +174,10 @@
 static void
 tend_workers (FbPool *self, uint64_t now_ms)
 {
-  g_autoptr (GList) workers = g_hash_table_get_values (self->workers);
-  for (GList *l = workers; l != NULL; l = l->next)
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      FbPoolWorker *worker = l->data;
       if (is_over (self, worker))
         forget_worker (self, worker);
       else
@@ -174,12 +190,10 @@
 {
   guint listed = 0;
   guint heard = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, self->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      const FbPoolWorker *worker = value;
       if (!worker->listed)
         continue;
       listed++;
@@ -202,7 +216,11 @@
   job->advised_when_stored = record->policy.advised;
   g_hash_table_insert (self->jobs, job->id, job);
   g_hash_table_add (self->active, job);
-  (void) fb_pool_job_release (job, wall_ms); /* nothing has ended yet */
+  (void) fb_pool_job_release (self, job, wall_ms); /* nothing has ended yet */
+  if (record->spec.occurrences > 0)
+    g_hash_table_add (self->timed, job);
+  if (record->spec.steps.steps_len > 1)
+    g_hash_table_add (self->chained, job);
   self->place_due = TRUE;
   fb_pool_bind_runs (self, job);
   fb_event_log (
@@ -218,8 +236,11 @@
   if (job == NULL)
     return;
   fb_pool_job_restore (job, record);
+  g_hash_table_add (self->timed, job); /* what is done of it may release more */
   if (!fb_pool_job_ended (job))
     return;
+  g_hash_table_remove (self->timed, job);
+  g_hash_table_remove (self->chained, job);
   g_hash_table_remove (self->active, job);
   g_hash_table_add (self->ended, job);
 }
@@ -269,12 +290,14 @@
 static void
 release_due (FbPool *self, uint64_t now_ms, uint64_t wall_ms)
 {
-  g_autoptr (GList) jobs = g_hash_table_get_keys (self->active);
+  g_autoptr (GList) jobs = g_hash_table_get_keys (self->timed);
   for (GList *l = jobs; l != NULL; l = l->next)
     {
       FbPoolJob *job = l->data;
-      if (fb_pool_job_release (job, wall_ms))
+      if (fb_pool_job_release (self, job, wall_ms))
         fb_pool_job_end (self, job, FB_WORK_COMPLETED, now_ms, wall_ms);
+      if (job->next_occurrence >= job->record.spec.occurrences)
+        g_hash_table_remove (self->timed, job);
     }
 }
 
