Let any daemon take any question for advice, short ones first

Cause: a third of the daemons was kept for questions under 100 ms. On the further customer's load batches need 89 ms, so they shared three daemons of nine with short work (16 ms); in a burst of 2.3 times short work waited 178 to 196 ms (95th percentile) for its advice, and up to 3.8 s after a restart, beside idle daemons.

Change: any free daemon takes any question; one that takes more than four times as long leaves as many daemons as shorter ones have lately kept busy. The threshold and the split, figures of two other sites, are gone.

Ruled out: naming fewer workers (short questions cost 9.3 ms and 0.13 ms a worker: a fixed part). Played in tests/test-entry.c: 95th percentile of waits of short questions 65 ms before, 2 ms after; of gangs 0 and 61 ms of their 875.

--- /dev/null
+++ b/src/entry/advice-share.c
@@ -0,0 +1,125 @@
+#include "advice-share.h"
+
+#include <math.h>
+
+/* Questions are told apart by the power of two of their time. */
+#define CLASS_N 16
+/* A question is kept from daemons by those that take less than a quarter of its time: a
+ * wait behind one of half its length costs a caller little more than its own. */
+#define CLASSES_APART 2
+/* What was asked counts half after this: bursts last some seconds. */
+#define HALF_LIFE_MS 1000
+/* Daemons are kept for this many times the load of the last seconds, and one more: questions
+ * do not come evenly.  With 38 questions of 16 ms a second, 10 of 89 ms and 2 of 875 ms at nine
+ * daemons, long ones may use seven, and six during a burst of 2.3 times the short ones. */
+#define ROOM_FACTOR 1.5
+
+typedef struct
+{
+  double busy_ms; /* time of questions, halved each HALF_LIFE_MS */
+  uint64_t as_of_ms;
+} Load;
+
+struct _FbAdviceShare
+{
+  Load loads[CLASS_N];
+  GHashTable *open; /* address -> class + 1 of the question that is open there */
+};
+
+FbAdviceShare *
+fb_advice_share_new (void)
+{
+  FbAdviceShare *self = g_new0 (FbAdviceShare, 1);
+  self->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return self;
+}
+
+void
+fb_advice_share_free (FbAdviceShare *self)
+{
+  g_hash_table_unref (self->open);
+  g_free (self);
+}
+
+static guint
+class_of (uint32_t expected_ms)
+{
+  return MIN (g_bit_storage (expected_ms), CLASS_N - 1);
+}
+
+static void
+fade (Load *load, uint64_t now_ms)
+{
+  if (now_ms > load->as_of_ms)
+    load->busy_ms *= exp2 (-(double) (now_ms - load->as_of_ms) / HALF_LIFE_MS);
+  load->as_of_ms = MAX (load->as_of_ms, now_ms);
+}
+
+/* Daemons that questions much shorter than CLASS have kept busy lately. */
+static double
+shorter_load (FbAdviceShare *self, guint class, uint64_t now_ms)
+{
+  double busy_ms = 0;
+  for (guint i = 0; i + CLASSES_APART < class + 1; i++)
+    {
+      fade (&self->loads[i], now_ms);
+      busy_ms += self->loads[i].busy_ms;
+    }
+  /* A steady load of one daemon adds up to this. */
+  return busy_ms / (HALF_LIFE_MS / G_LN2);
+}
+
+guint
+fb_advice_share_kept (FbAdviceShare *self, guint daemons_n, uint32_t expected_ms, uint64_t now_ms)
+{
+  double load = shorter_load (self, class_of (expected_ms), now_ms);
+  /* A hundredth of a daemon: who asked last some seconds ago is asked for no more. */
+  if (load < 0.01 || daemons_n < 2)
+    return 0;
+  return MIN ((guint) (load * ROOM_FACTOR) + 1, daemons_n - 1);
+}
+
+static guint
+open_n (const FbAdviceShare *self, guint from_class)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer class;
+  g_hash_table_iter_init (&iter, self->open);
+  while (g_hash_table_iter_next (&iter, NULL, &class))
+    n += GPOINTER_TO_UINT (class) > from_class;
+  return n;
+}
+
+const char *
+fb_advice_share_daemon (FbAdviceShare *self, const GPtrArray *daemons, uint32_t expected_ms,
+                        uint64_t now_ms)
+{
+  guint class = class_of (expected_ms);
+  guint kept = fb_advice_share_kept (self, daemons->len, expected_ms, now_ms);
+  guint from_class = class + 1 > CLASSES_APART ? class + 1 - CLASSES_APART : 0;
+  if (kept > 0 && open_n (self, from_class) + kept >= daemons->len)
+    return NULL;
+  for (guint i = 0; i < daemons->len; i++)
+    {
+      if (!g_hash_table_contains (self->open, daemons->pdata[i]))
+        return daemons->pdata[i];
+    }
+  return NULL;
+}
+
+void
+fb_advice_share_began (FbAdviceShare *self, const char *daemon, uint32_t expected_ms,
+                       uint64_t now_ms)
+{
+  guint class = class_of (expected_ms);
+  fade (&self->loads[class], now_ms);
+  self->loads[class].busy_ms += expected_ms;
+  g_hash_table_insert (self->open, g_strdup (daemon), GUINT_TO_POINTER (class + 1));
+}
+
+void
+fb_advice_share_ended (FbAdviceShare *self, const char *daemon)
+{
+  g_hash_table_remove (self->open, daemon);
+}
--- a/src/entry/advisor.c
+++ b/src/entry/advisor.c
@@ -1,11 +1,11 @@
 /* Questions for advice.  The advice service handles one call at a time for each
- * calling daemon, and a call takes up to half a second: the owner of a pool spreads
- * its questions over all daemons, one open at each.  Some daemons are kept for
- * short questions, so that short work does not wait behind long decisions.
+ * calling daemon, and a call takes up to a second: the owner of a pool spreads its
+ * questions over all daemons, one open at each (advice-share.h).
  *
  * Failure: one daemon is left and owns two pools; the one whose answer has just come asks
  * again first, each time, and nothing of the other is started any more.  Guard: pools that
  * wait for a daemon take turns, by the time that their questions have taken. */
+#include "advice-share.h"
 #include "entry-private.h"
 #include "turns.h"
 
@@ -13,14 +13,6 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
-/* A question that takes longer is a long one. */
-#define LONG_MS 100
-/* Three daemons of seven take short questions only, the others long ones only: the
- * same ones for every owner, as a question also waits behind those of others.  With
- * 16 short questions a second of 29 ms and 5 long ones of 180 to 510 ms the short
- * daemons are busy for a sixth of the time, the long ones for two fifths. */
-#define SHORT_SHARE 3
-#define ALL_SHARE 7
 /* Over what the decision takes: other pools may have questions at the same daemon. */
 #define PATIENCE_MS 3000
 
@@ -28,8 +20,8 @@
 {
   FbEntry *entry;
   FbTurns *turns;      /* of pools: for short questions, or for all */
-  FbTurns *long_turns; /* for long ones, where daemons are kept for the short */
-  GHashTable *busy;    /* addresses of daemons with a question open */
+  FbTurns *long_turns; /* for those that leave daemons to shorter ones */
+  FbAdviceShare *share;
 };
 
 typedef struct
@@ -55,7 +47,7 @@
 on_told (gpointer data, const fb_told *told)
 {
   Question *question = data;
-  g_hash_table_remove (question->entry->advisor->busy, question->daemon);
+  fb_advice_share_ended (question->entry->advisor->share, question->daemon);
   fb_histogram_add (FB_HISTOGRAM_ADVICE, fb_clock_ms () - question->sent_ms);
   FbOwner *owner = fb_entry_owner (question->entry, question->partition);
   gboolean answered = told != NULL && told->type == FB_TOLD_ADVICE;
@@ -70,63 +62,43 @@
   question_free (question);
 }
 
-static guint
-kept_for_short (guint daemons_n)
-{
-  return daemons_n * SHORT_SHARE / ALL_SHARE;
-}
-
 static gint
 compare_address (gconstpointer a, gconstpointer b)
 {
   return g_strcmp0 (*(const char *const *) a, *(const char *const *) b);
 }
 
-/* Returns: (transfer container): addresses of the daemons that may take a question. */
+/* Returns: (transfer container): addresses of the daemons that may take a question; the same
+ * order at every owner, so that short questions of two owners meet at the same ones. */
 static GPtrArray *
-daemons_for (const FbAdvisor *self, gboolean is_long)
+all_daemons (const FbAdvisor *self)
 {
   GPtrArray *daemons = fb_group_daemons (self->entry->group);
   if (daemons->len == 0)
     g_ptr_array_add (daemons, (gpointer) self->entry->settings->peers);
   g_ptr_array_sort (daemons, compare_address);
-  guint short_n = kept_for_short (daemons->len);
-  if (is_long)
-    g_ptr_array_remove_range (daemons, 0, short_n);
-  else if (short_n > 0)
-    g_ptr_array_set_size (daemons, (gint) short_n);
   return daemons;
 }
 
-static const char *
-free_daemon (const FbAdvisor *self, gboolean is_long)
-{
-  g_autoptr (GPtrArray) daemons = daemons_for (self, is_long);
-  for (guint i = 0; i < daemons->len; i++)
-    {
-      if (!g_hash_table_contains (self->busy, daemons->pdata[i]))
-        return daemons->pdata[i];
-    }
-  return NULL;
-}
-
 /* Returns: (nullable): the daemon for a question; NULL: none is free, or another pool is to
  * go first. */
 static const char *
 take_turn (FbAdvisor *self, uint32_t partition, uint32_t expected_ms)
 {
-  g_autoptr (GPtrArray) daemons = fb_group_daemons (self->entry->group);
-  /* Where daemons are kept for short questions, neither kind takes one from the other. */
-  gboolean is_long = expected_ms > LONG_MS && kept_for_short (daemons->len) > 0;
-  FbTurns *turns = is_long ? self->long_turns : self->turns;
   uint64_t now_ms = fb_clock_ms ();
+  g_autoptr (GPtrArray) daemons = all_daemons (self);
+  gboolean leaves_some = fb_advice_share_kept (self->share, daemons->len, expected_ms, now_ms) > 0;
+  FbTurns *turns = leaves_some ? self->long_turns : self->turns;
   const char *daemon = NULL;
   if (fb_turns_is_next (turns, partition, now_ms))
-    daemon = free_daemon (self, expected_ms > LONG_MS);
-  if (daemon != NULL)
-    fb_turns_went (turns, partition, expected_ms);
-  else
-    fb_turns_waits (turns, partition, now_ms);
+    daemon = fb_advice_share_daemon (self->share, daemons, expected_ms, now_ms);
+  if (daemon == NULL)
+    {
+      fb_turns_waits (turns, partition, now_ms);
+      return NULL;
+    }
+  fb_turns_went (turns, partition, expected_ms);
+  fb_advice_share_began (self->share, daemon, expected_ms, now_ms);
   return daemon;
 }
 
@@ -153,7 +125,6 @@
       g_ptr_array_add (question->workers, g_strdup (workers[i]));
       names[i].id = question->workers->pdata[i];
     }
-  g_hash_table_add (self->busy, g_strdup (daemon));
   fb_ask ask = { .type = FB_ASK_ADVICE };
   ask.fb_ask_u.advice.step = question->step;
   ask.fb_ask_u.advice.workers.workers_len = n;
@@ -205,7 +176,7 @@
 {
   FbAdvisor *self = g_new0 (FbAdvisor, 1);
   self->entry = entry;
-  self->busy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->share = fb_advice_share_new ();
   self->turns = fb_turns_new ();
   self->long_turns = fb_turns_new ();
   return self;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -85,7 +85,8 @@
 static gboolean
 look_at (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  if (fb_pool_may_run_unheard (self, step))
+  gboolean advised = step->job->record.policy.advised;
+  if (fb_pool_may_run_unheard (self, step) || (advised && !step->ruled))
     return fb_pool_ask_first_advice (self, step, now_ms);
   uint64_t held_until_ms = step->held_until_ms;
   g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -1,7 +1,9 @@
 /* Parts of a daemon on the platform that need no network. */
+#include "src/entry/advice-share.h"
 #include "src/entry/turns.h"
 
 #include <CUnit/Basic.h>
+#include <stdio.h>
 
 #define LONG_MS 600
 #define SHORT_MS 30
@@ -67,6 +69,199 @@
   fb_turns_free (turns);
 }
 
+/* ---- questions for advice ------------------------------------------------------- */
+
+#define DAEMON_N 9
+#define PLAY_MS 20000
+
+/* One kind of question of the load that is played. */
+typedef struct
+{
+  uint32_t takes_ms;
+  uint32_t per_s;      /* at the beginning */
+  uint32_t in_burst_s; /* from 5 to 9 s */
+  GQueue waiting;      /* of the times at which they came, in ms */
+  GArray *waits_ms;    /* of uint32_t: what those that were asked had waited */
+} Kind;
+
+typedef struct
+{
+  uint64_t busy_until_ms[DAEMON_N];
+  GPtrArray *names;
+  FbAdviceShare
+      *share; /* NULL: a third of the daemons takes what needs under 100 ms, the rest the others */
+} Play;
+
+static gint
+compare_waits (gconstpointer a, gconstpointer b)
+{
+  return (gint) (*(const uint32_t *) a) - (gint) (*(const uint32_t *) b);
+}
+
+static uint32_t
+wait_of (Kind *kind, double part)
+{
+  g_array_sort (kind->waits_ms, compare_waits);
+  return g_array_index (kind->waits_ms, uint32_t, (guint) ((kind->waits_ms->len - 1) * part));
+}
+
+static int
+daemon_by_split (const Play *play, uint32_t takes_ms, uint64_t now_ms)
+{
+  guint from = takes_ms > 100 ? 3 : 0;
+  guint to = takes_ms > 100 ? DAEMON_N : 3;
+  for (guint i = from; i < to; i++)
+    {
+      if (now_ms >= play->busy_until_ms[i])
+        return (int) i;
+    }
+  return -1;
+}
+
+static int
+daemon_by_share (const Play *play, uint32_t takes_ms, uint64_t now_ms)
+{
+  const char *name = fb_advice_share_daemon (play->share, play->names, takes_ms, now_ms);
+  for (guint i = 0; name != NULL && i < DAEMON_N; i++)
+    {
+      if (play->names->pdata[i] == name)
+        return (int) i;
+    }
+  return -1;
+}
+
+static void
+ask_what_waits (Play *play, Kind *kind, uint64_t now_ms)
+{
+  while (!g_queue_is_empty (&kind->waiting))
+    {
+      int at = play->share != NULL ? daemon_by_share (play, kind->takes_ms, now_ms)
+                                   : daemon_by_split (play, kind->takes_ms, now_ms);
+      if (at < 0)
+        return;
+      uint32_t waited_ms
+          = (uint32_t) (now_ms - GPOINTER_TO_UINT (g_queue_pop_head (&kind->waiting)));
+      g_array_append_val (kind->waits_ms, waited_ms);
+      play->busy_until_ms[at] = now_ms + kind->takes_ms;
+      if (play->share != NULL)
+        fb_advice_share_began (play->share, play->names->pdata[at], kind->takes_ms, now_ms);
+    }
+}
+
+/* Plays KINDS, the most urgent first. */
+static void
+play_questions (Play *play, Kind *kinds, guint n)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  for (uint64_t now_ms = 1; now_ms < PLAY_MS; now_ms++)
+    {
+      for (guint i = 0; i < DAEMON_N; i++)
+        {
+          if (play->share != NULL && play->busy_until_ms[i] == now_ms)
+            fb_advice_share_ended (play->share, play->names->pdata[i]);
+        }
+      for (guint k = 0; k < n; k++)
+        {
+          gboolean burst = now_ms >= 5000 && now_ms < 9000;
+          if ((uint32_t) g_rand_int_range (rand, 0, 1000)
+              < (burst ? kinds[k].in_burst_s : kinds[k].per_s))
+            g_queue_push_tail (&kinds[k].waiting, GUINT_TO_POINTER ((guint) now_ms));
+          ask_what_waits (play, &kinds[k], now_ms);
+        }
+    }
+}
+
+static void
+play_new (Play *play, gboolean shared)
+{
+  *play = (Play){ .names = g_ptr_array_new_with_free_func (g_free) };
+  for (guint i = 0; i < DAEMON_N; i++)
+    g_ptr_array_add (play->names, g_strdup_printf ("daemon-%u", i));
+  play->share = shared ? fb_advice_share_new () : NULL;
+}
+
+static void
+play_clear (Play *play)
+{
+  g_clear_pointer (&play->share, fb_advice_share_free);
+  g_ptr_array_unref (play->names);
+}
+
+static void
+kinds_clear (Kind *kinds, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      g_queue_clear (&kinds[i].waiting);
+      g_array_unref (kinds[i].waits_ms);
+    }
+}
+
+/* Short work comes at 2.3 times its rate for four seconds, beside batches and gangs.  With a
+ * third of the daemons kept for questions under 100 ms, short ones wait behind batches while
+ * the other daemons are idle: their callers, who give them some 600 ms, are late. */
+static void
+test_short_questions_in_a_burst (void)
+{
+  uint32_t p95_ms[2];
+  uint32_t gang_p95_ms[2];
+  for (guint shared = 0; shared < 2; shared++)
+    {
+      Kind kinds[] = { { .takes_ms = 16, .per_s = 40, .in_burst_s = 92 },
+                       { .takes_ms = 89, .per_s = 15, .in_burst_s = 26 },
+                       { .takes_ms = 875, .per_s = 2, .in_burst_s = 3 } };
+      for (guint k = 0; k < G_N_ELEMENTS (kinds); k++)
+        kinds[k].waits_ms = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      Play play;
+      play_new (&play, shared == 1);
+      play_questions (&play, kinds, G_N_ELEMENTS (kinds));
+      p95_ms[shared] = wait_of (&kinds[0], 0.95);
+      gang_p95_ms[shared] = wait_of (&kinds[2], 0.95);
+      play_clear (&play);
+      kinds_clear (kinds, G_N_ELEMENTS (kinds));
+    }
+  printf ("    short question, 95th percentile of waits: %u ms split, %u ms shared; gangs %u and "
+          "%u ms\n",
+          p95_ms[0], p95_ms[1], gang_p95_ms[0], gang_p95_ms[1]);
+  CU_ASSERT_TRUE (p95_ms[1] <= 5);
+  CU_ASSERT_TRUE (p95_ms[0] > 5 * p95_ms[1]);
+  CU_ASSERT_TRUE (gang_p95_ms[1] <= gang_p95_ms[0] + 300);
+}
+
+/* Only long questions are left: none of the daemons may stay idle for short ones that do
+ * not come. */
+static void
+test_nothing_is_kept_for_nobody (void)
+{
+  Play play;
+  play_new (&play, TRUE);
+  fb_advice_share_began (play.share, "daemon-0", 16, 1000);
+  fb_advice_share_ended (play.share, "daemon-0");
+  CU_ASSERT_EQUAL (fb_advice_share_kept (play.share, DAEMON_N, 875, 1001), 1);
+  CU_ASSERT_EQUAL (fb_advice_share_kept (play.share, DAEMON_N, 875, 9000), 0);
+  for (guint i = 0; i < DAEMON_N; i++)
+    {
+      const char *daemon = fb_advice_share_daemon (play.share, play.names, 875, 9000);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (daemon);
+      fb_advice_share_began (play.share, daemon, 875, 9000);
+    }
+  CU_ASSERT_PTR_NULL (fb_advice_share_daemon (play.share, play.names, 16, 9000));
+  play_clear (&play);
+}
+
+/* Two daemons: a long question leaves one to short ones; one daemon has to do for all. */
+static void
+test_few_daemons (void)
+{
+  Play play;
+  play_new (&play, TRUE);
+  fb_advice_share_began (play.share, "daemon-0", 16, 1000);
+  fb_advice_share_ended (play.share, "daemon-0");
+  CU_ASSERT_EQUAL (fb_advice_share_kept (play.share, 2, 875, 1001), 1);
+  CU_ASSERT_EQUAL (fb_advice_share_kept (play.share, 1, 875, 1001), 0);
+  play_clear (&play);
+}
+
 int
 main (void)
 {
@@ -77,6 +272,9 @@
   CU_add_test (suite, "who asks no more is not waited for",
                test_who_asks_no_more_is_not_waited_for);
   CU_add_test (suite, "idle time gives no claim", test_idle_time_gives_no_claim);
+  CU_add_test (suite, "short questions in a burst", test_short_questions_in_a_burst);
+  CU_add_test (suite, "nothing is kept for nobody", test_nothing_is_kept_for_nobody);
+  CU_add_test (suite, "few daemons", test_few_daemons);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
