Do not wait for a drained worker that the list still names

The record only left such workers out. Change: the record names them as retired; a successor does not wait for them when the list does.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -55,6 +55,8 @@
  * FB_POOL_SPARE_MS until one succeeds. */
 #define FB_POOL_BAD_STREAK 3
 #define FB_POOL_SPARE_MS 1000
+/* Stands for the address of a recorded worker on which nothing runs again. */
+#define FB_POOL_RETIRED ""
 /* Pause after a start that a worker refused or left unanswered. */
 #define FB_POOL_REFUSAL_PAUSE_MS 300
 /* Workers and due times are looked after this often, not at each event: a round
@@ -276,6 +278,7 @@
   GHashTable *workers; /* id -> FbPoolWorker */
   GPtrArray *roster;   /* of FbPoolWorker by slot, NULL where none is; borrowed */
   uint32_t last_life;
+  GHashTable *retired;    /* set of ids: workers that the owner before had heard empty */
   GPtrArray *opened;      /* of FbPoolWorker that took more room since the last round; borrowed */
   GPtrArray *waiting;     /* of FbPoolStep with tasks that wait, in their order; borrowed */
   GPtrArray *fresh;       /* of FbPoolStep that are not sorted into these yet; borrowed */
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -92,8 +92,10 @@
   const FbPoolWorker *worker = NULL;
   while (record.workers.workers_len < n && (worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      if (!worker->retired)
-        known[record.workers.workers_len++] = (fb_work_known){ worker->id, worker->address };
+      /* Who left empty is told of while the list may go on naming it. */
+      if (!worker->retired || worker->listed)
+        known[record.workers.workers_len++]
+            = (fb_work_known){ worker->id, worker->retired ? FB_POOL_RETIRED : worker->address };
     }
   add_record (records, NULL, fb_codec_encode_workers (&record));
 }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -424,7 +424,7 @@
 /* Failure: a worker leaves, and while the store is away the pool gets a new owner, which
  * knows the worker from the record of the owner before; its host is silent, and the
  * whole pool waits 6 s for a lease on nothing.  Guard: a draining worker gets nothing new, so
- * one that was heard empty under this epoch stays empty, and the record goes without it. */
+ * one that was heard empty under this epoch stays empty, and the record says so. */
 static void
 retire_if_empty (FbPool *self, FbPoolWorker *worker)
 {
--- a/src/work/pool-settle.c
+++ b/src/work/pool-settle.c
@@ -54,7 +54,7 @@
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      if (!worker->answered && !worker->gone)
+      if (!worker->answered && !worker->gone && !worker->retired)
         g_ptr_array_add (self->unheard, worker);
     }
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -25,6 +25,7 @@
   self->active = g_hash_table_new (NULL, NULL);
   self->ended = g_hash_table_new (NULL, NULL);
   self->dirty = g_hash_table_new (NULL, NULL);
+  self->retired = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->in_flush = g_ptr_array_new ();
   self->unheard = g_ptr_array_new ();
   self->orders = fb_pool_orders_new ();
@@ -40,6 +41,7 @@
   g_ptr_array_unref (self->opened);
   g_ptr_array_unref (self->waiting);
   g_ptr_array_unref (self->fresh);
+  g_hash_table_unref (self->retired);
   g_hash_table_unref (self->timed);
   g_hash_table_unref (self->chained);
   g_hash_table_unref (self->active);
@@ -77,6 +79,7 @@
   if (is_new)
     {
       worker = fb_pool_worker_new (entry->id);
+      worker->retired = g_hash_table_contains (self->retired, entry->id);
       fb_pool_roster_add (self, worker);
       self->workers_dirty = TRUE;
     }
@@ -111,11 +114,19 @@
   for (u_int i = 0; i < record->workers.workers_len; i++)
     {
       const fb_work_known *known = &record->workers.workers_val[i];
-      if (g_hash_table_contains (self->workers, known->id))
-        continue;
-      FbPoolWorker *worker = fb_pool_worker_new (known->id);
-      worker->address = g_strdup (known->address);
-      fb_pool_roster_add (self, worker);
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, known->id);
+      if (g_str_equal (known->address, FB_POOL_RETIRED))
+        {
+          g_hash_table_add (self->retired, g_strdup (known->id));
+          if (worker != NULL)
+            worker->retired = TRUE;
+        }
+      else if (worker == NULL)
+        {
+          worker = fb_pool_worker_new (known->id);
+          worker->address = g_strdup (known->address);
+          fb_pool_roster_add (self, worker);
+        }
     }
 }
 
