Record what may still run on workers that drain

Workers are replaced one after the other; one leaves while it runs something, its host is silent, the owner is killed within 1 s. The successor knows the worker from the record only, so for 6.2 s nothing starts that some worker had room for (18 s from advice to start, median, with the second kill); gangs waited in any case. Change: the record names the steps on a worker that drains; a successor holds back just these, gangs like other work. Ruled out: the owner's processor (0.10 of its 0.25 core then), the store. Scripts first: drained-worker-with-a-run started j2 only after 6.1 s, now at once.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -55,8 +55,6 @@
  * FB_POOL_SPARE_MS until one succeeds. */
 #define FB_POOL_BAD_STREAK 3
 #define FB_POOL_SPARE_MS 1000
-/* Stands for the address of a recorded worker on which nothing runs again. */
-#define FB_POOL_RETIRED ""
 /* Pause after a start that a worker refused or left unanswered. */
 #define FB_POOL_REFUSAL_PAUSE_MS 300
 /* Workers and due times are looked after this often, not at each event: a round
@@ -230,7 +228,9 @@
   gboolean draining;
   gboolean answered; /* under the present epoch */
   gboolean gone;     /* this life has certainly ended, or all its leases have */
-  gboolean retired;  /* it drains and was heard with nothing on it: nothing runs there again */
+  /* Names of the steps that may still run there, as the owner before had recorded them when
+   * nothing was started there any more; NULL: it may run anything. */
+  GHashTable *closed_to;
   gboolean look_open;
   uint32_t first_answer_ms; /* patience of the last look before it first answered */
   uint64_t look_at_ms;      /* when the next look is due */
@@ -278,7 +278,7 @@
   GHashTable *workers; /* id -> FbPoolWorker */
   GPtrArray *roster;   /* of FbPoolWorker by slot, NULL where none is; borrowed */
   uint32_t last_life;
-  GHashTable *retired;    /* set of ids: workers that the owner before had heard empty */
+  GHashTable *closed;     /* id -> GHashTable, for FbPoolWorker.closed_to: of the owner before */
   GPtrArray *opened;      /* of FbPoolWorker that took more room since the last round; borrowed */
   GPtrArray *waiting;     /* of FbPoolStep with tasks that wait, in their order; borrowed */
   GPtrArray *fresh;       /* of FbPoolStep that are not sorted into these yet; borrowed */
@@ -356,6 +356,20 @@
 void fb_pool_ruling_expire (FbPoolStep *step, const FbPoolWorker *worker);
 void fb_pool_rulings_clear (FbPoolStep *step);
 
+/* pool-closed.c */
+
+/* Which steps may still run on WORKER, which drains, goes into KNOWN. */
+void fb_pool_closed_record (const FbPoolWorker *worker, fb_work_known *known);
+void fb_pool_closed_record_clear (fb_work_known *known);
+/* The owner before knew WORKER as KNOWN tells. */
+void fb_pool_closed_restore (FbPool *self, const fb_work_known *known);
+/* WORKER was listed: it gets what the owner before knew of it. */
+void fb_pool_closed_take (FbPool *self, FbPoolWorker *worker);
+/* FALSE when no run of STEP can be on WORKER, which drains. */
+gboolean fb_pool_closed_may_hold (const FbPoolWorker *worker, const FbPoolStep *step);
+/* TRUE when nothing runs on WORKER, whether it answers or not. */
+gboolean fb_pool_closed_is_empty (const FbPoolWorker *worker);
+
 /* pool-queue.c */
 
 /* A task of STEP waits, or may. */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -404,6 +404,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_step_name (XDR *xdrs, fb_step_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_work_known (XDR *xdrs, fb_work_known *objp)
 {
@@ -413,6 +423,11 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->address, FB_WORK_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->closed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, FB_WORK_MAX_RUNS,
+		sizeof (fb_step_name), (xdrproc_t) xdr_fb_step_name))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -22,6 +22,7 @@
 #define FB_WORK_MAX_FAILED 1024
 #define FB_WORK_MAX_TICKETS 128
 #define FB_WORK_MAX_WORKERS 20000
+#define FB_WORK_MAX_RUNS 256
 #define FB_WORK_MAX_PARTITIONS 4096
 
 struct fb_work_step {
@@ -115,9 +116,19 @@
 };
 typedef struct fb_work_progress fb_work_progress;
 
+struct fb_step_name {
+	char *name;
+};
+typedef struct fb_step_name fb_step_name;
+
 struct fb_work_known {
 	char *id;
 	char *address;
+	bool_t closed;
+	struct {
+		u_int steps_len;
+		fb_step_name *steps_val;
+	} steps;
 };
 typedef struct fb_work_known fb_work_known;
 
@@ -275,6 +286,7 @@
 extern  bool_t xdr_fb_work_mark (XDR *, fb_work_mark*);
 extern  bool_t xdr_fb_work_state (XDR *, fb_work_state*);
 extern  bool_t xdr_fb_work_progress (XDR *, fb_work_progress*);
+extern  bool_t xdr_fb_step_name (XDR *, fb_step_name*);
 extern  bool_t xdr_fb_work_known (XDR *, fb_work_known*);
 extern  bool_t xdr_fb_work_workers (XDR *, fb_work_workers*);
 extern  bool_t xdr_fb_ask_type (XDR *, fb_ask_type*);
@@ -301,6 +313,7 @@
 extern bool_t xdr_fb_work_mark ();
 extern bool_t xdr_fb_work_state ();
 extern bool_t xdr_fb_work_progress ();
+extern bool_t xdr_fb_step_name ();
 extern bool_t xdr_fb_work_known ();
 extern bool_t xdr_fb_work_workers ();
 extern bool_t xdr_fb_ask_type ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -11,6 +11,7 @@
 const FB_WORK_MAX_FAILED = 1024;
 const FB_WORK_MAX_TICKETS = 128;
 const FB_WORK_MAX_WORKERS = 20000;
+const FB_WORK_MAX_RUNS = 256;
 const FB_WORK_MAX_PARTITIONS = 4096;
 
 /* One step: COUNT equal tasks, each of the size given. */
@@ -91,9 +92,15 @@
 
 /* The workers of a pool that may run something, as its owner knew them.  The
  * platform's list loses entries while the store is away. */
+struct fb_step_name {
+  string name<FB_WORK_MAX_NAME>;
+};
+
 struct fb_work_known {
   string id<FB_WORK_MAX_NAME>;
   string address<FB_WORK_MAX_NAME>;
+  bool closed; /* nothing is started there any more: no other step can run there */
+  fb_step_name steps<FB_WORK_MAX_RUNS>;
 };
 
 struct fb_work_workers {
--- /dev/null
+++ b/src/work/pool-closed.c
@@ -0,0 +1,104 @@
+/* What may still run on workers that drain, for the next owner.
+ *
+ * Failure: a worker drains and leaves, and the pool changes hands at about that time.  Its host
+ * is silent, and the successor, which knows the worker from the record or from a list that is
+ * behind, waits 6 s for its lease; meanwhile nothing is started that the worker had room
+ * for.  With workers that are replaced one after the other every change of owner hit one:
+ * callers of some seconds got nothing in time.  Guard: nothing new is started on a worker that
+ * drains, so what its owner knows to run there when it begins to drain is all that can ever
+ * run there.  The record says so, and a successor holds back just that. */
+#include "internal/pool-private.h"
+
+#include <string.h>
+
+static GHashTable *
+set_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* Returns: (transfer full): the name of the step of which TASK is. */
+static char *
+step_of_task (const char *task)
+{
+  const char *dot = strrchr (task, '.');
+  return dot != NULL ? g_strndup (task, (gsize) (dot - task)) : g_strdup (task);
+}
+
+/* Returns: (transfer full) (nullable): names of the steps that may run on WORKER; NULL: it is not
+ * known which. */
+static GHashTable *
+steps_on (const FbPoolWorker *worker)
+{
+  if (!worker->draining)
+    return NULL;
+  if (!worker->answered)
+    return worker->closed_to != NULL ? g_hash_table_ref (worker->closed_to) : NULL;
+  GHashTable *steps = set_new ();
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_hash_table_add (steps, step_of_task (name));
+  return steps;
+}
+
+void
+fb_pool_closed_record (const FbPoolWorker *worker, fb_work_known *known)
+{
+  g_autoptr (GHashTable) steps = steps_on (worker);
+  if (steps == NULL || g_hash_table_size (steps) > FB_WORK_MAX_RUNS)
+    return;
+  known->closed = TRUE;
+  known->steps.steps_val = g_new0 (fb_step_name, g_hash_table_size (steps) + 1);
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, steps);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    known->steps.steps_val[known->steps.steps_len++].name = g_strdup (name);
+}
+
+void
+fb_pool_closed_record_clear (fb_work_known *known)
+{
+  for (u_int i = 0; i < known->steps.steps_len; i++)
+    g_free (known->steps.steps_val[i].name);
+  g_clear_pointer (&known->steps.steps_val, g_free);
+  known->steps.steps_len = 0;
+}
+
+void
+fb_pool_closed_restore (FbPool *self, const fb_work_known *known)
+{
+  if (!known->closed)
+    return;
+  GHashTable *steps = set_new ();
+  for (u_int i = 0; i < known->steps.steps_len; i++)
+    g_hash_table_add (steps, g_strdup (known->steps.steps_val[i].name));
+  g_hash_table_replace (self->closed, g_strdup (known->id), steps);
+}
+
+void
+fb_pool_closed_take (FbPool *self, FbPoolWorker *worker)
+{
+  GHashTable *steps = g_hash_table_lookup (self->closed, worker->id);
+  if (steps == NULL || worker->closed_to != NULL)
+    return;
+  worker->closed_to = g_hash_table_ref (steps);
+  worker->draining = TRUE; /* a list that is behind may not know yet */
+}
+
+gboolean
+fb_pool_closed_may_hold (const FbPoolWorker *worker, const FbPoolStep *step)
+{
+  if (worker->closed_to == NULL)
+    return TRUE;
+  g_autofree char *name = fb_pool_step_name (step);
+  return g_hash_table_contains (worker->closed_to, name);
+}
+
+gboolean
+fb_pool_closed_is_empty (const FbPoolWorker *worker)
+{
+  return worker->closed_to != NULL && g_hash_table_size (worker->closed_to) == 0;
+}
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -92,12 +92,13 @@
   const FbPoolWorker *worker = NULL;
   while (record.workers.workers_len < n && (worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      /* Who left empty is told of while the list may go on naming it. */
-      if (!worker->retired || worker->listed)
-        known[record.workers.workers_len++]
-            = (fb_work_known){ worker->id, worker->retired ? FB_POOL_RETIRED : worker->address };
+      fb_work_known *row = &known[record.workers.workers_len++];
+      *row = (fb_work_known){ .id = worker->id, .address = worker->address };
+      fb_pool_closed_record (worker, row);
     }
   add_record (records, NULL, fb_codec_encode_workers (&record));
+  for (u_int i = 0; i < record.workers.workers_len; i++)
+    fb_pool_closed_record_clear (&known[i]);
 }
 
 static void
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -421,29 +421,29 @@
   return self->jobs_read_ms <= worker->unread_ms;
 }
 
-/* Failure: a worker leaves, and while the store is away the pool gets a new owner, which
- * knows the worker from the record of the owner before; its host is silent, and the
- * whole pool waits 6 s for a lease on nothing.  Guard: a draining worker gets nothing new, so
- * one that was heard empty under this epoch stays empty, and the record says so. */
+/* The record names what may still run on a worker that drains: once that is nothing, it is
+ * written again. */
 static void
-retire_if_empty (FbPool *self, FbPoolWorker *worker)
+note_if_emptied (FbPool *self, const FbPoolWorker *worker, guint runs_before)
 {
-  if (worker->retired || !worker->draining || g_hash_table_size (worker->runs) > 0)
-    return;
-  worker->retired = TRUE;
-  self->workers_dirty = TRUE;
+  if (worker->draining && runs_before > 0 && g_hash_table_size (worker->runs) == 0)
+    self->workers_dirty = TRUE;
 }
 
 static void
 take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
              uint64_t wall_ms)
 {
+  guint runs_before = g_hash_table_size (worker->runs);
   if (!worker->answered)
     fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
                   "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
                   self->epoch, answer->running->len, answer->finished->len);
   if (!worker->answered)
-    fb_pool_worker_opened (self, worker);
+    {
+      fb_pool_worker_opened (self, worker);
+      self->workers_dirty = self->workers_dirty || worker->draining;
+    }
   worker->answered = TRUE;
   worker->gone = FALSE;
   worker->proof_ms = worker->look_sent_ms;
@@ -465,7 +465,7 @@
       take_end (self, worker, end, now_ms, wall_ms);
     }
   drop_absent (self, worker, answer->clock_ms, now_ms);
-  retire_if_empty (self, worker);
+  note_if_emptied (self, worker, runs_before);
   if (worker->unread)
     worker->look_at_ms = now_ms + FB_POOL_UNREAD_PAUSE_MS;
   else if (worker->acknowledged == worker->seen_end)
--- a/src/work/pool-settle.c
+++ b/src/work/pool-settle.c
@@ -7,9 +7,9 @@
  *
  * A worker that is dark at that moment takes up to 6.2 s to lapse, and waiting for it with
  * everything kept whole pools idle.  Until then work goes on that surely is not there:
- * steps that the worker is too small for, steps that the advice service does not allow it
- * (what it allows never changes, and workers refuse starts without its ticket), and jobs
- * that were stored after the owner before had stopped. */
+ * steps that did not run there when it began to drain, steps that the worker is too small for,
+ * steps that the advice service does not allow it (what it allows never changes, and workers refuse
+ * starts without its ticket), and jobs that were stored after the owner before had stopped. */
 #include "internal/pool-private.h"
 
 #include "fb-event.h"
@@ -54,7 +54,7 @@
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      if (!worker->answered && !worker->gone && !worker->retired)
+      if (!worker->answered && !worker->gone && !fb_pool_closed_is_empty (worker))
         g_ptr_array_add (self->unheard, worker);
     }
 }
@@ -99,6 +99,8 @@
 static gboolean
 may_hold (const FbPoolWorker *worker, const FbPoolStep *step)
 {
+  if (!fb_pool_closed_may_hold (worker, step))
+    return FALSE;
   /* Of a worker that is not listed neither size nor labels are known. */
   if (!worker->listed)
     return TRUE;
@@ -115,9 +117,6 @@
 {
   if (self->settled || step->job->untouched)
     return FALSE;
-  /* Members that were heard are stopped or kept as a whole when all are known. */
-  if (step->shape->gang)
-    return TRUE;
   for (guint i = 0; i < self->unheard->len; i++)
     {
       if (may_hold (self->unheard->pdata[i], step))
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -42,6 +42,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &run))
     run_free (run);
   g_hash_table_unref (worker->runs);
+  g_clear_pointer (&worker->closed_to, g_hash_table_unref);
   fb_pool_speed_unref (worker->speed);
   g_strfreev (worker->labels);
   g_free (worker->last_bad_job);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -25,7 +25,8 @@
   self->active = g_hash_table_new (NULL, NULL);
   self->ended = g_hash_table_new (NULL, NULL);
   self->dirty = g_hash_table_new (NULL, NULL);
-  self->retired = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->closed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify) g_hash_table_unref);
   self->in_flush = g_ptr_array_new ();
   self->unheard = g_ptr_array_new ();
   self->orders = fb_pool_orders_new ();
@@ -41,7 +42,7 @@
   g_ptr_array_unref (self->opened);
   g_ptr_array_unref (self->waiting);
   g_ptr_array_unref (self->fresh);
-  g_hash_table_unref (self->retired);
+  g_hash_table_unref (self->closed);
   g_hash_table_unref (self->timed);
   g_hash_table_unref (self->chained);
   g_hash_table_unref (self->active);
@@ -79,8 +80,8 @@
   if (is_new)
     {
       worker = fb_pool_worker_new (entry->id);
-      worker->retired = g_hash_table_contains (self->retired, entry->id);
       fb_pool_roster_add (self, worker);
+      fb_pool_closed_take (self, worker);
       self->workers_dirty = TRUE;
     }
   gboolean was_draining = worker->draining;
@@ -90,8 +91,10 @@
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
                   worker->id, worker->address, worker->cpu_milli, worker->gpu_count,
                   worker->draining);
-  if (worker->draining && !was_draining)
-    leave_draining (self, worker, now_ms);
+  if (!worker->draining || was_draining)
+    return;
+  self->workers_dirty = TRUE;
+  leave_draining (self, worker, now_ms);
 }
 
 void
@@ -115,18 +118,16 @@
     {
       const fb_work_known *known = &record->workers.workers_val[i];
       FbPoolWorker *worker = g_hash_table_lookup (self->workers, known->id);
-      if (g_str_equal (known->address, FB_POOL_RETIRED))
-        {
-          g_hash_table_add (self->retired, g_strdup (known->id));
-          if (worker != NULL)
-            worker->retired = TRUE;
-        }
-      else if (worker == NULL)
+      gboolean empty = known->closed && known->steps.steps_len == 0;
+      fb_pool_closed_restore (self, known);
+      if (worker == NULL && !empty)
         {
           worker = fb_pool_worker_new (known->id);
           worker->address = g_strdup (known->address);
           fb_pool_roster_add (self, worker);
         }
+      if (worker != NULL)
+        fb_pool_closed_take (self, worker);
     }
 }
 
