Take an entry of the list for a worker only if it can be read whole

Cause: the users say that other writers may put entries among those of workers. A state that is not known was taken for ready, a missing room for none, any text for an address. A worker whose entry cannot be read any more gets nothing new. Tests: 26 cases, and 20,000 entries changed at random (fixed seed).

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -155,6 +155,7 @@
   FbFollower *config_follower;
   FbFollower *worker_follower; /* NULL until it owns something */
   GHashTable *workers;         /* id -> FbListedWorker */
+  GHashTable *skipped;         /* ids of entries that could not be read, told of already */
   GHashTable *relisted;        /* ids of the listing that is open; NULL: none is */
   FbGroup *group;
   FbAdvisor *advisor;
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -11,6 +11,8 @@
 #include <xxhash.h>
 
 #define REAP_MS 100
+/* Ids of entries that could not be read; with more of them some are told of again. */
+#define SKIPPED_MAX 1000
 /* A poll of the store is answered each 0.4 s, after up to 0.25 s more when it is slow; a
  * join each 0.25 s. */
 #define STORE_SILENT_MS 1000
@@ -115,6 +117,19 @@
     fb_owner_worker_listed (owner, worker);
 }
 
+/* An entry that cannot be read names no worker.  It is told of once: its writer may write it
+ * again each second. */
+static void
+skip_entry (FbEntry *self, const char *id)
+{
+  fb_counter_add (FB_COUNTER_LOG_SKIPPED, 1);
+  unlist_worker (self, id);
+  if (g_hash_table_size (self->skipped) >= SKIPPED_MAX)
+    g_hash_table_remove_all (self->skipped);
+  if (g_hash_table_add (self->skipped, g_strdup (id)))
+    fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "%s", fb_status_message ());
+}
+
 static void
 on_worker_record (gpointer user, const FbStoreRecord *record)
 {
@@ -124,13 +139,15 @@
       unlist_worker (self, record->key);
       return;
     }
+  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
+  if (worker == NULL)
+    {
+      skip_entry (self, record->key);
+      return;
+    }
   if (self->relisted != NULL)
     g_hash_table_add (self->relisted, g_strdup (record->key));
-  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
-  if (worker != NULL)
-    list_worker (self, worker);
-  else
-    fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "%s", fb_status_message ());
+  list_worker (self, worker);
 }
 
 static void
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -313,6 +313,87 @@
   CU_ASSERT_PTR_NULL (fb_wire_listed_worker ("i-1", bad));
 }
 
+/* Another writer puts entries among those of the workers.  A state that is not known was taken
+ * for "ready" and a missing capacity for none: work was sent to what is no worker. */
+static void
+test_entries_of_other_writers (void)
+{
+  static const struct
+  {
+    const char *entry;
+    gboolean is_worker;
+  } cases[] = {
+#define ROOM "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0}"
+#define WHO "\"service\":\"s\",\"address\":\"10.0.0.9:80\""
+    { "{" WHO ",\"state\":\"ready\"," ROOM ",\"labels\":[\"a\",\"r1\"]}", TRUE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM "}", TRUE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM ",\"of another\":{\"x\":[1]}}", TRUE },
+    { "{" WHO "," ROOM "}", FALSE },
+    { "{" WHO ",\"state\":\"warming\"," ROOM "}", FALSE },
+    { "{" WHO ",\"state\":1," ROOM "}", FALSE },
+    { "{" WHO ",\"state\":null," ROOM "}", FALSE },
+    { "{" WHO ",\"state\":\"ready\"}", FALSE },
+    { "{" WHO ",\"state\":\"ready\",\"capacity\":16000}", FALSE },
+    { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":\"16000\",\"mem-mb\":1}}", FALSE },
+    { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":-1,\"mem-mb\":1}}", FALSE },
+    { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":1e12,\"mem-mb\":1}}", FALSE },
+    { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"mem-mb\":1}}", FALSE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM ",\"labels\":\"a\"}", FALSE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM ",\"labels\":[1,2]}", FALSE },
+    { "{\"service\":\"s\",\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{\"service\":\"s\",\"address\":7,\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{\"service\":\"s\",\"address\":\"somewhere\",\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.9\",\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{\"service\":[],\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," ROOM "}", FALSE },
+    { "{}", FALSE },
+    { "null", FALSE },
+    { "", FALSE },
+    { "\xff\xfe\x00\x01", FALSE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM, FALSE },
+#undef ROOM
+#undef WHO
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GBytes) value = g_bytes_new (cases[i].entry, strlen (cases[i].entry));
+      FbListedWorker *worker = fb_wire_listed_worker ("i-1", value);
+      if ((worker != NULL) != cases[i].is_worker)
+        printf ("    entry %s\n", cases[i].entry);
+      CU_ASSERT_EQUAL (worker != NULL, cases[i].is_worker);
+      if (worker != NULL)
+        fb_listed_worker_free (worker);
+    }
+}
+
+/* Bytes of an entry are changed, cut and repeated at random: whatever comes, it is a worker
+ * with an address and room, or none. */
+static void
+test_entries_at_random (void)
+{
+  static const char whole[]
+      = "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"state\":\"ready\",\"slots\":8,"
+        "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":8},\"labels\":[\"a\",\"r1-3\"]}";
+  g_autoptr (GRand) rand = g_rand_new_with_seed (3);
+  for (guint i = 0; i < 20000; i++)
+    {
+      char entry[sizeof whole];
+      memcpy (entry, whole, sizeof whole);
+      gsize len = (gsize) g_rand_int_range (rand, 0, sizeof whole);
+      for (gint n = g_rand_int_range (rand, 0, 4); n > 0; n--)
+        entry[g_rand_int_range (rand, 0, sizeof whole - 1)]
+            = (char) g_rand_int_range (rand, 1, 256);
+      len = g_rand_boolean (rand) ? sizeof whole - 1 : len;
+      g_autoptr (GBytes) value = g_bytes_new (entry, len);
+      FbListedWorker *worker = fb_wire_listed_worker ("i-1", value);
+      if (worker == NULL)
+        continue;
+      CU_ASSERT_TRUE (worker->entry.cpu_milli > 0 && worker->entry.mem_mb > 0);
+      CU_ASSERT_TRUE (strchr (worker->entry.address, ':') != NULL);
+      fb_listed_worker_free (worker);
+    }
+}
+
 int
 main (void)
 {
@@ -327,6 +408,8 @@
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers of looks", test_look_answers);
   CU_add_test (suite, "a listed worker", test_listed_worker);
+  CU_add_test (suite, "entries of other writers", test_entries_of_other_writers);
+  CU_add_test (suite, "entries at random", test_entries_at_random);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   int failed = CU_get_number_of_failures () > 0;
