Let other daemons carry the owner's orders, and the stronger ones own

Cause: one daemon calls every worker of a service. Change: each worker has a daemon of its own failure domain that carries the owner's orders to it (rendezvous, weighted by processor); the owner sends and hears frames over its links. What was not sent the owner carries itself; a carrier that does not answer rests. A second group of the store tells which daemons live, where and how strong; those with half or more of the strongest one's processor own pools. Ruled out: slices of workers with owners of their own (gangs of up to 120 members of 18 cores, allowed on three workers of ten, would span slices). Stand-in of the platform: groups by name.

--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -543,6 +543,50 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_order_kind (XDR *xdrs, fb_order_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_ask_order (XDR *xdrs, fb_ask_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fb_order_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->worker, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->payload, FB_WORK_MAX_PAYLOAD))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ticket, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->acknowledged))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answer_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ask (XDR *xdrs, fb_ask *objp)
 {
@@ -577,6 +621,10 @@
 		 if (!xdr_fb_ask_write (xdrs, &objp->fb_ask_u.write))
 			 return FALSE;
 		break;
+	case FB_ASK_ORDER:
+		 if (!xdr_fb_ask_order (xdrs, &objp->fb_ask_u.order))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -641,6 +689,56 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_seen_run (XDR *xdrs, fb_seen_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->task, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_seen_end (XDR *xdrs, fb_seen_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_told_order (XDR *xdrs, fb_told_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->result))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, FB_WORK_MAX_SEEN,
+		sizeof (fb_seen_run), (xdrproc_t) xdr_fb_seen_run))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->finished.finished_val, (u_int *) &objp->finished.finished_len, FB_WORK_MAX_SEEN,
+		sizeof (fb_seen_end), (xdrproc_t) xdr_fb_seen_end))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_told (XDR *xdrs, fb_told *objp)
 {
@@ -665,6 +763,10 @@
 		 if (!xdr_fb_told_owners (xdrs, &objp->fb_told_u.owners))
 			 return FALSE;
 		break;
+	case FB_TOLD_ORDER:
+		 if (!xdr_fb_told_order (xdrs, &objp->fb_told_u.order))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -23,6 +23,7 @@
 #define FB_WORK_MAX_TICKETS 128
 #define FB_WORK_MAX_WORKERS 20000
 #define FB_WORK_MAX_RUNS 256
+#define FB_WORK_MAX_SEEN 4096
 #define FB_WORK_MAX_PARTITIONS 4096
 
 struct fb_work_step {
@@ -148,6 +149,7 @@
 	FB_ASK_STORED = 5,
 	FB_ASK_OWNERS = 6,
 	FB_ASK_WRITE = 7,
+	FB_ASK_ORDER = 8,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -208,6 +210,30 @@
 };
 typedef struct fb_ask_stored fb_ask_stored;
 
+enum fb_order_kind {
+	FB_CARRY_START = 1,
+	FB_CARRY_STOP = 2,
+	FB_CARRY_LOOK = 3,
+};
+typedef enum fb_order_kind fb_order_kind;
+
+struct fb_ask_order {
+	fb_order_kind kind;
+	char *worker;
+	char *address;
+	u_quad_t epoch;
+	char *task;
+	u_int attempt;
+	char *payload;
+	char *checkpoint;
+	char *ticket;
+	u_quad_t deadline_ms;
+	u_quad_t acknowledged;
+	u_int wait_ms;
+	u_int answer_ms;
+};
+typedef struct fb_ask_order fb_ask_order;
+
 struct fb_ask {
 	fb_ask_type type;
 	union {
@@ -217,6 +243,7 @@
 		fb_ask_append append;
 		fb_ask_stored stored;
 		fb_ask_write write;
+		fb_ask_order order;
 	} fb_ask_u;
 };
 typedef struct fb_ask fb_ask;
@@ -233,6 +260,7 @@
 	FB_TOLD_OWNERS = 9,
 	FB_TOLD_FENCED = 10,
 	FB_TOLD_SEQUENCE = 11,
+	FB_TOLD_ORDER = 12,
 };
 typedef enum fb_told_type fb_told_type;
 
@@ -265,6 +293,36 @@
 };
 typedef struct fb_told_owners fb_told_owners;
 
+struct fb_seen_run {
+	char *task;
+	u_int attempt;
+	char *checkpoint;
+};
+typedef struct fb_seen_run fb_seen_run;
+
+struct fb_seen_end {
+	u_quad_t number;
+	char *task;
+	u_int attempt;
+	u_int how;
+	char *checkpoint;
+};
+typedef struct fb_seen_end fb_seen_end;
+
+struct fb_told_order {
+	u_int result;
+	u_quad_t clock_ms;
+	struct {
+		u_int running_len;
+		fb_seen_run *running_val;
+	} running;
+	struct {
+		u_int finished_len;
+		fb_seen_end *finished_val;
+	} finished;
+};
+typedef struct fb_told_order fb_told_order;
+
 struct fb_told {
 	fb_told_type type;
 	union {
@@ -272,6 +330,7 @@
 		u_int pending;
 		fb_told_advice advice;
 		fb_told_owners owners;
+		fb_told_order order;
 	} fb_told_u;
 };
 typedef struct fb_told fb_told;
@@ -297,12 +356,17 @@
 extern  bool_t xdr_fb_ask_append (XDR *, fb_ask_append*);
 extern  bool_t xdr_fb_ask_write (XDR *, fb_ask_write*);
 extern  bool_t xdr_fb_ask_stored (XDR *, fb_ask_stored*);
+extern  bool_t xdr_fb_order_kind (XDR *, fb_order_kind*);
+extern  bool_t xdr_fb_ask_order (XDR *, fb_ask_order*);
 extern  bool_t xdr_fb_ask (XDR *, fb_ask*);
 extern  bool_t xdr_fb_told_type (XDR *, fb_told_type*);
 extern  bool_t xdr_fb_ticket (XDR *, fb_ticket*);
 extern  bool_t xdr_fb_told_advice (XDR *, fb_told_advice*);
 extern  bool_t xdr_fb_partition_owner (XDR *, fb_partition_owner*);
 extern  bool_t xdr_fb_told_owners (XDR *, fb_told_owners*);
+extern  bool_t xdr_fb_seen_run (XDR *, fb_seen_run*);
+extern  bool_t xdr_fb_seen_end (XDR *, fb_seen_end*);
+extern  bool_t xdr_fb_told_order (XDR *, fb_told_order*);
 extern  bool_t xdr_fb_told (XDR *, fb_told*);
 
 #else /* K&R C */
@@ -324,12 +388,17 @@
 extern bool_t xdr_fb_ask_append ();
 extern bool_t xdr_fb_ask_write ();
 extern bool_t xdr_fb_ask_stored ();
+extern bool_t xdr_fb_order_kind ();
+extern bool_t xdr_fb_ask_order ();
 extern bool_t xdr_fb_ask ();
 extern bool_t xdr_fb_told_type ();
 extern bool_t xdr_fb_ticket ();
 extern bool_t xdr_fb_told_advice ();
 extern bool_t xdr_fb_partition_owner ();
 extern bool_t xdr_fb_told_owners ();
+extern bool_t xdr_fb_seen_run ();
+extern bool_t xdr_fb_seen_end ();
+extern bool_t xdr_fb_told_order ();
 extern bool_t xdr_fb_told ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -12,6 +12,7 @@
 const FB_WORK_MAX_TICKETS = 128;
 const FB_WORK_MAX_WORKERS = 20000;
 const FB_WORK_MAX_RUNS = 256;
+const FB_WORK_MAX_SEEN = 4096;
 const FB_WORK_MAX_PARTITIONS = 4096;
 
 /* One step: COUNT equal tasks, each of the size given. */
@@ -116,7 +117,8 @@
   FB_ASK_APPEND = 4, /* append to the log for a daemon that it turns away */
   FB_ASK_STORED = 5, /* tells the owner of a record that is in the log */
   FB_ASK_OWNERS = 6, /* who owns which partition, as the log's group has it */
-  FB_ASK_WRITE = 7   /* append progress for an owner that the log turns away */
+  FB_ASK_WRITE = 7,  /* append progress for an owner that the log turns away */
+  FB_ASK_ORDER = 8   /* carry an order to a worker */
 };
 
 struct fb_ask_job {
@@ -158,6 +160,30 @@
   opaque value<>;
 };
 
+enum fb_order_kind {
+  FB_CARRY_START = 1,
+  FB_CARRY_STOP = 2,
+  FB_CARRY_LOOK = 3
+};
+
+/* An order of the owner of a pool, carried by the daemon asked.  What a kind does not need is
+ * empty or 0. */
+struct fb_ask_order {
+  fb_order_kind kind;
+  string worker<FB_WORK_MAX_NAME>;
+  string address<FB_WORK_MAX_NAME>;
+  unsigned hyper epoch;
+  string task<FB_WORK_MAX_NAME>;
+  unsigned int attempt;
+  string payload<FB_WORK_MAX_PAYLOAD>;
+  string checkpoint<FB_WORK_MAX_NAME>;
+  string ticket<FB_WORK_MAX_NAME>; /* "": none */
+  unsigned hyper deadline_ms;      /* on the worker's clock */
+  unsigned hyper acknowledged;
+  unsigned int wait_ms;   /* at the worker */
+  unsigned int answer_ms; /* given up when it has not answered so long after that */
+};
+
 union fb_ask switch (fb_ask_type type) {
 case FB_ASK_STATE: fb_ask_job job;
 case FB_ASK_PENDING: fb_ask_queue queue;
@@ -166,6 +192,7 @@
 case FB_ASK_STORED: fb_ask_stored stored;
 case FB_ASK_OWNERS: void;
 case FB_ASK_WRITE: fb_ask_write write;
+case FB_ASK_ORDER: fb_ask_order order;
 };
 
 enum fb_told_type {
@@ -179,7 +206,8 @@
   FB_TOLD_IN_DOUBT = 8,
   FB_TOLD_OWNERS = 9,
   FB_TOLD_FENCED = 10,  /* a higher epoch writes there */
-  FB_TOLD_SEQUENCE = 11 /* another sequence was expected */
+  FB_TOLD_SEQUENCE = 11, /* another sequence was expected */
+  FB_TOLD_ORDER = 12     /* what became of an order */
 };
 
 struct fb_ticket {
@@ -201,10 +229,33 @@
   fb_partition_owner owners<FB_WORK_MAX_PARTITIONS>;
 };
 
+struct fb_seen_run {
+  string task<FB_WORK_MAX_NAME>;
+  unsigned int attempt;
+  string checkpoint<FB_WORK_MAX_NAME>;
+};
+
+struct fb_seen_end {
+  unsigned hyper number;
+  string task<FB_WORK_MAX_NAME>;
+  unsigned int attempt;
+  unsigned int how; /* FbEndHow */
+  string checkpoint<FB_WORK_MAX_NAME>;
+};
+
+/* The lists are those of a look. */
+struct fb_told_order {
+  unsigned int result;     /* FbOrderResult */
+  unsigned hyper clock_ms; /* the worker's; 0: not told */
+  fb_seen_run running<FB_WORK_MAX_SEEN>;
+  fb_seen_end finished<FB_WORK_MAX_SEEN>;
+};
+
 union fb_told switch (fb_told_type type) {
 case FB_TOLD_STATE: fb_work_state state;
 case FB_TOLD_PENDING: unsigned int pending;
 case FB_TOLD_ADVICE: fb_told_advice advice;
 case FB_TOLD_OWNERS: fb_told_owners owners;
+case FB_TOLD_ORDER: fb_told_order order;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -5,6 +5,8 @@
  * call open leaves the call to free what it needs. */
 #pragma once
 
+#include "daemons.h"
+#include "hands.h"
 #include "links.h"
 #include "routes.h"
 #include "settings.h"
@@ -19,7 +21,6 @@
 #define FB_KEY_JOB 'j'
 #define FB_KEY_CANCEL 'c'
 
-typedef struct _FbEntry FbEntry;
 typedef struct _FbFollower FbFollower;
 typedef struct _FbAppender FbAppender;
 typedef struct _FbGroup FbGroup;
@@ -65,9 +66,6 @@
 void fb_appender_put (FbAppender *self, GByteArray *records, uint64_t give_up_ms, FbAppended done,
                       gpointer user);
 
-/* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
-typedef void (*FbTold) (gpointer user, const fb_told *told);
-
 /* ---- group: which partitions this daemon owns ------------------------------------- */
 
 FbGroup *fb_group_new (FbEntry *entry);
@@ -82,10 +80,11 @@
 void fb_group_refresh (FbGroup *self);
 /* Tells DONE the owners of all partitions, or UNSURE while the store does not answer here. */
 void fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user);
-/* Returns: (transfer container): addresses of all daemons that own something. */
+/* Returns: (transfer container): addresses of all daemons; of those that own something while the
+ * members are not known. */
 GPtrArray *fb_group_daemons (const FbGroup *self);
 /* EXCEPT: addresses; may be NULL.
- * Returns: (nullable): another daemon that owns something, drawn at random, borrowed. */
+ * Returns: (nullable): another daemon, drawn at random, borrowed. */
 const char *fb_group_any_peer (const FbGroup *self, GPtrArray *except);
 
 /* ---- owner: the pools of one partition ------------------------------------------------ */
@@ -157,6 +156,7 @@
   GHashTable *workers;         /* id -> FbListedWorker */
   GHashTable *skipped;         /* ids of entries that could not be read, told of already */
   GHashTable *relisted;        /* ids of the listing that is open; NULL: none is */
+  FbDaemons *daemons;
   FbGroup *group;
   FbAdvisor *advisor;
   GHashTable *owners;    /* partition -> FbOwner */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -213,6 +213,7 @@
   fb_event_log (FB_EVENT_PROCESS_DRAINING, "grace_ms=%u open=%u",
                 (guint) self->entry.settings->grace_ms, self->entry.open_calls);
   fb_entry_each_owner (&self->entry, fb_owner_quiesce);
+  fb_daemons_leave (self->entry.daemons);
   g_timeout_add (STOP_STEP_MS, on_stop_step, self);
   return G_SOURCE_CONTINUE;
 }
@@ -237,6 +238,7 @@
   self->appenders = g_hash_table_new (NULL, NULL);
   self->takes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   self->advisor = fb_advisor_new (self);
+  self->daemons = fb_daemons_new (self);
   self->group = fb_group_new (self);
   fb_entry_watch (self);
   fb_timer_subscribe (self->timer, TIMER_MS, tend_links, self);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -18,6 +18,8 @@
  * of all daemons that takes several rounds.  With 62 ms pools were settled 0.8 s after the
  * last start, with this 0.25 s. */
 #define JOIN_CHANGED_MS 30
+/* Pause while it is not known yet who the members are, some 10 ms after the start. */
+#define UNKNOWN_MS 10
 #define ANSWER_MS 500
 /* Failure: a store that was silent answers again, and callers are refused until a call that
  * is sent later has told so; with 0.5 s for a join it showed as 0.4 to 0.6 s of refusals more,
@@ -28,6 +30,8 @@
 /* Owners are asked for when the group changed, and this often all the same. */
 #define OWNERS_EVERY_MS 3000
 #define OWNERS_SOON_MS 200
+/* What the store has told is told to peers for so long: a read each OWNERS_EVERY_MS. */
+#define OWNERS_FRESH_MS 3800
 
 struct _FbGroup
 {
@@ -37,6 +41,7 @@
   uint64_t generation;
   uint64_t ok_sent_ms; /* when the last join that was answered had been sent */
   uint64_t join_sent_ms;
+  uint64_t owners_ms;   /* when the store last told the owners */
   guint probes_n;       /* joins since the store fell silent */
   GHashTable *owner_of; /* partition -> address */
   uint64_t owners_generation;
@@ -151,6 +156,7 @@
   g_array_set_clear_func (owners, fb_partition_owner_clear);
   if (fb_wire_owners_told (reply, owners))
     {
+      self->owners_ms = fb_clock_ms ();
       take_owners (self, owners);
       dismiss_predecessors (self, owners);
     }
@@ -191,7 +197,7 @@
 fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user)
 {
   fb_told told = { .type = FB_TOLD_UNSURE };
-  if (!fb_group_is_member (self, fb_clock_ms ()) || self->owners_generation == 0)
+  if (fb_clock_ms () > self->owners_ms + OWNERS_FRESH_MS || self->owners_generation == 0)
     {
       done (user, &told);
       return;
@@ -221,6 +227,11 @@
 fb_group_daemons (const FbGroup *self)
 {
   GPtrArray *daemons = g_ptr_array_new ();
+  const GPtrArray *members = fb_daemons_all (self->entry->daemons);
+  for (guint i = 0; i < members->len; i++)
+    g_ptr_array_add (daemons, ((FbDaemon *) members->pdata[i])->address);
+  if (daemons->len > 0)
+    return daemons;
   g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer address;
@@ -296,6 +307,35 @@
   ask_owners (self, now_ms);
 }
 
+static void
+on_stayed_out (gpointer data, const FbHttpReply *reply)
+{
+  (void) data;
+  (void) reply; /* without an answer its time to live runs out */
+}
+
+/* The pool of a service is decided by one daemon, so it is left to those with the most
+ * processor.  On a site of 0.5 and 0.12 of a core one of the latter got the pool of 350 workers
+ * in four of five cases, and was out of processor after 4 s. */
+static void
+stay_out (FbGroup *self)
+{
+  if (self->ok_sent_ms != 0)
+    {
+      g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+      fb_entry_own (self->entry, none, self->generation);
+      FbHttpCall call;
+      fb_wire_leave (&call, self->entry->settings->store, GROUP, self->member);
+      fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_stayed_out, self);
+      fb_http_call_clear (&call);
+      self->ok_sent_ms = 0;
+      self->generation = 0;
+    }
+  ask_owners (self, fb_clock_ms ());
+  guint again_ms = fb_daemons_known (self->entry->daemons) ? JOIN_EVERY_MS : UNKNOWN_MS;
+  self->timer = g_timeout_add (again_ms, join, self);
+}
+
 static guint
 join_patience_ms (FbGroup *self)
 {
@@ -308,9 +348,15 @@
 {
   FbGroup *self = data;
   self->timer = 0;
+  if (!fb_daemons_known (self->entry->daemons) || !fb_daemons_is_strong (self->entry->daemons))
+    {
+      stay_out (self);
+      return G_SOURCE_REMOVE;
+    }
+  static const char *const topics[] = { FB_TOPIC_JOBS, NULL };
   FbHttpCall call;
-  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, FB_TOPIC_JOBS,
-                self->ttl_ms, self->generation);
+  fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, topics, self->ttl_ms,
+                self->generation);
   self->join_sent_ms = fb_clock_ms ();
   fb_http_client_exchange (self->entry->store_client, &call, join_patience_ms (self), on_joined,
                            self);
--- /dev/null
+++ b/src/entry/hands.c
@@ -0,0 +1,269 @@
+/* Orders that other daemons carry to workers for the owner of a pool.
+ *
+ * One daemon decides for a service, and what it decides is cheap; the calls to workers are not:
+ * each takes a request, a parse of its answer and several system calls.  So each worker has a
+ * daemon of its own failure domain that carries the owner's orders to it, chosen by rendezvous
+ * hashing weighted by processor, and the owner sends and hears frames of a few hundred bytes.
+ *
+ * The carrier decides nothing and repeats nothing.  An order that it delays is as one that the
+ * network delays: it carries the owner's epoch and a deadline on the worker's clock.
+ *
+ * Failure: a carrier dies, freezes or is cut off; it shows as workers of one domain that seem
+ * silent together.  Guard: what was certainly not sent to it is carried by the owner itself, a
+ * carrier that does not answer rests, and its workers go to the next one. */
+#include "hands.h"
+
+#include "entry-private.h"
+
+#include "fb-event.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A carrier that did not answer gets nothing for so long. */
+#define REST_MS 3000
+/* On top of an order's own time limit: the way to the carrier and back. */
+#define WAY_MS 150
+/* For an order that is not a look.  An answered one takes a few ms; a worker that hangs should
+ * not hold up its caller for long. */
+#define ORDER_MS 600
+
+/* ---- choosing ------------------------------------------------------------------- */
+
+/* Weighted rendezvous: each member's chance is its share of the processor, and when one leaves only
+ * its workers move. */
+static double
+weight_of (const FbDaemon *member, const char *worker)
+{
+  uint64_t hash
+      = XXH64 (worker, strlen (worker), XXH64 (member->address, strlen (member->address), 0));
+  double part = ((double) (hash >> 11) + 1) / ((double) (1ULL << 53) + 2); /* in (0, 1) */
+  return (double) MAX (member->cpu_milli, 1) / -log (part);
+}
+
+const FbDaemon *
+fb_hands_choose (const GPtrArray *members, const char *domain, const char *worker, const char *but,
+                 uint64_t now_ms)
+{
+  const FbDaemon *best = NULL;
+  double best_weight = 0;
+  for (guint i = 0; i < members->len; i++)
+    {
+      const FbDaemon *member = members->pdata[i];
+      if (now_ms < member->rests_ms || !g_str_equal (member->domain, domain)
+          || g_str_equal (member->address, but))
+        continue;
+      double weight = weight_of (member, worker);
+      if (best == NULL || weight > best_weight)
+        {
+          best = member;
+          best_weight = weight;
+        }
+    }
+  return best;
+}
+
+const char *
+fb_hands_for (FbEntry *entry, const char *worker)
+{
+  const FbListedWorker *listed = g_hash_table_lookup (entry->workers, worker);
+  if (listed == NULL)
+    return NULL;
+  const FbDaemon *member = fb_hands_choose (fb_daemons_all (entry->daemons), listed->domain, worker,
+                                            entry->settings->peers, fb_clock_ms ());
+  return member != NULL ? member->address : NULL;
+}
+
+/* ---- asking ----------------------------------------------------------------------- */
+
+typedef struct
+{
+  FbEntry *entry;
+  char *daemon;
+  FbHandsDone done;
+  gpointer user;
+} Carried;
+
+static void
+on_told (gpointer data, const fb_told *told)
+{
+  Carried *carried = data;
+  gboolean answered = told != NULL && told->type == FB_TOLD_ORDER;
+  if (!answered)
+    {
+      fb_event_log (FB_EVENT_CALL_FAILED, "order by daemon=%s lost=%d", carried->daemon,
+                    told == NULL);
+      fb_daemons_rest (carried->entry->daemons, carried->daemon, fb_clock_ms () + REST_MS);
+    }
+  if (answered)
+    carried->done (carried->user, FB_HANDS_ANSWERED, &told->fb_told_u.order);
+  else
+    carried->done (carried->user, told != NULL ? FB_HANDS_NOT_CARRIED : FB_HANDS_LOST, NULL);
+  g_free (carried->daemon);
+  g_free (carried);
+}
+
+void
+fb_hands_carry (FbEntry *entry, const char *daemon, const fb_ask_order *order, FbHandsDone done,
+                gpointer user)
+{
+  Carried *carried = g_new0 (Carried, 1);
+  carried->entry = entry;
+  carried->daemon = g_strdup (daemon);
+  carried->done = done;
+  carried->user = user;
+  fb_ask ask = { .type = FB_ASK_ORDER };
+  ask.fb_ask_u.order = *order;
+  uint32_t limit_ms = order->kind == FB_CARRY_LOOK ? order->wait_ms + order->answer_ms : ORDER_MS;
+  fb_peers_ask (entry, daemon, &ask, limit_ms + WAY_MS, on_told, carried);
+}
+
+/* ---- carrying ------------------------------------------------------------------------ */
+
+typedef struct
+{
+  FbTold done;
+  gpointer user;
+  fb_order_kind kind;
+} Order;
+
+/* ROWS and ENDS borrow from ANSWER. */
+static void
+tell_look (const FbLookAnswer *answer, fb_told_order *told, fb_seen_run *rows, fb_seen_end *ends)
+{
+  for (guint i = 0; i < answer->running->len; i++)
+    {
+      const FbRunSeen *run = &g_array_index (answer->running, FbRunSeen, i);
+      rows[i] = (fb_seen_run){ run->task, run->attempt, run->checkpoint };
+    }
+  for (guint i = 0; i < answer->finished->len; i++)
+    {
+      const FbEndSeen *end = &g_array_index (answer->finished, FbEndSeen, i);
+      ends[i] = (fb_seen_end){ end->number, end->task, end->attempt, end->how, end->checkpoint };
+    }
+  told->running.running_len = answer->running->len;
+  told->running.running_val = rows;
+  told->finished.finished_len = answer->finished->len;
+  told->finished.finished_val = ends;
+}
+
+static void
+on_look_reply (Order *order, const FbHttpReply *reply)
+{
+  FbLookAnswer answer;
+  fb_wire_look_answer (reply, &answer);
+  fb_told told = { .type = FB_TOLD_ORDER };
+  fb_told_order *mine = &told.fb_told_u.order;
+  mine->result = answer.result;
+  mine->clock_ms = answer.clock_ms;
+  guint runs_n = answer.running != NULL ? answer.running->len : 0;
+  guint ends_n = answer.finished != NULL ? answer.finished->len : 0;
+  g_autofree fb_seen_run *rows = g_new0 (fb_seen_run, runs_n + 1);
+  g_autofree fb_seen_end *ends = g_new0 (fb_seen_end, ends_n + 1);
+  if (answer.result == FB_ORDER_DONE)
+    tell_look (&answer, mine, rows, ends);
+  order->done (order->user, &told);
+  fb_look_answer_clear (&answer);
+}
+
+static void
+on_reply (gpointer data, const FbHttpReply *reply)
+{
+  Order *order = data;
+  if (order->kind == FB_CARRY_LOOK)
+    on_look_reply (order, reply);
+  else
+    {
+      fb_told told = { .type = FB_TOLD_ORDER };
+      uint64_t clock_ms = 0;
+      told.fb_told_u.order.result = fb_wire_order_result (reply, &clock_ms);
+      told.fb_told_u.order.clock_ms = clock_ms;
+      order->done (order->user, &told);
+    }
+  g_free (order);
+}
+
+void
+fb_hands_serve (FbEntry *entry, const fb_ask_order *ask, FbTold done, gpointer user)
+{
+  Order *order = g_new0 (Order, 1);
+  order->done = done;
+  order->user = user;
+  order->kind = ask->kind;
+  FbHttpCall call;
+  uint32_t limit_ms = fb_hands_call (&call, ask);
+  fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_reply, order);
+  fb_http_call_clear (&call);
+}
+
+uint32_t
+fb_hands_call (FbHttpCall *call, const fb_ask_order *order)
+{
+  switch (order->kind)
+    {
+    case FB_CARRY_START:
+      {
+        const FbStartOrder start = { .worker = order->worker,
+                                     .address = order->address,
+                                     .epoch = order->epoch,
+                                     .task = order->task,
+                                     .attempt = order->attempt,
+                                     .payload = order->payload,
+                                     .checkpoint = order->checkpoint,
+                                     .ticket = *order->ticket != '\0' ? order->ticket : NULL,
+                                     .deadline_ms = order->deadline_ms };
+        fb_wire_start (call, &start);
+        return ORDER_MS;
+      }
+    case FB_CARRY_STOP:
+      {
+        const FbStopOrder stop = { .worker = order->worker,
+                                   .address = order->address,
+                                   .epoch = order->epoch,
+                                   .task = order->task,
+                                   .attempt = order->attempt };
+        fb_wire_stop (call, &stop);
+        return ORDER_MS;
+      }
+    case FB_CARRY_LOOK:
+      break;
+    }
+  const FbLookOrder look = { .worker = order->worker,
+                             .address = order->address,
+                             .epoch = order->epoch,
+                             .acknowledged = order->acknowledged,
+                             .deadline_ms = order->deadline_ms,
+                             .wait_ms = order->wait_ms,
+                             .answer_ms = order->answer_ms };
+  fb_wire_look (call, &look);
+  return order->wait_ms + order->answer_ms;
+}
+
+void
+fb_hands_look_answer (const fb_told_order *told, FbLookAnswer *answer)
+{
+  *answer = (FbLookAnswer){ .result = (FbOrderResult) MIN (told->result, FB_ORDER_UNKNOWN),
+                            .clock_ms = told->clock_ms };
+  if (answer->result != FB_ORDER_DONE)
+    return;
+  answer->running = g_array_sized_new (FALSE, TRUE, sizeof (FbRunSeen), told->running.running_len);
+  answer->finished
+      = g_array_sized_new (FALSE, TRUE, sizeof (FbEndSeen), told->finished.finished_len);
+  for (u_int i = 0; i < told->running.running_len; i++)
+    {
+      const fb_seen_run *row = &told->running.running_val[i];
+      FbRunSeen run = { .task = row->task, .attempt = row->attempt, .checkpoint = row->checkpoint };
+      g_array_append_val (answer->running, run);
+    }
+  for (u_int i = 0; i < told->finished.finished_len; i++)
+    {
+      const fb_seen_end *row = &told->finished.finished_val[i];
+      FbEndSeen end = { .number = row->number,
+                        .task = row->task,
+                        .attempt = row->attempt,
+                        .how = (FbEndHow) MIN (row->how, FB_END_ALONE),
+                        .checkpoint = row->checkpoint };
+      g_array_append_val (answer->finished, end);
+    }
+}
--- a/src/entry/owner-orders.c
+++ b/src/entry/owner-orders.c
@@ -6,17 +6,6 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
-/* An answered order takes a few ms; a worker that hangs should not hold up its
- * caller for long. */
-#define ORDER_MS 600
-
-typedef enum
-{
-  ORDER_START,
-  ORDER_STOP,
-  ORDER_LOOK
-} OrderKind;
-
 typedef struct
 {
   FbEntry *entry;
@@ -25,12 +14,12 @@
   char *service;
   char *worker;
   uint64_t order;
-  OrderKind kind;
+  fb_order_kind kind;
   uint64_t sent_ms;
 } Order;
 
 static Order *
-order_new (const FbOwnerPart *part, const char *worker, uint64_t id, OrderKind kind)
+order_new (const FbOwnerPart *part, const char *worker, uint64_t id, fb_order_kind kind)
 {
   Order *order = g_new0 (Order, 1);
   order->entry = part->owner->entry;
@@ -62,80 +51,139 @@
 }
 
 static void
-take_look (FbOwnerPart *part, const Order *order, const FbHttpReply *reply)
+take_answer (FbOwnerPart *part, const Order *order, const FbLookAnswer *answer)
 {
-  FbLookAnswer answer;
-  fb_wire_look_answer (reply, &answer);
-  fb_pool_look_answered (part->pool, order->worker, &answer, fb_clock_ms (), fb_clock_wall_ms ());
-  fb_look_answer_clear (&answer);
+  uint64_t now_ms = fb_clock_ms ();
+  if (order->kind == FB_CARRY_LOOK)
+    fb_pool_look_answered (part->pool, order->worker, answer, now_ms, fb_clock_wall_ms ());
+  else if (order->kind == FB_CARRY_START)
+    fb_pool_start_answered (part->pool, order->order, answer->result, answer->clock_ms, now_ms);
+  else
+    fb_pool_stop_answered (part->pool, order->order, answer->result, answer->clock_ms, now_ms);
 }
 
+/* What became of ORDER, which ends here. */
 static void
-take_result (FbOwnerPart *part, const Order *order, const FbHttpReply *reply)
+finish (Order *order, const FbLookAnswer *answer)
 {
-  uint64_t clock_ms = 0;
-  FbOrderResult result = fb_wire_order_result (reply, &clock_ms);
-  if (order->kind == ORDER_START)
-    fb_pool_start_answered (part->pool, order->order, result, clock_ms, fb_clock_ms ());
-  else
-    fb_pool_stop_answered (part->pool, order->order, result, clock_ms, fb_clock_ms ());
+  FbOwnerPart *part = part_of_order (order);
+  if (order->kind != FB_CARRY_LOOK)
+    fb_histogram_add (FB_HISTOGRAM_ORDER, fb_clock_ms () - order->sent_ms);
+  if (part != NULL)
+    {
+      take_answer (part, order, answer);
+      fb_owner_kick (part->owner);
+    }
+  order_free (order);
+}
+
+static void
+log_failed (const Order *order, int status, gboolean sent)
+{
+  fb_counter_add (FB_COUNTER_WORKER_ERRORS, 1);
+  fb_event_log (FB_EVENT_CALL_FAILED, "worker=%s kind=%d status=%d sent=%d after_ms=%u",
+                order->worker, order->kind, status, sent,
+                (guint) (fb_clock_ms () - order->sent_ms));
 }
 
 static void
 on_order_reply (gpointer data, const FbHttpReply *reply)
 {
   Order *order = data;
-  FbOwnerPart *part = part_of_order (order);
+  FbLookAnswer answer = { 0 };
   if (reply->status != FB_HTTP_OK)
-    {
-      fb_counter_add (FB_COUNTER_WORKER_ERRORS, 1);
-      fb_event_log (FB_EVENT_CALL_FAILED, "worker=%s kind=%d status=%d sent=%d after_ms=%u",
-                    order->worker, order->kind, reply->status, reply->sent,
-                    (guint) (fb_clock_ms () - order->sent_ms));
-    }
-  if (order->kind != ORDER_LOOK)
-    fb_histogram_add (FB_HISTOGRAM_ORDER, fb_clock_ms () - order->sent_ms);
-  if (part != NULL && order->kind == ORDER_LOOK)
-    take_look (part, order, reply);
-  else if (part != NULL)
-    take_result (part, order, reply);
-  if (part != NULL)
-    fb_owner_kick (part->owner);
-  order_free (order);
+    log_failed (order, reply->status, reply->sent);
+  if (order->kind == FB_CARRY_LOOK)
+    fb_wire_look_answer (reply, &answer);
+  else
+    answer.result = fb_wire_order_result (reply, &answer.clock_ms);
+  finish (order, &answer);
+  fb_look_answer_clear (&answer);
+}
+
+static void
+call_worker (FbEntry *entry, const fb_ask_order *ask, Order *order)
+{
+  FbHttpCall call;
+  uint32_t limit_ms = fb_hands_call (&call, ask);
+  fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_order_reply, order);
+  fb_http_call_clear (&call);
 }
 
 static void
-send_order (const FbOwnerPart *part, FbHttpCall *call, guint timeout_ms, Order *order)
+on_carried (gpointer data, FbHandsResult result, const fb_told_order *told)
 {
+  Order *order = data;
+  FbLookAnswer answer
+      = { .result = result == FB_HANDS_LOST ? FB_ORDER_UNKNOWN : FB_ORDER_NOT_DONE };
+  if (result == FB_HANDS_ANSWERED)
+    fb_hands_look_answer (told, &answer);
+  if (answer.result == FB_ORDER_UNKNOWN || result != FB_HANDS_ANSWERED)
+    log_failed (order, (int) result, result != FB_HANDS_NOT_CARRIED);
+  finish (order, &answer);
+  fb_look_answer_clear (&answer);
+}
+
+static void
+send_order (const FbOwnerPart *part, const fb_ask_order *ask, uint64_t id)
+{
+  FbEntry *entry = part->owner->entry;
+  Order *order = order_new (part, ask->worker, id, ask->kind);
+  const char *carrier = fb_hands_for (entry, ask->worker);
   fb_counter_add (FB_COUNTER_WORKER_SYNCS, 1);
-  fb_http_client_exchange (part->owner->entry->worker_client, call, timeout_ms, on_order_reply,
-                           order);
-  fb_http_call_clear (call);
+  if (carrier != NULL)
+    fb_hands_carry (entry, carrier, ask, on_carried, order);
+  else
+    call_worker (entry, ask, order);
 }
 
 static void
 sink_start (gpointer user, const FbStartOrder *order)
 {
-  FbHttpCall call;
-  fb_wire_start (&call, order);
-  send_order (user, &call, ORDER_MS, order_new (user, order->worker, order->order, ORDER_START));
+  const fb_ask_order ask = { .kind = FB_CARRY_START,
+                             .worker = (char *) order->worker,
+                             .address = (char *) order->address,
+                             .epoch = order->epoch,
+                             .task = (char *) order->task,
+                             .attempt = order->attempt,
+                             .payload = (char *) order->payload,
+                             .checkpoint = (char *) order->checkpoint,
+                             .ticket = (char *) (order->ticket != NULL ? order->ticket : ""),
+                             .deadline_ms = order->deadline_ms };
+  send_order (user, &ask, order->order);
 }
 
 static void
 sink_stop (gpointer user, const FbStopOrder *order)
 {
-  FbHttpCall call;
-  fb_wire_stop (&call, order);
-  send_order (user, &call, ORDER_MS, order_new (user, order->worker, order->order, ORDER_STOP));
+  const fb_ask_order ask = { .kind = FB_CARRY_STOP,
+                             .worker = (char *) order->worker,
+                             .address = (char *) order->address,
+                             .epoch = order->epoch,
+                             .task = (char *) order->task,
+                             .attempt = order->attempt,
+                             .payload = "",
+                             .checkpoint = "",
+                             .ticket = "" };
+  send_order (user, &ask, order->order);
 }
 
 static void
 sink_look (gpointer user, const FbLookOrder *order)
 {
-  FbHttpCall call;
-  fb_wire_look (&call, order);
-  send_order (user, &call, order->wait_ms + order->answer_ms,
-              order_new (user, order->worker, 0, ORDER_LOOK));
+  const fb_ask_order ask = { .kind = FB_CARRY_LOOK,
+                             .worker = (char *) order->worker,
+                             .address = (char *) order->address,
+                             .epoch = order->epoch,
+                             .task = "",
+                             .payload = "",
+                             .checkpoint = "",
+                             .ticket = "",
+                             .deadline_ms = order->deadline_ms,
+                             .acknowledged = order->acknowledged,
+                             .wait_ms = order->wait_ms,
+                             .answer_ms = order->answer_ms };
+  send_order (user, &ask, 0);
 }
 
 static gboolean
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -232,6 +232,8 @@
 {
   static const fb_told unsure = { .type = FB_TOLD_UNSURE };
   g_autoptr (GBytes) body = fb_codec_encode_told (told != NULL ? told : &unsure);
+  if (body == NULL) /* more than one answer holds */
+    body = fb_codec_encode_told (&unsure);
   fb_link_call_answer (data, body);
 }
 
@@ -326,6 +328,9 @@
     case FB_ASK_OWNERS:
       fb_group_tell_owners (entry->group, on_answer_ready, answer);
       return;
+    case FB_ASK_ORDER:
+      fb_hands_serve (entry, &ask->fb_ask_u.order, on_answer_ready, answer);
+      return;
     case FB_ASK_STORED:
       take_stored (entry, &ask->fb_ask_u.stored);
       break;
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -7,11 +7,13 @@
 
 #define NAME_MAX_LEN 128
 #define PARTITIONS_MAX 65536
+#define CPU_MILLI_DEFAULT 1000
 
 static const FbIniField daemon_fields[]
     = { { "name", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, name) },
         { "domain", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
           offsetof (FbEntrySettings, domain) },
+        { "cpu", FB_INI_CPU, FALSE, 0, 0, NULL, offsetof (FbEntrySettings, cpu_milli) },
         { "grace", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, grace_ms) },
         { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
@@ -111,6 +113,7 @@
   if (keys == NULL)
     return NULL;
   FbEntrySettings *self = g_new0 (FbEntrySettings, 1);
+  self->cpu_milli = CPU_MILLI_DEFAULT;
   if (read_groups (keys, path, self))
     return self;
   fb_entry_settings_free (self);
--- a/standins/standin-platform-group.c
+++ b/standins/standin-platform-group.c
@@ -1,4 +1,5 @@
-/* The store's group: its members share the partitions evenly, in the order of their joining. */
+/* The store's groups: the members of each share the partitions evenly, in the order of their
+ * joining.  All topics of a group are dealt alike, so one is told of. */
 #include "standin-platform.h"
 
 typedef struct
@@ -8,14 +9,33 @@
   gint64 ttl_ms;
 } Member;
 
-static GPtrArray *members; /* of Member */
-static guint64 generation = 1;
+typedef struct
+{
+  GPtrArray *members; /* of Member */
+  guint64 generation;
+} Group;
+
+static GHashTable *groups; /* name -> Group */
 static gboolean patient;
 
 void
 sp_group_init (void)
 {
-  members = g_ptr_array_new ();
+  groups = g_hash_table_new (g_str_hash, g_str_equal);
+}
+
+static Group *
+group_of (const char *name)
+{
+  Group *group = g_hash_table_lookup (groups, name);
+  if (group == NULL)
+    {
+      group = g_new0 (Group, 1);
+      group->members = g_ptr_array_new ();
+      group->generation = 1;
+      g_hash_table_insert (groups, g_strdup (name), group);
+    }
+  return group;
 }
 
 void
@@ -25,43 +45,43 @@
 }
 
 static void
-drop_member (guint i)
+drop_member (Group *group, guint i)
 {
-  Member *member = members->pdata[i];
-  g_ptr_array_remove_index (members, i);
+  Member *member = group->members->pdata[i];
+  g_ptr_array_remove_index (group->members, i);
   g_free (member->name);
   g_free (member);
-  generation++;
+  group->generation++;
 }
 
 static void
-drop_silent_members (void)
+drop_silent_members (Group *group)
 {
-  for (guint i = members->len; i > 0; i--)
+  for (guint i = group->members->len; i > 0; i--)
     {
-      const Member *member = members->pdata[i - 1];
+      const Member *member = group->members->pdata[i - 1];
       if (!patient && sp_now_ms () > member->seen_ms + member->ttl_ms)
-        drop_member (i - 1);
+        drop_member (group, i - 1);
     }
 }
 
 static const char *
-owner_of (guint partition)
+owner_of (const Group *group, guint partition)
 {
-  if (members->len == 0)
+  if (group->members->len == 0)
     return NULL;
-  return ((Member *) members->pdata[partition % members->len])->name;
+  return ((Member *) group->members->pdata[partition % group->members->len])->name;
 }
 
 static Member *
-find_member (const char *name, guint *at)
+find_member (const Group *group, const char *name, guint *at)
 {
-  for (guint i = 0; i < members->len; i++)
+  for (guint i = 0; i < group->members->len; i++)
     {
-      if (!g_str_equal (((Member *) members->pdata[i])->name, name))
+      if (!g_str_equal (((Member *) group->members->pdata[i])->name, name))
         continue;
       *at = i;
-      return members->pdata[i];
+      return group->members->pdata[i];
     }
   return NULL;
 }
@@ -70,24 +90,25 @@
 serve_join (SoupServerMessage *message, JsonObject *body)
 {
   const char *name = json_object_get_string_member (body, "member");
+  Group *group = group_of (json_object_get_string_member (body, "group"));
   guint at = 0;
-  drop_silent_members ();
-  Member *member = find_member (name, &at);
+  drop_silent_members (group);
+  Member *member = find_member (group, name, &at);
   if (member == NULL)
     {
       member = g_new0 (Member, 1);
       member->name = g_strdup (name);
-      g_ptr_array_add (members, member);
-      generation++;
+      g_ptr_array_add (group->members, member);
+      group->generation++;
     }
   member->seen_ms = sp_now_ms ();
   member->ttl_ms = json_object_get_int_member (body, "ttl-ms");
   GString *out = g_string_new (NULL);
-  g_string_printf (out, "{\"generation\":%" G_GUINT64_FORMAT ",\"parts\":[", generation);
+  g_string_printf (out, "{\"generation\":%" G_GUINT64_FORMAT ",\"parts\":[", group->generation);
   gboolean first = TRUE;
   for (guint i = 0; i < SP_PARTITIONS; i++)
     {
-      if (!g_str_equal (owner_of (i), name))
+      if (!g_str_equal (owner_of (group, i), name))
         continue;
       g_string_append_printf (out, "%s[\"keyed.jobs\",%u,0]", first ? "" : ",", i);
       first = FALSE;
@@ -100,30 +121,32 @@
 static void
 serve_leave (SoupServerMessage *message, JsonObject *body)
 {
+  Group *group = group_of (json_object_get_string_member (body, "group"));
   guint at = 0;
-  if (find_member (json_object_get_string_member (body, "member"), &at) != NULL)
-    drop_member (at);
+  if (find_member (group, json_object_get_string_member (body, "member"), &at) != NULL)
+    drop_member (group, at);
   sp_reply (message, 200, "{}");
 }
 
 static void
-serve_owners (SoupServerMessage *message)
+serve_owners (SoupServerMessage *message, const char *name)
 {
-  drop_silent_members ();
+  Group *group = group_of (name != NULL ? name : "");
+  drop_silent_members (group);
   GString *out = g_string_new ("{\"owners\":[");
-  for (guint i = 0; i < SP_PARTITIONS && members->len > 0; i++)
+  for (guint i = 0; i < SP_PARTITIONS && group->members->len > 0; i++)
     g_string_append_printf (out, "%s[\"keyed.jobs\",%u,\"%s\",0]", i > 0 ? "," : "", i,
-                            owner_of (i));
+                            owner_of (group, i));
   g_string_append (out, "]}");
   sp_reply (message, 200, out->str);
   g_string_free (out, TRUE);
 }
 
 gboolean
-sp_group_serve (SoupServerMessage *message, const char *path, JsonObject *body)
+sp_group_serve (SoupServerMessage *message, const char *path, GHashTable *query, JsonObject *body)
 {
   if (g_str_equal (path, "/api/log-owners"))
-    serve_owners (message);
+    serve_owners (message, query != NULL ? g_hash_table_lookup (query, "group") : NULL);
   else if (g_str_equal (path, "/api/log-join") && body != NULL)
     serve_join (message, body);
   else if (g_str_equal (path, "/api/log-leave") && body != NULL)
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -80,7 +80,8 @@
     soup_server_message_pause (g_object_ref (message)); /* never answered */
   else if (outage)
     sp_reply (message, 503, "{}");
-  else if (!sp_store_serve (message, path, query, bytes) && !sp_group_serve (message, path, body))
+  else if (!sp_store_serve (message, path, query, bytes)
+           && !sp_group_serve (message, path, query, body))
     sp_reply (message, 404, "{}");
 }
 
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -41,7 +41,8 @@
 /* PATIENT: silent members stay. */
 void sp_group_set_patient (gboolean patient);
 /* Returns: FALSE when PATH is none of its. */
-gboolean sp_group_serve (SoupServerMessage *message, const char *path, JsonObject *body);
+gboolean sp_group_serve (SoupServerMessage *message, const char *path, GHashTable *query,
+                         JsonObject *body);
 
 /* ---- workers, and what really ran: standin-platform-workers.c ---------------------- */
 
