Name workers with room first when a pool has more than one question holds

Cause: a question for advice names at most 100 workers, and each named the first 100 of the 350: the others got work only when these were full, and answers told of workers without room. Change: workers that have a place now come first (for gangs the emptiest), a draw by step and worker decides between equals. Steps whose kind of question no daemon could take in this round are passed over without going through the workers.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -284,6 +284,7 @@
   GPtrArray *opened;      /* of FbPoolWorker that took more room since the last round; borrowed */
   GPtrArray *waiting;     /* of FbPoolStep with tasks that wait, in their order; borrowed */
   GPtrArray *fresh;       /* of FbPoolStep that are not sorted into these yet; borrowed */
+  uint32_t asked_in_vain; /* kinds of questions that no daemon could take in this round */
   uint64_t round;         /* counts the rounds of placing */
   GHashTable *timed;      /* set of FbPoolJob of which something comes due; borrowed */
   GHashTable *chained;    /* set of FbPoolJob with steps that wait for others; borrowed */
@@ -441,6 +442,8 @@
 
 /* What cannot change while the worker lives: its size and labels. */
 gboolean fb_pool_could_ever_run (const FbPoolWorker *worker, const fb_work_step *shape);
+/* The parts of WORKER that are free, added up: more is emptier. */
+double fb_pool_free_shares (const FbPoolWorker *worker);
 /* All but the ticket: it takes work, and has room and the right to it. */
 gboolean fb_pool_has_place (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms);
 /* TRUE when it takes work at all. */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -10,28 +10,76 @@
 
 #include "fb-event.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* On top of what a decision takes: the way, and its wait behind another. */
 #define HOLD_SLACK_MS 400
 /* What could give way is gone through this often for a step: it is every run of the pool. */
 #define ROOM_EVERY_MS 100
 
-/* All that could ever run the step, if none was named before; else those that were never
- * named and have a place now. */
+typedef struct
+{
+  const FbPoolWorker *worker;
+  double room;   /* it has a place now: more is better; 0: it has none */
+  uint64_t draw; /* decides between equals, another way for each step */
+} Candidate;
+
+static gint
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = a;
+  const Candidate *y = b;
+  if (x->room != y->room)
+    return x->room > y->room ? -1 : 1;
+  return (x->draw > y->draw) - (x->draw < y->draw);
+}
+
+static gboolean
+can_be_named (const FbPoolWorker *worker, const FbPoolStep *step)
+{
+  return worker->listed && !worker->draining && !worker->gone
+         && fb_pool_could_ever_run (worker, step->shape) && fb_pool_ruling (step, worker) == NULL;
+}
+
+/* Members of a gang need whole workers, so the emptiest come first; single tasks are spread over
+ * all that have a place. */
+static double
+room_of (const FbPoolWorker *worker, const FbPoolStep *step, uint64_t now_ms)
+{
+  if (!fb_pool_has_place (worker, step, now_ms))
+    return 0;
+  return step->shape->gang ? 1 + fb_pool_free_shares (worker) : 1;
+}
+
+/* Workers that were never named for STEP: for the first question all that could ever run it, later
+ * only those with a place now.  A question names at most FB_POOL_ADVICE_MAX.
+ *
+ * Failure: a pool has more workers than one question names, and each question names the same
+ * ones; it shows as a third of the workers with all the work and steps that wait beside idle
+ * ones.  Guard: those with room come first, and a draw by step and worker decides between equals.
+ */
 static GPtrArray *
 never_asked (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
-  GPtrArray *ids = g_ptr_array_new ();
-  gboolean first = !step->ruled;
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  uint64_t seed = XXH64 (step->job->id, strlen (step->job->id), step->index);
   guint slot = 0;
-  FbPoolWorker *worker = NULL;
-  while (ids->len < FB_POOL_ADVICE_MAX && (worker = fb_pool_roster_next (self, &slot)) != NULL)
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      if (!worker->listed || worker->draining || worker->gone
-          || !fb_pool_could_ever_run (worker, step->shape) || fb_pool_ruling (step, worker) != NULL)
+      if (!can_be_named (worker, step))
         continue;
-      if (first || fb_pool_has_place (worker, step, now_ms))
-        g_ptr_array_add (ids, worker->id);
+      const Candidate candidate = { worker, room_of (worker, step, now_ms),
+                                    XXH64 (&worker->rank, sizeof worker->rank, seed) };
+      if (!step->ruled || candidate.room > 0)
+        g_array_append_val (candidates, candidate);
     }
+  if (candidates->len > FB_POOL_ADVICE_MAX)
+    g_array_sort (candidates, compare_candidates);
+  GPtrArray *ids = g_ptr_array_new ();
+  for (guint i = 0; i < MIN (candidates->len, FB_POOL_ADVICE_MAX); i++)
+    g_ptr_array_add (ids, g_array_index (candidates, Candidate, i).worker->id);
   return ids;
 }
 
@@ -97,6 +145,13 @@
   return step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS;
 }
 
+/* Questions that take about as long as one about STEP. */
+static uint32_t
+kind_of_question (const FbPoolStep *step)
+{
+  return 1U << MIN (g_bit_storage ((gulong) takes_ms (step, 1)), 31U);
+}
+
 /* Returns: FALSE when no daemon can take a question now. */
 static gboolean
 send_question (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
@@ -105,7 +160,10 @@
   uint32_t expected_ms = (uint32_t) takes_ms (step, ids->len);
   if (!self->sink->advise (self->user, name, (const char *const *) ids->pdata, ids->len,
                            expected_ms))
-    return FALSE;
+    {
+      self->asked_in_vain |= kind_of_question (step);
+      return FALSE;
+    }
   step->advice_sent_ms = now_ms;
   return TRUE;
 }
@@ -121,6 +179,9 @@
     }
   if (question_open (step, now_ms))
     return TRUE;
+  /* What to ask costs a pass over the workers, for each of hundreds of steps that wait. */
+  if (self->asked_in_vain & kind_of_question (step))
+    return FALSE;
   g_autoptr (GPtrArray) ids = never_asked (self, step, now_ms);
   if (ids->len == 0 && step->released)
     {
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -114,9 +114,8 @@
   return FALSE;
 }
 
-/* The shares of WORKER that are free. */
-static double
-free_shares (const FbPoolWorker *worker)
+double
+fb_pool_free_shares (const FbPoolWorker *worker)
 {
   double cpu_left = worker->cpu_milli - worker->cpu_used;
   double mem_left = worker->mem_mb - worker->mem_used;
@@ -144,7 +143,7 @@
 static double
 cost_of (const FbPoolWorker *worker, const FbPoolStep *step)
 {
-  double fit = free_shares (worker);
+  double fit = fb_pool_free_shares (worker);
   return (step->shape->lasting ? -fit : fit) + drawbacks (worker, step);
 }
 
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -119,6 +119,7 @@
 fb_pool_place (FbPool *self, uint64_t now_ms)
 {
   self->round++;
+  self->asked_in_vain = 0;
   fb_pool_queue_sort (self, now_ms);
   guint opened_n = self->opened->len;
   gboolean can_ask = TRUE;
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -11,6 +11,8 @@
 
 #define BEGIN_MS 100000
 #define BEGIN_WALL_MS 1000000000
+/* Starts on larger pools are not printed one by one. */
+#define SMALL_POOL 20
 
 typedef struct
 {
@@ -22,6 +24,7 @@
   GHashTable *workers;   /* id -> its line, listed again to a successor */
   GHashTable *starts;    /* task -> order of its last start */
   GHashTable *stops;     /* task -> order of its last stop */
+  GHashTable *used;      /* set of ids: workers on which something was started */
   GPtrArray *flush;      /* open */
   gboolean show_looks;
   gboolean advice_busy;
@@ -93,7 +96,11 @@
 static void
 on_start (gpointer user, const FbStartOrder *order)
 {
-  remember (((Script *) user)->starts, order->task, order->order);
+  Script *script = user;
+  remember (script->starts, order->task, order->order);
+  g_hash_table_add (script->used, g_strdup (order->worker));
+  if (g_hash_table_size (script->workers) > SMALL_POOL)
+    return;
   printf ("  start %s attempt=%u on %s%s%s%s%s\n", brief (order->task), order->attempt,
           order->worker, *order->checkpoint != '\0' ? " checkpoint=" : "", order->checkpoint,
           order->ticket != NULL ? " ticket=" : "", order->ticket != NULL ? order->ticket : "");
@@ -120,8 +127,13 @@
 {
   if (((Script *) user)->advice_busy)
     return FALSE;
-  (void) workers;
-  printf ("  ask advice for %s on %u workers, takes %u ms\n", brief (step), n, expected_ms);
+  printf ("  ask advice for %s on %u workers, takes %u ms", brief (step), n, expected_ms);
+  guint used_n = 0;
+  for (guint i = 0; i < n; i++)
+    used_n += g_hash_table_contains (((Script *) user)->used, workers[i]);
+  if (used_n > 0 && n > SMALL_POOL)
+    printf (", %u of them in use", used_n);
+  printf ("\n");
   return TRUE;
 }
 
@@ -221,6 +233,24 @@
   list_worker (script, script->words);
 }
 
+/* crowd N [cpu=..]: lists N workers, which answer. */
+static void
+do_crowd (Script *script)
+{
+  guint n = (guint) atoi (script->words[1]);
+  for (guint i = 1; i <= n; i++)
+    {
+      g_autofree char *line = g_strdup_printf ("worker c%u", i);
+      char **words = g_strsplit (line, " ", -1);
+      g_hash_table_replace (script->workers, g_strdup (words[1]), words);
+      list_worker (script, words);
+      g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
+      g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+      const FbLookAnswer answer = { FB_ORDER_DONE, script->now_ms, running, finished };
+      fb_pool_look_answered (script->pool, words[1], &answer, script->now_ms, wall_ms (script));
+    }
+}
+
 static void
 do_unlist (Script *script)
 {
@@ -525,7 +555,8 @@
               { "state", do_state },       { "pending", do_pending }, { "look", do_look },
               { "started", do_started },   { "stopped", do_stopped }, { "advised", do_advised },
               { "step", do_step },         { "flush", do_flush },     { "flushed", do_flushed },
-              { "show", do_show },         { "advice", do_advice },   { "read", do_read } };
+              { "show", do_show },         { "advice", do_advice },   { "read", do_read },
+              { "crowd", do_crowd } };
 
 static void
 run_line (Script *script, const char *line)
@@ -557,6 +588,7 @@
   script.admitted = g_hash_table_new (g_str_hash, g_str_equal);
   script.progress = g_hash_table_new (g_str_hash, g_str_equal);
   script.workers = g_hash_table_new (g_str_hash, g_str_equal);
+  script.used = g_hash_table_new (g_str_hash, g_str_equal);
   script.starts = g_hash_table_new (g_str_hash, g_str_equal);
   script.stops = g_hash_table_new (g_str_hash, g_str_equal);
   open_pool (&script, 1);
