Use the room that is there before asking about new workers

Hypothesis: gangs wait long where workers are replaced, because each new worker is a question of its own. Change: allowed workers with a place come first; workers never asked about come when there are none, together, and not before three times what a question takes.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -146,6 +146,7 @@
   guint rulings_n;
   gboolean ruled;          /* the advice has ruled on some worker */
   uint64_t advice_sent_ms; /* 0: no question is open */
+  uint64_t told_ms;        /* when the last answer came */
   GPtrArray *held_on;      /* ids of workers that keep room for it, one entry a task */
   uint64_t held_until_ms;
   gboolean queued;        /* it is among the pool's waiting steps */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -15,6 +15,9 @@
 
 /* On top of what a decision takes: the way, and its wait behind another. */
 #define HOLD_SLACK_MS 400
+/* Workers that a step was never asked about are asked about again after so many times what a
+ * question takes. */
+#define NEWCOMERS_EVERY 3
 /* What could give way is gone through this often for a step: it is every run of the pool. */
 #define ROOM_EVERY_MS 100
 
@@ -110,26 +113,70 @@
                             now_ms);
 }
 
-/* Chooses allowed workers that have a place now, whatever the age of their tickets, or
- * where one can be made, and holds their room.  Returns: their ids, none when there is
- * no place. */
+/* Returns: (transfer container): the ids of the N workers CHOSEN, each once. */
 static GPtrArray *
-to_renew (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+ids_of (FbPoolWorker **chosen, guint n)
 {
   GPtrArray *ids = g_ptr_array_new ();
+  for (guint i = 0; i < n; i++)
+    {
+      if (!g_ptr_array_find (ids, chosen[i]->id, NULL))
+        g_ptr_array_add (ids, chosen[i]->id);
+    }
+  return ids;
+}
+
+/* Chooses allowed workers that have a place now, whatever the age of their tickets, and holds
+ * their room.  Returns: their ids, none when there is no place. */
+static GPtrArray *
+to_renew (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
   guint most = most_at_once (step);
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most + 1);
   guint n = fb_pool_choose_step (self, step, most, FB_TICKET_ALLOWED, chosen, now_ms);
   if (n > 0)
     fb_pool_hold (self, step, chosen, n, now_ms + takes_ms (step, n) + HOLD_SLACK_MS);
-  else
-    n = make_room (self, step, chosen, now_ms);
-  for (guint i = 0; i < n; i++)
+  return ids_of (chosen, n);
+}
+
+/* The same where room can be made. */
+static GPtrArray *
+to_renew_after_stops (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most_at_once (step) + 1);
+  return ids_of (chosen, make_room (self, step, chosen, now_ms));
+}
+
+/* Failure: workers are replaced one after the other, and each new one is asked about for each
+ * step that waits: a question of half a second for one worker, which three times of ten is
+ * allowed, while the tickets of those that are allowed run out and the room that is there is
+ * taken by others; it shows as gangs that wait 8 s with ten questions.  Guard: who is allowed
+ * and has a place comes first, and new workers are asked about together, in turns. */
+static gboolean
+is_time_for_newcomers (const FbPoolStep *step, uint64_t now_ms)
+{
+  return now_ms >= step->told_ms + NEWCOMERS_EVERY * takes_ms (step, 1);
+}
+
+/* Returns: (transfer container): whom to ask about for STEP now, none when there is nothing to ask.
+ * Room is held on those that are allowed. */
+static GPtrArray *
+whom_to_ask (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  if (!step->ruled)
+    return never_asked (self, step, now_ms);
+  if (!step->released)
+    return g_ptr_array_new ();
+  GPtrArray *ids = to_renew (self, step, now_ms);
+  if (ids->len == 0 && is_time_for_newcomers (step, now_ms))
     {
-      if (!g_ptr_array_find (ids, chosen[i]->id, NULL))
-        g_ptr_array_add (ids, chosen[i]->id);
+      g_ptr_array_unref (ids);
+      ids = never_asked (self, step, now_ms);
     }
-  return ids;
+  if (ids->len > 0)
+    return ids;
+  g_ptr_array_unref (ids);
+  return to_renew_after_stops (self, step, now_ms);
 }
 
 static void
@@ -182,12 +229,7 @@
   /* What to ask costs a pass over the workers, for each of hundreds of steps that wait. */
   if (self->asked_in_vain & kind_of_question (step))
     return FALSE;
-  g_autoptr (GPtrArray) ids = never_asked (self, step, now_ms);
-  if (ids->len == 0 && step->released)
-    {
-      g_ptr_array_unref (ids);
-      ids = to_renew (self, step, now_ms);
-    }
+  g_autoptr (GPtrArray) ids = whom_to_ask (self, step, now_ms);
   if (ids->len == 0)
     return TRUE;
   if (send_question (self, step, ids, now_ms))
@@ -224,6 +266,7 @@
   self->place_due = TRUE;
   step->advice_sent_ms = 0;
   step->full_look_ms = 0;
+  step->told_ms = now_ms;
   if (told == NULL)
     return;
   for (guint i = 0; i < n; i++)
