Settle a take-over while new workers come

Change: a worker first listed after the owner before had surely stopped and its orders had run out holds nothing of it.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -228,6 +228,7 @@
   uint32_t mem_mb;
   uint32_t gpu_count;
   gboolean listed;
+  uint64_t listed_ms; /* when it was first listed; 0: it was known before */
   gboolean draining;
   gboolean answered; /* under the present epoch */
   gboolean gone;     /* this life has certainly ended, or all its leases have */
--- a/src/work/pool-settle.c
+++ b/src/work/pool-settle.c
@@ -46,6 +46,15 @@
     }
 }
 
+/* Failure: workers are replaced one after the other during a take-over; each new one is not heard
+ * for its first moments, so that there always is one, and the pool is never settled.  Guard: the
+ * owner before had stopped, and its last orders had run out, before the worker was listed. */
+static gboolean
+came_too_late (const FbPool *self, const FbPoolWorker *worker)
+{
+  return worker->listed_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + FB_POOL_START_WINDOW_MS;
+}
+
 static void
 find_unheard (FbPool *self)
 {
@@ -55,7 +64,7 @@
   while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       if ((!worker->answered || worker->unread) && !worker->gone
-          && !fb_pool_closed_is_empty (worker))
+          && !fb_pool_closed_is_empty (worker) && !came_too_late (self, worker))
         g_ptr_array_add (self->unheard, worker);
     }
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -80,6 +80,7 @@
   if (is_new)
     {
       worker = fb_pool_worker_new (entry->id);
+      worker->listed_ms = now_ms;
       fb_pool_roster_add (self, worker);
       fb_pool_closed_take (self, worker);
       self->workers_dirty = TRUE;
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -17,6 +17,7 @@
 starts-before-settled|pool.c|  if (!fb_pool_may_place (self) \|\| !may_start)|  if (!may_start)
 silent-worker-ignored|pool-settle.c|      if ((!worker->answered \|\| worker->unread) \&\& !worker->gone|      if (FALSE
 closed-worker-holds-nothing|pool-closed.c|    g_hash_table_add (steps, step_of_task (name));|    g_hash_table_remove (steps, name);
+late-comer-too-soon|pool-settle.c|worker->listed_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + FB_POOL_START_WINDOW_MS|worker->listed_ms > 0
 unread-end-ignored|pool-settle.c|      if (worker->unread \&\& worker->heard_ms <= job->taken_ms)|      if (FALSE)
 absent-behind-an-unread-end|pool-report.c|  if (!worker->unread)\n    drop_absent|  if (TRUE)\n    drop_absent
 unheard-holds-nothing|pool-settle.c|      if (may_hold (self->unheard->pdata[i], step))|      if (FALSE)
