--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -356,7 +356,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolRun *run = value;
-      if (run->step == NULL && run->state != FB_RUN_STOPPING && self->jobs_read_ms > run->seen_ms)
+      if (run->step == NULL && run->state != FB_RUN_STOPPING
+          && (self->jobs_read_ms > run->seen_ms || fb_pool_find_job (self, run->name) != NULL))
         stop_run (self, worker, run, now_ms);
     }
 }
