--- a/src/entry/hands.c
+++ b/src/entry/hands.c
@@ -161,7 +161,7 @@
   guint ends_n = answer.finished != NULL ? answer.finished->len : 0;
   g_autofree fb_seen_run *rows = g_new0 (fb_seen_run, runs_n + 1);
   g_autofree fb_seen_end *ends = g_new0 (fb_seen_end, ends_n + 1);
-  if (answer.result == FB_ORDER_DONE)
+  if (answer.running != NULL && answer.finished != NULL)
     tell_look (&answer, mine, rows, ends);
   order->done (order->user, &told);
   fb_look_answer_clear (&answer);
