--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -5,6 +5,7 @@
  * call open leaves the call to free what it needs. */
 #pragma once
 
+#include "clock.h"
 #include "daemons.h"
 #include "hands.h"
 #include "links.h"
@@ -27,10 +28,6 @@
 typedef struct _FbOwner FbOwner;
 typedef struct _FbAdvisor FbAdvisor;
 
-/* Time that goes on while the host is suspended, in ms. */
-uint64_t fb_clock_ms (void);
-uint64_t fb_clock_wall_ms (void);
-
 /* ---- follower: one partition of a keyed topic, as it changes ----------------- */
 
 typedef struct
