--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -7,8 +7,8 @@
 
 #include "clock.h"
 #include "daemons.h"
-#include "hands.h"
 #include "links.h"
+#include "relay.h"
 #include "routes.h"
 #include "settings.h"
 
--- a/src/entry/owner-orders.c
+++ b/src/entry/owner-orders.c
@@ -105,21 +105,21 @@
 call_worker (FbEntry *entry, const fb_ask_order *ask, Order *order)
 {
   FbHttpCall call;
-  uint32_t limit_ms = fb_hands_call (&call, ask);
+  uint32_t limit_ms = fb_relay_call (&call, ask);
   fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_order_reply, order);
   fb_http_call_clear (&call);
 }
 
 static void
-on_carried (gpointer data, FbHandsResult result, const fb_told_order *told)
+on_carried (gpointer data, FbRelayResult result, const fb_told_order *told)
 {
   Order *order = data;
   FbLookAnswer answer
-      = { .result = result == FB_HANDS_LOST ? FB_ORDER_UNKNOWN : FB_ORDER_NOT_DONE };
-  if (result == FB_HANDS_ANSWERED)
-    fb_hands_look_answer (told, &answer);
-  if (answer.result == FB_ORDER_UNKNOWN || result != FB_HANDS_ANSWERED)
-    log_failed (order, (int) result, result != FB_HANDS_NOT_CARRIED);
+      = { .result = result == FB_RELAY_LOST ? FB_ORDER_UNKNOWN : FB_ORDER_NOT_DONE };
+  if (result == FB_RELAY_ANSWERED)
+    fb_relay_look_answer (told, &answer);
+  if (answer.result == FB_ORDER_UNKNOWN || result != FB_RELAY_ANSWERED)
+    log_failed (order, (int) result, result != FB_RELAY_NOT_CARRIED);
   finish (order, &answer);
   fb_look_answer_clear (&answer);
 }
@@ -129,10 +129,10 @@
 {
   FbEntry *entry = part->owner->entry;
   Order *order = order_new (part, ask->worker, id, ask->kind);
-  const char *carrier = fb_hands_for (entry, ask->worker);
+  const char *relay = fb_relay_for (entry, ask->worker);
   fb_counter_add (FB_COUNTER_WORKER_SYNCS, 1);
-  if (carrier != NULL)
-    fb_hands_carry (entry, carrier, ask, on_carried, order);
+  if (relay != NULL)
+    fb_relay_carry (entry, relay, ask, on_carried, order);
   else
     call_worker (entry, ask, order);
 }
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -329,7 +329,7 @@
       fb_group_tell_owners (entry->group, on_answer_ready, answer);
       return;
     case FB_ASK_ORDER:
-      fb_hands_serve (entry, &ask->fb_ask_u.order, on_answer_ready, answer);
+      fb_relay_serve (entry, &ask->fb_ask_u.order, on_answer_ready, answer);
       return;
     case FB_ASK_STORED:
       take_stored (entry, &ask->fb_ask_u.stored);
--- a/src/entry/hands.c
+++ b/src/entry/relay.c
@@ -5,13 +5,13 @@
  * daemon of its own failure domain that carries the owner's orders to it, chosen by rendezvous
  * hashing weighted by processor, and the owner sends and hears frames of a few hundred bytes.
  *
- * The carrier decides nothing and repeats nothing.  An order that it delays is as one that the
+ * The relay decides nothing and repeats nothing.  An order that it delays is as one that the
  * network delays: it carries the owner's epoch and a deadline on the worker's clock.
  *
- * Failure: a carrier dies, freezes or is cut off; it shows as workers of one domain that seem
+ * Failure: a relay dies, freezes or is cut off; it shows as workers of one domain that seem
  * silent together.  Guard: what was certainly not sent to it is carried by the owner itself, a
- * carrier that does not answer rests, and its workers go to the next one. */
-#include "hands.h"
+ * relay that does not answer rests, and its workers go to the next one. */
+#include "relay.h"
 
 #include "entry-private.h"
 
@@ -21,9 +21,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A carrier that did not answer gets nothing for so long. */
+/* A relay that did not answer gets nothing for so long. */
 #define REST_MS 3000
-/* On top of an order's own time limit: the way to the carrier and back. */
+/* On top of an order's own time limit: the way to the relay and back. */
 #define WAY_MS 150
 /* For an order that is not a look.  An answered one takes a few ms; a worker that hangs should
  * not hold up its caller for long. */
@@ -43,7 +43,7 @@
 }
 
 const FbDaemon *
-fb_hands_choose (const GPtrArray *members, const char *domain, const char *worker, const char *but,
+fb_relay_choose (const GPtrArray *members, const char *domain, const char *worker, const char *but,
                  uint64_t now_ms)
 {
   const FbDaemon *best = NULL;
@@ -65,12 +65,12 @@
 }
 
 const char *
-fb_hands_for (FbEntry *entry, const char *worker)
+fb_relay_for (FbEntry *entry, const char *worker)
 {
   const FbListedWorker *listed = g_hash_table_lookup (entry->workers, worker);
   if (listed == NULL)
     return NULL;
-  const FbDaemon *member = fb_hands_choose (fb_daemons_all (entry->daemons), listed->domain, worker,
+  const FbDaemon *member = fb_relay_choose (fb_daemons_all (entry->daemons), listed->domain, worker,
                                             entry->settings->peers, fb_clock_ms ());
   return member != NULL ? member->address : NULL;
 }
@@ -81,7 +81,7 @@
 {
   FbEntry *entry;
   char *daemon;
-  FbHandsDone done;
+  FbRelayDone done;
   gpointer user;
 } Carried;
 
@@ -97,15 +97,15 @@
       fb_daemons_rest (carried->entry->daemons, carried->daemon, fb_clock_ms () + REST_MS);
     }
   if (answered)
-    carried->done (carried->user, FB_HANDS_ANSWERED, &told->fb_told_u.order);
+    carried->done (carried->user, FB_RELAY_ANSWERED, &told->fb_told_u.order);
   else
-    carried->done (carried->user, told != NULL ? FB_HANDS_NOT_CARRIED : FB_HANDS_LOST, NULL);
+    carried->done (carried->user, told != NULL ? FB_RELAY_NOT_CARRIED : FB_RELAY_LOST, NULL);
   g_free (carried->daemon);
   g_free (carried);
 }
 
 void
-fb_hands_carry (FbEntry *entry, const char *daemon, const fb_ask_order *order, FbHandsDone done,
+fb_relay_carry (FbEntry *entry, const char *daemon, const fb_ask_order *order, FbRelayDone done,
                 gpointer user)
 {
   Carried *carried = g_new0 (Carried, 1);
@@ -185,20 +185,20 @@
 }
 
 void
-fb_hands_serve (FbEntry *entry, const fb_ask_order *ask, FbTold done, gpointer user)
+fb_relay_serve (FbEntry *entry, const fb_ask_order *ask, FbTold done, gpointer user)
 {
   Order *order = g_new0 (Order, 1);
   order->done = done;
   order->user = user;
   order->kind = ask->kind;
   FbHttpCall call;
-  uint32_t limit_ms = fb_hands_call (&call, ask);
+  uint32_t limit_ms = fb_relay_call (&call, ask);
   fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_reply, order);
   fb_http_call_clear (&call);
 }
 
 uint32_t
-fb_hands_call (FbHttpCall *call, const fb_ask_order *order)
+fb_relay_call (FbHttpCall *call, const fb_ask_order *order)
 {
   switch (order->kind)
     {
@@ -241,7 +241,7 @@
 }
 
 void
-fb_hands_look_answer (const fb_told_order *told, FbLookAnswer *answer)
+fb_relay_look_answer (const fb_told_order *told, FbLookAnswer *answer)
 {
   *answer = (FbLookAnswer){ .result = (FbOrderResult) MIN (told->result, FB_ORDER_UNKNOWN),
                             .clock_ms = told->clock_ms };
--- a/src/entry/hands.h
+++ b/src/entry/relay.h
@@ -7,29 +7,29 @@
 
 typedef enum
 {
-  FB_HANDS_ANSWERED,
-  FB_HANDS_NOT_CARRIED, /* certainly */
-  FB_HANDS_LOST         /* the order may be carried out, now or later */
-} FbHandsResult;
+  FB_RELAY_ANSWERED,
+  FB_RELAY_NOT_CARRIED, /* certainly */
+  FB_RELAY_LOST         /* the order may be carried out, now or later */
+} FbRelayResult;
 
 /* TOLD is borrowed; NULL unless it was answered. */
-typedef void (*FbHandsDone) (gpointer user, FbHandsResult result, const fb_told_order *told);
+typedef void (*FbRelayDone) (gpointer user, FbRelayResult result, const fb_told_order *told);
 /* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
 typedef void (*FbTold) (gpointer user, const fb_told *told);
 
 /* MEMBERS: of FbDaemon.  BUT: an address that is not to be chosen.
  * Returns: (nullable): who carries orders for WORKER, which is in DOMAIN; borrowed. */
-const FbDaemon *fb_hands_choose (const GPtrArray *members, const char *domain, const char *worker,
+const FbDaemon *fb_relay_choose (const GPtrArray *members, const char *domain, const char *worker,
                                  const char *but, uint64_t now_ms);
 /* Returns: (nullable): the address of the daemon that carries orders to WORKER, borrowed; NULL:
  * this one does. */
-const char *fb_hands_for (FbEntry *entry, const char *worker);
+const char *fb_relay_for (FbEntry *entry, const char *worker);
 /* Has DAEMON carry ORDER; all it points to is borrowed for the call. */
-void fb_hands_carry (FbEntry *entry, const char *daemon, const fb_ask_order *order,
-                     FbHandsDone done, gpointer user);
+void fb_relay_carry (FbEntry *entry, const char *daemon, const fb_ask_order *order,
+                     FbRelayDone done, gpointer user);
 /* Carries an order for another daemon; DONE is called once. */
-void fb_hands_serve (FbEntry *entry, const fb_ask_order *order, FbTold done, gpointer user);
+void fb_relay_serve (FbEntry *entry, const fb_ask_order *order, FbTold done, gpointer user);
 /* Makes the call to the worker.  Returns: its time limit in ms. */
-uint32_t fb_hands_call (FbHttpCall *call, const fb_ask_order *order);
+uint32_t fb_relay_call (FbHttpCall *call, const fb_ask_order *order);
 /* ANSWER borrows its texts from TOLD; it is cleared with fb_look_answer_clear(). */
-void fb_hands_look_answer (const fb_told_order *told, FbLookAnswer *answer);
+void fb_relay_look_answer (const fb_told_order *told, FbLookAnswer *answer);
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -1,11 +1,12 @@
 /* When to ask for advice, and about which workers.
  *
- * A question takes up to half a second, and the workers that a step may use never
- * change; only the tickets run out, after 2 s.  So the first question names all workers
- * that could ever run the step.  Later ones are asked when there is a place on an
- * allowed worker, name just the workers to be used, and hold their room until the
- * answer comes: without that a gang's room was gone to smaller work when its tickets
- * arrived, and it asked 2.1 times on a heavy day. */
+ * A question takes up to 1.7 s, and the workers that a step may use never change; only
+ * the tickets run out, after 2 s.  So the first question names all workers that could
+ * ever run the step, up to what one question holds, those with room first.  Later ones
+ * are asked when there is a place on an allowed worker, name just the workers to be used,
+ * and hold their room until the answer comes: without that a gang's room was gone to
+ * smaller work when its tickets arrived, and it asked 2.1 times on a heavy day.  When the
+ * allowed workers have no place, those that were never named follow, in turns. */
 #include "internal/pool-private.h"
 
 #include "fb-event.h"
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -1,7 +1,7 @@
 /* Parts of a daemon on the platform that need no network. */
 #include "internal/codec.h"
 #include "src/entry/advice-share.h"
-#include "src/entry/hands.h"
+#include "src/entry/relay.h"
 #include "src/entry/turns.h"
 
 #include <CUnit/Basic.h>
@@ -304,17 +304,17 @@
 #define WORKER_N 350
 
 static const char *
-carrier_of (const GPtrArray *daemons, guint worker, uint64_t now_ms)
+relay_of (const GPtrArray *daemons, guint worker, uint64_t now_ms)
 {
   g_autofree char *id = g_strdup_printf ("i-%08x", worker * 2654435761U);
-  const FbDaemon *daemon = fb_hands_choose (daemons, "z1", id, "10.0.0.9:7", now_ms);
+  const FbDaemon *daemon = fb_relay_choose (daemons, "z1", id, "10.0.0.9:7", now_ms);
   return daemon != NULL ? daemon->address : NULL;
 }
 
 /* Orders to 350 workers are spread by processor, within the workers' failure domain, and not to
- * the owner itself.  A carrier stands still: its workers go to others, and only these move. */
+ * the owner itself.  A relay stands still: its workers go to others, and only these move. */
 static void
-test_carriers_share_the_workers (void)
+test_relays_share_the_workers (void)
 {
   static const char *const names[]
       = { "10.0.0.1:7/z1/500/1", "10.0.0.2:7/z1/125/1", "10.0.0.3:7/z1/125/1",
@@ -326,12 +326,12 @@
   for (guint i = 0; i < WORKER_N; i++)
     {
       resting->rests_ms = 0;
-      const char *before = carrier_of (daemons, i, 1000);
+      const char *before = relay_of (daemons, i, 1000);
       CU_ASSERT_STRING_NOT_EQUAL (before, "10.0.0.4:7");
       CU_ASSERT_STRING_NOT_EQUAL (before, "10.0.0.9:7");
       strong_n += g_str_equal (before, "10.0.0.1:7");
       resting->rests_ms = 2000;
-      const char *after = carrier_of (daemons, i, 1000);
+      const char *after = relay_of (daemons, i, 1000);
       CU_ASSERT_STRING_NOT_EQUAL (after, resting->address);
       moved_n += !g_str_equal (before, after);
       CU_ASSERT (g_str_equal (before, after) || g_str_equal (before, resting->address));
@@ -343,14 +343,14 @@
 
 /* Nobody else lives in the workers' domain: the owner carries its orders itself. */
 static void
-test_nobody_to_carry (void)
+test_no_relay_left (void)
 {
   static const char *const names[] = { "10.0.0.4:7/z2/500/1", "10.0.0.9:7/z1/500/1", NULL };
   g_autoptr (GPtrArray) daemons = daemons_from (names);
-  CU_ASSERT_PTR_NULL (carrier_of (daemons, 1, 1000));
+  CU_ASSERT_PTR_NULL (relay_of (daemons, 1, 1000));
 }
 
-/* What a worker listed comes through a carrier as it was. */
+/* What a worker listed comes through a relay as it was. */
 static void
 test_a_carried_look (void)
 {
@@ -366,7 +366,7 @@
   fb_told again;
   CU_ASSERT_TRUE_FATAL (fb_codec_decode_told (data, len, &again));
   FbLookAnswer answer;
-  fb_hands_look_answer (&again.fb_told_u.order, &answer);
+  fb_relay_look_answer (&again.fb_told_u.order, &answer);
   CU_ASSERT_EQUAL (answer.result, FB_ORDER_DONE);
   CU_ASSERT_EQUAL (answer.clock_ms, 482113);
   CU_ASSERT_EQUAL_FATAL (answer.running->len, 1);
@@ -391,8 +391,8 @@
   CU_add_test (suite, "nothing is kept for nobody", test_nothing_is_kept_for_nobody);
   CU_add_test (suite, "few daemons", test_few_daemons);
   CU_add_test (suite, "one daemon an address", test_one_daemon_an_address);
-  CU_add_test (suite, "carriers share the workers", test_carriers_share_the_workers);
-  CU_add_test (suite, "nobody to carry", test_nobody_to_carry);
+  CU_add_test (suite, "relays share the workers", test_relays_share_the_workers);
+  CU_add_test (suite, "nobody to carry", test_no_relay_left);
   CU_add_test (suite, "a carried look", test_a_carried_look);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
