--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -9,8 +9,9 @@
  * network delays: it carries the owner's epoch and a deadline on the worker's clock.
  *
  * Failure: a relay dies, freezes or is cut off; it shows as workers of one domain that seem
- * silent together.  Guard: what was certainly not sent to it is carried by the owner itself, a
- * relay that does not answer rests, and its workers go to the next one. */
+ * silent together.  Guard: a relay that does not answer rests, its workers go to the next one or
+ * to the owner itself, and an order that was certainly not sent counts as not done and is
+ * repeated. */
 #include "relay.h"
 
 #include "entry-private.h"
