Count owners among the daemons that may write for another

It had read the members while the only other daemon had lapsed, having been turned away just before, and then knew of nobody (log: DAEMONS_READ members=1, then CALL_FAILED append code=0 each 0.3 s). Ruled out: load (the list, not a time limit, decided), the links (no PEER_UNREACHABLE). Change: daemons are the members and the owners that the store names.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -77,8 +77,7 @@
 void fb_group_refresh (FbGroup *self);
 /* Tells DONE the owners of all partitions, or UNSURE while the store does not answer here. */
 void fb_group_tell_owners (const FbGroup *self, FbTold done, gpointer user);
-/* Returns: (transfer container): addresses of all daemons; of those that own something while the
- * members are not known. */
+/* Returns: (transfer container): addresses of all daemons, as members or as owners. */
 GPtrArray *fb_group_daemons (const FbGroup *self);
 /* EXCEPT: addresses; may be NULL.
  * Returns: (nullable): another daemon, drawn at random, borrowed. */
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -223,16 +223,22 @@
   return g_hash_table_lookup (self->owner_of, GUINT_TO_POINTER (partition));
 }
 
+/* Failure: a daemon that the store turned away for 2 s is no member for its peers; one that reads
+ * the members just then and is turned away next knows of nobody that could write for it, and shows
+ * no end of a job until it is served again.  Guard: owners count too, whom the store tells apart
+ * from the members. */
 GPtrArray *
 fb_group_daemons (const FbGroup *self)
 {
   GPtrArray *daemons = g_ptr_array_new ();
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
   const GPtrArray *members = fb_daemons_all (self->entry->daemons);
   for (guint i = 0; i < members->len; i++)
-    g_ptr_array_add (daemons, ((FbDaemon *) members->pdata[i])->address);
-  if (daemons->len > 0)
-    return daemons;
-  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+    {
+      char *member = ((FbDaemon *) members->pdata[i])->address;
+      g_hash_table_add (seen, member);
+      g_ptr_array_add (daemons, member);
+    }
   GHashTableIter iter;
   gpointer address;
   g_hash_table_iter_init (&iter, self->owner_of);
