--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -21,7 +21,7 @@
 unread-end-ignored|pool-settle.c|      if (worker->unread \&\& worker->heard_ms <= job->taken_ms)|      if (FALSE)
 absent-behind-an-unread-end|pool-report.c|  if (!worker->unread)|  if (TRUE)
 unheard-holds-nothing|pool-settle.c|      if (may_hold (self->unheard->pdata[i], step))|      if (FALSE)
-not-asked-is-not-allowed|pool-settle.c|  return ruling == NULL \|\| ruling->allowed;|  return ruling != NULL \&\& ruling->allowed;
+not-asked-is-not-allowed|pool-settle.c|  return ruling == NULL \|\| ruling->allowed;|  return ruling != NULL ? ruling->allowed : FALSE;
 untouched-too-soon|pool-settle.c|             \&\& self->jobs_read_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS);|             );
 lapse-too-early|pool-worker.c|worker->lease_ms + FB_POOL_LAPSE_SLACK_MS;|worker->lease_ms - 1500;
 clock-taken-as-exact|pool-worker.c|passed_ms * (1000 - FB_POOL_CLOCK_SLOW_PERMILLE) / 1000|passed_ms * 1100 / 1000
