One way to call a worker, to read its answer, and to take a member out of the group

Found on reading the change: the owner's own calls and those of a relay each made the call, set its time limit and told looks from other orders; three places sent the same leave with callbacks that did nothing twice over; a field of steps that nothing reads. No change of behaviour.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -139,9 +139,8 @@
   uint64_t timed_ms;
   uint32_t waiting_from; /* no task before this index waits */
   uint32_t gang_attempt;
-  gboolean released;    /* all steps before it are done, its time has come */
-  gboolean gang_broken; /* a member ended or was refused: the others are stopped */
-  uint64_t paused_until_ms;
+  gboolean released;     /* all steps before it are done, its time has come */
+  gboolean gang_broken;  /* a member ended or was refused: the others are stopped */
   FbPoolRuling *rulings; /* by the slots of workers */
   guint rulings_n;
   gboolean ruled;          /* the advice has ruled on some worker */
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -76,8 +76,18 @@
 
 /* ---- earlier processes of this daemon ------------------------------------------ */
 
+/* DONE is called when the store has it, or gave no answer. */
 static void
-on_dismissed (gpointer data, const FbHttpReply *reply)
+take_out (FbGroup *self, const char *member, FbHttpReplyDone done)
+{
+  FbHttpCall call;
+  fb_wire_leave (&call, self->entry->settings->store, GROUP, member);
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, done, self);
+  fb_http_call_clear (&call);
+}
+
+static void
+on_taken_out (gpointer data, const FbHttpReply *reply)
 {
   (void) data;
   (void) reply; /* without an answer its time to live runs out */
@@ -105,10 +115,7 @@
         continue;
       g_hash_table_add (self->dismissed, g_strdup (member));
       fb_event_log (FB_EVENT_PREDECESSOR_DISMISSED, "member=%s", member);
-      FbHttpCall call;
-      fb_wire_leave (&call, self->entry->settings->store, GROUP, member);
-      fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_dismissed, self);
-      fb_http_call_clear (&call);
+      take_out (self, member, on_taken_out);
     }
 }
 
@@ -313,13 +320,6 @@
   ask_owners (self, now_ms);
 }
 
-static void
-on_stayed_out (gpointer data, const FbHttpReply *reply)
-{
-  (void) data;
-  (void) reply; /* without an answer its time to live runs out */
-}
-
 /* The pool of a service is decided by one daemon, so it is left to those with the most
  * processor.  On a site of 0.5 and 0.12 of a core one of the latter got the pool of 350 workers
  * in four of five cases, and was out of processor after 4 s. */
@@ -330,10 +330,7 @@
     {
       g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
       fb_entry_own (self->entry, none, self->generation);
-      FbHttpCall call;
-      fb_wire_leave (&call, self->entry->settings->store, GROUP, self->member);
-      fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_stayed_out, self);
-      fb_http_call_clear (&call);
+      take_out (self, self->member, on_taken_out);
       self->ok_sent_ms = 0;
       self->generation = 0;
     }
@@ -387,10 +384,7 @@
   if (self->timer != 0)
     g_source_remove (self->timer);
   self->timer = 0;
-  FbHttpCall call;
-  fb_wire_leave (&call, self->entry->settings->store, GROUP, self->member);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_left, self);
-  fb_http_call_clear (&call);
+  take_out (self, self->member, on_left);
 }
 
 FbGroup *
--- a/src/entry/owner-orders.c
+++ b/src/entry/owner-orders.c
@@ -90,26 +90,14 @@
 on_order_reply (gpointer data, const FbHttpReply *reply)
 {
   Order *order = data;
-  FbLookAnswer answer = { 0 };
+  FbLookAnswer answer;
   if (reply->status != FB_HTTP_OK)
     log_failed (order, reply->status, reply->sent);
-  if (order->kind == FB_CARRY_LOOK)
-    fb_wire_look_answer (reply, &answer);
-  else
-    answer.result = fb_wire_order_result (reply, &answer.clock_ms);
+  fb_relay_worker_answer (order->kind, reply, &answer);
   finish (order, &answer);
   fb_look_answer_clear (&answer);
 }
 
-static void
-call_worker (FbEntry *entry, const fb_ask_order *ask, Order *order)
-{
-  FbHttpCall call;
-  uint32_t limit_ms = fb_relay_call (&call, ask);
-  fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_order_reply, order);
-  fb_http_call_clear (&call);
-}
-
 static void
 on_carried (gpointer data, FbRelayResult result, const fb_told_order *told)
 {
@@ -134,7 +122,7 @@
   if (relay != NULL)
     fb_relay_carry (entry, relay, ask, on_carried, order);
   else
-    call_worker (entry, ask, order);
+    fb_relay_call_worker (entry, ask, on_order_reply, order);
 }
 
 static void
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -76,6 +76,78 @@
   return member != NULL ? member->address : NULL;
 }
 
+/* ---- calls to workers --------------------------------------------------------------- */
+
+static uint32_t
+limit_ms (const fb_ask_order *order)
+{
+  return order->kind == FB_CARRY_LOOK ? order->wait_ms + order->answer_ms : ORDER_MS;
+}
+
+static void
+make_call (FbHttpCall *call, const fb_ask_order *order)
+{
+  switch (order->kind)
+    {
+    case FB_CARRY_START:
+      {
+        const FbStartOrder start = { .worker = order->worker,
+                                     .address = order->address,
+                                     .epoch = order->epoch,
+                                     .task = order->task,
+                                     .attempt = order->attempt,
+                                     .payload = order->payload,
+                                     .checkpoint = order->checkpoint,
+                                     .ticket = *order->ticket != '\0' ? order->ticket : NULL,
+                                     .deadline_ms = order->deadline_ms };
+        fb_wire_start (call, &start);
+        break;
+      }
+    case FB_CARRY_STOP:
+      {
+        const FbStopOrder stop = { .worker = order->worker,
+                                   .address = order->address,
+                                   .epoch = order->epoch,
+                                   .task = order->task,
+                                   .attempt = order->attempt };
+        fb_wire_stop (call, &stop);
+        break;
+      }
+    case FB_CARRY_LOOK:
+      {
+        const FbLookOrder look = { .worker = order->worker,
+                                   .address = order->address,
+                                   .epoch = order->epoch,
+                                   .acknowledged = order->acknowledged,
+                                   .deadline_ms = order->deadline_ms,
+                                   .wait_ms = order->wait_ms,
+                                   .answer_ms = order->answer_ms };
+        fb_wire_look (call, &look);
+        break;
+      }
+    }
+}
+
+void
+fb_relay_call_worker (FbEntry *entry, const fb_ask_order *order, FbHttpReplyDone done,
+                      gpointer user)
+{
+  FbHttpCall call;
+  make_call (&call, order);
+  fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), done, user);
+  fb_http_call_clear (&call);
+}
+
+void
+fb_relay_worker_answer (fb_order_kind kind, const FbHttpReply *reply, FbLookAnswer *answer)
+{
+  *answer = (FbLookAnswer){ 0 };
+  if (kind == FB_CARRY_LOOK)
+    fb_wire_look_answer (reply, answer);
+  else
+    answer->result = fb_wire_order_result (reply, &answer->clock_ms);
+}
+
 /* ---- asking ----------------------------------------------------------------------- */
 
 typedef struct
@@ -116,8 +188,7 @@
   carried->user = user;
   fb_ask ask = { .type = FB_ASK_ORDER };
   ask.fb_ask_u.order = *order;
-  uint32_t limit_ms = order->kind == FB_CARRY_LOOK ? order->wait_ms + order->answer_ms : ORDER_MS;
-  fb_peers_ask (entry, daemon, &ask, limit_ms + WAY_MS, on_told, carried);
+  fb_peers_ask (entry, daemon, &ask, limit_ms (order) + WAY_MS, on_told, carried);
 }
 
 /* ---- carrying ------------------------------------------------------------------------ */
@@ -150,10 +221,11 @@
 }
 
 static void
-on_look_reply (Order *order, const FbHttpReply *reply)
+on_reply (gpointer data, const FbHttpReply *reply)
 {
+  Order *order = data;
   FbLookAnswer answer;
-  fb_wire_look_answer (reply, &answer);
+  fb_relay_worker_answer (order->kind, reply, &answer);
   fb_told told = { .type = FB_TOLD_ORDER };
   fb_told_order *mine = &told.fb_told_u.order;
   mine->result = answer.result;
@@ -166,22 +238,6 @@
     tell_look (&answer, mine, rows, ends);
   order->done (order->user, &told);
   fb_look_answer_clear (&answer);
-}
-
-static void
-on_reply (gpointer data, const FbHttpReply *reply)
-{
-  Order *order = data;
-  if (order->kind == FB_CARRY_LOOK)
-    on_look_reply (order, reply);
-  else
-    {
-      fb_told told = { .type = FB_TOLD_ORDER };
-      uint64_t clock_ms = 0;
-      told.fb_told_u.order.result = fb_wire_order_result (reply, &clock_ms);
-      told.fb_told_u.order.clock_ms = clock_ms;
-      order->done (order->user, &told);
-    }
   g_free (order);
 }
 
@@ -192,53 +248,7 @@
   order->done = done;
   order->user = user;
   order->kind = ask->kind;
-  FbHttpCall call;
-  uint32_t limit_ms = fb_relay_call (&call, ask);
-  fb_http_client_exchange (entry->worker_client, &call, limit_ms, on_reply, order);
-  fb_http_call_clear (&call);
-}
-
-uint32_t
-fb_relay_call (FbHttpCall *call, const fb_ask_order *order)
-{
-  switch (order->kind)
-    {
-    case FB_CARRY_START:
-      {
-        const FbStartOrder start = { .worker = order->worker,
-                                     .address = order->address,
-                                     .epoch = order->epoch,
-                                     .task = order->task,
-                                     .attempt = order->attempt,
-                                     .payload = order->payload,
-                                     .checkpoint = order->checkpoint,
-                                     .ticket = *order->ticket != '\0' ? order->ticket : NULL,
-                                     .deadline_ms = order->deadline_ms };
-        fb_wire_start (call, &start);
-        return ORDER_MS;
-      }
-    case FB_CARRY_STOP:
-      {
-        const FbStopOrder stop = { .worker = order->worker,
-                                   .address = order->address,
-                                   .epoch = order->epoch,
-                                   .task = order->task,
-                                   .attempt = order->attempt };
-        fb_wire_stop (call, &stop);
-        return ORDER_MS;
-      }
-    case FB_CARRY_LOOK:
-      break;
-    }
-  const FbLookOrder look = { .worker = order->worker,
-                             .address = order->address,
-                             .epoch = order->epoch,
-                             .acknowledged = order->acknowledged,
-                             .deadline_ms = order->deadline_ms,
-                             .wait_ms = order->wait_ms,
-                             .answer_ms = order->answer_ms };
-  fb_wire_look (call, &look);
-  return order->wait_ms + order->answer_ms;
+  fb_relay_call_worker (entry, ask, on_reply, order);
 }
 
 void
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -29,7 +29,11 @@
                      FbRelayDone done, gpointer user);
 /* Carries an order for another daemon; DONE is called once. */
 void fb_relay_serve (FbEntry *entry, const fb_ask_order *order, FbTold done, gpointer user);
-/* Makes the call to the worker.  Returns: its time limit in ms. */
-uint32_t fb_relay_call (FbHttpCall *call, const fb_ask_order *order);
+/* Calls the worker from here. */
+void fb_relay_call_worker (FbEntry *entry, const fb_ask_order *order, FbHttpReplyDone done,
+                           gpointer user);
+/* Reads what the worker answered to an order of KIND; the lists are those of a look.  ANSWER is
+ * cleared with fb_look_answer_clear(). */
+void fb_relay_worker_answer (fb_order_kind kind, const FbHttpReply *reply, FbLookAnswer *answer);
 /* ANSWER borrows its texts from TOLD; it is cleared with fb_look_answer_clear(). */
 void fb_relay_look_answer (const fb_told_order *told, FbLookAnswer *answer);
