Late turns of the daemon's loop are counted and told

Cause: a daemon that is out of processor, or that holds on to one thing for long, joins late, and its lines did not say so: a late join looked like any other reason to lose a pool. The turn that is due each 25 ms is now watched: every turn goes into flamingobarrow_loop_late_ms, those more than 250 ms late into LOOP_LATE, one line a second at most, which tells of all since the line before. No change of what a daemon does.

Weighed: one line a late turn (a daemon without processor would write some 10 a second while it has none to spare); the time used by each part (a clock read at each event; the lines beside it tell the part).

tests/test-entry: 13 passed, 3 of them new, with a clock of their own.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "daemons.h"
 #include "links.h"
+#include "loop-watch.h"
 #include "relay.h"
 #include "routes.h"
 #include "settings.h"
@@ -159,6 +160,7 @@
   GHashTable *appenders; /* partition -> FbAppender for callers' records */
   GHashTable *takes;     /* partition -> FbTake: epochs that were used here */
   FbTimer *timer;
+  FbLoopWatch *loop;
   gboolean stopping;
   gboolean refusing;    /* near its end: calls are turned away at once */
   guint open_calls;     /* of callers */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -151,7 +151,13 @@
 static gboolean
 on_timer (gpointer data)
 {
-  fb_timer_advance (((FbEntry *) data)->timer, fb_clock_ms ());
+  FbEntry *self = data;
+  uint64_t now_ms = fb_clock_ms ();
+  FbLoopLate late;
+  if (fb_loop_watch_turn (self->loop, now_ms, &late))
+    fb_event_log (FB_EVENT_LOOP_LATE, "late_ms=%u turns=%u partitions=%u open=%u", late.late_ms,
+                  late.turns_n, g_hash_table_size (self->owners), self->open_calls);
+  fb_timer_advance (self->timer, now_ms);
   return G_SOURCE_CONTINUE;
 }
 
@@ -229,6 +235,7 @@
 {
   self->store_ok_ms = fb_clock_ms ();
   self->timer = fb_timer_new (self->store_ok_ms);
+  self->loop = fb_loop_watch_new (TIMER_MS, self->store_ok_ms);
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
   self->advice_client = fb_http_client_new ();
--- /dev/null
+++ b/src/entry/loop-watch.c
@@ -0,0 +1,90 @@
+#include "loop-watch.h"
+
+#include "fb-histogram.h"
+
+/* A join each 250 ms keeps a daemon in the group: a loop that is later misses one. */
+#define LATE_MS 250
+#define TELL_EVERY_MS 1000
+/* The last 2 s, in slots, the oldest of which is in part older. */
+#define SLOT_MS 250
+#define SLOT_N 9
+
+typedef struct
+{
+  uint64_t number; /* of the time that it holds, in slots */
+  uint32_t late_ms;
+} Slot;
+
+struct _FbLoopWatch
+{
+  uint32_t period_ms;
+  uint64_t turn_ms;
+  uint64_t told_ms; /* 0: nothing was told yet */
+  FbLoopLate untold;
+  Slot slots[SLOT_N];
+};
+
+FbLoopWatch *
+fb_loop_watch_new (uint32_t period_ms, uint64_t now_ms)
+{
+  FbLoopWatch *self = g_new0 (FbLoopWatch, 1);
+  self->period_ms = period_ms;
+  self->turn_ms = now_ms;
+  return self;
+}
+
+void
+fb_loop_watch_free (FbLoopWatch *self)
+{
+  g_free (self);
+}
+
+/* What a turn that came at NOW_MS would be late. */
+static uint32_t
+late_at (const FbLoopWatch *self, uint64_t now_ms)
+{
+  uint64_t due_ms = self->turn_ms + self->period_ms;
+  return now_ms > due_ms ? (uint32_t) MIN (now_ms - due_ms, G_MAXUINT32) : 0;
+}
+
+static void
+note_slot (FbLoopWatch *self, uint64_t now_ms, uint32_t late_ms)
+{
+  uint64_t number = now_ms / SLOT_MS;
+  Slot *slot = &self->slots[number % SLOT_N];
+  if (slot->number != number)
+    *slot = (Slot){ .number = number };
+  slot->late_ms = MAX (slot->late_ms, late_ms);
+}
+
+gboolean
+fb_loop_watch_turn (FbLoopWatch *self, uint64_t now_ms, FbLoopLate *late)
+{
+  uint32_t late_ms = late_at (self, now_ms);
+  self->turn_ms = now_ms;
+  fb_histogram_add (FB_HISTOGRAM_LOOP_LATE, late_ms);
+  note_slot (self, now_ms, late_ms);
+  if (late_ms > LATE_MS)
+    {
+      self->untold.late_ms = MAX (self->untold.late_ms, late_ms);
+      self->untold.turns_n++;
+    }
+  if (self->untold.turns_n == 0 || (self->told_ms != 0 && now_ms < self->told_ms + TELL_EVERY_MS))
+    return FALSE;
+  *late = self->untold;
+  self->untold = (FbLoopLate){ 0 };
+  self->told_ms = now_ms;
+  return TRUE;
+}
+
+uint32_t
+fb_loop_watch_longest_ms (const FbLoopWatch *self, uint64_t now_ms)
+{
+  uint32_t longest_ms = late_at (self, now_ms);
+  for (guint i = 0; i < SLOT_N; i++)
+    {
+      if (self->slots[i].number + SLOT_N > now_ms / SLOT_MS)
+        longest_ms = MAX (longest_ms, self->slots[i].late_ms);
+    }
+  return longest_ms;
+}
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -1,6 +1,7 @@
 /* Parts of a daemon on the platform that need no network. */
 #include "internal/codec.h"
 #include "src/entry/advice-share.h"
+#include "src/entry/loop-watch.h"
 #include "src/entry/relay.h"
 #include "src/entry/turns.h"
 
@@ -377,6 +378,82 @@
   xdr_free ((xdrproc_t) xdr_fb_told, (char *) &again);
 }
 
+/* ---- late turns of the loop -------------------------------------------------------- */
+
+#define TURN_MS 25
+
+/* Turns come in time from FROM_MS to UNTIL_MS.  Returns: the time of the last one. */
+static uint64_t
+turns_in_time (FbLoopWatch *watch, uint64_t from_ms, uint64_t until_ms)
+{
+  FbLoopLate late;
+  uint64_t now_ms = from_ms;
+  for (; now_ms + TURN_MS <= until_ms; now_ms += TURN_MS)
+    CU_ASSERT_FALSE (fb_loop_watch_turn (watch, now_ms + TURN_MS, &late));
+  return now_ms;
+}
+
+/* A daemon read a long list for 1.2 s and joined the group too late; its lines told only that
+ * the pool was lost.  The late turn has to be told, with how late it was. */
+static void
+test_a_late_turn_is_told (void)
+{
+  FbLoopWatch *watch = fb_loop_watch_new (TURN_MS, 1000);
+  FbLoopLate late;
+  uint64_t now_ms = turns_in_time (watch, 1000, 3000);
+  CU_ASSERT_EQUAL (fb_loop_watch_longest_ms (watch, now_ms), 0);
+  CU_ASSERT_FALSE (fb_loop_watch_turn (watch, now_ms + TURN_MS + 250, &late));
+  now_ms += TURN_MS + 250;
+  CU_ASSERT_TRUE_FATAL (fb_loop_watch_turn (watch, now_ms + TURN_MS + 1200, &late));
+  CU_ASSERT_EQUAL (late.late_ms, 1200);
+  CU_ASSERT_EQUAL (late.turns_n, 1);
+  fb_loop_watch_free (watch);
+}
+
+/* A daemon without processor has late turns all the time: a line a second tells of all. */
+static void
+test_late_turns_are_told_once_a_second (void)
+{
+  static const uint32_t late_ms[] = { 300, 700, 260 };
+  FbLoopWatch *watch = fb_loop_watch_new (TURN_MS, 1000);
+  uint64_t now_ms = 1000;
+  uint64_t told_ms = 0;
+  guint told_n = 0;
+  guint turns_n = 0;
+  for (guint i = 0; i < 300; i++)
+    {
+      FbLoopLate late;
+      now_ms += TURN_MS + late_ms[i % G_N_ELEMENTS (late_ms)];
+      if (!fb_loop_watch_turn (watch, now_ms, &late))
+        continue;
+      CU_ASSERT (told_ms == 0 || now_ms >= told_ms + 1000);
+      CU_ASSERT (told_ms == 0 || late.late_ms == 700);
+      told_ms = now_ms;
+      told_n++;
+      turns_n += late.turns_n;
+    }
+  CU_ASSERT (told_n > 60 && told_n <= (now_ms - 1000) / 1000 + 1);
+  CU_ASSERT (turns_n >= 298);
+  fb_loop_watch_free (watch);
+}
+
+/* What is asked when a pool is lost: the latest turn of the last 2 s, and one that has not come
+ * yet, as what loses the pool may be handled before the turn. */
+static void
+test_the_latest_turn_is_kept (void)
+{
+  FbLoopWatch *watch = fb_loop_watch_new (TURN_MS, 1000);
+  FbLoopLate late;
+  CU_ASSERT_EQUAL (fb_loop_watch_longest_ms (watch, 1000 + TURN_MS + 900), 900);
+  CU_ASSERT_TRUE (fb_loop_watch_turn (watch, 1000 + TURN_MS + 1400, &late));
+  uint64_t late_at_ms = 1000 + TURN_MS + 1400;
+  uint64_t now_ms = turns_in_time (watch, late_at_ms, late_at_ms + 2000);
+  CU_ASSERT_EQUAL (fb_loop_watch_longest_ms (watch, now_ms), 1400);
+  now_ms = turns_in_time (watch, now_ms, late_at_ms + 2250 + TURN_MS);
+  CU_ASSERT_EQUAL (fb_loop_watch_longest_ms (watch, now_ms), 0);
+  fb_loop_watch_free (watch);
+}
+
 int
 main (void)
 {
@@ -394,6 +471,9 @@
   CU_add_test (suite, "relays share the workers", test_relays_share_the_workers);
   CU_add_test (suite, "nobody to carry", test_no_relay_left);
   CU_add_test (suite, "a carried look", test_a_carried_look);
+  CU_add_test (suite, "a late turn is told", test_a_late_turn_is_told);
+  CU_add_test (suite, "late turns are told once a second", test_late_turns_are_told_once_a_second);
+  CU_add_test (suite, "the latest turn is kept", test_the_latest_turn_is_kept);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
