A lost pool tells how old its joins are and how late the loop was; a late join is told

Cause: POOL_LOST said "dealt to another daemon" for a planned stop, for a daemon that joined too late and for one that the group dealt out while it joined in time. Now each says which, with the ages that decide: since the last join was sent and since one was answered, what lay between the last two answers, and the latest turn of the loop in the last 2 s. JOIN_LATE tells of a join answered later than the time to live after the one before it, also where the daemon then keeps its pools. No change of what a daemon does.

Weighed: the ages only in JOIN_LATE; a pool is also lost to a worker's or the store's word while the join is still open.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "daemons.h"
+#include "join-watch.h"
 #include "links.h"
 #include "loop-watch.h"
 #include "relay.h"
@@ -161,6 +162,7 @@
   GHashTable *takes;     /* partition -> FbTake: epochs that were used here */
   FbTimer *timer;
   FbLoopWatch *loop;
+  FbJoinWatch joins;
   gboolean stopping;
   gboolean refusing;    /* near its end: calls are turned away at once */
   guint open_calls;     /* of callers */
@@ -173,12 +175,18 @@
 uint32_t fb_entry_partition_of (const FbEntry *self, const char *service);
 FbOwner *fb_entry_owner (const FbEntry *self, uint32_t partition);
 FbAppender *fb_entry_appender (FbEntry *self, uint32_t partition);
-/* Sets which partitions this daemon owns from now on, under EPOCH if they are new. */
-void fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t epoch);
+/* Sets which partitions this daemon owns from now on, under EPOCH if they are new.  WHY: what
+ * is told of those that it owns no more. */
+void fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t epoch, const char *why);
 void fb_entry_disown (FbEntry *self, uint32_t partition);
 void fb_entry_each_owner (FbEntry *self, void (*func) (FbOwner *owner));
 /* Begins to follow the configuration and to give up what is lost. */
 void fb_entry_watch (FbEntry *self);
+/* Returns: (transfer full): how old its joins are and how late its loop was, for lines that tell
+ * of a loss. */
+char *fb_entry_ages (const FbEntry *self);
+/* The store has answered a join; TTL_MS is the daemon's time to live in the group. */
+void fb_entry_join_answered (FbEntry *self, uint32_t ttl_ms);
 /* Notes whether the store answered. */
 void fb_entry_store_answered (FbEntry *self, const FbHttpReply *reply);
 /* TRUE when the store has been silent for so long that a call would most likely get no
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -193,7 +193,7 @@
     {
       g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
       self->leave_asked = TRUE;
-      fb_entry_own (entry, none, 0);
+      fb_entry_own (entry, none, 0, "planned stop");
       fb_group_leave (entry->group, on_left, self);
     }
   /* Failure: the process ends while calls are open; it shows as requests that were read
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -292,7 +292,7 @@
       || self->join_sent_ms < self->ok_sent_ms + self->ttl_ms)
     return;
   g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
-  fb_entry_own (self->entry, none, generation);
+  fb_entry_own (self->entry, none, generation, "it joined too late");
 }
 
 static void
@@ -311,11 +311,12 @@
       self->timer = g_timeout_add (silent ? PROBE_PAUSE_MS : JOIN_EVERY_MS / 2, join, self);
       return;
     }
+  fb_entry_join_answered (self->entry, self->ttl_ms);
   give_up_after_absence (self, generation);
   gboolean changed = generation != self->generation;
   self->generation = generation;
   self->ok_sent_ms = self->join_sent_ms;
-  fb_entry_own (self->entry, partitions, generation);
+  fb_entry_own (self->entry, partitions, generation, "dealt to another daemon");
   self->timer = g_timeout_add (changed ? JOIN_CHANGED_MS : JOIN_EVERY_MS, join, self);
   ask_owners (self, now_ms);
 }
@@ -329,7 +330,8 @@
   if (self->ok_sent_ms != 0)
     {
       g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
-      fb_entry_own (self->entry, none, self->generation);
+      fb_entry_own (self->entry, none, self->generation, "not among the strong daemons");
+      fb_join_watch_left (&self->entry->joins);
       take_out (self, self->member, on_taken_out);
       self->ok_sent_ms = 0;
       self->generation = 0;
@@ -361,6 +363,7 @@
   fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, topics, self->ttl_ms,
                 self->generation);
   self->join_sent_ms = fb_clock_ms ();
+  fb_join_watch_sent (&self->entry->joins, self->join_sent_ms);
   fb_http_client_exchange (self->entry->store_client, &call, join_patience_ms (self), on_joined,
                            self);
   fb_http_call_clear (&call);
--- /dev/null
+++ b/src/entry/join-watch.c
@@ -0,0 +1,23 @@
+#include "join-watch.h"
+
+void
+fb_join_watch_sent (FbJoinWatch *self, uint64_t now_ms)
+{
+  self->sent_ms = now_ms;
+}
+
+gboolean
+fb_join_watch_answered (FbJoinWatch *self, uint32_t ttl_ms, uint64_t now_ms)
+{
+  gboolean late = self->answered_ms != 0 && now_ms > self->answered_ms + ttl_ms;
+  self->gap_ms = self->answered_ms != 0 ? (uint32_t) (now_ms - self->answered_ms) : 0;
+  self->answered_ms = now_ms;
+  return late;
+}
+
+void
+fb_join_watch_left (FbJoinWatch *self)
+{
+  self->answered_ms = 0;
+  self->gap_ms = 0;
+}
--- a/src/entry/owner-orders.c
+++ b/src/entry/owner-orders.c
@@ -185,10 +185,12 @@
 void
 fb_owner_lose (FbOwner *self, const char *why)
 {
-  if (!self->lost)
-    fb_event_log (FB_EVENT_POOL_LOST, "partition=%u epoch=%" G_GUINT64_FORMAT " why=%s",
-                  self->partition, self->epoch, why);
+  if (self->lost)
+    return;
   self->lost = TRUE;
+  g_autofree char *ages = fb_entry_ages (self->entry);
+  fb_event_log (FB_EVENT_POOL_LOST, "partition=%u epoch=%" G_GUINT64_FORMAT " why=\"%s\" %s",
+                self->partition, self->epoch, why, ages);
 }
 
 static void
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -207,6 +207,40 @@
   return appender;
 }
 
+/* 0 for what never happened. */
+static guint
+ms_ago (uint64_t at_ms, uint64_t now_ms)
+{
+  return at_ms != 0 ? (guint) (now_ms - at_ms) : 0;
+}
+
+char *
+fb_entry_ages (const FbEntry *self)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  return g_strdup_printf (
+      "join_sent_ms_ago=%u join_answered_ms_ago=%u join_gap_ms=%u loop_late_ms=%u",
+      ms_ago (self->joins.sent_ms, now_ms), ms_ago (self->joins.answered_ms, now_ms),
+      self->joins.gap_ms, fb_loop_watch_longest_ms (self->loop, now_ms));
+}
+
+void
+fb_entry_join_answered (FbEntry *self, uint32_t ttl_ms)
+{
+  if (!fb_join_watch_answered (&self->joins, ttl_ms, fb_clock_ms ()))
+    return;
+  g_autofree char *ages = fb_entry_ages (self);
+  fb_event_log (FB_EVENT_JOIN_LATE, "ttl_ms=%u %s", ttl_ms, ages);
+}
+
+static void
+log_lost (const FbEntry *self, uint32_t partition, uint64_t generation, const char *why)
+{
+  g_autofree char *ages = fb_entry_ages (self);
+  fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=\"%s\" %s",
+                partition, generation, why, ages);
+}
+
 static void
 take_partition (FbEntry *self, uint32_t partition, uint64_t generation)
 {
@@ -222,8 +256,7 @@
   if (take->n >= EPOCHS_PER_GENERATION)
     {
       /* The next change of the group brings new ones. */
-      fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=%s",
-                    partition, generation, "taken too often in one generation");
+      log_lost (self, partition, generation, "taken too often in one generation");
       return;
     }
   if (self->worker_follower == NULL)
@@ -267,7 +300,7 @@
 }
 
 void
-fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t generation)
+fb_entry_own (FbEntry *self, const GArray *partitions, uint64_t generation, const char *why)
 {
   g_autoptr (GList) mine = g_hash_table_get_keys (self->owners);
   for (GList *l = mine; l != NULL; l = l->next)
@@ -275,8 +308,7 @@
       uint32_t partition = GPOINTER_TO_UINT (l->data);
       if (contains (partitions, partition))
         continue;
-      fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=%s",
-                    partition, generation, "dealt to another daemon");
+      log_lost (self, partition, generation, why);
       fb_entry_disown (self, partition);
     }
   for (guint i = 0; i < partitions->len && !self->stopping; i++)
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -1,6 +1,7 @@
 /* Parts of a daemon on the platform that need no network. */
 #include "internal/codec.h"
 #include "src/entry/advice-share.h"
+#include "src/entry/join-watch.h"
 #include "src/entry/loop-watch.h"
 #include "src/entry/relay.h"
 #include "src/entry/turns.h"
@@ -454,6 +455,38 @@
   fb_loop_watch_free (watch);
 }
 
+/* ---- late joins ------------------------------------------------------------------- */
+
+/* A daemon that may live 1 s without a join took a pool over for 1.4 s; the group dealt the pool
+ * to another, and no line told that it was the join. */
+static void
+test_a_late_join_is_told (void)
+{
+  FbJoinWatch watch = { 0 };
+  fb_join_watch_sent (&watch, 1000);
+  CU_ASSERT_FALSE (fb_join_watch_answered (&watch, 1000, 1010));
+  fb_join_watch_sent (&watch, 1260);
+  CU_ASSERT_FALSE (fb_join_watch_answered (&watch, 1000, 2010));
+  CU_ASSERT_EQUAL (watch.gap_ms, 1000);
+  fb_join_watch_sent (&watch, 3400);
+  CU_ASSERT_TRUE (fb_join_watch_answered (&watch, 1000, 3410));
+  CU_ASSERT_EQUAL (watch.gap_ms, 1400);
+  CU_ASSERT_EQUAL (watch.sent_ms, 3400);
+}
+
+/* A daemon that left the group by itself and enters it again is not late. */
+static void
+test_who_left_joins_in_time (void)
+{
+  FbJoinWatch watch = { 0 };
+  fb_join_watch_sent (&watch, 1000);
+  CU_ASSERT_FALSE (fb_join_watch_answered (&watch, 1000, 1010));
+  fb_join_watch_left (&watch);
+  fb_join_watch_sent (&watch, 60000);
+  CU_ASSERT_FALSE (fb_join_watch_answered (&watch, 1000, 60010));
+  CU_ASSERT_EQUAL (watch.gap_ms, 0);
+}
+
 int
 main (void)
 {
@@ -474,6 +507,8 @@
   CU_add_test (suite, "a late turn is told", test_a_late_turn_is_told);
   CU_add_test (suite, "late turns are told once a second", test_late_turns_are_told_once_a_second);
   CU_add_test (suite, "the latest turn is kept", test_the_latest_turn_is_kept);
+  CU_add_test (suite, "a late join is told", test_a_late_join_is_told);
+  CU_add_test (suite, "who left joins in time", test_who_left_joins_in_time);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
