A take-over tells what its parts took, and how many jobs it found

Cause: POOL_TAKEN gave one figure for the whole. Whether the store's answers or the daemon's own work took it could not be told, nor whether it grows with what was found. It now gives shut_out_ms, progress_ms, jobs_ms and admit_ms, which add up to load_ms, and the number of jobs. No change of what a daemon does.

The parts of every take-over must add up.

--- a/src/entry/owner-load.c
+++ b/src/entry/owner-load.c
@@ -83,9 +83,25 @@
   (void) user;
 }
 
+/* FROM_MS is when the jobs were read. */
+static void
+log_taken (const FbOwner *self, guint jobs_n, uint64_t from_ms)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  fb_event_log (FB_EVENT_POOL_TAKEN,
+                "partition=%u epoch=%" G_GUINT64_FORMAT
+                " load_ms=%u shut_out_ms=%u progress_ms=%u jobs_ms=%u admit_ms=%u jobs=%u",
+                self->partition, self->epoch, (guint) (now_ms - self->began_ms),
+                (guint) (self->fenced_ms - self->began_ms),
+                (guint) (self->progress_ms - self->fenced_ms),
+                (guint) (from_ms - self->progress_ms), (guint) (now_ms - from_ms), jobs_n);
+}
+
 static void
 finish_loading (FbOwner *self)
 {
+  uint64_t from_ms = fb_clock_ms ();
+  guint jobs_n = g_hash_table_size (self->loading);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -104,8 +120,7 @@
   self->loaded = TRUE;
   fb_counter_add (FB_COUNTER_TAKE_OVERS, 1);
   self->authority_ms = fb_clock_ms ();
-  fb_event_log (FB_EVENT_POOL_TAKEN, "partition=%u epoch=%" G_GUINT64_FORMAT " load_ms=%u",
-                self->partition, self->epoch, (guint) (fb_clock_ms () - self->began_ms));
+  log_taken (self, jobs_n, from_ms);
   fb_owner_routes_changed (self);
   fb_owner_kick (self);
 }
@@ -161,6 +176,7 @@
 on_progress_listed (gpointer user)
 {
   FbOwner *self = user;
+  self->progress_ms = fb_clock_ms ();
   g_clear_pointer (&self->progress_follower, fb_follower_free);
   self->job_follower
       = fb_follower_new (self->entry, FB_TOPIC_JOBS, self->partition, 0, &job_ops, self);
--- a/src/entry/owner-private.h
+++ b/src/entry/owner-private.h
@@ -29,6 +29,7 @@
   gboolean quiet;
   uint64_t began_ms;
   uint64_t fenced_ms;    /* since when the owner before cannot record anything */
+  uint64_t progress_ms;  /* when what the owner before had recorded was read */
   uint64_t authority_ms; /* when it was last sure to be the owner */
   guint kick;
   guint tick;
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -161,6 +161,22 @@
 until_true reloaded || die "the settings were not loaded again"
 until_true ready "$cut" || die "the daemon is not ready again"
 
+say "a daemon stands still and loses its pool: its lines tell that it was its loop, and its join"
+until_true dealt_to_owner || die "the pool does not come to rest"
+still=$(owner)
+for d in "${left[@]}"; do [ -n "$d" ] && [ "$d" != "$still" ] && other=$d; done
+count() { grep -c "$2" "$OUT/d$1.log" || true; }
+before=$(count "$other" POOL_TAKEN) from=$(wc -l < "$OUT/d$still.log")
+taken_over() { [ "$(count "$other" POOL_TAKEN)" -gt "$before" ]; }
+kill -STOP "${PID[$still]}"
+until_true taken_over || die "nobody took the pool over"
+kill -CONT "${PID[$still]}"
+tells() { tail -n +$((from + 1)) "$OUT/d$still.log" | grep -E "$1" | grep -qE "$2"; }
+until_true tells ' LOOP_LATE ' ' late_ms=[0-9]{3,} ' || die "it does not tell that its loop was late"
+until_true tells ' JOIN_LATE ' ' join_gap_ms=[0-9]{4,} ' || die "it does not tell that its join was late"
+until_true tells ' POOL_LOST ' ' loop_late_ms=[0-9]{3,}$' || die "it does not tell what it lost its pool with"
+until_true ready "$still" || die "the daemon is not ready again"
+
 say "a worker dies with work on it"
 for n in $(seq 40 45); do submitted "$alive" "$n" || die "job $n was not taken"; done
 curl -s -d '{"worker":2,"up":false}' "http://127.0.0.1:$base/control" > /dev/null
@@ -198,6 +214,11 @@
 until_true submitted "$next" 51 || die "no job is taken after that stop"
 until_true is "$next" 51 completed || die "that job did not complete"
 
+say "the parts of each take-over add up"
+grep -h ' POOL_TAKEN ' "$OUT"/d?.log | awk '{ for (i = 1; i <= NF; i++) { split($i, f, "="); v[f[1]] = f[2] }
+  bad += v["load_ms"] != v["shut_out_ms"] + v["progress_ms"] + v["jobs_ms"] + v["admit_ms"] || v["jobs"] == "" }
+  END { exit bad > 0 || NR == 0 }' || die "the parts of a take-over do not add up"
+
 say "metrics, and what the workers saw"
 metrics=$(curl -s "http://127.0.0.1:$(($(port "$next") + 3))/metrics")
 grep -q '^flamingobarrow_caller_answer_ms_count [1-9]' <<< "$metrics" || die "no histogram at /metrics"
