A task that is to last tells how long it was away when it starts again, and while it waits

Cause: from the lines of an owner it could not be told for how long nothing of a lasting task ran, how its last run had ended, and whether the next one waited for the take-over, for a turn to ask for advice, for the advice or for room; a step that waited for good wrote nothing at all. LASTING_RESTARTED tells the first at each order that starts such a task again, also for one of which a new owner found no run ("not known": then only the time since the take-over is). LASTING_WAITS tells of a step that has waited for 5 s, and each 5 s more. flamingobarrow_lasting_away_ms holds the times. Steps that do not last keep nothing more than a pointer each. A start that was refused or never seen to run does not count as a run, so the time goes on.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -90,6 +90,7 @@
 typedef struct _FbPoolJob FbPoolJob;
 typedef struct _FbPoolRun FbPoolRun;
 typedef struct _FbPoolStep FbPoolStep;
+typedef struct _FbPoolLasting FbPoolLasting;
 
 /* What is learned of a worker, shared with the tasks that ran there until their steps
  * have ended. */
@@ -153,6 +154,7 @@
   uint64_t looked_round;  /* last round in which it found no place */
   uint64_t full_look_ms;  /* when it is looked at again whatever has changed */
   uint64_t room_asked_ms; /* when other work was last asked to give way to it */
+  FbPoolLasting *lasting; /* what is told of it if it is to last; NULL: nothing yet */
 };
 
 typedef struct
@@ -300,6 +302,8 @@
   gboolean place_due;     /* room, work or advice came since the last round */
   uint64_t expired_ms;    /* when results were last looked through for old ones */
   uint64_t tended_ms;     /* when workers and times were last looked after */
+  const char *barred;     /* why nothing at all could start, when that was last so; or NULL */
+  uint64_t barred_ms;     /* when that was */
 };
 
 /* An attempt's number is above all that were used before it.  A job that was taken
@@ -420,8 +424,10 @@
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
-/* The run has certainly ended or never began: its room is free, its task waits again. */
-void fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run);
+/* The run has certainly ended or never began: its room is free, its task waits again.  HOW: a
+ * static text. */
+void fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *how,
+                       uint64_t now_ms);
 
 /* pool-report.c */
 void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
@@ -528,6 +534,19 @@
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
 
+/* pool-lasting.c: of steps that are to last; others are passed over. */
+
+/* The last run of task INDEX is over; a start that came to nothing was none.  HOW: a static
+ * text. */
+void fb_pool_lasting_over (FbPoolStep *step, uint32_t index, const char *how, uint64_t now_ms);
+/* A round found no place for all of STEP.  WAITS_FOR: a static text. */
+void fb_pool_lasting_waits (const FbPool *self, FbPoolStep *step, const char *waits_for,
+                            uint64_t now_ms);
+void fb_pool_lasting_waits_no_more (FbPoolStep *step);
+/* RUN of STEP is ordered. */
+void fb_pool_lasting_started (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
+                              uint64_t now_ms);
+
 /* pool-stuck.c */
 
 /* Stops RUN, so that its task starts elsewhere, if it takes far too long. */
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -73,6 +73,7 @@
       g_clear_pointer (&step->tasks[i].failed, g_array_unref);
     }
   g_free (step->tasks);
+  g_free (step->lasting);
   g_ptr_array_unref (step->held_on);
   fb_pool_rulings_clear (step);
 }
--- /dev/null
+++ b/src/work/pool-lasting.c
@@ -0,0 +1,139 @@
+/* What is told of tasks that are to last and do not run: for how long, how their last run ended,
+ * and what the next one waited for.  Nothing is decided by it. */
+#include "internal/pool-private.h"
+
+#include "fb-event.h"
+#include "fb-histogram.h"
+
+/* A worker's loss and a take-over beside it explain a wait of this length. */
+#define LONG_WAIT_MS 5000
+
+/* Since when nothing of a task runs, unless it was started again. */
+typedef struct
+{
+  uint64_t over_ms; /* when its last run was known to be over; 0: no run of it was */
+  const char *how;
+} Away;
+
+/* Of a step that is to last, once a run of it was over or a round found no place for it. */
+struct _FbPoolLasting
+{
+  const char *waits_for; /* NULL: for nothing */
+  uint64_t waits_ms;     /* since when for that */
+  uint64_t began_ms;     /* since when for anything */
+  uint64_t told_ms;      /* 0: nothing was told of this wait */
+  Away tasks[];
+};
+
+static FbPoolLasting *
+lasting_of (FbPoolStep *step)
+{
+  if (step->lasting == NULL)
+    step->lasting = g_malloc0 (sizeof (FbPoolLasting) + step->shape->count * sizeof (Away));
+  return step->lasting;
+}
+
+static void
+forget_wait (FbPoolLasting *lasting)
+{
+  lasting->waits_for = NULL;
+  lasting->told_ms = 0;
+}
+
+void
+fb_pool_lasting_over (FbPoolStep *step, uint32_t index, const char *how, uint64_t now_ms)
+{
+  if (!step->shape->lasting)
+    return;
+  FbPoolLasting *lasting = lasting_of (step);
+  lasting->tasks[index] = (Away){ .over_ms = now_ms, .how = how };
+  if (fb_pool_step_waiting_n (step) <= 1)
+    forget_wait (lasting);
+}
+
+static void
+tell_wait (const FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  FbPoolLasting *lasting = step->lasting;
+  uint64_t from_ms = lasting->told_ms != 0 ? lasting->told_ms : lasting->began_ms;
+  if (now_ms < from_ms + LONG_WAIT_MS)
+    return;
+  lasting->told_ms = now_ms;
+  g_autofree char *name = fb_pool_step_name (step);
+  fb_event_log (
+      FB_EVENT_LASTING_WAITS,
+      "step=%s tasks=%u of=%u waited_ms=%u waits_for=%s for_ms=%u epoch=%" G_GUINT64_FORMAT, name,
+      fb_pool_step_waiting_n (step), step->shape->count, (guint) (now_ms - lasting->began_ms),
+      lasting->waits_for, (guint) (now_ms - lasting->waits_ms), self->epoch);
+}
+
+void
+fb_pool_lasting_waits (const FbPool *self, FbPoolStep *step, const char *waits_for, uint64_t now_ms)
+{
+  if (!step->shape->lasting)
+    return;
+  FbPoolLasting *lasting = lasting_of (step);
+  if (lasting->waits_for == NULL)
+    lasting->began_ms = now_ms;
+  if (lasting->waits_for != waits_for)
+    lasting->waits_ms = now_ms;
+  lasting->waits_for = waits_for;
+  tell_wait (self, step, now_ms);
+}
+
+void
+fb_pool_lasting_waits_no_more (FbPoolStep *step)
+{
+  if (step->lasting != NULL)
+    forget_wait (step->lasting);
+}
+
+/* What task INDEX is known to be away for.  Of a job that an earlier owner had accepted, and of
+ * which this one has found no run, only the time since the take-over is known. */
+static Away
+away_of (const FbPool *self, const FbPoolStep *step, uint32_t index)
+{
+  if (step->lasting != NULL && step->lasting->tasks[index].over_ms != 0)
+    return step->lasting->tasks[index];
+  const FbPoolJob *job = step->job;
+  if (job->restored && !job->untouched && job->admitted_ms < self->began_ms)
+    return (Away){ .over_ms = self->began_ms, .how = "not known" };
+  return (Away){ 0 };
+}
+
+static const char *
+what_it_waited_for (const FbPool *self, const FbPoolStep *step, uint64_t over_ms, uint64_t now_ms,
+                    uint64_t *for_ms)
+{
+  const FbPoolLasting *lasting = step->lasting;
+  if (lasting != NULL && lasting->waits_for != NULL)
+    {
+      *for_ms = now_ms - MAX (lasting->waits_ms, over_ms);
+      return lasting->waits_for;
+    }
+  if (self->barred_ms >= over_ms && self->barred != NULL)
+    {
+      *for_ms = self->barred_ms - over_ms;
+      return self->barred;
+    }
+  return "nothing";
+}
+
+void
+fb_pool_lasting_started (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
+                         uint64_t now_ms)
+{
+  if (!step->shape->lasting)
+    return;
+  const Away away = away_of (self, step, run->index);
+  if (away.over_ms == 0)
+    return;
+  uint64_t for_ms = 0;
+  const char *waited_for = what_it_waited_for (self, step, away.over_ms, now_ms, &for_ms);
+  fb_histogram_add (FB_HISTOGRAM_LASTING_AWAY, now_ms - away.over_ms);
+  fb_event_log (FB_EVENT_LASTING_RESTARTED,
+                "task=%s attempt=%u away_ms=%u ended=\"%s\" waited_for=%s for_ms=%u"
+                " epoch=%" G_GUINT64_FORMAT,
+                run->name, run->attempt, (guint) (now_ms - away.over_ms), away.how, waited_for,
+                (guint) for_ms, self->epoch);
+}
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -96,6 +96,7 @@
       " heard_ms_ago=%" G_GUINT64_FORMAT " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
       name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
       now_ms - worker->heard_ms, worker->speed->slowness, step->job->tightness, self->epoch);
+  fb_pool_lasting_started (self, step, run, now_ms);
   const FbStartOrder order = { .order = run->order,
                                .worker = worker->id,
                                .address = worker->address,
@@ -165,16 +166,20 @@
 }
 
 void
-fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run)
+fb_pool_run_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *how,
+                  uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
   uint32_t index = run->index;
   gboolean was_current = step != NULL && step->tasks[index].run == run;
+  gboolean ran = run->seen_clock_ms > 0;
   fb_pool_worker_drop_run (worker, run);
   fb_pool_worker_opened (self, worker);
   if (!was_current)
     return;
   step->waiting_from = MIN (step->waiting_from, index);
+  if (ran)
+    fb_pool_lasting_over (step, index, how, now_ms);
   fb_pool_queue_add (self, step);
 }
 
@@ -192,7 +197,7 @@
   if (result != FB_ORDER_SUPERSEDED && result != FB_ORDER_BAD_TICKET)
     worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
   gboolean gang = step->shape->gang;
-  fb_pool_run_over (self, worker, run);
+  fb_pool_run_over (self, worker, run, "refused", now_ms);
   if (gang)
     fb_pool_gang_stop (self, step, now_ms);
 }
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -81,21 +81,41 @@
  * that recover from a refusal and questions that got no answer open nothing by an event. */
 #define LOOK_AGAIN_MS 100
 
+/* STEP found no place and asked for advice if there was something to ask.  "turn": for a daemon
+ * that can take its question. */
+static const char *
+what_it_waits_for (const FbPoolStep *step, gboolean could_ask)
+{
+  if (step->advice_sent_ms != 0)
+    return "advice";
+  return could_ask ? "room" : "turn";
+}
+
 /* Returns: FALSE when no daemon can take a question for advice now. */
 static gboolean
 look_at (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   gboolean advised = step->job->record.policy.advised;
-  if (fb_pool_may_run_unheard (self, step) || (advised && !step->ruled))
-    return fb_pool_ask_first_advice (self, step, now_ms);
+  gboolean unheard = fb_pool_may_run_unheard (self, step);
+  if (unheard || (advised && !step->ruled))
+    {
+      gboolean can_ask = fb_pool_ask_first_advice (self, step, now_ms);
+      fb_pool_lasting_waits (self, step, unheard ? "take-over" : what_it_waits_for (step, can_ask),
+                             now_ms);
+      return can_ask;
+    }
   uint64_t held_until_ms = step->held_until_ms;
   g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
   gboolean placed
       = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
   if (placed)
-    return TRUE;
+    {
+      fb_pool_lasting_waits_no_more (step);
+      return TRUE;
+    }
   if (now_ms < held_until_ms)
     {
+      fb_pool_lasting_waits (self, step, "advice", now_ms);
       fb_pool_hold_again (self, step, held_on, fb_pool_step_waiting_n (step), held_until_ms);
       return TRUE;
     }
@@ -104,6 +124,7 @@
   if (can_ask)
     step->looked_round = self->round;
   step->full_look_ms = now_ms + LOOK_AGAIN_MS;
+  fb_pool_lasting_waits (self, step, what_it_waits_for (step, can_ask), now_ms);
   return can_ask;
 }
 
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -142,7 +142,7 @@
     {
       FbPoolRun *run = l->data;
       FbPoolStep *step = run->step;
-      fb_pool_run_over (self, worker, run);
+      fb_pool_run_over (self, worker, run, why, now_ms);
       if (step != NULL && step->shape->gang)
         fb_pool_gang_stop (self, step, now_ms);
     }
@@ -221,7 +221,9 @@
   if (run != NULL && run->step == step && run->attempt == end->attempt && end->how == FB_END_DONE)
     take_time (worker, run, now_ms);
   if (run != NULL && run->attempt <= end->attempt)
-    fb_pool_run_over (self, worker, run);
+    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);
+  if (task->run == NULL)
+    fb_pool_lasting_over (step, index, end_names[end->how], now_ms);
   if (fb_pool_job_ended (step->job))
     return;
   if (end->how == FB_END_DONE && step->shape->gang)
@@ -267,7 +269,7 @@
     }
   FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
   if (run != NULL)
-    fb_pool_run_over (self, worker, run);
+    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);
 }
 
 /* ---- what runs ------------------------------------------------------------------ */
@@ -401,7 +403,7 @@
       FbPoolStep *step = run->step;
       fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
                     run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
-      fb_pool_run_over (self, worker, run);
+      fb_pool_run_over (self, worker, run, "absent", now_ms);
       if (step != NULL && step->shape->gang && !fb_pool_step_done (step)
           && !fb_pool_job_ended (step->job))
         fb_pool_gang_stop (self, step, now_ms);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -335,7 +335,11 @@
       fb_pool_settle (self, now_ms);
     }
   if (!fb_pool_may_place (self) || !may_start)
-    return;
+    {
+      self->barred = may_start ? "majority" : "authority";
+      self->barred_ms = now_ms;
+      return;
+    }
   if (tend)
     release_due (self, now_ms, wall_ms);
   if (!tend && !self->place_due)
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -534,10 +534,36 @@
   fb_pool_jobs_read (script->pool, script->now_ms);
 }
 
+/* Which event is printed; NULL: none. */
+static char *shown_event;
+
+static GLogWriterOutput
+print_event (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer unused)
+{
+  const char *name = NULL;
+  const char *message = NULL;
+  for (gsize i = 0; i < n; i++)
+    {
+      if (g_str_equal (fields[i].key, "FB_EVENT_NAME"))
+        name = fields[i].value;
+      else if (g_str_equal (fields[i].key, "MESSAGE"))
+        message = fields[i].value;
+    }
+  if (name == NULL || message == NULL || shown_event == NULL)
+    return g_log_writer_default (level, fields, n, unused);
+  if (g_str_has_prefix (name, shown_event))
+    printf ("  %s\n", strchr (message, ' ') + 1);
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* show [looks] [events=NAME]: events whose names begin so */
 static void
 do_show (Script *script)
 {
   script->show_looks = flag (script, "looks");
+  g_free (shown_event);
+  shown_event = g_strdup (option (script, "events"));
+  fb_event_set_quiet (shown_event == NULL);
 }
 
 static void
@@ -584,6 +610,7 @@
       return 2;
     }
   fb_event_set_quiet (TRUE);
+  g_log_set_writer_func (print_event, NULL, NULL);
   Script script = { .now_ms = BEGIN_MS };
   script.admitted = g_hash_table_new (g_str_hash, g_str_equal);
   script.progress = g_hash_table_new (g_str_hash, g_str_equal);
