A take-over tells how much it read and how late the loop was meanwhile

POOL_TAKEN now has bytes (of jobs and progress) and loop_late_ms, the latest turn of the last 2 s. No change of what a daemon does.

--- a/src/entry/owner-load.c
+++ b/src/entry/owner-load.c
@@ -83,18 +83,32 @@
   (void) user;
 }
 
-/* FROM_MS is when the jobs were read. */
+static gsize
+bytes_of (GHashTable *records)
+{
+  gsize bytes = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    bytes += g_bytes_get_size (value);
+  return bytes;
+}
+
+/* FROM_MS is when the jobs were read, which were JOBS_N in BYTES. */
 static void
-log_taken (const FbOwner *self, guint jobs_n, uint64_t from_ms)
+log_taken (const FbOwner *self, guint jobs_n, gsize bytes, uint64_t from_ms)
 {
   uint64_t now_ms = fb_clock_ms ();
   fb_event_log (FB_EVENT_POOL_TAKEN,
                 "partition=%u epoch=%" G_GUINT64_FORMAT
-                " load_ms=%u shut_out_ms=%u progress_ms=%u jobs_ms=%u admit_ms=%u jobs=%u",
+                " load_ms=%u shut_out_ms=%u progress_ms=%u jobs_ms=%u admit_ms=%u jobs=%u"
+                " bytes=%" G_GSIZE_FORMAT " loop_late_ms=%u",
                 self->partition, self->epoch, (guint) (now_ms - self->began_ms),
                 (guint) (self->fenced_ms - self->began_ms),
                 (guint) (self->progress_ms - self->fenced_ms),
-                (guint) (from_ms - self->progress_ms), (guint) (now_ms - from_ms), jobs_n);
+                (guint) (from_ms - self->progress_ms), (guint) (now_ms - from_ms), jobs_n, bytes,
+                fb_loop_watch_longest_ms (self->entry->loop, now_ms));
 }
 
 static void
@@ -102,6 +116,7 @@
 {
   uint64_t from_ms = fb_clock_ms ();
   guint jobs_n = g_hash_table_size (self->loading);
+  gsize bytes = bytes_of (self->loading) + bytes_of (self->progress);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -120,7 +135,7 @@
   self->loaded = TRUE;
   fb_counter_add (FB_COUNTER_TAKE_OVERS, 1);
   self->authority_ms = fb_clock_ms ();
-  log_taken (self, jobs_n, from_ms);
+  log_taken (self, jobs_n, bytes, from_ms);
   fb_owner_routes_changed (self);
   fb_owner_kick (self);
 }
