Move what a successor finds on a worker that drains

Change: what runs on a worker that drains is looked at as long as it drains, and is stopped once it may start elsewhere; before a majority has answered nothing is stopped in vain. The script lasting-task-on-a-draining-worker: red before, passes now.

--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -57,17 +57,29 @@
 
 /* ---- workers -------------------------------------------------------------------- */
 
-/* Tasks that last, or that keep what they did, are moved before the worker ends. */
+static gboolean
+is_worth_moving (const FbPoolRun *run)
+{
+  if (run->step == NULL || run->state != FB_RUN_RUNNING || run->step->shape->gang)
+    return FALSE;
+  return run->step->shape->lasting || run->step->shape->checkpointing;
+}
+
+/* Tasks that last, or that keep what they did, are moved before the worker ends, once they may
+ * start elsewhere.
+ *
+ * Failure: a worker begins to drain while the owner changes, and each new owner finds a task that
+ * lasts there when it has seen the worker drain already; moved only as a worker begins to drain, it
+ * ends with the worker, and starts again after the next owner has settled, 12 s later.  Guard: what
+ * runs there is looked at as long as the worker drains. */
 static void
 leave_draining (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-  for (GList *l = runs; l != NULL; l = l->next)
+  for (GList *l = runs; l != NULL && fb_pool_may_place (self); l = l->next)
     {
       FbPoolRun *run = l->data;
-      if (run->step == NULL || run->state != FB_RUN_RUNNING || run->step->shape->gang)
-        continue;
-      if (run->step->shape->lasting || run->step->shape->checkpointing)
+      if (is_worth_moving (run) && !fb_pool_may_run_unheard (self, run->step))
         fb_pool_order_stop (self, worker, run, now_ms);
     }
 }
@@ -162,6 +174,8 @@
       else
         fb_pool_run_check_stuck (self, worker, run, now_ms);
     }
+  if (worker->draining)
+    leave_draining (self, worker, now_ms);
   fb_pool_stop_strays (self, worker, now_ms);
   gboolean takes = fb_pool_worker_takes (worker, now_ms);
   if (takes && !worker->took)
