Let questions of several owners wait in one line at each daemon

Cause: every owner has a question open at every daemon, and the service takes the calls of a daemon one after the other; beside a backlog of long questions short ones got one answer for each long one. A daemon gave up a call 3 s after it was sent, whatever it decides, and a pool asked again after 4 s, so that questions of 1.8 s behind others of 1.7 s were thrown away and asked twice (traced: 4.5 s and 5.7 s from the question to the answer). Ruled out: owners that know each other's load: it is measured too late, as the load that is seen is the one that was starved.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -49,7 +49,10 @@
 #define FB_POOL_ADVICE_MAX 100
 /* Renewals name at most this many workers: a ticket costs time for each. */
 #define FB_POOL_RENEW_MAX 6
-/* A question for advice without an answer is asked again. */
+/* A question for advice without an answer is asked again, this long after its decision should have
+ * been there: longer than it is waited for at the daemon that calls the service.  With a bound on
+ * the whole, questions of 1.8 s that waited behind others of 1.7 s were asked twice, and the second
+ * call held up the next ones. */
 #define FB_POOL_ADVICE_PATIENCE_MS 4000
 /* Failed runs of different jobs in a row after which a worker gets one run in each
  * FB_POOL_SPARE_MS until one succeeds. */
@@ -152,10 +155,10 @@
   gboolean gang_broken;  /* a member ended or was refused: the others are stopped */
   FbPoolRuling *rulings; /* by the slots of workers */
   guint rulings_n;
-  gboolean ruled;          /* the advice has ruled on some worker */
-  uint64_t advice_sent_ms; /* 0: no question is open */
-  uint64_t told_ms;        /* when the last answer came */
-  GPtrArray *held_on;      /* ids of workers that keep room for it, one entry a task */
+  gboolean ruled;           /* the advice has ruled on some worker */
+  uint64_t advice_until_ms; /* the open question is given up then; 0: none is open */
+  uint64_t told_ms;         /* when the last answer came */
+  GPtrArray *held_on;       /* ids of workers that keep room for it, one entry a task */
   uint64_t held_until_ms;
   gboolean queued;        /* it is among the pool's waiting steps */
   FbPoolUrgency urgency;  /* as of when it was sorted in */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -496,6 +496,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, FB_WORK_MAX_TICKETS,
 		sizeof (fb_worker_name), (xdrproc_t) xdr_fb_worker_name))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -176,6 +176,7 @@
 		u_int workers_len;
 		fb_worker_name *workers_val;
 	} workers;
+	u_int expected_ms;
 };
 typedef struct fb_ask_advice fb_ask_advice;
 
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -138,6 +138,7 @@
 struct fb_ask_advice {
   string step<FB_WORK_MAX_NAME>;
   fb_worker_name workers<FB_WORK_MAX_TICKETS>;
+  unsigned int expected_ms;  /* how long the service takes to decide */
 };
 
 struct fb_ask_append {
--- a/src/entry/advice-share.c
+++ b/src/entry/advice-share.c
@@ -10,9 +10,14 @@
 /* Failure: two owners do not know of each other's questions, and a daemon's calls wait for each
  * other; a short question of one waits behind a long one of the other, and its callers are late
  * (0.008 of the mean worth of a site with two services).  Guard: long ones are taken from the end
- * of the daemons, short ones from the beginning.  Any figure does that all owners share; a quarter
- * of the 250 ms that the tightest callers give. */
-#define LONG_MS 64
+ * of the daemons, short ones from the beginning (FB_ADVICE_LONG_MS). */
+
+/* Failure: another owner has a long question at every daemon, and a daemon that has answered a
+ * short one begins a long one while the next short one is on its way; it shows as short questions
+ * that get one answer for each long one.  Guard: a second short question waits at the daemon
+ * already. */
+#define SHORT_AT_ONCE 2
+
 /* What was asked counts half after this: bursts last some seconds. */
 #define HALF_LIFE_MS 1000
 
@@ -25,14 +30,21 @@
 struct _FbAdviceShare
 {
   Load loads[CLASS_N];
-  GHashTable *open; /* address -> class + 1 of the question that is open there */
+  GHashTable *open; /* address -> Open */
 };
 
+/* What is open at one daemon: one question, or several short ones. */
+typedef struct
+{
+  guint class; /* of the last one */
+  guint n;
+} Open;
+
 FbAdviceShare *
 fb_advice_share_new (void)
 {
   FbAdviceShare *self = g_new0 (FbAdviceShare, 1);
-  self->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return self;
 }
 
@@ -90,13 +102,28 @@
 {
   guint n = 0;
   GHashTableIter iter;
-  gpointer class;
+  gpointer open;
   g_hash_table_iter_init (&iter, self->open);
-  while (g_hash_table_iter_next (&iter, NULL, &class))
-    n += GPOINTER_TO_UINT (class) > from_class;
+  while (g_hash_table_iter_next (&iter, NULL, &open))
+    n += ((const Open *) open)->class >= from_class;
   return n;
 }
 
+/* Returns: (nullable): a daemon with OPEN_N questions open, all of them short if any are. */
+static const char *
+daemon_with (const FbAdviceShare *self, const GPtrArray *daemons, guint open_n, gboolean from_end)
+{
+  for (guint i = 0; i < daemons->len; i++)
+    {
+      const char *daemon = daemons->pdata[from_end ? daemons->len - 1 - i : i];
+      const Open *open = g_hash_table_lookup (self->open, daemon);
+      if (open_n == (open != NULL ? open->n : 0)
+          && (open == NULL || open->class < class_of (FB_ADVICE_LONG_MS)))
+        return daemon;
+    }
+  return NULL;
+}
+
 const char *
 fb_advice_share_daemon (FbAdviceShare *self, const GPtrArray *daemons, uint32_t expected_ms,
                         uint64_t now_ms)
@@ -106,14 +133,12 @@
   guint from_class = class + 1 > CLASSES_APART ? class + 1 - CLASSES_APART : 0;
   if (kept > 0 && open_n (self, from_class) + kept >= daemons->len)
     return NULL;
-  gboolean from_end = expected_ms >= LONG_MS;
-  for (guint i = 0; i < daemons->len; i++)
-    {
-      const char *daemon = daemons->pdata[from_end ? daemons->len - 1 - i : i];
-      if (!g_hash_table_contains (self->open, daemon))
-        return daemon;
-    }
-  return NULL;
+  gboolean is_long = expected_ms >= FB_ADVICE_LONG_MS;
+  guint most = is_long ? 1 : SHORT_AT_ONCE;
+  const char *daemon = NULL;
+  for (guint open_n = 0; open_n < most && daemon == NULL; open_n++)
+    daemon = daemon_with (self, daemons, open_n, is_long);
+  return daemon;
 }
 
 void
@@ -123,11 +148,20 @@
   guint class = class_of (expected_ms);
   fade (&self->loads[class], now_ms);
   self->loads[class].busy_ms += expected_ms;
-  g_hash_table_insert (self->open, g_strdup (daemon), GUINT_TO_POINTER (class + 1));
+  Open *open = g_hash_table_lookup (self->open, daemon);
+  if (open == NULL)
+    {
+      open = g_new0 (Open, 1);
+      g_hash_table_insert (self->open, g_strdup (daemon), open);
+    }
+  open->class = class;
+  open->n++;
 }
 
 void
 fb_advice_share_ended (FbAdviceShare *self, const char *daemon)
 {
-  g_hash_table_remove (self->open, daemon);
+  Open *open = g_hash_table_lookup (self->open, daemon);
+  if (open != NULL && --open->n == 0)
+    g_hash_table_remove (self->open, daemon);
 }
--- a/src/entry/advice-share.h
+++ b/src/entry/advice-share.h
@@ -10,6 +10,10 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Questions that take so long are long, others short.  Any figure does that all owners share; a
+ * quarter of the 250 ms that the tightest callers give. */
+#define FB_ADVICE_LONG_MS 64
+
 typedef struct _FbAdviceShare FbAdviceShare;
 
 FbAdviceShare *fb_advice_share_new (void);
@@ -23,8 +27,8 @@
  * Returns: (nullable): borrowed from DAEMONS; NULL: the question has to wait. */
 const char *fb_advice_share_daemon (FbAdviceShare *self, const GPtrArray *daemons,
                                     uint32_t expected_ms, uint64_t now_ms);
-/* A question of EXPECTED_MS goes to DAEMON, which had none open. */
+/* A question of EXPECTED_MS goes to DAEMON, as fb_advice_share_daemon() said. */
 void fb_advice_share_began (FbAdviceShare *self, const char *daemon, uint32_t expected_ms,
                             uint64_t now_ms);
-/* DAEMON has answered, or will not. */
+/* DAEMON has answered a question, or will not. */
 void fb_advice_share_ended (FbAdviceShare *self, const char *daemon);
--- a/src/entry/advisor.c
+++ b/src/entry/advisor.c
@@ -1,10 +1,12 @@
 /* Questions for advice.  The advice service handles one call at a time for each
  * calling daemon, and a call takes up to a second: the owner of a pool spreads its
- * questions over all daemons, one open at each (advice-share.h).
+ * questions over all daemons, one open at each (advice-share.h), where those of several owners
+ * wait in one line (advice-line.h).
  *
  * Failure: one daemon is left and owns two pools; the one whose answer has just come asks
  * again first, each time, and nothing of the other is started any more.  Guard: pools that
  * wait for a daemon take turns, by the time that their questions have taken. */
+#include "advice-line.h"
 #include "advice-share.h"
 #include "entry-private.h"
 #include "turns.h"
@@ -13,8 +15,13 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
-/* Over what the decision takes: other pools may have questions at the same daemon. */
+/* How long a question may wait at a daemon for those of other pools, over what its decision takes:
+ * for one of 1.8 s that has just begun, and for the short ones that go first meanwhile. */
 #define PATIENCE_MS 3000
+/* The longest that is believed of a question: a hundred workers at 100 ms each. */
+#define EXPECTED_MOST_MS 10000
+/* For the way to the service and back, over what it has to decide. */
+#define CALL_SLACK_MS 1500
 
 struct _FbAdvisor
 {
@@ -22,6 +29,7 @@
   FbTurns *turns;      /* of pools: for short questions, or for all */
   FbTurns *long_turns; /* for those that leave daemons to shorter ones */
   FbAdviceShare *share;
+  FbAdviceLine *line; /* of AdviceCall */
 };
 
 typedef struct
@@ -129,6 +137,7 @@
   ask.fb_ask_u.advice.step = question->step;
   ask.fb_ask_u.advice.workers.workers_len = n;
   ask.fb_ask_u.advice.workers.workers_val = names;
+  ask.fb_ask_u.advice.expected_ms = expected_ms;
   if (g_str_equal (daemon, self->entry->settings->peers))
     fb_advisor_call (self->entry, &ask.fb_ask_u.advice, on_told, question);
   else
@@ -140,35 +149,73 @@
 
 typedef struct
 {
+  FbAdvisor *advisor;
+  FbHttpCall call;
+  uint32_t expected_ms;
+  uint64_t since_ms;
   FbTold done;
   gpointer user;
 } AdviceCall;
 
+static void call_next (FbAdvisor *self);
+
+/* TOLD: NULL without an answer. */
+static void
+end_call (AdviceCall *call, const fb_told *told)
+{
+  fb_advice_line_ended (call->advisor->line, call);
+  call->done (call->user, told);
+  fb_http_call_clear (&call->call);
+  g_free (call);
+}
+
 static void
 on_advised (gpointer data, const FbHttpReply *reply)
 {
   AdviceCall *call = data;
+  FbAdvisor *self = call->advisor;
   fb_told told = { .type = FB_TOLD_ADVICE };
-  if (fb_wire_advised (reply, &told.fb_told_u.advice))
+  gboolean answered = fb_wire_advised (reply, &told.fb_told_u.advice);
+  end_call (call, answered ? &told : NULL);
+  if (answered)
+    xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
+  call_next (self);
+}
+
+/* Who asked has given up by then: a call would only hold up the others. */
+static gboolean
+is_too_late (const AdviceCall *call)
+{
+  return fb_clock_ms () > call->since_ms + PATIENCE_MS;
+}
+
+static void
+call_next (FbAdvisor *self)
+{
+  AdviceCall *call = NULL;
+  while ((call = fb_advice_line_next (self->line)) != NULL)
     {
-      call->done (call->user, &told);
-      xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
+      if (is_too_late (call))
+        end_call (call, NULL);
+      else
+        fb_http_client_exchange (self->entry->advice_client, &call->call,
+                                 2 * call->expected_ms + CALL_SLACK_MS, on_advised, call);
     }
-  else
-    call->done (call->user, NULL);
-  g_free (call);
 }
 
 void
 fb_advisor_call (FbEntry *entry, const fb_ask_advice *ask, FbTold done, gpointer user)
 {
-  AdviceCall *advice = g_new0 (AdviceCall, 1);
-  advice->done = done;
-  advice->user = user;
-  FbHttpCall call;
-  fb_wire_advise (&call, entry->settings->advice, ask);
-  fb_http_client_exchange (entry->advice_client, &call, PATIENCE_MS, on_advised, advice);
-  fb_http_call_clear (&call);
+  FbAdvisor *self = entry->advisor;
+  AdviceCall *call = g_new0 (AdviceCall, 1);
+  call->advisor = self;
+  call->expected_ms = MIN (ask->expected_ms, EXPECTED_MOST_MS);
+  call->since_ms = fb_clock_ms ();
+  call->done = done;
+  call->user = user;
+  fb_wire_advise (&call->call, entry->settings->advice, ask);
+  fb_advice_line_wait (self->line, call, call->expected_ms, call->since_ms);
+  call_next (self);
 }
 
 FbAdvisor *
@@ -177,6 +224,7 @@
   FbAdvisor *self = g_new0 (FbAdvisor, 1);
   self->entry = entry;
   self->share = fb_advice_share_new ();
+  self->line = fb_advice_line_new ();
   self->turns = fb_turns_new ();
   self->long_turns = fb_turns_new ();
   return self;
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -190,7 +190,7 @@
 static gboolean
 question_open (const FbPoolStep *step, uint64_t now_ms)
 {
-  return step->advice_sent_ms != 0 && now_ms < step->advice_sent_ms + FB_POOL_ADVICE_PATIENCE_MS;
+  return step->advice_until_ms != 0 && now_ms < step->advice_until_ms;
 }
 
 /* Questions that take about as long as one about STEP. */
@@ -212,7 +212,7 @@
       self->asked_in_vain |= kind_of_question (step);
       return FALSE;
     }
-  step->advice_sent_ms = now_ms;
+  step->advice_until_ms = now_ms + expected_ms + FB_POOL_ADVICE_PATIENCE_MS;
   return TRUE;
 }
 
@@ -265,7 +265,7 @@
   if (step == NULL)
     return;
   self->place_due = TRUE;
-  step->advice_sent_ms = 0;
+  step->advice_until_ms = 0;
   step->full_look_ms = 0;
   step->told_ms = now_ms;
   if (told == NULL)
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -86,7 +86,7 @@
 static const char *
 what_it_waits_for (const FbPoolStep *step, gboolean could_ask)
 {
-  if (step->advice_sent_ms != 0)
+  if (step->advice_until_ms != 0)
     return "advice";
   return could_ask ? "room" : "turn";
 }
@@ -147,7 +147,7 @@
   for (guint i = 0; i < self->waiting->len && !self->fenced; i++)
     {
       FbPoolStep *step = self->waiting->pdata[i];
-      if (step->advice_sent_ms != 0 && now_ms < step->held_until_ms)
+      if (step->advice_until_ms != 0 && now_ms < step->held_until_ms)
         continue; /* its room is held until the advice comes */
       if (fb_pool_worth_a_look (self, step, now_ms))
         can_ask &= look_at (self, step, now_ms);
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -91,6 +91,7 @@
 typedef struct
 {
   uint64_t busy_until_ms[DAEMON_N];
+  GQueue ends_ms[DAEMON_N]; /* of the questions that are at the daemon, in their order */
   GPtrArray *names;
   FbAdviceShare
       *share; /* NULL: a third of the daemons takes what needs under 100 ms, the rest the others */
@@ -143,10 +144,12 @@
                                    : daemon_by_split (play, kind->takes_ms, now_ms);
       if (at < 0)
         return;
+      uint64_t begins_ms = MAX (play->busy_until_ms[at], now_ms);
       uint32_t waited_ms
-          = (uint32_t) (now_ms - GPOINTER_TO_UINT (g_queue_pop_head (&kind->waiting)));
+          = (uint32_t) (begins_ms - GPOINTER_TO_UINT (g_queue_pop_head (&kind->waiting)));
       g_array_append_val (kind->waits_ms, waited_ms);
-      play->busy_until_ms[at] = now_ms + kind->takes_ms;
+      play->busy_until_ms[at] = begins_ms + kind->takes_ms;
+      g_queue_push_tail (&play->ends_ms[at], GUINT_TO_POINTER ((guint) play->busy_until_ms[at]));
       if (play->share != NULL)
         fb_advice_share_began (play->share, play->names->pdata[at], kind->takes_ms, now_ms);
     }
@@ -161,7 +164,10 @@
     {
       for (guint i = 0; i < DAEMON_N; i++)
         {
-          if (play->share != NULL && play->busy_until_ms[i] == now_ms)
+          if (GPOINTER_TO_UINT (g_queue_peek_head (&play->ends_ms[i])) != now_ms)
+            continue;
+          g_queue_pop_head (&play->ends_ms[i]);
+          if (play->share != NULL)
             fb_advice_share_ended (play->share, play->names->pdata[i]);
         }
       for (guint k = 0; k < n; k++)
@@ -189,6 +195,8 @@
 {
   g_clear_pointer (&play->share, fb_advice_share_free);
   g_ptr_array_unref (play->names);
+  for (guint i = 0; i < DAEMON_N; i++)
+    g_queue_clear (&play->ends_ms[i]);
 }
 
 static void
