--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -326,6 +326,9 @@
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
+      /* Only a run without a step can be of a job that was not known. */
+      if (worker->alien_n == 0)
+        continue;
       g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
       for (GList *l = runs; l != NULL; l = l->next)
         {
