A log line's date is worked out once a second

Cause: each line built a GDateTime and formatted it, 7,300 of the 15,900 instructions of a line (callgrind); a take-over of 500 jobs on 252 workers writes 750 lines and more, one after the other. Now 9,400 instructions a line (4,152 lines, 65.9 to 39.0 million). The text is as before.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 static _Atomic gboolean quiet_process;
@@ -32,6 +33,29 @@
   g_assert_not_reached ();
 }
 
+/* ---- time of day ----------------------------------------------------------- */
+
+#define STAMP_BYTES 40
+
+/* Writes the time of day, as ISO 8601 has it, to STAMP_BYTES at STAMP.  The text of the last
+ * second is kept: a date is worked out once a second, not once a line. */
+static void
+write_stamp (char *stamp)
+{
+  static _Thread_local gint64 kept_s = -1;
+  static _Thread_local char kept[STAMP_BYTES / 2];
+  gint64 now_us = g_get_real_time ();
+  time_t now_s = (time_t) (now_us / G_USEC_PER_SEC);
+  if (now_s != kept_s)
+    {
+      struct tm parts;
+      gmtime_r (&now_s, &parts);
+      strftime (kept, sizeof kept, "%FT%T", &parts);
+      kept_s = now_s;
+    }
+  g_snprintf (stamp, STAMP_BYTES, "%s.%06dZ", kept, (int) (now_us % G_USEC_PER_SEC));
+}
+
 /* ---- bounded output ------------------------------------------------------ */
 
 static guint lines_per_s;
@@ -89,8 +113,8 @@
   /* Libraries narrate each connection at the lower levels. */
   if (!is_event && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
     return G_LOG_WRITER_HANDLED;
-  g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
-  g_autofree char *when = g_date_time_format (now, "%FT%T.%fZ");
+  char when[STAMP_BYTES];
+  write_stamp (when);
   if (lines_per_s > 0)
     {
       tell_dropped (when);
