Policies that changed reach the jobs of a pool in one pass

Cause: at each change of the configuration, and at each take-over, the queue of every active job was compared with that of every route. Routes now stand in a table by queue; the last of two that name one queue counts, as before. callgrind, 500 jobs and 47 routes: 2.03 to 0.21 million instructions.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -169,8 +169,9 @@
  * names none.  Until then runs and ends of jobs that are not known are left alone. */
 void fb_pool_jobs_read (FbPool *self, uint64_t until_ms);
 void fb_pool_cancel (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
-/* A queue's policy changed. */
-void fb_pool_policy (FbPool *self, const fb_work_policy *policy);
+/* Policies changed.  POLICIES: name of a queue -> fb_work_policy; a queue that is not there
+ * keeps the one it has. */
+void fb_pool_policies (FbPool *self, GHashTable *policies);
 
 void fb_pool_look_answered (FbPool *self, const char *worker, const FbLookAnswer *answer,
                             uint64_t now_ms, uint64_t wall_ms);
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -295,15 +295,17 @@
       if (fb_entry_partition_of (self->entry, routes->services->pdata[i]) == self->partition)
         fb_owner_part_for (self, routes->services->pdata[i]);
     }
+  g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      fb_work_policy *policy = &((FbRoute *) routes->routes->pdata[i])->policy;
+      g_hash_table_insert (policies, policy->queue, policy);
+    }
   GHashTableIter iter;
   gpointer part;
   g_hash_table_iter_init (&iter, self->parts);
   while (g_hash_table_iter_next (&iter, NULL, &part))
-    {
-      for (guint i = 0; i < routes->routes->len; i++)
-        fb_pool_policy (((FbOwnerPart *) part)->pool,
-                        &((FbRoute *) routes->routes->pdata[i])->policy);
-    }
+    fb_pool_policies (((FbOwnerPart *) part)->pool, policies);
 }
 
 void
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -296,14 +296,16 @@
 }
 
 void
-fb_pool_policy (FbPool *self, const fb_work_policy *policy)
+fb_pool_policies (FbPool *self, GHashTable *policies)
 {
   GHashTableIter iter;
   gpointer job;
   g_hash_table_iter_init (&iter, self->active);
   while (g_hash_table_iter_next (&iter, &job, NULL))
     {
-      if (g_str_equal (((FbPoolJob *) job)->record.policy.queue, policy->queue))
+      const fb_work_policy *policy
+          = g_hash_table_lookup (policies, ((FbPoolJob *) job)->record.policy.queue);
+      if (policy != NULL)
         replace_policy (job, policy);
     }
 }
