--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -394,6 +394,144 @@
     }
 }
 
+/* ---- listings ---------------------------------------------------------------------- */
+
+typedef struct
+{
+  GPtrArray *records;
+  gboolean ok;
+  gboolean more;
+  uint64_t end;
+} Page;
+
+/* TEXT need not end in 0. */
+static void
+read_page (Page *page, const char *text, gsize len)
+{
+  g_autoptr (GBytes) body = g_bytes_new (text, len);
+  FbHttpReply reply = { .status = FB_HTTP_OK, .code = 200, .body = body };
+  *page = (Page){ .records = g_ptr_array_new_with_free_func (fb_store_record_free) };
+  page->ok = fb_wire_newest_page (&reply, page->records, &page->more, &page->end);
+}
+
+static void
+check_same_page (const Page *a, const Page *b)
+{
+  CU_ASSERT_EQUAL_FATAL (a->ok, b->ok);
+  if (!a->ok)
+    return;
+  CU_ASSERT_EQUAL (a->more, b->more);
+  CU_ASSERT_EQUAL (a->end, b->end);
+  CU_ASSERT_EQUAL_FATAL (a->records->len, b->records->len);
+  for (guint i = 0; i < a->records->len; i++)
+    {
+      const FbStoreRecord *x = a->records->pdata[i];
+      const FbStoreRecord *y = b->records->pdata[i];
+      CU_ASSERT_STRING_EQUAL (x->key, y->key);
+      CU_ASSERT_TRUE (g_bytes_equal (x->value, y->value));
+      CU_ASSERT_EQUAL (x->offset, y->offset);
+    }
+}
+
+/* A name that is not known makes a listing one for the general parser: with it and without it the
+ * same has to be read, whatever the letters are. */
+static void
+check_both_ways (const char *text, gsize len)
+{
+  Page plain;
+  Page general;
+  read_page (&plain, text, len);
+  g_autofree char *other = g_strdup_printf ("{\"x\":0,%.*s", (int) len - 1, text + 1);
+  read_page (&general, other, strlen (other));
+  check_same_page (&plain, &general);
+  g_ptr_array_unref (plain.records);
+  g_ptr_array_unref (general.records);
+}
+
+static const char whole_page[]
+    = "{\"items\":[{\"key\":\"j0a1b2c3d4e5f6071\",\"value\":\"AAECAwQFBgcICQ==\",\"offset\":12},"
+      "{\"key\":\"workers.s\",\"value\":\"+/+/+/8=\",\"offset\":0},"
+      "{\"key\":\"c1\",\"value\":\"YWJj\",\"offset\":907}],\"has-more\":true,\"end\":913}";
+
+static void
+test_listing (void)
+{
+  Page page;
+  read_page (&page, whole_page, sizeof whole_page - 1);
+  CU_ASSERT_TRUE (page.ok && page.more);
+  CU_ASSERT_EQUAL (page.end, 913);
+  CU_ASSERT_EQUAL_FATAL (page.records->len, 3);
+  const FbStoreRecord *record = page.records->pdata[0];
+  CU_ASSERT_STRING_EQUAL (record->key, "j0a1b2c3d4e5f6071");
+  CU_ASSERT_EQUAL (record->offset, 12);
+  gsize len = 0;
+  const guint8 *value = g_bytes_get_data (record->value, &len);
+  CU_ASSERT_EQUAL_FATAL (len, 10);
+  for (guint8 i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (value[i], i);
+  CU_ASSERT_EQUAL (g_bytes_get_size (((FbStoreRecord *) page.records->pdata[1])->value), 5);
+  g_ptr_array_unref (page.records);
+}
+
+static void
+test_listings_read_both_ways (void)
+{
+  static const char *const texts[] = {
+    "{\"items\":[],\"has-more\":false,\"end\":0}",
+    "{ \"items\" : [ { \"offset\" : 3 , \"value\" : \"\" , \"key\" : \"k\" } ] ,\n"
+    "\"has-more\" : false , \"end\" : 4 } \n",
+    "{\"items\":[{\"key\":\"a\\u0041\\\"b\",\"value\":\"YQ==\",\"offset\":1}],\"has-more\":false,"
+    "\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"Y Q=\",\"offset\":1}],\"has-more\":false,"
+    "\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"YQ\",\"offset\":1}],\"has-more\":false,\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"Y===\",\"offset\":1}],\"has-more\":false,"
+    "\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"key\":\"b\",\"value\":\"YWJj\",\"offset\":1}],"
+    "\"has-more\":false,\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"YWJj\",\"offset\":1,\"since\":{\"a\":[1]}}],"
+    "\"has-more\":false,\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"YWJj\",\"offset\":1.0e2}],\"has-more\":false,"
+    "\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"YWJj\",\"offset\":-1}],\"has-more\":false,"
+    "\"end\":4}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"YWJj\",\"offset\":99999999999999999999}],"
+    "\"has-more\":false,\"end\":4}",
+    "{\"items\":[{\"value\":\"YWJj\",\"offset\":1},{}],\"has-more\":false,\"end\":4}",
+    "{\"items\":[null,7],\"has-more\":null,\"end\":4}",
+    "{\"end\":4,\"has-more\":true,\"items\":[]}",
+    "{\"items\":[],\"has-more\":false,\"end\":4}7",
+    "{\"items\":[],\"has-more\":false,\"end\":4",
+    "{\"items\":null}"
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    check_both_ways (texts[i], strlen (texts[i]));
+}
+
+/* Letters changed, cut off and put in. */
+static void
+test_listings_at_random (void)
+{
+  static const char letters[] = "\"\\{}[]:,=+/0129aZ \n\t-.e\x7f\xc3\xa4";
+  g_autoptr (GRand) rand = g_rand_new_with_seed (5);
+  for (guint i = 0; i < 20000; i++)
+    {
+      g_autoptr (GString) text = g_string_new (whole_page);
+      for (gint n = g_rand_int_range (rand, 0, 4); n > 0; n--)
+        {
+          gsize at = (gsize) g_rand_int_range (rand, 1, (gint32) text->len);
+          char letter = letters[g_rand_int_range (rand, 0, sizeof letters - 1)];
+          if (g_rand_boolean (rand))
+            text->str[at] = letter;
+          else
+            g_string_insert_c (text, (gssize) at, letter);
+        }
+      if (g_rand_int_range (rand, 0, 4) == 0)
+        g_string_truncate (text, (gsize) g_rand_int_range (rand, 2, (gint32) text->len));
+      check_both_ways (text->str, text->len);
+    }
+}
+
 int
 main (void)
 {
@@ -410,6 +548,9 @@
   CU_add_test (suite, "a listed worker", test_listed_worker);
   CU_add_test (suite, "entries of other writers", test_entries_of_other_writers);
   CU_add_test (suite, "entries at random", test_entries_at_random);
+  CU_add_test (suite, "a listing", test_listing);
+  CU_add_test (suite, "listings read both ways", test_listings_read_both_ways);
+  CU_add_test (suite, "listings at random", test_listings_at_random);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   int failed = CU_get_number_of_failures () > 0;
