A job that was decoded goes into its pool without a copy

Cause: a record of the store was decoded, then copied by encoding and decoding it once more, then freed; records are 1.5 KB.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -308,7 +308,10 @@
 #define FB_POOL_ATTEMPTS_PER_EPOCH 4
 
 /* pool-job.c */
-FbPoolJob *fb_pool_job_new (const char *id, const fb_work_admit *record, uint64_t now_ms,
+/* TO is the caller's to free, by XDR. */
+void fb_pool_job_copy_record (const fb_work_admit *from, fb_work_admit *to);
+/* Takes over what RECORD holds, allocated as XDR does it, and leaves it empty. */
+FbPoolJob *fb_pool_job_new (const char *id, fb_work_admit *record, uint64_t now_ms,
                             uint64_t wall_ms);
 void fb_pool_job_free (gpointer job);
 gboolean fb_pool_job_ended (const FbPoolJob *job);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -162,6 +162,10 @@
 /* Takes a job into the pool; a job that it knows is left as it is. */
 void fb_pool_admit (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
                     uint64_t wall_ms);
+/* The same, without a copy: takes over what RECORD holds, allocated as XDR does it, and leaves it
+ * empty; of a job that it knows, RECORD stays the caller's. */
+void fb_pool_admit_owned (FbPool *self, const char *job, fb_work_admit *record, uint64_t now_ms,
+                          uint64_t wall_ms);
 /* What an earlier owner recorded; comes after the admission of the job, which a job that has
  * ended may lack. */
 void fb_pool_restore (FbPool *self, const char *job, const fb_work_progress *record);
--- a/src/entry/owner-load.c
+++ b/src/entry/owner-load.c
@@ -21,8 +21,8 @@
       fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "job=%s malformed", job);
       return;
     }
-  fb_pool_admit (fb_owner_part_for (self, record.policy.service)->pool, job, &record,
-                 fb_clock_ms (), fb_clock_wall_ms ());
+  fb_pool_admit_owned (fb_owner_part_for (self, record.policy.service)->pool, job, &record,
+                       fb_clock_ms (), fb_clock_wall_ms ());
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &record);
 }
 
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -7,9 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
-copy_record (fb_work_admit *to, const fb_work_admit *from)
+void
+fb_pool_job_copy_record (const fb_work_admit *from, fb_work_admit *to)
 {
+  *to = (fb_work_admit){ 0 };
   gsize size = xdr_sizeof ((xdrproc_t) xdr_fb_work_admit, (void *) from);
   g_autofree char *buffer = g_malloc (size);
   XDR xdr;
@@ -51,12 +52,14 @@
 }
 
 FbPoolJob *
-fb_pool_job_new (const char *id, const fb_work_admit *record, uint64_t now_ms, uint64_t wall_ms)
+fb_pool_job_new (const char *id, fb_work_admit *record, uint64_t now_ms, uint64_t wall_ms)
 {
   FbPoolJob *job = g_new0 (FbPoolJob, 1);
   job->id = g_strdup (id);
-  copy_record (&job->record, record);
-  uint64_t age_ms = wall_ms > record->accepted_ms ? wall_ms - record->accepted_ms : 0;
+  job->record = *record;
+  *record = (fb_work_admit){ 0 };
+  uint64_t accepted_ms = job->record.accepted_ms;
+  uint64_t age_ms = wall_ms > accepted_ms ? wall_ms - accepted_ms : 0;
   job->admitted_ms = now_ms > age_ms ? now_ms - age_ms : 0;
   job->occurrences = g_ptr_array_new ();
   fb_pool_job_objective (job);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -218,31 +218,42 @@
 /* ---- jobs ---------------------------------------------------------------------------- */
 
 void
-fb_pool_admit (FbPool *self, const char *id, const fb_work_admit *record, uint64_t now_ms,
-               uint64_t wall_ms)
+fb_pool_admit_owned (FbPool *self, const char *id, fb_work_admit *record, uint64_t now_ms,
+                     uint64_t wall_ms)
 {
   if (g_hash_table_contains (self->jobs, id))
     return;
   FbPoolJob *job = fb_pool_job_new (id, record, now_ms, wall_ms);
   job->restored = !self->settled;
   job->untouched = fb_pool_is_untouched (self);
-  job->advised_when_stored = record->policy.advised;
+  job->advised_when_stored = job->record.policy.advised;
   fb_pool_hear_ends_first (self, job, now_ms);
   g_hash_table_insert (self->jobs, job->id, job);
   g_hash_table_add (self->active, job);
   (void) fb_pool_job_release (self, job, wall_ms); /* nothing has ended yet */
-  if (record->spec.occurrences > 0)
+  if (job->record.spec.occurrences > 0)
     g_hash_table_add (self->timed, job);
-  if (record->spec.steps.steps_len > 1)
+  if (job->record.spec.steps.steps_len > 1)
     g_hash_table_add (self->chained, job);
   self->place_due = TRUE;
   fb_pool_bind_runs (self, job);
   fb_event_log (
       FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u objective_ms=%u", id,
-      record->policy.queue, record->spec.steps.steps_len, job->restored,
+      job->record.policy.queue, job->record.spec.steps.steps_len, job->restored,
       (guint) (now_ms - job->admitted_ms), (guint) (job->objective_ms - job->admitted_ms));
 }
 
+void
+fb_pool_admit (FbPool *self, const char *id, const fb_work_admit *record, uint64_t now_ms,
+               uint64_t wall_ms)
+{
+  if (g_hash_table_contains (self->jobs, id))
+    return;
+  fb_work_admit copy;
+  fb_pool_job_copy_record (record, &copy);
+  fb_pool_admit_owned (self, id, &copy, now_ms, wall_ms);
+}
+
 void
 fb_pool_restore (FbPool *self, const char *id, const fb_work_progress *record)
 {
@@ -252,7 +263,7 @@
   if (job == NULL)
     {
       /* Only its end is left of it, for callers who ask. */
-      static const fb_work_admit nothing;
+      fb_work_admit nothing = { 0 };
       job = fb_pool_job_new (id, &nothing, 0, 0);
       g_hash_table_insert (self->jobs, job->id, job);
     }
