A listing whose reader went is broken off

A call is now no longer among those that can be dropped before anybody is told; tests/test-http.c has that case, aborts without it, passes with it, also under valgrind.

--- a/src/daemon/http-client.c
+++ b/src/daemon/http-client.c
@@ -131,6 +131,7 @@
 static void
 end_call (FbHttpClient *self, Call *call, CURLcode result)
 {
+  unwatch (call); /* who is told may drop its calls */
   FbHttpReply reply = { .status = FB_HTTP_OK };
   long sent_bytes = 0;
   long code = 0;
@@ -406,6 +407,26 @@
   curl_multi_add_handle (self->multi, call->easy);
 }
 
+static gboolean
+drop_if_of (gpointer data, gpointer unused, gpointer user)
+{
+  (void) unused;
+  Call *call = data;
+  if (call->user != user)
+    return FALSE;
+  g_source_destroy (call->silence);
+  g_clear_pointer (&call->silence, g_source_unref);
+  keep_handle (call->client, call->easy);
+  call_free (call);
+  return TRUE;
+}
+
+void
+fb_http_client_drop (FbHttpClient *self, gconstpointer user)
+{
+  g_hash_table_foreach_steal (self->watched, drop_if_of, (gpointer) user);
+}
+
 static void
 on_json_reply (gpointer user, const FbHttpReply *reply)
 {
--- a/src/daemon/http-client.h
+++ b/src/daemon/http-client.h
@@ -55,6 +55,10 @@
 void fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *call, guint timeout_ms,
                               FbHttpReplyDone done, gpointer user);
 
+/* Ends the calls of USER that name a silence; DONE is not called.  What of their answers is on the
+ * way fills no link any more. */
+void fb_http_client_drop (FbHttpClient *self, gconstpointer user);
+
 /* Sends BODY (consumed; NULL for GET) and calls DONE once, on this task, never
  * from inside this call. */
 void fb_http_client_call (FbHttpClient *self, const char *url, JsonBuilder *body, guint timeout_ms,
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -54,6 +54,7 @@
 static void
 really_free (FbFollower *self)
 {
+  fb_http_client_drop (self->entry->store_client, self);
   g_free (self->after);
   g_free (self->topic);
   g_free (self);
@@ -168,7 +169,7 @@
         take_changes (self, reply);
     }
   self->in_reply = FALSE;
-  if (self->freed && !self->call_open)
+  if (self->freed)
     really_free (self);
 }
 
@@ -217,7 +218,7 @@
   if (self->timer != 0)
     g_source_remove (self->timer);
   self->timer = 0;
-  if (!self->call_open && !self->in_reply)
+  if (!self->in_reply)
     really_free (self);
 }
 
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -200,6 +200,65 @@
   CU_ASSERT_FALSE (seen.done);
 }
 
+/* A call that is dropped is told of no more, and the next one is as any. */
+static void
+test_a_call_is_dropped (void)
+{
+  Store *store = store_new (g_bytes_new_take (g_malloc0 (24000), 24000), 4, G_MAXUINT);
+  FbHttpClient *client = fb_http_client_new ();
+  FbHttpCall call = { .method = "GET",
+                      .idempotent = TRUE,
+                      .url = g_strdup_printf ("http://%s/", store->address),
+                      .silence_ms = SILENCE_MS };
+  Seen dropped = { .began_ms = fb_clock_ms () };
+  Seen kept = { .began_ms = fb_clock_ms () };
+  fb_http_client_exchange (client, &call, WHOLE_MS, on_done, &dropped);
+  while (g_atomic_int_get (&store->calls_n) == 0 && fb_clock_ms () < kept.began_ms + PATIENCE_MS)
+    g_main_context_iteration (NULL, TRUE);
+  fb_http_client_exchange (client, &call, WHOLE_MS, on_done, &kept);
+  fb_http_client_drop (client, &dropped);
+  while (!kept.done && fb_clock_ms () < kept.began_ms + PATIENCE_MS)
+    g_main_context_iteration (NULL, TRUE);
+  fb_http_call_clear (&call);
+  CU_ASSERT_TRUE (kept.done);
+  CU_ASSERT_EQUAL (kept.status, FB_HTTP_OK);
+  CU_ASSERT_FALSE (dropped.done);
+  fb_http_client_free (client);
+}
+
+static FbHttpClient *dropping;
+
+static void
+on_done_drop (gpointer user, const FbHttpReply *reply)
+{
+  on_done (user, reply);
+  fb_http_client_drop (dropping, user);
+}
+
+/* A reader that goes when its listing is complete drops its calls while it is told of one: the
+ * call was freed twice, and every daemon that took a pool over crashed. */
+static void
+test_who_is_told_drops (void)
+{
+  static const guint stops[] = { 0, G_MAXUINT };
+  for (guint i = 0; i < G_N_ELEMENTS (stops); i++)
+    {
+      Store *store = store_new (g_bytes_new_take (g_malloc0 (24000), 24000), 4, stops[i]);
+      dropping = fb_http_client_new ();
+      FbHttpCall call = { .method = "GET",
+                          .idempotent = TRUE,
+                          .url = g_strdup_printf ("http://%s/", store->address),
+                          .silence_ms = SILENCE_MS };
+      Seen seen = { .began_ms = fb_clock_ms () };
+      fb_http_client_exchange (dropping, &call, WHOLE_MS, on_done_drop, &seen);
+      fb_http_call_clear (&call);
+      while (!seen.done && fb_clock_ms () < seen.began_ms + PATIENCE_MS)
+        g_main_context_iteration (NULL, TRUE);
+      CU_ASSERT_TRUE (seen.done);
+      fb_http_client_free (dropping);
+    }
+}
+
 /* ---- a listing ---------------------------------------------------------------------- */
 
 #define JOB_N 372
@@ -279,6 +338,8 @@
   CU_add_test (suite, "a slow answer is waited for", test_a_slow_answer_is_waited_for);
   CU_add_test (suite, "silence is given up", test_silence_is_given_up);
   CU_add_test (suite, "client goes with a call open", test_client_goes_with_a_call_open);
+  CU_add_test (suite, "a call is dropped", test_a_call_is_dropped);
+  CU_add_test (suite, "who is told drops", test_who_is_told_drops);
   CU_add_test (suite, "listing over a thin link", test_listing_over_a_thin_link);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
