--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -162,6 +162,10 @@
 /* Takes a job into the pool; a job that it knows is left as it is. */
 void fb_pool_admit (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
                     uint64_t wall_ms);
+/* The same, without a copy: takes over what RECORD holds, allocated as XDR does it, and leaves it
+ * empty; of a job that it knows, RECORD stays the caller's. */
+void fb_pool_admit_owned (FbPool *self, const char *job, fb_work_admit *record, uint64_t now_ms,
+                          uint64_t wall_ms);
 /* What an earlier owner recorded; comes after the admission of the job, which a job that has
  * ended may lack. */
 void fb_pool_restore (FbPool *self, const char *job, const fb_work_progress *record);
@@ -169,8 +173,9 @@
  * names none.  Until then runs and ends of jobs that are not known are left alone. */
 void fb_pool_jobs_read (FbPool *self, uint64_t until_ms);
 void fb_pool_cancel (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
-/* A queue's policy changed. */
-void fb_pool_policy (FbPool *self, const fb_work_policy *policy);
+/* Policies changed.  POLICIES: name of a queue -> fb_work_policy; a queue that is not there
+ * keeps the one it has. */
+void fb_pool_policies (FbPool *self, GHashTable *policies);
 
 void fb_pool_look_answered (FbPool *self, const char *worker, const FbLookAnswer *answer,
                             uint64_t now_ms, uint64_t wall_ms);
--- a/src/daemon/http-client.h
+++ b/src/daemon/http-client.h
@@ -32,6 +32,7 @@
   char *url;
   const char *content_type; /* static; NULL without a body */
   GBytes *body;             /* may be NULL */
+  guint silence_ms;         /* given up once nothing has come for so long; 0: no such limit */
   const char *header_names[2];
   char *header_values[2];
 } FbHttpCall;
@@ -50,10 +51,14 @@
 void fb_http_call_clear (FbHttpCall *call);
 
 /* Sends CALL (borrowed) and calls DONE once, never from inside this call.  DONE must
- * not free the client. */
+ * not free the client.  TIMEOUT_MS is for the whole of the answer. */
 void fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *call, guint timeout_ms,
                               FbHttpReplyDone done, gpointer user);
 
+/* Ends the calls of USER that name a silence; DONE is not called.  What of their answers is on the
+ * way fills no link any more. */
+void fb_http_client_drop (FbHttpClient *self, gconstpointer user);
+
 /* Sends BODY (consumed; NULL for GET) and calls DONE once, on this task, never
  * from inside this call. */
 void fb_http_client_call (FbHttpClient *self, const char *url, JsonBuilder *body, guint timeout_ms,
