--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -107,8 +107,9 @@
 }
 
 static void
-tell_owners (FbEntry *self, const FbListedWorker *worker)
+list_worker (FbEntry *self, FbListedWorker *worker)
 {
+  g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
   GHashTableIter iter;
   gpointer owner;
   g_hash_table_iter_init (&iter, self->owners);
@@ -116,20 +117,6 @@
     fb_owner_worker_listed (owner, worker);
 }
 
-/* Returns: (nullable): the worker of RECORD, NULL when its entry cannot be read.  Each worker
- * writes its entry each 1.5 s: only what differs in more than what counts on is decoded. */
-static const FbListedWorker *
-listed_worker (FbEntry *self, const FbStoreRecord *record)
-{
-  const FbListedWorker *known = g_hash_table_lookup (self->workers, record->key);
-  if (known != NULL && known->mark == fb_wire_worker_mark (record->value))
-    return known;
-  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
-  if (worker != NULL)
-    g_hash_table_replace (self->workers, g_strdup (record->key), worker);
-  return worker;
-}
-
 /* An entry that cannot be read names no worker.  It is told of once: its writer may write it
  * again each second. */
 static void
@@ -152,7 +139,7 @@
       unlist_worker (self, record->key);
       return;
     }
-  const FbListedWorker *worker = listed_worker (self, record);
+  FbListedWorker *worker = fb_wire_listed_worker (record->key, record->value);
   if (worker == NULL)
     {
       skip_entry (self, record->key);
@@ -160,7 +147,7 @@
     }
   if (self->relisted != NULL)
     g_hash_table_add (self->relisted, g_strdup (record->key));
-  tell_owners (self, worker);
+  list_worker (self, worker);
 }
 
 static void
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -313,41 +313,6 @@
   CU_ASSERT_PTR_NULL (fb_wire_listed_worker ("i-1", bad));
 }
 
-/* A worker writes its entry again and again; only its clock and a number count on. */
-static void
-test_mark_of_a_worker (void)
-{
-#define ENTRY(state, cpu, clock, sequence)                                                         \
-  "{\"service\":\"s\",\"state\":\"" state "\",\"capacity\":{\"cpu\":" cpu "},\"clock-ms\":" clock  \
-  ",\"sequence\":" sequence "}"
-  static const struct
-  {
-    const char *text;
-    gboolean same;
-  } cases[] = {
-    { ENTRY ("ready", "16000", "482113", "4"), TRUE },
-    { ENTRY ("ready", "16000", "483613", "5"), TRUE },
-    { ENTRY ("ready", "16000", "9", "1000"), TRUE },
-    { ENTRY ("draining", "16000", "483613", "5"), FALSE },
-    { ENTRY ("ready", "8000", "483613", "5"), FALSE },
-    { ENTRY ("ready", "16000", "", "5"), FALSE },
-    { ENTRY ("ready", "16000", "483613", ""), FALSE },
-    { ENTRY ("ready", "16000", "x", "5"), FALSE },
-    { ENTRY ("ready", "16000", "483613", "-5"), FALSE },
-    { ENTRY ("ready", "16000", "483613", "5") " ", FALSE },
-    { "{}", FALSE },
-    { "", FALSE },
-  };
-#undef ENTRY
-  g_autoptr (GBytes) first = g_bytes_new_static (cases[0].text, strlen (cases[0].text));
-  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      g_autoptr (GBytes) value = g_bytes_new_static (cases[i].text, strlen (cases[i].text));
-      gboolean same = fb_wire_worker_mark (value) == fb_wire_worker_mark (first);
-      CU_ASSERT_EQUAL (same, cases[i].same);
-    }
-}
-
 /* Another writer puts entries among those of the workers.  A state that is not known was taken
  * for "ready" and a missing capacity for none: work was sent to what is no worker. */
 static void
@@ -443,7 +408,6 @@
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers of looks", test_look_answers);
   CU_add_test (suite, "a listed worker", test_listed_worker);
-  CU_add_test (suite, "mark of a worker", test_mark_of_a_worker);
   CU_add_test (suite, "entries of other writers", test_entries_of_other_writers);
   CU_add_test (suite, "entries at random", test_entries_at_random);
   CU_basic_set_mode (CU_BRM_NORMAL);
