--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -34,6 +34,8 @@
 static guint started;
 static guint doubled;
 static guint over_capacity;
+static guint64 newest_epoch;
+static guint epochs; /* that workers have taken orders under */
 
 static void
 run_free (gpointer data)
@@ -183,6 +185,8 @@
       return;
     }
   worker->token = token;
+  epochs += token > newest_epoch;
+  newest_epoch = MAX (newest_epoch, token);
   if (g_str_equal (path, "/api/run-start"))
     serve_start (message, worker, body);
   else if (g_str_equal (path, "/api/run-stop"))
@@ -270,6 +274,33 @@
 char *
 sp_workers_audit (void)
 {
-  return g_strdup_printf ("{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u}",
-                          started, g_hash_table_size (done_tasks), doubled, over_capacity);
+  return g_strdup_printf (
+      "{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u,\"epochs\":%u}", started,
+      g_hash_table_size (done_tasks), doubled, over_capacity, epochs);
+}
+
+void
+sp_workers_finish (const char *job)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; j < workers[i].runs->len; j++)
+        {
+          Run *run = workers[i].runs->pdata[j];
+          if (g_str_has_prefix (run->task, job))
+            run->ends_ms = sp_now_ms ();
+        }
+    }
+}
+
+char *
+sp_workers_running (const char *job)
+{
+  guint n = 0;
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        n += g_str_has_prefix (((Run *) workers[i].runs->pdata[j])->task, job);
+    }
+  return g_strdup_printf ("{\"running\":%u}", n);
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 #define TURN_MS 5
-#define HEARTBEAT_MS 500
+#define HEARTBEAT_MS 1500
 #define JSON "application/json"
 
 static guint base_port;
@@ -62,6 +62,8 @@
   if (json_object_has_member (body, "worker"))
     sp_worker_set_up ((guint) json_object_get_int_member (body, "worker"),
                       json_object_get_boolean_member (body, "up"));
+  if (json_object_has_member (body, "finish"))
+    sp_workers_finish (json_object_get_string_member (body, "finish"));
   sp_reply (message, 200, "{}");
 }
 
@@ -72,6 +74,14 @@
   sp_reply (message, 200, text);
 }
 
+static void
+serve_running (SoupServerMessage *message, GHashTable *query)
+{
+  const char *job = query != NULL ? g_hash_table_lookup (query, "job") : NULL;
+  g_autofree char *text = sp_workers_running (job != NULL ? job : "");
+  sp_reply (message, 200, text);
+}
+
 static void
 serve_store (SoupServerMessage *message, const char *path, GHashTable *query, GBytes *bytes,
              JsonObject *body)
@@ -107,6 +117,8 @@
     serve_control (message, body);
   else if (g_str_equal (path, "/audit"))
     serve_audit (message);
+  else if (g_str_equal (path, "/running"))
+    serve_running (message, query);
   else
     serve_store (message, path, query, bytes, body);
 }
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -7,7 +7,7 @@
 
 #define SP_SERVICE "svc"
 #define SP_PARTITIONS 32
-#define SP_WORKER_MAX 32
+#define SP_WORKER_MAX 256
 
 /* ---- shared: standin-platform.c ---------------------------------------------- */
 
@@ -56,3 +56,7 @@
 void sp_workers_list (guint sequence);
 /* Returns: (transfer full): counts of what ran, as JSON. */
 char *sp_workers_audit (void);
+/* Ends the runs of all jobs whose ids begin with JOB. */
+void sp_workers_finish (const char *job);
+/* Returns: (transfer full): how many tasks of JOB run now, as JSON. */
+char *sp_workers_running (const char *job);
