Stand-in of the platform: a start that comes after its deadline is refused

Cause: its workers ran orders however late they came, which no worker of the platform does, so that take-overs by slow daemons counted tasks in two places that the deadline of a start rules out.

--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -85,6 +85,13 @@
 {
   const char *task = json_object_get_string_member (body, "task");
   g_autofree char *clock = g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
+  if (json_object_get_int_member (body, "deadline-ms") < sp_now_ms ())
+    {
+      g_autofree char *late = g_strdup_printf (
+          "{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"late\"}", sp_now_ms ());
+      sp_reply (message, 409, late);
+      return;
+    }
   if (find_run (worker, task) == NULL)
     {
       judge (worker, task);
