Place in turns of a bounded length

Cause: a round looked at every waiting step on every worker, and twice at every run for room that others could make, in one turn of the main loop, and again each 100 ms: 3.6 million visits with 950 steps and 250 workers, 37 to 85 ms of processor, 0.3 to 0.8 s on 12% of a core, in which looks ran out of their limits, leases lapsed and joins waited. Change: a turn ends after 50,000 visits, the next one goes on where it ended; looks that nothing calls for are 1,000 a second in all, however much waits.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -300,6 +300,9 @@
   GPtrArray *fresh;       /* of FbPoolStep that are not sorted into these yet; borrowed */
   uint32_t asked_in_vain; /* kinds of questions that no daemon could take in this round */
   uint64_t round;         /* counts the rounds of placing */
+  guint place_from;       /* the waiting step with which the open round goes on; 0: none is open */
+  guint round_opened_n;   /* of OPENED, those that its first steps have seen */
+  uint32_t visits_n;      /* workers and runs that were looked at in this turn of it */
   GHashTable *timed;      /* set of FbPoolJob of which something comes due; borrowed */
   GHashTable *chained;    /* set of FbPoolJob with steps that wait for others; borrowed */
   GHashTable *jobs;       /* id -> FbPoolJob */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -83,6 +83,7 @@
 static GPtrArray *
 never_asked (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
+  self->visits_n += self->roster->len;
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   uint64_t seed = XXH64 (step->job->id, strlen (step->job->id), step->index);
   guint slot = 0;
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -155,6 +155,7 @@
   double best_cost = 0;
   guint slot = 0;
   FbPoolWorker *worker = NULL;
+  self->visits_n += self->roster->len;
   while ((worker = fb_pool_roster_next (self, &slot)) != NULL)
     {
       if (worker == other_than || (rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -1,4 +1,4 @@
-/* The round in which waiting tasks are started.
+/* The rounds in which waiting tasks are started.
  *
  * Waiting steps are taken in order: those that can still earn something first, then by
  * priority, then by the time their caller wants them.  A gang is placed as a whole or
@@ -78,8 +78,18 @@
 /* ---- the round ------------------------------------------------------------------ */
 
 /* A step that found no place is looked at again after this, whatever has changed: workers
- * that recover from a refusal and questions that got no answer open nothing by an event. */
+ * that recover from a refusal and questions that got no answer open nothing by an event.  What
+ * waits shares such looks: each step that does adds this, 1,000 looks a second in all. */
 #define LOOK_AGAIN_MS 100
+#define LOOK_AGAIN_PER_STEP_MS 1
+
+/* Failure: after a take-over hundreds of steps wait, each is looked at on hundreds of workers in
+ * one turn of the main loop, and joins and leases wait behind it (0.3 to 0.8 s a turn on 0.12 of a
+ * core with 950 steps and 250 workers); the store takes the owner for dead, and the next one does
+ * the same.  It shows as owners that take a pool from each other every 2 s while nothing runs.
+ * Guard: a turn ends after so many visits of workers and runs (17 to 35 ns each), and the next one
+ * goes on where it ended; a round ends with the last step that waits. */
+#define VISITS_PER_TURN 50000
 
 /* STEP found no place and asked for advice if there was something to ask.  "turn": for a daemon
  * that can take its question. */
@@ -123,7 +133,7 @@
   /* Who could not ask tries again when a daemon can take a question. */
   if (can_ask)
     step->looked_round = self->round;
-  step->full_look_ms = now_ms + LOOK_AGAIN_MS;
+  step->full_look_ms = now_ms + MAX (LOOK_AGAIN_MS, self->waiting->len * LOOK_AGAIN_PER_STEP_MS);
   fb_pool_lasting_waits (self, step, what_it_waits_for (step, can_ask), now_ms);
   return can_ask;
 }
@@ -136,28 +146,50 @@
   g_ptr_array_remove_range (self->opened, 0, n);
 }
 
+static gboolean
+look_at_next (FbPool *self, uint64_t now_ms)
+{
+  FbPoolStep *step = self->waiting->pdata[self->place_from++];
+  if (step->advice_until_ms != 0 && now_ms < step->held_until_ms)
+    return TRUE; /* its room is held until the advice comes */
+  if (fb_pool_worth_a_look (self, step, now_ms))
+    return look_at (self, step, now_ms);
+  step->looked_round = self->round;
+  return TRUE;
+}
+
+static void
+ask_ahead (FbPool *self, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer job;
+  g_hash_table_iter_init (&iter, self->chained);
+  while (g_hash_table_iter_next (&iter, &job, NULL))
+    fb_pool_ask_ahead (self, job, now_ms);
+}
+
 void
 fb_pool_place (FbPool *self, uint64_t now_ms)
 {
-  self->round++;
   self->asked_in_vain = 0;
+  self->visits_n = 0;
   fb_pool_queue_sort (self, now_ms);
-  guint opened_n = self->opened->len;
+  if (self->place_from == 0)
+    {
+      self->round++;
+      self->round_opened_n = self->opened->len;
+    }
   gboolean can_ask = TRUE;
-  for (guint i = 0; i < self->waiting->len && !self->fenced; i++)
+  while (self->place_from < self->waiting->len && !self->fenced
+         && self->visits_n <= VISITS_PER_TURN)
+    can_ask &= look_at_next (self, now_ms);
+  if (self->place_from < self->waiting->len && !self->fenced)
     {
-      FbPoolStep *step = self->waiting->pdata[i];
-      if (step->advice_until_ms != 0 && now_ms < step->held_until_ms)
-        continue; /* its room is held until the advice comes */
-      if (fb_pool_worth_a_look (self, step, now_ms))
-        can_ask &= look_at (self, step, now_ms);
-      else
-        step->looked_round = self->round;
+      self->place_due = TRUE;
+      return;
     }
-  forget_opened (self, opened_n);
-  GHashTableIter iter;
-  gpointer job;
-  g_hash_table_iter_init (&iter, self->chained);
-  while (can_ask && g_hash_table_iter_next (&iter, &job, NULL))
-    fb_pool_ask_ahead (self, job, now_ms);
+  self->place_from = 0;
+  forget_opened (self, MIN (self->round_opened_n, self->opened->len));
+  if (can_ask)
+    ask_ahead (self, now_ms);
 }
--- a/src/work/pool-preempt.c
+++ b/src/work/pool-preempt.c
@@ -45,6 +45,7 @@
     {
       GHashTableIter runs;
       gpointer run;
+      self->visits_n += 1 + g_hash_table_size (worker->runs);
       g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
