--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -18,6 +18,7 @@
   int listener;
   char *address;
   GBytes *body;
+  GBytes *rest; /* the second page of a listing; NULL: there is none */
   guint pieces;
   guint stop_after; /* pieces; then it falls silent, and keeps the connection open */
   gint calls_n;     /* atomic */
@@ -51,9 +52,10 @@
   Store *store = talk->store;
   char request[4096];
   gsize len = 0;
-  const char *body = g_bytes_get_data (store->body, &len);
   ssize_t n = recv (talk->fd, request, sizeof request - 1, 0);
   request[MAX (n, 0)] = '\0';
+  gboolean goes_on = store->rest != NULL && strstr (request, "after=") != NULL;
+  const char *body = g_bytes_get_data (goes_on ? store->rest : store->body, &len);
   if (n > 0 && strstr (request, "/api/log-read") == NULL)
     {
       g_atomic_int_inc (&store->calls_n);
@@ -293,7 +295,7 @@
 static const FbFollowerOps listing_ops = { on_begin, on_record, on_listed };
 
 static GBytes *
-jobs_page (void)
+jobs_page (gboolean more)
 {
   guchar value[JOB_BYTES] = { 0 };
   g_autofree char *text = g_base64_encode (value, sizeof value);
@@ -301,7 +303,7 @@
   for (guint i = 0; i < JOB_N; i++)
     g_string_append_printf (page, "%s{\"key\":\"j%016u\",\"value\":\"%s\",\"offset\":%u}",
                             i > 0 ? "," : "", i, text, i);
-  g_string_append_printf (page, "],\"has-more\":false,\"end\":%u}", JOB_N);
+  g_string_append_printf (page, "],\"has-more\":%s,\"end\":%u}", more ? "true" : "false", JOB_N);
   return g_string_free_to_bytes (page);
 }
 
@@ -314,7 +316,7 @@
 static void
 test_listing_over_a_thin_link (void)
 {
-  Store *store = store_new (jobs_page (), LISTING_PIECES, G_MAXUINT);
+  Store *store = store_new (jobs_page (FALSE), LISTING_PIECES, G_MAXUINT);
   FbEntrySettings settings = { .store = store->address };
   FbEntry entry = { .settings = &settings, .store_client = fb_http_client_new () };
   Listing listing = { 0 };
@@ -329,6 +331,31 @@
   fb_http_client_free (entry.store_client);
 }
 
+/* A caller whose job had been accepted was told that there is no such job.  A new owner listed more
+ * jobs than a page holds; the job was stored behind what the first page had passed, and the caller
+ * asked when the last page had come, before the changes since the first one were read.  The
+ * owner took its jobs for as young as the last page.
+ * Evidence: a job accepted at 9.259 s, the listing in three pages until 9.416 s, and the caller
+ * told at 9.425 s that there is none.  A listing is as old as its first page. */
+static void
+test_listing_is_as_old_as_its_first_page (void)
+{
+  Store *store = store_new (jobs_page (TRUE), LISTING_PIECES, G_MAXUINT);
+  store->rest = jobs_page (FALSE);
+  FbEntrySettings settings = { .store = store->address };
+  FbEntry entry = { .settings = &settings, .store_client = fb_http_client_new () };
+  Listing listing = { 0 };
+  uint64_t began_ms = fb_clock_ms ();
+  FbFollower *follower = fb_follower_new (&entry, FB_TOPIC_JOBS, 0, 0, &listing_ops, &listing);
+  while (!listing.listed && fb_clock_ms () < began_ms + PATIENCE_MS)
+    g_main_context_iteration (NULL, TRUE);
+  CU_ASSERT_EQUAL (listing.records_n, 2 * JOB_N);
+  /* The first page took this long to come. */
+  CU_ASSERT_TRUE (fb_follower_fresh_ms (follower) < began_ms + LISTING_PIECES * PIECE_MS);
+  fb_follower_free (follower);
+  fb_http_client_free (entry.store_client);
+}
+
 int
 main (void)
 {
@@ -341,6 +368,8 @@
   CU_add_test (suite, "a call is dropped", test_a_call_is_dropped);
   CU_add_test (suite, "who is told drops", test_who_is_told_drops);
   CU_add_test (suite, "listing over a thin link", test_listing_over_a_thin_link);
+  CU_add_test (suite, "listing is as old as its first page",
+               test_listing_is_as_old_as_its_first_page);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
