Date a listing by its first page

Change: the time of the first page is kept. It also guards the list of workers after a take-over (a list of which the first page was sent before the writer was shut out counted as read after it) and what is taken for a job that nobody can have started; neither was seen to fail.

--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -39,6 +39,7 @@
   gboolean listing;
   uint64_t from;
   uint64_t sent_ms;
+  uint64_t listing_ms; /* when the first page of the open listing was sent */
   uint64_t fresh_ms;
   uint32_t retry_ms;
   uint32_t page_ms; /* silence after which the next page of a listing is given up */
@@ -108,6 +109,7 @@
   if (self->after == NULL)
     {
       self->from = end;
+      self->listing_ms = self->sent_ms;
       self->ops->begin (self->user);
     }
   pass_records (self, records);
@@ -118,8 +120,11 @@
     }
   else
     {
+      /* Failure: a record stored behind the page that had been read is not known yet when the last
+       * page comes; dated by that one, the listing proved that there is no such job, and its
+       * caller was told so.  Guard: it is as old as its first page. */
       self->listing = FALSE;
-      self->fresh_ms = self->sent_ms;
+      self->fresh_ms = self->listing_ms;
       self->ops->listed (self->user);
     }
   self->retry_ms = RETRY_FIRST_MS;
