--- a/tests/takeover.sh
+++ b/tests/takeover.sh
@@ -12,7 +12,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 B=build OUT=out/takeover
-SHARE=12 WORKERS=250 JOBS=1000 TASKS=20 WATCH_S=12 LASTING_MS=9000
+SHARE=12 WORKERS=250 JOBS=1000 TASKS=20 WATCH_S=12 SHORT_JOBS=16 LASTING_MS=9000
 rm -rf "$OUT"; mkdir -p "$OUT"
 declare -A PID
 quota=
@@ -25,10 +25,10 @@
 die() { echo "$1"; exit 1; }
 until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 port() { echo $((base + WORKERS + 20 + $1 * 4)); }
-job() { printf '%016x' "$1"; }
 number() { grep -o "\"$2\":[0-9]*" <<< "$1" | grep -o '[0-9]*$'; }
 audit() { curl -s "http://127.0.0.1:$base/audit"; }
-lasting() { number "$(curl -s "http://127.0.0.1:$base/running?job=$(job 1)")" running; }
+LASTING=f000000000000001
+running() { number "$(curl -s "http://127.0.0.1:$base/running?job=$1")" running; }
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
 
 listens() { curl -s -o /dev/null "http://127.0.0.1:$base/audit"; }
@@ -88,18 +88,28 @@
 dead=$(until_true owner) || die "nobody owns the pool"
 
 say "two tasks that last, and $JOBS jobs of $TASKS tasks with 4,000 bytes each, most of which wait"
-submit() { curl -s -o /dev/null -w '%{http_code}' -H 'Host: h.example' -d "$2" "http://127.0.0.1:$(port 0)/q/$(job "$1")"; }
-both_run() { [ "$(lasting)" = 2 ]; }
-[ "$(submit 1 '{"spec":"600000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"long-running":true}]}')" = 200 ] || die "the lasting job was not taken"
+submit() { curl -s -o /dev/null -w '%{http_code}' -H 'Host: h.example' -d "$2" "http://127.0.0.1:$(port 0)/q/$1"; }
+both_run() { [ "$(running $LASTING)" = 2 ]; }
+[ "$(submit $LASTING '{"spec":"600000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"long-running":true}]}')" = 200 ] || die "the lasting job was not taken"
 until_true both_run || die "the tasks that last do not run"
 printf '{"spec":"600000 %s","phases":[{"count":%d,"cpu":2000,"mem-mb":100,"estimate-ms":600000}]}' \
   "$(head -c 3993 /dev/zero | tr '\0' x)" "$TASKS" > "$OUT/body"
-for n in $(seq 16 $((JOBS + 15))); do # from id 10 on, in hexadecimal digits
-  printf 'url=http://127.0.0.1:%d/q/%s\nheader="Host: h.example"\ndata=@%s\noutput=/dev/null\nwrite-out="%%{http_code}\\n"\nsilent\nnext\n' \
-    "$(port $((n % 3)))" "$(job "$n")" "$OUT/body"
-done | sed '$d' > "$OUT/submit"
-curl -s --parallel --parallel-max 20 -K "$OUT/submit" 2> /dev/null > "$OUT/codes"
-[ "$(grep -c '200$' "$OUT/codes")" = "$JOBS" ] || die "not all jobs were taken: $(sort "$OUT/codes" | uniq -c | tr '\n' ' ')"
+submit_all() { # IDS: at all daemons in turn
+  local n=0 id
+  for id in "$@"; do
+    printf 'url=http://127.0.0.1:%d/q/%s\nheader="Host: h.example"\ndata=@%s\noutput=/dev/null\nwrite-out="%%{http_code}\\n"\nsilent\nnext\n' \
+      "$(port $((n % 3)))" "$id" "$OUT/body"
+    n=$((n + 1))
+  done | sed '$d' > "$OUT/submit"
+  curl -s --parallel --parallel-max 20 -K "$OUT/submit" 2> /dev/null > "$OUT/codes"
+  [ "$(grep -c '200$' "$OUT/codes")" = $# ] || die "not all jobs were taken: $(sort "$OUT/codes" | uniq -c | tr '\n' ' ')"
+}
+short_run() { [ "$(running e)" = $((SHORT_JOBS * TASKS)) ]; }
+mapfile -t ids < <(printf 'e%015x\n' $(seq $SHORT_JOBS))
+submit_all "${ids[@]}"
+until_true short_run || die "the first $SHORT_JOBS jobs do not run"
+mapfile -t ids < <(printf '%016x\n' $(seq $((JOBS - SHORT_JOBS))))
+submit_all "${ids[@]}"
 full() { [ "$(number "$(audit)" started)" = $((WORKERS * 4)) ]; }
 until_true full || die "not all places are taken: $(audit)"
 
@@ -111,13 +121,13 @@
 kill -9 "${PID[$dead]}"; wait "${PID[$dead]}" 2> /dev/null || true
 unset "PID[$dead]"
 
-say "watched for $WATCH_S s; after 4 s some jobs end, and others take their places"
+say "watched for $WATCH_S s; after 4 s $SHORT_JOBS jobs end, and others take their places"
 began=$(now_ms) ran=$(now_ms) longest=0 ended=
 while [ "$(now_ms)" -lt $((began + WATCH_S * 1000)) ]; do
-  [ "$(lasting)" = 2 ] && ran=$(now_ms)
+  [ "$(running $LASTING)" = 2 ] && ran=$(now_ms)
   away=$(($(now_ms) - ran)); [ "$away" -le "$longest" ] || longest=$away
   if [ -z "$ended" ] && [ "$(now_ms)" -gt $((began + 4000)) ]; then
-    curl -s -d '{"finish":"000000000000001"}' "http://127.0.0.1:$base/control" > /dev/null
+    curl -s -d '{"finish":"e"}' "http://127.0.0.1:$base/control" > /dev/null
     ended=yes
   fi
   sleep 0.1
@@ -131,7 +141,7 @@
 [ "$taken" = 1 ] || bad+="; workers took orders of $taken owners after the kill, expected 1"
 [ "$lost" = 0 ] || bad+="; the pool was lost $lost times, expected 0"
 [ "$longest" -lt "$LASTING_MS" ] || bad+="; a task that is to last did not run for $longest ms"
-[ "$freed" -ge 200 ] || bad+="; $freed tasks ended, expected about 320"
+[ "$freed" = $((SHORT_JOBS * TASKS)) ] || bad+="; $freed tasks ended, expected $((SHORT_JOBS * TASKS))"
 [ "$started" = "$freed" ] || bad+="; $started tasks were started in the $freed places that came free"
 grep -q '"doubled":0,"over-capacity":0' <<< "$after" || bad+="; the workers saw $after"
 say "owners after the kill: $taken, pool lost: $lost, lasting task away for at most $longest ms, started: $started in $freed places"
