--- /dev/null
+++ b/tests/test-rounds.c
@@ -0,0 +1,325 @@
+/* A round of placing that takes several turns: whose is the room that opens meanwhile?
+ *
+ * What users see: urgent work waits beside room that goes to less urgent work, or room stays empty
+ * for as many ms as steps wait.
+ * Order: a pool is full and hundreds of steps wait, so that a round takes dozens of turns; a task
+ * ends, or a worker leaves, while a round is open.
+ * Cause: the next turn goes on behind the steps that come first. */
+#include "fb-event.h"
+#include "internal/pool-private.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A daemon has as little as 12 ms of processor in each tenth of a second.  Turns of 5 ms let the
+ * four that a join takes end within two of them, of the ten that its time to live has. */
+#define JOB_US 20 /* to take a job in, on one core */
+#define TURN_JOBS (5000 / JOB_US)
+/* To look at an entry of a table, a worker or a run: 11 to 31 ns on one core. */
+#define VISIT_NS 20
+#define TURN_VISITS (5000 * 1000 / VISIT_NS)
+
+#define SERVICE "svc"
+#define QUEUE "q"
+#define JOB_TASKS 20
+#define TASK_CPU 2000
+
+#define WORKER_CPU 8000
+
+static void
+fill_job (fb_work_admit *record, fb_work_step *step)
+{
+  *step = (fb_work_step){
+    .count = JOB_TASKS, .cpu_milli = TASK_CPU, .mem_mb = 100, .estimate_ms = 600000
+  };
+  step->data_rack = step->required_label = step->image = "";
+  *record = (fb_work_admit){ .accepted_ms = (uint64_t) g_get_real_time () / 1000 };
+  record->policy = (fb_work_policy){
+    .queue = QUEUE, .service = SERVICE, .max_attempts = 3, .stretch_milli = 2000, .target_ms = 1000
+  };
+  record->spec.payload = "600000";
+  record->spec.steps.steps_len = 1;
+  record->spec.steps.steps_val = step;
+}
+
+/* ---- placing --------------------------------------------------------------------- */
+
+#define WORKER_N 250
+#define JOB_N 1000
+#define STEP_MS 4
+#define PLAY_MS 2000
+#define WALL_MS 1000000000
+
+typedef struct
+{
+  GArray *runs; /* of FbRunSeen */
+  gboolean look_open;
+} Worker;
+
+typedef struct
+{
+  FbPool *pool;
+  Worker workers[WORKER_N];
+  GArray *starts; /* of uint64_t: orders without an answer */
+  guint started_n;
+} Play;
+
+static void
+on_start (gpointer user, const FbStartOrder *order)
+{
+  Play *play = user;
+  FbRunSeen run = { g_strdup (order->task), order->attempt, "" };
+  g_array_append_val (play->workers[atoi (order->worker)].runs, run);
+  g_array_append_val (play->starts, order->order);
+  play->started_n++;
+}
+
+static void
+on_stop (gpointer user, const FbStopOrder *order)
+{
+  (void) user;
+  (void) order;
+}
+
+static void
+on_look (gpointer user, const FbLookOrder *order)
+{
+  ((Play *) user)->workers[atoi (order->worker)].look_open = TRUE;
+}
+
+static gboolean
+on_advise (gpointer user, const char *step, const char *const *workers, guint n,
+           uint32_t expected_ms)
+{
+  (void) user;
+  (void) step;
+  (void) workers;
+  (void) n;
+  (void) expected_ms;
+  return FALSE;
+}
+
+static void
+on_fenced (gpointer user, const char *worker)
+{
+  (void) user;
+  (void) worker;
+}
+
+static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+
+static void
+answer_look (Play *play, guint i, uint64_t now_ms)
+{
+  Worker *worker = &play->workers[i];
+  g_autofree char *id = g_strdup_printf ("%u", i);
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+  const FbLookAnswer answer = { FB_ORDER_DONE, now_ms, worker->runs, finished };
+  worker->look_open = FALSE;
+  fb_pool_look_answered (play->pool, id, &answer, now_ms, WALL_MS + now_ms);
+}
+
+static void
+answer_all (Play *play, uint64_t now_ms)
+{
+  for (guint i = 0; i < play->starts->len; i++)
+    fb_pool_start_answered (play->pool, g_array_index (play->starts, uint64_t, i), FB_ORDER_DONE,
+                            now_ms, now_ms);
+  g_array_set_size (play->starts, 0);
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      if (play->workers[i].look_open)
+        answer_look (play, i, now_ms);
+    }
+}
+
+static void
+clear_run (gpointer run)
+{
+  g_free (((FbRunSeen *) run)->task);
+}
+
+static void
+list_workers (Play *play, uint64_t now_ms)
+{
+  static const char *const labels[] = { "a", "r1", NULL };
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%u", i);
+      const FbWorkerEntry entry = { .id = id,
+                                    .address = id,
+                                    .rack = "r1",
+                                    .labels = labels,
+                                    .cpu_milli = WORKER_CPU,
+                                    .mem_mb = 65536 };
+      play->workers[i].runs = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
+      g_array_set_clear_func (play->workers[i].runs, clear_run);
+      fb_pool_worker_listed (play->pool, &entry, now_ms);
+    }
+  fb_pool_workers_complete (play->pool);
+}
+
+static void
+play_free (Play *play)
+{
+  for (guint i = 0; i < WORKER_N; i++)
+    g_array_unref (play->workers[i].runs);
+  g_array_unref (play->starts);
+  fb_pool_free (play->pool);
+}
+
+/* The place in RUNS of a worker that is ended; its room opens. */
+static void
+end_one_run (Play *play, guint worker, guint64 number, uint64_t now_ms)
+{
+  Worker *of = &play->workers[worker];
+  g_autofree char *id = g_strdup_printf ("%u", worker);
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+  FbRunSeen *run = &g_array_index (of->runs, FbRunSeen, 0);
+  g_autofree char *task = g_strdup (run->task);
+  const FbEndSeen end = {
+    .number = number, .task = task, .attempt = run->attempt, .how = FB_END_DONE, .checkpoint = ""
+  };
+  g_array_append_val (finished, end);
+  g_array_remove_index (of->runs, 0);
+  const FbLookAnswer answer = { FB_ORDER_DONE, now_ms, of->runs, finished };
+  of->look_open = FALSE;
+  fb_pool_look_answered (play->pool, id, &answer, now_ms, WALL_MS + now_ms);
+}
+
+static uint64_t
+step_once (Play *play, uint64_t now_ms)
+{
+  fb_pool_step (play->pool, TRUE, now_ms, WALL_MS + now_ms);
+  answer_all (play, now_ms);
+  return now_ms + STEP_MS;
+}
+
+static void
+admit_one (Play *play, const char *id, uint32_t priority, guint tasks, uint64_t now_ms)
+{
+  fb_work_admit record;
+  fb_work_step step;
+  fill_job (&record, &step);
+  record.policy.priority = priority;
+  step.count = tasks;
+  fb_pool_admit (play->pool, id, &record, now_ms, WALL_MS + now_ms);
+}
+
+/* Returns: the time; all places are taken and nearly all jobs wait. */
+static uint64_t
+fill_pool (Play *play, uint64_t now_ms)
+{
+  static const FbPoolLimits limits = { 6000, 200, 3000 };
+  play->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  play->pool = fb_pool_new (SERVICE, 1, &limits, &sink, play, now_ms);
+  list_workers (play, now_ms);
+  for (guint i = 0; i < JOB_N; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
+      admit_one (play, id, 1, JOB_TASKS, now_ms);
+    }
+  for (uint64_t end_ms = now_ms + PLAY_MS; now_ms < end_ms;)
+    now_ms = step_once (play, now_ms);
+  CU_ASSERT_EQUAL (play->started_n, WORKER_N * (WORKER_CPU / TASK_CPU));
+  return now_ms;
+}
+
+static uint64_t
+until_round_is_open (Play *play, uint64_t now_ms)
+{
+  for (uint64_t end_ms = now_ms + 3000; play->pool->place_from < 20 && now_ms < end_ms;)
+    now_ms = step_once (play, now_ms);
+  return now_ms;
+}
+
+static gboolean
+runs (const Play *play, const char *job)
+{
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      for (guint j = 0; j < play->workers[i].runs->len; j++)
+        if (g_str_has_prefix (g_array_index (play->workers[i].runs, FbRunSeen, j).task, job))
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* An urgent job waits since before the round; places come free one at a time, 100 ms apart, while a
+ * round is open: the first of them is the urgent job's. */
+static void
+test_room_of_an_open_round_goes_to_the_urgent (void)
+{
+  static Play play;
+  uint64_t now_ms = fill_pool (&play, 100000);
+  guint before = play.started_n;
+  admit_one (&play, "ffffffffffffffff", 0, 1, now_ms);
+  for (guint i = 0; i < 5; i++)
+    now_ms = step_once (&play, now_ms);
+  guint others = 0;
+  for (guint i = 0; i < 50 && !runs (&play, "ffffffffffffffff"); i++)
+    {
+      now_ms = until_round_is_open (&play, now_ms);
+      before = play.started_n;
+      end_one_run (&play, i, 1, now_ms);
+      while (play.started_n == before)
+        now_ms = step_once (&play, now_ms);
+      others += !runs (&play, "ffffffffffffffff");
+    }
+  printf ("\nroom that went to less urgent work while an urgent task waited: %u places\n", others);
+  CU_ASSERT_EQUAL (others, 0);
+  play_free (&play);
+}
+
+/* The same without a look at the round: each 300 ms an urgent job comes, 150 ms later a place. */
+static void
+test_room_goes_to_the_urgent (void)
+{
+  static Play play;
+  uint64_t now_ms = fill_pool (&play, 100000);
+  guint others = 0;
+  for (guint i = 0; i < 50; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("f%015x", i);
+      admit_one (&play, id, 0, 1, now_ms);
+      for (uint64_t end_ms = now_ms + 150; now_ms < end_ms;)
+        now_ms = step_once (&play, now_ms);
+      guint before = play.started_n;
+      end_one_run (&play, i, 1, now_ms);
+      for (uint64_t end_ms = now_ms + 150; now_ms < end_ms && play.started_n == before;)
+        now_ms = step_once (&play, now_ms);
+      others += !runs (&play, "f");
+      /* The urgent job, wherever it is, is ended for the next one. */
+      fb_pool_cancel (play.pool, id, now_ms, WALL_MS + now_ms);
+      for (guint k = 0; k < WORKER_N; k++)
+        for (guint r = 0; r < play.workers[k].runs->len; r++)
+          if (g_array_index (play.workers[k].runs, FbRunSeen, r).task[0] == 'f')
+            {
+              g_array_remove_index (play.workers[k].runs, r);
+              break;
+            }
+      for (uint64_t end_ms = now_ms + 150; now_ms < end_ms;)
+        now_ms = step_once (&play, now_ms);
+    }
+  printf ("\nof 50 places each went to less urgent work while an urgent job waited: %u\n", others);
+  CU_ASSERT_EQUAL (others, 0);
+  play_free (&play);
+}
+
+int
+main (void)
+{
+  fb_event_set_quiet (TRUE);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("rounds", NULL, NULL);
+  CU_add_test (suite, "room of an open round goes to the urgent",
+               test_room_of_an_open_round_goes_to_the_urgent);
+  CU_add_test (suite, "room goes to the urgent", test_room_goes_to_the_urgent);
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  guint failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -49,6 +49,7 @@
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
+verdict "order of what waits" $B/tests/test-rounds
 verdict "turns of a take-over" $B/tests/test-takeover $B/standins/standin-platform
 verdict "take-over by slow daemons" tests/takeover.sh
 
