--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -107,6 +107,9 @@
   guint most = named_most (self, step);
   if (candidates->len > most)
     g_array_sort (candidates, compare_candidates);
+  /* Where there is no room it has to be made, and the more are allowed the sooner. */
+  if (candidates->len > most && g_array_index (candidates, Candidate, most - 1).room == 0)
+    most = FB_POOL_ADVICE_MAX;
   GPtrArray *ids = g_ptr_array_new ();
   for (guint i = 0; i < MIN (candidates->len, most); i++)
     g_ptr_array_add (ids, g_array_index (candidates, Candidate, i).worker->id);
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -31,6 +31,20 @@
   return compare (*(FbPoolStep *const *) a, *(FbPoolStep *const *) b);
 }
 
+/* TRUE when a task of STEP waits that has run before, or may have under an earlier owner. */
+static gboolean
+is_interrupted (const FbPoolStep *step)
+{
+  gboolean may_have_run = step->job->restored && !step->job->untouched;
+  for (uint32_t i = 0; i < step->shape->count; i++)
+    {
+      const FbPoolTask *task = &step->tasks[i];
+      if (fb_pool_task_waits (task) && (may_have_run || task->attempt > 0))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Failure: an owner has to ask the advice service anew about each step that it took over, and a
  * task that lasts, whose lease ended meanwhile, waits behind hundreds of urgent ones; it shows as a
  * task that is to last and does not run for 11 s beside idle workers.  Guard: what was interrupted
@@ -41,7 +55,7 @@
 {
   const FbPoolJob *job = step->job;
   if (step->shape->lasting)
-    return job->started || job->restored ? FB_URGENCY_INTERRUPTED : FB_URGENCY_IN_TIME;
+    return is_interrupted (step) ? FB_URGENCY_INTERRUPTED : FB_URGENCY_IN_TIME;
   if (job->record.spec.occurrences == 0 && now_ms > job->hopeless_ms)
     return FB_URGENCY_HOPELESS;
   return FB_URGENCY_IN_TIME;
