--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -131,12 +131,12 @@
   uint64_t valid_until_ms;
 } FbPoolRuling;
 
-/* What decides first in which order waiting steps are placed. */
+/* What decides first in which order waiting steps are placed; 0 for those not sorted in yet. */
 typedef enum
 {
-  FB_URGENCY_INTERRUPTED, /* it lasts and has run before, or may have */
-  FB_URGENCY_IN_TIME,
-  FB_URGENCY_HOPELESS /* too late to be worth anything */
+  FB_URGENCY_INTERRUPTED = -1, /* it lasts, and what waits of it has run before, or may have */
+  FB_URGENCY_IN_TIME = 0,
+  FB_URGENCY_HOPELESS = 1 /* too late to be worth anything */
 } FbPoolUrgency;
 
 /* One step of one occurrence of a job. */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -75,7 +75,8 @@
   if (step->urgency != FB_URGENCY_INTERRUPTED)
     return FB_POOL_ADVICE_MAX;
   guint unheard = self->settled ? 0 : self->unheard->len;
-  return MIN (FB_POOL_ADVICE_MAX, NAMED_FOR_ONE * fb_pool_step_waiting_n (step) + unheard);
+  guint waiting = MAX (fb_pool_step_waiting_n (step), 1);
+  return MIN (FB_POOL_ADVICE_MAX, NAMED_FOR_ONE * waiting + unheard);
 }
 
 /* Workers that were never named for STEP: for the first question all that could ever run it, later
