--- a/src/entry/advisor.c
+++ b/src/entry/advisor.c
@@ -1,7 +1,7 @@
 /* Questions for advice.  The advice service handles one call at a time for each
  * calling daemon, and a call takes up to a second: the owner of a pool spreads its
- * questions over all daemons, one open at each (advice-share.h), where those of several owners
- * wait in one line (advice-line.h).
+ * questions over all daemons, one open at each or two short ones (advice-share.h), where those of
+ * several owners wait in one line (advice-line.h).
  *
  * Failure: one daemon is left and owns two pools; the one whose answer has just come asks
  * again first, each time, and nothing of the other is started any more.  Guard: pools that
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -1,8 +1,7 @@
 /* The rounds in which waiting tasks are started.
  *
- * Waiting steps are taken in order: those that can still earn something first, then by
- * priority, then by the time their caller wants them.  A gang is placed as a whole or
- * not at all. */
+ * Waiting steps are taken in their order (pool-queue.c).  A gang is placed as a whole or not at
+ * all.  A round goes through all of them in one or more turns of the main loop. */
 #include "internal/pool-private.h"
 
 /* ---- single tasks ------------------------------------------------------------ */
