--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -254,7 +254,6 @@
 {
   static Play play;
   uint64_t now_ms = fill_pool (&play, 100000);
-  guint before = play.started_n;
   admit_one (&play, "ffffffffffffffff", 0, 1, now_ms);
   for (guint i = 0; i < 5; i++)
     now_ms = step_once (&play, now_ms);
@@ -262,7 +261,7 @@
   for (guint i = 0; i < 50 && !runs (&play, "ffffffffffffffff"); i++)
     {
       now_ms = until_round_is_open (&play, now_ms);
-      before = play.started_n;
+      guint before = play.started_n;
       end_one_run (&play, i, 1, now_ms);
       while (play.started_n == before)
         now_ms = step_once (&play, now_ms);
