One question renews the tickets of all waiting tasks of a lasting step, and names others for the rest

Ruled out: room (most of it free), the order of what waits (interrupted tasks go first). Test first red: tests/pools/wide-lasting-step-asks-for-all asks about 6 workers before, 18 (10 and 4 for each of two tasks without a place) after.

--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -130,7 +130,7 @@
   return step->urgency == FB_URGENCY_INTERRUPTED ? HOLD_INTERRUPTED_MS : HOLD_SLACK_MS;
 }
 
-/* How many tasks of STEP one question, or one round of stops, is for. */
+/* For how many tasks of STEP other work is stopped at once. */
 static guint
 most_at_once (const FbPoolStep *step)
 {
@@ -138,6 +138,18 @@
                            : MIN (fb_pool_step_waiting_n (step), FB_POOL_RENEW_MAX);
 }
 
+/* For how many tasks of STEP one question renews tickets.
+ *
+ * Failure: tasks that are to last lost their workers together, and a question renews six tickets:
+ * each waits its turn and takes half a second; it shows as the last of 28 that run again after
+ * 32 s, with most of the workers' room free.  Guard: one question is for all of them. */
+static guint
+most_renewed (const FbPoolStep *step)
+{
+  return step->shape->lasting ? MIN (fb_pool_step_waiting_n (step), FB_POOL_ADVICE_MAX)
+                              : most_at_once (step);
+}
+
 static guint
 make_room (FbPool *self, FbPoolStep *step, FbPoolWorker **chosen, uint64_t now_ms)
 {
@@ -164,17 +176,37 @@
   return ids;
 }
 
+/* The advice allows three workers of ten at the least. */
+#define NAMED_FOR_EACH 4
+
+/* Failure: fewer of the allowed workers have a place than tasks of a step that is to last wait, and
+ * each question is about those few; the others wait until no place is left on any of them.  It
+ * shows as questions about one to five workers, again and again.  Guard: the same question names
+ * workers that were never asked about, for the tasks that are left. */
+static void
+add_newcomers (FbPool *self, const FbPoolStep *step, GPtrArray *ids, guint left, uint64_t now_ms)
+{
+  g_autoptr (GPtrArray) fresh = never_asked (self, step, now_ms);
+  guint most = MIN (ids->len + NAMED_FOR_EACH * left, FB_POOL_ADVICE_MAX);
+  for (guint i = 0; i < fresh->len && ids->len < most; i++)
+    g_ptr_array_add (ids, fresh->pdata[i]);
+}
+
 /* Chooses allowed workers that have a place now, whatever the age of their tickets, and holds
  * their room.  Returns: their ids, none when there is no place. */
 static GPtrArray *
 to_renew (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  guint most = most_at_once (step);
+  guint most = most_renewed (step);
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most + 1);
   guint n = fb_pool_choose_step (self, step, most, FB_TICKET_ALLOWED, chosen, now_ms);
-  if (n > 0)
-    fb_pool_hold (self, step, chosen, n, now_ms + takes_ms (step, n) + hold_slack_ms (step));
-  return ids_of (chosen, n);
+  GPtrArray *ids = ids_of (chosen, n);
+  if (n == 0)
+    return ids;
+  if (step->shape->lasting && n < most)
+    add_newcomers (self, step, ids, most - n, now_ms);
+  fb_pool_hold (self, step, chosen, n, now_ms + takes_ms (step, ids->len) + hold_slack_ms (step));
+  return ids;
 }
 
 /* The same where room can be made. */
