A list of daemons counts once it names its reader; dead processes before it are taken out

Ruled out: reading the store (0.1 s on strong daemons). The group deals anew once each member has joined with the new generation, and joins came each 0.6 s; members that are dead count until their 2 s are over. Change: joins are repeated after 0.1 s while the group changes, a list that lacks the reader's address does not count, a restarted daemon takes the process before it out of this group as it does of the owners', and the group deals out more topics once as many daemons are named as there are partitions (300 daemons, 128 partitions).

--- a/src/entry/daemons.c
+++ b/src/entry/daemons.c
@@ -5,16 +5,33 @@
 #include "fb-event.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define GROUP "daemons"
 /* A member that is dead is left out after this; meanwhile what is sent to it fails at once or
  * after its time limit, and it rests.  Short lives cost calls of the store. */
 #define TTL_MS 2000
 #define JOIN_EVERY_MS 600
+/* The store deals anew once each member has joined with the new generation: who learned of one
+ * joins again soon. */
+#define JOIN_CHANGED_MS 100
 #define ANSWER_MS 500
 /* Members are read when the group has changed, and this often all the same. */
 #define READ_EVERY_MS 3000
 #define READ_SOON_MS 300
+/* While no list counts yet, pools wait for it. */
+#define READ_FIRST_MS 100
+/* Failure: all daemons start at the same moment, and the list that each of them reads first names
+ * two of 33: each takes itself for a strong one.  It shows as pools that daemons of 0.12 of a core
+ * take over, and lose 0.5 to 1.3 s later to those of 0.5 of a core, which begin anew.  Guard: a list
+ * that does not name the reader's address does not count: it is of after the loss and before the
+ * return.  One that names the process before it does, as it is of before the loss.  After this time
+ * any list counts: the store may not get round to deal the reader in. */
+#define FIRST_LIST_MS 1500
+/* Topics that the group deals out at first.  The store names only members that hold a partition, so
+ * there have to be more of these than daemons; see fb_daemons_topics(). */
+#define TOPICS_FIRST 4
+#define TOPICS_MAX 64
 /* A daemon with less than half of the strongest one's processor owns nothing: an owner's load is
  * that of its pool, whatever it has itself. */
 #define STRONG_PERCENT 50
@@ -23,8 +40,11 @@
 {
   FbEntry *entry;
   char *name;
+  uint64_t began_ms;
   GPtrArray *members; /* of FbDaemon */
   gboolean known;
+  guint topics_n;
+  GHashTable *dismissed; /* names of earlier processes of this daemon that were taken out */
   uint64_t generation;
   uint64_t read_generation;
   uint64_t read_ms; /* when they were asked for last */
@@ -91,6 +111,82 @@
     }
 }
 
+gboolean
+fb_daemons_hold (const GPtrArray *members, const char *address)
+{
+  return find (members, address) != NULL;
+}
+
+/* Failure: a group of more daemons than partitions names only some of them; the others carry no
+ * orders and ask for no advice.  Guard: once as many are named as there are partitions, the group
+ * deals out twice as many topics. */
+guint
+fb_daemons_topics (guint topics_n, guint partitions_n, guint members_n)
+{
+  return members_n > 0 && members_n >= partitions_n ? MIN (2 * topics_n, TOPICS_MAX) : topics_n;
+}
+
+static void
+on_left (gpointer data, const FbHttpReply *reply)
+{
+  (void) data;
+  (void) reply; /* without an answer its time to live runs out */
+}
+
+static void
+take_out (FbDaemons *self, const char *name)
+{
+  FbHttpCall call;
+  fb_wire_leave (&call, self->entry->settings->store, GROUP, name);
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_left, self);
+  fb_http_call_clear (&call);
+}
+
+gboolean
+fb_daemons_is_predecessor (const char *name, const char *own_name)
+{
+  gsize address_len = strcspn (own_name, "/");
+  return strncmp (name, own_name, address_len + 1) == 0 && !g_str_equal (name, own_name);
+}
+
+/* Failure: all daemons lose power and come back within their time to live; the store deals nothing
+ * to the new processes until the ones before have run out of it, so that new lists come 1.2 s
+ * after the return.  Guard: this process has the address of the one before, which is dead, and
+ * takes it out. */
+static void
+dismiss_predecessors (FbDaemons *self, const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const char *name = g_array_index (rows, FbPartitionOwner, i).member;
+      if (fb_daemons_is_predecessor (name, self->name)
+          && g_hash_table_add (self->dismissed, g_strdup (name)))
+        take_out (self, name);
+    }
+}
+
+static void
+note_members (FbDaemons *self, GPtrArray *members, guint partitions_n)
+{
+  guint before_n = self->members->len;
+  for (guint i = 0; i < members->len; i++)
+    {
+      FbDaemon *member = members->pdata[i];
+      const FbDaemon *before = find (self->members, member->address);
+      member->rests_ms = before != NULL ? before->rests_ms : 0;
+    }
+  g_ptr_array_unref (self->members);
+  self->members = members;
+  self->known = self->known
+                || fb_daemons_hold (members, self->entry->settings->peers)
+                || fb_clock_ms () > self->began_ms + FIRST_LIST_MS;
+  self->topics_n = fb_daemons_topics (self->topics_n, partitions_n, members->len);
+  if (members->len != before_n)
+    fb_event_log (FB_EVENT_DAEMONS_READ,
+                  "members=%u before=%u generation=%" G_GUINT64_FORMAT " partitions=%u complete=%d",
+                  members->len, before_n, self->generation, partitions_n, self->known);
+}
+
 static void
 on_read (gpointer data, const FbHttpReply *reply)
 {
@@ -105,24 +201,16 @@
     }
   GPtrArray *members = g_ptr_array_new_with_free_func (fb_daemon_free);
   fb_daemons_read (members, rows);
-  for (guint i = 0; i < members->len; i++)
-    {
-      FbDaemon *member = members->pdata[i];
-      const FbDaemon *before = find (self->members, member->address);
-      member->rests_ms = before != NULL ? before->rests_ms : 0;
-    }
-  if (members->len != self->members->len)
-    fb_event_log (FB_EVENT_DAEMONS_READ, "members=%u before=%u generation=%" G_GUINT64_FORMAT,
-                  members->len, self->members->len, self->generation);
-  g_ptr_array_unref (self->members);
-  self->members = members;
-  self->known = TRUE;
+  dismiss_predecessors (self, rows);
+  note_members (self, members, rows->len);
 }
 
 static void
 read_members (FbDaemons *self, uint64_t now_ms)
 {
   uint64_t every_ms = self->read_generation != self->generation ? READ_SOON_MS : READ_EVERY_MS;
+  if (!self->known)
+    every_ms = READ_FIRST_MS;
   if (self->read_open || (self->read_ms != 0 && now_ms < self->read_ms + every_ms))
     return;
   self->read_open = TRUE;
@@ -143,38 +231,41 @@
   fb_entry_store_answered (self->entry, reply);
   if (self->leaving)
     return;
-  if (fb_wire_joined (reply, &generation, partitions))
+  gboolean joined = fb_wire_joined (reply, &generation, partitions);
+  gboolean changed = joined && generation != self->generation;
+  if (joined)
     self->generation = generation;
   read_members (self, fb_clock_ms ());
-  self->timer = g_timeout_add (JOIN_EVERY_MS, join, self);
+  gboolean soon = changed || !self->known;
+  self->timer = g_timeout_add (soon ? JOIN_CHANGED_MS : JOIN_EVERY_MS, join, self);
+}
+
+/* Returns: (transfer full): the names of the first N topics of the group. */
+static GStrv
+topic_names (guint n)
+{
+  GStrv names = g_new0 (char *, n + 1);
+  for (guint i = 0; i < n; i++)
+    names[i] = g_strdup_printf ("daemons.%u", i + 1);
+  return names;
 }
 
-/* The store names only members that hold a partition, so there have to be more of these than
- * daemons: those of four topics. */
 static gboolean
 join (gpointer data)
 {
-  static const char *const topics[]
-      = { FB_TOPIC_JOBS, FB_TOPIC_PROGRESS, "daemons.1", "daemons.2", NULL };
   FbDaemons *self = data;
   self->timer = 0;
+  g_auto (GStrv) topics = topic_names (self->topics_n);
   uint32_t ttl_ms = (uint32_t) MAX (TTL_MS, self->entry->settings->shortest_ttl_ms);
   FbHttpCall call;
-  fb_wire_join (&call, self->entry->settings->store, GROUP, self->name, topics, ttl_ms,
-                self->generation);
+  fb_wire_join (&call, self->entry->settings->store, GROUP, self->name,
+                (const char *const *) topics, ttl_ms, self->generation);
   fb_keepalive_renewing (self->entry->keepalive, FB_MEMBERSHIP_DAEMONS, &call, ttl_ms, 0);
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_joined, self);
   fb_http_call_clear (&call);
   return G_SOURCE_REMOVE;
 }
 
-static void
-on_left (gpointer data, const FbHttpReply *reply)
-{
-  (void) data;
-  (void) reply; /* without an answer its time to live runs out */
-}
-
 void
 fb_daemons_leave (FbDaemons *self)
 {
@@ -185,10 +276,7 @@
     g_source_remove (self->timer);
   self->timer = 0;
   fb_keepalive_forget (self->entry->keepalive, FB_MEMBERSHIP_DAEMONS);
-  FbHttpCall call;
-  fb_wire_leave (&call, self->entry->settings->store, GROUP, self->name);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_left, self);
-  fb_http_call_clear (&call);
+  take_out (self, self->name);
 }
 
 const GPtrArray *
@@ -228,6 +316,9 @@
   const FbEntrySettings *settings = entry->settings;
   self->entry = entry;
   self->members = g_ptr_array_new_with_free_func (fb_daemon_free);
+  self->began_ms = fb_clock_ms ();
+  self->topics_n = TOPICS_FIRST;
+  self->dismissed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->name = g_strdup_printf ("%s/%s/%u/%" G_GINT64_FORMAT, settings->peers, settings->domain,
                                 (guint) settings->cpu_milli, g_get_real_time ());
   read_members (self, fb_clock_ms ());
--- a/src/entry/daemons.h
+++ b/src/entry/daemons.h
@@ -24,7 +24,7 @@
 const GPtrArray *fb_daemons_all (const FbDaemons *self);
 /* TRUE when this daemon is one of the stronger: it has half or more of what the strongest has. */
 gboolean fb_daemons_is_strong (const FbDaemons *self);
-/* FALSE until the members were read once. */
+/* FALSE until a list of the members was read that names this daemon's address. */
 gboolean fb_daemons_known (const FbDaemons *self);
 /* The member at ADDRESS did not answer. */
 void fb_daemons_rest (FbDaemons *self, const char *address, uint64_t until_ms);
@@ -35,3 +35,10 @@
  * address, the process that started last.  What is no name of a member is left out. */
 void fb_daemons_read (GPtrArray *members, const GArray *rows);
 void fb_daemon_free (gpointer member);
+/* TRUE when MEMBERS hold a process at ADDRESS. */
+gboolean fb_daemons_hold (const GPtrArray *members, const char *address);
+/* TRUE when NAME is of another process at the address of OWN_NAME; both are names of members. */
+gboolean fb_daemons_is_predecessor (const char *name, const char *own_name);
+/* Returns: how many topics a group is to deal out that deals TOPICS_N with PARTITIONS_N partitions
+ * in all, and names MEMBERS_N daemons. */
+guint fb_daemons_topics (guint topics_n, guint partitions_n, guint members_n);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -94,14 +94,6 @@
   (void) reply; /* without an answer its time to live runs out */
 }
 
-static gboolean
-is_predecessor (const FbGroup *self, const char *member)
-{
-  gsize address_len = strlen (self->entry->settings->peers);
-  return strncmp (member, self->member, address_len + 1) == 0
-         && !g_str_equal (member, self->member);
-}
-
 /* Failure: a daemon is killed and starts again within its time to live; the store still
  * takes the process before for the owner of its partitions, and their pools stand still
  * for what is left of that time (0.5 s when all are killed).  Guard: this process listens
@@ -112,7 +104,8 @@
   for (guint i = 0; i < owners->len; i++)
     {
       const char *member = g_array_index (owners, FbPartitionOwner, i).member;
-      if (!is_predecessor (self, member) || g_hash_table_contains (self->dismissed, member))
+      if (!fb_daemons_is_predecessor (member, self->member)
+          || g_hash_table_contains (self->dismissed, member))
         continue;
       g_hash_table_add (self->dismissed, g_strdup (member));
       fb_event_log (FB_EVENT_PREDECESSOR_DISMISSED, "member=%s", member);
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -311,6 +311,57 @@
   CU_ASSERT_EQUAL (first->started_us, 200);
 }
 
+/* All 33 daemons were killed and started again; the list that each read first named two of them, of
+ * 0.12 of a core, so that each took itself for a strong one, and weak ones took the pools over and
+ * lost them 0.5 to 1.3 s later.  A list counts that names the reader's address; the process before
+ * it is as good, as its list is of before the loss.
+ * Evidence: members=2 in the first list of each of 31 daemons, 31 in the second, 1.2 s later. */
+static void
+test_a_list_without_the_reader_does_not_count (void)
+{
+  static const char *const before[]
+      = { "10.0.0.1:7/z1/120/100", "10.0.0.2:7/z1/120/100", "10.0.0.3:7/z1/500/100", NULL };
+  static const char *const between[] = { "10.0.0.1:7/z1/120/100", "10.0.0.2:7/z1/120/100", NULL };
+  g_autoptr (GPtrArray) old = daemons_from (before);
+  g_autoptr (GPtrArray) partial = daemons_from (between);
+  CU_ASSERT_FALSE (fb_daemons_hold (partial, "10.0.0.3:7"));
+  CU_ASSERT_TRUE (fb_daemons_hold (old, "10.0.0.3:7"));
+}
+
+/* All daemons lost power and came back within 0.7 s; the group waited for the processes before them
+ * until their time to live was over.  Each takes out the one before it, and nobody else. */
+static void
+test_only_the_process_before_is_dismissed (void)
+{
+  static const char own[] = "10.0.0.3:7/z1/500/200";
+  CU_ASSERT_TRUE (fb_daemons_is_predecessor ("10.0.0.3:7/z1/500/100", own));
+  CU_ASSERT_TRUE (fb_daemons_is_predecessor ("10.0.0.3:7/z1/250/100", own));
+  CU_ASSERT_FALSE (fb_daemons_is_predecessor (own, own));
+  CU_ASSERT_FALSE (fb_daemons_is_predecessor ("10.0.0.3:70/z1/500/100", own));
+  CU_ASSERT_FALSE (fb_daemons_is_predecessor ("10.0.0.30:7/z1/500/100", own));
+  CU_ASSERT_FALSE (fb_daemons_is_predecessor ("", own));
+}
+
+/* Of 300 daemons the store names 128 where the group has as many partitions: the others would carry
+ * nothing, and a strong one among them own nothing.  The group deals out more until all are named;
+ * few daemons make do with what there is. */
+static void
+test_each_daemon_has_a_partition (void)
+{
+  guint topics_n = 4;
+  guint partitions_n = 4 * 32;
+  for (guint reads = 0; reads < 3; reads++)
+    {
+      topics_n = fb_daemons_topics (topics_n, partitions_n, MIN (300, partitions_n));
+      partitions_n = topics_n * 32;
+    }
+  CU_ASSERT_EQUAL (partitions_n, 512);
+  CU_ASSERT_EQUAL (fb_daemons_topics (topics_n, partitions_n, 300), topics_n);
+  CU_ASSERT_EQUAL (fb_daemons_topics (4, 128, 39), 4);
+  CU_ASSERT_EQUAL (fb_daemons_topics (4, 0, 0), 4);
+  CU_ASSERT_EQUAL (fb_daemons_topics (64, 2048, 2048), 64);
+}
+
 #define WORKER_N 350
 
 static const char *
@@ -509,6 +560,11 @@
   CU_add_test (suite, "nothing is kept for nobody", test_nothing_is_kept_for_nobody);
   CU_add_test (suite, "few daemons", test_few_daemons);
   CU_add_test (suite, "one daemon an address", test_one_daemon_an_address);
+  CU_add_test (suite, "a list without the reader does not count",
+               test_a_list_without_the_reader_does_not_count);
+  CU_add_test (suite, "only the process before is dismissed",
+               test_only_the_process_before_is_dismissed);
+  CU_add_test (suite, "each daemon has a partition", test_each_daemon_has_a_partition);
   CU_add_test (suite, "relays share the workers", test_relays_share_the_workers);
   CU_add_test (suite, "nobody to carry", test_no_relay_left);
   CU_add_test (suite, "a carried look", test_a_carried_look);
