A gang asks for advice about full workers too

Ruled out: the owner's processor (0.17 of 0.5 of a core), daemons for questions (none of them waited). Test first red: tests/pools/gang-asks-about-full-workers (no second question before).

--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -79,8 +79,20 @@
   return MIN (FB_POOL_ADVICE_MAX, NAMED_FOR_ONE * waiting + unheard);
 }
 
-/* Workers that were never named for STEP: for the first question all that could ever run it, later
- * only those with a place now.
+/* TRUE for what a later question of STEP may name too.  Single tasks need a place now.
+ *
+ * Failure: a gang needs fifteen whole workers, 29 are allowed, and each later question names the
+ * four to twenty others that have room at that moment, one in three seconds; it shows as gangs that
+ * wait 20 s while smaller ones of their queue go by.  Guard: a gang asks about others whether they
+ * have room or not, as room can be made where it is allowed. */
+static gboolean
+is_worth_naming (const FbPoolStep *step, double room)
+{
+  return !step->ruled || step->shape->gang || room > 0;
+}
+
+/* Workers that were never named for STEP: for the first question, and for gangs, all that could
+ * ever run it, else only those with a place now.
  *
  * Failure: a pool has more workers than one question names, and each question names the same
  * ones; it shows as a third of the workers with all the work and steps that wait beside idle
@@ -102,7 +114,7 @@
                                     .unheard = !self->settled && !worker->answered,
                                     .room = room_of (worker, step, now_ms),
                                     .draw = XXH64 (&worker->rank, sizeof worker->rank, seed) };
-      if (!step->ruled || candidate.room > 0)
+      if (is_worth_naming (step, candidate.room))
         g_array_append_val (candidates, candidate);
     }
   guint most = named_most (self, step);
