Few daemons append for many, and a slow store is waited for instead of asked again

STORE_SLOW comes within 0.6 s of the onset, but 40 of 147 daemons have an append of their own in the partition's queue by then, who is refused tries by others, each with one more append; and an append took 0.4 to 1.2 s, was given up after 0.9 s and sent again behind itself. Change: with more than nine daemons records go through one of four that append for all, at all times; a refusal by a slow store is told to the caller at once (truly not stored; 504 where that is in doubt); while the store is slow an append is waited for 2.4 s.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -68,8 +68,8 @@
   uint64_t answered_ms; /* when a caller was given an answer last */
   uint64_t store_ok_ms; /* last answer of the store */
   gboolean store_lost;
-  FbStorePace pace; /* of callers' records */
-  gboolean gathers; /* they go through one daemon, as was logged last */
+  FbStorePace pace;  /* of callers' records */
+  gboolean troubled; /* they had better not be stored from here, as was logged last */
 };
 
 uint32_t fb_entry_partition_of (const FbEntry *self, const char *service);
--- a/src/entry/front/front-store.c
+++ b/src/entry/front/front-store.c
@@ -1,6 +1,6 @@
-/* How a caller's record gets into the store: from here, by one daemon for all while the store is
- * slow, or by peers while the store turns this daemon away.  A record is only said not to
- * be stored when no call that may have stored it is without an answer. */
+/* How a caller's record gets into the store: from here, by a daemon that
+ * stores for many (gatherer.h), or by peers while the store turns this daemon away.  A record is
+ * only said not to be stored when no call that may have stored it is without an answer. */
 #include "front-private.h"
 #include "gatherer.h"
 
@@ -16,10 +16,16 @@
 #define PEER_APPEND_MS 700
 #define PEERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - PEER_APPEND_MS)
 #define PEERS_MAX 3
-/* One append of a slow store, and the wait for the one before it. */
-#define GATHERER_APPEND_MS 900
+/* An append takes some 20 ms through another daemon; one that is cut off is found by this. */
+#define GATHERER_MS 400
+/* A slow store takes half a second for an append, and there are some before it; what is left of a
+ * caller's time is for the answer. */
+#define SLOW_GATHERER_MS 2300
+#define GATHERERS_MAX 2
+/* Long enough to spare most callers the same try, short enough for a daemon that is well again. */
+#define REFUSES_MS 1000
 /* Later there is no time left to ask another one. */
-#define GATHERERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - GATHERER_APPEND_MS - STORE_MS)
+#define GATHERERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - GATHERER_MS - STORE_MS)
 
 static void
 log_stored (const FbFrontRequest *request, gboolean stored, const char *how)
@@ -128,22 +134,31 @@
                    request);
 }
 
-/* Returns: TRUE when records go through one daemon for all. */
+/* Returns: TRUE when records had better not be stored from here. */
 static gboolean
-is_store_slow (FbEntry *entry, uint64_t now_ms)
+is_troubled (FbEntry *entry, uint64_t now_ms)
 {
   const FbStorePace *pace = &entry->pace;
-  gboolean slow = fb_store_pace_is_slow (pace, now_ms);
-  if (slow != entry->gathers)
-    fb_event_log (slow ? FB_EVENT_STORE_SLOW : FB_EVENT_STORE_QUICK,
+  gboolean failed = fb_store_pace_has_failed (pace, now_ms);
+  gboolean troubled = failed || fb_store_pace_is_slow (pace);
+  if (troubled != entry->troubled)
+    fb_event_log (troubled ? FB_EVENT_STORE_SLOW : FB_EVENT_STORE_QUICK,
                   "append_ms=%u renewal_ms=%u failed=%d", pace->append_ms, pace->renewal_ms,
-                  now_ms < pace->failed_until_ms);
-  entry->gathers = slow;
-  return slow;
+                  failed);
+  entry->troubled = troubled;
+  return troubled;
 }
 
 static gboolean store_by_gatherer (FbFrontRequest *request);
 
+/* DAEMON did not store a record; others are asked first for a while. */
+static void
+note_refusal (FbFrontRequest *request)
+{
+  const char *daemon = request->asked->pdata[request->asked->len - 1];
+  fb_daemons_refuses (request->entry->daemons, daemon, fb_clock_ms () + REFUSES_MS);
+}
+
 static void
 on_gatherer_stored (gpointer data, const fb_told *told)
 {
@@ -155,29 +170,39 @@
       return;
     }
   request->in_doubt = request->in_doubt || told == NULL || told->type == FB_TOLD_IN_DOUBT;
-  if (!store_by_gatherer (request))
+  note_refusal (request);
+  if (store_by_gatherer (request))
+    return;
+  /* Failure: who is refused by a slow store tries other ways, each of which is one more append in
+   * the queue for which it was refused; it shows as callers without an answer for as long as the
+   * store is slow.  Guard: then the caller is told so at once, and comes again later. */
+  if (fb_store_pace_is_slow (&request->entry->pace))
+    answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
+  else
     store_here (request);
 }
 
-/* Failure: while the store is slow, a partition takes one append in 100 ms and more, and
- * those of all daemons queue up; it shows as jobs that are accepted after 0.8 s, or not at all.
- * Guard: then all daemons send their records to one, whose one append at a time carries them all:
- * the owner, or, where that does not answer, a daemon that all choose alike.
- * Returns: FALSE when that is this daemon, or there is no other. */
+/* Returns: FALSE when the record is to be stored from here. */
 static gboolean
 store_by_gatherer (FbFrontRequest *request)
 {
   FbEntry *entry = request->entry;
+  const GPtrArray *members = fb_daemons_all (entry->daemons);
   uint64_t now_ms = fb_clock_ms ();
-  const char *gatherer = fb_gatherer_for (fb_daemons_all (entry->daemons),
-                                          fb_group_owner_of (entry->group, request->partition),
-                                          request->asked, request->partition, now_ms);
-  if (!is_store_slow (entry, now_ms) || gatherer == NULL
-      || g_str_equal (gatherer, entry->settings->peers)
+  gboolean troubled = is_troubled (entry, now_ms);
+  if ((!troubled && !fb_gatherer_always (members)) || request->asked->len >= GATHERERS_MAX
       || now_ms >= request->since_ms + GATHERERS_UNTIL_MS)
     return FALSE;
+  const char *own = entry->settings->peers;
+  const char *gatherer
+      = fb_gatherer_for (members, fb_group_owner_of (entry->group, request->partition), own,
+                         request->asked, request->partition, now_ms);
+  if (gatherer == NULL || g_str_equal (gatherer, own))
+    return FALSE;
   g_ptr_array_add (request->asked, g_strdup (gatherer));
-  ask_to_append (request, gatherer, GATHERER_APPEND_MS, on_gatherer_stored);
+  uint64_t left_ms = request->since_ms + FB_FRONT_LONGEST_CALL_MS - now_ms;
+  uint32_t patience_ms = fb_store_pace_is_slow (&entry->pace) ? SLOW_GATHERER_MS : GATHERER_MS;
+  ask_to_append (request, gatherer, (uint32_t) MIN (patience_ms, left_ms), on_gatherer_stored);
   return TRUE;
 }
 
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -61,8 +61,11 @@
 void
 fb_entry_renewed (FbEntry *self, const FbHttpReply *reply, uint64_t sent_ms)
 {
-  if (reply->status == FB_HTTP_OK || reply->status == FB_HTTP_TIMEOUT)
-    fb_store_pace_renewed (&self->pace, (uint32_t) MIN (fb_clock_ms () - sent_ms, G_MAXUINT32));
+  uint64_t now_ms = fb_clock_ms ();
+  if (reply->status == FB_HTTP_OK)
+    fb_store_pace_renewed (&self->pace, (uint32_t) MIN (now_ms - sent_ms, G_MAXUINT32));
+  else if (reply->status == FB_HTTP_TIMEOUT)
+    fb_store_pace_failed (&self->pace, now_ms);
 }
 
 static void
--- a/src/entry/store/appender.c
+++ b/src/entry/store/appender.c
@@ -11,8 +11,8 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
-/* The store's answers take some 10 ms, and 60 times that when it is slow. */
-#define ANSWER_MS 900
+/* For an append through another daemon. */
+#define PEER_ANSWER_MS 900
 #define RETRY_FIRST_MS 40
 #define RETRY_LAST_MS 300
 /* Largest body of a call that the store takes, less room for one record. */
@@ -208,7 +208,7 @@
                                .epoch = self->epoch,
                                .sequence = self->sequence,
                                .records = { (u_int) len, (char *) records } };
-  fb_peers_write (self->entry, peer, &write, ANSWER_MS, on_peer_wrote, self);
+  fb_peers_write (self->entry, peer, &write, PEER_ANSWER_MS, on_peer_wrote, self);
   return TRUE;
 }
 
@@ -228,7 +228,8 @@
   fb_wire_append (&call, self->entry->settings->store, self->topic, self->partition, self->body,
                   self->writer, self->epoch, self->sequence);
   fb_counter_add (FB_COUNTER_LOG_APPENDS, 1);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_reply, self);
+  fb_http_client_exchange (self->entry->store_client, &call,
+                           fb_store_pace_patience_ms (&self->entry->pace), on_reply, self);
   fb_http_call_clear (&call);
 }
 
--- a/src/entry/store/daemons.c
+++ b/src/entry/store/daemons.c
@@ -175,6 +175,7 @@
       FbDaemon *member = members->pdata[i];
       const FbDaemon *before = find (self->members, member->address);
       member->rests_ms = before != NULL ? before->rests_ms : 0;
+      member->refuses_ms = before != NULL ? before->refuses_ms : 0;
     }
   g_ptr_array_unref (self->members);
   self->members = members;
@@ -311,6 +312,14 @@
     member->rests_ms = until_ms;
 }
 
+void
+fb_daemons_refuses (FbDaemons *self, const char *address, uint64_t until_ms)
+{
+  FbDaemon *member = find (self->members, address);
+  if (member != NULL)
+    member->refuses_ms = until_ms;
+}
+
 FbDaemons *
 fb_daemons_new (FbEntry *entry)
 {
--- a/src/entry/store/daemons.h
+++ b/src/entry/store/daemons.h
@@ -17,6 +17,7 @@
   uint32_t cpu_milli;
   uint64_t started_us; /* of its process, on its own clock */
   uint64_t rests_ms;   /* it gets nothing to carry until then: it did not answer */
+  uint64_t refuses_ms; /* it gets no records to store until then: it could not */
 } FbDaemon;
 
 FbDaemons *fb_daemons_new (FbEntry *entry);
@@ -28,6 +29,8 @@
 gboolean fb_daemons_known (const FbDaemons *self);
 /* The member at ADDRESS did not answer. */
 void fb_daemons_rest (FbDaemons *self, const char *address, uint64_t until_ms);
+/* The member at ADDRESS could not store a record. */
+void fb_daemons_refuses (FbDaemons *self, const char *address, uint64_t until_ms);
 /* Leaves at a planned stop: nothing is given to it any more. */
 void fb_daemons_leave (FbDaemons *self);
 
--- a/src/entry/store/store-pace.c
+++ b/src/entry/store/store-pace.c
@@ -9,14 +9,27 @@
  * this daemon away, which lasts some seconds. */
 #define FAILED_FOR_MS 1000
 
+/* The store's answers take some 10 ms, also in a queue of some tens of appends. */
+#define PATIENCE_MS 900
+/* Callers wait for 2.6 s; the way to them and back is left out. */
+#define SLOW_PATIENCE_MS 2400
+
+void
+fb_store_pace_failed (FbStorePace *self, uint64_t now_ms)
+{
+  self->failed_until_ms = now_ms + FAILED_FOR_MS;
+}
+
 void
 fb_store_pace_appended (FbStorePace *self, gboolean taken, gboolean here, uint32_t took_ms,
                         uint64_t now_ms)
 {
   if (taken)
     self->append_ms = took_ms;
-  if (here)
-    self->failed_until_ms = taken ? 0 : now_ms + FAILED_FOR_MS;
+  if (here && taken)
+    self->failed_until_ms = 0;
+  else if (here)
+    fb_store_pace_failed (self, now_ms);
 }
 
 void
@@ -26,8 +39,19 @@
 }
 
 gboolean
-fb_store_pace_is_slow (const FbStorePace *self, uint64_t now_ms)
+fb_store_pace_is_slow (const FbStorePace *self)
+{
+  return self->append_ms >= SLOW_APPEND_MS || self->renewal_ms >= SLOW_RENEWAL_MS;
+}
+
+gboolean
+fb_store_pace_has_failed (const FbStorePace *self, uint64_t now_ms)
+{
+  return now_ms < self->failed_until_ms;
+}
+
+uint32_t
+fb_store_pace_patience_ms (const FbStorePace *self)
 {
-  return self->append_ms >= SLOW_APPEND_MS || self->renewal_ms >= SLOW_RENEWAL_MS
-         || now_ms < self->failed_until_ms;
+  return fb_store_pace_is_slow (self) ? SLOW_PATIENCE_MS : PATIENCE_MS;
 }
--- a/src/entry/store/store-pace.h
+++ b/src/entry/store/store-pace.h
@@ -16,7 +16,7 @@
 {
   uint32_t append_ms; /* how long the last append that was taken took, by whatever way */
   uint32_t renewal_ms;
-  uint64_t failed_until_ms; /* an append from here was not taken lately */
+  uint64_t failed_until_ms; /* the store did not take or answer a call from here lately */
 } FbStorePace;
 
 /* An append came to its end after TOOK_MS.  HERE: it was this daemon's own, not one through another
@@ -25,5 +25,15 @@
                              uint64_t now_ms);
 /* The store has answered a renewal of a membership after TOOK_MS. */
 void fb_store_pace_renewed (FbStorePace *self, uint32_t took_ms);
-/* TRUE when records had better go through one daemon for all. */
-gboolean fb_store_pace_is_slow (const FbStorePace *self, uint64_t now_ms);
+/* A call from here got no answer. */
+void fb_store_pace_failed (FbStorePace *self, uint64_t now_ms);
+/* TRUE while the store takes long for each call. */
+gboolean fb_store_pace_is_slow (const FbStorePace *self);
+/* Returns: how long an append is waited for before it is sent again.
+ *
+ * Failure: an append that is given up stays in the queue of the partition, and its repeat waits
+ * behind it; while the store is slow each batch is sent two or three times, and callers wait for
+ * all of them.  Guard: a slow store is given nearly all the time that callers have. */
+uint32_t fb_store_pace_patience_ms (const FbStorePace *self);
+/* TRUE for a second after a call that failed. */
+gboolean fb_store_pace_has_failed (const FbStorePace *self, uint64_t now_ms);
