--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -14,80 +14,14 @@
  * start again after this and one look.  With 1,200 ms, and looks of 800 ms, the mean worth
  * of both sites' standard days was 0.02 lower. */
 #define FB_POOL_START_WINDOW_MS 700
-/* Answers to looks take some 10 ms; this is for a slow daemon or network. */
-#define FB_POOL_LOOK_ANSWER_MS 600
-/* A take-over waits for each worker's first answer.  The first looks are given up sooner,
- * so that one lost answer does not hold it up for 0.7 s (the 95th percentile of take-overs);
- * each repeat waits twice as long. */
-#define FB_POOL_FIRST_ANSWER_MS 150
 /* A look waits this long for news at the worker; the lease is renewed as often. */
 #define FB_POOL_LOOK_WAIT_MS 500
-/* The same while an end waits for its job to be read from the store. */
-#define FB_POOL_UNREAD_PAUSE_MS 100
-/* Looks that find unacknowledged ends return at once; this is their pause.  It shows when
- * records take long: other ends at the worker are heard that much later, and a job has
- * 250 ms to spare; 35 workers cost 300 looks a second meanwhile. */
-#define FB_POOL_LOOK_PAUSE_MS 120
-/* A worker that was silent for this long gets nothing new: a look takes up to
- * FB_POOL_LOOK_WAIT_MS, the rest is for the network and a slow daemon. */
-#define FB_POOL_SILENT_MS 1300
-/* An unanswered stop is repeated. */
-#define FB_POOL_STOP_REPEAT_MS 600
-/* A worker's clock may be this much slow. */
-#define FB_POOL_CLOCK_SLOW_PERMILLE 20
-/* Added to a lease that must certainly have ended. */
-#define FB_POOL_LAPSE_SLACK_MS 100
 /* A replaced owner learns of it within this time: its looks are this far apart. */
 #define FB_POOL_STEP_DOWN_MS 2000
-/* A ticket is not used when less than this is left of it: the order travels and
- * may wait in a slow daemon. */
-#define FB_POOL_TICKET_MARGIN_MS 250
-/* Advice for a step is asked for this long before the steps before it should end:
- * within the 2 s for which a ticket is good. */
-#define FB_POOL_ASK_AHEAD_MS 900
-/* Workers named in one question for advice. */
-#define FB_POOL_ADVICE_MAX 100
-/* Renewals name at most this many workers: a ticket costs time for each. */
-#define FB_POOL_RENEW_MAX 6
-/* A question for advice without an answer is asked again, this long after its decision should have
- * been there: longer than it is waited for at the daemon that calls the service.  With a bound on
- * the whole, questions of 1.8 s that waited behind others of 1.7 s were asked twice, and the second
- * call held up the next ones. */
-#define FB_POOL_ADVICE_PATIENCE_MS 4000
-#define FB_POOL_ADVICE_TIMES 3
-/* Failed runs of different jobs in a row after which a worker gets one run in each
- * FB_POOL_SPARE_MS until one succeeds. */
-#define FB_POOL_BAD_STREAK 3
-#define FB_POOL_SPARE_MS 1000
-/* Pause after a start that a worker refused or left unanswered. */
-#define FB_POOL_REFUSAL_PAUSE_MS 300
 /* Workers and due times are looked after this often, not at each event: a round
  * over them costs some 100 us, and an owner sees hundreds of events a second. */
 #define FB_POOL_TEND_EVERY_MS 20
 #define FB_POOL_EXPIRE_EVERY_MS 1000
-/* Runs of a step that must have ended before the others are measured by them. */
-#define FB_POOL_SIBLINGS 2
-/* A run is stuck when it takes this many times what the others of its step took (they
- * differ by some 15%), and this on top for a slow worker's start; each time it is moved
- * the next one gets twice as long. */
-#define FB_POOL_STUCK_PERCENT 250
-#define FB_POOL_STUCK_MS 800
-/* Without such others its estimate is all there is, which is off by up to 1.9 times while
- * run times spread to 2.5 times their mean.  5 times moved sound runs on calm days. */
-#define FB_POOL_STUCK_FACTOR 10
-#define FB_POOL_STUCK_MOVES 3
-/* How much a slow worker counts against a free one, times the square of the job's
- * tightness: short jobs may take 1.5 times their work and 250 ms, and workers differ by
- * 0.8 to 1.25.  Gained 0.027 of a day's worth on one site (0.796 to 0.823, means of four
- * scores each, which spread by 0.017) and 0.003 on another (0.866 to 0.869). */
-#define FB_POOL_SLOWNESS_WEIGHT 6.0
-/* Work gives way only if its job has so much more time than the one that waits: a stop,
- * a wait for other room and a restore take about a second. */
-#define FB_POOL_GIVE_WAY_MS 2000
-/* After a stop's longest time: until its end is listed and the gang is ordered. */
-#define FB_POOL_ROOM_SLACK_MS 600
-/* Results are kept this long after a job has ended, for callers who ask late. */
-#define FB_POOL_KEEP_ENDED_MS 300000
 
 /* ---- jobs ------------------------------------------------------------------ */
 
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -14,6 +14,22 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Advice for a step is asked for this long before the steps before it should end:
+ * within the 2 s for which a ticket is good. */
+#define ASK_AHEAD_MS 900
+/* Workers named in one question for advice. */
+#define ADVICE_MAX 100
+/* Renewals name at most this many workers: a ticket costs time for each. */
+#define RENEW_MAX 6
+/* A question for advice without an answer is asked again, this long after its decision should have
+ * been there: longer than it is waited for at the daemon that calls the service.  With a bound on
+ * the whole, questions of 1.8 s that waited behind others of 1.7 s were asked twice, and the second
+ * call held up the next ones. */
+#define ADVICE_PATIENCE_MS 4000
+#define ADVICE_TIMES 3
+/* After a stop's longest time: until its end is listed and the gang is ordered. */
+#define ROOM_SLACK_MS 600
+
 /* On top of what a decision takes: the way, and its wait behind another. */
 #define HOLD_SLACK_MS 400
 /* Failure: a question for a task that was interrupted waits behind others for 2 s, its room is held
@@ -82,9 +98,9 @@
 named_first (const FbPoolStep *step)
 {
   if (step->shape->gang || step->shape->lasting)
-    return FB_POOL_ADVICE_MAX;
-  guint most = MIN (step->shape->count, FB_POOL_ADVICE_MAX) * NAMED_FOR_EACH;
-  return CLAMP (most, NAMED_AT_LEAST, FB_POOL_ADVICE_MAX);
+    return ADVICE_MAX;
+  guint most = MIN (step->shape->count, ADVICE_MAX) * NAMED_FOR_EACH;
+  return CLAMP (most, NAMED_AT_LEAST, ADVICE_MAX);
 }
 
 static guint
@@ -94,7 +110,7 @@
     return named_first (step);
   guint unheard = self->settled ? 0 : self->unheard->len;
   guint waiting = MAX (fb_pool_step_waiting_n (step), 1);
-  return MIN (FB_POOL_ADVICE_MAX, NAMED_FOR_ONE * waiting + unheard);
+  return MIN (ADVICE_MAX, NAMED_FOR_ONE * waiting + unheard);
 }
 
 /* TRUE for what a later question of STEP may name too.  Single tasks need a place now.
@@ -140,7 +156,7 @@
     g_array_sort (candidates, compare_candidates);
   /* Where there is no room it has to be made, and the more are allowed the sooner. */
   if (candidates->len > most && g_array_index (candidates, Candidate, most - 1).room == 0)
-    most = FB_POOL_ADVICE_MAX;
+    most = ADVICE_MAX;
   GPtrArray *ids = g_ptr_array_new ();
   for (guint i = 0; i < MIN (candidates->len, most); i++)
     g_ptr_array_add (ids, g_array_index (candidates, Candidate, i).worker->id);
@@ -164,8 +180,7 @@
 static guint
 most_at_once (const FbPoolStep *step)
 {
-  return step->shape->gang ? step->shape->count
-                           : MIN (fb_pool_step_waiting_n (step), FB_POOL_RENEW_MAX);
+  return step->shape->gang ? step->shape->count : MIN (fb_pool_step_waiting_n (step), RENEW_MAX);
 }
 
 /* For how many tasks of STEP one question renews tickets.
@@ -176,7 +191,7 @@
 static guint
 most_renewed (const FbPoolStep *step)
 {
-  return step->shape->lasting ? MIN (fb_pool_step_waiting_n (step), FB_POOL_ADVICE_MAX)
+  return step->shape->lasting ? MIN (fb_pool_step_waiting_n (step), ADVICE_MAX)
                               : most_at_once (step);
 }
 
@@ -189,8 +204,7 @@
   guint most = most_at_once (step);
   uint64_t wait_ms = MAX (self->limits.stop_ms, takes_ms (step, most));
   return fb_pool_make_room (self, step, most, chosen,
-                            now_ms + wait_ms + MAX (FB_POOL_ROOM_SLACK_MS, hold_slack_ms (step)),
-                            now_ms);
+                            now_ms + wait_ms + MAX (ROOM_SLACK_MS, hold_slack_ms (step)), now_ms);
 }
 
 /* Returns: (transfer container): the ids of the N workers CHOSEN, each once. */
@@ -214,7 +228,7 @@
 add_newcomers (FbPool *self, const FbPoolStep *step, GPtrArray *ids, guint left, uint64_t now_ms)
 {
   g_autoptr (GPtrArray) fresh = never_asked (self, step, now_ms);
-  guint most = MIN (ids->len + NAMED_FOR_EACH * left, FB_POOL_ADVICE_MAX);
+  guint most = MIN (ids->len + NAMED_FOR_EACH * left, ADVICE_MAX);
   for (guint i = 0; i < fresh->len && ids->len < most; i++)
     g_ptr_array_add (ids, fresh->pdata[i]);
 }
@@ -308,7 +322,7 @@
       self->asked_in_vain |= kind_of_question (step);
       return FALSE;
     }
-  step->advice_until_ms = now_ms + FB_POOL_ADVICE_TIMES * expected_ms + FB_POOL_ADVICE_PATIENCE_MS;
+  step->advice_until_ms = now_ms + ADVICE_TIMES * expected_ms + ADVICE_PATIENCE_MS;
   return TRUE;
 }
 
@@ -400,7 +414,7 @@
           if (task->done)
             continue;
           if (task->run == NULL
-              || now_ms + FB_POOL_ASK_AHEAD_MS < task->run->started_ms + before->shape->estimate_ms)
+              || now_ms + ASK_AHEAD_MS < task->run->started_ms + before->shape->estimate_ms)
             return FALSE;
         }
     }
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -5,6 +5,15 @@
  * (best fit), so that wide rooms stay for large tasks. */
 #include "internal/pool-private.h"
 
+/* A ticket is not used when less than this is left of it: the order travels and
+ * may wait in a slow daemon. */
+#define TICKET_MARGIN_MS 250
+/* How much a slow worker counts against a free one, times the square of the job's
+ * tightness: short jobs may take 1.5 times their work and 250 ms, and workers differ by
+ * 0.8 to 1.25.  Gained 0.027 of a day's worth on one site (0.796 to 0.823, means of four
+ * scores each, which spread by 0.017) and 0.003 on another (0.866 to 0.869). */
+#define SLOWNESS_WEIGHT 6.0
+
 /* Lets a serving step's worker be free of tasks that fill. */
 static gboolean
 disturbs (const FbPoolWorker *worker, const fb_work_step *shape)
@@ -60,8 +69,7 @@
 fb_pool_valid_ticket (const FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
 {
   const FbPoolRuling *ruling = fb_pool_ruling (step, worker);
-  return ruling != NULL && ruling->allowed
-                 && now_ms + FB_POOL_TICKET_MARGIN_MS < ruling->valid_until_ms
+  return ruling != NULL && ruling->allowed && now_ms + TICKET_MARGIN_MS < ruling->valid_until_ms
              ? ruling
              : NULL;
 }
@@ -132,7 +140,7 @@
 {
   const fb_work_step *shape = step->shape;
   double tightness = step->job->tightness;
-  double cost = FB_POOL_SLOWNESS_WEIGHT * tightness * tightness * (worker->speed->slowness - 1);
+  double cost = SLOWNESS_WEIGHT * tightness * tightness * (worker->speed->slowness - 1);
   if (*shape->data_rack != '\0' && !fb_pool_worker_has_label (worker, shape->data_rack))
     cost += 10;
   if (worker->bad_streak > 0)
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -7,6 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Runs of a step that must have ended before the others are measured by them. */
+#define SIBLINGS 2
+
 void
 fb_pool_job_copy_record (const fb_work_admit *from, fb_work_admit *to)
 {
@@ -145,7 +148,7 @@
 uint64_t
 fb_pool_step_times_ms (const FbPoolStep *step, uint32_t percent, uint32_t factor)
 {
-  if (step->timed_n >= FB_POOL_SIBLINGS)
+  if (step->timed_n >= SIBLINGS)
     return step->timed_ms / step->timed_n * percent / 100;
   return (uint64_t) step->shape->estimate_ms * factor;
 }
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -9,6 +9,15 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
+/* Answers to looks take some 10 ms; this is for a slow daemon or network. */
+#define LOOK_ANSWER_MS 600
+/* A take-over waits for each worker's first answer.  The first looks are given up sooner,
+ * so that one lost answer does not hold it up for 0.7 s (the 95th percentile of take-overs);
+ * each repeat waits twice as long. */
+#define FIRST_ANSWER_MS 150
+/* Pause after a start that a worker refused or left unanswered. */
+#define REFUSAL_PAUSE_MS 300
+
 typedef struct
 {
   char *worker;
@@ -132,10 +141,10 @@
 answer_patience_ms (FbPoolWorker *worker)
 {
   if (worker->answered)
-    return FB_POOL_LOOK_ANSWER_MS;
+    return LOOK_ANSWER_MS;
   worker->first_answer_ms
-      = worker->first_answer_ms == 0 ? FB_POOL_FIRST_ANSWER_MS : 2 * worker->first_answer_ms;
-  worker->first_answer_ms = MIN (worker->first_answer_ms, FB_POOL_LOOK_ANSWER_MS);
+      = worker->first_answer_ms == 0 ? FIRST_ANSWER_MS : 2 * worker->first_answer_ms;
+  worker->first_answer_ms = MIN (worker->first_answer_ms, LOOK_ANSWER_MS);
   return worker->first_answer_ms;
 }
 
@@ -195,7 +204,7 @@
   if (result == FB_ORDER_BAD_TICKET)
     fb_pool_ruling_expire (step, worker);
   if (result != FB_ORDER_SUPERSEDED && result != FB_ORDER_BAD_TICKET)
-    worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
+    worker->paused_until_ms = now_ms + REFUSAL_PAUSE_MS;
   gboolean gang = step->shape->gang;
   fb_pool_run_over (self, worker, run, "refused", now_ms);
   if (gang)
@@ -229,7 +238,7 @@
     {
       fb_event_log (FB_EVENT_ORDER_UNANSWERED, "task=%s attempt=%u worker=%s heard_ms_ago=%u",
                     run->name, run->attempt, worker->id, (guint) (now_ms - worker->heard_ms));
-      worker->paused_until_ms = now_ms + FB_POOL_REFUSAL_PAUSE_MS;
+      worker->paused_until_ms = now_ms + REFUSAL_PAUSE_MS;
       /* The others would wait for this member until they give up alone. */
       if (run->step->shape->gang)
         fb_pool_gang_stop (self, run->step, now_ms);
--- a/src/work/pool-preempt.c
+++ b/src/work/pool-preempt.c
@@ -10,6 +10,10 @@
 #include "fb-counter.h"
 #include "fb-event.h"
 
+/* Work gives way only if its job has so much more time than the one that waits: a stop,
+ * a wait for other room and a restore take about a second. */
+#define GIVE_WAY_MS 2000
+
 /* What is left until the caller wants the job, less the step's run time; below 0 it is
  * late already. */
 static int64_t
@@ -32,7 +36,7 @@
       || run->step->tasks[run->index].gave_way)
     return FALSE;
   return run->step->job->record.policy.priority > to->job->record.policy.priority
-         && slack_ms (run->step, now_ms) > MAX (slack_ms (to, now_ms), 0) + FB_POOL_GIVE_WAY_MS;
+         && slack_ms (run->step, now_ms) > MAX (slack_ms (to, now_ms), 0) + GIVE_WAY_MS;
 }
 
 /* Takes what would give way out of the ledgers (SIGN -1), or puts it back (1). */
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -5,6 +5,9 @@
 #include "internal/codec.h"
 #include "internal/pool-private.h"
 
+/* Results are kept this long after a job has ended, for callers who ask late. */
+#define KEEP_ENDED_MS 300000
+
 static void
 record_free (gpointer data)
 {
@@ -111,7 +114,7 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       FbPoolJob *job = value;
-      if (job->stored_state != job->state || wall_ms <= job->ended_wall_ms + FB_POOL_KEEP_ENDED_MS
+      if (job->stored_state != job->state || wall_ms <= job->ended_wall_ms + KEEP_ENDED_MS
           || has_run (self, job))
         continue;
       add_record (records, job->id, NULL);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -9,6 +9,13 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
+/* The same while an end waits for its job to be read from the store. */
+#define UNREAD_PAUSE_MS 100
+/* Looks that find unacknowledged ends return at once; this is their pause.  It shows when
+ * records take long: other ends at the worker are heard that much later, and a job has
+ * 250 ms to spare; 35 workers cost 300 looks a second meanwhile. */
+#define LOOK_PAUSE_MS 120
+
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
 void
@@ -474,7 +481,7 @@
     drop_absent (self, worker, answer->clock_ms, now_ms);
   note_if_emptied (self, worker, runs_before);
   if (worker->unread)
-    worker->look_at_ms = now_ms + FB_POOL_UNREAD_PAUSE_MS;
+    worker->look_at_ms = now_ms + UNREAD_PAUSE_MS;
   else if (worker->acknowledged == worker->seen_end)
     fb_pool_order_look (self, worker, now_ms);
 }
@@ -499,7 +506,7 @@
     return;
   worker->look_open = FALSE;
   gboolean at_once = !worker->answered && answer->result == FB_ORDER_UNKNOWN;
-  worker->look_at_ms = now_ms + (at_once ? 0 : FB_POOL_LOOK_PAUSE_MS);
+  worker->look_at_ms = now_ms + (at_once ? 0 : LOOK_PAUSE_MS);
   if (answer->result == FB_ORDER_DONE)
     take_answer (self, worker, answer, now_ms, wall_ms);
   else if (answer->result == FB_ORDER_FENCED)
--- a/src/work/pool-stuck.c
+++ b/src/work/pool-stuck.c
@@ -9,11 +9,20 @@
 
 #include "fb-event.h"
 
+/* A run is stuck when it takes this many times what the others of its step took (they
+ * differ by some 15%), and this on top for a slow worker's start; each time it is moved
+ * the next one gets twice as long. */
+#define STUCK_PERCENT 250
+#define STUCK_MS 800
+/* Without such others its estimate is all there is, which is off by up to 1.9 times while
+ * run times spread to 2.5 times their mean.  5 times moved sound runs on calm days. */
+#define STUCK_FACTOR 10
+#define STUCK_MOVES 3
+
 static uint64_t
 longest_run_ms (const FbPoolStep *step)
 {
-  return fb_pool_step_times_ms (step, FB_POOL_STUCK_PERCENT, FB_POOL_STUCK_FACTOR)
-         + FB_POOL_STUCK_MS;
+  return fb_pool_step_times_ms (step, STUCK_PERCENT, STUCK_FACTOR) + STUCK_MS;
 }
 
 static gboolean
@@ -24,7 +33,7 @@
       || step->shape->estimate_ms == 0)
     return FALSE;
   uint32_t moved = step->tasks[run->index].moved;
-  return moved < FB_POOL_STUCK_MOVES && now_ms > run->started_ms + (longest_run_ms (step) << moved);
+  return moved < STUCK_MOVES && now_ms > run->started_ms + (longest_run_ms (step) << moved);
 }
 
 static void
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -8,6 +8,18 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* A worker that was silent for this long gets nothing new: a look takes up to
+ * FB_POOL_LOOK_WAIT_MS, the rest is for the network and a slow daemon. */
+#define SILENT_MS 1300
+/* A worker's clock may be this much slow. */
+#define CLOCK_SLOW_PERMILLE 20
+/* Added to a lease that must certainly have ended. */
+#define LAPSE_SLACK_MS 100
+/* Failed runs of different jobs in a row after which a worker gets one run in each
+ * SPARE_MS until one succeeds. */
+#define BAD_STREAK 3
+#define SPARE_MS 1000
+
 /* Any: it only has to be the same at all owners. */
 #define RANK_SEED 1
 
@@ -73,13 +85,13 @@
 fb_pool_worker_clock_low (const FbPoolWorker *worker, uint64_t now_ms)
 {
   uint64_t passed_ms = now_ms > worker->heard_ms ? now_ms - worker->heard_ms : 0;
-  return worker->clock_ms + passed_ms * (1000 - FB_POOL_CLOCK_SLOW_PERMILLE) / 1000;
+  return worker->clock_ms + passed_ms * (1000 - CLOCK_SLOW_PERMILLE) / 1000;
 }
 
 gboolean
 fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  return !worker->answered || now_ms > worker->heard_ms + FB_POOL_SILENT_MS;
+  return !worker->answered || now_ms > worker->heard_ms + SILENT_MS;
 }
 
 /* A worker that never answered may hold a lease of the owner before.  That owner
@@ -90,8 +102,8 @@
 {
   if (self->majority_ms == 0)
     return FALSE;
-  uint64_t lease_ms = FB_POOL_LEASE_MS * 1000 / (1000 - FB_POOL_CLOCK_SLOW_PERMILLE);
-  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + lease_ms + FB_POOL_LAPSE_SLACK_MS;
+  uint64_t lease_ms = FB_POOL_LEASE_MS * 1000 / (1000 - CLOCK_SLOW_PERMILLE);
+  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + lease_ms + LAPSE_SLACK_MS;
 }
 
 gboolean
@@ -102,7 +114,7 @@
   if (!worker->answered)
     return unheard_lapsed (self, now_ms);
   return fb_pool_worker_silent (worker, now_ms)
-         && fb_pool_worker_clock_low (worker, now_ms) > worker->lease_ms + FB_POOL_LAPSE_SLACK_MS;
+         && fb_pool_worker_clock_low (worker, now_ms) > worker->lease_ms + LAPSE_SLACK_MS;
 }
 
 void
@@ -167,8 +179,8 @@
 void
 fb_pool_worker_spare (FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (worker->bad_streak >= FB_POOL_BAD_STREAK)
-    worker->spared_until_ms = now_ms + FB_POOL_SPARE_MS;
+  if (worker->bad_streak >= BAD_STREAK)
+    worker->spared_until_ms = now_ms + SPARE_MS;
 }
 
 gboolean
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -3,6 +3,9 @@
 
 #include "fb-event.h"
 
+/* An unanswered stop is repeated. */
+#define STOP_REPEAT_MS 600
+
 FbPool *
 fb_pool_new (const char *service, uint64_t epoch, const FbPoolLimits *limits,
              const FbPoolSink *sink, gpointer user, uint64_t now_ms)
@@ -170,7 +173,7 @@
     {
       FbPoolRun *run = value;
       if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms == 0
-          && now_ms > run->stop_sent_ms + FB_POOL_STOP_REPEAT_MS)
+          && now_ms > run->stop_sent_ms + STOP_REPEAT_MS)
         fb_pool_order_stop (self, worker, run, now_ms);
       else
         fb_pool_run_check_stuck (self, worker, run, now_ms);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -36,6 +36,7 @@
 verdict "advice of two owners" $B/tests/test-advice
 verdict "calls over HTTP" $B/tests/test-http
 verdict "links between daemons" $B/tests/test-links
+verdict "list of daemons" $B/tests/test-daemons
 verdict "orders that daemons carry" $B/tests/test-carry
 verdict "callers of a slow store" $B/tests/test-slow-store
 verdict "messages of the platform" $B/tests/test-wire
