Test of processes on the platform: the owner is read together with the condition that its pool rests

Trace (d0.log): the daemon that was cut off before joined again 1,004 ms after its last join, longer than its time to live of 1,000, lost the pool and took it over (POOL_LOST, POOL_TAKEN epoch 15360) between the condition 'the pool rests' and the reading of its owner, which found none and ended the script by set -e. That is allowed of the daemon; the script's reading was wrong. The condition and the reading are one now, in each of the places; what is checked afterwards is as before, word for word.

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -57,6 +57,9 @@
   local d p; two_members && d=$(owner) || return 1
   p=$(grep -o 'POOL_TAKEN partition=[0-9]*' "$OUT/d$d.log" | tail -1 | grep -o '[0-9]*$')
   curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | tr -d ' ' | grep -q ",$p,\"127.0.0.1:$(($(port "$d") + 2))/"; }
+# Sets OF_POOL to the owner of a pool that rests.  The owner is read with the condition: a daemon that
+# was cut off for longer than its time to live may join, and give its pool up, right after it.
+rests() { dealt_to_owner && of_pool=$(owner); }
 audit() { curl -s "http://127.0.0.1:$base/audit"; }
 
 $B/standins/standin-platform "$base" 6 & PID[platform]=$!
@@ -134,9 +137,9 @@
 until_true ready "$alive" || die "the daemon is not ready again"
 
 say "the store is away from the owner alone, and nobody replaces it: its ends are recorded through a peer"
-until_true dealt_to_owner || die "the pool does not come to rest"
+until_true rests || die "the pool does not come to rest"
 curl -s -d '{"patient":true}' "http://127.0.0.1:$base/control" > /dev/null # forgets nobody
-cut=$(owner); before=$(reloads "$cut")
+cut=$of_pool before=$(reloads "$of_pool")
 reloaded() { [ "$(reloads "$cut")" -gt "$before" ]; }
 store_at "$cut" $((base + 19))
 until_true reloaded || die "the settings were not loaded again"
@@ -151,8 +154,8 @@
 curl -s -d '{"patient":false}' "http://127.0.0.1:$base/control" > /dev/null
 
 say "the store is away from the owner alone: a peer tells it who owns the pool now"
-until_true dealt_to_owner || die "the pool does not come to rest"
-cut=$(owner); before=$(reloads "$cut")
+until_true rests || die "the pool does not come to rest"
+cut=$of_pool before=$(reloads "$of_pool")
 reloaded() { [ "$(reloads "$cut")" -gt "$before" ]; }
 store_at "$cut" $((base + 19))
 until_true reloaded || die "the settings were not loaded again"
@@ -165,8 +168,8 @@
 until_true ready "$cut" || die "the daemon is not ready again"
 
 say "a daemon stands still and loses its pool: its lines tell that it was its loop, and its join"
-until_true dealt_to_owner || die "the pool does not come to rest"
-still=$(owner)
+until_true rests || die "the pool does not come to rest"
+still=$of_pool
 for d in "${left[@]}"; do [ -n "$d" ] && [ "$d" != "$still" ] && other=$d; done
 count() { grep -c "$2" "$OUT/d$1.log" || true; }
 before=$(count "$other" POOL_TAKEN) from=$(wc -l < "$OUT/d$still.log")
