Orders that are not done are logged where the worker was called, with the number of copies

The record could not tell why: a daemon that carries an order for the owner wrote nothing of it, and TASK_REFUSED gave a number, not what the worker answered. The library below repeats a call on its own when a connection that was used before ends, and nothing counted that.

ORDER_NOT_DONE (FB7121) stands on the daemon that called the worker, with task, attempt, epoch, code, copies and result; TASK_REFUSED names its reason. One line an order that is not done, none for those that are. FbHttpReply counts the copies. No decision changes.

Shown by a run of tests/platform.sh with workers that lose answers: lines with code=503 copies=2 result=not-done for starts that the workers had begun.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -74,6 +74,9 @@
   FB_ORDER_UNKNOWN      /* it may be carried out, now or later */
 } FbOrderResult;
 
+/* Returns: a word for the log; static. */
+const char *fb_order_result_name (FbOrderResult result);
+
 typedef struct
 {
   FbOrderResult result;
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -135,13 +135,64 @@
     }
 }
 
+/* An order to start or stop a run, on its way to its worker. */
+typedef struct
+{
+  fb_order_kind kind;
+  char *worker;
+  char *task;
+  uint32_t attempt;
+  uint64_t epoch;
+  uint64_t sent_ms;
+  FbHttpReplyDone done;
+  gpointer user;
+} WorkerCall;
+
+static WorkerCall *
+worker_call_new (const fb_ask_order *order, FbHttpReplyDone done, gpointer user)
+{
+  WorkerCall *call = g_new0 (WorkerCall, 1);
+  call->kind = order->kind;
+  call->worker = g_strdup (order->worker);
+  call->task = g_strdup (order->task);
+  call->attempt = order->attempt;
+  call->epoch = order->epoch;
+  call->sent_ms = fb_clock_ms ();
+  call->done = done;
+  call->user = user;
+  return call;
+}
+
+static void
+on_worker_reply (gpointer data, const FbHttpReply *reply)
+{
+  WorkerCall *call = data;
+  uint64_t clock_ms = 0;
+  FbOrderResult result = fb_wire_order_result (reply, &clock_ms);
+  if (result != FB_ORDER_DONE)
+    fb_event_log (FB_EVENT_ORDER_NOT_DONE,
+                  "task=%s attempt=%u worker=%s kind=%d epoch=%" G_GUINT64_FORMAT
+                  " code=%u status=%d copies=%u result=%s after_ms=%u",
+                  call->task, call->attempt, call->worker, call->kind, call->epoch, reply->code,
+                  reply->status, reply->copies, fb_order_result_name (result),
+                  (guint) (fb_clock_ms () - call->sent_ms));
+  call->done (call->user, reply);
+  g_free (call->worker);
+  g_free (call->task);
+  g_free (call);
+}
+
 void
 fb_relay_call_worker (FbEntry *entry, const fb_ask_order *order, FbHttpReplyDone done,
                       gpointer user)
 {
   FbHttpCall call;
   make_call (&call, order);
-  fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), done, user);
+  if (order->kind == FB_CARRY_LOOK)
+    fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), done, user);
+  else
+    fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), on_worker_reply,
+                             worker_call_new (order, done, user));
   fb_http_call_clear (&call);
 }
 
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -56,6 +56,7 @@
   gpointer user;
   FbHttpClient *client;
   FbTraffic traffic;
+  guint copies;
   guint silence_ms;
   GSource *silence; /* NULL without such a limit */
 } Call;
@@ -152,6 +153,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &code);
   curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &connect_errno);
   reply.sent = sent_bytes > 0;
+  reply.copies = call->copies;
   count_bytes (call, sent_bytes);
   reply.refused = result == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
   if (result == CURLE_OPERATION_TIMEDOUT)
@@ -360,6 +362,18 @@
   return size * n;
 }
 
+/* Called with a connection in hand, before the call is written to it: once a copy. */
+static int
+on_copy (void *user, char *peer_ip, char *own_ip, int peer_port, int own_port)
+{
+  (void) peer_ip;
+  (void) own_ip;
+  (void) peer_port;
+  (void) own_port;
+  ((Call *) user)->copies++;
+  return CURL_PREREQFUNC_OK;
+}
+
 static struct curl_slist *
 add_header (struct curl_slist *list, const char *name, const char *value)
 {
@@ -404,6 +418,8 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) timeout_ms);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_copy);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (!request->idempotent)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/net/http-client.h
+++ b/src/net/http-client.h
@@ -44,6 +44,7 @@
 {
   FbHttpStatus status; /* OK: an answer came, with CODE, whatever it says */
   gboolean sent;       /* FALSE: nothing was sent, so nothing was done */
+  guint copies;        /* how often the call was begun on a connection; see FbHttpCall.idempotent */
   gboolean refused;    /* the host answered that nothing listens there */
   guint code;
   GBytes *body; /* borrowed for the callback; NULL unless OK */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -18,6 +18,22 @@
 /* Pause after a start that a worker refused or left unanswered. */
 #define REFUSAL_PAUSE_MS 300
 
+const char *
+fb_order_result_name (FbOrderResult result)
+{
+  static const char *const names[] = { [FB_ORDER_DONE] = "done",
+                                       [FB_ORDER_FENCED] = "fenced",
+                                       [FB_ORDER_SUPERSEDED] = "superseded",
+                                       [FB_ORDER_LATE] = "late",
+                                       [FB_ORDER_NO_ROOM] = "no-room",
+                                       [FB_ORDER_BAD_TICKET] = "bad-ticket",
+                                       [FB_ORDER_NOT_DONE] = "not-done",
+                                       [FB_ORDER_OTHER_LIFE] = "other-life",
+                                       [FB_ORDER_NO_LISTENER] = "no-listener",
+                                       [FB_ORDER_UNKNOWN] = "unknown" };
+  return names[MIN (result, FB_ORDER_UNKNOWN)];
+}
+
 typedef struct
 {
   char *worker;
@@ -198,8 +214,8 @@
                uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
-  fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%d", run->name,
-                run->attempt, worker->id, result);
+  fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%s", run->name,
+                run->attempt, worker->id, fb_order_result_name (result));
   /* The worker stays one of the allowed, so that it is asked for again. */
   if (result == FB_ORDER_BAD_TICKET)
     fb_pool_ruling_expire (step, worker);
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -152,7 +152,8 @@
 static FbHttpReply
 reply_of (guint code, GBytes *body)
 {
-  return (FbHttpReply){ .status = FB_HTTP_OK, .sent = TRUE, .code = code, .body = body };
+  return (
+      FbHttpReply){ .status = FB_HTTP_OK, .sent = TRUE, .copies = 1, .code = code, .body = body };
 }
 
 /* What tells a caller that its job certainly is not stored, and what does not. */
@@ -185,7 +186,11 @@
     {
       const char *text = cases[i].body != NULL ? cases[i].body : "";
       g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
-      FbHttpReply reply = { cases[i].status, cases[i].sent, FALSE, cases[i].code, body };
+      FbHttpReply reply = { .status = cases[i].status,
+                            .sent = cases[i].sent,
+                            .copies = cases[i].sent,
+                            .code = cases[i].code,
+                            .body = body };
       CU_ASSERT_EQUAL (fb_wire_append_result (&reply), cases[i].result);
     }
 }
@@ -230,7 +235,8 @@
 result_of (FbHttpStatus status, gboolean sent, guint code, const char *text)
 {
   g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
-  FbHttpReply reply = { status, sent, FALSE, code, body };
+  FbHttpReply reply
+      = { .status = status, .sent = sent, .copies = sent, .code = code, .body = body };
   uint64_t clock_ms = 0;
   return fb_wire_order_result (&reply, &clock_ms);
 }
