Failing tests: a start that a worker began counts as refused by the answer to its repeat

Scripts of calls over real connections (tests/calls/) and real daemons before workers that carry starts out, close the connection and refuse the copy (tests/platform.sh).

--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -60,6 +60,8 @@
 static guint over_capacity;
 static guint64 newest_epoch;
 static guint epochs; /* that workers have taken orders under */
+/* A start is carried out and its connection closed without an answer; a copy of it is refused. */
+static gboolean losing_answers;
 
 static void
 run_free (gpointer data)
@@ -106,6 +108,13 @@
   over_capacity += (worker->runs->len + 1) * 2000 > WORKER_CPU;
 }
 
+static void
+close_connection (SoupServerMessage *message)
+{
+  g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
+  g_io_stream_close (stream, NULL, NULL);
+}
+
 static void
 serve_start (SoupServerMessage *message, Worker *worker, JsonObject *body)
 {
@@ -118,7 +127,8 @@
       sp_reply (message, 409, late);
       return;
     }
-  if (find_run (worker, task) == NULL)
+  gboolean is_copy = find_run (worker, task) != NULL;
+  if (!is_copy)
     {
       judge (worker, task);
       Run *run = g_new0 (Run, 1);
@@ -132,7 +142,12 @@
       started++;
     }
   worker->lease_ms = MAX (worker->lease_ms, json_object_get_int_member (body, "deadline-ms"));
-  sp_reply (message, 200, clock);
+  if (losing_answers && is_copy)
+    sp_reply (message, 503, "{}");
+  else if (losing_answers)
+    close_connection (message);
+  else
+    sp_reply (message, 200, clock);
 }
 
 static void
@@ -211,9 +226,7 @@
   Worker *worker = &workers[k];
   if (!worker->up && worker->back_ms != 0)
     {
-      /* Its host has no process that listens there. */
-      g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
-      g_io_stream_close (stream, NULL, NULL);
+      close_connection (message); /* its host has no process that listens there */
       return;
     }
   if (!worker->up || body == NULL)
@@ -274,6 +287,12 @@
   g_array_set_size (worker->end_numbers, 0);
 }
 
+void
+sp_workers_lose_answers (gboolean lose)
+{
+  losing_answers = lose;
+}
+
 void
 sp_worker_crash (guint k, gint64 for_ms)
 {
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -4,7 +4,8 @@
  * A task's payload is its run time in ms.  POST /control {"outage":true} takes the store
  * away, {"silent":true} lets it answer nothing, {"patient":true} keeps silent members in
  * their groups, {"worker":K,"up":false} takes a worker away, {"crash":K,"for-ms":N} lets it come
- * back under another id.  A payload "crash N" takes the task's worker down after N ms. */
+ * back under another id, {"lose-answers":true} has workers carry starts out without an answer and
+ * refuse copies of them.  A payload "crash N" takes the task's worker down after N ms. */
 #include "standin-platform.h"
 
 #include <stdio.h>
@@ -66,6 +67,8 @@
   if (json_object_has_member (body, "crash"))
     sp_worker_crash ((guint) json_object_get_int_member (body, "crash"),
                      json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "lose-answers"))
+    sp_workers_lose_answers (json_object_get_boolean_member (body, "lose-answers"));
   if (json_object_has_member (body, "finish"))
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   sp_reply (message, 200, "{}");
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -51,6 +51,8 @@
 void sp_worker_set_up (guint k, gboolean up);
 /* Worker K is gone for FOR_MS with all that runs there, and comes back under another id. */
 void sp_worker_crash (guint k, gint64 for_ms);
+/* LOSE: starts are carried out without an answer, and copies of them are refused. */
+void sp_workers_lose_answers (gboolean lose);
 void sp_worker_serve (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
 /* Ends runs whose time or lease is over, and answers looks. */
 void sp_workers_turn (void);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -95,6 +95,13 @@
 audit | grep -q '"started-too-often":0' || die "it was started too often: $(audit)"
 [ "$(audit | grep -o '"crashes":[0-9]*' | cut -d: -f2)" -le 4 ] || die "it crashed too many workers: $(audit)"
 
+say "workers carry starts out without an answer and refuse copies of them: no task runs in two places"
+curl -s -d '{"lose-answers":true}' "http://127.0.0.1:$base/control" > /dev/null
+for n in $(seq 60 69); do submitted $((n % 3)) "$n" || die "job $n was not taken"; done
+for n in $(seq 60 69); do until_true is 0 "$n" completed || die "job $n did not complete"; done
+curl -s -d '{"lose-answers":false}' "http://127.0.0.1:$base/control" > /dev/null
+audit | grep -q '"doubled":0' || die "workers saw a task twice: $(audit)"
+
 say "a cancelled job ends, and its tasks with it"
 long='{"spec":"600000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"long-running":true}]}'
 [ "$(ask 0 POST "$(job 3)" "$long")" = 200 ] || die "the lasting job was not taken"
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -44,6 +44,8 @@
 script() { diff <($B/tests/test-script "$1" 2>&1) "${1%.script}.expected"; }
 for s in tests/scripts/*.script; do verdict "$(basename "$s")" script "$s"; done
 for s in tests/pools/*.script; do verdict "pool $(basename "$s")" pool "$s"; done
+calls() { diff <($B/tests/test-calls "$1" 2>&1) "${1%.script}.expected"; }
+for s in tests/calls/*.script; do verdict "calls $(basename "$s")" calls "$s"; done
 policy() { diff <($B/flamingobarrow check "$1" 2>&1 | sed 's|.*/||') "${1%.ini}.expected"; }
 for s in tests/policies/*.ini; do verdict "$(basename "$s")" policy "$s"; done
 verdict "fuzz corpus" $B/fuzz/fuzz-steps fuzz/corpus/*
