The refusal of a repeated order does not count while an earlier copy may have been carried out

Cause: an order goes out on a connection that was used before; the worker carries it out and the connection ends without an answer; libcurl sends the call once more by itself, and the worker, which fails part of its calls, refuses that copy. The answer to the second copy was taken for the answer to both: not done, room free, start elsewhere. The same with a copy that finds the run over already (old), comes after the deadline (late), or finds nobody listening any more.

--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -341,6 +341,12 @@
     g_clear_pointer (&call->header_values[i], g_free);
 }
 
+gboolean
+fb_http_reply_leaves_doubt (const FbHttpReply *reply)
+{
+  return reply->status == FB_HTTP_OK ? reply->copies > 1 : reply->sent;
+}
+
 void
 fb_http_call_copy (FbHttpCall *copy, const FbHttpCall *call)
 {
--- a/src/net/http-client.h
+++ b/src/net/http-client.h
@@ -29,7 +29,8 @@
   const char *method; /* static */
   /* Sent twice it does what it does once.  Only such a call may use a connection that
    * was used before: the other end may close it just then, and the call is sent again
-   * on a new one. */
+   * on a new one.  The answer is that to the last copy: a refusal of it does not prove that
+   * no copy was carried out (fb_http_reply_leaves_doubt()). */
   gboolean idempotent;
   char *url;
   const char *content_type; /* static; NULL without a body */
@@ -50,6 +51,10 @@
   GBytes *body; /* borrowed for the callback; NULL unless OK */
 } FbHttpReply;
 
+/* TRUE when a copy of the call before the one that was answered may have been carried out: what the
+ * host says of the last copy is no word on that one. */
+gboolean fb_http_reply_leaves_doubt (const FbHttpReply *reply);
+
 typedef void (*FbHttpReplyDone) (gpointer user, const FbHttpReply *reply);
 
 void fb_http_call_clear (FbHttpCall *call);
