--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -209,6 +209,19 @@
   make_append (call, address, "writer");
 }
 
+static void
+make_fresh_call (FbHttpCall *call, const char *address)
+{
+  make_start (call, address);
+  call->idempotent = FALSE;
+}
+
+static const char *
+call_came_to (const FbHttpReply *reply)
+{
+  return reply->status == FB_HTTP_OK ? "answered" : "unanswered";
+}
+
 static const char *
 order_came_to (const FbHttpReply *reply)
 {
@@ -234,6 +247,7 @@
   const char *(*came_to) (const FbHttpReply *reply);
 } kinds[] = { { "start", make_start, order_came_to },
               { "stop", make_stop, order_came_to },
+              { "call-on-a-fresh-connection", make_fresh_call, call_came_to },
               { "append", make_plain_append, append_came_to },
               { "append-as-owner", make_owner_append, append_came_to } };
 
