SIGHUP no longer ends a daemon that is still starting

A process has the default action of SIGHUP until its handler is installed, which a daemon did only after it had read its settings, opened its listeners and made its parts.

SIGHUP is now blocked by the first statement of the program and released once the handler is installed. A signal that came before is pending until then and leads to a reload; ignoring it would have lost a change made between the first read of the settings and the first check of the file. SIGTERM keeps its default action during the start: nothing was read from a caller and no group was joined, so that the process ends at once, as asked.

What is left: the time before main.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include "src/entry/settings.h"
 
 #include "fb-event.h"
+#include "fb-reload-signal.h"
 #include "fb-status.h"
 
 #include <glib-unix.h>
@@ -166,6 +167,7 @@
   g_unix_signal_add (SIGTERM, on_stop_signal, self);
   g_unix_signal_add (SIGINT, on_stop_signal, self);
   g_unix_signal_add (SIGHUP, on_reload_signal, self);
+  fb_reload_signal_unblock ();
   g_main_loop_run (self->main_loop);
   stop (self);
   g_main_loop_unref (self->main_loop);
@@ -175,6 +177,7 @@
 int
 fb_daemon_main (int argc, char **argv)
 {
+  fb_reload_signal_block ();
   g_autoptr (GOptionContext) context = g_option_context_new ("- schedule work on a shared pool");
   g_option_context_add_main_entries (context, options, NULL);
   g_autoptr (GError) error = NULL;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,6 +8,7 @@
 #include "fb-counter.h"
 #include "fb-event.h"
 #include "fb-histogram.h"
+#include "fb-reload-signal.h"
 #include "fb-status.h"
 #include "fb-traffic.h"
 
@@ -303,6 +304,7 @@
   g_unix_signal_add (SIGTERM, on_stop_signal, self);
   g_unix_signal_add (SIGINT, on_stop_signal, self);
   g_unix_signal_add (SIGHUP, on_reload_signal, &self->entry);
+  fb_reload_signal_unblock ();
   fb_event_log (FB_EVENT_PROCESS_STARTED, "name=%s callers=%s peers=%s store=%s",
                 self->entry.settings->name, self->entry.settings->callers,
                 self->entry.settings->peers, self->entry.settings->store);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -70,6 +70,16 @@
 told=$($B/flamingobarrowd --check --settings "$OUT/bad.ini" 2>&1) && die "a limit of one crash was taken"
 [[ $told == *"bad.ini: [workers] crashes: expected a whole number from 2 to 8"* ]] || die "the error says: $told"
 
+say "SIGHUP before a daemon has read its settings does not end it"
+mkfifo "$OUT/late.ini"
+$B/flamingobarrowd --settings "$OUT/late.ini" > "$OUT/late.log" 2>&1 & early=$!
+exec 3> "$OUT/late.ini" # opens once the daemon opens the other end
+kill -HUP $early
+echo "not settings" > "$OUT/late.next"; mv "$OUT/late.next" "$OUT/late.ini"
+exec 3>&-
+end=0; wait $early || end=$?
+[ "$end" = 3 ] || die "it ended with $end, not for its settings: $(cat "$OUT/late.log")"
+
 $B/standins/standin-platform "$base" 6 & PID[platform]=$!
 for d in 0 1 2; do start_daemon $d; done
 for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready"; done
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -35,6 +35,7 @@
 verdict "parts of a daemon on the platform" $B/tests/test-entry
 verdict "advice of two owners" $B/tests/test-advice
 verdict "calls over HTTP" $B/tests/test-http
+verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
 verdict "list of daemons" $B/tests/test-daemons
 verdict "orders that daemons carry" $B/tests/test-carry
