A worker that resets each look is not looked at in every round of a new owner

A host that resets the connection fails the look at once.

The first repeat is still at once; a later one comes no sooner than half the time limit of the look before it after that look was sent: 150, 300, 300 ms. A look whose answer was waited for in vain has used more than that, so that nothing changes for it.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -403,6 +403,8 @@
                           uint32_t attempt, uint64_t now_ms);
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: when a look at a worker that has never answered is repeated, once that look failed. */
+uint64_t fb_pool_first_look_again_ms (const FbPoolWorker *worker, uint64_t now_ms);
 uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
 /* The run has certainly ended or never began: its room is free, its task waits again.  HOW: a
  * static text. */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -165,6 +165,16 @@
   return worker->first_answer_ms;
 }
 
+uint64_t
+fb_pool_first_look_again_ms (const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->first_answer_ms <= FIRST_ANSWER_MS)
+    return now_ms;
+  /* An answer that was lost has used up its patience.  A connection that is reset has not, and
+   * would be tried again in each round. */
+  return MAX (now_ms, worker->look_sent_ms + worker->first_answer_ms / 2);
+}
+
 void
 fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -519,8 +519,9 @@
   if (worker == NULL)
     return;
   worker->look_open = FALSE;
-  gboolean at_once = !worker->answered && answer->result == FB_ORDER_UNKNOWN;
-  worker->look_at_ms = now_ms + (at_once ? 0 : LOOK_PAUSE_MS);
+  worker->look_at_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
+                           ? fb_pool_first_look_again_ms (worker, now_ms)
+                           : now_ms + LOOK_PAUSE_MS;
   if (answer->result == FB_ORDER_DONE)
     take_answer (self, worker, answer, now_ms, wall_ms);
   else if (answer->result == FB_ORDER_FENCED)
