Fuzzer of pools: answers pass through the adapter, and connections break under calls

Now each answer to a start, stop or look is a reply (status, sent, refused, copies, code, body) that fb_wire_order_result() or fb_wire_look_answer() decodes.

The new kind "repeats" has connections that end without an answer under a call, which is then sent again, twice or three times: earlier copies are carried out at once, up to 12 s late or never, the last one is answered by the worker, refused (503, 429, 409 room, late or ticket, no listener) or lost too. Workers fail half of their calls for a while, all connections break for moments, hosts that are down refuse connections, and some runs end before the copy of their start arrives.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -129,6 +129,17 @@
   world->disturbed_ms[i] = world->now_ms;
 }
 
+/* A worker fails half of its calls for a while, or all connections break for a moment. */
+static void
+fault_connections (World *world)
+{
+  Worker *worker = &world->workers[world_chance (world, WORKER_N)];
+  if (world_chance (world, 200) == 0)
+    worker->failing = !worker->failing;
+  if (world_chance (world, 500) == 0)
+    world->breaking_ms = world->now_ms + world_chance (world, 500);
+}
+
 static void
 faults (World *world)
 {
@@ -143,6 +154,8 @@
     fault_worker (world);
   if (world->shrinking && world_chance (world, 100) == 0 && !world->store_away)
     resize_worker (world);
+  if (world->repeats)
+    fault_connections (world);
   if (world->steady)
     return;
   if (world_chance (world, world->crashing ? 2500 : 250) == 0)
@@ -162,6 +175,7 @@
         world_worker_begin (world, i);
       world_worker_resize (world, &world->workers[i], CPU);
       world->workers[i].cut = FALSE;
+      world->workers[i].failing = FALSE;
     }
   for (guint i = 0; i < OWNER_N; i++)
     world->owners[i].paused = FALSE;
@@ -304,7 +318,8 @@
 run_seed (guint32 seed, const char *mode, uint64_t *starts)
 {
   World *world = world_new (seed);
-  world->advised = g_str_equal (mode, "advised");
+  world->repeats = g_str_equal (mode, "repeats");
+  world->advised = world->repeats || g_str_equal (mode, "advised");
   world->steady = g_str_equal (mode, "crashing-steady");
   world->crashing = world->steady || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
@@ -333,13 +348,12 @@
 main (int argc, char **argv)
 {
   static const char *const modes[]
-      = { "plain", "advised", "crashing", "crashing-steady", "shrinking", NULL };
+      = { "plain", "advised", "crashing", "crashing-steady", "shrinking", "repeats", NULL };
   const char *mode = argc == 4 ? argv[3] : modes[0];
   if (argc < 3 || argc > 4 || !g_strv_contains (modes, mode))
     {
-      fprintf (
-          stderr,
-          "usage: fuzz-pool FIRST-SEED SEEDS [plain|advised|crashing|crashing-steady|shrinking]\n");
+      g_autofree char *names = g_strjoinv ("|", (char **) modes);
+      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s]\n", names);
       return 2;
     }
   fb_event_set_quiet (getenv ("FUZZ_LOG") == NULL);
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -39,7 +39,7 @@
       order->answer_lost = TRUE;
       order->arrives_ms = world->now_ms + 2000 + world_chance (world, 10000);
     }
-  g_ptr_array_add (world->orders, order);
+  world_call (world, order);
 }
 
 static void
@@ -51,6 +51,7 @@
   order->epoch = start->epoch;
   order->attempt = start->attempt;
   order->deadline_ms = start->deadline_ms;
+  order->ticket = start->ticket != NULL;
   g_strlcpy (order->task, start->task, sizeof order->task);
   send_order (user, order, start->worker, 600);
 }
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -72,6 +72,7 @@
   worker->back_ms = 0;
   worker->cut = FALSE;
   worker->draining = FALSE;
+  worker->failing = FALSE;
   worker->cpu_milli = CPU;
   worker->cpu_before = CPU;
   worker->cpu_changed_ms = 0;
@@ -255,6 +256,9 @@
               .ends_ms = world->now_ms + 200
                          + world_chance (world, world_chance (world, 6) == 0 ? 8000 : 1500),
               .fails = job->poison || world_chance (world, 12) == 0 };
+  /* Some end before a copy of their start arrives. */
+  if (world->repeats && world_chance (world, 4) == 0)
+    run.ends_ms = world->now_ms + world_chance (world, 100);
   if (step == 0 && index < job->crashers)
     {
       run.crash_ms = world->now_ms + world_chance (world, 4) * world_chance (world, 400);
@@ -300,42 +304,6 @@
   worker->acknowledged = MAX (worker->acknowledged, number);
 }
 
-static void
-clear_run (gpointer data)
-{
-  g_free (((FbRunSeen *) data)->task);
-  g_free (((FbRunSeen *) data)->checkpoint);
-}
-
-static void
-clear_end (gpointer data)
-{
-  g_free (((FbEndSeen *) data)->task);
-  g_free (((FbEndSeen *) data)->checkpoint);
-}
-
-static void
-list_runs (World *world, const Worker *worker, FbLookAnswer *answer)
-{
-  answer->clock_ms = clock_of (world, worker);
-  answer->running = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
-  answer->finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
-  g_array_set_clear_func (answer->running, clear_run);
-  g_array_set_clear_func (answer->finished, clear_end);
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const Run *run = &g_array_index (worker->runs, Run, i);
-      FbRunSeen seen = { g_strdup (run->task), run->attempt, g_strdup ("") };
-      g_array_append_val (answer->running, seen);
-    }
-  for (guint i = 0; i < worker->ends->len; i++)
-    {
-      const End *end = &g_array_index (worker->ends, End, i);
-      FbEndSeen seen = { end->number, g_strdup (end->task), end->attempt, end->how, g_strdup ("") };
-      g_array_append_val (answer->finished, seen);
-    }
-}
-
 static Owner *
 sender_of (World *world, const Order *order)
 {
@@ -343,21 +311,36 @@
   return owner->pool != NULL && owner->life == order->owner_life ? owner : NULL;
 }
 
+/* RESULT is what the worker says at CLOCK_MS. */
 static void
-answer (World *world, const Order *order, FbOrderResult result, uint64_t clock_ms,
-        FbLookAnswer *look)
+answer (World *world, const Order *order, FbOrderResult result, uint64_t clock_ms)
 {
   Owner *owner = sender_of (world, order);
   if (owner == NULL)
     return;
-  FbLookAnswer none = { .result = result };
+  if (order->kind == ORDER_LOOK)
+    {
+      FbLookAnswer look;
+      world_reply_to_look (order, result, &world->workers[order->worker], clock_ms, &look);
+      fb_pool_look_answered (owner->pool, order->worker_id, &look, world->now_ms,
+                             WALL_MS + world->now_ms);
+      fb_look_answer_clear (&look);
+      return;
+    }
+  FbOrderResult told = world_reply (order, result, &clock_ms);
   if (order->kind == ORDER_START)
-    fb_pool_start_answered (owner->pool, order->order, result, clock_ms, world->now_ms);
-  else if (order->kind == ORDER_STOP)
-    fb_pool_stop_answered (owner->pool, order->order, result, clock_ms, world->now_ms);
+    fb_pool_start_answered (owner->pool, order->order, told, clock_ms, world->now_ms);
   else
-    fb_pool_look_answered (owner->pool, order->worker_id, look != NULL ? look : &none,
-                           world->now_ms, WALL_MS + world->now_ms);
+    fb_pool_stop_answered (owner->pool, order->order, told, clock_ms, world->now_ms);
+}
+
+static void
+answer_if_heard (World *world, Order *order, FbOrderResult result, uint64_t clock_ms)
+{
+  if (order->answer_lost || world->now_ms > order->gives_up_ms)
+    return;
+  answer (world, order, result, clock_ms);
+  order->gives_up_ms = G_MAXUINT64; /* answered */
 }
 
 /* Returns: FALSE while the order waits at the worker for news. */
@@ -366,11 +349,13 @@
 {
   Worker *worker = &world->workers[order->worker];
   FbOrderResult result = FB_ORDER_DONE;
-  FbLookAnswer look = { 0 };
-  gboolean heard = !order->answer_lost && world->now_ms <= order->gives_up_ms;
+  if (!worker->up && world->repeats)
+    answer_if_heard (world, order, FB_ORDER_NO_LISTENER, 0);
   if (!worker->up || worker->cut)
     return TRUE;
-  if (!g_str_equal (worker->id, order->worker_id))
+  if (order->refusal != FB_ORDER_DONE)
+    result = order->refusal;
+  else if (!g_str_equal (worker->id, order->worker_id))
     result = FB_ORDER_OTHER_LIFE;
   else if (order->epoch < worker->token)
     result = FB_ORDER_FENCED;
@@ -380,6 +365,9 @@
       if (order->kind == ORDER_START)
         {
           result = take_start (world, worker, order);
+          /* Such a start extends what runs there all the same. */
+          if (world->repeats && result == FB_ORDER_SUPERSEDED)
+            worker->lease_ms = MAX (worker->lease_ms, order->deadline_ms);
           /* A task may crash its worker before the start is answered. */
           world_worker_tick (world, worker);
           if (!worker->up)
@@ -400,14 +388,7 @@
           && world->now_ms < order->waits_until_ms)
         return FALSE;
     }
-  if (order->kind == ORDER_LOOK && result == FB_ORDER_DONE)
-    list_runs (world, worker, &look);
-  if (heard)
-    answer (world, order, result, clock_of (world, worker), look.running != NULL ? &look : NULL);
-  if (heard)
-    order->gives_up_ms = G_MAXUINT64; /* answered */
-  g_clear_pointer (&look.running, g_array_unref);
-  g_clear_pointer (&look.finished, g_array_unref);
+  answer_if_heard (world, order, result, clock_of (world, worker));
   return TRUE;
 }
 
@@ -427,7 +408,7 @@
       if (order->gives_up_ms != G_MAXUINT64 && world->now_ms > order->gives_up_ms
           && (owner == NULL || !owner->paused))
         {
-          answer (world, order, FB_ORDER_UNKNOWN, 0, NULL);
+          answer (world, order, FB_ORDER_UNKNOWN, 0);
           order->gives_up_ms = G_MAXUINT64;
         }
       if (order->arrives_ms == G_MAXUINT64 && order->gives_up_ms == G_MAXUINT64)
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "internal/pool.h"
+#include "platform/wire.h"
 
 #define WORKER_N 6
 #define JOB_MAX 40
@@ -51,6 +52,7 @@
   gboolean cut; /* nothing gets through */
   gboolean listed;
   gboolean draining;
+  gboolean failing;        /* it breaks connections and refuses calls */
   int64_t cpu_milli;       /* what it has; it may shrink and grow */
   int64_t cpu_before;      /* the most that it had within ROOM_GRACE_MS before that */
   uint64_t cpu_changed_ms; /* when its list last showed a change */
@@ -109,7 +111,12 @@
   uint64_t acknowledged;
   uint32_t wait_ms;
   uint64_t arrives_ms;
-  uint64_t gives_up_ms; /* the sender's time limit */
+  uint64_t gives_up_ms;  /* the sender's time limit */
+  gboolean ticket;       /* it carries one */
+  guint copies;          /* how often it had been sent when this copy went out */
+  FbOrderResult refusal; /* FB_ORDER_DONE: it is not refused before it is looked at */
+  guint refusal_code;    /* 0: the one of REFUSAL */
+  gboolean unsent;       /* this copy found no connection */
   gboolean answer_lost;
   gboolean arrived;
   uint64_t waits_until_ms;
@@ -155,8 +162,10 @@
   gboolean steady;    /* owners live on and the store stays */
   gboolean shrinking; /* the rooms of workers shrink and grow */
   gboolean crashing;  /* an eighth of the jobs crash the workers that start them */
+  gboolean repeats;   /* connections break, and calls on them are sent again */
   gboolean advised;   /* half of the jobs may use some workers only, a third may have copies */
   uint64_t now_ms;
+  uint64_t breaking_ms; /* until when connections to all workers break */
   gboolean healing;
   gboolean store_away;
   uint64_t store_away_ms;         /* when it was last away; 0: never */
@@ -198,6 +207,18 @@
 /* Orders that are due arrive, and those without an answer are given up. */
 void world_orders_tick (World *world);
 
+/* ---- calls: pool-world-calls.c ------------------------------------------------------------ */
+
+/* Sends ORDER (consumed), and again where its connection breaks. */
+void world_call (World *world, Order *order);
+/* What ORDER comes to at its sender when RESULT is what the worker says at CLOCK_MS, by way of the
+ * adapter that decodes replies; FB_ORDER_UNKNOWN: nothing was heard. */
+FbOrderResult world_reply (const Order *order, FbOrderResult result, uint64_t *clock_ms);
+/* The same for a look, with what runs and ended on WORKER; ANSWER is cleared with
+ * fb_look_answer_clear(). */
+void world_reply_to_look (const Order *order, FbOrderResult result, const Worker *worker,
+                          uint64_t clock_ms, FbLookAnswer *answer);
+
 /* ---- owners: pool-world-owners.c -------------------------------------------------------- */
 
 void world_owner_begin (World *world, guint i);
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -7,9 +7,10 @@
 SEEDS=${SEEDS:-4000}
 OUT=out/pool-mutants
 rm -rf "$OUT"; mkdir -p "$OUT"
-FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash) -Iinclude -I. -O1 -g -w -lm"
+FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash json-glib-1.0 libcurl) -Iinclude -I. -Iplatform -O1 -g -w -lm"
 OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
   rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c"
+ADAPTER="platform/worker.c src/base/traffic.c src/net/json.c src/net/http-client.c"
 
 defects() { cat <<'TABLE'
 room-not-counted|pool-worker.c|worker->cpu_used + worker->cpu_held + cpu_milli <= worker->cpu_milli|TRUE
@@ -70,7 +71,7 @@
 PY
   local sources="$dir/src/work/*.c $OTHERS"
   # shellcheck disable=SC2086
-  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c fuzz/pool-world-*.c $sources $FLAGS 2> "$dir/log" \
+  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c fuzz/pool-world-*.c $sources $ADAPTER $FLAGS 2> "$dir/log" \
      || ! gcc -o "$dir/script" tests/test-pool.c $sources $FLAGS 2>> "$dir/log"; then
     echo "$1: DOES NOT BUILD"; return
   fi
@@ -80,13 +81,13 @@
   local told
   # The first seeds of the kind with crashes are clean; see KNOWN-RED.txt for later ones.
   told=$(timeout 120 "$dir/fuzz" 1 32 crashing | grep -m1 '^seed')
-  for kind in plain advised shrinking; do
+  for kind in plain advised shrinking repeats; do
     [ -n "$told" ] || told=$(timeout 120 "$dir/fuzz" 1 "$SEEDS" "$kind" | sed -n "s/^seed/$kind seed/p" | head -1)
   done
   echo "$1: ${told:-NOT CAUGHT}"
 }
 export -f try_one
-export OUT FLAGS OTHERS SEEDS
+export OUT FLAGS OTHERS ADAPTER SEEDS
 while IFS= read -r line; do
   # A bar inside a text is written \|.
   IFS=$'\x01' read -r name file text replacement <<< "$(echo "$line" | sed 's/\([^\\]\)|/\1\x01/g')"
