Mutants of pools: the refusal of a repeat taken for proof

The list can name a file of the adapter now, and ONLY=NAME plays one defect.

The others were not run again.

--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Shows that the oracle of pools can fail: makes each deliberate defect in a copy of
-# src/work and runs the scripts and then fixed seeds until one of them tells.
-# A defect is a file, a text of it and what replaces that text.
+# src/work or of the adapter of workers and runs the scripts and then fixed seeds until one of
+# them tells.
+# A defect is a file, a text of it and what replaces that text.  ONLY=NAME makes just that one.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 SEEDS=${SEEDS:-4000}
@@ -10,9 +11,10 @@
 FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash json-glib-1.0 libcurl) -Iinclude -I. -Iplatform -O1 -g -w -lm"
 OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
   rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c"
-ADAPTER="platform/worker.c src/base/traffic.c src/net/json.c src/net/http-client.c"
+ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c"
 
-defects() { cat <<'TABLE'
+defects() { grep -E "^${ONLY:-[^|]*}\|" <<< "$(all_defects)"; }
+all_defects() { cat <<'TABLE'
 room-not-counted|pool-worker.c|worker->cpu_used + worker->cpu_held + cpu_milli <= worker->cpu_milli|TRUE
 stopping-is-free|pool-orders.c|  run->state = FB_RUN_STOPPING;|  run->state = FB_RUN_STOPPING; worker->cpu_used -= run->step != NULL ? run->step->shape->cpu_milli : 0;
 starts-before-settled|pool.c|  if (!fb_pool_may_place (self) \|\| !may_start)|  if (!may_start)
@@ -53,15 +55,19 @@
 shrunk-room-not-noticed|pool-worker.c|  worker->cpu_milli = entry->cpu_milli;|  worker->cpu_milli = MAX (worker->cpu_milli, entry->cpu_milli);
 grown-room-not-noticed|pool-worker.c|  worker->cpu_milli = entry->cpu_milli;|  worker->cpu_milli = worker->cpu_milli != 0 ? MIN (worker->cpu_milli, entry->cpu_milli) : entry->cpu_milli;
 size-proves-what-ran|pool-settle.c|  if (!fb_pool_has_labels_for (worker, step->shape))|  if (!fb_pool_could_run (worker, step->shape))
+refusal-of-a-repeat-is-proof|platform/worker.c|  if (fb_http_reply_leaves_doubt (reply) \&\& |  if (FALSE \&\& 
 end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
 TABLE
 }
 
 try_one() { # NAME FILE TEXT REPLACEMENT
   local dir=$OUT/$1
-  mkdir -p "$dir/src"
+  mkdir -p "$dir/src" "$dir/platform"
   cp -r src/work "$dir/src/work"
-  python3 - "$dir/src/work/$2" "$3" "$4" <<'PY' || { echo "$1: the text is not there"; return; }
+  cp platform/worker.c "$dir/platform"
+  local file=src/work/$2
+  case $2 in */*) file=$2 ;; esac
+  python3 - "$dir/$file" "$3" "$4" <<'PY' || { echo "$1: the text is not there"; return; }
 import sys
 path, text, replacement = sys.argv[1:]
 source = open(path).read()
@@ -71,7 +77,7 @@
 PY
   local sources="$dir/src/work/*.c $OTHERS"
   # shellcheck disable=SC2086
-  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c fuzz/pool-world-*.c $sources $ADAPTER $FLAGS 2> "$dir/log" \
+  if ! gcc -o "$dir/fuzz" fuzz/fuzz-pool.c fuzz/pool-world-*.c $sources "$dir/platform/worker.c" $ADAPTER $FLAGS 2> "$dir/log" \
      || ! gcc -o "$dir/script" tests/test-pool.c $sources $FLAGS 2>> "$dir/log"; then
     echo "$1: DOES NOT BUILD"; return
   fi
