Soak: workers behind links, and workers that refuse, lose or delay calls

Each worker now is listed at the address of a link, which the plan makes slow, cuts, makes one way, resets or silences; a worker whose link is cut can lose its entry while it runs on. Workers refuse a share of their calls (503, nothing done), carry a share out and close the connection, or carry it out seconds later without an answer; one kind of fault does the first two at once.

The stand-in's workers keep to the protocol where these faults need it: a run not higher than one stopped or ended there is refused as old, a stop names one attempt, a lease is never longer than the longest, a refusal of an old owner carries the worker's clock, and a look shows 500 ends. An end that is not acknowledged when the lease lapses does not count any more, as after a crash. Two attempts of a task on one worker count as doubled; before, the second was taken for a copy. The stand-in writes starts and ends to its log.

--- a/soak/link.c
+++ b/soak/link.c
@@ -5,6 +5,7 @@
 #define PIECE_BYTES 16384
 /* A link that is cut looks again after this. */
 #define CUT_MS 20
+#define BACKLOG 256
 
 typedef struct _Pair Pair;
 
@@ -172,6 +173,7 @@
   self->to_port = to_port;
   self->pairs = g_ptr_array_new ();
   self->service = g_socket_service_new ();
+  g_socket_listener_set_backlog (G_SOCKET_LISTENER (self->service), BACKLOG);
   g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   g_autoptr (GSocketAddress) bound = NULL;
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (self->service), any, G_SOCKET_TYPE_STREAM,
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -5,16 +5,26 @@
 #define BEGIN_MS 1000
 /* Longer than a lease and than the time to live of a member of a group. */
 #define LONGEST_MS 7000
-/* Of a hundred faults. */
-static const guint weights[SOAK_FAULT_N]
+/* Of a hundred faults, without and with those of workers and of links between daemons. */
+static const guint plain_weights[SOAK_FAULT_N]
     = { [SOAK_KILL] = 12,         [SOAK_TERM] = 10,       [SOAK_FREEZE] = 12,
         [SOAK_RELOAD] = 4,        [SOAK_STORE_LINK] = 14, [SOAK_STORE_RESET] = 5,
         [SOAK_STORE_SILENCE] = 6, [SOAK_CALLER_LINK] = 6, [SOAK_CALLER_RESET] = 5,
         [SOAK_STORE_AWAY] = 5,    [SOAK_STORE_MUTE] = 4,  [SOAK_WORKER_CRASH] = 11,
         [SOAK_ROLL] = 4,          [SOAK_KILL_ALL] = 2 };
+static const guint all_weights[SOAK_FAULT_N]
+    = { [SOAK_KILL] = 8,           [SOAK_TERM] = 6,           [SOAK_FREEZE] = 7,
+        [SOAK_RELOAD] = 2,         [SOAK_STORE_LINK] = 8,     [SOAK_STORE_RESET] = 3,
+        [SOAK_STORE_SILENCE] = 3,  [SOAK_CALLER_LINK] = 3,    [SOAK_CALLER_RESET] = 2,
+        [SOAK_STORE_AWAY] = 3,     [SOAK_STORE_MUTE] = 3,     [SOAK_WORKER_CRASH] = 6,
+        [SOAK_ROLL] = 2,           [SOAK_KILL_ALL] = 1,       [SOAK_WORKER_LINK] = 8,
+        [SOAK_WORKER_RESET] = 5,   [SOAK_WORKER_SILENCE] = 4, [SOAK_WORKER_CUT] = 4,
+        [SOAK_WORKER_REFUSES] = 3, [SOAK_WORKER_LOSES] = 3,   [SOAK_WORKER_ILL] = 5,
+        [SOAK_WORKER_LATE] = 4,    [SOAK_PEER_LINK] = 3,      [SOAK_PEER_RESET] = 2,
+        [SOAK_PEER_SILENCE] = 2 };
 
 static SoakFaultKind
-draw_kind (GRand *rand)
+draw_kind (GRand *rand, const guint *weights)
 {
   guint drawn = (guint) g_rand_int_range (rand, 0, 100);
   guint kind = 0;
@@ -23,25 +33,32 @@
   return (SoakFaultKind) kind;
 }
 
+static gboolean
+is_of_worker (SoakFaultKind kind)
+{
+  return kind == SOAK_WORKER_CRASH || (kind >= SOAK_WORKER_LINK && kind <= SOAK_WORKER_LATE);
+}
+
 GArray *
-soak_plan_new (guint32 seed, guint daemon_n, guint worker_n, guint until_ms)
+soak_plan_new (const SoakPlanSetup *setup)
 {
-  GRand *rand = g_rand_new_with_seed (seed);
+  const guint *weights = setup->worker_links ? all_weights : plain_weights;
+  GRand *rand = g_rand_new_with_seed (setup->seed);
   GArray *plan = g_array_new (FALSE, FALSE, sizeof (SoakFault));
   guint at_ms = BEGIN_MS;
-  while ((at_ms += (guint) g_rand_int_range (rand, 50, GAP_MS)) < until_ms)
+  while ((at_ms += (guint) g_rand_int_range (rand, 50, GAP_MS)) < setup->until_ms)
     {
-      SoakFault fault = { .kind = draw_kind (rand), .at_ms = at_ms };
-      guint n = fault.kind == SOAK_WORKER_CRASH ? worker_n : daemon_n;
+      SoakFault fault = { .kind = draw_kind (rand, weights), .at_ms = at_ms };
+      guint n = is_of_worker (fault.kind) ? setup->worker_n : setup->daemon_n;
       fault.target = (guint) g_rand_int_range (rand, 0, (gint32) n);
       fault.for_ms = (guint) g_rand_int_range (rand, 100, LONGEST_MS);
       fault.variant = (guint) g_rand_int_range (rand, 0, 100);
       g_array_append_val (plan, fault);
     }
   /* Two plays of three end with the loss of power of all daemons. */
-  if (seed % 3 != 0)
+  if (setup->seed % 3 != 0)
     {
-      const SoakFault last = { .kind = SOAK_KILL_ALL, .at_ms = until_ms, .for_ms = 500 };
+      const SoakFault last = { .kind = SOAK_KILL_ALL, .at_ms = setup->until_ms, .for_ms = 500 };
       g_array_append_val (plan, last);
     }
   g_rand_free (rand);
@@ -52,14 +69,16 @@
 soak_plan_text (const GArray *plan)
 {
   static const char *const names[SOAK_FAULT_N]
-      = { "kill",        "term",          "freeze",      "reload",       "store-link",
-          "store-reset", "store-silence", "caller-link", "caller-reset", "store-away",
-          "store-mute",  "worker-crash",  "roll",        "kill-all" };
+      = { "kill",         "term",           "freeze",      "reload",         "store-link",
+          "store-reset",  "store-silence",  "caller-link", "caller-reset",   "store-away",
+          "store-mute",   "worker-crash",   "roll",        "kill-all",       "worker-link",
+          "worker-reset", "worker-silence", "worker-cut",  "worker-refuses", "worker-loses",
+          "worker-ill",   "worker-late",    "peer-link",   "peer-reset",     "peer-silence" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
       const SoakFault *fault = &g_array_index (plan, SoakFault, i);
-      g_string_append_printf (text, "%6u ms %-13s target=%u for_ms=%u variant=%u\n", fault->at_ms,
+      g_string_append_printf (text, "%6u ms %-14s target=%u for_ms=%u variant=%u\n", fault->at_ms,
                               names[fault->kind], fault->target, fault->for_ms, fault->variant);
     }
   return g_string_free (text, FALSE);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -17,8 +17,19 @@
   SOAK_STORE_AWAY, /* it turns all calls away */
   SOAK_STORE_MUTE, /* it takes all calls and answers none */
   SOAK_WORKER_CRASH,
-  SOAK_ROLL,     /* each daemon is stopped in turn */
-  SOAK_KILL_ALL, /* at the same moment */
+  SOAK_ROLL,        /* each daemon is stopped in turn */
+  SOAK_KILL_ALL,    /* at the same moment */
+  SOAK_WORKER_LINK, /* of all daemons to a worker: slow, cut or one way */
+  SOAK_WORKER_RESET,
+  SOAK_WORKER_SILENCE,
+  SOAK_WORKER_CUT,     /* its link is cut and it is not listed after a while */
+  SOAK_WORKER_REFUSES, /* a share of its calls */
+  SOAK_WORKER_LOSES,   /* carries a share of its calls out and does not answer */
+  SOAK_WORKER_ILL,     /* both */
+  SOAK_WORKER_LATE,    /* carries a share of its calls out late and does not answer */
+  SOAK_PEER_LINK,      /* of the other daemons to a daemon */
+  SOAK_PEER_RESET,
+  SOAK_PEER_SILENCE,
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -31,7 +42,16 @@
   guint variant;
 } SoakFault;
 
-/* Returns: (transfer full): an array of SoakFault, in their order, until UNTIL_MS. */
-GArray *soak_plan_new (guint32 seed, guint daemon_n, guint worker_n, guint until_ms);
+typedef struct
+{
+  guint32 seed;
+  guint daemon_n;
+  guint worker_n;
+  guint until_ms;
+  gboolean worker_links; /* workers, and daemons for each other, are behind links and have faults */
+} SoakPlanSetup;
+
+/* Returns: (transfer full): an array of SoakFault, in their order. */
+GArray *soak_plan_new (const SoakPlanSetup *setup);
 /* Returns: (transfer full): the plan as text, a line each. */
 char *soak_plan_text (const GArray *plan);
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -28,11 +28,13 @@
   SoakSetup setup;
   GSubprocess *platform;
   Daemon *daemons;
+  SoakLink **workers; /* NULL: no links to them */
   gboolean closing;
 };
 
+/* DEBUG: it writes its messages for that as well. */
 static GSubprocess *
-spawn (const SoakSetup *setup, const char *log, const char *const *argv)
+spawn (const SoakSetup *setup, const char *log, gboolean debug, const char *const *argv)
 {
   g_autoptr (GSubprocessLauncher) launcher
       = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDERR_MERGE);
@@ -42,6 +44,8 @@
   if (fd < 0)
     return NULL;
   g_subprocess_launcher_take_stdout_fd (launcher, fd);
+  if (debug)
+    g_subprocess_launcher_setenv (launcher, "G_MESSAGES_DEBUG", "all", TRUE);
   return g_subprocess_launcher_spawnv (launcher, argv, NULL);
 }
 
@@ -91,12 +95,28 @@
   daemon->timer = 0;
   daemon->was_ended = FALSE;
   if (daemon->process == NULL && write_settings (daemon, path))
-    daemon->process = spawn (setup, log, argv);
+    daemon->process = spawn (setup, log, FALSE, argv);
   if (daemon->process != NULL)
     g_subprocess_wait_async (daemon->process, NULL, on_daemon_ended, daemon);
   return G_SOURCE_REMOVE;
 }
 
+/* Returns: (transfer full) (nullable): the ports at which workers are listed; NULL: no port. */
+static char *
+link_workers (SoakProcesses *self)
+{
+  GString *ports = g_string_new (NULL);
+  self->workers = g_new0 (SoakLink *, self->setup.worker_n);
+  for (guint k = 0; k < self->setup.worker_n; k++)
+    {
+      self->workers[k] = soak_link_new ((guint16) (self->setup.base_port + 1 + k));
+      if (self->workers[k] == NULL)
+        return g_string_free (ports, TRUE);
+      g_string_append_printf (ports, "%s%u", k > 0 ? "," : "", soak_link_port (self->workers[k]));
+    }
+  return g_string_free (ports, FALSE);
+}
+
 static gboolean
 start_platform (SoakProcesses *self)
 {
@@ -104,8 +124,10 @@
       = g_build_filename (self->setup.programs, "standins", "standin-platform", NULL);
   g_autofree char *port = g_strdup_printf ("%u", self->setup.base_port);
   g_autofree char *workers = g_strdup_printf ("%u", self->setup.worker_n);
-  const char *argv[] = { program, port, workers, NULL };
-  self->platform = spawn (&self->setup, "platform.log", argv);
+  g_autofree char *listed = self->setup.worker_links ? link_workers (self) : NULL;
+  const char *argv[] = { program, port, workers, listed, NULL };
+  if (listed != NULL || !self->setup.worker_links)
+    self->platform = spawn (&self->setup, "platform.log", TRUE, argv);
   return self->platform != NULL;
 }
 
@@ -159,6 +181,9 @@
       g_clear_pointer (&daemon->store, soak_link_free);
       g_clear_pointer (&daemon->callers, soak_link_free);
     }
+  for (guint k = 0; self->workers != NULL && k < self->setup.worker_n; k++)
+    g_clear_pointer (&self->workers[k], soak_link_free);
+  g_clear_pointer (&self->workers, g_free);
   if (self->platform != NULL)
     {
       g_subprocess_force_exit (self->platform);
@@ -180,6 +205,12 @@
   return self->daemons[i].callers;
 }
 
+SoakLink *
+soak_worker_link (SoakProcesses *self, guint k)
+{
+  return self->workers != NULL ? self->workers[k] : NULL;
+}
+
 guint16
 soak_daemon_port (const SoakProcesses *self, guint i)
 {
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -8,8 +8,9 @@
   guint16 base_port; /* of the stand-in; its workers follow */
   guint daemon_n;
   guint worker_n;
-  const char *folder;   /* of the play, for settings and logs */
-  const char *programs; /* where the programs were built */
+  gboolean worker_links; /* workers are behind links, and daemons for each other */
+  const char *folder;    /* of the play, for settings and logs */
+  const char *programs;  /* where the programs were built */
 } SoakSetup;
 
 typedef struct _SoakProcesses SoakProcesses;
@@ -21,6 +22,9 @@
 /* Links of daemon I. */
 SoakLink *soak_store_link (SoakProcesses *self, guint i);
 SoakLink *soak_caller_link (SoakProcesses *self, guint i);
+/* Of worker K.  Returns: (nullable): NULL without such links, as of the other daemons to daemon I.
+ */
+SoakLink *soak_worker_link (SoakProcesses *self, guint k);
 /* Where daemon I itself listens for callers. */
 guint16 soak_daemon_port (const SoakProcesses *self, guint i);
 /* Sends SIGNAL to daemon I if it runs. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -24,6 +24,8 @@
  * crashed workers take some 20 s one after the other. */
 #define HEAL_MS 45000
 #define CALL_TIMEOUT_S 5
+/* A worker that writes no entry for longer than this is not listed any more. */
+#define UNLISTED_MS 4500
 
 static gint option_seeds = 1;
 static gint option_seed = 1;
@@ -31,6 +33,7 @@
 static gint option_daemons = 3;
 static gint option_workers = 6;
 static gint option_port = 0;
+static gboolean option_without_worker_links = FALSE;
 static char *option_programs;
 static char *option_folder;
 static char *option_replay;
@@ -41,6 +44,8 @@
         { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Faults come for so long", "N" },
         { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 64", "N" },
         { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
+        { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
+          "Neither faults of workers but crashes, nor of links between daemons", NULL },
         { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
         { "programs", 0, 0, G_OPTION_ARG_STRING, &option_programs, "Where they were built", "DIR" },
         { "folder", 0, 0, G_OPTION_ARG_STRING, &option_folder, "Where plays that failed are kept",
@@ -50,7 +55,7 @@
 
 typedef struct
 {
-  guint32 seed;
+  SoakPlanSetup plan;
   SoakSetup setup;
   SoakProcesses *processes;
   SoakCallers *callers;
@@ -118,6 +123,8 @@
     soak_link_set_mode (soak_store_link (play->processes, fault->target), SOAK_LINK_PASS, 0);
   else if (fault->kind == SOAK_CALLER_LINK)
     soak_link_set_mode (soak_caller_link (play->processes, fault->target), SOAK_LINK_PASS, 0);
+  else if (fault->kind == SOAK_WORKER_LINK || fault->kind == SOAK_WORKER_CUT)
+    soak_link_set_mode (soak_worker_link (play->processes, fault->target), SOAK_LINK_PASS, 0);
   else if (fault->kind == SOAK_STORE_AWAY)
     control (play, "{\"outage\":false}");
   else if (fault->kind == SOAK_STORE_MUTE)
@@ -175,6 +182,44 @@
     }
 }
 
+/* Up to a fourth of all workers, that of the plan first. */
+static guint
+workers_hit (const Play *play, const SoakFault *fault)
+{
+  return 1 + fault->variant % (1 + play->setup.worker_n / 4);
+}
+
+static void
+begin_worker_fault (Play *play, const SoakFault *fault)
+{
+  SoakLink *link = soak_worker_link (play->processes, fault->target);
+  guint share = 10 + fault->variant / 2;
+  guint refuse = fault->kind == SOAK_WORKER_REFUSES || fault->kind == SOAK_WORKER_ILL ? share : 0;
+  guint lose = fault->kind == SOAK_WORKER_LOSES || fault->kind == SOAK_WORKER_ILL ? share / 2 : 0;
+  switch (fault->kind)
+    {
+    case SOAK_WORKER_LINK:
+      misuse_link (link, fault);
+      end_later (play, fault, fault->for_ms);
+      break;
+    case SOAK_WORKER_RESET:
+      soak_link_reset (link);
+      break;
+    case SOAK_WORKER_SILENCE:
+      soak_link_silence (link);
+      break;
+    case SOAK_WORKER_CUT:
+      soak_link_set_mode (link, SOAK_LINK_CUT, 0);
+      control (play, "{\"unlisted\":%u,\"for-ms\":%u}", fault->target, UNLISTED_MS + fault->for_ms);
+      end_later (play, fault, UNLISTED_MS + fault->for_ms);
+      break;
+    default:
+      control (play, "{\"faults\":%u,\"for-ms\":%u,\"refuse\":%u,\"lose\":%u,\"late\":%u}",
+               fault->target, fault->for_ms, refuse, lose,
+               fault->kind == SOAK_WORKER_LATE ? share : 0);
+    }
+}
+
 static void
 begin_fault (Play *play, const SoakFault *fault)
 {
@@ -226,6 +271,21 @@
     case SOAK_ROLL:
       roll (play, fault);
       break;
+    case SOAK_WORKER_LINK:
+    case SOAK_WORKER_RESET:
+    case SOAK_WORKER_SILENCE:
+    case SOAK_WORKER_CUT:
+    case SOAK_WORKER_REFUSES:
+    case SOAK_WORKER_LOSES:
+    case SOAK_WORKER_ILL:
+    case SOAK_WORKER_LATE:
+      for (guint n = 0; n < workers_hit (play, fault); n++)
+        {
+          SoakFault one = *fault;
+          one.target = (fault->target + n) % play->setup.worker_n;
+          begin_worker_fault (play, &one);
+        }
+      break;
     case SOAK_KILL_ALL:
     default:
       for (guint i = 0; i < play->setup.daemon_n; i++)
@@ -236,7 +296,7 @@
 static void
 heal (Play *play)
 {
-  control (play, "{\"outage\":false,\"silent\":false}");
+  control (play, "{\"outage\":false,\"silent\":false,\"healthy\":true}");
   for (guint i = 0; i < play->setup.daemon_n; i++)
     {
       soak_link_set_mode (soak_store_link (play->processes, i), SOAK_LINK_PASS, 0);
@@ -244,6 +304,8 @@
       soak_daemon_signal (play->processes, i, SIGCONT);
       soak_daemon_restart (play->processes, i, 0);
     }
+  for (guint k = 0; play->plan.worker_links && k < play->setup.worker_n; k++)
+    soak_link_set_mode (soak_worker_link (play->processes, k), SOAK_LINK_PASS, 0);
 }
 
 /* ---- judging ----------------------------------------------------------------------------- */
@@ -366,9 +428,9 @@
 {
   g_autofree char *path = g_build_filename (play->setup.folder, "plan.txt", NULL);
   g_autofree char *text = soak_plan_text (plan);
-  g_autofree char *whole
-      = g_strdup_printf ("seed=%u seconds=%d daemons=%u workers=%u\n%s", play->seed, option_seconds,
-                         play->setup.daemon_n, play->setup.worker_n, text);
+  g_autofree char *whole = g_strdup_printf (
+      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d\n%s", play->plan.seed,
+      option_seconds, play->setup.daemon_n, play->setup.worker_n, play->plan.worker_links, text);
   (void) g_file_set_contents (path, whole, -1, NULL);
 }
 
@@ -393,14 +455,18 @@
   g_autofree char *folder = g_build_filename (option_folder, name, NULL);
   remove_folder (folder);
   (void) g_mkdir_with_parents (folder, 0755);
-  Play play = { .seed = seed,
+  Play play = { .plan = { .seed = seed,
+                          .daemon_n = (guint) option_daemons,
+                          .worker_n = (guint) option_workers,
+                          .until_ms = (guint) option_seconds * 1000,
+                          .worker_links = !option_without_worker_links },
                 .setup = { .base_port = (guint16) option_port,
                            .daemon_n = (guint) option_daemons,
                            .worker_n = (guint) option_workers,
+                           .worker_links = !option_without_worker_links,
                            .folder = folder,
                            .programs = option_programs } };
-  g_autoptr (GArray) plan = soak_plan_new (seed, play.setup.daemon_n, play.setup.worker_n,
-                                           (guint) option_seconds * 1000);
+  g_autoptr (GArray) plan = soak_plan_new (&play.plan);
   keep_plan (&play, plan);
   play.endings = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   play.session = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, NULL);
@@ -436,11 +502,13 @@
 {
   g_autofree char *path = g_build_filename (folder, "plan.txt", NULL);
   g_autofree char *text = NULL;
+  gint links = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
-      || sscanf (text, "seed=%d seconds=%d daemons=%d workers=%d", &option_seed, &option_seconds,
-                 &option_daemons, &option_workers)
-             != 4)
+      || sscanf (text, "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d", &option_seed,
+                 &option_seconds, &option_daemons, &option_workers, &links)
+             < 4)
     return FALSE;
+  option_without_worker_links = links == 0;
   option_seeds = 1;
   return TRUE;
 }
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -1,4 +1,4 @@
-/* Workers: they run what they are told to under leases, and judge it. */
+/* Workers: they run what they are told to under leases. */
 #include "standin-platform.h"
 
 #include <stdlib.h>
@@ -7,11 +7,12 @@
 #define LEASE_MAX_MS 6000
 /* How long the entry of a life that crashed stays listed. */
 #define LISTED_MS 4500
-/* Workers that a task may crash before STARTS_MOST more of its starts are too many. */
-#define CRASHES_MOST 3
-#define STARTS_MOST 3
 #define LIFE_HEADER "Flamingobarrow-Expect-Instance"
 #define WORKER_CPU 8000
+/* All tasks of the tests ask for so much. */
+#define TASK_CPU 2000
+/* Ends that one look shows. */
+#define ENDS_MOST 500
 
 typedef struct
 {
@@ -22,12 +23,15 @@
   gboolean crashes; /* it takes its worker down as it ends */
 } Run;
 
-/* What became of a task that crashes its workers. */
+/* The end of a run, until it is acknowledged. */
 typedef struct
 {
-  guint crashes;
-  guint starts_after;
-} Crasher;
+  guint64 n;
+  char *task;
+  guint64 attempt;
+  const char *how;
+  gboolean counts; /* as the end of its task: it is done, and the lease has not lapsed since */
+} End;
 
 typedef struct
 {
@@ -41,25 +45,17 @@
   guint64 token;
   gint64 lease_ms;
   guint64 last_end;
-  GPtrArray *runs;
-  GPtrArray *ends; /* of char *, rows of JSON */
-  GArray *end_numbers;
-  SpHeld look; /* that waits for an end; its message is NULL for none */
+  gint64 unlisted_until_ms; /* it writes no entry before */
+  gint64 listed_ms;         /* when it wrote its last */
+  GPtrArray *runs;          /* of Run */
+  GPtrArray *ends;          /* of End */
+  GHashTable *over;         /* task -> its highest attempt that was stopped or has ended */
+  SpHeld look;              /* that waits for an end; its message is NULL for none */
 } Worker;
 
-static guint base_port;
 static guint worker_n;
 static Worker workers[SP_WORKER_MAX];
-static GHashTable *done_tasks;
-static GHashTable *started_jobs; /* set of ids */
-static GHashTable *crashers;     /* task -> Crasher */
-static guint crashes;
-static guint started_too_often;
-static guint started;
-static guint doubled;
-static guint over_capacity;
-static guint64 newest_epoch;
-static guint epochs; /* that workers have taken orders under */
+static const guint *listed;
 /* A start is carried out and its connection closed without an answer; a copy of it is refused. */
 static gboolean losing_answers;
 
@@ -72,42 +68,136 @@
 }
 
 static void
-list_worker (const Worker *worker, guint sequence)
+end_free (gpointer data)
+{
+  End *end = data;
+  g_free (end->task);
+  g_free (end);
+}
+
+static void
+list_worker (Worker *worker, guint sequence)
 {
   g_autofree char *entry = g_strdup_printf (
       "{\"service\":\"" SP_SERVICE
       "\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
       "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}",
-      base_port + 1 + worker->index, sequence, WORKER_CPU);
+      listed[worker->index], sequence, WORKER_CPU);
   sp_store_put ("keyed.servers/0", worker->id, worker->up ? entry : "");
+  worker->listed_ms = worker->up ? sp_now_ms () : 0;
+}
+
+static void
+clear_ends (Worker *worker)
+{
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const End *end = worker->ends->pdata[i];
+      if (end->counts)
+        sp_audit_forget_done (end->task);
+    }
+  g_ptr_array_set_size (worker->ends, 0);
+}
+
+/* An end that nobody has acknowledged before the lease lapsed does not count any more. */
+static void
+lapse_ends (Worker *worker)
+{
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      End *end = worker->ends->pdata[i];
+      if (end->counts)
+        sp_audit_forget_done (end->task);
+      end->counts = FALSE;
+    }
+}
+
+static void
+mark_over (Worker *worker, const char *task, guint64 attempt)
+{
+  guint64 before = GPOINTER_TO_SIZE (g_hash_table_lookup (worker->over, task));
+  if (attempt > before)
+    g_hash_table_replace (worker->over, g_strdup (task), GSIZE_TO_POINTER (attempt));
 }
 
 static Run *
-find_run (const Worker *worker, const char *task)
+find_run (const Worker *worker, const char *task, guint64 attempt)
 {
   for (guint i = 0; i < worker->runs->len; i++)
     {
       Run *run = worker->runs->pdata[i];
-      if (g_str_equal (run->task, task))
+      if (g_str_equal (run->task, task) && run->attempt == attempt)
         return run;
     }
   return NULL;
 }
 
-/* What must never be: a task in two places or after its end, a worker over its room. */
-static void
-judge (const Worker *worker, const char *task)
+static guint
+runs_of (const char *task)
 {
+  guint n = 0;
   for (guint i = 0; i < worker_n; i++)
-    doubled += workers[i].up && find_run (&workers[i], task) != NULL;
-  doubled += g_hash_table_contains (done_tasks, task);
-  Crasher *crasher = g_hash_table_lookup (crashers, task);
-  if (crasher != NULL && crasher->crashes >= CRASHES_MOST)
-    started_too_often += ++crasher->starts_after == STARTS_MOST;
-  /* All tasks of the test ask for 2,000 thousandths of a core. */
-  over_capacity += (worker->runs->len + 1) * 2000 > WORKER_CPU;
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        n += g_str_equal (((const Run *) workers[i].runs->pdata[j])->task, task);
+    }
+  return n;
+}
+
+/* ---- runs --------------------------------------------------------------------------- */
+
+static void
+end_run (Worker *worker, guint i)
+{
+  const Run *run = worker->runs->pdata[i];
+  gboolean lapsed = sp_now_ms () >= worker->lease_ms;
+  End *end = g_new0 (End, 1);
+  end->n = ++worker->last_end;
+  end->task = g_strdup (run->task);
+  end->attempt = run->attempt;
+  end->how = run->stopping ? "stopped" : lapsed ? "lapsed" : "done";
+  end->counts = g_str_equal (end->how, "done");
+  g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " ends %s", worker->id, run->task, run->attempt,
+           end->how);
+  if (end->counts)
+    sp_audit_done (end->task);
+  mark_over (worker, end->task, end->attempt);
+  g_ptr_array_add (worker->ends, end);
+  g_ptr_array_remove_index (worker->runs, i);
 }
 
+static void
+end_runs (Worker *worker)
+{
+  for (guint i = worker->runs->len; worker->up && i > 0; i--)
+    {
+      const Run *run = worker->runs->pdata[i - 1];
+      if (run->crashes && !run->stopping && sp_now_ms () >= run->ends_ms)
+        sp_worker_crash (worker->index, 2000 + (gint64) (sp_audit_crash (run->task) % 5) * 1000);
+      else if (sp_now_ms () >= run->ends_ms || sp_now_ms () >= worker->lease_ms)
+        end_run (worker, i - 1);
+    }
+  if (sp_now_ms () >= worker->lease_ms)
+    lapse_ends (worker);
+}
+
+static void
+begin_run (Worker *worker, JsonObject *body)
+{
+  const char *task = json_object_get_string_member (body, "task");
+  const char *spec = json_object_get_string_member (body, "spec");
+  sp_audit_start (task, runs_of (task), (worker->runs->len + 1) * TASK_CPU <= WORKER_CPU);
+  Run *run = g_new0 (Run, 1);
+  run->task = g_strdup (task);
+  run->attempt = (guint64) json_object_get_int_member (body, "attempt");
+  run->crashes = g_str_has_prefix (spec, "crash ");
+  run->ends_ms = sp_now_ms () + atoi (run->crashes ? spec + strlen ("crash ") : spec);
+  g_ptr_array_add (worker->runs, run);
+  g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " starts", worker->id, task, run->attempt);
+}
+
+/* ---- calls --------------------------------------------------------------------------- */
+
 static void
 close_connection (SoupServerMessage *message)
 {
@@ -115,56 +205,62 @@
   g_io_stream_close (stream, NULL, NULL);
 }
 
+/* Returns: (transfer full): of an answer without more than a REASON, which may be NULL. */
+static char *
+short_answer (const char *reason)
+{
+  if (reason == NULL)
+    return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
+  return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}", sp_now_ms (),
+                          reason);
+}
+
 static void
-serve_start (SoupServerMessage *message, Worker *worker, JsonObject *body)
+extend_lease (Worker *worker, gint64 deadline_ms)
+{
+  worker->lease_ms = MAX (worker->lease_ms, MIN (deadline_ms, sp_now_ms () + LEASE_MAX_MS));
+}
+
+/* Each of these returns the status and sets ANSWER (transfer full). */
+static guint
+take_start (Worker *worker, JsonObject *body, char **answer)
 {
   const char *task = json_object_get_string_member (body, "task");
-  g_autofree char *clock = g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
-  if (json_object_get_int_member (body, "deadline-ms") < sp_now_ms ())
-    {
-      g_autofree char *late = g_strdup_printf (
-          "{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"late\"}", sp_now_ms ());
-      sp_reply (message, 409, late);
-      return;
-    }
-  gboolean is_copy = find_run (worker, task) != NULL;
-  if (!is_copy)
-    {
-      judge (worker, task);
-      Run *run = g_new0 (Run, 1);
-      run->task = g_strdup (task);
-      run->attempt = (guint64) json_object_get_int_member (body, "attempt");
-      const char *spec = json_object_get_string_member (body, "spec");
-      run->crashes = g_str_has_prefix (spec, "crash ");
-      run->ends_ms = sp_now_ms () + atoi (run->crashes ? spec + strlen ("crash ") : spec);
-      g_hash_table_add (started_jobs, g_strndup (task, strcspn (task, ".")));
-      g_ptr_array_add (worker->runs, run);
-      started++;
-    }
-  worker->lease_ms = MAX (worker->lease_ms, json_object_get_int_member (body, "deadline-ms"));
-  if (losing_answers && is_copy)
-    sp_reply (message, 503, "{}");
-  else if (losing_answers)
-    close_connection (message);
-  else
-    sp_reply (message, 200, clock);
+  guint64 attempt = (guint64) json_object_get_int_member (body, "attempt");
+  gint64 deadline_ms = json_object_get_int_member (body, "deadline-ms");
+  const char *reason = NULL;
+  if (deadline_ms < sp_now_ms ())
+    reason = "late";
+  else if (find_run (worker, task, attempt) == NULL
+           && attempt <= GPOINTER_TO_SIZE (g_hash_table_lookup (worker->over, task)))
+    reason = "old";
+  else if (find_run (worker, task, attempt) == NULL)
+    begin_run (worker, body);
+  extend_lease (worker, deadline_ms);
+  *answer = short_answer (reason);
+  return reason == NULL ? 200 : 409;
 }
 
-static void
-serve_stop (SoupServerMessage *message, Worker *worker, JsonObject *body)
+static guint
+take_stop (Worker *worker, JsonObject *body, char **answer)
 {
-  Run *run = find_run (worker, json_object_get_string_member (body, "task"));
+  const char *task = json_object_get_string_member (body, "task");
+  guint64 attempt = (guint64) json_object_get_int_member (body, "attempt");
+  Run *run = find_run (worker, task, attempt);
   if (run != NULL)
     {
       run->stopping = TRUE;
       run->ends_ms = sp_now_ms ();
     }
-  g_autofree char *clock = g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
-  sp_reply (message, 200, clock);
+  else
+    mark_over (worker, task, attempt);
+  *answer = short_answer (NULL);
+  return 200;
 }
 
-static void
-answer_look (SoupServerMessage *message, const Worker *worker)
+/* Returns: (transfer full): what runs and what has ended, as JSON. */
+static char *
+look_text (const Worker *worker)
 {
   GString *out = g_string_new (NULL);
   g_string_printf (out, "{\"clock-ms\":%" G_GINT64_FORMAT ",\"running\":[", sp_now_ms ());
@@ -175,11 +271,15 @@
                               run->task, run->attempt);
     }
   g_string_append (out, "],\"finished\":[");
-  for (guint i = 0; i < worker->ends->len; i++)
-    g_string_append_printf (out, "%s%s", i > 0 ? "," : "", (char *) worker->ends->pdata[i]);
+  for (guint i = 0; i < MIN (worker->ends->len, ENDS_MOST); i++)
+    {
+      const End *end = worker->ends->pdata[i];
+      g_string_append_printf (out,
+                              "%s[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT ",\"%s\",\"\"]",
+                              i > 0 ? "," : "", end->n, end->task, end->attempt, end->how);
+    }
   g_string_append (out, "]}");
-  sp_reply (message, 200, out->str);
-  g_string_free (out, TRUE);
+  return g_string_free (out, FALSE);
 }
 
 static void
@@ -187,7 +287,8 @@
 {
   if (worker->look.message == NULL)
     return;
-  answer_look (worker->look.message, worker);
+  g_autofree char *text = look_text (worker);
+  sp_reply (worker->look.message, 200, text);
   sp_release (&worker->look);
 }
 
@@ -199,25 +300,88 @@
   sp_hold (&worker->look, message, wait_ms);
 }
 
-static void
-serve_look (SoupServerMessage *message, Worker *worker, JsonObject *body)
+static guint
+take_look (Worker *worker, JsonObject *body, char **answer)
 {
   guint64 acknowledged = (guint64) json_object_get_int_member (body, "acknowledged");
-  while (worker->end_numbers->len > 0
-         && g_array_index (worker->end_numbers, guint64, 0) <= acknowledged)
+  while (worker->ends->len > 0 && ((const End *) worker->ends->pdata[0])->n <= acknowledged)
+    g_ptr_array_remove_index (worker->ends, 0);
+  if (json_object_has_member (body, "deadline-ms"))
+    extend_lease (worker, json_object_get_int_member (body, "deadline-ms"));
+  *answer = look_text (worker);
+  return 200;
+}
+
+/* Returns: the status; ANSWER is set (transfer full). */
+static guint
+take_call (Worker *worker, SoupServerMessage *message, const char *path, JsonObject *body,
+           char **answer)
+{
+  const char *life = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), LIFE_HEADER);
+  guint64 token = (guint64) json_object_get_int_member (body, "fencing-token");
+  *answer = NULL;
+  if (life != NULL && !g_str_equal (life, worker->id))
+    return 421;
+  if (token < worker->token)
     {
-      g_array_remove_index (worker->end_numbers, 0);
-      g_ptr_array_remove_index (worker->ends, 0);
+      *answer = short_answer ("fence");
+      return 409;
     }
-  if (json_object_has_member (body, "deadline-ms"))
-    worker->lease_ms = MAX (worker->lease_ms, MIN (json_object_get_int_member (body, "deadline-ms"),
-                                                   sp_now_ms () + LEASE_MAX_MS));
-  gint64 wait_ms
-      = json_object_has_member (body, "wait-ms") ? json_object_get_int_member (body, "wait-ms") : 0;
-  if (worker->ends->len > 0 || wait_ms == 0)
-    answer_look (message, worker);
-  else
+  worker->token = token;
+  sp_audit_order (token);
+  if (g_str_equal (path, "/api/run-start"))
+    return take_start (worker, body, answer);
+  if (g_str_equal (path, "/api/run-stop"))
+    return take_stop (worker, body, answer);
+  if (g_str_equal (path, "/api/hold"))
+    return take_look (worker, body, answer);
+  return 404;
+}
+
+static gboolean
+is_there_already (const Worker *worker, const char *path, JsonObject *body)
+{
+  return g_str_equal (path, "/api/run-start")
+         && find_run (worker, json_object_get_string_member (body, "task"),
+                      (guint64) json_object_get_int_member (body, "attempt"))
+                != NULL;
+}
+
+static void
+serve_call (SoupServerMessage *message, Worker *worker, const char *path, JsonObject *body)
+{
+  g_autofree char *answer = NULL;
+  gboolean is_copy = is_there_already (worker, path, body);
+  guint status = take_call (worker, message, path, body, &answer);
+  gboolean is_look = g_str_equal (path, "/api/hold") && status == 200;
+  gint64 wait_ms = json_object_get_int_member_with_default (body, "wait-ms", 0);
+  if (losing_answers && status == 200 && is_copy)
+    sp_reply (message, 503, "{}");
+  else if (losing_answers && status == 200 && g_str_equal (path, "/api/run-start"))
+    close_connection (message);
+  else if (is_look && worker->ends->len == 0 && wait_ms > 0)
     hold_look (message, worker, (guint64) wait_ms);
+  else
+    sp_reply (message, status, answer != NULL ? answer : "{}");
+}
+
+/* Its own runs, and those of the other workers, are what they are at this moment. */
+static void
+end_all_runs (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    end_runs (&workers[i]);
+}
+
+void
+sp_worker_carry_out (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+{
+  g_autofree char *answer = NULL;
+  end_all_runs ();
+  if (workers[k].up)
+    (void) take_call (&workers[k], message, path, body, &answer);
+  close_connection (message);
 }
 
 void
@@ -234,30 +398,23 @@
       sp_reply (message, 500, "{}");
       return;
     }
-  const char *life = soup_message_headers_get_one (
-      soup_server_message_get_request_headers (message), LIFE_HEADER);
-  if (life != NULL && !g_str_equal (life, worker->id))
+  end_all_runs ();
+  switch (sp_faults_draw (k))
     {
-      sp_reply (message, 421, "{}");
-      return;
-    }
-  guint64 token = (guint64) json_object_get_int_member (body, "fencing-token");
-  if (token < worker->token)
-    {
-      sp_reply (message, 409, "{\"clock-ms\":1,\"reason\":\"fence\"}");
-      return;
+    case SP_CALL_REFUSED:
+      sp_reply (message, 503, "{}");
+      break;
+    case SP_CALL_LOST:
+      sp_worker_carry_out (message, k, path, body);
+      break;
+    case SP_CALL_LATE:
+      sp_faults_hold (message, k, path, body);
+      break;
+    case SP_CALL_SERVED:
+    case SP_CALL_FATE_N:
+    default:
+      serve_call (message, worker, path, body);
     }
-  worker->token = token;
-  epochs += token > newest_epoch;
-  newest_epoch = MAX (newest_epoch, token);
-  if (g_str_equal (path, "/api/run-start"))
-    serve_start (message, worker, body);
-  else if (g_str_equal (path, "/api/run-stop"))
-    serve_stop (message, worker, body);
-  else if (g_str_equal (path, "/api/hold"))
-    serve_look (message, worker, body);
-  else
-    sp_reply (message, 404, "{}");
 }
 
 static void
@@ -274,19 +431,6 @@
   list_worker (worker, 0);
 }
 
-/* An end that nobody has taken note of is lost with its worker: the task may be started again. */
-static void
-forget_ends (Worker *worker)
-{
-  for (guint i = 0; i < worker->ends->len; i++)
-    {
-      g_auto (GStrv) parts = g_strsplit (worker->ends->pdata[i], "\"", 3);
-      g_hash_table_remove (done_tasks, parts[1]);
-    }
-  g_ptr_array_set_size (worker->ends, 0);
-  g_array_set_size (worker->end_numbers, 0);
-}
-
 void
 sp_workers_lose_answers (gboolean lose)
 {
@@ -304,26 +448,29 @@
   worker->unlisted_ms = sp_now_ms () + LISTED_MS;
   g_free (worker->old_id);
   worker->old_id = g_strdup (worker->id);
+  g_debug ("%s: crashes", worker->id);
   g_ptr_array_set_size (worker->runs, 0);
-  forget_ends (worker);
+  /* An end that nobody has acknowledged is lost with its worker: the task may be started again. */
+  clear_ends (worker);
+  g_hash_table_remove_all (worker->over);
   if (worker->look.message == NULL)
     return;
   sp_reply (worker->look.message, 500, "{}");
   sp_release (&worker->look);
 }
 
-static void
-crash_by (Worker *worker, const Run *run)
+void
+sp_worker_stay_unlisted (guint k, gint64 for_ms)
 {
-  Crasher *crasher = g_hash_table_lookup (crashers, run->task);
-  if (crasher == NULL)
-    {
-      crasher = g_new0 (Crasher, 1);
-      g_hash_table_insert (crashers, g_strdup (run->task), crasher);
-    }
-  crasher->crashes++;
-  crashes++;
-  sp_worker_crash (worker->index, 2000 + (gint64) (crashes % 5) * 1000);
+  workers[k % worker_n].unlisted_until_ms = sp_now_ms () + for_ms;
+}
+
+void
+sp_workers_heal (void)
+{
+  sp_faults_end ();
+  for (guint i = 0; i < worker_n; i++)
+    workers[i].unlisted_until_ms = 0;
 }
 
 static void
@@ -338,51 +485,19 @@
     begin_life (worker);
 }
 
-static void
-end_run (Worker *worker, guint i)
-{
-  const Run *run = worker->runs->pdata[i];
-  gboolean lapsed = sp_now_ms () >= worker->lease_ms;
-  const char *how = run->stopping ? "stopped" : lapsed ? "lapsed" : "done";
-  guint64 n = ++worker->last_end;
-  g_ptr_array_add (worker->ends, g_strdup_printf ("[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT
-                                                  ",\"%s\",\"\"]",
-                                                  n, run->task, run->attempt, how));
-  g_array_append_val (worker->end_numbers, n);
-  if (g_str_equal (how, "done"))
-    g_hash_table_add (done_tasks, g_strdup (run->task));
-  g_ptr_array_remove_index (worker->runs, i);
-}
-
-static void
-end_runs (Worker *worker)
-{
-  for (guint i = worker->runs->len; worker->up && i > 0; i--)
-    {
-      const Run *run = worker->runs->pdata[i - 1];
-      if (run->crashes && !run->stopping && sp_now_ms () >= run->ends_ms)
-        crash_by (worker, run);
-      else if (sp_now_ms () >= run->ends_ms || sp_now_ms () >= worker->lease_ms)
-        end_run (worker, i - 1);
-    }
-}
-
 void
-sp_workers_init (guint n, guint port)
+sp_workers_init (guint n, const guint *listed_ports)
 {
-  base_port = port;
   worker_n = n;
-  done_tasks = g_hash_table_new (g_str_hash, g_str_equal);
-  started_jobs = g_hash_table_new (g_str_hash, g_str_equal);
-  crashers = g_hash_table_new (g_str_hash, g_str_equal);
+  listed = listed_ports;
   for (guint i = 0; i < n; i++)
     {
       workers[i].index = i;
       workers[i].id = g_strdup_printf ("i-%u", i);
       workers[i].up = TRUE;
       workers[i].runs = g_ptr_array_new_with_free_func (run_free);
-      workers[i].ends = g_ptr_array_new_with_free_func (g_free);
-      workers[i].end_numbers = g_array_new (FALSE, FALSE, sizeof (guint64));
+      workers[i].ends = g_ptr_array_new_with_free_func (end_free);
+      workers[i].over = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     }
 }
 
@@ -395,6 +510,18 @@
   list_worker (worker, 0);
 }
 
+/* The entry of a worker that runs on and writes none for long is removed. */
+static void
+unlist_silent (Worker *worker)
+{
+  gint64 now_ms = sp_now_ms ();
+  if (!worker->up || now_ms >= worker->unlisted_until_ms || worker->listed_ms == 0
+      || now_ms < worker->listed_ms + LISTED_MS)
+    return;
+  sp_store_put ("keyed.servers/0", worker->id, "");
+  worker->listed_ms = 0;
+}
+
 void
 sp_workers_turn (void)
 {
@@ -403,6 +530,7 @@
       Worker *worker = &workers[i];
       come_back (worker);
       end_runs (worker);
+      unlist_silent (worker);
       if (worker->ends->len > 0 || sp_now_ms () >= worker->look.until_ms)
         answer_held_look (worker);
     }
@@ -413,21 +541,13 @@
 {
   for (guint i = 0; i < worker_n; i++)
     {
-      if (workers[i].up)
-        list_worker (&workers[i], sequence);
+      Worker *worker = &workers[i];
+      if (!worker->up || sp_now_ms () < worker->unlisted_until_ms)
+        continue;
+      list_worker (worker, sequence);
     }
 }
 
-char *
-sp_workers_audit (void)
-{
-  return g_strdup_printf ("{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u,"
-                          "\"epochs\":%u,\"crashes\":%u,"
-                          "\"started-too-often\":%u}",
-                          started, g_hash_table_size (done_tasks), doubled, over_capacity, epochs,
-                          crashes, started_too_often);
-}
-
 void
 sp_workers_finish (const char *job)
 {
@@ -442,12 +562,6 @@
     }
 }
 
-gboolean
-sp_workers_started (const char *job)
-{
-  return g_hash_table_contains (started_jobs, job);
-}
-
 char *
 sp_workers_running (const char *job)
 {
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -4,8 +4,11 @@
  * A task's payload is its run time in ms.  POST /control {"outage":true} takes the store
  * away, {"silent":true} lets it answer nothing, {"patient":true} keeps silent members in
  * their groups, {"worker":K,"up":false} takes a worker away, {"crash":K,"for-ms":N} lets it come
- * back under another id, {"lose-answers":true} has workers carry starts out without an answer and
- * refuse copies of them.  A payload "crash N" takes the task's worker down after N ms. */
+ * back under another id, {"unlisted":K,"for-ms":N} keeps its entry away while it runs on,
+ * {"lose-answers":true} has workers carry starts out without an answer and refuse copies of them,
+ * {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P} has worker K refuse, carry out without an
+ * answer or carry out late P percent of its calls, {"healthy":true} ends both.  A payload "crash N"
+ * takes the task's worker down after N ms. */
 #include "standin-platform.h"
 
 #include <stdio.h>
@@ -67,6 +70,13 @@
   if (json_object_has_member (body, "crash"))
     sp_worker_crash ((guint) json_object_get_int_member (body, "crash"),
                      json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "unlisted"))
+    sp_worker_stay_unlisted ((guint) json_object_get_int_member (body, "unlisted"),
+                             json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "healthy"))
+    sp_workers_heal ();
+  if (json_object_has_member (body, "faults"))
+    sp_faults_set ((guint) json_object_get_int_member (body, "faults"), body);
   if (json_object_has_member (body, "lose-answers"))
     sp_workers_lose_answers (json_object_get_boolean_member (body, "lose-answers"));
   if (json_object_has_member (body, "finish"))
@@ -77,7 +87,7 @@
 static void
 serve_audit (SoupServerMessage *message)
 {
-  g_autofree char *text = sp_workers_audit ();
+  g_autofree char *text = sp_audit_text ();
   sp_reply (message, 200, text);
 }
 
@@ -93,7 +103,7 @@
 serve_started (SoupServerMessage *message, GHashTable *query)
 {
   const char *job = query != NULL ? g_hash_table_lookup (query, "job") : NULL;
-  gboolean started = sp_workers_started (job != NULL ? job : "");
+  gboolean started = sp_audit_job_started (job != NULL ? job : "");
   sp_reply (message, 200, started ? "{\"started\":true}" : "{\"started\":false}");
 }
 
@@ -146,6 +156,7 @@
 on_turn (gpointer user)
 {
   (void) user;
+  sp_faults_turn ();
   sp_workers_turn ();
   sp_store_turn ();
   return G_SOURCE_CONTINUE;
@@ -172,19 +183,33 @@
   exit (1);
 }
 
+/* Where the workers are listed: at the PORTS of the words, or where they listen. */
+static void
+read_listed_ports (const char *words, guint worker_n, guint *ports)
+{
+  g_auto (GStrv) parts = g_strsplit (words, ",", 0);
+  guint n = g_strv_length (parts);
+  for (guint i = 0; i < worker_n; i++)
+    ports[i] = i < n ? (guint) atoi (parts[i]) : base_port + 1 + i;
+}
+
 int
 main (int argc, char **argv)
 {
-  if (argc != 3 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
+  if (argc < 3 || argc > 4 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
     {
-      fprintf (stderr, "usage: standin-platform PORT WORKERS\n");
+      fprintf (stderr, "usage: standin-platform PORT WORKERS [PORT-LISTED,...]\n");
       return 2;
     }
   base_port = (guint) atoi (argv[1]);
   guint worker_n = (guint) atoi (argv[2]);
+  static guint listed_ports[SP_WORKER_MAX];
+  read_listed_ports (argc > 3 ? argv[3] : "", worker_n, listed_ports);
   sp_store_init ();
   sp_group_init ();
-  sp_workers_init (worker_n, base_port);
+  sp_faults_init ();
+  sp_audit_init ();
+  sp_workers_init (worker_n, listed_ports);
   SoupServer *server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, serve, NULL, NULL);
   for (guint i = 0; i <= worker_n; i++)
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -44,25 +44,64 @@
 gboolean sp_group_serve (SoupServerMessage *message, const char *path, GHashTable *query,
                          JsonObject *body);
 
-/* ---- workers, and what really ran: standin-platform-workers.c ---------------------- */
+/* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
-/* Worker K listens at BASE_PORT + 1 + K. */
-void sp_workers_init (guint n, guint base_port);
+/* Worker K is listed at LISTED_PORTS[K], which are borrowed. */
+void sp_workers_init (guint n, const guint *listed_ports);
 void sp_worker_set_up (guint k, gboolean up);
 /* Worker K is gone for FOR_MS with all that runs there, and comes back under another id. */
 void sp_worker_crash (guint k, gint64 for_ms);
+/* Worker K runs on, but writes no entry for FOR_MS: after a while it is not listed. */
+void sp_worker_stay_unlisted (guint k, gint64 for_ms);
+/* All workers serve their calls and write their entries. */
+void sp_workers_heal (void);
 /* LOSE: starts are carried out without an answer, and copies of them are refused. */
 void sp_workers_lose_answers (gboolean lose);
 void sp_worker_serve (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+/* Does what the call asks for and closes its connection without an answer. */
+void sp_worker_carry_out (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
 /* Ends runs whose time or lease is over, and answers looks. */
 void sp_workers_turn (void);
 /* All that are up write their entries. */
 void sp_workers_list (guint sequence);
-/* Returns: (transfer full): counts of what ran, as JSON. */
-char *sp_workers_audit (void);
 /* Ends the runs of all jobs whose ids begin with JOB. */
 void sp_workers_finish (const char *job);
-/* TRUE when a task of JOB was ever started. */
-gboolean sp_workers_started (const char *job);
 /* Returns: (transfer full): how many tasks of JOB run now, as JSON. */
 char *sp_workers_running (const char *job);
+
+/* ---- faults of the calls of workers: standin-platform-faults.c -------------------------- */
+
+typedef enum
+{
+  SP_CALL_SERVED,
+  SP_CALL_REFUSED, /* nothing is done */
+  SP_CALL_LOST,    /* carried out, its connection is closed without an answer */
+  SP_CALL_LATE,    /* carried out seconds later, without an answer */
+  SP_CALL_FATE_N
+} SpCallFate;
+
+void sp_faults_init (void);
+/* TOLD: members "refuse", "lose" and "late" in percent of the calls of worker K, "for-ms". */
+void sp_faults_set (guint k, JsonObject *told);
+void sp_faults_end (void);
+SpCallFate sp_faults_draw (guint k);
+/* Keeps a call that is carried out late. */
+void sp_faults_hold (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+void sp_faults_turn (void);
+
+/* ---- what really ran: standin-platform-audit.c --------------------------------------------- */
+
+void sp_audit_init (void);
+/* A task starts.  RUNNING: runs of it that are there already; FITS: there is room for it. */
+void sp_audit_start (const char *task, guint running, gboolean fits);
+/* A run of TASK has ended as done; its end counts until it is forgotten. */
+void sp_audit_done (const char *task);
+void sp_audit_forget_done (const char *task);
+/* TASK took its worker down.  Returns: the number of all such crashes. */
+guint sp_audit_crash (const char *task);
+/* A worker took an order under TOKEN. */
+void sp_audit_order (guint64 token);
+/* TRUE when a task of JOB was ever started. */
+gboolean sp_audit_job_started (const char *job);
+/* Returns: (transfer full): counts of what ran, as JSON. */
+char *sp_audit_text (void);
