Setting: the address at which other daemons reach this one, where it differs

[listen] peers is where a daemon listens and what it tells the others. On a host whose address from outside is not the one it binds these differ; advertised-peers is told then, and defaults to peers. It must be IP:PORT, as no later failure of this daemon would show that it is not.

Tests: test-entry (what is read, what is refused), tests/platform.sh (the error names file, group and key).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -292,7 +292,8 @@
 {
   if (!start_servers (self))
     return EXIT_ADDRESS;
-  self->entry.links = fb_links_new (self->entry.settings->peers, fb_peers_serve, &self->entry);
+  self->entry.links
+      = fb_links_new (self->entry.settings->peers_listen, fb_peers_serve, &self->entry);
   if (self->entry.links == NULL)
     {
       fprintf (stderr, "flamingobarrowd: %s\n", fb_status_message ());
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -3,6 +3,7 @@
 #include "fb-status.h"
 #include "internal/ini.h"
 
+#include <gio/gio.h>
 #include <stddef.h>
 
 #define NAME_MAX_LEN 128
@@ -24,7 +25,9 @@
   { "callers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, callers) },
   { "readiness", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
     offsetof (FbEntrySettings, readiness) },
-  { "peers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, peers) },
+  { "peers", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, peers_listen) },
+  { "advertised-peers", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN, NULL,
+    offsetof (FbEntrySettings, peers) },
   { "metrics", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL, offsetof (FbEntrySettings, metrics) },
   { NULL, 0, FALSE, 0, 0, NULL, 0 }
 };
@@ -112,6 +115,27 @@
   return TRUE;
 }
 
+static gboolean
+is_address (const char *text)
+{
+  g_autoptr (GSocketConnectable) parsed = g_network_address_parse (text, 0, NULL);
+  return parsed != NULL && g_network_address_get_port (G_NETWORK_ADDRESS (parsed)) != 0
+         && g_hostname_is_ip_address (g_network_address_get_hostname (G_NETWORK_ADDRESS (parsed)));
+}
+
+static gboolean
+check_advertised (const char *path, FbEntrySettings *self)
+{
+  if (self->peers == NULL)
+    self->peers = g_strdup (self->peers_listen);
+  else if (!is_address (self->peers))
+    {
+      fb_status_set_message ("%s: [listen] advertised-peers: expected IP:PORT", path);
+      return FALSE;
+    }
+  return TRUE;
+}
+
 FbEntrySettings *
 fb_entry_settings_load (const char *path)
 {
@@ -120,7 +144,7 @@
     return NULL;
   FbEntrySettings *self = g_new0 (FbEntrySettings, 1);
   self->cpu_milli = CPU_MILLI_DEFAULT;
-  if (read_groups (keys, path, self))
+  if (read_groups (keys, path, self) && check_advertised (path, self))
     return self;
   fb_entry_settings_free (self);
   return NULL;
@@ -136,6 +160,7 @@
   g_free (self->callers);
   g_free (self->readiness);
   g_free (self->peers);
+  g_free (self->peers_listen);
   g_free (self->metrics);
   g_free (self->store);
   g_free (self->advice);
@@ -147,5 +172,6 @@
 {
   return g_str_equal (a->name, b->name) && g_str_equal (a->callers, b->callers)
          && g_str_equal (a->readiness, b->readiness) && g_str_equal (a->peers, b->peers)
-         && g_str_equal (a->metrics, b->metrics) && a->partitions == b->partitions;
+         && g_str_equal (a->peers_listen, b->peers_listen) && g_str_equal (a->metrics, b->metrics)
+         && a->partitions == b->partitions;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -9,7 +9,8 @@
   char *domain;  /* failure domain */
   char *callers; /* IP:PORT, each of these */
   char *readiness;
-  char *peers;
+  char *peers;        /* where the other daemons reach this one */
+  char *peers_listen; /* where it listens for them */
   char *metrics;
   char *store;
   char *advice; /* NULL: no queue has advice */
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -69,6 +69,9 @@
 { settings 0; echo crashes=1; } > "$OUT/bad.ini"
 told=$($B/flamingobarrowd --check --settings "$OUT/bad.ini" 2>&1) && die "a limit of one crash was taken"
 [[ $told == *"bad.ini: [workers] crashes: expected a whole number from 2 to 8"* ]] || die "the error says: $told"
+settings 0 | sed 's/^peers=.*/&\nadvertised-peers=elsewhere/' > "$OUT/bad.ini"
+told=$($B/flamingobarrowd --check --settings "$OUT/bad.ini" 2>&1) && die "an advertised address without a port was taken"
+[[ $told == *"bad.ini: [listen] advertised-peers: expected IP:PORT"* ]] || die "the error says: $told"
 
 $B/standins/standin-platform "$base" 6 & PID[platform]=$!
 for d in 0 1 2; do start_daemon $d; done
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -2,9 +2,11 @@
 #include "src/entry/advice/advice-share.h"
 #include "src/entry/advice/turns.h"
 #include "src/entry/loop-watch.h"
+#include "src/entry/settings.h"
 #include "src/entry/store/join-watch.h"
 
 #include <CUnit/Basic.h>
+#include <glib/gstdio.h>
 #include <stdio.h>
 
 #define LONG_MS 600
@@ -380,6 +382,53 @@
   CU_ASSERT_EQUAL (watch.gap_ms, 0);
 }
 
+/* ---- settings --------------------------------------------------------------------- */
+
+/* Returns: (transfer full) (nullable): what is read with LINE in the group of listeners. */
+static FbEntrySettings *
+settings_with (const char *line)
+{
+  g_autofree char *folder = g_dir_make_tmp ("test-entry-XXXXXX", NULL);
+  g_autofree char *path = g_build_filename (folder, "daemon.ini", NULL);
+  g_autofree char *text
+      = g_strdup_printf ("[daemon]\nname=d\ndomain=z\ngrace=6s\n"
+                         "[listen]\ncallers=10.0.0.1:1\nreadiness=10.0.0.1:2\npeers=10.0.0.1:3\n"
+                         "metrics=10.0.0.1:4\n%s\n"
+                         "[store]\naddress=10.0.0.2:1\npartitions=32\nshortest-membership=1s\n"
+                         "[workers]\nlongest-lease=6s\nlongest-stop=200ms\ngang-patience=3s\n",
+                         line);
+  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, text, -1, NULL));
+  FbEntrySettings *settings = fb_entry_settings_load (path);
+  (void) g_remove (path);
+  (void) g_rmdir (folder);
+  return settings;
+}
+
+/* A host whose address from outside is not the one it binds: the others dial what it advertises. */
+static void
+test_the_others_dial_what_is_advertised (void)
+{
+  FbEntrySettings *plain = settings_with ("");
+  FbEntrySettings *advertised = settings_with ("advertised-peers=192.0.2.7:33");
+  g_assert (plain != NULL && advertised != NULL);
+  CU_ASSERT_STRING_EQUAL (plain->peers, "10.0.0.1:3");
+  CU_ASSERT_STRING_EQUAL (plain->peers_listen, "10.0.0.1:3");
+  CU_ASSERT_STRING_EQUAL (advertised->peers, "192.0.2.7:33");
+  CU_ASSERT_STRING_EQUAL (advertised->peers_listen, "10.0.0.1:3");
+  CU_ASSERT_FALSE (fb_entry_settings_same_listeners (plain, advertised));
+  fb_entry_settings_free (plain);
+  fb_entry_settings_free (advertised);
+}
+
+static void
+test_an_advertised_address_is_checked (void)
+{
+  CU_ASSERT_PTR_NULL (settings_with ("advertised-peers=192.0.2.7"));
+  CU_ASSERT_PTR_NULL (settings_with ("advertised-peers=:33"));
+  CU_ASSERT_PTR_NULL (settings_with ("advertised-peers=192.0.2.7:0"));
+  CU_ASSERT_PTR_NULL (settings_with ("advertised-peers=host:33"));
+}
+
 int
 main (void)
 {
@@ -398,6 +447,9 @@
   CU_add_test (suite, "the latest turn is kept", test_the_latest_turn_is_kept);
   CU_add_test (suite, "a late join is told", test_a_late_join_is_told);
   CU_add_test (suite, "who left joins in time", test_who_left_joins_in_time);
+  CU_add_test (suite, "the others dial what is advertised",
+               test_the_others_dial_what_is_advertised);
+  CU_add_test (suite, "an advertised address is checked", test_an_advertised_address_is_checked);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
