Soak: links between daemons; a soak that is killed leaves no process

Each daemon advertises the address of a link to the others, which the plan makes slow, cuts, makes one way, resets or silences.

The processes of a play end with it, also when it is killed; two soaks that were ended left eight processes, and a later one found its ports taken.

--- a/soak/processes.c
+++ b/soak/processes.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 
 /* A daemon has 160 MB on the smallest hosts. */
 #define MEMORY_MOST_MB 160
@@ -17,6 +18,7 @@
   guint16 ports[4];     /* callers, readiness, peers, metrics */
   SoakLink *store;
   SoakLink *callers;
+  SoakLink *peers;    /* NULL: none */
   gboolean was_ended; /* by a signal of this play */
   char *surprise;     /* how it ended by itself, or NULL */
   guint restart_ms;   /* after its end; G_MAXUINT: not by itself */
@@ -32,6 +34,14 @@
   gboolean closing;
 };
 
+/* A soak that is killed leaves no process behind. */
+static void
+end_with_parent (gpointer user)
+{
+  (void) user;
+  (void) prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /* DEBUG: it writes its messages for that as well. */
 static GSubprocess *
 spawn (const SoakSetup *setup, const char *log, gboolean debug, const char *const *argv)
@@ -44,6 +54,7 @@
   if (fd < 0)
     return NULL;
   g_subprocess_launcher_take_stdout_fd (launcher, fd);
+  g_subprocess_launcher_set_child_setup (launcher, end_with_parent, NULL, NULL);
   if (debug)
     g_subprocess_launcher_setenv (launcher, "G_MESSAGES_DEBUG", "all", TRUE);
   return g_subprocess_launcher_spawnv (launcher, argv, NULL);
@@ -52,14 +63,18 @@
 static gboolean
 write_settings (const Daemon *daemon, const char *path)
 {
+  g_autofree char *advertised
+      = daemon->peers != NULL
+            ? g_strdup_printf ("advertised-peers=127.0.0.1:%u\n", soak_link_port (daemon->peers))
+            : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "[daemon]\nname=d%u\ndomain=z%u\ngrace=6s\n"
       "[listen]\ncallers=127.0.0.1:%u\nreadiness=127.0.0.1:%u\npeers=127.0.0.1:%u\nmetrics=127.0.0."
-      "1:%u\n"
+      "1:%u\n%s"
       "[store]\naddress=127.0.0.1:%u\npartitions=32\nshortest-membership=1000ms\n"
       "[workers]\nlongest-lease=6000ms\nlongest-stop=200ms\ngang-patience=3000ms\n",
       daemon->index, daemon->index % 3, daemon->ports[0], daemon->ports[1], daemon->ports[2],
-      daemon->ports[3], soak_link_port (daemon->store));
+      daemon->ports[3], advertised, soak_link_port (daemon->store));
   return g_file_set_contents (path, text, -1, NULL);
 }
 
@@ -142,7 +157,10 @@
     daemon->ports[j] = (guint16) (first + j);
   daemon->store = soak_link_new (self->setup.base_port);
   daemon->callers = soak_link_new (daemon->ports[0]);
-  if (daemon->store == NULL || daemon->callers == NULL)
+  if (self->setup.worker_links)
+    daemon->peers = soak_link_new (daemon->ports[2]);
+  if (daemon->store == NULL || daemon->callers == NULL
+      || (self->setup.worker_links && daemon->peers == NULL))
     return FALSE;
   (void) start_daemon (daemon);
   return daemon->process != NULL;
@@ -180,6 +198,7 @@
         }
       g_clear_pointer (&daemon->store, soak_link_free);
       g_clear_pointer (&daemon->callers, soak_link_free);
+      g_clear_pointer (&daemon->peers, soak_link_free);
     }
   for (guint k = 0; self->workers != NULL && k < self->setup.worker_n; k++)
     g_clear_pointer (&self->workers[k], soak_link_free);
@@ -205,6 +224,12 @@
   return self->daemons[i].callers;
 }
 
+SoakLink *
+soak_peer_link (SoakProcesses *self, guint i)
+{
+  return self->daemons[i].peers;
+}
+
 SoakLink *
 soak_worker_link (SoakProcesses *self, guint k)
 {
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -22,9 +22,9 @@
 /* Links of daemon I. */
 SoakLink *soak_store_link (SoakProcesses *self, guint i);
 SoakLink *soak_caller_link (SoakProcesses *self, guint i);
-/* Of worker K.  Returns: (nullable): NULL without such links, as of the other daemons to daemon I.
- */
+/* Of worker K, and of the other daemons to daemon I.  Returns: (nullable): NULL without such. */
 SoakLink *soak_worker_link (SoakProcesses *self, guint k);
+SoakLink *soak_peer_link (SoakProcesses *self, guint i);
 /* Where daemon I itself listens for callers. */
 guint16 soak_daemon_port (const SoakProcesses *self, guint i);
 /* Sends SIGNAL to daemon I if it runs. */
