--- a/soak/processes.c
+++ b/soak/processes.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 
 /* A daemon has 160 MB on the smallest hosts. */
 #define MEMORY_MOST_MB 160
@@ -17,6 +18,7 @@
   guint16 ports[4];     /* callers, readiness, peers, metrics */
   SoakLink *store;
   SoakLink *callers;
+  SoakLink *peers;    /* NULL: none */
   gboolean was_ended; /* by a signal of this play */
   char *surprise;     /* how it ended by itself, or NULL */
   guint restart_ms;   /* after its end; G_MAXUINT: not by itself */
@@ -28,11 +30,21 @@
   SoakSetup setup;
   GSubprocess *platform;
   Daemon *daemons;
+  SoakLink **workers; /* NULL: no links to them */
   gboolean closing;
 };
 
+/* A soak that is killed leaves no process behind. */
+static void
+end_with_parent (gpointer user)
+{
+  (void) user;
+  (void) prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/* DEBUG: it writes its messages for that as well. */
 static GSubprocess *
-spawn (const SoakSetup *setup, const char *log, const char *const *argv)
+spawn (const SoakSetup *setup, const char *log, gboolean debug, const char *const *argv)
 {
   g_autoptr (GSubprocessLauncher) launcher
       = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDERR_MERGE);
@@ -42,20 +54,27 @@
   if (fd < 0)
     return NULL;
   g_subprocess_launcher_take_stdout_fd (launcher, fd);
+  g_subprocess_launcher_set_child_setup (launcher, end_with_parent, NULL, NULL);
+  if (debug)
+    g_subprocess_launcher_setenv (launcher, "G_MESSAGES_DEBUG", "all", TRUE);
   return g_subprocess_launcher_spawnv (launcher, argv, NULL);
 }
 
 static gboolean
 write_settings (const Daemon *daemon, const char *path)
 {
+  g_autofree char *advertised
+      = daemon->peers != NULL
+            ? g_strdup_printf ("advertised-peers=127.0.0.1:%u\n", soak_link_port (daemon->peers))
+            : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "[daemon]\nname=d%u\ndomain=z%u\ngrace=6s\n"
       "[listen]\ncallers=127.0.0.1:%u\nreadiness=127.0.0.1:%u\npeers=127.0.0.1:%u\nmetrics=127.0.0."
-      "1:%u\n"
+      "1:%u\n%s"
       "[store]\naddress=127.0.0.1:%u\npartitions=32\nshortest-membership=1000ms\n"
       "[workers]\nlongest-lease=6000ms\nlongest-stop=200ms\ngang-patience=3000ms\n",
       daemon->index, daemon->index % 3, daemon->ports[0], daemon->ports[1], daemon->ports[2],
-      daemon->ports[3], soak_link_port (daemon->store));
+      daemon->ports[3], advertised, soak_link_port (daemon->store));
   return g_file_set_contents (path, text, -1, NULL);
 }
 
@@ -91,12 +110,28 @@
   daemon->timer = 0;
   daemon->was_ended = FALSE;
   if (daemon->process == NULL && write_settings (daemon, path))
-    daemon->process = spawn (setup, log, argv);
+    daemon->process = spawn (setup, log, FALSE, argv);
   if (daemon->process != NULL)
     g_subprocess_wait_async (daemon->process, NULL, on_daemon_ended, daemon);
   return G_SOURCE_REMOVE;
 }
 
+/* Returns: (transfer full) (nullable): the ports at which workers are listed; NULL: no port. */
+static char *
+link_workers (SoakProcesses *self)
+{
+  GString *ports = g_string_new (NULL);
+  self->workers = g_new0 (SoakLink *, self->setup.worker_n);
+  for (guint k = 0; k < self->setup.worker_n; k++)
+    {
+      self->workers[k] = soak_link_new ((guint16) (self->setup.base_port + 1 + k));
+      if (self->workers[k] == NULL)
+        return g_string_free (ports, TRUE);
+      g_string_append_printf (ports, "%s%u", k > 0 ? "," : "", soak_link_port (self->workers[k]));
+    }
+  return g_string_free (ports, FALSE);
+}
+
 static gboolean
 start_platform (SoakProcesses *self)
 {
@@ -104,8 +139,10 @@
       = g_build_filename (self->setup.programs, "standins", "standin-platform", NULL);
   g_autofree char *port = g_strdup_printf ("%u", self->setup.base_port);
   g_autofree char *workers = g_strdup_printf ("%u", self->setup.worker_n);
-  const char *argv[] = { program, port, workers, NULL };
-  self->platform = spawn (&self->setup, "platform.log", argv);
+  g_autofree char *listed = self->setup.worker_links ? link_workers (self) : NULL;
+  const char *argv[] = { program, port, workers, listed, NULL };
+  if (listed != NULL || !self->setup.worker_links)
+    self->platform = spawn (&self->setup, "platform.log", TRUE, argv);
   return self->platform != NULL;
 }
 
@@ -120,7 +157,10 @@
     daemon->ports[j] = (guint16) (first + j);
   daemon->store = soak_link_new (self->setup.base_port);
   daemon->callers = soak_link_new (daemon->ports[0]);
-  if (daemon->store == NULL || daemon->callers == NULL)
+  if (self->setup.worker_links)
+    daemon->peers = soak_link_new (daemon->ports[2]);
+  if (daemon->store == NULL || daemon->callers == NULL
+      || (self->setup.worker_links && daemon->peers == NULL))
     return FALSE;
   (void) start_daemon (daemon);
   return daemon->process != NULL;
@@ -158,7 +198,11 @@
         }
       g_clear_pointer (&daemon->store, soak_link_free);
       g_clear_pointer (&daemon->callers, soak_link_free);
+      g_clear_pointer (&daemon->peers, soak_link_free);
     }
+  for (guint k = 0; self->workers != NULL && k < self->setup.worker_n; k++)
+    g_clear_pointer (&self->workers[k], soak_link_free);
+  g_clear_pointer (&self->workers, g_free);
   if (self->platform != NULL)
     {
       g_subprocess_force_exit (self->platform);
@@ -180,6 +224,18 @@
   return self->daemons[i].callers;
 }
 
+SoakLink *
+soak_peer_link (SoakProcesses *self, guint i)
+{
+  return self->daemons[i].peers;
+}
+
+SoakLink *
+soak_worker_link (SoakProcesses *self, guint k)
+{
+  return self->workers != NULL ? self->workers[k] : NULL;
+}
+
 guint16
 soak_daemon_port (const SoakProcesses *self, guint i)
 {
