The weighted choice of a daemon for a key is one function of its own

The loop of fb_relay_choose() stood once more in gatherer.c, with other daemons left out, and the front included the relay for its weight.

--- a/src/entry/front/gatherer.c
+++ b/src/entry/front/gatherer.c
@@ -1,6 +1,6 @@
 #include "gatherer.h"
 
-#include "src/entry/peers/relay.h"
+#include "src/entry/store/rendezvous.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -18,25 +18,18 @@
   return g_ptr_array_find_with_equal_func ((GPtrArray *) asked, address, g_str_equal, NULL);
 }
 
-/* Returns: (nullable): the address of the member that all choose alike for KEY. */
-static const char *
-choose (const GPtrArray *members, const GPtrArray *asked, const char *key, uint64_t now_ms)
+typedef struct
 {
-  const FbDaemon *best = NULL;
-  double best_weight = 0;
-  for (guint i = 0; i < members->len; i++)
-    {
-      const FbDaemon *member = members->pdata[i];
-      if (now_ms < MAX (member->rests_ms, member->refuses_ms) || was_asked (asked, member->address))
-        continue;
-      double weight = fb_relay_weight (member, key);
-      if (best == NULL || weight > best_weight)
-        {
-          best = member;
-          best_weight = weight;
-        }
-    }
-  return best != NULL ? best->address : NULL;
+  const GPtrArray *asked;
+  uint64_t now_ms;
+} Choice;
+
+static gboolean
+may_gather (const FbDaemon *member, gconstpointer user)
+{
+  const Choice *choice = user;
+  return choice->now_ms >= MAX (member->rests_ms, member->refuses_ms)
+         && !was_asked (choice->asked, member->address);
 }
 
 gboolean
@@ -54,5 +47,7 @@
     return owner;
   guint group = always ? (guint) (XXH64 (front, strlen (front), 0) % GATHERER_N) : 0;
   g_autofree char *key = g_strdup_printf ("partition-%u/%u", partition, group);
-  return choose (members, asked, key, now_ms);
+  const Choice choice = { asked, now_ms };
+  const FbDaemon *member = fb_rendezvous_choose (members, key, may_gather, &choice);
+  return member != NULL ? member->address : NULL;
 }
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -16,13 +16,12 @@
 #include "relay.h"
 
 #include "src/entry/entry-private.h"
+#include "src/entry/store/rendezvous.h"
 
 #include "fb-event.h"
 #include "internal/codec.h"
 
-#include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* A relay that did not answer gets nothing for so long. */
 #define REST_MS 3000
@@ -36,34 +35,27 @@
 
 /* ---- choosing ------------------------------------------------------------------- */
 
-double
-fb_relay_weight (const FbDaemon *member, const char *key)
+typedef struct
+{
+  const char *domain;
+  const char *but;
+  uint64_t now_ms;
+} Choice;
+
+static gboolean
+may_carry (const FbDaemon *member, gconstpointer user)
 {
-  uint64_t hash = XXH64 (key, strlen (key), XXH64 (member->address, strlen (member->address), 0));
-  double part = ((double) (hash >> 11) + 1) / ((double) (1ULL << 53) + 2); /* in (0, 1) */
-  return (double) MAX (member->cpu_milli, 1) / -log (part);
+  const Choice *choice = user;
+  return choice->now_ms >= member->rests_ms && g_str_equal (member->domain, choice->domain)
+         && !g_str_equal (member->address, choice->but);
 }
 
 const FbDaemon *
 fb_relay_choose (const GPtrArray *members, const char *domain, const char *key, const char *but,
                  uint64_t now_ms)
 {
-  const FbDaemon *best = NULL;
-  double best_weight = 0;
-  for (guint i = 0; i < members->len; i++)
-    {
-      const FbDaemon *member = members->pdata[i];
-      if (now_ms < member->rests_ms || !g_str_equal (member->domain, domain)
-          || g_str_equal (member->address, but))
-        continue;
-      double weight = fb_relay_weight (member, key);
-      if (best == NULL || weight > best_weight)
-        {
-          best = member;
-          best_weight = weight;
-        }
-    }
-  return best;
+  const Choice choice = { domain, but, now_ms };
+  return fb_rendezvous_choose (members, key, may_carry, &choice);
 }
 
 const char *
--- a/src/entry/peers/relay.h
+++ b/src/entry/peers/relay.h
@@ -17,9 +17,6 @@
 /* TOLD is borrowed; NULL when no answer came, UNSURE also when nothing was sent. */
 typedef void (*FbTold) (gpointer user, const fb_told *told);
 
-/* Weighted rendezvous: the member with the largest weight is chosen for KEY; each one's chance is
- * its share of the processor, and when one leaves only what it carried moves. */
-double fb_relay_weight (const FbDaemon *member, const char *key);
 /* MEMBERS: of FbDaemon.  BUT: an address that is not to be chosen.
  * Returns: (nullable): who of DOMAIN carries what KEY stands for; borrowed. */
 const FbDaemon *fb_relay_choose (const GPtrArray *members, const char *domain, const char *key,
--- /dev/null
+++ b/src/entry/store/rendezvous.h
@@ -0,0 +1,15 @@
+/* Weighted rendezvous hashing: of the daemons that may, which one serves a key.  All daemons that
+ * know the same members choose alike; each member's chance is its share of the processor, and when
+ * one leaves only what it served moves.  No I/O, clock or thread. */
+#pragma once
+
+#include "daemons.h"
+
+/* TRUE when MEMBER may be chosen; USER is the caller's. */
+typedef gboolean (*FbRendezvousMay) (const FbDaemon *member, gconstpointer user);
+
+/* MEMBERS: of FbDaemon.
+ * Returns: (nullable): the member with the largest weight for KEY among those that MAY allows;
+ * borrowed. */
+const FbDaemon *fb_rendezvous_choose (const GPtrArray *members, const char *key,
+                                      FbRendezvousMay may, gconstpointer user);
