Which way a caller's record takes is decided in gatherer.c, and the test plays that

When a record goes through another daemon (troubled, always, how often, until when, how long for an answer) was decided in front-store.c beside its calls; take_way() of test-slow-store.c restated it, without the time after which no other daemon is asked, and stored from the front where the code gives up.

fb_gatherer_way() decides without a network: from here, by whom and for how long, or no further way. front-store.c carries it out, the test plays it. Three cases more: a store that failed, a slow one, many daemons.

--- a/src/entry/front/front-store.c
+++ b/src/entry/front/front-store.c
@@ -10,22 +10,11 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Doubt about a call of the store is resolved by repeating it for this long, then by
- * peers; callers wait about 3 s. */
-#define STORE_MS 700
 #define PEER_APPEND_MS 700
 #define PEERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - PEER_APPEND_MS)
 #define PEERS_MAX 3
-/* An append takes some 20 ms through another daemon; one that is cut off is found by this. */
-#define GATHERER_MS 400
-/* A slow store takes half a second for an append, and there are some before it; what is left of a
- * caller's time is for the answer. */
-#define SLOW_GATHERER_MS 2300
-#define GATHERERS_MAX 2
 /* Long enough to spare most callers the same try, short enough for a daemon that is well again. */
 #define REFUSES_MS 1000
-/* Later there is no time left to ask another one. */
-#define GATHERERS_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - GATHERER_MS - STORE_MS)
 
 static void
 log_stored (const FbFrontRequest *request, gboolean stored, const char *how)
@@ -62,6 +51,13 @@
     }
 }
 
+/* No call is known to have stored it. */
+static void
+answer_unstored (FbFrontRequest *request)
+{
+  answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
+}
+
 static void
 note_pace (FbFrontRequest *request, gboolean taken, gboolean here)
 {
@@ -117,7 +113,7 @@
   uint64_t spent_ms = fb_clock_ms () - request->since_ms;
   if (peer == NULL || spent_ms >= PEERS_UNTIL_MS || request->asked->len >= PEERS_MAX)
     {
-      answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
+      answer_unstored (request);
       return;
     }
   g_ptr_array_add (request->asked, g_strdup (peer));
@@ -140,26 +136,23 @@
 store_here (FbFrontRequest *request)
 {
   fb_appender_put (fb_entry_appender (request->entry, request->partition),
-                   g_byte_array_ref (request->records), request->since_ms + STORE_MS, on_stored,
-                   request);
+                   g_byte_array_ref (request->records), request->since_ms + FB_FRONT_STORE_MS,
+                   on_stored, request);
 }
 
-/* Returns: TRUE when records had better not be stored from here. */
-static gboolean
-is_troubled (FbEntry *entry, uint64_t now_ms)
+static void
+note_trouble (FbEntry *entry, uint64_t now_ms)
 {
   const FbStorePace *pace = &entry->pace;
-  gboolean failed = fb_store_pace_has_failed (pace, now_ms);
-  gboolean troubled = failed || fb_store_pace_is_slow (pace);
+  gboolean troubled = fb_gatherer_is_troubled (pace, now_ms);
   if (troubled != entry->troubled)
     fb_event_log (troubled ? FB_EVENT_STORE_SLOW : FB_EVENT_STORE_QUICK,
                   "append_ms=%u renewal_ms=%u failed=%d", pace->append_ms, pace->renewal_ms,
-                  failed);
+                  fb_store_pace_has_failed (pace, now_ms));
   entry->troubled = troubled;
-  return troubled;
 }
 
-static gboolean store_by_gatherer (FbFrontRequest *request);
+static void store_by_gatherer (FbFrontRequest *request);
 
 /* The daemon that was asked last did not store the record; others are asked first for a while. */
 static void
@@ -176,39 +169,36 @@
   if (is_stored_by_other (request, told))
     return;
   note_refusal (request);
-  if (store_by_gatherer (request))
-    return;
-  /* Failure: who is refused by a slow store tries other ways, each of which is one more append in
-   * the queue for which it was refused; it shows as callers without an answer for as long as the
-   * store is slow.  Guard: then the caller is told so at once, and comes again later. */
-  if (fb_store_pace_is_slow (&request->entry->pace))
-    answer_stored (request, request->in_doubt ? FB_APPEND_IN_DOUBT : FB_APPEND_NOT_STORED);
-  else
-    store_here (request);
+  store_by_gatherer (request);
 }
 
-/* Returns: FALSE when the record is to be stored from here. */
-static gboolean
+/* By another daemon, or from here where that is better. */
+static void
 store_by_gatherer (FbFrontRequest *request)
 {
   FbEntry *entry = request->entry;
-  const GPtrArray *members = fb_daemons_all (entry->daemons);
   uint64_t now_ms = fb_clock_ms ();
-  gboolean troubled = is_troubled (entry, now_ms);
-  if ((!troubled && !fb_gatherer_always (members)) || request->asked->len >= GATHERERS_MAX
-      || now_ms >= request->since_ms + GATHERERS_UNTIL_MS)
-    return FALSE;
-  const char *own = entry->settings->peers;
-  const char *gatherer
-      = fb_gatherer_for (members, fb_group_owner_of (entry->group, request->partition), own,
-                         request->asked, request->partition, now_ms);
-  if (gatherer == NULL || g_str_equal (gatherer, own))
-    return FALSE;
-  g_ptr_array_add (request->asked, g_strdup (gatherer));
-  uint64_t left_ms = request->since_ms + FB_FRONT_LONGEST_CALL_MS - now_ms;
-  uint32_t patience_ms = fb_store_pace_is_slow (&entry->pace) ? SLOW_GATHERER_MS : GATHERER_MS;
-  ask_to_append (request, gatherer, (uint32_t) MIN (patience_ms, left_ms), on_gatherer_stored);
-  return TRUE;
+  const FbGathererRecord record = { .front = entry->settings->peers,
+                                    .owner = fb_group_owner_of (entry->group, request->partition),
+                                    .asked = request->asked,
+                                    .partition = request->partition,
+                                    .since_ms = request->since_ms };
+  note_trouble (entry, now_ms);
+  FbGathererWay way
+      = fb_gatherer_way (&record, &entry->pace, fb_daemons_all (entry->daemons), now_ms);
+  switch (way.step)
+    {
+    case FB_GATHERER_NONE:
+      store_here (request);
+      break;
+    case FB_GATHERER_ASK:
+      g_ptr_array_add (request->asked, g_strdup (way.address));
+      ask_to_append (request, way.address, way.patience_ms, on_gatherer_stored);
+      break;
+    case FB_GATHERER_GIVE_UP:
+      answer_unstored (request);
+      break;
+    }
 }
 
 void
@@ -224,6 +214,6 @@
    * sends it nothing, so its refusal is true, and asks those that may still reach it. */
   if (fb_entry_store_is_silent (request->entry))
     store_by_peer (request);
-  else if (!store_by_gatherer (request))
-    store_here (request);
+  else
+    store_by_gatherer (request);
 }
--- a/src/entry/front/gatherer.c
+++ b/src/entry/front/gatherer.c
@@ -1,5 +1,7 @@
 #include "gatherer.h"
 
+#include "front.h"
+
 #include "src/entry/store/rendezvous.h"
 
 #include <string.h>
@@ -11,6 +13,14 @@
 /* Four appends of 120 ms wait half a second; with one, its loss would stop all callers for the
  * time that it takes to notice. */
 #define GATHERER_N 4
+/* An append takes some 20 ms through another daemon; one that is cut off is found by this. */
+#define PATIENCE_MS 400
+/* A slow store takes half a second for an append, and there are some before it; what is left of a
+ * caller's time is for the answer. */
+#define SLOW_PATIENCE_MS 2300
+#define ASKED_MAX 2
+/* Later there is no time left to ask another one and to store it from here then. */
+#define ASK_UNTIL_MS (FB_FRONT_LONGEST_CALL_MS - PATIENCE_MS - FB_FRONT_STORE_MS)
 
 static gboolean
 was_asked (const GPtrArray *asked, const char *address)
@@ -51,3 +61,41 @@
   const FbDaemon *member = fb_rendezvous_choose (members, key, may_gather, &choice);
   return member != NULL ? member->address : NULL;
 }
+
+gboolean
+fb_gatherer_is_troubled (const FbStorePace *pace, uint64_t now_ms)
+{
+  return fb_store_pace_has_failed (pace, now_ms) || fb_store_pace_is_slow (pace);
+}
+
+/* Returns: (nullable): whom to ask, borrowed. */
+static const char *
+next_gatherer (const FbGathererRecord *record, const FbStorePace *pace, const GPtrArray *members,
+               uint64_t now_ms)
+{
+  if ((!fb_gatherer_is_troubled (pace, now_ms) && !fb_gatherer_always (members))
+      || record->asked->len >= ASKED_MAX || now_ms >= record->since_ms + ASK_UNTIL_MS)
+    return NULL;
+  const char *address = fb_gatherer_for (members, record->owner, record->front, record->asked,
+                                         record->partition, now_ms);
+  return address != NULL && !g_str_equal (address, record->front) ? address : NULL;
+}
+
+FbGathererWay
+fb_gatherer_way (const FbGathererRecord *record, const FbStorePace *pace, const GPtrArray *members,
+                 uint64_t now_ms)
+{
+  const char *address = next_gatherer (record, pace, members, now_ms);
+  gboolean slow = fb_store_pace_is_slow (pace);
+  if (address != NULL)
+    {
+      uint64_t left_ms = record->since_ms + FB_FRONT_LONGEST_CALL_MS - now_ms;
+      uint32_t patience_ms = slow ? SLOW_PATIENCE_MS : PATIENCE_MS;
+      return (FbGathererWay){ FB_GATHERER_ASK, address, (uint32_t) MIN (patience_ms, left_ms) };
+    }
+  /* Failure: who is refused by a slow store tries other ways, each of which is one more append in
+   * the queue for which it was refused; it shows as callers without an answer for as long as the
+   * store is slow.  Guard: then the caller is told so at once, and comes again later. */
+  gboolean give_up = slow && record->asked->len > 0;
+  return (FbGathererWay){ .step = give_up ? FB_GATHERER_GIVE_UP : FB_GATHERER_NONE };
+}
--- a/src/entry/front/gatherer.h
+++ b/src/entry/front/gatherer.h
@@ -12,6 +12,38 @@
 #pragma once
 
 #include "src/entry/store/daemons.h"
+#include "src/entry/store/store-pace.h"
+
+/* A caller's record; what it points to is borrowed. */
+typedef struct
+{
+  const char *front;      /* address of the daemon that has taken it */
+  const char *owner;      /* of the pool of its partition; NULL: not known */
+  const GPtrArray *asked; /* addresses of daemons that were asked to store it */
+  uint32_t partition;
+  uint64_t since_ms; /* when its caller came */
+} FbGathererRecord;
+
+typedef enum
+{
+  FB_GATHERER_NONE,   /* it is to be stored from here */
+  FB_GATHERER_ASK,    /* by another daemon */
+  FB_GATHERER_GIVE_UP /* nothing more is tried */
+} FbGathererStep;
+
+typedef struct
+{
+  FbGathererStep step;
+  const char *address;  /* of that daemon, borrowed; NULL unless one is to be asked */
+  uint32_t patience_ms; /* how long its answer is waited for */
+} FbGathererWay;
+
+/* TRUE when records had better not be stored from a daemon with PACE. */
+gboolean fb_gatherer_is_troubled (const FbStorePace *pace, uint64_t now_ms);
+/* What is to be done with RECORD first, or after the daemon asked last has not stored it.  PACE: of
+ * the daemon that has taken it.  MEMBERS: of FbDaemon. */
+FbGathererWay fb_gatherer_way (const FbGathererRecord *record, const FbStorePace *pace,
+                               const GPtrArray *members, uint64_t now_ms);
 
 /* Which daemon is to store a record of PARTITION that the daemon at FRONT has taken: with many
  * daemons one of four that all choose alike, else the owner, or without it one that all choose.
--- a/tests/test-slow-store.c
+++ b/tests/test-slow-store.c
@@ -30,10 +30,8 @@
 #define SLOW_UNTIL_MS 6000
 #define RENEW_EVERY_MS 600
 
-/* What a caller and the daemons wait for. */
+/* What a caller waits for. */
 #define CALLER_MS 2600
-#define GATHERER_MS 400
-#define SLOW_GATHERER_MS 2300
 
 typedef enum
 {
@@ -97,20 +95,22 @@
 {
   const FbDaemon *own = play->members->pdata[job->front];
   const FbStorePace *pace = &play->daemons[job->front].pace;
-  gboolean troubled = fb_store_pace_is_slow (pace) || fb_store_pace_has_failed (pace, now_ms);
-  const char *gatherer = NULL;
-  if (troubled || (play->learns && fb_gatherer_always (play->members)))
-    gatherer = fb_gatherer_for (play->members, "10.0.0.0:7", own->address, job->asked, PARTITION,
-                                now_ms);
+  const FbGathererRecord record = { .front = own->address,
+                                    .owner = "10.0.0.0:7",
+                                    .asked = job->asked,
+                                    .partition = PARTITION,
+                                    .since_ms = job->came_ms };
+  FbGathererWay way = { .step = FB_GATHERER_NONE };
+  if (play->learns || fb_gatherer_is_troubled (pace, now_ms))
+    way = fb_gatherer_way (&record, pace, play->members, now_ms);
   job->at = job->front;
   job->until_ms = job->came_ms + CALLER_MS;
-  if (gatherer != NULL && !g_str_equal (gatherer, own->address) && job->asked->len < 2)
-    {
-      g_ptr_array_add (job->asked, g_strdup (gatherer));
-      job->at = (guint) atoi (gatherer + strlen ("10.0.0."));
-      job->until_ms = now_ms + (fb_store_pace_is_slow (pace) ? SLOW_GATHERER_MS : GATHERER_MS);
-    }
-  job->state = JOB_WAITS;
+  job->state = way.step != FB_GATHERER_GIVE_UP ? JOB_WAITS : JOB_ENDED;
+  if (way.step != FB_GATHERER_ASK)
+    return;
+  g_ptr_array_add (job->asked, g_strdup (way.address));
+  job->at = (guint) atoi (way.address + strlen ("10.0.0."));
+  job->until_ms = now_ms + way.patience_ms;
 }
 
 /* Puts the open append of DAEMON into the partition's queue, again if it was given up: the earlier
@@ -180,12 +180,13 @@
       if (job->state == JOB_ENDED || now_ms < job->until_ms || job->came_ms > now_ms)
         continue;
       gboolean own = job->at == job->front;
-      if (own)
-        own_append_ended (play, job, FALSE, now_ms);
-      if (own || now_ms + GATHERER_MS > job->came_ms + CALLER_MS)
-        job->state = JOB_ENDED;
-      else
-        take_way (play, job, now_ms);
+      if (!own)
+        {
+          take_way (play, job, now_ms);
+          continue;
+        }
+      own_append_ended (play, job, FALSE, now_ms);
+      job->state = JOB_ENDED;
     }
 }
 
@@ -327,6 +328,95 @@
   CU_ASSERT_STRING_EQUAL (gatherer (members, NULL, front->address, asked, 2000), first);
 }
 
+/* Returns: whom the front of RECORD turns to; there has to be one. */
+static const char *
+gatherer_of (const GPtrArray *members, const FbGathererRecord *record, uint64_t now_ms)
+{
+  const char *address = fb_gatherer_for (members, record->owner, record->front, record->asked,
+                                         record->partition, now_ms);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (address);
+  return address != NULL ? address : "";
+}
+
+/* ---- which way a record goes --------------------------------------------------------- */
+
+/* Returns: the way of a record that 10.0.0.1 took at 1000. */
+static FbGathererWay
+way_of (const GPtrArray *members, const FbStorePace *pace, const GPtrArray *asked, uint64_t now_ms)
+{
+  const FbGathererRecord record = { .front = "10.0.0.1:7",
+                                    .owner = "10.0.0.0:7",
+                                    .asked = asked,
+                                    .partition = PARTITION,
+                                    .since_ms = 1000 };
+  return fb_gatherer_way (&record, pace, members, now_ms);
+}
+
+/* Few daemons and a quick store: each stores its callers' records.  Once a call has failed the
+ * owner is asked, then one that all choose, then the record is stored from here. */
+static void
+test_a_failed_store_is_gone_around (void)
+{
+  g_autoptr (GPtrArray) members = make_members (7);
+  g_autoptr (GPtrArray) asked = g_ptr_array_new ();
+  FbStorePace pace = { 0 };
+  CU_ASSERT_EQUAL (way_of (members, &pace, asked, 1000).step, FB_GATHERER_NONE);
+  fb_store_pace_failed (&pace, 1000);
+  FbGathererWay way = way_of (members, &pace, asked, 1000);
+  CU_ASSERT_EQUAL (way.step, FB_GATHERER_ASK);
+  CU_ASSERT_STRING_EQUAL (way.address, "10.0.0.0:7");
+  CU_ASSERT_EQUAL (way.patience_ms, 400);
+  g_ptr_array_add (asked, (gpointer) way.address);
+  way = way_of (members, &pace, asked, 1400);
+  CU_ASSERT_EQUAL (way.step, FB_GATHERER_ASK);
+  CU_ASSERT_STRING_NOT_EQUAL (way.address, "10.0.0.0:7");
+  g_ptr_array_add (asked, (gpointer) way.address);
+  CU_ASSERT_EQUAL (way_of (members, &pace, asked, 1800).step, FB_GATHERER_NONE);
+}
+
+/* A slow store gets nearly all of the caller's time by one way, and no second append: what is not
+ * stored then is given up. */
+static void
+test_a_slow_store_gets_one_append (void)
+{
+  g_autoptr (GPtrArray) members = make_members (7);
+  g_autoptr (GPtrArray) asked = g_ptr_array_new ();
+  FbStorePace pace = { 0 };
+  fb_store_pace_renewed (&pace, 200);
+  CU_ASSERT_TRUE (fb_gatherer_is_troubled (&pace, 1000));
+  FbGathererWay way = way_of (members, &pace, asked, 1000);
+  CU_ASSERT_EQUAL (way.step, FB_GATHERER_ASK);
+  CU_ASSERT_EQUAL (way.patience_ms, 2300);
+  CU_ASSERT_EQUAL (way_of (members, &pace, asked, 2000).patience_ms, 1600);
+  g_ptr_array_add (asked, "10.0.0.0:7");
+  CU_ASSERT_EQUAL (way_of (members, &pace, asked, 2499).step, FB_GATHERER_ASK);
+  CU_ASSERT_EQUAL (way_of (members, &pace, asked, 2500).step, FB_GATHERER_GIVE_UP);
+}
+
+/* Many daemons ask one of the four at all times; who is the one stores for itself. */
+static void
+test_many_daemons_always_ask (void)
+{
+  g_autoptr (GPtrArray) members = make_members (33);
+  g_autoptr (GPtrArray) asked = g_ptr_array_new ();
+  FbStorePace pace = { 0 };
+  FbGathererWay way = way_of (members, &pace, asked, 1000);
+  CU_ASSERT_EQUAL (way.step, FB_GATHERER_ASK);
+  CU_ASSERT_EQUAL (way.patience_ms, 400);
+  guint self_n = 0;
+  for (uint32_t partition = 0; partition < 1000; partition++)
+    {
+      const FbGathererRecord record
+          = { .front = "10.0.0.1:7", .asked = asked, .partition = partition, .since_ms = 1000 };
+      const char *chosen = gatherer_of (members, &record, 1000);
+      way = fb_gatherer_way (&record, &pace, members, 1000);
+      gboolean is_self = g_str_equal (chosen, record.front);
+      CU_ASSERT_EQUAL (way.step, is_self ? FB_GATHERER_NONE : FB_GATHERER_ASK);
+      self_n += is_self;
+    }
+  CU_ASSERT_TRUE (self_n > 0);
+}
+
 /* A store that turns this daemon away for some seconds is not tried first by each caller's record;
  * one that is well again is. */
 static void
@@ -355,6 +445,9 @@
                test_callers_are_answered_by_a_slow_store);
   CU_add_test (suite, "all choose alike without an owner", test_all_choose_alike_without_an_owner);
   CU_add_test (suite, "few append for many", test_few_append_for_many);
+  CU_add_test (suite, "a failed store is gone around", test_a_failed_store_is_gone_around);
+  CU_add_test (suite, "a slow store gets one append", test_a_slow_store_gets_one_append);
+  CU_add_test (suite, "many daemons always ask", test_many_daemons_always_ask);
   CU_add_test (suite, "a failed append counts for a second",
                test_a_failed_append_counts_for_a_second);
   CU_basic_run_tests ();
