Both groups take processes out by one object

group.c and daemons.c each kept a table of dismissed predecessors, a take_out() and a callback that ignores its answer.

FbDismissal (src/entry/store/dismissal.c) holds the group, the own name and the table for either; which failure each group guards against, and the log line of the owners', stay where they were.

Ran: test-daemons, test-entry, test-takeover, tests/platform.sh, tests/takeover.sh; lint of the files that changed.

--- a/src/entry/store/daemons.c
+++ b/src/entry/store/daemons.c
@@ -1,5 +1,7 @@
 #include "daemons.h"
 
+#include "dismissal.h"
+
 #include "src/entry/entry-private.h"
 
 #include "fb-event.h"
@@ -45,7 +47,7 @@
   GPtrArray *members; /* of FbDaemon */
   gboolean known;
   guint topics_n;
-  GHashTable *dismissed; /* names of earlier processes of this daemon that were taken out */
+  FbDismissal *dismissal;
   uint64_t generation;
   uint64_t read_generation;
   uint64_t read_ms; /* when they were asked for last */
@@ -127,22 +129,6 @@
   return members_n > 0 && members_n >= partitions_n ? MIN (2 * topics_n, TOPICS_MAX) : topics_n;
 }
 
-static void
-on_left (gpointer data, const FbHttpReply *reply)
-{
-  (void) data;
-  (void) reply; /* without an answer its time to live runs out */
-}
-
-static void
-take_out (FbDaemons *self, const char *name)
-{
-  FbHttpCall call;
-  fb_wire_leave (&call, self->entry->settings->store, GROUP, name);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, on_left, self);
-  fb_http_call_clear (&call);
-}
-
 gboolean
 fb_daemons_is_predecessor (const char *name, const char *own_name)
 {
@@ -152,18 +138,12 @@
 
 /* Failure: all daemons lose power and come back within their time to live; the store deals nothing
  * to the new processes until the ones before have run out of it, so that new lists come 1.2 s
- * after the return.  Guard: this process has the address of the one before, which is dead, and
- * takes it out. */
+ * after the return.  Guard: the processes before are taken out. */
 static void
 dismiss_predecessors (FbDaemons *self, const GArray *rows)
 {
   for (guint i = 0; i < rows->len; i++)
-    {
-      const char *name = g_array_index (rows, FbPartitionOwner, i).member;
-      if (fb_daemons_is_predecessor (name, self->name)
-          && g_hash_table_add (self->dismissed, g_strdup (name)))
-        take_out (self, name);
-    }
+    fb_dismissal_of (self->dismissal, g_array_index (rows, FbPartitionOwner, i).member);
 }
 
 static void
@@ -279,7 +259,7 @@
     g_source_remove (self->timer);
   self->timer = 0;
   fb_keepalive_forget (self->entry->keepalive, FB_MEMBERSHIP_DAEMONS);
-  take_out (self, self->name);
+  fb_dismissal_leave (self->dismissal, NULL, NULL);
 }
 
 const GPtrArray *
@@ -329,9 +309,9 @@
   self->members = g_ptr_array_new_with_free_func (fb_daemon_free);
   self->began_ms = fb_clock_ms ();
   self->topics_n = TOPICS_FIRST;
-  self->dismissed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->name = g_strdup_printf ("%s/%s/%u/%" G_GINT64_FORMAT, settings->peers, settings->domain,
                                 (guint) settings->cpu_milli, g_get_real_time ());
+  self->dismissal = fb_dismissal_new (entry, GROUP, self->name);
   read_members (self, fb_clock_ms ());
   join (self);
   return self;
--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -3,6 +3,8 @@
  * A daemon that the store can no longer hear is dealt out after its time to live.
  * Its name carries the moment of its start: a restarted process must not be taken
  * for the one before, whose orders may still be under way. */
+#include "dismissal.h"
+
 #include "src/entry/entry-private.h"
 
 #include "fb-event.h"
@@ -47,8 +49,8 @@
   uint64_t owners_generation;
   uint64_t owners_asked_ms;
   gboolean owners_open;
-  gboolean peer_open;    /* a peer is asked for them */
-  GHashTable *dismissed; /* names of earlier processes of this daemon that were taken out */
+  gboolean peer_open; /* a peer is asked for them */
+  FbDismissal *dismissal;
   guint timer;
   gboolean renews; /* joins are sent, and repeated by the keepalive */
   gboolean leaving;
@@ -77,39 +79,18 @@
 
 /* ---- earlier processes of this daemon ------------------------------------------ */
 
-/* DONE is called when the store has it, or gave no answer. */
-static void
-take_out (FbGroup *self, const char *member, FbHttpReplyDone done)
-{
-  FbHttpCall call;
-  fb_wire_leave (&call, self->entry->settings->store, GROUP, member);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_MS, done, self);
-  fb_http_call_clear (&call);
-}
-
-static void
-on_taken_out (gpointer data, const FbHttpReply *reply)
-{
-  (void) data;
-  (void) reply; /* without an answer its time to live runs out */
-}
-
 /* Failure: a daemon is killed and starts again within its time to live; the store still
  * takes the process before for the owner of its partitions, and their pools stand still
- * for what is left of that time (0.5 s when all are killed).  Guard: this process listens
- * at the same address, so the one before is dead, and is taken out of the group. */
+ * for what is left of that time (0.5 s when all are killed).  Guard: the process before is
+ * taken out of the group. */
 static void
 dismiss_predecessors (FbGroup *self, const GArray *owners)
 {
   for (guint i = 0; i < owners->len; i++)
     {
       const char *member = g_array_index (owners, FbPartitionOwner, i).member;
-      if (!fb_daemons_is_predecessor (member, self->member)
-          || g_hash_table_contains (self->dismissed, member))
-        continue;
-      g_hash_table_add (self->dismissed, g_strdup (member));
-      fb_event_log (FB_EVENT_PREDECESSOR_DISMISSED, "member=%s", member);
-      take_out (self, member, on_taken_out);
+      if (fb_dismissal_of (self->dismissal, member))
+        fb_event_log (FB_EVENT_PREDECESSOR_DISMISSED, "member=%s", member);
     }
 }
 
@@ -337,7 +318,7 @@
       g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
       fb_entry_own (self->entry, none, self->generation, "not among the strong daemons");
       fb_join_watch_left (&self->entry->joins);
-      take_out (self, self->member, on_taken_out);
+      fb_dismissal_leave (self->dismissal, NULL, NULL);
       self->ok_sent_ms = 0;
       self->generation = 0;
     }
@@ -399,7 +380,7 @@
     g_source_remove (self->timer);
   self->timer = 0;
   fb_keepalive_forget (self->entry->keepalive, FB_MEMBERSHIP_OWNERS);
-  take_out (self, self->member, on_left);
+  fb_dismissal_leave (self->dismissal, on_left, self);
 }
 
 FbGroup *
@@ -411,7 +392,7 @@
       = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers, g_get_real_time ());
   self->ttl_ms = (uint32_t) MAX (TTL_MS, entry->settings->shortest_ttl_ms);
   self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  self->dismissed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->dismissal = fb_dismissal_new (entry, GROUP, self->member);
   ask_owners (self, fb_clock_ms ());
   join (self);
   return self;
