A member's hold on its partitions is checked in one place

ok_sent_ms was compared in held_ms() and again in fb_group_is_member(), as held_ms() gave the start of a time that each caller added up.

held_until_ms() gives its end, 0 for no member, and is all that is asked.

--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -251,20 +251,21 @@
 
 /* ---- membership ---------------------------------------------------------------- */
 
-/* Returns: when the last renewal that held was sent, by the main loop or for it; 0: no member. */
+/* Returns: until when no other daemon can have been dealt this one's partitions, by the last
+ * renewal that the main loop has sent or that was sent for it; 0: no member. */
 static uint64_t
-held_ms (const FbGroup *self)
+held_until_ms (const FbGroup *self)
 {
   if (self->ok_sent_ms == 0)
     return 0;
-  return MAX (self->ok_sent_ms,
-              fb_keepalive_kept_ms (self->entry->keepalive, FB_MEMBERSHIP_OWNERS));
+  uint64_t kept_ms = fb_keepalive_kept_ms (self->entry->keepalive, FB_MEMBERSHIP_OWNERS);
+  return MAX (self->ok_sent_ms, kept_ms) + self->ttl_ms;
 }
 
 gboolean
 fb_group_is_member (const FbGroup *self, uint64_t now_ms)
 {
-  return self->ok_sent_ms != 0 && now_ms < held_ms (self) + self->ttl_ms;
+  return now_ms < held_until_ms (self);
 }
 
 /* Failure: a daemon was away for longer than its time to live and is dealt the same
@@ -274,7 +275,7 @@
 give_up_after_absence (FbGroup *self, uint64_t generation)
 {
   if (self->generation == 0 || generation == self->generation
-      || self->join_sent_ms < held_ms (self) + self->ttl_ms)
+      || self->join_sent_ms < held_until_ms (self))
     return;
   g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   fb_entry_own (self->entry, none, generation, "it joined too late");
