The fixture of a busy pool is in busy-pool.c only

busy_pool_begin(), busy_pool_admit(), busy_pool_admit_backlog(), busy_pool_list_worker() and busy_pool_end_run() serve both. The assertions are as they were.

--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -60,14 +60,13 @@
   (void) worker;
 }
 
-const FbPoolSink busy_pool_sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+static const FbPoolSink busy_pool_sink = { on_start, on_stop, on_look, on_advise, on_fenced };
 
 static void
-answer_look (BusyPool *play, guint i, uint64_t now_ms)
+answer_look (BusyPool *play, guint i, GArray *finished, uint64_t now_ms)
 {
   BusyWorker *worker = &play->workers[i];
   g_autofree char *id = g_strdup_printf ("%u", i);
-  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
   const FbLookAnswer answer = { FB_ORDER_DONE, now_ms, worker->runs, finished };
   worker->look_open = FALSE;
   fb_pool_look_answered (play->pool, id, &answer, now_ms, WALL_MS + now_ms);
@@ -80,37 +79,91 @@
     fb_pool_start_answered (play->pool, g_array_index (play->starts, uint64_t, i), FB_ORDER_DONE,
                             now_ms, now_ms);
   g_array_set_size (play->starts, 0);
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
   for (guint i = 0; i < WORKER_N; i++)
     {
       if (play->workers[i].look_open)
-        answer_look (play, i, now_ms);
+        answer_look (play, i, finished, now_ms);
     }
 }
 
+void
+busy_pool_end_run (BusyPool *play, guint worker, uint64_t number, uint64_t now_ms)
+{
+  GArray *runs = play->workers[worker].runs;
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
+  const FbRunSeen *run = &g_array_index (runs, FbRunSeen, 0);
+  g_autofree char *task = g_strdup (run->task);
+  const FbEndSeen end = {
+    .number = number, .task = task, .attempt = run->attempt, .how = FB_END_DONE, .checkpoint = ""
+  };
+  g_array_append_val (finished, end);
+  g_array_remove_index (runs, 0);
+  answer_look (play, worker, finished, now_ms);
+}
+
 static void
 clear_run (gpointer run)
 {
   g_free (((FbRunSeen *) run)->task);
 }
 
+void
+busy_pool_list_worker (BusyPool *play, guint i, const char *label, uint64_t now_ms)
+{
+  const char *const labels[] = { label, "r1", NULL };
+  g_autofree char *id = g_strdup_printf ("%u", i);
+  const FbWorkerEntry entry = { .id = id,
+                                .address = id,
+                                .rack = "r1",
+                                .labels = labels,
+                                .cpu_milli = WORKER_CPU,
+                                .mem_mb = 65536 };
+  fb_pool_worker_listed (play->pool, &entry, now_ms);
+}
+
 void
 busy_pool_list_workers (BusyPool *play, uint64_t now_ms)
 {
-  static const char *const labels[] = { "a", "r1", NULL };
+  for (guint i = 0; i < WORKER_N; i++)
+    busy_pool_list_worker (play, i, "a", now_ms);
+  fb_pool_workers_complete (play->pool);
+}
+
+void
+busy_pool_admit (BusyPool *play, const char *id, uint32_t priority, const char *label, guint tasks,
+                 uint64_t now_ms)
+{
+  fb_work_admit record;
+  fb_work_step step;
+  busy_fill_job (&record, &step);
+  record.policy.priority = priority;
+  step.count = tasks;
+  step.required_label = (char *) label;
+  fb_pool_admit (play->pool, id, &record, now_ms, WALL_MS + now_ms);
+}
+
+void
+busy_pool_admit_backlog (BusyPool *play, uint32_t priority, const char *label, uint64_t now_ms)
+{
+  for (guint i = 0; i < JOB_N; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
+      busy_pool_admit (play, id, priority, label, JOB_TASKS, now_ms);
+    }
+}
+
+void
+busy_pool_begin (BusyPool *play, uint64_t now_ms)
+{
+  static const FbPoolLimits limits = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000 };
+  play->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  play->pool = fb_pool_new (SERVICE, 1, &limits, &busy_pool_sink, play, now_ms);
   for (guint i = 0; i < WORKER_N; i++)
     {
-      g_autofree char *id = g_strdup_printf ("%u", i);
-      const FbWorkerEntry entry = { .id = id,
-                                    .address = id,
-                                    .rack = "r1",
-                                    .labels = labels,
-                                    .cpu_milli = WORKER_CPU,
-                                    .mem_mb = 65536 };
       play->workers[i].runs = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
       g_array_set_clear_func (play->workers[i].runs, clear_run);
-      fb_pool_worker_listed (play->pool, &entry, now_ms);
     }
-  fb_pool_workers_complete (play->pool);
 }
 
 void
--- a/tests/busy-pool.h
+++ b/tests/busy-pool.h
@@ -39,12 +39,23 @@
   guint started_n;
 } BusyPool;
 
-extern const FbPoolSink busy_pool_sink;
-
 /* A job of one step; RECORD borrows STEP. */
 void busy_fill_job (fb_work_admit *record, fb_work_step *step);
+/* PLAY is all zero; an empty pool, freed by busy_pool_clear(). */
+void busy_pool_begin (BusyPool *play, uint64_t now_ms);
+/* Lists worker I with LABEL, again if it was. */
+void busy_pool_list_worker (BusyPool *play, guint i, const char *label, uint64_t now_ms);
+/* All workers, with label "a". */
 void busy_pool_list_workers (BusyPool *play, uint64_t now_ms);
+/* LABEL: of the workers on which the tasks may run; empty for any. */
+void busy_pool_admit (BusyPool *play, const char *id, uint32_t priority, const char *label,
+                      guint tasks, uint64_t now_ms);
+/* JOB_N jobs of JOB_TASKS tasks. */
+void busy_pool_admit_backlog (BusyPool *play, uint32_t priority, const char *label,
+                              uint64_t now_ms);
 /* Answers all starts and looks that are open. */
 void busy_pool_answer_all (BusyPool *play, uint64_t now_ms);
+/* The oldest run of WORKER is done, its end with NUMBER: its room opens. */
+void busy_pool_end_run (BusyPool *play, guint worker, uint64_t number, uint64_t now_ms);
 /* Frees what PLAY holds. */
 void busy_pool_clear (BusyPool *play);
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -15,25 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The place in RUNS of a worker that is ended; its room opens. */
-static void
-end_one_run (BusyPool *play, guint worker, guint64 number, uint64_t now_ms)
-{
-  BusyWorker *of = &play->workers[worker];
-  g_autofree char *id = g_strdup_printf ("%u", worker);
-  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
-  FbRunSeen *run = &g_array_index (of->runs, FbRunSeen, 0);
-  g_autofree char *task = g_strdup (run->task);
-  const FbEndSeen end = {
-    .number = number, .task = task, .attempt = run->attempt, .how = FB_END_DONE, .checkpoint = ""
-  };
-  g_array_append_val (finished, end);
-  g_array_remove_index (of->runs, 0);
-  const FbLookAnswer answer = { FB_ORDER_DONE, now_ms, of->runs, finished };
-  of->look_open = FALSE;
-  fb_pool_look_answered (play->pool, id, &answer, now_ms, WALL_MS + now_ms);
-}
-
 static uint64_t
 step_once (BusyPool *play, uint64_t now_ms)
 {
@@ -42,30 +23,13 @@
   return now_ms + STEP_MS;
 }
 
-static void
-admit_one (BusyPool *play, const char *id, uint32_t priority, guint tasks, uint64_t now_ms)
-{
-  fb_work_admit record;
-  fb_work_step step;
-  busy_fill_job (&record, &step);
-  record.policy.priority = priority;
-  step.count = tasks;
-  fb_pool_admit (play->pool, id, &record, now_ms, WALL_MS + now_ms);
-}
-
 /* Returns: the time; all places are taken and nearly all jobs wait. */
 static uint64_t
 fill_pool (BusyPool *play, uint64_t now_ms)
 {
-  static const FbPoolLimits limits = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000 };
-  play->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  play->pool = fb_pool_new (SERVICE, 1, &limits, &busy_pool_sink, play, now_ms);
+  busy_pool_begin (play, now_ms);
   busy_pool_list_workers (play, now_ms);
-  for (guint i = 0; i < JOB_N; i++)
-    {
-      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
-      admit_one (play, id, 1, JOB_TASKS, now_ms);
-    }
+  busy_pool_admit_backlog (play, 1, "", now_ms);
   for (uint64_t end_ms = now_ms + PLAY_MS; now_ms < end_ms;)
     now_ms = step_once (play, now_ms);
   CU_ASSERT_EQUAL (play->started_n, WORKER_N * (WORKER_CPU / TASK_CPU));
@@ -99,7 +63,7 @@
 {
   static BusyPool play;
   uint64_t now_ms = fill_pool (&play, 100000);
-  admit_one (&play, "ffffffffffffffff", 0, 1, now_ms);
+  busy_pool_admit (&play, "ffffffffffffffff", 0, "", 1, now_ms);
   for (guint i = 0; i < 5; i++)
     now_ms = step_once (&play, now_ms);
   guint others = 0;
@@ -107,7 +71,7 @@
     {
       now_ms = until_round_is_open (&play, now_ms);
       guint before = play.started_n;
-      end_one_run (&play, i, 1, now_ms);
+      busy_pool_end_run (&play, i, 1, now_ms);
       while (play.started_n == before)
         now_ms = step_once (&play, now_ms);
       others += !runs (&play, "ffffffffffffffff");
@@ -127,11 +91,11 @@
   for (guint i = 0; i < 50; i++)
     {
       g_autofree char *id = g_strdup_printf ("f%015x", i);
-      admit_one (&play, id, 0, 1, now_ms);
+      busy_pool_admit (&play, id, 0, "", 1, now_ms);
       for (uint64_t end_ms = now_ms + 150; now_ms < end_ms;)
         now_ms = step_once (&play, now_ms);
       guint before = play.started_n;
-      end_one_run (&play, i, 1, now_ms);
+      busy_pool_end_run (&play, i, 1, now_ms);
       for (uint64_t end_ms = now_ms + 150; now_ms < end_ms && play.started_n == before;)
         now_ms = step_once (&play, now_ms);
       others += !runs (&play, "f");
@@ -154,33 +118,6 @@
 
 /* ---- an opened worker ---------------------------------------------------------------- */
 
-static void
-list_one (BusyPool *play, guint i, const char *label, uint64_t now_ms)
-{
-  const char *const labels[] = { label, "r1", NULL };
-  g_autofree char *id = g_strdup_printf ("%u", i);
-  const FbWorkerEntry entry = { .id = id,
-                                .address = id,
-                                .rack = "r1",
-                                .labels = labels,
-                                .cpu_milli = WORKER_CPU,
-                                .mem_mb = 65536 };
-  fb_pool_worker_listed (play->pool, &entry, now_ms);
-}
-
-static void
-admit_labelled (BusyPool *play, const char *id, uint32_t priority, const char *label, guint tasks,
-                uint64_t now_ms)
-{
-  fb_work_admit record;
-  fb_work_step step;
-  busy_fill_job (&record, &step);
-  record.policy.priority = priority;
-  step.count = tasks;
-  step.required_label = (char *) label;
-  fb_pool_admit (play->pool, id, &record, now_ms, WALL_MS + now_ms);
-}
-
 #define MINE 0 /* the worker on which urgent jobs alone may run */
 #define IDLE 1 /* one on which nothing may run */
 
@@ -190,23 +127,17 @@
 test_opened_worker_is_not_missed (void)
 {
   static BusyPool play;
-  static const FbPoolLimits limits = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000 };
   uint64_t now_ms = 100000;
-  play.starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  play.pool = fb_pool_new (SERVICE, 1, &limits, &busy_pool_sink, &play, now_ms);
+  busy_pool_begin (&play, now_ms);
   busy_pool_list_workers (&play, now_ms);
-  list_one (&play, MINE, "mine", now_ms);
-  list_one (&play, IDLE, "none", now_ms);
+  busy_pool_list_worker (&play, MINE, "mine", now_ms);
+  busy_pool_list_worker (&play, IDLE, "none", now_ms);
   for (guint i = 0; i < 20; i++)
     {
       g_autofree char *id = g_strdup_printf ("e%015x", i);
-      admit_labelled (&play, id, 0, "mine", 1, now_ms);
-    }
-  for (guint i = 0; i < JOB_N; i++)
-    {
-      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
-      admit_labelled (&play, id, 1, "a", JOB_TASKS, now_ms);
+      busy_pool_admit (&play, id, 0, "mine", 1, now_ms);
     }
+  busy_pool_admit_backlog (&play, 1, "a", now_ms);
   for (uint64_t end_ms = now_ms + PLAY_MS; now_ms < end_ms;)
     now_ms = step_once (&play, now_ms);
   CU_ASSERT_EQUAL (play.started_n, (WORKER_N - 1) * (WORKER_CPU / TASK_CPU));
@@ -216,17 +147,17 @@
       for (uint64_t end_ms = now_ms + 3000; play.pool->place_from < 60 && now_ms < end_ms;)
         {
           if (play.pool->place_from == 0)
-            list_one (&play, IDLE, "none", now_ms);
+            busy_pool_list_worker (&play, IDLE, "none", now_ms);
           now_ms = step_once (&play, now_ms);
         }
       guint before = play.started_n;
-      end_one_run (&play, MINE, i + 1, now_ms);
+      busy_pool_end_run (&play, MINE, i + 1, now_ms);
       fb_pool_worker_unlisted (play.pool, "1", now_ms);
       while (play.pool->place_from > 0)
         now_ms = step_once (&play, now_ms);
       const FbPoolWorker *mine = g_hash_table_lookup (play.pool->workers, "0");
       missed += play.started_n == before && !mine->opened;
-      list_one (&play, IDLE, "none", now_ms);
+      busy_pool_list_worker (&play, IDLE, "none", now_ms);
       for (uint64_t end_ms = now_ms + 1000; now_ms < end_ms;)
         now_ms = step_once (&play, now_ms);
     }
@@ -252,14 +183,14 @@
   for (guint i = 0; i < BIG_N; i++)
     {
       g_autofree char *id = g_strdup_printf ("d%015x", i);
-      admit_one (&play, id, 2, 1, now_ms);
+      busy_pool_admit (&play, id, 2, "", 1, now_ms);
     }
   guint most = 0;
   for (uint64_t end_ms = now_ms + 12000; now_ms < end_ms;)
     {
       if (play.pool->place_from == 0)
         for (guint i = 0; i < WORKER_N; i++)
-          list_one (&play, i, "a", now_ms);
+          busy_pool_list_worker (&play, i, "a", now_ms);
       fb_pool_step (play.pool, TRUE, now_ms, WALL_MS + now_ms);
       most = MAX (most, play.pool->visits_n);
       busy_pool_answer_all (&play, now_ms);
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -60,20 +60,11 @@
 static void
 test_placing_leaves_turns_to_others (void)
 {
-  static const FbPoolLimits limits = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000 };
   static BusyPool play;
   uint64_t now_ms = 100000;
   guint most = 0;
-  play.starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  play.pool = fb_pool_new (SERVICE, 1, &limits, &busy_pool_sink, &play, now_ms);
-  for (guint i = 0; i < JOB_N; i++)
-    {
-      fb_work_admit record;
-      fb_work_step step;
-      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
-      busy_fill_job (&record, &step);
-      fb_pool_admit (play.pool, id, &record, now_ms, WALL_MS + now_ms);
-    }
+  busy_pool_begin (&play, now_ms);
+  busy_pool_admit_backlog (&play, 0, "", now_ms);
   busy_pool_list_workers (&play, now_ms);
   for (uint64_t end_ms = now_ms + PLAY_MS; now_ms < end_ms; now_ms += STEP_MS)
     {
