Tests of real daemons find free ports by one function

platform.sh and takeover.sh each looked for a block of ports that is free, one by a connection and one by a call of the stand-in.

free_block() of tests/ports.sh serves both; takeover.sh now also asks for the first daemon's port, and starts the platform again on other ports as before.

Ran: tests/platform.sh, tests/takeover.sh, and free_block() beside a listener on its first choice (it takes the next block, and fails where there is none).

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -5,10 +5,8 @@
 cd "$(dirname "$0")/.."
 B=build OUT=out/platform
 rm -rf "$OUT"; mkdir -p "$OUT"
-# Another run of this test may use the same ports: the first two that are taken tell so.
-base=$((20000 + $$ % 200 * 50))
-taken() { (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null; }
-while taken $base || taken $((base + 20)); do base=$((20000 + (base - 20000 + 50) % 10000)); done
+source tests/ports.sh
+base=$(free_block 20000 50 200 0 20) || { echo "no ports are free"; exit 1; }
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 say() { echo "-- $1"; }
--- a/tests/takeover.sh
+++ b/tests/takeover.sh
@@ -12,6 +12,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 B=build OUT=out/takeover
+source tests/ports.sh
 SHARE=12 WORKERS=250 JOBS=1000 TASKS=20 WATCH_S=12 SHORT_JOBS=16 LASTING_MS=9000
 rm -rf "$OUT"; mkdir -p "$OUT"
 declare -A PID
@@ -32,11 +33,10 @@
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
 
 listens() { curl -s -o /dev/null "http://127.0.0.1:$base/audit"; }
-start_platform() { # at the first block of ports that is free
+start_platform() { # again if somebody else took the ports meanwhile
   local tries
   for tries in $(seq 0 29); do
-    base=$((10000 + ($$ + tries) % 30 * 300))
-    listens && continue
+    base=$(free_block 10000 300 30 0 $((WORKERS + 20))) || return 1
     $B/standins/standin-platform "$base" "$WORKERS" 2> "$OUT/platform.log" & PID[platform]=$!
     until_true platform_settled
     kill -0 "${PID[platform]}" 2> /dev/null && return
