What an answer tells of a worker is taken in by one function for starts and stops

fb_pool_start_answered() and fb_pool_stop_answered() each told a fence and another life apart before they looked at the run.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -227,19 +227,31 @@
     fb_pool_gang_stop (self, step, now_ms);
 }
 
+/* Takes in an answer that tells of WORKER (nullable) and not of the run.
+ * Returns: FALSE when it is of the run. */
+static gboolean
+took_for_worker (FbPool *self, FbPoolWorker *worker, FbOrderResult result, uint64_t now_ms)
+{
+  if (result == FB_ORDER_FENCED)
+    fb_pool_fenced (self, worker);
+  else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
+    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, now_ms);
+  else
+    return FALSE;
+  return TRUE;
+}
+
 void
 fb_pool_start_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
                         uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
   FbPoolWorker *worker = take_order (self, order, &run);
-  if (result == FB_ORDER_FENCED)
-    fb_pool_fenced (self, worker);
-  else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
-    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, now_ms);
-  else if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
+  if (took_for_worker (self, worker, result, now_ms))
     return;
-  else if (result == FB_ORDER_DONE)
+  if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
+    return;
+  if (result == FB_ORDER_DONE)
     {
       run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
       if (run->state == FB_RUN_STARTING)
@@ -268,10 +280,8 @@
 {
   FbPoolRun *run = NULL;
   FbPoolWorker *worker = take_order (self, order, &run);
-  if (result == FB_ORDER_FENCED)
-    fb_pool_fenced (self, worker);
-  else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
-    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, now_ms);
-  else if (run != NULL && run->order == order && result == FB_ORDER_DONE)
+  if (took_for_worker (self, worker, result, now_ms))
+    return;
+  if (run != NULL && run->order == order && result == FB_ORDER_DONE)
     run->stopped_clock_ms = clock_ms;
 }
