--- a/tools/check-docs.sh
+++ b/tools/check-docs.sh
@@ -25,4 +25,10 @@
 while read -r verb; do
   grep -q "^\.B $verb" man/flamingobarrow.1 || say "man/flamingobarrow.1 lacks $verb"
 done < <(sed -n 's/^  { "\([a-z]*\)", "[^"]*", "[^"]*",.*/\1/p' src/cli/cli-commands.c src/cli/cli-queries.c)
+# Each fault that the soak, the fuzzer of pools and the stand-in of the platform name has its row.
+while read -r fault; do
+  grep -q "^| .*\`$fault\`" docs/design/faults.md || say "docs/design/faults.md lacks $fault"
+done < <(sed -n '/names\[SOAK_FAULT_N\]/,/};/p' soak/plan.c | grep -o '"[a-z-]*"' | tr -d '"'
+  sed -n '/modes\[\]/,/};/p' fuzz/fuzz-pool.c | grep -o '"[a-z-]*"' | tr -d '"'
+  sed -n 's/.*has_member (body, "\([a-z-]*\)").*/\1/p' standins/standin-platform.c)
 exit $bad
