Test of processes asks for all of its ports before it starts

The daemons' logs say why: "cannot listen for peers on 127.0.0.1:21000". Only the workers' port was asked for, and tests/platform.sh of another run had the first one; its ports (20000 to 30000) overlapped these. An earlier failure of the same kind was put down to ports or membership and not proven.

The block is asked for as a whole, 143 ports, in a range that no other test uses. tests/ports.sh moves to tools/, as the demo uses it too. The checks are as they were.

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 B=build OUT=out/platform
 rm -rf "$OUT"; mkdir -p "$OUT"
-source tests/ports.sh
+source tools/ports.sh
 base=$(free_block 20000 50 200 0 20) || { echo "no ports are free"; exit 1; }
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
--- a/tests/takeover.sh
+++ b/tests/takeover.sh
@@ -12,7 +12,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 B=build OUT=out/takeover
-source tests/ports.sh
+source tools/ports.sh
 SHARE=12 WORKERS=250 JOBS=1000 TASKS=20 WATCH_S=12 SHORT_JOBS=16 LASTING_MS=9000
 rm -rf "$OUT"; mkdir -p "$OUT"
 declare -A PID
--- a/tools/cell-lib.sh
+++ b/tools/cell-lib.sh
@@ -1,5 +1,6 @@
 # Shared by the demo and the tests of processes: a cell of stand-ins and daemons
 # on free loopback ports.  Sourced with B (build folder) and OUT set.
+source tools/ports.sh
 PIDS=()
 declare -A DAEMON
 
@@ -14,15 +15,16 @@
 
 fetch() { curl -sf --max-time 5 "$@"; }
 
-# Makes keys and settings and starts the stand-ins, on the first port base where
-# the workers can listen.  Sets base, sofia and lima.
+# Makes keys and settings and starts the stand-ins, on a block of ports that are all
+# free.  Sets base, sofia and lima.
 start_platform() {
   rm -rf "$OUT"; mkdir -p "$OUT"
   "$B/flamingobarrow" keygen "$OUT/zavisimost.key" > "$OUT/zavisimost.pub"
   "$B/flamingobarrow" keygen "$OUT/cobranzas.key" > "$OUT/cobranzas.pub"
   local key1 key2 workers found=
   key1=$(cut -d= -f2 "$OUT/zavisimost.pub") key2=$(cut -d= -f2 "$OUT/cobranzas.pub")
-  for base in 21000 22000 23000 24000 25000 26000; do
+  for _ in $(seq 5); do # again if somebody else took the ports meanwhile
+    base=$(free_block 30000 150 18 $(seq 0 142)) || break
     tools/make-cell.sh "$OUT" $base "$key1" "$key2"
     "$B/standins/standin-workers" --cell "$OUT/cell.ini" --record-port $((base + 142)) 2> "$OUT/workers.log" &
     workers=$!
