The answer to an order counts only for the attempt that it was about

Callers could see two attempts of a gang's task at once: a start is overtaken by its stop, its refusal (409 old) comes some 400 ms late, and by then the next attempt is on the same worker and is being stopped too. The refusal was taken for one of that attempt: its room was free and the gang started a third time while it still ran. An answer "done" counted for the wrong attempt in the same way.

Cause: take_order() found the run by worker and task, and a run that is being stopped takes the answer to its start too, without a look at which start that was.

Fix: an order remembers its attempt, and its answer is dropped when another one is there. What the worker runs of the earlier attempt was settled before the next one could start.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -38,6 +38,7 @@
 {
   char *worker;
   char *task;
+  uint32_t attempt;
 } FbPoolOrderRef;
 
 static void
@@ -61,6 +62,7 @@
   FbPoolOrderRef *ref = g_new0 (FbPoolOrderRef, 1);
   ref->worker = g_strdup (worker->id);
   ref->task = g_strdup (run->name);
+  ref->attempt = run->attempt;
   uint64_t *key = g_new (uint64_t, 1);
   *key = ++self->last_order;
   g_hash_table_insert (self->orders, key, ref);
@@ -68,7 +70,8 @@
 }
 
 /* Finds what ORDER was about and forgets the order.
- * Returns: the worker; *RUN is NULL when the run is over already. */
+ * Returns: the worker; *RUN is NULL when the run is over already, also if another attempt of its
+ * task is on the worker. */
 static FbPoolWorker *
 take_order (FbPool *self, uint64_t order, FbPoolRun **run)
 {
@@ -79,6 +82,8 @@
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, ref->worker);
   if (worker != NULL)
     *run = g_hash_table_lookup (worker->runs, ref->task);
+  if (*run != NULL && (*run)->attempt != ref->attempt)
+    *run = NULL;
   g_hash_table_remove (self->orders, &order);
   return worker;
 }
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -22,7 +22,7 @@
   GHashTable *progress;  /* job -> GBytes */
   GBytes *known_workers; /* the record of the pool's workers, or NULL */
   GHashTable *workers;   /* id -> its line, listed again to a successor */
-  GHashTable *starts;    /* task -> order of its last start */
+  GHashTable *starts;    /* task -> order of its last start; also task/attempt */
   GHashTable *stops;     /* task -> order of its last stop */
   GHashTable *used;      /* set of ids: workers on which something was started */
   GPtrArray *flush;      /* open */
@@ -97,7 +97,9 @@
 on_start (gpointer user, const FbStartOrder *order)
 {
   Script *script = user;
+  g_autofree char *name = g_strdup_printf ("%s/%u", order->task, order->attempt);
   remember (script->starts, order->task, order->order);
+  remember (script->starts, name, order->order);
   g_hash_table_add (script->used, g_strdup (order->worker));
   if (g_hash_table_size (script->workers) > SMALL_POOL)
     return;
