--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -22,6 +22,7 @@
 #define TTL_MS 1000
 #define MAJORITY_MS 1500
 #define STEP_DOWN_MS 2000
+#define STALL_MOST_MS 3000
 #define LIST_LAG_MS 300
 #define SILENCE_MS 4500
 #define WALL_MS 1000000000
@@ -42,6 +43,8 @@
   char task[64];
   uint32_t attempt;
   FbEndHow how;
+  uint64_t at_ms;
+  gboolean lapsed; /* a lease of its worker ended since */
 } End;
 
 typedef struct
@@ -79,6 +82,8 @@
   uint64_t cancelled_ms;
   uint32_t done[STEP_MAX][TASK_MAX];         /* runs that ended done */
   gboolean noted[STEP_MAX][TASK_MAX];        /* such an end was acknowledged */
+  uint64_t lapsed_ms[STEP_MAX][TASK_MAX];    /* when, if first after a lease ended; else 0 */
+  uint64_t started_ms[STEP_MAX][TASK_MAX];   /* its last start */
   uint32_t failed[STEP_MAX][TASK_MAX];       /* failed ends that were acknowledged */
   uint32_t fell[STEP_MAX][TASK_MAX];         /* runs that ended failed */
   uint32_t crashed[STEP_MAX][TASK_MAX];      /* workers that crashed under it, by no task's doing */
@@ -110,6 +115,7 @@
   uint64_t deadline_ms;
   uint64_t acknowledged;
   uint32_t wait_ms;
+  uint64_t sent_ms;
   uint64_t arrives_ms;
   uint64_t gives_up_ms;  /* the sender's time limit */
   gboolean ticket;       /* it carries one */
@@ -133,6 +139,7 @@
   uint64_t life;
   uint64_t epoch;
   gboolean paused;
+  uint64_t resumes_ms; /* when it goes on by itself after a stall; 0: it does not */
   gboolean fenced;
   uint64_t authority_ms;
   GPtrArray *flush;
