A run whose end does not fit into an answer has not vanished

Callers could see a task that had ended done start again, and that end counted later: a worker lists at most 500 ends that are not acknowledged, and they are not while the store is away. With small tasks 500 are reached in seconds; each further run that ended was in neither list, which was taken for a run that left no end, and its task started again, over and over.

Fix: an answer that holds as many ends as one can is not the whole answer. It counts as one with an end that could not be taken in yet: what it does not list keeps its room, and a new owner is not done with that worker, until the ends behind are listed. The number is a limit of the pool (500), so that scripts and the fuzzer can have a small one.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -257,9 +257,14 @@
 }
 
 static World *
-world_new (guint32 seed)
+world_new (guint32 seed, const char *mode)
 {
   World *world = g_new0 (World, 1);
+  world->repeats = g_str_equal (mode, "repeats");
+  world->advised = world->repeats || g_str_equal (mode, "advised");
+  world->steady = g_str_equal (mode, "crashing-steady");
+  world->crashing = world->steady || g_str_equal (mode, "crashing");
+  world->shrinking = g_str_equal (mode, "shrinking");
   world->rand = g_rand_new_with_seed (seed);
   world->now_ms = 1000000;
   world->progress
@@ -334,12 +339,7 @@
 static gboolean
 run_seed (guint32 seed, const char *mode, uint64_t *starts)
 {
-  World *world = world_new (seed);
-  world->repeats = g_str_equal (mode, "repeats");
-  world->advised = world->repeats || g_str_equal (mode, "advised");
-  world->steady = g_str_equal (mode, "crashing-steady");
-  world->crashing = world->steady || g_str_equal (mode, "crashing");
-  world->shrinking = g_str_equal (mode, "shrinking");
+  World *world = world_new (seed, mode);
   uint64_t heal_ms = world->now_ms + FAULT_MS;
   /* Tasks that crash their workers go on when all else has healed. */
   uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing ? 2 : 1);
--- a/fuzz/pool-world-calls.c
+++ b/fuzz/pool-world-calls.c
@@ -19,7 +19,7 @@
 
 /* Rows of what runs on WORKER and of what ended there. */
 static void
-add_rows (GString *body, const Worker *worker)
+add_rows (GString *body, const Worker *worker, guint ends_most)
 {
   static const char *const hows[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
   g_string_append (body, ",\"running\":[");
@@ -30,7 +30,7 @@
                               run->attempt);
     }
   g_string_append (body, "],\"finished\":[");
-  for (guint i = 0; i < worker->ends->len; i++)
+  for (guint i = 0; i < MIN (worker->ends->len, ends_most); i++)
     {
       const End *end = &g_array_index (worker->ends, End, i);
       g_string_append_printf (body, "%s[%" G_GUINT64_FORMAT ",\"%s\",%u,\"%s\",\"\"]",
@@ -40,10 +40,11 @@
   g_string_append_c (body, ']');
 }
 
-/* Returns: the reply to ORDER, whose body is the caller's to free.  WORKER: whose runs and ends it
- * lists; may be NULL. */
+/* Returns: the reply to ORDER, whose body is the caller's to free.  WORKER: whose runs and first
+ * ENDS_MOST ends it lists; may be NULL. */
 static FbHttpReply
-make_reply (const Order *order, FbOrderResult result, const Worker *worker, uint64_t clock_ms)
+make_reply (const Order *order, FbOrderResult result, const Worker *worker, guint ends_most,
+            uint64_t clock_ms)
 {
   FbHttpReply reply = { .status = FB_HTTP_OK, .sent = TRUE, .copies = order->copies };
   if (result == FB_ORDER_UNKNOWN)
@@ -64,7 +65,7 @@
   if (replies[result].reason != NULL)
     g_string_append_printf (body, ",\"reason\":\"%s\"", replies[result].reason);
   if (worker != NULL)
-    add_rows (body, worker);
+    add_rows (body, worker, ends_most);
   g_string_append_c (body, '}');
   reply.body = g_string_free_to_bytes (body);
   return reply;
@@ -73,17 +74,19 @@
 FbOrderResult
 world_reply (const Order *order, FbOrderResult result, uint64_t *clock_ms)
 {
-  FbHttpReply reply = make_reply (order, result, NULL, *clock_ms);
+  FbHttpReply reply = make_reply (order, result, NULL, 0, *clock_ms);
   FbOrderResult told = fb_wire_order_result (&reply, clock_ms);
   g_clear_pointer (&reply.body, g_bytes_unref);
   return told;
 }
 
 void
-world_reply_to_look (const Order *order, FbOrderResult result, const Worker *worker,
-                     uint64_t clock_ms, FbLookAnswer *answer)
+world_reply_to_look (const World *world, const Order *order, FbOrderResult result,
+                     const Worker *worker, uint64_t clock_ms, FbLookAnswer *answer)
 {
-  FbHttpReply reply = make_reply (order, result, result == FB_ORDER_DONE ? worker : NULL, clock_ms);
+  guint ends_most = world->repeats ? ENDS_LISTED : G_MAXUINT;
+  const Worker *listed = result == FB_ORDER_DONE ? worker : NULL;
+  FbHttpReply reply = make_reply (order, result, listed, ends_most, clock_ms);
   fb_wire_look_answer (&reply, answer);
   g_clear_pointer (&reply.body, g_bytes_unref);
 }
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -250,8 +250,10 @@
 void
 world_owner_begin (World *world, guint i)
 {
-  static const FbPoolLimits limits
-      = { .hold_max_ms = 6000, .stop_ms = STOP_TAKES_MS, .gang_wait_ms = 3000 };
+  const FbPoolLimits limits = { .hold_max_ms = 6000,
+                                .stop_ms = STOP_TAKES_MS,
+                                .gang_wait_ms = 3000,
+                                .ends_listed_n = world->repeats ? ENDS_LISTED : 0 };
   Owner *owner = &world->owners[i];
   world_owner_end (world, i);
   *owner = (Owner){ .world = world, .life = ++world->lives, .epoch = ++world->store_epoch };
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -340,7 +340,7 @@
   if (order->kind == ORDER_LOOK)
     {
       FbLookAnswer look;
-      world_reply_to_look (order, result, &world->workers[order->worker], clock_ms, &look);
+      world_reply_to_look (world, order, result, &world->workers[order->worker], clock_ms, &look);
       fb_pool_look_answered (owner->pool, order->worker_id, &look, world->now_ms,
                              WALL_MS + world->now_ms);
       fb_look_answer_clear (&look);
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -23,6 +23,7 @@
 #define MAJORITY_MS 1500
 #define STEP_DOWN_MS 2000
 #define STALL_MOST_MS 3000
+#define ENDS_LISTED 6 /* in one answer, where calls are repeated */
 #define LIST_LAG_MS 300
 #define SILENCE_MS 4500
 #define WALL_MS 1000000000
@@ -223,8 +224,8 @@
 FbOrderResult world_reply (const Order *order, FbOrderResult result, uint64_t *clock_ms);
 /* The same for a look, with what runs and ended on WORKER; ANSWER is cleared with
  * fb_look_answer_clear(). */
-void world_reply_to_look (const Order *order, FbOrderResult result, const Worker *worker,
-                          uint64_t clock_ms, FbLookAnswer *answer);
+void world_reply_to_look (const World *world, const Order *order, FbOrderResult result,
+                          const Worker *worker, uint64_t clock_ms, FbLookAnswer *answer);
 
 /* ---- owners: pool-world-owners.c -------------------------------------------------------- */
 
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -207,7 +207,7 @@
   uint64_t clock_ms;   /* worker's clock, no later than HEARD_MS */
   uint64_t lease_ms;   /* highest deadline that was ever sent, on its clock */
   uint64_t seen_end;   /* highest number of an end that was taken in */
-  gboolean unread;     /* it lists an end of a job that is not known yet */
+  gboolean unread;     /* it lists an end of a job that is not known yet, or may have more ends */
   uint64_t unread_end; /* which one that was last; 0: none */
   uint64_t unread_ms;  /* when that was first listed */
   uint64_t flushing_end;
@@ -419,6 +419,8 @@
   FB_LOSS_LEFT         /* it is not listed, and nothing listens there */
 } FbPoolLoss;
 
+/* Fills in what LIMITS leaves to the pool. */
+void fb_pool_report_set_limits (FbPoolLimits *limits);
 void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
 void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, uint64_t now_ms);
 /* Marks JOB ended, stops what runs of it. */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -16,8 +16,19 @@
  * 250 ms to spare; 35 workers cost 300 looks a second meanwhile. */
 #define LOOK_PAUSE_MS 120
 
+/* Ends that a worker lists in one answer; those behind them are listed once these are
+ * acknowledged. */
+#define ENDS_LISTED 500
+
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
+void
+fb_pool_report_set_limits (FbPoolLimits *limits)
+{
+  if (limits->ends_listed_n == 0)
+    limits->ends_listed_n = ENDS_LISTED;
+}
+
 void
 fb_pool_fenced (FbPool *self, const FbPoolWorker *worker)
 {
@@ -493,7 +504,10 @@
       worker->seen_end = end->number;
       take_end (self, worker, end, now_ms, wall_ms);
     }
-  /* What is not listed any more may be among the ends behind the unread one. */
+  if (answer->finished->len >= self->limits.ends_listed_n)
+    worker->unread = TRUE;
+  /* What is not listed any more may be among the ends behind the unread one, or behind those that
+   * one answer holds. */
   if (!worker->unread)
     drop_absent (self, worker, answer->clock_ms, now_ms);
   note_if_emptied (self, worker, runs_before);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -17,6 +17,7 @@
   self->epoch = epoch;
   self->limits = *limits;
   fb_pool_crash_set_limits (&self->limits);
+  fb_pool_report_set_limits (&self->limits);
   self->sink = sink;
   self->user = user;
   self->began_ms = now_ms;
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -173,7 +173,8 @@
 static void
 open_pool (Script *script, uint64_t epoch)
 {
-  static const FbPoolLimits limits = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000 };
+  static const FbPoolLimits limits
+      = { .hold_max_ms = 6000, .stop_ms = 200, .gang_wait_ms = 3000, .ends_listed_n = 10 };
   g_clear_pointer (&script->pool, fb_pool_free);
   script->pool = fb_pool_new ("svc", epoch, &limits, &sink, script, script->now_ms);
   if (script->flush != NULL)
