The end of an earlier attempt does not end a later run of a job that is over

Callers could see a worker given more than it holds: a job is over, a new owner finds a run of it on a worker that also lists the end of an earlier attempt of that task. The end was taken for one of the run: it was not stopped as a stray, and its room was free.

Cause: ends of tasks of known jobs are compared with the attempt of the run; those of jobs that are over, of which only the end is left, were not.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -298,7 +298,7 @@
       return;
     }
   FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
-  if (run != NULL)
+  if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);
 }
 
