--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -125,10 +125,22 @@
       break;
     default:
       owner->paused = !owner->paused;
+      owner->resumes_ms = 0;
     }
   world->disturbed_ms[i] = world->now_ms;
 }
 
+/* An owner stands still for a moment; what renews its membership goes on. */
+static void
+stall_owner (World *world)
+{
+  Owner *owner = &world->owners[world->current];
+  if (owner->pool == NULL || owner->paused)
+    return;
+  owner->paused = TRUE;
+  owner->resumes_ms = world->now_ms + world_chance (world, STALL_MOST_MS);
+}
+
 /* A worker fails half of its calls for a while, or all connections break for a moment. */
 static void
 fault_connections (World *world)
@@ -138,6 +150,8 @@
     worker->failing = !worker->failing;
   if (world_chance (world, 500) == 0)
     world->breaking_ms = world->now_ms + world_chance (world, 500);
+  if (world_chance (world, 200) == 0)
+    stall_owner (world);
 }
 
 static void
@@ -243,9 +257,14 @@
 }
 
 static World *
-world_new (guint32 seed)
+world_new (guint32 seed, const char *mode)
 {
   World *world = g_new0 (World, 1);
+  world->repeats = g_str_equal (mode, "repeats");
+  world->advised = world->repeats || g_str_equal (mode, "advised");
+  world->steady = g_str_equal (mode, "crashing-steady");
+  world->crashing = world->steady || g_str_equal (mode, "crashing");
+  world->shrinking = g_str_equal (mode, "shrinking");
   world->rand = g_rand_new_with_seed (seed);
   world->now_ms = 1000000;
   world->progress
@@ -301,7 +320,10 @@
     world->workers[i].cpu_changed_ms = world->now_ms;
   for (guint i = 0; i < OWNER_N; i++)
     {
-      if (world->owners[i].paused)
+      Owner *owner = &world->owners[i];
+      if (owner->resumes_ms != 0 && world->now_ms >= owner->resumes_ms)
+        owner->paused = FALSE;
+      if (owner->paused)
         world->disturbed_ms[i] = world->now_ms;
     }
   for (guint i = 0; i < WORKER_N; i++)
@@ -317,12 +339,7 @@
 static gboolean
 run_seed (guint32 seed, const char *mode, uint64_t *starts)
 {
-  World *world = world_new (seed);
-  world->repeats = g_str_equal (mode, "repeats");
-  world->advised = world->repeats || g_str_equal (mode, "advised");
-  world->steady = g_str_equal (mode, "crashing-steady");
-  world->crashing = world->steady || g_str_equal (mode, "crashing");
-  world->shrinking = g_str_equal (mode, "shrinking");
+  World *world = world_new (seed, mode);
   uint64_t heal_ms = world->now_ms + FAULT_MS;
   /* Tasks that crash their workers go on when all else has healed. */
   uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing ? 2 : 1);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -16,8 +16,19 @@
  * 250 ms to spare; 35 workers cost 300 looks a second meanwhile. */
 #define LOOK_PAUSE_MS 120
 
+/* Ends that a worker lists in one answer; those behind them are listed once these are
+ * acknowledged. */
+#define ENDS_LISTED 500
+
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
+void
+fb_pool_report_set_limits (FbPoolLimits *limits)
+{
+  if (limits->ends_listed_n == 0)
+    limits->ends_listed_n = ENDS_LISTED;
+}
+
 void
 fb_pool_fenced (FbPool *self, const FbPoolWorker *worker)
 {
@@ -287,7 +298,7 @@
       return;
     }
   FbPoolRun *run = g_hash_table_lookup (worker->runs, end->task);
-  if (run != NULL)
+  if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);
 }
 
@@ -466,6 +477,9 @@
                   self->epoch, answer->running->len, answer->finished->len);
   if (!worker->answered)
     {
+      /* The owner before may have given its runs a lease a moment ago. */
+      if (answer->running->len > 0)
+        worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + FB_POOL_LEASE_MS);
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
@@ -490,7 +504,10 @@
       worker->seen_end = end->number;
       take_end (self, worker, end, now_ms, wall_ms);
     }
-  /* What is not listed any more may be among the ends behind the unread one. */
+  if (answer->finished->len >= self->limits.ends_listed_n)
+    worker->unread = TRUE;
+  /* What is not listed any more may be among the ends behind the unread one, or behind those that
+   * one answer holds. */
   if (!worker->unread)
     drop_absent (self, worker, answer->clock_ms, now_ms);
   note_if_emptied (self, worker, runs_before);
