Tasks of a step that last and were interrupted are placed by how long they are away

Tasks of a step were placed by their index. While workers are replaced one after the other, lower ones kept coming.

Of a step that is to last and has interrupted tasks, the one that is away for longest now goes first; of what a new owner found nowhere it counts since its take-over. Others are placed in order of their index as before.

--- a/src/work/pool-lasting.c
+++ b/src/work/pool-lasting.c
@@ -1,5 +1,5 @@
-/* What is told of tasks that are to last and do not run: for how long, how their last run ended,
- * and what the next one waited for.  Nothing is decided by it. */
+/* What is known of tasks that are to last and do not run: for how long, how their last run ended,
+ * and what the next one waited for.  Who is away for longest is placed first. */
 #include "internal/pool-private.h"
 
 #include "fb-event.h"
@@ -101,6 +101,26 @@
   return (Away){ 0 };
 }
 
+uint32_t
+fb_pool_lasting_next (const FbPool *self, const FbPoolStep *step)
+{
+  uint32_t next = step->shape->count;
+  uint64_t next_over_ms = 0;
+  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
+    {
+      if (!fb_pool_task_waits (&step->tasks[i]))
+        continue;
+      const Away away = away_of (self, step, i);
+      uint64_t over_ms = away.over_ms != 0 ? away.over_ms : G_MAXUINT64;
+      if (next == step->shape->count || over_ms < next_over_ms)
+        {
+          next = i;
+          next_over_ms = over_ms;
+        }
+    }
+  return next;
+}
+
 static const char *
 what_it_waited_for (const FbPool *self, const FbPoolStep *step, uint64_t over_ms, uint64_t now_ms,
                     uint64_t *for_ms)
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -19,6 +19,17 @@
                          now_ms);
 }
 
+/* Returns: the task of STEP that is placed next, its count when none waits. */
+static uint32_t
+next_to_place (const FbPool *self, FbPoolStep *step)
+{
+  while (step->waiting_from < step->shape->count
+         && !fb_pool_task_waits (&step->tasks[step->waiting_from]))
+    step->waiting_from++;
+  return step->urgency == FB_URGENCY_INTERRUPTED ? fb_pool_lasting_next (self, step)
+                                                 : step->waiting_from;
+}
+
 /* Returns: TRUE when no task waits any more. */
 static gboolean
 place_tasks (FbPool *self, FbPoolStep *step, uint64_t now_ms)
@@ -27,20 +38,15 @@
     place_probe (self, step, now_ms);
   if (fb_pool_probe_is_on (step))
     return FALSE;
-  for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
+  uint32_t i = 0;
+  while ((i = next_to_place (self, step)) < step->shape->count)
     {
-      if (!fb_pool_task_waits (&step->tasks[i]))
-        continue;
       FbPoolWorker *worker
           = fb_pool_best_worker (self, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
       if (worker == NULL)
-        {
-          step->waiting_from = i;
-          return FALSE;
-        }
+        return FALSE;
       fb_pool_order_start (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
     }
-  step->waiting_from = step->shape->count;
   return TRUE;
 }
 
