Room that is made under valid tickets is used without one more question for advice

A question of that queue takes 2.0 to 2.2 s, whatever it names.

After stops for a step were ordered, it always renewed its tickets and was not looked at before the answer.

--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -250,12 +250,40 @@
   return ids;
 }
 
-/* The same where room can be made. */
+/* Until what is stopped has ended and its end is listed. */
+static uint64_t
+room_comes_ms (const FbPool *self)
+{
+  return self->limits.stop_ms + ROOM_SLACK_MS;
+}
+
+static gboolean
+tickets_last (FbPoolStep *step, FbPoolWorker **chosen, guint n, uint64_t until_ms)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (fb_pool_valid_ticket (step, chosen[i], until_ms) == NULL)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* The same where room can be made.
+ *
+ * Failure: the tickets that have just come are valid until the room is there, and the step waits
+ * for the answer to a question about the same workers; it shows as tasks that are placed 2 s late,
+ * and as nothing else that can be asked for their step meanwhile.  Guard: such tickets are not
+ * renewed, and the room is held until it should be there. */
 static GPtrArray *
 to_renew_after_stops (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, most_at_once (step) + 1);
-  return ids_of (chosen, make_room (self, step, chosen, now_ms));
+  guint n = make_room (self, step, chosen, now_ms);
+  uint64_t there_ms = now_ms + room_comes_ms (self);
+  if (n == 0 || !tickets_last (step, chosen, n, there_ms))
+    return ids_of (chosen, n);
+  step->held_until_ms = there_ms;
+  return g_ptr_array_new ();
 }
 
 /* Failure: workers are replaced one after the other, and each new one is asked about for each
