Soak: a store that refuses calls and loses answers; up to 150 daemons

The stand-in's store answers repeats of the last five appends of a writer as it did at first, not only of the last one, as the protocol says.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -137,6 +137,15 @@
                          fault->kind == SOAK_WORKER_LATE ? share : 0);
 }
 
+static void
+misuse_store_calls (SoakFaults *self, const SoakFault *fault)
+{
+  guint share = 10 + fault->variant / 2;
+  soak_platform_control (self->platform,
+                         "{\"store-faults\":true,\"for-ms\":%u,\"refuse\":%u,\"lose\":%u}",
+                         fault->for_ms, share, share / 2);
+}
+
 /* ---- public --------------------------------------------------------------------------- */
 
 static void
@@ -195,6 +204,9 @@
     case SOAK_WORKER_LATE:
       misuse_worker_calls (self, fault);
       break;
+    case SOAK_STORE_ILL:
+      misuse_store_calls (self, fault);
+      break;
     case SOAK_ROLL:
       roll (self, fault);
       break;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -30,6 +30,7 @@
   SOAK_PEER_LINK,      /* of the other daemons to a daemon */
   SOAK_PEER_RESET,
   SOAK_PEER_SILENCE,
+  SOAK_STORE_ILL, /* refuses a share of its calls, carries a share out and does not answer */
   SOAK_FAULT_N
 } SoakFaultKind;
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -14,8 +14,8 @@
 
 /* Below the ports that the system gives to connections. */
 #define FIRST_PORT 10000
-#define PORT_RANGES 18
-#define RANGE_PORTS 550
+#define PORT_RANGES 11
+#define RANGE_PORTS 900
 #define TURN_MS 40
 #define READY_MS 20000
 /* After the faults all that was accepted has this long to end: leases, a take-over and doubts about
@@ -37,7 +37,7 @@
     = { { "seeds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "Plays, one a seed", "N" },
         { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "The first seed", "S" },
         { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Faults come for so long", "N" },
-        { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 64", "N" },
+        { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 150", "N" },
         { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
         { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
           "Neither faults of workers but crashes, nor of links between daemons", NULL },
@@ -274,7 +274,7 @@
 options_are_good (void)
 {
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
-         && option_daemons <= 64 && option_workers >= 1 && option_workers <= 250
+         && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
          && option_port > 1024 && option_port < 60000;
 }
 
--- a/standins/standin-platform-faults.c
+++ b/standins/standin-platform-faults.c
@@ -1,4 +1,4 @@
-/* Workers that do not serve all their calls, and calls that they carry out late. */
+/* Workers and a store that do not serve all their calls, and calls that are carried out late. */
 #include "standin-platform.h"
 
 #include <string.h>
@@ -22,8 +22,8 @@
   gint64 at_ms;
 } LateCall;
 
-static Shares shares[SP_WORKER_MAX];
-static GPtrArray *late_calls; /* of LateCall */
+static Shares shares[SP_WORKER_MAX + 1]; /* the last: of the store */
+static GPtrArray *late_calls;            /* of LateCall */
 static GRand *luck;
 
 static void
@@ -48,7 +48,7 @@
 {
   static const char *const names[SP_CALL_FATE_N]
       = { [SP_CALL_REFUSED] = "refuse", [SP_CALL_LOST] = "lose", [SP_CALL_LATE] = "late" };
-  Shares *own = &shares[k % SP_WORKER_MAX];
+  Shares *own = &shares[MIN (k, SP_STORE)];
   own->until_ms = sp_now_ms () + json_object_get_int_member_with_default (told, "for-ms", 0);
   for (guint i = SP_CALL_SERVED + 1; i < SP_CALL_FATE_N; i++)
     own->percent[i] = (guint) json_object_get_int_member_with_default (told, names[i], 0);
--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -7,6 +7,8 @@
 /* A page ends with the first of these. */
 #define PAGE_ROWS 500
 #define PAGE_BYTES 1000000
+/* A repeat of one of so many appends before gets its first answer again. */
+#define REPEATS_MOST 5
 
 typedef struct
 {
@@ -14,7 +16,8 @@
   GTree *newest;      /* key -> offset of its newest record, if that has a value */
   guint64 epoch;
   guint64 sequence;
-  char *answer; /* to the last append of the writer */
+  guint answered;              /* appends in this epoch */
+  char *answers[REPEATS_MOST]; /* to the last of them, by their number; owned */
 } Partition;
 
 typedef struct
@@ -124,6 +127,17 @@
     }
 }
 
+/* To an append whose SEQUENCE is not the next one. */
+static void
+answer_repeat (SoupServerMessage *message, const Partition *partition, guint64 sequence)
+{
+  guint64 back = partition->sequence - sequence;
+  if (sequence <= partition->sequence && back < MIN (partition->answered, REPEATS_MOST))
+    sp_reply (message, 200, partition->answers[(partition->answered - 1 - back) % REPEATS_MOST]);
+  else
+    sp_reply (message, 409, "{\"reason\":\"seq\"}");
+}
+
 static void
 serve_append (SoupServerMessage *message, GHashTable *query, GBytes *body)
 {
@@ -137,16 +151,10 @@
       sp_reply (message, 409, "{\"reason\":\"fenced\"}");
       return;
     }
-  if (fences && epoch == partition->epoch && partition->answer != NULL
-      && sequence == partition->sequence)
-    {
-      sp_reply (message, 200, partition->answer);
-      return;
-    }
-  if (fences && epoch == partition->epoch && partition->answer != NULL
+  if (fences && epoch == partition->epoch && partition->answered > 0
       && sequence != partition->sequence + 1)
     {
-      sp_reply (message, 409, "{\"reason\":\"seq\"}");
+      answer_repeat (message, partition, sequence);
       return;
     }
   guint offset = partition->records->len;
@@ -156,10 +164,13 @@
   sp_reply (message, 200, answer);
   if (!fences)
     return;
+  if (epoch != partition->epoch)
+    partition->answered = 0;
   partition->epoch = epoch;
   partition->sequence = sequence;
-  g_free (partition->answer);
-  partition->answer = g_steal_pointer (&answer);
+  char **slot = &partition->answers[partition->answered++ % REPEATS_MOST];
+  g_free (*slot);
+  *slot = g_steal_pointer (&answer);
 }
 
 static void
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -198,13 +198,6 @@
 
 /* ---- calls --------------------------------------------------------------------------- */
 
-static void
-close_connection (SoupServerMessage *message)
-{
-  g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
-  g_io_stream_close (stream, NULL, NULL);
-}
-
 /* Returns: (transfer full): of an answer without more than a REASON, which may be NULL. */
 static char *
 short_answer (const char *reason)
@@ -359,7 +352,7 @@
   if (losing_answers && status == 200 && is_copy)
     sp_reply (message, 503, "{}");
   else if (losing_answers && status == 200 && g_str_equal (path, "/api/run-start"))
-    close_connection (message);
+    sp_close (message);
   else if (is_look && worker->ends->len == 0 && wait_ms > 0)
     hold_look (message, worker, (guint64) wait_ms);
   else
@@ -381,7 +374,7 @@
   end_all_runs ();
   if (workers[k].up)
     (void) take_call (&workers[k], message, path, body, &answer);
-  close_connection (message);
+  sp_close (message);
 }
 
 void
@@ -390,7 +383,7 @@
   Worker *worker = &workers[k];
   if (!worker->up && worker->back_ms != 0)
     {
-      close_connection (message); /* its host has no process that listens there */
+      sp_close (message); /* its host has no process that listens there */
       return;
     }
   if (!worker->up || body == NULL)
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -7,7 +7,9 @@
  * back under another id, {"unlisted":K,"for-ms":N} keeps its entry away while it runs on,
  * {"lose-answers":true} has workers carry starts out without an answer and refuse copies of them,
  * {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P} has worker K refuse, carry out without an
- * answer or carry out late P percent of its calls, {"healthy":true} ends both.  A payload "crash N"
+ * answer or carry out late P percent of its calls, {"store-faults":true,...} the store the first
+ * two,
+ * {"healthy":true} ends these.  A payload "crash N"
  * takes the task's worker down after N ms. */
 #include "standin-platform.h"
 
@@ -53,6 +55,13 @@
   g_clear_object (&held->message);
 }
 
+void
+sp_close (SoupServerMessage *message)
+{
+  g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
+  g_io_stream_close (stream, NULL, NULL);
+}
+
 /* ---- requests ------------------------------------------------------------------------ */
 
 static void
@@ -77,6 +86,8 @@
     sp_workers_heal ();
   if (json_object_has_member (body, "faults"))
     sp_faults_set ((guint) json_object_get_int_member (body, "faults"), body);
+  if (json_object_has_member (body, "store-faults"))
+    sp_faults_set (SP_STORE, body);
   if (json_object_has_member (body, "lose-answers"))
     sp_workers_lose_answers (json_object_get_boolean_member (body, "lose-answers"));
   if (json_object_has_member (body, "finish"))
@@ -111,13 +122,16 @@
 serve_store (SoupServerMessage *message, const char *path, GHashTable *query, GBytes *bytes,
              JsonObject *body)
 {
+  SpCallFate fate = sp_faults_draw (SP_STORE);
   if (silent)
     soup_server_message_pause (g_object_ref (message)); /* never answered */
-  else if (outage)
+  else if (outage || fate == SP_CALL_REFUSED)
     sp_reply (message, 503, "{}");
   else if (!sp_store_serve (message, path, query, bytes)
            && !sp_group_serve (message, path, query, body))
     sp_reply (message, 404, "{}");
+  else if (fate == SP_CALL_LOST && !g_str_equal (path, "/api/log-read"))
+    sp_close (message); /* reads may wait, and change nothing */
 }
 
 static void
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -8,6 +8,8 @@
 #define SP_SERVICE "svc"
 #define SP_PARTITIONS 32
 #define SP_WORKER_MAX 256
+/* Among the workers where faults of calls are told. */
+#define SP_STORE SP_WORKER_MAX
 
 /* ---- shared: standin-platform.c ---------------------------------------------- */
 
@@ -22,6 +24,8 @@
 } SpHeld;
 
 void sp_hold (SpHeld *held, SoupServerMessage *message, guint64 wait_ms);
+/* No answer is sent to MESSAGE. */
+void sp_close (SoupServerMessage *message);
 /* Sends the answer that was set meanwhile. */
 void sp_release (SpHeld *held);
 
@@ -69,7 +73,7 @@
 /* Returns: (transfer full): how many tasks of JOB run now, as JSON. */
 char *sp_workers_running (const char *job);
 
-/* ---- faults of the calls of workers: standin-platform-faults.c -------------------------- */
+/* ---- faults of calls: standin-platform-faults.c -------------------------- */
 
 typedef enum
 {
@@ -81,7 +85,8 @@
 } SpCallFate;
 
 void sp_faults_init (void);
-/* TOLD: members "refuse", "lose" and "late" in percent of the calls of worker K, "for-ms". */
+/* TOLD: members "refuse", "lose" and "late" in percent of the calls of worker K or of
+ * SP_STORE, "for-ms". */
 void sp_faults_set (guint k, JsonObject *told);
 void sp_faults_end (void);
 SpCallFate sp_faults_draw (guint k);
