Soak: links pass on while the soak waits for the stand-in

Daemons saw store and workers silent for 40 s.

These calls now run in the main loop beside the links, on one connection so that they keep their order; the calm heals 2.5 times a second, and a roll of many daemons ends with the faults (at 3 or 12 daemons it lasts as long as before).

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -4,6 +4,7 @@
 
 /* A worker that writes no entry for longer than this is not listed any more. */
 #define UNLISTED_MS 4500
+#define ROLL_MOST_MS 25000
 
 struct _SoakFaults
 {
@@ -98,11 +99,12 @@
 static void
 roll (SoakFaults *self, const SoakFault *fault)
 {
+  guint gap_ms = MIN (300 + fault->for_ms / 4, ROLL_MOST_MS / self->plan->daemon_n);
   for (guint i = 0; i < self->plan->daemon_n; i++)
     {
       SoakFault stop = { .kind = SOAK_ROLL, .target = i };
       soak_daemon_restart (self->processes, i, 100);
-      end_later (self, &stop, i * (300 + fault->for_ms / 4));
+      end_later (self, &stop, i * gap_ms);
     }
 }
 
--- a/soak/platform.c
+++ b/soak/platform.c
@@ -7,15 +7,23 @@
 
 struct _SoakPlatform
 {
-  SoupSession *session;
+  SoupSession *session; /* with one connection, so that calls arrive in their order */
   guint16 port;
+  guint pending; /* calls on the way */
 };
 
+typedef struct
+{
+  gboolean done;
+  GBytes *answer; /* owned; NULL: none */
+} Call;
+
 SoakPlatform *
 soak_platform_new (guint16 port)
 {
   SoakPlatform *self = g_new0 (SoakPlatform, 1);
-  self->session = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, NULL);
+  self->session
+      = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, "max-conns-per-host", 1, NULL);
   self->port = port;
   return self;
 }
@@ -23,26 +31,66 @@
 void
 soak_platform_free (SoakPlatform *self)
 {
+  soup_session_abort (self->session);
+  while (self->pending > 0)
+    g_main_context_iteration (NULL, TRUE);
   g_object_unref (self->session);
   g_free (self);
 }
 
-char *
-soak_platform_ask (SoakPlatform *self, const char *path, const char *body)
+static SoupMessage *
+new_message (const SoakPlatform *self, const char *path, const char *body)
 {
   g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u%s", self->port, path);
-  g_autoptr (SoupMessage) message = soup_message_new (body != NULL ? "POST" : "GET", url);
+  SoupMessage *message = soup_message_new (body != NULL ? "POST" : "GET", url);
   if (body != NULL)
     {
       g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
       soup_message_set_request_body_from_bytes (message, "application/json", bytes);
     }
-  g_autoptr (GBytes) answer = soup_session_send_and_read (self->session, message, NULL, NULL);
+  return message;
+}
+
+static void
+on_answer (GObject *session, GAsyncResult *result, gpointer user)
+{
+  Call *call = user;
+  call->answer = soup_session_send_and_read_finish (SOUP_SESSION (session), result, NULL);
+  call->done = TRUE;
+}
+
+/* The links work on while it waits. */
+static GBytes *
+wait_for_answer (SoakPlatform *self, SoupMessage *message)
+{
+  Call call = { 0 };
+  soup_session_send_and_read_async (self->session, message, G_PRIORITY_DEFAULT, NULL, on_answer,
+                                    &call);
+  while (!call.done)
+    g_main_context_iteration (NULL, TRUE);
+  return call.answer;
+}
+
+char *
+soak_platform_ask (SoakPlatform *self, const char *path, const char *body)
+{
+  g_autoptr (SoupMessage) message = new_message (self, path, body);
+  g_autoptr (GBytes) answer = wait_for_answer (self, message);
   if (answer == NULL)
     return NULL;
   return g_strndup (g_bytes_get_data (answer, NULL), g_bytes_get_size (answer));
 }
 
+static void
+on_told (GObject *session, GAsyncResult *result, gpointer user)
+{
+  SoakPlatform *self = user;
+  g_autoptr (GBytes) answer
+      = soup_session_send_and_read_finish (SOUP_SESSION (session), result, NULL);
+  (void) answer;
+  self->pending--;
+}
+
 void
 soak_platform_control (SoakPlatform *self, const char *format, ...)
 {
@@ -50,13 +98,16 @@
   va_start (args, format);
   g_autofree char *body = g_strdup_vprintf (format, args);
   va_end (args);
-  g_free (soak_platform_ask (self, "/control", body));
+  g_autoptr (SoupMessage) message = new_message (self, "/control", body);
+  self->pending++;
+  soup_session_send_and_read_async (self->session, message, G_PRIORITY_DEFAULT, NULL, on_told,
+                                    self);
 }
 
 gboolean
 soak_platform_is_ready (SoakPlatform *self, const char *url)
 {
   g_autoptr (SoupMessage) message = soup_message_new ("GET", url);
-  g_autoptr (GBytes) body = soup_session_send_and_read (self->session, message, NULL, NULL);
+  g_autoptr (GBytes) body = wait_for_answer (self, message);
   return body != NULL && soup_message_get_status (message) == 200;
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -21,6 +21,7 @@
 /* After the faults all that was accepted has this long to end: leases, a take-over and doubts about
  * crashed workers take some 20 s one after the other. */
 #define HEAL_MS 45000
+#define HEAL_TURNS 10
 
 static gint option_seeds = 1;
 static gint option_seed = 1;
@@ -163,11 +164,13 @@
 run_calm (Play *play)
 {
   gint64 until_us = g_get_monotonic_time () + HEAL_MS * 1000;
-  while (play->broken == NULL && !soak_callers_all_ended (play->callers)
-         && g_get_monotonic_time () < until_us)
+  for (guint turn = 0; play->broken == NULL && !soak_callers_all_ended (play->callers)
+                       && g_get_monotonic_time () < until_us;
+       turn++)
     {
       /* What a fault that ends late has changed is put right again. */
-      soak_faults_heal (play->faults);
+      if (turn % HEAL_TURNS == 0)
+        soak_faults_heal (play->faults);
       soak_callers_turn (play->callers, TRUE);
       judge (play);
       pause_ms (TURN_MS);
