Stand-in: a call to a worker that crashes at that moment is not carried out

A worker's runs that were due ended after it was found to be up: a task that takes its worker down could do so there, and the start that was served went on on a worker that was gone, with a run that its next life kept. It also went through the runs of all workers for each call, which is needed for starts only.

--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -169,23 +169,36 @@
 static void
 end_runs (Worker *worker)
 {
+  gint64 now_ms = sp_now_ms ();
   for (guint i = worker->runs->len; worker->up && i > 0; i--)
     {
       const Run *run = worker->runs->pdata[i - 1];
-      if (run->crashes && !run->stopping && sp_now_ms () >= run->ends_ms)
+      if (run->crashes && !run->stopping && now_ms >= run->ends_ms)
         sp_worker_crash (worker->index, 2000 + (gint64) (sp_audit_crash (run->task) % 5) * 1000);
-      else if (sp_now_ms () >= run->ends_ms || sp_now_ms () >= worker->lease_ms)
+      else if (now_ms >= run->ends_ms || now_ms >= worker->lease_ms)
         end_run (worker, i - 1);
     }
-  if (sp_now_ms () >= worker->lease_ms)
+  if (now_ms >= worker->lease_ms)
     lapse_ends (worker);
 }
 
+/* What has ended elsewhere at this moment does not count as running. */
+static void
+end_other_runs (const Worker *worker)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      if (&workers[i] != worker)
+        end_runs (&workers[i]);
+    }
+}
+
 static void
 begin_run (Worker *worker, JsonObject *body)
 {
   const char *task = json_object_get_string_member (body, "task");
   const char *spec = json_object_get_string_member (body, "spec");
+  end_other_runs (worker);
   sp_audit_start (task, runs_of (task), (worker->runs->len + 1) * TASK_CPU <= WORKER_CPU);
   Run *run = g_new0 (Run, 1);
   run->task = g_strdup (task);
@@ -359,19 +372,11 @@
     sp_reply (message, status, answer != NULL ? answer : "{}");
 }
 
-/* Its own runs, and those of the other workers, are what they are at this moment. */
-static void
-end_all_runs (void)
-{
-  for (guint i = 0; i < worker_n; i++)
-    end_runs (&workers[i]);
-}
-
 void
 sp_worker_carry_out (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
 {
   g_autofree char *answer = NULL;
-  end_all_runs ();
+  end_runs (&workers[k]);
   if (workers[k].up)
     (void) take_call (&workers[k], message, path, body, &answer);
   sp_close (message);
@@ -381,6 +386,7 @@
 sp_worker_serve (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
 {
   Worker *worker = &workers[k];
+  end_runs (worker);
   if (!worker->up && worker->back_ms != 0)
     {
       sp_close (message); /* its host has no process that listens there */
@@ -391,7 +397,6 @@
       sp_reply (message, 500, "{}");
       return;
     }
-  end_all_runs ();
   switch (sp_faults_draw (k))
     {
     case SP_CALL_REFUSED:
