--- a/soak/faults.c
+++ b/soak/faults.c
@@ -4,6 +4,7 @@
 
 /* A worker that writes no entry for longer than this is not listed any more. */
 #define UNLISTED_MS 4500
+#define ROLL_MOST_MS 25000
 
 struct _SoakFaults
 {
@@ -98,11 +99,12 @@
 static void
 roll (SoakFaults *self, const SoakFault *fault)
 {
+  guint gap_ms = MIN (300 + fault->for_ms / 4, ROLL_MOST_MS / self->plan->daemon_n);
   for (guint i = 0; i < self->plan->daemon_n; i++)
     {
       SoakFault stop = { .kind = SOAK_ROLL, .target = i };
       soak_daemon_restart (self->processes, i, 100);
-      end_later (self, &stop, i * (300 + fault->for_ms / 4));
+      end_later (self, &stop, i * gap_ms);
     }
 }
 
@@ -137,6 +139,15 @@
                          fault->kind == SOAK_WORKER_LATE ? share : 0);
 }
 
+static void
+misuse_store_calls (SoakFaults *self, const SoakFault *fault)
+{
+  guint share = 10 + fault->variant / 2;
+  soak_platform_control (self->platform,
+                         "{\"store-faults\":true,\"for-ms\":%u,\"refuse\":%u,\"lose\":%u}",
+                         fault->for_ms, share, share / 2);
+}
+
 /* ---- public --------------------------------------------------------------------------- */
 
 static void
@@ -195,6 +206,9 @@
     case SOAK_WORKER_LATE:
       misuse_worker_calls (self, fault);
       break;
+    case SOAK_STORE_ILL:
+      misuse_store_calls (self, fault);
+      break;
     case SOAK_ROLL:
       roll (self, fault);
       break;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -14,13 +14,14 @@
 
 /* Below the ports that the system gives to connections. */
 #define FIRST_PORT 10000
-#define PORT_RANGES 18
-#define RANGE_PORTS 550
+#define PORT_RANGES 11
+#define RANGE_PORTS 900
 #define TURN_MS 40
 #define READY_MS 20000
 /* After the faults all that was accepted has this long to end: leases, a take-over and doubts about
  * crashed workers take some 20 s one after the other. */
 #define HEAL_MS 45000
+#define HEAL_TURNS 10
 
 static gint option_seeds = 1;
 static gint option_seed = 1;
@@ -37,7 +38,7 @@
     = { { "seeds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "Plays, one a seed", "N" },
         { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "The first seed", "S" },
         { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Faults come for so long", "N" },
-        { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 64", "N" },
+        { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 150", "N" },
         { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
         { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
           "Neither faults of workers but crashes, nor of links between daemons", NULL },
@@ -163,11 +164,13 @@
 run_calm (Play *play)
 {
   gint64 until_us = g_get_monotonic_time () + HEAL_MS * 1000;
-  while (play->broken == NULL && !soak_callers_all_ended (play->callers)
-         && g_get_monotonic_time () < until_us)
+  for (guint turn = 0; play->broken == NULL && !soak_callers_all_ended (play->callers)
+                       && g_get_monotonic_time () < until_us;
+       turn++)
     {
       /* What a fault that ends late has changed is put right again. */
-      soak_faults_heal (play->faults);
+      if (turn % HEAL_TURNS == 0)
+        soak_faults_heal (play->faults);
       soak_callers_turn (play->callers, TRUE);
       judge (play);
       pause_ms (TURN_MS);
@@ -274,7 +277,7 @@
 options_are_good (void)
 {
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
-         && option_daemons <= 64 && option_workers >= 1 && option_workers <= 250
+         && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
          && option_port > 1024 && option_port < 60000;
 }
 
