The jobs and the workers of a pool have headers of their own

pool-private.h held all of a pool in 500 lines: its jobs, its workers, the pool and what 20 files do with them.

pool-job-private.h has the jobs (types, pool-job.c, pool-speed.c), pool-worker-private.h the workers and their runs (types, pool-worker.c, pool-roster.c, pool-closed.c), 254 lines stay. Moved as it was; pool-private.h includes both, so that no other file changes.

--- /dev/null
+++ b/include/internal/pool-worker-private.h
@@ -0,0 +1,134 @@
+/* The workers of a pool and the runs on them, for its own files only. */
+#pragma once
+
+#include "internal/pool-job-private.h"
+
+typedef enum
+{
+  FB_RUN_STARTING, /* ordered; it is not known whether it is there */
+  FB_RUN_RUNNING,
+  FB_RUN_STOPPING
+} FbRunState;
+
+/* An attempt on a worker, from its order until it has certainly ended there. */
+struct _FbPoolRun
+{
+  char *name;
+  FbPoolStep *step;   /* NULL: of no job that is known */
+  uint64_t seen_ms;   /* when it was first listed */
+  uint64_t listed_ms; /* when it was last listed; 0: never */
+  uint32_t index;
+  uint32_t attempt;
+  FbRunState state;
+  gboolean given_up;         /* its task no longer counts on it */
+  gboolean unanswered;       /* its order got no answer: it may have begun */
+  guint suspicion_n;         /* crashes and doubts of its task when it was charged to its worker */
+  gboolean whole;            /* started here, from the beginning: its time tells of the worker */
+  uint64_t order;            /* the last one sent for it */
+  uint64_t deadline_ms;      /* of the start, on the worker's clock */
+  uint64_t seen_clock_ms;    /* worker's clock when it was last known to be there */
+  uint64_t stopped_clock_ms; /* worker's clock when a stop was taken; 0: not yet */
+  uint64_t stop_sent_ms;
+  uint64_t started_ms;
+};
+
+typedef struct
+{
+  char *id;
+  guint slot;      /* its place in the roster */
+  uint32_t life;   /* unique in the pool, never 0 */
+  uint64_t rank;   /* decides between equal workers, in whatever order they were listed; names it
+                    * in records of crashes */
+  gboolean opened; /* it takes more than in the last round */
+  gboolean took;   /* it took work when it was last tended */
+  char *address;
+  char *rack;
+  char **labels;
+  uint32_t cpu_milli;
+  uint32_t mem_mb;
+  uint32_t gpu_count;
+  gboolean listed;
+  uint64_t listed_ms; /* when it was first listed; 0: it was known before */
+  gboolean draining;
+  gboolean answered;      /* under the present epoch */
+  gboolean silence_noted; /* it fell silent, and records say what was on it */
+  gboolean gone;          /* this life has certainly ended, or all its leases have */
+  /* Names of the steps that may still run there, as the owner before had recorded them when
+   * nothing was started there any more; NULL: it may run anything. */
+  GHashTable *closed_to;
+  gboolean look_open;
+  uint32_t first_answer_ms; /* patience of the last look before it first answered */
+  uint64_t look_at_ms;      /* when the next look is due */
+  uint64_t look_sent_ms;
+  uint64_t proof_ms;   /* when the last look that was answered had been sent */
+  uint64_t heard_ms;   /* last answer */
+  uint64_t clock_ms;   /* worker's clock, no later than HEARD_MS */
+  uint64_t lease_ms;   /* highest deadline that was ever sent, on its clock */
+  uint64_t seen_end;   /* highest number of an end that was taken in */
+  gboolean unread;     /* it lists an end of a job that is not known yet */
+  uint64_t unread_end; /* which one that was last; 0: none */
+  uint64_t unread_ms;  /* when that was first listed */
+  uint64_t flushing_end;
+  uint64_t acknowledged;
+  uint64_t paused_until_ms;
+  uint32_t bad_streak;
+  FbPoolSpeed *speed;
+  uint64_t spared_until_ms;
+  char *last_bad_job;
+  GHashTable *runs; /* name -> FbPoolRun */
+  guint suspects_n; /* runs of tasks under which workers have crashed */
+  guint isolated_n; /* those that run apart for it */
+  uint32_t alien_n; /* runs of jobs that are not known: their size is not known */
+  int64_t cpu_used;
+  int64_t mem_used;
+  int64_t gpu_used;
+  int64_t cpu_held; /* for steps that wait for advice */
+  int64_t mem_held;
+  int64_t gpu_held;
+} FbPoolWorker;
+
+/* pool-worker.c */
+FbPoolWorker *fb_pool_worker_new (const char *id);
+/* Returns: what decides between equal workers: the same for ID at all owners. */
+uint64_t fb_pool_worker_rank (const char *id);
+void fb_pool_worker_free (gpointer worker);
+void fb_pool_worker_describe (FbPoolWorker *worker, const FbWorkerEntry *entry);
+/* The worker's clock now, estimated so that it is never ahead of the truth. */
+uint64_t fb_pool_worker_clock_low (const FbPoolWorker *worker, uint64_t now_ms);
+gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE when every lease that it can hold has certainly ended. */
+gboolean fb_pool_worker_lapsed (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
+FbPoolRun *fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
+                                   const char *name, uint32_t attempt);
+void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
+gboolean fb_pool_worker_fits (const FbPoolWorker *worker, const fb_work_step *shape);
+/* Pauses a worker that fails what it is given, after a failure and after a start. */
+void fb_pool_worker_spare (FbPoolWorker *worker, uint64_t now_ms);
+/* Adds (SIGN 1) or takes off (-1) what RUN uses. */
+void fb_pool_worker_charge (FbPoolWorker *worker, FbPoolRun *run, int sign);
+/* Keeps (SIGN 1) or gives back (-1) room for a task of SHAPE. */
+void fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign);
+gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
+
+/* pool-roster.c */
+void fb_pool_roster_add (FbPool *self, FbPoolWorker *worker);
+/* Forgets WORKER and frees it. */
+void fb_pool_roster_remove (FbPool *self, FbPoolWorker *worker);
+/* Returns: the next worker from *SLOT on, which moves behind it; NULL: there is none. */
+FbPoolWorker *fb_pool_roster_next (const FbPool *self, guint *slot);
+/* WORKER may take what it did not take before. */
+void fb_pool_worker_opened (FbPool *self, FbPoolWorker *worker);
+
+/* pool-closed.c */
+
+/* Which steps may still run on WORKER, which drains, goes into KNOWN. */
+void fb_pool_closed_record (const FbPoolWorker *worker, fb_work_known *known);
+void fb_pool_closed_record_clear (fb_work_known *known);
+/* The owner before knew WORKER as KNOWN tells. */
+void fb_pool_closed_restore (FbPool *self, const fb_work_known *known);
+/* WORKER was listed: it gets what the owner before knew of it. */
+void fb_pool_closed_take (FbPool *self, FbPoolWorker *worker);
+/* FALSE when no run of STEP can be on WORKER, which drains. */
+gboolean fb_pool_closed_may_hold (const FbPoolWorker *worker, const FbPoolStep *step);
+/* TRUE when nothing runs on WORKER, whether it answers or not. */
+gboolean fb_pool_closed_is_empty (const FbPoolWorker *worker);
