What proves that a suspected task is not on a worker is recorded

Callers could see a job fail without cause: its record named workers on which a suspected task was started, and kept naming them after a start was refused, a look had proved that it never began, or a worker that was in doubt had answered again. When such a worker crashed later, the next owner counted that for the task, until the job was given up.

Fix: a refusal, an absence, an end and a doubt that is settled take the worker out of the list at once, and the record is written again.

Evidence: tests/pools/doubt-that-was-settled.script and start-refused-before-a-crash.script, red before. crashes-known-late.expected has one record more, that of a doubt which is settled there; nothing else in it changes.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -35,6 +35,9 @@
                           uint64_t now_ms);
 /* Task INDEX has shown that it crashes no worker.  WHY: a static text. */
 void fb_pool_crash_clear (FbPool *self, FbPoolStep *step, uint32_t index, const char *why);
+/* No run of task INDEX is on WORKER, which goes on: the job's record says so, if it named it. */
+void fb_pool_crash_task_gone (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
+                              uint32_t index);
 /* A run of task INDEX ended on WORKER, which goes on. */
 void fb_pool_crash_task_ended (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
                                uint32_t index, FbEndHow how);
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -140,11 +140,21 @@
   fb_pool_task_may_wait (self, step, index);
 }
 
+void
+fb_pool_crash_task_gone (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
+{
+  FbPoolTask *task = &step->tasks[index];
+  if (task->tried == NULL)
+    return;
+  fb_pool_tried_drop (task, worker->id);
+  fb_pool_job_changed (self, step->job);
+}
+
 void
 fb_pool_crash_task_ended (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
                           uint32_t index, FbEndHow how)
 {
-  fb_pool_tried_drop (&step->tasks[index], worker->id);
+  fb_pool_crash_task_gone (self, worker, step, index);
   if (how == FB_END_DONE)
     fb_pool_probe_passed (step);
   if (how == FB_END_DONE || how == FB_END_FAILED)
--- a/src/work/pool-doubt.c
+++ b/src/work/pool-doubt.c
@@ -85,6 +85,7 @@
   task->doubts_n--;
   fb_pool_task_weigh (self, step, index);
   fb_pool_tried_drop (task, id);
+  fb_pool_job_changed (self, step->job);
   if (crashed)
     fb_pool_crash_count (self, step, index, (FbPoolCrash){ fb_pool_worker_rank (id), lost->apart },
                          now_ms);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -437,6 +437,8 @@
       FbPoolStep *step = run->step;
       fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
                     run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
+      if (step != NULL)
+        fb_pool_crash_task_gone (self, worker, step, run->index);
       fb_pool_run_over (self, worker, run, "absent", now_ms);
       if (step != NULL && step->shape->gang && !fb_pool_step_done (step)
           && !fb_pool_job_ended (step->job))
