--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -83,7 +83,7 @@
   uint64_t cancelled_ms;
   uint32_t done[STEP_MAX][TASK_MAX];         /* runs that ended done */
   gboolean noted[STEP_MAX][TASK_MAX];        /* such an end was acknowledged */
-  uint64_t lapsed_ms[STEP_MAX][TASK_MAX];    /* when, if first after a lease ended; else 0 */
+  uint64_t excused_ms[STEP_MAX][TASK_MAX];   /* starts that were sent before may arrive after it */
   uint64_t started_ms[STEP_MAX][TASK_MAX];   /* its last start */
   uint32_t failed[STEP_MAX][TASK_MAX];       /* failed ends that were acknowledged */
   uint32_t fell[STEP_MAX][TASK_MAX];         /* runs that ended failed */
