Fuzzer of pools: answers overtake each other

In the kind "repeats" one answer in twenty is up to 0.5 s on its way back, with what the worker said when it said it.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -300,7 +300,7 @@
         g_free (spec->steps.steps_val[j].after.after_val);
       g_free (spec->steps.steps_val);
     }
-  g_ptr_array_set_free_func (world->orders, g_free);
+  g_ptr_array_set_free_func (world->orders, world_order_free);
   g_ptr_array_unref (world->orders);
   g_hash_table_unref (world->progress);
   g_clear_pointer (&world->known_workers, g_bytes_unref);
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -330,36 +330,47 @@
   return owner->pool != NULL && owner->life == order->owner_life ? owner : NULL;
 }
 
-/* RESULT is what the worker says at CLOCK_MS. */
+/* The sender of ORDER hears what became of it. */
 static void
-answer (World *world, const Order *order, FbOrderResult result, uint64_t clock_ms)
+deliver (World *world, Order *order)
 {
   Owner *owner = sender_of (world, order);
-  if (owner == NULL)
-    return;
+  const FbLookAnswer *told = &order->answer;
+  if (owner != NULL && order->kind == ORDER_LOOK)
+    fb_pool_look_answered (owner->pool, order->worker_id, told, world->now_ms,
+                           WALL_MS + world->now_ms);
+  else if (owner != NULL && order->kind == ORDER_START)
+    fb_pool_start_answered (owner->pool, order->order, told->result, told->clock_ms, world->now_ms);
+  else if (owner != NULL)
+    fb_pool_stop_answered (owner->pool, order->order, told->result, told->clock_ms, world->now_ms);
+  order->answer_ms = 0;
+  order->gives_up_ms = G_MAXUINT64;
+}
+
+/* RESULT is what the worker says at CLOCK_MS. */
+static void
+make_answer (World *world, Order *order, FbOrderResult result, uint64_t clock_ms)
+{
+  fb_look_answer_clear (&order->answer);
   if (order->kind == ORDER_LOOK)
-    {
-      FbLookAnswer look;
-      world_reply_to_look (world, order, result, &world->workers[order->worker], clock_ms, &look);
-      fb_pool_look_answered (owner->pool, order->worker_id, &look, world->now_ms,
-                             WALL_MS + world->now_ms);
-      fb_look_answer_clear (&look);
-      return;
-    }
-  FbOrderResult told = world_reply (order, result, &clock_ms);
-  if (order->kind == ORDER_START)
-    fb_pool_start_answered (owner->pool, order->order, told, clock_ms, world->now_ms);
+    world_reply_to_look (world, order, result, &world->workers[order->worker], clock_ms,
+                         &order->answer);
   else
-    fb_pool_stop_answered (owner->pool, order->order, told, clock_ms, world->now_ms);
+    order->answer
+        = (FbLookAnswer){ .result = world_reply (order, result, &clock_ms), .clock_ms = clock_ms };
 }
 
+/* Answers overtake each other on their ways back. */
 static void
 answer_if_heard (World *world, Order *order, FbOrderResult result, uint64_t clock_ms)
 {
   if (order->answer_lost || world->now_ms > order->gives_up_ms)
     return;
-  answer (world, order, result, clock_ms);
-  order->gives_up_ms = G_MAXUINT64; /* answered */
+  gboolean slow = world->repeats && !world->healing && world_chance (world, 20) == 0;
+  make_answer (world, order, result, clock_ms);
+  order->answer_ms = world->now_ms + (slow ? world_chance (world, 500) : 0);
+  if (!slow)
+    deliver (world, order);
 }
 
 /* Returns: FALSE while the order waits at the worker for news. */
@@ -411,6 +422,14 @@
   return TRUE;
 }
 
+void
+world_order_free (gpointer data)
+{
+  Order *order = data;
+  fb_look_answer_clear (&order->answer);
+  g_free (order);
+}
+
 /* An order is done with when it was carried out or lost and its sender knows or gave up. */
 void
 world_orders_tick (World *world)
@@ -424,15 +443,18 @@
         due = due && order->arrived; /* nobody hears answers; the order itself was sent */
       if (due && carry_out (world, order))
         order->arrives_ms = G_MAXUINT64;
+      if (order->answer_ms != 0 && world->now_ms >= order->answer_ms
+          && world->now_ms <= order->gives_up_ms && (owner == NULL || !owner->paused))
+        deliver (world, order);
       if (order->gives_up_ms != G_MAXUINT64 && world->now_ms > order->gives_up_ms
           && (owner == NULL || !owner->paused))
         {
-          answer (world, order, FB_ORDER_UNKNOWN, 0);
-          order->gives_up_ms = G_MAXUINT64;
+          make_answer (world, order, FB_ORDER_UNKNOWN, 0);
+          deliver (world, order);
         }
       if (order->arrives_ms == G_MAXUINT64 && order->gives_up_ms == G_MAXUINT64)
         {
-          g_free (order);
+          world_order_free (order);
           g_ptr_array_remove_index_fast (world->orders, i);
         }
       else
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -125,6 +125,8 @@
   guint refusal_code;    /* 0: the one of REFUSAL */
   gboolean unsent;       /* this copy found no connection */
   gboolean answer_lost;
+  FbLookAnswer answer; /* that is on its way back; of other orders without lists */
+  uint64_t answer_ms;  /* when it is back; 0: there is none */
   gboolean arrived;
   uint64_t waits_until_ms;
   uint64_t knows_ms; /* until when its sender had read the store */
@@ -214,6 +216,7 @@
 void world_worker_tick (World *world, Worker *worker);
 /* Orders that are due arrive, and those without an answer are given up. */
 void world_orders_tick (World *world);
+void world_order_free (gpointer order);
 
 /* ---- calls: pool-world-calls.c ------------------------------------------------------------ */
 
