--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -83,7 +83,7 @@
   uint64_t cancelled_ms;
   uint32_t done[STEP_MAX][TASK_MAX];         /* runs that ended done */
   gboolean noted[STEP_MAX][TASK_MAX];        /* such an end was acknowledged */
-  uint64_t lapsed_ms[STEP_MAX][TASK_MAX];    /* when, if first after a lease ended; else 0 */
+  uint64_t excused_ms[STEP_MAX][TASK_MAX];   /* starts that were sent before may arrive after it */
   uint64_t started_ms[STEP_MAX][TASK_MAX];   /* its last start */
   uint32_t failed[STEP_MAX][TASK_MAX];       /* failed ends that were acknowledged */
   uint32_t fell[STEP_MAX][TASK_MAX];         /* runs that ended failed */
@@ -125,6 +125,8 @@
   guint refusal_code;    /* 0: the one of REFUSAL */
   gboolean unsent;       /* this copy found no connection */
   gboolean answer_lost;
+  FbLookAnswer answer; /* that is on its way back; of other orders without lists */
+  uint64_t answer_ms;  /* when it is back; 0: there is none */
   gboolean arrived;
   uint64_t waits_until_ms;
   uint64_t knows_ms; /* until when its sender had read the store */
@@ -214,6 +216,7 @@
 void world_worker_tick (World *world, Worker *worker);
 /* Orders that are due arrive, and those without an answer are given up. */
 void world_orders_tick (World *world);
+void world_order_free (gpointer order);
 
 /* ---- calls: pool-world-calls.c ------------------------------------------------------------ */
 
