Room held for a second task of a step is no longer given away with the first one's start

Work is stopped on two workers for two tasks of a step. When the first room was free and its task placed, the hold was renewed for as many tasks as still waited, but on the workers in the order in which they were chosen: on the one that was just used, and not on the one whose stop was awaited. Another step could take that room. Steps with advice were placed all at once mostly, when their tickets came; since rooms are used as they come free they would meet it more often.

A worker on which a task was just started leaves the list of held ones.

--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -30,9 +30,19 @@
                                                  : step->waiting_from;
 }
 
-/* Returns: TRUE when no task waits any more. */
+/* Room on WORKER is used: it is not to be held again. */
+static void
+forget_held (GPtrArray *held_on, const FbPoolWorker *worker)
+{
+  guint place = 0;
+  if (g_ptr_array_find_with_equal_func (held_on, worker->id, g_str_equal, &place))
+    g_ptr_array_remove_index (held_on, place);
+}
+
+/* HELD_ON: on whose workers room was held; those that are used are taken out.
+ * Returns: TRUE when no task waits any more. */
 static gboolean
-place_tasks (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+place_tasks (FbPool *self, FbPoolStep *step, GPtrArray *held_on, uint64_t now_ms)
 {
   if (fb_pool_probe_is_on (step))
     place_probe (self, step, now_ms);
@@ -46,6 +56,7 @@
       if (worker == NULL)
         return FALSE;
       fb_pool_order_start (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
+      forget_held (held_on, worker);
     }
   return TRUE;
 }
@@ -140,8 +151,8 @@
     }
   uint64_t held_until_ms = step->held_until_ms;
   g_autoptr (GPtrArray) held_on = fb_pool_release_hold (self, step);
-  gboolean placed
-      = step->shape->gang ? place_gang (self, step, now_ms) : place_tasks (self, step, now_ms);
+  gboolean placed = step->shape->gang ? place_gang (self, step, now_ms)
+                                      : place_tasks (self, step, held_on, now_ms);
   if (placed)
     {
       fb_pool_lasting_waits_no_more (step);
