LASTING_WAITS and LASTING_RESTARTED tell room where only room is awaited

With room held and no question open, the wait was told as one for advice, which sent the reader of the larger site's logs to the advice service for the whole of each wait.

Test, red before: pools/wait-for-room-is-told-as-such (waited_for=advice for_ms=20, now room and 220).

--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -160,7 +160,7 @@
     }
   if (now_ms < held_until_ms)
     {
-      fb_pool_lasting_waits (self, step, "advice", now_ms);
+      fb_pool_lasting_waits (self, step, what_it_waits_for (step, TRUE), now_ms);
       fb_pool_hold_again (self, step, held_on, fb_pool_step_waiting_n (step), held_until_ms);
       return TRUE;
     }
