--- a/tools/check.sh
+++ b/tools/check.sh
@@ -60,7 +60,7 @@
 verdict "turns of a take-over" $B/tests/test-takeover $B/standins/standin-platform
 verdict "take-over by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
-verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 20
+verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
 while IFS= read -r line; do
