--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -56,6 +56,12 @@
 grown-room-not-noticed|pool-worker.c|  worker->cpu_milli = entry->cpu_milli;|  worker->cpu_milli = worker->cpu_milli != 0 ? MIN (worker->cpu_milli, entry->cpu_milli) : entry->cpu_milli;
 size-proves-what-ran|pool-settle.c|  if (!fb_pool_has_labels_for (worker, step->shape))|  if (!fb_pool_could_run (worker, step->shape))
 refusal-of-a-repeat-is-proof|platform/worker.c|  if (fb_http_reply_leaves_doubt (reply) \&\& |  if (FALSE \&\& 
+lease-of-the-owner-before-forgotten|pool-report.c|      if (answer->running->len > 0)|      if (FALSE)
+answer-counts-for-any-attempt|pool-orders.c|(*run)->attempt != ref->attempt|FALSE
+full-answer-taken-for-all|pool-report.c|  if (answer->finished->len >= self->limits.ends_listed_n)|  if (FALSE)
+any-end-of-a-job-that-is-over|pool-report.c|  if (run != NULL \&\& run->attempt <= end->attempt)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}|  if (run != NULL)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}
+refused-start-stays-in-the-record|pool-orders.c|  fb_pool_crash_task_gone (self, worker, step, run->index);|
+settled-doubt-stays-in-the-record|pool-doubt.c|  fb_pool_job_changed (self, step->job);|
 end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
 TABLE
 }
