A life that was listed and is gone settles a doubt too

Callers saw a task start once more than its limit allows. Cause: a doubt about a lost worker begins when its lease has ended, up to 5 s after the crash, and was settled by another life at the address only if that was still listed then. A next life that came and went within these seconds proved nothing, and the crash was counted for nobody.

Test: new-life-gone-before-the-old-lease-ended, red before (no DOUBT_SETTLED with crashed=1).

Why it works: a life that was listed later than the lost one, under this owner, replaced it, whether it is there still or not.

--- a/src/work/pool-doubt.c
+++ b/src/work/pool-doubt.c
@@ -109,21 +109,30 @@
   g_hash_table_remove (self->doubts, id);
 }
 
+/* LOST may be NULL: it is not known any more.  A life that was listed and is gone by now proves as
+ * much as one that is listed. */
+static gboolean
+is_successor (const FbPoolWorker *other, const FbPoolWorker *lost)
+{
+  if (lost != NULL && other->listed_ms > 0 && other->life > lost->life)
+    return TRUE;
+  return other->listed && (lost == NULL || !lost->listed);
+}
+
 /* TRUE when another life than that of the worker called ID is listed at its address, by a list that
  * is newer than this pool, and was listed later. */
 static gboolean
 is_replaced (const FbPool *self, const char *id, const Doubt *doubt)
 {
   const FbPoolWorker *lost = g_hash_table_lookup (self->workers, id);
-  gboolean still_listed = lost != NULL && lost->listed;
   if (!self->workers_complete)
     return FALSE;
   guint slot = 0;
   const FbPoolWorker *other = NULL;
   while ((other = fb_pool_roster_next (self, &slot)) != NULL)
     {
-      if (other != lost && other->listed && (!still_listed || other->life > lost->life)
-          && g_strcmp0 (other->address, doubt->address) == 0)
+      if (other != lost && g_strcmp0 (other->address, doubt->address) == 0
+          && is_successor (other, lost))
         return TRUE;
     }
   return FALSE;
