A task is given up after three crashes if nothing else explains two of them

Callers saw a job fail that had crashed no worker: three workers had crashed under it, two by the doing of others beside it, and the third under it alone by chance (cut off as it began, crashed before it was heard again). Others saw a task take down a fourth worker though all that ran beside it on the first three had ended well since.

Cause: one crash apart was enough for the lower limit, whatever was known of the others that were there at the crashes before; what ran well later took no part in the count.

Change: the owner counts for each crash the tasks that may have caused it. What ends by itself, done or failed, leaves all of its crashes; the crash of which one task is left counts as apart. Three crashes are enough if at most one of them was shared, else four. An owner that cannot know of all crashes of a task (it took the job over, and the record told of fewer than two) goes on with one crash apart: with two lost, a fourth of its own would be one start too many. What is given up stays a cause of the crashes it had, and what a record tells of a crash never makes it apart, as the others are not all recorded. Not taken up: taking crashes off what ran beside a task that is given up; two such tasks cleared each other.

Tests, red before: two-shared-crashes-and-a-lone-one (the job was given up), and crash-of-which-all-others-ran-since (a fourth start).

Why it works: what has ended by itself elsewhere is no likely cause of a crash, so each crash keeps its true cause among those that are left.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -57,6 +57,16 @@
 /* RUN, which has a step, comes to WORKER (SIGN 1) or goes (-1). */
 void fb_pool_crash_charge (FbPoolWorker *worker, FbPoolRun *run, int sign);
 
+/* ---- pool-crash-causes.c: what may have crashed each worker, which its rank names --------------
+ */
+
+GHashTable *fb_pool_crash_causes_new (void);
+/* One task more may have crashed WORKER, or one less. */
+void fb_pool_crash_cause_add (FbPool *self, uint64_t worker);
+void fb_pool_crash_cause_drop (FbPool *self, uint64_t worker);
+/* TRUE when only one is left. */
+gboolean fb_pool_crash_has_one_cause (const FbPool *self, uint64_t worker);
+
 /* ---- pool-doubt.c: losses that may have been crashes ----------------------------------------- */
 
 GHashTable *fb_pool_doubts_new (void);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -50,7 +50,8 @@
   GPtrArray *tried; /* of FbPoolTried; NULL for none */
   gboolean
       withheld; /* it does not start: one crash more could be too many, or two are not stored yet */
-  uint32_t doubts_n; /* losses of workers that may have been crashes under it */
+  uint32_t doubts_n;   /* losses of workers that may have been crashes under it */
+  uint32_t recorded_n; /* crashes that an earlier owner's record told of */
   gboolean done;
   gboolean gave_way;   /* it was stopped once for work of higher priority */
   uint32_t moved;      /* how often it was stopped for taking far too long */
@@ -265,6 +266,7 @@
   GPtrArray *in_flush;    /* of FbPoolJob: what the open flush holds; borrowed */
   GHashTable *orders;     /* order -> FbPoolOrderRef */
   GHashTable *suspects;   /* set of FbPoolStep with tasks under which workers crashed; borrowed */
+  GHashTable *causes;     /* rank of a crashed worker -> how many tasks may have crashed it */
   GHashTable *doubts;     /* id of a lost worker -> what was on it: see pool-doubt.c */
   gboolean doubts_due;    /* the list of workers may settle some */
   gboolean hears_most;    /* most workers answered of late */
--- /dev/null
+++ b/src/work/pool-crash-causes.c
@@ -0,0 +1,45 @@
+/* How many tasks may have caused each crash.
+ *
+ * What ran well elsewhere since a crash did not cause it.  Once that is so of all that was there
+ * but one task, the crash speaks against that one as if it had been there alone. */
+#include "internal/pool-crash.h"
+
+GHashTable *
+fb_pool_crash_causes_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+static guint
+causes_of (const FbPool *self, uint64_t worker)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (self->causes, &worker));
+}
+
+void
+fb_pool_crash_cause_add (FbPool *self, uint64_t worker)
+{
+  uint64_t *key = g_new (uint64_t, 1);
+  *key = worker;
+  g_hash_table_insert (self->causes, key, GUINT_TO_POINTER (causes_of (self, worker) + 1));
+}
+
+void
+fb_pool_crash_cause_drop (FbPool *self, uint64_t worker)
+{
+  guint n = causes_of (self, worker);
+  if (n <= 1)
+    {
+      g_hash_table_remove (self->causes, &worker);
+      return;
+    }
+  uint64_t *key = g_new (uint64_t, 1);
+  *key = worker;
+  g_hash_table_insert (self->causes, key, GUINT_TO_POINTER (n - 1));
+}
+
+gboolean
+fb_pool_crash_has_one_cause (const FbPool *self, uint64_t worker)
+{
+  return causes_of (self, worker) == 1;
+}
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -120,15 +120,24 @@
   record->tasks.tasks_len = 0;
 }
 
+/* What else was on the worker is not recorded where its job has ended: it stays suspected. */
+static void
+restore_crash (FbPool *self, FbPoolStep *step, uint32_t index, FbPoolCrash crash, uint64_t now_ms)
+{
+  fb_pool_crash_cause_add (self, crash.worker);
+  fb_pool_crash_count (self, step, index, crash, now_ms);
+}
+
 static void
 restore_suspect (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
 {
+  step->tasks[suspect->index].recorded_n = suspect->apart.apart_len + suspect->shared.shared_len;
   for (u_int i = 0; i < suspect->apart.apart_len; i++)
-    fb_pool_crash_count (self, step, suspect->index,
-                         (FbPoolCrash){ suspect->apart.apart_val[i], TRUE }, now_ms);
+    restore_crash (self, step, suspect->index, (FbPoolCrash){ suspect->apart.apart_val[i], TRUE },
+                   now_ms);
   for (u_int i = 0; i < suspect->shared.shared_len; i++)
-    fb_pool_crash_count (self, step, suspect->index,
-                         (FbPoolCrash){ suspect->shared.shared_val[i], FALSE }, now_ms);
+    restore_crash (self, step, suspect->index,
+                   (FbPoolCrash){ suspect->shared.shared_val[i], FALSE }, now_ms);
   for (u_int i = 0; i < suspect->tried.tried_len; i++)
     {
       const fb_work_tried *tried = &suspect->tried.tried_val[i];
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -27,6 +27,8 @@
 /* A task that lasts has shown that it does not crash its worker once it ran there for so long;
  * without this the losses of weeks would add up. */
 #define LASTING_PROVEN_MS 20000
+/* Of so many crashes with others there each time, one more that was not so proves too little. */
+#define SHARED_ENOUGH 2
 /* What the answer to a look takes on its way, with room to spare. */
 #define ANSWER_MS 100
 
@@ -36,15 +38,18 @@
   return task->crashes != NULL ? task->crashes->len : 0;
 }
 
-static gboolean
-was_apart (const FbPoolTask *task)
+/* Returns: how many of TASK's crashes nothing else can have caused: it was apart, or, with
+ * ELIMINATED, all others that were there have shown since that they crash no worker. */
+static guint
+alone_n (const FbPool *self, const FbPoolTask *task, gboolean eliminated)
 {
+  guint n = 0;
   for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
     {
-      if (g_array_index (task->crashes, FbPoolCrash, i).apart)
-        return TRUE;
+      const FbPoolCrash *crash = &g_array_index (task->crashes, FbPoolCrash, i);
+      n += crash->apart || (eliminated && fb_pool_crash_has_one_cause (self, crash->worker));
     }
-  return FALSE;
+  return n;
 }
 
 void
@@ -57,11 +62,23 @@
   limits->shared_crashes_n = MAX (limits->shared_crashes_n, limits->crashes_n);
 }
 
+/* TRUE when crashes of which no record tells may have happened under an earlier owner.  What has
+ * ISOLATED_CRASHES starts only once these are stored, so at most one is missing then. */
+static gboolean
+may_lack_crashes (const FbPoolStep *step, const FbPoolTask *task)
+{
+  return step->job->restored && !step->job->untouched && task->recorded_n < ISOLATED_CRASHES;
+}
+
 /* Returns: after how many crashes TASK is given up. */
 static guint
-limit_of (const FbPool *self, const FbPoolTask *task)
+limit_of (const FbPool *self, const FbPoolStep *step, const FbPoolTask *task, gboolean eliminated)
 {
-  return was_apart (task) ? self->limits.crashes_n : self->limits.shared_crashes_n;
+  gboolean lacking = may_lack_crashes (step, task);
+  guint alone = alone_n (self, task, eliminated && !lacking);
+  guint shared = fb_pool_task_crashes_n (task) - alone;
+  gboolean few = alone > 0 && (lacking || shared < SHARED_ENOUGH);
+  return few ? self->limits.crashes_n : self->limits.shared_crashes_n;
 }
 
 gboolean
@@ -86,7 +103,7 @@
 {
   FbPoolTask *task = &step->tasks[index];
   /* What is in doubt may have been apart. */
-  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, task);
+  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, step, task, FALSE);
   task->withheld
       = fb_pool_task_crashes_n (task) + task->doubts_n >= limit || is_unstored (step, task);
 }
@@ -132,6 +149,8 @@
   g_clear_pointer (&task->tried, g_ptr_array_unref);
   if (task->crashes == NULL)
     return;
+  for (guint i = 0; i < task->crashes->len; i++)
+    fb_pool_crash_cause_drop (self, g_array_index (task->crashes, FbPoolCrash, i).worker);
   g_clear_pointer (&task->crashes, g_array_unref);
   fb_pool_task_weigh (self, step, index);
   fb_event_log (FB_EVENT_TASK_CLEARED, "task=%s.%u.%u.%u why=\"%s\"", step->job->id,
@@ -170,17 +189,20 @@
                      uint64_t now_ms)
 {
   FbPoolTask *task = &step->tasks[index];
-  if (task->done || fb_pool_job_ended (step->job) || !note_crash (task, crash))
+  if (task->done || !note_crash (task, crash))
+    return;
+  fb_pool_crash_cause_add (self, crash.worker);
+  if (fb_pool_job_ended (step->job))
     return;
   fb_pool_probe_note_crash (step, crash.worker, now_ms);
   step->job->suspicion++;
   fb_pool_task_weigh (self, step, index);
   g_hash_table_add (self->suspects, step);
-  self->limit_reached |= fb_pool_task_crashes_n (task) >= limit_of (self, task);
+  self->limit_reached |= fb_pool_task_crashes_n (task) >= self->limits.crashes_n;
   fb_pool_job_changed (self, step->job);
   fb_event_log (FB_EVENT_TASK_SUSPECTED, "task=%s.%u.%u.%u crashes=%u of=%u apart=%d doubts=%u",
                 step->job->id, step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
-                limit_of (self, task), crash.apart, task->doubts_n);
+                limit_of (self, step, task, FALSE), crash.apart, task->doubts_n);
 }
 
 /* For how long RUN was seen at work by what was last heard of WORKER. */
@@ -312,7 +334,7 @@
   fb_counter_add (FB_COUNTER_TASKS_GIVEN_UP, 1);
   fb_event_log (FB_EVENT_TASK_GIVEN_UP, "task=%s.%u.%u.%u queue=%s crashes=%u apart=%d",
                 step->job->id, step->occurrence, step->index, index, step->job->record.policy.queue,
-                fb_pool_task_crashes_n (task), was_apart (task));
+                fb_pool_task_crashes_n (task), alone_n (self, task, FALSE) > 0);
   fb_pool_job_end (self, step->job, FB_WORK_FAILED, now_ms, wall_ms);
 }
 
@@ -322,7 +344,7 @@
   for (uint32_t i = 0; i < step->shape->count; i++)
     {
       const FbPoolTask *task = &step->tasks[i];
-      if (fb_pool_task_crashes_n (task) < limit_of (self, task))
+      if (fb_pool_task_crashes_n (task) < limit_of (self, step, task, TRUE))
         continue;
       give_up (self, step, i, now_ms, wall_ms);
       return;
