A task that lost two workers starts where nothing else begins

Callers saw a task started three times more after three crashes, and others saw a job given up that had only run beside such tasks. Both have one cause: what two workers had crashed under was started beside runs that had just begun. If one of these crashed the worker, it counted for the innocent too; if the task did it itself, the crash proved no more than the two before, and it took a fourth.

Change: such a task waits for up to 3.5 s until its best worker has no run that is younger than 1.5 s by its lists; nothing else starts there meanwhile, as before while the task runs. A crash within its first 1.5 s counts as apart from the runs that were there before.

Why it works: a task that crashes its worker does it as it begins (the probe of wide steps rests on the same); where nothing else begins, the crash has one cause.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -39,7 +39,7 @@
 void fb_pool_crash_task_ended (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
                                uint32_t index, FbEndHow how);
 /* A start was ordered: the job's record says where, if the task is suspected. */
-void fb_pool_crash_task_ordered (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
+void fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step,
                                  uint32_t index);
 /* Records what is on WORKER if that fell silent. */
 void fb_pool_crash_note_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
@@ -52,6 +52,11 @@
 void fb_pool_crash_forget (FbPool *self, FbPoolJob *job);
 /* FALSE when TASK, which is suspected, must not run beside others that are on WORKER. */
 gboolean fb_pool_crash_may_share (const FbPoolWorker *worker, const FbPoolTask *task);
+/* FALSE while WORKER is kept for another task than TASK. */
+gboolean fb_pool_crash_is_open (const FbPoolWorker *worker, const FbPoolTask *task,
+                                uint64_t now_ms);
+/* TRUE when TASK must not start on WORKER, its best, before that is calm; WORKER is kept for it. */
+gboolean fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms);
 /* What speaks against WORKER for TASK, which is suspected. */
 double fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task);
 /* RUN, which has a step, comes to WORKER (SIGN 1) or goes (-1). */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -52,6 +52,8 @@
       withheld; /* it does not start: one crash more could be too many, or two are not stored yet */
   uint32_t doubts_n;   /* losses of workers that may have been crashes under it */
   uint32_t recorded_n; /* crashes that an earlier owner's record told of */
+  /* It waits until then for a worker where nothing begins; 0: it does not. */
+  uint64_t calm_until_ms;
   gboolean done;
   gboolean gave_way;   /* it was stopped once for work of higher priority */
   uint32_t moved;      /* how often it was stopped for taking far too long */
@@ -221,6 +223,9 @@
   GHashTable *runs; /* name -> FbPoolRun */
   guint suspects_n; /* runs of tasks under which workers have crashed */
   guint isolated_n; /* those that run apart for it */
+  /* Nothing else than this starts here; it is compared only, never followed. */
+  const FbPoolTask *kept_for;
+  uint64_t kept_until_ms;
   uint32_t alien_n; /* runs of jobs that are not known: their size is not known */
   int64_t cpu_used;
   int64_t mem_used;
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -174,8 +174,11 @@
     {
       if (worker == other_than || (rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
           || worker->isolated_n > 0 || !may_start (worker, step, rule, now_ms)
+          || !fb_pool_crash_is_open (worker, task, now_ms)
           || (suspect && !fb_pool_crash_may_share (worker, task)))
         continue;
+      if (worker->kept_for == task)
+        return worker;
       double cost = cost_of (worker, step) + (suspect ? fb_pool_crash_cost (worker, task) : 0);
       if (best == NULL || cost < best_cost || (cost == best_cost && worker->rank < best->rank))
         {
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -27,6 +27,12 @@
 /* A task that lasts has shown that it does not crash its worker once it ran there for so long;
  * without this the losses of weeks would add up. */
 #define LASTING_PROVEN_MS 20000
+/* A task that crashes its worker does it as it begins.  A run that was listed for so long is taken
+ * for no cause of a crash while another one begins. */
+#define BEGINNING_MS 1500
+/* For so long a task waits for a worker where nothing begins: what runs there has gone by then, or
+ * is listed for BEGINNING_MS. */
+#define CALM_WAIT_MS 3500
 /* Of so many crashes with others there each time, one more that was not so proves too little. */
 #define SHARED_ENOUGH 2
 /* What the answer to a look takes on its way, with room to spare. */
@@ -220,6 +226,12 @@
   return run->seen_clock_ms > 0 || run->unanswered;
 }
 
+static gboolean
+is_beginning (const FbPoolRun *run)
+{
+  return run->listed_ms < run->started_ms + BEGINNING_MS;
+}
+
 static gboolean
 is_proven (const FbPoolWorker *worker, const FbPoolRun *run)
 {
@@ -227,6 +239,14 @@
          && ran_ms (worker, run) >= LASTING_PROVEN_MS;
 }
 
+/* TRUE when RUN, which runs apart, was beginning on WORKER and OTHER was not. */
+static gboolean
+is_outlived (const FbPoolWorker *worker, const FbPoolRun *run, const FbPoolRun *other)
+{
+  return run->suspicion_n >= ISOLATED_CRASHES && ran_ms (worker, run) < BEGINNING_MS
+         && !is_beginning (other);
+}
+
 /* TRUE when RUN is the only one on WORKER that could have crashed it.  A start that got no answer
  * may have come to a worker that had just crashed by itself; for a third time that is hardly so if
  * the worker had spoken within the time of a look before. */
@@ -238,7 +258,8 @@
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &other))
     {
-      if (other != run && was_there (other) && !is_proven (worker, other))
+      if (other != run && was_there (other) && !is_proven (worker, other)
+          && !is_outlived (worker, run, other))
         return FALSE;
     }
   if (run->seen_clock_ms > 0)
@@ -392,6 +413,44 @@
   return suspicion_of (task) < ISOLATED_CRASHES || worker->suspects_n == 0;
 }
 
+gboolean
+fb_pool_crash_is_open (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms)
+{
+  return worker->kept_for == NULL || worker->kept_for == task || now_ms >= worker->kept_until_ms;
+}
+
+static gboolean
+is_calm (const FbPoolWorker *worker)
+{
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    {
+      if (is_beginning (run))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Failure: what has lost two workers to others starts beside another task that crashes its worker,
+ * and is given up for it; or it did crash them, starts where others begin, and its crash proves no
+ * more than those before.  Guard: it starts where nothing has begun of late, and nothing starts on
+ * that worker meanwhile. */
+gboolean
+fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms)
+{
+  if (suspicion_of (task) < ISOLATED_CRASHES || is_calm (worker))
+    return FALSE;
+  if (task->calm_until_ms == 0)
+    task->calm_until_ms = now_ms + CALM_WAIT_MS;
+  if (now_ms >= task->calm_until_ms)
+    return FALSE;
+  worker->kept_for = task;
+  worker->kept_until_ms = task->calm_until_ms;
+  return TRUE;
+}
+
 double
 fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task)
 {
@@ -410,12 +469,14 @@
 }
 
 void
-fb_pool_crash_task_ordered (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
-                            uint32_t index)
+fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
 {
   FbPoolTask *task = &step->tasks[index];
   if (!fb_pool_task_is_suspect (task))
     return;
+  task->calm_until_ms = 0;
+  if (worker->kept_for == task)
+    worker->kept_for = NULL;
   fb_pool_tried_note (task, worker->id, worker->address);
   g_hash_table_add (self->dirty, step->job);
 }
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -14,12 +14,12 @@
     return;
   FbPoolWorker *worker
       = fb_pool_best_worker (self, step, index, NULL, NULL, FB_TICKET_VALID, now_ms);
-  if (worker != NULL)
+  if (worker != NULL && !fb_pool_crash_waits_for_calm (worker, &step->tasks[index], now_ms))
     fb_pool_order_start (self, worker, step, index, fb_pool_next_attempt (self, step, index),
                          now_ms);
 }
 
-/* Returns: TRUE when no task waits any more. */
+/* Returns: TRUE when no task waits for room any more. */
 static gboolean
 place_tasks (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
@@ -27,6 +27,7 @@
     place_probe (self, step, now_ms);
   if (fb_pool_probe_is_on (step))
     return FALSE;
+  uint32_t waiting_from = step->shape->count;
   for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
     {
       if (!fb_pool_task_waits (&step->tasks[i]))
@@ -35,12 +36,17 @@
           = fb_pool_best_worker (self, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
       if (worker == NULL)
         {
-          step->waiting_from = i;
+          step->waiting_from = MIN (i, waiting_from);
           return FALSE;
         }
+      if (fb_pool_crash_waits_for_calm (worker, &step->tasks[i], now_ms))
+        {
+          waiting_from = MIN (i, waiting_from);
+          continue;
+        }
       fb_pool_order_start (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
     }
-  step->waiting_from = step->shape->count;
+  step->waiting_from = waiting_from;
   return TRUE;
 }
 
