A suspected task avoids workers that have been quiet for longer than a look

Callers saw a job given up for crashes that its task cannot have caused: it was sent to a worker that had just crashed, got no answer, and the crash counted for it.

Cause: a worker takes starts until it has been silent for 1.3 s, though one that is well answers a look every 0.6 s.

Change: for what is suspected, a worker that has been quiet for longer than a look takes comes after all others. It is not ruled out, as a pool whose looks are slow would start nothing.

Test: suspect-avoids-a-quiet-worker, red before (the start went to the quiet worker).

Why it works: fewer starts go to workers that are gone already, and only those can be counted wrongly so.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -58,7 +58,7 @@
 /* TRUE when TASK must not start on WORKER, its best, before that is calm; WORKER is kept for it. */
 gboolean fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms);
 /* What speaks against WORKER for TASK, which is suspected. */
-double fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task);
+double fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms);
 /* RUN, which has a step, comes to WORKER (SIGN 1) or goes (-1). */
 void fb_pool_crash_charge (FbPoolWorker *worker, FbPoolRun *run, int sign);
 
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -179,7 +179,8 @@
         continue;
       if (worker->kept_for == task)
         return worker;
-      double cost = cost_of (worker, step) + (suspect ? fb_pool_crash_cost (worker, task) : 0);
+      double cost
+          = cost_of (worker, step) + (suspect ? fb_pool_crash_cost (worker, task, now_ms) : 0);
       if (best == NULL || cost < best_cost || (cost == best_cost && worker->rank < best->rank))
         {
           best = worker;
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -35,6 +35,8 @@
 #define CALM_WAIT_MS 3500
 /* Of so many crashes with others there each time, one more that was not so proves too little. */
 #define SHARED_ENOUGH 2
+/* Above all other costs. */
+#define QUIET_COST 1000
 /* What the answer to a look takes on its way, with room to spare. */
 #define ANSWER_MS 100
 
@@ -452,11 +454,14 @@
 }
 
 double
-fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task)
+fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms)
 {
   gboolean isolated = suspicion_of (task) >= ISOLATED_CRASHES;
+  /* It may have crashed already, and that would count for TASK. */
+  gboolean quiet = now_ms > worker->heard_ms + FB_POOL_LOOK_WAIT_MS + ANSWER_MS;
   /* What runs beside it would be lost with the worker. */
-  return worker->suspects_n + (isolated ? g_hash_table_size (worker->runs) : 0);
+  return worker->suspects_n + (isolated ? g_hash_table_size (worker->runs) : 0)
+         + (quiet ? QUIET_COST : 0);
 }
 
 void
