--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -42,7 +42,7 @@
 void fb_pool_crash_task_ended (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
                                uint32_t index, FbEndHow how);
 /* A start was ordered: the job's record says where, if the task is suspected. */
-void fb_pool_crash_task_ordered (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
+void fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step,
                                  uint32_t index);
 /* Records what is on WORKER if that fell silent. */
 void fb_pool_crash_note_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
@@ -55,11 +55,26 @@
 void fb_pool_crash_forget (FbPool *self, FbPoolJob *job);
 /* FALSE when TASK, which is suspected, must not run beside others that are on WORKER. */
 gboolean fb_pool_crash_may_share (const FbPoolWorker *worker, const FbPoolTask *task);
+/* FALSE while WORKER is kept for another task than TASK. */
+gboolean fb_pool_crash_is_open (const FbPoolWorker *worker, const FbPoolTask *task,
+                                uint64_t now_ms);
+/* TRUE when TASK must not start on WORKER, its best, before that is calm; WORKER is kept for it. */
+gboolean fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms);
 /* What speaks against WORKER for TASK, which is suspected. */
-double fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task);
+double fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms);
 /* RUN, which has a step, comes to WORKER (SIGN 1) or goes (-1). */
 void fb_pool_crash_charge (FbPoolWorker *worker, FbPoolRun *run, int sign);
 
+/* ---- pool-crash-causes.c: what may have crashed each worker, which its rank names --------------
+ */
+
+GHashTable *fb_pool_crash_causes_new (void);
+/* One task more may have crashed WORKER, or one less. */
+void fb_pool_crash_cause_add (FbPool *self, uint64_t worker);
+void fb_pool_crash_cause_drop (FbPool *self, uint64_t worker);
+/* TRUE when only one is left. */
+gboolean fb_pool_crash_has_one_cause (const FbPool *self, uint64_t worker);
+
 /* ---- pool-doubt.c: losses that may have been crashes ----------------------------------------- */
 
 GHashTable *fb_pool_doubts_new (void);
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -28,7 +28,10 @@
   GPtrArray *tried; /* of FbPoolTried; NULL for none */
   gboolean
       withheld; /* it does not start: one crash more could be too many, or two are not stored yet */
-  uint32_t doubts_n; /* losses of workers that may have been crashes under it */
+  uint32_t doubts_n;   /* losses of workers that may have been crashes under it */
+  uint32_t recorded_n; /* crashes that an earlier owner's record told of */
+  /* It waits until then for a worker where nothing begins; 0: it does not. */
+  uint64_t calm_until_ms;
   gboolean done;
   gboolean gave_way;   /* it was stopped once for work of higher priority */
   uint32_t moved;      /* how often it was stopped for taking far too long */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -62,6 +62,7 @@
   GPtrArray *in_flush;    /* of FbPoolJob: what the open flush holds; borrowed */
   GHashTable *orders;     /* order -> FbPoolOrderRef */
   GHashTable *suspects;   /* set of FbPoolStep with tasks under which workers crashed; borrowed */
+  GHashTable *causes;     /* rank of a crashed worker -> how many tasks may have crashed it */
   GHashTable *doubts;     /* id of a lost worker -> what was on it: see pool-doubt.c */
   gboolean doubts_due;    /* the list of workers may settle some */
   gboolean hears_most;    /* most workers answered of late */
@@ -244,9 +245,10 @@
 void fb_pool_lasting_waits (const FbPool *self, FbPoolStep *step, const char *waits_for,
                             uint64_t now_ms);
 void fb_pool_lasting_waits_no_more (FbPoolStep *step);
-/* Returns: of the tasks of STEP that wait the one that is away for longest, one that never ran if
+/* BUT: set of tasks that do not count.
+ * Returns: of the tasks of STEP that wait the one that is away for longest, one that never ran if
  * all did not; the count when none waits. */
-uint32_t fb_pool_lasting_next (const FbPool *self, const FbPoolStep *step);
+uint32_t fb_pool_lasting_next (const FbPool *self, const FbPoolStep *step, GHashTable *but);
 /* RUN of STEP is ordered. */
 void fb_pool_lasting_started (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
                               uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -78,6 +78,9 @@
   GHashTable *runs; /* name -> FbPoolRun */
   guint suspects_n; /* runs of tasks under which workers have crashed */
   guint isolated_n; /* those that run apart for it */
+  /* Nothing else than this starts here; it is compared only, never followed. */
+  const FbPoolTask *kept_for;
+  uint64_t kept_until_ms;
   uint32_t alien_n; /* runs of jobs that are not known: their size is not known */
   int64_t cpu_used;
   int64_t mem_used;
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -27,6 +27,16 @@
 /* A task that lasts has shown that it does not crash its worker once it ran there for so long;
  * without this the losses of weeks would add up. */
 #define LASTING_PROVEN_MS 20000
+/* A task that crashes its worker does it as it begins.  A run that was listed for so long is taken
+ * for no cause of a crash while another one begins. */
+#define BEGINNING_MS 1500
+/* For so long a task waits for a worker where nothing begins: what runs there has gone by then, or
+ * is listed for BEGINNING_MS. */
+#define CALM_WAIT_MS 3500
+/* Of so many crashes with others there each time, one more that was not so proves too little. */
+#define SHARED_ENOUGH 2
+/* Above all other costs. */
+#define QUIET_COST 1000
 /* What the answer to a look takes on its way, with room to spare. */
 #define ANSWER_MS 100
 
@@ -36,15 +46,18 @@
   return task->crashes != NULL ? task->crashes->len : 0;
 }
 
-static gboolean
-was_apart (const FbPoolTask *task)
+/* Returns: how many of TASK's crashes nothing else can have caused: it was apart, or, with
+ * ELIMINATED, all others that were there have shown since that they crash no worker. */
+static guint
+alone_n (const FbPool *self, const FbPoolTask *task, gboolean eliminated)
 {
+  guint n = 0;
   for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
     {
-      if (g_array_index (task->crashes, FbPoolCrash, i).apart)
-        return TRUE;
+      const FbPoolCrash *crash = &g_array_index (task->crashes, FbPoolCrash, i);
+      n += crash->apart || (eliminated && fb_pool_crash_has_one_cause (self, crash->worker));
     }
-  return FALSE;
+  return n;
 }
 
 void
@@ -57,11 +70,23 @@
   limits->shared_crashes_n = MAX (limits->shared_crashes_n, limits->crashes_n);
 }
 
+/* TRUE when crashes of which no record tells may have happened under an earlier owner.  What has
+ * ISOLATED_CRASHES starts only once these are stored, so at most one is missing then. */
+static gboolean
+may_lack_crashes (const FbPoolStep *step, const FbPoolTask *task)
+{
+  return step->job->restored && !step->job->untouched && task->recorded_n < ISOLATED_CRASHES;
+}
+
 /* Returns: after how many crashes TASK is given up. */
 static guint
-limit_of (const FbPool *self, const FbPoolTask *task)
+limit_of (const FbPool *self, const FbPoolStep *step, const FbPoolTask *task, gboolean eliminated)
 {
-  return was_apart (task) ? self->limits.crashes_n : self->limits.shared_crashes_n;
+  gboolean lacking = may_lack_crashes (step, task);
+  guint alone = alone_n (self, task, eliminated && !lacking);
+  guint shared = fb_pool_task_crashes_n (task) - alone;
+  gboolean few = alone > 0 && (lacking || shared < SHARED_ENOUGH);
+  return few ? self->limits.crashes_n : self->limits.shared_crashes_n;
 }
 
 gboolean
@@ -86,7 +111,7 @@
 {
   FbPoolTask *task = &step->tasks[index];
   /* What is in doubt may have been apart. */
-  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, task);
+  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, step, task, FALSE);
   task->withheld
       = fb_pool_task_crashes_n (task) + task->doubts_n >= limit || is_unstored (step, task);
 }
@@ -132,6 +157,8 @@
   g_clear_pointer (&task->tried, g_ptr_array_unref);
   if (task->crashes == NULL)
     return;
+  for (guint i = 0; i < task->crashes->len; i++)
+    fb_pool_crash_cause_drop (self, g_array_index (task->crashes, FbPoolCrash, i).worker);
   g_clear_pointer (&task->crashes, g_array_unref);
   fb_pool_task_weigh (self, step, index);
   fb_event_log (FB_EVENT_TASK_CLEARED, "task=%s.%u.%u.%u why=\"%s\"", step->job->id,
@@ -180,17 +207,20 @@
                      uint64_t now_ms)
 {
   FbPoolTask *task = &step->tasks[index];
-  if (task->done || fb_pool_job_ended (step->job) || !note_crash (task, crash))
+  if (task->done || !note_crash (task, crash))
+    return;
+  fb_pool_crash_cause_add (self, crash.worker);
+  if (fb_pool_job_ended (step->job))
     return;
   fb_pool_probe_note_crash (step, crash.worker, now_ms);
   step->job->suspicion++;
   fb_pool_task_weigh (self, step, index);
   g_hash_table_add (self->suspects, step);
-  self->limit_reached |= fb_pool_task_crashes_n (task) >= limit_of (self, task);
+  self->limit_reached |= fb_pool_task_crashes_n (task) >= self->limits.crashes_n;
   fb_pool_job_changed (self, step->job);
   fb_event_log (FB_EVENT_TASK_SUSPECTED, "task=%s.%u.%u.%u crashes=%u of=%u apart=%d doubts=%u",
                 step->job->id, step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
-                limit_of (self, task), crash.apart, task->doubts_n);
+                limit_of (self, step, task, FALSE), crash.apart, task->doubts_n);
 }
 
 /* For how long RUN was seen at work by what was last heard of WORKER. */
@@ -208,6 +238,12 @@
   return run->seen_clock_ms > 0 || run->unanswered;
 }
 
+static gboolean
+is_beginning (const FbPoolRun *run)
+{
+  return run->listed_ms < run->started_ms + BEGINNING_MS;
+}
+
 static gboolean
 is_proven (const FbPoolWorker *worker, const FbPoolRun *run)
 {
@@ -215,6 +251,14 @@
          && ran_ms (worker, run) >= LASTING_PROVEN_MS;
 }
 
+/* TRUE when RUN, which runs apart, was beginning on WORKER and OTHER was not. */
+static gboolean
+is_outlived (const FbPoolWorker *worker, const FbPoolRun *run, const FbPoolRun *other)
+{
+  return run->suspicion_n >= ISOLATED_CRASHES && ran_ms (worker, run) < BEGINNING_MS
+         && !is_beginning (other);
+}
+
 /* TRUE when RUN is the only one on WORKER that could have crashed it.  A start that got no answer
  * may have come to a worker that had just crashed by itself; for a third time that is hardly so if
  * the worker had spoken within the time of a look before. */
@@ -226,7 +270,8 @@
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &other))
     {
-      if (other != run && was_there (other) && !is_proven (worker, other))
+      if (other != run && was_there (other) && !is_proven (worker, other)
+          && !is_outlived (worker, run, other))
         return FALSE;
     }
   if (run->seen_clock_ms > 0)
@@ -322,7 +367,7 @@
   fb_counter_add (FB_COUNTER_TASKS_GIVEN_UP, 1);
   fb_event_log (FB_EVENT_TASK_GIVEN_UP, "task=%s.%u.%u.%u queue=%s crashes=%u apart=%d",
                 step->job->id, step->occurrence, step->index, index, step->job->record.policy.queue,
-                fb_pool_task_crashes_n (task), was_apart (task));
+                fb_pool_task_crashes_n (task), alone_n (self, task, FALSE) > 0);
   fb_pool_job_end (self, step->job, FB_WORK_FAILED, now_ms, wall_ms);
 }
 
@@ -332,7 +377,7 @@
   for (uint32_t i = 0; i < step->shape->count; i++)
     {
       const FbPoolTask *task = &step->tasks[i];
-      if (fb_pool_task_crashes_n (task) < limit_of (self, task))
+      if (fb_pool_task_crashes_n (task) < limit_of (self, step, task, TRUE))
         continue;
       give_up (self, step, i, now_ms, wall_ms);
       return;
@@ -380,12 +425,53 @@
   return suspicion_of (task) < ISOLATED_CRASHES || worker->suspects_n == 0;
 }
 
+gboolean
+fb_pool_crash_is_open (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms)
+{
+  return worker->kept_for == NULL || worker->kept_for == task || now_ms >= worker->kept_until_ms;
+}
+
+static gboolean
+is_calm (const FbPoolWorker *worker)
+{
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    {
+      if (is_beginning (run))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Failure: what has lost two workers to others starts beside another task that crashes its worker,
+ * and is given up for it; or it did crash them, starts where others begin, and its crash proves no
+ * more than those before.  Guard: it starts where nothing has begun of late, and nothing starts on
+ * that worker meanwhile. */
+gboolean
+fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms)
+{
+  if (suspicion_of (task) < ISOLATED_CRASHES || is_calm (worker))
+    return FALSE;
+  if (task->calm_until_ms == 0)
+    task->calm_until_ms = now_ms + CALM_WAIT_MS;
+  if (now_ms >= task->calm_until_ms)
+    return FALSE;
+  worker->kept_for = task;
+  worker->kept_until_ms = task->calm_until_ms;
+  return TRUE;
+}
+
 double
-fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task)
+fb_pool_crash_cost (const FbPoolWorker *worker, const FbPoolTask *task, uint64_t now_ms)
 {
   gboolean isolated = suspicion_of (task) >= ISOLATED_CRASHES;
+  /* It may have crashed already, and that would count for TASK. */
+  gboolean quiet = now_ms > worker->heard_ms + FB_POOL_LOOK_WAIT_MS + ANSWER_MS;
   /* What runs beside it would be lost with the worker. */
-  return worker->suspects_n + (isolated ? g_hash_table_size (worker->runs) : 0);
+  return worker->suspects_n + (isolated ? g_hash_table_size (worker->runs) : 0)
+         + (quiet ? QUIET_COST : 0);
 }
 
 void
@@ -398,12 +484,14 @@
 }
 
 void
-fb_pool_crash_task_ordered (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
-                            uint32_t index)
+fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
 {
   FbPoolTask *task = &step->tasks[index];
   if (!fb_pool_task_is_suspect (task))
     return;
+  task->calm_until_ms = 0;
+  if (worker->kept_for == task)
+    worker->kept_for = NULL;
   fb_pool_tried_note (task, worker->id, worker->address);
   g_hash_table_add (self->dirty, step->job);
 }
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -14,20 +14,25 @@
     return;
   FbPoolWorker *worker
       = fb_pool_best_worker (self, step, index, NULL, NULL, FB_TICKET_VALID, now_ms);
-  if (worker != NULL)
+  if (worker != NULL && !fb_pool_crash_waits_for_calm (worker, &step->tasks[index], now_ms))
     fb_pool_order_start (self, worker, step, index, fb_pool_next_attempt (self, step, index),
                          now_ms);
 }
 
-/* Returns: the task of STEP that is placed next, its count when none waits. */
+/* Returns: the task of STEP that is placed next, from FROM on or by how long it is away; its count
+ * when none is.  LATER: set of tasks that are left out. */
 static uint32_t
-next_to_place (const FbPool *self, FbPoolStep *step)
+next_to_place (const FbPool *self, FbPoolStep *step, uint32_t from, GHashTable *later)
 {
   while (step->waiting_from < step->shape->count
          && !fb_pool_task_waits (&step->tasks[step->waiting_from]))
     step->waiting_from++;
-  return step->urgency == FB_URGENCY_INTERRUPTED ? fb_pool_lasting_next (self, step)
-                                                 : step->waiting_from;
+  if (step->urgency == FB_URGENCY_INTERRUPTED)
+    return fb_pool_lasting_next (self, step, later);
+  uint32_t i = MAX (from, step->waiting_from);
+  while (i < step->shape->count && !fb_pool_task_waits (&step->tasks[i]))
+    i++;
+  return i;
 }
 
 /* Room on WORKER is used: it is not to be held again. */
@@ -40,7 +45,7 @@
 }
 
 /* HELD_ON: on whose workers room was held; those that are used are taken out.
- * Returns: TRUE when no task waits any more. */
+ * Returns: TRUE when no task waits for room any more. */
 static gboolean
 place_tasks (FbPool *self, FbPoolStep *step, GPtrArray *held_on, uint64_t now_ms)
 {
@@ -48,13 +53,20 @@
     place_probe (self, step, now_ms);
   if (fb_pool_probe_is_on (step))
     return FALSE;
-  uint32_t i = 0;
-  while ((i = next_to_place (self, step)) < step->shape->count)
+  g_autoptr (GHashTable) later = g_hash_table_new (NULL, NULL);
+  for (uint32_t i = next_to_place (self, step, 0, later); i < step->shape->count;
+       i = next_to_place (self, step, i + 1, later))
     {
+      FbPoolTask *task = &step->tasks[i];
       FbPoolWorker *worker
           = fb_pool_best_worker (self, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
       if (worker == NULL)
         return FALSE;
+      if (fb_pool_crash_waits_for_calm (worker, task, now_ms))
+        {
+          g_hash_table_add (later, task);
+          continue;
+        }
       fb_pool_order_start (self, worker, step, i, fb_pool_next_attempt (self, step, i), now_ms);
       forget_held (held_on, worker);
     }
