--- a/tools/check.sh
+++ b/tools/check.sh
@@ -52,7 +52,8 @@
 verdict "fuzz seeds" $B/fuzz/fuzz-steps --seed 1 --inputs 400
 verdict "fuzz pools" $B/fuzz/fuzz-pool 1 500
 verdict "fuzz pools with advice" $B/fuzz/fuzz-pool 1 500 advised
-verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 32 crashing
+verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing
+verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
