A worker's first answer brings the lease of the owner before, also where nothing runs

The lease of a worker covers all that runs there and never shortens, so one that the owner before gave also covers what this owner starts. counted it only where the first answer lists runs: an owner that starts a task on an idle worker and stalls for 1.3 s before its next look took the start's own lease (0.7 s) for the last one, and started the task elsewhere while it ran.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -479,9 +479,8 @@
                   self->epoch, answer->running->len, answer->finished->len);
   if (!worker->answered)
     {
-      /* The owner before may have given its runs a lease a moment ago. */
-      if (answer->running->len > 0)
-        worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + FB_POOL_LEASE_MS);
+      /* The owner before may have given it a lease a moment ago, which covers what starts there. */
+      worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + FB_POOL_LEASE_MS);
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -56,7 +56,7 @@
 grown-room-not-noticed|pool-worker.c|  worker->cpu_milli = entry->cpu_milli;|  worker->cpu_milli = worker->cpu_milli != 0 ? MIN (worker->cpu_milli, entry->cpu_milli) : entry->cpu_milli;
 size-proves-what-ran|pool-settle.c|  if (!fb_pool_has_labels_for (worker, step->shape))|  if (!fb_pool_could_run (worker, step->shape))
 refusal-of-a-repeat-is-proof|platform/worker.c|  if (fb_http_reply_leaves_doubt (reply) \&\& |  if (FALSE \&\& 
-lease-of-the-owner-before-forgotten|pool-report.c|      if (answer->running->len > 0)|      if (FALSE)
+lease-of-the-owner-before-forgotten|pool-report.c|answer->clock_ms + FB_POOL_LEASE_MS|0
 answer-counts-for-any-attempt|pool-orders.c|(*run)->attempt != ref->attempt|FALSE
 full-answer-taken-for-all|pool-report.c|  if (answer->finished->len >= self->limits.ends_listed_n)|  if (FALSE)
 any-end-of-a-job-that-is-over|pool-report.c|  if (run != NULL \&\& run->attempt <= end->attempt)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}|  if (run != NULL)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}
