--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -479,8 +479,7 @@
                   self->epoch, answer->running->len, answer->finished->len);
   if (!worker->answered)
     {
-      /* The owner before may have given a lease a moment ago; what starts there now runs under it,
-       * too. */
+      /* The owner before may have given it a lease a moment ago, which covers what starts there. */
       worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + FB_POOL_LEASE_MS);
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
