--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -299,8 +299,10 @@
   gboolean excused = end->lapsed || job->record.spec.steps.steps_val[step].speculative;
   if (!excused && job->started_ms[step][index] > end->at_ms)
     world_broke (world, "%s started after it had ended, and that end counts", end->task);
-  if (!job->noted[step][index])
-    job->excused_ms[step][index] = excused ? world->now_ms : 0;
+  if (!excused)
+    job->excused_ms[step][index] = 0;
+  else if (!job->noted[step][index])
+    job->excused_ms[step][index] = world->now_ms;
   job->noted[step][index] = TRUE;
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -131,8 +131,8 @@
 misuse_worker_calls (SoakFaults *self, const SoakFault *fault)
 {
   guint share = 10 + fault->variant / 2;
-  gboolean refuses = fault->kind == SOAK_WORKER_REFUSES || fault->kind == SOAK_WORKER_ILL;
-  gboolean loses = fault->kind == SOAK_WORKER_LOSES || fault->kind == SOAK_WORKER_ILL;
+  gboolean refuses = fault->kind == SOAK_WORKER_REFUSES || fault->kind == SOAK_WORKER_FLAKY;
+  gboolean loses = fault->kind == SOAK_WORKER_LOSES || fault->kind == SOAK_WORKER_FLAKY;
   soak_platform_control (self->platform,
                          "{\"faults\":%u,\"for-ms\":%u,\"refuse\":%u,\"lose\":%u,\"late\":%u}",
                          fault->target, fault->for_ms, refuses ? share : 0, loses ? share / 2 : 0,
@@ -202,11 +202,11 @@
       break;
     case SOAK_WORKER_REFUSES:
     case SOAK_WORKER_LOSES:
-    case SOAK_WORKER_ILL:
+    case SOAK_WORKER_FLAKY:
     case SOAK_WORKER_LATE:
       misuse_worker_calls (self, fault);
       break;
-    case SOAK_STORE_ILL:
+    case SOAK_STORE_FLAKY:
       misuse_store_calls (self, fault);
       break;
     case SOAK_ROLL:
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -19,9 +19,9 @@
         [SOAK_STORE_AWAY] = 3,     [SOAK_STORE_MUTE] = 3,     [SOAK_WORKER_CRASH] = 6,
         [SOAK_ROLL] = 2,           [SOAK_KILL_ALL] = 1,       [SOAK_WORKER_LINK] = 8,
         [SOAK_WORKER_RESET] = 5,   [SOAK_WORKER_SILENCE] = 4, [SOAK_WORKER_CUT] = 4,
-        [SOAK_WORKER_REFUSES] = 3, [SOAK_WORKER_LOSES] = 3,   [SOAK_WORKER_ILL] = 5,
+        [SOAK_WORKER_REFUSES] = 3, [SOAK_WORKER_LOSES] = 3,   [SOAK_WORKER_FLAKY] = 5,
         [SOAK_WORKER_LATE] = 4,    [SOAK_PEER_LINK] = 2,      [SOAK_PEER_RESET] = 1,
-        [SOAK_PEER_SILENCE] = 1,   [SOAK_STORE_ILL] = 3 };
+        [SOAK_PEER_SILENCE] = 1,   [SOAK_STORE_FLAKY] = 3 };
 
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
@@ -73,8 +73,8 @@
           "store-reset",  "store-silence",  "caller-link", "caller-reset",   "store-away",
           "store-mute",   "worker-crash",   "roll",        "kill-all",       "worker-link",
           "worker-reset", "worker-silence", "worker-cut",  "worker-refuses", "worker-loses",
-          "worker-ill",   "worker-late",    "peer-link",   "peer-reset",     "peer-silence",
-          "store-ill" };
+          "worker-flaky", "worker-late",    "peer-link",   "peer-reset",     "peer-silence",
+          "store-flaky" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -25,12 +25,12 @@
   SOAK_WORKER_CUT,     /* its link is cut and it is not listed after a while */
   SOAK_WORKER_REFUSES, /* a share of its calls */
   SOAK_WORKER_LOSES,   /* carries a share of its calls out and does not answer */
-  SOAK_WORKER_ILL,     /* both */
+  SOAK_WORKER_FLAKY,   /* both */
   SOAK_WORKER_LATE,    /* carries a share of its calls out late and does not answer */
   SOAK_PEER_LINK,      /* of the other daemons to a daemon */
   SOAK_PEER_RESET,
   SOAK_PEER_SILENCE,
-  SOAK_STORE_ILL, /* refuses a share of its calls, carries a share out and does not answer */
+  SOAK_STORE_FLAKY, /* refuses a share of its calls, carries a share out and does not answer */
   SOAK_FAULT_N
 } SoakFaultKind;
 
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -344,7 +344,7 @@
 gboolean
 fb_http_reply_leaves_doubt (const FbHttpReply *reply)
 {
-  return reply->status == FB_HTTP_OK ? reply->copies > 1 : reply->sent;
+  return reply->status == FB_HTTP_OK ? reply->copies != 1 : reply->sent;
 }
 
 void
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -268,12 +268,8 @@
   return TRUE;
 }
 
-/* The same where room can be made.
- *
- * Failure: the tickets that have just come are valid until the room is there, and the step waits
- * for the answer to a question about the same workers; it shows as tasks that are placed 2 s late,
- * and as nothing else that can be asked for their step meanwhile.  Guard: such tickets are not
- * renewed, and the room is held until it should be there. */
+/* The same where room can be made.  Tickets that last until the room is there are not renewed, as
+ * the step would wait for the answer; the room is held until then. */
 static GPtrArray *
 to_renew_after_stops (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
