--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -36,15 +36,21 @@
 silent-worker-gets-leases|pool-orders.c|worker->answered \&\& !fb_pool_worker_silent (worker, now_ms)|worker->answered
 cancel-stops-nothing|pool-report.c|  if (job->state != FB_WORK_COMPLETED)|  if (0)
 known-workers-forgotten|pool.c|      if (worker == NULL \&\& !empty)|      if (FALSE)
-crash-not-counted|pool-crash.c|  if (task->done \|\| fb_pool_job_ended (step->job) \|\| !note_crash (task, crash))|  if (TRUE)
+crash-not-counted|pool-crash.c|  if (task->done \|\| !note_crash (task, crash))|  if (TRUE)
 crash-not-recorded|pool-crash-record.c|      if (!task->done \&\& (task->crashes != NULL \|\| task->tried != NULL))|      if (FALSE)
 crash-of-a-successor-not-counted|pool-crash-record.c|  for (u_int i = 0; i < suspect->tried.tried_len; i++)|  for (u_int i = 0; FALSE; i++)
 crash-counted-again-and-again|pool-crash.c|has_crash (task, crash.worker) \|\| |
-silence-taken-for-a-crash|pool-crash.c|  if (loss == FB_LOSS_OTHER_LIFE)\n    {\n      fb_pool_crash_count|  if (TRUE)\n    {\n      fb_pool_crash_count
-new-life-not-noticed|pool-doubt.c|          \&\& g_strcmp0 (other->address, doubt->address) == 0)|          \&\& FALSE)
-doubt-holds-nothing-back|pool-crash.c|  task->withheld = fb_pool_task_crashes_n (task) + task->doubts_n >= limit;|  task->withheld = FALSE;
+silence-taken-for-a-crash|pool-crash.c|  if (loss == FB_LOSS_OTHER_LIFE)\n    {\n      fb_pool_tried_drop|  if (TRUE)\n    {\n      fb_pool_tried_drop
+new-life-not-noticed|pool-doubt.c|          \&\& is_successor (other, lost))|          \&\& FALSE)
+new-life-that-went-not-noticed|pool-doubt.c|lost != NULL \&\& other->listed_ms > 0|lost != NULL \&\& other->listed
+doubt-holds-nothing-back|pool-crash.c|fb_pool_task_crashes_n (task) + task->doubts_n >= limit \|\| |
 wide-step-all-at-once|pool-place.c|  if (fb_pool_probe_is_on (step))\n    return FALSE;|
 suspect-gets-copies|pool-copy.c|  if (fb_pool_task_is_suspect (task))|  if (FALSE)
+cause-never-left|pool-crash.c|  for (guint i = 0; i < task->crashes->len; i++)\n    fb_pool_crash_cause_drop|  for (guint i = 0; FALSE; i++)\n    fb_pool_crash_cause_drop
+shared-crashes-count-as-alone|pool-crash.c|#define SHARED_ENOUGH 2|#define SHARED_ENOUGH 9
+suspect-beside-what-begins|pool-crash.c|  if (suspicion_of (task) < ISOLATED_CRASHES \|\| is_calm (worker))|  if (TRUE)
+kept-worker-open-to-all|pool-choose.c|          \|\| !fb_pool_crash_is_open (worker, task, now_ms)|
+quiet-worker-for-a-suspect|pool-crash.c|(quiet ? QUIET_COST : 0)|0
 isolated-beside-others|pool-choose.c|          \|\| worker->isolated_n > 0 \|\| |          \|\| 
 one-shared-crash-is-enough|pool-crash.c|#define CRASHES_MOST_SHARED 4|#define CRASHES_MOST_SHARED 1
 lasting-task-held-to-account|pool-crash.c|#define LASTING_PROVEN_MS 20000|#define LASTING_PROVEN_MS 2000000
@@ -79,7 +85,7 @@
   done
   local told
   # The first seeds of the kind with crashes are clean; see KNOWN-RED.txt for later ones.
-  told=$(timeout 120 "$dir/fuzz" 1 32 crashing | grep -m1 '^seed')
+  told=$(timeout 120 "$dir/fuzz" 1 250 crashing | grep -m1 '^seed')
   for kind in plain advised shrinking; do
     [ -n "$told" ] || told=$(timeout 120 "$dir/fuzz" 1 "$SEEDS" "$kind" | sed -n "s/^seed/$kind seed/p" | head -1)
   done
