Answers of workers are decoded once where the order was done; set of tasks that wait made when needed

Reading the whole change: each carried order's answer was parsed twice to find out that there was nothing to log, and each look at a step made a table that is rarely used. Both are off the usual way now. Comments of three fields say what they hold.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -65,8 +65,7 @@
 /* RUN, which has a step, comes to WORKER (SIGN 1) or goes (-1). */
 void fb_pool_crash_charge (FbPoolWorker *worker, FbPoolRun *run, int sign);
 
-/* ---- pool-crash-causes.c: what may have crashed each worker, which its rank names --------------
- */
+/* ---- pool-crash-causes.c: what may have crashed a worker, which its rank names ------- */
 
 GHashTable *fb_pool_crash_causes_new (void);
 /* One task more may have crashed WORKER, or one less. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -245,7 +245,7 @@
 void fb_pool_lasting_waits (const FbPool *self, FbPoolStep *step, const char *waits_for,
                             uint64_t now_ms);
 void fb_pool_lasting_waits_no_more (FbPoolStep *step);
-/* BUT: set of tasks that do not count.
+/* BUT: set of tasks that do not count; NULL: none.
  * Returns: of the tasks of STEP that wait the one that is away for longest, one that never ran if
  * all did not; the count when none waits. */
 uint32_t fb_pool_lasting_next (const FbPool *self, const FbPoolStep *step, GHashTable *but);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -60,10 +60,11 @@
   uint32_t first_answer_ms; /* patience of the last look before it first answered */
   uint64_t look_at_ms;      /* when the next look is due */
   uint64_t look_sent_ms;
-  uint64_t proof_ms;   /* when the last look that was answered had been sent */
-  uint64_t heard_ms;   /* last answer */
-  uint64_t clock_ms;   /* worker's clock, no later than HEARD_MS */
-  uint64_t lease_ms;   /* highest deadline that was ever sent, on its clock */
+  uint64_t proof_ms; /* when the last look that was answered had been sent */
+  uint64_t heard_ms; /* last answer */
+  uint64_t clock_ms; /* worker's clock, no later than HEARD_MS */
+  uint64_t
+      lease_ms; /* highest deadline that was ever sent, on its clock; by the owner before, too */
   uint64_t seen_end;   /* highest number of an end that was taken in */
   gboolean unread;     /* it lists an end of a job that is not known yet, or may have more ends */
   uint64_t unread_end; /* which one that was last; 0: none */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -146,8 +146,8 @@
    * it, and in any case; 0: what the pool takes by itself. */
   uint32_t crashes_n;
   uint32_t shared_crashes_n;
-  uint32_t
-      ends_listed_n; /* ends that a worker lists in one answer; 0: what the pool takes by itself */
+  /* Ends that a worker lists in one answer; 0: what the pool takes by itself. */
+  uint32_t ends_listed_n;
 } FbPoolLimits;
 
 /* ---- life ------------------------------------------------------------------ */
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -156,18 +156,24 @@
 }
 
 static void
-on_worker_reply (gpointer data, const FbHttpReply *reply)
+log_not_done (const WorkerCall *call, const FbHttpReply *reply)
 {
-  WorkerCall *call = data;
   uint64_t clock_ms = 0;
   FbOrderResult result = fb_wire_order_result (reply, &clock_ms);
-  if (result != FB_ORDER_DONE)
-    fb_event_log (FB_EVENT_ORDER_NOT_DONE,
-                  "task=%s attempt=%u worker=%s kind=%d epoch=%" G_GUINT64_FORMAT
-                  " code=%u status=%d copies=%u result=%s after_ms=%u",
-                  call->task, call->attempt, call->worker, call->kind, call->epoch, reply->code,
-                  reply->status, reply->copies, fb_order_result_name (result),
-                  (guint) (fb_clock_ms () - call->sent_ms));
+  fb_event_log (FB_EVENT_ORDER_NOT_DONE,
+                "task=%s attempt=%u worker=%s kind=%d epoch=%" G_GUINT64_FORMAT
+                " code=%u status=%d copies=%u result=%s after_ms=%u",
+                call->task, call->attempt, call->worker, call->kind, call->epoch, reply->code,
+                reply->status, reply->copies, fb_order_result_name (result),
+                (guint) (fb_clock_ms () - call->sent_ms));
+}
+
+static void
+on_worker_reply (gpointer data, const FbHttpReply *reply)
+{
+  WorkerCall *call = data;
+  if (reply->status != FB_HTTP_OK || reply->code != FB_HTTP_CODE_OK)
+    log_not_done (call, reply);
   call->done (call->user, reply);
   g_free (call->worker);
   g_free (call->task);
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -29,7 +29,6 @@
 #define EVENTS_AT_ONCE 64
 /* Of the above in one turn: other sources have their turn then. */
 #define READS_PER_TURN 8
-#define HTTP_OK 200
 
 typedef struct
 {
@@ -485,7 +484,7 @@
 {
   JsonCall *call = user;
   FbHttpStatus status = reply->status;
-  if (status == FB_HTTP_OK && reply->code != HTTP_OK)
+  if (status == FB_HTTP_OK && reply->code != FB_HTTP_CODE_OK)
     status = FB_HTTP_STATUS;
   JsonObject *root = NULL;
   g_autoptr (JsonParser) parser
--- a/src/net/http-client.h
+++ b/src/net/http-client.h
@@ -6,6 +6,8 @@
 
 #include <json-glib/json-glib.h>
 
+#define FB_HTTP_CODE_OK 200
+
 typedef struct _FbHttpClient FbHttpClient;
 
 typedef enum
--- a/src/work/pool-lasting.c
+++ b/src/work/pool-lasting.c
@@ -108,7 +108,8 @@
   uint64_t next_over_ms = 0;
   for (uint32_t i = step->waiting_from; i < step->shape->count; i++)
     {
-      if (!fb_pool_task_waits (&step->tasks[i]) || g_hash_table_contains (but, &step->tasks[i]))
+      if (!fb_pool_task_waits (&step->tasks[i])
+          || (but != NULL && g_hash_table_contains (but, &step->tasks[i])))
         continue;
       const Away away = away_of (self, step, i);
       uint64_t over_ms = away.over_ms != 0 ? away.over_ms : G_MAXUINT64;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -20,7 +20,7 @@
 }
 
 /* Returns: the task of STEP that is placed next, from FROM on or by how long it is away; its count
- * when none is.  LATER: set of tasks that are left out. */
+ * when none is.  LATER: set of tasks that are left out; NULL: none. */
 static uint32_t
 next_to_place (const FbPool *self, FbPoolStep *step, uint32_t from, GHashTable *later)
 {
@@ -53,7 +53,7 @@
     place_probe (self, step, now_ms);
   if (fb_pool_probe_is_on (step))
     return FALSE;
-  g_autoptr (GHashTable) later = g_hash_table_new (NULL, NULL);
+  g_autoptr (GHashTable) later = NULL;
   for (uint32_t i = next_to_place (self, step, 0, later); i < step->shape->count;
        i = next_to_place (self, step, i + 1, later))
     {
@@ -64,6 +64,7 @@
         return FALSE;
       if (fb_pool_crash_waits_for_calm (worker, task, now_ms))
         {
+          later = later != NULL ? later : g_hash_table_new (NULL, NULL);
           g_hash_table_add (later, task);
           continue;
         }
