--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -58,6 +58,9 @@
 /* FALSE while WORKER is kept for another task than TASK. */
 gboolean fb_pool_crash_is_open (const FbPoolWorker *worker, const FbPoolTask *task,
                                 uint64_t now_ms);
+/* What lasts and has run on WORKER for long is not suspected any more, so that others may start
+ * there. */
+void fb_pool_crash_clear_lasted (FbPool *self, FbPoolWorker *worker);
 /* TRUE when TASK must not start on WORKER, its best, before that is calm; WORKER is kept for it. */
 gboolean fb_pool_crash_waits_for_calm (FbPoolWorker *worker, FbPoolTask *task, uint64_t now_ms);
 /* What speaks against WORKER for TASK, which is suspected. */
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -335,6 +335,26 @@
     }
 }
 
+void
+fb_pool_crash_clear_lasted (FbPool *self, FbPoolWorker *worker)
+{
+  if (worker->suspects_n == 0)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolRun *run = value;
+      if (!is_proven (worker, run) || run->step->tasks[run->index].crashes == NULL)
+        continue;
+      fb_pool_worker_charge (worker, run, -1);
+      fb_pool_crash_clear (self, run->step, run->index, "lasted");
+      fb_pool_worker_charge (worker, run, 1);
+      fb_pool_worker_opened (self, worker);
+    }
+}
+
 /* A worker that drains ends as planned: nobody is suspected for it. */
 void
 fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, uint64_t now_ms)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -195,6 +195,7 @@
     leave_draining (self, worker, now_ms);
   fb_pool_stop_strays (self, worker, now_ms);
   fb_pool_crash_note_silence (self, worker, now_ms);
+  fb_pool_crash_clear_lasted (self, worker);
   gboolean takes = fb_pool_worker_takes (worker, now_ms);
   if (takes && !worker->took)
     fb_pool_worker_opened (self, worker);
