--- a/src/entry/front/gatherer.c
+++ b/src/entry/front/gatherer.c
@@ -13,10 +13,10 @@
 /* Four appends of 120 ms wait half a second; with one, its loss would stop all callers for the
  * time that it takes to notice. */
 #define GATHERER_N 4
-/* An append takes some 20 ms through another daemon; one that is cut off is found by this. */
+/* Long enough for an append by another daemon, short enough to ask one more. */
 #define PATIENCE_MS 400
-/* A slow store takes half a second for an append, and there are some before it; what is left of a
- * caller's time is for the answer. */
+/* A slow store takes longer, and others wait there; what is left of a caller's time is for the
+ * answer. */
 #define SLOW_PATIENCE_MS 2300
 #define ASKED_MAX 2
 /* Later there is no time left to ask another one and to store it from here then. */
