Soak: a range of ports that is taken is not used

The logs say why: "cannot listen on 127.0.0.1:10015: Address already in use". The range followed from the process's id alone, and whether it was free was not asked.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -6,6 +6,7 @@
  * not be. */
 #include "callers.h"
 #include "faults.h"
+#include "ports.h"
 
 #include <glib/gstdio.h>
 #include <stdio.h>
@@ -16,6 +17,7 @@
 #define FIRST_PORT 10000
 #define PORT_RANGES 11
 #define RANGE_PORTS 900
+#define PORTS_OF_DAEMON 4
 #define TURN_MS 40
 #define READY_MS 20000
 /* After the faults all that was accepted has this long to end: leases, a take-over and doubts about
@@ -281,6 +283,21 @@
          && option_port > 1024 && option_port < 60000;
 }
 
+/* Returns: the first port of a range in which N are free, of the one that follows from the
+ * process's id if that is so; else of the last that was tried. */
+static gint
+free_range (guint n)
+{
+  gint port = FIRST_PORT;
+  for (gint i = 0; i < PORT_RANGES; i++)
+    {
+      port = FIRST_PORT + (getpid () + i) % PORT_RANGES * RANGE_PORTS;
+      if (soak_ports_are_free ((guint) port, n))
+        break;
+    }
+  return port;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -289,7 +306,6 @@
   g_autoptr (GError) error = NULL;
   option_programs = g_strdup ("build");
   option_folder = g_strdup ("out/soak");
-  option_port = FIRST_PORT + (getpid () % PORT_RANGES) * RANGE_PORTS;
   g_option_context_add_main_entries (context, options, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error) || argc > 1)
     {
@@ -301,11 +317,19 @@
       fprintf (stderr, "soak: %s has no plan to replay\n", option_replay);
       return 2;
     }
+  guint ports_n = 1 + (guint) (option_workers + PORTS_OF_DAEMON * option_daemons);
+  if (option_port == 0)
+    option_port = free_range (ports_n);
   if (!options_are_good ())
     {
       fprintf (stderr, "soak: a number is out of its range, see --help\n");
       return 2;
     }
+  if (!soak_ports_are_free ((guint) option_port, ports_n))
+    {
+      fprintf (stderr, "soak: of the %u ports from %d on some are taken\n", ports_n, option_port);
+      return 2;
+    }
   guint broken = 0;
   for (gint i = 0; i < option_seeds; i++)
     broken += run_seed ((guint32) (option_seed + i));
