Starts that crash workers are remembered by the daemons that carried them

What callers saw: a task that takes down each worker that starts it went on for three starts more than it may, with the work of others on each of these workers, when its owner was replaced soon after its starts.

Cause: an owner that is replaced before it knows of a crash, or while the store takes nothing, leaves no trace of its starts. A worker that crashed forgets, the store has no record. The next owner counts from the beginning.

Fix: each daemon keeps the starts that went out from it in the last 10 s, 512 at most, with what the workers have said of them. A new owner asks all daemons, when it has loaded and once more 1.5 s later, for those at workers that did not answer what was sent to them last. It waits for no answer. Such a start is in doubt as one is that the owner lost itself: it ends when the worker answers, or counts when another life shows at its address. What is lost costs what it cost before. In a healthy pool the answers are empty.

The fuzzer's world has three daemons that carry orders, with the product's memory; one of them dies with each owner that is killed. Its checks are as they were.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -122,6 +122,7 @@
     {
     case 0:
       world_owner_end (world, i);
+      world_carrier_die (world);
       break;
     default:
       owner->paused = !owner->paused;
@@ -278,6 +279,8 @@
       worker->highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       world_worker_begin (world, i);
     }
+  for (guint i = 0; i < CARRIER_N; i++)
+    world->carriers[i] = fb_recent_starts_new ();
   world_owner_begin (world, 0);
   return world;
 }
@@ -302,6 +305,8 @@
     }
   g_ptr_array_set_free_func (world->orders, world_order_free);
   g_ptr_array_unref (world->orders);
+  for (guint i = 0; i < CARRIER_N; i++)
+    fb_recent_starts_free (world->carriers[i]);
   g_hash_table_unref (world->progress);
   g_clear_pointer (&world->known_workers, g_bytes_unref);
   g_rand_free (world->rand);
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -20,6 +20,27 @@
   return (guint) atoi (id + 1);
 }
 
+/* The same for all lives of worker I. */
+static char *
+world_address (guint i)
+{
+  return g_strdup_printf ("a%u", i);
+}
+
+FbRecentStarts *
+world_carrier (World *world, guint worker)
+{
+  return world->carriers[worker % CARRIER_N];
+}
+
+void
+world_carrier_die (World *world)
+{
+  guint i = world->carriers_lost_n++ % CARRIER_N;
+  fb_recent_starts_free (world->carriers[i]);
+  world->carriers[i] = fb_recent_starts_new ();
+}
+
 static void
 send_order (Owner *owner, Order *order, const char *worker, uint32_t patience_ms)
 {
@@ -54,6 +75,10 @@
   order->deadline_ms = start->deadline_ms;
   order->ticket = start->ticket != NULL;
   g_strlcpy (order->task, start->task, sizeof order->task);
+  World *world = ((Owner *) user)->world;
+  g_autofree char *address = world_address (worker_index (start->worker));
+  fb_recent_starts_sent (world_carrier (world, worker_index (start->worker)), start->worker,
+                         address, start->task, start->attempt, world->now_ms);
   send_order (user, order, start->worker, 600);
 }
 
@@ -175,7 +200,7 @@
       if (!worker->listed)
         continue;
       const char *labels[] = { "k", "r1", NULL };
-      g_autofree char *address = g_strdup_printf ("a%u", j); /* the same for all lives */
+      g_autofree char *address = world_address (j);
       const FbWorkerEntry entry
           = { worker->id, address,         "r1", labels, (uint32_t) worker->cpu_milli, 64000,
               0,          worker->draining };
@@ -247,6 +272,19 @@
     }
 }
 
+/* What the carriers remember. */
+static void
+recall (World *world, Owner *owner)
+{
+  for (guint i = 0; i < CARRIER_N; i++)
+    {
+      fb_told_starts told;
+      fb_recent_starts_tell (world->carriers[i], world->now_ms, &told);
+      fb_pool_recall_starts (owner->pool, &told, world->now_ms);
+      g_free (told.starts.starts_val);
+    }
+}
+
 void
 world_owner_begin (World *world, guint i)
 {
@@ -264,6 +302,7 @@
   world->current = i;
   world->current_seen_ms = world->now_ms;
   restore (world, owner);
+  recall (world, owner);
 }
 
 /* The store forgets what a job that has ended was to run. */
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -332,12 +332,25 @@
   return owner->pool != NULL && owner->life == order->owner_life ? owner : NULL;
 }
 
+/* Who carries ORDER hears what became of it, also when its sender is gone. */
+static void
+tell_carrier (World *world, const Order *order)
+{
+  FbRecentStarts *carrier = world_carrier (world, order->worker);
+  if (order->kind == ORDER_LOOK)
+    fb_recent_starts_looked (carrier, order->worker_id, &order->answer);
+  else if (order->kind == ORDER_START)
+    fb_recent_starts_answered (carrier, order->worker_id, order->task, order->attempt,
+                               order->answer.result);
+}
+
 /* The sender of ORDER hears what became of it. */
 static void
 deliver (World *world, Order *order)
 {
   Owner *owner = sender_of (world, order);
   const FbLookAnswer *told = &order->answer;
+  tell_carrier (world, order);
   if (owner != NULL && order->kind == ORDER_LOOK)
     fb_pool_look_answered (owner->pool, order->worker_id, told, world->now_ms,
                            WALL_MS + world->now_ms);
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -4,6 +4,7 @@
 
 #include "internal/pool.h"
 #include "platform/wire.h"
+#include "src/entry/peers/recent-starts.h"
 
 #define WORKER_N 6
 #define JOB_MAX 40
@@ -164,6 +165,7 @@
 } Question;
 
 #define OWNER_N 2
+#define CARRIER_N 3 /* daemons that carry orders, each to its part of the workers */
 #define ADVICE_MS 30
 
 struct _World
@@ -185,6 +187,8 @@
   guint job_n;
   Owner owners[OWNER_N];
   guint current; /* the owner that the store knows */
+  FbRecentStarts *carriers[CARRIER_N];
+  guint carriers_lost_n;
   uint64_t store_epoch;
   uint64_t current_seen_ms;
   GHashTable *progress; /* job -> GBytes */
@@ -232,6 +236,10 @@
 
 /* ---- owners: pool-world-owners.c -------------------------------------------------------- */
 
+/* Returns: who carries orders to WORKER. */
+FbRecentStarts *world_carrier (World *world, guint worker);
+/* A daemon dies with the owner: a carrier, each in turn. */
+void world_carrier_die (World *world);
 void world_owner_begin (World *world, guint i);
 void world_owner_end (World *world, guint i);
 void world_owner_tick (World *world, guint i);
--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -22,6 +22,8 @@
 
 /* How many workers crashed under TASK. */
 guint fb_pool_task_crashes_n (const FbPoolTask *task);
+/* TRUE when the crash of the worker of that rank is counted for TASK. */
+gboolean fb_pool_task_has_crash (const FbPoolTask *task, uint64_t worker);
 /* Fills in what LIMITS leaves to the pool. */
 void fb_pool_crash_set_limits (FbPoolLimits *limits);
 /* What speaks against task INDEX has changed: finds whether it is withheld. */
@@ -105,6 +107,8 @@
  */
 
 void fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address);
+/* TRUE when it is not known yet what became of TASK on WORKER. */
+gboolean fb_pool_tried_has (const FbPoolTask *task, const char *worker);
 /* It is known what became of TASK on WORKER. */
 void fb_pool_tried_drop (FbPoolTask *task, const char *worker);
 /* RECORD borrows from the job; it is the caller's to clear. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -182,6 +182,8 @@
 /* Every job that was stored before UNTIL_MS has been passed in: what names another one
  * names none.  Until then runs and ends of jobs that are not known are left alone. */
 void fb_pool_jobs_read (FbPool *self, uint64_t until_ms);
+/* Starts by earlier owners of which no record may tell; rows of other pools are passed over. */
+void fb_pool_recall_starts (FbPool *self, const fb_told_starts *told, uint64_t now_ms);
 void fb_pool_cancel (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
 /* Policies changed.  POLICIES: name of a queue -> fb_work_policy; a queue that is not there
  * keeps the one it has. */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -728,6 +728,8 @@
 		 if (!xdr_fb_ask_order (xdrs, &objp->fb_ask_u.order))
 			 return FALSE;
 		break;
+	case FB_ASK_STARTS:
+		break;
 	default:
 		return FALSE;
 	}
@@ -842,6 +844,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_recent_start (XDR *xdrs, fb_recent_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->worker, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->seen))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_told_starts (XDR *xdrs, fb_told_starts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->starts.starts_val, (u_int *) &objp->starts.starts_len, FB_WORK_MAX_STARTS,
+		sizeof (fb_recent_start), (xdrproc_t) xdr_fb_recent_start))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_told (XDR *xdrs, fb_told *objp)
 {
@@ -870,6 +901,10 @@
 		 if (!xdr_fb_told_order (xdrs, &objp->fb_told_u.order))
 			 return FALSE;
 		break;
+	case FB_TOLD_STARTS:
+		 if (!xdr_fb_told_starts (xdrs, &objp->fb_told_u.starts))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -26,6 +26,7 @@
 #define FB_WORK_MAX_RUNS 256
 #define FB_WORK_MAX_SEEN 4096
 #define FB_WORK_MAX_PARTITIONS 4096
+#define FB_WORK_MAX_STARTS 512
 #define FB_WORK_DIGEST_BYTES 16
 
 struct fb_work_step {
@@ -185,6 +186,7 @@
 	FB_ASK_OWNERS = 6,
 	FB_ASK_WRITE = 7,
 	FB_ASK_ORDER = 8,
+	FB_ASK_STARTS = 9,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -302,6 +304,7 @@
 	FB_TOLD_SEQUENCE = 11,
 	FB_TOLD_ORDER = 12,
 	FB_TOLD_NO_PAYLOAD = 13,
+	FB_TOLD_STARTS = 14,
 };
 typedef enum fb_told_type fb_told_type;
 
@@ -364,6 +367,23 @@
 };
 typedef struct fb_told_order fb_told_order;
 
+struct fb_recent_start {
+	char *worker;
+	char *address;
+	char *task;
+	u_int attempt;
+	bool_t seen;
+};
+typedef struct fb_recent_start fb_recent_start;
+
+struct fb_told_starts {
+	struct {
+		u_int starts_len;
+		fb_recent_start *starts_val;
+	} starts;
+};
+typedef struct fb_told_starts fb_told_starts;
+
 struct fb_told {
 	fb_told_type type;
 	union {
@@ -372,6 +392,7 @@
 		fb_told_advice advice;
 		fb_told_owners owners;
 		fb_told_order order;
+		fb_told_starts starts;
 	} fb_told_u;
 };
 typedef struct fb_told fb_told;
@@ -411,6 +432,8 @@
 extern  bool_t xdr_fb_seen_run (XDR *, fb_seen_run*);
 extern  bool_t xdr_fb_seen_end (XDR *, fb_seen_end*);
 extern  bool_t xdr_fb_told_order (XDR *, fb_told_order*);
+extern  bool_t xdr_fb_recent_start (XDR *, fb_recent_start*);
+extern  bool_t xdr_fb_told_starts (XDR *, fb_told_starts*);
 extern  bool_t xdr_fb_told (XDR *, fb_told*);
 
 #else /* K&R C */
@@ -446,6 +469,8 @@
 extern bool_t xdr_fb_seen_run ();
 extern bool_t xdr_fb_seen_end ();
 extern bool_t xdr_fb_told_order ();
+extern bool_t xdr_fb_recent_start ();
+extern bool_t xdr_fb_told_starts ();
 extern bool_t xdr_fb_told ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -15,6 +15,7 @@
 const FB_WORK_MAX_RUNS = 256;
 const FB_WORK_MAX_SEEN = 4096;
 const FB_WORK_MAX_PARTITIONS = 4096;
+const FB_WORK_MAX_STARTS = 512;
 const FB_WORK_DIGEST_BYTES = 16;
 
 /* One step: COUNT equal tasks, each of the size given. */
@@ -141,7 +142,8 @@
   FB_ASK_STORED = 5, /* tells the owner of a record that is in the log */
   FB_ASK_OWNERS = 6, /* who owns which partition, as the log's group has it */
   FB_ASK_WRITE = 7,  /* append progress for an owner that the log turns away */
-  FB_ASK_ORDER = 8   /* carry an order to a worker */
+  FB_ASK_ORDER = 8,  /* carry an order to a worker */
+  FB_ASK_STARTS = 9  /* which starts went out from the daemon asked to workers that fell silent */
 };
 
 struct fb_ask_job {
@@ -218,6 +220,7 @@
 case FB_ASK_OWNERS: void;
 case FB_ASK_WRITE: fb_ask_write write;
 case FB_ASK_ORDER: fb_ask_order order;
+case FB_ASK_STARTS: void;
 };
 
 enum fb_told_type {
@@ -233,7 +236,8 @@
   FB_TOLD_FENCED = 10,  /* a higher epoch writes there */
   FB_TOLD_SEQUENCE = 11, /* another sequence was expected */
   FB_TOLD_ORDER = 12,    /* what became of an order */
-  FB_TOLD_NO_PAYLOAD = 13 /* nothing was done: the payload that the order names is not there */
+  FB_TOLD_NO_PAYLOAD = 13, /* nothing was done: the payload that the order names is not there */
+  FB_TOLD_STARTS = 14
 };
 
 struct fb_ticket {
@@ -277,11 +281,25 @@
   fb_seen_end finished<FB_WORK_MAX_SEEN>;
 };
 
+/* A start of the last seconds whose run is not known to have ended. */
+struct fb_recent_start {
+  string worker<FB_WORK_MAX_NAME>;
+  string address<FB_WORK_MAX_NAME>; /* of the worker */
+  string task<FB_WORK_MAX_NAME>;
+  unsigned int attempt;
+  bool seen; /* the worker has said that it is there */
+};
+
+struct fb_told_starts {
+  fb_recent_start starts<FB_WORK_MAX_STARTS>;
+};
+
 union fb_told switch (fb_told_type type) {
 case FB_TOLD_STATE: fb_work_state state;
 case FB_TOLD_PENDING: unsigned int pending;
 case FB_TOLD_ADVICE: fb_told_advice advice;
 case FB_TOLD_OWNERS: fb_told_owners owners;
 case FB_TOLD_ORDER: fb_told_order order;
+case FB_TOLD_STARTS: fb_told_starts starts;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -16,6 +16,7 @@
 #include "src/entry/peers/links.h"
 #include "src/entry/peers/payload-share.h"
 #include "src/entry/peers/peers.h"
+#include "src/entry/peers/recent-starts.h"
 #include "src/entry/peers/relay.h"
 #include "src/entry/store/appender.h"
 #include "src/entry/store/daemons.h"
@@ -61,6 +62,7 @@
   FbLinkWatch *link;
   FbPayloadShare *payload_share; /* what was sent to other daemons */
   FbPayloadCache *payload_cache; /* what they have sent here */
+  FbRecentStarts *recent_starts; /* that went out from here */
   FbJoinWatch joins;
   gboolean stopping;
   gboolean refusing;    /* near its end: calls are turned away at once */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -268,6 +268,7 @@
   self->loop = fb_loop_watch_new (TIMER_MS, self->store_ok_ms);
   self->payload_share = fb_payload_share_new ((uint32_t) self->settings->link_kbit_s);
   self->payload_cache = fb_payload_cache_new (PAYLOADS_KEPT_BYTES);
+  self->recent_starts = fb_recent_starts_new ();
   self->link = fb_link_watch_new ((uint32_t) self->settings->link_kbit_s, self->store_ok_ms);
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -94,6 +94,8 @@
   if (reply->status != FB_HTTP_OK)
     log_failed (order, reply->status, reply->sent);
   fb_relay_worker_answer (order->kind, reply, &answer);
+  if (order->kind == FB_CARRY_LOOK)
+    fb_recent_starts_looked (order->entry->recent_starts, order->worker, &answer);
   finish (order, &answer);
   fb_look_answer_clear (&answer);
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -35,6 +35,8 @@
   guint loaded_n;        /* jobs that were taken in */
   gsize loaded_bytes;    /* of all records */
   uint64_t authority_ms; /* when it was last sure to be the owner */
+  guint recalled_n;      /* how often the other daemons were asked for starts */
+  uint64_t recall_ms;    /* when they are asked again */
   guint kick;
   guint tick;
   guint open_flushes;
@@ -55,6 +57,12 @@
 /* For the append that shuts the writer before out. */
 void fb_owner_writer_shut_out (gpointer self, FbAppendResult result);
 
+/* owner-recall.c */
+
+/* Asks the other daemons for starts of earlier owners, twice; to be called often once the owner has
+ * loaded. */
+void fb_owner_recall_starts (FbOwner *self, uint64_t now_ms);
+
 /* owner.c */
 
 /* Returns: borrowed; made when there is none yet. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -195,6 +195,7 @@
 {
   uint64_t now_ms = fb_clock_ms ();
   check_worker_list (self);
+  fb_owner_recall_starts (self, now_ms);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->parts);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -36,6 +36,7 @@
     case FB_ASK_STATE:
     case FB_ASK_PENDING:
     case FB_ASK_OWNERS:
+    case FB_ASK_STARTS:
       return FB_TRAFFIC_PEER_QUESTIONS;
     }
   return FB_TRAFFIC_OTHER;
@@ -340,6 +341,15 @@
     fb_owner_take_record (owner, ask->key, value);
 }
 
+static void
+tell_starts (FbEntry *entry, Answer *answer)
+{
+  fb_told told = { .type = FB_TOLD_STARTS };
+  fb_recent_starts_tell (entry->recent_starts, fb_clock_ms (), &told.fb_told_u.starts);
+  on_answer_ready (answer, &told);
+  g_free (told.fb_told_u.starts.starts.starts_val);
+}
+
 static const char *
 service_of (const fb_ask *ask)
 {
@@ -370,6 +380,9 @@
     case FB_ASK_ORDER:
       fb_relay_serve (entry, &ask->fb_ask_u.order, on_answer_ready, answer);
       return;
+    case FB_ASK_STARTS:
+      tell_starts (entry, answer);
+      return;
     case FB_ASK_STORED:
       take_stored (entry, &ask->fb_ask_u.stored);
       break;
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -130,6 +130,7 @@
 /* An order to start or stop a run, on its way to its worker. */
 typedef struct
 {
+  FbEntry *entry;
   fb_order_kind kind;
   char *worker;
   char *task;
@@ -141,9 +142,10 @@
 } WorkerCall;
 
 static WorkerCall *
-worker_call_new (const fb_ask_order *order, FbHttpReplyDone done, gpointer user)
+worker_call_new (FbEntry *entry, const fb_ask_order *order, FbHttpReplyDone done, gpointer user)
 {
   WorkerCall *call = g_new0 (WorkerCall, 1);
+  call->entry = entry;
   call->kind = order->kind;
   call->worker = g_strdup (order->worker);
   call->task = g_strdup (order->task);
@@ -156,10 +158,8 @@
 }
 
 static void
-log_not_done (const WorkerCall *call, const FbHttpReply *reply)
+log_not_done (const WorkerCall *call, const FbHttpReply *reply, FbOrderResult result)
 {
-  uint64_t clock_ms = 0;
-  FbOrderResult result = fb_wire_order_result (reply, &clock_ms);
   fb_event_log (FB_EVENT_ORDER_NOT_DONE,
                 "task=%s attempt=%u worker=%s kind=%d epoch=%" G_GUINT64_FORMAT
                 " code=%u status=%d copies=%u result=%s after_ms=%u",
@@ -172,8 +172,16 @@
 on_worker_reply (gpointer data, const FbHttpReply *reply)
 {
   WorkerCall *call = data;
+  FbOrderResult result = FB_ORDER_DONE;
   if (reply->status != FB_HTTP_OK || reply->code != FB_HTTP_CODE_OK)
-    log_not_done (call, reply);
+    {
+      uint64_t clock_ms = 0;
+      result = fb_wire_order_result (reply, &clock_ms);
+      log_not_done (call, reply, result);
+    }
+  if (call->kind == FB_CARRY_START)
+    fb_recent_starts_answered (call->entry->recent_starts, call->worker, call->task, call->attempt,
+                               result);
   call->done (call->user, reply);
   g_free (call->worker);
   g_free (call->task);
@@ -186,11 +194,14 @@
 {
   FbHttpCall call;
   make_call (&call, order);
+  if (order->kind == FB_CARRY_START)
+    fb_recent_starts_sent (entry->recent_starts, order->worker, order->address, order->task,
+                           order->attempt, fb_clock_ms ());
   if (order->kind == FB_CARRY_LOOK)
     fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), done, user);
   else
     fb_http_client_exchange (entry->worker_client, &call, limit_ms (order), on_worker_reply,
-                             worker_call_new (order, done, user));
+                             worker_call_new (entry, order, done, user));
   fb_http_call_clear (&call);
 }
 
@@ -300,9 +311,11 @@
 
 typedef struct
 {
+  FbEntry *entry;
   FbTold done;
   gpointer user;
   fb_order_kind kind;
+  char *worker;
 } Order;
 
 /* ROWS and ENDS borrow from ANSWER. */
@@ -331,6 +344,8 @@
   Order *order = data;
   FbLookAnswer answer;
   fb_relay_worker_answer (order->kind, reply, &answer);
+  if (order->kind == FB_CARRY_LOOK)
+    fb_recent_starts_looked (order->entry->recent_starts, order->worker, &answer);
   fb_told told = { .type = FB_TOLD_ORDER };
   fb_told_order *mine = &told.fb_told_u.order;
   mine->result = answer.result;
@@ -343,6 +358,7 @@
     tell_look (&answer, mine, rows, ends);
   order->done (order->user, &told);
   fb_look_answer_clear (&answer);
+  g_free (order->worker);
   g_free (order);
 }
 
@@ -375,9 +391,11 @@
       return;
     }
   Order *order = g_new0 (Order, 1);
+  order->entry = entry;
   order->done = done;
   order->user = user;
   order->kind = ask->kind;
+  order->worker = g_strdup (ask->worker);
   fb_relay_call_worker (entry, &complete, on_reply, order);
 }
 
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -10,6 +10,17 @@
   g_free (tried);
 }
 
+gboolean
+fb_pool_tried_has (const FbPoolTask *task, const char *worker)
+{
+  for (guint i = 0; task->tried != NULL && i < task->tried->len; i++)
+    {
+      if (g_str_equal (((FbPoolTried *) task->tried->pdata[i])->worker, worker))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 void
 fb_pool_tried_drop (FbPoolTask *task, const char *worker)
 {
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -139,8 +139,8 @@
     }
 }
 
-static gboolean
-has_crash (const FbPoolTask *task, uint64_t worker)
+gboolean
+fb_pool_task_has_crash (const FbPoolTask *task, uint64_t worker)
 {
   for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
     {
@@ -194,7 +194,8 @@
 static gboolean
 note_crash (FbPoolTask *task, FbPoolCrash crash)
 {
-  if (has_crash (task, crash.worker) || fb_pool_task_crashes_n (task) == FB_WORK_MAX_CRASHES)
+  if (fb_pool_task_has_crash (task, crash.worker)
+      || fb_pool_task_crashes_n (task) == FB_WORK_MAX_CRASHES)
     return FALSE;
   if (task->crashes == NULL)
     task->crashes = g_array_new (FALSE, FALSE, sizeof (FbPoolCrash));
--- /dev/null
+++ b/src/work/pool-recall.c
@@ -0,0 +1,44 @@
+/* Starts of earlier owners that other daemons remember and no record tells of.
+ *
+ * They are evidence only: such a start leaves its task in doubt, as a worker does that was lost
+ * with the task on it (pool-doubt.c), until the worker answers or another life shows at its
+ * address. */
+#include "internal/pool-crash.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+
+/* TRUE when what became of the task on the worker that START names is known, or is in doubt
+ * already. */
+static gboolean
+is_known (const FbPool *self, const FbPoolTask *task, const fb_recent_start *start)
+{
+  const FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
+  return (worker != NULL && worker->answered) || fb_pool_tried_has (task, start->worker)
+         || fb_pool_task_has_crash (task, fb_pool_worker_rank (start->worker));
+}
+
+static void
+recall (FbPool *self, const fb_recent_start *start, uint64_t now_ms)
+{
+  uint32_t index = 0;
+  FbPoolStep *step = fb_pool_find_task (self, start->task, &index);
+  if (step == NULL || fb_pool_job_ended (step->job))
+    return;
+  FbPoolTask *task = &step->tasks[index];
+  if (task->done || is_known (self, task, start))
+    return;
+  fb_counter_add (FB_COUNTER_STARTS_RECALLED, 1);
+  fb_event_log (FB_EVENT_START_RECALLED, "task=%s attempt=%u worker=%s seen=%d", start->task,
+                start->attempt, start->worker, start->seen);
+  fb_pool_tried_note (task, start->worker, start->address);
+  fb_pool_doubt_add (self, start->worker, start->address, step, index, FALSE, now_ms);
+  fb_pool_job_changed (self, step->job);
+}
+
+void
+fb_pool_recall_starts (FbPool *self, const fb_told_starts *told, uint64_t now_ms)
+{
+  for (u_int i = 0; i < told->starts.starts_len; i++)
+    recall (self, &told->starts.starts_val[i], now_ms);
+}
--- a/tests/test-carry.c
+++ b/tests/test-carry.c
@@ -199,6 +199,7 @@
   g_autofree char *address = test_unused_address ();
   g_autofree char *own_address = test_unused_address ();
   Carrier carrier = { .entry = { .payload_cache = fb_payload_cache_new (1 << 20),
+                                 .recent_starts = fb_recent_starts_new (),
                                  .worker_client = fb_http_client_new () } };
   Seen seen = { 0 };
   FbLinks *served = fb_links_new (address, serve_carrier, &carrier);
@@ -221,6 +222,7 @@
   fb_links_free (served);
   fb_http_client_free (carrier.entry.worker_client);
   fb_payload_cache_free (carrier.entry.payload_cache);
+  fb_recent_starts_free (carrier.entry.recent_starts);
   fb_payload_share_free (entry.payload_share);
 }
 
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -552,6 +552,20 @@
   fb_pool_jobs_read (script->pool, script->now_ms);
 }
 
+/* recall TASK/ATTEMPT on=WORKER [address=ADDRESS] [seen]: another daemon remembers that start */
+static void
+do_recall (Script *script)
+{
+  g_auto (GStrv) parts = g_strsplit (script->words[1], "/", 2);
+  g_autofree char *task = full (parts[0]);
+  const char *worker = option (script, "on");
+  const char *address = option (script, "address") != NULL ? option (script, "address") : worker;
+  fb_recent_start start
+      = { (char *) worker, (char *) address, task, (u_int) atoi (parts[1]), flag (script, "seen") };
+  const fb_told_starts told = { { 1, &start } };
+  fb_pool_recall_starts (script->pool, &told, script->now_ms);
+}
+
 /* Which event is printed; NULL: none. */
 static char *shown_event;
 
@@ -600,7 +614,7 @@
               { "started", do_started },   { "stopped", do_stopped }, { "advised", do_advised },
               { "step", do_step },         { "flush", do_flush },     { "flushed", do_flushed },
               { "show", do_show },         { "advice", do_advice },   { "read", do_read },
-              { "crowd", do_crowd } };
+              { "crowd", do_crowd },       { "recall", do_recall } };
 
 static void
 run_line (Script *script, const char *line)
