A job is given up at the sooner limit on good evidence only

What callers saw: `failed` for jobs that did nothing wrong, after three workers had crashed.

Cause: every crash counted alike. A start that got no answer counted, as did a task that an earlier owner had ordered to a worker that crashed later, whether it still ran there or not.

Fix: a crash carries how it is known that the task was there. It is firm when the task was seen at work, or ran apart and was started within 0.1 s of its worker's last answer; hearsay when only a record or a peer names it. Three crashes are enough when two of them are firm and none is hearsay; else four, as before for crashes that were shared. Records list a firm crash, and a start that was seen at work, twice: daemons that do not know of it pass over the second row, so that both read each other's records while they are replaced.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -3,11 +3,20 @@
 
 #include "internal/pool-private.h"
 
+/* How it is known that a task was on a worker that crashed. */
+typedef enum
+{
+  FB_CRASH_HEARSAY,    /* a record or another daemon says that it was ordered there */
+  FB_CRASH_UNANSWERED, /* this owner started it there and got no answer, or one before saw it */
+  FB_CRASH_FIRM        /* it was seen there, or all but certainly began there */
+} FbCrashEvidence;
+
 /* A worker that crashed, for the tasks that were on it. */
 typedef struct
 {
   uint64_t worker; /* its rank */
   gboolean apart;  /* nothing else was on it that could have crashed it */
+  FbCrashEvidence evidence;
 } FbPoolCrash;
 
 /* Where a task was ordered, while it is suspected and not known what became of it there. */
@@ -15,6 +24,7 @@
 {
   char *worker; /* its id */
   char *address;
+  gboolean seen; /* it was seen at work there */
 } FbPoolTried;
 
 /* ---- pool-crash.c: counts, limit, placing -----------------------------------------------------
@@ -46,6 +56,8 @@
 /* A start was ordered: the job's record says where, if the task is suspected. */
 void fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step,
                                  uint32_t index);
+/* RUN was seen at work on WORKER: the job's record says so, if it names the start. */
+void fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
 /* Records what is on WORKER if that fell silent. */
 void fb_pool_crash_note_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* Comes before the runs of WORKER are dropped. */
@@ -82,9 +94,9 @@
 /* ---- pool-doubt.c: losses that may have been crashes ----------------------------------------- */
 
 GHashTable *fb_pool_doubts_new (void);
-/* Task INDEX was on the worker called ID at ADDRESS; APART: as in FbPoolCrash. */
+/* Task INDEX was on the worker called ID at ADDRESS.  CRASH: what counts if that crashed. */
 void fb_pool_doubt_add (FbPool *self, const char *id, const char *address, FbPoolStep *step,
-                        uint32_t index, gboolean apart, uint64_t now_ms);
+                        uint32_t index, FbPoolCrash crash, uint64_t now_ms);
 /* It is known of the worker called ID whether it crashed. */
 void fb_pool_doubt_end (FbPool *self, const char *id, gboolean crashed, uint64_t now_ms);
 /* Settles doubts by the list of workers, and gives up those that nothing has settled. */
@@ -106,9 +118,11 @@
 /* ---- pool-crash-record.c -----------------------------------------------------------------------
  */
 
-void fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address);
+void fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address, gboolean seen);
 /* TRUE when it is not known yet what became of TASK on WORKER. */
 gboolean fb_pool_tried_has (const FbPoolTask *task, const char *worker);
+/* TASK was seen at work on WORKER.  Returns: FALSE when that is no news, or not asked for. */
+gboolean fb_pool_tried_see (FbPoolTask *task, const char *worker);
 /* It is known what became of TASK on WORKER. */
 void fb_pool_tried_drop (FbPoolTask *task, const char *worker);
 /* RECORD borrows from the job; it is the caller's to clear. */
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -10,15 +10,33 @@
   g_free (tried);
 }
 
-gboolean
-fb_pool_tried_has (const FbPoolTask *task, const char *worker)
+/* Returns: (nullable): borrowed. */
+static FbPoolTried *
+find_tried (const FbPoolTask *task, const char *worker)
 {
   for (guint i = 0; task->tried != NULL && i < task->tried->len; i++)
     {
-      if (g_str_equal (((FbPoolTried *) task->tried->pdata[i])->worker, worker))
-        return TRUE;
+      FbPoolTried *tried = task->tried->pdata[i];
+      if (g_str_equal (tried->worker, worker))
+        return tried;
     }
-  return FALSE;
+  return NULL;
+}
+
+gboolean
+fb_pool_tried_has (const FbPoolTask *task, const char *worker)
+{
+  return find_tried (task, worker) != NULL;
+}
+
+gboolean
+fb_pool_tried_see (FbPoolTask *task, const char *worker)
+{
+  FbPoolTried *tried = find_tried (task, worker);
+  if (tried == NULL || tried->seen)
+    return FALSE;
+  tried->seen = TRUE;
+  return TRUE;
 }
 
 void
@@ -34,7 +52,7 @@
 }
 
 void
-fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address)
+fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address, gboolean seen)
 {
   fb_pool_tried_drop (task, worker);
   if (task->tried == NULL)
@@ -44,25 +62,36 @@
   FbPoolTried *tried = g_new0 (FbPoolTried, 1);
   tried->worker = g_strdup (worker);
   tried->address = g_strdup (address != NULL ? address : "");
+  tried->seen = seen;
   g_ptr_array_add (task->tried, tried);
 }
 
-/* Returns: (transfer full) (nullable): borrows from TASK. */
-static fb_work_tried *
+static void
+add_tried (GArray *rows, const FbPoolTried *tried)
+{
+  const fb_work_tried row = { .worker = tried->worker, .address = tried->address };
+  if (rows->len < FB_WORK_MAX_CRASHES)
+    g_array_append_val (rows, row);
+}
+
+/* Returns: (transfer full): of fb_work_tried, which borrow from TASK. */
+static GArray *
 tried_of (const FbPoolTask *task)
 {
-  if (task->tried == NULL)
-    return NULL;
-  fb_work_tried *rows = g_new0 (fb_work_tried, task->tried->len);
-  for (guint i = 0; i < task->tried->len; i++)
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (fb_work_tried));
+  guint n = task->tried != NULL ? task->tried->len : 0;
+  for (guint i = 0; i < n; i++)
+    add_tried (rows, task->tried->pdata[i]);
+  for (guint i = 0; i < n; i++)
     {
       const FbPoolTried *tried = task->tried->pdata[i];
-      rows[i] = (fb_work_tried){ .worker = tried->worker, .address = tried->address };
+      if (tried->seen)
+        add_tried (rows, tried);
     }
   return rows;
 }
 
-/* Returns: (transfer full): the workers of TASK's crashes that are APART or not. */
+/* Returns: (transfer full): the workers of TASK's crashes that were APART, or not. */
 static GArray *
 workers_of (const FbPoolTask *task, gboolean apart)
 {
@@ -77,15 +106,32 @@
   return workers;
 }
 
+/* Adds the workers of TASK's crashes that are firm a second time, as far as there is room. */
+static void
+repeat_firm (const FbPoolTask *task, gboolean apart, GArray *workers)
+{
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    {
+      const FbPoolCrash *crash = &g_array_index (task->crashes, FbPoolCrash, i);
+      u_quad_t worker = crash->worker;
+      if (crash->apart == apart && crash->evidence == FB_CRASH_FIRM
+          && workers->len < FB_WORK_MAX_CRASHES)
+        g_array_append_val (workers, worker);
+    }
+}
+
 static void
 add_suspect (GArray *suspects, const FbPoolStep *step, uint32_t index)
 {
   const FbPoolTask *task = &step->tasks[index];
+  GArray *tried = tried_of (task);
   GArray *apart = workers_of (task, TRUE);
   GArray *shared = workers_of (task, FALSE);
+  repeat_firm (task, TRUE, apart);
+  repeat_firm (task, FALSE, shared);
   fb_work_suspect suspect = { .occurrence = step->occurrence, .step = step->index, .index = index };
-  suspect.tried.tried_len = task->tried != NULL ? task->tried->len : 0;
-  suspect.tried.tried_val = tried_of (task);
+  suspect.tried.tried_len = tried->len;
+  suspect.tried.tried_val = (fb_work_tried *) (gpointer) g_array_free (tried, FALSE);
   suspect.apart.apart_len = apart->len;
   suspect.apart.apart_val = (u_quad_t *) (gpointer) g_array_free (apart, FALSE);
   suspect.shared.shared_len = shared->len;
@@ -131,32 +177,83 @@
   record->tasks.tasks_len = 0;
 }
 
-/* What else was on the worker is not recorded where its job has ended: it stays suspected. */
+static gboolean
+is_listed (const u_quad_t *workers, u_int from, u_int until, u_quad_t worker)
+{
+  for (u_int i = from; i < until; i++)
+    {
+      if (workers[i] == worker)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* What else was on a worker is not recorded where its job has ended: it stays suspected. */
 static void
-restore_crash (FbPool *self, FbPoolStep *step, uint32_t index, FbPoolCrash crash, uint64_t now_ms)
+restore_crashes (FbPool *self, FbPoolStep *step, uint32_t index, gboolean apart,
+                 const u_quad_t *workers, u_int n, uint64_t now_ms)
+{
+  for (u_int i = 0; i < n; i++)
+    {
+      if (is_listed (workers, 0, i, workers[i]))
+        continue;
+      gboolean firm = is_listed (workers, i + 1, n, workers[i]);
+      const FbPoolCrash crash = { workers[i], apart, firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY };
+      fb_pool_crash_cause_add (self, crash.worker);
+      fb_pool_crash_count (self, step, index, crash, now_ms);
+    }
+}
+
+/* A worker is listed twice where its crash is firm. */
+static guint
+recorded_n (const u_quad_t *workers, u_int n)
 {
-  fb_pool_crash_cause_add (self, crash.worker);
-  fb_pool_crash_count (self, step, index, crash, now_ms);
+  guint crashes_n = 0;
+  for (u_int i = 0; i < n; i++)
+    crashes_n += !is_listed (workers, 0, i, workers[i]);
+  return crashes_n;
+}
+
+static gboolean
+is_tried (const fb_work_suspect *suspect, u_int from, u_int until, const char *worker)
+{
+  for (u_int i = from; i < until; i++)
+    {
+      if (g_str_equal (suspect->tried.tried_val[i].worker, worker))
+        return TRUE;
+    }
+  return FALSE;
 }
 
 static void
-restore_suspect (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
+restore_tried (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
 {
-  step->tasks[suspect->index].recorded_n = suspect->apart.apart_len + suspect->shared.shared_len;
-  for (u_int i = 0; i < suspect->apart.apart_len; i++)
-    restore_crash (self, step, suspect->index, (FbPoolCrash){ suspect->apart.apart_val[i], TRUE },
-                   now_ms);
-  for (u_int i = 0; i < suspect->shared.shared_len; i++)
-    restore_crash (self, step, suspect->index,
-                   (FbPoolCrash){ suspect->shared.shared_val[i], FALSE }, now_ms);
   for (u_int i = 0; i < suspect->tried.tried_len; i++)
     {
       const fb_work_tried *tried = &suspect->tried.tried_val[i];
-      fb_pool_tried_note (&step->tasks[suspect->index], tried->worker, tried->address);
-      fb_pool_doubt_add (self, tried->worker, tried->address, step, suspect->index, FALSE, now_ms);
+      if (is_tried (suspect, 0, i, tried->worker))
+        continue;
+      gboolean seen = is_tried (suspect, i + 1, suspect->tried.tried_len, tried->worker);
+      const FbPoolCrash crash = { fb_pool_worker_rank (tried->worker), FALSE,
+                                  seen ? FB_CRASH_UNANSWERED : FB_CRASH_HEARSAY };
+      fb_pool_tried_note (&step->tasks[suspect->index], tried->worker, tried->address, seen);
+      fb_pool_doubt_add (self, tried->worker, tried->address, step, suspect->index, crash, now_ms);
     }
 }
 
+static void
+restore_suspect (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
+{
+  step->tasks[suspect->index].recorded_n
+      = recorded_n (suspect->apart.apart_val, suspect->apart.apart_len)
+        + recorded_n (suspect->shared.shared_val, suspect->shared.shared_len);
+  restore_crashes (self, step, suspect->index, TRUE, suspect->apart.apart_val,
+                   suspect->apart.apart_len, now_ms);
+  restore_crashes (self, step, suspect->index, FALSE, suspect->shared.shared_val,
+                   suspect->shared.shared_len, now_ms);
+  restore_tried (self, step, suspect, now_ms);
+}
+
 /* Failure: the owner is replaced between a crash and the moment when it knows of it, and the
  * successor never saw the run; it shows as a task that is started more often than the limit allows
  * when owners change.  Guard: where a suspected task was started is recorded, and what becomes of
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -33,6 +33,8 @@
 /* For so long a task waits for a worker where nothing begins: what runs there has gone by then, or
  * is listed for BEGINNING_MS. */
 #define CALM_WAIT_MS 3500
+/* A job is given up at the sooner limit if so many of its crashes are firm. */
+#define FIRM_CRASHES 2
 /* Of so many crashes with others there each time, one more that was not so proves too little. */
 #define SHARED_ENOUGH 2
 /* Above all other costs. */
@@ -46,7 +48,7 @@
   return task->crashes != NULL ? task->crashes->len : 0;
 }
 
-/* Returns: how many of TASK's crashes nothing else can have caused: it was apart, or, with
+/* Returns: how many of TASK's firm crashes nothing else can have caused: it was apart, or, with
  * ELIMINATED, all others that were there have shown since that they crash no worker. */
 static guint
 alone_n (const FbPool *self, const FbPoolTask *task, gboolean eliminated)
@@ -55,11 +57,22 @@
   for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
     {
       const FbPoolCrash *crash = &g_array_index (task->crashes, FbPoolCrash, i);
-      n += crash->apart || (eliminated && fb_pool_crash_has_one_cause (self, crash->worker));
+      n += crash->evidence == FB_CRASH_FIRM
+           && (crash->apart || (eliminated && fb_pool_crash_has_one_cause (self, crash->worker)));
     }
   return n;
 }
 
+/* Returns: how many of TASK's crashes rest on EVIDENCE. */
+static guint
+evidence_n (const FbPoolTask *task, FbCrashEvidence evidence)
+{
+  guint n = 0;
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    n += g_array_index (task->crashes, FbPoolCrash, i).evidence == evidence;
+  return n;
+}
+
 void
 fb_pool_crash_set_limits (FbPoolLimits *limits)
 {
@@ -78,6 +91,16 @@
   return step->job->restored && !step->job->untouched && task->recorded_n < ISOLATED_CRASHES;
 }
 
+/* Failure: starts that got no answer, or runs whose ends were not heard, count for workers that
+ * crashed later, and a job is given up that crashed none.  Guard: the sooner limit needs
+ * FIRM_CRASHES and no hearsay. */
+static gboolean
+is_well_known (const FbPoolTask *task)
+{
+  return evidence_n (task, FB_CRASH_FIRM) >= FIRM_CRASHES
+         && evidence_n (task, FB_CRASH_HEARSAY) == 0;
+}
+
 /* Returns: after how many crashes TASK is given up. */
 static guint
 limit_of (const FbPool *self, const FbPoolStep *step, const FbPoolTask *task, gboolean eliminated)
@@ -85,7 +108,7 @@
   gboolean lacking = may_lack_crashes (step, task);
   guint alone = alone_n (self, task, eliminated && !lacking);
   guint shared = fb_pool_task_crashes_n (task) - alone;
-  gboolean few = alone > 0 && (lacking || shared < SHARED_ENOUGH);
+  gboolean few = alone > 0 && is_well_known (task) && (lacking || shared < SHARED_ENOUGH);
   return few ? self->limits.crashes_n : self->limits.shared_crashes_n;
 }
 
@@ -203,6 +226,10 @@
   return TRUE;
 }
 
+static const char *const evidence_names[] = {
+  [FB_CRASH_HEARSAY] = "hearsay", [FB_CRASH_UNANSWERED] = "unanswered", [FB_CRASH_FIRM] = "firm"
+};
+
 void
 fb_pool_crash_count (FbPool *self, FbPoolStep *step, uint32_t index, FbPoolCrash crash,
                      uint64_t now_ms)
@@ -219,9 +246,11 @@
   g_hash_table_add (self->suspects, step);
   self->limit_reached |= fb_pool_task_crashes_n (task) >= self->limits.crashes_n;
   fb_pool_job_changed (self, step->job);
-  fb_event_log (FB_EVENT_TASK_SUSPECTED, "task=%s.%u.%u.%u crashes=%u of=%u apart=%d doubts=%u",
-                step->job->id, step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
-                limit_of (self, step, task, FALSE), crash.apart, task->doubts_n);
+  fb_event_log (FB_EVENT_TASK_SUSPECTED,
+                "task=%s.%u.%u.%u crashes=%u of=%u apart=%d evidence=%s doubts=%u", step->job->id,
+                step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
+                limit_of (self, step, task, FALSE), crash.apart, evidence_names[crash.evidence],
+                task->doubts_n);
 }
 
 /* For how long RUN was seen at work by what was last heard of WORKER. */
@@ -260,9 +289,18 @@
          && !is_beginning (other);
 }
 
-/* TRUE when RUN is the only one on WORKER that could have crashed it.  A start that got no answer
- * may have come to a worker that had just crashed by itself; for a third time that is hardly so if
- * the worker had spoken within the time of a look before. */
+/* A start that got no answer may have come to a worker that had just crashed by itself.  That is
+ * hardly so if the task runs apart and the worker had spoken a moment before. */
+static FbCrashEvidence
+evidence_of (const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  gboolean sent_soon
+      = run->started_ms >= worker->heard_ms && run->started_ms <= worker->heard_ms + ANSWER_MS;
+  gboolean firm = run->seen_clock_ms > 0 || (run->suspicion_n >= ISOLATED_CRASHES && sent_soon);
+  return firm ? FB_CRASH_FIRM : FB_CRASH_UNANSWERED;
+}
+
+/* TRUE when RUN is the only one on WORKER that could have crashed it. */
 static gboolean
 is_apart (const FbPoolWorker *worker, const FbPoolRun *run)
 {
@@ -275,10 +313,7 @@
           && !is_outlived (worker, run, other))
         return FALSE;
     }
-  if (run->seen_clock_ms > 0)
-    return TRUE;
-  return fb_pool_task_crashes_n (&run->step->tasks[run->index]) >= ISOLATED_CRASHES
-         && run->started_ms <= worker->heard_ms + FB_POOL_LOOK_WAIT_MS + ANSWER_MS;
+  return TRUE;
 }
 
 static void
@@ -286,26 +321,34 @@
              uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
-  gboolean apart = is_apart (worker, run);
+  const FbPoolCrash crash = { worker->rank, is_apart (worker, run), evidence_of (worker, run) };
   if (loss == FB_LOSS_OTHER_LIFE)
     {
       fb_pool_tried_drop (&step->tasks[run->index], worker->id);
-      fb_pool_crash_count (self, step, run->index, (FbPoolCrash){ worker->rank, apart }, now_ms);
+      fb_pool_crash_count (self, step, run->index, crash, now_ms);
       return;
     }
-  fb_pool_doubt_add (self, worker->id, worker->address, step, run->index, apart, now_ms);
+  fb_pool_doubt_add (self, worker->id, worker->address, step, run->index, crash, now_ms);
   /* It is recorded too, so that a successor can still learn what became of the worker. */
-  fb_pool_tried_note (&step->tasks[run->index], worker->id, worker->address);
+  fb_pool_tried_note (&step->tasks[run->index], worker->id, worker->address,
+                      run->seen_clock_ms > 0);
   fb_pool_job_changed (self, step->job);
 }
 
+void
+fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  if (run->step != NULL && fb_pool_tried_see (&run->step->tasks[run->index], worker->id))
+    fb_pool_job_changed (self, run->step->job);
+}
+
 static void
 note_silence (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run, gboolean silent)
 {
   FbPoolTask *task = &run->step->tasks[run->index];
   if (silent)
     {
-      fb_pool_tried_note (task, worker->id, worker->address);
+      fb_pool_tried_note (task, worker->id, worker->address, run->seen_clock_ms > 0);
       fb_pool_job_changed (self, run->step->job);
     }
   else if (task->crashes == NULL)
@@ -513,6 +556,6 @@
   task->calm_until_ms = 0;
   if (worker->kept_for == task)
     worker->kept_for = NULL;
-  fb_pool_tried_note (task, worker->id, worker->address);
+  fb_pool_tried_note (task, worker->id, worker->address, FALSE);
   g_hash_table_add (self->dirty, step->job);
 }
--- a/src/work/pool-doubt.c
+++ b/src/work/pool-doubt.c
@@ -15,7 +15,7 @@
 typedef struct
 {
   char *name; /* of the task */
-  gboolean apart;
+  FbPoolCrash crash;
 } LostTask;
 
 typedef struct
@@ -63,9 +63,9 @@
 
 void
 fb_pool_doubt_add (FbPool *self, const char *id, const char *address, FbPoolStep *step,
-                   uint32_t index, gboolean apart, uint64_t now_ms)
+                   uint32_t index, FbPoolCrash crash, uint64_t now_ms)
 {
-  const LostTask lost = { fb_pool_task_name (step, index), apart };
+  const LostTask lost = { fb_pool_task_name (step, index), crash };
   g_array_append_val (doubt_about (self, id, address, now_ms)->lost, lost);
   step->tasks[index].doubts_n++;
   step->job->suspicion++;
@@ -87,8 +87,7 @@
   fb_pool_tried_drop (task, id);
   fb_pool_job_changed (self, step->job);
   if (crashed)
-    fb_pool_crash_count (self, step, index, (FbPoolCrash){ fb_pool_worker_rank (id), lost->apart },
-                         now_ms);
+    fb_pool_crash_count (self, step, index, lost->crash, now_ms);
   fb_pool_task_may_wait (self, step, index);
 }
 
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -270,6 +270,7 @@
   if (result == FB_ORDER_DONE)
     {
       run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
+      fb_pool_crash_task_seen (self, worker, run);
       if (run->state == FB_RUN_STARTING)
         run->state = FB_RUN_RUNNING;
     }
--- a/src/work/pool-recall.c
+++ b/src/work/pool-recall.c
@@ -31,8 +31,10 @@
   fb_counter_add (FB_COUNTER_STARTS_RECALLED, 1);
   fb_event_log (FB_EVENT_START_RECALLED, "task=%s attempt=%u worker=%s seen=%d", start->task,
                 start->attempt, start->worker, start->seen);
-  fb_pool_tried_note (task, start->worker, start->address);
-  fb_pool_doubt_add (self, start->worker, start->address, step, index, FALSE, now_ms);
+  const FbPoolCrash crash = { fb_pool_worker_rank (start->worker), FALSE,
+                              start->seen ? FB_CRASH_FIRM : FB_CRASH_HEARSAY };
+  fb_pool_tried_note (task, start->worker, start->address, start->seen);
+  fb_pool_doubt_add (self, start->worker, start->address, step, index, crash, now_ms);
   fb_pool_job_changed (self, step->job);
 }
 
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -408,6 +408,7 @@
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->listed_ms = now_ms;
+  fb_pool_crash_task_seen (self, worker, run);
   if (run->state == FB_RUN_STARTING)
     run->state = FB_RUN_RUNNING;
   if (run->step != NULL)
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -42,7 +42,7 @@
 crash-not-counted|pool-crash.c|  if (task->done \|\| !note_crash (task, crash))|  if (TRUE)
 crash-not-recorded|pool-crash-record.c|      if (!task->done \&\& (task->crashes != NULL \|\| task->tried != NULL))|      if (FALSE)
 crash-of-a-successor-not-counted|pool-crash-record.c|  for (u_int i = 0; i < suspect->tried.tried_len; i++)|  for (u_int i = 0; FALSE; i++)
-crash-counted-again-and-again|pool-crash.c|has_crash (task, crash.worker) \|\| |
+crash-counted-again-and-again|pool-crash.c|fb_pool_task_has_crash (task, crash.worker)\n      \|\| |
 silence-taken-for-a-crash|pool-crash.c|  if (loss == FB_LOSS_OTHER_LIFE)\n    {\n      fb_pool_tried_drop|  if (TRUE)\n    {\n      fb_pool_tried_drop
 new-life-not-noticed|pool-doubt.c|          \&\& is_successor (other, lost))|          \&\& FALSE)
 new-life-that-went-not-noticed|pool-doubt.c|lost != NULL \&\& other->listed_ms > 0|lost != NULL \&\& other->listed
@@ -69,6 +69,10 @@
 refused-start-stays-in-the-record|pool-orders.c|  fb_pool_crash_task_gone (self, worker, step, run->index);|
 settled-doubt-stays-in-the-record|pool-doubt.c|  fb_pool_job_changed (self, step->job);|
 end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
+unanswered-is-firm|pool-crash.c|  return firm ? FB_CRASH_FIRM : FB_CRASH_UNANSWERED;|  return FB_CRASH_FIRM;
+evidence-not-recorded|pool-crash-record.c|firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY|FB_CRASH_HEARSAY
+recalled-starts-ignored|pool-recall.c|  if (task->done \|\| is_known (self, task, start))|  if (TRUE)
+recalled-start-at-a-worker-that-lives|pool-recall.c|  return (worker != NULL \&\& worker->answered)|  return FALSE
 TABLE
 }
 
