Evidence of a crash is called likely where it is neither firm nor hearsay

The word for a start without an answer also stood for one that an earlier owner had seen at work. Names and log field only; limits as before.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -6,9 +6,9 @@
 /* How it is known that a task was on a worker that crashed. */
 typedef enum
 {
-  FB_CRASH_HEARSAY,    /* a record or another daemon says that it was ordered there */
-  FB_CRASH_UNANSWERED, /* this owner started it there and got no answer, or one before saw it */
-  FB_CRASH_FIRM        /* it was seen there, or all but certainly began there */
+  FB_CRASH_HEARSAY, /* a record or another daemon says that it was ordered there */
+  FB_CRASH_LIKELY,  /* this owner started it there and got no answer, or one before saw it */
+  FB_CRASH_FIRM     /* it was seen there, or all but certainly began there */
 } FbCrashEvidence;
 
 /* A worker that crashed, for the tasks that were on it. */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -100,8 +100,8 @@
 };
 
 /* A task under which workers have crashed; they are named by their
- * FbPoolWorker.rank.  One whose crash is firm, or where the task was seen at work, is listed twice; daemons
- * that know nothing of that pass over the second row. */
+ * FbPoolWorker.rank.  One whose crash is firm, or where the task was seen at work, is listed
+ * twice; daemons that know nothing of that pass over the second row. */
 struct fb_work_suspect {
   unsigned int occurrence;
   unsigned int step;
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -235,7 +235,7 @@
         continue;
       gboolean seen = is_tried (suspect, i + 1, suspect->tried.tried_len, tried->worker);
       const FbPoolCrash crash = { fb_pool_worker_rank (tried->worker), FALSE,
-                                  seen ? FB_CRASH_UNANSWERED : FB_CRASH_HEARSAY };
+                                  seen ? FB_CRASH_LIKELY : FB_CRASH_HEARSAY };
       fb_pool_tried_note (&step->tasks[suspect->index], tried->worker, tried->address, seen);
       fb_pool_doubt_add (self, tried->worker, tried->address, step, suspect->index, crash, now_ms);
     }
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -226,9 +226,8 @@
   return TRUE;
 }
 
-static const char *const evidence_names[] = {
-  [FB_CRASH_HEARSAY] = "hearsay", [FB_CRASH_UNANSWERED] = "unanswered", [FB_CRASH_FIRM] = "firm"
-};
+static const char *const evidence_names[]
+    = { [FB_CRASH_HEARSAY] = "hearsay", [FB_CRASH_LIKELY] = "likely", [FB_CRASH_FIRM] = "firm" };
 
 void
 fb_pool_crash_count (FbPool *self, FbPoolStep *step, uint32_t index, FbPoolCrash crash,
@@ -297,7 +296,7 @@
   gboolean sent_soon
       = run->started_ms >= worker->heard_ms && run->started_ms <= worker->heard_ms + ANSWER_MS;
   gboolean firm = run->seen_clock_ms > 0 || (run->suspicion_n >= ISOLATED_CRASHES && sent_soon);
-  return firm ? FB_CRASH_FIRM : FB_CRASH_UNANSWERED;
+  return firm ? FB_CRASH_FIRM : FB_CRASH_LIKELY;
 }
 
 /* TRUE when RUN is the only one on WORKER that could have crashed it. */
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -69,7 +69,7 @@
 refused-start-stays-in-the-record|pool-orders.c|  fb_pool_crash_task_gone (self, worker, step, run->index);|
 settled-doubt-stays-in-the-record|pool-doubt.c|  fb_pool_job_changed (self, step->job);|
 end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
-unanswered-is-firm|pool-crash.c|  return firm ? FB_CRASH_FIRM : FB_CRASH_UNANSWERED;|  return FB_CRASH_FIRM;
+unanswered-is-firm|pool-crash.c|  return firm ? FB_CRASH_FIRM : FB_CRASH_LIKELY;|  return FB_CRASH_FIRM;
 evidence-not-recorded|pool-crash-record.c|firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY|FB_CRASH_HEARSAY
 recalled-starts-ignored|pool-recall.c|  if (task->done \|\| is_known (self, task, start))|  if (TRUE)
 recalled-start-at-a-worker-that-lives|pool-recall.c|  return (worker != NULL \&\& worker->answered)|  return FALSE
