--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -1,5 +1,6 @@
 /* The world of a fuzzing run: workers, a store and owners, all of which fail, and the
- * truth about every run on them.  It shares no code with the pool that it judges. */
+ * truth about every run on them.  It shares no code with the pool that it judges;
+ * only what its carriers remember of starts is kept by the product's own code. */
 #pragma once
 
 #include "internal/pool.h"
