--- a/src/entry/peers/recent-starts.h
+++ b/src/entry/peers/recent-starts.h
@@ -23,7 +23,6 @@
                                 uint32_t attempt, FbOrderResult result);
 /* What a look at WORKER came to. */
 void fb_recent_starts_looked (FbRecentStarts *self, const char *worker, const FbLookAnswer *answer);
-/* Returns: (transfer container): the starts at workers that did not answer what was sent to them
- * last.  The texts are borrowed until the next call of another function; TOLD is cleared with
- * g_free() of its array. */
+/* Fills in TOLD: the starts at workers that did not answer what was sent to them last.  Its array
+ * is the caller's to free, its texts are borrowed until SELF changes. */
 void fb_recent_starts_tell (const FbRecentStarts *self, uint64_t now_ms, fb_told_starts *told);
