Log a worker whose words go back in time

Neither log nor counters could tell apart an owner that takes two lives of a worker for one (its clock and its numbers of ends start anew), a worker that forgets ends by itself, and answers that overtake each other: ends whose numbers are known are passed over without a line, and nothing says what had been acknowledged. POOL_WORKER_WENT_BACK (FB7205) says both clocks, the ends that were acknowledged before and the number. No logic has changed.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -469,6 +469,22 @@
     self->workers_dirty = TRUE;
 }
 
+/* A worker's clock only goes on, and it forgets ends that were acknowledged. */
+static void
+log_if_gone_back (const FbPoolWorker *worker, const FbLookAnswer *answer)
+{
+  guint again_n = 0;
+  for (guint i = 0; i < answer->finished->len; i++)
+    again_n += g_array_index (answer->finished, FbEndSeen, i).number <= worker->acknowledged;
+  if (answer->clock_ms >= worker->clock_ms && again_n == 0)
+    return;
+  fb_event_log (FB_EVENT_POOL_WORKER_WENT_BACK,
+                "worker=%s clock_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
+                " ends=%u acknowledged_before=%u acknowledged=%" G_GUINT64_FORMAT " runs=%u",
+                worker->id, answer->clock_ms, worker->clock_ms, answer->finished->len, again_n,
+                worker->acknowledged, g_hash_table_size (worker->runs));
+}
+
 static void
 take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
              uint64_t wall_ms)
@@ -485,6 +501,7 @@
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
+  log_if_gone_back (worker, answer);
   fb_pool_doubt_end (self, worker->id, FALSE, now_ms);
   worker->answered = TRUE;
   worker->gone = FALSE;
