Workers of fuzzer, stand-in and soak come back under the id they had: red

By the seed's choice a worker that ended starts again under a new id or under the one that it had: at once, after up to 2 s, again and again, behind a cut, with its old entry still listed or written late, a clock that shows something else, and numbers of ends from 1 on.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -86,7 +86,7 @@
   switch (world_chance (world, world->crashing ? 3 : 4))
     {
     case 0:
-      world_worker_crash (world, worker, NULL);
+      world_worker_fail (world, worker);
       break;
     case 1:
       world_worker_crash (world, worker, NULL);
@@ -258,7 +258,7 @@
 }
 
 static World *
-world_new (guint32 seed, const char *mode)
+world_new (guint32 seed, const char *mode, Returns returns)
 {
   World *world = g_new0 (World, 1);
   world->repeats = g_str_equal (mode, "repeats");
@@ -267,6 +267,9 @@
   world->crashing = world->steady || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
   world->rand = g_rand_new_with_seed (seed);
+  world->return_rand = g_rand_new_with_seed (~seed);
+  world->returns = returns;
+  world->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->now_ms = 1000000;
   world->progress
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
@@ -310,6 +313,8 @@
   g_hash_table_unref (world->progress);
   g_clear_pointer (&world->known_workers, g_bytes_unref);
   g_rand_free (world->rand);
+  g_rand_free (world->return_rand);
+  g_hash_table_unref (world->ids);
   g_free (world->broken);
   g_free (world);
 }
@@ -342,9 +347,9 @@
 
 /* Returns: TRUE when a promise was broken. */
 static gboolean
-run_seed (guint32 seed, const char *mode, uint64_t *starts)
+run_seed (guint32 seed, const char *mode, Returns returns, uint64_t *starts)
 {
-  World *world = world_new (seed, mode);
+  World *world = world_new (seed, mode, returns);
   uint64_t heal_ms = world->now_ms + FAULT_MS;
   /* Tasks that crash their workers go on when all else has healed. */
   uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing ? 2 : 1);
@@ -371,20 +376,22 @@
 {
   static const char *const modes[]
       = { "plain", "advised", "crashing", "crashing-steady", "shrinking", "repeats", NULL };
-  const char *mode = argc == 4 ? argv[3] : modes[0];
-  if (argc < 3 || argc > 4 || !g_strv_contains (modes, mode))
+  const char *mode = argc > 3 ? argv[3] : modes[0];
+  gboolean new_ids = argc == 5 && g_str_equal (argv[4], "new-ids");
+  if (argc < 3 || argc > 5 || (argc == 5 && !new_ids) || !g_strv_contains (modes, mode))
     {
       g_autofree char *names = g_strjoinv ("|", (char **) modes);
-      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s]\n", names);
+      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s [new-ids]]\n", names);
       return 2;
     }
+  Returns returns = new_ids ? RETURNS_UNDER_NEW_IDS : RETURNS_EITHER_WAY;
   fb_event_set_quiet (getenv ("FUZZ_LOG") == NULL);
   guint32 first = (guint32) atoi (argv[1]);
   guint32 n = (guint32) atoi (argv[2]);
   guint broken = 0;
   uint64_t starts = 0;
   for (guint32 i = 0; i < n; i++)
-    broken += run_seed (first + i, mode, &starts);
+    broken += run_seed (first + i, mode, returns, &starts);
   printf ("%u seeds, %u starts, %u broken\n", n, (unsigned) starts, broken);
   return broken > 0;
 }
--- a/fuzz/pool-world-calls.c
+++ b/fuzz/pool-world-calls.c
@@ -41,10 +41,10 @@
 }
 
 /* Returns: the reply to ORDER, whose body is the caller's to free.  WORKER: whose runs and first
- * ENDS_MOST ends it lists; may be NULL. */
+ * ENDS_MOST ends it lists, and with SAYS_BIRTH when it was born; may be NULL. */
 static FbHttpReply
 make_reply (const Order *order, FbOrderResult result, const Worker *worker, guint ends_most,
-            uint64_t clock_ms)
+            gboolean says_birth, uint64_t clock_ms)
 {
   FbHttpReply reply = { .status = FB_HTTP_OK, .sent = TRUE, .copies = order->copies };
   if (result == FB_ORDER_UNKNOWN)
@@ -66,6 +66,8 @@
     g_string_append_printf (body, ",\"reason\":\"%s\"", replies[result].reason);
   if (worker != NULL)
     add_rows (body, worker, ends_most);
+  if (worker != NULL && says_birth)
+    g_string_append_printf (body, ",\"born\":%" G_GUINT64_FORMAT, worker->born_ms);
   g_string_append_c (body, '}');
   reply.body = g_string_free_to_bytes (body);
   return reply;
@@ -74,7 +76,7 @@
 FbOrderResult
 world_reply (const Order *order, FbOrderResult result, uint64_t *clock_ms)
 {
-  FbHttpReply reply = make_reply (order, result, NULL, 0, *clock_ms);
+  FbHttpReply reply = make_reply (order, result, NULL, 0, FALSE, *clock_ms);
   FbOrderResult told = fb_wire_order_result (&reply, clock_ms);
   g_clear_pointer (&reply.body, g_bytes_unref);
   return told;
@@ -86,7 +88,8 @@
 {
   guint ends_most = world->repeats ? ENDS_LISTED : G_MAXUINT;
   const Worker *listed = result == FB_ORDER_DONE ? worker : NULL;
-  FbHttpReply reply = make_reply (order, result, listed, ends_most, clock_ms);
+  gboolean says_birth = world->returns != RETURNS_UNDER_NEW_IDS;
+  FbHttpReply reply = make_reply (order, result, listed, ends_most, says_birth, clock_ms);
   fb_wire_look_answer (&reply, answer);
   g_clear_pointer (&reply.body, g_bytes_unref);
 }
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -24,7 +24,22 @@
 static char *
 world_address (guint i)
 {
-  return g_strdup_printf ("a%u", i);
+  return g_strdup_printf ("10.0.0.%u:1", i);
+}
+
+/* Returns: whom a call names that is for WORKER, as an owner calls it; borrowed. */
+static const char *
+world_call_id (World *world, const char *worker)
+{
+  const char *id = g_hash_table_lookup (world->ids, worker);
+  if (id != NULL)
+    return id;
+  const FbLookOrder order = { .worker = worker, .address = "" };
+  FbHttpCall call;
+  fb_wire_look (&call, &order);
+  g_hash_table_insert (world->ids, g_strdup (worker), g_strdup (call.header_values[0]));
+  fb_http_call_clear (&call);
+  return g_hash_table_lookup (world->ids, worker);
 }
 
 FbRecentStarts *
@@ -50,7 +65,8 @@
   order->knows_ms = owner->list_seen_ms;
   order->in_touch = world_in_touch (world, order->owner);
   order->worker = worker_index (worker);
-  g_strlcpy (order->worker_id, worker, sizeof order->worker_id);
+  g_strlcpy (order->worker_name, worker, sizeof order->worker_name);
+  g_strlcpy (order->worker_id, world_call_id (world, worker), sizeof order->worker_id);
   order->sent_ms = world->now_ms;
   order->gives_up_ms = world->now_ms + patience_ms;
   order->arrives_ms = world->now_ms + 2 + world_chance (world, 8);
@@ -185,6 +201,26 @@
   owner->flush = NULL;
 }
 
+/* Returns: (transfer full): worker I as the adapter reads its entry. */
+static FbListedWorker *
+listed_worker (const World *world, guint i)
+{
+  const Worker *worker = &world->workers[i];
+  const Entry entry = world_worker_entry (world, worker);
+  g_autofree char *address = world_address (i);
+  GString *text = g_string_new (NULL);
+  g_string_printf (text,
+                   "{\"service\":\"svc\",\"zone\":\"z\",\"address\":\"%s\",\"state\":\"%s\","
+                   "\"capacity\":{\"cpu\":%d,\"mem-mb\":64000,\"gpu\":0},\"labels\":[\"k\",\"r1\"]",
+                   address, worker->draining ? "draining" : "ready",
+                   (int) MAX (worker->cpu_milli, 1)); /* an entry with no room can not be read */
+  if (world->returns != RETURNS_UNDER_NEW_IDS)
+    g_string_append_printf (text, ",\"born\":%" G_GUINT64_FORMAT, entry.born_ms);
+  g_string_append_c (text, '}');
+  g_autoptr (GBytes) value = g_string_free_to_bytes (text);
+  return fb_wire_listed_worker (entry.id, value);
+}
+
 static void
 show_list (World *world, guint i)
 {
@@ -192,21 +228,19 @@
   for (guint j = 0; j < WORKER_N; j++)
     {
       const Worker *worker = &world->workers[j];
-      if (owner->in_shown[j] && (!worker->listed || !g_str_equal (owner->shown[j], worker->id)))
+      FbListedWorker *listed = worker->listed ? listed_worker (world, j) : NULL;
+      if (owner->in_shown[j]
+          && (listed == NULL || !g_str_equal (owner->shown[j], listed->entry.id)))
         {
           fb_pool_worker_unlisted (owner->pool, owner->shown[j], world->now_ms);
           owner->in_shown[j] = FALSE;
         }
-      if (!worker->listed)
+      if (listed == NULL)
         continue;
-      const char *labels[] = { "k", "r1", NULL };
-      g_autofree char *address = world_address (j);
-      const FbWorkerEntry entry
-          = { worker->id, address,         "r1", labels, (uint32_t) worker->cpu_milli, 64000,
-              0,          worker->draining };
-      fb_pool_worker_listed (owner->pool, &entry, world->now_ms);
+      fb_pool_worker_listed (owner->pool, &listed->entry, world->now_ms);
       owner->in_shown[j] = TRUE;
-      g_strlcpy (owner->shown[j], worker->id, sizeof owner->shown[j]);
+      g_strlcpy (owner->shown[j], listed->entry.id, sizeof owner->shown[j]);
+      fb_listed_worker_free (listed);
     }
   if (!owner->complete)
     fb_pool_workers_complete (owner->pool);
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -27,7 +27,7 @@
 clock_of (const World *world, const Worker *worker)
 {
   uint64_t ran_ms = world->now_ms - worker->began_ms;
-  return 5000 + ran_ms * (1000 - worker->slow_permille) / 1000;
+  return worker->clock_from_ms + ran_ms * (1000 - worker->slow_permille) / 1000;
 }
 
 static Job *
@@ -62,15 +62,53 @@
 
 /* ---- workers ------------------------------------------------------------------------- */
 
+static guint
+return_chance (World *world, guint n)
+{
+  return (guint) g_rand_int_range (world->return_rand, 0, (gint32) n);
+}
+
+/* The next life of WORKER has its id; the list still has the entry of the one before. */
+static void
+keep_id (World *world, Worker *worker)
+{
+  worker->before = (Entry){ .born_ms = worker->born_ms };
+  g_strlcpy (worker->before.id, worker->id, sizeof worker->before.id);
+  worker->entry_ms = world->now_ms + return_chance (world, ENTRY_LAG_MS);
+  worker->stale_ms = 0;
+  if (return_chance (world, 4) == 0)
+    worker->stale_ms = worker->entry_ms + LIST_LAG_MS + return_chance (world, ENTRY_LAG_MS);
+  if (return_chance (world, 4) == 0)
+    worker->crash_again_ms = world->now_ms + 1 + return_chance (world, RETURN_MOST_MS);
+  worker->clock_from_ms = 1000 + return_chance (world, 200000);
+}
+
+static void
+take_new_id (Worker *worker, guint i)
+{
+  g_snprintf (worker->id, sizeof worker->id, "w%u-%u", i, worker->life);
+  worker->entry_ms = 0;
+  worker->stale_ms = 0;
+  worker->clock_from_ms = 5000;
+}
+
 void
 world_worker_begin (World *world, guint i)
 {
   Worker *worker = &world->workers[i];
+  gboolean returns
+      = world->returns == RETURNS_EITHER_WAY && worker->life > 0 && return_chance (world, 2) == 0;
   worker->life++;
-  g_snprintf (worker->id, sizeof worker->id, "w%u-%u", i, worker->life);
+  worker->crash_again_ms = 0;
+  if (returns)
+    keep_id (world, worker);
+  else
+    take_new_id (worker, i);
+  worker->born_ms = WALL_MS + world->now_ms;
   worker->up = TRUE;
   worker->back_ms = 0;
-  worker->cut = FALSE;
+  /* It may have ended and started again behind a cut. */
+  worker->cut = returns && !world->healing && worker->cut && return_chance (world, 2) == 0;
   worker->draining = FALSE;
   worker->failing = FALSE;
   worker->cpu_milli = CPU;
@@ -89,6 +127,26 @@
   g_hash_table_remove_all (worker->highest);
 }
 
+Entry
+world_worker_entry (const World *world, const Worker *worker)
+{
+  gboolean is_stale = worker->stale_ms != 0 && world->now_ms >= worker->stale_ms
+                      && world->now_ms < worker->stale_ms + LIST_LAG_MS;
+  if (world->now_ms < worker->entry_ms || is_stale)
+    return worker->before;
+  Entry entry = { .born_ms = worker->born_ms };
+  g_strlcpy (entry.id, worker->id, sizeof entry.id);
+  return entry;
+}
+
+void
+world_worker_fail (World *world, Worker *worker)
+{
+  world_worker_crash (world, worker, NULL);
+  if (world->returns == RETURNS_EITHER_WAY && worker->back_ms == 0 && return_chance (world, 2) == 0)
+    worker->back_ms = world->now_ms + 1 + return_chance (world, RETURN_MOST_MS);
+}
+
 /* The most that WORKER may be brought to hold. */
 static int64_t
 room_of (const World *world, const Worker *worker)
@@ -153,6 +211,13 @@
     world_worker_begin (world, (guint) (worker - world->workers));
   if (!worker->up)
     return;
+  if (worker->crash_again_ms != 0 && world->now_ms >= worker->crash_again_ms && !world->healing)
+    {
+      worker->crash_again_ms = 0;
+      world_worker_crash (world, worker, NULL);
+      worker->back_ms = world->now_ms + 1 + return_chance (world, RETURN_MOST_MS);
+      return;
+    }
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = &g_array_index (worker->runs, Run, i);
@@ -338,9 +403,9 @@
 {
   FbRecentStarts *carrier = world_carrier (world, order->worker);
   if (order->kind == ORDER_LOOK)
-    fb_recent_starts_looked (carrier, order->worker_id, &order->answer);
+    fb_recent_starts_looked (carrier, order->worker_name, &order->answer);
   else if (order->kind == ORDER_START)
-    fb_recent_starts_answered (carrier, order->worker_id, order->task, order->attempt,
+    fb_recent_starts_answered (carrier, order->worker_name, order->task, order->attempt,
                                order->answer.result);
 }
 
@@ -352,7 +417,7 @@
   const FbLookAnswer *told = &order->answer;
   tell_carrier (world, order);
   if (owner != NULL && order->kind == ORDER_LOOK)
-    fb_pool_look_answered (owner->pool, order->worker_id, told, world->now_ms,
+    fb_pool_look_answered (owner->pool, order->worker_name, told, world->now_ms,
                            WALL_MS + world->now_ms);
   else if (owner != NULL && order->kind == ORDER_START)
     fb_pool_start_answered (owner->pool, order->order, told->result, told->clock_ms, world->now_ms);
@@ -398,9 +463,13 @@
     answer_if_heard (world, order, FB_ORDER_NO_LISTENER, 0);
   if (!worker->up || worker->cut)
     return TRUE;
+  gboolean is_same = g_str_equal (worker->id, order->worker_id);
+  /* The life that took it has ended, and its connection with it. */
+  if (order->arrived && is_same && order->arrived_life != worker->life)
+    return TRUE;
   if (order->refusal != FB_ORDER_DONE)
     result = order->refusal;
-  else if (!g_str_equal (worker->id, order->worker_id))
+  else if (!is_same)
     result = FB_ORDER_OTHER_LIFE;
   else if (order->epoch < worker->token)
     result = FB_ORDER_FENCED;
@@ -423,6 +492,7 @@
       else if (!order->arrived)
         {
           order->arrived = TRUE;
+          order->arrived_life = worker->life;
           order->waits_until_ms = world->now_ms + order->wait_ms;
           acknowledge (world, worker, order->acknowledged);
           if (order->deadline_ms > 0)
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -29,6 +29,15 @@
 #define LIST_LAG_MS 300
 #define SILENCE_MS 4500
 #define WALL_MS 1000000000
+#define RETURN_MOST_MS 2000 /* a process that ended by itself is back so soon */
+#define ENTRY_LAG_MS 1500   /* a worker writes to its entry so often */
+
+/* Under which id the next life of a worker starts. */
+typedef enum
+{
+  RETURNS_EITHER_WAY,   /* by the seed */
+  RETURNS_UNDER_NEW_IDS /* always another one; workers do not say when they were born */
+} Returns;
 
 typedef struct
 {
@@ -50,10 +59,23 @@
   gboolean lapsed; /* a lease of its worker ended since */
 } End;
 
+/* What a worker's entry says of it. */
+typedef struct
+{
+  char id[32];
+  uint64_t born_ms; /* since 1970 */
+} Entry;
+
 typedef struct
 {
   char id[32];
   guint life;
+  uint64_t born_ms;        /* since 1970 */
+  uint64_t clock_from_ms;  /* what its clock showed then */
+  Entry before;            /* of the life before under this id */
+  uint64_t entry_ms;       /* until then its entry is the one of the life before */
+  uint64_t stale_ms;       /* when a late write brings that one back for a moment; 0: never */
+  uint64_t crash_again_ms; /* when it crashes once more; 0: it does not */
   gboolean up;
   gboolean cut; /* nothing gets through */
   gboolean listed;
@@ -111,7 +133,8 @@
   uint64_t owner_life;
   uint64_t order;
   guint worker;
-  char worker_id[32];
+  char worker_name[64]; /* what its owner calls the worker */
+  char worker_id[32];   /* whom the call is for */
   char task[64];
   uint32_t attempt;
   uint64_t epoch;
@@ -130,6 +153,7 @@
   FbLookAnswer answer; /* that is on its way back; of other orders without lists */
   uint64_t answer_ms;  /* when it is back; 0: there is none */
   gboolean arrived;
+  guint arrived_life; /* of its worker */
   uint64_t waits_until_ms;
   uint64_t knows_ms; /* until when its sender had read the store */
   gboolean in_touch; /* its sender and the store had been undisturbed for CONTACT_MS */
@@ -153,7 +177,7 @@
   uint64_t fenced_store_ms; /* when it shut the writer before out */
   gboolean complete;
   gboolean in_shown[WORKER_N];
-  char shown[WORKER_N][32];
+  char shown[WORKER_N][64];
   GPtrArray *questions; /* of Question */
 } Owner;
 
@@ -172,6 +196,9 @@
 struct _World
 {
   GRand *rand;
+  GRand *return_rand; /* of its own, so that the rest of a run does not depend on returns */
+  Returns returns;
+  GHashTable *ids;    /* what owners call a worker -> whom calls for it name */
   gboolean steady;    /* owners live on and the store stays */
   gboolean shrinking; /* the rooms of workers shrink and grow */
   gboolean crashing;  /* an eighth of the jobs crash the workers that start them */
@@ -212,8 +239,12 @@
 
 /* ---- workers: pool-world-workers.c ----------------------------------------------------------- */
 
-/* Begins a new life of worker I, empty and under a new name. */
+/* Begins a new life of worker I, empty: under a new id or the one it had. */
 void world_worker_begin (World *world, guint i);
+/* WORKER ends by itself; it may be back soon. */
+void world_worker_fail (World *world, Worker *worker);
+/* Returns: what the list has of WORKER now. */
+Entry world_worker_entry (const World *world, const Worker *worker);
 /* WORKER says of itself that it has CPU_MILLI now. */
 void world_worker_resize (World *world, Worker *worker, int64_t cpu_milli);
 /* The worker dies with all that runs there.  BY: who did it, or NULL. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -127,6 +127,16 @@
   end_later (self, fault, for_ms);
 }
 
+/* Half of them come back under the id that they had, and some of these at once. */
+static void
+crash_worker (SoakFaults *self, const SoakFault *fault)
+{
+  gboolean returns = fault->variant % 2 == 0;
+  guint for_ms = fault->variant % 4 == 0 ? fault->for_ms / 8 : 1000 + fault->for_ms;
+  soak_platform_control (self->platform, "{\"crash\":%u,\"for-ms\":%u,\"returns\":%s}",
+                         fault->target, for_ms, returns ? "true" : "false");
+}
+
 static void
 misuse_worker_calls (SoakFaults *self, const SoakFault *fault)
 {
@@ -194,8 +204,7 @@
       end_later (self, fault, fault->for_ms);
       break;
     case SOAK_WORKER_CRASH:
-      soak_platform_control (self->platform, "{\"crash\":%u,\"for-ms\":%u}", fault->target,
-                             1000 + fault->for_ms);
+      crash_worker (self, fault);
       break;
     case SOAK_WORKER_CUT:
       cut_worker (self, fault);
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -9,6 +9,8 @@
 #define LISTED_MS 4500
 #define LIFE_HEADER "Flamingobarrow-Expect-Instance"
 #define WORKER_CPU 8000
+/* What the clock of a life that came back shows at its start. */
+#define FIRST_CLOCK_MS 1000
 /* All tasks of the tests ask for so much. */
 #define TASK_CPU 2000
 /* Ends that one look shows. */
@@ -38,6 +40,9 @@
   guint index;
   guint life;
   char *id;
+  gint64 born_ms;   /* since 1970 */
+  gint64 clock_ms;  /* sp_now_ms() when its clock showed 0 */
+  gboolean returns; /* the next life has the id of this one */
   gboolean up;
   gint64 back_ms;     /* when it starts again after a crash; 0: not by itself */
   char *old_id;       /* of the life that crashed, while it is listed */
@@ -81,12 +86,19 @@
   g_autofree char *entry = g_strdup_printf (
       "{\"service\":\"" SP_SERVICE
       "\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
-      "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}",
-      listed[worker->index], sequence, WORKER_CPU);
+      "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+      "\"born\":%" G_GINT64_FORMAT "}",
+      listed[worker->index], sequence, WORKER_CPU, worker->born_ms);
   sp_store_put ("keyed.servers/0", worker->id, worker->up ? entry : "");
   worker->listed_ms = worker->up ? sp_now_ms () : 0;
 }
 
+static gint64
+clock_of (const Worker *worker)
+{
+  return sp_now_ms () - worker->clock_ms;
+}
+
 static void
 clear_ends (Worker *worker)
 {
@@ -150,7 +162,7 @@
 end_run (Worker *worker, guint i)
 {
   const Run *run = worker->runs->pdata[i];
-  gboolean lapsed = sp_now_ms () >= worker->lease_ms;
+  gboolean lapsed = clock_of (worker) >= worker->lease_ms;
   End *end = g_new0 (End, 1);
   end->n = ++worker->last_end;
   end->task = g_strdup (run->task);
@@ -174,11 +186,15 @@
     {
       const Run *run = worker->runs->pdata[i - 1];
       if (run->crashes && !run->stopping && now_ms >= run->ends_ms)
-        sp_worker_crash (worker->index, 2000 + (gint64) (sp_audit_crash (run->task) % 5) * 1000);
-      else if (now_ms >= run->ends_ms || now_ms >= worker->lease_ms)
+        {
+          guint crashes_n = sp_audit_crash (run->task);
+          sp_worker_crash (worker->index, 2000 + (gint64) (crashes_n % 5) * 1000,
+                           crashes_n % 2 == 0);
+        }
+      else if (now_ms >= run->ends_ms || clock_of (worker) >= worker->lease_ms)
         end_run (worker, i - 1);
     }
-  if (now_ms >= worker->lease_ms)
+  if (clock_of (worker) >= worker->lease_ms)
     lapse_ends (worker);
 }
 
@@ -213,18 +229,18 @@
 
 /* Returns: (transfer full): of an answer without more than a REASON, which may be NULL. */
 static char *
-short_answer (const char *reason)
+short_answer (const Worker *worker, const char *reason)
 {
   if (reason == NULL)
-    return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", sp_now_ms ());
-  return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}", sp_now_ms (),
-                          reason);
+    return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT "}", clock_of (worker));
+  return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}",
+                          clock_of (worker), reason);
 }
 
 static void
 extend_lease (Worker *worker, gint64 deadline_ms)
 {
-  worker->lease_ms = MAX (worker->lease_ms, MIN (deadline_ms, sp_now_ms () + LEASE_MAX_MS));
+  worker->lease_ms = MAX (worker->lease_ms, MIN (deadline_ms, clock_of (worker) + LEASE_MAX_MS));
 }
 
 /* Each of these returns the status and sets ANSWER (transfer full). */
@@ -235,7 +251,7 @@
   guint64 attempt = (guint64) json_object_get_int_member (body, "attempt");
   gint64 deadline_ms = json_object_get_int_member (body, "deadline-ms");
   const char *reason = NULL;
-  if (deadline_ms < sp_now_ms ())
+  if (deadline_ms < clock_of (worker))
     reason = "late";
   else if (find_run (worker, task, attempt) == NULL
            && attempt <= GPOINTER_TO_SIZE (g_hash_table_lookup (worker->over, task)))
@@ -243,7 +259,7 @@
   else if (find_run (worker, task, attempt) == NULL)
     begin_run (worker, body);
   extend_lease (worker, deadline_ms);
-  *answer = short_answer (reason);
+  *answer = short_answer (worker, reason);
   return reason == NULL ? 200 : 409;
 }
 
@@ -260,7 +276,7 @@
     }
   else
     mark_over (worker, task, attempt);
-  *answer = short_answer (NULL);
+  *answer = short_answer (worker, NULL);
   return 200;
 }
 
@@ -269,7 +285,9 @@
 look_text (const Worker *worker)
 {
   GString *out = g_string_new (NULL);
-  g_string_printf (out, "{\"clock-ms\":%" G_GINT64_FORMAT ",\"running\":[", sp_now_ms ());
+  g_string_printf (out,
+                   "{\"clock-ms\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
+                   clock_of (worker), worker->born_ms);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
@@ -331,7 +349,7 @@
     return 421;
   if (token < worker->token)
     {
-      *answer = short_answer ("fence");
+      *answer = short_answer (worker, "fence");
       return 409;
     }
   worker->token = token;
@@ -419,13 +437,18 @@
 begin_life (Worker *worker)
 {
   worker->life++;
-  g_free (worker->id);
-  worker->id = g_strdup_printf ("i-%u-%u", worker->index, worker->life);
+  worker->born_ms = g_get_real_time () / 1000;
+  worker->clock_ms = sp_now_ms () - FIRST_CLOCK_MS;
   worker->up = TRUE;
   worker->back_ms = 0;
   worker->token = 0;
   worker->lease_ms = 0;
   worker->last_end = 0;
+  /* What the life before has written stays listed until the next heartbeat. */
+  if (worker->returns)
+    return;
+  g_free (worker->id);
+  worker->id = g_strdup_printf ("i-%u-%u", worker->index, worker->life);
   list_worker (worker, 0);
 }
 
@@ -436,16 +459,20 @@
 }
 
 void
-sp_worker_crash (guint k, gint64 for_ms)
+sp_worker_crash (guint k, gint64 for_ms, gboolean returns)
 {
   Worker *worker = &workers[k % worker_n];
   if (!worker->up)
     return;
   worker->up = FALSE;
+  worker->returns = returns;
   worker->back_ms = sp_now_ms () + for_ms;
   worker->unlisted_ms = sp_now_ms () + LISTED_MS;
-  g_free (worker->old_id);
-  worker->old_id = g_strdup (worker->id);
+  if (!returns)
+    {
+      g_free (worker->old_id);
+      worker->old_id = g_strdup (worker->id);
+    }
   g_debug ("%s: crashes", worker->id);
   g_ptr_array_set_size (worker->runs, 0);
   /* An end that nobody has acknowledged is lost with its worker: the task may be started again. */
@@ -492,6 +519,7 @@
     {
       workers[i].index = i;
       workers[i].id = g_strdup_printf ("i-%u", i);
+      workers[i].born_ms = g_get_real_time () / 1000;
       workers[i].up = TRUE;
       workers[i].runs = g_ptr_array_new_with_free_func (run_free);
       workers[i].ends = g_ptr_array_new_with_free_func (end_free);
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -78,7 +78,8 @@
                       json_object_get_boolean_member (body, "up"));
   if (json_object_has_member (body, "crash"))
     sp_worker_crash ((guint) json_object_get_int_member (body, "crash"),
-                     json_object_get_int_member (body, "for-ms"));
+                     json_object_get_int_member (body, "for-ms"),
+                     json_object_get_boolean_member_with_default (body, "returns", FALSE));
   if (json_object_has_member (body, "unlisted"))
     sp_worker_stay_unlisted ((guint) json_object_get_int_member (body, "unlisted"),
                              json_object_get_int_member (body, "for-ms"));
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -53,8 +53,9 @@
 /* Worker K is listed at LISTED_PORTS[K], which are borrowed. */
 void sp_workers_init (guint n, const guint *listed_ports);
 void sp_worker_set_up (guint k, gboolean up);
-/* Worker K is gone for FOR_MS with all that runs there, and comes back under another id. */
-void sp_worker_crash (guint k, gint64 for_ms);
+/* Worker K is gone for FOR_MS with all that runs there; with RETURNS it comes back under the id
+ * that it had, else under another one. */
+void sp_worker_crash (guint k, gint64 for_ms, gboolean returns);
 /* Worker K runs on, but writes no entry for FOR_MS: after a while it is not listed. */
 void sp_worker_stay_unlisted (guint k, gint64 for_ms);
 /* All workers serve their calls and write their entries. */
