--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -374,24 +374,32 @@
 int
 main (int argc, char **argv)
 {
+  static const char *const return_names[] = { [RETURNS_EITHER_WAY] = "either-way",
+                                              [RETURNS_UNDER_NEW_IDS] = "new-ids",
+                                              [RETURNS_WITH_OLD_CALLS] = "old-calls",
+                                              NULL };
   static const char *const modes[]
       = { "plain", "advised", "crashing", "crashing-steady", "shrinking", "repeats", NULL };
   const char *mode = argc > 3 ? argv[3] : modes[0];
-  gboolean new_ids = argc == 5 && g_str_equal (argv[4], "new-ids");
-  if (argc < 3 || argc > 5 || (argc == 5 && !new_ids) || !g_strv_contains (modes, mode))
+  const char *returns = argc > 4 ? argv[4] : return_names[RETURNS_EITHER_WAY];
+  if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
+      || !g_strv_contains (return_names, returns))
     {
       g_autofree char *names = g_strjoinv ("|", (char **) modes);
-      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s [new-ids]]\n", names);
+      g_autofree char *ways = g_strjoinv ("|", (char **) return_names);
+      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s [%s]]\n", names, ways);
       return 2;
     }
-  Returns returns = new_ids ? RETURNS_UNDER_NEW_IDS : RETURNS_EITHER_WAY;
   fb_event_set_quiet (getenv ("FUZZ_LOG") == NULL);
   guint32 first = (guint32) atoi (argv[1]);
   guint32 n = (guint32) atoi (argv[2]);
   guint broken = 0;
   uint64_t starts = 0;
+  guint way = 0;
+  while (!g_str_equal (return_names[way], returns))
+    way++;
   for (guint32 i = 0; i < n; i++)
-    broken += run_seed (first + i, mode, returns, &starts);
+    broken += run_seed (first + i, mode, way, &starts);
   printf ("%u seeds, %u starts, %u broken\n", n, (unsigned) starts, broken);
   return broken > 0;
 }
--- a/fuzz/pool-world-calls.c
+++ b/fuzz/pool-world-calls.c
@@ -90,7 +90,7 @@
   const Worker *listed = result == FB_ORDER_DONE ? worker : NULL;
   gboolean says_birth = world->returns != RETURNS_UNDER_NEW_IDS;
   FbHttpReply reply = make_reply (order, result, listed, ends_most, says_birth, clock_ms);
-  fb_wire_look_answer (&reply, answer);
+  fb_wire_look_answer (&reply, order->worker_name, answer);
   g_clear_pointer (&reply.body, g_bytes_unref);
 }
 
@@ -131,6 +131,8 @@
   Order *lost = g_memdup2 (order, sizeof *order);
   lost->answer_lost = TRUE;
   lost->gives_up_ms = G_MAXUINT64;
+  if (fate == 1)
+    lost->taken_ms = world->now_ms + 2;
   if (fate == 1)
     lost->arrives_ms = world->now_ms + 2 + world_chance (world, LATE_MOST_MS);
   g_ptr_array_add (world->orders, lost);
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -75,6 +75,7 @@
   if (!world->healing && order->kind != ORDER_LOOK && world_chance (world, 25) == 0)
     {
       order->answer_lost = TRUE;
+      order->taken_ms = order->arrives_ms;
       order->arrives_ms = world->now_ms + 2000 + world_chance (world, 10000);
     }
   world_call (world, order);
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -96,8 +96,8 @@
 world_worker_begin (World *world, guint i)
 {
   Worker *worker = &world->workers[i];
-  gboolean returns
-      = world->returns == RETURNS_EITHER_WAY && worker->life > 0 && return_chance (world, 2) == 0;
+  gboolean returns = world->returns != RETURNS_UNDER_NEW_IDS && worker->life > 0
+                     && return_chance (world, 2) == 0;
   worker->life++;
   worker->crash_again_ms = 0;
   if (returns)
@@ -143,7 +143,8 @@
 world_worker_fail (World *world, Worker *worker)
 {
   world_worker_crash (world, worker, NULL);
-  if (world->returns == RETURNS_EITHER_WAY && worker->back_ms == 0 && return_chance (world, 2) == 0)
+  if (world->returns != RETURNS_UNDER_NEW_IDS && worker->back_ms == 0
+      && return_chance (world, 2) == 0)
     worker->back_ms = world->now_ms + 1 + return_chance (world, RETURN_MOST_MS);
 }
 
@@ -453,6 +454,34 @@
     deliver (world, order);
 }
 
+/* What a worker has taken and not carried out is gone with its life. */
+static void
+take_late (const World *world, Order *order)
+{
+  const Worker *worker = &world->workers[order->worker];
+  if (order->taken_ms == 0 || order->taken_life != 0 || world->now_ms < order->taken_ms)
+    return;
+  order->taken_life = worker->up && !worker->cut ? worker->life : G_MAXUINT;
+}
+
+static gboolean
+is_forgotten (const World *world, const Order *order)
+{
+  return world->returns == RETURNS_EITHER_WAY && order->taken_ms != 0
+         && order->taken_life != world->workers[order->worker].life;
+}
+
+/* TRUE when the connection for ORDER is tried until its sender gives up. */
+static gboolean
+waits_for_listener (World *world, Order *order)
+{
+  if (world->returns == RETURNS_UNDER_NEW_IDS || order->taken_ms != 0 || order->answer_lost
+      || world->now_ms >= order->gives_up_ms)
+    return FALSE;
+  order->waits = order->waits || return_chance (world, 2) == 0;
+  return order->waits;
+}
+
 /* Returns: FALSE while the order waits at the worker for news. */
 static gboolean
 carry_out (World *world, Order *order)
@@ -460,13 +489,18 @@
   Worker *worker = &world->workers[order->worker];
   FbOrderResult result = FB_ORDER_DONE;
   if (!worker->up && world->repeats)
-    answer_if_heard (world, order, FB_ORDER_NO_LISTENER, 0);
+    {
+      answer_if_heard (world, order, FB_ORDER_NO_LISTENER, 0);
+      return TRUE;
+    }
   if (!worker->up || worker->cut)
-    return TRUE;
+    return !waits_for_listener (world, order);
   gboolean is_same = g_str_equal (worker->id, order->worker_id);
   /* The life that took it has ended, and its connection with it. */
   if (order->arrived && is_same && order->arrived_life != worker->life)
     return TRUE;
+  if (is_same && is_forgotten (world, order))
+    return TRUE;
   if (order->refusal != FB_ORDER_DONE)
     result = order->refusal;
   else if (!is_same)
@@ -524,6 +558,7 @@
       Order *order = world->orders->pdata[i];
       gboolean due = order->arrives_ms != G_MAXUINT64 && world->now_ms >= order->arrives_ms;
       Owner *owner = sender_of (world, order);
+      take_late (world, order);
       if (owner != NULL && owner->paused)
         due = due && order->arrived; /* nobody hears answers; the order itself was sent */
       if (due && carry_out (world, order))
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -35,8 +35,9 @@
 /* Under which id the next life of a worker starts. */
 typedef enum
 {
-  RETURNS_EITHER_WAY,   /* by the seed */
-  RETURNS_UNDER_NEW_IDS /* always another one; workers do not say when they were born */
+  RETURNS_EITHER_WAY,    /* by the seed */
+  RETURNS_UNDER_NEW_IDS, /* always another one; workers do not say when they were born */
+  RETURNS_WITH_OLD_CALLS /* as the first, and a life carries out late what another had taken */
 } Returns;
 
 typedef struct
@@ -154,6 +155,9 @@
   uint64_t answer_ms;  /* when it is back; 0: there is none */
   gboolean arrived;
   guint arrived_life; /* of its worker */
+  uint64_t taken_ms;  /* when its worker takes it, to carry it out later; 0: it is not late */
+  guint taken_life;   /* of its worker; 0: not taken yet */
+  gboolean waits;     /* its connection is not made yet: nobody listens */
   uint64_t waits_until_ms;
   uint64_t knows_ms; /* until when its sender had read the store */
   gboolean in_touch; /* its sender and the store had been undisturbed for CONTACT_MS */
--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -3,22 +3,6 @@
 
 #include "internal/pool-private.h"
 
-/* How it is known that a task was on a worker that crashed. */
-typedef enum
-{
-  FB_CRASH_HEARSAY, /* a record or another daemon says that it was ordered there */
-  FB_CRASH_LIKELY,  /* this owner started it there and got no answer, or one before saw it */
-  FB_CRASH_FIRM     /* it was seen there, or all but certainly began there */
-} FbCrashEvidence;
-
-/* A worker that crashed, for the tasks that were on it. */
-typedef struct
-{
-  uint64_t worker; /* its rank */
-  gboolean apart;  /* nothing else was on it that could have crashed it */
-  FbCrashEvidence evidence;
-} FbPoolCrash;
-
 /* Where a task was ordered, while it is suspected and not known what became of it there. */
 typedef struct
 {
@@ -60,9 +44,9 @@
 void fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
 /* Records what is on WORKER if that fell silent. */
 void fb_pool_crash_note_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
-/* Comes before the runs of WORKER are dropped. */
+/* Comes before the runs of WORKER are dropped.  NEXT: as for fb_pool_worker_lost(). */
 void fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss,
-                                uint64_t now_ms);
+                                const FbPoolWorker *next, uint64_t now_ms);
 /* Ends jobs of which a task has come to the limit. */
 void fb_pool_crash_end_jobs (FbPool *self, uint64_t now_ms, uint64_t wall_ms);
 /* JOB has ended. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -61,6 +61,7 @@
   GHashTable *dirty;      /* set of FbPoolJob with news to record; borrowed */
   GPtrArray *in_flush;    /* of FbPoolJob: what the open flush holds; borrowed */
   GHashTable *orders;     /* order -> FbPoolOrderRef */
+  GQueue *late_starts;    /* of FbPoolLateStart; the oldest at its head */
   GHashTable *suspects;   /* set of FbPoolStep with tasks under which workers crashed; borrowed */
   GHashTable *causes;     /* rank of a crashed worker -> how many tasks may have crashed it */
   GHashTable *doubts;     /* id of a lost worker -> what was on it: see pool-doubt.c */
@@ -108,6 +109,9 @@
                           uint32_t attempt, uint64_t now_ms);
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* Answers to orders about RUN, which was on WORKER, are of the same run on NEXT. */
+void fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                          const FbPoolWorker *next);
 /* Returns: when a look at a worker that has never answered is repeated, once that look failed. */
 uint64_t fb_pool_first_look_again_ms (const FbPoolWorker *worker, uint64_t now_ms);
 uint32_t fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index);
@@ -129,13 +133,49 @@
 /* Fills in what LIMITS leaves to the pool. */
 void fb_pool_report_set_limits (FbPoolLimits *limits);
 void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
-void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, uint64_t now_ms);
+/* NEXT: the life of the worker that takes what is meant for this one; NULL: none is known. */
+void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
+                          uint64_t now_ms);
 /* Marks JOB ended, stops what runs of it. */
 void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
                       uint64_t wall_ms);
 void fb_pool_job_changed (FbPool *self, FbPoolJob *job);
 void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
 
+/* pool-return.c */
+
+/* Returns: (transfer full): what fb_pool_late_start_note() keeps. */
+GQueue *fb_pool_late_starts_new (void);
+void fb_pool_late_starts_free (GQueue *starts);
+/* A start that was sent at SENT_MS to a life of the worker at ADDRESS got no answer: a later life
+ * may yet carry it out. */
+void fb_pool_late_start_note (FbPool *self, const char *life, const char *address, const char *task,
+                              uint32_t attempt, uint64_t sent_ms, uint64_t now_ms);
+/* WORKER has answered for the first time: it is told to refuse starts that were sent to lives
+ * before it and got no answer. */
+void fb_pool_late_starts_shut_out (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* LIFE answered instead of WORKER, under the same id. */
+void fb_pool_worker_returned (FbPool *self, FbPoolWorker *worker, const char *life,
+                              uint64_t now_ms);
+/* TRUE when a later life of its worker may carry RUN out. */
+gboolean fb_pool_return_may_come (const FbPoolRun *run);
+/* RUN did not come: it was on the life that it was sent to. */
+void fb_pool_return_count_crash (FbPool *self, const FbPoolRun *run, uint64_t now_ms);
+/* WORKER has ended and NEXT takes what was meant for it.
+ * Returns: FALSE when RUN has ended with WORKER; else it is on NEXT, or may come there. */
+gboolean fb_pool_return_take_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run,
+                                   FbPoolWorker *next, uint64_t now_ms);
+/* WORKER lists RUN, which this owner did not order there. */
+void fb_pool_return_found (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                           uint64_t now_ms);
+/* WORKER lists RUN. */
+void fb_pool_return_listed (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
+/* TRUE when RUN, which might have come to WORKER and is not in its list of CLOCK_MS, never will. */
+gboolean fb_pool_return_is_over (const FbPool *self, const FbPoolWorker *worker,
+                                 const FbPoolRun *run, uint64_t clock_ms);
+/* RUN is not listed and may yet come: WORKER is told to refuse it. */
+void fb_pool_return_shut_out (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
+
 /* pool-choose.c */
 
 /* FB_TICKET_ALLOWED: the advice allows the worker, its ticket may have run out. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -10,6 +10,22 @@
   FB_RUN_STOPPING
 } FbRunState;
 
+/* How it is known that a task was on a worker that crashed. */
+typedef enum
+{
+  FB_CRASH_HEARSAY, /* a record or another daemon says that it was ordered there */
+  FB_CRASH_LIKELY,  /* this owner started it there and got no answer, or one before saw it */
+  FB_CRASH_FIRM     /* it was seen there, or all but certainly began there */
+} FbCrashEvidence;
+
+/* A worker that crashed, for the tasks that were on it. */
+typedef struct
+{
+  uint64_t worker; /* its rank */
+  gboolean apart;  /* nothing else was on it that could have crashed it */
+  FbCrashEvidence evidence;
+} FbPoolCrash;
+
 /* An attempt on a worker, from its order until it has certainly ended there. */
 struct _FbPoolRun
 {
@@ -30,6 +46,11 @@
   uint64_t stopped_clock_ms; /* worker's clock when a stop was taken; 0: not yet */
   uint64_t stop_sent_ms;
   uint64_t started_ms;
+  /* When it was found that its worker had started again before it was listed there: it may yet come
+   * to this one, the next life.  0: that is not so. */
+  uint64_t came_ms;
+  FbPoolCrash lost_with; /* counts if it never comes: the life that it was sent to crashed; rank 0:
+                          * none did */
 };
 
 typedef struct
@@ -53,6 +74,10 @@
   gboolean answered;      /* under the present epoch */
   gboolean silence_noted; /* it fell silent, and records say what was on it */
   gboolean gone;          /* this life has certainly ended, or all its leases have */
+  gboolean replaced;      /* this life has certainly ended */
+  gboolean returns;       /* a later life may take calls that are meant for this one */
+  /* When it was found that calls which were meant for another life may come here; 0: none may. */
+  uint64_t follows_ms;
   /* Names of the steps that may still run there, as the owner before had recorded them when
    * nothing was started there any more; NULL: it may run anything. */
   GHashTable *closed_to;
@@ -60,9 +85,10 @@
   uint32_t first_answer_ms; /* patience of the last look before it first answered */
   uint64_t look_at_ms;      /* when the next look is due */
   uint64_t look_sent_ms;
-  uint64_t proof_ms; /* when the last look that was answered had been sent */
-  uint64_t heard_ms; /* last answer */
-  uint64_t clock_ms; /* worker's clock, no later than HEARD_MS */
+  gboolean look_failed; /* the last one was not answered */
+  uint64_t proof_ms;    /* when the last look that was answered had been sent */
+  uint64_t heard_ms;    /* last answer */
+  uint64_t clock_ms;    /* worker's clock, no later than HEARD_MS */
   uint64_t
       lease_ms; /* highest deadline that was ever sent, on its clock; by the owner before, too */
   uint64_t seen_end;   /* highest number of an end that was taken in */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -31,6 +31,7 @@
   uint32_t mem_mb;
   uint32_t gpu_count;
   gboolean draining;
+  gboolean returns; /* a later life may take calls that are meant for this one */
 } FbWorkerEntry;
 
 typedef struct
@@ -83,6 +84,8 @@
   uint64_t clock_ms; /* the worker's, 0 if not told */
   GArray *running;   /* of FbRunSeen; NULL unless DONE */
   GArray *finished;  /* of FbEndSeen */
+  char *life;        /* of OTHER_LIFE: the one that answered, if it takes what is meant for the life
+                      * that was asked; else NULL */
 } FbLookAnswer;
 
 /* ---- orders --------------------------------------------------------------- */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -835,6 +835,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->life, FB_WORK_MAX_NAME))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, FB_WORK_MAX_SEEN,
 		sizeof (fb_seen_run), (xdrproc_t) xdr_fb_seen_run))
 		 return FALSE;
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -185,8 +185,8 @@
 	FB_ASK_STORED = 5,
 	FB_ASK_OWNERS = 6,
 	FB_ASK_WRITE = 7,
-	FB_ASK_ORDER = 8,
 	FB_ASK_STARTS = 9,
+	FB_ASK_ORDER = 10,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -356,6 +356,7 @@
 struct fb_told_order {
 	u_int result;
 	u_quad_t clock_ms;
+	char *life;
 	struct {
 		u_int running_len;
 		fb_seen_run *running_val;
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -143,8 +143,9 @@
   FB_ASK_STORED = 5, /* tells the owner of a record that is in the log */
   FB_ASK_OWNERS = 6, /* who owns which partition, as the log's group has it */
   FB_ASK_WRITE = 7,  /* append progress for an owner that the log turns away */
-  FB_ASK_ORDER = 8,  /* carry an order to a worker */
-  FB_ASK_STARTS = 9  /* which starts went out from the daemon asked to workers that fell silent */
+  FB_ASK_STARTS = 9, /* which starts went out from the daemon asked to workers that fell silent */
+  FB_ASK_ORDER = 10  /* carry an order to a worker; 8 was one that named no life: daemons of both
+                      * versions carry nothing for each other */
 };
 
 struct fb_ask_job {
@@ -278,6 +279,7 @@
 struct fb_told_order {
   unsigned int result;     /* FbOrderResult */
   unsigned hyper clock_ms; /* the worker's; 0: not told */
+  string life<FB_WORK_MAX_NAME>; /* that answered instead of the one asked; "": not known */
   fb_seen_run running<FB_WORK_MAX_SEEN>;
   fb_seen_end finished<FB_WORK_MAX_SEEN>;
 };
--- a/src/entry/advice/advisor.c
+++ b/src/entry/advice/advisor.c
@@ -58,6 +58,39 @@
   g_free (question);
 }
 
+/* Returns: (nullable): the life that QUESTION asked about under ID; borrowed. */
+static char *
+life_of (const Question *question, const char *id)
+{
+  for (guint i = 0; i < question->workers->len; i++)
+    {
+      g_autofree char *asked = fb_wire_life_id (question->workers->pdata[i]);
+      if (g_str_equal (asked, id))
+        return question->workers->pdata[i];
+    }
+  return NULL;
+}
+
+/* Tickets name workers by their ids; they are for the lives that were asked about.  TOLD: NULL
+ * without an answer. */
+static void
+tell_owner (FbOwner *owner, const Question *question, const fb_told_advice *told)
+{
+  guint n = told != NULL ? told->tickets.tickets_len : 0;
+  g_autofree fb_ticket *tickets = g_new0 (fb_ticket, n + 1);
+  fb_told_advice of_lives = { .tickets = { 0, tickets } };
+  of_lives.validity_ms = told != NULL ? told->validity_ms : 0;
+  for (guint i = 0; i < n; i++)
+    {
+      const fb_ticket *got = &told->tickets.tickets_val[i];
+      char *life = life_of (question, got->worker);
+      if (life != NULL)
+        tickets[of_lives.tickets.tickets_len++] = (fb_ticket){ life, got->ticket };
+    }
+  fb_owner_advised (owner, question->step, (const char *const *) question->workers->pdata,
+                    question->workers->len, told != NULL ? &of_lives : NULL);
+}
+
 static void
 on_told (gpointer data, const fb_told *told)
 {
@@ -70,8 +103,7 @@
     fb_event_log (FB_EVENT_CALL_FAILED, "advice step=%s daemon=%s", question->step,
                   question->daemon);
   if (owner != NULL)
-    fb_owner_advised (owner, question->step, (const char *const *) question->workers->pdata,
-                      question->workers->len, answered ? &told->fb_told_u.advice : NULL);
+    tell_owner (owner, question, answered ? &told->fb_told_u.advice : NULL);
   /* Whose turn it is may ask now. */
   fb_entry_each_owner (question->entry, fb_owner_kick);
   question_free (question);
@@ -138,7 +170,7 @@
   for (guint i = 0; i < n; i++)
     {
       g_ptr_array_add (question->workers, g_strdup (workers[i]));
-      names[i].id = question->workers->pdata[i];
+      names[i].id = fb_wire_life_id (workers[i]);
     }
   fb_ask ask = { .type = FB_ASK_ADVICE };
   ask.fb_ask_u.advice.step = question->step;
@@ -150,6 +182,8 @@
   else
     fb_peers_ask (self->entry, daemon, &ask, expected_ms + patience_ms (expected_ms), on_told,
                   question);
+  for (guint i = 0; i < n; i++)
+    g_free (names[i].id);
   return TRUE;
 }
 
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -47,9 +47,10 @@
   FbRoutes *routes; /* NULL until the first configuration */
   FbFollower *config_follower;
   FbFollower *worker_follower; /* NULL until it owns something */
-  GHashTable *workers;         /* id -> FbListedWorker */
-  GHashTable *skipped;         /* ids of entries that could not be read, told of already */
-  GHashTable *relisted;        /* ids of the listing that is open; NULL: none is */
+  GHashTable *workers;         /* life -> FbListedWorker */
+  GHashTable *lives;    /* id of a worker -> FbListedWorker, its life that is listed; borrowed */
+  GHashTable *skipped;  /* ids of entries that could not be read, told of already */
+  GHashTable *relisted; /* ids of the listing that is open; NULL: none is */
   FbKeepalive *keepalive;
   FbDaemons *daemons;
   FbGroup *group;
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -93,7 +93,7 @@
   FbLookAnswer answer;
   if (reply->status != FB_HTTP_OK)
     log_failed (order, reply->status, reply->sent);
-  fb_relay_worker_answer (order->kind, reply, &answer);
+  fb_relay_worker_answer (order->kind, order->worker, reply, &answer);
   if (order->kind == FB_CARRY_LOOK)
     fb_recent_starts_looked (order->entry->recent_starts, order->worker, &answer);
   finish (order, &answer);
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -206,11 +206,12 @@
 }
 
 void
-fb_relay_worker_answer (fb_order_kind kind, const FbHttpReply *reply, FbLookAnswer *answer)
+fb_relay_worker_answer (fb_order_kind kind, const char *worker, const FbHttpReply *reply,
+                        FbLookAnswer *answer)
 {
   *answer = (FbLookAnswer){ 0 };
   if (kind == FB_CARRY_LOOK)
-    fb_wire_look_answer (reply, answer);
+    fb_wire_look_answer (reply, worker, answer);
   else
     answer->result = fb_wire_order_result (reply, &answer->clock_ms);
 }
@@ -343,13 +344,14 @@
 {
   Order *order = data;
   FbLookAnswer answer;
-  fb_relay_worker_answer (order->kind, reply, &answer);
+  fb_relay_worker_answer (order->kind, order->worker, reply, &answer);
   if (order->kind == FB_CARRY_LOOK)
     fb_recent_starts_looked (order->entry->recent_starts, order->worker, &answer);
   fb_told told = { .type = FB_TOLD_ORDER };
   fb_told_order *mine = &told.fb_told_u.order;
   mine->result = answer.result;
   mine->clock_ms = answer.clock_ms;
+  mine->life = answer.life != NULL ? answer.life : "";
   guint runs_n = answer.running != NULL ? answer.running->len : 0;
   guint ends_n = answer.finished != NULL ? answer.finished->len : 0;
   g_autofree fb_seen_run *rows = g_new0 (fb_seen_run, runs_n + 1);
@@ -403,7 +405,8 @@
 fb_relay_look_answer (const fb_told_order *told, FbLookAnswer *answer)
 {
   *answer = (FbLookAnswer){ .result = (FbOrderResult) MIN (told->result, FB_ORDER_UNKNOWN),
-                            .clock_ms = told->clock_ms };
+                            .clock_ms = told->clock_ms,
+                            .life = *told->life != '\0' ? g_strdup (told->life) : NULL };
   if (answer->result != FB_ORDER_DONE)
     return;
   answer->running = g_array_sized_new (FALSE, TRUE, sizeof (FbRunSeen), told->running.running_len);
--- a/src/entry/peers/relay.h
+++ b/src/entry/peers/relay.h
@@ -34,6 +34,7 @@
                            gpointer user);
 /* Reads what the worker answered to an order of KIND; the lists are those of a look.  ANSWER is
  * cleared with fb_look_answer_clear(). */
-void fb_relay_worker_answer (fb_order_kind kind, const FbHttpReply *reply, FbLookAnswer *answer);
+void fb_relay_worker_answer (fb_order_kind kind, const char *worker, const FbHttpReply *reply,
+                             FbLookAnswer *answer);
 /* ANSWER borrows its texts from TOLD; it is cleared with fb_look_answer_clear(). */
 void fb_relay_look_answer (const fb_told_order *told, FbLookAnswer *answer);
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -102,10 +102,11 @@
 
 /* ---- workers ---------------------------------------------------------------------------- */
 
+/* ID: of a worker; the life that is listed under it is not any more. */
 static void
 unlist_worker (FbEntry *self, const char *id)
 {
-  const FbListedWorker *worker = g_hash_table_lookup (self->workers, id);
+  const FbListedWorker *worker = g_hash_table_lookup (self->lives, id);
   if (worker == NULL)
     return;
   GHashTableIter iter;
@@ -113,12 +114,34 @@
   g_hash_table_iter_init (&iter, self->owners);
   while (g_hash_table_iter_next (&iter, NULL, &owner))
     fb_owner_worker_unlisted (owner, worker);
-  g_hash_table_remove (self->workers, id);
+  g_hash_table_remove (self->lives, id);
+  g_hash_table_remove (self->workers, worker->entry.id);
+}
+
+/* Failure: what an earlier life of a worker wrote to its entry arrives after the entry of the life
+ * that came back; taken as it stands it shows as a worker that is gone.  Guard: an entry without a
+ * birth, or with an earlier one, counts only when it is written again: its writer lives. */
+static gboolean
+is_of_earlier_life (FbEntry *self, const FbListedWorker *worker)
+{
+  FbListedWorker *listed = g_hash_table_lookup (self->lives, worker->id);
+  if (listed == NULL || worker->born_ms >= listed->born_ms)
+    return FALSE;
+  gboolean again = worker->born_ms != 0 && worker->born_ms == listed->other_born_ms;
+  listed->other_born_ms = worker->born_ms;
+  if (!again)
+    fb_event_log (FB_EVENT_WORKER_ENTRY_LATE, "worker=%s listed=%s", worker->entry.id,
+                  listed->entry.id);
+  return !again;
 }
 
 static void
 list_worker (FbEntry *self, FbListedWorker *worker)
 {
+  const FbListedWorker *before = g_hash_table_lookup (self->lives, worker->id);
+  if (before != NULL && before->born_ms != worker->born_ms)
+    unlist_worker (self, worker->id);
+  g_hash_table_replace (self->lives, g_strdup (worker->id), worker);
   g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
   GHashTableIter iter;
   gpointer owner;
@@ -157,7 +180,10 @@
     }
   if (self->relisted != NULL)
     g_hash_table_add (self->relisted, g_strdup (record->key));
-  list_worker (self, worker);
+  if (is_of_earlier_life (self, worker))
+    fb_listed_worker_free (worker);
+  else
+    list_worker (self, worker);
 }
 
 static void
@@ -172,7 +198,7 @@
 on_workers_listed (gpointer user)
 {
   FbEntry *self = user;
-  g_autoptr (GList) ids = g_hash_table_get_keys (self->workers);
+  g_autoptr (GList) ids = g_hash_table_get_keys (self->lives);
   for (GList *l = ids; l != NULL; l = l->next)
     {
       if (!g_hash_table_contains (self->relisted, l->data))
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -316,11 +316,17 @@
 }
 
 static void
-suspect_run (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run, FbPoolLoss loss,
-             uint64_t now_ms)
+suspect_run (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run, FbPoolLoss loss,
+             const FbPoolWorker *next, uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
   const FbPoolCrash crash = { worker->rank, is_apart (worker, run), evidence_of (worker, run) };
+  if (next != NULL && fb_pool_return_may_come (run))
+    {
+      if (run->lost_with.worker == 0)
+        run->lost_with = crash;
+      return;
+    }
   if (loss == FB_LOSS_OTHER_LIFE)
     {
       fb_pool_tried_drop (&step->tasks[run->index], worker->id);
@@ -400,20 +406,21 @@
 
 /* A worker that drains ends as planned: nobody is suspected for it. */
 void
-fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, uint64_t now_ms)
+fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss,
+                           const FbPoolWorker *next, uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, worker->runs);
   while (!worker->draining && g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const FbPoolRun *run = value;
+      FbPoolRun *run = value;
       if (run->step == NULL || !was_there (run))
         continue;
       if (is_proven (worker, run))
         fb_pool_crash_clear (self, run->step, run->index, "lasted");
       else
-        suspect_run (self, worker, run, loss, now_ms);
+        suspect_run (self, worker, run, loss, next, now_ms);
     }
   if (loss != FB_LOSS_OTHER_LIFE)
     return;
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -88,6 +88,24 @@
   return worker;
 }
 
+void
+fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                     const FbPoolWorker *next)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->orders);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolOrderRef *ref = value;
+      if (ref->attempt != run->attempt || !g_str_equal (ref->task, run->name)
+          || !g_str_equal (ref->worker, worker->id))
+        continue;
+      g_free (ref->worker);
+      ref->worker = g_strdup (next->id);
+    }
+}
+
 uint32_t
 fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index)
 {
@@ -191,6 +209,11 @@
                         .epoch = self->epoch,
                         .acknowledged = worker->acknowledged,
                         .answer_ms = answer_patience_ms (worker) };
+  /* Failure: a worker that did not answer has started again, and forgets ends of its new life that
+   * a look acknowledges by their numbers; it shows as tasks that run again after they were done.
+   * Guard: a worker that did not answer is looked at without acknowledging. */
+  if (worker->look_failed)
+    order.acknowledged = 0;
   /* Failure: a worker falls silent, and each look that it may yet carry out extends its
    * lease; it shows as tasks that never start again.  Guard: a silent worker is
    * looked at without a lease, so that the last one ends. */
@@ -251,7 +274,7 @@
   if (result == FB_ORDER_FENCED)
     fb_pool_fenced (self, worker);
   else if (result == FB_ORDER_OTHER_LIFE && worker != NULL)
-    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, now_ms);
+    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, NULL, now_ms);
   else
     return FALSE;
   return TRUE;
@@ -267,7 +290,9 @@
     return;
   if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
     return;
-  if (result == FB_ORDER_DONE)
+  if (result == FB_ORDER_DONE && run->came_ms != 0)
+    run->unanswered = TRUE; /* either life may have said so */
+  else if (result == FB_ORDER_DONE)
     {
       run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
       fb_pool_crash_task_seen (self, worker, run);
@@ -285,6 +310,9 @@
                     run->name, run->attempt, worker->id, (guint) (now_ms - worker->heard_ms));
       worker->paused_until_ms = now_ms + REFUSAL_PAUSE_MS;
       run->unanswered = TRUE;
+      if (worker->returns)
+        fb_pool_late_start_note (self, worker->id, worker->address, run->name, run->attempt,
+                                 run->started_ms, now_ms);
       /* The others would wait for this member until they give up alone. */
       if (run->step->shape->gang)
         fb_pool_gang_stop (self, run->step, now_ms);
--- a/src/work/pool-recall.c
+++ b/src/work/pool-recall.c
@@ -25,6 +25,8 @@
   FbPoolStep *step = fb_pool_find_task (self, start->task, &index);
   if (step == NULL || fb_pool_job_ended (step->job))
     return;
+  fb_pool_late_start_note (self, start->worker, start->address, start->task, start->attempt, now_ms,
+                           now_ms);
   FbPoolTask *task = &step->tasks[index];
   if (task->done || is_known (self, task, start))
     return;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -147,10 +147,12 @@
 
 /* All runs of this life of a worker have certainly ended. */
 void
-fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, uint64_t now_ms)
+fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
+                     uint64_t now_ms)
 {
   static const char *const names[] = { "lease ended", "other life", "left" };
   const char *why = names[loss];
+  worker->replaced = worker->replaced || loss == FB_LOSS_OTHER_LIFE;
   if (worker->gone && loss == FB_LOSS_OTHER_LIFE)
     fb_pool_doubt_end (self, worker->id, !worker->draining, now_ms);
   if (worker->gone)
@@ -160,13 +162,20 @@
   fb_event_log (FB_EVENT_POOL_WORKER_LOST, "worker=%s why=%s runs=%u heard_ms_ago=%u", worker->id,
                 why, g_hash_table_size (worker->runs),
                 worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
-  fb_pool_crash_worker_lost (self, worker, loss, now_ms);
+  fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
   guint beside_n = g_list_length (runs);
   for (GList *l = runs; l != NULL; l = l->next)
     {
       FbPoolRun *run = l->data;
       FbPoolStep *step = run->step;
+      if (next != NULL && fb_pool_return_take_over (self, worker, run, next, now_ms))
+        {
+          if (step->shape->gang)
+            fb_pool_gang_stop (self, step, now_ms);
+          continue;
+        }
+      fb_pool_return_count_crash (self, run, now_ms);
       fb_event_log (FB_EVENT_TASK_LOST,
                     "task=%s attempt=%u worker=%s why=%s seen=%d ran_ms=%u beside=%u", run->name,
                     run->attempt, worker->id, why, run->seen_clock_ms > 0,
@@ -339,6 +348,7 @@
   run->state = FB_RUN_RUNNING;
   run->started_ms = now_ms;
   run->seen_ms = now_ms;
+  fb_pool_return_found (self, worker, run, now_ms);
   if (step != NULL)
     settle_run (self, worker, run, now_ms);
   else
@@ -402,12 +412,19 @@
               uint64_t now_ms)
 {
   FbPoolRun *run = g_hash_table_lookup (worker->runs, seen->task);
+  /* What is listed has been started since. */
+  if (run != NULL && run->came_ms != 0 && run->attempt < seen->attempt)
+    {
+      fb_pool_run_over (self, worker, run, "superseded", now_ms);
+      run = NULL;
+    }
   if (run == NULL)
     run = adopt (self, worker, seen, now_ms);
   if (run->attempt != seen->attempt)
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->listed_ms = now_ms;
+  fb_pool_return_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
   if (run->state == FB_RUN_STARTING)
     run->state = FB_RUN_RUNNING;
@@ -417,8 +434,11 @@
 
 /* TRUE when a look at CLOCK_MS that does not list RUN proves that it is over. */
 static gboolean
-absence_proves (const FbPool *self, const FbPoolRun *run, uint64_t clock_ms)
+absence_proves (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                uint64_t clock_ms)
 {
+  if (run->came_ms != 0)
+    return fb_pool_return_is_over (self, worker, run, clock_ms);
   if (run->seen_clock_ms >= clock_ms)
     return FALSE;
   if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
@@ -433,13 +453,18 @@
   for (GList *l = runs; l != NULL; l = l->next)
     {
       FbPoolRun *run = l->data;
-      if (!absence_proves (self, run, clock_ms))
-        continue;
+      if (!absence_proves (self, worker, run, clock_ms))
+        {
+          if (run->came_ms != 0)
+            fb_pool_return_shut_out (self, worker, run, now_ms);
+          continue;
+        }
       FbPoolStep *step = run->step;
       fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
                     run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
       if (step != NULL)
         fb_pool_crash_task_gone (self, worker, step, run->index);
+      fb_pool_return_count_crash (self, run, now_ms);
       fb_pool_run_over (self, worker, run, "absent", now_ms);
       if (step != NULL && step->shape->gang && !fb_pool_step_done (step)
           && !fb_pool_job_ended (step->job))
@@ -485,11 +510,21 @@
                 worker->acknowledged, g_hash_table_size (worker->runs));
 }
 
+/* The longest lease that WORKER may have at its first answer: by the owner before, or by a look at
+ * its life before, whose deadline its clock may be far behind. */
+static uint64_t
+first_lease_ms (const FbPool *self, const FbPoolWorker *worker)
+{
+  return worker->follows_ms != 0 ? MAX (FB_POOL_LEASE_MS, self->limits.hold_max_ms)
+                                 : FB_POOL_LEASE_MS;
+}
+
 static void
 take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
              uint64_t wall_ms)
 {
   guint runs_before = g_hash_table_size (worker->runs);
+  gboolean is_first = !worker->answered;
   if (!worker->answered)
     fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
                   "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
@@ -497,7 +532,7 @@
   if (!worker->answered)
     {
       /* The owner before may have given it a lease a moment ago, which covers what starts there. */
-      worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + FB_POOL_LEASE_MS);
+      worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + first_lease_ms (self, worker));
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
@@ -511,6 +546,8 @@
   for (guint i = 0; i < answer->running->len; i++)
     take_running (self, worker, &g_array_index (answer->running, FbRunSeen, i), answer->clock_ms,
                   now_ms);
+  if (is_first)
+    fb_pool_late_starts_shut_out (self, worker, now_ms);
   worker->unread = FALSE;
   for (guint i = 0; i < answer->finished->len; i++)
     {
@@ -555,15 +592,18 @@
   if (worker == NULL)
     return;
   worker->look_open = FALSE;
+  worker->look_failed = answer->result != FB_ORDER_DONE;
   worker->look_at_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
                            ? fb_pool_first_look_again_ms (worker, now_ms)
                            : now_ms + LOOK_PAUSE_MS;
-  if (answer->result == FB_ORDER_DONE)
+  if (answer->result == FB_ORDER_DONE && !worker->replaced)
     take_answer (self, worker, answer, now_ms, wall_ms);
   else if (answer->result == FB_ORDER_FENCED)
     fb_pool_fenced (self, worker);
+  else if (answer->result == FB_ORDER_OTHER_LIFE && answer->life != NULL)
+    fb_pool_worker_returned (self, worker, answer->life, now_ms);
   else if (answer->result == FB_ORDER_OTHER_LIFE)
-    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, now_ms);
+    fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, NULL, now_ms);
   else if (answer->result == FB_ORDER_NO_LISTENER && has_left (self, worker))
-    fb_pool_worker_lost (self, worker, FB_LOSS_LEFT, now_ms);
+    fb_pool_worker_lost (self, worker, FB_LOSS_LEFT, NULL, now_ms);
 }
--- /dev/null
+++ b/src/work/pool-return.c
@@ -0,0 +1,253 @@
+/* Workers that start again under the id that they had.
+ *
+ * Failure: a call that was on its way to a life of a worker, which ended meanwhile, is taken by the
+ * next one: the id is the same, its clock may be behind the deadline of a start, and it has seen no
+ * epoch.  With what ran there given up, it shows as a second run of a task.  Guard: what was listed
+ * by the life that ended has ended with it.  A start that it never listed goes over to the next
+ * life and counts as under way there, until that life lists it, its clock has passed the deadline,
+ * or it has taken a stop of that attempt, after which it refuses the start. */
+#include "internal/pool-crash.h"
+
+#include "fb-event.h"
+
+/* Orders without an answer are carried out some seconds late, if at all. */
+#define LATE_MOST_MS 15000
+
+/* A start that got no answer. */
+typedef struct
+{
+  char *life; /* that it was sent to */
+  char *address;
+  char *task;
+  uint32_t attempt;
+  uint64_t sent_ms;
+} FbPoolLateStart;
+
+static void
+late_start_free (gpointer data)
+{
+  FbPoolLateStart *start = data;
+  g_free (start->life);
+  g_free (start->address);
+  g_free (start->task);
+  g_free (start);
+}
+
+GQueue *
+fb_pool_late_starts_new (void)
+{
+  return g_queue_new ();
+}
+
+void
+fb_pool_late_starts_free (GQueue *starts)
+{
+  g_queue_free_full (starts, late_start_free);
+}
+
+void
+fb_pool_late_start_note (FbPool *self, const char *life, const char *address, const char *task,
+                         uint32_t attempt, uint64_t sent_ms, uint64_t now_ms)
+{
+  const FbPoolLateStart *oldest = NULL;
+  while ((oldest = g_queue_peek_head (self->late_starts)) != NULL
+         && now_ms > oldest->sent_ms + LATE_MOST_MS)
+    late_start_free (g_queue_pop_head (self->late_starts));
+  FbPoolLateStart *start = g_new0 (FbPoolLateStart, 1);
+  start->life = g_strdup (life);
+  start->address = g_strdup (address);
+  start->task = g_strdup (task);
+  start->attempt = attempt;
+  start->sent_ms = sent_ms;
+  g_queue_push_tail (self->late_starts, start);
+}
+
+/* Charges START to WORKER, where it may come, until WORKER has taken a stop of it. */
+static void
+shut_out (FbPool *self, FbPoolWorker *worker, const FbPoolLateStart *start, uint64_t now_ms)
+{
+  uint32_t index = 0;
+  FbPoolStep *step = fb_pool_find_task (self, start->task, &index);
+  if (step == NULL || g_hash_table_contains (worker->runs, start->task))
+    return;
+  FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, start->task, start->attempt);
+  run->started_ms = start->sent_ms;
+  run->deadline_ms = G_MAXUINT64;
+  run->given_up = TRUE;
+  run->came_ms = now_ms;
+  fb_pool_order_stop (self, worker, run, now_ms);
+}
+
+void
+fb_pool_late_starts_shut_out (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  for (const GList *l = self->late_starts->head; l != NULL; l = l->next)
+    {
+      const FbPoolLateStart *start = l->data;
+      if (now_ms <= start->sent_ms + LATE_MOST_MS && g_str_equal (start->address, worker->address)
+          && !g_str_equal (start->life, worker->id))
+        shut_out (self, worker, start, now_ms);
+    }
+}
+
+/* Returns: the worker called LIFE, at the address of BEFORE, which ran there until then. */
+static FbPoolWorker *
+next_life (FbPool *self, const FbPoolWorker *before, const char *life)
+{
+  FbPoolWorker *next = g_hash_table_lookup (self->workers, life);
+  if (next != NULL)
+    return next;
+  next = fb_pool_worker_new (life);
+  next->address = g_strdup (before->address);
+  next->returns = TRUE;
+  fb_pool_roster_add (self, next);
+  self->workers_dirty = TRUE;
+  return next;
+}
+
+gboolean
+fb_pool_return_may_come (const FbPoolRun *run)
+{
+  return run->step != NULL && run->listed_ms == 0;
+}
+
+static guint
+starts_that_may_come (const FbPoolWorker *worker)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    n += fb_pool_return_may_come (run);
+  return n;
+}
+
+void
+fb_pool_worker_returned (FbPool *self, FbPoolWorker *worker, const char *life, uint64_t now_ms)
+{
+  if (worker->gone)
+    {
+      fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, NULL, now_ms);
+      return;
+    }
+  FbPoolWorker *next = next_life (self, worker, life);
+  fb_event_log (FB_EVENT_POOL_WORKER_RETURNED,
+                "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, life,
+                g_hash_table_size (worker->runs), starts_that_may_come (worker),
+                worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
+  fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, next, now_ms);
+  /* Looks at the life before may have extended its lease by deadlines far ahead of its clock. */
+  next->follows_ms = now_ms;
+  if (next->answered)
+    next->lease_ms = MAX (next->lease_ms, next->clock_ms + self->limits.hold_max_ms);
+  next->look_at_ms = now_ms;
+}
+
+/* Returns: RUN as it may come to NEXT. */
+static FbPoolRun *
+run_on_next (FbPoolWorker *next, const FbPoolRun *run, uint64_t now_ms)
+{
+  FbPoolRun *moved = fb_pool_worker_add_run (next, run->step, run->index, run->name, run->attempt);
+  moved->started_ms = run->started_ms;
+  moved->deadline_ms = run->deadline_ms;
+  moved->given_up = run->given_up;
+  moved->unanswered = run->unanswered;
+  moved->whole = run->whole;
+  moved->order = run->state == FB_RUN_STARTING ? run->order : 0;
+  moved->came_ms = now_ms;
+  return moved;
+}
+
+gboolean
+fb_pool_return_take_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, FbPoolWorker *next,
+                          uint64_t now_ms)
+{
+  if (!fb_pool_return_may_come (run))
+    return FALSE;
+  /* It may be there already, to be refused. */
+  FbPoolRun *moved = g_hash_table_lookup (next->runs, run->name);
+  if (moved != NULL && (moved->attempt != run->attempt || moved->came_ms == 0))
+    return FALSE;
+  if (moved == NULL)
+    moved = run_on_next (next, run, now_ms);
+  moved->lost_with = run->lost_with;
+  fb_pool_orders_move (self, worker, run, next);
+  fb_event_log (FB_EVENT_START_MAY_COME,
+                "task=%s attempt=%u worker=%s life=%s unanswered=%d sent_ms_ago=%u", run->name,
+                run->attempt, worker->id, next->id, run->unanswered,
+                (guint) (now_ms - run->started_ms));
+  FbPoolTask *task = &run->step->tasks[run->index];
+  gboolean was_current = task->run == run;
+  fb_pool_worker_drop_run (worker, run);
+  if (was_current && task->run == NULL)
+    task->run = moved;
+  else
+    fb_pool_task_take_run (task, moved);
+  return TRUE;
+}
+
+static gboolean
+is_same_start (const FbPoolRun *other, const FbPoolRun *run)
+{
+  return other != NULL && other != run && other->attempt == run->attempt;
+}
+
+/* The start went to one life only: what an earlier one was thought to have of it is not there. */
+void
+fb_pool_return_found (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  const FbPoolTask *task = run->step != NULL ? &run->step->tasks[run->index] : NULL;
+  if (task == NULL || (!is_same_start (task->run, run) && !is_same_start (task->copy, run)))
+    return;
+  guint slot = 0;
+  FbPoolWorker *other = NULL;
+  while ((other = fb_pool_roster_next (self, &slot)) != NULL)
+    {
+      FbPoolRun *same = other != worker ? g_hash_table_lookup (other->runs, run->name) : NULL;
+      if (same == NULL || same->attempt != run->attempt
+          || g_strcmp0 (other->address, worker->address) != 0)
+        continue;
+      run->started_ms = same->started_ms;
+      fb_pool_worker_drop_run (other, same);
+      fb_pool_worker_opened (self, other);
+      other->look_at_ms = now_ms;
+    }
+}
+
+void
+fb_pool_return_listed (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  if (run->came_ms == 0)
+    return;
+  run->came_ms = 0;
+  run->lost_with.worker = 0;
+  if (run->given_up && run->state != FB_RUN_STOPPING)
+    fb_pool_order_stop (self, worker, run, now_ms);
+}
+
+void
+fb_pool_return_count_crash (FbPool *self, const FbPoolRun *run, uint64_t now_ms)
+{
+  if (run->lost_with.worker != 0)
+    fb_pool_crash_count (self, run->step, run->index, run->lost_with, now_ms);
+}
+
+gboolean
+fb_pool_return_is_over (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                        uint64_t clock_ms)
+{
+  /* A list that was asked for before may be older than the start. */
+  if (worker->look_sent_ms < run->came_ms)
+    return FALSE;
+  if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
+    return clock_ms > run->stopped_clock_ms + self->limits.stop_ms;
+  return clock_ms > run->deadline_ms;
+}
+
+void
+fb_pool_return_shut_out (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  if (worker->look_sent_ms >= run->came_ms && run->state == FB_RUN_STARTING)
+    fb_pool_order_stop (self, worker, run, now_ms);
+}
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -85,6 +85,7 @@
   /* A worker that has begun to leave never takes it back. */
   worker->draining = worker->draining || entry->draining;
   worker->listed = TRUE;
+  worker->returns = entry->returns;
 }
 
 uint64_t
@@ -100,16 +101,26 @@
   return !worker->answered || now_ms > worker->heard_ms + SILENT_MS;
 }
 
+/* For so long LEASE_MS of a worker's clock may take. */
+static uint64_t
+longest_ms (uint64_t lease_ms)
+{
+  return lease_ms * 1000 / (1000 - CLOCK_SLOW_PERMILLE) + LAPSE_SLACK_MS;
+}
+
 /* A worker that never answered may hold a lease of the owner before.  That owner
  * was told of its replacement by one of the majority that answered here, and
- * sends nothing later than FB_POOL_STEP_DOWN_MS after. */
+ * sends nothing later than FB_POOL_STEP_DOWN_MS after.  Calls for a life before it may have come to
+ * it, too. */
 static gboolean
-unheard_lapsed (const FbPool *self, uint64_t now_ms)
+unheard_lapsed (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
   if (self->majority_ms == 0)
     return FALSE;
-  uint64_t lease_ms = FB_POOL_LEASE_MS * 1000 / (1000 - CLOCK_SLOW_PERMILLE);
-  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + lease_ms + LAPSE_SLACK_MS;
+  if (worker->follows_ms != 0
+      && now_ms <= worker->follows_ms + longest_ms (self->limits.hold_max_ms))
+    return FALSE;
+  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + longest_ms (FB_POOL_LEASE_MS);
 }
 
 gboolean
@@ -118,7 +129,7 @@
   if (worker->gone)
     return TRUE;
   if (!worker->answered)
-    return unheard_lapsed (self, now_ms);
+    return unheard_lapsed (self, worker, now_ms);
   return fb_pool_worker_silent (worker, now_ms)
          && fb_pool_worker_clock_low (worker, now_ms) > worker->lease_ms + LAPSE_SLACK_MS;
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -40,6 +40,7 @@
   self->in_flush = g_ptr_array_new ();
   self->unheard = g_ptr_array_new ();
   self->orders = fb_pool_orders_new ();
+  self->late_starts = fb_pool_late_starts_new ();
   return self;
 }
 
@@ -47,6 +48,7 @@
 fb_pool_free (FbPool *self)
 {
   g_hash_table_unref (self->orders);
+  fb_pool_late_starts_free (self->late_starts);
   g_hash_table_unref (self->workers); /* its runs point into the jobs */
   g_ptr_array_unref (self->roster);
   g_ptr_array_unref (self->opened);
@@ -178,7 +180,7 @@
 tend_worker (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   if (!worker->gone && fb_pool_worker_lapsed (self, worker, now_ms))
-    fb_pool_worker_lost (self, worker, FB_LOSS_LEASE_ENDED, now_ms);
+    fb_pool_worker_lost (self, worker, FB_LOSS_LEASE_ENDED, NULL, now_ms);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, worker->runs);
--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -67,7 +67,7 @@
 {
   BusyWorker *worker = &play->workers[i];
   g_autofree char *id = g_strdup_printf ("%u", i);
-  const FbLookAnswer answer = { FB_ORDER_DONE, now_ms, worker->runs, finished };
+  const FbLookAnswer answer = { .clock_ms = now_ms, .running = worker->runs, .finished = finished };
   worker->look_open = FALSE;
   fb_pool_look_answered (play->pool, id, &answer, now_ms, WALL_MS + now_ms);
 }
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -113,6 +113,22 @@
 curl -s -d '{"lose-answers":false}' "http://127.0.0.1:$base/control" > /dev/null
 audit | grep -q '"doubled":0' || die "workers saw a task twice: $(audit)"
 
+say "workers come back under the ids that they had: nothing that is done runs again, what lasts runs on"
+lasting='{"spec":"600000","phases":[{"count":4,"cpu":2000,"mem-mb":100,"long-running":true}]}'
+crash_worker() { curl -s -d "{\"crash\":$1,\"for-ms\":300,\"returns\":true}" "http://127.0.0.1:$base/control" > /dev/null; }
+running() { curl -s "http://127.0.0.1:$base/running?job=$1" | grep -o '[0-9]*'; }
+four_run() { [ "$(running "$(job 4)")" = 4 ]; }
+[ "$(ask 0 POST "$(job 4)" "$lasting")" = 200 ] || die "the lasting job was not taken"
+until_true four_run || die "the lasting job does not run"
+for k in 0 1 2 3 4 5; do
+  for n in 0 1 2 3; do submitted $((n % 3)) $((70 + 4 * k + n)) || die "a job was not taken"; done
+  crash_worker $k
+  for n in 0 1 2 3; do until_true is 0 $((70 + 4 * k + n)) completed || die "job $((70 + 4 * k + n)) did not complete"; done
+done
+until_true four_run || die "$(running "$(job 4)") of 4 lasting tasks run after their workers came back"
+[ "$(ask 1 DELETE "$(job 4)")" = 200 ] || die "the cancel was not taken"
+audit | grep -q '"doubled":0' || die "workers saw a task twice: $(audit)"
+
 say "a cancelled job ends, and its tasks with it"
 long='{"spec":"600000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"long-running":true}]}'
 [ "$(ask 0 POST "$(job 3)" "$long")" = 200 ] || die "the lasting job was not taken"
--- a/tests/test-daemons.c
+++ b/tests/test-daemons.c
@@ -146,9 +146,11 @@
   fb_seen_run run = { (char *) "j.0.0.1", 3, (char *) "c1" };
   fb_seen_end end = { 7, (char *) "j.0.0.2", 2, FB_END_LAPSED, (char *) "" };
   fb_told told = { .type = FB_TOLD_ORDER };
-  told.fb_told_u.order = (fb_told_order){
-    .result = FB_ORDER_DONE, .clock_ms = 482113, .running = { 1, &run }, .finished = { 1, &end }
-  };
+  told.fb_told_u.order = (fb_told_order){ .result = FB_ORDER_DONE,
+                                          .clock_ms = 482113,
+                                          .life = (char *) "",
+                                          .running = { 1, &run },
+                                          .finished = { 1, &end } };
   g_autoptr (GBytes) bytes = fb_codec_encode_told (&told);
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (bytes, &len);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -165,7 +165,8 @@
           .cpu_milli = (uint32_t) number (script, "cpu", 16000),
           .mem_mb = (uint32_t) number (script, "mem", 32000),
           .gpu_count = (uint32_t) number (script, "gpu", 0),
-          .draining = flag (script, "draining") };
+          .draining = flag (script, "draining"),
+          .returns = strchr (words[1], '@') != NULL };
   fb_pool_worker_listed (script->pool, &entry, script->now_ms);
   script->words = saved;
 }
@@ -252,7 +253,8 @@
       list_worker (script, words);
       g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (FbRunSeen));
       g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbEndSeen));
-      const FbLookAnswer answer = { FB_ORDER_DONE, script->now_ms, running, finished };
+      const FbLookAnswer answer
+          = { .clock_ms = script->now_ms, .running = running, .finished = finished };
       fb_pool_look_answered (script->pool, words[1], &answer, script->now_ms, wall_ms (script));
     }
 }
@@ -431,7 +433,8 @@
   FbLookAnswer answer = { .result = result != NULL ? result_from (script, result) : FB_ORDER_DONE,
                           .clock_ms = number (script, "clock", script->now_ms),
                           .running = running,
-                          .finished = finished };
+                          .finished = finished,
+                          .life = (char *) option (script, "life") };
   read_running (option (script, "running"), running);
   read_ends (script, option (script, "ends"), finished);
   fb_pool_look_answered (script->pool, script->words[1], &answer, script->now_ms, wall_ms (script));
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -298,7 +298,7 @@
       g_autoptr (GBytes) body = g_bytes_new (cases[i].text, strlen (cases[i].text));
       FbHttpReply reply = reply_of (200, body);
       FbLookAnswer answer;
-      fb_wire_look_answer (&reply, &answer);
+      fb_wire_look_answer (&reply, "i-1", &answer);
       CU_ASSERT_EQUAL (answer.result, cases[i].result);
       CU_ASSERT_EQUAL (answer.running->len, cases[i].running);
       CU_ASSERT_EQUAL (answer.finished->len, cases[i].finished);
@@ -306,6 +306,46 @@
     }
 }
 
+/* A worker that came back under its id takes calls for the life before. */
+static void
+test_answers_of_other_lives (void)
+{
+  static const struct
+  {
+    const char *asked;
+    const char *born;
+    FbOrderResult result;
+    const char *life;
+  } cases[] = { { "i-1@7", ",\"born\":7", FB_ORDER_DONE, NULL },
+                { "i-1@7", ",\"born\":8", FB_ORDER_OTHER_LIFE, "i-1@8" },
+                { "i-1@7", "", FB_ORDER_DONE, NULL },
+                { "i-1", ",\"born\":8", FB_ORDER_OTHER_LIFE, "i-1@8" },
+                { "i-1@7", ",\"born\":\"8\"", FB_ORDER_UNKNOWN, NULL } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"clock-ms\":5,\"running\":[[\"t\",2,\"\",41]],\"finished\":[]%s}", cases[i].born);
+      g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+      FbHttpReply reply = reply_of (200, body);
+      FbLookAnswer answer;
+      fb_wire_look_answer (&reply, cases[i].asked, &answer);
+      CU_ASSERT_EQUAL (answer.result, cases[i].result);
+      CU_ASSERT_EQUAL (g_strcmp0 (answer.life, cases[i].life), 0);
+      fb_look_answer_clear (&answer);
+    }
+}
+
+/* Calls name the worker's id, whichever life of it they are for. */
+static void
+test_calls_to_a_life (void)
+{
+  const FbLookOrder order = { .worker = "i-1@1767225600123", .address = "10.0.0.9:80" };
+  FbHttpCall call;
+  fb_wire_look (&call, &order);
+  CU_ASSERT_STRING_EQUAL (call.header_values[0], "i-1");
+  fb_http_call_clear (&call);
+}
+
 static void
 test_listed_worker (void)
 {
@@ -322,6 +362,14 @@
   CU_ASSERT_TRUE (worker->entry.draining);
   CU_ASSERT_EQUAL (worker->entry.cpu_milli, 16000);
   CU_ASSERT_EQUAL (worker->entry.gpu_count, 8);
+  CU_ASSERT_STRING_EQUAL (worker->entry.id, "i-1");
+  fb_listed_worker_free (worker);
+  g_autofree char *born = g_strdup_printf ("{\"born\":1767225600123,%s", text + 1);
+  g_autoptr (GBytes) of_life = g_bytes_new (born, strlen (born));
+  worker = fb_wire_listed_worker ("i-1", of_life);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (worker);
+  CU_ASSERT_STRING_EQUAL (worker->id, "i-1");
+  CU_ASSERT_STRING_EQUAL (worker->entry.id, "i-1@1767225600123");
   fb_listed_worker_free (worker);
   g_autoptr (GBytes) bad = g_bytes_new ("[]", 2);
   CU_ASSERT_PTR_NULL (fb_wire_listed_worker ("i-1", bad));
@@ -348,6 +396,7 @@
     { "{" WHO ",\"state\":null," ROOM "}", FALSE },
     { "{" WHO ",\"state\":\"ready\"}", FALSE },
     { "{" WHO ",\"state\":\"ready\",\"capacity\":16000}", FALSE },
+    { "{" WHO ",\"state\":\"ready\"," ROOM ",\"born\":\"7\"}", FALSE },
     { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":\"16000\",\"mem-mb\":1}}", FALSE },
     { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":-1,\"mem-mb\":1}}", FALSE },
     { "{" WHO ",\"state\":\"ready\",\"capacity\":{\"cpu\":1e12,\"mem-mb\":1}}", FALSE },
@@ -421,6 +470,8 @@
   CU_add_test (suite, "records read back", test_records_read_back);
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers of looks", test_look_answers);
+  CU_add_test (suite, "answers of other lives", test_answers_of_other_lives);
+  CU_add_test (suite, "calls to a life", test_calls_to_a_life);
   CU_add_test (suite, "a listed worker", test_listed_worker);
   CU_add_test (suite, "entries of other writers", test_entries_of_other_writers);
   CU_add_test (suite, "entries at random", test_entries_at_random);
