--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -109,6 +109,8 @@
 gboolean fb_pool_tried_see (FbPoolTask *task, const char *worker);
 /* It is known what became of TASK on WORKER. */
 void fb_pool_tried_drop (FbPoolTask *task, const char *worker);
+/* The same of the worker of that rank. */
+void fb_pool_tried_drop_rank (FbPoolTask *task, uint64_t rank);
 /* RECORD borrows from the job; it is the caller's to clear. */
 void fb_pool_crash_record (const FbPoolJob *job, fb_work_suspects *record);
 void fb_pool_crash_record_clear (fb_work_suspects *record);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -49,6 +49,7 @@
   FbFollower *worker_follower; /* NULL until it owns something */
   GHashTable *workers;         /* life -> FbListedWorker */
   GHashTable *lives;    /* id of a worker -> FbListedWorker, its life that is listed; borrowed */
+  GHashTable *late;     /* id -> uint64_t, birth in its last entry that was passed over */
   GHashTable *skipped;  /* ids of entries that could not be read, told of already */
   GHashTable *relisted; /* ids of the listing that is open; NULL: none is */
   FbKeepalive *keepalive;
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -124,15 +124,17 @@
 static gboolean
 is_of_earlier_life (FbEntry *self, const FbListedWorker *worker)
 {
-  FbListedWorker *listed = g_hash_table_lookup (self->lives, worker->id);
+  const FbListedWorker *listed = g_hash_table_lookup (self->lives, worker->id);
   if (listed == NULL || worker->born_ms >= listed->born_ms)
     return FALSE;
-  gboolean again = worker->born_ms != 0 && worker->born_ms == listed->other_born_ms;
-  listed->other_born_ms = worker->born_ms;
-  if (!again)
-    fb_event_log (FB_EVENT_WORKER_ENTRY_LATE, "worker=%s listed=%s", worker->entry.id,
-                  listed->entry.id);
-  return !again;
+  const uint64_t *passed_over = g_hash_table_lookup (self->late, worker->id);
+  if (worker->born_ms != 0 && passed_over != NULL && *passed_over == worker->born_ms)
+    return FALSE;
+  g_hash_table_replace (self->late, g_strdup (worker->id),
+                        g_memdup2 (&worker->born_ms, sizeof worker->born_ms));
+  fb_event_log (FB_EVENT_WORKER_ENTRY_LATE, "worker=%s listed=%s", worker->entry.id,
+                listed->entry.id);
+  return TRUE;
 }
 
 static void
@@ -141,6 +143,7 @@
   const FbListedWorker *before = g_hash_table_lookup (self->lives, worker->id);
   if (before != NULL && before->born_ms != worker->born_ms)
     unlist_worker (self, worker->id);
+  g_hash_table_remove (self->late, worker->id);
   g_hash_table_replace (self->lives, g_strdup (worker->id), worker);
   g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
   GHashTableIter iter;
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -40,17 +40,24 @@
 }
 
 void
-fb_pool_tried_drop (FbPoolTask *task, const char *worker)
+fb_pool_tried_drop_rank (FbPoolTask *task, uint64_t rank)
 {
   for (guint i = task->tried != NULL ? task->tried->len : 0; i > 0; i--)
     {
-      if (g_str_equal (((FbPoolTried *) task->tried->pdata[i - 1])->worker, worker))
+      const FbPoolTried *tried = task->tried->pdata[i - 1];
+      if (fb_pool_worker_rank (tried->worker) == rank)
         g_ptr_array_remove_index (task->tried, i - 1);
     }
   if (task->tried != NULL && task->tried->len == 0)
     g_clear_pointer (&task->tried, g_ptr_array_unref);
 }
 
+void
+fb_pool_tried_drop (FbPoolTask *task, const char *worker)
+{
+  fb_pool_tried_drop_rank (task, fb_pool_worker_rank (worker));
+}
+
 void
 fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address, gboolean seen)
 {
--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -12,6 +12,8 @@
 
 /* Orders without an answer are carried out some seconds late, if at all. */
 #define LATE_MOST_MS 15000
+/* The latest of them are kept: each first answer of a worker goes through all. */
+#define LATE_STARTS_MOST 4096
 
 /* A start that got no answer. */
 typedef struct
@@ -50,8 +52,9 @@
                          uint32_t attempt, uint64_t sent_ms, uint64_t now_ms)
 {
   const FbPoolLateStart *oldest = NULL;
-  while ((oldest = g_queue_peek_head (self->late_starts)) != NULL
-         && now_ms > oldest->sent_ms + LATE_MOST_MS)
+  while (
+      (oldest = g_queue_peek_head (self->late_starts)) != NULL
+      && (now_ms > oldest->sent_ms + LATE_MOST_MS || self->late_starts->length >= LATE_STARTS_MOST))
     late_start_free (g_queue_pop_head (self->late_starts));
   FbPoolLateStart *start = g_new0 (FbPoolLateStart, 1);
   start->life = g_strdup (life);
@@ -81,7 +84,7 @@
 void
 fb_pool_late_starts_shut_out (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
-  for (const GList *l = self->late_starts->head; l != NULL; l = l->next)
+  for (const GList *l = worker->returns ? self->late_starts->head : NULL; l != NULL; l = l->next)
     {
       const FbPoolLateStart *start = l->data;
       if (now_ms <= start->sent_ms + LATE_MOST_MS && g_str_equal (start->address, worker->address)
@@ -221,6 +224,11 @@
   if (run->came_ms == 0)
     return;
   run->came_ms = 0;
+  if (run->lost_with.worker != 0)
+    {
+      fb_pool_tried_drop_rank (&run->step->tasks[run->index], run->lost_with.worker);
+      fb_pool_job_changed (self, run->step->job);
+    }
   run->lost_with.worker = 0;
   if (run->given_up && run->state != FB_RUN_STOPPING)
     fb_pool_order_stop (self, worker, run, now_ms);
