--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -396,10 +396,10 @@
   guint broken = 0;
   uint64_t starts = 0;
   guint way = 0;
-  while (!g_str_equal (return_names[way], returns))
+  while (return_names[way + 1] != NULL && !g_str_equal (return_names[way], returns))
     way++;
   for (guint32 i = 0; i < n; i++)
-    broken += run_seed (first + i, mode, way, &starts);
+    broken += run_seed (first + i, mode, (Returns) way, &starts);
   printf ("%u seeds, %u starts, %u broken\n", n, (unsigned) starts, broken);
   return broken > 0;
 }
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -367,7 +367,9 @@
   g_autofree char *born = g_strdup_printf ("{\"born\":1767225600123,%s", text + 1);
   g_autoptr (GBytes) of_life = g_bytes_new (born, strlen (born));
   worker = fb_wire_listed_worker ("i-1", of_life);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (worker);
+  CU_ASSERT_PTR_NOT_NULL (worker);
+  if (worker == NULL)
+    return;
   CU_ASSERT_STRING_EQUAL (worker->id, "i-1");
   CU_ASSERT_STRING_EQUAL (worker->entry.id, "i-1@1767225600123");
   fb_listed_worker_free (worker);
