List of workers: a file of its own, and what of it is passed over has tests

The choice between entries of two lives of a worker stood in state.c beside the configuration and the partitions, with three tables that had to agree, and only real processes reached it. It is an object of its own now. Behaviour is as before; tests/test-worker-list plays late entries, a host whose time went back and entries without a birth.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -25,6 +25,7 @@
 #include "src/entry/store/join-watch.h"
 #include "src/entry/store/keepalive.h"
 #include "src/entry/store/store-pace.h"
+#include "src/entry/store/worker-list.h"
 
 #include "fb-timer.h"
 #include "internal/pool.h"
@@ -47,9 +48,7 @@
   FbRoutes *routes; /* NULL until the first configuration */
   FbFollower *config_follower;
   FbFollower *worker_follower; /* NULL until it owns something */
-  GHashTable *workers;         /* life -> FbListedWorker */
-  GHashTable *lives;    /* id of a worker -> FbListedWorker, its life that is listed; borrowed */
-  GHashTable *late;     /* id -> uint64_t, birth in its last entry that was passed over */
+  FbWorkerList *workers;
   GHashTable *skipped;  /* ids of entries that could not be read, told of already */
   GHashTable *relisted; /* ids of the listing that is open; NULL: none is */
   FbKeepalive *keepalive;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -273,9 +273,7 @@
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
   self->advice_client = fb_http_client_new ();
-  self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, fb_listed_worker_free);
-  self->lives = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  self->late = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->workers = fb_worker_list_new ();
   self->skipped = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->owners = g_hash_table_new (NULL, NULL);
   self->appenders = g_hash_table_new (NULL, NULL);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -34,13 +34,11 @@
 static void
 list_known_workers (const FbOwnerPart *part)
 {
-  const FbEntry *entry = part->owner->entry;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, entry->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  const FbWorkerList *workers = part->owner->entry->workers;
+  g_autoptr (GList) ids = fb_worker_list_ids (workers);
+  for (const GList *l = ids; l != NULL; l = l->next)
     {
-      const FbListedWorker *worker = value;
+      const FbListedWorker *worker = fb_worker_list_of (workers, l->data);
       if (g_str_equal (worker->service, part->service))
         fb_pool_worker_listed (part->pool, &worker->entry, fb_clock_ms ());
     }
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -61,7 +61,7 @@
 const char *
 fb_relay_for (FbEntry *entry, const fb_ask_order *order)
 {
-  const FbListedWorker *listed = g_hash_table_lookup (entry->workers, order->worker);
+  const FbListedWorker *listed = fb_worker_list_find (entry->workers, order->worker);
   if (listed == NULL)
     return NULL;
   uint64_t now_ms = fb_clock_ms ();
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -106,7 +106,7 @@
 static void
 unlist_worker (FbEntry *self, const char *id)
 {
-  const FbListedWorker *worker = g_hash_table_lookup (self->lives, id);
+  const FbListedWorker *worker = fb_worker_list_of (self->workers, id);
   if (worker == NULL)
     return;
   GHashTableIter iter;
@@ -114,38 +114,16 @@
   g_hash_table_iter_init (&iter, self->owners);
   while (g_hash_table_iter_next (&iter, NULL, &owner))
     fb_owner_worker_unlisted (owner, worker);
-  g_hash_table_remove (self->lives, id);
-  g_hash_table_remove (self->workers, worker->entry.id);
-}
-
-/* Failure: what an earlier life of a worker wrote to its entry arrives after the entry of the life
- * that came back; taken as it stands it shows as a worker that is gone.  Guard: an entry without a
- * birth, or with an earlier one, counts only when it is written again: its writer lives. */
-static gboolean
-is_of_earlier_life (FbEntry *self, const FbListedWorker *worker)
-{
-  const FbListedWorker *listed = g_hash_table_lookup (self->lives, worker->id);
-  if (listed == NULL || worker->born_ms >= listed->born_ms)
-    return FALSE;
-  const uint64_t *passed_over = g_hash_table_lookup (self->late, worker->id);
-  if (worker->born_ms != 0 && passed_over != NULL && *passed_over == worker->born_ms)
-    return FALSE;
-  g_hash_table_replace (self->late, g_strdup (worker->id),
-                        g_memdup2 (&worker->born_ms, sizeof worker->born_ms));
-  fb_event_log (FB_EVENT_WORKER_ENTRY_LATE, "worker=%s listed=%s", worker->entry.id,
-                listed->entry.id);
-  return TRUE;
+  fb_worker_list_remove (self->workers, id);
 }
 
 static void
 list_worker (FbEntry *self, FbListedWorker *worker)
 {
-  const FbListedWorker *before = g_hash_table_lookup (self->lives, worker->id);
+  const FbListedWorker *before = fb_worker_list_of (self->workers, worker->id);
   if (before != NULL && before->born_ms != worker->born_ms)
     unlist_worker (self, worker->id);
-  g_hash_table_remove (self->late, worker->id);
-  g_hash_table_replace (self->lives, g_strdup (worker->id), worker);
-  g_hash_table_replace (self->workers, g_strdup (worker->entry.id), worker);
+  fb_worker_list_put (self->workers, worker);
   GHashTableIter iter;
   gpointer owner;
   g_hash_table_iter_init (&iter, self->owners);
@@ -183,7 +161,7 @@
     }
   if (self->relisted != NULL)
     g_hash_table_add (self->relisted, g_strdup (record->key));
-  if (is_of_earlier_life (self, worker))
+  if (fb_worker_list_passes_over (self->workers, worker))
     fb_listed_worker_free (worker);
   else
     list_worker (self, worker);
@@ -201,7 +179,7 @@
 on_workers_listed (gpointer user)
 {
   FbEntry *self = user;
-  g_autoptr (GList) ids = g_hash_table_get_keys (self->lives);
+  g_autoptr (GList) ids = fb_worker_list_ids (self->workers);
   for (GList *l = ids; l != NULL; l = l->next)
     {
       if (!g_hash_table_contains (self->relisted, l->data))
--- /dev/null
+++ b/tests/test-worker-list.c
@@ -0,0 +1,96 @@
+/* Which life of a worker is listed. */
+#include "src/entry/store/worker-list.h"
+
+#include "fb-event.h"
+
+#include <CUnit/Basic.h>
+
+/* An entry of worker i-1; BORN_MS 0: it tells no birth. */
+static FbListedWorker *
+entry_of (uint64_t born_ms)
+{
+  FbListedWorker *worker = g_new0 (FbListedWorker, 1);
+  worker->id = g_strdup ("i-1");
+  worker->born_ms = born_ms;
+  worker->entry.id = fb_wire_life ("i-1", born_ms);
+  return worker;
+}
+
+/* Returns: FALSE when the entry is passed over. */
+static gboolean
+take (FbWorkerList *self, uint64_t born_ms)
+{
+  FbListedWorker *worker = entry_of (born_ms);
+  if (fb_worker_list_passes_over (self, worker))
+    {
+      fb_listed_worker_free (worker);
+      return FALSE;
+    }
+  fb_worker_list_remove (self, worker->id);
+  fb_worker_list_put (self, worker);
+  return TRUE;
+}
+
+static FbWorkerList *
+list_of (uint64_t born_ms)
+{
+  FbWorkerList *self = fb_worker_list_new ();
+  CU_ASSERT_TRUE (take (self, born_ms));
+  return self;
+}
+
+/* Guards against: a late write of the life before unlists a worker that came back. */
+static void
+test_a_late_entry_of_the_life_before (void)
+{
+  FbWorkerList *self = list_of (7);
+  CU_ASSERT_TRUE (take (self, 8));
+  CU_ASSERT_FALSE (take (self, 7));
+  CU_ASSERT_STRING_EQUAL (fb_worker_list_of (self, "i-1")->entry.id, "i-1@8");
+  CU_ASSERT_PTR_NULL (fb_worker_list_find (self, "i-1@7"));
+  CU_ASSERT_TRUE (take (self, 8));
+  CU_ASSERT_FALSE (take (self, 7));
+  fb_worker_list_free (self);
+}
+
+/* Guards against: a worker whose host's time was set back is never listed again. */
+static void
+test_an_earlier_birth_that_is_written_again (void)
+{
+  FbWorkerList *self = list_of (8);
+  CU_ASSERT_FALSE (take (self, 7));
+  CU_ASSERT_TRUE (take (self, 7));
+  CU_ASSERT_STRING_EQUAL (fb_worker_list_of (self, "i-1")->entry.id, "i-1@7");
+  fb_worker_list_free (self);
+}
+
+/* Guards against: an entry of another writer takes the place of a worker that tells its birth. */
+static void
+test_an_entry_without_a_birth (void)
+{
+  FbWorkerList *self = list_of (7);
+  CU_ASSERT_FALSE (take (self, 0));
+  CU_ASSERT_FALSE (take (self, 0));
+  fb_worker_list_free (self);
+  self = list_of (0);
+  CU_ASSERT_TRUE (take (self, 0));
+  CU_ASSERT_TRUE (take (self, 7));
+  CU_ASSERT_STRING_EQUAL (fb_worker_list_of (self, "i-1")->entry.id, "i-1@7");
+  fb_worker_list_free (self);
+}
+
+int
+main (void)
+{
+  fb_event_set_quiet (TRUE);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("worker list", NULL, NULL);
+  CU_add_test (suite, "a late entry of the life before", test_a_late_entry_of_the_life_before);
+  CU_add_test (suite, "an earlier birth that is written again",
+               test_an_earlier_birth_that_is_written_again);
+  CU_add_test (suite, "an entry without a birth", test_an_entry_without_a_birth);
+  CU_basic_run_tests ();
+  guint failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed > 0;
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -39,6 +39,7 @@
 verdict "links between daemons" $B/tests/test-links
 verdict "list of daemons" $B/tests/test-daemons
 verdict "orders that daemons carry" $B/tests/test-carry
+verdict "lives of workers that are listed" $B/tests/test-worker-list
 verdict "starts that daemons remember" $B/tests/test-recent-starts
 verdict "callers of a slow store" $B/tests/test-slow-store
 verdict "messages of the platform" $B/tests/test-wire
