--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -241,14 +241,19 @@
 /* What the advice service allows: it never changes.  TASK may also be a step's name. */
 gboolean world_allows (const char *task, guint worker);
 
-/* ---- workers: pool-world-workers.c ----------------------------------------------------------- */
+/* ---- lives: pool-world-lives.c -------------------------------------------------------------- */
 
+/* Returns: a number below N, drawn for what returns do. */
+guint world_return_chance (World *world, guint n);
 /* Begins a new life of worker I, empty: under a new id or the one it had. */
 void world_worker_begin (World *world, guint i);
 /* WORKER ends by itself; it may be back soon. */
 void world_worker_fail (World *world, Worker *worker);
 /* Returns: what the list has of WORKER now. */
 Entry world_worker_entry (const World *world, const Worker *worker);
+
+/* ---- workers: pool-world-workers.c ----------------------------------------------------------- */
+
 /* WORKER says of itself that it has CPU_MILLI now. */
 void world_worker_resize (World *world, Worker *worker, int64_t cpu_milli);
 /* The worker dies with all that runs there.  BY: who did it, or NULL. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -122,6 +122,17 @@
 
 /* pool-report.c */
 
+/* Fills in what LIMITS leaves to the pool. */
+void fb_pool_report_set_limits (FbPoolLimits *limits);
+void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* Marks JOB ended, stops what runs of it. */
+void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
+                      uint64_t wall_ms);
+void fb_pool_job_changed (FbPool *self, FbPoolJob *job);
+void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
+
+/* pool-loss.c */
+
 /* How it is known that all runs of a life of a worker have ended. */
 typedef enum
 {
@@ -130,20 +141,16 @@
   FB_LOSS_LEFT         /* it is not listed, and nothing listens there */
 } FbPoolLoss;
 
-/* Fills in what LIMITS leaves to the pool. */
-void fb_pool_report_set_limits (FbPoolLimits *limits);
-void fb_pool_gang_stop (FbPool *self, FbPoolStep *step, uint64_t now_ms);
-/* NEXT: the life of the worker that takes what is meant for this one; NULL: none is known. */
+/* All that runs on this life of WORKER has certainly ended.  NEXT: the life that takes what was
+ * meant for it; NULL: none is known. */
 void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
                           uint64_t now_ms);
-/* Marks JOB ended, stops what runs of it. */
-void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
-                      uint64_t wall_ms);
-void fb_pool_job_changed (FbPool *self, FbPoolJob *job);
-void fb_pool_fenced (FbPool *self, const FbPoolWorker *worker);
 
 /* pool-return.c */
 
+/* Tells of an ANSWER that is older than what WORKER said before. */
+void fb_pool_return_log_gone_back (const FbPoolWorker *worker, const FbLookAnswer *answer);
+
 /* Returns: (transfer full): what fb_pool_late_start_note() keeps. */
 GQueue *fb_pool_late_starts_new (void);
 void fb_pool_late_starts_free (GQueue *starts);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -143,49 +143,6 @@
     stop_all (self, is_of_job, job, now_ms);
 }
 
-/* ---- losses -------------------------------------------------------------------- */
-
-/* All runs of this life of a worker have certainly ended. */
-void
-fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
-                     uint64_t now_ms)
-{
-  static const char *const names[] = { "lease ended", "other life", "left" };
-  const char *why = names[loss];
-  worker->replaced = worker->replaced || loss == FB_LOSS_OTHER_LIFE;
-  if (worker->gone && loss == FB_LOSS_OTHER_LIFE)
-    fb_pool_doubt_end (self, worker->id, !worker->draining, now_ms);
-  if (worker->gone)
-    return;
-  worker->gone = TRUE;
-  worker->answered = FALSE;
-  fb_event_log (FB_EVENT_POOL_WORKER_LOST, "worker=%s why=%s runs=%u heard_ms_ago=%u", worker->id,
-                why, g_hash_table_size (worker->runs),
-                worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
-  fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
-  g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-  guint beside_n = g_list_length (runs);
-  for (GList *l = runs; l != NULL; l = l->next)
-    {
-      FbPoolRun *run = l->data;
-      FbPoolStep *step = run->step;
-      if (next != NULL && fb_pool_return_take_over (self, worker, run, next, now_ms))
-        {
-          if (step->shape->gang)
-            fb_pool_gang_stop (self, step, now_ms);
-          continue;
-        }
-      fb_pool_return_count_crash (self, run, now_ms);
-      fb_event_log (FB_EVENT_TASK_LOST,
-                    "task=%s attempt=%u worker=%s why=%s seen=%d ran_ms=%u beside=%u", run->name,
-                    run->attempt, worker->id, why, run->seen_clock_ms > 0,
-                    (guint) (now_ms - run->started_ms), beside_n - 1);
-      fb_pool_run_over (self, worker, run, why, now_ms);
-      if (step != NULL && step->shape->gang)
-        fb_pool_gang_stop (self, step, now_ms);
-    }
-}
-
 /* ---- ends ---------------------------------------------------------------------- */
 
 /* What runs on of a task that may have copies has lost; members of a gang end together. */
@@ -494,22 +451,6 @@
     self->workers_dirty = TRUE;
 }
 
-/* A worker's clock only goes on, and it forgets ends that were acknowledged. */
-static void
-log_if_gone_back (const FbPoolWorker *worker, const FbLookAnswer *answer)
-{
-  guint again_n = 0;
-  for (guint i = 0; i < answer->finished->len; i++)
-    again_n += g_array_index (answer->finished, FbEndSeen, i).number <= worker->acknowledged;
-  if (answer->clock_ms >= worker->clock_ms && again_n == 0)
-    return;
-  fb_event_log (FB_EVENT_POOL_WORKER_WENT_BACK,
-                "worker=%s clock_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
-                " ends=%u acknowledged_before=%u acknowledged=%" G_GUINT64_FORMAT " runs=%u",
-                worker->id, answer->clock_ms, worker->clock_ms, answer->finished->len, again_n,
-                worker->acknowledged, g_hash_table_size (worker->runs));
-}
-
 /* The longest lease that WORKER may have at its first answer: by the owner before, or by a look at
  * its life before, whose deadline its clock may be far behind. */
 static uint64_t
@@ -536,7 +477,7 @@
       fb_pool_worker_opened (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
-  log_if_gone_back (worker, answer);
+  fb_pool_return_log_gone_back (worker, answer);
   fb_pool_doubt_end (self, worker->id, FALSE, now_ms);
   worker->answered = TRUE;
   worker->gone = FALSE;
