--- a/soak/faults.c
+++ b/soak/faults.c
@@ -127,7 +127,8 @@
   end_later (self, fault, for_ms);
 }
 
-/* Half of them come back under the id that they had, and some of these at once. */
+/* Half of them come back under the id that they had, with another birth, and some of these at once.
+ */
 static void
 crash_worker (SoakFaults *self, const SoakFault *fault)
 {
