Defects of pools: five of lives, and the adapter's other files

The fuzzer's workers are read through the adapter now, which the defects did not build, and one defect's text had moved. Five more: another birth is ignored, a start of a life before is given up, starts without an answer are not shut out, a start counts on two lives, a worker that did not answer is acknowledged.

--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -8,10 +8,10 @@
 SEEDS=${SEEDS:-4000}
 OUT=out/pool-mutants
 rm -rf "$OUT"; mkdir -p "$OUT"
-FLAGS="$(pkg-config --cflags --libs glib-2.0 libtirpc libxxhash json-glib-1.0 libcurl) -Iinclude -I. -Iplatform -O1 -g -w -lm"
+FLAGS="$(pkg-config --cflags --libs glib-2.0 gio-2.0 libtirpc libxxhash json-glib-1.0 libcurl) -Iinclude -I. -Iplatform -O1 -g -w -lm"
 OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
   rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c src/entry/peers/recent-starts.c"
-ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c"
+ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c platform/operator.c platform/life.c src/entry/routes.c"
 
 defects() { grep -E "^${ONLY:-[^|]*}\|" <<< "$(all_defects)"; }
 all_defects() { cat <<'TABLE'
@@ -62,7 +62,7 @@
 grown-room-not-noticed|pool-worker.c|  worker->cpu_milli = entry->cpu_milli;|  worker->cpu_milli = worker->cpu_milli != 0 ? MIN (worker->cpu_milli, entry->cpu_milli) : entry->cpu_milli;
 size-proves-what-ran|pool-settle.c|  if (!fb_pool_has_labels_for (worker, step->shape))|  if (!fb_pool_could_run (worker, step->shape))
 refusal-of-a-repeat-is-proof|platform/worker.c|  if (fb_http_reply_leaves_doubt (reply) \&\& |  if (FALSE \&\& 
-lease-of-the-owner-before-forgotten|pool-report.c|answer->clock_ms + FB_POOL_LEASE_MS|0
+lease-of-the-owner-before-forgotten|pool-report.c|answer->clock_ms + first_lease_ms (self, worker)|0
 answer-counts-for-any-attempt|pool-orders.c|(*run)->attempt != ref->attempt|FALSE
 full-answer-taken-for-all|pool-report.c|  if (answer->finished->len >= self->limits.ends_listed_n)|  if (FALSE)
 any-end-of-a-job-that-is-over|pool-report.c|  if (run != NULL \&\& run->attempt <= end->attempt)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}|  if (run != NULL)\n    fb_pool_run_over (self, worker, run, end_names[end->how], now_ms);\n}
@@ -71,6 +71,11 @@
 end-shown-at-once|pool.c|  if (job->stored_state >= FB_WORK_COMPLETED)|  if (job->state >= FB_WORK_COMPLETED) { *state = job->state; return TRUE; } if (0)
 unanswered-is-firm|pool-crash.c|  return firm ? FB_CRASH_FIRM : FB_CRASH_LIKELY;|  return FB_CRASH_FIRM;
 evidence-not-recorded|pool-crash-record.c|firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY|FB_CRASH_HEARSAY
+other-birth-ignored|platform/worker.c|  if (born_ms == 0 \|\| g_str_equal (answered, life))|  if (TRUE)
+start-of-a-life-before-given-up|pool-return.c|  if (!fb_pool_return_may_come (run))\n    return FALSE;|  return FALSE;
+late-starts-not-shut-out|pool-report.c|    fb_pool_late_starts_shut_out (self, worker, now_ms);|    ;
+start-of-two-lives|pool-return.c|  if (task == NULL \|\| |  if (TRUE \|\| 
+silent-worker-acknowledged|pool-orders.c|  if (worker->look_failed)|  if (FALSE)
 recalled-starts-ignored|pool-recall.c|  if (task->done \|\| is_known (self, task, start))|  if (TRUE)
 recalled-start-at-a-worker-that-lives|pool-recall.c|  return (worker != NULL \&\& worker->answered)|  return FALSE
 TABLE
