--- a/tools/check.sh
+++ b/tools/check.sh
@@ -53,11 +53,14 @@
 for s in tests/policies/*.ini; do verdict "$(basename "$s")" policy "$s"; done
 verdict "fuzz corpus" $B/fuzz/fuzz-steps fuzz/corpus/*
 verdict "fuzz seeds" $B/fuzz/fuzz-steps --seed 1 --inputs 400
-verdict "fuzz pools" $B/fuzz/fuzz-pool 1 500
-verdict "fuzz pools with advice" $B/fuzz/fuzz-pool 1 500 advised
-verdict "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats
-verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing
-verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady
+verdict "fuzz pools" $B/fuzz/fuzz-pool 1 500 plain old-calls
+verdict "fuzz pools with advice" $B/fuzz/fuzz-pool 1 500 advised old-calls
+verdict "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats old-calls
+verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
+verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
+for kind in plain advised repeats crashing crashing-steady; do
+  verdict "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
+done
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
