Fuzzing of pools: FUZZ_LOG tells what really happens, with the time

Events of the pool tell what an owner believes, without the time of the fuzzing world and without the truth: which life of a worker carried out a start, by which epoch and how late, what was on a worker that crashed, which daemon stood still. Causes that show the same in the events could not be told apart. Runs are the same with and without it.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -94,6 +94,7 @@
       break;
     case 2:
       worker->cut = !worker->cut;
+      world_trace (world, "%s is %s", worker->id, worker->cut ? "cut off" : "back");
       break;
     default:
       worker->draining = TRUE;
@@ -127,6 +128,7 @@
     default:
       owner->paused = !owner->paused;
       owner->resumes_ms = 0;
+      world_trace (world, "daemon %u %s", i, owner->paused ? "is paused" : "goes on");
     }
   world->disturbed_ms[i] = world->now_ms;
 }
@@ -176,7 +178,10 @@
   if (world_chance (world, world->crashing ? 2500 : 250) == 0)
     fault_owner (world);
   if (world_chance (world, 500) == 0)
-    world->store_away = !world->store_away;
+    {
+      world->store_away = !world->store_away;
+      world_trace (world, "the store is %s", world->store_away ? "away" : "back");
+    }
 }
 
 static void
@@ -266,6 +271,7 @@
   world->steady = g_str_equal (mode, "crashing-steady");
   world->crashing = world->steady || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
+  world->traced = getenv ("FUZZ_LOG") != NULL;
   world->rand = g_rand_new_with_seed (seed);
   world->return_rand = g_rand_new_with_seed (~seed);
   world->returns = returns;
--- a/fuzz/pool-world-lives.c
+++ b/fuzz/pool-world-lives.c
@@ -67,6 +67,7 @@
   g_array_set_size (worker->runs, 0);
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest);
+  world_trace (world, "%s, life %u, begins", worker->id, worker->life);
 }
 
 Entry
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -336,6 +336,7 @@
   owner->pool = fb_pool_new ("svc", owner->epoch, &limits, &sink, owner, world->now_ms);
   world->current = i;
   world->current_seen_ms = world->now_ms;
+  world_trace (world, "daemon %u owns the pool under epoch %u", i, (unsigned) owner->epoch);
   restore (world, owner);
   recall (world, owner);
 }
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -17,6 +17,18 @@
   world->broken = g_strdup_printf ("%s (at %u ms)", what, (unsigned) (world->now_ms % 1000000));
 }
 
+void
+world_trace (const World *world, const char *format, ...)
+{
+  if (!world->traced)
+    return;
+  va_list args;
+  va_start (args, format);
+  g_autofree char *what = g_strdup_vprintf (format, args);
+  va_end (args);
+  printf ("%u ms: %s\n", (unsigned) (world->now_ms % 1000000), what);
+}
+
 guint
 world_chance (World *world, guint n)
 {
@@ -82,12 +94,15 @@
 world_worker_crash (World *world, Worker *worker, const Run *by)
 {
   worker->up = FALSE;
+  world_trace (world, "%s, life %u, crashes%s%s", worker->id, worker->life,
+               by != NULL ? " under " : "", by != NULL ? by->task : "");
   for (guint i = 0; i < worker->runs->len; i++)
     {
       guint step = 0;
       guint index = 0;
       const Run *run = &g_array_index (worker->runs, Run, i);
       Job *job = job_of (world, run->task, &step, &index);
+      world_trace (world, "%s of attempt %u was on it", run->task, run->attempt);
       job->crashed[step][index] += by == NULL;
       job->took_down[step][index] += by == run;
       job->beside[step][index] += by != NULL && by != run;
@@ -110,6 +125,8 @@
 end_run (World *world, Worker *worker, guint at, FbEndHow how)
 {
   Run run = g_array_index (worker->runs, Run, at);
+  world_trace (world, "%s of attempt %u ends on %s, how %d", run.task, run.attempt, worker->id,
+               (int) how);
   g_array_remove_index (worker->runs, at);
   add_end (world, worker, &run, how);
   guint step = 0;
@@ -233,6 +250,9 @@
   const Job *job = job_of (world, order->task, &step, &index);
   if (job != NULL && job->record.policy.advised && !world_allows (order->task, order->worker))
     return FB_ORDER_BAD_TICKET;
+  world_trace (world, "%s of attempt %u starts on %s, life %u, by epoch %u, sent at %u ms",
+               order->task, order->attempt, worker->id, worker->life, (unsigned) order->epoch,
+               (unsigned) (order->sent_ms % 1000000));
   judge_start (world, worker, order);
   if (job == NULL)
     return FB_ORDER_NOT_DONE;
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -228,6 +228,7 @@
   GPtrArray *orders;
   uint64_t lives;
   uint64_t starts;
+  gboolean traced; /* what happens is printed, with the time */
   char *broken;
 };
 
@@ -235,6 +236,8 @@
 gboolean world_in_touch (const World *world, guint i);
 /* Notes that a promise of the pool was broken; the first one counts. */
 void world_broke (World *world, const char *format, ...) G_GNUC_PRINTF (2, 3);
+/* Prints what happens, where the run is traced. */
+void world_trace (const World *world, const char *format, ...) G_GNUC_PRINTF (2, 3);
 /* Returns: a number below N, drawn from the seed. */
 guint world_chance (World *world, guint n);
 
