Of the lives of one worker that are known, only the last takes work

Callers saw a worker that was given the room of two (a worker that does not guard its room holds 17,000 to 24,000 of 16,000), tasks on two workers at once, and jobs that never ended.

It placed on both, as if they were two workers; all calls reach the one that runs. A start that goes over to the next life went over to one that had been given up for lost a moment before, and waited there for good, as what is lost is not lost again. A life that was only listed was lost at once, as nothing can run on a worker that is new.

Now the pool keeps the life that began last at each address (the adapter compares births; names stay opaque). As soon as it is known, from an entry, a record or an answer, it takes what was meant for the others; those take no work, and a start that goes over goes to the life that runs, which is tended again until its answers or the end of its leases settle it. A host whose time went back is told by the answer to a look that was sent later. A call that waits for the next life to listen may extend its lease that much later.

--- a/bench/pool-crashes.c
+++ b/bench/pool-crashes.c
@@ -161,7 +161,7 @@
   (void) worker;
 }
 
-static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced, NULL };
 
 /* ---- workers ----------------------------------------------------------------------- */
 
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -187,7 +187,8 @@
   owner->fenced = TRUE;
 }
 
-static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+static const FbPoolSink sink
+    = { on_start, on_stop, on_look, on_advise, on_fenced, fb_wire_life_follows };
 
 /* ---- owners --------------------------------------------------------------------- */
 
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -19,6 +19,8 @@
 #define FB_POOL_LOOK_WAIT_MS 500
 /* A replaced owner learns of it within this time: its looks are this far apart. */
 #define FB_POOL_STEP_DOWN_MS 2000
+/* A call to a worker that has just ended may wait so long for the next life to listen. */
+#define FB_POOL_HELD_CALL_MS 1200
 /* Workers and due times are looked after this often, not at each event: a round
  * over them costs some 100 us, and an owner sees hundreds of events a second. */
 #define FB_POOL_TEND_EVERY_MS 20
@@ -44,6 +46,7 @@
   GHashTable *workers; /* id -> FbPoolWorker */
   GPtrArray *roster;   /* of FbPoolWorker by slot, NULL where none is; borrowed */
   uint32_t last_life;
+  GHashTable *latest;     /* address -> FbPoolWorker, the life there that began last; borrowed */
   GHashTable *closed;     /* id -> GHashTable, for FbPoolWorker.closed_to: of the owner before */
   GPtrArray *opened;      /* of FbPoolWorker that took more room since the last round; borrowed */
   GPtrArray *waiting;     /* of FbPoolStep with tasks that wait, in their order; borrowed */
@@ -146,6 +149,18 @@
 void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
                           uint64_t now_ms);
 
+/* pool-lives.c */
+
+/* WORKER has come to be known, at its address. */
+void fb_pool_life_known (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* WORKER has answered a look that was meant for it. */
+void fb_pool_life_answered (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* WORKER is certainly the life that runs at its address. */
+void fb_pool_life_set_latest (FbPool *self, FbPoolWorker *worker);
+/* Returns: the life that runs in the place of WORKER, which may be WORKER. */
+FbPoolWorker *fb_pool_life_running (const FbPool *self, FbPoolWorker *worker);
+void fb_pool_life_forget (FbPool *self, const FbPoolWorker *worker);
+
 /* pool-return.c */
 
 /* Tells of an ANSWER that is older than what WORKER said before. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -76,6 +76,7 @@
   gboolean gone;          /* this life has certainly ended, or all its leases have */
   gboolean replaced;      /* this life has certainly ended */
   gboolean returns;       /* a later life may take calls that are meant for this one */
+  gboolean outlived;      /* another life at its address began later, as far as is known */
   /* When it was found that calls which were meant for another life may come here; 0: none may. */
   uint64_t follows_ms;
   /* Names of the steps that may still run there, as the owner before had recorded them when
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -137,6 +137,9 @@
                       uint32_t expected_ms);
   /* A worker knows of a higher epoch: the pool must not be used any more. */
   void (*fenced) (gpointer user, const char *worker);
+  /* Returns: TRUE when LIFE began after OTHER, under the same id.  NULL: no worker starts again
+   * under its id. */
+  gboolean (*follows) (const char *life, const char *other);
 } FbPoolSink;
 
 /* Limits that come from the site. */
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -202,4 +202,5 @@
   fb_owner_lose (((FbOwnerPart *) user)->owner, "a worker has seen a later owner");
 }
 
-const FbPoolSink fb_owner_sink = { sink_start, sink_stop, sink_look, sink_advise, sink_fenced };
+const FbPoolSink fb_owner_sink
+    = { sink_start, sink_stop, sink_look, sink_advise, sink_fenced, fb_wire_life_follows };
--- /dev/null
+++ b/src/work/pool-lives.c
@@ -0,0 +1,72 @@
+/* Lives of one worker that are known at the same time.
+ *
+ * Failure: an owner knows two lives under one id, as entries and answers come late and out of
+ * order, and orders work for both; all of it reaches the one that runs.  It shows as a worker that
+ * holds more than its room, and as tasks that wait for a life that has ended.  Guard: of the lives
+ * at an address the one that began last takes all that was meant for those before, as soon as it is
+ * known, and nothing is started on any other. */
+#include "internal/pool-private.h"
+
+static gboolean
+follows (const FbPool *self, const FbPoolWorker *life, const FbPoolWorker *other)
+{
+  return self->sink->follows != NULL && self->sink->follows (life->id, other->id);
+}
+
+/* Returns: (nullable): borrowed. */
+static FbPoolWorker *
+latest_at (const FbPool *self, const char *address)
+{
+  return address != NULL ? g_hash_table_lookup (self->latest, address) : NULL;
+}
+
+void
+fb_pool_life_set_latest (FbPool *self, FbPoolWorker *worker)
+{
+  worker->outlived = FALSE;
+  if (self->sink->follows != NULL && worker->address != NULL)
+    g_hash_table_replace (self->latest, g_strdup (worker->address), worker);
+}
+
+void
+fb_pool_life_known (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  FbPoolWorker *latest = latest_at (self, worker->address);
+  if (latest == worker)
+    return;
+  /* The entry may be a late one; a host whose time went back is told apart by its answer. */
+  if (latest != NULL && follows (self, latest, worker))
+    {
+      worker->outlived = TRUE;
+      return;
+    }
+  fb_pool_life_set_latest (self, worker);
+  if (latest != NULL && follows (self, worker, latest))
+    fb_pool_worker_returned (self, latest, worker->id, now_ms);
+}
+
+void
+fb_pool_life_answered (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (!worker->outlived)
+    return;
+  FbPoolWorker *latest = latest_at (self, worker->address);
+  if (latest == NULL || latest->gone)
+    fb_pool_life_set_latest (self, worker);
+  else if (worker->look_sent_ms >= MAX (latest->heard_ms, worker->listed_ms))
+    fb_pool_worker_returned (self, latest, worker->id, now_ms);
+}
+
+FbPoolWorker *
+fb_pool_life_running (const FbPool *self, FbPoolWorker *worker)
+{
+  FbPoolWorker *latest = worker->replaced ? latest_at (self, worker->address) : NULL;
+  return latest != NULL && follows (self, latest, worker) ? latest : worker;
+}
+
+void
+fb_pool_life_forget (FbPool *self, const FbPoolWorker *worker)
+{
+  if (latest_at (self, worker->address) == worker)
+    g_hash_table_remove (self->latest, worker->address);
+}
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -456,8 +456,9 @@
 static uint64_t
 first_lease_ms (const FbPool *self, const FbPoolWorker *worker)
 {
-  return worker->follows_ms != 0 ? MAX (FB_POOL_LEASE_MS, self->limits.hold_max_ms)
-                                 : FB_POOL_LEASE_MS;
+  return worker->follows_ms != 0
+             ? MAX (FB_POOL_LEASE_MS, self->limits.hold_max_ms + FB_POOL_HELD_CALL_MS)
+             : FB_POOL_LEASE_MS;
 }
 
 static void
@@ -481,6 +482,7 @@
   fb_pool_doubt_end (self, worker->id, FALSE, now_ms);
   worker->answered = TRUE;
   worker->gone = FALSE;
+  fb_pool_life_answered (self, worker, now_ms);
   worker->proof_ms = worker->look_sent_ms;
   worker->heard_ms = now_ms;
   worker->clock_ms = answer->clock_ms;
--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -95,7 +95,7 @@
 
 /* Returns: the worker called LIFE, at the address of BEFORE, which ran there until then. */
 static FbPoolWorker *
-next_life (FbPool *self, const FbPoolWorker *before, const char *life)
+next_life (FbPool *self, const FbPoolWorker *before, const char *life, uint64_t now_ms)
 {
   FbPoolWorker *next = g_hash_table_lookup (self->workers, life);
   if (next != NULL)
@@ -105,6 +105,7 @@
   next->returns = TRUE;
   fb_pool_roster_add (self, next);
   self->workers_dirty = TRUE;
+  fb_pool_life_known (self, next, now_ms);
   return next;
 }
 
@@ -134,16 +135,23 @@
       fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, NULL, now_ms);
       return;
     }
-  FbPoolWorker *next = next_life (self, worker, life);
+  FbPoolWorker *next = fb_pool_life_running (self, next_life (self, worker, life, now_ms));
+  if (worker->gone)
+    return;
+  fb_pool_life_set_latest (self, next);
+  /* What may have come to it is settled by its answers, or by the end of its leases. */
+  next->gone = FALSE;
+  next->replaced = FALSE;
   fb_event_log (FB_EVENT_POOL_WORKER_RETURNED,
-                "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, life,
+                "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, next->id,
                 g_hash_table_size (worker->runs), starts_that_may_come (worker),
                 worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, next, now_ms);
   /* Looks at the life before may have extended its lease by deadlines far ahead of its clock. */
   next->follows_ms = now_ms;
   if (next->answered)
-    next->lease_ms = MAX (next->lease_ms, next->clock_ms + self->limits.hold_max_ms);
+    next->lease_ms = MAX (next->lease_ms, next->clock_ms + now_ms - next->heard_ms
+                                              + FB_POOL_HELD_CALL_MS + self->limits.hold_max_ms);
   next->look_at_ms = now_ms;
 }
 
--- a/src/work/pool-roster.c
+++ b/src/work/pool-roster.c
@@ -36,6 +36,7 @@
 fb_pool_roster_remove (FbPool *self, FbPoolWorker *worker)
 {
   self->roster->pdata[worker->slot] = NULL;
+  fb_pool_life_forget (self, worker);
   remove_opened (self, worker);
   g_hash_table_remove (self->workers, worker->id);
 }
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -118,7 +118,8 @@
   if (self->majority_ms == 0)
     return FALSE;
   if (worker->follows_ms != 0
-      && now_ms <= worker->follows_ms + longest_ms (self->limits.hold_max_ms))
+      && now_ms
+             <= worker->follows_ms + longest_ms (self->limits.hold_max_ms + FB_POOL_HELD_CALL_MS))
     return FALSE;
   return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + longest_ms (FB_POOL_LEASE_MS);
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -23,6 +23,7 @@
   self->began_ms = now_ms;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->roster = g_ptr_array_new ();
+  self->latest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->opened = g_ptr_array_new ();
   self->waiting = g_ptr_array_new ();
   self->fresh = g_ptr_array_new ();
@@ -51,6 +52,7 @@
   fb_pool_late_starts_free (self->late_starts);
   g_hash_table_unref (self->workers); /* its runs point into the jobs */
   g_ptr_array_unref (self->roster);
+  g_hash_table_unref (self->latest);
   g_ptr_array_unref (self->opened);
   g_ptr_array_unref (self->waiting);
   g_ptr_array_unref (self->fresh);
@@ -121,6 +123,8 @@
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
                   worker->id, worker->address, worker->cpu_milli, worker->gpu_count,
                   worker->draining);
+  if (is_new)
+    fb_pool_life_known (self, worker, now_ms);
   if (!worker->draining || was_draining)
     return;
   self->workers_dirty = TRUE;
@@ -156,6 +160,7 @@
           worker = fb_pool_worker_new (known->id);
           worker->address = g_strdup (known->address);
           fb_pool_roster_add (self, worker);
+          fb_pool_life_known (self, worker, self->began_ms);
         }
       if (worker != NULL)
         fb_pool_closed_take (self, worker);
--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -60,7 +60,7 @@
   (void) worker;
 }
 
-static const FbPoolSink busy_pool_sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+static const FbPoolSink busy_pool_sink = { on_start, on_stop, on_look, on_advise, on_fenced, NULL };
 
 static void
 answer_look (BusyPool *play, guint i, GArray *finished, uint64_t now_ms)
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -147,7 +147,17 @@
   printf ("  fenced by %s\n", worker);
 }
 
-static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced };
+/* Lives are called ID@N here. */
+static gboolean
+follows (const char *life, const char *other)
+{
+  g_auto (GStrv) parts = g_strsplit (life, "@", 2);
+  g_auto (GStrv) other_parts = g_strsplit (other, "@", 2);
+  return parts[1] != NULL && other_parts[1] != NULL && g_str_equal (parts[0], other_parts[0])
+         && atoi (parts[1]) > atoi (other_parts[1]);
+}
+
+static const FbPoolSink sink = { on_start, on_stop, on_look, on_advise, on_fenced, follows };
 
 /* ---- pools ------------------------------------------------------------------------ */
 
