Fuzzing world: a start extends a lease no further than the worker grants

The platform shortens every lease to the longest that a worker grants. The world did so for looks and not for starts, whose deadline a later life of the worker may read on a clock far behind: such a life held its lease for up to 200 s, and an end on it counted as one under a lease. Where no life takes what was meant for another, deadlines of starts are 700 ms ahead and nothing changes.

--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -21,6 +21,7 @@
 #define CPU 16000
 #define ROOM_GRACE_MS 4500 /* a room that has shrunk counts so much later */
 #define STOP_TAKES_MS 150
+#define HOLD_MAX_MS 6000 /* longest lease that a worker grants */
 #define TTL_MS 1000
 #define MAJORITY_MS 1500
 #define STEP_DOWN_MS 2000
