An end is acknowledged once where a later life may read the number

Now, of a worker that tells births, an end is acknowledged by one look, which waits for nothing; it is sent when no start there is open, and no start is sent there until it was answered or given up, so that a life which takes the look cannot have ended anything yet that its owner ordered. It costs such workers one more look for each batch of ends and the time of one answer before the next start; others go on as before.

The script worker-that-came-back-loses-no-end expects the look that acknowledges without waiting, and is as strict.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -112,6 +112,8 @@
                           uint32_t attempt, uint64_t now_ms);
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE while WORKER, which may start again under its id, has not taken an acknowledgement. */
+gboolean fb_pool_owes_acknowledgement (const FbPoolWorker *worker);
 /* Answers to orders about RUN, which was on WORKER, are of the same run on NEXT. */
 void fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
                           const FbPoolWorker *next);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -98,6 +98,8 @@
   uint64_t unread_ms;  /* when that was first listed */
   uint64_t flushing_end;
   uint64_t acknowledged;
+  uint64_t acknowledging;     /* by the open look, where a later life may take it; 0: nothing */
+  uint64_t told_acknowledged; /* the worker has taken that, where a later life might have */
   uint64_t paused_until_ms;
   uint32_t bad_streak;
   FbPoolSpeed *speed;
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -198,22 +198,53 @@
   return MAX (now_ms, worker->look_sent_ms + worker->first_answer_ms / 2);
 }
 
+gboolean
+fb_pool_owes_acknowledgement (const FbPoolWorker *worker)
+{
+  return worker->returns && worker->acknowledged > worker->told_acknowledged;
+}
+
+static gboolean
+has_open_start (const FbPoolWorker *worker)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolRun *run = value;
+      if (run->state == FB_RUN_STARTING && run->seen_clock_ms == 0 && !run->unanswered)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Failure: a worker starts again under its id with a start and a look on their way.  The new life
+ * carries the start out, and forgets the end of it as the look acknowledges that number, which it
+ * had of the life before; it shows as a task that runs again after it was done.  Guard: of such a
+ * worker an end is acknowledged once, by a look of its own that waits for nothing, and no start is
+ * under way beside it. */
+static gboolean
+may_acknowledge (const FbPoolWorker *worker)
+{
+  if (worker->look_failed)
+    return FALSE;
+  return !worker->returns || (fb_pool_owes_acknowledgement (worker) && !has_open_start (worker));
+}
+
 void
 fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   if (worker->look_open || self->fenced)
     return;
+  gboolean acknowledges = may_acknowledge (worker);
   uint64_t lease_ms = MIN (FB_POOL_LEASE_MS, self->limits.hold_max_ms);
   FbLookOrder order = { .worker = worker->id,
                         .address = worker->address,
                         .epoch = self->epoch,
-                        .acknowledged = worker->acknowledged,
+                        .acknowledged = acknowledges ? worker->acknowledged : 0,
                         .answer_ms = answer_patience_ms (worker) };
-  /* Failure: a worker that did not answer has started again, and forgets ends of its new life that
-   * a look acknowledges by their numbers; it shows as tasks that run again after they were done.
-   * Guard: a worker that did not answer is looked at without acknowledging. */
-  if (worker->look_failed)
-    order.acknowledged = 0;
+  worker->acknowledging = worker->returns ? order.acknowledged : 0;
   /* Failure: a worker falls silent, and each look that it may yet carry out extends its
    * lease; it shows as tasks that never start again.  Guard: a silent worker is
    * looked at without a lease, so that the last one ends. */
@@ -221,7 +252,8 @@
     order.deadline_ms = fb_pool_worker_clock_low (worker, now_ms) + lease_ms;
   /* Ends that may not be acknowledged yet would answer the look at once, again
    * and again. */
-  if (worker->answered && worker->acknowledged == worker->seen_end && !worker->unread)
+  if (worker->answered && worker->acknowledged == worker->seen_end && !worker->unread
+      && worker->acknowledging == 0)
     order.wait_ms = FB_POOL_LOOK_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
   worker->look_open = TRUE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -512,7 +512,7 @@
   note_if_emptied (self, worker, runs_before);
   if (worker->unread)
     worker->look_at_ms = now_ms + UNREAD_PAUSE_MS;
-  else if (worker->acknowledged == worker->seen_end)
+  else if (worker->acknowledged == worker->seen_end && !fb_pool_owes_acknowledgement (worker))
     fb_pool_order_look (self, worker, now_ms);
 }
 
@@ -535,6 +535,11 @@
   if (worker == NULL)
     return;
   worker->look_open = FALSE;
+  if (answer->result == FB_ORDER_DONE)
+    worker->told_acknowledged = MAX (worker->told_acknowledged, worker->acknowledging);
+  if (worker->acknowledging != 0)
+    fb_pool_worker_opened (self, worker);
+  worker->acknowledging = 0;
   worker->look_failed = answer->result != FB_ORDER_DONE;
   worker->look_at_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
                            ? fb_pool_first_look_again_ms (worker, now_ms)
