Crashes that the store does not take are kept by other daemons

Starts that are remembered for longer come out as hearsay against innocent tasks; a count is no hearsay.

Now an owner whose flush is open for 0.2 s hands what it holds against tasks of a job, in the form of its record, to three daemons that rendezvous hashing names, again when it changes, and tells them to forget it once it is stored. They keep 256 jobs for 60 s. The next owner asks all daemons once and takes such a copy as it takes a record. In a pool that is well nothing is sent. Daemons of an earlier version do not know the question and are unsure.

The fuzzing world has three daemons that keep copies; each message to one is lost in one of ten cases, and one of the three is killed with each owner.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -289,7 +289,10 @@
       world_worker_begin (world, i);
     }
   for (guint i = 0; i < CARRIER_N; i++)
-    world->carriers[i] = fb_recent_starts_new ();
+    {
+      world->carriers[i] = fb_recent_starts_new ();
+      world->keepers[i] = fb_kept_suspects_new ();
+    }
   world_owner_begin (world, 0);
   return world;
 }
@@ -315,7 +318,10 @@
   g_ptr_array_set_free_func (world->orders, world_order_free);
   g_ptr_array_unref (world->orders);
   for (guint i = 0; i < CARRIER_N; i++)
-    fb_recent_starts_free (world->carriers[i]);
+    {
+      fb_recent_starts_free (world->carriers[i]);
+      fb_kept_suspects_free (world->keepers[i]);
+    }
   g_hash_table_unref (world->progress);
   g_clear_pointer (&world->known_workers, g_bytes_unref);
   g_rand_free (world->rand);
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -54,6 +54,8 @@
   guint i = world->carriers_lost_n++ % CARRIER_N;
   fb_recent_starts_free (world->carriers[i]);
   world->carriers[i] = fb_recent_starts_new ();
+  fb_kept_suspects_free (world->keepers[i]);
+  world->keepers[i] = fb_kept_suspects_new ();
 }
 
 static void
@@ -321,6 +323,47 @@
     }
 }
 
+/* What the keepers have. */
+static void
+recall_kept (World *world, Owner *owner)
+{
+  for (guint i = 0; i < CARRIER_N; i++)
+    {
+      fb_told_kept told;
+      fb_kept_suspects_tell (world->keepers[i], world->now_ms, &told);
+      for (u_int j = 0; j < told.jobs.jobs_len; j++)
+        fb_pool_recall_unstored (owner->pool, told.jobs.jobs_val[j].job,
+                                 &told.jobs.jobs_val[j].suspects, world->now_ms);
+      xdr_free ((xdrproc_t) xdr_fb_told_kept, (char *) &told);
+    }
+}
+
+/* Each of them may miss it. */
+static void
+hand_to_keepers (World *world, const Owner *owner, const FbPoolUnstored *unstored)
+{
+  fb_kept_job kept = { .job = unstored->job, .epoch = owner->epoch };
+  gsize len = 0;
+  gconstpointer data
+      = unstored->suspects != NULL ? g_bytes_get_data (unstored->suspects, &len) : NULL;
+  if (data != NULL && !fb_codec_decode_suspects (data, len, &kept.suspects))
+    abort ();
+  for (guint i = 0; i < CARRIER_N; i++)
+    {
+      if (world->healing || world_return_chance (world, 10) > 0)
+        fb_kept_suspects_take (world->keepers[i], &kept, world->now_ms);
+    }
+  xdr_free ((xdrproc_t) xdr_fb_work_suspects, (char *) &kept.suspects);
+}
+
+static void
+hand_unstored (World *world, Owner *owner)
+{
+  g_autoptr (GPtrArray) unstored = fb_pool_unstored (owner->pool, world->now_ms);
+  for (guint i = 0; unstored != NULL && i < unstored->len; i++)
+    hand_to_keepers (world, owner, unstored->pdata[i]);
+}
+
 void
 world_owner_begin (World *world, guint i)
 {
@@ -339,6 +382,7 @@
   world->current_seen_ms = world->now_ms;
   world_trace (world, "daemon %u owns the pool under epoch %u", i, (unsigned) owner->epoch);
   restore (world, owner);
+  recall_kept (world, owner);
   recall (world, owner);
 }
 
@@ -414,6 +458,7 @@
     owner->authority_ms = world->now_ms;
   fb_pool_step (owner->pool, sure, world->now_ms, WALL_MS + world->now_ms);
   flush_tick (world, owner);
+  hand_unstored (world, owner);
   if (owner->fenced || world->now_ms > owner->authority_ms + STEP_DOWN_MS)
     world_owner_end (world, i);
 }
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -5,6 +5,7 @@
 
 #include "internal/pool.h"
 #include "platform/wire.h"
+#include "src/entry/peers/kept-suspects.h"
 #include "src/entry/peers/recent-starts.h"
 
 #define WORKER_N 6
@@ -221,6 +222,7 @@
   Owner owners[OWNER_N];
   guint current; /* the owner that the store knows */
   FbRecentStarts *carriers[CARRIER_N];
+  FbKeptSuspects *keepers[CARRIER_N]; /* the same daemons */
   guint carriers_lost_n;
   uint64_t store_epoch;
   uint64_t current_seen_ms;
--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -32,6 +32,8 @@
 gboolean fb_codec_decode_progress (const void *data, gsize len, fb_work_progress *progress,
                                    fb_work_suspects *suspects);
 void fb_codec_clear_progress (fb_work_progress *progress, fb_work_suspects *suspects);
+GBytes *fb_codec_encode_suspects (const fb_work_suspects *suspects);
+gboolean fb_codec_decode_suspects (const void *data, gsize len, fb_work_suspects *suspects);
 GBytes *fb_codec_encode_workers (const fb_work_workers *workers);
 gboolean fb_codec_decode_workers (const void *data, gsize len, fb_work_workers *workers);
 GBytes *fb_codec_encode_ask (const fb_ask *ask);
--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -116,3 +116,11 @@
 void fb_pool_crash_record_clear (fb_work_suspects *record);
 void fb_pool_crash_restore (FbPool *self, FbPoolJob *job, const fb_work_suspects *record,
                             uint64_t now_ms);
+
+/* ---- pool-unstored.c ---------------------------------------------------------------------------
+ */
+
+/* What is held against tasks of JOB has changed. */
+void fb_pool_unstored_note (FbPool *self, FbPoolJob *job);
+/* JOB is about to be freed. */
+void fb_pool_unstored_forget (FbPool *self, const FbPoolJob *job);
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -110,6 +110,8 @@
   gboolean restored;            /* an earlier owner may have used attempts that nobody knows of */
   gboolean untouched;           /* no earlier owner can have started any of it */
   gboolean advised_when_stored; /* its queue had advice then */
+  gboolean kept;                /* other daemons keep what is held against its tasks */
+  gboolean unstored_news;       /* that has changed since they were told */
   uint32_t suspicion;           /* grows with each crash or doubt of one of its tasks */
   uint32_t suspicion_flushing;  /* what of that the open flush holds */
   uint32_t suspicion_stored;    /* what of that is durable */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -42,6 +42,7 @@
   GPtrArray *unheard; /* of FbPoolWorker: what keeps it from that, as of this step; borrowed */
   gboolean fenced;
   gboolean flushing;
+  uint64_t flush_began_ms;
   uint64_t last_order;
   GHashTable *workers; /* id -> FbPoolWorker */
   GPtrArray *roster;   /* of FbPoolWorker by slot, NULL where none is; borrowed */
@@ -66,8 +67,10 @@
   GHashTable *orders;     /* order -> FbPoolOrderRef */
   GQueue *late_starts;    /* of FbPoolLateStart; the oldest at its head */
   GHashTable *suspects;   /* set of FbPoolStep with tasks under which workers crashed; borrowed */
-  GHashTable *causes;     /* rank of a crashed worker -> how many tasks may have crashed it */
-  GHashTable *doubts;     /* id of a lost worker -> what was on it: see pool-doubt.c */
+  GHashTable
+      *unstored;      /* set of FbPoolJob with news that other daemons may have to keep; borrowed */
+  GHashTable *causes; /* rank of a crashed worker -> how many tasks may have crashed it */
+  GHashTable *doubts; /* id of a lost worker -> what was on it: see pool-doubt.c */
   gboolean doubts_due;    /* the list of workers may settle some */
   gboolean hears_most;    /* most workers answered of late */
   gboolean limit_reached; /* a task has come to the limit of crashes */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -224,6 +224,20 @@
 /* The open flush is stored: ends in it may be acknowledged and shown. */
 void fb_pool_flushed (FbPool *self, uint64_t now_ms);
 
+/* What is held against tasks of a job, and not stored yet. */
+typedef struct
+{
+  char *job;
+  GBytes *suspects; /* fb_work_suspects; NULL: it is stored, or nothing is held against them */
+} FbPoolUnstored;
+
+/* What other daemons are to keep for the next owner, while the store takes nothing, or to forget.
+ * Returns: (transfer full): of FbPoolUnstored, or NULL when there is nothing new. */
+GPtrArray *fb_pool_unstored (FbPool *self, uint64_t now_ms);
+/* Another daemon has kept SUSPECTS of JOB for an earlier owner. */
+void fb_pool_recall_unstored (FbPool *self, const char *job, const fb_work_suspects *suspects,
+                              uint64_t now_ms);
+
 /* ---- queries ------------------------------------------------------------------ */
 
 /* Returns: FALSE for a job that the pool does not know. */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -690,6 +690,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_kept_job (XDR *xdrs, fb_kept_job *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_fb_work_suspects (xdrs, &objp->suspects))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ask (XDR *xdrs, fb_ask *objp)
 {
@@ -730,6 +744,12 @@
 		break;
 	case FB_ASK_STARTS:
 		break;
+	case FB_ASK_KEEP:
+		 if (!xdr_fb_kept_job (xdrs, &objp->fb_ask_u.keep))
+			 return FALSE;
+		break;
+	case FB_ASK_KEPT:
+		break;
 	default:
 		return FALSE;
 	}
@@ -875,6 +895,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_told_kept (XDR *xdrs, fb_told_kept *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, FB_WORK_MAX_KEPT,
+		sizeof (fb_kept_job), (xdrproc_t) xdr_fb_kept_job))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_told (XDR *xdrs, fb_told *objp)
 {
@@ -907,6 +938,10 @@
 		 if (!xdr_fb_told_starts (xdrs, &objp->fb_told_u.starts))
 			 return FALSE;
 		break;
+	case FB_TOLD_KEPT:
+		 if (!xdr_fb_told_kept (xdrs, &objp->fb_told_u.kept))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -27,6 +27,7 @@
 #define FB_WORK_MAX_SEEN 4096
 #define FB_WORK_MAX_PARTITIONS 4096
 #define FB_WORK_MAX_STARTS 512
+#define FB_WORK_MAX_KEPT 256
 #define FB_WORK_DIGEST_BYTES 16
 
 struct fb_work_step {
@@ -187,6 +188,8 @@
 	FB_ASK_WRITE = 7,
 	FB_ASK_STARTS = 9,
 	FB_ASK_ORDER = 10,
+	FB_ASK_KEEP = 11,
+	FB_ASK_KEPT = 12,
 };
 typedef enum fb_ask_type fb_ask_type;
 
@@ -276,6 +279,13 @@
 };
 typedef struct fb_ask_order fb_ask_order;
 
+struct fb_kept_job {
+	char *job;
+	u_quad_t epoch;
+	fb_work_suspects suspects;
+};
+typedef struct fb_kept_job fb_kept_job;
+
 struct fb_ask {
 	fb_ask_type type;
 	union {
@@ -286,6 +296,7 @@
 		fb_ask_stored stored;
 		fb_ask_write write;
 		fb_ask_order order;
+		fb_kept_job keep;
 	} fb_ask_u;
 };
 typedef struct fb_ask fb_ask;
@@ -305,6 +316,7 @@
 	FB_TOLD_ORDER = 12,
 	FB_TOLD_NO_PAYLOAD = 13,
 	FB_TOLD_STARTS = 14,
+	FB_TOLD_KEPT = 15,
 };
 typedef enum fb_told_type fb_told_type;
 
@@ -385,6 +397,14 @@
 };
 typedef struct fb_told_starts fb_told_starts;
 
+struct fb_told_kept {
+	struct {
+		u_int jobs_len;
+		fb_kept_job *jobs_val;
+	} jobs;
+};
+typedef struct fb_told_kept fb_told_kept;
+
 struct fb_told {
 	fb_told_type type;
 	union {
@@ -394,6 +414,7 @@
 		fb_told_owners owners;
 		fb_told_order order;
 		fb_told_starts starts;
+		fb_told_kept kept;
 	} fb_told_u;
 };
 typedef struct fb_told fb_told;
@@ -424,6 +445,7 @@
 extern  bool_t xdr_fb_ask_stored (XDR *, fb_ask_stored*);
 extern  bool_t xdr_fb_order_kind (XDR *, fb_order_kind*);
 extern  bool_t xdr_fb_ask_order (XDR *, fb_ask_order*);
+extern  bool_t xdr_fb_kept_job (XDR *, fb_kept_job*);
 extern  bool_t xdr_fb_ask (XDR *, fb_ask*);
 extern  bool_t xdr_fb_told_type (XDR *, fb_told_type*);
 extern  bool_t xdr_fb_ticket (XDR *, fb_ticket*);
@@ -435,6 +457,7 @@
 extern  bool_t xdr_fb_told_order (XDR *, fb_told_order*);
 extern  bool_t xdr_fb_recent_start (XDR *, fb_recent_start*);
 extern  bool_t xdr_fb_told_starts (XDR *, fb_told_starts*);
+extern  bool_t xdr_fb_told_kept (XDR *, fb_told_kept*);
 extern  bool_t xdr_fb_told (XDR *, fb_told*);
 
 #else /* K&R C */
@@ -461,6 +484,7 @@
 extern bool_t xdr_fb_ask_stored ();
 extern bool_t xdr_fb_order_kind ();
 extern bool_t xdr_fb_ask_order ();
+extern bool_t xdr_fb_kept_job ();
 extern bool_t xdr_fb_ask ();
 extern bool_t xdr_fb_told_type ();
 extern bool_t xdr_fb_ticket ();
@@ -472,6 +496,7 @@
 extern bool_t xdr_fb_told_order ();
 extern bool_t xdr_fb_recent_start ();
 extern bool_t xdr_fb_told_starts ();
+extern bool_t xdr_fb_told_kept ();
 extern bool_t xdr_fb_told ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -16,6 +16,7 @@
 const FB_WORK_MAX_SEEN = 4096;
 const FB_WORK_MAX_PARTITIONS = 4096;
 const FB_WORK_MAX_STARTS = 512;
+const FB_WORK_MAX_KEPT = 256;
 const FB_WORK_DIGEST_BYTES = 16;
 
 /* One step: COUNT equal tasks, each of the size given. */
@@ -144,8 +145,10 @@
   FB_ASK_OWNERS = 6, /* who owns which partition, as the log's group has it */
   FB_ASK_WRITE = 7,  /* append progress for an owner that the log turns away */
   FB_ASK_STARTS = 9, /* which starts went out from the daemon asked to workers that fell silent */
-  FB_ASK_ORDER = 10  /* carry an order to a worker; 8 was one that named no life: daemons of both
+  FB_ASK_ORDER = 10, /* carry an order to a worker; 8 was one that named no life: daemons of both
                       * versions carry nothing for each other */
+  FB_ASK_KEEP = 11,  /* keep what is held against tasks of a job, until the store has it */
+  FB_ASK_KEPT = 12   /* what is kept so */
 };
 
 struct fb_ask_job {
@@ -213,6 +216,14 @@
   unsigned int answer_ms; /* given up when it has not answered so long after that */
 };
 
+/* What the owner of a pool holds against tasks of a job and could not store yet; nothing: it is
+ * stored, or nothing is held against them any more. */
+struct fb_kept_job {
+  string job<FB_WORK_MAX_NAME>;
+  unsigned hyper epoch; /* of the owner */
+  fb_work_suspects suspects;
+};
+
 union fb_ask switch (fb_ask_type type) {
 case FB_ASK_STATE: fb_ask_job job;
 case FB_ASK_PENDING: fb_ask_queue queue;
@@ -223,6 +234,8 @@
 case FB_ASK_WRITE: fb_ask_write write;
 case FB_ASK_ORDER: fb_ask_order order;
 case FB_ASK_STARTS: void;
+case FB_ASK_KEEP: fb_kept_job keep;
+case FB_ASK_KEPT: void;
 };
 
 enum fb_told_type {
@@ -239,7 +252,8 @@
   FB_TOLD_SEQUENCE = 11, /* another sequence was expected */
   FB_TOLD_ORDER = 12,    /* what became of an order */
   FB_TOLD_NO_PAYLOAD = 13, /* nothing was done: the payload that the order names is not there */
-  FB_TOLD_STARTS = 14
+  FB_TOLD_STARTS = 14,
+  FB_TOLD_KEPT = 15
 };
 
 struct fb_ticket {
@@ -297,6 +311,10 @@
   fb_recent_start starts<FB_WORK_MAX_STARTS>;
 };
 
+struct fb_told_kept {
+  fb_kept_job jobs<FB_WORK_MAX_KEPT>;
+};
+
 union fb_told switch (fb_told_type type) {
 case FB_TOLD_STATE: fb_work_state state;
 case FB_TOLD_PENDING: unsigned int pending;
@@ -304,5 +322,6 @@
 case FB_TOLD_OWNERS: fb_told_owners owners;
 case FB_TOLD_ORDER: fb_told_order order;
 case FB_TOLD_STARTS: fb_told_starts starts;
+case FB_TOLD_KEPT: fb_told_kept kept;
 default: void;
 };
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -175,6 +175,18 @@
   memset (suspects, 0, sizeof *suspects);
 }
 
+GBytes *
+fb_codec_encode_suspects (const fb_work_suspects *suspects)
+{
+  return encode ((xdrproc_t) xdr_fb_work_suspects, suspects, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_suspects (const void *data, gsize len, fb_work_suspects *suspects)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_work_suspects, data, len, sizeof *suspects, suspects);
+}
+
 GBytes *
 fb_codec_encode_ask (const fb_ask *ask)
 {
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -13,6 +13,7 @@
 
 #include "src/entry/advice/advisor.h"
 #include "src/entry/owner/owner.h"
+#include "src/entry/peers/kept-suspects.h"
 #include "src/entry/peers/links.h"
 #include "src/entry/peers/payload-share.h"
 #include "src/entry/peers/peers.h"
@@ -64,6 +65,7 @@
   FbPayloadShare *payload_share; /* what was sent to other daemons */
   FbPayloadCache *payload_cache; /* what they have sent here */
   FbRecentStarts *recent_starts; /* that went out from here */
+  FbKeptSuspects *kept_suspects; /* for owners whose store takes nothing */
   FbJoinWatch joins;
   gboolean stopping;
   gboolean refusing;    /* near its end: calls are turned away at once */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -269,6 +269,7 @@
   self->payload_share = fb_payload_share_new ((uint32_t) self->settings->link_kbit_s);
   self->payload_cache = fb_payload_cache_new (PAYLOADS_KEPT_BYTES);
   self->recent_starts = fb_recent_starts_new ();
+  self->kept_suspects = fb_kept_suspects_new ();
   self->link = fb_link_watch_new ((uint32_t) self->settings->link_kbit_s, self->store_ok_ms);
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -57,6 +57,13 @@
 /* For the append that shuts the writer before out. */
 void fb_owner_writer_shut_out (gpointer self, FbAppendResult result);
 
+/* owner-unstored.c */
+
+/* Hands what the store does not take to other daemons. */
+void fb_owner_hand_unstored (const FbOwnerPart *part);
+/* Another daemon has kept TOLD for earlier owners. */
+void fb_owner_take_kept (FbOwner *self, const fb_told_kept *told);
+
 /* owner-recall.c */
 
 /* Asks the other daemons for starts of earlier owners, twice; to be called often once the owner has
--- a/src/entry/owner/owner-recall.c
+++ b/src/entry/owner/owner-recall.c
@@ -1,4 +1,5 @@
-/* Asking the other daemons for starts of earlier owners that no record tells of. */
+/* Asking the other daemons for what no record tells of: starts of earlier owners, and what these
+ * held against tasks and could not store. */
 #include "owner-private.h"
 
 /* The answer is of use before the first tasks start again, some 1 s after a take-over. */
@@ -32,13 +33,16 @@
   if (told != NULL && told->type == FB_TOLD_STARTS && owner != NULL
       && owner->epoch == recall->epoch)
     take_starts (owner, &told->fb_told_u.starts);
+  else if (told != NULL && told->type == FB_TOLD_KEPT && owner != NULL
+           && owner->epoch == recall->epoch)
+    fb_owner_take_kept (owner, &told->fb_told_u.kept);
   g_free (recall);
 }
 
 static void
-ask_daemon (const FbOwner *self, const char *address)
+ask_daemon (const FbOwner *self, const char *address, fb_ask_type what)
 {
-  const fb_ask ask = { .type = FB_ASK_STARTS };
+  const fb_ask ask = { .type = what };
   Recall *recall = g_new0 (Recall, 1);
   recall->entry = self->entry;
   recall->partition = self->partition;
@@ -55,16 +59,31 @@
   g_free (told.starts.starts_val);
 }
 
+static void
+recall_own_kept (FbOwner *self)
+{
+  fb_told_kept told;
+  fb_kept_suspects_tell (self->entry->kept_suspects, fb_clock_ms (), &told);
+  fb_owner_take_kept (self, &told);
+  xdr_free ((xdrproc_t) xdr_fb_told_kept, (char *) &told);
+}
+
 static void
 ask_all (FbOwner *self)
 {
   const GPtrArray *daemons = fb_daemons_all (self->entry->daemons);
+  if (self->recalled_n == 1)
+    recall_own_kept (self);
   recall_own (self);
   for (guint i = 0; i < daemons->len; i++)
     {
       const FbDaemon *daemon = daemons->pdata[i];
-      if (!g_str_equal (daemon->address, self->entry->settings->peers))
-        ask_daemon (self, daemon->address);
+      if (g_str_equal (daemon->address, self->entry->settings->peers))
+        continue;
+      /* Asked for once: a task may have been cleared of it since. */
+      if (self->recalled_n == 1)
+        ask_daemon (self, daemon->address, FB_ASK_KEPT);
+      ask_daemon (self, daemon->address, FB_ASK_STARTS);
     }
 }
 
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -204,6 +204,7 @@
       fb_pool_jobs_read (part->pool, fb_follower_fresh_ms (self->job_follower));
       fb_pool_step (part->pool, may_start, now_ms, fb_clock_wall_ms ());
       flush_part (part);
+      fb_owner_hand_unstored (part);
     }
   drop_spent_jobs (self, now_ms);
   if (self->loaded && now_ms > self->authority_ms + STEP_DOWN_MS)
--- /dev/null
+++ b/src/entry/peers/kept-suspects.h
@@ -0,0 +1,16 @@
+/* What owners of pools hold against tasks and could not store yet, kept for the next owner.
+ *
+ * A copy, which the owner takes back once the store has it; without that it goes by its age.
+ * Bounded by time and number.  No I/O, clock or thread. */
+#pragma once
+
+#include "internal/pool.h"
+
+typedef struct _FbKeptSuspects FbKeptSuspects;
+
+FbKeptSuspects *fb_kept_suspects_new (void);
+void fb_kept_suspects_free (FbKeptSuspects *self);
+/* Takes what KEPT says of its job, unless that is of an earlier owner than what is kept. */
+void fb_kept_suspects_take (FbKeptSuspects *self, const fb_kept_job *kept, uint64_t now_ms);
+/* Fills in TOLD, which is the caller's to xdr_free(). */
+void fb_kept_suspects_tell (const FbKeptSuspects *self, uint64_t now_ms, fb_told_kept *told);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -37,7 +37,10 @@
     case FB_ASK_PENDING:
     case FB_ASK_OWNERS:
     case FB_ASK_STARTS:
+    case FB_ASK_KEPT:
       return FB_TRAFFIC_PEER_QUESTIONS;
+    case FB_ASK_KEEP:
+      return FB_TRAFFIC_PEER_RECORDS;
     }
   return FB_TRAFFIC_OTHER;
 }
@@ -173,8 +176,8 @@
 
 /* ---- telling an owner --------------------------------------------------------------- */
 
-static void
-ignore_told (gpointer user, const fb_told *told)
+void
+fb_peers_ignore_told (gpointer user, const fb_told *told)
 {
   (void) user;
   (void) told;
@@ -204,7 +207,7 @@
   ask.fb_ask_u.stored.key = (char *) key;
   ask.fb_ask_u.stored.value.value_val = (char *) g_bytes_get_data (value, &len);
   ask.fb_ask_u.stored.value.value_len = (u_int) len;
-  fb_peers_ask (entry, address, &ask, TELL_MS, ignore_told, NULL);
+  fb_peers_ask (entry, address, &ask, TELL_MS, fb_peers_ignore_told, NULL);
 }
 
 /* ---- writing through a peer --------------------------------------------------------- */
@@ -350,6 +353,15 @@
   g_free (told.fb_told_u.starts.starts.starts_val);
 }
 
+static void
+tell_kept (FbEntry *entry, Answer *answer)
+{
+  fb_told told = { .type = FB_TOLD_KEPT };
+  fb_kept_suspects_tell (entry->kept_suspects, fb_clock_ms (), &told.fb_told_u.kept);
+  on_answer_ready (answer, &told);
+  xdr_free ((xdrproc_t) xdr_fb_told, (char *) &told);
+}
+
 static const char *
 service_of (const fb_ask *ask)
 {
@@ -383,6 +395,12 @@
     case FB_ASK_STARTS:
       tell_starts (entry, answer);
       return;
+    case FB_ASK_KEPT:
+      tell_kept (entry, answer);
+      return;
+    case FB_ASK_KEEP:
+      fb_kept_suspects_take (entry->kept_suspects, &ask->fb_ask_u.keep, fb_clock_ms ());
+      break;
     case FB_ASK_STORED:
       take_stored (entry, &ask->fb_ask_u.stored);
       break;
--- a/src/entry/peers/peers.h
+++ b/src/entry/peers/peers.h
@@ -7,6 +7,8 @@
 
 void fb_peers_ask (FbEntry *entry, const char *address, const fb_ask *ask, uint32_t timeout_ms,
                    FbTold done, gpointer user);
+/* For what needs no answer. */
+void fb_peers_ignore_told (gpointer user, const fb_told *told);
 /* Asks the owner of the pool of SERVICE, wherever it is. */
 void fb_peers_ask_owner (FbEntry *entry, const char *service, const fb_ask *ask,
                          uint32_t timeout_ms, FbTold done, gpointer user);
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -202,7 +202,8 @@
 {
   for (u_int i = 0; i < n; i++)
     {
-      if (is_listed (workers, 0, i, workers[i]))
+      if (is_listed (workers, 0, i, workers[i])
+          || fb_pool_task_has_crash (&step->tasks[index], workers[i]))
         continue;
       gboolean firm = is_listed (workers, i + 1, n, workers[i]);
       const FbPoolCrash crash = { workers[i], apart, firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY };
@@ -232,13 +233,25 @@
   return FALSE;
 }
 
+/* TRUE when what became of the task on WORKER is known, or in doubt already. */
+static gboolean
+is_settled (const FbPool *self, const FbPoolStep *step, const fb_work_suspect *suspect,
+            const char *worker)
+{
+  const FbPoolTask *task = &step->tasks[suspect->index];
+  const FbPoolWorker *known = g_hash_table_lookup (self->workers, worker);
+  return (known != NULL && known->answered) || find_tried (task, worker) != NULL
+         || fb_pool_task_has_crash (task, fb_pool_worker_rank (worker));
+}
+
 static void
 restore_tried (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
 {
   for (u_int i = 0; i < suspect->tried.tried_len; i++)
     {
       const fb_work_tried *tried = &suspect->tried.tried_val[i];
-      if (is_tried (suspect, 0, i, tried->worker))
+      if (is_tried (suspect, 0, i, tried->worker)
+          || is_settled (self, step, suspect, tried->worker))
         continue;
       gboolean seen = is_tried (suspect, i + 1, suspect->tried.tried_len, tried->worker);
       const FbPoolCrash crash = { fb_pool_worker_rank (tried->worker), FALSE,
@@ -251,9 +264,12 @@
 static void
 restore_suspect (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
 {
-  step->tasks[suspect->index].recorded_n
-      = recorded_n (suspect->apart.apart_val, suspect->apart.apart_len)
-        + recorded_n (suspect->shared.shared_val, suspect->shared.shared_len);
+  FbPoolTask *task = &step->tasks[suspect->index];
+  guint n = recorded_n (suspect->apart.apart_val, suspect->apart.apart_len)
+            + recorded_n (suspect->shared.shared_val, suspect->shared.shared_len);
+  if (task->done)
+    return;
+  task->recorded_n = MAX (task->recorded_n, n);
   restore_crashes (self, step, suspect->index, TRUE, suspect->apart.apart_val,
                    suspect->apart.apart_len, now_ms);
   restore_crashes (self, step, suspect->index, FALSE, suspect->shared.shared_val,
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -187,6 +187,7 @@
   fb_event_log (FB_EVENT_TASK_CLEARED, "task=%s.%u.%u.%u why=\"%s\"", step->job->id,
                 step->occurrence, step->index, index, why);
   fb_pool_job_changed (self, step->job);
+  fb_pool_unstored_note (self, step->job);
   fb_pool_task_may_wait (self, step, index);
 }
 
@@ -241,6 +242,7 @@
     return;
   fb_pool_probe_note_crash (step, crash.worker, now_ms);
   step->job->suspicion++;
+  fb_pool_unstored_note (self, step->job);
   fb_pool_task_weigh (self, step, index);
   g_hash_table_add (self->suspects, step);
   self->limit_reached |= fb_pool_task_crashes_n (task) >= self->limits.crashes_n;
--- a/src/work/pool-doubt.c
+++ b/src/work/pool-doubt.c
@@ -69,6 +69,7 @@
   g_array_append_val (doubt_about (self, id, address, now_ms)->lost, lost);
   step->tasks[index].doubts_n++;
   step->job->suspicion++;
+  fb_pool_unstored_note (self, step->job);
   fb_pool_task_weigh (self, step, index);
   self->doubts_due = TRUE;
 }
@@ -86,6 +87,7 @@
   fb_pool_task_weigh (self, step, index);
   fb_pool_tried_drop (task, id);
   fb_pool_job_changed (self, step->job);
+  fb_pool_unstored_note (self, step->job);
   if (crashed)
     fb_pool_crash_count (self, step, index, lost->crash, now_ms);
   fb_pool_task_may_wait (self, step, index);
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -124,6 +124,7 @@
       add_record (records, job->id, NULL);
       g_hash_table_iter_remove (&iter);
       fb_pool_queue_forget (self, job);
+      fb_pool_unstored_forget (self, job);
       g_hash_table_remove (self->jobs, job->id);
     }
 }
@@ -143,6 +144,7 @@
     }
   mark_flushing_ends (self);
   self->flushing = TRUE;
+  self->flush_began_ms = now_ms;
   if (records->len > 0)
     return records;
   /* Ends that changed nothing need no write to be acknowledged. */
--- /dev/null
+++ b/src/work/pool-unstored.c
@@ -0,0 +1,106 @@
+/* What is held against tasks while the store takes nothing.
+ *
+ * Failure: an owner counts crashes, its store takes nothing, and it is killed; the next one counts
+ * from the beginning.  It shows as a task that goes on crashing workers.  Guard: other daemons keep
+ * such counts until they are stored, and tell the next owner.  In a pool that is well nothing is
+ * sent. */
+#include "internal/codec.h"
+#include "internal/pool-crash.h"
+
+#include "fb-event.h"
+
+/* Stores take 10 to 50 ms as a rule. */
+#define STORED_SOON_MS 200
+
+static void
+unstored_free (gpointer data)
+{
+  FbPoolUnstored *unstored = data;
+  g_free (unstored->job);
+  g_clear_pointer (&unstored->suspects, g_bytes_unref);
+  g_free (unstored);
+}
+
+void
+fb_pool_unstored_note (FbPool *self, FbPoolJob *job)
+{
+  g_hash_table_add (self->unstored, job);
+  job->unstored_news = TRUE;
+}
+
+void
+fb_pool_unstored_forget (FbPool *self, const FbPoolJob *job)
+{
+  g_hash_table_remove (self->unstored, job);
+}
+
+static gboolean
+is_stored (const FbPool *self, const FbPoolJob *job)
+{
+  return !g_hash_table_contains (self->dirty, job) && !g_ptr_array_find (self->in_flush, job, NULL);
+}
+
+/* Returns: (transfer full) (nullable): NULL when nothing is held against its tasks. */
+static GBytes *
+encode_suspects (const FbPoolJob *job)
+{
+  fb_work_suspects suspects;
+  fb_pool_crash_record (job, &suspects);
+  GBytes *bytes = suspects.tasks.tasks_len > 0 ? fb_codec_encode_suspects (&suspects) : NULL;
+  fb_pool_crash_record_clear (&suspects);
+  return bytes;
+}
+
+static void
+add (GPtrArray *all, FbPoolJob *job, GBytes *suspects)
+{
+  job->unstored_news = FALSE;
+  if (suspects == NULL && !job->kept)
+    return;
+  job->kept = suspects != NULL;
+  FbPoolUnstored *unstored = g_new0 (FbPoolUnstored, 1);
+  unstored->job = g_strdup (job->id);
+  unstored->suspects = suspects;
+  g_ptr_array_add (all, unstored);
+}
+
+GPtrArray *
+fb_pool_unstored (FbPool *self, uint64_t now_ms)
+{
+  if (g_hash_table_size (self->unstored) == 0)
+    return NULL;
+  gboolean is_late = self->flushing && now_ms > self->flush_began_ms + STORED_SOON_MS;
+  GPtrArray *all = g_ptr_array_new_with_free_func (unstored_free);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->unstored);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      if (is_stored (self, job))
+        {
+          add (all, job, NULL);
+          g_hash_table_iter_remove (&iter);
+        }
+      else if (is_late && job->unstored_news)
+        add (all, job, encode_suspects (job));
+    }
+  if (all->len > 0)
+    return all;
+  g_ptr_array_unref (all);
+  return NULL;
+}
+
+void
+fb_pool_recall_unstored (FbPool *self, const char *id, const fb_work_suspects *suspects,
+                         uint64_t now_ms)
+{
+  FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  if (job == NULL || fb_pool_job_ended (job))
+    return;
+  fb_event_log (FB_EVENT_SUSPECTS_RECALLED, "job=%s tasks=%u", id, suspects->tasks.tasks_len);
+  fb_pool_crash_restore (self, job, suspects, now_ms);
+  fb_pool_job_changed (self, job);
+  fb_pool_unstored_note (self, job);
+  job->kept = TRUE;
+}
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -34,6 +34,7 @@
   self->ended = g_hash_table_new (NULL, NULL);
   self->dirty = g_hash_table_new (NULL, NULL);
   self->suspects = g_hash_table_new (NULL, NULL);
+  self->unstored = g_hash_table_new (NULL, NULL);
   self->causes = fb_pool_crash_causes_new ();
   self->doubts = fb_pool_doubts_new ();
   self->closed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -63,6 +64,7 @@
   g_hash_table_unref (self->ended);
   g_hash_table_unref (self->dirty);
   g_hash_table_unref (self->suspects);
+  g_hash_table_unref (self->unstored);
   g_hash_table_unref (self->causes);
   g_hash_table_unref (self->doubts);
   g_ptr_array_unref (self->in_flush);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -20,6 +20,7 @@
   uint64_t now_ms;
   GHashTable *admitted;  /* job -> fb_work_admit, what the store holds */
   GHashTable *progress;  /* job -> GBytes */
+  GHashTable *kept;      /* job -> GBytes, what other daemons keep */
   GBytes *known_workers; /* the record of the pool's workers, or NULL */
   GHashTable *workers;   /* id -> its line, listed again to a successor */
   GHashTable *starts;    /* task -> order of its last start; also task/attempt */
@@ -579,6 +580,42 @@
   fb_pool_recall_starts (script->pool, &told, script->now_ms);
 }
 
+/* Other daemons take what they are to keep, or to forget. */
+static void
+do_keep (Script *script)
+{
+  g_autoptr (GPtrArray) unstored = fb_pool_unstored (script->pool, script->now_ms);
+  for (guint i = 0; unstored != NULL && i < unstored->len; i++)
+    {
+      const FbPoolUnstored *row = unstored->pdata[i];
+      printf ("  %s %s\n", row->suspects != NULL ? "keep" : "forget", brief (row->job));
+      if (row->suspects != NULL)
+        g_hash_table_replace (script->kept, g_strdup (row->job), g_bytes_ref (row->suspects));
+      else
+        g_hash_table_remove (script->kept, row->job);
+    }
+}
+
+/* They tell a successor. */
+static void
+do_kept (Script *script)
+{
+  GHashTableIter iter;
+  gpointer job;
+  gpointer value;
+  g_hash_table_iter_init (&iter, script->kept);
+  while (g_hash_table_iter_next (&iter, &job, &value))
+    {
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (value, &len);
+      fb_work_suspects suspects;
+      if (!fb_codec_decode_suspects (data, len, &suspects))
+        fail (script, "what is kept is malformed");
+      fb_pool_recall_unstored (script->pool, job, &suspects, script->now_ms);
+      xdr_free ((xdrproc_t) xdr_fb_work_suspects, (char *) &suspects);
+    }
+}
+
 /* Which event is printed; NULL: none. */
 static char *shown_event;
 
@@ -627,7 +664,8 @@
               { "started", do_started },   { "stopped", do_stopped }, { "advised", do_advised },
               { "step", do_step },         { "flush", do_flush },     { "flushed", do_flushed },
               { "show", do_show },         { "advice", do_advice },   { "read", do_read },
-              { "crowd", do_crowd },       { "recall", do_recall } };
+              { "crowd", do_crowd },       { "recall", do_recall },   { "keep", do_keep },
+              { "kept", do_kept } };
 
 static void
 run_line (Script *script, const char *line)
@@ -657,6 +695,8 @@
   fb_event_set_quiet (TRUE);
   g_log_set_writer_func (print_event, NULL, NULL);
   Script script = { .now_ms = BEGIN_MS, .advice_left = G_MAXUINT64 };
+  script.kept
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   script.admitted = g_hash_table_new (g_str_hash, g_str_equal);
   script.progress = g_hash_table_new (g_str_hash, g_str_equal);
   script.workers = g_hash_table_new (g_str_hash, g_str_equal);
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -10,7 +10,7 @@
 rm -rf "$OUT"; mkdir -p "$OUT"
 FLAGS="$(pkg-config --cflags --libs glib-2.0 gio-2.0 libtirpc libxxhash json-glib-1.0 libcurl) -Iinclude -I. -Iplatform -O1 -g -w -lm"
 OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
-  rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c src/entry/peers/recent-starts.c"
+  rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c src/entry/peers/recent-starts.c src/entry/peers/kept-suspects.c"
 ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c platform/operator.c platform/life.c src/entry/routes.c"
 
 defects() { grep -E "^${ONLY:-[^|]*}\|" <<< "$(all_defects)"; }
