A task waits where an earlier start of it is being shut out

Cause: a worker came back and was told to refuse a start that had got no answer; that start stood on it until it said so. Meanwhile its task started there again, under the same name, and took the place of the first in the table of the worker's runs. A suspect shares no worker with another, and its only allowed one counted as shared for good.

Now the task waits for that worker, or starts elsewhere, until the worker has taken the stop.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -181,6 +181,9 @@
 /* WORKER has answered for the first time: it is told to refuse starts that were sent to lives
  * before it and got no answer. */
 void fb_pool_late_starts_shut_out (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE while WORKER is to shut an earlier start of task INDEX out. */
+gboolean fb_pool_return_shuts_out (const FbPoolWorker *worker, const FbPoolStep *step,
+                                   uint32_t index);
 /* LIFE answered instead of WORKER, under the same id. */
 void fb_pool_worker_returned (FbPool *self, FbPoolWorker *worker, const char *life,
                               uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -49,6 +49,7 @@
   /* When it was found that its worker had started again before it was listed there: it may yet come
    * to this one, the next life.  0: that is not so. */
   uint64_t came_ms;
+  gboolean shut_out;     /* it is here only until its worker has taken a stop of it */
   FbPoolCrash lost_with; /* counts if it never comes: the life that it was sent to crashed; rank 0:
                           * none did */
 };
@@ -106,6 +107,7 @@
   uint64_t spared_until_ms;
   char *last_bad_job;
   GHashTable *runs; /* name -> FbPoolRun */
+  guint shut_out_n; /* those that are to be shut out */
   guint suspects_n; /* runs of tasks under which workers have crashed */
   guint isolated_n; /* those that run apart for it */
   /* Nothing else than this starts here; it is compared only, never followed. */
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -175,7 +175,8 @@
       if (worker == other_than || (rack != NULL && g_strcmp0 (rack, worker->rack) != 0)
           || worker->isolated_n > 0 || !may_start (worker, step, rule, now_ms)
           || !fb_pool_crash_is_open (worker, task, now_ms)
-          || (suspect && !fb_pool_crash_may_share (worker, task)))
+          || (suspect && !fb_pool_crash_may_share (worker, task))
+          || fb_pool_return_shuts_out (worker, step, index))
         continue;
       if (worker->kept_for == task)
         return worker;
--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -77,6 +77,8 @@
   run->started_ms = start->sent_ms;
   run->deadline_ms = G_MAXUINT64;
   run->given_up = TRUE;
+  run->shut_out = TRUE;
+  worker->shut_out_n++;
   run->came_ms = now_ms;
   fb_pool_order_stop (self, worker, run, now_ms);
 }
@@ -93,6 +95,17 @@
     }
 }
 
+/* Failure: a task starts on the worker that is to shut an earlier start of it out, and takes that
+ * one's place there; it shows as room that is never free again.  Guard: it waits for the answer. */
+gboolean
+fb_pool_return_shuts_out (const FbPoolWorker *worker, const FbPoolStep *step, uint32_t index)
+{
+  if (worker->shut_out_n == 0)
+    return FALSE;
+  g_autofree char *name = fb_pool_task_name (step, index);
+  return g_hash_table_contains (worker->runs, name);
+}
+
 /* Returns: the worker called LIFE, at the address of BEFORE, which ran there until then. */
 static FbPoolWorker *
 next_life (FbPool *self, const FbPoolWorker *before, const char *life, uint64_t now_ms)
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -169,6 +169,7 @@
 fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run)
 {
   fb_pool_worker_charge (worker, run, -1);
+  worker->shut_out_n -= run->shut_out;
   g_hash_table_remove (worker->runs, run->name);
   run_free (run);
 }
