Ends are acknowledged once all that was started is listed

Cause, traced: a worker crashed and was back within 10 ms. Starts that had been sent for the life before were carried out, and answered, by the next one; an answer to a start does not say of which life it is, so no start seemed open, and the next look acknowledged end 10 there, before the end of the task that had just ended on it was read.

Now an end of such a worker is acknowledged when a list, which names its life, has shown all that was started there; a look that waits for nothing brings that list, and nothing starts there until the acknowledgement is taken: two answers of the worker, some 20 ms for each batch of ends. Workers that tell no birth are not concerned. FUZZ_LOG tells which looks acknowledged ends.

--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -470,6 +470,11 @@
           order->arrived = TRUE;
           order->arrived_life = worker->life;
           order->waits_until_ms = world->now_ms + order->wait_ms;
+          if (order->acknowledged > 0 && worker->ends->len > 0)
+            world_trace (world,
+                         "a look at %s, sent at %u ms, acknowledges ends up to %u on life %u",
+                         order->worker_name, (unsigned) (order->sent_ms % 1000000),
+                         (unsigned) order->acknowledged, worker->life);
           acknowledge (world, worker, order->acknowledged);
           if (order->deadline_ms > 0)
             extend_lease (world, worker, order->deadline_ms);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -117,6 +117,8 @@
 void fb_pool_order_look (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE while WORKER, which may start again under its id, has not taken an acknowledgement. */
 gboolean fb_pool_owes_acknowledgement (const FbPoolWorker *worker);
+/* FALSE when a look at WORKER right after its answer would bring no more than that. */
+gboolean fb_pool_may_look_on (const FbPoolWorker *worker);
 /* Answers to orders about RUN, which was on WORKER, are of the same run on NEXT. */
 void fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
                           const FbPoolWorker *next);
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -64,7 +64,7 @@
 fb_pool_worker_takes (const FbPoolWorker *worker, uint64_t now_ms)
 {
   return worker->listed && !worker->draining && !worker->gone && !worker->outlived
-         && worker->acknowledging == 0 && !fb_pool_worker_silent (worker, now_ms)
+         && !fb_pool_owes_acknowledgement (worker) && !fb_pool_worker_silent (worker, now_ms)
          && now_ms >= worker->paused_until_ms && now_ms >= worker->spared_until_ms;
 }
 
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -204,16 +204,17 @@
   return worker->returns && worker->acknowledged > worker->told_acknowledged;
 }
 
+/* TRUE when WORKER has not listed a run since that was ordered: a later life may have it, as
+ * answers to starts do not say which one they are of. */
 static gboolean
-has_open_start (const FbPoolWorker *worker)
+has_unlisted (const FbPoolWorker *worker)
 {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const FbPoolRun *run = value;
-      if (run->state == FB_RUN_STARTING && run->seen_clock_ms == 0 && !run->unanswered)
+      if (((const FbPoolRun *) value)->listed_ms == 0)
         return TRUE;
     }
   return FALSE;
@@ -222,14 +223,20 @@
 /* Failure: a worker starts again under its id with a start and a look on their way.  The new life
  * carries the start out, and forgets the end of it as the look acknowledges that number, which it
  * had of the life before; it shows as a task that runs again after it was done.  Guard: of such a
- * worker an end is acknowledged once, by a look of its own that waits for nothing, and no start is
- * under way beside it. */
+ * worker an end is acknowledged once, by a look that waits for nothing, when all that was started
+ * there is listed; nothing starts there until then. */
 static gboolean
 may_acknowledge (const FbPoolWorker *worker)
 {
   if (worker->look_failed)
     return FALSE;
-  return !worker->returns || (fb_pool_owes_acknowledgement (worker) && !has_open_start (worker));
+  return !worker->returns || (fb_pool_owes_acknowledgement (worker) && !has_unlisted (worker));
+}
+
+gboolean
+fb_pool_may_look_on (const FbPoolWorker *worker)
+{
+  return !fb_pool_owes_acknowledgement (worker) || !has_unlisted (worker);
 }
 
 void
@@ -253,7 +260,7 @@
   /* Ends that may not be acknowledged yet would answer the look at once, again
    * and again. */
   if (worker->answered && worker->acknowledged == worker->seen_end && !worker->unread
-      && worker->acknowledging == 0)
+      && !fb_pool_owes_acknowledgement (worker))
     order.wait_ms = FB_POOL_LOOK_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
   worker->look_open = TRUE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -512,7 +512,7 @@
   note_if_emptied (self, worker, runs_before);
   if (worker->unread)
     worker->look_at_ms = now_ms + UNREAD_PAUSE_MS;
-  else if (worker->acknowledged == worker->seen_end && !fb_pool_owes_acknowledgement (worker))
+  else if (worker->acknowledged == worker->seen_end && fb_pool_may_look_on (worker))
     fb_pool_order_look (self, worker, now_ms);
 }
 
