Seen starts are remembered for 40 s; a successor assumes no missing crashes

The first: a new owner that read fewer than two crashes of a task in its record took it that some were missing, and gave the job up after three where four are needed: two beside others, and one alone that had in truth ended unheard. The second: the owner was killed as its store went away; nobody takes over while that is so, and daemons remembered starts for 10 s.

A start without an answer is weak evidence and gets weaker; one that was seen does not.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -28,8 +28,7 @@
   GPtrArray *tried; /* of FbPoolTried; NULL for none */
   gboolean
       withheld; /* it does not start: one crash more could be too many, or two are not stored yet */
-  uint32_t doubts_n;   /* losses of workers that may have been crashes under it */
-  uint32_t recorded_n; /* crashes that an earlier owner's record told of */
+  uint32_t doubts_n; /* losses of workers that may have been crashes under it */
   /* It waits until then for a worker where nothing begins; 0: it does not. */
   uint64_t calm_until_ms;
   gboolean done;
--- a/src/entry/peers/recent-starts.c
+++ b/src/entry/peers/recent-starts.c
@@ -3,6 +3,11 @@
 /* An owner is replaced some 2 s after its last order, and its successor takes up to some seconds to
  * ask; what is older has ended or was recorded. */
 #define KEPT_MS 10000
+/* Nothing is recorded and nobody takes over while the store is away.  A start that the worker had
+ * said is there is proof enough to be told later. */
+#define SEEN_KEPT_MS 40000
+/* So many lists of a worker that lack a run prove that it has ended. */
+#define MISSED_MOST 2
 
 typedef struct
 {
@@ -12,7 +17,7 @@
   uint32_t attempt;
   uint64_t sent_ms;
   gboolean seen; /* the worker has said that it is there */
-  gboolean over; /* it has ended, or never began */
+  guint missed;  /* lists of the worker in a row that lack it, since then */
 } Start;
 
 typedef struct
@@ -88,7 +93,7 @@
 static gboolean
 is_kept (const Start *start, uint64_t now_ms)
 {
-  return now_ms < start->sent_ms + KEPT_MS;
+  return now_ms < start->sent_ms + (start->seen ? SEEN_KEPT_MS : KEPT_MS);
 }
 
 void
@@ -109,6 +114,23 @@
   g_queue_push_tail (&target_for (self, worker)->starts, start);
 }
 
+/* The start at LINK of TARGET has ended, or never began. */
+static void
+drop_start (FbRecentStarts *self, Target *target, GList *link)
+{
+  Start *start = link->data;
+  g_queue_delete_link (&target->starts, link);
+  g_queue_remove (&self->starts, start);
+  start_free (start);
+}
+
+static void
+drop_if_empty (FbRecentStarts *self, const char *worker, Target *target)
+{
+  if (g_queue_is_empty (&target->starts))
+    g_hash_table_remove (self->targets, worker);
+}
+
 /* TRUE when a worker that was sent an order with RESULT lives on. */
 static gboolean
 was_heard (FbOrderResult result)
@@ -125,35 +147,60 @@
   if (target == NULL)
     return;
   target->silent = !was_heard (result);
-  for (GList *l = target->starts.head; l != NULL; l = l->next)
+  for (GList *l = target->starts.head, *next = NULL; l != NULL; l = next)
     {
       Start *start = l->data;
+      next = l->next;
       if (start->attempt != attempt || !g_str_equal (start->task, task))
         continue;
       start->seen |= result == FB_ORDER_DONE;
       /* A run of a superseded attempt may be there. */
-      start->over
-          |= result != FB_ORDER_DONE && result != FB_ORDER_UNKNOWN && result != FB_ORDER_SUPERSEDED;
+      if (result != FB_ORDER_DONE && result != FB_ORDER_UNKNOWN && result != FB_ORDER_SUPERSEDED)
+        drop_start (self, target, l);
     }
+  drop_if_empty (self, worker, target);
 }
 
 static void
-take_end (Target *target, const FbEndSeen *end)
+take_end (FbRecentStarts *self, Target *target, const FbEndSeen *end)
 {
-  for (GList *l = target->starts.head; l != NULL; l = l->next)
+  for (GList *l = target->starts.head, *next = NULL; l != NULL; l = next)
     {
-      Start *start = l->data;
-      start->over |= start->attempt <= end->attempt && g_str_equal (start->task, end->task);
+      const Start *start = l->data;
+      next = l->next;
+      if (start->attempt <= end->attempt && g_str_equal (start->task, end->task))
+        drop_start (self, target, l);
+    }
+}
+
+static gboolean
+is_running (const Start *start, const GArray *running)
+{
+  for (guint i = 0; i < running->len; i++)
+    {
+      const FbRunSeen *run = &g_array_index (running, FbRunSeen, i);
+      if (start->attempt == run->attempt && g_str_equal (start->task, run->task))
+        return TRUE;
     }
+  return FALSE;
 }
 
+/* A run that is not listed any more has ended, and another daemon heard the end.  One list that
+ * lacks it may be older than the run. */
 static void
-take_run (Target *target, const FbRunSeen *run)
+take_running (FbRecentStarts *self, Target *target, const GArray *running)
 {
-  for (GList *l = target->starts.head; l != NULL; l = l->next)
+  for (GList *l = target->starts.head, *next = NULL; l != NULL; l = next)
     {
       Start *start = l->data;
-      start->seen |= start->attempt == run->attempt && g_str_equal (start->task, run->task);
+      next = l->next;
+      if (is_running (start, running))
+        {
+          start->seen = TRUE;
+          start->missed = 0;
+        }
+      else if (start->seen && ++start->missed == MISSED_MOST)
+        drop_start (self, target, l);
     }
 }
 
@@ -164,10 +211,11 @@
   if (target == NULL)
     return;
   target->silent = !was_heard (answer->result);
-  for (guint i = 0; answer->running != NULL && i < answer->running->len; i++)
-    take_run (target, &g_array_index (answer->running, FbRunSeen, i));
+  if (answer->result == FB_ORDER_DONE)
+    take_running (self, target, answer->running);
   for (guint i = 0; answer->finished != NULL && i < answer->finished->len; i++)
-    take_end (target, &g_array_index (answer->finished, FbEndSeen, i));
+    take_end (self, target, &g_array_index (answer->finished, FbEndSeen, i));
+  drop_if_empty (self, worker, target);
 }
 
 void
@@ -179,7 +227,7 @@
     {
       const Start *start = l->data;
       const Target *target = g_hash_table_lookup (self->targets, start->worker);
-      if (!target->silent || start->over || !is_kept (start, now_ms))
+      if (!target->silent || !is_kept (start, now_ms))
         continue;
       told->starts.starts_val[told->starts.starts_len++]
           = (fb_recent_start){ start->worker, start->address, start->task, start->attempt,
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -212,16 +212,6 @@
     }
 }
 
-/* A worker is listed twice where its crash is firm. */
-static guint
-recorded_n (const u_quad_t *workers, u_int n)
-{
-  guint crashes_n = 0;
-  for (u_int i = 0; i < n; i++)
-    crashes_n += !is_listed (workers, 0, i, workers[i]);
-  return crashes_n;
-}
-
 static gboolean
 is_tried (const fb_work_suspect *suspect, u_int from, u_int until, const char *worker)
 {
@@ -264,12 +254,8 @@
 static void
 restore_suspect (FbPool *self, FbPoolStep *step, const fb_work_suspect *suspect, uint64_t now_ms)
 {
-  FbPoolTask *task = &step->tasks[suspect->index];
-  guint n = recorded_n (suspect->apart.apart_val, suspect->apart.apart_len)
-            + recorded_n (suspect->shared.shared_val, suspect->shared.shared_len);
-  if (task->done)
+  if (step->tasks[suspect->index].done)
     return;
-  task->recorded_n = MAX (task->recorded_n, n);
   restore_crashes (self, step, suspect->index, TRUE, suspect->apart.apart_val,
                    suspect->apart.apart_len, now_ms);
   restore_crashes (self, step, suspect->index, FALSE, suspect->shared.shared_val,
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -83,14 +83,6 @@
   limits->shared_crashes_n = MAX (limits->shared_crashes_n, limits->crashes_n);
 }
 
-/* TRUE when crashes of which no record tells may have happened under an earlier owner.  What has
- * ISOLATED_CRASHES starts only once these are stored, so at most one is missing then. */
-static gboolean
-may_lack_crashes (const FbPoolStep *step, const FbPoolTask *task)
-{
-  return step->job->restored && !step->job->untouched && task->recorded_n < ISOLATED_CRASHES;
-}
-
 /* Failure: starts that got no answer, or runs whose ends were not heard, count for workers that
  * crashed later, and a job is given up that crashed none.  Guard: the sooner limit needs
  * FIRM_CRASHES and no hearsay. */
@@ -101,15 +93,15 @@
          && evidence_n (task, FB_CRASH_HEARSAY) == 0;
 }
 
-/* Returns: after how many crashes TASK is given up. */
+/* Returns: after how many crashes TASK is given up.  Where none is firm, one more is needed. */
 static guint
-limit_of (const FbPool *self, const FbPoolStep *step, const FbPoolTask *task, gboolean eliminated)
+limit_of (const FbPool *self, const FbPoolTask *task, gboolean eliminated)
 {
-  gboolean lacking = may_lack_crashes (step, task);
-  guint alone = alone_n (self, task, eliminated && !lacking);
+  guint alone = alone_n (self, task, eliminated);
   guint shared = fb_pool_task_crashes_n (task) - alone;
-  gboolean few = alone > 0 && is_well_known (task) && (lacking || shared < SHARED_ENOUGH);
-  return few ? self->limits.crashes_n : self->limits.shared_crashes_n;
+  if (alone > 0 && is_well_known (task) && shared < SHARED_ENOUGH)
+    return self->limits.crashes_n;
+  return self->limits.shared_crashes_n;
 }
 
 gboolean
@@ -134,7 +126,7 @@
 {
   FbPoolTask *task = &step->tasks[index];
   /* What is in doubt may have been apart. */
-  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, step, task, FALSE);
+  guint limit = task->doubts_n > 0 ? self->limits.crashes_n : limit_of (self, task, FALSE);
   task->withheld
       = fb_pool_task_crashes_n (task) + task->doubts_n >= limit || is_unstored (step, task);
 }
@@ -247,11 +239,10 @@
   g_hash_table_add (self->suspects, step);
   self->limit_reached |= fb_pool_task_crashes_n (task) >= self->limits.crashes_n;
   fb_pool_job_changed (self, step->job);
-  fb_event_log (FB_EVENT_TASK_SUSPECTED,
-                "task=%s.%u.%u.%u crashes=%u of=%u apart=%d evidence=%s doubts=%u", step->job->id,
-                step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
-                limit_of (self, step, task, FALSE), crash.apart, evidence_names[crash.evidence],
-                task->doubts_n);
+  fb_event_log (
+      FB_EVENT_TASK_SUSPECTED, "task=%s.%u.%u.%u crashes=%u of=%u apart=%d evidence=%s doubts=%u",
+      step->job->id, step->occurrence, step->index, index, fb_pool_task_crashes_n (task),
+      limit_of (self, task, FALSE), crash.apart, evidence_names[crash.evidence], task->doubts_n);
 }
 
 /* For how long RUN was seen at work by what was last heard of WORKER. */
@@ -449,7 +440,7 @@
   for (uint32_t i = 0; i < step->shape->count; i++)
     {
       const FbPoolTask *task = &step->tasks[i];
-      if (fb_pool_task_crashes_n (task) < limit_of (self, step, task, TRUE))
+      if (fb_pool_task_crashes_n (task) < limit_of (self, task, TRUE))
         continue;
       give_up (self, step, i, now_ms, wall_ms);
       return;
--- a/tests/test-recent-starts.c
+++ b/tests/test-recent-starts.c
@@ -90,6 +90,58 @@
   fb_recent_starts_free (self);
 }
 
+/* Guards against: an owner is killed as its store goes away, and the next one, which comes once it
+ * is back, knows of no crash. */
+static void
+test_what_was_seen_is_told_later (void)
+{
+  FbRecentStarts *self = fb_recent_starts_new ();
+  fb_recent_start first = { .worker = "", .address = "", .task = "" };
+  fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE);
+  fb_recent_starts_sent (self, "w1", "a", OTHER_TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_UNKNOWN);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS + 5000, NULL), 2);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS + 20000, &first), 1);
+  CU_ASSERT_STRING_EQUAL (first.task, TASK);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS + 60000, NULL), 0);
+  fb_recent_starts_free (self);
+}
+
+/* Guards against: a run whose end another daemon heard is held against its task when its worker
+ * crashes later. */
+static void
+test_what_is_not_listed_any_more_is_over (void)
+{
+  FbRecentStarts *self = fb_recent_starts_new ();
+  fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE);
+  look (self, FB_ORDER_DONE, NULL, NULL);
+  look (self, FB_ORDER_UNKNOWN, NULL, NULL);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS, NULL), 1);
+  look (self, FB_ORDER_DONE, NULL, NULL);
+  look (self, FB_ORDER_UNKNOWN, NULL, NULL);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS, NULL), 0);
+  fb_recent_starts_free (self);
+}
+
+/* Guards against: starts that have ended take the place of those that have not. */
+static void
+test_what_is_over_takes_no_place (void)
+{
+  FbRecentStarts *self = fb_recent_starts_new ();
+  fb_recent_starts_sent (self, "w1", "a", OTHER_TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_DONE);
+  for (guint i = 1; i < 3 * FB_WORK_MAX_STARTS; i++)
+    {
+      fb_recent_starts_sent (self, "w2", "a", TASK, i, NOW_MS);
+      fb_recent_starts_answered (self, "w2", TASK, i, FB_ORDER_LATE);
+    }
+  look (self, FB_ORDER_UNKNOWN, NULL, NULL);
+  CU_ASSERT_EQUAL (told_n (self, NOW_MS, NULL), 1);
+  fb_recent_starts_free (self);
+}
+
 /* Guards against: the memory of a daemon fills with starts. */
 static void
 test_the_oldest_goes (void)
@@ -118,6 +170,10 @@
                test_a_start_at_a_worker_that_fell_silent);
   CU_add_test (suite, "a start without an answer", test_a_start_without_an_answer);
   CU_add_test (suite, "what is over is not told", test_what_is_over_is_not_told);
+  CU_add_test (suite, "what was seen is told later", test_what_was_seen_is_told_later);
+  CU_add_test (suite, "what is not listed any more is over",
+               test_what_is_not_listed_any_more_is_over);
+  CU_add_test (suite, "what is over takes no place", test_what_is_over_takes_no_place);
   CU_add_test (suite, "the oldest goes", test_the_oldest_goes);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
