One start counts for the crash of one life

Cause: a start without an answer goes over to the next life of its worker. If that life crashes as well, its loss counted for the start, and so did the loss of the one before; the rows show one attempt counted at w0-4@1025310 and at w0-4@1028470.

A start that goes over now keeps what it was lost with, and that alone counts; of a life that it may have come to nothing is noted.

--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -320,6 +320,9 @@
         run->lost_with = crash;
       return;
     }
+  /* One start crashes one life; if it did not come to this one, it was on the one before. */
+  if (run->lost_with.worker != 0)
+    return;
   if (loss == FB_LOSS_OTHER_LIFE)
     {
       fb_pool_tried_drop (&step->tasks[run->index], worker->id);
@@ -372,7 +375,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const FbPoolRun *run = value;
-      if (run->step != NULL && was_there (run))
+      /* Of a start that may have come from the life before, that one is recorded. */
+      if (run->step != NULL && was_there (run) && run->came_ms == 0)
         note_silence (self, worker, run, silent);
     }
 }
