A start that is awaited at a crash may be its cause

Cause: a worker crashes 10 ms after a start was sent, which is answered by nobody yet. It is not held against that start, rightly, as most such starts come to nothing; but the others that were there then counted as if nothing else had been: one of them ran well elsewhere, and the crash was put to the last.

It is still not counted, but stands among the possible causes, and what runs beside it is not apart.

--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -292,6 +292,13 @@
   return firm ? FB_CRASH_FIRM : FB_CRASH_LIKELY;
 }
 
+/* TRUE when RUN may have begun on WORKER as that crashed: its answer is awaited. */
+static gboolean
+may_have_begun (const FbPoolRun *run)
+{
+  return run->step != NULL && run->state == FB_RUN_STARTING && !was_there (run);
+}
+
 /* TRUE when RUN is the only one on WORKER that could have crashed it. */
 static gboolean
 is_apart (const FbPoolWorker *worker, const FbPoolRun *run)
@@ -301,8 +308,9 @@
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &other))
     {
-      if (other != run && was_there (other) && !is_proven (worker, other)
-          && !is_outlived (worker, run, other))
+      if (other == run || is_proven (worker, other) || is_outlived (worker, run, other))
+        continue;
+      if (was_there (other) || may_have_begun (other))
         return FALSE;
     }
   return TRUE;
@@ -412,6 +420,9 @@
   while (!worker->draining && g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolRun *run = value;
+      /* It is not counted for that, but what else was there is no longer the only cause. */
+      if (may_have_begun (run))
+        fb_pool_crash_cause_add (self, worker->rank);
       if (run->step == NULL || !was_there (run))
         continue;
       if (is_proven (worker, run))
