One crash more where no crash is firm

No worker had ever said that the task was at work when it crashed; each was a start without an answer to a worker that had crashed just before, or a record of one.

A task that does crash its workers is seen at work there, or runs apart from the third crash on, where a start that ends in silence is firm. With one crash more it is started twice more after the third, less than the three that the users allow.

--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -101,7 +101,7 @@
   guint shared = fb_pool_task_crashes_n (task) - alone;
   if (alone > 0 && is_well_known (task) && shared < SHARED_ENOUGH)
     return self->limits.crashes_n;
-  return self->limits.shared_crashes_n;
+  return self->limits.shared_crashes_n + (evidence_n (task, FB_CRASH_FIRM) == 0);
 }
 
 gboolean
