--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -209,6 +209,9 @@
 static gboolean
 has_unlisted (const FbPoolWorker *worker)
 {
+  /* Behind ends that are not read yet none is settled, and a full list of ends waits for this. */
+  if (worker->unread)
+    return FALSE;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, worker->runs);
