A call is not sent once its time limit has passed

libcurl looks at its limits by the clock that stands still while a host is suspended, and the links between daemons wrote what they held before they looked at theirs. Now a call is not written to a connection once its limit has passed by the clock that goes on: over HTTP it ends as one that was never sent, and a link that holds such a call is closed.

Red before: a test each of test-http and test-links, which move that clock between the call and its connection.

--- a/src/entry/peers/link-connection.c
+++ b/src/entry/peers/link-connection.c
@@ -142,11 +142,30 @@
   g_ptr_array_add (self->links->dirty, self);
 }
 
+/* Failure: a daemon is suspended with a call to a peer in hand, and sends it when it wakes, which
+ * its caller had given up; it shows as a second run of a task.  Guard: a connection that holds such
+ * a call unwritten is closed. */
+static gboolean
+holds_overdue (const FbLinkConnection *self)
+{
+  for (const GList *l = self->pending.tail; l != NULL; l = l->prev)
+    {
+      const Pending *pending = l->data;
+      if (pending->frame_from < self->written)
+        return FALSE;
+      if (self->links->now_ms >= pending->until_ms)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 fb_link_connection_write (FbLinkConnection *self)
 {
   if (self->connecting)
     return TRUE;
+  if (holds_overdue (self))
+    return FALSE;
   while (unwritten (self) > 0)
     {
       ssize_t n = send (self->fd, self->out->data + self->out_from, unwritten (self), MSG_NOSIGNAL);
--- a/src/entry/peers/links.c
+++ b/src/entry/peers/links.c
@@ -35,6 +35,8 @@
 static void
 write_dirty (FbLinks *self)
 {
+  if (self->dirty->len > 0)
+    self->now_ms = fb_clock_ms ();
   while (self->dirty->len > 0)
     {
       FbLinkConnection *connection
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -56,6 +56,7 @@
   FbHttpClient *client;
   FbTraffic traffic;
   guint copies;
+  uint64_t until_ms; /* its time limit, by a clock that goes on while the host is suspended */
   guint silence_ms;
   GSource *silence; /* NULL without such a limit */
 } Call;
@@ -367,7 +368,19 @@
   return size * n;
 }
 
-/* Called with a connection in hand, before the call is written to it: once a copy. */
+static uint64_t
+clock_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+}
+
+/* Called with a connection in hand, before the call is written to it: once a copy.
+ *
+ * Failure: a daemon is suspended as it makes a connection, which libcurl's time limits do not see,
+ * and sends an order when it wakes that its caller had given up; it shows as a second run of a
+ * task.  Guard: a call is not sent once its time limit has passed. */
 static int
 on_copy (void *user, char *peer_ip, char *own_ip, int peer_port, int own_port)
 {
@@ -375,7 +388,10 @@
   (void) own_ip;
   (void) peer_port;
   (void) own_port;
-  ((Call *) user)->copies++;
+  Call *call = user;
+  if (clock_ms () >= call->until_ms)
+    return CURL_PREREQFUNC_ABORT;
+  call->copies++;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -454,6 +470,7 @@
   call->user = user;
   call->client = self;
   call->traffic = request->traffic;
+  call->until_ms = clock_ms () + timeout_ms;
   watch_silence (self, call, request->silence_ms);
   set_options (call, request, timeout_ms);
   curl_multi_add_handle (self->multi, call->easy);
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -12,6 +12,21 @@
 #define WHOLE_MS 5000
 #define PATIENCE_MS 8000
 
+/* For so long the host was suspended, as the clock that goes on meanwhile shows. */
+static gint suspended_s; /* atomic */
+
+int __real_clock_gettime (clockid_t clock, struct timespec *now);
+int __wrap_clock_gettime (clockid_t clock, struct timespec *now);
+
+int
+__wrap_clock_gettime (clockid_t clock, struct timespec *now)
+{
+  int result = __real_clock_gettime (clock, now);
+  if (clock == CLOCK_BOOTTIME)
+    now->tv_sec += g_atomic_int_get (&suspended_s);
+  return result;
+}
+
 /* A server in a thread: one call a connection, its answer in pieces at an even pace. */
 typedef struct
 {
@@ -119,6 +134,7 @@
 {
   gboolean done;
   FbHttpStatus status;
+  gboolean sent;
   gsize bytes;
   uint64_t after_ms;
   uint64_t began_ms;
@@ -130,6 +146,7 @@
   Seen *seen = user;
   seen->done = TRUE;
   seen->status = reply->status;
+  seen->sent = reply->sent;
   seen->bytes = reply->body != NULL ? g_bytes_get_size (reply->body) : 0;
   seen->after_ms = fb_clock_ms () - seen->began_ms;
 }
@@ -182,6 +199,30 @@
     }
 }
 
+/* Guards against: a daemon that was suspended sends an order that its caller has given up. */
+static void
+test_an_overdue_call_is_not_sent (void)
+{
+  Store *store = store_new (g_bytes_new_static ("{}", 2), 1, G_MAXUINT);
+  FbHttpClient *client = fb_http_client_new ();
+  FbHttpCall call = { .method = "POST",
+                      .url = g_strdup_printf ("http://%s/", store->address),
+                      .content_type = "application/json",
+                      .body = g_bytes_new_static ("{}", 2) };
+  Seen seen = { .began_ms = fb_clock_ms () };
+  fb_http_client_exchange (client, &call, WHOLE_MS, on_done, &seen);
+  g_atomic_int_add (&suspended_s, 2 * WHOLE_MS / 1000);
+  uint64_t woke_ms = fb_clock_ms ();
+  while (!seen.done && fb_clock_ms () < woke_ms + PATIENCE_MS)
+    g_main_context_iteration (NULL, TRUE);
+  CU_ASSERT_TRUE_FATAL (seen.done);
+  CU_ASSERT_EQUAL (seen.status, FB_HTTP_UNREACHABLE);
+  CU_ASSERT_FALSE (seen.sent);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&store->calls_n), 0);
+  fb_http_call_clear (&call);
+  fb_http_client_free (client);
+}
+
 /* An answer that comes for 0.6 s is waited for, though the limit on silence is 0.2 s. */
 static void
 test_a_slow_answer_is_waited_for (void)
@@ -448,6 +489,7 @@
     return 2;
   CU_pSuite suite = CU_add_suite ("http", NULL, NULL);
   CU_add_test (suite, "bytes are counted by kind", test_bytes_are_counted_by_kind);
+  CU_add_test (suite, "an overdue call is not sent", test_an_overdue_call_is_not_sent);
   CU_add_test (suite, "a slow answer is waited for", test_a_slow_answer_is_waited_for);
   CU_add_test (suite, "silence is given up", test_silence_is_given_up);
   CU_add_test (suite, "client goes with a call open", test_client_goes_with_a_call_open);
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -23,6 +23,21 @@
   char last[64];
 } Seen;
 
+/* For so long the host was suspended, as the clock that goes on meanwhile shows. */
+static guint suspended_s;
+
+int __real_clock_gettime (clockid_t clock, struct timespec *now);
+int __wrap_clock_gettime (clockid_t clock, struct timespec *now);
+
+int
+__wrap_clock_gettime (clockid_t clock, struct timespec *now)
+{
+  int result = __real_clock_gettime (clock, now);
+  if (clock == CLOCK_BOOTTIME)
+    now->tv_sec += suspended_s;
+  return result;
+}
+
 static guint served_n;
 static FbLinkCall *kept; /* a call that "keep" holds open */
 
@@ -255,6 +270,32 @@
   fb_links_free (b);
 }
 
+/* Guards against: a daemon that was suspended sends an order that its caller has given up. */
+static void
+test_an_overdue_call_is_not_sent (void)
+{
+  g_autofree char *here = test_unused_address ();
+  g_autofree char *there = test_unused_address ();
+  FbLinks *a = links_at (here);
+  FbLinks *b = links_at (there);
+  Seen first = { 0 };
+  Seen seen = { 0 };
+  call (a, there, "x", FOREVER_MS, &first);
+  run_until (a, &first, 1);
+  guint served_before_n = served_n;
+  call (a, there, "y", SHORT_MS, &seen);
+  suspended_s += 1;
+  run_until (a, &seen, 1);
+  CU_ASSERT_EQUAL (seen.not_sent_n, 1);
+  Seen last = { 0 };
+  call (a, there, "z", FOREVER_MS, &last);
+  run_until (a, &last, 1);
+  CU_ASSERT_EQUAL (last.answered_n, 1);
+  CU_ASSERT_EQUAL (served_n, served_before_n + 1);
+  fb_links_free (a);
+  fb_links_free (b);
+}
+
 int
 main (void)
 {
@@ -266,6 +307,7 @@
   CU_add_test (suite, "peer restarts", test_peer_restarts);
   CU_add_test (suite, "silent connection is left", test_silent_connection_is_left);
   CU_add_test (suite, "given up before it is written", test_given_up_before_it_is_written);
+  CU_add_test (suite, "an overdue call is not sent", test_an_overdue_call_is_not_sent);
   CU_add_test (suite, "other protocols are cut off", test_other_protocols_are_cut_off);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
