--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -495,6 +495,13 @@
   g_free (order);
 }
 
+/* Its sender stood still with it in hand, and does not send it any more. */
+static gboolean
+is_overdue (const World *world, const Order *order)
+{
+  return !order->arrived && order->taken_ms == 0 && world->now_ms > order->gives_up_ms;
+}
+
 /* An order is done with when it was carried out or lost and its sender knows or gave up. */
 void
 world_orders_tick (World *world)
@@ -506,7 +513,12 @@
       Owner *owner = sender_of (world, order);
       take_late (world, order);
       if (owner != NULL && owner->paused)
-        due = due && order->arrived; /* nobody hears answers; the order itself was sent */
+        due = due && order->arrived; /* it sends nothing, and nobody hears answers */
+      else if (due && is_overdue (world, order))
+        {
+          order->arrives_ms = G_MAXUINT64;
+          due = FALSE;
+        }
       if (due && carry_out (world, order))
         order->arrives_ms = G_MAXUINT64;
       if (order->answer_ms != 0 && world->now_ms >= order->answer_ms
