--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -335,6 +335,31 @@
     }
 }
 
+/* Guards against: a worker whose id holds the separator is called by a part of it. */
+static void
+test_names_of_lives (void)
+{
+  static const struct
+  {
+    const char *id;
+    uint64_t born_ms;
+    const char *life;
+  } cases[] = {
+    { "i-1", 0, "i-1" }, { "i-1", 77, "i-1@77" }, { "i@1", 0, "i@1@0" }, { "i@1", 77, "i@1@77" }
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *life = fb_wire_life (cases[i].id, cases[i].born_ms);
+      g_autofree char *id = fb_wire_life_id (life);
+      CU_ASSERT_STRING_EQUAL (life, cases[i].life);
+      CU_ASSERT_STRING_EQUAL (id, cases[i].id);
+    }
+  CU_ASSERT_TRUE (fb_wire_life_follows ("i-1@78", "i-1@77"));
+  CU_ASSERT_FALSE (fb_wire_life_follows ("i-1@77", "i-1@78"));
+  CU_ASSERT_FALSE (fb_wire_life_follows ("i-2@78", "i-1@77"));
+  CU_ASSERT_FALSE (fb_wire_life_follows ("i-1", "i-1@77"));
+}
+
 /* Calls name the worker's id, whichever life of it they are for. */
 static void
 test_calls_to_a_life (void)
@@ -473,6 +498,7 @@
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers of looks", test_look_answers);
   CU_add_test (suite, "answers of other lives", test_answers_of_other_lives);
+  CU_add_test (suite, "names of lives", test_names_of_lives);
   CU_add_test (suite, "calls to a life", test_calls_to_a_life);
   CU_add_test (suite, "a listed worker", test_listed_worker);
   CU_add_test (suite, "entries of other writers", test_entries_of_other_writers);
