--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -286,13 +286,14 @@
 fb_pool_return_log_gone_back (const FbPoolWorker *worker, const FbLookAnswer *answer)
 {
   guint again_n = 0;
+  uint64_t taken = worker->returns ? worker->told_acknowledged : worker->acknowledged;
   for (guint i = 0; i < answer->finished->len; i++)
-    again_n += g_array_index (answer->finished, FbEndSeen, i).number <= worker->acknowledged;
+    again_n += g_array_index (answer->finished, FbEndSeen, i).number <= taken;
   if (answer->clock_ms >= worker->clock_ms && again_n == 0)
     return;
   fb_event_log (FB_EVENT_POOL_WORKER_WENT_BACK,
                 "worker=%s clock_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
                 " ends=%u acknowledged_before=%u acknowledged=%" G_GUINT64_FORMAT " runs=%u",
                 worker->id, answer->clock_ms, worker->clock_ms, answer->finished->len, again_n,
-                worker->acknowledged, g_hash_table_size (worker->runs));
+                taken, g_hash_table_size (worker->runs));
 }
