A worker on which room is held is not forgotten

Cause, traced: room is held on a worker for a step that waits for advice, under the worker's name. The worker left the list, had nothing to run and was forgotten, and was listed again: a worker known anew, under the same name. The room was then given back to that one, which had never lent it: TASK_PLACED says cpu_used=22000 cpu=16000. It needs no worker that comes back under its id, only an entry that lapses while its worker is idle.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -117,7 +117,8 @@
   int64_t cpu_used;
   int64_t mem_used;
   int64_t gpu_used;
-  int64_t cpu_held; /* for steps that wait for advice */
+  guint held_n; /* tasks for which room is held, of steps that wait for advice */
+  int64_t cpu_held;
   int64_t mem_held;
   int64_t gpu_held;
 } FbPoolWorker;
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -187,6 +187,7 @@
 void
 fb_pool_worker_hold (FbPoolWorker *worker, const fb_work_step *shape, int sign)
 {
+  worker->held_n += (guint) sign;
   if (!shape->fills)
     worker->cpu_held += sign * (int64_t) shape->cpu_milli;
   worker->mem_held += sign * (int64_t) shape->mem_mb;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -215,11 +215,15 @@
 
 /* A worker that left is not looked at any more once nothing can run there: its life is
  * over, or this owner knows all that runs in the pool and has nothing on it.  A
- * successor would wait for it for a whole lease. */
+ * successor would wait for it for a whole lease.
+ *
+ * Failure: room is held on a worker that is forgotten, listed again and known anew; the room is
+ * then given back where it was never taken, and the worker gets more than it can hold.  Guard: a
+ * worker on which room is held is not forgotten. */
 static gboolean
 is_over (const FbPool *self, const FbPoolWorker *worker)
 {
-  if (worker->listed)
+  if (worker->listed || worker->held_n > 0)
     return FALSE;
   if (worker->gone)
     return !worker->look_open;
