A start that is to be shut out is no run of its task

Cause, traced: a worker is to refuse a start that got no answer, and starts again once more. The start goes over to the next life, and became the run of its task there, which it had not been any more. The run that a successor then found on another worker was wanted and not taken for the task's, and once the first was settled the task started a third time, beside it.

It now goes over as what it is.

--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -179,6 +179,8 @@
   moved->unanswered = run->unanswered;
   moved->whole = run->whole;
   moved->order = run->state == FB_RUN_STARTING ? run->order : 0;
+  moved->shut_out = run->shut_out;
+  next->shut_out_n += run->shut_out;
   moved->came_ms = now_ms;
   return moved;
 }
@@ -206,7 +208,7 @@
   fb_pool_worker_drop_run (worker, run);
   if (was_current && task->run == NULL)
     task->run = moved;
-  else
+  else if (!moved->shut_out) /* that one is no run of its task any more */
     fb_pool_task_take_run (task, moved);
   return TRUE;
 }
