Ends that a worker still lists are acknowledged again

Cause: since ends are acknowledged once, the owner holds for taken what was acknowledged by a look that was answered. Here the answer was that to a look that had been given up before; the worker went on to list six ends of six, all acknowledged as its owner had it, and no look said so again.

What a worker lists it has not forgotten: its owner owes the acknowledgement again.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -461,6 +461,19 @@
              : FB_POOL_LEASE_MS;
 }
 
+/* What WORKER lists it has not forgotten: an answer to another look was taken for that to the one
+ * that acknowledged. */
+static void
+acknowledge_again (FbPoolWorker *worker, const FbLookAnswer *answer)
+{
+  for (guint i = 0; i < answer->finished->len; i++)
+    {
+      uint64_t number = g_array_index (answer->finished, FbEndSeen, i).number;
+      if (number <= worker->told_acknowledged)
+        worker->told_acknowledged = number - 1;
+    }
+}
+
 static void
 take_answer (FbPool *self, FbPoolWorker *worker, const FbLookAnswer *answer, uint64_t now_ms,
              uint64_t wall_ms)
@@ -479,6 +492,7 @@
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
   fb_pool_return_log_gone_back (worker, answer);
+  acknowledge_again (worker, answer);
   fb_pool_doubt_end (self, worker->id, FALSE, now_ms);
   worker->answered = TRUE;
   worker->gone = FALSE;
