A start that is listed and not answered yet may come to the next life

Cause, traced: a call was begun twice on its way, as its first connection broke. The first copy was carried out and its run listed; the worker crashed; what a life had listed has ended with it, so the task started elsewhere at once; the second copy was still on its way, 220 ms old, and the next life carried it out.

Such a run now goes over to the next life like one that was never listed, until the call is answered or given up and the life has settled it. Its crash counts at once, as the run was seen.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -119,6 +119,8 @@
 gboolean fb_pool_owes_acknowledgement (const FbPoolWorker *worker);
 /* FALSE when a look at WORKER right after its answer would bring no more than that. */
 gboolean fb_pool_may_look_on (const FbPoolWorker *worker);
+/* TRUE while ORDER was sent and not answered. */
+gboolean fb_pool_order_is_open (const FbPool *self, uint64_t order);
 /* Answers to orders about RUN, which was on WORKER, are of the same run on NEXT. */
 void fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
                           const FbPoolWorker *next);
@@ -190,7 +192,7 @@
 void fb_pool_worker_returned (FbPool *self, FbPoolWorker *worker, const char *life,
                               uint64_t now_ms);
 /* TRUE when a later life of its worker may carry RUN out. */
-gboolean fb_pool_return_may_come (const FbPoolRun *run);
+gboolean fb_pool_return_may_come (const FbPool *self, const FbPoolRun *run);
 /* RUN did not come: it was on the life that it was sent to. */
 void fb_pool_return_count_crash (FbPool *self, const FbPoolRun *run, uint64_t now_ms);
 /* WORKER has ended and NEXT takes what was meant for it.
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -322,7 +322,7 @@
 {
   FbPoolStep *step = run->step;
   const FbPoolCrash crash = { worker->rank, is_apart (worker, run), evidence_of (worker, run) };
-  if (next != NULL && fb_pool_return_may_come (run))
+  if (next != NULL && run->listed_ms == 0 && fb_pool_return_may_come (self, run))
     {
       if (run->lost_with.worker == 0)
         run->lost_with = crash;
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -56,6 +56,12 @@
   return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, order_ref_free);
 }
 
+gboolean
+fb_pool_order_is_open (const FbPool *self, uint64_t order)
+{
+  return order != 0 && g_hash_table_contains (self->orders, &order);
+}
+
 static uint64_t
 remember_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
 {
--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -122,21 +122,24 @@
   return next;
 }
 
+/* A copy of a call that is not answered yet may still be on its way, though another was carried
+ * out. */
 gboolean
-fb_pool_return_may_come (const FbPoolRun *run)
+fb_pool_return_may_come (const FbPool *self, const FbPoolRun *run)
 {
-  return run->step != NULL && run->listed_ms == 0;
+  gboolean is_open = run->state != FB_RUN_STOPPING && fb_pool_order_is_open (self, run->order);
+  return run->step != NULL && (run->listed_ms == 0 || is_open);
 }
 
 static guint
-starts_that_may_come (const FbPoolWorker *worker)
+starts_that_may_come (const FbPool *self, const FbPoolWorker *worker)
 {
   guint n = 0;
   GHashTableIter iter;
   gpointer run;
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &run))
-    n += fb_pool_return_may_come (run);
+    n += fb_pool_return_may_come (self, run);
   return n;
 }
 
@@ -157,7 +160,7 @@
   next->replaced = FALSE;
   fb_event_log (FB_EVENT_POOL_WORKER_RETURNED,
                 "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, next->id,
-                g_hash_table_size (worker->runs), starts_that_may_come (worker),
+                g_hash_table_size (worker->runs), starts_that_may_come (self, worker),
                 worker->heard_ms != 0 ? (guint) (now_ms - worker->heard_ms) : 0);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, next, now_ms);
   /* Looks at the life before may have extended its lease by deadlines far ahead of its clock. */
@@ -178,7 +181,7 @@
   moved->given_up = run->given_up;
   moved->unanswered = run->unanswered;
   moved->whole = run->whole;
-  moved->order = run->state == FB_RUN_STARTING ? run->order : 0;
+  moved->order = run->state != FB_RUN_STOPPING ? run->order : 0;
   moved->shut_out = run->shut_out;
   next->shut_out_n += run->shut_out;
   moved->came_ms = now_ms;
@@ -189,7 +192,7 @@
 fb_pool_return_take_over (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, FbPoolWorker *next,
                           uint64_t now_ms)
 {
-  if (!fb_pool_return_may_come (run))
+  if (!fb_pool_return_may_come (self, run))
     return FALSE;
   /* It may be there already, to be refused. */
   FbPoolRun *moved = g_hash_table_lookup (next->runs, run->name);
