The last life at an address is forgotten when its worker moves

Found by reading: a worker that was listed at another address than before stayed the last life at the first one, also once it was forgotten and freed; the next life that was listed there was compared with it.

An answer by a life that was born earlier than the one that was looked at is taken at its word, and an end with the number 0, which no worker lists, is acknowledged to none.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -469,7 +469,7 @@
   for (guint i = 0; i < answer->finished->len; i++)
     {
       uint64_t number = g_array_index (answer->finished, FbEndSeen, i).number;
-      if (number <= worker->told_acknowledged)
+      if (number > 0 && number <= worker->told_acknowledged)
         worker->told_acknowledged = number - 1;
     }
 }
--- a/src/work/pool-return.c
+++ b/src/work/pool-return.c
@@ -151,9 +151,12 @@
       fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_LIFE, NULL, now_ms);
       return;
     }
-  FbPoolWorker *next = fb_pool_life_running (self, next_life (self, worker, life, now_ms));
-  if (worker->gone)
+  FbPoolWorker *named = next_life (self, worker, life, now_ms);
+  FbPoolWorker *next = fb_pool_life_running (self, named);
+  if (worker->gone) /* it was found to have ended as the other life became known */
     return;
+  if (next == worker) /* by its birth it began later; the answer knows better */
+    next = named;
   fb_pool_life_set_latest (self, next);
   /* What may have come to it is settled by its answers, or by the end of its leases. */
   next->gone = FALSE;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -119,13 +119,16 @@
       self->workers_dirty = TRUE;
     }
   gboolean was_draining = worker->draining;
+  gboolean has_moved = g_strcmp0 (worker->address, entry->address) != 0;
+  if (has_moved)
+    fb_pool_life_forget (self, worker);
   fb_pool_worker_describe (worker, entry);
   fb_pool_worker_opened (self, worker);
   if (is_new || was_draining != worker->draining)
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
                   worker->id, worker->address, worker->cpu_milli, worker->gpu_count,
                   worker->draining);
-  if (is_new)
+  if (has_moved)
     fb_pool_life_known (self, worker, now_ms);
   if (!worker->draining || was_draining)
     return;
