--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -72,12 +72,19 @@
 unanswered-is-firm|pool-crash.c|  return firm ? FB_CRASH_FIRM : FB_CRASH_LIKELY;|  return FB_CRASH_FIRM;
 evidence-not-recorded|pool-crash-record.c|firm ? FB_CRASH_FIRM : FB_CRASH_HEARSAY|FB_CRASH_HEARSAY
 other-birth-ignored|platform/worker.c|  if (born_ms == 0 \|\| g_str_equal (answered, life))|  if (TRUE)
-start-of-a-life-before-given-up|pool-return.c|  if (!fb_pool_return_may_come (run))\n    return FALSE;|  return FALSE;
+start-of-a-life-before-given-up|pool-return.c|  if (!fb_pool_return_may_come (self, run))\n    return FALSE;|  return FALSE;
 late-starts-not-shut-out|pool-report.c|    fb_pool_late_starts_shut_out (self, worker, now_ms);|    ;
 start-of-two-lives|pool-return.c|  if (task == NULL \|\| |  if (TRUE \|\| 
 silent-worker-acknowledged|pool-orders.c|  if (worker->look_failed)|  if (FALSE)
 recalled-starts-ignored|pool-recall.c|  if (task->done \|\| is_known (self, task, start))|  if (TRUE)
 recalled-start-at-a-worker-that-lives|pool-recall.c|  return (worker != NULL \&\& worker->answered)|  return FALSE
+moved-start-counts-twice|pool-crash.c|  if (run->lost_with.worker != 0)|  if (FALSE)
+awaited-start-is-no-cause|pool-crash.c|      if (was_there (other) \|\| may_have_begun (other))|      if (was_there (other))
+held-worker-forgotten|pool.c|  if (worker->listed \|\| worker->held_n > 0)|  if (worker->listed)
+unstored-never-handed|pool-unstored.c|      else if (is_late \&\& job->unstored_news)|      else if (FALSE)
+acknowledged-beside-starts|pool-orders.c|(fb_pool_owes_acknowledgement (worker) \&\& !has_unlisted (worker))|fb_pool_owes_acknowledgement (worker)
+acknowledged-for-good|pool-report.c|  acknowledge_again (worker, answer);|  (void) acknowledge_again;
+second-copy-forgotten|pool-return.c|(run->listed_ms == 0 \|\| is_open)|(run->listed_ms == 0)
 TABLE
 }
 
