Pool: one function for what is settled of a task on a worker

What is recalled of starts and what is restored of crashes asked the same three things in two functions: has the worker answered, is the start in doubt already, is a crash of it counted. fb_pool_tried_is_settled() serves both. Nothing changes in what it answers.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -105,6 +105,8 @@
 void fb_pool_tried_note (FbPoolTask *task, const char *worker, const char *address, gboolean seen);
 /* TRUE when it is not known yet what became of TASK on WORKER. */
 gboolean fb_pool_tried_has (const FbPoolTask *task, const char *worker);
+/* TRUE when what became of TASK on WORKER is known, or in doubt already. */
+gboolean fb_pool_tried_is_settled (const FbPool *self, const FbPoolTask *task, const char *worker);
 /* TASK was seen at work on WORKER.  Returns: FALSE when that is no news, or not asked for. */
 gboolean fb_pool_tried_see (FbPoolTask *task, const char *worker);
 /* It is known what became of TASK on WORKER. */
--- a/src/work/pool-crash-record.c
+++ b/src/work/pool-crash-record.c
@@ -223,14 +223,11 @@
   return FALSE;
 }
 
-/* TRUE when what became of the task on WORKER is known, or in doubt already. */
-static gboolean
-is_settled (const FbPool *self, const FbPoolStep *step, const fb_work_suspect *suspect,
-            const char *worker)
+gboolean
+fb_pool_tried_is_settled (const FbPool *self, const FbPoolTask *task, const char *worker)
 {
-  const FbPoolTask *task = &step->tasks[suspect->index];
   const FbPoolWorker *known = g_hash_table_lookup (self->workers, worker);
-  return (known != NULL && known->answered) || find_tried (task, worker) != NULL
+  return (known != NULL && known->answered) || fb_pool_tried_has (task, worker)
          || fb_pool_task_has_crash (task, fb_pool_worker_rank (worker));
 }
 
@@ -241,7 +238,7 @@
     {
       const fb_work_tried *tried = &suspect->tried.tried_val[i];
       if (is_tried (suspect, 0, i, tried->worker)
-          || is_settled (self, step, suspect, tried->worker))
+          || fb_pool_tried_is_settled (self, &step->tasks[suspect->index], tried->worker))
         continue;
       gboolean seen = is_tried (suspect, i + 1, suspect->tried.tried_len, tried->worker);
       const FbPoolCrash crash = { fb_pool_worker_rank (tried->worker), FALSE,
--- a/src/work/pool-recall.c
+++ b/src/work/pool-recall.c
@@ -8,16 +8,6 @@
 #include "fb-counter.h"
 #include "fb-event.h"
 
-/* TRUE when what became of the task on the worker that START names is known, or is in doubt
- * already. */
-static gboolean
-is_known (const FbPool *self, const FbPoolTask *task, const fb_recent_start *start)
-{
-  const FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
-  return (worker != NULL && worker->answered) || fb_pool_tried_has (task, start->worker)
-         || fb_pool_task_has_crash (task, fb_pool_worker_rank (start->worker));
-}
-
 static void
 recall (FbPool *self, const fb_recent_start *start, uint64_t now_ms)
 {
@@ -28,7 +18,7 @@
   fb_pool_late_start_note (self, start->worker, start->address, start->task, start->attempt, now_ms,
                            now_ms);
   FbPoolTask *task = &step->tasks[index];
-  if (task->done || is_known (self, task, start))
+  if (task->done || fb_pool_tried_is_settled (self, task, start->worker))
     return;
   fb_counter_add (FB_COUNTER_STARTS_RECALLED, 1);
   fb_event_log (FB_EVENT_START_RECALLED, "task=%s attempt=%u worker=%s seen=%d", start->task,
