Tests: one line says what a test of recent starts guards against

The assertions are the same. The first: an owner is killed as its store goes away, and the next one comes once it is back. The second: another daemon heard the end of the run, and its worker crashes later.

--- a/tests/test-recent-starts.c
+++ b/tests/test-recent-starts.c
@@ -90,8 +90,7 @@
   fb_recent_starts_free (self);
 }
 
-/* Guards against: an owner is killed as its store goes away, and the next one, which comes once it
- * is back, knows of no crash. */
+/* Guards against: a start that was seen is forgotten before the next owner comes. */
 static void
 test_what_was_seen_is_told_later (void)
 {
@@ -108,8 +107,7 @@
   fb_recent_starts_free (self);
 }
 
-/* Guards against: a run whose end another daemon heard is held against its task when its worker
- * crashes later. */
+/* Guards against: a run whose end another daemon heard is taken for one that still runs. */
 static void
 test_what_is_not_listed_any_more_is_over (void)
 {
