--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -1,4 +1,6 @@
 /* Calls over HTTP to a store whose answers come slowly, or stop coming. */
+#include "suspended-clock.h"
+
 #include "src/entry/entry-private.h"
 
 #include <CUnit/Basic.h>
@@ -12,21 +14,6 @@
 #define WHOLE_MS 5000
 #define PATIENCE_MS 8000
 
-/* For so long the host was suspended, as the clock that goes on meanwhile shows. */
-static gint suspended_s; /* atomic */
-
-int __real_clock_gettime (clockid_t clock, struct timespec *now);
-int __wrap_clock_gettime (clockid_t clock, struct timespec *now);
-
-int
-__wrap_clock_gettime (clockid_t clock, struct timespec *now)
-{
-  int result = __real_clock_gettime (clock, now);
-  if (clock == CLOCK_BOOTTIME)
-    now->tv_sec += g_atomic_int_get (&suspended_s);
-  return result;
-}
-
 /* A server in a thread: one call a connection, its answer in pieces at an even pace. */
 typedef struct
 {
@@ -211,7 +198,7 @@
                       .body = g_bytes_new_static ("{}", 2) };
   Seen seen = { .began_ms = fb_clock_ms () };
   fb_http_client_exchange (client, &call, WHOLE_MS, on_done, &seen);
-  g_atomic_int_add (&suspended_s, 2 * WHOLE_MS / 1000);
+  suspended_clock_add (2 * WHOLE_MS / 1000);
   uint64_t woke_ms = fb_clock_ms ();
   while (!seen.done && fb_clock_ms () < woke_ms + PATIENCE_MS)
     g_main_context_iteration (NULL, TRUE);
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -1,4 +1,5 @@
 /* Links between daemons, over loopback and in one process. */
+#include "suspended-clock.h"
 #include "test-ports.h"
 
 #include "src/entry/peers/links.h"
@@ -23,21 +24,6 @@
   char last[64];
 } Seen;
 
-/* For so long the host was suspended, as the clock that goes on meanwhile shows. */
-static guint suspended_s;
-
-int __real_clock_gettime (clockid_t clock, struct timespec *now);
-int __wrap_clock_gettime (clockid_t clock, struct timespec *now);
-
-int
-__wrap_clock_gettime (clockid_t clock, struct timespec *now)
-{
-  int result = __real_clock_gettime (clock, now);
-  if (clock == CLOCK_BOOTTIME)
-    now->tv_sec += suspended_s;
-  return result;
-}
-
 static guint served_n;
 static FbLinkCall *kept; /* a call that "keep" holds open */
 
@@ -284,7 +270,7 @@
   run_until (a, &first, 1);
   guint served_before_n = served_n;
   call (a, there, "y", SHORT_MS, &seen);
-  suspended_s += 1;
+  suspended_clock_add (1);
   run_until (a, &seen, 1);
   CU_ASSERT_EQUAL (seen.not_sent_n, 1);
   Seen last = { 0 };
