Starts of suspected tasks are stored before they are ordered

Cause: the start of a task with one counted crash was put among what is to be stored and the order went out at once. While the store took no writes, the crash, the start and what it did were known to daemons only; when all of them were killed the next owner counted from zero.

Now such a start gets its worker first, is recorded with the counts, and is ordered once that is stored. While the open write is slow no suspected task is placed. All members of a gang wait for one another. A withdrawn start uses up no attempt number, which is taken as the order goes out.

Why it works: whatever the next owner cannot learn of a suspected task was never sent. It costs one append a start of a suspected task, others pay nothing.

Red before: pools/suspect-starts-once-it-is-stored and each-owner-forgets-one-start (the start goes out and is forgotten), suspect-is-not-placed-while-the-store-is-down.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -39,9 +39,9 @@
 /* A run of task INDEX ended on WORKER, which is still up. */
 void fb_pool_crash_task_ended (FbPool *self, const FbPoolWorker *worker, FbPoolStep *step,
                                uint32_t index, FbEndReason reason);
-/* Task INDEX was started on WORKER: records the start if the task is suspected. */
-void fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step,
-                                 uint32_t index);
+/* Task INDEX got its place on WORKER: adds the start to the job's record if the task is
+ * suspected. */
+void fb_pool_crash_task_placed (FbPoolWorker *worker, FbPoolStep *step, uint32_t index);
 /* RUN was seen running on WORKER: updates the job's record if it contains the start. */
 void fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
 /* Records the runs on WORKER when it becomes silent. */
@@ -124,8 +124,29 @@
 void fb_pool_crash_restore (FbPool *self, FbPoolJob *job, const fb_work_suspects *record,
                             uint64_t now_ms);
 
+/* pool-awaiting-starts.c: starts that are ordered once they are stored */
+
+/* Returns: (transfer full): an empty list for FbPool.awaiting_starts. */
+GPtrArray *fb_pool_awaiting_starts_new (void);
+/* TRUE when a start of task INDEX must be stored before it is ordered. */
+gboolean fb_pool_start_needs_record (const FbPoolStep *step, uint32_t index);
+/* TRUE while task INDEX is not placed, because a start of it could not be stored now. */
+gboolean fb_pool_start_is_postponed (const FbPool *self, const FbPoolStep *step, uint32_t index,
+                                     uint64_t now_ms);
+/* RUN, which has its place on WORKER, is ordered once that is stored. */
+void fb_pool_start_await_record (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                                 uint64_t now_ms);
+/* WORKER is lost: withdraws the starts that wait there. */
+void fb_pool_awaiting_starts_withdraw (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* Orders the starts that are stored, if MAY_START, and withdraws those that must not be sent any
+ * more. */
+void fb_pool_awaiting_starts_check (FbPool *self, gboolean may_start, uint64_t now_ms);
+
 /* pool-unstored-suspects.c: suspicions that are not stored yet */
 
+/* TRUE while the open write of the pool's records takes unusually long. */
+gboolean fb_pool_write_is_slow (const FbPool *self, uint64_t now_ms);
+
 /* Crashes or unresolved losses of JOB's tasks have changed. */
 void fb_pool_unstored_suspects_add (FbPool *self, FbPoolJob *job);
 /* Removes JOB, which is about to be freed. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -47,6 +47,8 @@
   gboolean fenced;   /* a worker has seen a higher epoch: the pool must not be used any more */
   gboolean flushing; /* a flush is open */
   uint64_t flush_started_ms; /* when the last flush began */
+  uint64_t flushes_n;        /* number of the last flush; 0: none has begun */
+  uint64_t stored_flushes_n; /* number of the last flush that was stored; 0: none */
   uint64_t last_order;       /* number of the last order; 0: none was sent yet */
   GHashTable *workers;       /* id -> FbPoolWorker */
   GPtrArray *worker_slots;   /* of FbPoolWorker by slot; NULL: the slot is free; borrowed */
@@ -80,6 +82,7 @@
   GHashTable *suspect_steps; /* set of FbPoolStep with tasks whose crashes are counted; borrowed */
   /* Set of FbPoolJob with suspects to be kept by other daemons; borrowed. */
   GHashTable *unstored_suspects;
+  GPtrArray *awaiting_starts; /* starts that are not ordered yet: see pool-awaiting-starts.c */
   /* Id hash of a crashed worker -> how many tasks may have caused the crash. */
   GHashTable *crash_causes;
   /* Id of a lost worker -> the tasks that were on it: see pool-unresolved-losses.c. */
@@ -129,8 +132,14 @@
 void fb_pool_queue_remove_job (FbPool *self, const FbPoolJob *job);
 
 /* pool-orders.c */
+
+/* Places task INDEX on WORKER and orders its start, for a suspected task once the start is
+ * stored. */
 void fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                           uint32_t attempt, uint64_t now_ms);
+/* Sends the order to start RUN, which has its place on WORKER. */
+void fb_pool_order_placed_start (FbPool *self, FbPoolWorker *worker, FbPoolRun *run,
+                                 uint64_t now_ms);
 void fb_pool_order_stop (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 void fb_pool_order_poll (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE while WORKER, which may restart under its id, has not received the latest
@@ -365,9 +374,9 @@
  * tasks when none is pending. */
 uint32_t fb_pool_long_running_next (const FbPool *self, const FbPoolStep *step,
                                     GHashTable *skipped);
-/* A start of RUN was sent. */
-void fb_pool_long_running_started (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
-                                   uint64_t now_ms);
+/* RUN got its place on a worker. */
+void fb_pool_long_running_placed (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
+                                  uint64_t now_ms);
 
 /* pool-stuck.c */
 
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -5,7 +5,7 @@
 
 typedef enum
 {
-  FB_RUN_STARTING, /* start sent, not confirmed by the worker yet */
+  FB_RUN_STARTING, /* start sent, or about to be; not confirmed by the worker yet */
   FB_RUN_RUNNING,
   FB_RUN_STOPPING
 } FbRunState;
@@ -39,6 +39,8 @@
   FbRunState state;
   gboolean abandoned;  /* its task no longer depends on this run */
   gboolean unanswered; /* the start got no answer: it may have begun */
+  /* The start is not ordered yet: see pool-awaiting-starts.c. */
+  gboolean awaits_record;
   /* Crashes and unresolved losses of its task when the run was charged to the worker. */
   guint suspect_score;
   /* Begun here without a checkpoint: its duration measures the worker's speed. */
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -581,7 +581,7 @@
 }
 
 void
-fb_pool_crash_task_ordered (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
+fb_pool_crash_task_placed (FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
 {
   FbPoolTask *task = &step->tasks[index];
   if (!fb_pool_task_is_suspect (task))
@@ -590,5 +590,4 @@
   if (worker->exclusive_for == task)
     worker->exclusive_for = NULL;
   fb_pool_unresolved_start_add (task, worker->id, worker->address, FALSE);
-  g_hash_table_add (self->dirty, step->job);
 }
--- a/src/work/pool-long-running.c
+++ b/src/work/pool-long-running.c
@@ -146,8 +146,8 @@
 }
 
 void
-fb_pool_long_running_started (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
-                              uint64_t now_ms)
+fb_pool_long_running_placed (const FbPool *self, FbPoolStep *step, const FbPoolRun *run,
+                             uint64_t now_ms)
 {
   if (!step->spec->long_running)
     return;
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -19,6 +19,7 @@
   fb_event_log (FB_EVENT_POOL_WORKER_LOST, "worker=%s why=%s runs=%u heard_ms_ago=%u", worker->id,
                 why, g_hash_table_size (worker->runs),
                 worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0);
+  fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
   fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
   guint runs_n = g_list_length (runs);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -127,20 +127,34 @@
 fb_pool_order_start (FbPool *self, FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                      uint32_t attempt, uint64_t now_ms)
 {
-  const FbPoolWorkerAdvice *ticket = fb_pool_valid_ticket (step, worker, now_ms);
   g_autofree char *name = fb_pool_task_name (step, index);
   FbPoolTask *task = &step->tasks[index];
   FbPoolRun *run = fb_pool_worker_add_run (worker, step, index, name, attempt);
   run->state = FB_RUN_STARTING;
-  run->deadline_ms = fb_pool_worker_clock_min (worker, now_ms) + FB_POOL_START_WINDOW_MS;
   run->started_ms = now_ms;
   run->from_start = task->checkpoint == NULL;
+  fb_pool_task_attach_run (task, run);
+  fb_pool_crash_task_placed (worker, step, index);
+  fb_pool_long_running_placed (self, step, run, now_ms);
+  if (fb_pool_start_needs_record (step, index))
+    fb_pool_start_await_record (self, worker, run, now_ms);
+  else
+    fb_pool_order_placed_start (self, worker, run, now_ms);
+}
+
+void
+fb_pool_order_placed_start (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
+{
+  FbPoolStep *step = run->step;
+  FbPoolTask *task = &step->tasks[run->index];
+  const FbPoolWorkerAdvice *ticket = fb_pool_valid_ticket (step, worker, now_ms);
+  run->awaits_record = FALSE;
+  run->deadline_ms = fb_pool_worker_clock_min (worker, now_ms) + FB_POOL_START_WINDOW_MS;
+  run->started_ms = now_ms;
   run->order = add_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   fb_pool_worker_throttle (worker, now_ms);
-  fb_pool_task_attach_run (task, run);
-  task->attempt = attempt;
-  fb_pool_crash_task_ordered (self, worker, step, index);
+  task->attempt = run->attempt;
   if (!step->job->started)
     fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
   step->job->started = TRUE;
@@ -151,15 +165,14 @@
       FB_EVENT_TASK_PLACED,
       "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT " cpu=%u mem_used=%" G_GINT64_FORMAT
       " heard_ms_ago=%" G_GUINT64_FORMAT " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
-      name, attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
+      run->name, run->attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
       now_ms - worker->last_answer_ms, worker->speed->slowness, step->job->tightness, self->epoch);
-  fb_pool_long_running_started (self, step, run, now_ms);
   const FbStartOrder order = { .order = run->order,
                                .worker = worker->id,
                                .address = worker->address,
                                .epoch = self->epoch,
-                               .task = name,
-                               .attempt = attempt,
+                               .task = run->name,
+                               .attempt = run->attempt,
                                .payload = step->job->record.spec.payload,
                                .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
                                .ticket = ticket != NULL ? ticket->ticket : NULL,
@@ -172,6 +185,8 @@
 {
   run->state = FB_RUN_STOPPING;
   run->stop_sent_ms = now_ms;
+  if (run->awaits_record)
+    return;
   run->order = add_order (self, worker, run);
   fb_event_log (FB_EVENT_TASK_STOPPING, "task=%s attempt=%u worker=%s epoch=%" G_GUINT64_FORMAT,
                 run->name, run->attempt, worker->id, self->epoch);
@@ -228,7 +243,8 @@
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (((const FbPoolRun *) value)->listed_ms == 0)
+      const FbPoolRun *run = value;
+      if (run->listed_ms == 0 && !run->awaits_record)
         return TRUE;
     }
   return FALSE;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -10,7 +10,7 @@
 place_probe (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   uint32_t index = fb_pool_probe_next (step);
-  if (index == step->spec->count)
+  if (index == step->spec->count || fb_pool_start_is_postponed (self, step, index, now_ms))
     return;
   FbPoolWorker *worker
       = fb_pool_best_worker (self, step, index, NULL, NULL, FB_TICKET_VALID, now_ms);
@@ -59,11 +59,13 @@
        i = next_to_place (self, step, i + 1, deferred))
     {
       FbPoolTask *task = &step->tasks[i];
+      gboolean postponed = fb_pool_start_is_postponed (self, step, i, now_ms);
       FbPoolWorker *worker
-          = fb_pool_best_worker (self, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
-      if (worker == NULL)
+          = postponed ? NULL
+                      : fb_pool_best_worker (self, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
+      if (worker == NULL && !postponed)
         return FALSE;
-      if (fb_pool_crash_waits_for_stable (worker, task, now_ms))
+      if (postponed || fb_pool_crash_waits_for_stable (worker, task, now_ms))
         {
           deferred = deferred != NULL ? deferred : g_hash_table_new (NULL, NULL);
           g_hash_table_add (deferred, task);
@@ -103,7 +105,7 @@
 static gboolean
 place_gang (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  if (!gang_is_idle (step))
+  if (!gang_is_idle (step) || fb_pool_start_is_postponed (self, step, 0, now_ms))
     return FALSE;
   step->gang_broken = FALSE;
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, step->spec->count);
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -145,6 +145,7 @@
     }
   mark_flushing_ends (self);
   self->flushing = TRUE;
+  self->flushes_n++;
   self->flush_started_ms = now_ms;
   if (records->len > 0)
     return records;
@@ -158,6 +159,7 @@
 fb_pool_flushed (FbPool *self, uint64_t now_ms)
 {
   self->flushing = FALSE;
+  self->stored_flushes_n = self->flushes_n;
   for (guint i = 0; i < self->in_flush->len; i++)
     {
       FbPoolJob *job = self->in_flush->pdata[i];
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -134,7 +134,7 @@
 fb_pool_restart_may_deliver (const FbPool *self, const FbPoolRun *run)
 {
   gboolean is_open = run->state != FB_RUN_STOPPING && fb_pool_order_is_open (self, run->order);
-  return run->step != NULL && (run->listed_ms == 0 || is_open);
+  return run->step != NULL && !run->awaits_record && (run->listed_ms == 0 || is_open);
 }
 
 static guint
--- a/src/work/pool-unstored-suspects.c
+++ b/src/work/pool-unstored-suspects.c
@@ -20,6 +20,12 @@
   g_free (unstored);
 }
 
+gboolean
+fb_pool_write_is_slow (const FbPool *self, uint64_t now_ms)
+{
+  return self->flushing && now_ms > self->flush_started_ms + SLOW_WRITE_MS;
+}
+
 void
 fb_pool_unstored_suspects_add (FbPool *self, FbPoolJob *job)
 {
@@ -68,7 +74,7 @@
 {
   if (g_hash_table_size (self->unstored_suspects) == 0)
     return NULL;
-  gboolean is_late = self->flushing && now_ms > self->flush_started_ms + SLOW_WRITE_MS;
+  gboolean is_late = fb_pool_write_is_slow (self, now_ms);
   GPtrArray *all = g_ptr_array_new_with_free_func (unstored_suspects_free);
   GHashTableIter iter;
   gpointer value;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -37,6 +37,7 @@
   self->dirty = g_hash_table_new (NULL, NULL);
   self->suspect_steps = g_hash_table_new (NULL, NULL);
   self->unstored_suspects = g_hash_table_new (NULL, NULL);
+  self->awaiting_starts = fb_pool_awaiting_starts_new ();
   self->crash_causes = fb_pool_crash_causes_new ();
   self->unresolved_losses = fb_pool_unresolved_losses_new ();
   self->drain_steps = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -67,6 +68,7 @@
   g_hash_table_unref (self->dirty);
   g_hash_table_unref (self->suspect_steps);
   g_hash_table_unref (self->unstored_suspects);
+  g_ptr_array_unref (self->awaiting_starts);
   g_hash_table_unref (self->crash_causes);
   g_hash_table_unref (self->unresolved_losses);
   g_ptr_array_unref (self->in_flush);
@@ -409,6 +411,7 @@
       fb_pool_check_recovery (self, now_ms);
     }
   fb_pool_crash_end_jobs (self, now_ms, wall_ms);
+  fb_pool_awaiting_starts_check (self, may_start && fb_pool_may_place (self), now_ms);
   if (!fb_pool_may_place (self) || !may_start)
     {
       self->no_start_reason = may_start ? "majority" : "authority";
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -29,6 +29,7 @@
   GHashTable *stops;   /* task -> order number of the last stop */
   GHashTable *used_workers; /* set of ids of workers on which something was started */
   GPtrArray *flush;         /* the open flush; NULL: none */
+  gboolean store_is_up;     /* each tick is followed by a flush that is stored at once */
   gboolean show_polls;
   uint64_t advice_requests_left; /* number of advice requests that are still accepted */
   char **args;
@@ -515,15 +516,6 @@
 
 /* ---- time and records ---------------------------------------------------------------------- */
 
-/* tick [MS]: advances the clock by MS and calls fb_pool_tick(). */
-static void
-do_tick (Script *script)
-{
-  if (script->args[1] != NULL)
-    script->now_ms += g_ascii_strtoull (script->args[1], NULL, 10);
-  fb_pool_tick (script->pool, TRUE, script->now_ms, wall_ms (script));
-}
-
 static gint
 compare_lines (gconstpointer a, gconstpointer b)
 {
@@ -577,6 +569,29 @@
   fb_pool_flushed (script->pool, script->now_ms);
 }
 
+/* store up: from here on each tick stores what has changed, and the pool ticks again. store down:
+ * only flush and flushed do. */
+static void
+do_store (Script *script)
+{
+  script->store_is_up = has_flag (script, "up");
+}
+
+/* tick [MS]: advances the clock by MS and calls fb_pool_tick(). */
+static void
+do_tick (Script *script)
+{
+  if (script->args[1] != NULL)
+    script->now_ms += g_ascii_strtoull (script->args[1], NULL, 10);
+  fb_pool_tick (script->pool, TRUE, script->now_ms, wall_ms (script));
+  if (!script->store_is_up)
+    return;
+  script->flush = fb_pool_flush (script->pool, script->now_ms, wall_ms (script));
+  if (script->flush != NULL)
+    do_flushed (script);
+  fb_pool_tick (script->pool, TRUE, script->now_ms, wall_ms (script));
+}
+
 /* jobs-complete: every job stored so far has been added. */
 static void
 do_jobs_complete (Script *script)
@@ -696,6 +711,7 @@
                  { "stop-answer", do_stop_answer },
                  { "advice", do_advice },
                  { "advice-answer", do_advice_answer },
+                 { "store", do_store },
                  { "tick", do_tick },
                  { "flush", do_flush },
                  { "flushed", do_flushed },
