Runs are recorded at the first failed poll of their worker

Cause: what is on a worker was recorded once the worker had been silent for 1.3 s. Eight of 18 lost crashes in nine traced tasks were first starts whose owner was killed, frozen or stopped within that second while the store worked, two more lost the store in it. In 53 of 54 traced starts the owner's next call to the worker failed 5 to 180 ms after the crash.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -44,7 +44,7 @@
 void fb_pool_crash_task_placed (FbPoolWorker *worker, FbPoolStep *step, uint32_t index);
 /* RUN was seen running on WORKER: updates the job's record if it contains the start. */
 void fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
-/* Records the runs on WORKER when it becomes silent. */
+/* Records the runs on WORKER when a poll of it has failed. */
 void fb_pool_crash_record_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* Called before the runs of a lost WORKER are dropped. NEXT: as for fb_pool_worker_lost(). */
 void fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss,
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -80,7 +80,7 @@
   uint64_t listed_ms;        /* when it was first listed; 0: known from a record only */
   gboolean draining;         /* will exit soon: gets no new work */
   gboolean answered;         /* has answered a poll under the present epoch */
-  gboolean silence_recorded; /* it is silent, and its runs have been recorded */
+  gboolean silence_recorded; /* its last poll failed, and its runs have been recorded */
   gboolean runs_ended;       /* this incarnation or all its leases have certainly ended */
   gboolean replaced;         /* this incarnation has certainly ended */
   /* Restarts under the same id, so a later incarnation may receive calls meant for this one. */
