Runs on workers that fail their polls are backed up too

While the store takes no writes, other daemons keep the crashes that an owner has counted. A run whose worker fails its polls is no crash yet for 4 s and more, and was in no backup: the owner was killed, and the next one counted from zero.

Cause: record_silence() changed the job's record and did not mark its suspects as changed for the backups.

Red before: pools/silence-while-the-store-is-down (no backup, the next owner counts no crash).

--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -376,6 +376,7 @@
     {
       fb_pool_unresolved_start_add (task, worker->id, worker->address, run->seen_clock_ms > 0);
       fb_pool_job_changed (self, run->step->job);
+      fb_pool_unstored_suspects_add (self, run->step->job);
     }
   else if (task->crashes == NULL)
     fb_pool_unresolved_start_drop (task, worker->id);
