A start whose crash is deferred is recorded

A worker that comes back under its id before it has listed a run may have crashed under it, or may still carry the start out. The owner waits until that is certain. Replaced meanwhile, it took the start with it: no record named it, and one more crash was forgotten.

Now the start stands in the job's record as unresolved until the new incarnation lists the run, which drops it (fb_pool_restart_listed()).

Red before: pools/deferred-crash-under-two-owners.

--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -341,6 +341,8 @@
     {
       if (run->deferred_crash.worker == 0)
         run->deferred_crash = crash;
+      fb_pool_unresolved_start_add (&step->tasks[run->index], worker->id, worker->address, FALSE);
+      fb_pool_job_changed (self, step->job);
       return;
     }
   /* A start can crash only one incarnation. If it does not arrive at this one, it crashed the one
