A loss stays unresolved until the list of workers is read

A loss that a new owner finds in a record ended after 10 s as "no crash", also while the store did not return the list of workers, which alone shows what took the lost worker's place. Such an owner starts nothing meanwhile.

--- a/src/work/pool-unresolved-losses.c
+++ b/src/work/pool-unresolved-losses.c
@@ -162,7 +162,9 @@
     {
       const UnresolvedLoss *loss = value;
       gboolean replaced = due && is_replaced (self, id, loss);
-      if (!replaced && now_ms < loss->since_ms + UNRESOLVED_LOSS_MAX_MS)
+      /* Only the list shows what took the place of a worker that this owner never polled. */
+      if (!replaced
+          && (now_ms < loss->since_ms + UNRESOLVED_LOSS_MAX_MS || !self->workers_complete))
         continue;
       resolve (self, id, loss, replaced && !is_draining (self, id), now_ms);
       g_hash_table_iter_remove (&iter);
