Orders go through another daemon where the domain has none

Daemons remember the starts that they relay and report them to the next owner.

Where domains have several daemons nothing changes.

test-daemons expected that an owner without another daemon in the domain sends its orders itself, which is what lost the starts. It now expects the daemon of the other domain, and that a daemon that is alone sends them itself; red before.

--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -5,7 +5,8 @@
  * failure domain of each worker relays the owner's orders to it.  It is chosen by rendezvous
  * hashing weighted by processor share, and the owner exchanges frames of a few hundred bytes with
  * it.  When the owner's link is slow, the starts of one job are relayed through few daemons
- * (payload-dedup.h).
+ * (payload-dedup.h).  Where the domain has no other daemon, one of another domain relays: it keeps
+ * the starts that it relayed (recent-starts.h), and what only the owner knows is lost with it.
  *
  * A relay makes no decisions and no retries.  An order that it delays is equivalent to one that the
  * network delays: it contains the owner's epoch and a deadline on the worker's clock.
@@ -39,7 +40,7 @@
 
 typedef struct
 {
-  const char *domain;
+  const char *domain; /* NULL: any */
   const char *except;
   uint64_t now_ms;
 } Choice;
@@ -49,7 +50,7 @@
 {
   const Choice *choice = user;
   return choice->now_ms >= member->relay_backoff_until_ms
-         && g_str_equal (member->domain, choice->domain)
+         && (choice->domain == NULL || g_str_equal (member->domain, choice->domain))
          && !g_str_equal (member->address, choice->except);
 }
 
@@ -57,8 +58,10 @@
 fb_relay_choose (const GPtrArray *members, const char *domain, const char *key, const char *except,
                  uint64_t now_ms)
 {
-  const Choice choice = { domain, except, now_ms };
-  return fb_rendezvous_choose (members, key, may_relay, &choice);
+  const Choice in_domain = { domain, except, now_ms };
+  const Choice anywhere = { NULL, except, now_ms };
+  const FbDaemon *member = fb_rendezvous_choose (members, key, may_relay, &in_domain);
+  return member != NULL ? member : fb_rendezvous_choose (members, key, may_relay, &anywhere);
 }
 
 const char *
--- a/src/entry/peers/relay.h
+++ b/src/entry/peers/relay.h
@@ -19,7 +19,8 @@
 typedef void (*FbPeerReplyDone) (gpointer user, const fb_peer_reply *peer_reply);
 
 /* MEMBERS: of FbDaemon.  EXCEPT: an address that is excluded.
- * Returns: (nullable): the member of DOMAIN that relays orders with KEY; borrowed. */
+ * Returns: (nullable): the member that relays orders with KEY, in DOMAIN if there is one; borrowed.
+ */
 const FbDaemon *fb_relay_choose (const GPtrArray *members, const char *domain, const char *key,
                                  const char *except, uint64_t now_ms);
 /* Returns: (nullable): the address of the daemon that relays ORDER to its worker, borrowed; NULL
--- a/tests/test-daemons.c
+++ b/tests/test-daemons.c
@@ -134,13 +134,18 @@
   CU_ASSERT (moved_n > WORKER_N / 10 && moved_n < WORKER_N / 4);
 }
 
-/* Without another daemon in the workers' domain the owner sends its orders itself. */
+/* Without another daemon in the workers' domain, one of another domain relays, so that the starts
+ * are not lost with the owner; a daemon that is alone sends its orders itself. */
 static void
 test_no_relay_in_the_domain (void)
 {
   static const char *const names[] = { "10.0.0.4:7/z2/500/1", "10.0.0.9:7/z1/500/1", NULL };
   g_autoptr (GPtrArray) daemons = daemons_from (names);
-  CU_ASSERT_PTR_NULL (relay_of (daemons, 1, 1000));
+  const char *relay = relay_of (daemons, 1, 1000);
+  CU_ASSERT (relay != NULL && g_str_equal (relay, "10.0.0.4:7"));
+  static const char *const lone_names[] = { "10.0.0.9:7/z1/500/1", NULL };
+  g_autoptr (GPtrArray) lone = daemons_from (lone_names);
+  CU_ASSERT_PTR_NULL (relay_of (lone, 1, 1000));
 }
 
 /* A worker's lists of runs and ends are unchanged after relaying. */
