Daemons report starts at workers that they no longer hear of

A daemon told the next owner only of starts at workers that had left its own last call unanswered. A worker that crashed after that call, and was back under another id or polled through another daemon, was named at neither of the two questions, and the next owner started the task once more for it. With 512 starts since, the one at the crashed worker was evicted.

Now: a worker that leaves the list, and not as planned, counts as unanswered. At the second question daemons report also the starts of the last 10 s at workers that they have not heard of for 1.3 s; polls have gone round by then, and the new owner passes over what its own polls have answered. An owner takes the answers of relayed polls into its memory, since it may have sent starts there before it owned the pool. Starts at workers that answer are evicted first.

The second question is a new request (13).

--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -320,7 +320,7 @@
   for (guint i = 0; i < PEER_N; i++)
     {
       fb_recent_starts_reply reply;
-      fb_recent_starts_list (world->recent_starts[i], world->now_ms, &reply);
+      fb_recent_starts_list (world->recent_starts[i], FALSE, world->now_ms, &reply);
       fb_pool_import_starts (owner->pool, &reply, world->now_ms);
       g_free (reply.starts.starts_val);
     }
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -353,10 +353,10 @@
 {
   FbRecentStarts *recent_starts = world_recent_starts (world, order->worker);
   if (order->kind == ORDER_POLL)
-    fb_recent_starts_polled (recent_starts, order->worker_name, &order->answer);
+    fb_recent_starts_polled (recent_starts, order->worker_name, &order->answer, world->now_ms);
   else if (order->kind == ORDER_START)
     fb_recent_starts_answered (recent_starts, order->worker_name, order->task, order->attempt,
-                               order->answer.result);
+                               order->answer.result, world->now_ms);
 }
 
 /* The sender of ORDER gets the reply, unless it has stopped. */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -750,6 +750,8 @@
 		break;
 	case FB_REQUEST_SUSPECT_BACKUPS:
 		break;
+	case FB_REQUEST_UNHEARD_STARTS:
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -190,6 +190,7 @@
 	FB_REQUEST_RELAY_ORDER = 10,
 	FB_REQUEST_BACK_UP_SUSPECTS = 11,
 	FB_REQUEST_SUSPECT_BACKUPS = 12,
+	FB_REQUEST_UNHEARD_STARTS = 13,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -151,7 +151,9 @@
                                      * each other */
   FB_REQUEST_BACK_UP_SUSPECTS = 11, /* keep a copy of a job's crash suspects until the store
                                      * has them */
-  FB_REQUEST_SUSPECT_BACKUPS = 12   /* all such copies that the receiving daemon holds */
+  FB_REQUEST_SUSPECT_BACKUPS = 12,  /* all such copies that the receiving daemon holds */
+  FB_REQUEST_UNHEARD_STARTS = 13    /* as FB_REQUEST_RECENT_STARTS, with starts on workers that the
+                                     * receiving daemon has not heard of for some time */
 };
 
 struct fb_job_state_request {
@@ -239,6 +241,7 @@
 case FB_REQUEST_RECENT_STARTS: void;
 case FB_REQUEST_BACK_UP_SUSPECTS: fb_suspects_backup backup;
 case FB_REQUEST_SUSPECT_BACKUPS: void;
+case FB_REQUEST_UNHEARD_STARTS: void;
 };
 
 enum fb_peer_reply_type {
--- a/src/entry/owner/owner-import.c
+++ b/src/entry/owner/owner-import.c
@@ -56,7 +56,8 @@
 import_own_starts (FbOwner *self)
 {
   fb_recent_starts_reply peer_reply;
-  fb_recent_starts_list (self->entry->recent_starts, fb_clock_ms (), &peer_reply);
+  fb_recent_starts_list (self->entry->recent_starts, self->start_requests_n > 1, fb_clock_ms (),
+                         &peer_reply);
   import_starts (self, &peer_reply);
   g_free (peer_reply.starts.starts_val);
 }
@@ -86,6 +87,9 @@
       if (self->start_requests_n == 1)
         request_from (self, daemon->address, FB_REQUEST_SUSPECT_BACKUPS);
       request_from (self, daemon->address, FB_REQUEST_RECENT_STARTS);
+      /* At the first request no worker may have been polled yet, so all are unheard. */
+      if (self->start_requests_n > 1)
+        request_from (self, daemon->address, FB_REQUEST_UNHEARD_STARTS);
     }
 }
 
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -97,7 +97,7 @@
     log_failed (order, reply->status, reply->sent);
   fb_relay_parse_worker_answer (order->kind, order->worker, reply, &answer);
   if (order->kind == FB_ORDER_KIND_POLL)
-    fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer);
+    fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer, fb_clock_ms ());
   finish (order, &answer);
   fb_poll_answer_clear (&answer);
 }
@@ -110,6 +110,9 @@
       = { .result = result == FB_RELAY_LOST ? FB_ORDER_UNKNOWN : FB_ORDER_NOT_DONE };
   if (result == FB_RELAY_ANSWERED)
     fb_relay_decode_answer (peer_reply, &answer);
+  /* This daemon may have sent starts to the worker before it owned the pool. */
+  if (result == FB_RELAY_ANSWERED && order->kind == FB_ORDER_KIND_POLL)
+    fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer, fb_clock_ms ());
   if (answer.result == FB_ORDER_UNKNOWN || result != FB_RELAY_ANSWERED)
     log_failed (order, (int) result, result != FB_RELAY_NOT_RELAYED);
   finish (order, &answer);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -41,6 +41,7 @@
     case FB_REQUEST_PENDING_COUNT:
     case FB_REQUEST_PARTITION_OWNERS:
     case FB_REQUEST_RECENT_STARTS:
+    case FB_REQUEST_UNHEARD_STARTS:
     case FB_REQUEST_SUSPECT_BACKUPS:
       return FB_TRAFFIC_PEER_QUESTIONS;
     case FB_REQUEST_BACK_UP_SUSPECTS:
@@ -358,10 +359,11 @@
 }
 
 static void
-reply_with_starts (FbEntryDaemon *entry, ServedRequest *served)
+reply_with_starts (FbEntryDaemon *entry, gboolean unheard, ServedRequest *served)
 {
   fb_peer_reply peer_reply = { .type = FB_REPLY_RECENT_STARTS };
-  fb_recent_starts_list (entry->recent_starts, fb_clock_ms (), &peer_reply.fb_peer_reply_u.starts);
+  fb_recent_starts_list (entry->recent_starts, unheard, fb_clock_ms (),
+                         &peer_reply.fb_peer_reply_u.starts);
   send_reply (served, &peer_reply);
   g_free (peer_reply.fb_peer_reply_u.starts.starts.starts_val);
 }
@@ -408,7 +410,8 @@
       fb_relay_serve (entry, &peer_request->fb_peer_request_u.order, send_reply, served);
       return;
     case FB_REQUEST_RECENT_STARTS:
-      reply_with_starts (entry, served);
+    case FB_REQUEST_UNHEARD_STARTS:
+      reply_with_starts (entry, peer_request->type == FB_REQUEST_UNHEARD_STARTS, served);
       return;
     case FB_REQUEST_SUSPECT_BACKUPS:
       reply_with_suspect_backups (entry, served);
--- a/src/entry/peers/recent-starts.c
+++ b/src/entry/peers/recent-starts.c
@@ -7,6 +7,9 @@
 /* The same for a start that the worker has confirmed.  While the store is unavailable, nothing is
  * recorded and no daemon takes over; a confirmed start is still sufficient evidence afterwards. */
 #define CONFIRMED_MAX_AGE_MS 40000
+/* Time without an answer after which a worker counts as unheard.  Its owner polls it several times
+ * in this time. */
+#define UNHEARD_AFTER_MS 1300
 /* Number of consecutive lists of a worker's runs without the run that prove that it has ended. */
 #define MISSING_MAX 2
 
@@ -24,7 +27,9 @@
 typedef struct
 {
   GQueue starts;         /* of Start, borrowed, oldest first */
-  gboolean unresponsive; /* the result of the last order does not imply that it is running */
+  uint64_t heard_ms;     /* when a result last implied that it is running, or the first start */
+  gboolean unresponsive; /* nothing implies that it is running since its last order, or since it
+                            was unlisted */
 } WorkerStarts;
 
 struct _FbRecentStarts
@@ -69,28 +74,43 @@
 }
 
 static WorkerStarts *
-worker_starts_for (FbRecentStarts *self, const char *worker)
+worker_starts_for (FbRecentStarts *self, const char *worker, uint64_t now_ms)
 {
   WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, worker);
   if (worker_starts != NULL)
     return worker_starts;
   worker_starts = g_new0 (WorkerStarts, 1);
   g_queue_init (&worker_starts->starts);
+  worker_starts->heard_ms = now_ms;
   g_hash_table_insert (self->workers, g_strdup (worker), worker_starts);
   return worker_starts;
 }
 
 static void
-evict_oldest (FbRecentStarts *self)
+evict (FbRecentStarts *self, GList *link)
 {
-  Start *start = g_queue_pop_head (&self->starts);
+  Start *start = link->data;
   WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, start->worker);
-  (void) g_queue_pop_head (&worker_starts->starts);
+  g_queue_remove (&worker_starts->starts, start);
   if (g_queue_is_empty (&worker_starts->starts))
     g_hash_table_remove (self->workers, start->worker);
+  g_queue_delete_link (&self->starts, link);
   start_free (start);
 }
 
+/* Evicts the oldest start on a worker that seems to be running, or the oldest one if there is
+ * none. */
+static void
+evict_one (FbRecentStarts *self)
+{
+  GList *link = self->starts.head;
+  while (link != NULL
+         && ((WorkerStarts *) g_hash_table_lookup (self->workers, ((Start *) link->data)->worker))
+                ->unresponsive)
+    link = link->next;
+  evict (self, link != NULL ? link : self->starts.head);
+}
+
 static gboolean
 is_recent (const Start *start, uint64_t now_ms)
 {
@@ -102,9 +122,10 @@
                        const char *task, uint32_t attempt, uint64_t now_ms)
 {
   const Start *oldest = NULL;
-  while ((oldest = g_queue_peek_head (&self->starts)) != NULL
-         && (!is_recent (oldest, now_ms) || self->starts.length >= FB_WORK_MAX_STARTS))
-    evict_oldest (self);
+  while ((oldest = g_queue_peek_head (&self->starts)) != NULL && !is_recent (oldest, now_ms))
+    evict (self, self->starts.head);
+  if (self->starts.length >= FB_WORK_MAX_STARTS)
+    evict_one (self);
   Start *start = g_new0 (Start, 1);
   start->worker = g_strdup (worker);
   start->address = g_strdup (address);
@@ -112,7 +133,7 @@
   start->attempt = attempt;
   start->sent_ms = now_ms;
   g_queue_push_tail (&self->starts, start);
-  g_queue_push_tail (&worker_starts_for (self, worker)->starts, start);
+  g_queue_push_tail (&worker_starts_for (self, worker, now_ms)->starts, start);
 }
 
 /* Removes the start at LINK of WORKER_STARTS, whose run has ended or was never created. */
@@ -140,14 +161,22 @@
          && result != FB_ORDER_NO_LISTENER;
 }
 
+static void
+record_result (WorkerStarts *worker_starts, FbOrderResult result, uint64_t now_ms)
+{
+  worker_starts->unresponsive = !implies_running (result);
+  if (!worker_starts->unresponsive)
+    worker_starts->heard_ms = now_ms;
+}
+
 void
 fb_recent_starts_answered (FbRecentStarts *self, const char *worker, const char *task,
-                           uint32_t attempt, FbOrderResult result)
+                           uint32_t attempt, FbOrderResult result, uint64_t now_ms)
 {
   WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, worker);
   if (worker_starts == NULL)
     return;
-  worker_starts->unresponsive = !implies_running (result);
+  record_result (worker_starts, result, now_ms);
   for (GList *l = worker_starts->starts.head, *next = NULL; l != NULL; l = next)
     {
       Start *start = l->data;
@@ -206,12 +235,13 @@
 }
 
 void
-fb_recent_starts_polled (FbRecentStarts *self, const char *worker, const FbPollAnswer *answer)
+fb_recent_starts_polled (FbRecentStarts *self, const char *worker, const FbPollAnswer *answer,
+                         uint64_t now_ms)
 {
   WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, worker);
   if (worker_starts == NULL)
     return;
-  worker_starts->unresponsive = !implies_running (answer->result);
+  record_result (worker_starts, answer->result, now_ms);
   if (answer->result == FB_ORDER_DONE)
     apply_running (self, worker_starts, answer->running);
   for (guint i = 0; answer->finished != NULL && i < answer->finished->len; i++)
@@ -220,7 +250,22 @@
 }
 
 void
-fb_recent_starts_list (const FbRecentStarts *self, uint64_t now_ms,
+fb_recent_starts_unlisted (FbRecentStarts *self, const char *worker)
+{
+  WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, worker);
+  if (worker_starts != NULL)
+    worker_starts->unresponsive = TRUE;
+}
+
+static gboolean
+is_unheard (const WorkerStarts *worker_starts, const Start *start, uint64_t now_ms)
+{
+  return now_ms >= worker_starts->heard_ms + UNHEARD_AFTER_MS
+         && now_ms < start->sent_ms + START_MAX_AGE_MS;
+}
+
+void
+fb_recent_starts_list (const FbRecentStarts *self, gboolean unheard, uint64_t now_ms,
                        fb_recent_starts_reply *peer_reply)
 {
   peer_reply->starts.starts_val = g_new0 (fb_recent_start, self->starts.length);
@@ -229,7 +274,9 @@
     {
       const Start *start = l->data;
       const WorkerStarts *worker_starts = g_hash_table_lookup (self->workers, start->worker);
-      if (!worker_starts->unresponsive || !is_recent (start, now_ms))
+      if (!is_recent (start, now_ms)
+          || !(worker_starts->unresponsive
+               || (unheard && is_unheard (worker_starts, start, now_ms))))
         continue;
       peer_reply->starts.starts_val[peer_reply->starts.starts_len++]
           = (fb_recent_start){ start->worker, start->address, start->task, start->attempt,
--- a/src/entry/peers/recent-starts.h
+++ b/src/entry/peers/recent-starts.h
@@ -20,10 +20,15 @@
                             const char *task, uint32_t attempt, uint64_t now_ms);
 /* Records the result of that start. */
 void fb_recent_starts_answered (FbRecentStarts *self, const char *worker, const char *task,
-                                uint32_t attempt, FbOrderResult result);
+                                uint32_t attempt, FbOrderResult result, uint64_t now_ms);
 /* Records the answer to a poll of WORKER. */
-void fb_recent_starts_polled (FbRecentStarts *self, const char *worker, const FbPollAnswer *answer);
-/* Fills in PEER_REPLY with the starts on workers that did not answer their last order.  The caller
- * frees the array; its strings are borrowed until SELF changes. */
-void fb_recent_starts_list (const FbRecentStarts *self, uint64_t now_ms,
+void fb_recent_starts_polled (FbRecentStarts *self, const char *worker, const FbPollAnswer *answer,
+                              uint64_t now_ms);
+/* WORKER is no longer listed, and not because it drained: it may be polled by nobody any more. */
+void fb_recent_starts_unlisted (FbRecentStarts *self, const char *worker);
+/* Fills in PEER_REPLY with the starts on workers that did not answer their last order or are no
+ * longer listed, and, with UNHEARD, those on workers of which this daemon has had no answer for
+ * some time, as other daemons may relay their polls.  The caller frees the array; its strings are
+ * borrowed until SELF changes. */
+void fb_recent_starts_list (const FbRecentStarts *self, gboolean unheard, uint64_t now_ms,
                             fb_recent_starts_reply *peer_reply);
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -188,7 +188,7 @@
     }
   if (call->kind == FB_ORDER_KIND_START)
     fb_recent_starts_answered (call->entry->recent_starts, call->worker, call->task, call->attempt,
-                               result);
+                               result, fb_clock_ms ());
   call->done (call->user, reply);
   g_free (call->worker);
   g_free (call->task);
@@ -361,7 +361,7 @@
   FbPollAnswer answer;
   fb_relay_parse_worker_answer (order->kind, order->worker, reply, &answer);
   if (order->kind == FB_ORDER_KIND_POLL)
-    fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer);
+    fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer, fb_clock_ms ());
   fb_peer_reply peer_reply = { .type = FB_REPLY_ORDER_RESULT };
   fb_relay_reply *order_reply = &peer_reply.fb_peer_reply_u.order;
   order_reply->result = answer.result;
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -117,6 +117,9 @@
   g_hash_table_iter_init (&iter, self->owners);
   while (g_hash_table_iter_next (&iter, NULL, &owner))
     fb_owner_worker_unlisted (owner, worker);
+  /* A worker that drained has left as planned. */
+  if (!worker->entry.draining)
+    fb_recent_starts_unlisted (self->recent_starts, worker->entry.id);
   fb_worker_list_remove (self->workers, id);
 }
 
--- a/tests/test-recent-starts.c
+++ b/tests/test-recent-starts.c
@@ -12,7 +12,7 @@
 reported_n (const FbRecentStarts *self, uint64_t now_ms, fb_recent_start *first)
 {
   fb_recent_starts_reply reply;
-  fb_recent_starts_list (self, now_ms, &reply);
+  fb_recent_starts_list (self, FALSE, now_ms, &reply);
   guint n = reply.starts.starts_len;
   if (n > 0 && first != NULL)
     *first = reply.starts.starts_val[0];
@@ -31,7 +31,7 @@
   if (end != NULL)
     g_array_append_val (finished, *end);
   const FbPollAnswer answer = { .result = result, .running = running, .finished = finished };
-  fb_recent_starts_polled (self, "w1", &answer);
+  fb_recent_starts_polled (self, "w1", &answer, NOW_MS);
 }
 
 /* A start on a crashed worker must not be lost together with its owner. */
@@ -41,7 +41,7 @@
   FbRecentStarts *self = fb_recent_starts_new ();
   fb_recent_start first = { .worker = "", .address = "", .task = "" };
   fb_recent_starts_sent (self, "w1", "10.0.0.1:7", TASK, 3, NOW_MS);
-  fb_recent_starts_answered (self, "w1", TASK, 3, FB_ORDER_DONE);
+  fb_recent_starts_answered (self, "w1", TASK, 3, FB_ORDER_DONE, NOW_MS);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 0);
   answer_poll (self, FB_ORDER_UNKNOWN, NULL, NULL);
   CU_ASSERT_EQUAL_FATAL (reported_n (self, NOW_MS, &first), 1);
@@ -53,6 +53,25 @@
   fb_recent_starts_free (self);
 }
 
+/* A worker that returned under another id between two owners is polled by nobody. */
+static void
+test_start_on_unlisted_worker (void)
+{
+  FbRecentStarts *self = fb_recent_starts_new ();
+  fb_recent_start first = { .worker = "", .address = "", .task = "" };
+  fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE, NOW_MS);
+  fb_recent_starts_unlisted (self, "w2");
+  CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 0);
+  fb_recent_starts_unlisted (self, "w1");
+  CU_ASSERT_EQUAL_FATAL (reported_n (self, NOW_MS, &first), 1);
+  CU_ASSERT_TRUE (first.confirmed);
+  const FbReportedRun run = { .task = (char *) TASK, .attempt = 1 };
+  answer_poll (self, FB_ORDER_DONE, &run, NULL);
+  CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 0);
+  fb_recent_starts_free (self);
+}
+
 /* An unanswered start must not be reported as confirmed by the worker. */
 static void
 test_unanswered_start (void)
@@ -61,7 +80,7 @@
   fb_recent_start first = { .worker = "", .address = "", .task = "" };
   const FbReportedRun run = { .task = (char *) TASK, .attempt = 1 };
   fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_UNKNOWN);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_UNKNOWN, NOW_MS);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, &first), 1);
   CU_ASSERT_FALSE (first.confirmed);
   answer_poll (self, FB_ORDER_DONE, &run, NULL);
@@ -78,7 +97,7 @@
   FbRecentStarts *self = fb_recent_starts_new ();
   const FbReportedEnd end = { .number = 1, .task = (char *) TASK, .attempt = 2 };
   fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_NO_CAPACITY);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_NO_CAPACITY, NOW_MS);
   fb_recent_starts_sent (self, "w1", "a", TASK, 2, NOW_MS);
   answer_poll (self, FB_ORDER_DONE, NULL, &end);
   fb_recent_starts_sent (self, "w1", "a", OTHER_TASK, 1, NOW_MS);
@@ -86,7 +105,7 @@
   fb_recent_start first = { .worker = "", .address = "", .task = "" };
   CU_ASSERT_EQUAL_FATAL (reported_n (self, NOW_MS, &first), 1);
   CU_ASSERT_STRING_EQUAL (first.task, OTHER_TASK);
-  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_OTHER_INCARNATION);
+  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_OTHER_INCARNATION, NOW_MS);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 0);
   fb_recent_starts_free (self);
 }
@@ -98,9 +117,9 @@
   FbRecentStarts *self = fb_recent_starts_new ();
   fb_recent_start first = { .worker = "", .address = "", .task = "" };
   fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE, NOW_MS);
   fb_recent_starts_sent (self, "w1", "a", OTHER_TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_UNKNOWN);
+  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_UNKNOWN, NOW_MS);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS + 5000, NULL), 2);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS + 20000, &first), 1);
   CU_ASSERT_STRING_EQUAL (first.task, TASK);
@@ -114,7 +133,7 @@
 {
   FbRecentStarts *self = fb_recent_starts_new ();
   fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE, NOW_MS);
   answer_poll (self, FB_ORDER_DONE, NULL, NULL);
   answer_poll (self, FB_ORDER_UNKNOWN, NULL, NULL);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 1);
@@ -130,11 +149,11 @@
 {
   FbRecentStarts *self = fb_recent_starts_new ();
   fb_recent_starts_sent (self, "w1", "a", OTHER_TASK, 1, NOW_MS);
-  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_DONE);
+  fb_recent_starts_answered (self, "w1", OTHER_TASK, 1, FB_ORDER_DONE, NOW_MS);
   for (guint i = 1; i < 3 * FB_WORK_MAX_STARTS; i++)
     {
       fb_recent_starts_sent (self, "w2", "a", TASK, i, NOW_MS);
-      fb_recent_starts_answered (self, "w2", TASK, i, FB_ORDER_PAST_DEADLINE);
+      fb_recent_starts_answered (self, "w2", TASK, i, FB_ORDER_PAST_DEADLINE, NOW_MS);
     }
   answer_poll (self, FB_ORDER_UNKNOWN, NULL, NULL);
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 1);
@@ -150,7 +169,7 @@
     {
       g_autofree char *worker = g_strdup_printf ("w%u", i % 7);
       fb_recent_starts_sent (self, worker, "a", TASK, i, NOW_MS);
-      fb_recent_starts_answered (self, worker, TASK, i, FB_ORDER_UNKNOWN);
+      fb_recent_starts_answered (self, worker, TASK, i, FB_ORDER_UNKNOWN, NOW_MS);
     }
   fb_recent_start first = { .worker = "", .address = "", .task = "" };
   CU_ASSERT_EQUAL (reported_n (self, NOW_MS, &first), FB_WORK_MAX_STARTS);
@@ -166,6 +185,7 @@
     return 2;
   CU_pSuite suite = CU_add_suite ("recent starts", NULL, NULL);
   CU_add_test (suite, "a start on an unresponsive worker", test_start_on_unresponsive_worker);
+  CU_add_test (suite, "a start on an unlisted worker", test_start_on_unlisted_worker);
   CU_add_test (suite, "an unanswered start", test_unanswered_start);
   CU_add_test (suite, "an ended start is not reported", test_ended_start_is_not_reported);
   CU_add_test (suite, "a confirmed start is reported longer",
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -42,6 +42,10 @@
 verdict "incarnations in the worker list" $B/tests/test-worker-list
 verdict "recent starts" $B/tests/test-recent-starts
 verdict "backups of suspects" $B/tests/test-suspect-backups
+for c in start-on-a-worker-without-orders \
+         running-workers-evict-no-others; do
+  verdict "lost crashes $c" $B/tests/test-lost-crashes "$c"
+done
 verdict "requests with a slow store" $B/tests/test-slow-store
 verdict "platform wire format" $B/tests/test-wire
 pool() { diff <($B/tests/test-pool "$1" 2>&1) "${1%.script}.expected"; }
