Each daemon is asked when it becomes known

A new owner asked the daemons of its list at its first tick and 1.5 s later for starts, and once for backups of suspects. A backup whose answer took more than 1 s was lost as well.

Now the list is checked every 100 ms for 10 s after loading. Each daemon in it is asked twice for starts, 1.5 s apart, and at both times for backups until it has returned them. What is returned counts as before: a worker that has answered the owner settles it.

--- a/src/entry/owner/owner-import.c
+++ b/src/entry/owner/owner-import.c
@@ -1,5 +1,8 @@
 /* After a takeover, requests from the other daemons what no record contains: recent starts by
- * earlier owners, and crash suspects that those owners could not store. */
+ * earlier owners, and crash suspects that those owners could not store.
+ *
+ * Memberships expire while the store is unavailable, so a new owner may know only some of the
+ * daemons at first. Each one is asked when it becomes known. */
 #include "owner-private.h"
 
 /* Timeout of a request, whose answer is needed before the first tasks are restarted, some 1 s after
@@ -9,12 +12,25 @@
  * that worker times out. */
 #define REPEAT_DELAY_MS 1500
 #define REQUESTS_MAX 2
+/* Time after loading in which daemons are asked that become known, and the interval at which the
+ * list of daemons is checked for them. */
+#define IMPORT_PERIOD_MS 10000
+#define CHECK_INTERVAL_MS 100
+
+/* What was requested from one daemon, which may be this one. */
+typedef struct
+{
+  guint requests_n;     /* number of requests for recent starts */
+  uint64_t next_ms;     /* time of the next such request */
+  gboolean has_backups; /* it has returned its backups of suspects */
+} ImportSource;
 
 typedef struct
 {
   FbEntryDaemon *entry;
   uint32_t partition;
   uint64_t epoch;
+  char *address; /* of the daemon that is asked */
 } ImportRequest;
 
 static void
@@ -37,7 +53,12 @@
     import_starts (owner, &peer_reply->fb_peer_reply_u.starts);
   else if (peer_reply != NULL && peer_reply->type == FB_REPLY_SUSPECT_BACKUPS && owner != NULL
            && owner->epoch == request->epoch)
-    fb_owner_import_suspects (owner, &peer_reply->fb_peer_reply_u.backups);
+    {
+      ImportSource *source = g_hash_table_lookup (owner->import_sources, request->address);
+      source->has_backups = TRUE;
+      fb_owner_import_suspects (owner, &peer_reply->fb_peer_reply_u.backups);
+    }
+  g_free (request->address);
   g_free (request);
 }
 
@@ -49,15 +70,15 @@
   request->entry = self->entry;
   request->partition = self->partition;
   request->epoch = self->epoch;
+  request->address = g_strdup (address);
   fb_peers_request (self->entry, address, &peer_request, ANSWER_TIMEOUT_MS, on_peer_reply, request);
 }
 
 static void
-import_own_starts (FbOwner *self)
+import_own_starts (FbOwner *self, gboolean unheard)
 {
   fb_recent_starts_reply peer_reply;
-  fb_recent_starts_list (self->entry->recent_starts, self->start_requests_n > 1, fb_clock_ms (),
-                         &peer_reply);
+  fb_recent_starts_list (self->entry->recent_starts, unheard, fb_clock_ms (), &peer_reply);
   import_starts (self, &peer_reply);
   g_free (peer_reply.starts.starts_val);
 }
@@ -71,34 +92,66 @@
   xdr_free ((xdrproc_t) xdr_fb_suspect_backups_reply, (char *) &peer_reply);
 }
 
+/* Returns: the daemon at ADDRESS, which has not been asked yet if it is new. */
+static ImportSource *
+source_at (FbOwner *self, const char *address)
+{
+  ImportSource *source = g_hash_table_lookup (self->import_sources, address);
+  if (source != NULL)
+    return source;
+  source = g_new0 (ImportSource, 1);
+  g_hash_table_insert (self->import_sources, g_strdup (address), source);
+  return source;
+}
+
+static gboolean
+is_due (const ImportSource *source, uint64_t now_ms)
+{
+  return source->requests_n < REQUESTS_MAX && now_ms >= source->next_ms;
+}
+
 static void
-request_from_all (FbOwner *self)
+import_from (FbOwner *self, const char *address, ImportSource *source, uint64_t now_ms)
 {
-  const GPtrArray *daemons = fb_daemons_all (self->entry->daemons);
-  if (self->start_requests_n == 1)
-    import_own_suspects (self);
-  import_own_starts (self);
-  for (guint i = 0; i < daemons->len; i++)
+  gboolean is_self = g_str_equal (address, self->entry->settings->peers);
+  /* At the first request no worker may have been polled yet, so all are unheard. */
+  gboolean unheard = source->requests_n > 0;
+  source->requests_n++;
+  source->next_ms = now_ms + REPEAT_DELAY_MS;
+  if (is_self)
     {
-      const FbDaemon *daemon = daemons->pdata[i];
-      if (g_str_equal (daemon->address, self->entry->settings->peers))
-        continue;
-      /* Requested only once, because the owner may have cleared a task of suspicion since then. */
-      if (self->start_requests_n == 1)
-        request_from (self, daemon->address, FB_REQUEST_SUSPECT_BACKUPS);
-      request_from (self, daemon->address, FB_REQUEST_RECENT_STARTS);
-      /* At the first request no worker may have been polled yet, so all are unheard. */
-      if (self->start_requests_n > 1)
-        request_from (self, daemon->address, FB_REQUEST_UNHEARD_STARTS);
+      if (!source->has_backups)
+        import_own_suspects (self);
+      source->has_backups = TRUE;
+      import_own_starts (self, unheard);
+      return;
     }
+  /* Imported once, because the owner may have cleared a task of suspicion since then. */
+  if (!source->has_backups)
+    request_from (self, address, FB_REQUEST_SUSPECT_BACKUPS);
+  request_from (self, address, FB_REQUEST_RECENT_STARTS);
+  if (unheard)
+    request_from (self, address, FB_REQUEST_UNHEARD_STARTS);
 }
 
 void
 fb_owner_request_starts (FbOwner *self, uint64_t now_ms)
 {
-  if (self->start_requests_n >= REQUESTS_MAX || now_ms < self->next_start_request_ms)
+  if (self->import_until_ms == 0)
+    self->import_until_ms = now_ms + IMPORT_PERIOD_MS;
+  if (now_ms >= self->import_until_ms || now_ms < self->next_import_ms)
     return;
-  self->start_requests_n++;
-  self->next_start_request_ms = now_ms + REPEAT_DELAY_MS;
-  request_from_all (self);
+  self->next_import_ms = now_ms + CHECK_INTERVAL_MS;
+  const char *own_address = self->entry->settings->peers;
+  ImportSource *source = source_at (self, own_address);
+  if (is_due (source, now_ms))
+    import_from (self, own_address, source, now_ms);
+  const GPtrArray *daemons = fb_daemons_all (self->entry->daemons);
+  for (guint i = 0; i < daemons->len; i++)
+    {
+      const char *address = ((const FbDaemon *) daemons->pdata[i])->address;
+      source = source_at (self, address);
+      if (is_due (source, now_ms))
+        import_from (self, address, source, now_ms);
+    }
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -29,17 +29,18 @@
   gboolean stepped_down;  /* has stepped down and takes no further action */
   gboolean quiesced;      /* starts no tasks, because the daemon is stopping */
   uint64_t takeover_began_ms;
-  uint64_t fenced_ms;     /* time at which the previous owner was fenced */
-  uint64_t progress_ms;   /* time at which the progress records had been read */
-  uint64_t jobs_ms;       /* time at which the jobs had been read; applying them starts then */
-  guint loaded_n;         /* number of jobs that were loaded */
-  gsize loaded_bytes;     /* size of all records that were loaded */
-  uint64_t confirmed_ms;  /* time at which its ownership was last confirmed */
-  guint start_requests_n; /* number of requests for recent starts sent to each other daemon */
-  uint64_t next_start_request_ms; /* time of the next such request */
-  guint tick_source;              /* source of the scheduled tick; 0: none */
-  guint tick_timer;               /* subscription for the periodic tick */
-  guint open_flushes;             /* number of appends of progress without a result yet */
+  uint64_t fenced_ms;         /* time at which the previous owner was fenced */
+  uint64_t progress_ms;       /* time at which the progress records had been read */
+  uint64_t jobs_ms;           /* time at which the jobs had been read; applying them starts then */
+  guint loaded_n;             /* number of jobs that were loaded */
+  gsize loaded_bytes;         /* size of all records that were loaded */
+  uint64_t confirmed_ms;      /* time at which its ownership was last confirmed */
+  GHashTable *import_sources; /* address of a daemon -> ImportSource, see owner-import.c */
+  uint64_t import_until_ms;   /* until when daemons are asked; 0: none was asked yet */
+  uint64_t next_import_ms;    /* when the list of daemons is checked next */
+  guint tick_source;          /* source of the scheduled tick; 0: none */
+  guint tick_timer;           /* subscription for the periodic tick */
+  guint open_flushes;         /* number of appends of progress without a result yet */
   GPtrArray *ended_jobs; /* ids of jobs whose end is stored, so that their admission records can be
                           * deleted */
   uint64_t deleted_ms;   /* time at which such records were last deleted */
@@ -67,8 +68,8 @@
 
 /* owner-import.c */
 
-/* Requests the recent starts of earlier owners from all daemons, twice, and the suspects held for
- * earlier owners, once.  To be called in every tick after loading. */
+/* Requests the recent starts of earlier owners from each daemon, twice, and the suspects held for
+ * earlier owners until they are received.  To be called in every tick after loading. */
 void fb_owner_request_starts (FbOwner *self, uint64_t now_ms);
 
 /* owner.c */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -260,6 +260,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->service_pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_pool_free);
   self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
+  self->import_sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->appender = fb_appender_new (entry, FB_TOPIC_PROGRESS, partition, WRITER, epoch);
   self->tick_timer = fb_timer_subscribe (entry->timer, TICK_INTERVAL_MS, on_tick, self);
   fb_appender_put (self->appender, g_byte_array_new (), 0, fb_owner_previous_writer_fenced, self);
@@ -278,6 +279,7 @@
   fb_topic_reader_free (self->progress_reader);
   fb_topic_reader_free (self->job_reader);
   g_ptr_array_unref (self->ended_jobs);
+  g_hash_table_unref (self->import_sources);
   g_hash_table_unref (self->service_pools);
   g_hash_table_unref (self->admissions);
   g_hash_table_unref (self->progress);
--- a/tests/test-lost-crashes.c
+++ b/tests/test-lost-crashes.c
@@ -2,7 +2,7 @@
  * starts and crashes for the next owner, and what that owner requests from them.
  *
  * Usage: test-lost-crashes CASE */
-#include "src/entry/peers/recent-starts.h"
+#include "src/entry/owner/owner-private.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -12,6 +12,10 @@
 #define SILENT_MS 2000
 #define TASK "00000000000000c1.0.0.0"
 #define OTHER_TASK "00000000000000c1.0.0.1"
+/* Longer than the time after which requests to other daemons are repeated. */
+#define REPEATED_MS 2000
+#define OWN_ADDRESS "10.0.0.1:1"
+#define OTHER_ADDRESS "10.0.0.2:1"
 
 /* ---- starts that a daemon reports ---------------------------------------------------- */
 
@@ -54,6 +58,100 @@
   fb_recent_starts_free (self);
 }
 
+/* ---- requests of a new owner ------------------------------------------------------------ */
+
+static GPtrArray *members;      /* of FbDaemon, borrowed: the daemons that the owner knows */
+static guint backup_requests_n; /* number of requests for backups of suspects */
+
+const GPtrArray *__wrap_fb_daemons_all (const FbDaemons *self);
+void __wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
+                              const fb_peer_request *peer_request, uint32_t timeout_ms,
+                              FbPeerReplyDone done, gpointer user);
+
+const GPtrArray *
+__wrap_fb_daemons_all (const FbDaemons *self)
+{
+  (void) self;
+  return members;
+}
+
+/* No daemon answers within the timeout. */
+void
+__wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
+                         const fb_peer_request *peer_request, uint32_t timeout_ms,
+                         FbPeerReplyDone done, gpointer user)
+{
+  (void) entry;
+  (void) address;
+  (void) timeout_ms;
+  backup_requests_n += peer_request->type == FB_REQUEST_SUSPECT_BACKUPS;
+  done (user, NULL);
+}
+
+typedef struct
+{
+  FbEntrySettings settings;
+  FbEntryDaemon entry;
+  FbOwner owner;
+  FbDaemon other;
+} Daemon;
+
+static void
+daemon_init (Daemon *self)
+{
+  *self = (Daemon){ .settings = { .peers = (char *) OWN_ADDRESS },
+                    .other = { .address = (char *) OTHER_ADDRESS } };
+  self->entry.settings = &self->settings;
+  self->entry.owners = g_hash_table_new (NULL, NULL);
+  self->entry.recent_starts = fb_recent_starts_new ();
+  self->entry.suspect_backups = fb_suspect_backups_new ();
+  self->owner.entry = &self->entry;
+  self->owner.epoch = 2;
+  self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
+  self->owner.import_sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  members = g_ptr_array_new ();
+}
+
+static void
+daemon_clear (Daemon *self)
+{
+  g_ptr_array_unref (members);
+  g_hash_table_unref (self->owner.import_sources);
+  g_hash_table_unref (self->owner.service_pools);
+  fb_suspect_backups_free (self->entry.suspect_backups);
+  fb_recent_starts_free (self->entry.recent_starts);
+  g_hash_table_unref (self->entry.owners);
+}
+
+/* Crashes that only one daemon knows must not be lost because one answer of it is late. */
+static void
+test_backups_are_requested_again (void)
+{
+  Daemon self;
+  daemon_init (&self);
+  g_ptr_array_add (members, &self.other);
+  fb_owner_request_starts (&self.owner, NOW_MS);
+  CU_ASSERT_EQUAL (backup_requests_n, 1);
+  fb_owner_request_starts (&self.owner, NOW_MS + REPEATED_MS);
+  CU_ASSERT_EQUAL (backup_requests_n, 2);
+  daemon_clear (&self);
+}
+
+/* An owner that joined a moment ago knows no other daemon yet. It must request backups from those
+ * that it learns of later. */
+static void
+test_backups_are_requested_from_later_members (void)
+{
+  Daemon self;
+  daemon_init (&self);
+  fb_owner_request_starts (&self.owner, NOW_MS);
+  CU_ASSERT_EQUAL (backup_requests_n, 0);
+  g_ptr_array_add (members, &self.other);
+  fb_owner_request_starts (&self.owner, NOW_MS + REPEATED_MS);
+  CU_ASSERT_EQUAL (backup_requests_n, 1);
+  daemon_clear (&self);
+}
+
 static const struct
 {
   const char *name;
@@ -61,6 +159,8 @@
 } cases[] = {
   { "start-on-a-worker-without-orders", test_start_on_worker_without_orders },
   { "running-workers-evict-no-others", test_running_workers_evict_no_others },
+  { "backups-are-requested-again", test_backups_are_requested_again },
+  { "backups-are-requested-from-later-members", test_backups_are_requested_from_later_members },
 };
 
 int
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -43,7 +43,9 @@
 verdict "recent starts" $B/tests/test-recent-starts
 verdict "backups of suspects" $B/tests/test-suspect-backups
 for c in start-on-a-worker-without-orders \
-         running-workers-evict-no-others; do
+         running-workers-evict-no-others \
+         backups-are-requested-again \
+         backups-are-requested-from-later-members; do
   verdict "lost crashes $c" $B/tests/test-lost-crashes "$c"
 done
 verdict "requests with a slow store" $B/tests/test-slow-store
