--- a/tests/test-lost-crashes.c
+++ b/tests/test-lost-crashes.c
@@ -12,6 +12,7 @@
 #define SILENT_MS 2000
 #define TASK "00000000000000c1.0.0.0"
 #define OTHER_TASK "00000000000000c1.0.0.1"
+#define JOB "00000000000000c1"
 /* Longer than the time after which requests to other daemons are repeated. */
 #define REPEATED_MS 2000
 #define OWN_ADDRESS "10.0.0.1:1"
@@ -58,6 +59,37 @@
   fb_recent_starts_free (self);
 }
 
+/* ---- backups of suspects that a daemon holds ------------------------------------------- */
+
+/* Returns: the number of suspected tasks in the backups of SELF. */
+static guint
+reported_suspects_n (const FbSuspectBackups *self)
+{
+  fb_suspect_backups_reply reply;
+  guint n = 0;
+  fb_suspect_backups_list (self, NOW_MS, &reply);
+  for (u_int i = 0; i < reply.jobs.jobs_len; i++)
+    n += reply.jobs.jobs_val[i].suspects.tasks.tasks_len;
+  xdr_free ((xdrproc_t) xdr_fb_suspect_backups_reply, (char *) &reply);
+  return n;
+}
+
+/* An owner that took over without this backup backs up only the crashes that it counted itself;
+ * those of the earlier backup must not be lost. */
+static void
+test_later_owner_adds_to_backup (void)
+{
+  FbSuspectBackups *self = fb_suspect_backups_new ();
+  fb_work_suspect earlier = { .step = 1 };
+  fb_work_suspect later = { .step = 2 };
+  const fb_suspects_backup backups[]
+      = { { (char *) JOB, 3, { { 1, &earlier } } }, { (char *) JOB, 4, { { 1, &later } } } };
+  fb_suspect_backups_put (self, &backups[0], NOW_MS);
+  fb_suspect_backups_put (self, &backups[1], NOW_MS);
+  CU_ASSERT_EQUAL (reported_suspects_n (self), 2);
+  fb_suspect_backups_free (self);
+}
+
 /* ---- requests of a new owner ------------------------------------------------------------ */
 
 static GPtrArray *members;      /* of FbDaemon, borrowed: the daemons that the owner knows */
@@ -159,6 +191,7 @@
 } cases[] = {
   { "start-on-a-worker-without-orders", test_start_on_worker_without_orders },
   { "running-workers-evict-no-others", test_running_workers_evict_no_others },
+  { "later-owner-adds-to-backup", test_later_owner_adds_to_backup },
   { "backups-are-requested-again", test_backups_are_requested_again },
   { "backups-are-requested-from-later-members", test_backups_are_requested_from_later_members },
 };
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -44,6 +44,7 @@
 verdict "backups of suspects" $B/tests/test-suspect-backups
 for c in start-on-a-worker-without-orders \
          running-workers-evict-no-others \
+         later-owner-adds-to-backup \
          backups-are-requested-again \
          backups-are-requested-from-later-members; do
   verdict "lost crashes $c" $B/tests/test-lost-crashes "$c"
