A start whose outcome comes after a failed poll is recorded

The runs on a worker are recorded when a poll of it fails. A start that was still open then had not certainly begun and was left out, also once its call had failed; and a start that goes out to a worker between two failed polls was in no record, since the runs are recorded once for each series of failed polls.

Now the outcome of a start (confirmed, or no answer) records the run if a poll of its worker has failed since the worker's last answer.

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -46,6 +46,8 @@
 void fb_pool_crash_task_seen (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
 /* Records the runs on WORKER when a poll of it has failed. */
 void fb_pool_crash_record_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* The start of RUN was confirmed, or got no answer: records RUN if a poll of WORKER has failed. */
+void fb_pool_crash_start_answered (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run);
 /* Called before the runs of a lost WORKER are dropped. NEXT: as for fb_pool_worker_lost(). */
 void fb_pool_crash_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss,
                                 const FbPoolWorker *next, uint64_t now_ms);
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -411,6 +411,15 @@
     }
 }
 
+/* The outcome may arrive after the runs on WORKER were recorded. */
+void
+fb_pool_crash_start_answered (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  if (worker->silence_recorded && run->step != NULL && run_may_have_begun (run)
+      && run->transferred_ms == 0)
+    record_silence (self, worker, run, TRUE);
+}
+
 void
 fb_pool_crash_clear_long_running (FbPool *self, FbPoolWorker *worker)
 {
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -367,6 +367,7 @@
     {
       run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
       fb_pool_crash_task_seen (self, worker, run);
+      fb_pool_crash_start_answered (self, worker, run);
       if (run->state == FB_RUN_STARTING)
         run->state = FB_RUN_RUNNING;
     }
@@ -381,6 +382,7 @@
                     run->name, run->attempt, worker->id, (guint) (now_ms - worker->last_answer_ms));
       worker->paused_until_ms = now_ms + REFUSAL_PAUSE_MS;
       run->unanswered = TRUE;
+      fb_pool_crash_start_answered (self, worker, run);
       if (worker->may_restart)
         fb_pool_unanswered_start_add (self, worker->id, worker->address, run->name, run->attempt,
                                       run->started_ms, now_ms);
