Awaiting starts: gangs, copies, slow stores and failing polls

- Members of a gang that awaits its record went out one by one, as their workers were ready, and on a throttled worker one a second, so that the gang timed out and never started.
Now all are ordered in one pass, once all are stored and their workers take orders; a throttle is set when a task is placed (gang-members-are-ordered-together, gang-on-a-throttled-worker).
- A gang that is not placed while a write is slow asked for advice and had runs of others preempted (postponed-gang-preempts-no-runs).
- With writes that take 1.7 s each a start was withdrawn as not stored before the write that contains it ended, again and again.
Its time now begins with that write (suspect-starts-with-a-slow-store).
- A start that is stored was ordered at a worker whose poll had failed meanwhile, and counted as one more crash.
It waits for an answer (start-waits-while-polls-fail).
- A task that was cleared while its start waits got a copy with the same attempt number (no-copy-of-a-start-that-awaits-its-record).
- A copy of a task on a worker that fails its polls was ordered unrecorded: such a task is not suspected yet.
- A single failed poll dropped the recorded start of a task that is suspected by an unresolved loss only (failed-poll-keeps-a-recorded-start), and a run that was recorded at a failed poll stayed in the store after the worker had answered, against a harmless task (run-recorded-at-a-failed-poll-is-dropped).

--- a/include/internal/pool-crash.h
+++ b/include/internal/pool-crash.h
@@ -130,6 +130,8 @@
 
 /* Returns: (transfer full): an empty list for FbPool.awaiting_starts. */
 GPtrArray *fb_pool_awaiting_starts_new (void);
+/* TRUE when starts of TASK are recorded: it is suspected, or on a worker that fails its polls. */
+gboolean fb_pool_task_needs_record (const FbPoolTask *task);
 /* TRUE when a start of task INDEX must be stored before it is ordered. */
 gboolean fb_pool_start_needs_record (const FbPoolStep *step, uint32_t index);
 /* TRUE while task INDEX is not placed, because a start of it could not be stored now. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -267,6 +267,8 @@
  * and has the capacity and the labels. */
 gboolean fb_pool_worker_can_start (const FbPoolWorker *worker, const FbPoolStep *step,
                                    uint64_t now_ms);
+/* TRUE when a start that has its place on WORKER may be sent there. */
+gboolean fb_pool_worker_accepts_orders (const FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE when WORKER accepts starts at all. */
 gboolean fb_pool_worker_accepts_starts (const FbPoolWorker *worker, uint64_t now_ms);
 /* FALSE when no change since STEP was tried in this round or the last one can have made its
--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -30,6 +30,12 @@
   g_free (start);
 }
 
+gboolean
+fb_pool_task_needs_record (const FbPoolTask *task)
+{
+  return fb_pool_task_is_suspect (task) || task->unresolved != NULL;
+}
+
 GPtrArray *
 fb_pool_awaiting_starts_new (void)
 {
@@ -41,10 +47,10 @@
 fb_pool_start_needs_record (const FbPoolStep *step, uint32_t index)
 {
   if (!step->spec->gang)
-    return fb_pool_task_is_suspect (&step->tasks[index]);
+    return fb_pool_task_needs_record (&step->tasks[index]);
   for (uint32_t i = 0; i < step->spec->count; i++)
     {
-      if (fb_pool_task_is_suspect (&step->tasks[i]))
+      if (fb_pool_task_needs_record (&step->tasks[i]))
         return TRUE;
     }
   return FALSE;
@@ -95,8 +101,7 @@
 
 /* Returns: why RUN must not be ordered any more, as a static text for the log; NULL if it may. */
 static const char *
-reason_to_withdraw (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
-                    const AwaitingStart *start, uint64_t now_ms)
+reason_to_withdraw (const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
 {
   const FbPoolTask *task = &run->step->tasks[run->index];
   if (run->state == FB_RUN_STOPPING || run->abandoned || task->done
@@ -109,9 +114,7 @@
   if (run->step->job->record.policy.advised
       && fb_pool_valid_ticket (run->step, worker, now_ms) == NULL)
     return "ticket expired";
-  if (now_ms < start->since_ms + AWAITING_MAX_MS)
-    return NULL;
-  return is_stored (self, start) ? "worker takes no starts" : "not stored";
+  return NULL;
 }
 
 static void
@@ -138,22 +141,78 @@
     }
 }
 
+static gboolean
+is_ready (const FbPool *self, const FbPoolWorker *worker, const AwaitingStart *start,
+          uint64_t now_ms)
+{
+  return is_stored (self, start) && !worker->poll_failed
+         && fb_pool_worker_accepts_orders (worker, now_ms);
+}
+
+/* TRUE when all members of the gang STEP are ready. */
+static gboolean
+gang_is_ready (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  guint ready_n = 0;
+  for (guint i = 0; i < self->awaiting_starts->len; i++)
+    {
+      const AwaitingStart *start = self->awaiting_starts->pdata[i];
+      const FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
+      const FbPoolRun *run = find_run (worker, start);
+      if (run != NULL && run->step == step)
+        ready_n += is_ready (self, worker, start, now_ms);
+    }
+  return ready_n == step->spec->count;
+}
+
+static void
+order_gang (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  for (guint i = 0; i < self->awaiting_starts->len; i++)
+    {
+      const AwaitingStart *start = self->awaiting_starts->pdata[i];
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
+      FbPoolRun *run = find_run (worker, start);
+      if (run != NULL && run->step == step)
+        fb_pool_order_placed_start (self, worker, run, now_ms);
+    }
+}
+
+/* Returns: FALSE when START, which is not out of date, still waits. */
+static gboolean
+try_order (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const AwaitingStart *start,
+           uint64_t now_ms)
+{
+  const FbPoolStep *step = run->step;
+  if (step->spec->gang ? !gang_is_ready (self, step, now_ms)
+                       : !is_ready (self, worker, start, now_ms))
+    return FALSE;
+  if (step->spec->gang)
+    order_gang (self, step, now_ms);
+  else
+    fb_pool_order_placed_start (self, worker, run, now_ms);
+  return TRUE;
+}
+
 /* Returns: FALSE when START still waits. */
 static gboolean
-settle (FbPool *self, const AwaitingStart *start, gboolean may_start, uint64_t now_ms)
+settle (FbPool *self, AwaitingStart *start, gboolean may_start, uint64_t now_ms)
 {
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
   FbPoolRun *run = find_run (worker, start);
   if (run == NULL)
     return TRUE;
-  const char *why = reason_to_withdraw (self, worker, run, start, now_ms);
+  /* The write before the one that contains the start may have taken long. */
+  if (self->flushes_n == start->flush)
+    start->since_ms = self->flush_started_ms;
+  const char *why = reason_to_withdraw (worker, run, now_ms);
+  if (why == NULL && may_start && try_order (self, worker, run, start, now_ms))
+    return TRUE;
+  if (why == NULL && now_ms >= start->since_ms + AWAITING_MAX_MS)
+    why = is_stored (self, start) ? "worker takes no starts" : "not stored";
   if (why != NULL)
     withdraw (self, worker, run, why, now_ms);
-  else if (may_start && is_stored (self, start) && fb_pool_worker_accepts_starts (worker, now_ms))
-    fb_pool_order_placed_start (self, worker, run, now_ms);
-  else
-    return FALSE;
-  return TRUE;
+  return why != NULL;
 }
 
 void
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -25,7 +25,7 @@
     return FALSE;
   const FbPoolTask *task = &step->tasks[run->index];
   /* A copy could crash a second worker before it is known that the first one has crashed. */
-  if (fb_pool_task_is_suspect (task))
+  if (fb_pool_task_is_suspect (task) || run->awaits_record)
     return FALSE;
   if (task->done || task->run != run || task->copy != NULL || run->state == FB_RUN_STOPPING
       || fb_pool_job_ended (step->job))
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -380,8 +380,12 @@
       fb_pool_job_changed (self, run->step->job);
       fb_pool_unstored_suspects_add (self, run->step->job);
     }
-  else if (task->crashes == NULL)
-    fb_pool_unresolved_start_drop (task, worker->id);
+  else if (!fb_pool_task_is_suspect (task) && fb_pool_unresolved_start_has (task, worker->id))
+    {
+      fb_pool_unresolved_start_drop (task, worker->id);
+      fb_pool_job_changed (self, run->step->job);
+      fb_pool_unstored_suspects_add (self, run->step->job);
+    }
 }
 
 /* If the owner is replaced before it is certain that a worker has crashed, the next owner has no
@@ -598,7 +602,7 @@
 fb_pool_crash_task_placed (FbPoolWorker *worker, FbPoolStep *step, uint32_t index)
 {
   FbPoolTask *task = &step->tasks[index];
-  if (!fb_pool_task_is_suspect (task))
+  if (!fb_pool_task_needs_record (task))
     return;
   task->stable_wait_until_ms = 0;
   if (worker->exclusive_for == task)
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -117,7 +117,11 @@
 uint32_t
 fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index)
 {
-  uint32_t attempt = step->tasks[index].attempt;
+  const FbPoolTask *task = &step->tasks[index];
+  uint32_t attempt = task->attempt;
+  /* A start that is not ordered yet has its number already. */
+  if (task->run != NULL)
+    attempt = MAX (attempt, task->run->attempt);
   if (step->job->restored)
     attempt = MAX (attempt, (uint32_t) (self->epoch * FB_POOL_ATTEMPTS_PER_EPOCH));
   return attempt + 1;
@@ -133,6 +137,7 @@
   run->state = FB_RUN_STARTING;
   run->started_ms = now_ms;
   run->from_start = task->checkpoint == NULL;
+  fb_pool_worker_throttle (worker, now_ms);
   fb_pool_task_attach_run (task, run);
   fb_pool_crash_task_placed (worker, step, index);
   fb_pool_long_running_placed (self, step, run, now_ms);
@@ -153,7 +158,6 @@
   run->started_ms = now_ms;
   run->order = add_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
-  fb_pool_worker_throttle (worker, now_ms);
   task->attempt = run->attempt;
   if (!step->job->started)
     fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -105,7 +105,7 @@
 static gboolean
 place_gang (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
-  if (!gang_is_idle (step) || fb_pool_start_is_postponed (self, step, 0, now_ms))
+  if (!gang_is_idle (step))
     return FALSE;
   step->gang_broken = FALSE;
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, step->spec->count);
@@ -167,6 +167,12 @@
           self, step, unconfirmed ? "take-over" : wait_reason (step, can_request), now_ms);
       return can_request;
     }
+  if (step->spec->gang && fb_pool_start_is_postponed (self, step, 0, now_ms))
+    {
+      step->retry_at_ms = now_ms + RETRY_MS;
+      fb_pool_long_running_set_wait_reason (self, step, "store", now_ms);
+      return TRUE;
+    }
   uint64_t reserved_until_ms = step->reserved_until_ms;
   g_autoptr (GPtrArray) reserved_on = fb_pool_release_reservation (self, step);
   gboolean placed = step->spec->gang ? place_gang (self, step, now_ms)
