A call that was not sent says nothing about its worker

A daemon that could not connect to a worker, as its host was down, took "certainly not carried out" for a sign that the worker runs, and no longer reported starts there to the next owner. Found by reading; red before: test-recent-starts "a call that was not sent".

--- a/src/entry/peers/recent-starts.c
+++ b/src/entry/peers/recent-starts.c
@@ -164,6 +164,9 @@
 static void
 record_result (WorkerStarts *worker_starts, FbOrderResult result, uint64_t now_ms)
 {
+  /* A call that was not sent says nothing about the worker. */
+  if (result == FB_ORDER_NOT_DONE)
+    return;
   worker_starts->unresponsive = !implies_running (result);
   if (!worker_starts->unresponsive)
     worker_starts->heard_ms = now_ms;
--- a/tests/test-recent-starts.c
+++ b/tests/test-recent-starts.c
@@ -143,6 +143,19 @@
   fb_recent_starts_free (self);
 }
 
+/* A call that was not sent, as its worker's host is down, must not hide a crash. */
+static void
+test_call_that_was_not_sent (void)
+{
+  FbRecentStarts *self = fb_recent_starts_new ();
+  fb_recent_starts_sent (self, "w1", "a", TASK, 1, NOW_MS);
+  fb_recent_starts_answered (self, "w1", TASK, 1, FB_ORDER_DONE, NOW_MS);
+  answer_poll (self, FB_ORDER_UNKNOWN, NULL, NULL);
+  answer_poll (self, FB_ORDER_NOT_DONE, NULL, NULL);
+  CU_ASSERT_EQUAL (reported_n (self, NOW_MS, NULL), 1);
+  fb_recent_starts_free (self);
+}
+
 /* Starts whose runs have ended must not evict others. */
 static void
 test_ended_starts_evict_no_others (void)
@@ -191,6 +204,7 @@
   CU_add_test (suite, "a confirmed start is reported longer",
                test_confirmed_start_is_reported_longer);
   CU_add_test (suite, "an unlisted run has ended", test_unlisted_run_has_ended);
+  CU_add_test (suite, "a call that was not sent", test_call_that_was_not_sent);
   CU_add_test (suite, "ended starts evict no others", test_ended_starts_evict_no_others);
   CU_add_test (suite, "the oldest start is evicted", test_oldest_start_is_evicted);
   CU_basic_run_tests ();
