Sets of jobs and steps are walked in the same order in each run

The pool walked sets that were keyed by the addresses of jobs and steps (what is to be stored, suspected steps, active jobs), and addresses differ between runs.

--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -10,6 +10,21 @@
  * connected, so the silence of a worker is not attributed to the owner's own network. */
 #define MAJORITY_ANSWER_MS 1500
 
+/* Jobs and steps are hashed by their names, not by their addresses, so that sets of them are walked
+ * in the same order in each run. */
+static guint
+job_hash (gconstpointer job)
+{
+  return g_str_hash (((const FbPoolJob *) job)->id);
+}
+
+static guint
+step_hash (gconstpointer key)
+{
+  const FbPoolStep *step = key;
+  return job_hash (step->job) + step->occurrence * FB_WORK_MAX_STEPS + step->index;
+}
+
 FbPool *
 fb_pool_new (const char *service, uint64_t epoch, const FbPoolLimits *limits,
              const FbPoolCallbacks *callbacks, gpointer user, uint64_t now_ms)
@@ -29,14 +44,14 @@
   self->gained_capacity = g_ptr_array_new ();
   self->queue = g_ptr_array_new ();
   self->unmerged = g_ptr_array_new ();
-  self->jobs_to_release = g_hash_table_new (NULL, NULL);
-  self->jobs_with_dependencies = g_hash_table_new (NULL, NULL);
+  self->jobs_to_release = g_hash_table_new (job_hash, NULL);
+  self->jobs_with_dependencies = g_hash_table_new (job_hash, NULL);
   self->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_job_free);
-  self->active_jobs = g_hash_table_new (NULL, NULL);
-  self->ended_jobs = g_hash_table_new (NULL, NULL);
-  self->dirty = g_hash_table_new (NULL, NULL);
-  self->suspect_steps = g_hash_table_new (NULL, NULL);
-  self->unstored_suspects = g_hash_table_new (NULL, NULL);
+  self->active_jobs = g_hash_table_new (job_hash, NULL);
+  self->ended_jobs = g_hash_table_new (job_hash, NULL);
+  self->dirty = g_hash_table_new (job_hash, NULL);
+  self->suspect_steps = g_hash_table_new (step_hash, NULL);
+  self->unstored_suspects = g_hash_table_new (job_hash, NULL);
   self->awaiting_starts = fb_pool_awaiting_starts_new ();
   self->crash_causes = fb_pool_crash_causes_new ();
   self->unresolved_losses = fb_pool_unresolved_losses_new ();
