Runs are recorded while half of the workers are silent

An owner that most workers do not answer is itself disconnected, and records nothing of the runs on silent workers.

Half of the workers suffice now. An owner that none answers still records nothing. The majority that confirms the ownership is as before.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -89,7 +89,7 @@
   GHashTable *unresolved_losses;
   /* The list of workers or UNRESOLVED_LOSSES has changed, so some losses may be resolved now. */
   gboolean unresolved_losses_due;
-  gboolean majority_answers; /* a majority has answered within MAJORITY_ANSWER_MS (pool.c) */
+  gboolean is_connected;     /* half of the workers have answered within CONNECTED_ANSWER_MS */
   gboolean limit_reached;    /* a task may have reached its limit of crashes */
   uint64_t jobs_complete_ms; /* every job stored before this time is known */
   gboolean workers_dirty;    /* the record of workers is out of date */
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -391,8 +391,8 @@
 /* If the owner is replaced before it is certain that a worker has crashed, the next owner has no
  * record of what ran there, and a task could crash further workers while owners change. So the runs
  * on a worker are recorded as soon as a poll of it fails, which a crash usually shows within
- * milliseconds, until it answers again. An owner that gets no answers from most workers is itself
- * disconnected and records nothing. */
+ * milliseconds, until it answers again. An owner that gets answers from fewer than half of the
+ * workers is itself disconnected and records nothing. */
 void
 fb_pool_crash_record_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -400,7 +400,7 @@
       = worker->answered && (worker->poll_failed || fb_pool_worker_silent (worker, now_ms));
   if (silent == worker->silence_recorded || worker->draining)
     return;
-  if (silent && !self->majority_answers)
+  if (silent && !self->is_connected)
     return;
   worker->silence_recorded = silent;
   GHashTableIter iter;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -6,9 +6,9 @@
 
 /* A stop order without an answer is sent again after this time. */
 #define STOP_REPEAT_MS 600
-/* An owner that got answers from a majority of its workers within this time is considered
- * connected, so the silence of a worker is not attributed to the owner's own network. */
-#define MAJORITY_ANSWER_MS 1500
+/* An owner that got answers from half of its workers within this time is considered connected, so
+ * the silence of a worker is not attributed to the owner's own network. */
+#define CONNECTED_ANSWER_MS 1500
 
 /* Jobs and steps are hashed by their names, not by their addresses, so that sets of them are walked
  * in the same order in each run. */
@@ -254,36 +254,56 @@
   return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
 }
 
+/* Counts the listed workers, and those of them that have answered within WITHIN_MS. */
 static void
-maintain_workers (FbPool *self, uint64_t now_ms)
+count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, guint *listed_n,
+               guint *answered_n)
 {
   guint slot = 0;
-  FbPoolWorker *worker = NULL;
-  self->majority_answers = fb_pool_has_majority (self, MAJORITY_ANSWER_MS, now_ms);
+  const FbPoolWorker *worker = NULL;
+  *listed_n = 0;
+  *answered_n = 0;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (can_be_removed (self, worker))
-        remove_worker (self, worker);
-      else
-        maintain_worker (self, worker, now_ms);
+      if (!worker->listed)
+        continue;
+      (*listed_n)++;
+      *answered_n += worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
     }
 }
 
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
-  guint listed = 0;
+  guint listed_n = 0;
+  guint answered_n = 0;
+  count_answers (self, within_ms, now_ms, &listed_n, &answered_n);
+  return answered_n * 2 > listed_n;
+}
+
+/* Half of the workers suffice here: the others may have crashed. */
+static gboolean
+is_connected (const FbPool *self, uint64_t now_ms)
+{
+  guint listed_n = 0;
   guint answered_n = 0;
+  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &listed_n, &answered_n);
+  return answered_n > 0 && answered_n * 2 >= listed_n;
+}
+
+static void
+maintain_workers (FbPool *self, uint64_t now_ms)
+{
   guint slot = 0;
-  const FbPoolWorker *worker = NULL;
+  FbPoolWorker *worker = NULL;
+  self->is_connected = is_connected (self, now_ms);
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (!worker->listed)
-        continue;
-      listed++;
-      answered_n += worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
+      if (can_be_removed (self, worker))
+        remove_worker (self, worker);
+      else
+        maintain_worker (self, worker, now_ms);
     }
-  return answered_n * 2 > listed;
 }
 
 /* ---- jobs ---------------------------------------------------------------------------- */
