A start that awaits its record is withdrawn when its worker shrinks

A start is ordered some 10 to 50 ms after it got its place, or later while its worker takes no orders. A worker whose capacity shrank meanwhile got it all the same, and one that does not guard its capacity carries out any start. Now it is withdrawn while the runs on the worker exceed its capacity, and the task is placed anew.

--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -99,6 +99,14 @@
   return self->stored_flushes_n >= start->flush;
 }
 
+/* TRUE when WORKER has shrunk below what its runs use, those that await their record included. */
+static gboolean
+exceeds_capacity (const FbPoolWorker *worker)
+{
+  return worker->cpu_used > worker->cpu_milli || worker->mem_used > worker->mem_mb
+         || worker->gpu_used > worker->gpu_count;
+}
+
 /* Returns: why RUN must not be ordered any more, as a static text for the log; NULL if it may. */
 static const char *
 reason_to_withdraw (const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
@@ -111,6 +119,8 @@
     return "withheld";
   if (!worker->listed || worker->draining)
     return "worker leaves";
+  if (exceeds_capacity (worker))
+    return "no room";
   if (run->step->job->record.policy.advised
       && fb_pool_valid_ticket (run->step, worker, now_ms) == NULL)
     return "ticket expired";
