--- a/src/entry/peers/recent-starts.c
+++ b/src/entry/peers/recent-starts.c
@@ -98,17 +98,27 @@
   start_free (start);
 }
 
+static gboolean
+is_unresponsive (const FbRecentStarts *self, const Start *start)
+{
+  return ((const WorkerStarts *) g_hash_table_lookup (self->workers, start->worker))->unresponsive;
+}
+
 /* Evicts the oldest start on a worker that seems to be running, or the oldest one if there is
  * none. */
 static void
 evict_one (FbRecentStarts *self)
 {
   GList *link = self->starts.head;
-  while (link != NULL
-         && ((WorkerStarts *) g_hash_table_lookup (self->workers, ((Start *) link->data)->worker))
-                ->unresponsive)
-    link = link->next;
-  evict (self, link != NULL ? link : self->starts.head);
+  for (GList *l = link; l != NULL; l = l->next)
+    {
+      if (is_unresponsive (self, l->data))
+        continue;
+      link = l;
+      break;
+    }
+  if (link != NULL)
+    evict (self, link);
 }
 
 static gboolean
@@ -121,9 +131,9 @@
 fb_recent_starts_sent (FbRecentStarts *self, const char *worker, const char *address,
                        const char *task, uint32_t attempt, uint64_t now_ms)
 {
-  const Start *oldest = NULL;
-  while ((oldest = g_queue_peek_head (&self->starts)) != NULL && !is_recent (oldest, now_ms))
-    evict (self, self->starts.head);
+  GList *oldest = NULL;
+  while ((oldest = self->starts.head) != NULL && !is_recent (oldest->data, now_ms))
+    evict (self, oldest);
   if (self->starts.length >= FB_WORK_MAX_STARTS)
     evict_one (self);
   Start *start = g_new0 (Start, 1);
