--- a/tests/test-lost-crashes.c
+++ b/tests/test-lost-crashes.c
@@ -31,8 +31,7 @@
   return n;
 }
 
-/* A worker may crash while no daemon has an order for it, as between two owners. A daemon that has
- * had no answer of it for SILENT_MS cannot know whether the run goes on. */
+/* A start on a worker that crashes between two owners, while nobody polls it, must be reported. */
 static void
 test_start_on_worker_without_orders (void)
 {
@@ -74,8 +73,7 @@
   return n;
 }
 
-/* An owner that took over without this backup backs up only the crashes that it counted itself;
- * those of the earlier backup must not be lost. */
+/* The backup of an owner that never received an earlier one must not replace that. */
 static void
 test_later_owner_adds_to_backup (void)
 {
@@ -169,8 +167,7 @@
   daemon_clear (&self);
 }
 
-/* An owner that joined a moment ago knows no other daemon yet. It must request backups from those
- * that it learns of later. */
+/* An owner that joined a moment ago must ask the daemons that it learns of later. */
 static void
 test_backups_are_requested_from_later_members (void)
 {
