--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -255,6 +255,9 @@
 
 /* Returns: FALSE when the pool does not have the job. */
 gboolean fb_pool_job_state (const FbPool *self, const char *job, fb_work_state *state);
+/* Returns: FALSE when JOB belongs to another client account than ACCOUNT; "" stands for a caller
+ * that needs no key, and jobs may have no account. */
+gboolean fb_pool_job_is_visible (const FbPool *self, const char *job, const char *account);
 /* Returns: how many jobs of QUEUE have no scheduled occurrences and no task that was started. */
 uint32_t fb_pool_pending_jobs_n (const FbPool *self, const char *queue);
 /* TRUE while a majority of the listed workers has answered polls that were sent under this epoch
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -298,6 +298,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->accepted_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->account, FB_WORK_MAX_ACCOUNT))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -563,6 +565,79 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_account_job_state_request (XDR *xdrs, fb_account_job_state_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->job, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->account, FB_WORK_MAX_ACCOUNT))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_configuration_request (XDR *xdrs, fb_configuration_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_amounts (XDR *xdrs, fb_work_amounts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gpu_count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_account_part (XDR *xdrs, fb_account_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, FB_WORK_MAX_ACCOUNT))
+		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->wanted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_account_parts_request (XDR *xdrs, fb_account_parts_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->coordinator, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FB_WORK_MAX_ACCOUNT_ROWS,
+		sizeof (fb_account_part), (xdrproc_t) xdr_fb_account_part))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_pending_request (XDR *xdrs, fb_pending_request *objp)
 {
@@ -752,6 +827,18 @@
 		break;
 	case FB_REQUEST_UNHEARD_STARTS:
 		break;
+	case FB_REQUEST_ACCOUNT_JOB_STATE:
+		 if (!xdr_fb_account_job_state_request (xdrs, &objp->fb_peer_request_u.account_job))
+			 return FALSE;
+		break;
+	case FB_REQUEST_CONFIGURATION:
+		 if (!xdr_fb_configuration_request (xdrs, &objp->fb_peer_request_u.configuration))
+			 return FALSE;
+		break;
+	case FB_REQUEST_ACCOUNT_PARTS:
+		 if (!xdr_fb_account_parts_request (xdrs, &objp->fb_peer_request_u.parts))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -908,6 +995,45 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_configuration_reply (XDR *xdrs, fb_configuration_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_account_grant (XDR *xdrs, fb_account_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, FB_WORK_MAX_ACCOUNT))
+		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->granted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_account_grants_reply (XDR *xdrs, fb_account_grants_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete_needed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FB_WORK_MAX_ACCOUNT_ROWS,
+		sizeof (fb_account_grant), (xdrproc_t) xdr_fb_account_grant))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_reply (XDR *xdrs, fb_peer_reply *objp)
 {
@@ -944,6 +1070,14 @@
 		 if (!xdr_fb_suspect_backups_reply (xdrs, &objp->fb_peer_reply_u.backups))
 			 return FALSE;
 		break;
+	case FB_REPLY_CONFIGURATION:
+		 if (!xdr_fb_configuration_reply (xdrs, &objp->fb_peer_reply_u.configuration))
+			 return FALSE;
+		break;
+	case FB_REPLY_ACCOUNT_GRANTS:
+		 if (!xdr_fb_account_grants_reply (xdrs, &objp->fb_peer_reply_u.grants))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -29,6 +29,8 @@
 #define FB_WORK_MAX_STARTS 512
 #define FB_WORK_MAX_SUSPECT_BACKUPS 256
 #define FB_WORK_DIGEST_BYTES 16
+#define FB_WORK_MAX_ACCOUNT 63
+#define FB_WORK_MAX_ACCOUNT_ROWS 20000
 
 struct fb_work_step {
 	u_int count;
@@ -85,6 +87,7 @@
 	fb_work_policy policy;
 	fb_work_spec spec;
 	u_quad_t accepted_ms;
+	char *account;
 };
 typedef struct fb_work_admit fb_work_admit;
 
@@ -191,6 +194,9 @@
 	FB_REQUEST_BACK_UP_SUSPECTS = 11,
 	FB_REQUEST_SUSPECT_BACKUPS = 12,
 	FB_REQUEST_UNHEARD_STARTS = 13,
+	FB_REQUEST_ACCOUNT_JOB_STATE = 14,
+	FB_REQUEST_CONFIGURATION = 15,
+	FB_REQUEST_ACCOUNT_PARTS = 16,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -200,6 +206,45 @@
 };
 typedef struct fb_job_state_request fb_job_state_request;
 
+struct fb_account_job_state_request {
+	char *service;
+	char *job;
+	char *account;
+};
+typedef struct fb_account_job_state_request fb_account_job_state_request;
+
+struct fb_configuration_request {
+	u_quad_t config_version;
+};
+typedef struct fb_configuration_request fb_configuration_request;
+
+struct fb_work_amounts {
+	u_quad_t cpu_milli;
+	u_quad_t mem_mb;
+	u_quad_t gpu_count;
+};
+typedef struct fb_work_amounts fb_work_amounts;
+
+struct fb_account_part {
+	char *account;
+	fb_work_amounts held;
+	fb_work_amounts wanted;
+};
+typedef struct fb_account_part fb_account_part;
+
+struct fb_account_parts_request {
+	char *coordinator;
+	char *service;
+	u_quad_t epoch;
+	u_quad_t sequence;
+	bool_t complete;
+	struct {
+		u_int rows_len;
+		fb_account_part *rows_val;
+	} rows;
+};
+typedef struct fb_account_parts_request fb_account_parts_request;
+
 struct fb_pending_request {
 	char *service;
 	char *queue;
@@ -298,6 +343,9 @@
 		fb_progress_append_request write;
 		fb_relay_request order;
 		fb_suspects_backup backup;
+		fb_account_job_state_request account_job;
+		fb_configuration_request configuration;
+		fb_account_parts_request parts;
 	} fb_peer_request_u;
 };
 typedef struct fb_peer_request fb_peer_request;
@@ -318,6 +366,8 @@
 	FB_REPLY_PAYLOAD_MISSING = 13,
 	FB_REPLY_RECENT_STARTS = 14,
 	FB_REPLY_SUSPECT_BACKUPS = 15,
+	FB_REPLY_CONFIGURATION = 16,
+	FB_REPLY_ACCOUNT_GRANTS = 17,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -406,6 +456,31 @@
 };
 typedef struct fb_suspect_backups_reply fb_suspect_backups_reply;
 
+struct fb_configuration_reply {
+	u_quad_t config_version;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct fb_configuration_reply fb_configuration_reply;
+
+struct fb_account_grant {
+	char *account;
+	fb_work_amounts granted;
+};
+typedef struct fb_account_grant fb_account_grant;
+
+struct fb_account_grants_reply {
+	u_quad_t epoch;
+	bool_t complete_needed;
+	struct {
+		u_int rows_len;
+		fb_account_grant *rows_val;
+	} rows;
+};
+typedef struct fb_account_grants_reply fb_account_grants_reply;
+
 struct fb_peer_reply {
 	fb_peer_reply_type type;
 	union {
@@ -416,6 +491,8 @@
 		fb_relay_reply order;
 		fb_recent_starts_reply starts;
 		fb_suspect_backups_reply backups;
+		fb_configuration_reply configuration;
+		fb_account_grants_reply grants;
 	} fb_peer_reply_u;
 };
 typedef struct fb_peer_reply fb_peer_reply;
@@ -438,6 +515,11 @@
 extern  bool_t xdr_fb_work_workers (XDR *, fb_work_workers*);
 extern  bool_t xdr_fb_peer_request_type (XDR *, fb_peer_request_type*);
 extern  bool_t xdr_fb_job_state_request (XDR *, fb_job_state_request*);
+extern  bool_t xdr_fb_account_job_state_request (XDR *, fb_account_job_state_request*);
+extern  bool_t xdr_fb_configuration_request (XDR *, fb_configuration_request*);
+extern  bool_t xdr_fb_work_amounts (XDR *, fb_work_amounts*);
+extern  bool_t xdr_fb_account_part (XDR *, fb_account_part*);
+extern  bool_t xdr_fb_account_parts_request (XDR *, fb_account_parts_request*);
 extern  bool_t xdr_fb_pending_request (XDR *, fb_pending_request*);
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
 extern  bool_t xdr_fb_advice_request (XDR *, fb_advice_request*);
@@ -459,6 +541,9 @@
 extern  bool_t xdr_fb_recent_start (XDR *, fb_recent_start*);
 extern  bool_t xdr_fb_recent_starts_reply (XDR *, fb_recent_starts_reply*);
 extern  bool_t xdr_fb_suspect_backups_reply (XDR *, fb_suspect_backups_reply*);
+extern  bool_t xdr_fb_configuration_reply (XDR *, fb_configuration_reply*);
+extern  bool_t xdr_fb_account_grant (XDR *, fb_account_grant*);
+extern  bool_t xdr_fb_account_grants_reply (XDR *, fb_account_grants_reply*);
 extern  bool_t xdr_fb_peer_reply (XDR *, fb_peer_reply*);
 
 #else /* K&R C */
@@ -477,6 +562,11 @@
 extern bool_t xdr_fb_work_workers ();
 extern bool_t xdr_fb_peer_request_type ();
 extern bool_t xdr_fb_job_state_request ();
+extern bool_t xdr_fb_account_job_state_request ();
+extern bool_t xdr_fb_configuration_request ();
+extern bool_t xdr_fb_work_amounts ();
+extern bool_t xdr_fb_account_part ();
+extern bool_t xdr_fb_account_parts_request ();
 extern bool_t xdr_fb_pending_request ();
 extern bool_t xdr_fb_worker_name ();
 extern bool_t xdr_fb_advice_request ();
@@ -498,6 +588,9 @@
 extern bool_t xdr_fb_recent_start ();
 extern bool_t xdr_fb_recent_starts_reply ();
 extern bool_t xdr_fb_suspect_backups_reply ();
+extern bool_t xdr_fb_configuration_reply ();
+extern bool_t xdr_fb_account_grant ();
+extern bool_t xdr_fb_account_grants_reply ();
 extern bool_t xdr_fb_peer_reply ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -18,6 +18,8 @@
 const FB_WORK_MAX_STARTS = 512;
 const FB_WORK_MAX_SUSPECT_BACKUPS = 256;
 const FB_WORK_DIGEST_BYTES = 16;
+const FB_WORK_MAX_ACCOUNT = 63;
+const FB_WORK_MAX_ACCOUNT_ROWS = 20000;
 
 /* One step: COUNT identical tasks, each with the given resource demand. */
 struct fb_work_step {
@@ -68,6 +70,8 @@
   fb_work_policy policy;
   fb_work_spec spec;
   unsigned hyper accepted_ms; /* ms since 1970, by the clock of the daemon that accepted it */
+  string account<FB_WORK_MAX_ACCOUNT>; /* client account; "": none.  Stored behind the name of the
+                                        * queue, see fb_codec_encode_admit() */
 };
 
 /* Progress of one task; left out while the task has neither ended nor saved a checkpoint. */
@@ -152,8 +156,11 @@
   FB_REQUEST_BACK_UP_SUSPECTS = 11, /* keep a copy of a job's crash suspects until the store
                                      * has them */
   FB_REQUEST_SUSPECT_BACKUPS = 12,  /* all such copies that the receiving daemon holds */
-  FB_REQUEST_UNHEARD_STARTS = 13    /* as FB_REQUEST_RECENT_STARTS, with starts on workers that the
+  FB_REQUEST_UNHEARD_STARTS = 13,   /* as FB_REQUEST_RECENT_STARTS, with starts on workers that the
                                      * receiving daemon has not heard of for some time */
+  FB_REQUEST_ACCOUNT_JOB_STATE = 14, /* as FB_REQUEST_JOB_STATE, for a caller of an account */
+  FB_REQUEST_CONFIGURATION = 15,    /* the configuration, if it is newer than a version */
+  FB_REQUEST_ACCOUNT_PARTS = 16     /* parts of the caps of accounts for a pool */
 };
 
 struct fb_job_state_request {
@@ -161,6 +168,43 @@
   string job<FB_WORK_MAX_NAME>;
 };
 
+struct fb_account_job_state_request {
+  string service<FB_WORK_MAX_NAME>;
+  string job<FB_WORK_MAX_NAME>;
+  string account<FB_WORK_MAX_ACCOUNT>;
+};
+
+/* CONFIG_VERSION: the one in force at the requesting daemon; 0: none. */
+struct fb_configuration_request {
+  unsigned hyper config_version;
+};
+
+/* Amounts of resources. */
+struct fb_work_amounts {
+  unsigned hyper cpu_milli;
+  unsigned hyper mem_mb;
+  unsigned hyper gpu_count;
+};
+
+/* The part of one account's cap that a pool holds, and the part that it wants. */
+struct fb_account_part {
+  string account<FB_WORK_MAX_ACCOUNT>;
+  fb_work_amounts held;
+  fb_work_amounts wanted;
+};
+
+/* From the owner of the pool of SERVICE to the owner of the pool of COORDINATOR, which divides the
+ * caps of the accounts in ROWS.  The pool of SERVICE uses no more than the parts held until a reply
+ * to this request, or to a later one, grants more. */
+struct fb_account_parts_request {
+  string coordinator<FB_WORK_MAX_NAME>;
+  string service<FB_WORK_MAX_NAME>;
+  unsigned hyper epoch;    /* of the owner of SERVICE */
+  unsigned hyper sequence; /* number of the request under that epoch */
+  bool complete;           /* SERVICE holds nothing of accounts that are not in ROWS */
+  fb_account_part rows<FB_WORK_MAX_ACCOUNT_ROWS>;
+};
+
 struct fb_pending_request {
   string service<FB_WORK_MAX_NAME>;
   string queue<FB_WORK_MAX_NAME>;
@@ -242,6 +286,9 @@
 case FB_REQUEST_BACK_UP_SUSPECTS: fb_suspects_backup backup;
 case FB_REQUEST_SUSPECT_BACKUPS: void;
 case FB_REQUEST_UNHEARD_STARTS: void;
+case FB_REQUEST_ACCOUNT_JOB_STATE: fb_account_job_state_request account_job;
+case FB_REQUEST_CONFIGURATION: fb_configuration_request configuration;
+case FB_REQUEST_ACCOUNT_PARTS: fb_account_parts_request parts;
 };
 
 enum fb_peer_reply_type {
@@ -259,7 +306,9 @@
   FB_REPLY_ORDER_RESULT = 12,      /* result of an order */
   FB_REPLY_PAYLOAD_MISSING = 13,   /* nothing was done: the named payload is not cached */
   FB_REPLY_RECENT_STARTS = 14,
-  FB_REPLY_SUSPECT_BACKUPS = 15
+  FB_REPLY_SUSPECT_BACKUPS = 15,
+  FB_REPLY_CONFIGURATION = 16,     /* a newer configuration */
+  FB_REPLY_ACCOUNT_GRANTS = 17
 };
 
 struct fb_ticket {
@@ -321,6 +370,24 @@
   fb_suspects_backup jobs<FB_WORK_MAX_SUSPECT_BACKUPS>;
 };
 
+/* VALUE: the record as the operator wrote it. */
+struct fb_configuration_reply {
+  unsigned hyper config_version;
+  opaque value<>;
+};
+
+/* A part of an account's cap that a pool may use. */
+struct fb_account_grant {
+  string account<FB_WORK_MAX_ACCOUNT>;
+  fb_work_amounts granted;
+};
+
+struct fb_account_grants_reply {
+  unsigned hyper epoch; /* of the owner of the coordinating pool */
+  bool complete_needed; /* nothing is granted before a complete request */
+  fb_account_grant rows<FB_WORK_MAX_ACCOUNT_ROWS>;
+};
+
 union fb_peer_reply switch (fb_peer_reply_type type) {
 case FB_REPLY_JOB_STATE: fb_work_state state;
 case FB_REPLY_PENDING_COUNT: unsigned int pending;
@@ -329,5 +396,7 @@
 case FB_REPLY_ORDER_RESULT: fb_relay_reply order;
 case FB_REPLY_RECENT_STARTS: fb_recent_starts_reply starts;
 case FB_REPLY_SUSPECT_BACKUPS: fb_suspect_backups_reply backups;
+case FB_REPLY_CONFIGURATION: fb_configuration_reply configuration;
+case FB_REPLY_ACCOUNT_GRANTS: fb_account_grants_reply grants;
 default: void;
 };
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -1,9 +1,12 @@
 #include "internal/codec.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define MSG_MAX_BYTES (FB_MAX_BATCH)
 #define RECORD_MAX_BYTES (4 * 1024 * 1024)
+/* XDR pads each value to a multiple of this; the length of a string takes as much. */
+#define XDR_UNIT_BYTES 4
 
 static GBytes *
 encode (xdrproc_t proc, const void *value, gsize max_bytes)
@@ -123,16 +126,76 @@
   return FALSE;
 }
 
+/* ---- admissions ------------------------------------------------------------------- */
+
+/* Daemons that do not know accounts refuse records with further members, but they read a string as
+ * far as its first NUL.  So the name of the account follows the name of the queue, which is the
+ * first member of the record, in the same XDR string behind a NUL. */
+
+static bool_t
+xdr_admit_without_account (XDR *xdrs, fb_work_admit *admit)
+{
+  return xdr_fb_work_policy (xdrs, &admit->policy) && xdr_fb_work_spec (xdrs, &admit->spec)
+         && xdr_u_quad_t (xdrs, &admit->accepted_ms);
+}
+
+static gsize
+padded_len (gsize len)
+{
+  return (len + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES;
+}
+
 GBytes *
 fb_codec_encode_admit (const fb_work_admit *admit)
 {
-  return encode ((xdrproc_t) xdr_fb_work_admit, admit, RECORD_MAX_BYTES);
+  GBytes *record = encode ((xdrproc_t) xdr_admit_without_account, admit, RECORD_MAX_BYTES);
+  gsize account_len = admit->account != NULL ? strlen (admit->account) : 0;
+  if (record == NULL || account_len == 0)
+    return record;
+  gsize queue_len = strlen (admit->policy.queue);
+  gsize name_len = queue_len + 1 + account_len;
+  gsize rest_from = XDR_UNIT_BYTES + padded_len (queue_len);
+  g_autoptr (GBytes) without_account = record;
+  if (name_len > FB_WORK_MAX_NAME)
+    return NULL;
+  gsize len = 0;
+  const guint8 *data = g_bytes_get_data (without_account, &len);
+  GByteArray *out = g_byte_array_sized_new ((guint) (len + padded_len (account_len + 1)));
+  uint32_t name_len_be = GUINT32_TO_BE ((uint32_t) name_len);
+  static const guint8 zeros[XDR_UNIT_BYTES];
+  g_byte_array_append (out, (const guint8 *) &name_len_be, sizeof name_len_be);
+  g_byte_array_append (out, (const guint8 *) admit->policy.queue, (guint) queue_len + 1);
+  g_byte_array_append (out, (const guint8 *) admit->account, (guint) account_len);
+  g_byte_array_append (out, zeros, (guint) (padded_len (name_len) - name_len));
+  g_byte_array_append (out, data + rest_from, (guint) (len - rest_from));
+  return g_byte_array_free_to_bytes (out);
+}
+
+/* Returns: (transfer full): the account behind the name of the queue, allocated as XDR does it; ""
+ * if there is none. */
+static char *
+account_of_admit (const guint8 *data, const fb_work_admit *admit)
+{
+  uint32_t name_len_be;
+  memcpy (&name_len_be, data, sizeof name_len_be);
+  gsize name_len = GUINT32_FROM_BE (name_len_be);
+  gsize queue_len = strlen (admit->policy.queue);
+  gsize account_len = name_len > queue_len ? name_len - queue_len - 1 : 0;
+  char *account = calloc (1, account_len + 1);
+  memcpy (account, data + XDR_UNIT_BYTES + name_len - account_len, account_len);
+  return account;
 }
 
 gboolean
 fb_codec_decode_admit (const void *data, gsize len, fb_work_admit *admit)
 {
-  return decode_whole ((xdrproc_t) xdr_fb_work_admit, data, len, sizeof *admit, admit);
+  if (!decode_whole ((xdrproc_t) xdr_admit_without_account, data, len, sizeof *admit, admit))
+    return FALSE;
+  admit->account = account_of_admit (data, admit);
+  if (strlen (admit->account) <= FB_WORK_MAX_ACCOUNT)
+    return TRUE;
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) admit);
+  return FALSE;
 }
 
 GBytes *
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -187,10 +187,10 @@
                error != NULL ? error->message : "expected --settings FILE");
       return EXIT_USAGE;
     }
-  if (fb_entry_settings_recognize (settings_path))
-    return fb_entry_main (settings_path, check_only);
   if (sodium_init () < 0)
     return EXIT_SETTINGS;
+  if (fb_entry_settings_recognize (settings_path))
+    return fb_entry_main (settings_path, check_only);
   Daemon self = { 0 };
   if (fb_settings_load (settings_path, &self.settings, &self.cell) != FB_SETTINGS_OK)
     {
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -35,6 +35,9 @@
 /* First letter of the keys in FB_TOPIC_JOBS; the job's id follows. */
 #define FB_KEY_JOB 'j'
 #define FB_KEY_CANCEL 'c'
+/* The value of a cancel: this prefix, since a record without a value deletes its key, and the
+ * account of the caller. */
+#define FB_CANCEL_PREFIX "x"
 
 /* ---- daemon state ------------------------------------------------------ */
 
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -13,7 +13,8 @@
   char *job;
   char *queue;
   char *service;
-  char *key; /* key of the record to store */
+  char *account; /* the caller's client account; "" on a route that needs no key */
+  char *key;     /* key of the record to store */
   GBytes *value;
   GByteArray *records; /* the record, encoded; also sent to peers */
   GPtrArray *tried;    /* addresses of peers that have been tried for storing the record */
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -26,16 +26,25 @@
 
 #define JSON_TYPE "application/json"
 
+/* Where a caller's request is directed, and for whom; borrowed for the duration of a call. */
+typedef struct
+{
+  const FbRoute *route;
+  const char *account; /* name of the caller's account; "": none */
+} Target;
+
 static FbFrontendRequest *
-request_new (FbEntryDaemon *entry, SoupServerMessage *message, const FbRoute *route,
+request_new (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target,
              const char *job)
 {
+  const FbRoute *route = target->route;
   FbFrontendRequest *request = talloc_zero (NULL, FbFrontendRequest);
   request->entry = entry;
   request->message = g_object_ref (message);
   request->job = talloc_strdup (request, job);
   request->queue = talloc_strdup (request, route->policy.queue);
   request->service = talloc_strdup (request, route->policy.service);
+  request->account = talloc_strdup (request, target->account);
   request->partition = fb_entry_partition_of (entry, route->policy.service);
   request->received_ms = fb_clock_ms ();
   request->tried = g_ptr_array_new_with_free_func (g_free);
@@ -111,9 +120,11 @@
 }
 
 static void
-submit (FbEntryDaemon *entry, SoupServerMessage *message, const FbRoute *route, const char *job)
+submit (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target, const char *job)
 {
-  fb_work_admit admit = { .policy = route->policy, .accepted_ms = fb_clock_wall_ms () };
+  fb_work_admit admit = { .policy = target->route->policy,
+                          .accepted_ms = fb_clock_wall_ms (),
+                          .account = (char *) target->account };
   if (!read_job (message, &admit.spec))
     {
       refuse (entry, message, SOUP_STATUS_BAD_REQUEST, fb_status_message ());
@@ -124,7 +135,7 @@
   if (value == NULL)
     refuse (entry, message, SOUP_STATUS_BAD_REQUEST, "the job is too large");
   else
-    fb_entry_frontend_store (request_new (entry, message, route, job), FB_KEY_JOB, value);
+    fb_entry_frontend_store (request_new (entry, message, target, job), FB_KEY_JOB, value);
 }
 
 /* ---- state and cancel ---------------------------------------------------------------- */
@@ -143,9 +154,9 @@
     fb_entry_frontend_finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
   else if (request->is_delete)
     {
-      /* The value must not be empty, because a record without a value deletes its key. */
-      g_autoptr (GBytes) non_empty = g_bytes_new_static ("x", 1);
-      fb_entry_frontend_store (request, FB_KEY_CANCEL, non_empty);
+      g_autofree char *text = g_strconcat (FB_CANCEL_PREFIX, request->account, NULL);
+      g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
+      fb_entry_frontend_store (request, FB_KEY_CANCEL, value);
     }
   else if (peer_reply != NULL && peer_reply->type == FB_REPLY_JOB_STATE)
     {
@@ -158,14 +169,24 @@
 }
 
 static void
-request_state (FbEntryDaemon *entry, SoupServerMessage *message, const FbRoute *route,
+request_state (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target,
                const char *job, gboolean is_delete)
 {
-  FbFrontendRequest *request = request_new (entry, message, route, job);
+  FbFrontendRequest *request = request_new (entry, message, target, job);
   request->is_delete = is_delete;
   fb_peer_request peer_request = { .type = FB_REQUEST_JOB_STATE };
-  peer_request.fb_peer_request_u.job.service = request->service;
-  peer_request.fb_peer_request_u.job.job = request->job;
+  if (*request->account != '\0')
+    {
+      peer_request.type = FB_REQUEST_ACCOUNT_JOB_STATE;
+      peer_request.fb_peer_request_u.account_job.service = request->service;
+      peer_request.fb_peer_request_u.account_job.job = request->job;
+      peer_request.fb_peer_request_u.account_job.account = request->account;
+    }
+  else
+    {
+      peer_request.fb_peer_request_u.job.service = request->service;
+      peer_request.fb_peer_request_u.job.job = request->job;
+    }
   fb_peers_request_owner (entry, request->service, &peer_request,
                           is_delete ? OWNER_TIMEOUT_MS / 4 : OWNER_TIMEOUT_MS, on_state, request);
 }
@@ -186,9 +207,9 @@
 }
 
 static void
-request_pending (FbEntryDaemon *entry, SoupServerMessage *message, const FbRoute *route)
+request_pending (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target)
 {
-  FbFrontendRequest *request = request_new (entry, message, route, "");
+  FbFrontendRequest *request = request_new (entry, message, target, "");
   fb_peer_request peer_request = { .type = FB_REQUEST_PENDING_COUNT };
   peer_request.fb_peer_request_u.queue.service = request->service;
   peer_request.fb_peer_request_u.queue.queue = request->queue;
@@ -212,25 +233,43 @@
 }
 
 static void
-serve_queue (FbEntryDaemon *entry, SoupServerMessage *message, const FbRoute *route,
+serve_queue (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target,
              const char *rest)
 {
   const char *method = soup_server_message_get_method (message);
   gboolean is_get = g_str_equal (method, "GET");
   if (is_get && *rest == '\0')
-    request_pending (entry, message, route);
+    request_pending (entry, message, target);
   else if (!is_job_id (rest))
     refuse (entry, message, SOUP_STATUS_NOT_FOUND, "expected 16 hexadecimal digits as job id");
   else if (is_get)
-    request_state (entry, message, route, rest, FALSE);
+    request_state (entry, message, target, rest, FALSE);
   else if (g_str_equal (method, "DELETE"))
-    request_state (entry, message, route, rest, TRUE);
+    request_state (entry, message, target, rest, TRUE);
   else if (g_str_equal (method, "POST"))
-    submit (entry, message, route, rest);
+    submit (entry, message, target, rest);
   else
     refuse (entry, message, SOUP_STATUS_METHOD_NOT_ALLOWED, "expected GET, POST or DELETE");
 }
 
+/* Finds the account of a caller.  Returns: (nullable): why the caller is refused, as a static text;
+ * NULL when it is let in. */
+static const char *
+authenticate (const FbEntryDaemon *entry, SoupMessageHeaders *headers, Target *target)
+{
+  target->account = "";
+  if (entry->routes->accounts == NULL || target->route->anonymous)
+    return NULL;
+  const char *key = soup_message_headers_get_one (headers, FB_HEADER_KEY);
+  if (key == NULL)
+    return "the request has no key of a client account";
+  const FbAccount *account = fb_accounts_find (entry->routes->accounts, key);
+  if (account == NULL)
+    return "the key belongs to no client account";
+  target->account = account->name;
+  return NULL;
+}
+
 void
 fb_entry_frontend_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                          GHashTable *query, gpointer data)
@@ -247,9 +286,18 @@
     }
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   const char *host = soup_message_headers_get_one (headers, "Host");
-  const FbRoute *route = fb_routes_find (entry->routes, host != NULL ? host : "", path);
-  if (route == NULL)
-    refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
-  else
-    serve_queue (entry, message, route, path + strlen (route->prefix));
+  Target target = { .route = fb_routes_find (entry->routes, host != NULL ? host : "", path) };
+  if (target.route == NULL)
+    {
+      refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
+      return;
+    }
+  const char *reason = authenticate (entry, headers, &target);
+  if (reason != NULL)
+    {
+      fb_counter_add (FB_COUNTER_KEYS_REFUSED, 1);
+      refuse (entry, message, SOUP_STATUS_UNAUTHORIZED, reason);
+      return;
+    }
+  serve_queue (entry, message, &target, path + strlen (target.route->prefix));
 }
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -31,17 +31,22 @@
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &record);
 }
 
-/* VALUE is unused: the key identifies the cancelled job. */
 static void
 apply_cancel (FbOwner *self, const char *job, GBytes *value)
 {
-  (void) value;
+  gsize len = 0;
+  const char *text = g_bytes_get_data (value, &len);
+  gsize prefix_len = MIN (len, strlen (FB_CANCEL_PREFIX));
+  g_autofree char *account = g_strndup (text + prefix_len, len - prefix_len);
   GHashTableIter iter;
   gpointer service_pool;
   g_hash_table_iter_init (&iter, self->service_pools);
   while (g_hash_table_iter_next (&iter, NULL, &service_pool))
-    fb_pool_cancel_job (((FbServicePool *) service_pool)->pool, job, fb_clock_ms (),
-                        fb_clock_wall_ms ());
+    {
+      FbPool *pool = ((FbServicePool *) service_pool)->pool;
+      if (fb_pool_job_is_visible (pool, job, account))
+        fb_pool_cancel_job (pool, job, fb_clock_ms (), fb_clock_wall_ms ());
+    }
 }
 
 static void
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -364,14 +364,15 @@
 
 /* ---- queries ------------------------------------------------------------------------------ */
 
+/* Answers a caller of ACCOUNT.  A job of another account is treated as one that does not exist. */
 static void
-answer_job_state (FbOwner *self, const fb_job_state_request *peer_request,
+answer_job_state (FbOwner *self, const char *service, const char *job, const char *account,
                   fb_peer_reply *peer_reply)
 {
-  const FbServicePool *service_pool
-      = g_hash_table_lookup (self->service_pools, peer_request->service);
+  const FbServicePool *service_pool = g_hash_table_lookup (self->service_pools, service);
   fb_work_state state = FB_WORK_QUEUED;
-  if (service_pool != NULL && fb_pool_job_state (service_pool->pool, peer_request->job, &state))
+  if (service_pool != NULL && fb_pool_job_state (service_pool->pool, job, &state)
+      && fb_pool_job_is_visible (service_pool->pool, job, account))
     {
       peer_reply->type = FB_REPLY_JOB_STATE;
       peer_reply->fb_peer_reply_u.state = state;
@@ -398,8 +399,13 @@
   peer_reply->type = FB_REPLY_UNAVAILABLE;
   if (!self->loaded || self->stepped_down)
     return;
+  const fb_job_state_request *job = &peer_request->fb_peer_request_u.job;
+  const fb_account_job_state_request *account_job = &peer_request->fb_peer_request_u.account_job;
   if (peer_request->type == FB_REQUEST_JOB_STATE)
-    answer_job_state (self, &peer_request->fb_peer_request_u.job, peer_reply);
+    answer_job_state (self, job->service, job->job, "", peer_reply);
+  else if (peer_request->type == FB_REQUEST_ACCOUNT_JOB_STATE)
+    answer_job_state (self, account_job->service, account_job->job, account_job->account,
+                      peer_reply);
   else if (peer_request->type == FB_REQUEST_PENDING_COUNT)
     answer_pending (self, &peer_request->fb_peer_request_u.queue, peer_reply);
 }
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -38,6 +38,7 @@
                  ? FB_TRAFFIC_RELAYED_POLLS
                  : FB_TRAFFIC_RELAYED_ORDERS;
     case FB_REQUEST_JOB_STATE:
+    case FB_REQUEST_ACCOUNT_JOB_STATE:
     case FB_REQUEST_PENDING_COUNT:
     case FB_REQUEST_PARTITION_OWNERS:
     case FB_REQUEST_RECENT_STARTS:
@@ -46,6 +47,10 @@
       return FB_TRAFFIC_PEER_QUESTIONS;
     case FB_REQUEST_BACK_UP_SUSPECTS:
       return FB_TRAFFIC_PEER_RECORDS;
+    case FB_REQUEST_CONFIGURATION:
+      return FB_TRAFFIC_PEER_CONFIGURATION;
+    case FB_REQUEST_ACCOUNT_PARTS:
+      return FB_TRAFFIC_ACCOUNT_PARTS;
     }
   return FB_TRAFFIC_OTHER;
 }
@@ -378,11 +383,40 @@
   xdr_free ((xdrproc_t) xdr_fb_peer_reply, (char *) &peer_reply);
 }
 
+/* Replies with the configuration in force if it is newer than that of the requesting daemon. */
+static void
+reply_with_configuration (FbEntryDaemon *entry, const fb_configuration_request *peer_request,
+                          ServedRequest *served)
+{
+  const FbRoutes *routes = entry->routes;
+  fb_peer_reply peer_reply = { .type = FB_REPLY_CONFIGURATION };
+  if (routes == NULL || routes->version <= peer_request->config_version)
+    {
+      send_reply (served, NULL);
+      return;
+    }
+  gsize len = 0;
+  fb_configuration_reply *configuration = &peer_reply.fb_peer_reply_u.configuration;
+  configuration->config_version = routes->version;
+  configuration->value.value_val = (char *) g_bytes_get_data (routes->source, &len);
+  configuration->value.value_len = (u_int) len;
+  send_reply (served, &peer_reply);
+}
+
 static const char *
 service_of (const fb_peer_request *peer_request)
 {
-  return peer_request->type == FB_REQUEST_JOB_STATE ? peer_request->fb_peer_request_u.job.service
-                                                    : peer_request->fb_peer_request_u.queue.service;
+  switch (peer_request->type)
+    {
+    case FB_REQUEST_JOB_STATE:
+      return peer_request->fb_peer_request_u.job.service;
+    case FB_REQUEST_ACCOUNT_JOB_STATE:
+      return peer_request->fb_peer_request_u.account_job.service;
+    case FB_REQUEST_ACCOUNT_PARTS:
+      return peer_request->fb_peer_request_u.parts.coordinator;
+    default:
+      return peer_request->fb_peer_request_u.queue.service;
+    }
 }
 
 static void
@@ -423,7 +457,12 @@
     case FB_REQUEST_NOTIFY_STORED:
       apply_stored (entry, &peer_request->fb_peer_request_u.stored);
       break;
+    case FB_REQUEST_CONFIGURATION:
+      reply_with_configuration (entry, &peer_request->fb_peer_request_u.configuration, served);
+      return;
     case FB_REQUEST_JOB_STATE:
+    case FB_REQUEST_ACCOUNT_JOB_STATE:
+    case FB_REQUEST_ACCOUNT_PARTS:
     case FB_REQUEST_PENDING_COUNT:
       owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service_of (peer_request)));
       if (owner != NULL)
--- a/src/entry/routes.c
+++ b/src/entry/routes.c
@@ -29,6 +29,8 @@
     return;
   g_ptr_array_unref (self->routes);
   g_ptr_array_unref (self->services);
+  fb_accounts_free (self->accounts);
+  g_clear_pointer (&self->source, g_bytes_unref);
   g_free (self);
 }
 
--- a/src/entry/routes.h
+++ b/src/entry/routes.h
@@ -1,6 +1,8 @@
-/* Active routes: map the host and path of a caller's request to a queue. */
+/* The active configuration: routes, which map the host and path of a caller's request to a queue,
+ * and client accounts. */
 #pragma once
 
+#include "accounts.h"
 #include "rpc/work.h"
 
 #include <glib.h>
@@ -10,14 +12,17 @@
 {
   char *host;
   char *prefix;
+  gboolean anonymous;    /* callers need no key, and their jobs belong to no account */
   fb_work_policy policy; /* strings owned by the route */
 } FbRoute;
 
 typedef struct
 {
   uint64_t version;
-  GPtrArray *routes;   /* of FbRoute */
-  GPtrArray *services; /* of char * */
+  GPtrArray *routes;    /* of FbRoute */
+  GPtrArray *services;  /* of char * */
+  FbAccounts *accounts; /* NULL: callers need no key */
+  GBytes *source;       /* the record that was parsed, for daemons that cannot read it */
 } FbRoutes;
 
 FbRoutes *fb_routes_new (uint64_t version);
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -1,5 +1,6 @@
 /* State of a daemon: the store's health, the configuration, the workers, and the partitions that it
  * owns. */
+#include "configuration.h"
 #include "entry-private.h"
 
 #include "fb-counter.h"
@@ -360,46 +361,9 @@
     }
 }
 
-/* ---- configuration ------------------------------------------------------------------- */
-
-static void
-ignore_listing (gpointer user)
-{
-  (void) user;
-}
-
-/* Ignores versions that are not newer than the current one: a slow read may return an older version
- * after a newer one. */
-static void
-on_config_record (gpointer user, const FbStoreRecord *record)
-{
-  FbEntryDaemon *self = user;
-  if (!g_str_equal (record->key, FB_KEY_CONFIG) || record->value == NULL)
-    return;
-  FbRoutes *routes = fb_wire_parse_routes (record->value);
-  if (routes == NULL)
-    {
-      fb_event_log (FB_EVENT_CONFIG_IGNORED, "why=\"%s\"", fb_status_message ());
-      return;
-    }
-  if (self->routes != NULL && routes->version <= self->routes->version)
-    {
-      fb_routes_free (routes);
-      return;
-    }
-  fb_routes_free (self->routes);
-  self->routes = routes;
-  fb_event_log (FB_EVENT_ROUTES_IN_FORCE,
-                "version=%" G_GUINT64_FORMAT " routes=%u services=%u offset=%" G_GUINT64_FORMAT,
-                routes->version, routes->routes->len, routes->services->len, record->offset);
-  fb_entry_foreach_owner (self, fb_owner_routes_changed);
-}
-
-static const FbTopicReaderOps config_ops = { ignore_listing, on_config_record, ignore_listing };
-
 void
 fb_entry_start_watching (FbEntryDaemon *self)
 {
-  self->config_reader = fb_topic_reader_new (self, FB_TOPIC_CONFIG, 0, 0, &config_ops, self);
+  fb_configuration_watch (self);
   fb_timer_subscribe (self->timer, RELEASE_INTERVAL_MS, release_lost_partitions, self);
 }
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -2,6 +2,7 @@
  *
  * A record holds only tasks that have ended or have a checkpoint.  The others are found again by
  * polling the workers, so a start needs no write to the store. */
+#include "internal/codec.h"
 #include "internal/pool-crash.h"
 
 #include <stdlib.h>
@@ -13,16 +14,10 @@
 void
 fb_pool_job_copy_record (const fb_work_admit *from, fb_work_admit *to)
 {
-  *to = (fb_work_admit){ 0 };
-  gsize size = xdr_sizeof ((xdrproc_t) xdr_fb_work_admit, (void *) from);
-  g_autofree char *buffer = g_malloc (size);
-  XDR xdr;
-  xdrmem_create (&xdr, buffer, (u_int) size, XDR_ENCODE);
-  xdr_fb_work_admit (&xdr, (fb_work_admit *) from);
-  xdr_destroy (&xdr);
-  xdrmem_create (&xdr, buffer, (u_int) size, XDR_DECODE);
-  xdr_fb_work_admit (&xdr, to);
-  xdr_destroy (&xdr);
+  g_autoptr (GBytes) record = fb_codec_encode_admit (from);
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (record, &len);
+  (void) fb_codec_decode_admit (data, len, to);
 }
 
 /* Returns: the length of the critical path through the steps, by their estimates. */
@@ -284,12 +279,36 @@
     }
 }
 
+/* The admission of an ended job is deleted, so its progress has to name the account that may still
+ * ask for the result.  It stands in place of a checkpoint, in a row of an occurrence that no job
+ * has, which daemons that do not know accounts skip. */
+#define ACCOUNT_OCCURRENCE G_MAXUINT32
+
+static void
+add_account (GArray *task_progress, const FbPoolJob *job)
+{
+  if (job->record.account == NULL || *job->record.account == '\0')
+    return;
+  const fb_work_task_progress row
+      = { .occurrence = ACCOUNT_OCCURRENCE, .checkpoint = job->record.account };
+  g_array_append_val (task_progress, row);
+}
+
+static void
+restore_account (FbPoolJob *job, const char *account)
+{
+  free (job->record.account);
+  job->record.account = strdup (account);
+}
+
 /* PROGRESS borrows strings from the job; the caller frees its array of task progress. */
 void
 fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress)
 {
   GArray *task_progress = g_array_new (FALSE, TRUE, sizeof (fb_work_task_progress));
   gboolean ended = fb_pool_job_ended (job);
+  if (ended)
+    add_account (task_progress, job);
   for (guint i = 0; !ended && i < job->occurrences->len; i++)
     {
       const FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
@@ -306,6 +325,11 @@
 static void
 restore_task_progress (FbPoolJob *job, const fb_work_task_progress *row)
 {
+  if (row->occurrence == ACCOUNT_OCCURRENCE)
+    {
+      restore_account (job, row->checkpoint);
+      return;
+    }
   FbPoolStep *step = fb_pool_job_step (job, row->occurrence, row->step);
   if (step == NULL || row->index >= step->spec->count)
     return;
--- /dev/null
+++ b/tests/test-accounts.c
@@ -0,0 +1,318 @@
+/* Client accounts: the operators' list, keys, and the account in the records of jobs. */
+#include "fb-status.h"
+#include "internal/codec.h"
+#include "internal/pool.h"
+#include "platform/wire.h"
+
+#include <CUnit/Basic.h>
+#include <sodium.h>
+#include <string.h>
+
+/* ---- the configuration ------------------------------------------------------ */
+
+static FbRoutes *
+parse (const char *accounts)
+{
+  g_autofree char *text = g_strdup_printf ("{\"version\":7,\"routes\":[],\"services\":[]%s%s}",
+                                           *accounts != '\0' ? "," : "", accounts);
+  g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
+  return fb_wire_parse_routes (bytes);
+}
+
+static void
+test_account_is_found_by_its_keys (void)
+{
+  g_autoptr (FbRoutes) routes
+      = parse ("\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"k1\",\"k2\"],\"weight\":24,"
+               "\"cap\":{\"cpu\":5000,\"mem-mb\":64,\"gpu\":3}},"
+               "{\"name\":\"b\",\"api-keys\":[\"k3\"]}]");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (routes);
+  const FbAccount *first = fb_accounts_find (routes->accounts, "k1");
+  const FbAccount *other = fb_accounts_find (routes->accounts, "k3");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (other);
+  CU_ASSERT_PTR_EQUAL (first, fb_accounts_find (routes->accounts, "k2"));
+  CU_ASSERT_STRING_EQUAL (first->name, "a");
+  CU_ASSERT_EQUAL (first->weight, 24);
+  CU_ASSERT_EQUAL (first->cap.cpu_milli, 5000);
+  CU_ASSERT_EQUAL (first->cap.mem_mb, 64);
+  CU_ASSERT_EQUAL (first->cap.gpu_count, 3);
+  CU_ASSERT_EQUAL (other->cap.cpu_milli, 0);
+  CU_ASSERT_PTR_NULL (fb_accounts_find (routes->accounts, "k"));
+  CU_ASSERT_PTR_NULL (fb_accounts_find (routes->accounts, "k1 "));
+  CU_ASSERT_PTR_NULL (fb_accounts_find (routes->accounts, ""));
+}
+
+static void
+test_configuration_without_accounts (void)
+{
+  g_autoptr (FbRoutes) none = parse ("");
+  g_autoptr (FbRoutes) empty = parse ("\"tenants\":[]");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (none);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (empty);
+  CU_ASSERT_PTR_NULL (none->accounts);
+  CU_ASSERT_PTR_NOT_NULL (empty->accounts);
+}
+
+/* Guards against a configuration of which only a part comes into force. */
+static void
+test_malformed_account_refuses_the_version (void)
+{
+  static const struct
+  {
+    const char *accounts;
+    const char *message; /* part of the status message */
+  } cases[] = {
+    { "\"tenants\":7", "not a list" },
+    { "\"tenants\":[7]", "not an object" },
+    { "\"tenants\":[{\"api-keys\":[\"secret\"]}]", "no name" },
+    { "\"tenants\":[{\"name\":\"a\"},{\"name\":\"a\"}]", "account a: listed twice" },
+    { "\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"secret\",\"secret\"]}]", "account a: a key" },
+    { "\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"secret\"]},"
+      "{\"name\":\"b\",\"api-keys\":[\"secret\"]}]",
+      "account b: a key is also a key of account a" },
+    { "\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"\"]}]", "account a: a key has 0 bytes" },
+    { "\"tenants\":[{\"name\":\"a\",\"api-keys\":\"secret\"}]", "account a: its keys" },
+    { "\"tenants\":[{\"name\":\"a\",\"weight\":-1}]", "account a: its weight" },
+    { "\"tenants\":[{\"name\":\"a\",\"cap\":{\"cpu\":-1}}]", "account a: a limit" },
+    { "\"tenants\":[{\"name\":\"a\",\"cap\":{\"gpu\":0.5}}]", "account a: a limit" },
+    { "\"tenants\":[{\"name\":\"a\",\"cap\":{\"mem-mb\":9000000000000000}}]",
+      "account a: a limit" },
+    { "\"tenants\":[{\"name\":\"a\",\"cap\":5}]", "account a: a limit" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CU_ASSERT_PTR_NULL (parse (cases[i].accounts));
+      gboolean named = strstr (fb_status_message (), cases[i].message) != NULL;
+      if (!named)
+        g_printerr ("case %u: %s\n", i, fb_status_message ());
+      CU_ASSERT_TRUE (named);
+      CU_ASSERT_PTR_NULL (strstr (fb_status_message (), "secret"));
+    }
+}
+
+static void
+test_lookup_takes_the_same_time_with_many_keys (void)
+{
+  enum
+  {
+    ACCOUNTS_N = 10000,
+    KEYS_PER_ACCOUNT = 10,
+    LOOKUPS_N = 20000
+  };
+  gint64 took_us[2];
+  for (guint size = 0; size < 2; size++)
+    {
+      g_autoptr (FbAccounts) accounts = fb_accounts_new ();
+      guint accounts_n = size == 0 ? ACCOUNTS_N / 100 : ACCOUNTS_N;
+      for (guint i = 0; i < accounts_n; i++)
+        {
+          FbAccount *account = g_new0 (FbAccount, 1);
+          account->name = g_strdup_printf ("account-%u", i);
+          CU_ASSERT_TRUE_FATAL (fb_accounts_add (accounts, account));
+          for (guint j = 0; j < KEYS_PER_ACCOUNT; j++)
+            {
+              g_autofree char *key = g_strdup_printf ("key-%u-%u", i, j);
+              CU_ASSERT_TRUE_FATAL (fb_accounts_add_key (accounts, account, key));
+            }
+        }
+      gint64 began_us = g_get_monotonic_time ();
+      for (guint i = 0; i < LOOKUPS_N; i++)
+        {
+          g_autofree char *key
+              = g_strdup_printf ("key-%u-%u", i % accounts_n, i % (KEYS_PER_ACCOUNT + 1));
+          const FbAccount *found = fb_accounts_find (accounts, key);
+          CU_ASSERT_EQUAL (found == NULL, i % (KEYS_PER_ACCOUNT + 1) == KEYS_PER_ACCOUNT);
+        }
+      took_us[size] = g_get_monotonic_time () - began_us;
+    }
+  g_print ("a lookup: %.2f us with 1,000 keys, %.2f us with 100,000\n",
+           (double) took_us[0] / LOOKUPS_N, (double) took_us[1] / LOOKUPS_N);
+}
+
+/* ---- records ------------------------------------------------------------------ */
+
+static fb_work_admit
+admit_of (char *account, fb_work_step *step)
+{
+  *step = (fb_work_step){
+    .count = 2, .cpu_milli = 500, .preferred_rack = "", .required_label = "", .image = ""
+  };
+  fb_work_admit admit = { .policy = { .queue = "queue", .service = "service", .max_attempts = 3 },
+                          .accepted_ms = 1234,
+                          .account = account };
+  admit.spec.payload = "payload";
+  admit.spec.steps.steps_val = step;
+  admit.spec.steps.steps_len = 1;
+  return admit;
+}
+
+static void
+test_admission_names_its_account (void)
+{
+  fb_work_step step;
+  fb_work_admit admit = admit_of ("tenant", &step);
+  g_autoptr (GBytes) record = fb_codec_encode_admit (&admit);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (record);
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (record, &len);
+  fb_work_admit decoded;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_admit (data, len, &decoded));
+  CU_ASSERT_STRING_EQUAL (decoded.account, "tenant");
+  CU_ASSERT_STRING_EQUAL (decoded.policy.queue, "queue");
+  CU_ASSERT_STRING_EQUAL (decoded.policy.service, "service");
+  CU_ASSERT_STRING_EQUAL (decoded.spec.payload, "payload");
+  CU_ASSERT_EQUAL (decoded.accepted_ms, 1234);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &decoded);
+}
+
+/* Reads RECORD as daemons do that do not know accounts. */
+static gboolean
+read_without_accounts (GBytes *record, fb_work_policy *policy, fb_work_spec *spec,
+                       uint64_t *accepted_ms)
+{
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (record, &len);
+  XDR xdr;
+  u_quad_t accepted = 0;
+  xdrmem_create (&xdr, (char *) data, (u_int) len, XDR_DECODE);
+  gboolean ok = xdr_fb_work_policy (&xdr, policy) && xdr_fb_work_spec (&xdr, spec)
+                && xdr_u_quad_t (&xdr, &accepted) && xdr_getpos (&xdr) == len;
+  xdr_destroy (&xdr);
+  *accepted_ms = accepted;
+  return ok;
+}
+
+/* Guards against jobs that an owner of the version before accounts cannot read. */
+static void
+test_admission_is_read_by_earlier_daemons (void)
+{
+  static const char *const names[] = { "", "t", "ten", "tena", "tenant-with-a-long-name" };
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      fb_work_step step;
+      fb_work_admit admit = admit_of ((char *) names[i], &step);
+      g_autoptr (GBytes) record = fb_codec_encode_admit (&admit);
+      fb_work_policy policy = { 0 };
+      fb_work_spec spec = { 0 };
+      uint64_t accepted_ms = 0;
+      CU_ASSERT_TRUE_FATAL (read_without_accounts (record, &policy, &spec, &accepted_ms));
+      CU_ASSERT_STRING_EQUAL (policy.queue, "queue");
+      CU_ASSERT_STRING_EQUAL (policy.service, "service");
+      CU_ASSERT_EQUAL (spec.steps.steps_len, 1);
+      CU_ASSERT_EQUAL (accepted_ms, 1234);
+      xdr_free ((xdrproc_t) xdr_fb_work_policy, (char *) &policy);
+      xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &spec);
+    }
+}
+
+/* Guards against records of accepted jobs that a newer daemon refuses. */
+static void
+test_admission_of_earlier_daemons_is_read (void)
+{
+  fb_work_step step;
+  fb_work_admit admit = admit_of (NULL, &step);
+  g_autoptr (GBytes) record = fb_codec_encode_admit (&admit);
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (record, &len);
+  fb_work_admit decoded;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_admit (data, len, &decoded));
+  CU_ASSERT_STRING_EQUAL (decoded.account, "");
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &decoded);
+  CU_ASSERT_FALSE (fb_codec_decode_admit (data, len - 1, &decoded));
+  CU_ASSERT_FALSE (fb_codec_decode_admit (data, 3, &decoded));
+}
+
+/* ---- whose job it is ------------------------------------------------------------ */
+
+static FbPool *
+pool_with_job (char *account)
+{
+  static const FbPoolCallbacks none;
+  const FbPoolLimits limits = { .max_lease_ms = 6000 };
+  FbPool *pool = fb_pool_new ("service", 1, &limits, &none, NULL, 0);
+  fb_work_step step;
+  fb_work_admit admit = admit_of (account, &step);
+  fb_pool_add_job (pool, "00000000000000aa", &admit, 0, 0);
+  return pool;
+}
+
+/* Guards against accounts that read or cancel the jobs of others. */
+static void
+test_job_is_visible_to_its_account (void)
+{
+  FbPool *pool = pool_with_job ("tenant");
+  CU_ASSERT_TRUE (fb_pool_job_is_visible (pool, "00000000000000aa", "tenant"));
+  CU_ASSERT_TRUE (fb_pool_job_is_visible (pool, "00000000000000aa", ""));
+  CU_ASSERT_FALSE (fb_pool_job_is_visible (pool, "00000000000000aa", "other"));
+  fb_pool_free (pool);
+}
+
+static void
+test_job_without_account_is_visible_to_all (void)
+{
+  FbPool *pool = pool_with_job (NULL);
+  CU_ASSERT_TRUE (fb_pool_job_is_visible (pool, "00000000000000aa", "tenant"));
+  CU_ASSERT_TRUE (fb_pool_job_is_visible (pool, "00000000000000aa", ""));
+  fb_pool_free (pool);
+}
+
+/* Guards against results that others can read once the admission of an ended job is deleted. */
+static void
+test_account_outlives_the_admission (void)
+{
+  FbPool *pool = pool_with_job ("tenant");
+  fb_pool_cancel_job (pool, "00000000000000aa", 0, 1);
+  g_autoptr (GPtrArray) records = fb_pool_flush (pool, 0, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (records);
+  FbPool *next = fb_pool_new ("service", 2, &(FbPoolLimits){ .max_lease_ms = 6000 },
+                              &(FbPoolCallbacks){ 0 }, NULL, 0);
+  for (guint i = 0; i < records->len; i++)
+    {
+      const FbPoolRecord *record = records->pdata[i];
+      fb_work_progress progress;
+      fb_work_suspects suspects;
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (record->progress, &len);
+      CU_ASSERT_TRUE_FATAL (fb_codec_decode_progress (data, len, &progress, &suspects));
+      fb_pool_restore_job (next, record->job, &progress, &suspects, 0);
+      fb_codec_clear_progress (&progress, &suspects);
+    }
+  fb_work_state state = FB_WORK_QUEUED;
+  CU_ASSERT_TRUE (fb_pool_job_state (next, "00000000000000aa", &state));
+  CU_ASSERT_EQUAL (state, FB_WORK_CANCELLED);
+  CU_ASSERT_TRUE (fb_pool_job_is_visible (next, "00000000000000aa", "tenant"));
+  CU_ASSERT_FALSE (fb_pool_job_is_visible (next, "00000000000000aa", "other"));
+  fb_pool_free (next);
+  fb_pool_free (pool);
+}
+
+int
+main (void)
+{
+  static const struct
+  {
+    const char *name;
+    CU_TestFunc function;
+  } tests[] = {
+    { "an account is found by its keys", test_account_is_found_by_its_keys },
+    { "configuration without accounts", test_configuration_without_accounts },
+    { "malformed accounts", test_malformed_account_refuses_the_version },
+    { "time of a lookup", test_lookup_takes_the_same_time_with_many_keys },
+    { "an admission names its account", test_admission_names_its_account },
+    { "earlier daemons read an admission", test_admission_is_read_by_earlier_daemons },
+    { "an admission of earlier daemons", test_admission_of_earlier_daemons_is_read },
+    { "a job is visible to its account", test_job_is_visible_to_its_account },
+    { "a job without account is visible to all", test_job_without_account_is_visible_to_all },
+    { "the account outlives the admission", test_account_outlives_the_admission },
+  };
+  if (sodium_init () < 0 || CU_initialize_registry () != CUE_SUCCESS)
+    return 1;
+  CU_pSuite suite = CU_add_suite ("accounts", NULL, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].function);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
