--- a/include/internal/account.h
+++ b/include/internal/account.h
@@ -12,6 +12,17 @@
   int64_t gpu_count;
 } FbAmounts;
 
+#define FB_AMOUNTS_N 3
+
+/* Returns: the amount of RESOURCE, from 0 to FB_AMOUNTS_N - 1. */
+int64_t *fb_amounts_at (FbAmounts *amounts, guint resource);
+int64_t fb_amounts_get (const FbAmounts *amounts, guint resource);
+/* Adds FACTOR times AMOUNTS to SUM. */
+void fb_amounts_add (FbAmounts *sum, const FbAmounts *amounts, int64_t factor);
+FbAmounts fb_amounts_max (const FbAmounts *a, const FbAmounts *b);
+FbAmounts fb_amounts_min (const FbAmounts *a, const FbAmounts *b);
+gboolean fb_amounts_equal (const FbAmounts *a, const FbAmounts *b);
+
 typedef struct
 {
   char *name;
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -7,6 +7,7 @@
 typedef struct _FbPoolRun FbPoolRun;
 typedef struct _FbPoolStep FbPoolStep;
 typedef struct _FbPoolLongRunning FbPoolLongRunning;
+typedef struct _FbPoolAccount FbPoolAccount;
 
 /* The estimated speed of a worker.  It is shared with the tasks that ran there until their steps
  * have ended, so it may outlive the worker. */
@@ -84,13 +85,14 @@
   gboolean has_advice;               /* the advice service has answered about some worker */
   uint64_t advice_until_ms;          /* when the open request times out; 0: none is open */
   uint64_t last_advice_ms;           /* when the last request was answered or failed; 0: never */
-  GPtrArray *reserved_on;       /* ids of workers with reserved capacity, one entry for each task */
-  uint64_t reserved_until_ms;   /* when the reservation ends; 0: none */
-  gboolean queued;              /* it is in FbPool.queue or FbPool.unmerged */
-  FbPoolUrgency urgency;        /* as of when it was sorted into the queue */
-  uint64_t last_failed_round;   /* last round that left it pending; 0: none */
-  uint64_t retry_at_ms;         /* when it is tried again even if nothing has changed */
-  uint64_t preemption_tried_ms; /* when preemptible runs were last searched for; 0: never */
+  GPtrArray *reserved_on;     /* ids of workers with reserved capacity, one entry for each task */
+  uint64_t reserved_until_ms; /* when the reservation ends; 0: none */
+  gboolean queued;        /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
+  GSequenceIter *held_at; /* in FbPoolAccount.held; NULL: it does not wait for its account */
+  FbPoolUrgency urgency;  /* as of when it was sorted into the queue */
+  uint64_t last_failed_round;      /* last round that left it pending; 0: none */
+  uint64_t retry_at_ms;            /* when it is tried again even if nothing has changed */
+  uint64_t preemption_tried_ms;    /* when preemptible runs were last searched for; 0: never */
   FbPoolLongRunning *long_running; /* state of a long-running step; NULL: none yet */
 };
 
@@ -105,6 +107,7 @@
 {
   char *id;
   fb_work_admit record;
+  FbPoolAccount *account; /* borrowed from the pool; NULL: it belongs to no account */
   fb_work_state state;
   fb_work_state stored_state;   /* the state last made durable, which is reported to callers */
   fb_work_state flushing_state; /* the state in the open flush */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -92,6 +92,8 @@
   gboolean is_connected;     /* half of the workers have answered within CONNECTED_ANSWER_MS */
   gboolean limit_reached;    /* a task may have reached its limit of crashes */
   uint64_t jobs_complete_ms; /* every job stored before this time is known */
+  GHashTable *accounts;      /* name -> FbPoolAccount: see pool-account.h */
+  uint64_t unconfirmed_ms;   /* when FbPoolAccount.unconfirmed was last computed */
   gboolean workers_dirty;    /* the record of workers is out of date */
   /* At the last tick the owner was certain of its ownership, and not stopping. */
   gboolean may_start;
@@ -128,6 +130,8 @@
 void fb_pool_queue_add (FbPool *self, FbPoolStep *step);
 /* Sorts the queue and removes steps without pending tasks. */
 void fb_pool_queue_sort (FbPool *self, uint64_t now_ms);
+/* Compares two steps by the order in which they are placed. */
+gint fb_pool_queue_compare (const FbPoolStep *x, const FbPoolStep *y);
 /* Removes the steps of JOB, which is about to be freed. */
 void fb_pool_queue_remove_job (FbPool *self, const FbPoolJob *job);
 
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -12,6 +12,7 @@
  * lease may be valid. */
 #pragma once
 
+#include "internal/account.h"
 #include "rpc/work.h"
 
 #include <glib.h>
@@ -160,6 +161,9 @@
   uint32_t max_shared_crashes;
   /* Ended runs that a worker lists in one answer; 0: the pool's default. */
   uint32_t max_reported_ends;
+  /* Other pools share the caps of client accounts: an account that has a cap may use nothing here
+   * before fb_pool_set_account_part(). */
+  gboolean caps_are_divided;
 } FbPoolLimits;
 
 /* ---- creation -------------------------------------------------------------- */
@@ -205,6 +209,12 @@
  * not in the table keeps its policy. */
 void fb_pool_set_policies (FbPool *self, GHashTable *policies);
 
+/* Replaces the caps of client accounts.  ACCOUNTS: name -> FbAccount; an account that is not in the
+ * table keeps its cap while its jobs run. */
+void fb_pool_set_accounts (FbPool *self, GHashTable *accounts);
+/* Sets the part of its cap that the account NAME may use in this pool. */
+void fb_pool_set_account_part (FbPool *self, const char *name, const FbAmounts *part);
+
 void fb_pool_poll_answered (FbPool *self, const char *worker, const FbPollAnswer *answer,
                             uint64_t now_ms, uint64_t wall_ms);
 void fb_pool_start_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
@@ -258,6 +268,20 @@
 /* Returns: FALSE when JOB belongs to another client account than ACCOUNT; "" stands for a caller
  * that needs no key, and jobs may have no account. */
 gboolean fb_pool_job_is_visible (const FbPool *self, const char *job, const char *account);
+/* What a client account uses in a pool. */
+typedef struct
+{
+  const char *name; /* borrowed */
+  FbAmounts cap;    /* over all pools; 0: no limit */
+  FbAmounts taken;  /* by what runs or may run here */
+  FbAmounts needed; /* TAKEN and what the first waiting step needs to start */
+  FbAmounts wanted; /* TAKEN and what the waiting steps need */
+  gboolean waits;   /* steps wait because the account may use no more here */
+} FbPoolAccountUsage;
+typedef void (*FbPoolAccountFunc) (gpointer user, const FbPoolAccountUsage *usage);
+void fb_pool_foreach_account (const FbPool *self, FbPoolAccountFunc func, gpointer user);
+/* FALSE while runs of an earlier owner may be missing in what accounts use here. */
+gboolean fb_pool_usage_is_known (const FbPool *self);
 /* Returns: how many jobs of QUEUE have no scheduled occurrences and no task that was started. */
 uint32_t fb_pool_pending_jobs_n (const FbPool *self, const char *queue);
 /* TRUE while a majority of the listed workers has answered polls that were sent under this epoch
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -612,6 +612,10 @@
 		 return FALSE;
 	 if (!xdr_fb_work_amounts (xdrs, &objp->held))
 		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->needed))
+		 return FALSE;
 	 if (!xdr_fb_work_amounts (xdrs, &objp->wanted))
 		 return FALSE;
 	return TRUE;
@@ -630,6 +634,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->coordinator_epoch))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FB_WORK_MAX_ACCOUNT_ROWS,
@@ -1016,6 +1022,8 @@
 		 return FALSE;
 	 if (!xdr_fb_work_amounts (xdrs, &objp->granted))
 		 return FALSE;
+	 if (!xdr_fb_work_amounts (xdrs, &objp->cap))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -228,6 +228,8 @@
 struct fb_account_part {
 	char *account;
 	fb_work_amounts held;
+	fb_work_amounts taken;
+	fb_work_amounts needed;
 	fb_work_amounts wanted;
 };
 typedef struct fb_account_part fb_account_part;
@@ -237,6 +239,7 @@
 	char *service;
 	u_quad_t epoch;
 	u_quad_t sequence;
+	u_quad_t coordinator_epoch;
 	bool_t complete;
 	struct {
 		u_int rows_len;
@@ -468,6 +471,7 @@
 struct fb_account_grant {
 	char *account;
 	fb_work_amounts granted;
+	fb_work_amounts cap;
 };
 typedef struct fb_account_grant fb_account_grant;
 
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -186,10 +186,13 @@
   unsigned hyper gpu_count;
 };
 
-/* The part of one account's cap that a pool holds, and the part that it wants. */
+/* The part of one account's cap that a pool holds, what it uses, what it needs to start the first
+ * step that waits, and what it needs to start the others as well. */
 struct fb_account_part {
   string account<FB_WORK_MAX_ACCOUNT>;
   fb_work_amounts held;
+  fb_work_amounts taken;
+  fb_work_amounts needed;
   fb_work_amounts wanted;
 };
 
@@ -201,6 +204,7 @@
   string service<FB_WORK_MAX_NAME>;
   unsigned hyper epoch;    /* of the owner of SERVICE */
   unsigned hyper sequence; /* number of the request under that epoch */
+  unsigned hyper coordinator_epoch; /* of the coordinating owner for which ROWS are meant */
   bool complete;           /* SERVICE holds nothing of accounts that are not in ROWS */
   fb_account_part rows<FB_WORK_MAX_ACCOUNT_ROWS>;
 };
@@ -376,15 +380,16 @@
   opaque value<>;
 };
 
-/* A part of an account's cap that a pool may use. */
+/* A part of an account's cap that a pool may use.  CAP: the cap that was divided. */
 struct fb_account_grant {
   string account<FB_WORK_MAX_ACCOUNT>;
   fb_work_amounts granted;
+  fb_work_amounts cap;
 };
 
 struct fb_account_grants_reply {
   unsigned hyper epoch; /* of the owner of the coordinating pool */
-  bool complete_needed; /* nothing is granted before a complete request */
+  bool complete_needed; /* nothing is granted before a complete request for EPOCH */
   fb_account_grant rows<FB_WORK_MAX_ACCOUNT_ROWS>;
 };
 
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -24,6 +24,9 @@
 #define RETRY_AFTER_MIN_S 1
 #define RETRY_AFTER_MAX_S 4
 
+/* Not among the status codes of libsoup. */
+#define STATUS_TOO_MANY_REQUESTS 429
+
 #define JSON_TYPE "application/json"
 
 /* Where a caller's request is directed, and for whom; borrowed for the duration of a call. */
@@ -119,6 +122,15 @@
   return FALSE;
 }
 
+static gboolean
+fits_account (const FbEntryDaemon *entry, const Target *target, const fb_work_spec *spec)
+{
+  const FbAccount *account = NULL;
+  if (*target->account != '\0')
+    account = g_hash_table_lookup (fb_accounts_by_name (entry->routes->accounts), target->account);
+  return account == NULL || fb_spec_fits_cap (spec, &account->cap);
+}
+
 static void
 submit (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target, const char *job)
 {
@@ -130,6 +142,12 @@
       refuse (entry, message, SOUP_STATUS_BAD_REQUEST, fb_status_message ());
       return;
     }
+  if (!fits_account (entry, target, &admit.spec))
+    {
+      refuse (entry, message, STATUS_TOO_MANY_REQUESTS, fb_status_message ());
+      xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &admit.spec);
+      return;
+    }
   g_autoptr (GBytes) value = fb_codec_encode_admit (&admit);
   xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &admit.spec);
   if (value == NULL)
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -3,12 +3,16 @@
 
 #include "src/entry/entry-private.h"
 
+#include "internal/account-parts.h"
+
 /* The pool of one service of the partition. */
 typedef struct
 {
   FbOwner *owner;
   FbPool *pool;
   char *service;
+  FbAccountParts *parts; /* its parts of the caps of client accounts */
+  uint64_t parts_ms;     /* time at which they were last applied to the pool */
 } FbServicePool;
 
 struct _FbOwner
@@ -44,6 +48,8 @@
   GPtrArray *ended_jobs; /* ids of jobs whose end is stored, so that their admission records can be
                           * deleted */
   uint64_t deleted_ms;   /* time at which such records were last deleted */
+  uint64_t ticked_ms;    /* time of the last tick; 0: none yet */
+  uint64_t woken_ms;     /* time of the first tick after the process was suspended; 0: never */
 };
 
 /* Keys of FB_TOPIC_PROGRESS are job ids, or this prefix followed by the name of a service. */
@@ -72,7 +78,20 @@
  * earlier owners until they are received.  To be called in every tick after loading. */
 void fb_owner_request_starts (FbOwner *self, uint64_t now_ms);
 
+/* owner-account-parts.c */
+
+/* Applies the parts of the caps of client accounts to the pool, and requests other parts from the
+ * owners of other pools.  To be called in every tick after loading. */
+void fb_owner_exchange_account_parts (FbServicePool *service_pool, uint64_t now_ms);
+/* Answers a request of the owner of another pool for parts of the caps that the pool in it
+ * divides. */
+void fb_owner_answer_account_parts (FbOwner *self, const fb_account_parts_request *peer_request,
+                                    fb_peer_reply *peer_reply);
+
 /* owner.c */
 
 /* Returns: the pool of SERVICE, borrowed; created when there is none. */
 FbServicePool *fb_owner_pool_for (FbOwner *self, const char *service);
+/* Returns: TRUE when the store or a majority of the workers of SERVICE_POOL confirms the ownership,
+ * so that no other daemon acts as owner. */
+gboolean fb_owner_confirm (FbOwner *self, const FbServicePool *service_pool, uint64_t now_ms);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -17,6 +17,10 @@
 #define UNCONFIRMED_MAX_MS 2000
 /* Interval at which records of ended jobs are deleted in a batch. */
 #define DELETE_INTERVAL_MS 1000
+/* Time between two ticks that only a suspended process needs, and the time for which it then waits
+ * for a newer configuration at most. */
+#define SUSPENDED_MS 1000
+#define CONFIG_WAIT_MS 500
 /* Maximum age of the list of jobs by which the owner answers that a job does not exist. */
 #define JOBS_MAX_AGE_MS 1500
 
@@ -27,6 +31,7 @@
 {
   FbServicePool *service_pool = data;
   fb_pool_free (service_pool->pool);
+  fb_account_parts_free (service_pool->parts);
   g_free (service_pool->service);
   g_free (service_pool);
 }
@@ -55,12 +60,14 @@
                                 .max_stop_ms = (uint32_t) settings->max_stop_ms,
                                 .gang_wait_ms = (uint32_t) settings->gang_wait_ms,
                                 .max_isolated_crashes = (uint32_t) settings->max_isolated_crashes,
-                                .max_shared_crashes = (uint32_t) settings->max_shared_crashes };
+                                .max_shared_crashes = (uint32_t) settings->max_shared_crashes,
+                                .caps_are_divided = TRUE };
   service_pool = g_new0 (FbServicePool, 1);
   service_pool->owner = self;
   service_pool->service = g_strdup (service);
   service_pool->pool = fb_pool_new (service, self->epoch, &limits, &fb_owner_pool_callbacks,
                                     service_pool, fb_clock_ms ());
+  service_pool->parts = fb_account_parts_new (service, self->epoch);
   g_hash_table_insert (self->service_pools, service_pool->service, service_pool);
   add_listed_workers (service_pool);
   if (self->workers_known)
@@ -163,8 +170,8 @@
 
 /* ---- periodic tick ---------------------------------------------------------------- */
 
-static gboolean
-confirm_ownership (FbOwner *self, const FbServicePool *service_pool, uint64_t now_ms)
+gboolean
+fb_owner_confirm (FbOwner *self, const FbServicePool *service_pool, uint64_t now_ms)
 {
   if (!fb_group_is_member (self->entry->group, now_ms)
       && !fb_pool_has_majority (service_pool->pool, MAJORITY_MAX_AGE_MS, now_ms))
@@ -192,10 +199,23 @@
     fb_pool_workers_complete (((FbServicePool *) service_pool)->pool);
 }
 
+/* A process that was suspended may have missed a configuration that lowers the cap of an account.
+ * Returns: TRUE until the configuration was read again. */
+static gboolean
+awaits_configuration (FbOwner *self, uint64_t now_ms)
+{
+  if (self->ticked_ms != 0 && now_ms > self->ticked_ms + SUSPENDED_MS)
+    self->woken_ms = now_ms;
+  self->ticked_ms = now_ms;
+  return self->woken_ms != 0 && now_ms < self->woken_ms + CONFIG_WAIT_MS
+         && fb_topic_reader_synced_ms (self->entry->config_reader) < self->woken_ms;
+}
+
 static void
 run_tick (FbOwner *self)
 {
   uint64_t now_ms = fb_clock_ms ();
+  gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
   fb_owner_request_starts (self, now_ms);
   GHashTableIter iter;
@@ -204,8 +224,9 @@
   while (!self->stepped_down && g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbServicePool *service_pool = value;
-      gboolean may_start = confirm_ownership (self, service_pool, now_ms) && !self->quiesced;
+      gboolean may_start = fb_owner_confirm (self, service_pool, now_ms) && may_act;
       fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
+      fb_owner_exchange_account_parts (service_pool, now_ms);
       fb_pool_tick (service_pool->pool, may_start, now_ms, fb_clock_wall_ms ());
       flush_pool (service_pool);
       fb_owner_back_up_suspects (service_pool);
@@ -316,7 +337,13 @@
   gpointer service_pool;
   g_hash_table_iter_init (&iter, self->service_pools);
   while (g_hash_table_iter_next (&iter, NULL, &service_pool))
-    fb_pool_set_policies (((FbServicePool *) service_pool)->pool, policies);
+    {
+      fb_pool_set_policies (((FbServicePool *) service_pool)->pool, policies);
+      fb_account_parts_set_services (((FbServicePool *) service_pool)->parts, routes->services);
+      if (routes->accounts != NULL)
+        fb_pool_set_accounts (((FbServicePool *) service_pool)->pool,
+                              fb_accounts_by_name (routes->accounts));
+    }
 }
 
 void
@@ -406,6 +433,8 @@
   else if (peer_request->type == FB_REQUEST_ACCOUNT_JOB_STATE)
     answer_job_state (self, account_job->service, account_job->job, account_job->account,
                       peer_reply);
+  else if (peer_request->type == FB_REQUEST_ACCOUNT_PARTS)
+    fb_owner_answer_account_parts (self, &peer_request->fb_peer_request_u.parts, peer_reply);
   else if (peer_request->type == FB_REQUEST_PENDING_COUNT)
     answer_pending (self, &peer_request->fb_peer_request_u.queue, peer_reply);
 }
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -168,6 +168,7 @@
                       request);
   else
     on_owner_reply (request, &peer_reply);
+  xdr_free ((xdrproc_t) xdr_fb_peer_reply, (char *) &peer_reply);
   xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &peer_request);
 }
 
@@ -470,6 +471,7 @@
       break;
     }
   send_reply (served, &peer_reply);
+  xdr_free ((xdrproc_t) xdr_fb_peer_reply, (char *) &peer_reply);
 }
 
 void
--- /dev/null
+++ b/src/work/amounts.c
@@ -0,0 +1,41 @@
+#include "internal/account.h"
+
+int64_t *
+fb_amounts_at (FbAmounts *amounts, guint resource)
+{
+  int64_t *const all[FB_AMOUNTS_N] = { &amounts->cpu_milli, &amounts->mem_mb, &amounts->gpu_count };
+  return all[resource];
+}
+
+int64_t
+fb_amounts_get (const FbAmounts *amounts, guint resource)
+{
+  return *fb_amounts_at ((FbAmounts *) amounts, resource);
+}
+
+void
+fb_amounts_add (FbAmounts *sum, const FbAmounts *amounts, int64_t factor)
+{
+  for (guint resource = 0; resource < FB_AMOUNTS_N; resource++)
+    *fb_amounts_at (sum, resource) += factor * fb_amounts_get (amounts, resource);
+}
+
+FbAmounts
+fb_amounts_max (const FbAmounts *a, const FbAmounts *b)
+{
+  return (FbAmounts){ MAX (a->cpu_milli, b->cpu_milli), MAX (a->mem_mb, b->mem_mb),
+                      MAX (a->gpu_count, b->gpu_count) };
+}
+
+FbAmounts
+fb_amounts_min (const FbAmounts *a, const FbAmounts *b)
+{
+  return (FbAmounts){ MIN (a->cpu_milli, b->cpu_milli), MIN (a->mem_mb, b->mem_mb),
+                      MIN (a->gpu_count, b->gpu_count) };
+}
+
+gboolean
+fb_amounts_equal (const FbAmounts *a, const FbAmounts *b)
+{
+  return a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb && a->gpu_count == b->gpu_count;
+}
--- /dev/null
+++ b/src/work/pool-account.c
@@ -0,0 +1,401 @@
+#include "internal/pool-account.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+
+/* Number of waiting steps of one account that are tried at a time, in their order.  A gang that
+ * needs much may wait at the head while smaller steps behind it can start. */
+#define LOOKAHEAD_N 32
+/* Interval at which what may run on workers without an answer is computed again during a takeover:
+ * it takes a pass over the active jobs. */
+#define UNCONFIRMED_INTERVAL_MS 100
+/* Minimum interval between two log lines about steps that wait for one account. */
+#define LOG_INTERVAL_MS 1000
+
+struct _FbPoolAccount
+{
+  char *name;
+  FbAmounts cap;         /* 0: no limit */
+  FbAmounts part;        /* what this pool may use of the cap */
+  FbAmounts used;        /* by the runs on the workers of this pool */
+  FbAmounts unconfirmed; /* may run on workers that have not answered this owner yet */
+  GSequence *held;       /* of FbPoolStep that wait for the account, in the order of the queue */
+  gboolean release_due;  /* it may run more than when its steps were last tried */
+  uint64_t logged_ms;    /* when it was last logged that steps wait; 0: never */
+};
+
+static void
+account_free (gpointer data)
+{
+  FbPoolAccount *account = data;
+  g_sequence_free (account->held);
+  g_free (account->name);
+  g_free (account);
+}
+
+GHashTable *
+fb_pool_accounts_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, account_free);
+}
+
+FbPoolAccount *
+fb_pool_account_get (FbPool *self, const char *name)
+{
+  if (name == NULL || *name == '\0')
+    return NULL;
+  FbPoolAccount *account = g_hash_table_lookup (self->accounts, name);
+  if (account != NULL)
+    return account;
+  account = g_new0 (FbPoolAccount, 1);
+  account->name = g_strdup (name);
+  account->held = g_sequence_new (NULL);
+  if (!self->limits.caps_are_divided)
+    account->part = (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
+  g_hash_table_insert (self->accounts, account->name, account);
+  return account;
+}
+
+/* ---- amounts --------------------------------------------------------------------- */
+
+static FbAmounts
+demand_of (const fb_work_step *spec)
+{
+  return (FbAmounts){ spec->cpu_milli, spec->mem_mb, spec->gpu_count };
+}
+
+/* Returns: how many times DEMAND fits into what is left of a resource.  CAP: 0 for no limit. */
+static int64_t
+fit_n (int64_t cap, int64_t part, int64_t taken, int64_t demand)
+{
+  if (cap == 0 || demand == 0)
+    return G_MAXINT32;
+  int64_t left = MIN (cap, part) - taken;
+  return left > 0 ? left / demand : 0;
+}
+
+static guint
+room_n (const FbPoolAccount *account, const FbAmounts *taken, const fb_work_step *spec, guint max_n)
+{
+  int64_t n
+      = fit_n (account->cap.cpu_milli, account->part.cpu_milli, taken->cpu_milli, spec->cpu_milli);
+  n = MIN (n, fit_n (account->cap.mem_mb, account->part.mem_mb, taken->mem_mb, spec->mem_mb));
+  n = MIN (n, fit_n (account->cap.gpu_count, account->part.gpu_count, taken->gpu_count,
+                     spec->gpu_count));
+  return (guint) MIN (n, max_n);
+}
+
+static FbAmounts
+taken_by (const FbPoolAccount *account)
+{
+  FbAmounts taken = account->used;
+  fb_amounts_add (&taken, &account->unconfirmed, 1);
+  return taken;
+}
+
+guint
+fb_pool_account_room_n (const FbPoolStep *step, guint max_n)
+{
+  const FbPoolAccount *account = step->job->account;
+  if (account == NULL)
+    return max_n;
+  const FbAmounts taken = taken_by (account);
+  return room_n (account, &taken, step->spec, max_n);
+}
+
+/* Returns: the number of tasks of STEP that have to start together. */
+static guint
+unit_of (const FbPoolStep *step)
+{
+  return step->spec->gang ? step->spec->count : 1;
+}
+
+gboolean
+fb_pool_account_is_exhausted (const FbPoolStep *step)
+{
+  guint unit = unit_of (step);
+  return fb_pool_account_room_n (step, unit) < unit;
+}
+
+void
+fb_pool_account_charge (FbPoolAccount *account, const fb_work_step *spec, int sign)
+{
+  if (account == NULL)
+    return;
+  const FbAmounts demand = demand_of (spec);
+  fb_amounts_add (&account->used, &demand, sign);
+  if (sign < 0)
+    account->release_due = TRUE;
+}
+
+/* ---- steps that wait -------------------------------------------------------------- */
+
+static gint
+compare_held (gconstpointer a, gconstpointer b, gpointer user)
+{
+  (void) user;
+  return fb_pool_queue_compare (a, b);
+}
+
+static void
+log_waiting (FbPoolAccount *account, uint64_t now_ms)
+{
+  if (account->logged_ms != 0 && now_ms < account->logged_ms + LOG_INTERVAL_MS)
+    return;
+  account->logged_ms = now_ms;
+  fb_event_log (
+      FB_EVENT_ACCOUNT_AT_CAP,
+      "account=%s cpu_used=%" G_GINT64_FORMAT " cpu_part=%" G_GINT64_FORMAT
+      " cpu_cap=%" G_GINT64_FORMAT " mem_used=%" G_GINT64_FORMAT " mem_part=%" G_GINT64_FORMAT
+      " mem_cap=%" G_GINT64_FORMAT " gpu_used=%" G_GINT64_FORMAT " gpu_part=%" G_GINT64_FORMAT
+      " gpu_cap=%" G_GINT64_FORMAT " unconfirmed_cpu=%" G_GINT64_FORMAT,
+      account->name, account->used.cpu_milli, account->part.cpu_milli, account->cap.cpu_milli,
+      account->used.mem_mb, account->part.mem_mb, account->cap.mem_mb, account->used.gpu_count,
+      account->part.gpu_count, account->cap.gpu_count, account->unconfirmed.cpu_milli);
+}
+
+void
+fb_pool_account_hold (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  FbPoolAccount *account = step->job->account;
+  g_ptr_array_unref (fb_pool_release_reservation (self, step));
+  fb_pool_long_running_set_wait_reason (self, step, "cap", now_ms);
+  log_waiting (account, now_ms);
+  step->held_at = g_sequence_insert_sorted (account->held, step, compare_held, NULL);
+}
+
+static void
+remove_held (FbPoolStep *step)
+{
+  g_sequence_remove (step->held_at);
+  step->held_at = NULL;
+  step->queued = FALSE;
+}
+
+/* Returns to the queue the steps of ACCOUNT that it may start, together at most as many as it may
+ * run. */
+static void
+release_held (FbPool *self, FbPoolAccount *account)
+{
+  FbAmounts taken = taken_by (account);
+  GSequenceIter *at = g_sequence_get_begin_iter (account->held);
+  for (guint i = 0; i < LOOKAHEAD_N && !g_sequence_iter_is_end (at); i++)
+    {
+      FbPoolStep *step = g_sequence_get (at);
+      at = g_sequence_iter_next (at);
+      guint unit = unit_of (step);
+      guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
+      guint n = room_n (account, &taken, step->spec, MAX (pending_n, unit));
+      if (pending_n > 0 && n < unit)
+        continue;
+      remove_held (step);
+      if (pending_n == 0)
+        continue;
+      fb_pool_queue_add (self, step);
+      const FbAmounts demand = demand_of (step->spec);
+      fb_amounts_add (&taken, &demand, n);
+    }
+}
+
+void
+fb_pool_accounts_release_held (FbPool *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolAccount *account = value;
+      if (account->release_due && !g_sequence_is_empty (account->held))
+        release_held (self, account);
+      account->release_due = FALSE;
+    }
+}
+
+void
+fb_pool_account_drop_job (const FbPoolJob *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
+        {
+          if (occurrence->steps[j].held_at != NULL)
+            remove_held (&occurrence->steps[j]);
+        }
+    }
+}
+
+/* ---- takeover ----------------------------------------------------------------------- */
+
+static FbAmounts
+unconfirmed_capacity (const FbPool *self)
+{
+  FbAmounts capacity = { 0 };
+  for (guint i = 0; i < self->unconfirmed_workers->len; i++)
+    {
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      const FbAmounts of_worker = { worker->cpu_milli, worker->mem_mb, worker->gpu_count };
+      /* The size of a worker that is known only from a record is not known. */
+      if (!worker->listed)
+        return (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
+      fb_amounts_add (&capacity, &of_worker, 1);
+    }
+  return capacity;
+}
+
+static void
+add_unconfirmed (const FbPool *self, FbPoolJob *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
+        {
+          const FbPoolStep *step = &occurrence->steps[j];
+          guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
+          if (pending_n == 0 || !fb_pool_may_run_unconfirmed (self, step))
+            continue;
+          const FbAmounts demand = demand_of (step->spec);
+          fb_amounts_add (&job->account->unconfirmed, &demand, pending_n);
+        }
+    }
+}
+
+/* Tasks that may run on workers without an answer use no more than these workers have. */
+static void
+bound_unconfirmed (FbPool *self)
+{
+  const FbAmounts capacity = unconfirmed_capacity (self);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolAccount *account = value;
+      account->unconfirmed = fb_amounts_min (&account->unconfirmed, &capacity);
+      account->release_due = TRUE;
+    }
+}
+
+static void
+clear_unconfirmed (FbPool *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolAccount *account = value;
+      const FbAmounts none = { 0 };
+      account->release_due
+          = account->release_due || !fb_amounts_equal (&account->unconfirmed, &none);
+      account->unconfirmed = none;
+    }
+}
+
+void
+fb_pool_accounts_update_unconfirmed (FbPool *self, uint64_t now_ms)
+{
+  if (!self->recovered && now_ms < self->unconfirmed_ms + UNCONFIRMED_INTERVAL_MS)
+    return;
+  self->unconfirmed_ms = now_ms;
+  clear_unconfirmed (self);
+  if (self->recovered)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->active_jobs);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      FbPoolJob *job = value;
+      if (job->account != NULL)
+        add_unconfirmed (self, job);
+    }
+  bound_unconfirmed (self);
+}
+
+/* ---- configuration --------------------------------------------------------------------- */
+
+void
+fb_pool_set_accounts (FbPool *self, GHashTable *accounts)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbAccount *configured = value;
+      FbPoolAccount *account = fb_pool_account_get (self, configured->name);
+      account->cap = configured->cap;
+      account->release_due = TRUE;
+    }
+  self->round_due = TRUE;
+}
+
+/* ---- queries ------------------------------------------------------------------------------ */
+
+/* Returns: what ACCOUNT would use if the first of its waiting steps had started, for a gang all of
+ * its tasks, otherwise one. */
+static FbAmounts
+needed_by (const FbPoolAccount *account)
+{
+  FbAmounts needed = taken_by (account);
+  if (g_sequence_is_empty (account->held))
+    return needed;
+  const FbPoolStep *step = g_sequence_get (g_sequence_get_begin_iter (account->held));
+  const FbAmounts demand = demand_of (step->spec);
+  fb_amounts_add (&needed, &demand, unit_of (step));
+  return needed;
+}
+
+/* Returns: what ACCOUNT would use if its first waiting steps had all started. */
+static FbAmounts
+wanted_by (const FbPoolAccount *account)
+{
+  FbAmounts wanted = taken_by (account);
+  GSequenceIter *at = g_sequence_get_begin_iter (account->held);
+  for (guint i = 0; i < LOOKAHEAD_N && !g_sequence_iter_is_end (at); i++)
+    {
+      const FbPoolStep *step = g_sequence_get (at);
+      const FbAmounts demand = demand_of (step->spec);
+      fb_amounts_add (&wanted, &demand, fb_pool_step_pending_n (step));
+      at = g_sequence_iter_next (at);
+    }
+  return wanted;
+}
+
+void
+fb_pool_foreach_account (const FbPool *self, FbPoolAccountFunc func, gpointer user)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolAccount *account = value;
+      const FbPoolAccountUsage usage = { .name = account->name,
+                                         .cap = account->cap,
+                                         .taken = taken_by (account),
+                                         .needed = needed_by (account),
+                                         .wanted = wanted_by (account),
+                                         .waits = !g_sequence_is_empty (account->held) };
+      func (user, &usage);
+    }
+}
+
+gboolean
+fb_pool_usage_is_known (const FbPool *self)
+{
+  return fb_pool_may_place (self)
+         || (self->workers_complete && g_hash_table_size (self->workers) == 0);
+}
+
+void
+fb_pool_set_account_part (FbPool *self, const char *name, const FbAmounts *part)
+{
+  FbPoolAccount *account = fb_pool_account_get (self, name);
+  account->part = *part;
+  account->release_due = TRUE;
+  self->round_due = self->round_due || !g_sequence_is_empty (account->held);
+}
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -5,6 +5,7 @@
  * one with the lowest cost is taken: among otherwise equal workers the one with the least free
  * capacity (best fit), so that workers with much free capacity remain for large tasks. Long-running
  * tasks are spread instead. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 /* A ticket is not used when less than this is left of its validity, because the start order takes
@@ -211,6 +212,7 @@
   /* Where the number of runs per worker is limited, each choice is represented by a temporary run,
    * so that the next one counts it; otherwise reserving the capacity suffices. */
   gboolean counted = step->spec->max_per_worker > 0;
+  max_n = fb_pool_account_room_n (step, max_n);
   g_autofree FbPoolRun **runs = g_new0 (FbPoolRun *, max_n);
   guint n = 0;
   for (uint32_t i = 0; i < step->spec->count && n < max_n; i++)
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -4,6 +4,7 @@
  * The last task of a step decides when the step ends. A copy is started when the first run is on a
  * worker that has stopped answering, or takes clearly longer than the other runs of its step took.
  * Copies are started after the pending tasks, and only into free capacity. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 #include "fb-counter.h"
@@ -28,7 +29,7 @@
   if (fb_pool_task_is_suspect (task) || run->awaits_record)
     return FALSE;
   if (task->done || task->run != run || task->copy != NULL || run->state == FB_RUN_STOPPING
-      || fb_pool_job_ended (step->job))
+      || fb_pool_job_ended (step->job) || fb_pool_account_is_exhausted (step))
     return FALSE;
   uint64_t expected_ms
       = fb_pool_step_scaled_run_ms (step, STRAGGLER_PERCENT, STRAGGLER_ESTIMATE_FACTOR)
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -2,6 +2,7 @@
  *
  * A round visits the steps with pending tasks in queue order (pool-queue.c), in one or more
  * iterations of the main loop. A gang is placed as a whole or not at all. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 /* ---- single tasks ------------------------------------------------------------ */
@@ -58,6 +59,8 @@
   for (uint32_t i = next_to_place (self, step, 0, deferred); i < step->spec->count;
        i = next_to_place (self, step, i + 1, deferred))
     {
+      if (fb_pool_account_is_exhausted (step))
+        return FALSE;
       FbPoolTask *task = &step->tasks[i];
       gboolean postponed = fb_pool_start_is_postponed (self, step, i, now_ms);
       FbPoolWorker *worker
@@ -182,6 +185,11 @@
       fb_pool_long_running_clear_wait (step);
       return TRUE;
     }
+  if (fb_pool_account_is_exhausted (step))
+    {
+      fb_pool_account_hold (self, step, now_ms);
+      return TRUE;
+    }
   if (now_ms < reserved_until_ms)
     {
       fb_pool_long_running_set_wait_reason (self, step, wait_reason (step, TRUE), now_ms);
@@ -211,6 +219,13 @@
 try_position (FbPool *self, guint position, uint64_t now_ms)
 {
   FbPoolStep *step = self->queue->pdata[position];
+  if (step->held_at != NULL)
+    return TRUE;
+  if (fb_pool_account_is_exhausted (step) && fb_pool_step_is_pending (step))
+    {
+      fb_pool_account_hold (self, step, now_ms);
+      return TRUE;
+    }
   if (step->advice_until_ms != 0 && now_ms < step->reserved_until_ms)
     return TRUE; /* its capacity stays reserved until the advice arrives */
   if (fb_pool_step_may_fit (self, step, now_ms))
@@ -248,6 +263,7 @@
 {
   self->refused_request_kinds = 0;
   self->visits_n = 0;
+  fb_pool_accounts_release_held (self);
   fb_pool_queue_sort (self, now_ms);
   if (self->round_position == 0)
     {
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -9,8 +9,8 @@
 
 #include <string.h>
 
-static gint
-compare_steps (const FbPoolStep *x, const FbPoolStep *y)
+gint
+fb_pool_queue_compare (const FbPoolStep *x, const FbPoolStep *y)
 {
   if (x->urgency != y->urgency)
     return x->urgency < y->urgency ? -1 : 1;
@@ -28,7 +28,7 @@
 static gint
 compare_step_pointers (gconstpointer a, gconstpointer b)
 {
-  return compare_steps (*(FbPoolStep *const *) a, *(FbPoolStep *const *) b);
+  return fb_pool_queue_compare (*(FbPoolStep *const *) a, *(FbPoolStep *const *) b);
 }
 
 /* TRUE when a pending task of STEP has run before, or may have run under an earlier owner. */
@@ -78,6 +78,8 @@
   for (guint i = 0; i < self->queue->len; i++)
     {
       FbPoolStep *step = self->queue->pdata[i];
+      if (step->held_at != NULL)
+        continue;
       if (!fb_pool_step_is_pending (step))
         step->queued = FALSE;
       else if (step->urgency != urgency_of (step, now_ms))
@@ -115,7 +117,8 @@
   gpointer *unmerged = self->unmerged->pdata;
   while (added > 0)
     {
-      gboolean from_sorted = kept > 0 && compare_steps (all[kept - 1], unmerged[added - 1]) > 0;
+      gboolean from_sorted
+          = kept > 0 && fb_pool_queue_compare (all[kept - 1], unmerged[added - 1]) > 0;
       all[kept + added - 1] = from_sorted ? all[kept - 1] : unmerged[added - 1];
       if (from_sorted)
         kept--;
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -11,7 +11,7 @@
  * which the worker lacks a label, of steps that the advice service does not allow on it (its
  * permissions never change, and workers refuse starts without its ticket), and of jobs that were
  * stored after the previous owner had stopped. */
-#include "internal/pool-private.h"
+#include "internal/pool-account.h"
 
 #include "fb-event.h"
 
@@ -80,9 +80,10 @@
   if (self->majority_ms == 0)
     return;
   find_unconfirmed (self);
-  if (self->unconfirmed_workers->len > 0)
+  self->recovered = self->unconfirmed_workers->len == 0;
+  fb_pool_accounts_update_unconfirmed (self, now_ms);
+  if (!self->recovered)
     return;
-  self->recovered = TRUE;
   self->round_due = TRUE;
   break_partial_gangs (self, now_ms);
   fb_event_log (FB_EVENT_POOL_SETTLED,
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -2,6 +2,7 @@
  *
  * Each end is processed once by its number and counted once by its attempt: a new owner receives
  * ends again that the previous owner had recorded but could no longer acknowledge. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 #include "fb-counter.h"
@@ -136,6 +137,7 @@
   g_hash_table_add (self->ended_jobs, job);
   fb_pool_crash_remove_job (self, job);
   release_reservations (self, job);
+  fb_pool_account_drop_job (job);
   fb_event_log (FB_EVENT_JOB_OVER, "job=%s queue=%s state=%d age_ms=%" G_GUINT64_FORMAT, job->id,
                 job->record.policy.queue, job->state, now_ms - job->admitted_ms);
   /* The remaining runs of a completed job are gang members, which end by themselves. */
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -2,6 +2,7 @@
  *
  * A run is charged for its resources from the start order until its end is listed or it certainly
  * never began: a worker that does not check its own capacity carries out every start. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 #include <string.h>
@@ -147,6 +148,7 @@
     worker->cpu_used += sign * (int64_t) spec->cpu_milli;
   worker->mem_used += sign * (int64_t) spec->mem_mb;
   worker->gpu_used += sign * (int64_t) spec->gpu_count;
+  fb_pool_account_charge (run->step->job->account, spec, sign);
   fb_pool_crash_charge (worker, run, sign);
 }
 
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -1,5 +1,6 @@
 /* Creating and freeing a pool, adding, cancelling and updating its workers and jobs, and the
  * periodic tick that drives all other parts. */
+#include "internal/pool-account.h"
 #include "internal/pool-crash.h"
 
 #include "fb-event.h"
@@ -61,6 +62,7 @@
   self->unconfirmed_workers = g_ptr_array_new ();
   self->open_orders = fb_pool_orders_new ();
   self->unanswered_starts = fb_pool_unanswered_starts_new ();
+  self->accounts = fb_pool_accounts_new ();
   return self;
 }
 
@@ -89,6 +91,7 @@
   g_ptr_array_unref (self->in_flush);
   g_ptr_array_unref (self->unconfirmed_workers);
   g_hash_table_unref (self->jobs);
+  g_hash_table_unref (self->accounts); /* after the jobs: their steps are in its sequences */
   g_free (self->service);
   g_free (self);
 }
@@ -315,6 +318,7 @@
   if (g_hash_table_contains (self->jobs, id))
     return;
   FbPoolJob *job = fb_pool_job_new (id, record, now_ms, wall_ms);
+  job->account = fb_pool_account_get (self, job->record.account);
   job->restored = !self->recovered;
   job->never_started = fb_pool_has_no_earlier_starts (self);
   job->advised_when_stored = job->record.policy.advised;
--- a/src/work/spec.c
+++ b/src/work/spec.c
@@ -45,3 +45,23 @@
     }
   return TRUE;
 }
+
+gboolean
+fb_spec_fits_cap (const fb_work_spec *spec, const FbAmounts *cap)
+{
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    {
+      const fb_work_step *step = &spec->steps.steps_val[i];
+      int64_t n = step->gang ? step->count : 1;
+      const FbAmounts needed = { n * step->cpu_milli, n * step->mem_mb, n * step->gpu_count };
+      for (guint resource = 0; resource < FB_AMOUNTS_N; resource++)
+        {
+          int64_t limit = fb_amounts_get (cap, resource);
+          if (limit == 0 || fb_amounts_get (&needed, resource) <= limit)
+            continue;
+          fb_status_set_message ("step %u needs more than its account may ever run at a time", i);
+          return FALSE;
+        }
+    }
+  return TRUE;
+}
--- a/tests/test-accounts.c
+++ b/tests/test-accounts.c
@@ -1,8 +1,10 @@
 /* Client accounts: the operators' list, keys, and the account in the records of jobs. */
 #include "fb-status.h"
+#include "internal/account-parts.h"
 #include "internal/codec.h"
 #include "internal/pool.h"
 #include "platform/wire.h"
+#include "src/work/spec.h"
 
 #include <CUnit/Basic.h>
 #include <sodium.h>
@@ -26,11 +28,15 @@
       = parse ("\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"k1\",\"k2\"],\"weight\":24,"
                "\"cap\":{\"cpu\":5000,\"mem-mb\":64,\"gpu\":3}},"
                "{\"name\":\"b\",\"api-keys\":[\"k3\"]}]");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (routes);
+  CU_ASSERT_PTR_NOT_NULL (routes);
+  if (routes == NULL)
+    return;
   const FbAccount *first = fb_accounts_find (routes->accounts, "k1");
   const FbAccount *other = fb_accounts_find (routes->accounts, "k3");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (other);
+  CU_ASSERT_PTR_NOT_NULL (first);
+  CU_ASSERT_PTR_NOT_NULL (other);
+  if (first == NULL || other == NULL)
+    return;
   CU_ASSERT_PTR_EQUAL (first, fb_accounts_find (routes->accounts, "k2"));
   CU_ASSERT_STRING_EQUAL (first->name, "a");
   CU_ASSERT_EQUAL (first->weight, 24);
@@ -48,8 +54,10 @@
 {
   g_autoptr (FbRoutes) none = parse ("");
   g_autoptr (FbRoutes) empty = parse ("\"tenants\":[]");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (none);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (empty);
+  CU_ASSERT_PTR_NOT_NULL (none);
+  CU_ASSERT_PTR_NOT_NULL (empty);
+  if (none == NULL || empty == NULL)
+    return;
   CU_ASSERT_PTR_NULL (none->accounts);
   CU_ASSERT_PTR_NOT_NULL (empty->accounts);
 }
@@ -223,6 +231,80 @@
   CU_ASSERT_FALSE (fb_codec_decode_admit (data, 3, &decoded));
 }
 
+/* ---- caps ---------------------------------------------------------------------- */
+
+static void
+test_job_that_never_fits_its_cap (void)
+{
+  static const struct
+  {
+    u_int count;
+    bool_t gang;
+    int64_t cpu_cap_milli;
+    gboolean fits;
+  } cases[] = {
+    { 8, FALSE, 0, TRUE },   { 8, FALSE, 500, TRUE },  { 8, FALSE, 499, FALSE },
+    { 8, TRUE, 4000, TRUE }, { 8, TRUE, 3999, FALSE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_work_step step;
+      fb_work_admit admit = admit_of ("tenant", &step);
+      step.count = cases[i].count;
+      step.gang = cases[i].gang;
+      const FbAmounts cap = { .cpu_milli = cases[i].cpu_cap_milli };
+      CU_ASSERT_EQUAL (fb_spec_fits_cap (&admit.spec, &cap), cases[i].fits);
+    }
+}
+
+static FbAccountClaim
+claim_of (int64_t taken, int64_t needed, int64_t wanted)
+{
+  return (
+      FbAccountClaim){ { .cpu_milli = taken }, { .cpu_milli = needed }, { .cpu_milli = wanted } };
+}
+
+static void
+check_division (int64_t cap_milli, const FbAccountClaim *claims, const int64_t *expected)
+{
+  FbAmounts parts[3];
+  const FbAmounts cap = { .cpu_milli = cap_milli };
+  fb_account_parts_divide (&cap, claims, G_N_ELEMENTS (parts), parts);
+  for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
+    CU_ASSERT_EQUAL (parts[i].cpu_milli, expected[i]);
+}
+
+static void
+test_division_of_a_cap (void)
+{
+  const FbAccountClaim idle[] = { claim_of (0, 0, 0), claim_of (0, 0, 0), claim_of (0, 0, 0) };
+  check_division (9000, idle, (int64_t[]){ 3000, 3000, 3000 });
+  const FbAccountClaim one_side[]
+      = { claim_of (2000, 3000, 20000), claim_of (0, 0, 0), claim_of (0, 0, 0) };
+  check_division (9000, one_side, (int64_t[]){ 9000, 0, 0 });
+  const FbAccountClaim all[]
+      = { claim_of (0, 1000, 20000), claim_of (0, 1000, 20000), claim_of (0, 1000, 4000) };
+  check_division (9000, all, (int64_t[]){ 3000, 3000, 3000 });
+}
+
+/* Guards against gangs in several pools of which none gets enough of the cap. */
+static void
+test_division_suffices_for_one_gang (void)
+{
+  const FbAccountClaim gangs[]
+      = { claim_of (1000, 7000, 7000), claim_of (0, 6000, 6000), claim_of (500, 6500, 6500) };
+  check_division (9000, gangs, (int64_t[]){ 1750, 6000, 1250 });
+}
+
+/* Guards against pools that replace ended runs while more than a lowered cap is in use. */
+static void
+test_division_of_a_lowered_cap (void)
+{
+  const FbAccountClaim claims[]
+      = { claim_of (6000, 6000, 6000), claim_of (3000, 4000, 4000), claim_of (0, 1000, 1000) };
+  check_division (3000, claims, (int64_t[]){ 2000, 1000, 0 });
+}
+
 /* ---- whose job it is ------------------------------------------------------------ */
 
 static FbPool *
@@ -264,7 +346,9 @@
   FbPool *pool = pool_with_job ("tenant");
   fb_pool_cancel_job (pool, "00000000000000aa", 0, 1);
   g_autoptr (GPtrArray) records = fb_pool_flush (pool, 0, 1);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (records);
+  CU_ASSERT_PTR_NOT_NULL (records);
+  if (records == NULL)
+    return;
   FbPool *next = fb_pool_new ("service", 2, &(FbPoolLimits){ .max_lease_ms = 6000 },
                               &(FbPoolCallbacks){ 0 }, NULL, 0);
   for (guint i = 0; i < records->len; i++)
@@ -302,6 +386,10 @@
     { "an admission names its account", test_admission_names_its_account },
     { "earlier daemons read an admission", test_admission_is_read_by_earlier_daemons },
     { "an admission of earlier daemons", test_admission_of_earlier_daemons_is_read },
+    { "a job that never fits its cap", test_job_that_never_fits_its_cap },
+    { "division of a cap", test_division_of_a_cap },
+    { "division suffices for one gang", test_division_suffices_for_one_gang },
+    { "division of a lowered cap", test_division_of_a_lowered_cap },
     { "a job is visible to its account", test_job_is_visible_to_its_account },
     { "a job without account is visible to all", test_job_without_account_is_visible_to_all },
     { "the account outlives the admission", test_account_outlives_the_admission },
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -28,6 +28,7 @@
   GHashTable *starts;  /* task, and task/attempt -> order number of the last start */
   GHashTable *stops;   /* task -> order number of the last stop */
   GHashTable *used_workers; /* set of ids of workers on which something was started */
+  GHashTable *accounts;     /* name -> FbAccount, as configured; NULL: none */
   GPtrArray *flush;         /* the open flush; NULL: none */
   gboolean store_is_up;     /* each tick is followed by a flush that is stored at once */
   gboolean show_polls;
@@ -198,6 +199,41 @@
     g_clear_pointer (&script->flush, g_ptr_array_unref);
 }
 
+/* ---- client accounts ------------------------------------------------------------------- */
+
+static void
+apply_accounts (Script *script)
+{
+  if (script->accounts != NULL)
+    fb_pool_set_accounts (script->pool, script->accounts);
+}
+
+/* account NAME [cpu=MILLI] [mem=MB] [gpu=N]: configures an account with these limits. */
+static void
+do_account (Script *script)
+{
+  if (script->accounts == NULL)
+    script->accounts = g_hash_table_new (g_str_hash, g_str_equal);
+  FbAccount *account = g_new0 (FbAccount, 1);
+  account->name = g_strdup (script->args[1]);
+  account->weight = (uint32_t) option_u64 (script, "weight", 1);
+  account->cap = (FbAmounts){ (int64_t) option_u64 (script, "cpu", 0),
+                              (int64_t) option_u64 (script, "mem", 0),
+                              (int64_t) option_u64 (script, "gpu", 0) };
+  g_hash_table_replace (script->accounts, account->name, account);
+  apply_accounts (script);
+}
+
+/* account-part NAME [cpu=MILLI] [mem=MB] [gpu=N]: sets the part of the cap that the pool has. */
+static void
+do_account_part (Script *script)
+{
+  const FbAmounts part = { (int64_t) option_u64 (script, "cpu", G_MAXINT64),
+                           (int64_t) option_u64 (script, "mem", G_MAXINT64),
+                           (int64_t) option_u64 (script, "gpu", G_MAXINT64) };
+  fb_pool_set_account_part (script->pool, script->args[1], &part);
+}
+
 static uint64_t
 wall_ms (const Script *script)
 {
@@ -224,6 +260,7 @@
 do_new_owner (Script *script)
 {
   open_pool (script, g_ascii_strtoull (script->args[1], NULL, 10));
+  apply_accounts (script);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -336,8 +373,8 @@
     }
 }
 
-/* job ID [advised] [queue=NAME] [priority=N] [attempts=N] [target=MS] [occurrences=N due=MS
- * interval=MS] step:...: stores a job and adds it to the pool. */
+/* job ID [account=NAME] [advised] [queue=NAME] [priority=N] [attempts=N] [target=MS] [occurrences=N
+ * due=MS interval=MS] step:...: stores a job and adds it to the pool. */
 static void
 do_job (Script *script)
 {
@@ -345,6 +382,7 @@
   record->policy.queue
       = g_strdup (option (script, "queue") != NULL ? option (script, "queue") : "q");
   record->policy.service = "svc";
+  record->account = g_strdup (option (script, "account"));
   record->policy.priority = (u_int) option_u64 (script, "priority", 0);
   record->policy.max_attempts = (u_int) option_u64 (script, "attempts", 3);
   record->policy.stretch_factor_milli = 2000;
@@ -701,6 +739,8 @@
                  { "workers", do_workers },
                  { "unlist", do_unlist },
                  { "workers-complete", do_workers_complete },
+                 { "account", do_account },
+                 { "account-part", do_account_part },
                  { "job", do_job },
                  { "jobs-complete", do_jobs_complete },
                  { "cancel", do_cancel },
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -70,6 +70,7 @@
 for kind in plain advised repeats crashing crashing-steady; do
   verdict "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
+verdict "fuzz parts of caps" $B/fuzz/fuzz-account-parts 1 60
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
