What an account sends beyond its rate goes after what others are owed

What callers saw: while one account sent ten times its usual, the quick checks of all accounts waited in one line behind it.

Cause: the order of a pool knew priorities and objectives, but no accounts.

Change: jobs are counted by account and second of acceptance; those beyond the account's weight in a second get an urgency of their own, after all others that still have a value. Counting by the time of acceptance gives a new owner, which adds all jobs at once, about the same jobs. Each pool counts its own jobs.

--- a/include/internal/account.h
+++ b/include/internal/account.h
@@ -26,6 +26,6 @@
 typedef struct
 {
   char *name;
-  uint32_t weight; /* share of the capacity under contention; jobs per second that are owed */
+  uint32_t weight; /* jobs per second that are owed; 0: not limited */
   FbAmounts cap;   /* what may run for the account at a time, over all services; 0: no limit */
 } FbAccount;
--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -15,6 +15,9 @@
 FbPoolAccount *fb_pool_account_get (FbPool *self, const char *name);
 /* Adds (SIGN 1) or subtracts (-1) what a task of SPEC uses; ACCOUNT: nullable. */
 void fb_pool_account_charge (FbPoolAccount *account, const fb_work_step *spec, int sign);
+/* Counts a job that was accepted at ACCEPTED_MS, since 1970; ACCOUNT: nullable.  Returns: FALSE
+ * when the account has sent more jobs than its weight within that second. */
+gboolean fb_pool_account_count_job (FbPoolAccount *account, uint64_t accepted_ms);
 /* Returns: how many tasks of STEP, at most MAX_N, its account may start in addition. */
 guint fb_pool_account_room_n (const FbPoolStep *step, guint max_n);
 /* TRUE when the account of STEP may not start a task of it or, for a gang, not all of them. */
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -57,7 +57,8 @@
 {
   FB_URGENCY_RESTARTING = -1, /* long-running; a pending task has run, or may have */
   FB_URGENCY_NORMAL = 0,      /* any other */
-  FB_URGENCY_NO_VALUE = 1     /* of a job without a schedule, past FbPoolJob.no_value_ms; not
+  FB_URGENCY_BEYOND_RATE = 1, /* of a job that its account sent beyond its rate; not long-running */
+  FB_URGENCY_NO_VALUE = 2     /* of a job without a schedule, past FbPoolJob.no_value_ms; not
                                * long-running */
 } FbPoolUrgency;
 
@@ -112,6 +113,7 @@
   fb_work_state stored_state;   /* the state last made durable, which is reported to callers */
   fb_work_state flushing_state; /* the state in the open flush */
   gboolean started;             /* a task of the job has been started */
+  gboolean beyond_rate;         /* its account had sent more than its rate when it came */
   gboolean restored;      /* an earlier owner may have used attempts that no record mentions */
   gboolean never_started; /* no earlier owner can have started any task of the job */
   gboolean advised_when_stored; /* its queue used the advice service when the job was stored */
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -9,6 +9,8 @@
 /* Interval at which what may run on workers without an answer is computed again during a takeover:
  * it takes a pass over the active jobs. */
 #define UNCONFIRMED_INTERVAL_MS 100
+/* Number of seconds for which an account's jobs are counted; then the count begins again. */
+#define COUNTED_SECONDS_MAX 600
 /* Minimum interval between two log lines about steps that wait for one account. */
 #define LOG_INTERVAL_MS 1000
 
@@ -20,6 +22,8 @@
   FbAmounts used;        /* by the runs on the workers of this pool */
   FbAmounts unconfirmed; /* may run on workers that have not answered this owner yet */
   GSequence *held;       /* of FbPoolStep that wait for the account, in the order of the queue */
+  uint32_t weight;       /* jobs per second that are owed; 0: not known */
+  GHashTable *jobs_n;    /* second since 1970 -> number of jobs accepted in it */
   gboolean release_due;  /* it may run more than when its steps were last tried */
   uint64_t logged_ms;    /* when it was last logged that steps wait; 0: never */
 };
@@ -29,6 +33,7 @@
 {
   FbPoolAccount *account = data;
   g_sequence_free (account->held);
+  g_hash_table_unref (account->jobs_n);
   g_free (account->name);
   g_free (account);
 }
@@ -50,6 +55,7 @@
   account = g_new0 (FbPoolAccount, 1);
   account->name = g_strdup (name);
   account->held = g_sequence_new (NULL);
+  account->jobs_n = g_hash_table_new (NULL, NULL);
   if (!self->limits.caps_are_divided)
     account->part = (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
   g_hash_table_insert (self->accounts, account->name, account);
@@ -128,6 +134,21 @@
     account->release_due = TRUE;
 }
 
+/* Seconds are counted by the time of acceptance, so that a new owner, which adds all jobs at once,
+ * finds the same jobs beyond the rate. */
+gboolean
+fb_pool_account_count_job (FbPoolAccount *account, uint64_t accepted_ms)
+{
+  if (account == NULL || account->weight == 0)
+    return TRUE;
+  gpointer second = GUINT_TO_POINTER ((guint) (accepted_ms / 1000));
+  if (g_hash_table_size (account->jobs_n) >= COUNTED_SECONDS_MAX)
+    g_hash_table_remove_all (account->jobs_n);
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (account->jobs_n, second)) + 1;
+  g_hash_table_insert (account->jobs_n, second, GUINT_TO_POINTER (n));
+  return n <= account->weight;
+}
+
 /* ---- steps that wait -------------------------------------------------------------- */
 
 static gint
@@ -328,6 +349,7 @@
       const FbAccount *configured = value;
       FbPoolAccount *account = fb_pool_account_get (self, configured->name);
       account->cap = configured->cap;
+      account->weight = configured->weight;
       account->release_due = TRUE;
     }
   self->round_due = TRUE;
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -1,7 +1,9 @@
 /* Queue of the steps with pending tasks, in the order in which they are placed.
  *
  * Restarting long-running tasks come first, and steps whose completion has no value any more last;
- * among the others the priority decides, then the objective of the job. The order is kept between
+ * among the others those of jobs within the rates of their accounts come first, then the priority
+ * decides, then the objective of the job. So an account that sends many times its usual delays its
+ * own work, and is served from what the others leave. The order is kept between
  * rounds: new steps are sorted among themselves and merged, so that a round takes one pass over the
  * pending steps. Sorting all of them in each round took a quarter of an owner's processor time once
  * hundreds of steps were pending, so the backlog grew. */
@@ -57,7 +59,7 @@
     return is_restarting (step) ? FB_URGENCY_RESTARTING : FB_URGENCY_NORMAL;
   if (job->record.spec.occurrences == 0 && now_ms > job->no_value_ms)
     return FB_URGENCY_NO_VALUE;
-  return FB_URGENCY_NORMAL;
+  return job->beyond_rate ? FB_URGENCY_BEYOND_RATE : FB_URGENCY_NORMAL;
 }
 
 void
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -319,6 +319,7 @@
     return;
   FbPoolJob *job = fb_pool_job_new (id, record, now_ms, wall_ms);
   job->account = fb_pool_account_get (self, job->record.account);
+  job->beyond_rate = !fb_pool_account_count_job (job->account, job->record.accepted_ms);
   job->restored = !self->recovered;
   job->never_started = fb_pool_has_no_earlier_starts (self);
   job->advised_when_stored = job->record.policy.advised;
