Client accounts are tested with processes

Two daemons against the stand-in of the platform: calls without a known key for each method, another account's reads and cancels, a cap with another account beside it, a task that never fits, a key that is taken, a malformed version, and that no log has a key. The operators' configuration is written as operators write it, a raw record appended to the store.

--- /dev/null
+++ b/tests/accounts.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Tests client accounts with daemon processes against the stand-in platform: keys, whose job it is,
+# caps, and a configuration that a daemon gets from a peer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+B=build OUT=out/accounts
+rm -rf "$OUT"; mkdir -p "$OUT"
+source tools/ports.sh
+base=$(free_block 20000 50 200 0 20) || { echo "no ports are free"; exit 1; }
+pids=()
+trap 'kill ${pids[*]} 2> /dev/null || true' EXIT
+step() { echo "-- $1"; }
+die() { echo "$1"; exit 1; }
+until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
+port() { echo $((base + 20 + $1 * 4)); }
+start_daemon() { # INDEX
+  cat > "$OUT/d$1.ini" <<INI
+[daemon]
+name=d$1
+domain=z$1
+grace=6s
+[listen]
+callers=127.0.0.1:$(port "$1")
+readiness=127.0.0.1:$(($(port "$1") + 1))
+peers=127.0.0.1:$(($(port "$1") + 2))
+metrics=127.0.0.1:$(($(port "$1") + 3))
+[store]
+address=127.0.0.1:$base
+partitions=32
+shortest-membership=1000ms
+[workers]
+longest-lease=6000ms
+longest-stop=200ms
+gang-patience=3000ms
+INI
+  $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
+  pids+=($!)
+}
+octal() { local n=$1 out= i; for i in 1 2 3 4; do out="\\$(printf '%03o' $((n & 255)))$out"; n=$((n >> 8)); done; printf '%s' "$out"; }
+configure() { # VERSION ACCOUNTS: writes a configuration as operators do
+  local key=config value
+  value='{"version":'$1',"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000},
+    {"name":"o","host":"h.example","path-prefix":"/open/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000,"anonymous":true}],
+    "services":[{"name":"svc"}],"tenants":['$2']}'
+  value=$(tr -d '\n' <<< "$value")
+  { printf "$(octal $((1 + ${#key} + ${#value})))"; printf "\\$(printf '%03o' ${#key})"; printf '%s%s' "$key" "$value"; } > "$OUT/record"
+  curl -s -o /dev/null --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=keyed.op&part=0"
+}
+call() { # DAEMON METHOD PATH KEY [BODY]: prints the status
+  curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-H "Flamingobarrow-Key: $4"} ${5:+-d "$5"} "http://127.0.0.1:$(port "$1")/$3" || true
+}
+answers() { [ "$(call "$1" "$2" "$3" "$4" "${6:-}")" = "$5" ]; }
+state_is() { answers "$1" GET "$2" "$3" 200 && grep -q "\"$4\"" "$OUT/answer"; }
+job() { printf '%016x' "$1"; }
+in_force() { grep -q "ROUTES_IN_FORCE version=$2 .*from=${3:-}" "$OUT/d$1.log"; }
+body='{"spec":"150","phases":[{"count":2,"cpu":2000,"mem-mb":100,"estimate-ms":150}]}'
+long='{"spec":"60000","phases":[{"count":8,"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
+a='{"name":"a","api-keys":["key-a1","key-a2"],"weight":9,"cap":{"cpu":6000,"mem-mb":0,"gpu":0}}'
+b='{"name":"b","api-keys":["key-b"],"weight":9,"cap":{"cpu":0,"mem-mb":0,"gpu":0}}'
+
+$B/standins/standin-platform "$base" 8 > "$OUT/platform.log" 2>&1 & pids+=($!)
+until_true curl -s -o /dev/null "http://127.0.0.1:$base/audit" || die "the stand-in does not answer"
+configure 2 "$a,$b"
+start_daemon 0; start_daemon 1
+until_true in_force 0 2 && until_true in_force 1 2 || die "the configuration is not in force"
+until_true answers 0 POST "q/$(job 1)" key-a1 200 "$body" || die "a job with a key is not accepted"
+
+step "a call without a known key is answered 401, whatever its method"
+for method in POST GET DELETE; do
+  for key in "" key-b2; do
+    answers 0 $method "q/$(job 2)" "$key" 401 "$body" || die "$method with the key '$key': $(cat "$OUT/answer")"
+  done
+done
+answers 0 POST "open/$(job 3)" "" 200 "$body" || die "a route that needs no key refuses a call without one"
+
+step "a job belongs to the account that sent it"
+until_true state_is 1 "q/$(job 1)" key-a2 completed || die "the job is not shown to its account"
+answers 1 GET "q/$(job 1)" key-b 410 || die "another account reads the job"
+answers 0 POST "q/$(job 4)" key-a1 200 "$long" || die "a long job is not accepted"
+until_true state_is 0 "q/$(job 4)" key-a1 running || die "the long job does not run"
+answers 1 DELETE "q/$(job 4)" key-b 410 || die "another account gets another answer than for a job that does not exist"
+
+step "an account runs no more than its cap, and others do not wait behind it"
+answers 0 POST "q/$(job 5)" key-a1 200 "$long" || die "a job beyond the cap is not accepted"
+answers 0 POST "q/$(job 6)" key-b 200 "$body" || die "a job of another account is not accepted"
+until_true state_is 0 "q/$(job 6)" key-b completed || die "the other account waits"
+running=$(curl -s "http://127.0.0.1:$base/running?job=$(job 4)" | grep -o '[0-9]*')
+[ "$running" = 3 ] || die "$running tasks of 2,000 run under a cap of 6,000"
+state_is 0 "q/$(job 4)" key-a1 running || die "the job that another account cancelled does not run"
+answers 0 POST "q/$(job 7)" key-a1 429 '{"spec":"150","phases":[{"count":1,"cpu":6001,"mem-mb":1,"estimate-ms":150}]}' \
+  || die "a task that never fits the cap is not refused: $(cat "$OUT/answer")"
+
+step "a key that was taken is refused, and the account's other keys stay good"
+configure 3 "${a/\"key-a1\",/},$b"
+until_true answers 1 GET "q/$(job 1)" key-a1 401 || die "a key that was taken is still good"
+answers 1 GET "q/$(job 1)" key-a2 200 || die "the other key is refused"
+configure 4 '{"name":"a","api-keys":["key-a2"],"cap":{"cpu":-1}}'
+until_true grep -q 'CONFIG_IGNORED why="account a: a limit' "$OUT/d0.log" || die "a malformed account is not reported"
+answers 0 GET "q/$(job 1)" key-a2 200 || die "a malformed version is in force"
+
+step "no key is in a log"
+! grep -l 'key-[ab]' "$OUT"/d?.log || die "a log contains a key"
+audit_result=$(curl -s "http://127.0.0.1:$base/audit")
+grep -q '"doubled":0,"over-capacity":0' <<< "$audit_result" || die "the audit of the workers has a violation: $audit_result"
+echo "accounts: ok"
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -74,6 +74,7 @@
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
+verdict "client accounts with processes" tests/accounts.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
