--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -75,11 +75,16 @@
   (void) server;
   (void) path;
   (void) query;
-  (void) data;
+  FbEntryDaemon *self = data;
   g_autofree char *counters = fb_counter_render ();
   GString *all = g_string_new (counters);
   fb_histogram_render (all);
   fb_traffic_render (all);
+  GHashTableIter iter;
+  gpointer owner;
+  g_hash_table_iter_init (&iter, self->owners);
+  while (g_hash_table_iter_next (&iter, NULL, &owner))
+    fb_owner_render_accounts (owner, all);
   char *text = g_string_free (all, FALSE);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE, text, strlen (text));
@@ -111,7 +116,7 @@
   soup_server_add_handler (self->callers, NULL, fb_entry_frontend_serve, &self->entry, NULL);
   self->internal = soup_server_new ("server-header", "flamingobarrow", NULL);
   soup_server_add_handler (self->internal, FB_PATH_READY, serve_ready, &self->entry, NULL);
-  soup_server_add_handler (self->internal, "/metrics", serve_metrics, NULL, NULL);
+  soup_server_add_handler (self->internal, "/metrics", serve_metrics, &self->entry, NULL);
   return listen_on (self->callers, settings->callers)
          && listen_on (self->internal, settings->readiness)
          && listen_on (self->internal, settings->metrics);
--- a/src/entry/owner/owner-account-parts.c
+++ b/src/entry/owner/owner-account-parts.c
@@ -4,6 +4,8 @@
 /* Interval at which the parts are applied to a pool. */
 #define APPLY_INTERVAL_MS 20
 #define REQUEST_TIMEOUT_MS 600
+/* Maximum number of accounts of a pool in the metrics. */
+#define RENDERED_ACCOUNTS_MAX 200
 
 typedef struct
 {
@@ -84,3 +86,49 @@
   peer_reply->type = FB_REPLY_ACCOUNT_GRANTS;
   fb_owner_schedule_tick (self);
 }
+
+/* ---- metrics ------------------------------------------------------------------------------ */
+
+typedef struct
+{
+  const char *service;
+  GString *out;
+  guint n; /* accounts rendered so far */
+} RenderContext;
+
+static void
+render_account (gpointer user, const FbPoolAccountUsage *usage)
+{
+  static const char *const resources[FB_AMOUNTS_N] = { "cpu-milli", "mem-mb", "gpu" };
+  RenderContext *context = user;
+  g_autofree char *name = g_strescape (usage->name, NULL);
+  if (context->n++ >= RENDERED_ACCOUNTS_MAX)
+    return;
+  for (guint i = 0; i < FB_AMOUNTS_N; i++)
+    {
+      g_autofree char *labels = g_strdup_printf ("{service=\"%s\",account=\"%s\",resource=\"%s\"}",
+                                                 context->service, name, resources[i]);
+      g_string_append_printf (context->out,
+                              "flamingobarrow_account_used%s %" G_GINT64_FORMAT
+                              "\nflamingobarrow_account_cap%s %" G_GINT64_FORMAT "\n",
+                              labels, fb_amounts_get (&usage->taken, i), labels,
+                              fb_amounts_get (&usage->cap, i));
+    }
+  g_string_append_printf (context->out,
+                          "flamingobarrow_account_waits{service=\"%s\",account=\"%s\"} %d\n",
+                          context->service, name, usage->waits);
+}
+
+void
+fb_owner_render_accounts (const FbOwner *self, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->service_pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbServicePool *service_pool = value;
+      RenderContext context = { service_pool->service, out, 0 };
+      fb_pool_foreach_account (service_pool->pool, render_account, &context);
+    }
+}
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -22,6 +22,8 @@
 void fb_owner_routes_changed (FbOwner *self);
 void fb_owner_worker_listed (FbOwner *self, const FbListedWorker *worker);
 void fb_owner_worker_unlisted (FbOwner *self, const FbListedWorker *worker);
+/* Appends what client accounts use in the pools, and their caps, in the text exposition format. */
+void fb_owner_render_accounts (const FbOwner *self, GString *out);
 /* Starts no further tasks; progress is still stored. */
 void fb_owner_quiesce (FbOwner *self);
 gboolean fb_owner_is_flushed (const FbOwner *self);
--- a/src/work/amounts.c
+++ b/src/work/amounts.c
@@ -1,4 +1,4 @@
-#include "internal/account.h"
+#include "internal/account-parts-private.h"
 
 int64_t *
 fb_amounts_at (FbAmounts *amounts, guint resource)
@@ -39,3 +39,19 @@
 {
   return a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb && a->gpu_count == b->gpu_count;
 }
+
+void
+fb_amounts_encode (const FbAmounts *amounts, fb_work_amounts *wire)
+{
+  *wire = (fb_work_amounts){ (u_quad_t) MAX (amounts->cpu_milli, 0),
+                             (u_quad_t) MAX (amounts->mem_mb, 0),
+                             (u_quad_t) MAX (amounts->gpu_count, 0) };
+}
+
+FbAmounts
+fb_amounts_decode (const fb_work_amounts *wire)
+{
+  return (FbAmounts){ (int64_t) MIN (wire->cpu_milli, (uint64_t) G_MAXINT64),
+                      (int64_t) MIN (wire->mem_mb, (uint64_t) G_MAXINT64),
+                      (int64_t) MIN (wire->gpu_count, (uint64_t) G_MAXINT64) };
+}
--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -90,6 +90,9 @@
 answers 0 POST "q/$(job 7)" key-a1 429 '{"spec":"150","phases":[{"count":1,"cpu":6001,"mem-mb":1,"estimate-ms":150}]}' \
   || die "a task that never fits the cap is not refused: $(cat "$OUT/answer")"
 
+used() { cat <(curl -s "http://127.0.0.1:$(($(port 0) + 3))/metrics") <(curl -s "http://127.0.0.1:$(($(port 1) + 3))/metrics"); }
+used | grep -q 'account_used{service="svc",account="a",resource="cpu-milli"} 6000' || die "the metrics do not show what the account uses"
+
 step "a key that was taken is refused, and the account's other keys stay good"
 configure 3 "${a/\"key-a1\",/},$b"
 until_true answers 1 GET "q/$(job 1)" key-a1 401 || die "a key that was taken is still good"
