Ended jobs are known after a takeover when no other job is left

What callers saw: after the owner of a pool had been killed, completed jobs were answered 410, when all jobs of the partition had ended and their admissions were deleted.

Cause: while a partition is loaded, pools were created by admissions and by the record of workers only. Progress that was applied before that record found no pool and was dropped. Which ends were lost hung on the order of a hash table.

Change: the pools of services with a record of workers, and of the configured services of the partition, are created before records are applied.

Test: tests/accounts.sh, twenty ended jobs and a killed owner: "job 20 is lost after a takeover" before, passes after.

--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -194,6 +194,23 @@
                         g_strdup (record->key + 1), g_bytes_ref (record->value));
 }
 
+/* The admissions of ended jobs are deleted, so no admission may name the service whose progress was
+ * read.  Without its pool, the ends of jobs would be dropped, and their callers would be told that
+ * there are no such jobs. */
+static void
+create_recorded_pools (FbOwner *self)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, self->progress);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (g_str_has_prefix (key, FB_KEY_WORKERS))
+        fb_owner_pool_for (self, (const char *) key + strlen (FB_KEY_WORKERS));
+    }
+  fb_owner_create_configured_pools (self);
+}
+
 static void
 on_jobs_listed (gpointer user)
 {
@@ -201,6 +218,7 @@
   if (self->loaded || self->load_source != 0)
     return;
   self->jobs_ms = fb_clock_ms ();
+  create_recorded_pools (self);
   self->load_source = g_idle_add_full (G_PRIORITY_DEFAULT, on_load_next, self, NULL);
 }
 
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -92,6 +92,8 @@
 
 /* Returns: the pool of SERVICE, borrowed; created when there is none. */
 FbServicePool *fb_owner_pool_for (FbOwner *self, const char *service);
+/* Creates the pools of the configured services of the partition. */
+void fb_owner_create_configured_pools (FbOwner *self);
 /* Returns: TRUE when the store or a majority of the workers of SERVICE_POOL confirms the ownership,
  * so that no other daemon acts as owner. */
 gboolean fb_owner_confirm (FbOwner *self, const FbServicePool *service_pool, uint64_t now_ms);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -317,16 +317,23 @@
 /* ---- events of the daemon -------------------------------------------------------------- */
 
 void
-fb_owner_routes_changed (FbOwner *self)
+fb_owner_create_configured_pools (FbOwner *self)
 {
   const FbRoutes *routes = self->entry->routes;
-  if (!self->loaded || routes == NULL)
-    return;
-  for (guint i = 0; i < routes->services->len; i++)
+  for (guint i = 0; routes != NULL && i < routes->services->len; i++)
     {
       if (fb_entry_partition_of (self->entry, routes->services->pdata[i]) == self->partition)
         fb_owner_pool_for (self, routes->services->pdata[i]);
     }
+}
+
+void
+fb_owner_routes_changed (FbOwner *self)
+{
+  const FbRoutes *routes = self->entry->routes;
+  if (!self->loaded || routes == NULL)
+    return;
+  fb_owner_create_configured_pools (self);
   g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < routes->routes->len; i++)
     {
--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -101,6 +101,24 @@
 until_true grep -q 'CONFIG_IGNORED why="account a: a limit' "$OUT/d0.log" || die "a malformed account is not reported"
 answers 0 GET "q/$(job 1)" key-a2 200 || die "a malformed version is in force"
 
+step "ends are known after a takeover although all admissions are deleted"
+answers 1 DELETE "q/$(job 4)" key-a2 200 || die "the long job is not cancelled"
+answers 1 DELETE "q/$(job 5)" key-a2 200 || die "the second long job is not cancelled"
+for i in $(seq 20 39); do answers 1 POST "q/$(job "$i")" key-b 200 "$body" || die "job $i is not accepted"; done
+for i in $(seq 20 39); do until_true state_is 1 "q/$(job "$i")" key-b completed || die "job $i does not complete"; done
+no_admissions() { ! curl -s "http://127.0.0.1:$base/api/log-newest?topic=keyed.jobs&part=$partition" | grep -q '"key":"j'; }
+settled() { grep -E 'POOL_(SETTLED|LOST)' "$OUT/d$1.log" | tail -1 | grep -q SETTLED; }
+until_true settled 0 || until_true settled 1 || die "the pool has no owner"
+owner=0; settled 1 && owner=1
+partition=$(grep -o 'POOL_TAKEN partition=[0-9]*' "$OUT/d$owner.log" | tail -1 | grep -o '[0-9]*$')
+until_true no_admissions || die "the admissions of ended jobs are not deleted"
+kill -KILL "${pids[$((owner + 1))]}"
+until_true settled $((1 - owner)) || die "the pool has no owner after the kill"
+for i in $(seq 20 39); do
+  state_is $((1 - owner)) "q/$(job "$i")" key-b completed || die "job $i is lost after a takeover: $(cat "$OUT/answer")"
+done
+answers $((1 - owner)) GET "q/$(job 20)" key-a2 410 || die "another account reads an ended job after a takeover"
+
 step "no key is in a log"
 ! grep -l 'key-[ab]' "$OUT"/d?.log || die "a log contains a key"
 audit_result=$(curl -s "http://127.0.0.1:$base/audit")
