--- a/src/work/account-parts.c
+++ b/src/work/account-parts.c
@@ -1,3 +1,5 @@
+/* The side of a pool that holds parts of caps: what it may use, and its requests to coordinators.
+ */
 #include "internal/account-parts-private.h"
 
 #include "fb-event.h"
