An unchanged part of a cap causes no placement round

The owner sets the parts of its pool each 20 ms and after each answer of a coordinator, and each call asked for a placement round while a step of the account waited for its cap, also where the part was as before. Maintenance starts a round each 20 ms by itself, so a pool beside waiting steps played up to twice the rounds.

Test red before: rounds in a second in which nothing changes: 100, allowed 51; now 50.

--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -417,7 +417,8 @@
 fb_pool_set_account_part (FbPool *self, const char *name, const FbAmounts *part)
 {
   FbPoolAccount *account = fb_pool_account_get (self, name);
+  gboolean changed = !fb_amounts_equal (&account->part, part);
   account->part = *part;
   account->release_due = TRUE;
-  self->round_due = self->round_due || !g_sequence_is_empty (account->held);
+  self->round_due = self->round_due || (changed && !g_sequence_is_empty (account->held));
 }
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -207,6 +207,48 @@
   busy_pool_clear (&busy);
 }
 
+/* ---- parts of an account's cap --------------------------------------------------------- */
+
+#define PART_INTERVAL_MS FB_POOL_MAINTENANCE_INTERVAL_MS
+
+/* Guards against a round for each time that an unchanged part of a cap is set. */
+static void
+test_unchanged_part_needs_no_round (void)
+{
+  static BusyPool busy;
+  uint64_t now_ms = 100000;
+  busy_pool_begin (&busy, now_ms);
+  busy_pool_list_workers (&busy, now_ms);
+  g_autoptr (GHashTable) accounts = g_hash_table_new (g_str_hash, g_str_equal);
+  FbAccount capped = { .name = (char *) "a", .cap = { .cpu_milli = TASK_CPU } };
+  g_hash_table_insert (accounts, capped.name, &capped);
+  fb_pool_set_accounts (busy.pool, accounts);
+  const FbAmounts part = { .cpu_milli = TASK_CPU };
+  fb_pool_set_account_part (busy.pool, capped.name, &part);
+  fb_work_admit record;
+  fb_work_step step;
+  busy_pool_init_job (&record, &step);
+  record.account = capped.name;
+  step.count = JOB_TASKS;
+  fb_pool_add_job (busy.pool, "a000000000000000", &record, now_ms, WALL_OFFSET_MS + now_ms);
+  for (uint64_t end_ms = now_ms + 1000; now_ms < end_ms;)
+    now_ms = tick_once (&busy, now_ms);
+  CU_ASSERT_EQUAL (busy.started_n, 1);
+
+  const uint32_t round = busy.pool->round;
+  for (uint64_t begin_ms = now_ms; now_ms < begin_ms + 1000;)
+    {
+      /* Between two maintenance passes, so that it cannot share their rounds. */
+      if ((now_ms - busy.pool->last_maintenance_ms) % PART_INTERVAL_MS == PART_INTERVAL_MS / 2 - 2)
+        fb_pool_set_account_part (busy.pool, capped.name, &part);
+      now_ms = tick_once (&busy, now_ms);
+    }
+  guint rounds_n = busy.pool->round - round;
+  printf ("\nrounds in a second in which nothing changes: %u\n", rounds_n);
+  CU_ASSERT_TRUE (rounds_n <= 1000 / FB_POOL_MAINTENANCE_INTERVAL_MS + 1);
+  busy_pool_clear (&busy);
+}
+
 int
 main (void)
 {
@@ -219,6 +261,8 @@
   CU_add_test (suite, "freed capacity is not missed", test_freed_capacity_is_not_missed);
   CU_add_test (suite, "an iteration with freed capacity everywhere",
                test_iteration_with_freed_capacity_everywhere);
+  CU_add_test (suite, "an unchanged part of a cap needs no round",
+               test_unchanged_part_needs_no_round);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
