--- a/include/internal/account-parts.h
+++ b/include/internal/account-parts.h
@@ -1,7 +1,7 @@
 /* Divides the caps of client accounts among the pools of all services.  No I/O, clock or thread.
  *
  * An account's cap holds over all pools, and each pool has an owner of its own.  For each account
- * one of the services is chosen as coordinator, alike by all daemons.  The owner of the
+ * one of the services is the coordinator, the same one for all daemons.  The owner of the
  * coordinator's pool grants parts of the cap to the other pools on request and keeps the rest for
  * its own pool.  A part does not expire: it is what a pool may use until its owner reports that it
  * holds less.  So the sum of all parts never exceeds the cap, whichever owners are frozen, cut off
