Peers store what a store that is out of reach refuses at once, also after it was slow

What callers saw: a daemon that had just known its store to be slow, and then could not reach it, refused jobs that its peers could have stored.

Now peers are asked unless the record waited 100 ms or longer.

--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -12,6 +12,8 @@
 #include <talloc.h>
 
 #define PEER_APPEND_TIMEOUT_MS 700
+/* Time from which a record that was not stored counts as one that waited for the store. */
+#define WAITED_MS 100
 #define PEERS_MAX_AGE_MS (FB_ENTRY_FRONTEND_CALL_MAX_MS - PEER_APPEND_TIMEOUT_MS)
 #define PEERS_MAX 3
 /* Time for which a daemon that failed to append a record is not used: long enough to spare most
@@ -116,8 +118,10 @@
 {
   const char *peer = fb_group_any_peer (request->entry->group, request->tried);
   uint64_t spent_ms = fb_clock_ms () - request->received_ms;
-  /* Peers would add their appends to those for which this record had to wait. */
-  gboolean is_slow = request->appended && fb_store_health_is_slow (&request->entry->store_health);
+  /* Peers would add their appends to those for which this record had to wait.  A store that fails
+   * at once may be out of reach of this daemon only. */
+  gboolean is_slow = request->appended && spent_ms >= WAITED_MS
+                     && fb_store_health_is_slow (&request->entry->store_health);
   if (peer == NULL || is_slow || spent_ms >= PEERS_MAX_AGE_MS || request->tried->len >= PEERS_MAX)
     {
       answer_not_stored (request);
