What tests of daemon processes share stands in one file

accounts.sh had written again what takeover.sh and platform.sh each had: the settings of a daemon, how it is started, and step, die and until_true. They stand in tests/daemons.sh now. The tests keep their steps, bounds and messages; only the list of process ids stays with each.

--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -6,36 +6,12 @@
 B=build OUT=out/accounts
 rm -rf "$OUT"; mkdir -p "$OUT"
 source tools/ports.sh
+source tests/daemons.sh
 base=$(free_block 20000 50 200 0 20) || { echo "no ports are free"; exit 1; }
 pids=()
 trap 'kill ${pids[*]} 2> /dev/null || true' EXIT
-step() { echo "-- $1"; }
-die() { echo "$1"; exit 1; }
-until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 port() { echo $((base + 20 + $1 * 4)); }
-start_daemon() { # INDEX
-  cat > "$OUT/d$1.ini" <<INI
-[daemon]
-name=d$1
-domain=z$1
-grace=6s
-[listen]
-callers=127.0.0.1:$(port "$1")
-readiness=127.0.0.1:$(($(port "$1") + 1))
-peers=127.0.0.1:$(($(port "$1") + 2))
-metrics=127.0.0.1:$(($(port "$1") + 3))
-[store]
-address=127.0.0.1:$base
-partitions=32
-shortest-membership=1000ms
-[workers]
-longest-lease=6000ms
-longest-stop=200ms
-gang-patience=3000ms
-INI
-  $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
-  pids+=($!)
-}
+start_daemon() { run_daemon "$1"; pids+=($!); } # INDEX
 octal() { local n=$1 out= i; for i in 1 2 3 4; do out="\\$(printf '%03o' $((n & 255)))$out"; n=$((n >> 8)); done; printf '%s' "$out"; }
 configure() { # VERSION ACCOUNTS: writes a configuration as operators do
   local key=config value
--- /dev/null
+++ b/tests/daemons.sh
@@ -0,0 +1,32 @@
+# What the tests of daemon processes on the stand-in platform share; to be sourced.  They set B, OUT
+# and base, the first port of the platform, and define port INDEX, the first of a daemon's four.
+step() { echo "-- $1"; }
+die() { echo "$1"; exit 1; }
+until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
+# Prints the settings of a daemon.
+settings() { # INDEX
+  cat <<INI
+[daemon]
+name=d$1
+domain=z$1
+grace=6s
+[listen]
+callers=127.0.0.1:$(port "$1")
+readiness=127.0.0.1:$(($(port "$1") + 1))
+peers=127.0.0.1:$(($(port "$1") + 2))
+metrics=127.0.0.1:$(($(port "$1") + 3))
+[store]
+address=127.0.0.1:$base
+partitions=32
+shortest-membership=1000ms
+[workers]
+longest-lease=6000ms
+longest-stop=200ms
+gang-patience=3000ms
+INI
+}
+# Starts a daemon; its process id is $! then.
+run_daemon() { # INDEX
+  settings "$1" > "$OUT/d$1.ini"
+  $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
+}
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -6,40 +6,13 @@
 B=build OUT=out/platform
 rm -rf "$OUT"; mkdir -p "$OUT"
 source tools/ports.sh
+source tests/daemons.sh
 base=$(free_block 20000 50 200 0 20) || { echo "no ports are free"; exit 1; }
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
-step() { echo "-- $1"; }
-die() { echo "$1"; exit 1; }
-until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 port() { echo $((base + 20 + $1 * 4)); }
 
-settings() { # INDEX
-  cat <<INI
-[daemon]
-name=d$1
-domain=z$1
-grace=6s
-[listen]
-callers=127.0.0.1:$(port "$1")
-readiness=127.0.0.1:$(($(port "$1") + 1))
-peers=127.0.0.1:$(($(port "$1") + 2))
-metrics=127.0.0.1:$(($(port "$1") + 3))
-[store]
-address=127.0.0.1:$base
-partitions=32
-shortest-membership=1000ms
-[workers]
-longest-lease=6000ms
-longest-stop=200ms
-gang-patience=3000ms
-INI
-}
-start_daemon() { # INDEX
-  settings "$1" > "$OUT/d$1.ini"
-  $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
-  PID[$1]=$!
-}
+start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 send_request() { # DAEMON METHOD JOB [BODY]
   curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-d "$4"} "http://127.0.0.1:$(port "$1")/q/$3" || true
 }
--- a/tests/takeover.sh
+++ b/tests/takeover.sh
@@ -11,6 +11,7 @@
 cd "$(dirname "$0")/.."
 B=build OUT=out/takeover
 source tools/ports.sh
+source tests/daemons.sh
 QUOTA_PERCENT=12 WORKERS=250 JOBS=1000 TASKS=20 OBSERVE_S=12 SHORT_JOBS=16 MAX_GAP_MS=9000
 rm -rf "$OUT"; mkdir -p "$OUT"
 declare -A PID
@@ -20,9 +21,6 @@
   kill -9 "${PID[@]}" 2> /dev/null || true
 }
 trap finish EXIT
-step() { echo "-- $1"; }
-die() { echo "$1"; exit 1; }
-until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 port() { echo $((base + WORKERS + 20 + $1 * 4)); }
 json_number() { grep -o "\"$2\":[0-9]*" <<< "$1" | grep -o '[0-9]*$'; }
 audit() { curl -s "http://127.0.0.1:$base/audit"; }
@@ -43,29 +41,7 @@
 }
 platform_started_or_exited() { platform_listens || ! kill -0 "${PID[platform]}" 2> /dev/null; }
 
-start_daemon() { # INDEX
-  cat > "$OUT/d$1.ini" <<INI
-[daemon]
-name=d$1
-domain=z$1
-grace=6s
-[listen]
-callers=127.0.0.1:$(port "$1")
-readiness=127.0.0.1:$(($(port "$1") + 1))
-peers=127.0.0.1:$(($(port "$1") + 2))
-metrics=127.0.0.1:$(($(port "$1") + 3))
-[store]
-address=127.0.0.1:$base
-partitions=32
-shortest-membership=1000ms
-[workers]
-longest-lease=6000ms
-longest-stop=200ms
-gang-patience=3000ms
-INI
-  $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
-  PID[$1]=$!
-}
+start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 # Prints the owner once ownership is stable: all three daemons are members, and the store assigns the
 # pool to the daemon that has completed its recovery.
