Accounts are charged at most the size of workers that do not answer

Cause: after a change of owner, what may run for an account on workers without an answer was unlimited as soon as one of these workers was known from a record only.

Change: the owner stores the largest capacity and the labels of each worker that has failed a poll, has not answered yet, has shrunk or is not listed. The record has its own key, is stored in one append with the record of workers, and is valid only beside that record, whose hash it contains. The CPU of best-effort tasks, which workers do not count, is outside of the bound. Worker records are applied before the jobs, as both of them must be at hand.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -333,6 +333,7 @@
     }
   g_hash_table_unref (world->progress);
   g_clear_pointer (&world->known_workers, g_bytes_unref);
+  g_clear_pointer (&world->silent_workers, g_bytes_unref);
   g_rand_free (world->rand);
   g_rand_free (world->restart_rand);
   g_hash_table_unref (world->ids);
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -308,6 +308,8 @@
       = world->known_workers != NULL ? g_bytes_get_data (world->known_workers, &len) : NULL;
   if (data != NULL && fb_codec_decode_workers (data, len, &known))
     {
+      if (world->silent_workers != NULL)
+        fb_pool_restore_silent_workers (owner->pool, world->known_workers, world->silent_workers);
       fb_pool_restore_workers (owner->pool, &known);
       xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &known);
     }
@@ -410,7 +412,12 @@
   for (guint i = 0; i < owner->flush->len; i++)
     {
       const FbPoolRecord *record = owner->flush->pdata[i];
-      if (record->job == NULL)
+      if (record->kind == FB_POOL_RECORD_SILENT_WORKERS)
+        {
+          g_clear_pointer (&world->silent_workers, g_bytes_unref);
+          world->silent_workers = g_bytes_ref (record->progress);
+        }
+      else if (record->job == NULL)
         {
           g_clear_pointer (&world->known_workers, g_bytes_unref);
           world->known_workers = g_bytes_ref (record->progress);
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -243,7 +243,8 @@
   uint64_t current_owner_seen_ms;
   GHashTable *progress; /* job -> GBytes */
   GBytes *known_workers;
-  GPtrArray *orders; /* of Order */
+  GBytes *silent_workers; /* stored with KNOWN_WORKERS, or with an earlier record; NULL: none */
+  GPtrArray *orders;      /* of Order */
   uint64_t last_incarnation;
   uint64_t starts;
   gboolean traced; /* events are printed with their time */
--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -35,6 +35,9 @@
 gboolean fb_codec_decode_suspects (const void *data, gsize len, fb_work_suspects *suspects);
 GBytes *fb_codec_encode_workers (const fb_work_workers *workers);
 gboolean fb_codec_decode_workers (const void *data, gsize len, fb_work_workers *workers);
+GBytes *fb_codec_encode_silent_workers (const fb_work_silent_workers *workers);
+gboolean fb_codec_decode_silent_workers (const void *data, gsize len,
+                                         fb_work_silent_workers *workers);
 GBytes *fb_codec_encode_peer_request (const fb_peer_request *request);
 gboolean fb_codec_decode_peer_request (const void *data, gsize len, fb_peer_request *request);
 GBytes *fb_codec_encode_peer_reply (const fb_peer_reply *reply);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -31,6 +31,8 @@
 
 /* ---- the pool ------------------------------------------------------------- */
 
+typedef struct _FbPoolSilence FbPoolSilence;
+
 struct _FbPool
 {
   char *service;
@@ -82,6 +84,7 @@
   GHashTable *suspect_steps; /* set of FbPoolStep with tasks whose crashes are counted; borrowed */
   /* Set of FbPoolJob with suspects to be kept by other daemons; borrowed. */
   GHashTable *unstored_suspects;
+  FbPoolSilence *silence;     /* what is stored of workers that do not answer: pool-silence.c */
   GPtrArray *awaiting_starts; /* starts that are not ordered yet: see pool-awaiting-starts.c */
   /* Id hash of a crashed worker -> how many tasks may have caused the crash. */
   GHashTable *crash_causes;
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -76,6 +76,13 @@
   uint32_t cpu_milli;
   uint32_t mem_mb;
   uint32_t gpu_count;
+  /* Largest capacity that this incarnation was ever listed with, also to earlier owners. */
+  uint32_t max_cpu_milli;
+  uint32_t max_mem_mb;
+  uint32_t max_gpu_count;
+  gboolean size_known;       /* it was listed, or an earlier owner recorded its capacity */
+  gboolean labels_known;     /* as SIZE_KNOWN, for its labels */
+  gboolean has_silence_row;  /* it is in the last record of pool-silence.c */
   gboolean listed;           /* the platform lists it now */
   uint64_t listed_ms;        /* when it was first listed; 0: known from a record only */
   gboolean draining;         /* will exit soon: gets no new work */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -184,6 +184,10 @@
 /* Adds the workers that the previous owner recorded; must be called before
  * fb_pool_workers_complete(). */
 void fb_pool_restore_workers (FbPool *self, const fb_work_workers *record);
+/* Restores the record of silent workers; must be called before fb_pool_restore_workers(). WORKERS:
+ * the newest record of workers, as stored. Returns: FALSE when SILENT_WORKERS is malformed; a
+ * record that does not belong to WORKERS is ignored. */
+gboolean fb_pool_restore_silent_workers (FbPool *self, GBytes *workers, GBytes *silent_workers);
 
 /* Adds a job to the pool; no effect when the pool already has it. */
 void fb_pool_add_job (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
@@ -232,9 +236,18 @@
 
 /* ---- durability -------------------------------------------------------------- */
 
+typedef enum
+{
+  FB_POOL_RECORD_JOB,
+  FB_POOL_RECORD_WORKERS,       /* fb_work_workers */
+  FB_POOL_RECORD_SILENT_WORKERS /* fb_work_silent_workers, to be stored in one append with the
+                                   record of workers of the same flush */
+} FbPoolRecordKind;
+
 typedef struct
 {
-  char *job;        /* NULL: this is the record of the pool's workers */
+  FbPoolRecordKind kind;
+  char *job;        /* NULL unless KIND is FB_POOL_RECORD_JOB */
   GBytes *progress; /* NULL: all records of the job can be deleted */
   gboolean ended;   /* the job has ended: its admission record is not needed once this is stored */
 } FbPoolRecord;
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -543,6 +543,171 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_work_label (XDR *xdrs, fb_work_label *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_step_runs (XDR *xdrs, fb_work_step_runs *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->step, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tasks_n))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_silent_worker (XDR *xdrs, fb_work_silent_worker *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->id, FB_WORK_MAX_NAME))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->size_known))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpu_count))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->labels_known))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->size_known);
+		IXDR_PUT_U_LONG(buf, objp->cpu_milli);
+		IXDR_PUT_U_LONG(buf, objp->mem_mb);
+		IXDR_PUT_U_LONG(buf, objp->gpu_count);
+		IXDR_PUT_BOOL(buf, objp->labels_known);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, FB_WORK_MAX_LABELS,
+			sizeof (fb_work_label), (xdrproc_t) xdr_fb_work_label))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->draining))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->lease_known))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->lease_remaining_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->runs_known))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, FB_WORK_MAX_RUNS,
+			sizeof (fb_work_step_runs), (xdrproc_t) xdr_fb_work_step_runs))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->id, FB_WORK_MAX_NAME))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->size_known))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpu_count))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->labels_known))
+				 return FALSE;
+
+		} else {
+		objp->size_known = IXDR_GET_BOOL(buf);
+		objp->cpu_milli = IXDR_GET_U_LONG(buf);
+		objp->mem_mb = IXDR_GET_U_LONG(buf);
+		objp->gpu_count = IXDR_GET_U_LONG(buf);
+		objp->labels_known = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, FB_WORK_MAX_LABELS,
+			sizeof (fb_work_label), (xdrproc_t) xdr_fb_work_label))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->draining))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->lease_known))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->lease_remaining_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->runs_known))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, FB_WORK_MAX_RUNS,
+			sizeof (fb_work_step_runs), (xdrproc_t) xdr_fb_work_step_runs))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->id, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->size_known))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gpu_count))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->labels_known))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, FB_WORK_MAX_LABELS,
+		sizeof (fb_work_label), (xdrproc_t) xdr_fb_work_label))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lease_known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lease_remaining_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->runs_known))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, FB_WORK_MAX_RUNS,
+		sizeof (fb_work_step_runs), (xdrproc_t) xdr_fb_work_step_runs))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_reference_clock (XDR *xdrs, fb_work_reference_clock *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->worker, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_work_silent_workers (XDR *xdrs, fb_work_silent_workers *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fb_work_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->workers_hash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, FB_WORK_MAX_WORKERS,
+		sizeof (fb_work_silent_worker), (xdrproc_t) xdr_fb_work_silent_worker))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->clocks.clocks_val, (u_int *) &objp->clocks.clocks_len, FB_WORK_MAX_REFERENCE_CLOCKS,
+		sizeof (fb_work_reference_clock), (xdrproc_t) xdr_fb_work_reference_clock))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_request_type (XDR *xdrs, fb_peer_request_type *objp)
 {
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -24,6 +24,8 @@
 #define FB_WORK_MAX_TICKETS 128
 #define FB_WORK_MAX_WORKERS 20000
 #define FB_WORK_MAX_RUNS 256
+#define FB_WORK_MAX_LABELS 256
+#define FB_WORK_MAX_REFERENCE_CLOCKS 5
 #define FB_WORK_MAX_REPORTED 4096
 #define FB_WORK_MAX_PARTITIONS 4096
 #define FB_WORK_MAX_STARTS 512
@@ -181,6 +183,59 @@
 };
 typedef struct fb_work_workers fb_work_workers;
 
+struct fb_work_label {
+	char *name;
+};
+typedef struct fb_work_label fb_work_label;
+
+struct fb_work_step_runs {
+	char *step;
+	u_int tasks_n;
+};
+typedef struct fb_work_step_runs fb_work_step_runs;
+
+struct fb_work_silent_worker {
+	char *id;
+	bool_t size_known;
+	u_int cpu_milli;
+	u_int mem_mb;
+	u_int gpu_count;
+	bool_t labels_known;
+	struct {
+		u_int labels_len;
+		fb_work_label *labels_val;
+	} labels;
+	bool_t draining;
+	bool_t lease_known;
+	u_quad_t lease_remaining_ms;
+	bool_t runs_known;
+	struct {
+		u_int runs_len;
+		fb_work_step_runs *runs_val;
+	} runs;
+};
+typedef struct fb_work_silent_worker fb_work_silent_worker;
+
+struct fb_work_reference_clock {
+	char *worker;
+	u_quad_t clock_ms;
+};
+typedef struct fb_work_reference_clock fb_work_reference_clock;
+
+struct fb_work_silent_workers {
+	fb_work_state state;
+	u_quad_t workers_hash;
+	struct {
+		u_int workers_len;
+		fb_work_silent_worker *workers_val;
+	} workers;
+	struct {
+		u_int clocks_len;
+		fb_work_reference_clock *clocks_val;
+	} clocks;
+};
+typedef struct fb_work_silent_workers fb_work_silent_workers;
+
 enum fb_peer_request_type {
 	FB_REQUEST_JOB_STATE = 1,
 	FB_REQUEST_PENDING_COUNT = 2,
@@ -517,6 +572,11 @@
 extern  bool_t xdr_fb_step_name (XDR *, fb_step_name*);
 extern  bool_t xdr_fb_work_known_worker (XDR *, fb_work_known_worker*);
 extern  bool_t xdr_fb_work_workers (XDR *, fb_work_workers*);
+extern  bool_t xdr_fb_work_label (XDR *, fb_work_label*);
+extern  bool_t xdr_fb_work_step_runs (XDR *, fb_work_step_runs*);
+extern  bool_t xdr_fb_work_silent_worker (XDR *, fb_work_silent_worker*);
+extern  bool_t xdr_fb_work_reference_clock (XDR *, fb_work_reference_clock*);
+extern  bool_t xdr_fb_work_silent_workers (XDR *, fb_work_silent_workers*);
 extern  bool_t xdr_fb_peer_request_type (XDR *, fb_peer_request_type*);
 extern  bool_t xdr_fb_job_state_request (XDR *, fb_job_state_request*);
 extern  bool_t xdr_fb_account_job_state_request (XDR *, fb_account_job_state_request*);
@@ -564,6 +624,11 @@
 extern bool_t xdr_fb_step_name ();
 extern bool_t xdr_fb_work_known_worker ();
 extern bool_t xdr_fb_work_workers ();
+extern bool_t xdr_fb_work_label ();
+extern bool_t xdr_fb_work_step_runs ();
+extern bool_t xdr_fb_work_silent_worker ();
+extern bool_t xdr_fb_work_reference_clock ();
+extern bool_t xdr_fb_work_silent_workers ();
 extern bool_t xdr_fb_peer_request_type ();
 extern bool_t xdr_fb_job_state_request ();
 extern bool_t xdr_fb_account_job_state_request ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -13,6 +13,8 @@
 const FB_WORK_MAX_TICKETS = 128;
 const FB_WORK_MAX_WORKERS = 20000;
 const FB_WORK_MAX_RUNS = 256;
+const FB_WORK_MAX_LABELS = 256;
+const FB_WORK_MAX_REFERENCE_CLOCKS = 5;
 const FB_WORK_MAX_REPORTED = 4096;
 const FB_WORK_MAX_PARTITIONS = 4096;
 const FB_WORK_MAX_STARTS = 512;
@@ -138,6 +140,48 @@
   fb_work_known_worker workers<FB_WORK_MAX_WORKERS>;
 };
 
+struct fb_work_label {
+  string name<FB_WORK_MAX_NAME>;
+};
+
+/* How many tasks of a step may run on a worker. */
+struct fb_work_step_runs {
+  string step<FB_WORK_MAX_NAME>;
+  unsigned int tasks_n; /* 0xffffffff: unknown */
+};
+
+/* A worker that does not answer the owner, or of which the platform's list shows too little. */
+struct fb_work_silent_worker {
+  string id<FB_WORK_MAX_NAME>;
+  bool size_known;
+  unsigned int cpu_milli; /* the largest capacity of this incarnation */
+  unsigned int mem_mb;
+  unsigned int gpu_count;
+  bool labels_known;
+  fb_work_label labels<FB_WORK_MAX_LABELS>;
+  bool draining;
+  bool lease_known; /* until it is stored that this row is gone, the owner starts nothing there and
+                     * extends no lease */
+  unsigned hyper lease_remaining_ms; /* every lease there ends within this time after the record */
+  bool runs_known; /* only RUNS can be there; never without LEASE_KNOWN */
+  fb_work_step_runs runs<FB_WORK_MAX_RUNS>;
+};
+
+/* The highest possible time on a worker's clock when the record was made. */
+struct fb_work_reference_clock {
+  string worker<FB_WORK_MAX_NAME>;
+  unsigned hyper clock_ms;
+};
+
+/* Belongs to the fb_work_workers that is stored in the same append; invalid beside any other. */
+struct fb_work_silent_workers {
+  fb_work_state state; /* FB_WORK_QUEUED: daemons of earlier versions take the record for the
+                        * progress of a job that they do not know, and ignore it */
+  unsigned hyper workers_hash; /* XXH64 of the fb_work_workers */
+  fb_work_silent_worker workers<FB_WORK_MAX_WORKERS>;
+  fb_work_reference_clock clocks<FB_WORK_MAX_REFERENCE_CLOCKS>;
+};
+
 /* Requests between daemons, to the owner of a pool or to any peer. */
 
 enum fb_peer_request_type {
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -286,3 +286,15 @@
 {
   return decode_whole ((xdrproc_t) xdr_fb_work_workers, data, len, sizeof *workers, workers);
 }
+
+GBytes *
+fb_codec_encode_silent_workers (const fb_work_silent_workers *workers)
+{
+  return encode ((xdrproc_t) xdr_fb_work_silent_workers, workers, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_silent_workers (const void *data, gsize len, fb_work_silent_workers *workers)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_work_silent_workers, data, len, sizeof *workers, workers);
+}
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -55,23 +55,26 @@
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (value, &len);
   fb_work_workers record;
+  FbPool *pool = fb_owner_pool_for (self, service)->pool;
   if (!fb_codec_decode_workers (data, len, &record))
     {
       fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "workers of service=%s malformed", service);
       return;
     }
-  fb_pool_restore_workers (fb_owner_pool_for (self, service)->pool, &record);
+  g_autofree char *silent_key = g_strconcat (FB_KEY_SILENT_WORKERS, service, NULL);
+  GBytes *silent = g_hash_table_lookup (self->progress, silent_key);
+  if (silent != NULL && !fb_pool_restore_silent_workers (pool, value, silent))
+    fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "silent workers of service=%s malformed", service);
+  fb_pool_restore_workers (pool, &record);
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
 }
 
 static void
 apply_progress (FbOwner *self, const char *job, GBytes *value)
 {
-  if (g_str_has_prefix (job, FB_KEY_WORKERS))
-    {
-      apply_worker_list (self, job + strlen (FB_KEY_WORKERS), value);
-      return;
-    }
+  /* Applied by create_recorded_pools(). */
+  if (g_str_has_prefix (job, FB_KEY_WORKERS) || g_str_has_prefix (job, FB_KEY_SILENT_WORKERS))
+    return;
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (value, &len);
   fb_work_progress record;
@@ -196,17 +199,19 @@
 
 /* The admissions of ended jobs are deleted, so no admission may name the service whose progress was
  * read.  Without its pool, the ends of jobs would be dropped, and their callers would be told that
- * there are no such jobs. */
+ * there are no such jobs.  The two records of workers are applied together, so both must still be
+ * there. */
 static void
 create_recorded_pools (FbOwner *self)
 {
   GHashTableIter iter;
   gpointer key;
+  gpointer value;
   g_hash_table_iter_init (&iter, self->progress);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
+  while (g_hash_table_iter_next (&iter, &key, &value))
     {
       if (g_str_has_prefix (key, FB_KEY_WORKERS))
-        fb_owner_pool_for (self, (const char *) key + strlen (FB_KEY_WORKERS));
+        apply_worker_list (self, (const char *) key + strlen (FB_KEY_WORKERS), value);
     }
   fb_owner_create_configured_pools (self);
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -52,8 +52,10 @@
   uint64_t woken_ms;     /* time of the first tick after the process was suspended; 0: never */
 };
 
-/* Keys of FB_TOPIC_PROGRESS are job ids, or this prefix followed by the name of a service. */
+/* Keys of FB_TOPIC_PROGRESS are job ids, or a prefix followed by the name of a service. */
 #define FB_KEY_WORKERS "workers."
+/* As FB_KEY_WORKERS, of records in the same append. */
+#define FB_KEY_SILENT_WORKERS "silent-workers."
 
 /* owner-orders.c: sends the orders of pools and passes the answers back. */
 extern const FbPoolCallbacks fb_owner_pool_callbacks;
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -139,6 +139,17 @@
                    NULL);
 }
 
+/* Returns: (transfer full): the key under which RECORD is stored. */
+static char *
+key_of (const FbServicePool *service_pool, const FbPoolRecord *record)
+{
+  static const char *const prefixes[] = { [FB_POOL_RECORD_WORKERS] = FB_KEY_WORKERS,
+                                          [FB_POOL_RECORD_SILENT_WORKERS] = FB_KEY_SILENT_WORKERS };
+  return record->kind == FB_POOL_RECORD_JOB
+             ? g_strdup (record->job)
+             : g_strconcat (prefixes[record->kind], service_pool->service, NULL);
+}
+
 static void
 flush_pool (FbServicePool *service_pool)
 {
@@ -152,9 +163,8 @@
   for (guint i = 0; i < records->len; i++)
     {
       const FbPoolRecord *record = records->pdata[i];
-      g_autofree char *workers_key = g_strconcat (FB_KEY_WORKERS, service_pool->service, NULL);
-      fb_wire_encode_record (body, record->job != NULL ? record->job : workers_key,
-                             record->progress);
+      g_autofree char *key = key_of (service_pool, record);
+      fb_wire_encode_record (body, key, record->progress);
       if (record->progress == NULL || record->ended)
         g_ptr_array_add (ended, g_strdup (record->job));
     }
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -21,11 +21,12 @@
   FbAmounts part;        /* what this pool may use of the cap */
   FbAmounts used;        /* by the runs on the workers of this pool */
   FbAmounts unconfirmed; /* may run on workers that have not answered this owner yet */
-  GSequence *held;       /* of FbPoolStep that wait for the account, in the order of the queue */
-  uint32_t weight;       /* jobs per second that are owed; 0: not known */
-  GHashTable *jobs_n;    /* second since 1970 -> number of jobs accepted in it */
-  gboolean release_due;  /* it may run more than when its steps were last tried */
-  uint64_t logged_ms;    /* when it was last logged that steps wait; 0: never */
+  int64_t unconfirmed_best_effort_cpu_milli; /* of these, by tasks whose CPU no worker counts */
+  GSequence *held;      /* of FbPoolStep that wait for the account, in the order of the queue */
+  uint32_t weight;      /* jobs per second that are owed; 0: not known */
+  GHashTable *jobs_n;   /* second since 1970 -> number of jobs accepted in it */
+  gboolean release_due; /* it may run more than when its steps were last tried */
+  uint64_t logged_ms;   /* when it was last logged that steps wait; 0: never */
 };
 
 static void
@@ -249,6 +250,9 @@
 
 /* ---- takeover ----------------------------------------------------------------------- */
 
+/* Returns: what all unconfirmed workers have together. A worker may have shrunk since its runs were
+ * started, so its largest size counts; only that of a worker which a daemon of an earlier version
+ * recorded is unknown. */
 static FbAmounts
 unconfirmed_capacity (const FbPool *self)
 {
@@ -256,15 +260,29 @@
   for (guint i = 0; i < self->unconfirmed_workers->len; i++)
     {
       const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
-      const FbAmounts of_worker = { worker->cpu_milli, worker->mem_mb, worker->gpu_count };
-      /* The size of a worker that is known only from a record is not known. */
-      if (!worker->listed)
+      const FbAmounts of_worker
+          = { worker->max_cpu_milli, worker->max_mem_mb, worker->max_gpu_count };
+      if (!worker->size_known)
         return (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
       fb_amounts_add (&capacity, &of_worker, 1);
     }
   return capacity;
 }
 
+/* The CPU of best-effort tasks does not count at their workers, so the size of these is no bound
+ * for it. */
+static void
+charge_unconfirmed (FbPoolAccount *account, const fb_work_step *spec, guint tasks_n)
+{
+  FbAmounts demand = demand_of (spec);
+  if (spec->best_effort)
+    {
+      account->unconfirmed_best_effort_cpu_milli += tasks_n * demand.cpu_milli;
+      demand.cpu_milli = 0;
+    }
+  fb_amounts_add (&account->unconfirmed, &demand, tasks_n);
+}
+
 static void
 add_unconfirmed (const FbPool *self, FbPoolJob *job)
 {
@@ -275,10 +293,8 @@
         {
           const FbPoolStep *step = &occurrence->steps[j];
           guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
-          if (pending_n == 0 || !fb_pool_may_run_unconfirmed (self, step))
-            continue;
-          const FbAmounts demand = demand_of (step->spec);
-          fb_amounts_add (&job->account->unconfirmed, &demand, pending_n);
+          if (pending_n > 0 && fb_pool_may_run_unconfirmed (self, step))
+            charge_unconfirmed (job->account, step->spec, pending_n);
         }
     }
 }
@@ -295,6 +311,7 @@
     {
       FbPoolAccount *account = value;
       account->unconfirmed = fb_amounts_min (&account->unconfirmed, &capacity);
+      account->unconfirmed.cpu_milli += account->unconfirmed_best_effort_cpu_milli;
       account->release_due = TRUE;
     }
 }
@@ -312,6 +329,7 @@
       account->release_due
           = account->release_due || !fb_amounts_equal (&account->unconfirmed, &none);
       account->unconfirmed = none;
+      account->unconfirmed_best_effort_cpu_milli = 0;
     }
 }
 
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -4,6 +4,7 @@
  * runs in it may be acknowledged, and job states shown to callers, once it is stored. */
 #include "internal/codec.h"
 #include "internal/pool-crash.h"
+#include "internal/pool-silence.h"
 
 /* Results are kept this long after a job has ended, for late requests from callers. */
 #define ENDED_JOB_RETENTION_MS 300000
@@ -87,12 +88,10 @@
   g_hash_table_remove_all (self->dirty);
 }
 
-static void
-flush_workers (FbPool *self, GPtrArray *records)
+/* Returns: (transfer full): the record of all workers. */
+static GBytes *
+encode_workers (const FbPool *self)
 {
-  if (!self->workers_dirty || !self->recovered)
-    return;
-  self->workers_dirty = FALSE;
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
   g_autofree fb_work_known_worker *known = g_new0 (fb_work_known_worker, n + 1);
   fb_work_workers record = { .workers = { 0, known } };
@@ -105,9 +104,26 @@
       *row = (fb_work_known_worker){ .id = worker->id, .address = worker->address };
       fb_pool_drain_record (worker, row);
     }
-  add_record (records, NULL, fb_codec_encode_workers (&record));
+  GBytes *bytes = fb_codec_encode_workers (&record);
   for (u_int i = 0; i < record.workers.workers_len; i++)
     fb_pool_drain_record_clear (&known[i]);
+  return bytes;
+}
+
+/* The record of a pool that has not recovered contains the workers of the previous record that are
+ * still unconfirmed, since these are removed only when they are known to be gone. */
+static void
+flush_workers (FbPool *self, GPtrArray *records, uint64_t now_ms)
+{
+  gboolean due = self->workers_dirty && self->recovered;
+  if (!due && !fb_pool_silence_record_is_due (self, now_ms))
+    return;
+  self->workers_dirty = !self->recovered;
+  GBytes *workers = encode_workers (self);
+  GBytes *silent = fb_pool_silence_record (self, workers, now_ms);
+  add_record (records, NULL, workers)->kind = FB_POOL_RECORD_WORKERS;
+  if (silent != NULL)
+    add_record (records, NULL, silent)->kind = FB_POOL_RECORD_SILENT_WORKERS;
 }
 
 static void
@@ -137,7 +153,7 @@
     return NULL;
   GPtrArray *records = g_ptr_array_new_with_free_func (record_free);
   flush_jobs (self, records);
-  flush_workers (self, records);
+  flush_workers (self, records, now_ms);
   if (now_ms >= self->expired_ms + FB_POOL_EXPIRE_INTERVAL_MS)
     {
       self->expired_ms = now_ms;
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -113,11 +113,8 @@
 {
   if (!fb_pool_drain_may_run (worker, step))
     return FALSE;
-  /* The labels of a worker that is not listed are unknown. */
-  if (!worker->listed)
-    return TRUE;
   /* Its capacity proves nothing: it may have shrunk since a run was started that fitted then. */
-  if (!fb_pool_has_labels_for (worker, step->spec))
+  if (worker->labels_known && !fb_pool_has_labels_for (worker, step->spec))
     return FALSE;
   if (!step->job->record.policy.advised || !step->job->advised_when_stored)
     return TRUE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -4,6 +4,7 @@
  * ends again that the previous owner had recorded but could no longer acknowledge. */
 #include "internal/pool-account.h"
 #include "internal/pool-crash.h"
+#include "internal/pool-silence.h"
 
 #include "fb-counter.h"
 #include "fb-event.h"
@@ -580,4 +581,5 @@
     fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
   else if (answer->result == FB_ORDER_NO_LISTENER && has_left (self, worker))
     fb_pool_worker_lost (self, worker, FB_LOSS_LEFT, NULL, now_ms);
+  fb_pool_silence_polled (self, worker);
 }
--- a/src/work/pool-worker-slots.c
+++ b/src/work/pool-worker-slots.c
@@ -3,7 +3,7 @@
  * A round checks the free capacity of each worker for each pending step, so it iterates over an
  * array instead of a hash table. A slot is reused after its worker has been removed;
  * FbPoolWorker.incarnation, which is never reused, distinguishes the two workers. */
-#include "internal/pool-private.h"
+#include "internal/pool-silence.h"
 
 void
 fb_pool_worker_slots_add (FbPool *self, FbPoolWorker *worker)
@@ -18,6 +18,7 @@
   worker->slot = slot;
   worker->incarnation = ++self->last_incarnation;
   g_hash_table_insert (self->workers, worker->id, worker);
+  fb_pool_silence_worker_added (self, worker);
 }
 
 /* Removes WORKER from FbPool.gained_capacity.  The entries that the open round began with stay the
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -2,6 +2,7 @@
  * periodic tick that drives all other parts. */
 #include "internal/pool-account.h"
 #include "internal/pool-crash.h"
+#include "internal/pool-silence.h"
 
 #include "fb-event.h"
 
@@ -53,6 +54,7 @@
   self->dirty = g_hash_table_new (job_hash, NULL);
   self->suspect_steps = g_hash_table_new (step_hash, NULL);
   self->unstored_suspects = g_hash_table_new (job_hash, NULL);
+  self->silence = fb_pool_silence_new ();
   self->awaiting_starts = fb_pool_awaiting_starts_new ();
   self->crash_causes = fb_pool_crash_causes_new ();
   self->unresolved_losses = fb_pool_unresolved_losses_new ();
@@ -73,6 +75,7 @@
   fb_pool_unanswered_starts_free (self->unanswered_starts);
   g_hash_table_unref (self->workers); /* before the jobs: runs point to their steps */
   g_ptr_array_unref (self->worker_slots);
+  fb_pool_silence_free (self->silence);
   g_hash_table_unref (self->latest_incarnations);
   g_ptr_array_unref (self->gained_capacity);
   g_ptr_array_unref (self->queue);
@@ -145,6 +148,7 @@
   if (address_changed)
     fb_pool_incarnation_remove (self, worker);
   fb_pool_worker_set_entry (worker, entry);
+  fb_pool_silence_worker_listed (worker);
   fb_pool_worker_gained_capacity (self, worker);
   if (is_new || was_draining != worker->draining)
     fb_event_log (FB_EVENT_POOL_WORKER_LISTED, "worker=%s address=%s cpu=%u gpu=%u draining=%d",
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -24,6 +24,7 @@
   GHashTable *progress;        /* job -> GBytes, the progress record as stored */
   GHashTable *suspect_backups; /* job -> GBytes, the suspects that other daemons back up */
   GBytes *stored_workers;      /* the stored record of the pool's workers; NULL: none */
+  GBytes *stored_silent;       /* the stored record of silent workers; NULL: none */
   GHashTable *workers; /* id -> the words of its line, used to list it again to the next owner */
   GHashTable *starts;  /* task, and task/attempt -> order number of the last start */
   GHashTable *stops;   /* task -> order number of the last stop */
@@ -250,6 +251,10 @@
   gconstpointer data = g_bytes_get_data (script->stored_workers, &len);
   if (!fb_codec_decode_workers (data, len, &record))
     fail (script, "the record of workers is malformed");
+  if (script->stored_silent != NULL
+      && !fb_pool_restore_silent_workers (script->pool, script->stored_workers,
+                                          script->stored_silent))
+    fail (script, "the record of silent workers is malformed");
   fb_pool_restore_workers (script->pool, &record);
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
 }
@@ -569,9 +574,12 @@
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
+      const char *name = record->kind == FB_POOL_RECORD_WORKERS ? "workers"
+                         : record->kind == FB_POOL_RECORD_SILENT_WORKERS
+                             ? "silent workers"
+                             : strip_zeros (record->job);
       g_ptr_array_add (
-          lines, g_strdup_printf ("  %s %s", record->progress != NULL ? "record" : "drop",
-                                  record->job != NULL ? strip_zeros (record->job) : "workers"));
+          lines, g_strdup_printf ("  %s %s", record->progress != NULL ? "record" : "drop", name));
     }
   g_ptr_array_sort (lines, compare_lines);
   for (guint i = 0; i < lines->len; i++)
@@ -585,7 +593,12 @@
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
-      if (record->job == NULL)
+      if (record->kind == FB_POOL_RECORD_SILENT_WORKERS)
+        {
+          g_clear_pointer (&script->stored_silent, g_bytes_unref);
+          script->stored_silent = g_bytes_ref (record->progress);
+        }
+      else if (record->kind == FB_POOL_RECORD_WORKERS)
         {
           g_clear_pointer (&script->stored_workers, g_bytes_unref);
           script->stored_workers = g_bytes_ref (record->progress);
