Pools get only as much of a cap as they can use

An account's cap was divided for each resource by itself.

The division now gives a pool of each resource the same fraction of what it still wants, the smallest that it would get of any limited resource, and gives what is left to the pools that can use it. With the amounts above, the second pool's part rises to 2,960,000; before the change the division kept 430,000 of that for the first one. Accounts with one limited resource are divided as before. No message changes.

--- a/include/internal/account-parts.h
+++ b/include/internal/account-parts.h
@@ -51,7 +51,8 @@
                                  fb_account_grants_reply *reply);
 
 /* Divides CAP among the N pools that have CLAIMS: each gets what it uses, then the pools that use
- * least get what their first waiting step needs, then all get the same up to what they want, and
- * the rest is divided evenly.  The sum of PARTS exceeds the cap only if more is used already. */
+ * least get what their first waiting step needs, then all get the same up to what they want and can
+ * use: a pool that gets little of one resource gets as little of the others.  The rest is divided
+ * evenly.  The sum of PARTS exceeds the cap only if more is used already. */
 void fb_account_parts_divide (const FbAmounts *cap, const FbAccountClaim *claims, guint n,
                               FbAmounts *parts);
--- a/tests/test-accounts.c
+++ b/tests/test-accounts.c
@@ -305,6 +305,88 @@
   check_division (3000, claims, (int64_t[]){ 2000, 1000, 0 });
 }
 
+/* Guards against a pool that holds processor which it cannot use, because the account's
+ * accelerators are all in use, while another pool of the account waits for processor.  The amounts
+ * are those of an account of dunaport on scale-2: the accelerator pool held 2.25 million, could
+ * use 1.39 million and wanted more for its gangs. */
+static void
+test_division_by_what_a_pool_can_use (void)
+{
+  const FbAmounts cap = { .cpu_milli = 4350000, .gpu_count = 444 };
+  const FbAccountClaim claims[] = { { .taken = { .cpu_milli = 1390000, .gpu_count = 444 },
+                                      .needed = { .cpu_milli = 1402500, .gpu_count = 464 },
+                                      .wanted = { .cpu_milli = 2250000, .gpu_count = 900 } },
+                                    { .taken = { .cpu_milli = 2280000 },
+                                      .needed = { .cpu_milli = 2282700 },
+                                      .wanted = { .cpu_milli = 6000000 } } };
+  FbAmounts parts[G_N_ELEMENTS (claims)];
+  fb_account_parts_divide (&cap, claims, G_N_ELEMENTS (claims), parts);
+  CU_ASSERT_EQUAL (parts[0].cpu_milli, 1390000);
+  CU_ASSERT_EQUAL (parts[0].gpu_count, 444);
+  CU_ASSERT_EQUAL (parts[1].cpu_milli, 2960000);
+  CU_ASSERT_EQUAL (parts[1].gpu_count, 0);
+}
+
+/* Guards against a pool that gets the accelerators that are left without the processor for them, or
+ * processor for more tasks than it gets accelerators for. */
+static void
+test_division_in_proportion_to_the_limiting_resource (void)
+{
+  const FbAmounts cap = { .cpu_milli = 1000000, .gpu_count = 100 };
+  const FbAccountClaim claims[] = { { .taken = { .cpu_milli = 90000, .gpu_count = 90 },
+                                      .needed = { .cpu_milli = 91000, .gpu_count = 91 },
+                                      .wanted = { .cpu_milli = 290000, .gpu_count = 290 } },
+                                    { .taken = { .cpu_milli = 500000 },
+                                      .needed = { .cpu_milli = 501000 },
+                                      .wanted = { .cpu_milli = 2000000 } } };
+  FbAmounts parts[G_N_ELEMENTS (claims)];
+  fb_account_parts_divide (&cap, claims, G_N_ELEMENTS (claims), parts);
+  CU_ASSERT_EQUAL (parts[0].gpu_count, 100);
+  CU_ASSERT_TRUE (parts[0].cpu_milli >= 100000 && parts[0].cpu_milli <= 100001);
+  CU_ASSERT_EQUAL (parts[0].cpu_milli + parts[1].cpu_milli, 1000000);
+}
+
+/* Guards against parts whose sum exceeds the cap, and against amounts that no pool gets although
+ * one of them could use them. */
+static void
+test_division_of_random_claims (void)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  for (guint round = 0; round < 20000; round++)
+    {
+      FbAmounts cap = { 0 };
+      FbAccountClaim claims[4] = { 0 };
+      FbAmounts parts[G_N_ELEMENTS (claims)];
+      guint n = (guint) g_rand_int_range (rand, 1, G_N_ELEMENTS (claims) + 1);
+      for (guint r = 0; r < FB_AMOUNTS_N; r++)
+        {
+          *fb_amounts_at (&cap, r) = g_rand_int_range (rand, 0, 4) * 1000;
+          for (guint i = 0; i < n; i++)
+            {
+              int64_t taken = g_rand_int_range (rand, 0, 240);
+              int64_t needed = taken + g_rand_int_range (rand, 0, 2) * 100;
+              *fb_amounts_at (&claims[i].taken, r) = taken;
+              *fb_amounts_at (&claims[i].needed, r) = needed;
+              *fb_amounts_at (&claims[i].wanted, r) = needed + g_rand_int_range (rand, 0, 2) * 1500;
+            }
+        }
+      fb_account_parts_divide (&cap, claims, n, parts);
+      for (guint r = 0; r < FB_AMOUNTS_N; r++)
+        {
+          int64_t limit = fb_amounts_get (&cap, r);
+          int64_t sum = 0;
+          for (guint i = 0; i < n; i++)
+            {
+              sum += fb_amounts_get (&parts[i], r);
+              CU_ASSERT_TRUE (limit == 0
+                              || fb_amounts_get (&parts[i], r)
+                                     >= fb_amounts_get (&claims[i].taken, r));
+            }
+          CU_ASSERT_TRUE (limit == 0 || (sum <= limit && sum > limit - 4));
+        }
+    }
+}
+
 /* ---- whose job it is ------------------------------------------------------------ */
 
 static FbPool *
@@ -390,6 +472,10 @@
     { "division of a cap", test_division_of_a_cap },
     { "division suffices for one gang", test_division_suffices_for_one_gang },
     { "division of a lowered cap", test_division_of_a_lowered_cap },
+    { "division by what a pool can use", test_division_by_what_a_pool_can_use },
+    { "division in proportion to the limiting resource",
+      test_division_in_proportion_to_the_limiting_resource },
+    { "division of random claims", test_division_of_random_claims },
     { "a job is visible to its account", test_job_is_visible_to_its_account },
     { "a job without account is visible to all", test_job_without_account_is_visible_to_all },
     { "the account outlives the admission", test_account_outlives_the_admission },
