--- a/include/internal/account-parts.h
+++ b/include/internal/account-parts.h
@@ -35,6 +35,10 @@
 /* Sets the part of each account in POOL, the pool of this service. */
 void fb_account_parts_apply (FbAccountParts *self, FbPool *pool);
 
+/* Measures for how long pools wait for parts of the accounts that this service coordinates although
+ * their caps have room.  Called each time that the parts are applied. */
+void fb_account_parts_measure_waits (FbAccountParts *self, const FbPool *pool, uint64_t now_ms);
+
 /* Fills in REQUEST to the owner of COORDINATOR's pool; cleared with
  * fb_account_parts_request_clear().  Returns: FALSE when there is nothing to ask for now. */
 gboolean fb_account_parts_build_request (FbAccountParts *self, const FbPool *pool,
@@ -51,7 +55,8 @@
                                  fb_account_grants_reply *reply);
 
 /* Divides CAP among the N pools that have CLAIMS: each gets what it uses, then the pools that use
- * least get what their first waiting step needs, then all get the same up to what they want, and
- * the rest is divided evenly.  The sum of PARTS exceeds the cap only if more is used already. */
+ * least get what their first waiting step needs, then all get the same up to what they want and can
+ * use: a pool that gets little of one resource gets as little of the others.  The rest is divided
+ * evenly.  The sum of PARTS exceeds the cap only if more is used already. */
 void fb_account_parts_divide (const FbAmounts *cap, const FbAccountClaim *claims, guint n,
                               FbAmounts *parts);
