POOL_LOST says for how long the pool was owned, ACCOUNT_PARTS how long reports took

Changes of owners could be followed only by pairing lines of several daemons, and nothing showed how long a new coordinator waits for the reports of other pools.

POOL_LOST has owned_ms= wherever it is logged, before why= so that loop_late_ms= stays the last field. ACCOUNT_PARTS has took_ms=, from the first tick after POOL_TAKEN (or from the time at which reports were missing again) until all other pools have reported; the histogram flamingobarrow_account_parts_ready_ms has the same. The log line moves from fb_account_parts_apply() to fb_account_parts_update_ready(), which gets the time as an argument.

--- a/include/internal/account-parts-private.h
+++ b/include/internal/account-parts-private.h
@@ -47,6 +47,7 @@
   GPtrArray *peers;     /* of FbAccountPeer, in the order of SERVICES */
   GHashTable *holdings; /* account -> FbAccountHolding */
   gboolean was_ready;   /* last logged state, see fb_account_parts_all_reported() */
+  uint64_t unready_ms;  /* time since which reports were missing; 0: not checked yet */
 };
 
 /* account-parts.c */
--- a/include/internal/account-parts.h
+++ b/include/internal/account-parts.h
@@ -32,6 +32,11 @@
 /* SERVICES: of char *, all that are configured. */
 void fb_account_parts_set_services (FbAccountParts *self, const GPtrArray *services);
 
+/* Logs whether all other pools have reported what they hold, when that changes.  To be called first
+ * when the pool has been loaded, and then before each fb_account_parts_apply().
+ * Returns: TRUE when the last missing report of another pool has arrived since the previous call,
+ * TOOK_MS after the first call or after reports became missing again. */
+gboolean fb_account_parts_update_ready (FbAccountParts *self, uint64_t now_ms, uint32_t *took_ms);
 /* Sets the part of each account in POOL, the pool of this service. */
 void fb_account_parts_apply (FbAccountParts *self, FbPool *pool);
 
--- a/src/entry/owner/owner-account-parts.c
+++ b/src/entry/owner/owner-account-parts.c
@@ -1,6 +1,8 @@
 /* Exchanges parts of the caps of client accounts with the owners of other pools. */
 #include "owner-private.h"
 
+#include "fb-histogram.h"
+
 /* Interval at which the parts are applied to a pool. */
 #define APPLY_INTERVAL_MS 20
 #define REQUEST_TIMEOUT_MS 600
@@ -65,6 +67,9 @@
       || now_ms < service_pool->parts_ms + APPLY_INTERVAL_MS)
     return;
   service_pool->parts_ms = now_ms;
+  uint32_t took_ms = 0;
+  if (fb_account_parts_update_ready (service_pool->parts, now_ms, &took_ms))
+    fb_histogram_add (FB_HISTOGRAM_ACCOUNT_PARTS_READY, took_ms);
   fb_account_parts_apply (service_pool->parts, service_pool->pool);
   gboolean confirmed = fb_owner_confirm (service_pool->owner, service_pool, now_ms);
   for (guint i = 0; confirmed && i < routes->services->len; i++)
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -198,8 +198,10 @@
     return;
   self->stepped_down = TRUE;
   g_autofree char *ages = fb_entry_format_timing (self->entry);
-  fb_event_log (FB_EVENT_POOL_LOST, "partition=%u epoch=%" G_GUINT64_FORMAT " why=\"%s\" %s",
-                self->partition, self->epoch, reason, ages);
+  fb_event_log (FB_EVENT_POOL_LOST,
+                "partition=%u epoch=%" G_GUINT64_FORMAT " owned_ms=%" G_GUINT64_FORMAT
+                " why=\"%s\" %s",
+                self->partition, self->epoch, fb_owner_owned_ms (self), reason, ages);
 }
 
 static void
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -308,6 +308,12 @@
   g_free (self);
 }
 
+uint64_t
+fb_owner_owned_ms (const FbOwner *self)
+{
+  return fb_clock_ms () - self->takeover_began_ms;
+}
+
 gboolean
 fb_owner_has_stepped_down (const FbOwner *self)
 {
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -10,6 +10,8 @@
 void fb_owner_free (FbOwner *self);
 /* Returns: TRUE when SELF has stepped down and is to be freed. */
 gboolean fb_owner_has_stepped_down (const FbOwner *self);
+/* Returns: the time since SELF was created. */
+uint64_t fb_owner_owned_ms (const FbOwner *self);
 /* Answers a request about a job, a queue or parts of caps.  PEER_REPLY is released with
  * xdr_free(). */
 void fb_owner_answer (FbOwner *self, const fb_peer_request *peer_request,
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -264,9 +264,12 @@
 log_lost_partition (const FbEntryDaemon *self, uint32_t partition, uint64_t generation,
                     const char *reason)
 {
+  const FbOwner *owner = fb_entry_owner (self, partition);
   g_autofree char *ages = fb_entry_format_timing (self);
-  fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=\"%s\" %s",
-                partition, generation, reason, ages);
+  fb_event_log (FB_EVENT_POOL_LOST,
+                "partition=%u generation=%" G_GUINT64_FORMAT " owned_ms=%" G_GUINT64_FORMAT
+                " why=\"%s\" %s",
+                partition, generation, owner != NULL ? fb_owner_owned_ms (owner) : 0, reason, ages);
 }
 
 static void
--- a/src/work/account-parts.c
+++ b/src/work/account-parts.c
@@ -201,15 +201,21 @@
   g_array_append_val (context->parts, part);
 }
 
-static void
-log_ready (FbAccountParts *self)
+gboolean
+fb_account_parts_update_ready (FbAccountParts *self, uint64_t now_ms, uint32_t *took_ms)
 {
   gboolean ready = fb_account_parts_all_reported (self);
-  if (ready != self->was_ready)
+  if (self->unready_ms == 0 || (self->was_ready && !ready))
+    self->unready_ms = now_ms;
+  gboolean changed = ready != self->was_ready;
+  *took_ms = ready ? (uint32_t) (now_ms - self->unready_ms) : 0;
+  if (changed)
     fb_event_log (FB_EVENT_ACCOUNT_PARTS,
-                  "service=%s epoch=%" G_GUINT64_FORMAT " other_pools=%u all_reported=%d",
-                  self->service, self->epoch, self->peers->len, ready);
+                  "service=%s epoch=%" G_GUINT64_FORMAT
+                  " other_pools=%u all_reported=%d took_ms=%u",
+                  self->service, self->epoch, self->peers->len, ready, *took_ms);
   self->was_ready = ready;
+  return changed && ready && self->peers->len > 0;
 }
 
 void
@@ -218,7 +224,6 @@
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
   g_autoptr (GArray) parts = g_array_new (FALSE, FALSE, sizeof (FbAmounts));
   PartContext context = { self, names, parts };
-  log_ready (self);
   fb_pool_foreach_account (pool, collect_part, &context);
   for (guint i = 0; i < names->len; i++)
     fb_pool_set_account_part (pool, names->pdata[i], &g_array_index (parts, FbAmounts, i));
