A daemon that was away joins the owners' group only after 10 s of contact

The store assigns partitions evenly to the members, so each join may move pools.

A daemon that is not a member now joins after 10 s of contact with the store, once the owners have not changed for 2 s (or within 0.5 s of the first change, so that daemons that wait together join together), and after 20 s in any case. It joins at once where a pool has no running owner, there are fewer than two owners, the owners are not known, the store still lists it, or most daemons have just started. While it waits it reads the owners every 100 ms and sends no join, also not as a probe of a silent store. Its pools are released when the store lists other owners. The decision is src/entry/store/join-policy.c; OWNERSHIP_DEFERRED tells of a wait.

Requests for owners count as calls of the store now, and a peer is asked at most every 500 ms.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -81,6 +81,9 @@
 };
 
 uint32_t fb_entry_partition_of (const FbEntryDaemon *self, const char *service);
+/* Returns: (transfer full) (nullable): the partitions of configured services, of uint32_t; NULL
+ * before the first configuration. */
+GArray *fb_entry_service_partitions (const FbEntryDaemon *self);
 FbOwner *fb_entry_owner (const FbEntryDaemon *self, uint32_t partition);
 FbAppender *fb_entry_appender (FbEntryDaemon *self, uint32_t partition);
 /* Sets the partitions that this daemon owns.  New ones are taken over with an epoch of the group's
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -319,6 +319,20 @@
   return FALSE;
 }
 
+GArray *
+fb_entry_service_partitions (const FbEntryDaemon *self)
+{
+  if (self->routes == NULL)
+    return NULL;
+  GArray *partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  for (guint i = 0; i < self->routes->services->len; i++)
+    {
+      uint32_t partition = fb_entry_partition_of (self, self->routes->services->pdata[i]);
+      g_array_append_val (partitions, partition);
+    }
+  return partitions;
+}
+
 static gboolean
 contains_partition (const GArray *partitions, uint32_t partition)
 {
--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -4,6 +4,7 @@
  * time to live.  A member name contains the start time of the process: a restarted process must not
  * be confused with its predecessor, whose orders may still be in transit. */
 #include "group-leave.h"
+#include "join-policy.h"
 
 #include "src/entry/entry-private.h"
 
@@ -31,9 +32,18 @@
  * refusals, a fifth of the time in which a caller retries. */
 #define PROBE_TIMEOUT_MS 150
 #define PROBE_PAUSE_MS 30
+/* Interval of requests for the owners before a join that fb_join_policy_decide() delays.  A pool
+ * whose owner has failed is noticed within this time. */
+#define OWNERS_BEFORE_JOIN_MS 100
+/* Minimum interval of OWNERSHIP_DEFERRED. */
+#define DEFERRED_LOG_INTERVAL_MS 1000
 /* Owners are requested when the group has changed, and at least at this interval. */
 #define OWNERS_INTERVAL_MS 3000
 #define OWNERS_AFTER_CHANGE_MS 200
+/* Minimum intervals of requests to peers for the owners, and of OWNERS_FROM_PEER.  While the store
+ * is silent, the owners are requested from it every 150 to 500 ms. */
+#define PEER_INTERVAL_MS 500
+#define PEER_LOG_INTERVAL_MS 1000
 /* Maximum age of the owners that are sent to peers; they are read every OWNERS_INTERVAL_MS. */
 #define OWNERS_MAX_AGE_MS 3800
 
@@ -52,9 +62,18 @@
   uint64_t owners_generation; /* generation at the last request to the store for the owners; 0: they
                                * have to be requested again */
   uint64_t owners_requested_ms;
-  gboolean owners_open; /* a request to the store for the owners is open */
-  gboolean peer_open;   /* a request to a peer for the owners is open */
+  gboolean owners_open;       /* a request to the store for the owners is open */
+  gboolean peer_open;         /* a request to a peer for the owners is open */
+  uint64_t peer_requested_ms; /* time of the last request to a peer */
+  uint64_t peer_logged_ms;    /* time of the last OWNERS_FROM_PEER */
   FbGroupLeave *group_leave;
+  FbJoinPolicy join_policy;
+  GArray *listed_owners;       /* of FbPartitionOwner, as the store listed them; NULL: never */
+  gboolean is_deferred;        /* the next join is delayed; the owners are read meanwhile */
+  uint64_t expired_ms;         /* last_renewal_sent_ms of the last membership found expired */
+  uint64_t deferred_until_ms;  /* as logged last */
+  const char *deferred_reason; /* as logged last; NULL: none since the last join */
+  uint64_t deferral_logged_ms;
   guint timer;
   gboolean keepalive_active; /* the keepalive thread repeats the joins */
   gboolean leaving;
@@ -108,9 +127,13 @@
   if (peer_reply == NULL || peer_reply->type != FB_REPLY_PARTITION_OWNERS)
     return; /* the owners are requested again when they are needed */
   const fb_owners_reply *owners = &peer_reply->fb_peer_reply_u.owners;
-  fb_event_log (FB_EVENT_OWNERS_FROM_PEER, "partitions=%u store_ok_ms_ago=%u",
-                owners->owners.owners_len,
-                (guint) (fb_clock_ms () - self->entry->store_answered_ms));
+  uint64_t now_ms = fb_clock_ms ();
+  if (now_ms >= self->peer_logged_ms + PEER_LOG_INTERVAL_MS)
+    {
+      self->peer_logged_ms = now_ms;
+      fb_event_log (FB_EVENT_OWNERS_FROM_PEER, "partitions=%u store_ok_ms_ago=%u",
+                    owners->owners.owners_len, (guint) (now_ms - self->entry->store_answered_ms));
+    }
   g_hash_table_remove_all (self->owner_of);
   for (u_int i = 0; i < owners->owners.owners_len; i++)
     {
@@ -127,19 +150,34 @@
 request_owners_from_peer (FbGroup *self)
 {
   const char *peer = fb_group_any_peer (self, NULL);
-  if (self->peer_open || peer == NULL)
+  uint64_t now_ms = fb_clock_ms ();
+  if (self->peer_open || peer == NULL || now_ms < self->peer_requested_ms + PEER_INTERVAL_MS)
     return;
+  self->peer_requested_ms = now_ms;
   static const fb_peer_request peer_request = { .type = FB_REQUEST_PARTITION_OWNERS };
   self->peer_open = TRUE;
   fb_peers_request (self->entry, peer, &peer_request, ANSWER_TIMEOUT_MS, on_peer_owners_reply,
                     self);
 }
 
+/* Decides again on a deferred join now that the owners are known, or a probe of the store has
+ * failed. */
+static void
+reconsider_join (FbGroup *self)
+{
+  if (!self->is_deferred || self->timer == 0)
+    return;
+  g_source_remove (self->timer);
+  join (self);
+}
+
 static void
 on_owners_reply (gpointer data, const FbHttpReply *reply)
 {
   FbGroup *self = data;
   self->owners_open = FALSE;
+  fb_entry_store_answered (self->entry, reply);
+  fb_join_policy_store_answered (&self->join_policy, self->entry->store_answered_ms);
   g_autoptr (GArray) owners = g_array_new (FALSE, TRUE, sizeof (FbPartitionOwner));
   g_array_set_clear_func (owners, fb_partition_owner_clear);
   if (fb_wire_parse_owners (reply, owners))
@@ -147,19 +185,38 @@
       self->owners_ms = fb_clock_ms ();
       set_owners (self, owners);
       remove_predecessors (self, owners);
+      fb_join_policy_owners_read (&self->join_policy, owners, self->owners_requested_ms,
+                                  self->owners_ms);
+      g_clear_pointer (&self->listed_owners, g_array_unref);
+      self->listed_owners = g_steal_pointer (&owners);
     }
   else
     {
       self->owners_generation = 0;
       request_owners_from_peer (self);
     }
+  reconsider_join (self);
+}
+
+static guint
+probe_timeout_ms (FbGroup *self)
+{
+  self->probes_n = fb_entry_store_is_silent (self->entry) ? self->probes_n + 1 : 0;
+  return self->probes_n % 2 == 1 ? PROBE_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
+}
+
+static guint
+owners_interval_ms (const FbGroup *self)
+{
+  if (self->is_deferred)
+    return fb_entry_store_is_silent (self->entry) ? PROBE_PAUSE_MS : OWNERS_BEFORE_JOIN_MS;
+  return self->owners_generation != self->generation ? OWNERS_AFTER_CHANGE_MS : OWNERS_INTERVAL_MS;
 }
 
 static void
 request_owners (FbGroup *self, uint64_t now_ms)
 {
-  gboolean changed = self->owners_generation != self->generation;
-  uint64_t interval_ms = changed ? OWNERS_AFTER_CHANGE_MS : OWNERS_INTERVAL_MS;
+  guint interval_ms = owners_interval_ms (self);
   if (self->owners_open || now_ms < self->owners_requested_ms + interval_ms)
     return;
   self->owners_open = TRUE;
@@ -167,8 +224,9 @@
   self->owners_generation = self->generation;
   FbHttpCall call;
   fb_wire_owners (&call, self->entry->settings->store, GROUP);
-  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_TIMEOUT_MS, on_owners_reply,
-                           self);
+  fb_http_client_exchange (self->entry->store_client, &call,
+                           self->is_deferred ? probe_timeout_ms (self) : ANSWER_TIMEOUT_MS,
+                           on_owners_reply, self);
   fb_http_call_clear (&call);
 }
 
@@ -344,36 +402,116 @@
   self->timer = g_timeout_add (retry_ms, join, self);
 }
 
-static guint
-join_timeout_ms (FbGroup *self)
+/* ---- deferred joins ----------------------------------------------------------------- */
+
+static FbJoinDecision
+decide_join (FbGroup *self, uint64_t now_ms)
 {
-  self->probes_n = fb_entry_store_is_silent (self->entry) ? self->probes_n + 1 : 0;
-  return self->probes_n % 2 == 1 ? PROBE_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
+  if (self->last_renewal_sent_ms != 0 && self->last_renewal_sent_ms != self->expired_ms)
+    {
+      self->expired_ms = self->last_renewal_sent_ms;
+      fb_join_policy_expired (&self->join_policy, now_ms);
+    }
+  FbJoinPolicyView view;
+  g_autoptr (GArray) partitions = fb_entry_service_partitions (self->entry);
+  gboolean is_known = partitions != NULL && self->listed_owners != NULL;
+  if (is_known)
+    fb_join_policy_view (&view, self->listed_owners, partitions,
+                         fb_daemons_all (self->entry->daemons), self->member);
+  return fb_join_policy_decide (&self->join_policy, is_known ? &view : NULL, now_ms);
 }
 
-static gboolean
-join (gpointer data)
+static void
+log_deferral (FbGroup *self, const FbJoinDecision *decision, uint64_t now_ms)
 {
-  FbGroup *self = data;
-  self->timer = 0;
-  if (!fb_daemons_is_list_complete (self->entry->daemons)
-      || !fb_daemons_may_own (self->entry->daemons))
+  if (self->deferred_reason == decision->reason && self->deferred_until_ms == decision->until_ms)
+    return;
+  if (now_ms < self->deferral_logged_ms + DEFERRED_LOG_INTERVAL_MS)
+    return;
+  self->deferred_reason = decision->reason;
+  self->deferred_until_ms = decision->until_ms;
+  self->deferral_logged_ms = now_ms;
+  g_autofree char *ages = fb_entry_format_timing (self->entry);
+  fb_event_log (FB_EVENT_OWNERSHIP_DEFERRED, "why=\"%s\" wait_ms=%u %s", decision->reason,
+                (guint) (decision->until_ms - now_ms), ages);
+}
+
+/* Releases the partitions of an expired membership once the store has listed other owners for
+ * them.  Until then this daemon keeps them: without the store, no other daemon takes them over. */
+static void
+drop_expired_membership (FbGroup *self)
+{
+  if (self->last_renewal_sent_ms == 0)
+    return;
+  g_autoptr (GArray) none = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  fb_entry_set_owned_partitions (self->entry, none, self->generation,
+                                 "assigned to another daemon after the time to live had expired");
+  fb_join_monitor_left (&self->entry->join_monitor);
+  self->last_renewal_sent_ms = 0;
+  self->generation = 0;
+}
+
+/* Delays the join and reads the owners.  Neither this function nor the keepalive thread sends a
+ * join meanwhile: it would make this daemon a member as soon as the store answers. */
+static void
+defer_join (FbGroup *self, const FbJoinDecision *decision, uint64_t now_ms)
+{
+  self->is_deferred = TRUE;
+  if (self->keepalive_active)
+    fb_keepalive_cancel (self->entry->keepalive, FB_MEMBERSHIP_OWNERS);
+  self->keepalive_active = FALSE;
+  if (decision->action == FB_JOIN_WAIT)
     {
-      stay_non_owner (self);
-      return G_SOURCE_REMOVE;
+      log_deferral (self, decision, now_ms);
+      drop_expired_membership (self);
     }
+  request_owners (self, now_ms);
+  self->timer = g_timeout_add (owners_interval_ms (self), join, self);
+}
+
+static void
+send_join (FbGroup *self, uint64_t now_ms)
+{
   static const char *const topics[] = { FB_TOPIC_JOBS, NULL };
   FbHttpCall call;
   fb_wire_join (&call, self->entry->settings->store, GROUP, self->member, topics, self->ttl_ms,
                 self->generation);
-  self->join_sent_ms = fb_clock_ms ();
+  self->join_sent_ms = now_ms;
   fb_join_monitor_sent (&self->entry->join_monitor, self->join_sent_ms);
   self->keepalive_active = TRUE;
   fb_keepalive_set_renewal (self->entry->keepalive, FB_MEMBERSHIP_OWNERS, &call, self->ttl_ms,
                             self->last_renewal_sent_ms);
-  fb_http_client_exchange (self->entry->store_client, &call, join_timeout_ms (self), on_joined,
+  fb_http_client_exchange (self->entry->store_client, &call, probe_timeout_ms (self), on_joined,
                            self);
   fb_http_call_clear (&call);
+}
+
+static gboolean
+join (gpointer data)
+{
+  FbGroup *self = data;
+  uint64_t now_ms = fb_clock_ms ();
+  self->timer = 0;
+  fb_join_policy_store_answered (&self->join_policy, self->entry->store_answered_ms);
+  if (!fb_daemons_is_list_complete (self->entry->daemons)
+      || !fb_daemons_may_own (self->entry->daemons))
+    {
+      self->is_deferred = FALSE;
+      stay_non_owner (self);
+      return G_SOURCE_REMOVE;
+    }
+  if (!fb_group_is_member (self, now_ms))
+    {
+      FbJoinDecision decision = decide_join (self, now_ms);
+      if (decision.action != FB_JOIN_NOW)
+        {
+          defer_join (self, &decision, now_ms);
+          return G_SOURCE_REMOVE;
+        }
+    }
+  self->is_deferred = FALSE;
+  self->deferred_reason = NULL;
+  send_join (self, now_ms);
   return G_SOURCE_REMOVE;
 }
 
@@ -407,6 +545,7 @@
       = g_strdup_printf ("%s/%" G_GINT64_FORMAT, entry->settings->peers, g_get_real_time ());
   self->ttl_ms = (uint32_t) MAX (TTL_MS, entry->settings->shortest_ttl_ms);
   self->owner_of = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  fb_join_policy_init (&self->join_policy, self->ttl_ms, fb_clock_ms ());
   self->group_leave = fb_group_leave_new (entry, GROUP, self->member);
   request_owners (self, fb_clock_ms ());
   join (self);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -39,6 +39,7 @@
 verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
 verdict "list of daemons" $B/tests/test-daemons
+verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
 verdict "incarnations in the worker list" $B/tests/test-worker-list
 verdict "recent starts" $B/tests/test-recent-starts
