--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -264,9 +264,12 @@
 log_lost_partition (const FbEntryDaemon *self, uint32_t partition, uint64_t generation,
                     const char *reason)
 {
+  const FbOwner *owner = fb_entry_owner (self, partition);
   g_autofree char *ages = fb_entry_format_timing (self);
-  fb_event_log (FB_EVENT_POOL_LOST, "partition=%u generation=%" G_GUINT64_FORMAT " why=\"%s\" %s",
-                partition, generation, reason, ages);
+  fb_event_log (FB_EVENT_POOL_LOST,
+                "partition=%u generation=%" G_GUINT64_FORMAT " owned_ms=%" G_GUINT64_FORMAT
+                " why=\"%s\" %s",
+                partition, generation, owner != NULL ? fb_owner_owned_ms (owner) : 0, reason, ages);
 }
 
 static void
@@ -316,6 +319,20 @@
   return FALSE;
 }
 
+GArray *
+fb_entry_service_partitions (const FbEntryDaemon *self)
+{
+  if (self->routes == NULL)
+    return NULL;
+  GArray *partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  for (guint i = 0; i < self->routes->services->len; i++)
+    {
+      uint32_t partition = fb_entry_partition_of (self, self->routes->services->pdata[i]);
+      g_array_append_val (partitions, partition);
+    }
+  return partitions;
+}
+
 static gboolean
 contains_partition (const GArray *partitions, uint32_t partition)
 {
