A daemon that returns waits also where one daemon owns all pools

Change: all running members that own partitions count, since the store deals the pools of one that fails to any of them. Test: one owner of all pools.

--- a/src/entry/store/join-policy.c
+++ b/src/entry/store/join-policy.c
@@ -28,8 +28,8 @@
 /* Time for which the owners may be unknown while the store answers other calls: the timeouts of two
  * requests for them, since the first may have been sent before the store answered again. */
 #define OWNERS_UNKNOWN_MAX_MS 1000
-/* Minimum number of owners; with fewer, the failure of one would stop all pools for the time to
- * live of its membership. */
+/* Minimum number of members that own partitions; with fewer, no other member could be assigned the
+ * pools of one that fails. */
 #define OWNERS_MIN 2
 /* Maximum difference between the start times of daemons that start together.  A difference of wall
  * clocks beyond this makes a daemon wait, which delays no pool. */
@@ -160,15 +160,17 @@
   g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
   *view = (FbJoinPolicyView){ .started_together = started_together (daemons, name) };
   for (guint i = 0; i < owners->len; i++)
-    view->lists_self = view->lists_self
-                       || g_str_equal (g_array_index (owners, FbPartitionOwner, i).member, name);
+    {
+      const char *owner = g_array_index (owners, FbPartitionOwner, i).member;
+      view->lists_self = view->lists_self || g_str_equal (owner, name);
+      if (is_running (daemons, owner))
+        g_hash_table_add (seen, (gpointer) owner);
+    }
   for (guint i = 0; i < partitions->len; i++)
     {
       const char *owner = owner_of (owners, g_array_index (partitions, uint32_t, i));
-      if (owner == NULL || !is_running (daemons, owner))
-        view->has_ownerless = TRUE;
-      else
-        g_hash_table_add (seen, (gpointer) owner);
+      view->has_ownerless
+          = view->has_ownerless || owner == NULL || !g_hash_table_contains (seen, owner);
     }
   view->owners_n = g_hash_table_size (seen);
 }
--- a/src/entry/store/join-policy.h
+++ b/src/entry/store/join-policy.h
@@ -30,7 +30,7 @@
 {
   gboolean lists_self;       /* this process is listed as an owner */
   gboolean has_ownerless;    /* a partition with a service has no owner, or a dead one */
-  guint owners_n;            /* number of owners of partitions with a service */
+  guint owners_n;            /* number of running owners of any partitions */
   gboolean started_together; /* most other daemons started at the same time as this one */
 } FbJoinPolicyView;
 
--- a/tests/test-join-policy.c
+++ b/tests/test-join-policy.c
@@ -585,8 +585,39 @@
     }
 }
 
+/* One daemon owns all pools, and another member owns a partition without a service: a daemon that
+ * comes back must wait, as its join could move a pool. */
+static void
+test_one_owner_of_all_pools (void)
+{
+  static const uint32_t partition_of_service = 1;
+  static const FbPartitionOwner rows[]
+      = { { 1, (char *) "10.0.0.1:7/5000" }, { 2, (char *) "10.0.0.2:7/5000" } };
+  FbDaemon daemons[2] = { { .address = (char *) "10.0.0.1:7", .started_us = 4000 },
+                          { .address = (char *) "10.0.0.2:7", .started_us = 4000 } };
+  for (guint owners_n = 1; owners_n <= 2; owners_n++)
+    {
+      g_autoptr (GArray) owners = g_array_new (FALSE, FALSE, sizeof (FbPartitionOwner));
+      g_autoptr (GArray) partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      g_autoptr (GPtrArray) listed = g_ptr_array_new ();
+      FbJoinPolicyView view;
+      FbJoinPolicy policy;
+      g_array_append_vals (owners, rows, owners_n);
+      g_array_append_val (partitions, partition_of_service);
+      g_ptr_array_add (listed, &daemons[0]);
+      g_ptr_array_add (listed, &daemons[1]);
+      fb_join_policy_init (&policy, TTL_MS, 1000);
+      fb_join_policy_store_answered (&policy, 1100);
+      fb_join_policy_owners_read (&policy, owners, 1090, 1100);
+      fb_join_policy_view (&view, owners, partitions, listed, "10.0.0.9:7/90000000");
+      CU_ASSERT_EQUAL (fb_join_policy_decide (&policy, &view, 1100).action,
+                       owners_n == 2 ? FB_JOIN_WAIT : FB_JOIN_NOW);
+    }
+}
+
 static const CU_TestInfo tests[] = {
   { "first start", test_first_start },
+  { "one owner of all pools", test_one_owner_of_all_pools },
   { "all daemons restart at once", test_all_restart_at_once },
   { "the store was unavailable to all", test_store_unavailable_to_all },
   { "a store that keeps members", test_store_keeps_members_while_unavailable },
