A held step whose key changes in place is tried in the same pass

While the first steps held at a cap are tried, a step whose key had changed was left to come up again at its new position. A step that stayed ahead of the next one did not come up again, so its tasks waited until a run of the account ended or the next update of the keys. Found by the script account-at-its-cap-waits once remaining times come from run times that were learnt.

--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -238,8 +238,12 @@
       if (update_held (self, step, now_ms))
         {
           moved_n++;
-          i--;
-          continue;
+          /* It comes up again unless it stayed ahead of the next step. */
+          if (g_sequence_iter_compare (step->held_at, at) > 0)
+            {
+              i--;
+              continue;
+            }
         }
       guint unit = unit_of (step);
       guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
