Run times are learnt, and the order uses them

Change: src/work/run-times.c keeps decayed moments of estimate and run time by queue and step and predicts a + b * estimate, drawn to the estimate while few runs are known; after eight runs predictions begin. Once half of the tasks of a step have ended, their median replaces the prediction for the rest of the step. Remaining times use these predictions. Where client accounts are configured, objectives use them too, and are not moved to an earlier time once a job has begun; elsewhere objectives stay as they were.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -73,6 +73,8 @@
   uint32_t done_n;          /* tasks that are done */
   uint32_t timed_runs_n;    /* successful runs that ended under this owner */
   uint64_t timed_total_ms;  /* their total duration since they were started or first listed */
+  uint32_t median_ms;       /* of these runs on an average worker; 0: too few have ended */
+  uint32_t median_runs_n;   /* value of TIMED_RUNS_N when MEDIAN_MS was computed */
   uint32_t pending_from;    /* no task before this index is pending */
   uint32_t gang_attempt;    /* number of the latest attempt of the gang; 0: none yet */
   /* Workers that crashed under its tasks since one of the tasks last ran without a crash. */
@@ -138,6 +140,8 @@
   uint64_t admitted_ms;     /* when it was accepted, on the pool's clock */
   uint64_t objective_ms;    /* when it should be completed, on the pool's clock */
   uint64_t no_value_ms;     /* when its completion has no value any more */
+  uint32_t *expected_ms;    /* predicted run time of each step's tasks; NULL: it has no steps */
+  uint64_t predicted_ms;    /* when the order last updated EXPECTED_MS; 0: never */
   double tightness;         /* its critical path as a share of its objective, 0 to 1 */
   uint64_t ended_wall_ms;   /* when it ended; 0: it has not */
   GPtrArray *occurrences;   /* of FbPoolOccurrence */
@@ -148,13 +152,14 @@
 /* Copies FROM to TO, which the caller frees with xdr_free(). */
 void fb_pool_job_copy_record (const fb_work_admit *from, fb_work_admit *to);
 /* Takes over the contents of RECORD, allocated as XDR does it, and leaves it empty. */
-FbPoolJob *fb_pool_job_new (const char *id, fb_work_admit *record, uint64_t now_ms,
-                            uint64_t wall_ms);
+FbPoolJob *fb_pool_job_new (const FbPool *self, const char *id, fb_work_admit *record,
+                            uint64_t now_ms, uint64_t wall_ms);
 void fb_pool_job_free (gpointer job);
 gboolean fb_pool_job_ended (const FbPoolJob *job);
-/* Computes what follows from the policy of JOB and its estimates: objective, tightness and the time
- * when its completion has no value any more. */
-void fb_pool_job_update_objective (FbPoolJob *job);
+/* Computes what follows from the policy of JOB and the expected run times of its steps: objective,
+ * tightness and the time when its completion has no value any more.  Where client accounts are
+ * configured, the objective of a job that has begun is not moved to an earlier time. */
+void fb_pool_job_update_objective (const FbPool *self, FbPoolJob *job);
 /* Creates the occurrences that are due and releases steps.  Returns: TRUE when the job is
  * complete. */
 gboolean fb_pool_job_release (FbPool *self, FbPoolJob *job, uint64_t wall_ms);
--- a/include/internal/pool-order.h
+++ b/include/internal/pool-order.h
@@ -4,8 +4,11 @@
 
 #include "internal/pool-private.h"
 
-/* Returns: the expected run time of a task of STEP. */
-uint64_t fb_pool_step_expected_ms (const FbPool *self, const FbPoolStep *step);
+/* Returns: the expected run time of a task of STEP on an average worker. */
+uint64_t fb_pool_step_expected_ms (const FbPoolStep *step);
+/* A run of STEP that began without a checkpoint ended successfully after DURATION_MS, on a worker
+ * with SLOWNESS.  Its task must have been passed to fb_pool_speed_record_run(). */
+void fb_pool_learn_run_time (FbPool *self, FbPoolStep *step, uint32_t duration_ms, double slowness);
 /* Returns: the length of the longest chain of unfinished work of OCCURRENCE.  Runs in progress
  * count with their remaining time. */
 uint64_t fb_pool_job_remaining_ms (const FbPool *self, const FbPoolOccurrence *occurrence,
@@ -27,6 +30,9 @@
 /* Returns: the key of STEP as of NOW_MS.  URGENCY: its urgency. */
 FbPoolOrderKey fb_pool_order_key (const FbPool *self, const FbPoolStep *step, FbPoolUrgency urgency,
                                   uint64_t now_ms);
+/* Predicts the run times of the job of STEP again if that was last done a while ago; to be called
+ * before fb_pool_order_key(). */
+void fb_pool_order_predict (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
 /* TRUE when KEY puts STEP at another position than the key that it was sorted by.  Shifts of the
  * latest start of less than 50 ms do not count. */
 gboolean fb_pool_order_key_differs (const FbPoolStep *step, const FbPoolOrderKey *key);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "internal/pool-worker-private.h"
+#include "internal/run-times.h"
 
 /* ---- times and limits ---------------------------------------------------- */
 
@@ -93,6 +94,7 @@
   gboolean limit_reached;    /* a task may have reached its limit of crashes */
   uint64_t jobs_complete_ms; /* every job stored before this time is known */
   GHashTable *accounts;      /* name -> FbPoolAccount: see pool-account.h */
+  FbRunTimes *run_times;     /* learnt from the runs of this owner */
   /* Client accounts are configured, so steps are ordered as pool-order.c describes. */
   gboolean orders_by_slack;
   uint64_t order_updated_ms; /* when the keys of all queued steps were last computed */
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -20,10 +20,12 @@
   (void) fb_codec_decode_admit (data, len, to);
 }
 
-/* Returns: the length of the critical path through the steps, by their estimates. */
+/* Predicts the run times of the steps of JOB.  Returns: the length of the critical path through
+ * them; where no client accounts are configured, by the estimates of the job. */
 static uint64_t
-critical_path_ms (const fb_work_spec *spec)
+critical_path_ms (const FbPool *self, const FbPoolJob *job)
 {
+  const fb_work_spec *spec = &job->record.spec;
   uint64_t until_ms[FB_WORK_MAX_STEPS] = { 0 };
   uint64_t longest_ms = 0;
   for (u_int i = 0; i < spec->steps.steps_len; i++)
@@ -32,25 +34,31 @@
       uint64_t from_ms = 0;
       for (u_int j = 0; j < step->after.after_len; j++)
         from_ms = MAX (from_ms, until_ms[step->after.after_val[j]]);
-      until_ms[i] = from_ms + step->estimate_ms;
+      job->expected_ms[i]
+          = fb_run_times_predict (self->run_times, job->record.policy.queue, i, step->estimate_ms);
+      until_ms[i] = from_ms + (self->orders_by_slack ? job->expected_ms[i] : step->estimate_ms);
       longest_ms = MAX (longest_ms, until_ms[i]);
     }
   return longest_ms;
 }
 
 void
-fb_pool_job_update_objective (FbPoolJob *job)
+fb_pool_job_update_objective (const FbPool *self, FbPoolJob *job)
 {
   const fb_work_policy *policy = &job->record.policy;
-  uint64_t work_ms = critical_path_ms (&job->record.spec);
+  uint64_t work_ms = critical_path_ms (self, job);
   uint64_t objective_ms = work_ms * policy->stretch_factor_milli / 1000 + policy->target_ms;
   job->tightness = objective_ms > 0 ? MIN ((double) work_ms / (double) objective_ms, 1) : 0;
+  /* Work that has begun for an objective would be wasted if a new prediction made the job late. */
+  if (self->orders_by_slack && job->started)
+    objective_ms = MAX (objective_ms, job->objective_ms - job->admitted_ms);
   job->objective_ms = job->admitted_ms + objective_ms;
   job->no_value_ms = job->admitted_ms + 3 * objective_ms;
 }
 
 FbPoolJob *
-fb_pool_job_new (const char *id, fb_work_admit *record, uint64_t now_ms, uint64_t wall_ms)
+fb_pool_job_new (const FbPool *self, const char *id, fb_work_admit *record, uint64_t now_ms,
+                 uint64_t wall_ms)
 {
   FbPoolJob *job = g_new0 (FbPoolJob, 1);
   job->id = g_strdup (id);
@@ -60,7 +68,8 @@
   uint64_t age_ms = wall_ms > accepted_ms ? wall_ms - accepted_ms : 0;
   job->admitted_ms = now_ms > age_ms ? now_ms - age_ms : 0;
   job->occurrences = g_ptr_array_new ();
-  fb_pool_job_update_objective (job);
+  job->expected_ms = g_new0 (uint32_t, job->record.spec.steps.steps_len);
+  fb_pool_job_update_objective (self, job);
   return job;
 }
 
@@ -98,6 +107,7 @@
     occurrence_free (job->occurrences->pdata[i], job->record.spec.steps.steps_len);
   g_ptr_array_unref (job->occurrences);
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &job->record);
+  g_free (job->expected_ms);
   g_free (job->id);
   g_free (job);
 }
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -18,6 +18,9 @@
 /* Interval at which the keys of all queued steps are computed again. A tenth of the shortest
  * objectives (1 s), and 1,000 steps cost 0.1 ms of CPU time. */
 #define UPDATE_INTERVAL_MS 100
+/* Interval at which the run times of a job are predicted again. A new owner learns the usual run
+ * times within some seconds, and a prediction takes as long as a key. */
+#define PREDICTION_INTERVAL_MS 1000
 /* Shifts of the latest start that are ignored: the remaining time of a run that takes longer than
  * expected shifts it in each pass. */
 #define LATEST_START_TOLERANCE_MS 50
@@ -50,6 +53,16 @@
   return fb_pool_job_occurrence (step->job, step->occurrence);
 }
 
+void
+fb_pool_order_predict (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  FbPoolJob *job = step->job;
+  if (!self->orders_by_slack || now_ms < job->predicted_ms + PREDICTION_INTERVAL_MS)
+    return;
+  job->predicted_ms = now_ms;
+  fb_pool_job_update_objective (self, job);
+}
+
 FbPoolOrderKey
 fb_pool_order_key (const FbPool *self, const FbPoolStep *step, FbPoolUrgency urgency,
                    uint64_t now_ms)
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -86,9 +86,10 @@
 static gboolean
 has_changed (FbPool *self, const FbPoolStep *step, gboolean update, uint64_t now_ms)
 {
-  FbPoolUrgency urgency = fb_pool_queue_urgency (step, now_ms);
   if (!update)
-    return step->urgency != urgency;
+    return step->urgency != fb_pool_queue_urgency (step, now_ms);
+  fb_pool_order_predict (self, step, now_ms);
+  FbPoolUrgency urgency = fb_pool_queue_urgency (step, now_ms);
   const FbPoolOrderKey key = fb_pool_order_key (self, step, urgency, now_ms);
   self->visits_n += FB_POOL_ORDER_KEY_VISITS;
   return fb_pool_order_key_differs (step, &key);
@@ -135,6 +136,7 @@
       step->is_merged = step->queued;
       if (!step->queued)
         continue;
+      fb_pool_order_predict (self, step, now_ms);
       const FbPoolOrderKey key
           = fb_pool_order_key (self, step, fb_pool_queue_urgency (step, now_ms), now_ms);
       fb_pool_order_set_key (self, step, &key, now_ms);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -4,6 +4,7 @@
  * ends again that the previous owner had recorded but could no longer acknowledge. */
 #include "internal/pool-account.h"
 #include "internal/pool-crash.h"
+#include "internal/pool-order.h"
 
 #include "fb-counter.h"
 #include "fb-event.h"
@@ -195,15 +196,17 @@
 }
 
 static void
-record_run_time (FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
+record_run_time (FbPool *self, FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
   uint32_t duration_ms = (uint32_t) (now_ms - run->started_ms);
   step->timed_runs_n++;
   step->timed_total_ms += duration_ms;
   /* Members of a gang end together, so their times say nothing about single workers. */
-  if (run->from_start && !step->spec->gang)
-    fb_pool_speed_record_run (&step->tasks[run->index], worker->speed, duration_ms);
+  if (!run->from_start || step->spec->gang)
+    return;
+  fb_pool_speed_record_run (&step->tasks[run->index], worker->speed, duration_ms);
+  fb_pool_learn_run_time (self, step, duration_ms, worker->speed->slowness);
 }
 
 static void
@@ -220,7 +223,7 @@
   fb_pool_crash_task_ended (self, worker, step, index, end->reason);
   if (run != NULL && run->step == step && run->attempt == end->attempt
       && end->reason == FB_END_DONE)
-    record_run_time (worker, run, now_ms);
+    record_run_time (self, worker, run, now_ms);
   if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_ended (self, worker, run, end_names[end->reason], now_ms);
   if (task->run == NULL)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -63,6 +63,7 @@
   self->open_orders = fb_pool_orders_new ();
   self->unanswered_starts = fb_pool_unanswered_starts_new ();
   self->accounts = fb_pool_accounts_new ();
+  self->run_times = fb_run_times_new ();
   return self;
 }
 
@@ -92,6 +93,7 @@
   g_ptr_array_unref (self->unconfirmed_workers);
   g_hash_table_unref (self->jobs);
   g_hash_table_unref (self->accounts); /* after the jobs: their steps are in its sequences */
+  fb_run_times_free (self->run_times);
   g_free (self->service);
   g_free (self);
 }
@@ -317,7 +319,7 @@
 {
   if (g_hash_table_contains (self->jobs, id))
     return;
-  FbPoolJob *job = fb_pool_job_new (id, record, now_ms, wall_ms);
+  FbPoolJob *job = fb_pool_job_new (self, id, record, now_ms, wall_ms);
   job->account = fb_pool_account_get (self, job->record.account);
   job->beyond_rate = !fb_pool_account_count_job (job->account, job->record.accepted_ms);
   job->restored = !self->recovered;
@@ -361,7 +363,7 @@
     {
       /* Only the end of the job is still recorded; it is kept to answer callers. */
       fb_work_admit no_record = { 0 };
-      job = fb_pool_job_new (id, &no_record, 0, 0);
+      job = fb_pool_job_new (self, id, &no_record, 0, 0);
       g_hash_table_insert (self->jobs, job->id, job);
     }
   fb_pool_job_restore (job, record);
@@ -393,7 +395,7 @@
 }
 
 static void
-replace_policy (FbPoolJob *job, const fb_work_policy *policy)
+replace_policy (const FbPool *self, FbPoolJob *job, const fb_work_policy *policy)
 {
   fb_work_policy *current = &job->record.policy;
   current->priority = policy->priority;
@@ -404,7 +406,7 @@
   current->advice_decision_us = policy->advice_decision_us;
   current->advice_per_worker_us = policy->advice_per_worker_us;
   current->advice_validity_ms = policy->advice_validity_ms;
-  fb_pool_job_update_objective (job);
+  fb_pool_job_update_objective (self, job);
 }
 
 void
@@ -418,7 +420,7 @@
       const fb_work_policy *policy
           = g_hash_table_lookup (policies, ((FbPoolJob *) job)->record.policy.queue);
       if (policy != NULL)
-        replace_policy (job, policy);
+        replace_policy (self, job, policy);
     }
 }
 
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -4,7 +4,7 @@
 #include "contention.h"
 
 #include "fb-event.h"
-#include "internal/pool-account.h"
+#include "internal/pool-order.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -222,6 +222,150 @@
   hold_steps_until_late (TRUE);
 }
 
+/* ---- remaining time ---------------------------------------------------------------------- */
+
+static uint64_t
+remaining_ms (const BusyPool *busy, const char *id, uint64_t now_ms)
+{
+  const FbPoolJob *job = g_hash_table_lookup (busy->pool->jobs, id);
+  return fb_pool_job_remaining_ms (busy->pool, job->occurrences->pdata[0], now_ms);
+}
+
+/* Ends a run on each of the workers that has one. */
+static guint
+end_runs (BusyPool *busy, guint max_n, uint64_t number, uint64_t now_ms)
+{
+  guint n = 0;
+  for (guint i = 0; i < WORKER_N && n < max_n; i++)
+    {
+      if (busy->workers[i].runs->len == 0)
+        continue;
+      busy_pool_end_run (busy, i, number, now_ms);
+      n++;
+    }
+  return n;
+}
+
+/* The longest chain counts, runs count with what is left of them, and the median of the ended runs
+ * of a step replaces its prediction once half of them have ended. */
+static void
+test_remaining_time (void)
+{
+  static BusyPool busy;
+  const char *id = "ffffffffffffffff";
+  uint64_t now_ms = 100000;
+  busy_pool_begin (&busy, now_ms);
+  busy_pool_list_workers (&busy, now_ms);
+  (void) run_until (&busy, &now_ms, now_ms + 100);
+  fb_work_admit record;
+  fb_work_step step;
+  busy_pool_init_job (&record, &step);
+  fb_work_step steps[3] = { step, step, step };
+  u_int first = 0;
+  steps[0].count = 4;
+  steps[0].cpu_milli = WORKER_CPU; /* one to a worker */
+  steps[0].estimate_ms = 3000;
+  steps[1].count = steps[2].count = 1;
+  steps[1].estimate_ms = 500;
+  steps[2].estimate_ms = 2000;
+  for (guint i = 1; i < 3; i++)
+    {
+      steps[i].after.after_len = 1;
+      steps[i].after.after_val = &first;
+    }
+  record.accepted_ms = WALL_OFFSET_MS + now_ms;
+  record.spec.steps.steps_len = 3;
+  record.spec.steps.steps_val = steps;
+  fb_pool_add_job (busy.pool, id, &record, now_ms, WALL_OFFSET_MS + now_ms);
+  CU_ASSERT_EQUAL (remaining_ms (&busy, id, now_ms), 3000 + 2000);
+  uint64_t started_ms = now_ms;
+  (void) run_until (&busy, &now_ms, now_ms + 1000);
+  CU_ASSERT_EQUAL (busy.started_n, 4);
+  CU_ASSERT_EQUAL (remaining_ms (&busy, id, now_ms), 3000 + 2000 - (now_ms - started_ms));
+  CU_ASSERT_EQUAL (end_runs (&busy, 1, 1, now_ms), 1);
+  CU_ASSERT_EQUAL (remaining_ms (&busy, id, now_ms), 3000 + 2000 - (now_ms - started_ms));
+  (void) run_until (&busy, &now_ms, now_ms + 200);
+  CU_ASSERT_EQUAL (end_runs (&busy, 1, 1, now_ms), 1);
+  /* Both others have been running for as long as the median. */
+  CU_ASSERT_EQUAL (remaining_ms (&busy, id, now_ms), 2000);
+  CU_ASSERT_EQUAL (end_runs (&busy, 2, 1, now_ms), 2);
+  (void) run_until (&busy, &now_ms, now_ms + 100);
+  CU_ASSERT_EQUAL (busy.started_n, 6);
+  uint64_t left_ms = remaining_ms (&busy, id, now_ms);
+  CU_ASSERT_TRUE (left_ms >= 1900 && left_ms < 2000);
+  busy_pool_clear (&busy);
+}
+
+/* ---- objectives ------------------------------------------------------------------------------ */
+
+/* Runs a job of 20 tasks that take TOOK_MS each instead of the estimated 1,000 ms. */
+static uint64_t
+run_a_job (BusyPool *busy, const char *id, uint64_t took_ms, uint64_t number, uint64_t now_ms)
+{
+  fb_work_admit record;
+  fb_work_step step;
+  busy_pool_init_job (&record, &step);
+  record.account = (char *) "a";
+  record.accepted_ms = WALL_OFFSET_MS + now_ms;
+  step.cpu_milli = WORKER_CPU;
+  step.estimate_ms = 1000;
+  fb_pool_add_job (busy->pool, id, &record, now_ms, WALL_OFFSET_MS + now_ms);
+  (void) run_until (busy, &now_ms, now_ms + took_ms);
+  CU_ASSERT_EQUAL (end_runs (busy, JOB_TASKS, number, now_ms), JOB_TASKS);
+  (void) run_until (busy, &now_ms, now_ms + 100);
+  return now_ms;
+}
+
+static uint64_t
+objective_of (const BusyPool *busy, const char *id)
+{
+  const FbPoolJob *job = g_hash_table_lookup (busy->pool->jobs, id);
+  return job->objective_ms - job->admitted_ms;
+}
+
+/* Objectives follow the run times that were learnt, except that the objective of a job that has
+ * begun is not moved to an earlier time.  The objective is twice the run time and 1 s. */
+static void
+test_objectives_follow_predictions (void)
+{
+  static BusyPool busy;
+  uint64_t now_ms = 100000;
+  busy_pool_begin (&busy, now_ms);
+  busy_pool_list_workers (&busy, now_ms);
+  configure_account (&busy, 0);
+  (void) run_until (&busy, &now_ms, now_ms + 100);
+  now_ms = run_a_job (&busy, "0000000000000001", 2000, 1, now_ms);
+  CU_ASSERT_EQUAL (objective_of (&busy, "0000000000000001"), 3000);
+  now_ms = run_a_job (&busy, "0000000000000002", 2000, 2, now_ms);
+  admit_short (&busy, "ffffffffffffffff", now_ms);
+  uint64_t learnt_ms = objective_of (&busy, "ffffffffffffffff");
+  CU_ASSERT_TRUE (learnt_ms > 4500 && learnt_ms < 5000);
+  (void) run_until (&busy, &now_ms, now_ms + 100);
+  FbPoolJob *job = g_hash_table_lookup (busy.pool->jobs, "ffffffffffffffff");
+  CU_ASSERT_TRUE (job->started);
+  for (guint i = 0; i < 1000; i++)
+    fb_run_times_add (busy.pool->run_times, QUEUE, 0, 1000, 100);
+  fb_pool_job_update_objective (busy.pool, job);
+  CU_ASSERT_EQUAL (objective_of (&busy, "ffffffffffffffff"), learnt_ms);
+  admit_short (&busy, "fffffffffffffffe", now_ms);
+  CU_ASSERT_TRUE (objective_of (&busy, "fffffffffffffffe") < 2000);
+  busy_pool_clear (&busy);
+}
+
+/* Without client accounts, objectives are those of the estimates. */
+static void
+test_objectives_without_accounts (void)
+{
+  static BusyPool busy;
+  uint64_t now_ms = 100000;
+  busy_pool_begin (&busy, now_ms);
+  for (guint i = 0; i < 1000; i++)
+    fb_run_times_add (busy.pool->run_times, QUEUE, 0, 1000, 2000);
+  admit_short (&busy, "ffffffffffffffff", now_ms);
+  CU_ASSERT_EQUAL (objective_of (&busy, "ffffffffffffffff"), 3000);
+  busy_pool_clear (&busy);
+}
+
 /* ---- cost ------------------------------------------------------------------------------------ */
 
 /* Returns: the cost of 2 s with JOB_N waiting steps in a full pool. */
@@ -270,6 +414,9 @@
   CU_add_test (suite, "a burst at a cap", test_burst_at_a_cap);
   CU_add_test (suite, "a burst beside batches", test_burst_beside_batches);
   CU_add_test (suite, "steps held at a cap become late", test_held_steps_become_late);
+  CU_add_test (suite, "the remaining time of a job", test_remaining_time);
+  CU_add_test (suite, "objectives follow predictions", test_objectives_follow_predictions);
+  CU_add_test (suite, "objectives without accounts", test_objectives_without_accounts);
   CU_add_test (suite, "the cost of waiting steps", test_cost_of_waiting_steps);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -76,6 +76,7 @@
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "placement rounds" $B/tests/test-rounds
+verdict "predictions of run times" $B/tests/test-run-times
 verdict "order of waiting steps" $B/tests/test-order
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
