Preemption uses the slack of the whole job where client accounts are configured

Cause: the slack of a running task was the time to the objective less the estimate of its own step. A batch with a long step to come seemed to have time, was stopped, and was then late.

Change: where client accounts are configured, slack is the objective less the remaining time of the job, as in the order of waiting steps; the rule itself (2 s more than the pending step, once for each task) and other deployments stay as they were.

--- a/include/internal/pool-order.h
+++ b/include/internal/pool-order.h
@@ -16,6 +16,10 @@
 /* Returns: when OCCURRENCE should be completed, on the pool's clock. */
 uint64_t fb_pool_occurrence_objective_ms (const FbPoolOccurrence *occurrence);
 
+/* Returns: for how long the job of STEP could wait and still be completed within its objective;
+ * negative when it is late. */
+int64_t fb_pool_order_slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
+
 /* What decides the position of a waiting step, besides the priority and the id of its job. */
 typedef struct
 {
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -53,6 +53,14 @@
   return fb_pool_job_occurrence (step->job, step->occurrence);
 }
 
+int64_t
+fb_pool_order_slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+{
+  const FbPoolOccurrence *occurrence = occurrence_of (step);
+  return (int64_t) fb_pool_occurrence_objective_ms (occurrence) - (int64_t) now_ms
+         - (int64_t) fb_pool_job_remaining_ms (self, occurrence, now_ms);
+}
+
 void
 fb_pool_order_predict (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
--- a/src/work/pool-preempt.c
+++ b/src/work/pool-preempt.c
@@ -4,7 +4,7 @@
  * A checkpointing task also saves a checkpoint when it is stopped, and continues elsewhere after
  * its restore time (0.1 to 0.25 s). Without preemption, small tasks that are started one by one
  * into all freed capacity would starve gangs and tasks that need a whole worker. */
-#include "internal/pool-private.h"
+#include "internal/pool-order.h"
 
 #include "fb-counter.h"
 #include "fb-event.h"
@@ -13,11 +13,14 @@
  * wait for other capacity and a restore take about a second. */
 #define MIN_EXTRA_SLACK_MS 2000
 
-/* Returns: the time left until the job's objective, less the estimated run time of the step;
- * negative when the job is already late. */
+/* Returns: how long STEP could wait without delaying its job past its objective; negative when the
+ * job is already late.  Where client accounts are configured, the whole rest of the job counts as
+ * in the order of waiting steps, otherwise the estimated run time of the step. */
 static int64_t
-slack_ms (const FbPoolStep *step, uint64_t now_ms)
+slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
+  if (self->orders_by_slack)
+    return fb_pool_order_slack_ms (self, step, now_ms);
   return (int64_t) step->job->objective_ms - (int64_t) now_ms - (int64_t) step->spec->estimate_ms;
 }
 
@@ -28,7 +31,7 @@
  * fell from 0.97 to 0.45. So a task is preempted only once, and only while its job has clearly more
  * slack than the pending one. */
 static gboolean
-is_preemptible (const FbPoolRun *run, const FbPoolStep *to, uint64_t now_ms)
+is_preemptible (FbPool *self, const FbPoolRun *run, const FbPoolStep *to, uint64_t now_ms)
 {
   if (run->step == NULL || run->state != FB_RUN_RUNNING || run->abandoned)
     return FALSE;
@@ -36,8 +39,11 @@
   if (!spec->checkpointing || spec->gang || spec->long_running
       || run->step->tasks[run->index].was_preempted)
     return FALSE;
-  return run->step->job->record.policy.priority > to->job->record.policy.priority
-         && slack_ms (run->step, now_ms) > MAX (slack_ms (to, now_ms), 0) + MIN_EXTRA_SLACK_MS;
+  if (run->step->job->record.policy.priority <= to->job->record.policy.priority)
+    return FALSE;
+  self->visits_n += self->orders_by_slack ? 2 * FB_POOL_ORDER_KEY_VISITS : 0;
+  return slack_ms (self, run->step, now_ms)
+         > MAX (slack_ms (self, to, now_ms), 0) + MIN_EXTRA_SLACK_MS;
 }
 
 /* Subtracts the resources of the preemptible runs from those used on their workers (SIGN -1), or
@@ -55,7 +61,7 @@
       g_hash_table_iter_init (&runs, worker->runs);
       while (g_hash_table_iter_next (&runs, NULL, &run))
         {
-          if (is_preemptible (run, to, now_ms))
+          if (is_preemptible (self, run, to, now_ms))
             fb_pool_worker_charge (worker, run, sign);
         }
     }
@@ -63,7 +69,7 @@
 
 /* Returns: (nullable): the preemptible run that loses the least work: the one started last. */
 static FbPoolRun *
-next_victim (const FbPoolWorker *worker, const FbPoolStep *to, uint64_t now_ms)
+next_victim (FbPool *self, const FbPoolWorker *worker, const FbPoolStep *to, uint64_t now_ms)
 {
   FbPoolRun *best = NULL;
   GHashTableIter iter;
@@ -72,7 +78,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolRun *run = value;
-      if (is_preemptible (run, to, now_ms) && (best == NULL || run->started_ms > best->started_ms))
+      if (is_preemptible (self, run, to, now_ms)
+          && (best == NULL || run->started_ms > best->started_ms))
         best = run;
     }
   return best;
@@ -93,7 +100,7 @@
   g_autoptr (GPtrArray) stopped = g_ptr_array_new ();
   while (is_overcommitted (worker))
     {
-      FbPoolRun *run = next_victim (worker, step, now_ms);
+      FbPoolRun *run = next_victim (self, worker, step, now_ms);
       if (run == NULL)
         break;
       fb_event_log (FB_EVENT_TASK_PREEMPTED, "task=%s attempt=%u worker=%s for=%s priority=%u",
