--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "internal/pool-worker-private.h"
+#include "internal/run-times.h"
 
 /* ---- times and limits ---------------------------------------------------- */
 
@@ -101,6 +102,7 @@
   FbAmounts capacity;      /* of the listed workers together, as of then */
   uint64_t unconfirmed_ms; /* when FbPoolAccount.unconfirmed was last computed */
   gboolean workers_dirty;  /* the record of workers is out of date */
+  FbRunTimes *run_times;   /* learnt from the runs of this owner */
   /* Client accounts are configured, so steps are ordered as pool-order.c describes. */
   gboolean orders_by_slack;
   uint64_t order_updated_ms; /* when the keys of all queued steps were last computed */
