First requests of gangs for advice are split into parallel ones

Change: where it shortens the answer by 200 ms or more, the first request of a gang is split into two to four requests for disjoint sets of workers, the most suitable ones first. The gang is placed on the answers received so far. The parts take at most twice the time of a single request and at most half of the idle daemons, so with few daemons there is one request. A part that fails or times out is repeated for its own workers; one that is overdue no longer delays the use of the others. The open requests of a step are kept one by one and are told apart by the workers that they list.

No existing expected output changes.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -84,7 +84,7 @@
   FbPoolWorkerAdvice *worker_advice; /* by worker slot */
   guint worker_advice_n;             /* entries of WORKER_ADVICE */
   gboolean has_advice;               /* the advice service has answered about some worker */
-  uint64_t advice_until_ms;          /* when the open request times out; 0: none is open */
+  GPtrArray *advice_requests;        /* of FbPoolAdviceRequest: open requests; NULL: none yet */
   uint64_t last_advice_ms;           /* when the last request was answered or failed; 0: never */
   GPtrArray *reserved_on;     /* ids of workers with reserved capacity, one entry for each task */
   uint64_t reserved_until_ms; /* when the reservation ends; 0: none */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -38,9 +38,10 @@
   FbPoolLimits limits;
   const FbPoolCallbacks *callbacks;
   gpointer user;
-  uint64_t created_ms;       /* when the pool was created */
-  uint64_t majority_ms;      /* when a majority of the workers had answered; 0: not yet */
-  gboolean workers_complete; /* fb_pool_workers_complete() was called */
+  FbPoolIdleDaemonsFunc idle_daemons; /* NULL: not known */
+  uint64_t created_ms;                /* when the pool was created */
+  uint64_t majority_ms;               /* when a majority of the workers had answered; 0: not yet */
+  gboolean workers_complete;          /* fb_pool_workers_complete() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
   /* Of FbPoolWorker that may have unknown runs, as of this tick; borrowed. */
   GPtrArray *unconfirmed_workers;
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -146,6 +146,9 @@
   gboolean (*is_newer_incarnation) (const char *incarnation, const char *other);
 } FbPoolCallbacks;
 
+/* Returns: how many requests to the advice service of EXPECTED_MS each could be forwarded now. */
+typedef guint (*FbPoolIdleDaemonsFunc) (gpointer user, uint32_t expected_ms);
+
 /* Limits that are configured for the deployment. */
 typedef struct
 {
@@ -221,6 +224,8 @@
                              uint64_t now_ms);
 void fb_pool_stop_answered (FbPool *self, uint64_t order, FbOrderResult result, uint64_t clock_ms,
                             uint64_t now_ms);
+/* Without it, or with NULL, each step has one request to the advice service open at a time. */
+void fb_pool_set_idle_daemons (FbPool *self, FbPoolIdleDaemonsFunc func);
 /* The advice service answered a request for STEP that listed the N workers in ASKED. REPLY: the
  * answer; NULL: the request failed. */
 void fb_pool_advice_answered (FbPool *self, const char *step, const char *const *asked, guint n,
--- a/src/entry/advice/advice-balancer.c
+++ b/src/entry/advice/advice-balancer.c
@@ -124,6 +124,28 @@
   return NULL;
 }
 
+/* Returns: from which size class on open requests count against the daemons that a request of CLASS
+ * may use. */
+static guint
+min_class_of (guint class)
+{
+  return class + 1 > CLASS_DISTANCE ? class + 1 - CLASS_DISTANCE : 0;
+}
+
+guint
+fb_advice_balancer_idle_n (FbAdviceBalancer *self, const GPtrArray *daemons, uint32_t expected_ms,
+                           uint64_t now_ms)
+{
+  guint idle_n = 0;
+  for (guint i = 0; i < daemons->len; i++)
+    idle_n += !g_hash_table_contains (self->open, daemons->pdata[i]);
+  guint reserved = fb_advice_balancer_reserved (self, daemons->len, expected_ms, now_ms);
+  if (reserved == 0)
+    return idle_n;
+  guint taken = count_open (self, min_class_of (size_class (expected_ms))) + reserved;
+  return taken < daemons->len ? MIN (idle_n, daemons->len - taken) : 0;
+}
+
 /* Assigns long requests from the end of the list of daemons and short ones from the beginning
  * (FB_ADVICE_LONG_MS).  Two owners are not aware of each other's requests, so that otherwise a
  * short request of one queues behind a long one of the other and its callers get late answers. */
@@ -133,8 +155,7 @@
 {
   guint class = size_class (expected_ms);
   guint reserved = fb_advice_balancer_reserved (self, daemons->len, expected_ms, now_ms);
-  guint min_class = class + 1 > CLASS_DISTANCE ? class + 1 - CLASS_DISTANCE : 0;
-  if (reserved > 0 && count_open (self, min_class) + reserved >= daemons->len)
+  if (reserved > 0 && count_open (self, min_class_of (class)) + reserved >= daemons->len)
     return NULL;
   gboolean is_long = expected_ms >= FB_ADVICE_LONG_MS;
   guint max_open = is_long ? 1 : SHORT_MAX;
--- a/src/entry/advice/advice-balancer.h
+++ b/src/entry/advice/advice-balancer.h
@@ -28,6 +28,9 @@
  * wait. */
 const char *fb_advice_balancer_choose (FbAdviceBalancer *self, const GPtrArray *daemons,
                                        uint32_t expected_ms, uint64_t now_ms);
+/* Returns: how many of DAEMONS have no open request and may take one of EXPECTED_MS. */
+guint fb_advice_balancer_idle_n (FbAdviceBalancer *self, const GPtrArray *daemons,
+                                 uint32_t expected_ms, uint64_t now_ms);
 /* Records that a request of EXPECTED_MS was sent to DAEMON, as fb_advice_balancer_choose() chose.
  */
 void fb_advice_balancer_began (FbAdviceBalancer *self, const char *daemon, uint32_t expected_ms,
--- a/src/entry/advice/advisor.c
+++ b/src/entry/advice/advisor.c
@@ -150,6 +150,13 @@
   return daemon;
 }
 
+guint
+fb_advisor_idle_n (FbAdvisor *self, uint32_t expected_ms)
+{
+  g_autoptr (GPtrArray) daemons = sorted_daemons (self);
+  return fb_advice_balancer_idle_n (self->balancer, daemons, expected_ms, fb_clock_ms ());
+}
+
 gboolean
 fb_advisor_request (FbAdvisor *self, uint32_t partition, const char *step,
                     const char *const *workers, guint n, uint32_t expected_ms)
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -191,6 +191,13 @@
                              expected_ms);
 }
 
+guint
+fb_owner_idle_daemons (gpointer user, uint32_t expected_ms)
+{
+  const FbOwner *owner = ((FbServicePool *) user)->owner;
+  return fb_advisor_idle_n (owner->entry->advisor, expected_ms);
+}
+
 void
 fb_owner_step_down (FbOwner *self, const char *reason)
 {
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -57,6 +57,8 @@
 
 /* owner-orders.c: sends the orders of pools and passes the answers back. */
 extern const FbPoolCallbacks fb_owner_pool_callbacks;
+/* FbPoolIdleDaemonsFunc */
+guint fb_owner_idle_daemons (gpointer user, uint32_t expected_ms);
 /* Ends the ownership: SELF takes no further action, and the daemon frees it soon. */
 void fb_owner_step_down (FbOwner *self, const char *reason);
 
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -67,6 +67,7 @@
   service_pool->service = g_strdup (service);
   service_pool->pool = fb_pool_new (service, self->epoch, &limits, &fb_owner_pool_callbacks,
                                     service_pool, fb_clock_ms ());
+  fb_pool_set_idle_daemons (service_pool->pool, fb_owner_idle_daemons);
   service_pool->parts = fb_account_parts_new (service, self->epoch);
   g_hash_table_insert (self->service_pools, service_pool->service, service_pool);
   add_listed_workers (service_pool);
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -9,8 +9,9 @@
  * gang before its tickets arrived, and gangs needed 2.1 requests each in a heavy load test. While
  * no allowed worker has free capacity, workers that were never requested are requested at
  * intervals. */
-#include "internal/pool-private.h"
+#include "internal/pool-advice-requests.h"
 
+#include "fb-counter.h"
 #include "fb-event.h"
 
 #include <string.h>
@@ -73,7 +74,8 @@
 {
   return worker->listed && !worker->draining && !worker->runs_ended
          && fb_pool_worker_could_run (worker, step->spec)
-         && fb_pool_worker_advice (step, worker) == NULL;
+         && fb_pool_worker_advice (step, worker) == NULL
+         && !fb_pool_advice_requests_list (step, worker->id);
 }
 
 /* Returns: the rank of WORKER by free capacity. Members of a gang need whole workers, so the
@@ -166,7 +168,7 @@
         g_array_append_val (candidates, candidate);
     }
   guint max_n = max_workers_in_request (self, step);
-  if (candidates->len > max_n)
+  if (candidates->len > max_n || step->spec->gang)
     g_array_sort (candidates, compare_candidates);
   /* Without free capacity, preemption has to free it, which takes less time the more workers are
    * allowed. */
@@ -321,10 +323,13 @@
 workers_to_request (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   if (!step->has_advice)
-    return unrequested_workers (self, step, now_ms);
+    return fb_pool_advice_requests_are_open (step) ? g_ptr_array_new ()
+                                                   : unrequested_workers (self, step, now_ms);
   if (!step->released)
     return g_ptr_array_new ();
   GPtrArray *ids = workers_to_renew (self, step, now_ms);
+  if (fb_pool_advice_requests_await_part (step, now_ms))
+    return ids;
   if (ids->len == 0 && may_request_unrequested (step, now_ms))
     {
       g_ptr_array_unref (ids);
@@ -343,12 +348,6 @@
   (void) preempt_for (self, step, chosen, now_ms);
 }
 
-static gboolean
-request_is_open (const FbPoolStep *step, uint64_t now_ms)
-{
-  return step->advice_until_ms != 0 && now_ms < step->advice_until_ms;
-}
-
 /* Returns: a bit that represents all requests that take about as long as one for STEP. */
 static uint32_t
 request_kind (const FbPoolStep *step)
@@ -358,7 +357,8 @@
 
 /* Returns: FALSE when no daemon can forward a request to the advice service now. */
 static gboolean
-send_request (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
+send_request (FbPool *self, FbPoolStep *step, const GPtrArray *ids, gboolean is_part,
+              uint64_t now_ms)
 {
   g_autofree char *name = fb_pool_step_name (step);
   uint32_t expected_ms = (uint32_t) request_ms (step, ids->len);
@@ -368,10 +368,89 @@
       self->refused_request_kinds |= request_kind (step);
       return FALSE;
     }
-  step->advice_until_ms = now_ms + ADVICE_TIMEOUT_FACTOR * expected_ms + ADVICE_TIMEOUT_MS;
+  const FbPoolAdviceRequest request
+      = { .is_part = is_part,
+          .expected_ms = expected_ms,
+          .sent_ms = now_ms,
+          .until_ms = now_ms + ADVICE_TIMEOUT_FACTOR * expected_ms + ADVICE_TIMEOUT_MS };
+  fb_pool_advice_requests_add (step, ids, &request);
+  return TRUE;
+}
+
+/* ---- parallel requests ---------------------------------------------------------- */
+
+/* Returns: into how many parallel requests the request for N workers is split.  Only gangs that can
+ * still be in time and are not waiting for earlier steps of their account are worth the additional
+ * decisions. */
+static guint
+parts_n (const FbPool *self, const FbPoolStep *step, guint n)
+{
+  if (!step->spec->gang || step->has_advice || step->urgency > FB_URGENCY_NORMAL
+      || step->held_at != NULL || self->idle_daemons == NULL)
+    return 1;
+  uint32_t expected_ms = (uint32_t) request_ms (step, MIN_WORKERS_PER_REQUEST);
+  return fb_pool_advice_parts_n (&step->job->record.policy, n,
+                                 self->idle_daemons (self->user, expected_ms));
+}
+
+static GPtrArray *
+slice (const GPtrArray *ids, guint from, guint to)
+{
+  GPtrArray *part = g_ptr_array_new ();
+  for (guint i = from; i < to; i++)
+    g_ptr_array_add (part, ids->pdata[i]);
+  return part;
+}
+
+/* Sends the request for IDS, which begin with the workers that suit the gang best, in parts.  A
+ * part that no daemon can forward is sent later, unless the gang was placed meanwhile. */
+static gboolean
+send_in_parts (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
+{
+  guint n = parts_n (self, step, ids->len);
+  if (n == 1)
+    return send_request (self, step, ids, FALSE, now_ms);
+  gboolean can_request = TRUE;
+  for (guint i = 0; i < n; i++)
+    {
+      g_autoptr (GPtrArray) part = slice (ids, ids->len * i / n, ids->len * (i + 1) / n);
+      can_request = can_request && send_request (self, step, part, TRUE, now_ms);
+      if (!can_request && i == 0)
+        return FALSE;
+      if (!can_request)
+        fb_pool_advice_requests_add (step, part, &(FbPoolAdviceRequest){ .is_part = TRUE });
+    }
+  fb_counter_add (FB_COUNTER_ADVICE_SPLITS, 1);
   return TRUE;
 }
 
+/* Repeats the parts that have failed or timed out, each for those of its workers that can still be
+ * used.  Returns: FALSE when no daemon can forward a request now. */
+static gboolean
+repeat_failed_parts (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  FbPoolAdviceRequest *failed = NULL;
+  gboolean can_request = TRUE;
+  while (can_request && (failed = fb_pool_advice_requests_take_failed (step)) != NULL)
+    {
+      g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+      GHashTableIter iter;
+      gpointer id;
+      g_hash_table_iter_init (&iter, failed->workers);
+      while (g_hash_table_iter_next (&iter, &id, NULL))
+        {
+          const FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
+          if (worker != NULL && can_be_requested (worker, step))
+            g_ptr_array_add (ids, id);
+        }
+      can_request = ids->len == 0 || send_request (self, step, ids, TRUE, now_ms);
+      if (!can_request)
+        fb_pool_advice_requests_add (step, ids, &(FbPoolAdviceRequest){ .is_part = TRUE });
+      fb_pool_advice_request_free (failed);
+    }
+  return can_request;
+}
+
 gboolean
 fb_pool_request_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
@@ -381,29 +460,39 @@
         preempt_unadvised (self, step, now_ms);
       return TRUE;
     }
-  if (request_is_open (step, now_ms))
+  fb_pool_advice_requests_expire (step, now_ms);
+  if (fb_pool_advice_requests_single (step) != NULL)
     return TRUE;
   /* Choosing the workers takes a pass over all of them, for each of hundreds of pending steps. */
   if (self->refused_request_kinds & request_kind (step))
     return FALSE;
+  if (!repeat_failed_parts (self, step, now_ms))
+    return FALSE;
   g_autoptr (GPtrArray) ids = workers_to_request (self, step, now_ms);
   if (ids->len == 0)
     return TRUE;
-  if (send_request (self, step, ids, now_ms))
+  if (send_in_parts (self, step, ids, now_ms))
     return TRUE;
   g_ptr_array_unref (fb_pool_release_reservation (self, step));
   return FALSE;
 }
 
+void
+fb_pool_set_idle_daemons (FbPool *self, FbPoolIdleDaemonsFunc func)
+{
+  self->idle_daemons = func;
+}
+
 void
 fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (request_is_open (step, now_ms))
+  fb_pool_advice_requests_expire (step, now_ms);
+  if (fb_pool_advice_requests_single (step) != NULL)
     return;
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
   g_ptr_array_add (ids, worker->id);
   /* If no daemon can forward the request, the next round repeats it. */
-  (void) send_request (self, step, ids, now_ms);
+  (void) send_request (self, step, ids, FALSE, now_ms);
 }
 
 gboolean
@@ -422,7 +511,7 @@
   if (step == NULL)
     return;
   self->round_due = TRUE;
-  step->advice_until_ms = 0;
+  fb_pool_advice_requests_ended (step, asked, n, reply == NULL);
   step->retry_at_ms = 0;
   step->last_advice_ms = now_ms;
   if (reply == NULL)
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -79,6 +79,7 @@
   g_free (step->long_running);
   g_ptr_array_unref (step->reserved_on);
   fb_pool_worker_advice_clear (step);
+  g_clear_pointer (&step->advice_requests, g_ptr_array_unref);
 }
 
 static void
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -3,6 +3,7 @@
  * A round visits the steps with pending tasks in queue order (pool-queue.c), in one or more
  * iterations of the main loop. A gang is placed as a whole or not at all. */
 #include "internal/pool-account.h"
+#include "internal/pool-advice-requests.h"
 #include "internal/pool-crash.h"
 
 /* ---- single tasks ------------------------------------------------------------ */
@@ -151,7 +152,7 @@
 static const char *
 wait_reason (const FbPoolStep *step, gboolean can_request)
 {
-  if (step->advice_until_ms != 0)
+  if (fb_pool_advice_requests_are_open (step))
     return "advice";
   return can_request ? "room" : "turn";
 }
@@ -226,7 +227,7 @@
       fb_pool_account_hold (self, step, now_ms);
       return TRUE;
     }
-  if (step->advice_until_ms != 0 && now_ms < step->reserved_until_ms)
+  if (fb_pool_advice_requests_single (step) != NULL && now_ms < step->reserved_until_ms)
     return TRUE; /* its capacity stays reserved until the advice arrives */
   if (fb_pool_step_may_fit (self, step, now_ms))
     return try_step (self, step, position, now_ms);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -33,6 +33,7 @@
   gboolean store_is_up;     /* each tick is followed by a flush that is stored at once */
   gboolean show_polls;
   uint64_t advice_requests_left; /* number of advice requests that are still accepted */
+  GPtrArray *advice_requests;    /* of GStrv: a step and the workers of a request, in their order */
   char **args;
   const char *line;
 } Script;
@@ -135,6 +136,12 @@
   if (((Script *) user)->advice_requests_left == 0)
     return FALSE;
   ((Script *) user)->advice_requests_left--;
+  GPtrArray *request = g_ptr_array_new ();
+  g_ptr_array_add (request, g_strdup (step));
+  for (guint i = 0; i < n; i++)
+    g_ptr_array_add (request, g_strdup (workers[i]));
+  g_ptr_array_add (request, NULL);
+  g_ptr_array_add (((Script *) user)->advice_requests, g_ptr_array_free (request, FALSE));
   printf ("  request advice for %s on %u workers, expected after %u ms", strip_zeros (step), n,
           expected_ms);
   guint used_n = 0;
@@ -146,6 +153,13 @@
   return TRUE;
 }
 
+static guint
+idle_daemons (gpointer user, uint32_t expected_ms)
+{
+  (void) expected_ms;
+  return (guint) MIN (((Script *) user)->advice_requests_left, G_MAXUINT);
+}
+
 static void
 on_fenced (gpointer user, const char *worker)
 {
@@ -195,6 +209,7 @@
       = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000, .max_reported_ends = 10 };
   g_clear_pointer (&script->pool, fb_pool_free);
   script->pool = fb_pool_new ("svc", epoch, &limits, &callbacks, script, script->now_ms);
+  fb_pool_set_idle_daemons (script->pool, idle_daemons);
   if (script->flush != NULL)
     g_clear_pointer (&script->flush, g_ptr_array_unref);
 }
@@ -373,8 +388,9 @@
     }
 }
 
-/* job ID [account=NAME] [advised] [queue=NAME] [priority=N] [attempts=N] [target=MS] [occurrences=N
- * due=MS interval=MS] step:...: stores a job and adds it to the pool. */
+/* job ID [account=NAME] [advised [decision=US] [per-worker=US]] [queue=NAME] [priority=N]
+ * [attempts=N] [target=MS] [occurrences=N due=MS interval=MS] step:...: stores a job and adds it to
+ * the pool. */
 static void
 do_job (Script *script)
 {
@@ -388,7 +404,8 @@
   record->policy.stretch_factor_milli = 2000;
   record->policy.target_ms = (u_int) option_u64 (script, "target", 1000);
   record->policy.advised = has_flag (script, "advised");
-  record->policy.advice_decision_us = 20000;
+  record->policy.advice_decision_us = (u_int) option_u64 (script, "decision", 20000);
+  record->policy.advice_per_worker_us = (u_int) option_u64 (script, "per-worker", 0);
   record->policy.advice_validity_ms = 2000;
   record->spec.payload = "payload";
   record->spec.occurrences = (u_int) option_u64 (script, "occurrences", 0);
@@ -530,14 +547,39 @@
                          option_u64 (script, "clock", script->now_ms), script->now_ms);
 }
 
-/* advice-answer STEP requested=WORKER,... [allowed=WORKER,...] [valid=MS] */
+/* Returns: (transfer full): the workers of the request number N for STEP, counted from 1. */
+static GStrv
+requested_workers (const Script *script, const char *step, uint64_t n)
+{
+  for (guint i = 0; i < script->advice_requests->len; i++)
+    {
+      GStrv request = script->advice_requests->pdata[i];
+      if (g_str_equal (request[0], step) && --n == 0)
+        return g_strdupv (request + 1);
+    }
+  fail (script, "no such request");
+  return NULL;
+}
+
+/* advice-answer STEP requested=WORKER,... [allowed=WORKER,...] [valid=MS]
+ * advice-answer STEP request=N [allow=N] [valid=MS] [failed]: answers the request number N for the
+ * step; its first workers are allowed. */
 static void
 do_advice_answer (Script *script)
 {
   g_autofree char *step = pad_job_id (script->args[1]);
-  g_auto (GStrv) requested = g_strsplit (option (script, "requested"), ",", -1);
+  uint64_t request_n = option_u64 (script, "request", 0);
+  g_auto (GStrv) requested = request_n > 0 ? requested_workers (script, step, request_n)
+                                           : g_strsplit (option (script, "requested"), ",", -1);
   const char *list = option (script, "allowed");
   g_auto (GStrv) allowed = g_strsplit (list != NULL ? list : "", ",", -1);
+  if (request_n > 0)
+    {
+      g_strfreev (g_steal_pointer (&allowed));
+      allowed = g_strdupv (requested);
+      for (uint64_t i = g_strv_length (allowed); i > option_u64 (script, "allow", 0); i--)
+        g_clear_pointer (&allowed[i - 1], g_free);
+    }
   guint n = g_strv_length (allowed);
   fb_advice_reply reply = { .validity_ms = (u_int) option_u64 (script, "valid", 2000) };
   reply.tickets.tickets_len = n;
@@ -548,7 +590,8 @@
       reply.tickets.tickets_val[i].ticket = "t";
     }
   fb_pool_advice_answered (script->pool, step, (const char *const *) requested,
-                           g_strv_length (requested), &reply, script->now_ms);
+                           g_strv_length (requested), has_flag (script, "failed") ? NULL : &reply,
+                           script->now_ms);
   free (reply.tickets.tickets_val);
 }
 
@@ -790,6 +833,7 @@
   Script script = { .now_ms = START_MS, .advice_requests_left = G_MAXUINT64 };
   script.suspect_backups
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  script.advice_requests = g_ptr_array_new ();
   script.admitted = g_hash_table_new (g_str_hash, g_str_equal);
   script.progress = g_hash_table_new (g_str_hash, g_str_equal);
   script.workers = g_hash_table_new (g_str_hash, g_str_equal);
