--- a/tools/check.sh
+++ b/tools/check.sh
@@ -34,6 +34,7 @@
 verdict "event log" $B/tests/test-event
 verdict "components of a daemon on the platform" $B/tests/test-entry
 verdict "advice of two owners" $B/tests/test-advice
+verdict "advice of gangs" $B/tests/test-gang-advice
 verdict "client accounts" $B/tests/test-accounts
 verdict "HTTP client" $B/tests/test-http
 verdict "signals while a daemon starts" $B/tests/test-signals
