Tickets of a gang are valid when its capacity is available

Cause: capacity that is reserved for the members of a gang was given up 400 ms after the expected answer, although the request was still open behind another one; other tasks took it, and the gang requested tickets for the same members again. A failed request was not repeated before the reservation had ended. Tickets that were requested when preemption began could expire before the preempted runs had ended.

Change: the reservation of a gang lasts until the open request is answered, for at most twice the expected duration of that request; no reservation becomes shorter. While capacity is reserved, a failed request is repeated for the same members. Where tickets that are requested at once would expire before preemption has freed the capacity, they are requested later. Steps that are no gangs are treated as before.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -88,6 +88,7 @@
   uint64_t last_advice_ms;           /* when the last request was answered or failed; 0: never */
   GPtrArray *reserved_on;     /* ids of workers with reserved capacity, one entry for each task */
   uint64_t reserved_until_ms; /* when the reservation ends; 0: none */
+  uint64_t capacity_free_ms;  /* when preemption should have freed the reserved capacity */
   gboolean queued; /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
   /* Until when its account leaves amounts for it; 0: it does not.  See pool-account.c. */
   uint64_t earmarked_until_ms;
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -327,6 +327,11 @@
 gboolean fb_pool_request_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
 /* Like fb_pool_request_advice(), unless advice for STEP was requested before. */
 gboolean fb_pool_request_first_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* TRUE while the capacity that is reserved for STEP is kept for tickets that are requested. */
+gboolean fb_pool_advice_keeps_reservation (const FbPoolStep *step, uint64_t now_ms);
+/* Requests tickets for the workers on which capacity is reserved for STEP, a gang, if they would
+ * not be valid otherwise when the capacity is free, and not earlier than needed for that. */
+void fb_pool_renew_reserved (FbPool *self, FbPoolStep *step, uint64_t now_ms);
 /* Returns: the time in which a gang that may start gets its tickets, or its first advice. */
 uint64_t fb_pool_advice_wait_ms (const FbPoolStep *step);
 /* Requests a new ticket for WORKER, which the advice service allows. */
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -42,6 +42,11 @@
  * was down for 16 s in a full pool. So the capacity stays reserved for as long as a request may
  * queue. At worst, capacity for one task is idle for that time. */
 #define RESTARTING_RESERVATION_SLACK_MS 3000
+/* Capacity for a gang whose tickets are requested stays reserved beyond the above until the answer
+ * arrives, for at most this many times the expected duration of the request: a request behind
+ * another of the same length takes twice its duration.  Otherwise other tasks took the capacity
+ * just before the answer arrived, and a second request was sent for the same members. */
+#define LATE_ANSWER_FACTOR 2
 /* Workers that were never requested for a step are requested only after this many times the
  * duration of a request. */
 #define UNREQUESTED_INTERVAL_FACTOR 3
@@ -277,6 +282,7 @@
     add_unrequested (self, step, ids, max_n - n, now_ms);
   fb_pool_reserve (self, step, chosen, n,
                    now_ms + request_ms (step, ids->len) + reservation_slack_ms (step));
+  step->capacity_free_ms = now_ms;
   return ids;
 }
 
@@ -298,6 +304,16 @@
   return TRUE;
 }
 
+/* TRUE when tickets for N workers that are requested now are still valid at UNTIL_MS, unless the
+ * answer comes much earlier than expected, or when their validity is not known. */
+static gboolean
+would_be_valid (const FbPoolStep *step, guint n, uint64_t until_ms, uint64_t now_ms)
+{
+  uint32_t validity_ms = step->job->record.policy.advice_validity_ms;
+  return validity_ms == 0
+         || now_ms + request_ms (step, n) + validity_ms >= until_ms + RESERVATION_SLACK_MS;
+}
+
 /* Like workers_to_renew(), for allowed workers on which preemption frees capacity. Tickets that
  * stay valid until then are not renewed, because the step would have to wait for the answer; the
  * capacity stays reserved until then. */
@@ -307,6 +323,9 @@
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, max_preempted (step) + 1);
   guint n = preempt_for (self, step, chosen, now_ms);
   uint64_t freed_ms = now_ms + preemption_ms (self);
+  step->capacity_free_ms = freed_ms;
+  if (n > 0 && step->spec->gang && !would_be_valid (step, n, freed_ms, now_ms))
+    return g_ptr_array_new (); /* fb_pool_renew_reserved() requests them in time */
   if (n == 0 || !tickets_are_valid (step, chosen, n, freed_ms))
     return ids_of (chosen, n);
   step->reserved_until_ms = freed_ms;
@@ -491,6 +510,47 @@
   self->idle_daemons = func;
 }
 
+gboolean
+fb_pool_advice_keeps_reservation (const FbPoolStep *step, uint64_t now_ms)
+{
+  const FbPoolAdviceRequest *open = fb_pool_advice_requests_single (step);
+  if (open == NULL)
+    return FALSE;
+  if (now_ms < step->reserved_until_ms)
+    return TRUE;
+  return step->spec->gang && step->reserved_on->len > 0
+         && now_ms < open->sent_ms + (uint64_t) LATE_ANSWER_FACTOR * open->expected_ms;
+}
+
+static GPtrArray *
+reserved_workers (const FbPool *self, const FbPoolStep *step)
+{
+  GPtrArray *workers = g_ptr_array_new ();
+  for (guint i = 0; i < step->reserved_on->len; i++)
+    {
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, step->reserved_on->pdata[i]);
+      if (worker != NULL)
+        g_ptr_array_add (workers, worker);
+    }
+  return workers;
+}
+
+void
+fb_pool_renew_reserved (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  if (!step->spec->gang || !step->job->record.policy.advised
+      || fb_pool_advice_requests_single (step) != NULL
+      || self->refused_request_kinds & request_kind (step))
+    return;
+  g_autoptr (GPtrArray) workers = reserved_workers (self, step);
+  FbPoolWorker **chosen = (FbPoolWorker **) workers->pdata;
+  uint64_t free_ms = MAX (step->capacity_free_ms, now_ms);
+  g_autoptr (GPtrArray) ids = ids_of (chosen, workers->len);
+  if (ids->len > 0 && !tickets_are_valid (step, chosen, workers->len, free_ms)
+      && would_be_valid (step, ids->len, free_ms, now_ms))
+    (void) send_request (self, step, ids, FALSE, now_ms);
+}
+
 void
 fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
 {
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -196,6 +196,7 @@
       fb_pool_long_running_set_wait_reason (self, step, wait_reason (step, TRUE), now_ms);
       fb_pool_reserve_again (self, step, reserved_on, fb_pool_step_pending_n (step),
                              reserved_until_ms);
+      fb_pool_renew_reserved (self, step, now_ms);
       return TRUE;
     }
   gboolean can_request = fb_pool_request_advice (self, step, now_ms);
@@ -227,7 +228,7 @@
       fb_pool_account_hold (self, step, now_ms);
       return TRUE;
     }
-  if (fb_pool_advice_requests_single (step) != NULL && now_ms < step->reserved_until_ms)
+  if (fb_pool_advice_keeps_reservation (step, now_ms))
     return TRUE; /* its capacity stays reserved until the advice arrives */
   if (fb_pool_step_may_fit (self, step, now_ms))
     return try_step (self, step, position, now_ms);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -388,9 +388,9 @@
     }
 }
 
-/* job ID [account=NAME] [advised [decision=US] [per-worker=US]] [queue=NAME] [priority=N]
- * [attempts=N] [target=MS] [occurrences=N due=MS interval=MS] step:...: stores a job and adds it to
- * the pool. */
+/* job ID [account=NAME] [advised [decision=US] [per-worker=US] [validity=MS]] [queue=NAME]
+ * [priority=N] [attempts=N] [target=MS] [occurrences=N due=MS interval=MS] step:...: stores a job
+ * and adds it to the pool. */
 static void
 do_job (Script *script)
 {
@@ -406,7 +406,7 @@
   record->policy.advised = has_flag (script, "advised");
   record->policy.advice_decision_us = (u_int) option_u64 (script, "decision", 20000);
   record->policy.advice_per_worker_us = (u_int) option_u64 (script, "per-worker", 0);
-  record->policy.advice_validity_ms = 2000;
+  record->policy.advice_validity_ms = (u_int) option_u64 (script, "validity", 2000);
   record->spec.payload = "payload";
   record->spec.occurrences = (u_int) option_u64 (script, "occurrences", 0);
   record->spec.first_due_ms = START_WALL_MS + option_u64 (script, "due", 0);
