--- a/tests/test-advice.c
+++ b/tests/test-advice.c
@@ -1,4 +1,6 @@
-/* Two owners send requests to the advice service through the same daemons. */
+/* Two owners send requests to the advice service through the same daemons; parallel requests of one
+ * step. */
+#include "internal/pool-advice-requests.h"
 #include "src/entry/advice/advice-balancer.h"
 #include "src/entry/advice/advice-queue.h"
 
@@ -204,6 +206,70 @@
     }
 }
 
+/* ---- parallel requests ------------------------------------------------------------------ */
+
+/* A split that gains little, costs more than twice the time of a single request, or takes more than
+ * half of the idle daemons would delay other steps. */
+static void
+test_parts_of_a_request (void)
+{
+  static const struct
+  {
+    uint32_t decision_us;
+    uint32_t per_worker_us;
+    guint workers_n;
+    guint idle_n;
+    guint parts_n;
+  } cases[] = {
+    { 715000, 10270, 98, 44, 3 }, /* the gangs of the load test: 1.72 s or 1.05 s */
+    { 715000, 10270, 98, 6, 3 },    { 715000, 10270, 98, 5, 2 },
+    { 715000, 10270, 98, 3, 1 },    { 715000, 10270, 98, 0, 1 },
+    { 715000, 10270, 30, 44, 1 }, /* one part is worth waiting for */
+    { 715000, 10270, 49, 44, 1 },   { 715000, 10270, 50, 44, 2 }, /* gains of 195 and 205 ms */
+    { 20000, 10000, 100, 44, 4 },   { 0, 0, 100, 44, 1 },
+    { 2000000, 10000, 100, 44, 2 }, /* 4 s instead of 3 s of the service's time */
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const fb_work_policy policy = { .advice_decision_us = cases[i].decision_us,
+                                      .advice_per_worker_us = cases[i].per_worker_us };
+      CU_ASSERT_EQUAL (fb_pool_advice_parts_n (&policy, cases[i].workers_n, cases[i].idle_n),
+                       cases[i].parts_n);
+    }
+}
+
+/* The daemons that are idle are counted without those that are reserved for shorter requests. */
+static void
+test_idle_daemons (void)
+{
+  FbAdviceBalancer *balancer = fb_advice_balancer_new ();
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < 10; i++)
+    g_ptr_array_add (names, g_strdup_printf ("daemon-%u", i));
+  CU_ASSERT_EQUAL (fb_advice_balancer_idle_n (balancer, names, 1000, 1), 10);
+  fb_advice_balancer_began (balancer, "daemon-9", 1000, 1);
+  CU_ASSERT_EQUAL (fb_advice_balancer_idle_n (balancer, names, 1000, 1), 9);
+  /* Short requests that have kept three daemons busy reserve three of them. */
+  for (guint i = 0; i < 60; i++)
+    {
+      fb_advice_balancer_began (balancer, "daemon-0", 72, 2);
+      fb_advice_balancer_ended (balancer, "daemon-0");
+    }
+  guint reserved = fb_advice_balancer_reserved (balancer, 10, 1000, 2);
+  CU_ASSERT_EQUAL (reserved, 3);
+  CU_ASSERT_EQUAL (fb_advice_balancer_idle_n (balancer, names, 1000, 2), 9 - reserved);
+  guint sent_n = 0;
+  const char *name = NULL;
+  while ((name = fb_advice_balancer_choose (balancer, names, 1000, 2)) != NULL)
+    {
+      fb_advice_balancer_began (balancer, name, 1000, 2);
+      sent_n++;
+    }
+  CU_ASSERT_EQUAL (sent_n, 9 - reserved);
+  CU_ASSERT_EQUAL (fb_advice_balancer_idle_n (balancer, names, 1000, 2), 0);
+  fb_advice_balancer_free (balancer);
+}
+
 int
 main (void)
 {
@@ -213,6 +279,8 @@
   CU_add_test (suite, "long requests of another owner", test_long_requests_of_another_owner);
   CU_add_test (suite, "long requests and large requests", test_long_requests_and_large_requests);
   CU_add_test (suite, "a long request is not starved", test_long_request_is_not_starved);
+  CU_add_test (suite, "parts of a request", test_parts_of_a_request);
+  CU_add_test (suite, "idle daemons", test_idle_daemons);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failed = CU_get_number_of_failures ();
