--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -31,6 +31,11 @@
 /* Computes the keys of a bounded number of waiting steps again and moves those whose key has
  * changed. */
 void fb_pool_accounts_reorder_held (FbPool *self, uint64_t now_ms);
+/* Returns: (nullable): the step at POSITION among those that wait for ACCOUNT; NULL when there is
+ * none, or when the account could not start it even if nothing else ran. */
+FbPoolStep *fb_pool_account_next_held (const FbPoolAccount *account, guint position);
+/* Requests advice for steps that wait for their accounts. */
+void fb_pool_held_advice_request (FbPool *self, uint64_t now_ms);
 /* Removes the steps of JOB, which has ended, from those that wait. */
 void fb_pool_account_drop_job (const FbPoolJob *job);
 /* Updates what may run for each account on workers that have not answered the new owner yet. */
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -86,11 +86,14 @@
   FbPoolWorkerAdvice *worker_advice; /* by worker slot */
   guint worker_advice_n;             /* entries of WORKER_ADVICE */
   gboolean has_advice;               /* the advice service has answered about some worker */
-  uint64_t advice_until_ms;          /* when the open request times out; 0: none is open */
+  GPtrArray *advice_requests;        /* of FbPoolAdviceRequest: open requests; NULL: none yet */
   uint64_t last_advice_ms;           /* when the last request was answered or failed; 0: never */
   GPtrArray *reserved_on;     /* ids of workers with reserved capacity, one entry for each task */
   uint64_t reserved_until_ms; /* when the reservation ends; 0: none */
-  gboolean queued;        /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
+  uint64_t capacity_free_ms;  /* when preemption should have freed the reserved capacity */
+  gboolean queued; /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
+  /* Until when its account leaves amounts for it; 0: it does not.  See pool-account.c. */
+  uint64_t earmarked_until_ms;
   GSequenceIter *held_at; /* in FbPoolAccount.held; NULL: it does not wait for its account */
   gboolean is_merged;     /* it has an entry in FbPool.queue that is still valid */
   FbPoolUrgency urgency;  /* as of when it was sorted into the queue */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -41,9 +41,10 @@
   FbPoolLimits limits;
   const FbPoolCallbacks *callbacks;
   gpointer user;
-  uint64_t created_ms;       /* when the pool was created */
-  uint64_t majority_ms;      /* when a majority of the workers had answered; 0: not yet */
-  gboolean workers_complete; /* fb_pool_workers_complete() was called */
+  FbPoolIdleDaemonsFunc idle_daemons; /* NULL: not known */
+  uint64_t created_ms;                /* when the pool was created */
+  uint64_t majority_ms;               /* when a majority of the workers had answered; 0: not yet */
+  gboolean workers_complete;          /* fb_pool_workers_complete() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
   /* Of FbPoolWorker that may have unknown runs, as of this tick; borrowed. */
   GPtrArray *unconfirmed_workers;
@@ -111,6 +112,8 @@
   FbPoolStep *turn_step;     /* the step that has its turn, in LATE_STEPS; NULL: none */
   uint64_t turn_until_ms;    /* when the turn ends */
   int32_t turn_credit;       /* starts that count for the next turn */
+  guint held_requests_n; /* open requests for advice that were sent for steps that wait for them */
+  uint64_t held_advice_ms; /* when advice for such steps was last requested */
   /* At the last tick the owner was certain of its ownership, and not stopping. */
   gboolean may_start;
   gboolean round_due;           /* capacity, jobs or advice arrived since the last round */
@@ -343,6 +346,13 @@
 gboolean fb_pool_request_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
 /* Like fb_pool_request_advice(), unless advice for STEP was requested before. */
 gboolean fb_pool_request_first_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* TRUE while the capacity that is reserved for STEP is kept for tickets that are requested. */
+gboolean fb_pool_advice_keeps_reservation (const FbPoolStep *step, uint64_t now_ms);
+/* Requests tickets for the workers on which capacity is reserved for STEP, a gang, if they would
+ * not be valid otherwise when the capacity is free, and not earlier than needed for that. */
+void fb_pool_renew_reserved (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+/* Returns: the time in which a gang that may start gets its tickets, or its first advice. */
+uint64_t fb_pool_advice_wait_ms (const FbPoolStep *step);
 /* Requests a new ticket for WORKER, which the advice service allows. */
 void fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker,
                            uint64_t now_ms);
--- a/src/work/pool-advice.c
+++ b/src/work/pool-advice.c
@@ -9,8 +9,9 @@
  * gang before its tickets arrived, and gangs needed 2.1 requests each in a heavy load test. While
  * no allowed worker has free capacity, workers that were never requested are requested at
  * intervals. */
-#include "internal/pool-private.h"
+#include "internal/pool-advice-requests.h"
 
+#include "fb-counter.h"
 #include "fb-event.h"
 
 #include <string.h>
@@ -41,6 +42,11 @@
  * was down for 16 s in a full pool. So the capacity stays reserved for as long as a request may
  * queue. At worst, capacity for one task is idle for that time. */
 #define RESTARTING_RESERVATION_SLACK_MS 3000
+/* Capacity for a gang whose tickets are requested stays reserved beyond the above until the answer
+ * arrives, for at most this many times the expected duration of the request: a request behind
+ * another of the same length takes twice its duration.  Otherwise other tasks took the capacity
+ * just before the answer arrived, and a second request was sent for the same members. */
+#define LATE_ANSWER_FACTOR 2
 /* Workers that were never requested for a step are requested only after this many times the
  * duration of a request. */
 #define UNREQUESTED_INTERVAL_FACTOR 3
@@ -73,7 +79,8 @@
 {
   return worker->listed && !worker->draining && !worker->runs_ended
          && fb_pool_worker_could_run (worker, step->spec)
-         && fb_pool_worker_advice (step, worker) == NULL;
+         && fb_pool_worker_advice (step, worker) == NULL
+         && !fb_pool_advice_requests_list (step, worker->id);
 }
 
 /* Returns: the rank of WORKER by free capacity. Members of a gang need whole workers, so the
@@ -166,7 +173,7 @@
         g_array_append_val (candidates, candidate);
     }
   guint max_n = max_workers_in_request (self, step);
-  if (candidates->len > max_n)
+  if (candidates->len > max_n || step->spec->gang)
     g_array_sort (candidates, compare_candidates);
   /* Without free capacity, preemption has to free it, which takes less time the more workers are
    * allowed. */
@@ -192,6 +199,13 @@
                                                 : RESERVATION_SLACK_MS;
 }
 
+uint64_t
+fb_pool_advice_wait_ms (const FbPoolStep *step)
+{
+  guint n = step->has_advice ? step->spec->count : max_workers_in_first_request (step);
+  return request_ms (step, n) + reservation_slack_ms (step);
+}
+
 /* Returns: for how many tasks of STEP other work is preempted at once. */
 static guint
 max_preempted (const FbPoolStep *step)
@@ -268,6 +282,7 @@
     add_unrequested (self, step, ids, max_n - n, now_ms);
   fb_pool_reserve (self, step, chosen, n,
                    now_ms + request_ms (step, ids->len) + reservation_slack_ms (step));
+  step->capacity_free_ms = now_ms;
   return ids;
 }
 
@@ -289,6 +304,16 @@
   return TRUE;
 }
 
+/* TRUE when tickets for N workers that are requested now are still valid at UNTIL_MS, unless the
+ * answer comes much earlier than expected, or when their validity is not known. */
+static gboolean
+would_be_valid (const FbPoolStep *step, guint n, uint64_t until_ms, uint64_t now_ms)
+{
+  uint32_t validity_ms = step->job->record.policy.advice_validity_ms;
+  return validity_ms == 0
+         || now_ms + request_ms (step, n) + validity_ms >= until_ms + RESERVATION_SLACK_MS;
+}
+
 /* Like workers_to_renew(), for allowed workers on which preemption frees capacity. Tickets that
  * stay valid until then are not renewed, because the step would have to wait for the answer; the
  * capacity stays reserved until then. */
@@ -298,6 +323,9 @@
   g_autofree FbPoolWorker **chosen = g_new0 (FbPoolWorker *, max_preempted (step) + 1);
   guint n = preempt_for (self, step, chosen, now_ms);
   uint64_t freed_ms = now_ms + preemption_ms (self);
+  step->capacity_free_ms = freed_ms;
+  if (n > 0 && step->spec->gang && !would_be_valid (step, n, freed_ms, now_ms))
+    return g_ptr_array_new (); /* fb_pool_renew_reserved() requests them in time */
   if (n == 0 || !tickets_are_valid (step, chosen, n, freed_ms))
     return ids_of (chosen, n);
   step->reserved_until_ms = freed_ms;
@@ -321,10 +349,13 @@
 workers_to_request (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
   if (!step->has_advice)
-    return unrequested_workers (self, step, now_ms);
+    return fb_pool_advice_requests_are_open (step) ? g_ptr_array_new ()
+                                                   : unrequested_workers (self, step, now_ms);
   if (!step->released)
     return g_ptr_array_new ();
   GPtrArray *ids = workers_to_renew (self, step, now_ms);
+  if (fb_pool_advice_requests_await_part (step, now_ms))
+    return ids;
   if (ids->len == 0 && may_request_unrequested (step, now_ms))
     {
       g_ptr_array_unref (ids);
@@ -343,12 +374,6 @@
   (void) preempt_for (self, step, chosen, now_ms);
 }
 
-static gboolean
-request_is_open (const FbPoolStep *step, uint64_t now_ms)
-{
-  return step->advice_until_ms != 0 && now_ms < step->advice_until_ms;
-}
-
 /* Returns: a bit that represents all requests that take about as long as one for STEP. */
 static uint32_t
 request_kind (const FbPoolStep *step)
@@ -358,7 +383,8 @@
 
 /* Returns: FALSE when no daemon can forward a request to the advice service now. */
 static gboolean
-send_request (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
+send_request (FbPool *self, FbPoolStep *step, const GPtrArray *ids, gboolean is_part,
+              uint64_t now_ms)
 {
   g_autofree char *name = fb_pool_step_name (step);
   uint32_t expected_ms = (uint32_t) request_ms (step, ids->len);
@@ -368,10 +394,90 @@
       self->refused_request_kinds |= request_kind (step);
       return FALSE;
     }
-  step->advice_until_ms = now_ms + ADVICE_TIMEOUT_FACTOR * expected_ms + ADVICE_TIMEOUT_MS;
+  const FbPoolAdviceRequest request
+      = { .is_part = is_part,
+          .expected_ms = expected_ms,
+          .sent_ms = now_ms,
+          .until_ms = now_ms + ADVICE_TIMEOUT_FACTOR * expected_ms + ADVICE_TIMEOUT_MS,
+          .open_n = step->held_at != NULL ? &self->held_requests_n : NULL };
+  fb_pool_advice_requests_add (step, ids, &request);
   return TRUE;
 }
 
+/* ---- parallel requests ---------------------------------------------------------- */
+
+/* Returns: into how many parallel requests the request for N workers is split.  Only gangs that can
+ * still be in time and are not waiting for earlier steps of their account are worth the additional
+ * decisions. */
+static guint
+parts_n (const FbPool *self, const FbPoolStep *step, guint n)
+{
+  if (!step->spec->gang || step->has_advice || step->urgency > FB_URGENCY_NORMAL
+      || step->held_at != NULL || self->idle_daemons == NULL)
+    return 1;
+  uint32_t expected_ms = (uint32_t) request_ms (step, MIN_WORKERS_PER_REQUEST);
+  return fb_pool_advice_parts_n (&step->job->record.policy, n,
+                                 self->idle_daemons (self->user, expected_ms));
+}
+
+static GPtrArray *
+slice (const GPtrArray *ids, guint from, guint to)
+{
+  GPtrArray *part = g_ptr_array_new ();
+  for (guint i = from; i < to; i++)
+    g_ptr_array_add (part, ids->pdata[i]);
+  return part;
+}
+
+/* Sends the request for IDS, which begin with the workers that suit the gang best, in parts.  A
+ * part that no daemon can forward is sent later, unless the gang was placed meanwhile. */
+static gboolean
+send_in_parts (FbPool *self, FbPoolStep *step, const GPtrArray *ids, uint64_t now_ms)
+{
+  guint n = parts_n (self, step, ids->len);
+  if (n == 1)
+    return send_request (self, step, ids, FALSE, now_ms);
+  gboolean can_request = TRUE;
+  for (guint i = 0; i < n; i++)
+    {
+      g_autoptr (GPtrArray) part = slice (ids, ids->len * i / n, ids->len * (i + 1) / n);
+      can_request = can_request && send_request (self, step, part, TRUE, now_ms);
+      if (!can_request && i == 0)
+        return FALSE;
+      if (!can_request)
+        fb_pool_advice_requests_add (step, part, &(FbPoolAdviceRequest){ .is_part = TRUE });
+    }
+  fb_counter_add (FB_COUNTER_ADVICE_SPLITS, 1);
+  return TRUE;
+}
+
+/* Repeats the parts that have failed or timed out, each for those of its workers that can still be
+ * used.  Returns: FALSE when no daemon can forward a request now. */
+static gboolean
+repeat_failed_parts (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  FbPoolAdviceRequest *failed = NULL;
+  gboolean can_request = TRUE;
+  while (can_request && (failed = fb_pool_advice_requests_take_failed (step)) != NULL)
+    {
+      g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+      GHashTableIter iter;
+      gpointer id;
+      g_hash_table_iter_init (&iter, failed->workers);
+      while (g_hash_table_iter_next (&iter, &id, NULL))
+        {
+          const FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
+          if (worker != NULL && can_be_requested (worker, step))
+            g_ptr_array_add (ids, id);
+        }
+      can_request = ids->len == 0 || send_request (self, step, ids, TRUE, now_ms);
+      if (!can_request)
+        fb_pool_advice_requests_add (step, ids, &(FbPoolAdviceRequest){ .is_part = TRUE });
+      fb_pool_advice_request_free (failed);
+    }
+  return can_request;
+}
+
 gboolean
 fb_pool_request_advice (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
@@ -381,29 +487,80 @@
         preempt_unadvised (self, step, now_ms);
       return TRUE;
     }
-  if (request_is_open (step, now_ms))
+  fb_pool_advice_requests_expire (step, now_ms);
+  if (fb_pool_advice_requests_single (step) != NULL)
     return TRUE;
   /* Choosing the workers takes a pass over all of them, for each of hundreds of pending steps. */
   if (self->refused_request_kinds & request_kind (step))
     return FALSE;
+  if (!repeat_failed_parts (self, step, now_ms))
+    return FALSE;
   g_autoptr (GPtrArray) ids = workers_to_request (self, step, now_ms);
   if (ids->len == 0)
     return TRUE;
-  if (send_request (self, step, ids, now_ms))
+  if (send_in_parts (self, step, ids, now_ms))
     return TRUE;
   g_ptr_array_unref (fb_pool_release_reservation (self, step));
   return FALSE;
 }
 
+void
+fb_pool_set_idle_daemons (FbPool *self, FbPoolIdleDaemonsFunc func)
+{
+  self->idle_daemons = func;
+}
+
+gboolean
+fb_pool_advice_keeps_reservation (const FbPoolStep *step, uint64_t now_ms)
+{
+  const FbPoolAdviceRequest *open = fb_pool_advice_requests_single (step);
+  if (open == NULL)
+    return FALSE;
+  if (now_ms < step->reserved_until_ms)
+    return TRUE;
+  return step->spec->gang && step->reserved_on->len > 0
+         && now_ms < open->sent_ms + (uint64_t) LATE_ANSWER_FACTOR * open->expected_ms;
+}
+
+static GPtrArray *
+reserved_workers (const FbPool *self, const FbPoolStep *step)
+{
+  GPtrArray *workers = g_ptr_array_new ();
+  for (guint i = 0; i < step->reserved_on->len; i++)
+    {
+      FbPoolWorker *worker = g_hash_table_lookup (self->workers, step->reserved_on->pdata[i]);
+      if (worker != NULL)
+        g_ptr_array_add (workers, worker);
+    }
+  return workers;
+}
+
+void
+fb_pool_renew_reserved (FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  if (!step->spec->gang || !step->job->record.policy.advised
+      || fb_pool_advice_requests_single (step) != NULL
+      || self->refused_request_kinds & request_kind (step))
+    return;
+  g_autoptr (GPtrArray) workers = reserved_workers (self, step);
+  FbPoolWorker **chosen = (FbPoolWorker **) workers->pdata;
+  uint64_t free_ms = MAX (step->capacity_free_ms, now_ms);
+  g_autoptr (GPtrArray) ids = ids_of (chosen, workers->len);
+  if (ids->len > 0 && !tickets_are_valid (step, chosen, workers->len, free_ms)
+      && would_be_valid (step, ids->len, free_ms, now_ms))
+    (void) send_request (self, step, ids, FALSE, now_ms);
+}
+
 void
 fb_pool_renew_ticket (FbPool *self, FbPoolStep *step, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (request_is_open (step, now_ms))
+  fb_pool_advice_requests_expire (step, now_ms);
+  if (fb_pool_advice_requests_single (step) != NULL)
     return;
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
   g_ptr_array_add (ids, worker->id);
   /* If no daemon can forward the request, the next round repeats it. */
-  (void) send_request (self, step, ids, now_ms);
+  (void) send_request (self, step, ids, FALSE, now_ms);
 }
 
 gboolean
@@ -422,7 +579,7 @@
   if (step == NULL)
     return;
   self->round_due = TRUE;
-  step->advice_until_ms = 0;
+  fb_pool_advice_requests_ended (step, asked, n, reply == NULL);
   step->retry_at_ms = 0;
   step->last_advice_ms = now_ms;
   if (reply == NULL)
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -3,6 +3,7 @@
  * A round visits the steps with pending tasks in queue order (pool-queue.c), in one or more
  * iterations of the main loop. A gang is placed as a whole or not at all. */
 #include "internal/pool-account.h"
+#include "internal/pool-advice-requests.h"
 #include "internal/pool-crash.h"
 #include "internal/pool-order.h"
 
@@ -152,7 +153,7 @@
 static const char *
 wait_reason (const FbPoolStep *step, gboolean can_request)
 {
-  if (step->advice_until_ms != 0)
+  if (fb_pool_advice_requests_are_open (step))
     return "advice";
   return can_request ? "room" : "turn";
 }
@@ -197,6 +198,7 @@
       fb_pool_long_running_set_wait_reason (self, step, wait_reason (step, TRUE), now_ms);
       fb_pool_reserve_again (self, step, reserved_on, fb_pool_step_pending_n (step),
                              reserved_until_ms);
+      fb_pool_renew_reserved (self, step, now_ms);
       return TRUE;
     }
   fb_pool_account_note_room (step, FALSE, now_ms);
@@ -229,7 +231,7 @@
       fb_pool_account_hold (self, step, now_ms);
       return TRUE;
     }
-  if (step->advice_until_ms != 0 && now_ms < step->reserved_until_ms)
+  if (fb_pool_advice_keeps_reservation (step, now_ms))
     return TRUE; /* its capacity stays reserved until the advice arrives */
   if (fb_pool_step_may_fit (self, step, now_ms))
     return try_step (self, step, position, now_ms);
@@ -286,6 +288,8 @@
     }
   self->round_position = 0;
   clear_gained_capacity (self, MIN (self->round_gained_n, self->gained_capacity->len));
-  if (can_request)
-    request_advice_ahead (self, now_ms);
+  if (!can_request)
+    return;
+  request_advice_ahead (self, now_ms);
+  fb_pool_held_advice_request (self, now_ms);
 }
