Progress of runs is read from workers and relayed

Cause: workers list how much of each run is done, and the pool did not read it; it learnt only from ended runs that a worker or a task is slow.

Change: the fourth entry of a row of running runs is decoded; a missing or malformed one leaves the rest of the answer valid. The pool keeps the last two reports of each run, on the worker's clock, and the rate between them. Relays report progress with request 19 and reply 19, for polls only: starts and stops are answered without lists. A relay of an earlier version answers that it did nothing, and the poll is sent again at once in the earlier form; that relay is asked for progress again after 10 s. Nothing decides by progress yet.

FbRelayDone passes the whole reply, as it has two types now, which tests/test-relay.c and tests/test-daemons.c follow. The stand-in of the platform's workers reports true progress; it reported 100 of each run.

--- a/bench/pool-crashes.c
+++ b/bench/pool-crashes.c
@@ -298,7 +298,8 @@
   for (guint i = 0; result == FB_ORDER_DONE && i < host->runs->len; i++)
     {
       Run *run = &g_array_index (host->runs, Run, i);
-      const FbReportedRun reported = { run->task, run->attempt, (char *) "" };
+      const FbReportedRun reported
+          = { run->task, run->attempt, (char *) "", FB_PERCENT_NOT_REPORTED };
       g_array_append_val (running, reported);
     }
   for (guint i = host->ends->len; result == FB_ORDER_DONE && i > 0; i--)
--- a/fuzz/account-world-workers.c
+++ b/fuzz/account-world-workers.c
@@ -170,7 +170,7 @@
   for (guint i = 0; i < event->worker->runs->len; i++)
     {
       const Run *run = event->worker->runs->pdata[i];
-      FbReportedRun row = { run->task, run->attempt, "" };
+      FbReportedRun row = { run->task, run->attempt, "", FB_PERCENT_NOT_REPORTED };
       g_array_append_val (running, row);
     }
   const FbPollAnswer poll_answer = { .result = event->result,
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "internal/pool-job-private.h"
+#include "internal/run-progress.h"
 
 typedef enum
 {
@@ -58,6 +59,7 @@
   /* Counted if the transferred start never arrives, as the earlier incarnation crashed; worker 0:
    * nothing to count. */
   FbPoolCrash deferred_crash;
+  FbRunProgress progress;
 };
 
 typedef struct
@@ -146,6 +148,8 @@
 void fb_pool_worker_set_entry (FbPoolWorker *worker, const FbWorkerEntry *entry);
 /* Returns: a lower bound of the worker's clock now. */
 uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: how long RUN still takes, by the progress that its worker reports; 0: not known. */
+uint64_t fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms);
 /* TRUE when WORKER has never answered, or not for longer than a poll takes. */
 gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE when every lease that the worker can hold has certainly ended. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -40,8 +40,11 @@
   char *task; /* name of the task: JOB.OCCURRENCE.STEP.INDEX */
   uint32_t attempt;
   char *checkpoint; /* the last one that the run saved; "" or NULL: none */
+  uint8_t percent;  /* percent done; FB_PERCENT_NOT_REPORTED: not reported */
 } FbReportedRun;
 
+#define FB_PERCENT_NOT_REPORTED 255
+
 typedef enum
 {
   FB_END_DONE,
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -820,6 +820,7 @@
 			 return FALSE;
 		break;
 	case FB_REQUEST_RELAY_ORDER:
+	case FB_REQUEST_RELAY_ORDER_PROGRESS:
 		 if (!xdr_fb_relay_request (xdrs, &objp->fb_peer_request_u.order))
 			 return FALSE;
 		break;
@@ -961,6 +962,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_relay_progress_reply (XDR *xdrs, fb_relay_progress_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fb_relay_reply (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->percents.percents_val, (u_int *) &objp->percents.percents_len, FB_WORK_MAX_REPORTED))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_recent_start (XDR *xdrs, fb_recent_start *objp)
 {
@@ -1086,6 +1099,10 @@
 		 if (!xdr_fb_account_grants_reply (xdrs, &objp->fb_peer_reply_u.grants))
 			 return FALSE;
 		break;
+	case FB_REPLY_ORDER_RESULT_PROGRESS:
+		 if (!xdr_fb_relay_progress_reply (xdrs, &objp->fb_peer_reply_u.progress))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -197,6 +197,7 @@
 	FB_REQUEST_ACCOUNT_JOB_STATE = 14,
 	FB_REQUEST_CONFIGURATION = 15,
 	FB_REQUEST_ACCOUNT_PARTS = 16,
+	FB_REQUEST_RELAY_ORDER_PROGRESS = 19,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -371,6 +372,7 @@
 	FB_REPLY_SUSPECT_BACKUPS = 15,
 	FB_REPLY_CONFIGURATION = 16,
 	FB_REPLY_ACCOUNT_GRANTS = 17,
+	FB_REPLY_ORDER_RESULT_PROGRESS = 19,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -434,6 +436,15 @@
 };
 typedef struct fb_relay_reply fb_relay_reply;
 
+struct fb_relay_progress_reply {
+	fb_relay_reply order;
+	struct {
+		u_int percents_len;
+		char *percents_val;
+	} percents;
+};
+typedef struct fb_relay_progress_reply fb_relay_progress_reply;
+
 struct fb_recent_start {
 	char *worker;
 	char *address;
@@ -497,6 +508,7 @@
 		fb_suspect_backups_reply backups;
 		fb_configuration_reply configuration;
 		fb_account_grants_reply grants;
+		fb_relay_progress_reply progress;
 	} fb_peer_reply_u;
 };
 typedef struct fb_peer_reply fb_peer_reply;
@@ -542,6 +554,7 @@
 extern  bool_t xdr_fb_reported_run (XDR *, fb_reported_run*);
 extern  bool_t xdr_fb_reported_end (XDR *, fb_reported_end*);
 extern  bool_t xdr_fb_relay_reply (XDR *, fb_relay_reply*);
+extern  bool_t xdr_fb_relay_progress_reply (XDR *, fb_relay_progress_reply*);
 extern  bool_t xdr_fb_recent_start (XDR *, fb_recent_start*);
 extern  bool_t xdr_fb_recent_starts_reply (XDR *, fb_recent_starts_reply*);
 extern  bool_t xdr_fb_suspect_backups_reply (XDR *, fb_suspect_backups_reply*);
@@ -589,6 +602,7 @@
 extern bool_t xdr_fb_reported_run ();
 extern bool_t xdr_fb_reported_end ();
 extern bool_t xdr_fb_relay_reply ();
+extern bool_t xdr_fb_relay_progress_reply ();
 extern bool_t xdr_fb_recent_start ();
 extern bool_t xdr_fb_recent_starts_reply ();
 extern bool_t xdr_fb_suspect_backups_reply ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -160,7 +160,10 @@
                                      * receiving daemon has not heard of for some time */
   FB_REQUEST_ACCOUNT_JOB_STATE = 14, /* as FB_REQUEST_JOB_STATE, for a caller of an account */
   FB_REQUEST_CONFIGURATION = 15,    /* the configuration, if it is newer than a version */
-  FB_REQUEST_ACCOUNT_PARTS = 16     /* parts of the caps of accounts for a pool */
+  FB_REQUEST_ACCOUNT_PARTS = 16,    /* parts of the caps of accounts for a pool */
+  FB_REQUEST_RELAY_ORDER_PROGRESS = 19 /* as FB_REQUEST_RELAY_ORDER, answered with the progress of
+                                        * runs; daemons of earlier versions answer that they did
+                                        * nothing */
 };
 
 struct fb_job_state_request {
@@ -285,7 +288,8 @@
 case FB_REQUEST_NOTIFY_STORED: fb_stored_notice stored;
 case FB_REQUEST_PARTITION_OWNERS: void;
 case FB_REQUEST_APPEND_PROGRESS: fb_progress_append_request write;
-case FB_REQUEST_RELAY_ORDER: fb_relay_request order;
+case FB_REQUEST_RELAY_ORDER:
+case FB_REQUEST_RELAY_ORDER_PROGRESS: fb_relay_request order;
 case FB_REQUEST_RECENT_STARTS: void;
 case FB_REQUEST_BACK_UP_SUSPECTS: fb_suspects_backup backup;
 case FB_REQUEST_SUSPECT_BACKUPS: void;
@@ -312,7 +316,8 @@
   FB_REPLY_RECENT_STARTS = 14,
   FB_REPLY_SUSPECT_BACKUPS = 15,
   FB_REPLY_CONFIGURATION = 16,     /* a newer configuration */
-  FB_REPLY_ACCOUNT_GRANTS = 17
+  FB_REPLY_ACCOUNT_GRANTS = 17,
+  FB_REPLY_ORDER_RESULT_PROGRESS = 19 /* result of an order, with the progress of runs */
 };
 
 struct fb_ticket {
@@ -357,6 +362,12 @@
   fb_reported_end finished<FB_WORK_MAX_REPORTED>;
 };
 
+/* PERCENTS: percent done of each run in ORDER.running, in the same order; 255: not reported. */
+struct fb_relay_progress_reply {
+  fb_relay_reply order;
+  opaque percents<FB_WORK_MAX_REPORTED>;
+};
+
 /* A start of the last seconds whose run is not known to have ended. */
 struct fb_recent_start {
   string worker<FB_WORK_MAX_NAME>;
@@ -403,5 +414,6 @@
 case FB_REPLY_SUSPECT_BACKUPS: fb_suspect_backups_reply backups;
 case FB_REPLY_CONFIGURATION: fb_configuration_reply configuration;
 case FB_REPLY_ACCOUNT_GRANTS: fb_account_grants_reply grants;
+case FB_REPLY_ORDER_RESULT_PROGRESS: fb_relay_progress_reply progress;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -17,6 +17,7 @@
 #include "src/entry/peers/payload-dedup.h"
 #include "src/entry/peers/peers.h"
 #include "src/entry/peers/recent-starts.h"
+#include "src/entry/peers/relay-versions.h"
 #include "src/entry/peers/relay.h"
 #include "src/entry/peers/suspect-backups.h"
 #include "src/entry/store/appender.h"
@@ -67,6 +68,7 @@
   FbLinkMonitor *link_monitor;
   FbPayloadDedup *payload_dedup;     /* payloads sent to other daemons */
   FbPayloadCache *payload_cache;     /* payloads received from other daemons */
+  FbRelayVersions *relay_versions;   /* daemons that relay no progress of runs */
   FbRecentStarts *recent_starts;     /* starts sent to workers from this daemon */
   FbSuspectBackups *suspect_backups; /* held for owners that cannot write to the store */
   FbJoinMonitor join_monitor;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -280,6 +280,7 @@
   self->loop_monitor = fb_loop_monitor_new (TIMER_MS, self->store_answered_ms);
   self->payload_dedup = fb_payload_dedup_new ((uint32_t) self->settings->link_kbit_s);
   self->payload_cache = fb_payload_cache_new (PAYLOAD_CACHE_BYTES);
+  self->relay_versions = fb_relay_versions_new ();
   self->recent_starts = fb_recent_starts_new ();
   self->suspect_backups = fb_suspect_backups_new ();
   self->link_monitor
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -103,7 +103,7 @@
 }
 
 static void
-on_relayed (gpointer data, FbRelayResult result, const fb_relay_reply *peer_reply)
+on_relayed (gpointer data, FbRelayResult result, const fb_peer_reply *peer_reply)
 {
   Order *order = data;
   FbPollAnswer answer
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -34,6 +34,7 @@
     case FB_REQUEST_NOTIFY_STORED:
       return FB_TRAFFIC_PEER_RECORDS;
     case FB_REQUEST_RELAY_ORDER:
+    case FB_REQUEST_RELAY_ORDER_PROGRESS:
       return peer_request->fb_peer_request_u.order.kind == FB_ORDER_KIND_POLL
                  ? FB_TRAFFIC_RELAYED_POLLS
                  : FB_TRAFFIC_RELAYED_ORDERS;
@@ -442,7 +443,8 @@
       fb_group_send_owners (entry->group, send_reply, served);
       return;
     case FB_REQUEST_RELAY_ORDER:
-      fb_relay_serve (entry, &peer_request->fb_peer_request_u.order, send_reply, served);
+    case FB_REQUEST_RELAY_ORDER_PROGRESS:
+      fb_relay_serve (entry, peer_request, send_reply, served);
       return;
     case FB_REQUEST_RECENT_STARTS:
     case FB_REQUEST_UNHEARD_STARTS:
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -14,7 +14,11 @@
  * When a relay crashes, hangs or is partitioned from the network, all workers that it serves seem
  * unresponsive together.  Therefore a relay that does not answer is not used for a while, its
  * workers are served by the next relay or by the owner itself, and an order that was certainly not
- * sent counts as not done and is repeated. */
+ * sent counts as not done and is repeated.
+ *
+ * Polls are relayed with a request that is answered with the progress of runs.  A relay of an
+ * earlier version cannot decode it and answers that it did nothing; the poll is then sent again at
+ * once with the request that it knows. */
 #include "relay.h"
 
 #include "src/entry/entry-private.h"
@@ -233,6 +237,10 @@
   gpointer user;
   GBytes *full_request; /* request including its payload, if the payload was omitted; else NULL */
   FbPayloadDigest digest;
+  /* Poll as a request that relays of all versions know, if the other one was sent; NULL: not so, or
+   * this one has been sent as well. */
+  GBytes *plain_poll;
+  gboolean sent_again; /* PLAIN_POLL was sent */
   uint64_t timeout_at_ms;
 } RelayedOrder;
 
@@ -260,6 +268,34 @@
   return TRUE;
 }
 
+/* Sends a poll again that the relay did not carry out, in the form that relays of all versions
+ * know. Returns: FALSE when there is no such form, or the order has timed out. */
+static gboolean
+send_plain_poll (RelayedOrder *relayed)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  g_autoptr (GBytes) plain_poll = g_steal_pointer (&relayed->plain_poll);
+  gsize len = 0;
+  gconstpointer data = plain_poll != NULL ? g_bytes_get_data (plain_poll, &len) : NULL;
+  fb_peer_request peer_request;
+  if (data == NULL || now_ms >= relayed->timeout_at_ms
+      || !fb_codec_decode_peer_request (data, len, &peer_request))
+    return FALSE;
+  relayed->sent_again = TRUE;
+  fb_peers_request (relayed->entry, relayed->daemon, &peer_request,
+                    (uint32_t) (relayed->timeout_at_ms - now_ms), on_peer_reply, relayed);
+  xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &peer_request);
+  return TRUE;
+}
+
+static gboolean
+has_order_result (const fb_peer_reply *peer_reply)
+{
+  return peer_reply != NULL
+         && (peer_reply->type == FB_REPLY_ORDER_RESULT
+             || peer_reply->type == FB_REPLY_ORDER_RESULT_PROGRESS);
+}
+
 static void
 on_peer_reply (gpointer data, const fb_peer_reply *peer_reply)
 {
@@ -267,7 +303,11 @@
   if (peer_reply != NULL && peer_reply->type == FB_REPLY_PAYLOAD_MISSING
       && send_with_payload (relayed))
     return;
-  gboolean answered = peer_reply != NULL && peer_reply->type == FB_REPLY_ORDER_RESULT;
+  if (peer_reply != NULL && peer_reply->type == FB_REPLY_UNAVAILABLE && send_plain_poll (relayed))
+    return;
+  gboolean answered = has_order_result (peer_reply);
+  if (answered && relayed->sent_again)
+    fb_relay_versions_add_plain (relayed->entry->relay_versions, relayed->daemon, fb_clock_ms ());
   if (!answered)
     {
       fb_event_log (FB_EVENT_CALL_FAILED, "relayed order daemon=%s lost=%d", relayed->daemon,
@@ -276,10 +316,11 @@
                                  fb_clock_ms () + BACKOFF_MS);
     }
   if (answered)
-    relayed->done (relayed->user, FB_RELAY_ANSWERED, &peer_reply->fb_peer_reply_u.order);
+    relayed->done (relayed->user, FB_RELAY_ANSWERED, peer_reply);
   else
     relayed->done (relayed->user, peer_reply != NULL ? FB_RELAY_NOT_RELAYED : FB_RELAY_LOST, NULL);
   g_clear_pointer (&relayed->full_request, g_bytes_unref);
+  g_clear_pointer (&relayed->plain_poll, g_bytes_unref);
   g_free (relayed->daemon);
   g_free (relayed);
 }
@@ -302,6 +343,18 @@
   order->payload = "";
 }
 
+/* Requests the progress of runs with a poll.  Starts and stops are answered without lists, so that
+ * the request that relays of all versions know suffices for them. */
+static void
+request_progress (RelayedOrder *relayed, fb_peer_request *peer_request, uint64_t now_ms)
+{
+  if (peer_request->fb_peer_request_u.order.kind != FB_ORDER_KIND_POLL
+      || fb_relay_versions_is_plain (relayed->entry->relay_versions, relayed->daemon, now_ms))
+    return;
+  relayed->plain_poll = fb_codec_encode_peer_request (peer_request);
+  peer_request->type = FB_REQUEST_RELAY_ORDER_PROGRESS;
+}
+
 void
 fb_relay_send (FbEntryDaemon *entry, const char *daemon, const fb_relay_request *order,
                FbRelayDone done, gpointer user)
@@ -317,6 +370,7 @@
   fb_peer_request peer_request = { .type = FB_REQUEST_RELAY_ORDER };
   peer_request.fb_peer_request_u.order = *order;
   omit_sent_payload (relayed, &peer_request, now_ms);
+  request_progress (relayed, &peer_request, now_ms);
   fb_peers_request (entry, daemon, &peer_request, timeout_ms, on_peer_reply, relayed);
 }
 
@@ -328,19 +382,22 @@
   FbPeerReplyDone done;
   gpointer user;
   fb_order_kind kind;
+  gboolean with_progress; /* the reply contains the progress of runs */
   char *worker;
 } ServedOrder;
 
-/* Fills in PEER_REPLY from ANSWER; ROWS and ENDS are its arrays, whose strings are borrowed from
- * ANSWER. */
+/* Fills in PEER_REPLY from ANSWER; ROWS, ENDS and PERCENTS are its arrays, whose strings are
+ * borrowed from ANSWER. */
 static void
-fill_poll_reply (const FbPollAnswer *answer, fb_relay_reply *peer_reply, fb_reported_run *rows,
-                 fb_reported_end *ends)
+fill_poll_reply (const FbPollAnswer *answer, fb_relay_progress_reply *progress,
+                 fb_reported_run *rows, fb_reported_end *ends, char *percents)
 {
+  fb_relay_reply *peer_reply = &progress->order;
   for (guint i = 0; i < answer->running->len; i++)
     {
       const FbReportedRun *run = &g_array_index (answer->running, FbReportedRun, i);
       rows[i] = (fb_reported_run){ run->task, run->attempt, run->checkpoint };
+      percents[i] = (char) run->percent;
     }
   for (guint i = 0; i < answer->finished->len; i++)
     {
@@ -352,6 +409,8 @@
   peer_reply->running.running_val = rows;
   peer_reply->finished.finished_len = answer->finished->len;
   peer_reply->finished.finished_val = ends;
+  progress->percents.percents_len = answer->running->len;
+  progress->percents.percents_val = percents;
 }
 
 static void
@@ -362,17 +421,25 @@
   fb_relay_parse_worker_answer (order->kind, order->worker, reply, &answer);
   if (order->kind == FB_ORDER_KIND_POLL)
     fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer, fb_clock_ms ());
-  fb_peer_reply peer_reply = { .type = FB_REPLY_ORDER_RESULT };
-  fb_relay_reply *order_reply = &peer_reply.fb_peer_reply_u.order;
-  order_reply->result = answer.result;
-  order_reply->clock_ms = answer.clock_ms;
-  order_reply->incarnation = answer.incarnation != NULL ? answer.incarnation : "";
+  fb_relay_progress_reply progress
+      = { .order = { .result = answer.result,
+                     .clock_ms = answer.clock_ms,
+                     .incarnation = answer.incarnation != NULL ? answer.incarnation : "" } };
   guint runs_n = answer.running != NULL ? answer.running->len : 0;
   guint ends_n = answer.finished != NULL ? answer.finished->len : 0;
   g_autofree fb_reported_run *rows = g_new0 (fb_reported_run, runs_n + 1);
   g_autofree fb_reported_end *ends = g_new0 (fb_reported_end, ends_n + 1);
+  g_autofree char *percents = g_new0 (char, runs_n + 1);
   if (answer.running != NULL && answer.finished != NULL)
-    fill_poll_reply (&answer, order_reply, rows, ends);
+    fill_poll_reply (&answer, &progress, rows, ends, percents);
+  fb_peer_reply peer_reply = { .type = FB_REPLY_ORDER_RESULT };
+  if (order->with_progress)
+    {
+      peer_reply.type = FB_REPLY_ORDER_RESULT_PROGRESS;
+      peer_reply.fb_peer_reply_u.progress = progress;
+    }
+  else
+    peer_reply.fb_peer_reply_u.order = progress.order;
   order->done (order->user, &peer_reply);
   fb_poll_answer_clear (&answer);
   g_free (order->worker);
@@ -399,10 +466,10 @@
 }
 
 void
-fb_relay_serve (FbEntryDaemon *entry, const fb_relay_request *peer_request, FbPeerReplyDone done,
+fb_relay_serve (FbEntryDaemon *entry, const fb_peer_request *peer_request, FbPeerReplyDone done,
                 gpointer user)
 {
-  fb_relay_request resolved = *peer_request;
+  fb_relay_request resolved = peer_request->fb_peer_request_u.order;
   if (!resolve_payload (entry, &resolved))
     {
       static const fb_peer_reply payload_missing = { .type = FB_REPLY_PAYLOAD_MISSING };
@@ -413,14 +480,31 @@
   order->entry = entry;
   order->done = done;
   order->user = user;
-  order->kind = peer_request->kind;
-  order->worker = g_strdup (peer_request->worker);
+  order->kind = resolved.kind;
+  order->with_progress = peer_request->type == FB_REQUEST_RELAY_ORDER_PROGRESS;
+  order->worker = g_strdup (resolved.worker);
   fb_relay_call_worker (entry, &resolved, on_reply, order);
 }
 
+/* Returns: the percentage of run I, FB_PERCENT_NOT_REPORTED unless the list of percentages has an
+ * entry for each run; PROGRESS: NULL when the relay reports none. */
+static uint8_t
+relayed_percent (const fb_relay_progress_reply *progress, u_int i)
+{
+  if (progress == NULL || progress->percents.percents_len != progress->order.running.running_len)
+    return FB_PERCENT_NOT_REPORTED;
+  uint8_t percent = (uint8_t) progress->percents.percents_val[i];
+  return percent <= 100 ? percent : FB_PERCENT_NOT_REPORTED;
+}
+
 void
-fb_relay_decode_answer (const fb_relay_reply *peer_reply, FbPollAnswer *answer)
+fb_relay_decode_answer (const fb_peer_reply *relay_reply, FbPollAnswer *answer)
 {
+  const fb_relay_progress_reply *progress = relay_reply->type == FB_REPLY_ORDER_RESULT_PROGRESS
+                                                ? &relay_reply->fb_peer_reply_u.progress
+                                                : NULL;
+  const fb_relay_reply *peer_reply
+      = progress != NULL ? &progress->order : &relay_reply->fb_peer_reply_u.order;
   *answer = (FbPollAnswer){ .result = (FbOrderResult) MIN (peer_reply->result, FB_ORDER_UNKNOWN),
                             .clock_ms = peer_reply->clock_ms,
                             .incarnation = *peer_reply->incarnation != '\0'
@@ -435,8 +519,10 @@
   for (u_int i = 0; i < peer_reply->running.running_len; i++)
     {
       const fb_reported_run *row = &peer_reply->running.running_val[i];
-      FbReportedRun run
-          = { .task = row->task, .attempt = row->attempt, .checkpoint = row->checkpoint };
+      FbReportedRun run = { .task = row->task,
+                            .attempt = row->attempt,
+                            .checkpoint = row->checkpoint,
+                            .percent = relayed_percent (progress, i) };
       g_array_append_val (answer->running, run);
     }
   for (u_int i = 0; i < peer_reply->finished.finished_len; i++)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -388,6 +388,7 @@
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->listed_ms = now_ms;
+  fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
   if (run->state == FB_RUN_STARTING)
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -95,6 +95,12 @@
   return worker->clock_ms + passed_ms * (1000 - CLOCK_SLOW_PERMILLE) / 1000;
 }
 
+uint64_t
+fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms)
+{
+  return fb_run_progress_remaining_ms (&run->progress, now_ms);
+}
+
 gboolean
 fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms)
 {
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -20,7 +20,8 @@
 {
   char *task;
   guint64 attempt;
-  gint64 ends_ms; /* by sp_now_ms() */
+  gint64 started_ms; /* by sp_now_ms() */
+  gint64 ends_ms;    /* by sp_now_ms() */
   gboolean stopping;
   gboolean crashes; /* it crashes its worker when it ends */
 } Run;
@@ -227,7 +228,8 @@
   run->task = g_strdup (task);
   run->attempt = (guint64) json_object_get_int_member (body, "attempt");
   run->crashes = g_str_has_prefix (spec, "crash ");
-  run->ends_ms = sp_now_ms () + atoi (run->crashes ? spec + strlen ("crash ") : spec);
+  run->started_ms = sp_now_ms ();
+  run->ends_ms = run->started_ms + atoi (run->crashes ? spec + strlen ("crash ") : spec);
   g_ptr_array_add (worker->runs, run);
   g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " starts", worker->id, task, run->attempt);
 }
@@ -289,6 +291,15 @@
   return 200;
 }
 
+/* Returns: how much of RUN is done, from 0 to 100. */
+static guint
+percent_done (const Run *run)
+{
+  gint64 passed_ms = sp_now_ms () - run->started_ms;
+  gint64 total_ms = MAX (run->ends_ms - run->started_ms, 1);
+  return (guint) CLAMP (passed_ms * 100 / total_ms, 0, 100);
+}
+
 /* Returns: (transfer full): the runs and the unacknowledged ends, as JSON. */
 static char *
 format_poll (const Worker *worker)
@@ -300,8 +311,8 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
-      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"\",100]", i > 0 ? "," : "",
-                              run->task, run->attempt);
+      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"\",%u]", i > 0 ? "," : "",
+                              run->task, run->attempt, percent_done (run));
     }
   g_string_append (out, "],\"finished\":[");
   for (guint i = 0; i < MIN (worker->ends->len, MAX_POLL_ENDS); i++)
--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -24,7 +24,7 @@
 on_start (gpointer user, const FbStartOrder *order)
 {
   BusyPool *busy = user;
-  FbReportedRun run = { g_strdup (order->task), order->attempt, "" };
+  FbReportedRun run = { g_strdup (order->task), order->attempt, "", FB_PERCENT_NOT_REPORTED };
   g_array_append_val (busy->workers[atoi (order->worker)].runs, run);
   g_array_append_val (busy->starts, order->order);
   busy->started_n++;
--- a/tests/test-daemons.c
+++ b/tests/test-daemons.c
@@ -166,7 +166,7 @@
   fb_peer_reply decoded;
   CU_ASSERT_TRUE_FATAL (fb_codec_decode_peer_reply (data, len, &decoded));
   FbPollAnswer answer;
-  fb_relay_decode_answer (&decoded.fb_peer_reply_u.order, &answer);
+  fb_relay_decode_answer (&decoded, &answer);
   CU_ASSERT_EQUAL (answer.result, FB_ORDER_DONE);
   CU_ASSERT_EQUAL (answer.clock_ms, 482113);
   CU_ASSERT_EQUAL_FATAL (answer.running->len, 1);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -447,17 +447,20 @@
   return FB_ORDER_UNKNOWN;
 }
 
-/* running=TASK/ATTEMPT[/CHECKPOINT],... */
+/* running=TASK/ATTEMPT[/CHECKPOINT][@PERCENT],... */
 static void
 parse_running (const char *text, GArray *running)
 {
   g_auto (GStrv) items = g_strsplit (text != NULL ? text : "", ",", -1);
   for (guint i = 0; items[i] != NULL; i++)
     {
-      g_auto (GStrv) parts = g_strsplit (items[i], "/", 3);
+      g_auto (GStrv) progress = g_strsplit (items[i], "@", 2);
+      g_auto (GStrv) parts = g_strsplit (progress[0], "/", 3);
       FbReportedRun run = { .task = pad_job_id (parts[0]),
                             .attempt = (uint32_t) atoi (parts[1]),
-                            .checkpoint = g_strdup (parts[2] != NULL ? parts[2] : "") };
+                            .checkpoint = g_strdup (parts[2] != NULL ? parts[2] : ""),
+                            .percent = progress[1] != NULL ? (uint8_t) atoi (progress[1])
+                                                           : FB_PERCENT_NOT_REPORTED };
       g_array_append_val (running, run);
     }
 }
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -148,7 +148,7 @@
   Served *served = g_new0 (Served, 1);
   served->relay = self;
   served->call = call;
-  fb_relay_serve (&self->entry, &request.fb_peer_request_u.order, on_served, served);
+  fb_relay_serve (&self->entry, &request, on_served, served);
   xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &request);
 }
 
@@ -156,15 +156,22 @@
 {
   guint done_n;
   guint answered_n;
+  uint8_t percent; /* of the first run in the last list */
 } Results;
 
 static void
-on_relayed (gpointer user, FbRelayResult result, const fb_relay_reply *reply)
+on_relayed (gpointer user, FbRelayResult result, const fb_peer_reply *reply)
 {
   Results *results = user;
-  (void) reply;
   results->done_n++;
   results->answered_n += result == FB_RELAY_ANSWERED;
+  if (result != FB_RELAY_ANSWERED)
+    return;
+  FbPollAnswer answer;
+  fb_relay_decode_answer (reply, &answer);
+  if (answer.running != NULL && answer.running->len > 0)
+    results->percent = g_array_index (answer.running, FbReportedRun, 0).percent;
+  fb_poll_answer_clear (&answer);
 }
 
 static gboolean
@@ -174,6 +181,18 @@
   return G_SOURCE_CONTINUE;
 }
 
+static void
+send_and_wait (FbEntryDaemon *entry, const char *address, const fb_relay_request *order,
+               Results *results)
+{
+  guint before_n = results->done_n;
+  fb_relay_send (entry, address, order, on_relayed, results);
+  guint timer = g_timeout_add (10, on_check_timeouts, entry->links);
+  while (results->done_n == before_n)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+}
+
 static void
 relay_order (FbEntryDaemon *entry, const char *address, const char *task, const char *payload,
              Results *results)
@@ -185,12 +204,7 @@
                                    .payload = (char *) payload,
                                    .checkpoint = "",
                                    .ticket = "" };
-  guint before_n = results->done_n;
-  fb_relay_send (entry, address, &order, on_relayed, results);
-  guint timer = g_timeout_add (10, on_check_timeouts, entry->links);
-  while (results->done_n == before_n)
-    g_main_context_iteration (NULL, TRUE);
-  g_source_remove (timer);
+  send_and_wait (entry, address, &order, results);
 }
 
 /* A relay that was killed and restarted has lost a payload that the owner assumes to be cached.  It
@@ -231,6 +245,145 @@
   fb_payload_dedup_free (entry.payload_dedup);
 }
 
+/* ---- relays of both versions ----------------------------------------------------------- */
+
+#define PERCENT 41
+
+/* A relay that answers polls at once with one run. */
+typedef struct
+{
+  gboolean knows_progress; /* FALSE: as a daemon of the version before progress was relayed */
+  guint progress_n;        /* requests received that ask for progress */
+  guint plain_n;           /* requests received that do not */
+} PollRelay;
+
+static void
+answer_call (FbLinkCall *call, const fb_peer_reply *reply)
+{
+  g_autoptr (GBytes) body = fb_codec_encode_peer_reply (reply);
+  fb_link_call_answer (call, body);
+}
+
+static void
+serve_poll (gpointer data, FbLinkCall *call, gconstpointer body, gsize len)
+{
+  PollRelay *self = data;
+  fb_peer_request request;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_peer_request (body, len, &request));
+  gboolean asks_progress = request.type == FB_REQUEST_RELAY_ORDER_PROGRESS;
+  self->progress_n += asks_progress;
+  self->plain_n += !asks_progress;
+  CU_ASSERT_STRING_EQUAL (request.fb_peer_request_u.order.worker, "i-1");
+  CU_ASSERT_EQUAL (request.fb_peer_request_u.order.acknowledged, 58);
+  xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &request);
+  /* A daemon answers what it cannot decode so. */
+  fb_peer_reply reply = { .type = FB_REPLY_UNAVAILABLE };
+  fb_reported_run run = { (char *) "j.0.0.1", 3, (char *) "" };
+  char percent = PERCENT;
+  const fb_relay_reply result = {
+    .result = FB_ORDER_DONE, .clock_ms = 5, .incarnation = (char *) "", .running = { 1, &run }
+  };
+  if (asks_progress && self->knows_progress)
+    {
+      reply.type = FB_REPLY_ORDER_RESULT_PROGRESS;
+      reply.fb_peer_reply_u.progress = (fb_relay_progress_reply){ result, { 1, &percent } };
+    }
+  else if (!asks_progress)
+    {
+      reply.type = FB_REPLY_ORDER_RESULT;
+      reply.fb_peer_reply_u.order = result;
+    }
+  answer_call (call, &reply);
+}
+
+static void
+relay_polls (PollRelay *relay, guint n, Results *results)
+{
+  g_autofree char *address = test_unused_address ();
+  g_autofree char *own_address = test_unused_address ();
+  FbLinks *served = fb_links_new (address, serve_poll, relay);
+  FbEntryDaemon entry = { .links = fb_links_new (own_address, serve_poll, NULL),
+                          .relay_versions = fb_relay_versions_new () };
+  const fb_relay_request poll = { .kind = FB_ORDER_KIND_POLL,
+                                  .worker = "i-1",
+                                  .address = "127.0.0.1:1",
+                                  .task = "",
+                                  .payload = "",
+                                  .checkpoint = "",
+                                  .ticket = "",
+                                  .acknowledged = 58,
+                                  .answer_ms = 600 };
+  for (guint i = 0; i < n; i++)
+    send_and_wait (&entry, address, &poll, results);
+  fb_links_free (entry.links);
+  fb_links_free (served);
+  fb_relay_versions_free (entry.relay_versions);
+}
+
+/* During a rolling upgrade half of the relays cannot decode a request for progress.  Guards against
+ * polls that are lost there (workers would seem silent, and leases would expire): the poll has to
+ * be sent again as an earlier version knows it, and the next polls so from the start. */
+static void
+test_polls_through_relays_of_both_versions (void)
+{
+  PollRelay current = { .knows_progress = TRUE };
+  Results results = { 0 };
+  relay_polls (&current, 3, &results);
+  CU_ASSERT_EQUAL (results.answered_n, 3);
+  CU_ASSERT_EQUAL (results.percent, PERCENT);
+  CU_ASSERT_EQUAL (current.progress_n, 3);
+  CU_ASSERT_EQUAL (current.plain_n, 0);
+
+  PollRelay previous = { .knows_progress = FALSE };
+  results = (Results){ 0 };
+  relay_polls (&previous, 3, &results);
+  CU_ASSERT_EQUAL (results.answered_n, 3);
+  CU_ASSERT_EQUAL (results.percent, FB_PERCENT_NOT_REPORTED);
+  CU_ASSERT_EQUAL (previous.progress_n, 1);
+  CU_ASSERT_EQUAL (previous.plain_n, 3);
+}
+
+/* A daemon that was upgraded has to be asked for progress again. */
+static void
+test_an_upgraded_relay_is_asked_again (void)
+{
+  FbRelayVersions *versions = fb_relay_versions_new ();
+  CU_ASSERT_FALSE (fb_relay_versions_is_plain (versions, "a:1", 1000));
+  fb_relay_versions_add_plain (versions, "a:1", 1000);
+  CU_ASSERT_TRUE (fb_relay_versions_is_plain (versions, "a:1", 10999));
+  CU_ASSERT_FALSE (fb_relay_versions_is_plain (versions, "b:1", 1000));
+  CU_ASSERT_FALSE (fb_relay_versions_is_plain (versions, "a:1", 11000));
+  fb_relay_versions_free (versions);
+}
+
+/* A list of percentages that does not fit the runs, or holds an impossible one, must not be taken
+ * for progress, and the rest of the reply counts. */
+static void
+test_malformed_relayed_progress (void)
+{
+  fb_reported_run runs[]
+      = { { (char *) "j.0.0.1", 3, (char *) "" }, { (char *) "j.0.0.2", 1, (char *) "" } };
+  char percents[] = { 101, 7, 7 };
+  fb_peer_reply reply = { .type = FB_REPLY_ORDER_RESULT_PROGRESS };
+  reply.fb_peer_reply_u.progress.order = (fb_relay_reply){
+    .result = FB_ORDER_DONE, .clock_ms = 5, .incarnation = (char *) "", .running = { 2, runs }
+  };
+  for (u_int len = 0; len <= G_N_ELEMENTS (percents); len++)
+    {
+      reply.fb_peer_reply_u.progress.percents.percents_val = percents;
+      reply.fb_peer_reply_u.progress.percents.percents_len = len;
+      FbPollAnswer answer;
+      fb_relay_decode_answer (&reply, &answer);
+      CU_ASSERT_EQUAL_FATAL (answer.running->len, 2);
+      const FbReportedRun *first = &g_array_index (answer.running, FbReportedRun, 0);
+      const FbReportedRun *second = &g_array_index (answer.running, FbReportedRun, 1);
+      CU_ASSERT_EQUAL (first->attempt, 3);
+      CU_ASSERT_EQUAL (first->percent, FB_PERCENT_NOT_REPORTED);
+      CU_ASSERT_EQUAL (second->percent, len == 2 ? 7 : FB_PERCENT_NOT_REPORTED);
+      fb_poll_answer_clear (&answer);
+    }
+}
+
 /* ---- reports of link utilization ------------------------------------------------------- */
 
 /* A saturated link of an owner has to be reported, with the kind of traffic that has the highest
@@ -280,6 +433,10 @@
   CU_add_test (suite, "the oldest payload is evicted", test_the_oldest_payload_is_evicted);
   CU_add_test (suite, "a restarted relay gets the payload again",
                test_restarted_relay_gets_the_payload_again);
+  CU_add_test (suite, "polls through relays of both versions",
+               test_polls_through_relays_of_both_versions);
+  CU_add_test (suite, "an upgraded relay is asked again", test_an_upgraded_relay_is_asked_again);
+  CU_add_test (suite, "malformed relayed progress", test_malformed_relayed_progress);
   CU_add_test (suite, "a busy link is reported", test_busy_link_is_reported);
   CU_add_test (suite, "a link of unknown capacity", test_a_link_of_unknown_capacity);
   CU_basic_run_tests ();
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -310,6 +310,46 @@
     }
 }
 
+/* Guards against an answer that is discarded as a whole because the progress of a run is missing or
+ * malformed, and against a malformed percentage that is taken for progress. */
+static void
+test_percentages (void)
+{
+  static const struct
+  {
+    const char *percent;
+    uint8_t parsed;
+  } cases[] = { { ",0", 0 },
+                { ",41", 41 },
+                { ",100", 100 },
+                { "", FB_PERCENT_NOT_REPORTED },
+                { ",101", FB_PERCENT_NOT_REPORTED },
+                { ",-1", FB_PERCENT_NOT_REPORTED },
+                { ",41.5", FB_PERCENT_NOT_REPORTED },
+                { ",1e300", FB_PERCENT_NOT_REPORTED },
+                { ",99999999999999999999", FB_PERCENT_NOT_REPORTED },
+                { ",\"41\"", FB_PERCENT_NOT_REPORTED },
+                { ",null", FB_PERCENT_NOT_REPORTED },
+                { ",[41]", FB_PERCENT_NOT_REPORTED },
+                { ",{}", FB_PERCENT_NOT_REPORTED },
+                { ",true", FB_PERCENT_NOT_REPORTED } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"clock-ms\":5,\"running\":[[\"t\",2,\"c\"%s],[\"u\",1,\"\",7]],\"finished\":[]}",
+          cases[i].percent);
+      g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+      FbHttpReply reply = reply_of (200, body);
+      FbPollAnswer answer;
+      fb_wire_parse_poll (&reply, "i-1", &answer);
+      CU_ASSERT_EQUAL (answer.result, FB_ORDER_DONE);
+      CU_ASSERT_EQUAL_FATAL (answer.running->len, 2);
+      CU_ASSERT_EQUAL (g_array_index (answer.running, FbReportedRun, 0).percent, cases[i].parsed);
+      CU_ASSERT_EQUAL (g_array_index (answer.running, FbReportedRun, 1).percent, 7);
+      fb_poll_answer_clear (&answer);
+    }
+}
+
 /* When a worker that restarted under the same id answers a call to its previous incarnation, the
  * answer must not be attributed to the previous one. */
 static void
@@ -510,6 +550,7 @@
   CU_add_test (suite, "records read back", test_records_read_back);
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers to polls", test_poll_answers);
+  CU_add_test (suite, "percentages", test_percentages);
   CU_add_test (suite, "answers of other incarnations", test_answers_of_other_incarnations);
   CU_add_test (suite, "names of incarnations", test_names_of_incarnations);
   CU_add_test (suite, "calls carry the worker's id", test_calls_carry_the_worker_id);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -76,6 +76,7 @@
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "placement rounds" $B/tests/test-rounds
+verdict "uneven workers and work" $B/tests/test-uneven
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
