Copies by the progress of the first run

Cause: a copy was started when a run had taken 2.2 times the mean time of the others, also when it was about to end, and never before, although its progress shows early that it will last long. One task in 33 of seven times the length raises the mean by a fifth.

Change: with progress, a copy is started when the run still takes more than 1.25 times as long as a fresh one on the best free worker (normal median of the step or estimate, times that worker's slowness, plus 150 ms), and its worker is twice as slow as the other, or the run takes more than 2.2 times what its step and its worker give reason to expect. Without progress the rule is as before, with the median in place of the mean. A run that is reported as complete twice counts as without progress. Each report is considered once. Two counters are added: copies that ended first, copies that were stopped.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -75,17 +75,18 @@
 struct _FbPoolStep
 {
   FbPoolJob *job;
-  uint32_t occurrence;      /* number of the occurrence */
-  uint32_t index;           /* index of the step in the job */
-  const fb_work_step *spec; /* borrowed from the job's record */
-  FbPoolTask *tasks;        /* SPEC->count entries */
-  uint32_t done_n;          /* tasks that are done */
-  uint32_t timed_runs_n;    /* successful runs that ended under this owner */
-  uint64_t timed_total_ms;  /* their total duration since they were started or first listed */
-  uint64_t median_ms;       /* see fb_pool_step_median_ms() */
-  uint32_t median_runs_n;   /* TIMED_RUNS_N when MEDIAN_MS was computed */
-  uint32_t pending_from;    /* no task before this index is pending */
-  uint32_t gang_attempt;    /* number of the latest attempt of the gang; 0: none yet */
+  uint32_t occurrence;       /* number of the occurrence */
+  uint32_t index;            /* index of the step in the job */
+  const fb_work_step *spec;  /* borrowed from the job's record */
+  FbPoolTask *tasks;         /* SPEC->count entries */
+  uint32_t done_n;           /* tasks that are done */
+  uint32_t timed_runs_n;     /* successful runs that ended under this owner */
+  uint64_t timed_total_ms;   /* their total duration since they were started or first listed */
+  uint64_t median_ms;        /* see fb_pool_step_median_ms() */
+  uint64_t normal_median_ms; /* the same on a worker of slowness 1 */
+  uint32_t median_runs_n;    /* TIMED_RUNS_N when the medians were computed */
+  uint32_t pending_from;     /* no task before this index is pending */
+  uint32_t gang_attempt;     /* number of the latest attempt of the gang; 0: none yet */
   /* Workers that crashed under its tasks since one of the tasks last ran without a crash. */
   guint crashed_n;
   uint64_t last_crashed_worker; /* id hash of the worker that crashed last; 0: none */
@@ -204,8 +205,9 @@
 /* Returns: the median time of the runs of STEP that began here without a checkpoint and ended; 0
  * while too few have. */
 uint64_t fb_pool_step_median_ms (FbPoolStep *step);
-/* Returns: how long a run of STEP takes: the median of the ended runs, or the estimate. */
-uint64_t fb_pool_step_predicted_ms (FbPoolStep *step);
+/* Returns: how long a run of STEP takes on a worker of slowness 1: the median of the ended runs,
+ * with which *MEASURED is TRUE, or the estimate. */
+uint64_t fb_pool_step_predicted_ms (FbPoolStep *step, gboolean *measured);
 /* Returns: the median run time of STEP on a worker of slowness 1, by the runs that have ended and
  * by the progress of others, without those in progress on the worker of EXCLUDED (nullable); 0
  * while there are too few. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -341,6 +341,13 @@
 
 /* Starts copies of slow tasks where their steps allow it. */
 void fb_pool_place_copies (FbPool *self, uint64_t now_ms);
+/* TRUE when a copy is worthwhile of a run that still takes REMAINING_MS on a worker of SLOWNESS,
+ * while a fresh run takes FRESH_MS on a worker of OTHER_SLOWNESS. IS_OUTLIER: the run takes
+ * unusually long, whatever its worker. */
+gboolean fb_pool_copy_is_worthwhile (uint64_t remaining_ms, uint64_t fresh_ms, double slowness,
+                                     double other_slowness, gboolean is_outlier);
+/* RUN, of a known step, has ended: counts it if it is a copy. */
+void fb_pool_copy_ended (const FbPoolRun *run, FbEndReason reason);
 /* RUN was started or reported: it becomes the run of TASK, or its copy if TASK already has a
  * run. */
 void fb_pool_task_attach_run (FbPoolTask *task, FbPoolRun *run);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -60,6 +60,9 @@
    * nothing to count. */
   FbPoolCrash deferred_crash;
   FbRunProgress progress;
+  gboolean is_copy; /* its task already had a run */
+  /* PROGRESS.seen_ms of the report by which a copy of it was last considered; 0: never. */
+  uint64_t copy_considered_ms;
   FbPoolSpeed *speed; /* of its worker; borrowed */
 };
 
--- a/src/work/pool-predict.c
+++ b/src/work/pool-predict.c
@@ -56,27 +56,41 @@
   return MIN (step->spec->count, MAX_VISITED);
 }
 
-uint64_t
-fb_pool_step_median_ms (FbPoolStep *step)
+/* Computes the medians of the ended runs anew if more runs have ended. */
+static void
+update_medians (FbPoolStep *step)
 {
   if (step->median_runs_n == step->timed_runs_n)
-    return step->median_ms;
-  Samples samples = { .n = 0 };
+    return;
+  Samples measured = { .n = 0 };
+  Samples normal = { .n = 0 };
   for (uint32_t i = 0; i < visited_n (step); i++)
     {
-      if (step->tasks[i].worker_speed != NULL)
-        add_sample (&samples, step->tasks[i].duration_ms);
+      const FbPoolTask *task = &step->tasks[i];
+      if (task->worker_speed == NULL)
+        continue;
+      add_sample (&measured, task->duration_ms);
+      add_sample (&normal, task->duration_ms / task->worker_speed->slowness);
     }
+  gboolean suffices = measured.n >= MIN_ENDED_RUNS;
   step->median_runs_n = step->timed_runs_n;
-  step->median_ms = samples.n >= MIN_ENDED_RUNS ? (uint64_t) median (&samples) : 0;
+  step->median_ms = suffices ? (uint64_t) median (&measured) : 0;
+  step->normal_median_ms = suffices ? (uint64_t) median (&normal) : 0;
+}
+
+uint64_t
+fb_pool_step_median_ms (FbPoolStep *step)
+{
+  update_medians (step);
   return step->median_ms;
 }
 
 uint64_t
-fb_pool_step_predicted_ms (FbPoolStep *step)
+fb_pool_step_predicted_ms (FbPoolStep *step, gboolean *measured)
 {
-  uint64_t median_ms = fb_pool_step_median_ms (step);
-  return median_ms > 0 ? median_ms : step->spec->estimate_ms;
+  update_medians (step);
+  *measured = step->normal_median_ms > 0;
+  return *measured ? step->normal_median_ms : step->spec->estimate_ms;
 }
 
 double
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -222,6 +222,8 @@
   step->job->started = TRUE;
   update_failure_streak (worker, step, end->reason, now_ms);
   fb_pool_crash_task_ended (self, worker, step, index, end->reason);
+  if (run != NULL && run->step == step && run->attempt == end->attempt)
+    fb_pool_copy_ended (run, end->reason);
   if (run != NULL && run->step == step && run->attempt == end->attempt
       && end->reason == FB_END_DONE)
     record_run_time (worker, run, now_ms);
--- a/src/work/run-progress.c
+++ b/src/work/run-progress.c
@@ -41,11 +41,13 @@
     return FALSE;
   /* A run that goes back began again from a checkpoint, or its worker reports false progress. */
   gboolean is_first = !self->is_known || percent < self->percent || clock_ms < self->clock_ms;
+  /* A run that is complete ends; one that is reported as complete again has false progress. */
+  gboolean is_false = !is_first && percent == 100 && self->percent == 100;
   self->is_known = TRUE;
   self->percent = percent;
   self->clock_ms = clock_ms;
   self->seen_ms = now_ms;
-  if (is_first)
+  if (is_first || is_false)
     {
       self->rate = 0;
       begin_interval (self);
