Placement counts the speed of workers for more where speeds differ

Cause: slowness counted by the square of a job's tightness, so that on a pool whose workers take 0.77 to 1.8 of the mean time short jobs were placed by free capacity, and work with slack took the fast workers first.

Change: once a second the 10th and the 90th percentile of the slowness of the measured workers are compared (at least ten workers with four runs each). Where the ratio is above 1.5, and until it is below 1.35, the cost counts the present slowness in proportion to how much the tightness of the step at that time exceeds 0.3: tight steps go to fast workers, steps with slack leave these to others. A worker that is 3 times slow gets nothing while others have room, in any pool. Elsewhere the cost is unchanged.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -214,6 +214,12 @@
 double fb_pool_step_baseline_ms (const FbPoolStep *step, const FbPoolSpeed *excluded,
                                  uint64_t now_ms);
 
+/* pool-tightness.c */
+
+/* Returns: the part of the time until the objective of its job that STEP and the steps after it
+ * take, 0 to 1. */
+double fb_pool_step_tightness (FbPoolStep *step, uint64_t now_ms);
+
 /* pool-pace.c */
 
 /* Returns: how many times longer runs take now on the worker with SPEED than on an average one. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -100,6 +100,8 @@
   gboolean round_due;           /* capacity, jobs or advice arrived since the last round */
   uint64_t expired_ms;          /* when expired results were last searched for */
   uint64_t last_maintenance_ms; /* when workers and due times were last checked */
+  gboolean speeds_differ;       /* placement counts the speeds of workers for more */
+  uint64_t spread_checked_ms;   /* when SPEEDS_DIFFER was last checked */
   /* Why nothing could start at NO_START_MS, a static text; NULL: this never happened. */
   const char *no_start_reason;
   uint64_t no_start_ms; /* the last time when nothing could start; 0: never */
@@ -273,6 +275,11 @@
                                    uint64_t now_ms);
 /* TRUE when a start that has its place on WORKER may be sent there. */
 gboolean fb_pool_worker_accepts_orders (const FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE when WORKER is so slow now that it gets work only when no other worker has room. */
+gboolean fb_pool_worker_very_slow (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: the weight of a worker's slowness for a step of TIGHTNESS, where speeds differ; negative
+ * when the step leaves fast workers to others. */
+double fb_pool_slowness_weight (double tightness);
 /* TRUE when WORKER accepts starts at all. */
 gboolean fb_pool_worker_accepts_starts (const FbPoolWorker *worker, uint64_t now_ms);
 /* FALSE when no change since STEP was tried in this round or the last one can have made its
@@ -283,9 +290,9 @@
                                                 uint64_t now_ms);
 /* Returns: (nullable): the best worker for task INDEX.  RACK: only workers of this rack; NULL: of
  * any.  EXCLUDED: a worker to leave out; NULL: none. */
-FbPoolWorker *fb_pool_best_worker (FbPool *self, const FbPoolStep *step, uint32_t index,
-                                   const char *rack, const FbPoolWorker *excluded,
-                                   FbPoolTicketRule rule, uint64_t now_ms);
+FbPoolWorker *fb_pool_best_worker (FbPool *self, FbPoolStep *step, uint32_t index, const char *rack,
+                                   const FbPoolWorker *excluded, FbPoolTicketRule rule,
+                                   uint64_t now_ms);
 /* Finds workers for up to MAX_N pending tasks, each in addition to those before it.  Returns: for
  * how many tasks a worker was found. */
 guint fb_pool_choose_workers (FbPool *self, FbPoolStep *step, guint max_n, const char *rack,
@@ -310,6 +317,25 @@
 void fb_pool_reserve_again (FbPool *self, FbPoolStep *step, GPtrArray *reserved_on, guint max_n,
                             uint64_t until_ms);
 
+/* pool-spread.c */
+
+#define FB_SPEED_SPREAD_BUCKETS 97
+
+/* Numbers of workers by slowness, all 0 at first. */
+typedef struct
+{
+  uint32_t counts[FB_SPEED_SPREAD_BUCKETS];
+  uint32_t n;
+} FbSpeedSpread;
+
+void fb_speed_spread_add (FbSpeedSpread *self, double slowness);
+/* Returns: the 90th percentile of the slowness as a multiple of the 10th; 1 with too few workers.
+ */
+double fb_speed_spread_ratio (const FbSpeedSpread *self);
+gboolean fb_speed_spread_is_uneven (double ratio, gboolean was_uneven);
+/* Checks from time to time whether the speeds of the workers differ, for FbPool.speeds_differ. */
+void fb_pool_spread_check (FbPool *self, uint64_t now_ms);
+
 /* pool-preempt.c */
 
 /* Stops preemptible runs, reserves their capacity for STEP until UNTIL_MS and stores the workers in
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -16,6 +16,17 @@
  * 0.8 to 1.25, so the speed of the worker can decide whether a job with little slack is completed
  * in time. */
 #define SLOWNESS_WEIGHT 6.0
+/* Where speeds differ, the weight grows in proportion to how much the tightness exceeds this value.
+ * Quick checks (0.55) then find 1.6 in the speeds of workers (0.55 to 1.3 of the mean), more than
+ * the free shares of capacity differ by, and gangs (0.4) 0.6. Batches and forecasts (0.2), whose
+ * chains may take four times as long, prefer slow workers by 0.6, so that the fast ones stay free;
+ * the last step of a chain that has waited is tight again. */
+#define SLACK_TIGHTNESS 0.3
+/* A worker that is this many times slow gets nothing while others have room: a quick check would
+ * take twice its objective there. */
+#define VERY_SLOW_FACTOR 3.0
+/* More than the other costs together; less than that of an answer which is overdue. */
+#define VERY_SLOW_COST 50
 
 /* TRUE when a task of SPEC must not share WORKER with the runs there: best-effort tasks and serving
  * steps, which have a latency target, are kept apart. */
@@ -147,13 +158,50 @@
   return left;
 }
 
+gboolean
+fb_pool_worker_very_slow (const FbPoolWorker *worker, uint64_t now_ms)
+{
+  return fb_pool_pace_slowness (worker->speed, now_ms) >= VERY_SLOW_FACTOR;
+}
+
+/* How the speed of a worker counts for a task. */
+typedef struct
+{
+  double weight;       /* of what its slowness exceeds 1 by */
+  gboolean at_present; /* its slowness at present counts, not that in general */
+  uint64_t now_ms;
+} SlownessRule;
+
+double
+fb_pool_slowness_weight (double tightness)
+{
+  return SLOWNESS_WEIGHT * (tightness - SLACK_TIGHTNESS);
+}
+
+static SlownessRule
+slowness_rule (const FbPool *self, FbPoolStep *step, uint64_t now_ms)
+{
+  double tightness = step->job->tightness;
+  if (!self->speeds_differ || step->spec->long_running)
+    return (SlownessRule){ SLOWNESS_WEIGHT * tightness * tightness, FALSE, now_ms };
+  return (SlownessRule){ fb_pool_slowness_weight (fb_pool_step_tightness (step, now_ms)), TRUE,
+                         now_ms };
+}
+
+static double
+slowness_cost (const FbPoolWorker *worker, const SlownessRule *rule)
+{
+  double now = fb_pool_pace_slowness (worker->speed, rule->now_ms);
+  double counted = rule->at_present ? now : worker->speed->slowness;
+  return rule->weight * (counted - 1) + (now >= VERY_SLOW_FACTOR ? VERY_SLOW_COST : 0);
+}
+
 /* Cost of WORKER that does not depend on its free capacity. */
 static double
-load_independent_cost (const FbPoolWorker *worker, const FbPoolStep *step)
+load_independent_cost (const FbPoolWorker *worker, const FbPoolStep *step, const SlownessRule *rule)
 {
   const fb_work_step *spec = step->spec;
-  double tightness = step->job->tightness;
-  double cost = SLOWNESS_WEIGHT * tightness * tightness * (worker->speed->slowness - 1);
+  double cost = slowness_cost (worker, rule);
   if (*spec->preferred_rack != '\0' && !fb_pool_worker_has_label (worker, spec->preferred_rack))
     cost += 10;
   if (worker->failure_streak > 0)
@@ -164,18 +212,19 @@
 /* Returns: the placement cost of WORKER; lower is better. Long-running tasks are spread, so that
  * the loss of one worker affects few of them. */
 static double
-cost_of (const FbPoolWorker *worker, const FbPoolStep *step)
+cost_of (const FbPoolWorker *worker, const FbPoolStep *step, const SlownessRule *rule)
 {
   double fit = fb_pool_worker_free_share (worker);
-  return (step->spec->long_running ? -fit : fit) + load_independent_cost (worker, step);
+  return (step->spec->long_running ? -fit : fit) + load_independent_cost (worker, step, rule);
 }
 
 FbPoolWorker *
-fb_pool_best_worker (FbPool *self, const FbPoolStep *step, uint32_t index, const char *rack,
+fb_pool_best_worker (FbPool *self, FbPoolStep *step, uint32_t index, const char *rack,
                      const FbPoolWorker *excluded, FbPoolTicketRule rule, uint64_t now_ms)
 {
   const FbPoolTask *task = &step->tasks[index];
   gboolean suspect = fb_pool_task_is_suspect (task);
+  const SlownessRule speed_rule = slowness_rule (self, step, now_ms);
   FbPoolWorker *best = NULL;
   double best_cost = 0;
   guint slot = 0;
@@ -191,8 +240,8 @@
         continue;
       if (worker->exclusive_for == task)
         return worker;
-      double cost
-          = cost_of (worker, step) + (suspect ? fb_pool_crash_cost (worker, task, now_ms) : 0);
+      double cost = cost_of (worker, step, &speed_rule)
+                    + (suspect ? fb_pool_crash_cost (worker, task, now_ms) : 0);
       if (best == NULL || cost < best_cost
           || (cost == best_cost && worker->id_hash < best->id_hash))
         {
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -448,6 +448,7 @@
       self->last_maintenance_ms = now_ms;
       maintain_workers (self, now_ms);
       fb_pool_unresolved_losses_check (self, now_ms);
+      fb_pool_spread_check (self, now_ms);
       fb_pool_check_recovery (self, now_ms);
     }
   fb_pool_crash_end_jobs (self, now_ms, wall_ms);
--- a/tests/test-uneven.c
+++ b/tests/test-uneven.c
@@ -391,12 +391,19 @@
   uneven_pool_clear (&pool);
 }
 
+/* Returns: a hash that differs much between neighbouring tasks. */
+static guint
+mixed_hash (const char *task)
+{
+  return (g_str_hash (task) * 2654435761U) >> 12;
+}
+
 /* Run times between 0.7 and 1.3 of the mean on workers of one speed give no reason for copies. */
 static double
 length_of_even_tasks (const char *task, uint32_t attempt)
 {
   (void) attempt;
-  return 700 + g_str_hash (task) % 600;
+  return 700 + mixed_hash (task) % 600;
 }
 
 static void
@@ -417,6 +424,189 @@
   uneven_pool_clear (&pool);
 }
 
+/* ---- placement ------------------------------------------------------------------------------ */
+
+/* Guards against a classification by a few workers, or that changes at each check. */
+static void
+test_when_speeds_differ (void)
+{
+  FbSpeedSpread few = { .n = 0 };
+  for (guint i = 0; i < 9; i++)
+    fb_speed_spread_add (&few, i < 5 ? 0.5 : 2);
+  CU_ASSERT_TRUE (fb_speed_spread_ratio (&few) == 1);
+  FbSpeedSpread one_slow = { .n = 0 };
+  FbSpeedSpread uneven = { .n = 0 };
+  for (guint i = 0; i < 100; i++)
+    {
+      fb_speed_spread_add (&one_slow, i < 9 ? 7 : 1);
+      fb_speed_spread_add (&uneven, 1 / (0.55 + 0.0075 * i));
+    }
+  CU_ASSERT_TRUE (fb_speed_spread_ratio (&one_slow) == 1);
+  CU_ASSERT_TRUE (fabs (fb_speed_spread_ratio (&uneven) - 1.95) < 0.1);
+  CU_ASSERT_TRUE (fb_speed_spread_is_uneven (1.51, FALSE));
+  CU_ASSERT_FALSE (fb_speed_spread_is_uneven (1.5, FALSE));
+  CU_ASSERT_TRUE (fb_speed_spread_is_uneven (1.4, TRUE));
+  CU_ASSERT_FALSE (fb_speed_spread_is_uneven (1.35, TRUE));
+}
+
+static double
+length_of_mixed_tasks (const char *task, uint32_t attempt)
+{
+  double even = length_of_even_tasks (task, attempt);
+  return mixed_hash (task) / 600 % 33 == 0 && attempt == 1 ? 7 * even : even;
+}
+
+/* Lets jobs of 20 tasks pass, with few urgent ones. */
+static void
+run_mixed_jobs (UnevenPool *self, guint jobs_n)
+{
+  const fb_work_step step = { .count = 20, .speculative = TRUE };
+  for (guint i = 0; i < jobs_n; i++)
+    {
+      g_free (uneven_pool_admit (self, &step, 60000));
+      uneven_pool_run (self, 800);
+    }
+}
+
+/* Guards against a pool of even workers that looks uneven because of outliers among its tasks. */
+static void
+test_outliers_do_not_make_a_pool_uneven (void)
+{
+  UnevenPool pool = { .length_ms = length_of_mixed_tasks };
+  uneven_pool_begin (&pool, 30);
+  for (guint i = 0; i < 60; i++)
+    {
+      run_mixed_jobs (&pool, 3);
+      CU_ASSERT_FALSE (pool.pool->speeds_differ);
+    }
+  uneven_pool_clear (&pool);
+}
+
+/* Where workers are even, progress must change no placement. */
+static void
+test_placement_in_an_even_pool (void)
+{
+  guint started[2][SPEED_WORKERS];
+  for (guint k = 0; k < 2; k++)
+    {
+      UnevenPool pool = { .length_ms = length_of_even_tasks };
+      uneven_pool_begin (&pool, SPEED_WORKERS);
+      for (guint i = 0; i < SPEED_WORKERS; i++)
+        pool.workers[i].fixed_percent = k == 0 ? -1 : -2;
+      run_mixed_jobs (&pool, 50);
+      for (guint i = 0; i < SPEED_WORKERS; i++)
+        started[k][i] = pool.workers[i].started_n;
+      uneven_pool_clear (&pool);
+    }
+  for (guint i = 0; i < SPEED_WORKERS; i++)
+    CU_ASSERT_EQUAL (started[0][i], started[1][i]);
+}
+
+#define UNEVEN_WORKERS 30
+
+static gboolean
+is_fast (guint i)
+{
+  return i >= 2 * UNEVEN_WORKERS / 3;
+}
+
+static gboolean
+is_slow (guint i)
+{
+  return i < UNEVEN_WORKERS / 3;
+}
+
+/* A pool with a third of slow workers (0.55) and a third of fast ones (1.3) that it has measured.
+ */
+static void
+begin_uneven (UnevenPool *self)
+{
+  uneven_pool_begin (self, UNEVEN_WORKERS);
+  for (guint i = 0; i < UNEVEN_WORKERS; i++)
+    self->workers[i].speed = is_slow (i) ? 0.55 : is_fast (i) ? 1.3 : 0.925;
+  const fb_work_step step = { .count = 4 * UNEVEN_WORKERS };
+  for (guint i = 0; i < 10; i++)
+    {
+      g_free (uneven_pool_admit (self, &step, 60000));
+      uneven_pool_run (self, 2500);
+    }
+  CU_ASSERT_TRUE (self->pool->speeds_differ);
+}
+
+/* Adds a job of ten tasks to a pool whose workers run nothing.  Returns: how many are placed on
+ * workers for which IS_KIND is TRUE. */
+static guint
+placed_on (UnevenPool *self, uint32_t target_ms, gboolean (*is_kind) (guint))
+{
+  const fb_work_step step = { .count = 10, .estimate_ms = 1000 };
+  g_autofree char *job = uneven_pool_admit (self, &step, target_ms);
+  guint n = 0;
+  uneven_pool_run (self, 100);
+  for (guint i = 0; i < UNEVEN_WORKERS; i++)
+    n += is_kind (i) ? uneven_pool_runs_on (self, job, i) : 0;
+  uneven_pool_run_until_done (self, job, 10000);
+  uneven_pool_run (self, 500);
+  return n;
+}
+
+static void
+test_placement_in_an_uneven_pool (void)
+{
+  UnevenPool pool = { 0 };
+  begin_uneven (&pool);
+  guint urgent_on_fast_n = placed_on (&pool, 250, is_fast);
+  guint patient_on_slow_n = placed_on (&pool, 20000, is_slow);
+  printf ("\nof 10 tasks, urgent ones on fast workers: %u, those with slack on slow ones: %u\n",
+          urgent_on_fast_n, patient_on_slow_n);
+  CU_ASSERT_EQUAL (urgent_on_fast_n, 10);
+  CU_ASSERT_EQUAL (patient_on_slow_n, 10);
+  uneven_pool_clear (&pool);
+}
+
+/* The last step of a chain that has waited is as urgent as a short job. */
+static void
+test_tightness_grows (void)
+{
+  UnevenPool pool = { .length_ms = length_6000 };
+  uneven_pool_begin (&pool, SPEED_WORKERS);
+  const fb_work_step step = { .count = 1, .estimate_ms = 1000 };
+  g_autofree char *job = uneven_pool_admit (&pool, &step, 8000); /* objective: 10 s */
+  FbPoolStep *added = fb_pool_job_step (g_hash_table_lookup (pool.pool->jobs, job), 0, 0);
+  CU_ASSERT_TRUE (fabs (fb_pool_step_tightness (added, pool.now_ms) - 0.1) < 0.01);
+  CU_ASSERT_TRUE (fabs (fb_pool_step_tightness (added, pool.now_ms + 8000) - 0.5) < 0.01);
+  CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 9500) == 1);
+  CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 11000) == 1);
+  CU_ASSERT_TRUE (fb_pool_slowness_weight (0.1) < 0);
+  CU_ASSERT_TRUE (fb_pool_slowness_weight (1) > 4);
+  uneven_pool_clear (&pool);
+}
+
+/* Guards against work on a worker that is 6 times slow while others have room: before, it was the
+ * best fit, as its runs do not end. */
+static void
+test_very_slow_worker_gets_nothing (void)
+{
+  UnevenPool pool = { .length_ms = length_3000 };
+  uneven_pool_begin (&pool, SPEED_WORKERS);
+  const fb_work_step spread = { .count = SPEED_WORKERS, .max_per_worker = 1 };
+  g_free (uneven_pool_admit (&pool, &spread, 60000));
+  g_free (uneven_pool_admit (&pool, &spread, 60000));
+  uneven_pool_run (&pool, 200);
+  pool.workers[SLOW].speed = 1.0 / 6;
+  uneven_pool_run (&pool, 1300);
+  guint before_n = pool.workers[SLOW].started_n;
+  const fb_work_step filling = { .count = 2 * (SPEED_WORKERS - 1) };
+  g_free (uneven_pool_admit (&pool, &filling, 60000));
+  uneven_pool_run (&pool, 200);
+  CU_ASSERT_EQUAL (pool.workers[SLOW].started_n, before_n);
+  /* Nothing else has room. */
+  const fb_work_step rest = { .count = 1 };
+  g_free (uneven_pool_admit (&pool, &rest, 60000));
+  uneven_pool_run (&pool, 100);
+  CU_ASSERT_EQUAL (pool.workers[SLOW].started_n, before_n + 1);
+  uneven_pool_clear (&pool);
+}
+
 int
 main (void)
 {
@@ -439,6 +629,13 @@
   CU_add_test (suite, "copy from a slow worker", test_copy_from_a_slow_worker);
   CU_add_test (suite, "no copies without free capacity", test_no_copies_without_free_capacity);
   CU_add_test (suite, "no copies in an even pool", test_no_copies_in_an_even_pool);
+  CU_add_test (suite, "when speeds differ", test_when_speeds_differ);
+  CU_add_test (suite, "outliers do not make a pool uneven",
+               test_outliers_do_not_make_a_pool_uneven);
+  CU_add_test (suite, "placement in an even pool", test_placement_in_an_even_pool);
+  CU_add_test (suite, "placement in an uneven pool", test_placement_in_an_uneven_pool);
+  CU_add_test (suite, "tightness grows", test_tightness_grows);
+  CU_add_test (suite, "a very slow worker gets nothing", test_very_slow_worker_gets_nothing);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
