Tasks with checkpoints leave workers that are very slow

Cause: a task whose step allows no copies stayed on a worker that had turned five to seven times slow until it counted as stuck, although it saves a checkpoint when it is stopped.

Change: on a worker that is 3 times slow or more, a task that saves checkpoints is stopped once if what it still takes on the best other worker with room, plus the longest stop and 600 ms, is less than half of what it takes where it is. The room is reserved until its run has ended, so that several tasks are not stopped for the same room.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -43,6 +43,7 @@
   uint64_t stable_wait_until_ms;
   gboolean done;           /* a run of it ended successfully */
   gboolean was_preempted;  /* it was preempted once */
+  gboolean was_moved;      /* it was stopped to be started on a faster worker */
   uint32_t stuck_restarts; /* how often it was stopped as stuck */
   char *checkpoint;        /* NULL: none */
   FbPoolRun *run;          /* borrowed from its worker; NULL: not on a worker */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -100,8 +100,9 @@
   gboolean round_due;           /* capacity, jobs or advice arrived since the last round */
   uint64_t expired_ms;          /* when expired results were last searched for */
   uint64_t last_maintenance_ms; /* when workers and due times were last checked */
-  gboolean speeds_differ;       /* placement counts the speeds of workers for more */
-  uint64_t spread_checked_ms;   /* when SPEEDS_DIFFER was last checked */
+  GPtrArray *moves;       /* tasks that are being moved to faster workers: see pool-relocate.c */
+  gboolean speeds_differ; /* placement counts the speeds of workers for more */
+  uint64_t spread_checked_ms; /* when SPEEDS_DIFFER was last checked */
   /* Why nothing could start at NO_START_MS, a static text; NULL: this never happened. */
   const char *no_start_reason;
   uint64_t no_start_ms; /* the last time when nothing could start; 0: never */
@@ -343,6 +344,19 @@
 guint fb_pool_preempt (FbPool *self, FbPoolStep *step, guint max_n, FbPoolWorker **chosen,
                        uint64_t until_ms, uint64_t now_ms);
 
+/* pool-relocate.c */
+
+/* Returns: (transfer full): an empty list for FbPool.moves. */
+GPtrArray *fb_pool_moves_new (void);
+/* Releases what is reserved for tasks whose runs have ended. */
+void fb_pool_moves_check (FbPool *self, uint64_t now_ms);
+/* TRUE when a run that still takes REMAINING_MS on a worker of SLOWNESS ends much earlier on one of
+ * OTHER_SLOWNESS, although the stop and the restart take MOVE_MS. */
+gboolean fb_pool_relocate_is_worthwhile (uint64_t remaining_ms, double slowness,
+                                         double other_slowness, uint64_t move_ms);
+/* Stops runs on very slow workers that end much earlier elsewhere. */
+void fb_pool_relocate_runs (FbPool *self, uint64_t now_ms);
+
 /* pool-advice.c */
 
 /* Requests advice for STEP if any is needed; for a step without advice, only preempts runs for it.
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -61,8 +61,9 @@
   FbPoolCrash deferred_crash;
   FbRunProgress progress;
   gboolean is_copy; /* its task already had a run */
-  /* PROGRESS.seen_ms of the report by which a copy of it was last considered; 0: never. */
-  uint64_t copy_considered_ms;
+  /* PROGRESS.seen_ms of the report by which a copy or a restart elsewhere was last considered; 0:
+   * never. */
+  uint64_t considered_ms;
   FbPoolSpeed *speed; /* of its worker; borrowed */
 };
 
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -96,10 +96,9 @@
 static gboolean
 has_new_progress (FbPoolRun *run, uint64_t now_ms)
 {
-  if (fb_pool_run_remaining_ms (run, now_ms) == 0
-      || run->copy_considered_ms == run->progress.seen_ms)
+  if (fb_pool_run_remaining_ms (run, now_ms) == 0 || run->considered_ms == run->progress.seen_ms)
     return FALSE;
-  run->copy_considered_ms = run->progress.seen_ms;
+  run->considered_ms = run->progress.seen_ms;
   return TRUE;
 }
 
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -54,6 +54,7 @@
   self->suspect_steps = g_hash_table_new (step_hash, NULL);
   self->unstored_suspects = g_hash_table_new (job_hash, NULL);
   self->awaiting_starts = fb_pool_awaiting_starts_new ();
+  self->moves = fb_pool_moves_new ();
   self->crash_causes = fb_pool_crash_causes_new ();
   self->unresolved_losses = fb_pool_unresolved_losses_new ();
   self->drain_steps = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -86,6 +87,7 @@
   g_hash_table_unref (self->suspect_steps);
   g_hash_table_unref (self->unstored_suspects);
   g_ptr_array_unref (self->awaiting_starts);
+  g_ptr_array_unref (self->moves);
   g_hash_table_unref (self->crash_causes);
   g_hash_table_unref (self->unresolved_losses);
   g_ptr_array_unref (self->in_flush);
@@ -464,9 +466,13 @@
   if (!maintenance_due && !self->round_due)
     return;
   self->round_due = FALSE;
+  fb_pool_moves_check (self, now_ms);
   fb_pool_place (self, now_ms);
   if (maintenance_due && self->round_position == 0)
-    fb_pool_place_copies (self, now_ms);
+    {
+      fb_pool_place_copies (self, now_ms);
+      fb_pool_relocate_runs (self, now_ms);
+    }
 }
 
 /* ---- queries ----------------------------------------------------------------------------- */
--- a/tests/test-uneven.c
+++ b/tests/test-uneven.c
@@ -607,6 +607,107 @@
   uneven_pool_clear (&pool);
 }
 
+/* ---- restarts elsewhere -----------------------------------------------------------------------
+ */
+
+static void
+test_when_a_restart_is_worthwhile (void)
+{
+  CU_ASSERT_TRUE (fb_pool_relocate_is_worthwhile (6000, 6, 1, 800));
+  CU_ASSERT_FALSE (fb_pool_relocate_is_worthwhile (2400, 6, 1, 800)); /* 1,200 ms there */
+  CU_ASSERT_FALSE (fb_pool_relocate_is_worthwhile (6000, 6, 3, 800));
+  CU_ASSERT_FALSE (fb_pool_relocate_is_worthwhile (0, 6, 1, 800));
+}
+
+#define MOVED_JOB_TASKS 12 /* they fill three workers */
+#define WORKER_SLOTS 4
+
+static guint
+busy_worker (const UnevenPool *self)
+{
+  guint i = 0;
+  while (i + 1 < self->workers_n && self->workers[i].runs->len < WORKER_SLOTS)
+    i++;
+  return i;
+}
+
+/* Starts a job of tasks of 6 s and lets a worker that is full of them turn 6 times slow after 0.3
+ * s. Returns: (transfer full): its id. */
+static char *
+start_job_with_a_slow_worker (UnevenPool *self, gboolean checkpointing)
+{
+  self->length_ms = length_6000;
+  uneven_pool_begin (self, SPEED_WORKERS);
+  const fb_work_step step
+      = { .count = MOVED_JOB_TASKS, .estimate_ms = 6000, .checkpointing = checkpointing };
+  char *job = uneven_pool_admit (self, &step, 60000);
+  uneven_pool_run (self, 300);
+  self->workers[busy_worker (self)].speed = 1.0 / 6;
+  return job;
+}
+
+/* Guards against a job that waits for a slow worker although its tasks could continue elsewhere,
+ * and against tasks that are moved more than once. */
+static void
+test_restart_from_a_slow_worker (void)
+{
+  uint64_t took_ms[2];
+  for (guint k = 0; k < 2; k++)
+    {
+      UnevenPool pool = { 0 };
+      g_autofree char *job = start_job_with_a_slow_worker (&pool, k == 1);
+      took_ms[k] = 300 + uneven_pool_run_until_done (&pool, job, 60000);
+      if (k == 1)
+        {
+          CU_ASSERT_EQUAL (pool.stopped_n, WORKER_SLOTS);
+          CU_ASSERT_EQUAL (pool.started_n, MOVED_JOB_TASKS + WORKER_SLOTS);
+          CU_ASSERT_EQUAL (pool.pool->moves->len, 0);
+        }
+      uneven_pool_clear (&pool);
+    }
+  printf ("\na step on a worker that turns slow: %u ms without checkpoints, %u with them\n",
+          (guint) took_ms[0], (guint) took_ms[1]);
+  CU_ASSERT_TRUE (took_ms[1] < 8500);
+}
+
+/* Guards against several tasks that are stopped for the same room. */
+static void
+test_restart_needs_room (void)
+{
+  UnevenPool pool = { 0 };
+  g_free (start_job_with_a_slow_worker (&pool, TRUE));
+  const fb_work_step filling
+      = { .count = SPEED_WORKERS * WORKER_SLOTS - MOVED_JOB_TASKS - 1, .estimate_ms = 6000 };
+  g_free (uneven_pool_admit (&pool, &filling, 60000));
+  for (guint i = 0; i < 400; i++)
+    {
+      uneven_pool_run (&pool, UNEVEN_STEP_MS);
+      CU_ASSERT_TRUE (pool.pool->moves->len <= 1);
+    }
+  CU_ASSERT_EQUAL (pool.stopped_n, 1);
+  uneven_pool_clear (&pool);
+}
+
+/* A reservation must end with the worker that it is on, and with the pool. */
+static void
+test_restart_onto_a_worker_that_leaves (void)
+{
+  UnevenPool pool = { 0 };
+  g_free (start_job_with_a_slow_worker (&pool, TRUE));
+  for (guint i = 0; i < 300 && pool.pool->moves->len == 0; i++)
+    uneven_pool_run (&pool, UNEVEN_STEP_MS);
+  CU_ASSERT_TRUE_FATAL (pool.pool->moves->len > 0);
+  for (guint i = 0; i < SPEED_WORKERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w%02u", i);
+      if (pool.workers[i].runs->len == 0)
+        fb_pool_worker_unlisted (pool.pool, id, pool.now_ms);
+    }
+  uneven_pool_run (&pool, 1000);
+  CU_ASSERT_EQUAL (pool.pool->moves->len, 0);
+  uneven_pool_clear (&pool);
+}
+
 int
 main (void)
 {
@@ -636,6 +737,10 @@
   CU_add_test (suite, "placement in an uneven pool", test_placement_in_an_uneven_pool);
   CU_add_test (suite, "tightness grows", test_tightness_grows);
   CU_add_test (suite, "a very slow worker gets nothing", test_very_slow_worker_gets_nothing);
+  CU_add_test (suite, "when a restart is worthwhile", test_when_a_restart_is_worthwhile);
+  CU_add_test (suite, "restart from a slow worker", test_restart_from_a_slow_worker);
+  CU_add_test (suite, "restart needs room", test_restart_needs_room);
+  CU_add_test (suite, "restart onto a worker that leaves", test_restart_onto_a_worker_that_leaves);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
