--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -16,6 +16,15 @@
   double slowness;   /* run times relative to other workers' for the same steps; 1: average */
   double step_ratio; /* sum of the relative run times in the step that is being evaluated */
   guint step_runs;   /* number of terms in STEP_RATIO */
+  guint learnt_n;    /* runs from which SLOWNESS was learnt */
+  double pace;       /* SLOWNESS at present, by the progress of runs; 0: never measured */
+  uint64_t pace_ms;  /* when PACE was measured */
+  uint64_t slow_ms; /* when the worker was last found to be much slower than in general; 0: never */
+  uint64_t measured_ms; /* when it was last tried to measure PACE */
+  double ended_ratio;   /* duration of the run that ended last, as a multiple of the usual one */
+  uint64_t ended_ms;    /* when that run ended; 0: none has */
+  gboolean slow_logged; /* the last line of the log says that it is slow */
+  uint64_t logged_ms;   /* when that line was written */
   guint refs;
 } FbPoolSpeed;
 
@@ -34,6 +43,7 @@
   uint64_t stable_wait_until_ms;
   gboolean done;           /* a run of it ended successfully */
   gboolean was_preempted;  /* it was preempted once */
+  gboolean was_moved;      /* it was stopped to be started on a faster worker */
   uint32_t stuck_restarts; /* how often it was stopped as stuck */
   char *checkpoint;        /* NULL: none */
   FbPoolRun *run;          /* borrowed from its worker; NULL: not on a worker */
@@ -66,17 +76,18 @@
 struct _FbPoolStep
 {
   FbPoolJob *job;
-  uint32_t occurrence;      /* number of the occurrence */
-  uint32_t index;           /* index of the step in the job */
-  const fb_work_step *spec; /* borrowed from the job's record */
-  FbPoolTask *tasks;        /* SPEC->count entries */
-  uint32_t done_n;          /* tasks that are done */
-  uint32_t timed_runs_n;    /* successful runs that ended under this owner */
-  uint64_t timed_total_ms;  /* their total duration since they were started or first listed */
-  uint32_t median_ms;       /* of these runs on an average worker; 0: too few have ended */
-  uint32_t median_runs_n;   /* value of TIMED_RUNS_N when MEDIAN_MS was computed */
-  uint32_t pending_from;    /* no task before this index is pending */
-  uint32_t gang_attempt;    /* number of the latest attempt of the gang; 0: none yet */
+  uint32_t occurrence;       /* number of the occurrence */
+  uint32_t index;            /* index of the step in the job */
+  const fb_work_step *spec;  /* borrowed from the job's record */
+  FbPoolTask *tasks;         /* SPEC->count entries */
+  uint32_t done_n;           /* tasks that are done */
+  uint32_t timed_runs_n;     /* successful runs that ended under this owner */
+  uint64_t timed_total_ms;   /* their total duration since they were started or first listed */
+  uint64_t median_ms;        /* see fb_pool_step_median_ms() */
+  uint64_t normal_median_ms; /* the same on a worker of slowness 1 */
+  uint32_t median_runs_n;    /* TIMED_RUNS_N when the medians were computed */
+  uint32_t pending_from;     /* no task before this index is pending */
+  uint32_t gang_attempt;     /* number of the latest attempt of the gang; 0: none yet */
   /* Workers that crashed under its tasks since one of the tasks last ran without a crash. */
   guint crashed_n;
   uint64_t last_crashed_worker; /* id hash of the worker that crashed last; 0: none */
@@ -203,3 +214,30 @@
 void fb_pool_speed_record_run (FbPoolTask *task, FbPoolSpeed *speed, uint32_t duration_ms);
 /* STEP has ended: updates the speeds of the workers of its runs. */
 void fb_pool_speed_update (FbPoolStep *step);
+
+/* pool-predict.c */
+
+/* Returns: the median time of the runs of STEP that began here without a checkpoint and ended; 0
+ * while too few have. */
+uint64_t fb_pool_step_median_ms (FbPoolStep *step);
+/* Returns: how long a run of STEP takes on a worker of slowness 1: the median of the ended runs,
+ * with which *MEASURED is TRUE, or the estimate. */
+uint64_t fb_pool_step_predicted_ms (FbPoolStep *step, gboolean *measured);
+/* Returns: the median run time of STEP on a worker of slowness 1, by the runs that have ended and
+ * by the progress of others, without those in progress on the worker of EXCLUDED (nullable); 0
+ * while there are too few. */
+double fb_pool_step_baseline_ms (const FbPoolStep *step, const FbPoolSpeed *excluded,
+                                 uint64_t now_ms);
+
+/* pool-tightness.c */
+
+/* Returns: the part of the time until the objective of its job that STEP and the steps after it
+ * take, 0 to 1. */
+double fb_pool_step_tightness (FbPoolStep *step, uint64_t now_ms);
+
+/* pool-pace.c */
+
+/* Returns: how many times longer runs take now on the worker with SPEED than on an average one. */
+double fb_pool_pace_slowness (const FbPoolSpeed *speed, uint64_t now_ms);
+/* TRUE when the worker was found to be much slower than in general at SINCE_MS or later. */
+gboolean fb_pool_pace_was_slow (const FbPoolSpeed *speed, uint64_t since_ms);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -119,6 +119,9 @@
   gboolean round_due;           /* capacity, jobs or advice arrived since the last round */
   uint64_t expired_ms;          /* when expired results were last searched for */
   uint64_t last_maintenance_ms; /* when workers and due times were last checked */
+  GPtrArray *moves;       /* tasks that are being moved to faster workers: see pool-relocate.c */
+  gboolean speeds_differ; /* placement counts the speeds of workers for more */
+  uint64_t spread_checked_ms; /* when SPEEDS_DIFFER was last checked */
   /* Why nothing could start at NO_START_MS, a static text; NULL: this never happened. */
   const char *no_start_reason;
   uint64_t no_start_ms; /* the last time when nothing could start; 0: never */
@@ -295,6 +298,11 @@
                                    uint64_t now_ms);
 /* TRUE when a start that has its place on WORKER may be sent there. */
 gboolean fb_pool_worker_accepts_orders (const FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE when WORKER is so slow now that it gets work only when no other worker has room. */
+gboolean fb_pool_worker_very_slow (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: the weight of a worker's slowness for a step of TIGHTNESS, where speeds differ; negative
+ * when the step leaves fast workers to others. */
+double fb_pool_slowness_weight (double tightness);
 /* TRUE when WORKER accepts starts at all. */
 gboolean fb_pool_worker_accepts_starts (const FbPoolWorker *worker, uint64_t now_ms);
 /* FALSE when no change since STEP was tried in this round or the last one can have made its
@@ -305,9 +313,9 @@
                                                 uint64_t now_ms);
 /* Returns: (nullable): the best worker for task INDEX.  RACK: only workers of this rack; NULL: of
  * any.  EXCLUDED: a worker to leave out; NULL: none. */
-FbPoolWorker *fb_pool_best_worker (FbPool *self, const FbPoolStep *step, uint32_t index,
-                                   const char *rack, const FbPoolWorker *excluded,
-                                   FbPoolTicketRule rule, uint64_t now_ms);
+FbPoolWorker *fb_pool_best_worker (FbPool *self, FbPoolStep *step, uint32_t index, const char *rack,
+                                   const FbPoolWorker *excluded, FbPoolTicketRule rule,
+                                   uint64_t now_ms);
 /* Finds workers for up to MAX_N pending tasks, each in addition to those before it.  Returns: for
  * how many tasks a worker was found. */
 guint fb_pool_choose_workers (FbPool *self, FbPoolStep *step, guint max_n, const char *rack,
@@ -332,6 +340,25 @@
 void fb_pool_reserve_again (FbPool *self, FbPoolStep *step, GPtrArray *reserved_on, guint max_n,
                             uint64_t until_ms);
 
+/* pool-spread.c */
+
+#define FB_SPEED_SPREAD_BUCKETS 97
+
+/* Numbers of workers by slowness, all 0 at first. */
+typedef struct
+{
+  uint32_t counts[FB_SPEED_SPREAD_BUCKETS];
+  uint32_t n;
+} FbSpeedSpread;
+
+void fb_speed_spread_add (FbSpeedSpread *self, double slowness);
+/* Returns: the 90th percentile of the slowness as a multiple of the 10th; 1 with too few workers.
+ */
+double fb_speed_spread_ratio (const FbSpeedSpread *self);
+gboolean fb_speed_spread_is_uneven (double ratio, gboolean was_uneven);
+/* Checks from time to time whether the speeds of the workers differ, for FbPool.speeds_differ. */
+void fb_pool_spread_check (FbPool *self, uint64_t now_ms);
+
 /* pool-preempt.c */
 
 /* Stops preemptible runs, reserves their capacity for STEP until UNTIL_MS and stores the workers in
@@ -339,6 +366,19 @@
 guint fb_pool_preempt (FbPool *self, FbPoolStep *step, guint max_n, FbPoolWorker **chosen,
                        uint64_t until_ms, uint64_t now_ms);
 
+/* pool-relocate.c */
+
+/* Returns: (transfer full): an empty list for FbPool.moves. */
+GPtrArray *fb_pool_moves_new (void);
+/* Releases what is reserved for tasks whose runs have ended. */
+void fb_pool_moves_check (FbPool *self, uint64_t now_ms);
+/* TRUE when a run that still takes REMAINING_MS on a worker of SLOWNESS ends much earlier on one of
+ * OTHER_SLOWNESS, although the stop and the restart take MOVE_MS. */
+gboolean fb_pool_relocate_is_worthwhile (uint64_t remaining_ms, double slowness,
+                                         double other_slowness, uint64_t move_ms);
+/* Stops runs on very slow workers that end much earlier elsewhere. */
+void fb_pool_relocate_runs (FbPool *self, uint64_t now_ms);
+
 /* pool-advice.c */
 
 /* Requests advice for STEP if any is needed; for a step without advice, only preempts runs for it.
@@ -370,6 +410,13 @@
 
 /* Starts copies of slow tasks where their steps allow it. */
 void fb_pool_place_copies (FbPool *self, uint64_t now_ms);
+/* TRUE when a copy is worthwhile of a run that still takes REMAINING_MS on a worker of SLOWNESS,
+ * while a fresh run takes FRESH_MS on a worker of OTHER_SLOWNESS. IS_OUTLIER: the run takes
+ * unusually long, whatever its worker. */
+gboolean fb_pool_copy_is_worthwhile (uint64_t remaining_ms, uint64_t fresh_ms, double slowness,
+                                     double other_slowness, gboolean is_outlier);
+/* RUN, of a known step, has ended: counts it if it is a copy. */
+void fb_pool_copy_ended (const FbPoolRun *run, FbEndReason reason);
 /* RUN was started or reported: it becomes the run of TASK, or its copy if TASK already has a
  * run. */
 void fb_pool_task_attach_run (FbPoolTask *task, FbPoolRun *run);
@@ -415,6 +462,9 @@
 
 /* pool-stuck.c */
 
+/* TRUE when a run that still takes REMAINING_MS (0: not known) need not be started again, which
+ * would take FRESH_MS. */
+gboolean fb_pool_run_ends_sooner_than_restarted (uint64_t remaining_ms, uint64_t fresh_ms);
 /* Stops RUN if it takes far too long, so that its task is started elsewhere. */
 void fb_pool_run_check_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "internal/pool-job-private.h"
+#include "internal/run-progress.h"
 
 typedef enum
 {
@@ -58,6 +59,12 @@
   /* Counted if the transferred start never arrives, as the earlier incarnation crashed; worker 0:
    * nothing to count. */
   FbPoolCrash deferred_crash;
+  FbRunProgress progress;
+  gboolean is_copy; /* its task already had a run */
+  /* PROGRESS.seen_ms of the report by which a copy or a restart elsewhere was last considered; 0:
+   * never. */
+  uint64_t considered_ms;
+  FbPoolSpeed *speed; /* of its worker; borrowed */
 };
 
 typedef struct
@@ -153,6 +160,8 @@
 void fb_pool_worker_set_entry (FbPoolWorker *worker, const FbWorkerEntry *entry);
 /* Returns: a lower bound of the worker's clock now. */
 uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: how long RUN still takes, by the progress that its worker reports; 0: not known. */
+uint64_t fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms);
 /* TRUE when WORKER has never answered, or not for longer than a poll takes. */
 gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE when every lease that the worker can hold has certainly ended. */
@@ -172,6 +181,13 @@
 void fb_pool_worker_reserve (FbPoolWorker *worker, const fb_work_step *spec, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
 
+/* pool-pace.c */
+
+/* WORKER has reported the progress of its runs. */
+void fb_pool_pace_update (const FbPoolWorker *worker, uint64_t now_ms);
+/* RUN, of a known step, has ended successfully on WORKER. */
+void fb_pool_pace_run_ended (const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms);
+
 /* pool-worker-slots.c */
 void fb_pool_worker_slots_add (FbPool *self, FbPoolWorker *worker);
 /* Removes WORKER and frees it. */
--- a/src/work/pool-remaining.c
+++ b/src/work/pool-remaining.c
@@ -6,40 +6,9 @@
 uint64_t
 fb_pool_step_expected_ms (const FbPoolStep *step)
 {
-  return step->median_ms > 0 ? step->median_ms : step->job->expected_ms[step->index];
-}
-
-static gint
-compare_durations (gconstpointer a, gconstpointer b)
-{
-  double x = *(const double *) a;
-  double y = *(const double *) b;
-  return x < y ? -1 : x > y;
-}
-
-/* Computes the median of the ended runs of STEP, each divided by the slowness of its worker, once
- * half of the tasks have ended and again after each quarter more, so that the cost for a step of
- * many tasks stays linear. */
-static void
-update_median (FbPoolStep *step)
-{
-  if (step->timed_runs_n * 2 < step->spec->count
-      || step->timed_runs_n * 4 < step->median_runs_n * 5)
-    return;
-  g_autoptr (GArray) durations_ms = g_array_new (FALSE, FALSE, sizeof (double));
-  for (uint32_t i = 0; i < step->spec->count; i++)
-    {
-      const FbPoolTask *task = &step->tasks[i];
-      if (task->worker_speed == NULL)
-        continue;
-      double duration_ms = task->duration_ms / task->worker_speed->slowness;
-      g_array_append_val (durations_ms, duration_ms);
-    }
-  if (durations_ms->len * 2 < step->spec->count)
-    return;
-  g_array_sort (durations_ms, compare_durations);
-  step->median_ms = (uint32_t) MAX (g_array_index (durations_ms, double, durations_ms->len / 2), 1);
-  step->median_runs_n = step->timed_runs_n;
+  gboolean half_ended = step->timed_runs_n * 2 >= step->spec->count;
+  return half_ended && step->normal_median_ms > 0 ? step->normal_median_ms
+                                                  : step->job->expected_ms[step->index];
 }
 
 void
@@ -52,7 +21,8 @@
   fb_histogram_add (FB_HISTOGRAM_RUN_TIME_ERROR,
                     predicted_ms > normal_ms ? predicted_ms - normal_ms : normal_ms - predicted_ms);
   fb_run_times_add (self->run_times, queue, step->index, estimate_ms, normal_ms);
-  update_median (step);
+  if (step->timed_runs_n * 2 >= step->spec->count)
+    (void) fb_pool_step_median_ms (step); /* keeps FbPoolStep.normal_median_ms up to date */
 }
 
 /* Returns: the time until the tasks of STEP, which are all done or on workers, have ended. */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -204,7 +204,11 @@
   step->timed_runs_n++;
   step->timed_total_ms += duration_ms;
   /* Members of a gang end together, so their times say nothing about single workers. */
-  if (!run->from_start || step->spec->gang)
+  fb_pool_pace_run_ended (worker, run, now_ms);
+  /* What a worker does while it is slow for some seconds says nothing about its speed in general.
+   */
+  if (!run->from_start || step->spec->gang
+      || fb_pool_pace_was_slow (worker->speed, run->started_ms))
     return;
   fb_pool_speed_record_run (&step->tasks[run->index], worker->speed, duration_ms);
   fb_pool_learn_run_time (self, step, duration_ms, worker->speed->slowness);
@@ -222,6 +226,8 @@
   step->job->started = TRUE;
   update_failure_streak (worker, step, end->reason, now_ms);
   fb_pool_crash_task_ended (self, worker, step, index, end->reason);
+  if (run != NULL && run->step == step && run->attempt == end->attempt)
+    fb_pool_copy_ended (run, end->reason);
   if (run != NULL && run->step == step && run->attempt == end->attempt
       && end->reason == FB_END_DONE)
     record_run_time (self, worker, run, now_ms);
@@ -392,6 +398,7 @@
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->listed_ms = now_ms;
+  fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
   if (run->state == FB_RUN_STARTING)
@@ -518,6 +525,7 @@
   for (guint i = 0; i < answer->running->len; i++)
     process_listed_run (self, worker, &g_array_index (answer->running, FbReportedRun, i),
                         answer->clock_ms, now_ms);
+  fb_pool_pace_update (worker, now_ms);
   if (is_first)
     fb_pool_unanswered_starts_reject (self, worker, now_ms);
   worker->has_unknown_end = FALSE;
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -95,6 +95,12 @@
   return worker->clock_ms + passed_ms * (1000 - CLOCK_SLOW_PERMILLE) / 1000;
 }
 
+uint64_t
+fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms)
+{
+  return fb_run_progress_remaining_ms (&run->progress, now_ms);
+}
+
 gboolean
 fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -161,6 +167,7 @@
   run->step = step;
   run->index = index;
   run->attempt = attempt;
+  run->speed = worker->speed;
   g_hash_table_insert (worker->runs, run->name, run);
   fb_pool_worker_charge (worker, run, 1);
   return run;
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -95,7 +95,7 @@
   guint index = 0;
   Job *job = job_of (world, order->task, &index);
   Worker *worker = &world->workers[atoi (order->worker)];
-  const FbReportedRun run = { g_strdup (order->task), order->attempt, "" };
+  const FbReportedRun run = { g_strdup (order->task), order->attempt, "", FB_PERCENT_NOT_REPORTED };
   uint64_t until_ms = world->now_ms + job->duration_ms[index];
   if (job->started_ms == 0)
     job->started_ms = world->now_ms;
--- a/tests/two-pools.c
+++ b/tests/two-pools.c
@@ -37,7 +37,7 @@
 on_start (gpointer user, const FbStartOrder *order)
 {
   TwoPoolsSide *side = user;
-  const FbReportedRun run = { g_strdup (order->task), order->attempt, "" };
+  const FbReportedRun run = { g_strdup (order->task), order->attempt, "", FB_PERCENT_NOT_REPORTED };
   const uint64_t ends_ms = side->world->now_ms + side->world->run_ms;
   g_array_append_val (side->runs, run);
   g_array_append_val (side->run_ends, ends_ms);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -80,6 +80,7 @@
 verdict "placement rounds" $B/tests/test-rounds
 verdict "predictions of run times" $B/tests/test-run-times
 verdict "order of waiting steps" $B/tests/test-order
+verdict "uneven workers and work" $B/tests/test-uneven
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
