A job that has begun counts as in time for 100 ms longer

Cause: with a load that the pool can just carry, quick checks that had begun were put behind others a few milliseconds before they would have ended in time.

Change: the test for being in time allows a job that has begun 100 ms more.

The bounds in test-order are tightened to the figures of this commit, and it compares the lowest of three costs of 1,000 waiting steps by both orders.

--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -24,6 +24,11 @@
 /* Shifts of the latest start that are ignored: the remaining time of a run that takes longer than
  * expected shifts it in each pass. */
 #define LATEST_START_TOLERANCE_MS 50
+/* A job that has begun counts as in time for this much longer: its work would be wasted, and its
+ * objective, which follows from the longest of its runs, is rather later than the prediction from
+ * their mean. Without a margin, a load that the pool can just carry lost 14 of 1,510 checks (late
+ * 33 instead of 21), and with 200 ms a backlog again made more of the following checks late. */
+#define BEGUN_MARGIN_MS 100
 /* A late step that has waited for this long gets a turn. Callers wait up to 5 times 3 s, so a turn
  * comes only for jobs whose result is fetched later. */
 #define TURN_WAIT_MS 15000
@@ -84,7 +89,8 @@
   uint64_t remaining_ms
       = step->spec->long_running ? 0 : fb_pool_job_remaining_ms (self, occurrence, now_ms);
   key.latest_start_ms = objective_ms > remaining_ms ? objective_ms - remaining_ms : 1;
-  key.is_late = !step->spec->long_running && now_ms > key.latest_start_ms && !step->has_turn;
+  uint64_t in_time_until_ms = key.latest_start_ms + (step->job->started ? BEGUN_MARGIN_MS : 0);
+  key.is_late = !step->spec->long_running && now_ms > in_time_until_ms && !step->has_turn;
   return key;
 }
 
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -53,8 +53,8 @@
       const ContentionSetup setup
           = { .estimate_error = 0.9 * i, .workers_n = 22, .only_quick = TRUE };
       compare_orders ("small pool", setup, &before, &after);
-      CU_ASSERT_TRUE (after.in_time_n[CONTENTION_QUICK] > 1.4 * before.in_time_n[CONTENTION_QUICK]);
-      CU_ASSERT_TRUE (after.recovery_ms <= 10000);
+      CU_ASSERT_TRUE (after.in_time_n[CONTENTION_QUICK] > 1.6 * before.in_time_n[CONTENTION_QUICK]);
+      CU_ASSERT_TRUE (after.recovery_ms <= 4000);
       CU_ASSERT_TRUE (after.recovery_ms < before.recovery_ms);
     }
   printf ("\n");
@@ -72,7 +72,8 @@
       const ContentionSetup setup
           = { .estimate_error = 0.9 * i, .workers_n = 76, .only_quick = TRUE, .cap_cpu = 80000 };
       compare_orders ("cap", setup, &before, &after);
-      CU_ASSERT_TRUE (after.in_time_n[CONTENTION_QUICK] > 1.2 * before.in_time_n[CONTENTION_QUICK]);
+      CU_ASSERT_TRUE (after.in_time_n[CONTENTION_QUICK]
+                      > 1.35 * before.in_time_n[CONTENTION_QUICK]);
     }
   printf ("\n");
 }
@@ -89,7 +90,7 @@
       const ContentionSetup setup = { .estimate_error = 0.9 * i, .workers_n = 76 };
       compare_orders ("beside batches", setup, &before, &after);
       for (guint kind = 0; kind < CONTENTION_KINDS; kind++)
-        CU_ASSERT_TRUE (after.in_time_n[kind] >= 0.97 * before.in_time_n[kind]);
+        CU_ASSERT_TRUE (after.in_time_n[kind] >= before.in_time_n[kind]);
     }
   printf ("\n");
 }
@@ -390,18 +391,26 @@
   return cost;
 }
 
-/* Guards against an order whose upkeep takes more of an owner than the rounds themselves. */
+/* Guards against an order whose upkeep takes more of an owner than the rounds themselves. The
+ * lowest of three costs is compared, because other processes share the caches. */
 static void
 test_cost_of_waiting_steps (void)
 {
-  Cost before = cost_of_waiting (FALSE);
-  Cost after = cost_of_waiting (TRUE);
-  printf (
-      "\n%u waiting steps, %u ms: by objective %u us of CPU time, longest tick %u us, %u visits; "
-      "by slack %u us, longest tick %u us, %u visits\n",
-      JOB_N, SIMULATED_MS, (guint) before.total_us, (guint) before.max_us, before.max_visits,
-      (guint) after.total_us, (guint) after.max_us, after.max_visits);
-  CU_ASSERT_TRUE (after.max_visits <= before.max_visits + 6 * JOB_N);
+  Cost lowest[2] = { { .total_us = G_MAXUINT64 }, { .total_us = G_MAXUINT64 } };
+  for (guint i = 0; i < 6; i++)
+    {
+      Cost cost = cost_of_waiting (i % 2 == 1);
+      if (cost.total_us < lowest[i % 2].total_us)
+        lowest[i % 2] = cost;
+    }
+  for (guint i = 0; i < 2; i++)
+    printf (
+        "\n%u waiting steps, %s: %u us of CPU time in %u ms, longest tick %u us, at most %u visits",
+        JOB_N, i == 1 ? "by slack" : "by objective", (guint) lowest[i].total_us, SIMULATED_MS,
+        (guint) lowest[i].max_us, lowest[i].max_visits);
+  printf ("\n");
+  CU_ASSERT_TRUE (lowest[1].max_visits <= lowest[0].max_visits + 6 * JOB_N);
+  CU_ASSERT_TRUE (lowest[1].total_us <= lowest[0].total_us * 3 / 2);
 }
 
 int
