--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -109,8 +109,10 @@
 typedef struct
 {
   uint32_t number;
-  gboolean finished; /* all its steps are done */
-  FbPoolStep *steps; /* one for each step of the job */
+  gboolean finished;        /* all its steps are done */
+  uint64_t remaining_ms;    /* fb_pool_job_remaining_ms() as of REMAINING_AT_MS */
+  uint64_t remaining_at_ms; /* when the order last computed it; 0: never */
+  FbPoolStep *steps;        /* one for each step of the job */
 } FbPoolOccurrence;
 
 struct _FbPoolJob
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -52,12 +52,31 @@
   return job->objective_ms + due_ms - job->record.accepted_ms;
 }
 
-static const FbPoolOccurrence *
+/* Occurrences are usually created in the order of their numbers; a schedule may have thousands. */
+static FbPoolOccurrence *
 occurrence_of (const FbPoolStep *step)
 {
+  const GPtrArray *occurrences = step->job->occurrences;
+  if (step->occurrence < occurrences->len)
+    {
+      FbPoolOccurrence *occurrence = occurrences->pdata[step->occurrence];
+      if (occurrence->number == step->occurrence)
+        return occurrence;
+    }
   return fb_pool_job_occurrence (step->job, step->occurrence);
 }
 
+/* Returns: the remaining time of OCCURRENCE.  It is computed once in an update for all its steps: a
+ * job may have 64 that wait at the same time, and each would walk through all of them. */
+static uint64_t
+remaining_ms (const FbPool *self, FbPoolOccurrence *occurrence, uint64_t now_ms)
+{
+  if (occurrence->remaining_at_ms != now_ms)
+    occurrence->remaining_ms = fb_pool_job_remaining_ms (self, occurrence, now_ms);
+  occurrence->remaining_at_ms = now_ms;
+  return occurrence->remaining_ms;
+}
+
 int64_t
 fb_pool_order_slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
@@ -83,12 +102,11 @@
   FbPoolOrderKey key = { .urgency = urgency };
   if (!self->orders_by_slack)
     return key;
-  const FbPoolOccurrence *occurrence = occurrence_of (step);
+  FbPoolOccurrence *occurrence = occurrence_of (step);
   uint64_t objective_ms = fb_pool_occurrence_objective_ms (occurrence);
   /* A long-running step has no end that could be late. */
-  uint64_t remaining_ms
-      = step->spec->long_running ? 0 : fb_pool_job_remaining_ms (self, occurrence, now_ms);
-  key.latest_start_ms = objective_ms > remaining_ms ? objective_ms - remaining_ms : 1;
+  uint64_t left_ms = step->spec->long_running ? 0 : remaining_ms (self, occurrence, now_ms);
+  key.latest_start_ms = objective_ms > left_ms ? objective_ms - left_ms : 1;
   uint64_t in_time_until_ms = key.latest_start_ms + (step->job->started ? BEGUN_MARGIN_MS : 0);
   key.is_late = !step->spec->long_running && now_ms > in_time_until_ms && !step->has_turn;
   return key;
