--- a/tests/test-gang-advice.c
+++ b/tests/test-gang-advice.c
@@ -100,6 +100,7 @@
   guint job_n;
   uint64_t busy_ms; /* of all daemons, while the load lasts */
   uint64_t gang_busy_ms;
+  double failing;        /* Load.failing */
   gboolean has_accounts; /* only jobs of an account are measured */
   guint requests_n;
 } Simulation;
@@ -111,6 +112,7 @@
   gboolean hot_forecasts; /* all forecasts are the account's, too */
   double burst_factor;    /* for the account's gangs, for BURST_LENGTH_MS */
   int64_t hot_gpus;       /* what the account may use */
+  double failing;         /* share of the pool's requests that get no answer */
 } Load;
 
 /* Times to the first start, of the account's jobs if there are accounts. */
@@ -284,9 +286,11 @@
       if (allows (request->step, id))
         tickets[reply.tickets.tickets_len++] = (fb_ticket){ id, "t" };
     }
+  gboolean failed
+      = simulation->failing > 0 && g_rand_double (simulation->random) < simulation->failing;
   fb_pool_advice_answered (simulation->pool, request->step,
                            (const char *const *) request->workers->pdata, request->workers->len,
-                           &reply, simulation->now_ms);
+                           failed ? NULL : &reply, simulation->now_ms);
 }
 
 static void
@@ -517,6 +521,7 @@
   g_autoptr (GHashTable) accounts = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_insert (accounts, hot.name, &hot);
   simulation->has_accounts = load->hot_per_second > 0;
+  simulation->failing = load->failing;
   if (simulation->has_accounts)
     fb_pool_set_accounts (simulation->pool, accounts);
   for (; simulation->now_ms < SIMULATION_MS; simulation->now_ms += STEP_MS)
@@ -622,6 +627,17 @@
   CU_ASSERT_TRUE (busy < 0.9 * DAEMON_N);
 }
 
+/* One request in five fails, as when the daemon that forwards it dies or the service is busy: only
+ * the failed part of a split request is repeated, so that gangs are hardly later. */
+static void
+test_failing_requests (void)
+{
+  double busy = 0;
+  double mean_ms = measure (&(Load){ .splits = TRUE, .failing = 0.2 }, &busy);
+  CU_ASSERT_TRUE (mean_ms < 2400);
+  CU_ASSERT_TRUE (busy < 0.9 * DAEMON_N);
+}
+
 int
 main (void)
 {
@@ -632,6 +648,7 @@
   CU_add_test (suite, "parallel first requests", test_parallel_requests);
   CU_add_test (suite, "gangs and single tasks of an account at its cap", test_account_at_its_cap);
   CU_add_test (suite, "burst of gangs of an account", test_burst_of_gangs);
+  CU_add_test (suite, "failing requests", test_failing_requests);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failed = CU_get_number_of_failures ();
