Tightness of jobs with a schedule, or without value, where speeds differ

The objective of a job with a schedule is that of its first occurrence, so that later ones counted as late and took the fast workers; these jobs keep the tightness that follows from their policy. Jobs without value any more count as having slack.

--- a/src/work/pool-tightness.c
+++ b/src/work/pool-tightness.c
@@ -25,6 +25,11 @@
 {
   const FbPoolJob *job = step->job;
   gboolean measured = FALSE;
+  /* The objective of a job with a schedule is that of its first occurrence. */
+  if (job->record.spec.occurrences > 0)
+    return job->tightness;
+  if (now_ms > job->no_value_ms)
+    return 0;
   if (now_ms >= job->objective_ms)
     return 1;
   uint64_t work_ms = fb_pool_step_predicted_ms (step, &measured)
--- a/tests/test-uneven.c
+++ b/tests/test-uneven.c
@@ -576,6 +576,10 @@
   CU_ASSERT_TRUE (fabs (fb_pool_step_tightness (added, pool.now_ms + 8000) - 0.5) < 0.01);
   CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 9500) == 1);
   CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 11000) == 1);
+  CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 31000) == 0);
+  added->job->record.spec.occurrences = 2;
+  CU_ASSERT_TRUE (fb_pool_step_tightness (added, pool.now_ms + 11000) == added->job->tightness);
+  added->job->record.spec.occurrences = 0;
   CU_ASSERT_TRUE (fb_pool_slowness_weight (0.1) < 0);
   CU_ASSERT_TRUE (fb_pool_slowness_weight (1) > 4);
   uneven_pool_clear (&pool);
