--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -31,6 +31,24 @@
  * returns TRUE; its position is stored in POSITION. */
 FbPoolStep *fb_pool_account_find_held (const FbPoolAccount *account, guint *position,
                                        FbPoolHeldFunc func, uint64_t now_ms);
+
+/* pool-earmark.c: EARMARKS: of FbPoolStep, gangs of one account that wait for their tickets. */
+
+/* STEP has returned to the queue; has no effect unless it is a gang that needs advice. */
+void fb_pool_earmarks_add (GPtrArray *earmarks, FbPoolStep *step, uint64_t now_ms);
+/* Returns: TRUE when STEP was earmarked. */
+gboolean fb_pool_earmarks_drop (GPtrArray *earmarks, FbPoolStep *step);
+/* Returns: TRUE when an earmark has ended. */
+gboolean fb_pool_earmarks_drop_ended (GPtrArray *earmarks, uint64_t now_ms);
+/* Returns: what is withheld from STEP for the first N gangs. */
+FbAmounts fb_pool_earmarks_withheld (const GPtrArray *earmarks, guint n, const FbPoolStep *step);
+/* Returns: (nullable): the first gang that still waits. */
+const FbPoolStep *fb_pool_earmarks_first (const GPtrArray *earmarks);
+/* Returns: what the gangs that still wait need together. */
+FbAmounts fb_pool_earmarks_total (const GPtrArray *earmarks);
+
+/* pool-held-advice.c */
+
 /* Requests advice for steps that wait for their accounts. */
 void fb_pool_held_advice_request (FbPool *self, uint64_t now_ms);
 /* Removes the steps of JOB, which has ended, from those that wait. */
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -90,7 +90,7 @@
   uint64_t reserved_until_ms; /* when the reservation ends; 0: none */
   uint64_t capacity_free_ms;  /* when preemption should have freed the reserved capacity */
   gboolean queued; /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
-  /* Until when its account leaves amounts for it; 0: it does not.  See pool-account.c. */
+  /* Until when its account leaves amounts for it; 0: it does not.  See pool-earmark.c. */
   uint64_t earmarked_until_ms;
   GSequenceIter *held_at;       /* in FbPoolAccount.held; NULL: it does not wait for its account */
   FbPoolUrgency urgency;        /* as of when it was sorted into the queue */
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -102,25 +102,6 @@
   return taken;
 }
 
-/* Returns: what ACCOUNT withholds from STEP for the first N gangs that wait for their tickets. Only
- * single tasks that come after a gang in the queue are smaller steps behind it.  Other gangs need
- * their own tickets, and several that wait at the same time use the account's part better than one
- * after the other: with earmarks against them, gangs of an account at its cap started 1 to 1.6 s
- * later on average in tests/test-gang-advice.c. */
-static FbAmounts
-withheld_from (const FbPoolAccount *account, guint n, const FbPoolStep *step)
-{
-  FbAmounts withheld = { 0 };
-  for (guint i = 0; !step->spec->gang && i < n; i++)
-    {
-      const FbPoolStep *gang = account->earmarked->pdata[i];
-      const FbAmounts demand = demand_of (gang->spec);
-      if (fb_pool_queue_compare (gang, step) < 0)
-        fb_amounts_add (&withheld, &demand, (int) gang->spec->count);
-    }
-  return withheld;
-}
-
 guint
 fb_pool_account_room_n (const FbPoolStep *step, guint max_n)
 {
@@ -207,46 +188,6 @@
   step->held_at = g_sequence_insert_sorted (account->held, step, compare_held, NULL);
 }
 
-/* ---- gangs that wait for their tickets ---------------------------------------------- */
-
-/* A gang that its account may start again needs valid tickets first, which takes most of a second.
- * Without the earmark, single tasks that are held behind it were given its amounts meanwhile, so it
- * was held again.  The earmark ends after the time of one request, because a gang that finds no
- * free workers with its tickets would leave its account's part idle for as long as it waits. */
-static void
-earmark (FbPoolAccount *account, FbPoolStep *step, uint64_t now_ms)
-{
-  if (!step->spec->gang || !step->job->record.policy.advised)
-    return;
-  if (step->earmarked_until_ms == 0)
-    g_ptr_array_add (account->earmarked, step);
-  step->earmarked_until_ms = now_ms + fb_pool_advice_wait_ms (step);
-}
-
-static void
-drop_earmark (FbPoolStep *step)
-{
-  if (step->earmarked_until_ms == 0)
-    return;
-  step->earmarked_until_ms = 0;
-  step->job->account->release_due = TRUE;
-  g_ptr_array_remove (step->job->account->earmarked, step);
-}
-
-static void
-drop_ended_earmarks (FbPoolAccount *account, uint64_t now_ms)
-{
-  for (guint i = account->earmarked->len; i > 0; i--)
-    {
-      FbPoolStep *step = account->earmarked->pdata[i - 1];
-      if (now_ms >= step->earmarked_until_ms || step->held_at != NULL
-          || !fb_pool_step_is_pending (step))
-        drop_earmark (step);
-    }
-}
-
-/* ---- steps that return ---------------------------------------------------------------- */
-
 static void
 remove_held (FbPoolStep *step)
 {
@@ -269,7 +210,7 @@
       at = g_sequence_iter_next (at);
       guint unit = unit_of (step);
       guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
-      FbAmounts claimed = withheld_from (account, earmarked_n, step);
+      FbAmounts claimed = fb_pool_earmarks_withheld (account->earmarked, earmarked_n, step);
       fb_amounts_add (&claimed, &taken, 1);
       guint n = room_n (account, &claimed, step->spec, MAX (pending_n, unit));
       if (pending_n > 0 && n < unit)
@@ -278,7 +219,7 @@
       if (pending_n == 0)
         continue;
       fb_pool_queue_add (self, step);
-      earmark (account, step, now_ms);
+      fb_pool_earmarks_add (account->earmarked, step, now_ms);
       const FbAmounts demand = demand_of (step->spec);
       fb_amounts_add (&taken, &demand, n);
     }
@@ -293,7 +234,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolAccount *account = value;
-      drop_ended_earmarks (account, now_ms);
+      account->release_due |= fb_pool_earmarks_drop_ended (account->earmarked, now_ms);
       if (account->release_due && !g_sequence_is_empty (account->held))
         release_held (self, account, now_ms);
       account->release_due = FALSE;
@@ -333,7 +274,9 @@
       FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
       for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
         {
-          drop_earmark (&occurrence->steps[j]);
+          if (job->account != NULL)
+            job->account->release_due
+                |= fb_pool_earmarks_drop (job->account->earmarked, &occurrence->steps[j]);
           if (occurrence->steps[j].held_at != NULL)
             remove_held (&occurrence->steps[j]);
         }
@@ -455,14 +398,10 @@
 static const FbPoolStep *
 first_waiting (const FbPoolAccount *account)
 {
-  for (guint i = 0; i < account->earmarked->len; i++)
-    {
-      if (fb_pool_step_is_pending (account->earmarked->pdata[i]))
-        return account->earmarked->pdata[i];
-    }
-  return g_sequence_is_empty (account->held)
-             ? NULL
-             : g_sequence_get (g_sequence_get_begin_iter (account->held));
+  const FbPoolStep *earmarked = fb_pool_earmarks_first (account->earmarked);
+  if (earmarked != NULL || g_sequence_is_empty (account->held))
+    return earmarked;
+  return g_sequence_get (g_sequence_get_begin_iter (account->held));
 }
 
 /* Returns: what ACCOUNT would use if the first of its waiting steps had started, for a gang all of
@@ -484,13 +423,8 @@
 wanted_by (const FbPoolAccount *account)
 {
   FbAmounts wanted = taken_by (account);
-  for (guint i = 0; i < account->earmarked->len; i++)
-    {
-      const FbPoolStep *gang = account->earmarked->pdata[i];
-      const FbAmounts demand = demand_of (gang->spec);
-      if (fb_pool_step_is_pending (gang))
-        fb_amounts_add (&wanted, &demand, (int) gang->spec->count);
-    }
+  const FbAmounts earmarked = fb_pool_earmarks_total (account->earmarked);
+  fb_amounts_add (&wanted, &earmarked, 1);
   GSequenceIter *at = g_sequence_get_begin_iter (account->held);
   for (guint i = 0; i < LOOKAHEAD_N && !g_sequence_iter_is_end (at); i++)
     {
