--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -131,25 +131,6 @@
   return taken;
 }
 
-/* Returns: what ACCOUNT withholds from STEP for the first N gangs that wait for their tickets. Only
- * single tasks that come after a gang in the queue are smaller steps behind it.  Other gangs need
- * their own tickets, and several that wait at the same time use the account's part better than one
- * after the other: with earmarks against them, gangs of an account at its cap started 1 to 1.6 s
- * later on average in tests/test-gang-advice.c. */
-static FbAmounts
-withheld_from (const FbPoolAccount *account, guint n, const FbPoolStep *step)
-{
-  FbAmounts withheld = { 0 };
-  for (guint i = 0; !step->spec->gang && i < n; i++)
-    {
-      const FbPoolStep *gang = account->earmarked->pdata[i];
-      const FbAmounts demand = demand_of (gang->spec);
-      if (fb_pool_queue_compare (gang, step) < 0)
-        fb_amounts_add (&withheld, &demand, (int) gang->spec->count);
-    }
-  return withheld;
-}
-
 guint
 fb_pool_account_room_n (const FbPoolStep *step, guint max_n)
 {
@@ -254,48 +235,6 @@
   account->release_due = account->release_due || !found;
 }
 
-/* ---- gangs that wait for their tickets ---------------------------------------------- */
-
-/* A gang that its account may start again needs valid tickets first, which takes most of a second.
- * Without the earmark, single tasks that are held behind it were given its amounts meanwhile, so it
- * was held again.  The earmark ends after the time of one request, because a gang that finds no
- * free workers with its tickets would leave its account's part idle for as long as it waits. */
-static void
-earmark (FbPoolAccount *account, FbPoolStep *step, uint64_t now_ms)
-{
-  if (!step->spec->gang || !step->job->record.policy.advised)
-    return;
-  if (step->earmarked_until_ms == 0)
-    g_ptr_array_add (account->earmarked, step);
-  step->earmarked_until_ms = now_ms + fb_pool_advice_wait_ms (step);
-  account->demand_due = TRUE;
-}
-
-static void
-drop_earmark (FbPoolStep *step)
-{
-  if (step->earmarked_until_ms == 0)
-    return;
-  step->earmarked_until_ms = 0;
-  step->job->account->release_due = TRUE;
-  step->job->account->demand_due = TRUE;
-  g_ptr_array_remove (step->job->account->earmarked, step);
-}
-
-static void
-drop_ended_earmarks (FbPoolAccount *account, uint64_t now_ms)
-{
-  for (guint i = account->earmarked->len; i > 0; i--)
-    {
-      FbPoolStep *step = account->earmarked->pdata[i - 1];
-      if (now_ms >= step->earmarked_until_ms || step->held_at != NULL
-          || !fb_pool_step_is_pending (step))
-        drop_earmark (step);
-    }
-}
-
-/* ---- steps that return ---------------------------------------------------------------- */
-
 static void
 remove_held (FbPoolStep *step)
 {
@@ -351,7 +290,7 @@
         }
       guint unit = unit_of (step);
       guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
-      FbAmounts claimed = withheld_from (account, earmarked_n, step);
+      FbAmounts claimed = fb_pool_earmarks_withheld (account->earmarked, earmarked_n, step);
       fb_amounts_add (&claimed, &taken, 1);
       guint n = room_n (account, &claimed, step->spec, MAX (pending_n, unit));
       if (pending_n > 0 && n < unit)
@@ -360,7 +299,7 @@
       if (pending_n == 0)
         continue;
       fb_pool_queue_add (self, step);
-      earmark (account, step, now_ms);
+      fb_pool_earmarks_add (account->earmarked, step, now_ms);
       const FbAmounts demand = demand_of (step->spec);
       fb_amounts_add (&taken, &demand, n);
     }
@@ -376,7 +315,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolAccount *account = value;
-      drop_ended_earmarks (account, now_ms);
+      gboolean dropped = fb_pool_earmarks_drop_ended (account->earmarked, now_ms);
+      account->demand_due = account->demand_due || dropped;
+      account->release_due = account->release_due || dropped;
       account->release_due = account->release_due && !g_sequence_is_empty (account->held)
                              && !release_held (self, account, now_ms);
       self->round_due = self->round_due || account->release_due;
@@ -423,15 +364,29 @@
     }
 }
 
-FbPoolStep *
-fb_pool_account_next_held (const FbPoolAccount *account, guint position)
+gboolean
+fb_pool_account_could_start (const FbPoolStep *step)
 {
-  if (position >= (guint) g_sequence_get_length (account->held))
-    return NULL;
-  FbPoolStep *step = g_sequence_get (g_sequence_get_iter_at_pos (account->held, (gint) position));
   const FbAmounts nothing = { 0 };
   guint unit = unit_of (step);
-  return room_n (account, &nothing, step->spec, unit) == unit ? step : NULL;
+  return room_n (step->job->account, &nothing, step->spec, unit) == unit;
+}
+
+FbPoolStep *
+fb_pool_account_find_held (const FbPoolAccount *account, guint *position, FbPoolHeldFunc func,
+                           uint64_t now_ms)
+{
+  GSequenceIter *at = g_sequence_get_begin_iter (account->held);
+  guint max_n = *position;
+  for (guint i = 0; i < max_n && !g_sequence_iter_is_end (at); i++, at = g_sequence_iter_next (at))
+    {
+      FbPoolStep *step = g_sequence_get (at);
+      if (!func (step, now_ms))
+        continue;
+      *position = i;
+      return step;
+    }
+  return NULL;
 }
 
 void
@@ -442,7 +397,9 @@
       FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
       for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
         {
-          drop_earmark (&occurrence->steps[j]);
+          if (job->account != NULL)
+            job->account->release_due
+                |= fb_pool_earmarks_drop (job->account->earmarked, &occurrence->steps[j]);
           if (occurrence->steps[j].held_at != NULL)
             remove_held (&occurrence->steps[j]);
         }
@@ -582,14 +539,10 @@
 static const FbPoolStep *
 first_waiting (const FbPoolAccount *account)
 {
-  for (guint i = 0; i < account->earmarked->len; i++)
-    {
-      if (fb_pool_step_is_pending (account->earmarked->pdata[i]))
-        return account->earmarked->pdata[i];
-    }
-  return g_sequence_is_empty (account->held)
-             ? NULL
-             : g_sequence_get (g_sequence_get_begin_iter (account->held));
+  const FbPoolStep *earmarked = fb_pool_earmarks_first (account->earmarked);
+  if (earmarked != NULL || g_sequence_is_empty (account->held))
+    return earmarked;
+  return g_sequence_get (g_sequence_get_begin_iter (account->held));
 }
 
 /* TRUE when STEP, or its smallest part that can start alone, fits into the room that the workers of
@@ -659,14 +612,7 @@
     return;
   account->demand_due = FALSE;
   account->demand_ms = self->last_maintenance_ms;
-  account->demand = (FbAmounts){ 0 };
-  for (guint i = 0; i < account->earmarked->len; i++)
-    {
-      const FbPoolStep *gang = account->earmarked->pdata[i];
-      const FbAmounts demand = demand_of (gang->spec);
-      if (fb_pool_step_is_pending (gang))
-        fb_amounts_add (&account->demand, &demand, (int) gang->spec->count);
-    }
+  account->demand = fb_pool_earmarks_total (account->earmarked);
   GSequenceIter *at = g_sequence_get_begin_iter (account->held);
   for (guint i = 0; i < LOOKAHEAD_N && !g_sequence_iter_is_end (at); i++)
     {
