Accounts share a pool by their weights within a priority

One hot account delayed the steps of all others with the same urgency and priority. Steps of accounts over their share (from 1.25 times on, until below it) come after those of the others; the flag is updated every 100 ms, and steps are sorted again when it changes. Accounts without a weight, or no longer configured, take no part.

--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -8,6 +8,16 @@
 
 #include "internal/pool-private.h"
 
+/* How much of the pool an account may use while others wait: see account-shares.c. */
+typedef struct
+{
+  uint32_t weight;  /* as configured; 0: the account takes no part */
+  double share;     /* its weight as a fraction of those that use or wait for something here */
+  double usage;     /* dominant share of the pool that its runs hold, averaged with a decay */
+  gboolean is_over; /* USAGE exceeds SHARE clearly */
+  gboolean waits;   /* scratch of an update: a step of it waits for room */
+} FbAccountShare;
+
 GHashTable *fb_pool_accounts_new (void);
 /* Returns: the account NAME, borrowed; created when there is none.  NULL for "" or NULL. */
 FbPoolAccount *fb_pool_account_get (FbPool *self, const char *name);
@@ -26,7 +36,28 @@
 void fb_pool_account_note_room (const FbPoolStep *step, gboolean found, uint64_t now_ms);
 /* Puts the steps back into the queue that their accounts may start now. */
 void fb_pool_accounts_release_held (FbPool *self);
+/* Returns: borrowed. */
+FbAccountShare *fb_pool_account_share (FbPoolAccount *account);
+/* Returns: what the runs of ACCOUNT use, borrowed. */
+const FbAmounts *fb_pool_account_used (const FbPoolAccount *account);
+/* TRUE when steps wait because ACCOUNT may run no more. */
+gboolean fb_pool_account_holds_steps (const FbPoolAccount *account);
 /* Removes the steps of JOB, which has ended, from those that wait. */
 void fb_pool_account_drop_job (const FbPoolJob *job);
 /* Updates what may run for each account on workers that have not answered the new owner yet. */
 void fb_pool_accounts_update_unconfirmed (FbPool *self, uint64_t now_ms);
+
+/* account-shares.c */
+
+/* Updates the shares of all accounts, at most every 100 ms. */
+void fb_pool_accounts_update_shares (FbPool *self, uint64_t now_ms);
+/* TRUE when ACCOUNT (nullable) uses more than its share of the pool, so that its steps come after
+ * those of other accounts with the same urgency and priority. */
+gboolean fb_pool_account_is_over_share (const FbPoolAccount *account);
+/* TRUE when STEP must not start now, because a gang waits for room whose account uses less of its
+ * share. */
+gboolean fb_pool_account_yields_to_gang (const FbPool *self, const FbPoolStep *step,
+                                         uint64_t now_ms);
+/* Updates the usage and the flag of SHARE; its weight and share are set.  HELD: dominant share of
+ * the pool that the account's runs hold now.  ELAPSED_MS: time since the last update. */
+void fb_account_share_update (FbAccountShare *share, double held, uint64_t elapsed_ms);
--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -91,6 +91,7 @@
   gboolean queued;        /* it is in FbPool.queue or FbPool.unmerged, or waits for its account */
   GSequenceIter *held_at; /* in FbPoolAccount.held; NULL: it does not wait for its account */
   FbPoolUrgency urgency;  /* as of when it was sorted into the queue */
+  gboolean is_over_share; /* its account used more than its share, as of then */
   uint64_t last_failed_round;      /* last round that left it pending; 0: none */
   uint64_t retry_at_ms;            /* when it is tried again even if nothing has changed */
   uint64_t preemption_tried_ms;    /* when preemptible runs were last searched for; 0: never */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -95,7 +95,13 @@
   GHashTable *accounts;      /* name -> FbPoolAccount: see pool-account.h */
   /* Of the workers that accept starts: free capacity together, as of the last maintenance pass. */
   FbAmounts free_capacity;
-  FbAmounts capacity;      /* of the listed workers together, as of then */
+  FbAmounts capacity; /* of the listed workers together, as of then */
+  uint64_t shares_ms; /* when the shares of accounts were last updated; 0: never */
+  /* Since when a gang whose account uses less than its share waits for room; 0: none does. Accounts
+   * that use more yield to it: see fb_pool_account_yields_to_gang(). */
+  uint64_t gang_waits_since_ms;
+  uint32_t gang_priority;  /* of that gang */
+  uint64_t yield_began_ms; /* when accounts last began to yield to a gang; 0: never */
   uint64_t unconfirmed_ms; /* when FbPoolAccount.unconfirmed was last computed */
   gboolean workers_dirty;  /* the record of workers is out of date */
   /* At the last tick the owner was certain of its ownership, and not stopping. */
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -34,11 +34,12 @@
   FbAmounts unconfirmed; /* may run on workers that have not answered this owner yet */
   GSequence *held;       /* of FbPoolStep that wait for the account, in the order of the queue */
   uint32_t weight;       /* jobs per second that are owed; 0: not known */
-  GHashTable *jobs_n;    /* second since 1970 -> number of jobs accepted in it */
-  gboolean release_due;  /* it may run more than when its steps were last tried */
-  FbAmounts demand;      /* of the first steps that wait: see wanted_by() */
-  gboolean demand_due;   /* DEMAND is out of date */
-  uint64_t demand_ms;    /* when DEMAND was computed; 0: never */
+  FbAccountShare share;
+  GHashTable *jobs_n;   /* second since 1970 -> number of jobs accepted in it */
+  gboolean release_due; /* it may run more than when its steps were last tried */
+  FbAmounts demand;     /* of the first steps that wait: see wanted_by() */
+  gboolean demand_due;  /* DEMAND is out of date */
+  uint64_t demand_ms;   /* when DEMAND was computed; 0: never */
   /* Since when steps that the account may start find no room, and when that was last so; 0: never.
    */
   uint64_t no_room_since_ms;
@@ -80,6 +81,24 @@
   return account;
 }
 
+FbAccountShare *
+fb_pool_account_share (FbPoolAccount *account)
+{
+  return &account->share;
+}
+
+const FbAmounts *
+fb_pool_account_used (const FbPoolAccount *account)
+{
+  return &account->used;
+}
+
+gboolean
+fb_pool_account_holds_steps (const FbPoolAccount *account)
+{
+  return !g_sequence_is_empty (account->held);
+}
+
 /* ---- amounts --------------------------------------------------------------------- */
 
 static FbAmounts
@@ -201,6 +220,8 @@
   g_ptr_array_unref (fb_pool_release_reservation (self, step));
   fb_pool_long_running_set_wait_reason (self, step, "cap", now_ms);
   log_waiting (account, now_ms);
+  /* All steps here have the same account, and the flag would be that of when each was sorted. */
+  step->is_over_share = FALSE;
   step->held_at = g_sequence_insert_sorted (account->held, step, compare_held, NULL);
   account->demand_due = TRUE;
 }
@@ -374,11 +395,28 @@
 
 /* ---- configuration --------------------------------------------------------------------- */
 
+/* Accounts that are no longer configured keep their caps while their jobs run, but take no part in
+ * the shares. */
+static void
+forget_shares (FbPool *self, GHashTable *accounts)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbPoolAccount *account = value;
+      if (!g_hash_table_contains (accounts, account->name))
+        account->share = (FbAccountShare){ 0 };
+    }
+}
+
 void
 fb_pool_set_accounts (FbPool *self, GHashTable *accounts)
 {
   GHashTableIter iter;
   gpointer value;
+  forget_shares (self, accounts);
   g_hash_table_iter_init (&iter, accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -386,6 +424,7 @@
       FbPoolAccount *account = fb_pool_account_get (self, configured->name);
       account->cap = configured->cap;
       account->weight = configured->weight;
+      account->share.weight = configured->weight;
       account->release_due = TRUE;
     }
   self->round_due = TRUE;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -228,6 +228,8 @@
       fb_pool_account_hold (self, step, now_ms);
       return TRUE;
     }
+  if (fb_pool_account_yields_to_gang (self, step, now_ms))
+    return TRUE;
   if (step->advice_until_ms != 0 && now_ms < step->reserved_until_ms)
     return TRUE; /* its capacity stays reserved until the advice arrives */
   if (fb_pool_step_may_fit (self, step, now_ms))
@@ -266,6 +268,7 @@
   self->refused_request_kinds = 0;
   self->visits_n = 0;
   fb_pool_accounts_release_held (self);
+  fb_pool_accounts_update_shares (self, now_ms);
   fb_pool_queue_sort (self, now_ms);
   if (self->round_position == 0)
     {
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -2,12 +2,12 @@
  *
  * Restarting long-running tasks come first, and steps whose completion has no value any more last;
  * among the others those of jobs within the rates of their accounts come first, then the priority
- * decides, then the objective of the job. So an account that sends many times its usual delays its
- * own work, and is served from what the others leave. The order is kept between
- * rounds: new steps are sorted among themselves and merged, so that a round takes one pass over the
- * pending steps. Sorting all of them in each round took a quarter of an owner's processor time once
- * hundreds of steps were pending, so the backlog grew. */
-#include "internal/pool-private.h"
+ * decides, then whether the account uses more than its share, then the objective of the job. So an
+ * account that sends many times its usual delays its own work, and is served from what the others
+ * leave. The order is kept between rounds: new steps are sorted among themselves and merged, so
+ * that a round takes one pass over the pending steps. Sorting all of them in each round took a
+ * quarter of an owner's processor time once hundreds of steps were pending, so the backlog grew. */
+#include "internal/pool-account.h"
 
 #include <string.h>
 
@@ -22,6 +22,8 @@
   uint32_t np = n->record.policy.priority;
   if (mp != np)
     return mp < np ? -1 : 1;
+  if (x->is_over_share != y->is_over_share)
+    return x->is_over_share ? 1 : -1;
   if (m->objective_ms != n->objective_ms)
     return m->objective_ms < n->objective_ms ? -1 : 1;
   return strcmp (m->id, n->id);
@@ -72,7 +74,7 @@
 }
 
 /* Removes steps without pending tasks from the queue and moves to FbPool.unmerged those whose
- * urgency has changed. */
+ * urgency, or whose account's use beside its share, has changed. */
 static void
 remove_changed (FbPool *self, uint64_t now_ms)
 {
@@ -84,7 +86,8 @@
         continue;
       if (!fb_pool_step_is_pending (step))
         step->queued = FALSE;
-      else if (step->urgency != urgency_of (step, now_ms))
+      else if (step->urgency != urgency_of (step, now_ms)
+               || step->is_over_share != fb_pool_account_is_over_share (step->job->account))
         g_ptr_array_add (self->unmerged, step);
       else
         self->queue->pdata[n++] = step;
@@ -101,6 +104,7 @@
     {
       FbPoolStep *step = self->unmerged->pdata[i];
       step->urgency = urgency_of (step, now_ms);
+      step->is_over_share = fb_pool_account_is_over_share (step->job->account);
       step->queued = fb_pool_step_is_pending (step);
       if (step->queued)
         self->unmerged->pdata[n++] = step;
--- a/tests/test-accounts.c
+++ b/tests/test-accounts.c
@@ -1,7 +1,8 @@
 /* Client accounts: the operators' list, keys, and the account in the records of jobs. */
+#include "fb-event.h"
 #include "fb-status.h"
 #include "internal/codec.h"
-#include "internal/pool.h"
+#include "internal/pool-account.h"
 #include "platform/wire.h"
 #include "src/work/spec.h"
 #include "two-pools.h"
@@ -523,6 +524,222 @@
   CU_ASSERT_TRUE (longest_ms <= PART_WAIT_MAX_MS + PART_TRIED_MAX_MS);
 }
 
+/* ---- shares by weight ---------------------------------------------------------------- */
+
+#define SLOTS_N 100
+#define SLOT_MILLI 1000
+#define RUN_MS 600
+/* High enough that no job is beyond the rate of its account. */
+#define WEIGHT 10000
+
+typedef struct
+{
+  TwoPools *world;
+  const char *names[20];
+  double used[20]; /* mean number of slots, of the last play_shares() */
+} SharedPool;
+
+/* Returns: a pool of SLOTS_N slots with N accounts of the same weight and without caps. */
+static SharedPool
+shared_pool_new (guint n)
+{
+  static const FbAmounts capacities[]
+      = { { .cpu_milli = SLOTS_N * SLOT_MILLI, .mem_mb = 1000000 }, { 0 } };
+  const FbAmounts no_cap = { 0 };
+  SharedPool shared = { .world = two_pools_new (capacities) };
+  for (guint i = 0; i < n; i++)
+    {
+      shared.names[i] = two_pools_add_account (shared.world, 0, &no_cap);
+      two_pools_set_weight (shared.world, shared.names[i], WEIGHT);
+    }
+  shared.world->run_ms = RUN_MS;
+  two_pools_run (shared.world, 500);
+  return shared;
+}
+
+static void
+add_single (const SharedPool *shared, guint account, guint count)
+{
+  const FbAmounts slot = { .cpu_milli = SLOT_MILLI, .mem_mb = 10 };
+  two_pools_add_job (shared->world, 0, shared->names[account], count, FALSE, &slot);
+}
+
+/* Lets MS milliseconds pass, in which account I adds JOBS[I] jobs of four tasks a second. */
+static void
+play_shares (SharedPool *shared, guint n, const guint *jobs, uint32_t ms)
+{
+  double slots[20] = { 0 };
+  for (uint32_t passed = 0; passed < ms; passed += 20)
+    {
+      for (guint i = 0; i < n; i++)
+        {
+          /* Spread over the second, each account at another time. */
+          uint32_t before = (passed + i * 20) * jobs[i] / 1000;
+          uint32_t after = (passed + i * 20 + 20) * jobs[i] / 1000;
+          for (; before < after; before++)
+            add_single (shared, i, 4);
+        }
+      two_pools_run (shared->world, 20);
+      for (guint i = 0; i < n; i++)
+        slots[i] += (double) two_pools_usage (shared->world, 0, shared->names[i]).taken.cpu_milli
+                    / SLOT_MILLI;
+    }
+  for (guint i = 0; i < n; i++)
+    shared->used[i] = slots[i] / (ms / 20.0);
+}
+
+/* Returns: how many of the jobs of account I have no task started. */
+static guint
+queued_n (const SharedPool *shared, guint account)
+{
+  guint n = 0;
+  for (guint i = 1; i <= shared->world->jobs_n; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i);
+      fb_work_state state = FB_WORK_COMPLETED;
+      const FbPool *pool = shared->world->sides[0].pool;
+      n += fb_pool_job_state (pool, id, &state) && state == FB_WORK_QUEUED
+           && !fb_pool_job_is_visible (pool, id, "another")
+           && fb_pool_job_is_visible (pool, id, shared->names[account]);
+    }
+  return n;
+}
+
+/* Guards against an account that delays all others with the same priority once it sends more than
+ * the pool can run. */
+static void
+test_hot_account_beside_nineteen (void)
+{
+  SharedPool shared = shared_pool_new (20);
+  guint jobs[20] = { 100 };
+  for (guint i = 1; i < 20; i++)
+    jobs[i] = 1;
+  play_shares (&shared, 20, jobs, 10000);
+  guint others_n = 0;
+  for (guint i = 1; i < 20; i++)
+    others_n += queued_n (&shared, i);
+  g_print ("jobs that wait after 10 s: %u of the hot account, %u of the others\n",
+           queued_n (&shared, 0), others_n);
+  CU_ASSERT_TRUE (others_n <= 19);
+  CU_ASSERT_TRUE (shared.used[0] > 40);
+  two_pools_free (shared.world);
+}
+
+static void
+test_two_hot_accounts (void)
+{
+  SharedPool shared = shared_pool_new (4);
+  const guint jobs[] = { 100, 100, 2, 2 };
+  two_pools_set_weight (shared.world, shared.names[0], 3 * WEIGHT);
+  play_shares (&shared, 4, jobs, 5000);
+  play_shares (&shared, 4, jobs, 15000);
+  guint others_n = queued_n (&shared, 2) + queued_n (&shared, 3);
+  g_print ("slots used by two hot accounts of weights 3 and 1: %.1f and %.1f, by others %.1f and "
+           "%.1f; %u jobs of others wait\n",
+           shared.used[0], shared.used[1], shared.used[2], shared.used[3], others_n);
+  /* Their shares are 50 and 16.7 slots; what the other two leave goes to both. */
+  /* They send 4 jobs a second together.  An account counts as over its share only from 1.25 times
+   * on, and until then its older jobs go first. */
+  CU_ASSERT_TRUE (others_n <= 8);
+  CU_ASSERT_TRUE (shared.used[0] >= 50);
+  CU_ASSERT_TRUE (shared.used[1] >= 16.7);
+  two_pools_free (shared.world);
+}
+
+/* Guards against credit of an idle account, with which it would keep another one from the pool, and
+ * against an account that waits behind the backlog of another one when it returns. */
+static void
+test_account_that_returns (void)
+{
+  SharedPool shared = shared_pool_new (2);
+  const guint alone[] = { 50, 0 };
+  const guint both[] = { 50, 50 };
+  play_shares (&shared, 2, alone, 20000);
+  CU_ASSERT_TRUE (shared.used[0] > 95);
+  play_shares (&shared, 2, both, 2000);
+  double first = shared.used[1];
+  play_shares (&shared, 2, both, 10000);
+  g_print ("slots used by an account that returns: %.1f in the first 2 s, %.1f in the next 10 s\n",
+           first, shared.used[1]);
+  CU_ASSERT_TRUE (first > 35);
+  CU_ASSERT_TRUE (shared.used[1] > 35 && shared.used[1] < 65);
+  two_pools_free (shared.world);
+}
+
+static void
+test_weight_that_changes (void)
+{
+  SharedPool shared = shared_pool_new (2);
+  const guint both[] = { 60, 60 };
+  play_shares (&shared, 2, both, 10000);
+  double before = shared.used[1];
+  two_pools_set_weight (shared.world, shared.names[1], 4 * WEIGHT);
+  play_shares (&shared, 2, both, 3000);
+  play_shares (&shared, 2, both, 10000);
+  g_print ("slots used before and after a weight is raised fourfold: %.1f and %.1f\n", before,
+           shared.used[1]);
+  CU_ASSERT_TRUE (before > 35 && before < 65);
+  CU_ASSERT_TRUE (shared.used[1] > 65);
+  two_pools_free (shared.world);
+}
+
+/* Guards against an account that is kept back for its past use once it is no longer configured. */
+static void
+test_account_that_is_removed (void)
+{
+  SharedPool shared = shared_pool_new (2);
+  const guint both[] = { 60, 5 };
+  play_shares (&shared, 2, both, 10000);
+  FbPool *pool = shared.world->sides[0].pool;
+  CU_ASSERT_TRUE (fb_pool_account_is_over_share (fb_pool_account_get (pool, shared.names[0])));
+  two_pools_set_weight (shared.world, shared.names[0], 0);
+  play_shares (&shared, 2, both, 1000);
+  CU_ASSERT_FALSE (fb_pool_account_is_over_share (fb_pool_account_get (pool, shared.names[0])));
+  CU_ASSERT_FALSE (fb_pool_account_is_over_share (fb_pool_account_get (pool, shared.names[1])));
+  CU_ASSERT_FALSE (fb_pool_account_is_over_share (NULL));
+  two_pools_free (shared.world);
+}
+
+/* Guards against a gang that never starts because single tasks of another account take all capacity
+ * that is freed. */
+static void
+test_gang_beside_single_tasks (void)
+{
+  SharedPool shared = shared_pool_new (2);
+  const guint alone[] = { 60, 0 };
+  const FbAmounts slot = { .cpu_milli = SLOT_MILLI, .mem_mb = 10 };
+  two_pools_set_weight (shared.world, shared.names[0], 4 * WEIGHT);
+  play_shares (&shared, 2, alone, 5000);
+  two_pools_add_job (shared.world, 0, shared.names[1], 20, TRUE, &slot);
+  uint32_t waited_ms = 0;
+  while (waited_ms < 10000 && queued_n (&shared, 1) > 0)
+    {
+      play_shares (&shared, 2, alone, 100);
+      waited_ms += 100;
+    }
+  g_print ("a gang beside single tasks waited for %u ms\n", waited_ms);
+  CU_ASSERT_TRUE (waited_ms <= 2000);
+  two_pools_free (shared.world);
+}
+
+/* Guards against an order that changes with each run that starts or ends. */
+static void
+test_flag_has_two_limits (void)
+{
+  FbAccountShare share = { .weight = 1, .share = 0.4, .usage = 0.45 };
+  fb_account_share_update (&share, 0.45, 100);
+  CU_ASSERT_FALSE (share.is_over);
+  share.usage = 0.51;
+  fb_account_share_update (&share, 0.51, 100);
+  CU_ASSERT_TRUE (share.is_over);
+  share.usage = 0.45;
+  fb_account_share_update (&share, 0.45, 100);
+  CU_ASSERT_TRUE (share.is_over);
+  share.usage = 0.39;
+  fb_account_share_update (&share, 0.39, 100);
+  CU_ASSERT_FALSE (share.is_over);
+}
+
 /* ---- whose job it is ------------------------------------------------------------ */
 
 static FbPool *
@@ -614,10 +831,18 @@
     { "division of random claims", test_division_of_random_claims },
     { "a part follows within its time", test_part_follows_within_its_time },
     { "a part follows beside a full pool", test_part_follows_beside_a_full_pool },
+    { "a hot account beside nineteen others", test_hot_account_beside_nineteen },
+    { "two hot accounts", test_two_hot_accounts },
+    { "an account that returns", test_account_that_returns },
+    { "a weight that changes", test_weight_that_changes },
+    { "an account that is removed", test_account_that_is_removed },
+    { "a gang beside single tasks", test_gang_beside_single_tasks },
+    { "the flag has two limits", test_flag_has_two_limits },
     { "a job is visible to its account", test_job_is_visible_to_its_account },
     { "a job without account is visible to all", test_job_without_account_is_visible_to_all },
     { "the account outlives the admission", test_account_outlives_the_admission },
   };
+  fb_event_set_quiet (TRUE);
   if (sodium_init () < 0 || CU_initialize_registry () != CUE_SUCCESS)
     return 1;
   CU_pSuite suite = CU_add_suite ("accounts", NULL, NULL);
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -356,7 +356,7 @@
           if (g_str_equal (capped->task_workers->pdata[j], worker))
             g_array_append_val (running, run);
         }
-      if (ended != NULL && !ended_is_reported && g_str_equal (ended_on, worker))
+      if (ended_on != NULL && !ended_is_reported && g_str_equal (ended_on, worker))
         {
           guint number = GPOINTER_TO_UINT (g_hash_table_lookup (capped->ends_n, worker)) + 1;
           g_hash_table_insert (capped->ends_n, g_strdup (worker), GUINT_TO_POINTER (number));
--- a/tests/two-pools.c
+++ b/tests/two-pools.c
@@ -297,6 +297,25 @@
   return account->name;
 }
 
+void
+two_pools_set_weight (TwoPools *self, const char *name, uint32_t weight)
+{
+  FbAccount *account = g_hash_table_lookup (self->accounts, name);
+  account->weight = weight;
+  g_autoptr (GHashTable) configured = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbAccount *other = value;
+      if (other->weight > 0)
+        g_hash_table_insert (configured, other->name, other);
+    }
+  for (guint i = 0; i < TWO_POOLS_N; i++)
+    fb_pool_set_accounts (self->sides[i].pool, configured);
+}
+
 void
 two_pools_add_job (TwoPools *self, guint side, const char *account, guint count, gboolean gang,
                    const FbAmounts *demand)
--- a/tests/two-pools.h
+++ b/tests/two-pools.h
@@ -45,6 +45,8 @@
 /* Configures an account that the owner of pool COORDINATOR coordinates.  Returns: its name,
  * borrowed. */
 const char *two_pools_add_account (TwoPools *self, guint coordinator, const FbAmounts *cap);
+/* Gives the account NAME another weight, or with 0 removes it from the configuration. */
+void two_pools_set_weight (TwoPools *self, const char *name, uint32_t weight);
 /* Adds a job of one step with COUNT tasks of DEMAND to pool SIDE. */
 void two_pools_add_job (TwoPools *self, guint side, const char *account, guint count, gboolean gang,
                         const FbAmounts *demand);
