A new owner waits only for what its predecessor left on silent workers

Cause: of a worker that did not answer a new owner knew neither the runs nor the time that earlier owners had waited.

Change: from the first failed poll on, the owner stores which runs can be on a worker, as steps with numbers of tasks, and how long the last lease there can still take. From the beginning of that flush until a later one without the row is stored, it starts nothing on that worker and extends no lease there; a new owner that reads a row keeps to this too. The next owner holds back and charges to accounts only the named tasks, and counts the time since the record by its own clock since it fenced the previous writer and by reference clocks, those of workers that answered both owners. What remains is stored again for a third owner. Rows that tell runs are also written like those of draining workers, which owners of the previous version start nothing on, and the record of workers gets a row that makes it differ from any that such an owner writes.

Tests, by test-pool (number of tasks started with the majority, before and after): silent-workers-at-a-planned-takeover 0, 271; silent-workers-without-accounts 0, 300; silent-workers-and-a-killed-owner 0, 100; owner-replaced-twice: the held tasks start 3.0 to 3.4 s after the second takeover, before not within 3.4 s. closed-worker-under-a-second-owner, reopened-worker-while-the-store-is-down, silent-worker-back-under-its-id and silent-worker-keeps-its-runs fail before. owner-killed-before-the-record is the same before and after. start-answered-after-a-failed-poll: a flush before its start is gone, as nothing starts on a worker once its silence is in a flush; the start is still confirmed after the runs on its worker were recorded, and must be recorded.

--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -309,7 +309,8 @@
   if (data != NULL && fb_codec_decode_workers (data, len, &known))
     {
       if (world->silent_workers != NULL)
-        fb_pool_restore_silent_workers (owner->pool, world->known_workers, world->silent_workers);
+        fb_pool_restore_silent_workers (owner->pool, world->known_workers, world->silent_workers,
+                                        owner->store_fenced_ms);
       fb_pool_restore_workers (owner->pool, &known);
       xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &known);
     }
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -57,7 +57,7 @@
   uint32_t last_incarnation; /* last FbPoolWorker.incarnation that was assigned; 0: none yet */
   /* Address -> FbPoolWorker, the incarnation there that began last; borrowed. */
   GHashTable *latest_incarnations;
-  /* Id of a worker -> set of steps, for FbPoolWorker.drain_steps: from the record of the previous
+  /* Id of a worker -> set of steps, for FbPoolWorker.known_steps: from the record of the previous
    * owner. */
   GHashTable *drain_steps;
   /* Of FbPoolWorker that can take more than in the last round; borrowed. */
@@ -205,6 +205,8 @@
 void fb_pool_incarnation_answered (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* WORKER is certainly the incarnation that runs at its address. */
 void fb_pool_incarnation_set_latest (FbPool *self, FbPoolWorker *worker);
+/* TRUE when no later incarnation than WORKER is known at its address. */
+gboolean fb_pool_incarnation_is_latest (const FbPool *self, const FbPoolWorker *worker);
 /* Returns: the incarnation that runs in place of WORKER, which may be WORKER itself. */
 FbPoolWorker *fb_pool_incarnation_running (const FbPool *self, FbPoolWorker *worker);
 void fb_pool_incarnation_remove (FbPool *self, const FbPoolWorker *worker);
@@ -364,6 +366,8 @@
 void fb_pool_await_unknown_ends (FbPool *self, FbPoolJob *job, uint64_t now_ms);
 /* TRUE while a task of STEP may run, or may have ended, on a worker that has not answered yet. */
 gboolean fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step);
+/* As fb_pool_may_run_unconfirmed(), leaving out workers with FbPoolWorker.runs_counted. */
+gboolean fb_pool_may_run_uncounted (const FbPool *self, const FbPoolStep *step);
 
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -95,9 +95,16 @@
   gboolean superseded; /* a later incarnation at its address is known */
   /* When it was found that calls meant for another incarnation may arrive here; 0: none may. */
   uint64_t misdirected_calls_since_ms;
-  /* Names of the steps that may still run here, as recorded by the previous owner when it stopped
-   * starting work here; NULL: any step may run. */
-  GHashTable *drain_steps;
+  /* Name of a step -> number of its tasks that may still run here, as recorded by the previous
+   * owner when it stopped starting work here; NULL: any step may run. */
+  GHashTable *known_steps;
+  gboolean runs_counted; /* the numbers in KNOWN_STEPS are known */
+  /* Nothing starts here and no lease is extended, see pool-silence.c. */
+  gboolean closed;
+  gboolean lease_recorded;    /* the previous owner's record bounds the leases here */
+  uint64_t recorded_lease_ms; /* every lease ends within this time after that record */
+  /* Its clock is at most this far ahead of this owner's since it last began to answer. */
+  int64_t clock_ahead_ms;
   gboolean poll_open;             /* a poll is unanswered */
   uint32_t first_poll_timeout_ms; /* timeout of the last initial poll; 0: none sent */
   uint64_t next_poll_ms;          /* when the next poll is due */
@@ -155,6 +162,10 @@
 uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE when WORKER has never answered, or not for longer than a poll takes. */
 gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
+ * G_MAXUINT64: there is none. */
+uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
+                                            uint64_t now_ms);
 /* TRUE when every lease that the worker can hold has certainly ended. */
 gboolean fb_pool_worker_lease_expired (const FbPool *self, const FbPoolWorker *worker,
                                        uint64_t now_ms);
@@ -183,14 +194,18 @@
 
 /* pool-drain.c */
 
-/* Writes the steps that may still run on the draining WORKER into KNOWN. */
-void fb_pool_drain_record (const FbPoolWorker *worker, fb_work_known_worker *known);
+/* Returns: (transfer full): the name of the step that TASK belongs to. */
+char *fb_pool_step_of_task (const char *task);
+/* Writes STEPS, or the steps that may still run on WORKER if it drains, into KNOWN. STEPS: set of
+ * names; NULL: not known. */
+void fb_pool_drain_record (const FbPoolWorker *worker, GHashTable *steps,
+                           fb_work_known_worker *known);
 void fb_pool_drain_record_clear (fb_work_known_worker *known);
 /* Stores what the previous owner recorded of a worker until that worker is listed. */
 void fb_pool_drain_restore (FbPool *self, const fb_work_known_worker *known);
 /* WORKER was listed: applies what the previous owner recorded of it. */
 void fb_pool_drain_apply (FbPool *self, FbPoolWorker *worker);
-/* FALSE when WORKER is draining and no run of STEP can be on it. */
+/* FALSE when the previous owner's record proves that no run of STEP can be on WORKER. */
 gboolean fb_pool_drain_may_run (const FbPoolWorker *worker, const FbPoolStep *step);
 /* TRUE when the previous owner's record proves that nothing runs on WORKER, even if it does not
  * answer. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -185,9 +185,11 @@
  * fb_pool_workers_complete(). */
 void fb_pool_restore_workers (FbPool *self, const fb_work_workers *record);
 /* Restores the record of silent workers; must be called before fb_pool_restore_workers(). WORKERS:
- * the newest record of workers, as stored. Returns: FALSE when SILENT_WORKERS is malformed; a
+ * the newest record of workers, as stored. FENCED_MS: a time from which on the previous owner could
+ * store nothing. Returns: FALSE when SILENT_WORKERS is malformed; a
  * record that does not belong to WORKERS is ignored. */
-gboolean fb_pool_restore_silent_workers (FbPool *self, GBytes *workers, GBytes *silent_workers);
+gboolean fb_pool_restore_silent_workers (FbPool *self, GBytes *workers, GBytes *silent_workers,
+                                         uint64_t fenced_ms);
 
 /* Adds a job to the pool; no effect when the pool already has it. */
 void fb_pool_add_job (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -63,7 +63,7 @@
     }
   g_autofree char *silent_key = g_strconcat (FB_KEY_SILENT_WORKERS, service, NULL);
   GBytes *silent = g_hash_table_lookup (self->progress, silent_key);
-  if (silent != NULL && !fb_pool_restore_silent_workers (pool, value, silent))
+  if (silent != NULL && !fb_pool_restore_silent_workers (pool, value, silent, self->fenced_ms))
     fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "silent workers of service=%s malformed", service);
   fb_pool_restore_workers (pool, &record);
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -250,9 +250,9 @@
 
 /* ---- takeover ----------------------------------------------------------------------- */
 
-/* Returns: what all unconfirmed workers have together. A worker may have shrunk since its runs were
- * started, so its largest size counts; only that of a worker which a daemon of an earlier version
- * recorded is unknown. */
+/* Returns: what all unconfirmed workers whose runs are not counted have together. A worker may have
+ * shrunk since its runs were started, so its largest size counts; only that of a worker which a
+ * daemon of an earlier version recorded is unknown. */
 static FbAmounts
 unconfirmed_capacity (const FbPool *self)
 {
@@ -262,6 +262,8 @@
       const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
       const FbAmounts of_worker
           = { worker->max_cpu_milli, worker->max_mem_mb, worker->max_gpu_count };
+      if (worker->runs_counted)
+        continue;
       if (!worker->size_known)
         return (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
       fb_amounts_add (&capacity, &of_worker, 1);
@@ -293,12 +295,52 @@
         {
           const FbPoolStep *step = &occurrence->steps[j];
           guint pending_n = fb_pool_step_is_pending (step) ? fb_pool_step_pending_n (step) : 0;
-          if (pending_n > 0 && fb_pool_may_run_unconfirmed (self, step))
+          if (pending_n > 0 && fb_pool_may_run_uncounted (self, step))
             charge_unconfirmed (job->account, step->spec, pending_n);
         }
     }
 }
 
+/* Charges the tasks that the previous owner has counted on WORKER, in addition to what is bounded
+ * by bound_unconfirmed(). */
+static void
+add_counted (FbPool *self, const FbPoolWorker *worker)
+{
+  const FbAmounts capacity
+      = worker->size_known
+            ? (FbAmounts){ worker->max_cpu_milli, worker->max_mem_mb, worker->max_gpu_count }
+            : (FbAmounts){ G_MAXINT64, G_MAXINT64, G_MAXINT64 };
+  GHashTableIter iter;
+  gpointer name;
+  gpointer n;
+  g_hash_table_iter_init (&iter, worker->known_steps);
+  while (g_hash_table_iter_next (&iter, &name, &n))
+    {
+      uint32_t index = 0;
+      g_autofree char *task = g_strconcat (name, ".0", NULL);
+      const FbPoolStep *step = fb_pool_find_task (self, task, &index);
+      if (step == NULL || step->job->account == NULL)
+        continue;
+      const FbAmounts demand = demand_of (step->spec);
+      FbAmounts amounts = { 0 };
+      fb_amounts_add (&amounts, &demand, GPOINTER_TO_UINT (n));
+      if (!step->spec->best_effort)
+        amounts = fb_amounts_min (&amounts, &capacity);
+      fb_amounts_add (&step->job->account->unconfirmed, &amounts, 1);
+    }
+}
+
+static void
+add_all_counted (FbPool *self)
+{
+  for (guint i = 0; i < self->unconfirmed_workers->len; i++)
+    {
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      if (worker->runs_counted)
+        add_counted (self, worker);
+    }
+}
+
 /* Tasks that may run on workers without an answer use no more than these workers have. */
 static void
 bound_unconfirmed (FbPool *self)
@@ -352,6 +394,7 @@
         add_unconfirmed (self, job);
     }
   bound_unconfirmed (self);
+  add_all_counted (self);
 }
 
 /* ---- configuration --------------------------------------------------------------------- */
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -67,9 +67,9 @@
 gboolean
 fb_pool_worker_accepts_orders (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  return worker->listed && !worker->draining && !worker->runs_ended && !worker->superseded
-         && !fb_pool_has_pending_acknowledgement (worker) && !fb_pool_worker_silent (worker, now_ms)
-         && now_ms >= worker->paused_until_ms;
+  return worker->listed && !worker->draining && !worker->closed && !worker->runs_ended
+         && !worker->superseded && !fb_pool_has_pending_acknowledgement (worker)
+         && !fb_pool_worker_silent (worker, now_ms) && now_ms >= worker->paused_until_ms;
 }
 
 gboolean
--- a/src/work/pool-drain.c
+++ b/src/work/pool-drain.c
@@ -7,7 +7,7 @@
  * seconds get no result in time. Nothing new is started on a draining worker, so only the runs that
  * its owner tracks there when it begins to drain can run there from then on. Their steps are
  * stored, and the next owner holds back only these steps. */
-#include "internal/pool-private.h"
+#include "internal/pool-silence.h"
 
 #include <string.h>
 
@@ -17,9 +17,8 @@
   return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
-/* Returns: (transfer full): the name of the step that TASK belongs to. */
-static char *
-step_of_task (const char *task)
+char *
+fb_pool_step_of_task (const char *task)
 {
   const char *dot = strrchr (task, '.');
   return dot != NULL ? g_strndup (task, (gsize) (dot - task)) : g_strdup (task);
@@ -32,20 +31,22 @@
   if (!worker->draining)
     return NULL;
   if (!worker->answered)
-    return worker->drain_steps != NULL ? g_hash_table_ref (worker->drain_steps) : NULL;
+    return worker->known_steps != NULL ? g_hash_table_ref (worker->known_steps) : NULL;
   GHashTable *steps = set_new ();
   GHashTableIter iter;
   gpointer name;
   g_hash_table_iter_init (&iter, worker->runs);
   while (g_hash_table_iter_next (&iter, &name, NULL))
-    g_hash_table_add (steps, step_of_task (name));
+    g_hash_table_add (steps, fb_pool_step_of_task (name));
   return steps;
 }
 
 void
-fb_pool_drain_record (const FbPoolWorker *worker, fb_work_known_worker *known)
+fb_pool_drain_record (const FbPoolWorker *worker, GHashTable *known_steps,
+                      fb_work_known_worker *known)
 {
-  g_autoptr (GHashTable) steps = steps_on (worker);
+  g_autoptr (GHashTable) steps
+      = known_steps != NULL ? g_hash_table_ref (known_steps) : steps_on (worker);
   if (steps == NULL || g_hash_table_size (steps) > FB_WORK_MAX_RUNS)
     return;
   known->steps_known = TRUE;
@@ -69,7 +70,8 @@
 void
 fb_pool_drain_restore (FbPool *self, const fb_work_known_worker *known)
 {
-  if (!known->steps_known)
+  /* Workers that are closed are written like draining ones, see pool-record.c. */
+  if (!known->steps_known || fb_pool_silence_has_runs (self, known->id))
     return;
   GHashTable *steps = set_new ();
   for (u_int i = 0; i < known->steps.steps_len; i++)
@@ -81,23 +83,23 @@
 fb_pool_drain_apply (FbPool *self, FbPoolWorker *worker)
 {
   GHashTable *steps = g_hash_table_lookup (self->drain_steps, worker->id);
-  if (steps == NULL || worker->drain_steps != NULL)
+  if (steps == NULL || worker->known_steps != NULL)
     return;
-  worker->drain_steps = g_hash_table_ref (steps);
+  worker->known_steps = g_hash_table_ref (steps);
   worker->draining = TRUE; /* an outdated list may not show it yet */
 }
 
 gboolean
 fb_pool_drain_may_run (const FbPoolWorker *worker, const FbPoolStep *step)
 {
-  if (worker->drain_steps == NULL)
+  if (worker->known_steps == NULL)
     return TRUE;
   g_autofree char *name = fb_pool_step_name (step);
-  return g_hash_table_contains (worker->drain_steps, name);
+  return g_hash_table_contains (worker->known_steps, name);
 }
 
 gboolean
 fb_pool_drain_is_empty (const FbPoolWorker *worker)
 {
-  return worker->drain_steps != NULL && g_hash_table_size (worker->drain_steps) == 0;
+  return worker->known_steps != NULL && g_hash_table_size (worker->known_steps) == 0;
 }
--- a/src/work/pool-incarnations.c
+++ b/src/work/pool-incarnations.c
@@ -22,6 +22,12 @@
   return address != NULL ? g_hash_table_lookup (self->latest_incarnations, address) : NULL;
 }
 
+gboolean
+fb_pool_incarnation_is_latest (const FbPool *self, const FbPoolWorker *worker)
+{
+  return !worker->superseded && latest_at (self, worker->address) == worker;
+}
+
 void
 fb_pool_incarnation_set_latest (FbPool *self, FbPoolWorker *worker)
 {
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -88,12 +88,20 @@
   g_hash_table_remove_all (self->dirty);
 }
 
-/* Returns: (transfer full): the record of all workers. */
+/* Returns: (transfer full): the record of all workers.
+ *
+ * An owner of an earlier version does not know which workers are closed. If it started work there
+ * and its successor then read both records, the work would run twice. So closed workers with known
+ * runs are written like draining ones, on which that owner starts nothing; and the record gets a
+ * row without a worker, which makes it different from any that such an owner writes. */
 static GBytes *
-encode_workers (const FbPool *self)
+encode_workers (const FbPool *self, uint64_t now_ms)
 {
-  guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
+  guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS - 1);
   g_autofree fb_work_known_worker *known = g_new0 (fb_work_known_worker, n + 1);
+  g_autofree char *mark = g_strdup_printf ("#record %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+                                           self->epoch, self->flushes_n);
+  gboolean has_closed = FALSE;
   fb_work_workers record = { .workers = { 0, known } };
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
@@ -102,8 +110,13 @@
     {
       fb_work_known_worker *row = &known[record.workers.workers_len++];
       *row = (fb_work_known_worker){ .id = worker->id, .address = worker->address };
-      fb_pool_drain_record (worker, row);
+      g_autoptr (GHashTable) runs = fb_pool_silence_runs (self, worker, now_ms);
+      has_closed = has_closed || fb_pool_silence_will_close (self, worker, now_ms);
+      fb_pool_drain_record (worker, runs, row);
     }
+  if (has_closed)
+    known[record.workers.workers_len++]
+        = (fb_work_known_worker){ .id = mark, .address = (char *) "", .steps_known = TRUE };
   GBytes *bytes = fb_codec_encode_workers (&record);
   for (u_int i = 0; i < record.workers.workers_len; i++)
     fb_pool_drain_record_clear (&known[i]);
@@ -119,7 +132,7 @@
   if (!due && !fb_pool_silence_record_is_due (self, now_ms))
     return;
   self->workers_dirty = !self->recovered;
-  GBytes *workers = encode_workers (self);
+  GBytes *workers = encode_workers (self, now_ms);
   GBytes *silent = fb_pool_silence_record (self, workers, now_ms);
   add_record (records, NULL, workers)->kind = FB_POOL_RECORD_WORKERS;
   if (silent != NULL)
@@ -183,6 +196,7 @@
       fb_pool_crash_stored (self, job);
     }
   g_ptr_array_set_size (self->in_flush, 0);
+  fb_pool_silence_stored (self, now_ms);
   guint slot = 0;
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -7,7 +7,8 @@
  *
  * A worker that is unreachable at that moment takes up to 6.2 s until its lease ends, and holding
  * back everything for it left whole pools idle. Until then tasks that certainly do not run there
- * may start: those of steps that did not run there when the worker began to drain, of steps for
+ * may start: those of steps that did not run there when the worker began to drain, or when the
+ * previous owner recorded its silence (pool-silence.c), of steps for
  * which the worker lacks a label, of steps that the advice service does not allow on it (its
  * permissions never change, and workers refuse starts without its ticket), and of jobs that were
  * stored after the previous owner had stopped. */
@@ -155,8 +156,9 @@
     }
 }
 
-gboolean
-fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step)
+/* COUNTED_TOO: also on workers whose runs were counted by the previous owner. */
+static gboolean
+may_run (const FbPool *self, const FbPoolStep *step, gboolean counted_too)
 {
   if (step->job->awaits_unknown_ends && may_have_unknown_end (self, step->job))
     return TRUE;
@@ -164,8 +166,21 @@
     return FALSE;
   for (guint i = 0; i < self->unconfirmed_workers->len; i++)
     {
-      if (may_run_on (self->unconfirmed_workers->pdata[i], step))
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      if ((counted_too || !worker->runs_counted) && may_run_on (worker, step))
         return TRUE;
     }
   return FALSE;
 }
+
+gboolean
+fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step)
+{
+  return may_run (self, step, TRUE);
+}
+
+gboolean
+fb_pool_may_run_uncounted (const FbPool *self, const FbPoolStep *step)
+{
+  return may_run (self, step, FALSE);
+}
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -512,6 +512,7 @@
   worker->answered_poll_sent_ms = worker->poll_sent_ms;
   worker->last_answer_ms = now_ms;
   worker->clock_ms = answer->clock_ms;
+  fb_pool_silence_answered (self, worker, is_first, now_ms);
   for (guint i = 0; i < answer->running->len; i++)
     process_listed_run (self, worker, &g_array_index (answer->running, FbReportedRun, i),
                         answer->clock_ms, now_ms);
@@ -581,5 +582,5 @@
     fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
   else if (answer->result == FB_ORDER_NO_LISTENER && has_left (self, worker))
     fb_pool_worker_lost (self, worker, FB_LOSS_LEFT, NULL, now_ms);
-  fb_pool_silence_polled (self, worker);
+  fb_pool_silence_polled (self, worker, now_ms);
 }
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -8,6 +8,7 @@
  * the incarnation's clock has passed the deadline, or it has accepted a stop of that attempt, after
  * which it refuses the start. */
 #include "internal/pool-crash.h"
+#include "internal/pool-silence.h"
 
 #include "fb-event.h"
 
@@ -169,6 +170,7 @@
   /* Starts that may have reached it are resolved by its answers or by the expiry of its leases. */
   next->runs_ended = FALSE;
   next->replaced = FALSE;
+  fb_pool_silence_forget (self, next);
   fb_event_log (FB_EVENT_POOL_WORKER_RETURNED,
                 "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, next->id,
                 g_hash_table_size (worker->runs), open_starts_n (self, worker),
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -4,6 +4,7 @@
  * never began: a worker that does not check its own capacity carries out every start. */
 #include "internal/pool-account.h"
 #include "internal/pool-crash.h"
+#include "internal/pool-silence.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -60,7 +61,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &run))
     run_free (run);
   g_hash_table_unref (worker->runs);
-  g_clear_pointer (&worker->drain_steps, g_hash_table_unref);
+  g_clear_pointer (&worker->known_steps, g_hash_table_unref);
   fb_pool_speed_unref (worker->speed);
   g_strfreev (worker->labels);
   g_free (worker->last_failed_job);
@@ -108,20 +109,40 @@
   return lease_ms * 1000 / (1000 - CLOCK_SLOW_PERMILLE) + LEASE_EXPIRY_SLACK_MS;
 }
 
-/* TRUE when every lease of a worker that never answered has ended. It may hold a lease of the
- * previous owner, which learned of its replacement from one of the majority that answered here and
- * sends nothing later than FB_POOL_STEP_DOWN_MS after that. Calls meant for an earlier incarnation
- * may have reached it as well. */
-static gboolean
-unanswered_lease_expired (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+/* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
+ * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
+ * from one of the majority that answered here and sends nothing later than FB_POOL_STEP_DOWN_MS
+ * after that; if that owner had stopped extending leases there, its record tells when the last one
+ * ends. Calls meant for an earlier incarnation may have reached the worker as well. */
+static uint64_t
+unanswered_lease_end_ms (const FbPool *self, const FbPoolWorker *worker)
 {
   if (self->majority_ms == 0)
-    return FALSE;
-  if (worker->misdirected_calls_since_ms != 0
-      && now_ms <= worker->misdirected_calls_since_ms
-                       + max_duration_ms (self->limits.max_lease_ms + FB_POOL_DELAYED_CALL_MS))
-    return FALSE;
-  return now_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS);
+    return G_MAXUINT64;
+  uint64_t end_ms
+      = MIN (fb_pool_silence_lease_end_ms (self, worker),
+             self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS));
+  if (worker->misdirected_calls_since_ms != 0)
+    end_ms
+        = MAX (end_ms, worker->misdirected_calls_since_ms
+                           + max_duration_ms (self->limits.max_lease_ms + FB_POOL_DELAYED_CALL_MS));
+  return end_ms;
+}
+
+uint64_t
+fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->runs_ended)
+    return 0;
+  if (worker->answered)
+    {
+      uint64_t clock_ms = fb_pool_worker_clock_min (worker, now_ms);
+      return max_duration_ms (worker->lease_ms > clock_ms ? worker->lease_ms - clock_ms : 0);
+    }
+  uint64_t end_ms = unanswered_lease_end_ms (self, worker);
+  if (end_ms == G_MAXUINT64)
+    return G_MAXUINT64;
+  return end_ms > now_ms ? end_ms - now_ms : 0;
 }
 
 gboolean
@@ -130,7 +151,7 @@
   if (worker->runs_ended)
     return TRUE;
   if (!worker->answered)
-    return unanswered_lease_expired (self, worker, now_ms);
+    return now_ms > unanswered_lease_end_ms (self, worker);
   return fb_pool_worker_silent (worker, now_ms)
          && fb_pool_worker_clock_min (worker, now_ms) > worker->lease_ms + LEASE_EXPIRY_SLACK_MS;
 }
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -29,9 +29,13 @@
   GHashTable *starts;  /* task, and task/attempt -> order number of the last start */
   GHashTable *stops;   /* task -> order number of the last stop */
   GHashTable *used_workers; /* set of ids of workers on which something was started */
-  GHashTable *accounts;     /* name -> FbAccount, as configured; NULL: none */
-  GPtrArray *flush;         /* the open flush; NULL: none */
-  gboolean store_is_up;     /* each tick is followed by a flush that is stored at once */
+  /* What runs on the workers of "workers N": name of a task -> its last start. */
+  GHashTable *crowd_runs;
+  guint crowd_starts_n;   /* starts on these workers since the last "starts" */
+  guint crowd_repeated_n; /* of these, of tasks that ran on another worker */
+  GHashTable *accounts;   /* name -> FbAccount, as configured; NULL: none */
+  GPtrArray *flush;       /* the open flush; NULL: none */
+  gboolean store_is_up;   /* each tick is followed by a flush that is stored at once */
   gboolean show_polls;
   uint64_t advice_requests_left; /* number of advice requests that are still accepted */
   char **args;
@@ -99,6 +103,25 @@
   g_hash_table_replace (table, g_strdup (strip_zeros (task)), g_memdup2 (&order, sizeof order));
 }
 
+/* A task that the pool has started on one of many workers. */
+typedef struct
+{
+  char *worker;
+  uint32_t attempt;
+} CrowdRun;
+
+static void
+record_crowd_start (Script *script, const FbStartOrder *order)
+{
+  const CrowdRun *earlier = g_hash_table_lookup (script->crowd_runs, order->task);
+  script->crowd_starts_n++;
+  script->crowd_repeated_n += earlier != NULL;
+  CrowdRun *run = g_new0 (CrowdRun, 1);
+  run->worker = g_strdup (order->worker);
+  run->attempt = order->attempt;
+  g_hash_table_replace (script->crowd_runs, g_strdup (order->task), run);
+}
+
 static void
 on_start (gpointer user, const FbStartOrder *order)
 {
@@ -108,7 +131,10 @@
   record_order (script->starts, name, order->order);
   g_hash_table_add (script->used_workers, g_strdup (order->worker));
   if (g_hash_table_size (script->workers) > MAX_PRINTED_WORKERS)
-    return;
+    {
+      record_crowd_start (script, order);
+      return;
+    }
   printf ("  start %s attempt=%u on %s%s%s%s%s\n", strip_zeros (order->task), order->attempt,
           order->worker, *order->checkpoint != '\0' ? " checkpoint=" : "", order->checkpoint,
           order->ticket != NULL ? " ticket=" : "", order->ticket != NULL ? order->ticket : "");
@@ -253,7 +279,7 @@
     fail (script, "the record of workers is malformed");
   if (script->stored_silent != NULL
       && !fb_pool_restore_silent_workers (script->pool, script->stored_workers,
-                                          script->stored_silent))
+                                          script->stored_silent, script->now_ms))
     fail (script, "the record of silent workers is malformed");
   fb_pool_restore_workers (script->pool, &record);
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
@@ -320,6 +346,72 @@
     }
 }
 
+/* Returns: (transfer full): FbReportedRun of what was started on WORKER. */
+static GArray *
+crowd_running (const Script *script, const char *worker)
+{
+  GArray *running = g_array_new (FALSE, TRUE, sizeof (FbReportedRun));
+  GHashTableIter iter;
+  gpointer task;
+  gpointer value;
+  g_hash_table_iter_init (&iter, script->crowd_runs);
+  while (g_hash_table_iter_next (&iter, &task, &value))
+    {
+      const CrowdRun *run = value;
+      const FbReportedRun row
+          = { .task = task, .attempt = run->attempt, .checkpoint = (char *) "" };
+      if (g_str_equal (run->worker, worker))
+        g_array_append_val (running, row);
+    }
+  return running;
+}
+
+/* answers FIRST LAST [fail]: each of the workers cFIRST to cLAST answers a poll with what was
+ * started there; with fail, its poll gets no answer. */
+static void
+do_answers (Script *script)
+{
+  for (int i = atoi (script->args[1]); i <= atoi (script->args[2]); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c%d", i);
+      g_autoptr (GArray) running = crowd_running (script, id);
+      g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbReportedEnd));
+      const FbPollAnswer answer
+          = { .result = has_flag (script, "fail") ? FB_ORDER_UNKNOWN : FB_ORDER_DONE,
+              .clock_ms = script->now_ms,
+              .running = running,
+              .finished = finished };
+      fb_pool_poll_answered (script->pool, id, &answer, script->now_ms, wall_ms (script));
+    }
+}
+
+static gboolean
+is_on_worker (gpointer task, gpointer run, gpointer worker)
+{
+  (void) task;
+  return g_str_equal (((const CrowdRun *) run)->worker, worker);
+}
+
+/* forget FIRST LAST: what runs on the workers cFIRST to cLAST has ended with them. */
+static void
+do_forget (Script *script)
+{
+  for (int i = atoi (script->args[1]); i <= atoi (script->args[2]); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c%d", i);
+      g_hash_table_foreach_remove (script->crowd_runs, is_on_worker, id);
+    }
+}
+
+/* starts: prints how many tasks were started on many workers since the last time. */
+static void
+do_starts (Script *script)
+{
+  printf ("  %u starts, %u of tasks that ran already\n", script->crowd_starts_n,
+          script->crowd_repeated_n);
+  script->crowd_starts_n = script->crowd_repeated_n = 0;
+}
+
 /* unlist ID: the list no longer has this worker. */
 static void
 do_unlist (Script *script)
@@ -750,6 +842,9 @@
 } commands[] = { { "new-owner", do_new_owner },
                  { "worker", do_worker },
                  { "workers", do_workers },
+                 { "answers", do_answers },
+                 { "forget", do_forget },
+                 { "starts", do_starts },
                  { "unlist", do_unlist },
                  { "workers-complete", do_workers_complete },
                  { "account", do_account },
@@ -807,6 +902,7 @@
   script.progress = g_hash_table_new (g_str_hash, g_str_equal);
   script.workers = g_hash_table_new (g_str_hash, g_str_equal);
   script.used_workers = g_hash_table_new (g_str_hash, g_str_equal);
+  script.crowd_runs = g_hash_table_new (g_str_hash, g_str_equal);
   script.starts = g_hash_table_new (g_str_hash, g_str_equal);
   script.stops = g_hash_table_new (g_str_hash, g_str_equal);
   open_pool (&script, 1);
