The log tells what a takeover waits for

POOL_AWAITS_WORKERS is logged once a second from 200 ms after the majority on: the number of workers, the one that is waited for longest with the bound of its wait, the reason, whether its runs are known, and the number of steps held back. Histograms of the time until a pool has recovered and until its first start.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -44,6 +44,7 @@
   uint64_t majority_ms;      /* when a majority of the workers had answered; 0: not yet */
   gboolean workers_complete; /* fb_pool_workers_complete() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
+  uint64_t awaits_logged_ms; /* when POOL_AWAITS_WORKERS was last logged; 0: never */
   /* Of FbPoolWorker that may have unknown runs, as of this tick; borrowed. */
   GPtrArray *unconfirmed_workers;
   gboolean fenced;   /* a worker has seen a higher epoch: the pool must not be used any more */
@@ -52,6 +53,7 @@
   uint64_t flushes_n;        /* number of the last flush; 0: none has begun */
   uint64_t stored_flushes_n; /* number of the last flush that was stored; 0: none */
   uint64_t last_order;       /* number of the last order; 0: none was sent yet */
+  gboolean has_started;      /* this owner has ordered a start */
   GHashTable *workers;       /* id -> FbPoolWorker */
   GPtrArray *worker_slots;   /* of FbPoolWorker by slot; NULL: the slot is free; borrowed */
   uint32_t last_incarnation; /* last FbPoolWorker.incarnation that was assigned; 0: none yet */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -156,6 +156,9 @@
   run->awaits_record = FALSE;
   run->deadline_ms = fb_pool_worker_clock_min (worker, now_ms) + FB_POOL_START_WINDOW_MS;
   run->started_ms = now_ms;
+  if (!self->has_started)
+    fb_histogram_add (FB_HISTOGRAM_POOL_FIRST_START, now_ms - self->created_ms);
+  self->has_started = TRUE;
   run->order = add_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   task->attempt = run->attempt;
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -15,6 +15,11 @@
 #include "internal/pool-account.h"
 
 #include "fb-event.h"
+#include "fb-histogram.h"
+
+/* Most takeovers need no longer, and are not logged. */
+#define AWAITS_LOG_AFTER_MS 200
+#define AWAITS_LOG_INTERVAL_MS 1000
 
 static guint
 running_n (const FbPoolStep *step)
@@ -71,6 +76,73 @@
     }
 }
 
+static const char *
+reason_to_await (const FbPoolWorker *worker)
+{
+  if (worker->answered)
+    return "unknown end";
+  return worker->lease_recorded ? "silent" : "never answered";
+}
+
+/* Returns: the unconfirmed worker for whose leases the wait is the longest. */
+static const FbPoolWorker *
+longest_awaited (const FbPool *self, uint64_t now_ms)
+{
+  const FbPoolWorker *longest = NULL;
+  for (guint i = 0; i < self->unconfirmed_workers->len; i++)
+    {
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      if (longest == NULL
+          || fb_pool_worker_lease_remaining_ms (self, worker, now_ms)
+                 > fb_pool_worker_lease_remaining_ms (self, longest, now_ms))
+        longest = worker;
+    }
+  return longest;
+}
+
+static guint
+held_steps_of (const FbPool *self, const FbPoolJob *job)
+{
+  guint n = 0;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
+        n += fb_pool_step_is_pending (&occurrence->steps[j])
+             && fb_pool_may_run_unconfirmed (self, &occurrence->steps[j]);
+    }
+  return n;
+}
+
+static guint
+held_steps_n (const FbPool *self)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer job;
+  g_hash_table_iter_init (&iter, self->active_jobs);
+  while (g_hash_table_iter_next (&iter, &job, NULL))
+    n += held_steps_of (self, job);
+  return n;
+}
+
+static void
+log_awaited_workers (FbPool *self, uint64_t now_ms)
+{
+  if (self->unconfirmed_workers->len == 0 || now_ms < self->majority_ms + AWAITS_LOG_AFTER_MS
+      || (self->awaits_logged_ms != 0 && now_ms < self->awaits_logged_ms + AWAITS_LOG_INTERVAL_MS))
+    return;
+  self->awaits_logged_ms = now_ms;
+  const FbPoolWorker *worker = longest_awaited (self, now_ms);
+  fb_event_log (FB_EVENT_POOL_AWAITS_WORKERS,
+                "service=%s epoch=%" G_GUINT64_FORMAT
+                " workers=%u longest=%s bound_ms=%" G_GUINT64_FORMAT
+                " reason=\"%s\" runs_known=%d held_steps=%u",
+                self->service, self->epoch, self->unconfirmed_workers->len, worker->id,
+                fb_pool_worker_lease_remaining_ms (self, worker, now_ms), reason_to_await (worker),
+                worker->known_steps != NULL, held_steps_n (self));
+}
+
 void
 fb_pool_check_recovery (FbPool *self, uint64_t now_ms)
 {
@@ -84,7 +156,11 @@
   self->recovered = self->unconfirmed_workers->len == 0;
   fb_pool_accounts_update_unconfirmed (self, now_ms);
   if (!self->recovered)
-    return;
+    {
+      log_awaited_workers (self, now_ms);
+      return;
+    }
+  fb_histogram_add (FB_HISTOGRAM_POOL_RECOVERY, now_ms - self->created_ms);
   self->round_due = TRUE;
   break_partial_gangs (self, now_ms);
   fb_event_log (FB_EVENT_POOL_SETTLED,
