Scripts for silent workers fail on each part of their rules

New: counted-runs-on-a-silent-worker, silent-worker-with-an-unknown-end, owner-that-is-cut-off-closes-no-worker, silent-worker-and-the-previous-version, and a unit test that daemons of the previous version cannot take the record for the end of a job. Each fails when the check that it is about is removed by hand: the hash, rows of the previous owner, starts, leases, reopening before the record is stored, reference clocks, unknown ends, closing while cut off, counted runs. No script fails without the two checks on later incarnations (fb_pool_silence_forget, fb_pool_incarnation_is_latest).

--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -712,6 +712,31 @@
   fb_pool_flushed (script->pool, script->now_ms);
 }
 
+/* workers-stored-by-previous-version: an owner of the previous version replaces the record of
+ * workers, and leaves that of silent workers. It knows the same workers, and none that drains. */
+static void
+do_workers_stored_by_previous_version (Script *script)
+{
+  gsize len = 0;
+  fb_work_workers record;
+  gconstpointer data = g_bytes_get_data (script->stored_workers, &len);
+  if (!fb_codec_decode_workers (data, len, &record))
+    fail (script, "the record of workers is malformed");
+  g_autofree fb_work_known_worker *known
+      = g_new0 (fb_work_known_worker, record.workers.workers_len + 1);
+  fb_work_workers written = { .workers = { 0, known } };
+  for (u_int i = 0; i < record.workers.workers_len; i++)
+    {
+      const fb_work_known_worker *row = &record.workers.workers_val[i];
+      if (*row->id != '#') /* a row without a worker */
+        known[written.workers.workers_len++]
+            = (fb_work_known_worker){ .id = row->id, .address = row->address };
+    }
+  g_bytes_unref (script->stored_workers);
+  script->stored_workers = fb_codec_encode_workers (&written);
+  xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
+}
+
 /* store up: from here on each tick stores what has changed, and the pool ticks again. store down:
  * only flush and flushed do. */
 static void
@@ -859,6 +884,7 @@
                  { "stop-answer", do_stop_answer },
                  { "advice", do_advice },
                  { "advice-answer", do_advice_answer },
+                 { "workers-stored-by-previous-version", do_workers_stored_by_previous_version },
                  { "store", do_store },
                  { "tick", do_tick },
                  { "flush", do_flush },
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -416,6 +416,44 @@
     }
 }
 
+/* A daemon of the previous version takes the record for the progress of a job. If that were read as
+ * the progress of an ended job, it would be kept and shown to callers. */
+static void
+test_silent_workers_are_not_progress_of_an_ended_job (void)
+{
+  fb_work_step_runs runs[] = { { (char *) "j.0.0", 2 }, { (char *) "k.0.1", 1 } };
+  fb_work_label label = { (char *) "kind-a" };
+  fb_work_silent_worker rows[2] = { { .id = (char *) "w1", .size_known = TRUE, .cpu_milli = 16000 },
+                                    { .id = (char *) "w2", .lease_known = TRUE } };
+  rows[0].labels.labels_len = 1;
+  rows[0].labels.labels_val = &label;
+  rows[1].runs.runs_len = 2;
+  rows[1].runs.runs_val = runs;
+  fb_work_reference_clock clock = { (char *) "w3", 5000 };
+  fb_work_silent_workers written
+      = { .state = FB_WORK_QUEUED, .workers = { 2, rows }, .clocks = { 1, &clock } };
+  for (guint i = 0; i < 1000; i++)
+    {
+      written.workers_hash = i * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
+      written.workers.workers_len = i % 3;
+      written.clocks.clocks_len = i % 2;
+      g_autoptr (GBytes) bytes = fb_codec_encode_silent_workers (&written);
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (bytes, &len);
+      fb_work_silent_workers record;
+      CU_ASSERT_TRUE_FATAL (fb_codec_decode_silent_workers (data, len, &record));
+      CU_ASSERT_EQUAL (record.workers_hash, written.workers_hash);
+      CU_ASSERT_EQUAL (record.workers.workers_len, i % 3);
+      xdr_free ((xdrproc_t) xdr_fb_work_silent_workers, (char *) &record);
+      fb_work_progress progress;
+      fb_work_suspects suspects;
+      if (!fb_codec_decode_progress (data, len, &progress, &suspects))
+        continue;
+      CU_ASSERT_EQUAL (progress.state, FB_WORK_QUEUED);
+      fb_codec_clear_progress (&progress, &suspects);
+    }
+}
+
 static const CU_TestInfo tests[] = {
   { "timer calls once after a long pause", test_timer_calls_once_after_a_long_pause },
   { "INI values", test_ini_values },
@@ -427,6 +465,7 @@
   { "accelerator guard", test_accel_guard_reserves_capacity_for_accelerators },
   { "rendezvous moves few shards", test_rendezvous_moves_only_shards_of_the_failed_member },
   { "progress with and without suspects", test_progress_with_and_without_suspects },
+  { "silent workers are not progress", test_silent_workers_are_not_progress_of_an_ended_job },
   { "quota slices", test_quota_slices_never_exceed_the_quota },
   CU_TEST_INFO_NULL,
 };
