--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -158,6 +158,9 @@
   run->awaits_record = FALSE;
   run->deadline_ms = fb_pool_worker_clock_min (worker, now_ms) + FB_POOL_START_WINDOW_MS;
   run->started_ms = now_ms;
+  if (!self->has_started)
+    fb_histogram_add (FB_HISTOGRAM_POOL_FIRST_START, now_ms - self->created_ms);
+  self->has_started = TRUE;
   run->order = add_order (self, worker, run);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   task->attempt = run->attempt;
@@ -292,7 +295,7 @@
   /* If each poll extended the lease of a silent worker, which may still receive it, the lease would
    * never end and its tasks would never start again. So a silent worker is polled without a lease,
    * and the last lease runs out. */
-  if (worker->answered && !fb_pool_worker_silent (worker, now_ms))
+  if (worker->answered && !worker->closed && !fb_pool_worker_silent (worker, now_ms))
     order.deadline_ms = fb_pool_worker_clock_min (worker, now_ms) + lease_ms;
   /* While a worker has ends that may not be acknowledged yet, it answers each poll at once, so the
    * poll requests no wait. */
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -7,13 +7,19 @@
  *
  * A worker that is unreachable at that moment takes up to 6.2 s until its lease ends, and holding
  * back everything for it left whole pools idle. Until then tasks that certainly do not run there
- * may start: those of steps that did not run there when the worker began to drain, of steps for
+ * may start: those of steps that did not run there when the worker began to drain, or when the
+ * previous owner recorded its silence (pool-silence.c), of steps for
  * which the worker lacks a label, of steps that the advice service does not allow on it (its
  * permissions never change, and workers refuse starts without its ticket), and of jobs that were
  * stored after the previous owner had stopped. */
 #include "internal/pool-account.h"
 
 #include "fb-event.h"
+#include "fb-histogram.h"
+
+/* Most takeovers need no longer, and are not logged. */
+#define AWAITS_LOG_AFTER_MS 200
+#define AWAITS_LOG_INTERVAL_MS 1000
 
 static guint
 running_n (const FbPoolStep *step)
@@ -70,6 +76,73 @@
     }
 }
 
+static const char *
+reason_to_await (const FbPoolWorker *worker)
+{
+  if (worker->answered)
+    return "unknown end";
+  return worker->lease_recorded ? "silent" : "never answered";
+}
+
+/* Returns: the unconfirmed worker for whose leases the wait is the longest. */
+static const FbPoolWorker *
+longest_awaited (const FbPool *self, uint64_t now_ms)
+{
+  const FbPoolWorker *longest = NULL;
+  for (guint i = 0; i < self->unconfirmed_workers->len; i++)
+    {
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      if (longest == NULL
+          || fb_pool_worker_lease_remaining_ms (self, worker, now_ms)
+                 > fb_pool_worker_lease_remaining_ms (self, longest, now_ms))
+        longest = worker;
+    }
+  return longest;
+}
+
+static guint
+held_steps_of (const FbPool *self, const FbPoolJob *job)
+{
+  guint n = 0;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      for (guint j = 0; !occurrence->finished && j < job->record.spec.steps.steps_len; j++)
+        n += fb_pool_step_is_pending (&occurrence->steps[j])
+             && fb_pool_may_run_unconfirmed (self, &occurrence->steps[j]);
+    }
+  return n;
+}
+
+static guint
+held_steps_n (const FbPool *self)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer job;
+  g_hash_table_iter_init (&iter, self->active_jobs);
+  while (g_hash_table_iter_next (&iter, &job, NULL))
+    n += held_steps_of (self, job);
+  return n;
+}
+
+static void
+log_awaited_workers (FbPool *self, uint64_t now_ms)
+{
+  if (self->unconfirmed_workers->len == 0 || now_ms < self->majority_ms + AWAITS_LOG_AFTER_MS
+      || (self->awaits_logged_ms != 0 && now_ms < self->awaits_logged_ms + AWAITS_LOG_INTERVAL_MS))
+    return;
+  self->awaits_logged_ms = now_ms;
+  const FbPoolWorker *worker = longest_awaited (self, now_ms);
+  fb_event_log (FB_EVENT_POOL_AWAITS_WORKERS,
+                "service=%s epoch=%" G_GUINT64_FORMAT
+                " workers=%u longest=%s bound_ms=%" G_GUINT64_FORMAT
+                " reason=\"%s\" runs_known=%d held_steps=%u",
+                self->service, self->epoch, self->unconfirmed_workers->len, worker->id,
+                fb_pool_worker_lease_remaining_ms (self, worker, now_ms), reason_to_await (worker),
+                worker->known_steps != NULL, held_steps_n (self));
+}
+
 void
 fb_pool_check_recovery (FbPool *self, uint64_t now_ms)
 {
@@ -83,7 +156,11 @@
   self->recovered = self->unconfirmed_workers->len == 0;
   fb_pool_accounts_update_unconfirmed (self, now_ms);
   if (!self->recovered)
-    return;
+    {
+      log_awaited_workers (self, now_ms);
+      return;
+    }
+  fb_histogram_add (FB_HISTOGRAM_POOL_RECOVERY, now_ms - self->created_ms);
   self->round_due = TRUE;
   break_partial_gangs (self, now_ms);
   fb_event_log (FB_EVENT_POOL_SETTLED,
@@ -155,8 +232,9 @@
     }
 }
 
-gboolean
-fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step)
+/* COUNTED_TOO: also on workers whose runs were counted by the previous owner. */
+static gboolean
+may_run (const FbPool *self, const FbPoolStep *step, gboolean counted_too)
 {
   if (step->job->awaits_unknown_ends && may_have_unknown_end (self, step->job))
     return TRUE;
@@ -164,8 +242,21 @@
     return FALSE;
   for (guint i = 0; i < self->unconfirmed_workers->len; i++)
     {
-      if (may_run_on (self->unconfirmed_workers->pdata[i], step))
+      const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
+      if ((counted_too || !worker->runs_counted) && may_run_on (worker, step))
         return TRUE;
     }
   return FALSE;
 }
+
+gboolean
+fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step)
+{
+  return may_run (self, step, TRUE);
+}
+
+gboolean
+fb_pool_may_run_uncounted (const FbPool *self, const FbPoolStep *step)
+{
+  return may_run (self, step, FALSE);
+}
