--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -809,6 +809,123 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_load_notice (XDR *xdrs, fb_load_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->overloaded))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_admission_step (XDR *xdrs, fb_admission_step *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpu_count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->count);
+		IXDR_PUT_U_LONG(buf, objp->cpu_milli);
+		IXDR_PUT_U_LONG(buf, objp->mem_mb);
+		IXDR_PUT_U_LONG(buf, objp->gpu_count);
+		IXDR_PUT_U_LONG(buf, objp->estimate_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, FB_WORK_MAX_STEPS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mem_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpu_count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		objp->count = IXDR_GET_U_LONG(buf);
+		objp->cpu_milli = IXDR_GET_U_LONG(buf);
+		objp->mem_mb = IXDR_GET_U_LONG(buf);
+		objp->gpu_count = IXDR_GET_U_LONG(buf);
+		objp->estimate_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, FB_WORK_MAX_STEPS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gpu_count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, FB_WORK_MAX_STEPS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_admission_request (XDR *xdrs, fb_admission_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->job, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->account, FB_WORK_MAX_ACCOUNT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->queue, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->accepted_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, FB_WORK_MAX_STEPS,
+		sizeof (fb_admission_step), (xdrproc_t) xdr_fb_admission_step))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_pending_request (XDR *xdrs, fb_pending_request *objp)
 {
@@ -1010,6 +1127,14 @@
 		 if (!xdr_fb_account_parts_request (xdrs, &objp->fb_peer_request_u.parts))
 			 return FALSE;
 		break;
+	case FB_REQUEST_LOAD_NOTICE:
+		 if (!xdr_fb_load_notice (xdrs, &objp->fb_peer_request_u.notice))
+			 return FALSE;
+		break;
+	case FB_REQUEST_ADMISSION:
+		 if (!xdr_fb_admission_request (xdrs, &objp->fb_peer_request_u.admission))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1207,6 +1332,73 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_admission_reply (XDR *xdrs, fb_admission_reply *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->admitted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->known))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->admitted);
+		IXDR_PUT_BOOL(buf, objp->known);
+		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->wait_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->forecast_end_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->admitted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->known))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+
+		} else {
+		objp->admitted = IXDR_GET_BOOL(buf);
+		objp->known = IXDR_GET_BOOL(buf);
+		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->wait_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->forecast_end_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_bool (xdrs, &objp->admitted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forecast_end_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_reply (XDR *xdrs, fb_peer_reply *objp)
 {
@@ -1251,6 +1443,10 @@
 		 if (!xdr_fb_account_grants_reply (xdrs, &objp->fb_peer_reply_u.grants))
 			 return FALSE;
 		break;
+	case FB_REPLY_ADMISSION:
+		 if (!xdr_fb_admission_reply (xdrs, &objp->fb_peer_reply_u.admission))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -252,6 +252,8 @@
 	FB_REQUEST_ACCOUNT_JOB_STATE = 14,
 	FB_REQUEST_CONFIGURATION = 15,
 	FB_REQUEST_ACCOUNT_PARTS = 16,
+	FB_REQUEST_LOAD_NOTICE = 17,
+	FB_REQUEST_ADMISSION = 18,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -303,6 +305,43 @@
 };
 typedef struct fb_account_parts_request fb_account_parts_request;
 
+struct fb_load_notice {
+	char *service;
+	u_quad_t epoch;
+	u_quad_t sequence;
+	bool_t overloaded;
+	u_int valid_ms;
+};
+typedef struct fb_load_notice fb_load_notice;
+
+struct fb_admission_step {
+	u_int count;
+	u_int cpu_milli;
+	u_int mem_mb;
+	u_int gpu_count;
+	u_int estimate_ms;
+	struct {
+		u_int after_len;
+		u_int *after_val;
+	} after;
+};
+typedef struct fb_admission_step fb_admission_step;
+
+struct fb_admission_request {
+	char *service;
+	char *job;
+	char *account;
+	char *queue;
+	u_int priority;
+	u_quad_t epoch;
+	u_quad_t accepted_ms;
+	struct {
+		u_int steps_len;
+		fb_admission_step *steps_val;
+	} steps;
+};
+typedef struct fb_admission_request fb_admission_request;
+
 struct fb_pending_request {
 	char *service;
 	char *queue;
@@ -404,6 +443,8 @@
 		fb_account_job_state_request account_job;
 		fb_configuration_request configuration;
 		fb_account_parts_request parts;
+		fb_load_notice notice;
+		fb_admission_request admission;
 	} fb_peer_request_u;
 };
 typedef struct fb_peer_request fb_peer_request;
@@ -426,6 +467,7 @@
 	FB_REPLY_SUSPECT_BACKUPS = 15,
 	FB_REPLY_CONFIGURATION = 16,
 	FB_REPLY_ACCOUNT_GRANTS = 17,
+	FB_REPLY_ADMISSION = 18,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -540,6 +582,16 @@
 };
 typedef struct fb_account_grants_reply fb_account_grants_reply;
 
+struct fb_admission_reply {
+	bool_t admitted;
+	bool_t known;
+	u_int retry_after_ms;
+	u_quad_t wait_ms;
+	u_quad_t forecast_end_ms;
+	u_quad_t age_ms;
+};
+typedef struct fb_admission_reply fb_admission_reply;
+
 struct fb_peer_reply {
 	fb_peer_reply_type type;
 	union {
@@ -552,6 +604,7 @@
 		fb_suspect_backups_reply backups;
 		fb_configuration_reply configuration;
 		fb_account_grants_reply grants;
+		fb_admission_reply admission;
 	} fb_peer_reply_u;
 };
 typedef struct fb_peer_reply fb_peer_reply;
@@ -584,6 +637,9 @@
 extern  bool_t xdr_fb_work_amounts (XDR *, fb_work_amounts*);
 extern  bool_t xdr_fb_account_part (XDR *, fb_account_part*);
 extern  bool_t xdr_fb_account_parts_request (XDR *, fb_account_parts_request*);
+extern  bool_t xdr_fb_load_notice (XDR *, fb_load_notice*);
+extern  bool_t xdr_fb_admission_step (XDR *, fb_admission_step*);
+extern  bool_t xdr_fb_admission_request (XDR *, fb_admission_request*);
 extern  bool_t xdr_fb_pending_request (XDR *, fb_pending_request*);
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
 extern  bool_t xdr_fb_advice_request (XDR *, fb_advice_request*);
@@ -608,6 +664,7 @@
 extern  bool_t xdr_fb_configuration_reply (XDR *, fb_configuration_reply*);
 extern  bool_t xdr_fb_account_grant (XDR *, fb_account_grant*);
 extern  bool_t xdr_fb_account_grants_reply (XDR *, fb_account_grants_reply*);
+extern  bool_t xdr_fb_admission_reply (XDR *, fb_admission_reply*);
 extern  bool_t xdr_fb_peer_reply (XDR *, fb_peer_reply*);
 
 #else /* K&R C */
@@ -636,6 +693,9 @@
 extern bool_t xdr_fb_work_amounts ();
 extern bool_t xdr_fb_account_part ();
 extern bool_t xdr_fb_account_parts_request ();
+extern bool_t xdr_fb_load_notice ();
+extern bool_t xdr_fb_admission_step ();
+extern bool_t xdr_fb_admission_request ();
 extern bool_t xdr_fb_pending_request ();
 extern bool_t xdr_fb_worker_name ();
 extern bool_t xdr_fb_advice_request ();
@@ -660,6 +720,7 @@
 extern bool_t xdr_fb_configuration_reply ();
 extern bool_t xdr_fb_account_grant ();
 extern bool_t xdr_fb_account_grants_reply ();
+extern bool_t xdr_fb_admission_reply ();
 extern bool_t xdr_fb_peer_reply ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -204,7 +204,9 @@
                                      * receiving daemon has not heard of for some time */
   FB_REQUEST_ACCOUNT_JOB_STATE = 14, /* as FB_REQUEST_JOB_STATE, for a caller of an account */
   FB_REQUEST_CONFIGURATION = 15,    /* the configuration, if it is newer than a version */
-  FB_REQUEST_ACCOUNT_PARTS = 16     /* parts of the caps of accounts for a pool */
+  FB_REQUEST_ACCOUNT_PARTS = 16,    /* parts of the caps of accounts for a pool */
+  FB_REQUEST_LOAD_NOTICE = 17,      /* the pool of a service is overloaded, or no longer is */
+  FB_REQUEST_ADMISSION = 18         /* whether to store a job, answered by the owner of its pool */
 };
 
 struct fb_job_state_request {
@@ -253,6 +255,37 @@
   fb_account_part rows<FB_WORK_MAX_ACCOUNT_ROWS>;
 };
 
+/* From the owner of the pool of SERVICE to all daemons. */
+struct fb_load_notice {
+  string service<FB_WORK_MAX_NAME>;
+  unsigned hyper epoch;    /* of the owner */
+  unsigned hyper sequence; /* number of the notice under that epoch */
+  bool overloaded;         /* ask the owner before storing a job */
+  unsigned int valid_ms;   /* the notice expires this long after it was received */
+};
+
+/* What a forecast needs of a step. */
+struct fb_admission_step {
+  unsigned int count;
+  unsigned int cpu_milli;
+  unsigned int mem_mb;
+  unsigned int gpu_count;
+  unsigned int estimate_ms;
+  unsigned int after<FB_WORK_MAX_STEPS>;
+};
+
+/* About a job that is not stored yet. */
+struct fb_admission_request {
+  string service<FB_WORK_MAX_NAME>;
+  string job<FB_WORK_MAX_NAME>;
+  string account<FB_WORK_MAX_ACCOUNT>; /* "": none */
+  string queue<FB_WORK_MAX_NAME>;
+  unsigned int priority;
+  unsigned hyper epoch;       /* of the notice for which the daemon asks */
+  unsigned hyper accepted_ms; /* as in the record that would be stored */
+  fb_admission_step steps<FB_WORK_MAX_STEPS>;
+};
+
 struct fb_pending_request {
   string service<FB_WORK_MAX_NAME>;
   string queue<FB_WORK_MAX_NAME>;
@@ -337,6 +370,8 @@
 case FB_REQUEST_ACCOUNT_JOB_STATE: fb_account_job_state_request account_job;
 case FB_REQUEST_CONFIGURATION: fb_configuration_request configuration;
 case FB_REQUEST_ACCOUNT_PARTS: fb_account_parts_request parts;
+case FB_REQUEST_LOAD_NOTICE: fb_load_notice notice;
+case FB_REQUEST_ADMISSION: fb_admission_request admission;
 };
 
 enum fb_peer_reply_type {
@@ -356,7 +391,8 @@
   FB_REPLY_RECENT_STARTS = 14,
   FB_REPLY_SUSPECT_BACKUPS = 15,
   FB_REPLY_CONFIGURATION = 16,     /* a newer configuration */
-  FB_REPLY_ACCOUNT_GRANTS = 17
+  FB_REPLY_ACCOUNT_GRANTS = 17,
+  FB_REPLY_ADMISSION = 18
 };
 
 struct fb_ticket {
@@ -437,6 +473,15 @@
   fb_account_grant rows<FB_WORK_MAX_ACCOUNT_ROWS>;
 };
 
+struct fb_admission_reply {
+  bool admitted;               /* store the job */
+  bool known;                  /* the owner has a job with this id: it is stored */
+  unsigned int retry_after_ms; /* when a refused caller should try again */
+  unsigned hyper wait_ms;         /* the job waits at least this long */
+  unsigned hyper forecast_end_ms; /* and ends no sooner than this from now */
+  unsigned hyper age_ms;          /* time since the caller's first attempt */
+};
+
 union fb_peer_reply switch (fb_peer_reply_type type) {
 case FB_REPLY_JOB_STATE: fb_work_state state;
 case FB_REPLY_PENDING_COUNT: unsigned int pending;
@@ -447,5 +492,6 @@
 case FB_REPLY_SUSPECT_BACKUPS: fb_suspect_backups_reply backups;
 case FB_REPLY_CONFIGURATION: fb_configuration_reply configuration;
 case FB_REPLY_ACCOUNT_GRANTS: fb_account_grants_reply grants;
+case FB_REPLY_ADMISSION: fb_admission_reply admission;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -12,6 +12,7 @@
 #include "settings.h"
 
 #include "src/entry/advice/advisor.h"
+#include "src/entry/frontend/load-notices.h"
 #include "src/entry/owner/owner.h"
 #include "src/entry/peers/links.h"
 #include "src/entry/peers/payload-dedup.h"
@@ -68,6 +69,7 @@
   FbPayloadDedup *payload_dedup;     /* payloads sent to other daemons */
   FbPayloadCache *payload_cache;     /* payloads received from other daemons */
   FbRecentStarts *recent_starts;     /* starts sent to workers from this daemon */
+  FbLoadNotices *load_notices;       /* of overloaded pools, from their owners */
   FbSuspectBackups *suspect_backups; /* held for owners that cannot write to the store */
   FbJoinMonitor join_monitor;
   gboolean stopping;
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -51,6 +51,9 @@
       return FB_TRAFFIC_PEER_CONFIGURATION;
     case FB_REQUEST_ACCOUNT_PARTS:
       return FB_TRAFFIC_ACCOUNT_PARTS;
+    case FB_REQUEST_LOAD_NOTICE:
+    case FB_REQUEST_ADMISSION:
+      return FB_TRAFFIC_PEER_ADMISSION;
     }
   return FB_TRAFFIC_OTHER;
 }
@@ -415,6 +418,8 @@
       return peer_request->fb_peer_request_u.account_job.service;
     case FB_REQUEST_ACCOUNT_PARTS:
       return peer_request->fb_peer_request_u.parts.coordinator;
+    case FB_REQUEST_ADMISSION:
+      return peer_request->fb_peer_request_u.admission.service;
     default:
       return peer_request->fb_peer_request_u.queue.service;
     }
@@ -461,9 +466,14 @@
     case FB_REQUEST_CONFIGURATION:
       reply_with_configuration (entry, &peer_request->fb_peer_request_u.configuration, served);
       return;
+    case FB_REQUEST_LOAD_NOTICE:
+      fb_load_notices_put (entry->load_notices, &peer_request->fb_peer_request_u.notice,
+                           fb_clock_ms ());
+      break;
     case FB_REQUEST_JOB_STATE:
     case FB_REQUEST_ACCOUNT_JOB_STATE:
     case FB_REQUEST_ACCOUNT_PARTS:
+    case FB_REQUEST_ADMISSION:
     case FB_REQUEST_PENDING_COUNT:
       owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service_of (peer_request)));
       if (owner != NULL)
