Forecasts of when a job could be completed in a pool

Cause: jobs that end too late to have any value are accepted, and their callers wait for nothing.

Change: admission.c forecasts the first start and the end of a job from the work that waits ahead of it, admission-control.c decides, gives each refused caller a time of its own to return, remembers refused ids, and says when notices are due, and pool-admission.c adds up what waits in a pool, at most 2,000 steps each 100 ms. Every term is a lower bound: work ahead counts only until it loses its place, and for three quarters; the forecast is checked by jobs whose tasks take 1.9 times their estimate. Nothing uses it yet.

Tests: tests/test-admission.c.

--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -35,3 +35,12 @@
 void fb_pool_account_drop_job (const FbPoolJob *job);
 /* Updates what may run for each account on workers that have not answered the new owner yet. */
 void fb_pool_accounts_update_unconfirmed (FbPool *self, uint64_t now_ms);
+/* Calls FUNC for the first waiting steps of each account, for at most MAX_N together. */
+typedef void (*FbPoolHeldFunc) (gpointer user, const char *account, const FbPoolStep *step);
+void fb_pool_accounts_foreach_held (const FbPool *self, guint max_n, FbPoolHeldFunc func,
+                                    gpointer user);
+/* Returns: the cap of ACCOUNT, over all pools. */
+const FbAmounts *fb_pool_account_cap (const FbPoolAccount *account);
+/* TRUE when one more job of ACCOUNT (nullable) that is accepted at ACCEPTED_MS, since 1970, would
+ * be beyond its rate.  The number of jobs of a second only grows, so that stays true. */
+gboolean fb_pool_account_would_exceed_rate (const FbPoolAccount *account, uint64_t accepted_ms);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "internal/account.h"
+#include "internal/admission.h"
 #include "rpc/work.h"
 
 #include <glib.h>
@@ -295,6 +296,15 @@
 void fb_pool_foreach_account (const FbPool *self, FbPoolAccountFunc func, gpointer user);
 /* FALSE while runs of an earlier owner may be missing in what accounts use here. */
 gboolean fb_pool_usage_is_known (const FbPool *self);
+/* Adds up the work that waits, for forecasts; only where client accounts are configured. */
+void fb_pool_measure_backlog (const FbPool *self, FbAdmission *admission, uint64_t now_ms);
+/* Describes the job in REQUEST, of a queue with POLICY, for a forecast; JOB borrows from REQUEST.
+ * Returns: FALSE when it cannot be described. */
+gboolean fb_pool_describe_job (FbPool *self, const fb_admission_request *request,
+                               const fb_work_policy *policy, FbAdmissionJob *job);
+/* TRUE when client accounts are configured and the pool knows all that runs in it, so that
+ * forecasts are possible. */
+gboolean fb_pool_can_forecast (const FbPool *self);
 /* Returns: how many jobs of QUEUE have no scheduled occurrences and no task that was started. */
 uint32_t fb_pool_pending_jobs_n (const FbPool *self, const char *queue);
 /* TRUE while a majority of the listed workers has answered polls that were sent under this epoch
--- a/src/work/pool-account.c
+++ b/src/work/pool-account.c
@@ -179,6 +179,15 @@
   return n <= account->weight;
 }
 
+gboolean
+fb_pool_account_would_exceed_rate (const FbPoolAccount *account, uint64_t accepted_ms)
+{
+  if (account == NULL || account->weight == 0)
+    return FALSE;
+  gpointer second = GUINT_TO_POINTER ((guint) (accepted_ms / 1000));
+  return GPOINTER_TO_UINT (g_hash_table_lookup (account->jobs_n, second)) >= account->weight;
+}
+
 /* ---- steps that wait -------------------------------------------------------------- */
 
 static gint
@@ -619,3 +628,28 @@
   account->release_due = account->release_due || changed;
   self->round_due = self->round_due || (changed && !g_sequence_is_empty (account->held));
 }
+
+const FbAmounts *
+fb_pool_account_cap (const FbPoolAccount *account)
+{
+  return &account->cap;
+}
+
+void
+fb_pool_accounts_foreach_held (const FbPool *self, guint max_n, FbPoolHeldFunc func, gpointer user)
+{
+  guint of_account_n = max_n / MAX (g_hash_table_size (self->accounts), 1);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolAccount *account = value;
+      GSequenceIter *at = g_sequence_get_begin_iter (account->held);
+      for (guint i = 0; i < of_account_n && !g_sequence_iter_is_end (at); i++)
+        {
+          func (user, account->name, g_sequence_get (at));
+          at = g_sequence_iter_next (at);
+        }
+    }
+}
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -247,6 +247,11 @@
   record.spec.steps.steps_len = steps_n;
   record.spec.steps.steps_val = steps;
   g_autofree char *id = g_strdup_printf ("%016x", world->jobs->len);
+  const ContentionHooks *hooks = world->setup->hooks;
+  if (hooks != NULL && hooks->arrived != NULL
+      && !hooks->arrived (world->setup->user, world->pool, world->jobs->len - 1, id, &record,
+                          world->now_ms, WALL_OFFSET_MS + world->now_ms))
+    return;
   fb_pool_add_job (world->pool, id, &record, world->now_ms, WALL_OFFSET_MS + world->now_ms);
 }
 
@@ -262,7 +267,8 @@
         {
           double factor = in_burst ? kinds[kind].burst_factor : 1;
           if (in_burst && account == 0)
-            factor = MAX (factor, HOT_FACTOR);
+            factor = MAX (factor,
+                          world->setup->hot_factor > 0 ? world->setup->hot_factor : HOT_FACTOR);
           double share = kinds[kind].rate * factor * TICK_MS / 1000 / ACCOUNT_N;
           if (g_rand_double (world->rand) < share)
             add_job (world, kind, account);
@@ -281,8 +287,9 @@
   FbAccount configured[ACCOUNT_N];
   for (guint i = 0; i < ACCOUNT_N; i++)
     {
-      configured[i]
-          = (FbAccount){ .name = (char *) names[i], .cap = { .cpu_milli = world->setup->cap_cpu } };
+      configured[i] = (FbAccount){ .name = (char *) names[i],
+                                   .weight = world->setup->weight,
+                                   .cap = { .cpu_milli = world->setup->cap_cpu } };
       g_hash_table_insert (accounts, configured[i].name, &configured[i]);
     }
   fb_pool_set_accounts (world->pool, accounts);
@@ -369,6 +376,10 @@
       uint64_t ended_ms = job->ended_ms != 0 ? job->ended_ms : G_MAXUINT64;
       uint64_t no_value_ms = job->arrived_ms + 3 * (job->objective_ms - job->arrived_ms);
       gboolean in_time = ended_ms <= job->objective_ms;
+      const ContentionHooks *hooks = world->setup->hooks;
+      if (hooks != NULL && hooks->ended != NULL)
+        hooks->ended (world->setup->user, i, job->kind, job->started_ms, job->ended_ms,
+                      job->objective_ms, no_value_ms);
       result->jobs_n[job->kind]++;
       result->in_time_n[job->kind] += in_time;
       result->late_n[job->kind] += !in_time && ended_ms <= no_value_ms;
--- a/tests/contention.h
+++ b/tests/contention.h
@@ -13,14 +13,29 @@
   CONTENTION_KINDS
 } ContentionKind;
 
+/* Calls of a test for each job; members may be NULL. */
 typedef struct
 {
-  gboolean by_slack;     /* the order for client accounts; FALSE: the objective first */
-  double estimate_error; /* estimates are off by up to this share of the run time */
-  guint workers_n;       /* at most CONTENTION_MAX_WORKERS, of 16 cores each */
-  gboolean only_quick;   /* no batches arrive */
-  int64_t cap_cpu;       /* cap of each account; 0: none */
-  guint runs_n;          /* number of runs, each with random numbers of its own */
+  /* Job NUMBER arrives.  Returns: FALSE when it is refused, and not added to the pool. */
+  gboolean (*arrived) (gpointer user, FbPool *pool, guint number, const char *id,
+                       const fb_work_admit *record, uint64_t now_ms, uint64_t wall_ms);
+  /* Called for each job at the end of a run, with ENDED_MS 0 if it did not end. */
+  void (*ended) (gpointer user, guint number, ContentionKind kind, uint64_t started_ms,
+                 uint64_t ended_ms, uint64_t objective_ms, uint64_t no_value_ms);
+} ContentionHooks;
+
+typedef struct
+{
+  gboolean by_slack;            /* the order for client accounts; FALSE: the objective first */
+  double estimate_error;        /* estimates are off by up to this share of the run time */
+  guint workers_n;              /* at most CONTENTION_MAX_WORKERS, of 16 cores each */
+  gboolean only_quick;          /* no batches arrive */
+  int64_t cap_cpu;              /* cap of each account; 0: none */
+  guint runs_n;                 /* number of runs, each with random numbers of its own */
+  double hot_factor;            /* of the rate of the first account, during the burst; 0: 5.5 */
+  uint32_t weight;              /* jobs per second that each account is owed; 0: no limit */
+  const ContentionHooks *hooks; /* NULL: none */
+  gpointer user;                /* passed to HOOKS */
 } ContentionSetup;
 
 #define CONTENTION_MAX_WORKERS 100
--- /dev/null
+++ b/tests/test-admission.c
@@ -0,0 +1,439 @@
+/* Tests of the admission of jobs to an overloaded pool (src/work/admission.c, admission-control.c,
+ * pool-admission.c). */
+#include "contention.h"
+
+#include "fb-event.h"
+#include "internal/admission-control.h"
+#include "internal/pool-private.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+
+/* ---- the load of a burst ------------------------------------------------------------------ */
+
+typedef struct
+{
+  gboolean enforced; /* refused jobs are not added to the pool */
+  FbAdmissionControl *control;
+  GArray *forecasts; /* of FbAdmissionForecast, by number of the job */
+  guint jobs_n;
+  guint refused_n;
+  guint refused_in_time_n; /* ended within their objective, although the forecast refused them */
+  guint refused_late_n;    /* ended later, but with some value */
+  guint ended_no_value_n;  /* admitted, and ended without value */
+  guint notices_n;
+} Burst;
+
+/* Fills REQUEST and STEPS from RECORD, from which they borrow. */
+static void
+describe (const fb_work_admit *record, const char *id, fb_admission_request *request,
+          fb_admission_step *steps)
+{
+  *request = (fb_admission_request){ .service = record->policy.service,
+                                     .job = (char *) id,
+                                     .account = record->account,
+                                     .queue = record->policy.queue,
+                                     .priority = record->policy.priority,
+                                     .accepted_ms = record->accepted_ms };
+  for (u_int i = 0; i < record->spec.steps.steps_len; i++)
+    {
+      const fb_work_step *step = &record->spec.steps.steps_val[i];
+      steps[i] = (fb_admission_step){ .count = step->count,
+                                      .cpu_milli = step->cpu_milli,
+                                      .mem_mb = step->mem_mb,
+                                      .gpu_count = step->gpu_count,
+                                      .estimate_ms = step->estimate_ms };
+      steps[i].after.after_len = step->after.after_len;
+      steps[i].after.after_val = step->after.after_val;
+    }
+  request->steps.steps_len = record->spec.steps.steps_len;
+  request->steps.steps_val = steps;
+}
+
+static void
+update (Burst *burst, FbPool *pool, uint64_t now_ms)
+{
+  FbAdmissionNotice notice;
+  if (!fb_admission_control_update_due (burst->control, now_ms))
+    return;
+  fb_pool_measure_backlog (pool, fb_admission_control_forecasts (burst->control), now_ms);
+  burst->notices_n += fb_admission_control_updated (burst->control, now_ms, &notice);
+}
+
+static gboolean
+on_arrived (gpointer user, FbPool *pool, guint number, const char *id, const fb_work_admit *record,
+            uint64_t now_ms, uint64_t wall_ms)
+{
+  Burst *burst = user;
+  FbAdmissionJob job;
+  FbAdmissionDecision decision = { .admitted = TRUE, .forecast.has_value = TRUE };
+  fb_admission_request request;
+  fb_admission_step steps[2];
+  (void) wall_ms;
+  describe (record, id, &request, steps);
+  update (burst, pool, now_ms);
+  if (fb_pool_can_forecast (pool) && fb_admission_control_is_overloaded (burst->control)
+      && fb_pool_describe_job (pool, &request, &record->policy, &job))
+    fb_admission_control_decide (burst->control, id, &job, now_ms, &decision);
+  g_array_set_size (burst->forecasts, MAX (burst->forecasts->len, number + 1));
+  g_array_index (burst->forecasts, FbAdmissionForecast, number) = decision.forecast;
+  return decision.admitted || !burst->enforced;
+}
+
+static void
+on_ended (gpointer user, guint number, ContentionKind kind, uint64_t started_ms, uint64_t ended_ms,
+          uint64_t objective_ms, uint64_t no_value_ms)
+{
+  Burst *burst = user;
+  (void) kind;
+  const FbAdmissionForecast *forecast
+      = &g_array_index (burst->forecasts, FbAdmissionForecast, number);
+  burst->jobs_n++;
+  burst->refused_n += !forecast->has_value;
+  if (!forecast->has_value && ended_ms != 0 && ended_ms <= objective_ms)
+    burst->refused_in_time_n++;
+  else if (!forecast->has_value && ended_ms != 0 && ended_ms <= no_value_ms)
+    burst->refused_late_n++;
+  if (forecast->has_value && ended_ms > no_value_ms)
+    burst->ended_no_value_n++;
+  (void) started_ms;
+}
+
+static Burst
+run_burst (const char *name, ContentionSetup setup, gboolean enforced)
+{
+  Burst burst = { .enforced = enforced };
+  static const ContentionHooks hooks = { on_arrived, on_ended };
+  setup.by_slack = TRUE;
+  setup.runs_n = 1;
+  setup.hooks = &hooks;
+  setup.user = &burst;
+  burst.control = fb_admission_control_new ();
+  burst.forecasts = g_array_new (FALSE, TRUE, sizeof (FbAdmissionForecast));
+  ContentionResult result = contention_run (&setup);
+  printf (
+      "\n%s, estimates off by %.1f, %s: quick %u, %u in time, %u late; batch %u, %u in time, %u "
+      "late; refused %u of %u, of these %u in time and %u late; admitted without value %u; "
+      "notices %u",
+      name, setup.estimate_error, enforced ? "refusing" : "only forecasting", result.jobs_n[0],
+      result.in_time_n[0], result.late_n[0], result.jobs_n[1], result.in_time_n[1],
+      result.late_n[1], burst.refused_n, burst.jobs_n, burst.refused_in_time_n,
+      burst.refused_late_n, burst.ended_no_value_n, burst.notices_n);
+  fb_admission_control_free (burst.control);
+  g_array_unref (burst.forecasts);
+  return burst;
+}
+
+/* ---- bursts -------------------------------------------------------------------------------- */
+
+typedef struct
+{
+  const char *name;
+  ContentionSetup setup;
+  gboolean refuses; /* some jobs are refused: those beyond the rate of an account at its cap */
+} Case;
+
+/* One account sends ten or forty times its usual rate for 4 s.  A job that is refused must not be
+ * one that would have had value: each case is run with the forecasts only compared with what
+ * happens to the jobs. */
+static void
+test_refused_jobs_would_have_no_value (void)
+{
+  const Case cases[] = {
+    { "small pool", { .workers_n = 22, .only_quick = TRUE, .hot_factor = 10 }, FALSE },
+    { "beside batches", { .workers_n = 50, .hot_factor = 10, .weight = 12 }, FALSE },
+    { "cap", { .workers_n = 70, .hot_factor = 10, .weight = 12, .cap_cpu = 80000 }, TRUE },
+    { "cap, forty times",
+      { .workers_n = 70, .hot_factor = 40, .weight = 12, .cap_cpu = 80000 },
+      TRUE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      for (guint error = 0; error < 2; error++)
+        {
+          ContentionSetup setup = cases[i].setup;
+          setup.estimate_error = 0.9 * error;
+          Burst burst = run_burst (cases[i].name, setup, FALSE);
+          CU_ASSERT_EQUAL (burst.refused_in_time_n, 0);
+          CU_ASSERT_EQUAL (burst.refused_late_n, 0);
+          CU_ASSERT_TRUE (!cases[i].refuses || burst.refused_n > 20);
+        }
+    }
+  printf ("\n");
+}
+
+/* ---- single forecasts ------------------------------------------------------------------------ */
+
+#define NOW_MS 100000
+/* Of a pool with ten cores. */
+static const FbAmounts ten_cores = { .cpu_milli = 10000 };
+
+/* Returns: work of SECONDS of the whole pool, that leaves its place ahead after LEAVES_MS. */
+static FbAdmissionWork
+work_of_seconds (uint32_t seconds, uint64_t leaves_ms)
+{
+  return (FbAdmissionWork){ .latest_start_ms = NOW_MS + leaves_ms,
+                            .no_value_ms = NOW_MS + leaves_ms,
+                            .arrived_ms = NOW_MS - 1000,
+                            .run_ms = 1000,
+                            .work = { .cpu_milli = (int64_t) seconds * 1000 * 10000 } };
+}
+
+/* Returns: a job of one task of 1 s on one core with an objective of 2 s, so that it has value
+ * until 6 s after its first attempt. */
+static FbAdmissionJob
+short_job (uint32_t priority)
+{
+  return (FbAdmissionJob){ .account = "",
+                           .priority = priority,
+                           .demand = { .cpu_milli = 1000 },
+                           .work = { .cpu_milli = 1000 * 1000 },
+                           .path_ms = 1000,
+                           .objective_ms = 2000,
+                           .longest_objective_ms = 2000,
+                           .longest_path_ms = 1000,
+                           .first_ms = NOW_MS };
+}
+
+static FbAdmissionForecast
+forecast_behind (const FbAdmissionWork *work, const FbAdmissionJob *job)
+{
+  FbAdmissionForecast forecast;
+  FbAdmission *admission = fb_admission_new ();
+  fb_admission_begin (admission, &ten_cores, NOW_MS);
+  fb_admission_add (admission, work);
+  fb_admission_set_cap (admission, "a", &ten_cores);
+  fb_admission_forecast (admission, job, NOW_MS, NOW_MS, &forecast);
+  fb_admission_free (admission);
+  return forecast;
+}
+
+/* Work of a higher priority that keeps its value for long delays a job by three quarters of its
+ * length, less one run.  Guards against a forecast that never refuses. */
+static void
+test_work_ahead (void)
+{
+  const FbAdmissionWork work = work_of_seconds (20, 60000);
+  FbAdmissionJob job = short_job (1);
+  FbAdmissionForecast forecast = forecast_behind (&work, &job);
+  CU_ASSERT_EQUAL (forecast.wait_ms, 14000);
+  CU_ASSERT_EQUAL (forecast.end_ms, NOW_MS + 15000);
+  CU_ASSERT_FALSE (forecast.has_value);
+  CU_ASSERT_EQUAL (forecast.excess_ms, 9000);
+  CU_ASSERT_EQUAL (forecast.work_off_ms, 100);
+}
+
+/* Guards against a refusal because of work that drops behind the job before it is run. */
+static void
+test_work_that_loses_its_value (void)
+{
+  const FbAdmissionWork work = work_of_seconds (200, 3000);
+  FbAdmissionJob job = short_job (1);
+  FbAdmissionForecast forecast = forecast_behind (&work, &job);
+  CU_ASSERT_TRUE (forecast.has_value);
+  CU_ASSERT_TRUE (forecast.wait_ms <= 3000);
+}
+
+/* Work of the same priority whose job is late does not delay a job that is in time, but one that is
+ * late itself. */
+static void
+test_late_work_of_the_same_priority (void)
+{
+  FbAdmissionWork work = work_of_seconds (20, 60000);
+  work.is_late = TRUE;
+  work.latest_start_ms = NOW_MS - 5000;
+  FbAdmissionJob job = short_job (0);
+  CU_ASSERT_EQUAL (forecast_behind (&work, &job).wait_ms, 0);
+  job.first_ms = NOW_MS - 3000;
+  FbAdmissionForecast forecast = forecast_behind (&work, &job);
+  CU_ASSERT_EQUAL (forecast.wait_ms, 14000);
+  CU_ASSERT_FALSE (forecast.has_value);
+}
+
+/* Guards against counting work that comes after the job: of a lower priority, held at the cap of
+ * another account, or of a resource that the job does not need. */
+static void
+test_work_that_is_not_ahead (void)
+{
+  FbAdmissionWork work = work_of_seconds (20, 60000);
+  FbAdmissionJob job = short_job (0);
+  work.priority = 1;
+  CU_ASSERT_EQUAL (forecast_behind (&work, &job).wait_ms, 0);
+  job.priority = 2;
+  CU_ASSERT_EQUAL (forecast_behind (&work, &job).wait_ms, 14000);
+  work.held_for = "b";
+  CU_ASSERT_EQUAL (forecast_behind (&work, &job).wait_ms, 0);
+  work.held_for = NULL;
+  job.demand = (FbAmounts){ .gpu_count = 1 };
+  CU_ASSERT_EQUAL (forecast_behind (&work, &job).wait_ms, 0);
+}
+
+/* Work that is held at the cap of the account delays further jobs of that account. */
+static void
+test_work_at_the_cap (void)
+{
+  FbAdmissionWork work = work_of_seconds (20, 60000);
+  work.held_for = "a";
+  FbAdmissionJob job = short_job (1);
+  CU_ASSERT_TRUE (forecast_behind (&work, &job).has_value);
+  job.account = "a";
+  FbAdmissionForecast forecast = forecast_behind (&work, &job);
+  CU_ASSERT_EQUAL (forecast.wait_ms, 14000);
+  CU_ASSERT_TRUE (forecast.is_account_bound);
+}
+
+/* A pool of which nothing is known yet must not refuse. */
+static void
+test_empty_pool (void)
+{
+  FbAdmissionForecast forecast;
+  FbAdmission *admission = fb_admission_new ();
+  const FbAmounts none = { 0 };
+  const FbAdmissionWork work = work_of_seconds (20, 60000);
+  FbAdmissionJob job = short_job (1);
+  fb_admission_forecast (admission, &job, NOW_MS, NOW_MS, &forecast);
+  CU_ASSERT_TRUE (forecast.has_value);
+  fb_admission_begin (admission, &none, NOW_MS);
+  fb_admission_add (admission, &work);
+  fb_admission_forecast (admission, &job, NOW_MS, NOW_MS, &forecast);
+  CU_ASSERT_TRUE (forecast.has_value);
+  CU_ASSERT_EQUAL (fb_admission_backlog_ms (admission), 0);
+  fb_admission_free (admission);
+}
+
+/* ---- refusals and returns ----------------------------------------------------------------------
+ */
+
+/* Returns: (transfer full): the control of a pool with work of SECONDS ahead of priority 1. */
+static FbAdmissionControl *
+control_behind (uint32_t seconds)
+{
+  FbAdmissionControl *control = fb_admission_control_new ();
+  const FbAdmissionWork work = work_of_seconds (seconds, 60000);
+  fb_admission_begin (fb_admission_control_forecasts (control), &ten_cores, NOW_MS);
+  fb_admission_add (fb_admission_control_forecasts (control), &work);
+  return control;
+}
+
+static FbAdmissionDecision
+decide (FbAdmissionControl *control, const char *id, uint64_t now_ms)
+{
+  FbAdmissionDecision decision;
+  FbAdmissionJob job = short_job (1);
+  fb_admission_control_decide (control, id, &job, now_ms, &decision);
+  return decision;
+}
+
+/* Refused callers must not all return at once.  Each job takes 100 ms of the pool. */
+static void
+test_returns_are_spread (void)
+{
+  FbAdmissionControl *control = control_behind (10);
+  for (guint i = 0; i < 100; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i);
+      FbAdmissionDecision decision = decide (control, id, NOW_MS);
+      CU_ASSERT_FALSE (decision.admitted);
+      CU_ASSERT_EQUAL (decision.retry_after_ms, MIN (1500 + 100 * i, 10000));
+    }
+  fb_admission_control_free (control);
+}
+
+/* A caller that returns too early keeps its time; one that returns at its time is not delayed by
+ * work that arrived after it. */
+static void
+test_return_leaves_out_later_work (void)
+{
+  FbAdmissionControl *control = control_behind (10);
+  FbAdmission *forecasts = fb_admission_control_forecasts (control);
+  CU_ASSERT_EQUAL (decide (control, "a", NOW_MS).retry_after_ms, 1500);
+  CU_ASSERT_EQUAL (decide (control, "a", NOW_MS + 200).retry_after_ms, 1300);
+  FbAdmissionWork work = work_of_seconds (20, 60000);
+  work.arrived_ms = NOW_MS + 500;
+  fb_admission_begin (forecasts, &ten_cores, NOW_MS + 1500);
+  fb_admission_add (forecasts, &work);
+  CU_ASSERT_FALSE (decide (control, "b", NOW_MS + 1500).admitted);
+  FbAdmissionDecision decision = decide (control, "a", NOW_MS + 1500);
+  CU_ASSERT_TRUE (decision.admitted);
+  CU_ASSERT_TRUE (decision.returned);
+  CU_ASSERT_EQUAL (decision.age_ms, 1500);
+  CU_ASSERT_EQUAL (fb_admission_control_refused_n (control), 1);
+  fb_admission_control_free (control);
+}
+
+/* The memory of refused ids is bounded in number and time. */
+static void
+test_refused_ids_are_forgotten (void)
+{
+  FbAdmissionControl *control = control_behind (50);
+  for (guint i = 0; i < 10000; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i);
+      (void) decide (control, id, NOW_MS);
+    }
+  CU_ASSERT_EQUAL (fb_admission_control_refused_n (control), 8192);
+  (void) decide (control, "another", NOW_MS + 30000);
+  CU_ASSERT_EQUAL (fb_admission_control_refused_n (control), 1);
+  fb_admission_control_free (control);
+}
+
+/* ---- notices -------------------------------------------------------------------------------- */
+
+/* Returns: how many notices are due from FROM_MS until UNTIL_MS, while what waits takes SECONDS. */
+static guint
+notices_n (FbAdmissionControl *control, uint32_t seconds, uint64_t from_ms, uint64_t until_ms,
+           FbAdmissionNotice *notice)
+{
+  guint n = 0;
+  for (uint64_t now_ms = from_ms; now_ms < until_ms; now_ms += 100)
+    {
+      FbAdmission *forecasts = fb_admission_control_forecasts (control);
+      const FbAdmissionWork work = work_of_seconds (seconds, 600000);
+      CU_ASSERT_TRUE (fb_admission_control_update_due (control, now_ms));
+      fb_admission_begin (forecasts, &ten_cores, now_ms);
+      fb_admission_add (forecasts, &work);
+      CU_ASSERT_FALSE (fb_admission_control_update_due (control, now_ms + 99));
+      n += fb_admission_control_updated (control, now_ms, notice);
+    }
+  return n;
+}
+
+/* No messages without overload, one a second during it, and one more at its end. */
+static void
+test_notices (void)
+{
+  FbAdmissionControl *control = fb_admission_control_new ();
+  FbAdmissionNotice notice = { 0 };
+  CU_ASSERT_EQUAL (notices_n (control, 1, NOW_MS, NOW_MS + 10000, &notice), 0);
+  CU_ASSERT_EQUAL (notices_n (control, 5, NOW_MS + 10000, NOW_MS + 15000, &notice), 5);
+  CU_ASSERT_TRUE (notice.overloaded);
+  CU_ASSERT_FALSE (notice.changed);
+  CU_ASSERT_EQUAL (notices_n (control, 1, NOW_MS + 15000, NOW_MS + 25000, &notice), 1);
+  CU_ASSERT_TRUE (!notice.overloaded && notice.changed);
+  CU_ASSERT_EQUAL (notice.sequence, 6);
+  fb_admission_control_free (control);
+}
+
+int
+main (void)
+{
+  fb_event_set_quiet (TRUE);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("admission", NULL, NULL);
+  CU_add_test (suite, "refused jobs would have no value", test_refused_jobs_would_have_no_value);
+  CU_add_test (suite, "work ahead", test_work_ahead);
+  CU_add_test (suite, "work that loses its value", test_work_that_loses_its_value);
+  CU_add_test (suite, "late work of the same priority", test_late_work_of_the_same_priority);
+  CU_add_test (suite, "work that is not ahead", test_work_that_is_not_ahead);
+  CU_add_test (suite, "work at the cap", test_work_at_the_cap);
+  CU_add_test (suite, "an empty pool", test_empty_pool);
+  CU_add_test (suite, "returns are spread", test_returns_are_spread);
+  CU_add_test (suite, "a return leaves out later work", test_return_leaves_out_later_work);
+  CU_add_test (suite, "refused ids are forgotten", test_refused_ids_are_forgotten);
+  CU_add_test (suite, "notices", test_notices);
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  guint failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -78,6 +78,7 @@
 verdict "client accounts with processes" tests/accounts.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "order of waiting steps" $B/tests/test-order
+verdict "admission by forecast" $B/tests/test-admission
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
