Jobs that certainly have no value are refused before they are stored

Cause: while a pool was overloaded, daemons stored every job, also those that could only end too late to have any value; their callers waited for nothing and sent them again.

Change: the owner of a pool that needs more than 1 s for what waits tells all daemons at most once a second. While a daemon has a valid notice, it asks the owner before it stores a job, for 250 ms at most. Only a forecast of this moment by a confirmed owner of the notice's epoch refuses; in every other case the job is stored. A job that the owner has is answered as stored; one that this daemon tried to store in the last 10 s, or that the owner admitted in the last 20 s, is not refused, since it may run. A refused caller gets a time of its own to return, and its objective counts from the first attempt.

Tests: tests/test-admission-entry.c plays owner and receiving daemon without a network: owner silent, of the previous version, uncertain or before recovery, all daemons killed, unknown outcome of an append, notices out of order.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -103,6 +103,8 @@
   gboolean workers_dirty;  /* the record of workers is out of date */
   /* Client accounts are configured, so steps are ordered as pool-order.c describes. */
   gboolean orders_by_slack;
+  /* Id of an admitted job -> uint64_t, the forecast time of its first start. */
+  GHashTable *forecasts;
   uint64_t order_updated_ms; /* when the keys of all queued steps were last computed */
   guint order_position;      /* in QUEUE, where the next update of the keys goes on */
   GQueue late_steps;         /* of FbPoolStep.late_link, in the order in which they became late */
@@ -406,6 +408,11 @@
 /* Stops RUN if it takes far too long, so that its task is started elsewhere. */
 void fb_pool_run_check_stuck (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms);
 
+/* pool-admission.c */
+
+/* The first task of JOB was ordered: measures the error of its forecast. */
+void fb_pool_forecast_started (FbPool *self, const FbPoolJob *job, uint64_t now_ms);
+
 /* pool-orders.c */
 
 /* Returns: (transfer full): an empty table for FbPool.open_orders. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -302,6 +302,8 @@
  * Returns: FALSE when it cannot be described. */
 gboolean fb_pool_describe_job (FbPool *self, const fb_admission_request *request,
                                const fb_work_policy *policy, FbAdmissionJob *job);
+/* The job with the id JOB, which is being stored, was forecast to start at START_MS. */
+void fb_pool_note_forecast (FbPool *self, const char *job, uint64_t start_ms);
 /* TRUE when client accounts are configured and the pool knows all that runs in it, so that
  * forecasts are possible. */
 gboolean fb_pool_can_forecast (const FbPool *self);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -13,6 +13,7 @@
 
 #include "src/entry/advice/advisor.h"
 #include "src/entry/frontend/load-notices.h"
+#include "src/entry/frontend/recent-appends.h"
 #include "src/entry/owner/owner.h"
 #include "src/entry/peers/links.h"
 #include "src/entry/peers/payload-dedup.h"
@@ -69,6 +70,7 @@
   FbPayloadDedup *payload_dedup;     /* payloads sent to other daemons */
   FbPayloadCache *payload_cache;     /* payloads received from other daemons */
   FbRecentStarts *recent_starts;     /* starts sent to workers from this daemon */
+  FbRecentAppends *recent_appends;   /* callers' jobs that this daemon has tried to store */
   FbLoadNotices *load_notices;       /* of overloaded pools, from their owners */
   FbSuspectBackups *suspect_backups; /* held for owners that cannot write to the store */
   FbJoinMonitor join_monitor;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -283,6 +283,7 @@
   self->recent_starts = fb_recent_starts_new ();
   self->suspect_backups = fb_suspect_backups_new ();
   self->load_notices = fb_load_notices_new ();
+  self->recent_appends = fb_recent_appends_new ();
   self->link_monitor
       = fb_link_monitor_new ((uint32_t) self->settings->link_kbit_s, self->store_answered_ms);
   self->store_client = fb_http_client_new ();
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -31,3 +31,27 @@
 /* Stores VALUE (borrowed), answers the caller and frees REQUEST.  KIND: first letter of the
  * record's key, FB_KEY_JOB or FB_KEY_CANCEL. */
 void fb_entry_frontend_store (FbFrontendRequest *request, char kind, GBytes *value);
+
+/* frontend-admission.c */
+
+typedef enum
+{
+  FB_ADMISSION_STORE,
+  FB_ADMISSION_KNOWN, /* it is stored already */
+  FB_ADMISSION_REFUSE
+} FbAdmissionAnswer;
+
+/* Returns: TRUE when the owner of the pool of SERVICE has to be asked before JOB is stored; sets
+ * EPOCH to that of the owner. */
+gboolean fb_entry_frontend_must_ask (const FbLoadNotices *notices, FbRecentAppends *recent_appends,
+                                     const char *service, const char *job, const fb_work_spec *spec,
+                                     uint64_t now_ms, uint64_t *epoch);
+/* Returns: what to do with JOB.  REPLY: the owner's answer; NULL: it gave none. */
+FbAdmissionAnswer fb_entry_frontend_admission_answer (FbRecentAppends *recent_appends,
+                                                      const char *job,
+                                                      const fb_admission_reply *reply,
+                                                      uint64_t now_ms);
+/* Asks the owner; then stores VALUE (borrowed), the record of ADMIT, or refuses the caller, answers
+ * it and frees REQUEST. */
+void fb_entry_frontend_ask (FbFrontendRequest *request, const fb_work_admit *admit, GBytes *value,
+                            uint64_t epoch);
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -29,12 +29,21 @@
                 (guint) (fb_clock_ms () - request->entry->store_answered_ms));
 }
 
+/* A job that this daemon has tried to store is not refused for some seconds. */
+static void
+note_append (const FbFrontendRequest *request)
+{
+  if (request->entry->routes->accounts != NULL && !request->is_delete)
+    fb_recent_appends_note (request->entry->recent_appends, request->job, fb_clock_ms ());
+}
+
 static void
 answer_stored (FbFrontendRequest *request, FbAppendResult result)
 {
   static const char *const how[] = { [FB_APPEND_STORED] = "stored",
                                      [FB_APPEND_NOT_STORED] = "certainly not stored",
                                      [FB_APPEND_IN_DOUBT] = "in doubt" };
+  note_append (request);
   log_stored (request, result == FB_APPEND_STORED, how[MIN (result, FB_APPEND_IN_DOUBT)]);
   if (result == FB_APPEND_STORED)
     {
@@ -226,6 +235,7 @@
   request->records = g_byte_array_new ();
   fb_wire_encode_record (request->records, request->key, value);
   request->store_began_ms = fb_clock_ms ();
+  note_append (request);
   /* A daemon that has received nothing from the store for a while sends it nothing, and uses peers
    * that may still reach the store.  If the store accepted calls without answering them, callers
    * would wait for 2 s and then get an unknown outcome; without a call, the answer that nothing is
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -149,11 +149,17 @@
       return;
     }
   g_autoptr (GBytes) value = fb_codec_encode_admit (&admit);
-  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &admit.spec);
+  uint64_t epoch = 0;
   if (value == NULL)
     refuse (entry, message, SOUP_STATUS_BAD_REQUEST, "the job is too large");
+  else if (entry->routes->accounts != NULL
+           && fb_entry_frontend_must_ask (entry->load_notices, entry->recent_appends,
+                                          admit.policy.service, job, &admit.spec, fb_clock_ms (),
+                                          &epoch))
+    fb_entry_frontend_ask (request_new (entry, message, target, job), &admit, value, epoch);
   else
     fb_entry_frontend_store (request_new (entry, message, target, job), FB_KEY_JOB, value);
+  xdr_free ((xdrproc_t) xdr_fb_work_spec, (char *) &admit.spec);
 }
 
 /* ---- state and cancel ---------------------------------------------------------------- */
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -4,6 +4,7 @@
 #include "src/entry/entry-private.h"
 
 #include "internal/account-parts.h"
+#include "internal/admission-control.h"
 
 /* The pool of one service of the partition. */
 typedef struct
@@ -13,6 +14,9 @@
   char *service;
   FbAccountParts *parts; /* its parts of the caps of client accounts */
   uint64_t parts_ms;     /* time at which they were last applied to the pool */
+  FbAdmissionControl *admission;
+  guint refused_n;            /* jobs refused since that was last logged */
+  uint64_t refused_logged_ms; /* when that was; 0: never */
 } FbServicePool;
 
 struct _FbOwner
@@ -90,6 +94,15 @@
 void fb_owner_answer_account_parts (FbOwner *self, const fb_account_parts_request *peer_request,
                                     fb_peer_reply *peer_reply);
 
+/* owner-admission.c */
+
+/* Tells all daemons when the pool becomes overloaded, and each second while it is.  To be called in
+ * every tick while the ownership is confirmed. */
+void fb_owner_watch_load (FbServicePool *service_pool, uint64_t now_ms);
+/* Answers whether a job should be stored.  PEER_REPLY needs no xdr_free(). */
+void fb_owner_answer_admission (FbOwner *self, const fb_admission_request *request,
+                                fb_peer_reply *peer_reply);
+
 /* owner.c */
 
 /* Returns: the pool of SERVICE, borrowed; created when there is none. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -32,6 +32,7 @@
   FbServicePool *service_pool = data;
   fb_pool_free (service_pool->pool);
   fb_account_parts_free (service_pool->parts);
+  fb_admission_control_free (service_pool->admission);
   g_free (service_pool->service);
   g_free (service_pool);
 }
@@ -68,6 +69,7 @@
   service_pool->pool = fb_pool_new (service, self->epoch, &limits, &fb_owner_pool_callbacks,
                                     service_pool, fb_clock_ms ());
   service_pool->parts = fb_account_parts_new (service, self->epoch);
+  service_pool->admission = fb_admission_control_new ();
   g_hash_table_insert (self->service_pools, service_pool->service, service_pool);
   add_listed_workers (service_pool);
   if (self->workers_known)
@@ -238,6 +240,8 @@
       fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
       fb_owner_exchange_account_parts (service_pool, now_ms);
       fb_pool_tick (service_pool->pool, may_start, now_ms, fb_clock_wall_ms ());
+      if (may_start)
+        fb_owner_watch_load (service_pool, now_ms);
       flush_pool (service_pool);
       fb_owner_back_up_suspects (service_pool);
     }
@@ -458,6 +462,8 @@
                       peer_reply);
   else if (peer_request->type == FB_REQUEST_ACCOUNT_PARTS)
     fb_owner_answer_account_parts (self, &peer_request->fb_peer_request_u.parts, peer_reply);
+  else if (peer_request->type == FB_REQUEST_ADMISSION)
+    fb_owner_answer_admission (self, &peer_request->fb_peer_request_u.admission, peer_reply);
   else if (peer_request->type == FB_REQUEST_PENDING_COUNT)
     answer_pending (self, &peer_request->fb_peer_request_u.queue, peer_reply);
 }
--- a/src/work/admission-control.c
+++ b/src/work/admission-control.c
@@ -12,6 +12,9 @@
 /* Bounds of the time after which a refused caller should return. */
 #define RETRY_MIN_MS 1000
 #define RETRY_MAX_MS 10000
+/* For how long an admitted id is not refused: callers try for 15 s at most, and an append ends
+ * within 3 s. */
+#define ADMITTED_MS 20000
 /* A caller that returns this much before its time still counts as one that returns at its time:
  * Retry-After has whole seconds, and timers of callers are not exact. */
 #define EARLY_MS 500
@@ -29,10 +32,12 @@
   FbAdmission *forecasts;
   gboolean overloaded;
   uint64_t sequence;
-  uint64_t noticed_ms;  /* when the last notice was due; 0: never */
-  GHashTable *refused;  /* id -> Refused */
-  GQueue order;         /* of Refused, the oldest at its head; borrowed */
-  GHashTable *slots_ms; /* account, "" for the pool -> uint64_t: the next free time to return */
+  uint64_t noticed_ms;   /* when the last notice was due; 0: never */
+  GHashTable *refused;   /* id -> Refused */
+  GQueue order;          /* of Refused, the oldest at its head; borrowed */
+  GHashTable *admitted;  /* id -> uint64_t, when it was admitted */
+  GQueue admitted_order; /* keys of ADMITTED, the oldest at its head; borrowed */
+  GHashTable *slots_ms;  /* account, "" for the pool -> uint64_t: the next free time to return */
 };
 
 static void
@@ -49,6 +54,7 @@
   FbAdmissionControl *self = g_new0 (FbAdmissionControl, 1);
   self->forecasts = fb_admission_new ();
   self->refused = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, refused_free);
+  self->admitted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->slots_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return self;
 }
@@ -59,6 +65,8 @@
   fb_admission_free (self->forecasts);
   g_queue_clear (&self->order);
   g_hash_table_unref (self->refused);
+  g_queue_clear (&self->admitted_order);
+  g_hash_table_unref (self->admitted);
   g_hash_table_unref (self->slots_ms);
   g_free (self);
 }
@@ -148,6 +156,36 @@
   return refused;
 }
 
+/* ---- admitted ids -----------------------------------------------------------------------------
+ */
+
+/* A daemon that was told to store a job may not know whether it is stored, and its caller tries
+ * again elsewhere.  So that a refusal is true, an id that was admitted is not refused before every
+ * append of the job has ended. */
+static void
+note_admitted (FbAdmissionControl *self, const char *id, uint64_t now_ms)
+{
+  uint64_t *at_ms = g_hash_table_lookup (self->admitted, id);
+  if (at_ms != NULL)
+    return;
+  char *key = g_strdup (id);
+  at_ms = g_new (uint64_t, 1);
+  *at_ms = now_ms;
+  g_hash_table_insert (self->admitted, key, at_ms);
+  g_queue_push_tail (&self->admitted_order, key);
+}
+
+/* Returns: TRUE while ID may not be refused. */
+static gboolean
+was_admitted (FbAdmissionControl *self, const char *id, uint64_t now_ms)
+{
+  const char *oldest = NULL;
+  while ((oldest = g_queue_peek_head (&self->admitted_order)) != NULL
+         && now_ms >= *(uint64_t *) g_hash_table_lookup (self->admitted, oldest) + ADMITTED_MS)
+    g_hash_table_remove (self->admitted, g_queue_pop_head (&self->admitted_order));
+  return g_hash_table_contains (self->admitted, id);
+}
+
 /* ---- decisions --------------------------------------------------------------------------------
  */
 
@@ -182,9 +220,10 @@
   decision->age_ms = now_ms - job->first_ms;
   fb_admission_forecast (self->forecasts, job, at_its_time ? job->first_ms : now_ms, now_ms,
                          &decision->forecast);
-  decision->admitted = decision->forecast.has_value;
+  decision->admitted = was_admitted (self, id, now_ms) || decision->forecast.has_value;
   if (decision->admitted)
     {
+      note_admitted (self, id, now_ms);
       decision->returned = refused != NULL;
       if (refused != NULL)
         forget (self, refused);
--- a/src/work/pool-admission.c
+++ b/src/work/pool-admission.c
@@ -4,6 +4,8 @@
 #include "internal/pool-account.h"
 #include "internal/pool-order.h"
 
+#include "fb-histogram.h"
+
 /* Steps that are added up at most; what is left out makes forecasts earlier, so that more jobs are
  * accepted.  Counting the pending tasks of a step takes 0.7 us, so one pass takes 1.4 ms of CPU
  * time, each 100 ms. */
@@ -80,6 +82,31 @@
   fb_pool_accounts_foreach_held (self, MEASURED_N / 2, add_held, (gpointer) &measurement);
 }
 
+/* ---- errors of forecasts ------------------------------------------------------------------- */
+
+/* Forecasts that are kept until their jobs start; all are dropped when there are more. */
+#define FORECASTS_MAX 8192
+
+void
+fb_pool_note_forecast (FbPool *self, const char *job, uint64_t start_ms)
+{
+  if (g_hash_table_size (self->forecasts) >= FORECASTS_MAX)
+    g_hash_table_remove_all (self->forecasts);
+  uint64_t *copy = g_new (uint64_t, 1);
+  *copy = start_ms;
+  g_hash_table_replace (self->forecasts, g_strdup (job), copy);
+}
+
+void
+fb_pool_forecast_started (FbPool *self, const FbPoolJob *job, uint64_t now_ms)
+{
+  const uint64_t *start_ms = g_hash_table_lookup (self->forecasts, job->id);
+  if (start_ms == NULL)
+    return;
+  fb_histogram_add (FB_HISTOGRAM_FORECAST_ERROR, MAX (*start_ms, now_ms) - MIN (*start_ms, now_ms));
+  g_hash_table_remove (self->forecasts, job->id);
+}
+
 /* ---- jobs that are not stored yet ----------------------------------------------------------- */
 
 /* Returns: FALSE when a step names one that does not come before it. */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -162,7 +162,10 @@
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   task->attempt = run->attempt;
   if (!step->job->started)
-    fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
+    {
+      fb_histogram_add (FB_HISTOGRAM_FIRST_START, now_ms - step->job->admitted_ms);
+      fb_pool_forecast_started (self, step->job, now_ms);
+    }
   step->job->started = TRUE;
   if (step->job->state == FB_WORK_QUEUED)
     step->job->state = FB_WORK_RUNNING;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -65,6 +65,7 @@
   self->open_orders = fb_pool_orders_new ();
   self->unanswered_starts = fb_pool_unanswered_starts_new ();
   self->accounts = fb_pool_accounts_new ();
+  self->forecasts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return self;
 }
 
@@ -91,6 +92,7 @@
   g_ptr_array_unref (self->awaiting_starts);
   g_hash_table_unref (self->crash_causes);
   g_hash_table_unref (self->unresolved_losses);
+  g_hash_table_unref (self->forecasts);
   g_ptr_array_unref (self->in_flush);
   g_ptr_array_unref (self->unconfirmed_workers);
   g_hash_table_unref (self->jobs);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -79,6 +79,7 @@
 verdict "placement rounds" $B/tests/test-rounds
 verdict "order of waiting steps" $B/tests/test-order
 verdict "admission by forecast" $B/tests/test-admission
+verdict "admission by forecast between daemons" $B/tests/test-admission-entry
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
