--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -5,6 +5,7 @@
 
 #include "fb-event.h"
 #include "internal/admission-control.h"
+#include "internal/codec.h"
 #include "internal/pool-private.h"
 
 #include <CUnit/Basic.h>
@@ -464,6 +465,33 @@
   busy_pool_clear (&busy);
 }
 
+/* Notices go to all daemons each second, and a question to the owner for each job. */
+static void
+test_size_of_messages (void)
+{
+  u_int first = 0;
+  fb_admission_step steps[2] = { { .count = 10, .cpu_milli = 2700, .estimate_ms = 560 },
+                                 { .count = 10, .cpu_milli = 2700, .estimate_ms = 560 } };
+  steps[1].after.after_len = 1;
+  steps[1].after.after_val = &first;
+  fb_peer_request question = { .type = FB_REQUEST_ADMISSION };
+  question.fb_peer_request_u.admission
+      = (fb_admission_request){ .service = (char *) "service-name-1",
+                                .job = (char *) "00000000000000a1",
+                                .account = (char *) "account-name-1",
+                                .queue = (char *) "queue-name-of-checks" };
+  question.fb_peer_request_u.admission.steps.steps_len = 2;
+  question.fb_peer_request_u.admission.steps.steps_val = steps;
+  fb_peer_request notice = { .type = FB_REQUEST_LOAD_NOTICE };
+  notice.fb_peer_request_u.notice = (fb_load_notice){ .service = (char *) "service-name-1" };
+  g_autoptr (GBytes) question_bytes = fb_codec_encode_peer_request (&question);
+  g_autoptr (GBytes) notice_bytes = fb_codec_encode_peer_request (&notice);
+  printf ("\nquestion of %u bytes, notice of %u bytes\n", (guint) g_bytes_get_size (question_bytes),
+          (guint) g_bytes_get_size (notice_bytes));
+  CU_ASSERT_TRUE (g_bytes_get_size (question_bytes) <= 300);
+  CU_ASSERT_TRUE (g_bytes_get_size (notice_bytes) <= 100);
+}
+
 /* ---- refusals and returns ----------------------------------------------------------------------
  */
 
@@ -593,6 +621,7 @@
   CU_add_test (suite, "work at the cap", test_work_at_the_cap);
   CU_add_test (suite, "an empty pool", test_empty_pool);
   CU_add_test (suite, "the cost of forecasts", test_cost);
+  CU_add_test (suite, "the size of messages", test_size_of_messages);
   CU_add_test (suite, "returns are spread", test_returns_are_spread);
   CU_add_test (suite, "a return leaves out later work", test_return_leaves_out_later_work);
   CU_add_test (suite, "refused ids are forgotten", test_refused_ids_are_forgotten);
