--- a/tools/check.sh
+++ b/tools/check.sh
@@ -76,6 +76,7 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
+verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "order of waiting steps" $B/tests/test-order
 verdict "admission by forecast" $B/tests/test-admission
