--- a/tests/test-admission-entry.c
+++ b/tests/test-admission-entry.c
@@ -191,17 +191,17 @@
     tick (self);
 }
 
-/* Adds the job that the account "a" is owed in this second, so that another one is beyond its
+/* Adds JOB, the one that the account "a" is owed in this second, so that another one is beyond its
  * rate. */
 static void
-use_up_rate (Daemon *self)
+use_up_rate (Daemon *self, const char *job)
 {
   fb_work_admit record;
   fb_work_step step;
   busy_pool_init_job (&record, &step);
   record.account = (char *) ACCOUNT;
   record.accepted_ms = WALL_OFFSET_MS + clock_ms;
-  fb_pool_add_job (self->busy.pool, KNOWN_JOB, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
+  fb_pool_add_job (self->busy.pool, job, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
 }
 
 /* BACKLOG: with an overloaded pool. */
@@ -245,7 +245,7 @@
       busy_pool_admit (&self->busy, id, 0, "", JOB_TASKS, clock_ms);
     }
   run_for (self, 1000);
-  use_up_rate (self);
+  use_up_rate (self, KNOWN_JOB);
   return self;
 }
 
@@ -431,7 +431,9 @@
   run_for (self, 1000);
   (void) submit (self, NEW_JOB);
   CU_ASSERT_EQUAL (stored_n, 1);
-  use_up_rate (self);
+  use_up_rate (self, "00000000000f0002");
+  (void) submit (self, "00000000000f0003");
+  CU_ASSERT_EQUAL (status, 429);
   (void) submit (self, NEW_JOB);
   CU_ASSERT_EQUAL (stored_n, 2);
   daemon_free (self);
