--- a/include/internal/pool-account.h
+++ b/include/internal/pool-account.h
@@ -93,3 +93,12 @@
 /* Updates the usage and the flag of SHARE; its weight and share are set.  HELD: dominant share of
  * the pool that the account's runs hold now.  ELAPSED_MS: time since the last update. */
 void fb_account_share_update (FbAccountShare *share, double held, uint64_t elapsed_ms);
+/* Calls FUNC for the first waiting steps of each account, for at most MAX_N together. */
+typedef void (*FbPoolHeldStepFunc) (gpointer user, const char *account, const FbPoolStep *step);
+void fb_pool_accounts_foreach_held (const FbPool *self, guint max_n, FbPoolHeldStepFunc func,
+                                    gpointer user);
+/* Returns: the cap of ACCOUNT, over all pools. */
+const FbAmounts *fb_pool_account_cap (const FbPoolAccount *account);
+/* TRUE when one more job of ACCOUNT (nullable) that is accepted at ACCEPTED_MS, since 1970, would
+ * be beyond its rate.  The number of jobs of a second only grows, so that stays true. */
+gboolean fb_pool_account_would_exceed_rate (const FbPoolAccount *account, uint64_t accepted_ms);
--- a/include/internal/pool-order.h
+++ b/include/internal/pool-order.h
@@ -49,6 +49,9 @@
 /* Called before each iteration of a round.  Returns: TRUE when the keys of all queued steps have to
  * be computed again, at most once in 100 ms. */
 gboolean fb_pool_order_update (FbPool *self, uint64_t now_ms);
+/* TRUE when steps that arrive later with the same priority start before STEP, because its priority
+ * is overloaded. */
+gboolean fb_pool_order_yields_to_newer (const FbPoolStep *step);
 /* A start of a task of STEP was ordered. */
 void fb_pool_order_count_start (FbPool *self, const FbPoolStep *step);
 /* STEP does not wait any more, or is about to be freed. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "internal/account.h"
+#include "internal/admission.h"
 #include "rpc/work.h"
 
 #include <glib.h>
@@ -305,6 +306,22 @@
 void fb_pool_foreach_account (const FbPool *self, FbPoolAccountFunc func, gpointer user);
 /* FALSE while runs of an earlier owner may be missing in what accounts use here. */
 gboolean fb_pool_usage_is_known (const FbPool *self);
+/* Adds up the work that waits, for forecasts; only where client accounts are configured. */
+void fb_pool_measure_backlog (const FbPool *self, FbAdmission *admission, uint64_t now_ms);
+/* Describes the job in REQUEST, of a queue with POLICY, for a forecast; JOB borrows from REQUEST.
+ * Returns: FALSE when it cannot be described. */
+gboolean fb_pool_describe_job (FbPool *self, const fb_admission_request *request,
+                               const fb_work_policy *policy, FbAdmissionJob *job);
+/* Returns: by how much earlier the job in REQUEST, whose caller first tried AGE_MS ago, is to be
+ * accepted: AGE_MS, or 0 if that would put it beyond the rate of its account, which it is not now.
+ */
+uint64_t fb_pool_accepted_age_ms (const FbPool *self, const fb_admission_request *request,
+                                  uint64_t age_ms);
+/* The job with the id JOB, which is being stored, was forecast to start at START_MS. */
+void fb_pool_note_forecast (FbPool *self, const char *job, uint64_t start_ms);
+/* TRUE when client accounts are configured and the pool knows all that runs in it, so that
+ * forecasts are possible. */
+gboolean fb_pool_can_forecast (const FbPool *self);
 /* Returns: how many jobs of QUEUE have no scheduled occurrences and no task that was started. */
 uint32_t fb_pool_pending_jobs_n (const FbPool *self, const char *queue);
 /* TRUE while a majority of the listed workers has answered polls that were sent under this epoch
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -139,6 +139,12 @@
   return key;
 }
 
+gboolean
+fb_pool_order_yields_to_newer (const FbPoolStep *step)
+{
+  return step->position_ms > NEWEST_FIRST_MS / 2;
+}
+
 gboolean
 fb_pool_order_key_differs (const FbPoolStep *step, const FbPoolOrderKey *key)
 {
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -58,6 +58,14 @@
   uint64_t answer_ms; /* when an open poll is answered even if there is nothing to report */
 } Worker;
 
+/* A refused job that comes again. */
+typedef struct
+{
+  guint number;
+  uint64_t at_ms;
+  fb_work_admit record;
+} Return;
+
 typedef struct
 {
   const ContentionSetup *setup;
@@ -65,6 +73,7 @@
   Worker workers[CONTENTION_MAX_WORKERS];
   GArray *starts;  /* of uint64_t: starts without an answer */
   GPtrArray *jobs; /* of Job, by number */
+  GArray *returns; /* of Return */
   GRand *rand;
   uint64_t now_ms;
 } World;
@@ -205,6 +214,45 @@
   return total_ms;
 }
 
+/* Passes job NUMBER to the pool unless it is refused. */
+static void
+submit (World *world, guint number, fb_work_admit *record)
+{
+  g_autofree char *id = g_strdup_printf ("%016x", number + 1);
+  const ContentionHooks *hooks = world->setup->hooks;
+  uint64_t wall_ms = WALL_OFFSET_MS + world->now_ms;
+  uint64_t again_ms = 0;
+  if (hooks != NULL && hooks->arrived != NULL)
+    again_ms = hooks->arrived (world->setup->user, world->pool, number, id, record, world->now_ms,
+                               wall_ms);
+  if (again_ms == 0)
+    fb_pool_add_job (world->pool, id, record, world->now_ms, wall_ms);
+  else if (again_ms != G_MAXUINT64)
+    {
+      Return again = { .number = number, .at_ms = again_ms };
+      fb_pool_job_copy_record (record, &again.record);
+      g_array_append_val (world->returns, again);
+    }
+}
+
+static void
+submit_returned (World *world)
+{
+  for (guint i = 0; i < world->returns->len;)
+    {
+      Return again = g_array_index (world->returns, Return, i);
+      if (again.at_ms > world->now_ms)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (world->returns, i);
+      again.record.accepted_ms = WALL_OFFSET_MS + world->now_ms;
+      submit (world, again.number, &again.record);
+      xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &again.record);
+    }
+}
+
 static void
 add_job (World *world, ContentionKind number, guint account)
 {
@@ -246,8 +294,7 @@
   record.spec.payload = (char *) "";
   record.spec.steps.steps_len = steps_n;
   record.spec.steps.steps_val = steps;
-  g_autofree char *id = g_strdup_printf ("%016x", world->jobs->len);
-  fb_pool_add_job (world->pool, id, &record, world->now_ms, WALL_OFFSET_MS + world->now_ms);
+  submit (world, world->jobs->len - 1, &record);
 }
 
 static void
@@ -262,7 +309,8 @@
         {
           double factor = in_burst ? kinds[kind].burst_factor : 1;
           if (in_burst && account == 0)
-            factor = MAX (factor, HOT_FACTOR);
+            factor = MAX (factor,
+                          world->setup->hot_factor > 0 ? world->setup->hot_factor : HOT_FACTOR);
           double share = kinds[kind].rate * factor * TICK_MS / 1000 / ACCOUNT_N;
           if (g_rand_double (world->rand) < share)
             add_job (world, kind, account);
@@ -281,8 +329,9 @@
   FbAccount configured[ACCOUNT_N];
   for (guint i = 0; i < ACCOUNT_N; i++)
     {
-      configured[i]
-          = (FbAccount){ .name = (char *) names[i], .cap = { .cpu_milli = world->setup->cap_cpu } };
+      configured[i] = (FbAccount){ .name = (char *) names[i],
+                                   .weight = world->setup->weight,
+                                   .cap = { .cpu_milli = world->setup->cap_cpu } };
       g_hash_table_insert (accounts, configured[i].name, &configured[i]);
     }
   fb_pool_set_accounts (world->pool, accounts);
@@ -298,6 +347,7 @@
   world->now_ms = CONTENTION_START_MS;
   world->rand = g_rand_new_with_seed (seed);
   world->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  world->returns = g_array_new (FALSE, FALSE, sizeof (Return));
   world->jobs = g_ptr_array_new_with_free_func (g_free);
   world->pool = fb_pool_new ("svc", 1, &limits, &callbacks, world, world->now_ms);
   configure_accounts (world);
@@ -332,6 +382,7 @@
     }
   fb_pool_free (world->pool);
   g_array_unref (world->starts);
+  g_array_unref (world->returns);
   g_ptr_array_unref (world->jobs);
   g_rand_free (world->rand);
 }
@@ -342,6 +393,7 @@
   uint64_t elapsed_ms = world->now_ms - CONTENTION_START_MS;
   for (guint i = 0; i < world->setup->workers_n; i++)
     tick_worker (world, i);
+  submit_returned (world);
   if (elapsed_ms < CONTENTION_END_MS)
     add_jobs (world, elapsed_ms);
   fb_pool_tick (world->pool, TRUE, world->now_ms, WALL_OFFSET_MS + world->now_ms);
@@ -369,6 +421,10 @@
       uint64_t ended_ms = job->ended_ms != 0 ? job->ended_ms : G_MAXUINT64;
       uint64_t no_value_ms = job->arrived_ms + 3 * (job->objective_ms - job->arrived_ms);
       gboolean in_time = ended_ms <= job->objective_ms;
+      const ContentionHooks *hooks = world->setup->hooks;
+      if (hooks != NULL && hooks->ended != NULL)
+        hooks->ended (world->setup->user, i, job->kind, job->started_ms, job->ended_ms,
+                      job->objective_ms, no_value_ms);
       result->jobs_n[job->kind]++;
       result->in_time_n[job->kind] += in_time;
       result->late_n[job->kind] += !in_time && ended_ms <= no_value_ms;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -77,10 +77,13 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
+verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "predictions of run times" $B/tests/test-run-times
 verdict "order of waiting steps" $B/tests/test-order
 verdict "uneven workers and work" $B/tests/test-uneven
+verdict "admission by forecast" $B/tests/test-admission
+verdict "admission by forecast between daemons" $B/tests/test-admission-entry
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
