--- a/include/internal/account.h
+++ b/include/internal/account.h
@@ -22,6 +22,9 @@
 FbAmounts fb_amounts_max (const FbAmounts *a, const FbAmounts *b);
 FbAmounts fb_amounts_min (const FbAmounts *a, const FbAmounts *b);
 gboolean fb_amounts_equal (const FbAmounts *a, const FbAmounts *b);
+/* Returns: the largest fraction of a resource of CAPACITY that USED is; a resource of which
+ * CAPACITY has nothing does not count. */
+double fb_amounts_dominant_share (const FbAmounts *used, const FbAmounts *capacity);
 
 typedef struct
 {
--- a/src/work/account-division.c
+++ b/src/work/account-division.c
@@ -139,20 +139,6 @@
     }
 }
 
-/* Returns: the largest share of a limited resource of CAP that TAKEN uses. */
-static double
-dominant_share (const FbAmounts *cap, const FbAmounts *taken)
-{
-  double share = 0;
-  for (guint resource = 0; resource < FB_AMOUNTS_N; resource++)
-    {
-      if (fb_amounts_get (cap, resource) > 0)
-        share = MAX (share, (double) fb_amounts_get (taken, resource)
-                                / (double) fb_amounts_get (cap, resource));
-    }
-  return share;
-}
-
 /* TRUE when MORE fits into LEFT for each resource that CAP limits.  LEFT is negative where more
  * than the cap is in use, which matters only to those that need that resource. */
 static gboolean
@@ -182,8 +168,8 @@
         {
           if (!visited[i]
               && (next == n
-                  || dominant_share (cap, &claims[i].taken)
-                         < dominant_share (cap, &claims[next].taken)))
+                  || fb_amounts_dominant_share (&claims[i].taken, cap)
+                         < fb_amounts_dominant_share (&claims[next].taken, cap)))
             next = i;
         }
       visited[next] = TRUE;
--- a/src/work/account-shares.c
+++ b/src/work/account-shares.c
@@ -47,20 +47,6 @@
 
 /* ---- update ------------------------------------------------------------------------------- */
 
-/* Returns: the largest fraction of the pool's capacity that USED is, over all resources. */
-static double
-dominant_share (const FbAmounts *used, const FbAmounts *capacity)
-{
-  double share = 0;
-  for (guint i = 0; i < FB_AMOUNTS_N; i++)
-    {
-      if (fb_amounts_get (capacity, i) > 0)
-        share = MAX (share,
-                     (double) fb_amounts_get (used, i) / (double) fb_amounts_get (capacity, i));
-    }
-  return share;
-}
-
 static void
 mark_waiting (const GPtrArray *steps)
 {
@@ -109,8 +95,9 @@
     }
   share->waits = FALSE;
   share->share = (double) share->weight / (double) weights;
-  fb_account_share_update (share, dominant_share (fb_pool_account_used (account), &self->capacity),
-                           elapsed_ms);
+  fb_account_share_update (
+      share, fb_amounts_dominant_share (fb_pool_account_used (account), &self->capacity),
+      elapsed_ms);
 }
 
 /* TRUE when STEP is a gang that has found no room, of an account that uses less than its share. */
--- a/src/work/amounts.c
+++ b/src/work/amounts.c
@@ -40,6 +40,19 @@
   return a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb && a->gpu_count == b->gpu_count;
 }
 
+double
+fb_amounts_dominant_share (const FbAmounts *used, const FbAmounts *capacity)
+{
+  double share = 0;
+  for (guint i = 0; i < FB_AMOUNTS_N; i++)
+    {
+      if (fb_amounts_get (capacity, i) > 0)
+        share = MAX (share,
+                     (double) fb_amounts_get (used, i) / (double) fb_amounts_get (capacity, i));
+    }
+  return share;
+}
+
 void
 fb_amounts_encode (const FbAmounts *amounts, fb_work_amounts *wire)
 {
--- a/src/work/pool-earmark.c
+++ b/src/work/pool-earmark.c
@@ -1,21 +1,12 @@
 /* What an account leaves for gangs that it may start and that wait for their tickets.
  *
- * A gang that returns from the steps that wait for its account (pool-account.c) needs valid tickets
- * first, which takes most of a second.  Without the earmark, single tasks that are held behind it
- * were given its amounts meanwhile, so it was held again.  The earmark ends after the time of one
- * request, because a gang that finds no free workers with its tickets would leave its account's
- * part idle for as long as it waits. */
+ * A gang that returns from the steps that wait for its account (pool-account-held.c) needs valid
+ * tickets first, which takes most of a second.  Without the earmark, single tasks that are held
+ * behind it were given its amounts meanwhile, so it was held again.  The earmark ends after the
+ * time of one request, because a gang that finds no free workers with its tickets would leave its
+ * account's part idle for as long as it waits. */
 #include "internal/pool-account.h"
 
-static FbAmounts
-demand_of_gang (const FbPoolStep *gang)
-{
-  const FbAmounts demand = { gang->spec->cpu_milli, gang->spec->mem_mb, gang->spec->gpu_count };
-  FbAmounts total = { 0 };
-  fb_amounts_add (&total, &demand, (int) gang->spec->count);
-  return total;
-}
-
 void
 fb_pool_earmarks_add (GPtrArray *earmarks, FbPoolStep *step, uint64_t now_ms)
 {
@@ -60,7 +51,7 @@
   FbAmounts withheld = { 0 };
   for (guint i = 0; !step->spec->gang && i < n; i++)
     {
-      const FbAmounts demand = demand_of_gang (earmarks->pdata[i]);
+      const FbAmounts demand = fb_pool_unit_demand (earmarks->pdata[i]);
       if (fb_pool_queue_compare (earmarks->pdata[i], step) < 0)
         fb_amounts_add (&withheld, &demand, 1);
     }
@@ -84,7 +75,7 @@
   FbAmounts total = { 0 };
   for (guint i = 0; i < earmarks->len; i++)
     {
-      const FbAmounts demand = demand_of_gang (earmarks->pdata[i]);
+      const FbAmounts demand = fb_pool_unit_demand (earmarks->pdata[i]);
       if (fb_pool_step_is_pending (earmarks->pdata[i]))
         fb_amounts_add (&total, &demand, 1);
     }
--- a/src/work/pool-held-advice.c
+++ b/src/work/pool-held-advice.c
@@ -1,4 +1,4 @@
-/* Requests advice for steps that wait for their account (pool-account.c).
+/* Requests advice for steps that wait for their account (pool-account-held.c).
  *
  * Which workers a step may use never changes, so it can be known when the account may start the
  * step; then only the tickets of the chosen workers are missing.  Eight of 40 gangs of a load test
