Order: the key of a step includes its prediction and urgency

Three callers had to predict the run times, compute the urgency and then the key, in that order. fb_pool_job_remaining_ms() and fb_pool_order_slack_ms() lose a parameter that they did not use.

--- a/include/internal/pool-order.h
+++ b/include/internal/pool-order.h
@@ -11,14 +11,13 @@
 void fb_pool_learn_run_time (FbPool *self, FbPoolStep *step, uint32_t duration_ms, double slowness);
 /* Returns: the length of the longest chain of unfinished work of OCCURRENCE.  Runs in progress
  * count with their remaining time. */
-uint64_t fb_pool_job_remaining_ms (const FbPool *self, const FbPoolOccurrence *occurrence,
-                                   uint64_t now_ms);
+uint64_t fb_pool_job_remaining_ms (const FbPoolOccurrence *occurrence, uint64_t now_ms);
 /* Returns: when OCCURRENCE should be completed, on the pool's clock. */
 uint64_t fb_pool_occurrence_objective_ms (const FbPoolOccurrence *occurrence);
 
 /* Returns: for how long the job of STEP could wait and still be completed within its objective;
  * negative when it is late. */
-int64_t fb_pool_order_slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
+int64_t fb_pool_order_slack_ms (const FbPoolStep *step, uint64_t now_ms);
 
 /* What decides the position of a waiting step, besides the priority and the id of its job. */
 typedef struct
@@ -33,12 +32,9 @@
 /* Cost of computing a key (130 ns) in visits of a worker or run, for FbPool.visits_n. */
 #define FB_POOL_ORDER_KEY_VISITS 6
 
-/* Returns: the key of STEP as of NOW_MS.  URGENCY: its urgency. */
-FbPoolOrderKey fb_pool_order_key (const FbPool *self, const FbPoolStep *step, FbPoolUrgency urgency,
-                                  uint64_t now_ms);
-/* Predicts the run times of the job of STEP again if that was last done a while ago; to be called
- * before fb_pool_order_key(). */
-void fb_pool_order_predict (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
+/* Returns: the key of STEP as of NOW_MS.  Predicts the run times of its job again if that was last
+ * done a while ago. */
+FbPoolOrderKey fb_pool_order_key (const FbPool *self, const FbPoolStep *step, uint64_t now_ms);
 /* TRUE when KEY puts STEP at another position than the key that it was sorted by.  Shifts of the
  * latest start of less than 50 ms do not count. */
 gboolean fb_pool_order_key_differs (const FbPoolStep *step, const FbPoolOrderKey *key);
--- a/src/work/pool-account-held.c
+++ b/src/work/pool-account-held.c
@@ -69,9 +69,7 @@
 {
   if (!self->orders_by_slack)
     return FALSE;
-  fb_pool_order_predict (self, step, now_ms);
-  const FbPoolOrderKey key
-      = fb_pool_order_key (self, step, fb_pool_queue_urgency (step, now_ms), now_ms);
+  const FbPoolOrderKey key = fb_pool_order_key (self, step, now_ms);
   self->visits_n += FB_POOL_ORDER_KEY_VISITS;
   if (!fb_pool_order_key_differs (step, &key))
     return FALSE;
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -71,27 +71,26 @@
 /* Returns: the remaining time of OCCURRENCE.  It is computed once in an update for all its steps: a
  * job may have 64 that wait at the same time, and each would walk through all of them. */
 static uint64_t
-remaining_ms (const FbPool *self, FbPoolOccurrence *occurrence, uint64_t now_ms)
+remaining_ms (FbPoolOccurrence *occurrence, uint64_t now_ms)
 {
   if (occurrence->remaining_at_ms != now_ms)
-    occurrence->remaining_ms = fb_pool_job_remaining_ms (self, occurrence, now_ms);
+    occurrence->remaining_ms = fb_pool_job_remaining_ms (occurrence, now_ms);
   occurrence->remaining_at_ms = now_ms;
   return occurrence->remaining_ms;
 }
 
 int64_t
-fb_pool_order_slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+fb_pool_order_slack_ms (const FbPoolStep *step, uint64_t now_ms)
 {
   const FbPoolOccurrence *occurrence = occurrence_of (step);
   return (int64_t) fb_pool_occurrence_objective_ms (occurrence) - (int64_t) now_ms
-         - (int64_t) fb_pool_job_remaining_ms (self, occurrence, now_ms);
+         - (int64_t) fb_pool_job_remaining_ms (occurrence, now_ms);
 }
 
-void
-fb_pool_order_predict (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+static void
+predict_run_times (const FbPool *self, FbPoolJob *job, uint64_t now_ms)
 {
-  FbPoolJob *job = step->job;
-  if (!self->orders_by_slack || now_ms < job->predicted_ms + PREDICTION_INTERVAL_MS)
+  if (now_ms < job->predicted_ms + PREDICTION_INTERVAL_MS)
     return;
   job->predicted_ms = now_ms;
   fb_pool_job_update_objective (self, job);
@@ -120,16 +119,17 @@
 }
 
 FbPoolOrderKey
-fb_pool_order_key (const FbPool *self, const FbPoolStep *step, FbPoolUrgency urgency,
-                   uint64_t now_ms)
+fb_pool_order_key (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
-  FbPoolOrderKey key = { .urgency = urgency };
   if (!self->orders_by_slack)
-    return key;
+    return (FbPoolOrderKey){ .urgency = fb_pool_queue_urgency (step, now_ms) };
+  /* The urgency depends on the objective, which follows from the predictions. */
+  predict_run_times (self, step->job, now_ms);
+  FbPoolOrderKey key = { .urgency = fb_pool_queue_urgency (step, now_ms) };
   FbPoolOccurrence *occurrence = occurrence_of (step);
   uint64_t objective_ms = fb_pool_occurrence_objective_ms (occurrence);
   /* A long-running step has no end that could be late. */
-  uint64_t left_ms = step->spec->long_running ? 0 : remaining_ms (self, occurrence, now_ms);
+  uint64_t left_ms = step->spec->long_running ? 0 : remaining_ms (occurrence, now_ms);
   key.latest_start_ms = objective_ms > left_ms ? objective_ms - left_ms : 1;
   key.is_over_share = step->held_at == NULL && fb_pool_account_is_over_share (step->job->account);
   key.position_ms = is_newest_first (self, step, now_ms) ? NEWEST_FIRST_MS - step->job->admitted_ms
--- a/src/work/pool-preempt.c
+++ b/src/work/pool-preempt.c
@@ -20,7 +20,7 @@
 slack_ms (const FbPool *self, const FbPoolStep *step, uint64_t now_ms)
 {
   if (self->orders_by_slack)
-    return fb_pool_order_slack_ms (self, step, now_ms);
+    return fb_pool_order_slack_ms (step, now_ms);
   return (int64_t) step->job->objective_ms - (int64_t) now_ms - (int64_t) step->spec->estimate_ms;
 }
 
--- a/src/work/pool-queue.c
+++ b/src/work/pool-queue.c
@@ -90,9 +90,7 @@
 {
   if (!update)
     return step->urgency != fb_pool_queue_urgency (step, now_ms);
-  fb_pool_order_predict (self, step, now_ms);
-  FbPoolUrgency urgency = fb_pool_queue_urgency (step, now_ms);
-  const FbPoolOrderKey key = fb_pool_order_key (self, step, urgency, now_ms);
+  const FbPoolOrderKey key = fb_pool_order_key (self, step, now_ms);
   self->visits_n += FB_POOL_ORDER_KEY_VISITS;
   return fb_pool_order_key_differs (step, &key);
 }
@@ -138,9 +136,7 @@
       step->is_merged = step->queued;
       if (!step->queued)
         continue;
-      fb_pool_order_predict (self, step, now_ms);
-      const FbPoolOrderKey key
-          = fb_pool_order_key (self, step, fb_pool_queue_urgency (step, now_ms), now_ms);
+      const FbPoolOrderKey key = fb_pool_order_key (self, step, now_ms);
       fb_pool_order_set_key (self, step, &key, now_ms);
       self->unmerged->pdata[n++] = step;
     }
--- a/src/work/pool-remaining.c
+++ b/src/work/pool-remaining.c
@@ -56,9 +56,8 @@
 }
 
 uint64_t
-fb_pool_job_remaining_ms (const FbPool *self, const FbPoolOccurrence *occurrence, uint64_t now_ms)
+fb_pool_job_remaining_ms (const FbPoolOccurrence *occurrence, uint64_t now_ms)
 {
-  (void) self;
   uint64_t until_ms[FB_WORK_MAX_STEPS];
   uint64_t longest_ms = 0;
   const FbPoolJob *job = occurrence->steps[0].job;
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -233,7 +233,7 @@
 remaining_ms (const BusyPool *busy, const char *id, uint64_t now_ms)
 {
   const FbPoolJob *job = g_hash_table_lookup (busy->pool->jobs, id);
-  return fb_pool_job_remaining_ms (busy->pool, job->occurrences->pdata[0], now_ms);
+  return fb_pool_job_remaining_ms (job->occurrences->pdata[0], now_ms);
 }
 
 /* Ends a run on each of the workers that has one. */
