One function for what was written twice: objective, other worker, log line, address, comparison

The duration of an objective (pool-job.c and pool-admission.c), the choice of another worker for a copy or a move, the log line of a caller's job, the address of a member and the comparison of doubles each stood in two places. Two comments are put where they apply.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -174,6 +174,8 @@
                             uint64_t now_ms, uint64_t wall_ms);
 void fb_pool_job_free (gpointer job);
 gboolean fb_pool_job_ended (const FbPoolJob *job);
+/* Returns: the duration of the objective of a job of POLICY with a critical path of PATH_MS. */
+uint64_t fb_pool_objective_duration_ms (const fb_work_policy *policy, uint64_t path_ms);
 /* Computes what follows from the policy of JOB and the expected run times of its steps: objective,
  * tightness and the time when its completion has no value any more.  Where client accounts are
  * configured, the objective of a job that has begun is not moved to an earlier time. */
@@ -221,6 +223,9 @@
 
 /* pool-predict.c */
 
+/* For qsort(), in ascending order. */
+int fb_pool_compare_doubles (const void *a, const void *b);
+
 /* Returns: the median time of the runs of STEP that began here without a checkpoint and ended; 0
  * while too few have. */
 uint64_t fb_pool_step_median_ms (FbPoolStep *step);
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -330,6 +330,11 @@
 FbPoolWorker *fb_pool_best_worker (FbPool *self, FbPoolStep *step, uint32_t index, const char *rack,
                                    const FbPoolWorker *excluded, FbPoolTicketRule rule,
                                    uint64_t now_ms);
+/* Returns: (nullable): the best worker to start task INDEX again while it runs on EXCLUDED.
+ * HAS_TICKET: whether it could start there now; otherwise only its ticket is missing. */
+FbPoolWorker *fb_pool_best_other_worker (FbPool *self, FbPoolStep *step, uint32_t index,
+                                         const FbPoolWorker *excluded, gboolean *has_ticket,
+                                         uint64_t now_ms);
 /* Finds workers for up to MAX_N pending tasks, each in addition to those before it.  Returns: for
  * how many tasks a worker was found. */
 guint fb_pool_choose_workers (FbPool *self, FbPoolStep *step, guint max_n, const char *rack,
--- a/src/entry/frontend/frontend-admission.c
+++ b/src/entry/frontend/frontend-admission.c
@@ -19,14 +19,6 @@
   GBytes *value; /* the record to store */
 } Question;
 
-static void
-log_outcome (const FbFrontendRequest *request, FbEvent event, const char *how)
-{
-  fb_event_log (event, "job=%s queue=%s how=%s after_ms=%u store_ok_ms_ago=%u", request->job,
-                request->queue, how, (guint) (fb_clock_ms () - request->received_ms),
-                (guint) (fb_clock_ms () - request->entry->store_answered_ms));
-}
-
 /* Returns: (transfer full): VALUE with the job accepted AGE_MS earlier, at its caller's first
  * attempt. */
 static GBytes *
@@ -60,7 +52,7 @@
       " ms at the earliest, too late to be of value\"}",
       (guint64) reply->forecast_end_ms);
   fb_counter_add (FB_COUNTER_REFUSED_BY_FORECAST, 1);
-  log_outcome (request, FB_EVENT_JOB_REFUSED, "no value by forecast");
+  fb_entry_frontend_log (request, FB_EVENT_JOB_REFUSED, "no value by forecast");
   soup_message_headers_replace (soup_server_message_get_response_headers (request->message),
                                 "Retry-After", header);
   fb_entry_frontend_finish (request, STATUS_TOO_MANY_REQUESTS, body);
@@ -80,7 +72,7 @@
     fb_counter_add (FB_COUNTER_ADMITTED_UNANSWERED, 1);
   if (answer == FB_ADMISSION_KNOWN)
     {
-      log_outcome (request, FB_EVENT_JOB_ACCEPTED, "known");
+      fb_entry_frontend_log (request, FB_EVENT_JOB_ACCEPTED, "known");
       fb_entry_frontend_finish (request, SOUP_STATUS_OK, "{}");
     }
   else if (answer == FB_ADMISSION_REFUSE)
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -3,6 +3,8 @@
 
 #include "frontend.h"
 
+#include "fb-event.h"
+
 #include "src/entry/entry-private.h"
 
 /* One HTTP request of a caller; talloc context of its strings. */
@@ -31,6 +33,8 @@
 /* Stores VALUE (borrowed), answers the caller and frees REQUEST.  KIND: first letter of the
  * record's key, FB_KEY_JOB or FB_KEY_CANCEL. */
 void fb_entry_frontend_store (FbFrontendRequest *request, char kind, GBytes *value);
+/* Logs EVENT about the job of REQUEST; HOW: why or by which way. */
+void fb_entry_frontend_log (const FbFrontendRequest *request, FbEvent event, const char *how);
 
 /* frontend-admission.c */
 
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -20,11 +20,10 @@
  * callers the same failed attempt, short enough for a daemon that has recovered. */
 #define BACKOFF_MS 1000
 
-static void
-log_stored (const FbFrontendRequest *request, gboolean stored, const char *how)
+void
+fb_entry_frontend_log (const FbFrontendRequest *request, FbEvent event, const char *how)
 {
-  fb_event_log (stored ? FB_EVENT_JOB_ACCEPTED : FB_EVENT_JOB_REFUSED,
-                "job=%s queue=%s how=%s after_ms=%u store_ok_ms_ago=%u", request->job,
+  fb_event_log (event, "job=%s queue=%s how=%s after_ms=%u store_ok_ms_ago=%u", request->job,
                 request->queue, how, (guint) (fb_clock_ms () - request->received_ms),
                 (guint) (fb_clock_ms () - request->entry->store_answered_ms));
 }
@@ -44,7 +43,9 @@
                                      [FB_APPEND_NOT_STORED] = "certainly not stored",
                                      [FB_APPEND_IN_DOUBT] = "in doubt" };
   note_append (request);
-  log_stored (request, result == FB_APPEND_STORED, how[MIN (result, FB_APPEND_IN_DOUBT)]);
+  fb_entry_frontend_log (request,
+                         result == FB_APPEND_STORED ? FB_EVENT_JOB_ACCEPTED : FB_EVENT_JOB_REFUSED,
+                         how[MIN (result, FB_APPEND_IN_DOUBT)]);
   if (result == FB_APPEND_STORED)
     {
       fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
--- a/src/entry/store/join-policy.c
+++ b/src/entry/store/join-policy.c
@@ -115,18 +115,25 @@
   return start != NULL ? strtoull (start + 1, NULL, 10) : 0;
 }
 
+/* TRUE when DAEMON has the address in the member name NAME. */
+static gboolean
+is_at_address_of (const FbDaemon *daemon, const char *name)
+{
+  gsize address_len = strcspn (name, "/");
+  return strlen (daemon->address) == address_len
+         && strncmp (daemon->address, name, address_len) == 0;
+}
+
 /* Returns: FALSE when no process at the address of the member NAME runs, or only one that started
  * later: the owner was killed, and its successor at the address does not have its pools.  A process
  * joins the group of daemons before that of owners. */
 static gboolean
 is_running (const GPtrArray *daemons, const char *name)
 {
-  gsize address_len = strcspn (name, "/");
   for (guint i = 0; i < daemons->len; i++)
     {
       const FbDaemon *daemon = daemons->pdata[i];
-      if (strlen (daemon->address) == address_len
-          && strncmp (daemon->address, name, address_len) == 0)
+      if (is_at_address_of (daemon, name))
         return daemon->started_us <= start_of (name);
     }
   return FALSE;
@@ -137,14 +144,12 @@
 started_together (const GPtrArray *daemons, const char *name)
 {
   uint64_t own_us = start_of (name);
-  gsize address_len = strcspn (name, "/");
   guint others_n = 0;
   guint together_n = 0;
   for (guint i = 0; i < daemons->len; i++)
     {
       const FbDaemon *daemon = daemons->pdata[i];
-      if (strlen (daemon->address) == address_len
-          && strncmp (daemon->address, name, address_len) == 0)
+      if (is_at_address_of (daemon, name))
         continue;
       uint64_t apart_us = MAX (own_us, daemon->started_us) - MIN (own_us, daemon->started_us);
       others_n++;
--- a/src/work/pool-admission.c
+++ b/src/work/pool-admission.c
@@ -144,12 +144,6 @@
   return request->steps.steps_len > 0;
 }
 
-static uint64_t
-objective_of (const fb_work_policy *policy, uint64_t path_ms)
-{
-  return path_ms * policy->stretch_factor_milli / 1000 + policy->target_ms;
-}
-
 /* The demand of the job is the smallest of the steps that may start first, in each resource. */
 static void
 add_demand (const FbPool *self, const fb_admission_request *request, FbAdmissionJob *job)
@@ -179,8 +173,8 @@
                      ? FB_URGENCY_BEYOND_RATE
                      : FB_URGENCY_NORMAL;
   job->longest_path_ms = job->path_ms * LONGEST_PERCENT / 100;
-  job->objective_ms = objective_of (policy, job->path_ms);
-  job->longest_objective_ms = objective_of (policy, job->longest_path_ms);
+  job->objective_ms = fb_pool_objective_duration_ms (policy, job->path_ms);
+  job->longest_objective_ms = fb_pool_objective_duration_ms (policy, job->longest_path_ms);
   add_demand (self, request, job);
   return TRUE;
 }
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -254,6 +254,18 @@
   return best;
 }
 
+FbPoolWorker *
+fb_pool_best_other_worker (FbPool *self, FbPoolStep *step, uint32_t index,
+                           const FbPoolWorker *excluded, gboolean *has_ticket, uint64_t now_ms)
+{
+  FbPoolWorker *other
+      = fb_pool_best_worker (self, step, index, NULL, excluded, FB_TICKET_VALID, now_ms);
+  *has_ticket = other != NULL;
+  if (other == NULL)
+    other = fb_pool_best_worker (self, step, index, NULL, excluded, FB_TICKET_ALLOWED, now_ms);
+  return other;
+}
+
 /* ---- several at once ----------------------------------------------------------- */
 
 guint
--- a/src/work/pool-copy.c
+++ b/src/work/pool-copy.c
@@ -107,11 +107,9 @@
             uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
+  gboolean has_ticket = FALSE;
   FbPoolWorker *other
-      = fb_pool_best_worker (self, step, run->index, NULL, worker, FB_TICKET_VALID, now_ms);
-  gboolean has_ticket = other != NULL;
-  if (other == NULL)
-    other = fb_pool_best_worker (self, step, run->index, NULL, worker, FB_TICKET_ALLOWED, now_ms);
+      = fb_pool_best_other_worker (self, step, run->index, worker, &has_ticket, now_ms);
   if (other == NULL || (!anywhere && !is_worthwhile_on (run, other, now_ms)))
     return;
   if (!has_ticket)
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -42,12 +42,17 @@
   return longest_ms;
 }
 
+uint64_t
+fb_pool_objective_duration_ms (const fb_work_policy *policy, uint64_t path_ms)
+{
+  return path_ms * policy->stretch_factor_milli / 1000 + policy->target_ms;
+}
+
 void
 fb_pool_job_update_objective (const FbPool *self, FbPoolJob *job)
 {
-  const fb_work_policy *policy = &job->record.policy;
   uint64_t work_ms = critical_path_ms (self, job);
-  uint64_t objective_ms = work_ms * policy->stretch_factor_milli / 1000 + policy->target_ms;
+  uint64_t objective_ms = fb_pool_objective_duration_ms (&job->record.policy, work_ms);
   job->tightness = objective_ms > 0 ? MIN ((double) work_ms / (double) objective_ms, 1) : 0;
   /* Work that has begun for an objective would be wasted if a new prediction made the job late. */
   if (self->orders_by_slack && job->started)
--- a/src/work/pool-pace.c
+++ b/src/work/pool-pace.c
@@ -103,18 +103,10 @@
     values->values[values->n++] = value;
 }
 
-static int
-compare_doubles (const void *a, const void *b)
-{
-  double x = *(const double *) a;
-  double y = *(const double *) b;
-  return (x > y) - (x < y);
-}
-
 static double
 lower_median (Values *values)
 {
-  qsort (values->values, values->n, sizeof values->values[0], compare_doubles);
+  qsort (values->values, values->n, sizeof values->values[0], fb_pool_compare_doubles);
   return values->values[(values->n - 1) / 2];
 }
 
--- a/src/work/pool-predict.c
+++ b/src/work/pool-predict.c
@@ -23,8 +23,8 @@
   guint n;
 } Samples;
 
-static int
-compare_doubles (const void *a, const void *b)
+int
+fb_pool_compare_doubles (const void *a, const void *b)
 {
   double x = *(const double *) a;
   double y = *(const double *) b;
@@ -36,7 +36,7 @@
 {
   if (samples->n == 0)
     return 0;
-  qsort (samples->values, samples->n, sizeof samples->values[0], compare_doubles);
+  qsort (samples->values, samples->n, sizeof samples->values[0], fb_pool_compare_doubles);
   guint middle = samples->n / 2;
   if (samples->n % 2 == 1)
     return samples->values[middle];
--- a/src/work/pool-relocate.c
+++ b/src/work/pool-relocate.c
@@ -130,11 +130,9 @@
     return;
   run->considered_ms = run->progress.seen_ms;
   FbPoolStep *step = run->step;
+  gboolean has_ticket = FALSE;
   FbPoolWorker *other
-      = fb_pool_best_worker (self, step, run->index, NULL, worker, FB_TICKET_VALID, now_ms);
-  gboolean has_ticket = other != NULL;
-  if (other == NULL)
-    other = fb_pool_best_worker (self, step, run->index, NULL, worker, FB_TICKET_ALLOWED, now_ms);
+      = fb_pool_best_other_worker (self, step, run->index, worker, &has_ticket, now_ms);
   double slowness = fb_pool_pace_slowness (worker->speed, now_ms);
   if (other == NULL
       || !fb_pool_relocate_is_worthwhile (
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -203,10 +203,9 @@
   uint32_t duration_ms = (uint32_t) (now_ms - run->started_ms);
   step->timed_runs_n++;
   step->timed_total_ms += duration_ms;
-  /* Members of a gang end together, so their times say nothing about single workers. */
   fb_pool_pace_run_ended (worker, run, now_ms);
-  /* What a worker does while it is slow for some seconds says nothing about its speed in general.
-   */
+  /* Members of a gang end together, so their times say nothing about single workers, and what a
+   * worker does while it is slow for some seconds says nothing about its speed in general. */
   if (!run->from_start || step->spec->gang
       || fb_pool_pace_was_slow (worker->speed, run->started_ms))
     return;
@@ -227,10 +226,11 @@
   update_failure_streak (worker, step, end->reason, now_ms);
   fb_pool_crash_task_ended (self, worker, step, index, end->reason);
   if (run != NULL && run->step == step && run->attempt == end->attempt)
-    fb_pool_copy_ended (run, end->reason);
-  if (run != NULL && run->step == step && run->attempt == end->attempt
-      && end->reason == FB_END_DONE)
-    record_run_time (self, worker, run, now_ms);
+    {
+      fb_pool_copy_ended (run, end->reason);
+      if (end->reason == FB_END_DONE)
+        record_run_time (self, worker, run, now_ms);
+    }
   if (run != NULL && run->attempt <= end->attempt)
     fb_pool_run_ended (self, worker, run, end_names[end->reason], now_ms);
   if (task->run == NULL)
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -292,7 +292,7 @@
   return (uint64_t) MAX (end_ms, 0);
 }
 
-/* Keeps the workers that answered last in CLOCKS, ordered by the time of the answer. */
+/* Keeps the workers that answered last in REFERENCES, ordered by the time of the answer. */
 static void
 add_reference (const FbPoolWorker **references, const FbPoolWorker *worker)
 {
