--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -12,15 +12,10 @@
 trap 'kill ${pids[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
 start_daemon() { run_daemon "$1"; pids+=($!); } # INDEX
-octal() { local n=$1 out= i; for i in 1 2 3 4; do out="\\$(printf '%03o' $((n & 255)))$out"; n=$((n >> 8)); done; printf '%s' "$out"; }
 configure() { # VERSION ACCOUNTS: writes a configuration as operators do
-  local key=config value
-  value='{"version":'$1',"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000},
+  store_configuration '{"version":'$1',"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000},
     {"name":"o","host":"h.example","path-prefix":"/open/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000,"anonymous":true}],
     "services":[{"name":"svc"}],"tenants":['$2']}'
-  value=$(tr -d '\n' <<< "$value")
-  { printf "$(octal $((1 + ${#key} + ${#value})))"; printf "\\$(printf '%03o' ${#key})"; printf '%s%s' "$key" "$value"; } > "$OUT/record"
-  curl -s -o /dev/null --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=keyed.op&part=0"
 }
 call() { # DAEMON METHOD PATH KEY [BODY]: prints the status
   curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-H "Flamingobarrow-Key: $4"} ${5:+-d "$5"} "http://127.0.0.1:$(port "$1")/$3" || true
--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -1,4 +1,5 @@
 #include "busy-pool.h"
+#include "idle-callbacks.h"
 
 #include <stdlib.h>
 
@@ -30,40 +31,14 @@
   busy->started_n++;
 }
 
-static void
-on_stop (gpointer user, const FbStopOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
 static void
 on_poll (gpointer user, const FbPollOrder *order)
 {
   ((BusyPool *) user)->workers[atoi (order->worker)].poll_open = TRUE;
 }
 
-static gboolean
-on_request_advice (gpointer user, const char *step, const char *const *workers, guint n,
-                   uint32_t expected_ms)
-{
-  (void) user;
-  (void) step;
-  (void) workers;
-  (void) n;
-  (void) expected_ms;
-  return FALSE;
-}
-
-static void
-on_fenced (gpointer user, const char *worker)
-{
-  (void) user;
-  (void) worker;
-}
-
 static const FbPoolCallbacks busy_pool_callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, NULL };
+    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL };
 
 static void
 answer_poll (BusyPool *busy, guint i, GArray *finished, uint64_t now_ms)
@@ -105,6 +80,18 @@
   answer_poll (busy, worker, finished, now_ms);
 }
 
+gboolean
+busy_pool_is_running (const BusyPool *busy, const char *job)
+{
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      for (guint j = 0; j < busy->workers[i].runs->len; j++)
+        if (g_str_has_prefix (g_array_index (busy->workers[i].runs, FbReportedRun, j).task, job))
+          return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 clear_run (gpointer run)
 {
--- a/tests/busy-pool.h
+++ b/tests/busy-pool.h
@@ -58,5 +58,7 @@
 /* Reports that the oldest run of WORKER ended successfully, as end NUMBER, and frees its capacity.
  */
 void busy_pool_end_run (BusyPool *busy, guint worker, uint64_t number, uint64_t now_ms);
+/* TRUE when a task of JOB is on a worker. */
+gboolean busy_pool_is_running (const BusyPool *busy, const char *job);
 /* Frees the contents of BUSY. */
 void busy_pool_clear (BusyPool *busy);
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -1,4 +1,5 @@
 #include "contention.h"
+#include "idle-callbacks.h"
 
 #include "internal/codec.h"
 #include "internal/pool-private.h"
@@ -135,18 +136,6 @@
   worker->answer_ms = world->now_ms + order->wait_ms;
 }
 
-static gboolean
-on_request_advice (gpointer user, const char *step, const char *const *workers, guint n,
-                   uint32_t expected_ms)
-{
-  (void) user;
-  (void) step;
-  (void) workers;
-  (void) n;
-  (void) expected_ms;
-  return FALSE;
-}
-
 static void
 on_fenced (gpointer user, const char *worker)
 {
@@ -156,7 +145,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, NULL };
+    = { on_start, on_stop, on_poll, idle_on_request_advice, on_fenced, NULL };
 
 static void
 end_run (World *world, Worker *worker, guint i)
--- a/tests/contention.h
+++ b/tests/contention.h
@@ -1,7 +1,4 @@
-/* A pool under the load of a burst: four accounts send quick checks and batches to a pool that has
- * just enough capacity for their usual rates, at a quarter of the size of the deployment dunaport.
- * For some seconds one account sends 5.5 times its usual rate, and all send 1.9 times as many quick
- * checks. */
+/* A pool that just carries four accounts, under a burst in which one sends 5.5 times its usual. */
 #pragma once
 
 #include "internal/pool.h"
--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -30,3 +30,12 @@
   settings "$1" > "$OUT/d$1.ini"
   $B/flamingobarrowd --settings "$OUT/d$1.ini" >> "$OUT/d$1.log" 2>&1 &
 }
+# Prints a number as printf escapes of its four bytes.
+octal() { local n=$1 out= i; for i in 1 2 3 4; do out="\\$(printf '%03o' $((n & 255)))$out"; n=$((n >> 8)); done; printf '%s' "$out"; }
+# Stores a configuration as operators do.
+store_configuration() { # JSON
+  local key=config value
+  value=$(tr -d '\n' <<< "$1")
+  { printf "$(octal $((1 + ${#key} + ${#value})))"; printf "\\$(printf '%03o' ${#key})"; printf '%s%s' "$key" "$value"; } > "$OUT/record"
+  curl -s -o /dev/null --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=keyed.op&part=0"
+}
--- a/tests/test-accounts.c
+++ b/tests/test-accounts.c
@@ -308,7 +308,7 @@
 
 /* Guards against a pool that holds processor which it cannot use, because the account's
  * accelerators are all in use, while another pool of the account waits for processor.  The amounts
- * are those of an account of dunaport on scale-2: the accelerator pool held 2.25 million, could
+ * are those of an account in a load test: the accelerator pool held 2.25 million, could
  * use 1.39 million and wanted more for its gangs. */
 static void
 test_division_by_what_a_pool_can_use (void)
--- a/tests/test-gang-advice.c
+++ b/tests/test-gang-advice.c
@@ -6,6 +6,7 @@
  * takes 715 ms and 10.27 ms for each worker; three of ten workers are allowed.  Requests of other
  * services keep about 20 daemons busy.  The simulation has no network. */
 #include "fb-event.h"
+#include "idle-callbacks.h"
 #include "internal/pool.h"
 #include "src/entry/advice/advice-balancer.h"
 #include "src/entry/advice/advice-queue.h"
@@ -142,13 +143,6 @@
   g_array_append_val (simulation->starts, order->order);
 }
 
-static void
-on_stop (gpointer user, const FbStopOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
 static void
 on_poll (gpointer user, const FbPollOrder *order)
 {
@@ -194,13 +188,6 @@
   return TRUE;
 }
 
-static void
-on_fenced (gpointer user, const char *worker)
-{
-  (void) user;
-  (void) worker;
-}
-
 static guint
 idle_daemons (gpointer user, uint32_t expected_ms)
 {
@@ -210,7 +197,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, NULL };
+    = { on_start, idle_on_stop, on_poll, on_request_advice, idle_on_fenced, NULL };
 
 /* ---- workers ------------------------------------------------------------------------ */
 
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -159,18 +159,6 @@
   return cost;
 }
 
-static gboolean
-is_running (const BusyPool *busy, const char *job)
-{
-  for (guint i = 0; i < WORKER_N; i++)
-    {
-      for (guint j = 0; j < busy->workers[i].runs->len; j++)
-        if (g_str_has_prefix (g_array_index (busy->workers[i].runs, FbReportedRun, j).task, job))
-          return TRUE;
-    }
-  return FALSE;
-}
-
 static guint
 running_worker (const BusyPool *busy)
 {
@@ -209,7 +197,7 @@
   (void) run_until (&busy, &now_ms, now_ms + 100);
   busy_pool_end_run (&busy, running_worker (&busy), 1, now_ms);
   Cost release = run_until (&busy, &now_ms, now_ms + 100);
-  CU_ASSERT_EQUAL (is_running (&busy, "ffffffffffffffff"), by_slack);
+  CU_ASSERT_EQUAL (busy_pool_is_running (&busy, "ffffffffffffffff"), by_slack);
   printf (
       "\n%s, %u held steps: longest tick %u us while they are inserted, %u us while they become "
       "late (%u visits), %u us as one is released (%u visits)\n",
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -6,6 +6,7 @@
  * steps; an urgent task could then wait while freed capacity goes to less urgent work, or capacity
  * could stay unused for as many ms as there are waiting steps. */
 #include "busy-pool.h"
+#include "idle-callbacks.h"
 
 #include "internal/pool-order.h"
 
@@ -47,18 +48,6 @@
   return now_ms;
 }
 
-static gboolean
-is_running (const BusyPool *busy, const char *job)
-{
-  for (guint i = 0; i < WORKER_N; i++)
-    {
-      for (guint j = 0; j < busy->workers[i].runs->len; j++)
-        if (g_str_has_prefix (g_array_index (busy->workers[i].runs, FbReportedRun, j).task, job))
-          return TRUE;
-    }
-  return FALSE;
-}
-
 /* An urgent job has waited since before the round. Slots are freed one at a time, 100 ms apart,
  * while a round is open: the first one must go to the urgent job. */
 static void
@@ -70,14 +59,14 @@
   for (guint i = 0; i < 5; i++)
     now_ms = tick_once (&busy, now_ms);
   guint misplaced = 0;
-  for (guint i = 0; i < 50 && !is_running (&busy, "ffffffffffffffff"); i++)
+  for (guint i = 0; i < 50 && !busy_pool_is_running (&busy, "ffffffffffffffff"); i++)
     {
       now_ms = advance_to_open_round (&busy, now_ms);
       guint before = busy.started_n;
       busy_pool_end_run (&busy, i, 1, now_ms);
       while (busy.started_n == before)
         now_ms = tick_once (&busy, now_ms);
-      misplaced += !is_running (&busy, "ffffffffffffffff");
+      misplaced += !busy_pool_is_running (&busy, "ffffffffffffffff");
     }
   printf ("\nfreed slots given to less urgent work while an urgent task waited: %u\n", misplaced);
   CU_ASSERT_EQUAL (misplaced, 0);
@@ -102,7 +91,7 @@
       busy_pool_end_run (&busy, i, 1, now_ms);
       for (uint64_t end_ms = now_ms + 150; now_ms < end_ms && busy.started_n == before;)
         now_ms = tick_once (&busy, now_ms);
-      misplaced += !is_running (&busy, "f");
+      misplaced += !busy_pool_is_running (&busy, "f");
       /* End the urgent job, wherever it runs, before the next one. */
       fb_pool_cancel_job (busy.pool, id, now_ms, WALL_OFFSET_MS + now_ms);
       for (guint k = 0; k < WORKER_N; k++)
@@ -282,36 +271,36 @@
   g_array_append_val (capped->attempts, order->attempt);
 }
 
-static void
-capped_stop (gpointer user, const FbStopOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
 static void
 capped_poll (gpointer user, const FbPollOrder *order)
 {
   g_ptr_array_add (((CappedPool *) user)->polls, g_strdup (order->worker));
 }
 
-static gboolean
-capped_advice (gpointer user, const char *step, const char *const *workers, guint n,
-               uint32_t expected_ms)
+static void
+capped_begin (CappedPool *capped, const FbPoolLimits *limits, uint64_t now_ms)
 {
-  (void) user;
-  (void) step;
-  (void) workers;
-  (void) n;
-  (void) expected_ms;
-  return FALSE;
+  static const FbPoolCallbacks callbacks
+      = { capped_start, idle_on_stop, capped_poll, idle_on_request_advice, idle_on_fenced, NULL };
+  *capped = (CappedPool){ .pool = fb_pool_new (SERVICE, 1, limits, &callbacks, capped, now_ms),
+                          .starts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+                          .polls = g_ptr_array_new_with_free_func (g_free),
+                          .tasks = g_ptr_array_new_with_free_func (g_free),
+                          .task_workers = g_ptr_array_new_with_free_func (g_free),
+                          .attempts = g_array_new (FALSE, FALSE, sizeof (uint32_t)),
+                          .ends_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
 }
 
 static void
-capped_fenced (gpointer user, const char *worker)
+capped_clear (CappedPool *capped)
 {
-  (void) user;
-  (void) worker;
+  fb_pool_free (capped->pool);
+  g_array_unref (capped->starts);
+  g_ptr_array_unref (capped->polls);
+  g_ptr_array_unref (capped->tasks);
+  g_ptr_array_unref (capped->task_workers);
+  g_array_unref (capped->attempts);
+  g_hash_table_unref (capped->ends_n);
 }
 
 /* Answers open starts and, with ANSWER_POLLS, open polls.  END_ONE: the oldest run ends, and its
@@ -413,17 +402,10 @@
 {
   static const FbPoolLimits limits
       = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
-  static const FbPoolCallbacks callbacks
-      = { capped_start, capped_stop, capped_poll, capped_advice, capped_fenced, NULL };
   static const char *const no_labels[] = { NULL };
-  CappedPool capped = { .starts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
-                        .polls = g_ptr_array_new_with_free_func (g_free),
-                        .tasks = g_ptr_array_new_with_free_func (g_free),
-                        .task_workers = g_ptr_array_new_with_free_func (g_free),
-                        .attempts = g_array_new (FALSE, FALSE, sizeof (uint32_t)),
-                        .ends_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  CappedPool capped;
   uint64_t now_ms = 100000;
-  capped.pool = fb_pool_new (SERVICE, 1, &limits, &callbacks, &capped, now_ms);
+  capped_begin (&capped, &limits, now_ms);
   for (guint i = 0; i < workers_n; i++)
     {
       g_autofree char *id = g_strdup_printf ("%u", i);
@@ -458,13 +440,7 @@
   CU_ASSERT_EQUAL (capped.tasks->len, MIN (steps_n * JOB_TASKS, 40));
   CU_ASSERT_EQUAL (capped.pool->queue->len, 0);
   *visits_n = visits;
-  fb_pool_free (capped.pool);
-  g_array_unref (capped.starts);
-  g_ptr_array_unref (capped.polls);
-  g_ptr_array_unref (capped.tasks);
-  g_ptr_array_unref (capped.task_workers);
-  g_array_unref (capped.attempts);
-  g_hash_table_unref (capped.ends_n);
+  capped_clear (&capped);
   return (double) spent_us / MEASURED_ROUNDS;
 }
 
@@ -544,17 +520,10 @@
   static const FbPoolLimits limits = {
     .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000, .caps_are_divided = TRUE
   };
-  static const FbPoolCallbacks callbacks
-      = { capped_start, capped_stop, capped_poll, capped_advice, capped_fenced, NULL };
   static const char *const no_labels[] = { NULL };
-  CappedPool capped = { .starts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
-                        .polls = g_ptr_array_new_with_free_func (g_free),
-                        .tasks = g_ptr_array_new_with_free_func (g_free),
-                        .task_workers = g_ptr_array_new_with_free_func (g_free),
-                        .attempts = g_array_new (FALSE, FALSE, sizeof (uint32_t)),
-                        .ends_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  CappedPool capped;
   uint64_t now_ms = 100000;
-  capped.pool = fb_pool_new (SERVICE, 1, &limits, &callbacks, &capped, now_ms);
+  capped_begin (&capped, &limits, now_ms);
   const FbWorkerEntry entry = {
     .id = "w", .address = "w", .labels = no_labels, .cpu_milli = WORKER_CPU, .mem_mb = 65536
   };
@@ -593,33 +562,14 @@
   printf ("\nclaims of %u accounts with %u waiting steps each: %.0f us\n", CLAIMING_ACCOUNTS_N,
           CLAIMING_STEPS_N, mean_us);
   CU_ASSERT_TRUE (mean_us <= MAX_CLAIMS_US);
-  fb_pool_free (capped.pool);
+  capped_clear (&capped);
   for (guint i = 0; i < CLAIMING_ACCOUNTS_N; i++)
     g_free (configured[i].name);
-  g_array_unref (capped.starts);
-  g_ptr_array_unref (capped.polls);
-  g_ptr_array_unref (capped.tasks);
-  g_ptr_array_unref (capped.task_workers);
-  g_array_unref (capped.attempts);
-  g_hash_table_unref (capped.ends_n);
 }
 
-/* With the argument "many-held-steps" only that test runs, so that it can be listed by itself. */
-int
-main (int argc, char **argv)
+static void
+add_tests (CU_pSuite suite)
 {
-  fb_event_set_quiet (TRUE);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("rounds", NULL, NULL);
-  if (argc == 2 && g_str_equal (argv[1], "many-held-steps"))
-    {
-      CU_add_test (suite, "many held steps cost as few", test_many_held_steps_cost_as_few);
-      CU_basic_set_mode (CU_BRM_NORMAL);
-      CU_basic_run_tests ();
-      guint failures = CU_get_number_of_failures ();
-      CU_cleanup_registry ();
-      return failures == 0 ? 0 : 1;
-    }
   CU_add_test (suite, "an urgent task gets capacity freed in an open round",
                test_urgent_gets_capacity_freed_in_open_round);
   CU_add_test (suite, "an urgent task gets freed capacity", test_urgent_gets_freed_capacity);
@@ -630,6 +580,19 @@
                test_unchanged_part_needs_no_round);
   CU_add_test (suite, "held steps cost no round", test_held_steps_cost_no_round);
   CU_add_test (suite, "cost of claims", test_claims_cost);
+}
+
+/* With the argument "many-held-steps" only that test runs, so that it can be listed by itself. */
+int
+main (int argc, char **argv)
+{
+  fb_event_set_quiet (TRUE);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("rounds", NULL, NULL);
+  if (argc == 2 && g_str_equal (argv[1], "many-held-steps"))
+    CU_add_test (suite, "many held steps cost as few", test_many_held_steps_cost_as_few);
+  else
+    add_tests (suite);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
--- a/tests/two-pools.c
+++ b/tests/two-pools.c
@@ -1,4 +1,5 @@
 #include "two-pools.h"
+#include "idle-callbacks.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -44,13 +45,6 @@
   g_array_append_val (side->starts, order->order);
 }
 
-static void
-on_stop (gpointer user, const FbStopOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
 static void
 on_poll (gpointer user, const FbPollOrder *order)
 {
@@ -61,27 +55,8 @@
     g_array_remove_index (side->ends, 0);
 }
 
-static gboolean
-on_request_advice (gpointer user, const char *step, const char *const *workers, guint n,
-                   uint32_t expected_ms)
-{
-  (void) user;
-  (void) step;
-  (void) workers;
-  (void) n;
-  (void) expected_ms;
-  return FALSE;
-}
-
-static void
-on_fenced (gpointer user, const char *worker)
-{
-  (void) user;
-  (void) worker;
-}
-
 static const FbPoolCallbacks two_pools_callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, NULL };
+    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL };
 
 static void
 end_runs (TwoPoolsSide *side)
--- a/tests/uneven-pool.c
+++ b/tests/uneven-pool.c
@@ -1,4 +1,5 @@
 #include "uneven-pool.h"
+#include "idle-callbacks.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -89,27 +90,8 @@
   worker->poll_until_ms = self->now_ms + order->wait_ms;
 }
 
-static gboolean
-on_request_advice (gpointer user, const char *step, const char *const *workers, guint n,
-                   uint32_t expected_ms)
-{
-  (void) user;
-  (void) step;
-  (void) workers;
-  (void) n;
-  (void) expected_ms;
-  return FALSE;
-}
-
-static void
-on_fenced (gpointer user, const char *worker)
-{
-  (void) user;
-  (void) worker;
-}
-
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, NULL };
+    = { on_start, on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL };
 
 /* ---- workers ------------------------------------------------------------------- */
 
