--- a/tools/check.sh
+++ b/tools/check.sh
@@ -36,6 +36,7 @@
 verdict "advice of two owners" $B/tests/test-advice
 verdict "advice of gangs" $B/tests/test-gang-advice
 verdict "client accounts" $B/tests/test-accounts
+verdict "client accounts in pools" $B/tests/test-account-pools
 verdict "HTTP client" $B/tests/test-http
 verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
