Records within the limits of the store: in parts, and one at fault is left out

Cause: the owner wrote all workers of a pool into one record of some 60 bytes a worker. The store takes records of 262,144 bytes, so from some 4,370 workers on it answered each append of the owner with 400, and the owner repeated the same append for ever: no end of any job of the pool was stored, acknowledged or reported any more.

The record of workers is written at most once in a millisecond per 2 workers, as that of silent workers. The limits come from the settings (largest-record, largest-append). The stand-in of the store enforces both.

The results of two tests name the new outcome: 400 proves, as before, that nothing was stored, and now also that nothing will be.

Ruled out: one record per worker (a write of 40 bytes per worker and takeover reads of 17,000 keys); a larger limit (it is the store's).

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -139,6 +139,8 @@
   fb_work_state state;
   fb_work_state stored_state;   /* the state last made durable, which is reported to callers */
   fb_work_state flushing_state; /* the state in the open flush */
+  gsize not_accepted_bytes;     /* size of a record of the job that the store does not accept; 0: it
+                                 * accepts all */
   gboolean started;             /* a task of the job has been started */
   gboolean was_late;            /* one of its steps was found to be late while it waited */
   gboolean beyond_rate;         /* its account had sent more than its rate when it came */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -84,6 +84,7 @@
   GHashTable *ended_jobs;  /* set of FbPoolJob whose results are kept for late callers; borrowed */
   GHashTable *dirty;       /* set of FbPoolJob with changes that are not recorded yet; borrowed */
   GPtrArray *in_flush;     /* of FbPoolJob: the jobs in the open flush; borrowed */
+  guint not_accepted_n;    /* number of jobs with FbPoolJob.not_accepted_bytes */
   GHashTable *open_orders; /* number of an order without an answer -> FbPoolOrderRef */
   GQueue *unanswered_starts; /* of FbPoolUnansweredStart; the oldest at its head */
   GHashTable *suspect_steps; /* set of FbPoolStep with tasks whose crashes are counted; borrowed */
@@ -442,6 +443,12 @@
 /* RUN has ended; a copy takes its place. */
 void fb_pool_task_detach_run (FbPoolTask *task, const FbPoolRun *run);
 
+/* pool-record.c */
+
+/* The end NUMBER of a run of JOB (nullable) on WORKER must not be acknowledged while the store does
+ * not accept the record of JOB. */
+void fb_pool_record_hold_end (FbPoolWorker *worker, const FbPoolJob *job, uint64_t number);
+
 /* pool-recovery.c */
 
 /* Checks whether recovery is complete, that is, whether everything that may run is known. */
--- a/include/internal/pool-silence.h
+++ b/include/internal/pool-silence.h
@@ -29,6 +29,8 @@
 GHashTable *fb_pool_silence_runs (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
 /* TRUE when the previous owner's record lists the runs on the worker ID. */
 gboolean fb_pool_silence_has_runs (const FbPool *self, const char *id);
+/* TRUE when the last records of workers are old enough to be written again. */
+gboolean fb_pool_silence_may_record (const FbPool *self, uint64_t now_ms);
 /* TRUE when the record must be written for the next owner. */
 gboolean fb_pool_silence_record_is_due (const FbPool *self, uint64_t now_ms);
 /* Returns: (transfer full) (nullable): the record that belongs to WORKERS, which is written in the
@@ -36,3 +38,5 @@
 GBytes *fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms);
 /* The open flush has been stored: reopens the workers that its record leaves out. */
 void fb_pool_silence_stored (FbPool *self, uint64_t now_ms);
+/* The store did not accept the record of the open flush: no worker is reopened. */
+void fb_pool_silence_not_stored (FbPool *self);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -129,6 +129,8 @@
   uint64_t unknown_end_ms; /* when that end was first listed */
   uint64_t flushing_end;   /* processed_end when the open flush began */
   uint64_t acknowledged;   /* highest number of an end whose effects are stored */
+  uint64_t unstored_end; /* lowest number of an end that may be in a record that the store does not
+                          * accept; 0: none */
   /* Number acknowledged by the open poll if a later incarnation may receive it; 0: none. */
   uint64_t poll_acknowledges;
   /* Highest number that the worker is known to have received, if later incarnations may receive
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -266,8 +266,12 @@
 /* Begins a flush of everything that has changed.  Only one flush may be open at a time.  Returns:
  * (transfer full): FbPoolRecord entries, or NULL when nothing has changed. */
 GPtrArray *fb_pool_flush (FbPool *self, uint64_t now_ms, uint64_t wall_ms);
-/* The open flush has been stored: the ends in it may be acknowledged to the workers and shown to
- * callers. */
+/* The store does not accept a record of the open flush: that of JOB, of BYTES; NULL: a record of
+ * workers.  No record of JOB of that size or larger is in a later flush, and no end that it would
+ * contain is acknowledged. */
+void fb_pool_record_not_accepted (FbPool *self, const char *job, gsize bytes);
+/* The open flush has been stored, but for the records that were not accepted: the ends in it may be
+ * acknowledged to the workers and shown to callers. */
 void fb_pool_flushed (FbPool *self, uint64_t now_ms);
 
 /* The tasks of a job that are suspected of crashing workers, while that is not stored yet. */
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -150,6 +150,8 @@
   request->in_doubt = request->in_doubt || result == FB_APPEND_IN_DOUBT;
   if (result == FB_APPEND_STORED)
     answer_stored (request, result);
+  else if (result == FB_APPEND_INVALID)
+    answer_not_stored (request);
   else
     store_by_peer (request);
 }
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -5,6 +5,8 @@
  * interpreted only when the jobs are known. */
 #include "owner-private.h"
 
+#include "src/entry/store/record-parts.h"
+
 #include "fb-counter.h"
 #include "fb-event.h"
 #include "internal/codec.h"
@@ -197,6 +199,44 @@
                         g_strdup (record->key + 1), g_bytes_ref (record->value));
 }
 
+static gboolean
+is_part (gpointer key, gpointer value, gpointer user)
+{
+  (void) value;
+  (void) user;
+  g_autofree char *value_key = NULL;
+  guint n = 0;
+  return fb_record_parts_parse_key (key, &value_key, &n);
+}
+
+/* Replaces the parts of values that are stored in several records by these values. */
+static void
+join_parts (FbOwner *self)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, self->progress);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      char *value_key = NULL;
+      guint n = 0;
+      if (!fb_record_parts_parse_key (key, &value_key, &n))
+        continue;
+      n = MAX (n, GPOINTER_TO_UINT (g_hash_table_lookup (self->parts_n, value_key)));
+      g_hash_table_replace (self->parts_n, value_key, GUINT_TO_POINTER (n));
+    }
+  g_hash_table_iter_init (&iter, self->parts_n);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      GBytes *value = fb_record_parts_join (self->progress, key);
+      if (value != NULL)
+        g_hash_table_replace (self->progress, g_strdup (key), value);
+      else if (g_hash_table_remove (self->progress, key))
+        fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "key=%s parts missing", (const char *) key);
+    }
+  g_hash_table_foreach_remove (self->progress, is_part, NULL);
+}
+
 /* The admissions of ended jobs are deleted, so no admission may name the service whose progress was
  * read.  Without its pool, the ends of jobs would be dropped, and their callers would be told that
  * there are no such jobs.  The two records of workers are applied together, so both must still be
@@ -244,6 +284,7 @@
 {
   FbOwner *self = user;
   self->progress_ms = fb_clock_ms ();
+  join_parts (self);
   g_clear_pointer (&self->progress_reader, fb_topic_reader_free);
   self->job_reader
       = fb_topic_reader_new (self->entry, FB_TOPIC_JOBS, self->partition, 0, &job_ops, self);
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -52,6 +52,8 @@
   GPtrArray *ended_jobs; /* ids of jobs whose end is stored, so that their admission records can be
                           * deleted */
   uint64_t deleted_ms;   /* time at which such records were last deleted */
+  GHashTable *parts_n;   /* key -> number of parts in which its value may be stored; of those that
+                          * have ever been stored in several */
   uint64_t ticked_ms;    /* time of the last tick; 0: none yet */
   uint64_t woken_ms;     /* time of the first tick after the process was suspended; 0: never */
 };
@@ -73,6 +75,11 @@
 /* Completion of the append that fences the previous writer. */
 void fb_owner_previous_writer_fenced (gpointer self, FbAppendResult result);
 
+/* owner-flush.c */
+
+/* Stores what has changed in the pool, unless a flush of it is open. */
+void fb_owner_flush (FbServicePool *service_pool);
+
 /* owner-suspect-backups.c */
 
 /* Sends crash suspects that the store does not accept to other daemons. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -80,37 +80,6 @@
 
 /* ---- durability ------------------------------------------------------------------ */
 
-typedef struct
-{
-  FbEntryDaemon *entry;
-  uint32_t partition;
-  uint64_t epoch;
-  char *service;
-  GPtrArray *ended; /* ids of jobs whose end is part of this flush */
-} OpenFlush;
-
-static void
-on_flushed (gpointer data, FbAppendResult result)
-{
-  OpenFlush *flush = data;
-  FbOwner *owner = fb_entry_owner (flush->entry, flush->partition);
-  if (owner != NULL && owner->epoch == flush->epoch)
-    {
-      FbServicePool *service_pool = g_hash_table_lookup (owner->service_pools, flush->service);
-      owner->open_flushes--;
-      if (result == FB_APPEND_STORED)
-        g_ptr_array_extend_and_steal (owner->ended_jobs, g_steal_pointer (&flush->ended));
-      if (result == FB_APPEND_STORED && service_pool != NULL)
-        fb_pool_flushed (service_pool->pool, fb_clock_ms ());
-      else if (result != FB_APPEND_STORED)
-        fb_owner_step_down (owner, "append rejected because a later owner has written");
-      fb_owner_schedule_tick (owner);
-    }
-  g_clear_pointer (&flush->ended, g_ptr_array_unref);
-  g_free (flush->service);
-  g_free (flush);
-}
-
 static void
 on_records_deleted (gpointer user, FbAppendResult result)
 {
@@ -142,45 +111,6 @@
                    NULL);
 }
 
-/* Returns: (transfer full): the key under which RECORD is stored. */
-static char *
-key_of (const FbServicePool *service_pool, const FbPoolRecord *record)
-{
-  static const char *const prefixes[] = { [FB_POOL_RECORD_WORKERS] = FB_KEY_WORKERS,
-                                          [FB_POOL_RECORD_SILENT_WORKERS] = FB_KEY_SILENT_WORKERS };
-  return record->kind == FB_POOL_RECORD_JOB
-             ? g_strdup (record->job)
-             : g_strconcat (prefixes[record->kind], service_pool->service, NULL);
-}
-
-static void
-flush_pool (FbServicePool *service_pool)
-{
-  FbOwner *self = service_pool->owner;
-  g_autoptr (GPtrArray) records
-      = fb_pool_flush (service_pool->pool, fb_clock_ms (), fb_clock_wall_ms ());
-  if (records == NULL)
-    return;
-  GByteArray *body = g_byte_array_new ();
-  GPtrArray *ended = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; i < records->len; i++)
-    {
-      const FbPoolRecord *record = records->pdata[i];
-      g_autofree char *key = key_of (service_pool, record);
-      fb_wire_encode_record (body, key, record->progress);
-      if (record->progress == NULL || record->ended)
-        g_ptr_array_add (ended, g_strdup (record->job));
-    }
-  OpenFlush *flush = g_new0 (OpenFlush, 1);
-  flush->entry = self->entry;
-  flush->partition = self->partition;
-  flush->epoch = self->epoch;
-  flush->service = g_strdup (service_pool->service);
-  flush->ended = ended;
-  self->open_flushes++;
-  fb_appender_put (self->appender, body, 0, on_flushed, flush);
-}
-
 /* ---- periodic tick ---------------------------------------------------------------- */
 
 gboolean
@@ -243,7 +173,7 @@
       fb_pool_tick (service_pool->pool, may_start, now_ms, fb_clock_wall_ms ());
       if (may_start)
         fb_owner_watch_load (service_pool, now_ms);
-      flush_pool (service_pool);
+      fb_owner_flush (service_pool);
       fb_owner_back_up_suspects (service_pool);
     }
   delete_ended_jobs (self, now_ms);
@@ -296,6 +226,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->service_pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_pool_free);
   self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
+  self->parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->import_sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->appender = fb_appender_new (entry, FB_TOPIC_PROGRESS, partition, WRITER, epoch);
   self->tick_timer = fb_timer_subscribe (entry->timer, TICK_INTERVAL_MS, on_tick, self);
@@ -315,6 +246,7 @@
   fb_topic_reader_free (self->progress_reader);
   fb_topic_reader_free (self->job_reader);
   g_ptr_array_unref (self->ended_jobs);
+  g_hash_table_unref (self->parts_n);
   g_hash_table_unref (self->import_sources);
   g_hash_table_unref (self->service_pools);
   g_hash_table_unref (self->admissions);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -229,12 +229,14 @@
 
 /* ---- appending through a peer ------------------------------------------------------- */
 
-/* Results of an append and the corresponding replies. */
+/* Results of an append and the corresponding replies; a reply stands for the last result that has
+ * it. */
 static const struct
 {
   FbAppendResult result;
   fb_peer_reply_type peer_reply;
 } append_results[] = { { FB_APPEND_STORED, FB_REPLY_STORED },
+                       { FB_APPEND_INVALID, FB_REPLY_NOT_STORED },
                        { FB_APPEND_NOT_STORED, FB_REPLY_NOT_STORED },
                        { FB_APPEND_IN_DOUBT, FB_REPLY_IN_DOUBT },
                        { FB_APPEND_FENCED, FB_REPLY_FENCED },
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -9,6 +9,10 @@
 #define NAME_MAX_LEN 128
 #define PARTITIONS_MAX 65536
 #define CPU_MILLI_DEFAULT 1000
+/* Limits of the store, and the least ones with which records can be split. */
+#define RECORD_MAX_BYTES_DEFAULT (256 * 1024)
+#define RECORD_MAX_BYTES_MIN 1024
+#define APPEND_MAX_BYTES_DEFAULT (2 * 1024 * 1024)
 /* Maximum number of crashed workers in a job's record (FB_WORK_MAX_CRASHES). */
 #define CRASH_LIMIT_MAX 8
 
@@ -32,13 +36,18 @@
   { NULL, 0, FALSE, 0, 0, NULL, 0 }
 };
 
-static const FbIniField store_fields[] = { { "address", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
-                                             offsetof (FbEntrySettings, store) },
-                                           { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX,
-                                             NULL, offsetof (FbEntrySettings, partitions) },
-                                           { "shortest-membership", FB_INI_DURATION, TRUE, 1, 60000,
-                                             NULL, offsetof (FbEntrySettings, shortest_ttl_ms) },
-                                           { NULL, 0, FALSE, 0, 0, NULL, 0 } };
+static const FbIniField store_fields[]
+    = { { "address", FB_INI_STRING, TRUE, 0, NAME_MAX_LEN, NULL,
+          offsetof (FbEntrySettings, store) },
+        { "partitions", FB_INI_UINT, TRUE, 1, PARTITIONS_MAX, NULL,
+          offsetof (FbEntrySettings, partitions) },
+        { "shortest-membership", FB_INI_DURATION, TRUE, 1, 60000, NULL,
+          offsetof (FbEntrySettings, shortest_ttl_ms) },
+        { "largest-record", FB_INI_UINT, FALSE, RECORD_MAX_BYTES_MIN, G_MAXUINT32, NULL,
+          offsetof (FbEntrySettings, record_max_bytes) },
+        { "largest-append", FB_INI_UINT, FALSE, RECORD_MAX_BYTES_MIN, G_MAXUINT32, NULL,
+          offsetof (FbEntrySettings, append_max_bytes) },
+        { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
 static const FbIniField advice_fields[] = { { "address", FB_INI_STRING, FALSE, 0, NAME_MAX_LEN,
                                               NULL, offsetof (FbEntrySettings, advice) },
@@ -145,6 +154,8 @@
     return NULL;
   FbEntrySettings *self = g_new0 (FbEntrySettings, 1);
   self->cpu_milli = CPU_MILLI_DEFAULT;
+  self->record_max_bytes = RECORD_MAX_BYTES_DEFAULT;
+  self->append_max_bytes = APPEND_MAX_BYTES_DEFAULT;
   if (read_groups (keys, path, self) && check_advertised (path, self))
     return self;
   fb_entry_settings_free (self);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -6,17 +6,19 @@
 typedef struct
 {
   char *name;
-  char *domain;             /* failure domain */
-  char *callers;            /* IP:PORT where callers are served */
-  char *readiness;          /* IP:PORT of the readiness check */
-  char *peers;              /* IP:PORT where the other daemons reach this one */
-  char *peers_listen;       /* IP:PORT where it listens for them */
-  char *metrics;            /* IP:PORT of the metrics */
-  char *store;              /* address of the platform's store */
-  char *advice;             /* IP:PORT of the advice service; NULL: no queue has advice */
-  uint64_t partitions;      /* number of partitions of the job and progress topics */
-  uint64_t shortest_ttl_ms; /* shortest time to live that a group of the store allows */
-  uint64_t max_lease_ms;    /* limits of workers; see FbPoolLimits */
+  char *domain;              /* failure domain */
+  char *callers;             /* IP:PORT where callers are served */
+  char *readiness;           /* IP:PORT of the readiness check */
+  char *peers;               /* IP:PORT where the other daemons reach this one */
+  char *peers_listen;        /* IP:PORT where it listens for them */
+  char *metrics;             /* IP:PORT of the metrics */
+  char *store;               /* address of the platform's store */
+  char *advice;              /* IP:PORT of the advice service; NULL: no queue has advice */
+  uint64_t partitions;       /* number of partitions of the job and progress topics */
+  uint64_t shortest_ttl_ms;  /* shortest time to live that a group of the store allows */
+  uint64_t record_max_bytes; /* largest record that the store accepts, with its key */
+  uint64_t append_max_bytes; /* largest body of an append that the store accepts */
+  uint64_t max_lease_ms;     /* limits of workers; see FbPoolLimits */
   uint64_t max_stop_ms;
   uint64_t gang_wait_ms;
   uint64_t max_isolated_crashes; /* crashed workers at which a task's job fails; 0: default */
--- a/src/entry/store/appender.c
+++ b/src/entry/store/appender.c
@@ -4,7 +4,10 @@
  * An append without an answer may have been stored, or may be stored later.  With a writer, it is
  * repeated under its sequence number until the outcome is known.  Without a writer the records are
  * keyed, so that a repeat is harmless: it is repeated too, and if the outcome is still unknown at
- * the end, the caller is informed that it is unknown, never that nothing was stored. */
+ * the end, the caller is informed that it is unknown, never that nothing was stored.
+ *
+ * The store refuses a call as a whole.  When it refuses one for good, the parts of the batch are
+ * sent one by one, so that only the records at fault are not stored. */
 #include "src/entry/entry-private.h"
 
 #include "fb-counter.h"
@@ -15,8 +18,8 @@
 #define PEER_TIMEOUT_MS 900
 #define RETRY_MIN_MS 40
 #define RETRY_MAX_MS 300
-/* Size of a batch at which no further record is added: the largest body that the store accepts in
- * one call, less the size of one record. */
+/* Size up to which records are combined into one call: a peer may have to send the batch, whose
+ * frames are limited to 2 MB. */
 #define BATCH_MAX_BYTES (1024 * 1024)
 
 typedef struct
@@ -37,6 +40,7 @@
   uint64_t sequence;
   GQueue pending; /* of PendingAppend */
   GQueue batch;   /* of PendingAppend: records in the open call or its repeat */
+  guint single_n; /* number of pending appends that are sent one by one */
   GBytes *body;
   uint64_t batch_sent_ms; /* time at which the batch was first sent */
   gboolean in_doubt;      /* an unanswered call may have stored this body */
@@ -79,7 +83,8 @@
   self->in_doubt = FALSE;
   self->failures_n = 0;
   self->retry_ms = RETRY_MIN_MS;
-  self->sequence++;
+  if (result != FB_APPEND_INVALID)
+    self->sequence++;
   PendingAppend *append = NULL;
   while ((append = g_queue_pop_head (&batch)) != NULL)
     {
@@ -117,9 +122,30 @@
   return FALSE;
 }
 
+/* Puts the appends of the batch, which the store refuses for good, back to be sent one by one. */
+static void
+split_batch (FbAppender *self)
+{
+  PendingAppend *append = NULL;
+  self->single_n = g_queue_get_length (&self->batch);
+  while ((append = g_queue_pop_tail (&self->batch)) != NULL)
+    g_queue_push_head (&self->pending, append);
+  g_clear_pointer (&self->body, g_bytes_unref);
+  self->in_doubt = FALSE;
+  self->failures_n = 0;
+}
+
 static void
 handle_result (FbAppender *self, FbAppendResult result)
 {
+  if (result == FB_APPEND_INVALID)
+    {
+      if (g_queue_get_length (&self->batch) > 1)
+        split_batch (self);
+      else
+        finish_batch (self, result);
+      return;
+    }
   self->in_doubt = self->in_doubt || result == FB_APPEND_IN_DOUBT;
   gboolean final = result == FB_APPEND_STORED || result == FB_APPEND_FENCED
                    || result == FB_APPEND_OUT_OF_SEQUENCE;
@@ -176,16 +202,28 @@
   end_call (data, result, 0);
 }
 
+/* Returns: TRUE when the first pending append may be added to a batch of LEN bytes. */
+static gboolean
+may_add_to_batch (const FbAppender *self, gsize len)
+{
+  const PendingAppend *append = g_queue_peek_head ((GQueue *) &self->pending);
+  const gsize max_bytes = MIN (BATCH_MAX_BYTES, self->entry->settings->append_max_bytes);
+  return append != NULL && self->single_n == 0 && len + append->records->len <= max_bytes;
+}
+
 static void
 begin_batch (FbAppender *self)
 {
   GByteArray *body = g_byte_array_new ();
-  while (!g_queue_is_empty (&self->pending) && body->len < BATCH_MAX_BYTES)
+  do
     {
       PendingAppend *append = g_queue_pop_head (&self->pending);
       g_byte_array_append (body, append->records->data, append->records->len);
       g_queue_push_tail (&self->batch, append);
     }
+  while (may_add_to_batch (self, body->len));
+  if (self->single_n > 0)
+    self->single_n--;
   self->body = g_byte_array_free_to_bytes (body);
   self->batch_sent_ms = fb_clock_ms ();
 }
--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -152,10 +152,10 @@
 }
 
 static gboolean
-is_ready (const FbPool *self, const FbPoolWorker *worker, const AwaitingStart *start,
-          uint64_t now_ms)
+is_ready (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+          const AwaitingStart *start, uint64_t now_ms)
 {
-  return is_stored (self, start) && !worker->poll_failed
+  return is_stored (self, start) && run->step->job->not_accepted_bytes == 0 && !worker->poll_failed
          && fb_pool_worker_accepts_orders (worker, now_ms);
 }
 
@@ -170,7 +170,7 @@
       const FbPoolWorker *worker = g_hash_table_lookup (self->workers, start->worker);
       const FbPoolRun *run = find_run (worker, start);
       if (run != NULL && run->step == step)
-        ready_n += is_ready (self, worker, start, now_ms);
+        ready_n += is_ready (self, worker, run, start, now_ms);
     }
   return ready_n == step->spec->count;
 }
@@ -195,7 +195,7 @@
 {
   const FbPoolStep *step = run->step;
   if (step->spec->gang ? !gang_is_ready (self, step, now_ms)
-                       : !is_ready (self, worker, start, now_ms))
+                       : !is_ready (self, worker, run, start, now_ms))
     return FALSE;
   if (step->spec->gang)
     order_gang (self, step, now_ms);
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -41,6 +41,13 @@
   return bytes;
 }
 
+/* TRUE when the store does not accept PROGRESS as a record of JOB. */
+static gboolean
+is_not_accepted (const FbPoolJob *job, GBytes *progress)
+{
+  return job->not_accepted_bytes > 0 && g_bytes_get_size (progress) >= job->not_accepted_bytes;
+}
+
 static FbPoolRecord *
 add_record (GPtrArray *records, const char *job, GBytes *progress)
 {
@@ -80,10 +87,16 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       FbPoolJob *job = value;
+      GBytes *progress = encode_progress (job);
+      if (is_not_accepted (job, progress))
+        {
+          g_bytes_unref (progress);
+          continue;
+        }
       job->flushing_state = job->state;
       job->suspects_version_flushing = job->suspects_version;
       g_ptr_array_add (self->in_flush, job);
-      add_record (records, job->id, encode_progress (job))->ended = fb_pool_job_ended (job);
+      add_record (records, job->id, progress)->ended = fb_pool_job_ended (job);
     }
   g_hash_table_remove_all (self->dirty);
 }
@@ -128,7 +141,8 @@
 static void
 flush_workers (FbPool *self, GPtrArray *records, uint64_t now_ms)
 {
-  gboolean due = self->workers_dirty && self->recovered;
+  gboolean due
+      = self->workers_dirty && self->recovered && fb_pool_silence_may_record (self, now_ms);
   if (!due && !fb_pool_silence_record_is_due (self, now_ms))
     return;
   self->workers_dirty = !self->recovered;
@@ -184,6 +198,77 @@
   return NULL;
 }
 
+/* ---- records that the store does not accept ------------------------------------------ */
+
+static void
+hold_end (FbPoolWorker *worker, uint64_t number)
+{
+  if (worker->unstored_end == 0 || number < worker->unstored_end)
+    worker->unstored_end = number;
+}
+
+void
+fb_pool_record_hold_end (FbPoolWorker *worker, const FbPoolJob *job, uint64_t number)
+{
+  if (job != NULL && job->not_accepted_bytes > 0)
+    hold_end (worker, number);
+}
+
+/* Any new end in the open flush may be one of the job that is not stored. */
+static void
+hold_flushing_ends (FbPool *self)
+{
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      if (worker->flushing_end > worker->acknowledged)
+        hold_end (worker, worker->acknowledged + 1);
+    }
+}
+
+static void
+release_ends (FbPool *self)
+{
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    worker->unstored_end = 0;
+}
+
+void
+fb_pool_record_not_accepted (FbPool *self, const char *id, gsize bytes)
+{
+  FbPoolJob *job = id != NULL ? g_hash_table_lookup (self->jobs, id) : NULL;
+  if (id == NULL)
+    fb_pool_silence_not_stored (self);
+  if (job == NULL || !g_ptr_array_remove (self->in_flush, job))
+    return;
+  self->not_accepted_n += job->not_accepted_bytes == 0;
+  job->not_accepted_bytes = bytes;
+  hold_flushing_ends (self);
+}
+
+/* The record of JOB has been stored. */
+static void
+set_accepted (FbPool *self, FbPoolJob *job)
+{
+  if (job->not_accepted_bytes == 0)
+    return;
+  job->not_accepted_bytes = 0;
+  self->not_accepted_n--;
+  if (self->not_accepted_n == 0)
+    release_ends (self);
+}
+
+/* Returns: the highest number of an end of WORKER that is stored with the open flush. */
+static uint64_t
+stored_end (const FbPoolWorker *worker)
+{
+  return worker->unstored_end > 0 ? MIN (worker->flushing_end, worker->unstored_end - 1)
+                                  : worker->flushing_end;
+}
+
 void
 fb_pool_flushed (FbPool *self, uint64_t now_ms)
 {
@@ -193,6 +278,7 @@
     {
       FbPoolJob *job = self->in_flush->pdata[i];
       job->stored_state = job->flushing_state;
+      set_accepted (self, job);
       fb_pool_crash_stored (self, job);
     }
   g_ptr_array_set_size (self->in_flush, 0);
@@ -201,9 +287,9 @@
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (worker->acknowledged == worker->flushing_end)
+      if (worker->acknowledged >= stored_end (worker))
         continue;
-      worker->acknowledged = worker->flushing_end;
+      worker->acknowledged = stored_end (worker);
       /* The worker keeps unacknowledged ends, and answers polls at once while it has any. */
       fb_pool_order_poll (self, worker, now_ms);
     }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -539,6 +539,8 @@
       if (worker->has_unknown_end)
         break;
       worker->processed_end = end->number;
+      if (self->not_accepted_n > 0)
+        fb_pool_record_hold_end (worker, fb_pool_find_job (self, end->task), end->number);
       process_end (self, worker, end, now_ms, wall_ms);
     }
   if (answer->finished->len >= self->limits.max_reported_ends)
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -31,10 +31,10 @@
 /* Arbitrary, but the same at all owners. */
 #define RECORD_HASH_SEED 1
 
-/* A change of which workers answer is recorded at most once in this time per 2 workers, and at
- * least once in RECORD_INTERVAL_MAX_MS. Both records have some 60 bytes per worker, so an owner
- * with 17,000 workers of which some always fail a poll writes 1 MB/s. The lease of a worker that
- * waits for the record has 2.4 s left, so the upper limit is 1 s. */
+/* A change of the workers, or of which of them answer, is recorded at most once in this time per 2
+ * workers, and at least once in RECORD_INTERVAL_MAX_MS. Both records have some 60 bytes per worker,
+ * so an owner with 17,000 workers of which some always fail a poll writes 1 MB/s. The lease of a
+ * worker that waits for the record has 2.4 s left, so the upper limit is 1 s. */
 #define RECORD_INTERVAL_MAX_MS 1000
 
 typedef enum
@@ -330,11 +330,17 @@
 /* ---- writing ----------------------------------------------------------------------------- */
 
 gboolean
-fb_pool_silence_record_is_due (const FbPool *self, uint64_t now_ms)
+fb_pool_silence_may_record (const FbPool *self, uint64_t now_ms)
 {
   const uint64_t interval_ms = MIN (g_hash_table_size (self->workers) / 2, RECORD_INTERVAL_MAX_MS);
+  return now_ms >= self->silence->flushed_ms + interval_ms;
+}
+
+gboolean
+fb_pool_silence_record_is_due (const FbPool *self, uint64_t now_ms)
+{
   return self->silence->dirty && self->workers_complete && fb_pool_may_place (self)
-         && now_ms >= self->silence->flushed_ms + interval_ms;
+         && fb_pool_silence_may_record (self, now_ms);
 }
 
 static void
@@ -447,6 +453,12 @@
     }
 }
 
+void
+fb_pool_silence_not_stored (FbPool *self)
+{
+  self->silence->reopening = FALSE;
+}
+
 static uint64_t
 hash_of (GBytes *workers)
 {
--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -7,6 +7,9 @@
 /* A page ends at whichever limit is reached first. */
 #define MAX_PAGE_ROWS 500
 #define MAX_PAGE_BYTES 1000000
+/* Limits of the store on the size of a record and on that of an append. */
+#define RECORD_MAX_BYTES 262144
+#define APPEND_MAX_BYTES 2097152
 /* Cached responses per partition: a repeat of one of the last 5 appends gets the first response
  * again. */
 #define MAX_CACHED_ANSWERS 5
@@ -143,9 +146,33 @@
     sp_reply (message, 409, "{\"reason\":\"seq\"}");
 }
 
+/* Returns: FALSE when BODY does not consist of whole records within the limits. */
+static gboolean
+is_valid_body (GBytes *body)
+{
+  gsize len = 0;
+  const guint8 *data = g_bytes_get_data (body, &len);
+  gsize at = 0;
+  while (at + 4 <= len && len <= APPEND_MAX_BYTES)
+    {
+      guint32 size = 0;
+      memcpy (&size, data + at, sizeof size);
+      size = GUINT32_FROM_BE (size);
+      if (size > RECORD_MAX_BYTES || size > len - at - 4)
+        return FALSE;
+      at += 4 + size;
+    }
+  return at == len;
+}
+
 static void
 serve_append (SoupServerMessage *message, GHashTable *query, GBytes *body)
 {
+  if (!is_valid_body (body))
+    {
+      sp_reply (message, 400, "{\"error\":\"records can't be read, or are too long\"}");
+      return;
+    }
   g_autofree char *name = partition_name (query);
   Partition *partition = get_partition (name);
   gboolean has_producer = *param (query, "producer") != '\0';
--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -236,7 +236,8 @@
                                        [FB_APPEND_NOT_STORED] = "not-stored",
                                        [FB_APPEND_IN_DOUBT] = "in-doubt",
                                        [FB_APPEND_FENCED] = "fenced",
-                                       [FB_APPEND_OUT_OF_SEQUENCE] = "sequence" };
+                                       [FB_APPEND_OUT_OF_SEQUENCE] = "sequence",
+                                       [FB_APPEND_INVALID] = "not-accepted" };
   return names[fb_wire_parse_append (reply)];
 }
 
