Takeover: first polls are paced, and checks of all workers take a fixed share

Cause: an owner that takes a pool over ordered the first poll of each worker in one iteration, and then checked all workers in each iteration (one every 4 ms) until the last one had answered, and every 20 ms from then on. With 4,320 workers the first iteration takes 0.2 s of the owner's processor time with sending included, the answers wait meanwhile, and steady checks took a fifth of a core beside 36,000 runs. Each new worker looked for a free slot from the first one on.

Change: at most 256 polls are ordered in an iteration, and at most 1,024 first polls are open. All workers are checked at most once in 10 us for each of them during a takeover, in 20 us afterwards (20 to 100 ms), so the share of a core does not grow with the pool. The lowest free slot is remembered.

Ruled out: polling in turn from where the last iteration stopped (changes the order of polls of small pools for nothing).

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -80,13 +80,16 @@
   GHashTable *jobs_to_release; /* set of FbPoolJob with occurrences or steps to release; borrowed */
   /* Set of FbPoolJob whose steps may depend on each other; borrowed. */
   GHashTable *jobs_with_dependencies;
-  GHashTable *jobs;        /* id -> FbPoolJob */
-  GHashTable *active_jobs; /* set of FbPoolJob that have not ended; borrowed */
-  GHashTable *ended_jobs;  /* set of FbPoolJob whose results are kept for late callers; borrowed */
-  GHashTable *dirty;       /* set of FbPoolJob with changes that are not recorded yet; borrowed */
-  GPtrArray *in_flush;     /* of FbPoolJob: the jobs in the open flush; borrowed */
-  guint not_accepted_n;    /* number of jobs with FbPoolJob.not_accepted_bytes */
-  GHashTable *open_orders; /* number of an order without an answer -> FbPoolOrderRef */
+  GHashTable *jobs;         /* id -> FbPoolJob */
+  GHashTable *active_jobs;  /* set of FbPoolJob that have not ended; borrowed */
+  GHashTable *ended_jobs;   /* set of FbPoolJob whose results are kept for late callers; borrowed */
+  GHashTable *dirty;        /* set of FbPoolJob with changes that are not recorded yet; borrowed */
+  GPtrArray *in_flush;      /* of FbPoolJob: the jobs in the open flush; borrowed */
+  guint free_slot;          /* no slot before it is free */
+  gboolean has_due_polls;   /* polls are due that have to wait for the next iteration */
+  guint first_polls_open_n; /* open polls of workers that have not answered */
+  guint not_accepted_n;     /* number of jobs with FbPoolJob.not_accepted_bytes */
+  GHashTable *open_orders;  /* number of an order without an answer -> FbPoolOrderRef */
   GQueue *unanswered_starts; /* of FbPoolUnansweredStart; the oldest at its head */
   GHashTable *suspect_steps; /* set of FbPoolStep with tasks whose crashes are counted; borrowed */
   /* Set of FbPoolJob with suspects to be kept by other daemons; borrowed. */
@@ -535,5 +538,8 @@
 
 /* pool-orders.c */
 
+/* The first poll of WORKER that was open, if any, no longer is. */
+void fb_pool_first_poll_ended (FbPool *self, FbPoolWorker *worker);
+
 /* Returns: (transfer full): an empty table for FbPool.open_orders. */
 GHashTable *fb_pool_orders_new (void);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -234,6 +234,13 @@
   return MAX (now_ms, worker->poll_sent_ms + worker->first_poll_timeout_ms / 2);
 }
 
+void
+fb_pool_first_poll_ended (FbPool *self, FbPoolWorker *worker)
+{
+  self->first_polls_open_n -= worker->first_poll_open;
+  worker->first_poll_open = FALSE;
+}
+
 gboolean
 fb_pool_has_pending_acknowledgement (const FbPoolWorker *worker)
 {
@@ -307,6 +314,8 @@
     order.wait_ms = FB_POOL_POLL_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
   worker->poll_open = TRUE;
+  worker->first_poll_open = !worker->answered;
+  self->first_polls_open_n += worker->first_poll_open;
   worker->poll_sent_ms = now_ms;
   self->callbacks->poll (self->user, &order);
 }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -575,6 +575,7 @@
   if (worker == NULL)
     return;
   worker->poll_open = FALSE;
+  fb_pool_first_poll_ended (self, worker);
   if (answer->result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
         = MAX (worker->confirmed_acknowledged, worker->poll_acknowledges);
--- a/src/work/pool-worker-slots.c
+++ b/src/work/pool-worker-slots.c
@@ -8,14 +8,14 @@
 void
 fb_pool_worker_slots_add (FbPool *self, FbPoolWorker *worker)
 {
-  guint slot = 0;
-  while (slot < self->worker_slots->len && self->worker_slots->pdata[slot] != NULL)
-    slot++;
-  if (slot == self->worker_slots->len)
+  while (self->free_slot < self->worker_slots->len
+         && self->worker_slots->pdata[self->free_slot] != NULL)
+    self->free_slot++;
+  if (self->free_slot == self->worker_slots->len)
     g_ptr_array_add (self->worker_slots, worker);
   else
-    self->worker_slots->pdata[slot] = worker;
-  worker->slot = slot;
+    self->worker_slots->pdata[self->free_slot] = worker;
+  worker->slot = self->free_slot;
   worker->incarnation = ++self->last_incarnation;
   g_hash_table_insert (self->workers, worker->id, worker);
   fb_pool_silence_worker_added (self, worker);
@@ -38,6 +38,8 @@
 fb_pool_worker_slots_remove (FbPool *self, FbPoolWorker *worker)
 {
   self->worker_slots->pdata[worker->slot] = NULL;
+  self->free_slot = MIN (self->free_slot, worker->slot);
+  fb_pool_first_poll_ended (self, worker);
   fb_pool_incarnation_remove (self, worker);
   remove_gained_capacity (self, worker);
   g_hash_table_remove (self->workers, worker->id);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -11,6 +11,17 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
+/* All workers are checked at most once in this time for each of them, so that the checks of a pool
+ * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
+ * they are checked more often, because work waits for the result. */
+#define MAINTENANCE_US_PER_WORKER 20
+#define RECOVERY_US_PER_WORKER 10
+#define MAINTENANCE_INTERVAL_MAX_MS 100
+/* Polls that are ordered in one iteration of the main loop.  A poll takes some 40 us, so all first
+ * polls of 4,320 workers would take 0.2 s, for which no answer is read. */
+#define POLLS_PER_ITERATION 256
+/* First polls that are open at a time: their answers arrive together and are read in some 30 ms. */
+#define FIRST_POLLS_OPEN_MAX 1024
 
 /* Jobs and steps are hashed by their names, not by their addresses, so that sets of them are walked
  * in the same order in each run. */
@@ -245,8 +256,33 @@
   if (accepts_work && !worker->accepted_work)
     fb_pool_worker_gained_capacity (self, worker);
   worker->accepted_work = accepts_work;
-  if (now_ms >= worker->next_poll_ms)
-    fb_pool_order_poll (self, worker, now_ms);
+}
+
+/* Polls WORKER if that is due and the iteration may order another poll.  ORDERED_N: number of polls
+ * that it has ordered. */
+static void
+poll_if_due (FbPool *self, FbPoolWorker *worker, guint *ordered_n, uint64_t now_ms)
+{
+  if (worker->poll_open || now_ms < worker->next_poll_ms)
+    return;
+  if (*ordered_n >= POLLS_PER_ITERATION || self->first_polls_open_n >= FIRST_POLLS_OPEN_MAX)
+    {
+      self->has_due_polls = TRUE;
+      return;
+    }
+  fb_pool_order_poll (self, worker, now_ms);
+  (*ordered_n)++;
+}
+
+static void
+order_due_polls (FbPool *self, uint64_t now_ms)
+{
+  guint ordered_n = 0;
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  self->has_due_polls = FALSE;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    poll_if_due (self, worker, &ordered_n, now_ms);
 }
 
 /* TRUE when WORKER has left and need not be polled any more: either all runs of this incarnation
@@ -321,8 +357,10 @@
 static void
 maintain_workers (FbPool *self, uint64_t now_ms)
 {
+  guint ordered_n = 0;
   guint slot = 0;
   FbPoolWorker *worker = NULL;
+  self->has_due_polls = FALSE;
   self->is_connected = is_connected (self, now_ms);
   self->capacity = self->free_capacity = (FbAmounts){ 0 };
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
@@ -332,6 +370,7 @@
       else
         {
           maintain_worker (self, worker, now_ms);
+          poll_if_due (self, worker, &ordered_n, now_ms);
           add_capacity (self, worker);
         }
     }
@@ -464,14 +503,30 @@
     }
 }
 
+static uint64_t
+maintenance_interval_ms (const FbPool *self)
+{
+  return CLAMP (g_hash_table_size (self->workers) * MAINTENANCE_US_PER_WORKER / 1000,
+                FB_POOL_MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MAX_MS);
+}
+
+/* Returns: the interval at which workers are checked while the pool has not recovered. */
+static uint64_t
+recovery_interval_ms (const FbPool *self)
+{
+  return MIN (g_hash_table_size (self->workers) * RECOVERY_US_PER_WORKER / 1000,
+              MAINTENANCE_INTERVAL_MAX_MS);
+}
+
 void
 fb_pool_tick (FbPool *self, gboolean may_start, uint64_t now_ms, uint64_t wall_ms)
 {
   if (self->fenced)
     return;
   self->may_start = may_start;
-  gboolean maintenance_due = now_ms >= self->last_maintenance_ms + FB_POOL_MAINTENANCE_INTERVAL_MS;
-  if (maintenance_due || !self->recovered)
+  gboolean maintenance_due = now_ms >= self->last_maintenance_ms + maintenance_interval_ms (self);
+  if (maintenance_due
+      || (!self->recovered && now_ms >= self->last_maintenance_ms + recovery_interval_ms (self)))
     {
       self->last_maintenance_ms = now_ms;
       maintain_workers (self, now_ms);
@@ -479,6 +534,8 @@
       fb_pool_spread_check (self, now_ms);
       fb_pool_check_recovery (self, now_ms);
     }
+  else if (self->has_due_polls)
+    order_due_polls (self, now_ms);
   fb_pool_crash_end_jobs (self, now_ms, wall_ms);
   fb_pool_awaiting_starts_check (self, may_start && fb_pool_may_place (self), now_ms);
   if (!fb_pool_may_place (self) || !may_start)
--- a/tests/test-large-pool.c
+++ b/tests/test-large-pool.c
@@ -95,6 +95,41 @@
     }
 }
 
+/* ---- polls of a takeover ------------------------------------------------------------------ */
+
+static guint
+first_polls_open_n (const FbPool *pool)
+{
+  guint n = 0;
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (pool, &slot)) != NULL)
+    n += worker->poll_open && !worker->answered;
+  return n;
+}
+
+/* An owner that polls all its workers in one iteration reads no answer meanwhile, takes its relays
+ * for unreachable, and polls again. */
+static void
+test_first_polls_are_paced (void)
+{
+  static LargePool large;
+  uint64_t now_ms = 100000;
+  large_pool_begin (&large, 4320, now_ms);
+  for (guint i = 0; i < 60; i++, now_ms += 5)
+    {
+      large.polls_n = 0;
+      large_pool_tick (&large, now_ms);
+      CU_ASSERT_TRUE (large.polls_n <= 256);
+      CU_ASSERT_TRUE (first_polls_open_n (large.pool) <= 1024);
+      (void) large_pool_answer (&large, 100, now_ms);
+    }
+  large_pool_recover (&large, &now_ms);
+  CU_ASSERT_TRUE (large.pool->recovered);
+  CU_ASSERT_EQUAL (large.pool->first_polls_open_n, 0);
+  large_pool_clear (&large);
+}
+
 /* ---- a takeover with a backlog ------------------------------------------------------------ */
 
 static const guint sizes[] = { 1100, 2160, 4320, 8640 };
@@ -175,6 +210,7 @@
   CU_pSuite suite = CU_add_suite ("large pools", NULL, NULL);
   CU_add_test (suite, "one search chooses the same workers",
                test_one_search_chooses_the_same_workers);
+  CU_add_test (suite, "first polls are paced", test_first_polls_are_paced);
   CU_add_test (suite, "turns of a takeover are bounded", test_turns_of_a_takeover_are_bounded);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
