Relays: kept by an owner whose loop was late, and chosen once for each list

Causes, one chain at a takeover of 4,320 workers: after an iteration of 380 ms the owner checked time limits before it read its sockets, so 1,600 polls whose answers waited there ended as lost; each relay behind them was not used for 3 s; with all of them out the owner called thousands of workers itself, through a client that keeps 512 idle connections and compares all open ones each time a call ends: half of the owner's processor time. Beside it, each poll compared all daemons for the relay (12 us with 585), each event of a link searched all links, and all daemons were asked for their recent starts, over new connections, in one iteration.

Changes: links read what has arrived (up to 20 ms) before calls time out, and put the check off while more waits, 8 times in a row at most; a missing answer is not held against a relay if the main loop was 100 ms late in the last 2 s; relays are chosen once for a list of daemons; calls to workers are limited to 75% of the file descriptors, those beyond are not sent, and as many connections are kept; 64 daemons are asked in an iteration.

Measured: test-daemons, polls of 4,320 workers with 585 daemons: a search of all daemons for each poll -> one for each worker and list.

Ruled out: a limit on how many relays may be out of use (with 55% of all daemons killed at once it would call dead ones); a larger cache of connections without a limit on calls (descriptors end first).

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -71,6 +71,8 @@
   FbPayloadDedup *payload_dedup;     /* payloads sent to other daemons */
   FbPayloadCache *payload_cache;     /* payloads received from other daemons */
   FbRelayVersions *relay_versions;   /* daemons that relay no progress of runs */
+  FbRelayChoices *relay_choices;     /* daemons that relay this one's orders */
+  uint64_t calls_limited_logged_ms;  /* time of the last WORKER_CALLS_LIMITED; 0: never */
   FbRecentStarts *recent_starts;     /* starts sent to workers from this daemon */
   FbRecentAppends *recent_appends;   /* callers' jobs that this daemon has tried to store */
   FbLoadNotices *load_notices;       /* of overloaded pools, from their owners */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,6 +15,7 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define EXIT_OK 0
 #define EXIT_SETTINGS 3
@@ -43,6 +44,10 @@
 #define PAYLOAD_CACHE_BYTES (1024 * 1024)
 /* Maximum number of log lines per second, above the daily peak of decisions. */
 #define LOG_LINES_PER_S 2000
+/* Share of the process's file descriptors for connections to workers; the others are for callers,
+ * peers and the store.  FILES_MAX: number of descriptors that are used at most. */
+#define WORKER_CALLS_FILES_PERCENT 75
+#define FILES_MAX 65536
 
 typedef struct
 {
@@ -272,6 +277,17 @@
   fb_links_check_timeouts (((FbEntryDaemon *) data)->links, now_ms);
 }
 
+/* Returns: how many calls to workers this process may have open, each on a connection of its own.
+ */
+static guint
+worker_calls_max (void)
+{
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > FILES_MAX)
+    limit.rlim_cur = FILES_MAX;
+  return (guint) (limit.rlim_cur * WORKER_CALLS_FILES_PERCENT / 100);
+}
+
 static void
 start_components (FbEntryDaemon *self)
 {
@@ -281,6 +297,7 @@
   self->payload_dedup = fb_payload_dedup_new ((uint32_t) self->settings->link_kbit_s);
   self->payload_cache = fb_payload_cache_new (PAYLOAD_CACHE_BYTES);
   self->relay_versions = fb_relay_versions_new ();
+  self->relay_choices = fb_relay_choices_new ();
   self->recent_starts = fb_recent_starts_new ();
   self->suspect_backups = fb_suspect_backups_new ();
   self->load_notices = fb_load_notices_new ();
@@ -289,6 +306,7 @@
       = fb_link_monitor_new ((uint32_t) self->settings->link_kbit_s, self->store_answered_ms);
   self->store_client = fb_http_client_new ();
   self->worker_client = fb_http_client_new ();
+  fb_http_client_set_calls_max (self->worker_client, worker_calls_max ());
   self->advice_client = fb_http_client_new ();
   self->workers = fb_worker_list_new ();
   self->malformed_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/entry/owner/owner-import.c
+++ b/src/entry/owner/owner-import.c
@@ -16,6 +16,9 @@
  * list of daemons is checked for them. */
 #define IMPORT_PERIOD_MS 10000
 #define CHECK_INTERVAL_MS 100
+/* Number of daemons that are asked in one iteration of the main loop, which may have to connect to
+ * each of them: some 5 ms. */
+#define SOURCES_PER_ITERATION 64
 
 /* What was requested from one daemon, which may be this one. */
 typedef struct
@@ -147,11 +150,18 @@
   if (is_due (source, now_ms))
     import_from (self, own_address, source, now_ms);
   const GPtrArray *daemons = fb_daemons_all (self->entry->daemons);
+  guint asked_n = 0;
   for (guint i = 0; i < daemons->len; i++)
     {
       const char *address = ((const FbDaemon *) daemons->pdata[i])->address;
       source = source_at (self, address);
-      if (is_due (source, now_ms))
-        import_from (self, address, source, now_ms);
+      if (!is_due (source, now_ms))
+        continue;
+      if (asked_n++ == SOURCES_PER_ITERATION)
+        {
+          self->next_import_ms = now_ms; /* the next iteration asks the others */
+          return;
+        }
+      import_from (self, address, source, now_ms);
     }
 }
--- a/src/entry/peers/links-private.h
+++ b/src/entry/peers/links-private.h
@@ -43,9 +43,10 @@
   FbLinkServe serve;
   gpointer user;
   uint64_t now_ms;
-  GHashTable *by_address; /* address -> FbLinkConnection, for outgoing calls */
-  GPtrArray *all;         /* of FbLinkConnection */
-  GPtrArray *dirty;       /* of FbLinkConnection */
+  guint deferred_checks_n; /* checks for timeouts in a row for which received data was left */
+  GHashTable *by_address;  /* address -> FbLinkConnection, for outgoing calls */
+  GPtrArray *all;          /* of FbLinkConnection */
+  GPtrArray *dirty;        /* of FbLinkConnection */
 };
 
 /* link-connection.c */
--- a/src/entry/peers/links.c
+++ b/src/entry/peers/links.c
@@ -25,6 +25,10 @@
 
 #define EVENTS_PER_ITERATION 64
 #define BACKLOG 128
+/* Time for which received data is read before calls are checked for timeouts.  If more is left, the
+ * check waits, up to the given number of times in a row. */
+#define READ_AHEAD_MS 20
+#define DEFERRED_CHECKS_MAX 8
 
 typedef struct
 {
@@ -61,14 +65,6 @@
     }
 }
 
-/* Returns: FALSE for a connection that was closed by an earlier event of the same epoll_wait()
- * call. */
-static gboolean
-is_open (const FbLinks *self, gconstpointer connection)
-{
-  return g_ptr_array_find (self->all, connection, NULL);
-}
-
 static gboolean
 prepare (GSource *source, gint *timeout_ms)
 {
@@ -77,22 +73,38 @@
   return FALSE;
 }
 
+/* Handles one batch of events.  An event may close the connections of later ones.
+ * Returns: FALSE when no more are pending. */
 static gboolean
-dispatch (GSource *source, GSourceFunc callback, gpointer user)
+handle_events (FbLinks *self)
 {
-  (void) callback;
-  (void) user;
-  FbLinks *self = ((LinksSource *) source)->links;
   struct epoll_event events[EVENTS_PER_ITERATION];
   self->now_ms = fb_clock_ms ();
   int n = epoll_wait (self->epoll, events, EVENTS_PER_ITERATION, 0);
   for (int i = 0; i < n; i++)
     {
-      if (events[i].data.ptr == NULL)
+      if (events[i].data.ptr != NULL)
+        fb_link_connection_ref (events[i].data.ptr);
+    }
+  for (int i = 0; i < n; i++)
+    {
+      FbLinkConnection *connection = events[i].data.ptr;
+      if (connection == NULL)
         accept_all (self);
-      else if (is_open (self, events[i].data.ptr))
-        fb_link_connection_handle (events[i].data.ptr, events[i].events);
+      else if (!connection->closed)
+        fb_link_connection_handle (connection, events[i].events);
+      if (connection != NULL)
+        fb_link_connection_unref (connection);
     }
+  return n == EVENTS_PER_ITERATION;
+}
+
+static gboolean
+dispatch (GSource *source, GSourceFunc callback, gpointer user)
+{
+  (void) callback;
+  (void) user;
+  (void) handle_events (((LinksSource *) source)->links);
   return G_SOURCE_CONTINUE;
 }
 
@@ -165,9 +177,30 @@
   g_idle_add (on_unsent, unsent);
 }
 
+/* Returns: FALSE when more data was received than is read in READ_AHEAD_MS. */
+static gboolean
+read_ahead (FbLinks *self)
+{
+  uint64_t until_ms = fb_clock_ms () + READ_AHEAD_MS;
+  while (handle_events (self))
+    {
+      if (fb_clock_ms () >= until_ms)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Reads what was received before any call times out.  After an iteration of 380 ms, the calls to
+ * all relays of an owner had timed out although their answers waited in its sockets. */
 void
 fb_links_check_timeouts (FbLinks *self, uint64_t now_ms)
 {
+  if (!read_ahead (self) && self->deferred_checks_n < DEFERRED_CHECKS_MAX)
+    {
+      self->deferred_checks_n++;
+      return;
+    }
+  self->deferred_checks_n = 0;
   self->now_ms = now_ms;
   for (guint i = self->all->len; i > 0; i--)
     {
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -22,7 +22,6 @@
 #include "relay.h"
 
 #include "src/entry/entry-private.h"
-#include "src/entry/store/rendezvous.h"
 
 #include "fb-event.h"
 #include "internal/codec.h"
@@ -31,6 +30,8 @@
 
 /* Time for which a relay that did not answer is not used. */
 #define BACKOFF_MS 3000
+/* Delay of this daemon's main loop from which missing answers do not count against a relay. */
+#define LOOP_LATE_MS 100
 /* Added to an order's own timeout for the network delay to the relay and back. */
 #define NETWORK_DELAY_MS 150
 /* Timeout of a start or stop.  An answer takes a few ms; a worker that hangs should not block its
@@ -39,35 +40,10 @@
 /* Minimum size of a payload that is replaced by its digest, which takes 20 bytes; the payload may
  * have to be sent later all the same. */
 #define DIGEST_MIN_BYTES 64
+#define CALLS_LIMITED_LOG_INTERVAL_MS 1000
 
 /* ---- choosing a relay ----------------------------------------------------------- */
 
-typedef struct
-{
-  const char *domain; /* NULL: any */
-  const char *except;
-  uint64_t now_ms;
-} Choice;
-
-static gboolean
-may_relay (const FbDaemon *member, gconstpointer user)
-{
-  const Choice *choice = user;
-  return choice->now_ms >= member->relay_backoff_until_ms
-         && (choice->domain == NULL || g_str_equal (member->domain, choice->domain))
-         && !g_str_equal (member->address, choice->except);
-}
-
-const FbDaemon *
-fb_relay_choose (const GPtrArray *members, const char *domain, const char *key, const char *except,
-                 uint64_t now_ms)
-{
-  const Choice in_domain = { domain, except, now_ms };
-  const Choice anywhere = { NULL, except, now_ms };
-  const FbDaemon *member = fb_rendezvous_choose (members, key, may_relay, &in_domain);
-  return member != NULL ? member : fb_rendezvous_choose (members, key, may_relay, &anywhere);
-}
-
 const char *
 fb_relay_address_for (FbEntryDaemon *entry, const fb_relay_request *order)
 {
@@ -78,10 +54,13 @@
   gboolean by_job = order->kind == FB_ORDER_KIND_START
                     && fb_payload_dedup_link_is_constrained (entry->payload_dedup,
                                                              strlen (order->payload), now_ms);
+  const GPtrArray *members = fb_daemons_all (entry->daemons);
+  const char *own_address = entry->settings->peers;
   g_autofree char *job_key = by_job ? fb_payload_dedup_relay_key (order->task) : NULL;
   const FbDaemon *member
-      = fb_relay_choose (fb_daemons_all (entry->daemons), listed->domain,
-                         by_job ? job_key : order->worker, entry->settings->peers, now_ms);
+      = by_job ? fb_relay_choose (members, listed->domain, job_key, own_address, now_ms)
+               : fb_relay_choices_get (entry->relay_choices, members, listed->domain, order->worker,
+                                       own_address, now_ms);
   return member != NULL ? member->address : NULL;
 }
 
@@ -199,11 +178,24 @@
   g_free (call);
 }
 
+/* Logs that calls have to wait for others, at most once in CALLS_LIMITED_LOG_INTERVAL_MS. */
+static void
+log_limited_calls (FbEntryDaemon *entry)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  if (!fb_http_client_is_full (entry->worker_client)
+      || now_ms < entry->calls_limited_logged_ms + CALLS_LIMITED_LOG_INTERVAL_MS)
+    return;
+  entry->calls_limited_logged_ms = now_ms;
+  fb_event_log (FB_EVENT_WORKER_CALLS_LIMITED, "partitions=%u", g_hash_table_size (entry->owners));
+}
+
 void
 fb_relay_call_worker (FbEntryDaemon *entry, const fb_relay_request *order, FbHttpReplyDone done,
                       gpointer user)
 {
   FbHttpCall call;
+  log_limited_calls (entry);
   build_call (&call, order);
   if (order->kind == FB_ORDER_KIND_START)
     fb_recent_starts_sent (entry->recent_starts, order->worker, order->address, order->task,
@@ -288,6 +280,17 @@
   return TRUE;
 }
 
+/* When the main loop was late, answers of many relays are missing at once, and the relays are not
+ * the cause.  Without relays the owner would call thousands of workers itself, and be later still.
+ */
+static void
+back_off (FbEntryDaemon *entry, const char *daemon)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  if (fb_loop_monitor_max_delay_ms (entry->loop_monitor, now_ms) < LOOP_LATE_MS)
+    fb_daemons_back_off_relay (entry->daemons, daemon, now_ms + BACKOFF_MS);
+}
+
 static gboolean
 has_order_result (const fb_peer_reply *peer_reply)
 {
@@ -312,8 +315,7 @@
     {
       fb_event_log (FB_EVENT_CALL_FAILED, "relayed order daemon=%s lost=%d", relayed->daemon,
                     peer_reply == NULL);
-      fb_daemons_back_off_relay (relayed->entry->daemons, relayed->daemon,
-                                 fb_clock_ms () + BACKOFF_MS);
+      back_off (relayed->entry, relayed->daemon);
     }
   if (answered)
     relayed->done (relayed->user, FB_RELAY_ANSWERED, peer_reply);
--- a/src/entry/peers/relay.h
+++ b/src/entry/peers/relay.h
@@ -1,7 +1,7 @@
 /* Relays orders to workers through other daemons on behalf of the owner of a pool. */
 #pragma once
 
-#include "src/entry/store/daemons.h"
+#include "relay-choice.h"
 
 #include "platform/wire.h"
 
@@ -19,11 +19,6 @@
  * type FB_REPLY_UNAVAILABLE also when nothing was sent. */
 typedef void (*FbPeerReplyDone) (gpointer user, const fb_peer_reply *peer_reply);
 
-/* MEMBERS: of FbDaemon.  EXCEPT: an address that is excluded.
- * Returns: (nullable): the member that relays orders with KEY, in DOMAIN if there is one; borrowed.
- */
-const FbDaemon *fb_relay_choose (const GPtrArray *members, const char *domain, const char *key,
-                                 const char *except, uint64_t now_ms);
 /* Returns: (nullable): the address of the daemon that relays ORDER to its worker, borrowed; NULL
  * when this daemon sends it itself. */
 const char *fb_relay_address_for (FbEntryDaemon *entry, const fb_relay_request *order);
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -21,7 +21,8 @@
 #include <unistd.h>
 
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
-/* Size of the pool of idle connections, for all hosts together. */
+/* Size of the pool of idle connections, for all hosts together, of a client without a limit on its
+ * calls. */
 #define IDLE_CONNECTIONS_MAX 512
 /* Size of the pool of unused curl handles. */
 #define SPARE_HANDLES_MAX 64
@@ -42,6 +43,8 @@
   GSource *source;          /* polls the epoll descriptor; ready time: libcurl's next timeout */
   GPtrArray *spare_handles; /* of CURL *, for reuse */
   GHashTable *calls_with_idle_timeout; /* set of open Call */
+  guint calls_max;                     /* see fb_http_client_set_calls_max(); 0: no limit */
+  guint calls_n;                       /* number of open calls */
 };
 
 typedef struct
@@ -124,6 +127,7 @@
 static void
 release_handle (FbHttpClient *self, CURL *easy)
 {
+  self->calls_n--;
   curl_multi_remove_handle (self->multi, easy);
   if (self->spare_handles->len < SPARE_HANDLES_MAX)
     g_ptr_array_add (self->spare_handles, easy);
@@ -301,7 +305,10 @@
   curl_multi_setopt (self->multi, CURLMOPT_SOCKETDATA, self);
   curl_multi_setopt (self->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
   curl_multi_setopt (self->multi, CURLMOPT_TIMERDATA, self);
-  curl_multi_setopt (self->multi, CURLMOPT_MAXCONNECTS, (long) IDLE_CONNECTIONS_MAX);
+  /* When more connections than this are open, libcurl compares all of them for the one to close
+   * each time a call ends. */
+  curl_multi_setopt (self->multi, CURLMOPT_MAXCONNECTS,
+                     (long) MAX (self->calls_max, IDLE_CONNECTIONS_MAX));
 }
 
 /* Cancels open calls without calling their callbacks. */
@@ -457,13 +464,58 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
+void
+fb_http_client_set_calls_max (FbHttpClient *self, guint calls_max)
+{
+  self->calls_max = calls_max;
+}
+
+gboolean
+fb_http_client_is_full (const FbHttpClient *self)
+{
+  return self->calls_max > 0 && self->calls_n >= self->calls_max;
+}
+
+typedef struct
+{
+  FbHttpReplyDone done;
+  gpointer user;
+} UnsentCall;
+
+static gboolean
+on_unsent (gpointer data)
+{
+  static const FbHttpReply reply = { .status = FB_HTTP_UNREACHABLE };
+  UnsentCall *call = data;
+  call->done (call->user, &reply);
+  g_free (call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+end_unsent (FbHttpReplyDone done, gpointer user)
+{
+  UnsentCall *call = g_new0 (UnsentCall, 1);
+  call->done = done;
+  call->user = user;
+  g_autoptr (GSource) source = g_idle_source_new ();
+  g_source_set_callback (source, on_unsent, call, NULL);
+  g_source_attach (source, g_main_context_get_thread_default ());
+}
+
 void
 fb_http_client_exchange (FbHttpClient *self, const FbHttpCall *request, guint timeout_ms,
                          FbHttpReplyDone done, gpointer user)
 {
+  if (fb_http_client_is_full (self))
+    {
+      end_unsent (done, user);
+      return;
+    }
   if (self->multi == NULL)
     init_multi (self);
   Call *call = g_new0 (Call, 1);
+  self->calls_n++;
   call->easy = acquire_handle (self);
   call->answer = g_byte_array_new ();
   call->done = done;
--- a/src/net/http-client.h
+++ b/src/net/http-client.h
@@ -23,6 +23,11 @@
 typedef void (*FbHttpDone) (gpointer user, FbHttpStatus status, JsonObject *root);
 
 FbHttpClient *fb_http_client_new (void);
+/* Limits the number of open calls; further ones end as not sent.  To be called before the first
+ * call. The client keeps as many connections for reuse. */
+void fb_http_client_set_calls_max (FbHttpClient *self, guint calls_max);
+/* Returns: TRUE when a call would end as not sent because of that limit. */
+gboolean fb_http_client_is_full (const FbHttpClient *self);
 void fb_http_client_free (FbHttpClient *self);
 
 /* One HTTP request; the body may have any content type. */
--- a/tests/test-daemons.c
+++ b/tests/test-daemons.c
@@ -1,6 +1,7 @@
 /* The list of daemons, and the choice of the relay for an order. */
 #include "internal/codec.h"
 #include "src/entry/peers/relay.h"
+#include "src/entry/store/rendezvous.h"
 
 #include <CUnit/Basic.h>
 #include <string.h>
@@ -229,6 +230,71 @@
   CU_ASSERT (moved_n > WORKER_N / 10 && moved_n < WORKER_N / 4);
 }
 
+/* ---- the choices of a large pool ------------------------------------------------------- */
+
+#define LARGE_POOL_WORKER_N 4320
+#define LARGE_FLEET_N 585
+
+static guint searches_n;
+
+const FbDaemon *__real_fb_rendezvous_choose (const GPtrArray *members, const char *key,
+                                             FbRendezvousFilter is_eligible, gconstpointer user);
+const FbDaemon *__wrap_fb_rendezvous_choose (const GPtrArray *members, const char *key,
+                                             FbRendezvousFilter is_eligible, gconstpointer user);
+
+const FbDaemon *
+__wrap_fb_rendezvous_choose (const GPtrArray *members, const char *key,
+                             FbRendezvousFilter is_eligible, gconstpointer user)
+{
+  searches_n++;
+  return __real_fb_rendezvous_choose (members, key, is_eligible, user);
+}
+
+static GPtrArray *
+large_fleet (guint members_n)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < members_n; i++)
+    g_ptr_array_add (names, g_strdup_printf ("10.0.%u.%u:7/z%u/120/1", i / 250, i % 250, i % 5));
+  g_ptr_array_add (names, NULL);
+  return daemons_from ((const char *const *) names->pdata);
+}
+
+/* Returns: the number of searches for one order to each worker. */
+static guint
+order_once (FbRelayChoices *choices, const GPtrArray *members, uint64_t now_ms)
+{
+  searches_n = 0;
+  for (guint i = 0; i < LARGE_POOL_WORKER_N; i++)
+    {
+      g_autofree char *worker = g_strdup_printf ("i-%08x", i);
+      const char *domain = i % 2 == 0 ? "z1" : "z4";
+      guint before_n = searches_n;
+      const FbDaemon *chosen
+          = fb_relay_choices_get (choices, members, domain, worker, "10.0.0.9:7", now_ms);
+      guint spent_n = searches_n - before_n;
+      CU_ASSERT_PTR_EQUAL (chosen, fb_relay_choose (members, domain, worker, "10.0.0.9:7", now_ms));
+      searches_n = before_n + spent_n;
+    }
+  return searches_n;
+}
+
+/* An owner that compared all daemons for each poll spent a quarter of its processor time on it. */
+static void
+test_relays_are_chosen_once_for_each_list (void)
+{
+  g_autoptr (GPtrArray) members = large_fleet (LARGE_FLEET_N);
+  g_autoptr (GPtrArray) fewer = large_fleet (LARGE_FLEET_N - 50);
+  FbRelayChoices *choices = fb_relay_choices_new ();
+  CU_ASSERT_EQUAL (order_once (choices, members, 1000), LARGE_POOL_WORKER_N);
+  CU_ASSERT_EQUAL (order_once (choices, members, 1000), 0);
+  ((FbDaemon *) members->pdata[1])->relay_backoff_until_ms = 2000;
+  CU_ASSERT_TRUE (order_once (choices, members, 1500) < LARGE_POOL_WORKER_N / 50);
+  CU_ASSERT_EQUAL (order_once (choices, members, 2000), 0);
+  CU_ASSERT_EQUAL (order_once (choices, fewer, 2000), LARGE_POOL_WORKER_N);
+  fb_relay_choices_free (choices);
+}
+
 /* Without another daemon in the workers' domain, one of another domain relays, so that the starts
  * are not lost with the owner; a daemon that is alone sends its orders itself. */
 static void
@@ -286,6 +352,8 @@
   CU_add_test (suite, "topics of a new daemon", test_topics_of_a_new_daemon);
   CU_add_test (suite, "workers are distributed over relays",
                test_workers_are_distributed_over_relays);
+  CU_add_test (suite, "relays are chosen once for each list",
+               test_relays_are_chosen_once_for_each_list);
   CU_add_test (suite, "no relay in the domain", test_no_relay_in_the_domain);
   CU_add_test (suite, "a relayed poll is unchanged", test_relayed_poll_is_unchanged);
   CU_basic_run_tests ();
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -243,6 +243,36 @@
     }
 }
 
+/* A daemon that has to call all workers itself must not use up its file descriptors: calls beyond
+ * the limit are certainly not sent, and others may follow when open ones have ended. */
+static void
+test_calls_beyond_the_limit_are_not_sent (void)
+{
+  Server *server = server_new (g_bytes_new_take (g_malloc0 (24000), 24000), 24, G_MAXUINT);
+  FbHttpClient *client = fb_http_client_new ();
+  Result results[4] = { { 0 } };
+  fb_http_client_set_calls_max (client, 2);
+  for (guint i = 0; i < 4; i++)
+    {
+      FbHttpCall call = { .method = "GET",
+                          .idempotent = TRUE,
+                          .url = g_strdup_printf ("http://%s/", server->address) };
+      results[i].started_ms = fb_clock_ms ();
+      fb_http_client_exchange (client, &call, TEST_TIMEOUT_MS, on_done, &results[i]);
+      fb_http_call_clear (&call);
+      CU_ASSERT_EQUAL (fb_http_client_is_full (client), i == 1 || i == 2);
+      while (i == 2 && !(results[0].done && results[1].done && results[2].done))
+        g_main_context_iteration (NULL, TRUE);
+    }
+  while (!results[3].done)
+    g_main_context_iteration (NULL, TRUE);
+  CU_ASSERT_EQUAL (results[2].status, FB_HTTP_UNREACHABLE);
+  CU_ASSERT_EQUAL (results[0].status, FB_HTTP_OK);
+  CU_ASSERT_EQUAL (results[3].status, FB_HTTP_OK);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&server->calls_n), 3);
+  fb_http_client_free (client);
+}
+
 /* Freeing a client with an open call also removes its timers and callbacks. */
 static void
 test_client_freed_with_an_open_call (void)
@@ -487,6 +517,8 @@
                test_call_past_its_deadline_is_not_sent);
   CU_add_test (suite, "a slow answer succeeds", test_slow_answer_succeeds);
   CU_add_test (suite, "idle timeout", test_idle_timeout);
+  CU_add_test (suite, "calls beyond the limit are not sent",
+               test_calls_beyond_the_limit_are_not_sent);
   CU_add_test (suite, "client freed with an open call", test_client_freed_with_an_open_call);
   CU_add_test (suite, "a call is cancelled", test_call_is_cancelled);
   CU_add_test (suite, "a callback cancels its calls", test_callback_cancels_its_calls);
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -286,6 +286,32 @@
   fb_links_free (b);
 }
 
+/* An owner whose main loop was late must not take an answer for missing that waits in its own
+ * socket. */
+static void
+test_received_answer_is_read_before_the_timeout (void)
+{
+  uint16_t port = 0;
+  int listener = test_socket_at (&port);
+  CU_ASSERT_TRUE_FATAL (listener >= 0 && listen (listener, 8) == 0);
+  g_autofree char *own_address = test_unused_address ();
+  g_autofree char *peer_address = g_strdup_printf ("127.0.0.1:%u", port);
+  FbLinks *a = links_at (own_address);
+  Results results = { 0 };
+  call (a, peer_address, "x", SHORT_TIMEOUT_MS, &results);
+  int peer = accept (listener, NULL, NULL);
+  for (guint i = 0; i < 20; i++)
+    g_main_context_iteration (NULL, FALSE);
+  answer_first_call (peer);
+  g_usleep (2 * SHORT_TIMEOUT_MS * 1000);
+  fb_links_check_timeouts (a, boottime_ms ());
+  CU_ASSERT_EQUAL (results.answered_n, 1);
+  CU_ASSERT_EQUAL (results.lost_n, 0);
+  close (peer);
+  close (listener);
+  fb_links_free (a);
+}
+
 int
 main (void)
 {
@@ -298,6 +324,8 @@
   CU_add_test (suite, "silent connection is closed", test_silent_connection_is_closed);
   CU_add_test (suite, "timed out before it is written", test_timed_out_before_it_is_written);
   CU_add_test (suite, "an expired call is not sent", test_expired_call_is_not_sent);
+  CU_add_test (suite, "a received answer is read before the timeout",
+               test_received_answer_is_read_before_the_timeout);
   CU_add_test (suite, "other protocols are rejected", test_other_protocols_are_rejected);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -421,6 +421,52 @@
   fb_link_monitor_free (monitor);
 }
 
+/* ---- a relay that does not answer ------------------------------------------------------- */
+
+static guint backed_off_n;
+
+void __wrap_fb_daemons_back_off_relay (FbDaemons *self, const char *address, uint64_t until_ms);
+
+void
+__wrap_fb_daemons_back_off_relay (FbDaemons *self, const char *address, uint64_t until_ms)
+{
+  (void) self;
+  (void) address;
+  (void) until_ms;
+  backed_off_n++;
+}
+
+/* An owner whose main loop was late must not stop using all its relays, and then call thousands of
+ * workers itself. */
+static void
+test_late_loop_backs_off_no_relay (void)
+{
+  for (guint is_late = 0; is_late <= 1; is_late++)
+    {
+      g_autofree char *address = test_unused_address ();
+      g_autofree char *own_address = test_unused_address ();
+      FbEntryDaemon entry = { .links = fb_links_new (own_address, serve_relay, NULL),
+                              .payload_dedup = fb_payload_dedup_new (2000),
+                              .loop_monitor = fb_loop_monitor_new (25, fb_clock_ms () - 400) };
+      Results results = { 0 };
+      FbLoopDelays delays;
+      backed_off_n = 0;
+      if (!is_late)
+        {
+          fb_loop_monitor_free (entry.loop_monitor);
+          entry.loop_monitor = fb_loop_monitor_new (25, fb_clock_ms ());
+        }
+      (void) fb_loop_monitor_iteration (entry.loop_monitor, fb_clock_ms (), &delays);
+      relay_order (&entry, address, "0000000000000001.0.0.0", "p", &results);
+      CU_ASSERT_EQUAL (results.done_n, 1);
+      CU_ASSERT_EQUAL (results.answered_n, 0);
+      CU_ASSERT_EQUAL (backed_off_n, is_late ? 0 : 1);
+      fb_loop_monitor_free (entry.loop_monitor);
+      fb_payload_dedup_free (entry.payload_dedup);
+      fb_links_free (entry.links);
+    }
+}
+
 int
 main (void)
 {
@@ -436,6 +482,7 @@
   CU_add_test (suite, "polls through relays of both versions",
                test_polls_through_relays_of_both_versions);
   CU_add_test (suite, "an upgraded relay is asked again", test_an_upgraded_relay_is_asked_again);
+  CU_add_test (suite, "a late loop backs off no relay", test_late_loop_backs_off_no_relay);
   CU_add_test (suite, "malformed relayed progress", test_malformed_relayed_progress);
   CU_add_test (suite, "a busy link is reported", test_busy_link_is_reported);
   CU_add_test (suite, "a link of unknown capacity", test_a_link_of_unknown_capacity);
