Calls of the store: as often as the bound on configurations asks, and owners on change

Cause: each of 585 daemons kept a read of the configuration open that ends after 400 ms, 2.5 calls a second, and read the owners of all partitions every 3 s, whatever its bounds and whether anything changed: 150,000 calls and 0.1 GB in 64 s.

Change: a read of the configuration waits as long as a dead connection is still found, and another read made, within the bound on configurations (setting configuration-bound: 2.2 s for 5 s, 400 ms as before for 2 s, and where client accounts are configured). Joins, a tenth of a call, are then sent every 300 ms and show whether the store answers. In fleets of more than 64 daemons, daemons that are no owners read the owners every 30 s; a new owner asks all daemons for their recent starts when it takes a pool over, which tells them to read the owners at once. Before, a request to refresh them waited up to 3 s at such a daemon.

Ruled out for now: delegates that read for a failure domain (another way to learn of a configuration that can be late or lost; to be weighed against what is left).

--- a/src/entry/configuration.c
+++ b/src/entry/configuration.c
@@ -5,13 +5,41 @@
 #include "fb-event.h"
 #include "fb-status.h"
 
-/* Age of the last answered read of the configuration at which a peer is asked.  A read takes up to
- * 400 ms while nothing changes, and the age covers two of them. */
-#define STALE_MS 1200
+/* Time for which the store may delay its answer to a read while nothing changes.  When a connection
+ * has stopped delivering data, the read on it times out ANSWER_ALLOWANCE_MS later, after
+ * WAIT_BOUND_PERCENT of the time within which a configuration has to be in force; the rest is for
+ * another read, or for asking peers. */
+#define WAIT_MIN_MS 400
+#define WAIT_MAX_MS 2500
+#define ANSWER_ALLOWANCE_MS 800
+#define WAIT_BOUND_PERCENT 60
 /* Interval at which peers are asked, one at a time. */
 #define PEER_INTERVAL_MS 250
 #define PEER_TIMEOUT_MS 400
 
+uint32_t
+fb_configuration_wait_ms (uint64_t bound_ms, gboolean has_accounts)
+{
+  uint64_t timeout_ms = bound_ms * WAIT_BOUND_PERCENT / 100;
+  /* Keys and caps of accounts are withdrawn without a bound of their own. */
+  if (has_accounts || timeout_ms <= ANSWER_ALLOWANCE_MS)
+    return WAIT_MIN_MS;
+  return (uint32_t) CLAMP (timeout_ms - ANSWER_ALLOWANCE_MS, WAIT_MIN_MS, WAIT_MAX_MS);
+}
+
+static uint32_t
+wait_ms (const FbEntryDaemon *entry)
+{
+  return fb_configuration_wait_ms (entry->settings->config_bound_ms,
+                                   entry->routes == NULL || entry->routes->accounts != NULL);
+}
+
+gboolean
+fb_configuration_is_read_often (const FbEntryDaemon *entry)
+{
+  return wait_ms (entry) == WAIT_MIN_MS;
+}
+
 /* Applies SOURCE, a configuration as the operator wrote it, if it is valid and newer than the one
  * in force.  FROM: where it comes from, a static text for the log. */
 static void
@@ -38,6 +66,7 @@
       routes->accounts != NULL ? g_hash_table_size (fb_accounts_by_name (routes->accounts)) : 0,
       routes->accounts != NULL ? fb_accounts_keys_n (routes->accounts) : 0, from,
       (guint) (fb_clock_ms () - entry->store_answered_ms));
+  fb_topic_reader_set_wait (entry->config_reader, wait_ms (entry));
   fb_entry_foreach_owner (entry, fb_owner_routes_changed);
 }
 
@@ -76,7 +105,8 @@
 ask_peer_if_stale (gpointer data, uint64_t now_ms)
 {
   FbEntryDaemon *entry = data;
-  if (now_ms < fb_topic_reader_synced_ms (entry->config_reader) + STALE_MS)
+  if (now_ms
+      < fb_topic_reader_synced_ms (entry->config_reader) + wait_ms (entry) + ANSWER_ALLOWANCE_MS)
     return;
   const char *peer = fb_group_any_peer (entry->group, NULL);
   if (peer == NULL)
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -455,6 +455,8 @@
       return;
     case FB_REQUEST_RECENT_STARTS:
     case FB_REQUEST_UNHEARD_STARTS:
+      if (peer_request->type == FB_REQUEST_RECENT_STARTS)
+        fb_group_refresh_owners (entry->group); /* a new owner asks */
       reply_with_starts (entry, peer_request->type == FB_REQUEST_UNHEARD_STARTS, served);
       return;
     case FB_REQUEST_SUSPECT_BACKUPS:
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -9,6 +9,7 @@
 #define NAME_MAX_LEN 128
 #define PARTITIONS_MAX 65536
 #define CPU_MILLI_DEFAULT 1000
+#define CONFIG_BOUND_MS_DEFAULT 2000
 /* Limits of the store, and the least ones with which records can be split. */
 #define RECORD_MAX_BYTES_DEFAULT (256 * 1024)
 #define RECORD_MAX_BYTES_MIN 1024
@@ -23,6 +24,8 @@
         { "cpu", FB_INI_MILLI, FALSE, 0, 0, NULL, offsetof (FbEntrySettings, cpu_milli) },
         { "link", FB_INI_MILLI, FALSE, 0, 0, NULL, offsetof (FbEntrySettings, link_kbit_s) },
         { "grace", FB_INI_DURATION, TRUE, 0, 0, NULL, offsetof (FbEntrySettings, grace_ms) },
+        { "configuration-bound", FB_INI_DURATION, FALSE, CONFIG_BOUND_MS_DEFAULT, G_MAXUINT32, NULL,
+          offsetof (FbEntrySettings, config_bound_ms) },
         { NULL, 0, FALSE, 0, 0, NULL, 0 } };
 
 static const FbIniField listen_fields[] = {
@@ -154,6 +157,7 @@
     return NULL;
   FbEntrySettings *self = g_new0 (FbEntrySettings, 1);
   self->cpu_milli = CPU_MILLI_DEFAULT;
+  self->config_bound_ms = CONFIG_BOUND_MS_DEFAULT;
   self->record_max_bytes = RECORD_MAX_BYTES_DEFAULT;
   self->append_max_bytes = APPEND_MAX_BYTES_DEFAULT;
   if (read_groups (keys, path, self) && check_advertised (path, self))
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -23,6 +23,7 @@
   uint64_t gang_wait_ms;
   uint64_t max_isolated_crashes; /* crashed workers at which a task's job fails; 0: default */
   uint64_t max_shared_crashes;   /* the same if other tasks may be the cause; 0: default */
+  uint64_t config_bound_ms;      /* time within which a new configuration has to be in force */
   uint64_t grace_ms;             /* time between the stop signal and the kill of the process */
   uint64_t link_kbit_s; /* capacity of the network link, each way; Mbit/s in the file; 0: unknown */
   uint64_t cpu_milli;   /* processor share, in thousandths of a core; 1000 by default */
--- a/src/entry/store/daemons.c
+++ b/src/entry/store/daemons.c
@@ -2,6 +2,7 @@
 
 #include "group-leave.h"
 
+#include "src/entry/configuration.h"
 #include "src/entry/entry-private.h"
 
 #include "fb-event.h"
@@ -16,6 +17,9 @@
  * time to live requires more calls of the store. */
 #define TTL_MS 2000
 #define JOIN_INTERVAL_MS 600
+/* The same while the configuration is read seldom: joins, which the store counts as a tenth of a
+ * call, then show whether it answers (STORE_SILENT_MS). */
+#define JOIN_INTERVAL_SHORT_MS 300
 /* Delay of the next join after a change of the group.  The store reassigns partitions once each
  * member has joined with the new generation, so a member that receives a new generation joins again
  * soon. */
@@ -28,8 +32,9 @@
 /* Interval at which the other daemons of a large fleet read the members.  They only use the list to
  * choose peers to which they turn when the store does not answer them. */
 #define READ_IDLE_INTERVAL_MS 60000
-/* Number of members up to which each daemon keeps its list current.  A list has at least one row of
- * some 70 bytes for each member, so the cost of all lists grows with the square of the members. */
+/* Number of members up to which each daemon keeps its lists current.  A list has at least one row
+ * of some 70 bytes for each member, so the cost of all lists grows with the square of the members.
+ */
 #define CURRENT_LISTS_MAX_MEMBERS 64
 /* Retry interval until a list is accepted, because pools wait for it. */
 #define READ_RETRY_MS 100
@@ -279,8 +284,7 @@
 static gboolean
 needs_current_list (const FbDaemons *self)
 {
-  return self->members->len <= CURRENT_LISTS_MAX_MEMBERS
-         || g_hash_table_size (self->entry->owners) > 0
+  return !fb_daemons_is_large_fleet (self) || g_hash_table_size (self->entry->owners) > 0
          || (self->entry->group != NULL && fb_group_is_deferred (self->entry->group));
 }
 
@@ -327,7 +331,9 @@
     }
   read_members (self, fb_clock_ms ());
   gboolean join_soon = changed || !self->list_complete;
-  self->timer = g_timeout_add (join_soon ? JOIN_AFTER_CHANGE_MS : JOIN_INTERVAL_MS, join, self);
+  guint interval_ms
+      = fb_configuration_is_read_often (self->entry) ? JOIN_INTERVAL_MS : JOIN_INTERVAL_SHORT_MS;
+  self->timer = g_timeout_add (join_soon ? JOIN_AFTER_CHANGE_MS : interval_ms, join, self);
 }
 
 static gboolean
@@ -374,6 +380,12 @@
   return self->members;
 }
 
+gboolean
+fb_daemons_is_large_fleet (const FbDaemons *self)
+{
+  return self->members->len > CURRENT_LISTS_MAX_MEMBERS;
+}
+
 gboolean
 fb_daemons_is_whole (const FbDaemons *self)
 {
--- a/src/entry/store/daemons.h
+++ b/src/entry/store/daemons.h
@@ -42,6 +42,9 @@
  * not running.  In a large fleet a member may not be listed for a moment while partitions are
  * reassigned. */
 gboolean fb_daemons_is_whole (const FbDaemons *self);
+/* Returns: TRUE when there are so many members that lists are kept current only where they are
+ * needed. */
+gboolean fb_daemons_is_large_fleet (const FbDaemons *self);
 /* Reads the members at once. */
 void fb_daemons_refresh (FbDaemons *self);
 /* Returns: TRUE when this daemon may own partitions: its processor share is at least half of the
--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -37,14 +37,17 @@
 #define OWNERS_BEFORE_JOIN_MS 100
 /* Minimum interval of OWNERSHIP_DEFERRED. */
 #define DEFERRED_LOG_INTERVAL_MS 1000
-/* Owners are requested when the group has changed, and at least at this interval. */
+/* Owners are requested when the group has changed, and at least at this interval; in a large fleet
+ * by daemons that are no members at the second one.  Those learn from a new owner, which asks all
+ * daemons for their recent starts, that the owners have changed. */
 #define OWNERS_INTERVAL_MS 3000
+#define OWNERS_IDLE_INTERVAL_MS 30000
 #define OWNERS_AFTER_CHANGE_MS 200
 /* Minimum intervals of requests to peers for the owners, and of OWNERS_FROM_PEER.  While the store
  * is silent, the owners are requested from it every 150 to 500 ms. */
 #define PEER_INTERVAL_MS 500
 #define PEER_LOG_INTERVAL_MS 1000
-/* Maximum age of the owners that are sent to peers; they are read every OWNERS_INTERVAL_MS. */
+/* Maximum age of the owners that are sent to peers; members read them every OWNERS_INTERVAL_MS. */
 #define OWNERS_MAX_AGE_MS 3800
 
 struct _FbGroup
@@ -62,6 +65,7 @@
   uint64_t owners_generation; /* generation at the last request to the store for the owners; 0: they
                                * have to be requested again */
   uint64_t owners_requested_ms;
+  gboolean owners_changed;    /* the owners have to be requested soon */
   gboolean owners_open;       /* a request to the store for the owners is open */
   gboolean peer_open;         /* a request to a peer for the owners is open */
   uint64_t peer_requested_ms; /* time of the last request to a peer */
@@ -193,6 +197,7 @@
   else
     {
       self->owners_generation = 0;
+      self->owners_changed = TRUE;
       request_owners_from_peer (self);
     }
   reconsider_join (self);
@@ -210,7 +215,11 @@
 {
   if (self->is_deferred)
     return fb_entry_store_is_silent (self->entry) ? PROBE_PAUSE_MS : OWNERS_BEFORE_JOIN_MS;
-  return self->owners_generation != self->generation ? OWNERS_AFTER_CHANGE_MS : OWNERS_INTERVAL_MS;
+  if (self->owners_changed || self->owners_generation != self->generation)
+    return OWNERS_AFTER_CHANGE_MS;
+  return self->last_renewal_sent_ms == 0 && fb_daemons_is_large_fleet (self->entry->daemons)
+             ? OWNERS_IDLE_INTERVAL_MS
+             : OWNERS_INTERVAL_MS;
 }
 
 static void
@@ -220,6 +229,7 @@
   if (self->owners_open || now_ms < self->owners_requested_ms + interval_ms)
     return;
   self->owners_open = TRUE;
+  self->owners_changed = FALSE;
   self->owners_requested_ms = now_ms;
   self->owners_generation = self->generation;
   FbHttpCall call;
@@ -237,6 +247,7 @@
 fb_group_refresh_owners (FbGroup *self)
 {
   self->owners_generation = 0;
+  self->owners_changed = TRUE;
   request_owners (self, fb_clock_ms ());
 }
 
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -7,9 +7,9 @@
 
 #include "fb-event.h"
 
-/* Time for which the store may delay its answer to a poll: short enough that a silent connection is
- * detected and a new one has delivered data within the 2 s in which a new configuration has to take
- * effect. */
+/* Time for which the store may delay its answer to a poll, unless it is set otherwise: short enough
+ * that a silent connection is detected and a new one has delivered data within the 2 s in which a
+ * new configuration has to take effect. */
 #define POLL_WAIT_MS 400
 /* Time allowed for the store's answer, which takes 4 ms, and 60 times as long when the store is
  * slow. */
@@ -34,6 +34,7 @@
   char *topic;
   uint32_t partition;
   uint32_t pause_ms; /* pause between a page of changes and the next poll */
+  uint32_t wait_ms;  /* time for which the store may delay its answer to a poll */
   const FbTopicReaderOps *ops;
   gpointer user;
   char *last_key;       /* last key of the listing so far; NULL before its first page */
@@ -190,8 +191,9 @@
   if (self->listing)
     fb_wire_newest (&call, store, self->topic, self->partition, self->last_key);
   else
-    fb_wire_read (&call, store, self->topic, self->partition, self->next_offset, POLL_WAIT_MS);
-  call.idle_timeout_ms = self->listing ? self->page_silence_ms : POLL_WAIT_MS + ANSWER_ALLOWANCE_MS;
+    fb_wire_read (&call, store, self->topic, self->partition, self->next_offset, self->wait_ms);
+  call.idle_timeout_ms
+      = self->listing ? self->page_silence_ms : self->wait_ms + ANSWER_ALLOWANCE_MS;
   self->call_open = TRUE;
   self->sent_ms = fb_clock_ms ();
   fb_http_client_exchange (self->entry->store_client, &call, CALL_TIMEOUT_MS, on_reply, self);
@@ -207,6 +209,7 @@
   self->topic = g_strdup (topic);
   self->partition = partition;
   self->pause_ms = pause_ms;
+  self->wait_ms = POLL_WAIT_MS;
   self->ops = ops;
   self->user = user;
   self->retry_ms = RETRY_MIN_MS;
@@ -240,6 +243,12 @@
   send_call (self);
 }
 
+void
+fb_topic_reader_set_wait (FbTopicReader *self, uint32_t wait_ms)
+{
+  self->wait_ms = wait_ms;
+}
+
 uint64_t
 fb_topic_reader_synced_ms (const FbTopicReader *self)
 {
--- a/src/entry/store/topic-reader.h
+++ b/src/entry/store/topic-reader.h
@@ -21,6 +21,8 @@
 void fb_topic_reader_free (FbTopicReader *self);
 /* Skips the pause before the next poll. */
 void fb_topic_reader_skip_pause (FbTopicReader *self);
+/* Sets for how long the store may delay its answer while there is nothing new. */
+void fb_topic_reader_set_wait (FbTopicReader *self, uint32_t wait_ms);
 /* Returns: the time at which the last answered read was sent: every record that was stored before
  * then has been read; 0 while the first listing is incomplete. */
 uint64_t fb_topic_reader_synced_ms (const FbTopicReader *self);
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -1,6 +1,7 @@
 /* Unit tests of components of the platform's daemon that need no network. */
 #include "src/entry/advice/advice-balancer.h"
 #include "src/entry/advice/fair-share.h"
+#include "src/entry/configuration.h"
 #include "src/entry/loop-monitor.h"
 #include "src/entry/settings.h"
 #include "src/entry/store/join-monitor.h"
@@ -440,6 +441,23 @@
   CU_ASSERT_PTR_NULL (settings_with ("advertised-peers=host:33"));
 }
 
+/* A configuration is in force in time although a connection has stopped delivering data: the read
+ * on it and another one take less than the bound, however long the store may delay its answers. */
+static void
+test_configuration_is_read_in_time (void)
+{
+  static const uint64_t bounds_ms[] = { 2000, 2500, 3000, 5000, 9000, 60000 };
+  for (guint i = 0; i < G_N_ELEMENTS (bounds_ms); i++)
+    {
+      uint32_t wait_ms = fb_configuration_wait_ms (bounds_ms[i], FALSE);
+      CU_ASSERT_TRUE (wait_ms >= 400 && wait_ms <= 2500);
+      CU_ASSERT_TRUE (wait_ms + 800 <= bounds_ms[i] * 6 / 10);
+      CU_ASSERT_EQUAL (fb_configuration_wait_ms (bounds_ms[i], TRUE), 400);
+    }
+  CU_ASSERT_EQUAL (fb_configuration_wait_ms (2000, FALSE), 400);
+  CU_ASSERT_EQUAL (fb_configuration_wait_ms (5000, FALSE), 2200);
+}
+
 int
 main (void)
 {
@@ -459,6 +477,7 @@
   CU_add_test (suite, "a join after leaving is not late", test_join_after_leaving_is_not_late);
   CU_add_test (suite, "peers use the advertised address", test_peers_use_the_advertised_address);
   CU_add_test (suite, "an advertised address is validated", test_advertised_address_is_validated);
+  CU_add_test (suite, "the configuration is read in time", test_configuration_is_read_in_time);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
