Record of silent workers: at most a third of an append

Cause: the records of workers and of silent workers are stored by one append, and a row of the second takes some 130 bytes. With 17,000 workers of which half are silent both together exceed the 2 MB that the store takes in a call, and neither would be stored.

Change: rows that do not fit are left out; such a worker is not closed, and the next owner waits for its longest lease, as for any worker without a row.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -168,6 +168,8 @@
   uint32_t max_shared_crashes;
   /* Ended runs that a worker lists in one answer; 0: the pool's default. */
   uint32_t max_reported_ends;
+  /* Largest record of silent workers; 0: no limit. */
+  uint32_t max_silence_bytes;
   /* Other pools share the caps of client accounts: an account that has a cap may use nothing here
    * before fb_pool_set_account_part(). */
   gboolean caps_are_divided;
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -15,6 +15,9 @@
  * ownership. UNCONFIRMED_MAX_MS: time without any confirmation after which an owner steps down. */
 #define MAJORITY_MAX_AGE_MS 1500
 #define UNCONFIRMED_MAX_MS 2000
+/* Part of an append that the record of silent workers may take; the record of 17,000 workers, which
+ * is in the same append, takes half of 2 MB. */
+#define SILENCE_BYTES_DIVISOR 3
 /* Interval at which records of ended jobs are deleted in a batch. */
 #define DELETE_INTERVAL_MS 1000
 /* Time between two ticks that only a suspended process needs, and the time for which it then waits
@@ -57,12 +60,14 @@
   if (service_pool != NULL)
     return service_pool;
   const FbEntrySettings *settings = self->entry->settings;
-  const FbPoolLimits limits = { .max_lease_ms = (uint32_t) settings->max_lease_ms,
-                                .max_stop_ms = (uint32_t) settings->max_stop_ms,
-                                .gang_wait_ms = (uint32_t) settings->gang_wait_ms,
-                                .max_isolated_crashes = (uint32_t) settings->max_isolated_crashes,
-                                .max_shared_crashes = (uint32_t) settings->max_shared_crashes,
-                                .caps_are_divided = TRUE };
+  const FbPoolLimits limits
+      = { .max_lease_ms = (uint32_t) settings->max_lease_ms,
+          .max_stop_ms = (uint32_t) settings->max_stop_ms,
+          .gang_wait_ms = (uint32_t) settings->gang_wait_ms,
+          .max_isolated_crashes = (uint32_t) settings->max_isolated_crashes,
+          .max_shared_crashes = (uint32_t) settings->max_shared_crashes,
+          .max_silence_bytes = (uint32_t) (settings->append_max_bytes / SILENCE_BYTES_DIVISOR),
+          .caps_are_divided = TRUE };
   service_pool = g_new0 (FbServicePool, 1);
   service_pool->owner = self;
   service_pool->service = g_strdup (service);
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -467,9 +467,20 @@
   return XXH64 (data, len, RECORD_HASH_SEED);
 }
 
+/* Returns: FALSE when ROW would make the record larger than the store takes together with the
+ * record of workers. A worker without a row is not closed, and the next owner waits for its longest
+ * lease. */
+static gboolean
+has_room_for (const FbPool *self, const fb_work_silent_worker *row, gsize *bytes)
+{
+  *bytes += xdr_sizeof ((xdrproc_t) xdr_fb_work_silent_worker, (gpointer) row);
+  return self->limits.max_silence_bytes == 0 || *bytes <= self->limits.max_silence_bytes;
+}
+
 GBytes *
 fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms)
 {
+  gsize rows_bytes = 0;
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
   g_autofree fb_work_silent_worker *rows = g_new0 (fb_work_silent_worker, n + 1);
   fb_work_reference_clock clocks[FB_WORK_MAX_REFERENCE_CLOCKS];
@@ -484,9 +495,16 @@
   while (record.workers.workers_len < n
          && (worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
+      fb_work_silent_worker *row = &rows[record.workers.workers_len];
       worker->has_silence_row = needs_row (worker);
+      if (!worker->has_silence_row)
+        continue;
+      write_row (self, worker, row, now_ms);
+      worker->has_silence_row = has_room_for (self, row, &rows_bytes);
       if (worker->has_silence_row)
-        write_row (self, worker, &rows[record.workers.workers_len++], now_ms);
+        record.workers.workers_len++;
+      else
+        clear_row (row);
     }
   write_clocks (self, clocks, &record.clocks.clocks_len, now_ms);
   close_workers (self, &record);
--- a/tests/test-large-pool.c
+++ b/tests/test-large-pool.c
@@ -130,6 +130,43 @@
   large_pool_clear (&large);
 }
 
+/* ---- records ------------------------------------------------------------------------------ */
+
+#define SILENCE_MAX_BYTES 700000
+
+/* The records of 17,000 workers of which most fall silent must not exceed an append of the store,
+ * or neither is stored. */
+static void
+test_record_of_silent_workers_is_bounded (void)
+{
+  static LargePool large;
+  uint64_t now_ms = 100000;
+  gboolean found = FALSE;
+  large_pool_begin (&large, 17000, now_ms);
+  large.pool->limits.max_silence_bytes = SILENCE_MAX_BYTES;
+  large_pool_recover (&large, &now_ms);
+  for (guint i = 0; i < 16000; i++)
+    {
+      const FbPollAnswer answer = { .result = FB_ORDER_UNKNOWN };
+      fb_pool_poll_answered (large.pool, large.workers[i].id, &answer, now_ms + 2000,
+                             LARGE_POOL_WALL_OFFSET_MS + now_ms + 2000);
+    }
+  g_autoptr (GPtrArray) records
+      = fb_pool_flush (large.pool, now_ms + 4000, LARGE_POOL_WALL_OFFSET_MS + now_ms + 4000);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (records);
+  for (guint i = 0; i < records->len; i++)
+    {
+      const FbPoolRecord *record = records->pdata[i];
+      if (record->kind != FB_POOL_RECORD_SILENT_WORKERS)
+        continue;
+      found = TRUE;
+      CU_ASSERT_TRUE (g_bytes_get_size (record->progress) <= SILENCE_MAX_BYTES + 1000);
+      CU_ASSERT_TRUE (g_bytes_get_size (record->progress) > SILENCE_MAX_BYTES / 2);
+    }
+  CU_ASSERT_TRUE (found);
+  large_pool_clear (&large);
+}
+
 /* ---- a takeover with a backlog ------------------------------------------------------------ */
 
 static const guint sizes[] = { 1100, 2160, 4320, 8640 };
@@ -211,6 +248,8 @@
   CU_add_test (suite, "one search chooses the same workers",
                test_one_search_chooses_the_same_workers);
   CU_add_test (suite, "first polls are paced", test_first_polls_are_paced);
+  CU_add_test (suite, "the record of silent workers is bounded",
+               test_record_of_silent_workers_is_bounded);
   CU_add_test (suite, "turns of a takeover are bounded", test_turns_of_a_takeover_are_bounded);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
