Owners: a daemon that comes back stays a spare while there are 16 owners

With 60 members for two pools each join or failure may move a pool.

Change: a daemon that is not a member does not join while 16 others own partitions; it reads the owners every 0.8 s and joins when fewer are left or a pool has no owner.

Ruled out: a longer period of contact (moves the pool later).

--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -35,6 +35,9 @@
 /* Interval of requests for the owners before a join that fb_join_policy_decide() delays.  A pool
  * whose owner has failed is noticed within this time. */
 #define OWNERS_BEFORE_JOIN_MS 100
+/* The same for a daemon that is not needed as an owner: others take over what a failed owner
+ * leaves. */
+#define OWNERS_SPARE_MS 800
 /* Minimum interval of OWNERSHIP_DEFERRED. */
 #define DEFERRED_LOG_INTERVAL_MS 1000
 /* Owners are requested when the group has changed, and at least at this interval; in a large fleet
@@ -74,6 +77,7 @@
   FbJoinPolicy join_policy;
   GArray *listed_owners;       /* of FbPartitionOwner, as the store listed them; NULL: never */
   gboolean is_deferred;        /* the next join is delayed; the owners are read meanwhile */
+  gboolean is_spare;           /* it is delayed because there are enough owners */
   uint64_t expired_ms;         /* last_renewal_sent_ms of the last membership found expired */
   uint64_t deferred_until_ms;  /* as logged last */
   const char *deferred_reason; /* as logged last; NULL: none since the last join */
@@ -213,6 +217,8 @@
 static guint
 owners_interval_ms (const FbGroup *self)
 {
+  if (self->is_deferred && self->is_spare && !fb_entry_store_is_silent (self->entry))
+    return OWNERS_SPARE_MS;
   if (self->is_deferred)
     return fb_entry_store_is_silent (self->entry) ? PROBE_PAUSE_MS : OWNERS_BEFORE_JOIN_MS;
   if (self->owners_changed || self->owners_generation != self->generation)
@@ -342,7 +348,7 @@
 gboolean
 fb_group_is_deferred (const FbGroup *self)
 {
-  return self->is_deferred;
+  return self->is_deferred && !self->is_spare;
 }
 
 gboolean
@@ -451,7 +457,7 @@
   self->deferral_logged_ms = now_ms;
   g_autofree char *ages = fb_entry_format_timing (self->entry);
   fb_event_log (FB_EVENT_OWNERSHIP_DEFERRED, "why=\"%s\" wait_ms=%u %s", decision->reason,
-                (guint) (decision->until_ms - now_ms), ages);
+                (guint) (MAX (decision->until_ms, now_ms) - now_ms), ages);
 }
 
 /* Releases the partitions of an expired membership once the store has listed other owners for
@@ -475,10 +481,11 @@
 defer_join (FbGroup *self, const FbJoinDecision *decision, uint64_t now_ms)
 {
   self->is_deferred = TRUE;
+  self->is_spare = decision->action == FB_JOIN_SPARE;
   if (self->keepalive_active)
     fb_keepalive_cancel (self->entry->keepalive, FB_MEMBERSHIP_OWNERS);
   self->keepalive_active = FALSE;
-  if (decision->action == FB_JOIN_WAIT)
+  if (decision->action != FB_JOIN_READ_OWNERS)
     {
       log_deferral (self, decision, now_ms);
       drop_expired_membership (self);
--- a/src/entry/store/group.h
+++ b/src/entry/store/group.h
@@ -11,7 +11,7 @@
 void fb_group_release_partitions (FbGroup *self, void (*done) (gpointer user), gpointer user);
 /* Returns: TRUE while no other daemon can have been assigned this daemon's partitions. */
 gboolean fb_group_is_member (const FbGroup *self, uint64_t now_ms);
-/* Returns: TRUE while this daemon waits before it joins the owners. */
+/* Returns: TRUE while this daemon waits before it joins the owners, and may join at any time. */
 gboolean fb_group_is_deferred (const FbGroup *self);
 /* Returns: (nullable): the address of the daemon that owns PARTITION, borrowed. */
 const char *fb_group_owner_of (const FbGroup *self, uint32_t partition);
--- a/src/entry/store/join-policy.c
+++ b/src/entry/store/join-policy.c
@@ -31,6 +31,10 @@
 /* Minimum number of members that own partitions; with fewer, no other member could be assigned the
  * pools of one that fails. */
 #define OWNERS_MIN 2
+/* Number of owners from which a daemon that comes back stays a spare.  Each join makes the store
+ * distribute partitions anew and may move a pool whose owner works well; so many owners are enough
+ * to take over the pools of those that fail. */
+#define OWNERS_ENOUGH 16
 /* Maximum difference between the start times of daemons that start together.  A difference of wall
  * clocks beyond this makes a daemon wait, which delays no pool. */
 #define START_TOGETHER_US (3 * G_USEC_PER_SEC)
@@ -237,5 +241,7 @@
     return join_now ("too few owners");
   if (view->started_together && !self->has_expired && now_ms < self->started_ms + CONTACT_MS)
     return join_now ("most daemons have just started");
+  if (view->owners_n >= OWNERS_ENOUGH)
+    return (FbJoinDecision){ FB_JOIN_SPARE, "there are enough owners", 0 };
   return decide_by_contact (self, now_ms);
 }
--- a/src/entry/store/join-policy.h
+++ b/src/entry/store/join-policy.h
@@ -38,6 +38,7 @@
 {
   FB_JOIN_NOW,
   FB_JOIN_WAIT,
+  FB_JOIN_SPARE,      /* waits for as long as there are enough owners */
   FB_JOIN_READ_OWNERS /* the owners have to be read first */
 } FbJoinAction;
 
@@ -45,7 +46,7 @@
 {
   FbJoinAction action;
   const char *reason; /* static */
-  uint64_t until_ms;  /* FB_JOIN_WAIT: time until which the daemon waits at least */
+  uint64_t until_ms;  /* FB_JOIN_WAIT: time until which the daemon waits at least; 0: no time */
 } FbJoinDecision;
 
 void fb_join_policy_init (FbJoinPolicy *self, uint32_t ttl_ms, uint64_t now_ms);
--- a/tests/test-join-policy.c
+++ b/tests/test-join-policy.c
@@ -646,7 +646,29 @@
     }
 }
 
+/* When a third of 60 owners come back after an outage of the store, the pools of those that stayed
+ * must not move to them; they join when too few owners are left. */
+static void
+test_spare_owners_do_not_join (void)
+{
+  static const FbJoinPolicyView many = { .owners_n = 39 };
+  static const FbJoinPolicyView few = { .owners_n = 15 };
+  static const FbJoinPolicyView ownerless = { .owners_n = 39, .has_ownerless = TRUE };
+  g_autoptr (GArray) owners = g_array_new (FALSE, FALSE, sizeof (FbPartitionOwner));
+  FbJoinPolicy policy;
+  fb_join_policy_init (&policy, TTL_MS, 1000);
+  for (uint64_t now_ms = 1100; now_ms < 60000; now_ms += 100)
+    {
+      fb_join_policy_store_answered (&policy, now_ms);
+      fb_join_policy_owners_read (&policy, owners, now_ms, now_ms);
+      CU_ASSERT_EQUAL (fb_join_policy_decide (&policy, &many, now_ms).action, FB_JOIN_SPARE);
+    }
+  CU_ASSERT_EQUAL (fb_join_policy_decide (&policy, &few, 59900).action, FB_JOIN_NOW);
+  CU_ASSERT_EQUAL (fb_join_policy_decide (&policy, &ownerless, 59900).action, FB_JOIN_NOW);
+}
+
 static const CU_TestInfo tests[] = {
+  { "spare owners do not join", test_spare_owners_do_not_join },
   { "an owner missing in a short list", test_owner_missing_in_a_short_list },
   { "first start", test_first_start },
   { "one owner of all pools", test_one_owner_of_all_pools },
