Configuration: most daemons of a large fleet learn of it from one of their domain

Change: in fleets of more than 64 daemons, without client accounts and with a bound above 2 s, a daemon that cannot own pools watches one of its failure domain that can, chosen by its own address: a request that is answered with a newer configuration, or after 1 s that there is none. It reads the store itself from the moment when that daemon does not answer within 1.4 s, or answers that it may lack a configuration (its own last read of the store failed or is older than 1.2 s, it is stopping, or of an earlier version), and tries another one meanwhile. Daemons that are watched read the store every 400 ms, so that a connection of theirs that has died is noticed, and a read of the watching daemon's own made, within 5 s. Versions only grow, from whatever source.

In calm no other daemon reads the store.

Ruled out: one daemon for a whole domain (117 watchers on one, and a choice to agree on); passing changes along a mesh (several hops within the bound).

--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -754,6 +754,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_configuration_watch_request (XDR *xdrs, fb_configuration_watch_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_work_amounts (XDR *xdrs, fb_work_amounts *objp)
 {
@@ -1124,6 +1136,10 @@
 		 if (!xdr_fb_configuration_request (xdrs, &objp->fb_peer_request_u.configuration))
 			 return FALSE;
 		break;
+	case FB_REQUEST_WATCH_CONFIGURATION:
+		 if (!xdr_fb_configuration_watch_request (xdrs, &objp->fb_peer_request_u.watch))
+			 return FALSE;
+		break;
 	case FB_REQUEST_ACCOUNT_PARTS:
 		 if (!xdr_fb_account_parts_request (xdrs, &objp->fb_peer_request_u.parts))
 			 return FALSE;
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -255,6 +255,7 @@
 	FB_REQUEST_LOAD_NOTICE = 17,
 	FB_REQUEST_ADMISSION = 18,
 	FB_REQUEST_RELAY_ORDER_PROGRESS = 19,
+	FB_REQUEST_WATCH_CONFIGURATION = 20,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -276,6 +277,12 @@
 };
 typedef struct fb_configuration_request fb_configuration_request;
 
+struct fb_configuration_watch_request {
+	u_quad_t config_version;
+	u_int wait_ms;
+};
+typedef struct fb_configuration_watch_request fb_configuration_watch_request;
+
 struct fb_work_amounts {
 	u_quad_t cpu_milli;
 	u_quad_t mem_mb;
@@ -443,6 +450,7 @@
 		fb_suspects_backup backup;
 		fb_account_job_state_request account_job;
 		fb_configuration_request configuration;
+		fb_configuration_watch_request watch;
 		fb_account_parts_request parts;
 		fb_load_notice notice;
 		fb_admission_request admission;
@@ -470,6 +478,7 @@
 	FB_REPLY_ACCOUNT_GRANTS = 17,
 	FB_REPLY_ADMISSION = 18,
 	FB_REPLY_ORDER_RESULT_PROGRESS = 19,
+	FB_REPLY_CONFIGURATION_UNCHANGED = 20,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -646,6 +655,7 @@
 extern  bool_t xdr_fb_job_state_request (XDR *, fb_job_state_request*);
 extern  bool_t xdr_fb_account_job_state_request (XDR *, fb_account_job_state_request*);
 extern  bool_t xdr_fb_configuration_request (XDR *, fb_configuration_request*);
+extern  bool_t xdr_fb_configuration_watch_request (XDR *, fb_configuration_watch_request*);
 extern  bool_t xdr_fb_work_amounts (XDR *, fb_work_amounts*);
 extern  bool_t xdr_fb_account_part (XDR *, fb_account_part*);
 extern  bool_t xdr_fb_account_parts_request (XDR *, fb_account_parts_request*);
@@ -703,6 +713,7 @@
 extern bool_t xdr_fb_job_state_request ();
 extern bool_t xdr_fb_account_job_state_request ();
 extern bool_t xdr_fb_configuration_request ();
+extern bool_t xdr_fb_configuration_watch_request ();
 extern bool_t xdr_fb_work_amounts ();
 extern bool_t xdr_fb_account_part ();
 extern bool_t xdr_fb_account_parts_request ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -207,9 +207,11 @@
   FB_REQUEST_ACCOUNT_PARTS = 16,    /* parts of the caps of accounts for a pool */
   FB_REQUEST_LOAD_NOTICE = 17,      /* the pool of a service is overloaded, or no longer is */
   FB_REQUEST_ADMISSION = 18,        /* whether to store a job, answered by the owner of its pool */
-  FB_REQUEST_RELAY_ORDER_PROGRESS = 19 /* as FB_REQUEST_RELAY_ORDER, answered with the progress of
+  FB_REQUEST_RELAY_ORDER_PROGRESS = 19, /* as FB_REQUEST_RELAY_ORDER, answered with the progress of
                                         * runs; daemons of earlier versions answer that they did
                                         * nothing */
+  FB_REQUEST_WATCH_CONFIGURATION = 20  /* as FB_REQUEST_CONFIGURATION, answered when there is a newer
+                                        * one or after a time */
 };
 
 struct fb_job_state_request {
@@ -228,6 +230,12 @@
   unsigned hyper config_version;
 };
 
+/* WAIT_MS: for how long the answer may be delayed while the version is the newest one. */
+struct fb_configuration_watch_request {
+  unsigned hyper config_version;
+  unsigned int wait_ms;
+};
+
 /* Amounts of resources. */
 struct fb_work_amounts {
   unsigned hyper cpu_milli;
@@ -373,6 +381,7 @@
 case FB_REQUEST_UNHEARD_STARTS: void;
 case FB_REQUEST_ACCOUNT_JOB_STATE: fb_account_job_state_request account_job;
 case FB_REQUEST_CONFIGURATION: fb_configuration_request configuration;
+case FB_REQUEST_WATCH_CONFIGURATION: fb_configuration_watch_request watch;
 case FB_REQUEST_ACCOUNT_PARTS: fb_account_parts_request parts;
 case FB_REQUEST_LOAD_NOTICE: fb_load_notice notice;
 case FB_REQUEST_ADMISSION: fb_admission_request admission;
@@ -397,7 +406,8 @@
   FB_REPLY_CONFIGURATION = 16,     /* a newer configuration */
   FB_REPLY_ACCOUNT_GRANTS = 17,
   FB_REPLY_ADMISSION = 18,
-  FB_REPLY_ORDER_RESULT_PROGRESS = 19 /* result of an order, with the progress of runs */
+  FB_REPLY_ORDER_RESULT_PROGRESS = 19, /* result of an order, with the progress of runs */
+  FB_REPLY_CONFIGURATION_UNCHANGED = 20 /* the store has no newer configuration */
 };
 
 struct fb_ticket {
--- a/src/entry/configuration.c
+++ b/src/entry/configuration.c
@@ -16,6 +16,8 @@
 /* Interval at which peers are asked, one at a time. */
 #define PEER_INTERVAL_MS 250
 #define PEER_TIMEOUT_MS 400
+/* Interval at which waiting requests of other daemons are checked. */
+#define WATCHERS_INTERVAL_MS 100
 
 uint32_t
 fb_configuration_wait_ms (uint64_t bound_ms, gboolean has_accounts)
@@ -27,13 +29,26 @@
   return (uint32_t) CLAMP (timeout_ms - ANSWER_ALLOWANCE_MS, WAIT_MIN_MS, WAIT_MAX_MS);
 }
 
+/* Daemons that others may watch notice sooner that they lack a configuration, so that a daemon has
+ * the time for a read of its own after that. */
 static uint32_t
 wait_ms (const FbEntryDaemon *entry)
 {
+  if (fb_daemons_is_large_fleet (entry->daemons) && fb_daemons_may_own (entry->daemons))
+    return WAIT_MIN_MS;
   return fb_configuration_wait_ms (entry->settings->config_bound_ms,
                                    entry->routes == NULL || entry->routes->accounts != NULL);
 }
 
+gboolean
+fb_configuration_is_current (const FbEntryDaemon *entry, uint64_t now_ms)
+{
+  const FbTopicReader *reader = entry->config_reader;
+  return !entry->stopping && !fb_topic_reader_is_suspended (reader)
+         && !fb_topic_reader_has_failed (reader)
+         && now_ms < fb_topic_reader_synced_ms (reader) + wait_ms (entry) + ANSWER_ALLOWANCE_MS;
+}
+
 gboolean
 fb_configuration_is_read_often (const FbEntryDaemon *entry)
 {
@@ -67,6 +82,7 @@
       routes->accounts != NULL ? fb_accounts_keys_n (routes->accounts) : 0, from,
       (guint) (fb_clock_ms () - entry->store_answered_ms));
   fb_topic_reader_set_wait (entry->config_reader, wait_ms (entry));
+  fb_configuration_watchers_changed (entry->configuration_watchers);
   fb_entry_foreach_owner (entry, fb_owner_routes_changed);
 }
 
@@ -89,24 +105,42 @@
 
 /* ---- from a peer ------------------------------------------------------------------ */
 
+void
+fb_configuration_fill_reply (const FbEntryDaemon *entry, fb_peer_reply *peer_reply)
+{
+  gsize len = 0;
+  fb_configuration_reply *configuration = &peer_reply->fb_peer_reply_u.configuration;
+  peer_reply->type = FB_REPLY_CONFIGURATION;
+  configuration->config_version = entry->routes->version;
+  configuration->value.value_val = (char *) g_bytes_get_data (entry->routes->source, &len);
+  configuration->value.value_len = (u_int) len;
+}
+
+void
+fb_configuration_apply_reply (FbEntryDaemon *entry, const fb_configuration_reply *reply)
+{
+  g_autoptr (GBytes) source = g_bytes_new (reply->value.value_val, reply->value.value_len);
+  apply_configuration (entry, source, "peer");
+}
+
 static void
 on_peer_reply (gpointer data, const fb_peer_reply *peer_reply)
 {
-  if (peer_reply == NULL || peer_reply->type != FB_REPLY_CONFIGURATION)
-    return;
-  const fb_configuration_reply *reply = &peer_reply->fb_peer_reply_u.configuration;
-  g_autoptr (GBytes) source = g_bytes_new (reply->value.value_val, reply->value.value_len);
-  apply_configuration (data, source, "peer");
+  if (peer_reply != NULL && peer_reply->type == FB_REPLY_CONFIGURATION)
+    fb_configuration_apply_reply (data, &peer_reply->fb_peer_reply_u.configuration);
 }
 
-/* Asks one peer for a newer version while the store does not answer: the store may turn away this
- * daemon and serve others, and a key that an operator took away must not be accepted here. */
+/* Watches another daemon where that is possible, and asks one peer for a newer version while
+ * neither it nor the store answers: the store may turn away this daemon and serve others, and a key
+ * that an operator took away must not be accepted here. */
 static void
-ask_peer_if_stale (gpointer data, uint64_t now_ms)
+check_sources (gpointer data, uint64_t now_ms)
 {
   FbEntryDaemon *entry = data;
-  if (now_ms
-      < fb_topic_reader_synced_ms (entry->config_reader) + wait_ms (entry) + ANSWER_ALLOWANCE_MS)
+  uint64_t synced_ms = MAX (fb_topic_reader_synced_ms (entry->config_reader),
+                            fb_configuration_watch_synced_ms (entry->configuration_watch));
+  fb_configuration_watch_check (entry->configuration_watch, now_ms);
+  if (now_ms < synced_ms + wait_ms (entry) + ANSWER_ALLOWANCE_MS)
     return;
   const char *peer = fb_group_any_peer (entry->group, NULL);
   if (peer == NULL)
@@ -117,9 +151,18 @@
   fb_peers_request (entry, peer, &peer_request, PEER_TIMEOUT_MS, on_peer_reply, entry);
 }
 
+static void
+check_watchers (gpointer data, uint64_t now_ms)
+{
+  fb_configuration_watchers_check (((FbEntryDaemon *) data)->configuration_watchers, now_ms);
+}
+
 void
 fb_configuration_watch (FbEntryDaemon *entry)
 {
   entry->config_reader = fb_topic_reader_new (entry, FB_TOPIC_CONFIG, 0, 0, &reader_ops, entry);
-  fb_timer_subscribe (entry->timer, PEER_INTERVAL_MS, ask_peer_if_stale, entry);
+  entry->configuration_watchers = fb_configuration_watchers_new (entry);
+  entry->configuration_watch = fb_configuration_watch_new (entry);
+  fb_timer_subscribe (entry->timer, PEER_INTERVAL_MS, check_sources, entry);
+  fb_timer_subscribe (entry->timer, WATCHERS_INTERVAL_MS, check_watchers, entry);
 }
--- a/src/entry/configuration.h
+++ b/src/entry/configuration.h
@@ -1,10 +1,12 @@
-/* Keeps the newest configuration in force: reads it from the store and, while the store does not
- * answer this daemon, from other daemons.
+/* Keeps the newest configuration in force: reads it from the store, or learns of it from a daemon
+ * that does (configuration-watch.h), and asks any other daemon while neither answers.
  *
  * The version only grows, whatever the source: an older configuration is never applied after a
  * newer one. */
 #pragma once
 
+#include "rpc/work.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -17,5 +19,12 @@
  * be reached. */
 gboolean fb_configuration_is_read_often (const FbEntryDaemon *entry);
 
+/* Returns: TRUE while this daemon reads the configuration from the store, and any that is newer
+ * than the one in force was stored in the last moments only. */
+gboolean fb_configuration_is_current (const FbEntryDaemon *entry, uint64_t now_ms);
+/* Makes PEER_REPLY one with the configuration in force, which it borrows. */
+void fb_configuration_fill_reply (const FbEntryDaemon *entry, fb_peer_reply *peer_reply);
+/* Applies the configuration in REPLY if it is valid and newer than the one in force. */
+void fb_configuration_apply_reply (FbEntryDaemon *entry, const fb_configuration_reply *reply);
 /* Starts reading the configuration into ENTRY->routes. */
 void fb_configuration_watch (FbEntryDaemon *entry);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "clock.h"
+#include "configuration-watch.h"
+#include "configuration-watchers.h"
 #include "link-monitor.h"
 #include "loop-monitor.h"
 #include "routes.h"
@@ -54,6 +56,8 @@
   FbLinks *links;   /* connections to the other daemons */
   FbRoutes *routes; /* NULL until the first configuration */
   FbTopicReader *config_reader;
+  FbConfigurationWatch *configuration_watch;
+  FbConfigurationWatchers *configuration_watchers;
   FbTopicReader *worker_reader; /* NULL until this daemon owns a partition */
   FbWorkerList *workers;
   GHashTable *malformed_ids; /* ids of malformed worker entries that have been logged */
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -2,6 +2,7 @@
  *
  * Only the encoding of ONC RPC is used: its client blocks a thread for each open call, and here
  * hundreds of calls are open on one thread with a fraction of a core. */
+#include "src/entry/configuration.h"
 #include "src/entry/entry-private.h"
 
 #include "fb-event.h"
@@ -49,6 +50,7 @@
     case FB_REQUEST_BACK_UP_SUSPECTS:
       return FB_TRAFFIC_PEER_RECORDS;
     case FB_REQUEST_CONFIGURATION:
+    case FB_REQUEST_WATCH_CONFIGURATION:
       return FB_TRAFFIC_PEER_CONFIGURATION;
     case FB_REQUEST_ACCOUNT_PARTS:
       return FB_TRAFFIC_ACCOUNT_PARTS;
@@ -402,11 +404,7 @@
       send_reply (served, NULL);
       return;
     }
-  gsize len = 0;
-  fb_configuration_reply *configuration = &peer_reply.fb_peer_reply_u.configuration;
-  configuration->config_version = routes->version;
-  configuration->value.value_val = (char *) g_bytes_get_data (routes->source, &len);
-  configuration->value.value_len = (u_int) len;
+  fb_configuration_fill_reply (entry, &peer_reply);
   send_reply (served, &peer_reply);
 }
 
@@ -472,6 +470,10 @@
     case FB_REQUEST_CONFIGURATION:
       reply_with_configuration (entry, &peer_request->fb_peer_request_u.configuration, served);
       return;
+    case FB_REQUEST_WATCH_CONFIGURATION:
+      fb_configuration_watchers_add (entry->configuration_watchers,
+                                     &peer_request->fb_peer_request_u.watch, send_reply, served);
+      return;
     case FB_REQUEST_LOAD_NOTICE:
       fb_load_notices_put (entry->load_notices, &peer_request->fb_peer_request_u.notice,
                            fb_clock_ms ());
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -48,6 +48,8 @@
   uint32_t page_silence_ms; /* time without data after which the next page of a listing times out */
   guint timer;
   gboolean skip_pause; /* the next pause is skipped */
+  gboolean suspended;  /* no call is sent after the open one */
+  gboolean failed;     /* the last call has failed */
   gboolean call_open;
   gboolean in_reply; /* callbacks are running, which may free this reader */
   gboolean freed;
@@ -76,6 +78,7 @@
 static void
 retry_later (FbTopicReader *self)
 {
+  self->failed = TRUE;
   uint32_t wait_ms = self->retry_ms + (uint32_t) g_random_int_range (0, RETRY_MIN_MS);
   self->retry_ms = MIN (self->retry_ms * 2, RETRY_MAX_MS);
   self->timer = g_timeout_add (wait_ms, on_retry, self);
@@ -130,6 +133,7 @@
       self->synced_ms = self->listing_ms;
       self->ops->listed (self->user);
     }
+  self->failed = FALSE;
   self->retry_ms = RETRY_MIN_MS;
   send_call (self);
 }
@@ -148,6 +152,7 @@
       begin_listing (self);
       break;
     case FB_READ_OK:
+      self->failed = FALSE;
       self->retry_ms = RETRY_MIN_MS;
       deliver_records (self, records);
       if (self->next_offset >= end)
@@ -184,7 +189,7 @@
 static void
 send_call (FbTopicReader *self)
 {
-  if (self->freed)
+  if (self->freed || (self->suspended && !self->listing))
     return;
   FbHttpCall call;
   const char *store = self->entry->settings->store;
@@ -249,6 +254,26 @@
   self->wait_ms = wait_ms;
 }
 
+void
+fb_topic_reader_set_suspended (FbTopicReader *self, gboolean suspended)
+{
+  self->suspended = suspended;
+  if (!suspended && !self->call_open && self->timer == 0)
+    send_call (self);
+}
+
+gboolean
+fb_topic_reader_is_suspended (const FbTopicReader *self)
+{
+  return self->suspended;
+}
+
+gboolean
+fb_topic_reader_has_failed (const FbTopicReader *self)
+{
+  return self->failed;
+}
+
 uint64_t
 fb_topic_reader_synced_ms (const FbTopicReader *self)
 {
--- a/src/entry/store/topic-reader.h
+++ b/src/entry/store/topic-reader.h
@@ -23,6 +23,11 @@
 void fb_topic_reader_skip_pause (FbTopicReader *self);
 /* Sets for how long the store may delay its answer while there is nothing new. */
 void fb_topic_reader_set_wait (FbTopicReader *self, uint32_t wait_ms);
+/* While SUSPENDED, nothing is read after the call that is open, unless a listing is in progress. */
+void fb_topic_reader_set_suspended (FbTopicReader *self, gboolean suspended);
+gboolean fb_topic_reader_is_suspended (const FbTopicReader *self);
+/* Returns: TRUE when the last call has failed and none has been answered since. */
+gboolean fb_topic_reader_has_failed (const FbTopicReader *self);
 /* Returns: the time at which the last answered read was sent: every record that was stored before
  * then has been read; 0 while the first listing is incomplete. */
 uint64_t fb_topic_reader_synced_ms (const FbTopicReader *self);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -38,6 +38,7 @@
 verdict "client accounts" $B/tests/test-accounts
 verdict "client accounts in pools" $B/tests/test-account-pools
 verdict "HTTP client" $B/tests/test-http
+verdict "configurations in a large fleet" $B/tests/test-configuration
 verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
 verdict "list of daemons" $B/tests/test-daemons
