Records not accepted: hold also the ends processed while the flush was open

Cause: found in reading. When the store refused the record of a job, the ends in the flush were held; an end of that job that came while the append was open was in neither, and the next flush, which leaves the job's larger record out, acknowledged it: its worker would forget an end that is stored nowhere, and the next owner would run the task again.

Change: all ends that are not acknowledged when the refusal arrives are held until the job's record is accepted.

Measured: test-store-limits ends 100 more runs while the flush is open; the test fails without the change.

--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -214,15 +214,16 @@
     hold_end (worker, number);
 }
 
-/* Any new end in the open flush may be one of the job that is not stored. */
+/* Any end that is not acknowledged yet may be one of the job that is not stored, also one that was
+ * processed after the open flush began. */
 static void
-hold_flushing_ends (FbPool *self)
+hold_processed_ends (FbPool *self)
 {
   guint slot = 0;
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (worker->flushing_end > worker->acknowledged)
+      if (worker->processed_end > worker->acknowledged)
         hold_end (worker, worker->acknowledged + 1);
     }
 }
@@ -246,7 +247,7 @@
     return;
   self->not_accepted_n += job->not_accepted_bytes == 0;
   job->not_accepted_bytes = bytes;
-  hold_flushing_ends (self);
+  hold_processed_ends (self);
 }
 
 /* The record of JOB has been stored. */
--- a/tests/test-store-limits.c
+++ b/tests/test-store-limits.c
@@ -244,12 +244,11 @@
   g_free (self->settings.store);
 }
 
-/* Flushes the pool and waits until the flush has ended.  Returns: FALSE when it does not end. */
+/* Waits until the open flush has ended.  Returns: FALSE when it does not end. */
 static gboolean
-flush (Fixture *self)
+await_flush (Fixture *self)
 {
   uint64_t until_ms = fb_clock_ms () + TIMEOUT_MS;
-  fb_owner_flush (&self->service_pool);
   while (self->owner.open_flushes > 0 && fb_clock_ms () < until_ms)
     {
       (void) g_main_context_iteration (NULL, FALSE);
@@ -258,6 +257,13 @@
   return self->owner.open_flushes == 0 && !self->owner.stepped_down;
 }
 
+static gboolean
+flush (Fixture *self)
+{
+  fb_owner_flush (&self->service_pool);
+  return await_flush (self);
+}
+
 /* Returns: (transfer full): all records of the topic, key -> GBytes. */
 static GHashTable *
 read_all (const Fixture *self)
@@ -337,6 +343,7 @@
 #define SMALL_JOB "00000000000000b2"
 #define LARGE_JOB_TASKS 9000
 #define LARGE_JOB_ENDS 8000
+#define LATER_ENDS 100
 #define CHECKPOINT "checkpoint-of-a-usual-length"
 
 /* A record that the store does not accept stops neither the other jobs of its pool, nor is any end
@@ -349,21 +356,26 @@
   CU_ASSERT_TRUE_FATAL (begin (&self, 64));
   /* The settings allow larger records than the store. */
   self.settings.record_max_bytes = 4 * RECORD_MAX_BYTES;
-  large_pool_admit (&self.large, LARGE_JOB, LARGE_JOB_TASKS, 0, self.now_ms);
+  large_pool_admit (&self.large, LARGE_JOB, LARGE_JOB_TASKS, 100, self.now_ms);
   large_pool_admit (&self.large, SMALL_JOB, 2, 1000, self.now_ms);
   run_for (&self, 300);
   CU_ASSERT_EQUAL (large_pool_end_runs (&self.large, LARGE_JOB, LARGE_JOB_ENDS, CHECKPOINT),
                    LARGE_JOB_ENDS);
   CU_ASSERT_EQUAL (large_pool_end_runs (&self.large, SMALL_JOB, 2, ""), 2);
   run_for (&self, 5);
-  CU_ASSERT_TRUE (flush (&self));
+  fb_owner_flush (&self.service_pool);
+  /* Other runs end while the flush is open. */
+  CU_ASSERT_EQUAL (large_pool_end_runs (&self.large, LARGE_JOB, LATER_ENDS, CHECKPOINT),
+                   LATER_ENDS);
+  run_for (&self, 5);
+  CU_ASSERT_TRUE (await_flush (&self));
   CU_ASSERT_TRUE (fb_pool_job_state (self.large.pool, SMALL_JOB, &state));
   CU_ASSERT_EQUAL (state, FB_WORK_COMPLETED);
   guint held_n = unacknowledged_n (&self.large, LARGE_JOB);
   run_for (&self, 20);
   CU_ASSERT_TRUE (flush (&self));
   run_for (&self, 20);
-  CU_ASSERT_TRUE (held_n == LARGE_JOB_ENDS);
+  CU_ASSERT_TRUE (held_n == LARGE_JOB_ENDS + LATER_ENDS);
   CU_ASSERT_EQUAL (unacknowledged_n (&self.large, LARGE_JOB), held_n);
   g_autoptr (GHashTable) records = read_all (&self);
   CU_ASSERT_FALSE (g_hash_table_contains (records, LARGE_JOB));
@@ -384,7 +396,7 @@
 {
   static Fixture self;
   CU_ASSERT_TRUE_FATAL (begin (&self, 64));
-  large_pool_admit (&self.large, LARGE_JOB, LARGE_JOB_TASKS, 0, self.now_ms);
+  large_pool_admit (&self.large, LARGE_JOB, LARGE_JOB_TASKS, 100, self.now_ms);
   run_for (&self, 300);
   CU_ASSERT_EQUAL (large_pool_end_runs (&self.large, LARGE_JOB, LARGE_JOB_ENDS, CHECKPOINT),
                    LARGE_JOB_ENDS);
