Store: the list of workers is read only while a pool is owned

Cause: a daemon that had ever owned a pool read the list of workers for the rest of its life: 0.5 MB/s with 6,000 workers, on some six daemons after the start of the fleet.

Change: the reader of the list is stopped 5 s after the last pool is gone; the next takeover lists the workers anew, as that of any other daemon. A failed request for the owners is repeated after the usual interval, or when a caller waits for an owner.

--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -58,7 +58,9 @@
   FbTopicReader *config_reader;
   FbConfigurationWatch *configuration_watch;
   FbConfigurationWatchers *configuration_watchers;
-  FbTopicReader *worker_reader; /* NULL until this daemon owns a partition */
+  FbTopicReader *worker_reader; /* NULL unless this daemon owns a pool, or has until recently */
+  uint64_t
+      without_pools_ms; /* time since which it has owned none while it is read; 0: it owns one */
   FbWorkerList *workers;
   GHashTable *malformed_ids; /* ids of malformed worker entries that have been logged */
   GHashTable *listed_ids;    /* ids in the listing in progress; NULL: none in progress */
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -29,6 +29,9 @@
  * returns at the first change, so that without a pause 48 workers would cause 32 polls a second.  A
  * worker that leaves has to be detected within 2 s. */
 #define WORKER_LIST_PAUSE_MS 300
+/* Time without a pool after which the worker list is no longer read: its entries change at the rate
+ * of the workers' heartbeats, 0.5 MB/s with 6,000 workers. */
+#define WORKER_LIST_KEPT_MS 5000
 
 uint64_t
 fb_clock_ms (void)
@@ -366,11 +369,23 @@
     }
 }
 
+static void
+stop_unused_worker_list (FbEntryDaemon *self, uint64_t now_ms)
+{
+  if (g_hash_table_size (self->owners) > 0 || self->worker_reader == NULL)
+    self->without_pools_ms = 0;
+  else if (self->without_pools_ms == 0)
+    self->without_pools_ms = now_ms;
+  else if (now_ms >= self->without_pools_ms + WORKER_LIST_KEPT_MS)
+    g_clear_pointer (&self->worker_reader, fb_topic_reader_free);
+}
+
 static void
 release_lost_partitions (gpointer data, uint64_t now_ms)
 {
   FbEntryDaemon *self = data;
   check_store_lost (self, now_ms);
+  stop_unused_worker_list (self, now_ms);
   g_autoptr (GList) owned = g_hash_table_get_keys (self->owners);
   for (GList *l = owned; l != NULL; l = l->next)
     {
--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -201,7 +201,6 @@
   else
     {
       self->owners_generation = 0;
-      self->owners_changed = TRUE;
       request_owners_from_peer (self);
     }
   reconsider_join (self);
