Relays: a late loop excuses missing answers only from half of the order's timeout on

Cause: found in reading. Daemons of 0.12 and 0.25 of a core are often 100 ms late; they would have gone on to use a relay that was killed, for each order until its timeout, until the list of daemons dropped it 2 s later.

Change: the main loop has to have been late by half of the timeout of the order that failed: 150 ms for a first poll, 375 ms for a start, 625 ms for a poll that waits.

Measured: test-relay.

--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -30,8 +30,9 @@
 
 /* Time for which a relay that did not answer is not used. */
 #define BACKOFF_MS 3000
-/* Delay of this daemon's main loop from which missing answers do not count against a relay. */
-#define LOOP_LATE_MS 100
+/* Part of an order's timeout for which this daemon's main loop was late if a missing answer does
+ * not count against the relay. */
+#define LOOP_LATE_DIVISOR 2
 /* Added to an order's own timeout for the network delay to the relay and back. */
 #define NETWORK_DELAY_MS 150
 /* Timeout of a start or stop.  An answer takes a few ms; a worker that hangs should not block its
@@ -233,6 +234,7 @@
    * this one has been sent as well. */
   GBytes *plain_poll;
   gboolean sent_again; /* PLAIN_POLL was sent */
+  uint32_t timeout_ms;
   uint64_t timeout_at_ms;
 } RelayedOrder;
 
@@ -284,11 +286,13 @@
  * the cause.  Without relays the owner would call thousands of workers itself, and be later still.
  */
 static void
-back_off (FbEntryDaemon *entry, const char *daemon)
+back_off (const RelayedOrder *relayed)
 {
+  FbEntryDaemon *entry = relayed->entry;
   uint64_t now_ms = fb_clock_ms ();
-  if (fb_loop_monitor_max_delay_ms (entry->loop_monitor, now_ms) < LOOP_LATE_MS)
-    fb_daemons_back_off_relay (entry->daemons, daemon, now_ms + BACKOFF_MS);
+  uint32_t late_ms = fb_loop_monitor_max_delay_ms (entry->loop_monitor, now_ms);
+  if (late_ms < relayed->timeout_ms / LOOP_LATE_DIVISOR)
+    fb_daemons_back_off_relay (entry->daemons, relayed->daemon, now_ms + BACKOFF_MS);
 }
 
 static gboolean
@@ -315,7 +319,7 @@
     {
       fb_event_log (FB_EVENT_CALL_FAILED, "relayed order daemon=%s lost=%d", relayed->daemon,
                     peer_reply == NULL);
-      back_off (relayed->entry, relayed->daemon);
+      back_off (relayed);
     }
   if (answered)
     relayed->done (relayed->user, FB_RELAY_ANSWERED, peer_reply);
@@ -368,6 +372,7 @@
   relayed->user = user;
   uint64_t now_ms = fb_clock_ms ();
   uint32_t timeout_ms = order_timeout_ms (order) + NETWORK_DELAY_MS;
+  relayed->timeout_ms = timeout_ms;
   relayed->timeout_at_ms = now_ms + timeout_ms;
   fb_peer_request peer_request = { .type = FB_REQUEST_RELAY_ORDER };
   peer_request.fb_peer_request_u.order = *order;
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -447,7 +447,7 @@
       g_autofree char *own_address = test_unused_address ();
       FbEntryDaemon entry = { .links = fb_links_new (own_address, serve_relay, NULL),
                               .payload_dedup = fb_payload_dedup_new (2000),
-                              .loop_monitor = fb_loop_monitor_new (25, fb_clock_ms () - 400) };
+                              .loop_monitor = fb_loop_monitor_new (25, fb_clock_ms () - 500) };
       Results results = { 0 };
       FbLoopDelays delays;
       backed_off_n = 0;
