Placement: one piece chooses between the shared search and one for a single task

Cause: re-reading found the choice between fb_pool_candidates_best() and fb_pool_best_worker() in both callers, with different care. fb_pool_choose_workers() kept using costs that a task with a search of its own had made outdated, so in a step whose number of tasks per worker is limited its choice could differ from that of a search for each task; fb_pool_place() searched twice for each task while a worker was kept free for one. Change: fb_pool_candidates_best() chooses for any task, searches by itself where that is needed, and begins a new search after that; both callers only call it. Comments of this test file now say in one line what each test guards against.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -354,6 +354,7 @@
 FbPoolWorker *fb_pool_best_other_worker (FbPool *self, FbPoolStep *step, uint32_t index,
                                          const FbPoolWorker *excluded, gboolean *has_ticket,
                                          uint64_t now_ms);
+
 /* pool-candidates.c: the search of fb_pool_best_worker() for many tasks of a step. */
 
 typedef struct _FbPoolCandidates FbPoolCandidates;
@@ -363,10 +364,10 @@
                                           FbPoolTicketRule rule, uint64_t now_ms);
 void fb_pool_candidates_free (FbPoolCandidates *self);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (FbPoolCandidates, fb_pool_candidates_free)
-/* FALSE when task INDEX has conditions of its own and needs fb_pool_best_worker(). */
+/* FALSE when task INDEX has conditions of its own and needs a search of its own. */
 gboolean fb_pool_candidates_suit (const FbPoolCandidates *self, uint32_t index);
-/* Returns: (nullable): the best worker for task INDEX, which suits.  Only the worker returned last
- * may have taken tasks since then. */
+/* Returns: (nullable): the best worker for task INDEX.  Only the worker returned last may have
+ * taken tasks since then. */
 FbPoolWorker *fb_pool_candidates_best (FbPoolCandidates *self, uint32_t index);
 
 /* pool-choose.c */
--- a/src/work/pool-candidates.c
+++ b/src/work/pool-candidates.c
@@ -4,7 +4,8 @@
  * changes the cost only of the worker that takes it.  With a search for each task, an owner of
  * 4,320 workers spent 80 ms on a step of 300 tasks in one iteration of its main loop.
  *
- * The result is the same as that of fb_pool_best_worker() for each task. */
+ * A task for which other conditions count than for the step gets a search of its own.  The result
+ * is always the same as that of fb_pool_best_worker(). */
 #include "internal/pool-crash.h"
 
 typedef struct
@@ -17,10 +18,13 @@
 {
   FbPool *pool;
   FbPoolStep *step;
+  const char *rack; /* NULL: any */
   FbPoolTicketRule rule;
   FbSlownessRule slowness;
   uint64_t now_ms;
   GArray *heap; /* of Candidate, the one of lowest cost first */
+  /* The worker of a task with a search of its own costs less now, but is not first in the heap. */
+  gboolean is_outdated;
   /* A worker is kept free for one task, so each task needs a search of its own. */
   gboolean has_exclusive;
 };
@@ -87,23 +91,18 @@
   return fb_pool_placement_cost (worker, self->step, &self->slowness);
 }
 
-FbPoolCandidates *
-fb_pool_candidates_new (FbPool *pool, FbPoolStep *step, const char *rack, FbPoolTicketRule rule,
-                        uint64_t now_ms)
+static void
+search (FbPoolCandidates *self)
 {
-  FbPoolCandidates *self = g_new0 (FbPoolCandidates, 1);
   guint slot = 0;
   FbPoolWorker *worker = NULL;
-  self->pool = pool;
-  self->step = step;
-  self->rule = rule;
-  self->slowness = fb_pool_slowness_rule (pool, step, now_ms);
-  self->now_ms = now_ms;
-  self->heap = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  pool->visits_n += pool->worker_slots->len;
-  while ((worker = fb_pool_worker_slots_next (pool, &slot)) != NULL)
+  g_array_set_size (self->heap, 0);
+  self->is_outdated = FALSE;
+  self->pool->visits_n += self->pool->worker_slots->len;
+  while ((worker = fb_pool_worker_slots_next (self->pool, &slot)) != NULL)
     {
-      if ((rack != NULL && g_strcmp0 (rack, worker->rack) != 0) || !is_eligible (self, worker))
+      if ((self->rack != NULL && g_strcmp0 (self->rack, worker->rack) != 0)
+          || !is_eligible (self, worker))
         continue;
       const Candidate candidate = { worker, cost_of (self, worker) };
       g_array_append_val (self->heap, candidate);
@@ -111,6 +110,21 @@
     }
   for (guint i = self->heap->len / 2; i > 0; i--)
     sift_down (self, i - 1);
+}
+
+FbPoolCandidates *
+fb_pool_candidates_new (FbPool *pool, FbPoolStep *step, const char *rack, FbPoolTicketRule rule,
+                        uint64_t now_ms)
+{
+  FbPoolCandidates *self = g_new0 (FbPoolCandidates, 1);
+  self->pool = pool;
+  self->step = step;
+  self->rack = rack;
+  self->rule = rule;
+  self->slowness = fb_pool_slowness_rule (pool, step, now_ms);
+  self->now_ms = now_ms;
+  self->heap = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  search (self);
   return self;
 }
 
@@ -147,8 +161,9 @@
   return FALSE;
 }
 
-FbPoolWorker *
-fb_pool_candidates_best (FbPoolCandidates *self, uint32_t index)
+/* Returns: (nullable): the first candidate that may take task INDEX. */
+static FbPoolWorker *
+find_first (FbPoolCandidates *self, uint32_t index)
 {
   g_autoptr (GArray) skipped = g_array_new (FALSE, FALSE, sizeof (Candidate));
   FbPoolWorker *best = NULL;
@@ -170,3 +185,15 @@
     push (self, &g_array_index (skipped, Candidate, i));
   return best;
 }
+
+FbPoolWorker *
+fb_pool_candidates_best (FbPoolCandidates *self, uint32_t index)
+{
+  if (self->is_outdated && fb_pool_candidates_suit (self, index))
+    search (self);
+  if (fb_pool_candidates_suit (self, index))
+    return find_first (self, index);
+  self->is_outdated = TRUE;
+  return fb_pool_best_worker (self->pool, self->step, index, self->rack, NULL, self->rule,
+                              self->now_ms);
+}
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -278,9 +278,7 @@
         continue;
       if (candidates == NULL)
         candidates = fb_pool_candidates_new (self, step, rack, rule, now_ms);
-      chosen[n] = fb_pool_candidates_suit (candidates, i)
-                      ? fb_pool_candidates_best (candidates, i)
-                      : fb_pool_best_worker (self, step, i, rack, NULL, rule, now_ms);
+      chosen[n] = fb_pool_candidates_best (candidates, i);
       if (chosen[n] == NULL)
         break;
       g_autofree char *name = counted ? fb_pool_task_name (step, i) : NULL;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -61,20 +61,6 @@
     g_ptr_array_remove_index (reserved_on, position);
 }
 
-/* Returns: (nullable): the worker for task INDEX.  CANDIDATES: those of the step, made when they
- * are first needed; NULL: not so far. */
-static FbPoolWorker *
-choose_worker (FbPool *self, FbPoolStep *step, uint32_t index, FbPoolCandidates **candidates,
-               uint64_t now_ms)
-{
-  if (*candidates == NULL)
-    *candidates = fb_pool_candidates_new (self, step, NULL, FB_TICKET_VALID, now_ms);
-  if (fb_pool_candidates_suit (*candidates, index))
-    return fb_pool_candidates_best (*candidates, index);
-  g_clear_pointer (candidates, fb_pool_candidates_free);
-  return fb_pool_best_worker (self, step, index, NULL, NULL, FB_TICKET_VALID, now_ms);
-}
-
 /* Places the pending tasks of STEP until the iteration has done enough. RESERVED_ON: ids of the
  * workers on which capacity was reserved; those that get a task are removed. Returns: TRUE when no
  * task is left without capacity. */
@@ -99,7 +85,9 @@
         }
       FbPoolTask *task = &step->tasks[i];
       gboolean postponed = fb_pool_start_is_postponed (self, step, i, now_ms);
-      FbPoolWorker *worker = postponed ? NULL : choose_worker (self, step, i, &candidates, now_ms);
+      if (candidates == NULL && !postponed)
+        candidates = fb_pool_candidates_new (self, step, NULL, FB_TICKET_VALID, now_ms);
+      FbPoolWorker *worker = postponed ? NULL : fb_pool_candidates_best (candidates, i);
       if (worker == NULL && !postponed)
         return FALSE;
       if (postponed || fb_pool_crash_waits_for_stable (worker, task, now_ms))
--- a/tests/test-large-pool.c
+++ b/tests/test-large-pool.c
@@ -1,5 +1,4 @@
-/* Costs of a pool that grow with its workers.  Workers visited are counted, and printed with the
- * processor time. */
+/* Costs of a pool that grow with its workers: workers visited, and processor time. */
 #include "large-pool.h"
 
 #include "fb-event.h"
@@ -81,8 +80,7 @@
   return g_string_free (chosen, FALSE);
 }
 
-/* Placing the tasks of a step with one search over the workers must choose the same workers as a
- * search for each task. */
+/* Guards against one search for a step that chooses other workers than one for each task. */
 static void
 test_one_search_chooses_the_same_workers (void)
 {
@@ -95,6 +93,57 @@
     }
 }
 
+/* All tasks but the last one of so many are suspect. */
+#define SUSPECT_EVERY 4
+#define CHOSEN_N 40
+/* Age of an answer that is overdue, but not so long that the worker counts as silent. */
+#define OVERDUE_MS 650
+
+/* An idle pool in which the best worker for a step is not the best one for its suspect tasks. */
+static FbPoolStep *
+begin_with_suspect_tasks (LargePool *large, uint64_t *now_ms)
+{
+  uint32_t first = 0;
+  large_pool_begin (large, 60, *now_ms);
+  large_pool_recover (large, now_ms);
+  large_pool_admit (large, JOB, JOB_TASKS, 1100, *now_ms);
+  FbPoolStep *step = fb_pool_find_task (large->pool, JOB ".0.0.0", &first);
+  /* Tasks that are chosen together take up capacity only where their number is limited. */
+  step->job->record.spec.steps.steps_val[0].max_per_worker = JOB_TASKS;
+  FbPoolWorker *best
+      = fb_pool_best_worker (large->pool, step, first, NULL, NULL, FB_TICKET_VALID, *now_ms);
+  best->last_answer_ms = *now_ms - OVERDUE_MS;
+  for (uint32_t i = 0; i < CHOSEN_N; i++)
+    step->tasks[i].unresolved_losses_n = i % SUSPECT_EVERY != SUSPECT_EVERY - 1;
+  return step;
+}
+
+/* Guards against outdated costs after a task of the step that got a search of its own. */
+static void
+test_one_search_allows_for_suspect_tasks (void)
+{
+  static LargePool large;
+  uint64_t now_ms = 100000;
+  FbPoolWorker *each[CHOSEN_N];
+  FbPoolWorker *all[CHOSEN_N];
+  FbPoolRun *runs[CHOSEN_N];
+  FbPoolStep *step = begin_with_suspect_tasks (&large, &now_ms);
+  for (uint32_t i = 0; i < CHOSEN_N; i++)
+    {
+      each[i] = fb_pool_best_worker (large.pool, step, i, NULL, NULL, FB_TICKET_VALID, now_ms);
+      g_autofree char *name = fb_pool_task_name (step, i);
+      runs[i] = fb_pool_worker_add_run (each[i], step, i, name, 0);
+    }
+  for (uint32_t i = 0; i < CHOSEN_N; i++)
+    fb_pool_worker_drop_run (each[i], runs[i]);
+  CU_ASSERT_EQUAL (
+      fb_pool_choose_workers (large.pool, step, CHOSEN_N, NULL, FB_TICKET_VALID, all, now_ms),
+      CHOSEN_N);
+  for (uint32_t i = 0; i < CHOSEN_N; i++)
+    CU_ASSERT_PTR_EQUAL (all[i], each[i]);
+  large_pool_clear (&large);
+}
+
 /* ---- polls of a takeover ------------------------------------------------------------------ */
 
 static guint
@@ -108,8 +157,7 @@
   return n;
 }
 
-/* An owner that polls all its workers in one iteration reads no answer meanwhile, takes its relays
- * for unreachable, and polls again. */
+/* Guards against an owner that polls all its workers at once and reads no answer meanwhile. */
 static void
 test_first_polls_are_paced (void)
 {
@@ -134,8 +182,7 @@
 
 #define SILENCE_MAX_BYTES 700000
 
-/* The records of 17,000 workers of which most fall silent must not exceed an append of the store,
- * or neither is stored. */
+/* Guards against records of workers that exceed an append of the store together. */
 static void
 test_record_of_silent_workers_is_bounded (void)
 {
@@ -219,8 +266,7 @@
   large_pool_clear (&large);
 }
 
-/* A turn of an owner that takes over a pool with a backlog is short enough for joins, leases and
- * the answers of workers, and the whole costs no more for each worker as the pool grows. */
+/* Guards against turns of a takeover that delay joins, and costs per worker that grow. */
 static void
 test_turns_of_a_takeover_are_bounded (void)
 {
@@ -247,6 +293,8 @@
   CU_pSuite suite = CU_add_suite ("large pools", NULL, NULL);
   CU_add_test (suite, "one search chooses the same workers",
                test_one_search_chooses_the_same_workers);
+  CU_add_test (suite, "one search allows for suspect tasks",
+               test_one_search_allows_for_suspect_tasks);
   CU_add_test (suite, "first polls are paced", test_first_polls_are_paced);
   CU_add_test (suite, "the record of silent workers is bounded",
                test_record_of_silent_workers_is_bounded);
