Entry: who may own, and a newer configuration, are decided in one place

Cause: re-reading found three conditions written twice: the processor share of a daemon that may own pools (daemons.c, configuration-watch.c, with different rounding), whether the configuration in force is newer than a requester's (peers.c, configuration-watchers.c), and the failure of a topic reader, which its retry interval shows already. Each call of a worker read the clock for a log entry that is written only while calls are limited. Change: fb_daemons_owner_min_milli() and fb_configuration_is_newer() serve both places, so exactly the daemons that may own pools are watched; FbTopicReader.failed is gone; the clock is read only while calls are limited. fb_configuration_watch_choose(), used in its own file only, is static. Result: no change in behaviour, but that a daemon whose share is half of an odd number, rounded down, is no longer watched. Tests of the configuration, daemons, join policy, relay, links, calls and entry pass.

--- a/src/entry/configuration-watch.c
+++ b/src/entry/configuration-watch.c
@@ -15,8 +15,6 @@
 #define ANSWER_ALLOWANCE_MS 400
 /* Time for which a daemon is not watched after it did not answer, or could not tell. */
 #define AVOID_MS 10000
-/* Minimum processor share of a daemon that is watched, as a percentage of the largest one. */
-#define WATCHED_CPU_MIN_PERCENT 50
 
 struct _FbConfigurationWatch
 {
@@ -58,16 +56,16 @@
          && (avoided_until_ms == NULL || choice->now_ms >= *avoided_until_ms);
 }
 
-const FbDaemon *
-fb_configuration_watch_choose (const GPtrArray *members, const char *domain,
-                               const char *own_address, GHashTable *avoided, uint64_t now_ms)
+/* Returns: (nullable): the daemon that this one watches: one of its domain that may own pools, if
+ * it is not avoided; borrowed. */
+static const FbDaemon *
+choose_watched (const FbConfigurationWatch *self, uint64_t now_ms)
 {
-  uint64_t max_milli = 0;
-  for (guint i = 0; i < members->len; i++)
-    max_milli = MAX (max_milli, ((const FbDaemon *) members->pdata[i])->cpu_milli);
-  const Choice choice
-      = { domain, own_address, avoided, max_milli * WATCHED_CPU_MIN_PERCENT / 100, now_ms };
-  return fb_rendezvous_choose (members, own_address, may_be_watched, &choice);
+  const FbEntrySettings *settings = self->entry->settings;
+  const GPtrArray *members = fb_daemons_all (self->entry->daemons);
+  const Choice choice = { settings->domain, settings->peers, self->avoided,
+                          fb_daemons_owner_min_milli (members), now_ms };
+  return fb_rendezvous_choose (members, settings->peers, may_be_watched, &choice);
 }
 
 /* TRUE when this daemon need not read the configuration from the store: it is one of many, owns no
@@ -137,10 +135,7 @@
   FbEntryDaemon *entry = self->entry;
   if (self->asked != NULL)
     return;
-  const FbDaemon *member = may_watch (self) ? fb_configuration_watch_choose (
-                               fb_daemons_all (entry->daemons), entry->settings->domain,
-                               entry->settings->peers, self->avoided, now_ms)
-                                            : NULL;
+  const FbDaemon *member = may_watch (self) ? choose_watched (self, now_ms) : NULL;
   if (member == NULL)
     {
       set_watched (self, NULL, "no daemon can be watched");
--- a/src/entry/configuration-watch.h
+++ b/src/entry/configuration-watch.h
@@ -18,11 +18,3 @@
  * stored before then, but for the time within which the watched daemon notices that it lacks one,
  * is in force; 0: never. */
 uint64_t fb_configuration_watch_synced_ms (const FbConfigurationWatch *self);
-
-/* Returns: (nullable): the daemon that the one at OWN_ADDRESS in DOMAIN watches: among MEMBERS, of
- * FbDaemon, one of the domain with at least half of the largest processor share, not in AVOIDED,
- * address
- * -> time until which it is avoided; borrowed. */
-const FbDaemon *fb_configuration_watch_choose (const GPtrArray *members, const char *domain,
-                                               const char *own_address, GHashTable *avoided,
-                                               uint64_t now_ms);
--- a/src/entry/configuration-watchers.c
+++ b/src/entry/configuration-watchers.c
@@ -30,19 +30,12 @@
   return self;
 }
 
-static gboolean
-is_newer_than (const FbEntryDaemon *entry, uint64_t config_version)
-{
-  return entry->routes != NULL && entry->routes->version > config_version;
-}
-
 /* Answers WATCHER with the configuration if it is newer, else with TYPE, and frees WATCHER. */
 static void
 answer (const FbConfigurationWatchers *self, Watcher *watcher, fb_peer_reply_type type)
 {
   fb_peer_reply peer_reply = { .type = type };
-  if (is_newer_than (self->entry, watcher->config_version))
-    fb_configuration_fill_reply (self->entry, &peer_reply);
+  (void) fb_configuration_fill_reply (self->entry, watcher->config_version, &peer_reply);
   watcher->done (watcher->user, &peer_reply);
   g_free (watcher);
 }
@@ -58,7 +51,7 @@
   watcher->until_ms = now_ms + MIN (peer_request->wait_ms, WAIT_MAX_MS);
   watcher->done = done;
   watcher->user = user;
-  if (is_newer_than (self->entry, watcher->config_version)
+  if (fb_configuration_is_newer (self->entry, watcher->config_version)
       || !fb_configuration_is_current (self->entry, now_ms)
       || g_queue_get_length (&self->waiting) >= WATCHERS_MAX)
     answer (self, watcher, FB_REPLY_UNAVAILABLE);
--- a/src/entry/configuration.c
+++ b/src/entry/configuration.c
@@ -105,15 +105,25 @@
 
 /* ---- from a peer ------------------------------------------------------------------ */
 
-void
-fb_configuration_fill_reply (const FbEntryDaemon *entry, fb_peer_reply *peer_reply)
+gboolean
+fb_configuration_is_newer (const FbEntryDaemon *entry, uint64_t config_version)
+{
+  return entry->routes != NULL && entry->routes->version > config_version;
+}
+
+gboolean
+fb_configuration_fill_reply (const FbEntryDaemon *entry, uint64_t config_version,
+                             fb_peer_reply *peer_reply)
 {
+  if (!fb_configuration_is_newer (entry, config_version))
+    return FALSE;
   gsize len = 0;
   fb_configuration_reply *configuration = &peer_reply->fb_peer_reply_u.configuration;
   peer_reply->type = FB_REPLY_CONFIGURATION;
   configuration->config_version = entry->routes->version;
   configuration->value.value_val = (char *) g_bytes_get_data (entry->routes->source, &len);
   configuration->value.value_len = (u_int) len;
+  return TRUE;
 }
 
 void
--- a/src/entry/configuration.h
+++ b/src/entry/configuration.h
@@ -22,8 +22,12 @@
 /* Returns: TRUE while this daemon reads the configuration from the store, and any that is newer
  * than the one in force was stored in the last moments only. */
 gboolean fb_configuration_is_current (const FbEntryDaemon *entry, uint64_t now_ms);
-/* Makes PEER_REPLY one with the configuration in force, which it borrows. */
-void fb_configuration_fill_reply (const FbEntryDaemon *entry, fb_peer_reply *peer_reply);
+/* Returns: TRUE when the configuration in force is newer than CONFIG_VERSION. */
+gboolean fb_configuration_is_newer (const FbEntryDaemon *entry, uint64_t config_version);
+/* Makes PEER_REPLY one with the configuration in force, which it borrows, if that is newer than
+ * CONFIG_VERSION.  Returns: FALSE when it is not. */
+gboolean fb_configuration_fill_reply (const FbEntryDaemon *entry, uint64_t config_version,
+                                      fb_peer_reply *peer_reply);
 /* Applies the configuration in REPLY if it is valid and newer than the one in force. */
 void fb_configuration_apply_reply (FbEntryDaemon *entry, const fb_configuration_reply *reply);
 /* Starts reading the configuration into ENTRY->routes. */
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -397,15 +397,10 @@
 reply_with_configuration (FbEntryDaemon *entry, const fb_configuration_request *peer_request,
                           ServedRequest *served)
 {
-  const FbRoutes *routes = entry->routes;
-  fb_peer_reply peer_reply = { .type = FB_REPLY_CONFIGURATION };
-  if (routes == NULL || routes->version <= peer_request->config_version)
-    {
-      send_reply (served, NULL);
-      return;
-    }
-  fb_configuration_fill_reply (entry, &peer_reply);
-  send_reply (served, &peer_reply);
+  fb_peer_reply peer_reply;
+  gboolean is_newer
+      = fb_configuration_fill_reply (entry, peer_request->config_version, &peer_reply);
+  send_reply (served, is_newer ? &peer_reply : NULL);
 }
 
 static const char *
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -183,9 +183,10 @@
 static void
 log_limited_calls (FbEntryDaemon *entry)
 {
+  if (!fb_http_client_is_full (entry->worker_client))
+    return;
   uint64_t now_ms = fb_clock_ms ();
-  if (!fb_http_client_is_full (entry->worker_client)
-      || now_ms < entry->calls_limited_logged_ms + CALLS_LIMITED_LOG_INTERVAL_MS)
+  if (now_ms < entry->calls_limited_logged_ms + CALLS_LIMITED_LOG_INTERVAL_MS)
     return;
   entry->calls_limited_logged_ms = now_ms;
   fb_event_log (FB_EVENT_WORKER_CALLS_LIMITED, "partitions=%u", g_hash_table_size (entry->owners));
--- a/src/entry/store/daemons.c
+++ b/src/entry/store/daemons.c
@@ -158,6 +158,15 @@
   return FALSE;
 }
 
+uint64_t
+fb_daemons_owner_min_milli (const GPtrArray *members)
+{
+  uint64_t max_milli = 0;
+  for (guint i = 0; i < members->len; i++)
+    max_milli = MAX (max_milli, ((const FbDaemon *) members->pdata[i])->cpu_milli);
+  return (max_milli * OWNER_CPU_MIN_PERCENT + 99) / 100;
+}
+
 gboolean
 fb_daemons_lists_all (guint per_topic, guint members_n)
 {
@@ -401,11 +410,7 @@
 gboolean
 fb_daemons_may_own (const FbDaemons *self)
 {
-  uint64_t own_milli = self->entry->settings->cpu_milli;
-  uint64_t max_milli = own_milli;
-  for (guint i = 0; i < self->members->len; i++)
-    max_milli = MAX (max_milli, ((FbDaemon *) self->members->pdata[i])->cpu_milli);
-  return own_milli * 100 >= max_milli * OWNER_CPU_MIN_PERCENT;
+  return self->entry->settings->cpu_milli >= fb_daemons_owner_min_milli (self->members);
 }
 
 void
--- a/src/entry/store/daemons.h
+++ b/src/entry/store/daemons.h
@@ -70,6 +70,9 @@
 gboolean fb_daemons_contain (const GPtrArray *members, const char *address);
 /* Returns: TRUE when NAME, a member's name, denotes another process at the address in OWN_NAME. */
 gboolean fb_daemons_is_predecessor (const char *name, const char *own_name);
+/* Returns: the smallest processor share, in thousandths of a core, with which a daemon may own
+ * partitions: half of the largest one in MEMBERS, of FbDaemon. */
+uint64_t fb_daemons_owner_min_milli (const GPtrArray *members);
 /* Returns: TRUE when MEMBERS_N members that are listed are all of the group, whose topics have
  * PER_TOPIC partitions each: fewer members than partitions of a topic each hold one. */
 gboolean fb_daemons_lists_all (guint per_topic, guint members_n);
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -44,12 +44,11 @@
   uint64_t listing_ms;  /* time at which the first page of the current listing was requested */
   uint64_t synced_ms;   /* every record that was stored before this time has been read; 0: none
                          * yet */
-  uint32_t retry_ms;
+  uint32_t retry_ms; /* delay after the next failure; RETRY_MIN_MS: the last call has not failed */
   uint32_t page_silence_ms; /* time without data after which the next page of a listing times out */
   guint timer;
   gboolean skip_pause; /* the next pause is skipped */
   gboolean suspended;  /* no call is sent after the open one */
-  gboolean failed;     /* the last call has failed */
   gboolean call_open;
   gboolean in_reply; /* callbacks are running, which may free this reader */
   gboolean freed;
@@ -78,7 +77,6 @@
 static void
 retry_later (FbTopicReader *self)
 {
-  self->failed = TRUE;
   uint32_t wait_ms = self->retry_ms + (uint32_t) g_random_int_range (0, RETRY_MIN_MS);
   self->retry_ms = MIN (self->retry_ms * 2, RETRY_MAX_MS);
   self->timer = g_timeout_add (wait_ms, on_retry, self);
@@ -133,7 +131,6 @@
       self->synced_ms = self->listing_ms;
       self->ops->listed (self->user);
     }
-  self->failed = FALSE;
   self->retry_ms = RETRY_MIN_MS;
   send_call (self);
 }
@@ -152,7 +149,6 @@
       begin_listing (self);
       break;
     case FB_READ_OK:
-      self->failed = FALSE;
       self->retry_ms = RETRY_MIN_MS;
       deliver_records (self, records);
       if (self->next_offset >= end)
@@ -271,7 +267,7 @@
 gboolean
 fb_topic_reader_has_failed (const FbTopicReader *self)
 {
-  return self->failed;
+  return self->retry_ms > RETRY_MIN_MS;
 }
 
 uint64_t
--- a/tests/test-configuration.c
+++ b/tests/test-configuration.c
@@ -1,5 +1,4 @@
-/* A fleet in which most daemons learn of configurations from others that read the store, while
- * daemons are killed, hang, are turned away by the store, lose their connections and come back. */
+/* A fleet in which most daemons learn of configurations from others that read the store. */
 #include "fb-event.h"
 #include "src/entry/configuration.h"
 #include "src/entry/entry-private.h"
@@ -267,8 +266,7 @@
     }
   fb_peer_reply peer_reply = { .type = FB_REPLY_UNAVAILABLE };
   const fb_configuration_request *asked = &request->request.fb_peer_request_u.configuration;
-  if (to->entry.routes != NULL && to->entry.routes->version > asked->config_version)
-    fb_configuration_fill_reply (&to->entry, &peer_reply);
+  (void) fb_configuration_fill_reply (&to->entry, asked->config_version, &peer_reply);
   on_answered (request, &peer_reply);
 }
 
@@ -506,9 +504,7 @@
     }
 }
 
-/* A configuration is in force within its bound at each daemon that has been without faults for some
- * seconds, whatever happens to the daemon that it watches, and no daemon goes back to an older one.
- */
+/* Guards against daemons that keep an old configuration when the one that they watch fails. */
 static void
 test_configurations_are_in_force_in_time (void)
 {
