--- a/tests/large-pool.h
+++ b/tests/large-pool.h
@@ -1,5 +1,4 @@
-/* A pool of any number of workers that answer when the test lets them, for tests of costs that grow
- * with the pool and of the limits of the store. */
+/* A pool of any number of workers, which answer when the test lets them. */
 #pragma once
 
 #include "internal/pool.h"
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -165,16 +165,25 @@
   fb_links_free (b);
 }
 
+/* Returns: the listening socket of a peer.  ADDRESS: (transfer full): where it listens. */
+static int
+listen_as_peer (char **address)
+{
+  uint16_t port = 0;
+  int listener = test_socket_at (&port);
+  CU_ASSERT_TRUE_FATAL (listener >= 0 && listen (listener, 8) == 0);
+  *address = g_strdup_printf ("127.0.0.1:%u", port);
+  return listener;
+}
+
 /* A connection stops delivering data: writes succeed and nothing is received.  The first call that
  * times out detects it, and the next call has to use a new connection. */
 static void
 test_silent_connection_is_closed (void)
 {
-  uint16_t port = 0;
-  int listener = test_socket_at (&port);
-  CU_ASSERT_TRUE_FATAL (listener >= 0 && listen (listener, 8) == 0);
+  g_autofree char *peer_address = NULL;
+  int listener = listen_as_peer (&peer_address);
   g_autofree char *own_address = test_unused_address ();
-  g_autofree char *peer_address = g_strdup_printf ("127.0.0.1:%u", port);
   FbLinks *a = links_at (own_address);
   Results results = { 0 };
   call (a, peer_address, "x", SHORT_TIMEOUT_MS, &results);
@@ -206,11 +215,9 @@
 static void
 test_timed_out_before_it_is_written (void)
 {
-  uint16_t port = 0;
-  int listener = test_socket_at (&port);
-  CU_ASSERT_TRUE_FATAL (listener >= 0 && listen (listener, 8) == 0);
+  g_autofree char *peer_address = NULL;
+  int listener = listen_as_peer (&peer_address);
   g_autofree char *own_address = test_unused_address ();
-  g_autofree char *peer_address = g_strdup_printf ("127.0.0.1:%u", port);
   g_autofree char *large = g_strnfill (LARGE_BYTES, 'b');
   FbLinks *a = links_at (own_address);
   Results before = { 0 };
@@ -286,16 +293,13 @@
   fb_links_free (b);
 }
 
-/* An owner whose main loop was late must not take an answer for missing that waits in its own
- * socket. */
+/* Guards against an owner that takes an answer for missing which waits in its own socket. */
 static void
 test_received_answer_is_read_before_the_timeout (void)
 {
-  uint16_t port = 0;
-  int listener = test_socket_at (&port);
-  CU_ASSERT_TRUE_FATAL (listener >= 0 && listen (listener, 8) == 0);
+  g_autofree char *peer_address = NULL;
+  int listener = listen_as_peer (&peer_address);
   g_autofree char *own_address = test_unused_address ();
-  g_autofree char *peer_address = g_strdup_printf ("127.0.0.1:%u", port);
   FbLinks *a = links_at (own_address);
   Results results = { 0 };
   call (a, peer_address, "x", SHORT_TIMEOUT_MS, &results);
--- a/tests/test-store-limits.c
+++ b/tests/test-store-limits.c
@@ -295,8 +295,7 @@
   return records;
 }
 
-/* The list of workers of a pool that is larger than a record of the store is stored and read whole:
- * otherwise no end of any job of the pool is stored any more. */
+/* Guards against a list of workers that exceeds a record and blocks all records of its pool. */
 static void
 test_workers_of_a_large_pool_are_stored (void)
 {
@@ -346,8 +345,7 @@
 #define LATER_ENDS 100
 #define CHECKPOINT "checkpoint-of-a-usual-length"
 
-/* A record that the store does not accept stops neither the other jobs of its pool, nor is any end
- * that it contains acknowledged or reported. */
+/* Guards against a record that the store does not accept and that blocks the other jobs. */
 static void
 test_record_at_fault_is_left_out (void)
 {
