--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -59,6 +59,7 @@
 
 class Deployment:
     def __init__(self, record_path):
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
         self.record = open(record_path, "w")
         self.began = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -161,7 +162,7 @@
         return names
 
     def signal(self, name, number):
-        self.note(f"{name}: {signal.Signals(number).name}")
+        self.note(f"{name}: {signal.Signals(number).name}, sent by the test")
         self.processes[name].send_signal(number)
         if number == signal.SIGKILL:
             self.processes[name].wait()
