--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -708,6 +708,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_queue_service (XDR *xdrs, fb_queue_service *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->queue, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_request_type (XDR *xdrs, fb_peer_request_type *objp)
 {
@@ -950,6 +962,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_job_name (XDR *xdrs, fb_job_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_claim_request (XDR *xdrs, fb_claim_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->claimant, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, FB_WORK_MAX_CLAIMS,
+		sizeof (fb_job_name), (xdrproc_t) xdr_fb_job_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_worker_name (XDR *xdrs, fb_worker_name *objp)
 {
@@ -1092,6 +1129,7 @@
 			 return FALSE;
 		break;
 	case FB_REQUEST_PENDING_COUNT:
+	case FB_REQUEST_QUEUE_SERVICES:
 		 if (!xdr_fb_pending_request (xdrs, &objp->fb_peer_request_u.queue))
 			 return FALSE;
 		break;
@@ -1152,6 +1190,10 @@
 		 if (!xdr_fb_admission_request (xdrs, &objp->fb_peer_request_u.admission))
 			 return FALSE;
 		break;
+	case FB_REQUEST_CLAIM_JOBS:
+		 if (!xdr_fb_claim_request (xdrs, &objp->fb_peer_request_u.claim))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1428,6 +1470,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_service_name (XDR *xdrs, fb_service_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FB_WORK_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_queue_services_reply (XDR *xdrs, fb_queue_services_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->pending))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FB_WORK_MAX_SERVICES,
+		sizeof (fb_service_name), (xdrproc_t) xdr_fb_service_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fb_claims_reply (XDR *xdrs, fb_claims_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->refused.refused_val, (u_int *) &objp->refused.refused_len, FB_WORK_MAX_CLAIMS,
+		sizeof (fb_job_name), (xdrproc_t) xdr_fb_job_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_reply (XDR *xdrs, fb_peer_reply *objp)
 {
@@ -1480,6 +1556,14 @@
 		 if (!xdr_fb_relay_progress_reply (xdrs, &objp->fb_peer_reply_u.progress))
 			 return FALSE;
 		break;
+	case FB_REPLY_QUEUE_SERVICES:
+		 if (!xdr_fb_queue_services_reply (xdrs, &objp->fb_peer_reply_u.services))
+			 return FALSE;
+		break;
+	case FB_REPLY_CLAIMS:
+		 if (!xdr_fb_claims_reply (xdrs, &objp->fb_peer_reply_u.claims))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -33,6 +33,8 @@
 #define FB_WORK_DIGEST_BYTES 16
 #define FB_WORK_MAX_ACCOUNT 63
 #define FB_WORK_MAX_ACCOUNT_ROWS 20000
+#define FB_WORK_MAX_SERVICES 256
+#define FB_WORK_MAX_CLAIMS 512
 
 struct fb_work_step {
 	u_int count;
@@ -236,6 +238,12 @@
 };
 typedef struct fb_work_silent_workers fb_work_silent_workers;
 
+struct fb_queue_service {
+	char *queue;
+	char *service;
+};
+typedef struct fb_queue_service fb_queue_service;
+
 enum fb_peer_request_type {
 	FB_REQUEST_JOB_STATE = 1,
 	FB_REQUEST_PENDING_COUNT = 2,
@@ -256,6 +264,8 @@
 	FB_REQUEST_ADMISSION = 18,
 	FB_REQUEST_RELAY_ORDER_PROGRESS = 19,
 	FB_REQUEST_WATCH_CONFIGURATION = 20,
+	FB_REQUEST_QUEUE_SERVICES = 21,
+	FB_REQUEST_CLAIM_JOBS = 22,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -356,6 +366,21 @@
 };
 typedef struct fb_pending_request fb_pending_request;
 
+struct fb_job_name {
+	char *job;
+};
+typedef struct fb_job_name fb_job_name;
+
+struct fb_claim_request {
+	char *service;
+	char *claimant;
+	struct {
+		u_int jobs_len;
+		fb_job_name *jobs_val;
+	} jobs;
+};
+typedef struct fb_claim_request fb_claim_request;
+
 struct fb_worker_name {
 	char *id;
 };
@@ -454,6 +479,7 @@
 		fb_account_parts_request parts;
 		fb_load_notice notice;
 		fb_admission_request admission;
+		fb_claim_request claim;
 	} fb_peer_request_u;
 };
 typedef struct fb_peer_request fb_peer_request;
@@ -479,6 +505,8 @@
 	FB_REPLY_ADMISSION = 18,
 	FB_REPLY_ORDER_RESULT_PROGRESS = 19,
 	FB_REPLY_CONFIGURATION_UNCHANGED = 20,
+	FB_REPLY_QUEUE_SERVICES = 21,
+	FB_REPLY_CLAIMS = 22,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -612,6 +640,28 @@
 };
 typedef struct fb_admission_reply fb_admission_reply;
 
+struct fb_service_name {
+	char *service;
+};
+typedef struct fb_service_name fb_service_name;
+
+struct fb_queue_services_reply {
+	u_int pending;
+	struct {
+		u_int services_len;
+		fb_service_name *services_val;
+	} services;
+};
+typedef struct fb_queue_services_reply fb_queue_services_reply;
+
+struct fb_claims_reply {
+	struct {
+		u_int refused_len;
+		fb_job_name *refused_val;
+	} refused;
+};
+typedef struct fb_claims_reply fb_claims_reply;
+
 struct fb_peer_reply {
 	fb_peer_reply_type type;
 	union {
@@ -626,6 +676,8 @@
 		fb_account_grants_reply grants;
 		fb_admission_reply admission;
 		fb_relay_progress_reply progress;
+		fb_queue_services_reply services;
+		fb_claims_reply claims;
 	} fb_peer_reply_u;
 };
 typedef struct fb_peer_reply fb_peer_reply;
@@ -651,6 +703,7 @@
 extern  bool_t xdr_fb_work_silent_worker (XDR *, fb_work_silent_worker*);
 extern  bool_t xdr_fb_work_reference_clock (XDR *, fb_work_reference_clock*);
 extern  bool_t xdr_fb_work_silent_workers (XDR *, fb_work_silent_workers*);
+extern  bool_t xdr_fb_queue_service (XDR *, fb_queue_service*);
 extern  bool_t xdr_fb_peer_request_type (XDR *, fb_peer_request_type*);
 extern  bool_t xdr_fb_job_state_request (XDR *, fb_job_state_request*);
 extern  bool_t xdr_fb_account_job_state_request (XDR *, fb_account_job_state_request*);
@@ -663,6 +716,8 @@
 extern  bool_t xdr_fb_admission_step (XDR *, fb_admission_step*);
 extern  bool_t xdr_fb_admission_request (XDR *, fb_admission_request*);
 extern  bool_t xdr_fb_pending_request (XDR *, fb_pending_request*);
+extern  bool_t xdr_fb_job_name (XDR *, fb_job_name*);
+extern  bool_t xdr_fb_claim_request (XDR *, fb_claim_request*);
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
 extern  bool_t xdr_fb_advice_request (XDR *, fb_advice_request*);
 extern  bool_t xdr_fb_append_request (XDR *, fb_append_request*);
@@ -688,6 +743,9 @@
 extern  bool_t xdr_fb_account_grant (XDR *, fb_account_grant*);
 extern  bool_t xdr_fb_account_grants_reply (XDR *, fb_account_grants_reply*);
 extern  bool_t xdr_fb_admission_reply (XDR *, fb_admission_reply*);
+extern  bool_t xdr_fb_service_name (XDR *, fb_service_name*);
+extern  bool_t xdr_fb_queue_services_reply (XDR *, fb_queue_services_reply*);
+extern  bool_t xdr_fb_claims_reply (XDR *, fb_claims_reply*);
 extern  bool_t xdr_fb_peer_reply (XDR *, fb_peer_reply*);
 
 #else /* K&R C */
@@ -709,6 +767,7 @@
 extern bool_t xdr_fb_work_silent_worker ();
 extern bool_t xdr_fb_work_reference_clock ();
 extern bool_t xdr_fb_work_silent_workers ();
+extern bool_t xdr_fb_queue_service ();
 extern bool_t xdr_fb_peer_request_type ();
 extern bool_t xdr_fb_job_state_request ();
 extern bool_t xdr_fb_account_job_state_request ();
@@ -721,6 +780,8 @@
 extern bool_t xdr_fb_admission_step ();
 extern bool_t xdr_fb_admission_request ();
 extern bool_t xdr_fb_pending_request ();
+extern bool_t xdr_fb_job_name ();
+extern bool_t xdr_fb_claim_request ();
 extern bool_t xdr_fb_worker_name ();
 extern bool_t xdr_fb_advice_request ();
 extern bool_t xdr_fb_append_request ();
@@ -746,6 +807,9 @@
 extern bool_t xdr_fb_account_grant ();
 extern bool_t xdr_fb_account_grants_reply ();
 extern bool_t xdr_fb_admission_reply ();
+extern bool_t xdr_fb_service_name ();
+extern bool_t xdr_fb_queue_services_reply ();
+extern bool_t xdr_fb_claims_reply ();
 extern bool_t xdr_fb_peer_reply ();
 
 #endif /* K&R C */
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -22,6 +22,8 @@
 const FB_WORK_DIGEST_BYTES = 16;
 const FB_WORK_MAX_ACCOUNT = 63;
 const FB_WORK_MAX_ACCOUNT_ROWS = 20000;
+const FB_WORK_MAX_SERVICES = 256;
+const FB_WORK_MAX_CLAIMS = 512;
 
 /* One step: COUNT identical tasks, each with the given resource demand. */
 struct fb_work_step {
@@ -182,6 +184,13 @@
   fb_work_reference_clock clocks<FB_WORK_MAX_REFERENCE_CLOCKS>;
 };
 
+/* A service to which a queue has been directed.  Records of such pairs are listed in the order in
+ * which they were stored. */
+struct fb_queue_service {
+  string queue<FB_WORK_MAX_NAME>;
+  string service<FB_WORK_MAX_NAME>;
+};
+
 /* Requests between daemons, to the owner of a pool or to any peer. */
 
 enum fb_peer_request_type {
@@ -210,8 +219,10 @@
   FB_REQUEST_RELAY_ORDER_PROGRESS = 19, /* as FB_REQUEST_RELAY_ORDER, answered with the progress of
                                         * runs; daemons of earlier versions answer that they did
                                         * nothing */
-  FB_REQUEST_WATCH_CONFIGURATION = 20  /* as FB_REQUEST_CONFIGURATION, answered when there is a newer
+  FB_REQUEST_WATCH_CONFIGURATION = 20, /* as FB_REQUEST_CONFIGURATION, answered when there is a newer
                                         * one or after a time */
+  FB_REQUEST_QUEUE_SERVICES = 21,   /* the other services that may have jobs of a queue */
+  FB_REQUEST_CLAIM_JOBS = 22        /* whether jobs may run under another service */
 };
 
 struct fb_job_state_request {
@@ -302,6 +313,18 @@
   string queue<FB_WORK_MAX_NAME>;
 };
 
+struct fb_job_name {
+  string job<FB_WORK_MAX_NAME>;
+};
+
+/* From the owner of the pool of CLAIMANT to that of SERVICE, which has had the queue of JOBS
+ * before. */
+struct fb_claim_request {
+  string service<FB_WORK_MAX_NAME>;
+  string claimant<FB_WORK_MAX_NAME>;
+  fb_job_name jobs<FB_WORK_MAX_CLAIMS>;
+};
+
 struct fb_worker_name {
   string id<FB_WORK_MAX_NAME>;
 };
@@ -367,7 +390,8 @@
 
 union fb_peer_request switch (fb_peer_request_type type) {
 case FB_REQUEST_JOB_STATE: fb_job_state_request job;
-case FB_REQUEST_PENDING_COUNT: fb_pending_request queue;
+case FB_REQUEST_PENDING_COUNT:
+case FB_REQUEST_QUEUE_SERVICES: fb_pending_request queue;
 case FB_REQUEST_ADVICE: fb_advice_request advice;
 case FB_REQUEST_APPEND_JOB_RECORD: fb_append_request append;
 case FB_REQUEST_NOTIFY_STORED: fb_stored_notice stored;
@@ -385,6 +409,7 @@
 case FB_REQUEST_ACCOUNT_PARTS: fb_account_parts_request parts;
 case FB_REQUEST_LOAD_NOTICE: fb_load_notice notice;
 case FB_REQUEST_ADMISSION: fb_admission_request admission;
+case FB_REQUEST_CLAIM_JOBS: fb_claim_request claim;
 };
 
 enum fb_peer_reply_type {
@@ -407,7 +432,9 @@
   FB_REPLY_ACCOUNT_GRANTS = 17,
   FB_REPLY_ADMISSION = 18,
   FB_REPLY_ORDER_RESULT_PROGRESS = 19, /* result of an order, with the progress of runs */
-  FB_REPLY_CONFIGURATION_UNCHANGED = 20 /* the store has no newer configuration */
+  FB_REPLY_CONFIGURATION_UNCHANGED = 20, /* the store has no newer configuration */
+  FB_REPLY_QUEUE_SERVICES = 21,    /* also to FB_REQUEST_PENDING_COUNT when there are others */
+  FB_REPLY_CLAIMS = 22
 };
 
 struct fb_ticket {
@@ -503,6 +530,23 @@
   unsigned hyper age_ms;          /* time since the caller's first attempt */
 };
 
+struct fb_service_name {
+  string service<FB_WORK_MAX_NAME>;
+};
+
+/* PENDING: number of pending jobs in the pool of the service that was asked.  SERVICES: the others
+ * to which the queue has been directed. */
+struct fb_queue_services_reply {
+  unsigned int pending;
+  fb_service_name services<FB_WORK_MAX_SERVICES>;
+};
+
+/* REFUSED: the jobs that the service has itself.  It will never run the others that were asked
+ * for, and this is stored. */
+struct fb_claims_reply {
+  fb_job_name refused<FB_WORK_MAX_CLAIMS>;
+};
+
 union fb_peer_reply switch (fb_peer_reply_type type) {
 case FB_REPLY_JOB_STATE: fb_work_state state;
 case FB_REPLY_PENDING_COUNT: unsigned int pending;
@@ -515,5 +559,7 @@
 case FB_REPLY_ACCOUNT_GRANTS: fb_account_grants_reply grants;
 case FB_REPLY_ADMISSION: fb_admission_reply admission;
 case FB_REPLY_ORDER_RESULT_PROGRESS: fb_relay_progress_reply progress;
+case FB_REPLY_QUEUE_SERVICES: fb_queue_services_reply services;
+case FB_REPLY_CLAIMS: fb_claims_reply claims;
 default: void;
 };
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -287,6 +287,18 @@
   return decode_whole ((xdrproc_t) xdr_fb_work_workers, data, len, sizeof *workers, workers);
 }
 
+GBytes *
+fb_codec_encode_queue_service (const fb_queue_service *pair)
+{
+  return encode ((xdrproc_t) xdr_fb_queue_service, pair, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_queue_service (const void *data, gsize len, fb_queue_service *pair)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_queue_service, data, len, sizeof *pair, pair);
+}
+
 GBytes *
 fb_codec_encode_silent_workers (const fb_work_silent_workers *workers)
 {
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -29,6 +29,7 @@
 #include "src/entry/store/group.h"
 #include "src/entry/store/join-monitor.h"
 #include "src/entry/store/keepalive.h"
+#include "src/entry/store/queue-directory.h"
 #include "src/entry/store/store-health.h"
 #include "src/entry/store/topic-reader.h"
 #include "src/entry/store/worker-list.h"
@@ -43,6 +44,8 @@
 /* The value of a cancel: this prefix, since a record without a value deletes its key, and the
  * account of the caller. */
 #define FB_CANCEL_PREFIX "x"
+/* The same of a cancel that the owner of another partition has passed on. */
+#define FB_PASSED_CANCEL_PREFIX "y"
 
 /* ---- daemon state ------------------------------------------------------ */
 
@@ -61,6 +64,7 @@
   FbTopicReader *worker_reader; /* NULL unless this daemon owns a pool, or has until recently */
   uint64_t
       without_pools_ms; /* time since which it has owned none while it is read; 0: it owns one */
+  FbQueueDirectory *queue_directory; /* NULL until this daemon is assigned a partition */
   FbWorkerList *workers;
   GHashTable *malformed_ids; /* ids of malformed worker entries that have been logged */
   GHashTable *listed_ids;    /* ids in the listing in progress; NULL: none in progress */
@@ -95,9 +99,11 @@
 };
 
 uint32_t fb_entry_partition_of (const FbEntryDaemon *self, const char *service);
-/* Returns: (transfer full) (nullable): the partitions of configured services, of uint32_t; NULL
- * before the first configuration. */
+/* Returns: (transfer full) (nullable): the partitions of the services that are configured, or may
+ * have jobs of earlier configurations, of uint32_t; NULL before the first configuration. */
 GArray *fb_entry_service_partitions (const FbEntryDaemon *self);
+/* Returns: the services of all queues, borrowed; begins to read them when that was not done yet. */
+FbQueueDirectory *fb_entry_queue_directory (FbEntryDaemon *self);
 FbOwner *fb_entry_owner (const FbEntryDaemon *self, uint32_t partition);
 FbAppender *fb_entry_appender (FbEntryDaemon *self, uint32_t partition);
 /* Sets the partitions that this daemon owns.  New ones are taken over with an epoch of the group's
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -14,9 +14,12 @@
   SoupServerMessage *message;
   char *job;
   char *queue;
-  char *service;
-  char *account; /* the caller's client account; "" on a route that needs no key */
-  char *key;     /* key of the record to store */
+  char *queue_service; /* to which the queue is directed */
+  char *service;       /* whose owner is asked */
+  GPtrArray *services; /* of char *, other services to be asked; NULL: not known */
+  uint32_t pending;    /* sum of the services that were asked */
+  char *account;       /* the caller's client account; "" on a route that needs no key */
+  char *key;           /* key of the record to store */
   GBytes *value;
   GByteArray *records; /* the record, encoded; also sent to peers */
   GPtrArray *tried;    /* addresses of peers that have been tried for storing the record */
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -16,8 +16,11 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Timeout of a request to the owner: callers wait about 3 s for the answer. */
+/* Timeout of the requests to owners for one caller, who waits about 3 s for the answer. */
 #define OWNER_TIMEOUT_MS 2000
+/* The same for a cancel, which can be stored without their answers. */
+#define CANCEL_TIMEOUT_MS 500
+#define REQUEST_TIMEOUT_MIN_MS 100
 #define BODY_MAX_BYTES (256 * 1024)
 /* Bounds of Retry-After, which is set to the time for which the store has been unavailable, so that
  * a caller's few attempts outlast an outage of seconds. */
@@ -46,7 +49,8 @@
   request->message = g_object_ref (message);
   request->job = talloc_strdup (request, job);
   request->queue = talloc_strdup (request, route->policy.queue);
-  request->service = talloc_strdup (request, route->policy.service);
+  request->queue_service = talloc_strdup (request, route->policy.service);
+  request->service = request->queue_service;
   request->account = talloc_strdup (request, target->account);
   request->partition = fb_entry_partition_of (entry, route->policy.service);
   request->received_ms = fb_clock_ms ();
@@ -85,6 +89,7 @@
   g_clear_pointer (&request->records, g_byte_array_unref);
   g_clear_pointer (&request->value, g_bytes_unref);
   g_ptr_array_unref (request->tried);
+  g_clear_pointer (&request->services, g_ptr_array_unref);
   talloc_free (request);
 }
 
@@ -164,32 +169,135 @@
 
 /* ---- state and cancel ---------------------------------------------------------------- */
 
+/* Returns: the timeout of the next request to an owner for REQUEST. */
+static uint32_t
+remaining_ms (const FbFrontendRequest *request)
+{
+  uint64_t until_ms
+      = request->received_ms + (request->is_delete ? CANCEL_TIMEOUT_MS : OWNER_TIMEOUT_MS);
+  uint64_t now_ms = fb_clock_ms ();
+  return (uint32_t) MAX (until_ms > now_ms ? until_ms - now_ms : 0, REQUEST_TIMEOUT_MIN_MS);
+}
+
 static void
-on_state (gpointer data, const fb_peer_reply *peer_reply)
+request_job_state (FbFrontendRequest *request, FbPeerReplyDone done)
 {
-  FbFrontendRequest *request = data;
-  fb_event_log (FB_EVENT_JOB_ASKED, "job=%s told=%d state=%d after_ms=%u", request->job,
-                peer_reply != NULL ? (int) peer_reply->type : 0,
+  fb_peer_request peer_request = { .type = FB_REQUEST_JOB_STATE };
+  if (*request->account != '\0')
+    {
+      peer_request.type = FB_REQUEST_ACCOUNT_JOB_STATE;
+      peer_request.fb_peer_request_u.account_job.service = request->service;
+      peer_request.fb_peer_request_u.account_job.job = request->job;
+      peer_request.fb_peer_request_u.account_job.account = request->account;
+    }
+  else
+    {
+      peer_request.fb_peer_request_u.job.service = request->service;
+      peer_request.fb_peer_request_u.job.job = request->job;
+    }
+  fb_peers_request_owner (request->entry, request->service, &peer_request, remaining_ms (request),
+                          done, request);
+}
+
+static void
+log_job_state (const FbFrontendRequest *request, const fb_peer_reply *peer_reply)
+{
+  fb_event_log (FB_EVENT_JOB_ASKED, "job=%s service=%s told=%d state=%d after_ms=%u", request->job,
+                request->service, peer_reply != NULL ? (int) peer_reply->type : 0,
                 peer_reply != NULL && peer_reply->type == FB_REPLY_JOB_STATE
                     ? (int) peer_reply->fb_peer_reply_u.state
                     : -1,
                 (guint) (fb_clock_ms () - request->received_ms));
-  if (peer_reply != NULL && peer_reply->type == FB_REPLY_NO_SUCH_JOB)
-    fb_entry_frontend_finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
-  else if (request->is_delete)
+}
+
+static void
+store_cancel (FbFrontendRequest *request)
+{
+  g_autofree char *text = g_strconcat (FB_CANCEL_PREFIX, request->account, NULL);
+  g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
+  request->partition = fb_entry_partition_of (request->entry, request->service);
+  fb_entry_frontend_store (request, FB_KEY_CANCEL, value);
+}
+
+/* Finishes the request without an answer about the job.  A cancel is stored with the service to
+ * which the queue is directed, whose owner passes it on if another service has the job. */
+static void
+answer_unknown_state (FbFrontendRequest *request)
+{
+  request->service = request->queue_service;
+  if (request->is_delete)
+    store_cancel (request);
+  else
+    fb_entry_frontend_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                              "{\"error\":\"the owner is away\"}");
+}
+
+static void on_state (gpointer data, const fb_peer_reply *peer_reply);
+
+/* Asks the next of the other services that may have the job. */
+static void
+request_state_elsewhere (FbFrontendRequest *request)
+{
+  if (request->services->len == 0)
+    {
+      fb_entry_frontend_finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
+      return;
+    }
+  g_autofree char *service = g_ptr_array_steal_index (request->services, 0);
+  request->service = talloc_strdup (request, service);
+  request_job_state (request, on_state);
+}
+
+static void
+add_services (FbFrontendRequest *request, const fb_queue_services_reply *reply)
+{
+  request->services = g_ptr_array_new_with_free_func (g_free);
+  for (u_int i = 0; i < reply->services.services_len; i++)
+    g_ptr_array_add (request->services, g_strdup (reply->services.services_val[i].service));
+}
+
+static void
+on_job_services (gpointer data, const fb_peer_reply *peer_reply)
+{
+  FbFrontendRequest *request = data;
+  if (peer_reply == NULL || peer_reply->type != FB_REPLY_QUEUE_SERVICES)
     {
-      g_autofree char *text = g_strconcat (FB_CANCEL_PREFIX, request->account, NULL);
-      g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
-      fb_entry_frontend_store (request, FB_KEY_CANCEL, value);
+      answer_unknown_state (request);
+      return;
     }
-  else if (peer_reply != NULL && peer_reply->type == FB_REPLY_JOB_STATE)
+  add_services (request, &peer_reply->fb_peer_reply_u.services);
+  request_state_elsewhere (request);
+}
+
+static void
+request_queue (FbFrontendRequest *request, fb_peer_request_type type, FbPeerReplyDone done)
+{
+  fb_peer_request peer_request = { .type = type };
+  peer_request.fb_peer_request_u.queue.service = request->service;
+  peer_request.fb_peer_request_u.queue.queue = request->queue;
+  fb_peers_request_owner (request->entry, request->service, &peer_request, remaining_ms (request),
+                          done, request);
+}
+
+static void
+on_state (gpointer data, const fb_peer_reply *peer_reply)
+{
+  FbFrontendRequest *request = data;
+  fb_peer_reply_type type = peer_reply != NULL ? peer_reply->type : FB_REPLY_UNAVAILABLE;
+  log_job_state (request, peer_reply);
+  if (type == FB_REPLY_NO_SUCH_JOB && request->services == NULL)
+    request_queue (request, FB_REQUEST_QUEUE_SERVICES, on_job_services);
+  else if (type == FB_REPLY_NO_SUCH_JOB)
+    request_state_elsewhere (request);
+  else if (type != FB_REPLY_JOB_STATE)
+    answer_unknown_state (request);
+  else if (request->is_delete)
+    store_cancel (request);
+  else
     {
       g_autofree char *body = fb_wire_format_job_state (peer_reply->fb_peer_reply_u.state);
       fb_entry_frontend_finish (request, SOUP_STATUS_OK, body);
     }
-  else
-    fb_entry_frontend_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE,
-                              "{\"error\":\"the owner is away\"}");
 }
 
 static void
@@ -198,47 +306,58 @@
 {
   FbFrontendRequest *request = request_new (entry, message, target, job);
   request->is_delete = is_delete;
-  fb_peer_request peer_request = { .type = FB_REQUEST_JOB_STATE };
-  if (*request->account != '\0')
-    {
-      peer_request.type = FB_REQUEST_ACCOUNT_JOB_STATE;
-      peer_request.fb_peer_request_u.account_job.service = request->service;
-      peer_request.fb_peer_request_u.account_job.job = request->job;
-      peer_request.fb_peer_request_u.account_job.account = request->account;
-    }
-  else
-    {
-      peer_request.fb_peer_request_u.job.service = request->service;
-      peer_request.fb_peer_request_u.job.job = request->job;
-    }
-  fb_peers_request_owner (entry, request->service, &peer_request,
-                          is_delete ? OWNER_TIMEOUT_MS / 4 : OWNER_TIMEOUT_MS, on_state, request);
+  request_job_state (request, on_state);
 }
 
 /* ---- pending ---------------------------------------------------------------------------- */
 
+static void
+answer_pending (FbFrontendRequest *request)
+{
+  g_autofree char *body = fb_wire_format_pending (request->pending);
+  fb_entry_frontend_finish (request, SOUP_STATUS_OK, body);
+}
+
+static void on_pending (gpointer data, const fb_peer_reply *peer_reply);
+
+static void
+request_pending_elsewhere (FbFrontendRequest *request)
+{
+  if (request->services->len == 0)
+    {
+      answer_pending (request);
+      return;
+    }
+  g_autofree char *service = g_ptr_array_steal_index (request->services, 0);
+  request->service = talloc_strdup (request, service);
+  request_queue (request, FB_REQUEST_QUEUE_SERVICES, on_pending);
+}
+
 static void
 on_pending (gpointer data, const fb_peer_reply *peer_reply)
 {
+  FbFrontendRequest *request = data;
   if (peer_reply != NULL && peer_reply->type == FB_REPLY_PENDING_COUNT)
     {
-      g_autofree char *body = fb_wire_format_pending (peer_reply->fb_peer_reply_u.pending);
-      fb_entry_frontend_finish (data, SOUP_STATUS_OK, body);
+      request->pending = peer_reply->fb_peer_reply_u.pending;
+      answer_pending (request);
+    }
+  else if (peer_reply != NULL && peer_reply->type == FB_REPLY_QUEUE_SERVICES)
+    {
+      request->pending += peer_reply->fb_peer_reply_u.services.pending;
+      if (request->services == NULL)
+        add_services (request, &peer_reply->fb_peer_reply_u.services);
+      request_pending_elsewhere (request);
     }
   else
-    fb_entry_frontend_finish (data, SOUP_STATUS_SERVICE_UNAVAILABLE,
+    fb_entry_frontend_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE,
                               "{\"error\":\"the owner is away\"}");
 }
 
 static void
 request_pending (FbEntryDaemon *entry, SoupServerMessage *message, const Target *target)
 {
-  FbFrontendRequest *request = request_new (entry, message, target, "");
-  fb_peer_request peer_request = { .type = FB_REQUEST_PENDING_COUNT };
-  peer_request.fb_peer_request_u.queue.service = request->service;
-  peer_request.fb_peer_request_u.queue.queue = request->queue;
-  fb_peers_request_owner (entry, request->service, &peer_request, OWNER_TIMEOUT_MS, on_pending,
-                          request);
+  request_queue (request_new (entry, message, target, ""), FB_REQUEST_PENDING_COUNT, on_pending);
 }
 
 /* ---- dispatch ------------------------------------------------------------------------------ */
--- a/src/entry/owner/owner-admission.c
+++ b/src/entry/owner/owner-admission.c
@@ -118,7 +118,8 @@
   *reply = (fb_admission_reply){ .admitted = TRUE };
   if (service_pool == NULL)
     return;
-  reply->known = fb_pool_job_state (service_pool->pool, request->job, &state);
+  reply->known = fb_pool_job_state (service_pool->pool, request->job, &state)
+                 || fb_owner_held_job (self, request->job) != NULL;
   if (reply->known || policy == NULL || !can_decide (self, service_pool, request, now_ms)
       || !fb_pool_describe_job (service_pool->pool, request, policy, &job))
     return;
--- /dev/null
+++ b/src/entry/owner/owner-claims.c
@@ -0,0 +1,548 @@
+/* Decides between the pools of several services that have the same job.
+ *
+ * When the operator directs a queue to another service, jobs that are stored already stay with the
+ * service that they were stored with, and a caller's repeated submission is stored with the new
+ * one.  The log orders the records of one partition only.  So the services of a queue are ordered
+ * by the queue directory, and a pool runs a job only if every service before its own in that order
+ * has disclaimed the job: it has no such job, and has stored that it will never run it.  The pool
+ * of the first service asks nobody.  At any time at most one pool can be past this check, whatever
+ * the configurations in force and however late a record arrives.
+ *
+ * Jobs that wait for it are held here, outside of their pool.  Those that were loaded with the
+ * partition may run already, for an earlier owner; until they are in the pool, it is not told that
+ * its jobs are complete, so that it neither stops nor forgets runs that it does not know. */
+#include "owner-private.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+#include "internal/codec.h"
+
+#include <string.h>
+
+#define CLAIM_TIMEOUT_MS 700
+/* Pause after a claim that was not answered, as the owner of the other pool is being replaced. */
+#define RETRY_MS 100
+/* Jobs that one tick adds to pools, as many as one iteration of loading. */
+#define ADMIT_PER_TICK 32
+/* A disclaimer is needed while the job's record may still arrive, or its caller may repeat the
+ * submission; it is kept longer than the ends of jobs. */
+#define DISCLAIMER_RETENTION_MS 600000
+#define EXPIRY_INTERVAL_MS 10000
+
+struct _FbHeldJob
+{
+  char *id;
+  fb_work_admit record;
+  GBytes *progress;    /* NULL: none was stored */
+  GBytes *cancel;      /* NULL: it is not cancelled */
+  gboolean is_loaded;  /* it was stored when this owner took over */
+  guint disclaimed_n;  /* number of services before its own that have disclaimed it */
+  gboolean is_claimed; /* a claim of it is open */
+  uint64_t next_ms;    /* it is not claimed before */
+};
+
+/* An open claim of jobs from the pool of another service. */
+typedef struct
+{
+  FbEntryDaemon *entry;
+  uint32_t partition; /* of the claiming owner */
+  uint64_t epoch;     /* of the claiming owner */
+  char *service;      /* that is asked */
+  char *claimant;
+  GPtrArray *jobs; /* of char * */
+} Claim;
+
+/* A claim by another pool whose jobs are being disclaimed. */
+struct _FbDisclaimer
+{
+  FbOwner *owner;
+  GPtrArray *refused; /* of char * */
+  FbPeerReplyDone done;
+  gpointer user;
+};
+
+/* ---- held jobs --------------------------------------------------------------------- */
+
+static void
+held_job_free (gpointer data)
+{
+  FbHeldJob *held = data;
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &held->record);
+  g_clear_pointer (&held->progress, g_bytes_unref);
+  g_clear_pointer (&held->cancel, g_bytes_unref);
+  g_free (held->id);
+  g_free (held);
+}
+
+GHashTable *
+fb_owner_held_jobs_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, held_job_free);
+}
+
+FbHeldJob *
+fb_owner_held_job (const FbOwner *self, const char *job)
+{
+  return g_hash_table_lookup (self->held_jobs, job);
+}
+
+guint
+fb_owner_held_jobs_n (const FbOwner *self, const char *service, const char *queue)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->held_jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbHeldJob *held = value;
+      n += held->record.spec.occurrences == 0 && g_str_equal (held->record.policy.service, service)
+           && g_str_equal (held->record.policy.queue, queue);
+    }
+  return n;
+}
+
+gboolean
+fb_owner_holds_loaded_jobs (const FbOwner *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->held_jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (((const FbHeldJob *) value)->is_loaded)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+fb_owner_hold_progress (FbHeldJob *held, GBytes *progress)
+{
+  g_clear_pointer (&held->progress, g_bytes_unref);
+  held->progress = g_bytes_ref (progress);
+}
+
+void
+fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel)
+{
+  g_clear_pointer (&held->cancel, g_bytes_unref);
+  held->cancel = g_bytes_ref (cancel);
+}
+
+void
+fb_owner_forget_held_job (FbOwner *self, const char *job)
+{
+  g_hash_table_remove (self->held_jobs, job);
+}
+
+/* RECORD (transfer full). */
+static void
+hold (FbOwner *self, const char *job, fb_work_admit *record)
+{
+  FbHeldJob *held = g_new0 (FbHeldJob, 1);
+  held->id = g_strdup (job);
+  held->record = *record;
+  held->is_loaded = !self->loaded;
+  g_hash_table_replace (self->held_jobs, held->id, held);
+  fb_event_log (FB_EVENT_JOB_HELD, "job=%s queue=%s service=%s", job, record->policy.queue,
+                record->policy.service);
+}
+
+static void
+add_to_pool (FbOwner *self, const char *job, fb_work_admit *record)
+{
+  FbPool *pool = fb_owner_pool_for (self, record->policy.service)->pool;
+  fb_pool_add_job_take (pool, job, record, fb_clock_ms (), fb_clock_wall_ms ());
+}
+
+void
+fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record)
+{
+  const FbServicePool *service_pool = fb_owner_pool_for (self, record->policy.service);
+  fb_work_state state;
+  if (fb_pool_job_state (service_pool->pool, job, &state) || fb_owner_held_job (self, job) != NULL
+      || g_hash_table_contains (service_pool->disclaimed, job))
+    return;
+  if (fb_queue_directory_position (fb_entry_queue_directory (self->entry), record->policy.queue,
+                                   record->policy.service)
+      == 0)
+    add_to_pool (self, job, record);
+  else
+    {
+      hold (self, job, record);
+      *record = (fb_work_admit){ 0 };
+    }
+}
+
+/* Every service before that of HELD has disclaimed the job. */
+static void
+release (FbOwner *self, FbHeldJob *held)
+{
+  fb_counter_add (FB_COUNTER_CLAIMS_GRANTED, held->disclaimed_n > 0);
+  add_to_pool (self, held->id, &held->record);
+  g_hash_table_steal (self->held_jobs, held->id);
+  if (held->progress != NULL)
+    fb_owner_apply_progress (self, held->id, held->progress);
+  if (held->cancel != NULL)
+    fb_owner_apply_cancel (self, held->id, held->cancel);
+  held_job_free (held);
+}
+
+/* ---- claims ------------------------------------------------------------------------- */
+
+static void
+claim_free (Claim *claim)
+{
+  g_free (claim->service);
+  g_free (claim->claimant);
+  g_ptr_array_unref (claim->jobs);
+  g_free (claim);
+}
+
+/* Deletes the record of HELD, whose job another service has. */
+static void
+delete_record (FbOwner *self, const FbHeldJob *held)
+{
+  g_ptr_array_add (self->ended_jobs, g_strdup (held->id));
+}
+
+/* A cancel that is passed on to the pool that has the job. */
+typedef struct
+{
+  FbEntryDaemon *entry;
+  uint32_t partition;
+  uint64_t epoch;
+  char *job;
+} PassedCancel;
+
+static void
+on_cancel_passed_on (gpointer data, FbAppendResult result)
+{
+  PassedCancel *passed = data;
+  FbOwner *owner = fb_entry_owner (passed->entry, passed->partition);
+  FbHeldJob *held = owner != NULL && owner->epoch == passed->epoch
+                        ? fb_owner_held_job (owner, passed->job)
+                        : NULL;
+  if (held != NULL && result == FB_APPEND_STORED)
+    {
+      delete_record (owner, held);
+      fb_owner_forget_held_job (owner, passed->job);
+    }
+  else if (held != NULL)
+    held->is_claimed = FALSE;
+  g_free (passed->job);
+  g_free (passed);
+}
+
+/* The pool of SERVICE has the job of HELD, which this owner gives up.  A cancel that was stored
+ * with it is passed on first. */
+static void
+give_up (FbOwner *self, FbHeldJob *held, const char *service)
+{
+  fb_counter_add (FB_COUNTER_CLAIMS_REFUSED, 1);
+  fb_event_log (FB_EVENT_JOB_ELSEWHERE, "job=%s queue=%s service=%s elsewhere=%s", held->id,
+                held->record.policy.queue, held->record.policy.service, service);
+  if (held->cancel == NULL)
+    {
+      delete_record (self, held);
+      fb_owner_forget_held_job (self, held->id);
+      return;
+    }
+  PassedCancel *passed = g_new0 (PassedCancel, 1);
+  passed->entry = self->entry;
+  passed->partition = self->partition;
+  passed->epoch = self->epoch;
+  passed->job = g_strdup (held->id);
+  held->is_claimed = TRUE;
+  fb_owner_pass_on_cancel (self, held->id, held->cancel, service, on_cancel_passed_on, passed);
+}
+
+static gboolean
+is_refused (const fb_claims_reply *reply, const char *job)
+{
+  for (u_int i = 0; i < reply->refused.refused_len; i++)
+    {
+      if (g_str_equal (reply->refused.refused_val[i].job, job))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+apply_claim_reply (FbOwner *self, const Claim *claim, const fb_claims_reply *reply)
+{
+  for (guint i = 0; i < claim->jobs->len; i++)
+    {
+      FbHeldJob *held = fb_owner_held_job (self, claim->jobs->pdata[i]);
+      if (held == NULL || !g_str_equal (held->record.policy.service, claim->claimant))
+        continue;
+      held->is_claimed = FALSE;
+      if (reply == NULL)
+        held->next_ms = fb_clock_ms () + RETRY_MS;
+      else if (is_refused (reply, held->id))
+        give_up (self, held, claim->service);
+      else
+        held->disclaimed_n++;
+    }
+  if (reply != NULL)
+    fb_owner_schedule_tick (self);
+  else
+    fb_group_refresh_owners (self->entry->group);
+}
+
+static void
+on_claim_reply (gpointer data, const fb_peer_reply *peer_reply)
+{
+  Claim *claim = data;
+  FbOwner *owner = fb_entry_owner (claim->entry, claim->partition);
+  if (owner != NULL && owner->epoch == claim->epoch && !owner->stepped_down)
+    apply_claim_reply (owner, claim,
+                       peer_reply != NULL && peer_reply->type == FB_REPLY_CLAIMS
+                           ? &peer_reply->fb_peer_reply_u.claims
+                           : NULL);
+  claim_free (claim);
+}
+
+static void
+send_claim (FbOwner *self, Claim *claim)
+{
+  static const fb_peer_reply unavailable = { .type = FB_REPLY_UNAVAILABLE };
+  g_autofree fb_job_name *names = g_new0 (fb_job_name, claim->jobs->len);
+  for (guint i = 0; i < claim->jobs->len; i++)
+    names[i].job = claim->jobs->pdata[i];
+  fb_peer_request peer_request = { .type = FB_REQUEST_CLAIM_JOBS };
+  peer_request.fb_peer_request_u.claim
+      = (fb_claim_request){ claim->service, claim->claimant, { claim->jobs->len, names } };
+  uint32_t partition = fb_entry_partition_of (self->entry, claim->service);
+  FbOwner *owner = fb_entry_owner (self->entry, partition);
+  const char *address = fb_group_owner_of (self->entry->group, partition);
+  if (owner != NULL)
+    fb_owner_disclaim (owner, &peer_request.fb_peer_request_u.claim, on_claim_reply, claim);
+  else if (address != NULL && !g_str_equal (address, self->entry->settings->peers))
+    fb_peers_request (self->entry, address, &peer_request, CLAIM_TIMEOUT_MS, on_claim_reply, claim);
+  else
+    on_claim_reply (claim, &unavailable);
+}
+
+/* Adds HELD to the claim from SERVICE in CLAIMS.  The claims of one tick are few: one for each pair
+ * of services. */
+static void
+add_to_claim (const FbOwner *self, GPtrArray *claims, FbHeldJob *held, const char *service)
+{
+  const char *claimant = held->record.policy.service;
+  Claim *claim = NULL;
+  for (guint i = 0; i < claims->len && claim == NULL; i++)
+    {
+      Claim *other = claims->pdata[i];
+      if (g_str_equal (other->service, service) && g_str_equal (other->claimant, claimant))
+        claim = other;
+    }
+  if (claim == NULL)
+    {
+      claim = g_new0 (Claim, 1);
+      claim->entry = self->entry;
+      claim->partition = self->partition;
+      claim->epoch = self->epoch;
+      claim->service = g_strdup (service);
+      claim->claimant = g_strdup (claimant);
+      claim->jobs = g_ptr_array_new_with_free_func (g_free);
+      g_ptr_array_add (claims, claim);
+    }
+  if (claim->jobs->len >= FB_WORK_MAX_CLAIMS)
+    return;
+  g_ptr_array_add (claim->jobs, g_strdup (held->id));
+  held->is_claimed = TRUE;
+}
+
+void
+fb_owner_claim_held_jobs (FbOwner *self, uint64_t now_ms)
+{
+  if (g_hash_table_size (self->held_jobs) == 0)
+    return;
+  FbQueueDirectory *directory = fb_entry_queue_directory (self->entry);
+  g_autoptr (GPtrArray) claims = g_ptr_array_new ();
+  g_autoptr (GList) jobs = g_hash_table_get_values (self->held_jobs);
+  guint released_n = 0;
+  for (GList *l = jobs; l != NULL && released_n < ADMIT_PER_TICK; l = l->next)
+    {
+      FbHeldJob *held = l->data;
+      if (held->is_claimed || now_ms < held->next_ms)
+        continue;
+      const fb_work_policy *policy = &held->record.policy;
+      int position = fb_queue_directory_position (directory, policy->queue, policy->service);
+      if (position < 0)
+        fb_queue_directory_add (directory, policy->queue, policy->service);
+      else if (held->disclaimed_n >= (guint) position)
+        {
+          release (self, held);
+          released_n++;
+        }
+      else
+        {
+          const GPtrArray *services = fb_queue_directory_services (directory, policy->queue);
+          add_to_claim (self, claims, held,
+                        ((const FbQueueService *) services->pdata[held->disclaimed_n])->service);
+        }
+    }
+  if (released_n == ADMIT_PER_TICK)
+    fb_owner_schedule_tick (self);
+  for (guint i = 0; i < claims->len; i++)
+    send_claim (self, claims->pdata[i]);
+}
+
+/* ---- disclaimers ---------------------------------------------------------------------- */
+
+static char *
+disclaimer_key (const char *service, const char *job)
+{
+  return g_strconcat (FB_KEY_DISCLAIMED, service, ".", job, NULL);
+}
+
+/* Daemons that know no disclaimers take the record for the progress of a job that they do not know,
+ * and ignore it. */
+static GBytes *
+encode_disclaimer (uint64_t wall_ms)
+{
+  const fb_work_progress progress = { .state = FB_WORK_QUEUED, .ended_ms = wall_ms };
+  const fb_work_suspects suspects = { 0 };
+  return fb_codec_encode_progress (&progress, &suspects);
+}
+
+static void
+put_disclaimed (FbServicePool *service_pool, const char *job, uint64_t wall_ms)
+{
+  uint64_t *at_ms = g_new (uint64_t, 1);
+  *at_ms = wall_ms;
+  g_hash_table_replace (service_pool->disclaimed, g_strdup (job), at_ms);
+}
+
+void
+fb_owner_restore_disclaimer (FbOwner *self, const char *key, GBytes *value)
+{
+  const char *name = key + strlen (FB_KEY_DISCLAIMED);
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (value, &len);
+  fb_work_progress progress;
+  fb_work_suspects suspects;
+  gsize name_len = strlen (name);
+  if (name_len <= FB_WORK_JOB_ID_CHARS + 1
+      || !fb_codec_decode_progress (data, len, &progress, &suspects))
+    {
+      fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "key=%s malformed", key);
+      return;
+    }
+  gsize service_len = name_len - FB_WORK_JOB_ID_CHARS - 1;
+  g_autofree char *service = g_strndup (name, service_len);
+  put_disclaimed (fb_owner_pool_for (self, service), name + service_len + 1, progress.ended_ms);
+  fb_codec_clear_progress (&progress, &suspects);
+}
+
+static void
+disclaimer_finish (FbDisclaimer *disclaimer, gboolean stored)
+{
+  fb_peer_reply peer_reply = { .type = stored ? FB_REPLY_CLAIMS : FB_REPLY_UNAVAILABLE };
+  g_autofree fb_job_name *names = g_new0 (fb_job_name, disclaimer->refused->len);
+  for (guint i = 0; i < disclaimer->refused->len; i++)
+    names[i].job = disclaimer->refused->pdata[i];
+  if (stored)
+    peer_reply.fb_peer_reply_u.claims = (fb_claims_reply){ { disclaimer->refused->len, names } };
+  disclaimer->done (disclaimer->user, &peer_reply);
+  g_ptr_array_unref (disclaimer->refused);
+  g_free (disclaimer);
+}
+
+static void
+on_disclaimer_stored (gpointer data, FbAppendResult result)
+{
+  FbDisclaimer *disclaimer = data;
+  FbOwner *self = disclaimer->owner;
+  g_ptr_array_remove_fast (self->open_disclaimers, disclaimer);
+  if (result != FB_APPEND_STORED)
+    fb_owner_step_down (self, "disclaimers rejected because a later owner has written");
+  disclaimer_finish (disclaimer, result == FB_APPEND_STORED);
+}
+
+void
+fb_owner_abandon_disclaimers (FbOwner *self)
+{
+  while (self->open_disclaimers->len > 0)
+    disclaimer_finish (g_ptr_array_steal_index_fast (self->open_disclaimers, 0), FALSE);
+}
+
+void
+fb_owner_disclaim (FbOwner *self, const fb_claim_request *request, FbPeerReplyDone done,
+                   gpointer user)
+{
+  static const fb_peer_reply unavailable = { .type = FB_REPLY_UNAVAILABLE };
+  if (!self->loaded || self->stepped_down)
+    {
+      done (user, &unavailable);
+      return;
+    }
+  FbServicePool *service_pool = fb_owner_pool_for (self, request->service);
+  FbDisclaimer *disclaimer = g_new0 (FbDisclaimer, 1);
+  disclaimer->owner = self;
+  disclaimer->refused = g_ptr_array_new_with_free_func (g_free);
+  disclaimer->done = done;
+  disclaimer->user = user;
+  uint64_t wall_ms = fb_clock_wall_ms ();
+  g_autoptr (GBytes) value = encode_disclaimer (wall_ms);
+  GByteArray *records = g_byte_array_new ();
+  /* What is being stored may not be stored yet, so it is stored once more. */
+  gboolean is_storing = self->open_disclaimers->len > 0;
+  for (u_int i = 0; i < request->jobs.jobs_len; i++)
+    {
+      const char *job = request->jobs.jobs_val[i].job;
+      const FbHeldJob *held = fb_owner_held_job (self, job);
+      fb_work_state state;
+      if (fb_pool_job_state (service_pool->pool, job, &state)
+          || (held != NULL && g_str_equal (held->record.policy.service, request->service)))
+        g_ptr_array_add (disclaimer->refused, g_strdup (job));
+      else if (is_storing || !g_hash_table_contains (service_pool->disclaimed, job))
+        {
+          g_autofree char *key = disclaimer_key (request->service, job);
+          put_disclaimed (service_pool, job, wall_ms);
+          fb_wire_encode_record (records, key, value);
+        }
+    }
+  if (records->len == 0)
+    {
+      g_byte_array_unref (records);
+      disclaimer_finish (disclaimer, TRUE);
+      return;
+    }
+  g_ptr_array_add (self->open_disclaimers, disclaimer);
+  fb_appender_put (self->appender, records, 0, on_disclaimer_stored, disclaimer);
+}
+
+void
+fb_owner_expire_disclaimers (FbOwner *self, uint64_t now_ms)
+{
+  if (now_ms < self->disclaimers_checked_ms + EXPIRY_INTERVAL_MS)
+    return;
+  self->disclaimers_checked_ms = now_ms;
+  uint64_t wall_ms = fb_clock_wall_ms ();
+  g_autoptr (GByteArray) records = g_byte_array_new ();
+  GHashTableIter pools;
+  gpointer value;
+  g_hash_table_iter_init (&pools, self->service_pools);
+  while (g_hash_table_iter_next (&pools, NULL, &value))
+    {
+      FbServicePool *service_pool = value;
+      GHashTableIter jobs;
+      gpointer job;
+      gpointer at_ms;
+      g_hash_table_iter_init (&jobs, service_pool->disclaimed);
+      while (g_hash_table_iter_next (&jobs, &job, &at_ms))
+        {
+          if (wall_ms <= *(uint64_t *) at_ms + DISCLAIMER_RETENTION_MS)
+            continue;
+          g_autofree char *key = disclaimer_key (service_pool->service, job);
+          fb_wire_encode_record (records, key, NULL);
+          g_hash_table_iter_remove (&jobs);
+        }
+    }
+  if (records->len > 0)
+    fb_appender_put (self->appender, g_steal_pointer (&records), 0, fb_owner_ignore_stored, NULL);
+}
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -28,14 +28,19 @@
       fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "job=%s malformed", job);
       return;
     }
-  fb_pool_add_job_take (fb_owner_pool_for (self, record.policy.service)->pool, job, &record,
-                        fb_clock_ms (), fb_clock_wall_ms ());
+  fb_owner_admit (self, job, &record);
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &record);
 }
 
-static void
-apply_cancel (FbOwner *self, const char *job, GBytes *value)
+void
+fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *value)
 {
+  FbHeldJob *held = fb_owner_held_job (self, job);
+  if (held != NULL)
+    {
+      fb_owner_hold_cancel (held, value);
+      return;
+    }
   gsize len = 0;
   const char *text = g_bytes_get_data (value, &len);
   gsize prefix_len = MIN (len, strlen (FB_CANCEL_PREFIX));
@@ -71,11 +76,12 @@
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
 }
 
-static void
-apply_progress (FbOwner *self, const char *job, GBytes *value)
+void
+fb_owner_apply_progress (FbOwner *self, const char *job, GBytes *value)
 {
   /* Applied by create_recorded_pools(). */
-  if (g_str_has_prefix (job, FB_KEY_WORKERS) || g_str_has_prefix (job, FB_KEY_SILENT_WORKERS))
+  if (g_str_has_prefix (job, FB_KEY_WORKERS) || g_str_has_prefix (job, FB_KEY_SILENT_WORKERS)
+      || g_str_has_prefix (job, FB_KEY_DISCLAIMED))
     return;
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (value, &len);
@@ -86,6 +92,12 @@
       fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "progress of job=%s malformed", job);
       return;
     }
+  FbHeldJob *held = fb_owner_held_job (self, job);
+  /* A job that has ended in this partition is in no other pool. */
+  if (held != NULL && record.state >= FB_WORK_COMPLETED)
+    fb_owner_forget_held_job (self, job);
+  else if (held != NULL)
+    fb_owner_hold_progress (held, value);
   GHashTableIter iter;
   gpointer service_pool;
   g_hash_table_iter_init (&iter, self->service_pools);
@@ -163,8 +175,8 @@
   guint jobs_n = apply_up_to (self, self->admissions, apply_admission, budget);
   self->loaded_n += jobs_n;
   budget -= jobs_n;
-  budget -= apply_up_to (self, self->progress, apply_progress, budget);
-  budget -= apply_up_to (self, self->cancelled, apply_cancel, budget);
+  budget -= apply_up_to (self, self->progress, fb_owner_apply_progress, budget);
+  budget -= apply_up_to (self, self->cancelled, fb_owner_apply_cancel, budget);
   if (budget == 0)
     return G_SOURCE_CONTINUE;
   self->load_source = 0;
@@ -180,7 +192,7 @@
   if (key[0] == FB_KEY_JOB)
     apply_admission (self, key + 1, value);
   else
-    apply_cancel (self, key + 1, value);
+    fb_owner_apply_cancel (self, key + 1, value);
   fb_owner_schedule_tick (self);
 }
 
@@ -252,6 +264,8 @@
     {
       if (g_str_has_prefix (key, FB_KEY_WORKERS))
         apply_worker_list (self, (const char *) key + strlen (FB_KEY_WORKERS), value);
+      else if (g_str_has_prefix (key, FB_KEY_DISCLAIMED))
+        fb_owner_restore_disclaimer (self, key, value);
     }
   fb_owner_create_configured_pools (self);
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -15,10 +15,15 @@
   FbAccountParts *parts; /* its parts of the caps of client accounts */
   uint64_t parts_ms;     /* time at which they were last applied to the pool */
   FbAdmissionControl *admission;
-  guint refused_n;            /* jobs refused since that was last logged */
+  GHashTable *disclaimed; /* job that it never runs -> uint64_t: when that was stored, by the wall
+                           * clock */
+  guint refused_n;        /* jobs refused since that was last logged */
   uint64_t refused_logged_ms; /* when that was; 0: never */
 } FbServicePool;
 
+typedef struct _FbHeldJob FbHeldJob;
+typedef struct _FbDisclaimer FbDisclaimer;
+
 struct _FbOwner
 {
   FbEntryDaemon *entry;
@@ -27,11 +32,14 @@
   FbAppender *appender;
   FbTopicReader *progress_reader;
   FbTopicReader *job_reader;
-  GHashTable *progress;      /* job -> GBytes of its progress record, while loading */
-  GHashTable *cancelled;     /* set of cancelled jobs, while loading */
-  GHashTable *admissions;    /* job -> GBytes of its admission record, while loading */
-  GHashTable *service_pools; /* service -> FbServicePool */
-  guint load_source;         /* source that applies the records read; 0 when none is scheduled */
+  GHashTable *progress;            /* job -> GBytes of its progress record, while loading */
+  GHashTable *cancelled;           /* set of cancelled jobs, while loading */
+  GHashTable *admissions;          /* job -> GBytes of its admission record, while loading */
+  GHashTable *service_pools;       /* service -> FbServicePool */
+  GHashTable *held_jobs;           /* job -> FbHeldJob, see owner-claims.c */
+  GPtrArray *open_disclaimers;     /* of FbDisclaimer */
+  uint64_t disclaimers_checked_ms; /* when old ones were last looked for */
+  guint load_source; /* source that applies the records read; 0 when none is scheduled */
   gboolean loaded;
   gboolean workers_known; /* the worker list was read after fenced_ms */
   gboolean stepped_down;  /* has stepped down and takes no further action */
@@ -62,6 +70,8 @@
 #define FB_KEY_WORKERS "workers."
 /* As FB_KEY_WORKERS, of records in the same append. */
 #define FB_KEY_SILENT_WORKERS "silent-workers."
+/* Followed by the name of a service, a dot and the id of a job that the service never runs. */
+#define FB_KEY_DISCLAIMED "disclaimed."
 
 /* owner-orders.c: sends the orders of pools and passes the answers back. */
 extern const FbPoolCallbacks fb_owner_pool_callbacks;
@@ -75,6 +85,50 @@
 /* Completion of the append that fences the previous writer. */
 void fb_owner_previous_writer_fenced (gpointer self, FbAppendResult result);
 
+/* Applies a stored record of the progress of JOB, which is in a pool. */
+void fb_owner_apply_progress (FbOwner *self, const char *job, GBytes *value);
+/* Applies a stored cancel of JOB, which is in a pool or held. */
+void fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *value);
+
+/* owner-claims.c */
+
+GHashTable *fb_owner_held_jobs_new (void);
+/* Adds JOB to the pool of its service, or holds it until it is certain that no other service of its
+ * queue runs it.  RECORD may be taken over. */
+void fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record);
+/* Returns: (nullable): the held JOB, borrowed. */
+FbHeldJob *fb_owner_held_job (const FbOwner *self, const char *job);
+/* Stores PROGRESS or CANCEL, records of HELD, until the job is in its pool. */
+void fb_owner_hold_progress (FbHeldJob *held, GBytes *progress);
+void fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel);
+void fb_owner_forget_held_job (FbOwner *self, const char *job);
+/* Returns: how many jobs of QUEUE are held that wait for their first start in the pool of
+ * SERVICE. */
+guint fb_owner_held_jobs_n (const FbOwner *self, const char *service, const char *queue);
+/* Returns: TRUE while jobs are held that were stored before the takeover. */
+gboolean fb_owner_holds_loaded_jobs (const FbOwner *self);
+/* Claims the held jobs from other pools, and adds those to their pools that may run there.  To be
+ * called in every tick after loading. */
+void fb_owner_claim_held_jobs (FbOwner *self, uint64_t now_ms);
+/* Answers the claims that are being stored that this owner is not available. */
+void fb_owner_abandon_disclaimers (FbOwner *self);
+/* Applies a record whose KEY begins with FB_KEY_DISCLAIMED. */
+void fb_owner_restore_disclaimer (FbOwner *self, const char *key, GBytes *value);
+/* Deletes disclaimers that are no longer needed.  To be called in every tick. */
+void fb_owner_expire_disclaimers (FbOwner *self, uint64_t now_ms);
+
+/* owner-records.c */
+
+/* Stores VALUE under KEY among the callers' records of PARTITION, and tells its owner.  DONE is
+ * called once, within half a minute. */
+void fb_owner_store_record (FbEntryDaemon *entry, uint32_t partition, const char *key,
+                            GBytes *value, FbAppendDone done, gpointer user);
+/* FbAppendDone */
+void fb_owner_ignore_stored (gpointer user, FbAppendResult result);
+/* Has JOB cancelled by the owner of the pool of SERVICE.  CANCEL: the stored record. */
+void fb_owner_pass_on_cancel (FbOwner *self, const char *job, GBytes *cancel, const char *service,
+                              FbAppendDone done, gpointer user);
+
 /* owner-flush.c */
 
 /* Stores what has changed in the pool, unless a flush of it is open. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -5,6 +5,7 @@
 #include "fb-event.h"
 #include "fb-histogram.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define WRITER "owner"
@@ -36,6 +37,7 @@
   fb_pool_free (service_pool->pool);
   fb_account_parts_free (service_pool->parts);
   fb_admission_control_free (service_pool->admission);
+  g_hash_table_unref (service_pool->disclaimed);
   g_free (service_pool->service);
   g_free (service_pool);
 }
@@ -76,6 +78,7 @@
   fb_pool_set_idle_daemons (service_pool->pool, fb_owner_idle_daemons);
   service_pool->parts = fb_account_parts_new (service, self->epoch);
   service_pool->admission = fb_admission_control_new ();
+  service_pool->disclaimed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_insert (self->service_pools, service_pool->service, service_pool);
   add_listed_workers (service_pool);
   if (self->workers_known)
@@ -85,13 +88,6 @@
 
 /* ---- durability ------------------------------------------------------------------ */
 
-static void
-on_records_deleted (gpointer user, FbAppendResult result)
-{
-  (void) user;
-  (void) result; /* a remaining record is deleted when the pool removes the job */
-}
-
 /* Deletes the admission of each job whose end is stored, and keeps only the end, which has a tenth
  * of the bytes.  Otherwise, after minutes of work, the successor of an owner reads every ended job
  * with its full specification and places nothing meanwhile: 0.35 to 0.49 s with 2,200 jobs, on a
@@ -112,8 +108,9 @@
       fb_wire_encode_record (body, cancel_key, NULL);
     }
   g_ptr_array_set_size (self->ended_jobs, 0);
-  fb_appender_put (fb_entry_appender (self->entry, self->partition), body, 0, on_records_deleted,
-                   NULL);
+  /* A remaining record is deleted when the pool removes the job. */
+  fb_appender_put (fb_entry_appender (self->entry, self->partition), body, 0,
+                   fb_owner_ignore_stored, NULL);
 }
 
 /* ---- periodic tick ---------------------------------------------------------------- */
@@ -165,7 +162,11 @@
   uint64_t now_ms = fb_clock_ms ();
   gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
-  fb_owner_request_starts (self, now_ms);
+  fb_owner_claim_held_jobs (self, now_ms);
+  fb_owner_expire_disclaimers (self, now_ms);
+  gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
+  if (jobs_complete)
+    fb_owner_request_starts (self, now_ms);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->service_pools);
@@ -173,7 +174,8 @@
     {
       FbServicePool *service_pool = value;
       gboolean may_start = fb_owner_confirm (self, service_pool, now_ms) && may_act;
-      fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
+      if (jobs_complete)
+        fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
       fb_owner_exchange_account_parts (service_pool, now_ms);
       fb_pool_tick (service_pool->pool, may_start, now_ms, fb_clock_wall_ms ());
       if (may_start)
@@ -230,6 +232,8 @@
   self->cancelled
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->service_pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_pool_free);
+  self->held_jobs = fb_owner_held_jobs_new ();
+  self->open_disclaimers = g_ptr_array_new ();
   self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
   self->parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->import_sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -247,6 +251,7 @@
     g_source_remove (self->tick_source);
   if (self->load_source != 0)
     g_source_remove (self->load_source);
+  fb_owner_abandon_disclaimers (self);
   fb_appender_free (self->appender);
   fb_topic_reader_free (self->progress_reader);
   fb_topic_reader_free (self->job_reader);
@@ -254,6 +259,8 @@
   g_hash_table_unref (self->parts_n);
   g_hash_table_unref (self->import_sources);
   g_hash_table_unref (self->service_pools);
+  g_hash_table_unref (self->held_jobs);
+  g_ptr_array_unref (self->open_disclaimers);
   g_hash_table_unref (self->admissions);
   g_hash_table_unref (self->progress);
   g_hash_table_unref (self->cancelled);
@@ -285,6 +292,21 @@
     }
 }
 
+/* Lists the services of this partition for the queues that are directed to them, so that other
+ * services know where jobs may be before there are any. */
+static void
+list_queues (FbOwner *self)
+{
+  const FbRoutes *routes = self->entry->routes;
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      const fb_work_policy *policy = &((FbRoute *) routes->routes->pdata[i])->policy;
+      if (fb_entry_partition_of (self->entry, policy->service) == self->partition)
+        fb_queue_directory_add (fb_entry_queue_directory (self->entry), policy->queue,
+                                policy->service);
+    }
+}
+
 void
 fb_owner_routes_changed (FbOwner *self)
 {
@@ -292,6 +314,7 @@
   if (!self->loaded || routes == NULL)
     return;
   fb_owner_create_configured_pools (self);
+  list_queues (self);
   g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < routes->routes->len; i++)
     {
@@ -363,6 +386,8 @@
 {
   const FbServicePool *service_pool = g_hash_table_lookup (self->service_pools, service);
   fb_work_state state = FB_WORK_QUEUED;
+  if (fb_owner_held_job (self, job) != NULL)
+    return; /* it is not certain yet that the job is not in another pool */
   if (service_pool != NULL && fb_pool_job_state (service_pool->pool, job, &state)
       && fb_pool_job_is_visible (service_pool->pool, job, account))
     {
@@ -375,14 +400,42 @@
     peer_reply->type = FB_REPLY_NO_SUCH_JOB;
 }
 
+/* Sets the reply to the services of QUEUE other than SERVICE. */
+static void
+fill_services (FbOwner *self, const char *queue, const char *service,
+               fb_queue_services_reply *reply)
+{
+  const GPtrArray *services
+      = fb_queue_directory_services (fb_entry_queue_directory (self->entry), queue);
+  guint max_n = services != NULL ? MIN (services->len, FB_WORK_MAX_SERVICES) : 0;
+  reply->services.services_val = calloc (max_n + 1, sizeof (fb_service_name));
+  for (guint i = 0; i < max_n; i++)
+    {
+      const char *other = ((const FbQueueService *) services->pdata[i])->service;
+      if (!g_str_equal (other, service))
+        reply->services.services_val[reply->services.services_len++].service = strdup (other);
+    }
+}
+
+/* Answers how many jobs of a queue are pending here, and which other services may have some. */
 static void
-answer_pending (FbOwner *self, const fb_pending_request *peer_request, fb_peer_reply *peer_reply)
+answer_queue (FbOwner *self, const fb_peer_request *peer_request, fb_peer_reply *peer_reply)
 {
-  const FbServicePool *service_pool
-      = g_hash_table_lookup (self->service_pools, peer_request->service);
+  const fb_pending_request *queue = &peer_request->fb_peer_request_u.queue;
+  if (!fb_queue_directory_is_known (fb_entry_queue_directory (self->entry)))
+    return;
+  const FbServicePool *service_pool = g_hash_table_lookup (self->service_pools, queue->service);
+  fb_queue_services_reply *reply = &peer_reply->fb_peer_reply_u.services;
+  guint pending = fb_owner_held_jobs_n (self, queue->service, queue->queue);
+  pending += service_pool != NULL ? fb_pool_pending_jobs_n (service_pool->pool, queue->queue) : 0;
+  *reply = (fb_queue_services_reply){ .pending = pending };
+  peer_reply->type = FB_REPLY_QUEUE_SERVICES;
+  fill_services (self, queue->queue, queue->service, reply);
+  if (peer_request->type == FB_REQUEST_QUEUE_SERVICES)
+    return;
+  xdr_free ((xdrproc_t) xdr_fb_queue_services_reply, (char *) reply);
   peer_reply->type = FB_REPLY_PENDING_COUNT;
-  peer_reply->fb_peer_reply_u.pending
-      = service_pool != NULL ? fb_pool_pending_jobs_n (service_pool->pool, peer_request->queue) : 0;
+  peer_reply->fb_peer_reply_u.pending = pending;
 }
 
 void
@@ -402,6 +455,7 @@
     fb_owner_answer_account_parts (self, &peer_request->fb_peer_request_u.parts, peer_reply);
   else if (peer_request->type == FB_REQUEST_ADMISSION)
     fb_owner_answer_admission (self, &peer_request->fb_peer_request_u.admission, peer_reply);
-  else if (peer_request->type == FB_REQUEST_PENDING_COUNT)
-    answer_pending (self, &peer_request->fb_peer_request_u.queue, peer_reply);
+  else if (peer_request->type == FB_REQUEST_PENDING_COUNT
+           || peer_request->type == FB_REQUEST_QUEUE_SERVICES)
+    answer_queue (self, peer_request, peer_reply);
 }
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "platform/wire.h"
+#include "src/entry/peers/relay.h"
 
 typedef struct _FbEntryDaemon FbEntryDaemon;
 typedef struct _FbOwner FbOwner;
@@ -16,6 +17,10 @@
  * xdr_free(). */
 void fb_owner_answer (FbOwner *self, const fb_peer_request *peer_request,
                       fb_peer_reply *peer_reply);
+/* Answers a claim by the pool of another service once it is stored which of the jobs the pool of
+ * the requested service never runs.  DONE is called once, with a reply. */
+void fb_owner_disclaim (FbOwner *self, const fb_claim_request *request, FbPeerReplyDone done,
+                        gpointer user);
 /* Applies a record of FB_TOPIC_JOBS that is known to be stored, before the topic reader reads it.
  */
 void fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -42,6 +42,8 @@
     case FB_REQUEST_JOB_STATE:
     case FB_REQUEST_ACCOUNT_JOB_STATE:
     case FB_REQUEST_PENDING_COUNT:
+    case FB_REQUEST_QUEUE_SERVICES:
+    case FB_REQUEST_CLAIM_JOBS:
     case FB_REQUEST_PARTITION_OWNERS:
     case FB_REQUEST_RECENT_STARTS:
     case FB_REQUEST_UNHEARD_STARTS:
@@ -416,6 +418,8 @@
       return peer_request->fb_peer_request_u.parts.coordinator;
     case FB_REQUEST_ADMISSION:
       return peer_request->fb_peer_request_u.admission.service;
+    case FB_REQUEST_CLAIM_JOBS:
+      return peer_request->fb_peer_request_u.claim.service;
     default:
       return peer_request->fb_peer_request_u.queue.service;
     }
@@ -473,11 +477,18 @@
       fb_load_notices_put (entry->load_notices, &peer_request->fb_peer_request_u.notice,
                            fb_clock_ms ());
       break;
+    case FB_REQUEST_CLAIM_JOBS:
+      owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service_of (peer_request)));
+      if (owner == NULL)
+        break;
+      fb_owner_disclaim (owner, &peer_request->fb_peer_request_u.claim, send_reply, served);
+      return;
     case FB_REQUEST_JOB_STATE:
     case FB_REQUEST_ACCOUNT_JOB_STATE:
     case FB_REQUEST_ACCOUNT_PARTS:
     case FB_REQUEST_ADMISSION:
     case FB_REQUEST_PENDING_COUNT:
+    case FB_REQUEST_QUEUE_SERVICES:
       owner = fb_entry_owner (entry, fb_entry_partition_of (entry, service_of (peer_request)));
       if (owner != NULL)
         fb_owner_answer (owner, peer_request, &peer_reply);
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -311,43 +311,46 @@
   fb_owner_free (owner);
 }
 
-/* Returns: TRUE when a configured service maps to PARTITION; other partitions need no owner. */
+FbQueueDirectory *
+fb_entry_queue_directory (FbEntryDaemon *self)
+{
+  if (self->queue_directory == NULL)
+    self->queue_directory = fb_queue_directory_new (self);
+  return self->queue_directory;
+}
+
 static gboolean
-has_service (const FbEntryDaemon *self, uint32_t partition)
+contains_partition (const GArray *partitions, uint32_t partition)
 {
-  for (guint i = 0; self->routes != NULL && i < self->routes->services->len; i++)
+  for (guint i = 0; i < partitions->len; i++)
     {
-      if (fb_entry_partition_of (self, self->routes->services->pdata[i]) == partition)
+      if (g_array_index (partitions, uint32_t, i) == partition)
         return TRUE;
     }
   return FALSE;
 }
 
+static void
+add_partitions (const FbEntryDaemon *self, const GPtrArray *services, GArray *partitions)
+{
+  for (guint i = 0; i < services->len; i++)
+    {
+      uint32_t partition = fb_entry_partition_of (self, services->pdata[i]);
+      if (!contains_partition (partitions, partition))
+        g_array_append_val (partitions, partition);
+    }
+}
+
 GArray *
 fb_entry_service_partitions (const FbEntryDaemon *self)
 {
   if (self->routes == NULL)
     return NULL;
   GArray *partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  for (guint i = 0; i < self->routes->services->len; i++)
-    {
-      uint32_t partition = fb_entry_partition_of (self, self->routes->services->pdata[i]);
-      g_array_append_val (partitions, partition);
-    }
+  add_partitions (self, self->routes->services, partitions);
   return partitions;
 }
 
-static gboolean
-contains_partition (const GArray *partitions, uint32_t partition)
-{
-  for (guint i = 0; i < partitions->len; i++)
-    {
-      if (g_array_index (partitions, uint32_t, i) == partition)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 void
 fb_entry_set_owned_partitions (FbEntryDaemon *self, const GArray *partitions, uint64_t generation,
                                const char *reason)
@@ -361,10 +364,15 @@
       log_lost_partition (self, partition, generation, reason);
       fb_entry_release_partition (self, partition);
     }
-  for (guint i = 0; i < partitions->len && !self->stopping; i++)
+  if (partitions->len == 0 || self->stopping)
+    return;
+  (void) fb_entry_queue_directory (self);
+  /* Other partitions need no owner. */
+  g_autoptr (GArray) needed = fb_entry_service_partitions (self);
+  for (guint i = 0; needed != NULL && i < partitions->len; i++)
     {
       uint32_t partition = g_array_index (partitions, uint32_t, i);
-      if (fb_entry_owner (self, partition) == NULL && has_service (self, partition))
+      if (fb_entry_owner (self, partition) == NULL && contains_partition (needed, partition))
         take_over_partition (self, partition, generation);
     }
 }
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -275,3 +275,9 @@
 {
   return self->synced_ms;
 }
+
+uint64_t
+fb_topic_reader_next_offset (const FbTopicReader *self)
+{
+  return self->next_offset;
+}
--- a/src/entry/store/topic-reader.h
+++ b/src/entry/store/topic-reader.h
@@ -31,3 +31,6 @@
 /* Returns: the time at which the last answered read was sent: every record that was stored before
  * then has been read; 0 while the first listing is incomplete. */
 uint64_t fb_topic_reader_synced_ms (const FbTopicReader *self);
+/* Returns: the offset up to which records have been read; meaningless while the first listing is
+ * incomplete. */
+uint64_t fb_topic_reader_next_offset (const FbTopicReader *self);
--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -175,6 +175,12 @@
     }
   g_autofree char *name = partition_name (query);
   Partition *partition = get_partition (name);
+  if (*param (query, "at") != '\0' && number (query, "at") != partition->records->len)
+    {
+      g_autofree char *end = g_strdup_printf ("{\"end\":%u}", partition->records->len);
+      sp_reply (message, 412, end);
+      return;
+    }
   gboolean has_producer = *param (query, "producer") != '\0';
   guint64 epoch = number (query, "epoch");
   guint64 sequence = number (query, "sequence");
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -64,6 +64,7 @@
 static guint worker_n;
 static Worker workers[SP_WORKER_MAX];
 static const guint *worker_listed_ports;
+static const char **worker_services;
 /* Starts are executed and their connections closed without a response; repeated starts are
  * rejected. */
 static gboolean drop_answers;
@@ -88,12 +89,11 @@
 list_worker (Worker *worker, guint sequence)
 {
   g_autofree char *entry = g_strdup_printf (
-      "{\"service\":\"" SP_SERVICE
-      "\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
       "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
       "\"born\":%" G_GINT64_FORMAT "}",
-      worker_listed_ports[worker->index], sequence, WORKER_CPU_MILLI,
-      worker->incarnation_started_ms);
+      worker_services[worker->index], worker_listed_ports[worker->index], sequence,
+      WORKER_CPU_MILLI, worker->incarnation_started_ms);
   sp_store_put ("keyed.servers/0", worker->id, worker->up ? entry : "");
   worker->last_listed_ms = worker->up ? sp_now_ms () : 0;
 }
@@ -531,10 +531,11 @@
 }
 
 void
-sp_workers_init (guint n, const guint *listed_ports)
+sp_workers_init (guint n, const guint *listed_ports, const char **services)
 {
   worker_n = n;
   worker_listed_ports = listed_ports;
+  worker_services = services;
   for (guint i = 0; i < n; i++)
     {
       workers[i].index = i;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -220,23 +220,46 @@
     ports[i] = i < n ? (guint) atoi (parts[i]) : base_port + 1 + i;
 }
 
+/* Sets SERVICES to the services of the workers.  ASSIGNMENT: "NAME=N,...": the last workers belong
+ * to these services, N to each, the others to SP_SERVICE. */
+static void
+read_services (const char *assignment, guint worker_n, const char **services)
+{
+  g_auto (GStrv) parts = g_strsplit (assignment, ",", 0);
+  guint end = worker_n;
+  for (guint i = 0; i < worker_n; i++)
+    services[i] = SP_SERVICE;
+  for (guint i = 0; parts[i] != NULL; i++)
+    {
+      g_auto (GStrv) pair = g_strsplit (parts[i], "=", 2);
+      if (g_strv_length (pair) != 2)
+        continue;
+      const char *service = g_intern_string (pair[0]);
+      for (int n = atoi (pair[1]); n > 0 && end > 0; n--)
+        services[--end] = service;
+    }
+}
+
 int
 main (int argc, char **argv)
 {
-  if (argc < 3 || argc > 4 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
+  if (argc < 3 || argc > 5 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
     {
-      fprintf (stderr, "usage: standin-platform PORT WORKERS [PORT-LISTED,...]\n");
+      fprintf (stderr,
+               "usage: standin-platform PORT WORKERS [PORT-LISTED,... [SERVICE=WORKERS,...]]\n");
       return 2;
     }
   base_port = (guint) atoi (argv[1]);
   guint worker_n = (guint) atoi (argv[2]);
   static guint listed_ports[SP_WORKER_MAX];
+  static const char *services[SP_WORKER_MAX];
   read_listed_ports (argc > 3 ? argv[3] : "", worker_n, listed_ports);
+  read_services (argc > 4 ? argv[4] : "", worker_n, services);
   sp_store_init ();
   sp_group_init ();
   sp_faults_init ();
   sp_audit_init ();
-  sp_workers_init (worker_n, listed_ports);
+  sp_workers_init (worker_n, listed_ports, services);
   SoupServer *server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, serve, NULL, NULL);
   for (guint i = 0; i <= worker_n; i++)
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -52,7 +52,7 @@
 /* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
 /* LISTED_PORTS: for each worker, the port in its entry of the worker list; borrowed. */
-void sp_workers_init (guint n, const guint *listed_ports);
+void sp_workers_init (guint n, const guint *listed_ports, const char **services);
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
--- a/tests/test-admission-entry.c
+++ b/tests/test-admission-entry.c
@@ -237,6 +237,7 @@
                                         .service = (char *) SERVICE,
                                         .admission = fb_admission_control_new () };
   g_hash_table_insert (self->owner.service_pools, self->service_pool.service, &self->service_pool);
+  self->owner.held_jobs = fb_owner_held_jobs_new ();
   asked_owner = &self->owner;
   run_for (self, 1000);
   for (guint i = 0; backlog && i < JOB_N; i++)
@@ -256,6 +257,7 @@
   fb_load_notices_free (self->entry.load_notices);
   fb_recent_appends_free (self->entry.recent_appends);
   fb_admission_control_free (self->service_pool.admission);
+  g_hash_table_unref (self->owner.held_jobs);
   g_hash_table_unref (self->owner.service_pools);
   busy_pool_clear (&self->busy);
   g_ptr_array_unref (members);
--- /dev/null
+++ b/tests/test-claims.c
@@ -0,0 +1,546 @@
+/* Pools of three services that may have the same jobs, with owners that are replaced, messages that
+ * are delayed and lost, and different ages of the queue directory at each daemon. */
+#include "src/entry/owner/owner-private.h"
+
+#include "fb-event.h"
+#include "internal/codec.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVICE_N 3
+#define JOB_N 6
+#define QUEUE "q"
+#define EVENTS_N 300
+#define SETTLE_STEPS_N 400
+#define STEP_MS 30
+
+/* In different partitions. */
+static const char *const services[SERVICE_N] = { "svc", "svc2", "svc3" };
+
+/* One daemon for each service, which owns its partition, and what the store has of it. */
+typedef struct
+{
+  FbEntryDaemon entry;
+  FbOwner *owner;
+  uint32_t partition;
+  guint view_n;           /* number of records of the directory that the daemon has read */
+  GPtrArray *view;        /* of FbQueueService */
+  GHashTable *jobs;       /* set of the jobs that are stored with the service */
+  GHashTable *disclaimed; /* key -> GBytes of the stored disclaimers */
+} Daemon;
+
+/* An append of the owner of DAEMON that has no result yet. */
+typedef struct
+{
+  Daemon *daemon;
+  GByteArray *records;
+  FbAppendDone done;
+  gpointer user;
+} Append;
+
+/* A claim on its way to the owner of a service, or the reply on its way back. */
+typedef struct
+{
+  guint to;
+  GBytes *request;
+  GBytes *reply; /* NULL: the claim is on its way, or the reply is lost */
+  gboolean is_answered;
+  FbPeerReplyDone done;
+  gpointer user;
+} Message;
+
+static FbEntrySettings settings;
+static Daemon daemons[SERVICE_N];
+static guint directory[SERVICE_N]; /* the services in the order of their records */
+static guint directory_n;
+static GPtrArray *appends;
+static GPtrArray *messages;
+static uint64_t clock_ms;
+static uint64_t next_epoch;
+static gboolean ran[JOB_N][SERVICE_N]; /* the job has been in the pool of the service */
+static GRand *random_numbers;
+
+static guint
+draw (guint n)
+{
+  return (guint) g_rand_int_range (random_numbers, 0, (gint32) n);
+}
+
+static Daemon *
+daemon_of (const FbEntryDaemon *entry)
+{
+  for (guint i = 0; i < SERVICE_N; i++)
+    {
+      if (&daemons[i].entry == entry)
+        return &daemons[i];
+    }
+  return NULL;
+}
+
+static char *
+job_id (guint job)
+{
+  return g_strdup_printf ("%016x", job);
+}
+
+/* ---- what surrounds the owners -------------------------------------------------------------- */
+
+uint64_t __wrap_fb_clock_ms (void);
+FbQueueDirectory *__wrap_fb_entry_queue_directory (FbEntryDaemon *entry);
+const GPtrArray *__wrap_fb_queue_directory_services (const FbQueueDirectory *self,
+                                                     const char *queue);
+int __wrap_fb_queue_directory_position (const FbQueueDirectory *self, const char *queue,
+                                        const char *service);
+void __wrap_fb_queue_directory_add (FbQueueDirectory *self, const char *queue, const char *service);
+const char *__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition);
+void __wrap_fb_group_refresh_owners (FbGroup *group);
+void __wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
+                              const fb_peer_request *peer_request, uint32_t timeout_ms,
+                              FbPeerReplyDone done, gpointer user);
+FbAppender *__wrap_fb_appender_new (FbEntryDaemon *entry, const char *topic, uint32_t partition,
+                                    const char *writer, uint64_t epoch);
+void __wrap_fb_appender_free (FbAppender *self);
+void __wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
+                             FbAppendDone done, gpointer user);
+void __real_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
+                                  uint64_t now_ms, uint64_t wall_ms);
+void __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
+                                  uint64_t now_ms, uint64_t wall_ms);
+
+uint64_t
+__wrap_fb_clock_ms (void)
+{
+  return clock_ms;
+}
+
+/* The directory at a daemon is the view of its Daemon. */
+FbQueueDirectory *
+__wrap_fb_entry_queue_directory (FbEntryDaemon *entry)
+{
+  return (gpointer) daemon_of (entry);
+}
+
+static void
+read_directory (Daemon *daemon, guint n)
+{
+  while (daemon->view_n < n)
+    {
+      FbQueueService *row = g_new0 (FbQueueService, 1);
+      row->service = (char *) services[directory[daemon->view_n++]];
+      g_ptr_array_add (daemon->view, row);
+    }
+}
+
+const GPtrArray *
+__wrap_fb_queue_directory_services (const FbQueueDirectory *self, const char *queue)
+{
+  (void) queue;
+  return ((const Daemon *) (gconstpointer) self)->view;
+}
+
+int
+__wrap_fb_queue_directory_position (const FbQueueDirectory *self, const char *queue,
+                                    const char *service)
+{
+  const GPtrArray *view = __wrap_fb_queue_directory_services (self, queue);
+  for (guint i = 0; i < view->len; i++)
+    {
+      if (g_str_equal (((FbQueueService *) view->pdata[i])->service, service))
+        return (int) i;
+    }
+  return -1;
+}
+
+/* Stored only if the daemon has read all records. */
+void
+__wrap_fb_queue_directory_add (FbQueueDirectory *self, const char *queue, const char *service)
+{
+  (void) queue;
+  Daemon *daemon = (gpointer) self;
+  CU_ASSERT_STRING_EQUAL (service, services[daemon - daemons]);
+  if (daemon->view_n < directory_n)
+    return;
+  directory[directory_n++] = (guint) (daemon - daemons);
+  if (draw (2) == 0)
+    read_directory (daemon, directory_n);
+}
+
+const char *
+__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition)
+{
+  (void) group;
+  for (guint i = 0; i < SERVICE_N; i++)
+    {
+      if (daemons[i].partition == partition)
+        return services[i];
+    }
+  return NULL;
+}
+
+void
+__wrap_fb_group_refresh_owners (FbGroup *group)
+{
+  (void) group;
+}
+
+void
+__wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
+                         const fb_peer_request *peer_request, uint32_t timeout_ms,
+                         FbPeerReplyDone done, gpointer user)
+{
+  (void) entry;
+  (void) timeout_ms;
+  Message *message = g_new0 (Message, 1);
+  for (guint i = 0; i < SERVICE_N; i++)
+    message->to = g_str_equal (services[i], address) ? i : message->to;
+  message->request = fb_codec_encode_peer_request (peer_request);
+  message->done = done;
+  message->user = user;
+  g_ptr_array_add (messages, message);
+}
+
+FbAppender *
+__wrap_fb_appender_new (FbEntryDaemon *entry, const char *topic, uint32_t partition,
+                        const char *writer, uint64_t epoch)
+{
+  (void) topic;
+  (void) partition;
+  (void) writer;
+  (void) epoch;
+  return (gpointer) daemon_of (entry);
+}
+
+/* The results of the appends of a freed owner are not delivered. */
+void
+__wrap_fb_appender_free (FbAppender *self)
+{
+  for (guint i = appends->len; i > 0; i--)
+    {
+      Append *append = appends->pdata[i - 1];
+      if (append->daemon != (gpointer) self)
+        continue;
+      g_byte_array_unref (append->records);
+      g_free (append);
+      g_ptr_array_remove_index (appends, i - 1);
+    }
+}
+
+void
+__wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
+                        FbAppendDone done, gpointer user)
+{
+  (void) retry_until_ms;
+  Append *append = g_new0 (Append, 1);
+  append->daemon = (gpointer) self;
+  append->records = records;
+  append->done = done;
+  append->user = user;
+  g_ptr_array_add (appends, append);
+}
+
+void
+__wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record, uint64_t now_ms,
+                             uint64_t wall_ms)
+{
+  for (guint i = 0; i < SERVICE_N; i++)
+    ran[strtoul (job, NULL, 16)][i] |= g_str_equal (record->policy.service, services[i]);
+  __real_fb_pool_add_job_take (self, job, record, now_ms, wall_ms);
+}
+
+/* ---- events ------------------------------------------------------------------------------- */
+
+static void
+admit (Daemon *daemon, const char *job)
+{
+  fb_work_admit record = { .accepted_ms = 1 };
+  fb_work_admit *copy = &record;
+  const fb_work_admit source = { .policy = { .queue = (char *) QUEUE,
+                                             .service = (char *) services[daemon - daemons],
+                                             .max_attempts = 3 },
+                                 .spec = { .payload = (char *) "" },
+                                 .account = (char *) "" };
+  g_autoptr (GBytes) bytes = fb_codec_encode_admit (&source);
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (bytes, &len);
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_admit (data, len, copy));
+  fb_owner_admit (daemon->owner, job, copy);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) copy);
+}
+
+/* Starts an owner with what is stored of its partition. */
+static void
+start_owner (Daemon *daemon)
+{
+  daemon->owner = fb_owner_new (&daemon->entry, daemon->partition, next_epoch++);
+  __wrap_fb_appender_free ((gpointer) daemon); /* the append that fences the owner before */
+  g_hash_table_insert (daemon->entry.owners, GUINT_TO_POINTER (daemon->partition), daemon->owner);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, daemon->disclaimed);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    fb_owner_restore_disclaimer (daemon->owner, key, value);
+  g_hash_table_iter_init (&iter, daemon->jobs);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    admit (daemon, key);
+  daemon->owner->loaded = TRUE;
+}
+
+static void
+stop_owner (Daemon *daemon)
+{
+  g_hash_table_remove (daemon->entry.owners, GUINT_TO_POINTER (daemon->partition));
+  fb_owner_free (daemon->owner);
+}
+
+static void
+submit (guint job, Daemon *daemon)
+{
+  g_autofree char *id = job_id (job);
+  g_hash_table_add (daemon->jobs, g_strdup (id));
+  admit (daemon, id);
+}
+
+/* Stores the records of an append, and delivers the result unless the owner is replaced. */
+static void
+store_append (guint at)
+{
+  Append *append = g_ptr_array_steal_index (appends, at);
+  const guint8 *data = append->records->data;
+  for (guint offset = 0; offset < append->records->len;)
+    {
+      guint32 size = 0;
+      memcpy (&size, data + offset, sizeof size);
+      size = GUINT32_FROM_BE (size);
+      const guint8 *record = data + offset + sizeof size;
+      char *key = g_strndup ((const char *) record + 1, record[0]);
+      g_hash_table_replace (append->daemon->disclaimed, key,
+                            g_bytes_new (record + 1 + record[0], size - 1 - record[0]));
+      offset += (guint) sizeof size + size;
+    }
+  g_byte_array_unref (append->records);
+  append->done (append->user, FB_APPEND_STORED);
+  g_free (append);
+}
+
+static void
+message_finish (Message *message)
+{
+  fb_peer_reply reply = { .type = FB_REPLY_UNAVAILABLE };
+  if (message->reply != NULL)
+    {
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (message->reply, &len);
+      CU_ASSERT_TRUE_FATAL (fb_codec_decode_peer_reply (data, len, &reply));
+    }
+  message->done (message->user, message->reply != NULL ? &reply : NULL);
+  xdr_free ((xdrproc_t) xdr_fb_peer_reply, (char *) &reply);
+  g_clear_pointer (&message->reply, g_bytes_unref);
+  g_bytes_unref (message->request);
+  g_free (message);
+}
+
+/* The owner of the asked service has answered: the reply is on its way. */
+static void
+on_answered (gpointer user, const fb_peer_reply *peer_reply)
+{
+  Message *message = user;
+  message->reply = fb_codec_encode_peer_reply (peer_reply);
+  g_ptr_array_add (messages, message);
+}
+
+static void
+deliver (guint at, gboolean is_lost)
+{
+  Message *message = g_ptr_array_steal_index (messages, at);
+  if (is_lost)
+    g_clear_pointer (&message->reply, g_bytes_unref);
+  if (message->is_answered || is_lost)
+    {
+      message_finish (message);
+      return;
+    }
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (message->request, &len);
+  fb_peer_request request;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_peer_request (data, len, &request));
+  message->is_answered = TRUE;
+  fb_owner_disclaim (daemons[message->to].owner, &request.fb_peer_request_u.claim, on_answered,
+                     message);
+  xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &request);
+}
+
+/* Owners may be gone in the middle of an append, which is stored or not. */
+static void
+replace_owner (Daemon *daemon)
+{
+  for (guint i = appends->len; i > 0; i--)
+    {
+      if (((Append *) appends->pdata[i - 1])->daemon == daemon && draw (2) == 0)
+        store_append (i - 1);
+    }
+  stop_owner (daemon);
+  start_owner (daemon);
+}
+
+static void
+tick (Daemon *daemon)
+{
+  clock_ms += STEP_MS;
+  fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+}
+
+static void
+play_event (void)
+{
+  Daemon *daemon = &daemons[draw (SERVICE_N)];
+  switch (draw (12))
+    {
+    case 0:
+      submit (draw (JOB_N), daemon);
+      break;
+    case 1:
+      if (draw (4) == 0)
+        replace_owner (daemon);
+      break;
+    case 2:
+    case 3:
+      read_directory (daemon, daemon->view_n + draw (directory_n - daemon->view_n + 1));
+      break;
+    case 4:
+    case 5:
+      if (appends->len > 0)
+        store_append (draw (appends->len));
+      break;
+    case 6:
+    case 7:
+    case 8:
+      if (messages->len > 0)
+        deliver (draw (messages->len), draw (5) == 0);
+      break;
+    default:
+      tick (daemon);
+    }
+}
+
+static void
+settle (void)
+{
+  for (guint i = 0; i < SETTLE_STEPS_N; i++)
+    {
+      Daemon *daemon = &daemons[i % SERVICE_N];
+      read_directory (daemon, directory_n);
+      tick (daemon);
+      while (messages->len > 0)
+        deliver (0, FALSE);
+      while (appends->len > 0)
+        store_append (0);
+    }
+}
+
+/* ---- plays ---------------------------------------------------------------------------------- */
+
+static void
+begin (guint32 seed)
+{
+  random_numbers = g_rand_new_with_seed (seed);
+  settings = (FbEntrySettings){ .partitions = 32, .append_max_bytes = 1 << 20 };
+  memset (ran, 0, sizeof ran);
+  directory_n = 0;
+  clock_ms = 100000;
+  appends = g_ptr_array_new ();
+  messages = g_ptr_array_new ();
+  for (guint i = 0; i < SERVICE_N; i++)
+    {
+      Daemon *daemon = &daemons[i];
+      *daemon = (Daemon){ .entry = { .settings = &settings } };
+      settings.peers = (char *) "none";
+      daemon->entry.owners = g_hash_table_new (NULL, NULL);
+      daemon->entry.timer = fb_timer_new (clock_ms);
+      daemon->entry.workers = fb_worker_list_new ();
+      daemon->partition = fb_entry_partition_of (&daemon->entry, services[i]);
+      daemon->view = g_ptr_array_new_with_free_func (g_free);
+      daemon->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      daemon->disclaimed
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+      start_owner (daemon);
+    }
+}
+
+static void
+end (void)
+{
+  while (messages->len > 0)
+    deliver (0, TRUE);
+  for (guint i = 0; i < SERVICE_N; i++)
+    {
+      Daemon *daemon = &daemons[i];
+      stop_owner (daemon);
+      while (messages->len > 0)
+        deliver (0, TRUE);
+      g_hash_table_unref (daemon->entry.owners);
+      fb_timer_free (daemon->entry.timer);
+      fb_worker_list_free (daemon->entry.workers);
+      g_ptr_array_unref (daemon->view);
+      g_hash_table_unref (daemon->jobs);
+      g_hash_table_unref (daemon->disclaimed);
+    }
+  g_ptr_array_unref (appends);
+  g_ptr_array_unref (messages);
+  g_rand_free (random_numbers);
+}
+
+/* Returns: the number of jobs that ran in several pools, or in none although they were stored. */
+static guint
+count_violations (void)
+{
+  guint violations_n = 0;
+  for (guint job = 0; job < JOB_N; job++)
+    {
+      g_autofree char *id = job_id (job);
+      guint ran_n = 0;
+      gboolean is_stored = FALSE;
+      for (guint i = 0; i < SERVICE_N; i++)
+        {
+          ran_n += ran[job][i];
+          is_stored |= g_hash_table_contains (daemons[i].jobs, id);
+        }
+      violations_n += ran_n != (is_stored ? 1 : 0);
+    }
+  return violations_n;
+}
+
+/* Guards against a job that runs in the pools of two services, or in none. */
+static void
+test_each_job_runs_in_one_pool (void)
+{
+  for (guint32 seed = 1; seed <= 2000; seed++)
+    {
+      begin (seed);
+      for (guint i = 0; i < EVENTS_N; i++)
+        play_event ();
+      settle ();
+      guint violations_n = count_violations ();
+      if (violations_n > 0)
+        printf ("seed %u: %u jobs ran in several pools, or in none\n", seed, violations_n);
+      CU_ASSERT_EQUAL (violations_n, 0);
+      end ();
+    }
+}
+
+int
+main (void)
+{
+  fb_event_init ("test-claims", TRUE);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("claims of jobs by services", NULL, NULL);
+  CU_add_test (suite, "each job runs in one pool", test_each_job_runs_in_one_pool);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  guint failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -41,6 +41,7 @@
 verdict "configurations in a large fleet" $B/tests/test-configuration
 verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
+verdict "claims of jobs by services" $B/tests/test-claims
 verdict "list of daemons" $B/tests/test-daemons
 verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
@@ -79,6 +80,7 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
+verdict "queues that change services, with processes" tests/queue-services.sh
 verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "placement rounds, many held steps" $B/tests/test-rounds many-held-steps
