Pending jobs of a queue are counted at all its services

The owner's reply names the other services of the queue when there are some, and the front end adds their counts. A queue of one service is answered as before, by one request.

Evidence: the step "pending jobs are counted at all services of the queue" of tests/queue-services.sh ("daemon 0 counts 0" of 1 without this change, passes with it).

--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -431,7 +431,7 @@
   *reply = (fb_queue_services_reply){ .pending = pending };
   peer_reply->type = FB_REPLY_QUEUE_SERVICES;
   fill_services (self, queue->queue, queue->service, reply);
-  if (peer_request->type == FB_REQUEST_QUEUE_SERVICES)
+  if (peer_request->type == FB_REQUEST_QUEUE_SERVICES || reply->services.services_len > 0)
     return;
   xdr_free ((xdrproc_t) xdr_fb_queue_services_reply, (char *) reply);
   peer_reply->type = FB_REPLY_PENDING_COUNT;
--- a/tests/queue-services.sh
+++ b/tests/queue-services.sh
@@ -54,6 +54,7 @@
 long='{"spec":"60000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
 lasting='{"spec":"600000","phases":[{"count":2,"cpu":2000,"mem-mb":100,"long-running":true}]}'
 short='{"spec":"100","phases":[{"count":2,"cpu":2000,"mem-mb":100,"estimate-ms":100}]}'
+filling='{"spec":"60000","phases":[{"count":16,"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
 # The partitions of svc and svc39 are the same, that of svc2 is another one.
 all="svc svc2 svc39" p1=7 p2=6
 
@@ -138,6 +139,22 @@
 until_true ready "$frozen" || die "the daemon is not ready again"
 until_true all_show "q/$(job 4)" cancelled || die "the job is not shown as cancelled"
 
+step "pending jobs are counted at all services of the queue"
+directed "$all" q=svc s=svc2
+until_true submitted 0 "q/$(job 10)" "$filling" || die "the job was not accepted"
+until_true n_run 10 16 || die "the job does not fill the workers"
+submitted 1 "q/$(job 11)" "$short" || die "the second job was not accepted"
+pending_is() { answers "$1" GET q/ 200 && grep -q "\"pending\": *$2" "$OUT/answer.$1"; }
+until_true pending_is 0 1 || die "the waiting job is not counted: $(cat "$OUT/answer.0")"
+directed "$all" q=svc2 s=svc2
+for d in 0 1 2; do pending_is $d 1 || die "daemon $d counts $(cat "$OUT/answer.$d")"; done
+all_show "q/$(job 11)" queued || die "the waiting job is not shown as queued"
+submitted 2 "q/$(job 11)" "$short" || die "the repeated submission was not accepted"
+until_true is_given_up 11 || die "the second service does not give the waiting job up"
+answers 0 DELETE "q/$(job 10)" 200 || die "the cancel was answered $(cat "$OUT/answer.0")"
+until_true all_show "q/$(job 11)" completed || die "the waiting job did not complete"
+no_run_twice "waiting job"
+
 step "the queue is removed, and added again with another service"
 directed "$all" q=svc s=svc2
 until_true submitted 0 "q/$(job 12)" "$long" || die "the job was not accepted"
