Partitions of services that were removed keep an owner

A version of the configuration that drops a service left its partition without an owner from the next change of owners on, and with it the jobs that are stored there: their callers were answered that the owner is away.

Daemons take over the partitions of all services that the queue directory lists, besides the configured ones.

Evidence: the step "the job's service is removed, and all daemons start again" of tests/queue-services.sh ("the owner is away" without this change, passes with it).

--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -348,6 +348,10 @@
     return NULL;
   GArray *partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   add_partitions (self, self->routes->services, partitions);
+  if (self->queue_directory == NULL)
+    return partitions;
+  g_autoptr (GPtrArray) services = fb_queue_directory_all_services (self->queue_directory);
+  add_partitions (self, services, partitions);
   return partitions;
 }
 
--- a/src/entry/store/queue-directory.c
+++ b/src/entry/store/queue-directory.c
@@ -255,6 +255,24 @@
   return -1;
 }
 
+GPtrArray *
+fb_queue_directory_all_services (const FbQueueDirectory *self)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  if (self->queues == NULL)
+    return names;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const GPtrArray *services = value;
+      for (guint i = 0; i < services->len; i++)
+        g_ptr_array_add (names, ((FbQueueService *) services->pdata[i])->service);
+    }
+  return names;
+}
+
 GHashTable *
 fb_queue_directory_sharing (const FbQueueDirectory *self, const char *service)
 {
--- a/src/entry/store/queue-directory.h
+++ b/src/entry/store/queue-directory.h
@@ -31,6 +31,8 @@
                                  const char *service);
 /* Has SERVICE listed for QUEUE if it is not; the owners of this daemon are ticked once it is. */
 void fb_queue_directory_add (FbQueueDirectory *self, const char *queue, const char *service);
+/* Returns: (transfer container): the names of all services that are listed, borrowed. */
+GPtrArray *fb_queue_directory_all_services (const FbQueueDirectory *self);
 /* Returns: (transfer full): the names of the services that share a queue with SERVICE, a set of
  * char *. */
 GHashTable *fb_queue_directory_sharing (const FbQueueDirectory *self, const char *service);
--- a/tests/queue-services.sh
+++ b/tests/queue-services.sh
@@ -167,6 +167,16 @@
 until_true is_given_up 12 || die "the second service does not give the job up"
 no_run_twice "queue removed"
 
+step "the job's service is removed, and all daemons start again"
+directed "svc2" q=svc2 s=svc2
+restart_all
+until_true all_show "q/$(job 12)" running || die "the job is not shown as running: $(cat "$OUT/answer.0")"
+submitted 1 "q/$(job 12)" "$long" || die "the repeated submission was not accepted"
+until_true is_given_up 12 || die "the second service does not give the job up"
+answers 2 DELETE "q/$(job 12)" 200 || die "the cancel was answered $(cat "$OUT/answer.2")"
+until_true n_run 12 0 || die "the cancelled job runs on"
+no_run_twice "service removed"
+
 step "daemons with two versions of the configuration accept the same job at the same time"
 directed "$all" u=svc s=svc2
 for k in 0 1 2 3; do
