A record that a repeated submission has replaced is stored again

Services whose names fall on one partition share the keys of its records. A repeated submission under the second service replaced the record of the job, and deleting it with the given-up job lost the first one: after the next takeover the running job was answered 410.

The owner, which has both pools, stores the record of the pool that has the job again.

Evidence: the step "both services have the same partition" of tests/queue-services.sh ("no such job" after a restart without this change, passes with it). Not covered: an owner that ends between the two appends.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -203,6 +203,9 @@
 /* Adds a job to the pool; no effect when the pool already has it. */
 void fb_pool_add_job (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
                       uint64_t wall_ms);
+/* Returns: (transfer full) (nullable): the record of JOB; NULL when it is not known, or has ended.
+ */
+GBytes *fb_pool_encode_admission (const FbPool *self, const char *job);
 /* Like fb_pool_add_job() without a copy: takes over the contents of RECORD, allocated as XDR does
  * it, and leaves it empty. When the pool already has the job, RECORD remains the caller's. */
 void fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record, uint64_t now_ms,
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -156,14 +156,40 @@
   fb_pool_add_job_take (pool, job, record, fb_clock_ms (), fb_clock_wall_ms ());
 }
 
+/* Services that share this partition also share the keys of its records, so that a repeated
+ * submission replaces the record of the job in the other pool, which is stored again.
+ * Returns: TRUE when a pool of this partition has JOB. */
+static gboolean
+restore_record (FbOwner *self, const char *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->service_pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      g_autoptr (GBytes) record = fb_pool_encode_admission (((FbServicePool *) value)->pool, job);
+      if (record == NULL)
+        continue;
+      g_autofree char *key = g_strdup_printf ("%c%s", FB_KEY_JOB, job);
+      fb_owner_store_record (self->entry, self->partition, key, record, fb_owner_ignore_stored,
+                             NULL);
+      return TRUE;
+    }
+  return FALSE;
+}
+
 void
 fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record)
 {
   const FbServicePool *service_pool = fb_owner_pool_for (self, record->policy.service);
   fb_work_state state;
-  if (fb_pool_job_state (service_pool->pool, job, &state) || fb_owner_held_job (self, job) != NULL
-      || g_hash_table_contains (service_pool->disclaimed, job))
+  if (fb_pool_job_state (service_pool->pool, job, &state) || fb_owner_held_job (self, job) != NULL)
     return;
+  if (g_hash_table_contains (service_pool->disclaimed, job))
+    {
+      (void) restore_record (self, job);
+      return;
+    }
   if (fb_queue_directory_position (fb_entry_queue_directory (self->entry), record->policy.queue,
                                    record->policy.service)
       == 0)
@@ -204,7 +230,8 @@
 static void
 delete_record (FbOwner *self, const FbHeldJob *held)
 {
-  g_ptr_array_add (self->ended_jobs, g_strdup (held->id));
+  if (!restore_record (self, held->id))
+    g_ptr_array_add (self->ended_jobs, g_strdup (held->id));
 }
 
 /* A cancel that is passed on to the pool that has the job. */
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -198,6 +198,13 @@
   return NULL;
 }
 
+GBytes *
+fb_pool_encode_admission (const FbPool *self, const char *id)
+{
+  const FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
+  return job != NULL && !fb_pool_job_ended (job) ? fb_codec_encode_admit (&job->record) : NULL;
+}
+
 /* ---- records that the store does not accept ------------------------------------------ */
 
 static void
--- a/tests/queue-services.sh
+++ b/tests/queue-services.sh
@@ -177,6 +177,22 @@
 until_true n_run 12 0 || die "the cancelled job runs on"
 no_run_twice "service removed"
 
+step "both services have the same partition"
+directed "$all" r=svc s=svc2
+until_true submitted 0 "r/$(job 20)" "$long" || die "the job was not accepted"
+until_true n_run 20 2 || die "the job does not run"
+directed "$all" r=svc39 s=svc2
+all_show "r/$(job 20)" running || die "the job is not shown as running"
+submitted 1 "r/$(job 20)" "$long" || die "the repeated submission was not accepted"
+until_true is_given_up 20 || die "the second service does not give the job up"
+sleep 0.5
+restart_all
+until_true all_show "r/$(job 20)" running || die "the job is not shown as running after a restart: $(cat "$OUT/answer.0")"
+until_true n_run 20 2 || die "$(running 20) tasks run"
+no_run_twice "same partition"
+answers 2 DELETE "r/$(job 20)" 200 || die "the cancel was answered $(cat "$OUT/answer.2")"
+until_true n_run 20 0 || die "the cancelled job runs on"
+
 step "daemons with two versions of the configuration accept the same job at the same time"
 directed "$all" u=svc s=svc2
 for k in 0 1 2 3; do
