A job that another service may have is not refused by forecast

While a pool is overloaded its owner refuses jobs that would end too late, unless it has them. After a move of the queue it refused the repeated submission of a job that runs at the earlier service: 429 says that the job never runs.

The owner admits a job of a queue with several services; the claim decides whose it is.

--- a/src/entry/owner/owner-admission.c
+++ b/src/entry/owner/owner-admission.c
@@ -103,6 +103,15 @@
          && fb_owner_confirm (self, service_pool, now_ms);
 }
 
+/* Returns: TRUE when the pool of another service may have the job of REQUEST. */
+static gboolean
+may_be_elsewhere (FbOwner *self, const fb_admission_request *request)
+{
+  const GPtrArray *services
+      = fb_queue_directory_services (fb_entry_queue_directory (self->entry), request->queue);
+  return services == NULL || services->len > 1;
+}
+
 /* Whatever this owner does not know for certain makes it admit the job. */
 void
 fb_owner_answer_admission (FbOwner *self, const fb_admission_request *request,
@@ -120,7 +129,8 @@
     return;
   reply->known = fb_pool_job_state (service_pool->pool, request->job, &state)
                  || fb_owner_held_job (self, request->job) != NULL;
-  if (reply->known || policy == NULL || !can_decide (self, service_pool, request, now_ms)
+  if (reply->known || may_be_elsewhere (self, request) || policy == NULL
+      || !can_decide (self, service_pool, request, now_ms)
       || !fb_pool_describe_job (service_pool->pool, request, policy, &job))
     return;
   FbAdmissionDecision decision;
--- a/tests/test-admission-entry.c
+++ b/tests/test-admission-entry.c
@@ -37,6 +37,7 @@
 static gboolean is_confirmed;
 static OwnerState owner_state;
 static FbOwner *asked_owner;
+static guint services_n; /* to which the queue has been directed */
 static guint notices_n;
 static guint questions_n;
 static guint stored_n;
@@ -46,6 +47,9 @@
 static SoupMessageHeaders *headers; /* of that answer */
 static fb_load_notice last_notice;
 
+FbQueueDirectory *__wrap_fb_entry_queue_directory (FbEntryDaemon *entry);
+const GPtrArray *__wrap_fb_queue_directory_services (const FbQueueDirectory *self,
+                                                     const char *queue);
 uint64_t __wrap_fb_clock_ms (void);
 const GPtrArray *__wrap_fb_daemons_all (const FbDaemons *self);
 gboolean __wrap_fb_owner_confirm (FbOwner *self, const FbServicePool *service_pool,
@@ -60,6 +64,26 @@
 void __wrap_fb_entry_frontend_finish (FbFrontendRequest *request, guint code, const char *body);
 SoupMessageHeaders *__wrap_soup_server_message_get_response_headers (SoupServerMessage *message);
 
+FbQueueDirectory *
+__wrap_fb_entry_queue_directory (FbEntryDaemon *entry)
+{
+  (void) entry;
+  return NULL;
+}
+
+const GPtrArray *
+__wrap_fb_queue_directory_services (const FbQueueDirectory *self, const char *queue)
+{
+  (void) self;
+  (void) queue;
+  static FbQueueService rows[]
+      = { { .service = (char *) SERVICE }, { .service = (char *) "other" } };
+  static gpointer pointers[] = { &rows[0], &rows[1] };
+  static GPtrArray services;
+  services = (GPtrArray){ .pdata = pointers, .len = services_n };
+  return &services;
+}
+
 uint64_t
 __wrap_fb_clock_ms (void)
 {
@@ -239,6 +263,7 @@
   g_hash_table_insert (self->owner.service_pools, self->service_pool.service, &self->service_pool);
   self->owner.held_jobs = fb_owner_held_jobs_new ();
   asked_owner = &self->owner;
+  services_n = 1;
   run_for (self, 1000);
   for (guint i = 0; backlog && i < JOB_N; i++)
     {
@@ -403,6 +428,18 @@
   daemon_free (self);
 }
 
+/* Guards against the refusal of a job that the pool of another service has. */
+static void
+test_job_that_another_service_may_have (void)
+{
+  Daemon *self = daemon_new (TRUE);
+  services_n = 2;
+  CU_ASSERT_TRUE (submit (self, NEW_JOB));
+  CU_ASSERT_EQUAL (status, 0);
+  CU_ASSERT_EQUAL (stored_n, 1);
+  daemon_free (self);
+}
+
 /* ---- failures -----------------------------------------------------------------------------------
  */
 
@@ -635,6 +672,8 @@
   CU_add_test (suite, "a known job is not refused", test_known_job_is_not_refused);
   CU_add_test (suite, "an append of unknown outcome", test_job_with_append_of_unknown_outcome);
   CU_add_test (suite, "an admitted job elsewhere", test_admitted_job_is_not_refused_elsewhere);
+  CU_add_test (suite, "a job that another service may have",
+               test_job_that_another_service_may_have);
   CU_add_test (suite, "an owner without answer", test_owner_without_answer);
   CU_add_test (suite, "an owner of the previous version", test_owner_of_the_previous_version);
   CU_add_test (suite, "all daemons killed", test_all_daemons_killed);
