--- a/soak/callers.c
+++ b/soak/callers.c
@@ -9,6 +9,8 @@
 #define POLL_INTERVAL_MS 700
 /* On average one job is submitted per this many ticks. */
 #define TICKS_PER_JOB 3
+/* On average a job is submitted again instead of one of this many of its calls. */
+#define TICKS_PER_REPEAT 4
 #define CRASHING_PERCENT 2
 #define LONG_RUNNING_PERCENT 8
 #define CANCEL_AFTER_MS 4000
@@ -40,6 +42,7 @@
 {
   SoakProcesses *processes;
   guint daemon_n;
+  gboolean repeats; /* accepted jobs are submitted again */
   GRand *rand;
   SoupSession *session;
   GPtrArray *jobs; /* of Job */
@@ -218,6 +221,9 @@
       job->cancel_sent = TRUE;
       send_call (self, job, "DELETE", NULL);
     }
+  else if (self->repeats && job->tries < MAX_SUBMIT_TRIES && !job->cancel_sent
+           && g_rand_int_range (self->rand, 0, TICKS_PER_REPEAT) == 0)
+    submit_job (self, job);
   else if (!has_ended || g_rand_int_range (self->rand, 0, 20) == 0)
     send_call (self, job, "GET", NULL); /* occasionally also after the job has ended */
 }
@@ -225,11 +231,12 @@
 /* ---- public ---------------------------------------------------------------------------- */
 
 SoakCallers *
-soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed)
+soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed, gboolean repeats)
 {
   SoakCallers *self = g_new0 (SoakCallers, 1);
   self->processes = processes;
   self->daemon_n = daemon_n;
+  self->repeats = repeats;
   self->rand = g_rand_new_with_seed (seed + 1);
   self->jobs = g_ptr_array_new_with_free_func (g_free);
   /* Connections are reused until the daemon closes them. */
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -15,7 +15,9 @@
   guint unanswered; /* calls without one */
 } SoakCounts;
 
-SoakCallers *soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed);
+/* REPEATS: accepted jobs are submitted again. */
+SoakCallers *soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed,
+                               gboolean repeats);
 void soak_callers_free (SoakCallers *self);
 /* Submits a job at random ticks, and sends the calls that are due.  NO_NEW_JOBS: submits no more
  * jobs. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -220,6 +220,10 @@
     case SOAK_STORE_FLAKY:
       set_store_call_faults (self, fault);
       break;
+    case SOAK_QUEUE_MOVE:
+      soak_platform_control (self->platform, "{\"queue-service\":\"%s\"}",
+                             fault->variant % 2 == 0 ? SOAK_SERVICE : SOAK_SECOND_SERVICE);
+      break;
     case SOAK_ROLLING_RESTART:
       rolling_restart (self, fault);
       break;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -6,6 +6,8 @@
 #define FIRST_FAULT_AFTER_MS 1000
 /* Longer than a lease and than the time to live of a consumer group member. */
 #define MAX_DURATION_MS 7000
+#define MAX_QUEUE_MOVE_GAP_MS 3000
+#define QUEUE_MOVE_SEED 0x10000
 /* Percentage of each kind of fault.  PLAIN_WEIGHTS has no faults of single calls, of links to
  * workers and of links between daemons. */
 static const guint plain_weights[SOAK_FAULT_N] = { [SOAK_KILL] = 12,
@@ -65,6 +67,31 @@
   return kind == SOAK_WORKER_CRASH || (kind >= SOAK_WORKER_LINK && kind <= SOAK_WORKER_LATE);
 }
 
+static gint
+compare_times (gconstpointer a, gconstpointer b)
+{
+  const SoakFault *first = a;
+  const SoakFault *second = b;
+  return first->at_ms < second->at_ms ? -1 : first->at_ms > second->at_ms;
+}
+
+/* Drawn from numbers of their own, so that the other faults of a seed are the same without them. */
+static void
+add_queue_moves (const SoakPlanSetup *setup, GArray *plan)
+{
+  GRand *rand = g_rand_new_with_seed (setup->seed + QUEUE_MOVE_SEED);
+  guint at_ms = 0;
+  while ((at_ms += (guint) g_rand_int_range (rand, 50, MAX_QUEUE_MOVE_GAP_MS)) < setup->duration_ms)
+    {
+      const SoakFault move = { .kind = SOAK_QUEUE_MOVE,
+                               .at_ms = at_ms,
+                               .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      g_array_append_val (plan, move);
+    }
+  g_array_sort (plan, compare_times);
+  g_rand_free (rand);
+}
+
 GArray *
 soak_plan_new (const SoakPlanSetup *setup)
 {
@@ -89,6 +116,8 @@
       g_array_append_val (plan, last);
     }
   g_rand_free (rand);
+  if (setup->queue_moves)
+    add_queue_moves (setup, plan);
   return plan;
 }
 
@@ -121,7 +150,8 @@
                                                    [SOAK_PEER_LINK] = "peer-link",
                                                    [SOAK_PEER_RESET] = "peer-reset",
                                                    [SOAK_PEER_BLACKHOLE] = "peer-silence",
-                                                   [SOAK_STORE_FLAKY] = "store-flaky" };
+                                                   [SOAK_STORE_FLAKY] = "store-flaky",
+                                                   [SOAK_QUEUE_MOVE] = "queue-move" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -31,6 +31,7 @@
   SOAK_PEER_RESET,
   SOAK_PEER_BLACKHOLE,
   SOAK_STORE_FLAKY, /* rejects a percentage of its calls, executes others without responding */
+  SOAK_QUEUE_MOVE,  /* the configuration directs the queue to another service, or back */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -50,6 +51,7 @@
   guint worker_n;
   guint duration_ms;     /* no fault begins later */
   gboolean worker_links; /* links to workers and between daemons are proxied and have faults */
+  gboolean queue_moves;  /* the plan has SOAK_QUEUE_MOVE besides the faults of its seed */
 } SoakPlanSetup;
 
 /* Returns: (transfer full): an array of SoakFault, by at_ms. */
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -142,7 +142,12 @@
   g_autofree char *port = g_strdup_printf ("%u", self->setup.base_port);
   g_autofree char *workers = g_strdup_printf ("%u", self->setup.worker_n);
   g_autofree char *listed = self->setup.worker_links ? link_workers (self) : NULL;
-  const char *argv[] = { program, port, workers, listed, NULL };
+  g_autofree char *services
+      = g_strdup_printf ("%s=%u", SOAK_SECOND_SERVICE, self->setup.worker_n / 2);
+  const char *argv[] = {
+    program, port, workers, listed != NULL ? listed : "", self->setup.queue_moves ? services : NULL,
+    NULL
+  };
   if (listed != NULL || !self->setup.worker_links)
     self->platform = spawn (&self->setup, "platform.log", TRUE, argv);
   return self->platform != NULL;
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -9,10 +9,15 @@
   guint daemon_n;
   guint worker_n;
   gboolean worker_links; /* connections to workers and between daemons use links as well */
+  gboolean queue_moves;  /* half of the workers belong to SOAK_SECOND_SERVICE */
   const char *folder;    /* for settings and logs of the run */
   const char *programs;  /* build folder of the programs */
 } SoakSetup;
 
+/* The services of the stand-in platform. */
+#define SOAK_SERVICE "svc"
+#define SOAK_SECOND_SERVICE "svc2"
+
 typedef struct _SoakProcesses SoakProcesses;
 
 /* Returns: (transfer full): NULL when a process could not be started. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -32,6 +32,7 @@
 static gint option_workers = 6;
 static gint option_port = 0;
 static gboolean option_without_worker_links = FALSE;
+static gboolean option_queue_moves = FALSE;
 static char *option_programs;
 static char *option_folder;
 static char *option_replay;
@@ -45,6 +46,9 @@
         { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
         { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
           "Workers only crash, and links between daemons have no faults", NULL },
+        { "queue-moves", 0, 0, G_OPTION_ARG_NONE, &option_queue_moves,
+          "The queue is directed to one service and another, and accepted jobs are submitted again",
+          NULL },
         { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
         { "programs", 0, 0, G_OPTION_ARG_STRING, &option_programs, "Build folder of the programs",
           "DIR" },
@@ -196,8 +200,9 @@
   g_autofree char *path = g_build_filename (run->setup.folder, "plan.txt", NULL);
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
-      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d\n%s", run->plan.seed,
-      option_seconds, run->setup.daemon_n, run->setup.worker_n, run->plan.worker_links, text);
+      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d\n%s", run->plan.seed,
+      option_seconds, run->setup.daemon_n, run->setup.worker_n, run->plan.worker_links,
+      run->plan.queue_moves, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -226,11 +231,13 @@
                             .daemon_n = (guint) option_daemons,
                             .worker_n = (guint) option_workers,
                             .duration_ms = (guint) option_seconds * 1000,
-                            .worker_links = !option_without_worker_links },
+                            .worker_links = !option_without_worker_links,
+                            .queue_moves = option_queue_moves },
                   .setup = { .base_port = (guint16) option_port,
                              .daemon_n = (guint) option_daemons,
                              .worker_n = (guint) option_workers,
                              .worker_links = !option_without_worker_links,
+                             .queue_moves = option_queue_moves,
                              .folder = folder,
                              .programs = option_programs } };
   g_autoptr (GArray) plan = soak_plan_new (&run.plan);
@@ -243,7 +250,7 @@
   else
     {
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
-      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed);
+      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, option_queue_moves);
       run_plan (&run, plan, (guint) option_seconds * 1000);
       run_recovery (&run);
       counts = soak_callers_counts (run.callers);
@@ -270,12 +277,14 @@
   g_autofree char *path = g_build_filename (folder, "plan.txt", NULL);
   g_autofree char *text = NULL;
   gint links = 0;
+  gint moves = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
-      || sscanf (text, "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d", &option_seed,
-                 &option_seconds, &option_daemons, &option_workers, &links)
+      || sscanf (text, "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d",
+                 &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
+  option_queue_moves = moves != 0;
   option_seeds = 1;
   return TRUE;
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -75,6 +75,20 @@
 
 /* ---- requests ------------------------------------------------------------------------ */
 
+/* Stores the next version of the configuration, which directs the queue to SERVICE. */
+static void
+set_queue_service (const char *service)
+{
+  static guint version = 3;
+  g_autofree char *configuration = g_strdup_printf (
+      "{\"version\":%u,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path-prefix\":\"/q/\","
+      "\"service\":\"%s\",\"max-attempts\":3,\"stretch-factor\":2,\"target-duration-ms\":1000}],"
+      "\"services\":[{\"name\":\"" SP_SERVICE "\"},{\"name\":\"" SP_SECOND_SERVICE "\"}]}",
+      version, service);
+  version += 2;
+  sp_store_put ("keyed.op/0", "config", configuration);
+}
+
 static void
 serve_control (SoupServerMessage *message, JsonObject *body)
 {
@@ -102,6 +116,8 @@
     sp_faults_set (SP_STORE, body);
   if (json_object_has_member (body, "lose-answers"))
     sp_workers_set_drop_answers (json_object_get_boolean_member (body, "lose-answers"));
+  if (json_object_has_member (body, "queue-service"))
+    set_queue_service (json_object_get_string_member (body, "queue-service"));
   if (json_object_has_member (body, "finish"))
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   sp_reply (message, 200, "{}");
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -6,6 +6,7 @@
 #include <libsoup/soup.h>
 
 #define SP_SERVICE "svc"
+#define SP_SECOND_SERVICE "svc2" /* to which the queue is directed on request */
 #define SP_PARTITIONS 32
 #define SP_WORKER_MAX 256
 /* Index of the store among the workers in sp_faults_set() and sp_faults_draw(). */
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -95,6 +95,7 @@
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
 verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 15
+verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
 while IFS= read -r line; do
