A record that replaces that of a held job is replaced in turn

While a job waits for its claim, a submission that comes once more under another service of the same partition replaced its record. The other service had disclaimed the job by the time of the next takeover, so the record was deleted and the job lost. Found by reading.

The owner stores the record of the held job again, as it does for a job that is in a pool.

Evidence: "a replaced record of a held job" in tests/test-claims fails without it (no append), passes with it.

--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -156,26 +156,35 @@
   fb_pool_add_job_take (pool, job, record, fb_clock_ms (), fb_clock_wall_ms ());
 }
 
-/* Services that share this partition also share the keys of its records, so that a repeated
- * submission replaces the record of the job in the other pool, which is stored again.
- * Returns: TRUE when a pool of this partition has JOB. */
-static gboolean
-restore_record (FbOwner *self, const char *job)
+/* Returns: (transfer full) (nullable): the record of JOB, which a pool of this partition has or
+ * which is held for one. */
+static GBytes *
+encode_record (const FbOwner *self, const char *job)
 {
+  const FbHeldJob *held = fb_owner_held_job (self, job);
+  if (held != NULL)
+    return fb_codec_encode_admit (&held->record);
+  GBytes *record = NULL;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->service_pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      g_autoptr (GBytes) record = fb_pool_encode_admission (((FbServicePool *) value)->pool, job);
-      if (record == NULL)
-        continue;
-      g_autofree char *key = g_strdup_printf ("%c%s", FB_KEY_JOB, job);
-      fb_owner_store_record (self->entry, self->partition, key, record, fb_owner_ignore_stored,
-                             NULL);
-      return TRUE;
-    }
-  return FALSE;
+  while (record == NULL && g_hash_table_iter_next (&iter, NULL, &value))
+    record = fb_pool_encode_admission (((FbServicePool *) value)->pool, job);
+  return record;
+}
+
+/* Services that share this partition also share the keys of its records, so that a repeated
+ * submission replaces the record of the job for the other service, which is stored again.
+ * Returns: TRUE when this partition has JOB. */
+static gboolean
+restore_record (FbOwner *self, const char *job)
+{
+  g_autoptr (GBytes) record = encode_record (self, job);
+  if (record == NULL)
+    return FALSE;
+  g_autofree char *key = g_strdup_printf ("%c%s", FB_KEY_JOB, job);
+  fb_owner_store_record (self->entry, self->partition, key, record, fb_owner_ignore_stored, NULL);
+  return TRUE;
 }
 
 /* Deletes the record of JOB, which another service runs: it would be taken for a new job once the
@@ -191,9 +200,16 @@
 fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record)
 {
   const FbServicePool *service_pool = fb_owner_pool_for (self, record->policy.service);
+  const FbHeldJob *held = fb_owner_held_job (self, job);
   fb_work_state state;
-  if (fb_pool_job_state (service_pool->pool, job, &state) || fb_owner_held_job (self, job) != NULL)
+  if (fb_pool_job_state (service_pool->pool, job, &state))
     return;
+  if (held != NULL)
+    {
+      if (!g_str_equal (held->record.policy.service, record->policy.service))
+        (void) restore_record (self, job);
+      return;
+    }
   if (g_hash_table_contains (service_pool->disclaimed, job))
     {
       delete_record (self, job);
@@ -254,8 +270,8 @@
                         : NULL;
   if (held != NULL && result == FB_APPEND_STORED)
     {
-      delete_record (owner, held->id);
       fb_owner_forget_held_job (owner, passed->job);
+      delete_record (owner, passed->job);
     }
   else if (held != NULL)
     held->is_claimed = FALSE;
@@ -273,8 +289,9 @@
                 held->record.policy.queue, held->record.policy.service, service);
   if (held->cancel == NULL)
     {
-      delete_record (self, held->id);
-      fb_owner_forget_held_job (self, held->id);
+      g_autofree char *job = g_strdup (held->id);
+      fb_owner_forget_held_job (self, job);
+      delete_record (self, job);
       return;
     }
   PassedCancel *passed = g_new0 (PassedCancel, 1);
@@ -303,7 +320,8 @@
   for (guint i = 0; i < claim->jobs->len; i++)
     {
       FbHeldJob *held = fb_owner_held_job (self, claim->jobs->pdata[i]);
-      if (held == NULL || !g_str_equal (held->record.policy.service, claim->claimant))
+      if (held == NULL || !held->is_claimed
+          || !g_str_equal (held->record.policy.service, claim->claimant))
         continue;
       held->is_claimed = FALSE;
       if (reply == NULL)
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -13,6 +13,8 @@
 #define SERVICE_N 3
 #define JOB_N 6
 #define QUEUE "q"
+/* In the same partition as the first service. */
+#define SAME_PARTITION "svc39"
 #define EVENTS_N 300
 #define SETTLE_STEPS_N 400
 #define STEP_MS 30
@@ -254,15 +256,14 @@
 /* ---- events ------------------------------------------------------------------------------- */
 
 static void
-admit (Daemon *daemon, const char *job)
+admit (Daemon *daemon, const char *job, const char *service)
 {
   fb_work_admit record = { .accepted_ms = 1 };
   fb_work_admit *copy = &record;
-  const fb_work_admit source = { .policy = { .queue = (char *) QUEUE,
-                                             .service = (char *) services[daemon - daemons],
-                                             .max_attempts = 3 },
-                                 .spec = { .payload = (char *) "" },
-                                 .account = (char *) "" };
+  const fb_work_admit source
+      = { .policy = { .queue = (char *) QUEUE, .service = (char *) service, .max_attempts = 3 },
+          .spec = { .payload = (char *) "" },
+          .account = (char *) "" };
   g_autoptr (GBytes) bytes = fb_codec_encode_admit (&source);
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (bytes, &len);
@@ -286,7 +287,7 @@
     fb_owner_restore_disclaimer (daemon->owner, key, value);
   g_hash_table_iter_init (&iter, daemon->jobs);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    admit (daemon, key);
+    admit (daemon, key, services[daemon - daemons]);
   daemon->owner->loaded = TRUE;
 }
 
@@ -303,7 +304,7 @@
   g_autofree char *id = job_id (job);
   submitted[job] = TRUE;
   g_hash_table_add (daemon->jobs, g_strdup (id));
-  admit (daemon, id);
+  admit (daemon, id, services[daemon - daemons]);
 }
 
 /* Stores the records of an append, and delivers the result unless the owner is replaced. */
@@ -473,6 +474,7 @@
       *daemon = (Daemon){ .entry = { .settings = &settings } };
       settings.peers = (char *) "none";
       daemon->entry.owners = g_hash_table_new (NULL, NULL);
+      daemon->entry.appenders = g_hash_table_new (NULL, NULL);
       daemon->entry.timer = fb_timer_new (clock_ms);
       daemon->entry.workers = fb_worker_list_new ();
       daemon->partition = fb_entry_partition_of (&daemon->entry, services[i]);
@@ -496,6 +498,7 @@
       while (messages->len > 0)
         deliver (0, TRUE);
       g_hash_table_unref (daemon->entry.owners);
+      g_hash_table_unref (daemon->entry.appenders);
       fb_timer_free (daemon->entry.timer);
       fb_worker_list_free (daemon->entry.workers);
       g_ptr_array_unref (daemon->view);
@@ -548,6 +551,37 @@
     }
 }
 
+/* Guards against the loss of a held job whose record another one of the partition replaces. */
+static void
+test_replaced_record_of_a_held_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  FbQueueService *rows = g_new0 (FbQueueService, 2);
+  rows[0].service = (char *) services[0];
+  rows[1].service = (char *) SAME_PARTITION;
+  CU_ASSERT_EQUAL (fb_entry_partition_of (&daemon->entry, SAME_PARTITION), daemon->partition);
+  for (guint i = 0; i < 2; i++)
+    g_ptr_array_add (daemon->view, &rows[i]);
+  g_autofree char *id = job_id (0);
+  admit (daemon, id, SAME_PARTITION);
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, id));
+  CU_ASSERT_EQUAL (appends->len, 0);
+  admit (daemon, id, services[0]);
+  CU_ASSERT_EQUAL_FATAL (appends->len, 1);
+  const GByteArray *records = ((Append *) appends->pdata[0])->records;
+  guint value_at = 4 + 1 + records->data[4];
+  fb_work_admit stored;
+  CU_ASSERT_TRUE_FATAL (
+      fb_codec_decode_admit (records->data + value_at, records->len - value_at, &stored));
+  CU_ASSERT_STRING_EQUAL (stored.policy.service, SAME_PARTITION);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &stored);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  g_ptr_array_set_free_func (daemon->view, NULL);
+  g_free (rows);
+  end ();
+}
+
 int
 main (void)
 {
@@ -555,6 +589,7 @@
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("claims of jobs by services", NULL, NULL);
   CU_add_test (suite, "each job runs in one pool", test_each_job_runs_in_one_pool);
+  CU_add_test (suite, "a replaced record of a held job", test_replaced_record_of_a_held_job);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
