Accounts: a job stays that of its account when its queue changes its service

The path of calls with a key was walked: the answers for another account stay 410 at the earlier service, and a repeated submission is given up.

--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -12,10 +12,12 @@
 trap 'kill ${pids[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
 start_daemon() { run_daemon "$1"; pids+=($!); } # INDEX
-configure() { # VERSION ACCOUNTS: writes a configuration as operators do
-  store_configuration '{"version":'$1',"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000},
+configure() { # VERSION ACCOUNTS [SERVICE]: writes a configuration as operators do
+  local services='{"name":"svc"}'
+  [ -z "${3:-}" ] || services+=',{"name":"'$3'"}'
+  store_configuration '{"version":'$1',"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"'${3:-svc}'","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000},
     {"name":"o","host":"h.example","path-prefix":"/open/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000,"anonymous":true}],
-    "services":[{"name":"svc"}],"tenants":['$2']}'
+    "services":['"$services"'],"tenants":['$2']}'
 }
 call() { # DAEMON METHOD PATH KEY [BODY]: prints the status
   curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-H "Flamingobarrow-Key: $4"} ${5:+-d "$5"} "http://127.0.0.1:$(port "$1")/$3" || true
@@ -91,6 +93,22 @@
 done
 answers $((1 - owner)) GET "q/$(job 20)" key-a2 410 || die "another account reads an ended job after a takeover"
 
+step "a job stays that of its account when its queue is directed to another service"
+survivor=$((1 - owner))
+lasting='{"spec":"600000","phases":[{"count":1,"cpu":2000,"mem-mb":100,"long-running":true}]}'
+answers $survivor POST "q/$(job 50)" key-b 200 "$lasting" || die "the job is not accepted"
+until_true state_is $survivor "q/$(job 50)" key-b running || die "the job does not run"
+configure 5 "$a,$b" svc2
+until_true in_force $survivor 5 || die "the configuration is not in force"
+state_is $survivor "q/$(job 50)" key-b running || die "the job is not shown to its account: $(cat "$OUT/answer")"
+answers $survivor GET "q/$(job 50)" key-a2 410 || die "another account reads the job"
+answers $survivor DELETE "q/$(job 50)" key-a2 410 || die "another account gets another answer than for a job that does not exist"
+answers $survivor POST "q/$(job 50)" key-b 200 "$lasting" || die "the repeated submission is not accepted"
+until_true grep -q "JOB_ELSEWHERE job=$(job 50) " "$OUT/d$survivor.log" || die "the second service does not give the job up"
+state_is $survivor "q/$(job 50)" key-b running || die "the job does not run after the repeated submission"
+answers $survivor DELETE "q/$(job 50)" key-b 200 || die "the job is not cancelled"
+until_true state_is $survivor "q/$(job 50)" key-b cancelled || die "the job is not shown as cancelled"
+
 step "no key is in a log"
 ! grep -l 'key-[ab]' "$OUT"/d?.log || die "a log contains a key"
 audit_result=$(curl -s "http://127.0.0.1:$base/audit")
