Owners: disclaimers have a file of their own; the queue directory is polled half as often

Cost of the queue directory: each daemon that is assigned a partition keeps one read of it open. The wait is 5 s now. A pair that another daemon adds is not urgent: whoever adds one has read all before it.

--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -98,6 +98,8 @@
 void fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record);
 /* Returns: (nullable): the held JOB, borrowed. */
 FbHeldJob *fb_owner_held_job (const FbOwner *self, const char *job);
+/* Returns: TRUE when JOB is held for the pool of SERVICE. */
+gboolean fb_owner_holds_job_for (const FbOwner *self, const char *job, const char *service);
 /* Stores PROGRESS or CANCEL, records of HELD, until the job is in its pool. */
 void fb_owner_hold_progress (FbHeldJob *held, GBytes *progress);
 void fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel);
@@ -110,6 +112,8 @@
 /* Claims the held jobs from other pools, and adds those to their pools that may run there.  To be
  * called in every tick after loading. */
 void fb_owner_claim_held_jobs (FbOwner *self, uint64_t now_ms);
+/* owner-disclaimers.c */
+
 /* Answers the claims that are being stored that this owner is not available. */
 void fb_owner_abandon_disclaimers (FbOwner *self);
 /* Applies a record whose KEY begins with FB_KEY_DISCLAIMED. */
--- a/src/entry/store/queue-directory.c
+++ b/src/entry/store/queue-directory.c
@@ -12,7 +12,7 @@
 
 /* Time for which the store may delay its answer while nothing changes.  Pairs that another daemon
  * adds are not urgent: its jobs that are in another pool as well are claimed from that pool. */
-#define WAIT_MS 2500
+#define WAIT_MS 5000
 #define APPEND_TIMEOUT_MS 1500
 #define RETRY_MS 100
 
