--- a/soak/callers.c
+++ b/soak/callers.c
@@ -205,13 +205,21 @@
   submit_job (self, job);
 }
 
+/* Returns: TRUE when the accepted JOB is to be submitted again in place of another call. */
+static gboolean
+is_repeated (const SoakCallers *self, const Job *job)
+{
+  return self->repeats && !job->cancel_sent
+         && g_rand_int_range (self->rand, 0, TICKS_PER_REPEAT) == 0;
+}
+
 static void
 job_tick (SoakCallers *self, Job *job)
 {
   if (job->call_pending || job->abandoned || now_ms () < job->last_call_ms + POLL_INTERVAL_MS)
     return;
   gboolean has_ended = *job->end != '\0';
-  if (!job->accepted && job->tries < MAX_SUBMIT_TRIES)
+  if (job->tries < MAX_SUBMIT_TRIES && (!job->accepted || is_repeated (self, job)))
     submit_job (self, job);
   else if (!job->accepted)
     job->abandoned = TRUE;
@@ -221,9 +229,6 @@
       job->cancel_sent = TRUE;
       send_call (self, job, "DELETE", NULL);
     }
-  else if (self->repeats && job->tries < MAX_SUBMIT_TRIES && !job->cancel_sent
-           && g_rand_int_range (self->rand, 0, TICKS_PER_REPEAT) == 0)
-    submit_job (self, job);
   else if (!has_ended || g_rand_int_range (self->rand, 0, 20) == 0)
     send_call (self, job, "GET", NULL); /* occasionally also after the job has ended */
 }
