Queue directory: pairs that are added together are stored by one append

A configuration that adds several queues to a service had the first pair stored alone and the others 100 ms later; their jobs were held meanwhile. Found by reading; tests/queue-services.sh passes as before.

--- a/src/entry/store/queue-directory.c
+++ b/src/entry/store/queue-directory.c
@@ -15,6 +15,8 @@
 #define WAIT_MS 5000
 #define APPEND_TIMEOUT_MS 1500
 #define RETRY_MS 100
+/* Pairs that are added within this time are stored by one append. */
+#define APPEND_DELAY_MS 5
 
 struct _FbQueueDirectory
 {
@@ -26,7 +28,7 @@
   GPtrArray *open_keys;   /* of char *, of the records of the open append; NULL: none is open */
   GPtrArray *open_values; /* of GBytes, the records */
   uint64_t append_end;    /* offset at which the open append is to be stored */
-  guint retry_source;     /* 0: none */
+  guint append_source;    /* source of the next append; 0: none */
 };
 
 static void
@@ -141,14 +143,21 @@
 /* ---- adding ------------------------------------------------------------------------ */
 
 static gboolean
-on_retry (gpointer data)
+on_append_due (gpointer data)
 {
   FbQueueDirectory *self = data;
-  self->retry_source = 0;
+  self->append_source = 0;
   append_wanted (self);
   return G_SOURCE_REMOVE;
 }
 
+static void
+schedule_append (FbQueueDirectory *self, guint delay_ms)
+{
+  if (self->append_source == 0)
+    self->append_source = g_timeout_add (delay_ms, on_append_due, self);
+}
+
 /* The condition of the append held, so every record before these has been read. */
 static void
 apply_appended (FbQueueDirectory *self)
@@ -178,8 +187,8 @@
   clear_open_append (self);
   /* An append of unknown outcome may have been stored; then its repeat is not, as the end has
    * moved, and the reader delivers the records. */
-  if (g_hash_table_size (self->wanted) > 0 && self->retry_source == 0)
-    self->retry_source = g_timeout_add (RETRY_MS, on_retry, self);
+  if (g_hash_table_size (self->wanted) > 0)
+    schedule_append (self, RETRY_MS);
 }
 
 static void
@@ -226,7 +235,7 @@
   GBytes *value = fb_codec_encode_queue_service (&pair);
   fb_event_log (FB_EVENT_QUEUE_LISTED, "queue=%s service=%s", queue, service);
   g_hash_table_insert (self->wanted, key, value);
-  append_wanted (self);
+  schedule_append (self, APPEND_DELAY_MS);
 }
 
 /* ---- queries ------------------------------------------------------------------------- */
@@ -316,8 +325,8 @@
 {
   if (self == NULL)
     return;
-  if (self->retry_source != 0)
-    g_source_remove (self->retry_source);
+  if (self->append_source != 0)
+    g_source_remove (self->append_source);
   if (self->open_keys != NULL)
     fb_http_client_cancel (self->entry->store_client, self);
   clear_open_append (self);
