Cancels of unknown jobs wait until the owner has read the queue directory

An owner that loaded such a cancel before its daemon had read the directory passed it on to nobody, and the job at the earlier service ran on although its cancel was acknowledged. Found by reading.

Evidence: "cancels wait for the directory" in tests/test-claims fails without the wait (an append for nobody to see), passes with it; the step of tests/queue-services.sh about cancels passes.

--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -168,7 +168,7 @@
 apply_stored_cancel (FbOwner *self, const char *job, GBytes *value)
 {
   fb_owner_apply_cancel (self, job, value);
-  fb_owner_pass_on_unknown_cancel (self, job, value);
+  fb_owner_keep_unknown_cancel (self, job, value);
 }
 
 /* Applies a limited number of records in each iteration: all jobs, then their progress, then the
@@ -212,7 +212,7 @@
       fb_owner_apply_record (self, record->key, record->value);
       /* In the order of the log a job comes before its cancel, unlike in notices. */
       if (record->value != NULL && record->key[0] == FB_KEY_CANCEL)
-        fb_owner_pass_on_unknown_cancel (self, record->key + 1, record->value);
+        fb_owner_keep_unknown_cancel (self, record->key + 1, record->value);
       return;
     }
   if (record->value == NULL || strlen (record->key) < 2)
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -32,12 +32,14 @@
   FbAppender *appender;
   FbTopicReader *progress_reader;
   FbTopicReader *job_reader;
-  GHashTable *progress;            /* job -> GBytes of its progress record, while loading */
-  GHashTable *cancelled;           /* set of cancelled jobs, while loading */
-  GHashTable *admissions;          /* job -> GBytes of its admission record, while loading */
-  GHashTable *service_pools;       /* service -> FbServicePool */
-  GHashTable *held_jobs;           /* job -> FbHeldJob, see owner-claims.c */
-  GPtrArray *open_disclaimers;     /* of FbDisclaimer */
+  GHashTable *progress;        /* job -> GBytes of its progress record, while loading */
+  GHashTable *cancelled;       /* set of cancelled jobs, while loading */
+  GHashTable *admissions;      /* job -> GBytes of its admission record, while loading */
+  GHashTable *service_pools;   /* service -> FbServicePool */
+  GHashTable *held_jobs;       /* job -> FbHeldJob, see owner-claims.c */
+  GHashTable *unknown_cancels; /* job -> GBytes of its cancel, of jobs that this partition does not
+                                * have */
+  GPtrArray *open_disclaimers; /* of FbDisclaimer */
   uint64_t disclaimers_checked_ms; /* when old ones were last looked for */
   guint load_source; /* source that applies the records read; 0 when none is scheduled */
   gboolean loaded;
@@ -133,10 +135,11 @@
 void fb_owner_pass_on_cancel (FbOwner *self, const char *job, GBytes *cancel, const char *service,
                               FbAppendDone done, gpointer user);
 
-/* Passes the stored CANCEL on to all services that may have JOB, if this partition does not have
- * it.
- */
-void fb_owner_pass_on_unknown_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* Keeps the stored CANCEL to be passed on, if this partition does not have JOB. */
+void fb_owner_keep_unknown_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* Passes the kept cancels on to all services that share a queue with one of this partition, once
+ * these are known.  To be called in every tick. */
+void fb_owner_pass_on_unknown_cancels (FbOwner *self);
 
 /* owner-flush.c */
 
--- a/src/entry/owner/owner-records.c
+++ b/src/entry/owner/owner-records.c
@@ -131,11 +131,9 @@
   return fb_owner_held_job (self, job) != NULL;
 }
 
-void
-fb_owner_pass_on_unknown_cancel (FbOwner *self, const char *job, GBytes *cancel)
+static void
+pass_on_to_all (FbOwner *self, const char *job, GBytes *cancel)
 {
-  if (is_passed_on (cancel) || is_known (self, job))
-    return;
   g_autoptr (GList) services = g_hash_table_get_keys (self->service_pools);
   for (GList *l = services; l != NULL; l = l->next)
     {
@@ -148,3 +146,25 @@
         fb_owner_pass_on_cancel (self, job, cancel, other, fb_owner_ignore_stored, NULL);
     }
 }
+
+void
+fb_owner_keep_unknown_cancel (FbOwner *self, const char *job, GBytes *cancel)
+{
+  if (!is_passed_on (cancel) && !is_known (self, job))
+    g_hash_table_replace (self->unknown_cancels, g_strdup (job), g_bytes_ref (cancel));
+}
+
+void
+fb_owner_pass_on_unknown_cancels (FbOwner *self)
+{
+  if (g_hash_table_size (self->unknown_cancels) == 0
+      || !fb_queue_directory_is_known (fb_entry_queue_directory (self->entry)))
+    return;
+  GHashTableIter iter;
+  gpointer job;
+  gpointer cancel;
+  g_hash_table_iter_init (&iter, self->unknown_cancels);
+  while (g_hash_table_iter_next (&iter, &job, &cancel))
+    pass_on_to_all (self, job, cancel);
+  g_hash_table_remove_all (self->unknown_cancels);
+}
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -190,6 +190,7 @@
   gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
   fb_owner_claim_held_jobs (self, now_ms);
+  fb_owner_pass_on_unknown_cancels (self);
   fb_owner_expire_disclaimers (self, now_ms);
   gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
   if (jobs_complete)
@@ -260,6 +261,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->service_pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_pool_free);
   self->held_jobs = fb_owner_held_jobs_new ();
+  self->unknown_cancels
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->open_disclaimers = g_ptr_array_new ();
   self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
   self->parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -287,6 +290,7 @@
   g_hash_table_unref (self->import_sources);
   g_hash_table_unref (self->service_pools);
   g_hash_table_unref (self->held_jobs);
+  g_hash_table_unref (self->unknown_cancels);
   g_ptr_array_unref (self->open_disclaimers);
   g_hash_table_unref (self->admissions);
   g_hash_table_unref (self->progress);
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -58,6 +58,7 @@
 static Daemon daemons[SERVICE_N];
 static guint directory[SERVICE_N]; /* the services in the order of their records */
 static guint directory_n;
+static gboolean directory_known;
 static GPtrArray *appends;
 static GPtrArray *messages;
 static uint64_t clock_ms;
@@ -98,6 +99,8 @@
 int __wrap_fb_queue_directory_position (const FbQueueDirectory *self, const char *queue,
                                         const char *service);
 void __wrap_fb_queue_directory_add (FbQueueDirectory *self, const char *queue, const char *service);
+gboolean __wrap_fb_queue_directory_is_known (const FbQueueDirectory *self);
+GHashTable *__wrap_fb_queue_directory_sharing (const FbQueueDirectory *self, const char *service);
 const char *__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition);
 void __wrap_fb_group_refresh_owners (FbGroup *group);
 void __wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
@@ -171,6 +174,23 @@
     read_directory (daemon, directory_n);
 }
 
+gboolean
+__wrap_fb_queue_directory_is_known (const FbQueueDirectory *self)
+{
+  (void) self;
+  return directory_known;
+}
+
+GHashTable *
+__wrap_fb_queue_directory_sharing (const FbQueueDirectory *self, const char *service)
+{
+  (void) self;
+  GHashTable *names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (g_str_equal (service, services[0]))
+    g_hash_table_add (names, g_strdup (services[1]));
+  return names;
+}
+
 const char *
 __wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition)
 {
@@ -582,6 +602,33 @@
   end ();
 }
 
+/* Guards against the loss of a cancel that a new owner loads before it has read the directory. */
+static void
+test_cancels_wait_for_the_directory (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  (void) fb_owner_pool_for (daemon->owner, services[0]);
+  g_autoptr (GBytes) cancel = g_bytes_new_static (FB_CANCEL_PREFIX, strlen (FB_CANCEL_PREFIX));
+  g_autoptr (GBytes) passed_on
+      = g_bytes_new_static (FB_PASSED_CANCEL_PREFIX, strlen (FB_PASSED_CANCEL_PREFIX));
+  g_autofree char *first = job_id (0);
+  g_autofree char *second = job_id (1);
+  directory_known = FALSE;
+  fb_owner_keep_unknown_cancel (daemon->owner, first, cancel);
+  fb_owner_keep_unknown_cancel (daemon->owner, second, passed_on);
+  fb_owner_pass_on_unknown_cancels (daemon->owner);
+  CU_ASSERT_EQUAL (appends->len, 0);
+  directory_known = TRUE;
+  fb_owner_pass_on_unknown_cancels (daemon->owner);
+  fb_owner_pass_on_unknown_cancels (daemon->owner);
+  CU_ASSERT_EQUAL_FATAL (appends->len, 1);
+  const GByteArray *records = ((Append *) appends->pdata[0])->records;
+  CU_ASSERT_EQUAL (records->data[4 + 1], FB_KEY_CANCEL);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 int
 main (void)
 {
@@ -590,6 +637,7 @@
   CU_pSuite suite = CU_add_suite ("claims of jobs by services", NULL, NULL);
   CU_add_test (suite, "each job runs in one pool", test_each_job_runs_in_one_pool);
   CU_add_test (suite, "a replaced record of a held job", test_replaced_record_of_a_held_job);
+  CU_add_test (suite, "cancels wait for the directory", test_cancels_wait_for_the_directory);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
