--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -118,6 +118,7 @@
   uint64_t next_poll_ms;          /* when the next poll is due */
   uint64_t poll_sent_ms;          /* when the last poll was sent */
   gboolean poll_failed;           /* the last poll did not succeed */
+  FbOrderResult poll_result;      /* of the last poll; FB_ORDER_DONE before the first one */
   uint64_t answered_poll_sent_ms; /* when the last answered poll had been sent */
   uint64_t last_answer_ms;        /* when the last answer arrived; 0: never */
   uint64_t clock_ms;              /* worker's clock, as read no later than last_answer_ms */
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -3,6 +3,23 @@
 
 #include "fb-event.h"
 
+/* Logs what is known of WORKER, so that the evidence for its loss can be compared with what it did.
+ */
+static void
+log_loss (const FbPool *self, const FbPoolWorker *worker, const char *why, uint64_t now_ms)
+{
+  uint64_t lease_ms = fb_pool_worker_lease_remaining_ms (self, worker, now_ms);
+  g_autofree char *lease
+      = lease_ms != G_MAXUINT64 ? g_strdup_printf ("%" G_GUINT64_FORMAT, lease_ms) : NULL;
+  fb_event_log (FB_EVENT_POOL_WORKER_LOST,
+                "worker=%s why=\"%s\" runs=%u heard_ms_ago=%u epoch=%" G_GUINT64_FORMAT
+                " owned_ms=%u answered=%d listed=%d poll=%s lease_left_ms=%s",
+                worker->id, why, g_hash_table_size (worker->runs),
+                worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
+                self->epoch, (guint) (now_ms - self->created_ms), worker->answered, worker->listed,
+                fb_order_result_name (worker->poll_result), lease != NULL ? lease : "unknown");
+}
+
 void
 fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
                      uint64_t now_ms)
@@ -14,11 +31,9 @@
     fb_pool_unresolved_loss_resolve (self, worker->id, !worker->draining, now_ms);
   if (worker->runs_ended)
     return;
+  log_loss (self, worker, why, now_ms);
   worker->runs_ended = TRUE;
   worker->answered = FALSE;
-  fb_event_log (FB_EVENT_POOL_WORKER_LOST, "worker=%s why=%s runs=%u heard_ms_ago=%u", worker->id,
-                why, g_hash_table_size (worker->runs),
-                worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0);
   fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
   fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -583,6 +583,7 @@
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
   worker->poll_failed = answer->result != FB_ORDER_DONE;
+  worker->poll_result = answer->result;
   worker->next_poll_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
                              ? fb_pool_first_poll_retry_ms (worker, now_ms)
                              : now_ms + POLL_INTERVAL_MS;
