A refused connection and a missing entry do not prove that a worker has left

The new owner took a worker of its predecessor's record for gone when the platform did not list it and its address refused a connection, and started its tasks elsewhere 0.02 to 0.2 s later. Each fact is weak, and both have one cause in common: a worker that is cut off can not renew its entry either. It runs on until its lease ends, up to 4 s later.

Only three things prove now that nothing of an earlier owner runs on a worker: its own answer under this epoch, the answer of another incarnation, and the end of its longest lease. Each is true whichever daemon finds it, so an owner that starts later comes to the same answer. A refused connection counts as a poll without an answer; for a start it still proves that this order was not delivered.

Cost: work that may run on a worker that has left without notice waits up to 6.2 s after a change of owner, as it did for workers that do not answer at all.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -226,9 +226,8 @@
 /* Evidence that all runs of an incarnation of a worker have ended. */
 typedef enum
 {
-  FB_LOSS_LEASE_ENDED,       /* the worker may still be up, but without runs */
-  FB_LOSS_OTHER_INCARNATION, /* another incarnation answers at its address */
-  FB_LOSS_LEFT               /* the worker is not listed, and nothing listens at its address */
+  FB_LOSS_LEASE_ENDED,      /* the worker may still be up, but without runs */
+  FB_LOSS_OTHER_INCARNATION /* another incarnation answers at its address */
 } FbPoolLoss;
 
 /* All runs of this incarnation of WORKER have certainly ended.  NEXT: the incarnation that receives
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -24,7 +24,7 @@
 fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
                      uint64_t now_ms)
 {
-  static const char *const names[] = { "lease ended", "other life", "left" };
+  static const char *const names[] = { "lease ended", "other life" };
   const char *why = names[loss];
   worker->replaced = worker->replaced || loss == FB_LOSS_OTHER_INCARNATION;
   if (worker->runs_ended && loss == FB_LOSS_OTHER_INCARNATION)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -556,17 +556,6 @@
     fb_pool_order_poll (self, worker, now_ms);
 }
 
-/* If a worker leaves during a takeover, the new owner has it from the previous owner's record and
- * would wait for its lease, 6 s with the whole pool idle (observed when a worker left 1 s before).
- * A worker that is missing from a list read under this epoch, and whose host answers that nothing
- * listens at the address, has left with all its runs. Neither condition alone is proof: lists can
- * lose live workers, and a network partition may refuse connections. */
-static gboolean
-has_left (const FbPool *self, const FbPoolWorker *worker)
-{
-  return self->workers_complete && !worker->listed;
-}
-
 void
 fb_pool_poll_answered (FbPool *self, const char *id, const FbPollAnswer *answer, uint64_t now_ms,
                        uint64_t wall_ms)
@@ -595,7 +584,5 @@
     fb_pool_worker_restarted (self, worker, answer->incarnation, now_ms);
   else if (answer->result == FB_ORDER_OTHER_INCARNATION)
     fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
-  else if (answer->result == FB_ORDER_NO_LISTENER && has_left (self, worker))
-    fb_pool_worker_lost (self, worker, FB_LOSS_LEFT, NULL, now_ms);
   fb_pool_silence_polled (self, worker, now_ms);
 }
