A majority is counted over the workers that are known, not over those that happen to be listed

A new owner concludes from the answers of a majority that no earlier owner can still have one, and from there bounds the last leases (majority, 2 s, one lease) and lets jobs that came later start at once. An owner that does not reach the store goes on with the majority of its own list of all, and the two need have no worker in common.

Workers that are known from the record or an earlier list now count for 3 s after the change of owner, or after they were found missing; the platform says that live ones are back 2 s after the store. Later they count for nothing, as before: more than half of the workers may be gone for good, and the pool must not wait for them. What is left: an owner and more than half of the workers that are cut off from the store and from the new owner for longer than that.

Failed before: pools/majority-of-an-incomplete-list, a job that came later starts 2.2 s after the change of owner with one worker of five heard.

--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -11,6 +11,8 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
+/* Entries that expired while the store was unavailable are written again within 2 s of its return. */
+#define UNLISTED_COUNTED_MS 3000
 /* All workers are checked at most once in this time for each of them, so that the checks of a pool
  * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
  * they are checked more often, because work waits for the result. */
@@ -186,6 +188,7 @@
   if (worker == NULL || !worker->listed)
     return;
   worker->listed = FALSE;
+  worker->unlisted_ms = now_ms;
   self->unresolved_losses_due = TRUE;
   fb_event_log (FB_EVENT_POOL_WORKER_UNLISTED, "worker=%s runs=%u heard_ms_ago=%u", id,
                 g_hash_table_size (worker->runs), (guint) (now_ms - worker->last_answer_ms));
@@ -303,20 +306,33 @@
   return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
 }
 
-/* Counts the listed workers, and those of them that have answered within WITHIN_MS. */
+/* Two majorities have a worker in common only if both are counted over the same workers. The list
+ * may lack most of them for a while, and an owner that does not reach the store still counts them
+ * all, so workers that are known otherwise count until their entries must be back. */
+static gboolean
+counts_for_majority (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->listed)
+    return TRUE;
+  return !worker->runs_ended
+         && now_ms < MAX (worker->unlisted_ms, self->created_ms) + UNLISTED_COUNTED_MS;
+}
+
+/* Counts the workers of which a majority is needed, and those of them that have answered within
+ * WITHIN_MS. */
 static void
-count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, guint *listed_n,
+count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, guint *workers_n,
                guint *answered_n)
 {
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
-  *listed_n = 0;
+  *workers_n = 0;
   *answered_n = 0;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (!worker->listed)
+      if (!counts_for_majority (self, worker, now_ms))
         continue;
-      (*listed_n)++;
+      (*workers_n)++;
       *answered_n += worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
     }
 }
@@ -324,20 +340,20 @@
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
-  guint listed_n = 0;
+  guint workers_n = 0;
   guint answered_n = 0;
-  count_answers (self, within_ms, now_ms, &listed_n, &answered_n);
-  return answered_n * 2 > listed_n;
+  count_answers (self, within_ms, now_ms, &workers_n, &answered_n);
+  return answered_n * 2 > workers_n;
 }
 
 /* Half of the workers suffice here: the others may have crashed. */
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
 {
-  guint listed_n = 0;
+  guint workers_n = 0;
   guint answered_n = 0;
-  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &listed_n, &answered_n);
-  return answered_n > 0 && answered_n * 2 >= listed_n;
+  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &workers_n, &answered_n);
+  return answered_n > 0 && answered_n * 2 >= workers_n;
 }
 
 /* Adds what WORKER has, and has free, to the sums for client accounts. */
