Nothing starts on a worker that no stored record names

A new owner knows the workers of its predecessor from two lists: the platform's, in which entries may have expired, and the owner's own record. It takes a worker that is in neither for one that does not exist. But an owner used a worker as soon as it was listed and had answered, before the record that names it was stored. When the store went away at that moment, the entries expired and the pool changed owners, nobody knew of the worker, and its tasks were started again beside their runs; no worker has to be cut off.

A start is ordered now only on a worker that a stored record names, as an intent is written before the act elsewhere. New workers are recorded also while the pool has not recovered yet; the record is still written at most once in 1 ms per 2 workers. Workers of the previous owner's record need no wait, so a takeover waits for nothing.

Failed before: pools/worker-in-no-record, which starts j1 on w3 and again on w4.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -93,6 +93,8 @@
   gboolean listed;           /* the platform lists it now */
   uint64_t listed_ms;        /* when it was first listed; 0: known from a record only */
   uint64_t unlisted_ms;      /* when it was last found missing in the list; 0: never listed */
+  gboolean recorded;         /* a stored record of workers names it */
+  gboolean in_open_record;   /* the record of workers in the open flush names it */
   gboolean draining;         /* will exit soon: gets no new work */
   gboolean answered;         /* has answered a poll under the present epoch */
   gboolean silence_recorded; /* its last poll failed, and its runs have been recorded */
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -108,7 +108,7 @@
  * runs are written like draining ones, on which that owner starts nothing; and the record gets a
  * row without a worker, which makes it different from any that such an owner writes. */
 static GBytes *
-encode_workers (const FbPool *self, uint64_t now_ms)
+encode_workers (FbPool *self, uint64_t now_ms)
 {
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS - 1);
   g_autofree fb_work_known_worker *known = g_new0 (fb_work_known_worker, n + 1);
@@ -117,10 +117,11 @@
   gboolean has_closed = FALSE;
   fb_work_workers record = { .workers = { 0, known } };
   guint slot = 0;
-  const FbPoolWorker *worker = NULL;
+  FbPoolWorker *worker = NULL;
   while (record.workers.workers_len < n
          && (worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
+      worker->in_open_record = TRUE;
       fb_work_known_worker *row = &known[record.workers.workers_len++];
       *row = (fb_work_known_worker){ .id = worker->id, .address = worker->address };
       g_autoptr (GHashTable) runs = fb_pool_silence_runs (self, worker, now_ms);
@@ -136,14 +137,36 @@
   return bytes;
 }
 
+static gboolean
+has_unrecorded_worker (const FbPool *self)
+{
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      if (worker->listed && !worker->recorded)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns: TRUE when the stored record of workers is to be replaced. Nothing starts on a worker
+ * before a record names it, so new ones do not wait until the pool has recovered. */
+static gboolean
+workers_record_is_due (const FbPool *self, uint64_t now_ms)
+{
+  if (!self->workers_dirty || !fb_pool_silence_may_record (self, now_ms))
+    return FALSE;
+  return self->recovered
+         || (self->workers_complete && fb_pool_may_place (self) && has_unrecorded_worker (self));
+}
+
 /* The record of a pool that has not recovered contains the workers of the previous record that are
  * still unconfirmed, since these are removed only when they are known to be gone. */
 static void
 flush_workers (FbPool *self, GPtrArray *records, uint64_t now_ms)
 {
-  gboolean due
-      = self->workers_dirty && self->recovered && fb_pool_silence_may_record (self, now_ms);
-  if (!due && !fb_pool_silence_record_is_due (self, now_ms))
+  if (!workers_record_is_due (self, now_ms) && !fb_pool_silence_record_is_due (self, now_ms))
     return;
   self->workers_dirty = !self->recovered;
   GBytes *workers = encode_workers (self, now_ms);
@@ -244,12 +267,28 @@
     worker->unstored_end = 0;
 }
 
+/* The record of workers in the open flush is stored, or is not accepted. */
+static void
+end_workers_record (FbPool *self, gboolean stored)
+{
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      worker->recorded = worker->recorded || (stored && worker->in_open_record);
+      worker->in_open_record = FALSE;
+    }
+}
+
 void
 fb_pool_record_not_accepted (FbPool *self, const char *id, gsize bytes)
 {
   FbPoolJob *job = id != NULL ? g_hash_table_lookup (self->jobs, id) : NULL;
   if (id == NULL)
-    fb_pool_silence_not_stored (self);
+    {
+      fb_pool_silence_not_stored (self);
+      end_workers_record (self, FALSE);
+    }
   if (job == NULL || !g_ptr_array_remove (self->in_flush, job))
     return;
   self->not_accepted_n += job->not_accepted_bytes == 0;
@@ -291,6 +330,7 @@
     }
   g_ptr_array_set_size (self->in_flush, 0);
   fb_pool_silence_stored (self, now_ms);
+  end_workers_record (self, TRUE);
   guint slot = 0;
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -214,8 +214,10 @@
           fb_pool_worker_slots_add (self, worker);
           fb_pool_incarnation_known (self, worker, self->created_ms);
         }
-      if (worker != NULL)
-        fb_pool_drain_apply (self, worker);
+      if (worker == NULL)
+        continue;
+      worker->recorded = TRUE;
+      fb_pool_drain_apply (self, worker);
     }
 }
 
