--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -11,7 +11,8 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
-/* Entries that expired while the store was unavailable are written again within 2 s of its return. */
+/* Entries that expired while the store was unavailable are written again within 2 s of its return.
+ */
 #define UNLISTED_COUNTED_MS 3000
 /* All workers are checked at most once in this time for each of them, so that the checks of a pool
  * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
