Only an owner whose ownership is confirmed extends leases

But an owner that had lost the store and the majority went on extending the leases of the workers that it still reached until it stepped down, 2 s after the last confirmation, which itself may rest on answers 1.5 s old: up to 3.5 s after the majority. A worker on its side of a partition then held a lease for up to 1.5 s longer than its successor waited, and its tasks ran twice meanwhile.

Leases are now extended for 0.5 s after a confirmation at most, so for 2.0 s after the majority. Polls go on without a lease; an owner that stays unconfirmed for 2 s steps down, as before, and what runs there is stopped by the workers as after any owner that is gone.

Read, not played with processes.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -45,6 +45,7 @@
   FbPoolIdleDaemonsFunc idle_daemons; /* NULL: not known */
   uint64_t created_ms;                /* when the pool was created */
   uint64_t majority_ms;               /* when a majority of the workers had answered; 0: not yet */
+  uint64_t confirmed_until_ms;        /* see fb_pool_set_confirmed_until() */
   gboolean workers_complete;          /* fb_pool_workers_complete() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
   uint64_t awaits_logged_ms; /* when POOL_AWAITS_WORKERS was last logged; 0: never */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -16,6 +16,9 @@
  * ownership. UNCONFIRMED_MAX_MS: time without any confirmation after which an owner steps down. */
 #define MAJORITY_MAX_AGE_MS 1500
 #define UNCONFIRMED_MAX_MS 2000
+/* Time after a confirmation for which leases are extended. With MAJORITY_MAX_AGE_MS it is no longer
+ * than FB_POOL_STEP_DOWN_MS, by which the next owner bounds the last lease. */
+#define CONFIRMED_FOR_MS 500
 /* Part of an append that the record of silent workers may take; the record of 17,000 workers, which
  * is in the same append, takes half of 2 MB. */
 #define SILENCE_BYTES_DIVISOR 3
@@ -201,7 +204,10 @@
   while (!self->stepped_down && g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbServicePool *service_pool = value;
-      gboolean may_start = fb_owner_confirm (self, service_pool, now_ms) && may_act;
+      gboolean confirmed = fb_owner_confirm (self, service_pool, now_ms);
+      gboolean may_start = confirmed && may_act;
+      if (confirmed)
+        fb_pool_set_confirmed_until (service_pool->pool, now_ms + CONFIRMED_FOR_MS);
       if (jobs_complete)
         fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
       fb_owner_exchange_account_parts (service_pool, now_ms);
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -117,9 +117,10 @@
 
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
- * from one of the majority that answered here and sends nothing later than FB_POOL_STEP_DOWN_MS
- * after that; if that owner had stopped extending leases there, its record tells when the last one
- * ends. Calls meant for an earlier incarnation may have reached the worker as well. */
+ * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
+ * after that, as nothing confirms its ownership any more; if that owner had stopped extending
+ * leases there, its record tells when the last one ends. Calls meant for an earlier incarnation may
+ * have reached the worker as well. */
 static uint64_t
 unanswered_lease_end_ms (const FbPool *self, const FbPoolWorker *worker)
 {
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -54,6 +54,7 @@
   self->callbacks = callbacks;
   self->user = user;
   self->created_ms = now_ms;
+  self->confirmed_until_ms = G_MAXUINT64;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -349,6 +350,12 @@
   return answered_n * 2 > workers_n;
 }
 
+void
+fb_pool_set_confirmed_until (FbPool *self, uint64_t until_ms)
+{
+  self->confirmed_until_ms = until_ms;
+}
+
 /* Half of the workers suffice here: the others may have crashed. */
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -814,6 +814,14 @@
   fb_pool_tick (script->pool, TRUE, script->now_ms, wall_ms (script));
 }
 
+/* confirmed-for MS: the ownership was confirmed last at this time, for MS. */
+static void
+do_confirmed_for (Script *script)
+{
+  fb_pool_set_confirmed_until (script->pool,
+                               script->now_ms + g_ascii_strtoull (script->args[1], NULL, 10));
+}
+
 /* jobs-complete: every job stored so far has been added. */
 static void
 do_jobs_complete (Script *script)
@@ -929,6 +937,7 @@
                  { "account", do_account },
                  { "account-part", do_account_part },
                  { "job", do_job },
+                 { "confirmed-for", do_confirmed_for },
                  { "jobs-complete", do_jobs_complete },
                  { "cancel", do_cancel },
                  { "state", do_state },
