Tests: a replaced owner extends leases for longer than its successor waits (red)

That owner counts answers to polls that are up to 1.5 s old (MAJORITY_MAX_AGE_MS) as a confirmation, and steps down 2 s after the last one (UNCONFIRMED_MAX_MS); until then its polls extend leases. A worker that is cut off together with it refuses no poll, so nothing ends this sooner, and its silence towards the next owner has the same cause.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -43,6 +43,7 @@
 verdict "links between daemons" $B/tests/test-links
 verdict "claims of jobs by services" $B/tests/test-claims
 verdict "list of daemons" $B/tests/test-daemons
+verdict "owner that is replaced while it is cut off" $B/tests/test-step-down
 verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
 verdict "incarnations in the worker list" $B/tests/test-worker-list
