--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -31,11 +31,12 @@
   GHashTable *used_workers; /* set of ids of workers on which something was started */
   /* What runs on the workers of "workers N": name of a task -> its last start. */
   GHashTable *crowd_runs;
-  guint crowd_starts_n;   /* starts on these workers since the last "starts" */
-  guint crowd_repeated_n; /* of these, of tasks that ran on another worker */
-  GHashTable *accounts;   /* name -> FbAccount, as configured; NULL: none */
-  GPtrArray *flush;       /* the open flush; NULL: none */
-  gboolean store_is_up;   /* each tick is followed by a flush that is stored at once */
+  guint crowd_starts_n;    /* starts on these workers since the last "starts" */
+  guint crowd_repeated_n;  /* of these, of tasks that ran on another worker */
+  GHashTable *accounts;    /* name -> FbAccount, as configured; NULL: none */
+  GPtrArray *flush;        /* the open flush; NULL: none */
+  guint max_silence_bytes; /* limit of the record of silent workers; 0: none */
+  gboolean store_is_up;    /* each tick is followed by a flush that is stored at once */
   gboolean show_polls;
   uint64_t advice_requests_left; /* number of advice requests that are still accepted */
   GPtrArray *advice_requests;    /* of GStrv: a step and the workers of a request, in their order */
@@ -232,8 +233,11 @@
 static void
 open_pool (Script *script, uint64_t epoch)
 {
-  static const FbPoolLimits limits
-      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000, .max_reported_ends = 10 };
+  const FbPoolLimits limits = { .max_lease_ms = 6000,
+                                .max_stop_ms = 200,
+                                .gang_wait_ms = 3000,
+                                .max_reported_ends = 10,
+                                .max_silence_bytes = script->max_silence_bytes };
   g_clear_pointer (&script->pool, fb_pool_free);
   script->pool = fb_pool_new ("svc", epoch, &limits, &callbacks, script, script->now_ms);
   fb_pool_set_idle_daemons (script->pool, idle_daemons);
@@ -300,6 +304,15 @@
   xdr_free ((xdrproc_t) xdr_fb_work_workers, (char *) &record);
 }
 
+/* silence-bytes N: owners from here on, the first one included, store no longer record of silent
+ * workers. */
+static void
+do_silence_bytes (Script *script)
+{
+  script->max_silence_bytes = (guint) atoi (script->args[1]);
+  open_pool (script, 1);
+}
+
 /* new-owner EPOCH [stale-list]: replaces the owner by one that loads the stored records and the
  * list of workers; with stale-list the list may lack workers that the previous owner has used. */
 static void
@@ -726,14 +739,19 @@
     puts (lines->pdata[i]);
 }
 
-/* flushed: the store has taken the records of the last flush. */
+/* flushed [refused=JOB]: the store has taken the records of the last flush; with refused, all but
+ * that of JOB, which is too large. */
 static void
 do_flushed (Script *script)
 {
+  g_autofree char *refused
+      = option (script, "refused") != NULL ? pad_job_id (option (script, "refused")) : NULL;
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
-      if (record->kind == FB_POOL_RECORD_SILENT_WORKERS)
+      if (record->kind == FB_POOL_RECORD_JOB && g_strcmp0 (record->job, refused) == 0)
+        fb_pool_record_not_accepted (script->pool, refused, g_bytes_get_size (record->progress));
+      else if (record->kind == FB_POOL_RECORD_SILENT_WORKERS)
         {
           g_clear_pointer (&script->stored_silent, g_bytes_unref);
           script->stored_silent = g_bytes_ref (record->progress);
@@ -913,6 +931,7 @@
   const char *name;
   void (*run) (Script *script);
 } commands[] = { { "new-owner", do_new_owner },
+                 { "silence-bytes", do_silence_bytes },
                  { "worker", do_worker },
                  { "workers", do_workers },
                  { "answers", do_answers },
