--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -11,7 +11,8 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
-/* Entries that expired while the store was unavailable are written again within 2 s of its return. */
+/* Entries that expired while the store was unavailable are written again within 2 s of its return.
+ */
 #define UNLISTED_COUNTED_MS 3000
 /* All workers are checked at most once in this time for each of them, so that the checks of a pool
  * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
@@ -53,6 +54,7 @@
   self->callbacks = callbacks;
   self->user = user;
   self->created_ms = now_ms;
+  self->confirmed_until_ms = G_MAXUINT64;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -214,8 +216,10 @@
           fb_pool_worker_slots_add (self, worker);
           fb_pool_incarnation_known (self, worker, self->created_ms);
         }
-      if (worker != NULL)
-        fb_pool_drain_apply (self, worker);
+      if (worker == NULL)
+        continue;
+      worker->recorded = TRUE;
+      fb_pool_drain_apply (self, worker);
     }
 }
 
@@ -346,6 +350,12 @@
   return answered_n * 2 > workers_n;
 }
 
+void
+fb_pool_set_confirmed_until (FbPool *self, uint64_t until_ms)
+{
+  self->confirmed_until_ms = until_ms;
+}
+
 /* Half of the workers suffice here: the others may have crashed. */
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -3,6 +3,8 @@
  * A line is one event or query; see COMMANDS. Lines that begin with '#' are comments. Job ids are
  * written without their leading zeros; a task is JOB.OCCURRENCE.STEP.INDEX. The clock stands still
  * except in "tick". */
+#include "recorded-workers.h"
+
 #include "fb-event.h"
 #include "internal/codec.h"
 #include "internal/pool.h"
@@ -226,7 +228,10 @@
           .gpu_count = (uint32_t) option_u64 (script, "gpu", 0),
           .draining = has_flag (script, "draining"),
           .may_restart = strchr (args[1], '@') != NULL };
-  fb_pool_worker_listed (script->pool, &entry, script->now_ms);
+  if (has_flag (script, "unrecorded"))
+    fb_pool_worker_listed (script->pool, &entry, script->now_ms);
+  else
+    list_recorded_worker (script->pool, &entry, script->now_ms);
   script->args = saved;
 }
 
@@ -346,8 +351,9 @@
     fb_pool_workers_complete (script->pool);
 }
 
-/* worker ID [address=ADDRESS] [rack=NAME] [cpu=MILLI] [mem=MB] [gpu=N] [draining]: lists a worker
- * or changes its entry. Workers whose ID has the form NAME@N may restart. */
+/* worker ID [address=ADDRESS] [rack=NAME] [cpu=MILLI] [mem=MB] [gpu=N] [draining] [unrecorded]:
+ * lists a worker or changes its entry. Unless it is unrecorded, a record of workers that was stored
+ * earlier names it. Workers whose ID has the form NAME@N may restart. */
 static void
 do_worker (Script *script)
 {
@@ -826,6 +832,14 @@
   fb_pool_tick (script->pool, TRUE, script->now_ms, wall_ms (script));
 }
 
+/* confirmed-for MS: the ownership was confirmed last at this time, for MS. */
+static void
+do_confirmed_for (Script *script)
+{
+  fb_pool_set_confirmed_until (script->pool,
+                               script->now_ms + g_ascii_strtoull (script->args[1], NULL, 10));
+}
+
 /* jobs-complete: every job stored so far has been added. */
 static void
 do_jobs_complete (Script *script)
@@ -942,6 +956,7 @@
                  { "account", do_account },
                  { "account-part", do_account_part },
                  { "job", do_job },
+                 { "confirmed-for", do_confirmed_for },
                  { "jobs-complete", do_jobs_complete },
                  { "cancel", do_cancel },
                  { "state", do_state },
