Tests: two owners with a majority each, as one does not know later workers (red)

An owner that is cut off from the store counts the workers that it knew before, its successor also those that have joined since. With three workers known and three that joined, the owner reaches two of three and its successor the other one and the new ones, four of six. Nothing ends the first ownership; its leases go on, and the successor starts its tasks after the wait for a lease. No entry has to be missing, and no more than half of the workers that the successor knows are cut off from it.

--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -22,16 +22,18 @@
 #define WORKER_N 3
 /* The worker that the replaced owner reaches, and its successor does not. */
 #define CUT_OFF 2
+/* With the workers that join after the replaced owner was cut off from the store. */
+#define GROWN_N 6
 
-static const char *const workers[WORKER_N] = { "w0", "w1", "w2" };
+static const char *const workers[GROWN_N] = { "w0", "w1", "w2", "w3", "w4", "w5" };
 
 typedef struct
 {
   FbPool *pool;
-  uint64_t answer_ms[WORKER_N]; /* when the open poll is answered; 0: none is open */
-  uint64_t lease_ms;            /* deadline of the latest poll of CUT_OFF, on the clock of all */
-  uint64_t started_ms;          /* when the task was started; 0: never */
-  int worker;                   /* that runs it; -1: none */
+  uint64_t answer_ms[GROWN_N]; /* when the open poll is answered; 0: none is open */
+  uint64_t lease_ms;           /* deadline of the latest poll of CUT_OFF, on the clock of all */
+  uint64_t started_ms;         /* when the task was started; 0: never */
+  int worker;                  /* that runs it; -1: none */
 } Side;
 
 static uint64_t clock_ms;
@@ -368,6 +370,36 @@
   first_free (first);
 }
 
+/* An owner and its successor, which knows more workers, have a majority each. */
+static void
+test_two_owners_have_no_majority_beside_each_other (void)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  for (; clock_ms < START_MS + CONNECTED_MIN_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
+  store_is_up = FALSE;
+  side_begin (&next, 2, 2000, GROWN_N);
+  uint64_t replaced_ms = clock_ms;
+  for (; clock_ms < replaced_ms + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, CUT_OFF - 1, CUT_OFF);
+      tick_owner (&first->owner);
+      answer_due (&next, 0, 0);
+      answer_due (&next, WORKER_N, GROWN_N - 1);
+      tick_next (&next);
+    }
+  CU_ASSERT_TRUE (excess_of (first, &next, replaced_ms) < 0);
+  fb_pool_free (next.pool);
+  first_free (first);
+}
+
 /* Tests of known failures are run by their names. */
 static void
 add_tests (CU_pSuite suite, const char *name)
@@ -375,6 +407,9 @@
   if (g_strcmp0 (name, "never-confirmed") == 0)
     CU_add_test (suite, "an owner that was never confirmed extends no lease",
                  test_an_owner_that_was_never_confirmed_extends_no_lease);
+  else if (g_strcmp0 (name, "two-majorities") == 0)
+    CU_add_test (suite, "two owners have no majority beside each other",
+                 test_two_owners_have_no_majority_beside_each_other);
   else
     CU_add_test (suite, "a replaced owner extends no lease beyond the wait of its successor",
                  test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor);
