--- /dev/null
+++ b/tests/test-step-down.c
@@ -0,0 +1,431 @@
+/* An owner that is replaced and reaches one worker only, beside its successor, which reaches the
+ * others.  No network: the owner's daemon is replaced by functions here. */
+#include "src/entry/owner/owner-private.h"
+
+#include "fb-event.h"
+#include "internal/pool.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+
+#define START_MS 100000
+#define WALL_OFFSET_MS 1000000000
+#define STEP_MS 5
+#define CONNECTED_MIN_MS 3000
+/* Longer than the interval of polls. */
+#define CONNECTED_MAX_MS 3600
+#define REPLACED_MS 12000
+/* When an owner resumes that was suspended while it loaded its pool, after it was replaced. */
+#define RESUMED_MS 3000
+#define SERVICE "svc"
+#define JOB "0000000000000001"
+#define WORKER_N 3
+/* The worker that the replaced owner reaches, and its successor does not. */
+#define CUT_OFF 2
+/* With the workers that join after the replaced owner was cut off from the store. */
+#define GROWN_N 6
+
+static const char *const workers[GROWN_N] = { "w0", "w1", "w2", "w3", "w4", "w5" };
+
+typedef struct
+{
+  FbPool *pool;
+  uint64_t answer_ms[GROWN_N]; /* when the open poll is answered; 0: none is open */
+  uint64_t lease_ms;           /* deadline of the latest poll of CUT_OFF, on the clock of all */
+  uint64_t started_ms;         /* when the task was started; 0: never */
+  int worker;                  /* that runs it; -1: none */
+} Side;
+
+static uint64_t clock_ms;
+
+/* ---- replaced functions of the daemon ------------------------------------------------------ */
+
+uint64_t __wrap_fb_clock_ms (void);
+gboolean __wrap_fb_group_is_member (const FbGroup *self, uint64_t now_ms);
+char *__wrap_fb_entry_format_timing (const FbEntryDaemon *self);
+uint64_t __wrap_fb_topic_reader_synced_ms (const FbTopicReader *self);
+void __wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
+                             FbAppendDone done, gpointer user);
+
+uint64_t
+__wrap_fb_clock_ms (void)
+{
+  return clock_ms;
+}
+
+gboolean
+__wrap_fb_group_is_member (const FbGroup *self, uint64_t now_ms)
+{
+  (void) self;
+  (void) now_ms;
+  return FALSE;
+}
+
+char *
+__wrap_fb_entry_format_timing (const FbEntryDaemon *self)
+{
+  (void) self;
+  return g_strdup ("");
+}
+
+uint64_t
+__wrap_fb_topic_reader_synced_ms (const FbTopicReader *self)
+{
+  (void) self;
+  return START_MS;
+}
+
+static gboolean store_is_up;
+
+void
+__wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
+                        FbAppendDone done, gpointer user)
+{
+  (void) self;
+  (void) retry_until_ms;
+  g_byte_array_unref (records);
+  if (store_is_up)
+    done (user, FB_APPEND_STORED);
+}
+
+/* The scheduled tick of the owner, which tick_owner() calls at once. */
+static GSourceFunc scheduled;
+static gpointer scheduled_for;
+
+guint __wrap_g_timeout_add (guint interval_ms, GSourceFunc func, gpointer user);
+
+guint
+__wrap_g_timeout_add (guint interval_ms, GSourceFunc func, gpointer user)
+{
+  (void) interval_ms;
+  scheduled = func;
+  scheduled_for = user;
+  return 1;
+}
+
+/* ---- orders -------------------------------------------------------------------------------- */
+
+static int
+index_of (const char *worker)
+{
+  return worker[1] - '0';
+}
+
+static void
+on_start (gpointer user, const FbStartOrder *order)
+{
+  Side *side = user;
+  side->started_ms = clock_ms;
+  side->worker = index_of (order->worker);
+  fb_pool_start_answered (side->pool, order->order, FB_ORDER_DONE, clock_ms, clock_ms);
+}
+
+static void
+on_stop (gpointer user, const FbStopOrder *order)
+{
+  (void) user;
+  (void) order;
+}
+
+static void
+on_poll (gpointer user, const FbPollOrder *order)
+{
+  Side *side = user;
+  int worker = index_of (order->worker);
+  side->answer_ms[worker] = clock_ms + order->wait_ms + STEP_MS;
+  if (worker == CUT_OFF)
+    side->lease_ms = MAX (side->lease_ms, order->deadline_ms);
+}
+
+static gboolean
+on_advise (gpointer user, const char *step, const char *const *names, guint n, uint32_t expected_ms)
+{
+  (void) user;
+  (void) step;
+  (void) names;
+  (void) n;
+  (void) expected_ms;
+  return FALSE;
+}
+
+static void
+on_fenced (gpointer user, const char *worker)
+{
+  (void) user;
+  (void) worker;
+}
+
+static const FbPoolCallbacks callbacks = { on_start, on_stop, on_poll, on_advise, on_fenced, NULL };
+
+static void
+answer (Side *side, int worker)
+{
+  g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (FbReportedRun));
+  g_autoptr (GArray) finished = g_array_new (FALSE, TRUE, sizeof (FbReportedEnd));
+  const FbReportedRun run = { (char *) JOB ".0.0.0", 1, (char *) "", FB_PERCENT_NOT_REPORTED };
+  const FbPollAnswer list = { .clock_ms = clock_ms, .running = running, .finished = finished };
+  if (side->worker == worker)
+    g_array_append_val (running, run);
+  side->answer_ms[worker] = 0;
+  fb_pool_poll_answered (side->pool, workers[worker], &list, clock_ms, WALL_OFFSET_MS + clock_ms);
+}
+
+static void
+answer_due (Side *side, int from, int to)
+{
+  for (int i = from; i <= to; i++)
+    {
+      if (side->answer_ms[i] != 0 && clock_ms >= side->answer_ms[i])
+        answer (side, i);
+    }
+}
+
+/* The task fits on CUT_OFF only under the first owner. */
+static void
+side_begin (Side *side, uint64_t epoch, uint32_t cpu_milli, int workers_n)
+{
+  static const FbPoolLimits limits
+      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
+  *side = (Side){ .worker = -1 };
+  side->pool = fb_pool_new (SERVICE, epoch, &limits, &callbacks, side, clock_ms);
+  fb_work_step step = { .count = 1, .cpu_milli = 1000, .mem_mb = 100, .estimate_ms = 600000 };
+  step.preferred_rack = step.required_label = step.image = (char *) "";
+  fb_work_admit record = { .accepted_ms = WALL_OFFSET_MS };
+  record.policy = (fb_work_policy){ .queue = (char *) "q",
+                                    .service = (char *) SERVICE,
+                                    .max_attempts = 3,
+                                    .stretch_factor_milli = 2000,
+                                    .target_ms = 1000 };
+  record.spec.payload = (char *) "";
+  record.spec.steps.steps_len = 1;
+  record.spec.steps.steps_val = &step;
+  fb_pool_add_job (side->pool, JOB, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
+  static const char *const labels[] = { "a", NULL };
+  for (int i = 0; i < workers_n; i++)
+    {
+      const FbWorkerEntry entry = { .id = workers[i],
+                                    .address = workers[i],
+                                    .labels = labels,
+                                    .cpu_milli = i == CUT_OFF ? 1000 : cpu_milli,
+                                    .mem_mb = 1000 };
+      fb_pool_worker_listed (side->pool, &entry, clock_ms);
+    }
+  fb_pool_workers_complete (side->pool);
+}
+
+/* ---- the test ------------------------------------------------------------------------------ */
+
+static void
+tick_owner (FbOwner *owner)
+{
+  fb_owner_schedule_tick (owner);
+  (void) scheduled (scheduled_for);
+}
+
+static void
+tick_next (Side *side)
+{
+  fb_pool_tick (side->pool, TRUE, clock_ms, WALL_OFFSET_MS + clock_ms);
+  g_autoptr (GPtrArray) records = fb_pool_flush (side->pool, clock_ms, WALL_OFFSET_MS + clock_ms);
+  if (records != NULL)
+    fb_pool_flushed (side->pool, clock_ms);
+}
+
+/* The first owner and its daemon. */
+typedef struct
+{
+  FbEntryDaemon entry;
+  FbEntrySettings settings;
+  FbOwner owner;
+  FbServicePool service_pool;
+  Side side;
+} First;
+
+static First *
+first_new (void)
+{
+  First *self = g_new0 (First, 1);
+  self->settings.append_max_bytes = 1000000;
+  self->settings.record_max_bytes = 100000;
+  self->entry.settings = &self->settings;
+  self->entry.owners = g_hash_table_new (NULL, NULL);
+  side_begin (&self->side, 1, 500, WORKER_N);
+  self->owner = (FbOwner){ .entry = &self->entry,
+                           .epoch = 1,
+                           .loaded = TRUE,
+                           .workers_known = TRUE,
+                           .import_until_ms = 1,
+                           .confirmed_ms = clock_ms };
+  self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
+  self->owner.held_jobs = fb_owner_held_jobs_new ();
+  self->owner.unknown_cancels = g_hash_table_new (g_str_hash, g_str_equal);
+  self->owner.ended_jobs = g_ptr_array_new ();
+  self->owner.parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->service_pool = (FbServicePool){ .owner = &self->owner,
+                                        .pool = self->side.pool,
+                                        .service = (char *) SERVICE,
+                                        .admission = fb_admission_control_new () };
+  self->service_pool.disclaimed = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (self->owner.service_pools, self->service_pool.service, &self->service_pool);
+  g_hash_table_insert (self->entry.owners, GUINT_TO_POINTER (self->owner.partition), &self->owner);
+  return self;
+}
+
+static void
+first_free (First *self)
+{
+  fb_pool_free (self->side.pool);
+  fb_admission_control_free (self->service_pool.admission);
+  g_hash_table_unref (self->service_pool.disclaimed);
+  g_hash_table_unref (self->owner.parts_n);
+  g_ptr_array_unref (self->owner.ended_jobs);
+  g_hash_table_unref (self->owner.unknown_cancels);
+  g_hash_table_unref (self->owner.held_jobs);
+  g_hash_table_unref (self->owner.service_pools);
+  g_hash_table_unref (self->entry.owners);
+  g_free (self);
+}
+
+/* The first owner reaches CUT_OFF only, and the next one the others. */
+static void
+step_apart (First *first, Side *next)
+{
+  if (!first->owner.stepped_down)
+    answer_due (&first->side, CUT_OFF, CUT_OFF);
+  tick_owner (&first->owner);
+  answer_due (next, 0, CUT_OFF - 1);
+  tick_next (next);
+}
+
+/* Returns: by how much the last lease exceeds the wait of the next owner. */
+static int64_t
+excess_of (const First *first, const Side *next, uint64_t replaced_ms)
+{
+  int64_t excess_ms = (int64_t) first->side.lease_ms - (int64_t) next->started_ms;
+  if (excess_ms >= 0)
+    printf ("\nafter the change of owner: the last lease ends at %d ms, the next owner starts the "
+            "task at %d ms",
+            (int) (first->side.lease_ms - replaced_ms), (int) (next->started_ms - replaced_ms));
+  return excess_ms;
+}
+
+/* CONNECTED_MS: how long the owner reaches all workers before it is replaced, which decides when
+ * its last polls are answered. */
+static int64_t
+replace_owner (uint64_t connected_ms)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  for (; clock_ms < START_MS + connected_ms; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
+  store_is_up = FALSE;
+  side_begin (&next, 2, 2000, WORKER_N);
+  uint64_t replaced_ms = clock_ms;
+  for (; clock_ms < replaced_ms + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    step_apart (first, &next);
+  int64_t excess_ms = excess_of (first, &next, replaced_ms);
+  fb_pool_free (next.pool);
+  first_free (first);
+  return excess_ms;
+}
+
+/* A replaced owner extends the lease of a worker for longer than its successor waits for it. */
+static void
+test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor (void)
+{
+  int64_t max_ms = G_MININT64;
+  for (uint64_t ms = CONNECTED_MIN_MS; ms < CONNECTED_MAX_MS; ms += 20)
+    {
+      int64_t excess_ms = replace_owner (ms);
+      max_ms = MAX (max_ms, excess_ms);
+    }
+  CU_ASSERT_TRUE (max_ms < 0);
+}
+
+/* An owner that resumes after its replacement extends a lease that an earlier owner has granted. */
+static void
+test_an_owner_that_was_never_confirmed_extends_no_lease (void)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = FALSE;
+  side_begin (&next, 2, 2000, WORKER_N);
+  for (; clock_ms < START_MS + RESUMED_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&next, 0, CUT_OFF - 1);
+      tick_next (&next);
+    }
+  First *first = first_new ();
+  first->side.worker = CUT_OFF;
+  for (; clock_ms < START_MS + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    step_apart (first, &next);
+  CU_ASSERT_TRUE (excess_of (first, &next, START_MS) < 0);
+  fb_pool_free (next.pool);
+  first_free (first);
+}
+
+/* An owner and its successor, which knows more workers, have a majority each. */
+static void
+test_two_owners_have_no_majority_beside_each_other (void)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  for (; clock_ms < START_MS + CONNECTED_MIN_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
+  store_is_up = FALSE;
+  side_begin (&next, 2, 2000, GROWN_N);
+  uint64_t replaced_ms = clock_ms;
+  for (; clock_ms < replaced_ms + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, CUT_OFF - 1, CUT_OFF);
+      tick_owner (&first->owner);
+      answer_due (&next, 0, 0);
+      answer_due (&next, WORKER_N, GROWN_N - 1);
+      tick_next (&next);
+    }
+  CU_ASSERT_TRUE (excess_of (first, &next, replaced_ms) < 0);
+  fb_pool_free (next.pool);
+  first_free (first);
+}
+
+/* Tests of known failures are run by their names. */
+static void
+add_tests (CU_pSuite suite, const char *name)
+{
+  if (g_strcmp0 (name, "never-confirmed") == 0)
+    CU_add_test (suite, "an owner that was never confirmed extends no lease",
+                 test_an_owner_that_was_never_confirmed_extends_no_lease);
+  else if (g_strcmp0 (name, "two-majorities") == 0)
+    CU_add_test (suite, "two owners have no majority beside each other",
+                 test_two_owners_have_no_majority_beside_each_other);
+  else
+    CU_add_test (suite, "a replaced owner extends no lease beyond the wait of its successor",
+                 test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor);
+}
+
+int
+main (int argc, char **argv)
+{
+  fb_event_set_quiet (TRUE);
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 2;
+  CU_pSuite suite = CU_add_suite ("step-down", NULL, NULL);
+  add_tests (suite, argc > 1 ? argv[1] : NULL);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
