A new pool extends no leases before its owner's first confirmation

An owner that was suspended while it loaded the pool, and was replaced meanwhile, extended a lease by the poll that follows a worker's first answer, to 8.5 s after the change of owner; the next owner starts the task after 6.2 s. A new pool has no confirmation now. Simulated pools of tests confirm themselves for good when they are created.

--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -386,6 +386,7 @@
   owner->authority_ms = world->now_ms;
   owner->store_fenced_ms = world->now_ms;
   owner->pool = fb_pool_new ("svc", owner->epoch, &limits, &callbacks, owner, world->now_ms);
+  fb_pool_set_confirmed_until (owner->pool, G_MAXUINT64);
   world->current_owner = i;
   world->current_owner_seen_ms = world->now_ms;
   world_trace (world, "daemon %u owns the pool under epoch %u", i, (unsigned) owner->epoch);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -54,7 +54,6 @@
   self->callbacks = callbacks;
   self->user = user;
   self->created_ms = now_ms;
-  self->confirmed_until_ms = G_MAXUINT64;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -246,6 +246,7 @@
   g_clear_pointer (&script->pool, fb_pool_free);
   script->pool = fb_pool_new ("svc", epoch, &limits, &callbacks, script, script->now_ms);
   fb_pool_set_idle_daemons (script->pool, idle_daemons);
+  fb_pool_set_confirmed_until (script->pool, G_MAXUINT64);
   if (script->flush != NULL)
     g_clear_pointer (&script->flush, g_ptr_array_unref);
 }
