A silent worker with an end that is not stored is recorded without its runs

That does not hold for a job whose record the store does not accept: its end stays unacknowledged, and the run was counted no more. The next owner took the worker for empty and started the finished task again. The row of such a worker tells size, labels and lease, and no runs; steps that may be there wait for the lease.

--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -193,8 +193,8 @@
 static gboolean
 are_runs_tracked (const FbPool *self, const FbPoolWorker *worker)
 {
-  /* A run may have ended, with its end not processed. */
-  if (worker->has_unknown_end)
+  /* A run may have ended, with its end not processed, or not stored. */
+  if (worker->has_unknown_end || worker->unstored_end != 0)
     return FALSE;
   return !worker->may_restart || fb_pool_incarnation_is_latest (self, worker);
 }
