A majority is one of the workers that the stored record names

Of three recorded workers the owner reached two and went on; the successor reached the third and three new ones, four of six, and started a task 6.2 s later whose lease the other extended.

Both know the workers of the stored record, so a majority is counted over these; over all that are known only while there is no record, at the first start of a pool.

A pool whose recorded workers are mostly out of its owner's reach, but reach another owner, waits for the partition to end.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -333,8 +333,8 @@
 gboolean fb_pool_can_forecast (const FbPool *self);
 /* Returns: how many jobs of QUEUE have no scheduled occurrences and no task that was started. */
 uint32_t fb_pool_pending_jobs_n (const FbPool *self, const char *queue);
-/* Leases are extended only before UNTIL_MS, as another owner may have taken the pool over since. In a
- * new pool none are. */
+/* Leases are extended only before UNTIL_MS, as another owner may have taken the pool over since. In
+ * a new pool none are. */
 void fb_pool_set_confirmed_until (FbPool *self, uint64_t until_ms);
 /* TRUE while a majority of the workers has answered polls that were sent under this epoch within
  * the last WITHIN_MS. Workers count that are listed, or whose entries may be missing for a short
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -309,9 +309,9 @@
   return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
 }
 
-/* Two majorities have a worker in common only if both are counted over the same workers. The list
- * may lack most of them for a while, and an owner that does not reach the store still counts them
- * all, so workers that are known otherwise count until their entries must be back. */
+/* The list may lack most of the workers for a while, and an owner that does not reach the store
+ * still counts them all, so workers that are known otherwise count until their entries must be
+ * back. */
 static gboolean
 counts_for_majority (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -321,32 +321,48 @@
          && now_ms < MAX (worker->unlisted_ms, self->created_ms) + UNLISTED_COUNTED_MS;
 }
 
-/* Counts the workers of which a majority is needed, and those of them that have answered within
- * WITHIN_MS. */
+typedef struct
+{
+  guint workers_n;
+  guint answered_n; /* of these, workers that have answered recently */
+} AnswerCount;
+
+static gboolean
+is_majority (const AnswerCount *count)
+{
+  return count->answered_n * 2 > count->workers_n;
+}
+
+/* Counts answers within WITHIN_MS in ALL workers, and in those that the stored record names. */
 static void
-count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, guint *workers_n,
-               guint *answered_n)
+count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, AnswerCount *all,
+               AnswerCount *recorded)
 {
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
-  *workers_n = 0;
-  *answered_n = 0;
+  *all = *recorded = (AnswerCount){ 0 };
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
       if (!counts_for_majority (self, worker, now_ms))
         continue;
-      (*workers_n)++;
-      *answered_n += worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
+      gboolean has_answered
+          = worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
+      all->workers_n++;
+      all->answered_n += has_answered;
+      recorded->workers_n += worker->recorded;
+      recorded->answered_n += worker->recorded && has_answered;
     }
 }
 
+/* Two majorities have a worker in common only if both are counted over the same workers. An owner
+ * and its successor both know those of the stored record; either may know others. */
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
-  guint workers_n = 0;
-  guint answered_n = 0;
-  count_answers (self, within_ms, now_ms, &workers_n, &answered_n);
-  return answered_n * 2 > workers_n;
+  AnswerCount all;
+  AnswerCount recorded;
+  count_answers (self, within_ms, now_ms, &all, &recorded);
+  return is_majority (recorded.workers_n > 0 ? &recorded : &all);
 }
 
 void
@@ -359,10 +375,10 @@
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
 {
-  guint workers_n = 0;
-  guint answered_n = 0;
-  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &workers_n, &answered_n);
-  return answered_n > 0 && answered_n * 2 >= workers_n;
+  AnswerCount all;
+  AnswerCount recorded;
+  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &all, &recorded);
+  return all.answered_n > 0 && all.answered_n * 2 >= all.workers_n;
 }
 
 /* Adds what WORKER has, and has free, to the sums for client accounts. */
