--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -1,8 +1,9 @@
-/* An owner that is replaced and reaches one worker only, beside its successor, which reaches the
- * others.  No network: the owner's daemon is replaced by functions here. */
+/* Owners that replace each other and reach different workers.  No network: the daemon of an owner
+ * is replaced by functions here. */
 #include "src/entry/owner/owner-private.h"
 
 #include "fb-event.h"
+#include "internal/pool-job-private.h"
 #include "internal/pool.h"
 
 #include <CUnit/Basic.h>
@@ -19,6 +20,9 @@
 #define RESUMED_MS 3000
 #define SERVICE "svc"
 #define JOB "0000000000000001"
+#define HELD_JOB "0000000000000002"
+/* For how long the other service of its queue does not answer. */
+#define HELD_MS 2000
 #define WORKER_N 3
 /* The worker that the replaced owner reaches, and its successor does not. */
 #define CUT_OFF 2
@@ -34,6 +38,9 @@
   uint64_t lease_ms;           /* deadline of the latest poll of CUT_OFF, on the clock of all */
   uint64_t started_ms;         /* when the task was started; 0: never */
   int worker;                  /* that runs it; -1: none */
+  int ended_on;                /* the worker on which HELD_JOB has ended; -1: none */
+  uint64_t acknowledged;       /* by the polls of that worker */
+  guint held_starts_n;         /* starts of HELD_JOB */
 } Side;
 
 static uint64_t clock_ms;
@@ -72,7 +79,7 @@
 __wrap_fb_topic_reader_synced_ms (const FbTopicReader *self)
 {
   (void) self;
-  return START_MS;
+  return clock_ms - STEP_MS;
 }
 
 static gboolean store_is_up;
@@ -88,6 +95,67 @@
     done (user, FB_APPEND_STORED);
 }
 
+static int queue_position; /* of the service of HELD_JOB among those of its queue */
+
+FbQueueDirectory *__wrap_fb_entry_queue_directory (FbEntryDaemon *entry);
+int __wrap_fb_queue_directory_position (const FbQueueDirectory *self, const char *queue,
+                                        const char *service);
+const GPtrArray *__wrap_fb_queue_directory_services (const FbQueueDirectory *self,
+                                                     const char *queue);
+uint32_t __wrap_fb_entry_partition_of (const FbEntryDaemon *self, const char *service);
+const char *__wrap_fb_group_owner_of (const FbGroup *self, uint32_t partition);
+void __wrap_fb_group_refresh_owners (FbGroup *self);
+
+FbQueueDirectory *
+__wrap_fb_entry_queue_directory (FbEntryDaemon *entry)
+{
+  (void) entry;
+  return NULL;
+}
+
+int
+__wrap_fb_queue_directory_position (const FbQueueDirectory *self, const char *queue,
+                                    const char *service)
+{
+  (void) self;
+  (void) queue;
+  (void) service;
+  return queue_position;
+}
+
+const GPtrArray *
+__wrap_fb_queue_directory_services (const FbQueueDirectory *self, const char *queue)
+{
+  (void) self;
+  (void) queue;
+  static FbQueueService other = { .service = (char *) "other" };
+  static gpointer rows[] = { &other };
+  static GPtrArray services = { rows, 1 };
+  return &services;
+}
+
+/* The service "other" is in a partition that has no owner. */
+uint32_t
+__wrap_fb_entry_partition_of (const FbEntryDaemon *self, const char *service)
+{
+  (void) self;
+  return g_str_equal (service, SERVICE) ? 0 : 1;
+}
+
+const char *
+__wrap_fb_group_owner_of (const FbGroup *self, uint32_t partition)
+{
+  (void) self;
+  (void) partition;
+  return NULL;
+}
+
+void
+__wrap_fb_group_refresh_owners (FbGroup *self)
+{
+  (void) self;
+}
+
 /* The scheduled tick of the owner, which tick_owner() calls at once. */
 static GSourceFunc scheduled;
 static gpointer scheduled_for;
@@ -115,8 +183,13 @@
 on_start (gpointer user, const FbStartOrder *order)
 {
   Side *side = user;
-  side->started_ms = clock_ms;
-  side->worker = index_of (order->worker);
+  if (g_str_has_prefix (order->task, HELD_JOB))
+    side->held_starts_n++;
+  else
+    {
+      side->started_ms = clock_ms;
+      side->worker = index_of (order->worker);
+    }
   fb_pool_start_answered (side->pool, order->order, FB_ORDER_DONE, clock_ms, clock_ms);
 }
 
@@ -133,6 +206,8 @@
   Side *side = user;
   int worker = index_of (order->worker);
   side->answer_ms[worker] = clock_ms + order->wait_ms + STEP_MS;
+  if (worker == side->ended_on)
+    side->acknowledged = MAX (side->acknowledged, order->acknowledged);
   if (worker == CUT_OFF)
     side->lease_ms = MAX (side->lease_ms, order->deadline_ms);
 }
@@ -166,6 +241,9 @@
   const FbPollAnswer list = { .clock_ms = clock_ms, .running = running, .finished = finished };
   if (side->worker == worker)
     g_array_append_val (running, run);
+  const FbReportedEnd end = { 1, (char *) HELD_JOB ".0.0.0", 1, FB_END_DONE, (char *) "" };
+  if (side->ended_on == worker && side->acknowledged == 0)
+    g_array_append_val (finished, end);
   side->answer_ms[worker] = 0;
   fb_pool_poll_answered (side->pool, workers[worker], &list, clock_ms, WALL_OFFSET_MS + clock_ms);
 }
@@ -180,25 +258,34 @@
     }
 }
 
+/* RECORD borrows STEP. */
+static void
+init_job (fb_work_admit *record, fb_work_step *step)
+{
+  *step = (fb_work_step){ .count = 1, .cpu_milli = 1000, .mem_mb = 100, .estimate_ms = 600000 };
+  step->preferred_rack = step->required_label = step->image = (char *) "";
+  *record = (fb_work_admit){ .accepted_ms = WALL_OFFSET_MS, .account = (char *) "" };
+  record->policy = (fb_work_policy){ .queue = (char *) "q",
+                                     .service = (char *) SERVICE,
+                                     .max_attempts = 3,
+                                     .stretch_factor_milli = 2000,
+                                     .target_ms = 1000 };
+  record->spec.payload = (char *) "";
+  record->spec.steps.steps_len = 1;
+  record->spec.steps.steps_val = step;
+}
+
 /* The task fits on CUT_OFF only under the first owner. */
 static void
 side_begin (Side *side, uint64_t epoch, uint32_t cpu_milli, int workers_n)
 {
   static const FbPoolLimits limits
       = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
-  *side = (Side){ .worker = -1 };
+  *side = (Side){ .worker = -1, .ended_on = -1 };
   side->pool = fb_pool_new (SERVICE, epoch, &limits, &callbacks, side, clock_ms);
-  fb_work_step step = { .count = 1, .cpu_milli = 1000, .mem_mb = 100, .estimate_ms = 600000 };
-  step.preferred_rack = step.required_label = step.image = (char *) "";
-  fb_work_admit record = { .accepted_ms = WALL_OFFSET_MS };
-  record.policy = (fb_work_policy){ .queue = (char *) "q",
-                                    .service = (char *) SERVICE,
-                                    .max_attempts = 3,
-                                    .stretch_factor_milli = 2000,
-                                    .target_ms = 1000 };
-  record.spec.payload = (char *) "";
-  record.spec.steps.steps_len = 1;
-  record.spec.steps.steps_val = &step;
+  fb_work_step step;
+  fb_work_admit record;
+  init_job (&record, &step);
   fb_pool_add_job (side->pool, JOB, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
   static const char *const labels[] = { "a", NULL };
   for (int i = 0; i < workers_n; i++)
@@ -400,6 +487,34 @@
   first_free (first);
 }
 
+/* A job that was stored after loading and is held runs again though an earlier owner has run it. */
+static void
+test_the_end_of_a_held_job_is_not_acknowledged_unread (void)
+{
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  queue_position = 1;
+  First *first = first_new ();
+  first->side.ended_on = 0;
+  fb_work_step step;
+  fb_work_admit source;
+  fb_work_admit record;
+  init_job (&source, &step);
+  step.cpu_milli = 400;
+  fb_pool_job_copy_record (&source, &record);
+  fb_owner_admit (&first->owner, HELD_JOB, &record);
+  for (; clock_ms < START_MS + 2 * HELD_MS; clock_ms += STEP_MS)
+    {
+      if (clock_ms == START_MS + HELD_MS)
+        queue_position = 0;
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_PTR_NULL (fb_owner_held_job (&first->owner, HELD_JOB));
+  CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
+  first_free (first);
+}
+
 /* Tests of known failures are run by their names. */
 static void
 add_tests (CU_pSuite suite, const char *name)
@@ -410,6 +525,9 @@
   else if (g_strcmp0 (name, "two-majorities") == 0)
     CU_add_test (suite, "two owners have no majority beside each other",
                  test_two_owners_have_no_majority_beside_each_other);
+  else if (g_strcmp0 (name, "held-job") == 0)
+    CU_add_test (suite, "the end of a held job is not acknowledged unread",
+                 test_the_end_of_a_held_job_is_not_acknowledged_unread);
   else
     CU_add_test (suite, "a replaced owner extends no lease beyond the wait of its successor",
                  test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor);
