Ends of unknown jobs wait until no job is held

A job that was stored after an owner had loaded, and that it holds until the other services of its queue have disclaimed it, was not counted, although the owner before may have read, claimed and run it. Its end was acknowledged while it was held, and the job started again once it was claimed.

While any job is held the time until which jobs are complete stands still.

--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -195,9 +195,10 @@
   fb_owner_claim_held_jobs (self, now_ms);
   fb_owner_pass_on_unknown_cancels (self);
   fb_owner_expire_disclaimers (self, now_ms);
-  gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
-  if (jobs_complete)
+  if (!fb_owner_holds_loaded_jobs (self))
     fb_owner_request_starts (self, now_ms);
+  /* The previous owner may have run a held job, and its end must not be acknowledged yet. */
+  gboolean jobs_complete = g_hash_table_size (self->held_jobs) == 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->service_pools);
