The steps on a silent worker are recorded only if its row fits into the record

The workers that get rows are now chosen before either record is written. It takes thousands of silent workers at the limit of today's settings.

--- a/include/internal/pool-silence.h
+++ b/include/internal/pool-silence.h
@@ -24,6 +24,8 @@
 /* TRUE when the next record closes WORKER. */
 gboolean fb_pool_silence_will_close (const FbPool *self, const FbPoolWorker *worker,
                                      uint64_t now_ms);
+/* Chooses the workers that get rows in the next record; to be called before the functions below. */
+void fb_pool_silence_choose_rows (FbPool *self, uint64_t now_ms);
 /* Returns: (transfer full) (nullable): name of a step -> number of its tasks on WORKER, if the next
  * record closes WORKER and nothing else can run there. */
 GHashTable *fb_pool_silence_runs (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -169,6 +169,7 @@
   if (!workers_record_is_due (self, now_ms) && !fb_pool_silence_record_is_due (self, now_ms))
     return;
   self->workers_dirty = !self->recovered;
+  fb_pool_silence_choose_rows (self, now_ms);
   GBytes *workers = encode_workers (self, now_ms);
   GBytes *silent = fb_pool_silence_record (self, workers, now_ms);
   add_record (records, NULL, workers)->kind = FB_POOL_RECORD_WORKERS;
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -234,7 +234,9 @@
 GHashTable *
 fb_pool_silence_runs (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  return fb_pool_silence_will_close (self, worker, now_ms) ? known_runs (self, worker) : NULL;
+  return worker->has_silence_row && fb_pool_silence_will_close (self, worker, now_ms)
+             ? known_runs (self, worker)
+             : NULL;
 }
 
 void
@@ -477,10 +479,29 @@
   return self->limits.max_silence_bytes == 0 || *bytes <= self->limits.max_silence_bytes;
 }
 
+void
+fb_pool_silence_choose_rows (FbPool *self, uint64_t now_ms)
+{
+  gsize rows_bytes = 0;
+  guint rows_n = 0;
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      worker->has_silence_row = needs_row (worker) && rows_n < FB_WORK_MAX_WORKERS;
+      if (!worker->has_silence_row)
+        continue;
+      fb_work_silent_worker row;
+      write_row (self, worker, &row, now_ms);
+      worker->has_silence_row = has_room_for (self, &row, &rows_bytes);
+      rows_n += worker->has_silence_row;
+      clear_row (&row);
+    }
+}
+
 GBytes *
 fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms)
 {
-  gsize rows_bytes = 0;
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
   g_autofree fb_work_silent_worker *rows = g_new0 (fb_work_silent_worker, n + 1);
   fb_work_reference_clock clocks[FB_WORK_MAX_REFERENCE_CLOCKS];
@@ -495,16 +516,8 @@
   while (record.workers.workers_len < n
          && (worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      fb_work_silent_worker *row = &rows[record.workers.workers_len];
-      worker->has_silence_row = needs_row (worker);
-      if (!worker->has_silence_row)
-        continue;
-      write_row (self, worker, row, now_ms);
-      worker->has_silence_row = has_room_for (self, row, &rows_bytes);
       if (worker->has_silence_row)
-        record.workers.workers_len++;
-      else
-        clear_row (row);
+        write_row (self, worker, &rows[record.workers.workers_len++], now_ms);
     }
   write_clocks (self, clocks, &record.clocks.clocks_len, now_ms);
   close_workers (self, &record);
