Tests: an owner whose record got no answer has a second majority (red)

The store may take a record of workers and its answer be lost, or its owner be cut off in between. The owner then counts by the record before, its successor by the new one: two of three, and four of six.

--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -8,6 +8,7 @@
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
+#include <string.h>
 
 #define START_MS 100000
 #define WALL_OFFSET_MS 1000000000
@@ -28,6 +29,8 @@
 #define CUT_OFF 2
 /* With the workers that join after the replaced owner was cut off from the store. */
 #define GROWN_N 6
+/* How long the owner is connected after the answer to its append was lost. */
+#define ANSWER_LOST_MS 200
 
 static const char *const workers[GROWN_N] = { "w0", "w1", "w2", "w3", "w4", "w5" };
 
@@ -82,7 +85,21 @@
   return clock_ms - STEP_MS;
 }
 
-static gboolean store_is_up;
+static gboolean store_is_up; /* appends are answered */
+static gboolean later_workers_recorded;
+
+/* Returns: TRUE when RECORDS name the last worker. */
+static gboolean
+name_last_worker (const GByteArray *records)
+{
+  const char *name = workers[GROWN_N - 1];
+  for (guint i = 0; i + strlen (name) <= records->len; i++)
+    {
+      if (memcmp (records->data + i, name, strlen (name)) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
 
 void
 __wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
@@ -90,6 +107,7 @@
 {
   (void) self;
   (void) retry_until_ms;
+  later_workers_recorded = later_workers_recorded || name_last_worker (records);
   g_byte_array_unref (records);
   if (store_is_up)
     done (user, FB_APPEND_STORED);
@@ -275,18 +293,9 @@
   record->spec.steps.steps_val = step;
 }
 
-/* The task fits on CUT_OFF only under the first owner. */
 static void
-side_begin (Side *side, uint64_t epoch, uint32_t cpu_milli, int workers_n)
+list_workers (Side *side, uint32_t cpu_milli, int workers_n)
 {
-  static const FbPoolLimits limits
-      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
-  *side = (Side){ .worker = -1, .ended_on = -1 };
-  side->pool = fb_pool_new (SERVICE, epoch, &limits, &callbacks, side, clock_ms);
-  fb_work_step step;
-  fb_work_admit record;
-  init_job (&record, &step);
-  fb_pool_add_job (side->pool, JOB, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
   static const char *const labels[] = { "a", NULL };
   for (int i = 0; i < workers_n; i++)
     {
@@ -297,18 +306,32 @@
                                     .mem_mb = 1000 };
       fb_pool_worker_listed (side->pool, &entry, clock_ms);
     }
+}
+
+/* The task fits on CUT_OFF only under the first owner. */
+static void
+side_begin (Side *side, uint64_t epoch, uint32_t cpu_milli, int workers_n)
+{
+  static const FbPoolLimits limits
+      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
+  *side = (Side){ .worker = -1, .ended_on = -1 };
+  side->pool = fb_pool_new (SERVICE, epoch, &limits, &callbacks, side, clock_ms);
+  fb_work_step step;
+  fb_work_admit record;
+  init_job (&record, &step);
+  fb_pool_add_job (side->pool, JOB, &record, clock_ms, WALL_OFFSET_MS + clock_ms);
+  list_workers (side, cpu_milli, workers_n);
   fb_pool_workers_complete (side->pool);
 }
 
-/* SIDE reads the record that names the first WORKER_N workers, which the owner before has stored.
- */
+/* SIDE reads the record that names the first N workers, which the owner before has stored. */
 static void
-restore_record (Side *side)
+restore_record (Side *side, guint n)
 {
-  fb_work_known_worker known[WORKER_N] = { 0 };
-  for (int i = 0; i < WORKER_N; i++)
+  fb_work_known_worker known[GROWN_N] = { 0 };
+  for (guint i = 0; i < n; i++)
     known[i].id = known[i].address = (char *) workers[i];
-  const fb_work_workers record = { .workers = { WORKER_N, known } };
+  const fb_work_workers record = { .workers = { n, known } };
   fb_pool_restore_workers (side->pool, &record);
 }
 
@@ -485,7 +508,46 @@
   CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
   store_is_up = FALSE;
   side_begin (&next, 2, 2000, GROWN_N);
-  restore_record (&next);
+  restore_record (&next, WORKER_N);
+  uint64_t replaced_ms = clock_ms;
+  for (; clock_ms < replaced_ms + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, CUT_OFF - 1, CUT_OFF);
+      tick_owner (&first->owner);
+      answer_due (&next, 0, 0);
+      answer_due (&next, WORKER_N, GROWN_N - 1);
+      tick_next (&next);
+    }
+  CU_ASSERT_TRUE (next.started_ms == 0 || excess_of (first, &next, replaced_ms) < 0);
+  fb_pool_free (next.pool);
+  first_free (first);
+}
+
+/* The store has taken a record with later workers, but its answer to the owner is lost. */
+static void
+test_a_record_without_an_answer_gives_no_second_majority (void)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  for (; clock_ms < START_MS + CONNECTED_MIN_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
+  store_is_up = FALSE;
+  later_workers_recorded = FALSE;
+  list_workers (&first->side, 500, GROWN_N);
+  for (uint64_t end_ms = clock_ms + ANSWER_LOST_MS; clock_ms < end_ms; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, GROWN_N - 1);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_TRUE (later_workers_recorded);
+  side_begin (&next, 2, 2000, GROWN_N);
+  restore_record (&next, GROWN_N);
   uint64_t replaced_ms = clock_ms;
   for (; clock_ms < replaced_ms + REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
     {
@@ -538,6 +600,9 @@
   else if (g_strcmp0 (name, "two-majorities") == 0)
     CU_add_test (suite, "two owners have no majority beside each other",
                  test_two_owners_have_no_majority_beside_each_other);
+  else if (g_strcmp0 (name, "record-without-an-answer") == 0)
+    CU_add_test (suite, "a record without an answer gives no second majority",
+                 test_a_record_without_an_answer_gives_no_second_majority);
   else if (g_strcmp0 (name, "held-job") == 0)
     CU_add_test (suite, "the end of a held job is not acknowledged unread",
                  test_the_end_of_a_held_job_is_not_acknowledged_unread);
