--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -371,6 +371,8 @@
   self->settings.record_max_bytes = 100000;
   self->entry.settings = &self->settings;
   self->entry.owners = g_hash_table_new (NULL, NULL);
+  self->entry.appenders
+      = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify) fb_appender_free);
   side_begin (&self->side, 1, 500, WORKER_N);
   self->owner = (FbOwner){ .entry = &self->entry,
                            .epoch = 1,
@@ -404,6 +406,7 @@
   g_hash_table_unref (self->owner.unknown_cancels);
   g_hash_table_unref (self->owner.held_jobs);
   g_hash_table_unref (self->owner.service_pools);
+  g_hash_table_unref (self->entry.appenders);
   g_hash_table_unref (self->entry.owners);
   g_free (self);
 }
