While a record of workers is in flight an owner needs a majority of both records

It counted two of the three workers of the old record, its successor four of the six of the new one, and both went on: a lease ended at 9.9 s, the task started at 6.2 s. As the successor may read either record, an owner needs a majority of both until the answer is there.

--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -327,42 +327,60 @@
   guint answered_n; /* of these, workers that have answered recently */
 } AnswerCount;
 
+/* Answers in all workers, in those that the stored record names, and in those that the record in
+ * the open flush names. */
+typedef struct
+{
+  AnswerCount all;
+  AnswerCount recorded;
+  AnswerCount in_open_record;
+} AnswerCounts;
+
 static gboolean
 is_majority (const AnswerCount *count)
 {
   return count->answered_n * 2 > count->workers_n;
 }
 
-/* Counts answers within WITHIN_MS in ALL workers, and in those that the stored record names. */
 static void
-count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, AnswerCount *all,
-               AnswerCount *recorded)
+add_worker (AnswerCount *count, gboolean has_answered)
 {
+  count->workers_n++;
+  count->answered_n += has_answered;
+}
+
+/* Returns: the answers within WITHIN_MS. */
+static AnswerCounts
+count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
+{
+  AnswerCounts counts = { 0 };
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
-  *all = *recorded = (AnswerCount){ 0 };
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
       if (!counts_for_majority (self, worker, now_ms))
         continue;
       gboolean has_answered
           = worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
-      all->workers_n++;
-      all->answered_n += has_answered;
-      recorded->workers_n += worker->recorded;
-      recorded->answered_n += worker->recorded && has_answered;
+      add_worker (&counts.all, has_answered);
+      if (worker->recorded)
+        add_worker (&counts.recorded, has_answered);
+      if (worker->in_open_record)
+        add_worker (&counts.in_open_record, has_answered);
     }
+  return counts;
 }
 
 /* Two majorities have a worker in common only if both are counted over the same workers. An owner
- * and its successor both know those of the stored record; either may know others. */
+ * and its successor both know those of the stored record; either may know others. While a new
+ * record is in flight the successor may read either, so a majority of both is needed. */
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
-  AnswerCount all;
-  AnswerCount recorded;
-  count_answers (self, within_ms, now_ms, &all, &recorded);
-  return is_majority (recorded.workers_n > 0 ? &recorded : &all);
+  AnswerCounts counts = count_answers (self, within_ms, now_ms);
+  if (counts.in_open_record.workers_n > 0 && !is_majority (&counts.in_open_record))
+    return FALSE;
+  return is_majority (counts.recorded.workers_n > 0 ? &counts.recorded : &counts.all);
 }
 
 void
@@ -375,9 +393,7 @@
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
 {
-  AnswerCount all;
-  AnswerCount recorded;
-  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &all, &recorded);
+  const AnswerCount all = count_answers (self, CONNECTED_ANSWER_MS, now_ms).all;
   return all.answered_n > 0 && all.answered_n * 2 >= all.workers_n;
 }
 
