Fuzzer of pools: kind "partitions", entries that expire and connections that are refused

Kind "partitions" adds to the faults of "plain", drawn from a random stream of its own:

- entries of live workers expire 4.5 s after the last heartbeat, of single workers that are cut off from the store and, in three of four outages of the store, of all; they are written again up to 2 s after the worker reaches the store;
- a worker that is cut off leaves calls unanswered, refuses connections or resets them, and changes between these in mid-cut; in half of the outages workers are cut off around the end;
- a third of the workers that start do so up to 0.6 s before an outage, so that the owner knows them and its record may not;
- a daemon is cut off from the store alone, so that another one takes the pool over while it goes on by its majority; each reaches other workers, and entries of half of the workers may have expired before.

Half of the runs last up to 8 s, as the longest of "plain", and workers crash a third as often, since a crash ends a partition. The checks are the same.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -12,6 +12,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#define PARTITION_SEED 0x10000
+
 /* ---- jobs and faults ---------------------------------------------------------------- */
 
 static void
@@ -173,13 +175,15 @@
     cancel (world);
   /* In the crashing modes tasks already crash workers often, so workers and owners fail less often:
    * the loss of a run becomes known 4 s after the crash of its worker, and never if the owner
-   * changes within each of these periods. */
-  if (world_random (world, world->crashing ? 450 : 150) == 0)
+   * changes within each of these periods.  In mode "partitions" a crash would end most partitions
+   * of a worker early. */
+  if (world_random (world, world->crashing || world->partitions ? 450 : 150) == 0)
     inject_worker_fault (world);
   if (world->shrinking && world_random (world, 100) == 0 && !world->store_unavailable)
     resize_worker (world);
   if (world->repeats)
     inject_connection_faults (world);
+  world_partitions_inject_faults (world);
   if (world->owners_stable)
     return;
   if (world_random (world, world->crashing ? 2500 : 250) == 0)
@@ -207,6 +211,7 @@
     }
   for (guint i = 0; i < OWNER_N; i++)
     world->owners[i].paused = FALSE;
+  world_partitions_heal (world);
 }
 
 /* The platform lists a worker until it has had no messages from it for UNLIST_DELAY_MS. */
@@ -280,9 +285,12 @@
   world->owners_stable = g_str_equal (mode, "crashing-steady");
   world->crashing = world->owners_stable || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
+  world->partitions = g_str_equal (mode, "partitions");
+  world->entries_expire = TRUE;
   world->traced = getenv ("FUZZ_LOG") != NULL;
   world->rand = g_rand_new_with_seed (seed);
   world->restart_rand = g_rand_new_with_seed (~seed);
+  world->partition_rand = g_rand_new_with_seed (seed + PARTITION_SEED);
   world->restart_mode = restart_mode;
   world->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->now_ms = 1000000;
@@ -336,6 +344,7 @@
   g_clear_pointer (&world->silent_workers, g_bytes_unref);
   g_rand_free (world->rand);
   g_rand_free (world->restart_rand);
+  g_rand_free (world->partition_rand);
   g_hash_table_unref (world->ids);
   g_free (world->violation);
   g_free (world);
@@ -361,7 +370,10 @@
   for (guint i = 0; i < WORKER_N; i++)
     world_worker_tick (world, &world->workers[i]);
   world_orders_tick (world);
-  list_tick (world);
+  if (world->partitions)
+    world_partitions_list_tick (world);
+  else
+    list_tick (world);
   world_assign_pool (world);
   for (guint i = 0; i < OWNER_N; i++)
     world_owner_tick (world, i);
@@ -400,8 +412,8 @@
                                                     [RESTART_NEW_ID] = "new-ids",
                                                     [RESTART_LATE_CALLS] = "old-calls",
                                                     NULL };
-  static const char *const modes[]
-      = { "plain", "advised", "crashing", "crashing-steady", "shrinking", "repeats", NULL };
+  static const char *const modes[] = { "plain",     "advised", "crashing",   "crashing-steady",
+                                       "shrinking", "repeats", "partitions", NULL };
   const char *mode = argc > 3 ? argv[3] : modes[0];
   const char *restart_mode = argc > 4 ? argv[4] : restart_mode_names[RESTART_EITHER_ID];
   if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
--- a/fuzz/pool-world-incarnations.c
+++ b/fuzz/pool-world-incarnations.c
@@ -68,6 +68,7 @@
   g_array_set_size (worker->runs, 0);
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest_attempts);
+  world_partitions_worker_started (world, worker, reuses_id);
   world_trace (world, "%s, incarnation %u, starts", worker->id, worker->incarnation);
 }
 
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -436,14 +436,14 @@
 }
 
 static void
-flush_tick (World *world, Owner *owner)
+flush_tick (World *world, Owner *owner, gboolean reaches_store)
 {
   if (owner->flush == NULL)
     {
       owner->flush = fb_pool_flush (owner->pool, world->now_ms, WALL_MS + world->now_ms);
       owner->flush_done_ms = world->now_ms + 10;
     }
-  else if (!world->store_unavailable && world->now_ms >= owner->flush_done_ms)
+  else if (reaches_store && world->now_ms >= owner->flush_done_ms)
     store_flush (world, owner);
 }
 
@@ -452,7 +452,8 @@
 {
   Owner *owner = &world->owners[i];
   gboolean is_current = i == world->current_owner && owner->epoch == world->store_epoch;
-  gboolean member = is_current && !world->store_unavailable;
+  gboolean reaches_store = world_daemon_reaches_store (world, i);
+  gboolean member = is_current && reaches_store;
   gboolean stalls = owner->paused && owner->resume_ms != 0;
   if (owner->pool == NULL || (owner->paused && !stalls))
     return;
@@ -460,7 +461,7 @@
     world->current_owner_seen_ms = world->now_ms;
   if (stalls)
     return;
-  if (is_current && !world->store_unavailable && world->now_ms >= owner->list_read_ms + LIST_LAG_MS)
+  if (member && world->now_ms >= owner->list_read_ms + LIST_LAG_MS)
     {
       pass_worker_list (world, i);
       read_jobs (world, owner);
@@ -470,7 +471,7 @@
   if (has_authority)
     owner->authority_ms = world->now_ms;
   fb_pool_tick (owner->pool, has_authority, world->now_ms, WALL_MS + world->now_ms);
-  flush_tick (world, owner);
+  flush_tick (world, owner, reaches_store);
   back_up_unstored_suspects (world, owner);
   if (owner->fenced || world->now_ms > owner->authority_ms + STEP_DOWN_MS)
     world_owner_stop (world, i);
@@ -481,9 +482,19 @@
 {
   Owner *owner = &world->owners[world->current_owner];
   gboolean alive = owner->pool != NULL && (!owner->paused || owner->resume_ms != 0)
-                   && owner->epoch == world->store_epoch;
+                   && owner->epoch == world->store_epoch
+                   && world_daemon_reaches_store (world, world->current_owner);
   if (world->store_unavailable || (alive && world->now_ms <= world->current_owner_seen_ms + TTL_MS))
     return;
-  if (!alive && world->now_ms > world->current_owner_seen_ms + TTL_MS)
-    world_owner_start (world, (world->current_owner + 1) % OWNER_N);
+  if (alive || world->now_ms <= world->current_owner_seen_ms + TTL_MS)
+    return;
+  for (guint i = 1; i <= OWNER_N; i++)
+    {
+      guint next = (world->current_owner + i) % OWNER_N;
+      if (world_daemon_reaches_store (world, next))
+        {
+          world_owner_start (world, next);
+          return;
+        }
+    }
 }
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -277,6 +277,8 @@
   /* Some runs end before a second copy of their start arrives. */
   if (world->repeats && world_random (world, 4) == 0)
     run.end_ms = world->now_ms + world_random (world, 100);
+  if (world->partitions)
+    run.end_ms = MAX (run.end_ms, world->now_ms + world_partitions_min_run_ms (world));
   if (step == 0 && index < job->crashing_tasks)
     {
       run.crash_ms = world->now_ms + world_random (world, 4) * world_random (world, 400);
@@ -413,8 +415,10 @@
   if (order->received_ms == 0 || order->received_incarnation != 0
       || world->now_ms < order->received_ms)
     return;
-  order->received_incarnation
-      = worker->up && !worker->unreachable ? worker->incarnation : G_MAXUINT;
+  FbOrderResult result = FB_ORDER_DONE;
+  gboolean is_received = worker->up && !worker->unreachable
+                         && !(world->partitions && world_call_is_blocked (world, order, &result));
+  order->received_incarnation = is_received ? worker->incarnation : G_MAXUINT;
 }
 
 static gboolean
@@ -447,7 +451,13 @@
       send_answer (world, order, FB_ORDER_NO_LISTENER, 0);
       return TRUE;
     }
-  if (!worker->up || worker->unreachable)
+  if (world->partitions && world_call_is_blocked (world, order, &result))
+    {
+      if (result != FB_ORDER_DONE)
+        send_answer (world, order, result, 0);
+      return TRUE;
+    }
+  if (!worker->up || (worker->unreachable && !world->partitions))
     return !waits_for_listener (world, order);
   gboolean is_same = g_str_equal (worker->id, order->worker_id);
   /* The incarnation that received the order has ended, and its connection with it. */
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -45,6 +45,15 @@
   RESTART_LATE_CALLS
 } RestartMode;
 
+/* How calls across a partition fail. */
+typedef enum
+{
+  CUT_SILENT,  /* they are not answered */
+  CUT_REFUSED, /* connections are refused; open ones are reset */
+  CUT_RESET,   /* connections are accepted and reset */
+  CUT_KIND_N
+} CutKind;
+
 typedef struct
 {
   char task[64];
@@ -87,7 +96,17 @@
   gboolean unreachable; /* no messages to or from it are delivered */
   gboolean listed;
   gboolean draining;
-  gboolean failing;             /* it breaks connections and refuses calls */
+  gboolean failing; /* it breaks connections and refuses calls */
+  /* The following are only used in kind "partitions". */
+  gboolean entry_listed;        /* LISTED, as of the last tick */
+  gboolean writes_entry;        /* it is up and reaches the store */
+  uint64_t entry_written_ms;    /* when its entry was last written */
+  uint64_t next_entry_ms;       /* when its entry is written next if WRITES_ENTRY */
+  uint64_t store_cut_until_ms;  /* it does not reach the store before */
+  uint64_t cut_until_ms;        /* no calls reach it before */
+  uint64_t cut_change_ms;       /* when the first of CUT_KINDS is replaced by the second */
+  CutKind cut_kinds[2];         /* how calls fail while it is cut off */
+  gboolean refuses_when_down;   /* connections are refused when it is down */
   int64_t cpu_milli;            /* its capacity, which may shrink and grow */
   int64_t previous_cpu_milli;   /* the largest allowed use before the last change */
   uint64_t cpu_changed_ms;      /* when the list last showed a change of the capacity */
@@ -202,6 +221,16 @@
   GPtrArray *advice_requests; /* of AdviceRequest */
 } Owner;
 
+/* Partitions of a daemon in kind "partitions"; unlike an Owner, they outlast the daemon's process.
+ */
+typedef struct
+{
+  uint64_t store_cut_until_ms; /* it does not reach the store before */
+  uint64_t cut_until_ms;       /* it does not reach CUT_WORKERS before */
+  gboolean cut_workers[WORKER_N];
+  CutKind cut_kind; /* how calls to them fail */
+} Daemon;
+
 /* A request to the advice service that is not answered yet. */
 typedef struct
 {
@@ -219,11 +248,20 @@
   GRand *rand;
   GRand *restart_rand; /* separate, so that RESTART_MODE does not change the other draws */
   RestartMode restart_mode;
-  GHashTable *ids;        /* a worker's name in the pool -> the id that calls to it address */
-  gboolean owners_stable; /* owners and the store do not fail */
-  gboolean shrinking;     /* the capacity of workers shrinks and grows */
-  gboolean crashing;      /* an eighth of the jobs crash the workers that start them */
-  gboolean repeats;       /* connections break, and calls on them are sent again */
+  GHashTable *ids;         /* a worker's name in the pool -> the id that calls to it address */
+  gboolean owners_stable;  /* owners and the store do not fail */
+  gboolean shrinking;      /* the capacity of workers shrinks and grows */
+  gboolean crashing;       /* an eighth of the jobs crash the workers that start them */
+  gboolean repeats;        /* connections break, and calls on them are sent again */
+  GRand *partition_rand;   /* separate, as RESTART_RAND */
+  gboolean partitions;     /* pool-world-partitions.c injects faults */
+  gboolean entries_expire; /* also while the store is unavailable */
+  uint64_t outage_ms;      /* when the next outage of the store begins; 0: none is scheduled */
+  uint64_t outage_end_ms;  /* likewise, the other faults of pool-world-partitions.c */
+  uint64_t worker_cut_ms;
+  uint64_t owner_kill_ms;
+  uint64_t separation_ms;
+  Daemon daemons[OWNER_N];
   gboolean uses_advice; /* half of the jobs are limited to some workers, a third may have copies */
   uint64_t now_ms;
   uint64_t connections_break_until_ms;
@@ -298,6 +336,22 @@
 void world_poll_reply (const World *world, const Order *order, FbOrderResult result,
                        const Worker *worker, uint64_t clock_ms, FbPollAnswer *answer);
 
+/* ---- partitions: pool-world-partitions.c ----------------------------------------------------- */
+
+/* Returns: TRUE when daemon I reaches the store. */
+gboolean world_daemon_reaches_store (const World *world, guint i);
+/* An incarnation of WORKER has started. */
+void world_partitions_worker_started (World *world, Worker *worker, gboolean reuses_id);
+/* Writes the entries of workers in the list and removes those that have expired. */
+void world_partitions_list_tick (World *world);
+/* Returns: TRUE when ORDER does not reach its worker.  RESULT: what its sender gets, or
+ * FB_ORDER_DONE when it gets no reply. */
+gboolean world_call_is_blocked (const World *world, const Order *order, FbOrderResult *result);
+/* Returns: how long a run lasts at least. */
+guint world_partitions_min_run_ms (World *world);
+void world_partitions_inject_faults (World *world);
+void world_partitions_heal (World *world);
+
 /* ---- owners: pool-world-owners.c ------------------------------------------------------------- */
 
 /* Returns: the recent starts of the peer that relays orders to WORKER. */
