Soak: workers that run on refuse connections, and their entries expire while the store is down

The soak cut workers off by links that swallow everything, and its stand-in kept all entries while the store was down.

- worker-no-listener: the link of a worker closes its listening socket and keeps the port, so that connections are refused; open ones are reset or stop forwarding; the entry isn't renewed meanwhile.
- store-expiry: the store is down for 5 to 7 s, entries expire after 4.5 s (`expire` at the stand-in) and are back, one after the other, within 2 s of its return, or when the worker is no longer cut off.

`--partitions` makes a plan of these two, with the kill of a daemon or of all around the store's return in two of three expiries, and every fourth job of the callers runs for 2 to 8 s.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -19,6 +19,7 @@
 {
   JOB_PLAIN,
   JOB_CRASHING,    /* its task crashes workers; the job may fail */
+  JOB_LASTING,     /* its tasks run for seconds */
   JOB_LONG_RUNNING /* its tasks do not end; it is cancelled after CANCEL_AFTER_MS */
 } JobKind;
 
@@ -43,6 +44,7 @@
   SoakProcesses *processes;
   guint daemon_n;
   gboolean repeats; /* accepted jobs are submitted again */
+  gboolean lasting; /* some jobs are JOB_LASTING */
   GRand *rand;
   SoupSession *session;
   GPtrArray *jobs; /* of Job */
@@ -109,7 +111,7 @@
     report_violation (self, "job %s was answered as %s, then as %s", job->id, job->end, text);
   if (g_str_equal (end, "failed") && job->kind != JOB_CRASHING)
     report_violation (self, "job %s failed without cause", job->id);
-  if (g_str_equal (end, "completed") && job->kind != JOB_PLAIN)
+  if (g_str_equal (end, "completed") && job->kind != JOB_PLAIN && job->kind != JOB_LASTING)
     report_violation (self, "job %s completed although its tasks cannot", job->id);
   if (g_str_equal (end, "cancelled") && !job->cancel_sent)
     report_violation (self, "job %s was cancelled without a request", job->id);
@@ -176,6 +178,8 @@
                   "\"estimate-ms\":300,\"after\":[0]}]}",
     [JOB_CRASHING] = "{\"spec\":\"crash %u\",\"phases\":[{\"count\":1,\"cpu\":2000,\"mem-mb\":100,"
                      "\"estimate-ms\":300}]}",
+    [JOB_LASTING] = "{\"spec\":\"%u\",\"phases\":[{\"count\":3,\"cpu\":2000,\"mem-mb\":100,"
+                    "\"estimate-ms\":5000}]}",
     [JOB_LONG_RUNNING]
     = "{\"spec\":\"600000%u\",\"phases\":[{\"count\":2,\"cpu\":2000,\"mem-mb\":100,"
       "\"long-running\":true}]}",
@@ -183,8 +187,9 @@
   g_auto (GStrv) parts = g_strsplit (bodies[job->kind], "%u", 2);
   /* The run time is derived from the id, so that repeated submissions of a job have the same body.
    */
-  g_autofree char *run_ms
-      = g_strdup_printf ("%u", 50 + (guint) g_ascii_strtoull (job->id + 8, NULL, 16) % 700);
+  guint number = (guint) g_ascii_strtoull (job->id + 8, NULL, 16);
+  g_autofree char *run_ms = g_strdup_printf (
+      "%u", job->kind == JOB_LASTING ? 2000 + number * 613 % 6000 : 50 + number % 700);
   g_autofree char *body = g_strjoin (run_ms, parts[0], parts[1], NULL);
   job->tries++;
   send_call (self, job, "POST", body);
@@ -200,6 +205,8 @@
     job->kind = JOB_CRASHING;
   else if (drawn < CRASHING_PERCENT + LONG_RUNNING_PERCENT)
     job->kind = JOB_LONG_RUNNING;
+  else if (self->lasting && self->jobs->len % 4 == 0)
+    job->kind = JOB_LASTING;
   g_ptr_array_add (self->jobs, job);
   self->counts.submitted++;
   submit_job (self, job);
@@ -236,12 +243,14 @@
 /* ---- public ---------------------------------------------------------------------------- */
 
 SoakCallers *
-soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed, gboolean repeats)
+soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed, gboolean repeats,
+                  gboolean lasting)
 {
   SoakCallers *self = g_new0 (SoakCallers, 1);
   self->processes = processes;
   self->daemon_n = daemon_n;
   self->repeats = repeats;
+  self->lasting = lasting;
   self->rand = g_rand_new_with_seed (seed + 1);
   self->jobs = g_ptr_array_new_with_free_func (g_free);
   /* Connections are reused until the daemon closes them. */
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -15,9 +15,9 @@
   guint unanswered; /* calls without one */
 } SoakCounts;
 
-/* REPEATS: accepted jobs are submitted again. */
+/* REPEATS: accepted jobs are submitted again.  LASTING: the tasks of some jobs run for seconds. */
 SoakCallers *soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed,
-                               gboolean repeats);
+                               gboolean repeats, gboolean lasting);
 void soak_callers_free (SoakCallers *self);
 /* Submits a job at random ticks, and sends the calls that are due.  NO_NEW_JOBS: submits no more
  * jobs. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -38,6 +38,7 @@
     case SOAK_WORKER_RESET:
     case SOAK_WORKER_BLACKHOLE:
     case SOAK_WORKER_PARTITION:
+    case SOAK_WORKER_NO_LISTENER:
       return soak_worker_link (self->processes, fault->target);
     case SOAK_PEER_LINK:
     case SOAK_PEER_RESET:
@@ -55,6 +56,8 @@
   SoakFaults *self = scheduled->faults;
   const SoakFault *fault = &scheduled->fault;
   SoakLink *link = link_of_fault (self, fault);
+  if (fault->kind == SOAK_WORKER_NO_LISTENER)
+    soak_link_set_refusing (link, FALSE);
   if (link != NULL)
     soak_link_set_mode (link, SOAK_LINK_PASS, 0);
   else if (fault->kind == SOAK_FREEZE)
@@ -63,6 +66,8 @@
     soak_platform_control (self->platform, "{\"outage\":false}");
   else if (fault->kind == SOAK_STORE_UNRESPONSIVE)
     soak_platform_control (self->platform, "{\"silent\":false}");
+  else if (fault->kind == SOAK_STORE_EXPIRY)
+    soak_platform_control (self->platform, "{\"outage\":false,\"expire\":false}");
   else if (fault->kind == SOAK_ROLLING_RESTART)
     soak_daemon_signal (self->processes, fault->target, SIGTERM);
   g_hash_table_remove (self->scheduled_ends, scheduled);
@@ -128,6 +133,22 @@
   end_later (self, fault, duration_ms);
 }
 
+/* Connections to the worker are refused, and its entry expires if it is not renewed for long
+ * enough. Its open connections are reset or stop forwarding. */
+static void
+refuse_worker_connections (SoakFaults *self, const SoakFault *fault)
+{
+  SoakLink *link = link_of_fault (self, fault);
+  soak_link_set_refusing (link, TRUE);
+  if (fault->variant % 2 == 0)
+    soak_link_reset (link);
+  else
+    soak_link_set_mode (link, SOAK_LINK_PARTITION, 0);
+  soak_platform_control (self->platform, "{\"unlisted\":%u,\"for-ms\":%u}", fault->target,
+                         fault->duration_ms);
+  end_later (self, fault, fault->duration_ms);
+}
+
 /* Half of the crashed workers restart with the same id and a new start time, half of these within
  * 0.9 s. */
 static void
@@ -211,6 +232,13 @@
     case SOAK_WORKER_PARTITION:
       partition_worker (self, fault);
       break;
+    case SOAK_WORKER_NO_LISTENER:
+      refuse_worker_connections (self, fault);
+      break;
+    case SOAK_STORE_EXPIRY:
+      soak_platform_control (self->platform, "{\"outage\":true,\"expire\":true}");
+      end_later (self, fault, fault->duration_ms);
+      break;
     case SOAK_WORKER_REFUSES:
     case SOAK_WORKER_LOSES:
     case SOAK_WORKER_FLAKY:
@@ -238,7 +266,8 @@
 {
   guint n = 1;
   /* Faults of workers apply to up to a quarter of them, starting with the target. */
-  if (fault->kind >= SOAK_WORKER_LINK && fault->kind <= SOAK_WORKER_LATE)
+  if ((fault->kind >= SOAK_WORKER_LINK && fault->kind <= SOAK_WORKER_LATE)
+      || fault->kind == SOAK_WORKER_NO_LISTENER)
     n += fault->variant % (1 + self->plan->worker_n / 4);
   for (guint i = 0; i < n; i++)
     {
@@ -252,7 +281,8 @@
 soak_faults_clear (SoakFaults *self)
 {
   gboolean links = self->plan->worker_links;
-  soak_platform_control (self->platform, "{\"outage\":false,\"silent\":false,\"healthy\":true}");
+  soak_platform_control (self->platform,
+                         "{\"outage\":false,\"expire\":false,\"silent\":false,\"healthy\":true}");
   for (guint i = 0; i < self->plan->daemon_n; i++)
     {
       soak_link_set_mode (soak_store_link (self->processes, i), SOAK_LINK_PASS, 0);
@@ -263,7 +293,10 @@
       soak_daemon_restart (self->processes, i, 0);
     }
   for (guint k = 0; links && k < self->plan->worker_n; k++)
-    soak_link_set_mode (soak_worker_link (self->processes, k), SOAK_LINK_PASS, 0);
+    {
+      soak_link_set_refusing (soak_worker_link (self->processes, k), FALSE);
+      soak_link_set_mode (soak_worker_link (self->processes, k), SOAK_LINK_PASS, 0);
+    }
 }
 
 SoakFaults *
--- a/soak/link.c
+++ b/soak/link.c
@@ -35,6 +35,7 @@
 struct _SoakLink
 {
   GSocketService *service;
+  GSocket *bound; /* holds the port while connections are refused; else NULL */
   guint16 port;
   guint16 to_port;
   SoakLinkMode mode;
@@ -172,14 +173,29 @@
   return TRUE;
 }
 
+static void
+create_service (SoakLink *self)
+{
+  self->service = g_socket_service_new ();
+  g_socket_listener_set_backlog (G_SOCKET_LISTENER (self->service), BACKLOG);
+  g_signal_connect (self->service, "incoming", G_CALLBACK (on_incoming), self);
+}
+
+static void
+close_service (SoakLink *self)
+{
+  g_socket_service_stop (self->service);
+  g_socket_listener_close (G_SOCKET_LISTENER (self->service));
+  g_object_unref (self->service);
+}
+
 SoakLink *
 soak_link_new (guint16 to_port)
 {
   SoakLink *self = g_new0 (SoakLink, 1);
   self->to_port = to_port;
   self->conns = g_ptr_array_new ();
-  self->service = g_socket_service_new ();
-  g_socket_listener_set_backlog (G_SOCKET_LISTENER (self->service), BACKLOG);
+  create_service (self);
   g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   g_autoptr (GSocketAddress) bound = NULL;
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (self->service), any, G_SOCKET_TYPE_STREAM,
@@ -189,16 +205,14 @@
       return NULL;
     }
   self->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
-  g_signal_connect (self->service, "incoming", G_CALLBACK (on_incoming), self);
   return self;
 }
 
 void
 soak_link_free (SoakLink *self)
 {
-  g_socket_service_stop (self->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (self->service));
-  g_object_unref (self->service);
+  close_service (self);
+  g_clear_object (&self->bound);
   for (guint i = 0; i < self->conns->len; i++)
     {
       Connection *conn = self->conns->pdata[i];
@@ -222,6 +236,41 @@
   self->slow_ms = slow_ms;
 }
 
+/* Returns: (transfer full): a socket that is bound to the port of SELF. */
+static GSocket *
+bind_port (const SoakLink *self)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketAddress) address
+      = g_inet_socket_address_new_from_string ("127.0.0.1", self->port);
+  GSocket *bound
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  if (bound == NULL || !g_socket_bind (bound, address, TRUE, &error))
+    g_error ("cannot bind port %u: %s", self->port, error->message);
+  return bound;
+}
+
+void
+soak_link_set_refusing (SoakLink *self, gboolean refusing)
+{
+  if (refusing == (self->bound != NULL))
+    return;
+  if (refusing)
+    {
+      close_service (self);
+      create_service (self);
+      self->bound = bind_port (self);
+      return;
+    }
+  g_autoptr (GError) error = NULL;
+  g_socket_set_listen_backlog (self->bound, BACKLOG);
+  if (!g_socket_listen (self->bound, &error)
+      || !g_socket_listener_add_socket (G_SOCKET_LISTENER (self->service), self->bound, NULL,
+                                        &error))
+    g_error ("cannot listen on port %u: %s", self->port, error->message);
+  g_clear_object (&self->bound);
+}
+
 void
 soak_link_reset (SoakLink *self)
 {
--- a/soak/link.h
+++ b/soak/link.h
@@ -21,6 +21,9 @@
 guint16 soak_link_port (const SoakLink *self);
 /* SLOW_MS: delay of SOAK_LINK_SLOW, ignored in other modes. */
 void soak_link_set_mode (SoakLink *self, SoakLinkMode mode, guint slow_ms);
+/* REFUSING: the port is bound, but nothing listens on it, so that new connections are refused. Open
+ * connections are not affected. */
+void soak_link_set_refusing (SoakLink *self, gboolean refusing);
 /* Resets all open connections (TCP RST). */
 void soak_link_reset (SoakLink *self);
 /* Stops forwarding on all open connections, permanently and without closing them. New connections
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -8,6 +8,13 @@
 #define MAX_DURATION_MS 7000
 #define MAX_QUEUE_MOVE_GAP_MS 3000
 #define QUEUE_MOVE_SEED 0x10000
+#define MAX_PARTITION_GAP_MS 2500
+/* Longer than an entry in the worker list lives. */
+#define MIN_EXPIRY_MS 5000
+#define MAX_EXPIRY_MS 7000
+/* The daemon is killed at most so long before and after the store is back. */
+#define MAX_KILL_LEAD_MS 1000
+#define MAX_KILL_DELAY_MS 500
 /* Percentage of each kind of fault.  PLAIN_WEIGHTS has no faults of single calls, of links to
  * workers and of links between daemons. */
 static const guint plain_weights[SOAK_FAULT_N] = { [SOAK_KILL] = 12,
@@ -92,12 +99,69 @@
   g_rand_free (rand);
 }
 
-GArray *
-soak_plan_new (const SoakPlanSetup *setup)
+static void
+add_partition (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint at_ms,
+               guint duration_ms)
+{
+  const SoakFault fault = { .kind = SOAK_WORKER_NO_LISTENER,
+                            .at_ms = at_ms,
+                            .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n),
+                            .duration_ms = duration_ms,
+                            .variant = (guint) g_rand_int_range (rand, 0, 100) };
+  g_array_append_val (plan, fault);
+}
+
+/* The store is down until the entries have expired.  Before it is back a worker is cut off, and
+ * mostly one daemon or all are killed around that time.  Returns: when the store is back. */
+static guint
+add_expiry (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint at_ms)
+{
+  static const SoakFaultKind kills[] = { SOAK_KILL, SOAK_KILL_ALL };
+  const SoakFault expiry
+      = { .kind = SOAK_STORE_EXPIRY,
+          .at_ms = at_ms,
+          .duration_ms = (guint) g_rand_int_range (rand, MIN_EXPIRY_MS, MAX_EXPIRY_MS) };
+  g_array_append_val (plan, expiry);
+  guint end_ms = at_ms + expiry.duration_ms;
+  add_partition (setup, plan, rand, end_ms - (guint) g_rand_int_range (rand, 100, 2500),
+                 (guint) g_rand_int_range (rand, MIN_EXPIRY_MS, MAX_DURATION_MS));
+  guint drawn = (guint) g_rand_int_range (rand, 0, G_N_ELEMENTS (kills) + 1);
+  if (drawn == G_N_ELEMENTS (kills))
+    return end_ms;
+  const SoakFault kill
+      = { .kind = kills[drawn],
+          .at_ms = end_ms - MAX_KILL_LEAD_MS
+                   + (guint) g_rand_int_range (rand, 0, MAX_KILL_LEAD_MS + MAX_KILL_DELAY_MS),
+          .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n),
+          .duration_ms = (guint) g_rand_int_range (rand, 100, MAX_DURATION_MS),
+          .variant = (guint) g_rand_int_range (rand, 0, 100) };
+  g_array_append_val (plan, kill);
+  return end_ms;
+}
+
+static void
+add_partitions (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
+{
+  guint at_ms = FIRST_FAULT_AFTER_MS;
+  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_PARTITION_GAP_MS)) < setup->duration_ms)
+    {
+      if (g_rand_int_range (rand, 0, 4) > 0 && at_ms + MAX_EXPIRY_MS <= setup->duration_ms)
+        at_ms = add_expiry (setup, plan, rand, at_ms);
+      else
+        {
+          guint duration_ms = (guint) g_rand_int_range (rand, MIN_EXPIRY_MS, 2 * MIN_EXPIRY_MS);
+          add_partition (setup, plan, rand, at_ms, duration_ms);
+          at_ms += duration_ms / 2;
+        }
+    }
+  g_array_sort (plan, compare_times);
+}
+
+/* Faults of all kinds with a weight, one after the other. */
+static void
+add_weighted_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
 {
   const guint *weights = setup->worker_links ? all_weights : plain_weights;
-  GRand *rand = g_rand_new_with_seed (setup->seed);
-  GArray *plan = g_array_new (FALSE, FALSE, sizeof (SoakFault));
   guint at_ms = FIRST_FAULT_AFTER_MS;
   while ((at_ms += (guint) g_rand_int_range (rand, 50, MAX_GAP_MS)) < setup->duration_ms)
     {
@@ -108,6 +172,17 @@
       fault.variant = (guint) g_rand_int_range (rand, 0, 100);
       g_array_append_val (plan, fault);
     }
+}
+
+GArray *
+soak_plan_new (const SoakPlanSetup *setup)
+{
+  GRand *rand = g_rand_new_with_seed (setup->seed);
+  GArray *plan = g_array_new (FALSE, FALSE, sizeof (SoakFault));
+  if (setup->partitions)
+    add_partitions (setup, plan, rand);
+  else
+    add_weighted_faults (setup, plan, rand);
   /* Two of three runs end with a crash of all daemons at once, as in a power failure. */
   if (setup->seed % 3 != 0)
     {
@@ -151,7 +226,9 @@
                                                    [SOAK_PEER_RESET] = "peer-reset",
                                                    [SOAK_PEER_BLACKHOLE] = "peer-silence",
                                                    [SOAK_STORE_FLAKY] = "store-flaky",
-                                                   [SOAK_QUEUE_MOVE] = "queue-move" };
+                                                   [SOAK_QUEUE_MOVE] = "queue-move",
+                                                   [SOAK_WORKER_NO_LISTENER] = "worker-no-listener",
+                                                   [SOAK_STORE_EXPIRY] = "store-expiry" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -32,6 +32,8 @@
   SOAK_PEER_BLACKHOLE,
   SOAK_STORE_FLAKY, /* rejects a percentage of its calls, executes others without responding */
   SOAK_QUEUE_MOVE,  /* the configuration directs the queue to another service, or back */
+  SOAK_WORKER_NO_LISTENER, /* as SOAK_WORKER_PARTITION, and connections to it are refused */
+  SOAK_STORE_EXPIRY,       /* SOAK_STORE_DOWN for longer than the entries in the worker list live */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -52,6 +54,7 @@
   guint duration_ms;     /* no fault begins later */
   gboolean worker_links; /* links to workers and between daemons are proxied and have faults */
   gboolean queue_moves;  /* the plan has SOAK_QUEUE_MOVE besides the faults of its seed */
+  gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
 } SoakPlanSetup;
 
 /* Returns: (transfer full): an array of SoakFault, by at_ms. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -33,6 +33,7 @@
 static gint option_port = 0;
 static gboolean option_without_worker_links = FALSE;
 static gboolean option_queue_moves = FALSE;
+static gboolean option_partitions = FALSE;
 static char *option_programs;
 static char *option_folder;
 static char *option_replay;
@@ -49,6 +50,8 @@
         { "queue-moves", 0, 0, G_OPTION_ARG_NONE, &option_queue_moves,
           "The queue is directed to one service and another, and accepted jobs are submitted again",
           NULL },
+        { "partitions", 0, 0, G_OPTION_ARG_NONE, &option_partitions,
+          "The only faults are workers that refuse connections and expire, and kills", NULL },
         { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
         { "programs", 0, 0, G_OPTION_ARG_STRING, &option_programs, "Build folder of the programs",
           "DIR" },
@@ -200,9 +203,9 @@
   g_autofree char *path = g_build_filename (run->setup.folder, "plan.txt", NULL);
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
-      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d\n%s", run->plan.seed,
-      option_seconds, run->setup.daemon_n, run->setup.worker_n, run->plan.worker_links,
-      run->plan.queue_moves, text);
+      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d\n%s",
+      run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
+      run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -232,7 +235,8 @@
                             .worker_n = (guint) option_workers,
                             .duration_ms = (guint) option_seconds * 1000,
                             .worker_links = !option_without_worker_links,
-                            .queue_moves = option_queue_moves },
+                            .queue_moves = option_queue_moves,
+                            .partitions = option_partitions },
                   .setup = { .base_port = (guint16) option_port,
                              .daemon_n = (guint) option_daemons,
                              .worker_n = (guint) option_workers,
@@ -250,7 +254,8 @@
   else
     {
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
-      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, option_queue_moves);
+      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, option_queue_moves,
+                                      option_partitions);
       run_plan (&run, plan, (guint) option_seconds * 1000);
       run_recovery (&run);
       counts = soak_callers_counts (run.callers);
@@ -278,13 +283,18 @@
   g_autofree char *text = NULL;
   gint links = 0;
   gint moves = 0;
+  gint partitions = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
-      || sscanf (text, "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d",
-                 &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves)
+      || sscanf (text,
+                 "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
+                 "partitions=%d",
+                 &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
+                 &partitions)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
   option_queue_moves = moves != 0;
+  option_partitions = partitions != 0;
   option_seeds = 1;
   return TRUE;
 }
@@ -294,7 +304,8 @@
 {
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
          && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
-         && option_port > 1024 && option_port < 60000;
+         && option_port > 1024 && option_port < 60000
+         && !(option_partitions && option_without_worker_links);
 }
 
 /* Returns: the first port of a range whose first N ports are free; the search begins at a range
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -7,6 +7,7 @@
 #define MAX_LEASE_MS 6000
 /* Time to live of an entry in the worker list that is not renewed, as after a crash. */
 #define ENTRY_TTL_MS 4500
+#define MAX_RELIST_MS 2000
 #define INSTANCE_HEADER "Flamingobarrow-Expect-Instance"
 #define WORKER_CPU_MILLI 8000
 /* Value of a worker's clock when it restarts. */
@@ -54,6 +55,7 @@
   gint64 lease_ms;           /* when the lease expires, by the worker's clock */
   guint64 last_end;          /* number of its last End */
   gint64 unlisted_until_ms;  /* it does not renew its entry before, by sp_now_ms(); 0: it does */
+  gint64 relist_ms; /* when its expired entry is written again, by sp_now_ms(); 0: not scheduled */
   gint64 last_listed_ms; /* when it last renewed its entry, by sp_now_ms(); 0: it is not listed */
   GPtrArray *runs;       /* of Run */
   GPtrArray *ends;       /* of End */
@@ -68,6 +70,8 @@
 /* Starts are executed and their connections closed without a response; repeated starts are
  * rejected. */
 static gboolean drop_answers;
+static gboolean entries_expire; /* also while the store is unavailable */
+static guint list_sequence;
 
 static void
 run_free (gpointer data)
@@ -510,6 +514,22 @@
   workers[k % worker_n].unlisted_until_ms = sp_now_ms () + for_ms;
 }
 
+void
+sp_workers_set_entries_expire (gboolean expire)
+{
+  entries_expire = expire;
+}
+
+void
+sp_workers_store_returned (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      if (workers[i].up && workers[i].last_listed_ms == 0)
+        workers[i].relist_ms = sp_now_ms () + (i + 1) * MAX_RELIST_MS / worker_n;
+    }
+}
+
 void
 sp_workers_clear_faults (void)
 {
@@ -562,13 +582,29 @@
 unlist_expired (Worker *worker)
 {
   gint64 now_ms = sp_now_ms ();
-  if (!worker->up || now_ms >= worker->unlisted_until_ms || worker->last_listed_ms == 0
-      || now_ms < worker->last_listed_ms + ENTRY_TTL_MS)
+  if (!worker->up || (now_ms >= worker->unlisted_until_ms && !entries_expire)
+      || worker->last_listed_ms == 0 || now_ms < worker->last_listed_ms + ENTRY_TTL_MS)
     return;
   sp_store_put ("keyed.servers/0", worker->id, "");
   worker->last_listed_ms = 0;
 }
 
+static gboolean
+renews_entry (const Worker *worker)
+{
+  gint64 now_ms = sp_now_ms ();
+  return worker->up && now_ms >= worker->unlisted_until_ms && now_ms >= worker->relist_ms;
+}
+
+static void
+relist_if_due (Worker *worker)
+{
+  if (worker->relist_ms == 0 || !renews_entry (worker))
+    return;
+  worker->relist_ms = 0;
+  list_worker (worker, list_sequence);
+}
+
 void
 sp_workers_tick (void)
 {
@@ -578,6 +614,7 @@
       restart_if_due (worker);
       end_due_runs (worker);
       unlist_expired (worker);
+      relist_if_due (worker);
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
         answer_waiting_poll (worker);
     }
@@ -586,12 +623,12 @@
 void
 sp_workers_list (guint sequence)
 {
+  list_sequence = sequence;
   for (guint i = 0; i < worker_n; i++)
     {
       Worker *worker = &workers[i];
-      if (!worker->up || sp_now_ms () < worker->unlisted_until_ms)
-        continue;
-      list_worker (worker, sequence);
+      if (renews_entry (worker))
+        list_worker (worker, sequence);
     }
 }
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -7,6 +7,8 @@
  *
  * POST /control sets faults:
  *   {"outage":true}               the store rejects all calls with 503
+ *   {"expire":true}               entries of workers expire during an outage; they are back within
+ *                                 2 s of its end
  *   {"silent":true}               the store never responds
  *   {"patient":true}              members of groups do not expire
  *   {"worker":K,"up":false}       worker K responds with 500 and its entry is removed
@@ -89,11 +91,21 @@
   sp_store_put ("keyed.op/0", "config", configuration);
 }
 
+static void
+set_outage (gboolean unavailable)
+{
+  if (outage && !unavailable)
+    sp_workers_store_returned ();
+  outage = unavailable;
+}
+
 static void
 serve_control (SoupServerMessage *message, JsonObject *body)
 {
   if (json_object_has_member (body, "outage"))
-    outage = json_object_get_boolean_member (body, "outage");
+    set_outage (json_object_get_boolean_member (body, "outage"));
+  if (json_object_has_member (body, "expire"))
+    sp_workers_set_entries_expire (json_object_get_boolean_member (body, "expire"));
   if (json_object_has_member (body, "silent"))
     unresponsive = json_object_get_boolean_member (body, "silent");
   if (json_object_has_member (body, "patient"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -62,6 +62,10 @@
 /* Worker K continues to run, but does not renew its entry in the worker list for FOR_MS; the entry
  * is removed after its time to live. */
 void sp_worker_set_unlisted (guint k, gint64 for_ms);
+/* EXPIRE: entries expire while the store is unavailable. */
+void sp_workers_set_entries_expire (gboolean expire);
+/* The store is available again: entries that have expired are written within 2 s. */
+void sp_workers_store_returned (void);
 /* Ends faults of calls; all workers renew their entries again. */
 void sp_workers_clear_faults (void);
 /* DROP: workers execute starts without responding, and reject repeated starts with 503. */
