--- a/tools/check.sh
+++ b/tools/check.sh
@@ -72,6 +72,7 @@
 verdict "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats old-calls
 verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
 verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
+verdict "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
 for kind in plain advised repeats crashing crashing-steady; do
   verdict "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
@@ -95,6 +96,7 @@
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
 verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 15
+verdict "soak with workers that refuse connections" $B/soak/soak --partitions --seed 6 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
