Stand-in platform: workers that refuse connections, and a store that rejects appends

The stand-in could let an entry lapse ("unlisted", also during "outage"), but a worker that runs always listened.

"refuse-connections" closes the listening socket of a worker and resets its open connections, which go on under their leases; the entry is not renewed. Afterwards, or by "healthy", the worker listens at the same port and writes its entry at the next heartbeat. The sockets are the stand-in's own now (standin-platform-listen.c): libsoup can't close one listener of a server.

"reject-appends" rejects appends only, so that a daemon reads of a new worker and can't record it. GET /listed counts the entries of the worker list, and /running takes a worker, for tests that wait for them.

--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -118,6 +118,12 @@
   add_record (get_partition (name), g_byte_array_free_to_bytes (record));
 }
 
+guint
+sp_store_keys_n (const char *name)
+{
+  return (guint) g_tree_nnodes (get_partition (name)->newest);
+}
+
 static void
 add_records (Partition *partition, GBytes *body)
 {
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -54,6 +54,7 @@
   gint64 lease_ms;           /* when the lease expires, by the worker's clock */
   guint64 last_end;          /* number of its last End */
   gint64 unlisted_until_ms;  /* it does not renew its entry before, by sp_now_ms(); 0: it does */
+  gint64 refuses_until_ms;   /* it does not listen before, by sp_now_ms(); 0: it listens */
   gint64 last_listed_ms; /* when it last renewed its entry, by sp_now_ms(); 0: it is not listed */
   GPtrArray *runs;       /* of Run */
   GPtrArray *ends;       /* of End */
@@ -63,6 +64,7 @@
 
 static guint worker_n;
 static Worker workers[SP_WORKER_MAX];
+static guint first_worker_port;
 static const guint *worker_listed_ports;
 static const char **worker_services;
 /* Starts are executed and their connections closed without a response; repeated starts are
@@ -469,7 +471,8 @@
     return;
   g_free (worker->id);
   worker->id = g_strdup_printf ("i-%u-%u", worker->index, worker->incarnation);
-  list_worker (worker, 0);
+  if (sp_now_ms () >= worker->unlisted_until_ms)
+    list_worker (worker, 0);
 }
 
 void
@@ -510,12 +513,37 @@
   workers[k % worker_n].unlisted_until_ms = sp_now_ms () + for_ms;
 }
 
+void
+sp_worker_refuse_connections (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  sp_worker_set_unlisted (k, for_ms);
+  worker->refuses_until_ms = worker->unlisted_until_ms;
+  sp_listen_stop (first_worker_port + worker->index);
+}
+
+static void
+listen_if_due (Worker *worker)
+{
+  g_autoptr (GError) error = NULL;
+  if (worker->refuses_until_ms == 0 || sp_now_ms () < worker->refuses_until_ms)
+    return;
+  if (sp_listen (first_worker_port + worker->index, &error))
+    worker->refuses_until_ms = 0;
+  else
+    g_warning ("%s: %s", worker->id, error->message);
+}
+
 void
 sp_workers_clear_faults (void)
 {
   sp_faults_clear ();
   for (guint i = 0; i < worker_n; i++)
-    workers[i].unlisted_until_ms = 0;
+    {
+      workers[i].unlisted_until_ms = 0;
+      workers[i].refuses_until_ms = MIN (workers[i].refuses_until_ms, sp_now_ms ());
+      listen_if_due (&workers[i]);
+    }
 }
 
 static void
@@ -531,9 +559,10 @@
 }
 
 void
-sp_workers_init (guint n, const guint *listed_ports, const char **services)
+sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services)
 {
   worker_n = n;
+  first_worker_port = first_port;
   worker_listed_ports = listed_ports;
   worker_services = services;
   for (guint i = 0; i < n; i++)
@@ -576,6 +605,7 @@
     {
       Worker *worker = &workers[i];
       restart_if_due (worker);
+      listen_if_due (worker);
       end_due_runs (worker);
       unlist_expired (worker);
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
@@ -610,11 +640,13 @@
 }
 
 char *
-sp_workers_running (const char *job)
+sp_workers_running (const char *job, int only)
 {
   guint n = 0;
   for (guint i = 0; i < worker_n; i++)
     {
+      if (only >= 0 && i != (guint) only)
+        continue;
       for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
         n += g_str_has_prefix (((Run *) workers[i].runs->pdata[j])->task, job);
     }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -7,20 +7,28 @@
  *
  * POST /control sets faults:
  *   {"outage":true}               the store rejects all calls with 503
+ *   {"reject-appends":true}       the store rejects appends with 503 and serves all other calls
  *   {"silent":true}               the store never responds
  *   {"patient":true}              members of groups do not expire
  *   {"worker":K,"up":false}       worker K responds with 500 and its entry is removed
  *   {"crash":K,"for-ms":N}        worker K crashes and restarts after N ms with another id, or with
  *                                 the same id if "returns":true
  *   {"unlisted":K,"for-ms":N}     worker K continues to run without renewing its entry
+ *   {"refuse-connections":K,"for-ms":N}
+ *                                 worker K continues to run without renewing its entry, does not
+ *                                 listen, and its open connections are reset
  *   {"lose-answers":true}         workers execute starts without responding, and reject repeated
  *                                 starts
  *   {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P}
  *                                 worker K rejects P percent of its calls, executes P percent
  *                                 without responding, and P percent late and without responding
  *   {"store-faults":true,...}     the same for the store, "refuse" and "lose" only
- *   {"healthy":true}              ends "unlisted", "faults" and "store-faults"
+ *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults" and
+ *                                 "store-faults"
  *   {"finish":JOB}                ends the runs of JOB
+ *
+ * GET /running?job=JOB&worker=K returns the number of runs of JOB, on worker K only if it is given;
+ * GET /listed the number of entries in the worker list.
  */
 #include "standin-platform.h"
 
@@ -34,6 +42,7 @@
 
 static guint base_port;
 static gboolean outage;
+static gboolean appends_rejected;
 static gboolean unresponsive;
 
 /* ---- shared ------------------------------------------------------------------------ */
@@ -94,6 +103,8 @@
 {
   if (json_object_has_member (body, "outage"))
     outage = json_object_get_boolean_member (body, "outage");
+  if (json_object_has_member (body, "reject-appends"))
+    appends_rejected = json_object_get_boolean_member (body, "reject-appends");
   if (json_object_has_member (body, "silent"))
     unresponsive = json_object_get_boolean_member (body, "silent");
   if (json_object_has_member (body, "patient"))
@@ -108,6 +119,9 @@
   if (json_object_has_member (body, "unlisted"))
     sp_worker_set_unlisted ((guint) json_object_get_int_member (body, "unlisted"),
                             json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "refuse-connections"))
+    sp_worker_refuse_connections ((guint) json_object_get_int_member (body, "refuse-connections"),
+                                  json_object_get_int_member (body, "for-ms"));
   if (json_object_has_member (body, "healthy"))
     sp_workers_clear_faults ();
   if (json_object_has_member (body, "faults"))
@@ -134,7 +148,15 @@
 serve_running (SoupServerMessage *message, GHashTable *query)
 {
   const char *job = query != NULL ? g_hash_table_lookup (query, "job") : NULL;
-  g_autofree char *text = sp_workers_running (job != NULL ? job : "");
+  const char *k = query != NULL ? g_hash_table_lookup (query, "worker") : NULL;
+  g_autofree char *text = sp_workers_running (job != NULL ? job : "", k != NULL ? atoi (k) : -1);
+  sp_reply (message, 200, text);
+}
+
+static void
+serve_listed (SoupServerMessage *message)
+{
+  g_autofree char *text = g_strdup_printf ("{\"listed\":%u}", sp_store_keys_n ("keyed.servers/0"));
   sp_reply (message, 200, text);
 }
 
@@ -153,7 +175,8 @@
   SpCallOutcome outcome = sp_faults_draw (SP_STORE);
   if (unresponsive)
     soup_server_message_pause (g_object_ref (message)); /* never answered */
-  else if (outage || outcome == SP_CALL_REFUSED)
+  else if (outage || outcome == SP_CALL_REFUSED
+           || (appends_rejected && g_str_equal (path, "/api/log-append")))
     sp_reply (message, 503, "{}");
   else if (!sp_store_serve (message, path, query, bytes)
            && !sp_group_serve (message, path, query, body))
@@ -186,6 +209,8 @@
     serve_audit (message);
   else if (g_str_equal (path, "/running"))
     serve_running (message, query);
+  else if (g_str_equal (path, "/listed"))
+    serve_listed (message);
   else if (g_str_equal (path, "/started"))
     serve_started (message, query);
   else
@@ -216,10 +241,10 @@
 }
 
 static void
-listen_on (SoupServer *server, guint port)
+listen_on (guint port)
 {
   g_autoptr (GError) error = NULL;
-  if (soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+  if (sp_listen (port, &error))
     return;
   fprintf (stderr, "standin-platform: cannot listen on port %u: %s\n", port, error->message);
   exit (1);
@@ -275,11 +300,12 @@
   sp_group_init ();
   sp_faults_init ();
   sp_audit_init ();
-  sp_workers_init (worker_n, listed_ports, services);
+  sp_workers_init (worker_n, base_port + 1, listed_ports, services);
   SoupServer *server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, serve, NULL, NULL);
+  sp_listen_init (server);
   for (guint i = 0; i <= worker_n; i++)
-    listen_on (server, base_port + i);
+    listen_on (base_port + i);
   sp_store_put (
       "keyed.op/0", "config",
       "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path-prefix\":\"/q/\","
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -35,6 +35,8 @@
 
 void sp_store_init (void);
 void sp_store_put (const char *partition, const char *key, const char *value);
+/* Returns: the number of keys of PARTITION whose newest value is not empty. */
+guint sp_store_keys_n (const char *partition);
 /* Returns: FALSE when PATH is not one of the partitions' paths. */
 gboolean sp_store_serve (SoupServerMessage *message, const char *path, GHashTable *query,
                          GBytes *body);
@@ -50,10 +52,20 @@
 gboolean sp_group_serve (SoupServerMessage *message, const char *path, GHashTable *query,
                          JsonObject *body);
 
+/* ---- listening sockets: standin-platform-listen.c -------------------------------------- */
+
+/* SERVER: gets the accepted connections. */
+void sp_listen_init (SoupServer *server);
+/* Listens on the loopback port NUMBER.  Returns: FALSE and sets ERROR when it is not free. */
+gboolean sp_listen (guint number, GError **error);
+/* Closes the listening socket of port NUMBER and resets the connections to it. */
+void sp_listen_stop (guint number);
+
 /* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
-/* LISTED_PORTS: for each worker, the port in its entry of the worker list; borrowed. */
-void sp_workers_init (guint n, const guint *listed_ports, const char **services);
+/* FIRST_PORT: on which the first worker listens, the others on the ports after it.  LISTED_PORTS:
+ * for each worker, the port in its entry of the worker list; borrowed. */
+void sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services);
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
@@ -62,7 +74,9 @@
 /* Worker K continues to run, but does not renew its entry in the worker list for FOR_MS; the entry
  * is removed after its time to live. */
 void sp_worker_set_unlisted (guint k, gint64 for_ms);
-/* Ends faults of calls; all workers renew their entries again. */
+/* Worker K continues to run, but for FOR_MS it refuses connections and does not renew its entry. */
+void sp_worker_refuse_connections (guint k, gint64 for_ms);
+/* Ends faults of calls; all workers listen and renew their entries again. */
 void sp_workers_clear_faults (void);
 /* DROP: workers execute starts without responding, and reject repeated starts with 503. */
 void sp_workers_set_drop_answers (gboolean drop);
@@ -75,8 +89,9 @@
 void sp_workers_list (guint sequence);
 /* Ends the runs of all tasks whose names start with JOB. */
 void sp_workers_finish (const char *job);
-/* Returns: (transfer full): the number of runs of JOB, as JSON. */
-char *sp_workers_running (const char *job);
+/* Returns: (transfer full): the number of runs of JOB, as JSON.  ONLY: a worker, -1: all of them.
+ */
+char *sp_workers_running (const char *job, int only);
 
 /* ---- faults of calls: standin-platform-faults.c -------------------------- */
 
