--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -11,6 +11,9 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
+/* Entries that expired while the store was unavailable are written again within 2 s of its return.
+ */
+#define UNLISTED_COUNTED_MS 3000
 /* All workers are checked at most once in this time for each of them, so that the checks of a pool
  * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
  * they are checked more often, because work waits for the result. */
@@ -186,6 +189,7 @@
   if (worker == NULL || !worker->listed)
     return;
   worker->listed = FALSE;
+  worker->unlisted_ms = now_ms;
   self->unresolved_losses_due = TRUE;
   fb_event_log (FB_EVENT_POOL_WORKER_UNLISTED, "worker=%s runs=%u heard_ms_ago=%u", id,
                 g_hash_table_size (worker->runs), (guint) (now_ms - worker->last_answer_ms));
@@ -211,8 +215,10 @@
           fb_pool_worker_slots_add (self, worker);
           fb_pool_incarnation_known (self, worker, self->created_ms);
         }
-      if (worker != NULL)
-        fb_pool_drain_apply (self, worker);
+      if (worker == NULL)
+        continue;
+      worker->recorded = TRUE;
+      fb_pool_drain_apply (self, worker);
     }
 }
 
@@ -303,41 +309,76 @@
   return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
 }
 
-/* Counts the listed workers, and those of them that have answered within WITHIN_MS. */
+/* The list may lack most of the workers for a while, and an owner that does not reach the store
+ * still counts them all, so workers that are known otherwise count until their entries must be
+ * back. */
+static gboolean
+counts_for_majority (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->listed)
+    return TRUE;
+  return !worker->runs_ended
+         && now_ms < MAX (worker->unlisted_ms, self->created_ms) + UNLISTED_COUNTED_MS;
+}
+
+typedef struct
+{
+  guint workers_n;
+  guint answered_n; /* of these, workers that have answered recently */
+} AnswerCount;
+
+static gboolean
+is_majority (const AnswerCount *count)
+{
+  return count->answered_n * 2 > count->workers_n;
+}
+
+/* Counts answers within WITHIN_MS in ALL workers, and in those that the stored record names. */
 static void
-count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, guint *listed_n,
-               guint *answered_n)
+count_answers (const FbPool *self, uint32_t within_ms, uint64_t now_ms, AnswerCount *all,
+               AnswerCount *recorded)
 {
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
-  *listed_n = 0;
-  *answered_n = 0;
+  *all = *recorded = (AnswerCount){ 0 };
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (!worker->listed)
+      if (!counts_for_majority (self, worker, now_ms))
         continue;
-      (*listed_n)++;
-      *answered_n += worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
+      gboolean has_answered
+          = worker->answered && now_ms - worker->answered_poll_sent_ms <= within_ms;
+      all->workers_n++;
+      all->answered_n += has_answered;
+      recorded->workers_n += worker->recorded;
+      recorded->answered_n += worker->recorded && has_answered;
     }
 }
 
+/* Two majorities have a worker in common only if both are counted over the same workers. An owner
+ * and its successor both know those of the stored record; either may know others. */
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
-  guint listed_n = 0;
-  guint answered_n = 0;
-  count_answers (self, within_ms, now_ms, &listed_n, &answered_n);
-  return answered_n * 2 > listed_n;
+  AnswerCount all;
+  AnswerCount recorded;
+  count_answers (self, within_ms, now_ms, &all, &recorded);
+  return is_majority (recorded.workers_n > 0 ? &recorded : &all);
+}
+
+void
+fb_pool_set_confirmed_until (FbPool *self, uint64_t until_ms)
+{
+  self->confirmed_until_ms = until_ms;
 }
 
 /* Half of the workers suffice here: the others may have crashed. */
 static gboolean
 is_connected (const FbPool *self, uint64_t now_ms)
 {
-  guint listed_n = 0;
-  guint answered_n = 0;
-  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &listed_n, &answered_n);
-  return answered_n > 0 && answered_n * 2 >= listed_n;
+  AnswerCount all;
+  AnswerCount recorded;
+  count_answers (self, CONNECTED_ANSWER_MS, now_ms, &all, &recorded);
+  return all.answered_n > 0 && all.answered_n * 2 >= all.workers_n;
 }
 
 /* Adds what WORKER has, and has free, to the sums for client accounts. */
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -1,5 +1,6 @@
 #include "contention.h"
 #include "idle-callbacks.h"
+#include "recorded-workers.h"
 
 #include "internal/codec.h"
 #include "internal/pool-private.h"
@@ -339,6 +340,7 @@
   world->returns = g_array_new (FALSE, FALSE, sizeof (Return));
   world->jobs = g_ptr_array_new_with_free_func (g_free);
   world->pool = fb_pool_new ("svc", 1, &limits, &callbacks, world, world->now_ms);
+  fb_pool_set_confirmed_until (world->pool, G_MAXUINT64);
   configure_accounts (world);
   for (guint i = 0; i < world->setup->workers_n; i++)
     {
@@ -350,7 +352,7 @@
       worker->runs = g_array_new (FALSE, TRUE, sizeof (FbReportedRun));
       worker->until_ms = g_array_new (FALSE, FALSE, sizeof (uint64_t));
       worker->ends = g_array_new (FALSE, TRUE, sizeof (FbReportedEnd));
-      fb_pool_worker_listed (world->pool, &entry, world->now_ms);
+      list_recorded_worker (world->pool, &entry, world->now_ms);
     }
   fb_pool_workers_complete (world->pool);
 }
--- a/tests/test-gang-advice.c
+++ b/tests/test-gang-advice.c
@@ -8,6 +8,7 @@
 #include "fb-event.h"
 #include "idle-callbacks.h"
 #include "internal/pool.h"
+#include "recorded-workers.h"
 #include "src/entry/advice/advice-balancer.h"
 #include "src/entry/advice/advice-queue.h"
 
@@ -417,6 +418,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (simulation->balancers); i++)
     simulation->balancers[i] = fb_advice_balancer_new ();
   simulation->pool = fb_pool_new ("svc", 1, &limits, &callbacks, simulation, 0);
+  fb_pool_set_confirmed_until (simulation->pool, G_MAXUINT64);
   if (splits)
     fb_pool_set_idle_daemons (simulation->pool, idle_daemons);
   for (guint i = 0; i < WORKER_N; i++)
@@ -432,7 +434,7 @@
                                     .cpu_milli = 32000,
                                     .mem_mb = 65536,
                                     .gpu_count = WORKER_GPUS };
-      fb_pool_worker_listed (simulation->pool, &entry, 0);
+      list_recorded_worker (simulation->pool, &entry, 0);
     }
   fb_pool_workers_complete (simulation->pool);
   fb_pool_jobs_complete (simulation->pool, 0);
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -7,6 +7,7 @@
  * could stay unused for as many ms as there are waiting steps. */
 #include "busy-pool.h"
 #include "idle-callbacks.h"
+#include "recorded-workers.h"
 
 #include "internal/pool-order.h"
 
@@ -289,6 +290,7 @@
                           .task_workers = g_ptr_array_new_with_free_func (g_free),
                           .attempts = g_array_new (FALSE, FALSE, sizeof (uint32_t)),
                           .ends_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  fb_pool_set_confirmed_until (capped->pool, G_MAXUINT64);
 }
 
 static void
@@ -412,7 +414,7 @@
       const FbWorkerEntry entry = {
         .id = id, .address = id, .labels = no_labels, .cpu_milli = WORKER_CPU, .mem_mb = 65536
       };
-      fb_pool_worker_listed (capped.pool, &entry, now_ms);
+      list_recorded_worker (capped.pool, &entry, now_ms);
     }
   fb_pool_workers_complete (capped.pool);
   g_autoptr (GHashTable) accounts = g_hash_table_new (g_str_hash, g_str_equal);
@@ -527,7 +529,7 @@
   const FbWorkerEntry entry = {
     .id = "w", .address = "w", .labels = no_labels, .cpu_milli = WORKER_CPU, .mem_mb = 65536
   };
-  fb_pool_worker_listed (capped.pool, &entry, now_ms);
+  list_recorded_worker (capped.pool, &entry, now_ms);
   fb_pool_workers_complete (capped.pool);
   g_autoptr (GHashTable) accounts = g_hash_table_new (g_str_hash, g_str_equal);
   static FbAccount configured[CLAIMING_ACCOUNTS_N];
--- a/tests/two-pools.c
+++ b/tests/two-pools.c
@@ -1,5 +1,6 @@
 #include "two-pools.h"
 #include "idle-callbacks.h"
+#include "recorded-workers.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -197,6 +198,7 @@
   g_array_set_clear_func (side->runs, clear_run);
   g_array_set_clear_func (side->ends, clear_end);
   side->pool = fb_pool_new (side->service, 1, &limits, &two_pools_callbacks, side, self->now_ms);
+  fb_pool_set_confirmed_until (side->pool, G_MAXUINT64);
   side->parts = fb_account_parts_new (side->service, 1);
   fb_account_parts_set_services (side->parts, self->services);
   const FbWorkerEntry entry = { .id = side->worker,
@@ -205,7 +207,7 @@
                                 .cpu_milli = (uint32_t) capacity->cpu_milli,
                                 .mem_mb = (uint32_t) capacity->mem_mb,
                                 .gpu_count = (uint32_t) capacity->gpu_count };
-  fb_pool_worker_listed (side->pool, &entry, self->now_ms);
+  list_recorded_worker (side->pool, &entry, self->now_ms);
   fb_pool_workers_complete (side->pool);
 }
 
--- a/tests/uneven-pool.c
+++ b/tests/uneven-pool.c
@@ -1,5 +1,6 @@
 #include "uneven-pool.h"
 #include "idle-callbacks.h"
+#include "recorded-workers.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -262,6 +263,7 @@
   self->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   self->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   self->pool = fb_pool_new (SERVICE, 1, &limits, &callbacks, self, self->now_ms);
+  fb_pool_set_confirmed_until (self->pool, G_MAXUINT64);
   for (guint i = 0; i < workers_n; i++)
     {
       UnevenWorker *worker = &self->workers[i];
@@ -275,7 +277,7 @@
       const FbWorkerEntry entry = {
         .id = id, .address = id, .labels = labels, .cpu_milli = UNEVEN_WORKER_CPU, .mem_mb = 64000
       };
-      fb_pool_worker_listed (self->pool, &entry, self->now_ms);
+      list_recorded_worker (self->pool, &entry, self->now_ms);
     }
   fb_pool_workers_complete (self->pool);
   uneven_pool_run (self, 1000);
