--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -28,6 +28,7 @@
 #define TTL_MS 1000
 #define MAJORITY_MS 1500
 #define STEP_DOWN_MS 2000
+#define CONFIRMED_FOR_MS 500 /* leases are extended for so long after a confirmation */
 #define MAX_STALL_MS 3000
 #define MAX_REPORTED_ENDS 6 /* ends in one poll reply, in mode "repeats" */
 #define LIST_LAG_MS 300
