Tests: workers that are cut off while their pool changes owners, as processes

Three daemons and twelve workers on the stand-in platform, three steps, each with a store that is away until the entries of all workers have expired:

- the owner is killed; a worker with running tasks and tasks that end unheard refuses connections;
- the owner gets SIGSTOP and SIGCONT after the next one has taken over; one worker is cut off and another has really gone, and only the tasks of the latter start again, after its lease;
- the owner is killed; one worker was listed just before the outage, another while the store rejected appends, so that no stored record names it.

After the cut the ends count, what ran runs on, and the workers recorded no run twice.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -84,6 +84,7 @@
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
+verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
 verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "placement rounds, many held steps" $B/tests/test-rounds many-held-steps
