--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -7,6 +7,7 @@
 #define MAX_LEASE_MS 6000
 /* Time to live of an entry in the worker list that is not renewed, as after a crash. */
 #define ENTRY_TTL_MS 4500
+#define MAX_RELIST_MS 2000
 #define INSTANCE_HEADER "Flamingobarrow-Expect-Instance"
 #define WORKER_CPU_MILLI 8000
 /* Value of a worker's clock when it restarts. */
@@ -54,20 +55,25 @@
   gint64 lease_ms;           /* when the lease expires, by the worker's clock */
   guint64 last_end;          /* number of its last End */
   gint64 unlisted_until_ms;  /* it does not renew its entry before, by sp_now_ms(); 0: it does */
-  gint64 last_listed_ms; /* when it last renewed its entry, by sp_now_ms(); 0: it is not listed */
-  GPtrArray *runs;       /* of Run */
-  GPtrArray *ends;       /* of End */
+  gint64 relist_ms; /* when its expired entry is written again, by sp_now_ms(); 0: not scheduled */
+  gint64 refuses_until_ms; /* it does not listen before, by sp_now_ms(); 0: it listens */
+  gint64 last_listed_ms;   /* when it last renewed its entry, by sp_now_ms(); 0: it is not listed */
+  GPtrArray *runs;         /* of Run */
+  GPtrArray *ends;         /* of End */
   GHashTable *ended_attempts; /* task -> its highest attempt that has ended or was stopped */
   SpPausedRequest poll; /* waits for the end of a run; its message is NULL when no poll waits */
 } Worker;
 
 static guint worker_n;
 static Worker workers[SP_WORKER_MAX];
+static guint first_worker_port;
 static const guint *worker_listed_ports;
 static const char **worker_services;
 /* Starts are executed and their connections closed without a response; repeated starts are
  * rejected. */
 static gboolean drop_answers;
+static gboolean entries_expire; /* also while the store is unavailable */
+static guint list_sequence;
 
 static void
 run_free (gpointer data)
@@ -469,7 +475,8 @@
     return;
   g_free (worker->id);
   worker->id = g_strdup_printf ("i-%u-%u", worker->index, worker->incarnation);
-  list_worker (worker, 0);
+  if (sp_now_ms () >= worker->unlisted_until_ms)
+    list_worker (worker, 0);
 }
 
 void
@@ -510,12 +517,53 @@
   workers[k % worker_n].unlisted_until_ms = sp_now_ms () + for_ms;
 }
 
+void
+sp_workers_set_entries_expire (gboolean expire)
+{
+  entries_expire = expire;
+}
+
+void
+sp_workers_store_returned (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      if (workers[i].up && workers[i].last_listed_ms == 0)
+        workers[i].relist_ms = sp_now_ms () + (i + 1) * MAX_RELIST_MS / worker_n;
+    }
+}
+
+void
+sp_worker_refuse_connections (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  sp_worker_set_unlisted (k, for_ms);
+  worker->refuses_until_ms = worker->unlisted_until_ms;
+  sp_listen_stop (first_worker_port + worker->index);
+}
+
+static void
+listen_if_due (Worker *worker)
+{
+  g_autoptr (GError) error = NULL;
+  if (worker->refuses_until_ms == 0 || sp_now_ms () < worker->refuses_until_ms)
+    return;
+  if (sp_listen (first_worker_port + worker->index, &error))
+    worker->refuses_until_ms = 0;
+  else
+    g_warning ("%s: %s", worker->id, error->message);
+}
+
 void
 sp_workers_clear_faults (void)
 {
   sp_faults_clear ();
   for (guint i = 0; i < worker_n; i++)
-    workers[i].unlisted_until_ms = 0;
+    {
+      workers[i].unlisted_until_ms = 0;
+      workers[i].refuses_until_ms = MIN (workers[i].refuses_until_ms, sp_now_ms ());
+      listen_if_due (&workers[i]);
+    }
 }
 
 static void
@@ -531,9 +579,10 @@
 }
 
 void
-sp_workers_init (guint n, const guint *listed_ports, const char **services)
+sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services)
 {
   worker_n = n;
+  first_worker_port = first_port;
   worker_listed_ports = listed_ports;
   worker_services = services;
   for (guint i = 0; i < n; i++)
@@ -562,13 +611,29 @@
 unlist_expired (Worker *worker)
 {
   gint64 now_ms = sp_now_ms ();
-  if (!worker->up || now_ms >= worker->unlisted_until_ms || worker->last_listed_ms == 0
-      || now_ms < worker->last_listed_ms + ENTRY_TTL_MS)
+  if (!worker->up || (now_ms >= worker->unlisted_until_ms && !entries_expire)
+      || worker->last_listed_ms == 0 || now_ms < worker->last_listed_ms + ENTRY_TTL_MS)
     return;
   sp_store_put ("keyed.servers/0", worker->id, "");
   worker->last_listed_ms = 0;
 }
 
+static gboolean
+renews_entry (const Worker *worker)
+{
+  gint64 now_ms = sp_now_ms ();
+  return worker->up && now_ms >= worker->unlisted_until_ms && now_ms >= worker->relist_ms;
+}
+
+static void
+relist_if_due (Worker *worker)
+{
+  if (worker->relist_ms == 0 || !renews_entry (worker))
+    return;
+  worker->relist_ms = 0;
+  list_worker (worker, list_sequence);
+}
+
 void
 sp_workers_tick (void)
 {
@@ -576,8 +641,10 @@
     {
       Worker *worker = &workers[i];
       restart_if_due (worker);
+      listen_if_due (worker);
       end_due_runs (worker);
       unlist_expired (worker);
+      relist_if_due (worker);
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
         answer_waiting_poll (worker);
     }
@@ -586,12 +653,12 @@
 void
 sp_workers_list (guint sequence)
 {
+  list_sequence = sequence;
   for (guint i = 0; i < worker_n; i++)
     {
       Worker *worker = &workers[i];
-      if (!worker->up || sp_now_ms () < worker->unlisted_until_ms)
-        continue;
-      list_worker (worker, sequence);
+      if (renews_entry (worker))
+        list_worker (worker, sequence);
     }
 }
 
@@ -610,11 +677,13 @@
 }
 
 char *
-sp_workers_running (const char *job)
+sp_workers_running (const char *job, int only)
 {
   guint n = 0;
   for (guint i = 0; i < worker_n; i++)
     {
+      if (only >= 0 && i != (guint) only)
+        continue;
       for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
         n += g_str_has_prefix (((Run *) workers[i].runs->pdata[j])->task, job);
     }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -77,6 +77,7 @@
 verdict "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats old-calls
 verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
 verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
+verdict "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
 for kind in plain advised repeats crashing crashing-steady; do
   verdict "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
@@ -86,6 +87,7 @@
 verdict "processes on the platform" tests/platform.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
+verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
 verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
 verdict "placement rounds, many held steps" $B/tests/test-rounds many-held-steps
@@ -100,6 +102,7 @@
 verdict "takeover by slow daemons" tests/takeover.sh
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
 verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 15
+verdict "soak with workers that refuse connections" $B/soak/soak --partitions --seed 6 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
