--- a/tools/check.sh
+++ b/tools/check.sh
@@ -72,16 +72,42 @@
 for s in tests/policies/*.ini; do verdict "$(basename "$s")" policy "$s"; done
 verdict "fuzz corpus" $B/fuzz/fuzz-steps fuzz/corpus/*
 verdict "fuzz seeds" $B/fuzz/fuzz-steps --seed 1 --inputs 400
-verdict "fuzz pools" $B/fuzz/fuzz-pool 1 500 plain old-calls
-verdict "fuzz pools with advice" $B/fuzz/fuzz-pool 1 500 advised old-calls
-verdict "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats old-calls
-verdict "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
-verdict "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
-verdict "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
+
+# The fuzzers of pools have fake clocks, so some of them run at once.
+FUZZERS_AT_ONCE=4
+declare -A background
+rm -f out/background-*
+start() { # NAME COMMAND...
+  local name=$1 n=${#background[@]}; shift
+  while [ "$(jobs -rp | wc -l)" -ge "$FUZZERS_AT_ONCE" ]; do sleep 0.2; done
+  background[$name]=out/background-$n
+  { "$@" > "out/background-$n.log" 2>&1; echo $? > "out/background-$n.status"; } &
+}
+result() { # NAME
+  until [ -s "${background[$1]}.status" ]; do sleep 0.2; done
+  cat "${background[$1]}.log"
+  return "$(cat "${background[$1]}.status")"
+}
+start "fuzz pools" $B/fuzz/fuzz-pool 1 500 plain old-calls
+start "fuzz pools with advice" $B/fuzz/fuzz-pool 1 500 advised old-calls
+start "fuzz pools with repeated calls" $B/fuzz/fuzz-pool 1 300 repeats old-calls
+start "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
+start "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
+start "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
+for kind in plain advised repeats crashing crashing-steady; do
+  start "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
+done
+start "fuzz parts of caps" $B/fuzz/fuzz-account-parts 1 60
+verdict "fuzz pools" result "fuzz pools"
+verdict "fuzz pools with advice" result "fuzz pools with advice"
+verdict "fuzz pools with repeated calls" result "fuzz pools with repeated calls"
+verdict "fuzz pools with crashes" result "fuzz pools with crashes"
+verdict "fuzz pools with crashes, owners that stay" result "fuzz pools with crashes, owners that stay"
+verdict "fuzz pools with partitions" result "fuzz pools with partitions"
 for kind in plain advised repeats crashing crashing-steady; do
-  verdict "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
+  verdict "fuzz pools, orders end with the life that took them, $kind" result "fuzz pools, orders end with the life that took them, $kind"
 done
-verdict "fuzz parts of caps" $B/fuzz/fuzz-account-parts 1 60
+verdict "fuzz parts of caps" result "fuzz parts of caps"
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
