A draining worker with an end that is not processed or not stored is recorded without its steps

The next owner took it for empty and started the task again. After a job's record was refused the record of workers, which may be in the same flush, is written again. Between the two a change of owner still finds the first (some milliseconds; read, not played).

Failed before: pools/draining-worker-with-an-unknown-end, pools/draining-worker-with-an-end-that-is-not-stored.

--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -295,6 +295,8 @@
   self->not_accepted_n += job->not_accepted_bytes == 0;
   job->not_accepted_bytes = bytes;
   hold_processed_ends (self);
+  /* The record in the same flush may tell that runs with these ends are over. */
+  self->workers_dirty = TRUE;
 }
 
 /* The record of JOB has been stored. */
