--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -289,6 +289,7 @@
     {
       fb_pool_silence_not_stored (self);
       end_workers_record (self, FALSE);
+      self->workers_dirty = TRUE;
     }
   if (job == NULL || !g_ptr_array_remove (self->in_flush, job))
     return;
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -55,6 +55,7 @@
   GHashTable *closed;  /* id -> Closure, of workers that are closed, also of removed ones */
   gboolean reopening;  /* some are CLOSED_LEFT_OUT */
   gboolean dirty;      /* the stored record is out of date */
+  gboolean refused;    /* the store did not accept the last record */
   uint64_t flushed_ms; /* when the last record was flushed */
 };
 
@@ -334,7 +335,9 @@
 gboolean
 fb_pool_silence_may_record (const FbPool *self, uint64_t now_ms)
 {
-  const uint64_t interval_ms = MIN (g_hash_table_size (self->workers) / 2, RECORD_INTERVAL_MAX_MS);
+  const uint64_t interval_ms = self->silence->refused ? RECORD_INTERVAL_MAX_MS
+                                                      : MIN (g_hash_table_size (self->workers) / 2,
+                                                             RECORD_INTERVAL_MAX_MS);
   return now_ms >= self->silence->flushed_ms + interval_ms;
 }
 
@@ -459,6 +462,7 @@
 fb_pool_silence_not_stored (FbPool *self)
 {
   self->silence->reopening = FALSE;
+  self->silence->refused = TRUE;
 }
 
 static uint64_t
@@ -512,6 +516,7 @@
   guint slot = 0;
   FbPoolWorker *worker = NULL;
   self->silence->dirty = FALSE;
+  self->silence->refused = FALSE;
   self->silence->flushed_ms = now_ms;
   while (record.workers.workers_len < n
          && (worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -746,18 +746,21 @@
     puts (lines->pdata[i]);
 }
 
-/* flushed [refused=JOB]: the store has taken the records of the last flush; with refused, all but
- * that of JOB, which is too large. */
+/* flushed [refused=JOB|workers]: the store has taken the records of the last flush; with refused,
+ * all but that of JOB, or those of workers, which are too large. */
 static void
 do_flushed (Script *script)
 {
   g_autofree char *refused
       = option (script, "refused") != NULL ? pad_job_id (option (script, "refused")) : NULL;
+  gboolean refuses_workers = g_strcmp0 (option (script, "refused"), "workers") == 0;
   for (guint i = 0; script->flush != NULL && i < script->flush->len; i++)
     {
       const FbPoolRecord *record = script->flush->pdata[i];
       if (record->kind == FB_POOL_RECORD_JOB && g_strcmp0 (record->job, refused) == 0)
         fb_pool_record_not_accepted (script->pool, refused, g_bytes_get_size (record->progress));
+      else if (record->kind != FB_POOL_RECORD_JOB && refuses_workers)
+        fb_pool_record_not_accepted (script->pool, NULL, g_bytes_get_size (record->progress));
       else if (record->kind == FB_POOL_RECORD_SILENT_WORKERS)
         {
           g_clear_pointer (&script->stored_silent, g_bytes_unref);
