--- a/bench/pool-crashes.c
+++ b/bench/pool-crashes.c
@@ -161,7 +161,8 @@
   (void) worker;
 }
 
-static const FbPoolCallbacks callbacks = { on_start, on_stop, on_poll, on_advise, on_fenced, NULL };
+static const FbPoolCallbacks callbacks
+    = { on_start, on_stop, on_poll, on_advise, on_fenced, NULL, NULL };
 
 /* ---- workers ----------------------------------------------------------------------- */
 
--- a/fuzz/account-world-owners.c
+++ b/fuzz/account-world-owners.c
@@ -58,7 +58,8 @@
   ((Owner *) user)->gone_ms = ((Owner *) user)->world->now_ms;
 }
 
-static const FbPoolCallbacks callbacks = { on_start, on_stop, on_poll, NULL, on_fenced, NULL };
+static const FbPoolCallbacks callbacks
+    = { on_start, on_stop, on_poll, NULL, on_fenced, NULL, NULL };
 
 /* ---- owners ------------------------------------------------------------------------- */
 
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -191,7 +191,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_advise, on_fenced, fb_wire_incarnation_is_newer };
+    = { on_start, on_stop, on_poll, on_advise, on_fenced, fb_wire_incarnation_is_newer, NULL };
 
 /* ---- owners --------------------------------------------------------------------- */
 
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -148,6 +148,9 @@
   /* Returns: TRUE when INCARNATION began after OTHER, under the same id.  NULL: no worker restarts
    * under its id. */
   gboolean (*is_newer_incarnation) (const char *incarnation, const char *other);
+  /* Returns: TRUE when JOB is stored, but not added to a pool yet; the previous owner may have run
+   * it. NULL: there are no such jobs. */
+  gboolean (*is_job_held) (gpointer user, const char *job);
 } FbPoolCallbacks;
 
 /* Returns: how many requests to the advice service of EXPECTED_MS each could be forwarded now. */
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -30,7 +30,6 @@
   GBytes *progress;    /* NULL: none was stored */
   GBytes *cancel;      /* NULL: it is not cancelled */
   gboolean is_loaded;  /* it was stored when this owner took over */
-  uint64_t stored_ms;  /* it was not stored earlier than this; 0: not known */
   guint disclaimed_n;  /* number of services before its own that have disclaimed it */
   gboolean is_claimed; /* a claim of it is open */
   uint64_t next_ms;    /* it is not claimed before */
@@ -109,16 +108,10 @@
   return FALSE;
 }
 
-uint64_t
-fb_owner_jobs_complete_ms (const FbOwner *self)
+gboolean
+fb_owner_is_job_held (gpointer service_pool, const char *job)
 {
-  uint64_t until_ms = fb_topic_reader_synced_ms (self->job_reader);
-  GHashTableIter iter;
-  gpointer held;
-  g_hash_table_iter_init (&iter, self->held_jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &held))
-    until_ms = MIN (until_ms, ((const FbHeldJob *) held)->stored_ms);
-  return until_ms;
+  return fb_owner_held_job (((const FbServicePool *) service_pool)->owner, job) != NULL;
 }
 
 void
@@ -149,9 +142,6 @@
   held->id = g_strdup (job);
   held->record = *record;
   held->is_loaded = !self->loaded;
-  /* The reader has passed all records that were stored before. */
-  if (self->loaded && self->job_reader != NULL)
-    held->stored_ms = fb_topic_reader_synced_ms (self->job_reader);
   g_hash_table_replace (self->held_jobs, held->id, held);
   fb_event_log (FB_EVENT_JOB_HELD, "job=%s queue=%s service=%s", job, record->policy.queue,
                 record->policy.service);
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -219,4 +219,6 @@
 }
 
 const FbPoolCallbacks fb_owner_pool_callbacks
-    = { sink_start, sink_stop, sink_poll, sink_advise, sink_fenced, fb_wire_incarnation_is_newer };
+    = { sink_start,          sink_stop,   sink_poll,
+        sink_advise,         sink_fenced, fb_wire_incarnation_is_newer,
+        fb_owner_is_job_held };
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -111,9 +111,8 @@
 guint fb_owner_held_jobs_n (const FbOwner *self, const char *service, const char *queue);
 /* Returns: TRUE while jobs are held that were stored before the takeover. */
 gboolean fb_owner_holds_loaded_jobs (const FbOwner *self);
-/* Returns: the time before which every stored job has been added to a pool; 0: none. The previous
- * owner may have run a job that is held, so its end must not be taken for that of no job. */
-uint64_t fb_owner_jobs_complete_ms (const FbOwner *self);
+/* Callback of the pools. */
+gboolean fb_owner_is_job_held (gpointer service_pool, const char *job);
 /* Claims the held jobs from other pools, and adds those to their pools that may run there.  To be
  * called in every tick after loading. */
 void fb_owner_claim_held_jobs (FbOwner *self, uint64_t now_ms);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -195,9 +195,9 @@
   fb_owner_claim_held_jobs (self, now_ms);
   fb_owner_pass_on_unknown_cancels (self);
   fb_owner_expire_disclaimers (self, now_ms);
-  if (!fb_owner_holds_loaded_jobs (self))
+  gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
+  if (jobs_complete)
     fb_owner_request_starts (self, now_ms);
-  uint64_t jobs_complete_ms = fb_owner_jobs_complete_ms (self);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->service_pools);
@@ -208,8 +208,8 @@
       gboolean may_start = confirmed && may_act;
       if (confirmed)
         fb_pool_set_confirmed_until (service_pool->pool, now_ms + CONFIRMED_FOR_MS);
-      if (jobs_complete_ms != 0)
-        fb_pool_jobs_complete (service_pool->pool, jobs_complete_ms);
+      if (jobs_complete)
+        fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
       fb_owner_exchange_account_parts (service_pool, now_ms);
       fb_pool_tick (service_pool->pool, may_start, now_ms, fb_clock_wall_ms ());
       if (may_start)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -363,6 +363,16 @@
     }
 }
 
+/* TASK: name of a task of a job that the pool does not have. Returns: TRUE when its job is held. */
+static gboolean
+is_of_held_job (const FbPool *self, const char *task)
+{
+  if (self->callbacks->is_job_held == NULL)
+    return FALSE;
+  g_autofree char *job = g_strndup (task, FB_WORK_JOB_ID_CHARS);
+  return self->callbacks->is_job_held (self->user, job);
+}
+
 void
 fb_pool_stop_orphans (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -374,9 +384,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolRun *run = value;
-      if (run->step == NULL && run->state != FB_RUN_STOPPING
-          && (self->jobs_complete_ms > run->first_listed_ms
-              || fb_pool_find_job (self, run->name) != NULL))
+      if (run->step != NULL || run->state == FB_RUN_STOPPING)
+        continue;
+      gboolean has_no_job
+          = self->jobs_complete_ms > run->first_listed_ms && !is_of_held_job (self, run->name);
+      if (has_no_job || fb_pool_find_job (self, run->name) != NULL)
         stop_run (self, worker, run, now_ms);
     }
 }
@@ -447,8 +459,8 @@
     }
 }
 
-/* TRUE while END belongs to a job that may not have been read from the store yet. If END were
- * acknowledged, the worker would discard it, and the job would run again once read. */
+/* TRUE while END belongs to a job that may not have been read from the store yet, or is held. If
+ * END were acknowledged, the worker would discard it, and the job would run again once read. */
 static gboolean
 is_of_unknown_job (const FbPool *self, FbPoolWorker *worker, const FbReportedEnd *end,
                    uint64_t now_ms)
@@ -458,7 +470,7 @@
   if (worker->unknown_end != end->number)
     worker->unknown_end_ms = now_ms;
   worker->unknown_end = end->number;
-  return self->jobs_complete_ms <= worker->unknown_end_ms;
+  return self->jobs_complete_ms <= worker->unknown_end_ms || is_of_held_job (self, end->task);
 }
 
 /* The stored record lists the steps that may still run on a draining worker; it is rewritten when
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -208,7 +208,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, is_newer_incarnation };
+    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, is_newer_incarnation, NULL };
 
 /* ---- pools ------------------------------------------------------------------------ */
 
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -248,7 +248,19 @@
   (void) worker;
 }
 
-static const FbPoolCallbacks callbacks = { on_start, on_stop, on_poll, on_advise, on_fenced, NULL };
+/* The pool of the first owner. */
+static FbServicePool *first_pool;
+
+static gboolean
+on_is_job_held (gpointer user, const char *job)
+{
+  const Side *side = user;
+  return first_pool != NULL && side->pool == first_pool->pool
+         && fb_owner_is_job_held (first_pool, job);
+}
+
+static const FbPoolCallbacks callbacks
+    = { on_start, on_stop, on_poll, on_advise, on_fenced, NULL, on_is_job_held };
 
 static void
 answer (Side *side, int worker)
@@ -389,6 +401,7 @@
                                         .pool = self->side.pool,
                                         .service = (char *) SERVICE,
                                         .admission = fb_admission_control_new () };
+  first_pool = &self->service_pool;
   self->service_pool.disclaimed = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_insert (self->owner.service_pools, self->service_pool.service, &self->service_pool);
   g_hash_table_insert (self->entry.owners, GUINT_TO_POINTER (self->owner.partition), &self->owner);
@@ -398,6 +411,7 @@
 static void
 first_free (First *self)
 {
+  first_pool = NULL;
   fb_pool_free (self->side.pool);
   fb_admission_control_free (self->service_pool.admission);
   g_hash_table_unref (self->service_pool.disclaimed);
@@ -593,7 +607,7 @@
   first_free (first);
 }
 
-/* Tests of known failures are run by their names. */
+/* Each test but the first is run by its name. */
 static void
 add_tests (CU_pSuite suite, const char *name)
 {
