Tests: an owner keeps a majority of workers whose entries have expired (red)

What the wait of 3 s leaves: workers that are not listed stop counting for a majority, as more than half of them may be gone for good; but they may be cut off from the store with an earlier owner, which goes on by them without end.

--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -17,6 +17,7 @@
 /* Longer than the interval of polls. */
 #define CONNECTED_MAX_MS 3600
 #define REPLACED_MS 12000
+#define ENTRY_TTL_MS 4500
 /* When an owner resumes that was suspended while it loaded its pool, after it was replaced. */
 #define RESUMED_MS 3000
 #define SERVICE "svc"
@@ -607,6 +608,41 @@
   first_free (first);
 }
 
+/* Entries of workers that are cut off from the store expire, and no longer count for a majority. */
+static void
+test_an_owner_without_the_store_keeps_no_majority_of_expired_entries (void)
+{
+  Side next;
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  for (; clock_ms < START_MS + CONNECTED_MIN_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
+  store_is_up = FALSE;
+  side_begin (&next, 2, 2000, WORKER_N);
+  restore_record (&next);
+  uint64_t replaced_ms = clock_ms;
+  for (; clock_ms < replaced_ms + 2 * REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
+    {
+      if (clock_ms == replaced_ms + ENTRY_TTL_MS)
+        {
+          fb_pool_worker_unlisted (next.pool, workers[1], clock_ms);
+          fb_pool_worker_unlisted (next.pool, workers[CUT_OFF], clock_ms);
+        }
+      answer_due (&first->side, CUT_OFF - 1, CUT_OFF);
+      tick_owner (&first->owner);
+      answer_due (&next, 0, 0);
+      tick_next (&next);
+    }
+  CU_ASSERT_TRUE (next.started_ms == 0 || excess_of (first, &next, replaced_ms) < 0);
+  fb_pool_free (next.pool);
+  first_free (first);
+}
+
 /* Each test but the first is run by its name. */
 static void
 add_tests (CU_pSuite suite, const char *name)
@@ -620,6 +656,9 @@
   else if (g_strcmp0 (name, "record-without-an-answer") == 0)
     CU_add_test (suite, "a record without an answer gives no second majority",
                  test_a_record_without_an_answer_gives_no_second_majority);
+  else if (g_strcmp0 (name, "expired-entries") == 0)
+    CU_add_test (suite, "an owner without the store keeps no majority of expired entries",
+                 test_an_owner_without_the_store_keeps_no_majority_of_expired_entries);
   else if (g_strcmp0 (name, "held-job") == 0)
     CU_add_test (suite, "the end of a held job is not acknowledged unread",
                  test_the_end_of_a_held_job_is_not_acknowledged_unread);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -47,6 +47,7 @@
 verdict "owner that was never confirmed" $B/tests/test-step-down never-confirmed
 verdict "owner that does not know later workers" $B/tests/test-step-down two-majorities
 verdict "owner whose record got no answer" $B/tests/test-step-down record-without-an-answer
+verdict "owner with a majority of expired entries" $B/tests/test-step-down expired-entries
 verdict "owner with a job that is held" $B/tests/test-step-down held-job
 verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
