--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -624,7 +624,7 @@
   CU_ASSERT_EQUAL_FATAL (first->side.worker, CUT_OFF);
   store_is_up = FALSE;
   side_begin (&next, 2, 2000, WORKER_N);
-  restore_record (&next);
+  restore_record (&next, WORKER_N);
   uint64_t replaced_ms = clock_ms;
   for (; clock_ms < replaced_ms + 2 * REPLACED_MS && next.started_ms == 0; clock_ms += STEP_MS)
     {
