--- a/tools/check.sh
+++ b/tools/check.sh
@@ -77,9 +77,10 @@
 # The fuzzers of pools have fake clocks, so some of them run at once.
 FUZZERS_AT_ONCE=4
 declare -A background
+background_n=0
 rm -f out/background-*
 start() { # NAME COMMAND...
-  local name=$1 n=${#background[@]}; shift
+  local name=$1 n=$((++background_n)); shift
   while [ "$(jobs -rp | wc -l)" -ge "$FUZZERS_AT_ONCE" ]; do sleep 0.2; done
   background[$name]=out/background-$n
   { "$@" > "out/background-$n.log" 2>&1; echo $? > "out/background-$n.status"; } &
