--- a/tools/check.sh
+++ b/tools/check.sh
@@ -77,12 +77,13 @@
 # The fuzzers of pools have fake clocks, so some of them run at once.
 FUZZERS_AT_ONCE=4
 declare -A background
-background_n=0
+background_names=()
 rm -f out/background-*
 start() { # NAME COMMAND...
-  local name=$1 n=$((++background_n)); shift
+  local name=$1 n=${#background_names[@]}; shift
   while [ "$(jobs -rp | wc -l)" -ge "$FUZZERS_AT_ONCE" ]; do sleep 0.2; done
   background[$name]=out/background-$n
+  background_names+=("$name")
   { "$@" > "out/background-$n.log" 2>&1; echo $? > "out/background-$n.status"; } &
 }
 result() { # NAME
@@ -100,16 +101,7 @@
   start "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
 start "fuzz parts of caps" $B/fuzz/fuzz-account-parts 1 60
-verdict "fuzz pools" result "fuzz pools"
-verdict "fuzz pools with advice" result "fuzz pools with advice"
-verdict "fuzz pools with repeated calls" result "fuzz pools with repeated calls"
-verdict "fuzz pools with crashes" result "fuzz pools with crashes"
-verdict "fuzz pools with crashes, owners that stay" result "fuzz pools with crashes, owners that stay"
-verdict "fuzz pools with partitions" result "fuzz pools with partitions"
-for kind in plain advised repeats crashing crashing-steady; do
-  verdict "fuzz pools, orders end with the life that took them, $kind" result "fuzz pools, orders end with the life that took them, $kind"
-done
-verdict "fuzz parts of caps" result "fuzz parts of caps"
+for name in "${background_names[@]}"; do verdict "$name" result "$name"; done
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
