Pools: less state and no second pass over the workers for records

- each stored flush went twice over all workers; the mark of recorded workers is set in the pass that acknowledges ends;
- poll_failed was one field with poll_result, of which it follows;
- the check for ends that are not processed or not stored stood in two files;
- the id of a held job was cut out of a task's name by hand, beside split_name();
- POOL_MAJORITY counted by hand what add_worker() counts.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -209,6 +209,8 @@
 /* Returns: (nullable): the job to which the step or task NAME belongs, even if the job has
  * ended. */
 FbPoolJob *fb_pool_find_job (const FbPool *self, const char *name);
+/* TRUE when the step or task NAME belongs to a job that is stored, but not added to a pool yet. */
+gboolean fb_pool_is_of_held_job (const FbPool *self, const char *name);
 /* Returns: (nullable): the step of the task NAME, whose index it stores in INDEX; NULL when the
  * pool has no such task. */
 FbPoolStep *fb_pool_find_task (FbPool *self, const char *name, uint32_t *index);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -120,7 +120,6 @@
   uint32_t first_poll_timeout_ms; /* timeout of the last initial poll; 0: none sent */
   uint64_t next_poll_ms;          /* when the next poll is due */
   uint64_t poll_sent_ms;          /* when the last poll was sent */
-  gboolean poll_failed;           /* the last poll did not succeed */
   FbOrderResult poll_result;      /* of the last poll; FB_ORDER_DONE before the first one */
   uint64_t answered_poll_sent_ms; /* when the last answered poll had been sent */
   uint64_t last_answer_ms;        /* when the last answer arrived; 0: never */
@@ -178,6 +177,11 @@
 uint64_t fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms);
 /* TRUE when WORKER has never answered, or not for longer than a poll takes. */
 gboolean fb_pool_worker_silent (const FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE when a run that is no longer counted on WORKER may have an end that is not processed, or not
+ * stored. */
+gboolean fb_pool_worker_has_unsettled_end (const FbPoolWorker *worker);
+/* TRUE when the last poll of WORKER did not succeed. */
+gboolean fb_pool_worker_poll_failed (const FbPoolWorker *worker);
 /* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -155,8 +155,8 @@
 is_ready (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
           const AwaitingStart *start, uint64_t now_ms)
 {
-  return is_stored (self, start) && run->step->job->not_accepted_bytes == 0 && !worker->poll_failed
-         && fb_pool_worker_accepts_orders (worker, now_ms);
+  return is_stored (self, start) && run->step->job->not_accepted_bytes == 0
+         && !fb_pool_worker_poll_failed (worker) && fb_pool_worker_accepts_orders (worker, now_ms);
 }
 
 /* TRUE when all members of the gang STEP are ready. */
--- a/src/work/pool-crash.c
+++ b/src/work/pool-crash.c
@@ -397,7 +397,8 @@
 fb_pool_crash_record_silence (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   gboolean silent
-      = worker->answered && (worker->poll_failed || fb_pool_worker_silent (worker, now_ms));
+      = worker->answered
+        && (fb_pool_worker_poll_failed (worker) || fb_pool_worker_silent (worker, now_ms));
   if (silent == worker->silence_recorded || worker->draining)
     return;
   if (silent && !self->is_connected)
--- a/src/work/pool-drain.c
+++ b/src/work/pool-drain.c
@@ -32,8 +32,7 @@
     return NULL;
   if (!worker->answered)
     return worker->known_steps != NULL ? g_hash_table_ref (worker->known_steps) : NULL;
-  /* A run may have ended, with its end not processed, or not stored. */
-  if (worker->has_unknown_end || worker->unstored_end != 0)
+  if (fb_pool_worker_has_unsettled_end (worker))
     return NULL;
   GHashTable *steps = set_new ();
   GHashTableIter iter;
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -450,6 +450,15 @@
   return split_name (name, id, &number, 1) == 1 ? g_hash_table_lookup (self->jobs, id) : NULL;
 }
 
+gboolean
+fb_pool_is_of_held_job (const FbPool *self, const char *name)
+{
+  char id[FB_WORK_JOB_ID_CHARS + 1];
+  uint32_t number;
+  return self->callbacks->is_job_held != NULL && split_name (name, id, &number, 1) == 1
+         && self->callbacks->is_job_held (self->user, id);
+}
+
 FbPoolStep *
 fb_pool_find_step (FbPool *self, const char *name)
 {
--- a/src/work/pool-majority.c
+++ b/src/work/pool-majority.c
@@ -96,26 +96,22 @@
 void
 fb_pool_log_majority (const FbPool *self, uint64_t now_ms)
 {
-  guint listed_n = 0;
-  guint answered_n = 0;
-  guint unlisted_answered_n = 0;
-  guint recorded_n = 0;
-  guint recorded_answered_n = 0;
+  AnswerCount listed = { 0 };
+  AnswerCount unlisted = { 0 };
+  AnswerCount recorded = { 0 };
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      listed_n += worker->listed;
-      answered_n += worker->listed && worker->answered;
-      unlisted_answered_n += !worker->listed && worker->answered;
-      recorded_n += worker->recorded;
-      recorded_answered_n += worker->recorded && worker->answered;
+      add_worker (worker->listed ? &listed : &unlisted, worker->answered);
+      if (worker->recorded)
+        add_worker (&recorded, worker->answered);
     }
   fb_event_log (FB_EVENT_POOL_MAJORITY,
                 "service=%s epoch=%" G_GUINT64_FORMAT
                 " listed=%u answered=%u unlisted=%u unlisted_answered=%u recorded=%u"
                 " recorded_answered=%u owned_ms=%u",
-                self->service, self->epoch, listed_n, answered_n,
-                g_hash_table_size (self->workers) - listed_n, unlisted_answered_n, recorded_n,
-                recorded_answered_n, (guint) (now_ms - self->created_ms));
+                self->service, self->epoch, listed.workers_n, listed.answered_n, unlisted.workers_n,
+                unlisted.answered_n, recorded.workers_n, recorded.answered_n,
+                (guint) (now_ms - self->created_ms));
 }
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -277,7 +277,7 @@
 static gboolean
 may_acknowledge (const FbPoolWorker *worker)
 {
-  if (worker->poll_failed)
+  if (fb_pool_worker_poll_failed (worker))
     return FALSE;
   return !worker->may_restart
          || (fb_pool_has_pending_acknowledgement (worker) && !has_unlisted_run (worker));
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -268,17 +268,15 @@
     worker->unstored_end = 0;
 }
 
-/* The record of workers in the open flush is stored, or is not accepted. */
 static void
-end_workers_record (FbPool *self, gboolean stored)
+workers_record_not_accepted (FbPool *self)
 {
   guint slot = 0;
   FbPoolWorker *worker = NULL;
+  fb_pool_silence_not_stored (self);
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
-    {
-      worker->recorded = worker->recorded || (stored && worker->in_open_record);
-      worker->in_open_record = FALSE;
-    }
+    worker->in_open_record = FALSE;
+  self->workers_dirty = TRUE;
 }
 
 void
@@ -286,11 +284,7 @@
 {
   FbPoolJob *job = id != NULL ? g_hash_table_lookup (self->jobs, id) : NULL;
   if (id == NULL)
-    {
-      fb_pool_silence_not_stored (self);
-      end_workers_record (self, FALSE);
-      self->workers_dirty = TRUE;
-    }
+    workers_record_not_accepted (self);
   if (job == NULL || !g_ptr_array_remove (self->in_flush, job))
     return;
   self->not_accepted_n += job->not_accepted_bytes == 0;
@@ -334,11 +328,12 @@
     }
   g_ptr_array_set_size (self->in_flush, 0);
   fb_pool_silence_stored (self, now_ms);
-  end_workers_record (self, TRUE);
   guint slot = 0;
   FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
+      worker->recorded = worker->recorded || worker->in_open_record;
+      worker->in_open_record = FALSE;
       if (worker->acknowledged >= stored_end (worker))
         continue;
       worker->acknowledged = stored_end (worker);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -363,16 +363,6 @@
     }
 }
 
-/* TASK: name of a task of a job that the pool does not have. Returns: TRUE when its job is held. */
-static gboolean
-is_of_held_job (const FbPool *self, const char *task)
-{
-  if (self->callbacks->is_job_held == NULL)
-    return FALSE;
-  g_autofree char *job = g_strndup (task, FB_WORK_JOB_ID_CHARS);
-  return self->callbacks->is_job_held (self->user, job);
-}
-
 void
 fb_pool_stop_orphans (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -386,8 +376,8 @@
       FbPoolRun *run = value;
       if (run->step != NULL || run->state == FB_RUN_STOPPING)
         continue;
-      gboolean has_no_job
-          = self->jobs_complete_ms > run->first_listed_ms && !is_of_held_job (self, run->name);
+      gboolean has_no_job = self->jobs_complete_ms > run->first_listed_ms
+                            && !fb_pool_is_of_held_job (self, run->name);
       if (has_no_job || fb_pool_find_job (self, run->name) != NULL)
         stop_run (self, worker, run, now_ms);
     }
@@ -470,7 +460,8 @@
   if (worker->unknown_end != end->number)
     worker->unknown_end_ms = now_ms;
   worker->unknown_end = end->number;
-  return self->jobs_complete_ms <= worker->unknown_end_ms || is_of_held_job (self, end->task);
+  return self->jobs_complete_ms <= worker->unknown_end_ms
+         || fb_pool_is_of_held_job (self, end->task);
 }
 
 /* The stored record lists the steps that may still run on a draining worker; it is rewritten when
@@ -583,7 +574,6 @@
   if (worker->poll_acknowledges != 0)
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
-  worker->poll_failed = answer->result != FB_ORDER_DONE;
   worker->poll_result = answer->result;
   worker->next_poll_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
                              ? fb_pool_first_poll_retry_ms (worker, now_ms)
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -156,7 +156,8 @@
 static gboolean
 needs_row (const FbPoolWorker *worker)
 {
-  return !worker->answered || worker->poll_failed || !worker->listed || has_shrunk (worker);
+  return !worker->answered || fb_pool_worker_poll_failed (worker) || !worker->listed
+         || has_shrunk (worker);
 }
 
 /* While the owner seems to be cut off itself, it closes no further workers. A worker that has
@@ -168,10 +169,11 @@
 wants_closed (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
   if (worker->answered)
-    return worker->poll_failed
+    return fb_pool_worker_poll_failed (worker)
            && (worker->closed || (self->is_connected && fb_pool_worker_silent (worker, now_ms)));
   return worker->closed || worker->runs_ended
-         || (worker->poll_failed && now_ms >= self->majority_ms + CLOSE_UNHEARD_AFTER_MS);
+         || (fb_pool_worker_poll_failed (worker)
+             && now_ms >= self->majority_ms + CLOSE_UNHEARD_AFTER_MS);
 }
 
 gboolean
@@ -194,8 +196,7 @@
 static gboolean
 are_runs_tracked (const FbPool *self, const FbPoolWorker *worker)
 {
-  /* A run may have ended, with its end not processed, or not stored. */
-  if (worker->has_unknown_end || worker->unstored_end != 0)
+  if (fb_pool_worker_has_unsettled_end (worker))
     return FALSE;
   return !worker->may_restart || fb_pool_incarnation_is_latest (self, worker);
 }
@@ -317,7 +318,8 @@
   const FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
-      if (worker->answered && !worker->poll_failed && !worker->superseded && worker->clock_ms > 0)
+      if (worker->answered && !fb_pool_worker_poll_failed (worker) && !worker->superseded
+          && worker->clock_ms > 0)
         add_reference (references, worker);
     }
   while (*clocks_n < FB_WORK_MAX_REFERENCE_CLOCKS && references[*clocks_n] != NULL)
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -108,6 +108,18 @@
   return !worker->answered || now_ms > worker->last_answer_ms + SILENT_MS;
 }
 
+gboolean
+fb_pool_worker_has_unsettled_end (const FbPoolWorker *worker)
+{
+  return worker->has_unknown_end || worker->unstored_end != 0;
+}
+
+gboolean
+fb_pool_worker_poll_failed (const FbPoolWorker *worker)
+{
+  return worker->poll_result != FB_ORDER_DONE;
+}
+
 /* Returns: the longest real time that LEASE_MS can take on a worker's clock. */
 static uint64_t
 max_duration_ms (uint64_t lease_ms)
