JSON of other programs: limits of depth, size and values before the recursive parser sees it

Cause: text of other programs reached json-glib's recursive parser without a limit. Ruled out: the size alone (a string of that length decodes), and entries that are no objects (tested since long).

Change: fb_json_parse() scans a text without recursion first: at most 8 MiB, UTF-8, 64 levels, 131,072 values. The scan accepts JSON's own tokens only and checks escapes, because the library also reads comments, single quotes, and whatever follows an unpaired surrogate as a part of it; each of these would hide brackets from the scan. Numbers beyond 63 bits are malformed and are not converted.

--- a/src/cli/cli-http.c
+++ b/src/cli/cli-http.c
@@ -1,5 +1,7 @@
 #include "cli-private.h"
 
+#include "src/net/json.h"
+
 #include <libsoup/soup.h>
 #include <stdio.h>
 #include <string.h>
@@ -33,12 +35,9 @@
   guint status = fb_cli_call (options, "GET", path, NULL, &body);
   gsize len = 0;
   const char *text = g_bytes_get_data (body, &len);
-  *parser = json_parser_new ();
-  if (status == SOUP_STATUS_OK && len > 0
-      && json_parser_load_from_data (*parser, text, (gssize) len, NULL)
-      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (*parser)))
-    return json_node_get_object (json_parser_get_root (*parser));
-  return NULL;
+  JsonObject *root = NULL;
+  *parser = status == SOUP_STATUS_OK ? fb_json_parse (text, len, &root) : NULL;
+  return root;
 }
 
 FbCliExit
--- a/src/net/json.c
+++ b/src/net/json.c
@@ -1,5 +1,121 @@
 #include "json.h"
 
+#include "fb-status.h"
+
+#include <string.h>
+
+/* ---- limits ------------------------------------------------------------------------ */
+
+typedef struct
+{
+  const char *at;
+  const char *end;
+  guint depth;
+  guint item_n;
+} Scan;
+
+/* Returns: FALSE unless four hexadecimal digits follow. */
+static gboolean
+scan_hex (Scan *scan, guint *code_unit)
+{
+  if (scan->end - scan->at < 4)
+    return FALSE;
+  *code_unit = 0;
+  for (guint i = 0; i < 4; i++, scan->at++)
+    {
+      gint digit = g_ascii_xdigit_value (*scan->at);
+      if (digit < 0)
+        return FALSE;
+      *code_unit = *code_unit * 16 + (guint) digit;
+    }
+  return TRUE;
+}
+
+/* Scans the rest of an escape after its backslash. The library's parser reads on to the second half
+ * of a surrogate pair without checking what it passes, so an unpaired half is refused. */
+static gboolean
+scan_escape (Scan *scan)
+{
+  if (scan->at == scan->end)
+    return FALSE;
+  if (*scan->at++ != 'u')
+    return scan->at[-1] != '\0' && strchr ("\"\\/bfnrt", scan->at[-1]) != NULL;
+  guint code_unit = 0;
+  if (!scan_hex (scan, &code_unit) || (code_unit >= 0xdc00 && code_unit <= 0xdfff))
+    return FALSE;
+  if (code_unit < 0xd800 || code_unit > 0xdbff)
+    return code_unit != 0;
+  if (scan->end - scan->at < 2 || scan->at[0] != '\\' || scan->at[1] != 'u')
+    return FALSE;
+  scan->at += 2;
+  return scan_hex (scan, &code_unit) && code_unit >= 0xdc00 && code_unit <= 0xdfff;
+}
+
+/* Scans the rest of a string after its opening quote. */
+static gboolean
+scan_string (Scan *scan)
+{
+  while (scan->at < scan->end)
+    {
+      char c = *scan->at++;
+      if (c == '"')
+        return TRUE;
+      if (c == '\0' || (c == '\\' && !scan_escape (scan)))
+        return FALSE;
+    }
+  return FALSE;
+}
+
+/* Returns: why TEXT is refused, or NULL. Only the tokens of JSON are accepted outside strings: the
+ * library's parser also reads comments and other quotes, which would hide brackets from this
+ * scan. */
+static const char *
+scan_text (const char *text, gsize len)
+{
+  Scan scan = { .at = text, .end = text + len };
+  while (scan.at < scan.end)
+    {
+      char c = *scan.at++;
+      if (c == '"')
+        {
+          if (!scan_string (&scan))
+            return "contains a malformed string";
+        }
+      else if (c == '[' || c == '{')
+        {
+          scan.item_n++;
+          if (++scan.depth > FB_JSON_MAX_DEPTH)
+            return "is nested too deep";
+        }
+      else if (c == ']' || c == '}')
+        {
+          if (scan.depth-- == 0)
+            return "is not JSON";
+        }
+      else if (c == ',' || c == ':')
+        scan.item_n++;
+      else if (!g_ascii_isalnum (c) && (c == '\0' || strchr ("+-. \t\r\n", c) == NULL))
+        return "is not JSON";
+    }
+  if (scan.item_n > FB_JSON_MAX_ITEMS)
+    return "has too many members or elements";
+  return scan.depth == 0 ? NULL : "is not JSON";
+}
+
+/* The library's parser recurses for each level of nesting and allocates for each value, so the
+ * limits are checked before it sees the text. */
+static const char *
+check_limits (const char *data, gsize len)
+{
+  if (len > FB_JSON_MAX_BYTES)
+    return "is too long";
+  if (!g_utf8_validate_len (data, len, NULL))
+    return "is not UTF-8";
+  return scan_text (data, len);
+}
+
+/* ---- members ----------------------------------------------------------------------- */
+
 static JsonNode *
 member_of (JsonObject *object, const char *name)
 {
@@ -23,6 +139,14 @@
   return type == G_TYPE_INT64 || type == G_TYPE_DOUBLE;
 }
 
+/* Values beyond 63 bits are refused: their conversion to an integer is undefined. */
+static gboolean
+holds_uint (JsonNode *node)
+{
+  return holds_number (node) && json_node_get_double (node) >= 0
+         && json_node_get_double (node) < 9e18;
+}
+
 static gboolean
 holds_string (JsonNode *node)
 {
@@ -47,12 +171,24 @@
   JsonNode *node = member_of (object, name);
   if (node == NULL)
     return fallback;
-  if (holds_number (node) && json_node_get_double (node) >= 0 && json_node_get_double (node) < 9e18)
+  if (holds_uint (node))
     return (uint64_t) json_node_get_int (node);
   set_malformed (malformed);
   return fallback;
 }
 
+int64_t
+fb_json_int (JsonObject *object, const char *name, int64_t fallback, gboolean *malformed)
+{
+  JsonNode *node = member_of (object, name);
+  if (node == NULL)
+    return fallback;
+  if (JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == G_TYPE_INT64)
+    return json_node_get_int (node);
+  set_malformed (malformed);
+  return fallback;
+}
+
 gboolean
 fb_json_bool (JsonObject *object, const char *name, gboolean *malformed)
 {
@@ -89,13 +225,24 @@
   return NULL;
 }
 
+JsonObject *
+fb_json_object (JsonObject *object, const char *name, gboolean *malformed)
+{
+  JsonNode *node = member_of (object, name);
+  if (node == NULL)
+    return NULL;
+  if (JSON_NODE_HOLDS_OBJECT (node))
+    return json_node_get_object (node);
+  set_malformed (malformed);
+  return NULL;
+}
+
 uint64_t
 fb_json_row_uint (JsonArray *row, guint i)
 {
-  if (i >= json_array_get_length (row) || !holds_number (json_array_get_element (row, i)))
+  if (i >= json_array_get_length (row) || !holds_uint (json_array_get_element (row, i)))
     return 0;
-  double value = json_node_get_double (json_array_get_element (row, i));
-  return value > 0 ? (uint64_t) value : 0;
+  return (uint64_t) json_node_get_int (json_array_get_element (row, i));
 }
 
 const char *
@@ -113,9 +260,24 @@
   return JSON_NODE_HOLDS_ARRAY (node) ? json_node_get_array (node) : NULL;
 }
 
+JsonObject *
+fb_json_row_object (JsonArray *rows, guint i)
+{
+  JsonNode *node = json_array_get_element (rows, i);
+  return JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
+}
+
+/* ---- texts ------------------------------------------------------------------------- */
+
 JsonParser *
 fb_json_parse (const char *data, gsize len, JsonObject **root)
 {
+  const char *error = check_limits (data, len);
+  if (error != NULL)
+    {
+      fb_status_set_message ("the text %s", error);
+      return NULL;
+    }
   JsonParser *parser = json_parser_new ();
   JsonNode *node = NULL;
   if (len > 0 && json_parser_load_from_data (parser, data, (gssize) len, NULL))
@@ -125,6 +287,7 @@
       *root = json_node_get_object (node);
       return parser;
     }
+  fb_status_set_message ("the text is not a JSON object");
   g_object_unref (parser);
   return NULL;
 }
@@ -137,6 +300,8 @@
   return fb_json_parse (data, len, root);
 }
 
+/* ---- writing ------------------------------------------------------------------------ */
+
 GBytes *
 fb_json_finish (JsonBuilder *builder)
 {
--- /dev/null
+++ b/tests/malformed-input.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Tests daemon processes against the stand-in platform: records and requests that cannot be decoded.
+# They are skipped or refused, no daemon ends, and all others hold.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+B=build OUT=out/malformed-input
+rm -rf "$OUT"; mkdir -p "$OUT"
+source tools/ports.sh
+source tests/daemons.sh
+base=$(free_block 20000 50 200 0 31) || { echo "no ports are free"; exit 1; }
+declare -A PID
+trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
+port() { echo $((base + 20 + $1 * 4)); }
+start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
+job() { printf '%016x' "$1"; }
+call() { # DAEMON METHOD JOB [CURL OPTION...]: prints the status
+  curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' "${@:4}" "http://127.0.0.1:$(port "$1")/q/$(job "$3")" || true
+}
+submitted() { [ "$(call "$1" POST "$2" -d '{"spec":"150","phases":[{"count":3,"cpu":2000,"mem-mb":100,"estimate-ms":150}]}')" = 200 ]; }
+completed() { [ "$(call "$1" GET "$2")" = 200 ] && grep -q '"completed"' "$OUT/answer"; }
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
+logged() { grep -q "$2" "$OUT/d$1.log"; } # DAEMON TEXT
+reported() { cat "$OUT"/d?.log | grep -q "LOG_RECORD_SKIPPED $1"; } # TEXT; daemons without a pool do not read entries
+store_record() { # TOPIC KEY VALUE-FILE
+  local len; len=$(stat -c %s "$3")
+  { printf "$(octal $((1 + ${#2} + len)))"; printf "\\$(printf '%03o' ${#2})"; printf '%s' "$2"; cat "$3"; } > "$OUT/record"
+  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=$1&part=0")" = 200 ]
+}
+all_run() { local d; for d in 0 1 2; do kill -0 "${PID[$d]}" 2> /dev/null || die "$1: daemon $d has ended: $(tail -2 "$OUT/d$d.log")"; done; } # CAUSE
+runs_jobs() { # CAUSE JOB
+  until_true submitted 0 "$2" || die "$1: a job was not accepted"
+  until_true completed 1 "$2" || die "$1: the job has not completed: $(cat "$OUT/answer")"
+  all_run "$1"
+}
+is_refused() { # CAUSE DAEMON FILE
+  local status; status=$(call "$2" POST 99 --data-binary "@$3")
+  [ "$status" = 400 ] || die "$1: the request was answered with status $status"
+}
+
+printf '[%.0s' $(seq 250000) > "$OUT/brackets"
+head -c 100000 "$OUT/brackets" > "$OUT/deep"
+{ printf '{"spec":"1","phases":'; cat "$OUT/deep"; } > "$OUT/deep-steps"
+printf '\377\376{' > "$OUT/bytes"
+$B/standins/standin-platform "$base" 6 > "$OUT/platform.log" 2>&1 & PID[platform]=$!
+for d in 0 1 2; do start_daemon $d; done
+for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready"; done
+runs_jobs "before" 1
+
+step "entries that cannot be decoded are skipped, and the other workers are used"
+store_record keyed.servers other-writer "$OUT/brackets" || die "the entry was not stored"
+store_record keyed.servers bytes "$OUT/bytes" || die "the entry was not stored"
+until_true reported 'the entry of worker other-writer: the text is nested too deep' || die "no daemon reports the deep entry"
+until_true reported 'the entry of worker bytes: the text is not UTF-8' || die "no daemon reports the entry of bytes"
+runs_jobs "entries" 2
+
+step "a configuration that cannot be decoded is ignored, and the one before stays in force"
+store_record keyed.op config "$OUT/brackets" || die "the configuration was not stored"
+for d in 0 1 2; do until_true logged $d 'CONFIG_IGNORED .*nested too deep' || die "daemon $d does not report the configuration"; done
+runs_jobs "configuration" 3
+
+step "requests that cannot be decoded are refused"
+for d in 0 1 2; do
+  for file in deep deep-steps bytes; do is_refused "$file" $d "$OUT/$file"; done
+done
+runs_jobs "requests" 4
+
+step "daemons that start later skip the same entries"
+store_configuration '{"version":3,"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000}],"services":[{"name":"svc"}]}'
+for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; : > "$OUT/d$d.log"; start_daemon $d; done
+for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready: $(tail -2 "$OUT/d$d.log")"; done
+until_true reported 'the entry of worker other-writer' || die "no daemon reports the deep entry"
+until_true completed 2 4 || die "a job is not known after the start"
+runs_jobs "start" 5
+echo "malformed input: ok"
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -105,6 +105,7 @@
 verdict "fuzz readers" $B/fuzz/fuzz-readers --seed 1 --inputs 20000
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
+verdict "malformed input, with processes" tests/malformed-input.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
 verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
--- a/tools/flamingobarrow-load.c
+++ b/tools/flamingobarrow-load.c
@@ -5,8 +5,8 @@
  * guarantees are read from the audit record of the workers, not from the daemons. */
 #include "fb-settings.h"
 #include "fb-status.h"
+#include "src/net/json.h"
 
-#include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdio.h>
 #include <string.h>
@@ -359,13 +359,13 @@
 {
   g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%d/record", record_port);
   g_autofree char *text = fetch (url);
-  g_autoptr (JsonParser) parser = json_parser_new ();
-  if (text == NULL || !json_parser_load_from_data (parser, text, -1, NULL))
+  JsonObject *root = NULL;
+  g_autoptr (JsonParser) parser = text != NULL ? fb_json_parse (text, strlen (text), &root) : NULL;
+  if (parser == NULL)
     {
       printf ("the workers' record cannot be read\n");
       return FALSE;
     }
-  JsonObject *root = json_node_get_object (json_parser_get_root (parser));
   gint64 duplicates = json_object_get_int_member_with_default (root, "doubled", -1);
   gint64 over_capacity = json_object_get_int_member_with_default (root, "over_capacity", -1);
   const char *violation = json_object_get_string_member_with_default (root, "broken", "");
