Own cells: members of another type in replies of workers, the log and the host list are refused

A member of another type was passed on as a null string, or as a container of a null object, by json-glib's accessors: a worker's reply with a tag that is no string ran into g_base64_decode (NULL), one with a "runs" object was taken for a reply without runs, a host list with an item that is no object for one with a host without a name. The adapters now read members with the type checks of src/net/json.h, and a reply with a malformed member counts as no reply. A host list with one malformed item counts as unread, since a host that is left out would be taken for one that has gone.

"worker replies of other types" of test-wire fails on unchanged code (GLib-CRITICAL in g_base64_decode, and replies that are accepted), and passes now.

--- a/src/daemon/host-list-http.c
+++ b/src/daemon/host-list-http.c
@@ -1,6 +1,7 @@
 /* Adapter for the host list over HTTP and JSON; see docs/PLATFORM.md. */
 #include "platform.h"
 #include "src/net/http-client.h"
+#include "src/net/json.h"
 
 #define CALL_TIMEOUT_MS 1500
 
@@ -29,22 +30,21 @@
 on_polled (gpointer user, FbHttpStatus status, JsonObject *root)
 {
   g_autofree Call *call = user;
-  if (status != FB_HTTP_OK || !json_object_has_member (root, "hosts"))
-    {
-      call->done (call->user, NULL, 0);
-      return;
-    }
-  JsonArray *list = json_object_get_array_member (root, "hosts");
-  guint n = json_array_get_length (list);
+  JsonArray *list = status == FB_HTTP_OK ? fb_json_array (root, "hosts", NULL) : NULL;
+  guint n = list != NULL ? json_array_get_length (list) : 0;
   g_autofree FbHostEntry *entries = g_new0 (FbHostEntry, n + 1);
-  for (guint i = 0; i < n; i++)
+  /* A host that is left out would be taken for one that has gone. */
+  gboolean malformed = list == NULL;
+  for (guint i = 0; i < n && !malformed; i++)
     {
-      JsonObject *item = json_array_get_object_element (list, i);
-      entries[i].name = json_object_get_string_member_with_default (item, "name", "");
-      entries[i].state
-          = parse_state (json_object_get_string_member_with_default (item, "state", "live"));
+      JsonObject *item = fb_json_row_object (list, i);
+      malformed = item == NULL;
+      if (item == NULL)
+        break;
+      entries[i].name = fb_json_string (item, "name", &malformed);
+      entries[i].state = parse_state (fb_json_string (item, "state", &malformed));
     }
-  call->done (call->user, entries, n);
+  call->done (call->user, malformed ? NULL : entries, malformed ? 0 : n);
 }
 
 static void
--- a/src/daemon/log-http.c
+++ b/src/daemon/log-http.c
@@ -1,6 +1,7 @@
 /* Adapter for the log service over HTTP and JSON; see docs/PLATFORM.md. */
 #include "platform.h"
 #include "src/net/http-client.h"
+#include "src/net/json.h"
 
 #define CALL_TIMEOUT_MS 2000
 #define READ_MAX_RECORDS 500
@@ -30,9 +31,7 @@
 on_appended (gpointer user, FbHttpStatus status, JsonObject *root)
 {
   g_autofree Call *call = user;
-  JsonArray *offsets = NULL;
-  if (status == FB_HTTP_OK && json_object_has_member (root, "offsets"))
-    offsets = json_object_get_array_member (root, "offsets");
+  JsonArray *offsets = status == FB_HTTP_OK ? fb_json_array (root, "offsets", NULL) : NULL;
   if (offsets == NULL || json_array_get_length (offsets) != call->record_n)
     {
       call->append_done (call->user, NULL, 0);
@@ -40,7 +39,7 @@
     }
   g_autofree uint64_t *values = g_new (uint64_t, MAX (call->record_n, 1));
   for (guint i = 0; i < call->record_n; i++)
-    values[i] = (uint64_t) json_array_get_int_element (offsets, i);
+    values[i] = fb_json_row_uint (offsets, i);
   call->append_done (call->user, values, call->record_n);
 }
 
@@ -77,25 +76,27 @@
 static gboolean
 parse_page (JsonObject *root, FbLogPage *page, GArray *records)
 {
-  if (!json_object_has_member (root, "records") || !json_object_has_member (root, "first"))
+  gboolean malformed = FALSE;
+  JsonArray *list = fb_json_array (root, "records", NULL);
+  if (list == NULL || !json_object_has_member (root, "first"))
     return FALSE;
-  page->first_retained = (uint64_t) json_object_get_int_member (root, "first");
-  page->log_now_ms = (uint64_t) json_object_get_int_member_with_default (root, "now_ms", 0);
-  page->at_end = json_object_get_boolean_member_with_default (root, "at_end", TRUE);
-  JsonArray *list = json_object_get_array_member (root, "records");
-  for (guint i = 0; i < json_array_get_length (list); i++)
+  page->first_retained = fb_json_uint (root, "first", 0, &malformed);
+  page->log_now_ms = fb_json_uint (root, "now_ms", 0, &malformed);
+  page->at_end
+      = !json_object_has_member (root, "at_end") || fb_json_bool (root, "at_end", &malformed);
+  for (guint i = 0; i < json_array_get_length (list) && !malformed; i++)
     {
-      JsonObject *item = json_array_get_object_element (list, i);
+      JsonObject *item = fb_json_row_object (list, i);
+      if (item == NULL)
+        return FALSE;
       gsize len = 0;
-      guchar *bytes
-          = g_base64_decode (json_object_get_string_member_with_default (item, "data", ""), &len);
-      FbLogRecord record
-          = { .offset = (uint64_t) json_object_get_int_member_with_default (item, "offset", 0),
-              .age_ms = (uint64_t) json_object_get_int_member_with_default (item, "age_ms", 0),
-              .data = g_bytes_new_take (bytes, len) };
+      guchar *bytes = g_base64_decode (fb_json_string (item, "data", &malformed), &len);
+      FbLogRecord record = { .offset = fb_json_uint (item, "offset", 0, &malformed),
+                             .age_ms = fb_json_uint (item, "age_ms", 0, &malformed),
+                             .data = g_bytes_new_take (bytes, len) };
       g_array_append_val (records, record);
     }
-  return TRUE;
+  return !malformed;
 }
 
 static void
--- a/src/daemon/worker-http.c
+++ b/src/daemon/worker-http.c
@@ -1,6 +1,7 @@
 /* Adapter for workers over HTTP and JSON; see docs/PLATFORM.md. */
 #include "platform.h"
 #include "src/net/http-client.h"
+#include "src/net/json.h"
 #include "worker-json.h"
 
 #define EXCHANGE_TIMEOUT_MS 1500
@@ -51,8 +52,7 @@
 {
   g_autofree Call *call = user;
   gboolean ok = status == FB_HTTP_OK;
-  uint64_t version
-      = ok ? (uint64_t) json_object_get_int_member_with_default (root, "version", 0) : 0;
+  uint64_t version = ok ? (uint64_t) fb_json_int (root, "version", 0, NULL) : 0;
   call->watch_done (call->user, ok, version);
 }
 
--- a/src/daemon/worker-json.c
+++ b/src/daemon/worker-json.c
@@ -140,10 +140,11 @@
   return out;
 }
 
+/* Values above 63 bits are written as negative numbers. */
 static uint64_t
-get_u64 (JsonObject *object, const char *name)
+get_u64 (JsonObject *object, const char *name, gboolean *malformed)
 {
-  return (uint64_t) json_object_get_int_member_with_default (object, name, 0);
+  return (uint64_t) fb_json_int (object, name, 0, malformed);
 }
 
 static gboolean
@@ -158,8 +159,8 @@
                { "failed", FB_RUN_STATUS_FAILED },
                { "stopped", FB_RUN_STATUS_STOPPED },
                { "lost", FB_RUN_STATUS_LOST } };
-  const char *state = json_object_get_string_member_with_default (item, "state", "");
-  const char *end = json_object_get_string_member_with_default (item, "end", "");
+  const char *state = fb_json_string (item, "state", NULL);
+  const char *end = fb_json_string (item, "end", NULL);
   gboolean known = FALSE;
   for (guint i = 0; i < G_N_ELEMENTS (states); i++)
     {
@@ -181,45 +182,45 @@
 parse_run_item (JsonObject *item, FbWorkerJsonReply *out)
 {
   FbSyncRun run = { 0 };
-  if (!parse_tag (json_object_get_string_member_with_default (item, "tag", ""), &run.spec)
+  gboolean malformed = FALSE;
+  if (item == NULL || !parse_tag (fb_json_string (item, "tag", NULL), &run.spec)
       || !parse_state (item, &run))
     return FALSE;
-  run.usage.amount[FB_RES_CPU_MILLI] = get_u64 (item, "cpu_milli");
-  run.usage.amount[FB_RES_MEM_BYTES] = get_u64 (item, "mem_bytes");
+  run.usage.amount[FB_RES_CPU_MILLI] = get_u64 (item, "cpu_milli", &malformed);
+  run.usage.amount[FB_RES_MEM_BYTES] = get_u64 (item, "mem_bytes", &malformed);
   run.usage.amount[FB_RES_ACCEL_COUNT] = run.spec.demand.amount[FB_RES_ACCEL_COUNT];
   run.usage.amount[FB_RES_SLOT_COUNT] = run.spec.demand.amount[FB_RES_SLOT_COUNT];
   gsize len = 0;
-  guchar *answer
-      = g_base64_decode (json_object_get_string_member_with_default (item, "answer", ""), &len);
+  guchar *answer = g_base64_decode (fb_json_string (item, "answer", &malformed), &len);
   g_ptr_array_add (out->answers, answer);
   run.answer = (const char *) answer;
   run.answer_len = (uint32_t) MIN (len, FB_MAX_PAYLOAD);
   g_array_append_val (out->runs, run);
-  return TRUE;
+  return !malformed;
 }
 
 gboolean
 fb_worker_json_parse_reply (JsonObject *root, FbWorkerJsonReply *out)
 {
-  if (!json_object_has_member (root, "runs") || !json_object_has_member (root, "epoch"))
+  gboolean malformed = FALSE;
+  JsonArray *list = fb_json_array (root, "runs", NULL);
+  if (list == NULL || !json_object_has_member (root, "epoch"))
     return FALSE;
   out->runs = g_array_new (FALSE, FALSE, sizeof (FbSyncRun));
   out->answers = g_ptr_array_new_with_free_func (g_free);
-  out->reply = (FbSyncReply){ .epoch = get_u64 (root, "epoch"),
-                              .seq = get_u64 (root, "seq"),
-                              .clock_ms = get_u64 (root, "clock_ms"),
-                              .incarnation = get_u64 (root, "incarnation"),
-                              .version = get_u64 (root, "version") };
-  out->reply.unchanged = json_object_get_boolean_member_with_default (root, "unchanged", FALSE);
-  out->reply.fenced = json_object_get_boolean_member_with_default (root, "fenced", FALSE);
-  JsonArray *list = json_object_get_array_member (root, "runs");
-  for (guint i = 0; i < json_array_get_length (list); i++)
+  out->reply = (FbSyncReply){ .epoch = get_u64 (root, "epoch", &malformed),
+                              .seq = get_u64 (root, "seq", &malformed),
+                              .clock_ms = get_u64 (root, "clock_ms", &malformed),
+                              .incarnation = get_u64 (root, "incarnation", &malformed),
+                              .version = get_u64 (root, "version", &malformed) };
+  out->reply.unchanged = fb_json_bool (root, "unchanged", &malformed);
+  out->reply.fenced = fb_json_bool (root, "fenced", &malformed);
+  for (guint i = 0; i < json_array_get_length (list) && !malformed; i++)
+    malformed = !parse_run_item (fb_json_row_object (list, i), out);
+  if (malformed)
     {
-      if (!parse_run_item (json_array_get_object_element (list, i), out))
-        {
-          fb_worker_json_clear_reply (out);
-          return FALSE;
-        }
+      fb_worker_json_clear_reply (out);
+      return FALSE;
     }
   out->reply.runs = (const FbSyncRun *) (void *) out->runs->data;
   out->reply.run_n = out->runs->len;
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -1,6 +1,7 @@
 /* Encoding and decoding of the platform's messages, as table-driven tests. */
 #include "fb-status.h"
 #include "platform/wire.h"
+#include "src/daemon/worker-json.h"
 #include "src/net/json.h"
 #include "src/work/spec.h"
 
@@ -159,6 +160,34 @@
   CU_ASSERT_EQUAL (fb_json_row_uint (row, 2), 0);
 }
 
+/* A member of another type in a worker's reply was passed on as a null string. */
+static void
+test_worker_replies_of_other_types (void)
+{
+  static const char *const texts[] = { "{\"epoch\":1,\"runs\":[{\"tag\":1}]}",
+                                       "{\"epoch\":1,\"runs\":[1]}",
+                                       "{\"epoch\":1,\"runs\":{}}",
+                                       "{\"epoch\":[],\"runs\":[]}",
+                                       "{\"epoch\":1,\"runs\":[],\"fenced\":\"no\"}",
+                                       "{\"epoch\":1}" };
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      JsonObject *root = NULL;
+      g_autoptr (JsonParser) parser = fb_json_parse (texts[i], strlen (texts[i]), &root);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (parser);
+      FbWorkerJsonReply reply;
+      CU_ASSERT_FALSE (fb_worker_json_parse_reply (root, &reply));
+    }
+  static const char valid[] = "{\"epoch\":1,\"incarnation\":-2,\"runs\":[],\"unchanged\":true}";
+  JsonObject *root = NULL;
+  g_autoptr (JsonParser) parser = fb_json_parse (valid, strlen (valid), &root);
+  FbWorkerJsonReply reply;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (parser);
+  CU_ASSERT_TRUE_FATAL (fb_worker_json_parse_reply (root, &reply));
+  CU_ASSERT_EQUAL (reply.reply.incarnation, (uint64_t) -2);
+  fb_worker_json_clear_reply (&reply);
+}
+
 /* ---- jobs of callers ---------------------------------------------------- */
 
 static gboolean
@@ -702,6 +731,7 @@
   CU_add_test (suite, "hidden brackets", test_hidden_brackets);
   CU_add_test (suite, "texts with many values", test_texts_with_many_values);
   CU_add_test (suite, "large numbers", test_large_numbers);
+  CU_add_test (suite, "worker replies of other types", test_worker_replies_of_other_types);
   CU_add_test (suite, "jobs of callers", test_jobs);
   CU_add_test (suite, "a long payload", test_long_payload);
   CU_add_test (suite, "members of a step", test_step_members);
