Malformed records of the store are skipped with an event

A record whose key or value could not be decoded was left out without a trace, or passed on with an empty key and value; keys with control characters or invalid UTF-8 reached log lines and headers. A page that can't be decoded at all is logged before it is read again.

"malformed records" of test-wire fails on unchanged code; malformed-input.sh stores an entry with a line break in its key.

--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -5,7 +5,9 @@
  * wait time that it passes to the store, and the next poll uses another connection. */
 #include "src/entry/entry-private.h"
 
+#include "fb-counter.h"
 #include "fb-event.h"
+#include "fb-status.h"
 
 /* Time for which the store may delay its answer to a poll, unless it is set otherwise: short enough
  * that a silent connection is detected and a new one has delivered data within the 2 s in which a
@@ -82,11 +84,39 @@
   self->timer = g_timeout_add (wait_ms, on_retry, self);
 }
 
+static void
+skip_malformed_record (const FbTopicReader *self, const FbStoreRecord *record)
+{
+  fb_counter_add (FB_COUNTER_LOG_SKIPPED, 1);
+  fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED,
+                "topic=%s partition=%u offset=%" G_GUINT64_FORMAT " why=\"malformed\"", self->topic,
+                self->partition, record->offset);
+}
+
 static void
 deliver_records (FbTopicReader *self, GPtrArray *records)
 {
   for (guint i = 0; i < records->len && !self->freed; i++)
-    self->ops->record (self->user, records->pdata[i]);
+    {
+      const FbStoreRecord *record = records->pdata[i];
+      if (record->key != NULL)
+        self->ops->record (self->user, record);
+      else
+        skip_malformed_record (self, record);
+    }
+}
+
+/* Returns: (nullable): the last key in RECORDS. */
+static const char *
+last_key (const GPtrArray *records)
+{
+  for (guint i = records->len; i > 0; i--)
+    {
+      const FbStoreRecord *record = records->pdata[i - 1];
+      if (record->key != NULL)
+        return record->key;
+    }
+  return NULL;
 }
 
 static void
@@ -104,6 +134,10 @@
   uint64_t end = 0;
   if (!fb_wire_parse_newest (reply, records, &more, &end))
     {
+      if (reply->status == FB_HTTP_OK && reply->code == FB_HTTP_CODE_OK)
+        fb_event_log (FB_EVENT_CALL_FAILED, "topic=%s partition=%u page after=\"%s\" why=\"%s\"",
+                      self->topic, self->partition, self->last_key != NULL ? self->last_key : "",
+                      fb_status_message ());
       begin_listing (self);
       self->page_silence_ms = MIN (self->page_silence_ms * 2, PAGE_SILENCE_MAX_MS);
       retry_later (self);
@@ -117,10 +151,11 @@
       self->ops->begin (self->user);
     }
   deliver_records (self, records);
-  if (more && records->len > 0)
+  const char *key = last_key (records);
+  if (more && key != NULL)
     {
       g_free (self->last_key);
-      self->last_key = g_strdup (((FbStoreRecord *) records->pdata[records->len - 1])->key);
+      self->last_key = g_strdup (key);
     }
   else
     {
--- a/tests/malformed-input.sh
+++ b/tests/malformed-input.sh
@@ -49,8 +49,10 @@
 step "entries that cannot be decoded are skipped, and the other workers are used"
 store_record keyed.servers other-writer "$OUT/brackets" || die "the entry was not stored"
 store_record keyed.servers bytes "$OUT/bytes" || die "the entry was not stored"
+store_record keyed.servers $'line\nbreak' "$OUT/bytes" || die "the entry was not stored"
 until_true reported 'the entry of worker other-writer: the text is nested too deep' || die "no daemon reports the deep entry"
 until_true reported 'the entry of worker bytes: the text is not UTF-8' || die "no daemon reports the entry of bytes"
+until_true reported 'topic=keyed.servers .*malformed' || die "no daemon reports the key"
 runs_jobs "entries" 2
 
 step "a configuration that cannot be decoded is ignored, and the one before stays in force"
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -188,6 +188,26 @@
   fb_worker_json_clear_reply (&reply);
 }
 
+/* A malformed record ended the reading of a page, or was skipped without a trace. */
+static void
+test_malformed_records (void)
+{
+  static const char newest[] = "{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"offset\":1},7,"
+                               "{\"key\":5,\"value\":\"eA==\"},{\"key\":\"b\\n\",\"value\":\"\"},"
+                               "{\"key\":\"c\",\"value\":\"eA==\",\"offset\":2}],\"end\":9}";
+  g_autoptr (GBytes) body = g_bytes_new_static (newest, strlen (newest));
+  const FbHttpReply reply = { .status = FB_HTTP_OK, .code = 200, .body = body };
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+  gboolean more = FALSE;
+  uint64_t end = 0;
+  CU_ASSERT_TRUE (fb_wire_parse_newest (&reply, records, &more, &end));
+  CU_ASSERT_EQUAL_FATAL (records->len, 5);
+  CU_ASSERT_STRING_EQUAL (((FbStoreRecord *) records->pdata[0])->key, "a");
+  for (guint i = 1; i < 4; i++)
+    CU_ASSERT_PTR_NULL (((FbStoreRecord *) records->pdata[i])->key);
+  CU_ASSERT_STRING_EQUAL (((FbStoreRecord *) records->pdata[4])->key, "c");
+}
+
 /* ---- jobs of callers ---------------------------------------------------- */
 
 static gboolean
@@ -732,6 +752,7 @@
   CU_add_test (suite, "texts with many values", test_texts_with_many_values);
   CU_add_test (suite, "large numbers", test_large_numbers);
   CU_add_test (suite, "worker replies of other types", test_worker_replies_of_other_types);
+  CU_add_test (suite, "malformed records", test_malformed_records);
   CU_add_test (suite, "jobs of callers", test_jobs);
   CU_add_test (suite, "a long payload", test_long_payload);
   CU_add_test (suite, "members of a step", test_step_members);
