--- a/soak/callers.c
+++ b/soak/callers.c
@@ -43,8 +43,7 @@
 {
   SoakProcesses *processes;
   guint daemon_n;
-  gboolean repeats; /* accepted jobs are submitted again */
-  gboolean lasting; /* some jobs are JOB_LASTING */
+  SoakCallersSetup setup;
   GRand *rand;
   SoupSession *session;
   GPtrArray *jobs; /* of Job */
@@ -205,7 +204,7 @@
     job->kind = JOB_CRASHING;
   else if (drawn < CRASHING_PERCENT + LONG_RUNNING_PERCENT)
     job->kind = JOB_LONG_RUNNING;
-  else if (self->lasting && self->jobs->len % 4 == 0)
+  else if (self->setup.lasting && self->jobs->len % 4 == 0)
     job->kind = JOB_LASTING;
   g_ptr_array_add (self->jobs, job);
   self->counts.submitted++;
@@ -216,7 +215,7 @@
 static gboolean
 is_repeated (const SoakCallers *self, const Job *job)
 {
-  return self->repeats && !job->cancel_sent
+  return self->setup.repeats && !job->cancel_sent
          && g_rand_int_range (self->rand, 0, TICKS_PER_REPEAT) == 0;
 }
 
@@ -243,14 +242,13 @@
 /* ---- public ---------------------------------------------------------------------------- */
 
 SoakCallers *
-soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed, gboolean repeats,
-                  gboolean lasting)
+soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed,
+                  const SoakCallersSetup *setup)
 {
   SoakCallers *self = g_new0 (SoakCallers, 1);
   self->processes = processes;
   self->daemon_n = daemon_n;
-  self->repeats = repeats;
-  self->lasting = lasting;
+  self->setup = *setup;
   self->rand = g_rand_new_with_seed (seed + 1);
   self->jobs = g_ptr_array_new_with_free_func (g_free);
   /* Connections are reused until the daemon closes them. */
@@ -275,7 +273,7 @@
 void
 soak_callers_tick (SoakCallers *self, gboolean no_new_jobs)
 {
-  if (!no_new_jobs && g_rand_int_range (self->rand, 0, TICKS_PER_JOB) == 0)
+  if (!no_new_jobs && (self->setup.heavy || g_rand_int_range (self->rand, 0, TICKS_PER_JOB) == 0))
     new_job (self);
   for (guint i = 0; i < self->jobs->len; i++)
     job_tick (self, self->jobs->pdata[i]);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -15,9 +15,15 @@
   guint unanswered; /* calls without one */
 } SoakCounts;
 
-/* REPEATS: accepted jobs are submitted again.  LASTING: the tasks of some jobs run for seconds. */
+typedef struct
+{
+  gboolean repeats; /* accepted jobs are submitted again */
+  gboolean lasting; /* the tasks of some jobs run for seconds */
+  gboolean heavy;   /* a job is submitted at every tick */
+} SoakCallersSetup;
+
 SoakCallers *soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed,
-                               gboolean repeats, gboolean lasting);
+                               const SoakCallersSetup *setup);
 void soak_callers_free (SoakCallers *self);
 /* Submits a job at random ticks, and sends the calls that are due.  NO_NEW_JOBS: submits no more
  * jobs. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -39,6 +39,7 @@
     case SOAK_WORKER_BLACKHOLE:
     case SOAK_WORKER_PARTITION:
     case SOAK_WORKER_NO_LISTENER:
+    case SOAK_WORKER_CUT_OFF:
       return soak_worker_link (self->processes, fault->target);
     case SOAK_PEER_LINK:
     case SOAK_PEER_RESET:
@@ -49,6 +50,19 @@
     }
 }
 
+static void
+set_store_refusing (SoakFaults *self, gboolean refusing)
+{
+  for (guint i = 0; i < self->plan->daemon_n; i++)
+    {
+      soak_link_set_refusing (soak_store_link (self->processes, i), refusing);
+      if (refusing)
+        soak_link_reset (soak_store_link (self->processes, i));
+    }
+  soak_platform_control (self->platform, refusing ? "{\"outage\":true,\"expire\":true}"
+                                                  : "{\"outage\":false,\"expire\":false}");
+}
+
 static gboolean
 end_fault (gpointer user)
 {
@@ -56,7 +70,7 @@
   SoakFaults *self = scheduled->faults;
   const SoakFault *fault = &scheduled->fault;
   SoakLink *link = link_of_fault (self, fault);
-  if (fault->kind == SOAK_WORKER_NO_LISTENER)
+  if (fault->kind == SOAK_WORKER_NO_LISTENER || fault->kind == SOAK_WORKER_CUT_OFF)
     soak_link_set_refusing (link, FALSE);
   if (link != NULL)
     soak_link_set_mode (link, SOAK_LINK_PASS, 0);
@@ -66,6 +80,8 @@
     soak_platform_control (self->platform, "{\"outage\":false}");
   else if (fault->kind == SOAK_STORE_UNRESPONSIVE)
     soak_platform_control (self->platform, "{\"silent\":false}");
+  else if (fault->kind == SOAK_STORE_OUTAGE)
+    set_store_refusing (self, FALSE);
   else if (fault->kind == SOAK_STORE_EXPIRY)
     soak_platform_control (self->platform, "{\"outage\":false,\"expire\":false}");
   else if (fault->kind == SOAK_ROLLING_RESTART)
@@ -149,6 +165,24 @@
   end_later (self, fault, fault->duration_ms);
 }
 
+/* Open connections of the daemons are reset or stop forwarding.  The worker renews its entry, or
+ * does not reach the store either. */
+static void
+cut_off_worker (SoakFaults *self, const SoakFault *fault)
+{
+  SoakLink *link = link_of_fault (self, fault);
+  gboolean reaches_store = fault->variant / 2 % 2 == 0;
+  soak_link_set_refusing (link, TRUE);
+  if (fault->variant % 2 == 0)
+    soak_link_reset (link);
+  else
+    soak_link_set_mode (link, SOAK_LINK_PARTITION, 0);
+  if (!reaches_store)
+    soak_platform_control (self->platform, "{\"unlisted\":%u,\"for-ms\":%u}", fault->target,
+                           fault->duration_ms);
+  end_later (self, fault, fault->duration_ms);
+}
+
 /* Half of the crashed workers restart with the same id and a new start time, half of these within
  * 0.9 s. */
 static void
@@ -235,6 +269,13 @@
     case SOAK_WORKER_NO_LISTENER:
       refuse_worker_connections (self, fault);
       break;
+    case SOAK_WORKER_CUT_OFF:
+      cut_off_worker (self, fault);
+      break;
+    case SOAK_STORE_OUTAGE:
+      set_store_refusing (self, TRUE);
+      end_later (self, fault, fault->duration_ms);
+      break;
     case SOAK_STORE_EXPIRY:
       soak_platform_control (self->platform, "{\"outage\":true,\"expire\":true}");
       end_later (self, fault, fault->duration_ms);
@@ -285,6 +326,7 @@
                          "{\"outage\":false,\"expire\":false,\"silent\":false,\"healthy\":true}");
   for (guint i = 0; i < self->plan->daemon_n; i++)
     {
+      soak_link_set_refusing (soak_store_link (self->processes, i), FALSE);
       soak_link_set_mode (soak_store_link (self->processes, i), SOAK_LINK_PASS, 0);
       soak_link_set_mode (soak_caller_link (self->processes, i), SOAK_LINK_PASS, 0);
       if (links)
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -15,6 +15,13 @@
 /* The daemon is killed at most so long before and after the store is back. */
 #define MAX_KILL_LEAD_MS 1000
 #define MAX_KILL_DELAY_MS 500
+/* A sixth of the workers is cut off during each outage of the store, and until after it. */
+#define FIRST_OUTAGE_MS 6000
+#define OUTAGE_INTERVAL_MS 14000
+#define OUTAGE_MS 4500
+#define CUT_OFF_DELAY_MS 2500
+#define CUT_OFF_MS 5500
+#define CUT_OFF_WORKERS_DIVISOR 6
 /* Percentage of each kind of fault.  PLAIN_WEIGHTS has no faults of single calls, of links to
  * workers and of links between daemons. */
 static const guint plain_weights[SOAK_FAULT_N] = { [SOAK_KILL] = 12,
@@ -157,6 +164,37 @@
   g_array_sort (plan, compare_times);
 }
 
+/* The workers that one outage cuts off have the same variant. */
+static void
+add_cut_off_workers (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint at_ms)
+{
+  guint n = (setup->worker_n + CUT_OFF_WORKERS_DIVISOR - 1) / CUT_OFF_WORKERS_DIVISOR;
+  guint first = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n);
+  guint variant = (guint) g_rand_int_range (rand, 0, 100);
+  for (guint i = 0; i < n; i++)
+    {
+      const SoakFault fault = { .kind = SOAK_WORKER_CUT_OFF,
+                                .at_ms = at_ms,
+                                .target = (first + i * CUT_OFF_WORKERS_DIVISOR) % setup->worker_n,
+                                .duration_ms = CUT_OFF_MS,
+                                .variant = variant };
+      g_array_append_val (plan, fault);
+    }
+}
+
+static void
+add_outages (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
+{
+  for (guint at_ms = FIRST_OUTAGE_MS; at_ms + OUTAGE_MS <= setup->duration_ms;
+       at_ms += OUTAGE_INTERVAL_MS)
+    {
+      const SoakFault outage
+          = { .kind = SOAK_STORE_OUTAGE, .at_ms = at_ms, .duration_ms = OUTAGE_MS };
+      g_array_append_val (plan, outage);
+      add_cut_off_workers (setup, plan, rand, at_ms + CUT_OFF_DELAY_MS);
+    }
+}
+
 /* Faults of all kinds with a weight, one after the other. */
 static void
 add_weighted_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
@@ -179,12 +217,14 @@
 {
   GRand *rand = g_rand_new_with_seed (setup->seed);
   GArray *plan = g_array_new (FALSE, FALSE, sizeof (SoakFault));
-  if (setup->partitions)
+  if (setup->outages)
+    add_outages (setup, plan, rand);
+  else if (setup->partitions)
     add_partitions (setup, plan, rand);
   else
     add_weighted_faults (setup, plan, rand);
   /* Two of three runs end with a crash of all daemons at once, as in a power failure. */
-  if (setup->seed % 3 != 0)
+  if (setup->seed % 3 != 0 && !setup->outages)
     {
       const SoakFault last
           = { .kind = SOAK_KILL_ALL, .at_ms = setup->duration_ms, .duration_ms = 500 };
@@ -228,7 +268,9 @@
                                                    [SOAK_STORE_FLAKY] = "store-flaky",
                                                    [SOAK_QUEUE_MOVE] = "queue-move",
                                                    [SOAK_WORKER_NO_LISTENER] = "worker-no-listener",
-                                                   [SOAK_STORE_EXPIRY] = "store-expiry" };
+                                                   [SOAK_STORE_EXPIRY] = "store-expiry",
+                                                   [SOAK_STORE_OUTAGE] = "store-outage",
+                                                   [SOAK_WORKER_CUT_OFF] = "worker-cut-off" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -34,6 +34,9 @@
   SOAK_QUEUE_MOVE,  /* the configuration directs the queue to another service, or back */
   SOAK_WORKER_NO_LISTENER, /* as SOAK_WORKER_PARTITION, and connections to it are refused */
   SOAK_STORE_EXPIRY,       /* SOAK_STORE_DOWN for longer than the entries in the worker list live */
+  SOAK_STORE_OUTAGE,   /* its connections are reset and refused, and what has a time to live expires
+                        */
+  SOAK_WORKER_CUT_OFF, /* connections of the daemons to a worker are refused */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -55,6 +58,7 @@
   gboolean worker_links; /* links to workers and between daemons are proxied and have faults */
   gboolean queue_moves;  /* the plan has SOAK_QUEUE_MOVE besides the faults of its seed */
   gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
+  gboolean outages;      /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
 } SoakPlanSetup;
 
 /* Returns: (transfer full): an array of SoakFault, by at_ms. */
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -144,10 +144,13 @@
   g_autofree char *listed = self->setup.worker_links ? link_workers (self) : NULL;
   g_autofree char *services
       = g_strdup_printf ("%s=%u", SOAK_SECOND_SERVICE, self->setup.worker_n / 2);
-  const char *argv[] = {
-    program, port, workers, listed != NULL ? listed : "", self->setup.queue_moves ? services : NULL,
-    NULL
-  };
+  const char *argv[] = { program,
+                         port,
+                         workers,
+                         listed != NULL ? listed : "",
+                         self->setup.queue_moves ? services : "",
+                         self->setup.start_times ? NULL : "without-start-times",
+                         NULL };
   if (listed != NULL || !self->setup.worker_links)
     self->platform = spawn (&self->setup, "platform.log", TRUE, argv);
   return self->platform != NULL;
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -10,6 +10,7 @@
   guint worker_n;
   gboolean worker_links; /* connections to workers and between daemons use links as well */
   gboolean queue_moves;  /* half of the workers belong to SOAK_SECOND_SERVICE */
+  gboolean start_times;  /* workers report when they were started */
   const char *folder;    /* for settings and logs of the run */
   const char *programs;  /* build folder of the programs */
 } SoakSetup;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -34,31 +34,39 @@
 static gboolean option_without_worker_links = FALSE;
 static gboolean option_queue_moves = FALSE;
 static gboolean option_partitions = FALSE;
+static gboolean option_outages = FALSE;
+static gboolean option_without_start_times = FALSE;
 static char *option_programs;
 static char *option_folder;
 static char *option_replay;
 
-static const GOptionEntry options[]
-    = { { "seeds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "Number of runs, each with its own seed",
-          "N" },
-        { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "The first seed", "S" },
-        { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Duration of the faults", "N" },
-        { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 150", "N" },
-        { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
-        { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
-          "Workers only crash, and links between daemons have no faults", NULL },
-        { "queue-moves", 0, 0, G_OPTION_ARG_NONE, &option_queue_moves,
-          "The queue is directed to one service and another, and accepted jobs are submitted again",
-          NULL },
-        { "partitions", 0, 0, G_OPTION_ARG_NONE, &option_partitions,
-          "The only faults are workers that refuse connections and expire, and kills", NULL },
-        { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
-        { "programs", 0, 0, G_OPTION_ARG_STRING, &option_programs, "Build folder of the programs",
-          "DIR" },
-        { "folder", 0, 0, G_OPTION_ARG_STRING, &option_folder,
-          "Folder for the files of failed runs", "DIR" },
-        { "replay", 0, 0, G_OPTION_ARG_STRING, &option_replay, "Run the plan in DIR again", "DIR" },
-        { NULL, 0, 0, 0, NULL, NULL, NULL } };
+static const GOptionEntry options[] = {
+  { "seeds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "Number of runs, each with its own seed", "N" },
+  { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "The first seed", "S" },
+  { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Duration of the faults", "N" },
+  { "daemons", 0, 0, G_OPTION_ARG_INT, &option_daemons, "Daemons, 1 to 150", "N" },
+  { "workers", 0, 0, G_OPTION_ARG_INT, &option_workers, "Workers, 1 to 250", "N" },
+  { "without-worker-links", 0, 0, G_OPTION_ARG_NONE, &option_without_worker_links,
+    "Workers only crash, and links between daemons have no faults", NULL },
+  { "queue-moves", 0, 0, G_OPTION_ARG_NONE, &option_queue_moves,
+    "The queue is directed to one service and another, and accepted jobs are submitted again",
+    NULL },
+  { "partitions", 0, 0, G_OPTION_ARG_NONE, &option_partitions,
+    "The only faults are workers that refuse connections and expire, and kills", NULL },
+  { "outages", 0, 0, G_OPTION_ARG_NONE, &option_outages,
+    "The only faults are outages of the store, during each of which a sixth of the workers is "
+    "cut off",
+    NULL },
+  { "without-start-times", 0, 0, G_OPTION_ARG_NONE, &option_without_start_times,
+    "Workers do not report when they were started", NULL },
+  { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
+  { "programs", 0, 0, G_OPTION_ARG_STRING, &option_programs, "Build folder of the programs",
+    "DIR" },
+  { "folder", 0, 0, G_OPTION_ARG_STRING, &option_folder, "Folder for the files of failed runs",
+    "DIR" },
+  { "replay", 0, 0, G_OPTION_ARG_STRING, &option_replay, "Run the plan in DIR again", "DIR" },
+  { NULL, 0, 0, 0, NULL, NULL, NULL }
+};
 
 typedef struct
 {
@@ -203,9 +211,11 @@
   g_autofree char *path = g_build_filename (run->setup.folder, "plan.txt", NULL);
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
-      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d\n%s",
+      "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
+      "outages=%d start-times=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
-      run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, text);
+      run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
+      run->setup.start_times, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -236,12 +246,14 @@
                             .duration_ms = (guint) option_seconds * 1000,
                             .worker_links = !option_without_worker_links,
                             .queue_moves = option_queue_moves,
-                            .partitions = option_partitions },
+                            .partitions = option_partitions,
+                            .outages = option_outages },
                   .setup = { .base_port = (guint16) option_port,
                              .daemon_n = (guint) option_daemons,
                              .worker_n = (guint) option_workers,
                              .worker_links = !option_without_worker_links,
                              .queue_moves = option_queue_moves,
+                             .start_times = !option_without_start_times,
                              .folder = folder,
                              .programs = option_programs } };
   g_autoptr (GArray) plan = soak_plan_new (&run.plan);
@@ -254,8 +266,10 @@
   else
     {
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
-      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, option_queue_moves,
-                                      option_partitions);
+      const SoakCallersSetup callers = { .repeats = option_queue_moves,
+                                         .lasting = option_partitions || option_outages,
+                                         .heavy = option_outages };
+      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, &callers);
       run_plan (&run, plan, (guint) option_seconds * 1000);
       run_recovery (&run);
       counts = soak_callers_counts (run.callers);
@@ -284,17 +298,21 @@
   gint links = 0;
   gint moves = 0;
   gint partitions = 0;
+  gint outages = 0;
+  gint start_times = 1;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
-                 "partitions=%d",
+                 "partitions=%d outages=%d start-times=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
-                 &partitions)
+                 &partitions, &outages, &start_times)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
   option_queue_moves = moves != 0;
   option_partitions = partitions != 0;
+  option_outages = outages != 0;
+  option_without_start_times = start_times == 0;
   option_seeds = 1;
   return TRUE;
 }
@@ -305,7 +323,8 @@
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
          && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
          && option_port > 1024 && option_port < 60000
-         && !(option_partitions && option_without_worker_links);
+         && !((option_partitions || option_outages) && option_without_worker_links)
+         && !(option_partitions && option_outages);
 }
 
 /* Returns: the first port of a range whose first N ports are free; the search begins at a range
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -73,6 +73,7 @@
  * rejected. */
 static gboolean drop_answers;
 static gboolean entries_expire; /* also while the store is unavailable */
+static gboolean reports_start_times;
 static guint list_sequence;
 
 static void
@@ -91,15 +92,24 @@
   g_free (end);
 }
 
+/* Returns: (transfer full): the member with the start time, after a comma, if it is reported. */
+static char *
+start_time_member (const Worker *worker)
+{
+  if (!reports_start_times)
+    return g_strdup ("");
+  return g_strdup_printf (",\"born\":%" G_GINT64_FORMAT, worker->incarnation_started_ms);
+}
+
 static void
 list_worker (Worker *worker, guint sequence)
 {
+  g_autofree char *start_time = start_time_member (worker);
   g_autofree char *entry = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"state\":\"ready\",\"sequence\":"
-      "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
-      "\"born\":%" G_GINT64_FORMAT "}",
+      "%u,\"capacity\":{\"cpu\":%d,\"mem-mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"]%s}",
       worker_services[worker->index], worker_listed_ports[worker->index], sequence,
-      WORKER_CPU_MILLI, worker->incarnation_started_ms);
+      WORKER_CPU_MILLI, start_time);
   sp_store_put ("keyed.servers/0", worker->id, worker->up ? entry : "");
   worker->last_listed_ms = worker->up ? sp_now_ms () : 0;
 }
@@ -310,10 +320,10 @@
 static char *
 format_poll (const Worker *worker)
 {
+  g_autofree char *start_time = start_time_member (worker);
   GString *out = g_string_new (NULL);
-  g_string_printf (out,
-                   "{\"clock-ms\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
-                   worker_clock_ms (worker), worker->incarnation_started_ms);
+  g_string_printf (out, "{\"clock-ms\":%" G_GINT64_FORMAT "%s,\"running\":[",
+                   worker_clock_ms (worker), start_time);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
@@ -492,6 +502,8 @@
   if (!worker->up)
     return;
   worker->up = FALSE;
+  /* Without start times, incarnations differ by their ids. */
+  reuses_id = reuses_id && reports_start_times;
   worker->reuses_id = reuses_id;
   worker->restart_ms = sp_now_ms () + for_ms;
   worker->unlist_previous_ms = sp_now_ms () + ENTRY_TTL_MS;
@@ -579,8 +591,10 @@
 }
 
 void
-sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services)
+sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services,
+                 gboolean start_times)
 {
+  reports_start_times = start_times;
   worker_n = n;
   first_worker_port = first_port;
   worker_listed_ports = listed_ports;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -296,10 +296,10 @@
 int
 main (int argc, char **argv)
 {
-  if (argc < 3 || argc > 5 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
+  if (argc < 3 || argc > 6 || atoi (argv[2]) < 1 || atoi (argv[2]) > SP_WORKER_MAX)
     {
-      fprintf (stderr,
-               "usage: standin-platform PORT WORKERS [PORT-LISTED,... [SERVICE=WORKERS,...]]\n");
+      fprintf (stderr, "usage: standin-platform PORT WORKERS [PORT-LISTED,... [SERVICE=WORKERS,... "
+                       "[without-start-times]]]\n");
       return 2;
     }
   base_port = (guint) atoi (argv[1]);
@@ -312,7 +312,8 @@
   sp_group_init ();
   sp_faults_init ();
   sp_audit_init ();
-  sp_workers_init (worker_n, base_port + 1, listed_ports, services);
+  sp_workers_init (worker_n, base_port + 1, listed_ports, services,
+                   argc < 6 || !g_str_equal (argv[5], "without-start-times"));
   SoupServer *server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, serve, NULL, NULL);
   sp_listen_init (server);
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -64,8 +64,10 @@
 /* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
 /* FIRST_PORT: on which the first worker listens, the others on the ports after it.  LISTED_PORTS:
- * for each worker, the port in its entry of the worker list; borrowed. */
-void sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services);
+ * for each worker, the port in its entry of the worker list; borrowed.  START_TIMES: workers report
+ * when they were started. */
+void sp_workers_init (guint n, guint first_port, const guint *listed_ports, const char **services,
+                      gboolean start_times);
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
