Owners without the store: a majority of the workers confirms them for longer only in an outage

What callers could see: a task that runs twice.

Cause: the owner can't tell an outage of the store from a partition, and had no bound. Ruled out: a plain bound (an outage would end all work), asking daemons for the owner (who doesn't know says no), counting expired workers for good (half of a pool may be gone).

Change: 2 s after the store last confirmed the owner it asks the other daemons, 15 at most, whether the store is available to them, by their own last calls. From 3.5 s on a majority of its workers confirms it only while a majority of the daemons says that the store is unavailable, and none that it is available. A static assertion keeps this below the time after which a successor may start what ran there.

The other tests of test-step-down set the outage as reported, so that they test majorities as before.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -20,9 +20,6 @@
 /* A worker that has nothing to report delays its answer to a poll for this long, so the lease is
  * also renewed at this interval. */
 #define FB_POOL_POLL_WAIT_MS 500
-/* An owner starts nothing and extends no lease later than this after a majority of the workers has
- * answered its successor, as nothing confirms its ownership any more. */
-#define FB_POOL_STEP_DOWN_MS 2000
 /* A call to a worker that has just ended may wait this long for the next incarnation to listen. */
 #define FB_POOL_DELAYED_CALL_MS 1200
 /* Workers and due times are checked at this interval instead of at each event: a pass over them
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -19,6 +19,13 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* An owner starts nothing and extends no lease later than this after a majority of the workers has
+ * answered its successor, as nothing confirms its ownership any more. */
+#define FB_POOL_STEP_DOWN_MS 2000
+/* Time for which a worker counts for the majority that is found missing in the list, or that only
+ * the record names. Live workers write their entries again within 2 s of the store's return. */
+#define FB_POOL_UNLISTED_COUNTED_MS 3000
+
 typedef struct _FbPool FbPool;
 
 /* ---- reports of workers --------------------------------------------------- */
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -1194,6 +1194,8 @@
 		 if (!xdr_fb_claim_request (xdrs, &objp->fb_peer_request_u.claim))
 			 return FALSE;
 		break;
+	case FB_REQUEST_STORE_STATE:
+		break;
 	default:
 		return FALSE;
 	}
@@ -1210,6 +1212,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_store_state (XDR *xdrs, fb_store_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_ticket (XDR *xdrs, fb_ticket *objp)
 {
@@ -1564,6 +1576,10 @@
 		 if (!xdr_fb_claims_reply (xdrs, &objp->fb_peer_reply_u.claims))
 			 return FALSE;
 		break;
+	case FB_REPLY_STORE_STATE:
+		 if (!xdr_fb_store_state (xdrs, &objp->fb_peer_reply_u.store_state))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -266,6 +266,7 @@
 	FB_REQUEST_WATCH_CONFIGURATION = 20,
 	FB_REQUEST_QUEUE_SERVICES = 21,
 	FB_REQUEST_CLAIM_JOBS = 22,
+	FB_REQUEST_STORE_STATE = 23,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -507,9 +508,17 @@
 	FB_REPLY_CONFIGURATION_UNCHANGED = 20,
 	FB_REPLY_QUEUE_SERVICES = 21,
 	FB_REPLY_CLAIMS = 22,
+	FB_REPLY_STORE_STATE = 23,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
+enum fb_store_state {
+	FB_STORE_STATE_UNKNOWN = 0,
+	FB_STORE_STATE_UNAVAILABLE = 1,
+	FB_STORE_STATE_AVAILABLE = 2,
+};
+typedef enum fb_store_state fb_store_state;
+
 struct fb_ticket {
 	char *worker;
 	char *ticket;
@@ -678,6 +687,7 @@
 		fb_relay_progress_reply progress;
 		fb_queue_services_reply services;
 		fb_claims_reply claims;
+		fb_store_state store_state;
 	} fb_peer_reply_u;
 };
 typedef struct fb_peer_reply fb_peer_reply;
@@ -728,6 +738,7 @@
 extern  bool_t xdr_fb_suspects_backup (XDR *, fb_suspects_backup*);
 extern  bool_t xdr_fb_peer_request (XDR *, fb_peer_request*);
 extern  bool_t xdr_fb_peer_reply_type (XDR *, fb_peer_reply_type*);
+extern  bool_t xdr_fb_store_state (XDR *, fb_store_state*);
 extern  bool_t xdr_fb_ticket (XDR *, fb_ticket*);
 extern  bool_t xdr_fb_advice_reply (XDR *, fb_advice_reply*);
 extern  bool_t xdr_fb_partition_owner (XDR *, fb_partition_owner*);
@@ -792,6 +803,7 @@
 extern bool_t xdr_fb_suspects_backup ();
 extern bool_t xdr_fb_peer_request ();
 extern bool_t xdr_fb_peer_reply_type ();
+extern bool_t xdr_fb_store_state ();
 extern bool_t xdr_fb_ticket ();
 extern bool_t xdr_fb_advice_reply ();
 extern bool_t xdr_fb_partition_owner ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -222,7 +222,8 @@
   FB_REQUEST_WATCH_CONFIGURATION = 20, /* as FB_REQUEST_CONFIGURATION, answered when there is a newer
                                         * one or after a time */
   FB_REQUEST_QUEUE_SERVICES = 21,   /* the other services that may have jobs of a queue */
-  FB_REQUEST_CLAIM_JOBS = 22        /* whether jobs may run under another service */
+  FB_REQUEST_CLAIM_JOBS = 22,       /* whether jobs may run under another service */
+  FB_REQUEST_STORE_STATE = 23       /* whether the store is available to the receiving daemon */
 };
 
 struct fb_job_state_request {
@@ -410,6 +411,7 @@
 case FB_REQUEST_LOAD_NOTICE: fb_load_notice notice;
 case FB_REQUEST_ADMISSION: fb_admission_request admission;
 case FB_REQUEST_CLAIM_JOBS: fb_claim_request claim;
+case FB_REQUEST_STORE_STATE: void;
 };
 
 enum fb_peer_reply_type {
@@ -434,7 +436,15 @@
   FB_REPLY_ORDER_RESULT_PROGRESS = 19, /* result of an order, with the progress of runs */
   FB_REPLY_CONFIGURATION_UNCHANGED = 20, /* the store has no newer configuration */
   FB_REPLY_QUEUE_SERVICES = 21,    /* also to FB_REQUEST_PENDING_COUNT when there are others */
-  FB_REPLY_CLAIMS = 22
+  FB_REPLY_CLAIMS = 22,
+  FB_REPLY_STORE_STATE = 23
+};
+
+/* The store by the last calls of a daemon. */
+enum fb_store_state {
+  FB_STORE_STATE_UNKNOWN = 0, /* no recent call */
+  FB_STORE_STATE_UNAVAILABLE = 1,
+  FB_STORE_STATE_AVAILABLE = 2
 };
 
 struct fb_ticket {
@@ -561,5 +571,6 @@
 case FB_REPLY_ORDER_RESULT_PROGRESS: fb_relay_progress_reply progress;
 case FB_REPLY_QUEUE_SERVICES: fb_queue_services_reply services;
 case FB_REPLY_CLAIMS: fb_claims_reply claims;
+case FB_REPLY_STORE_STATE: fb_store_state store_state;
 default: void;
 };
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -31,6 +31,7 @@
 #include "src/entry/store/keepalive.h"
 #include "src/entry/store/queue-directory.h"
 #include "src/entry/store/store-health.h"
+#include "src/entry/store/store-witnesses.h"
 #include "src/entry/store/topic-reader.h"
 #include "src/entry/store/worker-list.h"
 
@@ -70,6 +71,7 @@
   GHashTable *listed_ids;    /* ids in the listing in progress; NULL: none in progress */
   FbKeepalive *keepalive;
   FbDaemons *daemons;
+  FbStoreWitnesses *store_witnesses;
   FbGroup *group;
   FbAdvisor *advisor;
   GHashTable *owners;           /* partition -> FbOwner */
@@ -93,6 +95,7 @@
   guint open_calls;           /* number of callers' requests without an answer */
   uint64_t last_answer_ms;    /* time of the last answer to a caller */
   uint64_t store_answered_ms; /* time of the last successful answer of the store */
+  uint64_t store_failed_ms;   /* time of the last failed call of the store; 0: none yet */
   gboolean store_lost;
   FbStoreHealth store_health; /* latency and failures of this daemon's calls to the store */
   gboolean store_degraded;    /* last logged state; see fb_append_proxy_store_is_degraded() */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -316,6 +316,7 @@
   self->advisor = fb_advisor_new (self);
   self->keepalive = fb_keepalive_new ();
   self->daemons = fb_daemons_new (self);
+  self->store_witnesses = fb_store_witnesses_new (self);
   self->group = fb_group_new (self);
   fb_entry_start_watching (self);
   fb_timer_subscribe (self->timer, TIMER_MS, check_link_timeouts, self);
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -159,6 +159,7 @@
   self->loaded = TRUE;
   fb_counter_add (FB_COUNTER_TAKE_OVERS, 1);
   self->confirmed_ms = fb_clock_ms ();
+  self->member_ms = self->fenced_ms;
   log_takeover (self);
   fb_owner_routes_changed (self);
   fb_owner_schedule_tick (self);
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -53,6 +53,7 @@
   guint loaded_n;             /* number of jobs that were loaded */
   gsize loaded_bytes;         /* size of all records that were loaded */
   uint64_t confirmed_ms;      /* time at which its ownership was last confirmed */
+  uint64_t member_ms;         /* time at which it was last confirmed by the store */
   GHashTable *import_sources; /* address of a daemon -> ImportSource, see owner-import.c */
   uint64_t import_until_ms;   /* until when daemons are asked; 0: none was asked yet */
   uint64_t next_import_ms;    /* when the list of daemons is checked next */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -16,9 +16,17 @@
  * ownership. UNCONFIRMED_MAX_MS: time without any confirmation after which an owner steps down. */
 #define MAJORITY_MAX_AGE_MS 1500
 #define UNCONFIRMED_MAX_MS 2000
+/* WITHOUT_STORE_MAX_MS: time since the store last confirmed the ownership for which a majority of
+ * the workers alone confirms it. ASK_WITNESSES_AFTER_MS: after which other daemons are asked. */
+#define WITHOUT_STORE_MAX_MS 3500
+#define ASK_WITNESSES_AFTER_MS 2000
 /* Time after a confirmation for which leases are extended. With MAJORITY_MAX_AGE_MS it is no longer
  * than FB_POOL_STEP_DOWN_MS, by which the next owner bounds the last lease. */
 #define CONFIRMED_FOR_MS 500
+/* A successor leaves workers out of its majority, and then waits, for longer than an owner without
+ * the store extends leases. */
+G_STATIC_ASSERT (WITHOUT_STORE_MAX_MS + CONFIRMED_FOR_MS
+                 < FB_POOL_UNLISTED_COUNTED_MS + FB_POOL_STEP_DOWN_MS);
 /* Part of an append that the record of silent workers may take; the record of 17,000 workers, which
  * is in the same append, takes half of 2 MB. */
 #define SILENCE_BYTES_DIVISOR 3
@@ -145,11 +153,26 @@
 
 /* ---- periodic tick ---------------------------------------------------------------- */
 
+/* A majority of the workers excludes a successor only while both count the same workers, and the
+ * successor leaves out those whose entries have expired. So the owner goes on for longer only in an
+ * outage, during which there are no successors. */
+static gboolean
+may_own_without_store (const FbOwner *self, uint64_t now_ms)
+{
+  FbStoreWitnesses *witnesses = self->entry->store_witnesses;
+  if (now_ms > self->member_ms + ASK_WITNESSES_AFTER_MS)
+    fb_store_witnesses_ask (witnesses, now_ms);
+  return now_ms <= self->member_ms + WITHOUT_STORE_MAX_MS
+         || fb_store_witnesses_report_outage (witnesses, now_ms);
+}
+
 gboolean
 fb_owner_confirm (FbOwner *self, const FbServicePool *service_pool, uint64_t now_ms)
 {
-  if (!fb_group_is_member (self->entry->group, now_ms)
-      && !fb_pool_has_majority (service_pool->pool, MAJORITY_MAX_AGE_MS, now_ms))
+  if (fb_group_is_member (self->entry->group, now_ms))
+    self->member_ms = now_ms;
+  else if (!may_own_without_store (self, now_ms)
+           || !fb_pool_has_majority (service_pool->pool, MAJORITY_MAX_AGE_MS, now_ms))
     return FALSE;
   self->confirmed_ms = now_ms;
   return TRUE;
@@ -220,7 +243,8 @@
   delete_ended_jobs (self, now_ms);
   if (self->loaded && now_ms > self->confirmed_ms + UNCONFIRMED_MAX_MS)
     fb_owner_step_down (self,
-                        "neither the store nor a majority of the workers confirms the ownership");
+                        "neither the store confirms the ownership, nor a majority of the workers "
+                        "during an outage that other daemons report");
 }
 
 static gboolean
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -48,6 +48,7 @@
     case FB_REQUEST_RECENT_STARTS:
     case FB_REQUEST_UNHEARD_STARTS:
     case FB_REQUEST_SUSPECT_BACKUPS:
+    case FB_REQUEST_STORE_STATE:
       return FB_TRAFFIC_PEER_QUESTIONS;
     case FB_REQUEST_BACK_UP_SUSPECTS:
       return FB_TRAFFIC_PEER_RECORDS;
@@ -473,6 +474,10 @@
       fb_configuration_watchers_add (entry->configuration_watchers,
                                      &peer_request->fb_peer_request_u.watch, send_reply, served);
       return;
+    case FB_REQUEST_STORE_STATE:
+      peer_reply.type = FB_REPLY_STORE_STATE;
+      peer_reply.fb_peer_reply_u.store_state = fb_store_witnesses_own_state (entry, fb_clock_ms ());
+      break;
     case FB_REQUEST_LOAD_NOTICE:
       fb_load_notices_put (entry->load_notices, &peer_request->fb_peer_request_u.notice,
                            fb_clock_ms ());
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -56,6 +56,7 @@
   if (reply->status != FB_HTTP_OK || reply->code >= 500 || reply->code == 429)
     {
       fb_counter_add (FB_COUNTER_STORE_ERRORS, 1);
+      self->store_failed_ms = fb_clock_ms ();
       return;
     }
   self->store_answered_ms = fb_clock_ms ();
--- a/src/work/pool-majority.c
+++ b/src/work/pool-majority.c
@@ -7,9 +7,6 @@
 /* An owner that got answers from half of its workers within this time is considered connected, so
  * the silence of a worker is not attributed to the owner's own network. */
 #define CONNECTED_ANSWER_MS 1500
-/* Time for which a worker counts that is found missing in the list, or that only the record names.
- * Live workers write their entries again within 2 s of the store's return. */
-#define UNLISTED_COUNTED_MS 3000
 
 /* The list may lack most of the workers for a while, and an owner that does not reach the store
  * still counts them all, so workers that are known otherwise count until their entries must be
@@ -20,7 +17,7 @@
   if (worker->listed)
     return TRUE;
   return !worker->runs_ended
-         && now_ms < MAX (worker->unlisted_ms, self->created_ms) + UNLISTED_COUNTED_MS;
+         && now_ms < MAX (worker->unlisted_ms, self->created_ms) + FB_POOL_UNLISTED_COUNTED_MS;
 }
 
 typedef struct
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -50,6 +50,8 @@
 } Side;
 
 static uint64_t clock_ms;
+static gboolean store_is_up;            /* it confirms the first owner and answers its appends */
+static gboolean outage_reported = TRUE; /* by the other daemons that the first owner asks */
 
 /* ---- replaced functions of the daemon ------------------------------------------------------ */
 
@@ -57,6 +59,8 @@
 gboolean __wrap_fb_group_is_member (const FbGroup *self, uint64_t now_ms);
 char *__wrap_fb_entry_format_timing (const FbEntryDaemon *self);
 uint64_t __wrap_fb_topic_reader_synced_ms (const FbTopicReader *self);
+void __wrap_fb_store_witnesses_ask (FbStoreWitnesses *self, uint64_t now_ms);
+gboolean __wrap_fb_store_witnesses_report_outage (const FbStoreWitnesses *self, uint64_t now_ms);
 void __wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
                              FbAppendDone done, gpointer user);
 
@@ -71,7 +75,22 @@
 {
   (void) self;
   (void) now_ms;
-  return FALSE;
+  return store_is_up;
+}
+
+void
+__wrap_fb_store_witnesses_ask (FbStoreWitnesses *self, uint64_t now_ms)
+{
+  (void) self;
+  (void) now_ms;
+}
+
+gboolean
+__wrap_fb_store_witnesses_report_outage (const FbStoreWitnesses *self, uint64_t now_ms)
+{
+  (void) self;
+  (void) now_ms;
+  return outage_reported;
 }
 
 char *
@@ -88,7 +107,6 @@
   return clock_ms - STEP_MS;
 }
 
-static gboolean store_is_up; /* appends are answered */
 static gboolean later_workers_recorded;
 
 /* Returns: TRUE when RECORDS name the last worker. */
@@ -370,7 +388,8 @@
                            .loaded = TRUE,
                            .workers_known = TRUE,
                            .import_until_ms = 1,
-                           .confirmed_ms = clock_ms };
+                           .confirmed_ms = clock_ms,
+                           .member_ms = clock_ms };
   self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
   self->owner.held_jobs = fb_owner_held_jobs_new ();
   self->owner.unknown_cancels = g_hash_table_new (g_str_hash, g_str_equal);
@@ -586,6 +605,7 @@
 test_an_owner_without_the_store_keeps_no_majority_of_expired_entries (void)
 {
   Side next;
+  outage_reported = FALSE;
   First *first = first_connected (CONNECTED_MIN_MS);
   side_begin (&next, 2, 2000, WORKER_N);
   restore_record (&next, WORKER_N);
@@ -602,6 +622,20 @@
   end_split (first, &next, replaced_ms);
 }
 
+/* Work ends during an outage, though the owner reaches its workers and other daemons. */
+static void
+test_an_outage_that_other_daemons_report_ends_no_lease (void)
+{
+  First *first = first_connected (CONNECTED_MIN_MS);
+  for (uint64_t end_ms = clock_ms + REPLACED_MS; clock_ms < end_ms; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF);
+      tick_owner (&first->owner);
+      CU_ASSERT_TRUE (first->side.lease_ms > clock_ms);
+    }
+  first_free (first);
+}
+
 /* Each test but the first is run by its name. */
 static void
 add_tests (CU_pSuite suite, const char *name)
@@ -618,6 +652,9 @@
   else if (g_strcmp0 (name, "expired-entries") == 0)
     CU_add_test (suite, "an owner without the store keeps no majority of expired entries",
                  test_an_owner_without_the_store_keeps_no_majority_of_expired_entries);
+  else if (g_strcmp0 (name, "outage") == 0)
+    CU_add_test (suite, "an outage that other daemons report ends no lease",
+                 test_an_outage_that_other_daemons_report_ends_no_lease);
   else if (g_strcmp0 (name, "held-job") == 0)
     CU_add_test (suite, "the end of a held job is not acknowledged unread",
                  test_the_end_of_a_held_job_is_not_acknowledged_unread);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -48,6 +48,8 @@
 verdict "owner that does not know later workers" $B/tests/test-step-down two-majorities
 verdict "owner whose record got no answer" $B/tests/test-step-down record-without-an-answer
 verdict "owner with a majority of expired entries" $B/tests/test-step-down expired-entries
+verdict "owner in an outage of the store" $B/tests/test-step-down outage
+verdict "state of the store according to other daemons" $B/tests/test-store-witnesses
 verdict "owner with a job that is held" $B/tests/test-step-down held-job
 verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
@@ -124,6 +126,7 @@
 verdict "soak" $B/soak/soak --without-worker-links --seed 1 --seeds 2 --seconds 20
 verdict "soak of workers" $B/soak/soak --seed 13 --seeds 2 --seconds 15
 verdict "soak with workers that refuse connections" $B/soak/soak --partitions --seed 6 --seeds 1 --seconds 12
+verdict "soak with outages of the store" $B/soak/soak --outages --daemons 7 --workers 48 --seed 1 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
