Cancels: "no such job" only from a read of the jobs that began after the cancel arrived

Cause: the owner denied a job from a list up to 1.5 s old, for a DELETE as for a GET. Ruled out: a lost notice of the acceptance (nothing depends on it), a stored cancel that isn't applied (410 is never stored).

Change: a DELETE asks for the current state. For an unknown job the owner reads the end of its partition at once (one read at a time, without a wait) and replies that the jobs are not read yet; the asking daemon repeats the question every 20 ms with the time since the caller's request arrived, and only a read that was sent after that denies the job.

--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -997,6 +997,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_current_job_state_request (XDR *xdrs, fb_current_job_state_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fb_account_job_state_request (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_advice_request (XDR *xdrs, fb_advice_request *objp)
 {
@@ -1196,6 +1208,10 @@
 		break;
 	case FB_REQUEST_STORE_STATE:
 		break;
+	case FB_REQUEST_CURRENT_JOB_STATE:
+		 if (!xdr_fb_current_job_state_request (xdrs, &objp->fb_peer_request_u.current_job))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -267,6 +267,7 @@
 	FB_REQUEST_QUEUE_SERVICES = 21,
 	FB_REQUEST_CLAIM_JOBS = 22,
 	FB_REQUEST_STORE_STATE = 23,
+	FB_REQUEST_CURRENT_JOB_STATE = 24,
 };
 typedef enum fb_peer_request_type fb_peer_request_type;
 
@@ -387,6 +388,12 @@
 };
 typedef struct fb_worker_name fb_worker_name;
 
+struct fb_current_job_state_request {
+	fb_account_job_state_request job;
+	u_quad_t age_ms;
+};
+typedef struct fb_current_job_state_request fb_current_job_state_request;
+
 struct fb_advice_request {
 	char *step;
 	struct {
@@ -481,6 +488,7 @@
 		fb_load_notice notice;
 		fb_admission_request admission;
 		fb_claim_request claim;
+		fb_current_job_state_request current_job;
 	} fb_peer_request_u;
 };
 typedef struct fb_peer_request fb_peer_request;
@@ -509,6 +517,7 @@
 	FB_REPLY_QUEUE_SERVICES = 21,
 	FB_REPLY_CLAIMS = 22,
 	FB_REPLY_STORE_STATE = 23,
+	FB_REPLY_JOBS_NOT_READ = 24,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
@@ -729,6 +738,7 @@
 extern  bool_t xdr_fb_job_name (XDR *, fb_job_name*);
 extern  bool_t xdr_fb_claim_request (XDR *, fb_claim_request*);
 extern  bool_t xdr_fb_worker_name (XDR *, fb_worker_name*);
+extern  bool_t xdr_fb_current_job_state_request (XDR *, fb_current_job_state_request*);
 extern  bool_t xdr_fb_advice_request (XDR *, fb_advice_request*);
 extern  bool_t xdr_fb_append_request (XDR *, fb_append_request*);
 extern  bool_t xdr_fb_progress_append_request (XDR *, fb_progress_append_request*);
@@ -794,6 +804,7 @@
 extern bool_t xdr_fb_job_name ();
 extern bool_t xdr_fb_claim_request ();
 extern bool_t xdr_fb_worker_name ();
+extern bool_t xdr_fb_current_job_state_request ();
 extern bool_t xdr_fb_advice_request ();
 extern bool_t xdr_fb_append_request ();
 extern bool_t xdr_fb_progress_append_request ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -223,7 +223,10 @@
                                         * one or after a time */
   FB_REQUEST_QUEUE_SERVICES = 21,   /* the other services that may have jobs of a queue */
   FB_REQUEST_CLAIM_JOBS = 22,       /* whether jobs may run under another service */
-  FB_REQUEST_STORE_STATE = 23       /* whether the store is available to the receiving daemon */
+  FB_REQUEST_STORE_STATE = 23,      /* whether the store is available to the receiving daemon */
+  FB_REQUEST_CURRENT_JOB_STATE = 24 /* as FB_REQUEST_ACCOUNT_JOB_STATE; that there is no such job is
+                                     * answered only from a read that began after the caller's
+                                     * request arrived */
 };
 
 struct fb_job_state_request {
@@ -330,6 +333,11 @@
   string id<FB_WORK_MAX_NAME>;
 };
 
+struct fb_current_job_state_request {
+  fb_account_job_state_request job;
+  unsigned hyper age_ms; /* time since the caller's request arrived */
+};
+
 struct fb_advice_request {
   string step<FB_WORK_MAX_NAME>;
   fb_worker_name workers<FB_WORK_MAX_TICKETS>;
@@ -412,6 +420,7 @@
 case FB_REQUEST_ADMISSION: fb_admission_request admission;
 case FB_REQUEST_CLAIM_JOBS: fb_claim_request claim;
 case FB_REQUEST_STORE_STATE: void;
+case FB_REQUEST_CURRENT_JOB_STATE: fb_current_job_state_request current_job;
 };
 
 enum fb_peer_reply_type {
@@ -437,7 +446,8 @@
   FB_REPLY_CONFIGURATION_UNCHANGED = 20, /* the store has no newer configuration */
   FB_REPLY_QUEUE_SERVICES = 21,    /* also to FB_REQUEST_PENDING_COUNT when there are others */
   FB_REPLY_CLAIMS = 22,
-  FB_REPLY_STORE_STATE = 23
+  FB_REPLY_STORE_STATE = 23,
+  FB_REPLY_JOBS_NOT_READ = 24      /* the owner reads the jobs now: retry */
 };
 
 /* The store by the last calls of a daemon. */
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -179,10 +179,30 @@
   return (uint32_t) MAX (until_ms > now_ms ? until_ms - now_ms : 0, REQUEST_TIMEOUT_MIN_MS);
 }
 
+/* A cancel that is refused because there is no such job must name one that is not stored, not one
+ * that the owner has not read yet. */
+static void
+request_current_job_state (FbFrontendRequest *request, FbPeerReplyDone done)
+{
+  fb_peer_request peer_request = { .type = FB_REQUEST_CURRENT_JOB_STATE };
+  fb_current_job_state_request *current = &peer_request.fb_peer_request_u.current_job;
+  current->job.service = request->service;
+  current->job.job = request->job;
+  current->job.account = request->account;
+  current->age_ms = fb_clock_ms () - request->received_ms;
+  fb_peers_request_owner (request->entry, request->service, &peer_request, remaining_ms (request),
+                          done, request);
+}
+
 static void
 request_job_state (FbFrontendRequest *request, FbPeerReplyDone done)
 {
   fb_peer_request peer_request = { .type = FB_REQUEST_JOB_STATE };
+  if (request->is_delete)
+    {
+      request_current_job_state (request, done);
+      return;
+    }
   if (*request->account != '\0')
     {
       peer_request.type = FB_REQUEST_ACCOUNT_JOB_STATE;
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -440,10 +440,12 @@
 
 /* ---- queries ------------------------------------------------------------------------------ */
 
-/* Answers a caller of ACCOUNT.  A job of another account is treated as one that does not exist. */
+/* Answers a caller of ACCOUNT.  A job of another account is treated as one that does not exist.
+ * READ_AFTER_MS: that there is no such job is answered from a read of the jobs that began later
+ * than this. */
 static void
 answer_job_state (FbOwner *self, const char *service, const char *job, const char *account,
-                  fb_peer_reply *peer_reply)
+                  uint64_t read_after_ms, fb_peer_reply *peer_reply)
 {
   const FbServicePool *service_pool = g_hash_table_lookup (self->service_pools, service);
   fb_work_state state = FB_WORK_QUEUED;
@@ -456,11 +458,31 @@
       peer_reply->fb_peer_reply_u.state = state;
       return;
     }
-  uint64_t now_ms = fb_clock_ms ();
-  if (now_ms < fb_topic_reader_synced_ms (self->job_reader) + JOBS_MAX_AGE_MS)
+  if (fb_topic_reader_synced_ms (self->job_reader) > read_after_ms)
     peer_reply->type = FB_REPLY_NO_SUCH_JOB;
 }
 
+/* Returns: the time AGE_MS ago. */
+static uint64_t
+time_before (uint64_t age_ms)
+{
+  uint64_t now_ms = fb_clock_ms ();
+  return now_ms > age_ms ? now_ms - age_ms : 0;
+}
+
+static void
+answer_current_job_state (FbOwner *self, const fb_current_job_state_request *current,
+                          fb_peer_reply *peer_reply)
+{
+  answer_job_state (self, current->job.service, current->job.job, current->job.account,
+                    time_before (current->age_ms), peer_reply);
+  if (peer_reply->type != FB_REPLY_UNAVAILABLE
+      || fb_owner_held_job (self, current->job.job) != NULL)
+    return;
+  fb_topic_reader_check (self->job_reader);
+  peer_reply->type = FB_REPLY_JOBS_NOT_READ;
+}
+
 /* Sets the reply to the services of QUEUE other than SERVICE. */
 static void
 fill_services (FbOwner *self, const char *queue, const char *service,
@@ -508,10 +530,12 @@
   const fb_job_state_request *job = &peer_request->fb_peer_request_u.job;
   const fb_account_job_state_request *account_job = &peer_request->fb_peer_request_u.account_job;
   if (peer_request->type == FB_REQUEST_JOB_STATE)
-    answer_job_state (self, job->service, job->job, "", peer_reply);
+    answer_job_state (self, job->service, job->job, "", time_before (JOBS_MAX_AGE_MS), peer_reply);
   else if (peer_request->type == FB_REQUEST_ACCOUNT_JOB_STATE)
     answer_job_state (self, account_job->service, account_job->job, account_job->account,
-                      peer_reply);
+                      time_before (JOBS_MAX_AGE_MS), peer_reply);
+  else if (peer_request->type == FB_REQUEST_CURRENT_JOB_STATE)
+    answer_current_job_state (self, &peer_request->fb_peer_request_u.current_job, peer_reply);
   else if (peer_request->type == FB_REQUEST_ACCOUNT_PARTS)
     fb_owner_answer_account_parts (self, &peer_request->fb_peer_request_u.parts, peer_reply);
   else if (peer_request->type == FB_REQUEST_ADMISSION)
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -20,6 +20,8 @@
 #define OWNER_ATTEMPT_TIMEOUT_MS 700
 /* Retry interval while an owner is being replaced. */
 #define RETRY_INTERVAL_MS 120
+/* Retry interval while an owner reads its jobs, which takes a call of the store. */
+#define READ_RETRY_INTERVAL_MS 20
 
 /* ---- traffic accounting ------------------------------------------------------- */
 
@@ -49,6 +51,7 @@
     case FB_REQUEST_UNHEARD_STARTS:
     case FB_REQUEST_SUSPECT_BACKUPS:
     case FB_REQUEST_STORE_STATE:
+    case FB_REQUEST_CURRENT_JOB_STATE:
       return FB_TRAFFIC_PEER_QUESTIONS;
     case FB_REQUEST_BACK_UP_SUSPECTS:
       return FB_TRAFFIC_PEER_RECORDS;
@@ -115,6 +118,7 @@
   FbEntryDaemon *entry;
   uint32_t partition;
   GBytes *peer_request;
+  uint64_t created_ms;
   uint64_t deadline_ms;
   FbPeerReplyDone done;
   gpointer user;
@@ -141,14 +145,18 @@
 on_owner_reply (gpointer data, const fb_peer_reply *peer_reply)
 {
   OwnerRequest *request = data;
-  if (peer_reply != NULL && peer_reply->type != FB_REPLY_UNAVAILABLE)
+  fb_peer_reply_type type = peer_reply != NULL ? peer_reply->type : FB_REPLY_UNAVAILABLE;
+  if (type != FB_REPLY_UNAVAILABLE && type != FB_REPLY_JOBS_NOT_READ)
     {
       finish (request, peer_reply);
       return;
     }
-  fb_group_refresh_owners (request->entry->group);
-  if (fb_clock_ms () + RETRY_INTERVAL_MS < request->deadline_ms)
-    g_timeout_add (RETRY_INTERVAL_MS, on_retry, request);
+  uint32_t interval_ms
+      = type == FB_REPLY_JOBS_NOT_READ ? READ_RETRY_INTERVAL_MS : RETRY_INTERVAL_MS;
+  if (type == FB_REPLY_UNAVAILABLE)
+    fb_group_refresh_owners (request->entry->group);
+  if (fb_clock_ms () + interval_ms < request->deadline_ms)
+    g_timeout_add (interval_ms, on_retry, request);
   else
     finish (request, NULL);
 }
@@ -165,6 +173,8 @@
       finish (request, NULL);
       return;
     }
+  if (peer_request.type == FB_REQUEST_CURRENT_JOB_STATE)
+    peer_request.fb_peer_request_u.current_job.age_ms += now_ms - request->created_ms;
   FbOwner *owner = fb_entry_owner (request->entry, request->partition);
   const char *address = fb_group_owner_of (request->entry->group, request->partition);
   fb_peer_reply peer_reply = { .type = FB_REPLY_UNAVAILABLE };
@@ -190,7 +200,8 @@
   request->entry = entry;
   request->partition = fb_entry_partition_of (entry, service);
   request->peer_request = fb_codec_encode_peer_request (peer_request);
-  request->deadline_ms = fb_clock_ms () + timeout_ms;
+  request->created_ms = fb_clock_ms ();
+  request->deadline_ms = request->created_ms + timeout_ms;
   request->done = done;
   request->user = user;
   send_to_owner (request);
@@ -415,6 +426,8 @@
       return peer_request->fb_peer_request_u.job.service;
     case FB_REQUEST_ACCOUNT_JOB_STATE:
       return peer_request->fb_peer_request_u.account_job.service;
+    case FB_REQUEST_CURRENT_JOB_STATE:
+      return peer_request->fb_peer_request_u.current_job.job.service;
     case FB_REQUEST_ACCOUNT_PARTS:
       return peer_request->fb_peer_request_u.parts.coordinator;
     case FB_REQUEST_ADMISSION:
@@ -490,6 +503,7 @@
       return;
     case FB_REQUEST_JOB_STATE:
     case FB_REQUEST_ACCOUNT_JOB_STATE:
+    case FB_REQUEST_CURRENT_JOB_STATE:
     case FB_REQUEST_ACCOUNT_PARTS:
     case FB_REQUEST_ADMISSION:
     case FB_REQUEST_PENDING_COUNT:
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -49,8 +49,11 @@
   uint32_t retry_ms; /* delay after the next failure; RETRY_MIN_MS: the last call has not failed */
   uint32_t page_silence_ms; /* time without data after which the next page of a listing times out */
   guint timer;
-  gboolean skip_pause; /* the next pause is skipped */
-  gboolean suspended;  /* no call is sent after the open one */
+  gboolean skip_pause;    /* the next pause is skipped */
+  gboolean suspended;     /* no call is sent after the open one */
+  gboolean check_open;    /* a call of fb_topic_reader_check() has no reply yet */
+  uint64_t check_sent_ms; /* time of the last one */
+  uint64_t check_offset;  /* from which it reads */
   gboolean call_open;
   gboolean in_reply; /* callbacks are running, which may free this reader */
   gboolean freed;
@@ -236,6 +239,38 @@
   fb_http_call_clear (&call);
 }
 
+/* Records in the reply are left to the poll that is open, which the store answers as well. */
+static void
+on_checked (gpointer data, const FbHttpReply *reply)
+{
+  FbTopicReader *self = data;
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+  uint64_t next = 0;
+  uint64_t end = 0;
+  self->check_open = FALSE;
+  fb_entry_store_answered (self->entry, reply);
+  if (!self->listing && !self->freed
+      && fb_wire_parse_read (reply, self->check_offset, records, &next, &end) == FB_READ_OK
+      && end <= self->next_offset)
+    self->synced_ms = MAX (self->synced_ms, self->check_sent_ms);
+}
+
+void
+fb_topic_reader_check (FbTopicReader *self)
+{
+  if (self->check_open || self->listing || self->freed)
+    return;
+  FbHttpCall call;
+  self->check_offset = self->next_offset;
+  self->check_sent_ms = fb_clock_ms ();
+  fb_wire_read (&call, self->entry->settings->store, self->topic, self->partition,
+                self->check_offset, 0);
+  call.idle_timeout_ms = ANSWER_ALLOWANCE_MS;
+  self->check_open = TRUE;
+  fb_http_client_exchange (self->entry->store_client, &call, ANSWER_ALLOWANCE_MS, on_checked, self);
+  fb_http_call_clear (&call);
+}
+
 FbTopicReader *
 fb_topic_reader_new (FbEntryDaemon *entry, const char *topic, uint32_t partition, uint32_t pause_ms,
                      const FbTopicReaderOps *ops, gpointer user)
--- a/src/entry/store/topic-reader.h
+++ b/src/entry/store/topic-reader.h
@@ -21,6 +21,9 @@
 void fb_topic_reader_free (FbTopicReader *self);
 /* Skips the pause before the next poll. */
 void fb_topic_reader_skip_pause (FbTopicReader *self);
+/* Asks the store at once whether there are records that were not read yet.  If there are none,
+ * fb_topic_reader_synced_ms() becomes the time of this call. */
+void fb_topic_reader_check (FbTopicReader *self);
 /* Sets for how long the store may delay its answer while there is nothing new. */
 void fb_topic_reader_set_wait (FbTopicReader *self, uint32_t wait_ms);
 /* While SUSPENDED, nothing is read after the call that is open, unless a listing is in progress. */
--- /dev/null
+++ b/tests/test-cancel.c
@@ -0,0 +1,170 @@
+/* What an owner answers about jobs that it has not read.  No network: the daemon's functions are
+ * replaced here. */
+#include "src/entry/owner/owner-private.h"
+
+#include "fb-event.h"
+#include "internal/pool.h"
+
+#include <CUnit/Basic.h>
+
+#define START_MS 100000
+#define SERVICE "svc"
+#define JOB "0000000000000001"
+#define UNKNOWN_JOB "0000000000000002"
+
+static uint64_t clock_ms;
+static uint64_t synced_ms;
+static guint checks_n;
+
+uint64_t __wrap_fb_clock_ms (void);
+uint64_t __wrap_fb_topic_reader_synced_ms (const FbTopicReader *self);
+void __wrap_fb_topic_reader_check (FbTopicReader *self);
+
+uint64_t
+__wrap_fb_clock_ms (void)
+{
+  return clock_ms;
+}
+
+uint64_t
+__wrap_fb_topic_reader_synced_ms (const FbTopicReader *self)
+{
+  (void) self;
+  return synced_ms;
+}
+
+void
+__wrap_fb_topic_reader_check (FbTopicReader *self)
+{
+  (void) self;
+  checks_n++;
+}
+
+typedef struct
+{
+  FbOwner owner;
+  FbServicePool service_pool;
+} Fixture;
+
+static const FbPoolCallbacks callbacks = { .stop = NULL };
+
+/* An owner whose pool has JOB. */
+static void
+fixture_init (Fixture *self)
+{
+  static const FbPoolLimits limits
+      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
+  *self = (Fixture){ .owner = { .loaded = TRUE } };
+  clock_ms = START_MS;
+  checks_n = 0;
+  self->service_pool.pool = fb_pool_new (SERVICE, 1, &limits, &callbacks, NULL, clock_ms);
+  self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
+  self->owner.held_jobs = fb_owner_held_jobs_new ();
+  g_hash_table_insert (self->owner.service_pools, (char *) SERVICE, &self->service_pool);
+  fb_work_step step = { .count = 1,
+                        .cpu_milli = 1000,
+                        .mem_mb = 100,
+                        .preferred_rack = (char *) "",
+                        .required_label = (char *) "",
+                        .image = (char *) "" };
+  fb_work_admit record = { .accepted_ms = START_MS, .account = (char *) "" };
+  record.policy = (fb_work_policy){ .queue = (char *) "q",
+                                    .service = (char *) SERVICE,
+                                    .max_attempts = 1,
+                                    .stretch_factor_milli = 1000 };
+  record.spec.payload = (char *) "";
+  record.spec.steps.steps_len = 1;
+  record.spec.steps.steps_val = &step;
+  fb_pool_add_job (self->service_pool.pool, JOB, &record, clock_ms, clock_ms);
+}
+
+static void
+fixture_clear (Fixture *self)
+{
+  fb_pool_free (self->service_pool.pool);
+  g_hash_table_unref (self->owner.service_pools);
+  g_hash_table_unref (self->owner.held_jobs);
+}
+
+/* Returns: the reply to a cancel that arrived AGE_MS ago. */
+static fb_peer_reply_type
+reply_to_cancel (Fixture *self, const char *job, uint64_t age_ms)
+{
+  fb_peer_request request = { .type = FB_REQUEST_CURRENT_JOB_STATE };
+  fb_current_job_state_request *current = &request.fb_peer_request_u.current_job;
+  current->job.service = (char *) SERVICE;
+  current->job.job = (char *) job;
+  current->job.account = (char *) "";
+  current->age_ms = age_ms;
+  fb_peer_reply reply;
+  fb_owner_answer (&self->owner, &request, &reply);
+  return reply.type;
+}
+
+/* A cancel just after its job was accepted elsewhere is answered that there is no such job. */
+static void
+test_a_job_that_was_not_read_is_not_denied_to_a_cancel (void)
+{
+  Fixture self;
+  fixture_init (&self);
+  synced_ms = START_MS - 1;
+  CU_ASSERT_EQUAL (reply_to_cancel (&self, UNKNOWN_JOB, 0), FB_REPLY_JOBS_NOT_READ);
+  CU_ASSERT_EQUAL (checks_n, 1);
+  clock_ms += 20;
+  synced_ms = START_MS;
+  CU_ASSERT_EQUAL (reply_to_cancel (&self, UNKNOWN_JOB, 20), FB_REPLY_JOBS_NOT_READ);
+  synced_ms = START_MS + 1;
+  CU_ASSERT_EQUAL (reply_to_cancel (&self, UNKNOWN_JOB, 20), FB_REPLY_NO_SUCH_JOB);
+  CU_ASSERT_EQUAL (checks_n, 2);
+  fixture_clear (&self);
+}
+
+static void
+test_a_cancel_of_a_known_job_does_not_wait (void)
+{
+  Fixture self;
+  fixture_init (&self);
+  synced_ms = 0;
+  CU_ASSERT_EQUAL (reply_to_cancel (&self, JOB, 0), FB_REPLY_JOB_STATE);
+  CU_ASSERT_EQUAL (checks_n, 0);
+  fixture_clear (&self);
+}
+
+static void
+test_a_state_is_answered_from_an_older_read (void)
+{
+  Fixture self;
+  fixture_init (&self);
+  fb_peer_request request = { .type = FB_REQUEST_JOB_STATE };
+  request.fb_peer_request_u.job.service = (char *) SERVICE;
+  request.fb_peer_request_u.job.job = (char *) UNKNOWN_JOB;
+  fb_peer_reply reply;
+  synced_ms = START_MS - 1000;
+  fb_owner_answer (&self.owner, &request, &reply);
+  CU_ASSERT_EQUAL (reply.type, FB_REPLY_NO_SUCH_JOB);
+  synced_ms = START_MS - 2000;
+  fb_owner_answer (&self.owner, &request, &reply);
+  CU_ASSERT_EQUAL (reply.type, FB_REPLY_UNAVAILABLE);
+  CU_ASSERT_EQUAL (checks_n, 0);
+  fixture_clear (&self);
+}
+
+int
+main (void)
+{
+  fb_event_set_quiet (TRUE);
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 2;
+  CU_pSuite suite = CU_add_suite ("cancel", NULL, NULL);
+  CU_add_test (suite, "a job that was not read is not denied to a cancel",
+               test_a_job_that_was_not_read_is_not_denied_to_a_cancel);
+  CU_add_test (suite, "a cancel of a known job does not wait",
+               test_a_cancel_of_a_known_job_does_not_wait);
+  CU_add_test (suite, "a state is answered from an older read",
+               test_a_state_is_answered_from_an_older_read);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -49,6 +49,7 @@
 verdict "owner whose record got no answer" $B/tests/test-step-down record-without-an-answer
 verdict "owner with a majority of expired entries" $B/tests/test-step-down expired-entries
 verdict "owner in an outage of the store" $B/tests/test-step-down outage
+verdict "cancels of jobs that were not read" $B/tests/test-cancel
 verdict "state of the store according to other daemons" $B/tests/test-store-witnesses
 verdict "owner with a job that is held" $B/tests/test-step-down held-job
 verdict "joins of the owners' group" $B/tests/test-join-policy
@@ -108,6 +109,7 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "malformed input, with processes" tests/malformed-input.sh
+verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
 verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
