Bodies of requests are limited while they arrive

Each server of a daemon now counts a body as it arrives. Beyond 256 KiB it is dropped and the request is answered 413 with the connection closed; beyond 1 MiB more the connection is closed. Two ways were tried and left: shutting the socket down in the read (the connection stayed open for 20 s and more), and taking the connection from the server (SIGSEGV in the next read); the socket is closed from an idle callback.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,6 +3,7 @@
 
 #include "entry-private.h"
 
+#include "src/entry/frontend/body-limit.h"
 #include "src/entry/frontend/frontend.h"
 
 #include "fb-counter.h"
@@ -118,8 +119,10 @@
 {
   const FbEntrySettings *settings = self->entry.settings;
   self->callers = soup_server_new ("server-header", "flamingobarrow", NULL);
+  fb_body_limit_install (self->callers);
   soup_server_add_handler (self->callers, NULL, fb_entry_frontend_serve, &self->entry, NULL);
   self->internal = soup_server_new ("server-header", "flamingobarrow", NULL);
+  fb_body_limit_install (self->internal);
   soup_server_add_handler (self->internal, FB_PATH_READY, serve_ready, &self->entry, NULL);
   soup_server_add_handler (self->internal, "/metrics", serve_metrics, &self->entry, NULL);
   return listen_on (self->callers, settings->callers)
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -4,6 +4,7 @@
  * store has confirmed it, so that jobs are accepted while an owner is being replaced.  An error
  * that says that the job is not stored is sent only when this is certain.  Otherwise the caller
  * gets status 504 and submits the job again under the same id. */
+#include "body-limit.h"
 #include "frontend-private.h"
 
 #include "fb-counter.h"
@@ -21,7 +22,6 @@
 /* The same for a cancel, which can be stored without their answers. */
 #define CANCEL_TIMEOUT_MS 500
 #define REQUEST_TIMEOUT_MIN_MS 100
-#define BODY_MAX_BYTES (256 * 1024)
 /* Bounds of Retry-After, which is set to the time for which the store has been unavailable, so that
  * a caller's few attempts outlast an outage of seconds. */
 #define RETRY_AFTER_MIN_S 1
@@ -104,6 +104,15 @@
   set_response (entry, message, status, body);
 }
 
+static void
+refuse_long_body (FbEntryDaemon *entry, SoupServerMessage *message)
+{
+  g_autofree char *reason = g_strdup_printf ("the body has more than %d bytes", FB_BODY_MAX_BYTES);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection",
+                                "close");
+  refuse (entry, message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, reason);
+}
+
 /* ---- submit ------------------------------------------------------------------------ */
 
 static gboolean
@@ -113,12 +122,6 @@
       = soup_message_body_flatten (soup_server_message_get_request_body (message));
   gsize len = 0;
   const char *text = g_bytes_get_data (body, &len);
-  if (len > BODY_MAX_BYTES)
-    {
-      fb_status_set_message ("the body has %u bytes, expected at most %d", (guint) len,
-                             BODY_MAX_BYTES);
-      return FALSE;
-    }
   if (!fb_wire_parse_job_spec (text, len, spec))
     return FALSE;
   if (fb_spec_check (spec))
@@ -441,6 +444,11 @@
   (void) query;
   FbEntryDaemon *entry = data;
   fb_counter_add (FB_COUNTER_REQUESTS, 1);
+  if (fb_body_limit_is_exceeded (message))
+    {
+      refuse_long_body (entry, message);
+      return;
+    }
   if (entry->refusing_callers || entry->routes == NULL)
     {
       refuse (entry, message, SOUP_STATUS_SERVICE_UNAVAILABLE,
--- a/tests/malformed-input.sh
+++ b/tests/malformed-input.sh
@@ -66,6 +66,28 @@
 done
 runs_jobs "requests" 4
 
+step "long bodies are refused while they arrive, at a path that exists or not, and use no memory"
+memory_mb() { awk '/^VmHWM/ { print int($2 / 1024) }' "/proc/${PID[0]}/status"; }
+send_zeros() { # BYTES PATH [CURL OPTION...]: prints the status; 000: the connection was closed
+  local code=0
+  head -c "$1" /dev/zero | curl -s --max-time 10 -o /dev/null -w '%{http_code}' -X POST -H 'Host: h.example' -H 'Expect:' "${@:3}" --data-binary @- "http://127.0.0.1:$(port 0)$2" || code=$?
+  [ $code != 28 ] || echo " timeout"
+}
+before_mb=$(memory_mb)
+for path in "/q/$(job 99)" /elsewhere; do
+  for option in "Content-Type: application/json" "Transfer-Encoding: chunked"; do
+    status=$(send_zeros 1000000 "$path" -H "$option")
+    [ "$status" = 413 ] || die "$option, 1 MB to $path: the request was answered with status $status"
+    status=$(send_zeros 100000000 "$path" -H "$option")
+    [[ $status =~ ^(413|000)$ ]] || die "$option, 100 MB to $path: the request was answered with status $status"
+  done
+done
+senders=()
+for k in $(seq 40); do send_zeros 5000000 "/q/$(job 99)" > /dev/null & senders+=($!); done
+wait "${senders[@]}"
+[ "$(memory_mb)" -le $((before_mb + 16)) ] || die "the daemon has grown from $before_mb to $(memory_mb) MB"
+runs_jobs "long bodies" 6
+
 step "daemons that start later skip the same entries"
 store_configuration '{"version":3,"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000}],"services":[{"name":"svc"}]}'
 for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; : > "$OUT/d$d.log"; start_daemon $d; done
