Ended incarnations of workers do not count for the majority of a new owner

Callers saw: jobs are accepted and nothing starts.

Cause: all workers had restarted since the record of workers was stored, and one ended incarnation was still listed. It alone counted for the majority of the recorded workers, and it can't answer.

Change: an incarnation that has certainly ended doesn't count. Of two owners that leave out different ones each still needs a majority of those that can answer, so they exclude each other as before.

--- a/src/work/pool-majority.c
+++ b/src/work/pool-majority.c
@@ -14,6 +14,9 @@
 static gboolean
 counts_for_majority (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
+  /* No owner gets an answer of an incarnation that has ended. */
+  if (worker->replaced)
+    return FALSE;
   if (worker->listed)
     return TRUE;
   return !worker->runs_ended
