Stand-in platform: each entry of a crashed worker goes after its time to live

A worker that crashed again under a new id within 4.5 s left the entry of the incarnation before for good, as only one was remembered. The platform removes an entry after three heartbeat intervals.

--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -38,6 +38,13 @@
                           since */
 } End;
 
+/* The entry of a crashed incarnation, until its time to live has passed. */
+typedef struct
+{
+  char *id;
+  gint64 unlist_ms; /* by sp_now_ms() */
+} StaleEntry;
+
 typedef struct
 {
   guint index;
@@ -49,12 +56,11 @@
   gboolean up;
   gint64
       restart_ms; /* when it restarts after a crash, by sp_now_ms(); 0: no restart is scheduled */
-  char *previous_id;         /* of the crashed incarnation while it is listed; else NULL */
-  gint64 unlist_previous_ms; /* when the entry of previous_id is removed, by sp_now_ms() */
-  guint64 token;             /* highest fencing token of an order */
-  gint64 lease_ms;           /* when the lease expires, by the worker's clock */
-  guint64 last_end;          /* number of its last End */
-  gint64 unlisted_until_ms;  /* it does not renew its entry before, by sp_now_ms(); 0: it does */
+  GPtrArray *stale_entries; /* of StaleEntry: crashed incarnations that are still listed */
+  guint64 token;            /* highest fencing token of an order */
+  gint64 lease_ms;          /* when the lease expires, by the worker's clock */
+  guint64 last_end;         /* number of its last End */
+  gint64 unlisted_until_ms; /* it does not renew its entry before, by sp_now_ms(); 0: it does */
   gint64 relist_ms; /* when its expired entry is written again, by sp_now_ms(); 0: not scheduled */
   gint64 refuses_until_ms; /* it does not listen before, by sp_now_ms(); 0: it listens */
   gint64 last_listed_ms;   /* when it last renewed its entry, by sp_now_ms(); 0: it is not listed */
@@ -101,6 +107,14 @@
   return g_strdup_printf (",\"born\":%" G_GINT64_FORMAT, worker->incarnation_started_ms);
 }
 
+static void
+stale_entry_free (gpointer data)
+{
+  StaleEntry *entry = data;
+  g_free (entry->id);
+  g_free (entry);
+}
+
 static void
 list_worker (Worker *worker, guint sequence)
 {
@@ -506,11 +520,11 @@
   reuses_id = reuses_id && reports_start_times;
   worker->reuses_id = reuses_id;
   worker->restart_ms = sp_now_ms () + for_ms;
-  worker->unlist_previous_ms = sp_now_ms () + ENTRY_TTL_MS;
   if (!reuses_id)
     {
-      g_free (worker->previous_id);
-      worker->previous_id = g_strdup (worker->id);
+      StaleEntry *entry = g_new (StaleEntry, 1);
+      *entry = (StaleEntry){ g_strdup (worker->id), sp_now_ms () + ENTRY_TTL_MS };
+      g_ptr_array_add (worker->stale_entries, entry);
     }
   g_debug ("%s: crashes", worker->id);
   g_ptr_array_set_size (worker->runs, 0);
@@ -581,10 +595,13 @@
 static void
 restart_if_due (Worker *worker)
 {
-  if (worker->previous_id != NULL && sp_now_ms () >= worker->unlist_previous_ms)
+  for (guint i = worker->stale_entries->len; i > 0; i--)
     {
-      sp_store_put ("keyed.servers/0", worker->previous_id, "");
-      g_clear_pointer (&worker->previous_id, g_free);
+      const StaleEntry *entry = worker->stale_entries->pdata[i - 1];
+      if (sp_now_ms () < entry->unlist_ms)
+        continue;
+      sp_store_put ("keyed.servers/0", entry->id, "");
+      g_ptr_array_remove_index (worker->stale_entries, i - 1);
     }
   if (worker->restart_ms != 0 && sp_now_ms () >= worker->restart_ms)
     begin_incarnation (worker);
@@ -607,6 +624,7 @@
       workers[i].up = TRUE;
       workers[i].runs = g_ptr_array_new_with_free_func (run_free);
       workers[i].ends = g_ptr_array_new_with_free_func (end_free);
+      workers[i].stale_entries = g_ptr_array_new_with_free_func (stale_entry_free);
       workers[i].ended_attempts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     }
 }
