Read again: less state in store witnesses, the job reader's check and host lists

- a witness kept two times of which only the later one counted; it keeps its last state and when it told it; the rule for an outage was written once for the log line and once for the answer;
- the offset of a check of the topic reader was kept though nothing of the reply depends on it;
- answer_current_job_state() looked a held job up again to tell why there was no answer; answer_job_state() returns whether a later read is needed;
- the loop over a host list ended by two conditions for one fact.

--- a/src/daemon/host-list-http.c
+++ b/src/daemon/host-list-http.c
@@ -26,6 +26,15 @@
   return g_str_equal (text, "gone") ? FB_HOST_GONE : FB_HOST_LIVE;
 }
 
+static gboolean
+parse_host (JsonObject *item, FbHostEntry *entry)
+{
+  gboolean malformed = FALSE;
+  entry->name = fb_json_string (item, "name", &malformed);
+  entry->state = parse_state (fb_json_string (item, "state", &malformed));
+  return !malformed;
+}
+
 static void
 on_polled (gpointer user, FbHttpStatus status, JsonObject *root)
 {
@@ -38,11 +47,7 @@
   for (guint i = 0; i < n && !malformed; i++)
     {
       JsonObject *item = fb_json_row_object (list, i);
-      malformed = item == NULL;
-      if (item == NULL)
-        break;
-      entries[i].name = fb_json_string (item, "name", &malformed);
-      entries[i].state = parse_state (fb_json_string (item, "state", &malformed));
+      malformed = item == NULL || !parse_host (item, &entries[i]);
     }
   call->done (call->user, malformed ? NULL : entries, malformed ? 0 : n);
 }
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -442,24 +442,26 @@
 
 /* Answers a caller of ACCOUNT.  A job of another account is treated as one that does not exist.
  * READ_AFTER_MS: that there is no such job is answered from a read of the jobs that began later
- * than this. */
-static void
+ * than this.  Returns: FALSE when there was none. */
+static gboolean
 answer_job_state (FbOwner *self, const char *service, const char *job, const char *account,
                   uint64_t read_after_ms, fb_peer_reply *peer_reply)
 {
   const FbServicePool *service_pool = g_hash_table_lookup (self->service_pools, service);
   fb_work_state state = FB_WORK_QUEUED;
   if (fb_owner_held_job (self, job) != NULL)
-    return; /* it is not certain yet that the job is not in another pool */
+    return TRUE; /* it is not certain yet that the job is not in another pool */
   if (service_pool != NULL && fb_pool_job_state (service_pool->pool, job, &state)
       && fb_pool_job_is_visible (service_pool->pool, job, account))
     {
       peer_reply->type = FB_REPLY_JOB_STATE;
       peer_reply->fb_peer_reply_u.state = state;
-      return;
+      return TRUE;
     }
-  if (fb_topic_reader_synced_ms (self->job_reader) > read_after_ms)
-    peer_reply->type = FB_REPLY_NO_SUCH_JOB;
+  if (fb_topic_reader_synced_ms (self->job_reader) <= read_after_ms)
+    return FALSE;
+  peer_reply->type = FB_REPLY_NO_SUCH_JOB;
+  return TRUE;
 }
 
 /* Returns: the time AGE_MS ago. */
@@ -474,10 +476,8 @@
 answer_current_job_state (FbOwner *self, const fb_current_job_state_request *current,
                           fb_peer_reply *peer_reply)
 {
-  answer_job_state (self, current->job.service, current->job.job, current->job.account,
-                    time_before (current->age_ms), peer_reply);
-  if (peer_reply->type != FB_REPLY_UNAVAILABLE
-      || fb_owner_held_job (self, current->job.job) != NULL)
+  if (answer_job_state (self, current->job.service, current->job.job, current->job.account,
+                        time_before (current->age_ms), peer_reply))
     return;
   fb_topic_reader_check (self->job_reader);
   peer_reply->type = FB_REPLY_JOBS_NOT_READ;
@@ -530,10 +530,11 @@
   const fb_job_state_request *job = &peer_request->fb_peer_request_u.job;
   const fb_account_job_state_request *account_job = &peer_request->fb_peer_request_u.account_job;
   if (peer_request->type == FB_REQUEST_JOB_STATE)
-    answer_job_state (self, job->service, job->job, "", time_before (JOBS_MAX_AGE_MS), peer_reply);
+    (void) answer_job_state (self, job->service, job->job, "", time_before (JOBS_MAX_AGE_MS),
+                             peer_reply);
   else if (peer_request->type == FB_REQUEST_ACCOUNT_JOB_STATE)
-    answer_job_state (self, account_job->service, account_job->job, account_job->account,
-                      time_before (JOBS_MAX_AGE_MS), peer_reply);
+    (void) answer_job_state (self, account_job->service, account_job->job, account_job->account,
+                             time_before (JOBS_MAX_AGE_MS), peer_reply);
   else if (peer_request->type == FB_REQUEST_CURRENT_JOB_STATE)
     answer_current_job_state (self, &peer_request->fb_peer_request_u.current_job, peer_reply);
   else if (peer_request->type == FB_REQUEST_ACCOUNT_PARTS)
--- a/src/entry/store/store-witnesses.c
+++ b/src/entry/store/store-witnesses.c
@@ -10,7 +10,7 @@
 #define REPLY_TIMEOUT_MS 350
 /* Maximum age of a reply that counts. */
 #define REPLY_MAX_AGE_MS 1200
-/* Time without questions after which other daemons are chosen. */
+/* Maximum time between questions to the same sample. */
 #define SAMPLE_MAX_AGE_MS 5000
 /* Maximum age of a call of the store that tells its state. */
 #define CALL_MAX_AGE_MS 3000
@@ -18,8 +18,8 @@
 typedef struct
 {
   char *address;
-  uint64_t unavailable_ms; /* time of its last reply that the store is unavailable; 0: none */
-  uint64_t available_ms;   /* time of its last reply that it is available; 0: none */
+  fb_store_state state; /* by its last reply that tells it */
+  uint64_t replied_ms;  /* time of that reply; 0: none yet */
 } Witness;
 
 struct _FbStoreWitnesses
@@ -95,15 +95,13 @@
   fb_store_state state = FB_STORE_STATE_UNKNOWN;
   if (peer_reply != NULL && peer_reply->type == FB_REPLY_STORE_STATE)
     state = peer_reply->fb_peer_reply_u.store_state;
-  for (guint i = 0; i < sample->len; i++)
+  for (guint i = 0; i < sample->len && state != FB_STORE_STATE_UNKNOWN; i++)
     {
       Witness *witness = sample->pdata[i];
       if (!g_str_equal (witness->address, question->address))
         continue;
-      if (state == FB_STORE_STATE_UNAVAILABLE)
-        witness->unavailable_ms = fb_clock_ms ();
-      else if (state == FB_STORE_STATE_AVAILABLE)
-        witness->available_ms = fb_clock_ms ();
+      witness->state = state;
+      witness->replied_ms = fb_clock_ms ();
     }
   g_free (question->address);
   g_free (question);
@@ -123,9 +121,9 @@
   for (guint i = 0; i < self->sample->len; i++)
     {
       const Witness *witness = self->sample->pdata[i];
-      if (now_ms > MAX (witness->unavailable_ms, witness->available_ms) + REPLY_MAX_AGE_MS)
+      if (now_ms > witness->replied_ms + REPLY_MAX_AGE_MS)
         continue;
-      if (witness->available_ms >= witness->unavailable_ms)
+      if (witness->state == FB_STORE_STATE_AVAILABLE)
         counts.available_n++;
       else
         counts.unavailable_n++;
@@ -133,14 +131,20 @@
   return counts;
 }
 
+static gboolean
+show_outage (const ReplyCounts *counts, guint sample_n)
+{
+  return counts->available_n == 0 && (counts->unavailable_n + 1) * 2 > sample_n + 1;
+}
+
 static void
 log_change (FbStoreWitnesses *self, uint64_t now_ms)
 {
-  gboolean reported = fb_store_witnesses_report_outage (self, now_ms);
+  const ReplyCounts counts = count_replies (self, now_ms);
+  gboolean reported = show_outage (&counts, self->sample->len);
   if (reported == self->reported)
     return;
   self->reported = reported;
-  const ReplyCounts counts = count_replies (self, now_ms);
   fb_event_log (FB_EVENT_STORE_WITNESSES, "outage=%d asked=%u unavailable=%u available=%u",
                 reported, self->sample->len, counts.unavailable_n, counts.available_n);
 }
@@ -173,5 +177,5 @@
 fb_store_witnesses_report_outage (const FbStoreWitnesses *self, uint64_t now_ms)
 {
   const ReplyCounts counts = count_replies (self, now_ms);
-  return counts.available_n == 0 && (counts.unavailable_n + 1) * 2 > self->sample->len + 1;
+  return show_outage (&counts, self->sample->len);
 }
--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -53,7 +53,6 @@
   gboolean suspended;     /* no call is sent after the open one */
   gboolean check_open;    /* a call of fb_topic_reader_check() has no reply yet */
   uint64_t check_sent_ms; /* time of the last one */
-  uint64_t check_offset;  /* from which it reads */
   gboolean call_open;
   gboolean in_reply; /* callbacks are running, which may free this reader */
   gboolean freed;
@@ -250,7 +249,7 @@
   self->check_open = FALSE;
   fb_entry_store_answered (self->entry, reply);
   if (!self->listing && !self->freed
-      && fb_wire_parse_read (reply, self->check_offset, records, &next, &end) == FB_READ_OK
+      && fb_wire_parse_read (reply, self->next_offset, records, &next, &end) == FB_READ_OK
       && end <= self->next_offset)
     self->synced_ms = MAX (self->synced_ms, self->check_sent_ms);
 }
@@ -261,10 +260,9 @@
   if (self->check_open || self->listing || self->freed)
     return;
   FbHttpCall call;
-  self->check_offset = self->next_offset;
   self->check_sent_ms = fb_clock_ms ();
   fb_wire_read (&call, self->entry->settings->store, self->topic, self->partition,
-                self->check_offset, 0);
+                self->next_offset, 0);
   call.idle_timeout_ms = ANSWER_ALLOWANCE_MS;
   self->check_open = TRUE;
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_ALLOWANCE_MS, on_checked, self);
