soak: one way to refuse a worker's connections, one to let the store's entries expire

cut_off_worker() repeated refuse_worker_connections() but for the worker list, and three places wrote the same control calls.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -50,6 +50,14 @@
     }
 }
 
+/* EXPIRE: the store is unavailable, and what has a time to live expires. */
+static void
+set_store_expiring (SoakFaults *self, gboolean expire)
+{
+  soak_platform_control (self->platform, expire ? "{\"outage\":true,\"expire\":true}"
+                                                : "{\"outage\":false,\"expire\":false}");
+}
+
 static void
 set_store_refusing (SoakFaults *self, gboolean refusing)
 {
@@ -59,8 +67,7 @@
       if (refusing)
         soak_link_reset (soak_store_link (self->processes, i));
     }
-  soak_platform_control (self->platform, refusing ? "{\"outage\":true,\"expire\":true}"
-                                                  : "{\"outage\":false,\"expire\":false}");
+  set_store_expiring (self, refusing);
 }
 
 static gboolean
@@ -83,7 +90,7 @@
   else if (fault->kind == SOAK_STORE_OUTAGE)
     set_store_refusing (self, FALSE);
   else if (fault->kind == SOAK_STORE_EXPIRY)
-    soak_platform_control (self->platform, "{\"outage\":false,\"expire\":false}");
+    set_store_expiring (self, FALSE);
   else if (fault->kind == SOAK_ROLLING_RESTART)
     soak_daemon_signal (self->processes, fault->target, SIGTERM);
   g_hash_table_remove (self->scheduled_ends, scheduled);
@@ -149,29 +156,12 @@
   end_later (self, fault, duration_ms);
 }
 
-/* Connections to the worker are refused, and its entry expires if it is not renewed for long
- * enough. Its open connections are reset or stop forwarding. */
-static void
-refuse_worker_connections (SoakFaults *self, const SoakFault *fault)
-{
-  SoakLink *link = link_of_fault (self, fault);
-  soak_link_set_refusing (link, TRUE);
-  if (fault->variant % 2 == 0)
-    soak_link_reset (link);
-  else
-    soak_link_set_mode (link, SOAK_LINK_PARTITION, 0);
-  soak_platform_control (self->platform, "{\"unlisted\":%u,\"for-ms\":%u}", fault->target,
-                         fault->duration_ms);
-  end_later (self, fault, fault->duration_ms);
-}
-
-/* Open connections of the daemons are reset or stop forwarding.  The worker renews its entry, or
- * does not reach the store either. */
+/* Connections to the worker are refused; its open connections are reset or stop forwarding.
+ * REACHES_STORE: it renews its entry, which otherwise expires if that lasts long enough. */
 static void
-cut_off_worker (SoakFaults *self, const SoakFault *fault)
+refuse_worker_connections (SoakFaults *self, const SoakFault *fault, gboolean reaches_store)
 {
   SoakLink *link = link_of_fault (self, fault);
-  gboolean reaches_store = fault->variant / 2 % 2 == 0;
   soak_link_set_refusing (link, TRUE);
   if (fault->variant % 2 == 0)
     soak_link_reset (link);
@@ -267,17 +257,17 @@
       partition_worker (self, fault);
       break;
     case SOAK_WORKER_NO_LISTENER:
-      refuse_worker_connections (self, fault);
+      refuse_worker_connections (self, fault, FALSE);
       break;
     case SOAK_WORKER_CUT_OFF:
-      cut_off_worker (self, fault);
+      refuse_worker_connections (self, fault, fault->variant / 2 % 2 == 0);
       break;
     case SOAK_STORE_OUTAGE:
       set_store_refusing (self, TRUE);
       end_later (self, fault, fault->duration_ms);
       break;
     case SOAK_STORE_EXPIRY:
-      soak_platform_control (self->platform, "{\"outage\":true,\"expire\":true}");
+      set_store_expiring (self, TRUE);
       end_later (self, fault, fault->duration_ms);
       break;
     case SOAK_WORKER_REFUSES:
