Tests: what the tests of processes share is in daemons.sh; texts have a test of their own

- job(), ready() and start_daemon() stood in up to six scripts each, and the record of another writer was encoded by hand beside that of a configuration. store_configuration() now fails when the store does not take it; before, nothing looked at the answer;
- test-wire had two subjects: the limits of JSON texts and members are in test-json.
- test-cancel sets up its pool with busy-pool.c;
- the headers of the new tests are one line.

--- a/tests/accounts.sh
+++ b/tests/accounts.sh
@@ -24,7 +24,6 @@
 }
 answers() { [ "$(call "$1" "$2" "$3" "$4" "${6:-}")" = "$5" ]; }
 state_is() { answers "$1" GET "$2" "$3" 200 && grep -q "\"$4\"" "$OUT/answer"; }
-job() { printf '%016x' "$1"; }
 in_force() { grep -q "ROUTES_IN_FORCE version=$2 .*from=${3:-}" "$OUT/d$1.log"; }
 body='{"spec":"150","phases":[{"count":2,"cpu":2000,"mem-mb":100,"estimate-ms":150}]}'
 long='{"spec":"60000","phases":[{"count":8,"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
--- a/tests/cut-off-workers.sh
+++ b/tests/cut-off-workers.sh
@@ -11,16 +11,13 @@
 declare -A PID
 trap 'kill -CONT ${PID[*]} 2> /dev/null || true; kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 control() { curl -s -o /dev/null -d "$1" "http://127.0.0.1:$base/control"; }
 number() { curl -s "http://127.0.0.1:$base/$1" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; } # PATH NAME
-job() { printf '%016x' "$1"; }
 call() { # DAEMON METHOD JOB [BODY]: prints the status
   curl -s --max-time 5 -o "$OUT/answer.$1" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-d "$4"} "http://127.0.0.1:$(port "$1")/q/$(job "$3")" || true
 }
 submitted() { [ "$(call "$1" POST "$2" "$3")" = 200 ]; }
 state_is() { [ "$(call "$1" GET "$2")" = 200 ] && grep -q "\"$3\"" "$OUT/answer.$1"; }
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 n_run() { [ "$(number "running?job=$(job "$1")" running)" = "$2" ]; }
 workers_of() { local k; for ((k = 0; k < WORKERS; k++)); do [ "$(number "running?job=$(job "$1")&worker=$k" running)" = 0 ] || echo $k; done; } # JOB
 n_listed() { [ "$(number listed listed)" = "$1" ]; }
--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -32,10 +32,18 @@
 }
 # Prints a number as printf escapes of its four bytes.
 octal() { local n=$1 out= i; for i in 1 2 3 4; do out="\\$(printf '%03o' $((n & 255)))$out"; n=$((n >> 8)); done; printf '%s' "$out"; }
+job() { printf '%016x' "$1"; } # NUMBER
+# Starts a daemon whose process id is kept in PID.
+start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; } # INDEX
+# Stores a record, as another program may do.
+store_record() { # TOPIC KEY VALUE-FILE
+  local len; len=$(stat -c %s "$3")
+  { printf "$(octal $((1 + ${#2} + len)))"; printf "\\$(printf '%03o' ${#2})"; printf '%s' "$2"; cat "$3"; } > "$OUT/record"
+  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=$1&part=0")" = 200 ]
+}
 # Stores a configuration as operators do.
 store_configuration() { # JSON
-  local key=config value
-  value=$(tr -d '\n' <<< "$1")
-  { printf "$(octal $((1 + ${#key} + ${#value})))"; printf "\\$(printf '%03o' ${#key})"; printf '%s%s' "$key" "$value"; } > "$OUT/record"
-  curl -s -o /dev/null --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=keyed.op&part=0"
+  tr -d '\n' <<< "$1" > "$OUT/configuration"
+  store_record keyed.op config "$OUT/configuration"
 }
--- a/tests/malformed-input.sh
+++ b/tests/malformed-input.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Tests daemon processes against the stand-in platform: records and requests that cannot be decoded.
-# They are skipped or refused, no daemon ends, and all others hold.
+# Records and requests that cannot be decoded are skipped or refused, and no daemon ends.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 B=build OUT=out/malformed-input
@@ -11,21 +10,13 @@
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
-job() { printf '%016x' "$1"; }
 call() { # DAEMON METHOD JOB [CURL OPTION...]: prints the status
   curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' "${@:4}" "http://127.0.0.1:$(port "$1")/q/$(job "$3")" || true
 }
 submitted() { [ "$(call "$1" POST "$2" -d '{"spec":"150","phases":[{"count":3,"cpu":2000,"mem-mb":100,"estimate-ms":150}]}')" = 200 ]; }
 completed() { [ "$(call "$1" GET "$2")" = 200 ] && grep -q '"completed"' "$OUT/answer"; }
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 logged() { grep -q "$2" "$OUT/d$1.log"; } # DAEMON TEXT
 reported() { cat "$OUT"/d?.log | grep -q "LOG_RECORD_SKIPPED $1"; } # TEXT; daemons without a pool do not read entries
-store_record() { # TOPIC KEY VALUE-FILE
-  local len; len=$(stat -c %s "$3")
-  { printf "$(octal $((1 + ${#2} + len)))"; printf "\\$(printf '%03o' ${#2})"; printf '%s' "$2"; cat "$3"; } > "$OUT/record"
-  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=$1&part=0")" = 200 ]
-}
 all_run() { local d; for d in 0 1 2; do kill -0 "${PID[$d]}" 2> /dev/null || die "$1: daemon $d has ended: $(tail -2 "$OUT/d$d.log")"; done; } # CAUSE
 runs_jobs() { # CAUSE JOB
   until_true submitted 0 "$2" || die "$1: a job was not accepted"
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -12,15 +12,12 @@
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
 
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 send_request() { # DAEMON METHOD JOB [BODY]
   curl -s --max-time 5 -o "$OUT/answer" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-d "$4"} "http://127.0.0.1:$(port "$1")/q/$3" || true
 }
-job() { printf '%016x' "$1"; }
 steps='{"spec":"150","phases":[{"count":3,"cpu":2000,"mem-mb":100,"estimate-ms":150},{"count":1,"cpu":2000,"mem-mb":100,"estimate-ms":150,"after":[0]}]}'
 submitted() { [ "$(send_request "$1" POST "$(job "$2")" "$steps")" = 200 ]; }
 job_state_is() { [ "$(send_request "$1" GET "$(job "$2")")" = 200 ] && grep -q "\"$3\"" "$OUT/answer"; }
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 owner() { # the running daemon whose last line about the pool since its start is POOL_SETTLED
   local d; for d in "${!PID[@]}"; do
     [ "$d" != platform ] && [ "$(grep -E 'POOL_(SETTLED|LOST)|PROCESS_STARTED' "$OUT/d$d.log" | tail -1 | grep -c SETTLED)" = 1 ] && kill -0 "${PID[$d]}" 2> /dev/null && echo "$d" && return
--- a/tests/prompt-cancels.sh
+++ b/tests/prompt-cancels.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Tests daemon processes against the stand-in platform: a job is cancelled at one daemon right after
-# another one has accepted it.  The cancel takes effect, or names a job that does not exist.
+# A cancel at one daemon takes effect right after another one has accepted the job.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 B=build OUT=out/prompt-cancels JOBS=40
@@ -11,11 +10,8 @@
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
-job() { printf '%016x' "$1"; }
 url() { echo "http://127.0.0.1:$(port "$1")/q/$(job "$2")"; } # DAEMON JOB
 body='{"spec":"600000","phases":[{"count":1,"cpu":2000,"mem-mb":100,"long-running":true}]}'
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 submitted() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: h.example' -d "$body" "$(url "$1" "$2")")" = 200 ]; }
 cancelled() { [ "$(curl -s -o /dev/null -w '%{http_code}' -X DELETE -H 'Host: h.example' "$(url "$1" "$2")")" = 200 ]; }
 n_run() { [ "$(curl -s "http://127.0.0.1:$base/running" | grep -o '[0-9]*')" = "$1" ]; }
--- a/tests/queue-services.sh
+++ b/tests/queue-services.sh
@@ -12,7 +12,6 @@
 declare -A PID
 trap 'kill -CONT ${PID[*]} 2> /dev/null || true; kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 version=1
 # Stores the next version of the configuration.
 configure() { # SERVICES QUEUE=SERVICE...
@@ -29,12 +28,10 @@
 call() { # DAEMON METHOD PATH [BODY]: prints the status
   curl -s --max-time 5 -o "$OUT/answer.$1" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-d "$4"} "http://127.0.0.1:$(port "$1")/$3" || true
 }
-job() { printf '%016x' "$1"; }
 answers() { [ "$(call "$1" "$2" "$3" "${5:-}")" = "$4" ]; }
 state_is() { answers "$1" GET "$2" 200 && grep -q "\"$3\"" "$OUT/answer.$1"; }
 all_show() { local d; for d in 0 1 2; do state_is $d "$1" "$2" || return 1; done; }
 submitted() { answers "$1" POST "$2" 200 "$3"; }
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 running() { curl -s "http://127.0.0.1:$base/running?job=$(job "$1")" | grep -o '[0-9]*'; }
 n_run() { [ "$(running "$1")" = "$2" ]; }
 audit() { curl -s "http://127.0.0.1:$base/audit"; }
--- a/tests/takeover.sh
+++ b/tests/takeover.sh
@@ -41,8 +41,6 @@
 }
 platform_started_or_exited() { platform_listens || ! kill -0 "${PID[platform]}" 2> /dev/null; }
 
-start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; }
 # Prints the owner once ownership is stable: all three daemons are members, and the store assigns the
 # pool to the daemon that has completed its recovery.
 owner() {
--- a/tests/test-cancel.c
+++ b/tests/test-cancel.c
@@ -1,14 +1,13 @@
-/* What an owner answers about jobs that it has not read.  No network: the daemon's functions are
- * replaced here. */
+/* What an owner answers about jobs that it has not read. */
+#include "busy-pool.h"
+
 #include "src/entry/owner/owner-private.h"
 
 #include "fb-event.h"
-#include "internal/pool.h"
 
 #include <CUnit/Basic.h>
 
 #define START_MS 100000
-#define SERVICE "svc"
 #define JOB "0000000000000001"
 #define UNKNOWN_JOB "0000000000000002"
 
@@ -44,44 +43,28 @@
 {
   FbOwner owner;
   FbServicePool service_pool;
+  BusyPool pool;
 } Fixture;
 
-static const FbPoolCallbacks callbacks = { .stop = NULL };
-
 /* An owner whose pool has JOB. */
 static void
 fixture_init (Fixture *self)
 {
-  static const FbPoolLimits limits
-      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
   *self = (Fixture){ .owner = { .loaded = TRUE } };
   clock_ms = START_MS;
   checks_n = 0;
-  self->service_pool.pool = fb_pool_new (SERVICE, 1, &limits, &callbacks, NULL, clock_ms);
+  busy_pool_begin (&self->pool, clock_ms);
+  busy_pool_admit (&self->pool, JOB, 0, "", 1, clock_ms);
+  self->service_pool.pool = self->pool.pool;
   self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
   self->owner.held_jobs = fb_owner_held_jobs_new ();
   g_hash_table_insert (self->owner.service_pools, (char *) SERVICE, &self->service_pool);
-  fb_work_step step = { .count = 1,
-                        .cpu_milli = 1000,
-                        .mem_mb = 100,
-                        .preferred_rack = (char *) "",
-                        .required_label = (char *) "",
-                        .image = (char *) "" };
-  fb_work_admit record = { .accepted_ms = START_MS, .account = (char *) "" };
-  record.policy = (fb_work_policy){ .queue = (char *) "q",
-                                    .service = (char *) SERVICE,
-                                    .max_attempts = 1,
-                                    .stretch_factor_milli = 1000 };
-  record.spec.payload = (char *) "";
-  record.spec.steps.steps_len = 1;
-  record.spec.steps.steps_val = &step;
-  fb_pool_add_job (self->service_pool.pool, JOB, &record, clock_ms, clock_ms);
 }
 
 static void
 fixture_clear (Fixture *self)
 {
-  fb_pool_free (self->service_pool.pool);
+  busy_pool_clear (&self->pool);
   g_hash_table_unref (self->owner.service_pools);
   g_hash_table_unref (self->owner.held_jobs);
 }
--- a/tests/test-store-witnesses.c
+++ b/tests/test-store-witnesses.c
@@ -1,4 +1,4 @@
-/* The state of the store according to other daemons.  No network: their replies are set here. */
+/* The state of the store according to other daemons, whose replies are set here. */
 #include "src/entry/entry-private.h"
 
 #include "fb-event.h"
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -65,6 +65,7 @@
   verdict "lost crashes $c" $B/tests/test-lost-crashes "$c"
 done
 verdict "requests with a slow store" $B/tests/test-slow-store
+verdict "JSON of other programs" $B/tests/test-json
 verdict "platform wire format" $B/tests/test-wire
 pool() { diff <($B/tests/test-pool "$1" 2>&1) "${1%.script}.expected"; }
 script() { diff <($B/tests/test-script "$1" 2>&1) "${1%.script}.expected"; }
