--- a/src/entry/store/topic-reader.c
+++ b/src/entry/store/topic-reader.c
@@ -5,6 +5,8 @@
  * wait time that it passes to the store, and the next poll uses another connection. */
 #include "src/entry/entry-private.h"
 
+#include "listing-cursor.h"
+
 #include "fb-counter.h"
 #include "fb-event.h"
 #include "fb-status.h"
@@ -39,7 +41,7 @@
   uint32_t wait_ms;  /* time for which the store may delay its answer to a poll */
   const FbTopicReaderOps *ops;
   gpointer user;
-  char *last_key;       /* last key of the listing so far; NULL before its first page */
+  FbListingCursor cursor;
   gboolean listing;     /* a listing is in progress; otherwise later records are read */
   uint64_t next_offset; /* offset of the next record to read */
   uint64_t sent_ms;     /* time at which the open or last call was sent */
@@ -64,7 +66,7 @@
 destroy (FbTopicReader *self)
 {
   fb_http_client_cancel (self->entry->store_client, self);
-  g_free (self->last_key);
+  fb_listing_cursor_reset (&self->cursor);
   g_free (self->topic);
   g_free (self);
 }
@@ -108,24 +110,41 @@
     }
 }
 
-/* Returns: (nullable): the last key in RECORDS. */
-static const char *
-last_key (const GPtrArray *records)
+static void
+begin_listing (FbTopicReader *self)
 {
-  for (guint i = records->len; i > 0; i--)
-    {
-      const FbStoreRecord *record = records->pdata[i - 1];
-      if (record->key != NULL)
-        return record->key;
-    }
-  return NULL;
+  self->listing = TRUE;
+  fb_listing_cursor_reset (&self->cursor);
 }
 
+/* Lists from the beginning again, after a delay. */
 static void
-begin_listing (FbTopicReader *self)
+restart_listing (FbTopicReader *self)
 {
-  self->listing = TRUE;
-  g_clear_pointer (&self->last_key, g_free);
+  begin_listing (self);
+  self->page_silence_ms = MIN (self->page_silence_ms * 2, PAGE_SILENCE_MAX_MS);
+  retry_later (self);
+}
+
+static void
+report_unreadable_page (const FbTopicReader *self, const char *why)
+{
+  g_autofree char *after = g_strescape (self->cursor.after != NULL ? self->cursor.after : "", NULL);
+  fb_counter_add (FB_COUNTER_LISTINGS_FAILED, 1);
+  fb_event_log (FB_EVENT_CALL_FAILED, "topic=%s partition=%u page after=\"%s\" why=\"%s\"",
+                self->topic, self->partition, after, why);
+}
+
+static void
+finish_listing (FbTopicReader *self)
+{
+  /* A listing is as old as its first page: a record may be stored at a key that an earlier page
+   * has passed.  If the listing were dated by its last page, it would appear to prove that
+   * there is no such job, and the job's caller would get that answer. */
+  self->listing = FALSE;
+  self->retry_ms = RETRY_MIN_MS;
+  self->synced_ms = self->listing_ms;
+  self->ops->listed (self->user);
 }
 
 static void
@@ -137,38 +156,26 @@
   if (!fb_wire_parse_newest (reply, records, &more, &end))
     {
       if (reply->status == FB_HTTP_OK && reply->code == FB_HTTP_CODE_OK)
-        fb_event_log (FB_EVENT_CALL_FAILED, "topic=%s partition=%u page after=\"%s\" why=\"%s\"",
-                      self->topic, self->partition, self->last_key != NULL ? self->last_key : "",
-                      fb_status_message ());
-      begin_listing (self);
-      self->page_silence_ms = MIN (self->page_silence_ms * 2, PAGE_SILENCE_MAX_MS);
-      retry_later (self);
+        report_unreadable_page (self, fb_status_message ());
+      restart_listing (self);
       return;
     }
   /* The pages are not a consistent snapshot: changes since the first page are read afterwards. */
-  if (self->last_key == NULL)
+  if (self->cursor.after == NULL)
     {
       self->next_offset = end;
       self->listing_ms = self->sent_ms;
       self->ops->begin (self->user);
     }
   deliver_records (self, records);
-  const char *key = last_key (records);
-  if (more && key != NULL)
-    {
-      g_free (self->last_key);
-      self->last_key = g_strdup (key);
-    }
-  else
+  if (!more)
+    finish_listing (self);
+  else if (!fb_listing_cursor_advance (&self->cursor, records))
     {
-      /* A listing is as old as its first page: a record may be stored at a key that an earlier page
-       * has passed.  If the listing were dated by its last page, it would appear to prove that
-       * there is no such job, and the job's caller would get that answer. */
-      self->listing = FALSE;
-      self->synced_ms = self->listing_ms;
-      self->ops->listed (self->user);
+      report_unreadable_page (self, "no key beyond this page is known");
+      restart_listing (self);
+      return;
     }
-  self->retry_ms = RETRY_MIN_MS;
   send_call (self);
 }
 
@@ -227,7 +234,7 @@
   FbHttpCall call;
   const char *store = self->entry->settings->store;
   if (self->listing)
-    fb_wire_newest (&call, store, self->topic, self->partition, self->last_key);
+    fb_wire_newest (&call, store, self->topic, self->partition, self->cursor.after);
   else
     fb_wire_read (&call, store, self->topic, self->partition, self->next_offset, self->wait_ms);
   call.idle_timeout_ms
--- a/src/net/json.c
+++ b/src/net/json.c
@@ -4,6 +4,12 @@
 
 #include <string.h>
 
+/* Length of an escape of a code unit, "\\uXXXX". */
+#define ESCAPE_BYTES 6
+/* NUL is replaced by the character after it, so that keys keep their order. */
+#define NUL_REPLACEMENT '\1'
+#define ESCAPED_NUL_REPLACEMENT "\\u0001"
+
 /* ---- limits ------------------------------------------------------------------------ */
 
 typedef struct
@@ -140,8 +146,8 @@
 }
 
 /* Values beyond 63 bits are refused: their conversion to an integer is undefined. */
-static gboolean
-holds_uint (JsonNode *node)
+gboolean
+fb_json_is_uint (JsonNode *node)
 {
   return holds_number (node) && json_node_get_double (node) >= 0
          && json_node_get_double (node) < 9e18;
@@ -171,7 +177,7 @@
   JsonNode *node = member_of (object, name);
   if (node == NULL)
     return fallback;
-  if (holds_uint (node))
+  if (fb_json_is_uint (node))
     return (uint64_t) json_node_get_int (node);
   set_malformed (malformed);
   return fallback;
@@ -240,7 +246,7 @@
 uint64_t
 fb_json_row_uint (JsonArray *row, guint i)
 {
-  if (i >= json_array_get_length (row) || !holds_uint (json_array_get_element (row, i)))
+  if (i >= json_array_get_length (row) || !fb_json_is_uint (json_array_get_element (row, i)))
     return 0;
   return (uint64_t) json_node_get_int (json_array_get_element (row, i));
 }
@@ -292,6 +298,91 @@
   return NULL;
 }
 
+/* Returns: the code unit of the escape at TEXT ("\\uXXXX"); -1 when there is none. */
+static gint
+code_unit_at (const char *text)
+{
+  if (text[0] != '\\' || text[1] != 'u')
+    return -1;
+  gint code_unit = 0;
+  for (guint i = 2; i < ESCAPE_BYTES; i++)
+    {
+      gint digit = g_ascii_xdigit_value (text[i]);
+      if (digit < 0)
+        return -1;
+      code_unit = code_unit * 16 + digit;
+    }
+  return code_unit;
+}
+
+/* Appends the escape at TEXT to OUT, or its replacement.
+ * Returns: the length of the escape in bytes. */
+static gsize
+append_escape (GString *out, const char *text)
+{
+  gint code_unit = code_unit_at (text);
+  if (code_unit < 0)
+    {
+      gsize len = text[1] != '\0' ? 2 : 1;
+      g_string_append_len (out, text, (gssize) len);
+      return len;
+    }
+  if (code_unit >= 0xd800 && code_unit <= 0xdbff)
+    {
+      gint second = code_unit_at (text + ESCAPE_BYTES);
+      if (second >= 0xdc00 && second <= 0xdfff)
+        {
+          g_string_append_len (out, text, 2 * ESCAPE_BYTES);
+          return 2 * ESCAPE_BYTES;
+        }
+    }
+  if (code_unit == 0)
+    g_string_append (out, ESCAPED_NUL_REPLACEMENT);
+  else if (code_unit >= 0xd800 && code_unit <= 0xdfff)
+    g_string_append (out, FB_JSON_REPLACEMENT);
+  else
+    g_string_append_len (out, text, ESCAPE_BYTES);
+  return ESCAPE_BYTES;
+}
+
+/* Returns: (transfer full): DATA with its malformed characters replaced. */
+static GString *
+replace_malformed_characters (const char *data, gsize len)
+{
+  g_autofree char *copy = g_memdup2 (data, len);
+  for (gsize i = 0; i < len; i++)
+    {
+      if (copy[i] == '\0')
+        copy[i] = NUL_REPLACEMENT;
+    }
+  g_autofree char *valid = g_utf8_make_valid (copy, (gssize) len);
+  GString *out = g_string_sized_new (strlen (valid));
+  const char *at = valid;
+  while (*at != '\0')
+    {
+      gsize plain_len = strcspn (at, "\\");
+      g_string_append_len (out, at, (gssize) plain_len);
+      at += plain_len;
+      if (*at != '\0')
+        at += append_escape (out, at);
+    }
+  return out;
+}
+
+JsonParser *
+fb_json_parse_lossy (GBytes *bytes, JsonObject **root)
+{
+  gsize len = 0;
+  const char *data = g_bytes_get_data (bytes, &len);
+  JsonParser *parser = fb_json_parse (data, len, root);
+  if (parser != NULL || len == 0 || len > FB_JSON_MAX_BYTES)
+    return parser;
+  GString *text = replace_malformed_characters (data, len);
+  parser = fb_json_parse (text->str, text->len, root);
+  g_string_free (text, TRUE);
+  return parser;
+}
+
 JsonParser *
 fb_json_parse_bytes (GBytes *bytes, JsonObject **root)
 {
--- a/src/net/json.h
+++ b/src/net/json.h
@@ -1,6 +1,6 @@
 /* Reads JSON text of other programs within limits, reads members with type checks, and writes JSON.
  *
- * All JSON that this process did not write itself is read by fb_json_parse(). */
+ * All JSON that this process did not write itself is read by fb_json_parse() or its variants. */
 #pragma once
 
 #include <json-glib/json-glib.h>
@@ -28,6 +28,8 @@
 /* Returns: borrowed; NULL when missing. */
 JsonObject *fb_json_object (JsonObject *object, const char *name, gboolean *malformed);
 
+/* Returns: FALSE for other values and numbers beyond 63 bits. */
+gboolean fb_json_is_uint (JsonNode *node);
 /* Element I of an array; 0 or "" when it is missing or of another type. */
 uint64_t fb_json_row_uint (JsonArray *row, guint i);
 const char *fb_json_row_string (JsonArray *row, guint i);
@@ -40,6 +42,11 @@
  * object or exceeds a limit, and fb_status_message() tells why. */
 JsonParser *fb_json_parse (const char *data, gsize len, JsonObject **root);
 JsonParser *fb_json_parse_bytes (GBytes *bytes, JsonObject **root);
+/* U+FFFD, in UTF-8. */
+#define FB_JSON_REPLACEMENT "\xef\xbf\xbd"
+/* As fb_json_parse_bytes(), but a malformed character does not invalidate the text: each byte that
+ * is not UTF-8 and each unpaired surrogate becomes FB_JSON_REPLACEMENT, and NUL becomes U+0001. */
+JsonParser *fb_json_parse_lossy (GBytes *bytes, JsonObject **root);
 void fb_json_add_string (JsonBuilder *builder, const char *name, const char *value);
 void fb_json_add_uint (JsonBuilder *builder, const char *name, uint64_t value);
 /* Returns: (transfer full): the generated text. BUILDER is unreferenced. */
--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -267,14 +267,61 @@
 
 /* ---- the newest record of each key --------------------------------------------- */
 
+static const char *malformed_key_form = "raw";
+
+void
+sp_store_set_malformed_keys (const char *form)
+{
+  malformed_key_form = g_intern_string (form);
+}
+
+static void
+append_malformed_byte (GString *out, guchar byte)
+{
+  if (g_str_equal (malformed_key_form, "replaced"))
+    g_string_append (out, "\xef\xbf\xbd");
+  else if (g_str_equal (malformed_key_form, "surrogates"))
+    g_string_append_printf (out, "\\udc%02x", byte);
+  else
+    g_string_append_c (out, (char) byte);
+}
+
+static void
+append_key (GString *out, const char *key)
+{
+  for (const char *at = key; *at != '\0';)
+    {
+      gunichar character = g_utf8_get_char_validated (at, -1);
+      if (character == (gunichar) -1 || character == (gunichar) -2)
+        {
+          append_malformed_byte (out, (guchar) *at++);
+          continue;
+        }
+      if (character < 0x20 || character == '"' || character == '\\')
+        g_string_append_printf (out, "\\u%04x", character);
+      else
+        g_string_append_unichar (out, character);
+      at = g_utf8_next_char (at);
+    }
+}
+
+static gboolean
+is_shown (const char *key)
+{
+  return !g_str_equal (malformed_key_form, "omitted") || g_utf8_validate (key, -1, NULL);
+}
+
 static void
 add_row (GString *out, const Partition *partition, const char *key, guint offset)
 {
+  if (out->str[out->len - 1] == '}')
+    g_string_append_c (out, ',');
   gsize len = 0;
   const guint8 *data = g_bytes_get_data (partition->records->pdata[offset], &len);
   g_autofree char *value = g_base64_encode (data + 1 + data[0], len - 1 - data[0]);
-  g_string_append_printf (out, "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}", key, value,
-                          offset);
+  g_string_append (out, "{\"key\":\"");
+  append_key (out, key);
+  g_string_append_printf (out, "\",\"value\":\"%s\",\"offset\":%u}", value, offset);
 }
 
 /* Returns: (nullable): the first row after the key AFTER; the first of all when AFTER is empty. */
@@ -292,10 +339,15 @@
   const Partition *partition = get_partition (name);
   GString *out = g_string_new ("{\"items\":[");
   GTreeNode *node = first_after (partition, param (query, "after"));
-  for (guint n = 0; node != NULL && n < MAX_PAGE_ROWS && out->len < MAX_PAGE_BYTES; n++)
+  guint rows_n = 0;
+  while (node != NULL && rows_n < MAX_PAGE_ROWS && out->len < MAX_PAGE_BYTES)
     {
-      g_string_append (out, n > 0 ? "," : "");
-      add_row (out, partition, g_tree_node_key (node), GPOINTER_TO_UINT (g_tree_node_value (node)));
+      const char *key = g_tree_node_key (node);
+      if (is_shown (key))
+        {
+          add_row (out, partition, key, GPOINTER_TO_UINT (g_tree_node_value (node)));
+          rows_n++;
+        }
       node = g_tree_node_next (node);
     }
   g_string_append_printf (out, "],\"has-more\":%s,\"end\":%u}", node != NULL ? "true" : "false",
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -144,6 +144,8 @@
     sp_workers_set_drop_answers (json_object_get_boolean_member (body, "lose-answers"));
   if (json_object_has_member (body, "queue-service"))
     set_queue_service (json_object_get_string_member (body, "queue-service"));
+  if (json_object_has_member (body, "malformed-keys"))
+    sp_store_set_malformed_keys (json_object_get_string_member (body, "malformed-keys"));
   if (json_object_has_member (body, "finish"))
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   sp_reply (message, 200, "{}");
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -37,6 +37,9 @@
 void sp_store_put (const char *partition, const char *key, const char *value);
 /* Returns: the number of keys of PARTITION whose newest value is not empty. */
 guint sp_store_keys_n (const char *partition);
+/* Sets the form in which listings show the bytes of a key that are not UTF-8: "raw", "replaced" by
+ * U+FFFD, as unpaired "surrogates", or "omitted" with their record. */
+void sp_store_set_malformed_keys (const char *form);
 /* Returns: FALSE when PATH is not one of the partitions' paths. */
 gboolean sp_store_serve (SoupServerMessage *message, const char *path, GHashTable *query,
                          GBytes *body);
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -1,6 +1,7 @@
 /* Encoding and decoding of the platform's messages, as table-driven tests. */
 #include "fb-status.h"
 #include "platform/wire.h"
+#include "src/entry/store/listing-cursor.h"
 #include "src/work/spec.h"
 
 #include <CUnit/Basic.h>
@@ -59,6 +60,94 @@
   CU_ASSERT_STRING_EQUAL (((FbStoreRecord *) records->pdata[4])->key, "c");
 }
 
+/* Returns: FALSE when the page is unreadable.  ITEMS: the rows of the page. */
+static gboolean
+parse_page (const char *items, GPtrArray *records)
+{
+  g_autofree char *text = g_strdup_printf ("{\"items\":[%s],\"has-more\":true,\"end\":9}", items);
+  g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+  const FbHttpReply reply = { .status = FB_HTTP_OK, .code = 200, .body = body };
+  gboolean more = FALSE;
+  uint64_t end = 0;
+  return fb_wire_parse_newest (&reply, records, &more, &end);
+}
+
+/* A key that is not UTF-8 made all records of its page unreadable. */
+static void
+test_malformed_key_in_a_page (void)
+{
+  static const char *const malformed_keys[]
+      = { "\xff\xff", "\xef\xbf\xbd", "\\udcff",   "\\ud800x",
+          "\\u0000",  "\xc3",         "a\\u0000b", "\\ud800\\u0041" };
+  for (guint i = 0; i < G_N_ELEMENTS (malformed_keys); i++)
+    {
+      g_autofree char *items = g_strdup_printf ("{\"key\":\"a\",\"value\":\"eA==\",\"offset\":1},"
+                                                "{\"key\":\"%s\",\"value\":\"eA==\",\"offset\":2},"
+                                                "{\"key\":\"\\ud83d\\ude00\",\"value\":\"eA==\"}",
+                                                malformed_keys[i]);
+      g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+      CU_ASSERT_TRUE_FATAL (parse_page (items, records));
+      CU_ASSERT_EQUAL_FATAL (records->len, 3);
+      CU_ASSERT_STRING_EQUAL (((FbStoreRecord *) records->pdata[0])->key, "a");
+      CU_ASSERT_PTR_NULL (((FbStoreRecord *) records->pdata[1])->key);
+      CU_ASSERT_STRING_EQUAL (((FbStoreRecord *) records->pdata[2])->key, "\xf0\x9f\x98\x80");
+    }
+}
+
+/* A page of malformed keys only ended its listing, and the keys after it were taken for deleted. */
+static void
+test_pages_of_malformed_keys (void)
+{
+  static const struct
+  {
+    const char *key;
+    const char *after;        /* cursor after a page that ends with KEY */
+    const char *second_after; /* when the same page follows; NULL: the listing cannot go on */
+  } cases[] = {
+    { "b\\n", "b\n", NULL },
+    { "b\\u0000", "b\1", NULL },
+    { "b\xff", "b\xff\xff", "b\xf4\x8f\xbf\xbf" },
+    { "b\\udcffc", "b\xff\xff", "b\xf4\x8f\xbf\xbf" },
+    { "\xef\xbf\xbd", "\xff\xff", "\xf4\x8f\xbf\xbf" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      FbListingCursor cursor = { 0 };
+      g_autofree char *items
+          = g_strdup_printf ("{\"key\":\"%s\",\"value\":\"eA==\"}", cases[i].key);
+      g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func (fb_store_record_free);
+      CU_ASSERT_TRUE_FATAL (parse_page (items, records));
+      CU_ASSERT_TRUE (fb_listing_cursor_advance (&cursor, records));
+      CU_ASSERT_TRUE (g_str_has_prefix (cursor.after, cases[i].after));
+      CU_ASSERT_TRUE (strlen (cursor.after) <= 255);
+      CU_ASSERT_EQUAL (fb_listing_cursor_advance (&cursor, records), cases[i].second_after != NULL);
+      if (cases[i].second_after != NULL)
+        {
+          CU_ASSERT_TRUE (g_str_has_prefix (cursor.after, cases[i].second_after));
+          CU_ASSERT_FALSE (fb_listing_cursor_advance (&cursor, records));
+        }
+      fb_listing_cursor_reset (&cursor);
+    }
+}
+
+/* A row of a group without a partition was taken for the first partition. */
+static void
+test_malformed_rows_of_a_group (void)
+{
+  static const char text[]
+      = "{\"generation\":3,\"parts\":[[\"keyed.jobs\",4,0],[\"keyed.jobs\",\"x\",0],7,"
+        "[],[\"keyed.jobs\",5,0],[\"\\udcff\",-1,0]]}";
+  g_autoptr (GBytes) body = g_bytes_new_static (text, strlen (text));
+  const FbHttpReply reply = { .status = FB_HTTP_OK, .code = 200, .body = body };
+  g_autoptr (GArray) partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  uint64_t generation = 0;
+  CU_ASSERT_TRUE (fb_wire_parse_join (&reply, &generation, partitions));
+  CU_ASSERT_EQUAL (generation, 3);
+  CU_ASSERT_EQUAL_FATAL (partitions->len, 2);
+  CU_ASSERT_EQUAL (g_array_index (partitions, uint32_t, 0), 4);
+  CU_ASSERT_EQUAL (g_array_index (partitions, uint32_t, 1), 5);
+}
+
 /* ---- jobs of callers ---------------------------------------------------- */
 
 static gboolean
@@ -598,6 +687,9 @@
   CU_pSuite suite = CU_add_suite ("wire", NULL, NULL);
   CU_add_test (suite, "deep messages", test_deep_messages);
   CU_add_test (suite, "malformed records", test_malformed_records);
+  CU_add_test (suite, "malformed key in a page", test_malformed_key_in_a_page);
+  CU_add_test (suite, "pages of malformed keys", test_pages_of_malformed_keys);
+  CU_add_test (suite, "malformed rows of a group", test_malformed_rows_of_a_group);
   CU_add_test (suite, "jobs of callers", test_jobs);
   CU_add_test (suite, "a long payload", test_long_payload);
   CU_add_test (suite, "members of a step", test_step_members);
