--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -2,6 +2,8 @@
 
 #include "cli-private.h"
 
+#include "fb-build-info.h"
+
 #include <sodium.h>
 #include <stdio.h>
 
@@ -10,12 +12,14 @@
 
 static FbCliOptions options = { .wait_s = DEFAULT_WAIT_S };
 static char **arguments;
+static gboolean show_version;
 
 static const GOptionEntry entries[] = {
   { "daemon", 'd', 0, G_OPTION_ARG_STRING, &options.daemon, "Daemon to connect to", "IP:PORT" },
   { "key", 'k', 0, G_OPTION_ARG_FILENAME, &options.key_path, "Secret key of the partner", "FILE" },
   { "format", 'f', 0, G_OPTION_ARG_STRING, &options.format, "text or json", "FORMAT" },
   { "wait", 'w', 0, G_OPTION_ARG_INT, &options.wait_s, "How long apply waits", "SECONDS" },
+  { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version, "Print the version and exit", NULL },
   { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &arguments, NULL, NULL },
   { NULL, 0, 0, 0, NULL, NULL, NULL }
 };
@@ -88,6 +92,11 @@
       fprintf (stderr, "%s\n", error->message);
       return FB_CLI_USAGE;
     }
+  if (show_version)
+    {
+      printf ("flamingobarrow %s\nbuild %s\n", fb_build_version (), fb_build_id ());
+      return FB_CLI_OK;
+    }
   if (options.daemon == NULL)
     options.daemon = g_strdup (DEFAULT_DAEMON);
   if (options.format != NULL && !g_str_equal (options.format, "text")
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -3,7 +3,10 @@
 #include "frontend.h"
 #include "src/entry/entry.h"
 #include "src/entry/settings.h"
+#include "src/net/libraries.h"
 
+#include "fb-build-info.h"
+#include "fb-crash-report.h"
 #include "fb-event.h"
 #include "fb-reload-signal.h"
 #include "fb-status.h"
@@ -11,6 +14,7 @@
 #include <glib-unix.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #define EXIT_OK 0
 #define EXIT_USAGE 2
@@ -35,11 +39,14 @@
 
 static char *settings_path;
 static gboolean check_only;
+static gboolean show_version;
 
 static const GOptionEntry options[]
     = { { "settings", 's', 0, G_OPTION_ARG_FILENAME, &settings_path, "Settings of this daemon",
           "FILE" },
         { "check", 'c', 0, G_OPTION_ARG_NONE, &check_only, "Check the settings and exit", NULL },
+        { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
+          "Print the versions of program and libraries and exit", NULL },
         { NULL, 0, 0, 0, NULL, NULL, NULL } };
 
 static gboolean
@@ -136,8 +143,10 @@
       return EXIT_ADDRESS;
     }
   fb_core_start (self->core);
-  fb_event_log (FB_EVENT_PROCESS_STARTED, "name=%s rpc_port=%u http_port=%u", member->name,
-                member->rpc_port, member->http_port);
+  g_autofree char *libraries = fb_libraries_describe ();
+  fb_event_log (FB_EVENT_PROCESS_STARTED, "name=%s rpc_port=%u http_port=%u version=%s build=%s %s",
+                member->name, member->rpc_port, member->http_port, fb_build_version (),
+                fb_build_id (), libraries);
   return EXIT_OK;
 }
 
@@ -174,6 +183,14 @@
   return EXIT_OK;
 }
 
+static int
+print_version (void)
+{
+  g_autofree char *libraries = fb_libraries_describe ();
+  printf ("flamingobarrowd %s\nbuild %s\n%s\n", fb_build_version (), fb_build_id (), libraries);
+  return EXIT_OK;
+}
+
 int
 fb_daemon_main (int argc, char **argv)
 {
@@ -181,7 +198,10 @@
   g_autoptr (GOptionContext) context = g_option_context_new ("- schedule work on a shared pool");
   g_option_context_add_main_entries (context, options, NULL);
   g_autoptr (GError) error = NULL;
-  if (!g_option_context_parse (context, &argc, &argv, &error) || settings_path == NULL)
+  gboolean parsed = g_option_context_parse (context, &argc, &argv, &error);
+  if (parsed && show_version)
+    return print_version ();
+  if (!parsed || settings_path == NULL)
     {
       fprintf (stderr, "flamingobarrowd: %s\n",
                error != NULL ? error->message : "expected --settings FILE");
@@ -199,6 +219,7 @@
       return EXIT_SETTINGS;
     }
   fb_event_init (self.settings->name, self.settings->quiet);
+  fb_crash_report_install (STDERR_FILENO, self.settings->name);
   int code = check_only ? EXIT_OK : run (&self);
   fb_settings_free (self.settings);
   fb_cell_free (self.cell);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,8 +5,11 @@
 
 #include "src/entry/frontend/body-limit.h"
 #include "src/entry/frontend/frontend.h"
+#include "src/net/libraries.h"
 
+#include "fb-build-info.h"
 #include "fb-counter.h"
+#include "fb-crash-report.h"
 #include "fb-event.h"
 #include "fb-histogram.h"
 #include "fb-reload-signal.h"
@@ -17,6 +20,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #define EXIT_OK 0
 #define EXIT_SETTINGS 3
@@ -83,7 +87,9 @@
   (void) query;
   FbEntryDaemon *self = data;
   g_autofree char *counters = fb_counter_render ();
+  g_autofree char *build = fb_libraries_render ();
   GString *all = g_string_new (counters);
+  g_string_append (all, build);
   fb_histogram_render (all);
   fb_traffic_render (all);
   GHashTableIter iter;
@@ -346,9 +352,11 @@
   g_unix_signal_add (SIGINT, on_stop_signal, self);
   g_unix_signal_add (SIGHUP, on_reload_signal, &self->entry);
   fb_reload_signal_unblock ();
-  fb_event_log (FB_EVENT_PROCESS_STARTED, "name=%s callers=%s peers=%s store=%s",
-                self->entry.settings->name, self->entry.settings->callers,
-                self->entry.settings->peers, self->entry.settings->store);
+  g_autofree char *libraries = fb_libraries_describe ();
+  fb_event_log (
+      FB_EVENT_PROCESS_STARTED, "name=%s callers=%s peers=%s store=%s version=%s build=%s %s",
+      self->entry.settings->name, self->entry.settings->callers, self->entry.settings->peers,
+      self->entry.settings->store, fb_build_version (), fb_build_id (), libraries);
   g_main_loop_run (self->loop);
   fb_keepalive_free (self->entry.keepalive);
   fb_event_log (FB_EVENT_PROCESS_STOPPED, "name=%s open=%u", self->entry.settings->name,
@@ -368,6 +376,7 @@
       return EXIT_SETTINGS;
     }
   fb_event_init_stdout (self.entry.settings->name, LOG_LINES_PER_S);
+  fb_crash_report_install (STDOUT_FILENO, self.entry.settings->name);
   int code = check_only ? EXIT_OK : run (&self);
   fb_entry_settings_free (self.entry.settings);
   return code;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -32,6 +32,7 @@
 verdict "documentation tables" tools/check-docs.sh
 verdict "unit tests" $B/tests/test-units
 verdict "event log" $B/tests/test-event
+verdict "crash reports" $B/tests/test-crash-report
 verdict "components of a daemon on the platform" $B/tests/test-entry
 verdict "advice of two owners" $B/tests/test-advice
 verdict "advice of gangs" $B/tests/test-gang-advice
