--- a/tools/check.sh
+++ b/tools/check.sh
@@ -27,6 +27,12 @@
   fi
 }
 
+# Users build the release with other compilers, whose warnings gcc does not give.
+clang_build() {
+  [ -f out/clang/build.ninja ] || CC=clang meson setup out/clang --buildtype=release -Dtests=false -Dwerror=true || return
+  ninja -C out/clang --quiet
+}
+verdict "release build with clang" clang_build
 verdict "format" tools/format.sh
 verdict "lint" tools/lint.sh
 verdict "documentation tables" tools/check-docs.sh
