--- a/soak/faults.c
+++ b/soak/faults.c
@@ -1,5 +1,7 @@
 #include "faults.h"
 
+#include "other-writer.h"
+
 #include <signal.h>
 
 /* Time to live of an entry in the worker list that is not renewed. */
@@ -283,6 +285,10 @@
       soak_platform_control (self->platform, "{\"queue-service\":\"%s\"}",
                              fault->variant % 2 == 0 ? SOAK_SERVICE : SOAK_SECOND_SERVICE);
       break;
+    case SOAK_OTHER_WRITER:
+      soak_other_writer_store (self->platform, fault->variant,
+                               fault->variant % self->plan->worker_n);
+      break;
     case SOAK_ROLLING_RESTART:
       rolling_restart (self, fault);
       break;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -8,6 +8,8 @@
 #define MAX_DURATION_MS 7000
 #define MAX_QUEUE_MOVE_GAP_MS 3000
 #define QUEUE_MOVE_SEED 0x10000
+#define MAX_OTHER_WRITER_GAP_MS 1500
+#define OTHER_WRITER_SEED 0x20000
 #define MAX_PARTITION_GAP_MS 2500
 /* Longer than an entry in the worker list lives. */
 #define MIN_EXPIRY_MS 5000
@@ -89,18 +91,19 @@
   return first->at_ms < second->at_ms ? -1 : first->at_ms > second->at_ms;
 }
 
-/* Drawn from numbers of their own, so that the other faults of a seed are the same without them. */
+/* Adds faults of KIND at intervals of up to MAX_GAP_MS.  They are drawn from numbers of their own,
+ * so that the other faults of a seed are the same without them. */
 static void
-add_queue_moves (const SoakPlanSetup *setup, GArray *plan)
+add_independent_faults (const SoakPlanSetup *setup, GArray *plan, SoakFaultKind kind,
+                        guint32 seed_offset, guint max_gap_ms)
 {
-  GRand *rand = g_rand_new_with_seed (setup->seed + QUEUE_MOVE_SEED);
+  GRand *rand = g_rand_new_with_seed (setup->seed + seed_offset);
   guint at_ms = 0;
-  while ((at_ms += (guint) g_rand_int_range (rand, 50, MAX_QUEUE_MOVE_GAP_MS)) < setup->duration_ms)
+  while ((at_ms += (guint) g_rand_int_range (rand, 50, (gint32) max_gap_ms)) < setup->duration_ms)
     {
-      const SoakFault move = { .kind = SOAK_QUEUE_MOVE,
-                               .at_ms = at_ms,
-                               .variant = (guint) g_rand_int_range (rand, 0, 100) };
-      g_array_append_val (plan, move);
+      const SoakFault fault
+          = { .kind = kind, .at_ms = at_ms, .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      g_array_append_val (plan, fault);
     }
   g_array_sort (plan, compare_times);
   g_rand_free (rand);
@@ -232,7 +235,10 @@
     }
   g_rand_free (rand);
   if (setup->queue_moves)
-    add_queue_moves (setup, plan);
+    add_independent_faults (setup, plan, SOAK_QUEUE_MOVE, QUEUE_MOVE_SEED, MAX_QUEUE_MOVE_GAP_MS);
+  if (setup->other_writer)
+    add_independent_faults (setup, plan, SOAK_OTHER_WRITER, OTHER_WRITER_SEED,
+                            MAX_OTHER_WRITER_GAP_MS);
   return plan;
 }
 
@@ -270,7 +276,8 @@
                                                    [SOAK_WORKER_NO_LISTENER] = "worker-no-listener",
                                                    [SOAK_STORE_EXPIRY] = "store-expiry",
                                                    [SOAK_STORE_OUTAGE] = "store-outage",
-                                                   [SOAK_WORKER_CUT_OFF] = "worker-cut-off" };
+                                                   [SOAK_WORKER_CUT_OFF] = "worker-cut-off",
+                                                   [SOAK_OTHER_WRITER] = "other-writer" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -37,6 +37,7 @@
   SOAK_STORE_OUTAGE,   /* its connections are reset and refused, and what has a time to live expires
                         */
   SOAK_WORKER_CUT_OFF, /* connections of the daemons to a worker are refused */
+  SOAK_OTHER_WRITER,   /* another program stores a malformed record */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -57,6 +58,7 @@
   guint duration_ms;     /* no fault begins later */
   gboolean worker_links; /* links to workers and between daemons are proxied and have faults */
   gboolean queue_moves;  /* the plan has SOAK_QUEUE_MOVE besides the faults of its seed */
+  gboolean other_writer; /* it has SOAK_OTHER_WRITER besides the faults of its seed */
   gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
   gboolean outages;      /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
 } SoakPlanSetup;
--- a/soak/platform.c
+++ b/soak/platform.c
@@ -4,10 +4,12 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_S 5
+#define APPENDS_MAX 20
 
 struct _SoakPlatform
 {
   SoupSession *session; /* limited to one connection, so that calls arrive in order */
+  SoupSession *appends; /* its calls may stay unanswered and must not delay the others */
   guint16 port;
   guint pending; /* control calls without a response yet */
 };
@@ -24,6 +26,8 @@
   SoakPlatform *self = g_new0 (SoakPlatform, 1);
   self->session
       = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, "max-conns-per-host", 1, NULL);
+  self->appends = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, "max-conns-per-host",
+                                                 APPENDS_MAX, "max-conns", APPENDS_MAX, NULL);
   self->port = port;
   return self;
 }
@@ -32,9 +36,11 @@
 soak_platform_free (SoakPlatform *self)
 {
   soup_session_abort (self->session);
+  soup_session_abort (self->appends);
   while (self->pending > 0)
     g_main_context_iteration (NULL, TRUE);
   g_object_unref (self->session);
+  g_object_unref (self->appends);
   g_free (self);
 }
 
@@ -104,6 +110,19 @@
                                     on_control_answered, self);
 }
 
+void
+soak_platform_append (SoakPlatform *self, const char *topic, guint partition,
+                      const GByteArray *records)
+{
+  g_autofree char *path = g_strdup_printf ("/api/log-append?topic=%s&part=%u", topic, partition);
+  g_autoptr (SoupMessage) message = new_message (self, path, "");
+  g_autoptr (GBytes) body = g_bytes_new (records->data, records->len);
+  soup_message_set_request_body_from_bytes (message, "application/octet-stream", body);
+  self->pending++;
+  soup_session_send_and_read_async (self->appends, message, G_PRIORITY_DEFAULT, NULL,
+                                    on_control_answered, self);
+}
+
 gboolean
 soak_platform_is_ready (SoakPlatform *self, const char *url)
 {
--- a/soak/platform.h
+++ b/soak/platform.h
@@ -14,5 +14,8 @@
 /* Sends the formatted JSON to /control without waiting for the response.  Calls arrive in the order
  * in which they were sent. */
 void soak_platform_control (SoakPlatform *self, const char *format, ...) G_GNUC_PRINTF (2, 3);
+/* Appends encoded RECORDS to a partition of the store without waiting for the response. */
+void soak_platform_append (SoakPlatform *self, const char *topic, guint partition,
+                           const GByteArray *records);
 /* Returns: TRUE when a GET of URL is answered with 200. */
 gboolean soak_platform_is_ready (SoakPlatform *self, const char *url);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -33,6 +33,7 @@
 static gint option_port = 0;
 static gboolean option_without_worker_links = FALSE;
 static gboolean option_queue_moves = FALSE;
+static gboolean option_other_writer = FALSE;
 static gboolean option_partitions = FALSE;
 static gboolean option_outages = FALSE;
 static gboolean option_without_start_times = FALSE;
@@ -51,6 +52,8 @@
   { "queue-moves", 0, 0, G_OPTION_ARG_NONE, &option_queue_moves,
     "The queue is directed to one service and another, and accepted jobs are submitted again",
     NULL },
+  { "other-writer", 0, 0, G_OPTION_ARG_NONE, &option_other_writer,
+    "Another program stores malformed records besides the faults", NULL },
   { "partitions", 0, 0, G_OPTION_ARG_NONE, &option_partitions,
     "The only faults are workers that refuse connections and expire, and kills", NULL },
   { "outages", 0, 0, G_OPTION_ARG_NONE, &option_outages,
@@ -212,10 +215,10 @@
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
       "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
-      "outages=%d start-times=%d\n%s",
+      "outages=%d start-times=%d other-writer=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
       run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
-      run->setup.start_times, text);
+      run->setup.start_times, run->plan.other_writer, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -246,6 +249,7 @@
                             .duration_ms = (guint) option_seconds * 1000,
                             .worker_links = !option_without_worker_links,
                             .queue_moves = option_queue_moves,
+                            .other_writer = option_other_writer,
                             .partitions = option_partitions,
                             .outages = option_outages },
                   .setup = { .base_port = (guint16) option_port,
@@ -300,12 +304,13 @@
   gint partitions = 0;
   gint outages = 0;
   gint start_times = 1;
+  gint other_writer = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
-                 "partitions=%d outages=%d start-times=%d",
+                 "partitions=%d outages=%d start-times=%d other-writer=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
-                 &partitions, &outages, &start_times)
+                 &partitions, &outages, &start_times, &other_writer)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
@@ -313,6 +318,7 @@
   option_partitions = partitions != 0;
   option_outages = outages != 0;
   option_without_start_times = start_times == 0;
+  option_other_writer = other_writer != 0;
   option_seeds = 1;
   return TRUE;
 }
