--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -174,8 +174,26 @@
   return (uint64_t) step->spec->estimate_ms * factor;
 }
 
+/* Returns: the index of the first occurrence that is not before NUMBER. */
+static guint
+occurrence_index (const FbPoolJob *job, uint32_t number)
+{
+  guint low = 0;
+  guint high = job->occurrences->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      const FbPoolOccurrence *occurrence = job->occurrences->pdata[middle];
+      if (occurrence->number < number)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
 static FbPoolOccurrence *
-occurrence_new (FbPoolJob *job, uint32_t number)
+occurrence_new (FbPoolJob *job, uint32_t number, guint index)
 {
   guint step_n = job->record.spec.steps.steps_len;
   FbPoolOccurrence *occurrence = g_new0 (FbPoolOccurrence, 1);
@@ -191,22 +209,23 @@
       step->tasks = g_new0 (FbPoolTask, step->spec->count);
       step->reserved_on = g_ptr_array_new_with_free_func (g_free);
     }
-  g_ptr_array_add (job->occurrences, occurrence);
+  g_ptr_array_insert (job->occurrences, (gint) index, occurrence);
   return occurrence;
 }
 
 FbPoolOccurrence *
 fb_pool_job_occurrence (FbPoolJob *job, uint32_t number)
 {
-  for (guint i = 0; i < job->occurrences->len; i++)
+  guint index = occurrence_index (job, number);
+  if (index < job->occurrences->len)
     {
-      FbPoolOccurrence *occurrence = job->occurrences->pdata[i];
+      FbPoolOccurrence *occurrence = job->occurrences->pdata[index];
       if (occurrence->number == number)
         return occurrence;
     }
   if (number >= MAX (job->record.spec.occurrences, 1))
     return NULL;
-  return occurrence_new (job, number);
+  return occurrence_new (job, number, index);
 }
 
 FbPoolStep *
--- a/src/work/pool-order.c
+++ b/src/work/pool-order.c
@@ -54,20 +54,6 @@
   return job->objective_ms + due_ms - job->record.accepted_ms;
 }
 
-/* Occurrences are usually created in the order of their numbers; a schedule may have thousands. */
-static FbPoolOccurrence *
-occurrence_of (const FbPoolStep *step)
-{
-  const GPtrArray *occurrences = step->job->occurrences;
-  if (step->occurrence < occurrences->len)
-    {
-      FbPoolOccurrence *occurrence = occurrences->pdata[step->occurrence];
-      if (occurrence->number == step->occurrence)
-        return occurrence;
-    }
-  return fb_pool_job_occurrence (step->job, step->occurrence);
-}
-
 /* Returns: the remaining time of OCCURRENCE.  It is computed once in an update for all its steps: a
  * job may have 64 that wait at the same time, and each would walk through all of them. */
 static uint64_t
@@ -82,7 +68,7 @@
 int64_t
 fb_pool_order_slack_ms (const FbPoolStep *step, uint64_t now_ms)
 {
-  const FbPoolOccurrence *occurrence = occurrence_of (step);
+  const FbPoolOccurrence *occurrence = fb_pool_job_occurrence (step->job, step->occurrence);
   return (int64_t) fb_pool_occurrence_objective_ms (occurrence) - (int64_t) now_ms
          - (int64_t) fb_pool_job_remaining_ms (occurrence, now_ms);
 }
@@ -126,7 +112,7 @@
   /* The urgency depends on the objective, which follows from the predictions. */
   predict_run_times (self, step->job, now_ms);
   FbPoolOrderKey key = { .urgency = fb_pool_queue_urgency (step, now_ms) };
-  FbPoolOccurrence *occurrence = occurrence_of (step);
+  FbPoolOccurrence *occurrence = fb_pool_job_occurrence (step->job, step->occurrence);
   uint64_t objective_ms = fb_pool_occurrence_objective_ms (occurrence);
   /* A long-running step has no end that could be late. */
   uint64_t left_ms = step->spec->long_running ? 0 : remaining_ms (occurrence, now_ms);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -125,6 +125,7 @@
 verdict "placement rounds" $B/tests/test-rounds
 verdict "placement rounds, many held steps" $B/tests/test-rounds many-held-steps
 verdict "predictions of run times" $B/tests/test-run-times
+verdict "occurrences of scheduled jobs" $B/tests/test-occurrences
 verdict "order of waiting steps" $B/tests/test-order
 verdict "uneven workers and work" $B/tests/test-uneven
 verdict "admission by forecast" $B/tests/test-admission
