--- a/src/base/crash-report.c
+++ b/src/base/crash-report.c
@@ -29,7 +29,6 @@
   char name[NAME_BYTES];
 } Module;
 
-/* Only functions that are safe in signal handlers may be called below, which excludes stdio. */
 typedef struct
 {
   char text[LINE_BYTES];
@@ -51,6 +50,8 @@
 
 /* ---- the line ------------------------------------------------------------------- */
 
+/* The functions of this part run in a signal handler, so they may not allocate or use stdio. */
+
 static void
 append_text (Line *line, const char *text)
 {
--- a/tests/test-crash-report.c
+++ b/tests/test-crash-report.c
@@ -15,8 +15,7 @@
 static int
 recurse_forever (volatile int depth)
 {
-  volatile char frame[512];
-  frame[depth & 511] = (char) depth;
+  volatile char frame[512] = { (char) depth };
   if (depth == 0)
     return 0;
   return recurse_forever (depth + 1) + frame[0] + recursion_sum;
