--- a/soak/other-writer.c
+++ b/soak/other-writer.c
@@ -1,5 +1,6 @@
 #include "other-writer.h"
 
+#include "platform/wire.h"
 #include "processes.h"
 
 #include <string.h>
@@ -70,19 +71,6 @@
     }
 }
 
-static void
-append_record (GByteArray *body, const char *key, GBytes *value)
-{
-  gsize value_len = 0;
-  gconstpointer bytes = g_bytes_get_data (value, &value_len);
-  guint8 key_len = (guint8) strlen (key);
-  guint32 len = GUINT32_TO_BE (1 + key_len + (guint32) value_len);
-  g_byte_array_append (body, (const guint8 *) &len, sizeof len);
-  g_byte_array_append (body, &key_len, 1);
-  g_byte_array_append (body, (const guint8 *) key, key_len);
-  g_byte_array_append (body, bytes, (guint) value_len);
-}
-
 /* Appends more small records than a page of a listing holds, before those of the workers. */
 static void
 append_page (GByteArray *body)
@@ -91,25 +79,25 @@
   for (guint i = 0; i < PAGE_RECORDS; i++)
     {
       g_autofree char *key = g_strdup_printf ("#\xff%u", i);
-      append_record (body, key, value);
+      fb_wire_encode_record (body, key, value);
     }
 }
 
 void
 soak_other_writer_store (SoakPlatform *platform, guint variant, guint worker)
 {
-  static const char *const topics[] = { "keyed.servers", "keyed.servers",  "keyed.op",
-                                        "keyed.jobs",    "keyed.progress", "keyed.queues" };
+  static const char *const topics[] = { FB_TOPIC_WORKERS, FB_TOPIC_WORKERS,  FB_TOPIC_CONFIG,
+                                        FB_TOPIC_JOBS,    FB_TOPIC_PROGRESS, FB_TOPIC_QUEUES };
   static const char *const forms[] = { "raw", "replaced", "surrogates", "omitted" };
   const char *topic = topics[variant % G_N_ELEMENTS (topics)];
   gboolean is_partitioned
-      = g_str_equal (topic, "keyed.jobs") || g_str_equal (topic, "keyed.progress");
+      = g_str_equal (topic, FB_TOPIC_JOBS) || g_str_equal (topic, FB_TOPIC_PROGRESS);
   guint partition
       = is_partitioned ? (guint) (XXH64 (SOAK_SERVICE, strlen (SOAK_SERVICE), 0) % PARTITION_N) : 0;
   g_autofree char *key = new_key ((KeyKind) (variant / 2 % KEY_N), worker);
   g_autoptr (GBytes) value = new_value ((ValueKind) (variant / 10 % VALUE_N));
   g_autoptr (GByteArray) body = g_byte_array_new ();
-  append_record (body, key, value);
+  fb_wire_encode_record (body, key, value);
   if (variant % 10 == 9)
     append_page (body);
   soak_platform_control (platform, "{\"malformed-keys\":\"%s\"}",
--- a/soak/platform.c
+++ b/soak/platform.c
@@ -1,5 +1,7 @@
 #include "platform.h"
 
+#include "platform/wire.h"
+
 #include <libsoup/soup.h>
 #include <string.h>
 
@@ -114,10 +116,13 @@
 soak_platform_append (SoakPlatform *self, const char *topic, guint partition,
                       const GByteArray *records)
 {
-  g_autofree char *path = g_strdup_printf ("/api/log-append?topic=%s&part=%u", topic, partition);
-  g_autoptr (SoupMessage) message = new_message (self, path, "");
+  g_autofree char *store = g_strdup_printf ("127.0.0.1:%u", self->port);
   g_autoptr (GBytes) body = g_bytes_new (records->data, records->len);
-  soup_message_set_request_body_from_bytes (message, "application/octet-stream", body);
+  FbHttpCall call;
+  fb_wire_append (&call, store, topic, partition, body, NULL, 0, 0);
+  g_autoptr (SoupMessage) message = soup_message_new (call.method, call.url);
+  soup_message_set_request_body_from_bytes (message, call.content_type, call.body);
+  fb_http_call_clear (&call);
   self->pending++;
   soup_session_send_and_read_async (self->appends, message, G_PRIORITY_DEFAULT, NULL,
                                     on_control_answered, self);
