--- a/include/fb-build-info.h
+++ b/include/fb-build-info.h
@@ -1,10 +1,6 @@
-/* Identifies the running program: which sources, which build and which libraries. */
+/* Identifies the running program: which sources and which build. */
 #pragma once
 
-#include <stddef.h>
-
-#define FB_BUILD_ID_CHARS 65
-
 /* Returns: release and source revision, such as "0.1.0+1a2b3c4d"; static. */
 const char *fb_build_version (void);
 /* Returns: the linker's identifier of this program, in hexadecimal, which differs for each program
--- a/src/base/build-info.c
+++ b/src/base/build-info.c
@@ -9,6 +9,7 @@
 #include <link.h>
 #include <string.h>
 
+#define BUILD_ID_CHARS 65
 /* Name of the vendor of the note with the build identifier. */
 #define NOTE_VENDOR "GNU"
 
@@ -21,7 +22,7 @@
 static void
 format_hex (char *out, const guint8 *bytes, gsize n)
 {
-  for (gsize i = 0; i < MIN (n, FB_BUILD_ID_CHARS / 2); i++)
+  for (gsize i = 0; i < MIN (n, BUILD_ID_CHARS / 2); i++)
     g_snprintf (out + 2 * i, 3, "%02x", bytes[i]);
 }
 
@@ -63,7 +64,7 @@
 const char *
 fb_build_id (void)
 {
-  static char id[FB_BUILD_ID_CHARS];
+  static char id[BUILD_ID_CHARS];
   if (id[0] == '\0')
     {
       g_strlcpy (id, "none", sizeof id);
--- a/src/entry/store/listing-cursor.c
+++ b/src/entry/store/listing-cursor.c
@@ -1,7 +1,5 @@
 #include "listing-cursor.h"
 
-#include "src/net/json.h"
-
 #include <string.h>
 
 #define KEY_MAX_BYTES 255
@@ -48,14 +46,13 @@
   return g_string_free (key, FALSE);
 }
 
-/* Moves beyond SHOWN_KEY, whose stored form is known only up to its first replaced byte, which is
- * above 127.  All keys that continue with an ASCII character there are before it, so a cursor at
+/* Moves beyond SHOWN_KEY, whose stored form is known only up to REPLACED; the byte there is above
+ * 127.  All keys that continue with an ASCII character there are before it, so a cursor at
  * the end of the prefix passes none of them by.  A store that reads the cursor as UTF-8 may replace
  * the bytes 0xff in it, so the second cursor is valid text. */
 static gboolean
-move_beyond_prefix (FbListingCursor *self, const char *shown_key)
+move_beyond_prefix (FbListingCursor *self, const char *shown_key, const char *replaced)
 {
-  const char *replaced = strstr (shown_key, FB_JSON_REPLACEMENT);
   g_autofree char *prefix = g_strndup (shown_key, (gsize) (replaced - shown_key));
   gboolean is_second = g_strcmp0 (prefix, self->inexact_prefix) == 0;
   g_free (self->inexact_prefix);
@@ -74,8 +71,9 @@
     }
   if (key == NULL || *key == '\0')
     return FALSE;
-  if (!fb_wire_is_exact_key (key))
-    return move_beyond_prefix (self, key);
+  const char *replaced = fb_wire_replaced_part (key);
+  if (replaced != NULL)
+    return move_beyond_prefix (self, key, replaced);
   g_clear_pointer (&self->inexact_prefix, g_free);
   return move_after (self, g_strdup (key));
 }
--- a/src/net/json.c
+++ b/src/net/json.c
@@ -4,8 +4,6 @@
 
 #include <string.h>
 
-/* Length of an escape of a code unit, "\\uXXXX". */
-#define ESCAPE_BYTES 6
 /* NUL is replaced by the character after it, so that keys keep their order. */
 #define NUL_REPLACEMENT '\1'
 #define ESCAPED_NUL_REPLACEMENT "\\u0001"
@@ -37,24 +35,34 @@
   return TRUE;
 }
 
-/* Scans the rest of an escape after its backslash. The library's parser reads on to the second half
- * of a surrogate pair without checking what it passes, so an unpaired half is refused. */
+/* Scans the escape of one code unit, "\\uXXXX".  Returns: FALSE when none follows. */
+static gboolean
+scan_code_unit (Scan *scan, guint *code_unit)
+{
+  if (scan->end - scan->at < 2 || scan->at[0] != '\\' || scan->at[1] != 'u')
+    return FALSE;
+  scan->at += 2;
+  return scan_hex (scan, code_unit);
+}
+
+/* Scans an escape from its backslash on. The library's parser reads on to the second half of a
+ * surrogate pair without checking what it passes, so an unpaired half is refused. */
 static gboolean
 scan_escape (Scan *scan)
 {
-  if (scan->at == scan->end)
+  if (scan->end - scan->at < 2)
     return FALSE;
-  if (*scan->at++ != 'u')
-    return scan->at[-1] != '\0' && strchr ("\"\\/bfnrt", scan->at[-1]) != NULL;
+  if (scan->at[1] != 'u')
+    {
+      scan->at += 2;
+      return scan->at[-1] != '\0' && strchr ("\"\\/bfnrt", scan->at[-1]) != NULL;
+    }
   guint code_unit = 0;
-  if (!scan_hex (scan, &code_unit) || (code_unit >= 0xdc00 && code_unit <= 0xdfff))
+  if (!scan_code_unit (scan, &code_unit) || (code_unit >= 0xdc00 && code_unit <= 0xdfff))
     return FALSE;
   if (code_unit < 0xd800 || code_unit > 0xdbff)
     return code_unit != 0;
-  if (scan->end - scan->at < 2 || scan->at[0] != '\\' || scan->at[1] != 'u')
-    return FALSE;
-  scan->at += 2;
-  return scan_hex (scan, &code_unit) && code_unit >= 0xdc00 && code_unit <= 0xdfff;
+  return scan_code_unit (scan, &code_unit) && code_unit >= 0xdc00 && code_unit <= 0xdfff;
 }
 
 /* Scans the rest of a string after its opening quote. */
@@ -63,10 +71,16 @@
 {
   while (scan->at < scan->end)
     {
+      if (*scan->at == '\\')
+        {
+          if (!scan_escape (scan))
+            return FALSE;
+          continue;
+        }
       char c = *scan->at++;
       if (c == '"')
         return TRUE;
-      if (c == '\0' || (c == '\\' && !scan_escape (scan)))
+      if (c == '\0')
         return FALSE;
     }
   return FALSE;
@@ -298,51 +312,23 @@
   return NULL;
 }
 
-/* Returns: the code unit of the escape at TEXT ("\\uXXXX"); -1 when there is none. */
-static gint
-code_unit_at (const char *text)
-{
-  if (text[0] != '\\' || text[1] != 'u')
-    return -1;
-  gint code_unit = 0;
-  for (guint i = 2; i < ESCAPE_BYTES; i++)
-    {
-      gint digit = g_ascii_xdigit_value (text[i]);
-      if (digit < 0)
-        return -1;
-      code_unit = code_unit * 16 + digit;
-    }
-  return code_unit;
-}
-
-/* Appends the escape at TEXT to OUT, or its replacement.
- * Returns: the length of the escape in bytes. */
-static gsize
-append_escape (GString *out, const char *text)
+/* Appends the escape at SCAN to OUT, or its replacement when it is malformed. */
+static void
+append_escape (GString *out, Scan *scan)
 {
-  gint code_unit = code_unit_at (text);
-  if (code_unit < 0)
-    {
-      gsize len = text[1] != '\0' ? 2 : 1;
-      g_string_append_len (out, text, (gssize) len);
-      return len;
-    }
-  if (code_unit >= 0xd800 && code_unit <= 0xdbff)
+  const char *start = scan->at;
+  guint code_unit = 0;
+  if (!scan_escape (scan))
     {
-      gint second = code_unit_at (text + ESCAPE_BYTES);
-      if (second >= 0xdc00 && second <= 0xdfff)
+      scan->at = start;
+      if (scan_code_unit (scan, &code_unit))
         {
-          g_string_append_len (out, text, 2 * ESCAPE_BYTES);
-          return 2 * ESCAPE_BYTES;
+          g_string_append (out, code_unit == 0 ? ESCAPED_NUL_REPLACEMENT : FB_JSON_REPLACEMENT);
+          return;
         }
+      scan->at = start + 1;
     }
-  if (code_unit == 0)
-    g_string_append (out, ESCAPED_NUL_REPLACEMENT);
-  else if (code_unit >= 0xd800 && code_unit <= 0xdfff)
-    g_string_append (out, FB_JSON_REPLACEMENT);
-  else
-    g_string_append_len (out, text, ESCAPE_BYTES);
-  return ESCAPE_BYTES;
+  g_string_append_len (out, start, scan->at - start);
 }
 
 /* Returns: (transfer full): DATA with its malformed characters replaced. */
@@ -356,15 +342,15 @@
         copy[i] = NUL_REPLACEMENT;
     }
   g_autofree char *valid = g_utf8_make_valid (copy, (gssize) len);
-  GString *out = g_string_sized_new (strlen (valid));
-  const char *at = valid;
-  while (*at != '\0')
+  Scan scan = { .at = valid, .end = valid + strlen (valid) };
+  GString *out = g_string_sized_new (len);
+  while (scan.at < scan.end)
     {
-      gsize plain_len = strcspn (at, "\\");
-      g_string_append_len (out, at, (gssize) plain_len);
-      at += plain_len;
-      if (*at != '\0')
-        at += append_escape (out, at);
+      gsize plain_len = strcspn (scan.at, "\\");
+      g_string_append_len (out, scan.at, (gssize) plain_len);
+      scan.at += plain_len;
+      if (scan.at < scan.end)
+        append_escape (out, &scan);
     }
   return out;
 }
