--- a/standins/standin-platform-store.c
+++ b/standins/standin-platform-store.c
@@ -314,8 +314,6 @@
 static void
 add_row (GString *out, const Partition *partition, const char *key, guint offset)
 {
-  if (out->str[out->len - 1] == '}')
-    g_string_append_c (out, ',');
   gsize len = 0;
   const guint8 *data = g_bytes_get_data (partition->records->pdata[offset], &len);
   g_autofree char *value = g_base64_encode (data + 1 + data[0], len - 1 - data[0]);
@@ -345,6 +343,7 @@
       const char *key = g_tree_node_key (node);
       if (is_shown (key))
         {
+          g_string_append (out, rows_n > 0 ? "," : "");
           add_row (out, partition, key, GPOINTER_TO_UINT (g_tree_node_value (node)));
           rows_n++;
         }
--- a/tests/cut-off-workers.sh
+++ b/tests/cut-off-workers.sh
@@ -11,7 +11,6 @@
 declare -A PID
 trap 'kill -CONT ${PID[*]} 2> /dev/null || true; kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
-control() { curl -s -o /dev/null -d "$1" "http://127.0.0.1:$base/control"; }
 number() { curl -s "http://127.0.0.1:$base/$1" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; } # PATH NAME
 call() { # DAEMON METHOD JOB [BODY]: prints the status
   curl -s --max-time 5 -o "$OUT/answer.$1" -w '%{http_code}' -X "$2" -H 'Host: h.example' ${4:+-d "$4"} "http://127.0.0.1:$(port "$1")/q/$(job "$3")" || true
--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -36,11 +36,16 @@
 # Starts a daemon whose process id is kept in PID.
 start_daemon() { run_daemon "$1"; PID[$1]=$!; } # INDEX
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(port "$1") + 1))/api/readyz")" = 200 ]; } # INDEX
+# Sends a command to the stand-in platform.
+control() { curl -s -o /dev/null -d "$1" "http://127.0.0.1:$base/control"; } # JSON
+append_records() { # TOPIC FILE [PARTITION]
+  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$2" "http://127.0.0.1:$base/api/log-append?topic=$1&part=${3:-0}")" = 200 ]
+}
 # Stores a record, as another program may do.
 store_record() { # TOPIC KEY VALUE-FILE [PARTITION]
   local LC_ALL=C len; len=$(stat -c %s "$3")
   { printf "$(octal $((1 + ${#2} + len)))"; printf "\\$(printf '%03o' ${#2})"; printf '%s' "$2"; cat "$3"; } > "$OUT/record"
-  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$OUT/record" "http://127.0.0.1:$base/api/log-append?topic=$1&part=${4:-0}")" = 200 ]
+  append_records "$1" "$OUT/record" "${4:-0}"
 }
 # Stores a configuration as operators do.
 store_configuration() { # JSON
--- a/tests/malformed-input.sh
+++ b/tests/malformed-input.sh
@@ -23,6 +23,7 @@
   until_true completed 1 "$2" || die "$1: the job has not completed: $(cat "$OUT/answer")"
   all_run "$1"
 }
+restart_all() { local d; for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; : > "$OUT/d$d.log"; start_daemon "$d"; done; }
 is_refused() { # CAUSE DAEMON FILE
   local status; status=$(call "$2" POST 99 --data-binary "@$3")
   [ "$status" = 400 ] || die "$1: the request was answered with status $status"
@@ -81,19 +82,28 @@
 
 step "daemons that start later skip the same entries"
 store_configuration '{"version":3,"routes":[{"name":"q","host":"h.example","path-prefix":"/q/","service":"svc","max-attempts":3,"stretch-factor":2,"target-duration-ms":1000}],"services":[{"name":"svc"}]}'
-for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; : > "$OUT/d$d.log"; start_daemon $d; done
+restart_all
 for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready: $(tail -2 "$OUT/d$d.log")"; done
 until_true reported 'the entry of worker other-writer' || die "no daemon reports the deep entry"
 until_true completed 2 4 || die "a job is not known after the start"
 runs_jobs "start" 5
-control() { curl -s -o /dev/null -d "$1" "http://127.0.0.1:$base/control"; } # JSON
 # Stores 600 records in one append, more than a page of a listing holds.
 store_page() { # TOPIC KEY-PREFIX
   local LC_ALL=C k; : > "$OUT/records"
   for k in $(seq 100 699); do printf "\\0\\0\\0\\$(printf '%03o' $((${#2} + 5)))\\$(printf '%03o' $((${#2} + 3)))%s%s{" "$2" "$k" >> "$OUT/records"; done
-  [ "$(curl -s -o /dev/null -w '%{http_code}' --data-binary "@$OUT/records" "http://127.0.0.1:$base/api/log-append?topic=$1&part=0")" = 200 ]
+  append_records "$1" "$OUT/records"
+}
+n=10
+# Restarts the daemons with each form in which listings show keys that are not UTF-8.
+runs_jobs_in_each_form() { # CAUSE
+  local form
+  for form in raw replaced surrogates omitted; do
+    control "{\"malformed-keys\":\"$form\"}"
+    restart_all
+    runs_jobs "$1, $form" $n
+    n=$((n + 1))
+  done
 }
-restart_all() { local d; for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; start_daemon "$d"; done; }
 
 step "listings with keys that are not UTF-8 are read, whatever form the store shows them in"
 not_utf8=$(printf '\377%.0s' $(seq 40))
@@ -103,22 +113,11 @@
   store_record keyed.jobs "$not_utf8" "$OUT/bytes" "$part" || die "the record was not stored"
   store_record keyed.progress "$not_utf8" "$OUT/bytes" "$part" || die "the record was not stored"
 done
-n=10
-for form in raw replaced surrogates omitted; do
-  control "{\"malformed-keys\":\"$form\"}"
-  restart_all
-  runs_jobs "$form keys" $n
-  n=$((n + 1))
-done
+runs_jobs_in_each_form "keys"
 
 step "a page of malformed keys does not end a listing"
 store_page keyed.servers '!' || die "the entries were not stored"
 store_page keyed.servers $'"\n' || die "the entries were not stored"
 store_page keyed.servers $'#\377' || die "the entries were not stored"
-for form in raw replaced surrogates omitted; do
-  control "{\"malformed-keys\":\"$form\"}"
-  restart_all
-  runs_jobs "pages of $form keys" $n
-  n=$((n + 1))
-done
+runs_jobs_in_each_form "pages of keys"
 echo "malformed input: ok"
--- a/tests/test-crash-report.c
+++ b/tests/test-crash-report.c
@@ -82,21 +82,21 @@
   CU_ASSERT_TRUE (ABS (g_get_real_time () / G_USEC_PER_SEC - g_date_time_to_unix (time)) < 60);
 }
 
-/* A process that ran out of stack ended without a line in its log. */
+/* Guards against an overflow of the stack that leaves no line. */
 static void
 test_stack_overflow (void)
 {
   check_report (overflow_stack, SIGSEGV, "SIGSEGV");
 }
 
-/* An assertion of a library ended a process, and no log told where. */
+/* Guards against an abort that leaves no line. */
 static void
 test_abort (void)
 {
   check_report (abort, SIGABRT, "SIGABRT");
 }
 
-/* A signal that is not raised by an instruction must end the process as well. */
+/* Guards against a process that goes on after a signal that no instruction has raised. */
 static void
 test_signal_of_another_process (void)
 {
--- a/tests/test-occurrences.c
+++ b/tests/test-occurrences.c
@@ -67,7 +67,7 @@
   return least_us;
 }
 
-/* A takeover took the square of the times that a scheduled job had come due, and lost the pool. */
+/* Guards against a cost of takeovers that grows with the square of the occurrences. */
 static void
 test_cost_grows_with_the_occurrences (void)
 {
