--- a/standins/standin-platform-faults.c
+++ b/standins/standin-platform-faults.c
@@ -1,5 +1,5 @@
-/* Fault injection: workers and the store reject calls or do not respond to them, and workers
- * execute calls late. */
+/* Fault injection: workers and the store reject calls or do not respond to them, workers execute
+ * calls late, and the store appends late. */
 #include "standin-platform.h"
 
 #include <string.h>
@@ -12,14 +12,17 @@
 {
   gint64 until_ms;                  /* sp_now_ms() when the faults end; 0: no faults */
   guint percent[SP_CALL_OUTCOME_N]; /* of the calls, by outcome; all others are served */
+  gint delay_ms;                    /* of late calls; 0: a random one for each */
 } FaultRates;
 
 typedef struct
 {
   SoupServerMessage *message; /* paused */
-  guint k;                    /* index of the worker */
+  guint k;                    /* index of the worker, or SP_STORE */
   char *path;
-  JsonObject *body;
+  JsonObject *body;  /* of a worker's call */
+  GHashTable *query; /* of an append */
+  GBytes *records;   /* of an append */
   gint64 execute_at_ms; /* by sp_now_ms() */
 } DelayedCall;
 
@@ -33,7 +36,9 @@
   DelayedCall *call = data;
   g_object_unref (call->message);
   g_free (call->path);
-  json_object_unref (call->body);
+  g_clear_pointer (&call->body, json_object_unref);
+  g_clear_pointer (&call->query, g_hash_table_unref);
+  g_clear_pointer (&call->records, g_bytes_unref);
   g_free (call);
 }
 
@@ -51,6 +56,7 @@
       = { [SP_CALL_REFUSED] = "refuse", [SP_CALL_UNANSWERED] = "lose", [SP_CALL_DELAYED] = "late" };
   FaultRates *rates = &fault_rates[MIN (k, SP_STORE)];
   rates->until_ms = sp_now_ms () + json_object_get_int_member_with_default (settings, "for-ms", 0);
+  rates->delay_ms = (gint) json_object_get_int_member_with_default (settings, "late-ms", 0);
   for (guint i = SP_CALL_SERVED + 1; i < SP_CALL_OUTCOME_N; i++)
     rates->percent[i] = (guint) json_object_get_int_member_with_default (settings, names[i], 0);
 }
@@ -77,17 +83,47 @@
   return SP_CALL_SERVED;
 }
 
-void
-sp_faults_delay_call (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+static DelayedCall *
+delay (SoupServerMessage *message, guint k, const char *path)
 {
   DelayedCall *call = g_new0 (DelayedCall, 1);
   call->message = g_object_ref (message);
   call->k = k;
   call->path = g_strdup (path);
-  call->body = json_object_ref (body);
-  call->execute_at_ms = sp_now_ms () + g_rand_int_range (fault_rand, MIN_DELAY_MS, MAX_DELAY_MS);
+  gint delay_ms = fault_rates[k].delay_ms;
+  if (delay_ms == 0)
+    delay_ms = g_rand_int_range (fault_rand, MIN_DELAY_MS, MAX_DELAY_MS);
+  call->execute_at_ms = sp_now_ms () + delay_ms;
   soup_server_message_pause (message);
   g_ptr_array_add (delayed_calls, call);
+  return call;
+}
+
+void
+sp_faults_delay_call (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+{
+  delay (message, k, path)->body = json_object_ref (body);
+}
+
+void
+sp_faults_delay_append (SoupServerMessage *message, const char *path, GHashTable *query,
+                        GBytes *records)
+{
+  DelayedCall *call = delay (message, SP_STORE, path);
+  call->query = g_hash_table_ref (query);
+  call->records = g_bytes_ref (records);
+}
+
+static void
+execute (const DelayedCall *call)
+{
+  if (call->k != SP_STORE)
+    {
+      sp_worker_execute (call->message, call->k, call->path, call->body);
+      return;
+    }
+  (void) sp_store_serve (call->message, call->path, call->query, call->records);
+  sp_close_connection (call->message);
 }
 
 void
@@ -98,7 +134,7 @@
       DelayedCall *call = delayed_calls->pdata[i - 1];
       if (sp_now_ms () < call->execute_at_ms)
         continue;
-      sp_worker_execute (call->message, call->k, call->path, call->body);
+      execute (call);
       g_ptr_array_remove_index (delayed_calls, i - 1);
     }
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -21,10 +21,10 @@
  *                                 listen, and its open connections are reset
  *   {"lose-answers":true}         workers execute starts without responding, and reject repeated
  *                                 starts
- *   {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P}
+ *   {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P,"late-ms":N}
  *                                 worker K rejects P percent of its calls, executes P percent
  *                                 without responding, and P percent late and without responding
- *   {"store-faults":true,...}     the same for the store, "refuse" and "lose" only
+ *   {"store-faults":true,...}     the same for the store; "late" for appends only
  *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults" and
  *                                 "store-faults"
  *   {"finish":JOB}                ends the runs of JOB
@@ -192,6 +192,8 @@
   else if (outage || outcome == SP_CALL_REFUSED
            || (appends_rejected && g_str_equal (path, "/api/log-append")))
     sp_reply (message, 503, "{}");
+  else if (outcome == SP_CALL_DELAYED && g_str_equal (path, "/api/log-append"))
+    sp_faults_delay_append (message, path, query, bytes);
   else if (!sp_store_serve (message, path, query, bytes)
            && !sp_group_serve (message, path, query, body))
     sp_reply (message, 404, "{}");
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -115,12 +115,15 @@
 
 void sp_faults_init (void);
 /* Sets the faults of worker K, or of SP_STORE.  SETTINGS: "refuse", "lose" and "late", in percent
- * of the calls, and their duration, "for-ms". */
+ * of the calls, their duration, "for-ms", and the delay of late calls, "late-ms". */
 void sp_faults_set (guint k, JsonObject *settings);
 void sp_faults_clear (void);
 SpCallOutcome sp_faults_draw (guint k);
 /* Schedules a call to worker K for execution after a random delay. */
 void sp_faults_delay_call (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+/* As above, for an append to the store. */
+void sp_faults_delay_append (SoupServerMessage *message, const char *path, GHashTable *query,
+                             GBytes *records);
 void sp_faults_tick (void);
 
 /* ---- audit of the runs: standin-platform-audit.c --------------------------------------------- */
