Cancels hold for the id of a job: kept until the job is known

Cause: a cancel was applied to what the owner knew at the moment. One of a job that it did not know changed nothing and was forgotten, although the submission may have been stored after it, was still under way (504, repeated, or carried out late by the store), or was delivered after it by a listing, whose keys of cancels sort before those of jobs. The frontend answered 410 to a cancel of an unknown job and stored nothing at all.

Now every cancel is stored. The owner keeps one of an unknown job, in the store for any later owner as well, cancels the job as soon as it is known, and deletes the record after five minutes, as long as the ends of jobs are kept. A kept cancel is passed on to each service that shares a queue, also to those that are listed later or that claim the job; an append that fails is repeated. A record of a job that a service has given up no longer takes the cancel's record with it. A cancel of another account's job is answered 410 at once and not stored: it would replace the record of that account's cancel.

--- a/rpc/work.h
+++ b/rpc/work.h
@@ -518,6 +518,7 @@
 	FB_REPLY_CLAIMS = 22,
 	FB_REPLY_STORE_STATE = 23,
 	FB_REPLY_JOBS_NOT_READ = 24,
+	FB_REPLY_JOB_OF_OTHER_ACCOUNT = 25,
 };
 typedef enum fb_peer_reply_type fb_peer_reply_type;
 
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -447,7 +447,8 @@
   FB_REPLY_QUEUE_SERVICES = 21,    /* also to FB_REQUEST_PENDING_COUNT when there are others */
   FB_REPLY_CLAIMS = 22,
   FB_REPLY_STORE_STATE = 23,
-  FB_REPLY_JOBS_NOT_READ = 24      /* the owner reads the jobs now: retry */
+  FB_REPLY_JOBS_NOT_READ = 24,     /* the owner reads the jobs now: retry */
+  FB_REPLY_JOB_OF_OTHER_ACCOUNT = 25 /* only to FB_REQUEST_CURRENT_JOB_STATE */
 };
 
 /* The store by the last calls of a daemon. */
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -7,6 +7,8 @@
 
 #include "src/entry/entry-private.h"
 
+#define FB_NO_SUCH_JOB_BODY "{\"error\":\"no such job\"}"
+
 /* One HTTP request of a caller; talloc context of its strings. */
 typedef struct
 {
@@ -29,6 +31,7 @@
   uint64_t received_ms;
   uint64_t store_began_ms; /* time at which storing the record began */
   gboolean is_delete;
+  gboolean has_no_job; /* the cancel is of a job that no service has */
 } FbFrontendRequest;
 
 /* Answers the caller and frees REQUEST. */
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -36,34 +36,61 @@
     fb_recent_appends_note (request->entry->recent_appends, request->job, fb_clock_ms ());
 }
 
+static const char *const append_result_names[] = { [FB_APPEND_STORED] = "stored",
+                                                   [FB_APPEND_NOT_STORED] = "certainly not stored",
+                                                   [FB_APPEND_IN_DOUBT] = "in doubt" };
+
+/* A cancel that may not be stored is repeated by its caller. */
 static void
-answer_stored (FbFrontendRequest *request, FbAppendResult result)
+answer_cancel (FbFrontendRequest *request, FbAppendResult result)
+{
+  guint status = SOUP_STATUS_GATEWAY_TIMEOUT;
+  const char *body = "{\"error\":\"not known whether it is stored\"}";
+  if (result == FB_APPEND_STORED)
+    {
+      status = request->has_no_job ? SOUP_STATUS_GONE : SOUP_STATUS_OK;
+      body = request->has_no_job ? FB_NO_SUCH_JOB_BODY : "{}";
+    }
+  fb_event_log (FB_EVENT_JOB_CANCEL, "job=%s queue=%s service=%s status=%u how=\"%s\" after_ms=%u",
+                request->job, request->queue, request->service, status,
+                append_result_names[MIN (result, FB_APPEND_IN_DOUBT)],
+                (guint) (fb_clock_ms () - request->received_ms));
+  fb_entry_frontend_finish (request, status, body);
+}
+
+static void
+answer_submission (FbFrontendRequest *request, FbAppendResult result)
 {
-  static const char *const how[] = { [FB_APPEND_STORED] = "stored",
-                                     [FB_APPEND_NOT_STORED] = "certainly not stored",
-                                     [FB_APPEND_IN_DOUBT] = "in doubt" };
   note_append (request);
   fb_entry_frontend_log (request,
                          result == FB_APPEND_STORED ? FB_EVENT_JOB_ACCEPTED : FB_EVENT_JOB_REFUSED,
-                         how[MIN (result, FB_APPEND_IN_DOUBT)]);
+                         append_result_names[MIN (result, FB_APPEND_IN_DOUBT)]);
+  if (result == FB_APPEND_STORED)
+    fb_entry_frontend_finish (request, SOUP_STATUS_OK, "{}");
+  else if (result == FB_APPEND_IN_DOUBT)
+    fb_entry_frontend_finish (request, SOUP_STATUS_GATEWAY_TIMEOUT,
+                              "{\"error\":\"not known whether it is stored\"}");
+  else
+    fb_entry_frontend_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                              "{\"error\":\"not stored\"}");
+}
+
+static void
+answer_stored (FbFrontendRequest *request, FbAppendResult result)
+{
   if (result == FB_APPEND_STORED)
     {
       fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
       fb_peers_notify_stored (request->entry, request->partition, request->key, request->value);
-      fb_entry_frontend_finish (request, SOUP_STATUS_OK, "{}");
     }
   else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
-    {
-      fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
-      fb_entry_frontend_finish (request, SOUP_STATUS_GATEWAY_TIMEOUT,
-                                "{\"error\":\"not known whether it is stored\"}");
-    }
+    fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
   else
-    {
-      fb_counter_add (FB_COUNTER_JOBS_REFUSED, 1);
-      fb_entry_frontend_finish (request, SOUP_STATUS_SERVICE_UNAVAILABLE,
-                                "{\"error\":\"not stored\"}");
-    }
+    fb_counter_add (FB_COUNTER_JOBS_REFUSED, 1);
+  if (request->is_delete)
+    answer_cancel (request, result);
+  else
+    answer_submission (request, result);
 }
 
 /* Answers the caller when no call is known to have stored the record. */
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -255,6 +255,27 @@
                               "{\"error\":\"the owner is away\"}");
 }
 
+static void
+answer_no_such_job (FbFrontendRequest *request)
+{
+  fb_entry_frontend_finish (request, SOUP_STATUS_GONE, FB_NO_SUCH_JOB_BODY);
+}
+
+/* No service has the job.  A cancel is stored nevertheless, for a submission that is under way: it
+ * would be stored after this answer, and its job would run. */
+static void
+finish_without_job (FbFrontendRequest *request)
+{
+  if (!request->is_delete)
+    {
+      answer_no_such_job (request);
+      return;
+    }
+  request->has_no_job = TRUE;
+  request->service = request->queue_service;
+  store_cancel (request);
+}
+
 static void on_state (gpointer data, const fb_peer_reply *peer_reply);
 
 /* Asks the next of the other services that may have the job. */
@@ -263,7 +284,7 @@
 {
   if (request->services->len == 0)
     {
-      fb_entry_frontend_finish (request, SOUP_STATUS_GONE, "{\"error\":\"no such job\"}");
+      finish_without_job (request);
       return;
     }
   g_autofree char *service = g_ptr_array_steal_index (request->services, 0);
@@ -312,6 +333,8 @@
     request_queue (request, FB_REQUEST_QUEUE_SERVICES, on_job_services);
   else if (type == FB_REPLY_NO_SUCH_JOB)
     request_state_elsewhere (request);
+  else if (type == FB_REPLY_JOB_OF_OTHER_ACCOUNT)
+    answer_no_such_job (request);
   else if (type != FB_REPLY_JOB_STATE)
     answer_unknown_state (request);
   else if (request->is_delete)
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -145,6 +145,7 @@
   g_hash_table_replace (self->held_jobs, held->id, held);
   fb_event_log (FB_EVENT_JOB_HELD, "job=%s queue=%s service=%s", job, record->policy.queue,
                 record->policy.service);
+  fb_owner_apply_kept_cancel (self, job);
 }
 
 static void
@@ -152,6 +153,7 @@
 {
   FbPool *pool = fb_owner_pool_for (self, record->policy.service)->pool;
   fb_pool_add_job_take (pool, job, record, fb_clock_ms (), fb_clock_wall_ms ());
+  fb_owner_apply_kept_cancel (self, job);
 }
 
 /* Returns: (transfer full) (nullable): the record of JOB, which a pool of this partition has or
@@ -186,12 +188,12 @@
 }
 
 /* Deletes the record of JOB, which another service runs: it would be taken for a new job once the
- * end of that one, or the disclaimer, has expired. */
+ * end of that one, or the disclaimer, has expired.  Its cancel stays for that service. */
 static void
 delete_record (FbOwner *self, const char *job)
 {
   if (!restore_record (self, job))
-    g_ptr_array_add (self->ended_jobs, g_strdup (job));
+    g_ptr_array_add (self->stale_keys, g_strdup_printf ("%c%s", FB_KEY_JOB, job));
 }
 
 void
@@ -268,8 +270,10 @@
                         : NULL;
   if (held != NULL && result == FB_APPEND_STORED)
     {
+      g_autoptr (GBytes) cancel = g_bytes_ref (held->cancel);
       fb_owner_forget_held_job (owner, passed->job);
       delete_record (owner, passed->job);
+      fb_owner_apply_cancel (owner, passed->job, cancel);
     }
   else if (held != NULL)
     held->is_claimed = FALSE;
--- a/src/entry/owner/owner-disclaimers.c
+++ b/src/entry/owner/owner-disclaimers.c
@@ -132,6 +132,7 @@
           put_disclaimed (service_pool, job, wall_ms);
           fb_wire_encode_record (records, key, value);
         }
+      fb_owner_pass_on_kept_cancel (self, job, request->claimant);
     }
   if (records->len == 0)
     {
--- a/src/entry/owner/owner-flush.c
+++ b/src/entry/owner/owner-flush.c
@@ -135,13 +135,16 @@
 }
 
 static void
-keep_ended_jobs (FbOwner *self, const Flush *flush, guint from, guint n)
+delete_records_of_ended_jobs (FbOwner *self, const Flush *flush, guint from, guint n)
 {
   for (guint i = from; i < from + n; i++)
     {
       const FbPoolRecord *record = flush->records->pdata[i];
       if (record->kind == FB_POOL_RECORD_JOB && (record->progress == NULL || record->ended))
-        g_ptr_array_add (self->ended_jobs, g_strdup (record->job));
+        {
+          g_ptr_array_add (self->stale_keys, g_strdup_printf ("%c%s", FB_KEY_JOB, record->job));
+          g_ptr_array_add (self->stale_keys, fb_owner_cancel_key (record->job));
+        }
     }
 }
 
@@ -150,7 +153,7 @@
 {
   gboolean is_unit = part->n == unit_at (flush, part->from);
   if (result == FB_APPEND_STORED)
-    keep_ended_jobs (self, flush, part->from, part->n);
+    delete_records_of_ended_jobs (self, flush, part->from, part->n);
   else if (result == FB_APPEND_INVALID && is_unit)
     reject_records (self, flush, part->from, part->n);
   else if (result == FB_APPEND_INVALID)
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -32,30 +32,6 @@
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &record);
 }
 
-void
-fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *value)
-{
-  FbHeldJob *held = fb_owner_held_job (self, job);
-  if (held != NULL)
-    {
-      fb_owner_hold_cancel (held, value);
-      return;
-    }
-  gsize len = 0;
-  const char *text = g_bytes_get_data (value, &len);
-  gsize prefix_len = MIN (len, strlen (FB_CANCEL_PREFIX));
-  g_autofree char *account = g_strndup (text + prefix_len, len - prefix_len);
-  GHashTableIter iter;
-  gpointer service_pool;
-  g_hash_table_iter_init (&iter, self->service_pools);
-  while (g_hash_table_iter_next (&iter, NULL, &service_pool))
-    {
-      FbPool *pool = ((FbServicePool *) service_pool)->pool;
-      if (fb_pool_job_is_visible (pool, job, account))
-        fb_pool_cancel_job (pool, job, fb_clock_ms (), fb_clock_wall_ms ());
-    }
-}
-
 static void
 apply_worker_list (FbOwner *self, const char *service, GBytes *value)
 {
@@ -165,13 +141,6 @@
   fb_owner_schedule_tick (self);
 }
 
-static void
-apply_stored_cancel (FbOwner *self, const char *job, GBytes *value)
-{
-  fb_owner_apply_cancel (self, job, value);
-  fb_owner_keep_unknown_cancel (self, job, value);
-}
-
 /* Applies a limited number of records in each iteration: all jobs, then their progress, then the
  * cancels.  Loading a pool of hundreds of jobs in one iteration takes 0.4 s on 0.12 of a core,
  * which delays callers, orders of other owners and membership renewals. */
@@ -184,7 +153,7 @@
   self->loaded_n += jobs_n;
   budget -= jobs_n;
   budget -= apply_up_to (self, self->progress, fb_owner_apply_progress, budget);
-  budget -= apply_up_to (self, self->cancelled, apply_stored_cancel, budget);
+  budget -= apply_up_to (self, self->cancelled, fb_owner_apply_stored_cancel, budget);
   if (budget == 0)
     return G_SOURCE_CONTINUE;
   self->load_source = 0;
@@ -192,32 +161,34 @@
   return G_SOURCE_REMOVE;
 }
 
-void
-fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value)
+static void
+apply_record (FbOwner *self, const char *key, GBytes *value, ApplyRecord apply_cancel)
 {
-  if (!self->loaded || value == NULL || strlen (key) < 2)
-    return;
   if (key[0] == FB_KEY_JOB)
     apply_admission (self, key + 1, value);
   else
-    fb_owner_apply_cancel (self, key + 1, value);
+    apply_cancel (self, key + 1, value);
   fb_owner_schedule_tick (self);
 }
 
+void
+fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value)
+{
+  if (self->loaded && value != NULL && strlen (key) >= 2)
+    apply_record (self, key, value, fb_owner_apply_cancel);
+}
+
 static void
 on_job_record (gpointer user, const FbStoreRecord *record)
 {
   FbOwner *self = user;
+  if (record->value == NULL || strlen (record->key) < 2)
+    return;
   if (self->loaded)
     {
-      fb_owner_apply_record (self, record->key, record->value);
-      /* In the order of the log a job comes before its cancel, unlike in notices. */
-      if (record->value != NULL && record->key[0] == FB_KEY_CANCEL)
-        fb_owner_keep_unknown_cancel (self, record->key + 1, record->value);
+      apply_record (self, record->key, record->value, fb_owner_apply_stored_cancel);
       return;
     }
-  if (record->value == NULL || strlen (record->key) < 2)
-    return;
   g_hash_table_replace (record->key[0] == FB_KEY_JOB ? self->admissions : self->cancelled,
                         g_strdup (record->key + 1), g_bytes_ref (record->value));
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -32,14 +32,15 @@
   FbAppender *appender;
   FbTopicReader *progress_reader;
   FbTopicReader *job_reader;
-  GHashTable *progress;        /* job -> GBytes of its progress record, while loading */
-  GHashTable *cancelled;       /* set of cancelled jobs, while loading */
-  GHashTable *admissions;      /* job -> GBytes of its admission record, while loading */
-  GHashTable *service_pools;   /* service -> FbServicePool */
-  GHashTable *held_jobs;       /* job -> FbHeldJob, see owner-claims.c */
-  GHashTable *unknown_cancels; /* job -> GBytes of its cancel, of jobs that this partition does not
-                                * have */
-  GPtrArray *open_disclaimers; /* of FbDisclaimer */
+  GHashTable *progress;      /* job -> GBytes of its progress record, while loading */
+  GHashTable *cancelled;     /* set of cancelled jobs, while loading */
+  GHashTable *admissions;    /* job -> GBytes of its admission record, while loading */
+  GHashTable *service_pools; /* service -> FbServicePool */
+  GHashTable *held_jobs;     /* job -> FbHeldJob, see owner-claims.c */
+  GHashTable *kept_cancels;  /* job -> cancel, of jobs that this partition does not have; see
+                              * owner-cancels.c */
+  uint64_t next_cancel_check_ms;
+  GPtrArray *open_disclaimers;     /* of FbDisclaimer */
   uint64_t disclaimers_checked_ms; /* when old ones were last looked for */
   guint load_source; /* source that applies the records read; 0 when none is scheduled */
   gboolean loaded;
@@ -60,13 +61,12 @@
   guint tick_source;          /* source of the scheduled tick; 0: none */
   guint tick_timer;           /* subscription for the periodic tick */
   guint open_flushes;         /* number of appends of progress without a result yet */
-  GPtrArray *ended_jobs; /* ids of jobs whose end is stored, so that their admission records can be
-                          * deleted */
-  uint64_t deleted_ms;   /* time at which such records were last deleted */
-  GHashTable *parts_n;   /* key -> number of parts in which its value may be stored; of those that
-                          * have ever been stored in several */
-  uint64_t ticked_ms;    /* time of the last tick; 0: none yet */
-  uint64_t woken_ms;     /* time of the first tick after the process was suspended; 0: never */
+  GPtrArray *stale_keys;      /* of char *, keys of callers' records that are to be deleted */
+  uint64_t deleted_ms;        /* time at which such records were last deleted */
+  GHashTable *parts_n; /* key -> number of parts in which its value may be stored; of those that
+                        * have ever been stored in several */
+  uint64_t ticked_ms;  /* time of the last tick; 0: none yet */
+  uint64_t woken_ms;   /* time of the first tick after the process was suspended; 0: never */
 };
 
 /* Keys of FB_TOPIC_PROGRESS are job ids, or a prefix followed by the name of a service. */
@@ -90,8 +90,6 @@
 
 /* Applies a stored record of the progress of JOB, which is in a pool. */
 void fb_owner_apply_progress (FbOwner *self, const char *job, GBytes *value);
-/* Applies a stored cancel of JOB, which is in a pool or held. */
-void fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *value);
 
 /* owner-claims.c */
 
@@ -134,15 +132,25 @@
                             GBytes *value, FbAppendDone done, gpointer user);
 /* FbAppendDone */
 void fb_owner_ignore_stored (gpointer user, FbAppendResult result);
+/* owner-cancels.c */
+
+GHashTable *fb_owner_kept_cancels_new (void);
+/* Returns: (transfer full): the key of the record that cancels JOB. */
+char *fb_owner_cancel_key (const char *job);
+/* Cancels JOB, or keeps CANCEL, its record, until the job is known. */
+void fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* As above, of a record that was read from the store after every record before it. */
+void fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* Applies the kept cancel of JOB, if there is one.  To be called when a job becomes known. */
+void fb_owner_apply_kept_cancel (FbOwner *self, const char *job);
 /* Has JOB cancelled by the owner of the pool of SERVICE.  CANCEL: the stored record. */
 void fb_owner_pass_on_cancel (FbOwner *self, const char *job, GBytes *cancel, const char *service,
                               FbAppendDone done, gpointer user);
-
-/* Keeps the stored CANCEL to be passed on, if this partition does not have JOB. */
-void fb_owner_keep_unknown_cancel (FbOwner *self, const char *job, GBytes *cancel);
-/* Passes the kept cancels on to all services that share a queue with one of this partition, once
- * these are known.  To be called in every tick. */
-void fb_owner_pass_on_unknown_cancels (FbOwner *self);
+/* Passes the kept cancel of JOB, if there is one, on to SERVICE, which is about to run the job. */
+void fb_owner_pass_on_kept_cancel (FbOwner *self, const char *job, const char *service);
+/* Passes kept cancels on to all services that share a queue with one of this partition, once these
+ * are known, and forgets old ones.  To be called in every tick. */
+void fb_owner_check_kept_cancels (FbOwner *self, uint64_t now_ms);
 
 /* owner-flush.c */
 
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -99,13 +99,13 @@
 
 /* ---- durability ------------------------------------------------------------------ */
 
-/* Records of ended jobs that are being deleted. */
+/* Callers' records that are being deleted. */
 typedef struct
 {
   FbEntryDaemon *entry;
   uint32_t partition;
   uint64_t epoch;
-  GPtrArray *jobs; /* of char * */
+  GPtrArray *keys; /* of char * */
 } Deletion;
 
 /* A record that is left would be taken for a new job once the end of its job has expired. */
@@ -117,36 +117,31 @@
   gboolean is_again = result != FB_APPEND_STORED && result != FB_APPEND_INVALID && self != NULL
                       && self->epoch == deletion->epoch;
   if (is_again)
-    g_ptr_array_extend_and_steal (self->ended_jobs, g_steal_pointer (&deletion->jobs));
-  g_clear_pointer (&deletion->jobs, g_ptr_array_unref);
+    g_ptr_array_extend_and_steal (self->stale_keys, g_steal_pointer (&deletion->keys));
+  g_clear_pointer (&deletion->keys, g_ptr_array_unref);
   g_free (deletion);
 }
 
-/* Deletes the admission of each job whose end is stored, and keeps only the end, which has a tenth
- * of the bytes.  Otherwise, after minutes of work, the successor of an owner reads every ended job
- * with its full specification and places nothing meanwhile: 0.35 to 0.49 s with 2,200 jobs, on a
- * quarter of a core.  Records are deleted in batches because each append is a call of the store. */
+/* Deletes the admission and the cancel of each job whose end is stored, and keeps only the end,
+ * which has a tenth of the bytes.  Otherwise, after minutes of work, the successor of an owner
+ * reads every ended job with its full specification and places nothing meanwhile: 0.35 to 0.49 s
+ * with 2,200 jobs, on a quarter of a core.  Records are deleted in batches because each append is a
+ * call of the store. */
 static void
-delete_ended_jobs (FbOwner *self, uint64_t now_ms)
+delete_stale_records (FbOwner *self, uint64_t now_ms)
 {
-  if (self->ended_jobs->len == 0 || now_ms < self->deleted_ms + DELETE_INTERVAL_MS)
+  if (self->stale_keys->len == 0 || now_ms < self->deleted_ms + DELETE_INTERVAL_MS)
     return;
   self->deleted_ms = now_ms;
   Deletion *deletion = g_new0 (Deletion, 1);
   deletion->entry = self->entry;
   deletion->partition = self->partition;
   deletion->epoch = self->epoch;
-  deletion->jobs = g_steal_pointer (&self->ended_jobs);
-  self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
+  deletion->keys = g_steal_pointer (&self->stale_keys);
+  self->stale_keys = g_ptr_array_new_with_free_func (g_free);
   GByteArray *body = g_byte_array_new ();
-  for (guint i = 0; i < deletion->jobs->len; i++)
-    {
-      const char *job = deletion->jobs->pdata[i];
-      g_autofree char *job_key = g_strdup_printf ("%c%s", FB_KEY_JOB, job);
-      g_autofree char *cancel_key = g_strdup_printf ("%c%s", FB_KEY_CANCEL, job);
-      fb_wire_encode_record (body, job_key, NULL);
-      fb_wire_encode_record (body, cancel_key, NULL);
-    }
+  for (guint i = 0; i < deletion->keys->len; i++)
+    fb_wire_encode_record (body, deletion->keys->pdata[i], NULL);
   fb_appender_put (fb_entry_appender (self->entry, self->partition), body, 0, on_records_deleted,
                    deletion);
 }
@@ -216,7 +211,7 @@
   gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
   fb_owner_claim_held_jobs (self, now_ms);
-  fb_owner_pass_on_unknown_cancels (self);
+  fb_owner_check_kept_cancels (self, now_ms);
   fb_owner_expire_disclaimers (self, now_ms);
   gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
   if (jobs_complete)
@@ -240,7 +235,7 @@
       fb_owner_flush (service_pool);
       fb_owner_back_up_suspects (service_pool);
     }
-  delete_ended_jobs (self, now_ms);
+  delete_stale_records (self, now_ms);
   if (self->loaded && now_ms > self->confirmed_ms + UNCONFIRMED_MAX_MS)
     fb_owner_step_down (self,
                         "neither the store confirms the ownership, nor a majority of the workers "
@@ -291,10 +286,9 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   self->service_pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_pool_free);
   self->held_jobs = fb_owner_held_jobs_new ();
-  self->unknown_cancels
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  self->kept_cancels = fb_owner_kept_cancels_new ();
   self->open_disclaimers = g_ptr_array_new ();
-  self->ended_jobs = g_ptr_array_new_with_free_func (g_free);
+  self->stale_keys = g_ptr_array_new_with_free_func (g_free);
   self->parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->import_sources = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->appender = fb_appender_new (entry, FB_TOPIC_PROGRESS, partition, WRITER, epoch);
@@ -315,12 +309,12 @@
   fb_appender_free (self->appender);
   fb_topic_reader_free (self->progress_reader);
   fb_topic_reader_free (self->job_reader);
-  g_ptr_array_unref (self->ended_jobs);
+  g_ptr_array_unref (self->stale_keys);
   g_hash_table_unref (self->parts_n);
   g_hash_table_unref (self->import_sources);
   g_hash_table_unref (self->service_pools);
   g_hash_table_unref (self->held_jobs);
-  g_hash_table_unref (self->unknown_cancels);
+  g_hash_table_unref (self->kept_cancels);
   g_ptr_array_unref (self->open_disclaimers);
   g_hash_table_unref (self->admissions);
   g_hash_table_unref (self->progress);
@@ -476,6 +470,14 @@
 answer_current_job_state (FbOwner *self, const fb_current_job_state_request *current,
                           fb_peer_reply *peer_reply)
 {
+  const FbServicePool *service_pool
+      = g_hash_table_lookup (self->service_pools, current->job.service);
+  if (service_pool != NULL
+      && !fb_pool_job_is_visible (service_pool->pool, current->job.job, current->job.account))
+    {
+      peer_reply->type = FB_REPLY_JOB_OF_OTHER_ACCOUNT;
+      return;
+    }
   if (answer_job_state (self, current->job.service, current->job.job, current->job.account,
                         time_before (current->age_ms), peer_reply))
     return;
--- a/standins/standin-platform-faults.c
+++ b/standins/standin-platform-faults.c
@@ -20,9 +20,9 @@
   SoupServerMessage *message; /* paused */
   guint k;                    /* index of the worker, or SP_STORE */
   char *path;
-  JsonObject *body;  /* of a worker's call */
-  GHashTable *query; /* of an append */
-  GBytes *records;   /* of an append */
+  JsonObject *body;     /* of a worker's call */
+  GHashTable *query;    /* of an append */
+  GBytes *records;      /* of an append */
   gint64 execute_at_ms; /* by sp_now_ms() */
 } DelayedCall;
 
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -413,9 +413,14 @@
 static void
 delete_records (Daemon *daemon)
 {
-  for (guint i = 0; i < daemon->owner->ended_jobs->len; i++)
-    g_hash_table_remove (daemon->jobs, daemon->owner->ended_jobs->pdata[i]);
-  g_ptr_array_set_size (daemon->owner->ended_jobs, 0);
+  const GPtrArray *keys = daemon->owner->stale_keys;
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const char *key = keys->pdata[i];
+      if (key[0] == FB_KEY_JOB)
+        g_hash_table_remove (daemon->jobs, key + 1);
+    }
+  g_ptr_array_set_size (daemon->owner->stale_keys, 0);
 }
 
 static void
@@ -615,13 +620,15 @@
   g_autofree char *first = job_id (0);
   g_autofree char *second = job_id (1);
   directory_known = FALSE;
-  fb_owner_keep_unknown_cancel (daemon->owner, first, cancel);
-  fb_owner_keep_unknown_cancel (daemon->owner, second, passed_on);
-  fb_owner_pass_on_unknown_cancels (daemon->owner);
+  fb_owner_apply_stored_cancel (daemon->owner, first, cancel);
+  fb_owner_apply_stored_cancel (daemon->owner, second, passed_on);
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
   CU_ASSERT_EQUAL (appends->len, 0);
   directory_known = TRUE;
-  fb_owner_pass_on_unknown_cancels (daemon->owner);
-  fb_owner_pass_on_unknown_cancels (daemon->owner);
+  clock_ms += 1000;
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  clock_ms += 1000;
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
   CU_ASSERT_EQUAL_FATAL (appends->len, 1);
   const GByteArray *records = ((Append *) appends->pdata[0])->records;
   CU_ASSERT_EQUAL (records->data[4 + 1], FB_KEY_CANCEL);
@@ -629,6 +636,156 @@
   end ();
 }
 
+/* A cancel of a caller without an account. */
+static GBytes *
+cancel_new (void)
+{
+  return g_bytes_new_static (FB_CANCEL_PREFIX, strlen (FB_CANCEL_PREFIX));
+}
+
+/* The directory at DAEMON lists its service first. */
+static void
+list_own_service (Daemon *daemon)
+{
+  directory[directory_n++] = (guint) (daemon - daemons);
+  read_directory (daemon, directory_n);
+}
+
+/* Returns: the state of JOB that DAEMON shows once it is stored. */
+static fb_work_state
+state_at (Daemon *daemon, const char *job)
+{
+  fb_work_state state = FB_WORK_QUEUED;
+  const FbServicePool *service_pool = fb_owner_pool_for (daemon->owner, services[daemon - daemons]);
+  GPtrArray *records = fb_pool_flush (service_pool->pool, clock_ms, clock_ms);
+  if (records != NULL)
+    {
+      fb_pool_flushed (service_pool->pool, clock_ms);
+      g_ptr_array_unref (records);
+    }
+  CU_ASSERT_TRUE (fb_pool_job_state (service_pool->pool, job, &state));
+  return state;
+}
+
+/* Guards against the loss of a cancel whose job is submitted, or listed, after it. */
+static void
+test_a_cancel_is_read_before_its_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  list_own_service (daemon);
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *cancelled = job_id (0);
+  g_autofree char *other = job_id (1);
+  fb_owner_apply_stored_cancel (daemon->owner, cancelled, cancel);
+  admit (daemon, cancelled, services[0]);
+  CU_ASSERT_EQUAL (state_at (daemon, cancelled), FB_WORK_CANCELLED);
+  admit (daemon, other, services[0]);
+  CU_ASSERT_EQUAL (state_at (daemon, other), FB_WORK_QUEUED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* As the previous test, of a notice that arrives before that of the job. */
+static void
+test_a_notice_of_a_cancel_overtakes_that_of_its_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  list_own_service (daemon);
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *job = job_id (0);
+  g_autofree char *key = fb_owner_cancel_key (job);
+  fb_owner_apply_record (daemon->owner, key, cancel);
+  clock_ms += 1000;
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL (appends->len, 0); /* the job may be in the store */
+  admit (daemon, job, services[0]);
+  CU_ASSERT_EQUAL (state_at (daemon, job), FB_WORK_CANCELLED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* As above, of a job that waits for other services. */
+static void
+test_a_cancel_is_read_before_its_held_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *job = job_id (0);
+  fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
+  admit (daemon, job, services[0]);
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, job));
+  list_own_service (daemon);
+  fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL (state_at (daemon, job), FB_WORK_CANCELLED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Returns: the number of records of cancels that DAEMON has sent to the store. */
+static guint
+cancel_appends_n (const Daemon *daemon)
+{
+  guint n = 0;
+  for (guint i = 0; i < appends->len; i++)
+    {
+      const Append *append = appends->pdata[i];
+      n += append->daemon == daemon && append->records->data[4 + 1] == FB_KEY_CANCEL;
+    }
+  return n;
+}
+
+/* Guards against a job that runs at a service which was listed after its cancel was stored. */
+static void
+test_a_kept_cancel_is_passed_on_to_a_claimant (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[1];
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *job = job_id (0);
+  (void) fb_owner_pool_for (daemon->owner, services[1]);
+  fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL (cancel_appends_n (daemon), 0);
+  fb_job_name name = { job };
+  const fb_claim_request claim = { (char *) services[1], (char *) services[0], { 1, &name } };
+  Message message = { 0 };
+  fb_owner_disclaim (daemon->owner, &claim, on_answered, &message);
+  CU_ASSERT_EQUAL (cancel_appends_n (daemon), 1);
+  fb_owner_abandon_disclaimers (daemon->owner);
+  g_ptr_array_set_size (messages, 0);
+  g_bytes_unref (message.reply);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against records of cancels that stay in the store for ever, and against the loss of a
+ * submission that is stored as the cancel is forgotten. */
+static void
+test_a_kept_cancel_expires_alone (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  list_own_service (daemon);
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *job = job_id (0);
+  g_autofree char *key = fb_owner_cancel_key (job);
+  fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
+  clock_ms += 300000 - 1;
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 0);
+  clock_ms += 1001;
+  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL_FATAL (daemon->owner->stale_keys->len, 1);
+  CU_ASSERT_STRING_EQUAL (daemon->owner->stale_keys->pdata[0], key);
+  admit (daemon, job, services[0]);
+  CU_ASSERT_EQUAL (state_at (daemon, job), FB_WORK_QUEUED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 int
 main (void)
 {
@@ -638,6 +795,14 @@
   CU_add_test (suite, "each job runs in one pool", test_each_job_runs_in_one_pool);
   CU_add_test (suite, "a replaced record of a held job", test_replaced_record_of_a_held_job);
   CU_add_test (suite, "cancels wait for the directory", test_cancels_wait_for_the_directory);
+  CU_add_test (suite, "a cancel is read before its job", test_a_cancel_is_read_before_its_job);
+  CU_add_test (suite, "a notice of a cancel overtakes that of its job",
+               test_a_notice_of_a_cancel_overtakes_that_of_its_job);
+  CU_add_test (suite, "a cancel is read before its held job",
+               test_a_cancel_is_read_before_its_held_job);
+  CU_add_test (suite, "a kept cancel is passed on to a claimant",
+               test_a_kept_cancel_is_passed_on_to_a_claimant);
+  CU_add_test (suite, "a kept cancel expires alone", test_a_kept_cancel_expires_alone);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -392,8 +392,8 @@
                            .member_ms = clock_ms };
   self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
   self->owner.held_jobs = fb_owner_held_jobs_new ();
-  self->owner.unknown_cancels = g_hash_table_new (g_str_hash, g_str_equal);
-  self->owner.ended_jobs = g_ptr_array_new ();
+  self->owner.kept_cancels = fb_owner_kept_cancels_new ();
+  self->owner.stale_keys = g_ptr_array_new ();
   self->owner.parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->service_pool = (FbServicePool){ .owner = &self->owner,
                                         .pool = self->side.pool,
@@ -414,8 +414,8 @@
   fb_admission_control_free (self->service_pool.admission);
   g_hash_table_unref (self->service_pool.disclaimed);
   g_hash_table_unref (self->owner.parts_n);
-  g_ptr_array_unref (self->owner.ended_jobs);
-  g_hash_table_unref (self->owner.unknown_cancels);
+  g_ptr_array_unref (self->owner.stale_keys);
+  g_hash_table_unref (self->owner.kept_cancels);
   g_hash_table_unref (self->owner.held_jobs);
   g_hash_table_unref (self->owner.service_pools);
   g_hash_table_unref (self->entry.appenders);
--- a/tests/test-store-limits.c
+++ b/tests/test-store-limits.c
@@ -212,7 +212,7 @@
   self->entry.owners = g_hash_table_new (NULL, NULL);
   self->entry.timer = fb_timer_new (0);
   self->owner = (FbOwner){ .entry = &self->entry, .epoch = 1 };
-  self->owner.ended_jobs = g_ptr_array_new_with_free_func (g_free);
+  self->owner.stale_keys = g_ptr_array_new_with_free_func (g_free);
   self->owner.parts_n = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->owner.service_pools = g_hash_table_new (g_str_hash, g_str_equal);
   self->owner.appender = fb_appender_new (&self->entry, FB_TOPIC_PROGRESS, 0, "owner", 1);
@@ -231,7 +231,7 @@
   fb_appender_free (self->owner.appender);
   g_hash_table_unref (self->owner.service_pools);
   g_hash_table_unref (self->owner.parts_n);
-  g_ptr_array_unref (self->owner.ended_jobs);
+  g_ptr_array_unref (self->owner.stale_keys);
   large_pool_clear (&self->large);
   if (self->owner.tick_source != 0)
     g_source_remove (self->owner.tick_source);
