Cancels: the owner's notice is repeated until it has applied the cancel

An owner that the store rejects goes on by the answers of its workers, for 3.5 s and longer in an outage that other daemons report, and learns of a cancel that another daemon has stored only from that daemon's notice. The notice was sent once, with a timeout of 0.7 s, to the owner known at that moment: lost, or sent to an owner that was still loading, it left the job running until the store was read again.

Now the daemon that has stored a cancel repeats the notice every 250 ms until the owner says that it has applied it, for 10 s at most; the owner is looked up each time.

Evidence: test-cancel, two cases (three notices until one is applied; one where the first is).

--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -3,6 +3,7 @@
  * the answer that its record is not stored only if every call that may have stored it was
  * answered. */
 #include "append-proxy.h"
+#include "cancel-notice.h"
 #include "frontend-private.h"
 
 #include "fb-counter.h"
@@ -75,13 +76,23 @@
                               "{\"error\":\"not stored\"}");
 }
 
+static void
+notify_owner (const FbFrontendRequest *request)
+{
+  if (request->is_delete)
+    fb_cancel_notice_send (request->entry, request->partition, request->key, request->value);
+  else
+    fb_peers_notify_stored (request->entry, request->partition, request->key, request->value,
+                            fb_peers_ignore_reply, NULL);
+}
+
 static void
 answer_stored (FbFrontendRequest *request, FbAppendResult result)
 {
   if (result == FB_APPEND_STORED)
     {
       fb_counter_add (FB_COUNTER_JOBS_STORED, 1);
-      fb_peers_notify_stored (request->entry, request->partition, request->key, request->value);
+      notify_owner (request);
     }
   else if (result == FB_APPEND_IN_DOUBT || request->is_delete)
     fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -171,11 +171,13 @@
   fb_owner_schedule_tick (self);
 }
 
-void
+gboolean
 fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value)
 {
-  if (self->loaded && value != NULL && strlen (key) >= 2)
-    apply_record (self, key, value, fb_owner_apply_cancel);
+  if (!self->loaded || self->stepped_down || value == NULL || strlen (key) < 2)
+    return FALSE;
+  apply_record (self, key, value, fb_owner_apply_cancel);
+  return TRUE;
 }
 
 static void
--- a/src/entry/owner/owner-records.c
+++ b/src/entry/owner/owner-records.c
@@ -20,7 +20,8 @@
 finish (StoredRecord *record, FbAppendResult result)
 {
   if (result == FB_APPEND_STORED)
-    fb_peers_notify_stored (record->entry, record->partition, record->key, record->value);
+    fb_peers_notify_stored (record->entry, record->partition, record->key, record->value,
+                            fb_peers_ignore_reply, NULL);
   record->done (record->user, result);
   g_bytes_unref (record->value);
   g_free (record->key);
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -22,8 +22,8 @@
 void fb_owner_disclaim (FbOwner *self, const fb_claim_request *request, FbPeerReplyDone done,
                         gpointer user);
 /* Applies a record of FB_TOPIC_JOBS that is known to be stored, before the topic reader reads it.
- */
-void fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value);
+ * Returns: FALSE when SELF does not apply records yet, or any more. */
+gboolean fb_owner_apply_record (FbOwner *self, const char *key, GBytes *value);
 /* Schedules a tick of the pools within some ms. */
 void fb_owner_schedule_tick (FbOwner *self);
 void fb_owner_routes_changed (FbOwner *self);
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -220,18 +220,23 @@
  * the store (4 ms, 100 ms and more when it is slow), and may return nothing for a second while the
  * store cleans up its log. */
 void
-fb_peers_notify_stored (FbEntryDaemon *entry, uint32_t partition, const char *key, GBytes *value)
+fb_peers_notify_stored (FbEntryDaemon *entry, uint32_t partition, const char *key, GBytes *value,
+                        FbPeerReplyDone done, gpointer user)
 {
+  fb_peer_reply local_reply = { .type = FB_REPLY_UNAVAILABLE };
   FbOwner *owner = fb_entry_owner (entry, partition);
   const char *address = fb_group_owner_of (entry->group, partition);
   if (owner != NULL)
     {
-      fb_owner_apply_record (owner, key, value);
+      if (fb_owner_apply_record (owner, key, value))
+        local_reply.type = FB_REPLY_STORED;
+      done (user, &local_reply);
       return;
     }
   if (address == NULL || g_str_equal (address, entry->settings->peers))
     {
       fb_group_refresh_owners (entry->group);
+      done (user, &local_reply);
       return;
     }
   gsize len = 0;
@@ -240,7 +245,7 @@
   peer_request.fb_peer_request_u.stored.key = (char *) key;
   peer_request.fb_peer_request_u.stored.value.value_val = (char *) g_bytes_get_data (value, &len);
   peer_request.fb_peer_request_u.stored.value.value_len = (u_int) len;
-  fb_peers_request (entry, address, &peer_request, NOTIFY_TIMEOUT_MS, fb_peers_ignore_reply, NULL);
+  fb_peers_request (entry, address, &peer_request, NOTIFY_TIMEOUT_MS, done, user);
 }
 
 /* ---- appending through a peer ------------------------------------------------------- */
@@ -376,14 +381,15 @@
                    fb_clock_ms () + APPEND_TIMEOUT_MS, on_appended, served);
 }
 
-static void
+static fb_peer_reply_type
 apply_stored (FbEntryDaemon *entry, const fb_stored_notice *peer_request)
 {
   FbOwner *owner = fb_entry_owner (entry, peer_request->partition);
   g_autoptr (GBytes) value
       = g_bytes_new (peer_request->value.value_val, peer_request->value.value_len);
-  if (owner != NULL)
-    fb_owner_apply_record (owner, peer_request->key, value);
+  return owner != NULL && fb_owner_apply_record (owner, peer_request->key, value)
+             ? FB_REPLY_STORED
+             : FB_REPLY_UNAVAILABLE;
 }
 
 static void
@@ -478,7 +484,7 @@
                               fb_clock_ms ());
       break;
     case FB_REQUEST_NOTIFY_STORED:
-      apply_stored (entry, &peer_request->fb_peer_request_u.stored);
+      peer_reply.type = apply_stored (entry, &peer_request->fb_peer_request_u.stored);
       break;
     case FB_REQUEST_CONFIGURATION:
       reply_with_configuration (entry, &peer_request->fb_peer_request_u.configuration, served);
--- a/src/entry/peers/peers.h
+++ b/src/entry/peers/peers.h
@@ -16,10 +16,10 @@
 void fb_peers_request_owner (FbEntryDaemon *entry, const char *service,
                              const fb_peer_request *peer_request, uint32_t timeout_ms,
                              FbPeerReplyDone done, gpointer user);
-/* Notifies the owner of PARTITION of a stored record.  The owner also reads it from the store, so
- * nothing depends on the reply. */
+/* Notifies the owner of PARTITION of a stored record.  The owner also reads it from the store.
+ * DONE is called once, with FB_REPLY_STORED if the owner has applied the record. */
 void fb_peers_notify_stored (FbEntryDaemon *entry, uint32_t partition, const char *key,
-                             GBytes *value);
+                             GBytes *value, FbPeerReplyDone done, gpointer user);
 /* Appends an owner's progress through PEER, with the same effect as an append sent by this
  * daemon. */
 void fb_peers_append_progress (FbEntryDaemon *entry, const char *peer,
--- a/tests/test-cancel.c
+++ b/tests/test-cancel.c
@@ -1,11 +1,15 @@
-/* What an owner answers about jobs that it has not read. */
+/* What an owner answers about jobs that it has not read, and what it is told of cancels. */
 #include "busy-pool.h"
 
+#include "src/entry/frontend/cancel-notice.h"
+
 #include "src/entry/owner/owner-private.h"
 
 #include "fb-event.h"
+#include "internal/codec.h"
 
 #include <CUnit/Basic.h>
+#include <string.h>
 
 #define START_MS 100000
 #define JOB "0000000000000001"
@@ -39,6 +43,52 @@
   checks_n++;
 }
 
+#define OWNER_ADDRESS "127.0.0.1:2"
+/* The owner does not answer a notice. */
+#define NO_REPLY 0
+
+static const int *notice_replies; /* to the next notices, of fb_peer_reply_type or NO_REPLY */
+static guint notices_n;
+
+const char *__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition);
+void __wrap_fb_group_refresh_owners (FbGroup *group);
+void __wrap_fb_links_call (FbLinks *self, const char *address, GBytes *body, uint32_t timeout_ms,
+                           FbLinkDone done, gpointer user);
+
+const char *
+__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition)
+{
+  (void) group;
+  (void) partition;
+  return OWNER_ADDRESS;
+}
+
+void
+__wrap_fb_group_refresh_owners (FbGroup *group)
+{
+  (void) group;
+}
+
+void
+__wrap_fb_links_call (FbLinks *self, const char *address, GBytes *body, uint32_t timeout_ms,
+                      FbLinkDone done, gpointer user)
+{
+  (void) self;
+  (void) timeout_ms;
+  gsize len = 0;
+  gconstpointer data = g_bytes_get_data (body, &len);
+  fb_peer_request peer_request;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_peer_request (data, len, &peer_request));
+  CU_ASSERT_EQUAL (peer_request.type, FB_REQUEST_NOTIFY_STORED);
+  CU_ASSERT_STRING_EQUAL (address, OWNER_ADDRESS);
+  xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &peer_request);
+  int type = notice_replies[notices_n++];
+  const fb_peer_reply reply = { .type = (fb_peer_reply_type) type };
+  g_autoptr (GBytes) answer = type != NO_REPLY ? fb_codec_encode_peer_reply (&reply) : NULL;
+  gconstpointer answer_data = answer != NULL ? g_bytes_get_data (answer, &len) : NULL;
+  done (user, answer != NULL ? FB_LINK_ANSWERED : FB_LINK_LOST, answer_data, len);
+}
+
 typedef struct
 {
   FbOwner owner;
@@ -132,6 +182,48 @@
   fixture_clear (&self);
 }
 
+static gboolean
+on_timeout (gpointer timed_out)
+{
+  *(gboolean *) timed_out = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+/* Sends a notice, to which the owner replies with REPLIES.
+ * Returns: the number of notices that it gets within DURATION_MS. */
+static guint
+notify (const int *replies, guint duration_ms)
+{
+  FbEntrySettings settings = { .peers = (char *) "127.0.0.1:1" };
+  FbEntryDaemon entry = { .settings = &settings, .owners = g_hash_table_new (NULL, NULL) };
+  g_autoptr (GBytes) cancel = g_bytes_new_static (FB_CANCEL_PREFIX, strlen (FB_CANCEL_PREFIX));
+  gboolean timed_out = FALSE;
+  clock_ms = START_MS;
+  notices_n = 0;
+  notice_replies = replies;
+  fb_cancel_notice_send (&entry, 0, "c" JOB, cancel);
+  g_timeout_add (duration_ms, on_timeout, &timed_out);
+  while (!timed_out)
+    g_main_context_iteration (NULL, TRUE);
+  g_hash_table_unref (entry.owners);
+  return notices_n;
+}
+
+/* Guards against an owner that the store rejects and that does not learn of a cancel. */
+static void
+test_a_notice_is_repeated_until_the_owner_has_applied_it (void)
+{
+  const int replies[] = { NO_REPLY, FB_REPLY_UNAVAILABLE, FB_REPLY_STORED };
+  CU_ASSERT_EQUAL (notify (replies, 1200), 3);
+}
+
+static void
+test_an_applied_notice_is_sent_once (void)
+{
+  const int replies[] = { FB_REPLY_STORED };
+  CU_ASSERT_EQUAL (notify (replies, 600), 1);
+}
+
 int
 main (void)
 {
@@ -145,6 +237,9 @@
                test_a_cancel_of_a_known_job_does_not_wait);
   CU_add_test (suite, "a state is answered from an older read",
                test_a_state_is_answered_from_an_older_read);
+  CU_add_test (suite, "a notice is repeated until the owner has applied it",
+               test_a_notice_is_repeated_until_the_owner_has_applied_it);
+  CU_add_test (suite, "an applied notice is sent once", test_an_applied_notice_is_sent_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
