--- a/src/entry/owner/owner-cancels.c
+++ b/src/entry/owner/owner-cancels.c
@@ -92,23 +92,26 @@
   return is_known;
 }
 
-/* Returns: (nullable): the kept cancel, borrowed; NULL when the job is known. */
+/* SOURCE: where the owner has it from, for the log.
+ * Returns: (nullable): the kept cancel, borrowed; NULL when the job is known. */
 static KeptCancel *
-apply (FbOwner *self, const char *job, GBytes *cancel)
+apply (FbOwner *self, const char *job, GBytes *cancel, const char *source)
 {
   FbHeldJob *held = fb_owner_held_job (self, job);
   if (held != NULL)
     fb_owner_hold_cancel (held, cancel);
   if (held != NULL || cancel_in_pools (self, job, cancel))
     {
-      fb_event_log (FB_EVENT_CANCEL_APPLIED, "job=%s held=%d", job, held != NULL);
+      fb_event_log (FB_EVENT_CANCEL_APPLIED, "job=%s held=%d source=%s epoch=%" G_GUINT64_FORMAT,
+                    job, held != NULL, source, self->epoch);
       return NULL;
     }
   KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
   if (kept == NULL)
     {
       fb_counter_add (FB_COUNTER_CANCELS_KEPT, 1);
-      fb_event_log (FB_EVENT_CANCEL_KEPT, "job=%s", job);
+      fb_event_log (FB_EVENT_CANCEL_KEPT, "job=%s source=%s epoch=%" G_GUINT64_FORMAT, job, source,
+                    self->epoch);
       kept = g_new0 (KeptCancel, 1);
       kept->kept_ms = fb_clock_ms ();
       kept->passed_to = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -122,13 +125,13 @@
 void
 fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel)
 {
-  (void) apply (self, job, cancel);
+  (void) apply (self, job, cancel, "notice");
 }
 
 void
 fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel)
 {
-  KeptCancel *kept = apply (self, job, cancel);
+  KeptCancel *kept = apply (self, job, cancel, "store");
   if (kept == NULL || kept->is_stored)
     return;
   kept->is_stored = TRUE;
@@ -143,7 +146,7 @@
     return;
   g_autoptr (GBytes) cancel = g_bytes_ref (kept->value);
   g_hash_table_remove (self->kept_cancels, job);
-  fb_owner_apply_cancel (self, job, cancel);
+  (void) apply (self, job, cancel, "kept");
 }
 
 /* ---- passing on --------------------------------------------------------------------- */
