--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -19,6 +19,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Results are kept this long after a job has ended, for late requests from callers. */
+#define FB_POOL_ENDED_JOB_RETENTION_MS 300000
 /* An owner starts nothing and extends no lease later than this after a majority of the workers has
  * answered its successor, as nothing confirms its ownership any more. */
 #define FB_POOL_STEP_DOWN_MS 2000
--- a/src/entry/frontend/cancel-notice.c
+++ b/src/entry/frontend/cancel-notice.c
@@ -1,12 +1,13 @@
-/* An owner that the store rejects runs its pool on by the answers of its workers, and learns of a
- * cancel that another daemon has stored only from that daemon.  So the notice is repeated. */
+/* An owner that the store rejects stays the owner for some seconds, as long as a majority of its
+ * workers answers.  It learns of a cancel that another daemon has stored only from that daemon, so
+ * the notice is repeated. */
 #include "cancel-notice.h"
 
 #include "src/entry/entry-private.h"
 
 #define RETRY_MS 250
-/* An owner without the store has stepped down by then, unless the store is away for all daemons;
- * then there are no cancels. */
+/* By then an owner that the store rejects has stepped down, unless other daemons report an outage
+ * of the store, in which no further cancels are stored. */
 #define RETRY_PERIOD_MS 10000
 
 typedef struct
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -16,12 +16,13 @@
   SoupServerMessage *message;
   char *job;
   char *queue;
-  char *queue_service; /* to which the queue is directed */
-  char *service;       /* whose owner is asked */
-  GPtrArray *services; /* of char *, other services to be asked; NULL: not known */
-  uint32_t pending;    /* sum of the services that were asked */
-  char *account;       /* the caller's client account; "" on a route that needs no key */
-  char *key;           /* key of the record to store */
+  char *queue_service;    /* to which the queue is directed */
+  char *service;          /* whose owner is asked */
+  GPtrArray *services;    /* of char *, other services to be asked; NULL: not known */
+  GPtrArray *without_job; /* of char *, services that do not have the job that is cancelled */
+  uint32_t pending;       /* sum of the services that were asked */
+  char *account;          /* the caller's client account; "" on a route that needs no key */
+  char *key;              /* key of the record to store */
   GBytes *value;
   GByteArray *records; /* the record, encoded; also sent to peers */
   GPtrArray *tried;    /* addresses of peers that have been tried for storing the record */
@@ -39,6 +40,9 @@
 /* Stores VALUE (borrowed), answers the caller and frees REQUEST.  KIND: first letter of the
  * record's key, FB_KEY_JOB or FB_KEY_CANCEL. */
 void fb_entry_frontend_store (FbFrontendRequest *request, char kind, GBytes *value);
+/* Stores a cancel with the next of the services that do not have the job, of which there is one;
+ * answers the caller after the last of them and frees REQUEST. */
+void fb_entry_frontend_store_next_cancel (FbFrontendRequest *request);
 /* Logs EVENT about the job of REQUEST; HOW: why or by which way. */
 void fb_entry_frontend_log (const FbFrontendRequest *request, FbEvent event, const char *how);
 
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -98,7 +98,9 @@
     fb_counter_add (FB_COUNTER_JOBS_IN_DOUBT, 1);
   else
     fb_counter_add (FB_COUNTER_JOBS_REFUSED, 1);
-  if (request->is_delete)
+  if (result == FB_APPEND_STORED && request->has_no_job && request->without_job->len > 0)
+    fb_entry_frontend_store_next_cancel (request);
+  else if (request->is_delete)
     answer_cancel (request, result);
   else
     answer_submission (request, result);
@@ -272,8 +274,12 @@
 fb_entry_frontend_store (FbFrontendRequest *request, char kind, GBytes *value)
 {
   request->key = talloc_asprintf (request, "%c%s", kind, request->job);
+  g_clear_pointer (&request->value, g_bytes_unref);
   request->value = g_bytes_ref (value);
+  g_clear_pointer (&request->records, g_byte_array_unref);
   request->records = g_byte_array_new ();
+  g_ptr_array_set_size (request->tried, 0);
+  request->appended = FALSE;
   fb_wire_encode_record (request->records, request->key, value);
   request->store_began_ms = fb_clock_ms ();
   note_append (request);
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -55,6 +55,7 @@
   request->partition = fb_entry_partition_of (entry, route->policy.service);
   request->received_ms = fb_clock_ms ();
   request->tried = g_ptr_array_new_with_free_func (g_free);
+  request->without_job = g_ptr_array_new_with_free_func (g_free);
   soup_server_message_pause (message);
   entry->open_calls++;
   return request;
@@ -90,6 +91,7 @@
   g_clear_pointer (&request->value, g_bytes_unref);
   g_ptr_array_unref (request->tried);
   g_clear_pointer (&request->services, g_ptr_array_unref);
+  g_ptr_array_unref (request->without_job);
   talloc_free (request);
 }
 
@@ -255,24 +257,25 @@
                               "{\"error\":\"the owner is away\"}");
 }
 
-static void
-answer_no_such_job (FbFrontendRequest *request)
-{
-  fb_entry_frontend_finish (request, SOUP_STATUS_GONE, FB_NO_SUCH_JOB_BODY);
-}
-
-/* No service has the job.  A cancel is stored nevertheless, for a submission that is under way: it
- * would be stored after this answer, and its job would run. */
+/* No service has the job.  A cancel is stored with each of them nevertheless, for a submission that
+ * is under way: it would be stored after this answer, and its job would run. */
 static void
 finish_without_job (FbFrontendRequest *request)
 {
-  if (!request->is_delete)
+  if (request->without_job->len == 0)
     {
-      answer_no_such_job (request);
+      fb_entry_frontend_finish (request, SOUP_STATUS_GONE, FB_NO_SUCH_JOB_BODY);
       return;
     }
   request->has_no_job = TRUE;
-  request->service = request->queue_service;
+  fb_entry_frontend_store_next_cancel (request);
+}
+
+void
+fb_entry_frontend_store_next_cancel (FbFrontendRequest *request)
+{
+  g_autofree char *service = g_ptr_array_steal_index (request->without_job, 0);
+  request->service = talloc_strdup (request, service);
   store_cancel (request);
 }
 
@@ -329,12 +332,14 @@
   FbFrontendRequest *request = data;
   fb_peer_reply_type type = peer_reply != NULL ? peer_reply->type : FB_REPLY_UNAVAILABLE;
   log_job_state (request, peer_reply);
-  if (type == FB_REPLY_NO_SUCH_JOB && request->services == NULL)
+  gboolean has_no_job = type == FB_REPLY_NO_SUCH_JOB || type == FB_REPLY_JOB_OF_OTHER_ACCOUNT;
+  /* Where another account has a job of this id, the record would replace that of its cancel. */
+  if (request->is_delete && type == FB_REPLY_NO_SUCH_JOB)
+    g_ptr_array_add (request->without_job, g_strdup (request->service));
+  if (has_no_job && request->services == NULL)
     request_queue (request, FB_REQUEST_QUEUE_SERVICES, on_job_services);
-  else if (type == FB_REPLY_NO_SUCH_JOB)
+  else if (has_no_job)
     request_state_elsewhere (request);
-  else if (type == FB_REPLY_JOB_OF_OTHER_ACCOUNT)
-    answer_no_such_job (request);
   else if (type != FB_REPLY_JOB_STATE)
     answer_unknown_state (request);
   else if (request->is_delete)
--- a/src/entry/owner/owner-cancels.c
+++ b/src/entry/owner/owner-cancels.c
@@ -12,19 +12,25 @@
 
 #include <string.h>
 
-/* As long as the ends of jobs are kept; a submission may arrive, or be carried out by the store,
- * some seconds after the cancel. */
-#define RETENTION_MS 300000
 /* Interval at which kept cancels are checked for their age and for services to which they have not
- * been passed on. */
+ * been passed on, and the time after which this is done for new ones. */
 #define CHECK_INTERVAL_MS 1000
+#define FIRST_CHECK_MS 100
+/* Number of cancels that one check passes on: each is an append. */
+#define PASSED_ON_PER_CHECK 32
+
+typedef enum
+{
+  PASSING = 1, /* it is being stored */
+  PASSED_ON
+} Passed;
 
 typedef struct
 {
   GBytes *value;
-  uint64_t kept_ms;
-  gboolean is_stored;    /* it was read from the store after every record before it */
-  GHashTable *passed_to; /* set of the services to which it was passed on */
+  uint64_t kept_ms;   /* when its last record was received */
+  gboolean is_stored; /* it was read from the store, not only told by the daemon that stored it */
+  GHashTable *passed_to; /* service -> Passed */
 } KeptCancel;
 
 static void
@@ -70,7 +76,8 @@
 
 /* ---- applying -------------------------------------------------------------------- */
 
-/* Returns: TRUE when a pool of the partition has JOB. */
+/* Returns: TRUE when a pool of the partition has a job of this id that the sender of CANCEL may
+ * see; other accounts may use the same id. */
 static gboolean
 cancel_in_pools (FbOwner *self, const char *job, GBytes *cancel)
 {
@@ -83,29 +90,49 @@
     {
       FbPool *pool = ((FbServicePool *) value)->pool;
       fb_work_state state;
-      if (!fb_pool_job_state (pool, job, &state))
+      if (!fb_pool_job_state (pool, job, &state) || !fb_pool_job_is_visible (pool, job, account))
         continue;
       is_known = TRUE;
-      if (fb_pool_job_is_visible (pool, job, account))
-        fb_pool_cancel_job (pool, job, fb_clock_ms (), fb_clock_wall_ms ());
+      fb_pool_cancel_job (pool, job, fb_clock_ms (), fb_clock_wall_ms ());
     }
   return is_known;
 }
 
 /* SOURCE: where the owner has it from, for the log.
- * Returns: (nullable): the kept cancel, borrowed; NULL when the job is known. */
-static KeptCancel *
-apply (FbOwner *self, const char *job, GBytes *cancel, const char *source)
+ * Returns: FALSE when the job is not known. */
+static gboolean
+apply_to_known_job (FbOwner *self, const char *job, GBytes *cancel, const char *source)
 {
   FbHeldJob *held = fb_owner_held_job (self, job);
   if (held != NULL)
     fb_owner_hold_cancel (held, cancel);
-  if (held != NULL || cancel_in_pools (self, job, cancel))
-    {
-      fb_event_log (FB_EVENT_CANCEL_APPLIED, "job=%s held=%d source=%s epoch=%" G_GUINT64_FORMAT,
-                    job, held != NULL, source, self->epoch);
-      return NULL;
-    }
+  else if (!cancel_in_pools (self, job, cancel))
+    return FALSE;
+  fb_event_log (FB_EVENT_CANCEL_APPLIED, "job=%s held=%d source=%s epoch=%" G_GUINT64_FORMAT, job,
+                held != NULL, source, self->epoch);
+  return TRUE;
+}
+
+static gboolean
+is_key (gconstpointer a, gconstpointer b)
+{
+  return g_str_equal (a, b);
+}
+
+/* Prevents that the record of a kept cancel is deleted with those of an earlier one, or of an
+ * earlier job of this id. */
+static void
+keep_record (FbOwner *self, const char *job)
+{
+  g_autofree char *key = fb_owner_cancel_key (job);
+  guint at = 0;
+  if (g_ptr_array_find_with_equal_func (self->stale_keys, key, is_key, &at))
+    g_ptr_array_remove_index_fast (self->stale_keys, at);
+}
+
+static KeptCancel *
+keep (FbOwner *self, const char *job, GBytes *cancel, const char *source)
+{
   KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
   if (kept == NULL)
     {
@@ -113,40 +140,54 @@
       fb_event_log (FB_EVENT_CANCEL_KEPT, "job=%s source=%s epoch=%" G_GUINT64_FORMAT, job, source,
                     self->epoch);
       kept = g_new0 (KeptCancel, 1);
-      kept->kept_ms = fb_clock_ms ();
+      kept->value = g_bytes_ref (cancel);
       kept->passed_to = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_hash_table_insert (self->kept_cancels, g_strdup (job), kept);
+      keep_record (self, job);
+    }
+  /* What another owner has passed on is passed on no further, unlike the caller's own record. */
+  else if (!is_passed_on (cancel))
+    {
+      g_bytes_unref (kept->value);
+      kept->value = g_bytes_ref (cancel);
     }
-  g_clear_pointer (&kept->value, g_bytes_unref);
-  kept->value = g_bytes_ref (cancel);
+  kept->kept_ms = fb_clock_ms ();
   return kept;
 }
 
 void
 fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel)
 {
-  (void) apply (self, job, cancel, "notice");
+  if (!apply_to_known_job (self, job, cancel, "notice"))
+    (void) keep (self, job, cancel, "notice");
 }
 
 void
 fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel)
 {
-  KeptCancel *kept = apply (self, job, cancel, "store");
-  if (kept == NULL || kept->is_stored)
+  if (apply_to_known_job (self, job, cancel, "store"))
     return;
-  kept->is_stored = TRUE;
-  self->next_cancel_check_ms = 0;
+  keep (self, job, cancel, "store")->is_stored = TRUE;
+  self->next_cancel_check_ms = MIN (self->next_cancel_check_ms, fb_clock_ms () + FIRST_CHECK_MS);
 }
 
 void
 fb_owner_apply_kept_cancel (FbOwner *self, const char *job)
 {
-  KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
+  const KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
+  if (kept != NULL && apply_to_known_job (self, job, kept->value, "kept"))
+    g_hash_table_remove (self->kept_cancels, job);
+}
+
+void
+fb_owner_cancel_deleted (FbOwner *self, const char *job)
+{
+  const KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
   if (kept == NULL)
     return;
-  g_autoptr (GBytes) cancel = g_bytes_ref (kept->value);
-  g_hash_table_remove (self->kept_cancels, job);
-  (void) apply (self, job, cancel, "kept");
+  g_autofree char *key = fb_owner_cancel_key (job);
+  fb_owner_store_record (self->entry, self->partition, key, kept->value, fb_owner_ignore_stored,
+                         NULL);
 }
 
 /* ---- passing on --------------------------------------------------------------------- */
@@ -169,7 +210,10 @@
   KeptCancel *kept = owner != NULL && owner->epoch == passing->epoch
                          ? g_hash_table_lookup (owner->kept_cancels, passing->job)
                          : NULL;
-  if (kept != NULL && result != FB_APPEND_STORED)
+  if (kept != NULL && result == FB_APPEND_STORED)
+    g_hash_table_replace (kept->passed_to, g_strdup (passing->service),
+                          GUINT_TO_POINTER (PASSED_ON));
+  else if (kept != NULL)
     g_hash_table_remove (kept->passed_to, passing->service);
   g_free (passing->job);
   g_free (passing->service);
@@ -196,10 +240,9 @@
 }
 
 static void
-pass_on_once (FbOwner *self, const char *job, KeptCancel *kept, const char *service)
+pass_on (FbOwner *self, const char *job, KeptCancel *kept, const char *service)
 {
-  if (!g_hash_table_add (kept->passed_to, g_strdup (service)))
-    return;
+  g_hash_table_replace (kept->passed_to, g_strdup (service), GUINT_TO_POINTER (PASSING));
   Passing *passing = g_new0 (Passing, 1);
   passing->entry = self->entry;
   passing->partition = self->partition;
@@ -210,12 +253,15 @@
   fb_owner_pass_on_cancel (self, job, cancel, service, on_passed_on, passing);
 }
 
-void
+gboolean
 fb_owner_pass_on_kept_cancel (FbOwner *self, const char *job, const char *service)
 {
   KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
-  if (kept != NULL)
-    pass_on_once (self, job, kept, service);
+  if (kept == NULL)
+    return TRUE;
+  if (!g_hash_table_contains (kept->passed_to, service))
+    pass_on (self, job, kept, service);
+  return GPOINTER_TO_UINT (g_hash_table_lookup (kept->passed_to, service)) == PASSED_ON;
 }
 
 /* Returns: (transfer full): the services that share a queue with one of this partition, a set of
@@ -240,27 +286,45 @@
   return names;
 }
 
+/* Returns: the number of services to which the cancel was passed on. */
+static guint
+pass_on_to (FbOwner *self, const char *job, KeptCancel *kept, GHashTable *services)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer service;
+  g_hash_table_iter_init (&iter, services);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    {
+      if (g_hash_table_contains (kept->passed_to, service))
+        continue;
+      pass_on (self, job, kept, service);
+      n++;
+    }
+  return n;
+}
+
 static void
-pass_on_to_all (FbOwner *self)
+pass_on_to_all (FbOwner *self, uint64_t now_ms)
 {
   if (!fb_queue_directory_is_known (fb_entry_queue_directory (self->entry)))
     return;
   g_autoptr (GHashTable) services = other_services (self);
+  if (g_hash_table_size (services) == 0)
+    return;
+  guint n = 0;
   GHashTableIter cancels;
   gpointer job;
   gpointer value;
   g_hash_table_iter_init (&cancels, self->kept_cancels);
-  while (g_hash_table_iter_next (&cancels, &job, &value))
+  while (n < PASSED_ON_PER_CHECK && g_hash_table_iter_next (&cancels, &job, &value))
     {
       KeptCancel *kept = value;
-      if (!kept->is_stored || is_passed_on (kept->value))
-        continue;
-      GHashTableIter iter;
-      gpointer service;
-      g_hash_table_iter_init (&iter, services);
-      while (g_hash_table_iter_next (&iter, &service, NULL))
-        pass_on_once (self, job, kept, service);
+      if (kept->is_stored && !is_passed_on (kept->value))
+        n += pass_on_to (self, job, kept, services);
     }
+  if (n >= PASSED_ON_PER_CHECK)
+    self->next_cancel_check_ms = now_ms + FIRST_CHECK_MS;
 }
 
 /* ---- expiry --------------------------------------------------------------------------- */
@@ -274,7 +338,8 @@
   g_hash_table_iter_init (&iter, self->kept_cancels);
   while (g_hash_table_iter_next (&iter, &job, &value))
     {
-      if (now_ms < ((KeptCancel *) value)->kept_ms + RETENTION_MS)
+      const KeptCancel *kept = value;
+      if (!kept->is_stored || now_ms < kept->kept_ms + FB_POOL_ENDED_JOB_RETENTION_MS)
         continue;
       g_ptr_array_add (self->stale_keys, fb_owner_cancel_key (job));
       g_hash_table_iter_remove (&iter);
@@ -282,11 +347,13 @@
 }
 
 void
-fb_owner_check_kept_cancels (FbOwner *self, uint64_t now_ms)
+fb_owner_check_kept_cancels (FbOwner *self, gboolean is_confirmed, uint64_t now_ms)
 {
   if (g_hash_table_size (self->kept_cancels) == 0 || now_ms < self->next_cancel_check_ms)
     return;
   self->next_cancel_check_ms = now_ms + CHECK_INTERVAL_MS;
-  remove_expired (self, now_ms);
-  pass_on_to_all (self);
+  /* A process that was suspended must not delete what its successor keeps. */
+  if (is_confirmed)
+    remove_expired (self, now_ms);
+  pass_on_to_all (self, now_ms);
 }
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -273,7 +273,7 @@
       g_autoptr (GBytes) cancel = g_bytes_ref (held->cancel);
       fb_owner_forget_held_job (owner, passed->job);
       delete_record (owner, passed->job);
-      fb_owner_apply_cancel (owner, passed->job, cancel);
+      fb_owner_apply_stored_cancel (owner, passed->job, cancel);
     }
   else if (held != NULL)
     held->is_claimed = FALSE;
--- a/src/entry/owner/owner-disclaimers.c
+++ b/src/entry/owner/owner-disclaimers.c
@@ -98,6 +98,18 @@
     disclaimer_finish (g_ptr_array_steal_index_fast (self->open_disclaimers, 0), FALSE);
 }
 
+/* Returns: FALSE until each kept cancel of a job of REQUEST is stored with the claimant. */
+static gboolean
+pass_on_cancels (FbOwner *self, const fb_claim_request *request)
+{
+  gboolean are_passed_on = TRUE;
+  for (u_int i = 0; i < request->jobs.jobs_len; i++)
+    are_passed_on
+        = fb_owner_pass_on_kept_cancel (self, request->jobs.jobs_val[i].job, request->claimant)
+          && are_passed_on;
+  return are_passed_on;
+}
+
 void
 fb_owner_disclaim (FbOwner *self, const fb_claim_request *request, FbPeerReplyDone done,
                    gpointer user)
@@ -108,6 +120,12 @@
       done (user, &unavailable);
       return;
     }
+  /* The claimant asks again; it may run a job only once the cancel is stored with it. */
+  if (!pass_on_cancels (self, request))
+    {
+      done (user, &unavailable);
+      return;
+    }
   FbServicePool *service_pool = fb_owner_pool_for (self, request->service);
   FbDisclaimer *disclaimer = g_new0 (FbDisclaimer, 1);
   disclaimer->owner = self;
@@ -132,7 +150,6 @@
           put_disclaimed (service_pool, job, wall_ms);
           fb_wire_encode_record (records, key, value);
         }
-      fb_owner_pass_on_kept_cancel (self, job, request->claimant);
     }
   if (records->len == 0)
     {
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -184,8 +184,14 @@
 on_job_record (gpointer user, const FbStoreRecord *record)
 {
   FbOwner *self = user;
-  if (record->value == NULL || strlen (record->key) < 2)
+  if (strlen (record->key) < 2)
     return;
+  if (record->value == NULL)
+    {
+      if (self->loaded && record->key[0] == FB_KEY_CANCEL)
+        fb_owner_cancel_deleted (self, record->key + 1);
+      return;
+    }
   if (self->loaded)
     {
       apply_record (self, record->key, record->value, fb_owner_apply_stored_cancel);
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -139,18 +139,22 @@
 char *fb_owner_cancel_key (const char *job);
 /* Cancels JOB, or keeps CANCEL, its record, until the job is known. */
 void fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel);
-/* As above, of a record that was read from the store after every record before it. */
+/* As above, of a record that was read from the store. */
 void fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* The record of a cancel of JOB was deleted; it is stored again if the cancel is still kept. */
+void fb_owner_cancel_deleted (FbOwner *self, const char *job);
 /* Applies the kept cancel of JOB, if there is one.  To be called when a job becomes known. */
 void fb_owner_apply_kept_cancel (FbOwner *self, const char *job);
 /* Has JOB cancelled by the owner of the pool of SERVICE.  CANCEL: the stored record. */
 void fb_owner_pass_on_cancel (FbOwner *self, const char *job, GBytes *cancel, const char *service,
                               FbAppendDone done, gpointer user);
-/* Passes the kept cancel of JOB, if there is one, on to SERVICE, which is about to run the job. */
-void fb_owner_pass_on_kept_cancel (FbOwner *self, const char *job, const char *service);
+/* Passes the kept cancel of JOB, if there is one, on to SERVICE.
+ * Returns: FALSE until it is stored there. */
+gboolean fb_owner_pass_on_kept_cancel (FbOwner *self, const char *job, const char *service);
 /* Passes kept cancels on to all services that share a queue with one of this partition, once these
- * are known, and forgets old ones.  To be called in every tick. */
-void fb_owner_check_kept_cancels (FbOwner *self, uint64_t now_ms);
+ * are known, and forgets old ones if IS_CONFIRMED: the store confirms the ownership.  To be called
+ * in every tick. */
+void fb_owner_check_kept_cancels (FbOwner *self, gboolean is_confirmed, uint64_t now_ms);
 
 /* owner-flush.c */
 
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -211,7 +211,8 @@
   gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
   fb_owner_claim_held_jobs (self, now_ms);
-  fb_owner_check_kept_cancels (self, now_ms);
+  fb_owner_check_kept_cancels (self, may_act && fb_group_is_member (self->entry->group, now_ms),
+                               now_ms);
   fb_owner_expire_disclaimers (self, now_ms);
   gboolean jobs_complete = !fb_owner_holds_loaded_jobs (self);
   if (jobs_complete)
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -6,9 +6,6 @@
 #include "internal/pool-crash.h"
 #include "internal/pool-silence.h"
 
-/* Results are kept this long after a job has ended, for late requests from callers. */
-#define ENDED_JOB_RETENTION_MS 300000
-
 static void
 record_free (gpointer data)
 {
@@ -186,8 +183,8 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       FbPoolJob *job = value;
-      if (job->stored_state != job->state || wall_ms <= job->ended_wall_ms + ENDED_JOB_RETENTION_MS
-          || has_run (self, job))
+      if (job->stored_state != job->state
+          || wall_ms <= job->ended_wall_ms + FB_POOL_ENDED_JOB_RETENTION_MS || has_run (self, job))
         continue;
       add_record (records, job->id, NULL);
       g_hash_table_iter_remove (&iter);
--- a/tests/early-cancels.sh
+++ b/tests/early-cancels.sh
@@ -39,6 +39,7 @@
 for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready"; done
 until_true submitted 0 1 || die "the job was not accepted"
 until_true n_run 1 2 || die "the job does not run"
+started 1 || die "the stand-in does not tell that the job was started"
 until_true owner_is_not none || die "the pool has no owner"
 
 step "a cancel that arrives before the submission, at each daemon"
@@ -79,6 +80,10 @@
 for d in 0 1 2; do until_true ready $d || die "daemon $d is not ready again"; done
 never_runs 50
 
+step "no task of a cancelled job starts later"
+sleep 3.2
+for k in 10 11 12 13 14 15 16 17 18 30 40 50; do never_runs $k; done
+
 step "other jobs run on"
 n_run 1 2 || die "the job that was not cancelled does not run"
 submitted 0 60 || die "the job was not accepted"
--- a/tests/test-cancel.c
+++ b/tests/test-cancel.c
@@ -48,6 +48,7 @@
 #define NO_REPLY 0
 
 static const int *notice_replies; /* to the next notices, of fb_peer_reply_type or NO_REPLY */
+static guint notice_replies_n;
 static guint notices_n;
 
 const char *__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition);
@@ -82,6 +83,7 @@
   CU_ASSERT_EQUAL (peer_request.type, FB_REQUEST_NOTIFY_STORED);
   CU_ASSERT_STRING_EQUAL (address, OWNER_ADDRESS);
   xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &peer_request);
+  CU_ASSERT_TRUE_FATAL (notices_n < notice_replies_n);
   int type = notice_replies[notices_n++];
   const fb_peer_reply reply = { .type = (fb_peer_reply_type) type };
   g_autoptr (GBytes) answer = type != NO_REPLY ? fb_codec_encode_peer_reply (&reply) : NULL;
@@ -189,10 +191,10 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Sends a notice, to which the owner replies with REPLIES.
+/* Sends a notice, to which the owner replies with the N REPLIES.
  * Returns: the number of notices that it gets within DURATION_MS. */
 static guint
-notify (const int *replies, guint duration_ms)
+notify (const int *replies, guint n, guint duration_ms)
 {
   FbEntrySettings settings = { .peers = (char *) "127.0.0.1:1" };
   FbEntryDaemon entry = { .settings = &settings, .owners = g_hash_table_new (NULL, NULL) };
@@ -201,6 +203,7 @@
   clock_ms = START_MS;
   notices_n = 0;
   notice_replies = replies;
+  notice_replies_n = n;
   fb_cancel_notice_send (&entry, 0, "c" JOB, cancel);
   g_timeout_add (duration_ms, on_timeout, &timed_out);
   while (!timed_out)
@@ -214,14 +217,15 @@
 test_a_notice_is_repeated_until_the_owner_has_applied_it (void)
 {
   const int replies[] = { NO_REPLY, FB_REPLY_UNAVAILABLE, FB_REPLY_STORED };
-  CU_ASSERT_EQUAL (notify (replies, 1200), 3);
+  CU_ASSERT_EQUAL (notify (replies, G_N_ELEMENTS (replies), 1200), 3);
 }
 
+/* Guards against notices that are repeated although they were applied. */
 static void
 test_an_applied_notice_is_sent_once (void)
 {
   const int replies[] = { FB_REPLY_STORED };
-  CU_ASSERT_EQUAL (notify (replies, 600), 1);
+  CU_ASSERT_EQUAL (notify (replies, G_N_ELEMENTS (replies), 600), 1);
 }
 
 int
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -106,6 +106,8 @@
 void __wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
                               const fb_peer_request *peer_request, uint32_t timeout_ms,
                               FbPeerReplyDone done, gpointer user);
+void __wrap_fb_peers_notify_stored (FbEntryDaemon *entry, uint32_t partition, const char *key,
+                                    GBytes *value, FbPeerReplyDone done, gpointer user);
 FbAppender *__wrap_fb_appender_new (FbEntryDaemon *entry, const char *topic, uint32_t partition,
                                     const char *writer, uint64_t epoch);
 void __wrap_fb_appender_free (FbAppender *self);
@@ -225,6 +227,17 @@
   g_ptr_array_add (messages, message);
 }
 
+void
+__wrap_fb_peers_notify_stored (FbEntryDaemon *entry, uint32_t partition, const char *key,
+                               GBytes *value, FbPeerReplyDone done, gpointer user)
+{
+  (void) entry;
+  (void) partition;
+  (void) key;
+  (void) value;
+  done (user, NULL);
+}
+
 FbAppender *
 __wrap_fb_appender_new (FbEntryDaemon *entry, const char *topic, uint32_t partition,
                         const char *writer, uint64_t epoch)
@@ -622,13 +635,13 @@
   directory_known = FALSE;
   fb_owner_apply_stored_cancel (daemon->owner, first, cancel);
   fb_owner_apply_stored_cancel (daemon->owner, second, passed_on);
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL (appends->len, 0);
   directory_known = TRUE;
   clock_ms += 1000;
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   clock_ms += 1000;
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL_FATAL (appends->len, 1);
   const GByteArray *records = ((Append *) appends->pdata[0])->records;
   CU_ASSERT_EQUAL (records->data[4 + 1], FB_KEY_CANCEL);
@@ -686,7 +699,7 @@
   end ();
 }
 
-/* As the previous test, of a notice that arrives before that of the job. */
+/* Guards against the loss of a cancel whose notice arrives before that of the job. */
 static void
 test_a_notice_of_a_cancel_overtakes_that_of_its_job (void)
 {
@@ -698,7 +711,7 @@
   g_autofree char *key = fb_owner_cancel_key (job);
   fb_owner_apply_record (daemon->owner, key, cancel);
   clock_ms += 1000;
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL (appends->len, 0); /* the job may be in the store */
   admit (daemon, job, services[0]);
   CU_ASSERT_EQUAL (state_at (daemon, job), FB_WORK_CANCELLED);
@@ -706,7 +719,7 @@
   end ();
 }
 
-/* As above, of a job that waits for other services. */
+/* Guards against the loss of a cancel whose job then waits for other services. */
 static void
 test_a_cancel_is_read_before_its_held_job (void)
 {
@@ -724,6 +737,12 @@
   end ();
 }
 
+static void
+on_claim_answered (gpointer user, const fb_peer_reply *peer_reply)
+{
+  *(fb_peer_reply_type *) user = peer_reply->type;
+}
+
 /* Returns: the number of records of cancels that DAEMON has sent to the store. */
 static guint
 cancel_appends_n (const Daemon *daemon)
@@ -747,22 +766,26 @@
   g_autofree char *job = job_id (0);
   (void) fb_owner_pool_for (daemon->owner, services[1]);
   fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL (cancel_appends_n (daemon), 0);
   fb_job_name name = { job };
   const fb_claim_request claim = { (char *) services[1], (char *) services[0], { 1, &name } };
-  Message message = { 0 };
-  fb_owner_disclaim (daemon->owner, &claim, on_answered, &message);
+  fb_peer_reply_type type = FB_REPLY_CLAIMS;
+  fb_owner_disclaim (daemon->owner, &claim, on_claim_answered, &type);
+  CU_ASSERT_EQUAL (type, FB_REPLY_UNAVAILABLE); /* the cancel is not stored yet */
+  fb_owner_disclaim (daemon->owner, &claim, on_claim_answered, &type);
+  CU_ASSERT_EQUAL (type, FB_REPLY_UNAVAILABLE);
+  CU_ASSERT_EQUAL_FATAL (appends->len, 1);
   CU_ASSERT_EQUAL (cancel_appends_n (daemon), 1);
-  fb_owner_abandon_disclaimers (daemon->owner);
-  g_ptr_array_set_size (messages, 0);
-  g_bytes_unref (message.reply);
-  __wrap_fb_appender_free ((gpointer) daemon);
+  store_append (0);
+  fb_owner_disclaim (daemon->owner, &claim, on_claim_answered, &type);
+  CU_ASSERT_EQUAL_FATAL (appends->len, 1);
+  store_append (0); /* the disclaimer */
+  CU_ASSERT_EQUAL (type, FB_REPLY_CLAIMS);
   end ();
 }
 
-/* Guards against records of cancels that stay in the store for ever, and against the loss of a
- * submission that is stored as the cancel is forgotten. */
+/* Guards against records that stay for ever, and against one of the job that goes with them. */
 static void
 test_a_kept_cancel_expires_alone (void)
 {
@@ -773,11 +796,14 @@
   g_autofree char *job = job_id (0);
   g_autofree char *key = fb_owner_cancel_key (job);
   fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
-  clock_ms += 300000 - 1;
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  clock_ms += FB_POOL_ENDED_JOB_RETENTION_MS - 1;
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 0);
   clock_ms += 1001;
-  fb_owner_check_kept_cancels (daemon->owner, clock_ms);
+  fb_owner_check_kept_cancels (daemon->owner, FALSE, clock_ms);
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 0); /* a later owner may keep it */
+  clock_ms += 1001;
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
   CU_ASSERT_EQUAL_FATAL (daemon->owner->stale_keys->len, 1);
   CU_ASSERT_STRING_EQUAL (daemon->owner->stale_keys->pdata[0], key);
   admit (daemon, job, services[0]);
@@ -786,6 +812,71 @@
   end ();
 }
 
+/* Guards against a repeated cancel that is forgotten, or deleted, with the first one. */
+static void
+test_a_repeated_cancel_is_kept_for_its_own_time (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  list_own_service (daemon);
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *repeated = job_id (0);
+  g_autofree char *late = job_id (1);
+  fb_owner_apply_stored_cancel (daemon->owner, repeated, cancel);
+  fb_owner_apply_stored_cancel (daemon->owner, late, cancel);
+  clock_ms += FB_POOL_ENDED_JOB_RETENTION_MS - 1;
+  fb_owner_apply_stored_cancel (daemon->owner, repeated, cancel);
+  clock_ms += 1001;
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 1); /* of LATE, not deleted yet */
+  fb_owner_apply_stored_cancel (daemon->owner, late, cancel);
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 0);
+  admit (daemon, repeated, services[0]);
+  admit (daemon, late, services[0]);
+  CU_ASSERT_EQUAL (state_at (daemon, repeated), FB_WORK_CANCELLED);
+  CU_ASSERT_EQUAL (state_at (daemon, late), FB_WORK_CANCELLED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against a late deletion that undoes a cancel for the next owner. */
+static void
+test_a_deleted_record_of_a_kept_cancel_is_stored_again (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autofree char *job = job_id (0);
+  fb_owner_cancel_deleted (daemon->owner, job);
+  CU_ASSERT_EQUAL (cancel_appends_n (daemon), 0);
+  fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
+  fb_owner_cancel_deleted (daemon->owner, job);
+  CU_ASSERT_EQUAL (cancel_appends_n (daemon), 1);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against a caller's cancel that is passed on no more after another owner has passed it on
+ * to this one. */
+static void
+test_a_passed_cancel_does_not_replace_the_callers_own (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  (void) fb_owner_pool_for (daemon->owner, services[0]);
+  g_autoptr (GBytes) cancel = cancel_new ();
+  g_autoptr (GBytes) passed_on
+      = g_bytes_new_static (FB_PASSED_CANCEL_PREFIX, strlen (FB_PASSED_CANCEL_PREFIX));
+  g_autofree char *job = job_id (0);
+  fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
+  fb_owner_apply_stored_cancel (daemon->owner, job, passed_on);
+  clock_ms += 1000;
+  fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
+  CU_ASSERT_EQUAL (cancel_appends_n (daemon), 1);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 int
 main (void)
 {
@@ -803,6 +894,12 @@
   CU_add_test (suite, "a kept cancel is passed on to a claimant",
                test_a_kept_cancel_is_passed_on_to_a_claimant);
   CU_add_test (suite, "a kept cancel expires alone", test_a_kept_cancel_expires_alone);
+  CU_add_test (suite, "a repeated cancel is kept for its own time",
+               test_a_repeated_cancel_is_kept_for_its_own_time);
+  CU_add_test (suite, "a deleted record of a kept cancel is stored again",
+               test_a_deleted_record_of_a_kept_cancel_is_stored_again);
+  CU_add_test (suite, "a passed cancel does not replace the caller's own",
+               test_a_passed_cancel_does_not_replace_the_callers_own);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
