--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -164,6 +164,7 @@
   uint64_t predicted_ms;    /* when the order last updated EXPECTED_MS; 0: never */
   double tightness;         /* its critical path as a share of its objective, 0 to 1 */
   uint64_t ended_wall_ms;   /* when it ended; 0: it has not */
+  uint64_t cancelled_ms;    /* when this pool learned that it is cancelled; 0: it has not */
   GPtrArray *occurrences;   /* of FbPoolOccurrence, by number */
   uint32_t next_occurrence; /* number of the first occurrence that is not released yet */
 };
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -331,6 +331,8 @@
   gboolean ran = run->seen_clock_ms > 0;
   fb_pool_worker_drop_run (worker, run);
   fb_pool_worker_gained_capacity (self, worker);
+  if (step != NULL && step->job->cancelled_ms != 0)
+    fb_histogram_add (FB_HISTOGRAM_CANCEL, now_ms - step->job->cancelled_ms);
   if (!was_current)
     return;
   if (ran)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -286,6 +286,13 @@
 
 /* ---- listed runs ------------------------------------------------------------------- */
 
+static void
+count_run_of_cancelled_job (const FbPoolJob *job)
+{
+  if (job != NULL && job->state == FB_WORK_CANCELLED)
+    fb_counter_add (FB_COUNTER_CANCELLED_RUNS_FOUND, 1);
+}
+
 /* Assigns RUN, whose step is known, to its task, or stops it if it is not needed. */
 static void
 assign_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
@@ -299,6 +306,7 @@
                 run->attempt, worker->id, wanted);
   if (!wanted)
     {
+      count_run_of_cancelled_job (step->job);
       stop_run (self, worker, run, now_ms);
       return;
     }
@@ -378,8 +386,11 @@
         continue;
       gboolean has_no_job = self->jobs_complete_ms > run->first_listed_ms
                             && !fb_pool_is_of_held_job (self, run->name);
-      if (has_no_job || fb_pool_find_job (self, run->name) != NULL)
-        stop_run (self, worker, run, now_ms);
+      const FbPoolJob *job = fb_pool_find_job (self, run->name);
+      if (!has_no_job && job == NULL)
+        continue;
+      count_run_of_cancelled_job (job);
+      stop_run (self, worker, run, now_ms);
     }
 }
 
