Audit of the workers: tasks of cancelled jobs that start or work too late

Cause: nothing of ours that runs real processes looked at either half of the rule. The stand-in's audit knew nothing of cancels.

Change: callers tell the stand-in of each acknowledged cancel ("cancelled"), and of when faults are active ("disrupted"). The audit counts the starts of tasks of cancelled jobs later than 3,000 ms after the acknowledgement ("cancelled-started"), and the tasks that are at work 200 ms after that ("cancelled-at-work"), from 3,000 ms after the last fault. An order that the worker executes late is no start, and its run has 3,200 ms from then.

Test: tests/cancel-audit.sh, each bound from both sides.

--- a/standins/standin-platform-audit.c
+++ b/standins/standin-platform-audit.c
@@ -8,6 +8,12 @@
  * crashed MAX_CRASHES workers. */
 #define MAX_CRASHES 3
 #define EXCESS_STARTS 3
+/* Bounds of the rule on cancelled jobs: no task starts later than CANCEL_MS after the
+ * acknowledgement of the cancel, and none is at work STOP_MS after that.  Both hold from CONTACT_MS
+ * after the end of a disruption. */
+#define CANCEL_MS 3000
+#define STOP_MS 200
+#define CONTACT_MS 3000
 
 /* A task that has crashed at least one worker. */
 typedef struct
@@ -25,6 +31,11 @@
                                   over its starts */
 static guint over_capacity;    /* starts on a worker without capacity for them */
 static guint started_too_often;
+static GHashTable *cancelled_jobs; /* job -> sp_now_ms() at the acknowledgement, a gint64 */
+static gboolean is_disrupted;
+static gint64 calm_since_ms;    /* by sp_now_ms(); while there is no disruption */
+static guint cancelled_started; /* starts of tasks of cancelled jobs that were too late */
+static guint cancelled_at_work; /* runs of tasks of cancelled jobs that lasted too long */
 static guint64 highest_epoch;
 static guint epochs_n; /* how often the highest fencing token in orders has risen */
 
@@ -34,11 +45,65 @@
   done_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   started_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cancelled_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  calm_since_ms = sp_now_ms ();
 }
 
 void
-sp_audit_start (const char *task, guint running, gboolean fits)
+sp_audit_cancelled (const char *job)
 {
+  if (g_hash_table_contains (cancelled_jobs, job))
+    return;
+  gint64 *acknowledged_ms = g_new (gint64, 1);
+  *acknowledged_ms = sp_now_ms ();
+  g_hash_table_insert (cancelled_jobs, g_strdup (job), acknowledged_ms);
+  g_debug ("cancel of job %s acknowledged", job);
+}
+
+void
+sp_audit_set_disrupted (gboolean disrupted)
+{
+  if (is_disrupted && !disrupted)
+    calm_since_ms = sp_now_ms ();
+  if (is_disrupted != disrupted)
+    g_debug ("%s", disrupted ? "disruptions begin" : "disruptions are over");
+  is_disrupted = disrupted;
+}
+
+/* Returns: how long the job of TASK has been cancelled for machines that are in touch, in ms; -1:
+ * it is not cancelled, or no machine counts as in touch. */
+static gint64
+cancelled_for_ms (const char *task)
+{
+  g_autofree char *job = g_strndup (task, strcspn (task, "."));
+  const gint64 *acknowledged_ms = g_hash_table_lookup (cancelled_jobs, job);
+  gint64 in_touch_ms = sp_now_ms () - calm_since_ms - CONTACT_MS;
+  if (acknowledged_ms == NULL || is_disrupted || in_touch_ms < 0)
+    return -1;
+  return sp_now_ms () - *acknowledged_ms;
+}
+
+gboolean
+sp_audit_run (const char *task, gint64 late_start_ms)
+{
+  gint64 allowed_ms = CANCEL_MS + STOP_MS;
+  gint64 calm_ms = sp_now_ms () - calm_since_ms - CONTACT_MS;
+  if (cancelled_for_ms (task) <= allowed_ms || calm_ms <= allowed_ms
+      || sp_now_ms () - late_start_ms <= allowed_ms)
+    return FALSE;
+  g_debug ("task %s of a cancelled job is still at work", task);
+  cancelled_at_work++;
+  return TRUE;
+}
+
+void
+sp_audit_start (const char *task, guint running, gboolean fits, gboolean late)
+{
+  if (!late && cancelled_for_ms (task) > CANCEL_MS)
+    {
+      g_debug ("task %s of a cancelled job starts", task);
+      cancelled_started++;
+    }
   gboolean is_done = g_hash_table_contains (done_tasks, task);
   if (running > 0 || is_done)
     g_debug ("duplicate start of task %s: %u other runs, %s", task, running,
@@ -104,7 +169,10 @@
 {
   return g_strdup_printf ("{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u,"
                           "\"epochs\":%u,\"crashes\":%u,"
-                          "\"started-too-often\":%u}",
+                          "\"started-too-often\":%u,\"cancelled\":%u,\"cancelled-started\":%u,"
+                          "\"cancelled-at-work\":%u,\"calm-ms\":%" G_GINT64_FORMAT "}",
                           started, g_hash_table_size (done_tasks), duplicate_starts, over_capacity,
-                          epochs_n, crashes, started_too_often);
+                          epochs_n, crashes, started_too_often, g_hash_table_size (cancelled_jobs),
+                          cancelled_started, cancelled_at_work,
+                          is_disrupted ? 0 : sp_now_ms () - calm_since_ms);
 }
--- a/standins/standin-platform-faults.c
+++ b/standins/standin-platform-faults.c
@@ -119,7 +119,7 @@
 {
   if (call->k != SP_STORE)
     {
-      sp_worker_execute (call->message, call->k, call->path, call->body);
+      sp_worker_execute (call->message, call->k, call->path, call->body, TRUE);
       return;
     }
   (void) sp_store_serve (call->message, call->path, call->query, call->records);
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -24,7 +24,9 @@
   gint64 started_ms; /* by sp_now_ms() */
   gint64 ends_ms;    /* by sp_now_ms() */
   gboolean stopping;
-  gboolean crashes; /* it crashes its worker when it ends */
+  gboolean crashes;      /* it crashes its worker when it ends */
+  gboolean started_late; /* the worker executed the order late */
+  gboolean is_counted;   /* sp_audit_run() has counted it */
 } Run;
 
 /* The end of a run, retained until the pool acknowledges it. */
@@ -67,6 +69,7 @@
   GPtrArray *runs;         /* of Run */
   GPtrArray *ends;         /* of End */
   GHashTable *ended_attempts; /* task -> its highest attempt that has ended or was stopped */
+  gboolean executes_late;     /* the call that it executes was delayed */
   SpPausedRequest poll; /* waits for the end of a run; its message is NULL when no poll waits */
 } Worker;
 
@@ -253,11 +256,13 @@
   const char *spec = json_object_get_string_member (body, "spec");
   end_runs_elsewhere (worker);
   sp_audit_start (task, count_runs (task),
-                  (worker->runs->len + 1) * TASK_CPU_MILLI <= WORKER_CPU_MILLI);
+                  (worker->runs->len + 1) * TASK_CPU_MILLI <= WORKER_CPU_MILLI,
+                  worker->executes_late);
   Run *run = g_new0 (Run, 1);
   run->task = g_strdup (task);
   run->attempt = (guint64) json_object_get_int_member (body, "attempt");
   run->crashes = g_str_has_prefix (spec, "crash ");
+  run->started_late = worker->executes_late;
   run->started_ms = sp_now_ms ();
   run->ends_ms = run->started_ms + atoi (run->crashes ? spec + strlen ("crash ") : spec);
   g_ptr_array_add (worker->runs, run);
@@ -441,12 +446,15 @@
 }
 
 void
-sp_worker_execute (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+sp_worker_execute (SoupServerMessage *message, guint k, const char *path, JsonObject *body,
+                   gboolean late)
 {
   g_autofree char *answer = NULL;
   end_due_runs (&workers[k]);
+  workers[k].executes_late = late;
   if (workers[k].up)
     (void) handle_call (&workers[k], message, path, body, &answer);
+  workers[k].executes_late = FALSE;
   sp_close_connection (message);
 }
 
@@ -471,7 +479,7 @@
       sp_reply (message, 503, "{}");
       break;
     case SP_CALL_UNANSWERED:
-      sp_worker_execute (message, k, path, body);
+      sp_worker_execute (message, k, path, body, FALSE);
       break;
     case SP_CALL_DELAYED:
       sp_faults_delay_call (message, k, path, body);
@@ -666,6 +674,17 @@
   list_worker (worker, list_sequence);
 }
 
+static void
+audit_runs (Worker *worker)
+{
+  for (guint i = 0; worker->up && i < worker->runs->len; i++)
+    {
+      Run *run = worker->runs->pdata[i];
+      if (!run->is_counted)
+        run->is_counted = sp_audit_run (run->task, run->started_late ? run->started_ms : 0);
+    }
+}
+
 void
 sp_workers_tick (void)
 {
@@ -675,6 +694,7 @@
       restart_if_due (worker);
       listen_if_due (worker);
       end_due_runs (worker);
+      audit_runs (worker);
       unlist_expired (worker);
       relist_if_due (worker);
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -28,6 +28,10 @@
  *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults" and
  *                                 "store-faults"
  *   {"finish":JOB}                ends the runs of JOB
+ * and tells the audit what callers know:
+ *   {"cancelled":JOB}             the cancel of JOB was acknowledged
+ *   {"disrupted":true}            faults are active; cancelled jobs are checked while there are
+ * none
  *
  * GET /running?job=JOB&worker=K returns the number of runs of JOB, on worker K only if it is given;
  * GET /listed the number of entries in the worker list.
@@ -148,6 +152,10 @@
     sp_store_set_malformed_keys (json_object_get_string_member (body, "malformed-keys"));
   if (json_object_has_member (body, "finish"))
     sp_workers_finish (json_object_get_string_member (body, "finish"));
+  if (json_object_has_member (body, "cancelled"))
+    sp_audit_cancelled (json_object_get_string_member (body, "cancelled"));
+  if (json_object_has_member (body, "disrupted"))
+    sp_audit_set_disrupted (json_object_get_boolean_member (body, "disrupted"));
   sp_reply (message, 200, "{}");
 }
 
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -90,8 +90,9 @@
 /* DROP: workers execute starts without responding, and reject repeated starts with 503. */
 void sp_workers_set_drop_answers (gboolean drop);
 void sp_worker_serve (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
-/* Executes the call and closes its connection without a response. */
-void sp_worker_execute (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+/* Executes the call and closes its connection without a response.  LATE: the call was delayed. */
+void sp_worker_execute (SoupServerMessage *message, guint k, const char *path, JsonObject *body,
+                        gboolean late);
 /* Ends runs that are due or whose lease has expired, restarts workers, responds to polls. */
 void sp_workers_tick (void);
 /* Renews the entries of the workers that are up in the worker list. */
@@ -130,8 +131,16 @@
 
 void sp_audit_init (void);
 /* Counts a start of TASK.  RUNNING: number of other runs of it; FITS: the worker has capacity for
- * it. */
-void sp_audit_start (const char *task, guint running, gboolean fits);
+ * it; LATE: the worker executes the order late. */
+void sp_audit_start (const char *task, guint running, gboolean fits, gboolean late);
+/* A caller has received the acknowledgement of the cancel of JOB. */
+void sp_audit_cancelled (const char *job);
+/* DISRUPTED: faults are active.  Tasks of cancelled jobs are counted only while there are none. */
+void sp_audit_set_disrupted (gboolean disrupted);
+/* Checks a run of TASK, which is at work.  LATE_START_MS: when it was started if the worker
+ * executed the order late, by sp_now_ms(); else 0.  Returns: TRUE when the run was counted because
+ * its job is cancelled. */
+gboolean sp_audit_run (const char *task, gint64 late_start_ms);
 /* A run of TASK has ended as done.  Another start of TASK counts as a duplicate until
  * sp_audit_forget_done(). */
 void sp_audit_done (const char *task);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -117,6 +117,7 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "malformed input, with processes" tests/malformed-input.sh
+verdict "audit of cancelled jobs" tests/cancel-audit.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
 verdict "client accounts with processes" tests/accounts.sh
