--- a/tests/cancel-audit.sh
+++ b/tests/cancel-audit.sh
@@ -52,8 +52,8 @@
 expect cancelled-started 1 "a start during a disruption"
 stop 0 c
 control '{"disrupted":false}'
-control '{"disrupted":false}'
 sleep 2
+control '{"disrupted":false}'
 start 1 c
 expect cancelled-started 1 "a start within 3 s of a disruption"
 sleep 1.5
