Soak: jobs of every kind are cancelled, and their tasks are looked for

Cause: only jobs whose tasks never end were cancelled, once, 4 s after their acceptance, and a job counted as ended as soon as a daemon said so.

Change: 30% of the jobs whose tasks end are cancelled, and all of the others, at any daemon, 0 to 4,000 ms after their acceptance or once they are given up in doubt. 35% of the cancels are sent up to 400 ms before or after the first submission instead. They are repeated until answered 200 or 410, and a quarter of them after that. The audit is told of each acknowledgement and of when faults are over; a play goes on until tasks of all cancelled jobs would have been counted. Violations besides those of the audit: a cancel of an accepted job answered 410, another end than "cancelled" of a job whose cancel was acknowledged before its first submission, an unexpected status, an audit that was not told of all cancels. Audit counts are reported before "has not ended".

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -13,14 +13,24 @@
 #define TICKS_PER_REPEAT 4
 #define CRASHING_PERCENT 2
 #define LONG_RUNNING_PERCENT 8
-#define CANCEL_AFTER_MS 4000
+/* Jobs whose tasks end by themselves are cancelled at this rate, the others always. */
+#define CANCELLED_PERCENT 30
+#define MAX_CANCEL_DELAY_MS 4000
+/* Of the cancels, those that are sent beside the first submission, and those that are sent again
+ * after their acknowledgement. */
+#define EARLY_CANCEL_PERCENT 35
+#define REPEATED_CANCEL_PERCENT 25
+/* An early cancel is sent at most so long before or after the first submission. */
+#define MAX_EARLY_CANCEL_MS 400
+/* Daemons keep the ends of jobs for so long. */
+#define ENDS_KEPT_MS 300000
 
 typedef enum
 {
   JOB_PLAIN,
   JOB_CRASHING,    /* its task crashes workers; the job may fail */
   JOB_LASTING,     /* its tasks run for seconds */
-  JOB_LONG_RUNNING /* its tasks do not end; it is cancelled after CANCEL_AFTER_MS */
+  JOB_LONG_RUNNING /* its tasks do not end; it is always cancelled */
 } JobKind;
 
 typedef struct
@@ -30,11 +40,19 @@
   guint tries;    /* submissions */
   guint refusals; /* submissions that were answered 429 or 503 */
   gboolean accepted;
-  gboolean abandoned; /* not accepted after MAX_SUBMIT_TRIES */
+  gboolean abandoned;     /* not accepted after MAX_SUBMIT_TRIES */
+  gint64 submit_at_ms;    /* when it is first submitted */
+  gboolean is_cancelled;  /* its caller cancels it */
+  gboolean cancels_early; /* at cancel_at_ms, whether it was accepted or not */
+  gint64 cancel_at_ms;    /* if cancels_early; else after its acceptance, or its abandonment */
+  guint acks_wanted;      /* acknowledgements of its cancel that are waited for */
+  guint cancel_acks;      /* acknowledgements of its cancel */
+  gint64 last_cancel_ms;  /* when a cancel was last sent */
   gboolean cancel_sent;
-  gboolean cancelled;
-  gboolean call_pending; /* a call for it has no response yet */
-  char end[16];          /* final state as last reported; "": none yet */
+  gboolean cancel_pending;     /* a cancel has no response yet */
+  gboolean must_end_cancelled; /* its cancel was acknowledged before its first submission */
+  gboolean call_pending;       /* another call for it has no response yet */
+  char end[16];                /* final state as last reported; "": none yet */
   gint64 accepted_ms;
   gint64 last_call_ms;
 } Job;
@@ -42,6 +60,7 @@
 struct _SoakCallers
 {
   SoakProcesses *processes;
+  SoakPlatform *platform;
   guint daemon_n;
   SoakCallersSetup setup;
   GRand *rand;
@@ -57,6 +76,7 @@
   SoakCallers *callers;
   Job *job;
   SoupMessage *message;
+  gboolean was_accepted; /* the job had been accepted when the call was sent */
 } Call;
 
 static gint64
@@ -79,21 +99,47 @@
 
 /* ---- answers --------------------------------------------------------------------- */
 
+/* Statuses that leave open whether a call took effect, or say that it did not. */
+static gboolean
+is_to_be_repeated (guint status)
+{
+  return status == 0 || status == 429 || (status >= 502 && status <= 504);
+}
+
 static void
 handle_submit_answer (SoakCallers *self, Job *job, guint status)
 {
   if (status == 200)
     {
       self->counts.accepted += !job->accepted;
+      job->accepted_ms = job->accepted ? job->accepted_ms : now_ms ();
       job->accepted = TRUE;
-      job->accepted_ms = now_ms ();
     }
   else if (status == 429 || status == 503)
     job->refusals++;
-  else if (status != 0 && status != 502 && status != 504)
+  else if (!is_to_be_repeated (status))
     report_violation (self, "job %s was answered %u", job->id, status);
 }
 
+static void
+handle_cancel_answer (SoakCallers *self, const Call *call, guint status)
+{
+  Job *job = call->job;
+  if (status != 200 && status != 410)
+    {
+      if (!is_to_be_repeated (status))
+        report_violation (self, "the cancel of job %s was answered %u", job->id, status);
+      return;
+    }
+  if (status == 410 && call->was_accepted && now_ms () < job->accepted_ms + ENDS_KEPT_MS)
+    report_violation (self, "the cancel of the accepted job %s was answered 410", job->id);
+  if (job->cancel_acks++ > 0)
+    return;
+  self->counts.cancelled++;
+  job->must_end_cancelled = job->tries == 0;
+  soak_platform_control (self->platform, "{\"cancelled\":\"%s\"}", job->id);
+}
+
 static void
 handle_state_answer (SoakCallers *self, Job *job, guint status, GBytes *body)
 {
@@ -112,6 +158,9 @@
     report_violation (self, "job %s failed without cause", job->id);
   if (g_str_equal (end, "completed") && job->kind != JOB_PLAIN && job->kind != JOB_LASTING)
     report_violation (self, "job %s completed although its tasks cannot", job->id);
+  if (job->must_end_cancelled && *end != '\0' && !g_str_equal (end, "cancelled"))
+    report_violation (self, "job %s, cancelled before its submission, was answered as %s", job->id,
+                      end);
   if (g_str_equal (end, "cancelled") && !job->cancel_sent)
     report_violation (self, "job %s was cancelled without a request", job->id);
   self->counts.ended += *job->end == '\0' && *end != '\0';
@@ -130,11 +179,14 @@
   const char *method = soup_message_get_method (call->message);
   self->counts.answered += status != 0;
   self->counts.unanswered += status == 0;
-  job->call_pending = FALSE;
+  if (g_str_equal (method, "DELETE"))
+    job->cancel_pending = FALSE;
+  else
+    job->call_pending = FALSE;
   if (g_str_equal (method, "POST"))
     handle_submit_answer (self, job, status);
   else if (g_str_equal (method, "DELETE"))
-    job->cancelled |= status == 200;
+    handle_cancel_answer (self, call, status);
   else
     handle_state_answer (self, job, status, body);
   self->pending--;
@@ -161,8 +213,18 @@
       g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
       soup_message_set_request_body_from_bytes (call->message, "application/json", bytes);
     }
-  job->call_pending = TRUE;
-  job->last_call_ms = now_ms ();
+  call->was_accepted = job->accepted;
+  if (g_str_equal (method, "DELETE"))
+    {
+      job->cancel_pending = TRUE;
+      job->cancel_sent = TRUE;
+      job->last_cancel_ms = now_ms ();
+    }
+  else
+    {
+      job->call_pending = TRUE;
+      job->last_call_ms = now_ms ();
+    }
   self->pending++;
   soup_session_send_and_read_async (self->session, call->message, G_PRIORITY_DEFAULT, NULL,
                                     on_answer, call);
@@ -194,6 +256,28 @@
   send_call (self, job, "POST", body);
 }
 
+static gboolean
+draw_percent (SoakCallers *self, guint percent)
+{
+  return (guint) g_rand_int_range (self->rand, 0, 100) < percent;
+}
+
+/* Decides whether and when JOB is cancelled. */
+static void
+draw_cancel (SoakCallers *self, Job *job)
+{
+  job->submit_at_ms = now_ms ();
+  job->is_cancelled = job->kind == JOB_LONG_RUNNING || draw_percent (self, CANCELLED_PERCENT);
+  job->cancels_early = job->is_cancelled && draw_percent (self, EARLY_CANCEL_PERCENT);
+  job->acks_wanted = job->is_cancelled ? 1 + draw_percent (self, REPEATED_CANCEL_PERCENT) : 0;
+  job->cancel_at_ms = g_rand_int_range (self->rand, 0, MAX_CANCEL_DELAY_MS);
+  if (!job->cancels_early)
+    return;
+  gint64 offset_ms = g_rand_int_range (self->rand, -MAX_EARLY_CANCEL_MS, MAX_EARLY_CANCEL_MS);
+  job->submit_at_ms += MAX (-offset_ms, 0);
+  job->cancel_at_ms = now_ms () + MAX (offset_ms, 0);
+}
+
 static void
 new_job (SoakCallers *self)
 {
@@ -208,7 +292,20 @@
     job->kind = JOB_LASTING;
   g_ptr_array_add (self->jobs, job);
   self->counts.submitted++;
-  submit_job (self, job);
+  draw_cancel (self, job);
+}
+
+/* Returns: TRUE when the cancel of JOB is to be sent, for the first time or again. */
+static gboolean
+cancel_is_due (const Job *job)
+{
+  if (job->cancel_acks >= job->acks_wanted || job->cancel_pending)
+    return FALSE;
+  if (job->cancel_sent)
+    return now_ms () >= job->last_cancel_ms + POLL_INTERVAL_MS;
+  if (job->cancels_early)
+    return now_ms () >= job->cancel_at_ms;
+  return job->abandoned || (job->accepted && now_ms () >= job->accepted_ms + job->cancel_at_ms);
 }
 
 /* Returns: TRUE when the accepted JOB is to be submitted again in place of another call. */
@@ -222,19 +319,16 @@
 static void
 job_tick (SoakCallers *self, Job *job)
 {
-  if (job->call_pending || job->abandoned || now_ms () < job->last_call_ms + POLL_INTERVAL_MS)
+  if (cancel_is_due (job))
+    send_call (self, job, "DELETE", NULL);
+  if (job->call_pending || job->abandoned || now_ms () < job->submit_at_ms
+      || now_ms () < job->last_call_ms + POLL_INTERVAL_MS)
     return;
   gboolean has_ended = *job->end != '\0';
   if (job->tries < MAX_SUBMIT_TRIES && (!job->accepted || is_repeated (self, job)))
     submit_job (self, job);
   else if (!job->accepted)
     job->abandoned = TRUE;
-  else if (job->kind == JOB_LONG_RUNNING && !job->cancelled
-           && now_ms () > job->accepted_ms + CANCEL_AFTER_MS)
-    {
-      job->cancel_sent = TRUE;
-      send_call (self, job, "DELETE", NULL);
-    }
   else if (!has_ended || g_rand_int_range (self->rand, 0, 20) == 0)
     send_call (self, job, "GET", NULL); /* occasionally also after the job has ended */
 }
@@ -242,11 +336,12 @@
 /* ---- public ---------------------------------------------------------------------------- */
 
 SoakCallers *
-soak_callers_new (SoakProcesses *processes, guint daemon_n, guint32 seed,
+soak_callers_new (SoakProcesses *processes, SoakPlatform *platform, guint daemon_n, guint32 seed,
                   const SoakCallersSetup *setup)
 {
   SoakCallers *self = g_new0 (SoakCallers, 1);
   self->processes = processes;
+  self->platform = platform;
   self->daemon_n = daemon_n;
   self->setup = *setup;
   self->rand = g_rand_new_with_seed (seed + 1);
@@ -285,7 +380,7 @@
   for (guint i = 0; i < self->jobs->len; i++)
     {
       const Job *job = self->jobs->pdata[i];
-      if (*job->end == '\0' && !job->abandoned)
+      if ((*job->end == '\0' && !job->abandoned) || job->cancel_acks < job->acks_wanted)
         return job;
     }
   return NULL;
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -337,6 +337,26 @@
     }
 }
 
+gboolean
+soak_faults_are_over (const SoakFaults *self)
+{
+  GHashTableIter iter;
+  gpointer scheduled;
+  g_hash_table_iter_init (&iter, self->scheduled_ends);
+  while (g_hash_table_iter_next (&iter, &scheduled, NULL))
+    {
+      /* The ends of the other faults change nothing once these are cleared. */
+      if (((ScheduledEnd *) scheduled)->fault.kind == SOAK_ROLLING_RESTART)
+        return FALSE;
+    }
+  for (guint i = 0; i < self->plan->daemon_n; i++)
+    {
+      if (!soak_daemon_stays (self->processes, i))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 SoakFaults *
 soak_faults_new (SoakProcesses *processes, SoakPlatform *platform, const SoakPlanSetup *plan)
 {
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -15,3 +15,6 @@
 void soak_faults_begin (SoakFaults *self, const SoakFault *fault);
 /* Ends all faults and starts the daemons that are down. */
 void soak_faults_clear (SoakFaults *self);
+/* Returns: TRUE when, after soak_faults_clear(), all daemons run and none is about to be stopped.
+ */
+gboolean soak_faults_are_over (const SoakFaults *self);
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -258,6 +258,12 @@
   return self->daemons[i].process != NULL;
 }
 
+gboolean
+soak_daemon_stays (const SoakProcesses *self, guint i)
+{
+  return self->daemons[i].process != NULL && !self->daemons[i].exit_expected;
+}
+
 void
 soak_daemon_signal (SoakProcesses *self, guint i, int signal)
 {
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -39,6 +39,8 @@
 /* Daemon I restarts AFTER_MS after each exit, or AFTER_MS from now when it is down. */
 void soak_daemon_restart (SoakProcesses *self, guint i, guint after_ms);
 gboolean soak_daemon_runs (const SoakProcesses *self, guint i);
+/* Returns: TRUE when daemon I runs and was not told to stop. */
+gboolean soak_daemon_stays (const SoakProcesses *self, guint i);
 /* Returns: (nullable) (transfer full): text of a violation: a daemon exited unexpectedly, or uses
  * too much memory or too many file descriptors. */
 char *soak_processes_check (SoakProcesses *self);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -24,6 +24,10 @@
  * and unresolved losses of crashed workers together take about 20 s. */
 #define RECOVERY_MS 45000
 #define CLEAR_FAULTS_TICKS 10
+/* A run goes on until tasks of all cancelled jobs would have been counted: for the bounds in
+ * standin-platform-audit.c, and a little longer. */
+#define IN_TOUCH_AFTER_MS 3000
+#define WATCH_CANCELLED_MS 3700
 
 static gint option_seeds = 1;
 static gint option_seed = 1;
@@ -79,7 +83,8 @@
   SoakCallers *callers;
   SoakPlatform *platform;
   SoakFaults *faults;
-  char *violation; /* text of the first violation; NULL: none */
+  gint64 calm_since_ms; /* by the monotonic clock; 0: faults are active */
+  char *violation;      /* text of the first violation; NULL: none */
 } SoakRun;
 
 static guint
@@ -109,7 +114,8 @@
 static void
 check_worker_audit (SoakRun *run)
 {
-  static const char *const counters[] = { "doubled", "over-capacity", "started-too-often" };
+  static const char *const counters[] = { "doubled", "over-capacity", "started-too-often",
+                                          "cancelled-started", "cancelled-at-work" };
   g_autofree char *audit = soak_platform_request (run->platform, "/audit", NULL);
   if (audit == NULL)
     run->violation = g_strdup ("the stand-in platform does not respond");
@@ -118,6 +124,10 @@
       if (audit_count (audit, counters[i]) > 0)
         run->violation = g_strdup_printf ("audit of the workers: %s", audit);
     }
+  guint cancelled = soak_callers_counts (run->callers).cancelled;
+  if (run->violation == NULL && audit_count (audit, "cancelled") != cancelled)
+    run->violation = g_strdup_printf ("the audit knows %u of %u cancelled jobs",
+                                      audit_count (audit, "cancelled"), cancelled);
 }
 
 static void
@@ -166,6 +176,16 @@
   return ready == run->setup.daemon_n;
 }
 
+/* Tells the audit whether faults are active. */
+static void
+set_calm (SoakRun *run, gboolean calm)
+{
+  if (calm == (run->calm_since_ms != 0))
+    return;
+  run->calm_since_ms = calm ? g_get_monotonic_time () / 1000 : 0;
+  soak_platform_control (run->platform, "{\"disrupted\":%s}", calm ? "false" : "true");
+}
+
 static void
 run_plan (SoakRun *run, const GArray *plan, guint until_ms)
 {
@@ -176,13 +196,35 @@
     {
       passed_ms = (guint) ((g_get_monotonic_time () - began_us) / 1000);
       for (; next < plan->len && g_array_index (plan, SoakFault, next).at_ms <= passed_ms; next++)
-        soak_faults_begin (run->faults, &g_array_index (plan, SoakFault, next));
+        {
+          set_calm (run, FALSE);
+          soak_faults_begin (run->faults, &g_array_index (plan, SoakFault, next));
+        }
       soak_callers_tick (run->callers, FALSE);
       check_violations (run);
       iterate_for_ms (TICK_MS);
     }
 }
 
+/* Lets time pass until tasks of cancelled jobs that start or work too late have been counted. */
+static void
+watch_cancelled_jobs (SoakRun *run)
+{
+  gint64 ended_ms = g_get_monotonic_time () / 1000;
+  gint64 until_ms = G_MAXINT64;
+  soak_faults_clear (run->faults); /* they are still active if all jobs had ended by then */
+  while (run->violation == NULL && g_get_monotonic_time () / 1000 < until_ms)
+    {
+      soak_callers_tick (run->callers, TRUE);
+      check_violations (run);
+      set_calm (run, soak_faults_are_over (run->faults));
+      until_ms = run->calm_since_ms == 0
+                     ? G_MAXINT64
+                     : MAX (ended_ms, run->calm_since_ms + IN_TOUCH_AFTER_MS) + WATCH_CANCELLED_MS;
+      iterate_for_ms (TICK_MS);
+    }
+}
+
 static void
 run_recovery (SoakRun *run)
 {
@@ -195,17 +237,20 @@
        * cleared. */
       if (tick % CLEAR_FAULTS_TICKS == 0)
         soak_faults_clear (run->faults);
+      set_calm (run, soak_faults_are_over (run->faults));
       soak_callers_tick (run->callers, TRUE);
       check_violations (run);
       iterate_for_ms (TICK_MS);
     }
   g_autofree char *unfinished = soak_callers_unfinished_job (run->callers);
+  if (unfinished == NULL)
+    watch_cancelled_jobs (run);
+  check_refused_jobs (run);
+  check_worker_audit (run);
   if (run->violation == NULL && unfinished != NULL)
     run->violation
         = g_strdup_printf ("job %s was accepted, but has not ended %u s after the last fault",
                            unfinished, RECOVERY_MS / 1000);
-  check_refused_jobs (run);
-  check_worker_audit (run);
 }
 
 static void
@@ -269,11 +314,13 @@
     run.violation = g_strdup ("the processes did not start");
   else
     {
+      run.calm_since_ms = g_get_monotonic_time () / 1000;
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
       const SoakCallersSetup callers = { .repeats = option_queue_moves,
                                          .lasting = option_partitions || option_outages,
                                          .heavy = option_outages };
-      run.callers = soak_callers_new (run.processes, run.setup.daemon_n, seed, &callers);
+      run.callers
+          = soak_callers_new (run.processes, run.platform, run.setup.daemon_n, seed, &callers);
       run_plan (&run, plan, (guint) option_seconds * 1000);
       run_recovery (&run);
       counts = soak_callers_counts (run.callers);
@@ -282,9 +329,11 @@
     }
   g_clear_pointer (&run.processes, soak_processes_free);
   soak_platform_free (run.platform);
-  printf ("seed %u: %u faults, %u jobs, %u accepted, %u ended, %u calls answered, %u not: %s\n",
-          seed, plan->len, counts.submitted, counts.accepted, counts.ended, counts.answered,
-          counts.unanswered, run.violation != NULL ? run.violation : "no violation");
+  printf ("seed %u: %u faults, %u jobs, %u accepted, %u cancelled, %u ended, %u calls answered, %u "
+          "not: %s\n",
+          seed, plan->len, counts.submitted, counts.accepted, counts.cancelled, counts.ended,
+          counts.answered, counts.unanswered,
+          run.violation != NULL ? run.violation : "no violation");
   fflush (stdout);
   gboolean has_violation = run.violation != NULL;
   if (!has_violation)
