--- a/soak/faults.c
+++ b/soak/faults.c
@@ -7,6 +7,10 @@
 /* Time to live of an entry in the worker list that is not renewed. */
 #define ENTRY_TTL_MS 4500
 #define MAX_ROLLING_RESTART_MS 25000
+/* How long the store takes appends that it executes late, and by how much per step of the variant.
+ */
+#define LATE_APPENDS_MS 1000
+#define APPEND_DELAY_STEP_MS 60
 
 struct _SoakFaults
 {
@@ -207,6 +211,14 @@
                          fault->duration_ms, share, share / 2);
 }
 
+static void
+set_late_appends (SoakFaults *self, const SoakFault *fault)
+{
+  soak_platform_control (
+      self->platform, "{\"store-faults\":true,\"for-ms\":%u,\"late\":%u,\"late-ms\":%u}",
+      LATE_APPENDS_MS, 10 + fault->variant / 2, (1 + fault->variant) * APPEND_DELAY_STEP_MS);
+}
+
 /* ---- public --------------------------------------------------------------------------- */
 
 static void
@@ -289,6 +301,9 @@
       soak_other_writer_store (self->platform, fault->variant,
                                fault->variant % self->plan->worker_n);
       break;
+    case SOAK_STORE_LATE:
+      set_late_appends (self, fault);
+      break;
     case SOAK_ROLLING_RESTART:
       rolling_restart (self, fault);
       break;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -10,6 +10,8 @@
 #define QUEUE_MOVE_SEED 0x10000
 #define MAX_OTHER_WRITER_GAP_MS 1500
 #define OTHER_WRITER_SEED 0x20000
+#define MAX_LATE_APPENDS_GAP_MS 2500
+#define LATE_APPENDS_SEED 0x30000
 #define MAX_PARTITION_GAP_MS 2500
 /* Longer than an entry in the worker list lives. */
 #define MIN_EXPIRY_MS 5000
@@ -239,6 +241,9 @@
   if (setup->other_writer)
     add_independent_faults (setup, plan, SOAK_OTHER_WRITER, OTHER_WRITER_SEED,
                             MAX_OTHER_WRITER_GAP_MS);
+  if (setup->late_appends)
+    add_independent_faults (setup, plan, SOAK_STORE_LATE, LATE_APPENDS_SEED,
+                            MAX_LATE_APPENDS_GAP_MS);
   return plan;
 }
 
@@ -277,7 +282,8 @@
                                                    [SOAK_STORE_EXPIRY] = "store-expiry",
                                                    [SOAK_STORE_OUTAGE] = "store-outage",
                                                    [SOAK_WORKER_CUT_OFF] = "worker-cut-off",
-                                                   [SOAK_OTHER_WRITER] = "other-writer" };
+                                                   [SOAK_OTHER_WRITER] = "other-writer",
+                                                   [SOAK_STORE_LATE] = "store-late" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -38,6 +38,7 @@
                         */
   SOAK_WORKER_CUT_OFF, /* connections of the daemons to a worker are refused */
   SOAK_OTHER_WRITER,   /* another program stores a malformed record */
+  SOAK_STORE_LATE,     /* the store executes a percentage of its appends late, without responding */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -59,6 +60,7 @@
   gboolean worker_links; /* links to workers and between daemons are proxied and have faults */
   gboolean queue_moves;  /* the plan has SOAK_QUEUE_MOVE besides the faults of its seed */
   gboolean other_writer; /* it has SOAK_OTHER_WRITER besides the faults of its seed */
+  gboolean late_appends; /* it has SOAK_STORE_LATE besides the faults of its seed */
   gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
   gboolean outages;      /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
 } SoakPlanSetup;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -38,6 +38,7 @@
 static gboolean option_without_worker_links = FALSE;
 static gboolean option_queue_moves = FALSE;
 static gboolean option_other_writer = FALSE;
+static gboolean option_late_appends = FALSE;
 static gboolean option_partitions = FALSE;
 static gboolean option_outages = FALSE;
 static gboolean option_without_start_times = FALSE;
@@ -58,6 +59,8 @@
     NULL },
   { "other-writer", 0, 0, G_OPTION_ARG_NONE, &option_other_writer,
     "Another program stores malformed records besides the faults", NULL },
+  { "late-appends", 0, 0, G_OPTION_ARG_NONE, &option_late_appends,
+    "The store executes appends late and without a response besides the faults", NULL },
   { "partitions", 0, 0, G_OPTION_ARG_NONE, &option_partitions,
     "The only faults are workers that refuse connections and expire, and kills", NULL },
   { "outages", 0, 0, G_OPTION_ARG_NONE, &option_outages,
@@ -260,10 +263,10 @@
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
       "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
-      "outages=%d start-times=%d other-writer=%d\n%s",
+      "outages=%d start-times=%d other-writer=%d late-appends=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
       run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
-      run->setup.start_times, run->plan.other_writer, text);
+      run->setup.start_times, run->plan.other_writer, run->plan.late_appends, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -295,6 +298,7 @@
                             .worker_links = !option_without_worker_links,
                             .queue_moves = option_queue_moves,
                             .other_writer = option_other_writer,
+                            .late_appends = option_late_appends,
                             .partitions = option_partitions,
                             .outages = option_outages },
                   .setup = { .base_port = (guint16) option_port,
@@ -354,12 +358,13 @@
   gint outages = 0;
   gint start_times = 1;
   gint other_writer = 0;
+  gint late_appends = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
-                 "partitions=%d outages=%d start-times=%d other-writer=%d",
+                 "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
-                 &partitions, &outages, &start_times, &other_writer)
+                 &partitions, &outages, &start_times, &other_writer, &late_appends)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
@@ -368,6 +373,7 @@
   option_outages = outages != 0;
   option_without_start_times = start_times == 0;
   option_other_writer = other_writer != 0;
+  option_late_appends = late_appends != 0;
   option_seeds = 1;
   return TRUE;
 }
