--- a/tools/check.sh
+++ b/tools/check.sh
@@ -117,6 +117,7 @@
 verdict "processes" tests/processes.sh
 verdict "processes on the platform" tests/platform.sh
 verdict "malformed input, with processes" tests/malformed-input.sh
+verdict "audit of cancelled jobs" tests/cancel-audit.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
 verdict "client accounts with processes" tests/accounts.sh
@@ -141,6 +142,7 @@
 verdict "soak with outages of the store" $B/soak/soak --outages --daemons 7 --workers 48 --seed 1 --seeds 1 --seconds 12
 verdict "soak with malformed records of another program" $B/soak/soak --other-writer --seed 13 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
+verdict "soak with cancels and late appends" $B/soak/soak --late-appends --without-worker-links --seed 3001 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
 while IFS= read -r line; do
