Fuzzer of pools: jobs that are cancelled at hard moments, and runs that go on

A start of a cancelled job was reported only if its order was made from a reading of after the cancel, and a run that goes on never was.

Kinds "cancelling" (connections break, calls are refused or repeated) and "cancelling-partitions" cancel jobs at any moment, and when a start or a stop is sent, when the owner changes, when a worker with a run crashes, and when an end is acknowledged while its task runs again. Half of the jobs are long-running, gangs, scheduled or plain tasks that last until they are stopped; others have copies or crash workers. Daemons read a cancel before or after its job.

Reported: a start by an owner that was told of the cancel, a start sent more than 3 s after the cancel by a stable owner, and a run that goes on for 3 s and the longest stop after the owner was told, counted again after each change of the owner and each time at which owner and worker do not reach each other.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 
 #define PARTITION_SEED 0x10000
+#define CANCEL_SEED 0x20000
 
 /* ---- jobs and faults ---------------------------------------------------------------- */
 
@@ -53,13 +54,17 @@
       step->after.after_val = g_new0 (u_int, 1);
       step->after.after_len = i;
     }
+  world_cancels_submit (world, job);
   job->submitted = TRUE;
   for (guint i = 0; i < OWNER_N; i++)
     {
       /* The other owners read the job from the store up to LIST_LAG_MS later. */
       if (world->owners[i].pool != NULL && !world->owners[i].paused && world_random (world, 2) == 0)
-        fb_pool_add_job (world->owners[i].pool, job->id, record, world->now_ms,
-                         WALL_MS + world->now_ms);
+        {
+          fb_pool_add_job (world->owners[i].pool, job->id, record, world->now_ms,
+                           WALL_MS + world->now_ms);
+          world_cancels_job_read (world, &world->owners[i], job);
+        }
     }
 }
 
@@ -169,15 +174,17 @@
 {
   /* A job or cancel is accepted once the store has it, so none is accepted while the store is
    * unavailable. */
-  if (world_random (world, 30) == 0 && !world->store_unavailable)
+  if (world_random (world, 30) == 0 && !world->store_unavailable
+      && world_cancels_may_submit (world))
     submit (world);
-  if (world_random (world, 400) == 0 && !world->store_unavailable)
+  if (world_random (world, 400) == 0 && !world->store_unavailable && !world->cancelling)
     cancel (world);
   /* In the crashing modes tasks already crash workers often, so workers and owners fail less often:
    * the loss of a run becomes known 4 s after the crash of its worker, and never if the owner
    * changes within each of these periods.  In mode "partitions" a crash would end most partitions
-   * of a worker early. */
-  if (world_random (world, world->crashing || world->partitions ? 450 : 150) == 0)
+   * of a worker early, and in the cancelling ones the runs that are not stopped. */
+  gboolean fewer = world->crashing || world->partitions || world->cancelling;
+  if (world_random (world, fewer ? 450 : 150) == 0)
     inject_worker_fault (world);
   if (world->shrinking && world_random (world, 100) == 0 && !world->store_unavailable)
     resize_worker (world);
@@ -280,17 +287,20 @@
 world_new (guint32 seed, const char *mode, RestartMode restart_mode)
 {
   World *world = g_new0 (World, 1);
-  world->repeats = g_str_equal (mode, "repeats");
-  world->uses_advice = world->repeats || g_str_equal (mode, "advised");
+  world->cancelling = g_str_has_prefix (mode, "cancelling");
+  world->repeats = g_str_equal (mode, "repeats") || g_str_equal (mode, "cancelling");
+  world->uses_advice = world->repeats || world->cancelling || g_str_equal (mode, "advised");
   world->owners_stable = g_str_equal (mode, "crashing-steady");
   world->crashing = world->owners_stable || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
-  world->partitions = g_str_equal (mode, "partitions");
+  world->partitions
+      = g_str_equal (mode, "partitions") || g_str_equal (mode, "cancelling-partitions");
   world->entries_expire = TRUE;
   world->traced = getenv ("FUZZ_LOG") != NULL;
   world->rand = g_rand_new_with_seed (seed);
   world->restart_rand = g_rand_new_with_seed (~seed);
   world->partition_rand = g_rand_new_with_seed (seed + PARTITION_SEED);
+  world->cancel_rand = g_rand_new_with_seed (seed + CANCEL_SEED);
   world->restart_mode = restart_mode;
   world->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->now_ms = 1000000;
@@ -345,6 +355,7 @@
   g_rand_free (world->rand);
   g_rand_free (world->restart_rand);
   g_rand_free (world->partition_rand);
+  g_rand_free (world->cancel_rand);
   g_hash_table_unref (world->ids);
   g_free (world->violation);
   g_free (world);
@@ -377,6 +388,7 @@
   world_assign_pool (world);
   for (guint i = 0; i < OWNER_N; i++)
     world_owner_tick (world, i);
+  world_cancels_tick (world);
 }
 
 /* Returns: TRUE when an invariant was violated. */
@@ -412,8 +424,9 @@
                                                     [RESTART_NEW_ID] = "new-ids",
                                                     [RESTART_LATE_CALLS] = "old-calls",
                                                     NULL };
-  static const char *const modes[] = { "plain",     "advised", "crashing",   "crashing-steady",
-                                       "shrinking", "repeats", "partitions", NULL };
+  static const char *const modes[]
+      = { "plain",   "advised",    "crashing",   "crashing-steady",       "shrinking",
+          "repeats", "partitions", "cancelling", "cancelling-partitions", NULL };
   const char *mode = argc > 3 ? argv[3] : modes[0];
   const char *restart_mode = argc > 4 ? argv[4] : restart_mode_names[RESTART_EITHER_ID];
   if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -58,6 +58,13 @@
   world->suspect_backups[i] = fb_suspect_backups_new ();
 }
 
+static gboolean
+is_cancel_applied (World *world, const Owner *owner, const char *task)
+{
+  const Job *job = world_find_job (world, task);
+  return job != NULL && owner->cancel_applied_ms[job - world->jobs] != 0;
+}
+
 static void
 send_order (Owner *owner, Order *order, const char *worker, uint32_t timeout_ms)
 {
@@ -65,6 +72,8 @@
   order->owner = (guint) (owner - world->owners);
   order->owner_incarnation = owner->incarnation;
   order->store_read_ms = owner->list_read_ms;
+  if (world->cancelling && order->kind == ORDER_START)
+    order->follows_cancel = is_cancel_applied (world, owner, order->task);
   order->sender_stable = world_is_stable (world, order->owner);
   order->worker = worker_index (worker);
   g_strlcpy (order->worker_name, worker, sizeof order->worker_name);
@@ -80,6 +89,7 @@
       order->received_ms = order->arrives_ms;
       order->arrives_ms = world->now_ms + 2000 + world_random (world, 10000);
     }
+  world_cancels_order_sent (world, order);
   world_call (world, order);
 }
 
@@ -199,6 +209,8 @@
 world_owner_stop (World *world, guint i)
 {
   Owner *owner = &world->owners[i];
+  if (owner->pool != NULL)
+    world_cancels_owner_changed (world);
   g_clear_pointer (&owner->pool, fb_pool_free);
   g_clear_pointer (&owner->advice_requests, g_ptr_array_unref);
   if (owner->flush != NULL)
@@ -259,13 +271,17 @@
 read_jobs (World *world, Owner *owner)
 {
   fb_pool_jobs_complete (owner->pool, world->now_ms);
+  world_cancels_read_some (world, owner);
   for (guint i = 0; i < world->job_n; i++)
     {
       const Job *job = &world->jobs[i];
       fb_pool_add_job (owner->pool, job->id, &job->record, world->now_ms, WALL_MS + world->now_ms);
-      if (job->cancelled)
+      world_cancels_job_read (world, owner, job);
+      if (job->cancelled && !world->cancelling)
         fb_pool_cancel_job (owner->pool, job->id, world->now_ms, WALL_MS + world->now_ms);
     }
+  if (world->cancelling)
+    world_cancels_read_all (world, owner);
 }
 
 static void
@@ -297,7 +313,9 @@
       fb_pool_restore_job (owner->pool, key, &progress, &suspects, world->now_ms);
       fb_codec_clear_progress (&progress, &suspects);
     }
-  for (guint i = 0; i < world->job_n; i++)
+  if (world->cancelling)
+    world_cancels_read_all (world, owner);
+  for (guint i = 0; !world->cancelling && i < world->job_n; i++)
     {
       if (world->jobs[i].cancelled)
         fb_pool_cancel_job (owner->pool, world->jobs[i].id, world->now_ms, WALL_MS + world->now_ms);
@@ -388,6 +406,7 @@
   owner->pool = fb_pool_new ("svc", owner->epoch, &limits, &callbacks, owner, world->now_ms);
   if (!world->partitions)
     fb_pool_set_leases_until (owner->pool, G_MAXUINT64);
+  world_cancels_owner_changed (world);
   world->current_owner = i;
   world->current_owner_seen_ms = world->now_ms;
   world_trace (world, "daemon %u owns the pool under epoch %u", i, (unsigned) owner->epoch);
--- a/fuzz/pool-world-partitions.c
+++ b/fuzz/pool-world-partitions.c
@@ -126,6 +126,14 @@
   return TRUE;
 }
 
+gboolean
+world_partitions_separate (const World *world, guint i, const Worker *worker)
+{
+  const Daemon *daemon = &world->daemons[i];
+  return world->now_ms < worker->cut_until_ms
+         || (daemon->cut_workers[worker - world->workers] && world->now_ms < daemon->cut_until_ms);
+}
+
 /* Half of the runs last about as long as the partition of a worker. */
 guint
 world_partitions_min_run_ms (World *world)
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -58,6 +58,14 @@
   return NULL;
 }
 
+Job *
+world_find_job (World *world, const char *task)
+{
+  guint step = 0;
+  guint index = 0;
+  return find_job (world, task, &step, &index);
+}
+
 gboolean
 world_allows (const char *task, guint worker)
 {
@@ -93,6 +101,7 @@
 world_worker_crash (World *world, Worker *worker, const Run *cause)
 {
   worker->up = FALSE;
+  world_cancels_worker_crashed (world, worker);
   world_trace (world, "%s, incarnation %u, crashes%s%s", worker->id, worker->incarnation,
                cause != NULL ? " by " : "", cause != NULL ? cause->task : "");
   for (guint i = 0; i < worker->runs->len; i++)
@@ -228,7 +237,9 @@
             world_report_violation (world, "%s started before step 0 was done", order->task);
         }
     }
-  if (job->cancelled && order->store_read_ms > job->cancelled_ms)
+  if (world->cancelling)
+    world_cancels_check_start (world, job, order);
+  else if (job->cancelled && order->store_read_ms > job->cancelled_ms)
     world_report_violation (world, "%s started after its job was cancelled", order->task);
 }
 
@@ -279,6 +290,10 @@
     run.end_ms = world->now_ms + world_random (world, 100);
   if (world->partitions)
     run.end_ms = MAX (run.end_ms, world->now_ms + world_partitions_min_run_ms (world));
+  if (world->cancelling)
+    run.end_ms = MAX (run.end_ms, world->now_ms + world_cancels_min_run_ms (world));
+  if (job->lasting)
+    run.end_ms = G_MAXUINT64;
   if (step == 0 && index < job->crashing_tasks)
     {
       run.crash_ms = world->now_ms + world_random (world, 4) * world_random (world, 400);
@@ -321,6 +336,7 @@
   else if (!job->end_acknowledged[step][index])
     job->late_start_limit_ms[step][index] = world->now_ms;
   job->end_acknowledged[step][index] = TRUE;
+  world_cancels_end_acknowledged (world, job, end->task);
 }
 
 static void
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -63,8 +63,24 @@
   uint64_t stop_ms;  /* when an ordered stop takes effect; 0: none was ordered */
   uint64_t crash_ms; /* when it crashes its worker; 0: never */
   gboolean fails;
+  /* Of a run of a cancelled job: the incarnation of the owner that knows of the cancel and has been
+   * in touch with the worker since IN_TOUCH_SINCE_MS; 0: none. */
+  uint64_t in_touch_with;
+  uint64_t in_touch_since_ms;
 } Run;
 
+/* The event after which a job is cancelled in the cancelling kinds. */
+typedef enum
+{
+  CANCEL_AT_ANY_TIME,
+  CANCEL_AT_START,        /* a start of its tasks is sent */
+  CANCEL_AT_STOP,         /* a stop of its tasks is sent */
+  CANCEL_AT_OWNER_CHANGE, /* the owner stops or another one starts */
+  CANCEL_AT_CRASH,        /* a worker crashes that runs its tasks */
+  CANCEL_AT_SECOND_RUN,   /* an end of a task is acknowledged while it runs again */
+  CANCEL_TRIGGER_N
+} CancelTrigger;
+
 typedef struct
 {
   uint64_t number;
@@ -153,6 +169,10 @@
   /* Its starts since OWN_CRASHES reached CRASHED_START_LIMIT. */
   uint32_t crashed_starts[STEP_MAX][TASK_MAX];
   gboolean always_fails;
+  /* The following are only used in the cancelling kinds. */
+  gboolean lasting; /* its tasks run until they are stopped */
+  CancelTrigger cancel_trigger;
+  uint64_t cancel_due_ms; /* when it is cancelled unless its trigger is earlier; 0: never */
   guint crashing_tasks; /* this many tasks of its first step, from task 0 on, crash their workers */
 } Job;
 
@@ -197,6 +217,7 @@
   gboolean is_connecting;     /* the sender retries the connection: no process listens */
   uint64_t reply_by_ms;       /* when a poll without ends is answered */
   uint64_t store_read_ms;     /* when its sender had last read the store */
+  gboolean follows_cancel;    /* its sender knew that the job of its task was cancelled */
   gboolean sender_stable;     /* its sender and the store had no fault for STABLE_AFTER_MS */
 } Order;
 
@@ -220,6 +241,11 @@
   gboolean is_listed[WORKER_N];
   char listed_ids[WORKER_N][64];
   GPtrArray *advice_requests; /* of AdviceRequest */
+  /* The following are only used in the cancelling kinds. */
+  gboolean cancel_read[JOB_MAX];
+  uint64_t cancel_applied_ms[JOB_MAX]; /* when its pool was told; 0: not yet */
+  guint known_incarnations[WORKER_N];  /* the last one that it has found in the list; 0: none */
+  uint64_t entry_current_since_ms[WORKER_N]; /* since when the list shows the present one; 0: not */
 } Owner;
 
 /* Partitions of a daemon in kind "partitions"; unlike an Owner, they outlast the daemon's process.
@@ -256,6 +282,8 @@
   gboolean repeats;        /* connections break, and calls on them are sent again */
   GRand *partition_rand;   /* separate, as RESTART_RAND */
   gboolean partitions;     /* pool-world-partitions.c injects faults */
+  GRand *cancel_rand;      /* separate, as RESTART_RAND */
+  gboolean cancelling;     /* pool-world-cancels.c cancels jobs */
   gboolean entries_expire; /* also while the store is unavailable */
   uint64_t outage_ms;      /* when the next outage of the store begins; 0: none is scheduled */
   uint64_t outage_end_ms;  /* likewise, the other faults of pool-world-partitions.c */
@@ -303,6 +331,9 @@
  * the same arguments. */
 gboolean world_allows (const char *task, guint worker);
 
+/* Returns: (nullable): the job of TASK. */
+Job *world_find_job (World *world, const char *task);
+
 /* ---- incarnations: pool-world-incarnations.c ------------------------------------------------- */
 
 /* Returns: a number below N, drawn for restarts of workers. */
@@ -348,11 +379,33 @@
 /* Returns: TRUE when ORDER does not reach its worker.  RESULT: what its sender gets, or
  * FB_ORDER_DONE when it gets no reply. */
 gboolean world_call_is_blocked (const World *world, const Order *order, FbOrderResult *result);
+/* Returns: TRUE when WORKER or daemon I is cut off from the other. */
+gboolean world_partitions_separate (const World *world, guint i, const Worker *worker);
 /* Returns: how long a run lasts at least. */
 guint world_partitions_min_run_ms (World *world);
 void world_partitions_inject_faults (World *world);
 void world_partitions_heal (World *world);
 
+/* ---- cancels: pool-world-cancels.c; no effect in other kinds --------------------------------- */
+
+gboolean world_cancels_may_submit (World *world);
+/* Changes JOB, which is about to be stored, and decides when it is cancelled. */
+void world_cancels_submit (World *world, Job *job);
+void world_cancels_order_sent (World *world, const Order *order);
+void world_cancels_owner_changed (World *world);
+void world_cancels_worker_crashed (World *world, const Worker *worker);
+void world_cancels_end_acknowledged (World *world, Job *job, const char *task);
+/* Returns: how long a run lasts at least. */
+guint world_cancels_min_run_ms (World *world);
+/* OWNER has read JOB and has passed it to its pool. */
+void world_cancels_job_read (World *world, Owner *owner, const Job *job);
+/* OWNER reads all cancels, or some of them, from the store. */
+void world_cancels_read_all (World *world, Owner *owner);
+void world_cancels_read_some (World *world, Owner *owner);
+void world_cancels_check_start (World *world, const Job *job, const Order *order);
+/* Cancels the jobs that are due, and checks that the tasks of cancelled jobs do not run on. */
+void world_cancels_tick (World *world);
+
 /* ---- owners: pool-world-owners.c ------------------------------------------------------------- */
 
 /* Returns: the recent starts of the peer that relays orders to WORKER. */
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -108,6 +108,8 @@
 start "fuzz pools with crashes" $B/fuzz/fuzz-pool 1 250 crashing old-calls
 start "fuzz pools with crashes, owners that stay" $B/fuzz/fuzz-pool 1 250 crashing-steady old-calls
 start "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
+start "fuzz pools with cancels" $B/fuzz/fuzz-pool 1 150 cancelling
+start "fuzz pools with cancels and partitions" $B/fuzz/fuzz-pool 1 150 cancelling-partitions
 for kind in plain advised repeats crashing crashing-steady; do
   start "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -114,7 +114,7 @@
   local violation
   # Without a mutant, the first seeds of kind crashing pass; KNOWN-RED.txt lists later ones that fail.
   violation=$(timeout 120 "$dir/fuzz" 1 250 crashing | grep -m1 '^seed')
-  for kind in plain advised shrinking repeats; do
+  for kind in plain advised shrinking repeats cancelling; do
     [ -n "$violation" ] || violation=$(timeout 120 "$dir/fuzz" 1 "$SEEDS" "$kind" | sed -n "s/^seed/$kind seed/p" | head -1)
   done
   echo "$1: ${violation:-NOT CAUGHT}"
