Cancels at routes that were dropped: a failing test

The cancel of an accepted job is answered 404 once the route of its queue has been taken out of the configuration, at a daemon that does not have the route yet, and at a daemon that starts later. The job runs on, and nobody can cancel it.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -119,6 +119,7 @@
 verdict "malformed input, with processes" tests/malformed-input.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
+verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
 verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
