Cancels of jobs whose route is not in force

Callers saw: the cancel of an accepted job was answered 404 "no such queue" once the route of its queue had been taken out of the configuration, and at a daemon that did not have the route yet. The job ran on, and nobody could cancel it.

Cause: where a cancel is directed was decided by the configuration in force at the moment, while jobs outlive their route. The platform keeps the newest configuration only.

The owner of a route's service now stores the route in keyed.routes, one append for all new routes of a configuration or a takeover. A daemon that has no route for the DELETE of a job looks at the routes that were in force at it, then reads keyed.routes and op/config, at most ten times a second for all callers. The cancel is stored as any other and answered 410: answered with success, a call at a dropped route would count as served. 404 only when there has never been such a route, 503 when the store does not answer within 1.2 s. GET, POST and counts at a dropped route are answered 404 as before.

--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -37,6 +37,8 @@
 gboolean fb_codec_decode_workers (const void *data, gsize len, fb_work_workers *workers);
 GBytes *fb_codec_encode_queue_service (const fb_queue_service *pair);
 gboolean fb_codec_decode_queue_service (const void *data, gsize len, fb_queue_service *pair);
+GBytes *fb_codec_encode_stored_route (const fb_stored_route *route);
+gboolean fb_codec_decode_stored_route (const void *data, gsize len, fb_stored_route *route);
 GBytes *fb_codec_encode_silent_workers (const fb_work_silent_workers *workers);
 gboolean fb_codec_decode_silent_workers (const void *data, gsize len,
                                          fb_work_silent_workers *workers);
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -720,6 +720,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fb_stored_route (XDR *xdrs, fb_stored_route *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->host, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, FB_WORK_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->anonymous))
+		 return FALSE;
+	 if (!xdr_fb_queue_service (xdrs, &objp->queue))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fb_peer_request_type (XDR *xdrs, fb_peer_request_type *objp)
 {
--- a/rpc/work.h
+++ b/rpc/work.h
@@ -244,6 +244,14 @@
 };
 typedef struct fb_queue_service fb_queue_service;
 
+struct fb_stored_route {
+	char *host;
+	char *prefix;
+	bool_t anonymous;
+	fb_queue_service queue;
+};
+typedef struct fb_stored_route fb_stored_route;
+
 enum fb_peer_request_type {
 	FB_REQUEST_JOB_STATE = 1,
 	FB_REQUEST_PENDING_COUNT = 2,
@@ -724,6 +732,7 @@
 extern  bool_t xdr_fb_work_reference_clock (XDR *, fb_work_reference_clock*);
 extern  bool_t xdr_fb_work_silent_workers (XDR *, fb_work_silent_workers*);
 extern  bool_t xdr_fb_queue_service (XDR *, fb_queue_service*);
+extern  bool_t xdr_fb_stored_route (XDR *, fb_stored_route*);
 extern  bool_t xdr_fb_peer_request_type (XDR *, fb_peer_request_type*);
 extern  bool_t xdr_fb_job_state_request (XDR *, fb_job_state_request*);
 extern  bool_t xdr_fb_account_job_state_request (XDR *, fb_account_job_state_request*);
@@ -790,6 +799,7 @@
 extern bool_t xdr_fb_work_reference_clock ();
 extern bool_t xdr_fb_work_silent_workers ();
 extern bool_t xdr_fb_queue_service ();
+extern bool_t xdr_fb_stored_route ();
 extern bool_t xdr_fb_peer_request_type ();
 extern bool_t xdr_fb_job_state_request ();
 extern bool_t xdr_fb_account_job_state_request ();
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -191,6 +191,14 @@
   string service<FB_WORK_MAX_NAME>;
 };
 
+/* A route of a configuration that was in force. */
+struct fb_stored_route {
+  string host<FB_WORK_MAX_NAME>;
+  string prefix<FB_WORK_MAX_NAME>;
+  bool anonymous;
+  fb_queue_service queue;
+};
+
 /* Requests between daemons, to the owner of a pool or to any peer. */
 
 enum fb_peer_request_type {
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -299,6 +299,18 @@
   return decode_whole ((xdrproc_t) xdr_fb_queue_service, data, len, sizeof *pair, pair);
 }
 
+GBytes *
+fb_codec_encode_stored_route (const fb_stored_route *route)
+{
+  return encode ((xdrproc_t) xdr_fb_stored_route, route, RECORD_MAX_BYTES);
+}
+
+gboolean
+fb_codec_decode_stored_route (const void *data, gsize len, fb_stored_route *route)
+{
+  return decode_whole ((xdrproc_t) xdr_fb_stored_route, data, len, sizeof *route, route);
+}
+
 GBytes *
 fb_codec_encode_silent_workers (const fb_work_silent_workers *workers)
 {
--- a/src/entry/configuration.c
+++ b/src/entry/configuration.c
@@ -73,6 +73,7 @@
     }
   fb_routes_free (entry->routes);
   entry->routes = routes;
+  fb_route_directory_remember (entry->route_directory, routes);
   fb_event_log (
       FB_EVENT_ROUTES_IN_FORCE,
       "version=%" G_GUINT64_FORMAT
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -30,6 +30,7 @@
 #include "src/entry/store/join-monitor.h"
 #include "src/entry/store/keepalive.h"
 #include "src/entry/store/queue-directory.h"
+#include "src/entry/store/route-directory.h"
 #include "src/entry/store/store-health.h"
 #include "src/entry/store/store-witnesses.h"
 #include "src/entry/store/topic-reader.h"
@@ -66,6 +67,7 @@
   uint64_t
       without_pools_ms; /* time since which it has owned none while it is read; 0: it owns one */
   FbQueueDirectory *queue_directory; /* NULL until this daemon is assigned a partition */
+  FbRouteDirectory *route_directory;
   FbWorkerList *workers;
   GHashTable *malformed_ids; /* ids of malformed worker entries that have been logged */
   GHashTable *listed_ids;    /* ids in the listing in progress; NULL: none in progress */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -322,6 +322,7 @@
   self->owners = g_hash_table_new (NULL, NULL);
   self->appenders = g_hash_table_new (NULL, NULL);
   self->partition_epochs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  self->route_directory = fb_route_directory_new (self);
   self->advisor = fb_advisor_new (self);
   self->keepalive = fb_keepalive_new ();
   self->daemons = fb_daemons_new (self);
--- a/src/entry/frontend/frontend-private.h
+++ b/src/entry/frontend/frontend-private.h
@@ -32,6 +32,8 @@
   uint64_t store_began_ms; /* time at which storing the record began */
   gboolean is_delete;
   gboolean has_no_job; /* the cancel is of a job that no service has */
+  /* The route of the cancel is not in the configuration of this daemon. */
+  gboolean route_is_not_in_force;
 } FbFrontendRequest;
 
 /* Answers the caller and frees REQUEST. */
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -46,10 +46,12 @@
 {
   guint status = SOUP_STATUS_GATEWAY_TIMEOUT;
   const char *body = "{\"error\":\"not known whether it is stored\"}";
+  /* A route that is not in force serves nobody with success. */
+  gboolean is_gone = request->has_no_job || request->route_is_not_in_force;
   if (result == FB_APPEND_STORED)
     {
-      status = request->has_no_job ? SOUP_STATUS_GONE : SOUP_STATUS_OK;
-      body = request->has_no_job ? FB_NO_SUCH_JOB_BODY : "{}";
+      status = is_gone ? SOUP_STATUS_GONE : SOUP_STATUS_OK;
+      body = is_gone ? FB_NO_SUCH_JOB_BODY : "{}";
     }
   fb_event_log (FB_EVENT_JOB_CANCEL, "job=%s queue=%s service=%s status=%u how=\"%s\" after_ms=%u",
                 request->job, request->queue, request->service, status,
--- a/src/entry/frontend/frontend.c
+++ b/src/entry/frontend/frontend.c
@@ -37,6 +37,7 @@
 {
   const FbRoute *route;
   const char *account; /* name of the caller's account; "": none */
+  gboolean is_not_in_force;
 } Target;
 
 static FbFrontendRequest *
@@ -52,6 +53,7 @@
   request->queue_service = talloc_strdup (request, route->policy.service);
   request->service = request->queue_service;
   request->account = talloc_strdup (request, target->account);
+  request->route_is_not_in_force = target->is_not_in_force;
   request->partition = fb_entry_partition_of (entry, route->policy.service);
   request->received_ms = fb_clock_ms ();
   request->tried = g_ptr_array_new_with_free_func (g_free);
@@ -459,6 +461,91 @@
   return NULL;
 }
 
+/* Returns: FALSE when the caller was refused. */
+static gboolean
+check_account (FbEntryDaemon *entry, SoupServerMessage *message, Target *target)
+{
+  const char *reason
+      = authenticate (entry, soup_server_message_get_request_headers (message), target);
+  if (reason == NULL)
+    return TRUE;
+  fb_counter_add (FB_COUNTER_KEYS_REFUSED, 1);
+  refuse (entry, message, SOUP_STATUS_UNAUTHORIZED, reason);
+  return FALSE;
+}
+
+/* A cancel at a path that the configuration in force does not have. */
+typedef struct
+{
+  FbEntryDaemon *entry;
+  SoupServerMessage *message;
+  char *path;
+} UnroutedCancel;
+
+/* Returns: the text behind the last slash of PATH. */
+static const char *
+last_component (const char *path)
+{
+  const char *slash = strrchr (path, '/');
+  return slash != NULL ? slash + 1 : path;
+}
+
+static void
+cancel_at_stored_route (const UnroutedCancel *cancel, const FbRoute *route, gboolean is_known)
+{
+  FbEntryDaemon *entry = cancel->entry;
+  SoupServerMessage *message = cancel->message;
+  Target target = { .route = route, .is_not_in_force = TRUE };
+  const char *job = last_component (cancel->path);
+  if (!is_known)
+    refuse (entry, message, SOUP_STATUS_SERVICE_UNAVAILABLE, "not known whether there is a queue");
+  else if (route == NULL || !g_str_equal (cancel->path + strlen (route->prefix), job))
+    refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
+  else if (check_account (entry, message, &target))
+    {
+      request_state (entry, message, &target, job, TRUE);
+      return;
+    }
+  soup_server_message_unpause (message);
+}
+
+static void
+on_stored_route (gpointer user, const FbRoute *route, gboolean is_known)
+{
+  UnroutedCancel *cancel = user;
+  cancel_at_stored_route (cancel, route, is_known);
+  cancel->entry->open_calls--;
+  g_object_unref (cancel->message);
+  g_free (cancel->path);
+  g_free (cancel);
+}
+
+/* Jobs outlive their route, and another daemon may have accepted them with a newer configuration.
+ */
+static void
+find_stored_route (FbEntryDaemon *entry, SoupServerMessage *message, const char *host,
+                   const char *path)
+{
+  UnroutedCancel *cancel = g_new0 (UnroutedCancel, 1);
+  cancel->entry = entry;
+  cancel->message = g_object_ref (message);
+  cancel->path = g_strdup (path);
+  soup_server_message_pause (message);
+  entry->open_calls++;
+  fb_route_directory_find (entry->route_directory, host, path, on_stored_route, cancel);
+}
+
+static void
+serve_unrouted (FbEntryDaemon *entry, SoupServerMessage *message, const char *host,
+                const char *path)
+{
+  if (g_str_equal (soup_server_message_get_method (message), "DELETE")
+      && is_job_id (last_component (path)))
+    find_stored_route (entry, message, host, path);
+  else
+    refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
+}
+
 void
 fb_entry_frontend_serve (SoupServer *server, SoupServerMessage *message, const char *path,
                          GHashTable *query, gpointer data)
@@ -482,16 +569,7 @@
   const char *host = soup_message_headers_get_one (headers, "Host");
   Target target = { .route = fb_routes_find (entry->routes, host != NULL ? host : "", path) };
   if (target.route == NULL)
-    {
-      refuse (entry, message, SOUP_STATUS_NOT_FOUND, "no such queue");
-      return;
-    }
-  const char *reason = authenticate (entry, headers, &target);
-  if (reason != NULL)
-    {
-      fb_counter_add (FB_COUNTER_KEYS_REFUSED, 1);
-      refuse (entry, message, SOUP_STATUS_UNAUTHORIZED, reason);
-      return;
-    }
-  serve_queue (entry, message, &target, path + strlen (target.route->prefix));
+    serve_unrouted (entry, message, host != NULL ? host : "", path);
+  else if (check_account (entry, message, &target))
+    serve_queue (entry, message, &target, path + strlen (target.route->prefix));
 }
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -362,6 +362,13 @@
     }
 }
 
+void
+fb_owner_store_routes (FbOwner *self)
+{
+  if (self->loaded && self->entry->routes != NULL)
+    fb_route_directory_store (self->entry->route_directory, self->entry->routes, self->partition);
+}
+
 void
 fb_owner_routes_changed (FbOwner *self)
 {
@@ -370,6 +377,7 @@
     return;
   fb_owner_create_configured_pools (self);
   list_queues (self);
+  fb_owner_store_routes (self);
   g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < routes->routes->len; i++)
     {
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -27,6 +27,8 @@
 /* Schedules a tick of the pools within some ms. */
 void fb_owner_schedule_tick (FbOwner *self);
 void fb_owner_routes_changed (FbOwner *self);
+/* Stores the routes that lead to the services of this partition, for fb_route_directory_find(). */
+void fb_owner_store_routes (FbOwner *self);
 void fb_owner_worker_listed (FbOwner *self, const FbListedWorker *worker);
 void fb_owner_worker_unlisted (FbOwner *self, const FbListedWorker *worker);
 /* Appends what client accounts use in the pools, and their caps, in the text exposition format. */
