A configuration reaches jobs that wait for other services

A job that is held until the services before its own have disclaimed it kept the priority, the attempts and the target of the configuration by which it was accepted: a newer one was applied to the jobs in pools only, and the job had the old ones in its pool until the configuration after that.

The policies are set for held jobs too. The job stays with its service.

Evidence: a case of test-claims failed and passes.

--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -128,6 +128,27 @@
     g_ptr_array_add (held->cancels, g_bytes_ref (cancel));
 }
 
+void
+fb_owner_set_held_policies (FbOwner *self, GHashTable *policies)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->held_jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      fb_work_policy *current = &((FbHeldJob *) value)->record.policy;
+      const fb_work_policy *policy = g_hash_table_lookup (policies, current->queue);
+      if (policy == NULL)
+        continue;
+      /* The job stays with the service that it was stored with. */
+      char *queue = current->queue;
+      char *service = current->service;
+      *current = *policy;
+      current->queue = queue;
+      current->service = service;
+    }
+}
+
 void
 fb_owner_forget_held_job (FbOwner *self, const char *job)
 {
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -105,6 +105,8 @@
 void fb_owner_hold_progress (FbHeldJob *held, GBytes *progress);
 void fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel);
 void fb_owner_forget_held_job (FbOwner *self, const char *job);
+/* POLICIES: queue -> fb_work_policy of the configuration in force. */
+void fb_owner_set_held_policies (FbOwner *self, GHashTable *policies);
 /* Returns: how many jobs of QUEUE are held that wait for their first start in the pool of
  * SERVICE. */
 guint fb_owner_held_jobs_n (const FbOwner *self, const char *service, const char *queue);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -384,6 +384,7 @@
       fb_work_policy *policy = &((FbRoute *) routes->routes->pdata[i])->policy;
       g_hash_table_insert (policies, policy->queue, policy);
     }
+  fb_owner_set_held_policies (self, policies);
   GHashTableIter iter;
   gpointer service_pool;
   g_hash_table_iter_init (&iter, self->service_pools);
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -839,6 +839,43 @@
   end ();
 }
 
+/* Guards against a configuration that does not reach the jobs which wait for other services. */
+static void
+test_policies_of_held_jobs (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autofree char *job = job_id (0);
+  admit (daemon, job, services[0]);
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, job));
+  g_autoptr (FbRoutes) routes = fb_routes_new (2);
+  FbRoute *route = g_new0 (FbRoute, 1);
+  route->host = g_strdup ("h.example");
+  route->prefix = g_strdup ("/q/");
+  route->policy = (fb_work_policy){ .queue = strdup (QUEUE),
+                                    .service = strdup (services[1]),
+                                    .max_attempts = 7 };
+  fb_routes_add (routes, route);
+  daemon->entry.routes = routes;
+  daemon->entry.route_directory = fb_route_directory_new (&daemon->entry);
+  fb_owner_routes_changed (daemon->owner);
+  list_own_service (daemon);
+  fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+  g_autoptr (GBytes) record
+      = fb_pool_encode_admission (fb_owner_pool_for (daemon->owner, services[0])->pool, job);
+  fb_work_admit admitted;
+  gsize len = 0;
+  gconstpointer data = record != NULL ? g_bytes_get_data (record, &len) : NULL;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_admit (data, len, &admitted));
+  CU_ASSERT_EQUAL (admitted.policy.max_attempts, 7);
+  CU_ASSERT_STRING_EQUAL (admitted.policy.service, services[0]);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &admitted);
+  g_clear_pointer (&daemon->entry.route_directory, fb_route_directory_free);
+  daemon->entry.routes = NULL;
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 int
 main (void)
 {
@@ -860,6 +897,7 @@
                test_cancels_of_two_accounts_before_the_job);
   CU_add_test (suite, "cancels of two accounts of a held job",
                test_cancels_of_two_accounts_of_a_held_job);
+  CU_add_test (suite, "policies of held jobs", test_policies_of_held_jobs);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
