--- a/rpc/work.x
+++ b/rpc/work.x
@@ -191,6 +191,14 @@
   string service<FB_WORK_MAX_NAME>;
 };
 
+/* A route of a configuration that was in force. */
+struct fb_stored_route {
+  string host<FB_WORK_MAX_NAME>;
+  string prefix<FB_WORK_MAX_NAME>;
+  bool anonymous;
+  fb_queue_service queue;
+};
+
 /* Requests between daemons, to the owner of a pool or to any peer. */
 
 enum fb_peer_request_type {
@@ -447,8 +455,7 @@
   FB_REPLY_QUEUE_SERVICES = 21,    /* also to FB_REQUEST_PENDING_COUNT when there are others */
   FB_REPLY_CLAIMS = 22,
   FB_REPLY_STORE_STATE = 23,
-  FB_REPLY_JOBS_NOT_READ = 24,     /* the owner reads the jobs now: retry */
-  FB_REPLY_JOB_OF_OTHER_ACCOUNT = 25 /* only to FB_REQUEST_CURRENT_JOB_STATE */
+  FB_REPLY_JOBS_NOT_READ = 24      /* the owner reads the jobs now: retry */
 };
 
 /* The store by the last calls of a daemon. */
--- a/src/entry/frontend/frontend-store.c
+++ b/src/entry/frontend/frontend-store.c
@@ -6,6 +6,8 @@
 #include "cancel-notice.h"
 #include "frontend-private.h"
 
+#include "src/entry/cancel-records.h"
+
 #include "fb-counter.h"
 #include "fb-event.h"
 
@@ -47,10 +49,12 @@
 {
   guint status = SOUP_STATUS_GATEWAY_TIMEOUT;
   const char *body = "{\"error\":\"not known whether it is stored\"}";
+  /* A route that is not in force serves nobody with success. */
+  gboolean is_gone = request->has_no_job || request->route_is_not_in_force;
   if (result == FB_APPEND_STORED)
     {
-      status = request->has_no_job ? SOUP_STATUS_GONE : SOUP_STATUS_OK;
-      body = request->has_no_job ? FB_NO_SUCH_JOB_BODY : "{}";
+      status = is_gone ? SOUP_STATUS_GONE : SOUP_STATUS_OK;
+      body = is_gone ? FB_NO_SUCH_JOB_BODY : "{}";
     }
   fb_event_log (FB_EVENT_JOB_CANCEL, "job=%s queue=%s service=%s status=%u how=\"%s\" after_ms=%u",
                 request->job, request->queue, request->service, status,
@@ -280,7 +284,10 @@
   request->records = g_byte_array_new ();
   g_ptr_array_set_size (request->tried, 0);
   request->appended = FALSE;
-  fb_wire_encode_record (request->records, request->key, value);
+  if (kind == FB_KEY_CANCEL)
+    fb_cancel_encode (request->records, request->job, value);
+  else
+    fb_wire_encode_record (request->records, request->key, value);
   request->store_began_ms = fb_clock_ms ();
   note_append (request);
   /* A daemon that has received nothing from the store for a while sends it nothing, and uses peers
--- a/src/entry/owner/owner-cancels.c
+++ b/src/entry/owner/owner-cancels.c
@@ -7,6 +7,8 @@
  * the job may have been submitted. */
 #include "owner-private.h"
 
+#include "src/entry/cancel-records.h"
+
 #include "fb-counter.h"
 #include "fb-event.h"
 
@@ -42,47 +44,72 @@
   g_free (kept);
 }
 
+/* Returns: job -> GPtrArray of KeptCancel, each of another account. */
 GHashTable *
 fb_owner_kept_cancels_new (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, kept_cancel_free);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                (GDestroyNotify) g_ptr_array_unref);
 }
 
-/* ---- records ------------------------------------------------------------------- */
-
-/* Returns: (transfer full): the account of the caller that sent CANCEL. */
-static char *
-account_of (GBytes *cancel)
+static gboolean
+is_passed_on (GBytes *cancel)
 {
   gsize len = 0;
   const char *text = g_bytes_get_data (cancel, &len);
-  gsize prefix_len = MIN (len, strlen (FB_CANCEL_PREFIX));
-  return g_strndup (text + prefix_len, len - prefix_len);
+  return len > 0 && text[0] == FB_PASSED_CANCEL_PREFIX[0];
+}
+
+/* ---- deleting records ------------------------------------------------------------ */
+
+/* KEY (transfer full) (nullable): of a record that is deleted soon. */
+static void
+delete_record (FbOwner *self, char *key)
+{
+  if (key != NULL)
+    g_ptr_array_add (self->stale_keys, key);
+}
+
+void
+fb_owner_delete_cancels (FbOwner *self, const char *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+  delete_record (self, fb_cancel_key (job));
+  g_hash_table_iter_init (&iter, self->service_pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPool *pool = ((FbServicePool *) value)->pool;
+      delete_record (self, fb_cancel_account_key (job, fb_pool_job_account (pool, job)));
+    }
 }
 
 static gboolean
-is_passed_on (GBytes *cancel)
+is_key (gconstpointer a, gconstpointer b)
 {
-  gsize len = 0;
-  const char *text = g_bytes_get_data (cancel, &len);
-  return len > 0 && text[0] == FB_PASSED_CANCEL_PREFIX[0];
+  return g_str_equal (a, b);
 }
 
-char *
-fb_owner_cancel_key (const char *job)
+/* KEY (transfer full) (nullable): of a record that is not deleted. */
+static void
+keep_record (FbOwner *self, char *key)
 {
-  return g_strdup_printf ("%c%s", FB_KEY_CANCEL, job);
+  guint at = 0;
+  if (key != NULL && g_ptr_array_find_with_equal_func (self->stale_keys, key, is_key, &at))
+    g_ptr_array_remove_index_fast (self->stale_keys, at);
+  g_free (key);
 }
 
 /* ---- applying -------------------------------------------------------------------- */
 
-/* Returns: TRUE when a pool of the partition has a job of this id that the sender of CANCEL may
- * see; other accounts may use the same id. */
+/* Returns: TRUE when a pool of the partition has JOB.  Its id has one record in the partition, so
+ * that no other account can have a job of this id here. */
 static gboolean
 cancel_in_pools (FbOwner *self, const char *job, GBytes *cancel)
 {
   gboolean is_known = FALSE;
-  g_autofree char *account = account_of (cancel);
+  gboolean is_needed = FALSE; /* the record of the account, by a later owner */
+  g_autofree char *account = fb_cancel_account (cancel);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, self->service_pools);
@@ -90,11 +117,16 @@
     {
       FbPool *pool = ((FbServicePool *) value)->pool;
       fb_work_state state;
-      if (!fb_pool_job_state (pool, job, &state) || !fb_pool_job_is_visible (pool, job, account))
+      if (!fb_pool_job_state (pool, job, &state))
         continue;
       is_known = TRUE;
+      if (!fb_pool_job_is_visible (pool, job, account))
+        continue;
+      is_needed = is_needed || state < FB_WORK_COMPLETED;
       fb_pool_cancel_job (pool, job, fb_clock_ms (), fb_clock_wall_ms ());
     }
+  if (is_known && !is_needed)
+    delete_record (self, fb_cancel_account_key (job, account));
   return is_known;
 }
 
@@ -113,58 +145,76 @@
   return TRUE;
 }
 
-static gboolean
-is_key (gconstpointer a, gconstpointer b)
+/* Returns: (nullable): the kept cancel of JOB by ACCOUNT, borrowed. */
+static KeptCancel *
+find_kept (const FbOwner *self, const char *job, const char *account)
 {
-  return g_str_equal (a, b);
+  const GPtrArray *cancels = g_hash_table_lookup (self->kept_cancels, job);
+  for (guint i = 0; cancels != NULL && i < cancels->len; i++)
+    {
+      KeptCancel *kept = cancels->pdata[i];
+      g_autofree char *other = fb_cancel_account (kept->value);
+      if (g_str_equal (account, other))
+        return kept;
+    }
+  return NULL;
 }
 
-/* Prevents that the record of a kept cancel is deleted with those of an earlier one, or of an
- * earlier job of this id. */
-static void
-keep_record (FbOwner *self, const char *job)
+static KeptCancel *
+add_kept (FbOwner *self, const char *job, GBytes *cancel)
 {
-  g_autofree char *key = fb_owner_cancel_key (job);
-  guint at = 0;
-  if (g_ptr_array_find_with_equal_func (self->stale_keys, key, is_key, &at))
-    g_ptr_array_remove_index_fast (self->stale_keys, at);
+  GPtrArray *cancels = g_hash_table_lookup (self->kept_cancels, job);
+  if (cancels == NULL)
+    {
+      cancels = g_ptr_array_new_with_free_func (kept_cancel_free);
+      g_hash_table_insert (self->kept_cancels, g_strdup (job), cancels);
+    }
+  KeptCancel *kept = g_new0 (KeptCancel, 1);
+  kept->value = g_bytes_ref (cancel);
+  kept->passed_to = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_ptr_array_add (cancels, kept);
+  return kept;
 }
 
+/* Returns: the kept cancel of JOB by the account of CANCEL, borrowed. */
 static KeptCancel *
 keep (FbOwner *self, const char *job, GBytes *cancel, const char *source)
 {
-  KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
+  g_autofree char *account = fb_cancel_account (cancel);
+  KeptCancel *kept = find_kept (self, job, account);
   if (kept == NULL)
     {
       fb_counter_add (FB_COUNTER_CANCELS_KEPT, 1);
       fb_event_log (FB_EVENT_CANCEL_KEPT, "job=%s source=%s epoch=%" G_GUINT64_FORMAT, job, source,
                     self->epoch);
-      kept = g_new0 (KeptCancel, 1);
-      kept->value = g_bytes_ref (cancel);
-      kept->passed_to = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-      g_hash_table_insert (self->kept_cancels, g_strdup (job), kept);
-      keep_record (self, job);
+      kept = add_kept (self, job, cancel);
+      /* They may be due to be deleted with an earlier cancel, or an earlier job of this id. */
+      keep_record (self, fb_cancel_key (job));
+      keep_record (self, fb_cancel_account_key (job, account));
     }
   /* What another owner has passed on is passed on no further, unlike the caller's own record. */
   else if (!is_passed_on (cancel))
     {
-      g_bytes_unref (kept->value);
+      GBytes *previous = kept->value;
       kept->value = g_bytes_ref (cancel);
+      g_bytes_unref (previous);
     }
   kept->kept_ms = fb_clock_ms ();
   return kept;
 }
 
 void
-fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel)
+fb_owner_apply_cancel (FbOwner *self, const char *name, GBytes *cancel)
 {
+  g_autofree char *job = g_strndup (name, FB_WORK_JOB_ID_CHARS);
   if (!apply_to_known_job (self, job, cancel, "notice"))
     (void) keep (self, job, cancel, "notice");
 }
 
 void
-fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel)
+fb_owner_apply_stored_cancel (FbOwner *self, const char *name, GBytes *cancel)
 {
+  g_autofree char *job = g_strndup (name, FB_WORK_JOB_ID_CHARS);
   if (apply_to_known_job (self, job, cancel, "store"))
     return;
   keep (self, job, cancel, "store")->is_stored = TRUE;
@@ -174,20 +224,27 @@
 void
 fb_owner_apply_kept_cancel (FbOwner *self, const char *job)
 {
-  const KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
-  if (kept != NULL && apply_to_known_job (self, job, kept->value, "kept"))
+  GPtrArray *cancels = g_hash_table_lookup (self->kept_cancels, job);
+  for (guint i = cancels != NULL ? cancels->len : 0; i > 0; i--)
+    {
+      const KeptCancel *kept = cancels->pdata[i - 1];
+      if (apply_to_known_job (self, job, kept->value, "kept"))
+        g_ptr_array_remove_index (cancels, i - 1);
+    }
+  if (cancels != NULL && cancels->len == 0)
     g_hash_table_remove (self->kept_cancels, job);
 }
 
 void
-fb_owner_cancel_deleted (FbOwner *self, const char *job)
+fb_owner_cancel_deleted (FbOwner *self, const char *name)
 {
-  const KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
-  if (kept == NULL)
-    return;
-  g_autofree char *key = fb_owner_cancel_key (job);
-  fb_owner_store_record (self->entry, self->partition, key, kept->value, fb_owner_ignore_stored,
-                         NULL);
+  g_autofree char *job = g_strndup (name, FB_WORK_JOB_ID_CHARS);
+  g_autofree char *key = fb_cancel_key (job);
+  const GPtrArray *cancels = g_hash_table_lookup (self->kept_cancels, job);
+  for (guint i = 0; cancels != NULL && i < cancels->len; i++)
+    fb_owner_store_record (self->entry, self->partition, key,
+                           ((const KeptCancel *) cancels->pdata[i])->value, fb_owner_ignore_stored,
+                           NULL);
 }
 
 /* ---- passing on --------------------------------------------------------------------- */
@@ -200,6 +257,7 @@
   uint64_t epoch;
   char *job;
   char *service;
+  char *account;
 } Passing;
 
 static void
@@ -208,7 +266,7 @@
   Passing *passing = data;
   FbOwner *owner = fb_entry_owner (passing->entry, passing->partition);
   KeptCancel *kept = owner != NULL && owner->epoch == passing->epoch
-                         ? g_hash_table_lookup (owner->kept_cancels, passing->job)
+                         ? find_kept (owner, passing->job, passing->account)
                          : NULL;
   if (kept != NULL && result == FB_APPEND_STORED)
     g_hash_table_replace (kept->passed_to, g_strdup (passing->service),
@@ -217,6 +275,7 @@
     g_hash_table_remove (kept->passed_to, passing->service);
   g_free (passing->job);
   g_free (passing->service);
+  g_free (passing->account);
   g_free (passing);
 }
 
@@ -224,9 +283,9 @@
 fb_owner_pass_on_cancel (FbOwner *self, const char *job, GBytes *cancel, const char *service,
                          FbAppendDone done, gpointer user)
 {
-  g_autofree char *account = account_of (cancel);
+  g_autofree char *account = fb_cancel_account (cancel);
   g_autofree char *passed_on = g_strconcat (FB_PASSED_CANCEL_PREFIX, account, NULL);
-  g_autofree char *key = fb_owner_cancel_key (job);
+  g_autofree char *key = fb_cancel_key (job);
   g_autoptr (GBytes) value = g_bytes_new (passed_on, strlen (passed_on));
   uint32_t partition = fb_entry_partition_of (self->entry, service);
   fb_event_log (FB_EVENT_CANCEL_PASSED_ON, "job=%s service=%s", job, service);
@@ -249,6 +308,7 @@
   passing->epoch = self->epoch;
   passing->job = g_strdup (job);
   passing->service = g_strdup (service);
+  passing->account = fb_cancel_account (kept->value);
   g_autoptr (GBytes) cancel = g_bytes_ref (kept->value);
   fb_owner_pass_on_cancel (self, job, cancel, service, on_passed_on, passing);
 }
@@ -256,12 +316,17 @@
 gboolean
 fb_owner_pass_on_kept_cancel (FbOwner *self, const char *job, const char *service)
 {
-  KeptCancel *kept = g_hash_table_lookup (self->kept_cancels, job);
-  if (kept == NULL)
-    return TRUE;
-  if (!g_hash_table_contains (kept->passed_to, service))
-    pass_on (self, job, kept, service);
-  return GPOINTER_TO_UINT (g_hash_table_lookup (kept->passed_to, service)) == PASSED_ON;
+  gboolean are_passed_on = TRUE;
+  const GPtrArray *cancels = g_hash_table_lookup (self->kept_cancels, job);
+  for (guint i = 0; cancels != NULL && i < cancels->len; i++)
+    {
+      KeptCancel *kept = cancels->pdata[i];
+      if (!g_hash_table_contains (kept->passed_to, service))
+        pass_on (self, job, kept, service);
+      guint passed = GPOINTER_TO_UINT (g_hash_table_lookup (kept->passed_to, service));
+      are_passed_on = are_passed_on && passed == PASSED_ON;
+    }
+  return are_passed_on;
 }
 
 /* Returns: (transfer full): the services that share a queue with one of this partition, a set of
@@ -290,6 +355,8 @@
 static guint
 pass_on_to (FbOwner *self, const char *job, KeptCancel *kept, GHashTable *services)
 {
+  if (!kept->is_stored || is_passed_on (kept->value))
+    return 0;
   guint n = 0;
   GHashTableIter iter;
   gpointer service;
@@ -319,9 +386,9 @@
   g_hash_table_iter_init (&cancels, self->kept_cancels);
   while (n < PASSED_ON_PER_CHECK && g_hash_table_iter_next (&cancels, &job, &value))
     {
-      KeptCancel *kept = value;
-      if (kept->is_stored && !is_passed_on (kept->value))
-        n += pass_on_to (self, job, kept, services);
+      const GPtrArray *kept = value;
+      for (guint i = 0; i < kept->len; i++)
+        n += pass_on_to (self, job, kept->pdata[i], services);
     }
   if (n >= PASSED_ON_PER_CHECK)
     self->next_cancel_check_ms = now_ms + FIRST_CHECK_MS;
@@ -329,6 +396,20 @@
 
 /* ---- expiry --------------------------------------------------------------------------- */
 
+static void
+remove_expired_of (FbOwner *self, const char *job, GPtrArray *cancels, uint64_t now_ms)
+{
+  for (guint i = cancels->len; i > 0; i--)
+    {
+      const KeptCancel *kept = cancels->pdata[i - 1];
+      if (!kept->is_stored || now_ms < kept->kept_ms + FB_POOL_ENDED_JOB_RETENTION_MS)
+        continue;
+      g_autofree char *account = fb_cancel_account (kept->value);
+      delete_record (self, fb_cancel_account_key (job, account));
+      g_ptr_array_remove_index (cancels, i - 1);
+    }
+}
+
 static void
 remove_expired (FbOwner *self, uint64_t now_ms)
 {
@@ -338,10 +419,11 @@
   g_hash_table_iter_init (&iter, self->kept_cancels);
   while (g_hash_table_iter_next (&iter, &job, &value))
     {
-      const KeptCancel *kept = value;
-      if (!kept->is_stored || now_ms < kept->kept_ms + FB_POOL_ENDED_JOB_RETENTION_MS)
+      GPtrArray *cancels = value;
+      remove_expired_of (self, job, cancels, now_ms);
+      if (cancels->len > 0)
         continue;
-      g_ptr_array_add (self->stale_keys, fb_owner_cancel_key (job));
+      delete_record (self, fb_cancel_key (job));
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -37,7 +37,7 @@
   GHashTable *admissions;    /* job -> GBytes of its admission record, while loading */
   GHashTable *service_pools; /* service -> FbServicePool */
   GHashTable *held_jobs;     /* job -> FbHeldJob, see owner-claims.c */
-  GHashTable *kept_cancels;  /* job -> cancel, of jobs that this partition does not have; see
+  GHashTable *kept_cancels;  /* job -> cancels, of jobs that this partition does not have; see
                               * owner-cancels.c */
   uint64_t next_cancel_check_ms;
   GPtrArray *open_disclaimers;     /* of FbDisclaimer */
@@ -105,6 +105,8 @@
 void fb_owner_hold_progress (FbHeldJob *held, GBytes *progress);
 void fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel);
 void fb_owner_forget_held_job (FbOwner *self, const char *job);
+/* POLICIES: queue -> fb_work_policy of the configuration in force. */
+void fb_owner_set_held_policies (FbOwner *self, GHashTable *policies);
 /* Returns: how many jobs of QUEUE are held that wait for their first start in the pool of
  * SERVICE. */
 guint fb_owner_held_jobs_n (const FbOwner *self, const char *service, const char *queue);
@@ -135,14 +137,16 @@
 /* owner-cancels.c */
 
 GHashTable *fb_owner_kept_cancels_new (void);
-/* Returns: (transfer full): the key of the record that cancels JOB. */
-char *fb_owner_cancel_key (const char *job);
-/* Cancels JOB, or keeps CANCEL, its record, until the job is known. */
-void fb_owner_apply_cancel (FbOwner *self, const char *job, GBytes *cancel);
+/* Deletes the records that cancel JOB, which has ended. */
+void fb_owner_delete_cancels (FbOwner *self, const char *job);
+/* Cancels the job whose id NAME begins with, or keeps CANCEL, its record, until the job is known.
+ */
+void fb_owner_apply_cancel (FbOwner *self, const char *name, GBytes *cancel);
 /* As above, of a record that was read from the store. */
-void fb_owner_apply_stored_cancel (FbOwner *self, const char *job, GBytes *cancel);
-/* The record of a cancel of JOB was deleted; it is stored again if the cancel is still kept. */
-void fb_owner_cancel_deleted (FbOwner *self, const char *job);
+void fb_owner_apply_stored_cancel (FbOwner *self, const char *name, GBytes *cancel);
+/* A record that cancelled the job whose id NAME begins with was deleted; cancels of it that are
+ * still kept are stored again. */
+void fb_owner_cancel_deleted (FbOwner *self, const char *name);
 /* Applies the kept cancel of JOB, if there is one.  To be called when a job becomes known. */
 void fb_owner_apply_kept_cancel (FbOwner *self, const char *job);
 /* Has JOB cancelled by the owner of the pool of SERVICE.  CANCEL: the stored record. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -363,6 +363,13 @@
     }
 }
 
+void
+fb_owner_store_routes (FbOwner *self)
+{
+  if (self->loaded && self->entry->routes != NULL)
+    fb_route_directory_store (self->entry->route_directory, self->entry->routes, self->partition);
+}
+
 void
 fb_owner_routes_changed (FbOwner *self)
 {
@@ -371,12 +378,14 @@
     return;
   fb_owner_create_configured_pools (self);
   list_queues (self);
+  fb_owner_store_routes (self);
   g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < routes->routes->len; i++)
     {
       fb_work_policy *policy = &((FbRoute *) routes->routes->pdata[i])->policy;
       g_hash_table_insert (policies, policy->queue, policy);
     }
+  fb_owner_set_held_policies (self, policies);
   GHashTableIter iter;
   gpointer service_pool;
   g_hash_table_iter_init (&iter, self->service_pools);
@@ -471,14 +480,6 @@
 answer_current_job_state (FbOwner *self, const fb_current_job_state_request *current,
                           fb_peer_reply *peer_reply)
 {
-  const FbServicePool *service_pool
-      = g_hash_table_lookup (self->service_pools, current->job.service);
-  if (service_pool != NULL
-      && !fb_pool_job_is_visible (service_pool->pool, current->job.job, current->job.account))
-    {
-      peer_reply->type = FB_REPLY_JOB_OF_OTHER_ACCOUNT;
-      return;
-    }
   if (answer_job_state (self, current->job.service, current->job.job, current->job.account,
                         time_before (current->age_ms), peer_reply))
     return;
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -1,5 +1,6 @@
 /* Pools of three services that may have the same jobs, with owners that are replaced, messages that
  * are delayed and lost, and different ages of the queue directory at each daemon. */
+#include "src/entry/cancel-records.h"
 #include "src/entry/owner/owner-private.h"
 
 #include "fb-event.h"
@@ -289,14 +290,14 @@
 /* ---- events ------------------------------------------------------------------------------- */
 
 static void
-admit (Daemon *daemon, const char *job, const char *service)
+admit_for (Daemon *daemon, const char *job, const char *service, const char *account)
 {
   fb_work_admit record = { .accepted_ms = 1 };
   fb_work_admit *copy = &record;
   const fb_work_admit source
       = { .policy = { .queue = (char *) QUEUE, .service = (char *) service, .max_attempts = 3 },
           .spec = { .payload = (char *) "" },
-          .account = (char *) "" };
+          .account = (char *) account };
   g_autoptr (GBytes) bytes = fb_codec_encode_admit (&source);
   gsize len = 0;
   gconstpointer data = g_bytes_get_data (bytes, &len);
@@ -305,6 +306,12 @@
   xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) copy);
 }
 
+static void
+admit (Daemon *daemon, const char *job, const char *service)
+{
+  admit_for (daemon, job, service, "");
+}
+
 /* Starts an owner with what is stored of its partition. */
 static void
 start_owner (Daemon *daemon)
@@ -708,7 +715,7 @@
   list_own_service (daemon);
   g_autoptr (GBytes) cancel = cancel_new ();
   g_autofree char *job = job_id (0);
-  g_autofree char *key = fb_owner_cancel_key (job);
+  g_autofree char *key = fb_cancel_key (job);
   fb_owner_apply_record (daemon->owner, key, cancel);
   clock_ms += 1000;
   fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
@@ -794,7 +801,7 @@
   list_own_service (daemon);
   g_autoptr (GBytes) cancel = cancel_new ();
   g_autofree char *job = job_id (0);
-  g_autofree char *key = fb_owner_cancel_key (job);
+  g_autofree char *key = fb_cancel_key (job);
   fb_owner_apply_stored_cancel (daemon->owner, job, cancel);
   clock_ms += FB_POOL_ENDED_JOB_RETENTION_MS - 1;
   fb_owner_check_kept_cancels (daemon->owner, TRUE, clock_ms);
@@ -877,6 +884,89 @@
   end ();
 }
 
+/* Guards against a cancel that another account's cancel of the same id replaces. */
+static void
+test_cancels_of_two_accounts_before_the_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  list_own_service (daemon);
+  g_autoptr (GBytes) first
+      = g_bytes_new_static (FB_CANCEL_PREFIX "a", strlen (FB_CANCEL_PREFIX) + 1);
+  g_autoptr (GBytes) second
+      = g_bytes_new_static (FB_CANCEL_PREFIX "b", strlen (FB_CANCEL_PREFIX) + 1);
+  for (guint i = 0; i < 3; i++)
+    {
+      static const char *const accounts[] = { "a", "b", "c" };
+      g_autofree char *job = job_id (i);
+      fb_owner_apply_stored_cancel (daemon->owner, job, first);
+      fb_owner_apply_stored_cancel (daemon->owner, job, second);
+      admit_for (daemon, job, services[0], accounts[i]);
+      CU_ASSERT_EQUAL (state_at (daemon, job), i < 2 ? FB_WORK_CANCELLED : FB_WORK_QUEUED);
+    }
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against the same at a job that waits for other services. */
+static void
+test_cancels_of_two_accounts_of_a_held_job (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autoptr (GBytes) first
+      = g_bytes_new_static (FB_CANCEL_PREFIX "a", strlen (FB_CANCEL_PREFIX) + 1);
+  g_autoptr (GBytes) second
+      = g_bytes_new_static (FB_CANCEL_PREFIX "b", strlen (FB_CANCEL_PREFIX) + 1);
+  g_autofree char *job = job_id (0);
+  admit_for (daemon, job, services[0], "a");
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, job));
+  fb_owner_apply_stored_cancel (daemon->owner, job, first);
+  fb_owner_apply_stored_cancel (daemon->owner, job, second);
+  list_own_service (daemon);
+  fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+  CU_ASSERT_EQUAL (state_at (daemon, job), FB_WORK_CANCELLED);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against a configuration that does not reach the jobs which wait for other services. */
+static void
+test_policies_of_held_jobs (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autofree char *job = job_id (0);
+  admit (daemon, job, services[0]);
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, job));
+  g_autoptr (FbRoutes) routes = fb_routes_new (2);
+  FbRoute *route = g_new0 (FbRoute, 1);
+  route->host = g_strdup ("h.example");
+  route->prefix = g_strdup ("/q/");
+  route->policy = (fb_work_policy){ .queue = strdup (QUEUE),
+                                    .service = strdup (services[1]),
+                                    .max_attempts = 7 };
+  fb_routes_add (routes, route);
+  daemon->entry.routes = routes;
+  daemon->entry.route_directory = fb_route_directory_new (&daemon->entry);
+  fb_owner_routes_changed (daemon->owner);
+  list_own_service (daemon);
+  fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+  g_autoptr (GBytes) record
+      = fb_pool_encode_admission (fb_owner_pool_for (daemon->owner, services[0])->pool, job);
+  fb_work_admit admitted;
+  gsize len = 0;
+  gconstpointer data = record != NULL ? g_bytes_get_data (record, &len) : NULL;
+  CU_ASSERT_TRUE_FATAL (fb_codec_decode_admit (data, len, &admitted));
+  CU_ASSERT_EQUAL (admitted.policy.max_attempts, 7);
+  CU_ASSERT_STRING_EQUAL (admitted.policy.service, services[0]);
+  xdr_free ((xdrproc_t) xdr_fb_work_admit, (char *) &admitted);
+  g_clear_pointer (&daemon->entry.route_directory, fb_route_directory_free);
+  daemon->entry.routes = NULL;
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 int
 main (void)
 {
@@ -900,6 +990,11 @@
                test_a_deleted_record_of_a_kept_cancel_is_stored_again);
   CU_add_test (suite, "a passed cancel does not replace the caller's own",
                test_a_passed_cancel_does_not_replace_the_callers_own);
+  CU_add_test (suite, "cancels of two accounts before the job",
+               test_cancels_of_two_accounts_before_the_job);
+  CU_add_test (suite, "cancels of two accounts of a held job",
+               test_cancels_of_two_accounts_of_a_held_job);
+  CU_add_test (suite, "policies of held jobs", test_policies_of_held_jobs);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
