A cancel of a completed job stops the runs that it still has

Callers saw: a cancel was acknowledged, also with 200 while the end of the job was not stored yet, and a task of the job ran on to its end (UNASKED).

Cause: a worker that was cut off lists an end "done" after its task has been started elsewhere. The end completes the job; the second run is not stopped, since such a job was thought to have only runs of gangs, which end by themselves, and a cancel of a job that has ended did nothing. A later owner stops the run when it finds it.

Now the cancel stops all runs of the job, whether it has ended or not. The end "done" still counts: the job stays completed.

Evidence: cancel-beside-a-done-run.script had no stop before.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -211,6 +211,7 @@
 void fb_pool_report_set_limits (FbPoolLimits *limits);
 /* A member of the gang STEP was refused, lost or ended: stops the others. */
 void fb_pool_stop_gang (FbPool *self, FbPoolStep *step, uint64_t now_ms);
+void fb_pool_job_stop_runs (FbPool *self, FbPoolJob *job, uint64_t now_ms);
 /* Marks JOB as ended and stops its runs. */
 void fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
                       uint64_t wall_ms);
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -231,7 +231,8 @@
 /* Adds starts by earlier owners that other daemons have relayed and that may be missing in the
  * records; starts in other pools are skipped. */
 void fb_pool_import_starts (FbPool *self, const fb_recent_starts_reply *reply, uint64_t now_ms);
-/* Ends JOB as cancelled and stops its runs; no effect on a job that has ended. */
+/* Ends JOB as cancelled unless it has ended, and stops its runs.  A completed job may have some: a
+ * task whose end was reported late has been started again. */
 void fb_pool_cancel_job (FbPool *self, const char *job, uint64_t now_ms, uint64_t wall_ms);
 /* Replaces the policies of queues.  POLICIES: name of a queue -> fb_work_policy; a queue that is
  * not in the table keeps its policy. */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -122,6 +122,12 @@
     }
 }
 
+void
+fb_pool_job_stop_runs (FbPool *self, FbPoolJob *job, uint64_t now_ms)
+{
+  stop_runs (self, is_of_job, job, now_ms);
+}
+
 void
 fb_pool_job_end (FbPool *self, FbPoolJob *job, fb_work_state state, uint64_t now_ms,
                  uint64_t wall_ms)
@@ -144,7 +150,7 @@
                 job->record.policy.queue, job->state, now_ms - job->admitted_ms);
   /* The remaining runs of a completed job are gang members, which end by themselves. */
   if (job->state != FB_WORK_COMPLETED)
-    stop_runs (self, is_of_job, job, now_ms);
+    fb_pool_job_stop_runs (self, job, now_ms);
 }
 
 /* ---- ends of runs ------------------------------------------------------------------ */
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -424,8 +424,12 @@
 fb_pool_cancel_job (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
 {
   FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
-  if (job != NULL && !fb_pool_job_ended (job))
+  if (job == NULL)
+    return;
+  if (!fb_pool_job_ended (job))
     fb_pool_job_end (self, job, FB_WORK_CANCELLED, now_ms, wall_ms);
+  else
+    fb_pool_job_stop_runs (self, job, now_ms);
 }
 
 static void
