--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -424,10 +424,16 @@
 fb_pool_cancel_job (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
 {
   FbPoolJob *job = g_hash_table_lookup (self->jobs, id);
-  if (job == NULL || fb_pool_job_ended (job))
+  if (job == NULL)
     return;
-  job->cancelled_ms = now_ms;
-  fb_pool_job_end (self, job, FB_WORK_CANCELLED, now_ms, wall_ms);
+  if (!fb_pool_job_ended (job))
+    {
+      job->cancelled_ms = now_ms;
+      fb_pool_job_end (self, job, FB_WORK_CANCELLED, now_ms, wall_ms);
+    }
+  /* The runs of a job that has failed or was cancelled are stopped already. */
+  else if (job->state == FB_WORK_COMPLETED)
+    fb_pool_job_stop_runs (self, job, now_ms);
 }
 
 static void
