Cancels before submissions: the workers' audit is asked as well

The script asked whether a task ever starts, which is stricter but says nothing about when. The audit counts starts and runs that are later than the bounds.

--- a/tests/early-cancels.sh
+++ b/tests/early-cancels.sh
@@ -20,6 +20,7 @@
 cancel() { # DAEMON JOB
   local status; status=$(call "$1" DELETE "$2")
   [ "$status" = 200 ] || [ "$status" = 410 ] || die "daemon $1 answered the cancel of job $2 with $status"
+  control "{\"cancelled\":\"$(job "$2")\"}"
 }
 state_is() { [ "$(call "$1" GET "$2")" = 200 ] && grep -q "\"$3\"" "$OUT/answer"; } # DAEMON JOB STATE
 n_run() { [ "$(curl -s "http://127.0.0.1:$base/running?job=$(job "$1")" | grep -o '[0-9]*')" = "$2" ]; }
@@ -100,4 +101,8 @@
 until_true n_run 60 0 || die "the cancelled job runs"
 ended() { [ $(($(metric flamingobarrow_cancel_ms_count) - was)) = 2 ]; }
 until_true ended || die "the ends of the runs of the cancelled job are not counted"
+audit=$(curl -s "http://127.0.0.1:$base/audit")
+for counter in cancelled-started cancelled-at-work; do
+  grep -q "\"$counter\":0[,}]" <<< "$audit" || die "the workers' audit: $audit"
+done
 echo "early cancels: ok"
