Kept cancels: passed on for every service of the partition, also without a pool

An owner looked for the other services of a queue only from services that have a pool at it. A new owner has none for a service that is neither configured any more nor named in a record of workers, so a cancel that was stored with it reached no other service. The queue directory names the services now.

Evidence: two cases of test-claims no longer create the pool first; without the change they fail.

--- a/src/entry/owner/owner-cancels.c
+++ b/src/entry/owner/owner-cancels.c
@@ -329,23 +329,26 @@
   return are_passed_on;
 }
 
-/* Returns: (transfer full): the services that share a queue with one of this partition, a set of
- * char *. */
+/* Returns: (transfer full): the services that share a queue with one of this partition, which need
+ * not have a pool here any more; a set of char *. */
 static GHashTable *
 other_services (const FbOwner *self)
 {
+  const FbQueueDirectory *directory = fb_entry_queue_directory (self->entry);
   GHashTable *names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  GHashTableIter iter;
-  gpointer service;
-  g_hash_table_iter_init (&iter, self->service_pools);
-  while (g_hash_table_iter_next (&iter, &service, NULL))
+  g_autoptr (GPtrArray) services = fb_queue_directory_all_services (directory);
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < services->len; i++)
     {
-      g_autoptr (GHashTable) others
-          = fb_queue_directory_sharing (fb_entry_queue_directory (self->entry), service);
-      GHashTableIter other_iter;
+      const char *service = services->pdata[i];
+      if (fb_entry_partition_of (self->entry, service) != self->partition
+          || !g_hash_table_add (seen, (char *) service))
+        continue;
+      g_autoptr (GHashTable) others = fb_queue_directory_sharing (directory, service);
+      GHashTableIter iter;
       gpointer other;
-      g_hash_table_iter_init (&other_iter, others);
-      while (g_hash_table_iter_next (&other_iter, &other, NULL))
+      g_hash_table_iter_init (&iter, others);
+      while (g_hash_table_iter_next (&iter, &other, NULL))
         g_hash_table_add (names, g_strdup (other));
     }
   return names;
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -102,6 +102,7 @@
 void __wrap_fb_queue_directory_add (FbQueueDirectory *self, const char *queue, const char *service);
 gboolean __wrap_fb_queue_directory_is_known (const FbQueueDirectory *self);
 GHashTable *__wrap_fb_queue_directory_sharing (const FbQueueDirectory *self, const char *service);
+GPtrArray *__wrap_fb_queue_directory_all_services (const FbQueueDirectory *self);
 const char *__wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition);
 void __wrap_fb_group_refresh_owners (FbGroup *group);
 void __wrap_fb_peers_request (FbEntryDaemon *entry, const char *address,
@@ -194,6 +195,16 @@
   return names;
 }
 
+GPtrArray *
+__wrap_fb_queue_directory_all_services (const FbQueueDirectory *self)
+{
+  (void) self;
+  GPtrArray *names = g_ptr_array_new ();
+  for (guint i = 0; i < SERVICE_N; i++)
+    g_ptr_array_add (names, (char *) services[i]);
+  return names;
+}
+
 const char *
 __wrap_fb_group_owner_of (const FbGroup *group, uint32_t partition)
 {
@@ -633,7 +644,6 @@
 {
   begin (1);
   Daemon *daemon = &daemons[0];
-  (void) fb_owner_pool_for (daemon->owner, services[0]);
   g_autoptr (GBytes) cancel = g_bytes_new_static (FB_CANCEL_PREFIX, strlen (FB_CANCEL_PREFIX));
   g_autoptr (GBytes) passed_on
       = g_bytes_new_static (FB_PASSED_CANCEL_PREFIX, strlen (FB_PASSED_CANCEL_PREFIX));
@@ -870,7 +880,6 @@
 {
   begin (1);
   Daemon *daemon = &daemons[0];
-  (void) fb_owner_pool_for (daemon->owner, services[0]);
   g_autoptr (GBytes) cancel = cancel_new ();
   g_autoptr (GBytes) passed_on
       = g_bytes_new_static (FB_PASSED_CANCEL_PREFIX, strlen (FB_PASSED_CANCEL_PREFIX));
