Logs tell why each run starts, and what proves that the one before has ended

Callers saw two runs of one task at once, and no log of ours could tell how a second run comes to be: TASK_PLACED named epoch and attempt only, RUN_ABSENT not what it was concluded from, POOL_WORKER_LOST not which bound of a lease had passed, and a new owner not why it took unheard workers for free of a task.

TASK_PLACED has the reason of the start, and before a takeover is complete how many workers are unheard and what excludes a run there. RUN_ABSENT and POOL_WORKER_LOST name their proof, POOL_LOST the last confirmation, and the lines of runs their epoch.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -47,7 +47,9 @@
   uint32_t stuck_restarts; /* how often it was stopped as stuck */
   char *checkpoint;        /* NULL: none */
   FbPoolRun *run;          /* borrowed from its worker; NULL: not on a worker */
-  FbPoolRun *copy;      /* a speculative second run, if the step allows it; borrowed; NULL: none */
+  FbPoolRun *copy; /* a speculative second run, if the step allows it; borrowed; NULL: none */
+  /* How its last run ended under this owner, a static text for the log; NULL: none did. */
+  const char *last_outcome;
   uint32_t duration_ms; /* duration of the run that ended successfully; valid with WORKER_SPEED */
   /* Speed of the worker of that run; NULL: not measured, or already evaluated. */
   FbPoolSpeed *worker_speed;
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -504,6 +504,9 @@
 void fb_pool_await_unknown_ends (FbPool *self, FbPoolJob *job, uint64_t now_ms);
 /* TRUE while a task of STEP may run, or may have ended, on a worker that has not answered yet. */
 gboolean fb_pool_may_run_unconfirmed (const FbPool *self, const FbPoolStep *step);
+/* Returns: (transfer full): what excludes runs of STEP from the workers that have not answered this
+ * owner, for the log; an empty text once everything that may run is known. */
+char *fb_pool_describe_confirmation (const FbPool *self, const FbPoolStep *step);
 /* As fb_pool_may_run_unconfirmed(), leaving out workers with FbPoolWorker.runs_counted. */
 gboolean fb_pool_may_run_uncounted (const FbPool *self, const FbPoolStep *step);
 
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -186,6 +186,8 @@
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
                                             uint64_t now_ms);
+/* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
+const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
 /* TRUE when every lease that the worker can hold has certainly ended. */
 gboolean fb_pool_worker_lease_expired (const FbPool *self, const FbPoolWorker *worker,
                                        uint64_t now_ms);
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -207,8 +207,9 @@
   g_autofree char *ages = fb_entry_format_timing (self->entry);
   fb_event_log (FB_EVENT_POOL_LOST,
                 "partition=%u epoch=%" G_GUINT64_FORMAT " owned_ms=%" G_GUINT64_FORMAT
-                " why=\"%s\" %s",
-                self->partition, self->epoch, fb_owner_owned_ms (self), reason, ages);
+                " confirmed_ms_ago=%" G_GUINT64_FORMAT " why=\"%s\" %s",
+                self->partition, self->epoch, fb_owner_owned_ms (self),
+                fb_owner_confirmed_ms_ago (self), reason, ages);
 }
 
 static void
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -329,6 +329,18 @@
   return fb_clock_ms () - self->takeover_began_ms;
 }
 
+uint64_t
+fb_owner_epoch (const FbOwner *self)
+{
+  return self->epoch;
+}
+
+uint64_t
+fb_owner_confirmed_ms_ago (const FbOwner *self)
+{
+  return self->confirmed_ms != 0 ? fb_clock_ms () - self->confirmed_ms : 0;
+}
+
 gboolean
 fb_owner_has_stepped_down (const FbOwner *self)
 {
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -13,6 +13,9 @@
 gboolean fb_owner_has_stepped_down (const FbOwner *self);
 /* Returns: the time since SELF was created. */
 uint64_t fb_owner_owned_ms (const FbOwner *self);
+uint64_t fb_owner_epoch (const FbOwner *self);
+/* Returns: the time since the ownership was last confirmed; 0: it never was. */
+uint64_t fb_owner_confirmed_ms_ago (const FbOwner *self);
 /* Answers a request about a job, a queue or parts of caps.  PEER_REPLY is released with
  * xdr_free(). */
 void fb_owner_answer (FbOwner *self, const fb_peer_request *peer_request,
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -271,9 +271,12 @@
   const FbOwner *owner = fb_entry_owner (self, partition);
   g_autofree char *ages = fb_entry_format_timing (self);
   fb_event_log (FB_EVENT_POOL_LOST,
-                "partition=%u generation=%" G_GUINT64_FORMAT " owned_ms=%" G_GUINT64_FORMAT
+                "partition=%u generation=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
+                " owned_ms=%" G_GUINT64_FORMAT " confirmed_ms_ago=%" G_GUINT64_FORMAT
                 " why=\"%s\" %s",
-                partition, generation, owner != NULL ? fb_owner_owned_ms (owner) : 0, reason, ages);
+                partition, generation, owner != NULL ? fb_owner_epoch (owner) : 0,
+                owner != NULL ? fb_owner_owned_ms (owner) : 0,
+                owner != NULL ? fb_owner_confirmed_ms_ago (owner) : 0, reason, ages);
 }
 
 static void
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -6,18 +6,30 @@
 /* Logs what is known of WORKER, so that the evidence for its loss can be compared with what it did.
  */
 static void
-log_loss (const FbPool *self, const FbPoolWorker *worker, const char *why, uint64_t now_ms)
+log_loss (const FbPool *self, const FbPoolWorker *worker, const char *why, const char *proof,
+          uint64_t now_ms)
 {
   uint64_t lease_ms = fb_pool_worker_lease_remaining_ms (self, worker, now_ms);
   g_autofree char *lease
       = lease_ms != G_MAXUINT64 ? g_strdup_printf ("%" G_GUINT64_FORMAT, lease_ms) : NULL;
   fb_event_log (FB_EVENT_POOL_WORKER_LOST,
                 "worker=%s why=\"%s\" runs=%u heard_ms_ago=%u epoch=%" G_GUINT64_FORMAT
-                " owned_ms=%u answered=%d listed=%d poll=%s lease_left_ms=%s",
+                " owned_ms=%u answered=%d listed=%d poll=%s lease_left_ms=%s proof=\"%s\"",
                 worker->id, why, g_hash_table_size (worker->runs),
                 worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
                 self->epoch, (guint) (now_ms - self->created_ms), worker->answered, worker->listed,
-                fb_order_result_name (worker->poll_result), lease != NULL ? lease : "unknown");
+                fb_order_result_name (worker->poll_result), lease != NULL ? lease : "unknown",
+                proof);
+}
+
+/* Returns: the evidence for LOSS, as a text for the log; borrowed. */
+static const char *
+proof_of_loss (const FbPool *self, const FbPoolWorker *worker, FbPoolLoss loss,
+               const FbPoolWorker *next)
+{
+  if (loss == FB_LOSS_LEASE_ENDED)
+    return fb_pool_worker_lease_bound (self, worker);
+  return next != NULL ? next->id : "status 421";
 }
 
 void
@@ -31,7 +43,7 @@
     fb_pool_unresolved_loss_resolve (self, worker->id, !worker->draining, now_ms);
   if (worker->runs_ended)
     return;
-  log_loss (self, worker, why, now_ms);
+  log_loss (self, worker, why, proof_of_loss (self, worker, loss, next), now_ms);
   worker->runs_ended = TRUE;
   worker->answered = FALSE;
   fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
@@ -50,9 +62,10 @@
         }
       fb_pool_restart_count_crash (self, run, now_ms);
       fb_event_log (FB_EVENT_TASK_LOST,
-                    "task=%s attempt=%u worker=%s why=%s seen=%d ran_ms=%u beside=%u", run->name,
-                    run->attempt, worker->id, why, run->seen_clock_ms > 0,
-                    (guint) (now_ms - run->started_ms), runs_n - 1);
+                    "task=%s attempt=%u worker=%s why=%s seen=%d ran_ms=%u beside=%u"
+                    " epoch=%" G_GUINT64_FORMAT,
+                    run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
+                    (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
       fb_pool_run_ended (self, worker, run, why, now_ms);
       if (step != NULL && step->spec->gang)
         fb_pool_stop_gang (self, step, now_ms);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -149,6 +149,31 @@
     fb_pool_order_placed_start (self, worker, run, now_ms);
 }
 
+/* Returns: why RUN is started, as a static text for the log. */
+static const char *
+start_reason (const FbPoolRun *run)
+{
+  const FbPoolTask *task = &run->step->tasks[run->index];
+  if (run->is_copy)
+    return "copy";
+  if (task->last_outcome != NULL)
+    return task->last_outcome;
+  return run->step->job->restored && !run->step->job->never_started ? "not found" : "first";
+}
+
+static void
+log_start (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
+{
+  g_autofree char *confirmation = fb_pool_describe_confirmation (self, run->step);
+  fb_event_log (FB_EVENT_TASK_PLACED,
+                "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT
+                " cpu=%u mem_used=%" G_GINT64_FORMAT " heard_ms_ago=%" G_GUINT64_FORMAT
+                " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT " why=\"%s\"%s",
+                run->name, run->attempt, worker->id, worker->cpu_used, worker->cpu_milli,
+                worker->mem_used, now_ms - worker->last_answer_ms, worker->speed->slowness,
+                run->step->job->tightness, self->epoch, start_reason (run), confirmation);
+}
+
 void
 fb_pool_order_placed_start (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
 {
@@ -173,12 +198,7 @@
   if (step->job->state == FB_WORK_QUEUED)
     step->job->state = FB_WORK_RUNNING;
   fb_counter_add (FB_COUNTER_PLACEMENTS, 1);
-  fb_event_log (
-      FB_EVENT_TASK_PLACED,
-      "task=%s attempt=%u worker=%s cpu_used=%" G_GINT64_FORMAT " cpu=%u mem_used=%" G_GINT64_FORMAT
-      " heard_ms_ago=%" G_GUINT64_FORMAT " slowness=%.2f tightness=%.2f epoch=%" G_GUINT64_FORMAT,
-      run->name, run->attempt, worker->id, worker->cpu_used, worker->cpu_milli, worker->mem_used,
-      now_ms - worker->last_answer_ms, worker->speed->slowness, step->job->tightness, self->epoch);
+  log_start (self, worker, run, now_ms);
   const FbStartOrder order = { .order = run->order,
                                .worker = worker->id,
                                .address = worker->address,
@@ -329,6 +349,8 @@
   uint32_t index = run->index;
   gboolean was_current = step != NULL && step->tasks[index].run == run;
   gboolean ran = run->seen_clock_ms > 0;
+  if (was_current)
+    step->tasks[index].last_outcome = outcome;
   fb_pool_worker_drop_run (worker, run);
   fb_pool_worker_gained_capacity (self, worker);
   if (step != NULL && step->job->cancelled_ms != 0)
@@ -346,8 +368,9 @@
                uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
-  fb_event_log (FB_EVENT_TASK_REFUSED, "task=%s attempt=%u worker=%s reason=%s", run->name,
-                run->attempt, worker->id, fb_order_result_name (result));
+  fb_event_log (FB_EVENT_TASK_REFUSED,
+                "task=%s attempt=%u worker=%s reason=%s epoch=%" G_GUINT64_FORMAT, run->name,
+                run->attempt, worker->id, fb_order_result_name (result), self->epoch);
   /* The worker stays allowed, so that a new ticket is requested for it. */
   if (result == FB_ORDER_BAD_TICKET)
     fb_pool_worker_advice_expire_ticket (step, worker);
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -188,18 +188,42 @@
              && self->jobs_complete_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS);
 }
 
-static gboolean
-may_run_on (const FbPoolWorker *worker, const FbPoolStep *step)
+/* What proves that no task of a step runs on an unconfirmed worker. */
+typedef enum
+{
+  EXCLUDED_BY_NOTHING, /* a task may run there */
+  EXCLUDED_BY_RECORD,  /* the record of the previous owner */
+  EXCLUDED_BY_LABELS,
+  EXCLUDED_BY_ADVICE,
+  EXCLUSIONS_N
+} Exclusion;
+
+static Exclusion
+exclusion_from (const FbPoolWorker *worker, const FbPoolStep *step)
 {
   if (!fb_pool_drain_may_run (worker, step))
-    return FALSE;
+    return EXCLUDED_BY_RECORD;
   /* Its capacity proves nothing: it may have shrunk since a run was started that fitted then. */
   if (worker->labels_known && !fb_pool_has_labels_for (worker, step->spec))
-    return FALSE;
+    return EXCLUDED_BY_LABELS;
   if (!step->job->record.policy.advised || !step->job->advised_when_stored)
-    return TRUE;
+    return EXCLUDED_BY_NOTHING;
   const FbPoolWorkerAdvice *advice = fb_pool_worker_advice (step, worker);
-  return advice == NULL || advice->allowed;
+  return advice == NULL || advice->allowed ? EXCLUDED_BY_NOTHING : EXCLUDED_BY_ADVICE;
+}
+
+char *
+fb_pool_describe_confirmation (const FbPool *self, const FbPoolStep *step)
+{
+  guint counts[EXCLUSIONS_N] = { 0 };
+  if (self->recovered || self->unconfirmed_workers->len == 0)
+    return g_strdup ("");
+  for (guint i = 0; i < self->unconfirmed_workers->len; i++)
+    counts[exclusion_from (self->unconfirmed_workers->pdata[i], step)]++;
+  return g_strdup_printf (" unheard=%u by_record=%u by_labels=%u by_advice=%u stored_later=%d",
+                          self->unconfirmed_workers->len, counts[EXCLUDED_BY_RECORD],
+                          counts[EXCLUDED_BY_LABELS], counts[EXCLUDED_BY_ADVICE],
+                          step->job->never_started);
 }
 
 /* If reads of the store lag, a worker may report the end of a task to the new owner before the
@@ -246,7 +270,8 @@
   for (guint i = 0; i < self->unconfirmed_workers->len; i++)
     {
       const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
-      if ((counted_too || !worker->runs_counted) && may_run_on (worker, step))
+      if ((counted_too || !worker->runs_counted)
+          && exclusion_from (worker, step) == EXCLUDED_BY_NOTHING)
         return TRUE;
     }
   return FALSE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -308,8 +308,9 @@
   gboolean wanted = !task->done && !fb_pool_job_ended (step->job);
   if (wanted && task->run != NULL && task->run != run)
     wanted = step->spec->speculative ? task->copy == NULL : task->run->attempt <= run->attempt;
-  fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s wanted=%d", run->name,
-                run->attempt, worker->id, wanted);
+  fb_event_log (FB_EVENT_RUN_ADOPTED,
+                "task=%s attempt=%u worker=%s wanted=%d epoch=%" G_GUINT64_FORMAT, run->name,
+                run->attempt, worker->id, wanted, self->epoch);
   if (!wanted)
     {
       count_run_of_cancelled_job (step->job);
@@ -426,18 +427,21 @@
     fb_pool_task_set_checkpoint (run->step, run->index, seen->checkpoint);
 }
 
-/* TRUE when an answer of CLOCK_MS that does not list RUN proves that RUN is over. */
-static gboolean
-is_proven_over (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
-                uint64_t clock_ms)
+/* Returns: (nullable): why an answer of CLOCK_MS that does not list RUN proves that RUN is over, as
+ * a static text for the log; NULL when it does not prove it. */
+static const char *
+proof_of_end (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+              uint64_t clock_ms)
 {
   if (run->transferred_ms != 0)
-    return fb_pool_restart_is_over (self, worker, run, clock_ms);
+    return fb_pool_restart_is_over (self, worker, run, clock_ms) ? "never arrived" : NULL;
   if (run->seen_clock_ms >= clock_ms)
-    return FALSE;
+    return NULL;
   if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
-    return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms;
-  return run->seen_clock_ms > 0 || clock_ms > run->deadline_ms;
+    return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms ? "stop accepted" : NULL;
+  if (run->seen_clock_ms > 0)
+    return "seen before";
+  return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
 }
 
 static void
@@ -447,15 +451,19 @@
   for (GList *l = runs; l != NULL; l = l->next)
     {
       FbPoolRun *run = l->data;
-      if (!is_proven_over (self, worker, run, clock_ms))
+      const char *proof = proof_of_end (self, worker, run, clock_ms);
+      if (proof == NULL)
         {
           if (run->transferred_ms != 0)
             fb_pool_restart_reject (self, worker, run, now_ms);
           continue;
         }
       FbPoolStep *step = run->step;
-      fb_event_log (FB_EVENT_RUN_ABSENT, "task=%s attempt=%u worker=%s state=%d clock_ms=%u",
-                    run->name, run->attempt, worker->id, run->state, (guint) clock_ms);
+      fb_event_log (FB_EVENT_RUN_ABSENT,
+                    "task=%s attempt=%u worker=%s state=%d clock_ms=%u seen_clock_ms=%u"
+                    " proof=\"%s\" epoch=%" G_GUINT64_FORMAT,
+                    run->name, run->attempt, worker->id, run->state, (guint) clock_ms,
+                    (guint) run->seen_clock_ms, proof, self->epoch);
       if (step != NULL)
         fb_pool_crash_task_absent (self, worker, step, run->index);
       fb_pool_restart_count_crash (self, run, now_ms);
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -172,9 +172,11 @@
   next->replaced = FALSE;
   fb_pool_silence_forget (self, next);
   fb_event_log (FB_EVENT_POOL_WORKER_RETURNED,
-                "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u", worker->id, next->id,
-                g_hash_table_size (worker->runs), open_starts_n (self, worker),
-                worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0);
+                "worker=%s life=%s runs=%u may_come=%u heard_ms_ago=%u listed=%d answered=%d",
+                worker->id, next->id, g_hash_table_size (worker->runs),
+                open_starts_n (self, worker),
+                worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
+                next->listed, next->answered);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, next, now_ms);
   /* Polls meant for the earlier incarnation may have extended its lease by deadlines far ahead of
    * its clock. */
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -148,6 +148,19 @@
   return end_ms;
 }
 
+const char *
+fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker)
+{
+  if (worker->answered)
+    return "deadlines sent";
+  uint64_t end_ms = unanswered_lease_end_ms (self, worker);
+  if (end_ms == fb_pool_silence_lease_end_ms (self, worker))
+    return "previous owner's record";
+  return end_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
+             ? "misdirected call"
+             : "majority";
+}
+
 uint64_t
 fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
