A relay that stood still does not send orders of before

Callers could see a task run twice: an order waits in the sockets of a relay that is suspended, its owner gives it up after 0.75 s and starts the task elsewhere, and the relay sends it seconds later.

The relay takes an order for as old as the time since it last found its sockets empty, and answers that it did nothing when the owner may have given it up.

test-relay, "a relay that stood still sends no orders of before": failed with the check taken out (2 assertions), passes with it.

--- a/src/entry/peers/link-connection.c
+++ b/src/entry/peers/link-connection.c
@@ -5,6 +5,7 @@
  * after the first word, number of the call, kind) and a body.  Call numbers are chosen by the
  * calling side and are unique on its connection. */
 #include "links-private.h"
+#include "src/entry/clock.h"
 
 #include "fb-counter.h"
 
@@ -34,6 +35,7 @@
 {
   FbLinkConnection *connection;
   uint32_t number;
+  uint64_t waited_max_ms; /* see fb_link_call_waited_max_ms() */
 };
 
 /* ---- life cycle --------------------------------------------------------- */
@@ -199,6 +201,7 @@
   FbLinkCall *call = g_new0 (FbLinkCall, 1);
   call->connection = self;
   call->number = number;
+  call->waited_max_ms = fb_clock_ms () - self->links->drained_ms;
   self->refs++;
   self->links->serve (self->links->user, call, body, len);
 }
@@ -364,6 +367,12 @@
   return TRUE;
 }
 
+uint64_t
+fb_link_call_waited_max_ms (const FbLinkCall *call)
+{
+  return call->waited_max_ms;
+}
+
 void
 fb_link_call_answer (FbLinkCall *call, GBytes *body)
 {
--- a/src/entry/peers/links-private.h
+++ b/src/entry/peers/links-private.h
@@ -43,6 +43,7 @@
   FbLinkServe serve;
   gpointer user;
   uint64_t now_ms;
+  uint64_t drained_ms;     /* all data received before this time has been read */
   guint deferred_checks_n; /* checks for timeouts in a row for which received data was left */
   GHashTable *by_address;  /* address -> FbLinkConnection, for outgoing calls */
   GPtrArray *all;          /* of FbLinkConnection */
--- a/src/entry/peers/links.c
+++ b/src/entry/peers/links.c
@@ -79,7 +79,8 @@
 handle_events (FbLinks *self)
 {
   struct epoll_event events[EVENTS_PER_ITERATION];
-  self->now_ms = fb_clock_ms ();
+  uint64_t polled_ms = fb_clock_ms ();
+  self->now_ms = polled_ms;
   int n = epoll_wait (self->epoll, events, EVENTS_PER_ITERATION, 0);
   for (int i = 0; i < n; i++)
     {
@@ -96,6 +97,8 @@
       if (connection != NULL)
         fb_link_connection_unref (connection);
     }
+  if (n < EVENTS_PER_ITERATION)
+    self->drained_ms = polled_ms;
   return n == EVENTS_PER_ITERATION;
 }
 
@@ -256,6 +259,7 @@
   self->serve = serve;
   self->user = user;
   self->now_ms = fb_clock_ms ();
+  self->drained_ms = self->now_ms;
   self->by_address = g_hash_table_new (g_str_hash, g_str_equal);
   self->all = g_ptr_array_new ();
   self->dirty = g_ptr_array_new ();
--- a/src/entry/peers/links.h
+++ b/src/entry/peers/links.h
@@ -35,6 +35,8 @@
  * TIMEOUT_MS. */
 void fb_links_call (FbLinks *self, const char *address, GBytes *body, uint32_t timeout_ms,
                     FbLinkDone done, gpointer user);
+/* Returns: how long CALL may have waited in this process's sockets before it was read, at most. */
+uint64_t fb_link_call_waited_max_ms (const FbLinkCall *call);
 /* Answers CALL with BODY and frees CALL.  The answer is dropped when the connection is closed. */
 void fb_link_call_answer (FbLinkCall *call, GBytes *body);
 /* Ends calls that have timed out.  To be called about every 25 ms. */
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -468,7 +468,8 @@
       return;
     case FB_REQUEST_RELAY_ORDER:
     case FB_REQUEST_RELAY_ORDER_PROGRESS:
-      fb_relay_serve (entry, peer_request, send_reply, served);
+      fb_relay_serve (entry, peer_request, fb_link_call_waited_max_ms (served->call), send_reply,
+                      served);
       return;
     case FB_REQUEST_RECENT_STARTS:
     case FB_REQUEST_UNHEARD_STARTS:
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -473,11 +473,32 @@
   return peer_request->payload != NULL;
 }
 
+/* A process that was suspended finds orders of before in its sockets. The deadline in an order
+ * would not stop a later incarnation of its worker from carrying it out, whose clock began anew. */
+static gboolean
+is_overdue (const fb_relay_request *order, uint64_t waited_max_ms)
+{
+  if (waited_max_ms < order_timeout_ms (order) + NETWORK_DELAY_MS)
+    return FALSE;
+  fb_event_log (FB_EVENT_ORDER_OVERDUE,
+                "task=%s attempt=%u worker=%s kind=%d epoch=%" G_GUINT64_FORMAT
+                " waited_max_ms=%" G_GUINT64_FORMAT,
+                order->task, order->attempt, order->worker, order->kind, order->epoch,
+                waited_max_ms);
+  return TRUE;
+}
+
 void
-fb_relay_serve (FbEntryDaemon *entry, const fb_peer_request *peer_request, FbPeerReplyDone done,
-                gpointer user)
+fb_relay_serve (FbEntryDaemon *entry, const fb_peer_request *peer_request, uint64_t waited_max_ms,
+                FbPeerReplyDone done, gpointer user)
 {
+  static const fb_peer_reply not_sent = { .type = FB_REPLY_UNAVAILABLE };
   fb_relay_request resolved = peer_request->fb_peer_request_u.order;
+  if (is_overdue (&resolved, waited_max_ms))
+    {
+      done (user, &not_sent);
+      return;
+    }
   if (!resolve_payload (entry, &resolved))
     {
       static const fb_peer_reply payload_missing = { .type = FB_REPLY_PAYLOAD_MISSING };
--- a/src/entry/peers/relay.h
+++ b/src/entry/peers/relay.h
@@ -26,9 +26,10 @@
 void fb_relay_send (FbEntryDaemon *entry, const char *daemon, const fb_relay_request *order,
                     FbRelayDone done, gpointer user);
 /* Sends the order in PEER_REQUEST, which has one of the types that relay an order, to its worker on
- * behalf of another daemon; DONE is called once. */
+ * behalf of another daemon; DONE is called once.  WAITED_MAX_MS: how long the request may have
+ * waited in this process's sockets; an order whose sender may have given it up is not sent. */
 void fb_relay_serve (FbEntryDaemon *entry, const fb_peer_request *peer_request,
-                     FbPeerReplyDone done, gpointer user);
+                     uint64_t waited_max_ms, FbPeerReplyDone done, gpointer user);
 /* Sends ORDER to its worker from this daemon. */
 void fb_relay_call_worker (FbEntryDaemon *entry, const fb_relay_request *order,
                            FbHttpReplyDone done, gpointer user);
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -114,6 +114,7 @@
 typedef struct
 {
   FbEntryDaemon entry;
+  guint not_sent_n;     /* orders that it did not send to their worker */
   guint with_payload_n; /* starts received with their payload */
   guint by_digest_n;    /* starts received with only the digest */
   guint missing_n;
@@ -130,6 +131,7 @@
 {
   Served *served = user;
   served->relay->missing_n += reply->type == FB_REPLY_PAYLOAD_MISSING;
+  served->relay->not_sent_n += reply->type == FB_REPLY_UNAVAILABLE;
   g_autoptr (GBytes) body = fb_codec_encode_peer_reply (reply);
   fb_link_call_answer (served->call, body);
   g_free (served);
@@ -148,7 +150,7 @@
   Served *served = g_new0 (Served, 1);
   served->relay = self;
   served->call = call;
-  fb_relay_serve (&self->entry, &request, on_served, served);
+  fb_relay_serve (&self->entry, &request, fb_link_call_waited_max_ms (call), on_served, served);
   xdr_free ((xdrproc_t) xdr_fb_peer_request, (char *) &request);
 }
 
@@ -245,6 +247,39 @@
   fb_payload_dedup_free (entry.payload_dedup);
 }
 
+/* ---- a relay that stands still ---------------------------------------------------------- */
+
+#define STANDSTILL_MS 1000
+
+/* Guards against an order that a relay sends when it resumes, long after its owner gave it up. */
+static void
+test_relay_that_stood_still_sends_no_orders_of_before (void)
+{
+  g_autofree char *address = test_unused_address ();
+  g_autofree char *own_address = test_unused_address ();
+  Relay relay = { .entry = { .payload_cache = fb_payload_cache_new (1 << 20),
+                             .recent_starts = fb_recent_starts_new (),
+                             .worker_client = fb_http_client_new () } };
+  Results results = { 0 };
+  FbEntryDaemon entry = { .links = fb_links_new (own_address, serve_relay, NULL),
+                          .payload_dedup = fb_payload_dedup_new (2000) };
+  /* The loop of both daemons is that of this thread, which sleeps while the relay listens. */
+  FbLinks *served = fb_links_new (address, serve_relay, &relay);
+  relay_order (&entry, address, "0000000000000001.0.0.0", "p", &results);
+  CU_ASSERT_EQUAL (relay.not_sent_n, 0);
+  g_usleep (STANDSTILL_MS * 1000);
+  relay_order (&entry, address, "0000000000000001.0.0.1", "p", &results);
+  CU_ASSERT_EQUAL (relay.not_sent_n, 1);
+  relay_order (&entry, address, "0000000000000001.0.0.2", "p", &results);
+  CU_ASSERT_EQUAL (relay.not_sent_n, 1);
+  fb_links_free (entry.links);
+  fb_links_free (served);
+  fb_http_client_free (relay.entry.worker_client);
+  fb_payload_cache_free (relay.entry.payload_cache);
+  fb_recent_starts_free (relay.entry.recent_starts);
+  fb_payload_dedup_free (entry.payload_dedup);
+}
+
 /* ---- relays of both versions ----------------------------------------------------------- */
 
 #define PERCENT 41
@@ -479,6 +514,8 @@
   CU_add_test (suite, "the oldest payload is evicted", test_the_oldest_payload_is_evicted);
   CU_add_test (suite, "a restarted relay gets the payload again",
                test_restarted_relay_gets_the_payload_again);
+  CU_add_test (suite, "a relay that stood still sends no orders of before",
+               test_relay_that_stood_still_sends_no_orders_of_before);
   CU_add_test (suite, "polls through relays of both versions",
                test_polls_through_relays_of_both_versions);
   CU_add_test (suite, "an upgraded relay is asked again", test_an_upgraded_relay_is_asked_again);
