A held job runs twice after a change of owner: a failing test

A new owner starts a task at once although workers have not answered when its job was stored after the owner before had stopped. It compares the time until which it knows all jobs, and takes that of the moment when the job gets into its pool. A job that waits for other services, or for the list of the queue's services, gets there later than it was stored: the owner before may have been told of it and have started it on a worker that the next owner does not reach.

--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -27,6 +27,8 @@
 #define HELD_JOB "0000000000000002"
 /* For how long the other service of its queue does not answer. */
 #define HELD_MS 2000
+/* By then a worker that has not answered may still hold a lease of the owner before. */
+#define LEASES_END_MS 6000
 #define WORKER_N 3
 /* The worker that the replaced owner reaches, and its successor does not. */
 #define CUT_OFF 2
@@ -600,6 +602,40 @@
   first_free (first);
 }
 
+/* A job runs twice that is held for longer than the owner before may start it, on a worker that has
+ * not answered its successor. */
+static void
+test_a_job_that_was_held_waits_for_unconfirmed_workers (void)
+{
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  queue_position = 1;
+  First *first = first_new ();
+  fb_work_step step;
+  fb_work_admit source;
+  fb_work_admit record;
+  init_job (&source, &step);
+  step.cpu_milli = 400;
+  fb_pool_job_copy_record (&source, &record);
+  fb_owner_admit (&first->owner, HELD_JOB, &record);
+  for (; clock_ms < START_MS + LEASES_END_MS; clock_ms += STEP_MS)
+    {
+      if (clock_ms == START_MS + 2 * HELD_MS)
+        queue_position = 0;
+      answer_due (&first->side, 0, CUT_OFF - 1);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_PTR_NULL (fb_owner_held_job (&first->owner, HELD_JOB));
+  CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
+  for (; clock_ms < START_MS + REPLACED_MS; clock_ms += STEP_MS)
+    {
+      answer_due (&first->side, 0, CUT_OFF - 1);
+      tick_owner (&first->owner);
+    }
+  CU_ASSERT_TRUE (first->side.held_starts_n > 0);
+  first_free (first);
+}
+
 /* Entries of workers that are cut off from the store expire, and no longer count for a majority. */
 static void
 test_an_owner_without_the_store_keeps_no_majority_of_expired_entries (void)
@@ -658,6 +694,9 @@
   else if (g_strcmp0 (name, "held-job") == 0)
     CU_add_test (suite, "the end of a held job is not acknowledged unread",
                  test_the_end_of_a_held_job_is_not_acknowledged_unread);
+  else if (g_strcmp0 (name, "held-job-of-before") == 0)
+    CU_add_test (suite, "a job that was held waits for unconfirmed workers",
+                 test_a_job_that_was_held_waits_for_unconfirmed_workers);
   else
     CU_add_test (suite, "a replaced owner extends no lease beyond the wait of its successor",
                  test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor);
