A job that is held counts as stored when it was received

Callers could see a task run twice at once: a new owner starts tasks at once, whatever workers have not answered, of jobs that were stored after the owner before had stopped. For a job that waits for other services, or for the list of its queue's services, it took the time until which all jobs were known at the moment of its release, seconds after the job was stored. The owner before may have been told of the job by the daemon that stored it, and have started it on a worker that the next owner does not reach.

The time is taken when the job is received, and kept with it.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -497,8 +497,8 @@
 /* TRUE when a majority of the workers has answered under this epoch: tasks that certainly run
  * nowhere may start. */
 gboolean fb_pool_may_place (const FbPool *self);
-/* TRUE when no earlier owner can have started a job that this owner has not read yet. */
-gboolean fb_pool_has_no_earlier_starts (const FbPool *self);
+/* TRUE when no earlier owner can have started a job that was stored after STORED_AFTER_MS. */
+gboolean fb_pool_has_no_earlier_starts (const FbPool *self, uint64_t stored_after_ms);
 /* JOB is being added: its tasks wait for ends that workers have reported and that belonged to no
  * known job. */
 void fb_pool_await_unknown_ends (FbPool *self, FbPoolJob *job, uint64_t now_ms);
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -180,12 +180,10 @@
 }
 
 gboolean
-fb_pool_has_no_earlier_starts (const FbPool *self)
+fb_pool_has_no_earlier_starts (const FbPool *self, uint64_t stored_after_ms)
 {
-  /* A job received now was stored after jobs_complete_ms, or it would be known. */
   return self->recovered
-         || (self->majority_ms != 0
-             && self->jobs_complete_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS);
+         || (self->majority_ms != 0 && stored_after_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS);
 }
 
 /* What proves that no task of a step runs on an unconfirmed worker. */
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -348,8 +348,8 @@
 /* ---- jobs ---------------------------------------------------------------------------- */
 
 void
-fb_pool_add_job_take (FbPool *self, const char *id, fb_work_admit *record, uint64_t now_ms,
-                      uint64_t wall_ms)
+fb_pool_add_job_take (FbPool *self, const char *id, fb_work_admit *record, uint64_t stored_after_ms,
+                      uint64_t now_ms, uint64_t wall_ms)
 {
   if (g_hash_table_contains (self->jobs, id))
     return;
@@ -357,7 +357,7 @@
   job->account = fb_pool_account_get (self, job->record.account);
   job->beyond_rate = !fb_pool_account_count_job (job->account, job->record.accepted_ms);
   job->restored = !self->recovered;
-  job->never_started = fb_pool_has_no_earlier_starts (self);
+  job->never_started = fb_pool_has_no_earlier_starts (self, stored_after_ms);
   job->advised_when_stored = job->record.policy.advised;
   fb_pool_await_unknown_ends (self, job, now_ms);
   g_hash_table_insert (self->jobs, job->id, job);
@@ -383,7 +383,7 @@
     return;
   fb_work_admit copy;
   fb_pool_job_copy_record (record, &copy);
-  fb_pool_add_job_take (self, id, &copy, now_ms, wall_ms);
+  fb_pool_add_job_take (self, id, &copy, self->jobs_complete_ms, now_ms, wall_ms);
 }
 
 void
@@ -420,6 +420,12 @@
   self->jobs_complete_ms = until_ms;
 }
 
+uint64_t
+fb_pool_jobs_known_until_ms (const FbPool *self)
+{
+  return self->jobs_complete_ms;
+}
+
 void
 fb_pool_cancel_job (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
 {
