Advice that a queue gets while a job is held excludes no worker

Callers could see a task run twice at once: a new owner starts a task though workers have not answered, if the advice does not allow it there, as no owner can have started it there without a ticket. That holds only for jobs whose queue had advice from the first, which was read from the job's policy when it got into its pool; but a configuration reaches the policy of a job that waits for other services. So a job that was stored without advice, and started by the owner before, counted as one with advice.

What tells what an earlier owner can have done is taken when the job is received, as one receipt: the time until which jobs were known, and whether it had advice.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -212,6 +212,15 @@
 gboolean fb_pool_restore_silent_workers (FbPool *self, GBytes *workers, GBytes *silent_workers,
                                          uint64_t fenced_ms);
 
+/* What an earlier owner can have done with a job, as of when the job was received. */
+typedef struct
+{
+  uint64_t stored_after_ms; /* all jobs that were stored before this time were known */
+  gboolean was_advised;     /* its starts needed tickets of the advice service */
+} FbPoolReceipt;
+
+/* Returns: the receipt of a job that is received now with RECORD. */
+FbPoolReceipt fb_pool_receive_job (const FbPool *self, const fb_work_admit *record);
 /* Adds a job to the pool; no effect when the pool already has it. */
 void fb_pool_add_job (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
                       uint64_t wall_ms);
@@ -219,10 +228,9 @@
  */
 GBytes *fb_pool_encode_admission (const FbPool *self, const char *job);
 /* Like fb_pool_add_job() without a copy: takes over the contents of RECORD, allocated as XDR does
- * it, and leaves it empty. When the pool already has the job, RECORD remains the caller's.
- * STORED_AFTER_MS: fb_pool_jobs_known_until_ms() when the job was received; it was stored later. */
+ * it, and leaves it empty. When the pool already has the job, RECORD remains the caller's. */
 void fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                           uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms);
+                           const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 /* Restores what an earlier owner recorded of a job.  The job must have been added before, unless it
  * has ended. */
 void fb_pool_restore_job (FbPool *self, const char *job, const fb_work_progress *record,
@@ -231,8 +239,6 @@
  * belongs to a job that does not exist. Until this is called, runs and ends of unknown jobs are
  * left unchanged. */
 void fb_pool_jobs_complete (FbPool *self, uint64_t until_ms);
-/* Returns: the time last passed to fb_pool_jobs_complete(); 0: none yet. */
-uint64_t fb_pool_jobs_known_until_ms (const FbPool *self);
 /* Adds starts by earlier owners that other daemons have relayed and that may be missing in the
  * records; starts in other pools are skipped. */
 void fb_pool_import_starts (FbPool *self, const fb_recent_starts_reply *reply, uint64_t now_ms);
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -27,13 +27,13 @@
 {
   char *id;
   fb_work_admit record;
-  GBytes *progress;         /* NULL: none was stored */
-  GPtrArray *cancels;       /* of GBytes, each of another account */
-  gboolean is_loaded;       /* it was stored when this owner took over */
-  uint64_t stored_after_ms; /* fb_pool_jobs_known_until_ms() when it was received */
-  guint disclaimed_n;       /* number of services before its own that have disclaimed it */
-  gboolean is_claimed;      /* a claim of it is open */
-  uint64_t next_ms;         /* it is not claimed before */
+  GBytes *progress;   /* NULL: none was stored */
+  GPtrArray *cancels; /* of GBytes, each of another account */
+  gboolean is_loaded; /* it was stored when this owner took over */
+  FbPoolReceipt receipt;
+  guint disclaimed_n;  /* number of services before its own that have disclaimed it */
+  gboolean is_claimed; /* a claim of it is open */
+  uint64_t next_ms;    /* it is not claimed before */
 };
 
 /* An open claim of jobs from the pool of another service. */
@@ -158,8 +158,8 @@
   held->id = g_strdup (job);
   held->record = *record;
   held->is_loaded = !self->loaded;
-  held->stored_after_ms
-      = fb_pool_jobs_known_until_ms (fb_owner_pool_for (self, record->policy.service)->pool);
+  held->receipt
+      = fb_pool_receive_job (fb_owner_pool_for (self, record->policy.service)->pool, record);
   held->cancels = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   g_hash_table_replace (self->held_jobs, held->id, held);
   fb_event_log (FB_EVENT_JOB_HELD, "job=%s queue=%s service=%s", job, record->policy.queue,
@@ -168,10 +168,10 @@
 }
 
 static void
-add_to_pool (FbOwner *self, const char *job, fb_work_admit *record, uint64_t stored_after_ms)
+add_to_pool (FbOwner *self, const char *job, fb_work_admit *record, const FbPoolReceipt *receipt)
 {
   FbPool *pool = fb_owner_pool_for (self, record->policy.service)->pool;
-  fb_pool_add_job_take (pool, job, record, stored_after_ms, fb_clock_ms (), fb_clock_wall_ms ());
+  fb_pool_add_job_take (pool, job, record, receipt, fb_clock_ms (), fb_clock_wall_ms ());
   fb_owner_apply_kept_cancel (self, job);
 }
 
@@ -237,7 +237,10 @@
   if (fb_queue_directory_position (fb_entry_queue_directory (self->entry), record->policy.queue,
                                    record->policy.service)
       == 0)
-    add_to_pool (self, job, record, fb_pool_jobs_known_until_ms (service_pool->pool));
+    {
+      const FbPoolReceipt receipt = fb_pool_receive_job (service_pool->pool, record);
+      add_to_pool (self, job, record, &receipt);
+    }
   else
     {
       hold (self, job, record);
@@ -250,7 +253,7 @@
 release (FbOwner *self, FbHeldJob *held)
 {
   fb_counter_add (FB_COUNTER_CLAIMS_GRANTED, held->disclaimed_n > 0);
-  add_to_pool (self, held->id, &held->record, held->stored_after_ms);
+  add_to_pool (self, held->id, &held->record, &held->receipt);
   g_hash_table_steal (self->held_jobs, held->id);
   if (held->progress != NULL)
     fb_owner_apply_progress (self, held->id, held->progress);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -347,9 +347,16 @@
 
 /* ---- jobs ---------------------------------------------------------------------------- */
 
+FbPoolReceipt
+fb_pool_receive_job (const FbPool *self, const fb_work_admit *record)
+{
+  return (FbPoolReceipt){ .stored_after_ms = self->jobs_complete_ms,
+                          .was_advised = record->policy.advised };
+}
+
 void
-fb_pool_add_job_take (FbPool *self, const char *id, fb_work_admit *record, uint64_t stored_after_ms,
-                      uint64_t now_ms, uint64_t wall_ms)
+fb_pool_add_job_take (FbPool *self, const char *id, fb_work_admit *record,
+                      const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms)
 {
   if (g_hash_table_contains (self->jobs, id))
     return;
@@ -357,8 +364,8 @@
   job->account = fb_pool_account_get (self, job->record.account);
   job->beyond_rate = !fb_pool_account_count_job (job->account, job->record.accepted_ms);
   job->restored = !self->recovered;
-  job->never_started = fb_pool_has_no_earlier_starts (self, stored_after_ms);
-  job->advised_when_stored = job->record.policy.advised;
+  job->never_started = fb_pool_has_no_earlier_starts (self, receipt->stored_after_ms);
+  job->advised_when_stored = receipt->was_advised;
   fb_pool_await_unknown_ends (self, job, now_ms);
   g_hash_table_insert (self->jobs, job->id, job);
   g_hash_table_add (self->active_jobs, job);
@@ -383,7 +390,8 @@
     return;
   fb_work_admit copy;
   fb_pool_job_copy_record (record, &copy);
-  fb_pool_add_job_take (self, id, &copy, self->jobs_complete_ms, now_ms, wall_ms);
+  const FbPoolReceipt receipt = fb_pool_receive_job (self, record);
+  fb_pool_add_job_take (self, id, &copy, &receipt, now_ms, wall_ms);
 }
 
 void
@@ -420,12 +428,6 @@
   self->jobs_complete_ms = until_ms;
 }
 
-uint64_t
-fb_pool_jobs_known_until_ms (const FbPool *self)
-{
-  return self->jobs_complete_ms;
-}
-
 void
 fb_pool_cancel_job (FbPool *self, const char *id, uint64_t now_ms, uint64_t wall_ms)
 {
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -116,9 +116,9 @@
 void __wrap_fb_appender_put (FbAppender *self, GByteArray *records, uint64_t retry_until_ms,
                              FbAppendDone done, gpointer user);
 void __real_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                                  uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms);
+                                  const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 void __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                                  uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms);
+                                  const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 
 uint64_t
 __wrap_fb_clock_ms (void)
@@ -291,11 +291,11 @@
 
 void
 __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                             uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms)
+                             const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms)
 {
   for (guint i = 0; i < SERVICE_N; i++)
     ran[strtoul (job, NULL, 16)][i] |= g_str_equal (record->policy.service, services[i]);
-  __real_fb_pool_add_job_take (self, job, record, stored_after_ms, now_ms, wall_ms);
+  __real_fb_pool_add_job_take (self, job, record, receipt, now_ms, wall_ms);
 }
 
 /* ---- events ------------------------------------------------------------------------------- */
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -602,36 +602,72 @@
   first_free (first);
 }
 
-/* A job runs twice that is held for longer than the owner before may start it, on a worker that has
- * not answered its successor. */
+/* Gives HELD_JOB to FIRST, which has to hold it. */
 static void
-test_a_job_that_was_held_waits_for_unconfirmed_workers (void)
+hold_job (First *first)
 {
-  clock_ms = START_MS;
-  store_is_up = TRUE;
-  queue_position = 1;
-  First *first = first_new ();
   fb_work_step step;
   fb_work_admit source;
   fb_work_admit record;
   init_job (&source, &step);
   step.cpu_milli = 400;
   fb_pool_job_copy_record (&source, &record);
+  queue_position = 1;
   fb_owner_admit (&first->owner, HELD_JOB, &record);
-  for (; clock_ms < START_MS + LEASES_END_MS; clock_ms += STEP_MS)
+}
+
+/* FIRST reaches all workers but CUT_OFF. */
+static void
+run_without_cut_off (First *first, uint64_t until_ms)
+{
+  for (; clock_ms < until_ms; clock_ms += STEP_MS)
     {
-      if (clock_ms == START_MS + 2 * HELD_MS)
-        queue_position = 0;
       answer_due (&first->side, 0, CUT_OFF - 1);
       tick_owner (&first->owner);
     }
+}
+
+/* A job runs twice that is held for longer than the owner before may start it, on a worker that has
+ * not answered its successor. */
+static void
+test_a_job_that_was_held_waits_for_unconfirmed_workers (void)
+{
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  hold_job (first);
+  run_without_cut_off (first, START_MS + 2 * HELD_MS);
+  queue_position = 0;
+  run_without_cut_off (first, START_MS + LEASES_END_MS);
   CU_ASSERT_PTR_NULL (fb_owner_held_job (&first->owner, HELD_JOB));
   CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
-  for (; clock_ms < START_MS + REPLACED_MS; clock_ms += STEP_MS)
-    {
-      answer_due (&first->side, 0, CUT_OFF - 1);
-      tick_owner (&first->owner);
-    }
+  run_without_cut_off (first, START_MS + REPLACED_MS);
+  CU_ASSERT_TRUE (first->side.held_starts_n > 0);
+  first_free (first);
+}
+
+/* A job runs twice that the owner before started without advice, which its queue has had since. */
+static void
+test_advice_since_a_job_is_held_excludes_no_worker (void)
+{
+  static const char *const asked[] = { "w0", "w1", "w2" };
+  fb_ticket ticket = { (char *) "w0", (char *) "t" };
+  const fb_advice_reply reply = { .validity_ms = REPLACED_MS, .tickets = { 1, &ticket } };
+  fb_work_policy policy = { .max_attempts = 3, .advised = TRUE };
+  clock_ms = START_MS;
+  store_is_up = TRUE;
+  First *first = first_new ();
+  hold_job (first);
+  g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (policies, (gpointer) "q", &policy);
+  fb_owner_set_held_policies (&first->owner, policies);
+  queue_position = 0;
+  run_without_cut_off (first, START_MS + HELD_MS);
+  fb_pool_advice_answered (first->side.pool, HELD_JOB ".0.0", asked, G_N_ELEMENTS (asked), &reply,
+                           clock_ms);
+  run_without_cut_off (first, START_MS + LEASES_END_MS);
+  CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
+  run_without_cut_off (first, START_MS + REPLACED_MS);
   CU_ASSERT_TRUE (first->side.held_starts_n > 0);
   first_free (first);
 }
@@ -697,6 +733,9 @@
   else if (g_strcmp0 (name, "held-job-of-before") == 0)
     CU_add_test (suite, "a job that was held waits for unconfirmed workers",
                  test_a_job_that_was_held_waits_for_unconfirmed_workers);
+  else if (g_strcmp0 (name, "held-job-with-later-advice") == 0)
+    CU_add_test (suite, "advice since a job is held excludes no worker",
+                 test_advice_since_a_job_is_held_excludes_no_worker);
   else
     CU_add_test (suite, "a replaced owner extends no lease beyond the wait of its successor",
                  test_a_replaced_owner_extends_no_lease_beyond_the_wait_of_its_successor);
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -110,9 +110,9 @@
 }
 
 void __real_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                                  uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms);
+                                  const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 void __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                                  uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms);
+                                  const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 void __real_fb_wire_join (FbHttpCall *call, const char *store, const char *group,
                           const char *member, const char *const *topics, uint32_t ttl_ms,
                           uint64_t generation);
@@ -122,7 +122,7 @@
 
 void
 __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
-                             uint64_t stored_after_ms, uint64_t now_ms, uint64_t wall_ms)
+                             const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms)
 {
   if (load.is_counting)
     {
@@ -130,7 +130,7 @@
       load.jobs++;
       g_usleep (JOB_DELAY_US);
     }
-  __real_fb_pool_add_job_take (self, job, record, stored_after_ms, now_ms, wall_ms);
+  __real_fb_pool_add_job_take (self, job, record, receipt, now_ms, wall_ms);
 }
 
 static void
