A renewal that is answered in another generation extends nothing

Cause: the keepalive thread repeats the main loop's last join, and counted each answer 200 as a renewal. If the store has assigned the partitions anew meanwhile, its answer names another generation and another daemon may own them, but the main loop, which hangs, does not know: when it resumes, member_until_ms() says that no other daemon can have been assigned its partitions, for up to the time to live after the last repeat.

Change: the answer is parsed, and extends the membership only if its generation is the one that the main loop knows. The repeats go on, so that the store does not take this daemon for crashed.

Cost: a daemon whose main loop hangs for longer than the time to live while the group changes loads its pools again.

--- a/src/entry/store/daemons.c
+++ b/src/entry/store/daemons.c
@@ -357,7 +357,8 @@
   fb_wire_join (&call, self->entry->settings->store, GROUP, self->name, topics, ttl_ms,
                 self->generation);
   self->join_sent_ms = fb_clock_ms ();
-  fb_keepalive_set_renewal (self->entry->keepalive, FB_MEMBERSHIP_DAEMONS, &call, ttl_ms, 0);
+  fb_keepalive_set_renewal (self->entry->keepalive, FB_MEMBERSHIP_DAEMONS, &call, ttl_ms, 0,
+                            self->generation);
   fb_http_client_exchange (self->entry->store_client, &call, ANSWER_TIMEOUT_MS, on_joined, self);
   fb_http_call_clear (&call);
   return G_SOURCE_REMOVE;
--- a/src/entry/store/group.c
+++ b/src/entry/store/group.c
@@ -504,7 +504,7 @@
   fb_join_monitor_sent (&self->entry->join_monitor, self->join_sent_ms);
   self->keepalive_active = TRUE;
   fb_keepalive_set_renewal (self->entry->keepalive, FB_MEMBERSHIP_OWNERS, &call, self->ttl_ms,
-                            self->last_renewal_sent_ms);
+                            self->last_renewal_sent_ms, self->generation);
   fb_http_client_exchange (self->entry->store_client, &call, probe_timeout_ms (self), on_joined,
                            self);
   fb_http_call_clear (&call);
--- a/src/entry/store/keepalive.c
+++ b/src/entry/store/keepalive.c
@@ -1,5 +1,6 @@
 #include "keepalive.h"
 
+#include "platform/wire.h"
 #include "src/entry/clock.h"
 
 #include "fb-counter.h"
@@ -26,6 +27,7 @@
   FbHttpCall call;
   uint32_t ttl_ms;
   uint64_t last_renewal_sent_ms;
+  uint64_t generation; /* of the group, as known to the main loop */
   uint64_t sent_ms;
 } Renewal;
 
@@ -86,12 +88,23 @@
     atomic_store (&membership->renewed_ms, membership->repeated_ms);
 }
 
+/* In another generation the partitions may have been assigned to another daemon, of which only the
+ * main loop can take note. */
+static gboolean
+is_of_generation (const FbHttpReply *reply, uint64_t generation)
+{
+  g_autoptr (GArray) partitions = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  uint64_t answered = 0;
+  return fb_wire_parse_join (reply, &answered, partitions) && answered == generation;
+}
+
 static void
 on_repeated (gpointer data, const FbHttpReply *reply)
 {
   Membership *membership = data;
   membership->call_open = FALSE;
-  if (membership->renewal != NULL && reply->status == FB_HTTP_OK && reply->code == HTTP_OK)
+  if (membership->renewal != NULL && reply->status == FB_HTTP_OK && reply->code == HTTP_OK
+      && is_of_generation (reply, membership->renewal->generation))
     extend_membership (membership);
 }
 
@@ -144,7 +157,7 @@
 
 void
 fb_keepalive_set_renewal (FbKeepalive *self, FbMembership which, const FbHttpCall *call,
-                          uint32_t ttl_ms, uint64_t last_renewal_sent_ms)
+                          uint32_t ttl_ms, uint64_t last_renewal_sent_ms, uint64_t generation)
 {
   Renewal *renewal = g_new0 (Renewal, 1);
   renewal->keepalive = self;
@@ -152,6 +165,7 @@
   fb_http_call_copy (&renewal->call, call);
   renewal->ttl_ms = ttl_ms;
   renewal->last_renewal_sent_ms = last_renewal_sent_ms;
+  renewal->generation = generation;
   renewal->sent_ms = fb_clock_ms ();
   fb_loop_post (self->loop, set_renewal, renewal, NULL);
 }
--- a/src/entry/store/keepalive.h
+++ b/src/entry/store/keepalive.h
@@ -28,9 +28,10 @@
 void fb_keepalive_free (FbKeepalive *self);
 
 /* To be called when the main loop sends CALL (borrowed, idempotent), which renews WHICH for TTL_MS.
- * LAST_RENEWAL_SENT_MS: time at which its last answered renewal was sent; 0: none was answered. */
+ * LAST_RENEWAL_SENT_MS: time at which its last answered renewal was sent; 0: none was answered.
+ * GENERATION: of the group, as CALL names it; answers of another one extend nothing. */
 void fb_keepalive_set_renewal (FbKeepalive *self, FbMembership which, const FbHttpCall *call,
-                               uint32_t ttl_ms, uint64_t last_renewal_sent_ms);
+                               uint32_t ttl_ms, uint64_t last_renewal_sent_ms, uint64_t generation);
 /* Stops renewing WHICH.  A call that is open may still reach the store. */
 void fb_keepalive_cancel (FbKeepalive *self, FbMembership which);
 /* Returns: the time at which the last repeat was sent in an unbroken sequence of renewals of WHICH,
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -361,12 +361,14 @@
 #define BUSY_MS 1800
 
 static void
-start_renewals (FbKeepalive *keepalive, const Server *server, uint64_t last_renewal_sent_ms)
+start_renewals (FbKeepalive *keepalive, const Server *server, uint64_t last_renewal_sent_ms,
+                uint64_t generation)
 {
   FbHttpCall call = { .method = "GET",
                       .idempotent = TRUE,
                       .url = g_strdup_printf ("http://%s/", server->address) };
-  fb_keepalive_set_renewal (keepalive, FB_MEMBERSHIP_OWNERS, &call, TTL_MS, last_renewal_sent_ms);
+  fb_keepalive_set_renewal (keepalive, FB_MEMBERSHIP_OWNERS, &call, TTL_MS, last_renewal_sent_ms,
+                            generation);
   fb_http_call_clear (&call);
 }
 
@@ -381,7 +383,7 @@
   Server *server = server_new (g_bytes_new_static ("{}", 2), 1, G_MAXUINT);
   FbKeepalive *keepalive = fb_keepalive_new ();
   uint64_t started_ms = fb_clock_ms ();
-  start_renewals (keepalive, server, started_ms);
+  start_renewals (keepalive, server, started_ms, 0);
   g_usleep (BUSY_MS * 1000);
   CU_ASSERT_TRUE (g_atomic_int_get (&server->calls_n) >= 2);
   CU_ASSERT_TRUE (fb_keepalive_renewed_ms (keepalive, FB_MEMBERSHIP_OWNERS) > started_ms);
@@ -401,7 +403,7 @@
 {
   Server *server = server_new (g_bytes_new_static ("{}", 2), 1, G_MAXUINT);
   FbKeepalive *keepalive = fb_keepalive_new ();
-  start_renewals (keepalive, server, fb_clock_ms () - 2 * TTL_MS);
+  start_renewals (keepalive, server, fb_clock_ms () - 2 * TTL_MS, 0);
   g_usleep (4 * TTL_MS * 1000);
   CU_ASSERT_EQUAL (fb_keepalive_renewed_ms (keepalive, FB_MEMBERSHIP_OWNERS), 0);
   gint calls_n = g_atomic_int_get (&server->calls_n);
@@ -411,6 +413,25 @@
   fb_keepalive_free (keepalive);
 }
 
+/* A daemon whose main loop hung went on as the owner of partitions that had been assigned anew. */
+static void
+test_answer_of_another_generation_renews_nothing (void)
+{
+  static const char answer[] = "{\"generation\":5,\"parts\":[]}";
+  for (uint64_t generation = 4; generation <= 5; generation++)
+    {
+      Server *server = server_new (g_bytes_new_static (answer, strlen (answer)), 1, G_MAXUINT);
+      FbKeepalive *keepalive = fb_keepalive_new ();
+      uint64_t started_ms = fb_clock_ms ();
+      start_renewals (keepalive, server, started_ms, generation);
+      g_usleep (BUSY_MS * 1000);
+      CU_ASSERT_TRUE (g_atomic_int_get (&server->calls_n) >= 2);
+      CU_ASSERT_EQUAL (fb_keepalive_renewed_ms (keepalive, FB_MEMBERSHIP_OWNERS) > started_ms,
+                       generation == 5);
+      fb_keepalive_free (keepalive);
+    }
+}
+
 /* ---- a listing ---------------------------------------------------------------------- */
 
 #define JOB_N 372
@@ -526,6 +547,8 @@
                test_membership_is_renewed_while_the_loop_is_busy);
   CU_add_test (suite, "an expired membership is not renewed",
                test_expired_membership_is_not_renewed);
+  CU_add_test (suite, "answer of another generation renews nothing",
+               test_answer_of_another_generation_renews_nothing);
   CU_add_test (suite, "listing over a slow link", test_listing_over_a_slow_link);
   CU_add_test (suite, "listing is as old as its first page",
                test_listing_is_as_old_as_its_first_page);
