A task with a run that is being stopped is not pending

Cause: a task counted as pending once FbPoolTask.run was NULL. A run that a new owner finds beside the one of the task is not wanted and is stopped, but it works on for up to max_stop_ms, and longer if the stop gets no answer. When the wanted run ended meanwhile other than done, the task started again at once. On the same worker, the new run replaced the other one in the table of runs, whose resources were then never released.

Change: a task counts its runs on all workers, and is pending only without any. It is queued again when the last of them ends. Tombstones are not counted, they are no runs; nothing but a copy can start beside a run now, and a copy does not start on a worker with another run of its task.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -30,7 +30,8 @@
 
 typedef struct
 {
-  uint32_t attempt; /* number of the latest attempt; 0: none yet */
+  uint32_t attempt;      /* number of the latest attempt; 0: none yet */
+  uint32_t known_runs_n; /* runs of it on workers, without tombstones: RUN, COPY and any others */
   /* Numbers of the attempts that failed; NULL: none.  Each is counted once in whatever order the
    * ends arrive: a new owner receives the same ends again, from several workers. */
   GArray *failed;        /* of uint32_t */
@@ -197,8 +198,8 @@
 guint fb_pool_task_failed_n (const FbPoolTask *task);
 void fb_pool_task_set_checkpoint (FbPoolStep *step, uint32_t index, const char *checkpoint);
 gboolean fb_pool_step_done (const FbPoolStep *step);
-/* TRUE when the task may be placed: it is neither done, withheld, nor on a worker; for a step, when
- * one of its tasks may be. */
+/* TRUE when the task may be placed: it is neither done nor withheld, and no run of it is known,
+ * also none that is being stopped; for a step, when one of its tasks may be. */
 gboolean fb_pool_task_is_pending (const FbPoolTask *task);
 gboolean fb_pool_step_is_pending (const FbPoolStep *step);
 /* Task INDEX may have become pending: puts its step back into the queue. */
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -271,9 +271,6 @@
 /* WORKER has answered for the first time: orders it to refuse starts that were sent to earlier
  * incarnations and got no answer. */
 void fb_pool_unanswered_starts_reject (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
-/* TRUE while WORKER may hold a tombstone: a late start of task INDEX that it has to refuse. */
-gboolean fb_pool_restart_has_tombstone (const FbPoolWorker *worker, const FbPoolStep *step,
-                                        uint32_t index);
 /* INCARNATION answered instead of WORKER, under the same id. */
 void fb_pool_worker_restarted (FbPool *self, FbPoolWorker *worker, const char *incarnation,
                                uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -193,6 +193,14 @@
                                        uint64_t now_ms);
 FbPoolRun *fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                                    const char *name, uint32_t attempt);
+/* RUN, whose job was not known, is of task INDEX of STEP. */
+void fb_pool_worker_set_step (FbPoolWorker *worker, FbPoolRun *run, FbPoolStep *step,
+                              uint32_t index);
+/* Marks RUN as a tombstone, or as a run that is there after all. */
+void fb_pool_worker_set_tombstone (FbPoolWorker *worker, FbPoolRun *run, gboolean is_tombstone);
+/* TRUE when task INDEX has a tombstone on WORKER, or a run that it does not depend on. */
+gboolean fb_pool_worker_has_other_run (const FbPoolWorker *worker, const FbPoolStep *step,
+                                       uint32_t index);
 /* Removes RUN from WORKER and from its task, and frees it. */
 void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
 /* TRUE when the free capacity of WORKER suffices for a task of SPEC. */
--- a/src/work/pool-candidates.c
+++ b/src/work/pool-candidates.c
@@ -173,7 +173,7 @@
       if (!update_first (self))
         continue;
       const Candidate first = *at (self, 0);
-      if (!fb_pool_restart_has_tombstone (first.worker, self->step, index))
+      if (!fb_pool_worker_has_other_run (first.worker, self->step, index))
         best = first.worker;
       else
         {
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -233,7 +233,7 @@
           || worker->isolated_runs_n > 0 || !fb_pool_can_start_now (worker, step, rule, now_ms)
           || !fb_pool_crash_may_use (worker, task, now_ms)
           || (suspect && !fb_pool_crash_may_share (worker, task))
-          || fb_pool_restart_has_tombstone (worker, step, index))
+          || fb_pool_worker_has_other_run (worker, step, index))
         continue;
       if (worker->exclusive_for == task)
         return worker;
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -133,7 +133,7 @@
 gboolean
 fb_pool_task_is_pending (const FbPoolTask *task)
 {
-  return !task->done && task->run == NULL && !task->withheld;
+  return !task->done && task->run == NULL && task->known_runs_n == 0 && !task->withheld;
 }
 
 void
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -355,11 +355,10 @@
   fb_pool_worker_gained_capacity (self, worker);
   if (step != NULL && step->job->cancelled_ms != 0)
     fb_histogram_add (FB_HISTOGRAM_CANCEL, now_ms - step->job->cancelled_ms);
-  if (!was_current)
-    return;
-  if (ran)
+  if (was_current && ran)
     fb_pool_long_running_ended (step, index, outcome, now_ms);
-  fb_pool_task_requeue (self, step, index);
+  if (was_current || (step != NULL && fb_pool_task_is_pending (&step->tasks[index])))
+    fb_pool_task_requeue (self, step, index);
 }
 
 /* The worker refused the start: the run is not there and never will be. */
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -110,7 +110,7 @@
 {
   for (uint32_t i = 0; i < step->spec->count; i++)
     {
-      if (step->tasks[i].run != NULL)
+      if (step->tasks[i].run != NULL || step->tasks[i].known_runs_n > 0)
         return FALSE;
     }
   return TRUE;
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -369,10 +369,7 @@
           FbPoolStep *step = fb_pool_find_task (self, run->name, &index);
           if (step == NULL)
             continue;
-          fb_pool_worker_charge (worker, run, -1);
-          run->step = step;
-          run->index = index;
-          fb_pool_worker_charge (worker, run, 1);
+          fb_pool_worker_set_step (worker, run, step, index);
           assign_run (self, worker, run, run->started_ms);
         }
     }
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -81,8 +81,7 @@
   run->started_ms = start->sent_ms;
   run->deadline_ms = G_MAXUINT64;
   run->abandoned = TRUE;
-  run->is_tombstone = TRUE;
-  worker->tombstones_n++;
+  fb_pool_worker_set_tombstone (worker, run, TRUE);
   run->transferred_ms = now_ms;
   fb_pool_order_stop (self, worker, run, now_ms);
 }
@@ -101,18 +100,6 @@
     }
 }
 
-/* If a task started on a worker that must still refuse an earlier start of it, the new run would
- * replace the tombstone in the table of runs, and the tombstone's resources would never be
- * released. So the task does not start there until the stop is answered. */
-gboolean
-fb_pool_restart_has_tombstone (const FbPoolWorker *worker, const FbPoolStep *step, uint32_t index)
-{
-  if (worker->tombstones_n == 0)
-    return FALSE;
-  g_autofree char *name = fb_pool_task_name (step, index);
-  return g_hash_table_contains (worker->runs, name);
-}
-
 /* Returns: the worker with id INCARNATION, which replaced BEFORE at its address. */
 static FbPoolWorker *
 next_incarnation (FbPool *self, const FbPoolWorker *before, const char *incarnation,
@@ -199,8 +186,7 @@
   moved->unanswered = run->unanswered;
   moved->from_start = run->from_start;
   moved->order = run->state != FB_RUN_STOPPING ? run->order : 0;
-  moved->is_tombstone = run->is_tombstone;
-  next->tombstones_n += run->is_tombstone;
+  fb_pool_worker_set_tombstone (next, moved, run->is_tombstone);
   moved->transferred_ms = now_ms;
   return moved;
 }
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -42,9 +42,18 @@
   return worker;
 }
 
+/* Adds RUN to (SIGN 1) or removes it from (-1) the known runs of its task. */
+static void
+count_run (const FbPoolRun *run, int sign)
+{
+  if (run->step != NULL && !run->is_tombstone)
+    run->step->tasks[run->index].known_runs_n += (uint32_t) sign;
+}
+
 static void
 run_free (FbPoolRun *run)
 {
+  count_run (run, -1);
   if (run->step != NULL)
     fb_pool_task_detach_run (&run->step->tasks[run->index], run);
   g_free (run->name);
@@ -217,9 +226,53 @@
   run->speed = worker->speed;
   g_hash_table_insert (worker->runs, run->name, run);
   fb_pool_worker_charge (worker, run, 1);
+  count_run (run, 1);
   return run;
 }
 
+void
+fb_pool_worker_set_step (FbPoolWorker *worker, FbPoolRun *run, FbPoolStep *step, uint32_t index)
+{
+  fb_pool_worker_charge (worker, run, -1);
+  run->step = step;
+  run->index = index;
+  fb_pool_worker_charge (worker, run, 1);
+  count_run (run, 1);
+}
+
+void
+fb_pool_worker_set_tombstone (FbPoolWorker *worker, FbPoolRun *run, gboolean is_tombstone)
+{
+  if (run->is_tombstone == is_tombstone)
+    return;
+  count_run (run, -1);
+  run->is_tombstone = is_tombstone;
+  count_run (run, 1);
+  if (is_tombstone)
+    worker->tombstones_n++;
+  else
+    worker->tombstones_n--;
+}
+
+static gboolean
+is_counted (const FbPoolRun *run)
+{
+  return run != NULL && !run->is_tombstone;
+}
+
+/* A new run would replace the other one in the table of runs, and the resources of that one would
+ * never be released. So the task does not start there until the other one is over. */
+gboolean
+fb_pool_worker_has_other_run (const FbPoolWorker *worker, const FbPoolStep *step, uint32_t index)
+{
+  const FbPoolTask *task = &step->tasks[index];
+  guint current_n = (guint) is_counted (task->run) + (guint) is_counted (task->copy);
+  if (worker->tombstones_n == 0 && task->known_runs_n <= current_n)
+    return FALSE;
+  g_autofree char *name = fb_pool_task_name (step, index);
+  return g_hash_table_contains (worker->runs, name);
+}
+
 void
 fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run)
 {
