An answer with an end or a run that cannot be read is of unknown content

Cause: an end with an unknown reason was skipped, the ends after it were processed, and the acknowledgement of these told the worker to forget it too. Its run was in neither list, so it counted as absent and its task started again although it may be done. An end without a number had the number 0 and counted as processed long ago; a run or an end without an attempt had the attempt 0, so it was taken for no sign of the run. A malformed row, the same in kind, has always made the whole answer unknown.

--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -453,6 +453,27 @@
     }
 }
 
+/* An end that was skipped was acknowledged with the next one, and its task ran again. */
+static void
+test_ends_that_cannot_be_read (void)
+{
+  static const char *const rows[]
+      = { "\"finished\":[[58,\"u\",1,\"expired\",\"\"],[59,\"v\",1,\"done\",\"\"]]",
+          "\"finished\":[[58,\"u\",1],[59,\"v\",1,\"done\",\"\"]]",
+          "\"finished\":[[\"58\",\"u\",1,\"done\",\"\"],[59,\"v\",1,\"done\",\"\"]]",
+          "\"finished\":[[58,\"u\",null,\"done\",\"\"]]", "\"running\":[[\"t\",\"2\",\"\",41]]" };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *text = g_strdup_printf ("{\"clock-ms\":5,%s}", rows[i]);
+      g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+      FbHttpReply reply = reply_of (200, body);
+      FbPollAnswer answer;
+      fb_wire_parse_poll (&reply, "i-1", &answer);
+      CU_ASSERT_EQUAL (answer.result, FB_ORDER_UNKNOWN);
+      fb_poll_answer_clear (&answer);
+    }
+}
+
 /* Guards against an answer that is discarded as a whole because the progress of a run is missing or
  * malformed, and against a malformed percentage that is taken for progress. */
 static void
@@ -698,6 +719,7 @@
   CU_add_test (suite, "records read back", test_records_read_back);
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers to polls", test_poll_answers);
+  CU_add_test (suite, "ends that cannot be read", test_ends_that_cannot_be_read);
   CU_add_test (suite, "percentages", test_percentages);
   CU_add_test (suite, "answers of other incarnations", test_answers_of_other_incarnations);
   CU_add_test (suite, "names of incarnations", test_names_of_incarnations);
