Advice with a row that cannot be read is no advice

Cause: a malformed row of 'allowed' was dropped, as were rows beyond 128. Its worker had been asked about and then counted as not allowed, which pool-recovery.c takes for proof that no task of the step runs there: a new owner starts the step's tasks although that worker has not answered and may run them.

A missing 'allowed' still is an empty list, as empty fields are omitted.

--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -474,6 +474,37 @@
     }
 }
 
+/* A worker whose row could not be read counted as not allowed, which proves that no task of the
+ * step is there. */
+static void
+test_advice_rows_that_cannot_be_read (void)
+{
+  static const struct
+  {
+    const char *text;
+    gboolean readable;
+    guint allowed;
+  } cases[] = {
+    { "{\"allowed\":[[\"i-1\",\"t\"]],\"validity-ms\":5}", TRUE, 1 },
+    { "{\"allowed\":[],\"validity-ms\":5}", TRUE, 0 },
+    { "{\"validity-ms\":5}", TRUE, 0 },
+    { "{\"allowed\":[[\"i-1\",\"t\"],7],\"validity-ms\":5}", FALSE, 0 },
+    { "{\"allowed\":[[\"i-1\",\"t\"],[]],\"validity-ms\":5}", FALSE, 0 },
+    { "{\"allowed\":[[7,\"t\"]],\"validity-ms\":5}", FALSE, 0 },
+    { "{\"allowed\":[[\"\",\"t\"]],\"validity-ms\":5}", FALSE, 0 },
+    { "{\"allowed\":{},\"validity-ms\":5}", FALSE, 0 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GBytes) body = g_bytes_new (cases[i].text, strlen (cases[i].text));
+      FbHttpReply reply = reply_of (200, body);
+      fb_advice_reply advice;
+      CU_ASSERT_EQUAL (fb_wire_parse_advice (&reply, &advice), cases[i].readable);
+      CU_ASSERT_EQUAL (advice.tickets.tickets_len, cases[i].allowed);
+      xdr_free ((xdrproc_t) xdr_fb_advice_reply, (char *) &advice);
+    }
+}
+
 /* Guards against an answer that is discarded as a whole because the progress of a run is missing or
  * malformed, and against a malformed percentage that is taken for progress. */
 static void
@@ -720,6 +751,7 @@
   CU_add_test (suite, "results of orders", test_order_results);
   CU_add_test (suite, "answers to polls", test_poll_answers);
   CU_add_test (suite, "ends that cannot be read", test_ends_that_cannot_be_read);
+  CU_add_test (suite, "advice rows that cannot be read", test_advice_rows_that_cannot_be_read);
   CU_add_test (suite, "percentages", test_percentages);
   CU_add_test (suite, "answers of other incarnations", test_answers_of_other_incarnations);
   CU_add_test (suite, "names of incarnations", test_names_of_incarnations);
