A tombstone that is listed is a run

Cause: a tombstone is a late start that a worker is ordered to refuse, and no run of its task. If the worker lists it, the start has overtaken the stop: it works until the stop is carried out. It still counted as a tombstone, so the task, if its own run ended meanwhile, started a third time beside it.

Change: a tombstone that is listed becomes a run that is being stopped, and its task is not pending before its end.

Result: late-start-that-its-tombstone-did-not-refuse failed before: attempt 3 started 100 ms before the end of attempt 1 was listed.

--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -254,6 +254,7 @@
   if (run->transferred_ms == 0)
     return;
   run->transferred_ms = 0;
+  fb_pool_worker_set_tombstone (worker, run, FALSE);
   if (run->deferred_crash.worker != 0)
     {
       fb_pool_unresolved_start_drop_id_hash (&run->step->tasks[run->index],
