Of two runs of a task that a new owner finds, one is stopped

Cause: a run with a higher attempt than that of the task's run was wanted, but not assigned to the task, which had a run already. Neither was stopped: both worked to their ends. The same with equal attempts.

Change: the run with the higher attempt takes the place of the earlier ones, and these are stopped. Of two with the same attempt, the one found later is stopped once the worker of the other has listed it; until then the first may be a start that never arrived, and both are left, as before.

Result: two-runs-of-a-task-at-a-takeover failed before: no stop was ordered.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -78,6 +78,13 @@
   return run->step != NULL && &run->step->tasks[run->index] == task;
 }
 
+static gboolean
+is_earlier_attempt (const FbPoolRun *run, gconstpointer other)
+{
+  const FbPoolRun *later = other;
+  return run->step == later->step && run->index == later->index && run->attempt < later->attempt;
+}
+
 static void
 stop_runs (FbPool *self, RunFilter filter, gconstpointer object, uint64_t now_ms)
 {
@@ -299,6 +306,14 @@
     fb_counter_add (FB_COUNTER_CANCELLED_RUNS_FOUND, 1);
 }
 
+/* TRUE when a task whose step allows one run at a time depends on RUN rather than on CURRENT. */
+static gboolean
+takes_precedence (const FbPoolRun *run, const FbPoolRun *current)
+{
+  return current->attempt < run->attempt
+         || (current->attempt == run->attempt && current->seen_clock_ms == 0);
+}
+
 /* Assigns RUN, whose step is known, to its task, or stops it if it is not needed. */
 static void
 assign_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
@@ -307,7 +322,7 @@
   FbPoolTask *task = &step->tasks[run->index];
   gboolean wanted = !task->done && !fb_pool_job_ended (step->job);
   if (wanted && task->run != NULL && task->run != run)
-    wanted = step->spec->speculative ? task->copy == NULL : task->run->attempt <= run->attempt;
+    wanted = step->spec->speculative ? task->copy == NULL : takes_precedence (run, task->run);
   fb_event_log (FB_EVENT_RUN_ADOPTED,
                 "task=%s attempt=%u worker=%s wanted=%d epoch=%" G_GUINT64_FORMAT, run->name,
                 run->attempt, worker->id, wanted, self->epoch);
@@ -319,6 +334,11 @@
     }
   if (task->run == NULL || step->spec->speculative)
     fb_pool_task_attach_run (task, run);
+  else if (task->run->attempt < run->attempt)
+    {
+      stop_runs (self, is_earlier_attempt, run, now_ms);
+      task->run = run;
+    }
   task->attempt = MAX (task->attempt, run->attempt);
   step->gang_attempt = MAX (step->gang_attempt, run->attempt);
   step->job->started = TRUE;
