The answer to a poll of a removed worker is not one of its next entry

Cause: a worker that has left the list, and on which nothing runs, is removed while a poll of it is open. If it was listed again before the answer, the new entry was polled beside the old poll, and the first answer, of the old poll, counted as one to the new poll: as sent later than it was. By the time at which an answered poll was sent, a transferred start counts as never arrived, another incarnation as ended and the ownership as confirmed.

Change: the pool remembers the ids of removed workers with an open poll. If one is listed again, it is polled once that poll is over, whose answer is discarded unless it is fenced.

Result: worker-listed-again-while-its-poll-is-open failed before: two polls were open at once and the first answer counted.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -116,6 +116,7 @@
   /* Its clock is at most this far ahead of this owner's since it last began to answer. */
   int64_t clock_ahead_ms;
   gboolean poll_open;             /* a poll is unanswered */
+  gboolean poll_outlived;         /* that poll was sent to a removed entry of this worker */
   gboolean first_poll_open;       /* it is counted in FbPool.first_polls_open_n */
   uint32_t first_poll_timeout_ms; /* timeout of the last initial poll; 0: none sent */
   uint64_t next_poll_ms;          /* when the next poll is due */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -607,8 +607,18 @@
 {
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
   if (worker == NULL)
-    return;
+    {
+      g_hash_table_remove (self->outlived_polls, id);
+      return;
+    }
   worker->poll_open = FALSE;
+  if (worker->poll_outlived)
+    {
+      worker->poll_outlived = FALSE;
+      if (answer->result == FB_ORDER_FENCED)
+        fb_pool_fenced (self, worker);
+      return;
+    }
   fb_pool_first_poll_ended (self, worker);
   if (answer->result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
--- a/src/work/pool-worker-slots.c
+++ b/src/work/pool-worker-slots.c
@@ -18,6 +18,8 @@
   worker->slot = self->free_slot;
   worker->incarnation = ++self->last_incarnation;
   g_hash_table_insert (self->workers, worker->id, worker);
+  worker->poll_outlived = g_hash_table_remove (self->outlived_polls, worker->id);
+  worker->poll_open = worker->poll_outlived;
   fb_pool_silence_worker_added (self, worker);
 }
 
@@ -40,6 +42,8 @@
   self->worker_slots->pdata[worker->slot] = NULL;
   self->free_slot = MIN (self->free_slot, worker->slot);
   fb_pool_first_poll_ended (self, worker);
+  if (worker->poll_open)
+    g_hash_table_add (self->outlived_polls, g_strdup (worker->id));
   fb_pool_incarnation_remove (self, worker);
   remove_gained_capacity (self, worker);
   g_hash_table_remove (self->workers, worker->id);
