Another worker at an address that a worker has left proves nothing

Cause: status 421, an answer of another worker, is proof that the worker that was called has ended, as one process listens at an address at a time. If the worker's entry has moved to another address since the call was sent, the answer is of whoever is at the address before, and the worker's tasks started again while it worked on them.

Change: an order and a poll remember when they were sent. Sent before the entry moved, such an answer counts as none.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -78,6 +78,7 @@
   gboolean gained_capacity; /* it is in FbPool.gained_capacity */
   gboolean accepted_work;   /* it accepted starts at the last maintenance pass */
   char *address;            /* IP:PORT; NULL: not known yet */
+  uint64_t address_ms;      /* when it was last listed at another address; 0: never */
   char *rack;               /* NULL: not known */
   char **labels;            /* NULL-terminated */
   uint32_t cpu_milli;
@@ -181,6 +182,10 @@
 /* TRUE when a run that is no longer counted on WORKER may have an end that is not processed, or not
  * stored. */
 gboolean fb_pool_worker_has_unsettled_end (const FbPoolWorker *worker);
+/* Returns: RESULT of a call of SENT_MS, or FB_ORDER_UNKNOWN when it tells nothing about WORKER: if
+ * its entry has moved since, another worker may answer at the address that it had. */
+FbOrderResult fb_pool_worker_call_result (const FbPoolWorker *worker, FbOrderResult result,
+                                          uint64_t sent_ms);
 /* TRUE when the last poll of WORKER did not succeed. */
 gboolean fb_pool_worker_poll_failed (const FbPoolWorker *worker);
 /* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -41,6 +41,7 @@
   char *worker; /* id of the worker */
   char *task;   /* name of the task */
   uint32_t attempt;
+  uint64_t sent_ms;
 } FbPoolOrderRef;
 
 static void
@@ -65,12 +66,13 @@
 }
 
 static uint64_t
-add_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+add_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
 {
   FbPoolOrderRef *ref = g_new0 (FbPoolOrderRef, 1);
   ref->worker = g_strdup (worker->id);
   ref->task = g_strdup (run->name);
   ref->attempt = run->attempt;
+  ref->sent_ms = now_ms;
   uint64_t *key = g_new (uint64_t, 1);
   *key = ++self->last_order;
   g_hash_table_insert (self->open_orders, key, ref);
@@ -78,11 +80,13 @@
 }
 
 /* Removes ORDER from the open orders.
+ *
+ * *RESULT becomes FB_ORDER_UNKNOWN when it tells nothing about its worker.
  *
  * Returns: its worker, NULL if unknown. *RUN is NULL when the run is over already, even if another
  * attempt of its task is on the worker. */
 static FbPoolWorker *
-remove_order (FbPool *self, uint64_t order, FbPoolRun **run)
+remove_order (FbPool *self, uint64_t order, FbPoolRun **run, FbOrderResult *result)
 {
   FbPoolOrderRef *ref = g_hash_table_lookup (self->open_orders, &order);
   *run = NULL;
@@ -90,7 +94,10 @@
     return NULL;
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, ref->worker);
   if (worker != NULL)
-    *run = g_hash_table_lookup (worker->runs, ref->task);
+    {
+      *run = g_hash_table_lookup (worker->runs, ref->task);
+      *result = fb_pool_worker_call_result (worker, *result, ref->sent_ms);
+    }
   if (*run != NULL && (*run)->attempt != ref->attempt)
     *run = NULL;
   g_hash_table_remove (self->open_orders, &order);
@@ -186,7 +193,7 @@
   if (!self->has_started)
     fb_histogram_add (FB_HISTOGRAM_POOL_FIRST_START, now_ms - self->created_ms);
   self->has_started = TRUE;
-  run->order = add_order (self, worker, run);
+  run->order = add_order (self, worker, run, now_ms);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   task->attempt = run->attempt;
   if (!step->job->started)
@@ -219,7 +226,7 @@
   run->stop_sent_ms = now_ms;
   if (run->awaits_record)
     return;
-  run->order = add_order (self, worker, run);
+  run->order = add_order (self, worker, run, now_ms);
   fb_event_log (FB_EVENT_TASK_STOPPING, "task=%s attempt=%u worker=%s epoch=%" G_GUINT64_FORMAT,
                 run->name, run->attempt, worker->id, self->epoch);
   const FbStopOrder order = { .order = run->order,
@@ -402,7 +409,7 @@
                         uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run);
+  FbPoolWorker *worker = remove_order (self, order, &run, &result);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
   if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
@@ -443,7 +450,7 @@
                        uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run);
+  FbPoolWorker *worker = remove_order (self, order, &run, &result);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
   if (run != NULL && run->order == order && result == FB_ORDER_DONE)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -620,23 +620,24 @@
       return;
     }
   fb_pool_first_poll_ended (self, worker);
-  if (answer->result == FB_ORDER_DONE)
+  FbOrderResult result = fb_pool_worker_call_result (worker, answer->result, worker->poll_sent_ms);
+  if (result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
         = MAX (worker->confirmed_acknowledged, worker->poll_acknowledges);
   if (worker->poll_acknowledges != 0)
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
-  worker->poll_result = answer->result;
-  worker->next_poll_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
+  worker->poll_result = result;
+  worker->next_poll_ms = !worker->answered && result == FB_ORDER_UNKNOWN
                              ? fb_pool_first_poll_retry_ms (worker, now_ms)
                              : now_ms + POLL_INTERVAL_MS;
-  if (answer->result == FB_ORDER_DONE && !worker->replaced)
+  if (result == FB_ORDER_DONE && !worker->replaced)
     process_answer (self, worker, answer, now_ms, wall_ms);
-  else if (answer->result == FB_ORDER_FENCED)
+  else if (result == FB_ORDER_FENCED)
     fb_pool_fenced (self, worker);
-  else if (answer->result == FB_ORDER_OTHER_INCARNATION && answer->incarnation != NULL)
+  else if (result == FB_ORDER_OTHER_INCARNATION && answer->incarnation != NULL)
     fb_pool_worker_restarted (self, worker, answer->incarnation, now_ms);
-  else if (answer->result == FB_ORDER_OTHER_INCARNATION)
+  else if (result == FB_ORDER_OTHER_INCARNATION)
     fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
   fb_pool_silence_polled (self, worker, now_ms);
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -163,6 +163,8 @@
   gboolean address_changed = g_strcmp0 (worker->address, entry->address) != 0;
   if (address_changed)
     fb_pool_incarnation_remove (self, worker);
+  if (address_changed && worker->address != NULL)
+    worker->address_ms = now_ms;
   fb_pool_worker_set_entry (worker, entry);
   fb_pool_silence_worker_listed (worker);
   fb_pool_worker_gained_capacity (self, worker);
