Another worker that answers an earlier incarnation's call proves nothing of the next

Cause: an open start or stop is attributed to the next incarnation of its worker when that is known. Status 421, sent by another worker that listened at the address between the two, then ended the next incarnation, whose tasks started again while it worked on them.

Change: an order remembers to which incarnation it was sent. Such an answer about another one counts as none; if that one has ended too, its next poll tells.

Result: other-worker-answers-a-call-to-an-earlier-incarnation failed before: the task started on the other worker 20 ms later.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -42,6 +42,7 @@
   char *task;   /* name of the task */
   uint32_t attempt;
   uint64_t sent_ms;
+  uint32_t incarnation; /* FbPoolWorker.incarnation of the worker that it was sent to */
 } FbPoolOrderRef;
 
 static void
@@ -73,6 +74,7 @@
   ref->task = g_strdup (run->name);
   ref->attempt = run->attempt;
   ref->sent_ms = now_ms;
+  ref->incarnation = worker->incarnation;
   uint64_t *key = g_new (uint64_t, 1);
   *key = ++self->last_order;
   g_hash_table_insert (self->open_orders, key, ref);
@@ -97,6 +99,9 @@
     {
       *run = g_hash_table_lookup (worker->runs, ref->task);
       *result = fb_pool_worker_call_result (worker, *result, ref->sent_ms);
+      /* It may be the answer of a worker that was there before this one. */
+      if (*result == FB_ORDER_OTHER_INCARNATION && ref->incarnation != worker->incarnation)
+        *result = FB_ORDER_UNKNOWN;
     }
   if (*run != NULL && (*run)->attempt != ref->attempt)
     *run = NULL;
