A record of workers that cannot be read is not taken for none

Cause: a record of workers that cannot be decoded, or lacks parts, was skipped. The new owner then counted its majority over the listed workers alone, and what the previous owner had started on a worker whose entry had expired started again at once.

Change: the pool is told. Jobs of the previous owner wait until its longest lease has ended on any worker, as for one that does not answer. Until then the record is not replaced: a successor would take the new one for complete.

No other script of a pool changes. The path from the store's record to the pool has no test of its own.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -44,6 +44,7 @@
   uint64_t majority_ms;               /* when a majority of the workers had answered; 0: not yet */
   uint64_t leases_until_ms;           /* see fb_pool_set_leases_until() */
   gboolean workers_complete;          /* fb_pool_workers_complete() was called */
+  gboolean workers_unreadable;        /* fb_pool_workers_unreadable() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
   uint64_t awaits_logged_ms; /* when POOL_AWAITS_WORKERS was last logged; 0: never */
   /* Of FbPoolWorker that may have unknown runs, as of this tick; borrowed. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -192,6 +192,9 @@
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
                                             uint64_t now_ms);
+/* Returns: when every lease of an earlier owner has certainly ended; G_MAXUINT64: this is not known
+ * yet. */
+uint64_t fb_pool_earlier_leases_end_ms (const FbPool *self);
 /* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
 const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
 /* TRUE when every lease that the worker can hold has certainly ended. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -205,6 +205,9 @@
 /* Adds the workers that the previous owner recorded; must be called before
  * fb_pool_workers_complete(). */
 void fb_pool_restore_workers (FbPool *self, const fb_work_workers *record);
+/* The record of workers cannot be read: the previous owner may have used workers that are not
+ * listed. */
+void fb_pool_workers_unreadable (FbPool *self);
 /* Restores the record of silent workers; must be called before fb_pool_restore_workers(). WORKERS:
  * the newest record of workers, as stored. FENCED_MS: a time from which on the previous owner could
  * store nothing. Returns: FALSE when SILENT_WORKERS is malformed; a
--- a/src/entry/owner/owner-load.c
+++ b/src/entry/owner/owner-load.c
@@ -42,6 +42,7 @@
   if (!fb_codec_decode_workers (data, len, &record))
     {
       fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "workers of service=%s malformed", service);
+      fb_pool_workers_unreadable (pool);
       return;
     }
   g_autofree char *silent_key = g_strconcat (FB_KEY_SILENT_WORKERS, service, NULL);
@@ -233,6 +234,9 @@
       GBytes *value = fb_record_parts_join (self->progress, key);
       if (value != NULL)
         g_hash_table_replace (self->progress, g_strdup (key), value);
+      /* The pool must know that there is a record of workers. */
+      else if (g_str_has_prefix (key, FB_KEY_WORKERS))
+        g_hash_table_replace (self->progress, g_strdup (key), g_bytes_new_static ("", 0));
       else if (g_hash_table_remove (self->progress, key))
         fb_event_log (FB_EVENT_LOG_RECORD_SKIPPED, "key=%s parts missing", (const char *) key);
     }
--- a/src/work/pool-majority.c
+++ b/src/work/pool-majority.c
@@ -79,6 +79,9 @@
 gboolean
 fb_pool_has_majority (const FbPool *self, uint32_t within_ms, uint64_t now_ms)
 {
+  /* Unknown workers count until the entries of those that are up must be back. */
+  if (self->workers_unreadable && now_ms < self->created_ms + FB_POOL_UNLISTED_COUNTED_MS)
+    return FALSE;
   AnswerCounts counts = count_answers (self, within_ms, now_ms);
   if (counts.in_open_record.workers_n > 0 && !is_majority (&counts.in_open_record))
     return FALSE;
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -163,6 +163,9 @@
 static void
 flush_workers (FbPool *self, GPtrArray *records, uint64_t now_ms)
 {
+  /* A successor would take a record of the listed workers for complete. */
+  if (self->workers_unreadable && !self->recovered)
+    return;
   if (!workers_record_is_due (self, now_ms) && !fb_pool_silence_record_is_due (self, now_ms))
     return;
   self->workers_dirty = !self->recovered;
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -76,6 +76,13 @@
     }
 }
 
+/* TRUE while any step may run on a worker that only the unreadable record names. */
+static gboolean
+may_run_on_unknown_worker (const FbPool *self, uint64_t now_ms)
+{
+  return self->workers_unreadable && now_ms <= fb_pool_earlier_leases_end_ms (self);
+}
+
 static const char *
 reason_to_await (const FbPoolWorker *worker)
 {
@@ -156,7 +163,8 @@
   if (self->majority_ms == 0)
     return;
   find_unconfirmed (self);
-  self->recovered = self->unconfirmed_workers->len == 0;
+  self->recovered
+      = self->unconfirmed_workers->len == 0 && !may_run_on_unknown_worker (self, now_ms);
   fb_pool_accounts_update_unconfirmed (self, now_ms);
   if (!self->recovered)
     {
@@ -267,6 +275,8 @@
     return TRUE;
   if (self->recovered || step->job->never_started)
     return FALSE;
+  if (self->workers_unreadable)
+    return TRUE;
   for (guint i = 0; i < self->unconfirmed_workers->len; i++)
     {
       const FbPoolWorker *worker = self->unconfirmed_workers->pdata[i];
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -143,6 +143,14 @@
   return lease_ms * 1000 / (1000 - CLOCK_SLOW_PERMILLE) + LEASE_EXPIRY_SLACK_MS;
 }
 
+uint64_t
+fb_pool_earlier_leases_end_ms (const FbPool *self)
+{
+  return self->majority_ms != 0
+             ? self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
+             : G_MAXUINT64;
+}
+
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
  * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
@@ -155,8 +163,7 @@
   if (self->majority_ms == 0)
     return G_MAXUINT64;
   uint64_t end_ms
-      = MIN (fb_pool_silence_lease_end_ms (self, worker),
-             self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS));
+      = MIN (fb_pool_silence_lease_end_ms (self, worker), fb_pool_earlier_leases_end_ms (self));
   if (worker->misdirected_calls_since_ms != 0)
     end_ms
         = MAX (end_ms, worker->misdirected_calls_since_ms
@@ -172,9 +179,7 @@
   uint64_t end_ms = unanswered_lease_end_ms (self, worker);
   if (end_ms == fb_pool_silence_lease_end_ms (self, worker))
     return "previous owner's record";
-  return end_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
-             ? "misdirected call"
-             : "majority";
+  return end_ms > fb_pool_earlier_leases_end_ms (self) ? "misdirected call" : "majority";
 }
 
 uint64_t
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -220,6 +220,12 @@
     }
 }
 
+void
+fb_pool_workers_unreadable (FbPool *self)
+{
+  self->workers_unreadable = TRUE;
+}
+
 void
 fb_pool_workers_complete (FbPool *self)
 {
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -319,8 +319,9 @@
   open_pool (script, 1);
 }
 
-/* new-owner EPOCH [stale-list]: replaces the owner by one that loads the stored records and the
- * list of workers; with stale-list the list may lack workers that the previous owner has used. */
+/* new-owner EPOCH [stale-list] [unreadable-workers]: replaces the owner by one that loads the
+ * stored records and the list of workers; with stale-list the list may lack workers that the
+ * previous owner has used; with unreadable-workers the record of workers cannot be read. */
 static void
 do_new_owner (Script *script)
 {
@@ -347,7 +348,10 @@
   g_hash_table_iter_init (&iter, script->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     list_worker (script, value);
-  restore_workers (script);
+  if (has_flag (script, "unreadable-workers"))
+    fb_pool_workers_unreadable (script->pool);
+  else
+    restore_workers (script);
   if (!has_flag (script, "stale-list"))
     fb_pool_workers_complete (script->pool);
 }
