A worker that is listed again is polled while its earlier poll is open

Cause: since an answer to a poll of a removed entry was discarded, the first poll of the next entry waited for it, up to 0.6 s, and so did the stops of late starts that are sent at the first answer.

Change: the first poll is sent at once. Which of the two polls an answer is to is not known, so it counts as one to the earlier; the next poll waits for both answers, and such a worker is not removed before.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -58,8 +58,8 @@
   gboolean has_started;      /* this owner has ordered a start */
   GHashTable *workers;       /* id -> FbPoolWorker */
   GPtrArray *worker_slots;   /* of FbPoolWorker by slot; NULL: the slot is free; borrowed */
-  /* Set of ids of removed workers with an open poll. If such a worker is listed again, the answer
-   * to that poll is discarded: it would be taken for an answer to a later one. */
+  /* Id of a removed worker with an open poll -> uint64_t, when that poll was sent. If the worker is
+   * listed again, an answer may be one to that poll. */
   GHashTable *outlived_polls;
   uint32_t last_incarnation; /* last FbPoolWorker.incarnation that was assigned; 0: none yet */
   /* Address -> FbPoolWorker, the incarnation there that began last; borrowed. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -116,12 +116,14 @@
   uint64_t recorded_lease_ms; /* every lease ends within this time after that record */
   /* Its clock is at most this far ahead of this owner's since it last began to answer. */
   int64_t clock_ahead_ms;
-  gboolean poll_open;             /* a poll is unanswered */
-  gboolean poll_outlived;         /* that poll was sent to a removed entry of this worker */
+  gboolean poll_open; /* a poll is unanswered */
+  /* When a poll was sent to a removed entry of this worker that is still open; 0: there is none. */
+  uint64_t outlived_poll_sent_ms;
   gboolean first_poll_open;       /* it is counted in FbPool.first_polls_open_n */
   uint32_t first_poll_timeout_ms; /* timeout of the last initial poll; 0: none sent */
   uint64_t next_poll_ms;          /* when the next poll is due */
-  uint64_t poll_sent_ms;          /* when the last poll was sent */
+  /* When the last poll was sent, or an earlier one that the next answer may belong to. */
+  uint64_t poll_sent_ms;
   FbOrderResult poll_result;      /* of the last poll; FB_ORDER_DONE before the first one */
   uint64_t answered_poll_sent_ms; /* when the last answered poll had been sent */
   uint64_t last_answer_ms;        /* when the last answer arrived; 0: never */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -349,7 +349,8 @@
   worker->poll_open = TRUE;
   worker->first_poll_open = !worker->answered;
   self->first_polls_open_n += worker->first_poll_open;
-  worker->poll_sent_ms = now_ms;
+  worker->poll_sent_ms
+      = worker->outlived_poll_sent_ms != 0 ? worker->outlived_poll_sent_ms : now_ms;
   self->callbacks->poll (self->user, &order);
 }
 
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -611,14 +611,11 @@
       g_hash_table_remove (self->outlived_polls, id);
       return;
     }
-  worker->poll_open = FALSE;
-  if (worker->poll_outlived)
-    {
-      worker->poll_outlived = FALSE;
-      if (answer->result == FB_ORDER_FENCED)
-        fb_pool_fenced (self, worker);
-      return;
-    }
+  /* Of two open polls, it is not known which one is answered: the next poll waits for both. */
+  if (worker->outlived_poll_sent_ms != 0 && !worker->poll_open)
+    worker->poll_sent_ms = worker->outlived_poll_sent_ms;
+  worker->poll_open = worker->poll_open && worker->outlived_poll_sent_ms != 0;
+  worker->outlived_poll_sent_ms = 0;
   fb_pool_first_poll_ended (self, worker);
   FbOrderResult result = fb_pool_worker_call_result (worker, answer->result, worker->poll_sent_ms);
   if (result == FB_ORDER_DONE)
--- a/src/work/pool-worker-slots.c
+++ b/src/work/pool-worker-slots.c
@@ -18,8 +18,9 @@
   worker->slot = self->free_slot;
   worker->incarnation = ++self->last_incarnation;
   g_hash_table_insert (self->workers, worker->id, worker);
-  worker->poll_outlived = g_hash_table_remove (self->outlived_polls, worker->id);
-  worker->poll_open = worker->poll_outlived;
+  const uint64_t *sent_ms = g_hash_table_lookup (self->outlived_polls, worker->id);
+  worker->outlived_poll_sent_ms = sent_ms != NULL ? *sent_ms : 0;
+  g_hash_table_remove (self->outlived_polls, worker->id);
   fb_pool_silence_worker_added (self, worker);
 }
 
@@ -43,7 +44,8 @@
   self->free_slot = MIN (self->free_slot, worker->slot);
   fb_pool_first_poll_ended (self, worker);
   if (worker->poll_open)
-    g_hash_table_add (self->outlived_polls, g_strdup (worker->id));
+    g_hash_table_replace (self->outlived_polls, g_strdup (worker->id),
+                          g_memdup2 (&worker->poll_sent_ms, sizeof worker->poll_sent_ms));
   fb_pool_incarnation_remove (self, worker);
   remove_gained_capacity (self, worker);
   g_hash_table_remove (self->workers, worker->id);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -49,7 +49,7 @@
   self->user = user;
   self->created_ms = now_ms;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
-  self->outlived_polls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->outlived_polls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->gained_capacity = g_ptr_array_new ();
@@ -306,7 +306,7 @@
 static gboolean
 can_be_removed (const FbPool *self, const FbPoolWorker *worker)
 {
-  if (worker->listed || worker->reserved_n > 0)
+  if (worker->listed || worker->reserved_n > 0 || worker->outlived_poll_sent_ms != 0)
     return FALSE;
   if (worker->runs_ended)
     return !worker->poll_open;
