--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -44,6 +44,7 @@
   uint64_t majority_ms;               /* when a majority of the workers had answered; 0: not yet */
   uint64_t leases_until_ms;           /* see fb_pool_set_leases_until() */
   gboolean workers_complete;          /* fb_pool_workers_complete() was called */
+  gboolean workers_unreadable;        /* fb_pool_workers_unreadable() was called */
   gboolean recovered; /* recovery is complete: this owner has found everything that can run */
   uint64_t awaits_logged_ms; /* when POOL_AWAITS_WORKERS was last logged; 0: never */
   /* Of FbPoolWorker that may have unknown runs, as of this tick; borrowed. */
@@ -57,6 +58,9 @@
   gboolean has_started;      /* this owner has ordered a start */
   GHashTable *workers;       /* id -> FbPoolWorker */
   GPtrArray *worker_slots;   /* of FbPoolWorker by slot; NULL: the slot is free; borrowed */
+  /* Id of a removed worker with an open poll -> uint64_t, when that poll was sent. If the worker is
+   * listed again, an answer may be one to that poll. */
+  GHashTable *outlived_polls;
   uint32_t last_incarnation; /* last FbPoolWorker.incarnation that was assigned; 0: none yet */
   /* Address -> FbPoolWorker, the incarnation there that began last; borrowed. */
   GHashTable *latest_incarnations;
@@ -271,9 +275,6 @@
 /* WORKER has answered for the first time: orders it to refuse starts that were sent to earlier
  * incarnations and got no answer. */
 void fb_pool_unanswered_starts_reject (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
-/* TRUE while WORKER may hold a tombstone: a late start of task INDEX that it has to refuse. */
-gboolean fb_pool_restart_has_tombstone (const FbPoolWorker *worker, const FbPoolStep *step,
-                                        uint32_t index);
 /* INCARNATION answered instead of WORKER, under the same id. */
 void fb_pool_worker_restarted (FbPool *self, FbPoolWorker *worker, const char *incarnation,
                                uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -78,6 +78,7 @@
   gboolean gained_capacity; /* it is in FbPool.gained_capacity */
   gboolean accepted_work;   /* it accepted starts at the last maintenance pass */
   char *address;            /* IP:PORT; NULL: not known yet */
+  uint64_t address_ms;      /* when it was last listed at another address; 0: never */
   char *rack;               /* NULL: not known */
   char **labels;            /* NULL-terminated */
   uint32_t cpu_milli;
@@ -115,11 +116,14 @@
   uint64_t recorded_lease_ms; /* every lease ends within this time after that record */
   /* Its clock is at most this far ahead of this owner's since it last began to answer. */
   int64_t clock_ahead_ms;
-  gboolean poll_open;             /* a poll is unanswered */
+  gboolean poll_open; /* a poll is unanswered */
+  /* When a poll was sent to a removed entry of this worker that is still open; 0: there is none. */
+  uint64_t outlived_poll_sent_ms;
   gboolean first_poll_open;       /* it is counted in FbPool.first_polls_open_n */
   uint32_t first_poll_timeout_ms; /* timeout of the last initial poll; 0: none sent */
   uint64_t next_poll_ms;          /* when the next poll is due */
-  uint64_t poll_sent_ms;          /* when the last poll was sent */
+  /* When the last poll was sent, or an earlier one that the next answer may belong to. */
+  uint64_t poll_sent_ms;
   FbOrderResult poll_result;      /* of the last poll; FB_ORDER_DONE before the first one */
   uint64_t answered_poll_sent_ms; /* when the last answered poll had been sent */
   uint64_t last_answer_ms;        /* when the last answer arrived; 0: never */
@@ -180,12 +184,19 @@
 /* TRUE when a run that is no longer counted on WORKER may have an end that is not processed, or not
  * stored. */
 gboolean fb_pool_worker_has_unsettled_end (const FbPoolWorker *worker);
+/* Returns: RESULT of a call of SENT_MS, or FB_ORDER_UNKNOWN when it tells nothing about WORKER: if
+ * its entry has moved since, another worker may answer at the address that it had. */
+FbOrderResult fb_pool_worker_call_result (const FbPoolWorker *worker, FbOrderResult result,
+                                          uint64_t sent_ms);
 /* TRUE when the last poll of WORKER did not succeed. */
 gboolean fb_pool_worker_poll_failed (const FbPoolWorker *worker);
 /* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
                                             uint64_t now_ms);
+/* Returns: when every lease of an earlier owner has certainly ended; G_MAXUINT64: this is not known
+ * yet. */
+uint64_t fb_pool_earlier_leases_end_ms (const FbPool *self);
 /* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
 const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
 /* TRUE when every lease that the worker can hold has certainly ended. */
@@ -193,6 +204,14 @@
                                        uint64_t now_ms);
 FbPoolRun *fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                                    const char *name, uint32_t attempt);
+/* RUN, whose job was not known, is of task INDEX of STEP. */
+void fb_pool_worker_set_step (FbPoolWorker *worker, FbPoolRun *run, FbPoolStep *step,
+                              uint32_t index);
+/* Marks RUN as a tombstone, or as a run that is there after all. */
+void fb_pool_worker_set_tombstone (FbPoolWorker *worker, FbPoolRun *run, gboolean is_tombstone);
+/* TRUE when task INDEX has a tombstone on WORKER, or a run that it does not depend on. */
+gboolean fb_pool_worker_has_other_run (const FbPoolWorker *worker, const FbPoolStep *step,
+                                       uint32_t index);
 /* Removes RUN from WORKER and from its task, and frees it. */
 void fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run);
 /* TRUE when the free capacity of WORKER suffices for a task of SPEC. */
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -41,6 +41,8 @@
   char *worker; /* id of the worker */
   char *task;   /* name of the task */
   uint32_t attempt;
+  uint64_t sent_ms;
+  uint32_t incarnation; /* FbPoolWorker.incarnation of the worker that it was sent to */
 } FbPoolOrderRef;
 
 static void
@@ -65,12 +67,14 @@
 }
 
 static uint64_t
-add_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+add_order (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms)
 {
   FbPoolOrderRef *ref = g_new0 (FbPoolOrderRef, 1);
   ref->worker = g_strdup (worker->id);
   ref->task = g_strdup (run->name);
   ref->attempt = run->attempt;
+  ref->sent_ms = now_ms;
+  ref->incarnation = worker->incarnation;
   uint64_t *key = g_new (uint64_t, 1);
   *key = ++self->last_order;
   g_hash_table_insert (self->open_orders, key, ref);
@@ -78,11 +82,13 @@
 }
 
 /* Removes ORDER from the open orders.
+ *
+ * *RESULT becomes FB_ORDER_UNKNOWN when it tells nothing about its worker.
  *
  * Returns: its worker, NULL if unknown. *RUN is NULL when the run is over already, even if another
  * attempt of its task is on the worker. */
 static FbPoolWorker *
-remove_order (FbPool *self, uint64_t order, FbPoolRun **run)
+remove_order (FbPool *self, uint64_t order, FbPoolRun **run, FbOrderResult *result)
 {
   FbPoolOrderRef *ref = g_hash_table_lookup (self->open_orders, &order);
   *run = NULL;
@@ -90,7 +96,13 @@
     return NULL;
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, ref->worker);
   if (worker != NULL)
-    *run = g_hash_table_lookup (worker->runs, ref->task);
+    {
+      *run = g_hash_table_lookup (worker->runs, ref->task);
+      *result = fb_pool_worker_call_result (worker, *result, ref->sent_ms);
+      /* It may be the answer of a worker that was there before this one. */
+      if (*result == FB_ORDER_OTHER_INCARNATION && ref->incarnation != worker->incarnation)
+        *result = FB_ORDER_UNKNOWN;
+    }
   if (*run != NULL && (*run)->attempt != ref->attempt)
     *run = NULL;
   g_hash_table_remove (self->open_orders, &order);
@@ -186,7 +198,7 @@
   if (!self->has_started)
     fb_histogram_add (FB_HISTOGRAM_POOL_FIRST_START, now_ms - self->created_ms);
   self->has_started = TRUE;
-  run->order = add_order (self, worker, run);
+  run->order = add_order (self, worker, run, now_ms);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
   task->attempt = run->attempt;
   if (!step->job->started)
@@ -219,7 +231,7 @@
   run->stop_sent_ms = now_ms;
   if (run->awaits_record)
     return;
-  run->order = add_order (self, worker, run);
+  run->order = add_order (self, worker, run, now_ms);
   fb_event_log (FB_EVENT_TASK_STOPPING, "task=%s attempt=%u worker=%s epoch=%" G_GUINT64_FORMAT,
                 run->name, run->attempt, worker->id, self->epoch);
   const FbStopOrder order = { .order = run->order,
@@ -337,7 +349,8 @@
   worker->poll_open = TRUE;
   worker->first_poll_open = !worker->answered;
   self->first_polls_open_n += worker->first_poll_open;
-  worker->poll_sent_ms = now_ms;
+  worker->poll_sent_ms
+      = worker->outlived_poll_sent_ms != 0 ? worker->outlived_poll_sent_ms : now_ms;
   self->callbacks->poll (self->user, &order);
 }
 
@@ -355,11 +368,10 @@
   fb_pool_worker_gained_capacity (self, worker);
   if (step != NULL && step->job->cancelled_ms != 0)
     fb_histogram_add (FB_HISTOGRAM_CANCEL, now_ms - step->job->cancelled_ms);
-  if (!was_current)
-    return;
-  if (ran)
+  if (was_current && ran)
     fb_pool_long_running_ended (step, index, outcome, now_ms);
-  fb_pool_task_requeue (self, step, index);
+  if (was_current || (step != NULL && fb_pool_task_is_pending (&step->tasks[index])))
+    fb_pool_task_requeue (self, step, index);
 }
 
 /* The worker refused the start: the run is not there and never will be. */
@@ -403,7 +415,7 @@
                         uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run);
+  FbPoolWorker *worker = remove_order (self, order, &run, &result);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
   if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
@@ -444,7 +456,7 @@
                        uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run);
+  FbPoolWorker *worker = remove_order (self, order, &run, &result);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
   if (run != NULL && run->order == order && result == FB_ORDER_DONE)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -78,6 +78,13 @@
   return run->step != NULL && &run->step->tasks[run->index] == task;
 }
 
+static gboolean
+is_earlier_attempt (const FbPoolRun *run, gconstpointer other)
+{
+  const FbPoolRun *later = other;
+  return run->step == later->step && run->index == later->index && run->attempt < later->attempt;
+}
+
 static void
 stop_runs (FbPool *self, RunFilter filter, gconstpointer object, uint64_t now_ms)
 {
@@ -299,6 +306,14 @@
     fb_counter_add (FB_COUNTER_CANCELLED_RUNS_FOUND, 1);
 }
 
+/* TRUE when a task whose step allows one run at a time depends on RUN rather than on CURRENT. */
+static gboolean
+takes_precedence (const FbPoolRun *run, const FbPoolRun *current)
+{
+  return current->attempt < run->attempt
+         || (current->attempt == run->attempt && current->seen_clock_ms == 0);
+}
+
 /* Assigns RUN, whose step is known, to its task, or stops it if it is not needed. */
 static void
 assign_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, uint64_t now_ms)
@@ -307,7 +322,7 @@
   FbPoolTask *task = &step->tasks[run->index];
   gboolean wanted = !task->done && !fb_pool_job_ended (step->job);
   if (wanted && task->run != NULL && task->run != run)
-    wanted = step->spec->speculative ? task->copy == NULL : task->run->attempt <= run->attempt;
+    wanted = step->spec->speculative ? task->copy == NULL : takes_precedence (run, task->run);
   fb_event_log (FB_EVENT_RUN_ADOPTED,
                 "task=%s attempt=%u worker=%s wanted=%d epoch=%" G_GUINT64_FORMAT, run->name,
                 run->attempt, worker->id, wanted, self->epoch);
@@ -319,6 +334,11 @@
     }
   if (task->run == NULL || step->spec->speculative)
     fb_pool_task_attach_run (task, run);
+  else if (task->run->attempt < run->attempt)
+    {
+      stop_runs (self, is_earlier_attempt, run, now_ms);
+      task->run = run;
+    }
   task->attempt = MAX (task->attempt, run->attempt);
   step->gang_attempt = MAX (step->gang_attempt, run->attempt);
   step->job->started = TRUE;
@@ -369,10 +389,7 @@
           FbPoolStep *step = fb_pool_find_task (self, run->name, &index);
           if (step == NULL)
             continue;
-          fb_pool_worker_charge (worker, run, -1);
-          run->step = step;
-          run->index = index;
-          fb_pool_worker_charge (worker, run, 1);
+          fb_pool_worker_set_step (worker, run, step, index);
           assign_run (self, worker, run, run->started_ms);
         }
     }
@@ -590,26 +607,34 @@
 {
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
   if (worker == NULL)
-    return;
-  worker->poll_open = FALSE;
+    {
+      g_hash_table_remove (self->outlived_polls, id);
+      return;
+    }
+  /* Of two open polls, it is not known which one is answered: the next poll waits for both. */
+  if (worker->outlived_poll_sent_ms != 0 && !worker->poll_open)
+    worker->poll_sent_ms = worker->outlived_poll_sent_ms;
+  worker->poll_open = worker->poll_open && worker->outlived_poll_sent_ms != 0;
+  worker->outlived_poll_sent_ms = 0;
   fb_pool_first_poll_ended (self, worker);
-  if (answer->result == FB_ORDER_DONE)
+  FbOrderResult result = fb_pool_worker_call_result (worker, answer->result, worker->poll_sent_ms);
+  if (result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
         = MAX (worker->confirmed_acknowledged, worker->poll_acknowledges);
   if (worker->poll_acknowledges != 0)
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
-  worker->poll_result = answer->result;
-  worker->next_poll_ms = !worker->answered && answer->result == FB_ORDER_UNKNOWN
+  worker->poll_result = result;
+  worker->next_poll_ms = !worker->answered && result == FB_ORDER_UNKNOWN
                              ? fb_pool_first_poll_retry_ms (worker, now_ms)
                              : now_ms + POLL_INTERVAL_MS;
-  if (answer->result == FB_ORDER_DONE && !worker->replaced)
+  if (result == FB_ORDER_DONE && !worker->replaced)
     process_answer (self, worker, answer, now_ms, wall_ms);
-  else if (answer->result == FB_ORDER_FENCED)
+  else if (result == FB_ORDER_FENCED)
     fb_pool_fenced (self, worker);
-  else if (answer->result == FB_ORDER_OTHER_INCARNATION && answer->incarnation != NULL)
+  else if (result == FB_ORDER_OTHER_INCARNATION && answer->incarnation != NULL)
     fb_pool_worker_restarted (self, worker, answer->incarnation, now_ms);
-  else if (answer->result == FB_ORDER_OTHER_INCARNATION)
+  else if (result == FB_ORDER_OTHER_INCARNATION)
     fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
   fb_pool_silence_polled (self, worker, now_ms);
 }
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -42,9 +42,18 @@
   return worker;
 }
 
+/* Adds RUN to (SIGN 1) or removes it from (-1) the known runs of its task. */
+static void
+count_run (const FbPoolRun *run, int sign)
+{
+  if (run->step != NULL && !run->is_tombstone)
+    run->step->tasks[run->index].known_runs_n += (uint32_t) sign;
+}
+
 static void
 run_free (FbPoolRun *run)
 {
+  count_run (run, -1);
   if (run->step != NULL)
     fb_pool_task_detach_run (&run->step->tasks[run->index], run);
   g_free (run->name);
@@ -114,6 +123,13 @@
   return worker->has_unknown_end || worker->unstored_end != 0;
 }
 
+FbOrderResult
+fb_pool_worker_call_result (const FbPoolWorker *worker, FbOrderResult result, uint64_t sent_ms)
+{
+  gboolean has_moved = worker->address_ms != 0 && sent_ms <= worker->address_ms;
+  return result == FB_ORDER_OTHER_INCARNATION && has_moved ? FB_ORDER_UNKNOWN : result;
+}
+
 gboolean
 fb_pool_worker_poll_failed (const FbPoolWorker *worker)
 {
@@ -127,6 +143,14 @@
   return lease_ms * 1000 / (1000 - CLOCK_SLOW_PERMILLE) + LEASE_EXPIRY_SLACK_MS;
 }
 
+uint64_t
+fb_pool_earlier_leases_end_ms (const FbPool *self)
+{
+  return self->majority_ms != 0
+             ? self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
+             : G_MAXUINT64;
+}
+
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
  * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
@@ -139,8 +163,7 @@
   if (self->majority_ms == 0)
     return G_MAXUINT64;
   uint64_t end_ms
-      = MIN (fb_pool_silence_lease_end_ms (self, worker),
-             self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS));
+      = MIN (fb_pool_silence_lease_end_ms (self, worker), fb_pool_earlier_leases_end_ms (self));
   if (worker->misdirected_calls_since_ms != 0)
     end_ms
         = MAX (end_ms, worker->misdirected_calls_since_ms
@@ -156,9 +179,7 @@
   uint64_t end_ms = unanswered_lease_end_ms (self, worker);
   if (end_ms == fb_pool_silence_lease_end_ms (self, worker))
     return "previous owner's record";
-  return end_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
-             ? "misdirected call"
-             : "majority";
+  return end_ms > fb_pool_earlier_leases_end_ms (self) ? "misdirected call" : "majority";
 }
 
 uint64_t
@@ -217,9 +238,53 @@
   run->speed = worker->speed;
   g_hash_table_insert (worker->runs, run->name, run);
   fb_pool_worker_charge (worker, run, 1);
+  count_run (run, 1);
   return run;
 }
 
+void
+fb_pool_worker_set_step (FbPoolWorker *worker, FbPoolRun *run, FbPoolStep *step, uint32_t index)
+{
+  fb_pool_worker_charge (worker, run, -1);
+  run->step = step;
+  run->index = index;
+  fb_pool_worker_charge (worker, run, 1);
+  count_run (run, 1);
+}
+
+void
+fb_pool_worker_set_tombstone (FbPoolWorker *worker, FbPoolRun *run, gboolean is_tombstone)
+{
+  if (run->is_tombstone == is_tombstone)
+    return;
+  count_run (run, -1);
+  run->is_tombstone = is_tombstone;
+  count_run (run, 1);
+  if (is_tombstone)
+    worker->tombstones_n++;
+  else
+    worker->tombstones_n--;
+}
+
+static gboolean
+is_counted (const FbPoolRun *run)
+{
+  return run != NULL && !run->is_tombstone;
+}
+
+/* A new run would replace the other one in the table of runs, and the resources of that one would
+ * never be released. So the task does not start there until the other one is over. */
+gboolean
+fb_pool_worker_has_other_run (const FbPoolWorker *worker, const FbPoolStep *step, uint32_t index)
+{
+  const FbPoolTask *task = &step->tasks[index];
+  guint current_n = (guint) is_counted (task->run) + (guint) is_counted (task->copy);
+  if (worker->tombstones_n == 0 && task->known_runs_n <= current_n)
+    return FALSE;
+  g_autofree char *name = fb_pool_task_name (step, index);
+  return g_hash_table_contains (worker->runs, name);
+}
+
 void
 fb_pool_worker_drop_run (FbPoolWorker *worker, FbPoolRun *run)
 {
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -49,6 +49,7 @@
   self->user = user;
   self->created_ms = now_ms;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
+  self->outlived_polls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->gained_capacity = g_ptr_array_new ();
@@ -85,6 +86,7 @@
   g_hash_table_unref (self->open_orders);
   fb_pool_unanswered_starts_free (self->unanswered_starts);
   g_hash_table_unref (self->workers); /* before the jobs: runs point to their steps */
+  g_hash_table_unref (self->outlived_polls);
   g_ptr_array_unref (self->worker_slots);
   fb_pool_silence_free (self->silence);
   g_hash_table_unref (self->latest_incarnations);
@@ -161,6 +163,8 @@
   gboolean address_changed = g_strcmp0 (worker->address, entry->address) != 0;
   if (address_changed)
     fb_pool_incarnation_remove (self, worker);
+  if (address_changed && worker->address != NULL)
+    worker->address_ms = now_ms;
   fb_pool_worker_set_entry (worker, entry);
   fb_pool_silence_worker_listed (worker);
   fb_pool_worker_gained_capacity (self, worker);
@@ -216,6 +220,12 @@
     }
 }
 
+void
+fb_pool_workers_unreadable (FbPool *self)
+{
+  self->workers_unreadable = TRUE;
+}
+
 void
 fb_pool_workers_complete (FbPool *self)
 {
@@ -296,7 +306,7 @@
 static gboolean
 can_be_removed (const FbPool *self, const FbPoolWorker *worker)
 {
-  if (worker->listed || worker->reserved_n > 0)
+  if (worker->listed || worker->reserved_n > 0 || worker->outlived_poll_sent_ms != 0)
     return FALSE;
   if (worker->runs_ended)
     return !worker->poll_open;
