Pool fuzzer: kinds with gangs, checkpoints, preemption, moves and stops of 900 ms

"stops" has gangs that wait, break and end together, checkpointing and long-running tasks, priorities, slow and draining workers, and stops of up to 900 ms whose calls and answers are lost, late or repeated. After a stop the owner may be killed or stand still for up to 10 s, with or without its membership; relays and workers stand still for up to 10 s; a path between one daemon and one worker is cut. "stops-partitions" adds the partitions. What is being stopped counts as a run; what a worker runs that stands still counts until its lease ends. The members of a gang have to start from the same checkpoint.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -14,6 +14,7 @@
 
 #define PARTITION_SEED 0x10000
 #define CANCEL_SEED 0x20000
+#define STOP_SEED 0x30000
 
 /* ---- jobs and faults ---------------------------------------------------------------- */
 
@@ -55,6 +56,7 @@
       step->after.after_len = i;
     }
   world_cancels_submit (world, job);
+  world_stops_submit (world, job);
   job->submitted = TRUE;
   for (guint i = 0; i < OWNER_N; i++)
     {
@@ -174,8 +176,8 @@
 {
   /* A job or cancel is accepted once the store has it, so none is accepted while the store is
    * unavailable. */
-  if (world_random (world, 30) == 0 && !world->store_unavailable
-      && world_cancels_may_submit (world))
+  if (world_random (world, 30) == 0 && !world->store_unavailable && world_cancels_may_submit (world)
+      && world_stops_may_submit (world))
     submit (world);
   if (world_random (world, 400) == 0 && !world->store_unavailable && !world->cancelling)
     cancel (world);
@@ -183,7 +185,7 @@
    * the loss of a run becomes known 4 s after the crash of its worker, and never if the owner
    * changes within each of these periods.  In mode "partitions" a crash would end most partitions
    * of a worker early, and in the cancelling ones the runs that are not stopped. */
-  gboolean fewer = world->crashing || world->partitions || world->cancelling;
+  gboolean fewer = world->crashing || world->partitions || world->cancelling || world->stops;
   if (world_random (world, fewer ? 450 : 150) == 0)
     inject_worker_fault (world);
   if (world->shrinking && world_random (world, 100) == 0 && !world->store_unavailable)
@@ -191,11 +193,13 @@
   if (world->repeats)
     inject_connection_faults (world);
   world_partitions_inject_faults (world);
+  world_stops_inject_faults (world);
   if (world->owners_stable)
     return;
-  if (world_random (world, world->crashing ? 2500 : 250) == 0)
+  if (world_random (world, world->crashing ? 2500 : world->stops ? 1000 : 250) == 0)
     inject_owner_fault (world);
-  if (world_random (world, 500) == 0)
+  guint store_changes = world->stops ? (world->store_unavailable ? 150 : 1200) : 500;
+  if (world_random (world, store_changes) == 0)
     {
       world->store_unavailable = !world->store_unavailable;
       world_trace (world, "the store is %s",
@@ -219,6 +223,7 @@
   for (guint i = 0; i < OWNER_N; i++)
     world->owners[i].paused = FALSE;
   world_partitions_heal (world);
+  world_stops_heal (world);
 }
 
 /* The platform lists a worker until it has had no messages from it for UNLIST_DELAY_MS. */
@@ -228,7 +233,8 @@
   for (guint i = 0; i < WORKER_N && !world->store_unavailable; i++)
     {
       Worker *worker = &world->workers[i];
-      gboolean is_reachable = worker->up && !worker->unreachable;
+      gboolean is_reachable
+          = worker->up && !worker->unreachable && !world_stops_stands_still (world, worker);
       if (is_reachable)
         worker->unanswered_since_ms = 0;
       else if (worker->unanswered_since_ms == 0)
@@ -288,19 +294,22 @@
 {
   World *world = g_new0 (World, 1);
   world->cancelling = g_str_has_prefix (mode, "cancelling");
-  world->repeats = g_str_equal (mode, "repeats") || g_str_equal (mode, "cancelling");
-  world->uses_advice = world->repeats || world->cancelling || g_str_equal (mode, "advised");
+  world->stops = g_str_has_prefix (mode, "stops");
+  world->repeats = g_str_equal (mode, "repeats") || g_str_equal (mode, "cancelling")
+                   || g_str_equal (mode, "stops");
+  world->uses_advice
+      = (world->repeats && !world->stops) || world->cancelling || g_str_equal (mode, "advised");
   world->owners_stable = g_str_equal (mode, "crashing-steady");
   world->crashing = world->owners_stable || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
-  world->partitions
-      = g_str_equal (mode, "partitions") || g_str_equal (mode, "cancelling-partitions");
+  world->partitions = g_str_equal (mode, "partitions") || g_str_has_suffix (mode, "-partitions");
   world->entries_expire = TRUE;
   world->traced = getenv ("FUZZ_LOG") != NULL;
   world->rand = g_rand_new_with_seed (seed);
   world->restart_rand = g_rand_new_with_seed (~seed);
   world->partition_rand = g_rand_new_with_seed (seed + PARTITION_SEED);
   world->cancel_rand = g_rand_new_with_seed (seed + CANCEL_SEED);
+  world->stop_rand = g_rand_new_with_seed (seed + STOP_SEED);
   world->restart_mode = restart_mode;
   world->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->now_ms = 1000000;
@@ -356,6 +365,7 @@
   g_rand_free (world->restart_rand);
   g_rand_free (world->partition_rand);
   g_rand_free (world->cancel_rand);
+  g_rand_free (world->stop_rand);
   g_hash_table_unref (world->ids);
   g_free (world->violation);
   g_free (world);
@@ -378,6 +388,7 @@
       if (owner->paused)
         world->last_fault_ms[i] = world->now_ms;
     }
+  world_stops_tick (world);
   for (guint i = 0; i < WORKER_N; i++)
     world_worker_tick (world, &world->workers[i]);
   world_orders_tick (world);
@@ -397,8 +408,8 @@
 {
   World *world = world_new (seed, mode, restart_mode);
   uint64_t heal_ms = world->now_ms + FAULT_MS;
-  /* Tasks still crash their workers after the faults have been healed. */
-  uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing ? 2 : 1);
+  /* Tasks still crash their workers after the faults have been healed, or take long. */
+  uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing || world->stops ? 2 : 1);
   while (world->violation == NULL && world->now_ms < end_ms)
     {
       if (world->now_ms < heal_ms)
@@ -425,8 +436,10 @@
                                                     [RESTART_LATE_CALLS] = "old-calls",
                                                     NULL };
   static const char *const modes[]
-      = { "plain",   "advised",    "crashing",   "crashing-steady",       "shrinking",
-          "repeats", "partitions", "cancelling", "cancelling-partitions", NULL };
+      = { "plain",           "advised",          "crashing",
+          "crashing-steady", "shrinking",        "repeats",
+          "partitions",      "cancelling",       "cancelling-partitions",
+          "stops",           "stops-partitions", NULL };
   const char *mode = argc > 3 ? argv[3] : modes[0];
   const char *restart_mode = argc > 4 ? argv[4] : restart_mode_names[RESTART_EITHER_ID];
   if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
--- a/fuzz/pool-world-calls.c
+++ b/fuzz/pool-world-calls.c
@@ -28,16 +28,16 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = &g_array_index (worker->runs, Run, i);
-      g_string_append_printf (body, "%s[\"%s\",%u,\"\",0]", i > 0 ? "," : "", run->task,
-                              run->attempt);
+      g_string_append_printf (body, "%s[\"%s\",%u,\"%s\",%u]", i > 0 ? "," : "", run->task,
+                              run->attempt, run->checkpoint, run->percent);
     }
   g_string_append (body, "],\"finished\":[");
   for (guint i = 0; i < MIN (worker->ends->len, max_ends); i++)
     {
       const End *end = &g_array_index (worker->ends, End, i);
-      g_string_append_printf (body, "%s[%" G_GUINT64_FORMAT ",\"%s\",%u,\"%s\",\"\"]",
+      g_string_append_printf (body, "%s[%" G_GUINT64_FORMAT ",\"%s\",%u,\"%s\",\"%s\"]",
                               i > 0 ? "," : "", end->number, end->task, end->attempt,
-                              reason_names[end->reason]);
+                              reason_names[end->reason], end->checkpoint);
     }
   g_string_append_c (body, ']');
 }
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -90,6 +90,7 @@
       order->arrives_ms = world->now_ms + 2000 + world_random (world, 10000);
     }
   world_cancels_order_sent (world, order);
+  world_stops_order_sent (world, order);
   world_call (world, order);
 }
 
@@ -103,6 +104,7 @@
   order->attempt = start->attempt;
   order->deadline_ms = start->deadline_ms;
   order->has_ticket = start->ticket != NULL;
+  g_strlcpy (order->checkpoint, start->checkpoint, sizeof order->checkpoint);
   g_strlcpy (order->task, start->task, sizeof order->task);
   World *world = ((Owner *) user)->world;
   g_autofree char *address = world_address (worker_index (start->worker));
@@ -392,8 +394,8 @@
 world_owner_start (World *world, guint i)
 {
   const FbPoolLimits limits = { .max_lease_ms = MAX_LEASE_MS,
-                                .max_stop_ms = STOP_DELAY_MS,
-                                .gang_wait_ms = 3000,
+                                .max_stop_ms = world->stops ? LONG_STOP_MS : STOP_DELAY_MS,
+                                .gang_wait_ms = GANG_WAIT_MS,
                                 .max_reported_ends = world->repeats ? MAX_REPORTED_ENDS : 0 };
   Owner *owner = &world->owners[i];
   world_owner_stop (world, i);
--- a/fuzz/pool-world-partitions.c
+++ b/fuzz/pool-world-partitions.c
@@ -70,9 +70,9 @@
   for (guint i = 0; i < WORKER_N; i++)
     {
       Worker *worker = &world->workers[i];
-      gboolean writes_entry = worker->up && !is_cut_off (world, worker)
-                              && world->now_ms >= worker->store_cut_until_ms
-                              && !world->store_unavailable;
+      gboolean writes_entry
+          = worker->up && !is_cut_off (world, worker) && !world_stops_stands_still (world, worker)
+            && world->now_ms >= worker->store_cut_until_ms && !world->store_unavailable;
       if (writes_entry && !worker->writes_entry)
         worker->next_entry_ms = world->now_ms + partition_random (world, MAX_RELIST_MS);
       worker->writes_entry = writes_entry;
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -111,6 +111,7 @@
       const Run *run = &g_array_index (worker->runs, Run, i);
       Job *job = find_job (world, run->task, &step, &index);
       world_trace (world, "%s, attempt %u, was running on it", run->task, run->attempt);
+      world_stops_run_ended (world, run, FB_END_GANG_BROKEN);
       job->plain_crashes[step][index] += cause == NULL;
       job->own_crashes[step][index] += cause == run;
       job->other_crashes[step][index] += cause != NULL && cause != run;
@@ -126,6 +127,7 @@
               .reason = reason,
               .at_ms = world->now_ms };
   memcpy (end.task, run->task, sizeof end.task);
+  memcpy (end.checkpoint, run->checkpoint, sizeof end.checkpoint);
   g_array_append_val (worker->ends, end);
   g_hash_table_replace (worker->highest_attempts, g_strdup (run->task),
                         GUINT_TO_POINTER (run->attempt));
@@ -138,12 +140,15 @@
   world_trace (world, "%s, attempt %u, ends on %s, reason %d", run.task, run.attempt, worker->id,
                (int) reason);
   g_array_remove_index (worker->runs, at);
+  if (reason == FB_END_STOPPED)
+    world_stops_save_at_stop (&run);
   add_end (world, worker, &run, reason);
   guint step = 0;
   guint index = 0;
   Job *job = find_job (world, run.task, &step, &index);
   job->done_runs[step][index] += reason == FB_END_DONE;
   job->failed_runs[step][index] += reason == FB_END_FAILED;
+  world_stops_run_ended (world, &run, reason);
 }
 
 void
@@ -169,14 +174,19 @@
       world_worker_crash (world, worker, run);
       return;
     }
+  if (world_stops_stands_still (world, worker))
+    return;
   gboolean lease_expired = worker_clock_ms (world, worker) >= worker->lease_until_ms;
   for (guint i = 0; lease_expired && i < worker->ends->len; i++)
     g_array_index (worker->ends, End, i).lease_expired = TRUE;
   for (guint i = worker->runs->len; i > 0; i--)
     {
       const Run *run = &g_array_index (worker->runs, Run, i - 1);
+      FbEndReason gang_reason = FB_END_DONE;
       if (run->stop_ms != 0 && world->now_ms >= run->stop_ms)
         end_run (world, worker, i - 1, FB_END_STOPPED);
+      else if (world_stops_gang_end (world, run, &gang_reason))
+        end_run (world, worker, i - 1, gang_reason);
       else if (world->now_ms >= run->end_ms)
         end_run (world, worker, i - 1, run->fails ? FB_END_FAILED : FB_END_DONE);
       else if (lease_expired)
@@ -212,6 +222,10 @@
     {
       const Worker *other = &world->workers[i];
       gboolean alone = !job->record.spec.steps.steps_val[step].speculative || other == worker;
+      /* What ran there was killed with its lease. */
+      alone = alone
+              && !(world_stops_stands_still (world, other)
+                   && worker_clock_ms (world, other) >= other->lease_until_ms);
       for (guint j = 0; alone && other->up && j < other->runs->len; j++)
         {
           if (g_str_equal (g_array_index (other->runs, Run, j).task, order->task))
@@ -300,6 +314,7 @@
       run.end_ms = run.crash_ms + 1;
     }
   memcpy (run.task, order->task, sizeof run.task);
+  world_stops_start_run (world, order, &run);
   g_array_append_val (worker->runs, run);
   extend_lease (world, worker, order->deadline_ms);
   world->starts++;
@@ -318,7 +333,7 @@
       Run *run = &g_array_index (worker->runs, Run, i);
       if (g_str_equal (run->task, order->task) && run->attempt <= order->attempt
           && run->stop_ms == 0)
-        run->stop_ms = world->now_ms + STOP_DELAY_MS;
+        run->stop_ms = world->now_ms + world_stops_delay_ms (world);
     }
 }
 
@@ -336,6 +351,7 @@
   else if (!job->end_acknowledged[step][index])
     job->late_start_limit_ms[step][index] = world->now_ms;
   job->end_acknowledged[step][index] = TRUE;
+  world_stops_done_acknowledged (world, job, step);
   world_cancels_end_acknowledged (world, job, end->task);
 }
 
@@ -414,7 +430,8 @@
 static void
 send_answer (World *world, Order *order, FbOrderResult result, uint64_t clock_ms)
 {
-  if (order->answer_lost || world->now_ms > order->timeout_at_ms)
+  if (order->answer_lost || world->now_ms > order->timeout_at_ms
+      || world_stops_relay_stands_still (world, order))
     return;
   gboolean slow = world->repeats && !world->healing && world_random (world, 20) == 0;
   make_answer (world, order, result, clock_ms);
@@ -473,8 +490,12 @@
         send_answer (world, order, result, 0);
       return TRUE;
     }
+  if (world_stops_path_is_cut (world, order))
+    return TRUE;
   if (!worker->up || (worker->unreachable && !world->partitions))
     return !waits_for_listener (world, order);
+  if (world_stops_hold_call (world, worker, order))
+    return FALSE;
   gboolean is_same = g_str_equal (worker->id, order->worker_id);
   /* The incarnation that received the order has ended, and its connection with it. */
   if (order->arrived && is_same && order->arrived_incarnation != worker->incarnation)
@@ -551,7 +572,8 @@
       Owner *owner = live_sender (world, order);
       receive_late_order (world, order);
       if (owner != NULL && owner->paused)
-        due = due && order->arrived; /* a paused daemon neither sends orders nor reads replies */
+        /* A paused daemon neither sends orders nor reads replies. */
+        due = due && (order->arrived || (world->stops && order->received_ms != 0));
       else if (due && is_overdue (world, order))
         {
           order->arrives_ms = G_MAXUINT64;
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -24,6 +24,9 @@
 #define WORKER_CPU_MILLI 16000
 #define CAPACITY_GRACE_MS 4500 /* how long after a reduction the larger capacity is allowed */
 #define STOP_DELAY_MS 150
+#define LONG_STOP_MS 900 /* longest stop in the kinds with stops */
+#define GANG_WAIT_MS 3000
+#define CHECKPOINT_CHARS 15
 #define MAX_LEASE_MS 6000 /* longest lease that a worker grants */
 #define TTL_MS 1000
 #define MAJORITY_MS 1500
@@ -67,6 +70,17 @@
    * in touch with the worker since IN_TOUCH_SINCE_MS; 0: none. */
   uint64_t in_touch_with;
   uint64_t in_touch_since_ms;
+  /* The following are only used in the kinds with stops. */
+  guint work_ms; /* of the whole task */
+  guint left_ms; /* of WORK_MS, and the time to restore a checkpoint */
+  uint8_t percent;
+  gboolean saves; /* it saves checkpoints */
+  char checkpoint[CHECKPOINT_CHARS + 1];
+  char start_checkpoint[CHECKPOINT_CHARS + 1];
+  gboolean is_gang;
+  gboolean waits;         /* for the other members of its gang */
+  gboolean is_broken;     /* another member has ended */
+  uint64_t gang_until_ms; /* until when it waits for them */
 } Run;
 
 /* The event after which a job is cancelled in the cancelling kinds. */
@@ -89,6 +103,7 @@
   FbEndReason reason;
   uint64_t at_ms;
   gboolean lease_expired; /* a lease of its worker has expired since the end */
+  char checkpoint[CHECKPOINT_CHARS + 1];
 } End;
 
 /* What the entry of a worker in the list contains. */
@@ -138,6 +153,10 @@
   GArray *runs;                 /* of Run */
   GArray *ends;                 /* of End */
   GHashTable *highest_attempts; /* task -> highest attempt stopped or ended here */
+  /* The following are only used in the kinds with stops.  While it stands still its tasks make no
+   * progress, and it executes no calls. */
+  uint64_t slow_until_ms;
+  uint64_t stands_still_until_ms;
 } Worker;
 
 typedef struct
@@ -174,6 +193,8 @@
   CancelTrigger cancel_trigger;
   uint64_t cancel_due_ms; /* when it is cancelled unless its trigger is earlier; 0: never */
   guint crashing_tasks; /* this many tasks of its first step, from task 0 on, crash their workers */
+  /* In the kinds with stops; 0: not drawn yet. */
+  guint work_ms[STEP_MAX][TASK_MAX];
 } Job;
 
 typedef enum
@@ -194,6 +215,7 @@
   char worker_id[32];   /* the id that the call addresses */
   char task[64];
   uint32_t attempt;
+  char checkpoint[CHECKPOINT_CHARS + 1];
   uint64_t epoch;
   uint64_t deadline_ms;
   uint64_t acknowledged;
@@ -291,6 +313,13 @@
   uint64_t owner_kill_ms;
   uint64_t separation_ms;
   Daemon daemons[OWNER_N];
+  /* The following are only used by pool-world-stops.c; 0: not so. */
+  gboolean stops;
+  GRand *stop_rand;
+  uint64_t stop_fault_ms; /* when the owner fails that has ordered a stop */
+  uint64_t path_cut_until_ms[OWNER_N][WORKER_N];
+  uint64_t relay_still_until_ms[PEER_N];
+  uint64_t owner_still_until_ms[OWNER_N];
   gboolean uses_advice; /* half of the jobs are limited to some workers, a third may have copies */
   uint64_t now_ms;
   uint64_t connections_break_until_ms;
@@ -406,6 +435,33 @@
 /* Cancels the jobs that are due, and checks that the tasks of cancelled jobs do not run on. */
 void world_cancels_tick (World *world);
 
+/* ---- stops: pool-world-stops.c; no effect in other kinds ------------------------------------- */
+
+gboolean world_stops_may_submit (World *world);
+/* Changes JOB, which is about to be stored. */
+void world_stops_submit (World *world, Job *job);
+/* Completes RUN, which ORDER starts. */
+void world_stops_start_run (World *world, const Order *order, Run *run);
+/* Returns: how long a stop takes; in other kinds STOP_DELAY_MS. */
+guint world_stops_delay_ms (World *world);
+/* Returns: TRUE when RUN ends because of its gang, with REASON. */
+gboolean world_stops_gang_end (const World *world, const Run *run, FbEndReason *reason);
+void world_stops_save_at_stop (Run *run);
+/* RUN has ended; its worker has it no more, or has crashed. */
+void world_stops_run_ended (World *world, const Run *run, FbEndReason reason);
+/* An end with FB_END_DONE of a task of STEP was acknowledged. */
+void world_stops_done_acknowledged (const World *world, Job *job, guint step);
+gboolean world_stops_stands_still (const World *world, const Worker *worker);
+/* Returns: TRUE while WORKER, which has received ORDER, stands still. */
+gboolean world_stops_hold_call (const World *world, const Worker *worker, Order *order);
+/* Returns: TRUE when the sender of ORDER does not reach its worker. */
+gboolean world_stops_path_is_cut (const World *world, const Order *order);
+gboolean world_stops_relay_stands_still (const World *world, const Order *order);
+void world_stops_order_sent (World *world, Order *order);
+void world_stops_inject_faults (World *world);
+void world_stops_heal (World *world);
+void world_stops_tick (World *world);
+
 /* ---- owners: pool-world-owners.c ------------------------------------------------------------- */
 
 /* Returns: the recent starts of the peer that relays orders to WORKER. */
