Members of a gang that awaits a record start from one checkpoint

A gang with a member that may have crashed its worker is placed, but ordered only once a record with that doubt is stored. The members' checkpoints were made the same as it was placed, and read as it was ordered. In between a lost member may report the end of its run with a newer checkpoint, and then started from that one, the others from the old one; the platform wants one value.

The checkpoints are made the same again before the members are ordered.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -512,6 +512,8 @@
 
 /* pool-place.c */
 void fb_pool_place (FbPool *self, uint64_t now_ms);
+/* Gives all members of the gang STEP one checkpoint, from which they all start. */
+void fb_pool_gang_unify_checkpoints (FbPoolStep *step);
 
 /* pool-long-running.c: for long-running steps; calls for other steps have no effect. */
 
--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -176,8 +176,10 @@
 }
 
 static void
-order_gang (FbPool *self, const FbPoolStep *step, uint64_t now_ms)
+order_gang (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
+  /* A member may have reported another checkpoint since the gang was placed. */
+  fb_pool_gang_unify_checkpoints (step);
   for (guint i = 0; i < self->awaiting_starts->len; i++)
     {
       const AwaitingStart *start = self->awaiting_starts->pdata[i];
@@ -193,7 +195,7 @@
 try_order (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const AwaitingStart *start,
            uint64_t now_ms)
 {
-  const FbPoolStep *step = run->step;
+  FbPoolStep *step = run->step;
   if (step->spec->gang ? !gang_is_ready (self, step, now_ms)
                        : !is_ready (self, worker, run, start, now_ms))
     return FALSE;
--- a/src/work/pool-place.c
+++ b/src/work/pool-place.c
@@ -128,6 +128,14 @@
   return newest;
 }
 
+void
+fb_pool_gang_unify_checkpoints (FbPoolStep *step)
+{
+  g_autofree char *checkpoint = g_strdup (gang_checkpoint (step));
+  for (uint32_t i = 0; i < step->spec->count; i++)
+    fb_pool_task_set_checkpoint (step, i, checkpoint);
+}
+
 static gboolean
 place_gang (FbPool *self, FbPoolStep *step, uint64_t now_ms)
 {
@@ -141,13 +149,9 @@
   for (uint32_t i = 0; i < step->spec->count; i++)
     attempt = MAX (attempt, fb_pool_next_attempt (self, step, i));
   step->gang_attempt = attempt;
-  /* All members start from the same checkpoint. */
-  g_autofree char *checkpoint = g_strdup (gang_checkpoint (step));
+  fb_pool_gang_unify_checkpoints (step);
   for (uint32_t i = 0; i < step->spec->count; i++)
-    {
-      fb_pool_task_set_checkpoint (step, i, checkpoint);
-      fb_pool_order_start (self, chosen[i], step, i, attempt, now_ms);
-    }
+    fb_pool_order_start (self, chosen[i], step, i, attempt, now_ms);
   return TRUE;
 }
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -110,7 +110,7 @@
 start "fuzz pools with partitions" $B/fuzz/fuzz-pool 1 200 partitions
 start "fuzz pools with cancels" $B/fuzz/fuzz-pool 1 150 cancelling
 start "fuzz pools with cancels and partitions" $B/fuzz/fuzz-pool 1 150 cancelling-partitions
-start "fuzz pools with stops" $B/fuzz/fuzz-pool 1 150 stops
+start "fuzz pools with stops" $B/fuzz/fuzz-pool 1 200 stops
 start "fuzz pools with stops and partitions" $B/fuzz/fuzz-pool 1 150 stops-partitions
 for kind in plain advised repeats crashing crashing-steady; do
   start "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
