Pool fuzzer: daemons that each reach other workers for longer than a lease

In the kinds with stops the owner now loses the store, and most workers are reached by one of the daemons only, for 7 to 12 s.

--- a/fuzz/pool-world-stops.c
+++ b/fuzz/pool-world-stops.c
@@ -16,6 +16,9 @@
 #define MAX_SLOW_MS 8000
 #define MAX_FREEZE_MS 10000
 #define MAX_PATH_CUT_MS 8000
+/* Longer than a successor waits for the leases of workers that it does not reach. */
+#define MIN_SPLIT_MS 7000
+#define MAX_SPLIT_MS 12000
 #define MAX_LATE_STOP_MS 3000
 #define MAX_DRAIN_MS 8000
 #define MAX_FAULT_AFTER_STOP_MS 1000
@@ -446,6 +449,25 @@
   world->owner_still_until_ms[i] = kind == 1 ? world->now_ms + for_ms : 0;
 }
 
+/* The owner does not reach the store, and most workers are reached by one daemon only.  The workers
+ * reach the store. */
+static void
+split_daemons (World *world)
+{
+  guint for_ms = MIN_SPLIT_MS + stops_random (world, MAX_SPLIT_MS - MIN_SPLIT_MS);
+  world->daemons[world->current_owner].store_cut_until_ms = world->now_ms + for_ms;
+  world_trace (world, "daemon %u does not reach the store for %u ms", world->current_owner, for_ms);
+  for (guint i = 0; i < WORKER_N; i++)
+    {
+      guint daemon = stops_random (world, OWNER_N);
+      if (stops_random (world, 5) == 0)
+        continue;
+      world->path_cut_until_ms[daemon][i] = world->now_ms + for_ms;
+      world_trace (world, "daemon %u does not reach %s for %u ms", daemon, world->workers[i].id,
+                   for_ms);
+    }
+}
+
 static void
 inject_worker_faults (World *world)
 {
@@ -487,6 +509,8 @@
     }
   if (stops_random (world, 900) == 0)
     fail_owner (world, stops_random (world, OWNER_N));
+  if (stops_random (world, 2500) == 0)
+    split_daemons (world);
   if (world->stop_fault_ms != 0 && world->now_ms >= world->stop_fault_ms)
     {
       world->stop_fault_ms = 0;
