Stand-in workers: stops that take time, slow clocks, and both runs of an overlap in the audit

The audit counted a second run without telling which two they were.

The audit describes both runs of an overlap: worker, incarnation, attempt, fencing token, start.

--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -25,6 +25,8 @@
  *                                 worker K rejects P percent of its calls, executes P percent
  *                                 without responding, and P percent late and without responding
  *   {"store-faults":true,...}     the same for the store; "late" for appends only
+ *   {"stop-ms":N}                 stops take up to N ms, and the run is listed until its end
+ *   {"slow-clocks":true}          the workers' clocks are 0 to 2 percent slow
  *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults" and
  *                                 "store-faults"
  *   {"finish":JOB}                ends the runs of JOB
@@ -112,6 +114,13 @@
   outage = unavailable;
 }
 
+static void
+set_longest_stop (gint64 longest_ms)
+{
+  sp_workers_set_longest_stop ((guint) longest_ms);
+  sp_audit_set_stop_ms (longest_ms);
+}
+
 static void
 serve_control (SoupServerMessage *message, JsonObject *body)
 {
@@ -152,6 +161,10 @@
     sp_store_set_malformed_keys (json_object_get_string_member (body, "malformed-keys"));
   if (json_object_has_member (body, "finish"))
     sp_workers_finish (json_object_get_string_member (body, "finish"));
+  if (json_object_has_member (body, "stop-ms"))
+    set_longest_stop (json_object_get_int_member (body, "stop-ms"));
+  if (json_object_has_member (body, "slow-clocks"))
+    sp_workers_set_slow_clocks (json_object_get_boolean_member (body, "slow-clocks"));
   if (json_object_has_member (body, "cancelled"))
     sp_audit_cancelled (json_object_get_string_member (body, "cancelled"));
   if (json_object_has_member (body, "disrupted"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -73,6 +73,10 @@
                       gboolean start_times);
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
+/* A stop takes up to LONGEST_MS; the run is listed until then. */
+void sp_workers_set_longest_stop (guint longest_ms);
+/* SLOW: the clocks of the workers are 0 to 2 percent slow, each by its own share. */
+void sp_workers_set_slow_clocks (gboolean slow);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
  * else with a new one. */
 void sp_worker_crash (guint k, gint64 for_ms, gboolean reuses_id);
@@ -133,6 +137,10 @@
 /* Counts a start of TASK.  RUNNING: number of other runs of it; FITS: the worker has capacity for
  * it; LATE: the worker executes the order late. */
 void sp_audit_start (const char *task, guint running, gboolean fits, gboolean late);
+/* A task starts while another run of it is on a worker that is up; both are described in words. */
+void sp_audit_overlap (const char *first, const char *second);
+/* A run that is stopped may be at work for up to STOP_MS after the stop. */
+void sp_audit_set_stop_ms (gint64 stop_ms);
 /* A caller has received the acknowledgement of the cancel of JOB. */
 void sp_audit_cancelled (const char *job);
 /* DISRUPTED: faults are active.  Tasks of cancelled jobs are counted only while there are none. */
