Stand-in workers that stand still alone, and that only later owners don't reach

All workers of the stand-in are one process, so none could stand still while the others went on, with calls waiting in its sockets; and a cut of a worker held for all owners alike, so no owner reached one that the next did not.

"suspend" keeps a worker's calls and carries them out in order when it goes on, after the runs whose lease has ended by its own clock.

--- a/standins/standin-platform-faults.c
+++ b/standins/standin-platform-faults.c
@@ -132,7 +132,8 @@
   for (guint i = delayed_calls->len; i > 0; i--)
     {
       DelayedCall *call = delayed_calls->pdata[i - 1];
-      if (sp_now_ms () < call->execute_at_ms)
+      if (sp_now_ms () < call->execute_at_ms
+          || (call->k != SP_STORE && sp_reach_is_suspended (call->k)))
         continue;
       execute (call);
       g_ptr_array_remove_index (delayed_calls, i - 1);
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -75,6 +75,7 @@
   GPtrArray *ends;         /* of End */
   GHashTable *ended_attempts; /* task -> its highest attempt that has ended or was stopped */
   gboolean executes_late;     /* the call that it executes was delayed */
+  gint64 suspended_ms;        /* when it began to stand still, by sp_now_ms() */
   SpPausedRequest poll; /* waits for the end of a run; its message is NULL when no poll waits */
 } Worker;
 
@@ -249,16 +250,17 @@
 end_due_runs (Worker *worker)
 {
   gint64 now_ms = sp_now_ms ();
+  gboolean works = !sp_reach_is_suspended (worker->index);
   for (guint i = worker->runs->len; worker->up && i > 0; i--)
     {
       const Run *run = worker->runs->pdata[i - 1];
-      if (run->crashes && !run->stopping && now_ms >= run->ends_ms)
+      if (works && run->crashes && !run->stopping && now_ms >= run->ends_ms)
         {
           guint crashes_n = sp_audit_crash (run->task);
           sp_worker_crash (worker->index, 2000 + (gint64) (crashes_n % 5) * 1000,
                            crashes_n % 2 == 0);
         }
-      else if (now_ms >= run->ends_ms || worker_clock_ms (worker) >= worker->lease_ms)
+      else if ((works && now_ms >= run->ends_ms) || worker_clock_ms (worker) >= worker->lease_ms)
         end_run (worker, i - 1);
     }
   if (worker_clock_ms (worker) >= worker->lease_ms)
@@ -523,6 +525,8 @@
       sp_reply (message, 500, "{}");
       return;
     }
+  if (sp_reach_hold (message, k, path, body))
+    return;
   switch (sp_faults_draw (k))
     {
     case SP_CALL_REFUSED:
@@ -541,6 +545,54 @@
     }
 }
 
+void
+sp_worker_suspend (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  end_due_runs (worker);
+  if (!worker->up || sp_reach_is_suspended (worker->index))
+    return;
+  worker->suspended_ms = sp_now_ms ();
+  sp_worker_set_unlisted (worker->index, for_ms);
+  sp_reach_suspend (worker->index, for_ms);
+}
+
+void
+sp_worker_go_on (guint k)
+{
+  Worker *worker = &workers[k];
+  gint64 stood_ms = sp_now_ms () - worker->suspended_ms;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      Run *run = worker->runs->pdata[i];
+      if (run->stopping)
+        continue;
+      run->started_ms += stood_ms;
+      run->ends_ms += stood_ms;
+    }
+  end_due_runs (worker);
+}
+
+void
+sp_worker_execute_waiting (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+{
+  Worker *worker = &workers[k];
+  g_autofree char *answer = NULL;
+  end_due_runs (worker);
+  worker->executes_late = TRUE;
+  guint status = worker->up ? handle_call (worker, message, path, body, &answer) : 500;
+  worker->executes_late = FALSE;
+  sp_reply (message, status, answer != NULL ? answer : "{}");
+  soup_server_message_unpause (message);
+}
+
+void
+sp_worker_exclude_later_owners (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  sp_reach_exclude_later (worker->index, worker->token, for_ms);
+}
+
 static void
 begin_incarnation (Worker *worker)
 {
@@ -605,6 +657,7 @@
       g_ptr_array_add (worker->stale_entries, entry);
     }
   g_debug ("%s: crashes", worker->id);
+  sp_reach_drop_calls (worker->index);
   g_ptr_array_set_size (worker->runs, 0);
   /* Unacknowledged ends are lost with the worker: their tasks may be started again. */
   clear_ends (worker);
@@ -662,6 +715,7 @@
 sp_workers_clear_faults (void)
 {
   sp_faults_clear ();
+  sp_reach_clear ();
   for (guint i = 0; i < worker_n; i++)
     {
       workers[i].unlisted_until_ms = 0;
@@ -768,6 +822,8 @@
       audit_runs (worker);
       unlist_expired (worker);
       relist_if_due (worker);
+      if (sp_reach_is_suspended (i))
+        continue;
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
         answer_waiting_poll (worker);
     }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -27,8 +27,13 @@
  *   {"store-faults":true,...}     the same for the store; "late" for appends only
  *   {"stop-ms":N}                 stops take up to N ms, and the run is listed until its end
  *   {"slow-clocks":true}          the workers' clocks are 0 to 2 percent slow
- *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults" and
- *                                 "store-faults"
+ *   {"suspend":K,"for-ms":N}      worker K stands still; its calls wait and are then executed in
+ *                                 order, after the runs whose lease has expired were ended
+ *   {"exclude-later-owners":K,"for-ms":N}
+ *                                 worker K does not get calls with a higher fencing token than it
+ *                                 has seen
+ *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults", "store-faults",
+ *                                 "suspend" and "exclude-later-owners"
  *   {"finish":JOB}                ends the runs of JOB
  * and tells the audit what callers know:
  *   {"cancelled":JOB}             the cancel of JOB was acknowledged
@@ -147,6 +152,13 @@
   if (json_object_has_member (body, "refuse-connections"))
     sp_worker_refuse_connections ((guint) json_object_get_int_member (body, "refuse-connections"),
                                   json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "suspend"))
+    sp_worker_suspend ((guint) json_object_get_int_member (body, "suspend"),
+                       json_object_get_int_member (body, "for-ms"));
+  if (json_object_has_member (body, "exclude-later-owners"))
+    sp_worker_exclude_later_owners (
+        (guint) json_object_get_int_member (body, "exclude-later-owners"),
+        json_object_get_int_member (body, "for-ms"));
   if (json_object_has_member (body, "healthy"))
     sp_workers_clear_faults ();
   if (json_object_has_member (body, "faults"))
@@ -260,6 +272,7 @@
 on_tick (gpointer user)
 {
   (void) user;
+  sp_reach_tick ();
   sp_faults_tick ();
   sp_workers_tick ();
   sp_store_tick ();
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -89,6 +89,15 @@
 void sp_workers_store_returned (void);
 /* Worker K continues to run, but for FOR_MS it refuses connections and does not renew its entry. */
 void sp_worker_refuse_connections (guint k, gint64 for_ms);
+/* Worker K and its runs stand still for FOR_MS, but for its clock.  Its entry is not renewed. */
+void sp_worker_suspend (guint k, gint64 for_ms);
+/* Worker K no longer stands still.  It first ends the runs whose lease has expired. */
+void sp_worker_go_on (guint k);
+/* Executes and answers a paused call that came while worker K stood still. */
+void sp_worker_execute_waiting (SoupServerMessage *message, guint k, const char *path,
+                                JsonObject *body);
+/* For FOR_MS, calls to worker K with a higher fencing token than it has seen are lost. */
+void sp_worker_exclude_later_owners (guint k, gint64 for_ms);
 /* Ends faults of calls; all workers listen and renew their entries again. */
 void sp_workers_clear_faults (void);
 /* DROP: workers execute starts without responding, and reject repeated starts with 503. */
@@ -107,6 +116,20 @@
  */
 char *sp_workers_running (const char *job, int only);
 
+/* ---- workers that are out of reach: standin-platform-reach.c -------------------------------- */
+
+/* Returns: TRUE when the call to worker K must wait or is lost; the message is paused. */
+gboolean sp_reach_hold (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+void sp_reach_suspend (guint k, gint64 for_ms);
+gboolean sp_reach_is_suspended (guint k);
+/* For FOR_MS, calls to worker K with a fencing token above TOKEN are lost. */
+void sp_reach_exclude_later (guint k, guint64 token, gint64 for_ms);
+/* Worker K has crashed: closes the connections of the calls that wait for it. */
+void sp_reach_drop_calls (guint k);
+/* Ends the faults at the next tick. */
+void sp_reach_clear (void);
+void sp_reach_tick (void);
+
 /* ---- faults of calls: standin-platform-faults.c -------------------------- */
 
 typedef enum
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -121,6 +121,7 @@
 verdict "malformed input, with processes" tests/malformed-input.sh
 verdict "audit of cancelled jobs" tests/cancel-audit.sh
 verdict "stops that take time" tests/slow-stops.sh
+verdict "workers that stand still or lose calls" tests/unreachable-workers.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
 verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
