Stand-in tasks save checkpoints, form gangs and need their own share of a worker

Preemption and gangs, which stop tasks in order to start them elsewhere, were played by no real process of ours: each task took 2 cores, saved nothing, and began at once.

Lists behind the run time in a payload give cores, members of a gang and checkpoints by step; "low-priority-queue" adds a second queue. The audit counts ends by their reason.

--- a/standins/standin-platform-audit.c
+++ b/standins/standin-platform-audit.c
@@ -31,6 +31,7 @@
 static guint started;
 static guint duplicate_starts; /* number of other runs of a task, plus one if it is done, summed
                                   over its starts */
+static GHashTable *ends;       /* reason -> number of ends */
 static guint overlaps_n;
 static GString *overlaps;   /* the first ones, as elements of a JSON array */
 static guint over_capacity; /* starts on a worker without capacity for them */
@@ -51,6 +52,7 @@
   started_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cancelled_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  ends = g_hash_table_new (g_str_hash, g_str_equal);
   overlaps = g_string_new (NULL);
   calm_since_ms = sp_now_ms ();
 }
@@ -138,6 +140,28 @@
   g_hash_table_add (started_jobs, g_strndup (task, strcspn (task, ".")));
 }
 
+void
+sp_audit_end (const char *reason)
+{
+  guint before = GPOINTER_TO_UINT (g_hash_table_lookup (ends, reason));
+  g_hash_table_replace (ends, (gpointer) reason, GUINT_TO_POINTER (before + 1));
+}
+
+/* Returns: (transfer full): the numbers of ends by reason, as text. */
+static char *
+format_ends (void)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer reason;
+  gpointer n;
+  g_hash_table_iter_init (&iter, ends);
+  while (g_hash_table_iter_next (&iter, &reason, &n))
+    g_string_append_printf (text, "%s%s %u", text->len > 0 ? ", " : "", (const char *) reason,
+                            GPOINTER_TO_UINT (n));
+  return g_string_free (text, FALSE);
+}
+
 static guint
 count_done (const char *task)
 {
@@ -188,12 +212,14 @@
 char *
 sp_audit_text (void)
 {
+  g_autofree char *ends_text = format_ends ();
   return g_strdup_printf (
       "{\"started\":%u,\"done\":%u,\"doubled\":%u,\"over-capacity\":%u,"
       "\"epochs\":%u,\"crashes\":%u,"
       "\"started-too-often\":%u,\"cancelled\":%u,\"cancelled-started\":%u,"
-      "\"cancelled-at-work\":%u,\"calm-ms\":%" G_GINT64_FORMAT ",\"overlaps\":[%s]}",
+      "\"cancelled-at-work\":%u,\"calm-ms\":%" G_GINT64_FORMAT
+      ",\"ends\":\"%s\",\"overlaps\":[%s]}",
       started, g_hash_table_size (done_tasks), duplicate_starts, over_capacity, epochs_n, crashes,
       started_too_often, g_hash_table_size (cancelled_jobs), cancelled_started, cancelled_at_work,
-      is_disrupted ? 0 : sp_now_ms () - calm_since_ms, overlaps->str);
+      is_disrupted ? 0 : sp_now_ms () - calm_since_ms, ends_text, overlaps->str);
 }
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -12,8 +12,12 @@
 #define WORKER_CPU_MILLI 8000
 /* Value of a worker's clock when it restarts. */
 #define INITIAL_CLOCK_MS 1000
-/* CPU request of every task of the tests. */
-#define TASK_CPU_MILLI 2000
+/* A checkpoint is saved with each CHECKPOINT_MS of work and at a stop. */
+#define CHECKPOINT_MS 1000
+#define RESTORE_MS 100
+#define CHECKPOINT_PREFIX "work-"
+/* A member of a gang ends when the others are not present after GANG_WAIT_MS. */
+#define GANG_WAIT_MS 3000
 /* Ends of runs in one response to a poll. */
 #define MAX_POLL_ENDS 500
 #define MAX_CLOCK_LAG_PERMYRIAD 200
@@ -23,13 +27,17 @@
 {
   char *task;
   guint64 attempt;
-  guint64 token;     /* fencing token of the order that started it */
-  gint64 started_ms; /* by sp_now_ms() */
-  gint64 ends_ms;    /* by sp_now_ms() */
+  guint64 token;      /* fencing token of the order that started it */
+  gint64 started_ms;  /* by sp_now_ms() */
+  gint64 ends_ms;     /* by sp_now_ms() */
+  gint64 restored_ms; /* work that was done before, by its checkpoint */
+  gint64 saved_ms;    /* work done at its stop; 0: it was not stopped */
+  SpPayload payload;
   gboolean stopping;
-  gboolean crashes;      /* it crashes its worker when it ends */
-  gboolean started_late; /* the worker executed the order late */
-  gboolean is_counted;   /* sp_audit_run() has counted it */
+  gboolean waits;         /* for the other members of its gang */
+  const char *end_reason; /* NULL: it ends by itself, or with its lease */
+  gboolean started_late;  /* the worker executed the order late */
+  gboolean is_counted;    /* sp_audit_run() has counted it */
 } Run;
 
 /* The end of a run, retained until the pool acknowledges it. */
@@ -39,6 +47,7 @@
   char *task;
   guint64 attempt;
   const char *reason;
+  char *checkpoint;
   gboolean is_counted; /* counted by the audit: the task is done, and the lease has not expired
                           since */
 } End;
@@ -106,6 +115,7 @@
 {
   End *end = data;
   g_free (end->task);
+  g_free (end->checkpoint);
   g_free (end);
 }
 
@@ -192,6 +202,19 @@
   return NULL;
 }
 
+/* Returns: (transfer full): the newest checkpoint of RUN; "": none. */
+static char *
+newest_checkpoint (const Run *run)
+{
+  gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
+  gint64 work_ms = CLAMP (sp_now_ms () - run->started_ms - restore_ms, 0, run->payload.work_ms);
+  gint64 saved_ms = run->restored_ms + work_ms / CHECKPOINT_MS * CHECKPOINT_MS;
+  if (!run->payload.saves || MAX (saved_ms, run->saved_ms) == 0)
+    return g_strdup ("");
+  return g_strdup_printf (CHECKPOINT_PREFIX "%" G_GINT64_FORMAT,
+                          run->stopping ? run->saved_ms : saved_ms);
+}
+
 /* Returns: (transfer full): RUN in the words of the audit. */
 static char *
 describe_run (const Worker *worker, const Run *run)
@@ -235,10 +258,12 @@
   end->n = ++worker->last_end;
   end->task = g_strdup (run->task);
   end->attempt = run->attempt;
-  end->reason = run->stopping ? "stopped" : lapsed ? "lapsed" : "done";
+  end->reason = run->end_reason != NULL ? run->end_reason : lapsed ? "lapsed" : "done";
+  end->checkpoint = newest_checkpoint (run);
   end->is_counted = g_str_equal (end->reason, "done");
   g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " ends %s", worker->id, run->task, run->attempt,
            end->reason);
+  sp_audit_end (end->reason);
   if (end->is_counted)
     sp_audit_done (end->task);
   mark_attempt_ended (worker, end->task, end->attempt);
@@ -254,7 +279,7 @@
   for (guint i = worker->runs->len; worker->up && i > 0; i--)
     {
       const Run *run = worker->runs->pdata[i - 1];
-      if (works && run->crashes && !run->stopping && now_ms >= run->ends_ms)
+      if (works && run->payload.crashes && !run->stopping && now_ms >= run->ends_ms)
         {
           guint crashes_n = sp_audit_crash (run->task);
           sp_worker_crash (worker->index, 2000 + (gint64) (crashes_n % 5) * 1000,
@@ -279,6 +304,15 @@
     }
 }
 
+static guint
+cpu_used_milli (const Worker *worker)
+{
+  guint used = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    used += ((const Run *) worker->runs->pdata[i])->payload.cpu_milli;
+  return used;
+}
+
 static void
 begin_run (Worker *worker, JsonObject *body)
 {
@@ -288,19 +322,98 @@
   Run *run = g_new0 (Run, 1);
   run->task = g_strdup (task);
   run->attempt = (guint64) json_object_get_int_member (body, "attempt");
-  run->crashes = g_str_has_prefix (spec, "crash ");
+  run->payload = sp_payload_parse (spec, task);
   run->token = worker->token;
   run->started_late = worker->executes_late;
   run->started_ms = sp_now_ms ();
-  run->ends_ms = run->started_ms + atoi (run->crashes ? spec + strlen ("crash ") : spec);
+  const char *checkpoint = json_object_get_string_member_with_default (body, "checkpoint", "");
+  if (run->payload.saves && g_str_has_prefix (checkpoint, CHECKPOINT_PREFIX))
+    run->restored_ms = atoi (checkpoint + strlen (CHECKPOINT_PREFIX));
+  gint64 left_ms = MAX (run->payload.work_ms - run->restored_ms, 0);
+  run->waits = run->payload.gang_n > 0;
+  run->ends_ms = run->waits ? G_MAXINT64
+                            : run->started_ms + left_ms + (run->restored_ms > 0 ? RESTORE_MS : 0);
   sp_audit_start (task, report_other_runs (worker, run),
-                  (worker->runs->len + 1) * TASK_CPU_MILLI <= WORKER_CPU_MILLI,
+                  cpu_used_milli (worker) + run->payload.cpu_milli <= WORKER_CPU_MILLI,
                   worker->executes_late);
   g_ptr_array_add (worker->runs, run);
   g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " starts, token %" G_GUINT64_FORMAT, worker->id,
            task, run->attempt, run->token);
 }
 
+/* ---- gangs --------------------------------------------------------------------------- */
+
+static gboolean
+are_of_one_gang (const Run *first, const Run *second)
+{
+  gsize length = (gsize) (strrchr (first->task, '.') - first->task) + 1;
+  return first->attempt == second->attempt && strncmp (first->task, second->task, length) == 0;
+}
+
+/* Returns: (transfer container): the present members of the gang of RUN, which is one of them. */
+static GPtrArray *
+gang_members (const Run *run)
+{
+  GPtrArray *members = g_ptr_array_new ();
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        {
+          if (are_of_one_gang (run, workers[i].runs->pdata[j]))
+            g_ptr_array_add (members, workers[i].runs->pdata[j]);
+        }
+    }
+  return members;
+}
+
+static void
+begin_gang (GPtrArray *members)
+{
+  for (guint i = 0; i < members->len; i++)
+    {
+      Run *member = members->pdata[i];
+      member->waits = FALSE;
+      if (!member->stopping)
+        member->ends_ms = sp_now_ms () + member->payload.work_ms;
+    }
+}
+
+static void
+end_member (Run *run, const char *reason)
+{
+  run->end_reason = reason;
+  run->ends_ms = sp_now_ms ();
+}
+
+/* The work of a gang begins when all members are present, and ends when one of them ends. */
+static void
+update_gang (Run *run)
+{
+  if (run->end_reason != NULL || sp_now_ms () >= run->ends_ms)
+    return;
+  g_autoptr (GPtrArray) members = gang_members (run);
+  if (run->waits && members->len >= run->payload.gang_n)
+    begin_gang (members);
+  else if (run->waits && sp_now_ms () >= run->started_ms + GANG_WAIT_MS)
+    end_member (run, "alone");
+  else if (!run->waits && members->len < run->payload.gang_n)
+    end_member (run, "broken");
+}
+
+static void
+update_gangs (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        {
+          Run *run = workers[i].runs->pdata[j];
+          if (run->payload.gang_n > 0)
+            update_gang (run);
+        }
+    }
+}
+
 /* ---- calls --------------------------------------------------------------------------- */
 
 /* Returns: (transfer full): a response with the clock and, unless it is NULL, REASON. */
@@ -367,7 +480,10 @@
     {
       gint64 takes_ms
           = longest_stop_ms > 0 ? g_rand_int_range (stop_rand, 0, longest_stop_ms + 1) : 0;
+      gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
+      run->saved_ms = run->restored_ms + MAX (sp_now_ms () - run->started_ms - restore_ms, 0);
       run->stopping = TRUE;
+      run->end_reason = "stopped";
       run->ends_ms = sp_now_ms () + takes_ms;
       g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " is being stopped, for %" G_GINT64_FORMAT " ms",
                worker->id, task, attempt, takes_ms);
@@ -382,6 +498,8 @@
 static guint
 percent_done (const Run *run)
 {
+  if (run->waits)
+    return 0;
   gint64 passed_ms = sp_now_ms () - run->started_ms;
   gint64 total_ms = MAX (run->ends_ms - run->started_ms, 1);
   return (guint) CLAMP (passed_ms * 100 / total_ms, 0, 100);
@@ -398,16 +516,17 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
-      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"\",%u]", i > 0 ? "," : "",
-                              run->task, run->attempt, percent_done (run));
+      g_autofree char *checkpoint = newest_checkpoint (run);
+      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"%s\",%u]", i > 0 ? "," : "",
+                              run->task, run->attempt, checkpoint, percent_done (run));
     }
   g_string_append (out, "],\"finished\":[");
   for (guint i = 0; i < MIN (worker->ends->len, MAX_POLL_ENDS); i++)
     {
       const End *end = worker->ends->pdata[i];
-      g_string_append_printf (out,
-                              "%s[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT ",\"%s\",\"\"]",
-                              i > 0 ? "," : "", end->n, end->task, end->attempt, end->reason);
+      g_string_append_printf (
+          out, "%s[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT ",\"%s\",\"%s\"]",
+          i > 0 ? "," : "", end->n, end->task, end->attempt, end->reason, end->checkpoint);
     }
   g_string_append (out, "]}");
   return g_string_free (out, FALSE);
@@ -565,7 +684,7 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       Run *run = worker->runs->pdata[i];
-      if (run->stopping)
+      if (run->stopping || run->payload.gang_n > 0)
         continue;
       run->started_ms += stood_ms;
       run->ends_ms += stood_ms;
@@ -813,6 +932,7 @@
 void
 sp_workers_tick (void)
 {
+  update_gangs ();
   for (guint i = 0; i < worker_n; i++)
     {
       Worker *worker = &workers[i];
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -3,7 +3,8 @@
  * and of violations of the scheduler's guarantees.
  *
  * The payload of a task is its run time in ms.  The payload "crash N" crashes the worker of the
- * task after N ms.
+ * task after N ms.  Lists with a number for each step of the job may follow: "cpu=" in thousandths
+ * of a core, "gang=" the members of a gang, "saves=" 1 where tasks save checkpoints.
  *
  * POST /control sets faults:
  *   {"outage":true}               the store rejects all calls with 503
@@ -32,6 +33,7 @@
  *   {"exclude-later-owners":K,"for-ms":N}
  *                                 worker K does not get calls with a higher fencing token than it
  *                                 has seen
+ *   {"low-priority-queue":true}   the configuration has a second queue, /low/, of lower priority
  *   {"healthy":true}              ends "unlisted", "refuse-connections", "faults", "store-faults",
  *                                 "suspend" and "exclude-later-owners"
  *   {"finish":JOB}                ends the runs of JOB
@@ -57,6 +59,7 @@
 static gboolean outage;
 static gboolean appends_rejected;
 static gboolean unresponsive;
+static gboolean has_low_priority_queue;
 
 /* ---- shared ------------------------------------------------------------------------ */
 
@@ -102,11 +105,15 @@
 set_queue_service (const char *service)
 {
   static guint version = 3;
+  static const char *const low_priority_route
+      = ",{\"name\":\"low\",\"host\":\"h.example\",\"path-prefix\":\"/low/\",\"service\":"
+        "\"" SP_SERVICE "\",\"max-attempts\":3,\"priority\":1,\"stretch-factor\":2,"
+        "\"target-duration-ms\":20000}";
   g_autofree char *configuration = g_strdup_printf (
       "{\"version\":%u,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path-prefix\":\"/q/\","
-      "\"service\":\"%s\",\"max-attempts\":3,\"stretch-factor\":2,\"target-duration-ms\":1000}],"
+      "\"service\":\"%s\",\"max-attempts\":3,\"stretch-factor\":2,\"target-duration-ms\":1000}%s],"
       "\"services\":[{\"name\":\"" SP_SERVICE "\"},{\"name\":\"" SP_SECOND_SERVICE "\"}]}",
-      version, service);
+      version, service, has_low_priority_queue ? low_priority_route : "");
   version += 2;
   sp_store_put ("keyed.op/0", "config", configuration);
 }
@@ -119,6 +126,13 @@
   outage = unavailable;
 }
 
+static void
+add_low_priority_queue (void)
+{
+  has_low_priority_queue = TRUE;
+  set_queue_service (SP_SERVICE);
+}
+
 static void
 set_longest_stop (gint64 longest_ms)
 {
@@ -175,6 +189,8 @@
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   if (json_object_has_member (body, "stop-ms"))
     set_longest_stop (json_object_get_int_member (body, "stop-ms"));
+  if (json_object_has_member (body, "low-priority-queue"))
+    add_low_priority_queue ();
   if (json_object_has_member (body, "slow-clocks"))
     sp_workers_set_slow_clocks (json_object_get_boolean_member (body, "slow-clocks"));
   if (json_object_has_member (body, "cancelled"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -64,6 +64,19 @@
 /* Closes the listening socket of port NUMBER and resets the connections to it. */
 void sp_listen_stop (guint number);
 
+/* ---- payloads: standin-platform-payload.c ------------------------------------------- */
+
+typedef struct
+{
+  gint64 work_ms;
+  gboolean crashes; /* it crashes its worker when it ends */
+  guint cpu_milli;
+  guint gang_n;   /* members of its gang; 0: it is in none */
+  gboolean saves; /* it saves checkpoints */
+} SpPayload;
+
+SpPayload sp_payload_parse (const char *spec, const char *task);
+
 /* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
 /* FIRST_PORT: on which the first worker listens, the others on the ports after it.  LISTED_PORTS:
@@ -172,6 +185,8 @@
  * executed the order late, by sp_now_ms(); else 0.  Returns: TRUE when the run was counted because
  * its job is cancelled. */
 gboolean sp_audit_run (const char *task, gint64 late_start_ms);
+/* A run has ended; REASON: as workers report it, static. */
+void sp_audit_end (const char *reason);
 /* A run of TASK has ended as done.  Another start of TASK counts as a duplicate until
  * sp_audit_forget_done(). */
 void sp_audit_done (const char *task);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -122,6 +122,7 @@
 verdict "audit of cancelled jobs" tests/cancel-audit.sh
 verdict "stops that take time" tests/slow-stops.sh
 verdict "workers that stand still or lose calls" tests/unreachable-workers.sh
+verdict "payloads of the stand-in" tests/payloads.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
 verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
