--- a/soak/callers.c
+++ b/soak/callers.c
@@ -13,6 +13,11 @@
 #define TICKS_PER_REPEAT 4
 #define CRASHING_PERCENT 2
 #define LONG_RUNNING_PERCENT 8
+/* Of the jobs with stops. */
+#define CHECKPOINTING_PERCENT 9
+#define WIDE_PERCENT 9
+#define GANG_PERCENT 7
+#define STOPS_SEED 0x50000
 /* Jobs whose tasks end by themselves are cancelled at this rate, the others always. */
 #define CANCELLED_PERCENT 30
 #define MAX_CANCEL_DELAY_MS 4000
@@ -28,9 +33,12 @@
 typedef enum
 {
   JOB_PLAIN,
-  JOB_CRASHING,    /* its task crashes workers; the job may fail */
-  JOB_LASTING,     /* its tasks run for seconds */
-  JOB_LONG_RUNNING /* its tasks do not end; it is always cancelled */
+  JOB_CRASHING,      /* its task crashes workers; the job may fail */
+  JOB_LASTING,       /* its tasks run for seconds */
+  JOB_LONG_RUNNING,  /* its tasks do not end; it is always cancelled */
+  JOB_CHECKPOINTING, /* of low priority; its tasks run for seconds and save checkpoints */
+  JOB_WIDE,          /* each task of its second step needs a whole worker */
+  JOB_GANG           /* its second step is a gang */
 } JobKind;
 
 typedef struct
@@ -64,6 +72,7 @@
   guint daemon_n;
   SoakCallersSetup setup;
   GRand *rand;
+  GRand *stops_rand; /* for the kinds of jobs with stops */
   SoupSession *session;
   GPtrArray *jobs; /* of Job */
   SoakCounts counts;
@@ -156,7 +165,8 @@
     report_violation (self, "job %s was answered as %s, then as %s", job->id, job->end, text);
   if (g_str_equal (end, "failed") && job->kind != JOB_CRASHING)
     report_violation (self, "job %s failed without cause", job->id);
-  if (g_str_equal (end, "completed") && job->kind != JOB_PLAIN && job->kind != JOB_LASTING)
+  if (g_str_equal (end, "completed")
+      && (job->kind == JOB_CRASHING || job->kind == JOB_LONG_RUNNING))
     report_violation (self, "job %s completed although its tasks cannot", job->id);
   if (job->must_end_cancelled && *end != '\0' && !g_str_equal (end, "cancelled"))
     report_violation (self, "job %s, cancelled before its submission, was answered as %s", job->id,
@@ -200,8 +210,9 @@
 send_call (SoakCallers *self, Job *job, const char *method, const char *body)
 {
   guint i = (guint) g_rand_int_range (self->rand, 0, (gint32) self->daemon_n);
-  g_autofree char *url = g_strdup_printf (
-      "http://127.0.0.1:%u/q/%s", soak_link_port (soak_caller_link (self->processes, i)), job->id);
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u/%s/%s",
+                                          soak_link_port (soak_caller_link (self->processes, i)),
+                                          job->kind == JOB_CHECKPOINTING ? "low" : "q", job->id);
   Call *call = g_new0 (Call, 1);
   call->callers = self;
   call->job = job;
@@ -244,13 +255,28 @@
     [JOB_LONG_RUNNING]
     = "{\"spec\":\"600000%u\",\"phases\":[{\"count\":2,\"cpu\":2000,\"mem-mb\":100,"
       "\"long-running\":true}]}",
+    [JOB_CHECKPOINTING]
+    = "{\"spec\":\"%u saves=1,1\",\"phases\":[{\"count\":6,\"cpu\":2000,\"mem-mb\":100,"
+      "\"estimate-ms\":3500,\"checkpointing\":true},{\"count\":2,\"cpu\":2000,\"mem-mb\":100,"
+      "\"estimate-ms\":3500,\"checkpointing\":true,\"after\":[0]}]}",
+    [JOB_WIDE]
+    = "{\"spec\":\"%u cpu=2000,8000\",\"phases\":[{\"count\":1,\"cpu\":2000,\"mem-mb\":100,"
+      "\"estimate-ms\":300},{\"count\":2,\"cpu\":8000,\"mem-mb\":100,"
+      "\"estimate-ms\":300,\"after\":[0]}]}",
+    [JOB_GANG] = "{\"spec\":\"%u cpu=2000,4000 gang=0,3\",\"phases\":[{\"count\":1,\"cpu\":2000,"
+                 "\"mem-mb\":100,\"estimate-ms\":300},{\"count\":3,\"cpu\":4000,\"mem-mb\":100,"
+                 "\"estimate-ms\":300,\"gang\":true,\"after\":[0]}]}",
   };
   g_auto (GStrv) parts = g_strsplit (bodies[job->kind], "%u", 2);
   /* The run time is derived from the id, so that repeated submissions of a job have the same body.
    */
   guint number = (guint) g_ascii_strtoull (job->id + 8, NULL, 16);
-  g_autofree char *run_ms = g_strdup_printf (
-      "%u", job->kind == JOB_LASTING ? 2000 + number * 613 % 6000 : 50 + number % 700);
+  guint work_ms = 50 + number % 700;
+  if (job->kind == JOB_LASTING)
+    work_ms = 2000 + number * 613 % 6000;
+  else if (job->kind == JOB_CHECKPOINTING)
+    work_ms = 2000 + number * 613 % 3000;
+  g_autofree char *run_ms = g_strdup_printf ("%u", work_ms);
   g_autofree char *body = g_strjoin (run_ms, parts[0], parts[1], NULL);
   job->tries++;
   send_call (self, job, "POST", body);
@@ -278,6 +304,17 @@
   job->cancel_at_ms = now_ms () + MAX (offset_ms, 0);
 }
 
+static JobKind
+draw_kind_with_stops (SoakCallers *self)
+{
+  guint drawn = (guint) g_rand_int_range (self->stops_rand, 0, 100);
+  if (drawn < CHECKPOINTING_PERCENT)
+    return JOB_CHECKPOINTING;
+  if (drawn < CHECKPOINTING_PERCENT + WIDE_PERCENT)
+    return JOB_WIDE;
+  return drawn < CHECKPOINTING_PERCENT + WIDE_PERCENT + GANG_PERCENT ? JOB_GANG : JOB_PLAIN;
+}
+
 static void
 new_job (SoakCallers *self)
 {
@@ -290,6 +327,8 @@
     job->kind = JOB_LONG_RUNNING;
   else if (self->setup.lasting && self->jobs->len % 4 == 0)
     job->kind = JOB_LASTING;
+  else if (self->setup.stops)
+    job->kind = draw_kind_with_stops (self);
   g_ptr_array_add (self->jobs, job);
   self->counts.submitted++;
   draw_cancel (self, job);
@@ -345,6 +384,7 @@
   self->daemon_n = daemon_n;
   self->setup = *setup;
   self->rand = g_rand_new_with_seed (seed + 1);
+  self->stops_rand = g_rand_new_with_seed (seed + STOPS_SEED);
   self->jobs = g_ptr_array_new_with_free_func (g_free);
   /* Connections are reused until the daemon closes them. */
   self->session = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, "max-conns", 64,
@@ -361,6 +401,7 @@
   g_object_unref (self->session);
   g_ptr_array_unref (self->jobs);
   g_rand_free (self->rand);
+  g_rand_free (self->stops_rand);
   g_free (self->violation);
   g_free (self);
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -21,6 +21,7 @@
 {
   gboolean repeats; /* accepted jobs are submitted again */
   gboolean lasting; /* the tasks of some jobs run for seconds */
+  gboolean stops;   /* some jobs have checkpoints and low priority, others need much room at once */
   gboolean heavy;   /* a job is submitted at every tick */
 } SoakCallersSetup;
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -219,6 +219,14 @@
       LATE_APPENDS_MS, 10 + fault->variant / 2, (1 + fault->variant) * APPEND_DELAY_STEP_MS);
 }
 
+static void
+set_worker_reach (SoakFaults *self, const SoakFault *fault)
+{
+  const char *command = fault->kind == SOAK_WORKER_FREEZE ? "suspend" : "exclude-later-owners";
+  soak_platform_control (self->platform, "{\"%s\":%u,\"for-ms\":%u}", command, fault->target,
+                         fault->duration_ms);
+}
+
 /* ---- public --------------------------------------------------------------------------- */
 
 static void
@@ -290,6 +298,10 @@
     case SOAK_WORKER_LATE:
       set_worker_call_faults (self, fault);
       break;
+    case SOAK_WORKER_FREEZE:
+    case SOAK_WORKER_LATER_OWNERS:
+      set_worker_reach (self, fault);
+      break;
     case SOAK_STORE_FLAKY:
       set_store_call_faults (self, fault);
       break;
@@ -321,6 +333,8 @@
   if ((fault->kind >= SOAK_WORKER_LINK && fault->kind <= SOAK_WORKER_LATE)
       || fault->kind == SOAK_WORKER_NO_LISTENER)
     n += fault->variant % (1 + self->plan->worker_n / 4);
+  else if (fault->kind == SOAK_WORKER_LATER_OWNERS) /* up to half of them */
+    n += fault->variant % MAX (self->plan->worker_n / 2, 1);
   for (guint i = 0; i < n; i++)
     {
       SoakFault one = *fault;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -69,6 +69,18 @@
                                                  [SOAK_PEER_BLACKHOLE] = 1,
                                                  [SOAK_STORE_FLAKY] = 3 };
 
+/* Percentage of each fault of workers in plans with stops. */
+static const guint stops_weights[SOAK_FAULT_N]
+    = { [SOAK_WORKER_FREEZE] = 28, [SOAK_WORKER_LATER_OWNERS] = 34, [SOAK_WORKER_LATE] = 10,
+        [SOAK_WORKER_LOSES] = 10,  [SOAK_WORKER_CRASH] = 8,         [SOAK_WORKER_LINK] = 10 };
+/* Upper bound of the time between the beginnings of two of them. */
+#define MAX_STOPS_GAP_MS 4000
+/* The owner is disturbed at most so long before and after a fault of a worker begins. */
+#define MAX_OWNER_LEAD_MS 400
+#define MAX_OWNER_DELAY_MS 2000
+/* Variant of SOAK_STORE_LINK for which nothing is forwarded. */
+#define PARTITION_VARIANT 1
+
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
 {
@@ -200,6 +212,46 @@
     }
 }
 
+/* Some daemons, of which one may be the owner, are killed, stand still or don't reach the store.
+ * One daemon or more goes on. */
+static void
+add_owner_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint around_ms)
+{
+  static const SoakFaultKind kinds[] = { SOAK_KILL, SOAK_FREEZE, SOAK_STORE_LINK };
+  guint n = (guint) g_rand_int_range (rand, 1, (gint32) MAX (setup->daemon_n, 2));
+  SoakFault fault
+      = { .kind = kinds[g_rand_int_range (rand, 0, G_N_ELEMENTS (kinds))],
+          .at_ms = around_ms - MAX_OWNER_LEAD_MS
+                   + (guint) g_rand_int_range (rand, 0, MAX_OWNER_LEAD_MS + MAX_OWNER_DELAY_MS),
+          .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS),
+          .variant = PARTITION_VARIANT };
+  guint first = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n);
+  for (guint i = 0; i < n && fault.at_ms < setup->duration_ms; i++)
+    {
+      fault.target = (first + i) % setup->daemon_n;
+      g_array_append_val (plan, fault);
+    }
+}
+
+static void
+add_stops (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
+{
+  guint at_ms = FIRST_FAULT_AFTER_MS;
+  while ((at_ms += (guint) g_rand_int_range (rand, 800, MAX_STOPS_GAP_MS)) < setup->duration_ms)
+    {
+      const SoakFault fault
+          = { .kind = draw_kind (rand, stops_weights),
+              .at_ms = at_ms,
+              .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n),
+              .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS),
+              .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      g_array_append_val (plan, fault);
+      if (g_rand_int_range (rand, 0, 3) > 0)
+        add_owner_faults (setup, plan, rand, at_ms);
+    }
+  g_array_sort (plan, compare_times);
+}
+
 /* Faults of all kinds with a weight, one after the other. */
 static void
 add_weighted_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
@@ -226,6 +278,8 @@
     add_outages (setup, plan, rand);
   else if (setup->partitions)
     add_partitions (setup, plan, rand);
+  else if (setup->stops)
+    add_stops (setup, plan, rand);
   else
     add_weighted_faults (setup, plan, rand);
   /* Two of three runs end with a crash of all daemons at once, as in a power failure. */
@@ -251,39 +305,42 @@
 soak_plan_text (const GArray *plan)
 {
   /* The names in plan.txt; tools/check-docs.sh looks them up in the table of faults. */
-  static const char *const names[SOAK_FAULT_N] = { [SOAK_KILL] = "kill",
-                                                   [SOAK_TERM] = "term",
-                                                   [SOAK_FREEZE] = "freeze",
-                                                   [SOAK_RELOAD] = "reload",
-                                                   [SOAK_STORE_LINK] = "store-link",
-                                                   [SOAK_STORE_RESET] = "store-reset",
-                                                   [SOAK_STORE_BLACKHOLE] = "store-silence",
-                                                   [SOAK_CALLER_LINK] = "caller-link",
-                                                   [SOAK_CALLER_RESET] = "caller-reset",
-                                                   [SOAK_STORE_DOWN] = "store-away",
-                                                   [SOAK_STORE_UNRESPONSIVE] = "store-mute",
-                                                   [SOAK_WORKER_CRASH] = "worker-crash",
-                                                   [SOAK_ROLLING_RESTART] = "roll",
-                                                   [SOAK_KILL_ALL] = "kill-all",
-                                                   [SOAK_WORKER_LINK] = "worker-link",
-                                                   [SOAK_WORKER_RESET] = "worker-reset",
-                                                   [SOAK_WORKER_BLACKHOLE] = "worker-silence",
-                                                   [SOAK_WORKER_PARTITION] = "worker-cut",
-                                                   [SOAK_WORKER_REFUSES] = "worker-refuses",
-                                                   [SOAK_WORKER_LOSES] = "worker-loses",
-                                                   [SOAK_WORKER_FLAKY] = "worker-flaky",
-                                                   [SOAK_WORKER_LATE] = "worker-late",
-                                                   [SOAK_PEER_LINK] = "peer-link",
-                                                   [SOAK_PEER_RESET] = "peer-reset",
-                                                   [SOAK_PEER_BLACKHOLE] = "peer-silence",
-                                                   [SOAK_STORE_FLAKY] = "store-flaky",
-                                                   [SOAK_QUEUE_MOVE] = "queue-move",
-                                                   [SOAK_WORKER_NO_LISTENER] = "worker-no-listener",
-                                                   [SOAK_STORE_EXPIRY] = "store-expiry",
-                                                   [SOAK_STORE_OUTAGE] = "store-outage",
-                                                   [SOAK_WORKER_CUT_OFF] = "worker-cut-off",
-                                                   [SOAK_OTHER_WRITER] = "other-writer",
-                                                   [SOAK_STORE_LATE] = "store-late" };
+  static const char *const names[SOAK_FAULT_N]
+      = { [SOAK_KILL] = "kill",
+          [SOAK_TERM] = "term",
+          [SOAK_FREEZE] = "freeze",
+          [SOAK_RELOAD] = "reload",
+          [SOAK_STORE_LINK] = "store-link",
+          [SOAK_STORE_RESET] = "store-reset",
+          [SOAK_STORE_BLACKHOLE] = "store-silence",
+          [SOAK_CALLER_LINK] = "caller-link",
+          [SOAK_CALLER_RESET] = "caller-reset",
+          [SOAK_STORE_DOWN] = "store-away",
+          [SOAK_STORE_UNRESPONSIVE] = "store-mute",
+          [SOAK_WORKER_CRASH] = "worker-crash",
+          [SOAK_ROLLING_RESTART] = "roll",
+          [SOAK_KILL_ALL] = "kill-all",
+          [SOAK_WORKER_LINK] = "worker-link",
+          [SOAK_WORKER_RESET] = "worker-reset",
+          [SOAK_WORKER_BLACKHOLE] = "worker-silence",
+          [SOAK_WORKER_PARTITION] = "worker-cut",
+          [SOAK_WORKER_REFUSES] = "worker-refuses",
+          [SOAK_WORKER_LOSES] = "worker-loses",
+          [SOAK_WORKER_FLAKY] = "worker-flaky",
+          [SOAK_WORKER_LATE] = "worker-late",
+          [SOAK_PEER_LINK] = "peer-link",
+          [SOAK_PEER_RESET] = "peer-reset",
+          [SOAK_PEER_BLACKHOLE] = "peer-silence",
+          [SOAK_STORE_FLAKY] = "store-flaky",
+          [SOAK_QUEUE_MOVE] = "queue-move",
+          [SOAK_WORKER_NO_LISTENER] = "worker-no-listener",
+          [SOAK_STORE_EXPIRY] = "store-expiry",
+          [SOAK_STORE_OUTAGE] = "store-outage",
+          [SOAK_WORKER_CUT_OFF] = "worker-cut-off",
+          [SOAK_OTHER_WRITER] = "other-writer",
+          [SOAK_STORE_LATE] = "store-late",
+          [SOAK_WORKER_FREEZE] = "worker-freeze",
+          [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -39,6 +39,8 @@
   SOAK_WORKER_CUT_OFF, /* connections of the daemons to a worker are refused */
   SOAK_OTHER_WRITER,   /* another program stores a malformed record */
   SOAK_STORE_LATE,     /* the store executes a percentage of its appends late, without responding */
+  SOAK_WORKER_FREEZE,  /* a worker stands still, and its calls wait */
+  SOAK_WORKER_LATER_OWNERS, /* calls to a worker are lost unless their owner has called it before */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -62,6 +64,7 @@
   gboolean other_writer; /* it has SOAK_OTHER_WRITER besides the faults of its seed */
   gboolean late_appends; /* it has SOAK_STORE_LATE besides the faults of its seed */
   gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
+  gboolean stops;        /* it has only faults of workers and of the pool's owner */
   gboolean outages;      /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
 } SoakPlanSetup;
 
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -11,10 +11,15 @@
   gboolean worker_links; /* connections to workers and between daemons use links as well */
   gboolean queue_moves;  /* half of the workers belong to SOAK_SECOND_SERVICE */
   gboolean start_times;  /* workers report when they were started */
+  gboolean stops;        /* the workers' stops take up to SOAK_LONGEST_STOP_MS */
   const char *folder;    /* for settings and logs of the run */
   const char *programs;  /* build folder of the programs */
 } SoakSetup;
 
+/* The bounds of stops with and without SoakSetup.stops. */
+#define SOAK_LONGEST_STOP_MS 900
+#define SOAK_SHORT_STOP_MS 200
+
 /* The services of the stand-in platform. */
 #define SOAK_SERVICE "svc"
 #define SOAK_SECOND_SERVICE "svc2"
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -24,10 +24,14 @@
  * and unresolved losses of crashed workers together take about 20 s. */
 #define RECOVERY_MS 45000
 #define CLEAR_FAULTS_TICKS 10
+/* Daemons have applied a configuration after this time. */
+#define APPLY_CONFIGURATION_MS 2000
 /* A run goes on until tasks of all cancelled jobs would have been counted: for the bounds in
  * standin-platform-audit.c, and a little longer. */
 #define IN_TOUCH_AFTER_MS 3000
 #define WATCH_CANCELLED_MS 3700
+/* Stops that take longer are waited for as well. */
+#define WATCH_STOPS_MS (SOAK_LONGEST_STOP_MS - SOAK_SHORT_STOP_MS)
 
 static gint option_seeds = 1;
 static gint option_seed = 1;
@@ -41,6 +45,7 @@
 static gboolean option_late_appends = FALSE;
 static gboolean option_partitions = FALSE;
 static gboolean option_outages = FALSE;
+static gboolean option_stops = FALSE;
 static gboolean option_without_start_times = FALSE;
 static char *option_programs;
 static char *option_folder;
@@ -67,6 +72,9 @@
     "The only faults are outages of the store, during each of which a sixth of the workers is "
     "cut off",
     NULL },
+  { "stops", 0, 0, G_OPTION_ARG_NONE, &option_stops,
+    "Stops take time and are frequent, and the faults are of workers and of the pool's owner",
+    NULL },
   { "without-start-times", 0, 0, G_OPTION_ARG_NONE, &option_without_start_times,
     "Workers do not report when they were started", NULL },
   { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
@@ -87,9 +95,12 @@
   SoakPlatform *platform;
   SoakFaults *faults;
   gint64 calm_since_ms; /* by the monotonic clock; 0: faults are active */
+  char *ends;           /* how runs have ended, as the audit tells; NULL: not asked */
   char *violation;      /* text of the first violation; NULL: none */
 } SoakRun;
 
+#define ENDS_KEY "\"ends\":\""
+
 static guint
 audit_count (const char *audit, const char *name)
 {
@@ -127,6 +138,9 @@
       if (audit_count (audit, counters[i]) > 0)
         run->violation = g_strdup_printf ("audit of the workers: %s", audit);
     }
+  const char *ends = audit != NULL ? strstr (audit, ENDS_KEY) : NULL;
+  if (ends != NULL)
+    run->ends = g_strndup (ends + strlen (ENDS_KEY), strcspn (ends + strlen (ENDS_KEY), "\""));
   guint cancelled = soak_callers_counts (run->callers).cancelled;
   if (run->violation == NULL && audit_count (audit, "cancelled") != cancelled)
     run->violation = g_strdup_printf ("the audit knows %u of %u cancelled jobs",
@@ -179,6 +193,16 @@
   return ready == run->setup.daemon_n;
 }
 
+/* Prepares the stand-in's workers and the configuration for a load with stops. */
+static void
+set_up_stops (SoakRun *run)
+{
+  soak_platform_control (run->platform,
+                         "{\"stop-ms\":%u,\"slow-clocks\":true,\"low-priority-queue\":true}",
+                         SOAK_LONGEST_STOP_MS);
+  iterate_for_ms (APPLY_CONFIGURATION_MS);
+}
+
 /* Tells the audit whether faults are active. */
 static void
 set_calm (SoakRun *run, gboolean calm)
@@ -223,7 +247,8 @@
       set_calm (run, soak_faults_are_over (run->faults));
       until_ms = run->calm_since_ms == 0
                      ? G_MAXINT64
-                     : MAX (ended_ms, run->calm_since_ms + IN_TOUCH_AFTER_MS) + WATCH_CANCELLED_MS;
+                     : MAX (ended_ms, run->calm_since_ms + IN_TOUCH_AFTER_MS) + WATCH_CANCELLED_MS
+                           + (run->setup.stops ? WATCH_STOPS_MS : 0);
       iterate_for_ms (TICK_MS);
     }
 }
@@ -263,10 +288,11 @@
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
       "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
-      "outages=%d start-times=%d other-writer=%d late-appends=%d\n%s",
+      "outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
       run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
-      run->setup.start_times, run->plan.other_writer, run->plan.late_appends, text);
+      run->setup.start_times, run->plan.other_writer, run->plan.late_appends, run->plan.stops,
+      text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -300,6 +326,7 @@
                             .other_writer = option_other_writer,
                             .late_appends = option_late_appends,
                             .partitions = option_partitions,
+                            .stops = option_stops,
                             .outages = option_outages },
                   .setup = { .base_port = (guint16) option_port,
                              .daemon_n = (guint) option_daemons,
@@ -307,6 +334,7 @@
                              .worker_links = !option_without_worker_links,
                              .queue_moves = option_queue_moves,
                              .start_times = !option_without_start_times,
+                             .stops = option_stops,
                              .folder = folder,
                              .programs = option_programs } };
   g_autoptr (GArray) plan = soak_plan_new (&run.plan);
@@ -319,9 +347,12 @@
   else
     {
       run.calm_since_ms = g_get_monotonic_time () / 1000;
+      if (option_stops)
+        set_up_stops (&run);
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
       const SoakCallersSetup callers = { .repeats = option_queue_moves,
                                          .lasting = option_partitions || option_outages,
+                                         .stops = option_stops,
                                          .heavy = option_outages };
       run.callers
           = soak_callers_new (run.processes, run.platform, run.setup.daemon_n, seed, &callers);
@@ -334,14 +365,16 @@
   g_clear_pointer (&run.processes, soak_processes_free);
   soak_platform_free (run.platform);
   printf ("seed %u: %u faults, %u jobs, %u accepted, %u cancelled, %u ended, %u calls answered, %u "
-          "not: %s\n",
+          "not%s%s: %s\n",
           seed, plan->len, counts.submitted, counts.accepted, counts.cancelled, counts.ended,
-          counts.answered, counts.unanswered,
+          counts.answered, counts.unanswered, option_stops ? "; runs ended: " : "",
+          option_stops && run.ends != NULL ? run.ends : "",
           run.violation != NULL ? run.violation : "no violation");
   fflush (stdout);
   gboolean has_violation = run.violation != NULL;
   if (!has_violation)
     remove_folder (folder);
+  g_free (run.ends);
   g_free (run.violation);
   return has_violation;
 }
@@ -359,12 +392,13 @@
   gint start_times = 1;
   gint other_writer = 0;
   gint late_appends = 0;
+  gint stops = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
-                 "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d",
+                 "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
-                 &partitions, &outages, &start_times, &other_writer, &late_appends)
+                 &partitions, &outages, &start_times, &other_writer, &late_appends, &stops)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
@@ -374,6 +408,7 @@
   option_without_start_times = start_times == 0;
   option_other_writer = other_writer != 0;
   option_late_appends = late_appends != 0;
+  option_stops = stops != 0;
   option_seeds = 1;
   return TRUE;
 }
@@ -384,7 +419,7 @@
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
          && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
          && option_port > 1024 && option_port < 60000
-         && !((option_partitions || option_outages) && option_without_worker_links)
+         && !((option_partitions || option_outages || option_stops) && option_without_worker_links)
          && !(option_partitions && option_outages);
 }
 
