--- a/soak/faults.c
+++ b/soak/faults.c
@@ -11,12 +11,16 @@
  */
 #define LATE_APPENDS_MS 1000
 #define APPEND_DELAY_STEP_MS 60
+/* A slow daemon runs for SLOW_RUN_MS and then stands still for SLOW_STAND_MS. */
+#define SLOW_RUN_MS 20
+#define SLOW_STAND_MS 180
 
 struct _SoakFaults
 {
   SoakProcesses *processes;
   SoakPlatform *platform;
   const SoakPlanSetup *plan;
+  guint *frozen_n;            /* by daemon: how many SOAK_FREEZE are active */
   GHashTable *scheduled_ends; /* set of ScheduledEnd whose timers run; owned */
 };
 
@@ -76,6 +80,39 @@
   set_store_expiring (self, refusing);
 }
 
+static void
+thaw_daemon (SoakFaults *self, guint i)
+{
+  self->frozen_n[i]--;
+  soak_daemon_signal (self->processes, i, SIGCONT);
+}
+
+static gboolean end_fault (gpointer user);
+
+static void
+end_later (SoakFaults *self, const SoakFault *fault, guint after_ms)
+{
+  ScheduledEnd *scheduled = g_new0 (ScheduledEnd, 1);
+  scheduled->faults = self;
+  scheduled->fault = *fault;
+  scheduled->timer = g_timeout_add (after_ms, end_fault, scheduled);
+  g_hash_table_add (self->scheduled_ends, scheduled);
+}
+
+/* VARIANT of FAULT: whether the daemon stands still. */
+static void
+switch_slow_daemon (SoakFaults *self, const SoakFault *fault)
+{
+  SoakFault next = *fault;
+  guint passed_ms = fault->variant != 0 ? SLOW_STAND_MS : SLOW_RUN_MS;
+  next.duration_ms -= MIN (passed_ms, fault->duration_ms);
+  next.variant = fault->variant == 0 && next.duration_ms > 0;
+  if (self->frozen_n[fault->target] == 0)
+    soak_daemon_signal (self->processes, fault->target, next.variant != 0 ? SIGSTOP : SIGCONT);
+  if (next.duration_ms > 0)
+    end_later (self, &next, next.variant != 0 ? SLOW_STAND_MS : SLOW_RUN_MS);
+}
+
 static gboolean
 end_fault (gpointer user)
 {
@@ -88,7 +125,9 @@
   if (link != NULL)
     soak_link_set_mode (link, SOAK_LINK_PASS, 0);
   else if (fault->kind == SOAK_FREEZE)
-    soak_daemon_signal (self->processes, fault->target, SIGCONT);
+    thaw_daemon (self, fault->target);
+  else if (fault->kind == SOAK_DAEMON_SLOW)
+    switch_slow_daemon (self, fault);
   else if (fault->kind == SOAK_STORE_DOWN)
     soak_platform_control (self->platform, "{\"outage\":false}");
   else if (fault->kind == SOAK_STORE_UNRESPONSIVE)
@@ -103,16 +142,6 @@
   return G_SOURCE_REMOVE;
 }
 
-static void
-end_later (SoakFaults *self, const SoakFault *fault, guint after_ms)
-{
-  ScheduledEnd *scheduled = g_new0 (ScheduledEnd, 1);
-  scheduled->faults = self;
-  scheduled->fault = *fault;
-  scheduled->timer = g_timeout_add (after_ms, end_fault, scheduled);
-  g_hash_table_add (self->scheduled_ends, scheduled);
-}
-
 /* ---- faults of daemons and of the store --------------------------------------------- */
 
 static void
@@ -240,7 +269,11 @@
     case SOAK_TERM:
       kill_daemon (self, fault, fault->target, SIGTERM);
       break;
+    case SOAK_DAEMON_SLOW:
+      switch_slow_daemon (self, fault);
+      break;
     case SOAK_FREEZE:
+      self->frozen_n[fault->target]++;
       soak_daemon_signal (self->processes, fault->target, SIGSTOP);
       end_later (self, fault, fault->duration_ms);
       break;
@@ -375,7 +408,8 @@
   while (g_hash_table_iter_next (&iter, &scheduled, NULL))
     {
       /* The ends of the other faults change nothing once these are cleared. */
-      if (((ScheduledEnd *) scheduled)->fault.kind == SOAK_ROLLING_RESTART)
+      SoakFaultKind kind = ((ScheduledEnd *) scheduled)->fault.kind;
+      if (kind == SOAK_ROLLING_RESTART || kind == SOAK_DAEMON_SLOW)
         return FALSE;
     }
   for (guint i = 0; i < self->plan->daemon_n; i++)
@@ -393,6 +427,7 @@
   self->processes = processes;
   self->platform = platform;
   self->plan = plan;
+  self->frozen_n = g_new0 (guint, plan->daemon_n);
   self->scheduled_ends = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   return self;
 }
@@ -406,5 +441,6 @@
   while (g_hash_table_iter_next (&iter, &scheduled, NULL))
     g_source_remove (((ScheduledEnd *) scheduled)->timer);
   g_hash_table_unref (self->scheduled_ends);
+  g_free (self->frozen_n);
   g_free (self);
 }
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -80,6 +80,8 @@
 #define MAX_OWNER_DELAY_MS 2000
 /* Variant of SOAK_STORE_LINK for which nothing is forwarded. */
 #define PARTITION_VARIANT 1
+#define MAX_SLOW_DAEMON_GAP_MS 9000
+#define SLOW_DAEMON_SEED 0x40000
 
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
@@ -233,6 +235,24 @@
     }
 }
 
+static void
+add_slow_daemons (const SoakPlanSetup *setup, GArray *plan)
+{
+  GRand *rand = g_rand_new_with_seed (setup->seed + SLOW_DAEMON_SEED);
+  guint at_ms = 0;
+  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_SLOW_DAEMON_GAP_MS))
+         < setup->duration_ms)
+    {
+      const SoakFault fault
+          = { .kind = SOAK_DAEMON_SLOW,
+              .at_ms = at_ms,
+              .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n),
+              .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS) };
+      g_array_append_val (plan, fault);
+    }
+  g_rand_free (rand);
+}
+
 static void
 add_stops (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
 {
@@ -249,6 +269,7 @@
       if (g_rand_int_range (rand, 0, 3) > 0)
         add_owner_faults (setup, plan, rand, at_ms);
     }
+  add_slow_daemons (setup, plan);
   g_array_sort (plan, compare_times);
 }
 
@@ -340,7 +361,8 @@
           [SOAK_OTHER_WRITER] = "other-writer",
           [SOAK_STORE_LATE] = "store-late",
           [SOAK_WORKER_FREEZE] = "worker-freeze",
-          [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners" };
+          [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners",
+          [SOAK_DAEMON_SLOW] = "daemon-slow" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -41,6 +41,7 @@
   SOAK_STORE_LATE,     /* the store executes a percentage of its appends late, without responding */
   SOAK_WORKER_FREEZE,  /* a worker stands still, and its calls wait */
   SOAK_WORKER_LATER_OWNERS, /* calls to a worker are lost unless their owner has called it before */
+  SOAK_DAEMON_SLOW,         /* a daemon gets a tenth of a processor */
   SOAK_FAULT_N
 } SoakFaultKind;
 
