--- a/soak/plan.c
+++ b/soak/plan.c
@@ -80,8 +80,9 @@
 #define MAX_OWNER_DELAY_MS 2000
 /* Variant of SOAK_STORE_LINK for which nothing is forwarded. */
 #define PARTITION_VARIANT 1
-#define MAX_SLOW_DAEMON_GAP_MS 9000
+#define MAX_DAEMON_GAP_MS 9000
 #define SLOW_DAEMON_SEED 0x40000
+#define HANGING_DAEMON_SEED 0x60000
 
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
@@ -235,16 +236,17 @@
     }
 }
 
+/* Adds faults of KIND, of one daemon each, drawn from numbers of their own. */
 static void
-add_slow_daemons (const SoakPlanSetup *setup, GArray *plan)
+add_daemon_faults (const SoakPlanSetup *setup, GArray *plan, SoakFaultKind kind,
+                   guint32 seed_offset)
 {
-  GRand *rand = g_rand_new_with_seed (setup->seed + SLOW_DAEMON_SEED);
+  GRand *rand = g_rand_new_with_seed (setup->seed + seed_offset);
   guint at_ms = 0;
-  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_SLOW_DAEMON_GAP_MS))
-         < setup->duration_ms)
+  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_DAEMON_GAP_MS)) < setup->duration_ms)
     {
       const SoakFault fault
-          = { .kind = SOAK_DAEMON_SLOW,
+          = { .kind = kind,
               .at_ms = at_ms,
               .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n),
               .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS) };
@@ -269,7 +271,8 @@
       if (g_rand_int_range (rand, 0, 3) > 0)
         add_owner_faults (setup, plan, rand, at_ms);
     }
-  add_slow_daemons (setup, plan);
+  add_daemon_faults (setup, plan, SOAK_DAEMON_SLOW, SLOW_DAEMON_SEED);
+  add_daemon_faults (setup, plan, SOAK_DAEMON_HANG, HANGING_DAEMON_SEED);
   g_array_sort (plan, compare_times);
 }
 
@@ -362,7 +365,8 @@
           [SOAK_STORE_LATE] = "store-late",
           [SOAK_WORKER_FREEZE] = "worker-freeze",
           [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners",
-          [SOAK_DAEMON_SLOW] = "daemon-slow" };
+          [SOAK_DAEMON_SLOW] = "daemon-slow",
+          [SOAK_DAEMON_HANG] = "daemon-hang" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
