--- a/soak/callers.c
+++ b/soak/callers.c
@@ -17,6 +17,7 @@
 #define CHECKPOINTING_PERCENT 9
 #define WIDE_PERCENT 9
 #define GANG_PERCENT 7
+#define LASTING_PERCENT 9
 #define STOPS_SEED 0x50000
 /* Jobs whose tasks end by themselves are cancelled at this rate, the others always. */
 #define CANCELLED_PERCENT 30
@@ -312,7 +313,10 @@
     return JOB_CHECKPOINTING;
   if (drawn < CHECKPOINTING_PERCENT + WIDE_PERCENT)
     return JOB_WIDE;
-  return drawn < CHECKPOINTING_PERCENT + WIDE_PERCENT + GANG_PERCENT ? JOB_GANG : JOB_PLAIN;
+  drawn -= CHECKPOINTING_PERCENT + WIDE_PERCENT;
+  if (drawn < GANG_PERCENT)
+    return JOB_GANG;
+  return drawn < GANG_PERCENT + LASTING_PERCENT ? JOB_LASTING : JOB_PLAIN;
 }
 
 static void
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -72,7 +72,7 @@
 /* Percentage of each fault of workers in plans with stops. */
 static const guint stops_weights[SOAK_FAULT_N]
     = { [SOAK_WORKER_FREEZE] = 28, [SOAK_WORKER_LATER_OWNERS] = 34, [SOAK_WORKER_LATE] = 10,
-        [SOAK_WORKER_LOSES] = 10,  [SOAK_WORKER_CRASH] = 8,         [SOAK_WORKER_LINK] = 10 };
+        [SOAK_WORKER_LOSES] = 10,  [SOAK_WORKER_CRASH] = 8,         [SOAK_WORKER_PARTITION] = 10 };
 /* Upper bound of the time between the beginnings of two of them. */
 #define MAX_STOPS_GAP_MS 4000
 /* The owner is disturbed at most so long before and after a fault of a worker begins. */
@@ -80,6 +80,9 @@
 #define MAX_OWNER_DELAY_MS 2000
 /* Variant of SOAK_STORE_LINK for which nothing is forwarded. */
 #define PARTITION_VARIANT 1
+/* Lower bound of how long a worker stands still or is out of reach for later owners; with that the
+ * leases of most of its runs end. */
+#define MIN_UNREACHABLE_MS 3500
 #define MAX_DAEMON_GAP_MS 9000
 #define SLOW_DAEMON_SEED 0x40000
 #define HANGING_DAEMON_SEED 0x60000
@@ -251,6 +254,7 @@
               .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n),
               .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS) };
       g_array_append_val (plan, fault);
+      at_ms += fault.duration_ms;
     }
   g_rand_free (rand);
 }
@@ -261,12 +265,13 @@
   guint at_ms = FIRST_FAULT_AFTER_MS;
   while ((at_ms += (guint) g_rand_int_range (rand, 800, MAX_STOPS_GAP_MS)) < setup->duration_ms)
     {
-      const SoakFault fault
-          = { .kind = draw_kind (rand, stops_weights),
-              .at_ms = at_ms,
-              .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n),
-              .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS),
-              .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      SoakFault fault = { .kind = draw_kind (rand, stops_weights),
+                          .at_ms = at_ms,
+                          .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n),
+                          .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS),
+                          .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      if (fault.kind == SOAK_WORKER_FREEZE || fault.kind == SOAK_WORKER_LATER_OWNERS)
+        fault.duration_ms += MIN_UNREACHABLE_MS;
       g_array_append_val (plan, fault);
       if (g_rand_int_range (rand, 0, 3) > 0)
         add_owner_faults (setup, plan, rand, at_ms);
