A stop without an answer may still be under way

Cause: a run that an owner stops counted as over when a list had neither it nor its end, had it been seen before, unless the worker had accepted the stop: then the owner waits for the longest stop. A stop that was carried out while its answer was lost is as much under way. The platform's page does not say that a run that is being stopped is listed.

Change: without an answer, the longest stop counts from the first list that lacks the run. Not for runs that were never seen, as before.

pools/unanswered-stop-still-under-way failed before: both tasks start on w1 20 ms after the list, and a gang in the capacity of the runs on w2. The other pool scripts, and fuzz-pool 1 300 of plain, partitions, crashing-steady and cancelling, print the same as before.

Left: a new owner that takes over within a stop knows nothing of the run.

--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -417,6 +417,7 @@
   if (run->attempt != seen->attempt)
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
+  run->absent_clock_ms = 0;
   run->listed_ms = now_ms;
   fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
@@ -439,6 +440,10 @@
     return NULL;
   if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
     return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms ? "stop accepted" : NULL;
+  /* The worker may have accepted the stop whose answer is missing, and not have finished it. */
+  if (run->state == FB_RUN_STOPPING && run->seen_clock_ms > 0
+      && clock_ms <= run->absent_clock_ms + self->limits.max_stop_ms)
+    return NULL;
   if (run->seen_clock_ms > 0)
     return "seen before";
   return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
@@ -451,6 +456,9 @@
   for (GList *l = runs; l != NULL; l = l->next)
     {
       FbPoolRun *run = l->data;
+      if (run->state == FB_RUN_STOPPING && run->absent_clock_ms == 0
+          && run->seen_clock_ms < clock_ms)
+        run->absent_clock_ms = clock_ms;
       const char *proof = proof_of_end (self, worker, run, clock_ms);
       if (proof == NULL)
         {
