--- a/soak/processes.h
+++ b/soak/processes.h
@@ -11,10 +11,15 @@
   gboolean worker_links; /* connections to workers and between daemons use links as well */
   gboolean queue_moves;  /* half of the workers belong to SOAK_SECOND_SERVICE */
   gboolean start_times;  /* workers report when they were started */
+  gboolean stops;        /* the workers' stops take up to SOAK_LONGEST_STOP_MS */
   const char *folder;    /* for settings and logs of the run */
   const char *programs;  /* build folder of the programs */
 } SoakSetup;
 
+/* The bounds of stops with and without SoakSetup.stops. */
+#define SOAK_LONGEST_STOP_MS 900
+#define SOAK_SHORT_STOP_MS 200
+
 /* The services of the stand-in platform. */
 #define SOAK_SERVICE "svc"
 #define SOAK_SECOND_SERVICE "svc2"
@@ -36,6 +41,9 @@
 guint16 soak_daemon_port (const SoakProcesses *self, guint i);
 /* Sends SIGNAL to daemon I if it runs. */
 void soak_daemon_signal (SoakProcesses *self, guint i, int signal);
+/* The main thread of daemon I stands still for FOR_MS, and its others go on.  Needs the right to
+ * trace other processes. */
+void soak_daemon_hang (SoakProcesses *self, guint i, guint for_ms);
 /* Daemon I restarts AFTER_MS after each exit, or AFTER_MS from now when it is down. */
 void soak_daemon_restart (SoakProcesses *self, guint i, guint after_ms);
 gboolean soak_daemon_runs (const SoakProcesses *self, guint i);
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -12,21 +12,32 @@
 #define WORKER_CPU_MILLI 8000
 /* Value of a worker's clock when it restarts. */
 #define INITIAL_CLOCK_MS 1000
-/* CPU request of every task of the tests. */
-#define TASK_CPU_MILLI 2000
+/* A checkpoint is saved with each CHECKPOINT_MS of work and at a stop. */
+#define CHECKPOINT_MS 1000
+#define RESTORE_MS 100
+#define CHECKPOINT_PREFIX "work-"
+/* A member of a gang ends when the others are not present after GANG_WAIT_MS. */
+#define GANG_WAIT_MS 3000
 /* Ends of runs in one response to a poll. */
 #define MAX_POLL_ENDS 500
+#define MAX_CLOCK_LAG_PERMYRIAD 200
+#define STOP_SEED 2
 
 typedef struct
 {
   char *task;
   guint64 attempt;
-  gint64 started_ms; /* by sp_now_ms() */
-  gint64 ends_ms;    /* by sp_now_ms() */
+  guint64 token;      /* fencing token of the order that started it */
+  gint64 started_ms;  /* by sp_now_ms() */
+  gint64 ends_ms;     /* by sp_now_ms() */
+  gint64 restored_ms; /* work that was done before, by its checkpoint */
+  gint64 saved_ms;    /* work done at its stop; 0: it was not stopped */
+  SpPayload payload;
   gboolean stopping;
-  gboolean crashes;      /* it crashes its worker when it ends */
-  gboolean started_late; /* the worker executed the order late */
-  gboolean is_counted;   /* sp_audit_run() has counted it */
+  gboolean waits;         /* for the other members of its gang */
+  const char *end_reason; /* NULL: it ends by itself, or with its lease */
+  gboolean started_late;  /* the worker executed the order late */
+  gboolean is_counted;    /* sp_audit_run() has counted it */
 } Run;
 
 /* The end of a run, retained until the pool acknowledges it. */
@@ -36,6 +47,7 @@
   char *task;
   guint64 attempt;
   const char *reason;
+  char *checkpoint;
   gboolean is_counted; /* counted by the audit: the task is done, and the lease has not expired
                           since */
 } End;
@@ -53,8 +65,10 @@
   guint incarnation; /* number of restarts */
   char *id;
   gint64 incarnation_started_ms; /* ms since 1970 */
-  gint64 clock_origin_ms;        /* sp_now_ms() when its clock was 0 */
-  gboolean reuses_id;            /* the next incarnation has the same id */
+  gint64 clock_set_ms;           /* sp_now_ms() when its clock was CLOCK_BASE_MS */
+  gint64 clock_base_ms;
+  gint64 clock_lag_permyriad; /* by how much its clock is slow */
+  gboolean reuses_id;         /* the next incarnation has the same id */
   gboolean up;
   gint64
       restart_ms; /* when it restarts after a crash, by sp_now_ms(); 0: no restart is scheduled */
@@ -70,6 +84,7 @@
   GPtrArray *ends;         /* of End */
   GHashTable *ended_attempts; /* task -> its highest attempt that has ended or was stopped */
   gboolean executes_late;     /* the call that it executes was delayed */
+  gint64 suspended_ms;        /* when it began to stand still, by sp_now_ms() */
   SpPausedRequest poll; /* waits for the end of a run; its message is NULL when no poll waits */
 } Worker;
 
@@ -84,6 +99,8 @@
 static gboolean entries_expire; /* also while the store is unavailable */
 static gboolean reports_start_times;
 static guint list_sequence;
+static gint32 longest_stop_ms; /* 0: stops take no time */
+static GRand *stop_rand;       /* for the duration of stops */
 
 static void
 run_free (gpointer data)
@@ -98,6 +115,7 @@
 {
   End *end = data;
   g_free (end->task);
+  g_free (end->checkpoint);
   g_free (end);
 }
 
@@ -134,7 +152,8 @@
 static gint64
 worker_clock_ms (const Worker *worker)
 {
-  return sp_now_ms () - worker->clock_origin_ms;
+  gint64 passed_ms = sp_now_ms () - worker->clock_set_ms;
+  return worker->clock_base_ms + passed_ms - passed_ms * worker->clock_lag_permyriad / 10000;
 }
 
 static void
@@ -183,14 +202,47 @@
   return NULL;
 }
 
+/* Returns: (transfer full): the newest checkpoint of RUN; "": none. */
+static char *
+newest_checkpoint (const Run *run)
+{
+  gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
+  gint64 work_ms = CLAMP (sp_now_ms () - run->started_ms - restore_ms, 0, run->payload.work_ms);
+  gint64 saved_ms = run->restored_ms + work_ms / CHECKPOINT_MS * CHECKPOINT_MS;
+  if (!run->payload.saves || MAX (saved_ms, run->saved_ms) == 0)
+    return g_strdup ("");
+  return g_strdup_printf (CHECKPOINT_PREFIX "%" G_GINT64_FORMAT,
+                          run->stopping ? run->saved_ms : saved_ms);
+}
+
+/* Returns: (transfer full): RUN in the words of the audit. */
+static char *
+describe_run (const Worker *worker, const Run *run)
+{
+  return g_strdup_printf ("%s attempt %" G_GUINT64_FORMAT " on %s#%u, token %" G_GUINT64_FORMAT
+                          ", started at %" G_GINT64_FORMAT " ms%s%s",
+                          run->task, run->attempt, worker->id, worker->incarnation, run->token,
+                          run->started_ms, run->started_late ? ", late" : "",
+                          run->stopping ? ", being stopped" : "");
+}
+
+/* Reports each other run of the task of RUN, which starts on WORKER.  Returns: their number. */
 static guint
-count_runs (const char *task)
+report_other_runs (const Worker *worker, const Run *run)
 {
   guint n = 0;
+  g_autofree char *started = describe_run (worker, run);
   for (guint i = 0; i < worker_n; i++)
     {
       for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
-        n += g_str_equal (((const Run *) workers[i].runs->pdata[j])->task, task);
+        {
+          const Run *other = workers[i].runs->pdata[j];
+          if (!g_str_equal (other->task, run->task))
+            continue;
+          g_autofree char *text = describe_run (&workers[i], other);
+          sp_audit_overlap (text, started);
+          n++;
+        }
     }
   return n;
 }
@@ -206,10 +258,12 @@
   end->n = ++worker->last_end;
   end->task = g_strdup (run->task);
   end->attempt = run->attempt;
-  end->reason = run->stopping ? "stopped" : lapsed ? "lapsed" : "done";
+  end->reason = run->end_reason != NULL ? run->end_reason : lapsed ? "lapsed" : "done";
+  end->checkpoint = newest_checkpoint (run);
   end->is_counted = g_str_equal (end->reason, "done");
   g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " ends %s", worker->id, run->task, run->attempt,
            end->reason);
+  sp_audit_end (end->reason);
   if (end->is_counted)
     sp_audit_done (end->task);
   mark_attempt_ended (worker, end->task, end->attempt);
@@ -221,16 +275,17 @@
 end_due_runs (Worker *worker)
 {
   gint64 now_ms = sp_now_ms ();
+  gboolean works = !sp_reach_is_suspended (worker->index);
   for (guint i = worker->runs->len; worker->up && i > 0; i--)
     {
       const Run *run = worker->runs->pdata[i - 1];
-      if (run->crashes && !run->stopping && now_ms >= run->ends_ms)
+      if (works && run->payload.crashes && !run->stopping && now_ms >= run->ends_ms)
         {
           guint crashes_n = sp_audit_crash (run->task);
           sp_worker_crash (worker->index, 2000 + (gint64) (crashes_n % 5) * 1000,
                            crashes_n % 2 == 0);
         }
-      else if (now_ms >= run->ends_ms || worker_clock_ms (worker) >= worker->lease_ms)
+      else if ((works && now_ms >= run->ends_ms) || worker_clock_ms (worker) >= worker->lease_ms)
         end_run (worker, i - 1);
     }
   if (worker_clock_ms (worker) >= worker->lease_ms)
@@ -249,24 +304,114 @@
     }
 }
 
+static guint
+cpu_used_milli (const Worker *worker)
+{
+  guint used = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    used += ((const Run *) worker->runs->pdata[i])->payload.cpu_milli;
+  return used;
+}
+
 static void
 begin_run (Worker *worker, JsonObject *body)
 {
   const char *task = json_object_get_string_member (body, "task");
   const char *spec = json_object_get_string_member (body, "spec");
   end_runs_elsewhere (worker);
-  sp_audit_start (task, count_runs (task),
-                  (worker->runs->len + 1) * TASK_CPU_MILLI <= WORKER_CPU_MILLI,
-                  worker->executes_late);
   Run *run = g_new0 (Run, 1);
   run->task = g_strdup (task);
   run->attempt = (guint64) json_object_get_int_member (body, "attempt");
-  run->crashes = g_str_has_prefix (spec, "crash ");
+  run->payload = sp_payload_parse (spec, task);
+  run->token = worker->token;
   run->started_late = worker->executes_late;
   run->started_ms = sp_now_ms ();
-  run->ends_ms = run->started_ms + atoi (run->crashes ? spec + strlen ("crash ") : spec);
+  const char *checkpoint = json_object_get_string_member_with_default (body, "checkpoint", "");
+  if (run->payload.saves && g_str_has_prefix (checkpoint, CHECKPOINT_PREFIX))
+    run->restored_ms = atoi (checkpoint + strlen (CHECKPOINT_PREFIX));
+  gint64 left_ms = MAX (run->payload.work_ms - run->restored_ms, 0);
+  run->waits = run->payload.gang_n > 0;
+  run->ends_ms = run->waits ? G_MAXINT64
+                            : run->started_ms + left_ms + (run->restored_ms > 0 ? RESTORE_MS : 0);
+  sp_audit_start (task, report_other_runs (worker, run),
+                  cpu_used_milli (worker) + run->payload.cpu_milli <= WORKER_CPU_MILLI,
+                  worker->executes_late);
   g_ptr_array_add (worker->runs, run);
-  g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " starts", worker->id, task, run->attempt);
+  g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " starts, token %" G_GUINT64_FORMAT, worker->id,
+           task, run->attempt, run->token);
+}
+
+/* ---- gangs --------------------------------------------------------------------------- */
+
+static gboolean
+are_of_one_gang (const Run *first, const Run *second)
+{
+  gsize length = (gsize) (strrchr (first->task, '.') - first->task) + 1;
+  return first->attempt == second->attempt && strncmp (first->task, second->task, length) == 0;
+}
+
+/* Returns: (transfer container): the present members of the gang of RUN, which is one of them. */
+static GPtrArray *
+gang_members (const Run *run)
+{
+  GPtrArray *members = g_ptr_array_new ();
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        {
+          if (are_of_one_gang (run, workers[i].runs->pdata[j]))
+            g_ptr_array_add (members, workers[i].runs->pdata[j]);
+        }
+    }
+  return members;
+}
+
+static void
+begin_gang (GPtrArray *members)
+{
+  for (guint i = 0; i < members->len; i++)
+    {
+      Run *member = members->pdata[i];
+      member->waits = FALSE;
+      if (!member->stopping)
+        member->ends_ms = sp_now_ms () + member->payload.work_ms;
+    }
+}
+
+static void
+end_member (Run *run, const char *reason)
+{
+  run->end_reason = reason;
+  run->ends_ms = sp_now_ms ();
+}
+
+/* The work of a gang begins when all members are present, and ends when one of them ends. */
+static void
+update_gang (Run *run)
+{
+  if (run->end_reason != NULL || sp_now_ms () >= run->ends_ms)
+    return;
+  g_autoptr (GPtrArray) members = gang_members (run);
+  if (run->waits && members->len >= run->payload.gang_n)
+    begin_gang (members);
+  else if (run->waits && sp_now_ms () >= run->started_ms + GANG_WAIT_MS)
+    end_member (run, "alone");
+  else if (!run->waits && members->len < run->payload.gang_n)
+    end_member (run, "broken");
+}
+
+static void
+update_gangs (void)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      for (guint j = 0; workers[i].up && j < workers[i].runs->len; j++)
+        {
+          Run *run = workers[i].runs->pdata[j];
+          if (run->payload.gang_n > 0)
+            update_gang (run);
+        }
+    }
 }
 
 /* ---- calls --------------------------------------------------------------------------- */
@@ -288,6 +433,19 @@
       = MAX (worker->lease_ms, MIN (deadline_ms, worker_clock_ms (worker) + MAX_LEASE_MS));
 }
 
+/* Returns: TRUE when WORKER has a run of TASK that is being stopped, or one as high as ATTEMPT. */
+static gboolean
+has_run_in_place (const Worker *worker, const char *task, guint64 attempt)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const Run *run = worker->runs->pdata[i];
+      if (g_str_equal (run->task, task) && (run->stopping || run->attempt >= attempt))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* handle_start(), handle_stop() and handle_poll() return the HTTP status and set ANSWER (transfer
  * full). */
 static guint
@@ -297,12 +455,15 @@
   guint64 attempt = (guint64) json_object_get_int_member (body, "attempt");
   gint64 deadline_ms = json_object_get_int_member (body, "deadline-ms");
   const char *reason = NULL;
+  const Run *run = find_run (worker, task, attempt);
+  gboolean is_there = run != NULL && !run->stopping;
   if (deadline_ms < worker_clock_ms (worker))
     reason = "late";
-  else if (find_run (worker, task, attempt) == NULL
-           && attempt <= GPOINTER_TO_SIZE (g_hash_table_lookup (worker->ended_attempts, task)))
+  else if (!is_there
+           && (has_run_in_place (worker, task, attempt)
+               || attempt <= GPOINTER_TO_SIZE (g_hash_table_lookup (worker->ended_attempts, task))))
     reason = "old";
-  else if (find_run (worker, task, attempt) == NULL)
+  else if (!is_there)
     begin_run (worker, body);
   extend_lease (worker, deadline_ms);
   *answer = short_answer (worker, reason);
@@ -315,12 +476,19 @@
   const char *task = json_object_get_string_member (body, "task");
   guint64 attempt = (guint64) json_object_get_int_member (body, "attempt");
   Run *run = find_run (worker, task, attempt);
-  if (run != NULL)
+  if (run != NULL && !run->stopping)
     {
+      gint64 takes_ms
+          = longest_stop_ms > 0 ? g_rand_int_range (stop_rand, 0, longest_stop_ms + 1) : 0;
+      gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
+      run->saved_ms = run->restored_ms + MAX (sp_now_ms () - run->started_ms - restore_ms, 0);
       run->stopping = TRUE;
-      run->ends_ms = sp_now_ms ();
+      run->end_reason = "stopped";
+      run->ends_ms = sp_now_ms () + takes_ms;
+      g_debug ("%s: %s attempt %" G_GUINT64_FORMAT " is being stopped, for %" G_GINT64_FORMAT " ms",
+               worker->id, task, attempt, takes_ms);
     }
-  else
+  else if (run == NULL)
     mark_attempt_ended (worker, task, attempt);
   *answer = short_answer (worker, NULL);
   return 200;
@@ -330,6 +498,8 @@
 static guint
 percent_done (const Run *run)
 {
+  if (run->waits)
+    return 0;
   gint64 passed_ms = sp_now_ms () - run->started_ms;
   gint64 total_ms = MAX (run->ends_ms - run->started_ms, 1);
   return (guint) CLAMP (passed_ms * 100 / total_ms, 0, 100);
@@ -346,16 +516,17 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
-      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"\",%u]", i > 0 ? "," : "",
-                              run->task, run->attempt, percent_done (run));
+      g_autofree char *checkpoint = newest_checkpoint (run);
+      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"%s\",%u]", i > 0 ? "," : "",
+                              run->task, run->attempt, checkpoint, percent_done (run));
     }
   g_string_append (out, "],\"finished\":[");
   for (guint i = 0; i < MIN (worker->ends->len, MAX_POLL_ENDS); i++)
     {
       const End *end = worker->ends->pdata[i];
-      g_string_append_printf (out,
-                              "%s[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT ",\"%s\",\"\"]",
-                              i > 0 ? "," : "", end->n, end->task, end->attempt, end->reason);
+      g_string_append_printf (
+          out, "%s[%" G_GUINT64_FORMAT ",\"%s\",%" G_GUINT64_FORMAT ",\"%s\",\"%s\"]",
+          i > 0 ? "," : "", end->n, end->task, end->attempt, end->reason, end->checkpoint);
     }
   g_string_append (out, "]}");
   return g_string_free (out, FALSE);
@@ -473,6 +644,8 @@
       sp_reply (message, 500, "{}");
       return;
     }
+  if (sp_reach_hold (message, k, path, body))
+    return;
   switch (sp_faults_draw (k))
     {
     case SP_CALL_REFUSED:
@@ -491,12 +664,61 @@
     }
 }
 
+void
+sp_worker_suspend (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  end_due_runs (worker);
+  if (!worker->up || sp_reach_is_suspended (worker->index))
+    return;
+  worker->suspended_ms = sp_now_ms ();
+  sp_worker_set_unlisted (worker->index, for_ms);
+  sp_reach_suspend (worker->index, for_ms);
+}
+
+void
+sp_worker_go_on (guint k)
+{
+  Worker *worker = &workers[k];
+  gint64 stood_ms = sp_now_ms () - worker->suspended_ms;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      Run *run = worker->runs->pdata[i];
+      if (run->stopping || run->payload.gang_n > 0)
+        continue;
+      run->started_ms += stood_ms;
+      run->ends_ms += stood_ms;
+    }
+  end_due_runs (worker);
+}
+
+void
+sp_worker_execute_waiting (SoupServerMessage *message, guint k, const char *path, JsonObject *body)
+{
+  Worker *worker = &workers[k];
+  g_autofree char *answer = NULL;
+  end_due_runs (worker);
+  worker->executes_late = TRUE;
+  guint status = worker->up ? handle_call (worker, message, path, body, &answer) : 500;
+  worker->executes_late = FALSE;
+  sp_reply (message, status, answer != NULL ? answer : "{}");
+  soup_server_message_unpause (message);
+}
+
+void
+sp_worker_exclude_later_owners (guint k, gint64 for_ms)
+{
+  Worker *worker = &workers[k % worker_n];
+  sp_reach_exclude_later (worker->index, worker->token, for_ms);
+}
+
 static void
 begin_incarnation (Worker *worker)
 {
   worker->incarnation++;
   worker->incarnation_started_ms = g_get_real_time () / 1000;
-  worker->clock_origin_ms = sp_now_ms () - INITIAL_CLOCK_MS;
+  worker->clock_set_ms = sp_now_ms ();
+  worker->clock_base_ms = INITIAL_CLOCK_MS;
   worker->up = TRUE;
   worker->restart_ms = 0;
   worker->token = 0;
@@ -517,6 +739,25 @@
   drop_answers = drop;
 }
 
+void
+sp_workers_set_longest_stop (guint longest_ms)
+{
+  longest_stop_ms = (gint32) longest_ms;
+}
+
+void
+sp_workers_set_slow_clocks (gboolean slow)
+{
+  for (guint i = 0; i < worker_n; i++)
+    {
+      Worker *worker = &workers[i];
+      worker->clock_base_ms = worker_clock_ms (worker);
+      worker->clock_set_ms = sp_now_ms ();
+      worker->clock_lag_permyriad
+          = slow ? (gint64) i * MAX_CLOCK_LAG_PERMYRIAD / (gint64) MAX (worker_n - 1, 1) : 0;
+    }
+}
+
 void
 sp_worker_crash (guint k, gint64 for_ms, gboolean reuses_id)
 {
@@ -535,6 +776,7 @@
       g_ptr_array_add (worker->stale_entries, entry);
     }
   g_debug ("%s: crashes", worker->id);
+  sp_reach_drop_calls (worker->index);
   g_ptr_array_set_size (worker->runs, 0);
   /* Unacknowledged ends are lost with the worker: their tasks may be started again. */
   clear_ends (worker);
@@ -592,6 +834,7 @@
 sp_workers_clear_faults (void)
 {
   sp_faults_clear ();
+  sp_reach_clear ();
   for (guint i = 0; i < worker_n; i++)
     {
       workers[i].unlisted_until_ms = 0;
@@ -624,6 +867,7 @@
   first_worker_port = first_port;
   worker_listed_ports = listed_ports;
   worker_services = services;
+  stop_rand = g_rand_new_with_seed (STOP_SEED);
   for (guint i = 0; i < n; i++)
     {
       workers[i].index = i;
@@ -688,6 +932,7 @@
 void
 sp_workers_tick (void)
 {
+  update_gangs ();
   for (guint i = 0; i < worker_n; i++)
     {
       Worker *worker = &workers[i];
@@ -697,6 +942,8 @@
       audit_runs (worker);
       unlist_expired (worker);
       relist_if_due (worker);
+      if (sp_reach_is_suspended (i))
+        continue;
       if (worker->ends->len > 0 || sp_now_ms () >= worker->poll.until_ms)
         answer_waiting_poll (worker);
     }
@@ -722,7 +969,7 @@
       for (guint j = 0; j < workers[i].runs->len; j++)
         {
           Run *run = workers[i].runs->pdata[j];
-          if (g_str_has_prefix (run->task, job))
+          if (g_str_has_prefix (run->task, job) && !run->stopping)
             run->ends_ms = sp_now_ms ();
         }
     }
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -64,6 +64,19 @@
 /* Closes the listening socket of port NUMBER and resets the connections to it. */
 void sp_listen_stop (guint number);
 
+/* ---- payloads: standin-platform-payload.c ------------------------------------------- */
+
+typedef struct
+{
+  gint64 work_ms;
+  gboolean crashes; /* it crashes its worker when it ends */
+  guint cpu_milli;
+  guint gang_n;   /* members of its gang; 0: it is in none */
+  gboolean saves; /* it saves checkpoints */
+} SpPayload;
+
+SpPayload sp_payload_parse (const char *spec, const char *task);
+
 /* ---- workers: standin-platform-workers.c --------------------------------------------- */
 
 /* FIRST_PORT: on which the first worker listens, the others on the ports after it.  LISTED_PORTS:
@@ -73,6 +86,10 @@
                       gboolean start_times);
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
+/* A stop takes up to LONGEST_MS; the run is listed until then. */
+void sp_workers_set_longest_stop (guint longest_ms);
+/* SLOW: the clocks of the workers are 0 to 2 percent slow, each by its own share. */
+void sp_workers_set_slow_clocks (gboolean slow);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
  * else with a new one. */
 void sp_worker_crash (guint k, gint64 for_ms, gboolean reuses_id);
@@ -85,6 +102,15 @@
 void sp_workers_store_returned (void);
 /* Worker K continues to run, but for FOR_MS it refuses connections and does not renew its entry. */
 void sp_worker_refuse_connections (guint k, gint64 for_ms);
+/* Worker K and its runs stand still for FOR_MS, but for its clock.  Its entry is not renewed. */
+void sp_worker_suspend (guint k, gint64 for_ms);
+/* Worker K no longer stands still.  It first ends the runs whose lease has expired. */
+void sp_worker_go_on (guint k);
+/* Executes and answers a paused call that came while worker K stood still. */
+void sp_worker_execute_waiting (SoupServerMessage *message, guint k, const char *path,
+                                JsonObject *body);
+/* For FOR_MS, calls to worker K with a higher fencing token than it has seen are lost. */
+void sp_worker_exclude_later_owners (guint k, gint64 for_ms);
 /* Ends faults of calls; all workers listen and renew their entries again. */
 void sp_workers_clear_faults (void);
 /* DROP: workers execute starts without responding, and reject repeated starts with 503. */
@@ -103,6 +129,20 @@
  */
 char *sp_workers_running (const char *job, int only);
 
+/* ---- workers that are out of reach: standin-platform-reach.c -------------------------------- */
+
+/* Returns: TRUE when the call to worker K must wait or is lost; the message is paused. */
+gboolean sp_reach_hold (SoupServerMessage *message, guint k, const char *path, JsonObject *body);
+void sp_reach_suspend (guint k, gint64 for_ms);
+gboolean sp_reach_is_suspended (guint k);
+/* For FOR_MS, calls to worker K with a fencing token above TOKEN are lost. */
+void sp_reach_exclude_later (guint k, guint64 token, gint64 for_ms);
+/* Worker K has crashed: closes the connections of the calls that wait for it. */
+void sp_reach_drop_calls (guint k);
+/* Ends the faults at the next tick. */
+void sp_reach_clear (void);
+void sp_reach_tick (void);
+
 /* ---- faults of calls: standin-platform-faults.c -------------------------- */
 
 typedef enum
@@ -133,6 +173,10 @@
 /* Counts a start of TASK.  RUNNING: number of other runs of it; FITS: the worker has capacity for
  * it; LATE: the worker executes the order late. */
 void sp_audit_start (const char *task, guint running, gboolean fits, gboolean late);
+/* A task starts while another run of it is on a worker that is up; both are described in words. */
+void sp_audit_overlap (const char *first, const char *second);
+/* A run that is stopped may be at work for up to STOP_MS after the stop. */
+void sp_audit_set_stop_ms (gint64 stop_ms);
 /* A caller has received the acknowledgement of the cancel of JOB. */
 void sp_audit_cancelled (const char *job);
 /* DISRUPTED: faults are active.  Tasks of cancelled jobs are counted only while there are none. */
@@ -141,6 +185,8 @@
  * executed the order late, by sp_now_ms(); else 0.  Returns: TRUE when the run was counted because
  * its job is cancelled. */
 gboolean sp_audit_run (const char *task, gint64 late_start_ms);
+/* A run has ended; REASON: as workers report it, static. */
+void sp_audit_end (const char *reason);
 /* A run of TASK has ended as done.  Another start of TASK counts as a duplicate until
  * sp_audit_forget_done(). */
 void sp_audit_done (const char *task);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -124,6 +124,9 @@
 verdict "processes on the platform" tests/platform.sh
 verdict "malformed input, with processes" tests/malformed-input.sh
 verdict "audit of cancelled jobs" tests/cancel-audit.sh
+verdict "stops that take time" tests/slow-stops.sh
+verdict "workers that stand still or lose calls" tests/unreachable-workers.sh
+verdict "payloads of the stand-in" tests/payloads.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
 verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
@@ -149,6 +152,7 @@
 verdict "soak with outages of the store" $B/soak/soak --outages --daemons 7 --workers 48 --seed 1 --seeds 1 --seconds 12
 verdict "soak with malformed records of another program" $B/soak/soak --other-writer --seed 13 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
+verdict "soak with stops that take time" $B/soak/soak --stops --seed 1 --seeds 1 --seconds 12
 verdict "soak with cancels and late appends" $B/soak/soak --late-appends --without-worker-links --seed 3001 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
