Lines tie a job to the pool and epoch of its owner

A reader of several daemons' logs could not tell which POOL_MAJORITY or POOL_SETTLED belongs to a job: JOB_TAKEN named neither service nor epoch. A run that is listed before its job is read was logged without its owner's epoch, and TASK_LOST had a reason of two words without quotes, which reads as one field and a word.

JOB_TAKEN has service= and epoch=, RUN_ADOPTED of an unread job wanted=unknown and epoch=, and the reason of TASK_LOST is quoted.

--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -62,7 +62,7 @@
         }
       fb_pool_restart_count_crash (self, run, now_ms);
       fb_event_log (FB_EVENT_TASK_LOST,
-                    "task=%s attempt=%u worker=%s why=%s seen=%d ran_ms=%u beside=%u"
+                    "task=%s attempt=%u worker=%s why=\"%s\" seen=%d ran_ms=%u beside=%u"
                     " epoch=%" G_GUINT64_FORMAT,
                     run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
                     (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -340,8 +340,9 @@
   if (step != NULL)
     assign_run (self, worker, run, now_ms);
   else
-    fb_event_log (FB_EVENT_RUN_ADOPTED, "task=%s attempt=%u worker=%s job not known", seen->task,
-                  seen->attempt, worker->id);
+    fb_event_log (FB_EVENT_RUN_ADOPTED,
+                  "task=%s attempt=%u worker=%s wanted=unknown epoch=%" G_GUINT64_FORMAT,
+                  seen->task, seen->attempt, worker->id, self->epoch);
   return run;
 }
 
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -369,10 +369,12 @@
     g_hash_table_add (self->jobs_with_dependencies, job);
   self->round_due = TRUE;
   fb_pool_attach_runs (self, job);
-  fb_event_log (
-      FB_EVENT_JOB_TAKEN, "job=%s queue=%s steps=%u restored=%d age_ms=%u objective_ms=%u", id,
-      job->record.policy.queue, job->record.spec.steps.steps_len, job->restored,
-      (guint) (now_ms - job->admitted_ms), (guint) (job->objective_ms - job->admitted_ms));
+  fb_event_log (FB_EVENT_JOB_TAKEN,
+                "job=%s queue=%s steps=%u restored=%d age_ms=%u objective_ms=%u service=%s"
+                " epoch=%" G_GUINT64_FORMAT,
+                id, job->record.policy.queue, job->record.spec.steps.steps_len, job->restored,
+                (guint) (now_ms - job->admitted_ms), (guint) (job->objective_ms - job->admitted_ms),
+                self->service, self->epoch);
 }
 
 void
