The command `runs` tells from daemons' logs how each run of a task came to be

The lines tell why a run starts and what proves the end of the one before, but on which daemon, in which of thousands of lines and in which order had to be found by hand, and an end that a later line contradicts was easily missed.

`flamingobarrow runs TASK LOG...` reads the files of several daemons, or standard input, orders the lines by time and rebuilds the runs of a task, or of the tasks of a job with more than one: worker, owner and epoch, attempt, order, why, the proof of the end before and its age, owners that found the run, its end. A concluded end gives way to a later line that shows the run at work.

--- a/src/cli/cli-private.h
+++ b/src/cli/cli-private.h
@@ -13,9 +13,11 @@
   FB_CLI_USAGE = 2,
   FB_CLI_INVALID = 3, /* a file is invalid */
   FB_CLI_UNREACHABLE = 4,
-  FB_CLI_CONFLICT = 5, /* another revision was published first */
-  FB_CLI_LAGGING = 6,  /* accepted, not yet in force everywhere */
-  FB_CLI_DIFFERENT = 7 /* diff found differences */
+  FB_CLI_CONFLICT = 5,    /* another revision was published first */
+  FB_CLI_LAGGING = 6,     /* accepted, not yet in force everywhere */
+  FB_CLI_DIFFERENT = 7,   /* diff found differences */
+  FB_CLI_OVERLAP = 8,     /* two runs of a task were at work at once */
+  FB_CLI_INSUFFICIENT = 9 /* the logs do not suffice for a verdict */
 } FbCliExit;
 
 typedef struct
@@ -24,6 +26,7 @@
   char *key_path; /* file with the partner's secret key; NULL if not given */
   char *format;   /* "text" or "json" */
   int wait_s;     /* how long apply waits for the rollout, in s */
+  int margin_ms;  /* how much the clocks of two daemons may differ, in ms */
 } FbCliOptions;
 
 typedef FbCliExit (*FbCliFunc) (const FbCliOptions *options, char **args);
@@ -63,3 +66,6 @@
 /* Returns: FB_CLI_OK, or FB_CLI_INVALID after a message on stderr. */
 FbCliExit fb_cli_check_files (const fb_rec_file *files, guint n);
 gboolean fb_cli_is_json (const FbCliOptions *options);
+
+/* cli-runs.c. The command `runs`. */
+FbCliExit fb_cli_runs (const FbCliOptions *options, char **args);
--- a/src/cli/cli-queries.c
+++ b/src/cli/cli-queries.c
@@ -222,6 +222,7 @@
   { "status", "", "members, racks and owners as known to one daemon", 0, 0, status },
   { "job", "JOB", "the state or the result of a job", 1, 1, job },
   { "explain", "JOB", "where the tasks of a job run or wait, and why", 1, 1, explain },
+  { "runs", "TASK LOG...", "the runs of a task, or of a job's tasks, by logs", 2, 65, fb_cli_runs },
   { "metrics", "", "the counters of one daemon", 0, 0, metrics },
   { "events", "", "the list of log events", 0, 0, events },
   { NULL, NULL, NULL, 0, 0, NULL },
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -9,8 +9,9 @@
 
 #define DEFAULT_DAEMON "127.0.0.1:8080"
 #define DEFAULT_WAIT_S 20
+#define DEFAULT_MARGIN_MS 10
 
-static FbCliOptions options = { .wait_s = DEFAULT_WAIT_S };
+static FbCliOptions options = { .wait_s = DEFAULT_WAIT_S, .margin_ms = DEFAULT_MARGIN_MS };
 static char **arguments;
 static gboolean show_version;
 
@@ -19,6 +20,8 @@
   { "key", 'k', 0, G_OPTION_ARG_FILENAME, &options.key_path, "Secret key of the partner", "FILE" },
   { "format", 'f', 0, G_OPTION_ARG_STRING, &options.format, "text or json", "FORMAT" },
   { "wait", 'w', 0, G_OPTION_ARG_INT, &options.wait_s, "How long apply waits", "SECONDS" },
+  { "margin", 'm', 0, G_OPTION_ARG_INT, &options.margin_ms,
+    "How much clocks of two daemons may differ", "MS" },
   { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version, "Print the version and exit", NULL },
   { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &arguments, NULL, NULL },
   { NULL, 0, 0, 0, NULL, NULL, NULL }
@@ -105,6 +108,11 @@
       fprintf (stderr, "--format: expected text or json\n");
       return FB_CLI_USAGE;
     }
+  if (options.margin_ms < 0)
+    {
+      fprintf (stderr, "--margin: expected a number of ms, 0 or more\n");
+      return FB_CLI_USAGE;
+    }
   if (sodium_init () < 0)
     return FB_CLI_FAILED;
   int code = (int) run_subcommand ();
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -82,6 +82,13 @@
 for s in tests/calls/*.script; do verdict "calls $(basename "$s")" calls "$s"; done
 policy() { diff <($B/flamingobarrow check "$1" 2>&1 | sed 's|.*/||') "${1%.ini}.expected"; }
 for s in tests/policies/*.ini; do verdict "$(basename "$s")" policy "$s"; done
+runs() { # FILE: of the job in files named job-*, otherwise of its first task
+  local name=00000000000000a1.0.0.0
+  case $(basename "$1") in job-*) name=00000000000000a1 ;; esac
+  diff <($B/flamingobarrow runs "$name" "$1" 2>&1; echo "exit $?") "${1%.log}.expected"
+}
+for s in tests/runs/*.log; do verdict "runs $(basename "$s")" runs "$s"; done
+verdict "runs, files of several daemons" tests/runs-of-several-files.sh
 verdict "fuzz corpus" $B/fuzz/fuzz-steps fuzz/corpus/*
 verdict "fuzz seeds" $B/fuzz/fuzz-steps --seed 1 --inputs 400
 
