--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -50,8 +50,9 @@
   uint64_t deadline_ms;      /* deadline of the start, on the worker's clock */
   uint64_t seen_clock_ms;    /* worker's clock when the run was last known to be there; 0: never */
   uint64_t stopped_clock_ms; /* worker's clock when it accepted a stop; 0: not yet */
-  uint64_t absent_clock_ms;  /* clock of the first list without it while it is stopped; 0: none */
   uint64_t stop_sent_ms;     /* when the last stop was sent */
+  /* Worker's clock at the first list without the run since a stop was sent; 0: none yet. */
+  uint64_t absent_clock_ms;
   uint64_t started_ms;       /* when the start was sent, or the run was first listed */
   /* When the start was transferred to this incarnation because the one that it was sent to ended
    * before it listed the run; the start may still arrive here. 0: not so, or listed since. */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -446,25 +446,42 @@
     fb_pool_task_set_checkpoint (run->step, run->index, seen->checkpoint);
 }
 
-/* Returns: (nullable): why an answer of CLOCK_MS that does not list RUN proves that RUN is over, as
- * a static text for the log; NULL when it does not prove it. */
+/* Returns: (nullable): why an answer of CLOCK_MS that does not list RUN proves that RUN has ended
+ * or never began, as a static text for the log; NULL when it does not prove it. */
 static const char *
-proof_of_end (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
-              uint64_t clock_ms)
+proof_of_absence (const FbPoolRun *run, uint64_t clock_ms)
+{
+  if (run->seen_clock_ms > 0)
+    return "seen before";
+  return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
+}
+
+/* As proof_of_absence(), for a run that is being stopped: the worker may not list it any more and
+ * still work on it. */
+static const char *
+proof_of_stop (const FbPool *self, FbPoolRun *run, uint64_t clock_ms)
+{
+  if (run->stopped_clock_ms > 0)
+    return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms ? "stop accepted" : NULL;
+  const char *proof = proof_of_absence (run, clock_ms);
+  if (proof == NULL)
+    return NULL;
+  if (run->absent_clock_ms == 0)
+    run->absent_clock_ms = clock_ms;
+  return clock_ms > run->absent_clock_ms + self->limits.max_stop_ms ? proof : NULL;
+}
+
+/* Returns: (nullable): why RUN, which an answer of CLOCK_MS does not list, is over, as a static
+ * text for the log; NULL when it may not be. */
+static const char *
+proof_of_end (const FbPool *self, const FbPoolWorker *worker, FbPoolRun *run, uint64_t clock_ms)
 {
   if (run->transferred_ms != 0)
     return fb_pool_restart_is_over (self, worker, run, clock_ms) ? "never arrived" : NULL;
   if (run->seen_clock_ms >= clock_ms)
     return NULL;
-  if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
-    return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms ? "stop accepted" : NULL;
-  /* The worker may have accepted the stop whose answer is missing, and not have finished it. */
-  if (run->state == FB_RUN_STOPPING && run->seen_clock_ms > 0
-      && clock_ms <= run->absent_clock_ms + self->limits.max_stop_ms)
-    return NULL;
-  if (run->seen_clock_ms > 0)
-    return "seen before";
-  return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
+  return run->state == FB_RUN_STOPPING ? proof_of_stop (self, run, clock_ms)
+                                       : proof_of_absence (run, clock_ms);
 }
 
 static void
@@ -474,9 +491,6 @@
   for (GList *l = runs; l != NULL; l = l->next)
     {
       FbPoolRun *run = l->data;
-      if (run->state == FB_RUN_STOPPING && run->absent_clock_ms == 0
-          && run->seen_clock_ms < clock_ms)
-        run->absent_clock_ms = clock_ms;
       const char *proof = proof_of_end (self, worker, run, clock_ms);
       if (proof == NULL)
         {
