Of two runs with the same attempt one is kept

Found by review: of two runs of a task with the same attempt the one that a worker lists was left while the other is a start that its worker has not listed, and nothing looked at them again. Both worked to their ends; or, when the start never arrived, the task had a run that it did not depend on, and was neither pending nor running for the checks of stuck and moved tasks.

When the start is listed, the others are stopped. When it proves never to have arrived, the task depends on the run that is left.

found-run-with-the-attempt-of-an-unlisted-start failed before: no stop was ordered. gang-above-the-rest-of-a-cap lists one run on two workers, and now expects the stop of one; no other script of a pool changes.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -354,23 +354,42 @@
   self->callbacks->poll (self->user, &order);
 }
 
+/* Returns: (nullable): a run of task INDEX that the task may depend on. */
+static FbPoolRun *
+find_other_run (const FbPool *self, const FbPoolStep *step, uint32_t index)
+{
+  g_autofree char *name = fb_pool_task_name (step, index);
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      FbPoolRun *run = g_hash_table_lookup (worker->runs, name);
+      if (run != NULL && run->step == step && !run->abandoned && !run->is_tombstone)
+        return run;
+    }
+  return NULL;
+}
+
 void
 fb_pool_run_ended (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *outcome,
                    uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
   uint32_t index = run->index;
-  gboolean was_current = step != NULL && step->tasks[index].run == run;
+  FbPoolTask *task = step != NULL ? &step->tasks[index] : NULL;
+  gboolean was_current = task != NULL && task->run == run;
   gboolean ran = run->seen_clock_ms > 0;
-  if (was_current)
-    step->tasks[index].last_outcome = outcome;
+  if (task != NULL)
+    task->last_outcome = outcome;
   fb_pool_worker_drop_run (worker, run);
+  if (was_current && task->run == NULL && task->known_runs_n > 0)
+    task->run = find_other_run (self, step, index);
   fb_pool_worker_gained_capacity (self, worker);
   if (step != NULL && step->job->cancelled_ms != 0)
     fb_histogram_add (FB_HISTOGRAM_CANCEL, now_ms - step->job->cancelled_ms);
   if (was_current && ran)
     fb_pool_long_running_ended (step, index, outcome, now_ms);
-  if (was_current || (step != NULL && fb_pool_task_is_pending (&step->tasks[index])))
+  if (was_current || (task != NULL && fb_pool_task_is_pending (task)))
     fb_pool_task_requeue (self, step, index);
 }
 
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -79,10 +79,10 @@
 }
 
 static gboolean
-is_earlier_attempt (const FbPoolRun *run, gconstpointer other)
+is_other_run_of_task (const FbPoolRun *run, gconstpointer data)
 {
-  const FbPoolRun *later = other;
-  return run->step == later->step && run->index == later->index && run->attempt < later->attempt;
+  const FbPoolRun *kept = data;
+  return run->step == kept->step && run->index == kept->index && run != kept;
 }
 
 static void
@@ -336,7 +336,7 @@
     fb_pool_task_attach_run (task, run);
   else if (task->run->attempt < run->attempt)
     {
-      stop_runs (self, is_earlier_attempt, run, now_ms);
+      stop_runs (self, is_other_run_of_task, run, now_ms);
       task->run = run;
     }
   task->attempt = MAX (task->attempt, run->attempt);
@@ -419,6 +419,16 @@
     }
 }
 
+/* Two workers may list the same attempt of a task. While one of them is a start that its worker has
+ * not listed, it may never arrive, and both are left. */
+static void
+stop_runs_beside (FbPool *self, const FbPoolRun *run, uint64_t now_ms)
+{
+  const FbPoolTask *task = run->step != NULL ? &run->step->tasks[run->index] : NULL;
+  if (task != NULL && task->run == run && task->known_runs_n > 1 && !run->step->spec->speculative)
+    stop_runs (self, is_other_run_of_task, run, now_ms);
+}
+
 static void
 process_listed_run (FbPool *self, FbPoolWorker *worker, const FbReportedRun *seen,
                     uint64_t clock_ms, uint64_t now_ms)
@@ -434,6 +444,8 @@
     run = adopt_run (self, worker, seen, now_ms);
   if (run->attempt != seen->attempt)
     return;
+  if (run->listed_ms == 0)
+    stop_runs_beside (self, run, now_ms);
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->absent_clock_ms = 0;
   run->listed_ms = now_ms;
