A start that awaits its record is not ordered beside a run that was found

Found by review: a suspected task gets a worker, and its start is ordered once it is stored. A run of it that was found meanwhile on another worker is stopped, which takes up to max_stop_ms, but the start did not wait for its end.

found-run-beside-a-start-that-awaits-its-record: ordered while the other run was being stopped before, now after its end. No other script of a pool changes.

--- a/src/work/pool-awaiting-starts.c
+++ b/src/work/pool-awaiting-starts.c
@@ -151,11 +151,18 @@
     }
 }
 
+/* TRUE when a run of the same task that was found since RUN got its place may still work. */
+static gboolean
+has_run_beside (const FbPoolRun *run)
+{
+  return !run->step->spec->speculative && run->step->tasks[run->index].known_runs_n > 1;
+}
+
 static gboolean
 is_ready (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
           const AwaitingStart *start, uint64_t now_ms)
 {
-  return is_stored (self, start) && run->step->job->not_accepted_bytes == 0
+  return is_stored (self, start) && run->step->job->not_accepted_bytes == 0 && !has_run_beside (run)
          && !fb_pool_worker_poll_failed (worker) && fb_pool_worker_accepts_orders (worker, now_ms);
 }
 
