A suspended relay does not send orders of connections opened meanwhile

Found by review: the kernel accepts connections and their data while a relay is suspended. The first round after it only accepted them and counted all data as read, so that the order read in the next round seemed fresh. And a relay with more active connections than one poll returns would have taken every order for overdue.

test-relay, "a suspended relay sends no orders of new connections": failed before, passes now.

--- a/src/entry/peers/links-private.h
+++ b/src/entry/peers/links-private.h
@@ -44,6 +44,8 @@
   gpointer user;
   uint64_t now_ms;
   uint64_t drained_ms;     /* all data received before this time has been read */
+  uint64_t sweep_began_ms; /* time of the first poll since then */
+  guint sweep_events_n;    /* number of events since then */
   guint deferred_checks_n; /* checks for timeouts in a row for which received data was left */
   GHashTable *by_address;  /* address -> FbLinkConnection, for outgoing calls */
   GPtrArray *all;          /* of FbLinkConnection */
--- a/src/entry/peers/links.c
+++ b/src/entry/peers/links.c
@@ -53,14 +53,15 @@
     }
 }
 
-static void
+/* Returns: the number of accepted connections, from which nothing has been read. */
+static guint
 accept_all (FbLinks *self)
 {
-  for (;;)
+  for (guint n = 0;; n++)
     {
       int fd = accept4 (self->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
-        return; /* no connection is pending, or the peer has closed it */
+        return n; /* no connection is pending, or the peer has closed it */
       fb_link_connection_watch (fb_link_connection_new (self, fd, NULL), EPOLL_CTL_ADD, FALSE);
     }
 }
@@ -73,12 +74,28 @@
   return FALSE;
 }
 
+/* EVENTS_N events of the poll at POLLED_MS have been handled.  Connections with data are returned
+ * in turn, so as many events as there are connections have emptied each. */
+static void
+advance_sweep (FbLinks *self, uint64_t polled_ms, guint events_n, guint accepted_n)
+{
+  if (self->sweep_events_n == 0)
+    self->sweep_began_ms = polled_ms;
+  self->sweep_events_n += events_n;
+  if (accepted_n > 0
+      || (events_n == EVENTS_PER_ITERATION && self->sweep_events_n <= self->all->len))
+    return;
+  self->drained_ms = self->sweep_began_ms;
+  self->sweep_events_n = 0;
+}
+
 /* Handles one batch of events.  An event may close the connections of later ones.
  * Returns: FALSE when no more are pending. */
 static gboolean
 handle_events (FbLinks *self)
 {
   struct epoll_event events[EVENTS_PER_ITERATION];
+  guint accepted_n = 0;
   uint64_t polled_ms = fb_clock_ms ();
   self->now_ms = polled_ms;
   int n = epoll_wait (self->epoll, events, EVENTS_PER_ITERATION, 0);
@@ -91,14 +108,13 @@
     {
       FbLinkConnection *connection = events[i].data.ptr;
       if (connection == NULL)
-        accept_all (self);
+        accepted_n += accept_all (self);
       else if (!connection->closed)
         fb_link_connection_handle (connection, events[i].events);
       if (connection != NULL)
         fb_link_connection_unref (connection);
     }
-  if (n < EVENTS_PER_ITERATION)
-    self->drained_ms = polled_ms;
+  advance_sweep (self, polled_ms, (guint) MAX (n, 0), accepted_n);
   return n == EVENTS_PER_ITERATION;
 }
 
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -247,37 +247,80 @@
   fb_payload_dedup_free (entry.payload_dedup);
 }
 
-/* ---- a relay that stands still ---------------------------------------------------------- */
+/* ---- a relay that was suspended ---------------------------------------------------------- */
 
-#define STANDSTILL_MS 1000
+#define SUSPENDED_MS 1000
+
+/* An owner and its relay. Both run on this thread, so while it sleeps nothing is read. */
+typedef struct
+{
+  Relay relay;
+  FbLinks *served;
+  char *address;
+  FbEntryDaemon owner;
+  Results results;
+} Pair;
 
-/* Guards against an order that a relay sends when it resumes, long after its owner gave it up. */
 static void
-test_relay_that_stood_still_sends_no_orders_of_before (void)
+pair_init (Pair *self)
 {
-  g_autofree char *address = test_unused_address ();
   g_autofree char *own_address = test_unused_address ();
-  Relay relay = { .entry = { .payload_cache = fb_payload_cache_new (1 << 20),
-                             .recent_starts = fb_recent_starts_new (),
-                             .worker_client = fb_http_client_new () } };
-  Results results = { 0 };
-  FbEntryDaemon entry = { .links = fb_links_new (own_address, serve_relay, NULL),
-                          .payload_dedup = fb_payload_dedup_new (2000) };
-  /* The loop of both daemons is that of this thread, which sleeps while the relay listens. */
-  FbLinks *served = fb_links_new (address, serve_relay, &relay);
-  relay_order (&entry, address, "0000000000000001.0.0.0", "p", &results);
-  CU_ASSERT_EQUAL (relay.not_sent_n, 0);
-  g_usleep (STANDSTILL_MS * 1000);
-  relay_order (&entry, address, "0000000000000001.0.0.1", "p", &results);
-  CU_ASSERT_EQUAL (relay.not_sent_n, 1);
-  relay_order (&entry, address, "0000000000000001.0.0.2", "p", &results);
-  CU_ASSERT_EQUAL (relay.not_sent_n, 1);
-  fb_links_free (entry.links);
-  fb_links_free (served);
-  fb_http_client_free (relay.entry.worker_client);
-  fb_payload_cache_free (relay.entry.payload_cache);
-  fb_recent_starts_free (relay.entry.recent_starts);
-  fb_payload_dedup_free (entry.payload_dedup);
+  *self = (Pair){ .address = test_unused_address () };
+  self->relay.entry.payload_cache = fb_payload_cache_new (1 << 20);
+  self->relay.entry.recent_starts = fb_recent_starts_new ();
+  self->relay.entry.worker_client = fb_http_client_new ();
+  self->owner.links = fb_links_new (own_address, serve_relay, NULL);
+  self->owner.payload_dedup = fb_payload_dedup_new (2000);
+  self->owner.loop_monitor = fb_loop_monitor_new (25, fb_clock_ms ());
+  self->served = fb_links_new (self->address, serve_relay, &self->relay);
+}
+
+static void
+pair_clear (Pair *self)
+{
+  fb_links_free (self->owner.links);
+  fb_links_free (self->served);
+  fb_loop_monitor_free (self->owner.loop_monitor);
+  fb_payload_dedup_free (self->owner.payload_dedup);
+  fb_http_client_free (self->relay.entry.worker_client);
+  fb_payload_cache_free (self->relay.entry.payload_cache);
+  fb_recent_starts_free (self->relay.entry.recent_starts);
+  g_free (self->address);
+}
+
+static void
+pair_order (Pair *self, const char *task)
+{
+  relay_order (&self->owner, self->address, task, "p", &self->results);
+}
+
+/* Guards against an order that a relay sends when it resumes, long after its owner gave it up. */
+static void
+test_suspended_relay_sends_no_earlier_orders (void)
+{
+  Pair pair;
+  pair_init (&pair);
+  pair_order (&pair, "0000000000000001.0.0.0");
+  CU_ASSERT_EQUAL (pair.relay.not_sent_n, 0);
+  g_usleep (SUSPENDED_MS * 1000);
+  pair_order (&pair, "0000000000000001.0.0.1");
+  CU_ASSERT_EQUAL (pair.relay.not_sent_n, 1);
+  pair_order (&pair, "0000000000000001.0.0.2");
+  CU_ASSERT_EQUAL (pair.relay.not_sent_n, 1);
+  CU_ASSERT_EQUAL (pair.results.answered_n, 2);
+  pair_clear (&pair);
+}
+
+/* Guards against the same on a connection that was opened while the relay was suspended. */
+static void
+test_suspended_relay_sends_no_orders_of_new_connections (void)
+{
+  Pair pair;
+  pair_init (&pair);
+  g_usleep (SUSPENDED_MS * 1000);
+  pair_order (&pair, "0000000000000001.0.0.0");
+  CU_ASSERT_EQUAL (pair.relay.not_sent_n, 1);
+  pair_clear (&pair);
 }
 
 /* ---- relays of both versions ----------------------------------------------------------- */
@@ -514,8 +557,10 @@
   CU_add_test (suite, "the oldest payload is evicted", test_the_oldest_payload_is_evicted);
   CU_add_test (suite, "a restarted relay gets the payload again",
                test_restarted_relay_gets_the_payload_again);
-  CU_add_test (suite, "a relay that stood still sends no orders of before",
-               test_relay_that_stood_still_sends_no_orders_of_before);
+  CU_add_test (suite, "a suspended relay sends no earlier orders",
+               test_suspended_relay_sends_no_earlier_orders);
+  CU_add_test (suite, "a suspended relay sends no orders of new connections",
+               test_suspended_relay_sends_no_orders_of_new_connections);
   CU_add_test (suite, "polls through relays of both versions",
                test_polls_through_relays_of_both_versions);
   CU_add_test (suite, "an upgraded relay is asked again", test_an_upgraded_relay_is_asked_again);
