Names that a newcomer would stumble over; answers that cannot be read are logged

fb_pool_make_receipt(), advised_when_received and address_changed_ms say what they are. An owner logs an answer of a worker that it cannot read like one that did not come; relayed ones were logged already.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -149,8 +149,8 @@
   gboolean beyond_rate;         /* its account had sent more than its rate when it came */
   gboolean restored;      /* an earlier owner may have used attempts that no record mentions */
   gboolean never_started; /* no earlier owner can have started any task of the job */
-  gboolean advised_when_stored; /* its queue used the advice service when the job was stored */
-  gboolean has_backup;          /* other daemons keep the suspected tasks of the job */
+  gboolean advised_when_received; /* FbPoolReceipt.was_advised */
+  gboolean has_backup;            /* other daemons keep the suspected tasks of the job */
   /* Its suspects have changed since they were last sent to other daemons. */
   gboolean unstored_changed;
   uint32_t suspects_version; /* incremented with each crash or suspected crash under its tasks */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -53,7 +53,7 @@
   uint64_t stop_sent_ms;     /* when the last stop was sent */
   /* Worker's clock at the first list without the run since a stop was sent; 0: none yet. */
   uint64_t absent_clock_ms;
-  uint64_t started_ms;       /* when the start was sent, or the run was first listed */
+  uint64_t started_ms; /* when the start was sent, or the run was first listed */
   /* When the start was transferred to this incarnation because the one that it was sent to ended
    * before it listed the run; the start may still arrive here. 0: not so, or listed since. */
   uint64_t transferred_ms;
@@ -77,12 +77,12 @@
   /* Hash of the id: breaks ties between equal workers independently of the listing order, and
    * identifies the worker in crash records. */
   uint64_t id_hash;
-  gboolean gained_capacity; /* it is in FbPool.gained_capacity */
-  gboolean accepted_work;   /* it accepted starts at the last maintenance pass */
-  char *address;            /* IP:PORT; NULL: not known yet */
-  uint64_t address_ms;      /* when it was last listed at another address; 0: never */
-  char *rack;               /* NULL: not known */
-  char **labels;            /* NULL-terminated */
+  gboolean gained_capacity;    /* it is in FbPool.gained_capacity */
+  gboolean accepted_work;      /* it accepted starts at the last maintenance pass */
+  char *address;               /* IP:PORT; NULL: not known yet */
+  uint64_t address_changed_ms; /* when it was last listed at another address; 0: never */
+  char *rack;                  /* NULL: not known */
+  char **labels;               /* NULL-terminated */
   uint32_t cpu_milli;
   uint32_t mem_mb;
   uint32_t gpu_count;
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -223,7 +223,7 @@
 } FbPoolReceipt;
 
 /* Returns: the receipt of a job that is received now with RECORD. */
-FbPoolReceipt fb_pool_receive_job (const FbPool *self, const fb_work_admit *record);
+FbPoolReceipt fb_pool_make_receipt (const FbPool *self, const fb_work_admit *record);
 /* Adds a job to the pool; no effect when the pool already has it. */
 void fb_pool_add_job (FbPool *self, const char *job, const fb_work_admit *record, uint64_t now_ms,
                       uint64_t wall_ms);
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -159,7 +159,7 @@
   held->record = *record;
   held->is_loaded = !self->loaded;
   held->receipt
-      = fb_pool_receive_job (fb_owner_pool_for (self, record->policy.service)->pool, record);
+      = fb_pool_make_receipt (fb_owner_pool_for (self, record->policy.service)->pool, record);
   held->cancels = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   g_hash_table_replace (self->held_jobs, held->id, held);
   fb_event_log (FB_EVENT_JOB_HELD, "job=%s queue=%s service=%s", job, record->policy.queue,
@@ -238,7 +238,7 @@
                                    record->policy.service)
       == 0)
     {
-      const FbPoolReceipt receipt = fb_pool_receive_job (service_pool->pool, record);
+      const FbPoolReceipt receipt = fb_pool_make_receipt (service_pool->pool, record);
       add_to_pool (self, job, record, &receipt);
     }
   else
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -93,9 +93,9 @@
 {
   Order *order = data;
   FbPollAnswer answer;
-  if (reply->status != FB_HTTP_OK)
-    log_failed (order, reply->status, reply->sent);
   fb_relay_parse_worker_answer (order->kind, order->worker, reply, &answer);
+  if (reply->status != FB_HTTP_OK || answer.result == FB_ORDER_UNKNOWN)
+    log_failed (order, reply->status, reply->sent);
   if (order->kind == FB_ORDER_KIND_POLL)
     fb_recent_starts_polled (order->entry->recent_starts, order->worker, &answer, fb_clock_ms ());
   finish (order, &answer);
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -212,7 +212,7 @@
   /* Its capacity proves nothing: it may have shrunk since a run was started that fitted then. */
   if (worker->labels_known && !fb_pool_has_labels_for (worker, step->spec))
     return EXCLUDED_BY_LABELS;
-  if (!step->job->record.policy.advised || !step->job->advised_when_stored)
+  if (!step->job->record.policy.advised || !step->job->advised_when_received)
     return EXCLUDED_BY_NOTHING;
   const FbPoolWorkerAdvice *advice = fb_pool_worker_advice (step, worker);
   return advice == NULL || advice->allowed ? EXCLUDED_BY_NOTHING : EXCLUDED_BY_ADVICE;
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -126,7 +126,7 @@
 FbOrderResult
 fb_pool_worker_call_result (const FbPoolWorker *worker, FbOrderResult result, uint64_t sent_ms)
 {
-  gboolean has_moved = worker->address_ms != 0 && sent_ms <= worker->address_ms;
+  gboolean has_moved = worker->address_changed_ms != 0 && sent_ms <= worker->address_changed_ms;
   return result == FB_ORDER_OTHER_INCARNATION && has_moved ? FB_ORDER_UNKNOWN : result;
 }
 
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -164,7 +164,7 @@
   if (address_changed)
     fb_pool_incarnation_remove (self, worker);
   if (address_changed && worker->address != NULL)
-    worker->address_ms = now_ms;
+    worker->address_changed_ms = now_ms;
   fb_pool_worker_set_entry (worker, entry);
   fb_pool_silence_worker_listed (worker);
   fb_pool_worker_gained_capacity (self, worker);
@@ -358,7 +358,7 @@
 /* ---- jobs ---------------------------------------------------------------------------- */
 
 FbPoolReceipt
-fb_pool_receive_job (const FbPool *self, const fb_work_admit *record)
+fb_pool_make_receipt (const FbPool *self, const fb_work_admit *record)
 {
   return (FbPoolReceipt){ .stored_after_ms = self->jobs_complete_ms,
                           .was_advised = record->policy.advised };
@@ -375,7 +375,7 @@
   job->beyond_rate = !fb_pool_account_count_job (job->account, job->record.accepted_ms);
   job->restored = !self->recovered;
   job->never_started = fb_pool_has_no_earlier_starts (self, receipt->stored_after_ms);
-  job->advised_when_stored = receipt->was_advised;
+  job->advised_when_received = receipt->was_advised;
   fb_pool_await_unknown_ends (self, job, now_ms);
   g_hash_table_insert (self->jobs, job->id, job);
   g_hash_table_add (self->active_jobs, job);
@@ -402,7 +402,7 @@
     return;
   fb_work_admit copy;
   fb_pool_job_copy_record (record, &copy);
-  const FbPoolReceipt receipt = fb_pool_receive_job (self, record);
+  const FbPoolReceipt receipt = fb_pool_make_receipt (self, record);
   fb_pool_add_job_take (self, id, &copy, &receipt, now_ms, wall_ms);
 }
 
