An owner that resumes steps down before it orders anything

A daemon that is suspended for seconds and resumes ran a last tick of its pools before it looked at how long ago its ownership was confirmed: stops and polls went out under its epoch, and it counted workers as lost that its successor reaches.

The ownership is confirmed, or given up, before the pools tick.

--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -12,6 +12,7 @@
   FbOwner *owner;
   FbPool *pool;
   char *service;
+  gboolean is_confirmed; /* fb_owner_confirm() at the last tick */
   FbAccountParts *parts; /* its parts of the caps of client accounts */
   uint64_t parts_ms;     /* time at which they were last applied to the pool */
   FbAdmissionControl *admission;
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -204,10 +204,33 @@
          && fb_topic_reader_synced_ms (self->entry->config_reader) < self->woken_ms;
 }
 
+/* Confirms the ownership of each pool, or steps down if it has not been confirmed for long. */
+static void
+confirm_pools (FbOwner *self, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->service_pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      FbServicePool *service_pool = value;
+      service_pool->is_confirmed = fb_owner_confirm (self, service_pool, now_ms);
+      if (service_pool->is_confirmed)
+        fb_pool_set_leases_until (service_pool->pool, now_ms + CONFIRMED_FOR_MS);
+    }
+  if (self->loaded && now_ms > self->confirmed_ms + UNCONFIRMED_MAX_MS)
+    fb_owner_step_down (self,
+                        "neither the store confirms the ownership, nor a majority of the workers "
+                        "during an outage that other daemons report");
+}
+
 static void
 run_tick (FbOwner *self)
 {
   uint64_t now_ms = fb_clock_ms ();
+  confirm_pools (self, now_ms);
+  if (self->stepped_down)
+    return;
   gboolean may_act = !self->quiesced && !awaits_configuration (self, now_ms);
   check_worker_list (self);
   fb_owner_claim_held_jobs (self, now_ms);
@@ -223,10 +246,7 @@
   while (!self->stepped_down && g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbServicePool *service_pool = value;
-      gboolean confirmed = fb_owner_confirm (self, service_pool, now_ms);
-      gboolean may_start = confirmed && may_act;
-      if (confirmed)
-        fb_pool_set_leases_until (service_pool->pool, now_ms + CONFIRMED_FOR_MS);
+      gboolean may_start = service_pool->is_confirmed && may_act;
       if (jobs_complete)
         fb_pool_jobs_complete (service_pool->pool, fb_topic_reader_synced_ms (self->job_reader));
       fb_owner_exchange_account_parts (service_pool, now_ms);
@@ -237,10 +257,6 @@
       fb_owner_back_up_suspects (service_pool);
     }
   delete_stale_records (self, now_ms);
-  if (self->loaded && now_ms > self->confirmed_ms + UNCONFIRMED_MAX_MS)
-    fb_owner_step_down (self,
-                        "neither the store confirms the ownership, nor a majority of the workers "
-                        "during an outage that other daemons report");
 }
 
 static gboolean
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -49,6 +49,7 @@
   int ended_on;                /* the worker on which HELD_JOB has ended; -1: none */
   uint64_t acknowledged;       /* by the polls of that worker */
   guint held_starts_n;         /* starts of HELD_JOB */
+  guint stops_n;
 } Side;
 
 static uint64_t clock_ms;
@@ -234,6 +235,13 @@
   fb_pool_start_answered (side->pool, order->order, FB_ORDER_DONE, clock_ms, clock_ms);
 }
 
+static void
+on_stop (gpointer user, const FbStopOrder *order)
+{
+  (void) order;
+  ((Side *) user)->stops_n++;
+}
+
 static void
 on_poll (gpointer user, const FbPollOrder *order)
 {
@@ -258,8 +266,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start,       idle_on_stop, on_poll,       idle_on_request_advice,
-        idle_on_fenced, NULL,         on_is_job_held };
+    = { on_start, on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, on_is_job_held };
 
 static void
 answer (Side *side, int worker)
@@ -672,6 +679,21 @@
   first_free (first);
 }
 
+/* An owner that resumes long after its last confirmation stops runs that its successor has found.
+ */
+static void
+test_an_owner_that_resumes_orders_nothing (void)
+{
+  First *first = first_connected (CONNECTED_MIN_MS);
+  fb_pool_cancel_job (first->side.pool, JOB, clock_ms, WALL_OFFSET_MS + clock_ms);
+  CU_ASSERT_EQUAL (first->side.stops_n, 1);
+  clock_ms += RESUMED_MS;
+  tick_owner (&first->owner);
+  CU_ASSERT_TRUE (first->owner.stepped_down);
+  CU_ASSERT_EQUAL (first->side.stops_n, 1);
+  first_free (first);
+}
+
 /* Entries of workers that are cut off from the store expire, and no longer count for a majority. */
 static void
 test_an_owner_without_the_store_keeps_no_majority_of_expired_entries (void)
@@ -730,6 +752,9 @@
   else if (g_strcmp0 (name, "held-job") == 0)
     CU_add_test (suite, "the end of a held job is not acknowledged unread",
                  test_the_end_of_a_held_job_is_not_acknowledged_unread);
+  else if (g_strcmp0 (name, "resumes") == 0)
+    CU_add_test (suite, "an owner that resumes orders nothing",
+                 test_an_owner_that_resumes_orders_nothing);
   else if (g_strcmp0 (name, "held-job-of-before") == 0)
     CU_add_test (suite, "a job that was held waits for unconfirmed workers",
                  test_a_job_that_was_held_waits_for_unconfirmed_workers);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -60,6 +60,7 @@
 verdict "state of the store according to other daemons" $B/tests/test-store-witnesses
 verdict "owner with a job that is held" $B/tests/test-step-down held-job
 verdict "owner with a job that was held while the owner before may start it" $B/tests/test-step-down held-job-of-before
+verdict "owner that resumes after its replacement" $B/tests/test-step-down resumes
 verdict "owner with a held job whose queue gets advice" $B/tests/test-step-down held-job-with-later-advice
 verdict "joins of the owners' group" $B/tests/test-join-policy
 verdict "orders relayed by daemons" $B/tests/test-relay
