A run that is not listed any more may still be being stopped

A run that a worker listed and lists no more was taken for ended at once. The platform's pages say that a stop takes up to stop-ms and that its capacity becomes free when the end is listed, not that the run stays in the list until then. With the stop's answer the pool waits for max_stop_ms already.

If a stop was ordered, or the run was found in a list, it counts as over once its end is listed or max_stop_ms have passed on the worker's clock since the first list without it. Other runs are treated as before.

run-being-stopped-is-not-listed: before, attempt 2 starts on w1 with the first list without the run; now after the end on w2 is listed.

Left: a new owner whose first list lacks such a run does not know of it.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -49,6 +49,7 @@
   uint64_t order;            /* number of the last order sent for it; 0: none */
   uint64_t deadline_ms;      /* deadline of the start, on the worker's clock */
   uint64_t seen_clock_ms;    /* worker's clock when the run was last known to be there; 0: never */
+  uint64_t absent_clock_ms;  /* worker's clock when a list first lacked it; 0: the last has it */
   uint64_t stopped_clock_ms; /* worker's clock when it accepted a stop; 0: not yet */
   uint64_t stop_sent_ms;     /* when the last stop was sent */
   uint64_t started_ms;       /* when the start was sent, or the run was first listed */
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -418,6 +418,7 @@
     return;
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->listed_ms = now_ms;
+  run->absent_clock_ms = 0;
   fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
@@ -430,8 +431,7 @@
 /* Returns: (nullable): why an answer of CLOCK_MS that does not list RUN proves that RUN is over, as
  * a static text for the log; NULL when it does not prove it. */
 static const char *
-proof_of_end (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
-              uint64_t clock_ms)
+proof_of_end (const FbPool *self, const FbPoolWorker *worker, FbPoolRun *run, uint64_t clock_ms)
 {
   if (run->transferred_ms != 0)
     return fb_pool_restart_is_over (self, worker, run, clock_ms) ? "never arrived" : NULL;
@@ -439,6 +439,11 @@
     return NULL;
   if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms > 0)
     return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms ? "stop accepted" : NULL;
+  if (run->seen_clock_ms > 0 && run->absent_clock_ms == 0)
+    run->absent_clock_ms = clock_ms;
+  /* A worker need not list a run while it carries out a stop, of this or an earlier owner. */
+  if (run->seen_clock_ms > 0 && (run->state == FB_RUN_STOPPING || run->order == 0))
+    return clock_ms > run->absent_clock_ms + self->limits.max_stop_ms ? "seen before" : NULL;
   if (run->seen_clock_ms > 0)
     return "seen before";
   return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
