--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -449,6 +449,7 @@
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->absent_clock_ms = 0;
   run->listed_ms = now_ms;
+  run->absent_clock_ms = 0;
   fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
@@ -468,8 +469,16 @@
   return clock_ms > run->deadline_ms ? "deadline passed" : NULL;
 }
 
-/* As proof_of_absence(), for a run that is being stopped: the worker may not list it any more and
- * still work on it. */
+/* TRUE when RUN may be being stopped; an earlier owner may have ordered that of a run that was
+ * found in a list. */
+static gboolean
+may_be_stopping (const FbPoolRun *run)
+{
+  return run->state == FB_RUN_STOPPING || run->order == 0;
+}
+
+/* As proof_of_absence(), for a run that may be being stopped: the worker may not list it any more
+ * and still work on it. */
 static const char *
 proof_of_stop (const FbPool *self, FbPoolRun *run, uint64_t clock_ms)
 {
@@ -492,8 +501,8 @@
     return fb_pool_restart_is_over (self, worker, run, clock_ms) ? "never arrived" : NULL;
   if (run->seen_clock_ms >= clock_ms)
     return NULL;
-  return run->state == FB_RUN_STOPPING ? proof_of_stop (self, run, clock_ms)
-                                       : proof_of_absence (run, clock_ms);
+  return may_be_stopping (run) ? proof_of_stop (self, run, clock_ms)
+                               : proof_of_absence (run, clock_ms);
 }
 
 static void
