--- a/soak/plan.c
+++ b/soak/plan.c
@@ -218,12 +218,13 @@
     }
 }
 
-/* Some daemons, of which one may be the owner, are killed, stand still or don't reach the store.
+/* Some daemons, of which one may be the owner, are killed, stopped, stand still or don't reach
+ * the store.
  * One daemon or more goes on. */
 static void
 add_owner_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint around_ms)
 {
-  static const SoakFaultKind kinds[] = { SOAK_KILL, SOAK_FREEZE, SOAK_STORE_LINK };
+  static const SoakFaultKind kinds[] = { SOAK_KILL, SOAK_FREEZE, SOAK_STORE_LINK, SOAK_TERM };
   guint n = (guint) g_rand_int_range (rand, 1, (gint32) MAX (setup->daemon_n, 2));
   SoakFault fault
       = { .kind = kinds[g_rand_int_range (rand, 0, G_N_ELEMENTS (kinds))],
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -46,6 +46,7 @@
 static gboolean option_partitions = FALSE;
 static gboolean option_outages = FALSE;
 static gboolean option_stops = FALSE;
+static gboolean option_unlisted_stops = FALSE;
 static gboolean option_without_start_times = FALSE;
 static char *option_programs;
 static char *option_folder;
@@ -75,6 +76,8 @@
   { "stops", 0, 0, G_OPTION_ARG_NONE, &option_stops,
     "Stops take time and are frequent, and the faults are of workers and of the pool's owner",
     NULL },
+  { "unlisted-stops", 0, 0, G_OPTION_ARG_NONE, &option_unlisted_stops,
+    "As --stops, and workers do not list a run that is being stopped", NULL },
   { "without-start-times", 0, 0, G_OPTION_ARG_NONE, &option_without_start_times,
     "Workers do not report when they were started", NULL },
   { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "First port of the processes", "PORT" },
@@ -198,8 +201,9 @@
 set_up_stops (SoakRun *run)
 {
   soak_platform_control (run->platform,
-                         "{\"stop-ms\":%u,\"slow-clocks\":true,\"low-priority-queue\":true}",
-                         SOAK_LONGEST_STOP_MS);
+                         "{\"stop-ms\":%u,\"slow-clocks\":true,\"low-priority-queue\":true,"
+                         "\"unlisted-stops\":%s}",
+                         SOAK_LONGEST_STOP_MS, option_unlisted_stops ? "true" : "false");
   iterate_for_ms (APPLY_CONFIGURATION_MS);
 }
 
@@ -288,11 +292,12 @@
   g_autofree char *text = soak_plan_text (plan);
   g_autofree char *contents = g_strdup_printf (
       "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
-      "outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d\n%s",
+      "outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d "
+      "unlisted-stops=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
       run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
       run->setup.start_times, run->plan.other_writer, run->plan.late_appends, run->plan.stops,
-      text);
+      option_unlisted_stops, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -393,12 +398,15 @@
   gint other_writer = 0;
   gint late_appends = 0;
   gint stops = 0;
+  gint unlisted_stops = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
-                 "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d",
+                 "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d "
+                 "unlisted-stops=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
-                 &partitions, &outages, &start_times, &other_writer, &late_appends, &stops)
+                 &partitions, &outages, &start_times, &other_writer, &late_appends, &stops,
+                 &unlisted_stops)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
@@ -409,6 +417,7 @@
   option_other_writer = other_writer != 0;
   option_late_appends = late_appends != 0;
   option_stops = stops != 0;
+  option_unlisted_stops = unlisted_stops != 0;
   option_seeds = 1;
   return TRUE;
 }
@@ -452,6 +461,7 @@
       fprintf (stderr, "soak: %s\n", error != NULL ? error->message : "too many arguments");
       return 2;
     }
+  option_stops = option_stops || option_unlisted_stops;
   if (option_replay != NULL && !read_replay (option_replay))
     {
       fprintf (stderr, "soak: %s has no plan to replay\n", option_replay);
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -99,8 +99,9 @@
 static gboolean entries_expire; /* also while the store is unavailable */
 static gboolean reports_start_times;
 static guint list_sequence;
-static gint32 longest_stop_ms; /* 0: stops take no time */
-static GRand *stop_rand;       /* for the duration of stops */
+static gboolean stops_unlisted; /* runs that are being stopped are not listed */
+static gint32 longest_stop_ms;  /* 0: stops take no time */
+static GRand *stop_rand;        /* for the duration of stops */
 
 static void
 run_free (gpointer data)
@@ -513,11 +514,14 @@
   GString *out = g_string_new (NULL);
   g_string_printf (out, "{\"clock-ms\":%" G_GINT64_FORMAT "%s,\"running\":[",
                    worker_clock_ms (worker), start_time);
+  guint n = 0;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const Run *run = worker->runs->pdata[i];
+      if (run->stopping && stops_unlisted)
+        continue;
       g_autofree char *checkpoint = newest_checkpoint (run);
-      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"%s\",%u]", i > 0 ? "," : "",
+      g_string_append_printf (out, "%s[\"%s\",%" G_GUINT64_FORMAT ",\"%s\",%u]", n++ > 0 ? "," : "",
                               run->task, run->attempt, checkpoint, percent_done (run));
     }
   g_string_append (out, "],\"finished\":[");
@@ -745,6 +749,12 @@
   longest_stop_ms = (gint32) longest_ms;
 }
 
+void
+sp_workers_set_stops_unlisted (gboolean unlisted)
+{
+  stops_unlisted = unlisted;
+}
+
 void
 sp_workers_set_slow_clocks (gboolean slow)
 {
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -27,6 +27,7 @@
  *                                 without responding, and P percent late and without responding
  *   {"store-faults":true,...}     the same for the store; "late" for appends only
  *   {"stop-ms":N}                 stops take up to N ms, and the run is listed until its end
+ *   {"unlisted-stops":true}       a run that is being stopped is not listed
  *   {"slow-clocks":true}          the workers' clocks are 0 to 2 percent slow
  *   {"suspend":K,"for-ms":N}      worker K stands still; its calls wait and are then executed in
  *                                 order, after the runs whose lease has expired were ended
@@ -191,6 +192,8 @@
     set_longest_stop (json_object_get_int_member (body, "stop-ms"));
   if (json_object_has_member (body, "low-priority-queue"))
     add_low_priority_queue ();
+  if (json_object_has_member (body, "unlisted-stops"))
+    sp_workers_set_stops_unlisted (json_object_get_boolean_member (body, "unlisted-stops"));
   if (json_object_has_member (body, "slow-clocks"))
     sp_workers_set_slow_clocks (json_object_get_boolean_member (body, "slow-clocks"));
   if (json_object_has_member (body, "cancelled"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -88,6 +88,8 @@
 void sp_worker_set_up (guint k, gboolean up);
 /* A stop takes up to LONGEST_MS; the run is listed until then. */
 void sp_workers_set_longest_stop (guint longest_ms);
+/* UNLISTED: workers do not list a run that is being stopped, until they list its end. */
+void sp_workers_set_stops_unlisted (gboolean unlisted);
 /* SLOW: the clocks of the workers are 0 to 2 percent slow, each by its own share. */
 void sp_workers_set_slow_clocks (gboolean slow);
 /* Crashes worker K, which loses its runs and restarts after FOR_MS: with the same id if REUSES_ID,
