--- a/soak/faults.c
+++ b/soak/faults.c
@@ -272,9 +272,6 @@
     case SOAK_DAEMON_SLOW:
       switch_slow_daemon (self, fault);
       break;
-    case SOAK_DAEMON_HANG:
-      soak_daemon_hang (self->processes, fault->target, fault->duration_ms);
-      break;
     case SOAK_FREEZE:
       self->frozen_n[fault->target]++;
       soak_daemon_signal (self->processes, fault->target, SIGSTOP);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -83,9 +83,8 @@
 /* Lower bound of how long a worker stands still or is out of reach for later owners; with that the
  * leases of most of its runs end. */
 #define MIN_UNREACHABLE_MS 3500
-#define MAX_DAEMON_GAP_MS 9000
+#define MAX_SLOW_DAEMON_GAP_MS 9000
 #define SLOW_DAEMON_SEED 0x40000
-#define HANGING_DAEMON_SEED 0x60000
 
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
@@ -240,17 +239,16 @@
     }
 }
 
-/* Adds faults of KIND, of one daemon each, drawn from numbers of their own. */
 static void
-add_daemon_faults (const SoakPlanSetup *setup, GArray *plan, SoakFaultKind kind,
-                   guint32 seed_offset)
+add_slow_daemons (const SoakPlanSetup *setup, GArray *plan)
 {
-  GRand *rand = g_rand_new_with_seed (setup->seed + seed_offset);
+  GRand *rand = g_rand_new_with_seed (setup->seed + SLOW_DAEMON_SEED);
   guint at_ms = 0;
-  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_DAEMON_GAP_MS)) < setup->duration_ms)
+  while ((at_ms += (guint) g_rand_int_range (rand, 500, MAX_SLOW_DAEMON_GAP_MS))
+         < setup->duration_ms)
     {
       const SoakFault fault
-          = { .kind = kind,
+          = { .kind = SOAK_DAEMON_SLOW,
               .at_ms = at_ms,
               .target = (guint) g_rand_int_range (rand, 0, (gint32) setup->daemon_n),
               .duration_ms = (guint) g_rand_int_range (rand, 500, MAX_DURATION_MS) };
@@ -277,8 +275,7 @@
       if (g_rand_int_range (rand, 0, 3) > 0)
         add_owner_faults (setup, plan, rand, at_ms);
     }
-  add_daemon_faults (setup, plan, SOAK_DAEMON_SLOW, SLOW_DAEMON_SEED);
-  add_daemon_faults (setup, plan, SOAK_DAEMON_HANG, HANGING_DAEMON_SEED);
+  add_slow_daemons (setup, plan);
   g_array_sort (plan, compare_times);
 }
 
@@ -371,8 +368,7 @@
           [SOAK_STORE_LATE] = "store-late",
           [SOAK_WORKER_FREEZE] = "worker-freeze",
           [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners",
-          [SOAK_DAEMON_SLOW] = "daemon-slow",
-          [SOAK_DAEMON_HANG] = "daemon-hang" };
+          [SOAK_DAEMON_SLOW] = "daemon-slow" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -42,7 +42,6 @@
   SOAK_WORKER_FREEZE,  /* a worker stands still, and its calls wait */
   SOAK_WORKER_LATER_OWNERS, /* calls to a worker are lost unless their owner has called it before */
   SOAK_DAEMON_SLOW,         /* a daemon gets a tenth of a processor */
-  SOAK_DAEMON_HANG,         /* the main thread of a daemon stands still, and its others go on */
   SOAK_FAULT_N
 } SoakFaultKind;
 
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -1,19 +1,14 @@
 #include "processes.h"
 
-#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
-#include <sys/ptrace.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 /* Memory that a daemon may use on the smallest hosts. */
 #define MAX_MEMORY_MB 160
 #define MAX_FDS 2000
-#define HANG_SLICE_MS 10
 
 typedef struct
 {
@@ -280,53 +275,6 @@
   g_subprocess_send_signal (daemon->process, signal);
 }
 
-/* Stops only the thread whose id is PID, which a signal cannot do.  Called in a process of its own:
- * its parent would take the stop for an exit of the daemon. */
-static void
-hang_thread (pid_t pid, guint for_ms)
-{
-  const struct timespec slice = { 0, HANG_SLICE_MS * 1000000L };
-  int status = 0;
-  (void) prctl (PR_SET_PDEATHSIG, SIGKILL);
-  closefrom (STDERR_FILENO + 1); /* the links must be able to reset connections */
-  if (ptrace (PTRACE_SEIZE, pid, NULL, NULL) != 0
-      || ptrace (PTRACE_INTERRUPT, pid, NULL, NULL) != 0)
-    _exit (errno == EPERM);
-  if (waitpid (pid, &status, __WALL) != pid || !WIFSTOPPED (status))
-    _exit (0);
-  /* The exit of a daemon that is killed meanwhile is told to its parent after this process. */
-  for (guint passed_ms = 0; passed_ms < for_ms; passed_ms += HANG_SLICE_MS)
-    {
-      if (waitpid (pid, &status, __WALL | WNOHANG) != 0)
-        _exit (0);
-      (void) nanosleep (&slice, NULL);
-    }
-  (void) ptrace (PTRACE_DETACH, pid, NULL, NULL);
-  _exit (0);
-}
-
-static void
-on_hang_ended (GPid pid, gint status, gpointer user)
-{
-  (void) user;
-  if (status != 0)
-    g_printerr ("soak: a daemon's main thread could not be stopped\n");
-  g_spawn_close_pid (pid);
-}
-
-void
-soak_daemon_hang (SoakProcesses *self, guint i, guint for_ms)
-{
-  if (self->daemons[i].process == NULL)
-    return;
-  pid_t daemon = (pid_t) atoi (g_subprocess_get_identifier (self->daemons[i].process));
-  pid_t pid = fork ();
-  if (pid == 0)
-    hang_thread (daemon, for_ms);
-  if (pid > 0)
-    (void) g_child_watch_add (pid, on_hang_ended, NULL);
-}
-
 void
 soak_daemon_restart (SoakProcesses *self, guint i, guint after_ms)
 {
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -41,9 +41,6 @@
 guint16 soak_daemon_port (const SoakProcesses *self, guint i);
 /* Sends SIGNAL to daemon I if it runs. */
 void soak_daemon_signal (SoakProcesses *self, guint i, int signal);
-/* The main thread of daemon I stands still for FOR_MS, and its others go on.  Needs the right to
- * trace other processes. */
-void soak_daemon_hang (SoakProcesses *self, guint i, guint for_ms);
 /* Daemon I restarts AFTER_MS after each exit, or AFTER_MS from now when it is down. */
 void soak_daemon_restart (SoakProcesses *self, guint i, guint after_ms);
 gboolean soak_daemon_runs (const SoakProcesses *self, guint i);
