--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -473,8 +473,8 @@
   return peer_request->payload != NULL;
 }
 
-/* A process that was suspended finds orders of before in its sockets. The deadline in an order
- * would not stop a later incarnation of its worker from carrying it out, whose clock began anew. */
+/* A process that resumes may find old orders in its sockets. The deadline in such an order would not
+ * stop a later incarnation of its worker, whose clock began anew, from executing it. */
 static gboolean
 is_overdue (const fb_relay_request *order, uint64_t waited_max_ms)
 {
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -449,7 +449,6 @@
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->absent_clock_ms = 0;
   run->listed_ms = now_ms;
-  run->absent_clock_ms = 0;
   fb_run_progress_add (&run->progress, seen->percent, clock_ms, now_ms);
   fb_pool_restart_listed (self, worker, run, now_ms);
   fb_pool_crash_task_seen (self, worker, run);
