--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -473,7 +473,7 @@
   return peer_request->payload != NULL;
 }
 
-/* A process that resumes may find old orders in its sockets. The deadline in such an order would not
+/* A process that resumes may find old orders in its sockets. The deadline in such an order does not
  * stop a later incarnation of its worker, whose clock began anew, from executing it. */
 static gboolean
 is_overdue (const fb_relay_request *order, uint64_t waited_max_ms)
