The log reader takes names of events from the log

cli-log.c had a table of event names of its own, beside the one in event.c. fb_event_name() serves both.

No change of behaviour.

--- a/include/fb-event.h
+++ b/include/fb-event.h
@@ -13,6 +13,9 @@
 #undef FB_EVENT
 } FbEvent;
 
+/* Returns: the name of the event NUMBER, a static text; NULL when there is none. */
+const char *fb_event_name (guint64 number);
+
 /* Writes one line "FBnnnn SYMBOL text", with the fields FB_EVENT and FB_EVENT_NAME in addition to
  * the usual ones. */
 void fb_event_log (FbEvent event, const char *format, ...) G_GNUC_PRINTF (2, 3);
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -22,15 +22,21 @@
 #undef FB_EVENT
 };
 
+/* Returns: the index of the event NUMBER, or G_N_ELEMENTS (event_table) when there is none. */
 static gsize
-find_event (FbEvent event)
+find_event (guint64 number)
 {
-  for (gsize i = 0; i < G_N_ELEMENTS (event_table); i++)
-    {
-      if (event_table[i].event == event)
-        return i;
-    }
-  g_assert_not_reached ();
+  gsize i = 0;
+  while (i < G_N_ELEMENTS (event_table) && (guint64) event_table[i].event != number)
+    i++;
+  return i;
+}
+
+const char *
+fb_event_name (guint64 number)
+{
+  gsize i = find_event (number);
+  return i < G_N_ELEMENTS (event_table) ? event_table[i].name : NULL;
 }
 
 /* ---- time of day ----------------------------------------------------------- */
@@ -172,6 +178,7 @@
   if (quiet_process)
     return;
   gsize i = find_event (event);
+  g_assert (i < G_N_ELEMENTS (event_table));
   va_list args;
   va_start (args, format);
   g_autofree char *text = g_strdup_vprintf (format, args);
--- a/src/cli/cli-log.c
+++ b/src/cli/cli-log.c
@@ -40,16 +40,6 @@
   { FB_EVENT_POOL_LOST, "partition epoch confirmed_ms_ago why" },
 };
 
-static const struct
-{
-  FbEvent event;
-  const char *name;
-} event_names[] = {
-#define FB_EVENT(number, symbol, level, meaning) { number, #symbol },
-#include "events.def"
-#undef FB_EVENT
-};
-
 /* What is known of a daemon from all files. */
 typedef struct
 {
@@ -94,17 +84,6 @@
   return g_ascii_strtoull (fb_cli_log_line_get (line, field), NULL, 10);
 }
 
-const char *
-fb_cli_log_line_name (const FbCliLogLine *line)
-{
-  for (gsize i = 0; i < G_N_ELEMENTS (event_names); i++)
-    {
-      if (event_names[i].event == line->event)
-        return event_names[i].name;
-    }
-  return "";
-}
-
 static void
 line_free (gpointer data)
 {
@@ -160,15 +139,8 @@
   if (!g_str_has_prefix (word, "FB")
       || !g_ascii_string_to_unsigned (word + 2, 10, 0, G_MAXINT, &number, NULL))
     return FALSE;
-  for (gsize i = 0; i < G_N_ELEMENTS (event_names); i++)
-    {
-      if (event_names[i].event == (FbEvent) number)
-        {
-          *event = event_names[i].event;
-          return g_str_equal (event_names[i].name, name);
-        }
-    }
-  return FALSE;
+  *event = (FbEvent) number;
+  return g_strcmp0 (fb_event_name (number), name) == 0;
 }
 
 /* A line whose end is missing is joined to the next one. */
--- a/src/cli/cli-log.h
+++ b/src/cli/cli-log.h
@@ -28,5 +28,3 @@
 /* Returns: the value of FIELD, "" when the line does not have it; borrowed. */
 const char *fb_cli_log_line_get (const FbCliLogLine *line, const char *field);
 guint64 fb_cli_log_line_number (const FbCliLogLine *line, const char *field);
-/* Returns: the name of the event of LINE; static. */
-const char *fb_cli_log_line_name (const FbCliLogLine *line);
--- a/src/cli/cli-runs.c
+++ b/src/cli/cli-runs.c
@@ -57,7 +57,7 @@
 static void
 print_line (const FbCliLogLine *line)
 {
-  printf ("    %s %s %s", line->stamp, line->daemon, fb_cli_log_line_name (line));
+  printf ("    %s %s %s", line->stamp, line->daemon, fb_event_name (line->event));
   for (gsize i = 0; i < G_N_ELEMENTS (printed_events); i++)
     {
       if (printed_events[i].event != line->event)
@@ -96,7 +96,7 @@
 {
   if (run->refuted != NULL)
     printf ("    taken for ended at %s by %s, which a later line contradicts\n",
-            run->refuted->stamp, fb_cli_log_line_name (run->refuted));
+            run->refuted->stamp, fb_event_name (run->refuted->event));
   if (run->end == NULL)
     {
       printf ("    no end on record\n");
@@ -106,7 +106,7 @@
   printf ("    %s %" G_GINT64_FORMAT " ms after its %s, by %s%s\n",
           fb_cli_run_end_is_concluded (run) ? "concluded to have ended" : "ended",
           -fb_cli_run_ended_before_us (run, run->began) / 1000,
-          run->began == run->placed ? "order" : "first line", fb_cli_log_line_name (run->end), age);
+          run->began == run->placed ? "order" : "first line", fb_event_name (run->end->event), age);
 }
 
 static void
