Tests of held jobs share their beginning and their end

Three tests built the same held job, and two ended alike. The one with later advice now also checks that the job is not held any more.

--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -581,22 +581,30 @@
   end_split (first, &next, replaced_ms);
 }
 
-/* A job that was stored after loading and is held runs again though an earlier owner has run it. */
-static void
-test_the_end_of_a_held_job_is_not_acknowledged_unread (void)
+/* Returns: an owner that holds HELD_JOB, which was stored after it had loaded. */
+static First *
+first_with_held_job (void)
 {
+  fb_work_step step;
+  fb_work_admit source;
+  fb_work_admit record;
   clock_ms = START_MS;
   store_is_up = TRUE;
   queue_position = 1;
   First *first = first_new ();
-  first->side.ended_on = 0;
-  fb_work_step step;
-  fb_work_admit source;
-  fb_work_admit record;
   init_job (&source, &step);
   step.cpu_milli = 400;
   fb_pool_job_copy_record (&source, &record);
   fb_owner_admit (&first->owner, HELD_JOB, &record);
+  return first;
+}
+
+/* A job that was stored after loading and is held runs again though an earlier owner has run it. */
+static void
+test_the_end_of_a_held_job_is_not_acknowledged_unread (void)
+{
+  First *first = first_with_held_job ();
+  first->side.ended_on = 0;
   for (; clock_ms < START_MS + 2 * HELD_MS; clock_ms += STEP_MS)
     {
       if (clock_ms == START_MS + HELD_MS)
@@ -609,20 +617,6 @@
   first_free (first);
 }
 
-/* Gives HELD_JOB to FIRST, which has to hold it. */
-static void
-hold_job (First *first)
-{
-  fb_work_step step;
-  fb_work_admit source;
-  fb_work_admit record;
-  init_job (&source, &step);
-  step.cpu_milli = 400;
-  fb_pool_job_copy_record (&source, &record);
-  queue_position = 1;
-  fb_owner_admit (&first->owner, HELD_JOB, &record);
-}
-
 /* FIRST reaches all workers but CUT_OFF. */
 static void
 run_without_cut_off (First *first, uint64_t until_ms)
@@ -634,17 +628,11 @@
     }
 }
 
-/* A job runs twice that is held for longer than the owner before may start it, on a worker that has
- * not answered its successor. */
+/* Checks that HELD_JOB, which waits for no other service any more, starts once all leases of the
+ * owner before have ended.  Frees FIRST. */
 static void
-test_a_job_that_was_held_waits_for_unconfirmed_workers (void)
+check_start_after_leases (First *first)
 {
-  clock_ms = START_MS;
-  store_is_up = TRUE;
-  First *first = first_new ();
-  hold_job (first);
-  run_without_cut_off (first, START_MS + 2 * HELD_MS);
-  queue_position = 0;
   run_without_cut_off (first, START_MS + LEASES_END_MS);
   CU_ASSERT_PTR_NULL (fb_owner_held_job (&first->owner, HELD_JOB));
   CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
@@ -653,6 +641,17 @@
   first_free (first);
 }
 
+/* A job runs twice that is held for longer than the owner before may start it, on a worker that has
+ * not answered its successor. */
+static void
+test_a_job_that_was_held_waits_for_unconfirmed_workers (void)
+{
+  First *first = first_with_held_job ();
+  run_without_cut_off (first, START_MS + 2 * HELD_MS);
+  queue_position = 0;
+  check_start_after_leases (first);
+}
+
 /* A job runs twice that the owner before started without advice, which its queue has had since. */
 static void
 test_advice_since_a_job_is_held_excludes_no_worker (void)
@@ -661,10 +660,7 @@
   fb_ticket ticket = { (char *) "w0", (char *) "t" };
   const fb_advice_reply reply = { .validity_ms = REPLACED_MS, .tickets = { 1, &ticket } };
   fb_work_policy policy = { .max_attempts = 3, .advised = TRUE };
-  clock_ms = START_MS;
-  store_is_up = TRUE;
-  First *first = first_new ();
-  hold_job (first);
+  First *first = first_with_held_job ();
   g_autoptr (GHashTable) policies = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_insert (policies, (gpointer) "q", &policy);
   fb_owner_set_held_policies (&first->owner, policies);
@@ -672,11 +668,7 @@
   run_without_cut_off (first, START_MS + HELD_MS);
   fb_pool_advice_answered (first->side.pool, HELD_JOB ".0.0", asked, G_N_ELEMENTS (asked), &reply,
                            clock_ms);
-  run_without_cut_off (first, START_MS + LEASES_END_MS);
-  CU_ASSERT_EQUAL (first->side.held_starts_n, 0);
-  run_without_cut_off (first, START_MS + REPLACED_MS);
-  CU_ASSERT_TRUE (first->side.held_starts_n > 0);
-  first_free (first);
+  check_start_after_leases (first);
 }
 
 /* An owner that resumes long after its last confirmation stops runs that its successor has found.
