--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -2,6 +2,7 @@
 # and base, the first port of the platform, and define port INDEX, the first of a daemon's four.
 step() { echo "-- $1"; }
 die() { echo "$1"; exit 1; }
+expect_match() { grep -q -- "$2" <<< "$1" || die "$1 instead of $2: $3"; } # TEXT PATTERN WHEN
 until_true() { local end=$((SECONDS + 45)); while [ $SECONDS -lt $end ]; do "$@" && return 0; sleep 0.01; done; return 1; }
 # Prints the settings of a daemon.
 settings() { # INDEX
--- a/tests/slow-stops.sh
+++ b/tests/slow-stops.sh
@@ -14,9 +14,6 @@
 stop() { call "$1" run-stop "{\"fencing-token\":1,\"task\":\"$2\",\"attempt\":$3}"; } # WORKER TASK ATTEMPT
 poll() { call "$1" hold '{"fencing-token":1,"acknowledged":0}'; } # WORKER
 clock() { poll "$1" | grep -o '"clock-ms":[0-9]*' | grep -o '[0-9]*$'; } # WORKER
-expect() { # TEXT PATTERN WHEN
-  grep -q -- "$2" <<< "$1" || die "$1 instead of $2: $3"
-}
 $B/standins/standin-platform "$base" 3 > "$OUT/platform.log" 2>&1 & platform=$!
 platform_serves() { clock 0 > "$OUT/answer"; }
 until_true platform_serves || die "the stand-in platform does not respond"
@@ -32,22 +29,22 @@
   sleep 1
 done
 [ "$slow" != 0 ] || die "none of four stopped runs is still listed"
-expect "$(start 0 "a$slow" 2 1)" '"old"' "a start of the run that is being stopped"
-expect "$(start 0 "a$slow" 3 1)" '"old"' "a start of a higher run while one is being stopped"
+expect_match "$(start 0 "a$slow" 2 1)" '"old"' "a start of the run that is being stopped"
+expect_match "$(start 0 "a$slow" 3 1)" '"old"' "a start of a higher run while one is being stopped"
 sleep 1
-expect "$(poll 0)" "\"a$slow\",2,\"stopped\"" "the stop took longer than 900 ms"
-expect "$(start 0 "a$slow" 3 1)" '{"clock-ms":[0-9]*}' "a start of a higher run after the stop"
-expect "$(start 0 "a$slow" 2 1)" '"old"' "a start of a run that was stopped"
-expect "$(start 0 b 4 1)" '{"clock-ms":[0-9]*}' "a start"
-expect "$(start 0 b 3 1)" '"old"' "a start of a run that is lower"
-expect "$(start 0 b 4 1)" '{"clock-ms":[0-9]*}' "a start of a run that is there"
+expect_match "$(poll 0)" "\"a$slow\",2,\"stopped\"" "the stop took longer than 900 ms"
+expect_match "$(start 0 "a$slow" 3 1)" '{"clock-ms":[0-9]*}' "a start of a higher run after the stop"
+expect_match "$(start 0 "a$slow" 2 1)" '"old"' "a start of a run that was stopped"
+expect_match "$(start 0 b 4 1)" '{"clock-ms":[0-9]*}' "a start"
+expect_match "$(start 0 b 3 1)" '"old"' "a start of a run that is lower"
+expect_match "$(start 0 b 4 1)" '{"clock-ms":[0-9]*}' "a start of a run that is there"
 
 step "two runs of one task"
-expect "$(curl -s "http://127.0.0.1:$base/audit")" '"overlaps":\[\]' "no task runs twice"
+expect_match "$(curl -s "http://127.0.0.1:$base/audit")" '"overlaps":\[\]' "no task runs twice"
 start 1 b 5 7 > /dev/null
 audit=$(curl -s "http://127.0.0.1:$base/audit")
-expect "$audit" '"doubled":1' "a task starts on a second worker"
-expect "$audit" '\["b attempt 4 on i-0#0, token 1, started at [0-9]* ms","b attempt 5 on i-1#0, token 7, started at [0-9]* ms"\]' "both runs"
+expect_match "$audit" '"doubled":1' "a task starts on a second worker"
+expect_match "$audit" '\["b attempt 4 on i-0#0, token 1, started at [0-9]* ms","b attempt 5 on i-1#0, token 7, started at [0-9]* ms"\]' "both runs"
 
 step "slow clocks"
 control '{"slow-clocks":true}'
