--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -203,12 +203,25 @@
   return NULL;
 }
 
+/* Returns: how long RUN takes to restore its checkpoint. */
+static gint64
+restore_ms (const Run *run)
+{
+  return run->restored_ms > 0 ? RESTORE_MS : 0;
+}
+
+/* Returns: the time since RUN began its own work. */
+static gint64
+worked_ms (const Run *run)
+{
+  return MAX (sp_now_ms () - run->started_ms - restore_ms (run), 0);
+}
+
 /* Returns: (transfer full): the newest checkpoint of RUN; "": none. */
 static char *
 newest_checkpoint (const Run *run)
 {
-  gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
-  gint64 work_ms = CLAMP (sp_now_ms () - run->started_ms - restore_ms, 0, run->payload.work_ms);
+  gint64 work_ms = MIN (worked_ms (run), run->payload.work_ms);
   gint64 saved_ms = run->restored_ms + work_ms / CHECKPOINT_MS * CHECKPOINT_MS;
   if (!run->payload.saves || MAX (saved_ms, run->saved_ms) == 0)
     return g_strdup ("");
@@ -332,8 +345,7 @@
     run->restored_ms = atoi (checkpoint + strlen (CHECKPOINT_PREFIX));
   gint64 left_ms = MAX (run->payload.work_ms - run->restored_ms, 0);
   run->waits = run->payload.gang_n > 0;
-  run->ends_ms = run->waits ? G_MAXINT64
-                            : run->started_ms + left_ms + (run->restored_ms > 0 ? RESTORE_MS : 0);
+  run->ends_ms = run->waits ? G_MAXINT64 : run->started_ms + left_ms + restore_ms (run);
   sp_audit_start (task, report_other_runs (worker, run),
                   cpu_used_milli (worker) + run->payload.cpu_milli <= WORKER_CPU_MILLI,
                   worker->executes_late);
@@ -481,8 +493,7 @@
     {
       gint64 takes_ms
           = longest_stop_ms > 0 ? g_rand_int_range (stop_rand, 0, longest_stop_ms + 1) : 0;
-      gint64 restore_ms = run->restored_ms > 0 ? RESTORE_MS : 0;
-      run->saved_ms = run->restored_ms + MAX (sp_now_ms () - run->started_ms - restore_ms, 0);
+      run->saved_ms = run->restored_ms + worked_ms (run);
       run->stopping = TRUE;
       run->end_reason = "stopped";
       run->ends_ms = sp_now_ms () + takes_ms;
