Bounds of leases in a file of their own

pool-lease.c has the functions of pool-worker.c that bound the leases of a worker; no change of behaviour. The mutants of these lines follow them.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -178,8 +178,6 @@
 uint64_t fb_pool_worker_id_hash (const char *id);
 void fb_pool_worker_free (gpointer worker);
 void fb_pool_worker_set_entry (FbPoolWorker *worker, const FbWorkerEntry *entry);
-/* Returns: a lower bound of the worker's clock now. */
-uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
 /* Returns: how long RUN still takes, by the progress that its worker reports; 0: not known. */
 uint64_t fb_pool_run_remaining_ms (const FbPoolRun *run, uint64_t now_ms);
 /* TRUE when WORKER has never answered, or not for longer than a poll takes. */
@@ -193,18 +191,6 @@
                                           uint64_t sent_ms);
 /* TRUE when the last poll of WORKER did not succeed. */
 gboolean fb_pool_worker_poll_failed (const FbPoolWorker *worker);
-/* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
- * G_MAXUINT64: there is none. */
-uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
-                                            uint64_t now_ms);
-/* Returns: when every lease of an earlier owner has certainly ended; G_MAXUINT64: this is not known
- * yet. */
-uint64_t fb_pool_earlier_leases_end_ms (const FbPool *self);
-/* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
-const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
-/* TRUE when every lease that the worker can hold has certainly ended. */
-gboolean fb_pool_worker_lease_expired (const FbPool *self, const FbPoolWorker *worker,
-                                       uint64_t now_ms);
 FbPoolRun *fb_pool_worker_add_run (FbPoolWorker *worker, FbPoolStep *step, uint32_t index,
                                    const char *name, uint32_t attempt);
 /* RUN, whose job was not known, is of task INDEX of STEP. */
@@ -227,6 +213,23 @@
 void fb_pool_worker_reserve (FbPoolWorker *worker, const fb_work_step *spec, int sign);
 gboolean fb_pool_worker_has_label (const FbPoolWorker *worker, const char *label);
 
+/* pool-lease.c */
+
+/* Returns: a lower bound of the worker's clock now. */
+uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
+ * G_MAXUINT64: there is none. */
+uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
+                                            uint64_t now_ms);
+/* Returns: when every lease of an earlier owner has certainly ended; G_MAXUINT64: this is not known
+ * yet. */
+uint64_t fb_pool_earlier_leases_end_ms (const FbPool *self);
+/* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
+const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
+/* TRUE when every lease that the worker can hold has certainly ended. */
+gboolean fb_pool_worker_lease_expired (const FbPool *self, const FbPoolWorker *worker,
+                                       uint64_t now_ms);
+
 /* pool-pace.c */
 
 /* WORKER has reported the progress of its runs. */
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -25,8 +25,8 @@
 unconfirmed-worker-ignored|pool-recovery.c|      if (may_run_on (self->unconfirmed_workers->pdata[i], step))|      if (FALSE)
 no-advice-is-a-denial|pool-recovery.c|  return advice == NULL \|\| advice->allowed;|  return advice != NULL ? advice->allowed : FALSE;
 no-earlier-starts-too-soon|pool-recovery.c|             \&\& self->jobs_complete_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS);|             );
-lease-expires-too-early|pool-worker.c|worker->lease_ms + LEASE_EXPIRY_SLACK_MS;|worker->lease_ms - 1500;
-clock-drift-ignored|pool-worker.c|passed_ms * (1000 - CLOCK_SLOW_PERMILLE) / 1000|passed_ms * 1100 / 1000
+lease-expires-too-early|pool-lease.c|worker->lease_ms + LEASE_EXPIRY_SLACK_MS;|worker->lease_ms - 1500;
+clock-drift-ignored|pool-lease.c|passed_ms * (1000 - CLOCK_SLOW_PERMILLE) / 1000|passed_ms * 1100 / 1000
 unanswered-start-dropped|pool-orders.c|  else if (result != FB_ORDER_UNKNOWN)|  else if (TRUE)
 acknowledged-before-durable|pool-report.c|      worker->processed_end = end->number;|      worker->processed_end = worker->acknowledged = end->number;
 failure-not-recorded|pool-job.c|          row.failed.failed_len = task->failed->len;|          row.failed.failed_len = 0;
