Entries of workers that may restart claim the longest lease when they are made

Cause: that calls meant for the earlier incarnation may extend a lease to the longest one was noted in the entry of the incarnation, by the owner that found it. The entry goes when a recovered owner hears an incarnation that the platform does not list yet, and when the owner changes; the next entry for the same incarnation claimed 4 s, or the majority's 6.2 s, which bounds what owners before did and not what began since. Change: the claim is the default of each entry that is made, by whatever way the incarnation becomes known, and only ends by time or by a record of the previous owner. A new owner assumes calls of the owner before until it has heard the worker, or until the last of them has arrived.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -107,8 +107,9 @@
   /* Restarts under the same id, so a later incarnation may receive calls meant for this one. */
   gboolean may_restart;
   gboolean superseded; /* a later incarnation at its address is known */
-  /* When it was found that calls meant for another incarnation may arrive here; 0: none may. */
-  uint64_t misdirected_calls_since_ms;
+  /* Calls that this owner meant for another incarnation arrive here no later; 0: none may arrive.
+   */
+  uint64_t misdirected_until_ms;
   /* Name of a step -> number of its tasks that may still run here, as recorded by the previous
    * owner when it stopped starting work here; NULL: any step may run. */
   GHashTable *known_steps;
@@ -215,6 +216,11 @@
 
 /* pool-lease.c */
 
+/* Calls that were meant for another incarnation may be on their way to WORKER. */
+void fb_pool_lease_expect_misdirected (FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: the longest lease that WORKER may hold at its first answer, from an earlier owner or
+ * from a call that was meant for an earlier incarnation. */
+uint64_t fb_pool_lease_first_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
 /* Returns: a lower bound of the worker's clock now. */
 uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
 /* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
@@ -238,7 +244,8 @@
 void fb_pool_pace_run_ended (const FbPoolWorker *worker, const FbPoolRun *run, uint64_t now_ms);
 
 /* pool-worker-slots.c */
-void fb_pool_worker_slots_add (FbPool *self, FbPoolWorker *worker);
+/* Adds WORKER, which became known at KNOWN_MS, to the pool. */
+void fb_pool_worker_slots_add (FbPool *self, FbPoolWorker *worker, uint64_t known_ms);
 /* Removes WORKER and frees it. */
 void fb_pool_worker_slots_remove (FbPool *self, FbPoolWorker *worker);
 /* Returns: the next worker at or after index *SLOT, which is moved past it; NULL at the end. */
--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -1,4 +1,14 @@
-/* What bounds the leases that a worker can hold. */
+/* What bounds the leases that a worker can hold.
+ *
+ * A deadline is a time of the clock of one incarnation. A call that was meant for the incarnation
+ * before is received by the next one under the same id, whose clock may be far behind that
+ * deadline, and then extends the lease to the longest that the worker grants. No answer tells of
+ * it.
+ *
+ * Whoever learns of an incarnation, by the platform's list, an answer or a record, sends no more
+ * calls to the one before, and those under way arrive within FB_POOL_DELAYED_CALL_MS. So an entry
+ * that is made for an incarnation claims the longest lease from then on, whatever an earlier entry
+ * for it claimed: an entry may be removed and made again while the lease goes on. */
 #include "internal/pool-silence.h"
 
 /* Maximum by which a worker's clock may run slow, in 1/1000. */
@@ -28,12 +38,53 @@
              : G_MAXUINT64;
 }
 
+/* Returns: when the last call of an earlier owner has certainly arrived; G_MAXUINT64: this is not
+ * known yet. */
+static uint64_t
+earlier_calls_end_ms (const FbPool *self)
+{
+  return self->majority_ms != 0 ? self->majority_ms + FB_POOL_STEP_DOWN_MS + FB_POOL_DELAYED_CALL_MS
+                                : G_MAXUINT64;
+}
+
+void
+fb_pool_lease_expect_misdirected (FbPoolWorker *worker, uint64_t now_ms)
+{
+  worker->misdirected_until_ms
+      = MAX (worker->misdirected_until_ms, now_ms + FB_POOL_DELAYED_CALL_MS);
+}
+
+/* Returns: when a lease has certainly ended that a call extended at FROM_MS or before. */
+static uint64_t
+longest_lease_end_ms (const FbPool *self, uint64_t from_ms)
+{
+  return from_ms + max_duration_ms (self->limits.max_lease_ms);
+}
+
+static gboolean
+may_be_misdirected (const FbPoolWorker *worker)
+{
+  return worker->may_restart && worker->misdirected_until_ms != 0;
+}
+
+uint64_t
+fb_pool_lease_first_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (!may_be_misdirected (worker))
+    return FB_POOL_LEASE_MS;
+  uint64_t until_ms = worker->misdirected_until_ms;
+  /* Until this answer an earlier owner may have sent calls to an earlier incarnation. */
+  if (now_ms <= earlier_calls_end_ms (self))
+    until_ms = MAX (until_ms, now_ms);
+  uint64_t end_ms = longest_lease_end_ms (self, until_ms);
+  return MAX (FB_POOL_LEASE_MS, end_ms > now_ms ? end_ms - now_ms : 0);
+}
+
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
  * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
  * after that, as nothing confirms its ownership any more; if that owner had stopped extending
- * leases there, its record tells when the last one ends. Calls meant for an earlier incarnation may
- * have reached the worker as well. */
+ * leases there, its record tells when the last one ends. */
 static uint64_t
 unanswered_lease_end_ms (const FbPool *self, const FbPoolWorker *worker)
 {
@@ -41,11 +92,10 @@
     return G_MAXUINT64;
   uint64_t end_ms
       = MIN (fb_pool_silence_lease_end_ms (self, worker), fb_pool_earlier_leases_end_ms (self));
-  if (worker->misdirected_calls_since_ms != 0)
-    end_ms
-        = MAX (end_ms, worker->misdirected_calls_since_ms
-                           + max_duration_ms (self->limits.max_lease_ms + FB_POOL_DELAYED_CALL_MS));
-  return end_ms;
+  if (!may_be_misdirected (worker))
+    return end_ms;
+  uint64_t until_ms = MAX (worker->misdirected_until_ms, earlier_calls_end_ms (self));
+  return MAX (end_ms, longest_lease_end_ms (self, until_ms));
 }
 
 const char *
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -558,17 +558,6 @@
     self->workers_dirty = TRUE;
 }
 
-/* Returns: the longest lease that WORKER may hold at its first answer. It comes from the previous
- * owner, or from a poll of an earlier incarnation, whose deadline may be far ahead of this
- * incarnation's clock. */
-static uint64_t
-first_lease_ms (const FbPool *self, const FbPoolWorker *worker)
-{
-  return worker->misdirected_calls_since_ms != 0
-             ? MAX (FB_POOL_LEASE_MS, self->limits.max_lease_ms + FB_POOL_DELAYED_CALL_MS)
-             : FB_POOL_LEASE_MS;
-}
-
 /* A worker discards acknowledged ends. If one is still listed, the acknowledgement was not
  * received: the answer to another poll was taken for the one to the acknowledging poll. Acknowledge
  * it again. */
@@ -597,7 +586,8 @@
     {
       /* The previous owner may have given it a lease just now, which covers any run started
        * there. */
-      worker->lease_ms = MAX (worker->lease_ms, answer->clock_ms + first_lease_ms (self, worker));
+      worker->lease_ms = MAX (worker->lease_ms,
+                              answer->clock_ms + fb_pool_lease_first_ms (self, worker, now_ms));
       fb_pool_worker_gained_capacity (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -111,7 +111,7 @@
   next = fb_pool_worker_new (incarnation);
   next->address = g_strdup (before->address);
   next->may_restart = TRUE;
-  fb_pool_worker_slots_add (self, next);
+  fb_pool_worker_slots_add (self, next, now_ms);
   self->workers_dirty = TRUE;
   fb_pool_incarnation_known (self, next, now_ms);
   return next;
@@ -165,9 +165,7 @@
                 worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
                 next->listed, next->answered);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, next, now_ms);
-  /* Polls meant for the earlier incarnation may have extended its lease by deadlines far ahead of
-   * its clock. */
-  next->misdirected_calls_since_ms = now_ms;
+  fb_pool_lease_expect_misdirected (next, now_ms);
   if (next->answered)
     next->lease_ms
         = MAX (next->lease_ms, next->clock_ms + now_ms - next->last_answer_ms
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -138,6 +138,9 @@
     return;
   worker->draining = worker->draining || row->draining;
   worker->lease_recorded = row->lease_known;
+  /* Its bound includes calls of the owner that recorded it. */
+  if (row->lease_known)
+    worker->misdirected_until_ms = 0;
   worker->recorded_lease_ms = row->lease_remaining_ms;
   restore_runs (worker, row);
   if (row->size_known)
@@ -225,8 +228,7 @@
   GHashTable *steps = NULL;
   if (worker->runs_ended || (worker->answered && are_runs_tracked (self, worker)))
     steps = count_runs (worker);
-  else if (!worker->answered && worker->known_steps != NULL
-           && worker->misdirected_calls_since_ms == 0)
+  else if (!worker->answered && worker->known_steps != NULL && worker->misdirected_until_ms == 0)
     steps = g_hash_table_ref (worker->known_steps);
   if (steps != NULL && g_hash_table_size (steps) > FB_WORK_MAX_RUNS)
     g_clear_pointer (&steps, g_hash_table_unref);
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -154,7 +154,7 @@
     {
       worker = fb_pool_worker_new (entry->id);
       worker->listed_ms = now_ms;
-      fb_pool_worker_slots_add (self, worker);
+      fb_pool_worker_slots_add (self, worker, now_ms);
       fb_pool_drain_apply (self, worker);
       self->unresolved_losses_due = TRUE;
       self->workers_dirty = TRUE;
@@ -210,7 +210,7 @@
         {
           worker = fb_pool_worker_new (known->id);
           worker->address = g_strdup (known->address);
-          fb_pool_worker_slots_add (self, worker);
+          fb_pool_worker_slots_add (self, worker, self->created_ms);
           fb_pool_incarnation_known (self, worker, self->created_ms);
         }
       if (worker == NULL)
