A worker that only the record names may have restarted

Cause: whether calls for an earlier incarnation may reach a worker is read from its entry, and the entry of a worker that only the previous owner's record names has not been read. The next owner took it for one that never restarts, and its leases for over 6.2 s after the majority. Change: the name of the incarnation tells it, wherever it comes from.

--- a/fuzz/account-world-owners.c
+++ b/fuzz/account-world-owners.c
@@ -59,7 +59,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, NULL, on_fenced, NULL, NULL };
+    = { on_start, on_stop, on_poll, NULL, on_fenced, NULL, NULL, NULL };
 
 /* ---- owners ------------------------------------------------------------------------- */
 
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -202,8 +202,10 @@
   owner->fenced = TRUE;
 }
 
-static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_advise, on_fenced, fb_wire_incarnation_is_newer, NULL };
+static const FbPoolCallbacks callbacks = { on_start,  on_stop,
+                                           on_poll,   on_advise,
+                                           on_fenced, fb_wire_incarnation_is_newer,
+                                           NULL,      fb_wire_incarnation_may_restart };
 
 /* ---- owners --------------------------------------------------------------------- */
 
--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -247,6 +247,8 @@
 
 /* pool-incarnations.c */
 
+/* TRUE when a later incarnation may receive calls that are meant for the incarnation ID. */
+gboolean fb_pool_incarnation_may_restart (const FbPool *self, const char *id);
 /* WORKER has become known at its address. */
 void fb_pool_incarnation_known (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* WORKER has answered a poll that was meant for it. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -160,6 +160,9 @@
   /* Returns: TRUE when JOB is stored, but not added to a pool yet; the previous owner may have run
    * it. NULL: there are no such jobs. */
   gboolean (*is_job_held) (gpointer user, const char *job);
+  /* Returns: TRUE when a later incarnation may receive calls that are meant for INCARNATION.  NULL:
+   * as IS_NEWER_INCARNATION. */
+  gboolean (*may_restart) (const char *incarnation);
 } FbPoolCallbacks;
 
 /* Returns: how many requests to the advice service of EXPECTED_MS each could be forwarded now. */
--- a/src/entry/owner/owner-orders.c
+++ b/src/entry/owner/owner-orders.c
@@ -219,7 +219,11 @@
   fb_owner_step_down (((FbServicePool *) user)->owner, "a worker has received a higher epoch");
 }
 
-const FbPoolCallbacks fb_owner_pool_callbacks
-    = { sink_start,          sink_stop,   sink_poll,
-        sink_advise,         sink_fenced, fb_wire_incarnation_is_newer,
-        fb_owner_is_job_held };
+const FbPoolCallbacks fb_owner_pool_callbacks = { sink_start,
+                                                  sink_stop,
+                                                  sink_poll,
+                                                  sink_advise,
+                                                  sink_fenced,
+                                                  fb_wire_incarnation_is_newer,
+                                                  fb_owner_is_job_held,
+                                                  fb_wire_incarnation_may_restart };
--- a/tests/busy-pool.c
+++ b/tests/busy-pool.c
@@ -39,7 +39,7 @@
 }
 
 static const FbPoolCallbacks busy_pool_callbacks
-    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL };
+    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL, NULL };
 
 static void
 answer_poll (BusyPool *busy, guint i, GArray *finished, uint64_t now_ms)
--- a/tests/contention.c
+++ b/tests/contention.c
@@ -146,7 +146,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, idle_on_request_advice, on_fenced, NULL, NULL };
+    = { on_start, on_stop, on_poll, idle_on_request_advice, on_fenced, NULL, NULL, NULL };
 
 static void
 end_run (World *world, Worker *worker, guint i)
--- a/tests/large-pool.c
+++ b/tests/large-pool.c
@@ -44,7 +44,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL };
+    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL, NULL };
 
 static void
 list_worker (LargePool *self, const LargePoolWorker *worker, uint64_t now_ms)
--- a/tests/test-gang-advice.c
+++ b/tests/test-gang-advice.c
@@ -198,7 +198,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, idle_on_stop, on_poll, on_request_advice, idle_on_fenced, NULL, NULL };
+    = { on_start, idle_on_stop, on_poll, on_request_advice, idle_on_fenced, NULL, NULL, NULL };
 
 /* ---- workers ------------------------------------------------------------------------ */
 
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -207,8 +207,15 @@
          && atoi (parts[1]) > atoi (other_parts[1]);
 }
 
+static gboolean
+may_restart (const char *incarnation)
+{
+  return strchr (incarnation, '@') != NULL;
+}
+
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, on_request_advice, on_fenced, is_newer_incarnation, NULL };
+    = { on_start, on_stop,    on_poll, on_request_advice, on_fenced, is_newer_incarnation,
+        NULL,     may_restart };
 
 /* ---- pools ------------------------------------------------------------------------ */
 
@@ -227,7 +234,7 @@
           .mem_mb = (uint32_t) option_u64 (script, "mem", 32000),
           .gpu_count = (uint32_t) option_u64 (script, "gpu", 0),
           .draining = has_flag (script, "draining"),
-          .may_restart = strchr (args[1], '@') != NULL };
+          .may_restart = may_restart (args[1]) };
   if (has_flag (script, "unrecorded"))
     fb_pool_worker_listed (script->pool, &entry, script->now_ms);
   else
--- a/tests/test-rounds.c
+++ b/tests/test-rounds.c
@@ -283,7 +283,7 @@
 {
   static const FbPoolCallbacks callbacks
       = { capped_start,   idle_on_stop, capped_poll, idle_on_request_advice,
-          idle_on_fenced, NULL,         NULL };
+          idle_on_fenced, NULL,         NULL,        NULL };
   *capped = (CappedPool){ .pool = fb_pool_new (SERVICE, 1, limits, &callbacks, capped, now_ms),
                           .starts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
                           .polls = g_ptr_array_new_with_free_func (g_free),
--- a/tests/test-step-down.c
+++ b/tests/test-step-down.c
@@ -266,7 +266,8 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, on_is_job_held };
+    = { on_start,       on_stop, on_poll,        idle_on_request_advice,
+        idle_on_fenced, NULL,    on_is_job_held, NULL };
 
 static void
 answer (Side *side, int worker)
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -600,6 +600,10 @@
   CU_ASSERT_FALSE (fb_wire_incarnation_is_newer ("i-1@77", "i-1@78"));
   CU_ASSERT_FALSE (fb_wire_incarnation_is_newer ("i-2@78", "i-1@77"));
   CU_ASSERT_FALSE (fb_wire_incarnation_is_newer ("i-1", "i-1@77"));
+  CU_ASSERT_TRUE (fb_wire_incarnation_may_restart ("i-1@77"));
+  CU_ASSERT_TRUE (fb_wire_incarnation_may_restart ("i@1@77"));
+  CU_ASSERT_FALSE (fb_wire_incarnation_may_restart ("i-1"));
+  CU_ASSERT_FALSE (fb_wire_incarnation_may_restart ("i@1@0"));
 }
 
 /* Calls contain the worker's id, regardless of the incarnation they are addressed to. */
--- a/tests/two-pools.c
+++ b/tests/two-pools.c
@@ -57,7 +57,7 @@
 }
 
 static const FbPoolCallbacks two_pools_callbacks
-    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL };
+    = { on_start, idle_on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL, NULL };
 
 static void
 end_runs (TwoPoolsSide *side)
--- a/tests/uneven-pool.c
+++ b/tests/uneven-pool.c
@@ -92,7 +92,7 @@
 }
 
 static const FbPoolCallbacks callbacks
-    = { on_start, on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL };
+    = { on_start, on_stop, on_poll, idle_on_request_advice, idle_on_fenced, NULL, NULL, NULL };
 
 /* ---- workers ------------------------------------------------------------------- */
 
