A restarted worker that is listed late after a takeover may hold earlier runs

One that is back under its id can have carried out orders for its former self before it was listed. Change: an incarnation that follows a known one is waited for.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -106,7 +106,8 @@
   gboolean replaced;         /* this incarnation has certainly ended */
   /* Restarts under the same id, so a later incarnation may receive calls meant for this one. */
   gboolean may_restart;
-  gboolean superseded; /* a later incarnation at its address is known */
+  gboolean superseded;      /* a later incarnation at its address is known */
+  gboolean has_predecessor; /* an earlier incarnation was known when this one was found */
   /* Calls that this owner meant for another incarnation arrive here no later; 0: none may arrive.
    */
   uint64_t misdirected_until_ms;
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -55,11 +55,13 @@
 
 /* During a rolling replacement of workers, each new worker is unconfirmed for its first moments, so
  * a takeover would never complete. A worker listed after the previous owner had stopped and its
- * last orders had expired cannot hold any of its runs. */
+ * last orders had expired cannot hold any of its runs, unless orders that were meant for an earlier
+ * incarnation have reached it before it was listed. */
 static gboolean
 is_listed_after_takeover (const FbPool *self, const FbPoolWorker *worker)
 {
-  return worker->listed_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + FB_POOL_START_WINDOW_MS;
+  return worker->listed_ms > self->majority_ms + FB_POOL_STEP_DOWN_MS + FB_POOL_START_WINDOW_MS
+         && !worker->has_predecessor;
 }
 
 static void
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -165,6 +165,7 @@
                 worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
                 next->listed, next->answered);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, next, now_ms);
+  next->has_predecessor = TRUE;
   fb_pool_lease_expect_misdirected (next, now_ms);
   if (next->answered)
     next->lease_ms
