Starts that a lost worker never listed may be on its next incarnation

Cause: when a worker's lease has ended, all its runs are taken for over. A start that it never listed can have reached the next incarnation under its id, which holds a lease of its own, from a deadline of another clock; the owner that has not heard this incarnation cannot know. The record of silent workers has their bound.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -240,11 +240,15 @@
   FB_LOSS_OTHER_INCARNATION /* another incarnation answers at its address */
 } FbPoolLoss;
 
-/* All runs of this incarnation of WORKER have certainly ended.  NEXT: the incarnation that receives
+/* All runs of this incarnation of WORKER have certainly ended. A start that it never listed is kept
+ * for as long as a later incarnation may have carried it out.  NEXT: the incarnation that receives
  * calls meant for WORKER; NULL: none is known. */
 void fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
                           uint64_t now_ms);
 
+/* Ends runs on WORKER that were left when it was lost, once no later incarnation can have them. */
+void fb_pool_loss_end_remaining_runs (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+
 /* pool-incarnations.c */
 
 /* TRUE when a later incarnation may receive calls that are meant for the incarnation ID. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -224,6 +224,10 @@
 uint64_t fb_pool_lease_first_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms);
 /* Returns: a lower bound of the worker's clock now. */
 uint64_t fb_pool_worker_clock_min (const FbPoolWorker *worker, uint64_t now_ms);
+/* Returns: when RUN has certainly ended if a later incarnation of WORKER has carried out its start;
+ * 0: none can. */
+uint64_t fb_pool_lease_end_of_start_ms (const FbPool *self, const FbPoolWorker *worker,
+                                        const FbPoolRun *run);
 /* Returns: an upper bound of the real time until every lease that the worker can hold has ended;
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -98,6 +98,27 @@
   return MAX (end_ms, longest_lease_end_ms (self, until_ms));
 }
 
+uint64_t
+fb_pool_lease_end_of_start_ms (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  if (!worker->may_restart || !fb_pool_restart_may_deliver (self, run))
+    return 0;
+  return longest_lease_end_ms (self, run->started_ms + FB_POOL_DELAYED_CALL_MS);
+}
+
+/* Returns: how long runs go on that may be on a later incarnation of WORKER, which has ended. */
+static uint64_t
+remaining_starts_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  uint64_t end_ms = now_ms;
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    end_ms = MAX (end_ms, fb_pool_lease_end_of_start_ms (self, worker, run));
+  return end_ms - now_ms;
+}
+
 const char *
 fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker)
 {
@@ -113,7 +134,7 @@
 fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
   if (worker->runs_ended)
-    return 0;
+    return remaining_starts_ms (self, worker, now_ms);
   if (worker->answered)
     {
       uint64_t clock_ms = fb_pool_worker_clock_min (worker, now_ms);
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -3,6 +3,8 @@
 
 #include "fb-event.h"
 
+static const char *const loss_names[] = { "lease ended", "other life" };
+
 /* Logs what is known of WORKER, so that the evidence for its loss can be compared with what it did.
  */
 static void
@@ -32,22 +34,27 @@
   return next != NULL ? next->id : "status 421";
 }
 
-void
-fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
-                     uint64_t now_ms)
+static void
+end_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *why, guint runs_n,
+         uint64_t now_ms)
+{
+  FbPoolStep *step = run->step;
+  fb_pool_restart_count_crash (self, run, now_ms);
+  fb_event_log (FB_EVENT_TASK_LOST,
+                "task=%s attempt=%u worker=%s why=\"%s\" seen=%d ran_ms=%u beside=%u"
+                " epoch=%" G_GUINT64_FORMAT,
+                run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
+                (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
+  fb_pool_run_ended (self, worker, run, why, now_ms);
+  if (step != NULL && step->spec->gang)
+    fb_pool_stop_gang (self, step, now_ms);
+}
+
+/* Ends the runs on WORKER, whose own leases have ended, except those that are or may be on a later
+ * incarnation. */
+static void
+end_runs (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next, uint64_t now_ms)
 {
-  static const char *const names[] = { "lease ended", "other life" };
-  const char *why = names[loss];
-  worker->replaced = worker->replaced || loss == FB_LOSS_OTHER_INCARNATION;
-  if (worker->runs_ended && loss == FB_LOSS_OTHER_INCARNATION)
-    fb_pool_unresolved_loss_resolve (self, worker->id, !worker->draining, now_ms);
-  if (worker->runs_ended)
-    return;
-  log_loss (self, worker, why, proof_of_loss (self, worker, loss, next), now_ms);
-  worker->runs_ended = TRUE;
-  worker->answered = FALSE;
-  fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
-  fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
   guint runs_n = g_list_length (runs);
   for (GList *l = runs; l != NULL; l = l->next)
@@ -58,16 +65,36 @@
         {
           if (step->spec->gang)
             fb_pool_stop_gang (self, step, now_ms);
-          continue;
         }
-      fb_pool_restart_count_crash (self, run, now_ms);
-      fb_event_log (FB_EVENT_TASK_LOST,
-                    "task=%s attempt=%u worker=%s why=\"%s\" seen=%d ran_ms=%u beside=%u"
-                    " epoch=%" G_GUINT64_FORMAT,
-                    run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
-                    (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
-      fb_pool_run_ended (self, worker, run, why, now_ms);
-      if (step != NULL && step->spec->gang)
-        fb_pool_stop_gang (self, step, now_ms);
+      else if (loss != FB_LOSS_LEASE_ENDED
+               || now_ms > fb_pool_lease_end_of_start_ms (self, worker, run))
+        end_run (self, worker, run, loss_names[loss], runs_n, now_ms);
     }
 }
+
+void
+fb_pool_loss_end_remaining_runs (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (worker->runs_ended && g_hash_table_size (worker->runs) > 0)
+    end_runs (self, worker, FB_LOSS_LEASE_ENDED, NULL, now_ms);
+}
+
+void
+fb_pool_worker_lost (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
+                     uint64_t now_ms)
+{
+  worker->replaced = worker->replaced || loss == FB_LOSS_OTHER_INCARNATION;
+  if (worker->runs_ended && loss == FB_LOSS_OTHER_INCARNATION)
+    {
+      fb_pool_unresolved_loss_resolve (self, worker->id, !worker->draining, now_ms);
+      end_runs (self, worker, loss, next, now_ms);
+    }
+  if (worker->runs_ended)
+    return;
+  log_loss (self, worker, loss_names[loss], proof_of_loss (self, worker, loss, next), now_ms);
+  worker->runs_ended = TRUE;
+  worker->answered = FALSE;
+  fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
+  fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
+  end_runs (self, worker, loss, next, now_ms);
+}
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -141,14 +141,14 @@
 fb_pool_worker_restarted (FbPool *self, FbPoolWorker *worker, const char *incarnation,
                           uint64_t now_ms)
 {
-  if (worker->runs_ended)
+  if (worker->runs_ended && g_hash_table_size (worker->runs) == 0)
     {
       fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, NULL, now_ms);
       return;
     }
   FbPoolWorker *answering = next_incarnation (self, worker, incarnation, now_ms);
   FbPoolWorker *next = fb_pool_incarnation_running (self, answering);
-  if (worker->runs_ended) /* fb_pool_incarnation_known() found that it had ended */
+  if (worker->replaced) /* fb_pool_incarnation_known() found that it had ended */
     return;
   /* By its start time WORKER is newer, but the answer proves that ANSWERING runs now. */
   if (next == worker)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -246,6 +246,7 @@
 {
   if (!worker->runs_ended && fb_pool_worker_lease_expired (self, worker, now_ms))
     fb_pool_worker_lost (self, worker, FB_LOSS_LEASE_ENDED, NULL, now_ms);
+  fb_pool_loss_end_remaining_runs (self, worker, now_ms);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, worker->runs);
@@ -310,7 +311,7 @@
   if (worker->listed || worker->reserved_n > 0 || worker->outlived_poll_sent_ms != 0)
     return FALSE;
   if (worker->runs_ended)
-    return !worker->poll_open;
+    return !worker->poll_open && g_hash_table_size (worker->runs) == 0;
   return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
 }
 
