Scripts of processes look at all ports of their block

Traced: daemons 0 and 1 ended at once, "cannot listen on 127.0.0.1:28020 ... Address already in use" (out/early-cancels/d0.log, d1.log). Change: scripts look at ports 0 to 39, which is all that they use. The check is stricter; one other process may still take a port after it.

--- a/tests/cancel-audit.sh
+++ b/tests/cancel-audit.sh
@@ -6,7 +6,7 @@
 rm -rf "$OUT"; mkdir -p "$OUT"
 source tools/ports.sh
 source tests/daemons.sh
-base=$(free_block 20000 50 200 0 1 2 3) || { echo "no ports are free"; exit 1; }
+base=$(free_block 20000 50 200 $(seq 0 39)) || { echo "no ports are free"; exit 1; }
 platform=
 trap 'kill $platform 2> /dev/null || true' EXIT
 call() { curl -s -o /dev/null --max-time "${4:-5}" -d "$3" "http://127.0.0.1:$((base + 1 + $1))/api/$2" || true; } # WORKER CALL JSON [SECONDS]
--- a/tests/prompt-cancels.sh
+++ b/tests/prompt-cancels.sh
@@ -6,7 +6,7 @@
 rm -rf "$OUT"; mkdir -p "$OUT"
 source tools/ports.sh
 source tests/daemons.sh
-base=$(free_block 20000 50 200 0 27) || { echo "no ports are free"; exit 1; }
+base=$(free_block 20000 50 200 $(seq 0 39)) || { echo "no ports are free"; exit 1; }
 declare -A PID
 trap 'kill ${PID[*]} 2> /dev/null || true' EXIT
 port() { echo $((base + 20 + $1 * 4)); }
