--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -38,7 +38,6 @@
 end_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *why, guint runs_n,
          uint64_t now_ms)
 {
-  FbPoolStep *step = run->step;
   fb_pool_restart_count_crash (self, run, now_ms);
   fb_event_log (FB_EVENT_TASK_LOST,
                 "task=%s attempt=%u worker=%s why=\"%s\" seen=%d ran_ms=%u beside=%u"
@@ -46,8 +45,6 @@
                 run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
                 (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
   fb_pool_run_ended (self, worker, run, why, now_ms);
-  if (step != NULL && step->spec->gang)
-    fb_pool_stop_gang (self, step, now_ms);
 }
 
 /* Ends the runs on WORKER, whose own leases have ended, except those that are or may be on a later
@@ -61,14 +58,15 @@
     {
       FbPoolRun *run = l->data;
       FbPoolStep *step = run->step;
-      if (next != NULL && fb_pool_restart_transfer (self, worker, run, next, now_ms))
-        {
-          if (step->spec->gang)
-            fb_pool_stop_gang (self, step, now_ms);
-        }
-      else if (loss != FB_LOSS_LEASE_ENDED
-               || now_ms > fb_pool_lease_end_of_start_ms (self, worker, run))
+      gboolean goes_on = FALSE;
+      if (next != NULL)
+        goes_on = fb_pool_restart_transfer (self, worker, run, next, now_ms);
+      else if (loss == FB_LOSS_LEASE_ENDED)
+        goes_on = now_ms <= fb_pool_lease_end_of_start_ms (self, worker, run);
+      if (!goes_on)
         end_run (self, worker, run, loss_names[loss], runs_n, now_ms);
+      if (step != NULL && step->spec->gang)
+        fb_pool_stop_gang (self, step, now_ms);
     }
 }
 
