The bound that the record gives stays when its worker is heard

The next owner gave the worker 4 s once it had heard it, and cut the recorded lease to 6.2 s after the majority while it had not; its own record then told the owner after it that nothing was to be claimed. And a worker of the owner before that nobody lists as restarted was waited for 6.2 s, though it may have restarted unseen and have carried out a start for its former self. Change: the claim is an end, in time of this owner. The first answer adds the row's, and counts from the time when the worker was asked, as its clock was read after that. A worker that is not heard and has no row is waited for as if it had restarted: 9.4 s after the majority where the longest lease is 6 s, 13.5 s where it is 10 s. A record's settled workers count only once, for those that it names.

--- a/include/internal/pool-silence.h
+++ b/include/internal/pool-silence.h
@@ -34,6 +34,8 @@
 /* TRUE when the previous owner's record proves that the worker ID, which its record of workers
  * names, holds no lease from a call that was meant for an earlier incarnation. */
 gboolean fb_pool_silence_excludes_misdirected (const FbPool *self, const char *id);
+/* The workers that the previous owner's record names have been added. */
+void fb_pool_silence_applied (FbPool *self);
 /* TRUE when the last records of workers are old enough to be written again. */
 gboolean fb_pool_silence_may_record (const FbPool *self, uint64_t now_ms);
 /* TRUE when the record must be written for the next owner. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -109,9 +109,9 @@
   gboolean may_restart;
   gboolean superseded;      /* a later incarnation at its address is known */
   gboolean has_predecessor; /* an earlier incarnation was known when this one was found */
-  /* Calls that this owner meant for another incarnation arrive here no later; 0: none may arrive.
-   */
-  uint64_t misdirected_until_ms;
+  /* When every lease has certainly ended that a call for another incarnation may have extended
+   * here, but for calls of earlier owners that are not recorded; 0: there is none. */
+  uint64_t misdirected_end_ms;
   /* Name of a step -> number of its tasks that may still run here, as recorded by the previous
    * owner when it stopped starting work here; NULL: any step may run. */
   GHashTable *known_steps;
@@ -136,7 +136,7 @@
   uint64_t clock_ms;              /* worker's clock, as read no later than last_answer_ms */
   /* Highest deadline ever sent, on the worker's clock, including those of the previous owner. */
   uint64_t lease_ms;
-  uint64_t processed_end; /* highest number of an end that has been processed */
+  uint64_t processed_end;    /* highest number of an end that has been processed */
   /* Lists an end of a job that is not known yet, or may have more ends than one answer holds. */
   gboolean has_unknown_end;
   uint64_t unknown_end;    /* number of the last such end; 0: none */
@@ -219,10 +219,10 @@
 /* pool-lease.c */
 
 /* Calls that were meant for another incarnation may be on their way to WORKER. */
-void fb_pool_lease_expect_misdirected (FbPoolWorker *worker, uint64_t now_ms);
-/* TRUE while WORKER may hold a lease from a call that was meant for an earlier incarnation. */
-gboolean fb_pool_lease_may_be_misdirected (const FbPool *self, const FbPoolWorker *worker,
-                                           uint64_t now_ms);
+void fb_pool_lease_expect_misdirected (const FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* TRUE while WORKER, which has answered, may hold a lease from a call that was meant for an earlier
+ * incarnation. */
+gboolean fb_pool_lease_may_be_misdirected (const FbPoolWorker *worker, uint64_t now_ms);
 /* WORKER answers this owner for the first time, or for the first time since it was lost.  Returns:
  * the longest lease that it may hold, from an earlier owner or from a call that was meant for an
  * earlier incarnation. */
@@ -237,9 +237,11 @@
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
                                             uint64_t now_ms);
-/* Returns: when every lease of an earlier owner has certainly ended; G_MAXUINT64: this is not known
- * yet. */
-uint64_t fb_pool_earlier_leases_end_ms (const FbPool *self);
+/* Returns: when every lease of an earlier owner has certainly ended, on a worker that its record of
+ * silent workers does not have; G_MAXUINT64: this is not known yet. */
+uint64_t fb_pool_lease_earlier_end_ms (const FbPool *self, gboolean may_restart);
+/* TRUE when fb_pool_worker_lease_remaining_ms() returns a bound. */
+gboolean fb_pool_lease_is_bounded (const FbPool *self, const FbPoolWorker *worker);
 /* Returns: what bounds the last lease that WORKER can hold, as a static text for the log. */
 const char *fb_pool_worker_lease_bound (const FbPool *self, const FbPoolWorker *worker);
 /* TRUE when every lease that the worker can hold has certainly ended. */
--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -30,12 +30,11 @@
   return lease_ms * 1000 / (1000 - CLOCK_SLOW_PERMILLE) + LEASE_EXPIRY_SLACK_MS;
 }
 
-uint64_t
-fb_pool_earlier_leases_end_ms (const FbPool *self)
+/* Returns: when a lease has certainly ended that a call extended no later than FROM_MS. */
+static uint64_t
+longest_lease_end_ms (const FbPool *self, uint64_t from_ms)
 {
-  return self->majority_ms != 0
-             ? self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS)
-             : G_MAXUINT64;
+  return from_ms + max_duration_ms (self->limits.max_lease_ms);
 }
 
 /* Returns: when the last call of an earlier owner has certainly arrived; G_MAXUINT64: this is not
@@ -47,71 +46,67 @@
                                 : G_MAXUINT64;
 }
 
-void
-fb_pool_lease_expect_misdirected (FbPoolWorker *worker, uint64_t now_ms)
-{
-  worker->misdirected_until_ms
-      = MAX (worker->misdirected_until_ms, now_ms + FB_POOL_DELAYED_CALL_MS);
-}
-
-/* Returns: when a lease has certainly ended that a call extended at FROM_MS or before. */
-static uint64_t
-longest_lease_end_ms (const FbPool *self, uint64_t from_ms)
-{
-  return from_ms + max_duration_ms (self->limits.max_lease_ms);
-}
-
-static gboolean
-may_be_misdirected (const FbPoolWorker *worker)
+uint64_t
+fb_pool_lease_earlier_end_ms (const FbPool *self, gboolean may_restart)
 {
-  return worker->may_restart && worker->misdirected_until_ms != 0;
+  if (self->majority_ms == 0)
+    return G_MAXUINT64;
+  uint64_t end_ms = self->majority_ms + FB_POOL_STEP_DOWN_MS + max_duration_ms (FB_POOL_LEASE_MS);
+  return may_restart ? MAX (end_ms, longest_lease_end_ms (self, earlier_calls_end_ms (self)))
+                     : end_ms;
 }
 
-/* Returns: when the last call that was meant for another incarnation has certainly arrived at
- * WORKER; G_MAXUINT64: this is not known yet. An earlier owner may send such calls until WORKER has
- * answered under the present epoch. */
-static uint64_t
-misdirected_until_ms (const FbPool *self, const FbPoolWorker *worker)
+void
+fb_pool_lease_expect_misdirected (const FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
-  return worker->answered ? worker->misdirected_until_ms
-                          : MAX (worker->misdirected_until_ms, earlier_calls_end_ms (self));
+  uint64_t end_ms = longest_lease_end_ms (self, now_ms + FB_POOL_DELAYED_CALL_MS);
+  worker->misdirected_end_ms = MAX (worker->misdirected_end_ms, end_ms);
 }
 
 gboolean
-fb_pool_lease_may_be_misdirected (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+fb_pool_lease_may_be_misdirected (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (!may_be_misdirected (worker))
-    return FALSE;
-  uint64_t until_ms = misdirected_until_ms (self, worker);
-  return until_ms == G_MAXUINT64 || now_ms <= longest_lease_end_ms (self, until_ms);
+  return worker->may_restart && now_ms <= worker->misdirected_end_ms;
 }
 
 uint64_t
 fb_pool_lease_first_answer (const FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
-  if (!may_be_misdirected (worker))
+  /* Until this answer an earlier owner may have sent calls to an earlier incarnation. */
+  const uint64_t earlier_ms = MIN (now_ms, earlier_calls_end_ms (self));
+  /* The worker's clock was read later than that. */
+  const uint64_t asked_ms = worker->poll_sent_ms;
+  if (!worker->may_restart)
     return FB_POOL_LEASE_MS;
-  uint64_t earlier_ms = MIN (now_ms, earlier_calls_end_ms (self));
-  worker->misdirected_until_ms = MAX (worker->misdirected_until_ms, earlier_ms);
-  uint64_t end_ms = longest_lease_end_ms (self, worker->misdirected_until_ms);
-  return MAX (FB_POOL_LEASE_MS, end_ms > now_ms ? end_ms - now_ms : 0);
+  if (worker->misdirected_end_ms != 0)
+    worker->misdirected_end_ms
+        = MAX (worker->misdirected_end_ms, longest_lease_end_ms (self, earlier_ms));
+  if (worker->lease_recorded)
+    worker->misdirected_end_ms
+        = MAX (worker->misdirected_end_ms, fb_pool_silence_lease_end_ms (self, worker));
+  return MAX (worker->misdirected_end_ms, asked_ms + FB_POOL_LEASE_MS) - asked_ms;
 }
 
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
  * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
  * after that, as nothing confirms its ownership any more; if that owner had stopped extending
- * leases there, its record tells when the last one ends. */
+ * leases there, its record tells when the last one ends. If the worker may have restarted since it
+ * was last listed, a call of that owner may have given the longest lease. */
 static uint64_t
 unanswered_lease_end_ms (const FbPool *self, const FbPoolWorker *worker)
 {
-  if (self->majority_ms == 0)
-    return G_MAXUINT64;
-  uint64_t end_ms
-      = MIN (fb_pool_silence_lease_end_ms (self, worker), fb_pool_earlier_leases_end_ms (self));
-  if (!may_be_misdirected (worker))
+  uint64_t end_ms = fb_pool_lease_earlier_end_ms (self, worker->may_restart);
+  if (end_ms == G_MAXUINT64)
     return end_ms;
-  return MAX (end_ms, longest_lease_end_ms (self, misdirected_until_ms (self, worker)));
+  end_ms = MIN (end_ms, fb_pool_silence_lease_end_ms (self, worker));
+  return worker->may_restart ? MAX (end_ms, worker->misdirected_end_ms) : end_ms;
+}
+
+gboolean
+fb_pool_lease_is_bounded (const FbPool *self, const FbPoolWorker *worker)
+{
+  return worker->answered || worker->runs_ended || self->majority_ms != 0;
 }
 
 uint64_t
@@ -122,7 +117,7 @@
   return longest_lease_end_ms (self, run->started_ms + FB_POOL_DELAYED_CALL_MS);
 }
 
-/* Returns: how long runs go on that may be on a later incarnation of WORKER, which has ended. */
+/* Returns: how long runs go on that may be on a later incarnation of WORKER. */
 static uint64_t
 remaining_starts_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
@@ -143,7 +138,7 @@
   uint64_t end_ms = unanswered_lease_end_ms (self, worker);
   if (end_ms == fb_pool_silence_lease_end_ms (self, worker))
     return "previous owner's record";
-  return end_ms > fb_pool_earlier_leases_end_ms (self) ? "misdirected call" : "majority";
+  return end_ms > fb_pool_lease_earlier_end_ms (self, FALSE) ? "misdirected call" : "majority";
 }
 
 uint64_t
--- a/src/work/pool-recovery.c
+++ b/src/work/pool-recovery.c
@@ -78,11 +78,25 @@
     }
 }
 
+static gboolean
+any_may_restart (const FbPool *self)
+{
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      if (worker->may_restart)
+        return TRUE;
+    }
+  return g_hash_table_size (self->workers) == 0;
+}
+
 /* TRUE while any step may run on a worker that only the unreadable record names. */
 static gboolean
 may_run_on_unknown_worker (const FbPool *self, uint64_t now_ms)
 {
-  return self->workers_unreadable && now_ms <= fb_pool_earlier_leases_end_ms (self);
+  return self->workers_unreadable
+         && now_ms <= fb_pool_lease_earlier_end_ms (self, any_may_restart (self));
 }
 
 static const char *
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -166,10 +166,10 @@
                 next->listed, next->answered);
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, next, now_ms);
   next->has_predecessor = TRUE;
-  fb_pool_lease_expect_misdirected (next, now_ms);
+  fb_pool_lease_expect_misdirected (self, next, now_ms);
   if (next->answered)
     next->lease_ms
-        = MAX (next->lease_ms, next->clock_ms + now_ms - next->last_answer_ms
+        = MAX (next->lease_ms, next->clock_ms + now_ms - next->answered_poll_sent_ms
                                    + FB_POOL_DELAYED_CALL_MS + self->limits.max_lease_ms);
   next->next_poll_ms = now_ms;
 }
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -146,7 +146,7 @@
   worker->lease_recorded = row->lease_known;
   /* Its bound includes calls of the owner that recorded it. */
   if (row->lease_known)
-    worker->misdirected_until_ms = 0;
+    worker->misdirected_end_ms = 0;
   worker->recorded_lease_ms = row->lease_remaining_ms;
   restore_runs (worker, row);
   if (row->size_known)
@@ -163,9 +163,9 @@
 }
 
 static gboolean
-needs_row (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+needs_row (const FbPoolWorker *worker, uint64_t now_ms)
 {
-  return fb_pool_lease_may_be_misdirected (self, worker, now_ms) || !worker->answered
+  return !worker->answered || fb_pool_lease_may_be_misdirected (worker, now_ms)
          || fb_pool_worker_poll_failed (worker) || !worker->listed || has_shrunk (worker);
 }
 
@@ -188,14 +188,13 @@
 gboolean
 fb_pool_silence_will_close (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  return wants_closed (self, worker, now_ms)
-         && fb_pool_worker_lease_remaining_ms (self, worker, now_ms) != G_MAXUINT64;
+  return wants_closed (self, worker, now_ms) && fb_pool_lease_is_bounded (self, worker);
 }
 
 void
 fb_pool_silence_polled (FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
-  gboolean is_due = needs_row (self, worker, now_ms);
+  gboolean is_due = needs_row (worker, now_ms);
   if ((is_due && !worker->has_silence_row) || (!is_due && worker->has_restart_row)
       || fb_pool_silence_will_close (self, worker, now_ms) != worker->closed)
     self->silence->dirty = TRUE;
@@ -235,7 +234,7 @@
   GHashTable *steps = NULL;
   if (worker->runs_ended || (worker->answered && are_runs_tracked (self, worker)))
     steps = count_runs (worker);
-  else if (!worker->answered && worker->known_steps != NULL && worker->misdirected_until_ms == 0)
+  else if (!worker->answered && worker->known_steps != NULL && worker->misdirected_end_ms == 0)
     steps = g_hash_table_ref (worker->known_steps);
   if (steps != NULL && g_hash_table_size (steps) > FB_WORK_MAX_RUNS)
     g_clear_pointer (&steps, g_hash_table_unref);
@@ -505,7 +504,7 @@
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
       worker->has_restart_row = FALSE;
-      worker->has_silence_row = needs_row (self, worker, now_ms);
+      worker->has_silence_row = needs_row (worker, now_ms);
       if (!worker->has_silence_row)
         continue;
       fb_work_silent_worker row;
@@ -513,7 +512,7 @@
       worker->has_silence_row
           = rows_n < FB_WORK_MAX_WORKERS && has_room_for (self, &row, &rows_bytes);
       worker->has_restart_row
-          = worker->has_silence_row && fb_pool_lease_may_be_misdirected (self, worker, now_ms);
+          = worker->has_silence_row && fb_pool_lease_may_be_misdirected (worker, now_ms);
       rows_n += worker->has_silence_row;
       self->silence->has_all_rows = self->silence->has_all_rows && worker->has_silence_row;
       clear_row (&row);
@@ -563,6 +562,12 @@
   return row != NULL && row->runs_known;
 }
 
+void
+fb_pool_silence_applied (FbPool *self)
+{
+  self->silence->has_all_restarted = FALSE;
+}
+
 gboolean
 fb_pool_silence_excludes_misdirected (const FbPool *self, const char *id)
 {
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -218,9 +218,10 @@
         continue;
       worker->recorded = TRUE;
       if (fb_pool_silence_excludes_misdirected (self, worker->id))
-        worker->misdirected_until_ms = 0;
+        worker->misdirected_end_ms = 0;
       fb_pool_drain_apply (self, worker);
     }
+  fb_pool_silence_applied (self);
 }
 
 void
