Bounds of starts that the next incarnation may have carried out

Found by review: such a start was bounded from when it was sent, while polls and starts after it extend the lease of whatever runs there; and the row of its worker in the record had the worker's own lease only, until the worker was lost. Change: the bound counts from the last call with a deadline to that worker, and what is left of a worker's leases includes its unlisted starts.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -136,6 +136,7 @@
   uint64_t clock_ms;              /* worker's clock, as read no later than last_answer_ms */
   /* Highest deadline ever sent, on the worker's clock, including those of the previous owner. */
   uint64_t lease_ms;
+  uint64_t deadline_sent_ms; /* when the last call with a deadline was sent; 0: none was */
   uint64_t processed_end;    /* highest number of an end that has been processed */
   /* Lists an end of a job that is not known yet, or may have more ends than one answer holds. */
   gboolean has_unknown_end;
--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -114,7 +114,9 @@
 {
   if (!worker->may_restart || !fb_pool_restart_may_deliver (self, run))
     return 0;
-  return longest_lease_end_ms (self, run->started_ms + FB_POOL_DELAYED_CALL_MS);
+  /* A later call with a deadline extends the lease of whatever runs there. */
+  uint64_t sent_ms = MAX (run->started_ms, worker->deadline_sent_ms);
+  return longest_lease_end_ms (self, sent_ms + FB_POOL_DELAYED_CALL_MS);
 }
 
 /* Returns: how long runs go on that may be on a later incarnation of WORKER. */
@@ -149,7 +151,8 @@
   if (worker->answered)
     {
       uint64_t clock_ms = fb_pool_worker_clock_min (worker, now_ms);
-      return max_duration_ms (worker->lease_ms > clock_ms ? worker->lease_ms - clock_ms : 0);
+      uint64_t lease_ms = worker->lease_ms > clock_ms ? worker->lease_ms - clock_ms : 0;
+      return MAX (max_duration_ms (lease_ms), remaining_starts_ms (self, worker, now_ms));
     }
   uint64_t end_ms = unanswered_lease_end_ms (self, worker);
   if (end_ms == G_MAXUINT64)
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -200,6 +200,7 @@
   self->has_started = TRUE;
   run->order = add_order (self, worker, run, now_ms);
   worker->lease_ms = MAX (worker->lease_ms, run->deadline_ms);
+  worker->deadline_sent_ms = now_ms;
   task->attempt = run->attempt;
   if (!step->job->started)
     {
@@ -346,6 +347,8 @@
       && !fb_pool_has_pending_acknowledgement (worker))
     order.wait_ms = FB_POOL_POLL_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
+  if (order.deadline_ms != 0)
+    worker->deadline_sent_ms = now_ms;
   worker->poll_open = TRUE;
   worker->first_poll_open = !worker->answered;
   self->first_polls_open_n += worker->first_poll_open;
