A worker with an end of a job that is not read yet is kept

A worker leaves the list for a moment while it reports the end of a task whose job this owner has not read yet. Once read, the job starts again elsewhere, and the end is acknowledged when the worker is listed again, within its lease.

Cause: can_be_removed() removed the entry, as the worker had answered and ran nothing. That an end is unknown there is kept in the entry (has_unknown_end), and fb_pool_await_unknown_ends() asks only known workers.

Measured: pool script unknown-end-outlives-the-list-entry-of-its-worker: before, "start j1.0.0.0 attempt=1 on w2" although w1 lists its end as done; no start after. The output of all other pool scripts is unchanged.

--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -306,7 +306,10 @@
  *
  * A worker with reserved capacity is kept. If it were removed and then listed again as a new one,
  * the reservation would be returned to a worker that never had it, which would then get more runs
- * than it has capacity for. */
+ * than it has capacity for.
+ *
+ * So is a worker that lists an end of a job that is not read yet: the job waits for that end only
+ * while the worker is known. */
 static gboolean
 can_be_removed (const FbPool *self, const FbPoolWorker *worker)
 {
@@ -314,7 +317,8 @@
     return FALSE;
   if (worker->runs_ended)
     return !worker->poll_open && g_hash_table_size (worker->runs) == 0;
-  return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
+  return self->recovered && worker->answered && !worker->has_unknown_end
+         && g_hash_table_size (worker->runs) == 0;
 }
 
 void
