An answer of the next incarnation proves nothing of the one that was asked

Seen by callers: TWICE. A worker restarts under its id while a start and a poll are open. The next incarnation carries the start out and answers it; the list of the incarnation before arrives later and does not have the run. The owner takes the run for over and starts the task elsewhere beside it. With a stop the same: accepted by the next incarnation, it was compared with the clock of the one before, so the room of the run was used, and its task could start, before the stop had been carried out.

Cause: answers to starts and stops do not say who sent them, and their clock-ms was kept in the run as a time of the clock of the incarnation that was asked (seen_clock_ms, stopped_clock_ms).

Change: an order remembers a lower bound of the worker's clock when it was sent. An answer below it, or to an order that was transferred since, is of another incarnation: a start is kept until the incarnation that runs is known and lists it, a stop counts as not answered and is repeated, and the worker is polled at once. An incarnation whose clock is beyond the bound, as the one before had not run for longer, is not recognized.

--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -42,7 +42,8 @@
   char *task;   /* name of the task */
   uint32_t attempt;
   uint64_t sent_ms;
-  uint32_t incarnation; /* FbPoolWorker.incarnation of the worker that it was sent to */
+  uint64_t sent_clock_ms; /* lower bound of the worker's clock at SENT_MS */
+  uint32_t incarnation;   /* FbPoolWorker.incarnation of the worker that it was sent to */
 } FbPoolOrderRef;
 
 static void
@@ -74,6 +75,7 @@
   ref->task = g_strdup (run->name);
   ref->attempt = run->attempt;
   ref->sent_ms = now_ms;
+  ref->sent_clock_ms = fb_pool_worker_clock_min (worker, now_ms);
   ref->incarnation = worker->incarnation;
   uint64_t *key = g_new (uint64_t, 1);
   *key = ++self->last_order;
@@ -81,17 +83,29 @@
   return *key;
 }
 
+/* TRUE when an answer of CLOCK_MS to the order REF is certainly not of WORKER but of a later
+ * incarnation, whose clock started anew. */
+static gboolean
+is_of_other_incarnation (const FbPoolOrderRef *ref, const FbPoolWorker *worker, uint64_t clock_ms)
+{
+  return worker->may_restart
+         && (ref->incarnation != worker->incarnation || clock_ms < ref->sent_clock_ms);
+}
+
 /* Removes ORDER from the open orders.
  *
- * *RESULT becomes FB_ORDER_UNKNOWN when it tells nothing about its worker.
+ * *RESULT becomes FB_ORDER_UNKNOWN when it tells nothing about its worker. *IS_OTHER: CLOCK_MS is
+ * of another incarnation than the worker.
  *
  * Returns: its worker, NULL if unknown. *RUN is NULL when the run is over already, even if another
  * attempt of its task is on the worker. */
 static FbPoolWorker *
-remove_order (FbPool *self, uint64_t order, FbPoolRun **run, FbOrderResult *result)
+remove_order (FbPool *self, uint64_t order, uint64_t clock_ms, FbPoolRun **run,
+              FbOrderResult *result, gboolean *is_other)
 {
   FbPoolOrderRef *ref = g_hash_table_lookup (self->open_orders, &order);
   *run = NULL;
+  *is_other = FALSE;
   if (ref == NULL)
     return NULL;
   FbPoolWorker *worker = g_hash_table_lookup (self->workers, ref->worker);
@@ -102,6 +116,7 @@
       /* It may be the answer of a worker that was there before this one. */
       if (*result == FB_ORDER_OTHER_INCARNATION && ref->incarnation != worker->incarnation)
         *result = FB_ORDER_UNKNOWN;
+      *is_other = is_of_other_incarnation (ref, worker, clock_ms);
     }
   if (*run != NULL && (*run)->attempt != ref->attempt)
     *run = NULL;
@@ -434,13 +449,22 @@
                         uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run, &result);
+  gboolean is_other = FALSE;
+  FbPoolWorker *worker = remove_order (self, order, clock_ms, &run, &result, &is_other);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
   if (run == NULL || (run->order != order && run->state != FB_RUN_STOPPING))
     return;
   if (result == FB_ORDER_DONE && run->transferred_ms != 0)
     run->unanswered = TRUE; /* either incarnation may have sent this answer */
+  else if (result == FB_ORDER_DONE && is_other)
+    {
+      /* No list of WORKER proves that the run is over: it is transferred once the other incarnation
+       * is known. */
+      run->unanswered = TRUE;
+      run->deadline_ms = G_MAXUINT64;
+      worker->next_poll_ms = now_ms;
+    }
   else if (result == FB_ORDER_DONE)
     {
       run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
@@ -475,9 +499,10 @@
                        uint64_t now_ms)
 {
   FbPoolRun *run = NULL;
-  FbPoolWorker *worker = remove_order (self, order, &run, &result);
+  gboolean is_other = FALSE;
+  FbPoolWorker *worker = remove_order (self, order, clock_ms, &run, &result, &is_other);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
-  if (run != NULL && run->order == order && result == FB_ORDER_DONE)
+  if (run != NULL && run->order == order && result == FB_ORDER_DONE && !is_other)
     run->stopped_clock_ms = clock_ms;
 }
