A start whose call is still open is not forgotten with its run

Seen by callers: TWICE. A start waits in a socket; a list after its deadline shows that its worker has not carried it out, so the task starts elsewhere. The worker restarts under its id, its clock starts anew, and the next incarnation carries the start out, although starts without an answer are refused there at its first answer.

Cause: a start becomes one without an answer when its call ends, and only if its run is still there. A call takes 600 ms, through a relay 150 ms more; the start is over on its worker after 700 ms, and with a slow owner sooner than its call.

Change: a run that a list proves never to have begun leaves its start among those without an answer, if its call is open.

Measured: pool scripts late-start-resolved-before-its-call-ended and next-incarnation-answers-before-a-call-ends: before, nothing tells the next incarnation to refuse the start; after, "stop j1.0.0.0 attempt=1 on w1@2" at its first answer.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -197,6 +197,10 @@
 gboolean fb_pool_may_poll_again (const FbPoolWorker *worker);
 /* TRUE while ORDER has no answer. */
 gboolean fb_pool_order_is_open (const FbPool *self, uint64_t order);
+/* RUN never began on WORKER. A later incarnation may carry out its start while that has no
+ * answer. */
+void fb_pool_orders_run_absent (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                                uint64_t now_ms);
 /* Attributes answers to orders about RUN, which was on WORKER, to the same run on NEXT. */
 void fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
                           const FbPoolWorker *next);
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -41,6 +41,7 @@
   char *worker; /* id of the worker */
   char *task;   /* name of the task */
   uint32_t attempt;
+  gboolean is_start;
   uint64_t sent_ms;
   uint64_t sent_clock_ms; /* lower bound of the worker's clock at SENT_MS */
   uint32_t incarnation;   /* FbPoolWorker.incarnation of the worker that it was sent to */
@@ -74,6 +75,7 @@
   ref->worker = g_strdup (worker->id);
   ref->task = g_strdup (run->name);
   ref->attempt = run->attempt;
+  ref->is_start = run->state != FB_RUN_STOPPING;
   ref->sent_ms = now_ms;
   ref->sent_clock_ms = fb_pool_worker_clock_min (worker, now_ms);
   ref->incarnation = worker->incarnation;
@@ -142,6 +144,23 @@
     }
 }
 
+void
+fb_pool_orders_run_absent (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+                           uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, self->open_orders);
+  while (worker->may_restart && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FbPoolOrderRef *ref = value;
+      if (ref->is_start && ref->attempt == run->attempt && g_str_equal (ref->task, run->name)
+          && g_str_equal (ref->worker, worker->id))
+        fb_pool_unanswered_start_add (self, worker->id, worker->address, run->name, run->attempt,
+                                      ref->sent_ms, now_ms);
+    }
+}
+
 uint32_t
 fb_pool_next_attempt (const FbPool *self, const FbPoolStep *step, uint32_t index)
 {
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -526,6 +526,8 @@
                     (guint) run->seen_clock_ms, proof, self->epoch);
       if (step != NULL)
         fb_pool_crash_task_absent (self, worker, step, run->index);
+      if (run->seen_clock_ms == 0)
+        fb_pool_orders_run_absent (self, worker, run, now_ms);
       fb_pool_restart_count_crash (self, run, now_ms);
       fb_pool_run_ended (self, worker, run, "absent", now_ms);
       if (step != NULL && step->spec->gang && !fb_pool_step_done (step)
