Nothing starts where an acknowledgement for the earlier incarnation may arrive

Seen by callers: TWICE. A poll that acknowledges an end gets no answer, and its worker restarts under its id. The next incarnation is heard, gets a task at once, and that ends as its number 1; the poll arrives then and discards the end, which nobody has read. The finished task starts again.

Cause: nothing starts on a worker while such a poll is under way, so that no end is discarded by it, but that is kept with the incarnation that was asked (confirmed_acknowledged) and ends with it; a fresh incarnation has acknowledged nothing.

Restarts without such a poll do not wait.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -150,6 +150,11 @@
   /* Highest number that the worker is known to have received, if later incarnations may receive
    * calls. */
   uint64_t confirmed_acknowledged;
+  /* When the last poll was sent that acknowledged an end and got no answer; 0: none was. */
+  uint64_t unanswered_acknowledgement_ms;
+  /* Acknowledgements that were meant for earlier incarnations arrive here no later: an end of a run
+   * that is started before might be discarded. */
+  uint64_t foreign_acknowledgement_until_ms;
   uint64_t paused_until_ms; /* no starts before, as it refused one or left it unanswered */
   uint32_t failure_streak;  /* failed runs of different jobs in a row */
   FbPoolSpeed *speed;
--- a/src/work/pool-choose.c
+++ b/src/work/pool-choose.c
@@ -83,8 +83,9 @@
   /* The next owner may find a worker in the record only, as its entry may have expired. */
   return worker->listed && worker->recorded && !worker->draining && !worker->closed
          && !worker->runs_ended && !worker->superseded
-         && !fb_pool_has_pending_acknowledgement (worker) && !fb_pool_worker_silent (worker, now_ms)
-         && now_ms >= worker->paused_until_ms;
+         && !fb_pool_has_pending_acknowledgement (worker)
+         && now_ms >= worker->foreign_acknowledgement_until_ms
+         && !fb_pool_worker_silent (worker, now_ms) && now_ms >= worker->paused_until_ms;
 }
 
 gboolean
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -656,6 +656,8 @@
   if (result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
         = MAX (worker->confirmed_acknowledged, worker->poll_acknowledges);
+  if (result == FB_ORDER_UNKNOWN && worker->poll_acknowledges != 0)
+    worker->unanswered_acknowledgement_ms = worker->poll_sent_ms;
   if (worker->poll_acknowledges != 0)
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -137,6 +137,18 @@
   return n;
 }
 
+/* Returns: when the last acknowledgement that was meant for WORKER, or for an incarnation before
+ * it, has certainly arrived at a later one; 0: none may be on its way. */
+static uint64_t
+acknowledgements_end_ms (const FbPoolWorker *worker)
+{
+  uint64_t sent_ms = worker->poll_open && worker->poll_acknowledges != 0
+                         ? worker->poll_sent_ms
+                         : worker->unanswered_acknowledgement_ms;
+  return MAX (worker->foreign_acknowledgement_until_ms,
+              sent_ms != 0 ? sent_ms + FB_POOL_DELAYED_CALL_MS : 0);
+}
+
 void
 fb_pool_worker_restarted (FbPool *self, FbPoolWorker *worker, const char *incarnation,
                           uint64_t now_ms)
@@ -167,6 +179,8 @@
   fb_pool_worker_lost (self, worker, FB_LOSS_OTHER_INCARNATION, next, now_ms);
   next->has_predecessor = TRUE;
   fb_pool_lease_expect_misdirected (next, now_ms);
+  next->foreign_acknowledgement_until_ms
+      = MAX (next->foreign_acknowledgement_until_ms, acknowledgements_end_ms (worker));
   if (next->answered)
     next->lease_ms
         = MAX (next->lease_ms, next->clock_ms + now_ms - next->last_answer_ms
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -309,8 +309,8 @@
  * than it has capacity for.
  *
  * So is a worker that lists an end of a job that is not read yet: the job waits for that end only
- * while the worker is known. And so is one that may still receive an acknowledgement: nothing is
- * started on that worker before. */
+ * while the worker is known. And so is one that may still receive an acknowledgement, of its own
+ * ends or of those of an earlier incarnation: nothing is started on that worker before. */
 static gboolean
 can_be_removed (const FbPool *self, const FbPoolWorker *worker)
 {
@@ -319,7 +319,9 @@
   if (worker->runs_ended)
     return !worker->poll_open && g_hash_table_size (worker->runs) == 0;
   return self->recovered && worker->answered && !worker->has_unknown_end
-         && !fb_pool_has_pending_acknowledgement (worker) && g_hash_table_size (worker->runs) == 0;
+         && !fb_pool_has_pending_acknowledgement (worker)
+         && worker->foreign_acknowledgement_until_ms <= self->last_maintenance_ms
+         && g_hash_table_size (worker->runs) == 0;
 }
 
 void
