--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -526,6 +526,8 @@
                     (guint) run->seen_clock_ms, proof, self->epoch);
       if (step != NULL)
         fb_pool_crash_task_absent (self, worker, step, run->index);
+      if (run->seen_clock_ms == 0)
+        fb_pool_orders_run_absent (self, worker, run, now_ms);
       fb_pool_restart_count_crash (self, run, now_ms);
       fb_pool_run_ended (self, worker, run, "absent", now_ms);
       if (step != NULL && step->spec->gang && !fb_pool_step_done (step)
@@ -654,6 +656,8 @@
   if (result == FB_ORDER_DONE)
     worker->confirmed_acknowledged
         = MAX (worker->confirmed_acknowledged, worker->poll_acknowledges);
+  if (result == FB_ORDER_UNKNOWN && worker->poll_acknowledges != 0)
+    worker->unanswered_acknowledgement_ms = worker->poll_sent_ms;
   if (worker->poll_acknowledges != 0)
     fb_pool_worker_gained_capacity (self, worker);
   worker->poll_acknowledges = 0;
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -50,6 +50,7 @@
   self->created_ms = now_ms;
   self->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fb_pool_worker_free);
   self->outlived_polls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->counted_departures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->worker_slots = g_ptr_array_new ();
   self->latest_incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->gained_capacity = g_ptr_array_new ();
@@ -87,6 +88,7 @@
   fb_pool_unanswered_starts_free (self->unanswered_starts);
   g_hash_table_unref (self->workers); /* before the jobs: runs point to their steps */
   g_hash_table_unref (self->outlived_polls);
+  g_hash_table_unref (self->counted_departures);
   g_ptr_array_unref (self->worker_slots);
   fb_pool_silence_free (self->silence);
   g_hash_table_unref (self->latest_incarnations);
@@ -307,7 +309,11 @@
  *
  * A worker with reserved capacity is kept. If it were removed and then listed again as a new one,
  * the reservation would be returned to a worker that never had it, which would then get more runs
- * than it has capacity for. */
+ * than it has capacity for.
+ *
+ * So is a worker that lists an end of a job that is not read yet: the job waits for that end only
+ * while the worker is known. And so is one that may still receive an acknowledgement, of its own
+ * ends or of those of an earlier incarnation: nothing is started on that worker before. */
 static gboolean
 can_be_removed (const FbPool *self, const FbPoolWorker *worker)
 {
@@ -315,7 +321,10 @@
     return FALSE;
   if (worker->runs_ended)
     return !worker->poll_open && g_hash_table_size (worker->runs) == 0;
-  return self->recovered && worker->answered && g_hash_table_size (worker->runs) == 0;
+  return self->recovered && worker->answered && !worker->has_unknown_end
+         && !fb_pool_has_pending_acknowledgement (worker)
+         && worker->foreign_acknowledgement_until_ms <= self->last_maintenance_ms
+         && g_hash_table_size (worker->runs) == 0;
 }
 
 void
