Reports that refute the end of a worker's leases are an event

Change: pool-conclusions.c keeps what was concluded with the end of leases, of runs and of whole workers, the last 4,096. POOL_LOSS_REFUTED (7208) and flamingobarrow_losses_refuted_total when - a list has a run that was taken for over, or the first list of a lost worker has any run that is not known there, and the list was made later: its poll was sent later, or the worker's clock is past what it can have been then; - an end is reported that an earlier list of after the conclusion lacked. short_ms is the least by which the bound was too short.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -2,6 +2,7 @@
  * their own; only for the pool's source files. */
 #pragma once
 
+#include "internal/pool-conclusions.h"
 #include "internal/pool-overload.h"
 #include "internal/pool-worker-private.h"
 #include "internal/run-times.h"
@@ -93,6 +94,7 @@
   guint not_accepted_n;     /* number of jobs with FbPoolJob.not_accepted_bytes */
   GHashTable *open_orders;  /* number of an order without an answer -> FbPoolOrderRef */
   GQueue *unanswered_starts; /* of FbPoolUnansweredStart; the oldest at its head */
+  FbPoolConclusions *conclusions;
   GHashTable *suspect_steps; /* set of FbPoolStep with tasks whose crashes are counted; borrowed */
   /* Set of FbPoolJob with suspects to be kept by other daemons; borrowed. */
   GHashTable *unstored_suspects;
@@ -211,6 +213,8 @@
 
 /* pool-report.c */
 
+/* Returns: the name of REASON for the log, a static text. */
+const char *fb_pool_end_name (FbEndReason reason);
 /* Replaces zero members of LIMITS by the defaults. */
 void fb_pool_report_set_limits (FbPoolLimits *limits);
 /* A member of the gang STEP was refused, lost or ended: stops the others. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -136,6 +136,11 @@
   uint64_t clock_ms;              /* worker's clock, as read no later than last_answer_ms */
   /* Highest deadline ever sent, on the worker's clock, including those of the previous owner. */
   uint64_t lease_ms;
+  /* Of the last answer that listed all ends: when its poll was sent (0: there was none), the
+   * worker's clock, and the highest number of an end in it or in an earlier answer. */
+  uint64_t complete_list_sent_ms;
+  uint64_t complete_list_clock_ms;
+  uint64_t complete_list_end;
   uint64_t processed_end; /* highest number of an end that has been processed */
   /* Lists an end of a job that is not known yet, or may have more ends than one answer holds. */
   gboolean has_unknown_end;
--- a/src/work/pool-loss.c
+++ b/src/work/pool-loss.c
@@ -34,9 +34,10 @@
   return next != NULL ? next->id : "status 421";
 }
 
+/* BOUND: of the leases, a static text for the log; NULL when the end does not rest on them. */
 static void
-end_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *why, guint runs_n,
-         uint64_t now_ms)
+end_run (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *why, const char *bound,
+         guint runs_n, uint64_t now_ms)
 {
   FbPoolStep *step = run->step;
   fb_pool_restart_count_crash (self, run, now_ms);
@@ -45,6 +46,8 @@
                 " epoch=%" G_GUINT64_FORMAT,
                 run->name, run->attempt, worker->id, why, run->seen_clock_ms > 0,
                 (guint) (now_ms - run->started_ms), runs_n - 1, self->epoch);
+  if (bound != NULL)
+    fb_pool_conclusions_add_run (self, worker, run, bound, now_ms);
   fb_pool_run_ended (self, worker, run, why, now_ms);
   if (step != NULL && step->spec->gang)
     fb_pool_stop_gang (self, step, now_ms);
@@ -53,7 +56,8 @@
 /* Ends the runs on WORKER, whose own leases have ended, except those that are or may be on a later
  * incarnation. */
 static void
-end_runs (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next, uint64_t now_ms)
+end_runs (FbPool *self, FbPoolWorker *worker, FbPoolLoss loss, FbPoolWorker *next,
+          const char *bound, uint64_t now_ms)
 {
   g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
   guint runs_n = g_list_length (runs);
@@ -68,7 +72,7 @@
         }
       else if (loss != FB_LOSS_LEASE_ENDED
                || now_ms > fb_pool_lease_end_of_start_ms (self, worker, run))
-        end_run (self, worker, run, loss_names[loss], runs_n, now_ms);
+        end_run (self, worker, run, loss_names[loss], bound, runs_n, now_ms);
     }
 }
 
@@ -76,7 +80,7 @@
 fb_pool_loss_end_remaining_runs (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   if (worker->runs_ended && g_hash_table_size (worker->runs) > 0)
-    end_runs (self, worker, FB_LOSS_LEASE_ENDED, NULL, now_ms);
+    end_runs (self, worker, FB_LOSS_LEASE_ENDED, NULL, "start not listed", now_ms);
 }
 
 void
@@ -87,14 +91,18 @@
   if (worker->runs_ended && loss == FB_LOSS_OTHER_INCARNATION)
     {
       fb_pool_unresolved_loss_resolve (self, worker->id, !worker->draining, now_ms);
-      end_runs (self, worker, loss, next, now_ms);
+      end_runs (self, worker, loss, next, NULL, now_ms);
     }
   if (worker->runs_ended)
     return;
-  log_loss (self, worker, loss_names[loss], proof_of_loss (self, worker, loss, next), now_ms);
+  const char *proof = proof_of_loss (self, worker, loss, next);
+  const char *bound = loss == FB_LOSS_LEASE_ENDED ? proof : NULL;
+  log_loss (self, worker, loss_names[loss], proof, now_ms);
+  if (bound != NULL)
+    fb_pool_conclusions_add_worker (self, worker, bound, now_ms);
   worker->runs_ended = TRUE;
   worker->answered = FALSE;
   fb_pool_awaiting_starts_withdraw (self, worker, now_ms);
   fb_pool_crash_worker_lost (self, worker, loss, next, now_ms);
-  end_runs (self, worker, loss, next, now_ms);
+  end_runs (self, worker, loss, next, bound, now_ms);
 }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -25,6 +25,12 @@
 
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 
+const char *
+fb_pool_end_name (FbEndReason reason)
+{
+  return end_names[reason];
+}
+
 void
 fb_pool_report_set_limits (FbPoolLimits *limits)
 {
@@ -576,6 +582,7 @@
 process_answer (FbPool *self, FbPoolWorker *worker, const FbPollAnswer *answer, uint64_t now_ms,
                 uint64_t wall_ms)
 {
+  fb_pool_conclusions_check (self, worker, answer, now_ms);
   guint runs_before = g_hash_table_size (worker->runs);
   gboolean is_first = !worker->answered;
   if (!worker->answered)
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -74,6 +74,7 @@
   self->unconfirmed_workers = g_ptr_array_new ();
   self->open_orders = fb_pool_orders_new ();
   self->unanswered_starts = fb_pool_unanswered_starts_new ();
+  self->conclusions = fb_pool_conclusions_new ();
   self->accounts = fb_pool_accounts_new ();
   self->run_times = fb_run_times_new ();
   self->forecasts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -85,6 +86,7 @@
 {
   g_hash_table_unref (self->open_orders);
   fb_pool_unanswered_starts_free (self->unanswered_starts);
+  fb_pool_conclusions_free (self->conclusions);
   g_hash_table_unref (self->workers); /* before the jobs: runs point to their steps */
   g_hash_table_unref (self->outlived_polls);
   g_ptr_array_unref (self->worker_slots);
