--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -578,6 +578,21 @@
     }
 }
 
+/* SENT_MS: the highest deadline that WORKER had been sent. ALLOWED_MS: the longest lease that it
+ * may hold from others. */
+static void
+log_heard (const FbPool *self, const FbPoolWorker *worker, const FbPollAnswer *answer,
+           uint64_t sent_ms, uint64_t allowed_ms)
+{
+  const char *bound = allowed_ms > FB_POOL_LEASE_MS ? "misdirected call" : "lease";
+  if (sent_ms > answer->clock_ms + allowed_ms)
+    bound = "deadlines sent";
+  fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
+                "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u lease_ms=%u bound=\"%s\"",
+                worker->id, self->epoch, answer->running->len, answer->finished->len,
+                (guint) (worker->lease_ms - answer->clock_ms), bound);
+}
+
 static void
 process_answer (FbPool *self, FbPoolWorker *worker, const FbPollAnswer *answer, uint64_t now_ms,
                 uint64_t wall_ms)
@@ -585,16 +600,14 @@
   fb_pool_conclusions_check (self, worker, answer, now_ms);
   guint runs_before = g_hash_table_size (worker->runs);
   gboolean is_first = !worker->answered;
-  if (!worker->answered)
-    fb_event_log (FB_EVENT_POOL_WORKER_HEARD,
-                  "worker=%s epoch=%" G_GUINT64_FORMAT " running=%u ends=%u", worker->id,
-                  self->epoch, answer->running->len, answer->finished->len);
   if (!worker->answered)
     {
       /* The previous owner may have given it a lease just now, which covers any run started
        * there. */
-      worker->lease_ms = MAX (worker->lease_ms,
-                              answer->clock_ms + fb_pool_lease_first_answer (self, worker, now_ms));
+      uint64_t sent_ms = worker->lease_ms;
+      uint64_t allowed_ms = fb_pool_lease_first_answer (self, worker, now_ms);
+      worker->lease_ms = MAX (sent_ms, answer->clock_ms + allowed_ms);
+      log_heard (self, worker, answer, sent_ms, allowed_ms);
       fb_pool_worker_gained_capacity (self, worker);
       self->workers_dirty = self->workers_dirty || worker->draining;
     }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -238,9 +238,26 @@
   self->unresolved_losses_due = TRUE;
 }
 
-static void
-remove_worker (FbPool *self, FbPoolWorker *worker)
+/* Returns: why can_be_removed() holds for WORKER, as a text for the log. */
+static const char *
+reason_of_removal (const FbPoolWorker *worker)
 {
+  if (worker->replaced)
+    return "other life";
+  return worker->runs_ended ? "lease ended" : "no runs";
+}
+
+static void
+remove_worker (FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
+{
+  uint64_t lease_ms = fb_pool_worker_lease_remaining_ms (self, worker, now_ms);
+  fb_event_log (FB_EVENT_POOL_WORKER_FORGOTTEN,
+                "worker=%s why=\"%s\" heard_ms_ago=%u unlisted_ms_ago=%u lease_left_ms=%u"
+                " recorded=%d epoch=%" G_GUINT64_FORMAT,
+                worker->id, reason_of_removal (worker),
+                worker->last_answer_ms != 0 ? (guint) (now_ms - worker->last_answer_ms) : 0,
+                worker->unlisted_ms != 0 ? (guint) (now_ms - worker->unlisted_ms) : 0,
+                (guint) lease_ms, worker->recorded, self->epoch);
   fb_pool_worker_slots_remove (self, worker);
   self->workers_dirty = TRUE;
 }
@@ -351,7 +368,7 @@
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
       if (can_be_removed (self, worker))
-        remove_worker (self, worker);
+        remove_worker (self, worker, now_ms);
       else
         {
           maintain_worker (self, worker, now_ms);
