runs names the bound of a lease that was too short

Cause: POOL_LOSS_REFUTED was unknown to `flamingobarrow runs`, and the logs did not suffice with it; a lapsed end after a loss counted as one in time.

Change: the line is printed, with the bound and by how much it was too short; a late end of such a run overlaps the next run if the run was certainly at work after that had begun, and may overlap it otherwise.

--- a/src/cli/cli-log.c
+++ b/src/cli/cli-log.c
@@ -34,6 +34,8 @@
   { FB_EVENT_START_WITHDRAWN, "task attempt worker why" },
   { FB_EVENT_POOL_WORKER_HEARD, "worker epoch" },
   { FB_EVENT_POOL_WORKER_LOST, "worker why heard_ms_ago epoch answered lease_left_ms proof" },
+  { FB_EVENT_POOL_LOSS_REFUTED,
+    "task attempt worker lost report bound short_ms lost_ms_ago epoch" },
   { FB_EVENT_POOL_TAKEN, "partition epoch" },
   { FB_EVENT_POOL_MAJORITY, "service epoch listed answered recorded recorded_answered" },
   { FB_EVENT_POOL_SETTLED, "service epoch" },
--- a/src/cli/cli-runs.c
+++ b/src/cli/cli-runs.c
@@ -26,9 +26,10 @@
   { FB_EVENT_RUN_ABSENT, "proof state clock_ms seen_clock_ms epoch" },
   { FB_EVENT_ORDER_NOT_DONE, "kind code copies result epoch" },
   { FB_EVENT_START_MAY_COME, "life unanswered sent_ms_ago" },
-  { FB_EVENT_POOL_WORKER_HEARD, "running ends epoch" },
+  { FB_EVENT_POOL_WORKER_HEARD, "running ends lease_ms bound epoch" },
   { FB_EVENT_POOL_WORKER_LOST,
     "why proof heard_ms_ago owned_ms answered listed poll lease_left_ms epoch" },
+  { FB_EVENT_POOL_LOSS_REFUTED, "lost report bound short_ms lost_ms_ago epoch" },
   { FB_EVENT_POOL_TAKEN, "partition load_ms" },
   { FB_EVENT_POOL_MAJORITY,
     "service listed answered unlisted unlisted_answered recorded recorded_answered owned_ms" },
@@ -97,6 +98,10 @@
   if (run->refuted != NULL)
     printf ("    taken for ended at %s by %s, which a later line contradicts\n",
             run->refuted->stamp, fb_event_name (run->refuted->event));
+  if (run->short_lease != NULL)
+    printf ("    the bound of its lease, \"%s\", was too short by at least %s ms\n",
+            fb_cli_log_line_get (run->short_lease, "bound"),
+            fb_cli_log_line_get (run->short_lease, "short_ms"));
   if (run->end == NULL)
     {
       printf ("    no end on record\n");
--- a/src/cli/run-history.c
+++ b/src/cli/run-history.c
@@ -286,7 +286,7 @@
   if (run->end == NULL)
     run->end = line;
   else if (was_lost (run) && !g_str_equal (fb_cli_log_line_get (run->end, "why"), "other life"))
-    run->late_end = g_str_equal (how, "lapsed") ? NULL : line;
+    run->late_end = g_str_equal (how, "lapsed") && run->short_lease == NULL ? NULL : line;
   else if (fb_cli_run_end_is_concluded (run))
     {
       run->refuted = run->end;
@@ -320,6 +320,14 @@
     run->end = NULL;
 }
 
+static void
+add_refuted_loss (FbCliTaskRuns *task, const FbCliLogLine *line)
+{
+  FbCliRun *run = reported_run (task, line);
+  g_ptr_array_add (run->lines, (gpointer) line);
+  run->short_lease = line;
+}
+
 static void
 add_other (FbCliTaskRuns *task, const FbCliLogLine *line)
 {
@@ -347,6 +355,8 @@
     note_outcome (task, line, "withdrawn");
   else if (line->event == FB_EVENT_START_MAY_COME)
     transfer_start (task, line);
+  else if (line->event == FB_EVENT_POOL_LOSS_REFUTED)
+    add_refuted_loss (task, line);
   else
     add_other (task, line);
 }
@@ -464,12 +474,29 @@
                           -gap_us / 1000);
 }
 
+/* Returns: when RUN, whose leases outlasted their bound, was certainly still at work. */
+static gint64
+at_work_until_us (const FbCliRun *run)
+{
+  const FbCliLogLine *line = run->short_lease;
+  return line->time_us
+         + 1000
+               * ((gint64) fb_cli_log_line_number (line, "short_ms")
+                  - (gint64) fb_cli_log_line_number (line, "lost_ms_ago"));
+}
+
 static char *
 compare_with_end (const FbCliRun *first, const FbCliRun *second, gint64 margin_us,
                   FbCliRelation *relation)
 {
   gint64 gap_us = fb_cli_run_ended_before_us (first, second->began);
   gboolean one_clock = g_str_equal (first->end->daemon, second->began->daemon);
+  *relation = FB_CLI_RUNS_OVERLAP;
+  if (first->late_end != NULL && first->short_lease != NULL
+      && at_work_until_us (first) > second->began->time_us)
+    return g_strdup_printf ("the leases of the earlier went on for %" G_GINT64_FORMAT
+                            " ms or more after the later began",
+                            (at_work_until_us (first) - second->began->time_us) / 1000);
   *relation = FB_CLI_RUNS_UNDECIDED;
   if (first->late_end != NULL && first->late_end->time_us > second->began->time_us)
     return g_strdup_printf ("the lease of the earlier had ended, and at %s its worker reported the"
--- a/src/cli/run-history.h
+++ b/src/cli/run-history.h
@@ -17,7 +17,8 @@
   const FbCliLogLine *end;      /* what tells that the run had ended; NULL: nothing */
   const FbCliLogLine *refuted;  /* an earlier conclusion that it had ended, which was wrong */
   const FbCliLogLine *late_end; /* reported after its lease had ended: may be older than END */
-  GPtrArray *lines;             /* of the run, by time; borrowed */
+  const FbCliLogLine *short_lease; /* proves that its leases outlasted their bound */
+  GPtrArray *lines;                /* of the run, by time; borrowed */
 } FbCliRun;
 
 typedef struct
