fuzz-pool: workers that restart under their ids and are cut off soon after

In "partitions" a call never waits for a worker to listen again, restarts and cuts are independent, and tasks are shorter than the lease from a misdirected call. Change: kinds restarts-cut and restarts-cut-owners (pool-world-restarts.c). Workers restart under their ids and are cut off 0.3 to 3 s later for some 9 s; clocks begin anywhere; the longest lease is 10 s in half of the worlds; entries are written 0.1 to 2 s late, or up to 6 s, removed and written again; two thirds of the runs last 9 to 18 s; calls wait for a listener. In restarts-cut-owners the owner is killed, suspended, stalls, is revoked or stopped as planned meanwhile. A call for the earlier incarnation is carried out within 1.2 s after it was sent, except with old-calls. Before a job may fail, ends that were not acknowledged and starts without an answer around a crash count as crashes too: no owner can tell them apart.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -15,6 +15,7 @@
 #define PARTITION_SEED 0x10000
 #define CANCEL_SEED 0x20000
 #define STOP_SEED 0x30000
+#define RESTARTS_SEED 0x40000
 
 /* ---- jobs and faults ---------------------------------------------------------------- */
 
@@ -57,6 +58,7 @@
     }
   world_cancels_submit (world, job);
   world_stops_submit (world, job);
+  world_restarts_submit (world, job);
   job->submitted = TRUE;
   for (guint i = 0; i < OWNER_N; i++)
     {
@@ -177,7 +179,7 @@
   /* A job or cancel is accepted once the store has it, so none is accepted while the store is
    * unavailable. */
   if (world_random (world, 30) == 0 && !world->store_unavailable && world_cancels_may_submit (world)
-      && world_stops_may_submit (world))
+      && world_stops_may_submit (world) && world_restarts_may_submit (world))
     submit (world);
   if (world_random (world, 400) == 0 && !world->store_unavailable && !world->cancelling)
     cancel (world);
@@ -194,7 +196,8 @@
     inject_connection_faults (world);
   world_partitions_inject_faults (world);
   world_stops_inject_faults (world);
-  if (world->owners_stable)
+  world_restarts_inject_faults (world);
+  if (world->owners_stable || world->restarts)
     return;
   if (world_random (world, world->crashing ? 2500 : world->stops ? 1000 : 250) == 0)
     inject_owner_fault (world);
@@ -224,6 +227,7 @@
     world->owners[i].paused = FALSE;
   world_partitions_heal (world);
   world_stops_heal (world);
+  world_restarts_heal (world);
 }
 
 /* The platform lists a worker until it has had no messages from it for UNLIST_DELAY_MS. */
@@ -302,7 +306,11 @@
   world->owners_stable = g_str_equal (mode, "crashing-steady");
   world->crashing = world->owners_stable || g_str_equal (mode, "crashing");
   world->shrinking = g_str_equal (mode, "shrinking");
-  world->partitions = g_str_equal (mode, "partitions") || g_str_has_suffix (mode, "-partitions");
+  world->restarts = g_str_has_prefix (mode, "restarts-cut");
+  world->restarts_owners = g_str_equal (mode, "restarts-cut-owners");
+  world->partitions = world->restarts || g_str_equal (mode, "partitions")
+                      || g_str_has_suffix (mode, "-partitions");
+  world->max_lease_ms = MAX_LEASE_MS;
   world->entries_expire = TRUE;
   world->traced = getenv ("FUZZ_LOG") != NULL;
   world->rand = g_rand_new_with_seed (seed);
@@ -310,12 +318,14 @@
   world->partition_rand = g_rand_new_with_seed (seed + PARTITION_SEED);
   world->cancel_rand = g_rand_new_with_seed (seed + CANCEL_SEED);
   world->stop_rand = g_rand_new_with_seed (seed + STOP_SEED);
+  world->restarts_rand = g_rand_new_with_seed (seed + RESTARTS_SEED);
   world->restart_mode = restart_mode;
   world->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   world->now_ms = 1000000;
   world->progress
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   world->orders = g_ptr_array_new ();
+  world_restarts_init (world);
   for (guint i = 0; i < WORKER_N; i++)
     {
       Worker *worker = &world->workers[i];
@@ -366,6 +376,7 @@
   g_rand_free (world->partition_rand);
   g_rand_free (world->cancel_rand);
   g_rand_free (world->stop_rand);
+  g_rand_free (world->restarts_rand);
   g_hash_table_unref (world->ids);
   g_free (world->violation);
   g_free (world);
@@ -409,7 +420,11 @@
   World *world = world_new (seed, mode, restart_mode);
   uint64_t heal_ms = world->now_ms + FAULT_MS;
   /* Tasks still crash their workers after the faults have been healed, or take long. */
-  uint64_t end_ms = heal_ms + HEAL_MS * (world->crashing || world->stops ? 2 : 1);
+  uint64_t end_ms = heal_ms
+                    + HEAL_MS
+                          * (world->restarts                   ? 3
+                             : world->crashing || world->stops ? 2
+                                                               : 1);
   while (world->violation == NULL && world->now_ms < end_ms)
     {
       if (world->now_ms < heal_ms)
@@ -435,11 +450,20 @@
                                                     [RESTART_NEW_ID] = "new-ids",
                                                     [RESTART_LATE_CALLS] = "old-calls",
                                                     NULL };
-  static const char *const modes[]
-      = { "plain",           "advised",          "crashing",
-          "crashing-steady", "shrinking",        "repeats",
-          "partitions",      "cancelling",       "cancelling-partitions",
-          "stops",           "stops-partitions", NULL };
+  static const char *const modes[] = { "plain",
+                                       "advised",
+                                       "crashing",
+                                       "crashing-steady",
+                                       "shrinking",
+                                       "repeats",
+                                       "partitions",
+                                       "cancelling",
+                                       "cancelling-partitions",
+                                       "stops",
+                                       "stops-partitions",
+                                       "restarts-cut",
+                                       "restarts-cut-owners",
+                                       NULL };
   const char *mode = argc > 3 ? argv[3] : modes[0];
   const char *restart_mode = argc > 4 ? argv[4] : restart_mode_names[RESTART_EITHER_ID];
   if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
--- a/fuzz/pool-world-incarnations.c
+++ b/fuzz/pool-world-incarnations.c
@@ -39,7 +39,8 @@
 {
   Worker *worker = &world->workers[i];
   gboolean reuses_id = world->restart_mode != RESTART_NEW_ID && worker->incarnation > 0
-                       && world_restart_random (world, 2) == 0;
+                       && (worker->keeps_id || world_restart_random (world, 2) == 0);
+  worker->keeps_id = FALSE;
   worker->incarnation++;
   worker->second_crash_ms = 0;
   if (reuses_id)
@@ -69,9 +70,17 @@
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest_attempts);
   world_partitions_worker_started (world, worker, reuses_id);
+  world_restarts_worker_started (world, worker, reuses_id);
   world_trace (world, "%s, incarnation %u, starts", worker->id, worker->incarnation);
 }
 
+char *
+world_worker_name (const World *world, const Worker *worker)
+{
+  gboolean reports_start = world->restart_mode != RESTART_NEW_ID;
+  return fb_wire_incarnation (worker->id, reports_start ? worker->incarnation_started_ms : 0);
+}
+
 Entry
 world_worker_entry (const World *world, const Worker *worker)
 {
--- a/fuzz/pool-world-owners.c
+++ b/fuzz/pool-world-owners.c
@@ -395,7 +395,7 @@
 void
 world_owner_start (World *world, guint i)
 {
-  const FbPoolLimits limits = { .max_lease_ms = MAX_LEASE_MS,
+  const FbPoolLimits limits = { .max_lease_ms = (uint32_t) world->max_lease_ms,
                                 .max_stop_ms = world->stops ? LONG_STOP_MS : STOP_DELAY_MS,
                                 .gang_wait_ms = GANG_WAIT_MS,
                                 .max_reported_ends = world->repeats ? MAX_REPORTED_ENDS : 0 };
--- a/fuzz/pool-world-partitions.c
+++ b/fuzz/pool-world-partitions.c
@@ -50,7 +50,8 @@
       worker->store_cut_until_ms = 0;
     }
   /* The owner may not have stored that it knows the worker when the store becomes unavailable. */
-  if (worker->incarnation > 1 && !world->healing && partition_random (world, 3) == 0)
+  if (worker->incarnation > 1 && !world->healing && !world->restarts
+      && partition_random (world, 3) == 0)
     world->outage_ms = world->now_ms + partition_random (world, 600);
 }
 
@@ -72,7 +73,8 @@
       Worker *worker = &world->workers[i];
       gboolean writes_entry
           = worker->up && !is_cut_off (world, worker) && !world_stops_stands_still (world, worker)
-            && world->now_ms >= worker->store_cut_until_ms && !world->store_unavailable;
+            && world->now_ms >= worker->store_cut_until_ms
+            && world->now_ms >= worker->hidden_until_ms && !world->store_unavailable;
       if (writes_entry && !worker->writes_entry)
         worker->next_entry_ms = world->now_ms + partition_random (world, MAX_RELIST_MS);
       worker->writes_entry = writes_entry;
@@ -270,7 +272,7 @@
 void
 world_partitions_inject_faults (World *world)
 {
-  if (!world->partitions)
+  if (!world->partitions || world->restarts)
     return;
   if (partition_random (world, 400) == 0)
     cut_workers (world);
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -97,11 +97,21 @@
   worker->cpu_changed_ms = world->now_ms;
 }
 
+void
+world_worker_count_crash (World *world, const char *task)
+{
+  guint step = 0;
+  guint index = 0;
+  Job *job = find_job (world, task, &step, &index);
+  job->plain_crashes[step][index]++;
+}
+
 void
 world_worker_crash (World *world, Worker *worker, const Run *cause)
 {
   worker->up = FALSE;
   world_cancels_worker_crashed (world, worker);
+  world_restarts_worker_crashed (world, worker);
   world_trace (world, "%s, incarnation %u, crashes%s%s", worker->id, worker->incarnation,
                cause != NULL ? " by " : "", cause != NULL ? cause->task : "");
   for (guint i = 0; i < worker->runs->len; i++)
@@ -261,10 +271,15 @@
 
 /* A worker shortens a lease to the longest that it grants. */
 static void
-extend_lease (const World *world, Worker *worker, uint64_t deadline_ms)
+extend_lease (const World *world, Worker *worker, const Order *order)
 {
-  uint64_t longest_ms = worker_clock_ms (world, worker) + MAX_LEASE_MS;
-  worker->lease_until_ms = MAX (worker->lease_until_ms, MIN (deadline_ms, longest_ms));
+  uint64_t longest_ms = worker_clock_ms (world, worker) + world->max_lease_ms;
+  if (order->deadline_ms > longest_ms)
+    world_trace (
+        world,
+        "a call that was meant for %s, sent at %u ms, gives incarnation %u the longest lease",
+        order->worker_name, (unsigned) (order->sent_ms % 1000000), worker->incarnation);
+  worker->lease_until_ms = MAX (worker->lease_until_ms, MIN (order->deadline_ms, longest_ms));
 }
 
 static FbOrderResult
@@ -302,7 +317,9 @@
   /* Some runs end before a second copy of their start arrives. */
   if (world->repeats && world_random (world, 4) == 0)
     run.end_ms = world->now_ms + world_random (world, 100);
-  if (world->partitions)
+  if (world->restarts)
+    run.end_ms = MAX (run.end_ms, world->now_ms + world_restarts_min_run_ms (world));
+  else if (world->partitions)
     run.end_ms = MAX (run.end_ms, world->now_ms + world_partitions_min_run_ms (world));
   if (world->cancelling)
     run.end_ms = MAX (run.end_ms, world->now_ms + world_cancels_min_run_ms (world));
@@ -316,7 +333,7 @@
   memcpy (run.task, order->task, sizeof run.task);
   world_stops_start_run (world, order, &run);
   g_array_append_val (worker->runs, run);
-  extend_lease (world, worker, order->deadline_ms);
+  extend_lease (world, worker, order);
   world->starts++;
   return FB_ORDER_DONE;
 }
@@ -452,6 +469,7 @@
   gboolean is_received = worker->up && !worker->unreachable
                          && !(world->partitions && world_call_is_blocked (world, order, &result));
   order->received_incarnation = is_received ? worker->incarnation : G_MAXUINT;
+  world_restarts_order_received (world, order);
 }
 
 static gboolean
@@ -484,6 +502,8 @@
       send_answer (world, order, FB_ORDER_NO_LISTENER, 0);
       return TRUE;
     }
+  if (world->restarts && !worker->up && waits_for_listener (world, order))
+    return FALSE;
   if (world->partitions && world_call_is_blocked (world, order, &result))
     {
       if (result != FB_ORDER_DONE)
@@ -515,8 +535,8 @@
         {
           result = handle_start (world, worker, order);
           /* A superseded start still extends the worker's lease. */
-          if (world->repeats && result == FB_ORDER_SUPERSEDED)
-            extend_lease (world, worker, order->deadline_ms);
+          if ((world->repeats || world->restarts) && result == FB_ORDER_SUPERSEDED)
+            extend_lease (world, worker, order);
           /* The task may crash its worker before the start is answered. */
           world_worker_tick (world, worker);
           if (!worker->up)
@@ -536,7 +556,7 @@
                 (unsigned) order->acknowledged, worker->incarnation);
           acknowledge (world, worker, order->acknowledged);
           if (order->deadline_ms > 0)
-            extend_lease (world, worker, order->deadline_ms);
+            extend_lease (world, worker, order);
         }
       if (order->kind == ORDER_POLL && worker->ends->len == 0 && world->now_ms < order->reply_by_ms)
         return FALSE;
@@ -573,7 +593,8 @@
       receive_late_order (world, order);
       if (owner != NULL && owner->paused)
         /* A paused daemon neither sends orders nor reads replies. */
-        due = due && (order->arrived || (world->stops && order->received_ms != 0));
+        due = due
+              && (order->arrived || ((world->stops || world->restarts) && order->received_ms != 0));
       else if (due && is_overdue (world, order))
         {
           order->arrives_ms = G_MAXUINT64;
@@ -587,6 +608,8 @@
       if (order->timeout_at_ms != G_MAXUINT64 && world->now_ms > order->timeout_at_ms
           && (owner == NULL || !owner->paused))
         {
+          if (order->kind == ORDER_START)
+            world_restarts_start_unanswered (world, order);
           make_answer (world, order, FB_ORDER_UNKNOWN, 0);
           deliver (world, order);
         }
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -27,7 +27,7 @@
 #define LONG_STOP_MS 900 /* longest stop in the kinds with stops */
 #define GANG_WAIT_MS 3000
 #define CHECKPOINT_CHARS 15
-#define MAX_LEASE_MS 6000 /* longest lease that a worker grants */
+#define MAX_LEASE_MS 6000 /* longest lease that a worker grants; longer in some worlds */
 #define TTL_MS 1000
 #define MAJORITY_MS 1500
 #define STEP_DOWN_MS 2000
@@ -129,6 +129,11 @@
   gboolean listed;
   gboolean draining;
   gboolean failing; /* it breaks connections and refuses calls */
+  /* The following are only used in the kinds with restarts. */
+  gboolean keeps_id;        /* its next incarnation has the same id */
+  uint64_t cut_due_ms;      /* when it is cut off after its restart; 0: not so */
+  uint64_t hide_due_ms;     /* when its entry is removed after its restart; 0: not so */
+  uint64_t hidden_until_ms; /* its entry is not written before */
   /* The following are only used in kind "partitions". */
   gboolean entry_listed;        /* LISTED, as of the last tick */
   gboolean writes_entry;        /* it is up and reaches the store */
@@ -320,7 +325,13 @@
   uint64_t path_cut_until_ms[OWNER_N][WORKER_N];
   uint64_t relay_still_until_ms[PEER_N];
   uint64_t owner_still_until_ms[OWNER_N];
-  gboolean uses_advice; /* half of the jobs are limited to some workers, a third may have copies */
+  uint64_t max_lease_ms; /* longest lease that a worker grants */
+  gboolean uses_advice;  /* half of the jobs are limited to some workers, a third may have copies */
+  /* The following are only used by pool-world-restarts.c. */
+  gboolean restarts;
+  gboolean restarts_owners; /* owners fail too */
+  GRand *restarts_rand;
+  uint64_t owner_fault_ms; /* when the owner fails; 0: not so */
   uint64_t now_ms;
   uint64_t connections_break_until_ms;
   gboolean healing;
@@ -371,6 +382,8 @@
 void world_worker_start (World *world, guint i);
 /* The process of WORKER exits without being stopped; it may restart soon. */
 void world_worker_fail (World *world, Worker *worker);
+/* Returns: (transfer full): the name of the present incarnation of WORKER in a pool. */
+char *world_worker_name (const World *world, const Worker *worker);
 /* Returns: what the list has of WORKER now. */
 Entry world_worker_entry (const World *world, const Worker *worker);
 
@@ -380,6 +393,8 @@
 void world_worker_resize (World *world, Worker *worker, int64_t cpu_milli);
 /* WORKER crashes with all its runs. CAUSE: the run that crashed it, or NULL. */
 void world_worker_crash (World *world, Worker *worker, const Run *cause);
+/* Counts a crash of the worker of TASK that no task caused. */
+void world_worker_count_crash (World *world, const char *task);
 void world_worker_tick (World *world, Worker *worker);
 /* Executes the orders that have arrived, and delivers their replies and timeouts. */
 void world_orders_tick (World *world);
@@ -462,6 +477,25 @@
 void world_stops_heal (World *world);
 void world_stops_tick (World *world);
 
+/* ---- restarts: pool-world-restarts.c; no effect in other kinds ------------------------------- */
+
+void world_restarts_init (World *world);
+gboolean world_restarts_may_submit (World *world);
+/* Changes JOB, which is about to be stored. */
+void world_restarts_submit (World *world, Job *job);
+/* Returns: how long a run lasts at least. */
+guint world_restarts_min_run_ms (World *world);
+/* An incarnation of WORKER has started. */
+void world_restarts_worker_started (World *world, Worker *worker, gboolean reuses_id);
+/* WORKER has crashed, with ends that were not acknowledged. */
+void world_restarts_worker_crashed (World *world, const Worker *worker);
+/* A worker has received ORDER and carries it out late. */
+void world_restarts_order_received (const World *world, Order *order);
+/* The call of ORDER, a start, has timed out. */
+void world_restarts_start_unanswered (World *world, const Order *order);
+void world_restarts_inject_faults (World *world);
+void world_restarts_heal (World *world);
+
 /* ---- owners: pool-world-owners.c ------------------------------------------------------------- */
 
 /* Returns: the recent starts of the peer that relays orders to WORKER. */
