fuzz-pool: checks what the owner concludes against the workers' own time

Change: pool-world-conclusions.c reads the conclusions that the pool logs (worker lost, task lost, run absent, start refused) of the present owner and compares them with the worker's lease and runs, and later starts with those taken for not done. A contradiction is a violation.

--- a/fuzz/fuzz-pool.c
+++ b/fuzz/fuzz-pool.c
@@ -326,6 +326,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   world->orders = g_ptr_array_new ();
   world_restarts_init (world);
+  world_conclusions_begin (world);
   for (guint i = 0; i < WORKER_N; i++)
     {
       Worker *worker = &world->workers[i];
@@ -346,6 +347,7 @@
 static void
 world_free (World *world)
 {
+  world_conclusions_end (world);
   for (guint i = 0; i < OWNER_N; i++)
     world_owner_stop (world, i);
   for (guint i = 0; i < WORKER_N; i++)
@@ -464,6 +466,12 @@
                                        "restarts-cut",
                                        "restarts-cut-owners",
                                        NULL };
+  if (argc > 1 && g_str_equal (argv[1], "--margins"))
+    {
+      world_conclusions_keep_margins ();
+      argc--;
+      argv++;
+    }
   const char *mode = argc > 3 ? argv[3] : modes[0];
   const char *restart_mode = argc > 4 ? argv[4] : restart_mode_names[RESTART_EITHER_ID];
   if (argc < 3 || argc > 5 || !g_strv_contains (modes, mode)
@@ -471,7 +479,7 @@
     {
       g_autofree char *names = g_strjoinv ("|", (char **) modes);
       g_autofree char *ways = g_strjoinv ("|", (char **) restart_mode_names);
-      fprintf (stderr, "usage: fuzz-pool FIRST-SEED SEEDS [%s [%s]]\n", names, ways);
+      fprintf (stderr, "usage: fuzz-pool [--margins] FIRST-SEED SEEDS [%s [%s]]\n", names, ways);
       return 2;
     }
   fb_event_set_quiet (getenv ("FUZZ_LOG") == NULL);
@@ -485,6 +493,7 @@
     mode_index++;
   for (guint32 i = 0; i < n; i++)
     violations_n += run_seed (first + i, mode, (RestartMode) mode_index, &starts);
+  world_conclusions_print_margins ();
   printf ("%u seeds, %u starts, %u broken\n", n, (unsigned) starts, violations_n);
   return violations_n > 0;
 }
--- a/fuzz/pool-world-incarnations.c
+++ b/fuzz/pool-world-incarnations.c
@@ -66,6 +66,8 @@
   worker->acknowledged = 0;
   worker->unanswered_since_ms = 0;
   worker->listed = TRUE;
+  for (guint j = 0; j < worker->runs->len; j++)
+    world_conclusions_run_ended (world, worker, &g_array_index (worker->runs, Run, j));
   g_array_set_size (worker->runs, 0);
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest_attempts);
--- a/fuzz/pool-world-workers.c
+++ b/fuzz/pool-world-workers.c
@@ -122,6 +122,7 @@
       Job *job = find_job (world, run->task, &step, &index);
       world_trace (world, "%s, attempt %u, was running on it", run->task, run->attempt);
       world_stops_run_ended (world, run, FB_END_GANG_BROKEN);
+      world_conclusions_run_ended (world, worker, run);
       job->plain_crashes[step][index] += cause == NULL;
       job->own_crashes[step][index] += cause == run;
       job->other_crashes[step][index] += cause != NULL && cause != run;
@@ -159,6 +160,7 @@
   job->done_runs[step][index] += reason == FB_END_DONE;
   job->failed_runs[step][index] += reason == FB_END_FAILED;
   world_stops_run_ended (world, &run, reason);
+  world_conclusions_run_ended (world, worker, &run);
 }
 
 void
@@ -332,6 +334,7 @@
     }
   memcpy (run.task, order->task, sizeof run.task);
   world_stops_start_run (world, order, &run);
+  world_conclusions_run_started (world, worker, &run);
   g_array_append_val (worker->runs, run);
   extend_lease (world, worker, order);
   world->starts++;
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -332,6 +332,9 @@
   gboolean restarts_owners; /* owners fail too */
   GRand *restarts_rand;
   uint64_t owner_fault_ms; /* when the owner fails; 0: not so */
+  /* The following are only used by pool-world-conclusions.c. */
+  GHashTable *run_ends;    /* run on a worker -> when it ended; G_MAXUINT64: not yet */
+  GHashTable *starts_over; /* start that an incarnation will not carry out -> proof */
   uint64_t now_ms;
   uint64_t connections_break_until_ms;
   gboolean healing;
@@ -496,6 +499,16 @@
 void world_restarts_inject_faults (World *world);
 void world_restarts_heal (World *world);
 
+/* ---- conclusions: pool-world-conclusions.c --------------------------------------------------- */
+
+/* Checks the conclusions of the owners of WORLD, if its kind does or margins are kept. */
+void world_conclusions_begin (World *world);
+void world_conclusions_end (World *world);
+void world_conclusions_run_started (World *world, const Worker *worker, const Run *run);
+void world_conclusions_run_ended (World *world, const Worker *worker, const Run *run);
+void world_conclusions_keep_margins (void);
+void world_conclusions_print_margins (void);
+
 /* ---- owners: pool-world-owners.c ------------------------------------------------------------- */
 
 /* Returns: the recent starts of the peer that relays orders to WORKER. */
