--- a/tools/check.sh
+++ b/tools/check.sh
@@ -122,6 +122,8 @@
 start "fuzz pools with cancels and partitions" $B/fuzz/fuzz-pool 1 150 cancelling-partitions
 start "fuzz pools with stops" $B/fuzz/fuzz-pool 1 200 stops
 start "fuzz pools with stops and partitions" $B/fuzz/fuzz-pool 1 150 stops-partitions
+start "fuzz pools with restarts before cuts" $B/fuzz/fuzz-pool 1 150 restarts-cut
+start "fuzz pools with restarts before cuts, owners that change" $B/fuzz/fuzz-pool 1 150 restarts-cut-owners
 for kind in plain advised repeats crashing crashing-steady; do
   start "fuzz pools, orders end with the life that took them, $kind" $B/fuzz/fuzz-pool 1 100 $kind either-way
 done
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -83,6 +83,9 @@
 unstored-suspects-never-backed-up|pool-unstored-suspects.c|      else if (is_late \&\& job->unstored_changed)|      else if (FALSE)
 acknowledged-together-with-starts|pool-orders.c|(fb_pool_has_pending_acknowledgement (worker) \&\& !has_unlisted_run (worker))|fb_pool_has_pending_acknowledgement (worker)
 not-acknowledged-again|pool-report.c|  acknowledge_again (worker, answer);|  (void) acknowledge_again;
+misdirected-calls-not-expected|pool-worker-slots.c|  fb_pool_lease_expect_misdirected (worker, known_ms);|  (void) known_ms;
+misdirected-calls-arrive-at-once|pool-lease.c|(worker->misdirected_until_ms, now_ms + FB_POOL_DELAYED_CALL_MS)|(worker->misdirected_until_ms, now_ms)
+unlisted-starts-end-with-the-lease|pool-loss.c|      else if (loss != FB_LOSS_LEASE_ENDED|      else if (TRUE
 second-copy-ignored|pool-restart.c|(run->listed_ms == 0 \|\| is_open)|(run->listed_ms == 0)
 TABLE
 }
