Soak: workers that restart under their ids and are cut off soon after

Up to two thirds of the workers restart at once under their ids (worker-restart), half of them are listed up to 2 s late, and are cut off 0.3 to 3 s after they are back (worker-cut), with daemons killed, stopped, suspended or cut off from the store around that in half of the cases. Jobs have tasks of 11 to 16 s, clocks are up to 2% slow, and the longest lease is 10 s (max-lease-ms of the stand-in).

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -18,6 +18,8 @@
 #define WIDE_PERCENT 9
 #define GANG_PERCENT 7
 #define LASTING_PERCENT 9
+/* With long tasks one of this many jobs has them. */
+#define LONG_TASKS_EVERY 24
 #define STOPS_SEED 0x50000
 /* Jobs whose tasks end by themselves are cancelled at this rate, the others always. */
 #define CANCELLED_PERCENT 30
@@ -36,6 +38,7 @@
   JOB_PLAIN,
   JOB_CRASHING,      /* its task crashes workers; the job may fail */
   JOB_LASTING,       /* its tasks run for seconds */
+  JOB_LONG,          /* its tasks run for longer than any lease */
   JOB_LONG_RUNNING,  /* its tasks do not end; it is always cancelled */
   JOB_CHECKPOINTING, /* of low priority; its tasks run for seconds and save checkpoints */
   JOB_WIDE,          /* each task of its second step needs a whole worker */
@@ -253,6 +256,8 @@
                      "\"estimate-ms\":300}]}",
     [JOB_LASTING] = "{\"spec\":\"%u\",\"phases\":[{\"count\":3,\"cpu\":2000,\"mem-mb\":100,"
                     "\"estimate-ms\":5000}]}",
+    [JOB_LONG] = "{\"spec\":\"%u\",\"phases\":[{\"count\":4,\"cpu\":2000,\"mem-mb\":100,"
+                 "\"estimate-ms\":14000}]}",
     [JOB_LONG_RUNNING]
     = "{\"spec\":\"600000%u\",\"phases\":[{\"count\":2,\"cpu\":2000,\"mem-mb\":100,"
       "\"long-running\":true}]}",
@@ -275,6 +280,8 @@
   guint work_ms = 50 + number % 700;
   if (job->kind == JOB_LASTING)
     work_ms = 2000 + number * 613 % 6000;
+  else if (job->kind == JOB_LONG)
+    work_ms = 11000 + number * 613 % 5000;
   else if (job->kind == JOB_CHECKPOINTING)
     work_ms = 2000 + number * 613 % 3000;
   g_autofree char *run_ms = g_strdup_printf ("%u", work_ms);
@@ -325,10 +332,13 @@
   Job *job = g_new0 (Job, 1);
   g_snprintf (job->id, sizeof job->id, "%08x%08x", g_rand_int (self->rand), self->jobs->len + 1);
   guint drawn = (guint) g_rand_int_range (self->rand, 0, 100);
-  if (drawn < CRASHING_PERCENT)
+  /* Long tasks beside crashing ones reach the limit of crashes without cause. */
+  if (drawn < CRASHING_PERCENT && !self->setup.long_tasks)
     job->kind = JOB_CRASHING;
   else if (drawn < CRASHING_PERCENT + LONG_RUNNING_PERCENT)
     job->kind = JOB_LONG_RUNNING;
+  else if (self->setup.long_tasks && self->jobs->len % LONG_TASKS_EVERY == 0)
+    job->kind = JOB_LONG;
   else if (self->setup.lasting && self->jobs->len % 4 == 0)
     job->kind = JOB_LASTING;
   else if (self->setup.stops)
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -22,7 +22,8 @@
   gboolean repeats; /* accepted jobs are submitted again */
   gboolean lasting; /* the tasks of some jobs run for seconds */
   gboolean stops;   /* some jobs have checkpoints and low priority, others need much room at once */
-  gboolean heavy;   /* a job is submitted at every tick */
+  gboolean long_tasks; /* tasks of some jobs run for longer than any lease, and none crash */
+  gboolean heavy;      /* a job is submitted at every tick */
 } SoakCallersSetup;
 
 /* PLATFORM: is told of each acknowledged cancel; borrowed. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -14,6 +14,7 @@
 /* A slow daemon runs for SLOW_RUN_MS and then stands still for SLOW_STAND_MS. */
 #define SLOW_RUN_MS 20
 #define SLOW_STAND_MS 180
+#define MAX_ENTRY_DELAY_MS 2000
 
 struct _SoakFaults
 {
@@ -219,6 +220,18 @@
                          fault->target, duration_ms, reuses_id ? "true" : "false");
 }
 
+/* Up to MAX_ENTRY_DELAY_MS later half of the workers are listed as they have restarted; until then
+ * the entry from before may stay. */
+static void
+restart_worker (SoakFaults *self, const SoakFault *fault)
+{
+  soak_platform_control (self->platform, "{\"crash\":%u,\"for-ms\":%u,\"returns\":true}",
+                         fault->target, fault->duration_ms);
+  if (fault->variant % 2 == 0)
+    soak_platform_control (self->platform, "{\"unlisted\":%u,\"for-ms\":%u}", fault->target,
+                           fault->duration_ms + fault->variant * MAX_ENTRY_DELAY_MS / 100);
+}
+
 static void
 set_worker_call_faults (SoakFaults *self, const SoakFault *fault)
 {
@@ -308,6 +321,9 @@
     case SOAK_WORKER_CRASH:
       crash_worker (self, fault);
       break;
+    case SOAK_WORKER_RESTART:
+      restart_worker (self, fault);
+      break;
     case SOAK_WORKER_PARTITION:
       partition_worker (self, fault);
       break;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -85,6 +85,18 @@
 #define MIN_UNREACHABLE_MS 3500
 #define MAX_SLOW_DAEMON_GAP_MS 9000
 #define SLOW_DAEMON_SEED 0x40000
+/* Several workers restart one after the other, and are cut off one after the other. */
+#define FIRST_RESTARTS_MS 4000
+#define MIN_RESTARTS_GAP_MS 9000
+#define MAX_RESTARTS_GAP_MS 13000
+#define RESTARTS_SPREAD_MS 200
+#define MIN_DOWN_MS 100
+#define MAX_DOWN_MS 900
+/* A worker is cut off so long after it is back. */
+#define MIN_CUT_DELAY_MS 300
+#define MAX_CUT_DELAY_MS 3000
+/* Besides the time in which its entry expires. */
+#define MIN_CUT_MS 3000
 
 static SoakFaultKind
 draw_kind (GRand *rand, const guint *weights)
@@ -279,6 +291,46 @@
   g_array_sort (plan, compare_times);
 }
 
+/* Restarts some workers, and cuts them off when they are back and have new work. */
+static void
+add_restarted_workers (const SoakPlanSetup *setup, GArray *plan, GRand *rand, guint at_ms)
+{
+  guint n = (guint) g_rand_int_range (rand, 1, (gint32) MAX (setup->worker_n * 2 / 3, 2));
+  guint first = (guint) g_rand_int_range (rand, 0, (gint32) setup->worker_n);
+  guint down_ms = (guint) g_rand_int_range (rand, MIN_DOWN_MS, MAX_DOWN_MS);
+  guint cut_ms
+      = at_ms + down_ms + (guint) g_rand_int_range (rand, MIN_CUT_DELAY_MS, MAX_CUT_DELAY_MS);
+  guint duration_ms = (guint) g_rand_int_range (rand, MIN_CUT_MS, MAX_DURATION_MS);
+  for (guint i = 0; i < n; i++)
+    {
+      guint delay_ms = (guint) g_rand_int_range (rand, 0, RESTARTS_SPREAD_MS);
+      SoakFault fault = { .kind = SOAK_WORKER_RESTART,
+                          .at_ms = at_ms + delay_ms,
+                          .target = (first + i) % setup->worker_n,
+                          .duration_ms = down_ms,
+                          .variant = (guint) g_rand_int_range (rand, 0, 100) };
+      g_array_append_val (plan, fault);
+      fault.kind = SOAK_WORKER_PARTITION;
+      fault.at_ms = cut_ms + delay_ms;
+      fault.duration_ms = duration_ms;
+      fault.variant = 0; /* this worker only */
+      g_array_append_val (plan, fault);
+    }
+}
+
+static void
+add_restarts (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
+{
+  for (guint at_ms = FIRST_RESTARTS_MS; at_ms < setup->duration_ms;
+       at_ms += (guint) g_rand_int_range (rand, MIN_RESTARTS_GAP_MS, MAX_RESTARTS_GAP_MS))
+    {
+      add_restarted_workers (setup, plan, rand, at_ms);
+      if (g_rand_int_range (rand, 0, 2) > 0)
+        add_owner_faults (setup, plan, rand, at_ms);
+    }
+  g_array_sort (plan, compare_times);
+}
+
 /* Faults of all kinds with a weight, one after the other. */
 static void
 add_weighted_faults (const SoakPlanSetup *setup, GArray *plan, GRand *rand)
@@ -305,6 +357,8 @@
     add_outages (setup, plan, rand);
   else if (setup->partitions)
     add_partitions (setup, plan, rand);
+  else if (setup->restarts)
+    add_restarts (setup, plan, rand);
   else if (setup->stops)
     add_stops (setup, plan, rand);
   else
@@ -368,7 +422,8 @@
           [SOAK_STORE_LATE] = "store-late",
           [SOAK_WORKER_FREEZE] = "worker-freeze",
           [SOAK_WORKER_LATER_OWNERS] = "worker-later-owners",
-          [SOAK_DAEMON_SLOW] = "daemon-slow" };
+          [SOAK_DAEMON_SLOW] = "daemon-slow",
+          [SOAK_WORKER_RESTART] = "worker-restart" };
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < plan->len; i++)
     {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -42,6 +42,7 @@
   SOAK_WORKER_FREEZE,  /* a worker stands still, and its calls wait */
   SOAK_WORKER_LATER_OWNERS, /* calls to a worker are lost unless their owner has called it before */
   SOAK_DAEMON_SLOW,         /* a daemon gets a tenth of a processor */
+  SOAK_WORKER_RESTART,      /* a worker restarts at once under its id; its entry may be late */
   SOAK_FAULT_N
 } SoakFaultKind;
 
@@ -66,7 +67,8 @@
   gboolean late_appends; /* it has SOAK_STORE_LATE besides the faults of its seed */
   gboolean partitions;   /* it has only SOAK_WORKER_NO_LISTENER, SOAK_STORE_EXPIRY and kills */
   gboolean stops;        /* it has only faults of workers and of the pool's owner */
-  gboolean outages;      /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
+  gboolean restarts; /* workers restart and are cut off soon after; the pool's owner has faults */
+  gboolean outages;  /* it has only SOAK_STORE_OUTAGE and SOAK_WORKER_CUT_OFF */
 } SoakPlanSetup;
 
 /* Returns: (transfer full): an array of SoakFault, by at_ms. */
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -72,9 +72,9 @@
       "[listen]\ncallers=127.0.0.1:%u\nreadiness=127.0.0.1:%u\npeers=127.0.0.1:%u\nmetrics=127.0.0."
       "1:%u\n%s"
       "[store]\naddress=127.0.0.1:%u\npartitions=32\nshortest-membership=1000ms\n"
-      "[workers]\nlongest-lease=6000ms\nlongest-stop=%ums\ngang-patience=3000ms\n",
+      "[workers]\nlongest-lease=%ums\nlongest-stop=%ums\ngang-patience=3000ms\n",
       daemon->index, daemon->index % 3, daemon->ports[0], daemon->ports[1], daemon->ports[2],
-      daemon->ports[3], advertised, soak_link_port (daemon->store),
+      daemon->ports[3], advertised, soak_link_port (daemon->store), daemon->all->setup.max_lease_ms,
       daemon->all->setup.stops ? SOAK_LONGEST_STOP_MS : SOAK_SHORT_STOP_MS);
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -12,10 +12,15 @@
   gboolean queue_moves;  /* half of the workers belong to SOAK_SECOND_SERVICE */
   gboolean start_times;  /* workers report when they were started */
   gboolean stops;        /* the workers' stops take up to SOAK_LONGEST_STOP_MS */
+  guint max_lease_ms;    /* the longest lease of the workers */
   const char *folder;    /* for settings and logs of the run */
   const char *programs;  /* build folder of the programs */
 } SoakSetup;
 
+/* The longest leases of workers; the second with restarts. */
+#define SOAK_MAX_LEASE_MS 6000
+#define SOAK_LONG_MAX_LEASE_MS 10000
+
 /* The bounds of stops with and without SoakSetup.stops. */
 #define SOAK_LONGEST_STOP_MS 900
 #define SOAK_SHORT_STOP_MS 200
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -46,6 +46,7 @@
 static gboolean option_partitions = FALSE;
 static gboolean option_outages = FALSE;
 static gboolean option_stops = FALSE;
+static gboolean option_restarts = FALSE;
 static gboolean option_unlisted_stops = FALSE;
 static gboolean option_without_start_times = FALSE;
 static char *option_programs;
@@ -76,6 +77,10 @@
   { "stops", 0, 0, G_OPTION_ARG_NONE, &option_stops,
     "Stops take time and are frequent, and the faults are of workers and of the pool's owner",
     NULL },
+  { "restarts", 0, 0, G_OPTION_ARG_NONE, &option_restarts,
+    "Workers restart under their ids and are cut off soon after while long tasks run, and the "
+    "other faults are of the pool's owner",
+    NULL },
   { "unlisted-stops", 0, 0, G_OPTION_ARG_NONE, &option_unlisted_stops,
     "As --stops, and workers do not list a run that is being stopped", NULL },
   { "without-start-times", 0, 0, G_OPTION_ARG_NONE, &option_without_start_times,
@@ -207,6 +212,13 @@
   iterate_for_ms (APPLY_CONFIGURATION_MS);
 }
 
+static void
+set_up_restarts (SoakRun *run)
+{
+  soak_platform_control (run->platform, "{\"max-lease-ms\":%u,\"slow-clocks\":true}",
+                         run->setup.max_lease_ms);
+}
+
 /* Tells the audit whether faults are active. */
 static void
 set_calm (SoakRun *run, gboolean calm)
@@ -293,11 +305,11 @@
   g_autofree char *contents = g_strdup_printf (
       "seed=%u seconds=%d daemons=%u workers=%u worker-links=%d queue-moves=%d partitions=%d "
       "outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d "
-      "unlisted-stops=%d\n%s",
+      "unlisted-stops=%d restarts=%d\n%s",
       run->plan.seed, option_seconds, run->setup.daemon_n, run->setup.worker_n,
       run->plan.worker_links, run->plan.queue_moves, run->plan.partitions, run->plan.outages,
       run->setup.start_times, run->plan.other_writer, run->plan.late_appends, run->plan.stops,
-      option_unlisted_stops, text);
+      option_unlisted_stops, run->plan.restarts, text);
   (void) g_file_set_contents (path, contents, -1, NULL);
 }
 
@@ -322,26 +334,29 @@
   g_autofree char *folder = g_build_filename (option_folder, name, NULL);
   remove_folder (folder);
   (void) g_mkdir_with_parents (folder, 0755);
-  SoakRun run = { .plan = { .seed = seed,
-                            .daemon_n = (guint) option_daemons,
-                            .worker_n = (guint) option_workers,
-                            .duration_ms = (guint) option_seconds * 1000,
-                            .worker_links = !option_without_worker_links,
-                            .queue_moves = option_queue_moves,
-                            .other_writer = option_other_writer,
-                            .late_appends = option_late_appends,
-                            .partitions = option_partitions,
-                            .stops = option_stops,
-                            .outages = option_outages },
-                  .setup = { .base_port = (guint16) option_port,
-                             .daemon_n = (guint) option_daemons,
-                             .worker_n = (guint) option_workers,
-                             .worker_links = !option_without_worker_links,
-                             .queue_moves = option_queue_moves,
-                             .start_times = !option_without_start_times,
-                             .stops = option_stops,
-                             .folder = folder,
-                             .programs = option_programs } };
+  SoakRun run
+      = { .plan = { .seed = seed,
+                    .daemon_n = (guint) option_daemons,
+                    .worker_n = (guint) option_workers,
+                    .duration_ms = (guint) option_seconds * 1000,
+                    .worker_links = !option_without_worker_links,
+                    .queue_moves = option_queue_moves,
+                    .other_writer = option_other_writer,
+                    .late_appends = option_late_appends,
+                    .partitions = option_partitions,
+                    .stops = option_stops,
+                    .restarts = option_restarts,
+                    .outages = option_outages },
+          .setup = { .base_port = (guint16) option_port,
+                     .daemon_n = (guint) option_daemons,
+                     .worker_n = (guint) option_workers,
+                     .worker_links = !option_without_worker_links,
+                     .queue_moves = option_queue_moves,
+                     .start_times = !option_without_start_times,
+                     .stops = option_stops,
+                     .max_lease_ms = option_restarts ? SOAK_LONG_MAX_LEASE_MS : SOAK_MAX_LEASE_MS,
+                     .folder = folder,
+                     .programs = option_programs } };
   g_autoptr (GArray) plan = soak_plan_new (&run.plan);
   save_plan (&run, plan);
   run.platform = soak_platform_new (run.setup.base_port);
@@ -354,10 +369,13 @@
       run.calm_since_ms = g_get_monotonic_time () / 1000;
       if (option_stops)
         set_up_stops (&run);
+      if (option_restarts)
+        set_up_restarts (&run);
       run.faults = soak_faults_new (run.processes, run.platform, &run.plan);
       const SoakCallersSetup callers = { .repeats = option_queue_moves,
                                          .lasting = option_partitions || option_outages,
                                          .stops = option_stops,
+                                         .long_tasks = option_restarts,
                                          .heavy = option_outages };
       run.callers
           = soak_callers_new (run.processes, run.platform, run.setup.daemon_n, seed, &callers);
@@ -399,14 +417,15 @@
   gint late_appends = 0;
   gint stops = 0;
   gint unlisted_stops = 0;
+  gint restarts = 0;
   if (!g_file_get_contents (path, &text, NULL, NULL)
       || sscanf (text,
                  "seed=%d seconds=%d daemons=%d workers=%d worker-links=%d queue-moves=%d "
                  "partitions=%d outages=%d start-times=%d other-writer=%d late-appends=%d stops=%d "
-                 "unlisted-stops=%d",
+                 "unlisted-stops=%d restarts=%d",
                  &option_seed, &option_seconds, &option_daemons, &option_workers, &links, &moves,
                  &partitions, &outages, &start_times, &other_writer, &late_appends, &stops,
-                 &unlisted_stops)
+                 &unlisted_stops, &restarts)
              < 4)
     return FALSE;
   option_without_worker_links = links == 0;
@@ -418,6 +437,7 @@
   option_late_appends = late_appends != 0;
   option_stops = stops != 0;
   option_unlisted_stops = unlisted_stops != 0;
+  option_restarts = restarts != 0;
   option_seeds = 1;
   return TRUE;
 }
@@ -428,8 +448,10 @@
   return option_seeds > 0 && option_seed > 0 && option_seconds > 0 && option_daemons >= 1
          && option_daemons <= 150 && option_workers >= 1 && option_workers <= 250
          && option_port > 1024 && option_port < 60000
-         && !((option_partitions || option_outages || option_stops) && option_without_worker_links)
-         && !(option_partitions && option_outages);
+         && !((option_partitions || option_outages || option_stops || option_restarts)
+              && option_without_worker_links)
+         && option_partitions + option_outages + option_restarts <= 1
+         && !(option_stops && option_restarts);
 }
 
 /* Returns: the first port of a range whose first N ports are free; the search begins at a range
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_LEASE_MS 6000
+#define DEFAULT_MAX_LEASE_MS 6000
 /* Time to live of an entry in the worker list that is not renewed, as after a crash. */
 #define ENTRY_TTL_MS 4500
 #define MAX_RELIST_MS 2000
@@ -100,8 +100,9 @@
 static gboolean reports_start_times;
 static guint list_sequence;
 static gboolean stops_unlisted; /* runs that are being stopped are not listed */
-static gint32 longest_stop_ms;  /* 0: stops take no time */
-static GRand *stop_rand;        /* for the duration of stops */
+static gint64 max_lease_ms = DEFAULT_MAX_LEASE_MS;
+static gint32 longest_stop_ms; /* 0: stops take no time */
+static GRand *stop_rand;       /* for the duration of stops */
 
 static void
 run_free (gpointer data)
@@ -443,7 +444,7 @@
 extend_lease (Worker *worker, gint64 deadline_ms)
 {
   worker->lease_ms
-      = MAX (worker->lease_ms, MIN (deadline_ms, worker_clock_ms (worker) + MAX_LEASE_MS));
+      = MAX (worker->lease_ms, MIN (deadline_ms, worker_clock_ms (worker) + max_lease_ms));
 }
 
 /* Returns: TRUE when WORKER has a run of TASK that is being stopped, or one as high as ATTEMPT. */
@@ -754,6 +755,12 @@
   drop_answers = drop;
 }
 
+void
+sp_workers_set_max_lease (gint64 max_ms)
+{
+  max_lease_ms = max_ms;
+}
+
 void
 sp_workers_set_longest_stop (guint longest_ms)
 {
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -27,6 +27,7 @@
  *                                 without responding, and P percent late and without responding
  *   {"store-faults":true,...}     the same for the store; "late" for appends only
  *   {"stop-ms":N}                 stops take up to N ms, and the run is listed until its end
+ *   {"max-lease-ms":N}            workers shorten leases to N ms, at first 6,000
  *   {"unlisted-stops":true}       a run that is being stopped is not listed
  *   {"slow-clocks":true}          the workers' clocks are 0 to 2 percent slow
  *   {"suspend":K,"for-ms":N}      worker K stands still; its calls wait and are then executed in
@@ -190,6 +191,8 @@
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   if (json_object_has_member (body, "stop-ms"))
     set_longest_stop (json_object_get_int_member (body, "stop-ms"));
+  if (json_object_has_member (body, "max-lease-ms"))
+    sp_workers_set_max_lease (json_object_get_int_member (body, "max-lease-ms"));
   if (json_object_has_member (body, "low-priority-queue"))
     add_low_priority_queue ();
   if (json_object_has_member (body, "unlisted-stops"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -87,6 +87,8 @@
 /* Sets whether worker K serves calls, and drops its runs. */
 void sp_worker_set_up (guint k, gboolean up);
 /* A stop takes up to LONGEST_MS; the run is listed until then. */
+/* Leases are shortened to MAX_MS. */
+void sp_workers_set_max_lease (gint64 max_ms);
 void sp_workers_set_longest_stop (guint longest_ms);
 /* UNLISTED: workers do not list a run that is being stopped, until they list its end. */
 void sp_workers_set_stops_unlisted (gboolean unlisted);
--- a/tests/payloads.sh
+++ b/tests/payloads.sh
@@ -45,4 +45,22 @@
 start 1 i.0.0.0 5 "600 gang=2"
 sleep 3.2
 expect_match "$(poll 1)" '"i.0.0.0",5,"alone"' "the other member never came"
+
+step "leases from calls for the earlier incarnation"
+control() { curl -s --max-time 5 -d "$1" "http://127.0.0.1:$base/control" > "$OUT/answer"; } # JSON
+clock_ms() { call "$1" hold '{"fencing-token":1,"acknowledged":0}' | sed -n 's/.*"clock-ms":\([0-9]*\).*/\1/p'; } # WORKER
+# Restarts worker 0 under its id, starts a task there that has a lease of 300 ms, and extends the
+# lease to what the clock of the earlier incarnation would have shown minutes later.
+extend_after_restart() { # TASK
+  control '{"crash":0,"for-ms":50,"returns":true}'
+  sleep 0.3
+  call 0 run-start "{\"fencing-token\":1,\"task\":\"$1\",\"attempt\":1,\"spec\":\"60000\",\"deadline-ms\":$(($(clock_ms 0) + 300)),\"checkpoint\":\"\"}" > "$OUT/answer"
+  call 0 hold '{"fencing-token":1,"acknowledged":0,"deadline-ms":1000000}' > "$OUT/answer"
+}
+control '{"max-lease-ms":1500}'
+extend_after_restart l.0.0.0
+sleep 1
+expect_match "$(call 0 hold '{"fencing-token":1,"acknowledged":0}')" '"running":\[\["l.0.0.0",1,' "the run, beyond its own deadline"
+sleep 0.8
+expect_match "$(call 0 hold '{"fencing-token":1,"acknowledged":0}')" '"l.0.0.0",1,"lapsed"' "its end at the longest lease"
 echo "payloads: ok"
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -161,6 +161,7 @@
 verdict "soak with malformed records of another program" $B/soak/soak --other-writer --seed 13 --seeds 1 --seconds 12
 verdict "soak with queues that change services" $B/soak/soak --queue-moves --without-worker-links --seed 1 --seeds 1 --seconds 15
 verdict "soak with stops that take time" $B/soak/soak --stops --seed 1 --seeds 1 --seconds 12
+verdict "soak with workers that restart and are cut off" $B/soak/soak --restarts --workers 12 --seed 9 --seeds 1 --seconds 15
 verdict "soak with cancels and late appends" $B/soak/soak --late-appends --without-worker-links --seed 3001 --seeds 1 --seconds 15
 
 known_red() { [ -f "$1" ] || return 1; $B/fuzz/fuzz-steps "$1"; [ $? = 1 ]; }
