--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -75,7 +75,7 @@
   /* Until this answer an earlier owner may have sent calls to an earlier incarnation. */
   const uint64_t earlier_ms = MIN (now_ms, earlier_calls_end_ms (self));
   /* The worker's clock was read later than that. */
-  const uint64_t asked_ms = worker->poll_sent_ms;
+  const uint64_t asked_ms = MAX (worker->poll_sent_ms, self->created_ms);
   if (!worker->may_restart)
     return FB_POOL_LEASE_MS;
   if (worker->misdirected_end_ms != 0)
@@ -90,9 +90,9 @@
 /* Returns: when every lease of a worker that never answered has certainly ended; G_MAXUINT64: this
  * is not known yet. It may hold a lease of the previous owner, which learned of its replacement
  * from one of the majority that answered here and extends no lease later than FB_POOL_STEP_DOWN_MS
- * after that, as nothing confirms its ownership any more; if that owner had stopped extending
- * leases there, its record tells when the last one ends. If the worker may have restarted since it
- * was last listed, a call of that owner may have given the longest lease. */
+ * after that, as nothing confirms its ownership any more. If the worker restarted meanwhile, unseen
+ * by both owners, a call of the previous one may have given it the longest lease. If that owner had
+ * stopped extending leases there, its record tells when the last one ends. */
 static uint64_t
 unanswered_lease_end_ms (const FbPool *self, const FbPoolWorker *worker)
 {
