--- a/fuzz/pool-world-partitions.c
+++ b/fuzz/pool-world-partitions.c
@@ -235,31 +235,21 @@
   world->separation_ms = world->now_ms + UNLIST_DELAY_MS - 500 + partition_random (world, 1500);
 }
 
-/* Returns: TRUE once when the time of *DUE_MS has come. */
-static gboolean
-is_due (const World *world, uint64_t *due_ms)
-{
-  if (*due_ms == 0 || world->now_ms < *due_ms)
-    return FALSE;
-  *due_ms = 0;
-  return TRUE;
-}
-
 static void
 inject_due_faults (World *world)
 {
-  if (is_due (world, &world->outage_ms) && !world->store_unavailable)
+  if (world_is_due (world, &world->outage_ms) && !world->store_unavailable)
     begin_outage (world);
-  if (is_due (world, &world->outage_end_ms))
+  if (world_is_due (world, &world->outage_end_ms))
     {
       world->store_unavailable = FALSE;
       world_trace (world, "the store is available again");
     }
-  if (is_due (world, &world->worker_cut_ms))
+  if (world_is_due (world, &world->worker_cut_ms))
     cut_workers (world);
-  if (is_due (world, &world->separation_ms))
+  if (world_is_due (world, &world->separation_ms))
     separate_owners (world);
-  if (is_due (world, &world->owner_kill_ms))
+  if (world_is_due (world, &world->owner_kill_ms))
     {
       world_trace (world, "daemon %u is killed", world->current_owner);
       world_owner_stop (world, world->current_owner);
--- a/fuzz/pool-world-restarts.c
+++ b/fuzz/pool-world-restarts.c
@@ -161,15 +161,6 @@
     world->owner_fault_ms = world->now_ms + restarts_random (world, MAX_OWNER_FAULT_AFTER_MS);
 }
 
-static gboolean
-is_due (const World *world, uint64_t *due_ms)
-{
-  if (*due_ms == 0 || world->now_ms < *due_ms)
-    return FALSE;
-  *due_ms = 0;
-  return TRUE;
-}
-
 /* ---- owners -------------------------------------------------------------------------- */
 
 /* The store assigns the pool to another daemon. */
@@ -223,7 +214,7 @@
 {
   for (guint i = 0; i < OWNER_N; i++)
     {
-      if (is_due (world, &world->owner_still_until_ms[i]) && world->owners[i].resume_ms == 0)
+      if (world_is_due (world, &world->owner_still_until_ms[i]) && world->owners[i].resume_ms == 0)
         world->owners[i].paused = FALSE;
     }
 }
@@ -240,12 +231,12 @@
   for (guint i = 0; i < WORKER_N; i++)
     {
       Worker *worker = &world->workers[i];
-      if (is_due (world, &worker->cut_due_ms) && worker->up)
+      if (world_is_due (world, &worker->cut_due_ms) && worker->up)
         cut_worker (world, worker);
-      if (is_due (world, &worker->hide_due_ms))
+      if (world_is_due (world, &worker->hide_due_ms))
         hide_entry (world, worker);
     }
-  if (is_due (world, &world->owner_fault_ms))
+  if (world_is_due (world, &world->owner_fault_ms))
     fail_owner (world);
   resume_owners (world);
 }
--- a/fuzz/pool-world.h
+++ b/fuzz/pool-world.h
@@ -480,6 +480,16 @@
 void world_stops_heal (World *world);
 void world_stops_tick (World *world);
 
+/* Returns: TRUE once when the time of *DUE_MS has come; 0: it does not come. */
+static inline gboolean
+world_is_due (const World *world, uint64_t *due_ms)
+{
+  if (*due_ms == 0 || world->now_ms < *due_ms)
+    return FALSE;
+  *due_ms = 0;
+  return TRUE;
+}
+
 /* ---- restarts: pool-world-restarts.c; no effect in other kinds ------------------------------- */
 
 void world_restarts_init (World *world);
