--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -67,16 +67,33 @@
   return worker->may_restart && worker->misdirected_until_ms != 0;
 }
 
+/* Returns: when the last call that was meant for another incarnation has certainly arrived at
+ * WORKER; G_MAXUINT64: this is not known yet. An earlier owner may send such calls until WORKER has
+ * answered under the present epoch. */
+static uint64_t
+misdirected_until_ms (const FbPool *self, const FbPoolWorker *worker)
+{
+  return worker->answered ? worker->misdirected_until_ms
+                          : MAX (worker->misdirected_until_ms, earlier_calls_end_ms (self));
+}
+
+gboolean
+fb_pool_lease_may_be_misdirected (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  if (!may_be_misdirected (worker))
+    return FALSE;
+  uint64_t until_ms = misdirected_until_ms (self, worker);
+  return until_ms == G_MAXUINT64 || now_ms <= longest_lease_end_ms (self, until_ms);
+}
+
 uint64_t
-fb_pool_lease_first_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+fb_pool_lease_first_answer (const FbPool *self, FbPoolWorker *worker, uint64_t now_ms)
 {
   if (!may_be_misdirected (worker))
     return FB_POOL_LEASE_MS;
-  uint64_t until_ms = worker->misdirected_until_ms;
-  /* Until this answer an earlier owner may have sent calls to an earlier incarnation. */
-  if (now_ms <= earlier_calls_end_ms (self))
-    until_ms = MAX (until_ms, now_ms);
-  uint64_t end_ms = longest_lease_end_ms (self, until_ms);
+  uint64_t earlier_ms = MIN (now_ms, earlier_calls_end_ms (self));
+  worker->misdirected_until_ms = MAX (worker->misdirected_until_ms, earlier_ms);
+  uint64_t end_ms = longest_lease_end_ms (self, worker->misdirected_until_ms);
   return MAX (FB_POOL_LEASE_MS, end_ms > now_ms ? end_ms - now_ms : 0);
 }
 
@@ -94,8 +111,28 @@
       = MIN (fb_pool_silence_lease_end_ms (self, worker), fb_pool_earlier_leases_end_ms (self));
   if (!may_be_misdirected (worker))
     return end_ms;
-  uint64_t until_ms = MAX (worker->misdirected_until_ms, earlier_calls_end_ms (self));
-  return MAX (end_ms, longest_lease_end_ms (self, until_ms));
+  return MAX (end_ms, longest_lease_end_ms (self, misdirected_until_ms (self, worker)));
+}
+
+uint64_t
+fb_pool_lease_end_of_start_ms (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  if (!worker->may_restart || !fb_pool_restart_may_deliver (self, run))
+    return 0;
+  return longest_lease_end_ms (self, run->started_ms + FB_POOL_DELAYED_CALL_MS);
+}
+
+/* Returns: how long runs go on that may be on a later incarnation of WORKER, which has ended. */
+static uint64_t
+remaining_starts_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
+{
+  uint64_t end_ms = now_ms;
+  GHashTableIter iter;
+  gpointer run;
+  g_hash_table_iter_init (&iter, worker->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    end_ms = MAX (end_ms, fb_pool_lease_end_of_start_ms (self, worker, run));
+  return end_ms - now_ms;
 }
 
 const char *
@@ -113,7 +150,7 @@
 fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker, uint64_t now_ms)
 {
   if (worker->runs_ended)
-    return 0;
+    return remaining_starts_ms (self, worker, now_ms);
   if (worker->answered)
     {
       uint64_t clock_ms = fb_pool_worker_clock_min (worker, now_ms);
