A removed worker that is listed again counts once for the majority

Cause: a removed worker that the stored record names counts as one without an answer for 3 s. If it was listed again and recorded meanwhile, it counted both so and as itself: of five workers three were no majority for up to 3 s. Change: it counts as itself once the stored record names the new entry, and as a removed one until then.

--- a/src/work/pool-majority.c
+++ b/src/work/pool-majority.c
@@ -65,20 +65,30 @@
                           g_memdup2 (&until_ms, sizeof until_ms));
 }
 
+/* TRUE when the worker ID is counted itself, as it was added again and the stored record names it.
+ */
+static gboolean
+is_recorded_again (const FbPool *self, const char *id)
+{
+  const FbPoolWorker *worker = g_hash_table_lookup (self->workers, id);
+  return worker != NULL && worker->recorded;
+}
+
 /* Returns: the number of removed workers that count as workers without an answer. */
 static guint
 departures_n (const FbPool *self, uint64_t now_ms)
 {
   guint n = 0;
   GHashTableIter iter;
+  gpointer id;
   gpointer until_ms;
   g_hash_table_iter_init (&iter, self->counted_departures);
-  while (g_hash_table_iter_next (&iter, NULL, &until_ms))
+  while (g_hash_table_iter_next (&iter, &id, &until_ms))
     {
-      if (now_ms < *(const uint64_t *) until_ms)
-        n++;
-      else
+      if (now_ms >= *(const uint64_t *) until_ms || is_recorded_again (self, id))
         g_hash_table_iter_remove (&iter);
+      else
+        n++;
     }
   return n;
 }
