Leases: one place raises them for misdirected calls; one test for orders about a run

Cause: fb_pool_worker_restarted() raised the lease of an incarnation that had answered, beside fb_pool_lease_expect_misdirected(), which does the same for one that has not; two searches of the open orders compared the same fields. Change: both are in one place each; no change of behaviour.

--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -61,6 +61,11 @@
 {
   uint64_t end_ms = longest_lease_end_ms (self, now_ms + FB_POOL_DELAYED_CALL_MS);
   worker->misdirected_end_ms = MAX (worker->misdirected_end_ms, end_ms);
+  /* Otherwise the first answer adds it. */
+  if (worker->answered)
+    worker->lease_ms
+        = MAX (worker->lease_ms, worker->clock_ms + now_ms - worker->answered_poll_sent_ms
+                                     + FB_POOL_DELAYED_CALL_MS + self->limits.max_lease_ms);
 }
 
 gboolean
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -126,6 +126,14 @@
   return worker;
 }
 
+/* TRUE when REF is an order about RUN, which is or was on WORKER. */
+static gboolean
+is_about_run (const FbPoolOrderRef *ref, const FbPoolWorker *worker, const FbPoolRun *run)
+{
+  return ref->attempt == run->attempt && g_str_equal (ref->task, run->name)
+         && g_str_equal (ref->worker, worker->id);
+}
+
 void
 fb_pool_orders_move (FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
                      const FbPoolWorker *next)
@@ -136,8 +144,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       FbPoolOrderRef *ref = value;
-      if (ref->attempt != run->attempt || !g_str_equal (ref->task, run->name)
-          || !g_str_equal (ref->worker, worker->id))
+      if (!is_about_run (ref, worker, run))
         continue;
       g_free (ref->worker);
       ref->worker = g_strdup (next->id);
@@ -154,8 +161,7 @@
   while (worker->may_restart && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const FbPoolOrderRef *ref = value;
-      if (ref->is_start && ref->attempt == run->attempt && g_str_equal (ref->task, run->name)
-          && g_str_equal (ref->worker, worker->id))
+      if (ref->is_start && is_about_run (ref, worker, run))
         fb_pool_unanswered_start_add (self, worker->id, worker->address, run->name, run->attempt,
                                       ref->sent_ms, now_ms);
     }
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -181,10 +181,6 @@
   fb_pool_lease_expect_misdirected (self, next, now_ms);
   next->foreign_acknowledgement_until_ms
       = MAX (next->foreign_acknowledgement_until_ms, acknowledgements_end_ms (worker));
-  if (next->answered)
-    next->lease_ms
-        = MAX (next->lease_ms, next->clock_ms + now_ms - next->answered_poll_sent_ms
-                                   + FB_POOL_DELAYED_CALL_MS + self->limits.max_lease_ms);
   next->next_poll_ms = now_ms;
 }
 
