Whether a worker may restart follows from its incarnation's name

Cause: the same fact was set in three ways: by the platform's entry, by the callback for workers that only a record names, and by an answer of a later incarnation. Change: the callback alone decides, when a worker is added to its pool; the member of entries is gone, and so is the fallback for owners without the callback, which none had. No change of behaviour.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -264,8 +264,6 @@
 
 /* pool-incarnations.c */
 
-/* TRUE when a later incarnation may receive calls that are meant for the incarnation ID. */
-gboolean fb_pool_incarnation_may_restart (const FbPool *self, const char *id);
 /* WORKER has become known at its address. */
 void fb_pool_incarnation_known (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
 /* WORKER has answered a poll that was meant for it. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -41,8 +41,7 @@
   uint32_t cpu_milli;
   uint32_t mem_mb;
   uint32_t gpu_count;
-  gboolean draining;    /* will exit soon: gets no new work */
-  gboolean may_restart; /* a later incarnation may receive calls that are meant for this one */
+  gboolean draining; /* will exit soon: gets no new work */
 } FbWorkerEntry;
 
 typedef struct
@@ -161,7 +160,7 @@
    * it. NULL: there are no such jobs. */
   gboolean (*is_job_held) (gpointer user, const char *job);
   /* Returns: TRUE when a later incarnation may receive calls that are meant for INCARNATION.  NULL:
-   * as IS_NEWER_INCARNATION. */
+   * no worker restarts under its id. */
   gboolean (*may_restart) (const char *incarnation);
 } FbPoolCallbacks;
 
--- a/src/work/pool-incarnations.c
+++ b/src/work/pool-incarnations.c
@@ -15,13 +15,6 @@
          && self->callbacks->is_newer_incarnation (incarnation->id, other->id);
 }
 
-gboolean
-fb_pool_incarnation_may_restart (const FbPool *self, const char *id)
-{
-  return self->callbacks->may_restart != NULL ? self->callbacks->may_restart (id)
-                                              : self->callbacks->is_newer_incarnation != NULL;
-}
-
 /* Returns: (nullable): borrowed. */
 static FbPoolWorker *
 latest_at (const FbPool *self, const char *address)
--- a/src/work/pool-restart.c
+++ b/src/work/pool-restart.c
@@ -110,7 +110,6 @@
     return next;
   next = fb_pool_worker_new (incarnation);
   next->address = g_strdup (before->address);
-  next->may_restart = TRUE;
   fb_pool_worker_slots_add (self, next, now_ms);
   self->workers_dirty = TRUE;
   fb_pool_incarnation_known (self, next, now_ms);
--- a/src/work/pool-worker-slots.c
+++ b/src/work/pool-worker-slots.c
@@ -21,6 +21,8 @@
   const uint64_t *sent_ms = g_hash_table_lookup (self->outlived_polls, worker->id);
   worker->outlived_poll_sent_ms = sent_ms != NULL ? *sent_ms : 0;
   g_hash_table_remove (self->outlived_polls, worker->id);
+  worker->may_restart
+      = self->callbacks->may_restart != NULL && self->callbacks->may_restart (worker->id);
   fb_pool_lease_expect_misdirected (self, worker, known_ms);
   fb_pool_silence_worker_added (self, worker);
 }
--- a/src/work/pool-worker.c
+++ b/src/work/pool-worker.c
@@ -91,7 +91,6 @@
   /* A worker that drains never becomes available again. */
   worker->draining = worker->draining || entry->draining;
   worker->listed = TRUE;
-  worker->may_restart = entry->may_restart;
 }
 
 uint64_t
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -214,7 +214,6 @@
         {
           worker = fb_pool_worker_new (known->id);
           worker->address = g_strdup (known->address);
-          worker->may_restart = fb_pool_incarnation_may_restart (self, known->id);
           fb_pool_worker_slots_add (self, worker, self->created_ms);
           fb_pool_incarnation_known (self, worker, self->created_ms);
         }
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -233,8 +233,7 @@
           .cpu_milli = (uint32_t) option_u64 (script, "cpu", 16000),
           .mem_mb = (uint32_t) option_u64 (script, "mem", 32000),
           .gpu_count = (uint32_t) option_u64 (script, "gpu", 0),
-          .draining = has_flag (script, "draining"),
-          .may_restart = may_restart (args[1]) };
+          .draining = has_flag (script, "draining") };
   if (has_flag (script, "unrecorded"))
     fb_pool_worker_listed (script->pool, &entry, script->now_ms);
   else
