Runs that outlive their stops are an event and a counter

RUN_OUTLIVES_STOP says, at most each 5 s a run, since when and how often its stop was ordered, whether the worker had accepted it, and whether the task still needs it. `flamingobarrow runs` shows it.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -218,6 +218,12 @@
 void fb_pool_run_ended (FbPool *self, FbPoolWorker *worker, FbPoolRun *run, const char *outcome,
                         uint64_t now_ms);
 
+/* pool-stops.c */
+
+/* WORKER lists RUN at CLOCK_MS. */
+void fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                                uint64_t clock_ms, uint64_t now_ms);
+
 /* pool-report.c */
 
 /* Returns: the name of REASON for the log, a static text. */
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -50,7 +50,10 @@
   uint64_t deadline_ms;      /* deadline of the start, on the worker's clock */
   uint64_t seen_clock_ms;    /* worker's clock when the run was last known to be there; 0: never */
   uint64_t stopped_clock_ms; /* worker's clock when it accepted a stop; 0: not yet */
+  uint64_t stop_ordered_ms;  /* when the first stop was sent; 0: none was */
   uint64_t stop_sent_ms;     /* when the last stop was sent */
+  guint stops_n;             /* number of stops sent */
+  uint64_t outlived_ms;      /* when it was last logged that it outlives its stop; 0: never */
   /* Worker's clock at the first list that would have proved that the run is over, had it not
    * possibly been being stopped; 0: none since it was last listed. */
   uint64_t absent_clock_ms;
--- a/src/cli/cli-log.c
+++ b/src/cli/cli-log.c
@@ -29,6 +29,8 @@
   { FB_EVENT_TASK_LOST, "task attempt worker why epoch" },
   { FB_EVENT_RUN_ADOPTED, "task attempt worker epoch" },
   { FB_EVENT_RUN_ABSENT, "task attempt worker state clock_ms seen_clock_ms proof epoch" },
+  { FB_EVENT_RUN_OUTLIVES_STOP,
+    "task attempt worker stops ordered_ms_ago accepted_clock_ms needed epoch" },
   { FB_EVENT_ORDER_NOT_DONE, "task attempt worker kind epoch copies result" },
   { FB_EVENT_START_MAY_COME, "task attempt worker life" },
   { FB_EVENT_START_WITHDRAWN, "task attempt worker why" },
--- a/src/cli/cli-runs.c
+++ b/src/cli/cli-runs.c
@@ -24,6 +24,7 @@
   { FB_EVENT_TASK_LOST, "why seen ran_ms epoch" },
   { FB_EVENT_RUN_ADOPTED, "wanted epoch" },
   { FB_EVENT_RUN_ABSENT, "proof state clock_ms seen_clock_ms epoch" },
+  { FB_EVENT_RUN_OUTLIVES_STOP, "stops ordered_ms_ago accepted_clock_ms clock_ms needed epoch" },
   { FB_EVENT_ORDER_NOT_DONE, "kind code copies result epoch" },
   { FB_EVENT_START_MAY_COME, "life unanswered sent_ms_ago" },
   { FB_EVENT_POOL_WORKER_HEARD, "running ends lease_ms bound epoch" },
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -272,6 +272,8 @@
   run->stop_sent_ms = now_ms;
   if (run->awaits_record)
     return;
+  if (run->stops_n++ == 0)
+    run->stop_ordered_ms = now_ms;
   run->order = add_order (self, worker, run, now_ms);
   fb_event_log (FB_EVENT_TASK_STOPPING, "task=%s attempt=%u worker=%s epoch=%" G_GUINT64_FORMAT,
                 run->name, run->attempt, worker->id, self->epoch);
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -452,6 +452,7 @@
     return;
   if (run->listed_ms == 0)
     stop_runs_beside (self, run, now_ms);
+  fb_pool_stop_check_listed (self, worker, run, clock_ms, now_ms);
   run->seen_clock_ms = MAX (run->seen_clock_ms, clock_ms);
   run->absent_clock_ms = 0;
   run->listed_ms = now_ms;
--- /dev/null
+++ b/src/work/pool-stops.c
@@ -0,0 +1,41 @@
+/* Checks whether runs that were ordered to stop do stop. */
+#include "internal/pool-private.h"
+
+#include "fb-counter.h"
+#include "fb-event.h"
+
+/* Interval at which it is logged that a run outlives its stop. */
+#define LOG_INTERVAL_MS 5000
+
+/* TRUE when a list of CLOCK_MS from WORKER shows RUN although a stop of it should have been carried
+ * out by then. */
+static gboolean
+outlives_stop (const FbPool *self, const FbPoolWorker *worker, const FbPoolRun *run,
+               uint64_t clock_ms)
+{
+  if (run->state != FB_RUN_STOPPING || run->stops_n == 0)
+    return FALSE;
+  if (run->stopped_clock_ms != 0)
+    return clock_ms > run->stopped_clock_ms + self->limits.max_stop_ms;
+  return worker->poll_sent_ms
+         > run->stop_ordered_ms + FB_POOL_DELAYED_CALL_MS + self->limits.max_stop_ms;
+}
+
+void
+fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                           uint64_t clock_ms, uint64_t now_ms)
+{
+  if (!outlives_stop (self, worker, run, clock_ms)
+      || (run->outlived_ms != 0 && now_ms < run->outlived_ms + LOG_INTERVAL_MS))
+    return;
+  if (run->outlived_ms == 0)
+    fb_counter_add (FB_COUNTER_RUNS_OUTLIVING_STOPS, 1);
+  run->outlived_ms = now_ms;
+  fb_event_log (FB_EVENT_RUN_OUTLIVES_STOP,
+                "task=%s attempt=%u worker=%s stops=%u ordered_ms_ago=%u sent_ms_ago=%u"
+                " accepted_clock_ms=%" G_GUINT64_FORMAT " clock_ms=%" G_GUINT64_FORMAT
+                " needed=%d epoch=%" G_GUINT64_FORMAT,
+                run->name, run->attempt, worker->id, run->stops_n,
+                (guint) (now_ms - run->stop_ordered_ms), (guint) (now_ms - run->stop_sent_ms),
+                run->stopped_clock_ms, clock_ms, !run->abandoned, self->epoch);
+}
