A worker without a free connection keeps the runs of cancelled jobs (red)

Workers serve 64 connections each and reset further ones; the stand-in did not know that limit. It does now, and "max-connections" lowers it.

Polls go on, so the leases never end.

--- a/standins/standin-platform-listen.c
+++ b/standins/standin-platform-listen.c
@@ -9,7 +9,8 @@
 typedef struct
 {
   GSocketService *service; /* NULL while the port does not listen */
-  GHashTable *connections; /* set of GSocket */
+  GPtrArray *connections;  /* of GSocket, oldest first */
+  guint max_connections;   /* further connections are reset; 0: no limit */
 } Port;
 
 static SoupServer *server;
@@ -20,7 +21,7 @@
 {
   Port *port = data;
   g_clear_object (&port->service);
-  g_hash_table_unref (port->connections);
+  g_ptr_array_unref (port->connections);
   g_free (port);
 }
 
@@ -31,12 +32,29 @@
   ports = g_hash_table_new_full (NULL, NULL, NULL, port_free);
 }
 
+static void
+remove_closed (Port *port)
+{
+  for (guint i = port->connections->len; i > 0; i--)
+    {
+      if (g_socket_is_closed (port->connections->pdata[i - 1]))
+        g_ptr_array_remove_index (port->connections, i - 1);
+    }
+}
+
+/* Resets a connection, but leaves the descriptor to the server. */
+static void
+reset_connection (GSocket *socket)
+{
+  const struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
+  if (!g_socket_is_closed (socket))
+    (void) connect (g_socket_get_fd (socket), &unspecified, sizeof unspecified);
+}
+
 static gboolean
-is_closed (gpointer socket, gpointer value, gpointer user)
+is_full (const Port *port)
 {
-  (void) value;
-  (void) user;
-  return g_socket_is_closed (socket);
+  return port->max_connections > 0 && port->connections->len >= port->max_connections;
 }
 
 static gboolean
@@ -52,22 +70,46 @@
   if (local == NULL || remote == NULL)
     return TRUE; /* reset by the peer */
   g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_hash_table_foreach_remove (port->connections, is_closed, NULL);
-  g_hash_table_add (port->connections, g_object_ref (socket));
+  remove_closed (port);
+  if (is_full (port))
+    {
+      reset_connection (socket);
+      return TRUE;
+    }
+  g_ptr_array_add (port->connections, g_object_ref (socket));
   soup_server_accept_iostream (server, G_IO_STREAM (connection), local, remote, NULL);
   return TRUE;
 }
 
-gboolean
-sp_listen (guint number, GError **error)
+static Port *
+port_for (guint number)
 {
   Port *port = g_hash_table_lookup (ports, GUINT_TO_POINTER (number));
-  if (port == NULL)
+  if (port != NULL)
+    return port;
+  port = g_new0 (Port, 1);
+  port->connections = g_ptr_array_new_with_free_func (g_object_unref);
+  g_hash_table_insert (ports, GUINT_TO_POINTER (number), port);
+  return port;
+}
+
+void
+sp_listen_set_max_connections (guint number, guint max_connections)
+{
+  Port *port = port_for (number);
+  port->max_connections = max_connections;
+  remove_closed (port);
+  while (max_connections > 0 && port->connections->len > max_connections)
     {
-      port = g_new0 (Port, 1);
-      port->connections = g_hash_table_new_full (NULL, NULL, g_object_unref, NULL);
-      g_hash_table_insert (ports, GUINT_TO_POINTER (number), port);
+      reset_connection (port->connections->pdata[0]);
+      g_ptr_array_remove_index (port->connections, 0);
     }
+}
+
+gboolean
+sp_listen (guint number, GError **error)
+{
+  Port *port = port_for (number);
   if (port->service != NULL)
     return TRUE;
   g_autoptr (GInetAddress) loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
@@ -90,15 +132,7 @@
   g_socket_service_stop (port->service);
   g_socket_listener_close (G_SOCKET_LISTENER (port->service));
   g_clear_object (&port->service);
-  GHashTableIter iter;
-  gpointer socket;
-  g_hash_table_iter_init (&iter, port->connections);
-  while (g_hash_table_iter_next (&iter, &socket, NULL))
-    {
-      /* Resets the connection, but leaves the descriptor to the server. */
-      const struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
-      if (!g_socket_is_closed (socket))
-        (void) connect (g_socket_get_fd (socket), &unspecified, sizeof unspecified);
-    }
-  g_hash_table_remove_all (port->connections);
+  for (guint i = 0; i < port->connections->len; i++)
+    reset_connection (port->connections->pdata[i]);
+  g_ptr_array_set_size (port->connections, 0);
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -20,6 +20,7 @@
  *   {"refuse-connections":K,"for-ms":N}
  *                                 worker K continues to run without renewing its entry, does not
  *                                 listen, and its open connections are reset
+ *   {"max-connections":N}         each worker serves N connections, at first 64, and resets others
  *   {"lose-answers":true}         workers execute starts without responding, and reject repeated
  *                                 starts
  *   {"faults":K,"for-ms":N,"refuse":P,"lose":P,"late":P,"late-ms":N}
@@ -55,14 +56,23 @@
 
 #define TICK_MS 5
 #define HEARTBEAT_MS 1500
+#define MAX_CONNECTIONS 64
 #define JSON "application/json"
 
 static guint base_port;
+static guint workers_n;
 static gboolean outage;
 static gboolean appends_rejected;
 static gboolean unresponsive;
 static gboolean has_low_priority_queue;
 
+static void
+set_max_connections (guint max_connections)
+{
+  for (guint i = 1; i <= workers_n; i++)
+    sp_listen_set_max_connections (base_port + i, max_connections);
+}
+
 /* ---- shared ------------------------------------------------------------------------ */
 
 gint64
@@ -191,6 +201,8 @@
     sp_workers_finish (json_object_get_string_member (body, "finish"));
   if (json_object_has_member (body, "stop-ms"))
     set_longest_stop (json_object_get_int_member (body, "stop-ms"));
+  if (json_object_has_member (body, "max-connections"))
+    set_max_connections ((guint) json_object_get_int_member (body, "max-connections"));
   if (json_object_has_member (body, "max-lease-ms"))
     sp_workers_set_max_lease (json_object_get_int_member (body, "max-lease-ms"));
   if (json_object_has_member (body, "low-priority-queue"))
@@ -363,22 +375,23 @@
       return 2;
     }
   base_port = (guint) atoi (argv[1]);
-  guint worker_n = (guint) atoi (argv[2]);
+  workers_n = (guint) atoi (argv[2]);
   static guint listed_ports[SP_WORKER_MAX];
   static const char *services[SP_WORKER_MAX];
-  read_listed_ports (argc > 3 ? argv[3] : "", worker_n, listed_ports);
-  read_services (argc > 4 ? argv[4] : "", worker_n, services);
+  read_listed_ports (argc > 3 ? argv[3] : "", workers_n, listed_ports);
+  read_services (argc > 4 ? argv[4] : "", workers_n, services);
   sp_store_init ();
   sp_group_init ();
   sp_faults_init ();
   sp_audit_init ();
-  sp_workers_init (worker_n, base_port + 1, listed_ports, services,
+  sp_workers_init (workers_n, base_port + 1, listed_ports, services,
                    argc < 6 || !g_str_equal (argv[5], "without-start-times"));
   SoupServer *server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, serve, NULL, NULL);
   sp_listen_init (server);
-  for (guint i = 0; i <= worker_n; i++)
+  for (guint i = 0; i <= workers_n; i++)
     listen_on (base_port + i);
+  set_max_connections (MAX_CONNECTIONS);
   sp_store_put (
       "keyed.op/0", "config",
       "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path-prefix\":\"/q/\","
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -61,6 +61,9 @@
 void sp_listen_init (SoupServer *server);
 /* Listens on the loopback port NUMBER.  Returns: FALSE and sets ERROR when it is not free. */
 gboolean sp_listen (guint number, GError **error);
+/* Port NUMBER serves up to MAX_CONNECTIONS connections (0: any number) and resets further ones; of
+ * those that it has, the oldest. */
+void sp_listen_set_max_connections (guint number, guint max_connections);
 /* Closes the listening socket of port NUMBER and resets the connections to it. */
 void sp_listen_stop (guint number);
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -139,6 +139,7 @@
 verdict "payloads of the stand-in" tests/payloads.sh
 verdict "prompt cancels, with processes" tests/prompt-cancels.sh
 verdict "cancels before submissions, with processes" tests/early-cancels.sh
+verdict "cancels on workers without a free connection, with processes" tests/crowded-workers.sh
 verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
 verdict "client accounts with processes" tests/accounts.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
