Polls yield their connection to stops that fail

Cause: a worker serves 64 connections and resets further ones. Daemons keep what they have opened, so in a fleet a worker can have no free one. A poll that waits holds its connection nearly all the time and is sent again as soon as it is answered; a stop needs a second one. So the owner reads in each answer that the run is at work, extends its lease, and its stops are reset each 0.6 s.

Polls of a worker on which a stop has failed do not wait now, and the stop is sent again when one has been answered, at a moment at which its connection is free.

--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -220,6 +220,14 @@
 
 /* pool-stops.c */
 
+/* Sends the stops of runs on WORKER again that are due. */
+void fb_pool_stops_repeat (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* WORKER has answered a poll: sends the stops again that have failed there. */
+void fb_pool_stops_retry_failed (FbPool *self, FbPoolWorker *worker, uint64_t now_ms);
+/* The last stop of RUN was answered.  CLOCK_MS: the worker's clock when it accepted that; 0: it did
+ * not. */
+void fb_pool_stop_handle_answer (FbPoolWorker *worker, FbPoolRun *run, uint64_t clock_ms);
+
 /* WORKER lists RUN at CLOCK_MS. */
 void fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
                                 uint64_t clock_ms, uint64_t now_ms);
--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -53,6 +53,7 @@
   uint64_t stop_ordered_ms;  /* when the first stop was sent; 0: none was */
   uint64_t stop_sent_ms;     /* when the last stop was sent */
   guint stops_n;             /* number of stops sent */
+  gboolean stop_failed;      /* the last answered stop was not confirmed by the worker */
   uint64_t outlived_ms;      /* when it was last logged that it outlives its stop; 0: never */
   /* Worker's clock at the first list that would have proved that the run is over, had it not
    * possibly been being stopped; 0: none since it was last listed. */
@@ -154,6 +155,7 @@
   uint64_t acknowledged;   /* highest number of an end whose effects are stored */
   uint64_t unstored_end; /* lowest number of an end that may be in a record that the store does not
                           * accept; 0: none */
+  gboolean has_failed_stop; /* a run has FbPoolRun.stop_failed, so polls yield their connection */
   /* Number acknowledged by the open poll if a later incarnation may receive it; 0: none. */
   uint64_t poll_acknowledges;
   /* Highest number that the worker is known to have received, if later incarnations may receive
--- a/src/work/pool-orders.c
+++ b/src/work/pool-orders.c
@@ -386,7 +386,7 @@
   /* While a worker has ends that may not be acknowledged yet, it answers each poll at once, so the
    * poll requests no wait. */
   if (worker->answered && worker->acknowledged == worker->processed_end && !worker->has_unknown_end
-      && !fb_pool_has_pending_acknowledgement (worker))
+      && !fb_pool_has_pending_acknowledgement (worker) && !worker->has_failed_stop)
     order.wait_ms = FB_POOL_POLL_WAIT_MS;
   worker->lease_ms = MAX (worker->lease_ms, order.deadline_ms);
   if (order.deadline_ms != 0)
@@ -533,6 +533,6 @@
   FbPoolWorker *worker = remove_order (self, order, clock_ms, &run, &result, &is_other);
   if (handle_worker_answer (self, worker, result, now_ms))
     return;
-  if (run != NULL && run->order == order && result == FB_ORDER_DONE && !is_other)
-    run->stopped_clock_ms = clock_ms;
+  if (run != NULL && run->order == order)
+    fb_pool_stop_handle_answer (worker, run, result == FB_ORDER_DONE && !is_other ? clock_ms : 0);
 }
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -653,6 +653,8 @@
   mark_workers_dirty_if_emptied (self, worker, runs_before);
   if (worker->has_unknown_end)
     worker->next_poll_ms = now_ms + UNKNOWN_END_POLL_INTERVAL_MS;
+  else if (worker->has_failed_stop)
+    fb_pool_stops_retry_failed (self, worker, now_ms);
   else if (worker->acknowledged == worker->processed_end && fb_pool_may_poll_again (worker))
     fb_pool_order_poll (self, worker, now_ms);
 }
--- a/src/work/pool.c
+++ b/src/work/pool.c
@@ -6,8 +6,6 @@
 
 #include "fb-event.h"
 
-/* A stop order without an answer is sent again after this time. */
-#define STOP_REPEAT_MS 600
 /* All workers are checked at most once in this time for each of them, so that the checks of a pool
  * of any size take the same share of a core: some 0.2 us a worker. While a takeover is not complete
  * they are checked more often, because work waits for the result. */
@@ -270,18 +268,12 @@
   if (!worker->runs_ended && fb_pool_worker_lease_expired (self, worker, now_ms))
     fb_pool_worker_lost (self, worker, FB_LOSS_LEASE_ENDED, NULL, now_ms);
   fb_pool_loss_end_remaining_runs (self, worker, now_ms);
+  fb_pool_stops_repeat (self, worker, now_ms);
   GHashTableIter iter;
-  gpointer value;
+  gpointer run;
   g_hash_table_iter_init (&iter, worker->runs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      FbPoolRun *run = value;
-      if (run->state == FB_RUN_STOPPING && run->stopped_clock_ms == 0
-          && now_ms > run->stop_sent_ms + STOP_REPEAT_MS)
-        fb_pool_order_stop (self, worker, run, now_ms);
-      else
-        fb_pool_run_check_stuck (self, worker, run, now_ms);
-    }
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    fb_pool_run_check_stuck (self, worker, run, now_ms);
   if (worker->draining)
     move_runs_off_draining (self, worker, now_ms);
   fb_pool_stop_orphans (self, worker, now_ms);
