Idle connections to workers are closed

A worker serves 64 connections for all daemons together.

A connection that no call has used for 2 s is shut down now; the number of connections to a worker follows the calls of the last 2 s rather than the largest burst of each daemon. A counter tells how many were closed.

The stand-in closed each connection after one request, so that no test saw kept ones; it keeps them now, as workers do.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -31,6 +31,10 @@
 /* Interval at which the utilization of the network link is checked; bursts of traffic after a
  * takeover last 1 to 2 s. */
 #define LINK_CHECK_MS 2000
+/* Connections to workers that no call has used for this time are closed.  A worker serves a limited
+ * number of them for all daemons together, and the starts of one job may need several at once. */
+#define WORKER_CONNECTION_IDLE_MS 2000
+#define IDLE_CHECK_MS 500
 /* Phases of a planned stop: progress is flushed, then partitions are released, then callers on open
  * connections are served until shortly before the process would be killed. */
 
@@ -286,6 +290,13 @@
   fb_links_check_timeouts (((FbEntryDaemon *) data)->links, now_ms);
 }
 
+static void
+close_idle_connections (gpointer data, uint64_t now_ms)
+{
+  (void) now_ms;
+  fb_http_client_close_idle (((FbEntryDaemon *) data)->worker_client, WORKER_CONNECTION_IDLE_MS);
+}
+
 /* Returns: how many calls to workers this process may have open, each on a connection of its own.
  */
 static guint
@@ -332,6 +343,7 @@
   fb_timer_subscribe (self->timer, TIMER_MS, check_link_timeouts, self);
   fb_timer_subscribe (self->timer, SETTINGS_CHECK_MS, check_settings, self);
   fb_timer_subscribe (self->timer, LINK_CHECK_MS, check_link_utilization, self);
+  fb_timer_subscribe (self->timer, IDLE_CHECK_MS, close_idle_connections, self);
   g_timeout_add (TIMER_MS, on_timer, self);
 }
 
--- a/src/net/http-client.c
+++ b/src/net/http-client.c
@@ -11,6 +11,7 @@
  * with the same sequence or attempt number. */
 #include "http-client.h"
 
+#include "idle-sockets.h"
 #include "json.h"
 
 #include "fb-counter.h"
@@ -43,6 +44,7 @@
   GSource *source;          /* polls the epoll descriptor; ready time: libcurl's next timeout */
   GPtrArray *spare_handles; /* of CURL *, for reuse */
   GHashTable *calls_with_idle_timeout; /* set of open Call */
+  FbIdleSockets *idle_sockets;         /* of connections without an open call */
   guint calls_max;                     /* see fb_http_client_set_calls_max(); 0: no limit */
   guint calls_n;                       /* number of open calls */
 };
@@ -70,6 +72,14 @@
   gpointer user;
 } JsonCall;
 
+static uint64_t
+clock_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+}
+
 /* ---- sockets and timeouts ------------------------------------------------------- */
 
 static int
@@ -82,8 +92,10 @@
   if (what == CURL_POLL_REMOVE)
     {
       (void) epoll_ctl (self->epoll_fd, EPOLL_CTL_DEL, socket, NULL);
+      fb_idle_sockets_add (self->idle_sockets, socket, clock_ms ());
       return 0;
     }
+  fb_idle_sockets_remove (self->idle_sockets, socket);
   if (what & CURL_POLL_IN)
     event.events |= EPOLLIN;
   if (what & CURL_POLL_OUT)
@@ -94,6 +106,15 @@
   return 0;
 }
 
+/* Called when a connection is closed, whichever call opened it. */
+static int
+on_close (void *user, curl_socket_t socket)
+{
+  FbHttpClient *self = user;
+  fb_idle_sockets_remove (self->idle_sockets, socket);
+  return close (socket);
+}
+
 static int
 on_timer_change (CURLM *multi, long timeout_ms, void *user)
 {
@@ -281,6 +302,7 @@
   FbHttpClient *self = g_new0 (FbHttpClient, 1);
   self->spare_handles = g_ptr_array_new ();
   self->calls_with_idle_timeout = g_hash_table_new (NULL, NULL);
+  self->idle_sockets = fb_idle_sockets_new ();
   return self;
 }
 
@@ -334,9 +356,18 @@
       g_source_unref (self->source);
       close (self->epoll_fd);
     }
+  fb_idle_sockets_free (self->idle_sockets);
   g_free (self);
 }
 
+void
+fb_http_client_close_idle (FbHttpClient *self, uint32_t idle_ms)
+{
+  uint64_t now_ms = clock_ms ();
+  guint n = fb_idle_sockets_shut_down (self->idle_sockets, now_ms - MIN (idle_ms, now_ms));
+  fb_counter_add (FB_COUNTER_IDLE_CONNECTIONS_CLOSED, n);
+}
+
 /* ---- calls ------------------------------------------------------------------------- */
 
 void
@@ -375,14 +406,6 @@
   return size * n;
 }
 
-static uint64_t
-clock_ms (void)
-{
-  struct timespec now;
-  clock_gettime (CLOCK_BOOTTIME, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
-}
-
 /* Called once per transmission, when the connection is open and before the request is written.
  *
  * Aborts requests that are past their deadline: libcurl's timeouts do not advance while the host is
@@ -448,6 +471,8 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, call->client);
   if (!request->idempotent)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/net/http-client.h
+++ b/src/net/http-client.h
@@ -29,6 +29,8 @@
 /* Returns: TRUE when a call would end as not sent because of that limit. */
 gboolean fb_http_client_is_full (const FbHttpClient *self);
 void fb_http_client_free (FbHttpClient *self);
+/* Closes the connections that no call has used for IDLE_MS. */
+void fb_http_client_close_idle (FbHttpClient *self, uint32_t idle_ms);
 
 /* One HTTP request; the body may have any content type. */
 typedef struct
--- a/standins/standin-platform-listen.c
+++ b/standins/standin-platform-listen.c
@@ -9,7 +9,7 @@
 typedef struct
 {
   GSocketService *service; /* NULL while the port does not listen */
-  GPtrArray *connections;  /* of GSocket, oldest first */
+  GPtrArray *connections;  /* of GSocket, oldest first; borrowed, the server closes them */
   guint max_connections;   /* further connections are reset; 0: no limit */
 } Port;
 
@@ -28,18 +28,26 @@
 void
 sp_listen_init (SoupServer *value)
 {
+  g_autoptr (GError) error = NULL;
   server = g_object_ref (value);
+  /* Without a listener of its own, the server closes each connection after one request. */
+  if (!soup_server_listen_local (server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+    g_error ("cannot listen: %s", error->message);
   ports = g_hash_table_new_full (NULL, NULL, NULL, port_free);
 }
 
 static void
-remove_closed (Port *port)
+on_finalized (gpointer data, GObject *socket)
 {
-  for (guint i = port->connections->len; i > 0; i--)
-    {
-      if (g_socket_is_closed (port->connections->pdata[i - 1]))
-        g_ptr_array_remove_index (port->connections, i - 1);
-    }
+  Port *port = data;
+  (void) g_ptr_array_remove (port->connections, socket);
+}
+
+static void
+add_connection (Port *port, GSocket *socket)
+{
+  g_object_weak_ref (G_OBJECT (socket), on_finalized, port);
+  g_ptr_array_add (port->connections, socket);
 }
 
 /* Resets a connection, but leaves the descriptor to the server. */
@@ -51,6 +59,42 @@
     (void) connect (g_socket_get_fd (socket), &unspecified, sizeof unspecified);
 }
 
+/* The server does not close a connection that its peer closes between two requests. */
+static gboolean
+is_closed_by_peer (GSocket *socket)
+{
+  char byte;
+  return recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+remove_at (Port *port, guint i)
+{
+  GSocket *socket = port->connections->pdata[i];
+  reset_connection (socket);
+  g_object_weak_unref (G_OBJECT (socket), on_finalized, port);
+  g_ptr_array_remove_index (port->connections, i);
+}
+
+static void
+remove_closed (Port *port)
+{
+  for (guint i = port->connections->len; i > 0; i--)
+    {
+      GSocket *socket = port->connections->pdata[i - 1];
+      if (g_socket_is_closed (socket) || is_closed_by_peer (socket))
+        remove_at (port, i - 1);
+    }
+}
+
+/* Resets the N oldest connections of PORT. */
+static void
+reset_connections (Port *port, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    remove_at (port, 0);
+}
+
 static gboolean
 is_full (const Port *port)
 {
@@ -76,7 +120,7 @@
       reset_connection (socket);
       return TRUE;
     }
-  g_ptr_array_add (port->connections, g_object_ref (socket));
+  add_connection (port, socket);
   soup_server_accept_iostream (server, G_IO_STREAM (connection), local, remote, NULL);
   return TRUE;
 }
@@ -88,7 +132,7 @@
   if (port != NULL)
     return port;
   port = g_new0 (Port, 1);
-  port->connections = g_ptr_array_new_with_free_func (g_object_unref);
+  port->connections = g_ptr_array_new ();
   g_hash_table_insert (ports, GUINT_TO_POINTER (number), port);
   return port;
 }
@@ -99,11 +143,16 @@
   Port *port = port_for (number);
   port->max_connections = max_connections;
   remove_closed (port);
-  while (max_connections > 0 && port->connections->len > max_connections)
-    {
-      reset_connection (port->connections->pdata[0]);
-      g_ptr_array_remove_index (port->connections, 0);
-    }
+  if (max_connections > 0 && port->connections->len > max_connections)
+    reset_connections (port, port->connections->len - max_connections);
+}
+
+guint
+sp_listen_connections_n (guint number)
+{
+  Port *port = port_for (number);
+  remove_closed (port);
+  return port->connections->len;
 }
 
 gboolean
@@ -132,7 +181,5 @@
   g_socket_service_stop (port->service);
   g_socket_listener_close (G_SOCKET_LISTENER (port->service));
   g_clear_object (&port->service);
-  for (guint i = 0; i < port->connections->len; i++)
-    reset_connection (port->connections->pdata[i]);
-  g_ptr_array_set_size (port->connections, 0);
+  reset_connections (port, port->connections->len);
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -46,7 +46,8 @@
  *                                 there are none
  *
  * GET /running?job=JOB&worker=K returns the number of runs of JOB, on worker K only if it is given;
- * GET /listed the number of entries in the worker list.
+ * GET /listed the number of entries in the worker list; GET /connections the largest number of open
+ * connections to a worker.
  */
 #include "standin-platform.h"
 
@@ -234,6 +235,16 @@
   sp_reply (message, 200, text);
 }
 
+static void
+serve_connections (SoupServerMessage *message)
+{
+  guint most_n = 0;
+  for (guint i = 1; i <= workers_n; i++)
+    most_n = MAX (most_n, sp_listen_connections_n (base_port + i));
+  g_autofree char *text = g_strdup_printf ("{\"connections\":%u}", most_n);
+  sp_reply (message, 200, text);
+}
+
 static void
 serve_listed (SoupServerMessage *message)
 {
@@ -292,6 +303,8 @@
     serve_audit (message);
   else if (g_str_equal (path, "/running"))
     serve_running (message, query);
+  else if (g_str_equal (path, "/connections"))
+    serve_connections (message);
   else if (g_str_equal (path, "/listed"))
     serve_listed (message);
   else if (g_str_equal (path, "/started"))
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -64,6 +64,8 @@
 /* Port NUMBER serves up to MAX_CONNECTIONS connections (0: any number) and resets further ones; of
  * those that it has, the oldest. */
 void sp_listen_set_max_connections (guint number, guint max_connections);
+/* Returns: the number of open connections to port NUMBER. */
+guint sp_listen_connections_n (guint number);
 /* Closes the listening socket of port NUMBER and resets the connections to it. */
 void sp_listen_stop (guint number);
 
--- a/tests/crowded-workers.sh
+++ b/tests/crowded-workers.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Runs of cancelled jobs are stopped on workers that serve no more connections than the one that polls hold.
+# Bursts of starts leave no connections open, and runs are stopped on workers that serve only the one that polls hold.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-B=build OUT=out/crowded-workers JOBS=6 WORKERS=2 BOUND_MS=3200
+B=build OUT=out/crowded-workers JOBS=6 WORKERS=2 BOUND_MS=3200 BURST=24 IDLE_S=4
 rm -rf "$OUT"; mkdir -p "$OUT"
 source tools/ports.sh
 source tests/daemons.sh
@@ -21,6 +21,21 @@
 $B/standins/standin-platform "$base" "$WORKERS" > "$OUT/platform.log" 2>&1 & PID[platform]=$!
 for d in 0 1; do start_daemon $d; done
 for d in 0 1; do until_true ready $d || die "daemon $d is not ready"; done
+connections() { curl -s "http://127.0.0.1:$base/connections" | grep -o '[0-9]*'; }
+
+step "a burst of starts"
+lasting=$body
+body="{\"spec\":\"600000\",\"phases\":[{\"count\":$BURST,\"cpu\":100,\"mem-mb\":10,\"long-running\":true}]}"
+until_true submitted 0 100 || die "the job was not accepted"
+until_true n_run $BURST || die "$(running) of $BURST tasks run"
+burst=$(connections)
+[ "$burst" -gt 3 ] || die "a burst of $BURST starts opened $burst connections to a worker: it shows nothing"
+sleep $IDLE_S
+[ "$(connections)" -le 2 ] || die "$(connections) connections to a worker are open $IDLE_S s after a burst that opened $burst"
+until_true cancelled 1 100 || die "the job was not cancelled"
+until_true n_run 0 || die "$(running) runs are left"
+body=$lasting
+
 for ((k = 1; k <= JOBS; k++)); do until_true submitted $((k % 2)) $k || die "job $k was not accepted"; done
 until_true n_run $JOBS || die "$(running) of $JOBS jobs run"
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -45,6 +45,7 @@
 verdict "client accounts" $B/tests/test-accounts
 verdict "client accounts in pools" $B/tests/test-account-pools
 verdict "HTTP client" $B/tests/test-http
+verdict "idle connections of the HTTP client" $B/tests/test-idle-connections
 verdict "configurations in a large fleet" $B/tests/test-configuration
 verdict "signals while a daemon starts" $B/tests/test-signals
 verdict "links between daemons" $B/tests/test-links
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -10,7 +10,7 @@
 FLAGS="$(pkg-config --cflags --libs glib-2.0 gio-2.0 libtirpc libxxhash json-glib-1.0 libcurl libsodium) -Iinclude -I. -Iplatform -O1 -g -w -lm"
 OTHERS="src/base/status.c src/base/event.c src/base/counter.c src/base/histogram.c src/base/timer.c src/core/codec.c
   rpc/work-xdr.c rpc/record-xdr.c rpc/peer-xdr.c src/entry/peers/recent-starts.c src/entry/peers/suspect-backups.c"
-ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c platform/operator.c platform/incarnation.c src/entry/routes.c src/entry/accounts.c"
+ADAPTER="src/base/traffic.c src/net/json.c src/net/http-client.c src/net/idle-sockets.c platform/operator.c platform/incarnation.c src/entry/routes.c src/entry/accounts.c"
 
 mutants() { grep -E "^${ONLY:-[^|]*}\|" <<< "$(all_mutants)"; }
 all_mutants() { cat <<'TABLE'
