A run that is listed after its stop was accepted is stopped again

docs/design/cancels.md promises a stop for each run that a poll still lists.

A list that was made later than the accepted stop may take proves it void: the stop is sent again. pools/listed-run-whose-stop-was-accepted: no second stop before, one now; the other scripts give the same output.

--- a/src/work/pool-stops.c
+++ b/src/work/pool-stops.c
@@ -28,12 +28,11 @@
          > run->stop_ordered_ms + FB_POOL_DELAYED_CALL_MS + self->limits.max_stop_ms;
 }
 
-void
-fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
-                           uint64_t clock_ms, uint64_t now_ms)
+static void
+log_outlived_stop (const FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                   uint64_t clock_ms, uint64_t now_ms)
 {
-  if (!outlives_stop (self, worker, run, clock_ms)
-      || (run->outlived_ms != 0 && now_ms < run->outlived_ms + LOG_INTERVAL_MS))
+  if (run->outlived_ms != 0 && now_ms < run->outlived_ms + LOG_INTERVAL_MS)
     return;
   if (run->outlived_ms == 0)
     fb_counter_add (FB_COUNTER_RUNS_OUTLIVING_STOPS, 1);
@@ -47,6 +46,17 @@
                 run->stopped_clock_ms, clock_ms, !run->abandoned, self->epoch);
 }
 
+void
+fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
+                           uint64_t clock_ms, uint64_t now_ms)
+{
+  if (!outlives_stop (self, worker, run, clock_ms))
+    return;
+  log_outlived_stop (self, worker, run, clock_ms, now_ms);
+  /* The list proves that the accepted stop was not carried out; it is sent again. */
+  run->stopped_clock_ms = 0;
+}
+
 static gboolean
 awaits_confirmation (const FbPoolRun *run)
 {
