--- a/include/internal/pool-private.h
+++ b/include/internal/pool-private.h
@@ -227,8 +227,8 @@
 /* The last stop of RUN was answered.  CLOCK_MS: the worker's clock when it accepted that; 0: it did
  * not. */
 void fb_pool_stop_handle_answer (FbPoolWorker *worker, FbPoolRun *run, uint64_t clock_ms);
-
-/* WORKER lists RUN at CLOCK_MS. */
+/* WORKER lists RUN at CLOCK_MS: logs it, and has it stopped again, if a stop that WORKER has
+ * accepted should have ended RUN before. */
 void fb_pool_stop_check_listed (FbPool *self, const FbPoolWorker *worker, FbPoolRun *run,
                                 uint64_t clock_ms, uint64_t now_ms);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -33,7 +33,7 @@
 #define LINK_CHECK_MS 2000
 /* Connections to workers that no call has used for this time are closed.  A worker serves a limited
  * number of them for all daemons together, and the starts of one job may need several at once. */
-#define WORKER_CONNECTION_IDLE_MS 2000
+#define WORKER_CONNECTION_IDLE_MS 5000
 #define IDLE_CHECK_MS 500
 /* Phases of a planned stop: progress is flushed, then partitions are released, then callers on open
  * connections are served until shortly before the process would be killed. */
--- a/tools/pool-mutants.sh
+++ b/tools/pool-mutants.sh
@@ -85,6 +85,9 @@
 not-acknowledged-again|pool-report.c|  acknowledge_again (worker, answer);|  (void) acknowledge_again;
 misdirected-calls-not-expected|pool-worker-slots.c|  fb_pool_lease_expect_misdirected (worker, known_ms);|  (void) known_ms;
 unlisted-starts-end-with-the-lease|pool-loss.c|      else if (loss != FB_LOSS_LEASE_ENDED|      else if (TRUE
+polls-keep-the-connection-of-failed-stops|pool-orders.c| \&\& !worker->has_failed_stop)|)
+failed-stops-wait-for-their-repeat|pool-report.c|    fb_pool_stops_retry_failed (self, worker, now_ms);|    ;
+accepted-stop-is-final|pool-stops.c|  run->stopped_clock_ms = 0;|  ;
 second-copy-ignored|pool-restart.c|(run->listed_ms == 0 \|\| is_open)|(run->listed_ms == 0)
 TABLE
 }
