--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,9 +2,10 @@
 # A queue is directed to another service whose name falls on the same partition; then the owner of
 # the partition is killed, and a submission arrives once more before the next owner has taken over.
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.  TROUBLE=0: nobody is killed.
+# BACK=1: the queue was directed to the second service before it was directed to the first one.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-RECORD=$PWD/review/10/record.txt TROUBLE=${TROUBLE:-1}
+RECORD=$PWD/review/10/record.txt TROUBLE=${TROUBLE:-1} BACK=${BACK:-0}
 DAEMONS=3 WORKERS=8 QUEUE=q FIRST=svc SECOND=svc39 PARTITION=7
 [ -x target/flamingobarrowd ] && [ -x target/review-3/standin-platform ] || { echo "not built"; exit 2; }
 source tools/ports.sh
@@ -65,7 +66,7 @@
 target/review-3/standin-platform "$base" $WORKERS "" $SECOND=4 > "$T/platform.log" 2>&1 &
 PIDS+=($!)
 for i in $(seq 50); do platform audit > /dev/null && break; sleep 0.1; done
-configure $FIRST
+[ "$BACK" != 0 ] && configure $SECOND || configure $FIRST
 for d in $(seq 0 $((DAEMONS - 1))); do start_daemon "$d"; done
 for i in $(seq 100); do
   up=0
@@ -77,6 +78,7 @@
 done
 [ $up = $DAEMONS ] || { echo "the daemons are not ready"; exit 2; }
 sleep 1
+[ "$BACK" != 0 ] && { sleep 2; configure $FIRST; sleep 5; }
 JOB=$(printf '%016x' $((0x5eed0000 + RANDOM)))
 BODY='{"spec":"60000","phases":[{"count":4,"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
 for i in $(seq 20); do
@@ -113,5 +115,9 @@
   echo "TWICE: $(doubled) tasks were started while another run of them was at work"
   exit 1
 fi
+if [ "$STATUS" = 410 ]; then
+  echo "LOST: the accepted job, which nobody has cancelled, is answered 410"
+  exit 1
+fi
 echo "held"
 exit 0
