A record that cannot be encoded deletes nothing; checkpoints have any length

Cause: the XDR of a stored checkpoint was bounded by 128 characters, and the page of the platform sets no length. The encoder returns NULL beyond a bound, the flush passed NULL on as the value, and a keyed record without a value is a deletion: of the progress, and with it of the submission. The flush counted as stored, so the ends were acknowledged. Relayed starts and lists had the same bound: a start was not relayed, and a worker whose list could not be encoded seemed silent.

A deletion is a record that says so (is_deletion); one that cannot be encoded is not stored, its ends stay unacknowledged, and the submission stays.

test-store-limits: the record at fault was too large because its ended tasks had checkpoints, which are not stored any more; it has more ended tasks instead and fails the store's limit as before.

--- a/include/internal/codec.h
+++ b/include/internal/codec.h
@@ -5,6 +5,9 @@
 #include "rpc/record.h"
 #include "rpc/work.h"
 
+/* Size of the largest record or message, which none of the platform exceeds. */
+#define FB_CODEC_RECORD_MAX_BYTES (4 * 1024 * 1024)
+
 /* Returns: (transfer full): MSG encoded, or NULL if it exceeds a limit. */
 GBytes *fb_codec_encode_msg (const fb_msg *msg);
 /* Decodes one message at *OFFSET of DATA and advances *OFFSET past it. Returns: FALSE if
@@ -21,6 +24,7 @@
 void fb_codec_clear_revision (fb_rec_revision *revision);
 
 /* Graph jobs: records of the platform's log, and requests and responses between daemons.
+ * Encoding returns NULL when the value exceeds a limit, which never stands for an empty value.
  * Decoded values are cleared with xdr_free() of their type. */
 GBytes *fb_codec_encode_admit (const fb_work_admit *admit);
 gboolean fb_codec_decode_admit (const void *data, gsize len, fb_work_admit *admit);
--- a/include/internal/pool-silence.h
+++ b/include/internal/pool-silence.h
@@ -40,9 +40,10 @@
 gboolean fb_pool_silence_may_record (const FbPool *self, uint64_t now_ms);
 /* TRUE when the record must be written for the next owner. */
 gboolean fb_pool_silence_record_is_due (const FbPool *self, uint64_t now_ms);
-/* Returns: (transfer full) (nullable): the record that belongs to WORKERS, which is written in the
- * same flush; NULL when no worker needs it. Closes the workers in it. */
-GBytes *fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms);
+/* Sets *SILENT (transfer full) to the record that belongs to WORKERS, which is written in the same
+ * flush; to NULL when no worker needs it. Closes the workers in it.
+ * Returns: FALSE when the record cannot be encoded. */
+gboolean fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms, GBytes **silent);
 /* The open flush has been stored: reopens the workers that its record leaves out. */
 void fb_pool_silence_stored (FbPool *self, uint64_t now_ms);
 /* The store did not accept the record of the open flush: no worker is reopened. */
--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -182,6 +182,10 @@
   uint32_t max_shared_crashes;
   /* Ended runs that a worker lists in one answer; 0: the pool's default. */
   uint32_t max_reported_ends;
+  /* Largest record of a job; what does not fit is left out, see pool-compact.h. 0: no limit. */
+  uint32_t max_progress_bytes;
+  /* Largest record of workers for which the steps on draining ones are recorded; 0: no limit. */
+  uint32_t max_workers_bytes;
   /* Largest record of silent workers; 0: no limit. */
   uint32_t max_silence_bytes;
   /* Other pools share the caps of client accounts: an account that has a cap may use nothing here
@@ -293,9 +297,10 @@
 typedef struct
 {
   FbPoolRecordKind kind;
-  char *job;        /* NULL unless KIND is FB_POOL_RECORD_JOB */
-  GBytes *progress; /* NULL: all records of the job can be deleted */
-  gboolean ended;   /* the job has ended: its admission record is not needed once this is stored */
+  char *job;            /* NULL unless KIND is FB_POOL_RECORD_JOB */
+  GBytes *progress;     /* NULL only if IS_DELETION */
+  gboolean is_deletion; /* all records of the job can be deleted */
+  gboolean ended; /* the job has ended: its admission record is not needed once this is stored */
 } FbPoolRecord;
 
 /* Begins a flush of everything that has changed.  Only one flush may be open at a time.  Returns:
--- a/rpc/work-xdr.c
+++ b/rpc/work-xdr.c
@@ -332,7 +332,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->done))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -358,7 +358,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->done))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+		 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -376,7 +376,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 		 return FALSE;
 	return TRUE;
 }
@@ -1115,7 +1115,7 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->payload_digest.payload_digest_val, (u_int *) &objp->payload_digest.payload_digest_len, FB_WORK_DIGEST_BYTES))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->ticket, FB_WORK_MAX_NAME))
 		 return FALSE;
@@ -1311,7 +1311,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 		 return FALSE;
 	return TRUE;
 }
@@ -1329,7 +1329,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reason))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_NAME))
+	 if (!xdr_string (xdrs, &objp->checkpoint, FB_WORK_MAX_CHECKPOINT))
 		 return FALSE;
 	return TRUE;
 }
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -4,8 +4,11 @@
  * daemons, so that each is decoded once. */
 
 const FB_WORK_MAX_PAYLOAD = 4000;
-const FB_WORK_MAX_STEPS = 64;
-const FB_WORK_MAX_NAME = 128;
+const FB_WORK_MAX_STEPS = 512;
+/* The platform sets no length for names and checkpoints.  The bounds limit what a malformed message
+ * makes its reader allocate. */
+const FB_WORK_MAX_NAME = 4096;
+const FB_WORK_MAX_CHECKPOINT = 4194304;
 const FB_WORK_JOB_ID_CHARS = 16;
 const FB_WORK_MAX_TASK_ROWS = 65536;
 const FB_WORK_MAX_FAILED = 1024;
@@ -15,12 +18,12 @@
 const FB_WORK_MAX_RUNS = 256;
 const FB_WORK_MAX_LABELS = 256;
 const FB_WORK_MAX_REFERENCE_CLOCKS = 5;
-const FB_WORK_MAX_REPORTED = 4096;
+const FB_WORK_MAX_REPORTED = 65536;
 const FB_WORK_MAX_PARTITIONS = 4096;
 const FB_WORK_MAX_STARTS = 512;
 const FB_WORK_MAX_SUSPECT_BACKUPS = 256;
 const FB_WORK_DIGEST_BYTES = 16;
-const FB_WORK_MAX_ACCOUNT = 63;
+const FB_WORK_MAX_ACCOUNT = 1024;
 const FB_WORK_MAX_ACCOUNT_ROWS = 20000;
 const FB_WORK_MAX_SERVICES = 256;
 const FB_WORK_MAX_CLAIMS = 512;
@@ -86,7 +89,7 @@
   unsigned int attempt;
   unsigned int failed<FB_WORK_MAX_FAILED>; /* numbers of the attempts that failed */
   bool done;
-  string checkpoint<FB_WORK_MAX_NAME>;
+  string checkpoint<FB_WORK_MAX_CHECKPOINT>;
 };
 
 enum fb_work_state {
@@ -392,7 +395,7 @@
   unsigned int attempt;
   string payload<FB_WORK_MAX_PAYLOAD>; /* "" with a digest: a payload that was sent before */
   opaque payload_digest<FB_WORK_DIGEST_BYTES>; /* of a payload to cache; empty: none */
-  string checkpoint<FB_WORK_MAX_NAME>;
+  string checkpoint<FB_WORK_MAX_CHECKPOINT>;
   string ticket<FB_WORK_MAX_NAME>; /* "": none */
   unsigned hyper deadline_ms;      /* on the worker's clock */
   unsigned hyper acknowledged;
@@ -490,7 +493,7 @@
 struct fb_reported_run {
   string task<FB_WORK_MAX_NAME>;
   unsigned int attempt;
-  string checkpoint<FB_WORK_MAX_NAME>;
+  string checkpoint<FB_WORK_MAX_CHECKPOINT>;
 };
 
 struct fb_reported_end {
@@ -498,7 +501,7 @@
   string task<FB_WORK_MAX_NAME>;
   unsigned int attempt;
   unsigned int reason; /* FbEndReason */
-  string checkpoint<FB_WORK_MAX_NAME>;
+  string checkpoint<FB_WORK_MAX_CHECKPOINT>;
 };
 
 /* Reply to a relayed order; the lists are only used for a poll. */
--- a/src/core/codec.c
+++ b/src/core/codec.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #define MSG_MAX_BYTES (FB_MAX_BATCH)
-#define RECORD_MAX_BYTES (4 * 1024 * 1024)
 /* XDR pads each value to a multiple of this; the length of a string takes as much. */
 #define XDR_UNIT_BYTES 4
 
@@ -65,7 +64,7 @@
 GBytes *
 fb_codec_encode_record (const fb_record *record)
 {
-  return encode ((xdrproc_t) xdr_fb_record, record, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_record, record, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -148,7 +147,7 @@
 GBytes *
 fb_codec_encode_admit (const fb_work_admit *admit)
 {
-  GBytes *record = encode ((xdrproc_t) xdr_admit_without_account, admit, RECORD_MAX_BYTES);
+  GBytes *record = encode ((xdrproc_t) xdr_admit_without_account, admit, FB_CODEC_RECORD_MAX_BYTES);
   gsize account_len = admit->account != NULL ? strlen (admit->account) : 0;
   if (record == NULL || account_len == 0)
     return record;
@@ -201,13 +200,18 @@
 GBytes *
 fb_codec_encode_progress (const fb_work_progress *progress, const fb_work_suspects *suspects)
 {
-  GBytes *first = encode ((xdrproc_t) xdr_fb_work_progress, progress, RECORD_MAX_BYTES);
+  GBytes *first = encode ((xdrproc_t) xdr_fb_work_progress, progress, FB_CODEC_RECORD_MAX_BYTES);
   if (first == NULL || suspects->tasks.tasks_len == 0)
     return first;
-  g_autoptr (GBytes) rest = encode ((xdrproc_t) xdr_fb_work_suspects, suspects, RECORD_MAX_BYTES);
+  g_autoptr (GBytes) rest
+      = encode ((xdrproc_t) xdr_fb_work_suspects, suspects, FB_CODEC_RECORD_MAX_BYTES);
+  if (rest == NULL)
+    {
+      g_bytes_unref (first);
+      return NULL;
+    }
   GByteArray *both = g_bytes_unref_to_array (first);
-  if (rest != NULL)
-    g_byte_array_append (both, g_bytes_get_data (rest, NULL), (guint) g_bytes_get_size (rest));
+  g_byte_array_append (both, g_bytes_get_data (rest, NULL), (guint) g_bytes_get_size (rest));
   return g_byte_array_free_to_bytes (both);
 }
 
@@ -242,7 +246,7 @@
 GBytes *
 fb_codec_encode_suspects (const fb_work_suspects *suspects)
 {
-  return encode ((xdrproc_t) xdr_fb_work_suspects, suspects, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_work_suspects, suspects, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -254,7 +258,7 @@
 GBytes *
 fb_codec_encode_peer_request (const fb_peer_request *request)
 {
-  return encode ((xdrproc_t) xdr_fb_peer_request, request, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_peer_request, request, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -266,7 +270,7 @@
 GBytes *
 fb_codec_encode_peer_reply (const fb_peer_reply *reply)
 {
-  return encode ((xdrproc_t) xdr_fb_peer_reply, reply, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_peer_reply, reply, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -278,7 +282,7 @@
 GBytes *
 fb_codec_encode_workers (const fb_work_workers *workers)
 {
-  return encode ((xdrproc_t) xdr_fb_work_workers, workers, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_work_workers, workers, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -290,7 +294,7 @@
 GBytes *
 fb_codec_encode_queue_service (const fb_queue_service *pair)
 {
-  return encode ((xdrproc_t) xdr_fb_queue_service, pair, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_queue_service, pair, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -302,7 +306,7 @@
 GBytes *
 fb_codec_encode_stored_route (const fb_stored_route *route)
 {
-  return encode ((xdrproc_t) xdr_fb_stored_route, route, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_stored_route, route, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
@@ -314,7 +318,7 @@
 GBytes *
 fb_codec_encode_silent_workers (const fb_work_silent_workers *workers)
 {
-  return encode ((xdrproc_t) xdr_fb_work_silent_workers, workers, RECORD_MAX_BYTES);
+  return encode ((xdrproc_t) xdr_fb_work_silent_workers, workers, FB_CODEC_RECORD_MAX_BYTES);
 }
 
 gboolean
--- a/src/entry/owner/owner-flush.c
+++ b/src/entry/owner/owner-flush.c
@@ -70,6 +70,7 @@
     {
       const FbPoolRecord *record = flush->records->pdata[i];
       g_autofree char *key = key_of (flush->service, record);
+      g_assert (record->is_deletion || record->progress != NULL);
       encode_record (self, body, key, record->progress);
     }
   return body;
@@ -140,7 +141,7 @@
   for (guint i = from; i < from + n; i++)
     {
       const FbPoolRecord *record = flush->records->pdata[i];
-      if (record->kind == FB_POOL_RECORD_JOB && (record->progress == NULL || record->ended))
+      if (record->kind == FB_POOL_RECORD_JOB && (record->is_deletion || record->ended))
         {
           g_ptr_array_add (self->stale_keys, g_strdup_printf ("%c%s", FB_KEY_JOB, record->job));
           fb_owner_delete_cancels (self, record->job);
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -30,6 +30,11 @@
 /* Part of an append that the record of silent workers may take; the record of 17,000 workers, which
  * is in the same append, takes half of 2 MB. */
 #define SILENCE_BYTES_DIVISOR 3
+/* Part of an append that the record of workers may take with the steps on draining ones. */
+#define WORKERS_BYTES_SHARE(bytes) ((bytes) / 16 * 9)
+/* Part of an append that one job's record may take.  The rest is for the headers and keys of its
+ * parts. */
+#define PROGRESS_BYTES_SHARE(bytes) ((bytes) / 16 * 15)
 /* Interval at which records of ended jobs are deleted in a batch. */
 #define DELETE_INTERVAL_MS 1000
 /* Time between two ticks that only a suspended process needs, and the time for which it then waits
@@ -79,6 +84,8 @@
           .gang_wait_ms = (uint32_t) settings->gang_wait_ms,
           .max_isolated_crashes = (uint32_t) settings->max_isolated_crashes,
           .max_shared_crashes = (uint32_t) settings->max_shared_crashes,
+          .max_progress_bytes = (uint32_t) PROGRESS_BYTES_SHARE (settings->append_max_bytes),
+          .max_workers_bytes = (uint32_t) WORKERS_BYTES_SHARE (settings->append_max_bytes),
           .max_silence_bytes = (uint32_t) (settings->append_max_bytes / SILENCE_BYTES_DIVISOR),
           .caps_are_divided = TRUE };
   service_pool = g_new0 (FbServicePool, 1);
--- a/src/entry/peers/link-connection.c
+++ b/src/entry/peers/link-connection.c
@@ -352,7 +352,7 @@
 fb_link_connection_call (FbLinkConnection *self, GBytes *body, uint32_t timeout_ms, FbLinkDone done,
                          gpointer user)
 {
-  if (unwritten_bytes (self) > OUT_MAX_BYTES
+  if (body == NULL || unwritten_bytes (self) > OUT_MAX_BYTES
       || g_bytes_get_size (body) > FB_LINK_BODY_MAX_BYTES - HEADER_BYTES)
     return FALSE;
   Pending *pending = g_new0 (Pending, 1);
--- a/src/entry/peers/links-private.h
+++ b/src/entry/peers/links-private.h
@@ -3,8 +3,10 @@
 
 #include "links.h"
 
-/* Maximum size of a body: a batch of records to be appended by a peer, with its encoding. */
-#define FB_LINK_BODY_MAX_BYTES (2 * 1024 * 1024)
+#include "internal/codec.h"
+
+/* Maximum size of a body: the largest message that the codec encodes, with its header. */
+#define FB_LINK_BODY_MAX_BYTES (FB_CODEC_RECORD_MAX_BYTES + 4096)
 
 typedef struct
 {
--- a/src/entry/peers/peers.c
+++ b/src/entry/peers/peers.c
@@ -89,7 +89,7 @@
     }
   else if (result == FB_LINK_NOT_SENT)
     {
-      /* The peer is down, so that nothing was executed. */
+      /* The peer is down, or the request too large, so that nothing was executed. */
       static const fb_peer_reply unavailable = { .type = FB_REPLY_UNAVAILABLE };
       open->done (open->user, &unavailable);
     }
@@ -107,6 +107,9 @@
   open->user = user;
   open->traffic = traffic_of (peer_request);
   g_autoptr (GBytes) body = fb_codec_encode_peer_request (peer_request);
+  if (body == NULL)
+    fb_event_log (FB_EVENT_CALL_FAILED, "request daemon=%s type=%d not encoded", address,
+                  peer_request->type);
   fb_traffic_add (open->traffic, body != NULL ? g_bytes_get_size (body) : 0, 0);
   fb_links_call (entry->links, address, body, timeout_ms, on_reply, open);
 }
@@ -130,7 +133,7 @@
 finish (OwnerRequest *request, const fb_peer_reply *peer_reply)
 {
   request->done (request->user, peer_reply);
-  g_bytes_unref (request->peer_request);
+  g_clear_pointer (&request->peer_request, g_bytes_unref);
   g_free (request);
 }
 
@@ -166,7 +169,8 @@
 {
   uint64_t now_ms = fb_clock_ms ();
   gsize len = 0;
-  gconstpointer data = g_bytes_get_data (request->peer_request, &len);
+  gconstpointer data
+      = request->peer_request != NULL ? g_bytes_get_data (request->peer_request, &len) : NULL;
   fb_peer_request peer_request;
   if (now_ms >= request->deadline_ms || !fb_codec_decode_peer_request (data, len, &peer_request))
     {
--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -42,6 +42,8 @@
  * have to be sent later all the same. */
 #define DIGEST_MIN_BYTES 64
 #define CALLS_LIMITED_LOG_INTERVAL_MS 1000
+/* Size of an answer of a worker below which its lists surely fit into a reply. */
+#define LARGE_ANSWER_BYTES (FB_CODEC_RECORD_MAX_BYTES / 4)
 
 /* ---- choosing a relay ----------------------------------------------------------- */
 
@@ -421,6 +423,32 @@
   progress->percents.percents_val = percents;
 }
 
+static gboolean
+is_too_large (const fb_peer_reply *peer_reply)
+{
+  return xdr_sizeof ((xdrproc_t) xdr_fb_peer_reply, (gpointer) peer_reply)
+         > FB_CODEC_RECORD_MAX_BYTES;
+}
+
+/* Leaves out the checkpoints in PEER_REPLY, whose lists are PROGRESS, if it is too large: first
+ * those of runs, which are listed again, then those of ends. Without the lists the worker would
+ * seem silent. */
+static void
+leave_out_checkpoints (const char *worker, fb_relay_progress_reply *progress,
+                       const fb_peer_reply *peer_reply)
+{
+  fb_relay_reply *order = &progress->order;
+  if (!is_too_large (peer_reply))
+    return;
+  for (u_int i = 0; i < order->running.running_len; i++)
+    order->running.running_val[i].checkpoint = (char *) "";
+  gboolean with_ends = is_too_large (peer_reply);
+  for (u_int i = 0; with_ends && i < order->finished.finished_len; i++)
+    order->finished.finished_val[i].checkpoint = (char *) "";
+  fb_event_log (FB_EVENT_CHECKPOINTS_LEFT_OUT, "worker=%s tasks=%u", worker,
+                order->running.running_len + (with_ends ? order->finished.finished_len : 0));
+}
+
 static void
 on_reply (gpointer data, const FbHttpReply *reply)
 {
@@ -448,6 +476,8 @@
     }
   else
     peer_reply.fb_peer_reply_u.order = progress.order;
+  if (reply->body != NULL && g_bytes_get_size (reply->body) > LARGE_ANSWER_BYTES)
+    leave_out_checkpoints (order->worker, &progress, &peer_reply);
   order->done (order->user, &peer_reply);
   fb_poll_answer_clear (&answer);
   g_free (order->worker);
--- a/src/entry/peers/suspect-backups.c
+++ b/src/entry/peers/suspect-backups.c
@@ -8,6 +8,8 @@
 /* Maximum age of a copy.  An outage of the store lasts some tens of seconds; an owner that still
  * exists sends changes again. */
 #define BACKUP_MAX_AGE_MS 60000
+/* Size of the copies in one reply; the rest of a message is for the ids of their jobs. */
+#define REPLY_MAX_BYTES (FB_CODEC_RECORD_MAX_BYTES / 16 * 15)
 
 typedef struct
 {
@@ -64,13 +66,18 @@
   if (previous != NULL && previous->epoch > backup->epoch)
     return;
   g_hash_table_foreach_remove (self->jobs, is_expired_entry, &now_ms);
-  g_hash_table_remove (self->jobs, backup->job);
-  if (backup->suspects.tasks.tasks_len == 0
-      || g_hash_table_size (self->jobs) >= FB_WORK_MAX_SUSPECT_BACKUPS)
+  gboolean is_empty = backup->suspects.tasks.tasks_len == 0;
+  GBytes *suspects = is_empty ? NULL : fb_codec_encode_suspects (&backup->suspects);
+  if (suspects == NULL && !is_empty)
     return;
-  GBytes *suspects = fb_codec_encode_suspects (&backup->suspects);
-  if (suspects == NULL)
+  g_hash_table_remove (self->jobs, backup->job);
+  if (is_empty)
     return;
+  if (g_hash_table_size (self->jobs) >= FB_WORK_MAX_SUSPECT_BACKUPS)
+    {
+      g_bytes_unref (suspects);
+      return;
+    }
   Backup *copy = g_new0 (Backup, 1);
   copy->epoch = backup->epoch;
   copy->received_ms = now_ms;
@@ -85,6 +92,7 @@
   peer_reply->jobs.jobs_val
       = calloc (g_hash_table_size (self->jobs) + 1, sizeof (fb_suspects_backup));
   peer_reply->jobs.jobs_len = 0;
+  gsize left_bytes = REPLY_MAX_BYTES;
   GHashTableIter iter;
   gpointer id;
   gpointer value;
@@ -95,8 +103,11 @@
       gsize len = 0;
       gconstpointer data = g_bytes_get_data (backup->suspects, &len);
       fb_suspects_backup *job = &peer_reply->jobs.jobs_val[peer_reply->jobs.jobs_len];
-      if (has_expired (backup, now_ms) || !fb_codec_decode_suspects (data, len, &job->suspects))
+      /* A reply that is too large would lose the copies of all jobs. */
+      if (has_expired (backup, now_ms) || g_bytes_get_size (backup->suspects) > left_bytes
+          || !fb_codec_decode_suspects (data, len, &job->suspects))
         continue;
+      left_bytes -= g_bytes_get_size (backup->suspects);
       job->job = strdup (id);
       job->epoch = backup->epoch;
       peer_reply->jobs.jobs_len++;
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -3,6 +3,7 @@
  * A record holds only tasks that have ended or have a checkpoint.  The others are found again by
  * polling the workers, so a start needs no write to the store. */
 #include "internal/codec.h"
+#include "internal/pool-compact.h"
 #include "internal/pool-crash.h"
 
 #include <stdlib.h>
@@ -293,18 +294,18 @@
 static void
 add_task_progress (GArray *task_progress, const FbPoolStep *step)
 {
-  for (uint32_t i = 0; i < step->spec->count && task_progress->len < FB_WORK_MAX_TASK_ROWS; i++)
+  for (uint32_t i = 0; i < step->spec->count; i++)
     {
       const FbPoolTask *task = &step->tasks[i];
       if (!has_progress (task))
         continue;
-      fb_work_task_progress row
-          = { .occurrence = step->occurrence,
-              .step = step->index,
-              .index = i,
-              .attempt = task->attempt,
-              .done = task->done,
-              .checkpoint = task->checkpoint != NULL ? task->checkpoint : "" };
+      gboolean has_checkpoint = task->checkpoint != NULL && !task->done;
+      fb_work_task_progress row = { .occurrence = step->occurrence,
+                                    .step = step->index,
+                                    .index = i,
+                                    .attempt = task->attempt,
+                                    .done = task->done,
+                                    .checkpoint = has_checkpoint ? task->checkpoint : (char *) "" };
       if (task->failed != NULL)
         {
           row.failed.failed_len = task->failed->len;
@@ -336,9 +337,8 @@
   job->record.account = strdup (account);
 }
 
-/* PROGRESS borrows strings from the job; the caller frees its array of task progress. */
-void
-fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress)
+guint
+fb_pool_job_progress (const FbPoolJob *job, gsize max_bytes, fb_work_progress *progress)
 {
   GArray *task_progress = g_array_new (FALSE, TRUE, sizeof (fb_work_task_progress));
   gboolean ended = fb_pool_job_ended (job);
@@ -350,11 +350,44 @@
       for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
         add_task_progress (task_progress, &occurrence->steps[j]);
     }
+  guint left_out_n = ended ? 0 : fb_pool_compact_rows (job, task_progress, max_bytes);
   progress->state = job->state;
   progress->ended_ms = job->ended_wall_ms;
   progress->task_progress.task_progress_len = task_progress->len;
   progress->task_progress.task_progress_val
       = (fb_work_task_progress *) g_array_free (task_progress, FALSE);
+  return left_out_n;
+}
+
+static void
+restore_done (FbPoolStep *step, uint32_t index)
+{
+  FbPoolTask *task = &step->tasks[index];
+  step->done_n += !task->done;
+  task->done = TRUE;
+}
+
+/* Restores N tasks that are done, in the order of the job from that of ROW on. */
+static void
+restore_series (FbPoolJob *job, const fb_work_task_progress *row, uint32_t n)
+{
+  uint32_t occurrence = row->occurrence;
+  uint32_t step_index = fb_pool_compact_step (row);
+  uint32_t index = row->index;
+  FbPoolStep *step = fb_pool_job_step (job, occurrence, step_index);
+  while (n > 0 && step != NULL)
+    {
+      for (; n > 0 && index < step->spec->count; n--)
+        restore_done (step, index++);
+      index = 0;
+      if (++step_index == job->record.spec.steps.steps_len)
+        {
+          step_index = 0;
+          occurrence++;
+        }
+      if (n > 0)
+        step = fb_pool_job_step (job, occurrence, step_index);
+    }
 }
 
 static void
@@ -365,6 +398,12 @@
       restore_account (job, row->checkpoint);
       return;
     }
+  uint32_t series_n = fb_pool_compact_series_n (row);
+  if (series_n > 0)
+    {
+      restore_series (job, row, series_n);
+      return;
+    }
   FbPoolStep *step = fb_pool_job_step (job, row->occurrence, row->step);
   if (step == NULL || row->index >= step->spec->count)
     return;
@@ -373,11 +412,8 @@
   for (u_int i = 0; i < row->failed.failed_len; i++)
     (void) fb_pool_task_count_failed (task, row->failed.failed_val[i]);
   fb_pool_task_set_checkpoint (step, row->index, row->checkpoint);
-  if (row->done && !task->done)
-    {
-      task->done = TRUE;
-      step->done_n++;
-    }
+  if (row->done)
+    restore_done (step, row->index);
   step->gang_attempt = MAX (step->gang_attempt, task->attempt);
 }
 
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -2,6 +2,7 @@
  *
  * One flush is open at a time and contains everything that changed since the previous one. Ends of
  * runs in it may be acknowledged, and job states shown to callers, once it is stored. */
+#include "fb-event.h"
 #include "internal/codec.h"
 #include "internal/pool-crash.h"
 #include "internal/pool-silence.h"
@@ -25,13 +26,27 @@
     worker->flushing_end = worker->processed_end;
 }
 
+static void
+log_left_out (FbPoolJob *job, guint left_out_n)
+{
+  if (left_out_n > 0 && job->checkpoints_left_out_n == 0)
+    fb_event_log (FB_EVENT_CHECKPOINTS_LEFT_OUT, "job=%s tasks=%u", job->id, left_out_n);
+  job->checkpoints_left_out_n = left_out_n;
+}
+
+/* Returns: (transfer full) (nullable): the record of JOB; NULL when it cannot be encoded. */
 static GBytes *
-encode_progress (const FbPoolJob *job)
+encode_progress (const FbPool *self, FbPoolJob *job)
 {
   fb_work_progress progress;
   fb_work_suspects suspects;
-  fb_pool_job_progress (job, &progress);
   fb_pool_crash_record (job, &suspects);
+  gsize max_bytes = FB_CODEC_RECORD_MAX_BYTES;
+  if (self->limits.max_progress_bytes > 0)
+    max_bytes = MIN (self->limits.max_progress_bytes, max_bytes);
+  gsize suspects_bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_suspects, &suspects);
+  log_left_out (job,
+                fb_pool_job_progress (job, max_bytes - MIN (suspects_bytes, max_bytes), &progress));
   GBytes *bytes = fb_codec_encode_progress (&progress, &suspects);
   g_free (progress.task_progress.task_progress_val);
   fb_pool_crash_record_clear (&suspects);
@@ -55,6 +70,12 @@
   return record;
 }
 
+static void
+add_deletion (GPtrArray *records, const char *job)
+{
+  add_record (records, job, NULL)->is_deletion = TRUE;
+}
+
 static gboolean
 has_run (FbPool *self, const FbPoolJob *job)
 {
@@ -75,6 +96,38 @@
   return FALSE;
 }
 
+static void
+hold_end (FbPoolWorker *worker, uint64_t number)
+{
+  if (worker->unstored_end == 0 || number < worker->unstored_end)
+    worker->unstored_end = number;
+}
+
+/* Any end that is not acknowledged yet may be one of the job that is not stored, also one that was
+ * processed after the open flush began. */
+static void
+hold_processed_ends (FbPool *self)
+{
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      if (worker->processed_end > worker->acknowledged)
+        hold_end (worker, worker->acknowledged + 1);
+    }
+}
+
+/* No record of JOB of BYTES or more is stored. */
+static void
+set_not_accepted (FbPool *self, FbPoolJob *job, gsize bytes)
+{
+  self->not_accepted_n += job->not_accepted_bytes == 0;
+  job->not_accepted_bytes = bytes;
+  hold_processed_ends (self);
+  /* The record in the same flush may tell that runs with these ends are over. */
+  self->workers_dirty = TRUE;
+}
+
 static void
 flush_jobs (FbPool *self, GPtrArray *records)
 {
@@ -84,7 +137,14 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       FbPoolJob *job = value;
-      GBytes *progress = encode_progress (job);
+      GBytes *progress = encode_progress (self, job);
+      if (progress == NULL)
+        {
+          if (job->not_accepted_bytes == 0)
+            fb_event_log (FB_EVENT_RECORD_NOT_ACCEPTED, "key=%s not encoded", job->id);
+          set_not_accepted (self, job, G_MAXSIZE);
+          continue;
+        }
       if (is_not_accepted (job, progress))
         {
           g_bytes_unref (progress);
@@ -98,7 +158,23 @@
   g_hash_table_remove_all (self->dirty);
 }
 
-/* Returns: (transfer full): the record of all workers.
+/* Leaves out the steps of ROW if they do not fit into LEFT_BYTES.  The next owner then counts with
+ * runs of any step there.
+ * Returns: the bytes that are left. */
+static gsize
+leave_out_steps (fb_work_known_worker *row, gsize left_bytes)
+{
+  gsize bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
+  if (bytes > left_bytes && row->steps.steps_len > 0)
+    {
+      fb_pool_drain_record_clear (row);
+      row->steps_known = FALSE;
+      bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
+    }
+  return left_bytes - MIN (bytes, left_bytes);
+}
+
+/* Returns: (transfer full) (nullable): the record of all workers; NULL when it cannot be encoded.
  *
  * An owner of an earlier version does not know which workers are closed. If it started work there
  * and its successor then read both records, the work would run twice. So closed workers with known
@@ -108,6 +184,8 @@
 encode_workers (FbPool *self, uint64_t now_ms)
 {
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS - 1);
+  gsize left_bytes
+      = self->limits.max_workers_bytes > 0 ? self->limits.max_workers_bytes : G_MAXSIZE;
   g_autofree fb_work_known_worker *known = g_new0 (fb_work_known_worker, n + 1);
   g_autofree char *mark = g_strdup_printf ("#record %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
                                            self->epoch, self->flushes_n);
@@ -124,6 +202,7 @@
       g_autoptr (GHashTable) runs = fb_pool_silence_runs (self, worker, now_ms);
       has_closed = has_closed || fb_pool_silence_will_close (self, worker, now_ms);
       fb_pool_drain_record (worker, runs, row);
+      left_bytes = leave_out_steps (row, left_bytes);
     }
   if (has_closed)
     known[record.workers.workers_len++]
@@ -158,6 +237,17 @@
          || (self->workers_complete && fb_pool_may_place (self) && has_unrecorded_worker (self));
 }
 
+static void
+workers_record_not_accepted (FbPool *self)
+{
+  guint slot = 0;
+  FbPoolWorker *worker = NULL;
+  fb_pool_silence_not_stored (self);
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    worker->in_open_record = FALSE;
+  self->workers_dirty = TRUE;
+}
+
 /* The record of a pool that has not recovered contains the workers of the previous record that are
  * still unconfirmed, since these are removed only when they are known to be gone. */
 static void
@@ -170,8 +260,16 @@
     return;
   self->workers_dirty = !self->recovered;
   fb_pool_silence_choose_rows (self, now_ms);
+  GBytes *silent = NULL;
   GBytes *workers = encode_workers (self, now_ms);
-  GBytes *silent = fb_pool_silence_record (self, workers, now_ms);
+  if (workers == NULL || !fb_pool_silence_record (self, workers, now_ms, &silent))
+    {
+      fb_event_log (FB_EVENT_RECORD_NOT_ACCEPTED, "workers of service=%s not encoded",
+                    self->service);
+      g_clear_pointer (&workers, g_bytes_unref);
+      workers_record_not_accepted (self);
+      return;
+    }
   add_record (records, NULL, workers)->kind = FB_POOL_RECORD_WORKERS;
   if (silent != NULL)
     add_record (records, NULL, silent)->kind = FB_POOL_RECORD_SILENT_WORKERS;
@@ -189,7 +287,7 @@
       if (job->stored_state != job->state
           || wall_ms <= job->ended_wall_ms + FB_POOL_ENDED_JOB_RETENTION_MS || has_run (self, job))
         continue;
-      add_record (records, job->id, NULL);
+      add_deletion (records, job->id);
       g_hash_table_iter_remove (&iter);
       fb_pool_queue_remove_job (self, job);
       fb_pool_unstored_suspects_remove (self, job);
@@ -231,13 +329,6 @@
 
 /* ---- records that the store does not accept ------------------------------------------ */
 
-static void
-hold_end (FbPoolWorker *worker, uint64_t number)
-{
-  if (worker->unstored_end == 0 || number < worker->unstored_end)
-    worker->unstored_end = number;
-}
-
 void
 fb_pool_record_hold_end (FbPoolWorker *worker, const FbPoolJob *job, uint64_t number)
 {
@@ -245,20 +336,6 @@
     hold_end (worker, number);
 }
 
-/* Any end that is not acknowledged yet may be one of the job that is not stored, also one that was
- * processed after the open flush began. */
-static void
-hold_processed_ends (FbPool *self)
-{
-  guint slot = 0;
-  FbPoolWorker *worker = NULL;
-  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
-    {
-      if (worker->processed_end > worker->acknowledged)
-        hold_end (worker, worker->acknowledged + 1);
-    }
-}
-
 static void
 release_ends (FbPool *self)
 {
@@ -268,17 +345,6 @@
     worker->unstored_end = 0;
 }
 
-static void
-workers_record_not_accepted (FbPool *self)
-{
-  guint slot = 0;
-  FbPoolWorker *worker = NULL;
-  fb_pool_silence_not_stored (self);
-  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
-    worker->in_open_record = FALSE;
-  self->workers_dirty = TRUE;
-}
-
 void
 fb_pool_record_not_accepted (FbPool *self, const char *id, gsize bytes)
 {
@@ -287,11 +353,7 @@
     workers_record_not_accepted (self);
   if (job == NULL || !g_ptr_array_remove (self->in_flush, job))
     return;
-  self->not_accepted_n += job->not_accepted_bytes == 0;
-  job->not_accepted_bytes = bytes;
-  hold_processed_ends (self);
-  /* The record in the same flush may tell that runs with these ends are over. */
-  self->workers_dirty = TRUE;
+  set_not_accepted (self, job, bytes);
 }
 
 /* The record of JOB has been stored. */
--- a/src/work/pool-silence.c
+++ b/src/work/pool-silence.c
@@ -519,8 +519,8 @@
     }
 }
 
-GBytes *
-fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms)
+gboolean
+fb_pool_silence_record (FbPool *self, GBytes *workers, uint64_t now_ms, GBytes **silent)
 {
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS);
   g_autofree fb_work_silent_worker *rows = g_new0 (fb_work_silent_worker, n + 1);
@@ -545,12 +545,11 @@
     }
   write_clocks (self, clocks, &record.clocks.clocks_len, now_ms);
   close_workers (self, &record);
-  GBytes *bytes = record.workers.workers_len > 0 || may_restart
-                      ? fb_codec_encode_silent_workers (&record)
-                      : NULL;
+  gboolean is_needed = record.workers.workers_len > 0 || may_restart;
+  *silent = is_needed ? fb_codec_encode_silent_workers (&record) : NULL;
   for (u_int i = 0; i < record.workers.workers_len; i++)
     clear_row (&rows[i]);
-  return bytes;
+  return !is_needed || *silent != NULL;
 }
 
 /* ---- reading ------------------------------------------------------------------------------ */
--- a/src/work/pool-unstored-suspects.c
+++ b/src/work/pool-unstored-suspects.c
@@ -45,15 +45,17 @@
   return !g_hash_table_contains (self->dirty, job) && !g_ptr_array_find (self->in_flush, job, NULL);
 }
 
-/* Returns: (transfer full) (nullable): NULL when no task of JOB is suspected. */
-static GBytes *
-encode_suspects (const FbPoolJob *job)
+/* Sets *BYTES (transfer full) to the suspects of JOB; to NULL when none of its tasks is suspected.
+ * Returns: FALSE when they cannot be encoded. */
+static gboolean
+encode_suspects (const FbPoolJob *job, GBytes **bytes)
 {
   fb_work_suspects suspects;
   fb_pool_crash_record (job, &suspects);
-  GBytes *bytes = suspects.tasks.tasks_len > 0 ? fb_codec_encode_suspects (&suspects) : NULL;
+  gboolean is_empty = suspects.tasks.tasks_len == 0;
+  *bytes = is_empty ? NULL : fb_codec_encode_suspects (&suspects);
   fb_pool_crash_record_clear (&suspects);
-  return bytes;
+  return is_empty || *bytes != NULL;
 }
 
 static void
@@ -82,13 +84,14 @@
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
       FbPoolJob *job = value;
+      GBytes *suspects = NULL;
       if (is_stored (self, job))
         {
           add_unstored (all, job, NULL);
           g_hash_table_iter_remove (&iter);
         }
-      else if (is_late && job->unstored_changed)
-        add_unstored (all, job, encode_suspects (job));
+      else if (is_late && job->unstored_changed && encode_suspects (job, &suspects))
+        add_unstored (all, job, suspects);
     }
   if (all->len > 0)
     return all;
--- a/standins/standin-platform-payload.c
+++ b/standins/standin-platform-payload.c
@@ -29,5 +29,6 @@
                       .crashes = crashes,
                       .cpu_milli = number_of_step (spec, " cpu=", step, DEFAULT_CPU_MILLI),
                       .gang_n = number_of_step (spec, " gang=", step, 0),
-                      .saves = number_of_step (spec, " saves=", step, 0) != 0 };
+                      .saves = number_of_step (spec, " saves=", step, 0) != 0,
+                      .saved_chars = number_of_step (spec, " saved-chars=", step, 0) };
 }
--- a/standins/standin-platform-workers.c
+++ b/standins/standin-platform-workers.c
@@ -226,8 +226,12 @@
   gint64 saved_ms = run->restored_ms + work_ms / CHECKPOINT_MS * CHECKPOINT_MS;
   if (!run->payload.saves || MAX (saved_ms, run->saved_ms) == 0)
     return g_strdup ("");
-  return g_strdup_printf (CHECKPOINT_PREFIX "%" G_GINT64_FORMAT,
-                          run->stopping ? run->saved_ms : saved_ms);
+  GString *checkpoint = g_string_new (NULL);
+  g_string_printf (checkpoint, CHECKPOINT_PREFIX "%" G_GINT64_FORMAT,
+                   run->stopping ? run->saved_ms : saved_ms);
+  while (checkpoint->len < run->payload.saved_chars)
+    g_string_append_c (checkpoint, '-');
+  return g_string_free (checkpoint, FALSE);
 }
 
 /* Returns: (transfer full): RUN in the words of the audit. */
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -4,7 +4,8 @@
  *
  * The payload of a task is its run time in ms.  The payload "crash N" crashes the worker of the
  * task after N ms.  Lists with a number for each step of the job may follow: "cpu=" in thousandths
- * of a core, "gang=" the members of a gang, "saves=" 1 where tasks save checkpoints.
+ * of a core, "gang=" the members of a gang, "saves=" 1 where tasks save checkpoints,
+ * "saved-chars=" the least length of these.
  *
  * POST /control sets faults:
  *   {"outage":true}               the store rejects all calls with 503
--- a/standins/standin-platform.h
+++ b/standins/standin-platform.h
@@ -76,8 +76,9 @@
   gint64 work_ms;
   gboolean crashes; /* it crashes its worker when it ends */
   guint cpu_milli;
-  guint gang_n;   /* members of its gang; 0: it is in none */
-  gboolean saves; /* it saves checkpoints */
+  guint gang_n;      /* members of its gang; 0: it is in none */
+  gboolean saves;    /* it saves checkpoints */
+  guint saved_chars; /* least length of its checkpoints */
 } SpPayload;
 
 SpPayload sp_payload_parse (const char *spec, const char *task);
--- a/tests/large-pool.c
+++ b/tests/large-pool.c
@@ -62,8 +62,10 @@
 void
 large_pool_begin (LargePool *self, guint workers_n, uint64_t now_ms)
 {
-  static const FbPoolLimits limits
-      = { .max_lease_ms = 6000, .max_stop_ms = 200, .gang_wait_ms = 3000 };
+  static const FbPoolLimits limits = { .max_lease_ms = 6000,
+                                       .max_stop_ms = 200,
+                                       .gang_wait_ms = 3000,
+                                       .max_progress_bytes = LARGE_POOL_PROGRESS_MAX_BYTES };
   *self = (LargePool){ .workers_n = workers_n, .workers = g_new0 (LargePoolWorker, workers_n) };
   self->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   self->starts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -193,3 +195,18 @@
     }
   return n;
 }
+
+void
+large_pool_save (LargePool *self, const char *job, const char *checkpoint)
+{
+  for (guint i = 0; i < self->workers_n; i++)
+    {
+      GArray *runs = self->workers[i].runs;
+      for (guint j = 0; j < runs->len; j++)
+        {
+          FbReportedRun *run = &g_array_index (runs, FbReportedRun, j);
+          if (g_str_has_prefix (run->task, job))
+            run->checkpoint = (char *) checkpoint;
+        }
+    }
+}
--- a/tests/large-pool.h
+++ b/tests/large-pool.h
@@ -5,6 +5,8 @@
 
 #define LARGE_POOL_SERVICE "svc"
 #define LARGE_POOL_WORKER_CPU 16000
+/* Of an owner whose store takes appends of 2 MiB. */
+#define LARGE_POOL_PROGRESS_MAX_BYTES (2097152 / 16 * 15)
 #define LARGE_POOL_WALL_OFFSET_MS 1000000000
 
 typedef struct
@@ -42,3 +44,5 @@
 /* Up to MAX_N runs of JOB end as done, with CHECKPOINT; reported with the next answers.  Returns:
  * how many. */
 guint large_pool_end_runs (LargePool *self, const char *job, guint max_n, const char *checkpoint);
+/* All runs of JOB save CHECKPOINT, which is borrowed and listed by the next answers. */
+void large_pool_save (LargePool *self, const char *job, const char *checkpoint);
--- a/tests/test-store-limits.c
+++ b/tests/test-store-limits.c
@@ -3,6 +3,7 @@
 
 #include "fb-event.h"
 #include "internal/codec.h"
+#include "internal/pool-compact.h"
 #include "internal/pool-private.h"
 #include "src/entry/owner/owner-private.h"
 #include "src/entry/store/record-parts.h"
@@ -340,8 +341,8 @@
 
 #define LARGE_JOB "00000000000000a1"
 #define SMALL_JOB "00000000000000b2"
-#define LARGE_JOB_TASKS 9000
-#define LARGE_JOB_ENDS 8000
+#define LARGE_JOB_TASKS 10000
+#define LARGE_JOB_ENDS 9800
 #define LATER_ENDS 100
 #define CHECKPOINT "checkpoint-of-a-usual-length"
 
@@ -409,6 +410,55 @@
   end (&self);
 }
 
+static guint
+done_n (const fb_work_progress *progress)
+{
+  guint n = 0;
+  for (u_int i = 0; i < progress->task_progress.task_progress_len; i++)
+    {
+      const fb_work_task_progress *row = &progress->task_progress.task_progress_val[i];
+      n += row->done ? MAX (fb_pool_compact_series_n (row), 1) : 0;
+    }
+  return n;
+}
+
+/* Guards against a job that is deleted because a checkpoint exceeds a limit of its record. */
+static void
+test_long_checkpoint_deletes_no_job (void)
+{
+  static const gsize sizes[] = { 158, 300, 1000, 20000, 150000, 3000000, 6000000 };
+  for (guint i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      static Fixture self;
+      g_autofree char *checkpoint = g_strnfill (sizes[i], 'c');
+      CU_ASSERT_TRUE_FATAL (begin (&self, 8));
+      large_pool_recover (&self.large, &self.now_ms);
+      large_pool_admit (&self.large, LARGE_JOB, 24, 100, self.now_ms);
+      run_for (&self, 20);
+      large_pool_save (&self.large, LARGE_JOB, checkpoint);
+      run_for (&self, 5);
+      CU_ASSERT_EQUAL (large_pool_end_runs (&self.large, LARGE_JOB, 12, ""), 12);
+      run_for (&self, 5);
+      CU_ASSERT_TRUE (flush (&self));
+      CU_ASSERT_EQUAL (self.owner.stale_keys->len, 0);
+      g_autoptr (GHashTable) records = read_all (&self);
+      g_autoptr (GBytes) value = fb_record_parts_join (records, LARGE_JOB);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (value);
+      gsize len = 0;
+      gconstpointer data = g_bytes_get_data (value, &len);
+      fb_work_progress progress;
+      fb_work_suspects suspects;
+      CU_ASSERT_TRUE_FATAL (fb_codec_decode_progress (data, len, &progress, &suspects));
+      CU_ASSERT_EQUAL (done_n (&progress), 12);
+      if (sizes[i] * 12 < LARGE_POOL_PROGRESS_MAX_BYTES)
+        CU_ASSERT_EQUAL (progress.task_progress.task_progress_len, 24);
+      fb_codec_clear_progress (&progress, &suspects);
+      run_for (&self, 5);
+      CU_ASSERT_EQUAL (unacknowledged_n (&self.large, LARGE_JOB), 0);
+      end (&self);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -429,6 +479,7 @@
                test_workers_of_a_large_pool_are_stored);
   CU_add_test (suite, "progress of a large job is stored", test_progress_of_a_large_job_is_stored);
   CU_add_test (suite, "record at fault is left out", test_record_at_fault_is_left_out);
+  CU_add_test (suite, "long checkpoint deletes no job", test_long_checkpoint_deletes_no_job);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   guint failures = CU_get_number_of_failures ();
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -143,6 +143,7 @@
 verdict "cancels on workers without a free connection, with processes" tests/crowded-workers.sh
 verdict "cancels at routes that were dropped, with processes" tests/dropped-routes.sh
 verdict "client accounts with processes" tests/accounts.sh
+verdict "long checkpoints, with processes" tests/long-checkpoints.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
 verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
 verdict "admission by forecast with processes" tests/admission.sh
@@ -155,6 +156,7 @@
 verdict "admission by forecast" $B/tests/test-admission
 verdict "admission by forecast between daemons" $B/tests/test-admission-entry
 verdict "costs of large pools" $B/tests/test-large-pool
+verdict "limits of records" $B/tests/test-record-limits
 verdict "limits of the store" $B/tests/test-store-limits $B/standins/standin-platform
 verdict "work per iteration of a takeover" $B/tests/test-takeover $B/standins/standin-platform
 verdict "takeover by slow daemons" tests/takeover.sh
