A job stays with the service that runs it when its record was replaced and the owner lost

Callers saw: a queue is directed to another service whose name falls on the same partition, the owner of the partition is killed, and a submission is repeated.

Cause: services of one partition share the keys of their submissions. An owner stores the replaced record again; one that is lost cannot, and its successor knows the job for the second service only. The first pool then disclaimed a job that is in no record of it, although its workers list the runs; or the record was deleted as one that its own service had disclaimed.

Change: a pool disclaims a job that was loaded at the takeover only when it has heard all workers that an earlier owner may have used, or their leases have ended. If one lists a run of the job, or an end of one that was not read, the held job returns to that service and its record is stored again.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -149,10 +149,11 @@
   uint64_t processed_end; /* highest number of an end that has been processed */
   /* Lists an end of a job that is not known yet, or may have more ends than one answer holds. */
   gboolean has_unknown_end;
-  uint64_t unknown_end;    /* number of the last such end; 0: none */
-  uint64_t unknown_end_ms; /* when that end was first listed */
-  uint64_t flushing_end;   /* processed_end when the open flush began */
-  uint64_t acknowledged;   /* highest number of an end whose effects are stored */
+  uint64_t unknown_end;                           /* number of the last such end; 0: none */
+  char unknown_end_job[FB_WORK_JOB_ID_CHARS + 1]; /* its job */
+  uint64_t unknown_end_ms;                        /* when that end was first listed */
+  uint64_t flushing_end;                          /* processed_end when the open flush began */
+  uint64_t acknowledged; /* highest number of an end whose effects are stored */
   uint64_t unstored_end; /* lowest number of an end that may be in a record that the store does not
                           * accept; 0: none */
   gboolean has_failed_stop; /* a run has FbPoolRun.stop_failed, so polls yield their connection */
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -17,6 +17,9 @@
 #include "fb-event.h"
 #include "internal/codec.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #define CLAIM_TIMEOUT_MS 700
 /* Pause after a claim that was not answered, as the owner of the other pool is being replaced. */
 #define RETRY_MS 100
@@ -109,6 +112,13 @@
   return FALSE;
 }
 
+gboolean
+fb_owner_is_job_loaded (const FbOwner *self, const char *job)
+{
+  const FbHeldJob *held = fb_owner_held_job (self, job);
+  return held != NULL && held->is_loaded;
+}
+
 gboolean
 fb_owner_is_job_held (gpointer service_pool, const char *job)
 {
@@ -215,6 +225,66 @@
     g_ptr_array_add (self->stale_keys, g_strdup_printf ("%c%s", FB_KEY_JOB, job));
 }
 
+static gboolean
+is_in_pool (const FbOwner *self, const char *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+  fb_work_state state;
+  g_hash_table_iter_init (&iter, self->service_pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (fb_pool_job_state (((const FbServicePool *) value)->pool, job, &state))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+set_service (FbOwner *self, const char *job, fb_work_admit *record, const char *service,
+             const char *reason)
+{
+  fb_event_log (FB_EVENT_JOB_RETURNED, "job=%s queue=%s service=%s recorded=%s why=\"%s\"", job,
+                record->policy.queue, service, record->policy.service, reason);
+  char *previous = record->policy.service;
+  record->policy.service = strdup (service);
+  free (previous);
+  (void) fb_owner_pool_for (self, service);
+}
+
+/* The service of RECORD, that of SERVICE_POOL, has disclaimed JOB.  If that was for another service
+ * of the partition, the repeated submission has replaced the record of the job for that one. */
+static void
+admit_for_claimant (FbOwner *self, const FbServicePool *service_pool, const char *job,
+                    fb_work_admit *record)
+{
+  const char *claimant = fb_owner_claimant_here (service_pool, job);
+  if (claimant == NULL || is_in_pool (self, job))
+    {
+      delete_record (self, job);
+      return;
+    }
+  set_service (self, job, record, claimant, "disclaimed");
+  fb_owner_admit (self, job, record);
+  (void) restore_record (self, job);
+}
+
+gboolean
+fb_owner_return_held_job (FbOwner *self, const char *job, const char *service)
+{
+  FbHeldJob *held = g_hash_table_lookup (self->held_jobs, job);
+  if (held == NULL)
+    return FALSE;
+  set_service (self, job, &held->record, service, "runs");
+  held->receipt = (FbPoolReceipt){ 0 };
+  held->disclaimed_n = 0;
+  held->is_claimed = FALSE;
+  held->next_ms = 0;
+  (void) restore_record (self, job);
+  fb_owner_schedule_tick (self);
+  return TRUE;
+}
+
 void
 fb_owner_admit (FbOwner *self, const char *job, fb_work_admit *record)
 {
@@ -231,7 +301,7 @@
     }
   if (g_hash_table_contains (service_pool->disclaimed, job))
     {
-      delete_record (self, job);
+      admit_for_claimant (self, service_pool, job, record);
       return;
     }
   if (fb_queue_directory_position (fb_entry_queue_directory (self->entry), record->policy.queue,
@@ -306,6 +376,7 @@
       return;
     }
   g_autoptr (GPtrArray) cancels = g_ptr_array_ref (held->cancels);
+  fb_owner_forget_claimant (self, passed->job, held->record.policy.service);
   fb_owner_forget_held_job (self, passed->job);
   delete_record (self, passed->job);
   for (guint i = 0; i < cancels->len; i++)
@@ -379,7 +450,8 @@
     }
   if (reply != NULL)
     fb_owner_schedule_tick (self);
-  else
+  else if (fb_entry_owner (self->entry, fb_entry_partition_of (self->entry, claim->service))
+           == NULL)
     fb_group_refresh_owners (self->entry->group);
 }
 
--- a/src/entry/owner/owner-flush.c
+++ b/src/entry/owner/owner-flush.c
@@ -214,6 +214,18 @@
   store_part (self, flush, from, at - from, body);
 }
 
+/* Without the record of its end, a job would be taken for one that its claimant has not begun. */
+static void
+forget_claimants (FbOwner *self, const Flush *flush)
+{
+  for (guint i = 0; i < flush->records->len; i++)
+    {
+      const FbPoolRecord *record = flush->records->pdata[i];
+      if (record->is_deletion)
+        fb_owner_forget_claimant (self, record->job, NULL);
+    }
+}
+
 void
 fb_owner_flush (FbServicePool *service_pool)
 {
@@ -228,6 +240,7 @@
   flush->service = g_strdup (service_pool->service);
   flush->records = records;
   self->open_flushes++;
+  forget_claimants (self, flush);
   /* Keeps FLUSH until all parts have been begun. */
   flush->open_n++;
   store_all (self, flush);
--- a/src/entry/owner/owner-private.h
+++ b/src/entry/owner/owner-private.h
@@ -16,9 +16,8 @@
   FbAccountParts *parts; /* its parts of the caps of client accounts */
   uint64_t parts_ms;     /* time at which they were last applied to the pool */
   FbAdmissionControl *admission;
-  GHashTable *disclaimed; /* job that it never runs -> uint64_t: when that was stored, by the wall
-                           * clock */
-  guint refused_n;        /* jobs refused since that was last logged */
+  GHashTable *disclaimed;     /* job that it never runs -> FbDisclaimed, see owner-disclaimers.c */
+  guint refused_n;            /* jobs refused since that was last logged */
   uint64_t refused_logged_ms; /* when that was; 0: never */
 } FbServicePool;
 
@@ -106,6 +105,11 @@
 void fb_owner_hold_progress (FbHeldJob *held, GBytes *progress);
 void fb_owner_hold_cancel (FbHeldJob *held, GBytes *cancel);
 void fb_owner_forget_held_job (FbOwner *self, const char *job);
+/* Returns: TRUE when JOB is held and was stored before the takeover. */
+gboolean fb_owner_is_job_loaded (const FbOwner *self, const char *job);
+/* Holds JOB, which is held for another service of the partition, for SERVICE, whose workers run it.
+ * Returns: FALSE when no such job is held. */
+gboolean fb_owner_return_held_job (FbOwner *self, const char *job, const char *service);
 /* POLICIES: queue -> fb_work_policy of the configuration in force. */
 void fb_owner_set_held_policies (FbOwner *self, GHashTable *policies);
 /* Returns: how many jobs of QUEUE are held that wait for their first start in the pool of
@@ -120,6 +124,14 @@
 void fb_owner_claim_held_jobs (FbOwner *self, uint64_t now_ms);
 /* owner-disclaimers.c */
 
+/* Returns: FbServicePool.disclaimed */
+GHashTable *fb_owner_disclaimed_new (void);
+/* Returns: (nullable): another service of the partition that may run JOB, to which the pool of
+ * SERVICE_POOL has disclaimed it; borrowed. */
+const char *fb_owner_claimant_here (const FbServicePool *service_pool, const char *job);
+/* JOB has ended or was given up: CLAIMANT, or each claimant if that is NULL, does not run it any
+ * more. */
+void fb_owner_forget_claimant (FbOwner *self, const char *job, const char *claimant);
 /* Answers the claims that are being stored that this owner is not available. */
 void fb_owner_abandon_disclaimers (FbOwner *self);
 /* Applies a record whose KEY begins with FB_KEY_DISCLAIMED. */
--- a/src/entry/owner/owner.c
+++ b/src/entry/owner/owner.c
@@ -96,7 +96,7 @@
   fb_pool_set_idle_daemons (service_pool->pool, fb_owner_idle_daemons);
   service_pool->parts = fb_account_parts_new (service, self->epoch);
   service_pool->admission = fb_admission_control_new ();
-  service_pool->disclaimed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  service_pool->disclaimed = fb_owner_disclaimed_new ();
   g_hash_table_insert (self->service_pools, service_pool->service, service_pool);
   add_listed_workers (service_pool);
   if (self->workers_known)
--- a/src/work/pool-report.c
+++ b/src/work/pool-report.c
@@ -554,6 +554,7 @@
   if (worker->unknown_end != end->number)
     worker->unknown_end_ms = now_ms;
   worker->unknown_end = end->number;
+  (void) g_strlcpy (worker->unknown_end_job, end->task, sizeof worker->unknown_end_job);
   return self->jobs_complete_ms <= worker->unknown_end_ms
          || fb_pool_is_of_held_job (self, end->task);
 }
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -120,6 +120,29 @@
 void __wrap_fb_pool_add_job_take (FbPool *self, const char *job, fb_work_admit *record,
                                   const FbPoolReceipt *receipt, uint64_t now_ms, uint64_t wall_ms);
 
+const char *__wrap_fb_relay_address_for (FbEntryDaemon *entry, const fb_relay_request *order);
+void __wrap_fb_relay_call_worker (FbEntryDaemon *entry, const fb_relay_request *order,
+                                  FbHttpReplyDone done, gpointer user);
+
+const char *
+__wrap_fb_relay_address_for (FbEntryDaemon *entry, const fb_relay_request *order)
+{
+  (void) entry;
+  (void) order;
+  return NULL;
+}
+
+/* Polls get no answer but those that a test gives itself. */
+void
+__wrap_fb_relay_call_worker (FbEntryDaemon *entry, const fb_relay_request *order,
+                             FbHttpReplyDone done, gpointer user)
+{
+  (void) entry;
+  (void) order;
+  (void) done;
+  (void) user;
+}
+
 uint64_t
 __wrap_fb_clock_ms (void)
 {
@@ -371,8 +394,10 @@
       size = GUINT32_FROM_BE (size);
       const guint8 *record = data + offset + sizeof size;
       char *key = g_strndup ((const char *) record + 1, record[0]);
-      g_hash_table_replace (append->daemon->disclaimed, key,
-                            g_bytes_new (record + 1 + record[0], size - 1 - record[0]));
+      if (g_str_has_prefix (key, FB_KEY_DISCLAIMED))
+        g_hash_table_replace (append->daemon->disclaimed, g_strdup (key),
+                              g_bytes_new (record + 1 + record[0], size - 1 - record[0]));
+      g_free (key);
       offset += (guint) sizeof size + size;
     }
   g_byte_array_unref (append->records);
@@ -638,6 +663,148 @@
   end ();
 }
 
+/* ---- services of one partition --------------------------------------------------------------- */
+
+#define WORKER "i-1@1"
+
+/* The directory at DAEMON lists FIRST before SECOND. */
+static void
+list_services (Daemon *daemon, const char *first, const char *second)
+{
+  const char *const names[] = { first, second };
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      FbQueueService *row = g_new0 (FbQueueService, 1);
+      row->service = (char *) names[i];
+      g_ptr_array_add (daemon->view, row);
+    }
+  daemon->view_n = (guint) daemon->view->len;
+}
+
+/* Replaces the owner of DAEMON; the only record of JOB is that of SERVICE.  The pool of the first
+ * service has a worker. */
+static void
+take_over (Daemon *daemon, const char *job, const char *service)
+{
+  static const char *const labels[] = { NULL };
+  const FbWorkerEntry worker = {
+    .id = WORKER, .address = "127.0.0.1:1", .labels = labels, .cpu_milli = 16000, .mem_mb = 64
+  };
+  stop_owner (daemon);
+  start_owner (daemon);
+  daemon->owner->loaded = FALSE;
+  fb_pool_workers_complete (fb_owner_pool_for (daemon->owner, SAME_PARTITION)->pool);
+  FbPool *pool = fb_owner_pool_for (daemon->owner, services[0])->pool;
+  fb_pool_worker_listed (pool, &worker, clock_ms);
+  fb_pool_workers_complete (pool);
+  admit (daemon, job, service);
+  daemon->owner->loaded = TRUE;
+}
+
+/* The worker answers the owner of DAEMON and lists a run of TASK, or none if it is NULL. */
+static void
+answer_poll (Daemon *daemon, const char *task)
+{
+  FbReportedRun run = { .task = (char *) task, .attempt = 1, .checkpoint = "" };
+  FbPollAnswer answer = { .result = FB_ORDER_DONE, .clock_ms = 5000 };
+  answer.running = g_array_new (FALSE, TRUE, sizeof (FbReportedRun));
+  answer.finished = g_array_new (FALSE, TRUE, sizeof (FbReportedEnd));
+  if (task != NULL)
+    g_array_append_val (answer.running, run);
+  fb_pool_poll_answered (fb_owner_pool_for (daemon->owner, services[0])->pool, WORKER, &answer,
+                         clock_ms, clock_ms);
+  fb_poll_answer_clear (&answer);
+}
+
+/* Lets the owner of DAEMON claim held jobs, and stores what it appends. */
+static void
+claim_and_store (Daemon *daemon)
+{
+  for (guint i = 0; i < 4; i++)
+    {
+      clock_ms += 200;
+      fb_owner_claim_held_jobs (daemon->owner, clock_ms);
+      while (appends->len > 0)
+        store_append (0);
+    }
+}
+
+static gboolean
+is_in_pool (Daemon *daemon, const char *service, const char *job)
+{
+  fb_work_state state;
+  return fb_pool_job_state (fb_owner_pool_for (daemon->owner, service)->pool, job, &state);
+}
+
+/* Guards against a second run of a job whose record a repeated submission to another service of the
+ * partition has replaced when the owner was lost. */
+static void
+test_running_job_whose_record_was_replaced (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autofree char *id = job_id (0);
+  g_autofree char *task = g_strconcat (id, ".0.0.0", NULL);
+  list_services (daemon, services[0], SAME_PARTITION);
+  take_over (daemon, id, SAME_PARTITION);
+  claim_and_store (daemon);
+  CU_ASSERT_PTR_NOT_NULL (fb_owner_held_job (daemon->owner, id));
+  answer_poll (daemon, task);
+  claim_and_store (daemon);
+  CU_ASSERT_TRUE (is_in_pool (daemon, services[0], id));
+  CU_ASSERT_FALSE (is_in_pool (daemon, SAME_PARTITION, id));
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against a job that waits forever for workers that an earlier owner may have used. */
+static void
+test_new_job_beside_a_worker_that_is_never_heard (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autofree char *id = job_id (0);
+  list_services (daemon, services[0], SAME_PARTITION);
+  take_over (daemon, id, SAME_PARTITION);
+  claim_and_store (daemon);
+  CU_ASSERT_FALSE (is_in_pool (daemon, SAME_PARTITION, id));
+  clock_ms += 30000;
+  claim_and_store (daemon);
+  CU_ASSERT_TRUE (is_in_pool (daemon, SAME_PARTITION, id));
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
+/* Guards against the loss of a job whose record was replaced so by one of a service that has
+ * disclaimed the job. */
+static void
+test_disclaimed_record_that_replaced_anothers (void)
+{
+  begin (1);
+  Daemon *daemon = &daemons[0];
+  g_autofree char *id = job_id (0);
+  list_services (daemon, SAME_PARTITION, services[0]);
+  fb_pool_workers_complete (fb_owner_pool_for (daemon->owner, SAME_PARTITION)->pool);
+  admit (daemon, id, services[0]);
+  claim_and_store (daemon);
+  CU_ASSERT_TRUE (is_in_pool (daemon, services[0], id));
+  take_over (daemon, id, SAME_PARTITION);
+  claim_and_store (daemon);
+  CU_ASSERT_TRUE (is_in_pool (daemon, services[0], id));
+  CU_ASSERT_FALSE (is_in_pool (daemon, SAME_PARTITION, id));
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 0);
+  /* Once the record of its end has expired, a late submission is no new job. */
+  fb_owner_forget_claimant (daemon->owner, id, NULL);
+  claim_and_store (daemon);
+  take_over (daemon, id, SAME_PARTITION);
+  claim_and_store (daemon);
+  CU_ASSERT_FALSE (is_in_pool (daemon, services[0], id));
+  CU_ASSERT_FALSE (is_in_pool (daemon, SAME_PARTITION, id));
+  CU_ASSERT_EQUAL (daemon->owner->stale_keys->len, 1);
+  __wrap_fb_appender_free ((gpointer) daemon);
+  end ();
+}
+
 /* Guards against the loss of a cancel that a new owner loads before it has read the directory. */
 static void
 test_cancels_wait_for_the_directory (void)
@@ -984,6 +1151,12 @@
   CU_pSuite suite = CU_add_suite ("claims of jobs by services", NULL, NULL);
   CU_add_test (suite, "each job runs in one pool", test_each_job_runs_in_one_pool);
   CU_add_test (suite, "a replaced record of a held job", test_replaced_record_of_a_held_job);
+  CU_add_test (suite, "a running job whose record was replaced",
+               test_running_job_whose_record_was_replaced);
+  CU_add_test (suite, "a new job beside a worker that is never heard",
+               test_new_job_beside_a_worker_that_is_never_heard);
+  CU_add_test (suite, "a disclaimed record that replaced another's",
+               test_disclaimed_record_that_replaced_anothers);
   CU_add_test (suite, "cancels wait for the directory", test_cancels_wait_for_the_directory);
   CU_add_test (suite, "a cancel is read before its job", test_a_cancel_is_read_before_its_job);
   CU_add_test (suite, "a notice of a cancel overtakes that of its job",
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -145,6 +145,7 @@
 verdict "client accounts with processes" tests/accounts.sh
 verdict "long checkpoints, with processes" tests/long-checkpoints.sh
 verdict "queues that change services, with processes" tests/queue-services.sh
+verdict "records that other services replace, with processes" tests/replaced-records.sh
 verdict "workers that are cut off, with processes" tests/cut-off-workers.sh
 verdict "admission by forecast with processes" tests/admission.sh
 verdict "placement rounds" $B/tests/test-rounds
