A configuration with a long account name or key is read

Callers saw: nothing of the new configuration on any daemon, since one account whose name had more than 63 bytes, or whose key had more than 256, made the whole configuration malformed. The page of the platform sets no length.

--- a/src/entry/accounts.h
+++ b/src/entry/accounts.h
@@ -10,7 +10,7 @@
 typedef struct _FbAccounts FbAccounts;
 
 /* Maximum length of a key in bytes. */
-#define FB_ACCOUNT_KEY_MAX_BYTES 256
+#define FB_ACCOUNT_KEY_MAX_BYTES 4096
 
 FbAccounts *fb_accounts_new (void);
 void fb_accounts_free (FbAccounts *self);
--- a/tests/test-accounts.c
+++ b/tests/test-accounts.c
@@ -50,6 +50,20 @@
   CU_ASSERT_PTR_NULL (fb_accounts_find (routes->accounts, ""));
 }
 
+/* Guards against a configuration that is refused as a whole because of one long name or key. */
+static void
+test_long_names_and_keys (void)
+{
+  g_autofree char *name = g_strnfill (500, 'n');
+  g_autofree char *key = g_strnfill (1000, 'k');
+  g_autofree char *accounts
+      = g_strdup_printf ("\"tenants\":[{\"name\":\"%s\",\"api-keys\":[\"%s\"]}]", name, key);
+  g_autoptr (FbRoutes) routes = parse (accounts);
+  CU_ASSERT_PTR_NOT_NULL (routes);
+  const FbAccount *account = routes != NULL ? fb_accounts_find (routes->accounts, key) : NULL;
+  CU_ASSERT_TRUE (account != NULL && g_str_equal (account->name, name));
+}
+
 static void
 test_configuration_without_accounts (void)
 {
@@ -463,6 +477,7 @@
     CU_TestFunc function;
   } tests[] = {
     { "an account is found by its keys", test_account_is_found_by_its_keys },
+    { "long names and keys", test_long_names_and_keys },
     { "configuration without accounts", test_configuration_without_accounts },
     { "malformed accounts", test_malformed_account_refuses_the_version },
     { "time of a lookup", test_lookup_takes_the_same_time_with_many_keys },
