A relayed poll that was carried out is never answered as not sent

Callers saw: a worker with long lists seems silent, and work is started elsewhere only after its leases have ended; ends that the poll has acknowledged count as unacknowledged.

Cause: a reply that exceeds a limit of the codec was replaced by the reply that nothing was done, although the worker had executed the poll: its lease was extended.

Change: the relay leaves out checkpoints, first of runs, then of ends, and where the rows alone are too many it answers that the result is unknown.

--- a/src/entry/peers/relay.c
+++ b/src/entry/peers/relay.c
@@ -423,30 +423,47 @@
   progress->percents.percents_val = percents;
 }
 
+/* Sets PEER_REPLY, which borrows the lists of PROGRESS, to what the owner has asked for. */
+static void
+set_reply (const ServedOrder *order, const fb_relay_progress_reply *progress,
+           fb_peer_reply *peer_reply)
+{
+  peer_reply->type = order->with_progress ? FB_REPLY_ORDER_RESULT_PROGRESS : FB_REPLY_ORDER_RESULT;
+  if (order->with_progress)
+    peer_reply->fb_peer_reply_u.progress = *progress;
+  else
+    peer_reply->fb_peer_reply_u.order = progress->order;
+}
+
 static gboolean
 is_too_large (const fb_peer_reply *peer_reply)
 {
-  return xdr_sizeof ((xdrproc_t) xdr_fb_peer_reply, (gpointer) peer_reply)
-         > FB_CODEC_RECORD_MAX_BYTES;
+  gsize bytes = xdr_sizeof ((xdrproc_t) xdr_fb_peer_reply, (gpointer) peer_reply);
+  return bytes == 0 || bytes > FB_CODEC_RECORD_MAX_BYTES;
 }
 
-/* Leaves out the checkpoints in PEER_REPLY, whose lists are PROGRESS, if it is too large: first
- * those of runs, which are listed again, then those of ends. Without the lists the worker would
- * seem silent. */
+/* Leaves out of PEER_REPLY, whose lists are PROGRESS, what makes it too large: first the
+ * checkpoints of runs, which are listed again, then those of ends.  Without the lists the worker
+ * would seem silent.  If the rows alone are too many, the result is unknown: the order was carried
+ * out. */
 static void
-leave_out_checkpoints (const char *worker, fb_relay_progress_reply *progress,
-                       const fb_peer_reply *peer_reply)
+fit_reply (const ServedOrder *order, fb_relay_progress_reply *progress, fb_peer_reply *peer_reply)
 {
-  fb_relay_reply *order = &progress->order;
+  fb_relay_reply *lists = &progress->order;
   if (!is_too_large (peer_reply))
     return;
-  for (u_int i = 0; i < order->running.running_len; i++)
-    order->running.running_val[i].checkpoint = (char *) "";
+  for (u_int i = 0; i < lists->running.running_len; i++)
+    lists->running.running_val[i].checkpoint = (char *) "";
   gboolean with_ends = is_too_large (peer_reply);
-  for (u_int i = 0; with_ends && i < order->finished.finished_len; i++)
-    order->finished.finished_val[i].checkpoint = (char *) "";
-  fb_event_log (FB_EVENT_CHECKPOINTS_LEFT_OUT, "worker=%s tasks=%u", worker,
-                order->running.running_len + (with_ends ? order->finished.finished_len : 0));
+  for (u_int i = 0; with_ends && i < lists->finished.finished_len; i++)
+    lists->finished.finished_val[i].checkpoint = (char *) "";
+  fb_event_log (FB_EVENT_CHECKPOINTS_LEFT_OUT, "worker=%s tasks=%u", order->worker,
+                lists->running.running_len + (with_ends ? lists->finished.finished_len : 0));
+  if (!is_too_large (peer_reply))
+    return;
+  *progress = (fb_relay_progress_reply){ .order = { .result = FB_ORDER_UNKNOWN,
+                                                    .incarnation = lists->incarnation } };
+  set_reply (order, progress, peer_reply);
 }
 
 static void
@@ -468,16 +485,10 @@
   g_autofree char *percents = g_new0 (char, runs_n + 1);
   if (answer.running != NULL && answer.finished != NULL)
     fill_poll_reply (&answer, &progress, rows, ends, percents);
-  fb_peer_reply peer_reply = { .type = FB_REPLY_ORDER_RESULT };
-  if (order->with_progress)
-    {
-      peer_reply.type = FB_REPLY_ORDER_RESULT_PROGRESS;
-      peer_reply.fb_peer_reply_u.progress = progress;
-    }
-  else
-    peer_reply.fb_peer_reply_u.order = progress.order;
+  fb_peer_reply peer_reply;
+  set_reply (order, &progress, &peer_reply);
   if (reply->body != NULL && g_bytes_get_size (reply->body) > LARGE_ANSWER_BYTES)
-    leave_out_checkpoints (order->worker, &progress, &peer_reply);
+    fit_reply (order, &progress, &peer_reply);
   order->done (order->user, &peer_reply);
   fb_poll_answer_clear (&answer);
   g_free (order->worker);
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -6,6 +6,7 @@
 #include "src/entry/entry-private.h"
 
 #include <CUnit/Basic.h>
+#include <libsoup/soup.h>
 #include <string.h>
 
 #define PAYLOAD_BYTES 1300
@@ -323,6 +324,115 @@
   pair_clear (&pair);
 }
 
+/* ---- long lists -------------------------------------------------------------------------- */
+
+/* A worker that answers polls with RUNS_N runs whose checkpoints have CHECKPOINT_CHARS. */
+typedef struct
+{
+  guint runs_n;
+  guint checkpoint_chars;
+} ListingWorker;
+
+static void
+serve_list (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
+            gpointer data)
+{
+  (void) server;
+  (void) path;
+  (void) query;
+  const ListingWorker *worker = data;
+  g_autofree char *checkpoint = g_strnfill (worker->checkpoint_chars, 'c');
+  GString *body = g_string_new ("{\"clock-ms\":5,\"running\":[");
+  for (guint i = 0; i < worker->runs_n; i++)
+    g_string_append_printf (body, "%s[\"j.0.0.%u\",1,\"%s\",50]", i > 0 ? "," : "", i, checkpoint);
+  g_string_append (body, "],\"finished\":[[1,\"j.0.1.0\",1,\"done\",\"\"]]}");
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  gsize len = body->len;
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE,
+                                    g_string_free (body, FALSE), len);
+}
+
+typedef struct
+{
+  FbOrderResult result;
+  guint runs_n;
+  guint ends_n;
+  gsize checkpoint_chars; /* of the first run */
+  gboolean is_done;
+} ListResult;
+
+static void
+on_list_relayed (gpointer user, FbRelayResult result, const fb_peer_reply *reply)
+{
+  ListResult *list = user;
+  list->is_done = TRUE;
+  list->result = FB_ORDER_NOT_DONE;
+  if (result != FB_RELAY_ANSWERED)
+    return;
+  FbPollAnswer answer;
+  fb_relay_decode_answer (reply, &answer);
+  list->result = answer.result;
+  list->runs_n = answer.running != NULL ? answer.running->len : 0;
+  list->ends_n = answer.finished != NULL ? answer.finished->len : 0;
+  if (list->runs_n > 0)
+    list->checkpoint_chars = strlen (g_array_index (answer.running, FbReportedRun, 0).checkpoint);
+  fb_poll_answer_clear (&answer);
+}
+
+static ListResult
+relay_list (guint runs_n, guint checkpoint_chars)
+{
+  ListingWorker worker = { runs_n, checkpoint_chars };
+  ListResult list = { 0 };
+  Pair pair;
+  pair_init (&pair);
+  pair.owner.relay_versions = fb_relay_versions_new ();
+  g_autofree char *worker_address = test_unused_address ();
+  SoupServer *server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (server, NULL, serve_list, &worker, NULL);
+  guint port = (guint) g_ascii_strtoull (strchr (worker_address, ':') + 1, NULL, 10);
+  CU_ASSERT_TRUE_FATAL (
+      soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  const fb_relay_request poll = { .kind = FB_ORDER_KIND_POLL,
+                                  .worker = "i-1",
+                                  .address = worker_address,
+                                  .task = "",
+                                  .payload = "",
+                                  .checkpoint = "",
+                                  .ticket = "",
+                                  .answer_ms = 5000 };
+  fb_relay_send (&pair.owner, pair.address, &poll, on_list_relayed, &list);
+  guint timer = g_timeout_add (10, on_check_timeouts, pair.owner.links);
+  while (!list.is_done)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+  g_object_unref (server);
+  fb_relay_versions_free (pair.owner.relay_versions);
+  pair_clear (&pair);
+  return list;
+}
+
+/* Guards against workers that seem silent, or calls that seem not executed, because a relay cannot
+ * encode their lists. */
+static void
+test_long_lists_are_relayed (void)
+{
+  ListResult list = relay_list (3, 100000);
+  CU_ASSERT_EQUAL (list.result, FB_ORDER_DONE);
+  CU_ASSERT_EQUAL (list.runs_n, 3);
+  CU_ASSERT_EQUAL (list.checkpoint_chars, 100000);
+  list = relay_list (300, 20000);
+  CU_ASSERT_EQUAL (list.result, FB_ORDER_DONE);
+  CU_ASSERT_EQUAL (list.runs_n, 300);
+  CU_ASSERT_EQUAL (list.ends_n, 1);
+  CU_ASSERT_EQUAL (list.checkpoint_chars, 0);
+  list = relay_list (5000, 10);
+  CU_ASSERT_EQUAL (list.result, FB_ORDER_DONE);
+  CU_ASSERT_EQUAL (list.runs_n, 5000);
+  list = relay_list (FB_WORK_MAX_REPORTED + 1, 1);
+  CU_ASSERT_EQUAL (list.result, FB_ORDER_UNKNOWN);
+}
+
 /* ---- relays of both versions ----------------------------------------------------------- */
 
 #define PERCENT 41
@@ -561,6 +671,7 @@
                test_suspended_relay_sends_no_earlier_orders);
   CU_add_test (suite, "a suspended relay sends no orders of new connections",
                test_suspended_relay_sends_no_orders_of_new_connections);
+  CU_add_test (suite, "long lists are relayed", test_long_lists_are_relayed);
   CU_add_test (suite, "polls through relays of both versions",
                test_polls_through_relays_of_both_versions);
   CU_add_test (suite, "an upgraded relay is asked again", test_an_upgraded_relay_is_asked_again);
