A queue that has had many services tells callers all of them

Callers would see 410 for a job that runs at the 257th service of its queue, since the reply with the services of a queue had 256 rows at most and the others were left out.

--- a/rpc/work.h
+++ b/rpc/work.h
@@ -34,7 +34,7 @@
 #define FB_WORK_DIGEST_BYTES 16
 #define FB_WORK_MAX_ACCOUNT 1024
 #define FB_WORK_MAX_ACCOUNT_ROWS 20000
-#define FB_WORK_MAX_SERVICES 256
+#define FB_WORK_MAX_SERVICES 4096
 #define FB_WORK_MAX_CLAIMS 512
 
 struct fb_work_step {
--- a/rpc/work.x
+++ b/rpc/work.x
@@ -25,7 +25,7 @@
 const FB_WORK_DIGEST_BYTES = 16;
 const FB_WORK_MAX_ACCOUNT = 1024;
 const FB_WORK_MAX_ACCOUNT_ROWS = 20000;
-const FB_WORK_MAX_SERVICES = 256;
+const FB_WORK_MAX_SERVICES = 4096;
 const FB_WORK_MAX_CLAIMS = 512;
 
 /* One step: COUNT identical tasks, each with the given resource demand. */
--- a/tests/test-record-limits.c
+++ b/tests/test-record-limits.c
@@ -86,6 +86,21 @@
   CU_ASSERT_PTR_NOT_NULL (stored);
 }
 
+/* Guards against a queue whose services are not told to callers that look for a job, since it has had
+ * many. */
+static void
+test_many_services_of_a_queue (void)
+{
+  fb_service_name names[1000];
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    names[i].service = (char *) "svc";
+  fb_peer_reply reply = { .type = FB_REPLY_QUEUE_SERVICES };
+  reply.fb_peer_reply_u.services.services.services_len = G_N_ELEMENTS (names);
+  reply.fb_peer_reply_u.services.services.services_val = names;
+  g_autoptr (GBytes) bytes = fb_codec_encode_peer_reply (&reply);
+  CU_ASSERT_PTR_NOT_NULL (bytes);
+}
+
 /* ---- jobs with many tasks ------------------------------------------------------------- */
 
 static void
@@ -260,6 +275,7 @@
   CU_add_test (suite, "relayed list with long checkpoints",
                test_relayed_list_with_long_checkpoints);
   CU_add_test (suite, "long names are stored", test_long_names_are_stored);
+  CU_add_test (suite, "many services of a queue", test_many_services_of_a_queue);
   CU_add_test (suite, "done tasks beyond the rows of a record",
                test_done_tasks_beyond_the_rows_of_a_record);
   CU_add_test (suite, "done occurrences beyond the rows of a record",
