Claims look for unknown runs once for all jobs that they name

A claim names up to 512 jobs, and each was looked for at all workers; where no worker lists a run of an unknown job, nothing is looked for now.

--- a/include/internal/pool.h
+++ b/include/internal/pool.h
@@ -374,14 +374,12 @@
 /* Leases are extended only before UNTIL_MS, as another owner may have taken the pool over since. In
  * a new pool none are. */
 void fb_pool_set_leases_until (FbPool *self, uint64_t until_ms);
-typedef enum
-{
-  FB_UNKNOWN_RUNS_NONE,
-  FB_UNKNOWN_RUNS_POSSIBLE, /* workers that an earlier owner used have not been heard */
-  FB_UNKNOWN_RUNS_LISTED    /* a worker lists a run of the job, or the end of one */
-} FbUnknownRuns;
-/* Returns: whether an earlier owner has started tasks of JOB, which the pool does not have. */
-FbUnknownRuns fb_pool_unknown_runs (const FbPool *self, const char *job, uint64_t now_ms);
+/* TRUE when a worker lists a run of a job that the pool does not have, or the end of one. */
+gboolean fb_pool_lists_unknown_runs (const FbPool *self);
+/* TRUE when a worker lists a run of JOB, which the pool does not have, or the end of one. */
+gboolean fb_pool_lists_run_of (const FbPool *self, const char *job);
+/* TRUE when all that earlier owners started was found, or has ended with its lease. */
+gboolean fb_pool_has_found_all_runs (const FbPool *self, uint64_t now_ms);
 /* TRUE while a majority of the workers that the stored record names has answered polls that were
  * sent under this epoch within the last WITHIN_MS; of all workers, if there is no record. Workers
  * whose entries have been missing for some seconds do not count. As long as this holds, no owner
--- a/src/entry/owner/owner-claims.c
+++ b/src/entry/owner/owner-claims.c
@@ -241,15 +241,13 @@
 }
 
 static void
-set_service (FbOwner *self, const char *job, fb_work_admit *record, const char *service,
-             const char *reason)
+set_service (const char *job, fb_work_admit *record, const char *service, const char *reason)
 {
   fb_event_log (FB_EVENT_JOB_RETURNED, "job=%s queue=%s service=%s recorded=%s why=\"%s\"", job,
                 record->policy.queue, service, record->policy.service, reason);
   char *previous = record->policy.service;
   record->policy.service = strdup (service);
   free (previous);
-  (void) fb_owner_pool_for (self, service);
 }
 
 /* The service of RECORD, that of SERVICE_POOL, has disclaimed JOB.  If that was for another service
@@ -264,7 +262,7 @@
       delete_record (self, job);
       return;
     }
-  set_service (self, job, record, claimant, "disclaimed");
+  set_service (job, record, claimant, "disclaimed");
   fb_owner_admit (self, job, record);
   (void) restore_record (self, job);
 }
@@ -275,7 +273,7 @@
   FbHeldJob *held = g_hash_table_lookup (self->held_jobs, job);
   if (held == NULL)
     return FALSE;
-  set_service (self, job, &held->record, service, "runs");
+  set_service (job, &held->record, service, "runs");
   held->receipt = (FbPoolReceipt){ 0 };
   held->disclaimed_n = 0;
   held->is_claimed = FALSE;
--- a/src/entry/owner/owner-disclaimers.c
+++ b/src/entry/owner/owner-disclaimers.c
@@ -234,6 +234,16 @@
   return disclaimed != NULL && (claimant == NULL || has_claimant (disclaimed, claimant));
 }
 
+/* TRUE when SERVICE_POOL has JOB, or it is stored that it never runs it. */
+static gboolean
+is_decided (const FbOwner *self, const FbServicePool *service_pool, const char *job)
+{
+  fb_work_state state;
+  return fb_pool_job_state (service_pool->pool, job, &state)
+         || fb_owner_holds_job_for (self, job, service_pool->service)
+         || g_hash_table_contains (service_pool->disclaimed, job);
+}
+
 /* A repeated submission to another service of the partition replaces the record of a job.  If the
  * owner ends before it has stored the record again, the next one has only the other service's,
  * although the workers of this one run the job.
@@ -242,22 +252,24 @@
 return_running_jobs (FbOwner *self, const FbServicePool *service_pool,
                      const fb_claim_request *request)
 {
+  const FbPool *pool = service_pool->pool;
+  gboolean lists_unknown = fb_pool_lists_unknown_runs (pool);
+  gboolean has_found_all = fb_pool_has_found_all_runs (pool, fb_clock_ms ());
   gboolean is_known = TRUE;
-  for (u_int i = 0; i < request->jobs.jobs_len && g_hash_table_size (self->service_pools) > 1; i++)
+  if (g_hash_table_size (self->service_pools) == 1 || (has_found_all && !lists_unknown))
+    return TRUE;
+  for (u_int i = 0; i < request->jobs.jobs_len; i++)
     {
       const char *job = request->jobs.jobs_val[i].job;
-      fb_work_state state;
-      if (fb_pool_job_state (service_pool->pool, job, &state)
-          || fb_owner_holds_job_for (self, job, service_pool->service)
-          || g_hash_table_contains (service_pool->disclaimed, job))
+      if (is_decided (self, service_pool, job))
         continue;
-      FbUnknownRuns runs = fb_pool_unknown_runs (service_pool->pool, job, fb_clock_ms ());
-      if (runs == FB_UNKNOWN_RUNS_POSSIBLE)
-        is_known = is_known && !fb_owner_is_job_loaded (self, job);
-      /* The pool stops runs of jobs that nobody has, unless it waits for a loaded job itself. */
-      else if (runs == FB_UNKNOWN_RUNS_LISTED
-               && !fb_owner_return_held_job (self, job, service_pool->service))
-        is_known = is_known && fb_owner_holds_loaded_jobs (self);
+      /* Runs of a job that nobody has are stopped, unless the pool waits for a loaded job. */
+      if (lists_unknown && fb_pool_lists_run_of (pool, job))
+        is_known = (fb_owner_return_held_job (self, job, service_pool->service)
+                    || fb_owner_holds_loaded_jobs (self))
+                   && is_known;
+      else
+        is_known = (has_found_all || !fb_owner_is_job_loaded (self, job)) && is_known;
     }
   return is_known;
 }
--- a/src/work/pool-unknown-runs.c
+++ b/src/work/pool-unknown-runs.c
@@ -2,6 +2,19 @@
  * partition. */
 #include "internal/pool-private.h"
 
+gboolean
+fb_pool_lists_unknown_runs (const FbPool *self)
+{
+  guint slot = 0;
+  const FbPoolWorker *worker = NULL;
+  while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
+    {
+      if (worker->has_unknown_end || worker->unknown_runs_n > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static gboolean
 lists_run_of (const FbPoolWorker *worker, const char *job)
 {
@@ -24,9 +37,8 @@
 /* A worker's clock may be slow by 1 part in CLOCK_TOLERANCE_DIVISOR. */
 #define CLOCK_TOLERANCE_DIVISOR 50
 
-/* Returns: TRUE when all that earlier owners started was found or has ended. */
-static gboolean
-has_found_all_runs (const FbPool *self, uint64_t now_ms)
+gboolean
+fb_pool_has_found_all_runs (const FbPool *self, uint64_t now_ms)
 {
   if (self->recovered || (self->workers_complete && g_hash_table_size (self->workers) == 0))
     return TRUE;
@@ -35,15 +47,15 @@
                       + lease_ms / CLOCK_TOLERANCE_DIVISOR + self->limits.max_stop_ms;
 }
 
-FbUnknownRuns
-fb_pool_unknown_runs (const FbPool *self, const char *job, uint64_t now_ms)
+gboolean
+fb_pool_lists_run_of (const FbPool *self, const char *job)
 {
   guint slot = 0;
   const FbPoolWorker *worker = NULL;
   while ((worker = fb_pool_worker_slots_next (self, &slot)) != NULL)
     {
       if (lists_run_of (worker, job))
-        return FB_UNKNOWN_RUNS_LISTED;
+        return TRUE;
     }
-  return has_found_all_runs (self, now_ms) ? FB_UNKNOWN_RUNS_NONE : FB_UNKNOWN_RUNS_POSSIBLE;
+  return FALSE;
 }
--- a/tests/test-record-limits.c
+++ b/tests/test-record-limits.c
@@ -86,8 +86,8 @@
   CU_ASSERT_PTR_NOT_NULL (stored);
 }
 
-/* Guards against a queue whose services are not told to callers that look for a job, since it has had
- * many. */
+/* Guards against a queue whose services are not told to callers that look for a job, since it has
+ * had many. */
 static void
 test_many_services_of_a_queue (void)
 {
