The bound for runs of earlier owners comes from the module of leases

fb_pool_has_found_all_runs() worked out the longest lease anew, with a tolerance of its own for slow clocks, and without the margin and the delay of calls that pool-lease.c adds. No failure was seen.

--- a/include/internal/pool-worker-private.h
+++ b/include/internal/pool-worker-private.h
@@ -254,6 +254,9 @@
  * G_MAXUINT64: there is none. */
 uint64_t fb_pool_worker_lease_remaining_ms (const FbPool *self, const FbPoolWorker *worker,
                                             uint64_t now_ms);
+/* Returns: when each lease has certainly ended that an earlier owner has extended, also one that a
+ * majority of the workers never told of its successor. */
+uint64_t fb_pool_lease_latest_end_ms (const FbPool *self);
 /* Returns: when every lease of an earlier owner has certainly ended, on a worker that its record of
  * silent workers does not have; G_MAXUINT64: this is not known yet. */
 uint64_t fb_pool_lease_earlier_end_ms (const FbPool *self, gboolean may_restart);
--- a/src/work/pool-lease.c
+++ b/src/work/pool-lease.c
@@ -46,6 +46,13 @@
                                 : G_MAXUINT64;
 }
 
+uint64_t
+fb_pool_lease_latest_end_ms (const FbPool *self)
+{
+  return longest_lease_end_ms (self, self->created_ms + FB_POOL_UNLISTED_COUNTED_MS
+                                         + FB_POOL_STEP_DOWN_MS + FB_POOL_DELAYED_CALL_MS);
+}
+
 uint64_t
 fb_pool_lease_earlier_end_ms (const FbPool *self, gboolean may_restart)
 {
--- a/src/work/pool-unknown-runs.c
+++ b/src/work/pool-unknown-runs.c
@@ -31,20 +31,12 @@
   return FALSE;
 }
 
-/* Time after the creation of a pool in which an earlier owner, which cannot reach the store, may
- * still extend leases. */
-#define EARLIER_OWNER_MS (FB_POOL_UNLISTED_COUNTED_MS + FB_POOL_STEP_DOWN_MS)
-/* A worker's clock may be slow by 1 part in CLOCK_TOLERANCE_DIVISOR. */
-#define CLOCK_TOLERANCE_DIVISOR 50
-
 gboolean
 fb_pool_has_found_all_runs (const FbPool *self, uint64_t now_ms)
 {
   if (self->recovered || (self->workers_complete && g_hash_table_size (self->workers) == 0))
     return TRUE;
-  uint64_t lease_ms = self->limits.max_lease_ms;
-  return now_ms > self->created_ms + EARLIER_OWNER_MS + lease_ms
-                      + lease_ms / CLOCK_TOLERANCE_DIVISOR + self->limits.max_stop_ms;
+  return now_ms > fb_pool_lease_latest_end_ms (self) + self->limits.max_stop_ms;
 }
 
 gboolean
