Records are made smaller only after they were found too large

Each flush added up the size of every job's progress, of its suspects and of every row of workers before they were encoded, and pool-compact.c knew the sizes of XDR. The functions on records that are not accepted stand in one section, and owner-disclaimers.c asks in one place whether a pool has a job. Behaviour is the same but for 4 bytes at the limit of a record without suspects.

--- a/include/internal/pool-job-private.h
+++ b/include/internal/pool-job-private.h
@@ -192,10 +192,7 @@
 gboolean fb_pool_job_release (FbPool *self, FbPoolJob *job, uint64_t wall_ms);
 FbPoolOccurrence *fb_pool_job_occurrence (FbPoolJob *job, uint32_t number);
 FbPoolStep *fb_pool_job_step (FbPoolJob *job, uint32_t occurrence, uint32_t step);
-/* PROGRESS borrows strings from the job; the caller frees its array of task progress.  It takes no
- * more than MAX_BYTES if that is possible without tasks that are done or attempts that failed.
- * Returns: the number of checkpoints that were left out for that. */
-guint fb_pool_job_progress (const FbPoolJob *job, gsize max_bytes, fb_work_progress *progress);
+void fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress);
 void fb_pool_job_restore (FbPoolJob *job, const fb_work_progress *progress);
 /* Counts ATTEMPT as failed.  Returns: FALSE when it was counted before. */
 gboolean fb_pool_task_count_failed (FbPoolTask *task, uint32_t attempt);
--- a/src/entry/owner/owner-disclaimers.c
+++ b/src/entry/owner/owner-disclaimers.c
@@ -234,14 +234,12 @@
   return disclaimed != NULL && (claimant == NULL || has_claimant (disclaimed, claimant));
 }
 
-/* TRUE when SERVICE_POOL has JOB, or it is stored that it never runs it. */
 static gboolean
-is_decided (const FbOwner *self, const FbServicePool *service_pool, const char *job)
+has_job (const FbOwner *self, const FbServicePool *service_pool, const char *job)
 {
   fb_work_state state;
   return fb_pool_job_state (service_pool->pool, job, &state)
-         || fb_owner_holds_job_for (self, job, service_pool->service)
-         || g_hash_table_contains (service_pool->disclaimed, job);
+         || fb_owner_holds_job_for (self, job, service_pool->service);
 }
 
 /* A repeated submission to another service of the partition replaces the record of a job.  If the
@@ -261,7 +259,7 @@
   for (u_int i = 0; i < request->jobs.jobs_len; i++)
     {
       const char *job = request->jobs.jobs_val[i].job;
-      if (is_decided (self, service_pool, job))
+      if (has_job (self, service_pool, job) || is_disclaimed (service_pool, job, NULL))
         continue;
       /* Runs of a job that nobody has are stopped, unless the pool waits for a loaded job. */
       if (lists_unknown && fb_pool_lists_run_of (pool, job))
@@ -312,9 +310,7 @@
   for (u_int i = 0; i < request->jobs.jobs_len; i++)
     {
       const char *job = request->jobs.jobs_val[i].job;
-      fb_work_state state;
-      if (fb_pool_job_state (service_pool->pool, job, &state)
-          || fb_owner_holds_job_for (self, job, request->service))
+      if (has_job (self, service_pool, job))
         g_ptr_array_add (disclaimer->refused, g_strdup (job));
       else if (is_storing || !is_disclaimed (service_pool, job, claimant_here))
         encode_record (records, request->service, job,
--- a/src/work/pool-compact.c
+++ b/src/work/pool-compact.c
@@ -3,39 +3,15 @@
  * all rows. */
 #include "internal/pool-compact.h"
 
-#include <string.h>
-
 #define SERIES_STEP 0x80000000u
-/* Size of a row without a checkpoint and failed attempts, and of a record without rows. */
-#define ROW_BYTES 28
-#define RECORD_BYTES 16
-#define XDR_UNIT_BYTES 4
 
 G_STATIC_ASSERT (FB_WORK_MAX_STEPS < SERIES_STEP);
 
-static gsize
-checkpoint_bytes (const fb_work_task_progress *row)
-{
-  gsize len = strlen (row->checkpoint);
-  return (len + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES;
-}
-
-static gsize
-row_bytes (const fb_work_task_progress *row)
-{
-  return ROW_BYTES + row->failed.failed_len * XDR_UNIT_BYTES;
-}
-
 static gboolean
-fits (const GArray *rows, gsize max_bytes)
+fits (const fb_work_progress *progress, gsize max_bytes)
 {
-  gsize bytes = RECORD_BYTES;
-  for (guint i = 0; i < rows->len; i++)
-    {
-      const fb_work_task_progress *row = &g_array_index (rows, fb_work_task_progress, i);
-      bytes += row_bytes (row) + checkpoint_bytes (row);
-    }
-  return rows->len <= FB_WORK_MAX_TASK_ROWS && bytes <= max_bytes;
+  gsize bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_progress, (gpointer) progress);
+  return bytes > 0 && bytes <= max_bytes;
 }
 
 /* ---- series of tasks that are done ------------------------------------------------ */
@@ -57,29 +33,27 @@
 
 /* Returns: the number of rows from FROM on that are a series of tasks that are done. */
 static guint
-series_length (const FbPoolJob *job, const GArray *rows, guint from)
+series_length (const FbPoolJob *job, const fb_work_progress *progress, guint from)
 {
-  guint n = 0;
-  const fb_work_task_progress *row = &g_array_index (rows, fb_work_task_progress, from);
-  while (from + n < rows->len && row->done)
-    {
-      const fb_work_task_progress *next = row + 1;
-      n++;
-      if (from + n == rows->len || !is_next_task (job, row, next))
-        break;
-      row = next;
-    }
-  return n;
+  const fb_work_task_progress *rows = progress->task_progress.task_progress_val;
+  const guint rows_n = progress->task_progress.task_progress_len;
+  guint until = from;
+  while (until < rows_n && rows[until].done
+         && (until == from || is_next_task (job, &rows[until - 1], &rows[until])))
+    until++;
+  return until - from;
 }
 
 static void
-combine_done_tasks (const FbPoolJob *job, GArray *rows)
+combine_done_tasks (const FbPoolJob *job, fb_work_progress *progress)
 {
+  fb_work_task_progress *rows = progress->task_progress.task_progress_val;
+  const guint rows_n = progress->task_progress.task_progress_len;
   guint kept_n = 0;
-  for (guint i = 0; i < rows->len;)
+  for (guint i = 0; i < rows_n;)
     {
-      fb_work_task_progress row = g_array_index (rows, fb_work_task_progress, i);
-      guint n = series_length (job, rows, i);
+      fb_work_task_progress row = rows[i];
+      guint n = series_length (job, progress, i);
       if (n > 1)
         row = (fb_work_task_progress){ .occurrence = row.occurrence,
                                        .step = row.step | SERIES_STEP,
@@ -87,10 +61,10 @@
                                        .attempt = n,
                                        .done = TRUE,
                                        .checkpoint = (char *) "" };
-      g_array_index (rows, fb_work_task_progress, kept_n++) = row;
+      rows[kept_n++] = row;
       i += MAX (n, 1);
     }
-  g_array_set_size (rows, kept_n);
+  progress->task_progress.task_progress_len = kept_n;
 }
 
 uint32_t
@@ -107,55 +81,52 @@
 
 /* ---- checkpoints ------------------------------------------------------------------- */
 
-static gboolean
-is_needed_without_checkpoint (const fb_work_task_progress *row)
-{
-  return row->done || row->failed.failed_len > 0;
-}
-
+/* Returns: the size of ROW without its checkpoint; 0 when nothing else is recorded of its task. */
 static gsize
-bytes_without_checkpoints (const GArray *rows)
+bytes_without_checkpoint (const fb_work_task_progress *row)
 {
-  gsize bytes = RECORD_BYTES;
-  for (guint i = 0; i < rows->len; i++)
-    {
-      const fb_work_task_progress *row = &g_array_index (rows, fb_work_task_progress, i);
-      bytes += is_needed_without_checkpoint (row) ? row_bytes (row) : 0;
-    }
-  return bytes;
+  fb_work_task_progress without = *row;
+  without.checkpoint = (char *) "";
+  return row->done || row->failed.failed_len > 0
+             ? xdr_sizeof ((xdrproc_t) xdr_fb_work_task_progress, &without)
+             : 0;
 }
 
 /* Returns: the number of checkpoints that were left out. */
 static guint
-leave_out_checkpoints (GArray *rows, gsize max_bytes)
+leave_out_checkpoints (fb_work_progress *progress, gsize max_bytes)
 {
-  gsize bytes = bytes_without_checkpoints (rows);
+  const fb_work_progress empty = { 0 };
+  fb_work_task_progress *rows = progress->task_progress.task_progress_val;
+  const guint rows_n = progress->task_progress.task_progress_len;
+  gsize bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_progress, (gpointer) &empty);
   guint left_out_n = 0;
   guint kept_n = 0;
-  for (guint i = 0; i < rows->len; i++)
+  for (guint i = 0; i < rows_n; i++)
+    bytes += bytes_without_checkpoint (&rows[i]);
+  for (guint i = 0; i < rows_n; i++)
     {
-      fb_work_task_progress row = g_array_index (rows, fb_work_task_progress, i);
-      gboolean is_needed = is_needed_without_checkpoint (&row);
-      gsize more = checkpoint_bytes (&row) + (is_needed ? 0 : row_bytes (&row));
-      if (*row.checkpoint != '\0' && bytes + more > max_bytes)
+      fb_work_task_progress row = rows[i];
+      gsize without = bytes_without_checkpoint (&row);
+      gsize whole = xdr_sizeof ((xdrproc_t) xdr_fb_work_task_progress, &row);
+      gboolean is_kept = whole > 0 && bytes + whole - without <= max_bytes;
+      if (is_kept)
+        bytes += whole - without;
+      else if (*row.checkpoint != '\0')
         {
           row.checkpoint = (char *) "";
           left_out_n++;
         }
-      else
-        bytes += more;
-      if (is_needed || *row.checkpoint != '\0')
-        g_array_index (rows, fb_work_task_progress, kept_n++) = row;
+      if (without > 0 || *row.checkpoint != '\0')
+        rows[kept_n++] = row;
     }
-  g_array_set_size (rows, kept_n);
+  progress->task_progress.task_progress_len = kept_n;
   return left_out_n;
 }
 
 guint
-fb_pool_compact_rows (const FbPoolJob *job, GArray *rows, gsize max_bytes)
+fb_pool_compact_progress (const FbPoolJob *job, fb_work_progress *progress, gsize max_bytes)
 {
-  if (fits (rows, max_bytes))
-    return 0;
-  combine_done_tasks (job, rows);
-  return fits (rows, max_bytes) ? 0 : leave_out_checkpoints (rows, max_bytes);
+  combine_done_tasks (job, progress);
+  return fits (progress, max_bytes) ? 0 : leave_out_checkpoints (progress, max_bytes);
 }
--- a/src/work/pool-job.c
+++ b/src/work/pool-job.c
@@ -337,8 +337,9 @@
   job->record.account = strdup (account);
 }
 
-guint
-fb_pool_job_progress (const FbPoolJob *job, gsize max_bytes, fb_work_progress *progress)
+/* PROGRESS borrows strings from the job; the caller frees its array of task progress. */
+void
+fb_pool_job_progress (const FbPoolJob *job, fb_work_progress *progress)
 {
   GArray *task_progress = g_array_new (FALSE, TRUE, sizeof (fb_work_task_progress));
   gboolean ended = fb_pool_job_ended (job);
@@ -350,13 +351,11 @@
       for (guint j = 0; j < job->record.spec.steps.steps_len; j++)
         add_task_progress (task_progress, &occurrence->steps[j]);
     }
-  guint left_out_n = ended ? 0 : fb_pool_compact_rows (job, task_progress, max_bytes);
   progress->state = job->state;
   progress->ended_ms = job->ended_wall_ms;
   progress->task_progress.task_progress_len = task_progress->len;
   progress->task_progress.task_progress_val
       = (fb_work_task_progress *) g_array_free (task_progress, FALSE);
-  return left_out_n;
 }
 
 static void
--- a/src/work/pool-record.c
+++ b/src/work/pool-record.c
@@ -4,6 +4,7 @@
  * runs in it may be acknowledged, and job states shown to callers, once it is stored. */
 #include "fb-event.h"
 #include "internal/codec.h"
+#include "internal/pool-compact.h"
 #include "internal/pool-crash.h"
 #include "internal/pool-silence.h"
 
@@ -34,6 +35,24 @@
   job->checkpoints_left_out_n = left_out_n;
 }
 
+/* TRUE when a record could not be encoded as RECORD, or has more than MAX_BYTES; 0: no limit. */
+static gboolean
+exceeds (GBytes *record, gsize max_bytes)
+{
+  return record == NULL || (max_bytes > 0 && g_bytes_get_size (record) > max_bytes);
+}
+
+/* Returns: the size that a record with SUSPECTS leaves for the progress of tasks. */
+static gsize
+max_progress_bytes (const FbPool *self, const fb_work_suspects *suspects)
+{
+  gsize max_bytes = self->limits.max_progress_bytes > 0
+                        ? MIN (self->limits.max_progress_bytes, FB_CODEC_RECORD_MAX_BYTES)
+                        : FB_CODEC_RECORD_MAX_BYTES;
+  gsize suspects_bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_suspects, (gpointer) suspects);
+  return max_bytes - MIN (suspects_bytes, max_bytes);
+}
+
 /* Returns: (transfer full) (nullable): the record of JOB; NULL when it cannot be encoded. */
 static GBytes *
 encode_progress (const FbPool *self, FbPoolJob *job)
@@ -41,13 +60,16 @@
   fb_work_progress progress;
   fb_work_suspects suspects;
   fb_pool_crash_record (job, &suspects);
-  gsize max_bytes = FB_CODEC_RECORD_MAX_BYTES;
-  if (self->limits.max_progress_bytes > 0)
-    max_bytes = MIN (self->limits.max_progress_bytes, max_bytes);
-  gsize suspects_bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_suspects, &suspects);
-  log_left_out (job,
-                fb_pool_job_progress (job, max_bytes - MIN (suspects_bytes, max_bytes), &progress));
+  guint left_out_n = 0;
+  fb_pool_job_progress (job, &progress);
   GBytes *bytes = fb_codec_encode_progress (&progress, &suspects);
+  if (exceeds (bytes, self->limits.max_progress_bytes))
+    {
+      g_clear_pointer (&bytes, g_bytes_unref);
+      left_out_n = fb_pool_compact_progress (job, &progress, max_progress_bytes (self, &suspects));
+      bytes = fb_codec_encode_progress (&progress, &suspects);
+    }
+  log_left_out (job, left_out_n);
   g_free (progress.task_progress.task_progress_val);
   fb_pool_crash_record_clear (&suspects);
   return bytes;
@@ -96,6 +118,8 @@
   return FALSE;
 }
 
+/* ---- records that the store does not accept ------------------------------------------ */
+
 static void
 hold_end (FbPoolWorker *worker, uint64_t number)
 {
@@ -158,20 +182,24 @@
   g_hash_table_remove_all (self->dirty);
 }
 
-/* Leaves out the steps of ROW if they do not fit into LEFT_BYTES.  The next owner then counts with
- * runs of any step there.
- * Returns: the bytes that are left. */
-static gsize
-leave_out_steps (fb_work_known_worker *row, gsize left_bytes)
+/* Leaves out the steps of rows for which they do not fit into MAX_BYTES.  The next owner then
+ * counts with runs of any step there. */
+static void
+leave_out_steps (fb_work_workers *record, gsize max_bytes)
 {
-  gsize bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
-  if (bytes > left_bytes && row->steps.steps_len > 0)
+  gsize bytes = 0;
+  for (u_int i = 0; i < record->workers.workers_len; i++)
     {
-      fb_pool_drain_record_clear (row);
-      row->steps_known = FALSE;
-      bytes = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
+      fb_work_known_worker *row = &record->workers.workers_val[i];
+      gsize more = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
+      if (bytes + more > max_bytes && row->steps.steps_len > 0)
+        {
+          fb_pool_drain_record_clear (row);
+          row->steps_known = FALSE;
+          more = xdr_sizeof ((xdrproc_t) xdr_fb_work_known_worker, row);
+        }
+      bytes += more;
     }
-  return left_bytes - MIN (bytes, left_bytes);
 }
 
 /* Returns: (transfer full) (nullable): the record of all workers; NULL when it cannot be encoded.
@@ -184,8 +212,6 @@
 encode_workers (FbPool *self, uint64_t now_ms)
 {
   guint n = MIN (g_hash_table_size (self->workers), FB_WORK_MAX_WORKERS - 1);
-  gsize left_bytes
-      = self->limits.max_workers_bytes > 0 ? self->limits.max_workers_bytes : G_MAXSIZE;
   g_autofree fb_work_known_worker *known = g_new0 (fb_work_known_worker, n + 1);
   g_autofree char *mark = g_strdup_printf ("#record %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
                                            self->epoch, self->flushes_n);
@@ -202,12 +228,18 @@
       g_autoptr (GHashTable) runs = fb_pool_silence_runs (self, worker, now_ms);
       has_closed = has_closed || fb_pool_silence_will_close (self, worker, now_ms);
       fb_pool_drain_record (worker, runs, row);
-      left_bytes = leave_out_steps (row, left_bytes);
     }
   if (has_closed)
     known[record.workers.workers_len++]
         = (fb_work_known_worker){ .id = mark, .address = (char *) "", .steps_known = TRUE };
   GBytes *bytes = fb_codec_encode_workers (&record);
+  if (exceeds (bytes, self->limits.max_workers_bytes))
+    {
+      g_clear_pointer (&bytes, g_bytes_unref);
+      leave_out_steps (&record, self->limits.max_workers_bytes > 0 ? self->limits.max_workers_bytes
+                                                                   : FB_CODEC_RECORD_MAX_BYTES);
+      bytes = fb_codec_encode_workers (&record);
+    }
   for (u_int i = 0; i < record.workers.workers_len; i++)
     fb_pool_drain_record_clear (&known[i]);
   return bytes;
@@ -327,8 +359,6 @@
   return job != NULL && !fb_pool_job_ended (job) ? fb_codec_encode_admit (&job->record) : NULL;
 }
 
-/* ---- records that the store does not accept ------------------------------------------ */
-
 void
 fb_pool_record_hold_end (FbPoolWorker *worker, const FbPoolJob *job, uint64_t number)
 {
--- a/tests/test-record-limits.c
+++ b/tests/test-record-limits.c
@@ -1,4 +1,6 @@
 /* Records and messages with values that are larger than usual, and jobs with more tasks. */
+#include "idle-callbacks.h"
+
 #include "internal/codec.h"
 #include "internal/pool-compact.h"
 #include "internal/pool-private.h"
@@ -86,8 +88,7 @@
   CU_ASSERT_PTR_NOT_NULL (stored);
 }
 
-/* Guards against a queue whose services are not told to callers that look for a job, since it has
- * had many. */
+/* Guards against callers that are not told of all services that may have their job. */
 static void
 test_many_services_of_a_queue (void)
 {
@@ -103,33 +104,11 @@
 
 /* ---- jobs with many tasks ------------------------------------------------------------- */
 
-static void
-ignore_start (gpointer user, const FbStartOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
-static void
-ignore_stop (gpointer user, const FbStopOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
-static void
-ignore_poll (gpointer user, const FbPollOrder *order)
-{
-  (void) user;
-  (void) order;
-}
-
 static FbPoolJob *
 add_job (FbPool **pool, const guint *counts, guint steps_n, guint occurrences)
 {
   static const FbPoolLimits limits = { .max_lease_ms = 6000, .max_stop_ms = 200 };
-  static const FbPoolCallbacks callbacks
-      = { .start = ignore_start, .stop = ignore_stop, .poll = ignore_poll };
+  static const FbPoolCallbacks callbacks = { .stop = idle_on_stop };
   g_autofree fb_work_step *steps = g_new0 (fb_work_step, steps_n);
   for (guint i = 0; i < steps_n; i++)
     steps[i] = (fb_work_step){ .count = counts[i],
@@ -165,7 +144,8 @@
   const fb_work_suspects none = { 0 };
   fb_work_progress progress;
   fb_work_suspects suspects;
-  (void) fb_pool_job_progress (job, max_bytes, &progress);
+  fb_pool_job_progress (job, &progress);
+  (void) fb_pool_compact_progress (job, &progress, max_bytes);
   progress.state = FB_WORK_RUNNING;
   g_autoptr (GBytes) bytes = fb_codec_encode_progress (&progress, &none);
   g_free (progress.task_progress.task_progress_val);
@@ -199,8 +179,8 @@
   CU_ASSERT_EQUAL (different_n, 0);
 }
 
-/* Guards against tasks that are done and run again after a takeover, as their job has more of them
- * than a record has rows. */
+/* Guards against done tasks that run again, as their job has more of them than a record has rows.
+ */
 static void
 test_done_tasks_beyond_the_rows_of_a_record (void)
 {
