--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -57,3 +57,6 @@
 member_of() { # PARTITION
   curl -s "http://127.0.0.1:$base/api/log-owners?group=owners" | tr -d ' ' | grep -o ",$1,\"127.0.0.1:[0-9]*" | grep -o '[0-9]*$'
 }
+# Prints the index of the daemon that owns a partition.
+owner_of() { local p; p=$(member_of "$1") && echo $(((p - $(port 0) - 2) / 4)); } # PARTITION
+owned() { local d; d=$(owner_of "$1") && kill -0 "${PID[$d]}" 2> /dev/null; } # PARTITION
--- a/tests/long-checkpoints.sh
+++ b/tests/long-checkpoints.sh
@@ -14,8 +14,6 @@
 submitted() { [ "$(curl -s --max-time 3 -o /dev/null -w '%{http_code}' -H 'Host: h.example' -d "$3" "http://127.0.0.1:$(port "$1")/q/$(job "$2")")" = 200 ]; } # DAEMON JOB BODY
 count() { curl -s "http://127.0.0.1:$base/audit" | grep -o "\"$1\":[0-9]*" | cut -d: -f2; } # started, done or doubled
 n_done() { [ "$(count done)" -ge "$1" ]; }
-owner_of() { local p; p=$(member_of "$1") && echo $(((p - base - 22) / 4)); } # PARTITION: prints the daemon
-owned() { local d; d=$(owner_of $P) && kill -0 "${PID[$d]}" 2> /dev/null; }
 completed() { # DAEMON JOB
   local answer; answer=$(get "$1" "$2")
   case $answer in *410) die "the accepted job is answered $answer" ;; *completed*) return 0 ;; esac
@@ -36,7 +34,7 @@
   until_true submitted $((number % 3)) $number "$body" || die "the job was not accepted"
   until_true n_done $((before + FIRST)) || die "$(count done) tasks ended"
   sleep 1.3
-  until_true owned || die "the partition has no owner"
+  until_true owned $P || die "the partition has no owner"
   owner=$(owner_of $P) asked=$(((owner + 1) % 3))
   kill "-$1" "${PID[$owner]}"; wait "${PID[$owner]}" 2> /dev/null || true
   until_true completed $asked $number || die "the job is shown as $(get $asked $number)"
--- a/tests/queue-services.sh
+++ b/tests/queue-services.sh
@@ -39,8 +39,6 @@
 no_run_twice() { audit | grep -q '"doubled":0' || die "$1: a task ran twice at the workers: $(audit)"; }
 given_up() { cat "$OUT"/d?.log | grep -c " JOB_ELSEWHERE job=$(job "$1") " || true; }
 is_given_up() { [ "$(given_up "$1")" -ge "${2:-1}" ]; }
-owner_of() { local p; p=$(member_of "$1") && echo $(((p - base - 22) / 4)); } # PARTITION: prints the daemon
-owned() { local d; d=$(owner_of "$1") && kill -0 "${PID[$d]}" 2> /dev/null; }
 restart_all() {
   local d
   for d in 0 1 2; do kill -9 "${PID[$d]}"; wait "${PID[$d]}" 2> /dev/null || true; done
--- a/tests/replaced-records.sh
+++ b/tests/replaced-records.sh
@@ -25,8 +25,6 @@
 running() { curl -s "http://127.0.0.1:$base/running?job=$(job "$1")" | grep -o '[0-9]*'; }
 n_run() { [ "$(running "$1")" = "$2" ]; }
 no_run_twice() { curl -s "http://127.0.0.1:$base/audit" | grep -q '"doubled":0' || die "$1: a task ran twice at a time: $(curl -s "http://127.0.0.1:$base/audit")"; }
-owner_of() { local p; p=$(member_of "$1") && echo $(((p - base - 22) / 4)); } # PARTITION: prints the daemon
-owned() { local d; d=$(owner_of $P) && kill -0 "${PID[$d]}" 2> /dev/null; }
 body='{"spec":"60000","phases":[{"count":'$TASKS',"cpu":2000,"mem-mb":100,"estimate-ms":60000}]}'
 
 $B/standins/standin-platform "$base" 8 "" $SECOND=4 > "$OUT/platform.log" 2>&1 & PID[platform]=$!
@@ -38,11 +36,11 @@
 # Kills the owner while the job runs at the first service, and submits it to the second one.
 replace_record() { # QUEUE JOB
   local killed asked
-  until_true owned || die "the partition has no owner"
+  until_true owned $P || die "the partition has no owner"
   killed=$(owner_of $P) asked=$(((killed + 1) % 3))
   kill -9 "${PID[$killed]}"; wait "${PID[$killed]}" 2> /dev/null || true
   answers $asked POST "$1/$(job "$2")" 200 "$body" || die "the repeated submission was not accepted"
-  until_true owned || die "the partition has no other owner"
+  until_true owned $P || die "the partition has no other owner"
   until_true state_is $asked "$1/$(job "$2")" running || die "the job is shown as $(cat "$OUT/answer")"
   start_daemon "$killed"; until_true ready "$killed" || die "daemon $killed is not ready again"
   sleep 1
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -736,8 +736,7 @@
   return fb_pool_job_state (fb_owner_pool_for (daemon->owner, service)->pool, job, &state);
 }
 
-/* Guards against a second run of a job whose record a repeated submission to another service of the
- * partition has replaced when the owner was lost. */
+/* Guards against a second run of a job whose record was replaced when the owner was lost. */
 static void
 test_running_job_whose_record_was_replaced (void)
 {
@@ -775,8 +774,7 @@
   end ();
 }
 
-/* Guards against the loss of a job whose record was replaced so by one of a service that has
- * disclaimed the job. */
+/* Guards against the loss of a job whose record was replaced by that of a disclaiming service. */
 static void
 test_disclaimed_record_that_replaced_anothers (void)
 {
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -412,8 +412,7 @@
   return list;
 }
 
-/* Guards against workers that seem silent, or calls that seem not executed, because a relay cannot
- * encode their lists. */
+/* Guards against workers that seem silent because a relay cannot encode their lists. */
 static void
 test_long_lists_are_relayed (void)
 {
